--- /dev/null
+++ b/broker/broker.go
@@ -0,0 +1,492 @@
+// Package broker is the core of the doorman: requests, attempts and outcomes, on no wire. It owns the open requests,
+// their ids, attempt numbers, deadlines and timers, sees to it that each has exactly one end, and asks the decision
+// module what to do. A round takes a batch of events at one clock and returns effects.
+package broker
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"slices"
+	"time"
+
+	"sloequay/contract"
+	"sloequay/control"
+)
+
+// Event is something that the broker is told.
+type Event interface{ isEvent() }
+
+// Arrival is a new request.
+type Arrival struct{ Request *Request }
+
+// Withdrawal says that nobody waits for a request any more.
+type Withdrawal struct{ Request *Request }
+
+// Ending says how an attempt ended.
+type Ending struct {
+	Attempt *Attempt
+	End     End
+	Note    control.Note
+	Lag     time.Duration // waited for the source
+	Body    []byte
+	Fields  []Field
+}
+
+// Roster is the list of boxes or changes to it. In a whole one, what is absent is gone.
+type Roster struct {
+	Whole   bool
+	Version uint64
+	Boxes   []Box
+}
+
+// Purge says that copies from before Issued are out of date: those of an object, or of a group when Object is 0.
+type Purge struct {
+	Object uint64
+	Group  int
+	Issued time.Duration // on the Unix clock
+}
+
+// Probed is the result of a probe.
+type Probed struct {
+	Node   control.NodeID
+	Status control.Status
+	Took   time.Duration
+}
+
+func (Arrival) isEvent()    {}
+func (Withdrawal) isEvent() {}
+func (Ending) isEvent()     {}
+func (Roster) isEvent()     {}
+func (Purge) isEvent()      {}
+func (Probed) isEvent()     {}
+
+// Effect is something that the broker wants done.
+type Effect interface{ isEffect() }
+
+// Ask sends an attempt. May must be asked again at the moment of writing.
+type Ask struct{ Attempt *Attempt }
+
+// Quit gives an attempt up that may be out.
+type Quit struct{ Attempt *Attempt }
+
+// Answer is the final answer to a request.
+type Answer struct {
+	Request *Request
+	Final   Final
+}
+
+// Moved says that the list has changed what is known of a box: connections to where it was are void if Restarted.
+type Moved struct {
+	Box       *Box
+	Restarted bool
+}
+
+// Probe examines a box.
+type Probe struct{ Box *Box }
+
+// Line is a line for the log.
+type Line struct{ Text string }
+
+func (Ask) isEffect()    {}
+func (Quit) isEffect()   {}
+func (Answer) isEffect() {}
+func (Moved) isEffect()  {}
+func (Probe) isEffect()  {}
+func (Line) isEffect()   {}
+
+const (
+	// answerEarly is taken off a client's limit: its request was on its way for a while, and so will the answer be.
+	answerEarly = 15 * time.Millisecond
+	purgeMargin = 5 * time.Millisecond
+	leastAge    = time.Millisecond
+)
+
+// Broker is the state. It is not safe for concurrent use.
+type Broker struct {
+	cfg       control.Config
+	module    *control.Director
+	contracts *contract.Book
+	openCap   int
+	now       time.Duration
+	nextID    control.RequestID
+	open      map[control.RequestID]*Request
+	boxes     map[control.NodeID]*Box
+	hosts     map[string]control.NodeID
+	purges    map[Purge]time.Duration // by object or group (Issued 0): when the newest was issued
+	timers    timers
+	queue     []Event
+	effects   []Effect
+}
+
+// New makes a broker. With contracts nil every team may do everything.
+func New(cfg control.Config, seed uint64, openCap int, contracts *contract.Book) (*Broker, error) {
+	module, err := control.New(cfg, seed)
+	if err != nil {
+		return nil, err
+	}
+	return &Broker{cfg: cfg, module: module, contracts: contracts, openCap: openCap,
+		open: map[control.RequestID]*Request{}, boxes: map[control.NodeID]*Box{},
+		hosts: map[string]control.NodeID{}, purges: map[Purge]time.Duration{}}, nil
+}
+
+// Open is the number of requests without an end.
+func (b *Broker) Open() int { return len(b.open) }
+
+// Round takes what has happened by now and returns what is to be done. The result is valid until the next call.
+func (b *Broker) Round(now time.Duration, events []Event) []Effect {
+	b.now = max(b.now, now) // the system's clock may step back
+	b.effects = b.effects[:0]
+	b.queue = append(b.queue[:0], events...)
+	b.due()
+	for i := 0; i < len(b.queue); i++ { // what the module does may add to it
+		b.take(b.queue[i])
+	}
+	return b.effects
+}
+
+// Next is when the next round is due at the latest; 0: no time is set.
+func (b *Broker) Next() time.Duration {
+	if len(b.timers) == 0 {
+		return 0
+	}
+	return b.timers[0].at
+}
+
+func (b *Broker) take(e Event) {
+	switch e := e.(type) {
+	case Arrival:
+		b.arrive(e.Request)
+	case Withdrawal:
+		if r := e.Request; !r.ended {
+			b.close(r)
+			b.tell(control.GoneEvent{ID: r.id})
+		}
+	case Ending:
+		b.end(e)
+	case Roster:
+		b.list(e)
+	case Purge:
+		k := Purge{Object: e.Object, Group: e.Group}
+		b.purges[k] = max(b.purges[k], e.Issued)
+		b.tell(control.PurgeEvent{Object: e.Object, Group: e.Group, Age: max(0, b.now-e.Issued)})
+	case Probed:
+		b.tell(control.ProbeEvent{Node: e.Node, Status: e.Status, Took: e.Took})
+	}
+}
+
+// arrive takes a request: from here on it is owed exactly one answer.
+func (b *Broker) arrive(r *Request) {
+	r.deadline = r.Arrived + r.Limit - min(answerEarly, r.Limit/4)
+	if len(b.open) >= b.openCap {
+		b.answer(r, Final{Kind: Refusal, Wait: b.cfg.MaxRetryAfter, Reason: "too many open requests"})
+		return
+	}
+	if wait, ok := b.contracts.Admit(r.Team, b.cfg.Classes[r.Class].Name, b.now); !ok {
+		b.answer(r, Final{Kind: Refusal, Wait: wait, Reason: "over the team's contract"})
+		return
+	}
+	r.admitted = true
+	b.nextID++
+	r.id = b.nextID
+	b.open[r.id] = r
+	b.at(timer{at: r.deadline, request: r})
+	b.tell(control.CallEvent{ID: r.id, Class: r.Class, Object: r.Object, Part: r.Part, Group: r.Group,
+		Left: r.deadline - b.now, SizeKB: r.SizeKB})
+}
+
+// tell hands one event to the module and carries out what it wants.
+func (b *Broker) tell(e control.Event) {
+	for _, action := range b.module.Handle(b.now, e) {
+		b.do(action)
+	}
+}
+
+func (b *Broker) do(action control.Action) {
+	switch a := action.(type) {
+	case control.Get:
+		b.get(a)
+	case control.Refuse:
+		b.giveUp(a.ID, Final{Kind: Refusal, Wait: a.Wait, Reason: "refused"})
+	case control.Fail:
+		b.giveUp(a.ID, Final{Kind: Failure, Reason: "failed"})
+	case control.Cancel:
+		// What the module calls off after a request's end was quit by close.
+		if r := b.open[a.ID]; r != nil && a.Attempt < len(r.attempts) && r.attempts[a.Attempt].Open() {
+			b.effect(Quit{r.attempts[a.Attempt]})
+			b.queue = append(b.queue, Ending{Attempt: r.attempts[a.Attempt], End: CalledOff})
+		}
+	case control.Timer:
+		b.at(timer{at: a.At, token: a.Token})
+	case control.Probe:
+		if box := b.boxes[a.Node]; box != nil {
+			b.effect(Probe{box})
+		}
+	case control.Log:
+		b.effect(Line{a.Text})
+	}
+}
+
+func (b *Broker) effect(e Effect) { b.effects = append(b.effects, e) }
+
+// get makes the next attempt of a request.
+func (b *Broker) get(g control.Get) {
+	r, box, source := b.open[g.ID], b.boxes[g.Node], b.boxes[g.Source]
+	if r == nil || box == nil || source == nil {
+		b.effect(Line{fmt.Sprintf("module names an unknown request or box: %+v", g)})
+		return
+	}
+	a := &Attempt{Request: r, N: len(r.attempts), Box: box, Source: source, Keep: g.Keep, Age: g.Age, Join: g.Join,
+		HeldOnly: g.HeldOnly, NoParent: g.NoParent, Renew: g.Renew, Deadline: r.deadline, sent: b.now}
+	if g.Patience > 0 {
+		a.Deadline = min(a.Deadline, b.now+g.Patience)
+	}
+	busy := slices.ContainsFunc(r.attempts, (*Attempt).Open)
+	r.attempts = append(r.attempts, a)
+	// Never two attempts out together, whatever the module says: rule 2.
+	if busy && !b.cfg.SecondCopies {
+		b.queue = append(b.queue, Ending{Attempt: a, End: Barred})
+		return
+	}
+	if wait, ok := b.contracts.Spend(r.Team, b.now); !ok {
+		r.wait = wait
+		b.queue = append(b.queue, Ending{Attempt: a, End: Barred})
+		return
+	}
+	if a.Deadline < r.deadline {
+		b.at(timer{at: a.Deadline, attempt: a})
+	}
+	b.effect(Ask{a})
+}
+
+// May says at the moment of writing whether an attempt may still go out, and the oldest copy that will do then: the
+// list and the purges may have moved on while it waited for its connection. The list's state outranks all else.
+func (b *Broker) May(a *Attempt, now time.Duration) (age time.Duration, ok bool) {
+	if a.ended || a.Request.ended || now >= a.Deadline || !usable(a.Box) || !usable(a.Source) {
+		return 0, false
+	}
+	age = a.Age // counted from the decision, so by now it asks for a younger copy still
+	r := a.Request
+	for _, k := range []Purge{{Object: r.Object}, {Group: r.Group}} {
+		if issued, found := b.purges[k]; found {
+			if limit := max(leastAge, now-issued-purgeMargin); age == 0 || limit < age {
+				age = b.capAge(r.Class, limit)
+			}
+		}
+	}
+	return age, true
+}
+
+// capAge cuts an age to the fresh time of the class, where there is one.
+func (b *Broker) capAge(class int, age time.Duration) time.Duration {
+	if fresh := b.cfg.Classes[class].Fresh; fresh > 0 {
+		return min(age, fresh)
+	}
+	return age
+}
+
+func usable(box *Box) bool { return box.State == control.Ready }
+
+// end takes the end of an attempt. Only the first counts.
+func (b *Broker) end(e Ending) {
+	a := e.Attempt
+	if a.ended {
+		return
+	}
+	a.ended = true
+	r := a.Request
+	if r.ended {
+		return
+	}
+	if e.End.Good() {
+		final := Final{Kind: Answered, Box: a.Box, Body: e.Body, Fields: e.Fields}
+		if e.End == Unchanged {
+			final.Kind = Same
+		}
+		b.answer(r, final)
+	}
+	b.tell(control.AnswerEvent{ID: r.id, Node: a.Box.ID, Attempt: a.N, Took: b.now - a.sent, Settled: r.ended,
+		Note: e.Note, FirstByte: e.Lag, Status: outcomes[e.End].status})
+}
+
+// giveUp is the module's own end of a request; it goes out at once.
+func (b *Broker) giveUp(id control.RequestID, f Final) {
+	if r := b.open[id]; r != nil {
+		if r.wait > 0 && f.Kind == Refusal {
+			f.Wait, f.Reason = r.wait, "over the team's budget"
+		}
+		b.answer(r, f)
+	}
+}
+
+// answer gives the one final answer.
+func (b *Broker) answer(r *Request, f Final) {
+	if r.ended {
+		return
+	}
+	b.close(r)
+	b.effect(Answer{r, f})
+}
+
+// close ends a request: what is still out for it is given up.
+func (b *Broker) close(r *Request) {
+	r.ended = true
+	delete(b.open, r.id)
+	if r.admitted {
+		b.contracts.Done(r.Team)
+	}
+	for _, a := range r.attempts {
+		if a.Open() {
+			a.ended = true
+			b.effect(Quit{a})
+		}
+	}
+	r.Body = nil
+}
+
+// list follows the list of boxes.
+func (b *Broker) list(l Roster) {
+	e := control.ListEvent{Kind: control.ListDelta, Version: l.Version}
+	if l.Whole {
+		e.Kind = control.ListFull
+	}
+	named := map[control.NodeID]bool{}
+	for _, n := range l.Boxes {
+		n.ID = b.nodeID(n.Host)
+		named[n.ID] = true
+		box, old := b.boxes[n.ID], Box{}
+		if box == nil {
+			box = &Box{}
+			b.boxes[n.ID] = box
+		} else {
+			old = *box
+		}
+		*box = n
+		box.told = b.now
+		e.Nodes = append(e.Nodes, n.Node)
+		if old.Host != "" {
+			b.effect(Moved{box, n.Since != old.Since || n.Dial != old.Dial})
+		}
+	}
+	if l.Whole {
+		for id, box := range b.boxes {
+			if !named[id] && box.State != control.Gone {
+				box.State, box.told = control.Gone, b.now
+				b.effect(Moved{box, false})
+			}
+		}
+	}
+	b.tell(e)
+	b.forget()
+}
+
+// boxesMost bounds the boxes that are remembered; ones that are gone are forgotten beyond.
+const boxesMost = 4096
+
+func (b *Broker) forget() {
+	if len(b.boxes) <= boxesMost {
+		return
+	}
+	for id, box := range b.boxes {
+		if box.State == control.Gone && b.now-box.told > time.Minute {
+			delete(b.boxes, id)
+			delete(b.hosts, box.Host)
+		}
+	}
+}
+
+// nodeID gives the same id to a host at every doorman, for the shared hashes.
+func (b *Broker) nodeID(host string) control.NodeID {
+	if id, ok := b.hosts[host]; ok {
+		return id
+	}
+	id := control.NodeID(14695981039346656037) // FNV-1a
+	for i := range len(host) {
+		id = (id ^ control.NodeID(host[i])) * 1099511628211
+	}
+	for id == 0 || b.boxes[id] != nil {
+		id++
+	}
+	b.hosts[host] = id
+	return id
+}
+
+// timer is something that falls due: a token of the module, an attempt's time, or a request's.
+type timer struct {
+	at      time.Duration
+	token   uint64
+	attempt *Attempt
+	request *Request
+}
+
+func (b *Broker) at(t timer) { heap.Push(&b.timers, t) }
+
+// due puts what has fallen due before what has come in, but for deadlines: an answer that is here in time counts.
+func (b *Broker) due() {
+	var late []timer
+	for len(b.timers) > 0 && b.timers[0].at <= b.now {
+		t := heap.Pop(&b.timers).(timer)
+		if t.attempt != nil || t.request != nil {
+			late = append(late, t)
+			continue
+		}
+		b.tell(control.TimerEvent{Token: t.token})
+	}
+	if len(late) == 0 {
+		return
+	}
+	for i := 0; i < len(b.queue); i++ {
+		b.take(b.queue[i])
+	}
+	b.queue = b.queue[:0]
+	for _, t := range late {
+		b.overdue(t)
+	}
+	b.dropPurges()
+}
+
+// overdue ends what has run out of time. A request is answered at the latest here, whatever the module holds.
+func (b *Broker) overdue(t timer) {
+	if t.attempt != nil && t.attempt.Open() {
+		b.timeOut(t.attempt)
+	}
+	r := t.request
+	if r == nil || r.ended {
+		return
+	}
+	for _, a := range r.attempts {
+		if a.Open() {
+			b.timeOut(a)
+		}
+	}
+	if !r.ended {
+		b.answer(r, Final{Kind: Failure, Reason: "past its deadline"})
+		b.tell(control.GoneEvent{ID: r.id})
+	}
+}
+
+func (b *Broker) timeOut(a *Attempt) {
+	b.effect(Quit{a})
+	b.end(Ending{Attempt: a, End: TimedOut})
+}
+
+// dropPurges forgets purges that every box has done by now.
+func (b *Broker) dropPurges() {
+	for k, issued := range b.purges {
+		if b.now-issued > b.cfg.PurgeTakes+2*time.Second {
+			delete(b.purges, k)
+		}
+	}
+}
+
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return cmp.Less(t[i].at, t[j].at) }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	last := (*t)[len(*t)-1]
+	*t = (*t)[:len(*t)-1]
+	return last
+}
--- /dev/null
+++ b/broker/end.go
@@ -0,0 +1,57 @@
+package broker
+
+import "sloequay/control"
+
+// End is how an attempt ended. Every way in which an answer can come, or a connection can end under an attempt, is
+// one of these values.
+type End int
+
+// The ends of an attempt.
+const (
+	Served     End = iota // the bytes came whole
+	Unchanged             // the client's own copy is the one that would be served
+	Missed                // the box has no copy that will do, and none was filled
+	TurnedAway            // the box or its source is full
+	Failed                // the box says that it failed
+	Over                  // the box says that the request was over already
+	NotDialled            // no connection came up: refused, or not within the time-out
+	Unsent                // the connection ended before anything of the attempt was written
+	Barred                // the list or the budget forbade it by the time it was to be written
+	Crowded               // no descriptor or place is left for it here
+	Broken                // the connection ended after something of the attempt was written
+	Garbled               // the box's answer can't be read, and so its connection was closed
+	TimedOut              // nothing came within the attempt's time
+	CalledOff             // it was given up here
+	endCount
+)
+
+// outcome is what an End means to the module, and whether the answer reaches the client.
+type outcome struct {
+	name   string
+	status control.Status
+}
+
+// outcomes is the one place that maps ends to outcomes of the module. Full, ConnectFailed, Moot and Miss promise that
+// the attempt never ran; so nothing of which a byte was written may become one of them but by the box's own word.
+var outcomes = [endCount]outcome{
+	Served:     {"served", control.OK},
+	Unchanged:  {"unchanged", control.OK},
+	Missed:     {"missed", control.Miss},
+	TurnedAway: {"turned-away", control.Full},
+	Failed:     {"failed", control.Error},
+	Over:       {"over", control.Moot},
+	NotDialled: {"not-dialled", control.ConnectFailed},
+	Unsent:     {"unsent", control.ConnectFailed},
+	Barred:     {"barred", control.Moot},
+	Crowded:    {"crowded", control.Moot},
+	Broken:     {"broken", control.Reset},
+	Garbled:    {"garbled", control.Reset},
+	TimedOut:   {"timed-out", control.Timeout},
+	CalledOff:  {"called-off", control.Cancelled},
+}
+
+// String gives the name that the log uses.
+func (e End) String() string { return outcomes[e].name }
+
+// Good says whether the attempt brought the final answer.
+func (e End) Good() bool { return outcomes[e].status == control.OK }
--- /dev/null
+++ b/broker/request.go
@@ -0,0 +1,93 @@
+package broker
+
+import (
+	"time"
+
+	"sloequay/control"
+)
+
+// Owner is the front that a request came by. It gets the final answer exactly once, unless it withdrew the request.
+type Owner interface {
+	Final(r *Request, f Final)
+}
+
+// Request is what a client asked for. A front fills the exported fields; the rest is the broker's.
+type Request struct {
+	Owner   Owner
+	ID      string // the client's own id of this try
+	Class   int
+	Team    string
+	Object  uint64
+	Thing   string // Object as the client wrote it
+	Part    int
+	Group   int
+	Key     string // in keyed classes: the same for all tries
+	Known   string // the tag of the copy that the client holds
+	SizeKB  float64
+	Body    []byte
+	Arrived time.Duration // of its last byte
+	Limit   time.Duration // that the client waits
+
+	id       control.RequestID
+	deadline time.Duration // by which the answer must be on its way
+	attempts []*Attempt
+	ended    bool
+	admitted bool          // it holds a place of its team's contract
+	wait     time.Duration // for the client to stay away, where the budget ran out
+}
+
+// Final is the one answer to a request.
+type Final struct {
+	Kind   Kind
+	Box    *Box          // that served it
+	Body   []byte        // with Answered
+	Fields []Field       // that the box sent with its answer
+	Wait   time.Duration // with Refusal: to stay away; 0: no advice
+	Reason string        // with Refusal and Failure, for people
+}
+
+// Kind says what a final answer is.
+type Kind int
+
+// The kinds of final answers.
+const (
+	Answered Kind = iota
+	Same          // the client's copy is the one
+	Refusal       // a further try is harmless
+	Failure       // nothing is promised
+)
+
+// Field is a name with its value.
+type Field struct{ Name, Value string }
+
+// Box is a server of the list: a cache, a parent or the origin. Its fields follow the list.
+type Box struct {
+	control.Node
+	Host string // its id on the sockets
+	Dial string // host:port
+	told time.Duration
+}
+
+// Attempt is one sending of a request to a box.
+type Attempt struct {
+	Request  *Request
+	N        int // from 0
+	Box      *Box
+	Source   *Box // Box itself: no fill
+	Keep     int
+	Age      time.Duration // oldest copy that will do; 0: the class's own limit
+	Join     bool
+	HeldOnly bool
+	NoParent bool
+	Renew    bool
+	Deadline time.Duration
+
+	sent  time.Duration
+	ended bool
+}
+
+// Open says whether the attempt has no end yet.
+func (a *Attempt) Open() bool { return !a.ended }
+
+// ObjectZero stands for the object 0, which in the module's purges means "a whole group".
+const ObjectZero = 1 << 63
--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -9,8 +9,8 @@
 	"io"
 	"os"
 
-	"bridgehook/control"
-	"bridgehook/internal/wire"
+	"sloequay/control"
+	"sloequay/wire"
 )
 
 func main() {
--- /dev/null
+++ b/cmd/sloequay/serve.go
@@ -0,0 +1,159 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"sloequay/broker"
+	"sloequay/bulletin"
+	"sloequay/contract"
+	"sloequay/depot"
+	"sloequay/loop"
+	"sloequay/rpc"
+	"sloequay/settings"
+)
+
+// plan is what serve runs by.
+type plan struct {
+	settings  *settings.Settings
+	contracts *contract.Book
+	names     bulletin.Names
+	last      int64 // event of the bulletin
+	known     []broker.Event
+	boxes     int
+}
+
+// decode reads the events of the start, so that check finds faults in them too.
+func (p *plan) decode() (err error) {
+	p.names = bulletin.Names{Zones: p.settings.Control.ZoneNames, Kinds: p.settings.Control.KindNames}
+	if p.last, p.known, err = p.names.Known(p.settings.Known); err != nil {
+		return err
+	}
+	for _, e := range p.known {
+		if r, ok := e.(broker.Roster); ok {
+			p.boxes += len(r.Boxes)
+		}
+	}
+	return nil
+}
+
+const (
+	housekeepEvery = 100 * time.Millisecond
+	// After SIGTERM new connections may come for 0.4 s and requests on them for 0.2 s more.
+	leaveAfter = 900 * time.Millisecond
+	// ownSockets is what the program needs beside clients and boxes: listeners, epoll, bulletin, standard streams.
+	ownSockets = 24
+)
+
+// doorman is the assembled program. Everything in it runs on the loop.
+type doorman struct {
+	plan     *plan
+	loop     *loop.Loop
+	broker   *broker.Broker
+	pool     *depot.Pool
+	bulletin *bulletin.Reader
+	front    *rpc.Front
+	log      *logger
+	events   []broker.Event
+	kept     time.Duration // when the last housekeeping was
+	leaving  time.Duration // when SIGTERM came
+	stopped  bool
+}
+
+func clock() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
+// serve runs the doorman until SIGTERM has been seen through.
+func serve(p *plan) error {
+	s := p.settings
+	debug.SetMemoryLimit(s.Memory * 6 / 10) // the rest is for stacks, the runtime and the sockets' buffers
+	d := &doorman{plan: p, log: &logger{}}
+	var err error
+	if d.broker, err = broker.New(s.Control, s.Seed, s.OpenCap, p.contracts); err != nil {
+		return err
+	}
+	full := func() bool { return int64(d.loop.Outbound()) > s.Memory/5 }
+	ready := func() bool { return d.leaving == 0 }
+	d.front = rpc.New(s.Control.Classes, s.Sockets/3, d.emit, clock, ready, full, d.log.printf)
+	listeners := []loop.Listener{{Network: "tcp", Address: s.Listen, Accept: d.front.Accept}}
+	return loop.Run(listeners, d.start, d.round)
+}
+
+// start joins the parts once the loop runs, and hands the module what was known at the start.
+func (d *doorman) start(l *loop.Loop) {
+	s := d.plan.settings
+	d.loop = l
+	d.pool = &depot.Pool{Loop: l, Emit: d.emit, Now: clock, May: d.broker.May, Log: d.log.printf,
+		Classes: s.Control.Classes, DialLimit: s.DialTimeout, Idle: s.ConnIdle, Streams: s.Streams,
+		Most: s.Sockets - s.Sockets/3 - ownSockets}
+	d.bulletin = &bulletin.Reader{Loop: l, Address: s.Bulletin, Names: d.plan.names, Last: d.plan.last, Emit: d.emit,
+		Now: clock, Log: d.log.printf}
+	for _, e := range d.plan.known {
+		d.emit(e)
+	}
+	terminate := make(chan os.Signal, 1)
+	signal.Notify(terminate, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-terminate
+		l.Post(d.leave)
+	}()
+	d.log.printf("started: %s listens on %s, %d boxes known", s.Name, s.Listen, d.plan.boxes)
+	l.NeedRound()
+}
+
+func (d *doorman) emit(e broker.Event) { d.events = append(d.events, e) }
+
+// leave begins the end: status says false, and what is open or still comes is served.
+func (d *doorman) leave() {
+	d.leaving = clock()
+	d.log.printf("leaving: SIGTERM with %d open requests", d.broker.Open())
+	d.loop.NeedRound()
+}
+
+// round hands what has been gathered to the module in one go, and carries out what comes back.
+func (d *doorman) round() {
+	now := clock()
+	if now-d.kept >= housekeepEvery || now < d.kept {
+		d.kept = now
+		d.bulletin.Tick(now)
+		d.pool.Housekeep(now)
+		d.front.CloseIdle(now)
+		d.log.tick(now)
+	}
+	for again := true; again; again = len(d.events) > 0 { // carrying out may bring ends of its own
+		events := d.events
+		d.events = nil
+		for _, e := range d.broker.Round(clock(), events) {
+			d.carryOut(e)
+		}
+	}
+	if d.leaving > 0 && !d.stopped && now-d.leaving > leaveAfter && d.broker.Open() == 0 && d.loop.Outbound() == 0 {
+		d.stopped = true
+		d.log.printf("left: nothing is open")
+		d.loop.Stop()
+	}
+	wake := d.kept + housekeepEvery
+	if next := d.broker.Next(); next > 0 {
+		wake = min(wake, next)
+	}
+	d.loop.WakeAfter(max(0, wake-clock()))
+}
+
+func (d *doorman) carryOut(effect broker.Effect) {
+	switch e := effect.(type) {
+	case broker.Ask:
+		d.pool.Ask(e.Attempt)
+	case broker.Quit:
+		d.pool.Quit(e.Attempt)
+	case broker.Answer:
+		e.Request.Owner.Final(e.Request, e.Final)
+	case broker.Moved:
+		d.pool.Moved(e.Box, e.Restarted)
+	case broker.Probe:
+		d.pool.Probe(e.Box)
+	case broker.Line:
+		d.log.printf("module: %s", e.Text)
+	}
+}
--- a/control/example_test.go
+++ b/control/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"bridgehook/control"
+	"sloequay/control"
 )
 
 // A director with one cache and one parent looks for an unknown object at the cache, and is told that it was served.
--- /dev/null
+++ b/depot/depot.go
@@ -0,0 +1,385 @@
+// Package depot speaks to caches, parents and the origin: lines of words, many requests on a connection, answers in
+// any order. It keeps a pool of connections to each box, keyed by the box's id and not by its address.
+package depot
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"sloequay/broker"
+	"sloequay/control"
+	"sloequay/loop"
+)
+
+const (
+	// spread is how many attempts a connection carries before another one is opened beside it. It is far under what
+	// the settings allow: answers come one after another on a connection, so a large one delays those behind it.
+	spread = 4
+	// silentAfter is how long an attempt may wait on a connection with nothing read from it before new ones go by
+	// another. A machine that is cut off leaves its connections open and silent.
+	silentAfter = 600 * time.Millisecond
+	// quitKept is how long an id that was given up is remembered, to drop its late answer.
+	quitKept  = 10 * time.Second
+	probeMost = time.Second
+)
+
+// Pool is all connections to boxes.
+type Pool struct {
+	Loop      *loop.Loop
+	Emit      func(broker.Event)
+	Now       func() time.Duration
+	May       func(*broker.Attempt, time.Duration) (time.Duration, bool)
+	Log       func(format string, args ...any)
+	Classes   []control.Class
+	DialLimit time.Duration
+	Idle      time.Duration // after which the boxes close an idle connection; 0: never
+	Streams   int
+	Most      int // descriptors
+
+	boxes  map[control.NodeID]*depot
+	links  int // up or being dialled
+	probes int // numbers their tags
+}
+
+// depot is one box with the connections to it.
+type depot struct {
+	box   *broker.Box
+	links []*link
+}
+
+// link is one connection, or the dial of one.
+type link struct {
+	pool    *Pool
+	depot   *depot
+	conn    *loop.Conn // nil while it is dialled
+	address string
+	begun   time.Duration // when it was dialled
+	waiting []*broker.Attempt
+	open    map[string]*pending
+	quit    map[string]time.Duration // ids that were given up here
+	heard   time.Duration            // when something was last read
+	used    time.Duration
+	retired bool // takes nothing new, and closes when nothing is open on it
+	closed  bool
+}
+
+// pending is an attempt or a probe that was put on a connection.
+type pending struct {
+	attempt *broker.Attempt
+	sent    time.Duration
+	start   uint64 // of its bytes on the connection
+}
+
+func (p *Pool) depot(box *broker.Box) *depot {
+	if p.boxes == nil {
+		p.boxes = map[control.NodeID]*depot{}
+	}
+	d := p.boxes[box.ID]
+	if d == nil {
+		d = &depot{}
+		p.boxes[box.ID] = d
+	}
+	d.box = box
+	return d
+}
+
+// Ask sends an attempt, at once or when a connection is up.
+func (p *Pool) Ask(a *broker.Attempt) {
+	l := p.pick(p.depot(a.Box), a.Request.ID)
+	switch {
+	case l == nil:
+		p.Log("depot-crowded: no descriptor is left for box %s", a.Box.Host)
+		p.Emit(broker.Ending{Attempt: a, End: broker.Crowded})
+	case l.conn == nil:
+		l.waiting = append(l.waiting, a)
+	default:
+		l.write(a)
+	}
+}
+
+// pick chooses the connection for an attempt: the least loaded that is sound, or a new one.
+func (p *Pool) pick(d *depot, id string) *link {
+	now := p.Now()
+	var best *link
+	for _, l := range d.links {
+		// An id that was given up on a connection does not go out there again: its late answer could not be told
+		// from the new one.
+		if _, quit := l.quit[id]; quit || l.open[id] != nil || l.retired || l.load() >= p.Streams || l.silent(now) {
+			continue
+		}
+		if best == nil || l.load() < best.load() {
+			best = l
+		}
+	}
+	if best != nil && best.load() < spread {
+		return best
+	}
+	if !p.room() {
+		return best
+	}
+	return p.dial(d)
+}
+
+// room says whether one more connection may be opened; an idle one elsewhere makes way for it.
+func (p *Pool) room() bool {
+	if p.links+p.Loop.Dials() < p.Most {
+		return true
+	}
+	var idle *link
+	for _, d := range p.boxes {
+		for _, l := range d.links {
+			if l.conn != nil && !l.retired && l.load() == 0 && (idle == nil || l.used < idle.used) {
+				idle = l
+			}
+		}
+	}
+	if idle != nil {
+		idle.retire()
+	}
+	return idle != nil
+}
+
+func (p *Pool) dial(d *depot) *link {
+	now := p.Now()
+	l := &link{pool: p, depot: d, address: d.box.Dial, begun: now, used: now, heard: now,
+		open: map[string]*pending{}, quit: map[string]time.Duration{}}
+	d.links = append(d.links, l)
+	p.links++
+	p.Loop.Dial(l.address, p.DialLimit, l, l.notDialled)
+	return l
+}
+
+func (l *link) load() int { return len(l.open) + len(l.waiting) }
+
+// silent says whether something waits here for long while nothing comes.
+func (l *link) silent(now time.Duration) bool {
+	for _, o := range l.open {
+		if now-max(o.sent, l.heard) > silentAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// gone takes the link out of the pool.
+func (l *link) gone() {
+	if l.closed {
+		return
+	}
+	l.closed = true
+	l.pool.links--
+	l.depot.links = slices.DeleteFunc(l.depot.links, func(o *link) bool { return o == l })
+}
+
+func (l *link) notDialled(err error) {
+	l.gone()
+	if len(l.waiting) > 0 {
+		l.pool.Log("depot-dial: box %s at %s: %v", l.depot.box.Host, l.address, err)
+	}
+	for _, a := range l.waiting {
+		l.pool.Emit(broker.Ending{Attempt: a, End: broker.NotDialled})
+	}
+	l.waiting = nil
+}
+
+// Opened writes what has waited for the connection.
+func (l *link) Opened(c *loop.Conn) {
+	l.conn, l.heard = c, l.pool.Now()
+	waiting := l.waiting
+	l.waiting = nil
+	for _, a := range waiting {
+		l.write(a)
+	}
+	l.rest()
+}
+
+// write puts an attempt on the connection, if the list and the purges still allow it.
+func (l *link) write(a *broker.Attempt) {
+	now := l.pool.Now()
+	age, ok := l.pool.May(a, now)
+	if !ok || l.closed {
+		l.pool.Emit(broker.Ending{Attempt: a, End: broker.Barred})
+		return
+	}
+	l.used = now
+	l.open[a.Request.ID] = &pending{attempt: a, sent: now, start: l.conn.Queued()}
+	l.conn.Send(ask(nil, a, l.pool.Classes[a.Request.Class].Name, age, a.Deadline-now))
+}
+
+// Received takes the answers that have come whole.
+func (l *link) Received(c *loop.Conn) {
+	l.heard = l.pool.Now()
+	used := 0
+	for {
+		a, n, err := parse(c.In[used:])
+		if err != nil {
+			l.garbled(err)
+			c.Used(len(c.In))
+			return
+		}
+		if n == 0 {
+			break
+		}
+		used += n
+		if err := l.answer(&a); err != nil {
+			l.garbled(err)
+			c.Used(len(c.In))
+			return
+		}
+	}
+	c.Used(used)
+	l.rest()
+}
+
+func (l *link) answer(a *answer) error {
+	o := l.open[a.id]
+	if o == nil {
+		if _, quit := l.quit[a.id]; !quit {
+			l.pool.Log("depot-stray: box %s answered %.32q, which was not open", l.depot.box.Host, a.id)
+		}
+		delete(l.quit, a.id)
+		return nil
+	}
+	_, isEnd := ends[a.word]
+	switch {
+	case o.attempt == nil && !isEnd:
+		l.pool.Emit(broker.Probed{Node: l.depot.box.ID, Status: probes[a.word], Took: l.heard - o.sent})
+	case o.attempt == nil || !isEnd || a.word == "NOMOD" && o.attempt.Request.Known == "":
+		return fmt.Errorf("%s does not answer what was asked", a.word)
+	default:
+		l.pool.Emit(a.ending(o.attempt))
+	}
+	delete(l.open, a.id)
+	l.used = l.heard
+	return nil
+}
+
+// garbled ends the connection whose answers can't be read.
+func (l *link) garbled(err error) {
+	l.pool.Log("depot-garbled: box %s: %v; closed the connection", l.depot.box.Host, err)
+	l.endAll(func(*pending) broker.End { return broker.Garbled })
+	l.retire()
+}
+
+// endAll ends all that is open on the link.
+func (l *link) endAll(how func(*pending) broker.End) {
+	for id, o := range l.open {
+		if o.attempt != nil {
+			l.pool.Emit(broker.Ending{Attempt: o.attempt, End: how(o)})
+		} else {
+			l.pool.Emit(broker.Probed{Node: l.depot.box.ID, Status: control.ConnectFailed,
+				Took: l.pool.Now() - o.sent})
+		}
+		delete(l.open, id)
+	}
+}
+
+// Closed ends what was open: what was not written for certain never ran, the rest may have.
+func (l *link) Closed(c *loop.Conn, err error) {
+	taken := c.Taken()
+	if len(l.open) > 0 {
+		l.pool.Log("depot-broken: box %s: connection ended with %d open: %v", l.depot.box.Host, len(l.open), err)
+	}
+	l.endAll(func(o *pending) broker.End {
+		if o.start >= taken {
+			return broker.Unsent
+		}
+		return broker.Broken
+	})
+	l.gone()
+}
+
+// retire takes the link out of use; it closes when nothing is open on it.
+func (l *link) retire() {
+	l.retired = true
+	l.rest()
+}
+
+func (l *link) rest() {
+	if l.retired && l.conn != nil && l.load() == 0 {
+		l.conn.Close()
+		l.gone()
+	}
+}
+
+// Quit gives up an attempt that may be out.
+func (p *Pool) Quit(a *broker.Attempt) {
+	id := a.Request.ID
+	d := p.boxes[a.Box.ID]
+	if d == nil {
+		return
+	}
+	for _, l := range slices.Clone(d.links) {
+		if i := slices.Index(l.waiting, a); i >= 0 {
+			l.waiting = slices.Delete(l.waiting, i, i+1)
+			return
+		}
+		if o := l.open[id]; o != nil && o.attempt == a {
+			delete(l.open, id)
+			l.quit[id] = p.Now()
+			l.conn.Send([]byte("QUIT " + id + "\r\n"))
+			l.rest()
+			return
+		}
+	}
+}
+
+// Probe asks a box whether it is ready.
+func (p *Pool) Probe(box *broker.Box) {
+	d := p.depot(box)
+	l := p.pick(d, "")
+	if l == nil || l.conn == nil { // a dial that has begun says more than a probe would
+		p.Emit(broker.Probed{Node: box.ID, Status: control.ConnectFailed})
+		return
+	}
+	p.probes++
+	tag := fmt.Sprintf("p%d", p.probes)
+	l.open[tag] = &pending{sent: p.Now(), start: l.conn.Queued()}
+	l.conn.Send([]byte("NOOP " + tag + "\r\n"))
+}
+
+// Moved follows the list. A process that has started anew, or a box that is at another address, can't answer what
+// was sent before; nor can one that is gone. A new box may be at its address: it has its own connections.
+func (p *Pool) Moved(box *broker.Box, restarted bool) {
+	d := p.boxes[box.ID]
+	if d == nil {
+		return
+	}
+	for _, l := range slices.Clone(d.links) {
+		old := restarted && (l.begun < box.Since || l.address != box.Dial)
+		switch {
+		case l.conn != nil && (old || box.State == control.Gone):
+			l.endAll(func(*pending) broker.End { return broker.Broken })
+			l.retire()
+		case old || box.State != control.Ready:
+			l.retire() // what waits for it is looked at again when it is written
+		}
+	}
+	if box.State == control.Gone && len(d.links) == 0 {
+		delete(p.boxes, box.ID)
+	}
+}
+
+// Housekeep closes what is idle or silent and forgets ids that were given up long ago.
+func (p *Pool) Housekeep(now time.Duration) {
+	for id, d := range p.boxes {
+		for _, l := range slices.Clone(d.links) {
+			for quit, at := range l.quit {
+				if now-at > quitKept {
+					delete(l.quit, quit)
+				}
+			}
+			for tag, o := range l.open {
+				if o.attempt == nil && now-o.sent > probeMost {
+					delete(l.open, tag)
+					p.Emit(broker.Probed{Node: id, Status: control.Timeout, Took: now - o.sent})
+				}
+			}
+			// Before the box does: an attempt that crosses its close would be lost.
+			if l.conn != nil && l.load() == 0 && p.Idle > 0 && now-l.used > p.Idle*7/10 || l.silent(now) {
+				l.retire()
+			}
+		}
+	}
+}
--- /dev/null
+++ b/loop/loop.go
@@ -0,0 +1,398 @@
+// Package loop runs everything on one gnet event loop: it owns the connections, ends each round once all that was
+// ready has been read, and writes to each connection once a round. It knows no protocol.
+//
+// What gnet 2.9.7 does, as far as this package rests on it:
+//   - With SO_REUSEPORT and one event loop, accepting, reading and writing all run on that loop. Without it a second
+//     loop accepts, and UDP is not possible.
+//   - OnTick runs on a goroutine of its own, so the ticker is not used. Wake-ups are timers that post a task.
+//   - EventLoop.Execute queues a task behind an eventfd. epoll returns it with whatever else is ready and runs it
+//     after those, so a task posted from a callback comes after all that could be read: it ends the round.
+//   - EventLoop.Enroll takes a connection made elsewhere, duplicates its descriptor and opens it on the loop. Dials
+//     run on goroutines and meet the loop only there. Register would dial without a time-out.
+package loop
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/panjf2000/gnet/v2/pkg/logging"
+)
+
+// Handler is one side of a connection. All methods run on the loop.
+type Handler interface {
+	// Opened says that the connection is up.
+	Opened(c *Conn)
+	// Received says that c.In has grown. What is used is taken off with c.Used.
+	Received(c *Conn)
+	// Closed says that the connection is gone; it comes exactly once.
+	Closed(c *Conn, err error)
+}
+
+// PacketHandler takes the datagrams of one socket. Answers go back with reply, at once or later; it must be called on
+// the loop. The packet is valid during the call only.
+type PacketHandler func(packet []byte, from net.Addr, reply func([]byte))
+
+// Listener is an address to listen on: exactly one of Accept and Packet is set.
+type Listener struct {
+	Network, Address string
+	Accept           func(remote net.Addr) Handler // nil: close the new connection at once
+	Packet           PacketHandler
+}
+
+// Loop is the one event loop. All methods but Post must be called on it.
+type Loop struct {
+	gnet.BuiltinEventEngine
+	engine    gnet.Engine
+	events    gnet.EventLoop
+	listeners map[string]Listener
+	dirty     []*Conn
+	pending   bool // the end of a round is posted
+	timer     *time.Timer
+	start     func()
+	endRound  func()
+	started   chan struct{}
+	dials     int
+	outbound  int
+}
+
+// Conn is a connection on the loop.
+type Conn struct {
+	In      []byte // received and not used yet
+	handler Handler
+	sock    gnet.Conn
+	loop    *Loop
+	out     []byte
+	queued  uint64 // bytes that were left for it, ever
+	counted int    // of Loop.outbound
+	dirty   bool
+	closing bool
+	closed  bool
+}
+
+const (
+	// outboundMost bounds what waits for one peer that does not read; it is closed beyond.
+	outboundMost = 6 << 20
+	keepBuffer   = 64 << 10 // larger buffers are not kept when empty
+)
+
+// ErrOverflow is the end of a connection whose peer does not read.
+var ErrOverflow = errors.New("the peer does not read its answers")
+
+// Run opens the listeners and runs the loop until Stop. start runs on the loop before anything is read; endRound at
+// the end of every round.
+func Run(listeners []Listener, start func(*Loop), endRound func()) error {
+	l := &Loop{listeners: map[string]Listener{}, endRound: endRound, started: make(chan struct{})}
+	l.start = func() { start(l) }
+	var addresses []string
+	for _, ln := range listeners {
+		// SO_REUSEPORT would let a second program share the address unnoticed.
+		if err := vacant(ln); err != nil {
+			return err
+		}
+		l.listeners[ln.Network+ln.Address] = ln
+		addresses = append(addresses, ln.Network+"://"+ln.Address)
+	}
+	err := gnet.Rotate(l, addresses, gnet.WithReusePort(true), gnet.WithNumEventLoop(1),
+		gnet.WithLogLevel(logging.ErrorLevel))
+	if err != nil {
+		return fmt.Errorf("event loop: %w", err)
+	}
+	return nil
+}
+
+// vacant says whether nobody else listens on an address.
+func vacant(ln Listener) error {
+	if ln.Packet != nil {
+		probe, err := net.ListenPacket(ln.Network, ln.Address)
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		return probe.Close()
+	}
+	probe, err := net.Listen(ln.Network, ln.Address)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	return probe.Close()
+}
+
+// OnBoot runs before the loop does; the first connection enrolled, a socket pair, brings its handle.
+func (l *Loop) OnBoot(engine gnet.Engine) gnet.Action {
+	l.engine = engine
+	go func() {
+		if err := l.handle(); err != nil {
+			fmt.Fprintln(os.Stderr, "event loop:", err)
+			os.Exit(1)
+		}
+	}()
+	return gnet.None
+}
+
+// handle learns the EventLoop, which gnet gives out only with a connection, and starts the work on it.
+func (l *Loop) handle() error {
+	pair, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return fmt.Errorf("socket pair: %w", err)
+	}
+	file := os.NewFile(uintptr(pair[0]), "handle")
+	conn, err := net.FileConn(file)
+	_ = file.Close()
+	_ = syscall.Close(pair[1])
+	if err != nil {
+		return fmt.Errorf("socket pair: %w", err)
+	}
+	ctx := gnet.NewNetConnContext(context.Background(), conn)
+	for {
+		result, err := l.engine.Register(ctx)
+		if err != nil { // the loop is not there yet
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		if r := <-result; r.Err != nil {
+			return r.Err
+		}
+		return nil
+	}
+}
+
+// Post runs a task on the loop, at the end of what is ready. It may be called from any goroutine once start has run.
+func (l *Loop) Post(task func()) {
+	_ = l.events.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		task()
+		return nil
+	}))
+}
+
+// NeedRound asks for the end of the round.
+func (l *Loop) NeedRound() {
+	if l.pending {
+		return
+	}
+	l.pending = true
+	l.Post(l.finish)
+}
+
+func (l *Loop) finish() {
+	l.pending = false
+	l.endRound()
+	l.flush()
+}
+
+// flush writes to each connection once what the round left for it.
+func (l *Loop) flush() {
+	for i := 0; i < len(l.dirty); i++ { // closing one may leave something for another
+		c := l.dirty[i]
+		c.dirty = false
+		c.write()
+	}
+	l.dirty = l.dirty[:0]
+}
+
+// WakeAfter asks for a round after a time. A later call takes the place of an earlier one.
+func (l *Loop) WakeAfter(d time.Duration) {
+	if l.timer == nil {
+		l.timer = time.AfterFunc(d, func() { l.Post(l.NeedRound) })
+		return
+	}
+	l.timer.Reset(d)
+}
+
+// Stop ends Run.
+func (l *Loop) Stop() {
+	go func() { _ = l.engine.Stop(context.Background()) }()
+}
+
+// Dials is the number of dials under way, each of which may hold two descriptors.
+func (l *Loop) Dials() int { return l.dials }
+
+// Outbound is the number of bytes that wait for peers to read.
+func (l *Loop) Outbound() int { return l.outbound }
+
+// Dial connects without blocking the loop. Either handler.Opened follows or failed.
+func (l *Loop) Dial(address string, limit time.Duration, handler Handler, failed func(error)) {
+	l.dials++
+	fail := func(err error) {
+		l.Post(func() {
+			l.dials--
+			failed(err)
+			l.NeedRound()
+		})
+	}
+	go func() {
+		conn, err := net.DialTimeout("tcp", address, limit)
+		if err != nil {
+			fail(err)
+			return
+		}
+		ctx := gnet.NewContext(context.Background(), &Conn{handler: handler, loop: l})
+		result, err := l.events.Enroll(ctx, conn)
+		if err == nil {
+			err = (<-result).Err
+		} else {
+			_ = conn.Close()
+		}
+		if err != nil {
+			fail(err)
+		}
+	}()
+}
+
+// OnOpen gives a new connection its handler.
+func (l *Loop) OnOpen(sock gnet.Conn) ([]byte, gnet.Action) {
+	if l.events == nil { // the handle's own connection, or a client that was quicker
+		l.events = sock.EventLoop()
+		l.start()
+	}
+	if sock.LocalAddr().Network() == "unix" {
+		return nil, gnet.None // its far end is closed, and so it will be
+	}
+	c, dialled := sock.Context().(*Conn)
+	if dialled {
+		l.dials--
+	} else {
+		ln, ok := l.listeners["tcp"+sock.LocalAddr().String()]
+		if !ok || ln.Accept == nil {
+			return nil, gnet.Close
+		}
+		handler := ln.Accept(sock.RemoteAddr())
+		if handler == nil {
+			return nil, gnet.Close
+		}
+		c = &Conn{handler: handler, loop: l}
+		sock.SetContext(c)
+	}
+	c.sock = sock
+	c.handler.Opened(c)
+	l.NeedRound()
+	return nil, gnet.None
+}
+
+// OnTraffic collects what has come.
+func (l *Loop) OnTraffic(sock gnet.Conn) gnet.Action {
+	c, ok := sock.Context().(*Conn)
+	if !ok {
+		return l.packet(sock)
+	}
+	data, err := sock.Next(-1)
+	if err != nil || c.closing {
+		return gnet.None
+	}
+	c.In = append(c.In, data...)
+	c.handler.Received(c)
+	l.NeedRound()
+	return gnet.None
+}
+
+func (l *Loop) packet(sock gnet.Conn) gnet.Action {
+	ln, ok := l.listeners["udp"+sock.LocalAddr().String()]
+	if !ok || ln.Packet == nil || l.events == nil {
+		return gnet.None
+	}
+	data, err := sock.Next(-1)
+	if err != nil {
+		return gnet.None
+	}
+	// gnet sends datagrams from AsyncWrite at once, also after the event that brought sock.
+	ln.Packet(data, sock.RemoteAddr(), func(answer []byte) { _ = sock.AsyncWrite(answer, nil) })
+	l.NeedRound()
+	return gnet.None
+}
+
+// OnClose tells the handler of the end.
+func (l *Loop) OnClose(sock gnet.Conn, err error) gnet.Action {
+	c, ok := sock.Context().(*Conn)
+	if !ok {
+		return gnet.None
+	}
+	c.closed, c.closing = true, true
+	l.outbound -= c.counted
+	c.counted = 0
+	c.handler.Closed(c, err)
+	l.NeedRound()
+	return gnet.None
+}
+
+// Used takes n bytes off the front of In.
+func (c *Conn) Used(n int) {
+	rest := copy(c.In, c.In[n:])
+	c.In = c.In[:rest]
+	if rest == 0 && cap(c.In) > keepBuffer {
+		c.In = nil
+	}
+}
+
+// Send leaves bytes to be written at the end of the round. It copies them.
+func (c *Conn) Send(parts ...[]byte) {
+	if c.closing {
+		return
+	}
+	for _, p := range parts {
+		c.out = append(c.out, p...)
+		c.queued += uint64(len(p))
+	}
+	c.mark()
+}
+
+// Queued is how many bytes were left for the connection so far, and Taken how many of them the system took. Taken is
+// right up to the handler's Closed. What lies beyond it was never written.
+func (c *Conn) Queued() uint64 { return c.queued }
+
+// Taken: see Queued.
+func (c *Conn) Taken() uint64 {
+	return c.queued - uint64(len(c.out)) - uint64(c.sock.OutboundBuffered())
+}
+
+func (c *Conn) mark() {
+	if !c.dirty {
+		c.dirty = true
+		c.loop.dirty = append(c.loop.dirty, c)
+		c.loop.NeedRound()
+	}
+}
+
+// Close closes the connection at the end of the round, once what is left for it was written as far as it takes it.
+func (c *Conn) Close() {
+	if !c.closing {
+		c.closing = true
+		c.mark()
+	}
+}
+
+func (c *Conn) write() {
+	if c.closed {
+		return
+	}
+	if len(c.out) > 0 {
+		// A failed write closes the connection, and Closed says so.
+		_, _ = c.sock.Write(c.out)
+		if c.out = c.out[:0]; cap(c.out) > keepBuffer {
+			c.out = nil
+		}
+	}
+	if c.closed {
+		return
+	}
+	waits := c.sock.OutboundBuffered()
+	c.loop.outbound += waits - c.counted
+	c.counted = waits
+	if waits > outboundMost {
+		c.closing = true
+	}
+	if c.closing {
+		_ = c.sock.EventLoop().Close(c.sock)
+	}
+}
+
+// Waits is the number of bytes that the peer has not taken yet.
+func (c *Conn) Waits() int {
+	if c.closed {
+		return 0
+	}
+	return len(c.out) + c.sock.OutboundBuffered()
+}
--- /dev/null
+++ b/rpc/rpc.go
@@ -0,0 +1,340 @@
+// Package rpc is the platform's front: MessagePack-RPC over TCP. It turns frames into requests of the broker and
+// final answers into frames, and decides nothing.
+package rpc
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"time"
+
+	"sloequay/broker"
+	"sloequay/control"
+	"sloequay/loop"
+	"sloequay/msgpack"
+)
+
+const (
+	mostFrame  = 96 << 10 // a write of 48,000 bytes with its fields
+	mostBody   = 48000
+	mostText   = 256
+	mostFields = 64
+	mostOpen   = 64 // of one connection; clients keep to 32, but may not have read all answers
+	idleAfter  = 60 * time.Second
+)
+
+// The words of the protocol.
+const (
+	kindRequest, kindAnswer, kindNotice = 0, 1, 2
+
+	wordRefused   = "Overloaded"
+	wordFailed    = "Internal"
+	wordMalformed = "Malformed"
+)
+
+// Front is all client connections.
+type Front struct {
+	classes map[string]int
+	keyed   []bool
+	emit    func(broker.Event)
+	now     func() time.Duration
+	log     func(format string, args ...any)
+	ready   func() bool // whether new clients are wanted
+	full    func() bool // whether memory is short
+	most    int         // connections
+	conns   map[*client]bool
+}
+
+// New makes the front. most bounds its connections.
+func New(classes []control.Class, most int, emit func(broker.Event), now func() time.Duration,
+	ready, full func() bool, log func(string, ...any)) *Front {
+	f := &Front{classes: map[string]int{}, emit: emit, now: now, ready: ready, full: full, log: log, most: most,
+		conns: map[*client]bool{}}
+	for i, c := range classes {
+		f.classes[c.Name] = i
+		f.keyed = append(f.keyed, c.Effect == control.Keyed)
+	}
+	return f
+}
+
+// Accept takes a new connection, or none where there is no descriptor for it.
+func (f *Front) Accept(remote net.Addr) loop.Handler {
+	if len(f.conns) >= f.most {
+		f.log("client-limit: %d connections are open, closed a new one from %s", f.most, remote)
+		return nil
+	}
+	return &client{front: f, open: map[uint32]*broker.Request{}, msgs: map[*broker.Request]uint32{},
+		active: f.now()}
+}
+
+// CloseIdle closes connections on which nothing is open and nothing came for long.
+func (f *Front) CloseIdle(now time.Duration) {
+	for c := range f.conns {
+		if len(c.open) == 0 && now-c.active > idleAfter {
+			c.conn.Close()
+		}
+	}
+}
+
+// client is one connection and what is open on it.
+type client struct {
+	front  *Front
+	conn   *loop.Conn
+	open   map[uint32]*broker.Request // by message id
+	msgs   map[*broker.Request]uint32
+	active time.Duration
+}
+
+func (c *client) Opened(conn *loop.Conn) {
+	c.conn = conn
+	c.front.conns[c] = true
+}
+
+// Closed withdraws all that is open: nobody waits for it.
+func (c *client) Closed(*loop.Conn, error) {
+	delete(c.front.conns, c)
+	for _, r := range c.open {
+		c.front.emit(broker.Withdrawal{Request: r})
+	}
+	c.open, c.msgs = nil, nil
+}
+
+func (c *client) Received(conn *loop.Conn) {
+	c.active = c.front.now()
+	used := 0
+	for used < len(conn.In) {
+		r := msgpack.Reader{Data: conn.In[used:]}
+		done, err := c.frame(&r)
+		if errors.Is(err, msgpack.ErrShort) && len(r.Data) <= mostFrame {
+			break
+		}
+		if err != nil {
+			c.front.log("client-frame: closed %s: %v", "a client's connection", err)
+			conn.Used(len(conn.In))
+			conn.Close()
+			return
+		}
+		used += done
+	}
+	conn.Used(used)
+}
+
+// frame takes one whole message off r. An error means that the connection can't go on.
+func (c *client) frame(r *msgpack.Reader) (int, error) {
+	n, kind := r.Array(), r.Uint()
+	switch {
+	case r.Err != nil:
+		return 0, r.Err
+	case n == 4 && kind == kindRequest:
+		return c.request(r)
+	case n == 3 && kind == kindNotice:
+		return c.notice(r)
+	}
+	return 0, fmt.Errorf("message of kind %d with %d elements", kind, n)
+}
+
+func (c *client) request(r *msgpack.Reader) (int, error) {
+	id := r.Uint()
+	if r.Err != nil || id > 0xffffffff {
+		return 0, errors.Join(r.Err, idError(id))
+	}
+	msg := uint32(id)
+	start := r.Pos
+	r.Skip() // method
+	r.Skip() // params
+	if r.Err != nil {
+		// The id is known: say so before the connection ends.
+		if !errors.Is(r.Err, msgpack.ErrShort) || len(r.Data) > mostFrame {
+			c.fail(msg, wordMalformed, nil)
+		}
+		return 0, r.Err
+	}
+	end := r.Pos
+	p := msgpack.Reader{Data: r.Data[:end], Pos: start}
+	method := string(p.Text(mostText))
+	if p.Err == nil && method == "status" {
+		c.conn.Send(msgpack.AppendMap(msgpack.AppendBool(msgpack.AppendArray(
+			msgpack.AppendNil(answerHead(msg)), 2), c.front.ready()), 0))
+		return end, nil
+	}
+	req, err := c.parse(method, &p)
+	switch {
+	case err != nil:
+		c.front.log("client-request: message %d answered with an error: %v", msg, err)
+		c.fail(msg, wordMalformed, nil)
+	case c.open[msg] != nil:
+		c.front.log("client-request: message id %d is open already", msg)
+		c.fail(msg, wordMalformed, nil) // the first one's answer is still to come, under the same id
+		return end, fmt.Errorf("message id %d used twice", msg)
+	case len(c.open) >= mostOpen || c.front.full():
+		c.fail(msg, wordRefused, []broker.Field{{Name: "later", Value: "100"}})
+	default:
+		c.open[msg], c.msgs[req] = req, msg
+		c.front.emit(broker.Arrival{Request: req})
+	}
+	return end, nil
+}
+
+func idError(id uint64) error {
+	if id > 0xffffffff {
+		return fmt.Errorf("message id %d", id)
+	}
+	return nil
+}
+
+// notice takes a withdraw: [2, "withdraw", [ID]].
+func (c *client) notice(r *msgpack.Reader) (int, error) {
+	start := r.Pos
+	r.Skip()
+	r.Skip()
+	if r.Err != nil {
+		return 0, r.Err
+	}
+	p := msgpack.Reader{Data: r.Data[:r.Pos], Pos: start}
+	method := string(p.Text(mostText))
+	if n := p.Array(); p.Err != nil || method != "withdraw" || n != 1 {
+		return r.Pos, nil // a notice is owed no answer, and an unknown one does no harm
+	}
+	id := p.Uint()
+	if req := c.open[uint32(id)]; p.Err == nil && id <= 0xffffffff && req != nil {
+		delete(c.open, uint32(id))
+		delete(c.msgs, req)
+		c.front.emit(broker.Withdrawal{Request: req})
+	}
+	return r.Pos, nil
+}
+
+// parse checks the fields of a request.
+func (c *client) parse(method string, p *msgpack.Reader) (*broker.Request, error) {
+	class, known := c.front.classes[method]
+	if p.Err == nil && !known {
+		return nil, fmt.Errorf("unknown method %q", method)
+	}
+	if n := p.Array(); p.Err == nil && n != 2 {
+		return nil, fmt.Errorf("%d parameters, expected 2", n)
+	}
+	pairs := p.Map()
+	if p.Err == nil && pairs > mostFields {
+		return nil, fmt.Errorf("%d fields, at most %d expected", pairs, mostFields)
+	}
+	fields := map[string]string{}
+	for ; pairs > 0 && p.Err == nil; pairs-- {
+		name := string(p.Text(mostText))
+		fields[name] = string(p.Text(mostText))
+	}
+	body := p.Binary(mostBody)
+	if p.Err != nil {
+		return nil, p.Err
+	}
+	r := &broker.Request{Owner: c, ID: fields["txn"], Class: class, Team: fields["team"], Thing: fields["item"],
+		Key: fields["unique"], Known: fields["got"], Body: append([]byte(nil), body...), Arrived: c.front.now()}
+	if !isHex16(r.ID) {
+		return nil, fmt.Errorf("txn %q: expected 16 hex digits", r.ID)
+	}
+	for _, f := range []string{r.Key, r.Known} {
+		if !IsWord(f) {
+			return nil, fmt.Errorf("field %q: not a plain word", f)
+		}
+	}
+	if c.front.keyed[class] && r.Key == "" {
+		return nil, errors.New("unique: missing in a keyed class")
+	}
+	if !isHex16(r.Thing) {
+		return nil, fmt.Errorf("item %q: expected 16 hex digits", r.Thing)
+	}
+	r.Object, _ = strconv.ParseUint(r.Thing, 16, 64)
+	if r.Object == 0 {
+		r.Object = broker.ObjectZero
+	}
+	limit, err := number(fields, "limit", 1, 3.6e6, "")
+	nth, err1 := number(fields, "nth", 0, 1<<30, "0")
+	batch, err2 := number(fields, "batch", 0, 255, "0")
+	ram, err3 := number(fields, "ram", 0, 1e9, "0")
+	if err := errors.Join(err, err1, err2, err3); err != nil {
+		return nil, err
+	}
+	r.Limit = time.Duration(limit * float64(time.Millisecond))
+	r.Part, r.Group, r.SizeKB = int(nth), int(batch), ram
+	return r, nil
+}
+
+// number reads a field that must lie between least and most; absent is what a missing one stands for.
+func number(fields map[string]string, name string, least, most float64, absent string) (float64, error) {
+	text, ok := fields[name]
+	if !ok {
+		text = absent
+	}
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(v >= least && v <= most) {
+		return 0, fmt.Errorf("%s %q: expected a number from %g to %g", name, text, least, most)
+	}
+	return v, nil
+}
+
+func isHex16(s string) bool {
+	for i := range len(s) {
+		if c := s[i]; (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return false
+		}
+	}
+	return len(s) == 16
+}
+
+// IsWord says whether a text may stand in a line to a depot: it must not break the line or its fields.
+func IsWord(s string) bool {
+	for i := range len(s) {
+		if c := s[i]; c <= ' ' || c >= 0x7f || c == ',' || c == '=' {
+			return false
+		}
+	}
+	return true
+}
+
+// Final answers a request.
+func (c *client) Final(r *broker.Request, f broker.Final) {
+	msg, ok := c.msgs[r]
+	if !ok {
+		return
+	}
+	delete(c.msgs, r)
+	delete(c.open, msg)
+	c.active = c.front.now()
+	switch f.Kind {
+	case broker.Answered, broker.Same:
+		b := msgpack.AppendArray(msgpack.AppendNil(answerHead(msg)), 2)
+		b = msgpack.AppendBinary(b, f.Body)
+		fields := f.Fields
+		if f.Kind == broker.Same {
+			fields = append(fields[:len(fields):len(fields)], broker.Field{Name: "ok304", Value: "1"})
+		}
+		c.conn.Send(appendFields(b, fields))
+	case broker.Refusal:
+		var fields []broker.Field
+		if f.Wait > 0 {
+			later := (f.Wait + time.Millisecond - 1) / time.Millisecond
+			fields = []broker.Field{{Name: "later", Value: strconv.FormatInt(int64(later), 10)}}
+		}
+		c.fail(msg, wordRefused, fields)
+	case broker.Failure:
+		c.fail(msg, wordFailed, nil)
+	}
+}
+
+// answerHead begins the frame of an answer, up to its error.
+func answerHead(msg uint32) []byte {
+	return msgpack.AppendUint(msgpack.AppendUint(msgpack.AppendArray(nil, 4), kindAnswer), uint64(msg))
+}
+
+func (c *client) fail(msg uint32, word string, fields []broker.Field) {
+	b := msgpack.AppendText(msgpack.AppendArray(answerHead(msg), 2), word)
+	c.conn.Send(msgpack.AppendNil(appendFields(b, fields)))
+}
+
+func appendFields(b []byte, fields []broker.Field) []byte {
+	b = msgpack.AppendMap(b, len(fields))
+	for _, f := range fields {
+		b = msgpack.AppendText(msgpack.AppendText(b, f.Name), f.Value)
+	}
+	return b
+}
--- /dev/null
+++ b/settings/control.go
@@ -0,0 +1,209 @@
+// Package settings reads what a doorman is told at its start: the configuration of the platform, and in it the
+// settings of the site, which the simulator gives its instances too.
+package settings
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"sloequay/control"
+)
+
+// The words of the settings.
+var (
+	effects = map[string]control.Effect{
+		"": control.Safe, "repeatable": control.Safe, "by_key": control.Keyed, "once": control.Unsafe,
+	}
+	groups = map[string]control.Group{
+		"": control.GroupAll, "all": control.GroupAll, "zone": control.GroupZone, "cell": control.GroupCell,
+	}
+	reaches = map[string]control.Reach{
+		"": control.ReachNone, "off": control.ReachNone, "location": control.ReachZone, "any": control.ReachAny,
+	}
+	details = map[string]control.Detail{
+		"": control.DetailOff, "off": control.DetailOff, "hit": control.DetailHit, "all": control.DetailAll,
+	}
+)
+
+// MS turns milliseconds into a duration; what no duration can hold becomes the nearest one.
+func MS(v float64) time.Duration {
+	const most = float64(1 << 62)
+	ns := v * float64(time.Millisecond)
+	switch {
+	case ns != ns:
+		return 0
+	case ns > most:
+		return 1 << 62
+	case ns < -most:
+		return -(1 << 62)
+	}
+	return time.Duration(ns)
+}
+
+// reader takes values out of one JSON object and keeps the first that is of the wrong type, by its key.
+type reader struct {
+	json  gjson.Result
+	where string // of the object, with a dot behind it
+	err   error
+}
+
+func parse(text []byte, where string) *reader {
+	r := &reader{json: gjson.ParseBytes(text), where: where}
+	if !gjson.ValidBytes(text) {
+		r.err = fmt.Errorf("%s: not valid JSON", where)
+	} else if !r.json.IsObject() {
+		r.err = fmt.Errorf("%s: not an object", where)
+	}
+	if where != "" {
+		r.where += "."
+	}
+	return r
+}
+
+// get looks key up; an absent or null value is the zero Result and no fault.
+func (r *reader) get(key, want string, fits func(gjson.Result) bool) gjson.Result {
+	v := r.json.Get(key)
+	if !v.Exists() || v.Type == gjson.Null {
+		return gjson.Result{}
+	}
+	if !fits(v) {
+		r.fail(key, "expected "+want)
+		return gjson.Result{}
+	}
+	return v
+}
+
+func (r *reader) fail(key, what string) {
+	if r.err == nil {
+		r.err = fmt.Errorf("%s%s: %s", r.where, key, what)
+	}
+}
+
+func isNumber(v gjson.Result) bool { return v.Type == gjson.Number }
+
+func (r *reader) number(key string) float64 { return r.get(key, "a number", isNumber).Float() }
+
+func (r *reader) ms(key string) time.Duration { return MS(r.number(key)) }
+
+func (r *reader) whole(key string) int { return r.wholeOr(key, 0) }
+
+func (r *reader) wholeOr(key string, absent int) int {
+	v := r.get(key, "a whole number", func(v gjson.Result) bool {
+		return isNumber(v) && v.Num == math.Trunc(v.Num) && math.Abs(v.Num) < 1<<53
+	})
+	if !v.Exists() {
+		return absent
+	}
+	return int(v.Num)
+}
+
+func (r *reader) text(key string) string {
+	return r.get(key, "a text", func(v gjson.Result) bool { return v.Type == gjson.String }).String()
+}
+
+func (r *reader) flag(key string) bool {
+	return r.get(key, "true or false", gjson.Result.IsBool).Bool()
+}
+
+// list reads an array whose elements all satisfy fits.
+func list[T any](r *reader, key, want string, fits func(gjson.Result) bool, take func(gjson.Result) T) []T {
+	var out []T
+	for i, v := range r.get(key, "a list", gjson.Result.IsArray).Array() {
+		if !fits(v) {
+			r.fail(fmt.Sprintf("%s[%d]", key, i), "expected "+want)
+		}
+		out = append(out, take(v))
+	}
+	return out
+}
+
+func (r *reader) numbers(key string) []float64 {
+	return list(r, key, "a number", isNumber, gjson.Result.Float)
+}
+
+func (r *reader) wholes(key string) []int {
+	return list(r, key, "a number", isNumber, func(v gjson.Result) int { return int(v.Int()) })
+}
+
+func (r *reader) flags(key string) []bool {
+	return list(r, key, "true or false", gjson.Result.IsBool, gjson.Result.Bool)
+}
+
+func (r *reader) texts(key string) []string {
+	return list(r, key, "a text", func(v gjson.Result) bool { return v.Type == gjson.String }, gjson.Result.String)
+}
+
+// word looks a text up in a table and names the key when it is unknown.
+func word[T any](r *reader, key string, table map[string]T) T {
+	text := r.text(key)
+	v, ok := table[text]
+	if !ok {
+		r.fail(key, fmt.Sprintf("unknown word %q", text))
+	}
+	return v
+}
+
+// at gives element i of list, or the zero value where the list is shorter.
+func at[T any](list []T, i int) T {
+	var zero T
+	if i < len(list) {
+		return list[i]
+	}
+	return zero
+}
+
+// ParseControl reads the settings of a site for the decision module. Unknown keys are passed over.
+func ParseControl(text []byte) (control.Config, error) {
+	r := parse(text, "settings")
+	cfg := control.Config{
+		Ordinal: r.whole("ordinal"), Instances: r.whole("n-instances"), Zone: r.whole("zone"),
+		ZoneNames: r.texts("dcs"), KindNames: r.texts("machine-types"), Tick: r.ms("period-ms"),
+		ParentKind:    r.wholeOr("family-info.shield-kind", -1),
+		OriginKind:    r.wholeOr("family-info.master-kind", -1),
+		ZoneInstances: r.wholes("family-info.instances-by-zone"), ZoneHub: r.wholes("family-info.zone-hub"),
+		ZoneLinkKBps: r.numbers("family-info.link-in-kb-per-s"),
+		FlowKBps:     r.number("family-info.one-flow-kb-per-s"),
+		Siblings:     word(r, "family-info.peers-fill", reaches), Detail: word(r, "family-info.detail", details),
+		Direct: r.flag("family-info.pass-through-ok"), Joins: r.flag("family-info.merges-fills"),
+		PurgeGrace: r.ms("family-info.purge-slack-ms"), PurgeTakes: r.ms("family-info.purge-takes-ms"),
+		OriginFallMultiple: r.number("family-info.origin-fall-multiple"),
+		OriginFallFor:      r.ms("family-info.origin-over-for-ms"),
+		DrainGrace:         r.ms("safety.drain-grace-ms"), AnswerSlack: r.ms("safety.answer-slack-ms"),
+		ColdFrom: r.number("safety.cold-from"), ColdFor: r.ms("safety.cold-ms"),
+		FallMultiple: r.number("safety.tip-multiple"), FallFor: r.ms("safety.overload-for-ms"),
+		ParentFrom: r.number("family-info.upper-cold-from"), ParentFor: r.ms("family-info.upper-cold-ms"),
+		ParentFall:  r.number("family-info.upper-fall-multiple"),
+		MaxAttempts: r.whole("limits.attempts-cap"), Cancel: r.flag("limits.cancelling"),
+		SecondCopies: r.flag("limits.second-copies"), Probes: r.flag("limits.may-probe"),
+		ProbePrice: r.number("prices.probe"), AskDiscovery: r.text("discovery") == "on_request",
+		AskWithin: r.ms("safety.ask-within-ms"),
+	}
+	weights := r.text("weights")
+	cfg.WeightsTold, cfg.WeightsLive = weights != "" && weights != "off", weights == "live"
+	if how := r.text("load-info.how"); how != "" && how != "off" {
+		cfg.LoadNames = r.texts("load-info.names")
+	}
+	if r.flag("limits.retry-after") {
+		cfg.MaxRetryAfter = r.ms("limits.max-retry-after-ms")
+	}
+	fresh, grace := r.numbers("family-info.max-age-ms"), r.numbers("family-info.stale-for-ms")
+	parts, writes := r.flags("family-info.class-parts"), r.flags("family-info.uncached")
+	stale := r.numbers("family-info.stale-earns")
+	for i, v := range r.get("classes", "a list", gjson.Result.IsArray).Array() {
+		c := parse([]byte(v.Raw), fmt.Sprintf("settings.classes[%d]", i))
+		cfg.Classes = append(cfg.Classes, control.Class{
+			Name: c.text("name"), Aim: c.ms("on-time-ms"), AimStretch: c.number("aim-stretch"),
+			Deadline: c.ms("deadline-ms"), Worth: c.number("worth"), LateWorth: c.number("late-value"),
+			StaleWorth: at(stale, i), Effect: word(c, "idempotency", effects), Group: word(c, "group", groups),
+			Window: c.ms("window-ms"), Streamed: c.flag("streamed"), Parts: at(parts, i), Write: at(writes, i),
+			Fresh: MS(at(fresh, i)), Grace: MS(at(grace, i)),
+		})
+		if r.err == nil {
+			r.err = c.err
+		}
+	}
+	return cfg, r.err
+}
--- a/internal/wire/wire.go
+++ b/wire/wire.go
@@ -10,7 +10,8 @@
 	"math"
 	"time"
 
-	"bridgehook/control"
+	"sloequay/control"
+	"sloequay/settings"
 )
 
 const (
@@ -97,7 +98,7 @@
 	if length < 8 {
 		return fmt.Errorf("batch header: byte 8: length %d, expected 8 or more", length)
 	}
-	b.Now = ms(clock)
+	b.Now = settings.MS(clock)
 	b.Count = binary.LittleEndian.Uint32(head[12:])
 	b.Seq = binary.LittleEndian.Uint32(head[16:])
 	b.left, b.pos, b.data = b.Count, 0, b.data[:0]
@@ -174,7 +175,7 @@
 }
 
 func (r *reader) time(what string) time.Duration {
-	return ms(math.Float64frombits(r.u64(what)))
+	return settings.MS(math.Float64frombits(r.u64(what)))
 }
 
 func (r *reader) node(what string) control.NodeID {
@@ -254,7 +255,7 @@
 		h := &Hello{Seed: r.u64("init-seed")}
 		text := r.take(int(r.u32("info count")), "info")
 		if r.err == nil {
-			if h.Config, r.err = ParseSettings(text); r.err != nil {
+			if h.Config, r.err = settings.ParseControl(text); r.err != nil {
 				r.err = fmt.Errorf("HELLO: byte %d: %w", 17, r.err)
 			}
 		}
@@ -423,3 +424,5 @@
 		r.text(a.Text)
 	}
 }
+
+func toMS(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"bridgehook/control"
+	"sloequay/control"
 )
 
 type body struct{ b []byte }
