Let a killed doorman's leftovers not keep the next one from its address

Cause: loop.Run probed the address with net.Listen, which sets SO_REUSEADDR; gnet's listener and so its accepted sockets had SO_REUSEPORT alone. What was left of them in TIME_WAIT conflicts with a bind that has not SO_REUSEPORT. Faulty lines: loop.go, vacant() with net.Listen and gnet.Rotate without WithReuseAddr. Now gnet sets both options, and the probe binds with SO_REUSEADDR and does not listen, so no client can be taken in and lost between the two. Test: TestRestartAtOnce fails with the old loop.go and passes now; TestSecondProgramIsRefused keeps what the probe is for. Also the first integration tests: the real program with stand-in clients, boxes and bulletin over sockets.

--- /dev/null
+++ b/cmd/sloequay/serve_test.go
@@ -0,0 +1,204 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"syscall"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestRequests sends one request each and compares what the boxes read and what the client gets.
+func TestRequests(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		method string
+		fields map[string]string
+		body   string
+		script func(*asked)
+		want   reply
+		heard  []string
+	}{
+		{name: "a hit is served with the fields of the box", method: "footage",
+			want: reply{ID: 5, Body: "7f3a9c21e0b4d655", Fields: map[string]string{"tag": "t1", "minted": "1", "remark": "hit"}},
+		},
+		{name: "the client's copy holds", method: "footage", fields: map[string]string{"got": "t1"},
+			script: func(a *asked) { a.answer("NOMOD", "tag=t1", "") },
+			want:   reply{ID: 5, Fields: map[string]string{"tag": "t1", "ok304": "1"}},
+		},
+		{name: "a miss is filled", method: "footage",
+			script: func(a *asked) {
+				if a.Fields["via"] == "" {
+					a.answer("NOENT", "-", "")
+				} else {
+					a.answer("ACK", "tag=t2,remark=filled,lag=3", "bytes\r\nwith a line")
+				}
+			},
+			want: reply{ID: 5, Body: "bytes\r\nwith a line",
+				Fields: map[string]string{"tag": "t2", "remark": "filled", "lag": "3"}},
+		},
+		{name: "a write goes to the origin with its key and body", method: "charge",
+			fields: map[string]string{"unique": "5c0f"}, body: "post\x00",
+			script: func(a *asked) { a.answer("ACK", "-", a.Box+" "+a.Fields["replay"]+" "+a.Body) },
+			want:   reply{ID: 5, Body: "o1 5c0f post\x00", Fields: map[string]string{}},
+		},
+		{name: "all are full: refused with a wait", method: "footage",
+			script: func(a *asked) { a.answer("AGAIN", "-", "") },
+			want:   reply{ID: 5, Error: "Overloaded", Fields: map[string]string{"later": "500"}},
+		},
+		{name: "a silent box: answered before the client gives up", method: "footage",
+			fields: map[string]string{"limit": "300"}, script: func(*asked) {},
+			want: reply{ID: 5, Error: "Overloaded", Fields: map[string]string{"later": "500"}},
+		},
+		{name: "unknown class", method: "nonsense", want: reply{ID: 5, Error: "Malformed", Fields: map[string]string{}}},
+		{name: "no key in a keyed class", method: "charge", want: reply{ID: 5, Error: "Malformed", Fields: map[string]string{}}},
+		{name: "a bad object", method: "footage", fields: map[string]string{"item": "7f3a9c21e0b4d65"},
+			want: reply{ID: 5, Error: "Malformed", Fields: map[string]string{}}},
+		{name: "a key that would break the line", method: "footage", fields: map[string]string{"unique": "a\r\nQUIT 1"},
+			want: reply{ID: 5, Error: "Malformed", Fields: map[string]string{}}},
+		{name: "a bad limit", method: "footage", fields: map[string]string{"limit": "NaN"},
+			want: reply{ID: 5, Error: "Malformed", Fields: map[string]string{}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, c.script)
+			w.run()
+			client := w.dial()
+			client.send(request(5, c.method, c.fields, c.body))
+			if diff := cmp.Diff(c.want, client.want()); diff != "" {
+				t.Errorf("answer (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestBrokenFrames: what can't be read ends its connection, after an error answer where the id is known, and the
+// program goes on.
+func TestBrokenFrames(t *testing.T) {
+	w := newWorld(t, nil)
+	w.run()
+	for _, c := range []struct {
+		name, frame string
+		answers     []reply
+	}{
+		{"not an array", "\xc1", nil},
+		{"an id of nine bytes", "\x94\x00\xcf\x01\x00\x00\x00\x00\x00\x00\x00\xa1m\x90", nil},
+		{"a never used code behind the id", "\x94\x00\x09\xa1m\xc1",
+			[]reply{{ID: 9, Error: "Malformed", Fields: map[string]string{}}}},
+		{"nested without end", "\x94\x00\x09\xa1m\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91",
+			[]reply{{ID: 9, Error: "Malformed", Fields: map[string]string{}}}},
+		{"an answer instead of a request", "\x94\x01\x09\xc0\xc0", nil},
+	} {
+		client := w.dial()
+		client.send([]byte(c.frame))
+		var got []reply
+		for {
+			a, err := client.read()
+			if err != nil {
+				if err != io.EOF {
+					t.Errorf("%s: %v, want the end of the connection", c.name, err)
+				}
+				break
+			}
+			got = append(got, a)
+		}
+		if diff := cmp.Diff(c.answers, got); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", c.name, diff)
+		}
+	}
+	client := w.dial()
+	client.send(request(1, "footage", nil, ""))
+	if a := client.want(); a.Error != "" {
+		t.Errorf("after all that: %+v", a)
+	}
+}
+
+// TestRestartAtOnce: a doorman that was killed with connections open left them in TIME_WAIT; the next one exited with
+// "address already in use", because the sockets had SO_REUSEPORT without SO_REUSEADDR.
+func TestRestartAtOnce(t *testing.T) {
+	w := newWorld(t, nil)
+	for round := range 3 {
+		w.run()
+		client := w.dial()
+		client.send(request(1, "footage", nil, ""))
+		if a := client.want(); a.Error != "" {
+			t.Fatalf("round %d: %+v", round, a)
+		}
+		w.kill()
+		_ = client.conn.Close()
+	}
+}
+
+// TestSecondProgramIsRefused: with SO_REUSEPORT a second program would share the address unnoticed.
+func TestSecondProgramIsRefused(t *testing.T) {
+	w := newWorld(t, nil)
+	w.run()
+	other := newWorld(t, nil)
+	other.config["listen"] = w.listen
+	other.listen = w.listen
+	other.run() // the first one answers its status
+	if err := <-other.exited; err == nil {
+		t.Error("a second program listens on the same address")
+	}
+	other.cmd = nil
+}
+
+// TestTerm: after SIGTERM status says false, what is open is answered, and the program ends by itself.
+func TestTerm(t *testing.T) {
+	release := make(chan struct{})
+	w := newWorld(t, func(a *asked) {
+		<-release
+		a.answer("ACK", "-", "late")
+	})
+	w.run()
+	client := w.dial()
+	client.send(request(1, "footage", map[string]string{"limit": "9000"}, ""))
+	w.until("the attempt is out", func() bool { return len(w.lines(word("ASK"))) == 1 })
+	if err := w.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	w.until("status says false", func() bool {
+		c := w.dial()
+		defer c.conn.Close()
+		c.send(request(1, "status", nil, ""))
+		a, err := c.read()
+		return err == nil && !a.Ready
+	})
+	close(release)
+	if a := client.want(); a.Body != "late" {
+		t.Errorf("the request that was open at SIGTERM: %+v", a)
+	}
+	if err := <-w.exited; err != nil {
+		t.Errorf("the program ended with %v", err)
+	}
+	w.cmd = nil
+}
+
+// TestGivenUp: a withdrawal and a client that disconnects call their attempts off; nothing is owed for them, and a
+// late answer is not taken for that of another try.
+func TestGivenUp(t *testing.T) {
+	late := make(chan *asked, 8)
+	w := newWorld(t, func(a *asked) { late <- a })
+	w.run()
+	quits := func(n int) {
+		t.Helper()
+		w.until(fmt.Sprint(n, " QUIT lines came"), func() bool { return len(w.lines(word("QUIT"))) == n })
+	}
+	one, two := w.dial(), w.dial()
+	one.send(request(1, "footage", nil, ""))
+	first := <-late
+	one.send([]byte("\x93\x02\xa8withdraw\x91\x01"))
+	quits(1)
+	two.send(request(2, "footage", nil, ""))
+	<-late
+	_ = two.conn.Close()
+	quits(2)
+	one.send(request(3, "footage", map[string]string{"txn": first.ID}, "")) // the very id that was given up
+	second := <-late
+	first.answer("ACK", "-", "old")
+	second.answer("ACK", "-", "new")
+	if diff := cmp.Diff(reply{ID: 3, Body: "new", Fields: map[string]string{}}, one.want()); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+}
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -16,12 +16,14 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"syscall"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
 	"github.com/panjf2000/gnet/v2/pkg/logging"
+	"golang.org/x/sys/unix"
 )
 
 // Handler is one side of a connection. All methods run on the loop.
@@ -98,7 +100,9 @@
 		l.listeners[ln.Network+ln.Address] = ln
 		addresses = append(addresses, ln.Network+"://"+ln.Address)
 	}
-	err := gnet.Rotate(l, addresses, gnet.WithReusePort(true), gnet.WithNumEventLoop(1),
+	// SO_REUSEADDR too: what is left in TIME_WAIT of a killed doorman's connections must not keep the next one from its
+	// address, and it does where those sockets had SO_REUSEPORT alone.
+	err := gnet.Rotate(l, addresses, gnet.WithReusePort(true), gnet.WithReuseAddr(true), gnet.WithNumEventLoop(1),
 		gnet.WithLogLevel(logging.ErrorLevel))
 	if err != nil {
 		return fmt.Errorf("event loop: %w", err)
@@ -106,20 +110,36 @@
 	return nil
 }
 
-// vacant says whether nobody else listens on an address.
+// vacant says whether nobody else listens on an address. It binds and does not listen, so that no client is taken in
+// and lost. With SO_REUSEADDR what is left of connections of an earlier life does not count.
 func vacant(ln Listener) error {
+	address, err := netip.ParseAddrPort(ln.Address)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	family, kind := unix.AF_INET6, unix.SOCK_STREAM
+	var to unix.Sockaddr = &unix.SockaddrInet6{Port: int(address.Port()), Addr: address.Addr().As16()}
+	if ip := address.Addr().Unmap(); ip.Is4() {
+		family, to = unix.AF_INET, &unix.SockaddrInet4{Port: int(address.Port()), Addr: ip.As4()}
+	}
 	if ln.Packet != nil {
-		probe, err := net.ListenPacket(ln.Network, ln.Address)
-		if err != nil {
-			return fmt.Errorf("listen: %w", err)
-		}
-		return probe.Close()
+		kind = unix.SOCK_DGRAM
 	}
-	probe, err := net.Listen(ln.Network, ln.Address)
+	fd, err := unix.Socket(family, kind|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	return probe.Close()
+	defer unix.Close(fd)
+	if ln.Packet == nil {
+		err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	}
+	if err == nil {
+		err = unix.Bind(fd, to)
+	}
+	if err != nil {
+		return fmt.Errorf("listen: %s %s: %w", ln.Network, ln.Address, err)
+	}
+	return nil
 }
 
 // OnBoot runs before the loop does; the first connection enrolled, a socket pair, brings its handle.
