Add the DNS front, boxes listed by name, and Consul's catalogue as a source of the list

Seen: clients that only know how to ask a name server had no way in. Built: dnsfront takes queries over UDP and TCP on the same loop and makes broker requests of them, resolver looks boxes up asynchronously, catalog follows Consul by blocking queries. All three are off without their flags, so `run` is as before. Checked: both hard cases by loopback tests over sockets, each seen failing with its guard taken out. Joining by key removed: 4 attempts, want one. The list's say over resolved addresses removed: a send to the drained box. The look at the box's state at answer time removed: the drained box is named. Found on the way: a list entry that says "gone" and tells nothing else wiped location and kind of the box; the broker now keeps what it knew.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -8,6 +8,7 @@
 	"container/heap"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"sloequay/contract"
@@ -29,6 +30,7 @@
 	End     End
 	Note    control.Note
 	Lag     time.Duration // waited for the source
+	Address string        // of the connection that the answer came by
 	Body    []byte
 	Fields  []Field
 }
@@ -267,8 +269,9 @@
 	}
 	age = a.Age // counted from the decision, so by now it asks for a younger copy still
 	r := a.Request
-	for _, k := range []Purge{{Object: r.Object}, {Group: r.Group}} {
-		if issued, found := b.purges[k]; found {
+	for k, issued := range b.purges {
+		// A request that does not tell its group may be in any.
+		if k.Object == r.Object || k.Object == 0 && (r.Group < 0 || k.Group == r.Group) {
 			if limit := max(leastAge, now-issued-purgeMargin); age == 0 || limit < age {
 				age = b.capAge(r.Class, limit)
 			}
@@ -277,6 +280,35 @@
 	return age, true
 }
 
+// Box finds a box of the list by its id on the sockets, without regard to case.
+func (b *Broker) Box(host string) *Box {
+	for _, box := range b.boxes {
+		if strings.EqualFold(box.Host, host) {
+			return box
+		}
+	}
+	return nil
+}
+
+// leftFor is how long the address of a box that is gone is kept from boxes that a name server gives it to.
+const leftFor = time.Minute
+
+// Barred says whether an address that a name server gave is that of a listed box which takes nothing new. The list
+// outranks the name server: its answers may be older.
+func (b *Broker) Barred(address string) bool {
+	barred := false
+	for _, box := range b.boxes {
+		if box.Dial != address {
+			continue
+		}
+		if usable(box) {
+			return false
+		}
+		barred = barred || box.State == control.Draining || b.now-box.told < leftFor
+	}
+	return barred
+}
+
 // capAge cuts an age to the fresh time of the class, where there is one.
 func (b *Broker) capAge(class int, age time.Duration) time.Duration {
 	if fresh := b.cfg.Classes[class].Fresh; fresh > 0 {
@@ -299,7 +331,7 @@
 		return
 	}
 	if e.End.Good() {
-		final := Final{Kind: Answered, Box: a.Box, Body: e.Body, Fields: e.Fields}
+		final := Final{Kind: Answered, Box: a.Box, Address: e.Address, Body: e.Body, Fields: e.Fields}
 		if e.End == Unchanged {
 			final.Kind = Same
 		}
@@ -352,15 +384,24 @@
 	}
 	named := map[control.NodeID]bool{}
 	for _, n := range l.Boxes {
-		n.ID = b.nodeID(n.Host)
-		named[n.ID] = true
-		box, old := b.boxes[n.ID], Box{}
-		if box == nil {
+		id := b.nodeID(n.Host)
+		named[id] = true
+		box, old := b.boxes[id], Box{}
+		switch {
+		case box == nil && n.State == control.Gone:
+			continue // never known here
+		case box == nil:
 			box = &Box{}
-			b.boxes[n.ID] = box
-		} else {
+			b.boxes[id] = box
+		case n.State == control.Gone:
+			// The rest of such an entry need not be there.
+			old = *box
+			n = old
+			n.State = control.Gone
+		default:
 			old = *box
 		}
+		n.ID = id
 		*box = n
 		box.told = b.now
 		e.Nodes = append(e.Nodes, n.Node)
--- a/broker/request.go
+++ b/broker/request.go
@@ -20,7 +20,7 @@
 	Object  uint64
 	Thing   string // Object as the client wrote it
 	Part    int
-	Group   int
+	Group   int    // -1: not told
 	Key     string // in keyed classes: the same for all tries
 	Known   string // the tag of the copy that the client holds
 	SizeKB  float64
@@ -38,12 +38,13 @@
 
 // Final is the one answer to a request.
 type Final struct {
-	Kind   Kind
-	Box    *Box          // that served it
-	Body   []byte        // with Answered
-	Fields []Field       // that the box sent with its answer
-	Wait   time.Duration // with Refusal: to stay away; 0: no advice
-	Reason string        // with Refusal and Failure, for people
+	Kind    Kind
+	Box     *Box          // that served it
+	Address string        // where it did
+	Body    []byte        // with Answered
+	Fields  []Field       // that the box sent with its answer
+	Wait    time.Duration // with Refusal: to stay away; 0: no advice
+	Reason  string        // with Refusal and Failure, for people
 }
 
 // Kind says what a final answer is.
--- a/bulletin/bulletin.go
+++ b/bulletin/bulletin.go
@@ -71,29 +71,45 @@
 	return list, nil
 }
 
+// Entry is what a source of the list tells of a box, whichever source it is.
+type Entry struct {
+	Host, Dial, Site, Class string
+	Block                   int
+	State                   control.State
+	Weight                  float64
+	Born                    int64 // Unix millisecond of a late start, or 0
+}
+
 func (n Names) box(h gjson.Result) (broker.Box, error) {
 	state, ok := states[h.Get("health").String()]
 	if !ok {
 		return broker.Box{}, fmt.Errorf("health %q", h.Get("health").String())
 	}
-	b := broker.Box{Host: h.Get("host").String(), Dial: h.Get("dial").String()}
-	b.Zone, b.Kind = slices.Index(n.Zones, h.Get("site").String()), slices.Index(n.Kinds, h.Get("class").String())
-	b.Cell, b.State, b.Weight = int(h.Get("block").Int()), state, h.Get("share").Float()
-	born := h.Get("born_ms").Int()
+	return n.Box(Entry{Host: h.Get("host").String(), Dial: h.Get("dial").String(), Site: h.Get("site").String(),
+		Class: h.Get("class").String(), Block: int(h.Get("block").Int()), State: state,
+		Weight: h.Get("share").Float(), Born: h.Get("born_ms").Int()})
+}
+
+// Box checks an entry. One that is gone need not tell more than its id.
+func (n Names) Box(e Entry) (broker.Box, error) {
+	b := broker.Box{Host: e.Host, Dial: e.Dial}
+	b.Zone, b.Kind = slices.Index(n.Zones, e.Site), slices.Index(n.Kinds, e.Class)
+	b.Cell, b.State, b.Weight = e.Block, e.State, e.Weight
+	b.Since = time.Duration(e.Born) * time.Millisecond
+	_, _, dialErr := net.SplitHostPort(e.Dial)
 	switch {
-	case !isHost(b.Host):
-		return b, fmt.Errorf("host %q", b.Host)
-	case state != control.Gone && b.Zone < 0:
-		return b, fmt.Errorf("site %q is not in the settings", h.Get("site").String())
-	case state != control.Gone && b.Kind < 0:
-		return b, fmt.Errorf("class %q is not in the settings", h.Get("class").String())
-	case born < 0 || born > latestClock:
-		return b, fmt.Errorf("born_ms %d", born)
-	}
-	if _, _, err := net.SplitHostPort(b.Dial); err != nil && state != control.Gone {
-		return b, fmt.Errorf("dial: %w", err)
+	case !isHost(e.Host):
+		return b, fmt.Errorf("host %q", e.Host)
+	case e.Born < 0 || e.Born > latestClock:
+		return b, fmt.Errorf("%s: born_ms %d", e.Host, e.Born)
+	case e.State == control.Gone:
+	case b.Zone < 0:
+		return b, fmt.Errorf("%s: site %q is not in the settings", e.Host, e.Site)
+	case b.Kind < 0:
+		return b, fmt.Errorf("%s: class %q is not in the settings", e.Host, e.Class)
+	case dialErr != nil:
+		return b, fmt.Errorf("%s: dial: %w", e.Host, dialErr)
 	}
-	b.Since = time.Duration(born) * time.Millisecond
 	return b, nil
 }
 
@@ -179,7 +195,7 @@
 		r.lost(fmt.Errorf("nothing came for %v", now-r.heard))
 	case r.conn == nil && !r.dialed && now >= r.again:
 		r.dialed = true
-		r.Loop.Dial(r.Address, dialLimit, r, func(err error) {
+		r.Loop.Dial("tcp", r.Address, dialLimit, r, func(err error) {
 			r.dialed = false
 			r.lost(err)
 		})
--- a/cmd/sloequay/main.go
+++ b/cmd/sloequay/main.go
@@ -9,7 +9,9 @@
 
 	"github.com/spf13/pflag"
 
+	"sloequay/catalog"
 	"sloequay/contract"
+	"sloequay/dnsfront"
 	"sloequay/settings"
 )
 
@@ -34,6 +36,8 @@
 type options struct {
 	config    string
 	contracts string
+	dns       string
+	catalog   string
 }
 
 func run(args []string) error {
@@ -41,6 +45,8 @@
 	flags := pflag.NewFlagSet("sloequay", pflag.ContinueOnError)
 	flags.StringVar(&o.config, "config", os.Getenv("BALANCER_CONFIG"), "configuration file (default $BALANCER_CONFIG)")
 	flags.StringVar(&o.contracts, "contracts", "", "file of the teams' contracts; none: no contracts")
+	flags.StringVar(&o.dns, "dns", "", "file that turns DNS request routing on; none: off")
+	flags.StringVar(&o.catalog, "catalog", "", "file that has the list of boxes come from Consul; none: the bulletin")
 	flags.Usage = func() { fmt.Fprint(os.Stderr, usage+flags.FlagUsages()) }
 	if err := flags.Parse(args); err != nil {
 		return err
@@ -88,6 +94,16 @@
 			return nil, err
 		}
 	}
+	if o.dns != "" {
+		if p.dns, err = dnsfront.Load(o.dns); err != nil {
+			return nil, err
+		}
+	}
+	if o.catalog != "" {
+		if p.catalog, err = catalog.Load(o.catalog); err != nil {
+			return nil, err
+		}
+	}
 	return p, p.decode()
 }
 
--- a/cmd/sloequay/serve.go
+++ b/cmd/sloequay/serve.go
@@ -9,9 +9,12 @@
 
 	"sloequay/broker"
 	"sloequay/bulletin"
+	"sloequay/catalog"
 	"sloequay/contract"
 	"sloequay/depot"
+	"sloequay/dnsfront"
 	"sloequay/loop"
+	"sloequay/resolver"
 	"sloequay/rpc"
 	"sloequay/settings"
 )
@@ -20,6 +23,8 @@
 type plan struct {
 	settings  *settings.Settings
 	contracts *contract.Book
+	dns       *dnsfront.Config
+	catalog   *catalog.Config
 	names     bulletin.Names
 	last      int64 // event of the bulletin
 	known     []broker.Event
@@ -56,6 +61,8 @@
 	pool     *depot.Pool
 	bulletin *bulletin.Reader
 	front    *rpc.Front
+	dns      *dnsfront.Front // nil: off
+	resolver *resolver.Resolver
 	log      *logger
 	events   []broker.Event
 	kept     time.Duration // when the last housekeeping was
@@ -76,8 +83,17 @@
 	}
 	full := func() bool { return int64(d.loop.Outbound()) > s.Memory/5 }
 	ready := func() bool { return d.leaving == 0 }
-	d.front = rpc.New(s.Control.Classes, s.Sockets/3, d.emit, clock, ready, full, d.log.printf)
-	listeners := []loop.Listener{{Network: "tcp", Address: s.Listen, Accept: d.front.Accept}}
+	clients, listeners := s.Sockets/3, []loop.Listener(nil)
+	if p.dns != nil {
+		most := clients / 4
+		clients -= most
+		d.dns = &dnsfront.Front{Config: p.dns, Classes: s.Control.Classes, Emit: d.emit, Now: clock,
+			Log: d.log.printf, Box: d.broker.Box, Most: most, Seed: s.Seed}
+		listeners = append(listeners, loop.Listener{Network: "udp", Address: p.dns.Listen, Packet: d.dns.Packet},
+			loop.Listener{Network: "tcp", Address: p.dns.Listen, Accept: d.dns.Accept})
+	}
+	d.front = rpc.New(s.Control.Classes, clients, d.emit, clock, ready, full, d.log.printf)
+	listeners = append(listeners, loop.Listener{Network: "tcp", Address: s.Listen, Accept: d.front.Accept})
 	return loop.Run(listeners, d.start, d.round)
 }
 
@@ -85,7 +101,12 @@
 func (d *doorman) start(l *loop.Loop) {
 	s := d.plan.settings
 	d.loop = l
+	d.resolver = &resolver.Resolver{Loop: l, Now: clock}
+	if d.plan.dns != nil {
+		d.resolver.Server, d.resolver.Limit = d.plan.dns.Resolver, d.plan.dns.ResolveLimit
+	}
 	d.pool = &depot.Pool{Loop: l, Emit: d.emit, Now: clock, May: d.broker.May, Log: d.log.printf,
+		Resolve: d.resolver.Resolve, Barred: d.broker.Barred,
 		Classes: s.Control.Classes, DialLimit: s.DialTimeout, Idle: s.ConnIdle, Streams: s.Streams,
 		Most: s.Sockets - s.Sockets/3 - ownSockets}
 	d.bulletin = &bulletin.Reader{Loop: l, Address: s.Bulletin, Names: d.plan.names, Last: d.plan.last, Emit: d.emit,
@@ -93,6 +114,20 @@
 	for _, e := range d.plan.known {
 		d.emit(e)
 	}
+	if d.plan.catalog != nil {
+		// The list has one source. The bulletin still tells the purges.
+		d.bulletin.Emit = func(e broker.Event) {
+			if _, list := e.(broker.Roster); !list {
+				d.emit(e)
+			}
+		}
+		go d.plan.catalog.Follow(d.plan.names, func(list broker.Roster) {
+			l.Post(func() {
+				d.emit(list)
+				l.NeedRound()
+			})
+		}, func(format string, args ...any) { l.Post(func() { d.log.printf(format, args...) }) })
+	}
 	terminate := make(chan os.Signal, 1)
 	signal.Notify(terminate, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
@@ -120,6 +155,10 @@
 		d.bulletin.Tick(now)
 		d.pool.Housekeep(now)
 		d.front.CloseIdle(now)
+		d.resolver.Tick(now)
+		if d.dns != nil {
+			d.dns.Tick(now)
+		}
 		d.log.tick(now)
 	}
 	for again := true; again; again = len(d.events) > 0 { // carrying out may bring ends of its own
--- a/cmd/sloequay/world_test.go
+++ b/cmd/sloequay/world_test.go
@@ -16,6 +16,8 @@
 	"testing"
 	"time"
 
+	"github.com/miekg/dns"
+
 	"sloequay/msgpack"
 )
 
@@ -54,6 +56,9 @@
 	config   map[string]any
 	flags    []string
 	listen   string
+	dns      string
+	resolver string
+	hosts    []map[string]any // of the list
 	log      bytes.Buffer
 	cmd      *exec.Cmd
 	exited   chan error
@@ -65,6 +70,7 @@
 	mu     sync.Mutex
 	script func(a *asked) // what boxes do; nil: answer hit with the object as the body
 	heard  []*asked
+	names  []string // what the name server was asked for
 	cond   *sync.Cond
 }
 
@@ -73,13 +79,12 @@
 	w := &world{t: t, script: script, boxes: map[string]net.Listener{}, feed: make(chan string, 64),
 		after: make(chan string, 64)}
 	w.cond = sync.NewCond(&w.mu)
-	var hosts []any
 	for _, b := range []struct{ id, site, class string }{{"c1", "edge", "std"}, {"c2", "edge", "std"},
 		{"p1", "hub", "parent"}, {"o1", "hub", "origin"}} {
 		w.boxes[b.id] = w.listenOn("127.0.0.1:0")
 		go w.serveBox(b.id, w.boxes[b.id])
 		if !strings.Contains(strings.Join(absent, " "), b.id) {
-			hosts = append(hosts, host(b.id, w.boxes[b.id].Addr().String(), b.site, b.class, "up", 0))
+			w.hosts = append(w.hosts, host(b.id, w.boxes[b.id].Addr().String(), b.site, b.class, "up", 0))
 		}
 	}
 	w.bulletin = w.listenOn("127.0.0.1:0")
@@ -94,7 +99,7 @@
 	w.config = map[string]any{"name": "n1", "listen": w.listen, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "settings": site,
 		"bulletin": w.bulletin.Addr().String(), "known": map[string]any{"no": 1, "items": []any{
-			map[string]any{"no": 1, "roster": map[string]any{"seq": 1, "whole": true, "hosts": hosts}}}}}
+			map[string]any{"no": 1, "roster": map[string]any{"seq": 1, "whole": true, "hosts": w.hosts}}}}}
 	t.Cleanup(func() {
 		w.kill()
 		if t.Failed() {
@@ -117,7 +122,7 @@
 "conn-idle-ms":30000,"retry-after":true,"max-retry-after-ms":500,"open-cap":20000},
 "safety":{"drain-grace-ms":1000,"answer-slack-ms":8}}`
 
-func host(id, dial, site, class, health string, born int64) any {
+func host(id, dial, site, class, health string, born int64) map[string]any {
 	return map[string]any{"host": id, "dial": dial, "site": site, "class": class, "block": 0, "health": health,
 		"share": 4, "born_ms": born}
 }
@@ -274,6 +279,52 @@
 	return out
 }
 
+func (w *world) setScript(script func(*asked)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.script = script
+}
+
+// nameServer is a stand-in for the name server that knows boxes listed by name.
+func (w *world) nameServer(records map[string]string) {
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { _ = conn.Close() })
+	w.resolver = conn.LocalAddr().String()
+	go func() {
+		packet := make([]byte, 2000)
+		for {
+			n, from, err := conn.ReadFrom(packet)
+			if err != nil {
+				return
+			}
+			q := &dns.Msg{}
+			if q.Unpack(packet[:n]) != nil {
+				continue
+			}
+			name := q.Question[0].Name
+			w.mu.Lock()
+			w.names = append(w.names, name)
+			w.mu.Unlock()
+			m := new(dns.Msg).SetReply(q)
+			m.Answer = append(m.Answer, &dns.A{A: net.ParseIP(records[name]),
+				Hdr: dns.RR_Header{Name: name, Rrtype: dns.TypeA, Class: dns.ClassINET}})
+			if out, err := m.Pack(); err == nil {
+				_, _ = conn.WriteTo(out, from)
+			}
+		}
+	}()
+}
+
+// asked gives the names that the name server was asked for.
+func (w *world) asked() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.names...)
+}
+
 func word(word string) func(*asked) bool { return func(a *asked) bool { return a.Word == word } }
 
 // client is a stand-in for a client of the platform's front.
--- a/depot/depot.go
+++ b/depot/depot.go
@@ -4,6 +4,8 @@
 
 import (
 	"fmt"
+	"net"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -30,6 +32,8 @@
 	Emit      func(broker.Event)
 	Now       func() time.Duration
 	May       func(*broker.Attempt, time.Duration) (time.Duration, bool)
+	Resolve   func(name string, done func(netip.Addr, error))
+	Barred    func(address string) bool // that a name server gave
 	Log       func(format string, args ...any)
 	Classes   []control.Class
 	DialLimit time.Duration
@@ -52,8 +56,9 @@
 type link struct {
 	pool    *Pool
 	depot   *depot
-	conn    *loop.Conn // nil while it is dialled
-	address string
+	conn    *loop.Conn    // nil while it is dialled
+	listed  string        // the address or name in the list
+	address string        // the same resolved
 	begun   time.Duration // when it was dialled
 	waiting []*broker.Attempt
 	open    map[string]*pending
@@ -142,14 +147,36 @@
 
 func (p *Pool) dial(d *depot) *link {
 	now := p.Now()
-	l := &link{pool: p, depot: d, address: d.box.Dial, begun: now, used: now, heard: now,
+	l := &link{pool: p, depot: d, listed: d.box.Dial, address: d.box.Dial, begun: now, used: now, heard: now,
 		open: map[string]*pending{}, quit: map[string]time.Duration{}}
 	d.links = append(d.links, l)
 	p.links++
-	p.Loop.Dial(l.address, p.DialLimit, l, l.notDialled)
+	name, port, err := net.SplitHostPort(l.address)
+	if err != nil {
+		p.Loop.Post(func() { l.notDialled(err) })
+	} else if _, err := netip.ParseAddr(name); err == nil {
+		p.Loop.Dial("tcp", l.address, p.DialLimit, l, l.notDialled)
+	} else {
+		p.Resolve(name, func(ip netip.Addr, err error) { l.resolved(ip, port, err) })
+	}
 	return l
 }
 
+// resolved dials the address that a box's name stands for, unless the list says otherwise.
+func (l *link) resolved(ip netip.Addr, port string, err error) {
+	address := net.JoinHostPort(ip.String(), port)
+	switch {
+	case l.closed:
+	case err != nil:
+		l.notDialled(err)
+	case l.pool.Barred(address):
+		l.notDialled(fmt.Errorf("the name server gives %s, whose box is draining or gone", address))
+	default:
+		l.address = address
+		l.pool.Loop.Dial("tcp", address, l.pool.DialLimit, l, l.notDialled)
+	}
+}
+
 func (l *link) load() int { return len(l.open) + len(l.waiting) }
 
 // silent says whether something waits here for long while nothing comes.
@@ -198,6 +225,10 @@
 func (l *link) write(a *broker.Attempt) {
 	now := l.pool.Now()
 	age, ok := l.pool.May(a, now)
+	if named := l.address != l.depot.box.Dial; named && l.pool.Barred(l.address) {
+		ok = false
+		l.retired = true // the next one asks the name server anew
+	}
 	if !ok || l.closed {
 		l.pool.Emit(broker.Ending{Attempt: a, End: broker.Barred})
 		return
@@ -248,7 +279,9 @@
 	case o.attempt == nil || !isEnd || a.word == "NOMOD" && o.attempt.Request.Known == "":
 		return fmt.Errorf("%s does not answer what was asked", a.word)
 	default:
-		l.pool.Emit(a.ending(o.attempt))
+		e := a.ending(o.attempt)
+		e.Address = l.address
+		l.pool.Emit(e)
 	}
 	delete(l.open, a.id)
 	l.used = l.heard
@@ -347,7 +380,7 @@
 		return
 	}
 	for _, l := range slices.Clone(d.links) {
-		old := restarted && (l.begun < box.Since || l.address != box.Dial)
+		old := restarted && (l.begun < box.Since || l.listed != box.Dial)
 		switch {
 		case l.conn != nil && (old || box.State == control.Gone):
 			l.endAll(func(*pending) broker.End { return broker.Broken })
--- /dev/null
+++ b/dnsfront/dnsfront.go
@@ -0,0 +1,461 @@
+// Package dnsfront is the front for clients that can only ask a name server where to go. A query is a request like
+// any other: it goes through contracts, broker and module, and its answer names the box that served it.
+package dnsfront
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/miekg/dns"
+
+	"sloequay/broker"
+	"sloequay/control"
+	"sloequay/loop"
+)
+
+const (
+	mostFlights = 4096 // requests open or remembered
+	mostJoined  = 256  // queries that wait for one request
+	mostUDP     = 1232 // bytes that pass unfragmented nearly everywhere
+	leastUDP    = 512
+	tcpIdle     = 10 * time.Second
+	crowdWait   = 200 * time.Millisecond
+)
+
+// Front answers the queries of one zone.
+type Front struct {
+	Config  *Config
+	Classes []control.Class
+	Emit    func(broker.Event)
+	Now     func() time.Duration
+	Log     func(format string, args ...any)
+	Box     func(host string) *broker.Box // of the list; nil: unknown
+	Most    int                           // TCP connections
+	Seed    uint64
+
+	byName  map[string]*flight          // keyed requests, open or finished within their window
+	byReq   map[*broker.Request]*flight // open
+	queries map[string]*waiter          // open, by who asked: a retransmit joins itself
+	conns   map[*stream]bool
+	serial  uint64
+}
+
+// flight is one request with all the queries that wait for its answer.
+type flight struct {
+	target  target
+	class   int
+	name    string // in Front.byName; empty: not keyed
+	request *broker.Request
+	end     time.Duration // when the first query's time is over
+	waiters []*waiter
+	final   *broker.Final
+	until   time.Duration // how long the final answer is given again
+}
+
+// waiter is one query that was taken and is owed one answer.
+type waiter struct {
+	query  *dns.Msg
+	who    string
+	reply  func([]byte)
+	most   int // bytes of its answer
+	stream *stream
+}
+
+func (f *Front) init() {
+	if f.byName == nil {
+		f.byName, f.byReq = map[string]*flight{}, map[*broker.Request]*flight{}
+		f.queries, f.conns = map[string]*waiter{}, map[*stream]bool{}
+	}
+}
+
+// Packet takes a query that came by UDP.
+func (f *Front) Packet(packet []byte, from net.Addr, reply func([]byte)) {
+	f.take(packet, from.String(), reply, nil)
+}
+
+// take parses a query and answers it, or has it wait for its request.
+func (f *Front) take(packet []byte, from string, reply func([]byte), s *stream) {
+	f.init()
+	q := &dns.Msg{}
+	err := q.Unpack(packet)
+	if len(packet) < 12 || packet[2]&0x80 != 0 {
+		return // no id to answer under, or an answer: answering those would make loops
+	}
+	w := &waiter{query: q, reply: reply, most: leastUDP, stream: s}
+	if err != nil {
+		f.Log("dns-query: %s sent what can't be read: %v", from, err)
+		bare := &dns.Msg{}
+		bare.Id = binary.BigEndian.Uint16(packet)
+		w.query = bare
+		f.code(w, dns.RcodeFormatError, "")
+		return
+	}
+	if opt := q.IsEdns0(); opt != nil {
+		w.most = min(mostUDP, max(leastUDP, int(opt.UDPSize())))
+	}
+	if s != nil {
+		w.most = dns.MaxMsgSize
+	}
+	switch {
+	case q.Opcode != dns.OpcodeQuery:
+		f.code(w, dns.RcodeNotImplemented, "")
+		return
+	case len(q.Question) != 1:
+		f.code(w, dns.RcodeFormatError, "")
+		return
+	case q.Question[0].Qclass != dns.ClassINET:
+		f.code(w, dns.RcodeRefused, "class")
+		return
+	}
+	question := q.Question[0]
+	w.who = fmt.Sprintf("%s %d %d %s", from, q.Id, question.Qtype, strings.ToLower(question.Name))
+	if f.queries[w.who] != nil { // a retransmit: its answer is under way
+		if s != nil {
+			s.answered()
+		}
+		return
+	}
+	t, err := parseName(question.Name, f.Config.Zone)
+	class := f.class(t.class)
+	switch {
+	case errors.Is(err, errOtherZone):
+		f.code(w, dns.RcodeRefused, "zone")
+	case errors.Is(err, errApex):
+		f.code(w, dns.RcodeSuccess, "")
+	case err != nil:
+		f.code(w, dns.RcodeFormatError, err.Error())
+	case t.box != "":
+		f.nameBox(w, t.box)
+	case class < 0:
+		f.code(w, dns.RcodeNameError, "")
+	case f.Classes[class].Effect != control.Safe && t.key == "":
+		f.code(w, dns.RcodeFormatError, "this class needs a key")
+	case question.Qtype != dns.TypeA && question.Qtype != dns.TypeSRV && question.Qtype != dns.TypeTXT:
+		f.code(w, dns.RcodeSuccess, "") // the name is there, a record of that type is not
+	default:
+		f.request(w, t, class)
+	}
+}
+
+func (f *Front) class(name string) int {
+	for i, c := range f.Classes {
+		if c.Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// request has a query join the request of its key, or makes a request of it.
+func (f *Front) request(w *waiter, t target, class int) {
+	now := f.Now()
+	name := ""
+	if f.Classes[class].Effect != control.Safe {
+		// The key and not the address of the client says what is the same request: retries come from other ports.
+		name = t.team + " " + t.class + " " + t.key
+		switch old := f.byName[name]; {
+		case old == nil || old.final != nil && now >= old.until:
+		case old.target.object != t.object || old.target.part != t.part:
+			f.code(w, dns.RcodeFormatError, "this key was used for another object")
+			return
+		case old.final != nil:
+			f.answer(w, old)
+			return
+		case len(old.waiters) < mostJoined:
+			f.wait(w, old)
+			return
+		default:
+			f.refuse(w, crowdWait)
+			return
+		}
+	}
+	if len(f.byReq)+len(f.byName) >= mostFlights {
+		f.refuse(w, crowdWait)
+		return
+	}
+	fl := &flight{target: t, class: class, name: name, end: now + f.limit(class)}
+	if name != "" {
+		f.byName[name] = fl
+	}
+	f.wait(w, fl)
+	f.submit(fl)
+}
+
+func (f *Front) limit(class int) time.Duration {
+	if deadline := f.Classes[class].Deadline; deadline > 0 {
+		return min(f.Config.Limit, deadline)
+	}
+	return f.Config.Limit
+}
+
+func (f *Front) wait(w *waiter, fl *flight) {
+	fl.waiters = append(fl.waiters, w)
+	f.queries[w.who] = w
+}
+
+// submit makes the broker's request of a flight.
+func (f *Front) submit(fl *flight) {
+	f.serial++
+	now, t := f.Now(), fl.target
+	fl.request = &broker.Request{Owner: f, ID: fmt.Sprintf("%016x", f.Seed+f.serial), Class: fl.class, Team: t.team,
+		Object: t.object, Thing: t.thing, Part: t.part, Group: t.group, Key: t.key, Arrived: now,
+		Limit: fl.end - now}
+	f.byReq[fl.request] = fl
+	f.Emit(broker.Arrival{Request: fl.request})
+}
+
+// Final answers all queries that wait for a request.
+func (f *Front) Final(r *broker.Request, final broker.Final) {
+	fl := f.byReq[r]
+	if fl == nil {
+		return
+	}
+	delete(f.byReq, r)
+	now := f.Now()
+	served := final.Kind == broker.Answered || final.Kind == broker.Same
+	if served && final.Box.State != control.Ready && fl.name == "" && fl.end-now > 50*time.Millisecond {
+		// The box that served it began to drain meanwhile. Nothing happened that may not happen again: ask on.
+		f.submit(fl)
+		return
+	}
+	final.Body = nil
+	fl.final = &final
+	if fl.name != "" {
+		// A refusal promises that another try is harmless, so it is repeated for its wait only.
+		if fl.until = now + f.Classes[fl.class].Window; final.Kind == broker.Refusal {
+			fl.until = now + final.Wait
+		}
+	}
+	for _, w := range fl.waiters {
+		delete(f.queries, w.who)
+		f.answer(w, fl)
+	}
+	fl.waiters = nil
+}
+
+// Tick forgets finished requests whose time is over, and closes idle connections.
+func (f *Front) Tick(now time.Duration) {
+	for name, fl := range f.byName {
+		if fl.final != nil && now >= fl.until {
+			delete(f.byName, name)
+		}
+	}
+	for s := range f.conns {
+		if s.open == 0 && now-s.active > tcpIdle {
+			s.conn.Close()
+		}
+	}
+}
+
+// answer puts a final answer into a message. Whether the box may be named is looked at now, not when it served.
+func (f *Front) answer(w *waiter, fl *flight) {
+	switch final := fl.final; final.Kind {
+	case broker.Refusal:
+		f.refuse(w, final.Wait)
+	case broker.Failure:
+		f.code(w, dns.RcodeServerFailure, final.Reason)
+	default:
+		m := f.message(w, dns.RcodeSuccess)
+		name := w.query.Question[0].Name
+		a, srv := f.records(name, final.Box, final.Address)
+		outcome := "outcome=served"
+		if a == nil {
+			outcome = "outcome=served-by-a-box-that-left" // it can't be named any more
+		}
+		txt := &dns.TXT{Hdr: header(name, dns.TypeTXT), Txt: []string{outcome}}
+		for _, field := range final.Fields {
+			txt.Txt = append(txt.Txt, clip(field.Name+"="+field.Value))
+		}
+		switch qtype := w.query.Question[0].Qtype; {
+		case qtype == dns.TypeTXT:
+			m.Answer = append(m.Answer, txt)
+		case a == nil:
+			m.Extra = append(m.Extra, txt)
+		case qtype == dns.TypeA:
+			m.Answer = append(m.Answer, a)
+		default:
+			m.Answer = append(m.Answer, srv)
+			at := *a
+			at.Hdr.Name = srv.Target
+			m.Extra = append(m.Extra, &at)
+		}
+		f.send(w, m)
+	}
+}
+
+// records names a box, or gives nil where it may not be named or has no IPv4 address.
+func (f *Front) records(name string, box *broker.Box, address string) (*dns.A, *dns.SRV) {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil || box == nil || box.State != control.Ready || !at.Addr().Unmap().Is4() {
+		return nil, nil
+	}
+	return &dns.A{Hdr: header(name, dns.TypeA), A: net.IP(at.Addr().Unmap().AsSlice())},
+		&dns.SRV{Hdr: header(name, dns.TypeSRV), Port: at.Port(),
+			Target: strings.ToLower(box.Host) + ".box." + f.Config.Zone}
+}
+
+// nameBox answers for the target of an earlier SRV record.
+func (f *Front) nameBox(w *waiter, host string) {
+	box := f.Box(host)
+	if box == nil || box.State != control.Ready {
+		f.code(w, dns.RcodeNameError, "")
+		return
+	}
+	m := f.message(w, dns.RcodeSuccess)
+	a, _ := f.records(w.query.Question[0].Name, box, box.Dial)
+	if a != nil && w.query.Question[0].Qtype == dns.TypeA {
+		m.Answer = append(m.Answer, a)
+	}
+	f.send(w, m)
+}
+
+func header(name string, kind uint16) dns.RR_Header {
+	return dns.RR_Header{Name: name, Rrtype: kind, Class: dns.ClassINET} // TTL 0: the list may change any time
+}
+
+// clip cuts a text to what one string of a TXT record holds.
+func clip(s string) string { return s[:min(len(s), 255)] }
+
+// refuse answers REFUSED with the time to stay away.
+func (f *Front) refuse(w *waiter, wait time.Duration) {
+	f.code(w, dns.RcodeRefused, "later="+strconv.FormatInt(max(1, wait.Milliseconds()), 10))
+}
+
+// ednsCodes is the extended error that goes with a code.
+var ednsCodes = map[int]uint16{dns.RcodeRefused: dns.ExtendedErrorCodeProhibited,
+	dns.RcodeServerFailure: dns.ExtendedErrorCodeNoReachableAuthority}
+
+// code answers without a record. The text goes into an extended error, or into a TXT record where the client knows
+// no EDNS.
+func (f *Front) code(w *waiter, rcode int, text string) {
+	m := f.message(w, rcode)
+	if opt := m.IsEdns0(); opt != nil && text != "" {
+		opt.Option = append(opt.Option, &dns.EDNS0_EDE{InfoCode: ednsCodes[rcode], ExtraText: text})
+	} else if text != "" && len(m.Question) == 1 {
+		m.Extra = append(m.Extra, &dns.TXT{Hdr: header(m.Question[0].Name, dns.TypeTXT), Txt: []string{clip(text)}})
+	}
+	f.send(w, m)
+}
+
+func (f *Front) message(w *waiter, rcode int) *dns.Msg {
+	m := &dns.Msg{}
+	m.SetRcode(w.query, rcode)
+	m.Authoritative = true
+	if w.query.IsEdns0() != nil {
+		m.SetEdns0(mostUDP, false)
+	}
+	return m
+}
+
+// send packs a message; over UDP what is too long goes out empty and marked, and the client asks again by TCP.
+func (f *Front) send(w *waiter, m *dns.Msg) {
+	if len(m.Answer) == 0 && (m.Rcode == dns.RcodeSuccess || m.Rcode == dns.RcodeNameError) {
+		m.Ns = append(m.Ns, &dns.SOA{Hdr: header(f.Config.Zone, dns.TypeSOA), Ns: "ns." + f.Config.Zone,
+			Mbox: "hostmaster." + f.Config.Zone, Serial: 1, Refresh: 3600, Retry: 600, Expire: 86400})
+	}
+	m.Compress = true
+	out, err := m.Pack()
+	if err == nil && len(out) > w.most {
+		m.Answer, m.Ns, m.Truncated = nil, nil, true
+		opt := m.IsEdns0()
+		if m.Extra = nil; opt != nil {
+			m.Extra = append(m.Extra, opt)
+		}
+		out, err = m.Pack()
+	}
+	if err != nil {
+		f.Log("dns-pack: an answer could not be packed: %v", err)
+		m = new(dns.Msg).SetRcode(w.query, dns.RcodeServerFailure)
+		if out, err = m.Pack(); err != nil {
+			return
+		}
+	}
+	if w.stream != nil {
+		w.stream.answered()
+	}
+	w.reply(out)
+}
+
+// stream is one TCP connection: messages with their lengths in front.
+type stream struct {
+	front  *Front
+	conn   *loop.Conn
+	from   string
+	open   int // queries without an answer
+	active time.Duration
+	closed bool
+}
+
+// Accept takes a TCP connection.
+func (f *Front) Accept(remote net.Addr) loop.Handler {
+	f.init()
+	if len(f.conns) >= f.Most {
+		f.Log("client-limit: %d DNS connections are open, closed a new one from %s", f.Most, remote)
+		return nil
+	}
+	return &stream{front: f, from: "tcp " + remote.String(), active: f.Now()}
+}
+
+// Opened notes the connection.
+func (s *stream) Opened(c *loop.Conn) {
+	s.conn = c
+	s.front.conns[s] = true
+}
+
+// Received takes whole messages.
+func (s *stream) Received(c *loop.Conn) {
+	s.active = s.front.Now()
+	used := 0
+	for len(c.In)-used >= 2 {
+		n := int(binary.BigEndian.Uint16(c.In[used:]))
+		if len(c.In)-used < 2+n {
+			break
+		}
+		packet := c.In[used+2 : used+2+n]
+		used += 2 + n
+		if n < 12 || packet[2]&0x80 != 0 || s.open >= mostJoined {
+			c.Close() // nothing could be answered under an id
+			break
+		}
+		s.open++
+		s.front.take(packet, s.from, s.reply, s)
+	}
+	c.Used(used)
+}
+
+func (s *stream) reply(out []byte) {
+	if !s.closed {
+		s.conn.Send(binary.BigEndian.AppendUint16(nil, uint16(len(out))), out)
+	}
+}
+
+func (s *stream) answered() {
+	s.open--
+	s.active = s.front.Now()
+}
+
+// Closed withdraws what only this client waited for. A keyed request goes on: its result may be asked for again.
+func (s *stream) Closed(*loop.Conn, error) {
+	s.closed = true
+	delete(s.front.conns, s)
+	for r, fl := range s.front.byReq {
+		others := fl.waiters[:0]
+		for _, w := range fl.waiters {
+			if w.stream == s {
+				delete(s.front.queries, w.who)
+			} else {
+				others = append(others, w)
+			}
+		}
+		if fl.waiters = others; len(others) == 0 && fl.name == "" {
+			delete(s.front.byReq, r)
+			s.front.Emit(broker.Withdrawal{Request: r})
+		}
+	}
+}
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -235,7 +235,7 @@
 func (l *Loop) Outbound() int { return l.outbound }
 
 // Dial connects without blocking the loop. Either handler.Opened follows or failed.
-func (l *Loop) Dial(address string, limit time.Duration, handler Handler, failed func(error)) {
+func (l *Loop) Dial(network, address string, limit time.Duration, handler Handler, failed func(error)) {
 	l.dials++
 	fail := func(err error) {
 		l.Post(func() {
@@ -245,7 +245,7 @@
 		})
 	}
 	go func() {
-		conn, err := net.DialTimeout("tcp", address, limit)
+		conn, err := net.DialTimeout(network, address, limit)
 		if err != nil {
 			fail(err)
 			return
