Bound what is buffered together, and test ends, bulletin, Consul, contracts and check

Seen: a peer that begins large messages and never ends them, or does not read, was bounded by itself only; 650 connections times 256 KB are more than the machine's memory. gnet wrote a line of its own in another form at the start. Now: beginnings of messages are bounded to 40 MB together, and a large answer becomes a short failure while clients that do not read hold a fifth of the memory. gnet logs errors only. Tests, all with the real program over sockets: each end of a first attempt and what follows, a refused connection, gaps and bad lines of the bulletin, a new box at an old address, purges, contracts, Consul's states, faults of files by key. Found on the way: nothing to mend; a write that got an error goes on by way of the parent, which its group allows.

--- /dev/null
+++ b/cmd/sloequay/ends_test.go
@@ -0,0 +1,337 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/miekg/dns"
+)
+
+// TestEnds has the first attempt of a request end in each way, and compares what follows from it.
+func TestEnds(t *testing.T) {
+	served := func(boxes ...string) []string { return boxes }
+	for _, c := range []struct {
+		name, method string
+		first        func(*asked) // what the first attempt meets
+		want         string       // body or error
+		boxes        []string     // that were asked, in order; nil: not looked at
+	}{
+		{"reset after sending: a read may run again", "footage", func(a *asked) { _ = a.conn.Close() }, "second", nil},
+		{"reset after sending: a keyed write goes on to the same group", "charge",
+			func(a *asked) { _ = a.conn.Close() }, "second", served("o1", "o1")},
+		{"an answer that can't be read ends the connection", "charge",
+			func(a *asked) { _, _ = a.conn.Write([]byte("what is this\r\n")) }, "second", served("o1", "o1")},
+		{"a length beyond all bounds", "charge",
+			func(a *asked) { _, _ = fmt.Fprintf(a.conn, "%s ACK - 999999999\r\n", a.ID) }, "second", served("o1", "o1")},
+		{"a word for another question", "charge", func(a *asked) { a.answer("READY", "-", "") }, "second", served("o1", "o1")},
+		{"unchanged without a copy to hold against", "charge", func(a *asked) { a.answer("NOMOD", "-", "") }, "second",
+			served("o1", "o1")},
+		{"over already: never ran", "charge", func(a *asked) { a.answer("STALE", "-", "") }, "second", served("o1", "o1")},
+		{"an error goes on by way of the parent", "charge", func(a *asked) { a.answer("EIO", "-", "") }, "second", served("o1", "p1")},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var w *world
+			w = newWorld(t, func(a *asked) {
+				if len(w.lines(word("ASK"))) == 1 {
+					c.first(a)
+					return
+				}
+				a.answer("ACK", "-", "second")
+			}, "c2")
+			w.run()
+			client := w.dial()
+			client.send(request(1, c.method, map[string]string{"unique": "k1"}, ""))
+			if a := client.want(); a.Error+a.Body != c.want {
+				t.Errorf("answer %+v, want %q", a, c.want)
+			}
+			var boxes []string
+			for _, a := range w.lines(word("ASK")) {
+				boxes = append(boxes, a.Box)
+			}
+			if diff := cmp.Diff(c.boxes, boxes); c.boxes != nil && diff != "" {
+				t.Errorf("boxes (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestRefusedConnectionNeverRan: a write whose connection is refused may be tried elsewhere, and be refused.
+func TestRefusedConnectionNeverRan(t *testing.T) {
+	w := newWorld(t, nil)
+	_ = w.boxes["o1"].Close()
+	w.run()
+	client := w.dial()
+	client.send(request(1, "charge", map[string]string{"unique": "k1"}, ""))
+	if a := client.want(); a.Error != "" {
+		t.Errorf("%+v, want it served by way of a cache", a)
+	}
+	if asks := w.lines(word("ASK")); len(asks) != 1 || asks[0].Fields["via"] != "o1" {
+		t.Errorf("%d attempts reached boxes, want one by way of a cache", len(asks))
+	}
+}
+
+func roster(no int, whole bool, hosts ...map[string]any) string {
+	text, _ := json.Marshal(map[string]any{"no": no, "roster": map[string]any{"seq": no, "whole": whole, "hosts": hosts}})
+	return string(text)
+}
+
+// TestBulletin: lines that can't be read, gaps and lost connections end in the stream being resumed behind the last
+// event, and nothing of it is lost.
+func TestBulletin(t *testing.T) {
+	w := newWorld(t, nil, "c2")
+	w.run()
+	after := func(want string) {
+		t.Helper()
+		select {
+		case got := <-w.after:
+			if got != want {
+				t.Fatalf("the program asked for %q, want %q", got, want)
+			}
+		case <-time.After(patience):
+			t.Fatalf("the program did not ask for %q", want)
+		}
+	}
+	after("after 1")
+	w.feed <- `{"no":2,"recall":{"item":"00000000000000aa","issued":1}}`
+	w.feed <- "2"
+	w.feed <- "!" // the connection ends
+	w.feed <- "!" // may meet the old connection
+	after("after 2")
+	select {
+	case <-w.after:
+	case <-time.After(time.Second):
+	}
+	w.feed <- `{"no":4,"recall":{"lot":3,"issued":1}}` // 3 is missing
+	w.feed <- "!"
+	after("after 2")
+	w.feed <- `{"no":3,"roster":{"hosts":[{"host":"c9","health":"dancing"}]}}`
+	w.feed <- "!"
+	after("after 2")                                                           // asked for again
+	w.feed <- `{"no":3,"roster":{"hosts":[{"host":"c9","health":"dancing"}]}}` // it has it so
+	w.feed <- roster(4, false, host("c1", w.boxes["c1"].Addr().String(), "edge", "std", "removed", 0),
+		host("c2", w.boxes["c2"].Addr().String(), "edge", "std", "up", 0))
+	client := w.dial()
+	id := uint64(0)
+	w.until("c2 serves, and c1 no more", func() bool {
+		id++
+		client.send(request(id, "footage", map[string]string{"item": fmt.Sprintf("%016x", id)}, ""))
+		client.want()
+		asks := w.lines(word("ASK"))
+		return asks[len(asks)-1].Box == "c2"
+	})
+}
+
+// TestReplacedBox: a new box at the address of one that has gone has connections of its own, and what was out to the
+// old one is tried again.
+func TestReplacedBox(t *testing.T) {
+	w := newWorld(t, func(a *asked) {
+		if a.Box == "c1" && a.Fields["nth"] == "0" {
+			return // silent
+		}
+		a.answer("ACK", "-", a.Fields["nth"])
+	}, "c2")
+	w.run()
+	client := w.dial()
+	client.send(request(1, "footage", nil, ""))
+	w.until("the attempt is out", func() bool { return len(w.lines(word("ASK"))) == 1 })
+	old := w.lines(word("ASK"))[0].conn
+	address := w.boxes["c1"].Addr().String()
+	w.feed <- roster(2, false, host("c1", address, "edge", "std", "removed", 0),
+		host("c7", address, "edge", "std", "up", time.Now().UnixMilli()))
+	w.until("the attempt to the old box is tried again", func() bool { return len(w.lines(word("ASK"))) > 1 })
+	client.send(request(2, "footage", map[string]string{"nth": "1"}, ""))
+	for {
+		if a := client.want(); a.ID == 2 {
+			if a.Body != "1" {
+				t.Errorf("%+v, want it served by the new box", a)
+			}
+			break
+		}
+	}
+	for _, a := range w.lines(word("ASK"))[1:] {
+		if a.conn == old {
+			t.Errorf("%+v went out on the old box's connection", a)
+		}
+	}
+}
+
+// TestPurge: after a purge no copy from before it will do, for the object and for its group.
+func TestPurge(t *testing.T) {
+	w := newWorld(t, nil)
+	w.run()
+	<-w.after
+	client := w.dial()
+	issued := time.Now().Add(-100 * time.Millisecond).UnixMilli()
+	w.feed <- fmt.Sprintf(`{"no":2,"recall":{"item":"7f3a9c21e0b4d655","issued":%d}}`, issued)
+	w.feed <- fmt.Sprintf(`{"no":3,"recall":{"lot":9,"issued":%d}}`, issued)
+	id := uint64(0)
+	for _, fields := range []map[string]string{{}, {"item": "00000000000000bb", "batch": "9"}} {
+		w.until("requests ask for younger copies", func() bool {
+			id++
+			client.send(request(id, "footage", fields, ""))
+			client.want()
+			asks := w.lines(word("ASK"))
+			last := asks[len(asks)-1]
+			var fresh int64
+			_, _ = fmt.Sscan(last.Fields["fresh"], &fresh)
+			if oldest := last.At.UnixMilli() - fresh; fresh > 0 && oldest < issued {
+				t.Fatalf("a copy of %d ms before the purge would do", issued-oldest)
+			}
+			return fresh > 0
+		})
+	}
+}
+
+// TestContracts: what a team has not agreed to is refused with a wait, and attempts are charged to its budget.
+func TestContracts(t *testing.T) {
+	for _, c := range []struct {
+		name, contract, class string
+		wants                 []string // errors of requests in turn
+	}{
+		{"a class it may not use", `{"classes":["lookup"]}`, "footage", []string{"Overloaded"}},
+		{"its rate", `{"requests_per_s":0.01,"burst":2}`, "footage", []string{"", "", "Overloaded"}},
+		{"its budget of attempts", `{"attempts_per_s":0.01,"attempts_burst":1}`, "footage", []string{"", "Overloaded"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, nil)
+			w.flags = []string{"--contracts", w.file(`{"teams":{"lanes":` + c.contract + `}}`)}
+			w.run()
+			client := w.dial()
+			for i, want := range c.wants {
+				client.send(request(uint64(i+1), c.class, map[string]string{"team": "lanes"}, ""))
+				if a := client.want(); a.Error != want || want != "" && a.Fields["later"] == "" {
+					t.Errorf("request %d: %+v, want the error %q with a wait", i+1, a, want)
+				}
+			}
+		})
+	}
+}
+
+// TestCatalog: the list comes from a stand-in for Consul's health API. What drains there takes nothing new.
+func TestCatalog(t *testing.T) {
+	w := newWorld(t, nil, "c1", "c2")
+	states := make(chan string, 1)
+	index := 1
+	agent := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/v1/health/service/cache-box" {
+			http.NotFound(rw, r)
+			return
+		}
+		state := "passing"
+		if r.URL.Query().Get("index") != "" && r.URL.Query().Get("index") != "0" {
+			select {
+			case state = <-states:
+			case <-r.Context().Done():
+				return
+			}
+			index++
+		}
+		entries := []any{}
+		for id, site := range map[string]string{"c1": "edge", "c2": "edge", "p1": "hub", "o1": "hub"} {
+			class, status := map[string]string{"p1": "parent", "o1": "origin"}[id], "passing"
+			if class == "" {
+				class = "std"
+			}
+			if id == "c1" {
+				status = state
+			}
+			port := w.boxes[id].Addr().String()[len("127.0.0.1:"):]
+			var number int
+			_, _ = fmt.Sscan(port, &number)
+			check := map[string]any{"CheckID": "c", "Status": status}
+			if status == "maintenance" {
+				check = map[string]any{"CheckID": "_node_maintenance", "Status": "critical"}
+			}
+			entries = append(entries, map[string]any{"Node": map[string]any{"Address": "127.0.0.1"},
+				"Service": map[string]any{"ID": id, "Port": number, "Meta": map[string]string{"site": site, "class": class},
+					"Weights": map[string]int{"Passing": 4}}, "Checks": []any{check}})
+		}
+		rw.Header().Set("X-Consul-Index", fmt.Sprint(index))
+		_ = json.NewEncoder(rw).Encode(entries)
+	}))
+	t.Cleanup(agent.CloseClientConnections)
+	w.flags = []string{"--catalog", w.file(`{"address":"` + strings.TrimPrefix(agent.URL, "http://") + `","service":"cache-box"}`)}
+	w.run()
+	client := w.dial()
+	id := uint64(0)
+	last := func() string {
+		id++
+		client.send(request(id, "footage", map[string]string{"item": fmt.Sprintf("%016x", id)}, ""))
+		client.want()
+		if asks := w.lines(word("ASK")); len(asks) > 0 {
+			return asks[len(asks)-1].Box
+		}
+		return ""
+	}
+	w.until("c1 serves", func() bool { return last() == "c1" })
+	for _, state := range []string{"maintenance", "critical"} {
+		states <- state
+		streak := 0
+		w.until("c1 takes nothing new: "+state, func() bool {
+			if streak++; last() == "c1" {
+				streak = 0
+			}
+			return streak > 40
+		})
+		states <- "passing"
+		w.until("c1 serves again", func() bool { return last() == "c1" })
+	}
+}
+
+// TestCheck: bad configuration exits with the key named.
+func TestCheck(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		spoil func(w *world)
+		want  string // empty: sound
+	}{
+		{"sound", func(*world) {}, ""},
+		{"listen", func(w *world) { w.config["listen"] = "here" }, "listen"},
+		{"descriptors", func(w *world) { w.config["limits"] = map[string]any{"sockets": 3} }, "limits.sockets"},
+		{"memory", func(w *world) { w.config["limits"] = map[string]any{"memory_mb": "much"} }, "limits.memory_mb"},
+		{"no settings", func(w *world) { delete(w.config, "settings") }, "settings"},
+		{"no class", func(w *world) { w.config["settings"] = map[string]any{} }, "Classes"},
+		{"an unknown word", func(w *world) {
+			w.config["settings"].(map[string]any)["family-info"] = map[string]any{"detail": "some"}
+		},
+			"family-info.detail"},
+		{"a list entry", func(w *world) { w.hosts[0]["site"] = "nowhere" }, "site"},
+		{"contracts", func(w *world) { w.flags = []string{"--contracts", w.file(`{"teams":{"a":{"opne":3}}}`)} }, "teams.a.opne"},
+		{"the DNS zone", func(w *world) { w.flags = []string{"--dns", w.file(`{"listen":"127.0.0.1:53"}`)} }, "zone"},
+		{"the catalogue", func(w *world) { w.flags = []string{"--catalog", w.file(`{"address":"127.0.0.1:1"}`)} }, "service"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, nil)
+			c.spoil(w)
+			text, _ := json.Marshal(w.config)
+			out, err := exec.Command(program, append([]string{"check", "--config", w.file(string(text))}, w.flags...)...).CombinedOutput()
+			if (err != nil) != (c.want != "") || !strings.Contains(string(out), c.want) {
+				t.Errorf("%v: %s, want %q named", err, out, c.want)
+			}
+		})
+	}
+}
+
+// TestUnknownTeamOverDNS: a query goes through the contracts like any other request.
+func TestUnknownTeamOverDNS(t *testing.T) {
+	w := newWorld(t, nil)
+	w.withDNS("")
+	w.flags = append(w.flags, "--contracts", w.file(`{"teams":{"lanes":{}}}`))
+	w.run()
+	s := w.stub("udp")
+	for id, c := range []struct{ team, want string }{{"lanes", "NOERROR"}, {"others", "REFUSED"}} {
+		s.ask(uint16(id), "n0.00000000000000aa.lookup."+c.team, dns.TypeA)
+		if a := s.want(); a.Rcode != c.want {
+			t.Errorf("team %s: %+v, want %s", c.team, a, c.want)
+		}
+	}
+}
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -22,7 +22,8 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
-	"github.com/panjf2000/gnet/v2/pkg/logging"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"golang.org/x/sys/unix"
 )
 
@@ -61,6 +62,7 @@
 	started   chan struct{}
 	dials     int
 	outbound  int
+	inbound   int // bytes of messages that are not whole yet
 	rounds    int // since
 	since     time.Time
 	busy      bool
@@ -86,6 +88,7 @@
 const (
 	// outboundMost bounds what waits for one peer that does not read; it is closed beyond.
 	outboundMost = 6 << 20
+	inboundMost  = 40 << 20 // together; beyond, connections with large beginnings are closed
 	keepBuffer   = 64 << 10 // larger buffers are not kept when empty
 	keptMost     = 4 << 20
 
@@ -117,8 +120,10 @@
 	}
 	// SO_REUSEADDR too: what is left in TIME_WAIT of a killed doorman's connections must not keep the next one from its
 	// address, and it does where those sockets had SO_REUSEPORT alone.
+	logger := zap.New(zapcore.NewCore(zapcore.NewConsoleEncoder(zap.NewProductionEncoderConfig()),
+		zapcore.Lock(os.Stderr), zapcore.ErrorLevel)).Sugar()
 	err := gnet.Rotate(l, addresses, gnet.WithReusePort(true), gnet.WithReuseAddr(true), gnet.WithNumEventLoop(1),
-		gnet.WithLogLevel(logging.ErrorLevel))
+		gnet.WithLogger(logger))
 	if err != nil {
 		return fmt.Errorf("event loop: %w", err)
 	}
@@ -352,11 +357,17 @@
 	}
 	c.In = data // often gnet's own buffer, so that what comes whole is not copied
 	c.handler.Received(c)
+	l.inbound -= len(c.rest)
 	c.rest = append(c.rest[:0], c.In...)
+	l.inbound += len(c.rest)
 	if c.In = nil; len(c.rest) == 0 && cap(c.rest) > keepBuffer {
 		c.rest = nil
 	}
 	l.NeedRound()
+	if l.inbound > inboundMost && len(c.rest) > keepBuffer {
+		c.closing = true
+		return gnet.Close // Closed follows: what was open here ends with the connection
+	}
 	return gnet.None
 }
 
@@ -383,7 +394,8 @@
 	}
 	c.closed, c.closing = true, true
 	l.outbound -= c.counted
-	c.counted = 0
+	l.inbound -= len(c.rest)
+	c.counted, c.rest = 0, nil
 	c.handler.Closed(c, err)
 	l.NeedRound()
 	return gnet.None
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -19,6 +19,7 @@
 	mostFrame  = 96 << 10 // a write of 48,000 bytes with its fields
 	mostBody   = 48000
 	mostText   = 256
+	smallBody  = 4096
 	mostFields = 64
 	mostOpen   = 64 // of one connection; clients keep to 32, but may not have read all answers
 	idleAfter  = 60 * time.Second
@@ -300,6 +301,10 @@
 	delete(c.msgs, r)
 	delete(c.open, msg)
 	c.active = c.front.now()
+	if f.Kind == broker.Answered && len(f.Body) > smallBody && c.front.full() {
+		// Clients that do not read hold the memory. A short answer that says so is better than none at all.
+		f.Kind = broker.Failure
+	}
 	switch f.Kind {
 	case broker.Answered, broker.Same:
 		b := msgpack.AppendArray(msgpack.AppendNil(answerHead(msg)), 2)
