--- a/cmd/sloequay/ends_test.go
+++ b/cmd/sloequay/ends_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"os/exec"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -335,3 +339,52 @@
 		}
 	}
 }
+
+// TestDrainedWhileDialled: an attempt waits for the connection to a box that begins to drain. It goes elsewhere, and
+// nothing is written when the connection comes up.
+func TestDrainedWhileDialled(t *testing.T) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}
+	if err := errors.Join(syscall.Bind(fd, at), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	file := os.NewFile(uintptr(fd), "c1")
+	ln, err := net.FileListener(file)
+	_ = file.Close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	filler, err := net.Dial("tcp", ln.Addr().String()) // the queue has one place, so the next dial waits for it
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer filler.Close()
+	w := newWorld(t, nil, "c2")
+	w.hosts[0]["dial"] = ln.Addr().String()
+	w.config["settings"].(map[string]any)["limits"].(map[string]any)["dial-timeout-ms"] = 60000
+	w.run()
+	<-w.after
+	client := w.dial()
+	client.send(request(1, "footage", map[string]string{"limit": "60000"}, ""))
+	client.send(request(2, "status", nil, ""))
+	if a := client.want(); !a.Ready {
+		t.Fatalf("%+v came first, want the status while the request waits", a)
+	}
+	w.feed <- roster(2, false, host("c1", ln.Addr().String(), "edge", "std", "draining", 0))
+	if a := client.want(); a.ID != 1 || a.Error != "" {
+		t.Errorf("%+v, want the request served elsewhere", a)
+	}
+	go w.serveBox("c1", ln) // what comes up now must stay empty
+	waiting, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer waiting.Close()
+	if asks := w.lines(func(a *asked) bool { return a.Box == "c1" }); len(asks) > 0 {
+		t.Errorf("the draining box was sent %+v", asks[0])
+	}
+}
--- a/depot/depot.go
+++ b/depot/depot.go
@@ -394,7 +394,12 @@
 			l.endAll(func(*pending) broker.End { return broker.Broken })
 			l.retire()
 		case old || box.State != control.Ready:
-			l.retire() // what waits for it is looked at again when it is written
+			// What waits for a dial goes elsewhere now; it would be barred when it was written.
+			for _, a := range l.waiting {
+				p.Emit(broker.Ending{Attempt: a, End: broker.Barred})
+			}
+			l.waiting = nil
+			l.retire()
 		}
 	}
 	if box.State == control.Gone && len(d.links) == 0 {
