Give each test's program a loopback address of its own

Cause: world_test.go took a free port on 127.0.0.1, closed it and had the program listen there later; tests run in parallel, and another one's stand-in had the port by then. Ruled out: the program, which logged no start at all. Now: each test has an address in 127.77.0.0/16 for the program, and stand-ins stay on 127.0.0.1.

--- a/cmd/sloequay/dns_test.go
+++ b/cmd/sloequay/dns_test.go
@@ -19,9 +19,7 @@
 // withDNS turns the DNS side on; extra is added to its file.
 func (w *world) withDNS(extra string) {
 	w.t.Helper()
-	ln := w.listenOn("127.0.0.1:0")
-	address := ln.Addr().String()
-	_ = ln.Close()
+	address := w.free()
 	w.flags = append(w.flags, "--dns", w.file(`{"listen":"`+address+`","zone":"`+zone+`"`+extra+`}`))
 	w.dns = address
 }
--- a/cmd/sloequay/world_test.go
+++ b/cmd/sloequay/world_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -55,6 +56,7 @@
 	t        *testing.T
 	config   map[string]any
 	flags    []string
+	ip       string
 	listen   string
 	dns      string
 	resolver string
@@ -89,9 +91,7 @@
 	}
 	w.bulletin = w.listenOn("127.0.0.1:0")
 	go w.serveBulletin()
-	free := w.listenOn("127.0.0.1:0")
-	w.listen = free.Addr().String()
-	_ = free.Close()
+	w.listen = w.free()
 	var site any
 	if err := json.Unmarshal([]byte(siteSettings), &site); err != nil {
 		t.Fatal(err)
@@ -127,6 +127,20 @@
 		"share": 4, "born_ms": born}
 }
 
+var worlds atomic.Int32
+
+// free gives an address to the program. It is on a loopback address of the world's own: on a shared one a stand-in of
+// another test took the port before the program did.
+func (w *world) free() string {
+	if w.ip == "" {
+		n := worlds.Add(1)
+		w.ip = fmt.Sprintf("127.77.%d.%d", n>>8, n&255)
+	}
+	ln := w.listenOn(w.ip + ":0")
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
 func (w *world) listenOn(address string) net.Listener {
 	w.t.Helper()
 	ln, err := net.Listen("tcp", address)
