--- a/cmd/sloequay/ends_test.go
+++ b/cmd/sloequay/ends_test.go
@@ -1,15 +1,18 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -388,3 +391,54 @@
 		t.Errorf("the draining box was sent %+v", asks[0])
 	}
 }
+
+// TestGarbage spoils sound messages at random places on every socket. Whatever comes, the program goes on.
+func TestGarbage(t *testing.T) {
+	rnd := rand.New(rand.NewSource(1))
+	var mu sync.Mutex
+	spoil := func(b []byte) []byte {
+		mu.Lock()
+		defer mu.Unlock()
+		b = append([]byte(nil), b...)
+		for range 1 + rnd.Intn(4) {
+			b[rnd.Intn(len(b))] = byte(rnd.Intn(256))
+		}
+		return b[:len(b)-rnd.Intn(len(b))/8]
+	}
+	sound := func(a *asked) { a.answer("ACK", "tag=t1", "bytes") }
+	w := newWorld(t, func(a *asked) {
+		line := fmt.Sprintf("%s ACK tag=t1,minted=1,remark=hit,lag=2 5\r\nbytes\r\n", a.ID)
+		_, _ = a.conn.Write(spoil([]byte(line)))
+	})
+	w.withDNS("")
+	w.run()
+	<-w.after
+	udp := w.stub("udp")
+	for id := uint64(1); id <= 400; id++ {
+		c := w.dial()
+		_, _ = c.conn.Write(request(id, "footage", map[string]string{"limit": "200"}, "body"))
+		_, _ = c.conn.Write(spoil(request(id+1, "charge", map[string]string{"unique": "k1"}, "body")))
+		m, _ := new(dns.Msg).SetQuestion("k-1.n0.00000000000000aa.charge._."+zone, dns.TypeSRV).Pack()
+		_, _ = udp.conn.Write(spoil(m))
+		if id%20 == 0 {
+			w.feed <- string(bytes.ReplaceAll(spoil([]byte(roster(2, false, host("c9", "127.0.0.1:1", "edge", "std", "draining", 0)))),
+				[]byte("\n"), nil))
+		}
+		if id%3 == 0 {
+			_ = c.conn.Close()
+		}
+	}
+	w.setScript(sound)
+	c, id := w.dial(), uint64(0)
+	w.until("sound requests are served again", func() bool {
+		id++
+		c.send(request(id, "footage", nil, ""))
+		return c.want().Error == ""
+	})
+	select {
+	case err := <-w.exited:
+		w.cmd = nil
+		t.Errorf("the program ended: %v", err)
+	default:
+	}
+}
