Read the configuration again on SIGHUP; follow the bulletin to its new address

Checked: serve.go notified only SIGTERM and SIGINT, so SIGHUP had its default action; nothing else ended the program.

Now files are read beside the loop, a bad one is logged and changes nothing, and the bulletin's reader goes to the new address after its last event; what a session says that is not the reader's own any more is dropped. Contracts are renewed in place, and a request keeps the account that it was admitted on. The bulletin's watchdog waits 1.6 s instead of 3.5 s: a line comes each second, and what a silent bulletin would have told counts as told after 4 s.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -185,11 +185,12 @@
 		b.answer(r, Final{Kind: Refusal, Wait: b.cfg.MaxRetryAfter, Reason: "too many open requests"})
 		return
 	}
-	if wait, ok := b.contracts.Admit(r.Team, b.cfg.Classes[r.Class].Name, b.now); !ok {
+	account, wait, ok := b.contracts.Admit(r.Team, b.cfg.Classes[r.Class].Name, b.now)
+	if !ok {
 		b.answer(r, Final{Kind: Refusal, Wait: wait, Reason: "over the team's contract"})
 		return
 	}
-	r.admitted = true
+	r.account, r.admitted = account, true
 	b.nextID++
 	r.id = b.nextID
 	b.open[r.id] = r
@@ -251,7 +252,7 @@
 		b.queue = append(b.queue, Ending{Attempt: a, End: Barred})
 		return
 	}
-	if wait, ok := b.contracts.Spend(r.Team, b.now); !ok {
+	if wait, ok := r.account.Spend(b.now); !ok {
 		r.wait = wait
 		b.queue = append(b.queue, Ending{Attempt: a, End: Barred})
 		return
@@ -366,7 +367,7 @@
 	r.ended = true
 	delete(b.open, r.id)
 	if r.admitted {
-		b.contracts.Done(r.Team)
+		r.account.Done()
 	}
 	for _, a := range r.attempts {
 		if a.Open() {
--- a/broker/request.go
+++ b/broker/request.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sloequay/contract"
 	"sloequay/control"
 )
 
@@ -32,8 +33,9 @@
 	deadline time.Duration // by which the answer must be on its way
 	attempts []*Attempt
 	ended    bool
-	admitted bool          // it holds a place of its team's contract
-	wait     time.Duration // for the client to stay away, where the budget ran out
+	admitted bool              // it holds a place of its team's contract
+	account  *contract.Account // that it and its attempts are charged to
+	wait     time.Duration     // for the client to stay away, where the budget ran out
 }
 
 // Final is the one answer to a request.
--- a/bulletin/bulletin.go
+++ b/bulletin/bulletin.go
@@ -17,9 +17,11 @@
 )
 
 const (
-	mostLine    = 1 << 20 // the whole list of a large fleet
-	mostHosts   = 4096
-	quietMost   = 3500 * time.Millisecond // a line comes each second
+	mostLine  = 1 << 20 // the whole list of a large fleet
+	mostHosts = 4096
+	// quietMost is how long a connection may say nothing: a line comes each second. What a bulletin that stopped would
+	// have told counts as told 4 s later, and there is a dial and a drain's own second to come.
+	quietMost   = 1600 * time.Millisecond
 	dialLimit   = time.Second
 	retryFirst  = 100 * time.Millisecond
 	retryMost   = time.Second
@@ -168,38 +170,59 @@
 // Reader keeps a connection to the bulletin and resumes after the last event it has.
 type Reader struct {
 	Loop    *loop.Loop
-	Address string
+	Address string // empty: there is none
 	Names   Names
 	Last    int64
 	Emit    func(broker.Event)
 	Now     func() time.Duration
 	Log     func(format string, args ...any)
 
-	conn   *loop.Conn
-	dialed bool
+	session *session // nil: none, and the next dial is due at again
+	retry   time.Duration
+	again   time.Duration
+	badAt   int64 // the last event before a line that could not be read
+	skip    bool  // that line came again: go on behind it
+	down    bool
+}
+
+// session is one connection to the bulletin, or the dial of one. What comes on any but the Reader's own is dropped.
+type session struct {
+	reader *Reader
+	conn   *loop.Conn // nil while it is dialled
 	heard  time.Duration
-	retry  time.Duration // the wait before the next dial
-	again  time.Duration // when that is
-	badAt  int64         // the last event before a line that could not be read
-	skip   bool          // that line came again: go on behind it
-	down   bool
 }
 
 // Tick dials when there is no connection, and drops one that has gone quiet.
 func (r *Reader) Tick(now time.Duration) {
-	if r.Address == "" {
+	switch s := r.session; {
+	case s != nil && s.conn != nil && now-s.heard > quietMost:
+		r.lost(fmt.Errorf("nothing came for %v", now-s.heard))
+	case s == nil && r.Address != "" && now >= r.again:
+		s = &session{reader: r}
+		r.session = s
+		r.Loop.Dial("tcp", r.Address, dialLimit, s, func(err error) {
+			if r.session == s {
+				r.lost(err)
+			}
+		})
+	}
+}
+
+// Follow goes over to another address and asks there for what has happened since the last event. The numbers go on.
+func (r *Reader) Follow(address string) {
+	if address == r.Address {
 		return
 	}
-	switch {
-	case r.conn != nil && now-r.heard > quietMost:
-		r.lost(fmt.Errorf("nothing came for %v", now-r.heard))
-	case r.conn == nil && !r.dialed && now >= r.again:
-		r.dialed = true
-		r.Loop.Dial("tcp", r.Address, dialLimit, r, func(err error) {
-			r.dialed = false
-			r.lost(err)
-		})
+	r.drop()
+	r.Address, r.retry, r.again = address, 0, 0
+	r.Tick(r.Now())
+}
+
+func (r *Reader) drop() {
+	if s := r.session; s != nil && s.conn != nil {
+		s.conn.Close()
 	}
+	r.session = nil
 }
 
 // lost drops the connection and sets the time of the next dial.
@@ -208,37 +231,34 @@
 		r.Log("bulletin-lost: %v; resuming after event %d", err, r.Last)
 	}
 	r.down = true
-	if r.conn != nil {
-		r.conn.Close()
-		r.conn = nil
-	}
+	r.drop()
 	r.again = r.Now() + r.retry
 	r.retry = min(max(retryFirst, 2*r.retry), retryMost)
 }
 
 // Opened asks for what has happened since.
-func (r *Reader) Opened(c *loop.Conn) {
-	r.conn, r.dialed, r.heard = c, false, r.Now()
-	c.Send([]byte("after " + strconv.FormatInt(r.Last, 10) + "\n"))
+func (s *session) Opened(c *loop.Conn) {
+	if s.reader.session != s { // the dial of an address that is not followed any more
+		c.Close()
+		return
+	}
+	s.conn, s.heard = c, s.reader.Now()
+	c.Send([]byte("after " + strconv.FormatInt(s.reader.Last, 10) + "\n"))
 }
 
 // Closed has the connection dialled again.
-func (r *Reader) Closed(c *loop.Conn, err error) {
-	if r.conn == c {
-		r.conn = nil
-		r.lost(fmt.Errorf("connection ended: %v", err))
+func (s *session) Closed(_ *loop.Conn, err error) {
+	if s.reader.session == s {
+		s.reader.lost(fmt.Errorf("connection ended: %v", err))
 	}
 }
 
 // Received takes whole lines.
-func (r *Reader) Received(c *loop.Conn) {
-	if r.conn != c {
-		c.Used(len(c.In))
-		return
-	}
-	r.heard = r.Now()
+func (s *session) Received(c *loop.Conn) {
+	r := s.reader
+	s.heard = r.Now()
 	used := 0
-	for r.conn == c {
+	for r.session == s {
 		end := bytes.IndexByte(c.In[used:], '\n')
 		if end < 0 {
 			break
@@ -247,8 +267,11 @@
 		used += end + 1
 		r.line(line)
 	}
+	if r.session != s { // nothing more of it counts
+		used = len(c.In)
+	}
 	c.Used(used)
-	if r.conn == c && len(c.In) > mostLine {
+	if len(c.In) > mostLine {
 		r.lost(fmt.Errorf("a line of over %d bytes", mostLine))
 	}
 }
@@ -297,11 +320,11 @@
 
 // settled notes that the stream runs.
 func (r *Reader) settled() {
-	if r.down && r.conn != nil {
+	if r.session == nil {
+		return
+	}
+	if r.retry = 0; r.down {
 		r.Log("bulletin-back: at event %d", r.Last)
 		r.down = false
 	}
-	if r.conn != nil {
-		r.retry = 0
-	}
 }
--- a/cmd/sloequay/main.go
+++ b/cmd/sloequay/main.go
@@ -84,7 +84,7 @@
 	if o.config == "" {
 		return nil, errors.New("no configuration: set BALANCER_CONFIG or --config")
 	}
-	p := &plan{}
+	p := &plan{again: o.load}
 	var err error
 	if p.settings, err = settings.Load(o.config); err != nil {
 		return nil, err
--- a/cmd/sloequay/serve.go
+++ b/cmd/sloequay/serve.go
@@ -30,6 +30,7 @@
 	last      int64 // event of the bulletin
 	known     []broker.Event
 	boxes     int
+	again     func() (*plan, error) // reads all files anew
 }
 
 // decode reads the events of the start, so that check finds faults in them too.
@@ -67,6 +68,7 @@
 	log      *logger
 	events   []broker.Event
 	kept     time.Duration // when the last housekeeping was
+	signals  chan os.Signal
 	leaving  time.Duration // when SIGTERM came
 	stopped  bool
 }
@@ -80,7 +82,8 @@
 	debug.SetGCPercent(300)                 // within that: eight collections a second were measured at full load
 	// The loop never parks its goroutine. With one P, dials beside it were seen only each 10 ms and took 25 to 50 ms.
 	runtime.GOMAXPROCS(max(2, runtime.GOMAXPROCS(0)))
-	d := &doorman{plan: p, log: &logger{}}
+	d := &doorman{plan: p, log: &logger{}, signals: make(chan os.Signal, 8)}
+	signal.Notify(d.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	var err error
 	if d.broker, err = broker.New(s.Control, s.Seed, s.OpenCap, p.contracts); err != nil {
 		return err
@@ -132,20 +135,45 @@
 			})
 		}, func(format string, args ...any) { l.Post(func() { d.log.printf(format, args...) }) })
 	}
-	terminate := make(chan os.Signal, 1)
-	signal.Notify(terminate, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		<-terminate
-		l.Post(d.leave)
-	}()
+	go d.heed()
 	d.log.printf("started: %s listens on %s, %d boxes known", s.Name, s.Listen, d.plan.boxes)
 	l.NeedRound()
 }
 
 func (d *doorman) emit(e broker.Event) { d.events = append(d.events, e) }
 
+// heed takes signals to the loop. Files are read here, beside it.
+func (d *doorman) heed() {
+	for s := range d.signals {
+		if s != syscall.SIGHUP {
+			d.loop.Post(d.leave)
+			continue
+		}
+		next, err := d.plan.again()
+		d.loop.Post(func() { d.reload(next, err) })
+	}
+}
+
+// reload takes over what may change while the program runs. A file that is not sound changes nothing: operators
+// replace files under load, and the doorman must outlive their slips.
+func (d *doorman) reload(next *plan, err error) {
+	if err != nil {
+		d.log.printf("reload-failed: %v; the old configuration stays", err)
+		return
+	}
+	d.bulletin.Follow(next.settings.Bulletin)
+	if d.plan.contracts != nil && next.contracts != nil {
+		d.plan.contracts.Renew(next.contracts)
+	}
+	d.log.printf("reloaded: the bulletin is at %s, after event %d", next.settings.Bulletin, d.bulletin.Last)
+	d.loop.NeedRound()
+}
+
 // leave begins the end: status says false, and what is open or still comes is served.
 func (d *doorman) leave() {
+	if d.leaving > 0 {
+		return
+	}
 	d.leaving = clock()
 	d.log.printf("leaving: SIGTERM with %d open requests", d.broker.Open())
 	d.loop.NeedRound()
--- a/cmd/sloequay/serve_test.go
+++ b/cmd/sloequay/serve_test.go
@@ -155,9 +155,7 @@
 	client := w.dial()
 	client.send(request(1, "footage", map[string]string{"limit": "9000"}, ""))
 	w.until("the attempt is out", func() bool { return len(w.lines(word("ASK"))) == 1 })
-	if err := w.cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
+	w.signal(syscall.SIGTERM)
 	w.until("status says false", func() bool {
 		c := w.dial()
 		defer c.conn.Close()
--- a/cmd/sloequay/world_test.go
+++ b/cmd/sloequay/world_test.go
@@ -51,6 +51,24 @@
 	conn          net.Conn
 }
 
+// logbook is what the program logs; it may be read while the program runs.
+type logbook struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *logbook) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *logbook) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
 // world is a program under test with stand-ins for all that it talks to.
 type world struct {
 	t        *testing.T
@@ -60,8 +78,9 @@
 	listen   string
 	dns      string
 	resolver string
+	path     string           // of the configuration
 	hosts    []map[string]any // of the list
-	log      bytes.Buffer
+	log      logbook
 	cmd      *exec.Cmd
 	exited   chan error
 	boxes    map[string]net.Listener
@@ -232,15 +251,9 @@
 // run starts the program and waits until it is ready.
 func (w *world) run() {
 	w.t.Helper()
-	text, err := json.Marshal(w.config)
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	path := filepath.Join(w.t.TempDir(), "config.json")
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		w.t.Fatal(err)
-	}
-	w.cmd = exec.Command(program, append([]string{"serve", "--config", path}, w.flags...)...)
+	w.path = filepath.Join(w.t.TempDir(), "config.json")
+	w.configure()
+	w.cmd = exec.Command(program, append([]string{"serve", "--config", w.path}, w.flags...)...)
 	w.cmd.Stderr = &w.log
 	if err := w.cmd.Start(); err != nil {
 		w.t.Fatal(err)
@@ -262,6 +275,26 @@
 	})
 }
 
+// configure writes the configuration.
+func (w *world) configure() {
+	w.t.Helper()
+	text, err := json.Marshal(w.config)
+	if err == nil {
+		err = os.WriteFile(w.path, text, 0o600)
+	}
+	if err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// signal sends one to the program.
+func (w *world) signal(s syscall.Signal) {
+	w.t.Helper()
+	if err := w.cmd.Process.Signal(s); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
 func (w *world) kill() {
 	if w.cmd != nil {
 		_ = w.cmd.Process.Signal(syscall.SIGKILL)
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -13,12 +13,12 @@
 
 // Book is all contracts. A nil Book allows everything.
 type Book struct {
-	teams map[string]*account
-	other *account // of teams that are not named; nil: they are refused
+	teams map[string]*Account
+	other *Account // of teams that are not named; nil: they are refused
 }
 
-// account is one team's contract and what it has used of it.
-type account struct {
+// Account is one team's contract and what it has used of it. A nil Account has no limits.
+type Account struct {
 	classes []string // empty: all
 	open    int      // in use
 	most    int      // 0: no limit
@@ -57,10 +57,10 @@
 	if !teams.IsObject() {
 		return nil, fmt.Errorf("contracts: teams: expected an object")
 	}
-	b := &Book{teams: map[string]*account{}}
+	b := &Book{teams: map[string]*Account{}}
 	var err error
 	teams.ForEach(func(name, c gjson.Result) bool {
-		var a *account
+		var a *Account
 		if a, err = parseAccount("contracts: teams."+name.String(), c); err != nil {
 			return false
 		}
@@ -74,11 +74,11 @@
 	return b, err
 }
 
-func parseAccount(where string, c gjson.Result) (*account, error) {
+func parseAccount(where string, c gjson.Result) (*Account, error) {
 	if !c.IsObject() {
 		return nil, fmt.Errorf("%s: expected an object", where)
 	}
-	a := &account{}
+	a := &Account{}
 	numbers := map[string]float64{}
 	var err error
 	c.ForEach(func(k, v gjson.Result) bool {
@@ -131,43 +131,70 @@
 	return 0, true
 }
 
-func (b *Book) account(team string) *account {
-	if a := b.teams[team]; a != nil {
-		return a
+// Renew takes over what another book says. Teams that stay keep what they have used, and requests that were admitted
+// keep their accounts, so that each gives its place back where it took it.
+func (b *Book) Renew(next *Book) {
+	for team, a := range next.teams {
+		next.teams[team] = b.teams[team].renewed(a)
 	}
-	return b.other
+	if next.other != nil {
+		next.other = b.other.renewed(next.other)
+	}
+	*b = *next
+}
+
+func (a *Account) renewed(next *Account) *Account {
+	if a == nil {
+		return next
+	}
+	a.classes, a.most = next.classes, next.most
+	a.rate.renew(next.rate)
+	a.budget.renew(next.budget)
+	return a
 }
 
-// Admit takes a request of a team in, or says how long it should stay away. What is admitted must be Done.
-func (b *Book) Admit(team, class string, now time.Duration) (time.Duration, bool) {
+func (k *bucket) renew(next bucket) {
+	next.tokens, next.at = min(k.tokens, next.burst), k.at
+	if k.perSecond == 0 {
+		next.tokens = next.burst
+	}
+	*k = next
+}
+
+// Admit takes a request of a team in on its account, or says how long it should stay away. What is admitted must be
+// Done.
+func (b *Book) Admit(team, class string, now time.Duration) (*Account, time.Duration, bool) {
 	if b == nil {
-		return 0, true
+		return nil, 0, true
+	}
+	a := b.teams[team]
+	if a == nil {
+		a = b.other
 	}
-	a := b.account(team)
 	switch {
 	case a == nil, len(a.classes) > 0 && !slices.Contains(a.classes, class):
-		return refusedWait, false
+		return nil, refusedWait, false
 	case a.most > 0 && a.open >= a.most:
-		return openWait, false
+		return nil, openWait, false
 	}
 	wait, ok := a.rate.take(now)
 	if ok {
 		a.open++
 	}
-	return wait, ok
+	return a, wait, ok
 }
 
-// Spend charges one attempt to the team's budget.
-func (b *Book) Spend(team string, now time.Duration) (time.Duration, bool) {
-	if b == nil {
+// Spend charges one attempt to the budget.
+func (a *Account) Spend(now time.Duration) (time.Duration, bool) {
+	if a == nil {
 		return 0, true
 	}
-	return b.account(team).budget.take(now)
+	return a.budget.take(now)
 }
 
 // Done gives back the place of a request that was admitted.
-func (b *Book) Done(team string) {
-	if b != nil {
-		b.account(team).open--
+func (a *Account) Done() {
+	if a != nil {
+		a.open--
 	}
 }
