Have silent and idle clients make way; judge client frames by their heads

Checked: descriptors stood at 341 client connections, the bound; idle ones were closed after 60 s only, and silent or half-sent ones never (rpc.go Accept, CloseIdle). Ruled out: loop time (0.1 s of CPU in the worst second) and the boxes.

Now package lobby, used by both fronts, closes clients that say nothing or do not end a message within 2 s, idle ones after 6 s, and has the silent, then the longest idle ones make way. Half of the descriptors is for clients. A frame that announces too much is refused at its head; keys, tags and numbers are checked so that no box has to close a shared connection over them; a second request under an open id is failed; a flood beyond the 32 open requests is closed; what is taken back at once is not taken up.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -114,6 +114,7 @@
 	now       time.Duration
 	nextID    control.RequestID
 	open      map[control.RequestID]*Request
+	ids       map[string]*Request // the same by the clients' ids
 	boxes     map[control.NodeID]*Box
 	hosts     map[string]control.NodeID
 	purges    map[Purge]time.Duration // by object or group (Issued 0): when the newest was issued
@@ -129,7 +130,7 @@
 		return nil, err
 	}
 	return &Broker{cfg: cfg, module: module, contracts: contracts, openCap: openCap,
-		open: map[control.RequestID]*Request{}, boxes: map[control.NodeID]*Box{},
+		open: map[control.RequestID]*Request{}, ids: map[string]*Request{}, boxes: map[control.NodeID]*Box{},
 		hosts: map[string]control.NodeID{}, purges: map[Purge]time.Duration{}}, nil
 }
 
@@ -180,7 +181,15 @@
 
 // arrive takes a request: from here on it is owed exactly one answer.
 func (b *Broker) arrive(r *Request) {
+	if r.ended = r.Withdrawn; r.ended {
+		return
+	}
 	r.deadline = r.Arrived + r.Limit - min(answerEarly, r.Limit/8)
+	if b.ids[r.ID] != nil {
+		// Boxes and answers tell requests apart by this id: a second one could take the first one's answer.
+		b.answer(r, Final{Kind: Failure, Reason: "a request with this id is open"})
+		return
+	}
 	if len(b.open) >= b.openCap {
 		b.answer(r, Final{Kind: Refusal, Wait: b.cfg.MaxRetryAfter, Reason: "too many open requests"})
 		return
@@ -193,7 +202,7 @@
 	r.account, r.admitted = account, true
 	b.nextID++
 	r.id = b.nextID
-	b.open[r.id] = r
+	b.open[r.id], b.ids[r.ID] = r, r
 	b.at(timer{at: r.deadline, request: r})
 	b.tell(control.CallEvent{ID: r.id, Class: r.Class, Object: r.Object, Part: r.Part, Group: r.Group,
 		Left: r.deadline - b.now, SizeKB: r.SizeKB})
@@ -367,6 +376,7 @@
 	r.ended = true
 	delete(b.open, r.id)
 	if r.admitted {
+		delete(b.ids, r.ID)
 		r.account.Done()
 	}
 	for _, a := range r.attempts {
--- a/broker/request.go
+++ b/broker/request.go
@@ -28,6 +28,9 @@
 	Body    []byte
 	Arrived time.Duration // of its last byte
 	Limit   time.Duration // that the client waits
+	// Withdrawn is set by the front with the Withdrawal. A request that is taken back in the round it came in is not
+	// taken up at all: hundreds of those must not reach the boxes.
+	Withdrawn bool
 
 	id       control.RequestID
 	deadline time.Duration // by which the answer must be on its way
--- a/cmd/sloequay/serve.go
+++ b/cmd/sloequay/serve.go
@@ -53,6 +53,8 @@
 	leaveAfter = 900 * time.Millisecond
 	// ownSockets is what the program needs beside clients and boxes: listeners, epoll, bulletin, standard streams.
 	ownSockets = 24
+	// clientPart of the descriptors is for clients. Usual ones hold a third at most; the rest is for those that stay.
+	clientPart = 2
 )
 
 // doorman is the assembled program. Everything in it runs on the loop.
@@ -90,7 +92,7 @@
 	}
 	full := func() bool { return int64(d.loop.Outbound()) > s.Memory/5 }
 	ready := func() bool { return d.leaving == 0 }
-	clients, listeners := s.Sockets/3, []loop.Listener(nil)
+	clients, listeners := s.Sockets/clientPart, []loop.Listener(nil)
 	if p.dns != nil {
 		most := clients / 4
 		clients -= most
@@ -107,7 +109,7 @@
 // start joins the parts once the loop runs, and hands the module what was known at the start.
 func (d *doorman) start(l *loop.Loop) {
 	s := d.plan.settings
-	d.loop = l
+	d.loop, l.Memory = l, int(s.Memory)
 	d.resolver = &resolver.Resolver{Loop: l, Now: clock}
 	if d.plan.dns != nil {
 		d.resolver.Server, d.resolver.Limit = d.plan.dns.Resolver, d.plan.dns.ResolveLimit
@@ -115,7 +117,7 @@
 	d.pool = &depot.Pool{Loop: l, Emit: d.emit, Now: clock, May: d.broker.May, Log: d.log.printf,
 		Resolve: d.resolver.Resolve, Barred: d.broker.Barred,
 		Classes: s.Control.Classes, DialLimit: s.DialTimeout, Idle: s.ConnIdle, Streams: s.Streams,
-		Most: s.Sockets - s.Sockets/3 - ownSockets}
+		Most: s.Sockets - s.Sockets/clientPart - ownSockets}
 	d.bulletin = &bulletin.Reader{Loop: l, Address: s.Bulletin, Names: d.plan.names, Last: d.plan.last, Emit: d.emit,
 		Now: clock, Log: d.log.printf}
 	for _, e := range d.plan.known {
@@ -186,7 +188,7 @@
 		d.kept = now
 		d.bulletin.Tick(now)
 		d.pool.Housekeep(now)
-		d.front.CloseIdle(now)
+		d.front.Tick(now)
 		d.resolver.Tick(now)
 		if d.dns != nil {
 			d.dns.Tick(now)
--- a/cmd/sloequay/service_test.go
+++ b/cmd/sloequay/service_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"bufio"
+	"bytes"
+	"errors"
 	"net"
 	"os"
 	"strings"
 	"syscall"
 	"testing"
+
+	"sloequay/msgpack"
 )
 
 // reader is the next connection to a stand-in bulletin with what the program asked for there.
@@ -72,3 +76,110 @@
 		t.Errorf("the program asked for %q, want all after event 2", after)
 	}
 }
+
+// head is a request up to the place of its fields.
+func head(id uint64) []byte {
+	b := msgpack.AppendUint(msgpack.AppendUint(msgpack.AppendArray(nil, 4), 0), id)
+	return msgpack.AppendArray(msgpack.AppendText(b, "footage"), 2)
+}
+
+// TestBadClients: all that can't be used ends in an error or a close, though the client goes on sending and reading, and
+// is never served; nothing of it reaches a box.
+func TestBadClients(t *testing.T) {
+	var w *world
+	w = newWorld(t, func(a *asked) {
+		if a.Fields["thing"] == "7f3a9c21e0b4d655" {
+			a.answer("ACK", "-", "served")
+		}
+	})
+	w.run()
+	w.dial().send(request(77, "footage", map[string]string{"item": "00000000000000aa", "limit": "60000"}, "")) // stays open
+	w.until("the open request is out", func() bool { return len(w.lines(word("ASK"))) == 1 })
+	for name, frame := range map[string][]byte{
+		"says nothing":                     {},
+		"half a request":                   request(1, "footage", nil, "body")[:40],
+		"a body of 60 MB":                  append(msgpack.AppendMap(head(1), 0), 0xc6, 0x03, 0x93, 0x87, 0x00),
+		"a map of 4 billion":               append(head(1), 0xdf, 0xff, 0xff, 0xff, 0xff),
+		"a text of 4 GB":                   append(msgpack.AppendMap(head(1), 1), 0xdb, 0xff, 0xff, 0xff, 0xff),
+		"thousands of values":              append(head(1), bytes.Repeat([]byte{0x9f}, 400)...),
+		"a negative id":                    {0x94, 0x00, 0xff},
+		"no id":                            request(1, "footage", map[string]string{"txn": ""}, ""),
+		"the id of an open request":        request(77, "footage", nil, ""),
+		"a part that is no whole number":   request(1, "footage", map[string]string{"nth": "1.5"}, ""),
+		"a part in another notation":       request(1, "footage", map[string]string{"nth": "0x1p2"}, ""),
+		"a part out of range":              request(1, "footage", map[string]string{"nth": "99999999"}, ""),
+		"a group out of range":             request(1, "footage", map[string]string{"batch": "256"}, ""),
+		"a size that is no number":         request(1, "footage", map[string]string{"ram": "nan"}, ""),
+		"a size beyond all":                request(1, "footage", map[string]string{"ram": "99999999999"}, ""),
+		"a key that a box might not read":  request(1, "footage", map[string]string{"unique": "a;b"}, ""),
+		"a key without end":                request(1, "footage", map[string]string{"unique": strings.Repeat("k", 200)}, ""),
+		"a tag that a box might not read":  request(1, "footage", map[string]string{"got": "\xff"}, ""),
+		"two requests under one number":    append(request(1, "footage", nil, ""), request(1, "footage", nil, "")...),
+		"a request taken back at once":     append(request(1, "footage", nil, ""), "\x93\x02\xa8withdraw\x91\x01\xc1"...),
+		"hundreds of requests at once":     flood(300),
+		"an answer instead of a request":   {0x94, 0x01, 0x09, 0xc0, 0xc0},
+		"a limit that is none":             request(1, "footage", map[string]string{"limit": "-5"}, ""),
+		"a class that does not exist":      request(1, "footage_x", nil, ""),
+		"more than a frame, byte for byte": append(head(1), bytes.Repeat([]byte{0xc4, 0xff}, 60<<10)...),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := w.dial()
+			go func() { _, _ = c.conn.Write(frame) }()
+			for {
+				a, err := c.read()
+				if errors.Is(err, os.ErrDeadlineExceeded) {
+					t.Error("neither an answer nor a close came")
+				}
+				if err == nil && a.Error == "" {
+					t.Errorf("served: %+v", a)
+				}
+				if err != nil || !strings.HasPrefix(name, "hundreds") {
+					break
+				}
+			}
+		})
+	}
+	t.Cleanup(func() {
+		// What comes with the same read as its end is not taken up at all; of the flood a part may come before.
+		if asks := w.lines(func(a *asked) bool { return a.Fields["thing"] == "7f3a9c21e0b4d655" }); len(asks) > 0 {
+			t.Errorf("%d attempts of bad clients reached the boxes", len(asks))
+		}
+	})
+}
+
+func flood(n int) (b []byte) {
+	for id := range uint64(n) {
+		b = append(b, request(id+1, "footage", map[string]string{"item": "00000000000000bb"}, "")...)
+	}
+	return b
+}
+
+// TestCrowd: clients by hundreds that say nothing, or ask once and stay, took all places; others were turned away. Now
+// the silent ones and then the longest idle ones make way, and one that waits for an answer never does.
+func TestCrowd(t *testing.T) {
+	release := make(chan struct{})
+	w := newWorld(t, func(a *asked) {
+		if a.Fields["nth"] == "1" {
+			<-release
+		}
+		a.answer("ACK", "-", a.ID)
+	})
+	w.config["limits"] = map[string]any{"cores": 1, "memory_mb": 32, "sockets": 64}
+	w.run()
+	patient := w.dial()
+	patient.send(request(9999, "footage", map[string]string{"nth": "1", "limit": "60000"}, ""))
+	w.until("it is out", func() bool { return len(w.lines(word("ASK"))) == 1 })
+	for id := range uint64(200) {
+		w.dial() // and says nothing
+		c := w.dial()
+		c.send(request(id+1, "footage", nil, ""))
+		if a := c.want(); a.Error != "" {
+			t.Fatalf("client %d: %+v", id, a)
+		}
+	}
+	close(release)
+	if a := patient.want(); a.Error != "" {
+		t.Errorf("the one that waited: %+v", a)
+	}
+}
--- a/dnsfront/dnsfront.go
+++ b/dnsfront/dnsfront.go
@@ -16,6 +16,7 @@
 
 	"sloequay/broker"
 	"sloequay/control"
+	"sloequay/lobby"
 	"sloequay/loop"
 )
 
@@ -42,7 +43,7 @@
 	byName  map[string]*flight          // keyed requests, open or finished within their window
 	byReq   map[*broker.Request]*flight // open
 	queries map[string]*waiter          // open, by who asked: a retransmit joins itself
-	conns   map[*stream]bool
+	lobby   *lobby.Lobby                // of TCP connections
 	serial  uint64
 }
 
@@ -70,7 +71,7 @@
 func (f *Front) init() {
 	if f.byName == nil {
 		f.byName, f.byReq = map[string]*flight{}, map[*broker.Request]*flight{}
-		f.queries, f.conns = map[string]*waiter{}, map[*stream]bool{}
+		f.queries, f.lobby = map[string]*waiter{}, lobby.New(f.Most, tcpIdle)
 	}
 }
 
@@ -241,15 +242,14 @@
 
 // Tick forgets finished requests whose time is over, and closes idle connections.
 func (f *Front) Tick(now time.Duration) {
+	f.init()
 	for name, fl := range f.byName {
 		if fl.final != nil && now >= fl.until {
 			delete(f.byName, name)
 		}
 	}
-	for s := range f.conns {
-		if s.open == 0 && now-s.active > tcpIdle {
-			s.conn.Close()
-		}
+	if halves := f.lobby.Tick(now); halves > 0 {
+		f.Log("client-half: closed %d DNS connections with messages that did not end in time", halves)
 	}
 }
 
@@ -384,66 +384,79 @@
 
 // stream is one TCP connection: messages with their lengths in front.
 type stream struct {
-	front  *Front
-	conn   *loop.Conn
-	from   string
-	open   int // queries without an answer
-	active time.Duration
-	closed bool
+	front *Front
+	guest *lobby.Guest
+	conn  *loop.Conn
+	from  string
+	open  int // queries without an answer
+	left  bool
 }
 
-// Accept takes a TCP connection.
+// Accept takes a TCP connection, or none where there is no descriptor for it.
 func (f *Front) Accept(remote net.Addr) loop.Handler {
 	f.init()
-	if len(f.conns) >= f.Most {
-		f.Log("client-limit: %d DNS connections are open, closed a new one from %s", f.Most, remote)
+	s := &stream{front: f, from: "tcp " + remote.String()}
+	if s.guest = f.lobby.Enter(f.Now(), s.leave); s.guest == nil {
+		f.Log("client-limit: all DNS connections are busy, closed a new one from %s", remote)
 		return nil
 	}
-	return &stream{front: f, from: "tcp " + remote.String(), active: f.Now()}
+	return s
 }
 
 // Opened notes the connection.
-func (s *stream) Opened(c *loop.Conn) {
-	s.conn = c
-	s.front.conns[s] = true
-}
+func (s *stream) Opened(c *loop.Conn) { s.conn = c }
 
 // Received takes whole messages.
 func (s *stream) Received(c *loop.Conn) {
-	s.active = s.front.Now()
 	used := 0
-	for len(c.In)-used >= 2 {
+	for len(c.In)-used >= 2 && !s.left {
 		n := int(binary.BigEndian.Uint16(c.In[used:]))
+		if n < 12 || s.open >= mostJoined {
+			s.leave() // nothing could be answered under an id
+			break
+		}
 		if len(c.In)-used < 2+n {
 			break
 		}
 		packet := c.In[used+2 : used+2+n]
-		used += 2 + n
-		if n < 12 || packet[2]&0x80 != 0 || s.open >= mostJoined {
-			c.Close() // nothing could be answered under an id
+		if used += 2 + n; packet[2]&0x80 != 0 {
+			s.leave()
 			break
 		}
 		s.open++
 		s.front.take(packet, s.from, s.reply, s)
 	}
+	if s.left {
+		used = len(c.In)
+	}
 	c.Used(used)
+	s.guest.Heard(s.front.Now(), used > 0, len(c.In) > 0)
+	s.guest.Busy(s.front.Now(), s.open > 0)
 }
 
 func (s *stream) reply(out []byte) {
-	if !s.closed {
+	if !s.left {
 		s.conn.Send(binary.BigEndian.AppendUint16(nil, uint16(len(out))), out)
 	}
 }
 
 func (s *stream) answered() {
 	s.open--
-	s.active = s.front.Now()
+	s.guest.Busy(s.front.Now(), s.open > 0)
 }
 
-// Closed withdraws what only this client waited for. A keyed request goes on: its result may be asked for again.
-func (s *stream) Closed(*loop.Conn, error) {
-	s.closed = true
-	delete(s.front.conns, s)
+// Closed gives up what the client waited for.
+func (s *stream) Closed(*loop.Conn, error) { s.leave() }
+
+// leave closes the connection and withdraws what only this client waited for. A keyed request goes on: its result may
+// be asked for again.
+func (s *stream) leave() {
+	if s.left {
+		return
+	}
+	s.left = true
+	s.guest.Leave()
+	s.conn.Close()
 	for r, fl := range s.front.byReq {
 		others := fl.waiters[:0]
 		for _, w := range fl.waiters {
@@ -455,6 +468,7 @@
 		}
 		if fl.waiters = others; len(others) == 0 && fl.name == "" {
 			delete(s.front.byReq, r)
+			r.Withdrawn = true
 			s.front.Emit(broker.Withdrawal{Request: r})
 		}
 	}
--- /dev/null
+++ b/lobby/lobby.go
@@ -0,0 +1,139 @@
+// Package lobby keeps the clients of a front within its descriptors and its patience: who has said nothing yet, who
+// has sent a part of a message, who is idle, and who makes way when a new one comes.
+package lobby
+
+import (
+	"container/list"
+	"time"
+)
+
+const (
+	// WholeWithin is how long a client may take for its first message and for the rest of one that it has begun. A bad
+	// client is owed a refusal, an error or a close within 3 s.
+	WholeWithin = 2 * time.Second
+	// firstWithin is how long a new client stays for certain while there are idle ones.
+	firstWithin = 250 * time.Millisecond
+)
+
+// Lobby is all clients of one front. Clients that connect by hundreds and say nothing, or ask once and stay, must not
+// keep others out: when all places are taken one of those makes way.
+type Lobby struct {
+	most    int
+	patient time.Duration // with idle clients
+	count   int
+	fresh   *list.List // guests without a whole message yet, the oldest first
+	idle    *list.List // guests with nothing open, the longest idle first
+	halves  map[*Guest]bool
+}
+
+// Guest is one client's connection.
+type Guest struct {
+	lobby  *Lobby
+	bid    func() // bids it leave: closes the connection
+	since  time.Duration
+	half   time.Duration // when the message that is not whole was begun
+	asked  bool          // it has sent a whole message
+	busy   bool
+	gone   bool
+	queue  *list.List // that it is in: fresh, idle or, when it is busy, none
+	ticket *list.Element
+}
+
+// New makes a lobby with a number of places. A guest with nothing open is bidden to leave after patient.
+func New(most int, patient time.Duration) *Lobby {
+	return &Lobby{most: most, patient: patient, fresh: list.New(), idle: list.New(), halves: map[*Guest]bool{}}
+}
+
+// Enter gives a client a place, or nil where all guests are busy. bid must close the connection and call Leave.
+func (l *Lobby) Enter(now time.Duration, bid func()) *Guest {
+	if l.count >= l.most && !l.makeWay(now) {
+		return nil
+	}
+	l.count++
+	g := &Guest{lobby: l, bid: bid}
+	g.settle(now)
+	return g
+}
+
+func (l *Lobby) makeWay(now time.Duration) bool {
+	victim := l.fresh.Front()
+	if victim == nil || now-victim.Value.(*Guest).since < firstWithin {
+		if longest := l.idle.Front(); longest != nil {
+			victim = longest
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	victim.Value.(*Guest).bid()
+	return true
+}
+
+// Tick bids those leave whose time is over, and counts those that did not end a message.
+func (l *Lobby) Tick(now time.Duration) (halves int) {
+	for e := l.fresh.Front(); e != nil && now-e.Value.(*Guest).since > WholeWithin; e = l.fresh.Front() {
+		e.Value.(*Guest).bid()
+	}
+	for e := l.idle.Front(); e != nil && now-e.Value.(*Guest).since > l.patient; e = l.idle.Front() {
+		e.Value.(*Guest).bid()
+	}
+	for g := range l.halves {
+		if now-g.half > WholeWithin {
+			halves++
+			g.bid()
+		}
+	}
+	return halves
+}
+
+// Heard notes what has been read: whether messages came whole, and whether a part of one is left over.
+func (g *Guest) Heard(now time.Duration, whole, half bool) {
+	if g.gone {
+		return
+	}
+	if whole {
+		g.asked = true
+		g.settle(now)
+	}
+	if !half {
+		delete(g.lobby.halves, g)
+	} else if whole || !g.lobby.halves[g] {
+		g.half = now
+		g.lobby.halves[g] = true
+	}
+}
+
+// Busy says whether something is open for the guest.
+func (g *Guest) Busy(now time.Duration, busy bool) {
+	if !g.gone {
+		g.busy = busy
+		g.settle(now)
+	}
+}
+
+// settle puts the guest last into the queue that it belongs to.
+func (g *Guest) settle(now time.Duration) {
+	if g.queue != nil {
+		g.queue.Remove(g.ticket)
+	}
+	g.since = now
+	switch g.queue = g.lobby.idle; {
+	case g.gone || g.busy:
+		g.queue = nil
+		return
+	case !g.asked:
+		g.queue = g.lobby.fresh
+	}
+	g.ticket = g.queue.PushBack(g)
+}
+
+// Leave gives the place free. It may be called more than once.
+func (g *Guest) Leave() {
+	if g.gone {
+		return
+	}
+	g.gone = true
+	g.lobby.count--
+	delete(g.lobby.halves, g)
+	g.settle(0)
+}
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -51,6 +51,7 @@
 // Loop is the one event loop. All methods but Post must be called on it.
 type Loop struct {
 	gnet.BuiltinEventEngine
+	Memory    int // bytes that the program may use, of which the bounds below are parts
 	engine    gnet.Engine
 	events    gnet.EventLoop
 	listeners map[string]Listener
@@ -86,11 +87,13 @@
 }
 
 const (
-	// outboundMost bounds what waits for one peer that does not read; it is closed beyond.
-	outboundMost = 6 << 20
-	inboundMost  = 40 << 20 // together; beyond, connections with large beginnings are closed
-	keepBuffer   = 64 << 10 // larger buffers are not kept when empty
-	keptMost     = 4 << 20
+	// What has come and is not whole, of all peers together: beyond, connections with large beginnings are closed. What
+	// waits for one peer that does not read: beyond, it is closed.
+	inboundPart = 6
+	peerPart    = 10
+	peerMost    = 6 << 20
+	keepBuffer  = 64 << 10 // larger buffers are not kept when empty
+	keptMost    = 4 << 20
 
 	// A loop with more rounds in the window than this is busy. With rests it can make some 130.
 	busyWindow = 50 * time.Millisecond
@@ -364,7 +367,7 @@
 		c.rest = nil
 	}
 	l.NeedRound()
-	if l.inbound > inboundMost && len(c.rest) > keepBuffer {
+	if l.inbound > l.Memory/inboundPart && len(c.rest) > keepBuffer {
 		c.closing = true
 		return gnet.Close // Closed follows: what was open here ends with the connection
 	}
@@ -464,7 +467,7 @@
 	waits := c.sock.OutboundBuffered()
 	c.loop.outbound += waits - c.counted
 	c.counted = waits
-	if waits > outboundMost {
+	if waits > min(c.loop.Memory/peerPart, peerMost) {
 		c.closing = true
 	}
 	if c.closing {
--- a/msgpack/msgpack.go
+++ b/msgpack/msgpack.go
@@ -12,11 +12,14 @@
 // ErrShort says that the value goes on beyond the bytes at hand.
 var ErrShort = errors.New("msgpack: the value is not whole yet")
 
-// Reader takes values off the front of Data. The first failure sticks.
+// Reader takes values off the front of Data. The first failure sticks. What is announced to go beyond Most bytes of
+// Data, or beyond Values values, is refused at once, before any of it is waited for.
 type Reader struct {
-	Data []byte
-	Pos  int
-	Err  error
+	Data   []byte
+	Pos    int
+	Most   int // 0: no limit
+	Values int // that may still be skipped; 0: no limit
+	Err    error
 }
 
 // deepest is how far Skip follows nested values.
@@ -34,7 +37,10 @@
 		return nil
 	}
 	if uint64(n) > uint64(len(r.Data)-r.Pos) {
-		r.Err = ErrShort
+		if r.Err = ErrShort; r.Most > 0 && uint64(r.Pos)+uint64(n) > uint64(r.Most) {
+			r.Err = nil
+			r.fail("%d bytes are announced, at most %d expected in all", n, r.Most)
+		}
 		return nil
 	}
 	out := r.Data[r.Pos : r.Pos+int(n)]
@@ -185,6 +191,12 @@
 	default:
 		r.wrong(c, "a value")
 	}
+	if r.Values > 0 && r.Err == nil {
+		if values >= uint64(r.Values) {
+			r.fail("%d values are announced, fewer than %d expected", values, r.Values)
+		}
+		r.Values -= int(min(values, uint64(r.Values)-1))
+	}
 	for ; values > 0 && r.Err == nil; values-- { // ends with the bytes at hand, however many are announced
 		r.skip(depth - 1)
 	}
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -5,24 +5,35 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"strconv"
+	"strings"
 	"time"
 
 	"sloequay/broker"
 	"sloequay/control"
+	"sloequay/lobby"
 	"sloequay/loop"
 	"sloequay/msgpack"
 )
 
 const (
 	mostFrame  = 96 << 10 // a write of 48,000 bytes with its fields
+	mostValues = 256      // of a message: twice its fields, and what they are packed in
 	mostBody   = 48000
 	mostText   = 256
+	mostWord   = 64 // of a key or a tag
+	mostPart   = 1 << 20
+	mostSizeKB = 1e7
+	mostLimit  = 3.6e6 // milliseconds
 	smallBody  = 4096
 	mostFields = 64
-	mostOpen   = 64 // of one connection; clients keep to 32, but may not have read all answers
-	idleAfter  = 60 * time.Second
+	mostOpen   = 32 // of one connection, as the protocol says
+	mostExcess = 64 // requests beyond that in one read: who sends more does not look at the answers
+
+	// idleAfter is longer than clients keep an idle connection, so that no request crosses the close.
+	idleAfter = 6 * time.Second
 )
 
 // The words of the protocol.
@@ -43,15 +54,14 @@
 	log     func(format string, args ...any)
 	ready   func() bool // whether new clients are wanted
 	full    func() bool // whether memory is short
-	most    int         // connections
-	conns   map[*client]bool
+	lobby   *lobby.Lobby
 }
 
 // New makes the front. most bounds its connections.
 func New(classes []control.Class, most int, emit func(broker.Event), now func() time.Duration,
 	ready, full func() bool, log func(string, ...any)) *Front {
-	f := &Front{classes: map[string]int{}, emit: emit, now: now, ready: ready, full: full, log: log, most: most,
-		conns: map[*client]bool{}}
+	f := &Front{classes: map[string]int{}, emit: emit, now: now, ready: ready, full: full, log: log,
+		lobby: lobby.New(most, idleAfter)}
 	for i, c := range classes {
 		f.classes[c.Name] = i
 		f.keyed = append(f.keyed, c.Effect == control.Keyed)
@@ -61,66 +71,80 @@
 
 // Accept takes a new connection, or none where there is no descriptor for it.
 func (f *Front) Accept(remote net.Addr) loop.Handler {
-	if len(f.conns) >= f.most {
-		f.log("client-limit: %d connections are open, closed a new one from %s", f.most, remote)
+	c := &client{front: f, open: map[uint32]*broker.Request{}, msgs: map[*broker.Request]uint32{}}
+	if c.guest = f.lobby.Enter(f.now(), c.leave); c.guest == nil {
+		f.log("client-limit: all connections are busy, closed a new one from %s", remote)
 		return nil
 	}
-	return &client{front: f, open: map[uint32]*broker.Request{}, msgs: map[*broker.Request]uint32{},
-		active: f.now()}
+	return c
 }
 
-// CloseIdle closes connections on which nothing is open and nothing came for long.
-func (f *Front) CloseIdle(now time.Duration) {
-	for c := range f.conns {
-		if len(c.open) == 0 && now-c.active > idleAfter {
-			c.conn.Close()
-		}
+// Tick closes connections that are idle or owe the rest of a message.
+func (f *Front) Tick(now time.Duration) {
+	if halves := f.lobby.Tick(now); halves > 0 {
+		f.log("client-half: closed %d connections with messages that did not end in time", halves)
 	}
 }
 
 // client is one connection and what is open on it.
 type client struct {
 	front  *Front
+	guest  *lobby.Guest
 	conn   *loop.Conn
 	open   map[uint32]*broker.Request // by message id
 	msgs   map[*broker.Request]uint32
-	active time.Duration
+	excess int // requests beyond mostOpen in this read
+	left   bool
 }
 
-func (c *client) Opened(conn *loop.Conn) {
-	c.conn = conn
-	c.front.conns[c] = true
-}
+// Opened notes the connection.
+func (c *client) Opened(conn *loop.Conn) { c.conn = conn }
 
-// Closed withdraws all that is open: nobody waits for it.
-func (c *client) Closed(*loop.Conn, error) {
-	delete(c.front.conns, c)
+// Closed withdraws all that is open.
+func (c *client) Closed(*loop.Conn, error) { c.leave() }
+
+// leave closes the connection: nobody waits for what is open on it.
+func (c *client) leave() {
+	if c.left {
+		return
+	}
+	c.left = true
+	c.guest.Leave()
 	for _, r := range c.open {
+		r.Withdrawn = true
 		c.front.emit(broker.Withdrawal{Request: r})
 	}
 	c.open, c.msgs = nil, nil
+	c.conn.Close()
 }
 
+// Received takes the messages that have come whole.
 func (c *client) Received(conn *loop.Conn) {
-	c.active = c.front.now()
+	c.excess = 0
 	used := 0
-	for used < len(conn.In) {
-		r := msgpack.Reader{Data: conn.In[used:]}
+	for used < len(conn.In) && !c.left {
+		r := msgpack.Reader{Data: conn.In[used:], Most: mostFrame, Values: mostValues}
 		done, err := c.frame(&r)
-		if errors.Is(err, msgpack.ErrShort) && len(r.Data) <= mostFrame {
+		if errors.Is(err, msgpack.ErrShort) {
 			break
 		}
 		if err != nil {
-			c.front.log("client-frame: closed %s: %v", "a client's connection", err)
-			conn.Used(len(conn.In))
-			conn.Close()
-			return
+			c.front.log("client-frame: closed a client's connection: %v", err)
+			c.leave()
 		}
 		used += done
 	}
+	if c.left {
+		used = len(conn.In)
+	}
 	conn.Used(used)
+	c.guest.Heard(c.front.now(), used > 0, len(conn.In) > 0)
+	c.busy()
 }
 
+// busy has an open request keep the connection.
+func (c *client) busy() { c.guest.Busy(c.front.now(), len(c.open) > 0) }
+
 // frame takes one whole message off r. An error means that the connection can't go on.
 func (c *client) frame(r *msgpack.Reader) (int, error) {
 	n, kind := r.Array(), r.Uint()
@@ -146,7 +170,7 @@
 	r.Skip() // params
 	if r.Err != nil {
 		// The id is known: say so before the connection ends.
-		if !errors.Is(r.Err, msgpack.ErrShort) || len(r.Data) > mostFrame {
+		if !errors.Is(r.Err, msgpack.ErrShort) {
 			c.fail(msg, wordMalformed, nil)
 		}
 		return 0, r.Err
@@ -170,6 +194,9 @@
 		return end, fmt.Errorf("message id %d used twice", msg)
 	case len(c.open) >= mostOpen || c.front.full():
 		c.fail(msg, wordRefused, []broker.Field{{Name: "later", Value: "100"}})
+		if c.excess++; c.excess > mostExcess {
+			return end, fmt.Errorf("%d requests beyond the %d that may be open", c.excess, mostOpen)
+		}
 	default:
 		c.open[msg], c.msgs[req] = req, msg
 		c.front.emit(broker.Arrival{Request: req})
@@ -201,6 +228,7 @@
 	if req := c.open[uint32(id)]; p.Err == nil && id <= 0xffffffff && req != nil {
 		delete(c.open, uint32(id))
 		delete(c.msgs, req)
+		req.Withdrawn = true
 		c.front.emit(broker.Withdrawal{Request: req})
 	}
 	return r.Pos, nil
@@ -234,8 +262,8 @@
 		return nil, fmt.Errorf("txn %q: expected 16 hex digits", r.ID)
 	}
 	for _, f := range []string{r.Key, r.Known} {
-		if !IsWord(f) {
-			return nil, fmt.Errorf("field %q: not a plain word", f)
+		if !isWord(f) {
+			return nil, fmt.Errorf("field %.80q: not a plain word", f)
 		}
 	}
 	if c.front.keyed[class] && r.Key == "" {
@@ -248,27 +276,30 @@
 	if r.Object == 0 {
 		r.Object = broker.ObjectZero
 	}
-	limit, err := number(fields, "limit", 1, 3.6e6, "")
-	nth, err1 := number(fields, "nth", 0, 1<<30, "0")
+	limit, err := number(fields, "limit", 1, mostLimit, "")
+	nth, err1 := number(fields, "nth", 0, mostPart, "0")
 	batch, err2 := number(fields, "batch", 0, 255, "0")
-	ram, err3 := number(fields, "ram", 0, 1e9, "0")
+	ram, err3 := number(fields, "ram", 0, mostSizeKB, "0")
 	if err := errors.Join(err, err1, err2, err3); err != nil {
 		return nil, err
 	}
+	if nth != math.Trunc(nth) || batch != math.Trunc(batch) {
+		return nil, fmt.Errorf("nth %g, batch %g: expected whole numbers", nth, batch)
+	}
 	r.Limit = time.Duration(limit * float64(time.Millisecond))
 	r.Part, r.Group, r.SizeKB = int(nth), int(batch), ram
 	return r, nil
 }
 
-// number reads a field that must lie between least and most; absent is what a missing one stands for.
+// number reads a plain decimal that must lie between least and most; absent is what a missing one stands for.
 func number(fields map[string]string, name string, least, most float64, absent string) (float64, error) {
 	text, ok := fields[name]
 	if !ok {
 		text = absent
 	}
 	v, err := strconv.ParseFloat(text, 64)
-	if err != nil || !(v >= least && v <= most) {
-		return 0, fmt.Errorf("%s %q: expected a number from %g to %g", name, text, least, most)
+	if err != nil || strings.Trim(text, "0123456789.") != "" || !(v >= least && v <= most) {
+		return 0, fmt.Errorf("%s %.80q: expected a number from %g to %g", name, text, least, most)
 	}
 	return v, nil
 }
@@ -282,14 +313,17 @@
 	return len(s) == 16
 }
 
-// IsWord says whether a text may stand in a line to a depot: it must not break the line or its fields.
-func IsWord(s string) bool {
+// isWord says whether a text may stand in a line to a depot. What a depot can't read has it close the connection, and
+// costs every other request on it.
+func isWord(s string) bool {
 	for i := range len(s) {
-		if c := s[i]; c <= ' ' || c >= 0x7f || c == ',' || c == '=' {
+		c := s[i]
+		letter := c|0x20 >= 'a' && c|0x20 <= 'z'
+		if !letter && (c < '0' || c > '9') && c != '-' && c != '_' && c != '.' && c != ':' {
 			return false
 		}
 	}
-	return true
+	return len(s) <= mostWord
 }
 
 // Final answers a request.
@@ -300,7 +334,7 @@
 	}
 	delete(c.msgs, r)
 	delete(c.open, msg)
-	c.active = c.front.now()
+	c.busy()
 	if f.Kind == broker.Answered && len(f.Body) > smallBody && c.front.full() {
 		// Clients that do not read hold the memory. A short answer that says so is better than none at all.
 		f.Kind = broker.Failure
