Hold no reset of a new connection against its box; give up by half time; bound replaced boxes

Checked: depot.go notDialled made no difference between refused and reset, end.go mapped Unsent to a failed connect. Ruled out: the boxes, which answered before and after. Now such a dial is made once more and then ends as Unsent, which says nothing of the box.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -104,6 +104,9 @@
 	// answerEarly is taken off a client's limit, which counts from the request's last byte: the loop may come to read
 	// it late, and to answer late. With 15 ms a request of a day at full load had its answer too late by 58 ms.
 	answerEarly = 50 * time.Millisecond
+	// halfEarly is taken off the half of a request's time, by which it is given up if nothing of it reached a box: later
+	// that costs more, and an answer would hardly come in time any more.
+	halfEarly   = 20 * time.Millisecond
 	purgeMargin = 5 * time.Millisecond
 	leastAge    = time.Millisecond
 )
@@ -207,6 +210,7 @@
 	r.id = b.nextID
 	b.open[r.id], b.ids[r.ID] = r, r
 	b.at(timer{at: r.deadline, request: r})
+	b.at(timer{at: r.Arrived + r.Limit/2 - min(halfEarly, r.Limit/16), request: r, half: true})
 	b.tell(control.CallEvent{ID: r.id, Class: r.Class, Object: r.Object, Part: r.Part, Group: r.Group,
 		Left: r.deadline - b.now, SizeKB: r.SizeKB})
 }
@@ -436,7 +440,7 @@
 }
 
 // boxesMost bounds the boxes that are remembered; ones that are gone are forgotten beyond.
-const boxesMost = 4096
+const boxesMost = 256
 
 func (b *Broker) forget() {
 	if len(b.boxes) <= boxesMost {
@@ -466,12 +470,13 @@
 	return id
 }
 
-// timer is something that falls due: a token of the module, an attempt's time, or a request's.
+// timer is something that falls due: a token of the module, an attempt's time, a request's, or half of that.
 type timer struct {
 	at      time.Duration
 	token   uint64
 	attempt *Attempt
 	request *Request
+	half    bool
 }
 
 func (b *Broker) at(t timer) { heap.Push(&b.timers, t) }
@@ -509,6 +514,13 @@
 	if r == nil || r.ended {
 		return
 	}
+	if t.half {
+		if !slices.ContainsFunc(r.attempts, func(a *Attempt) bool { return a.Written }) {
+			b.answer(r, Final{Kind: Refusal, Wait: b.cfg.MaxRetryAfter, Reason: "no box could be reached"})
+			b.tell(control.GoneEvent{ID: r.id})
+		}
+		return
+	}
 	for _, a := range r.attempts {
 		if a.Open() {
 			b.timeOut(a)
--- a/broker/end.go
+++ b/broker/end.go
@@ -42,7 +42,7 @@
 	Failed:     {"failed", control.Error},
 	Over:       {"over", control.Moot},
 	NotDialled: {"not-dialled", control.ConnectFailed},
-	Unsent:     {"unsent", control.ConnectFailed},
+	Unsent:     {"unsent", control.Moot}, // no sign against the box: its next connection may do
 	Barred:     {"barred", control.Moot},
 	Crowded:    {"crowded", control.Moot},
 	Broken:     {"broken", control.Reset},
--- a/broker/request.go
+++ b/broker/request.go
@@ -87,6 +87,7 @@
 	NoParent bool
 	Renew    bool
 	Deadline time.Duration
+	Written  bool // by the pool: it went out whole, as far as is known
 
 	sent  time.Duration
 	ended bool
--- a/cmd/sloequay/ends_test.go
+++ b/cmd/sloequay/ends_test.go
@@ -343,31 +343,37 @@
 	}
 }
 
-// TestDrainedWhileDialled: an attempt waits for the connection to a box that begins to drain. It goes elsewhere, and
-// nothing is written when the connection comes up.
-func TestDrainedWhileDialled(t *testing.T) {
+// fullListener gives an address where nothing is accepted and the queue is full, so that dials wait.
+func (w *world) fullListener() (address string) {
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
-		t.Fatal(err)
+		w.t.Fatal(err)
 	}
 	at := &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}
 	if err := errors.Join(syscall.Bind(fd, at), syscall.Listen(fd, 0)); err != nil {
-		t.Fatal(err)
+		w.t.Fatal(err)
 	}
-	file := os.NewFile(uintptr(fd), "c1")
-	ln, err := net.FileListener(file)
+	file := os.NewFile(uintptr(fd), "full")
+	w.full, err = net.FileListener(file)
 	_ = file.Close()
 	if err != nil {
-		t.Fatal(err)
+		w.t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = ln.Close() })
-	filler, err := net.Dial("tcp", ln.Addr().String()) // the queue has one place, so the next dial waits for it
+	w.t.Cleanup(func() { _ = w.full.Close() })
+	filler, err := net.Dial("tcp", w.full.Addr().String()) // the queue has one place
 	if err != nil {
-		t.Fatal(err)
+		w.t.Fatal(err)
 	}
-	defer filler.Close()
+	w.t.Cleanup(func() { _ = filler.Close() })
+	return w.full.Addr().String()
+}
+
+// TestDrainedWhileDialled: an attempt waits for the connection to a box that begins to drain. It goes elsewhere, and
+// nothing is written when the connection comes up.
+func TestDrainedWhileDialled(t *testing.T) {
 	w := newWorld(t, nil, "c2")
-	w.hosts[0]["dial"] = ln.Addr().String()
+	address := w.fullListener()
+	w.hosts[0]["dial"] = address
 	w.config["settings"].(map[string]any)["limits"].(map[string]any)["dial-timeout-ms"] = 60000
 	w.run()
 	<-w.after
@@ -377,12 +383,12 @@
 	if a := client.want(); !a.Ready {
 		t.Fatalf("%+v came first, want the status while the request waits", a)
 	}
-	w.feed <- roster(2, false, host("c1", ln.Addr().String(), "edge", "std", "draining", 0))
+	w.feed <- roster(2, false, host("c1", address, "edge", "std", "draining", 0))
 	if a := client.want(); a.ID != 1 || a.Error != "" {
 		t.Errorf("%+v, want the request served elsewhere", a)
 	}
-	go w.serveBox("c1", ln) // what comes up now must stay empty
-	waiting, err := net.Dial("tcp", ln.Addr().String())
+	go w.serveBox("c1", w.full) // what comes up now must stay empty
+	waiting, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/sloequay/service_test.go
+++ b/cmd/sloequay/service_test.go
@@ -248,3 +248,67 @@
 		t.Errorf("%+v, want the answer of the second attempt", a)
 	}
 }
+
+// TestNothingReachedByHalfTime: a request whose only attempt waits for a connection is refused by half of its time.
+func TestNothingReachedByHalfTime(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil, "c2")
+	address := w.fullListener()
+	w.hosts[0]["dial"] = address
+	w.config["settings"].(map[string]any)["limits"].(map[string]any)["dial-timeout-ms"] = 60000
+	w.run()
+	client := w.dial()
+	begun := time.Now()
+	client.send(request(1, "footage", map[string]string{"limit": "6000"}, ""))
+	if a := client.want(); a.Error != "Overloaded" || a.Fields["later"] == "" {
+		t.Errorf("%+v, want a refusal with a wait", a)
+	}
+	if took := time.Since(begun); took > 4500*time.Millisecond {
+		t.Errorf("the refusal took %v of 6 s", took)
+	}
+}
+
+// TestResetWhenNew: two connections that were reset as they came up had the box ejected for seconds, as each request that
+// waited for them was held against it.
+func TestResetWhenNew(t *testing.T) {
+	w := newWorld(t, nil, "c2")
+	ln := w.listenOn("127.0.0.1:0")
+	w.hosts[0]["dial"] = ln.Addr().String()
+	next := make(chan net.Conn)
+	go func() {
+		for n := 0; ; n++ {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			if n < 2 {
+				_ = conn.(*net.TCPConn).SetLinger(0)
+				_ = conn.Close()
+				continue
+			}
+			next <- conn
+		}
+	}()
+	go w.serveBox("c1", handed{ln, next})
+	w.run()
+	client := w.dial()
+	for id := range uint64(4) {
+		client.send(request(id, "footage", nil, ""))
+	}
+	for range 4 {
+		if a := client.want(); a.Error != "" {
+			t.Errorf("%+v, want it served", a)
+		}
+	}
+	if strings.Contains(w.log.String(), "ejected") {
+		t.Error("the box was ejected")
+	}
+}
+
+// handed is a listener whose connections come from a channel.
+type handed struct {
+	net.Listener
+	conns chan net.Conn
+}
+
+func (h handed) Accept() (net.Conn, error) { return <-h.conns, nil }
--- a/cmd/sloequay/world_test.go
+++ b/cmd/sloequay/world_test.go
@@ -85,8 +85,9 @@
 	exited   chan error
 	boxes    map[string]net.Listener
 	bulletin net.Listener
-	feed     chan string // lines for the bulletin to tell
-	after    chan string // what the program asked of the bulletin
+	full     net.Listener // see fullListener
+	feed     chan string  // lines for the bulletin to tell
+	after    chan string  // what the program asked of the bulletin
 
 	mu     sync.Mutex
 	script func(a *asked)      // what boxes do; nil: answer hit with the object as the body
--- a/control/control.go
+++ b/control/control.go
@@ -45,7 +45,9 @@
 	slowLeast     = 0.7             // links are told roughly; less was measured to let too much in
 	usualHalf     = 2 * time.Second // half-life of the average of what is out to a server
 	meanWeight    = 0.02            // weight of a new sample in slow averages
+	sizeMost      = 10.0            // mean sending times, as one sample of them
 	rateWeight    = 0.3             // of a new second in the rate of requests
+	goneFor       = time.Minute     // a server that is gone is remembered
 	defaultWeight = 8.0             // flows, where weights are not told
 
 	aimUse       = 0.85    // part of the wanted time that an answer may take by the estimate
@@ -384,8 +386,9 @@
 	d.arrived++
 	q.expect, q.sized = c.mean, e.SizeKB > 0 && d.cfg.FlowKBps > 0
 	if q.sized {
-		q.expect = e.SizeKB / d.cfg.FlowKBps
-		c.mean += (q.expect - c.mean) * meanWeight
+		// What a client says of the size may be wrong, and must not spoil what is known of the class.
+		q.expect = min(e.SizeKB/d.cfg.FlowKBps, max(e.Left.Seconds(), c.mean))
+		c.mean += (min(q.expect, sizeMost*c.mean) - c.mean) * meanWeight
 		c.cost = c.mean
 	}
 	if !c.Write {
@@ -717,6 +720,7 @@
 	ejectFor  time.Duration
 	trial     bool          // one trial request is out
 	doubt     float64       // how unlikely its silence is
+	left      time.Duration // when the list last told of it
 	broke     time.Duration // when a connection to it last ended under an attempt
 	window    []spent
 	slow      float64 // its answers' times over what is expected of it
@@ -803,7 +807,7 @@
 func (d *Director) onList(e ListEvent) {
 	if e.Kind == ListFull || e.Kind == ListCached {
 		for _, s := range d.all {
-			s.State = Gone
+			s.State, s.left = Gone, d.now
 		}
 	}
 	for _, n := range e.Nodes {
@@ -815,12 +819,13 @@
 		} else if n.Since != s.Since {
 			*s = server{open: s.open, firstWait: d.now, slow: 1}
 		}
-		s.Node, s.role = n, d.roles[n.Kind]
+		s.Node, s.role, s.left = n, d.roles[n.Kind], d.now
 	}
-	d.caches, d.parents, d.origin, d.zone = d.caches[:0], d.parents[:0], nil, 0
+	d.caches, d.parents, d.origin = d.caches[:0], d.parents[:0], nil
+	zone := 0.0
 	for _, s := range d.all {
-		if s.role == roleCache && s.Zone == d.cfg.Zone {
-			d.zone += d.share(s) // lost caches too: the link into the zone stays
+		if s.role == roleCache && s.Zone == d.cfg.Zone && s.State == Ready {
+			zone += d.share(s)
 		}
 		switch {
 		case s.State == Gone:
@@ -832,6 +837,20 @@
 			d.caches = append(d.caches, s)
 		}
 	}
+	// The link into the zone stays when caches are lost, and does not grow with those that replace them.
+	d.zone = max(d.zone, zone)
+	d.forget()
+}
+
+// forget drops servers that are long gone: where each replacement has a new id they would be ever more.
+func (d *Director) forget() {
+	d.all = slices.DeleteFunc(d.all, func(s *server) bool {
+		old := s.State == Gone && s.open == 0 && d.now-s.left > goneFor
+		if old {
+			delete(d.servers, s.ID)
+		}
+		return old
+	})
 }
 
 // Guards of the rules.
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -253,3 +253,34 @@
 		t.Error("the cache was ejected for two broken connections")
 	}
 }
+
+// TestReplacedCachesDoNotWidenTheLink: each cache that was gone still counted in the zone's link, which seemed to grow
+// without end where replacements have new ids, and none was ever forgotten.
+func TestReplacedCachesDoNotWidenTheLink(t *testing.T) {
+	b := newBench(t, site())
+	before := b.d.zone
+	for id := NodeID(1000); id < 1100; id++ {
+		b.do(ListEvent{Nodes: []Node{{ID: id, Zone: 2, State: Ready, Weight: 8, Since: b.now}}})
+		b.do(ListEvent{Nodes: []Node{{ID: id, Zone: 2, State: Gone}}})
+		b.now += 10 * sec
+	}
+	if b.d.zone > 1.5*before {
+		t.Errorf("the zone's link is %.1f, was %.1f", b.d.zone, before)
+	}
+	if n := len(b.d.all); n > 20 || len(b.d.servers) != n {
+		t.Errorf("%d servers are remembered, %d by id", n, len(b.d.servers))
+	}
+}
+
+// TestWrongSizesDoNotSpoilTheClass: one size that no object has made all of its class seem long.
+func TestWrongSizesDoNotSpoilTheClass(t *testing.T) {
+	b := newBench(t, site())
+	for id := RequestID(1); id <= 50; id++ {
+		b.call(id, 0, uint64(id))
+	}
+	before := b.d.classes[0].mean
+	b.do(CallEvent{ID: 99, Object: 99, Left: 3 * sec, SizeKB: 1e7})
+	if after := b.d.classes[0].mean; after > 1.5*before {
+		t.Errorf("the mean sending time went from %.2f s to %.2f s", before, after)
+	}
+}
--- a/depot/depot.go
+++ b/depot/depot.go
@@ -3,10 +3,12 @@
 package depot
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
 	"slices"
+	"syscall"
 	"time"
 
 	"sloequay/broker"
@@ -78,6 +80,7 @@
 	awaits  time.Duration            // since when something is open without a break
 	used    time.Duration
 	doubted bool // a check is out for long
+	again   bool // it was dialled a second time
 	retired bool // takes nothing new, and closes when nothing is open on it
 	closed  bool
 }
@@ -211,12 +214,22 @@
 }
 
 func (l *link) notDialled(err error) {
+	// A connection that was reset while it came up says nothing of the box; one that was refused does.
+	if errors.Is(err, syscall.ECONNRESET) && !l.again && !l.retired && !l.closed {
+		l.again = true
+		l.pool.Loop.Dial("tcp", l.address, l.pool.DialLimit, l, l.notDialled)
+		return
+	}
 	l.gone()
+	end := broker.NotDialled
+	if errors.Is(err, syscall.ECONNRESET) {
+		end = broker.Unsent
+	}
 	if len(l.waiting) > 0 {
 		l.pool.Log("depot-dial: box %s at %s: %v", l.depot.box.Host, l.address, err)
 	}
 	for _, a := range l.waiting {
-		l.pool.Emit(broker.Ending{Attempt: a, End: broker.NotDialled})
+		l.pool.Emit(broker.Ending{Attempt: a, End: end})
 	}
 	l.waiting = nil
 }
@@ -244,6 +257,7 @@
 		l.pool.Emit(broker.Ending{Attempt: a, End: broker.Barred})
 		return
 	}
+	a.Written = true
 	l.put(a.Request.ID, &pending{attempt: a})
 	l.conn.Send(ask(nil, a, l.pool.Classes[a.Request.Class].Name, age, a.Deadline-now))
 }
@@ -299,8 +313,7 @@
 		if _, quit := l.quit[a.id]; !quit {
 			l.pool.Log("depot-stray: box %s answered %.32q, which was not open", l.depot.box.Host, a.id)
 		}
-		delete(l.quit, a.id)
-		return nil
+		return nil // a late answer, or one too many; another may follow, so the id stays known
 	}
 	_, isEnd := ends[a.word]
 	switch {
@@ -368,6 +381,9 @@
 	}
 	l.endAll(func(o *pending) broker.End {
 		if o.start >= taken {
+			if o.attempt != nil {
+				o.attempt.Written = false
+			}
 			return broker.Unsent
 		}
 		return broker.Broken
@@ -452,9 +468,6 @@
 			l.retire()
 		}
 	}
-	if box.State == control.Gone && len(d.links) == 0 {
-		delete(p.boxes, box.ID)
-	}
 }
 
 // Watch looks after connections on which something waits and nothing comes.
@@ -519,5 +532,8 @@
 				l.retire()
 			}
 		}
+		if d.box.State == control.Gone && len(d.links) == 0 {
+			delete(p.boxes, id)
+		}
 	}
 }
