Ask a quiet connection sooner whether it lives when an answer on it is overdue

Now the sending time of what is open tells when an answer is overdue; then 40 ms of quiet are enough for the NOOP, and 60 ms without its answer for the close.

--- a/cmd/sloequay/serve.go
+++ b/cmd/sloequay/serve.go
@@ -116,7 +116,7 @@
 	}
 	d.pool = &depot.Pool{Loop: l, Emit: d.emit, Now: clock, May: d.broker.May, Log: d.log.printf,
 		Resolve: d.resolver.Resolve, Barred: d.broker.Barred,
-		Classes: s.Control.Classes, DialLimit: s.DialTimeout, Idle: s.ConnIdle, Streams: s.Streams, MayProbe: s.Control.Probes,
+		Classes: s.Control.Classes, DialLimit: s.DialTimeout, Idle: s.ConnIdle, Streams: s.Streams, MayProbe: s.Control.Probes, FlowKBps: s.Control.FlowKBps,
 		Most: s.Sockets - s.Sockets/clientPart - ownSockets}
 	d.bulletin = &bulletin.Reader{Loop: l, Address: s.Bulletin, Names: d.plan.names, Last: d.plan.last, Emit: d.emit,
 		Now: clock, Log: d.log.printf}
--- a/depot/depot.go
+++ b/depot/depot.go
@@ -22,12 +22,15 @@
 	// connections took 78 ms at the 99th percentile to leave, and the module held the boxes for slow.
 	spread = 2
 	// A machine that is cut off, or a stream that broke off, leaves its connections open and silent. Where something waits
-	// and nothing was read for quietMost, a NOOP asks whether the connection lives (measured: one such gap in 80 requests
-	// of a calm day); what has not answered that within checkWithin is closed. A probe is answered beside the queue of the
-	// box, so one that is merely slow passes.
+	// and nothing was read for quietMost (measured: one such gap in 80 requests of a calm day), or for quietLeast while an
+	// answer is overdue, a NOOP asks whether the connection lives; what has not answered that within checkWithin is closed.
+	// A probe is answered beside the queue of the box, so one that is merely slow passes.
 	quietMost   = 100 * time.Millisecond
-	checkWithin = 120 * time.Millisecond
-	doubtAfter  = 30 * time.Millisecond // of a check that is out, new attempts go by another connection
+	quietLeast  = 40 * time.Millisecond
+	hitWithin   = 25 * time.Millisecond // beside its sending time, an answer is overdue after that
+	fillWithin  = 100 * time.Millisecond
+	checkWithin = 60 * time.Millisecond
+	doubtAfter  = 20 * time.Millisecond // of a check that is out, new attempts go by another connection
 	checkLooks  = 3                     // rounds of ours that must have passed: a loop that stalled knows nothing
 	watchEvery  = 20 * time.Millisecond
 	// silentAfter is the same where probes are not allowed; then new attempts go by another connection.
@@ -50,8 +53,9 @@
 	DialLimit time.Duration
 	Idle      time.Duration // after which the boxes close an idle connection; 0: never
 	Streams   int
-	Most      int  // descriptors
-	MayProbe  bool // whether the settings allow it
+	Most      int     // descriptors
+	MayProbe  bool    // whether the settings allow it
+	FlowKBps  float64 // of one answer; 0: not told
 
 	boxes  map[control.NodeID]*depot
 	links  int // up or being dialled
@@ -89,10 +93,11 @@
 type pending struct {
 	attempt *broker.Attempt // nil: a probe or a check
 	sent    time.Duration
-	start   uint64 // of its bytes on the connection
-	check   bool   // of the connection itself
-	looks   int    // at the check since it was sent
-	off     string // the check behind the QUIT of an attempt that was called off
+	due     time.Duration // of an attempt: its answer is overdue then
+	start   uint64        // of its bytes on the connection
+	check   bool          // of the connection itself
+	looks   int           // at the check since it was sent
+	off     string        // the check behind the QUIT of an attempt that was called off
 }
 
 func (p *Pool) depot(box *broker.Box) *depot {
@@ -258,10 +263,22 @@
 		return
 	}
 	a.Written = true
-	l.put(a.Request.ID, &pending{attempt: a})
+	l.put(a.Request.ID, &pending{attempt: a, due: now + l.pool.expected(a)})
 	l.conn.Send(ask(nil, a, l.pool.Classes[a.Request.Class].Name, age, a.Deadline-now))
 }
 
+// expected is how long the answer to an attempt may take where nothing is slow.
+func (p *Pool) expected(a *broker.Attempt) time.Duration {
+	d := hitWithin
+	if a.Source != a.Box {
+		d = fillWithin
+	}
+	if p.FlowKBps > 0 {
+		d += time.Duration(a.Request.SizeKB / p.FlowKBps * float64(time.Second))
+	}
+	return d
+}
+
 // put notes what is about to be sent.
 func (l *link) put(id string, o *pending) {
 	now := l.pool.Now()
@@ -493,9 +510,10 @@
 		}
 		return
 	}
-	checked := false
+	checked, overdue := false, false
 	for _, o := range l.open {
 		if !o.check {
+			overdue = overdue || o.attempt != nil && now > o.due
 			continue
 		}
 		checked = true
@@ -507,7 +525,7 @@
 			return
 		}
 	}
-	if !checked && quiet > quietMost {
+	if !checked && (quiet > quietMost || overdue && quiet > quietLeast) {
 		l.check()
 	}
 }
