--- a/control/control.go
+++ b/control/control.go
@@ -41,6 +41,7 @@
 	lateFirst     = 0.5             // seconds: what answers add to their sending time, before any is known
 	lateWeight    = 1.0 / 16        // of a new one in that
 	roughFor      = 5 * time.Second // after a connection broke, single answers are lost too
+	lateLeast     = 0.025           // seconds
 	lateSpread    = 4.0             // mean deviations beyond the mean, after which one is late
 	slowdown      = 1.5             // of a busy server's answers over their sending time
 	slowLeast     = 0.7             // links are told roughly; less was measured to let too much in
@@ -661,7 +662,11 @@
 	}
 	over := d.over(a)
 	lost := over > a.timing(d).limit()*float64(uint(1)<<q.moves)+(slowdown-1)*a.expect
-	if !lost || a.passed < 2 || a.moved || !d.cfg.Cancel || len(q.attempts) >= d.cfg.MaxAttempts {
+	proof := 2
+	if d.now-d.broke < roughFor {
+		proof = 1
+	}
+	if !lost || a.passed < proof || a.moved || !d.cfg.Cancel || len(q.attempts) >= d.cfg.MaxAttempts {
 		return
 	}
 	a.moved = true
@@ -670,15 +675,18 @@
 }
 
 // passBy notes the attempts that an answer came before, though they were sent earlier to the same server for
-// less: links are shared evenly, so that in a jam all are late alike, and what is passed by is lost. So is, where
-// connections break, what is overdue while others are answered in time.
+// less: links are shared evenly, so that in a jam all are late alike, and what is passed by is lost. So is,
+// where connections break, what is overdue while others are answered in time.
 func (d *Director) passBy(q *request, by *attempt, inTime bool) {
 	for _, w := range d.waiting {
 		for i := range w.attempts {
 			a := &w.attempts[i]
-			if !a.done && a.node == by.node && (a.limit != nil) == (by.limit != nil) &&
-				(a.limit == nil || a.source == by.source) &&
-				(a.sent < by.sent && w.expect < q.expect || inTime && d.over(a) > a.timing(d).limit()) {
+			if a.done || a.node != by.node || (a.limit != nil) != (by.limit != nil) ||
+				a.limit != nil && a.source != by.source {
+				continue
+			}
+			overdue := inTime && d.over(a) > a.timing(d).limit()
+			if overdue || a.sent < by.sent && w.expect < q.expect {
 				a.passed++
 			}
 		}
@@ -703,7 +711,7 @@
 	t.mean += (over - t.mean) * lateWeight
 }
 
-func (t *timing) limit() float64 { return max(quickRefusal.Seconds(), t.mean+lateSpread*t.dev) }
+func (t *timing) limit() float64 { return max(lateLeast, t.mean+lateSpread*t.dev) }
 
 // Server health.
 
