--- a/control/control.go
+++ b/control/control.go
@@ -40,8 +40,6 @@
 	lostAfter     = 2.0             // sending times after which a kept copy's answer is held for lost
 	lateFirst     = 0.5             // seconds: what answers add to their sending time, before any is known
 	lateWeight    = 1.0 / 16        // of a new one in that
-	roughFor      = 5 * time.Second // after a connection broke, single answers are lost too
-	lateLeast     = 0.025           // seconds
 	lateSpread    = 4.0             // mean deviations beyond the mean, after which one is late
 	slowdown      = 1.5             // of a busy server's answers over their sending time
 	slowLeast     = 0.7             // links are told roughly; less was measured to let too much in
@@ -89,12 +87,11 @@
 	rate     float64                 // requests a second
 	rateAt   time.Duration
 	arrived  float64
-	fills    limiter       // probable fills
-	held     limiter       // of these, the ones that the parent answers from what it holds
-	broke    time.Duration // when a connection last ended under an attempt
-	late     [2]timing     // of answers from what is kept, and of fills
-	zone     float64       // this director's part of the links of the zone's caches
-	price    float64       // mean sending time for a worth of 1: what a request costs here
+	fills    limiter   // probable fills
+	held     limiter   // of these, the ones that the parent answers from what it holds
+	late     [2]timing // of answers from what is kept, and of fills
+	zone     float64   // this director's part of the links of the zone's caches
+	price    float64   // mean sending time for a worth of 1: what a request costs here
 }
 
 // classState is what has been learnt of a class.
@@ -539,9 +536,8 @@
 	}
 	a.ran = !slices.Contains(neverRan, e.Status)
 	if e.Status == OK {
-		over := e.Took.Seconds() - a.expect
-		d.passBy(q, a, d.now-d.broke < roughFor && over < a.timing(d).limit()/2)
-		a.timing(d).observe(over)
+		a.timing(d).observe(e.Took.Seconds() - a.expect)
+		d.passBy(q, a)
 	}
 	d.judge(q, a, e)
 	if e.Status == OK {
@@ -660,42 +656,32 @@
 		d.tryNext(q)
 		return
 	}
-	over := d.over(a)
+	over := (d.now - a.sent).Seconds() - a.expect
 	lost := over > a.timing(d).limit()*float64(uint(1)<<q.moves)+(slowdown-1)*a.expect
-	proof := 2
-	if d.now-d.broke < roughFor {
-		proof = 1
-	}
-	if !lost || a.passed < proof || a.moved || !d.cfg.Cancel || len(q.attempts) >= d.cfg.MaxAttempts {
+	if !lost || a.passed < 2 || a.moved || !d.cfg.Cancel || len(q.attempts) >= d.cfg.MaxAttempts {
 		return
 	}
+	a.timing(d).observe(over) // so that the limit rises where all has become slow
 	a.moved = true
 	q.moves++
 	d.do(Cancel{q.id, i})
 }
 
 // passBy notes the attempts that an answer came before, though they were sent earlier to the same server for
-// less: links are shared evenly, so that in a jam all are late alike, and what is passed by is lost. So is,
-// where connections break, what is overdue while others are answered in time.
-func (d *Director) passBy(q *request, by *attempt, inTime bool) {
+// less: links are shared evenly, so that in a jam all are late alike, and what is passed by is lost.
+func (d *Director) passBy(q *request, by *attempt) {
 	for _, w := range d.waiting {
 		for i := range w.attempts {
 			a := &w.attempts[i]
-			if a.done || a.node != by.node || (a.limit != nil) != (by.limit != nil) ||
-				a.limit != nil && a.source != by.source {
-				continue
-			}
-			overdue := inTime && d.over(a) > a.timing(d).limit()
-			if overdue || a.sent < by.sent && w.expect < q.expect {
+			if !a.done && a.node == by.node && (a.limit != nil) == (by.limit != nil) &&
+				(a.limit == nil || a.source == by.source) &&
+				a.sent < by.sent && w.expect < q.expect {
 				a.passed++
 			}
 		}
 	}
 }
 
-// over is how long an attempt has been out beyond its sending time, in seconds.
-func (d *Director) over(a *attempt) float64 { return (d.now - a.sent).Seconds() - a.expect }
-
 // timing is what good answers take beyond their sending time, learnt as TCP learns its time-outs.
 type timing struct{ mean, dev float64 }
 
@@ -711,7 +697,7 @@
 	t.mean += (over - t.mean) * lateWeight
 }
 
-func (t *timing) limit() float64 { return max(lateLeast, t.mean+lateSpread*t.dev) }
+func (t *timing) limit() float64 { return max(quickRefusal.Seconds(), t.mean+lateSpread*t.dev) }
 
 // Server health.
 
@@ -779,7 +765,7 @@
 		}
 	}
 	if e.Status == Reset {
-		a.node.broke, d.broke = d.now, d.now
+		a.node.broke = d.now
 	}
 }
 
--- a/depot/depot.go
+++ b/depot/depot.go
@@ -26,11 +26,11 @@
 	// answer is overdue, a NOOP asks whether the connection lives; what has not answered that within checkWithin is closed.
 	// A probe is answered beside the queue of the box, so one that is merely slow passes.
 	quietMost   = 100 * time.Millisecond
-	quietLeast  = 40 * time.Millisecond
+	quietLeast  = 100 * time.Millisecond
 	hitWithin   = 25 * time.Millisecond // beside its sending time, an answer is overdue after that
 	fillWithin  = 100 * time.Millisecond
-	checkWithin = 60 * time.Millisecond
-	doubtAfter  = 20 * time.Millisecond // of a check that is out, new attempts go by another connection
+	checkWithin = 120 * time.Millisecond
+	doubtAfter  = 30 * time.Millisecond // of a check that is out, new attempts go by another connection
 	checkLooks  = 3                     // rounds of ours that must have passed: a loop that stalled knows nothing
 	watchEvery  = 20 * time.Millisecond
 	// silentAfter is the same where probes are not allowed; then new attempts go by another connection.
