Index what one request asks of caches, waiting attempts, boxes and purges

Need: passBy walked all waiting requests at each answer, hashOrder sorted all caches for each request, May walked all purges at each write, Box and Barred all boxes.

Change: rendezvous gives the weighted hash order lazily, in one walk without a logarithm for most members; purge holds the live purges by key with an expiry heap, a bound and the rule for dropping; the module lists open attempts by server and takes finished requests out of the waiting ones once a tick; the broker indexes boxes by name and address and forgets departed ones in their order. Names told as gone that were never known were kept for ever; they are not any more.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -13,6 +13,7 @@
 
 	"sloequay/contract"
 	"sloequay/control"
+	"sloequay/purge"
 )
 
 // Event is something that the broker is told.
@@ -108,7 +109,10 @@
 	// that costs more, and an answer would hardly come in time any more.
 	halfEarly   = 20 * time.Millisecond
 	purgeMargin = 5 * time.Millisecond
-	leastAge    = time.Millisecond
+	// purgeSlack is beyond the time in which boxes drop older copies by themselves; the module takes less, since May
+	// looks again when an attempt that waited is written.
+	purgeSlack = 2 * time.Second
+	leastAge   = time.Millisecond
 )
 
 // Broker is the state. It is not safe for concurrent use.
@@ -123,7 +127,10 @@
 	ids       map[string]*Request // the same by the clients' ids
 	boxes     map[control.NodeID]*Box
 	hosts     map[string]control.NodeID
-	purges    map[Purge]time.Duration // by object or group (Issued 0): when the newest was issued
+	byName    map[string]*Box   // by the id on the sockets, in lower case
+	byDial    map[string][]*Box // by address: mostly one, and those that were there before
+	gone      []departed        // in the order of their leaving
+	purges    *purge.Ledger
 	timers    timers
 	queue     []Event
 	effects   []Effect
@@ -137,7 +144,8 @@
 	}
 	return &Broker{cfg: cfg, module: module, contracts: contracts, openCap: openCap,
 		open: map[control.RequestID]*Request{}, ids: map[string]*Request{}, boxes: map[control.NodeID]*Box{},
-		hosts: map[string]control.NodeID{}, purges: map[Purge]time.Duration{}}, nil
+		hosts: map[string]control.NodeID{}, byName: map[string]*Box{}, byDial: map[string][]*Box{},
+		purges: purge.New(purge.Config{Takes: cfg.PurgeTakes, Slack: purgeSlack})}, nil
 }
 
 // Open is the number of requests without an end.
@@ -148,6 +156,7 @@
 	b.now = max(b.now, now) // the system's clock may step back
 	b.effects = b.effects[:0]
 	b.queue = append(b.queue[:0], events...)
+	b.purges.Expire(b.now)
 	b.due()
 	for i := 0; i < len(b.queue); i++ { // what the module does may add to it
 		b.take(b.queue[i])
@@ -177,8 +186,7 @@
 	case Roster:
 		b.list(e)
 	case Purge:
-		k := Purge{Object: e.Object, Group: e.Group}
-		b.purges[k] = max(b.purges[k], e.Issued)
+		b.purges.Note(b.now, e.Object, e.Group, e.Issued)
 		b.tell(control.PurgeEvent{Object: e.Object, Group: e.Group, Age: max(0, b.now-e.Issued)})
 	case Probed:
 		b.tell(control.ProbeEvent{Node: e.Node, Status: e.Status, Took: e.Took})
@@ -286,26 +294,16 @@
 	}
 	age = a.Age // counted from the decision, so by now it asks for a younger copy still
 	r := a.Request
-	for k, issued := range b.purges {
-		// A request that does not tell its group may be in any.
-		if k.Object == r.Object || k.Object == 0 && (r.Group < 0 || k.Group == r.Group) {
-			if limit := max(leastAge, now-issued-purgeMargin); age == 0 || limit < age {
-				age = b.capAge(r.Class, limit)
-			}
+	if issued, ok := b.purges.Newest(r.Object, r.Group); ok {
+		if limit := max(leastAge, now-issued-purgeMargin); age == 0 || limit < age {
+			age = b.capAge(r.Class, limit)
 		}
 	}
 	return age, true
 }
 
 // Box finds a box of the list by its id on the sockets, without regard to case.
-func (b *Broker) Box(host string) *Box {
-	for _, box := range b.boxes {
-		if strings.EqualFold(box.Host, host) {
-			return box
-		}
-	}
-	return nil
-}
+func (b *Broker) Box(host string) *Box { return b.byName[strings.ToLower(host)] }
 
 // leftFor is how long the address of a box that is gone is kept from boxes that a name server gives it to.
 const leftFor = time.Minute
@@ -314,10 +312,7 @@
 // outranks the name server: its answers may be older.
 func (b *Broker) Barred(address string) bool {
 	barred := false
-	for _, box := range b.boxes {
-		if box.Dial != address {
-			continue
-		}
+	for _, box := range b.byDial[address] {
 		if usable(box) {
 			return false
 		}
@@ -402,15 +397,19 @@
 	}
 	named := map[control.NodeID]bool{}
 	for _, n := range l.Boxes {
+		if _, known := b.hosts[n.Host]; !known && n.State == control.Gone {
+			continue // nor is its name to be kept
+		}
 		id := b.nodeID(n.Host)
 		named[id] = true
 		box, old := b.boxes[id], Box{}
 		switch {
-		case box == nil && n.State == control.Gone:
-			continue // never known here
+		case n.State == control.Gone && box.State == control.Gone:
+			continue
 		case box == nil:
 			box = &Box{}
 			b.boxes[id] = box
+			b.byName[strings.ToLower(n.Host)] = box
 		case n.State == control.Gone:
 			// The rest of such an entry need not be there.
 			old = *box
@@ -420,8 +419,15 @@
 			old = *box
 		}
 		n.ID = id
+		if n.Dial != old.Dial || old.Host == "" {
+			b.leaveDial(box, old.Dial)
+			b.byDial[n.Dial] = append(b.byDial[n.Dial], box)
+		}
 		*box = n
 		box.told = b.now
+		if n.State == control.Gone && old.State != control.Gone {
+			b.gone = append(b.gone, departed{box, b.now})
+		}
 		e.Nodes = append(e.Nodes, n.Node)
 		if old.Host != "" {
 			b.effect(Moved{box, n.Since != old.Since || n.Dial != old.Dial})
@@ -431,6 +437,7 @@
 		for id, box := range b.boxes {
 			if !named[id] && box.State != control.Gone {
 				box.State, box.told = control.Gone, b.now
+				b.gone = append(b.gone, departed{box, b.now})
 				b.effect(Moved{box, false})
 			}
 		}
@@ -439,18 +446,39 @@
 	b.forget()
 }
 
-// boxesMost bounds the boxes that are remembered; ones that are gone are forgotten beyond.
-const boxesMost = 256
+// departed is a box that was gone at a time. It may be back, or have left again, since.
+type departed struct {
+	box *Box
+	at  time.Duration
+}
+
+// goneFor is how long a box that is gone is remembered: its connections may not have ended yet, its name may come again,
+// and Barred asks for it.
+const goneFor = leftFor
 
+// forget drops boxes that have been gone for long, oldest first.
 func (b *Broker) forget() {
-	if len(b.boxes) <= boxesMost {
-		return
-	}
-	for id, box := range b.boxes {
-		if box.State == control.Gone && b.now-box.told > time.Minute {
-			delete(b.boxes, id)
-			delete(b.hosts, box.Host)
+	for len(b.gone) > 0 && b.now-b.gone[0].at > goneFor {
+		box := b.gone[0].box
+		b.gone = b.gone[1:]
+		if box.State != control.Gone || b.now-box.told <= goneFor || b.boxes[box.ID] != box {
+			continue // it was back meanwhile
 		}
+		delete(b.boxes, box.ID)
+		delete(b.hosts, box.Host)
+		if name := strings.ToLower(box.Host); b.byName[name] == box {
+			delete(b.byName, name)
+		}
+		b.leaveDial(box, box.Dial)
+	}
+}
+
+// leaveDial takes a box off an address.
+func (b *Broker) leaveDial(box *Box, address string) {
+	if rest := slices.DeleteFunc(b.byDial[address], func(o *Box) bool { return o == box }); len(rest) > 0 {
+		b.byDial[address] = rest
+	} else {
+		delete(b.byDial, address)
 	}
 }
 
@@ -502,7 +530,6 @@
 	for _, t := range late {
 		b.overdue(t)
 	}
-	b.dropPurges()
 }
 
 // overdue ends what has run out of time. A request is answered at the latest here, whatever the module holds.
@@ -537,15 +564,6 @@
 	b.end(Ending{Attempt: a, End: TimedOut})
 }
 
-// dropPurges forgets purges that every box has done by now.
-func (b *Broker) dropPurges() {
-	for k, issued := range b.purges {
-		if b.now-issued > b.cfg.PurgeTakes+2*time.Second {
-			delete(b.purges, k)
-		}
-	}
-}
-
 type timers []timer
 
 func (t timers) Len() int           { return len(t) }
--- /dev/null
+++ b/broker/index_test.go
@@ -0,0 +1,177 @@
+package broker
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sloequay/control"
+	"sloequay/purge"
+)
+
+func testConfig() control.Config {
+	return control.Config{Instances: 1, Zone: 1, ParentKind: 1, OriginKind: 2, FlowKBps: 9500, WeightsTold: true,
+		Direct: true, MaxAttempts: 6, Cancel: true, MaxRetryAfter: time.Second, PurgeTakes: 6 * time.Second,
+		Classes: []control.Class{{Name: "lookup", Aim: 250 * time.Millisecond, Deadline: 3 * time.Second, Worth: 1}}}
+}
+
+func newBroker(t testing.TB) *Broker {
+	t.Helper()
+	b, err := New(testConfig(), 1, 1000, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func testBox(host, dial string, state control.State) Box {
+	b := Box{Host: host, Dial: dial}
+	b.Zone, b.State, b.Weight = 1, state, 8
+	return b
+}
+
+// boxByWalk and barredByWalk are the plain ways: a look at every box.
+func boxByWalk(b *Broker, host string) *Box {
+	for _, box := range b.boxes {
+		if strings.EqualFold(box.Host, host) {
+			return box
+		}
+	}
+	return nil
+}
+
+func barredByWalk(b *Broker, address string) bool {
+	barred := false
+	for _, box := range b.boxes {
+		if box.Dial == address {
+			if usable(box) {
+				return false
+			}
+			barred = barred || box.State == control.Draining || b.now-box.told < leftFor
+		}
+	}
+	return barred
+}
+
+// TestIndexesAgainstWalks compares the indexes of the boxes with walks, over random changes of the list in which boxes
+// move, leave, come back, and take over addresses; and nothing of what is gone for long is kept.
+func TestIndexesAgainstWalks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, err := New(testConfig(), 1, 1000, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := 1000 * time.Second
+		hosts := []string{"c1", "C2", "c3", "c4", "c5", "c6"}
+		dials := []string{"10.0.0.1:1", "10.0.0.2:1", "c3.example:1", "10.0.0.3:1"}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 30000).Draw(t, "ms")) * time.Millisecond
+			list := Roster{Whole: rapid.IntRange(0, 4).Draw(t, "whole") == 0}
+			for _, host := range hosts {
+				if rapid.IntRange(0, 2).Draw(t, "told") == 0 {
+					state := rapid.SampledFrom([]control.State{control.Gone, control.Ready, control.Draining}).Draw(t, "state")
+					list.Boxes = append(list.Boxes, testBox(host, rapid.SampledFrom(dials).Draw(t, "dial"), state))
+				}
+			}
+			b.Round(now, []Event{list})
+			for _, host := range hosts {
+				host = strings.ToUpper(host)
+				if got, want := b.Box(host), boxByWalk(b, host); got != want {
+					t.Fatalf("Box(%s): %v, want %v", host, got, want)
+				}
+			}
+			for _, dial := range dials {
+				if got, want := b.Barred(dial), barredByWalk(b, dial); got != want {
+					t.Fatalf("Barred(%s): %v, want %v", dial, got, want)
+				}
+			}
+		}
+		b.Round(now, []Event{Roster{Whole: true}})
+		b.Round(now+2*goneFor, []Event{Roster{}})
+		if n := len(b.boxes) + len(b.hosts) + len(b.byName) + len(b.byDial) + len(b.gone); n > 0 {
+			t.Fatalf("%d entries are left of boxes that are gone for long", n)
+		}
+	})
+}
+
+// TestMayLooksAtPurges: an attempt that waited for its connection asks for no copy older than what was purged meanwhile.
+func TestMayLooksAtPurges(t *testing.T) {
+	now := 1000 * time.Second
+	for _, c := range []struct {
+		name  string
+		purge Purge
+		group int
+		aged  bool
+	}{
+		{"its object", Purge{Object: 7, Issued: now - time.Second}, 3, true},
+		{"another object", Purge{Object: 8, Issued: now - time.Second}, 3, false},
+		{"its group", Purge{Group: 3, Issued: now - time.Second}, 3, true},
+		{"another group", Purge{Group: 4, Issued: now - time.Second}, 3, false},
+		{"any group, where it tells none", Purge{Group: 4, Issued: now - time.Second}, purge.AnyGroup, true},
+	} {
+		b := newBroker(t)
+		box := testBox("c1", "10.0.0.1:1", control.Ready)
+		a := &Attempt{Request: &Request{Object: 7, Group: c.group}, Box: &box, Source: &box, Deadline: now + time.Second}
+		b.Round(now, []Event{c.purge})
+		age, ok := b.May(a, now+10*time.Millisecond)
+		if want := 1005 * time.Millisecond; !ok || (age == want) != c.aged || !c.aged && age != 0 {
+			t.Errorf("%s: age %v %v, want one of %v: %v", c.name, age, ok, want, c.aged)
+		}
+	}
+}
+
+// BenchmarkWrite is what one write asks the list and the purges.
+func BenchmarkWrite(b *testing.B) {
+	for _, n := range []int{0, 100, 10_000} {
+		b.Run(fmt.Sprintf("boxes+purges/%d", n), func(b *testing.B) {
+			now := 1000 * time.Second
+			broker := newBroker(b)
+			list := Roster{Whole: true}
+			events := []Event(nil)
+			for i := range n {
+				list.Boxes = append(list.Boxes, testBox(fmt.Sprint("c", i), fmt.Sprintf("10.0.%d.%d:1", i>>8, i&255), control.Ready))
+				events = append(events, Purge{Object: uint64(i + 1), Issued: now - time.Duration(i)*time.Microsecond})
+			}
+			broker.Round(now, append(events, list))
+			box := testBox("x", "10.9.9.9:1", control.Ready)
+			a := &Attempt{Request: &Request{Object: 1 << 40, Group: 3}, Box: &box, Source: &box, Deadline: now + time.Second}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				broker.May(a, now)
+				broker.Barred("10.0.0.7:1")
+				broker.Box("c7")
+			}
+		})
+	}
+	// The same write as far as the attempt's own request goes, through the whole broker and module.
+	for _, purges := range []int{0, 10_000} {
+		b.Run(fmt.Sprintf("request/purges-%d", purges), func(b *testing.B) {
+			now := 1000 * time.Second
+			broker := newBroker(b)
+			var events []Event
+			for i := range 10 {
+				events = append(events, Roster{Boxes: []Box{testBox(fmt.Sprint("c", i), fmt.Sprintf("10.0.0.%d:1", i), control.Ready)}})
+			}
+			for i := range purges {
+				events = append(events, Purge{Object: uint64(1<<50 + i), Issued: now - time.Duration(i)*time.Microsecond})
+			}
+			broker.Round(now, events)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				r := &Request{ID: "a", Object: uint64(i%5000 + 1), Group: 3, SizeKB: 40, Arrived: now, Limit: 3 * time.Second}
+				for _, e := range broker.Round(now, []Event{Arrival{r}}) {
+					if ask, ok := e.(Ask); ok {
+						broker.May(ask.Attempt, now)
+						broker.Round(now, []Event{Ending{Attempt: ask.Attempt, End: Served, Note: control.NoteHit}})
+						break
+					}
+				}
+			}
+		})
+	}
+}
--- a/control/control.go
+++ b/control/control.go
@@ -6,10 +6,12 @@
 	"cmp"
 	"container/list"
 	"fmt"
-	"maps"
 	"math"
 	"slices"
 	"time"
+
+	"sloequay/purge"
+	"sloequay/rendezvous"
 )
 
 // Settings and tuned constants.
@@ -75,13 +77,13 @@
 	servers  map[NodeID]*server
 	roles    map[int]int // by kind; a cache where none is given
 	all      []*server   // in the order in which the list named them first
-	caches   []*server   // of the own zone
-	parents  []*server
+	caches   ranking     // of the own zone
+	parents  ranking
 	origin   *server
 	tables   tables
 	requests map[RequestID]*request
-	waiting  []*request // with attempts out, in order of arrival
-	purges   map[purgeKey]time.Duration
+	waiting  []*request // in order of arrival; what is over stays until the next tick
+	purges   *purge.Ledger
 	classes  []classState
 	bad      [roleOrigin + 1]float64 // share of bad outcomes by role
 	rate     float64                 // requests a second
@@ -109,7 +111,7 @@
 	d := &Director{cfg: cfg, servers: map[NodeID]*server{},
 		roles:    map[int]int{cfg.ParentKind: roleParent, cfg.OriginKind: roleOrigin},
 		requests: map[RequestID]*request{},
-		purges:   map[purgeKey]time.Duration{},
+		purges:   purge.New(purge.Config{Takes: cfg.PurgeTakes, Slack: time.Second}),
 		fills:    limiter{0, fillFirst, fillCut}, held: limiter{0, fillFirst, heldCut},
 		late:   [2]timing{{0, lateFirst}, {0, lateFirst}},
 		tables: tables{rows: map[part]*row{}, single: list.New()}}
@@ -156,7 +158,7 @@
 			d.onTick()
 		}
 	case PurgeEvent:
-		d.onPurge(e)
+		d.purges.Note(d.now, e.Object, e.Group, d.now-e.Age)
 	}
 	return d.out
 }
@@ -287,25 +289,13 @@
 
 // Placement: shared hashes, holder, second copy.
 
-// mix is a 64-bit finalizer; all directors compute the same.
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
+// hash is what all directors compute alike for a part.
+func (p part) hash() uint64 { return rendezvous.Mix(p.object ^ rendezvous.Mix(uint64(p.index))) }
 
-// hashOrder sorts servers by weighted rendezvous hash of p: the loss of one moves its share only.
-func (d *Director) hashOrder(servers []*server, p part) []*server {
-	key := mix(p.object ^ mix(uint64(p.index)))
-	for _, s := range servers {
-		u := (float64(mix(key^uint64(s.ID))>>11) + 0.5) / (1 << 53)
-		s.score = d.flows(s) / -math.Log(u)
-	}
-	order := slices.Clone(servers)
-	slices.SortFunc(order, func(a, b *server) int { return cmp.Compare(b.score, a.score) })
-	return order
-}
+// ranking is servers by weighted rendezvous hash of a part: the loss of one moves its share only.
+type ranking = rendezvous.Ranking[*server]
+
+func (d *Director) rank(r *ranking, s *server) { r.Add(s, uint64(s.ID), d.flows(s)) }
 
 // flows is a server's link in answers at full pace, as far as it is told.
 func (d *Director) flows(s *server) float64 {
@@ -317,29 +307,35 @@
 
 // seenElsewhere picks (n-1) of n singles, by hash, so that not each of n directors fills a part unkept.
 func (d *Director) seenElsewhere(p part) bool {
-	key := mix(p.object ^ mix(uint64(p.index)))
-	return len(d.caches) > 0 && mix(key^uint64(d.cfg.Ordinal))%uint64(d.sharers(d.caches[0])) != 0
+	n := uint64(0)
+	if len(d.caches.Members()) > 0 {
+		n = uint64(d.sharers(d.caches.Members()[0]))
+	}
+	return n > 0 && rendezvous.Mix(p.hash()^uint64(d.cfg.Ordinal))%n != 0
 }
 
 // cacheOrder lists the zone's caches, best first: holder or at top rank the less busy copy, then by hash.
-func (d *Director) cacheOrder(q *request) []*server {
-	order := d.hashOrder(d.caches, q.part)
+func (d *Director) cacheOrder(q *request) *ranking {
+	var holder *server
 	if q.row != nil && q.row.holder != 0 {
-		if i := slices.IndexFunc(order, func(s *server) bool { return s.ID == q.row.holder }); i > 0 {
-			h := order[i]
-			order = slices.Insert(slices.Delete(order, i, i+1), 0, h)
+		if s := d.servers[q.row.holder]; s != nil && s.State != Gone && d.ours(s) {
+			holder = s
 		}
 	}
-	if q.keep == 3 && len(order) > 1 {
-		a, b := order[0], order[1]
+	order := d.caches.Begin(q.part.hash(), holder)
+	if q.keep == 3 && order.At(1) != nil {
+		a, b := order.At(0), order.At(1)
 		if d.usable(a) && d.usable(b) && d.crowd(b) < d.crowd(a) {
-			order[0], order[1] = b, a
+			order.Swap(0, 1)
 			q.second = true
 		}
 	}
 	return order
 }
 
+// ours says whether a server is a cache of the own zone.
+func (d *Director) ours(s *server) bool { return s.role == roleCache && s.Zone == d.cfg.Zone }
+
 // The per-request state machine.
 
 type attempt struct {
@@ -374,6 +370,7 @@
 	sized    bool    // and whether its size was told
 	attempts []attempt
 	open     int
+	over     bool      // it has its end
 	failed   []*server // as cache or as source
 }
 
@@ -416,22 +413,21 @@
 
 // tryNext sends one attempt by the first way that the guards let pass: caches, then parents, then the origin.
 func (d *Director) tryNext(q *request) bool {
-	parents, origin := d.hashOrder(d.parents, q.part), []*server{d.origin}
+	parents := d.parents.Begin(q.part.hash(), nil)
 	if q.class.Write {
-		return d.direct(q, origin) || d.throughCaches(q, origin) || d.direct(q, parents)
+		return d.direct(q, nil, d.origin) || d.throughCaches(q, nil) || d.direct(q, parents, nil)
 	}
 	q.crowded = false
-	ways := append(parents, d.origin)
-	return d.throughCaches(q, ways) || !q.crowded && d.direct(q, ways)
+	return d.throughCaches(q, parents) || !q.crowded && d.direct(q, parents, d.origin)
 }
 
-// throughCaches tries the zone's caches, each with the sources in order.
-func (d *Director) throughCaches(q *request, sources []*server) bool {
+// throughCaches tries the zone's caches, each with the parents in order and the origin as sources.
+func (d *Director) throughCaches(q *request, parents *ranking) bool {
 	order := d.cacheOrder(q)
 	if d.look(q, order) {
 		return true
 	}
-	for i, c := range order {
+	for c := range order.Then(nil) {
 		if !d.fit(q, c) {
 			continue
 		}
@@ -439,10 +435,10 @@
 			q.crowded = true
 			return false
 		}
-		if i == 0 && q.second && len(q.attempts) == 0 && d.send(q, c, order[1], true) {
+		if c == order.At(0) && q.second && len(q.attempts) == 0 && d.send(q, c, order.At(1), true) {
 			return true
 		}
-		for _, s := range sources {
+		for s := range parents.Then(d.origin) {
 			if d.fit(q, s) && (d.send(q, c, s, false) || s.role == roleParent && d.send(q, c, s, true)) {
 				return true
 			}
@@ -452,22 +448,31 @@
 }
 
 // look asks the zone's caches one after another for a part that no row places: the paper's forwarding.
-func (d *Director) look(q *request, order []*server) bool {
+func (d *Director) look(q *request, order *ranking) bool {
 	filled := slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.source != a.node })
 	if q.row == nil || q.row.holder != 0 || filled || len(q.attempts) > d.cfg.MaxAttempts-lookSpare {
 		return false
 	}
-	return slices.ContainsFunc(order, func(c *server) bool {
+	for c := range order.Then(nil) {
 		asked := slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.node == c })
-		return !asked && d.usable(c) && d.room(q, c) && d.send(q, c, c, false)
-	})
+		if !asked && d.usable(c) && d.room(q, c) && d.send(q, c, c, false) {
+			return true
+		}
+	}
+	return false
 }
 
 // direct passes the caches by; a parent fetches what it lacks from the origin.
-func (d *Director) direct(q *request, nodes []*server) bool {
-	return d.cfg.Direct && d.origin != nil && slices.ContainsFunc(nodes, func(s *server) bool {
-		return d.fit(q, s) && d.room(q, s) && d.send(q, s, d.origin, false)
-	})
+func (d *Director) direct(q *request, parents *ranking, last *server) bool {
+	if !d.cfg.Direct || d.origin == nil {
+		return false
+	}
+	for s := range parents.Then(last) {
+		if d.fit(q, s) && d.room(q, s) && d.send(q, s, d.origin, false) {
+			return true
+		}
+	}
+	return false
 }
 
 // fit says whether a server may get a request that it has not failed before.
@@ -516,6 +521,7 @@
 	node.trial = node.ejected
 	d.settle(node)
 	node.open++
+	node.out = append(node.out, out{q, len(q.attempts) - 1})
 	q.open++
 	d.do(a)
 	return true
@@ -529,7 +535,7 @@
 	a := &q.attempts[e.Attempt]
 	a.done = true
 	q.open--
-	d.release(a)
+	d.release(q, e.Attempt)
 	a.node.firstWait = d.now
 	if a.limit != nil && e.Note != NoteHit && !slices.Contains(noSign, e.Status) {
 		a.limit.adapt(d.zone, e.Took.Seconds() <= d.aim(q) && (e.Status == OK || e.Status == Miss))
@@ -565,9 +571,15 @@
 }
 
 // release takes an attempt off what is out.
-func (d *Director) release(a *attempt) {
+func (d *Director) release(q *request, n int) {
+	a := &q.attempts[n]
 	d.settle(a.node)
 	a.node.open, a.node.trial = max(0, a.node.open-1), false
+	if i := slices.Index(a.node.out, out{q, n}); i >= 0 {
+		last := len(a.node.out) - 1
+		a.node.out[i] = a.node.out[last]
+		a.node.out = a.node.out[:last]
+	}
 	if a.limit != nil {
 		a.limit.out--
 	}
@@ -580,13 +592,13 @@
 		if a.done {
 			continue
 		}
-		d.release(a)
+		d.release(q, i)
 		if d.cfg.Cancel {
 			d.do(Cancel{q.id, i})
 		}
 	}
 	delete(d.requests, q.id)
-	d.waiting = slices.DeleteFunc(d.waiting, func(w *request) bool { return w == q })
+	q.over = true // the next tick takes it out of what waits
 }
 
 // giveUp ends a request at once: a refusal where none of it may have run, else a failure.
@@ -606,10 +618,9 @@
 		d.rate += (d.arrived/span - d.rate) * rateWeight
 		d.rateAt, d.arrived = d.now, 0
 		d.tables.resize(d.rate)
-		maps.DeleteFunc(d.purges, func(_ purgeKey, at time.Duration) bool {
-			return d.now-at > d.cfg.PurgeTakes+time.Second
-		})
+		d.purges.Expire(d.now)
 	}
+	d.waiting = slices.DeleteFunc(d.waiting, func(q *request) bool { return q.over })
 	for _, q := range d.waiting {
 		for i := range q.attempts {
 			a := &q.attempts[i]
@@ -624,13 +635,13 @@
 			}
 		}
 	}
-	for _, s := range d.caches {
+	for _, s := range d.caches.Members() {
 		if s.doubt > doubtMost && d.now-s.firstWait > silenceLeast && !s.ejected {
 			d.eject(s, "silent")
 		}
 		s.doubt = 0
 	}
-	for _, q := range slices.Clone(d.waiting) {
+	for _, q := range d.waiting {
 		d.move(q)
 	}
 }
@@ -670,14 +681,11 @@
 // passBy notes the attempts that an answer came before, though they were sent earlier to the same server for
 // less: links are shared evenly, so that in a jam all are late alike, and what is passed by is lost.
 func (d *Director) passBy(q *request, by *attempt) {
-	for _, w := range d.waiting {
-		for i := range w.attempts {
-			a := &w.attempts[i]
-			if !a.done && a.node == by.node && (a.limit != nil) == (by.limit != nil) &&
-				(a.limit == nil || a.source == by.source) &&
-				a.sent < by.sent && w.expect < q.expect {
-				a.passed++
-			}
+	for _, o := range by.node.out {
+		a := &o.q.attempts[o.n]
+		if (a.limit != nil) == (by.limit != nil) && (a.limit == nil || a.source == by.source) &&
+			a.sent < by.sent && o.q.expect < q.expect {
+			a.passed++
 		}
 	}
 }
@@ -724,7 +732,13 @@
 	broke     time.Duration // when a connection to it last ended under an attempt
 	window    []spent
 	slow      float64 // its answers' times over what is expected of it
-	score     float64 // in the hash order of the part in hand
+	out       []out   // the attempts that wait for it
+}
+
+// out is an attempt that is out: the nth of a request.
+type out struct {
+	q *request
+	n int
 }
 
 // usable says whether a server may get ordinary work: ready, and not ejected or due for one trial.
@@ -817,24 +831,26 @@
 			d.servers[n.ID] = s
 			d.all = append(d.all, s)
 		} else if n.Since != s.Since {
-			*s = server{open: s.open, firstWait: d.now, slow: 1}
+			*s = server{open: s.open, out: s.out, firstWait: d.now, slow: 1}
 		}
 		s.Node, s.role, s.left = n, d.roles[n.Kind], d.now
 	}
-	d.caches, d.parents, d.origin = d.caches[:0], d.parents[:0], nil
+	d.caches.Reset()
+	d.parents.Reset()
+	d.origin = nil
 	zone := 0.0
 	for _, s := range d.all {
-		if s.role == roleCache && s.Zone == d.cfg.Zone && s.State == Ready {
+		if d.ours(s) && s.State == Ready {
 			zone += d.share(s)
 		}
 		switch {
 		case s.State == Gone:
 		case s.role == roleParent:
-			d.parents = append(d.parents, s)
+			d.rank(&d.parents, s)
 		case s.role == roleOrigin:
 			d.origin = s
-		case s.Zone == d.cfg.Zone:
-			d.caches = append(d.caches, s)
+		case d.ours(s):
+			d.rank(&d.caches, s)
 		}
 	}
 	// The link into the zone stays when caches are lost, and does not grow with those that replace them.
@@ -918,26 +934,9 @@
 	return q.class.cost <= budget
 }
 
-// purgeKey is an object, or a group when object is 0.
-type purgeKey struct {
-	object uint64
-	group  int
-}
-
-func (d *Director) onPurge(e PurgeEvent) {
-	k := purgeKey{e.Object, 0}
-	if e.Object == 0 {
-		k.group = e.Group
-	}
-	d.purges[k] = max(d.purges[k], d.now-e.Age)
-}
-
 // ageLimit keeps rule 5: the oldest copy that will do is younger than the last purge.
 func (d *Director) ageLimit(q *request) (time.Duration, bool) {
-	at, ok := d.purges[purgeKey{q.part.object, 0}]
-	if g, found := d.purges[purgeKey{0, q.group}]; found {
-		at, ok = max(at, g), true
-	}
+	at, ok := d.purges.Newest(q.part.object, q.group)
 	if !ok {
 		return 0, false
 	}
@@ -999,7 +998,7 @@
 
 // narrow says whether a limit, weighed by worth for cost, has no room; a part of a fill is given by lot.
 func (d *Director) narrow(q *request, l *limiter) bool {
-	lot := float64(mix(uint64(q.id))>>11) / (1 << 53)
+	lot := float64(rendezvous.Mix(uint64(q.id))>>11) / (1 << 53)
 	return float64(l.out)+lot >= l.most*d.zone*d.value(q)
 }
 
--- a/control/director_test.go
+++ b/control/director_test.go
@@ -193,7 +193,7 @@
 	moved := 0
 	for id := RequestID(1); id <= 300; id++ {
 		p := part{uint64(id) * 977, 0}
-		a, b := one.d.hashOrder(one.d.caches, p)[0].ID, two.d.hashOrder(two.d.caches, p)[0].ID
+		a, b := one.d.caches.Begin(p.hash(), nil).At(0).ID, two.d.caches.Begin(p.hash(), nil).At(0).ID
 		if a != b {
 			moved++
 			if b != 5 {
@@ -313,7 +313,7 @@
 		b.do(CallEvent{ID: id, Object: uint64(id), Left: 5 * sec, SizeKB: 900})
 	}
 	b.tick(800 * ms)
-	for _, s := range b.d.caches {
+	for _, s := range b.d.caches.Members() {
 		if s.ejected {
 			t.Errorf("cache %d ejected after 0.8 s of sending 0.9 s answers", s.ID)
 		}
--- /dev/null
+++ b/control/trace_test.go
@@ -0,0 +1,241 @@
+package control
+
+import (
+	"container/heap"
+	"fmt"
+	"hash/fnv"
+	"math/rand"
+	"testing"
+	"time"
+
+	"sloequay/rendezvous"
+)
+
+// due is something that a random day has planned: an answer, or a timer's token.
+type due struct {
+	at     time.Duration
+	serial int
+	event  Event
+	get    Get // with an answer: what it answers
+}
+
+type agenda []due
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].serial < a[j].serial
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(due)) }
+func (a *agenda) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+// randomDay plays calls, answers of all kinds, purges and changes of the list from a seed, and gives a hash of every
+// action with its time. After each event, look sees the director.
+func randomDay(t testing.TB, seed int64, caches, calls int, look func(*Director)) uint64 {
+	rng := rand.New(rand.NewSource(seed))
+	cfg := site()
+	cfg.SecondCopies = seed%2 == 0
+	cfg.WeightsTold = seed%3 != 0
+	d, err := New(cfg, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := []Node{{ID: 100, Zone: 0, Kind: 1, State: Ready, Weight: 40}, {ID: 101, Zone: 1, Kind: 1, State: Ready,
+		Weight: 40}, {ID: 102, Zone: 1, Kind: 1, State: Ready, Weight: 20}, {ID: 200, Kind: 2, State: Ready, Weight: 1}}
+	for i := range caches {
+		list = append(list, Node{ID: NodeID(1000 + i), Zone: 2, State: Ready, Weight: float64(1 + rng.Intn(12))})
+	}
+	for i := range 5 {
+		list = append(list, Node{ID: NodeID(90000 + i), Zone: 3, State: Ready, Weight: 8})
+	}
+	var plan agenda
+	serial, attempts := 0, map[RequestID]int{}
+	ended := map[RequestID]bool{}
+	sum := fnv.New64a()
+	now := 100 * sec
+	add := func(after time.Duration, e Event, g Get) {
+		serial++
+		heap.Push(&plan, due{now + after, serial, e, g})
+	}
+	statuses := []Status{OK, OK, OK, OK, OK, OK, OK, OK, Miss, Miss, Full, Error, Timeout, ConnectFailed, Reset, Moot}
+	do := func(e Event) {
+		for _, a := range d.Handle(now, e) {
+			fmt.Fprintf(sum, "%d %T %+v\n", now, a, a)
+			switch a := a.(type) {
+			case Get:
+				n := attempts[a.ID]
+				attempts[a.ID]++
+				status := statuses[rng.Intn(len(statuses))]
+				note := NoteHit
+				if a.Source != a.Node {
+					note = []Note{NoteFilled, NoteFilledOrigin, NoteJoined, NoteSourceLost, NoteNoPlace, NoteNone}[rng.Intn(6)]
+				}
+				took := time.Duration(rng.ExpFloat64() * 60 * float64(ms))
+				if rng.Intn(40) == 0 {
+					took += sec // a slow box
+				}
+				if rng.Intn(200) == 0 {
+					continue // never answered
+				}
+				add(took, AnswerEvent{ID: a.ID, Node: a.Node, Attempt: n, Took: took, Note: note, Status: status}, a)
+			case Refuse:
+				ended[a.ID] = true
+			case Fail:
+				ended[a.ID] = true
+			case Cancel:
+				if !ended[a.ID] {
+					add(ms, AnswerEvent{ID: a.ID, Attempt: a.Attempt, Took: 100 * ms, Status: Cancelled}, Get{})
+				}
+			case Timer:
+				add(a.At-now, TimerEvent{a.Token}, Get{})
+			}
+		}
+		if look != nil {
+			look(d)
+		}
+	}
+	do(ListEvent{Kind: ListFull, Nodes: list})
+	zipf := rand.NewZipf(rng, 1.1, 4, 5000)
+	for id := RequestID(1); int(id) <= calls; id++ {
+		now += time.Duration(rng.ExpFloat64() * float64(2*ms))
+		until := now
+		for len(plan) > 0 && plan[0].at <= until {
+			p := heap.Pop(&plan).(due)
+			now = p.at
+			if e, ok := p.event.(AnswerEvent); ok {
+				if ended[e.ID] {
+					continue
+				}
+				e.Settled = e.Status == OK
+				ended[e.ID] = e.Settled
+				p.event = e
+			}
+			do(p.event)
+		}
+		now = until
+		switch n := rng.Intn(300); {
+		case n == 0:
+			do(PurgeEvent{Object: zipf.Uint64() + 1, Age: 50 * ms})
+		case n == 1:
+			do(PurgeEvent{Group: rng.Intn(8), Age: 50 * ms})
+		case n == 2: // one box changes
+			i := 1 + rng.Intn(len(list)-1)
+			list[i].State = []State{Gone, Ready, Ready, Draining}[rng.Intn(4)]
+			if rng.Intn(3) == 0 {
+				list[i].Since = now
+			}
+			do(ListEvent{Kind: ListDelta, Nodes: list[i : i+1]})
+		case n == 3 && rng.Intn(4) == 0:
+			do(ListEvent{Kind: ListFull, Nodes: list})
+		case n == 4 && id > 10:
+			gone := id - RequestID(rng.Intn(10)) - 1
+			ended[gone] = true
+			do(GoneEvent{gone})
+		}
+		class := 0
+		if rng.Intn(20) == 0 {
+			class = 1 + rng.Intn(2)
+		}
+		size := 20 + 200*rng.Float64()
+		if rng.Intn(10) == 0 {
+			size = 0
+		}
+		do(CallEvent{ID: id, Class: class, Object: zipf.Uint64() + 1, Part: rng.Intn(2), Group: rng.Intn(8),
+			Left: 3 * sec, SizeKB: size})
+	}
+	return sum.Sum64()
+}
+
+// days are hashes of random days as the director decided them when it sorted all caches for each request and walked
+// all waiting requests at each answer.
+var days = []struct {
+	seed          int64
+	caches, calls int
+	want          uint64
+}{}
+
+// TestSameDecisions: the indexes that took the place of the walks must change no decision.
+func TestSameDecisions(t *testing.T) {
+	for _, c := range days {
+		events := 0
+		look := func(d *Director) {
+			if events++; events%50 == 0 {
+				checkOut(t, d)
+			}
+		}
+		if got := randomDay(t, c.seed, c.caches, c.calls, look); got != c.want {
+			t.Errorf("seed %d, %d caches: the actions hash to %#x, want %#x", c.seed, c.caches, got, c.want)
+		}
+	}
+}
+
+func TestPrintDays(t *testing.T) {
+	for _, c := range []struct {
+		seed          int64
+		caches, calls int
+	}{{1, 4, 6000}, {2, 4, 6000}, {3, 12, 6000}, {4, 12, 6000}, {5, 40, 4000}, {6, 40, 4000}, {7, 300, 2000}, {8, 300, 2000},
+		{9, 1, 3000}, {10, 2, 3000}} {
+		fmt.Printf("\t{%d, %d, %d, %#x},\n", c.seed, c.caches, c.calls, randomDay(t, c.seed, c.caches, c.calls, nil))
+	}
+}
+
+// checkOut compares what each server has listed as out with a walk over all requests.
+func checkOut(t testing.TB, d *Director) {
+	want, listed := map[out]*server{}, 0
+	for _, q := range d.requests {
+		for i := range q.attempts {
+			if !q.attempts[i].done {
+				want[out{q, i}] = q.attempts[i].node
+			}
+		}
+	}
+	for _, s := range d.all {
+		listed += len(s.out)
+		for _, o := range s.out {
+			if want[o] != s {
+				t.Fatalf("server %x lists attempt %d of request %d, which is not out there", s.ID, o.n, o.q.id)
+			}
+		}
+	}
+	if listed != len(want) {
+		t.Fatalf("%d attempts are listed as out, and %d are", listed, len(want))
+	}
+}
+
+// BenchmarkRequest is one request through the module and the end of its one attempt, with a plaza of so many caches.
+func BenchmarkRequest(b *testing.B) {
+	for _, caches := range []int{10, 100, 1000, 4000, 10000} {
+		b.Run(fmt.Sprintf("caches/%d", caches), func(b *testing.B) {
+			d, err := New(site(), 1)
+			if err != nil {
+				b.Fatal(err)
+			}
+			list := nodes()
+			for i := range caches {
+				list = append(list, Node{ID: NodeID(rendezvous.Mix(uint64(i))), Zone: 2, State: Ready, Weight: 8})
+			}
+			now := 100 * sec
+			d.Handle(now, ListEvent{Kind: ListFull, Nodes: list})
+			zipf := rand.NewZipf(rand.New(rand.NewSource(1)), 1.1, 4, 50000)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				now += ms
+				if i%10 == 0 {
+					d.Handle(now, TimerEvent{tickToken})
+				}
+				id := RequestID(i + 1)
+				for _, a := range d.Handle(now, CallEvent{ID: id, Object: zipf.Uint64() + 1, Left: 3 * sec, SizeKB: 40}) {
+					if g, ok := a.(Get); ok {
+						d.Handle(now, AnswerEvent{ID: id, Node: g.Node, Took: ms, Settled: true, Note: NoteHit, Status: OK})
+						break
+					}
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/rendezvous/ranking.go
@@ -0,0 +1,73 @@
+package rendezvous
+
+import "iter"
+
+// Ranking is members of a set in their order for one key, with one of them put first. It is computed as far as it is
+// looked at. The zero value of M stands for "none".
+type Ranking[M comparable] struct {
+	members []M
+	set     Set
+	order   Order
+	next    int // place in the order that was not looked at yet
+	first   M
+	got     []M // so far
+}
+
+// Reset empties the set and keeps its memory.
+func (r *Ranking[M]) Reset() {
+	clear(r.members)
+	r.members = r.members[:0]
+	r.set.Reset()
+}
+
+// Add adds a member with its id for the hash; the weight must be above 0.
+func (r *Ranking[M]) Add(m M, id uint64, weight float64) {
+	r.members = append(r.members, m)
+	r.set.Add(id, weight)
+}
+
+// Members is all members in the order of Add. It must not be changed.
+func (r *Ranking[M]) Members() []M { return r.members }
+
+// Begin asks for the order for a key, in which first, where it is not the zero value, stands before all others. first
+// must be a member. What an earlier Begin gave is void.
+func (r *Ranking[M]) Begin(key uint64, first M) *Ranking[M] {
+	var none M
+	r.order.Begin(&r.set, key)
+	if r.next, r.first, r.got = 0, first, r.got[:0]; first != none {
+		r.got = append(r.got, first)
+	}
+	return r
+}
+
+// At gives the member in place i, or the zero value.
+func (r *Ranking[M]) At(i int) (m M) {
+	for len(r.got) <= i {
+		n, ok := r.order.At(r.next)
+		if !ok {
+			return m
+		}
+		if r.next++; r.members[n] != r.first {
+			r.got = append(r.got, r.members[n])
+		}
+	}
+	return r.got[i]
+}
+
+// Swap has the members of two places that were looked at change places.
+func (r *Ranking[M]) Swap(i, j int) { r.got[i], r.got[j] = r.got[j], r.got[i] }
+
+// Then goes through the ranking, of which nil has no members, and one member more unless that is the zero value.
+func (r *Ranking[M]) Then(last M) iter.Seq[M] {
+	return func(yield func(M) bool) {
+		var none M
+		for i := 0; r != nil && r.At(i) != none; i++ {
+			if !yield(r.At(i)) {
+				return
+			}
+		}
+		if last != none {
+			yield(last)
+		}
+	}
+}
