--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -14,8 +14,8 @@
 	"github.com/tidwall/gjson"
 
 	"sloequay/broker"
-	"sloequay/bulletin"
 	"sloequay/control"
+	"sloequay/membership/bulletin"
 )
 
 // Config is the file that turns the catalogue on.
--- a/cmd/sloequay/serve.go
+++ b/cmd/sloequay/serve.go
@@ -9,12 +9,12 @@
 	"time"
 
 	"sloequay/broker"
-	"sloequay/bulletin"
 	"sloequay/catalog"
 	"sloequay/contract"
 	"sloequay/depot"
 	"sloequay/dnsfront"
 	"sloequay/loop"
+	"sloequay/membership/bulletin"
 	"sloequay/resolver"
 	"sloequay/rpc"
 	"sloequay/settings"
