--- a/broker/broker.go
+++ b/broker/broker.go
@@ -13,6 +13,7 @@
 
 	"sloequay/contract"
 	"sloequay/control"
+	"sloequay/membership"
 	"sloequay/purge"
 )
 
@@ -36,13 +37,28 @@
 	Fields  []Field
 }
 
-// Roster is the list of boxes or changes to it. In a whole one, what is absent is gone.
-type Roster struct {
-	Whole   bool
+// Listing is the whole list of one source of boxes.
+type Listing struct {
+	Source int // of the membership table
+	List   membership.List
+}
+
+// Changes are changes that one source of boxes tells.
+type Changes struct {
+	Source  int
 	Version uint64
-	Boxes   []Box
+	Boxes   []membership.Box
+}
+
+// Speaks says that a source of boxes is heard, though it has nothing new to tell, or that it has fallen silent.
+type Speaks struct {
+	Source int
+	Silent bool
 }
 
+// Restored brings what the sources had said before a restart.
+type Restored struct{ Words []membership.Words }
+
 // Purge says that copies from before Issued are out of date: those of an object, or of a group when Object is 0.
 type Purge struct {
 	Object uint64
@@ -60,7 +76,10 @@
 func (Arrival) isEvent()    {}
 func (Withdrawal) isEvent() {}
 func (Ending) isEvent()     {}
-func (Roster) isEvent()     {}
+func (Listing) isEvent()    {}
+func (Changes) isEvent()    {}
+func (Speaks) isEvent()     {}
+func (Restored) isEvent()   {}
 func (Purge) isEvent()      {}
 func (Probed) isEvent()     {}
 
@@ -91,15 +110,22 @@
 // Probe examines a box.
 type Probe struct{ Box *Box }
 
-// Line is a line for the log.
-type Line struct{ Text string }
+// Confirm has a source of boxes asked for its whole list at once; the answer is a Listing that confirms.
+type Confirm struct{ Source int }
+
+// Line is a line for the log: an event word and names with values.
+type Line struct {
+	Event  string
+	Fields []any
+}
 
-func (Ask) isEffect()    {}
-func (Quit) isEffect()   {}
-func (Answer) isEffect() {}
-func (Moved) isEffect()  {}
-func (Probe) isEffect()  {}
-func (Line) isEffect()   {}
+func (Ask) isEffect()     {}
+func (Quit) isEffect()    {}
+func (Answer) isEffect()  {}
+func (Moved) isEffect()   {}
+func (Probe) isEffect()   {}
+func (Confirm) isEffect() {}
+func (Line) isEffect()    {}
 
 const (
 	// answerEarly is taken off a client's limit, which counts from the request's last byte: the loop may come to read
@@ -120,6 +146,7 @@
 	cfg       control.Config
 	module    *control.Director
 	contracts *contract.Book
+	members   *membership.Table
 	openCap   int
 	now       time.Duration
 	nextID    control.RequestID
@@ -136,13 +163,14 @@
 	effects   []Effect
 }
 
-// New makes a broker. With contracts nil every team may do everything.
-func New(cfg control.Config, seed uint64, openCap int, contracts *contract.Book) (*Broker, error) {
+// New makes a broker. With contracts nil every team may do everything; members is which boxes there are.
+func New(cfg control.Config, seed uint64, openCap int, contracts *contract.Book, members *membership.Table) (*Broker,
+	error) {
 	module, err := control.New(cfg, seed)
 	if err != nil {
 		return nil, err
 	}
-	return &Broker{cfg: cfg, module: module, contracts: contracts, openCap: openCap,
+	return &Broker{cfg: cfg, module: module, contracts: contracts, members: members, openCap: openCap,
 		open: map[control.RequestID]*Request{}, ids: map[string]*Request{}, boxes: map[control.NodeID]*Box{},
 		hosts: map[string]control.NodeID{}, byName: map[string]*Box{}, byDial: map[string][]*Box{},
 		purges: purge.New(purge.Config{Takes: cfg.PurgeTakes, Slack: purgeSlack})}, nil
@@ -157,6 +185,10 @@
 	b.effects = b.effects[:0]
 	b.queue = append(b.queue[:0], events...)
 	b.purges.Expire(b.now)
+	if at := b.members.Next(); at != 0 && at <= b.now {
+		b.members.Step(b.now)
+	}
+	b.follow()
 	b.due()
 	for i := 0; i < len(b.queue); i++ { // what the module does may add to it
 		b.take(b.queue[i])
@@ -166,10 +198,14 @@
 
 // Next is when the next round is due at the latest; 0: no time is set.
 func (b *Broker) Next() time.Duration {
-	if len(b.timers) == 0 {
-		return 0
+	if b.members.Pending() {
+		return b.now
+	}
+	next := b.members.Next()
+	if len(b.timers) > 0 && (next == 0 || b.timers[0].at < next) {
+		next = b.timers[0].at
 	}
-	return b.timers[0].at
+	return next
 }
 
 func (b *Broker) take(e Event) {
@@ -183,8 +219,23 @@
 		}
 	case Ending:
 		b.end(e)
-	case Roster:
-		b.list(e)
+	case Listing:
+		b.members.Whole(b.now, e.Source, e.List)
+		b.follow()
+	case Changes:
+		b.members.Change(b.now, e.Source, e.Version, e.Boxes)
+		b.follow()
+	case Speaks:
+		if e.Silent {
+			b.members.Silent(b.now, e.Source)
+		} else {
+			b.members.Heard(b.now, e.Source)
+		}
+		b.follow()
+	case Restored:
+		n := b.members.Restore(b.now, e.Words)
+		b.effect(Line{"list-restored", []any{"boxes", n}})
+		b.follow()
 	case Purge:
 		b.purges.Note(b.now, e.Object, e.Group, e.Issued)
 		b.tell(control.PurgeEvent{Object: e.Object, Group: e.Group, Age: max(0, b.now-e.Issued)})
@@ -250,7 +301,7 @@
 			b.effect(Probe{box})
 		}
 	case control.Log:
-		b.effect(Line{a.Text})
+		b.effect(Line{"module", []any{"text", a.Text}})
 	}
 }
 
@@ -260,7 +311,7 @@
 func (b *Broker) get(g control.Get) {
 	r, box, source := b.open[g.ID], b.boxes[g.Node], b.boxes[g.Source]
 	if r == nil || box == nil || source == nil {
-		b.effect(Line{fmt.Sprintf("module names an unknown request or box: %+v", g)})
+		b.effect(Line{"module-unknown", []any{"get", fmt.Sprintf("%+v", g)}})
 		return
 	}
 	a := &Attempt{Request: r, N: len(r.attempts), Box: box, Source: source, Keep: g.Keep, Age: g.Age, Join: g.Join,
@@ -389,61 +440,117 @@
 	r.Body = nil
 }
 
-// list follows the list of boxes.
-func (b *Broker) list(l Roster) {
-	e := control.ListEvent{Kind: control.ListDelta, Version: l.Version}
-	if l.Whole {
-		e.Kind = control.ListFull
+const (
+	// changesMost bounds the changes of the list in one round: the rest waits for the next, with requests in between.
+	changesMost = 500
+	// linesMost bounds the lines for the log that one round's changes make.
+	linesMost = 20
+)
+
+// states is what the merged view's states are to the module.
+var states = [...]control.State{membership.Gone: control.Gone, membership.Draining: control.Draining,
+	membership.Up: control.Ready}
+
+// follow takes over what is new in the merged view of the boxes.
+func (b *Broker) follow() {
+	for _, src := range b.members.Confirm() {
+		b.effect(Confirm{src})
+	}
+	b.logNotes()
+	if !b.members.Pending() {
+		return
 	}
-	named := map[control.NodeID]bool{}
-	for _, n := range l.Boxes {
-		if _, known := b.hosts[n.Host]; !known && n.State == control.Gone {
-			continue // nor is its name to be kept
+	changes := b.members.Take(b.now, changesMost)
+	e := control.ListEvent{Kind: control.ListDelta}
+	for i, c := range changes {
+		if i < linesMost {
+			b.logChange(c)
 		}
-		id := b.nodeID(n.Host)
-		named[id] = true
-		box, old := b.boxes[id], Box{}
-		switch {
-		case n.State == control.Gone && box.State == control.Gone:
-			continue
-		case box == nil:
-			box = &Box{}
-			b.boxes[id] = box
-			b.byName[strings.ToLower(n.Host)] = box
-		case n.State == control.Gone:
-			// The rest of such an entry need not be there.
-			old = *box
-			n = old
-			n.State = control.Gone
-		default:
-			old = *box
+		n := Box{Host: c.Box.ID, Dial: c.Box.Address, Node: control.Node{Zone: c.Box.Zone, Kind: c.Box.Kind,
+			Cell: c.Box.Cell, State: states[c.Box.State], Weight: c.Box.Weight, Since: c.Box.Born}}
+		if node, ok := b.change(n); ok {
+			e.Nodes = append(e.Nodes, node)
 		}
-		n.ID = id
-		if n.Dial != old.Dial || old.Host == "" {
-			b.leaveDial(box, old.Dial)
-			b.byDial[n.Dial] = append(b.byDial[n.Dial], box)
+	}
+	if rest := len(changes) - linesMost; rest > 0 {
+		b.effect(Line{"list-changed", []any{"unlisted", rest}})
+	}
+	if len(e.Nodes) > 0 {
+		b.tell(e)
+	}
+	b.forget()
+}
+
+// change takes over one box, and gives it as the module is to know it.
+func (b *Broker) change(n Box) (control.Node, bool) {
+	if _, known := b.hosts[n.Host]; !known && n.State == control.Gone {
+		return control.Node{}, false // nor is its name to be kept
+	}
+	id := b.nodeID(n.Host)
+	box, old := b.boxes[id], Box{}
+	switch {
+	case box == nil:
+		box = &Box{}
+		b.boxes[id] = box
+		b.byName[strings.ToLower(n.Host)] = box
+	case n.State == control.Gone && box.State == control.Gone:
+		return control.Node{}, false
+	case n.State == control.Gone:
+		// The rest of such an entry need not be there.
+		old = *box
+		n = old
+		n.State = control.Gone
+	default:
+		old = *box
+	}
+	n.ID = id
+	if n.Dial != old.Dial || old.Host == "" {
+		b.leaveDial(box, old.Dial)
+		b.byDial[n.Dial] = append(b.byDial[n.Dial], box)
+	}
+	*box = n
+	box.told = b.now
+	if n.State == control.Gone {
+		b.gone = append(b.gone, departed{box, b.now})
+	}
+	if old.Host != "" {
+		b.effect(Moved{box, n.Since != old.Since || n.Dial != old.Dial})
+	}
+	return n.Node, true
+}
+
+func (b *Broker) logChange(c membership.Change) {
+	fields := []any{"box", c.Box.ID, "address", c.Box.Address}
+	if c.By >= 0 {
+		fields = append(fields, "source", b.members.Sources()[c.By].Name)
+	}
+	if c.Why != membership.Word {
+		fields = append(fields, "why", c.Why)
+	}
+	b.effect(Line{"box-" + c.Kind.String(), fields})
+}
+
+func (b *Broker) logNotes() {
+	notes, dropped := b.members.Notes()
+	for _, n := range notes {
+		fields := []any{"source", b.members.Sources()[n.Source].Name}
+		if n.Box != "" {
+			fields = append(fields, "box", n.Box)
 		}
-		*box = n
-		box.told = b.now
-		if n.State == control.Gone && old.State != control.Gone {
-			b.gone = append(b.gone, departed{box, b.now})
+		if n.Other != "" {
+			fields = append(fields, "other", n.Other)
 		}
-		e.Nodes = append(e.Nodes, n.Node)
-		if old.Host != "" {
-			b.effect(Moved{box, n.Since != old.Since || n.Dial != old.Dial})
+		if n.Count > 0 {
+			fields = append(fields, "boxes", n.Count, "of", n.Of)
 		}
-	}
-	if l.Whole {
-		for id, box := range b.boxes {
-			if !named[id] && box.State != control.Gone {
-				box.State, box.told = control.Gone, b.now
-				b.gone = append(b.gone, departed{box, b.now})
-				b.effect(Moved{box, false})
-			}
+		if n.For > 0 {
+			fields = append(fields, "for", n.For)
 		}
+		b.effect(Line{n.Kind.String(), fields})
+	}
+	if dropped > 0 {
+		b.effect(Line{"list-notes", []any{"unlisted", dropped}})
 	}
-	b.tell(e)
-	b.forget()
 }
 
 // departed is a box that was gone at a time. It may be back, or have left again, since.
--- a/broker/index_test.go
+++ b/broker/index_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"sloequay/control"
+	"sloequay/membership"
 	"sloequay/purge"
 )
 
@@ -20,17 +21,15 @@
 
 func newBroker(t testing.TB) *Broker {
 	t.Helper()
-	b, err := New(testConfig(), 1, 1000, nil)
+	b, err := New(testConfig(), 1, 1000, nil, membership.New(membership.Config{Sources: make([]membership.Source, 1), Forget: time.Millisecond}))
 	if err != nil {
 		t.Fatal(err)
 	}
 	return b
 }
 
-func testBox(host, dial string, state control.State) Box {
-	b := Box{Host: host, Dial: dial}
-	b.Zone, b.State, b.Weight = 1, state, 8
-	return b
+func testBox(host, dial string, state membership.State) membership.Box {
+	return membership.Box{ID: host, Address: dial, Zone: 1, State: state, Weight: 8}
 }
 
 // boxByWalk and barredByWalk are the plain ways: a look at every box.
@@ -60,7 +59,7 @@
 // move, leave, come back, and take over addresses; and nothing of what is gone for long is kept.
 func TestIndexesAgainstWalks(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b, err := New(testConfig(), 1, 1000, nil)
+		b, err := New(testConfig(), 1, 1000, nil, membership.New(membership.Config{Sources: make([]membership.Source, 1), Forget: time.Millisecond}))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -69,14 +68,18 @@
 		dials := []string{"10.0.0.1:1", "10.0.0.2:1", "c3.example:1", "10.0.0.3:1"}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 30000).Draw(t, "ms")) * time.Millisecond
-			list := Roster{Whole: rapid.IntRange(0, 4).Draw(t, "whole") == 0}
+			var boxes []membership.Box
 			for _, host := range hosts {
 				if rapid.IntRange(0, 2).Draw(t, "told") == 0 {
-					state := rapid.SampledFrom([]control.State{control.Gone, control.Ready, control.Draining}).Draw(t, "state")
-					list.Boxes = append(list.Boxes, testBox(host, rapid.SampledFrom(dials).Draw(t, "dial"), state))
+					state := rapid.SampledFrom([]membership.State{membership.Gone, membership.Draining, membership.Up}).Draw(t, "state")
+					boxes = append(boxes, testBox(host, rapid.SampledFrom(dials).Draw(t, "dial"), state))
 				}
 			}
-			b.Round(now, []Event{list})
+			if rapid.IntRange(0, 4).Draw(t, "whole") == 0 {
+				b.Round(now, []Event{Listing{List: membership.List{Boxes: boxes}}})
+			} else {
+				b.Round(now, []Event{Changes{Boxes: boxes}})
+			}
 			for _, host := range hosts {
 				host = strings.ToUpper(host)
 				if got, want := b.Box(host), boxByWalk(b, host); got != want {
@@ -89,10 +92,13 @@
 				}
 			}
 		}
-		b.Round(now, []Event{Roster{Whole: true}})
-		b.Round(now+2*goneFor, []Event{Roster{}})
-		if n := len(b.boxes) + len(b.hosts) + len(b.byName) + len(b.byDial) + len(b.gone); n > 0 {
-			t.Fatalf("%d entries are left of boxes that are gone for long", n)
+		b.Round(now, []Event{Listing{}})
+		b.Round(now+2*goneFor, []Event{Changes{Boxes: []membership.Box{testBox("last", "10.0.0.9:1", membership.Up)}}})
+		b.Round(now+2*goneFor, []Event{Listing{}})
+		b.Round(now+4*goneFor, []Event{Changes{Boxes: []membership.Box{testBox("last", "10.0.0.9:1", membership.Up)}}})
+		b.Round(now+4*goneFor, []Event{Listing{}})
+		if n := len(b.boxes) + len(b.hosts) + len(b.byName) + len(b.byDial) + len(b.gone); n != 5 {
+			t.Fatalf("%d entries are left of boxes that are gone for long, want the 5 of the last one", n)
 		}
 	})
 }
@@ -113,7 +119,7 @@
 		{"any group, where it tells none", Purge{Group: 4, Issued: now - time.Second}, purge.AnyGroup, true},
 	} {
 		b := newBroker(t)
-		box := testBox("c1", "10.0.0.1:1", control.Ready)
+		box := Box{Host: "c1", Dial: "10.0.0.1:1", Node: control.Node{State: control.Ready}}
 		a := &Attempt{Request: &Request{Object: 7, Group: c.group}, Box: &box, Source: &box, Deadline: now + time.Second}
 		b.Round(now, []Event{c.purge})
 		age, ok := b.May(a, now+10*time.Millisecond)
@@ -129,14 +135,14 @@
 		b.Run(fmt.Sprintf("boxes+purges/%d", n), func(b *testing.B) {
 			now := 1000 * time.Second
 			broker := newBroker(b)
-			list := Roster{Whole: true}
+			var list membership.List
 			events := []Event(nil)
 			for i := range n {
-				list.Boxes = append(list.Boxes, testBox(fmt.Sprint("c", i), fmt.Sprintf("10.0.%d.%d:1", i>>8, i&255), control.Ready))
+				list.Boxes = append(list.Boxes, testBox(fmt.Sprint("c", i), fmt.Sprintf("10.0.%d.%d:1", i>>8, i&255), membership.Up))
 				events = append(events, Purge{Object: uint64(i + 1), Issued: now - time.Duration(i)*time.Microsecond})
 			}
-			broker.Round(now, append(events, list))
-			box := testBox("x", "10.9.9.9:1", control.Ready)
+			broker.Round(now, append(events, Listing{List: list}))
+			box := Box{Host: "x", Dial: "10.9.9.9:1", Node: control.Node{State: control.Ready}}
 			a := &Attempt{Request: &Request{Object: 1 << 40, Group: 3}, Box: &box, Source: &box, Deadline: now + time.Second}
 			b.ReportAllocs()
 			b.ResetTimer()
@@ -154,7 +160,7 @@
 			broker := newBroker(b)
 			var events []Event
 			for i := range 10 {
-				events = append(events, Roster{Boxes: []Box{testBox(fmt.Sprint("c", i), fmt.Sprintf("10.0.0.%d:1", i), control.Ready)}})
+				events = append(events, Changes{Boxes: []membership.Box{testBox(fmt.Sprint("c", i), fmt.Sprintf("10.0.0.%d:1", i), membership.Up)}})
 			}
 			for i := range purges {
 				events = append(events, Purge{Object: uint64(1<<50 + i), Issued: now - time.Duration(i)*time.Microsecond})
--- /dev/null
+++ b/cmd/sloequay/boxes.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"sloequay/broker"
+	"sloequay/membership/consul"
+)
+
+const defaultBoxesWait = 2 * time.Second
+
+type boxesOptions struct{ wait time.Duration }
+
+// printBoxes asks each source once and prints the merged view. What a source tells goes into the table as in a doorman.
+func printBoxes(out io.Writer, p *plan, o boxesOptions) error {
+	var mu sync.Mutex // the sources tell from goroutines of their own
+	var said []string
+	now := clock
+	take := func(e broker.Event) {
+		mu.Lock()
+		defer mu.Unlock()
+		switch e := e.(type) {
+		case broker.Listing:
+			p.members.Whole(now(), e.Source, e.List)
+		case broker.Changes:
+			p.members.Change(now(), e.Source, e.Version, e.Boxes)
+		case broker.Speaks:
+			if e.Silent {
+				p.members.Silent(now(), e.Source)
+			} else {
+				p.members.Heard(now(), e.Source)
+			}
+		}
+	}
+	bulletinCounts := p.own.bulletin
+	if bulletinCounts {
+		for _, e := range p.known {
+			take(e)
+		}
+		if p.settings.Bulletin != "" {
+			events, err := p.names.Ask(p.settings.Bulletin, p.last, o.wait)
+			if err != nil {
+				said = append(said, fmt.Sprintf("bulletin %s: %v", p.settings.Bulletin, err))
+				take(broker.Speaks{Source: p.names.Source, Silent: true})
+			}
+			for _, e := range events {
+				take(e)
+			}
+		}
+	}
+	if p.own.catalogue != nil {
+		ctx, end := context.WithTimeout(context.Background(), o.wait)
+		defer end()
+		c := &consul.Catalogue{Config: p.own.catalogue, Names: p.names.Names, First: p.first, Now: now, Seed: p.settings.Seed,
+			Log: func(event string, fields ...any) {
+				mu.Lock()
+				defer mu.Unlock()
+				said = append(said, strings.TrimSpace(event+" "+fmt.Sprintln(fields...)))
+			},
+			Tell: func(events ...broker.Event) {
+				for _, e := range events {
+					take(e)
+				}
+			}}
+		if err := c.Start(ctx); err != nil {
+			return err
+		}
+		for answered := false; !answered && ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
+			mu.Lock()
+			answered = true
+			for i := range p.own.catalogue.Services {
+				answered = answered && p.members.Sources()[p.first+i].Heard > 0
+			}
+			mu.Unlock()
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	p.members.Step(now())
+	p.members.Take(now(), p.members.Len())
+	return writeBoxes(out, p, now(), said)
+}
+
+// writeBoxes prints sources and boxes as tables.
+func writeBoxes(out io.Writer, p *plan, now time.Duration, said []string) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	sources := p.members.Sources()
+	fmt.Fprintln(w, "SOURCE\tSTATE\tBOXES\tVERSION\tHEARD")
+	for _, s := range sources {
+		state, heard := "speaks", "never"
+		if s.Heard > 0 {
+			heard = (now - s.Heard).Round(time.Millisecond).String() + " ago"
+		}
+		if s.Silent {
+			state = "silent"
+		}
+		if s.Heard == 0 {
+			state = "unheard"
+		}
+		if s.Doubted > 0 {
+			state += fmt.Sprintf(", %d doubted", s.Doubted)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\n", s.Name, state, s.Boxes, s.Version, heard)
+	}
+	fmt.Fprintln(w)
+	fmt.Fprint(w, "BOX\tSTATE\tADDRESS\tSITE\tCLASS\tDECIDED BY\tAGE\tWHY")
+	for _, s := range sources {
+		fmt.Fprintf(w, "\t%s", strings.ToUpper(s.Name))
+	}
+	fmt.Fprintln(w)
+	word := func(words []string, i int) string {
+		if i >= 0 && i < len(words) {
+			return words[i]
+		}
+		return "-"
+	}
+	for _, v := range p.members.All(now) {
+		by, age := "-", "-"
+		if v.By >= 0 {
+			by, age = sources[v.By].Name, (now - v.Since).Round(time.Millisecond).String()
+		}
+		address, site, class := v.Box.Address, "-", "-"
+		if address == "" {
+			address = "-"
+		} else {
+			site, class = word(p.names.Zones, v.Box.Zone), word(p.names.Kinds, v.Box.Kind)
+		}
+		fmt.Fprintf(w, "%s\t%v\t%s\t%s\t%s\t%s\t%s\t%v", v.Box.ID, v.Box.State, address, site, class, by, age, v.Why)
+		for _, s := range v.Words {
+			if s == "" {
+				s = "-"
+			}
+			fmt.Fprintf(w, "\t%s", s)
+		}
+		fmt.Fprintln(w)
+	}
+	for _, line := range said {
+		fmt.Fprintln(w, "#", line)
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/cmd/sloequay/conf.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"sloequay/conf"
+	"sloequay/contract"
+	"sloequay/dnsfront"
+	"sloequay/membership"
+	"sloequay/membership/consul"
+)
+
+// own is our settings: the file that --conf names. Without it everything in it is off, as on the platform.
+type own struct {
+	section   *conf.Section
+	contracts *contract.Book   // nil: every team may do everything
+	dns       *dnsfront.Config // nil: off
+	catalogue *consul.Config   // nil: off
+	snapshot  *snapshotConfig  // nil: off
+	list      membership.Config
+	damping   membership.Damping
+	bulletin  bool   // whether the bulletin's word on boxes counts; its purges always do
+	prefer    string // whose word on what a box is goes first: "bulletin" or "catalogue"
+}
+
+// snapshotConfig is the block `snapshot`.
+type snapshotConfig struct {
+	File   string
+	Every  time.Duration
+	Oldest time.Duration
+}
+
+func newOwn() *own {
+	o := &own{section: &conf.Section{}, bulletin: true, prefer: "bulletin",
+		list: membership.Config{MostBoxes: membership.DefaultMost, LossShare: 0.3, LossLeast: 2,
+			Confirm: membership.DefaultConfirm, SilentMost: 10 * time.Minute, Forget: membership.DefaultForget},
+		damping: membership.Damping{Cut: 3, Reuse: 1, HalfLife: 5 * time.Second, Most: 20 * time.Second}}
+	s := o.section
+	s.Block("contracts", false, "what each team may send", func([]string) (*conf.Section, error) {
+		section, book := contract.Section()
+		o.contracts = book
+		return section, nil
+	})
+	s.Block("dns", false, "DNS request routing", func([]string) (*conf.Section, error) {
+		o.dns = &dnsfront.Config{}
+		return o.dns.Section(), nil
+	})
+	s.Block("catalogue", false, "Consul's catalogue as a source of boxes", func([]string) (*conf.Section, error) {
+		o.catalogue = &consul.Config{}
+		return o.catalogue.Section(), nil
+	})
+	s.Block("list", false, "how the sources of boxes are joined", func([]string) (*conf.Section, error) {
+		return o.listSection(), nil
+	})
+	s.Block("snapshot", false, "the last good list on a disk that lasts", func([]string) (*conf.Section, error) {
+		o.snapshot = &snapshotConfig{Every: 10 * time.Second, Oldest: 24 * time.Hour}
+		p := &conf.Section{}
+		p.Text("file", &o.snapshot.File, func(path string) error {
+			if info, err := os.Stat(filepath.Dir(path)); err != nil || !info.IsDir() {
+				return fmt.Errorf("%s is no folder", filepath.Dir(path))
+			}
+			return nil
+		}, "where it is kept")
+		p.Duration("every", &o.snapshot.Every, 100*time.Millisecond, time.Hour, "least time between two")
+		p.Duration("oldest", &o.snapshot.Oldest, time.Second, 30*24*time.Hour, "age from which one is refused")
+		p.Check(func() error {
+			if o.snapshot.File == "" {
+				return errors.New("file is missing")
+			}
+			return nil
+		})
+		return p, nil
+	})
+	return o
+}
+
+func (o *own) listSection() *conf.Section {
+	s, l, d := &conf.Section{}, &o.list, &o.damping
+	s.Flag("bulletin", &o.bulletin, "whether the bulletin's word on boxes counts; its purges always do")
+	s.Choice("prefer", &o.prefer, []string{"bulletin", "catalogue"}, "whose word on address, place, kind and weight goes first")
+	s.Int("most-boxes", &l.MostBoxes, 1, 1_000_000, "boxes held")
+	s.Number("loss-share", &l.LossShare, 0, 1, "of a source's boxes: a list that lacks more at once is doubted; 0: none")
+	s.Int("loss-least", &l.LossLeast, 1, 1_000_000, "and at least so many")
+	s.Duration("confirm", &l.Confirm, 50*time.Millisecond, 10*time.Second, "how often a doubted source is asked again")
+	s.Duration("silent-most", &l.SilentMost, time.Second, 30*24*time.Hour, "after which a silent source is overruled by any other")
+	s.Number("flap-cut", &d.Cut, 0, 1000, "ways down, halved by flap-half-life, from which a box is held down; 0: never")
+	s.Number("flap-reuse", &d.Reuse, 0.01, 1000, "under which it is let go")
+	s.Duration("flap-half-life", &d.HalfLife, 10*time.Millisecond, time.Hour, "of that count")
+	s.Duration("flap-most", &d.Most, 10*time.Millisecond, time.Hour, "longest that a box is held down")
+	s.Check(func() error {
+		if d.Cut > 0 && d.Reuse >= d.Cut {
+			return errors.New("flap-reuse must be under flap-cut")
+		}
+		return nil
+	})
+	return s
+}
+
+// readOwn reads our settings; without a path all of them are off.
+func readOwn(path string) (*own, error) {
+	o := newOwn()
+	if path == "" {
+		return o, nil
+	}
+	if err := o.section.Load(path); err != nil {
+		return nil, err
+	}
+	return o, nil
+}
+
+// members makes the table of boxes. The bulletin is a source that tells changes, the others tell lists; first is the
+// catalogue's first, and bulletin the bulletin's.
+func (o *own) members() (table *membership.Table, bulletin, first int) {
+	cfg := o.list
+	told := membership.Source{Name: "bulletin"}
+	if o.catalogue == nil {
+		cfg.Sources = []membership.Source{told}
+		return membership.New(cfg), 0, 1
+	}
+	listed := o.catalogue.Sources(o.damping)
+	if o.prefer == "catalogue" {
+		cfg.Sources = append(listed, told)
+		return membership.New(cfg), len(listed), 0
+	}
+	cfg.Sources = append([]membership.Source{told}, listed...)
+	return membership.New(cfg), 0, 1
+}
--- /dev/null
+++ b/cmd/sloequay/conf_test.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// TestShippedSettings: the file in deploy is sound and turns nothing on; with its examples uncommented it is sound too and
+// turns everything on, and what check --print writes of that reads back as the same.
+func TestShippedSettings(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/sloequay.conf")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := newOwn()
+	if err := o.section.Parse("shipped", text); err != nil {
+		t.Fatal(err)
+	}
+	if o.contracts != nil || o.dns != nil || o.catalogue != nil || o.snapshot != nil {
+		t.Error("the shipped file turns something on")
+	}
+	on := regexp.MustCompile(`(?m)^#([^ \n])`).ReplaceAll(text, []byte("$1"))
+	on = regexp.MustCompile(`(?m)^#(    +[a-z}])`).ReplaceAll(on, []byte("$1"))
+	o = newOwn()
+	if err := o.section.Parse("examples", on); err != nil {
+		t.Fatal(err)
+	}
+	if o.contracts == nil || o.dns == nil || o.catalogue == nil || o.snapshot == nil || len(o.catalogue.Services) != 3 {
+		t.Error("the examples do not turn everything on")
+	}
+	var once, twice bytes.Buffer
+	if err := o.section.Print(&once); err != nil {
+		t.Fatal(err)
+	}
+	again := newOwn()
+	if err := again.section.Parse("printed", once.Bytes()); err != nil {
+		t.Fatalf("what was printed can't be read: %v\n%s", err, once.String())
+	}
+	_ = again.section.Print(&twice)
+	bare := func(b bytes.Buffer) string { return strings.ReplaceAll(b.String(), "  # default", "") }
+	if bare(once) != bare(twice) {
+		t.Errorf("printed as\n%sand read back as\n%s", once.String(), twice.String())
+	}
+}
--- a/cmd/sloequay/dns_test.go
+++ b/cmd/sloequay/dns_test.go
@@ -16,11 +16,11 @@
 
 const zone = "boxes.test."
 
-// withDNS turns the DNS side on; extra is added to its file.
+// withDNS turns the DNS side on; extra is added to its block.
 func (w *world) withDNS(extra string) {
 	w.t.Helper()
 	address := w.free()
-	w.flags = append(w.flags, "--dns", w.file(`{"listen":"`+address+`","zone":"`+zone+`"`+extra+`}`))
+	w.own("dns {\nlisten " + address + "\nzone " + zone + "\n" + extra + "\n}")
 	w.dns = address
 }
 
@@ -111,14 +111,14 @@
 	w := newWorld(t, func(a *asked) {
 		switch {
 		case a.Fields["thing"] == "00000000000000ff":
-			a.answer("AGAIN", "-", "")
+			a.Answer("AGAIN", "-", "")
 		case a.Fields["thing"] == "00000000000000fe":
 		default:
-			a.answer("ACK", "tag=t1,remark=hit", "bytes")
+			a.Answer("ACK", "tag=t1,remark=hit", "bytes")
 		}
 	}, "c1")
-	w.withDNS(`,"limit_ms":300`)
-	w.flags = append(w.flags, "--contracts", w.file(`{"teams":{"lanes":{"classes":["lookup"]},"*":{}}}`))
+	w.withDNS("limit 300ms")
+	w.own("contracts {\nteam lanes {\nclass lookup\n}\nothers {\n}\n}")
 	w.run()
 	port := w.boxes["c2"].Addr().(*net.TCPAddr).Port
 	for _, network := range []string{"udp", "tcp"} {
@@ -170,7 +170,7 @@
 	release := make(chan struct{})
 	w := newWorld(t, func(a *asked) {
 		<-release
-		a.answer("ACK", "remark=hit", "")
+		a.Answer("ACK", "remark=hit", "")
 	})
 	w.withDNS("")
 	w.run()
@@ -215,7 +215,7 @@
 			h["dial"] = strings.Replace(h["dial"].(string), "127.0.0.1", "c2.plaza.test", 1)
 		}
 	}
-	w.withDNS(`,"resolver":"` + w.resolver + `"`)
+	w.withDNS("resolver " + w.resolver)
 	w.run()
 	<-w.after
 	s := w.stub("udp")
@@ -233,7 +233,7 @@
 			hold <- a // its answer comes half a second after the box began to drain
 			return
 		}
-		a.answer("ACK", "remark=hit", "")
+		a.Answer("ACK", "remark=hit", "")
 	})
 	var out *asked
 	w.until("an attempt is out at c1", func() bool {
@@ -252,7 +252,7 @@
 		`"block":0,"health":"draining","share":4,"born_ms":0},{"host":"c3","dial":"c3.plaza.test:` + fmt.Sprint(c1) +
 		`","site":"edge","class":"std","block":0,"health":"up","share":4,"born_ms":0}]}}`
 	time.Sleep(500 * time.Millisecond) // the case's own half second
-	out.answer("ACK", "remark=hit", "")
+	out.Answer("ACK", "remark=hit", "")
 	if a := s.want(); a.Rcode != "NOERROR" || len(a.Names) != 1 || !strings.HasPrefix(a.Names[0], "c2:") {
 		t.Errorf("the answer to the attempt that was out: %+v, want c2 named", a)
 	}
@@ -274,7 +274,7 @@
 		}
 		ids[a.ID] = true
 	}
-	if !slices.ContainsFunc(w.asked(), func(n string) bool { return n == "c3.plaza.test." }) {
+	if !slices.ContainsFunc(w.names.Asked(), func(n string) bool { return n == "c3.plaza.test." }) {
 		t.Error("c3 was never looked up, so the case was not played")
 	}
 }
--- a/cmd/sloequay/ends_test.go
+++ b/cmd/sloequay/ends_test.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"math/rand"
 	"net"
-	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"strings"
@@ -30,18 +28,18 @@
 		want         string       // body or error
 		boxes        []string     // that were asked, in order; nil: not looked at
 	}{
-		{"reset after sending: a read may run again", "footage", func(a *asked) { _ = a.conn.Close() }, "second", nil},
+		{"reset after sending: a read may run again", "footage", func(a *asked) { _ = a.Conn.Close() }, "second", nil},
 		{"reset after sending: a keyed write goes on to the same group", "charge",
-			func(a *asked) { _ = a.conn.Close() }, "second", served("o1", "o1")},
+			func(a *asked) { _ = a.Conn.Close() }, "second", served("o1", "o1")},
 		{"an answer that can't be read ends the connection", "charge",
-			func(a *asked) { _, _ = a.conn.Write([]byte("what is this\r\n")) }, "second", served("o1", "o1")},
+			func(a *asked) { _, _ = a.Conn.Write([]byte("what is this\r\n")) }, "second", served("o1", "o1")},
 		{"a length beyond all bounds", "charge",
-			func(a *asked) { _, _ = fmt.Fprintf(a.conn, "%s ACK - 999999999\r\n", a.ID) }, "second", served("o1", "o1")},
-		{"a word for another question", "charge", func(a *asked) { a.answer("READY", "-", "") }, "second", served("o1", "o1")},
-		{"unchanged without a copy to hold against", "charge", func(a *asked) { a.answer("NOMOD", "-", "") }, "second",
+			func(a *asked) { _, _ = fmt.Fprintf(a.Conn, "%s ACK - 999999999\r\n", a.ID) }, "second", served("o1", "o1")},
+		{"a word for another question", "charge", func(a *asked) { a.Answer("READY", "-", "") }, "second", served("o1", "o1")},
+		{"unchanged without a copy to hold against", "charge", func(a *asked) { a.Answer("NOMOD", "-", "") }, "second",
 			served("o1", "o1")},
-		{"over already: never ran", "charge", func(a *asked) { a.answer("STALE", "-", "") }, "second", served("o1", "o1")},
-		{"an error goes on by way of the parent", "charge", func(a *asked) { a.answer("EIO", "-", "") }, "second", served("o1", "p1")},
+		{"over already: never ran", "charge", func(a *asked) { a.Answer("STALE", "-", "") }, "second", served("o1", "o1")},
+		{"an error goes on by way of the parent", "charge", func(a *asked) { a.Answer("EIO", "-", "") }, "second", served("o1", "p1")},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -51,7 +49,7 @@
 					c.first(a)
 					return
 				}
-				a.answer("ACK", "-", "second")
+				a.Answer("ACK", "-", "second")
 			}, "c2")
 			w.run()
 			client := w.dial()
@@ -143,13 +141,13 @@
 		if a.Box == "c1" && a.Fields["nth"] == "0" {
 			return // silent
 		}
-		a.answer("ACK", "-", a.Fields["nth"])
+		a.Answer("ACK", "-", a.Fields["nth"])
 	}, "c2")
 	w.run()
 	client := w.dial()
 	client.send(request(1, "footage", nil, ""))
 	w.until("the attempt is out", func() bool { return len(w.lines(word("ASK"))) == 1 })
-	old := w.lines(word("ASK"))[0].conn
+	old := w.lines(word("ASK"))[0].Conn
 	address := w.boxes["c1"].Addr().String()
 	w.feed <- roster(2, false, host("c1", address, "edge", "std", "removed", 0),
 		host("c7", address, "edge", "std", "up", time.Now().UnixMilli()))
@@ -164,7 +162,7 @@
 		}
 	}
 	for _, a := range w.lines(word("ASK"))[1:] {
-		if a.conn == old {
+		if a.Conn == old {
 			t.Errorf("%+v went out on the old box's connection", a)
 		}
 	}
@@ -203,14 +201,14 @@
 		name, contract, class string
 		wants                 []string // errors of requests in turn
 	}{
-		{"a class it may not use", `{"classes":["lookup"]}`, "footage", []string{"Overloaded"}},
-		{"its rate", `{"requests_per_s":0.01,"burst":2}`, "footage", []string{"", "", "Overloaded"}},
-		{"its budget of attempts", `{"attempts_per_s":0.01,"attempts_burst":1}`, "footage", []string{"", "Overloaded"}},
+		{"a class it may not use", "class lookup", "footage", []string{"Overloaded"}},
+		{"its rate", "requests 0.01/s\nburst 2", "footage", []string{"", "", "Overloaded"}},
+		{"its budget of attempts", "attempts 0.01/s\nattempts-burst 1", "footage", []string{"", "Overloaded"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			w := newWorld(t, nil)
-			w.flags = []string{"--contracts", w.file(`{"teams":{"lanes":` + c.contract + `}}`)}
+			w.own("contracts {\nteam lanes {\n" + c.contract + "\n}\n}")
 			w.run()
 			client := w.dial()
 			for i, want := range c.wants {
@@ -223,77 +221,6 @@
 	}
 }
 
-// TestCatalog: the list comes from a stand-in for Consul's health API. What drains there takes nothing new.
-func TestCatalog(t *testing.T) {
-	w := newWorld(t, nil, "c1", "c2")
-	states := make(chan string, 1)
-	index := 1
-	agent := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != "/v1/health/service/cache-box" {
-			http.NotFound(rw, r)
-			return
-		}
-		state := "passing"
-		if r.URL.Query().Get("index") != "" && r.URL.Query().Get("index") != "0" {
-			select {
-			case state = <-states:
-			case <-r.Context().Done():
-				return
-			}
-			index++
-		}
-		entries := []any{}
-		for id, site := range map[string]string{"c1": "edge", "c2": "edge", "p1": "hub", "o1": "hub"} {
-			class, status := map[string]string{"p1": "parent", "o1": "origin"}[id], "passing"
-			if class == "" {
-				class = "std"
-			}
-			if id == "c1" {
-				status = state
-			}
-			port := w.boxes[id].Addr().String()[len("127.0.0.1:"):]
-			var number int
-			_, _ = fmt.Sscan(port, &number)
-			check := map[string]any{"CheckID": "c", "Status": status}
-			if status == "maintenance" {
-				check = map[string]any{"CheckID": "_node_maintenance", "Status": "critical"}
-			}
-			entries = append(entries, map[string]any{"Node": map[string]any{"Address": "127.0.0.1"},
-				"Service": map[string]any{"ID": id, "Port": number, "Meta": map[string]string{"site": site, "class": class},
-					"Weights": map[string]int{"Passing": 4}}, "Checks": []any{check}})
-		}
-		rw.Header().Set("X-Consul-Index", fmt.Sprint(index))
-		_ = json.NewEncoder(rw).Encode(entries)
-	}))
-	t.Cleanup(agent.CloseClientConnections)
-	w.flags = []string{"--catalog", w.file(`{"address":"` + strings.TrimPrefix(agent.URL, "http://") + `","service":"cache-box"}`)}
-	w.run()
-	client := w.dial()
-	id := uint64(0)
-	last := func() string {
-		id++
-		client.send(request(id, "footage", map[string]string{"item": fmt.Sprintf("%016x", id)}, ""))
-		client.want()
-		if asks := w.lines(word("ASK")); len(asks) > 0 {
-			return asks[len(asks)-1].Box
-		}
-		return ""
-	}
-	w.until("c1 serves", func() bool { return last() == "c1" })
-	for _, state := range []string{"maintenance", "critical"} {
-		states <- state
-		streak := 0
-		w.until("c1 takes nothing new: "+state, func() bool {
-			if streak++; last() == "c1" {
-				streak = 0
-			}
-			return streak > 40
-		})
-		states <- "passing"
-		w.until("c1 serves again", func() bool { return last() == "c1" })
-	}
-}
-
 // TestCheck: bad configuration exits with the key named.
 func TestCheck(t *testing.T) {
 	for _, c := range []struct {
@@ -312,9 +239,12 @@
 		},
 			"family-info.detail"},
 		{"a list entry", func(w *world) { w.hosts[0]["site"] = "nowhere" }, "site"},
-		{"contracts", func(w *world) { w.flags = []string{"--contracts", w.file(`{"teams":{"a":{"opne":3}}}`)} }, "teams.a.opne"},
-		{"the DNS zone", func(w *world) { w.flags = []string{"--dns", w.file(`{"listen":"127.0.0.1:53"}`)} }, "zone"},
-		{"the catalogue", func(w *world) { w.flags = []string{"--catalog", w.file(`{"address":"127.0.0.1:1"}`)} }, "service"},
+		{"contracts", func(w *world) { w.own("contracts {\n team a {\n  opne 3\n }\n}") }, ":3: contracts.team.opne: unknown directive; there is open"},
+		{"the DNS zone", func(w *world) { w.own("dns {\n listen 127.0.0.1:53\n}") }, ":1: dns: listen and zone are needed"},
+		{"the catalogue", func(w *world) { w.own("catalogue {\n agent 127.0.0.1:1\n wait fast\n}") },
+			`:3: catalogue.wait: expected a duration of 1s to 10m, got "fast"`},
+		{"all faults", func(w *world) { w.own("opne 3\nlist {\n loss-share 2\n}") }, ":3: list.loss-share: expected a number of 0 to 1, got \"2\""},
+		{"an old flag", func(w *world) { w.flags = []string{"--catalog", "x.json"} }, `the block "catalogue" of the file that --conf names`},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			w := newWorld(t, nil)
@@ -332,7 +262,7 @@
 func TestUnknownTeamOverDNS(t *testing.T) {
 	w := newWorld(t, nil)
 	w.withDNS("")
-	w.flags = append(w.flags, "--contracts", w.file(`{"teams":{"lanes":{}}}`))
+	w.own("contracts {\nteam lanes {\n}\n}")
 	w.run()
 	s := w.stub("udp")
 	for id, c := range []struct{ team, want string }{{"lanes", "NOERROR"}, {"others", "REFUSED"}} {
@@ -387,7 +317,7 @@
 	if a := client.want(); a.ID != 1 || a.Error != "" {
 		t.Errorf("%+v, want the request served elsewhere", a)
 	}
-	go w.serveBox("c1", w.full) // what comes up now must stay empty
+	go w.fleet.Serve("c1", w.full) // what comes up now must stay empty
 	waiting, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
@@ -411,10 +341,10 @@
 		}
 		return b[:len(b)-rnd.Intn(len(b))/8]
 	}
-	sound := func(a *asked) { a.answer("ACK", "tag=t1", "bytes") }
+	sound := func(a *asked) { a.Answer("ACK", "tag=t1", "bytes") }
 	w := newWorld(t, func(a *asked) {
 		line := fmt.Sprintf("%s ACK tag=t1,minted=1,remark=hit,lag=2 5\r\nbytes\r\n", a.ID)
-		_, _ = a.conn.Write(spoil([]byte(line)))
+		_, _ = a.Conn.Write(spoil([]byte(line)))
 	})
 	w.withDNS("")
 	w.run()
--- a/cmd/sloequay/main.go
+++ b/cmd/sloequay/main.go
@@ -4,83 +4,106 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"runtime/debug"
 
-	"github.com/spf13/pflag"
+	"github.com/spf13/cobra"
 
-	"sloequay/catalog"
-	"sloequay/contract"
-	"sloequay/dnsfront"
+	"sloequay/membership"
+	"sloequay/membership/bulletin"
+	"sloequay/oplog"
 	"sloequay/settings"
 )
 
-const usage = `usage: sloequay COMMAND [FLAGS]
-
-commands:
-  serve     run the doorman in the foreground
-  check     read the configuration and the files named by flags, say what is wrong with them, and exit
-  version   print what was built
-
-flags of serve and check:
-`
-
 func main() {
-	if err := run(os.Args[1:]); err != nil && !errors.Is(err, pflag.ErrHelp) {
+	if err := command(os.Stdout).Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "sloequay:", err)
 		os.Exit(1)
 	}
 }
 
-// options are the flags of serve and check.
+// options are the flags that commands share.
 type options struct {
-	config    string
-	contracts string
-	dns       string
-	catalog   string
+	config string
+	conf   string
+	format string
+	level  string
 }
 
-func run(args []string) error {
+// command is the command line.
+func command(out io.Writer) *cobra.Command {
 	var o options
-	flags := pflag.NewFlagSet("sloequay", pflag.ContinueOnError)
-	flags.StringVar(&o.config, "config", os.Getenv("BALANCER_CONFIG"), "configuration file (default $BALANCER_CONFIG)")
-	flags.StringVar(&o.contracts, "contracts", "", "file of the teams' contracts; none: no contracts")
-	flags.StringVar(&o.dns, "dns", "", "file that turns DNS request routing on; none: off")
-	flags.StringVar(&o.catalog, "catalog", "", "file that has the list of boxes come from Consul; none: the bulletin")
-	flags.Usage = func() { fmt.Fprint(os.Stderr, usage+flags.FlagUsages()) }
-	if err := flags.Parse(args); err != nil {
-		return err
-	}
-	if flags.NArg() != 1 {
-		flags.Usage()
-		return fmt.Errorf("%d commands given, expected one", flags.NArg())
+	root := &cobra.Command{Use: "sloequay", Short: "A doorman between the clients of many teams and the boxes of a media network",
+		SilenceUsage: true, SilenceErrors: true, CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
+	files := func(c *cobra.Command) *cobra.Command {
+		c.Args = cobra.NoArgs
+		c.Flags().StringVar(&o.config, "config", os.Getenv("BALANCER_CONFIG"), "the platform's configuration; $BALANCER_CONFIG without it")
+		c.Flags().StringVar(&o.conf, "conf", "", "our settings, as deploy/sloequay.conf; without it all in them is off")
+		return c
 	}
-	switch command := flags.Arg(0); command {
-	case "version":
-		fmt.Println("sloequay", version())
-		return nil
-	case "check":
-		p, err := o.load()
-		if err != nil {
-			return err
-		}
-		fmt.Printf("the configuration of %s is sound: %d classes, %d boxes known\n", p.settings.Name,
-			len(p.settings.Control.Classes), p.boxes)
-		return nil
-	case "serve":
-		p, err := o.load()
-		if err != nil {
-			return err
+	gone := func(c *cobra.Command) *cobra.Command {
+		for flag, block := range map[string]string{"contracts": "contracts", "dns": "dns", "catalog": "catalogue"} {
+			c.Flags().Func(flag, "", func(string) error {
+				return fmt.Errorf("its settings stand in the block %q of the file that --conf names now; deploy/sloequay.conf has an example", block)
+			})
+			_ = c.Flags().MarkHidden(flag)
 		}
-		return serve(p)
-	default:
-		flags.Usage()
-		return fmt.Errorf("unknown command %q", command)
+		return c
 	}
+	serveCmd := gone(files(&cobra.Command{Use: "serve", Short: "Run the doorman in the foreground",
+		RunE: func(*cobra.Command, []string) error {
+			p, err := o.load()
+			if err != nil {
+				return err
+			}
+			log, err := oplog.New(os.Stderr, o.format, o.level)
+			if err != nil {
+				return err
+			}
+			return serve(p, log)
+		}}))
+	serveCmd.Flags().StringVar(&o.format, "log-format", "text", "form of the log: text or json")
+	serveCmd.Flags().StringVar(&o.level, "log-level", "info", "least level that is logged: debug, info, warn, error")
+	print := false
+	checkCmd := gone(files(&cobra.Command{Use: "check", Short: "Read all files, say what is wrong with them, and exit",
+		RunE: func(*cobra.Command, []string) error {
+			p, err := o.load()
+			if err != nil {
+				return err
+			}
+			if print {
+				return p.own.section.Print(out)
+			}
+			fmt.Fprintf(out, "the configuration of %s is sound: %d classes, %d boxes known\n", p.settings.Name,
+				len(p.settings.Control.Classes), p.boxes)
+			return nil
+		}}))
+	checkCmd.Flags().BoolVar(&print, "print", false, "print our settings in force, with defaults marked")
+	var boxes boxesOptions
+	boxesCmd := files(&cobra.Command{Use: "boxes", Short: "Ask the sources of boxes once and print the merged view",
+		RunE: func(*cobra.Command, []string) error {
+			p, err := o.load()
+			if err != nil {
+				return err
+			}
+			return printBoxes(out, p, boxes)
+		}})
+	boxesCmd.Flags().DurationVar(&boxes.wait, "wait", defaultBoxesWait, "how long the sources are given")
+	var try tryOptions
+	tryCmd := &cobra.Command{Use: "try", Short: "Run a doorman on stand-ins for all that it talks to, and show what it does",
+		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return runTry(out, try) }}
+	tryCmd.Flags().BoolVar(&try.keep, "keep", false, "leave all of it running, with the addresses printed, until it is interrupted")
+	root.AddCommand(serveCmd, checkCmd, boxesCmd, tryCmd, &cobra.Command{Use: "version", Short: "Print what was built",
+		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+			_, err := fmt.Fprintln(out, "sloequay", version())
+			return err
+		}})
+	return root
 }
 
 // load reads and checks all files.
-func (o *options) load() (*plan, error) {
+func (o options) load() (*plan, error) {
 	if o.config == "" {
 		return nil, errors.New("no configuration: set BALANCER_CONFIG or --config")
 	}
@@ -89,24 +112,23 @@
 	if p.settings, err = settings.Load(o.config); err != nil {
 		return nil, err
 	}
-	if o.contracts != "" {
-		if p.contracts, err = contract.Load(o.contracts); err != nil {
-			return nil, err
-		}
-	}
-	if o.dns != "" {
-		if p.dns, err = dnsfront.Load(o.dns); err != nil {
-			return nil, err
-		}
-	}
-	if o.catalog != "" {
-		if p.catalog, err = catalog.Load(o.catalog); err != nil {
-			return nil, err
-		}
+	if p.own, err = readOwn(o.conf); err != nil {
+		return nil, err
 	}
 	return p, p.decode()
 }
 
+// decode reads the events of the start, so that check finds faults in them too.
+func (p *plan) decode() (err error) {
+	p.members, p.names.Source, p.first = p.own.members()
+	p.names.Names = membership.Names{Zones: p.settings.Control.ZoneNames, Kinds: p.settings.Control.KindNames}
+	if p.last, p.known, err = p.names.Known(p.settings.Known); err != nil {
+		return err
+	}
+	p.boxes = bulletin.Boxes(p.known)
+	return nil
+}
+
 // version is the commit that was built, where the build knows it.
 func version() string {
 	info, ok := debug.ReadBuildInfo()
--- a/cmd/sloequay/serve.go
+++ b/cmd/sloequay/serve.go
@@ -9,12 +9,12 @@
 	"time"
 
 	"sloequay/broker"
-	"sloequay/catalog"
-	"sloequay/contract"
 	"sloequay/depot"
 	"sloequay/dnsfront"
 	"sloequay/loop"
+	"sloequay/membership"
 	"sloequay/membership/bulletin"
+	"sloequay/oplog"
 	"sloequay/resolver"
 	"sloequay/rpc"
 	"sloequay/settings"
@@ -22,29 +22,15 @@
 
 // plan is what serve runs by.
 type plan struct {
-	settings  *settings.Settings
-	contracts *contract.Book
-	dns       *dnsfront.Config
-	catalog   *catalog.Config
-	names     bulletin.Names
-	last      int64 // event of the bulletin
-	known     []broker.Event
-	boxes     int
-	again     func() (*plan, error) // reads all files anew
-}
-
-// decode reads the events of the start, so that check finds faults in them too.
-func (p *plan) decode() (err error) {
-	p.names = bulletin.Names{Zones: p.settings.Control.ZoneNames, Kinds: p.settings.Control.KindNames}
-	if p.last, p.known, err = p.names.Known(p.settings.Known); err != nil {
-		return err
-	}
-	for _, e := range p.known {
-		if r, ok := e.(broker.Roster); ok {
-			p.boxes += len(r.Boxes)
-		}
-	}
-	return nil
+	settings *settings.Settings
+	own      *own
+	members  *membership.Table
+	first    int // the catalogue's first source there
+	names    bulletin.Names
+	last     int64 // event of the bulletin
+	known    []broker.Event
+	boxes    int
+	again    func() (*plan, error) // reads all files anew
 }
 
 const (
@@ -67,7 +53,8 @@
 	front    *rpc.Front
 	dns      *dnsfront.Front // nil: off
 	resolver *resolver.Resolver
-	log      *logger
+	log      *oplog.Logger
+	list     *sources
 	events   []broker.Event
 	kept     time.Duration // when the last housekeeping was
 	signals  chan os.Signal
@@ -78,30 +65,30 @@
 func clock() time.Duration { return time.Duration(time.Now().UnixNano()) }
 
 // serve runs the doorman until SIGTERM has been seen through.
-func serve(p *plan) error {
+func serve(p *plan, log *oplog.Logger) error {
 	s := p.settings
 	debug.SetMemoryLimit(s.Memory * 6 / 10) // the rest is for stacks, the runtime and the sockets' buffers
 	debug.SetGCPercent(300)                 // within that: eight collections a second were measured at full load
 	// The loop never parks its goroutine. With one P, dials beside it were seen only each 10 ms and took 25 to 50 ms.
 	runtime.GOMAXPROCS(max(2, runtime.GOMAXPROCS(0)))
-	d := &doorman{plan: p, log: &logger{}, signals: make(chan os.Signal, 8)}
+	d := &doorman{plan: p, log: log, signals: make(chan os.Signal, 8)}
 	signal.Notify(d.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	var err error
-	if d.broker, err = broker.New(s.Control, s.Seed, s.OpenCap, p.contracts); err != nil {
+	if d.broker, err = broker.New(s.Control, s.Seed, s.OpenCap, p.own.contracts, p.members); err != nil {
 		return err
 	}
 	full := func() bool { return int64(d.loop.Outbound()) > s.Memory/5 }
 	ready := func() bool { return d.leaving == 0 }
 	clients, listeners := s.Sockets/clientPart, []loop.Listener(nil)
-	if p.dns != nil {
+	if p.own.dns != nil {
 		most := clients / 4
 		clients -= most
-		d.dns = &dnsfront.Front{Config: p.dns, Classes: s.Control.Classes, Emit: d.emit, Now: clock,
-			Log: d.log.printf, Box: d.broker.Box, Most: most, Seed: s.Seed}
-		listeners = append(listeners, loop.Listener{Network: "udp", Address: p.dns.Listen, Packet: d.dns.Packet},
-			loop.Listener{Network: "tcp", Address: p.dns.Listen, Accept: d.dns.Accept})
+		d.dns = &dnsfront.Front{Config: p.own.dns, Classes: s.Control.Classes, Emit: d.emit, Now: clock,
+			Log: d.log.Event, Box: d.broker.Box, Most: most, Seed: s.Seed}
+		listeners = append(listeners, loop.Listener{Network: "udp", Address: p.own.dns.Listen, Packet: d.dns.Packet},
+			loop.Listener{Network: "tcp", Address: p.own.dns.Listen, Accept: d.dns.Accept})
 	}
-	d.front = rpc.New(s.Control.Classes, clients, d.emit, clock, ready, full, d.log.printf)
+	d.front = rpc.New(s.Control.Classes, clients, d.emit, clock, ready, full, d.log.Event)
 	listeners = append(listeners, loop.Listener{Network: "tcp", Address: s.Listen, Accept: d.front.Accept})
 	return loop.Run(listeners, d.start, d.round)
 }
@@ -111,34 +98,19 @@
 	s := d.plan.settings
 	d.loop, l.Memory = l, int(s.Memory)
 	d.resolver = &resolver.Resolver{Loop: l, Now: clock}
-	if d.plan.dns != nil {
-		d.resolver.Server, d.resolver.Limit = d.plan.dns.Resolver, d.plan.dns.ResolveLimit
+	if dns := d.plan.own.dns; dns != nil {
+		d.resolver.Server, d.resolver.Limit = dns.Resolver, dns.ResolveLimit
 	}
-	d.pool = &depot.Pool{Loop: l, Emit: d.emit, Now: clock, May: d.broker.May, Log: d.log.printf,
+	d.pool = &depot.Pool{Loop: l, Emit: d.emit, Now: clock, May: d.broker.May, Log: d.log.Event,
 		Resolve: d.resolver.Resolve, Barred: d.broker.Barred,
 		Classes: s.Control.Classes, DialLimit: s.DialTimeout, Idle: s.ConnIdle, Streams: s.Streams, MayProbe: s.Control.Probes, FlowKBps: s.Control.FlowKBps,
 		Most: s.Sockets - s.Sockets/clientPart - ownSockets}
 	d.bulletin = &bulletin.Reader{Loop: l, Address: s.Bulletin, Names: d.plan.names, Last: d.plan.last, Emit: d.emit,
-		Now: clock, Log: d.log.printf}
-	for _, e := range d.plan.known {
-		d.emit(e)
-	}
-	if d.plan.catalog != nil {
-		// The list has one source. The bulletin still tells the purges.
-		d.bulletin.Emit = func(e broker.Event) {
-			if _, list := e.(broker.Roster); !list {
-				d.emit(e)
-			}
-		}
-		go d.plan.catalog.Follow(d.plan.names, func(list broker.Roster) {
-			l.Post(func() {
-				d.emit(list)
-				l.NeedRound()
-			})
-		}, func(format string, args ...any) { l.Post(func() { d.log.printf(format, args...) }) })
-	}
+		Now: clock, Log: d.log.Event}
+	d.list = &sources{doorman: d}
+	d.list.start()
 	go d.heed()
-	d.log.printf("started: %s listens on %s, %d boxes known", s.Name, s.Listen, d.plan.boxes)
+	d.log.Event("started", "name", s.Name, "listen", s.Listen, "boxes", d.plan.boxes)
 	l.NeedRound()
 }
 
@@ -160,14 +132,14 @@
 // replace files under load, and the doorman must outlive their slips.
 func (d *doorman) reload(next *plan, err error) {
 	if err != nil {
-		d.log.printf("reload-failed: %v; the old configuration stays", err)
+		d.log.Event("reload-failed", "error", err)
 		return
 	}
 	d.bulletin.Follow(next.settings.Bulletin)
-	if d.plan.contracts != nil && next.contracts != nil {
-		d.plan.contracts.Renew(next.contracts)
+	if d.plan.own.contracts != nil && next.own.contracts != nil {
+		d.plan.own.contracts.Renew(next.own.contracts)
 	}
-	d.log.printf("reloaded: the bulletin is at %s, after event %d", next.settings.Bulletin, d.bulletin.Last)
+	d.log.Event("reloaded", "bulletin", next.settings.Bulletin, "after", d.bulletin.Last)
 	d.loop.NeedRound()
 }
 
@@ -177,7 +149,8 @@
 		return
 	}
 	d.leaving = clock()
-	d.log.printf("leaving: SIGTERM with %d open requests", d.broker.Open())
+	d.list.leave() // first thing: clients are to look elsewhere
+	d.log.Event("leaving", "open", d.broker.Open())
 	d.loop.NeedRound()
 }
 
@@ -193,7 +166,8 @@
 		if d.dns != nil {
 			d.dns.Tick(now)
 		}
-		d.log.tick(now)
+		d.list.tick(now)
+		d.log.Tick(now)
 	}
 	d.pool.Watch(now)
 	for again := true; again; again = len(d.events) > 0 { // carrying out may bring ends of its own
@@ -203,9 +177,9 @@
 			d.carryOut(e)
 		}
 	}
-	if d.leaving > 0 && !d.stopped && now-d.leaving > leaveAfter && d.broker.Open() == 0 && d.loop.Outbound() == 0 {
+	if d.leaving > 0 && !d.stopped && now-d.leaving > leaveAfter && d.broker.Open() == 0 && d.loop.Outbound() == 0 && d.list.left() {
 		d.stopped = true
-		d.log.printf("left: nothing is open")
+		d.log.Event("left")
 		d.loop.Stop()
 	}
 	wake := d.kept + housekeepEvery
@@ -227,7 +201,9 @@
 		d.pool.Moved(e.Box, e.Restarted)
 	case broker.Probe:
 		d.pool.Probe(e.Box)
+	case broker.Confirm:
+		d.list.confirm(e.Source)
 	case broker.Line:
-		d.log.printf("module: %s", e.Text)
+		d.log.Event(e.Event, e.Fields...)
 	}
 }
--- a/cmd/sloequay/serve_test.go
+++ b/cmd/sloequay/serve_test.go
@@ -24,15 +24,15 @@
 			want: reply{ID: 5, Body: "7f3a9c21e0b4d655", Fields: map[string]string{"tag": "t1", "minted": "1", "remark": "hit"}},
 		},
 		{name: "the client's copy holds", method: "footage", fields: map[string]string{"got": "t1"},
-			script: func(a *asked) { a.answer("NOMOD", "tag=t1", "") },
+			script: func(a *asked) { a.Answer("NOMOD", "tag=t1", "") },
 			want:   reply{ID: 5, Fields: map[string]string{"tag": "t1", "ok304": "1"}},
 		},
 		{name: "a miss is filled", method: "footage",
 			script: func(a *asked) {
 				if a.Fields["via"] == "" {
-					a.answer("NOENT", "-", "")
+					a.Answer("NOENT", "-", "")
 				} else {
-					a.answer("ACK", "tag=t2,remark=filled,lag=3", "bytes\r\nwith a line")
+					a.Answer("ACK", "tag=t2,remark=filled,lag=3", "bytes\r\nwith a line")
 				}
 			},
 			want: reply{ID: 5, Body: "bytes\r\nwith a line",
@@ -40,11 +40,11 @@
 		},
 		{name: "a write goes to the origin with its key and body", method: "charge",
 			fields: map[string]string{"unique": "5c0f"}, body: "post\x00",
-			script: func(a *asked) { a.answer("ACK", "-", a.Box+" "+a.Fields["replay"]+" "+a.Body) },
+			script: func(a *asked) { a.Answer("ACK", "-", a.Box+" "+a.Fields["replay"]+" "+a.Body) },
 			want:   reply{ID: 5, Body: "o1 5c0f post\x00", Fields: map[string]string{}},
 		},
 		{name: "all are full: refused with a wait", method: "footage",
-			script: func(a *asked) { a.answer("AGAIN", "-", "") },
+			script: func(a *asked) { a.Answer("AGAIN", "-", "") },
 			want:   reply{ID: 5, Error: "Overloaded", Fields: map[string]string{"later": "500"}},
 		},
 		{name: "a silent box: answered before the client gives up", method: "footage",
@@ -149,7 +149,7 @@
 	release := make(chan struct{})
 	w := newWorld(t, func(a *asked) {
 		<-release
-		a.answer("ACK", "-", "late")
+		a.Answer("ACK", "-", "late")
 	})
 	w.run()
 	client := w.dial()
@@ -195,8 +195,8 @@
 	quits(2)
 	one.send(request(3, "footage", map[string]string{"txn": first.ID}, "")) // the very id that was given up
 	second := <-late
-	first.answer("ACK", "-", "old")
-	second.answer("ACK", "-", "new")
+	first.Answer("ACK", "-", "old")
+	second.Answer("ACK", "-", "new")
 	if diff := cmp.Diff(reply{ID: 3, Body: "new", Fields: map[string]string{}}, one.want()); diff != "" {
 		t.Errorf("answer (-want +got):\n%s", diff)
 	}
@@ -208,7 +208,7 @@
 	release := make(chan struct{})
 	w := newWorld(t, func(a *asked) {
 		<-release
-		a.answer("ACK", "-", a.Box)
+		a.Answer("ACK", "-", a.Box)
 	}, "c2")
 	w.run()
 	client := w.dial()
--- a/cmd/sloequay/service_test.go
+++ b/cmd/sloequay/service_test.go
@@ -91,7 +91,7 @@
 	var w *world
 	w = newWorld(t, func(a *asked) {
 		if a.Fields["thing"] == "7f3a9c21e0b4d655" {
-			a.answer("ACK", "-", "served")
+			a.Answer("ACK", "-", "served")
 		}
 	})
 	w.run()
@@ -165,7 +165,7 @@
 		if a.Fields["nth"] == "1" {
 			<-release
 		}
-		a.answer("ACK", "-", a.ID)
+		a.Answer("ACK", "-", a.ID)
 	})
 	w.config["limits"] = map[string]any{"cores": 1, "memory_mb": 32, "sockets": 64}
 	w.run()
@@ -190,13 +190,13 @@
 // deadline, and a QUIT on it does not arrive. It is found by a NOOP and closed, and its requests go out on another.
 func TestSilentConnection(t *testing.T) {
 	var w *world
-	cut := func(a *asked) bool { return a.conn == w.lines(word("ASK"))[0].conn }
+	cut := func(a *asked) bool { return a.Conn == w.lines(word("ASK"))[0].Conn }
 	w = newWorld(t, func(a *asked) {
 		if !cut(a) {
-			a.answer("ACK", "-", "again")
+			a.Answer("ACK", "-", "again")
 		}
 	}, "c2")
-	w.deaf = cut
+	w.fleet.Deaf(cut)
 	w.run()
 	client := w.dial()
 	for id := range uint64(3) {
@@ -219,11 +219,11 @@
 	read := make(chan bool)
 	w = newWorld(t, func(a *asked) {
 		if first := w.lines(word("ASK"))[0]; a != first {
-			a.answer("ACK", "-", a.Fields["nth"])
+			a.Answer("ACK", "-", a.Fields["nth"])
 		}
 	}, "c2")
-	w.deaf = func(a *asked) bool {
-		if quits := w.lines(word("QUIT")); len(quits) > 0 && a.conn == quits[0].conn {
+	w.fleet.Deaf(func(a *asked) bool {
+		if quits := w.lines(word("QUIT")); len(quits) > 0 && a.Conn == quits[0].Conn {
 			time.Sleep(50 * time.Millisecond)
 			if asks := w.lines(func(a *asked) bool { return a.Word == "ASK" && a.ID == quits[0].ID }); len(asks) > 1 {
 				t.Error("the next attempt went out before the QUIT was read for certain")
@@ -231,7 +231,7 @@
 			close(read)
 		}
 		return false
-	}
+	})
 	w.run()
 	client := w.dial()
 	patient := func(nth, ram string) map[string]string {
@@ -289,7 +289,7 @@
 			next <- conn
 		}
 	}()
-	go w.serveBox("c1", handed{ln, next})
+	go w.fleet.Serve("c1", handed{ln, next})
 	w.run()
 	client := w.dial()
 	for id := range uint64(4) {
--- /dev/null
+++ b/cmd/sloequay/sources.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"io/fs"
+	"sync/atomic"
+	"time"
+
+	"sloequay/broker"
+	"sloequay/membership"
+	"sloequay/membership/bulletin"
+	"sloequay/membership/consul"
+	"sloequay/snapshot"
+	"sloequay/snapshot/disk"
+)
+
+// sources joins the sources of boxes and purges to the doorman. Its methods run on the loop.
+type sources struct {
+	doorman   *doorman
+	catalogue *consul.Catalogue // nil: off
+	end       context.CancelFunc
+	leaving   chan struct{} // closed with the end: the registration is to be taken back
+	kept      atomic.Bool   // the registration is being kept, or taken back
+	saved     time.Duration // when the last snapshot was begun
+	version   uint64        // of the list that it has
+	saving    bool
+}
+
+// start hands on what was known at the start, and begins to follow.
+func (s *sources) start() {
+	d := s.doorman
+	p := d.plan
+	s.leaving = make(chan struct{})
+	emit := func(e broker.Event) {
+		switch e.(type) {
+		case broker.Listing, broker.Changes, broker.Speaks:
+			if !p.own.bulletin {
+				return
+			}
+		}
+		d.emit(e)
+	}
+	s.restore()
+	for _, e := range p.known {
+		emit(e)
+	}
+	d.bulletin = &bulletin.Reader{Loop: d.loop, Address: p.settings.Bulletin, Names: p.names, Last: p.last, Emit: emit,
+		Now: clock, Log: d.log.Event}
+	if p.own.catalogue == nil {
+		return
+	}
+	var ctx context.Context
+	ctx, s.end = context.WithCancel(context.Background())
+	log := func(event string, fields ...any) { d.loop.Post(func() { d.log.Event(event, fields...) }) }
+	s.catalogue = &consul.Catalogue{Config: p.own.catalogue, Names: p.names.Names, First: p.first, Tell: s.tell, Log: log,
+		Now: clock, Seed: p.settings.Seed}
+	if err := s.catalogue.Start(ctx); err != nil {
+		log("catalogue-lost", "error", err)
+	}
+	if p.own.catalogue.Register != nil {
+		s.kept.Store(true)
+		go func() {
+			defer s.kept.Store(false)
+			if err := s.catalogue.Keep(s.leaving, p.settings.Name, p.settings.Listen); err != nil {
+				log("catalogue-register", "error", err)
+			}
+			d.loop.Post(d.loop.NeedRound)
+		}()
+	}
+}
+
+// tell takes events to the loop and returns once they are there.
+func (s *sources) tell(events ...broker.Event) {
+	taken := make(chan struct{})
+	s.doorman.loop.Post(func() {
+		for _, e := range events {
+			s.doorman.emit(e)
+		}
+		s.doorman.loop.NeedRound()
+		close(taken)
+	})
+	<-taken
+}
+
+func (s *sources) confirm(src int) {
+	if s.catalogue != nil {
+		s.catalogue.Confirm(src)
+	}
+}
+
+// leave begins the end.
+func (s *sources) leave() { close(s.leaving) }
+
+// left says whether nothing of the end is left to do.
+func (s *sources) left() bool { return !s.kept.Load() }
+
+// restore reads the snapshot.
+func (s *sources) restore() {
+	d := s.doorman
+	cfg := d.plan.own.snapshot
+	if cfg == nil {
+		return
+	}
+	disk.Clean(cfg.File)
+	c := d.plan.settings.Control
+	words, age, err := disk.Read(cfg.File, clock(), cfg.Oldest, len(c.ZoneNames), len(c.KindNames))
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+	case err != nil:
+		d.log.Event("snapshot-refused", "file", cfg.File, "error", err)
+	default:
+		d.log.Event("snapshot-read", "file", cfg.File, "age", age.Round(time.Millisecond))
+		d.emit(broker.Restored{Words: words})
+	}
+}
+
+// tick writes a snapshot when the list has changed and its time has come. The disk is waited for on a goroutine.
+func (s *sources) tick(now time.Duration) {
+	d := s.doorman
+	cfg := d.plan.own.snapshot
+	if cfg == nil || s.saving || now-s.saved < cfg.Every {
+		return
+	}
+	version, words := d.plan.members.Changed(), []membership.Words(nil)
+	if version == s.version {
+		// Nothing has changed; but how old it is must not count from the change.
+		if now-s.saved < max(cfg.Every, cfg.Oldest/10) {
+			return
+		}
+	}
+	words = d.plan.members.Export()
+	if len(words) == 0 {
+		return
+	}
+	s.saving, s.saved, s.version = true, now, version
+	go func() {
+		data, err := snapshot.Encode(now, words)
+		if err == nil {
+			err = disk.Write(cfg.File, data)
+		}
+		d.loop.Post(func() {
+			if s.saving = false; err != nil {
+				d.log.Event("snapshot-failed", "error", err)
+			}
+		})
+	}()
+}
--- a/cmd/sloequay/world_test.go
+++ b/cmd/sloequay/world_test.go
@@ -1,11 +1,10 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -17,9 +16,7 @@
 	"testing"
 	"time"
 
-	"github.com/miekg/dns"
-
-	"sloequay/msgpack"
+	"sloequay/standin"
 )
 
 // patience is how long a test waits for what must happen; no test rests on anything taking long.
@@ -42,14 +39,7 @@
 }
 
 // asked is one line that a stand-in box has read.
-type asked struct {
-	Box, Word, ID string
-	Fields        map[string]string
-	Body          string
-	At            time.Time
-	answer        func(word, fields, body string)
-	conn          net.Conn
-}
+type asked = standin.Asked
 
 // logbook is what the program logs; it may be read while the program runs.
 type logbook struct {
@@ -74,6 +64,7 @@
 	t        *testing.T
 	config   map[string]any
 	flags    []string
+	conf     string // our settings, which w.own adds to
 	ip       string
 	listen   string
 	dns      string
@@ -83,43 +74,43 @@
 	log      logbook
 	cmd      *exec.Cmd
 	exited   chan error
+	fleet    *standin.Fleet
 	boxes    map[string]net.Listener
-	bulletin net.Listener
+	bulletin *standin.Bulletin
 	full     net.Listener // see fullListener
 	feed     chan string  // lines for the bulletin to tell
 	after    chan string  // what the program asked of the bulletin
-
-	mu     sync.Mutex
-	script func(a *asked)      // what boxes do; nil: answer hit with the object as the body
-	deaf   func(a *asked) bool // whether a NOOP is not answered; nil: all are
-	heard  []*asked
-	names  []string // what the name server was asked for
-	cond   *sync.Cond
+	names    *standin.NameServer
 }
 
 // newWorld has caches c1 and c2, the parent p1 and the origin o1, all listed but for those in absent.
 func newWorld(t *testing.T, script func(*asked), absent ...string) *world {
-	w := &world{t: t, script: script, boxes: map[string]net.Listener{}, feed: make(chan string, 64),
-		after: make(chan string, 64)}
-	w.cond = sync.NewCond(&w.mu)
+	w := &world{t: t, boxes: map[string]net.Listener{}, fleet: standin.NewFleet(script)}
+	t.Cleanup(w.fleet.Close)
 	for _, b := range []struct{ id, site, class string }{{"c1", "edge", "std"}, {"c2", "edge", "std"},
 		{"p1", "hub", "parent"}, {"o1", "hub", "origin"}} {
-		w.boxes[b.id] = w.listenOn("127.0.0.1:0")
-		go w.serveBox(b.id, w.boxes[b.id])
+		var err error
+		if w.boxes[b.id], err = w.fleet.Add(b.id, "127.0.0.1:0"); err != nil {
+			t.Fatal(err)
+		}
 		if !strings.Contains(strings.Join(absent, " "), b.id) {
 			w.hosts = append(w.hosts, host(b.id, w.boxes[b.id].Addr().String(), b.site, b.class, "up", 0))
 		}
 	}
-	w.bulletin = w.listenOn("127.0.0.1:0")
-	go w.serveBulletin()
+	var err error
+	if w.bulletin, err = standin.NewBulletin(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.bulletin.Close)
+	w.feed, w.after = w.bulletin.Feed, w.bulletin.After
 	w.listen = w.free()
 	var site any
-	if err := json.Unmarshal([]byte(siteSettings), &site); err != nil {
+	if err := json.Unmarshal([]byte(standin.Settings), &site); err != nil {
 		t.Fatal(err)
 	}
 	w.config = map[string]any{"name": "n1", "listen": w.listen, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "settings": site,
-		"bulletin": w.bulletin.Addr().String(), "known": map[string]any{"no": 1, "items": []any{
+		"bulletin": w.bulletin.Address(), "known": map[string]any{"no": 1, "items": []any{
 			map[string]any{"no": 1, "roster": map[string]any{"seq": 1, "whole": true, "hosts": w.hosts}}}}}
 	t.Cleanup(func() {
 		w.kill()
@@ -130,19 +121,6 @@
 	return w
 }
 
-// siteSettings has a class of each kind: kept until purged, kept for 20 s, and keyed writes.
-const siteSettings = `{"classes":[
-{"name":"footage","on-time-ms":500,"deadline-ms":6000,"worth":2,"aim-stretch":2,"idempotency":"repeatable"},
-{"name":"lookup","on-time-ms":250,"deadline-ms":3000,"worth":1,"aim-stretch":2,"idempotency":"repeatable"},
-{"name":"charge","on-time-ms":700,"deadline-ms":3000,"worth":3,"idempotency":"by_key","group":"all","window-ms":3000}],
-"n-instances":1,"ordinal":0,"zone":1,"dcs":["hub","edge"],"machine-types":["std","parent","origin"],"weights":"rough",
-"family-info":{"shield-kind":1,"master-kind":2,"max-age-ms":[0,20000,0],"stale-for-ms":[0,10000,0],
-"uncached":[false,false,true],"instances-by-zone":[0,1],"pass-through-ok":true,"peers-fill":"any","detail":"all",
-"one-flow-kb-per-s":9500,"purge-slack-ms":300,"purge-takes-ms":6000},
-"limits":{"attempts-cap":6,"cancelling":true,"may-probe":true,"second-copies":false,"streams-per-conn":32,"dial-timeout-ms":400,
-"conn-idle-ms":30000,"retry-after":true,"max-retry-after-ms":500,"open-cap":20000},
-"safety":{"drain-grace-ms":1000,"answer-slack-ms":8}}`
-
 func host(id, dial, site, class, health string, born int64) map[string]any {
 	return map[string]any{"host": id, "dial": dial, "site": site, "class": class, "block": 0, "health": health,
 		"share": 4, "born_ms": born}
@@ -172,86 +150,6 @@
 	return ln
 }
 
-// serveBox is a stand-in for a cache, the parent or the origin.
-func (w *world) serveBox(id string, ln net.Listener) {
-	for {
-		conn, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			defer conn.Close()
-			r := bufio.NewReader(conn)
-			var writing sync.Mutex
-			for {
-				line, err := r.ReadString('\n')
-				if err != nil {
-					return
-				}
-				words := strings.Fields(line)
-				a := &asked{Box: id, Word: words[0], ID: words[1], Fields: map[string]string{}, At: time.Now(), conn: conn}
-				if a.Word == "ASK" {
-					for _, f := range strings.Split(words[2], ",") {
-						name, value, _ := strings.Cut(f, "=")
-						a.Fields[name] = value
-					}
-					var n int
-					if _, err := fmt.Sscan(words[3], &n); err != nil {
-						return
-					}
-					body := make([]byte, n+2)
-					if _, err := io.ReadFull(r, body); err != nil {
-						return
-					}
-					a.Body = string(body[:n])
-				}
-				a.answer = func(word, fields, body string) {
-					writing.Lock()
-					defer writing.Unlock()
-					_, _ = fmt.Fprintf(conn, "%s %s %s %d\r\n%s\r\n", a.ID, word, fields, len(body), body)
-				}
-				w.mu.Lock()
-				w.heard = append(w.heard, a)
-				script, deaf := w.script, w.deaf
-				w.cond.Broadcast()
-				w.mu.Unlock()
-				switch {
-				case a.Word == "NOOP" && (deaf == nil || !deaf(a)):
-					a.answer("READY", "-", "")
-				case a.Word != "ASK":
-				case script != nil:
-					go script(a)
-				default:
-					a.answer("ACK", "tag=t1,minted=1,remark=hit", a.Fields["thing"])
-				}
-			}
-		}()
-	}
-}
-
-// serveBulletin tells each line of feed to whoever is connected. The line "!" ends the connection.
-func (w *world) serveBulletin() {
-	for {
-		conn, err := w.bulletin.Accept()
-		if err != nil {
-			return
-		}
-		line, err := bufio.NewReader(conn).ReadString('\n')
-		if err == nil {
-			w.after <- strings.TrimSpace(line)
-			for text := range w.feed {
-				if text == "!" {
-					break
-				}
-				if _, err := io.WriteString(conn, text+"\n"); err != nil {
-					break
-				}
-			}
-		}
-		_ = conn.Close()
-	}
-}
-
 // run starts the program and waits until it is ready.
 func (w *world) run() {
 	w.t.Helper()
@@ -266,17 +164,24 @@
 	cmd := w.cmd
 	go func() { exited <- cmd.Wait() }()
 	w.exited = exited
-	w.until("the program answers status", func() bool {
-		conn, err := net.Dial("tcp", w.listen)
-		if err != nil {
-			return false
-		}
-		defer conn.Close()
-		c := &client{t: w.t, conn: conn, r: bufio.NewReader(conn)}
-		c.send(request(1, "status", nil, ""))
-		a, err := c.read()
-		return err == nil && a.Ready
-	})
+	w.until("the program answers status", func() bool { return standin.Ready(w.listen) })
+}
+
+// own adds to our settings, and has the program read them.
+func (w *world) own(text string) {
+	w.t.Helper()
+	if w.conf == "" {
+		w.conf = filepath.Join(w.t.TempDir(), "sloequay.conf")
+		w.flags = append(w.flags, "--conf", w.conf)
+	}
+	f, err := os.OpenFile(w.conf, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err == nil {
+		_, err = f.WriteString(text + "\n")
+		err = errors.Join(err, f.Close())
+	}
+	if err != nil {
+		w.t.Fatal(err)
+	}
 }
 
 // configure writes the configuration.
@@ -318,163 +223,54 @@
 }
 
 // lines gives what the boxes have heard that fits.
-func (w *world) lines(fits func(*asked) bool) []*asked {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	var out []*asked
-	for _, a := range w.heard {
-		if fits(a) {
-			out = append(out, a)
-		}
-	}
-	return out
-}
+func (w *world) lines(fits func(*asked) bool) []*asked { return w.fleet.Heard(fits) }
 
-func (w *world) setScript(script func(*asked)) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.script = script
-}
+func (w *world) setScript(script func(*asked)) { w.fleet.Script(script) }
 
 // nameServer is a stand-in for the name server that knows boxes listed by name.
 func (w *world) nameServer(records map[string]string) {
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
+	var err error
+	if w.names, err = standin.NewNameServer(records); err != nil {
 		w.t.Fatal(err)
 	}
-	w.t.Cleanup(func() { _ = conn.Close() })
-	w.resolver = conn.LocalAddr().String()
-	go func() {
-		packet := make([]byte, 2000)
-		for {
-			n, from, err := conn.ReadFrom(packet)
-			if err != nil {
-				return
-			}
-			q := &dns.Msg{}
-			if q.Unpack(packet[:n]) != nil {
-				continue
-			}
-			name := q.Question[0].Name
-			w.mu.Lock()
-			w.names = append(w.names, name)
-			w.mu.Unlock()
-			m := new(dns.Msg).SetReply(q)
-			m.Answer = append(m.Answer, &dns.A{A: net.ParseIP(records[name]),
-				Hdr: dns.RR_Header{Name: name, Rrtype: dns.TypeA, Class: dns.ClassINET}})
-			if out, err := m.Pack(); err == nil {
-				_, _ = conn.WriteTo(out, from)
-			}
-		}
-	}()
-}
-
-// asked gives the names that the name server was asked for.
-func (w *world) asked() []string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return append([]string(nil), w.names...)
+	w.t.Cleanup(w.names.Close)
+	w.resolver = w.names.Address()
 }
 
 func word(word string) func(*asked) bool { return func(a *asked) bool { return a.Word == word } }
 
-// client is a stand-in for a client of the platform's front.
+// client is a stand-in for a client of the platform's front, for a test.
 type client struct {
 	t    *testing.T
 	conn net.Conn
-	r    *bufio.Reader
+	c    *standin.Client
 }
 
 func (w *world) dial() *client {
 	w.t.Helper()
-	conn, err := net.Dial("tcp", w.listen)
+	c, err := standin.Dial(w.listen)
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	w.t.Cleanup(func() { _ = conn.Close() })
-	return &client{t: w.t, conn: conn, r: bufio.NewReader(conn)}
+	w.t.Cleanup(func() { _ = c.Conn.Close() })
+	return &client{t: w.t, conn: c.Conn, c: c}
 }
 
 func (c *client) send(b []byte) {
 	c.t.Helper()
-	if _, err := c.conn.Write(b); err != nil {
+	if err := c.c.Send(b); err != nil {
 		c.t.Fatal(err)
 	}
 }
 
 // reply is an answer as the client reads it.
-type reply struct {
-	ID     uint64
-	Error  string // empty: served
-	Fields map[string]string
-	Body   string
-	Ready  bool // of status
-}
+type reply = standin.Reply
 
-// request builds a frame; fields override those of a sound request for object 7f3a9c21e0b4d655.
-func request(id uint64, method string, fields map[string]string, body string) []byte {
-	all := map[string]string{"txn": fmt.Sprintf("%016x", id), "limit": "2000", "item": "7f3a9c21e0b4d655", "nth": "0",
-		"batch": "3", "ram": "40"}
-	for k, v := range fields {
-		all[k] = v
-	}
-	b := msgpack.AppendText(msgpack.AppendUint(msgpack.AppendUint(msgpack.AppendArray(nil, 4), 0), id), method)
-	if method == "status" {
-		return msgpack.AppendMap(msgpack.AppendArray(b, 1), 0)
-	}
-	b = msgpack.AppendMap(msgpack.AppendArray(b, 2), len(all))
-	for k, v := range all {
-		b = msgpack.AppendText(msgpack.AppendText(b, k), v)
-	}
-	return msgpack.AppendBinary(b, []byte(body))
-}
+// request builds a frame; see standin.Request.
+var request = standin.Request
 
 // read takes one answer.
-func (c *client) read() (reply, error) {
-	_ = c.conn.SetReadDeadline(time.Now().Add(patience))
-	var data []byte
-	for {
-		b, err := c.r.ReadByte()
-		if err != nil {
-			return reply{}, err
-		}
-		data = append(data, b)
-		if a, ok := parseReply(data); ok {
-			return a, nil
-		}
-	}
-}
-
-func parseReply(data []byte) (reply, bool) {
-	r := msgpack.Reader{Data: data}
-	r.Array()
-	r.Uint()
-	a := reply{ID: r.Uint(), Fields: map[string]string{}}
-	if r.Err != nil || r.Pos >= len(data) {
-		return a, false
-	}
-	failed := data[r.Pos] != 0xc0
-	if !failed {
-		r.Skip()
-	}
-	r.Array()
-	switch {
-	case failed:
-		a.Error = string(r.Text(100))
-	case r.Err == nil && r.Pos < len(data) && data[r.Pos]|1 == 0xc3:
-		a.Ready = data[r.Pos] == 0xc3
-		r.Skip()
-	default:
-		a.Body = string(r.Binary(1 << 20))
-	}
-	for n := r.Map(); n > 0 && r.Err == nil; n-- {
-		a.Fields[string(r.Text(1000))] = string(r.Text(1000))
-	}
-	if failed {
-		r.Skip()
-	}
-	return a, r.Err == nil
-}
+func (c *client) read() (reply, error) { return c.c.Read(patience) }
 
 // want reads one answer and fails without it.
 func (c *client) want() reply {
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -1,14 +1,13 @@
 // Package contract holds what each team has agreed to: the classes it may use, its rate of requests, how many it may
-// have open, and a budget that every attempt is charged to. It is in the file that `serve --contracts` names.
+// have open, and a budget that every attempt is charged to. It is the block `contracts` of the settings.
 package contract
 
 import (
 	"fmt"
-	"os"
 	"slices"
 	"time"
 
-	"github.com/tidwall/gjson"
+	"sloequay/conf"
 )
 
 // Book is all contracts. A nil Book allows everything.
@@ -38,72 +37,42 @@
 // openWait is told where too many are open: one may end any time.
 const openWait = 100 * time.Millisecond
 
-// Load reads the contracts of a file.
-func Load(path string) (*Book, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fmt.Errorf("contracts: %w", err)
-	}
-	return Parse(text)
-}
-
-// Parse reads {"teams":{"NAME":{"classes":[...],"requests_per_s":N,"burst":N,"open":N,"attempts_per_s":N,
-// "attempts_burst":N},...}}. The team "*" stands for all that are not named.
-func Parse(text []byte) (*Book, error) {
-	if !gjson.ValidBytes(text) {
-		return nil, fmt.Errorf("contracts: not valid JSON")
-	}
-	teams := gjson.GetBytes(text, "teams")
-	if !teams.IsObject() {
-		return nil, fmt.Errorf("contracts: teams: expected an object")
-	}
+// Section gives the directives of the block `contracts`, and Book what they say once it was read.
+func Section() (*conf.Section, *Book) {
 	b := &Book{teams: map[string]*Account{}}
-	var err error
-	teams.ForEach(func(name, c gjson.Result) bool {
-		var a *Account
-		if a, err = parseAccount("contracts: teams."+name.String(), c); err != nil {
-			return false
+	s := &conf.Section{}
+	s.Block("team", true, "what one team has agreed to", func(words []string) (*conf.Section, error) {
+		if len(words) != 1 {
+			return nil, fmt.Errorf("expected the team's name, got %d words", len(words))
 		}
-		if name.String() == "*" {
-			b.other = a
-		} else {
-			b.teams[name.String()] = a
+		if b.teams[words[0]] != nil {
+			return nil, fmt.Errorf("the team %s is named twice", words[0])
 		}
-		return true
+		b.teams[words[0]] = &Account{}
+		return b.teams[words[0]].section(), nil
 	})
-	return b, err
+	s.Block("others", false, "what all teams have that are not named; without it they are refused",
+		func(words []string) (*conf.Section, error) {
+			b.other = &Account{}
+			return b.other.section(), nil
+		})
+	return s, b
 }
 
-func parseAccount(where string, c gjson.Result) (*Account, error) {
-	if !c.IsObject() {
-		return nil, fmt.Errorf("%s: expected an object", where)
-	}
-	a := &Account{}
-	numbers := map[string]float64{}
-	var err error
-	c.ForEach(func(k, v gjson.Result) bool {
-		switch key := k.String(); key {
-		case "classes":
-			for _, class := range v.Array() {
-				a.classes = append(a.classes, class.String())
-			}
-			if len(a.classes) == 0 {
-				err = fmt.Errorf("%s.classes: expected a list of class names", where)
-			}
-		case "requests_per_s", "burst", "open", "attempts_per_s", "attempts_burst":
-			if v.Type != gjson.Number || v.Num < 0 {
-				err = fmt.Errorf("%s.%s: expected a number of 0 or more", where, key)
-			}
-			numbers[key] = v.Num
-		default:
-			err = fmt.Errorf("%s.%s: unknown key", where, key)
-		}
-		return err == nil
+func (a *Account) section() *conf.Section {
+	var requests, attempts, burst, attemptsBurst float64
+	s := &conf.Section{}
+	s.Words("class", &a.classes, nil, "classes that it may use; all without it")
+	s.Int("open", &a.most, 0, 1<<30, "requests open together; 0: no limit")
+	s.Rate("requests", &requests, 0, 1e9, "requests a second; no limit without it")
+	s.Number("burst", &burst, 0, 1e9, "requests at once; a second's worth without it")
+	s.Rate("attempts", &attempts, 0, 1e9, "attempts a second; no limit without it")
+	s.Number("attempts-burst", &attemptsBurst, 0, 1e9, "attempts at once; a second's worth without it")
+	s.Check(func() error {
+		a.rate, a.budget = newBucket(requests, burst), newBucket(attempts, attemptsBurst)
+		return nil
 	})
-	a.most = int(numbers["open"])
-	a.rate = newBucket(numbers["requests_per_s"], numbers["burst"])
-	a.budget = newBucket(numbers["attempts_per_s"], numbers["attempts_burst"])
-	return a, err
+	return s
 }
 
 // newBucket is full; without a burst it holds one second's worth, and always room for one.
--- a/depot/depot.go
+++ b/depot/depot.go
@@ -48,7 +48,7 @@
 	May       func(*broker.Attempt, time.Duration) (time.Duration, bool)
 	Resolve   func(name string, done func(netip.Addr, error))
 	Barred    func(address string) bool // that a name server gave
-	Log       func(format string, args ...any)
+	Log       func(event string, fields ...any)
 	Classes   []control.Class
 	DialLimit time.Duration
 	Idle      time.Duration // after which the boxes close an idle connection; 0: never
@@ -118,7 +118,7 @@
 	l := p.pick(p.depot(a.Box), a.Request.ID)
 	switch {
 	case l == nil:
-		p.Log("depot-crowded: no descriptor is left for box %s", a.Box.Host)
+		p.Log("depot-crowded", "box", a.Box.Host)
 		p.Emit(broker.Ending{Attempt: a, End: broker.Crowded})
 	case l.conn == nil:
 		l.waiting = append(l.waiting, a)
@@ -231,7 +231,7 @@
 		end = broker.Unsent
 	}
 	if len(l.waiting) > 0 {
-		l.pool.Log("depot-dial: box %s at %s: %v", l.depot.box.Host, l.address, err)
+		l.pool.Log("depot-dial", "box", l.depot.box.Host, "address", l.address, "error", err)
 	}
 	for _, a := range l.waiting {
 		l.pool.Emit(broker.Ending{Attempt: a, End: end})
@@ -328,7 +328,7 @@
 	o := l.open[a.id]
 	if o == nil {
 		if _, quit := l.quit[a.id]; !quit {
-			l.pool.Log("depot-stray: box %s answered %.32q, which was not open", l.depot.box.Host, a.id)
+			l.pool.Log("depot-stray", "box", l.depot.box.Host, "id", fmt.Sprintf("%.32s", a.id))
 		}
 		return nil // a late answer, or one too many; another may follow, so the id stays known
 	}
@@ -365,14 +365,14 @@
 
 // silenced ends a connection on which nothing comes any more. A QUIT would not arrive; the close gives all up.
 func (l *link) silenced() {
-	l.pool.Log("depot-silent: box %s: a connection with %d open does not answer; closed it", l.depot.box.Host, len(l.open))
+	l.pool.Log("depot-silent", "box", l.depot.box.Host, "open", len(l.open))
 	l.endAll(func(*pending) broker.End { return broker.Silenced })
 	l.retire()
 }
 
 // garbled ends the connection whose answers can't be read.
 func (l *link) garbled(err error) {
-	l.pool.Log("depot-garbled: box %s: %v; closed the connection", l.depot.box.Host, err)
+	l.pool.Log("depot-garbled", "box", l.depot.box.Host, "error", err)
 	l.endAll(func(*pending) broker.End { return broker.Garbled })
 	l.retire()
 }
@@ -394,7 +394,7 @@
 func (l *link) Closed(c *loop.Conn, err error) {
 	taken := c.Taken()
 	if len(l.open) > 0 {
-		l.pool.Log("depot-broken: box %s: connection ended with %d open: %v", l.depot.box.Host, len(l.open), err)
+		l.pool.Log("depot-broken", "box", l.depot.box.Host, "open", len(l.open), "error", fmt.Sprint(err))
 	}
 	l.endAll(func(o *pending) broker.End {
 		if o.start >= taken {
--- a/dnsfront/config.go
+++ b/dnsfront/config.go
@@ -3,14 +3,14 @@
 import (
 	"fmt"
 	"net/netip"
-	"os"
 	"time"
 
 	"github.com/miekg/dns"
-	"github.com/tidwall/gjson"
+
+	"sloequay/conf"
 )
 
-// Config is the file that turns the DNS side on.
+// Config is the block `dns` of the settings, which turns the DNS side on.
 type Config struct {
 	Listen       string        // ip:port, UDP and TCP
 	Zone         string        // lower case, with the last dot
@@ -19,37 +19,32 @@
 	ResolveLimit time.Duration
 }
 
-// Load reads {"listen":"127.0.0.1:5300","zone":"boxes.example.","limit_ms":2000,"resolver":"127.0.0.1:5301",
-// "resolve_ms":300}.
-func Load(path string) (*Config, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fmt.Errorf("dns: %w", err)
-	}
-	if !gjson.ValidBytes(text) {
-		return nil, fmt.Errorf("dns: not valid JSON")
-	}
-	j := gjson.ParseBytes(text)
-	c := &Config{Listen: j.Get("listen").String(), Zone: dns.CanonicalName(j.Get("zone").String()),
-		Limit: 2 * time.Second, Resolver: j.Get("resolver").String(), ResolveLimit: 300 * time.Millisecond}
-	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
-		return nil, fmt.Errorf("dns: listen: %w", err)
-	}
-	if _, ok := dns.IsDomainName(c.Zone); !ok || c.Zone == "." {
-		return nil, fmt.Errorf("dns: zone: %q is not a domain name", c.Zone)
-	}
-	if c.Resolver != "" {
-		if _, err := netip.ParseAddrPort(c.Resolver); err != nil {
-			return nil, fmt.Errorf("dns: resolver: %w", err)
+// Section gives the directives of the block.
+func (c *Config) Section() *conf.Section {
+	c.Limit, c.ResolveLimit = 2*time.Second, 300*time.Millisecond
+	address := func(s string) error {
+		if _, err := netip.ParseAddrPort(s); err != nil {
+			return fmt.Errorf("expected ip:port, got %q", s)
 		}
+		return nil
 	}
-	for key, d := range map[string]*time.Duration{"limit_ms": &c.Limit, "resolve_ms": &c.ResolveLimit} {
-		if v := j.Get(key); v.Exists() {
-			if v.Type != gjson.Number || v.Num < 1 || v.Num > 60000 {
-				return nil, fmt.Errorf("dns: %s: expected 1 to 60000", key)
-			}
-			*d = time.Duration(v.Num * float64(time.Millisecond))
+	s := &conf.Section{}
+	s.Text("listen", &c.Listen, address, "where queries come, by UDP and TCP")
+	s.Text("zone", &c.Zone, func(zone string) error {
+		if _, ok := dns.IsDomainName(zone); !ok || dns.CanonicalName(zone) == "." {
+			return fmt.Errorf("%q is not a domain name", zone)
 		}
-	}
-	return c, nil
+		return nil
+	}, "the zone whose names are requests")
+	s.Duration("limit", &c.Limit, time.Millisecond, time.Minute, "that a query waits at most")
+	s.Text("resolver", &c.Resolver, address, "name server that knows boxes listed by name")
+	s.Duration("resolve-limit", &c.ResolveLimit, time.Millisecond, time.Minute, "for the address of one name")
+	s.Check(func() error {
+		if c.Listen == "" || c.Zone == "" {
+			return fmt.Errorf("listen and zone are needed")
+		}
+		c.Zone = dns.CanonicalName(c.Zone)
+		return nil
+	})
+	return s
 }
--- a/dnsfront/dnsfront.go
+++ b/dnsfront/dnsfront.go
@@ -35,7 +35,7 @@
 	Classes []control.Class
 	Emit    func(broker.Event)
 	Now     func() time.Duration
-	Log     func(format string, args ...any)
+	Log     func(event string, fields ...any)
 	Box     func(host string) *broker.Box // of the list; nil: unknown
 	Most    int                           // TCP connections
 	Seed    uint64
@@ -90,7 +90,7 @@
 	}
 	w := &waiter{query: q, reply: reply, most: leastUDP, stream: s}
 	if err != nil {
-		f.Log("dns-query: %s sent what can't be read: %v", from, err)
+		f.Log("dns-query", "from", from, "error", err)
 		bare := &dns.Msg{}
 		bare.Id = binary.BigEndian.Uint16(packet)
 		w.query = bare
@@ -249,7 +249,7 @@
 		}
 	}
 	if halves := f.lobby.Tick(now); halves > 0 {
-		f.Log("client-half: closed %d DNS connections with messages that did not end in time", halves)
+		f.Log("client-half", "front", "dns", "connections", halves)
 	}
 }
 
@@ -370,7 +370,7 @@
 		out, err = m.Pack()
 	}
 	if err != nil {
-		f.Log("dns-pack: an answer could not be packed: %v", err)
+		f.Log("dns-pack", "error", err)
 		m = new(dns.Msg).SetRcode(w.query, dns.RcodeServerFailure)
 		if out, err = m.Pack(); err != nil {
 			return
@@ -397,7 +397,7 @@
 	f.init()
 	s := &stream{front: f, from: "tcp " + remote.String()}
 	if s.guest = f.lobby.Enter(f.Now(), s.leave); s.guest == nil {
-		f.Log("client-limit: all DNS connections are busy, closed a new one from %s", remote)
+		f.Log("client-limit", "front", "dns", "from", remote)
 		return nil
 	}
 	return s
--- a/membership/bulletin/bulletin.go
+++ b/membership/bulletin/bulletin.go
@@ -2,18 +2,20 @@
 package bulletin
 
 import (
+	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"net"
-	"slices"
+	"os"
 	"strconv"
 	"time"
 
 	"github.com/tidwall/gjson"
 
 	"sloequay/broker"
-	"sloequay/control"
 	"sloequay/loop"
+	"sloequay/membership"
 )
 
 const (
@@ -29,10 +31,14 @@
 )
 
 // states is what the list calls the states of a box.
-var states = map[string]control.State{"up": control.Ready, "draining": control.Draining, "removed": control.Gone}
+var states = map[string]membership.State{"up": membership.Up, "draining": membership.Draining,
+	"removed": membership.Gone}
 
-// Names gives the places of the words for location and kind.
-type Names struct{ Zones, Kinds []string }
+// Names decodes events for one source of the list.
+type Names struct {
+	membership.Names
+	Source int
+}
 
 // Decode reads one event.
 func (n Names) Decode(e gjson.Result) (no int64, events []broker.Event, err error) {
@@ -57,74 +63,36 @@
 	return no, events, nil
 }
 
-func (n Names) roster(r gjson.Result) (broker.Roster, error) {
-	list := broker.Roster{Whole: r.Get("whole").Bool(), Version: r.Get("seq").Uint()}
+func (n Names) roster(r gjson.Result) (broker.Event, error) {
 	hosts := r.Get("hosts").Array()
 	if !r.Get("hosts").IsArray() || len(hosts) > mostHosts {
-		return list, fmt.Errorf("hosts: expected a list of at most %d", mostHosts)
+		return nil, fmt.Errorf("hosts: expected a list of at most %d", mostHosts)
 	}
+	boxes := make([]membership.Box, 0, len(hosts))
 	for i, h := range hosts {
 		box, err := n.box(h)
 		if err != nil {
-			return list, fmt.Errorf("hosts[%d]: %w", i, err)
+			return nil, fmt.Errorf("hosts[%d]: %w", i, err)
 		}
-		list.Boxes = append(list.Boxes, box)
+		boxes = append(boxes, box)
 	}
-	return list, nil
-}
-
-// Entry is what a source of the list tells of a box, whichever source it is.
-type Entry struct {
-	Host, Dial, Site, Class string
-	Block                   int
-	State                   control.State
-	Weight                  float64
-	Born                    int64 // Unix millisecond of a late start, or 0
+	version := r.Get("seq").Uint()
+	if r.Get("whole").Bool() {
+		return broker.Listing{Source: n.Source, List: membership.List{Version: version, Boxes: boxes}}, nil
+	}
+	return broker.Changes{Source: n.Source, Version: version, Boxes: boxes}, nil
 }
 
-func (n Names) box(h gjson.Result) (broker.Box, error) {
+func (n Names) box(h gjson.Result) (membership.Box, error) {
 	state, ok := states[h.Get("health").String()]
 	if !ok {
-		return broker.Box{}, fmt.Errorf("health %q", h.Get("health").String())
+		return membership.Box{}, fmt.Errorf("health %q", h.Get("health").String())
 	}
-	return n.Box(Entry{Host: h.Get("host").String(), Dial: h.Get("dial").String(), Site: h.Get("site").String(),
-		Class: h.Get("class").String(), Block: int(h.Get("block").Int()), State: state,
+	return n.Box(membership.Entry{Host: h.Get("host").String(), Dial: h.Get("dial").String(),
+		Site: h.Get("site").String(), Class: h.Get("class").String(), Block: int(h.Get("block").Int()), State: state,
 		Weight: h.Get("share").Float(), Born: h.Get("born_ms").Int()})
 }
 
-// Box checks an entry. One that is gone need not tell more than its id.
-func (n Names) Box(e Entry) (broker.Box, error) {
-	b := broker.Box{Host: e.Host, Dial: e.Dial}
-	b.Zone, b.Kind = slices.Index(n.Zones, e.Site), slices.Index(n.Kinds, e.Class)
-	b.Cell, b.State, b.Weight = e.Block, e.State, e.Weight
-	b.Since = time.Duration(e.Born) * time.Millisecond
-	_, _, dialErr := net.SplitHostPort(e.Dial)
-	switch {
-	case !isHost(e.Host):
-		return b, fmt.Errorf("host %q", e.Host)
-	case e.Born < 0 || e.Born > latestClock:
-		return b, fmt.Errorf("%s: born_ms %d", e.Host, e.Born)
-	case e.State == control.Gone:
-	case b.Zone < 0:
-		return b, fmt.Errorf("%s: site %q is not in the settings", e.Host, e.Site)
-	case b.Kind < 0:
-		return b, fmt.Errorf("%s: class %q is not in the settings", e.Host, e.Class)
-	case dialErr != nil:
-		return b, fmt.Errorf("%s: dial: %w", e.Host, dialErr)
-	}
-	return b, nil
-}
-
-// isHost says whether an id can stand in a line to a depot.
-func isHost(s string) bool {
-	for i := range len(s) {
-		if c := s[i]; c <= ' ' || c >= 0x7f || c == ',' || c == '=' {
-			return false
-		}
-	}
-	return s != "" && len(s) <= 255
-}
-
 func decodeRecall(r gjson.Result) (broker.Purge, error) {
 	issued := r.Get("issued")
 	if issued.Type != gjson.Number || issued.Int() < 0 || issued.Int() > latestClock {
@@ -167,6 +135,19 @@
 	return known.Get("no").Int(), events, nil
 }
 
+// Boxes is the number of entries of boxes in events.
+func Boxes(events []broker.Event) (n int) {
+	for _, e := range events {
+		switch e := e.(type) {
+		case broker.Listing:
+			n += len(e.List.Boxes)
+		case broker.Changes:
+			n += len(e.Boxes)
+		}
+	}
+	return n
+}
+
 // Reader keeps a connection to the bulletin and resumes after the last event it has.
 type Reader struct {
 	Loop    *loop.Loop
@@ -175,7 +156,7 @@
 	Last    int64
 	Emit    func(broker.Event)
 	Now     func() time.Duration
-	Log     func(format string, args ...any)
+	Log     func(event string, fields ...any)
 
 	session *session // nil: none, and the next dial is due at again
 	retry   time.Duration
@@ -228,7 +209,8 @@
 // lost drops the connection and sets the time of the next dial.
 func (r *Reader) lost(err error) {
 	if !r.down {
-		r.Log("bulletin-lost: %v; resuming after event %d", err, r.Last)
+		r.Log("bulletin-lost", "error", err, "after", r.Last)
+		r.Emit(broker.Speaks{Source: r.Names.Source, Silent: true})
 	}
 	r.down = true
 	r.drop()
@@ -297,14 +279,14 @@
 	switch {
 	case err != nil && r.badAt == r.Last+1:
 		// It came again after resuming, so it is what the bulletin has; go on without it.
-		r.Log("bulletin-line: skipped: %v", err)
+		r.Log("bulletin-skipped", "error", err)
 		r.skip = true
 		if no == r.Last+1 {
 			r.Last = no
 		}
 	case err != nil:
 		r.badAt = r.Last + 1
-		r.Log("bulletin-line: %v; resuming after event %d", err, r.Last)
+		r.Log("bulletin-line", "error", err, "after", r.Last)
 		r.lost(err)
 	case no <= r.Last:
 	case no > r.Last+1 && r.Last > 0 && !r.skip:
@@ -323,8 +305,46 @@
 	if r.session == nil {
 		return
 	}
+	r.Emit(broker.Speaks{Source: r.Names.Source})
 	if r.retry = 0; r.down {
-		r.Log("bulletin-back: at event %d", r.Last)
+		r.Log("bulletin-back", "at", r.Last)
 		r.down = false
 	}
 }
+
+// Ask connects once and gives the events after one that are there by the first line that tells the last number, or within
+// limit.
+func (n Names) Ask(address string, after int64, limit time.Duration) (events []broker.Event, err error) {
+	end := time.Now().Add(limit)
+	conn, err := net.DialTimeout("tcp", address, limit)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(end); err != nil {
+		return nil, err
+	}
+	if _, err := fmt.Fprintf(conn, "after %d\n", after); err != nil {
+		return nil, err
+	}
+	lines := bufio.NewScanner(conn)
+	lines.Buffer(nil, mostLine)
+	for lines.Scan() {
+		line := bytes.TrimSpace(lines.Bytes())
+		if _, err := strconv.ParseInt(string(line), 10, 64); err == nil {
+			return events, nil
+		}
+		if !gjson.ValidBytes(line) {
+			return events, fmt.Errorf("not valid JSON: %.80q", line)
+		}
+		_, more, err := n.Decode(gjson.ParseBytes(line))
+		if err != nil {
+			return events, err
+		}
+		events = append(events, more...)
+	}
+	if err := lines.Err(); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		return events, err
+	}
+	return events, nil
+}
--- /dev/null
+++ b/membership/consul/client.go
@@ -0,0 +1,89 @@
+package consul
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/consul/api"
+
+	"sloequay/membership/watch"
+)
+
+// clients makes the API's clients, one an agent, with connections of their own.
+func (c *Config) clients() ([]*api.Client, error) {
+	var out []*api.Client
+	for _, agent := range c.Agents {
+		transport := &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+			MaxIdleConnsPerHost: 4, IdleConnTimeout: 90 * time.Second, TLSHandshakeTimeout: 2 * time.Second,
+		}
+		cfg := api.Config{Address: agent, Scheme: "http", Datacenter: c.Datacentre, Transport: transport}
+		if c.TLS != nil {
+			tlsConfig, err := c.TLS.config()
+			if err != nil {
+				return nil, err
+			}
+			cfg.Scheme, transport.TLSClientConfig = "https", tlsConfig
+		}
+		cfg.HttpClient = &http.Client{Transport: transport}
+		client, err := api.NewClient(&cfg)
+		if err != nil {
+			return nil, fmt.Errorf("consul: %w", err)
+		}
+		out = append(out, client)
+	}
+	return out, nil
+}
+
+// token reads the token's file, which may have changed.
+func (c *Config) token() (string, error) {
+	if c.TokenFile == "" {
+		return "", nil
+	}
+	text, err := os.ReadFile(c.TokenFile)
+	return strings.TrimSpace(string(text)), err
+}
+
+// options gives the options of a question. headed is called when its answer begins.
+func (c *Config) options(ctx context.Context, a watch.Ask, token string, headed func()) *api.QueryOptions {
+	if headed != nil {
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: headed})
+	}
+	q := &api.QueryOptions{WaitIndex: a.Index, WaitTime: a.Wait, Token: token, AllowStale: a.Mode == watch.Stale,
+		RequireConsistent: a.Mode == watch.Consistent}
+	return q.WithContext(ctx)
+}
+
+// faultOf says how a question failed.
+func faultOf(err error) watch.Fault {
+	var status api.StatusError
+	var network net.Error
+	switch {
+	case errors.As(err, &status):
+		return watch.Rejected
+	case errors.Is(err, context.DeadlineExceeded), errors.As(err, &network) && network.Timeout():
+		return watch.Hung
+	case errors.As(err, &network), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isReset(err):
+		return watch.Refused
+	}
+	return watch.Garbled
+}
+
+// isReset says whether a connection broke off, which the client tells in words of its own at times.
+func isReset(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) || strings.Contains(err.Error(), "connection reset")
+}
+
+func metaOf(m *api.QueryMeta) watch.Meta {
+	return watch.Meta{Index: m.LastIndex, KnownLeader: m.KnownLeader, LastContact: m.LastContact,
+		Filtered: m.ResultsFilteredByACLs}
+}
--- /dev/null
+++ b/membership/consul/config.go
@@ -0,0 +1,194 @@
+// Package consul follows Consul's catalogue as a source of boxes, and its KV store as one of purges, and keeps the doorman
+// itself registered. What it decides is in membership/watch, membership/health and membership/registrar; here is the I/O,
+// on goroutines of its own, since the client blocks.
+package consul
+
+import (
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/consul/api"
+
+	"sloequay/conf"
+	"sloequay/membership"
+	"sloequay/membership/health"
+	"sloequay/membership/watch"
+)
+
+// Config is the block `catalogue` of the settings.
+type Config struct {
+	Agents     []string // host:port; the first is the one at home
+	TokenFile  string
+	Datacentre string
+	Mode       watch.Mode
+	Watch      watch.Config
+	TLS        *TLS
+	Services   []*Service
+	Purges     string    // prefix of the KV store; empty: none
+	Register   *Register // nil: the doorman does not register itself
+}
+
+// TLS is how agents are spoken to by HTTPS.
+type TLS struct{ CA, Cert, Key, ServerName string }
+
+// Service is one service whose instances are boxes.
+type Service struct {
+	Name   string
+	Tags   []string
+	Filter string
+	Rules  health.Rules
+}
+
+// Register is the doorman's own registration.
+type Register struct {
+	Service, ID, Address string
+	Tags                 []string
+	TTL                  time.Duration
+}
+
+// word refuses what can't be part of a path.
+func word(what string) func(string) error {
+	return func(s string) error {
+		if s == "" || strings.ContainsAny(s, "/?#% ") || len(s) > 255 {
+			return fmt.Errorf("expected the name of a %s, got %q", what, s)
+		}
+		return nil
+	}
+}
+
+func address(s string) error {
+	if _, port, err := net.SplitHostPort(s); err != nil || port == "" {
+		return fmt.Errorf("expected host:port, got %q", s)
+	}
+	return nil
+}
+
+func readable(s string) error {
+	f, err := os.Open(s)
+	if err != nil {
+		return err
+	}
+	return f.Close()
+}
+
+// Section gives the directives of the block.
+func (c *Config) Section() *conf.Section {
+	s := &conf.Section{}
+	c.Watch = watch.Config{Probe: time.Second}.WithDefaults()
+	mode := c.Mode.String()
+	s.Words("agent", &c.Agents, address, "addresses of agents, host:port; the first is the one at home")
+	s.Text("token-file", &c.TokenFile, readable, "file that holds the token; read again for each question")
+	s.Text("datacentre", &c.Datacentre, word("datacentre"), "asked for, where it is not the agents' own")
+	s.Choice("mode", &mode, []string{"default", "stale", "consistent"}, "how consistent answers are to be")
+	s.Duration("stale-most", &c.Watch.StaleMost, 10*time.Millisecond, 10*time.Minute, "oldest answer that mode stale takes")
+	s.Duration("wait", &c.Watch.Wait, time.Second, 10*time.Minute, "of one blocking query")
+	s.Duration("limit", &c.Watch.Limit, 100*time.Millisecond, time.Minute, "for an answer that need not wait")
+	s.Duration("gap", &c.Watch.Gap, 10*time.Millisecond, 800*time.Millisecond, "between two lists while things change")
+	s.Duration("probe", &c.Watch.Probe, 100*time.Millisecond, time.Minute, "silence after which an agent is asked whether it lives")
+	s.Duration("probe-limit", &c.Watch.ProbeFor, 50*time.Millisecond, 10*time.Second, "for the answer to that")
+	s.Duration("home", &c.Watch.Home, time.Second, time.Hour, "after which the agent at home is tried again")
+	s.Text("purges", &c.Purges, nil, "prefix of the KV store that holds purges")
+	s.Block("tls", false, "HTTPS to the agents", func([]string) (*conf.Section, error) {
+		c.TLS = &TLS{}
+		t := &conf.Section{}
+		t.Text("ca", &c.TLS.CA, readable, "file with the authorities that sign agents; the system's without it")
+		t.Text("cert", &c.TLS.Cert, readable, "file with our certificate")
+		t.Text("key", &c.TLS.Key, readable, "file with its key")
+		t.Text("server-name", &c.TLS.ServerName, nil, "name that the agents' certificates have")
+		t.Check(func() error {
+			if (c.TLS.Cert == "") != (c.TLS.Key == "") {
+				return errors.New("cert and key go together")
+			}
+			_, err := c.TLS.config()
+			return err
+		})
+		return t, nil
+	})
+	s.Block("service", true, "a service whose instances are boxes", func(words []string) (*conf.Section, error) {
+		if len(words) != 1 || word("service")(words[0]) != nil {
+			return nil, errors.New("expected the name of one service")
+		}
+		for _, o := range c.Services {
+			if o.Name == words[0] {
+				return nil, fmt.Errorf("the service %s is named twice", o.Name)
+			}
+		}
+		v := &Service{Name: words[0], Rules: health.Default()}
+		c.Services = append(c.Services, v)
+		return v.section(), nil
+	})
+	s.Block("register", false, "the doorman's own registration", func([]string) (*conf.Section, error) {
+		c.Register = &Register{TTL: 10 * time.Second}
+		r := &conf.Section{}
+		r.Text("service", &c.Register.Service, word("service"), "name of the service")
+		r.Text("id", &c.Register.ID, word("instance"), "of this doorman; its name without it")
+		r.Text("address", &c.Register.Address, address, "host:port to be told; where it listens without it")
+		r.Words("tag", &c.Register.Tags, nil, "tags of the instance")
+		r.Duration("ttl", &c.Register.TTL, time.Second, 10*time.Minute, "of the check")
+		r.Check(func() error {
+			if c.Register.Service == "" {
+				return errors.New("service is missing")
+			}
+			return nil
+		})
+		return r, nil
+	})
+	s.Check(func() error {
+		c.Mode, _ = watch.Modes(mode)
+		switch {
+		case len(c.Agents) == 0:
+			return errors.New("no agent is given")
+		case len(c.Services) == 0 && c.Purges == "" && c.Register == nil:
+			return errors.New("neither service nor purges nor register is given")
+		}
+		return nil
+	})
+	return s
+}
+
+func (v *Service) section() *conf.Section {
+	s, r := &conf.Section{}, &v.Rules
+	warning := "up"
+	s.Words("tag", &v.Tags, nil, "tags that an instance must all have")
+	s.Text("filter", &v.Filter, nil, "filter expression of the API")
+	s.Text("id", &r.ID, health.CheckID, "where a box's id comes from: service, node, node/service or meta:KEY")
+	s.Text("site", &r.Site, nil, "site of all instances, where the metadata does not tell it")
+	s.Text("site-key", &r.SiteKey, nil, "metadata that has the site")
+	s.Text("class", &r.Class, nil, "class of all instances, where the metadata does not tell it")
+	s.Text("class-key", &r.ClassKey, nil, "metadata that has the class")
+	s.Text("born-key", &r.BornKey, nil, "metadata that has the Unix millisecond of a late start")
+	s.Text("capacity-key", &r.CapacityKey, nil, "metadata that has the weight; the weights by health without it")
+	s.Words("check", &r.Checks, nil, "checks that count: all, service, node, or ids")
+	s.Words("ignore-check", &r.Ignore, nil, "ids of checks that do not count")
+	s.Choice("warning", &warning, []string{"up", "draining"}, "what a warning means")
+	s.Check(func() error {
+		if r.Warning = membership.Up; warning == "draining" {
+			r.Warning = membership.Draining
+		}
+		return nil
+	})
+	return s
+}
+
+// config loads the files.
+func (t *TLS) config() (*tls.Config, error) {
+	cfg, err := api.SetupTLSConfig(&api.TLSConfig{Address: t.ServerName, CAFile: t.CA, CertFile: t.Cert, KeyFile: t.Key})
+	if err != nil {
+		return nil, fmt.Errorf("tls: %w", err)
+	}
+	cfg.MinVersion = tls.VersionTLS12
+	return cfg, nil
+}
+
+// Sources gives the sources of boxes that the catalogue is, one a service, for the membership's settings.
+func (c *Config) Sources(damping membership.Damping) (out []membership.Source) {
+	for _, v := range c.Services {
+		out = append(out, membership.Source{Name: "consul:" + v.Name, Protect: true, Starts: true, Damping: damping})
+	}
+	return out
+}
--- /dev/null
+++ b/membership/consul/follow.go
@@ -0,0 +1,334 @@
+package consul
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/consul/api"
+
+	"sloequay/broker"
+	"sloequay/membership"
+	"sloequay/membership/health"
+	"sloequay/membership/watch"
+	"sloequay/purge"
+)
+
+// Catalogue is the running source. Its calls to Tell and Log come from goroutines of its own.
+type Catalogue struct {
+	Config *Config
+	Names  membership.Names
+	First  int // the source that the first service is, in the membership's order
+	// Tell hands events on and returns once they are taken, so that a large list comes in parts.
+	Tell func(...broker.Event)
+	Log  func(event string, fields ...any)
+	Now  func() time.Duration
+	Seed uint64
+
+	followers []*follower
+}
+
+// follower keeps one blocking query going: for a service, or for the purges.
+type follower struct {
+	c       *Catalogue
+	name    string // for the log
+	watch   *watch.Watch
+	clients []*api.Client
+	fetch   func(client *api.Client, q *api.QueryOptions) (any, *api.QueryMeta, error)
+	use     func(answer any, v watch.Verdict, index uint64)
+	silent  func(bool)
+	confirm chan struct{}
+	came    chan func()
+	cancel  map[uint64]context.CancelFunc
+	down    bool
+	agent   int
+	why     watch.Why
+	badTok  bool
+}
+
+// partMost is how many new boxes are told together.
+const partMost = 1000
+
+// Start begins to follow, until ctx ends.
+func (c *Catalogue) Start(ctx context.Context) error {
+	for i, v := range c.Config.Services {
+		f, err := c.follower("service " + v.Name)
+		if err != nil {
+			return err
+		}
+		f.service(v, c.First+i)
+		c.followers = append(c.followers, f)
+	}
+	if c.Config.Purges != "" {
+		f, err := c.follower("purges")
+		if err != nil {
+			return err
+		}
+		f.purges(strings.Trim(c.Config.Purges, "/") + "/")
+		c.followers = append(c.followers, f)
+	}
+	for _, f := range c.followers {
+		go f.run(ctx)
+	}
+	return nil
+}
+
+// Confirm has a source asked for its list at once.
+func (c *Catalogue) Confirm(src int) {
+	if i := src - c.First; i >= 0 && i < len(c.Config.Services) {
+		select {
+		case c.followers[i].confirm <- struct{}{}:
+		default: // it is asked for already
+		}
+	}
+}
+
+func (c *Catalogue) follower(name string) (*follower, error) {
+	clients, err := c.Config.clients()
+	if err != nil {
+		return nil, err
+	}
+	cfg := c.Config.Watch
+	cfg.Agents, cfg.Mode, cfg.Seed = len(clients), c.Config.Mode, c.Seed+uint64(len(c.followers))
+	return &follower{c: c, name: name, watch: watch.New(cfg), clients: clients, confirm: make(chan struct{}, 1),
+		came: make(chan func(), 16), cancel: map[uint64]context.CancelFunc{}, silent: func(bool) {}}, nil
+}
+
+// run carries out what the watch decides.
+func (f *follower) run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		for _, a := range f.watch.Step(f.c.Now()) {
+			if a.Start != nil {
+				f.start(ctx, *a.Start)
+			} else if cancel := f.cancel[a.Abort]; cancel != nil {
+				cancel()
+				delete(f.cancel, a.Abort)
+			}
+		}
+		f.report()
+		wait := time.Hour
+		if next := f.watch.Next(); next != 0 {
+			wait = max(0, next-f.c.Now())
+		}
+		timer.Reset(wait)
+		select {
+		case <-ctx.Done():
+			return
+		case came := <-f.came:
+			came()
+		case <-f.confirm:
+			f.watch.Confirm()
+		case <-timer.C:
+		}
+	}
+}
+
+// report logs what the watch has found of the agents.
+func (f *follower) report() {
+	if down := f.watch.Down(); down != f.down {
+		f.down = down
+		if down {
+			f.c.Log("catalogue-lost", "of", f.name, "agents", len(f.clients))
+		} else {
+			f.c.Log("catalogue-back", "of", f.name, "agent", f.c.Config.Agents[f.watch.Agent()], "index", f.watch.Index())
+		}
+		f.silent(down)
+	}
+	if agent := f.watch.Agent(); agent != f.agent {
+		f.agent = agent
+		f.c.Log("catalogue-agent", "of", f.name, "agent", f.c.Config.Agents[agent])
+	}
+}
+
+// start puts a question on a goroutine of its own.
+func (f *follower) start(ctx context.Context, a watch.Ask) {
+	ctx, cancel := context.WithCancel(ctx)
+	f.cancel[a.Serial] = cancel
+	token, err := f.c.Config.token()
+	if err != nil != f.badTok {
+		if f.badTok = err != nil; f.badTok {
+			f.c.Log("catalogue-token", "error", err)
+		}
+	}
+	done := func(came func()) {
+		select {
+		case f.came <- func() { delete(f.cancel, a.Serial); cancel(); came() }:
+		case <-ctx.Done(): // it was called off, and nothing is owed
+		}
+	}
+	client := f.clients[a.Agent]
+	go func() {
+		if a.Kind == watch.Probe {
+			_, err := client.Status().LeaderWithQueryOptions(f.c.Config.options(ctx, a, token, nil))
+			done(func() {
+				if err != nil {
+					f.failed(a, err)
+				} else {
+					f.watch.Probed(f.c.Now(), a.Serial)
+				}
+			})
+			return
+		}
+		headed := func() { f.post(func() { f.watch.Headed(f.c.Now(), a.Serial) }) }
+		answer, meta, err := f.fetch(client, f.c.Config.options(ctx, a, token, headed))
+		done(func() {
+			if err != nil {
+				f.failed(a, err)
+				return
+			}
+			m := metaOf(meta)
+			if v, ok := f.watch.Answered(f.c.Now(), a.Serial, m); ok {
+				f.answered(a, answer, m, v)
+			}
+		})
+	}()
+}
+
+// post runs a task on the follower's goroutine, or drops it when that is far behind.
+func (f *follower) post(task func()) {
+	select {
+	case f.came <- task:
+	default:
+	}
+}
+
+func (f *follower) failed(a watch.Ask, err error) {
+	fault := faultOf(err)
+	if !f.down {
+		f.c.Log("catalogue-answer", "of", f.name, "agent", f.c.Config.Agents[a.Agent], "why", fault, "error", short(err))
+	}
+	f.watch.Failed(f.c.Now(), a.Serial, fault)
+}
+
+// short cuts what an agent wrote into an error.
+func short(err error) string { return fmt.Sprintf("%.200s", err.Error()) }
+
+func (f *follower) answered(a watch.Ask, answer any, m watch.Meta, v watch.Verdict) {
+	if v.Why != f.why {
+		if f.why = v.Why; v.Why != watch.Sound {
+			f.c.Log("catalogue-answer", "of", f.name, "agent", f.c.Config.Agents[a.Agent], "why", v.Why, "index", m.Index)
+		}
+	}
+	f.use(answer, v, m.Index)
+}
+
+// service has the follower read a service's instances as the boxes of a source.
+func (f *follower) service(v *Service, src int) {
+	f.fetch = func(client *api.Client, q *api.QueryOptions) (any, *api.QueryMeta, error) {
+		q.Filter = v.Filter
+		return wrap(client.Health().ServiceMultipleTags(v.Name, v.Tags, false, q))
+	}
+	f.silent = func(silent bool) { f.c.Tell(broker.Speaks{Source: src, Silent: silent}) }
+	left := map[string]string{} // what was left out of the last answer, and why: it is logged once
+	known := 0
+	f.use = func(answer any, verdict watch.Verdict, index uint64) {
+		switch {
+		case verdict.Belief == watch.Ignore:
+			return
+		case verdict.Belief == watch.Same && !verdict.Confirms:
+			f.c.Tell(broker.Speaks{Source: src})
+			return
+		}
+		entries, _ := answer.([]*api.ServiceEntry)
+		list := membership.List{Version: index, Confirms: verdict.Confirms, Omits: verdict.Belief == watch.Omits}
+		now := map[string]string{}
+		for _, e := range entries {
+			box, err := v.box(e, f.c.Names)
+			if err != nil {
+				name, why := idOf(e), short(err)
+				if now[name] = why; left[name] != why {
+					f.c.Log("catalogue-entry", "of", f.name, "instance", name, "error", why)
+				}
+				continue
+			}
+			list.Boxes = append(list.Boxes, box)
+		}
+		left = now
+		if len(list.Boxes) > known+partMost {
+			for at := 0; at < len(list.Boxes); at += partMost {
+				part := list.Boxes[at:min(at+partMost, len(list.Boxes))]
+				f.c.Tell(broker.Listing{Source: src, List: membership.List{Version: index, Boxes: part, Part: true}})
+			}
+		}
+		known = len(list.Boxes)
+		f.c.Tell(broker.Listing{Source: src, List: list})
+	}
+}
+
+// wrap has an answer's type forgotten.
+func wrap[T any](answer T, meta *api.QueryMeta, err error) (any, *api.QueryMeta, error) {
+	return answer, meta, err
+}
+
+func idOf(e *api.ServiceEntry) string {
+	if e == nil || e.Service == nil || e.Node == nil {
+		return "?"
+	}
+	return e.Node.Node + "/" + e.Service.ID
+}
+
+// box reads an instance.
+func (v *Service) box(e *api.ServiceEntry, names membership.Names) (membership.Box, error) {
+	if e == nil || e.Service == nil || e.Node == nil {
+		return membership.Box{}, fmt.Errorf("an entry without service or node")
+	}
+	s := e.Service
+	in := health.Instance{ID: s.ID, Node: e.Node.Node, Address: s.Address, NodeAddress: e.Node.Address, Port: s.Port,
+		Tags: s.Tags, Meta: s.Meta, Passing: s.Weights.Passing, Warning: s.Weights.Warning, Create: s.CreateIndex}
+	for _, c := range e.Checks {
+		if c != nil {
+			in.Checks = append(in.Checks, health.Check{ID: c.CheckID, Service: c.ServiceID, Status: c.Status})
+		}
+	}
+	entry, err := v.Rules.Read(&in)
+	if err != nil {
+		return membership.Box{}, err
+	}
+	return names.Box(entry)
+}
+
+// purges has the follower read the keys below a prefix as purges. Each is told once.
+func (f *follower) purges(prefix string) {
+	f.fetch = func(client *api.Client, q *api.QueryOptions) (any, *api.QueryMeta, error) {
+		return wrap(client.KV().List(prefix, q))
+	}
+	told := map[string]uint64{} // by key: the index that it was told at
+	f.use = func(answer any, verdict watch.Verdict, _ uint64) {
+		if verdict.Belief == watch.Ignore {
+			return
+		}
+		pairs, _ := answer.(api.KVPairs)
+		now := make(map[string]uint64, len(pairs))
+		var events []broker.Event
+		for _, p := range pairs {
+			now[p.Key] = p.ModifyIndex
+			if told[p.Key] == p.ModifyIndex || strings.HasSuffix(p.Key, "/") {
+				continue
+			}
+			object, group, isObject, issued, err := purge.ParseKey(strings.TrimPrefix(p.Key, prefix), string(p.Value))
+			if err != nil {
+				f.c.Log("catalogue-key", "error", short(err))
+				continue
+			}
+			if isObject && object == 0 {
+				object = broker.ObjectZero
+			}
+			events = append(events, broker.Purge{Object: object, Group: group, Issued: issued})
+		}
+		if verdict.Belief == watch.Whole { // what was left out of another answer is not gone
+			told = now
+		} else {
+			for k, index := range now {
+				told[k] = index
+			}
+		}
+		for len(events) > 0 {
+			n := min(len(events), partMost)
+			f.c.Tell(events[:n]...)
+			events = events[n:]
+		}
+	}
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -168,6 +168,7 @@
 	notes     []Note
 	dropped   int // notes that there was no room for
 	full      int // boxes left out of the current call
+	changed   uint64
 }
 
 // New makes an empty table.
@@ -192,7 +193,8 @@
 	s.version = l.Version
 	first := !s.ever
 	before := s.words
-	s.ever = s.ever || !l.Part
+	// An empty first answer may be that of an agent that has only just started: what comes next is not new for that.
+	s.ever = s.ever || !l.Part && len(l.Boxes) > 0
 	omits := l.Omits || l.Part
 	s.gen++
 	next, seen, fresh := s.spare[:0], 0, []*record(nil)
@@ -473,6 +475,7 @@
 
 // touch notes that a box may have changed. What becomes more restrictive is told first.
 func (t *Table) touch(now time.Duration, r *record) {
+	t.changed++
 	b, _, _ := t.decide(now, r)
 	if b.Address != r.address && b.State != Gone {
 		t.settleAt(r, b.Address)
@@ -663,6 +666,9 @@
 	return t.due[0].at
 }
 
+// Changed counts what has changed in the words of the sources: as long as it is the same, Export gives the same boxes.
+func (t *Table) Changed() uint64 { return t.changed }
+
 // Pending says whether there are changes to Take.
 func (t *Table) Pending() bool { return len(t.down)+len(t.up) > 0 }
 
--- /dev/null
+++ b/oplog/oplog_test.go
@@ -0,0 +1,103 @@
+package oplog
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestText(t *testing.T) {
+	var b bytes.Buffer
+	l, err := New(&b, "text", "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Event("box-left", "box", "c1", "why", "", "error", errors.New("a \"b\"\nevent=forged"), "for", 200*time.Millisecond, "n", 3)
+	line := b.String()
+	if want := ` level=info event=box-left box=c1 why="" error="a \"b\"\nevent=forged" for=200ms n=3` + "\n"; !strings.HasSuffix(line, want) {
+		t.Errorf("got %q, want it to end with %q", line, want)
+	}
+	if _, err := time.Parse(timeForm, strings.Fields(line)[0]); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestJSON(t *testing.T) {
+	var b bytes.Buffer
+	l, _ := New(&b, "json", "warn")
+	l.Event("box-left", "box", "c1")
+	l.Event("depot-dial", "box", "c1", "error", errors.New("refused"))
+	var got map[string]any
+	if err := json.Unmarshal(b.Bytes(), &got); err != nil {
+		t.Fatalf("%v in %q", err, b.String())
+	}
+	if got["event"] != "depot-dial" || got["level"] != "warn" || got["error"] != "refused" {
+		t.Errorf("got %v", got)
+	}
+}
+
+// TestLimit: a flood is cut, and the next second tells by how much.
+func TestLimit(t *testing.T) {
+	var b bytes.Buffer
+	l, _ := New(&b, "text", "info")
+	l.Tick(time.Second)
+	for range LinesMost + 30 {
+		l.Event("depot-dial")
+	}
+	if n := strings.Count(b.String(), "\n"); n != LinesMost {
+		t.Errorf("%d lines in a second, at most %d wanted", n, LinesMost)
+	}
+	l.Tick(2 * time.Second)
+	if !strings.HasSuffix(b.String(), "event=log-full lines=30\n") {
+		t.Errorf("the count of what was left out is missing: %q", b.String()[b.Len()-80:])
+	}
+	for _, c := range [][2]string{{"xml", "info"}, {"text", "loud"}} {
+		if _, err := New(&b, c[0], c[1]); err == nil {
+			t.Errorf("format %s, level %s: no error", c[0], c[1])
+		}
+	}
+}
+
+// TestEventsAreDocumented compares the event words with docs/on-call.md, and with the words that the program uses.
+func TestEventsAreDocumented(t *testing.T) {
+	page, err := os.ReadFile("../docs/on-call.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	told := map[string]bool{}
+	for _, m := range regexp.MustCompile("(?m)^\\| `([a-z-]+)").FindAllStringSubmatch(string(page), -1) {
+		told[m[1]] = true
+	}
+	for event := range Events {
+		if !told[event] {
+			t.Errorf("docs/on-call.md does not tell of %s", event)
+		}
+	}
+	for event := range told {
+		if _, ok := Events[event]; !ok {
+			t.Errorf("docs/on-call.md tells of %s, which is never written", event)
+		}
+	}
+	used := regexp.MustCompile(`(?:Log|Event|log|Line)[({]"([a-z-]+)"`)
+	err = filepath.WalkDir("..", func(path string, d os.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		for _, m := range used.FindAllStringSubmatch(string(text), -1) {
+			if _, ok := Events[m[1]]; !ok && m[1] != "box-" {
+				t.Errorf("%s writes the event %s, which is not in Events", path, m[1])
+			}
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -51,7 +51,7 @@
 	keyed   []bool
 	emit    func(broker.Event)
 	now     func() time.Duration
-	log     func(format string, args ...any)
+	log     func(event string, fields ...any)
 	ready   func() bool // whether new clients are wanted
 	full    func() bool // whether memory is short
 	lobby   *lobby.Lobby
@@ -73,7 +73,7 @@
 func (f *Front) Accept(remote net.Addr) loop.Handler {
 	c := &client{front: f, open: map[uint32]*broker.Request{}, msgs: map[*broker.Request]uint32{}}
 	if c.guest = f.lobby.Enter(f.now(), c.leave); c.guest == nil {
-		f.log("client-limit: all connections are busy, closed a new one from %s", remote)
+		f.log("client-limit", "front", "rpc", "from", remote)
 		return nil
 	}
 	return c
@@ -82,7 +82,7 @@
 // Tick closes connections that are idle or owe the rest of a message.
 func (f *Front) Tick(now time.Duration) {
 	if halves := f.lobby.Tick(now); halves > 0 {
-		f.log("client-half: closed %d connections with messages that did not end in time", halves)
+		f.log("client-half", "front", "rpc", "connections", halves)
 	}
 }
 
@@ -129,7 +129,7 @@
 			break
 		}
 		if err != nil {
-			c.front.log("client-frame: closed a client's connection: %v", err)
+			c.front.log("client-frame", "error", err)
 			c.leave()
 		}
 		used += done
@@ -186,10 +186,10 @@
 	req, err := c.parse(method, &p)
 	switch {
 	case err != nil:
-		c.front.log("client-request: message %d answered with an error: %v", msg, err)
+		c.front.log("client-request", "message", msg, "error", err)
 		c.fail(msg, wordMalformed, nil)
 	case c.open[msg] != nil:
-		c.front.log("client-request: message id %d is open already", msg)
+		c.front.log("client-id", "message", msg)
 		c.fail(msg, wordMalformed, nil) // the first one's answer is still to come, under the same id
 		return end, fmt.Errorf("message id %d used twice", msg)
 	case len(c.open) >= mostOpen || c.front.full():
--- /dev/null
+++ b/snapshot/disk/disk_test.go
@@ -0,0 +1,127 @@
+package disk
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"sloequay/membership"
+	"sloequay/snapshot"
+)
+
+const now = 1_000_000 * time.Second
+
+func some() []membership.Words {
+	return []membership.Words{{Source: "consul:cache", Version: 71, Heard: now - time.Second, Boxes: []membership.Box{
+		{ID: "c1", Address: "10.0.0.1:1", Zone: 1, Kind: 0, Cell: 2, Weight: 4.5, Born: 3 * time.Second, Incarnation: 9, State: membership.Up},
+		{ID: "c2", Address: "10.0.0.2:1", State: membership.Draining}}}, {Source: "bulletin", Heard: now}}
+}
+
+func encoded(t testing.TB) []byte {
+	data, err := snapshot.Encode(now, some())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func TestRoundTrip(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "list")
+	for range 2 { // the second replaces the first
+		if err := Write(path, encoded(t)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, age, err := Read(path, now+time.Hour, 2*time.Hour, 2, 1)
+	if diff := cmp.Diff(some(), got); err != nil || age != time.Hour || diff != "" {
+		t.Errorf("age %v, %v (-want +got):\n%s", age, err, diff)
+	}
+	if files, _ := os.ReadDir(filepath.Dir(path)); len(files) != 1 {
+		t.Errorf("%d files are left, want the snapshot alone", len(files))
+	}
+	if err := os.WriteFile(path+".new-1", []byte("half"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	Clean(path)
+	if files, _ := os.ReadDir(filepath.Dir(path)); len(files) != 1 {
+		t.Errorf("%d files are left after cleaning", len(files))
+	}
+}
+
+// TestTornAtEveryLength: a snapshot that ends too soon is refused at every byte, and one with any byte changed too.
+func TestTornAtEveryLength(t *testing.T) {
+	data := encoded(t)
+	for n := range data {
+		if _, _, err := snapshot.Decode(data[:n], now, time.Hour); !errors.Is(err, snapshot.ErrTorn) && !errors.Is(err, snapshot.ErrForeign) {
+			t.Fatalf("the first %d bytes of %d: %v", n, len(data), err)
+		}
+		changed := append([]byte(nil), data...)
+		changed[n] ^= 0x11
+		if all, _, err := snapshot.Decode(changed, now, time.Hour); err == nil {
+			t.Fatalf("with byte %d changed it reads as %+v", n, all)
+		}
+	}
+}
+
+func TestRefused(t *testing.T) {
+	data := encoded(t)
+	newer := append([]byte("sloequay-list 2 "), data[len("sloequay-list 1 "):]...)
+	for _, c := range []struct {
+		name string
+		data []byte
+		now  time.Duration
+		want error
+	}{
+		{"another program's file", []byte("#!/bin/sh\n"), now, snapshot.ErrForeign},
+		{"a newer version", newer, now, snapshot.ErrVersion},
+		{"too old", data, now + 2*time.Hour, snapshot.ErrTooOld},
+		{"from the future", data, now - time.Hour, snapshot.ErrFuture},
+		{"empty", nil, now, snapshot.ErrTorn},
+		{"with something behind", append(append([]byte(nil), data...), ' '), now, snapshot.ErrTorn},
+	} {
+		path := filepath.Join(t.TempDir(), "list")
+		if err := os.WriteFile(path, c.data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := Read(path, c.now, time.Hour, 2, 1); !errors.Is(err, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, err, c.want)
+		}
+	}
+	path := filepath.Join(t.TempDir(), "list")
+	if err := Write(path, data); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := Read(path, now, time.Hour, 1, 1); !errors.Is(err, snapshot.ErrForeign) {
+		t.Errorf("boxes of a place that the settings do not have: %v", err)
+	}
+	if err := Write(filepath.Join(t.TempDir(), "no", "such", "folder"), data); err == nil {
+		t.Error("written to a folder that is not there")
+	}
+}
+
+// FuzzDecode: no file ends the program, and what is taken is written again as the same words.
+func FuzzDecode(f *testing.F) {
+	data := encoded(f)
+	f.Add(data)
+	f.Add(data[:len(data)/2])
+	f.Add([]byte("sloequay-list 1 2 a3f8a34f\n{}"))
+	f.Add([]byte("sloequay-list 1 -5 0\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		all, _, err := snapshot.Decode(data, now, time.Hour)
+		if err != nil {
+			return
+		}
+		again, err := snapshot.Encode(now, all)
+		if err != nil {
+			return // a weight that JSON can't have
+		}
+		back, _, err := snapshot.Decode(again, now, time.Hour)
+		if diff := cmp.Diff(all, back); err != nil || diff != "" {
+			t.Fatalf("%v (-first +second):\n%s", err, diff)
+		}
+	})
+}
--- /dev/null
+++ b/standin/box.go
@@ -0,0 +1,226 @@
+// Package standin has stand-ins for what a doorman talks to: boxes, the bulletin, a name server. They are written from
+// the protocols' pages, listen on loopback, and are scripted: tests, the experiments and `sloequay try` share them.
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Asked is one line that a stand-in box has read.
+type Asked struct {
+	Box, Word, ID string
+	Fields        map[string]string
+	Body          string
+	At            time.Time
+	Answer        func(word, fields, body string) // may be called from any goroutine, and more than once
+	Conn          net.Conn
+}
+
+// heardMost bounds what a fleet remembers; beyond it the oldest half goes.
+const heardMost = 1 << 17
+
+// bodyMost is the largest body that a box reads.
+const bodyMost = 64 << 20
+
+// Fleet is stand-in boxes: caches, trunk caches and the archive, all alike but for what their script makes of them.
+type Fleet struct {
+	mu        sync.Mutex
+	script    func(*Asked)
+	deaf      func(*Asked) bool
+	heard     []*Asked
+	listeners map[string]net.Listener
+	conns     map[string]map[net.Conn]bool
+}
+
+// NewFleet makes a fleet without boxes. The script is called on a goroutine of its own for each ASK; nil answers a hit
+// with the object's name as the body.
+func NewFleet(script func(*Asked)) *Fleet {
+	return &Fleet{script: script, listeners: map[string]net.Listener{}, conns: map[string]map[net.Conn]bool{}}
+}
+
+// Add starts a box at an address; port 0 picks one.
+func (f *Fleet) Add(id, address string) (net.Listener, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	f.listeners[id] = ln
+	f.mu.Unlock()
+	go f.Serve(id, ln)
+	return ln, nil
+}
+
+// Address is where a box listens.
+func (f *Fleet) Address(id string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listeners[id].Addr().String()
+}
+
+// Kill ends a box as a dying process does: its listener closes and its connections are reset.
+func (f *Fleet) Kill(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if ln := f.listeners[id]; ln != nil {
+		_ = ln.Close()
+	}
+	for c := range f.conns[id] {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+// Close ends all boxes.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	ids := make([]string, 0, len(f.listeners))
+	for id := range f.listeners {
+		ids = append(ids, id)
+	}
+	f.mu.Unlock()
+	for _, id := range ids {
+		f.Kill(id)
+	}
+}
+
+// Script has the boxes act by another script from now on.
+func (f *Fleet) Script(script func(*Asked)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.script = script
+}
+
+// Deaf says which NOOP are not answered; nil: all are.
+func (f *Fleet) Deaf(deaf func(*Asked) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.deaf = deaf
+}
+
+// Heard gives what the boxes have read that fits, in the order of its coming.
+func (f *Fleet) Heard(fits func(*Asked) bool) []*Asked {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []*Asked
+	for _, a := range f.heard {
+		if fits(a) {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// Serve is a box on a listener of the caller's, until that is closed.
+func (f *Fleet) Serve(id string, ln net.Listener) {
+	f.mu.Lock()
+	if f.conns[id] == nil {
+		f.conns[id] = map[net.Conn]bool{}
+	}
+	f.mu.Unlock()
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		f.mu.Lock()
+		f.conns[id][conn] = true
+		f.mu.Unlock()
+		go func() {
+			f.talk(id, conn)
+			_ = conn.Close()
+			f.mu.Lock()
+			delete(f.conns[id], conn)
+			f.mu.Unlock()
+		}()
+	}
+}
+
+// talk reads one connection's lines until it ends or says what can't be read.
+func (f *Fleet) talk(id string, conn net.Conn) {
+	r := bufio.NewReader(conn)
+	var writing sync.Mutex
+	for {
+		line, err := r.ReadString('\n')
+		words := strings.Fields(line)
+		if err != nil || len(words) < 2 {
+			return
+		}
+		a := &Asked{Box: id, Word: words[0], ID: words[1], Fields: map[string]string{}, At: time.Now(), Conn: conn}
+		if a.Word == "ASK" {
+			if len(words) < 4 {
+				return
+			}
+			for _, field := range strings.Split(words[2], ",") {
+				name, value, _ := strings.Cut(field, "=")
+				a.Fields[name] = value
+			}
+			var n int
+			if _, err := fmt.Sscan(words[3], &n); err != nil || n < 0 || n > bodyMost {
+				return
+			}
+			body := make([]byte, n+2)
+			if _, err := io.ReadFull(r, body); err != nil {
+				return
+			}
+			a.Body = string(body[:n])
+		}
+		a.Answer = func(word, fields, body string) {
+			writing.Lock()
+			defer writing.Unlock()
+			_, _ = fmt.Fprintf(conn, "%s %s %s %d\r\n%s\r\n", a.ID, word, fields, len(body), body)
+		}
+		f.mu.Lock()
+		if f.heard = append(f.heard, a); len(f.heard) > heardMost {
+			f.heard = append([]*Asked(nil), f.heard[heardMost/2:]...)
+		}
+		script, deaf := f.script, f.deaf
+		f.mu.Unlock()
+		switch {
+		case a.Word == "NOOP" && (deaf == nil || !deaf(a)):
+			a.Answer("READY", "-", "")
+		case a.Word != "ASK":
+		case script != nil:
+			go script(a)
+		default:
+			a.Answer("ACK", "tag=t1,minted=1,remark=hit", a.Fields["thing"])
+		}
+	}
+}
+
+// Caching is a script by which boxes hold what was filled into them, for as long as the fleet lives. A box in the
+// set origins has everything.
+func Caching(origins ...string) func(*Asked) {
+	var mu sync.Mutex
+	held := map[string]bool{}
+	return func(a *Asked) {
+		key := a.Box + " " + a.Fields["thing"] + " " + a.Fields["nth"]
+		mu.Lock()
+		has := held[key]
+		for _, origin := range origins {
+			has = has || a.Box == origin
+		}
+		filled := !has && a.Fields["via"] != ""
+		if filled && len(held) < 1<<16 {
+			held[key] = true
+		}
+		mu.Unlock()
+		minted := time.Now().UnixMilli()
+		switch {
+		case has:
+			a.Answer("ACK", fmt.Sprintf("tag=t1,minted=%d,remark=hit", minted), a.Fields["thing"])
+		case filled:
+			a.Answer("ACK", fmt.Sprintf("tag=t1,minted=%d,remark=filled,lag=1", minted), a.Fields["thing"])
+		default:
+			a.Answer("NOENT", "-", "")
+		}
+	}
+}
