--- a/cmd/sloequay/world_test.go
+++ b/cmd/sloequay/world_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -59,6 +60,15 @@
 	return l.text.String()
 }
 
+func (l *logbook) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.text.Reset()
+}
+
+// matches says whether an expression fits anywhere in a text.
+func matches(expression, text string) bool { return regexp.MustCompile(expression).MatchString(text) }
+
 // world is a program under test with stand-ins for all that it talks to.
 type world struct {
 	t        *testing.T
@@ -85,7 +95,7 @@
 
 // newWorld has caches c1 and c2, the parent p1 and the origin o1, all listed but for those in absent.
 func newWorld(t *testing.T, script func(*asked), absent ...string) *world {
-	w := &world{t: t, boxes: map[string]net.Listener{}, fleet: standin.NewFleet(script)}
+	w := &world{t: t, hosts: []map[string]any{}, boxes: map[string]net.Listener{}, fleet: standin.NewFleet(script)}
 	t.Cleanup(w.fleet.Close)
 	for _, b := range []struct{ id, site, class string }{{"c1", "edge", "std"}, {"c2", "edge", "std"},
 		{"p1", "hub", "parent"}, {"o1", "hub", "origin"}} {
--- a/membership/watch/watch.go
+++ b/membership/watch/watch.go
@@ -342,7 +342,11 @@
 	a := &w.agents[n]
 	// The bound is a second and does not grow: what changed meanwhile has to hold a second after the outage, and one
 	// small question a second is no rush.
-	a.failed, a.again = true, max(now, a.asked+Spacing+time.Duration(w.rng.Int64N(int64(Jitter))))
+	from := a.asked
+	if now-from >= Spacing { // a blocking query that was out for long
+		from = now
+	}
+	a.failed, a.again = true, from+Spacing+time.Duration(w.rng.Int64N(int64(Jitter)))
 	if f == Hung {
 		a.proved = false
 	}
