--- a/broker/broker.go
+++ b/broker/broker.go
@@ -442,7 +442,7 @@
 
 const (
 	// changesMost bounds the changes of the list in one round: the rest waits for the next, with requests in between.
-	changesMost = 500
+	changesMost = 200
 	// linesMost bounds the lines for the log that one round's changes make.
 	linesMost = 20
 )
--- /dev/null
+++ b/broker/list_test.go
@@ -0,0 +1,154 @@
+package broker
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"sloequay/control"
+	"sloequay/membership"
+)
+
+func fleet(n int) []membership.Box {
+	boxes := make([]membership.Box, n)
+	for i := range boxes {
+		boxes[i] = membership.Box{ID: fmt.Sprintf("cache-%06d", i), Address: fmt.Sprintf("10.%d.%d.%d:1", i>>16, i>>8&255, i&255),
+			Zone: i % 20, Weight: 8, State: membership.Up, Incarnation: uint64(i)}
+	}
+	return boxes
+}
+
+func listed(t testing.TB) *Broker {
+	t.Helper()
+	b, err := New(testConfig(), 1, 1000, nil, membership.New(membership.Config{LossShare: 0.3, LossLeast: 2,
+		Sources: []membership.Source{{Name: "bulletin"}, {Name: "consul:cache", Protect: true, Starts: true}}}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// TestLargeListComesInRounds: no round takes over more than its bound of changes, those first that take a box away; the
+// next round is due at once while any are left, and every box arrives.
+func TestLargeListComesInRounds(t *testing.T) {
+	b := listed(t)
+	now := 1000 * time.Second
+	boxes := fleet(3 * changesMost)
+	b.Round(now, []Event{Listing{Source: 1, List: membership.List{Boxes: boxes}}})
+	rounds := 1
+	for b.members.Pending() {
+		if b.Next() > now {
+			t.Fatalf("the next round is due at %v, now is %v", b.Next(), now)
+		}
+		before := len(b.boxes)
+		b.Round(now, nil)
+		if n := len(b.boxes) - before; n > changesMost {
+			t.Fatalf("one round took over %d boxes", n)
+		}
+		rounds++
+	}
+	if len(b.boxes) != len(boxes) || rounds < 3 {
+		t.Errorf("%d boxes of %d in %d rounds", len(b.boxes), len(boxes), rounds)
+	}
+	// A drain among many changes is taken over in the first round.
+	for i := range boxes {
+		boxes[i].Weight = 4
+	}
+	boxes[len(boxes)-1].State = membership.Draining
+	b.Round(now, []Event{Listing{Source: 1, List: membership.List{Boxes: boxes}}})
+	if box := b.Box(boxes[len(boxes)-1].ID); box.State != control.Draining {
+		t.Errorf("after one round the draining box is %v", box.State)
+	}
+}
+
+// TestDoubtedSourceIsAskedAgain: the doubt of the table becomes an effect, and its lines are told.
+func TestDoubtedSourceIsAskedAgain(t *testing.T) {
+	b := listed(t)
+	now := 1000 * time.Second
+	b.Round(now, []Event{Listing{Source: 1, List: membership.List{Boxes: fleet(10)}}})
+	asked, told := false, false
+	for _, e := range b.Round(now, []Event{Listing{Source: 1, List: membership.List{Boxes: fleet(2)}}}) {
+		switch e := e.(type) {
+		case Confirm:
+			asked = e.Source == 1
+		case Line:
+			told = told || e.Event == "list-doubted"
+		}
+	}
+	if !asked || !told || len(b.boxes) != 10 {
+		t.Errorf("asked %v, told %v, %d boxes", asked, told, len(b.boxes))
+	}
+}
+
+// longest gives the longest time that any of the steps takes.
+func longest(steps ...func()) time.Duration {
+	worst := time.Duration(0)
+	for _, step := range steps {
+		began := time.Now()
+		step()
+		worst = max(worst, time.Since(began))
+	}
+	return worst
+}
+
+// BenchmarkList is what lists cost the loop, through table, broker and module: a first list in parts, one that changes 1%,
+// an unchanged one, and a source that falls silent. hold-ms is the longest that the loop is held at once.
+func BenchmarkList(b *testing.B) {
+	for _, n := range []int{100, 1000, 10_000, 100_000} {
+		boxes := fleet(n)
+		report := func(b *testing.B, worst time.Duration) {
+			b.ReportMetric(float64(worst.Microseconds())/1000, "hold-ms")
+		}
+		rounds := func(br *Broker, now time.Duration) (steps []func()) {
+			for range n/changesMost + 4 {
+				steps = append(steps, func() { br.Round(now, nil) })
+			}
+			return steps
+		}
+		b.Run(fmt.Sprintf("first/%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			worst := time.Duration(0)
+			for range b.N {
+				br, now := listed(b), 1000*time.Second
+				for at := 0; at < n; at += 500 {
+					part := membership.List{Boxes: boxes[at:min(n, at+500)], Part: true}
+					worst = max(worst, longest(func() { br.Round(now, []Event{Listing{Source: 1, List: part}}) }), longest(rounds(br, now)[:4]...))
+				}
+				worst = max(worst, longest(func() { br.Round(now, []Event{Listing{Source: 1, List: membership.List{Boxes: boxes}}}) }))
+				worst = max(worst, longest(rounds(br, now)...))
+				if len(br.boxes) != n {
+					b.Fatalf("%d boxes of %d", len(br.boxes), n)
+				}
+			}
+			report(b, worst)
+		})
+		br, now := listed(b), 1000*time.Second
+		br.Round(now, []Event{Listing{Source: 1, List: membership.List{Boxes: boxes}}, Changes{Boxes: boxes[:n/2]}})
+		longest(rounds(br, now)...)
+		b.Run(fmt.Sprintf("changed/%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			worst := time.Duration(0)
+			for round := range b.N {
+				now += time.Second
+				for i := range n / 100 {
+					c := &boxes[(i*97+round*31)%n]
+					c.State = membership.Up + membership.Draining - c.State
+				}
+				worst = max(worst, longest(func() { br.Round(now, []Event{Listing{Source: 1, List: membership.List{Boxes: boxes}}}) }))
+				worst = max(worst, longest(rounds(br, now)...))
+			}
+			report(b, worst)
+		})
+		b.Run(fmt.Sprintf("silent+heard/%d", n), func(b *testing.B) {
+			worst := time.Duration(0)
+			for range b.N {
+				now += time.Second
+				worst = max(worst, longest(func() { br.Round(now, []Event{Speaks{Source: 1, Silent: true}}) }))
+				longest(rounds(br, now)...)
+				worst = max(worst, longest(func() { br.Round(now, []Event{Speaks{Source: 1}}) }))
+				longest(rounds(br, now)...)
+			}
+			report(b, worst)
+		})
+	}
+}
--- /dev/null
+++ b/membership/consul/consul_test.go
@@ -0,0 +1,293 @@
+package consul
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/json"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/consul/api"
+
+	"sloequay/broker"
+	"sloequay/conf"
+	"sloequay/membership"
+	"sloequay/standin/consul"
+)
+
+func parse(t testing.TB, text string) *Config {
+	t.Helper()
+	c := &Config{}
+	root := &conf.Section{}
+	root.Block("catalogue", false, "", func([]string) (*conf.Section, error) { return c.Section(), nil })
+	if err := root.Parse("test", []byte("catalogue {\n"+text+"\n}")); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// heard collects what a catalogue tells and logs.
+type heard struct {
+	mu    sync.Mutex
+	lists []membership.List
+	words []string
+}
+
+func (h *heard) start(t *testing.T, c *Config) *Catalogue {
+	t.Helper()
+	cat := &Catalogue{Config: c, Names: membership.Names{Zones: []string{"hub", "edge"}, Kinds: []string{"std", "parent", "origin"}},
+		Now: func() time.Duration { return time.Duration(time.Now().UnixNano()) },
+		Log: func(event string, fields ...any) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.words = append(h.words, fmt.Sprint(event, fields))
+		},
+		Tell: func(events ...broker.Event) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			for _, e := range events {
+				if l, ok := e.(broker.Listing); ok {
+					h.lists = append(h.lists, l.List)
+				}
+			}
+		}}
+	ctx, end := context.WithCancel(context.Background())
+	t.Cleanup(end)
+	if err := cat.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return cat
+}
+
+// until waits for a condition on what was heard.
+func (h *heard) until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(2 * time.Millisecond) {
+		h.mu.Lock()
+		done := ok()
+		h.mu.Unlock()
+		if done {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain until %s; heard %v", what, h.words)
+		}
+	}
+}
+
+// authority makes certificates for a test.
+type authority struct {
+	t    *testing.T
+	dir  string
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+	n    int64
+}
+
+func newAuthority(t *testing.T) *authority {
+	a := &authority{t: t, dir: t.TempDir()}
+	a.make("ca", nil)
+	return a
+}
+
+// make writes NAME.pem and NAME-key.pem.
+func (a *authority) make(name string, usage []x509.ExtKeyUsage) (cert, key string) {
+	a.t.Helper()
+	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	a.n++
+	template := &x509.Certificate{SerialNumber: big.NewInt(a.n), Subject: pkix.Name{CommonName: name}, NotBefore: time.Now().Add(-time.Hour),
+		NotAfter: time.Now().Add(time.Hour), DNSNames: []string{"consul.test"}, ExtKeyUsage: usage, KeyUsage: x509.KeyUsageDigitalSignature}
+	parent, signer := a.cert, a.key
+	if parent == nil {
+		template.IsCA, template.BasicConstraintsValid, template.KeyUsage = true, true, x509.KeyUsageCertSign
+		parent, signer = template, k
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, &k.PublicKey, signer)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	if a.cert == nil {
+		a.key = k
+		if a.cert, err = x509.ParseCertificate(der); err != nil {
+			a.t.Fatal(err)
+		}
+	}
+	raw, err := x509.MarshalECPrivateKey(k)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	cert, key = filepath.Join(a.dir, name+".pem"), filepath.Join(a.dir, name+"-key.pem")
+	for path, block := range map[string]*pem.Block{cert: {Type: "CERTIFICATE", Bytes: der}, key: {Type: "EC PRIVATE KEY", Bytes: raw}} {
+		if err := os.WriteFile(path, pem.EncodeToMemory(block), 0o600); err != nil {
+			a.t.Fatal(err)
+		}
+	}
+	return cert, key
+}
+
+// TestHTTPS: the agent is believed by its authority and name, and sees our certificate; without either nothing is taken.
+func TestHTTPS(t *testing.T) {
+	ca := newAuthority(t)
+	serverCert, serverKey := ca.make("server", []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth})
+	ourCert, ourKey := ca.make("doorman", []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth})
+	pair, err := tls.LoadX509KeyPair(serverCert, serverKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cluster := consul.NewCluster()
+	agent, err := cluster.NewAgent("a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(agent.Close)
+	cluster.Put(consul.Instance{Node: "n", Service: "cache", ID: "c1", Address: "127.0.0.1", Port: 1, Meta: map[string]string{"site": "edge", "class": "std"}})
+	pool := x509.NewCertPool()
+	pool.AddCert(ca.cert)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(agent.ServeHTTP))
+	server.TLS = &tls.Config{Certificates: []tls.Certificate{pair}, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert}
+	server.StartTLS()
+	t.Cleanup(server.Close)
+	caFile := filepath.Join(ca.dir, "ca.pem")
+	address := server.Listener.Addr().(*net.TCPAddr).String()
+	for _, c := range []struct {
+		name, tls string
+		works     bool
+	}{
+		{"all right", "ca " + caFile + "\ncert " + ourCert + "\nkey " + ourKey + "\nserver-name consul.test", true},
+		{"no certificate of ours", "ca " + caFile + "\nserver-name consul.test", false},
+		{"another name", "ca " + caFile + "\ncert " + ourCert + "\nkey " + ourKey + "\nserver-name other.test", false},
+		{"no authority", "cert " + ourCert + "\nkey " + ourKey + "\nserver-name consul.test", false},
+	} {
+		h := &heard{}
+		h.start(t, parse(t, "agent "+address+"\nservice cache {\n}\ntls {\n"+c.tls+"\n}"))
+		h.until(t, c.name+": something comes", func() bool { return len(h.lists) > 0 || len(h.words) > 0 })
+		if works := len(h.lists) > 0; works != c.works {
+			t.Errorf("%s: lists %d, %v", c.name, len(h.lists), h.words)
+		}
+	}
+}
+
+// TestLargeListInParts: a first list of thousands comes in parts, and the whole of it last.
+func TestLargeListInParts(t *testing.T) {
+	cluster := consul.NewCluster()
+	agent, err := cluster.NewAgent("a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(agent.Close)
+	var all []consul.Instance
+	for i := range 2500 {
+		all = append(all, consul.Instance{Node: "n", ID: fmt.Sprint("c", i), Address: "127.0.0.1", Port: i + 1,
+			Meta: map[string]string{"site": "edge", "class": "std"}})
+	}
+	cluster.PutAll("cache", all)
+	h := &heard{}
+	h.start(t, parse(t, "agent "+agent.Address()+"\nservice cache {\n}"))
+	h.until(t, "the whole list is there", func() bool { return len(h.lists) > 0 && !h.lists[len(h.lists)-1].Part })
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	sum := 0
+	for _, l := range h.lists[:len(h.lists)-1] {
+		if sum += len(l.Boxes); !l.Part || len(l.Boxes) > partMost {
+			t.Errorf("a part of %d boxes, part %v", len(l.Boxes), l.Part)
+		}
+	}
+	if last := h.lists[len(h.lists)-1]; sum != 2500 || len(last.Boxes) != 2500 {
+		t.Errorf("%d boxes in parts, %d in the whole", sum, len(last.Boxes))
+	}
+}
+
+// TestSettings: what is missing or wrong in the block is told by its key.
+func TestSettings(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{"service cache {\n}", "test:1: catalogue: no agent is given"},
+		{"agent 127.0.0.1:8500", "test:1: catalogue: neither service nor purges nor register is given"},
+		{"agent here\nservice cache {\n}", `test:2: catalogue.agent: expected host:port, got "here"`},
+		{"agent 127.0.0.1:1\nservice a/b {\n}", "test:3: catalogue.service: expected the name of one service"},
+		{"agent 127.0.0.1:1\nservice a {\n}\nservice a {\n}", "test:5: catalogue.service: the service a is named twice"},
+		{"agent 127.0.0.1:1\nservice a {\nid host\n}", `test:4: catalogue.service.id: expected one of service, node, node/service or meta:KEY, got "host"`},
+		{"agent 127.0.0.1:1\nregister {\n}", "test:3: catalogue.register: service is missing"},
+		{"agent 127.0.0.1:1\nservice a {\n}\ntls {\ncert /nowhere\n}", "test:6: catalogue.tls.cert: open /nowhere: no such file or directory"},
+	} {
+		cfg := &Config{}
+		root := &conf.Section{}
+		root.Block("catalogue", false, "", func([]string) (*conf.Section, error) { return cfg.Section(), nil })
+		if err := root.Parse("test", []byte("catalogue {\n"+c.text+"\n}")); err == nil || err.Error() != c.want {
+			t.Errorf("%q:\n got %v\nwant %s", c.text, err, c.want)
+		}
+	}
+}
+
+// FuzzEntries: no answer of an agent's ends the program, and what is taken of it is a box that can be used.
+func FuzzEntries(f *testing.F) {
+	f.Add([]byte(`[{"Node":{"Node":"n","Address":"10.0.0.1"},"Service":{"ID":"c1","Port":8443,"Meta":{"site":"edge","class":"std"},"Weights":{"Passing":4}},"Checks":[{"CheckID":"a","Status":"passing"}]}]`))
+	f.Add([]byte(`[null,{"Node":null},{"Service":{"ID":"","Port":-1}},{"Node":{},"Service":{"ID":"a b","Port":1},"Checks":[null,{"Status":"x"}]}]`))
+	f.Add([]byte(`[{"Node":{"Address":"::1"},"Service":{"ID":"c","Port":1,"Meta":{"site":"hub","class":"parent","capacity":"1e400","born_ms":"-1"}}}]`))
+	v := parse(f, "agent 127.0.0.1:1\nservice cache {\n}").Services[0]
+	names := membership.Names{Zones: []string{"hub", "edge"}, Kinds: []string{"std", "parent", "origin"}}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var entries []*api.ServiceEntry
+		if json.Unmarshal(data, &entries) != nil {
+			return
+		}
+		for _, e := range entries {
+			box, err := v.box(e, names)
+			if err != nil {
+				if err.Error() == "" {
+					t.Fatal("an error without a reason")
+				}
+				continue
+			}
+			if box.ID == "" || box.State != membership.Gone && (box.Zone < 0 || box.Kind < 0 || box.Address == "") || box.Born < 0 || box.Weight != box.Weight {
+				t.Fatalf("taken: %+v", box)
+			}
+		}
+	})
+}
+
+// TestQuestions: datacentre, filter, tags and mode go out with each question.
+func TestQuestions(t *testing.T) {
+	cluster := consul.NewCluster()
+	agent, err := cluster.NewAgent("a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(agent.Close)
+	box := consul.Instance{Node: "n", Service: "cache", ID: "c1", Address: "127.0.0.1", Port: 1, Tags: []string{"edge"},
+		Meta: map[string]string{"site": "edge", "class": "std"}}
+	cluster.Put(box)
+	box.ID, box.Tags = "c2", nil
+	cluster.Put(box)
+	for _, mode := range []string{"default", "stale", "consistent"} {
+		h := &heard{}
+		h.start(t, parse(t, "agent "+agent.Address()+"\ndatacentre dc9\nmode "+mode+"\nservice cache {\ntag edge\nfilter 'Service.Port == 1'\n}"))
+		h.until(t, "a list comes", func() bool { return len(h.lists) > 0 })
+		if len(h.lists[0].Boxes) != 1 || h.lists[0].Boxes[0].ID != "c1" {
+			t.Errorf("%s: %+v, want the one with the tag", mode, h.lists[0].Boxes)
+		}
+		dc, _ := agent.Query("dc")
+		filter, _ := agent.Query("filter")
+		_, stale := agent.Query("stale")
+		_, consistent := agent.Query("consistent")
+		if dc != "dc9" || filter != "Service.Port == 1" || stale != (mode == "stale") || consistent != (mode == "consistent") {
+			t.Errorf("%s: dc %q, filter %q, stale %v, consistent %v", mode, dc, filter, stale, consistent)
+		}
+	}
+}
--- a/membership/consul/follow.go
+++ b/membership/consul/follow.go
@@ -48,7 +48,7 @@
 }
 
 // partMost is how many new boxes are told together.
-const partMost = 1000
+const partMost = 500
 
 // Start begins to follow, until ctx ends.
 func (c *Catalogue) Start(ctx context.Context) error {
--- a/standin/consul/agent.go
+++ b/standin/consul/agent.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -48,7 +49,8 @@
 	count  int           // requests taken
 	paths  []string      // of them, the newest
 	open   bool
-	header http.Header // of the newest request
+	header http.Header // of the newest request for a list or a key
+	query  url.Values  // the same
 }
 
 // NewAgent starts an agent.
@@ -96,6 +98,13 @@
 	return a.header.Get(name)
 }
 
+// Query is a parameter of the newest request for a list or a key, and whether it was there.
+func (a *Agent) Query(name string) (string, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.query.Get(name), a.query.Has(name)
+}
+
 // SetFault has it fail from now on; None has it be well again. by is how old the answers of StaleBy are.
 func (a *Agent) SetFault(f Fault, by time.Duration) {
 	a.mu.Lock()
@@ -148,7 +157,7 @@
 		a.paths = slices.Clone(a.paths[50:])
 	}
 	if strings.HasPrefix(r.URL.Path, "/v1/health") || strings.HasPrefix(r.URL.Path, "/v1/kv") {
-		a.header = r.Header.Clone()
+		a.header, a.query = r.Header.Clone(), r.URL.Query()
 	}
 	a.mu.Unlock()
 	switch fault {
@@ -173,6 +182,30 @@
 		_, _ = io.WriteString(w, `"127.0.0.1:8300"`)
 	case parts[0] == "health" && parts[1] == "service":
 		a.health(w, r, parts[2], token, fault, by)
+	case path == "catalog/services":
+		c := a.cluster
+		index := a.wait(r, func() uint64 { return c.index })
+		names := map[string][]string{}
+		c.mu.Lock()
+		for name, list := range c.services {
+			for _, in := range list {
+				names[name] = append(names[name], in.Tags...)
+			}
+			slices.Sort(names[name])
+			names[name] = slices.Compact(names[name])
+		}
+		c.mu.Unlock()
+		a.write(w, names, index, fault, by)
+	case parts[0] == "catalog" && parts[1] == "service":
+		c := a.cluster
+		index := a.wait(r, func() uint64 { return max(c.indexes[parts[2]], 10) })
+		entries := []map[string]any{}
+		for _, in := range c.Instances(parts[2]) {
+			entries = append(entries, map[string]any{"Node": in.Node, "Address": in.NodeAddress, "ServiceID": in.ID, "ServiceName": in.Service,
+				"ServiceAddress": in.Address, "ServicePort": in.Port, "ServiceTags": in.Tags, "ServiceMeta": in.Meta,
+				"CreateIndex": in.Create, "ModifyIndex": in.Modify})
+		}
+		a.write(w, entries, index, fault, by)
 	case parts[0] == "kv":
 		a.kv(w, r, strings.TrimPrefix(path, "kv/"))
 	case parts[0] == "agent":
@@ -408,6 +441,16 @@
 			return
 		}
 		http.Error(w, "Unknown service ID", http.StatusNotFound)
+	case what == "service" && strings.HasPrefix(rest, "maintenance/") && r.Method == http.MethodPut:
+		id := strings.TrimPrefix(rest, "maintenance/")
+		name, ok := a.find(id, "")
+		if !ok {
+			http.Error(w, "Unknown service ID", http.StatusNotFound)
+			return
+		}
+		c.Mark(name, id, maintenance(r))
+	case what == "maintenance" && r.Method == http.MethodPut:
+		c.MarkNode(a.name, maintenance(r))
 	case what == "check" && strings.HasPrefix(rest, "update/") && r.Method == http.MethodPut:
 		id := strings.TrimPrefix(rest, "update/")
 		var body struct{ Status, Output string }
@@ -445,6 +488,14 @@
 	}
 }
 
+// maintenance is the status that ?enable asks for.
+func maintenance(r *http.Request) string {
+	if r.URL.Query().Get("enable") == "true" {
+		return "maintenance"
+	}
+	return Passing
+}
+
 // find gives the service of an instance or a check that is registered here.
 func (a *Agent) find(id, check string) (string, bool) {
 	c := a.cluster
