Add identity: signed tokens mapped to tenants and rights, with keys that change in service

Need: the team is whatever a field says, so that a stolen terminal could post charges; nothing identified callers.

Change: package identity, pure: rights with deny before allow, key sets with times by which they come, sign and retire, bounded revocations, tokens by golang-jwt with the algorithm pinned by the key, a bounded cache of verified ones, the rule for retries of keyed requests, budgets against floods, audit. identity/keydir reads and writes keys as files, whole or not at all. A door before the broker checks signatures beside the loop; refusals are Denied with their reason by RPC and REFUSED by DNS. sloequay key and sloequay token work on the files; the block identity of the settings turns it on; off on the platform.

Result: over sockets: 2,000 charges of a staff token by RPC and 100 by DNS refused, nothing at any box; three rotations at 300 requests a second refuse none; a retry after its token's end is taken once and no other subject's; 500 open requests end once after a revocation.

--- a/broker/request.go
+++ b/broker/request.go
@@ -5,6 +5,7 @@
 
 	"sloequay/contract"
 	"sloequay/control"
+	"sloequay/identity"
 )
 
 // Owner is the front that a request came by. It gets the final answer exactly once, unless it withdrew the request.
@@ -26,8 +27,10 @@
 	Known   string // the tag of the copy that the client holds
 	SizeKB  float64
 	Body    []byte
-	Arrived time.Duration // of its last byte
-	Limit   time.Duration // that the client waits
+	Token   string           // that the caller showed; empty: none
+	Caller  *identity.Caller // the connection that it came by, as identity knows it
+	Arrived time.Duration    // of its last byte
+	Limit   time.Duration    // that the client waits
 	// Withdrawn is set by the front with the Withdrawal. A request that is taken back in the round it came in is not
 	// taken up at all: hundreds of those must not reach the boxes.
 	Withdrawn bool
@@ -49,7 +52,7 @@
 	Body    []byte        // with Answered
 	Fields  []Field       // that the box sent with its answer
 	Wait    time.Duration // with Refusal: to stay away; 0: no advice
-	Reason  string        // with Refusal and Failure, for people
+	Reason  string        // with Refusal and Failure for people, with Denied a word of identity
 }
 
 // Kind says what a final answer is.
@@ -61,6 +64,7 @@
 	Same          // the client's copy is the one
 	Refusal       // a further try is harmless
 	Failure       // nothing is promised
+	Denied        // the caller may not; Reason says why
 )
 
 // Field is a name with its value.
--- a/cmd/sloequay/conf.go
+++ b/cmd/sloequay/conf.go
@@ -21,6 +21,7 @@
 	dns       *dnsfront.Config // nil: off
 	catalogue *consul.Config   // nil: off
 	snapshot  *snapshotConfig  // nil: off
+	identity  *identityConfig  // nil: off
 	list      membership.Config
 	damping   membership.Damping
 	bulletin  bool   // whether the bulletin's word on boxes counts; its purges always do
@@ -45,6 +46,10 @@
 		o.contracts = book
 		return section, nil
 	})
+	s.Block("identity", false, "who may do what", func([]string) (*conf.Section, error) {
+		o.identity = &identityConfig{}
+		return o.identity.section(), nil
+	})
 	s.Block("dns", false, "DNS request routing", func([]string) (*conf.Section, error) {
 		o.dns = &dnsfront.Config{}
 		return o.dns.Section(), nil
--- a/cmd/sloequay/conf_test.go
+++ b/cmd/sloequay/conf_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
@@ -19,16 +21,21 @@
 	if err := o.section.Parse("shipped", text); err != nil {
 		t.Fatal(err)
 	}
-	if o.contracts != nil || o.dns != nil || o.catalogue != nil || o.snapshot != nil {
+	if o.contracts != nil || o.dns != nil || o.catalogue != nil || o.snapshot != nil || o.identity != nil {
 		t.Error("the shipped file turns something on")
 	}
+	keys := filepath.Join(t.TempDir(), "keys")
+	if out, err := exec.Command(program, "key", "new", "--dir", keys).CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
 	on := regexp.MustCompile(`(?m)^#([^ \n])`).ReplaceAll(text, []byte("$1"))
 	on = regexp.MustCompile(`(?m)^#(    +[a-z}])`).ReplaceAll(on, []byte("$1"))
+	on = bytes.ReplaceAll(on, []byte("./keys"), []byte(keys))
 	o = newOwn()
 	if err := o.section.Parse("examples", on); err != nil {
 		t.Fatal(err)
 	}
-	if o.contracts == nil || o.dns == nil || o.catalogue == nil || o.snapshot == nil || len(o.catalogue.Services) != 3 {
+	if o.contracts == nil || o.dns == nil || o.catalogue == nil || o.snapshot == nil || o.identity == nil || len(o.catalogue.Services) != 3 {
 		t.Error("the examples do not turn everything on")
 	}
 	var once, twice bytes.Buffer
--- /dev/null
+++ b/cmd/sloequay/door.go
@@ -0,0 +1,270 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"path/filepath"
+	"time"
+
+	"github.com/fsnotify/fsnotify"
+
+	"sloequay/broker"
+	"sloequay/conf"
+	"sloequay/identity"
+	"sloequay/identity/keydir"
+)
+
+// identityConfig is the block `identity` of the settings.
+type identityConfig struct {
+	Keys     string // directory; empty: no tokens are taken
+	Gate     identity.GateConfig
+	unsigned string
+	tenants  []identity.Tenant
+	roles    map[string][]identity.Rule
+	uses     map[string][]string // roles by tenant
+	rights   *identity.Rights
+}
+
+func (c *identityConfig) section() *conf.Section {
+	c.Gate, c.roles, c.uses = identity.Defaults(), map[string][]identity.Rule{}, map[string][]string{}
+	p := &c.Gate.Policy
+	s := &conf.Section{}
+	s.Text("keys", &c.Keys, nil, "directory of keys.json and revoked; without it no tokens are taken")
+	s.Text("audience", &p.Audience, nil, "that a token must name; any without it")
+	s.Duration("skew", &p.Skew, 0, 5*time.Minute, "of the callers' clocks, either way")
+	s.Duration("life-most", &p.LifeMost, 0, 10*365*24*time.Hour, "longest life of a token; 0s: any")
+	s.Text("unsigned", &c.unsigned, nil, "tenant of callers without a token; they are refused without it")
+	s.Rate("checks", &c.Gate.Checks, 1, 1e6, "signatures checked a second")
+	s.Rate("checks-connection", &c.Gate.PerConn, 1, 1e6, "and for one connection")
+	s.Int("tokens", &c.Gate.Cached, 1, 10_000_000, "verified tokens remembered")
+	s.Int("keyed", &c.Gate.Keyed, 1, 10_000_000, "idempotency keys remembered")
+	s.Int("revocations", &c.Gate.Revoked, 1, 10_000_000, "revocations held")
+	rule := func(section *conf.Section, to *[]identity.Rule) {
+		for _, name := range []string{"right", "deny"} {
+			section.Each(name, func(words []string) error {
+				r, err := identity.ParseRule(name == "deny", words)
+				*to = append(*to, r)
+				return err
+			}, "classes, or * for all, with front=, site=, group=, object=")
+		}
+	}
+	s.Block("role", true, "rules that several tenants share", func(words []string) (*conf.Section, error) {
+		if len(words) != 1 {
+			return nil, fmt.Errorf("expected the role's name, got %d words", len(words))
+		}
+		if _, there := c.roles[words[0]]; there {
+			return nil, fmt.Errorf("the role %s is named twice", words[0])
+		}
+		var list []identity.Rule
+		section := &conf.Section{}
+		rule(section, &list)
+		section.Check(func() error { c.roles[words[0]] = list; return nil })
+		c.roles[words[0]] = nil
+		return section, nil
+	})
+	s.Block("tenant", true, "what one tenant may do", func(words []string) (*conf.Section, error) {
+		if len(words) != 1 {
+			return nil, fmt.Errorf("expected the tenant's name, got %d words", len(words))
+		}
+		var list []identity.Rule
+		var roles []string
+		section := &conf.Section{}
+		section.Words("role", &roles, nil, "roles whose rules it has too")
+		rule(section, &list)
+		section.Check(func() error {
+			c.tenants = append(c.tenants, identity.Tenant{Name: words[0], Rules: list})
+			c.uses[words[0]] = roles
+			return nil
+		})
+		return section, nil
+	})
+	s.Check(func() error {
+		for i := range c.tenants {
+			t := &c.tenants[i]
+			for _, role := range c.uses[t.Name] {
+				list, there := c.roles[role]
+				if !there {
+					return fmt.Errorf("tenant %s: there is no role %s", t.Name, role)
+				}
+				t.Rules = append(t.Rules, list...)
+			}
+		}
+		var err error
+		if c.rights, err = identity.NewRights(c.tenants, c.unsigned); err != nil {
+			return err
+		}
+		if c.Keys != "" {
+			_, err = keydir.Read(c.Keys)
+		}
+		return err
+	})
+	return s
+}
+
+const (
+	verifiers  = 2 // goroutines that check signatures
+	keysPoll   = time.Second
+	keysSettle = 20 * time.Millisecond // a writer may touch several files
+	auditMost  = 4096
+	gateSweep  = 256 // remembered tokens looked at each housekeeping
+)
+
+// door stands between the fronts and the broker where identity is on: who calls, and whether it may. Its methods run on the
+// loop; signatures are checked beside it.
+type door struct {
+	doorman *doorman
+	cfg     *identityConfig
+	gate    *identity.Gate
+	audit   *identity.Audit
+	jobs    chan *identity.Job
+	bad     string // the fault that was logged last
+}
+
+func (d *doorman) newDoor(cfg *identityConfig) *door {
+	g := &door{doorman: d, cfg: cfg, gate: identity.NewGate(cfg.Gate, cfg.rights), audit: identity.NewAudit(auditMost),
+		jobs: make(chan *identity.Job, cfg.Gate.Waiting)}
+	for range verifiers {
+		go func() {
+			for j := range g.jobs {
+				claims, reason := identity.Verify(j.Token, j.Key)
+				d.loop.Post(func() {
+					for _, o := range g.gate.Verified(clock(), j, claims, reason) {
+						g.settle(o)
+					}
+					d.loop.NeedRound()
+				})
+			}
+		}()
+	}
+	if cfg.Keys != "" {
+		g.take(keydir.Read(cfg.Keys))
+		go g.watch()
+	}
+	return g
+}
+
+// arrive takes a request of a front.
+func (g *door) arrive(r *broker.Request) {
+	class := g.doorman.plan.settings.Control.Classes[r.Class]
+	c := &identity.Call{Caller: r.Caller, Token: r.Token, Data: r,
+		Ask: identity.Ask{Class: class.Name, Group: r.Group, Object: r.Object}}
+	if c.Caller == nil {
+		c.Caller = &identity.Caller{}
+	}
+	if r.Key != "" {
+		c.Key, c.Window = class.Name+" "+r.Key, class.Window
+	}
+	o, j := g.gate.Arrive(clock(), c)
+	switch {
+	case o != nil:
+		g.settle(o)
+	case j != nil:
+		g.jobs <- j // there is room for all that may wait
+	}
+}
+
+// settle passes a request on, or answers it. Whoever is admitted is its tenant, whatever it calls itself.
+func (g *door) settle(o *identity.Outcome) {
+	r := o.Call.Data.(*broker.Request)
+	if o.Reason != identity.Allowed || o.Call.Key != "" {
+		g.tell(o, r)
+	}
+	if r.Withdrawn {
+		return
+	}
+	switch o.Reason {
+	case identity.Allowed:
+		if o.KeyID != "" || o.Subject != "" || r.Team == "" {
+			r.Team = o.Tenant
+		}
+		g.doorman.emit(broker.Arrival{Request: r})
+	case identity.Busy, identity.Full:
+		r.Owner.Final(r, broker.Final{Kind: broker.Refusal, Wait: o.Wait, Reason: o.Reason.String()})
+	default:
+		r.Owner.Final(r, broker.Final{Kind: broker.Denied, Reason: o.Reason.String()})
+	}
+}
+
+// tell writes the audit line of a refused or keyed decision, where its subject is due one.
+func (g *door) tell(o *identity.Outcome, r *broker.Request) {
+	who := o.Subject
+	if who == "" {
+		who = "-"
+	}
+	missed, ok := g.audit.Line(clock(), who+" "+o.Reason.String())
+	if !ok {
+		return
+	}
+	g.doorman.log.Event("audit", "reason", o.Reason, "subject", who, "tenant", o.Tenant, "key", o.KeyID, "class", o.Call.Ask.Class,
+		"front", o.Call.Caller.Front, "rule", o.Rule, "request", r.ID, "unlisted", missed)
+}
+
+// take takes over what the directory says; with a fault the old set stays in force.
+func (g *door) take(c keydir.Content, err error) {
+	var keys *identity.Keys
+	revoked := identity.NewRevocations(g.cfg.Gate.Revoked)
+	if err == nil {
+		keys, err = g.gate.Keys().Replace(c.Keys)
+	}
+	for _, r := range c.Revoked {
+		if err == nil && r.Until > clock() {
+			err = revoked.Add(r.What, r.Name, r.Until)
+		}
+	}
+	if err != nil {
+		if g.bad != err.Error() {
+			g.bad = err.Error()
+			g.doorman.log.Event("keys-refused", "error", err)
+		}
+		return
+	}
+	g.bad = ""
+	g.gate.SetKeys(keys)
+	g.gate.SetRevocations(revoked)
+	signer := "-"
+	if k := keys.Signer(clock()); k != nil {
+		signer = k.ID
+	}
+	g.doorman.log.Event("keys-read", "keys", len(c.Keys), "signing", signer, "revocations", revoked.Len())
+}
+
+// watch reads the directory when it changes. It runs on a goroutine of its own. The system tells of most changes; a poll
+// finds the rest.
+func (g *door) watch() {
+	var events chan fsnotify.Event
+	var faults chan error
+	w, err := fsnotify.NewWatcher()
+	if err == nil {
+		defer w.Close()
+		// The folder above tells of one that is replaced whole.
+		err = errors.Join(w.Add(g.cfg.Keys), w.Add(filepath.Dir(g.cfg.Keys)))
+		events, faults = w.Events, w.Errors
+	}
+	poll := time.NewTicker(keysPoll)
+	defer poll.Stop()
+	last := keydir.Signature(g.cfg.Keys)
+	for {
+		select {
+		case <-faults: // the poll finds what it did not tell
+		case <-events:
+			time.Sleep(keysSettle)
+		case <-poll.C:
+			if w != nil {
+				_ = w.Add(g.cfg.Keys) // it may have been away
+			}
+		}
+		now := keydir.Signature(g.cfg.Keys)
+		if now == last {
+			continue
+		}
+		last = now
+		content, err := keydir.Read(g.cfg.Keys)
+		g.doorman.loop.Post(func() {
+			g.take(content, err)
+			g.doorman.loop.NeedRound()
+		})
+	}
+}
+
+// tick drops what has ended.
+func (g *door) tick(now time.Duration) { g.gate.Expire(now, gateSweep) }
--- /dev/null
+++ b/cmd/sloequay/identity_test.go
@@ -0,0 +1,346 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/miekg/dns"
+)
+
+// keyring works a directory of keys by the program's own commands.
+type keyring struct {
+	t   *testing.T
+	dir string
+}
+
+func (k keyring) run(args ...string) (string, error) {
+	out, err := exec.Command(program, append(args, "--dir", k.dir)...).CombinedOutput()
+	return strings.TrimSpace(string(out)), err
+}
+
+func (k keyring) must(args ...string) string {
+	k.t.Helper()
+	out, err := k.run(args...)
+	if err != nil {
+		k.t.Fatalf("%v: %v: %s", args, err, out)
+	}
+	return out
+}
+
+func (k keyring) token(subject, tenant string, life time.Duration) string {
+	k.t.Helper()
+	return k.must("token", "sign", "--subject", subject, "--tenant", tenant, "--life", life.String(), "--audience", "doorman")
+}
+
+// identity turns identity on: lanes may charge, staff may look up, and callers without a token may do what extra says.
+func (w *world) identity(extra string) keyring {
+	w.t.Helper()
+	k := keyring{w.t, filepath.Join(w.t.TempDir(), "keys")}
+	k.must("key", "new", "--id", "k1")
+	w.own("identity {\nkeys " + k.dir + "\naudience doorman\nskew 0s\nrole reader {\nright lookup footage\n}\n" +
+		"tenant lanes {\nright charge\nrole reader\n}\ntenant staff {\nrole reader\n}\n" + extra + "\n}")
+	return k
+}
+
+// TestWhoMayCharge is the third hard case: a stolen staff token posts charges by both fronts. All are refused with the reason,
+// and nothing reaches any box; a lane controller's go through, as its own tenant whatever team it names.
+func TestWhoMayCharge(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil)
+	k := w.identity("tenant open {\nright lookup\n}\nunsigned open")
+	w.withDNS("")
+	w.run()
+	staff, lanes := k.token("terminal-7", "staff", time.Hour), k.token("lane-3", "lanes", time.Hour)
+	client := w.dial()
+	const many = 2000
+	go func() {
+		for id := uint64(1); id <= many; id++ {
+			_ = client.c.Send(request(id, "charge", map[string]string{"token": staff, "team": "lanes", "unique": fmt.Sprint("u", id)}, "post"))
+			if id%16 == 0 {
+				time.Sleep(time.Millisecond) // no more than 32 may be open
+			}
+		}
+	}()
+	for range many {
+		if a := client.want(); a.Error != "Denied" || a.Fields["reason"] != "right" {
+			t.Fatalf("%+v, want it denied for want of the right", a)
+		}
+	}
+	s := w.stub("udp")
+	for id := range uint16(100) {
+		s.ask(id, fmt.Sprintf("k-%d.n0.00000000000000aa.charge.lanes", id), dns.TypeTXT)
+		if a := s.want(); a.Rcode != "REFUSED" || a.Text != "right" {
+			t.Fatalf("%+v, want it refused for want of the right", a)
+		}
+	}
+	if asks := w.lines(word("ASK")); len(asks) > 0 {
+		t.Errorf("%d lines reached a box, the first %+v", len(asks), asks[0])
+	}
+	for i, c := range []struct{ token, method, err, reason string }{{lanes, "charge", "", ""}, {lanes, "lookup", "", ""}, {staff, "lookup", "", ""}, {"", "lookup", "", ""},
+		{"", "charge", "Denied", "right"}, {"junk", "lookup", "Denied", "malformed"}} {
+		fields := map[string]string{"unique": fmt.Sprint("x", i)}
+		if c.token != "" {
+			fields["token"] = c.token
+		}
+		client.send(request(uint64(9000+i), c.method, fields, ""))
+		if a := client.want(); a.Error != c.err || a.Fields["reason"] != c.reason {
+			t.Errorf("%s with %.10q: %+v, want %q for %q", c.method, c.token, a, c.err, c.reason)
+		}
+	}
+	log := w.log.String()
+	if !strings.Contains(log, "event=audit reason=right subject=terminal-7 tenant=staff key=k1 class=charge") {
+		t.Error("the audit does not name the subject")
+	}
+	if n := strings.Count(log, "subject=terminal-7"); n > 20 {
+		t.Errorf("%d audit lines of one subject", n)
+	}
+	private, err := os.ReadFile(filepath.Join(k.dir, "private", "k1.pem"))
+	if err != nil || len(private) < 100 {
+		t.Fatal(err)
+	}
+	if body := strings.Split(string(private), "\n")[1]; strings.Contains(log, body) || strings.Contains(log, staff) {
+		t.Error("a key or a token is in the log")
+	}
+}
+
+// TestRotationUnderLoad is the first hard case: rotations while requests are in flight. No request whose token is good is
+// refused, and after the overlap every one of the retired key is, with that reason.
+func TestRotationUnderLoad(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil)
+	k := w.identity("")
+	w.run()
+	first := k.token("lane-1", "lanes", time.Hour)
+	var token atomic.Value
+	token.Store(first)
+	client := w.dial()
+	stop, sent := make(chan struct{}), make(chan int, 1)
+	go func() {
+		tick := time.NewTicker(time.Second / 300)
+		defer tick.Stop()
+		for id := 1; ; id++ {
+			select {
+			case <-stop:
+				sent <- id - 1
+				return
+			case <-tick.C:
+			}
+			_ = client.c.Send(request(uint64(id), "charge", map[string]string{"token": token.Load().(string), "unique": fmt.Sprint("u", id), "ram": "1"}, ""))
+		}
+	}()
+	ended := make(chan error, 1)
+	go func() {
+		total, got := -1, 0
+		for got != total {
+			if a, err := client.c.Read(200 * time.Millisecond); err == nil {
+				got++
+				if a.Error != "" {
+					ended <- fmt.Errorf("request %d: %+v", a.ID, a)
+					return
+				}
+				continue
+			}
+			select {
+			case total = <-sent:
+			default:
+			}
+		}
+		ended <- nil
+	}()
+	const rotations = 3
+	for i := range rotations {
+		next := fmt.Sprint("k", i+2)
+		k.must("key", "rotate", "--id", next, "--publish", "400ms", "--accept", "100ms", "--overlap", "900ms")
+		w.until("the next key signs", func() bool {
+			out := k.must("key", "list")
+			return matches(next+" +EdDSA +signing", out)
+		})
+		token.Store(k.token("lane-1", "lanes", time.Hour)) // tokens of the old key are in flight still
+		w.until("the old key is retired", func() bool { return matches(fmt.Sprint("k", i+1)+" +EdDSA +retired", k.must("key", "list")) })
+	}
+	close(stop)
+	if err := <-ended; err != nil {
+		t.Errorf("a good request was refused: %v", err)
+	}
+	client.send(request(1_000_000, "lookup", map[string]string{"token": first}, ""))
+	if a := client.want(); a.Error != "Denied" || a.Fields["reason"] != "retired" {
+		t.Errorf("%+v, want the retired key's token refused as such", a)
+	}
+}
+
+// TestExpiresBetweenTries is the second hard case: the token expires between a charge and its retry. The retry is taken for
+// the same subject, and refused for another.
+func TestExpiresBetweenTries(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil)
+	k := w.identity("")
+	w.run()
+	soon, other := k.token("lane-1", "lanes", 1500*time.Millisecond), k.token("lane-2", "lanes", time.Hour)
+	client := w.dial()
+	charge := func(id uint64, token, unique string) reply {
+		client.send(request(id, "charge", map[string]string{"token": token, "unique": unique}, "post"))
+		return client.want()
+	}
+	if a := charge(1, soon, "u1"); a.Error != "" {
+		t.Fatalf("the first try: %+v", a)
+	}
+	id := uint64(1)
+	w.until("the token has expired", func() bool {
+		id++
+		client.send(request(id, "lookup", map[string]string{"token": soon}, ""))
+		return client.want().Fields["reason"] == "expired"
+	})
+	if a := charge(1001, soon, "u1"); a.Error != "" {
+		t.Errorf("the retry: %+v, want it taken by the first try's authority", a)
+	}
+	if a := charge(1002, other, "u1"); a.Fields["reason"] != "key-in-use" {
+		t.Errorf("another subject with the same key: %+v", a)
+	}
+	if a := charge(1003, soon, "u2"); a.Fields["reason"] != "expired" {
+		t.Errorf("a new charge by the expired token: %+v", a)
+	}
+	for _, a := range w.lines(word("ASK")) {
+		if a.Fields["profile"] == "charge" && a.Fields["replay"] != "u1" {
+			t.Errorf("a box was sent %+v", a)
+		}
+	}
+}
+
+// TestRevocation is the fourth hard case: a subject is revoked while requests of it are open. What is open ends once, and
+// nothing new of it is taken a second later.
+func TestRevocation(t *testing.T) {
+	t.Parallel()
+	held := make(chan *asked, 600)
+	w := newWorld(t, func(a *asked) { held <- a })
+	k := w.identity("")
+	w.run()
+	token := k.token("lane-1", "lanes", time.Hour)
+	var clients []*client
+	const each, many = 25, 20
+	for c := range many {
+		client := w.dial()
+		clients = append(clients, client)
+		for id := range uint64(each) {
+			client.send(request(id, "charge", map[string]string{"token": token, "unique": fmt.Sprintf("u%d.%d", c, id), "txn": fmt.Sprintf("%08x%08x", c, id), "limit": "60000", "ram": "0.1"}, ""))
+		}
+	}
+	w.until("all are open", func() bool { return len(held) == each*many })
+	k.must("key", "revoke", "subject", "lane-1")
+	began := time.Now()
+	probe := w.dial()
+	id := uint64(0)
+	w.until("it is revoked", func() bool {
+		id++
+		probe.send(request(id, "lookup", map[string]string{"token": token, "limit": "300"}, ""))
+		return probe.want().Fields["reason"] == "revoked"
+	})
+	if took := time.Since(began); took > 2*time.Second {
+		t.Errorf("the revocation took %v", took)
+	}
+	for range each * many {
+		a := <-held
+		a.Answer("ACK", "tag=t1", "done")
+	}
+	for _, c := range clients {
+		seen := map[uint64]bool{}
+		for range each {
+			a := c.want()
+			if seen[a.ID] || a.Error != "" {
+				t.Errorf("%+v, want each open request served once", a)
+			}
+			seen[a.ID] = true
+		}
+	}
+}
+
+// TestKeysAway is the seventh hard case: the directory vanishes, comes back empty, half-written, and right. Until it is right
+// the old set is in force.
+func TestKeysAway(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil)
+	k := w.identity("")
+	w.run()
+	token := k.token("lane-1", "lanes", time.Hour)
+	client := w.dial()
+	id := uint64(0)
+	taken := func() bool {
+		id++
+		client.send(request(id, "lookup", map[string]string{"token": token}, ""))
+		return client.want().Error == ""
+	}
+	if !taken() {
+		t.Fatal("the token is refused at first")
+	}
+	sound, err := os.ReadFile(filepath.Join(k.dir, "keys.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	keysFile, private, away := filepath.Join(k.dir, "keys.json"), filepath.Join(k.dir, "private"), k.dir+".away"
+	for _, c := range []struct {
+		name   string
+		change func() error
+		fault  string
+	}{
+		{"gone", func() error { return os.Rename(k.dir, away) }, "no such file"},
+		{"empty", func() error { return os.Mkdir(k.dir, 0o755) }, ""},
+		{"half-written", func() error { return os.WriteFile(keysFile, sound[:len(sound)/2], 0o644) }, "not a whole JWK set"},
+		{"writable by others", func() error { return errors.Join(os.WriteFile(keysFile, sound, 0o644), os.Chmod(keysFile, 0o666)) }, "lets others write it"},
+	} {
+		if err := c.change(); err != nil {
+			t.Fatal(err)
+		}
+		if c.fault != "" {
+			w.until(c.name+" is logged", func() bool { return strings.Contains(w.log.String(), c.fault) })
+		}
+		if !taken() {
+			t.Errorf("%s: the old set is not in force", c.name)
+		}
+	}
+	if err := errors.Join(os.Chmod(keysFile, 0o644), os.Rename(filepath.Join(away, "private"), private)); err != nil {
+		t.Fatal(err)
+	}
+	k.must("key", "rotate", "--id", "k9", "--publish", "0s", "--accept", "0s", "--overlap", "1h")
+	token = k.token("lane-1", "lanes", time.Hour)
+	w.until("a token of the next key is taken", taken)
+}
+
+// TestKeyCommands tries the steps of the run-book, each as an operator would.
+func TestKeyCommands(t *testing.T) {
+	t.Parallel()
+	k := keyring{t, filepath.Join(t.TempDir(), "keys")}
+	k.must("key", "new", "--id", "a")
+	if out, err := k.run("key", "new"); err == nil || !strings.Contains(out, "rotate") {
+		t.Errorf("a second first key: %s", out)
+	}
+	token := k.token("s1", "staff", time.Hour)
+	if out := k.must("token", "verify", token, "--audience", "doorman"); !strings.HasPrefix(out, "good: subject s1 of tenant staff, by key a") {
+		t.Error(out)
+	}
+	if out := k.must("token", "show", token); !strings.Contains(out, `"tenant": "staff"`) || !strings.Contains(out, `"kid": "a"`) {
+		t.Error(out)
+	}
+	if out, err := k.run("token", "verify", token, "--audience", "other"); err == nil || !strings.Contains(out, "refused: audience") {
+		t.Errorf("for another audience: %s", out)
+	}
+	if out := k.must("key", "rotate", "--id", "b", "--algorithm", "ES256"); !matches("b +ES256 +coming", out) || !matches("a +EdDSA +signing", out) {
+		t.Error(out)
+	}
+	k.must("key", "revoke", "token", "t123", "--for", "1h")
+	k.must("key", "retire", "a")
+	if out, err := k.run("token", "verify", token); err == nil || !strings.Contains(out, "refused: retired") {
+		t.Errorf("after its key retired: %s", out)
+	}
+	if out, err := k.run("token", "sign", "--subject", "x", "--tenant", "y"); err == nil || !strings.Contains(out, "no key signs now") {
+		t.Errorf("with no signer: %s", out)
+	}
+	if out, err := k.run("key", "revoke", "team", "x"); err == nil || !strings.Contains(out, "expected token, subject or key") {
+		t.Error(out)
+	}
+}
--- a/cmd/sloequay/serve.go
+++ b/cmd/sloequay/serve.go
@@ -55,6 +55,7 @@
 	resolver *resolver.Resolver
 	log      *oplog.Logger
 	list     *sources
+	door     *door // nil: every caller may do everything
 	events   []broker.Event
 	kept     time.Duration // when the last housekeeping was
 	signals  chan os.Signal
@@ -83,12 +84,12 @@
 	if p.own.dns != nil {
 		most := clients / 4
 		clients -= most
-		d.dns = &dnsfront.Front{Config: p.own.dns, Classes: s.Control.Classes, Emit: d.emit, Now: clock,
+		d.dns = &dnsfront.Front{Config: p.own.dns, Classes: s.Control.Classes, Emit: d.enter, Now: clock,
 			Log: d.log.Event, Box: d.broker.Box, Most: most, Seed: s.Seed}
 		listeners = append(listeners, loop.Listener{Network: "udp", Address: p.own.dns.Listen, Packet: d.dns.Packet},
 			loop.Listener{Network: "tcp", Address: p.own.dns.Listen, Accept: d.dns.Accept})
 	}
-	d.front = rpc.New(s.Control.Classes, clients, d.emit, clock, ready, full, d.log.Event)
+	d.front = rpc.New(s.Control.Classes, clients, d.enter, clock, ready, full, d.log.Event)
 	listeners = append(listeners, loop.Listener{Network: "tcp", Address: s.Listen, Accept: d.front.Accept})
 	return loop.Run(listeners, d.start, d.round)
 }
@@ -107,6 +108,9 @@
 		Most: s.Sockets - s.Sockets/clientPart - ownSockets}
 	d.bulletin = &bulletin.Reader{Loop: l, Address: s.Bulletin, Names: d.plan.names, Last: d.plan.last, Emit: d.emit,
 		Now: clock, Log: d.log.Event}
+	if cfg := d.plan.own.identity; cfg != nil {
+		d.door = d.newDoor(cfg)
+	}
 	d.list = &sources{doorman: d}
 	d.list.start()
 	go d.heed()
@@ -114,6 +118,15 @@
 	l.NeedRound()
 }
 
+// enter takes what a front has: a request meets the door first, where there is one.
+func (d *doorman) enter(e broker.Event) {
+	if a, ok := e.(broker.Arrival); ok && d.door != nil {
+		d.door.arrive(a.Request)
+		return
+	}
+	d.emit(e)
+}
+
 func (d *doorman) emit(e broker.Event) { d.events = append(d.events, e) }
 
 // heed takes signals to the loop. Files are read here, beside it.
@@ -167,6 +180,9 @@
 			d.dns.Tick(now)
 		}
 		d.list.tick(now)
+		if d.door != nil {
+			d.door.tick(now)
+		}
 		d.log.Tick(now)
 	}
 	d.pool.Watch(now)
--- a/conf/conf.go
+++ b/conf/conf.go
@@ -229,6 +229,22 @@
 	}})
 }
 
+// Each is a directive that may be given many times, with words that set reads; its lines are printed as they were given.
+func (s *Section) Each(name string, set func(words []string) error, help string) {
+	var given []string
+	s.add(&field{name: name, help: help, repeat: true, set: func(words []string) error {
+		if err := set(words); err != nil {
+			return err
+		}
+		quoted := make([]string, len(words))
+		for i, word := range words {
+			quoted[i] = quote(word)
+		}
+		given = append(given, strings.Join(quoted, " "))
+		return nil
+	}, show: func() []string { return given }})
+}
+
 // Block is a directive with a block. open gets its words and gives the section that the block's lines are read by; with
 // repeat it may be given more than once.
 func (s *Section) Block(name string, repeat bool, help string, open func(words []string) (*Section, error)) {
@@ -376,7 +392,9 @@
 		case f.given == 0:
 			put("%s %s  # default", f.name, values[0])
 		default:
-			put("%s %s", f.name, values[0])
+			for _, v := range values {
+				put("%s %s", f.name, v)
+			}
 		}
 	}
 	return err
--- a/dnsfront/dnsfront.go
+++ b/dnsfront/dnsfront.go
@@ -16,6 +16,7 @@
 
 	"sloequay/broker"
 	"sloequay/control"
+	"sloequay/identity"
 	"sloequay/lobby"
 	"sloequay/loop"
 )
@@ -45,6 +46,7 @@
 	queries map[string]*waiter          // open, by who asked: a retransmit joins itself
 	lobby   *lobby.Lobby                // of TCP connections
 	serial  uint64
+	caller  identity.Caller // all that ask here, as long as queries are not signed
 }
 
 // flight is one request with all the queries that wait for its answer.
@@ -71,6 +73,7 @@
 func (f *Front) init() {
 	if f.byName == nil {
 		f.byName, f.byReq = map[string]*flight{}, map[*broker.Request]*flight{}
+		f.caller.Front = "dns"
 		f.queries, f.lobby = map[string]*waiter{}, lobby.New(f.Most, tcpIdle)
 	}
 }
@@ -205,7 +208,7 @@
 	f.serial++
 	now, t := f.Now(), fl.target
 	fl.request = &broker.Request{Owner: f, ID: fmt.Sprintf("%016x", f.Seed+f.serial), Class: fl.class, Team: t.team,
-		Object: t.object, Thing: t.thing, Part: t.part, Group: t.group, Key: t.key, Arrived: now,
+		Object: t.object, Thing: t.thing, Part: t.part, Group: t.group, Key: t.key, Caller: &f.caller, Arrived: now,
 		Limit: fl.end - now}
 	f.byReq[fl.request] = fl
 	f.Emit(broker.Arrival{Request: fl.request})
@@ -229,8 +232,11 @@
 	fl.final = &final
 	if fl.name != "" {
 		// A refusal promises that another try is harmless, so it is repeated for its wait only.
-		if fl.until = now + f.Classes[fl.class].Window; final.Kind == broker.Refusal {
+		switch fl.until = now + f.Classes[fl.class].Window; final.Kind {
+		case broker.Refusal:
 			fl.until = now + final.Wait
+		case broker.Denied:
+			fl.until = now // nothing was tried by this key
 		}
 	}
 	for _, w := range fl.waiters {
@@ -260,6 +266,8 @@
 		f.refuse(w, final.Wait)
 	case broker.Failure:
 		f.code(w, dns.RcodeServerFailure, final.Reason)
+	case broker.Denied:
+		f.code(w, dns.RcodeRefused, final.Reason)
 	default:
 		m := f.message(w, dns.RcodeSuccess)
 		name := w.query.Question[0].Name
--- /dev/null
+++ b/identity/gate.go
@@ -0,0 +1,297 @@
+package identity
+
+import (
+	"container/list"
+	"crypto/sha256"
+	"time"
+)
+
+// GateConfig bounds a Gate.
+type GateConfig struct {
+	Policy  Policy
+	Cached  int     // verified tokens remembered
+	Waiting int     // requests that wait for a signature to be checked
+	Checks  float64 // signatures checked a second, in all
+	PerConn float64 // and for one connection
+	Keyed   int     // idempotency keys remembered
+	Revoked int     // revocations held
+}
+
+// Defaults gives the bounds in force where the settings say nothing.
+func Defaults() GateConfig {
+	return GateConfig{Policy: Policy{Skew: 5 * time.Second}, Cached: 100_000, Waiting: 4096, Checks: 4000, PerConn: 400,
+		Keyed: 100_000, Revoked: 100_000}
+}
+
+// Caller is a connection as the gate knows it. Its zero value is a new one.
+type Caller struct {
+	Front      string
+	Thumbprint string // of its client certificate; empty: it has none
+	Tenant     string // that the certificate stands for; empty: none
+	Subject    string
+	Site       string
+	budget     bucket
+	bad        int // signatures that did not hold, lately
+}
+
+// Call is one request at the gate.
+type Call struct {
+	Caller *Caller
+	Token  string
+	Ask    Ask
+	Key    string // idempotency key; empty: not keyed
+	Window time.Duration
+	Data   any // the user's own
+}
+
+// Outcome is what the gate decides of a call.
+type Outcome struct {
+	Call    *Call
+	Reason  Reason
+	Tenant  string
+	Subject string
+	KeyID   string
+	Rule    int
+	Wait    time.Duration // with Busy and Full: to stay away
+}
+
+// Job is a signature to be checked, by Verify, wherever that does not hold the loop. Its Result goes to Verified.
+type Job struct {
+	Token string
+	Key   *Key
+	hash  [32]byte
+}
+
+// verified is a token whose signature holds.
+type verified struct {
+	hash   [32]byte
+	claims Claims
+	key    *Key // whose signature it is
+}
+
+// Gate decides who a caller is and whether it may do what it asks. It remembers tokens whose signature holds, and has
+// others checked within budgets, so that a flood of bad ones costs the sender's own connection first.
+//
+// Invariants: at most one Job is out for a token; what is remembered and what waits is bounded; every Call gets exactly
+// one Outcome. It is not safe for concurrent use.
+type Gate struct {
+	cfg     GateConfig
+	rights  *Rights
+	keys    *Keys
+	revoked *Revocations
+	keyed   *Keyed
+	cache   map[[32]byte]*list.Element
+	recent  *list.List // of *verified, the newest first
+	waiting map[[32]byte][]*Call
+	queued  int
+	total   bucket
+	// Counts of what was done, for the log and the tests.
+	Checked, Hits, Refused uint64
+}
+
+// NewGate makes a gate with no keys.
+func NewGate(cfg GateConfig, rights *Rights) *Gate {
+	return &Gate{cfg: cfg, rights: rights, revoked: NewRevocations(cfg.Revoked), keyed: NewKeyed(cfg.Keyed),
+		cache: map[[32]byte]*list.Element{}, recent: list.New(), waiting: map[[32]byte][]*Call{}}
+}
+
+// SetKeys takes another key set. Tokens of keys that stay are not checked again.
+func (g *Gate) SetKeys(k *Keys) { g.keys = k }
+
+// Keys is the set in force.
+func (g *Gate) Keys() *Keys { return g.keys }
+
+// SetRights takes other rights.
+func (g *Gate) SetRights(r *Rights) { g.rights = r }
+
+// Revocations is what was revoked.
+func (g *Gate) Revocations() *Revocations { return g.revoked }
+
+// Waiting is the number of calls that wait for a signature.
+func (g *Gate) Waiting() int { return g.queued }
+
+// Arrive takes a call. Either its outcome comes back, or a job whose result decides it, or neither where it waits for a job
+// that is out already.
+func (g *Gate) Arrive(now time.Duration, c *Call) (*Outcome, *Job) {
+	g.revoked.Expire(now)
+	if c.Token == "" {
+		return g.decide(now, c, nil, Unsigned), nil
+	}
+	hash := sha256.Sum256([]byte(c.Token))
+	if e := g.cache[hash]; e != nil {
+		v := e.Value.(*verified)
+		if g.keys.Get(v.claims.KeyID) == v.key || samePublic(g.keys.Get(v.claims.KeyID), v.key) {
+			g.Hits++
+			g.recent.MoveToFront(e)
+			return g.decide(now, c, &v.claims, g.cfg.Policy.Check(now, &v.claims, g.keys, g.revoked)), nil
+		}
+		g.drop(e) // its key is gone
+	}
+	if calls, out := g.waiting[hash]; out {
+		if g.queued >= g.cfg.Waiting {
+			return g.busy(c, time.Second), nil
+		}
+		g.waiting[hash] = append(calls, c)
+		g.queued++
+		return nil, nil
+	}
+	id, algorithm, reason := Head(c.Token)
+	if reason != Allowed {
+		return g.decide(now, c, nil, reason), nil
+	}
+	k := g.keys.Get(id)
+	switch {
+	case k == nil:
+		return g.decide(now, c, nil, UnknownKey), nil
+	case k.Algorithm != algorithm:
+		return g.decide(now, c, nil, WrongAlgorithm), nil
+	case g.revoked.Has(now, KeyID, id):
+		return g.decide(now, c, nil, Revoked), nil
+	case k.State(now) == Coming:
+		return g.decide(now, c, nil, NotYet), nil
+	}
+	// A retired key's tokens are checked too: a retry of an admitted request may come by one.
+	if wait, ok := c.Caller.budget.take(now, g.cfg.PerConn/float64(1+c.Caller.bad)); !ok {
+		return g.busy(c, wait), nil
+	}
+	if g.queued >= g.cfg.Waiting {
+		return g.busy(c, time.Second), nil
+	}
+	if wait, ok := g.total.take(now, g.cfg.Checks); !ok {
+		return g.busy(c, wait), nil
+	}
+	g.waiting[hash] = append(g.waiting[hash], c)
+	g.queued++
+	g.Checked++
+	return nil, &Job{Token: c.Token, Key: k, hash: hash}
+}
+
+func samePublic(a, b *Key) bool {
+	if a == nil || b == nil {
+		return false
+	}
+	x, err := a.thumbprint()
+	y, err2 := b.thumbprint()
+	return err == nil && err2 == nil && x == y
+}
+
+func (g *Gate) busy(c *Call, wait time.Duration) *Outcome {
+	g.Refused++
+	return &Outcome{Call: c, Reason: Busy, Rule: -1, Wait: wait}
+}
+
+// badMost bounds how far bad signatures lower a connection's budget.
+const badMost = 100
+
+// Verified takes the result of a job, and gives the outcomes of all calls that waited for it.
+func (g *Gate) Verified(now time.Duration, j *Job, claims Claims, reason Reason) (out []*Outcome) {
+	calls := g.waiting[j.hash]
+	delete(g.waiting, j.hash)
+	g.queued -= len(calls)
+	if reason == Allowed {
+		g.remember(&verified{hash: j.hash, claims: claims, key: j.Key})
+	}
+	for _, c := range calls {
+		if reason != Allowed {
+			c.Caller.bad = min(c.Caller.bad+1, badMost)
+			out = append(out, g.decide(now, c, nil, reason))
+			continue
+		}
+		c.Caller.bad /= 2
+		out = append(out, g.decide(now, c, &claims, g.cfg.Policy.Check(now, &claims, g.keys, g.revoked)))
+	}
+	return out
+}
+
+func (g *Gate) remember(v *verified) {
+	if g.cache[v.hash] != nil {
+		return
+	}
+	g.cache[v.hash] = g.recent.PushFront(v)
+	for len(g.cache) > g.cfg.Cached {
+		g.drop(g.recent.Back())
+	}
+}
+
+func (g *Gate) drop(e *list.Element) {
+	delete(g.cache, e.Value.(*verified).hash)
+	g.recent.Remove(e)
+}
+
+// Expire drops remembered tokens from the oldest end that have ended, at most so many: the rest goes as it is met.
+func (g *Gate) Expire(now time.Duration, most int) {
+	g.keyed.expire(now)
+	g.revoked.Expire(now)
+	for e := g.recent.Back(); e != nil && most > 0; most-- {
+		before := e.Prev()
+		if v := e.Value.(*verified); now >= v.claims.Expires+g.cfg.Policy.Skew {
+			g.drop(e)
+		}
+		e = before
+	}
+}
+
+// decide joins who the caller is, what it may do, and the rule for idempotency keys.
+func (g *Gate) decide(now time.Duration, c *Call, claims *Claims, reason Reason) *Outcome {
+	o := &Outcome{Call: c, Reason: reason, Rule: -1}
+	switch {
+	case claims != nil:
+		o.Tenant, o.Subject, o.KeyID = claims.Tenant, claims.Subject, claims.KeyID
+		if reason == Allowed && claims.Thumbprint != "" && claims.Thumbprint != c.Caller.Thumbprint {
+			o.Reason = Binding
+		}
+	case reason == Unsigned && c.Caller.Tenant != "":
+		o.Tenant, o.Subject, o.Reason = c.Caller.Tenant, c.Caller.Subject, Allowed
+		if g.revoked.Has(now, Subject, o.Subject) {
+			o.Reason = Revoked
+		}
+	case reason == Unsigned:
+		if tenant, ok := g.rights.Unsigned(); ok {
+			o.Tenant, o.Reason = tenant, Allowed
+		}
+	}
+	if o.Tenant != "" && (o.Reason == Allowed || c.Key != "" && (o.Reason == Expired || o.Reason == Retired)) {
+		ask := c.Ask
+		ask.Front, ask.Site = c.Caller.Front, c.Caller.Site
+		if claims != nil && claims.Site != "" {
+			ask.Site = claims.Site
+		}
+		d := g.rights.May(o.Tenant, ask)
+		if d.Reason != Allowed {
+			o.Reason = d.Reason
+		}
+		if o.Rule = d.Rule; c.Key != "" {
+			o.Reason = g.keyed.Admit(now, c.Key, o.Subject, o.Tenant, o.Reason, c.Window)
+		}
+	}
+	if o.Reason == Full {
+		o.Wait = time.Second
+	}
+	if o.Reason != Allowed {
+		g.Refused++
+	}
+	return o
+}
+
+// bucket is a token bucket that holds a second's worth.
+type bucket struct {
+	tokens float64
+	at     time.Duration
+}
+
+func (b *bucket) take(now time.Duration, perSecond float64) (time.Duration, bool) {
+	if b.at == 0 {
+		b.tokens = perSecond
+	} else {
+		b.tokens = min(max(1, perSecond), b.tokens+max(0, now-b.at).Seconds()*perSecond)
+	}
+	b.at = max(now, 1)
+	if b.tokens < 1 {
+		return time.Duration((1-b.tokens)/perSecond*float64(time.Second)) + time.Millisecond, false
+	}
+	b.tokens--
+	return 0, true
+}
+
+// SetRevocations takes another list of what was revoked.
+func (g *Gate) SetRevocations(r *Revocations) { g.revoked = r }
--- a/oplog/oplog.go
+++ b/oplog/oplog.go
@@ -42,6 +42,8 @@
 	"catalogue-token": zap.ErrorLevel, "catalogue-registered": zap.InfoLevel, "catalogue-unregistered": zap.InfoLevel,
 	"catalogue-register": zap.WarnLevel,
 
+	"audit": zap.WarnLevel, "keys-read": zap.InfoLevel, "keys-refused": zap.ErrorLevel,
+
 	"snapshot-refused": zap.WarnLevel, "snapshot-failed": zap.ErrorLevel, "snapshot-read": zap.InfoLevel,
 }
 
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -13,6 +13,7 @@
 
 	"sloequay/broker"
 	"sloequay/control"
+	"sloequay/identity"
 	"sloequay/lobby"
 	"sloequay/loop"
 	"sloequay/msgpack"
@@ -43,6 +44,7 @@
 	wordRefused   = "Overloaded"
 	wordFailed    = "Internal"
 	wordMalformed = "Malformed"
+	wordDenied    = "Denied"
 )
 
 // Front is all client connections.
@@ -71,7 +73,7 @@
 
 // Accept takes a new connection, or none where there is no descriptor for it.
 func (f *Front) Accept(remote net.Addr) loop.Handler {
-	c := &client{front: f, open: map[uint32]*broker.Request{}, msgs: map[*broker.Request]uint32{}}
+	c := &client{front: f, caller: identity.Caller{Front: "rpc"}, open: map[uint32]*broker.Request{}, msgs: map[*broker.Request]uint32{}}
 	if c.guest = f.lobby.Enter(f.now(), c.leave); c.guest == nil {
 		f.log("client-limit", "front", "rpc", "from", remote)
 		return nil
@@ -94,6 +96,7 @@
 	open   map[uint32]*broker.Request // by message id
 	msgs   map[*broker.Request]uint32
 	excess int // requests beyond mostOpen in this read
+	caller identity.Caller
 	left   bool
 }
 
@@ -250,14 +253,18 @@
 	fields := map[string]string{}
 	for ; pairs > 0 && p.Err == nil; pairs-- {
 		name := string(p.Text(mostText))
-		fields[name] = string(p.Text(mostText))
+		most := uint32(mostText)
+		if name == "token" {
+			most = identity.TokenMost
+		}
+		fields[name] = string(p.Text(most))
 	}
 	body := p.Binary(mostBody)
 	if p.Err != nil {
 		return nil, p.Err
 	}
 	r := &broker.Request{Owner: c, ID: fields["txn"], Class: class, Team: fields["team"], Thing: fields["item"],
-		Key: fields["unique"], Known: fields["got"], Body: append([]byte(nil), body...), Arrived: c.front.now()}
+		Token: fields["token"], Caller: &c.caller, Key: fields["unique"], Known: fields["got"], Body: append([]byte(nil), body...), Arrived: c.front.now()}
 	if !isHex16(r.ID) {
 		return nil, fmt.Errorf("txn %q: expected 16 hex digits", r.ID)
 	}
@@ -357,6 +364,8 @@
 		c.fail(msg, wordRefused, fields)
 	case broker.Failure:
 		c.fail(msg, wordFailed, nil)
+	case broker.Denied:
+		c.fail(msg, wordDenied, []broker.Field{{Name: "reason", Value: f.Reason}})
 	}
 }
 
