Sign DNS queries and answers by TSIG; a charge by DNS needs a key with that right

Need: by DNS every caller was unsigned, so that identity could only let all of them charge or none.

Change: identity/tsig checks signatures by shared secrets that stand for subjects (RFC 8945, hmac-sha256 to 512), and signs the answers; BADKEY, BADSIG and BADTIME as the RFC says. Secrets are one file, 0600, taken over with the other keys; sloequay key tsig makes one. Joined queries are one subject's, and a finished result is kept as long as a copied query would be taken.

Result: over UDP and TCP nine cases give what the RFC says, one charge reaches the archive, no secret is in the log; a fuzzed message was never taken.

--- a/cmd/sloequay/door.go
+++ b/cmd/sloequay/door.go
@@ -12,6 +12,7 @@
 	"sloequay/conf"
 	"sloequay/identity"
 	"sloequay/identity/keydir"
+	"sloequay/identity/tsig"
 )
 
 // identityConfig is the block `identity` of the settings.
@@ -117,7 +118,8 @@
 	gate    *identity.Gate
 	audit   *identity.Audit
 	jobs    chan *identity.Job
-	bad     string // the fault that was logged last
+	tsig    *tsig.Keys // of DNS
+	bad     string     // the fault that was logged last
 }
 
 func (d *doorman) newDoor(cfg *identityConfig) *door {
@@ -206,6 +208,10 @@
 	if err == nil {
 		keys, err = g.gate.Keys().Replace(c.Keys)
 	}
+	var shared *tsig.Keys
+	if err == nil {
+		shared, err = tsig.New(c.TSIG)
+	}
 	for _, r := range c.Revoked {
 		if err == nil && r.Until > clock() {
 			err = revoked.Add(r.What, r.Name, r.Until)
@@ -218,14 +224,14 @@
 		}
 		return
 	}
-	g.bad = ""
+	g.bad, g.tsig = "", shared
 	g.gate.SetKeys(keys)
 	g.gate.SetRevocations(revoked)
 	signer := "-"
 	if k := keys.Signer(clock()); k != nil {
 		signer = k.ID
 	}
-	g.doorman.log.Event("keys-read", "keys", len(c.Keys), "signing", signer, "revocations", revoked.Len())
+	g.doorman.log.Event("keys-read", "keys", len(c.Keys), "signing", signer, "shared", len(c.TSIG), "revocations", revoked.Len())
 }
 
 // watch reads the directory when it changes. It runs on a goroutine of its own. The system tells of most changes; a poll
--- a/cmd/sloequay/identity_test.go
+++ b/cmd/sloequay/identity_test.go
@@ -344,3 +344,85 @@
 		t.Error(out)
 	}
 }
+
+// TestSignedQueries: a charge by DNS needs a key with that right; answers are signed, wrong signatures are refused as the RFC
+// says, and the same idempotency key is one subject's.
+func TestSignedQueries(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil)
+	k := w.identity("")
+	w.withDNS("")
+	secret := func(name, tenant string) string {
+		line := k.must("key", "tsig", name, "--tenant", tenant, "--subject", strings.TrimSuffix(name, "."))
+		return line[strings.LastIndex(line, ":")+1:]
+	}
+	lane, other, staff := secret("lane-3.", "lanes"), secret("lane-4.", "lanes"), secret("terminal-7.", "staff")
+	w.run()
+	for i, c := range []struct {
+		name, key, secret string
+		signed            time.Duration // after now
+		question          string
+		rcode, tsig       int
+		text              string
+	}{
+		{"a charge of a lane", "lane-3.", lane, 0, "k-u1.n0.00000000000000aa.charge._", dns.RcodeSuccess, 0, ""},
+		{"the same again", "lane-3.", lane, 0, "k-u1.n0.00000000000000aa.charge._", dns.RcodeSuccess, 0, ""},
+		{"another lane with its key", "lane-4.", other, 0, "k-u1.n0.00000000000000aa.charge._", dns.RcodeRefused, 0, "key-in-use"},
+		{"a charge of a terminal", "terminal-7.", staff, 0, "k-u2.n0.00000000000000aa.charge._", dns.RcodeRefused, 0, "right"},
+		{"what a terminal may", "terminal-7.", staff, 0, "n0.00000000000000aa.lookup._", dns.RcodeSuccess, 0, ""},
+		{"unsigned", "", "", 0, "k-u3.n0.00000000000000aa.charge._", dns.RcodeRefused, 0, "unsigned"},
+		{"another's secret", "lane-3.", staff, 0, "k-u4.n0.00000000000000aa.charge._", dns.RcodeNotAuth, dns.RcodeBadSig, ""},
+		{"an unknown key", "lane-9.", lane, 0, "k-u5.n0.00000000000000aa.charge._", dns.RcodeNotAuth, dns.RcodeBadKey, ""},
+		{"an hour ago", "lane-3.", lane, -time.Hour, "k-u6.n0.00000000000000aa.charge._", dns.RcodeNotAuth, dns.RcodeBadTime, ""},
+	} {
+		for _, network := range []string{"udp", "tcp"} {
+			s := w.stub(network)
+			m := new(dns.Msg).SetQuestion(c.question+"."+zone, dns.TypeTXT)
+			m.Id = uint16(100 + i)
+			m.SetEdns0(1232, false)
+			packet, mac := []byte(nil), ""
+			var err error
+			if c.key == "" {
+				packet, err = m.Pack()
+			} else {
+				m.SetTsig(c.key, dns.HmacSHA256, 300, time.Now().Add(c.signed).Unix())
+				packet, mac, err = dns.TsigGenerate(m, c.secret, "", false)
+			}
+			if err == nil {
+				_, err = s.conn.Write(packet)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			raw, err := s.conn.ReadMsgHeader(nil)
+			if err != nil {
+				t.Fatalf("%s: %v", c.name, err)
+			}
+			a := &dns.Msg{}
+			if err := a.Unpack(raw); err != nil {
+				t.Fatal(err)
+			}
+			record, text := a.IsTsig(), ""
+			for _, o := range a.IsEdns0().Option {
+				if e, ok := o.(*dns.EDNS0_EDE); ok {
+					text = e.ExtraText
+				}
+			}
+			if a.Rcode != c.rcode || text != c.text || (record != nil) != (c.key != "") || record != nil && int(record.Error) != c.tsig {
+				t.Errorf("%s by %s: %s %q with %v", c.name, network, dns.RcodeToString[a.Rcode], text, record)
+			}
+			if record != nil && c.tsig == 0 {
+				if err := dns.TsigVerify(raw, c.secret, mac, false); err != nil {
+					t.Errorf("%s by %s: the answer's signature: %v", c.name, network, err)
+				}
+			}
+		}
+	}
+	charges := w.lines(func(a *asked) bool { return a.Word == "ASK" && a.Fields["profile"] == "charge" })
+	if len(charges) != 1 {
+		t.Errorf("%d charges reached a box, want the lane's one", len(charges))
+	}
+	if log := w.log.String(); strings.Contains(log, lane) || strings.Contains(log, staff) {
+		t.Error("a secret is in the log")
+	}
+}
--- a/cmd/sloequay/keys.go
+++ b/cmd/sloequay/keys.go
@@ -16,6 +16,7 @@
 
 	"sloequay/identity"
 	"sloequay/identity/keydir"
+	"sloequay/identity/tsig"
 )
 
 func randomID(prefix string) string {
@@ -141,6 +142,20 @@
 			return fmt.Errorf("expected token, subject or key, got %q", args[0])
 		}}
 	keyRevoke.Flags().DurationVar(&span, "for", 31*24*time.Hour, "how long: no token that it names may live longer")
+	shared := tsig.Key{}
+	keyTSIG := &cobra.Command{Use: "tsig NAME", Short: "Make a shared secret for a DNS client, and print it once", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			shared.Name = args[0]
+			k, err := keydir.NewTSIG(dir, shared)
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(out, "%s:%s:%s\n", k.Algorithm, k.Name, k.Secret)
+			return err
+		}}
+	keyTSIG.Flags().StringVar(&shared.Algorithm, "algorithm", tsig.Algorithms[0], "one of hmac-sha256, hmac-sha384, hmac-sha512")
+	keyTSIG.Flags().StringVar(&shared.Tenant, "tenant", "", "of which tenant the client is")
+	keyTSIG.Flags().StringVar(&shared.Subject, "subject", "", "who it is")
 	claims := identity.Claims{}
 	var audience string
 	var life time.Duration
@@ -224,7 +239,7 @@
 		_, err = fmt.Fprintf(out, "%s\n", text)
 		return err
 	}}
-	return []*cobra.Command{group("key", "Keys that tokens are signed by", keyNew, keyList, keyRotate, keyRetire, keyRevoke),
+	return []*cobra.Command{group("key", "Keys that tokens are signed by", keyNew, keyList, keyRotate, keyRetire, keyRevoke, keyTSIG),
 		group("token", "Tokens that callers show", tokenSign, tokenShow, tokenVerify)}
 }
 
--- a/cmd/sloequay/serve.go
+++ b/cmd/sloequay/serve.go
@@ -11,6 +11,7 @@
 	"sloequay/broker"
 	"sloequay/depot"
 	"sloequay/dnsfront"
+	"sloequay/identity/tsig"
 	"sloequay/loop"
 	"sloequay/membership"
 	"sloequay/membership/bulletin"
@@ -86,6 +87,10 @@
 		clients -= most
 		d.dns = &dnsfront.Front{Config: p.own.dns, Classes: s.Control.Classes, Emit: d.enter, Now: clock,
 			Log: d.log.Event, Box: d.broker.Box, Most: most, Seed: s.Seed}
+		if cfg := p.own.identity; cfg != nil {
+			d.dns.Skew = cfg.Gate.Policy.Skew
+			d.dns.Keys = func() *tsig.Keys { return d.door.tsig }
+		}
 		listeners = append(listeners, loop.Listener{Network: "udp", Address: p.own.dns.Listen, Packet: d.dns.Packet},
 			loop.Listener{Network: "tcp", Address: p.own.dns.Listen, Accept: d.dns.Accept})
 	}
--- a/dnsfront/dnsfront.go
+++ b/dnsfront/dnsfront.go
@@ -17,6 +17,7 @@
 	"sloequay/broker"
 	"sloequay/control"
 	"sloequay/identity"
+	"sloequay/identity/tsig"
 	"sloequay/lobby"
 	"sloequay/loop"
 )
@@ -40,18 +41,21 @@
 	Box     func(host string) *broker.Box // of the list; nil: unknown
 	Most    int                           // TCP connections
 	Seed    uint64
+	Keys    func() *tsig.Keys // by which queries are signed; nil: none
+	Skew    time.Duration     // of the callers' clocks
 
 	byName  map[string]*flight          // keyed requests, open or finished within their window
 	byReq   map[*broker.Request]*flight // open
 	queries map[string]*waiter          // open, by who asked: a retransmit joins itself
 	lobby   *lobby.Lobby                // of TCP connections
 	serial  uint64
-	caller  identity.Caller // all that ask here, as long as queries are not signed
+	caller  identity.Caller // of queries that are not signed
 }
 
 // flight is one request with all the queries that wait for its answer.
 type flight struct {
 	target  target
+	caller  *identity.Caller
 	class   int
 	name    string // in Front.byName; empty: not keyed
 	request *broker.Request
@@ -68,6 +72,7 @@
 	reply  func([]byte)
 	most   int // bytes of its answer
 	stream *stream
+	signed *tsig.Signed // nil: it is not
 }
 
 func (f *Front) init() {
@@ -117,6 +122,19 @@
 		f.code(w, dns.RcodeRefused, "class")
 		return
 	}
+	var keys *tsig.Keys
+	if f.Keys != nil {
+		keys = f.Keys()
+	}
+	if w.signed, err = keys.Check(packet, q, f.Now(), f.Skew); err != nil {
+		f.code(w, dns.RcodeFormatError, err.Error())
+		return
+	}
+	if w.signed != nil && w.signed.Error != 0 {
+		f.Log("dns-signature", "from", from, "error", dns.RcodeToString[int(w.signed.Error)])
+		f.code(w, dns.RcodeNotAuth, "")
+		return
+	}
 	question := q.Question[0]
 	w.who = fmt.Sprintf("%s %d %d %s", from, q.Id, question.Qtype, strings.ToLower(question.Name))
 	if f.queries[w.who] != nil { // a retransmit: its answer is under way
@@ -159,10 +177,14 @@
 // request has a query join the request of its key, or makes a request of it.
 func (f *Front) request(w *waiter, t target, class int) {
 	now := f.Now()
-	name := ""
+	name, caller := "", &f.caller
+	if w.signed != nil {
+		caller = w.signed.Caller()
+	}
 	if f.Classes[class].Effect != control.Safe {
 		// The key and not the address of the client says what is the same request: retries come from other ports.
-		name = t.team + " " + t.class + " " + t.key
+		// Two subjects never share one: the second is to be refused, and not told what came of the first.
+		name = caller.Subject + " " + t.team + " " + t.class + " " + t.key
 		switch old := f.byName[name]; {
 		case old == nil || old.final != nil && now >= old.until:
 		case old.target.object != t.object || old.target.part != t.part:
@@ -183,7 +205,7 @@
 		f.refuse(w, crowdWait)
 		return
 	}
-	fl := &flight{target: t, class: class, name: name, end: now + f.limit(class)}
+	fl := &flight{target: t, class: class, name: name, caller: caller, end: now + f.limit(class)}
 	if name != "" {
 		f.byName[name] = fl
 	}
@@ -208,7 +230,7 @@
 	f.serial++
 	now, t := f.Now(), fl.target
 	fl.request = &broker.Request{Owner: f, ID: fmt.Sprintf("%016x", f.Seed+f.serial), Class: fl.class, Team: t.team,
-		Object: t.object, Thing: t.thing, Part: t.part, Group: t.group, Key: t.key, Caller: &f.caller, Arrived: now,
+		Object: t.object, Thing: t.thing, Part: t.part, Group: t.group, Key: t.key, Caller: fl.caller, Arrived: now,
 		Limit: fl.end - now}
 	f.byReq[fl.request] = fl
 	f.Emit(broker.Arrival{Request: fl.request})
@@ -232,7 +254,12 @@
 	fl.final = &final
 	if fl.name != "" {
 		// A refusal promises that another try is harmless, so it is repeated for its wait only.
-		switch fl.until = now + f.Classes[fl.class].Window; final.Kind {
+		// A signed query may be sent again by whoever saw it, as long as its time will do: it must find this result.
+		kept := f.Classes[fl.class].Window
+		if fl.caller.Subject != "" {
+			kept = max(kept, 2*(f.Skew+time.Second))
+		}
+		switch fl.until = now + kept; final.Kind {
 		case broker.Refusal:
 			fl.until = now + final.Wait
 		case broker.Denied:
@@ -368,8 +395,12 @@
 			Mbox: "hostmaster." + f.Config.Zone, Serial: 1, Refresh: 3600, Retry: 600, Expire: 86400})
 	}
 	m.Compress = true
+	most := w.most
+	if w.signed != nil {
+		most -= w.signed.Size()
+	}
 	out, err := m.Pack()
-	if err == nil && len(out) > w.most {
+	if err == nil && len(out) > most {
 		m.Answer, m.Ns, m.Truncated = nil, nil, true
 		opt := m.IsEdns0()
 		if m.Extra = nil; opt != nil {
@@ -377,6 +408,9 @@
 		}
 		out, err = m.Pack()
 	}
+	if err == nil && w.signed != nil {
+		out, err = w.signed.Sign(m, f.Now())
+	}
 	if err != nil {
 		f.Log("dns-pack", "error", err)
 		m = new(dns.Msg).SetRcode(w.query, dns.RcodeServerFailure)
--- a/identity/keydir/keydir.go
+++ b/identity/keydir/keydir.go
@@ -1,5 +1,5 @@
 // Package keydir keeps an identity's keys and revocations in a directory: keys.json, a JWK set (RFC 7517, RFC 8037) with
-// the times of each key; revoked, a line a revocation; and private/ID.pem, which only who signs needs. What is read is read
+// the times of each key; revoked, a line a revocation; tsig, a line a shared secret of DNS; and private/ID.pem, which only who signs needs. What is read is read
 // whole or not at all, and what is written replaces a file by a rename.
 package keydir
 
@@ -23,12 +23,14 @@
 	"time"
 
 	"sloequay/identity"
+	"sloequay/identity/tsig"
 )
 
 // Names of the files.
 const (
 	keysFile    = "keys.json"
 	revokedFile = "revoked"
+	tsigFile    = "tsig"
 	privateDir  = "private"
 )
 
@@ -65,6 +67,7 @@
 type Content struct {
 	Keys    []identity.Key
 	Revoked []Revocation
+	TSIG    []tsig.Key
 }
 
 func stamp(d time.Duration) string {
@@ -232,21 +235,89 @@
 		return c, fmt.Errorf("%s: %w", path, err)
 	}
 	path = filepath.Join(dir, revokedFile)
-	if text, err = readFile(path); errors.Is(err, os.ErrNotExist) {
-		return c, nil
+	if text, err = readFile(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return c, err
 	}
-	if err == nil {
-		if c.Revoked, err = ParseRevoked(text); err != nil {
-			err = fmt.Errorf("%s: %w", path, err)
-		}
+	if c.Revoked, err = ParseRevoked(text); err != nil {
+		return c, fmt.Errorf("%s: %w", path, err)
 	}
+	c.TSIG, err = readTSIG(dir)
 	return c, err
 }
 
+// readTSIG reads the secrets of DNS, which only their owner may read.
+func readTSIG(dir string) ([]tsig.Key, error) {
+	path := filepath.Join(dir, tsigFile)
+	info, err := os.Stat(path)
+	switch {
+	case errors.Is(err, os.ErrNotExist):
+		return nil, nil
+	case err != nil:
+		return nil, err
+	case info.Mode().Perm()&0o077 != 0:
+		return nil, fmt.Errorf("%s: its mode %v lets others read it", path, info.Mode().Perm())
+	}
+	text, err := readFile(path)
+	if err != nil {
+		return nil, err
+	}
+	keys, err := ParseTSIG(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return keys, nil
+}
+
+// ParseTSIG reads keys, one a line: name, algorithm, secret in base64, tenant, subject. An error never has a secret.
+func ParseTSIG(text []byte) (out []tsig.Key, err error) {
+	lines := bufio.NewScanner(bytes.NewReader(text))
+	for n := 1; lines.Scan(); n++ {
+		words := strings.Fields(lines.Text())
+		if len(words) == 0 || strings.HasPrefix(words[0], "#") {
+			continue
+		}
+		if len(words) != 5 {
+			return nil, fmt.Errorf("line %d: expected a name, an algorithm, a secret, a tenant and a subject", n)
+		}
+		out = append(out, tsig.Key{Name: words[0], Algorithm: words[1], Secret: words[2], Tenant: words[3], Subject: words[4]})
+	}
+	if err = lines.Err(); err == nil {
+		_, err = tsig.New(out)
+	}
+	return out, err
+}
+
+// NewTSIG makes a key with a secret of its own and adds it to the file.
+func NewTSIG(dir string, k tsig.Key) (tsig.Key, error) {
+	all, err := readTSIG(dir)
+	if err != nil {
+		return k, err
+	}
+	b := make([]byte, 32)
+	if _, err := rand.Read(b); err != nil {
+		return k, err
+	}
+	k.Secret = base64.StdEncoding.EncodeToString(b)
+	all = append(all, k)
+	if _, err := tsig.New(all); err != nil {
+		return k, err
+	}
+	var text bytes.Buffer
+	for _, o := range all {
+		for _, word := range []string{o.Name, o.Tenant, o.Subject} {
+			if strings.ContainsAny(word, " \t\r\n") {
+				return k, fmt.Errorf("%q has a blank", word)
+			}
+		}
+		fmt.Fprintln(&text, o.Name, o.Algorithm, o.Secret, o.Tenant, o.Subject)
+	}
+	return k, write(filepath.Join(dir, tsigFile), text.Bytes(), 0o600)
+}
+
 // Signature tells whether a directory's files may have changed: their times, sizes and numbers.
 func Signature(dir string) string {
 	out := ""
-	for _, name := range []string{keysFile, revokedFile} {
+	for _, name := range []string{keysFile, revokedFile, tsigFile} {
 		if info, err := os.Stat(filepath.Join(dir, name)); err == nil {
 			out += fmt.Sprintf("%s %d %d %v %v;", name, info.Size(), info.ModTime().UnixNano(), info.Mode(), info.Sys())
 		}
--- a/identity/keydir/keydir_test.go
+++ b/identity/keydir/keydir_test.go
@@ -156,5 +156,6 @@
 			}
 		}
 		_, _ = ParseRevoked(revoked)
+		_, _ = ParseTSIG(revoked)
 	})
 }
--- /dev/null
+++ b/identity/tsig/tsig_test.go
@@ -0,0 +1,158 @@
+package tsig
+
+import (
+	"encoding/base64"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/miekg/dns"
+)
+
+const skew = 5 * time.Second
+
+var secret = base64.StdEncoding.EncodeToString([]byte("0123456789abcdef0123456789abcdef"))
+
+func keys(t testing.TB) *Keys {
+	t.Helper()
+	k, err := New([]Key{{"lane-3.", "hmac-sha256", secret, "lanes", "lane-3"}, {"old.", "hmac-sha512", secret, "lanes", "old"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return k
+}
+
+// query makes a query signed at a time; change may spoil what was packed.
+func query(t testing.TB, name, algorithm, secret string, signed time.Duration, change func([]byte)) ([]byte, string) {
+	t.Helper()
+	m := new(dns.Msg).SetQuestion("n0.example.", dns.TypeTXT)
+	m.SetEdns0(1232, false)
+	m.SetTsig(name, algorithm, 300, int64(signed/time.Second))
+	out, mac, err := dns.TsigGenerate(m, secret, "", false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if change != nil {
+		change(out)
+	}
+	return out, mac
+}
+
+// TestCheck: each query's signature is found to be what it is, and the answer is signed as the RFC says.
+func TestCheck(t *testing.T) {
+	now := time.Duration(time.Now().UnixNano())
+	other := base64.StdEncoding.EncodeToString([]byte(strings.Repeat("x", 32)))
+	for _, c := range []struct {
+		name, key, algorithm, secret string
+		at                           time.Duration
+		change                       func([]byte)
+		want                         uint16
+	}{
+		{"sound", "lane-3.", dns.HmacSHA256, secret, now, nil, 0},
+		{"sound, in capitals", "LANE-3.", dns.HmacSHA256, secret, now, nil, 0},
+		{"an unknown key", "lane-4.", dns.HmacSHA256, secret, now, nil, dns.RcodeBadKey},
+		{"another algorithm", "lane-3.", dns.HmacSHA512, secret, now, nil, dns.RcodeBadKey},
+		{"another secret", "lane-3.", dns.HmacSHA256, other, now, nil, dns.RcodeBadSig},
+		{"a question that was changed", "lane-3.", dns.HmacSHA256, secret, now, func(b []byte) { b[14] ^= 1 }, dns.RcodeBadSig},
+		{"an hour old", "lane-3.", dns.HmacSHA256, secret, now - time.Hour, nil, dns.RcodeBadTime},
+		{"a day ahead", "lane-3.", dns.HmacSHA256, secret, now + 24*time.Hour, nil, dns.RcodeBadTime},
+		{"older than is allowed here, within its own fudge", "lane-3.", dns.HmacSHA256, secret, now - 20*time.Second, nil, dns.RcodeBadTime},
+		{"a little old", "lane-3.", dns.HmacSHA256, secret, now - 4*time.Second, nil, 0},
+	} {
+		packet, mac := query(t, c.key, c.algorithm, c.secret, c.at, c.change)
+		m := &dns.Msg{}
+		if err := m.Unpack(packet); err != nil {
+			t.Fatal(err)
+		}
+		s, err := keys(t).Check(packet, m, now, skew)
+		if err != nil || s == nil || s.Error != c.want {
+			t.Errorf("%s: %+v, %v, want the error %d", c.name, s, err, c.want)
+			continue
+		}
+		if s.Error == 0 && (s.Caller().Subject != "lane-3" || s.Caller().Tenant != "lanes") {
+			t.Errorf("%s: the caller is %+v", c.name, s.Caller())
+		}
+		answer := new(dns.Msg).SetRcode(m, dns.RcodeSuccess)
+		out, err := s.Sign(answer, now)
+		if err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		back := &dns.Msg{}
+		if err := back.Unpack(out); err != nil {
+			t.Fatal(err)
+		}
+		tsig := back.IsTsig()
+		if tsig == nil || tsig.Error != c.want {
+			t.Errorf("%s: the answer has %v", c.name, tsig)
+			continue
+		}
+		err = dns.TsigVerify(out, c.secret, mac, false)
+		switch c.want {
+		case dns.RcodeBadKey, dns.RcodeBadSig:
+			if tsig.MAC != "" {
+				t.Errorf("%s: the answer is signed", c.name)
+			}
+		case dns.RcodeBadTime:
+			if tsig.OtherLen != 6 || err != nil && !errors.Is(err, dns.ErrTime) {
+				t.Errorf("%s: the answer has no time of ours, or is not signed: %v %v", c.name, tsig, err)
+			}
+		default:
+			if err != nil {
+				t.Errorf("%s: the answer's signature: %v", c.name, err)
+			}
+		}
+	}
+}
+
+func TestKeys(t *testing.T) {
+	sound := Key{"a.", "hmac-sha256", secret, "t", "s"}
+	for name, k := range map[string][]Key{"a name": {{".", "hmac-sha256", secret, "t", "s"}}, "an algorithm": {{"a.", "hmac-md5", secret, "t", "s"}},
+		"a short secret": {{"a.", "hmac-sha256", "AAAA", "t", "s"}}, "no base64": {{"a.", "hmac-sha256", "!", "t", "s"}},
+		"no tenant": {{"a.", "hmac-sha256", secret, "", "s"}}, "twice": {sound, {"A", "hmac-sha256", secret, "t", "s"}}} {
+		_, err := New(k)
+		if err == nil || strings.Contains(err.Error(), secret) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	m := new(dns.Msg).SetQuestion("n0.example.", dns.TypeTXT)
+	if s, err := keys(t).Check(nil, m, 0, skew); s != nil || err != nil {
+		t.Errorf("a query without a signature: %+v, %v", s, err)
+	}
+	m.SetTsig("a.", dns.HmacSHA256, 300, 0)
+	m.SetEdns0(1232, false)
+	if _, err := keys(t).Check(nil, m, 0, skew); !errors.Is(err, ErrForm) {
+		t.Errorf("a TSIG record before another: %v", err)
+	}
+}
+
+// FuzzCheck: no message ends the program, and none but the sound one is taken; what is refused can be answered.
+func FuzzCheck(f *testing.F) {
+	now := time.Duration(time.Now().UnixNano())
+	sound, _ := query(f, "lane-3.", dns.HmacSHA256, secret, now, nil)
+	f.Add(sound)
+	spoilt, _ := query(f, "lane-3.", dns.HmacSHA256, secret, now, func(b []byte) { b[len(b)-8] ^= 1 })
+	f.Add(spoilt)
+	k := keys(f)
+	f.Fuzz(func(t *testing.T, packet []byte) {
+		m := &dns.Msg{}
+		if m.Unpack(packet) != nil {
+			return
+		}
+		s, err := k.Check(packet, m, now, skew)
+		if err != nil || s == nil {
+			return
+		}
+		if s.Error == 0 && string(packet) != string(sound) && len(packet) <= len(sound) {
+			// The id is not signed: the record has its own copy of it. All else is.
+			if string(packet[2:]) != string(sound[2:]) && !strings.EqualFold(string(packet[2:]), string(sound[2:])) {
+				t.Fatalf("taken: %x", packet)
+			}
+		}
+		if len(m.Question) == 1 {
+			if _, err := s.Sign(new(dns.Msg).SetRcode(m, dns.RcodeNotAuth), now); err != nil && s.Error != dns.RcodeBadKey {
+				t.Fatalf("the answer can't be signed: %v", err)
+			}
+		}
+	})
+}
--- a/oplog/oplog.go
+++ b/oplog/oplog.go
@@ -24,6 +24,7 @@
 
 	"client-frame": zap.WarnLevel, "client-request": zap.WarnLevel, "client-limit": zap.WarnLevel,
 	"client-half": zap.WarnLevel, "client-id": zap.WarnLevel, "dns-query": zap.WarnLevel, "dns-pack": zap.ErrorLevel,
+	"dns-signature": zap.WarnLevel,
 
 	"depot-crowded": zap.WarnLevel, "depot-dial": zap.WarnLevel, "depot-stray": zap.WarnLevel,
 	"depot-silent": zap.WarnLevel, "depot-garbled": zap.WarnLevel, "depot-broken": zap.WarnLevel,
