Add the TLS door: TLS 1.3 beside the loop, callers by certificate, files swapped in service

Need: a caller's certificate could not be seen, and tokens could be read on the way.

Change: identity/tlsdoor shakes hands on goroutines bounded in number and time and moves bytes to the loop by a pair of sockets, so that back-pressure holds both ways; certificate, key and authorities are read again when they change, tickets' keys rotate. A tenant names the certificates that are its own. A stand-in authority is shared by the tests. TSIG records of another class than ANY are refused, which fuzzing showed to be taken.

--- a/cmd/sloequay/door.go
+++ b/cmd/sloequay/door.go
@@ -3,7 +3,11 @@
 import (
 	"errors"
 	"fmt"
+	"net"
+	"net/netip"
+	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/fsnotify/fsnotify"
@@ -12,7 +16,10 @@
 	"sloequay/conf"
 	"sloequay/identity"
 	"sloequay/identity/keydir"
+	"sloequay/identity/tlsdoor"
 	"sloequay/identity/tsig"
+	"sloequay/loop"
+	"sloequay/rpc"
 )
 
 // identityConfig is the block `identity` of the settings.
@@ -24,10 +31,27 @@
 	roles    map[string][]identity.Rule
 	uses     map[string][]string // roles by tenant
 	rights   *identity.Rights
+	tls      *tlsdoor.Config   // nil: no such listener
+	exact    map[string]string // tenants by the names of client certificates
+	wild     map[string]string // the same by what follows "*."
+}
+
+// who gives the tenant and subject that a client certificate's names stand for.
+func (c *identityConfig) who(names []string) (tenant, subject string) {
+	for _, name := range names {
+		if t := c.exact[name]; t != "" {
+			return t, name
+		}
+		if _, parent, found := strings.Cut(name, "."); found && c.wild[parent] != "" {
+			return c.wild[parent], name
+		}
+	}
+	return "", ""
 }
 
 func (c *identityConfig) section() *conf.Section {
 	c.Gate, c.roles, c.uses = identity.Defaults(), map[string][]identity.Rule{}, map[string][]string{}
+	c.exact, c.wild = map[string]string{}, map[string]string{}
 	p := &c.Gate.Policy
 	s := &conf.Section{}
 	s.Text("keys", &c.Keys, nil, "directory of keys.json and revoked; without it no tokens are taken")
@@ -49,6 +73,10 @@
 			}, "classes, or * for all, with front=, site=, group=, object=")
 		}
 	}
+	s.Block("tls", false, "a listener for TLS 1.3", func([]string) (*conf.Section, error) {
+		c.tls = &tlsdoor.Config{Handshakes: 64, Limit: 3 * time.Second, Most: 64, Tickets: time.Hour}
+		return c.tlsSection(), nil
+	})
 	s.Block("role", true, "rules that several tenants share", func(words []string) (*conf.Section, error) {
 		if len(words) != 1 {
 			return nil, fmt.Errorf("expected the role's name, got %d words", len(words))
@@ -71,6 +99,21 @@
 		var roles []string
 		section := &conf.Section{}
 		section.Words("role", &roles, nil, "roles whose rules it has too")
+		var names []string
+		section.Words("certificate", &names, nil, "names of client certificates that are of it, or *.DOMAIN for all right below")
+		section.Check(func() error {
+			for _, name := range names {
+				to, key := c.exact, name
+				if parent, wild := strings.CutPrefix(name, "*."); wild {
+					to, key = c.wild, parent
+				}
+				if other := to[key]; other != "" {
+					return fmt.Errorf("certificate %s is of the tenant %s already", name, other)
+				}
+				to[key] = words[0]
+			}
+			return nil
+		})
 		rule(section, &list)
 		section.Check(func() error {
 			c.tenants = append(c.tenants, identity.Tenant{Name: words[0], Rules: list})
@@ -102,6 +145,32 @@
 	return s
 }
 
+func (c *identityConfig) tlsSection() *conf.Section {
+	d, s := c.tls, &conf.Section{}
+	s.Text("listen", &d.Listen, func(a string) error {
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			return fmt.Errorf("expected ip:port, got %q", a)
+		}
+		return nil
+	}, "where clients connect by TLS")
+	s.Text("cert", &d.Cert, nil, "file of our certificate")
+	s.Text("key", &d.Key, nil, "file of its key, readable by its owner alone")
+	s.Text("client-ca", &d.ClientCA, nil, "file of the authorities that sign clients; they show no certificates without it")
+	s.Flag("client-needed", &d.Needed, "whether a client must show a certificate")
+	s.Int("handshakes", &d.Handshakes, 1, 10_000, "handshakes at once")
+	s.Duration("limit", &d.Limit, 10*time.Millisecond, time.Minute, "for one")
+	s.Int("connections", &d.Most, 1, 100_000, "connections; each takes three descriptors")
+	s.Duration("tickets", &d.Tickets, time.Second, 24*time.Hour, "how often the key of session tickets changes; three are taken")
+	s.Check(func() error {
+		if d.Listen == "" {
+			return errors.New("listen is missing")
+		}
+		_, err := tlsdoor.Load(*d)
+		return err
+	})
+	return s
+}
+
 const (
 	verifiers  = 2 // goroutines that check signatures
 	keysPoll   = time.Second
@@ -118,8 +187,9 @@
 	gate    *identity.Gate
 	audit   *identity.Audit
 	jobs    chan *identity.Job
-	tsig    *tsig.Keys // of DNS
-	bad     string     // the fault that was logged last
+	tsig    *tsig.Keys    // of DNS
+	tls     *tlsdoor.Door // nil: none
+	bad     string        // the fault that was logged last
 }
 
 func (d *doorman) newDoor(cfg *identityConfig) *door {
@@ -140,11 +210,36 @@
 	}
 	if cfg.Keys != "" {
 		g.take(keydir.Read(cfg.Keys))
+	}
+	if cfg.tls != nil {
+		log := func(event string, fields ...any) { d.loop.Post(func() { d.log.Event(event, fields...) }) }
+		var err error
+		if g.tls, err = tlsdoor.Open(*cfg.tls, cfg.who, g.adopt, log); err != nil {
+			log("tls-failed", "error", err)
+		}
+	}
+	if cfg.Keys != "" || g.tls != nil {
 		go g.watch()
 	}
 	return g
 }
 
+// adopt has a connection of the TLS door served like any other client's. It is called on a goroutine of the connection's.
+func (g *door) adopt(conn net.Conn, caller identity.Caller) bool {
+	d, made := g.doorman, make(chan loop.Handler, 1)
+	d.loop.Post(func() { made <- d.front.AcceptFrom(conn.RemoteAddr(), caller) })
+	h := <-made
+	if h == nil { // no place is left
+		_ = conn.Close()
+		return false
+	}
+	if err := d.loop.Adopt(conn, h); err != nil {
+		d.loop.Post(func() { rpc.Abandon(h) })
+		return false
+	}
+	return true
+}
+
 // arrive takes a request of a front.
 func (g *door) arrive(r *broker.Request) {
 	class := g.doorman.plan.settings.Control.Classes[r.Class]
@@ -237,13 +332,22 @@
 // watch reads the directory when it changes. It runs on a goroutine of its own. The system tells of most changes; a poll
 // finds the rest.
 func (g *door) watch() {
+	certs := ""
+	if g.tls != nil {
+		certs = filesSignature(g.cfg.tls.Cert, g.cfg.tls.Key, g.cfg.tls.ClientCA)
+	}
 	var events chan fsnotify.Event
 	var faults chan error
 	w, err := fsnotify.NewWatcher()
 	if err == nil {
 		defer w.Close()
 		// The folder above tells of one that is replaced whole.
-		err = errors.Join(w.Add(g.cfg.Keys), w.Add(filepath.Dir(g.cfg.Keys)))
+		if g.cfg.Keys != "" {
+			err = errors.Join(w.Add(g.cfg.Keys), w.Add(filepath.Dir(g.cfg.Keys)))
+		}
+		if g.tls != nil {
+			_ = w.Add(filepath.Dir(g.cfg.tls.Cert))
+		}
 		events, faults = w.Events, w.Errors
 	}
 	poll := time.NewTicker(keysPoll)
@@ -255,10 +359,26 @@
 		case <-events:
 			time.Sleep(keysSettle)
 		case <-poll.C:
-			if w != nil {
+			if w != nil && g.cfg.Keys != "" {
 				_ = w.Add(g.cfg.Keys) // it may have been away
 			}
 		}
+		if g.tls != nil {
+			if now := filesSignature(g.cfg.tls.Cert, g.cfg.tls.Key, g.cfg.tls.ClientCA); now != certs {
+				certs = now
+				err := g.tls.Renew()
+				g.doorman.loop.Post(func() {
+					if err != nil {
+						g.doorman.log.Event("keys-refused", "error", err)
+					} else {
+						g.doorman.log.Event("tls-renewed", "cert", g.cfg.tls.Cert)
+					}
+				})
+			}
+		}
+		if g.cfg.Keys == "" {
+			continue
+		}
 		now := keydir.Signature(g.cfg.Keys)
 		if now == last {
 			continue
@@ -272,5 +392,15 @@
 	}
 }
 
+// filesSignature tells whether files may have changed.
+func filesSignature(paths ...string) (out string) {
+	for _, path := range paths {
+		if info, err := os.Stat(path); err == nil {
+			out += fmt.Sprint(path, info.Size(), info.ModTime().UnixNano(), info.Mode(), ";")
+		}
+	}
+	return out
+}
+
 // tick drops what has ended.
 func (g *door) tick(now time.Duration) { g.gate.Expire(now, gateSweep) }
--- a/cmd/sloequay/serve.go
+++ b/cmd/sloequay/serve.go
@@ -94,6 +94,11 @@
 		listeners = append(listeners, loop.Listener{Network: "udp", Address: p.own.dns.Listen, Packet: d.dns.Packet},
 			loop.Listener{Network: "tcp", Address: p.own.dns.Listen, Accept: d.dns.Accept})
 	}
+	if cfg := p.own.identity; cfg != nil && cfg.tls != nil {
+		// A connection by TLS takes two descriptors more than one of the lobby's.
+		cfg.tls.Most = min(cfg.tls.Most, clients/4)
+		clients -= 2 * cfg.tls.Most
+	}
 	d.front = rpc.New(s.Control.Classes, clients, d.enter, clock, ready, full, d.log.Event)
 	listeners = append(listeners, loop.Listener{Network: "tcp", Address: s.Listen, Accept: d.front.Accept})
 	return loop.Run(listeners, d.start, d.round)
--- a/identity/tsig/tsig.go
+++ b/identity/tsig/tsig.go
@@ -76,7 +76,7 @@
 }
 
 // ErrForm says that a TSIG record stands where none may.
-var ErrForm = errors.New("a TSIG record that is not the last, or not the only one")
+var ErrForm = errors.New("a TSIG record that is not the last, not the only one, or not of class ANY")
 
 // Check looks for a signature on a query: nil where it has none. skew is how far its time may be off, whatever the query
 // says; a query is to be answered alike as often as it comes within it.
@@ -92,6 +92,9 @@
 	if record == nil {
 		return nil, nil
 	}
+	if record.Hdr.Class != dns.ClassANY || record.Hdr.Ttl != 0 { // RFC 8945, section 4.2
+		return nil, ErrForm
+	}
 	s := &Signed{record: record}
 	if k != nil {
 		s.key = k.keys[dns.CanonicalName(record.Hdr.Name)]
@@ -100,8 +103,9 @@
 		s.key, s.Error = nil, dns.RcodeBadKey
 		return s, nil
 	}
-	// The library looks at the signature first, and then at the time by a clock of its own; ours decides about that.
-	if err := dns.TsigVerify(packet, s.key.Secret, "", false); err != nil && !errors.Is(err, dns.ErrTime) {
+	// The library looks at the signature first, and then at the time by a clock of its own; ours decides about that. It
+	// writes into what it reads.
+	if err := dns.TsigVerify(slices.Clone(packet), s.key.Secret, "", false); err != nil && !errors.Is(err, dns.ErrTime) {
 		s.Error = dns.RcodeBadSig
 		return s, nil
 	}
--- a/identity/tsig/tsig_test.go
+++ b/identity/tsig/tsig_test.go
@@ -27,6 +27,7 @@
 func query(t testing.TB, name, algorithm, secret string, signed time.Duration, change func([]byte)) ([]byte, string) {
 	t.Helper()
 	m := new(dns.Msg).SetQuestion("n0.example.", dns.TypeTXT)
+	m.Id = 7
 	m.SetEdns0(1232, false)
 	m.SetTsig(name, algorithm, 300, int64(signed/time.Second))
 	out, mac, err := dns.TsigGenerate(m, secret, "", false)
@@ -128,12 +129,15 @@
 
 // FuzzCheck: no message ends the program, and none but the sound one is taken; what is refused can be answered.
 func FuzzCheck(f *testing.F) {
-	now := time.Duration(time.Now().UnixNano())
+	now := 1_800_000_000 * time.Second // the same in each process of the fuzzer
 	sound, _ := query(f, "lane-3.", dns.HmacSHA256, secret, now, nil)
 	f.Add(sound)
 	spoilt, _ := query(f, "lane-3.", dns.HmacSHA256, secret, now, func(b []byte) { b[len(b)-8] ^= 1 })
 	f.Add(spoilt)
-	k := keys(f)
+	k, asked := keys(f), &dns.Msg{}
+	if err := asked.Unpack(sound); err != nil {
+		f.Fatal(err)
+	}
 	f.Fuzz(func(t *testing.T, packet []byte) {
 		m := &dns.Msg{}
 		if m.Unpack(packet) != nil {
@@ -143,11 +147,10 @@
 		if err != nil || s == nil {
 			return
 		}
-		if s.Error == 0 && string(packet) != string(sound) && len(packet) <= len(sound) {
-			// The id is not signed: the record has its own copy of it. All else is.
-			if string(packet[2:]) != string(sound[2:]) && !strings.EqualFold(string(packet[2:]), string(sound[2:])) {
-				t.Fatalf("taken: %x", packet)
-			}
+		// The message's id, the case of names and what stands behind the message are not signed. All that is asked is.
+		if s.Error == 0 && (len(m.Question) != 1 || !strings.EqualFold(m.Question[0].String(), asked.Question[0].String()) ||
+			s.record.MAC != asked.IsTsig().MAC || s.record.TimeSigned != asked.IsTsig().TimeSigned || len(m.Answer)+len(m.Ns) > 0) {
+			t.Fatalf("taken: %x", packet)
 		}
 		if len(m.Question) == 1 {
 			if _, err := s.Sign(new(dns.Msg).SetRcode(m, dns.RcodeNotAuth), now); err != nil && s.Error != dns.RcodeBadKey {
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -82,6 +82,7 @@
 	queued  uint64 // bytes that were left for it, ever
 	counted int    // of Loop.outbound
 	dirty   bool
+	adopted bool
 	closing bool
 	closed  bool
 }
@@ -314,19 +315,32 @@
 	}()
 }
 
+// Adopt takes over a connection that was made elsewhere. It must not be called on the loop. With an error the handler
+// hears nothing.
+func (l *Loop) Adopt(conn net.Conn, handler Handler) error {
+	ctx := gnet.NewContext(context.Background(), &Conn{handler: handler, loop: l, adopted: true})
+	result, err := l.events.Enroll(ctx, conn)
+	if err != nil {
+		_ = conn.Close()
+		return err
+	}
+	return (<-result).Err
+}
+
 // OnOpen gives a new connection its handler.
 func (l *Loop) OnOpen(sock gnet.Conn) ([]byte, gnet.Action) {
 	if l.events == nil { // the handle's own connection, or a client that was quicker
 		l.events = sock.EventLoop()
 		l.start()
 	}
-	if sock.LocalAddr().Network() == "unix" {
-		return nil, gnet.None // its far end is closed, and so it will be
-	}
-	c, dialled := sock.Context().(*Conn)
-	if dialled {
+	c, made := sock.Context().(*Conn)
+	switch {
+	case made && !c.adopted:
 		l.dials--
-	} else {
+	case made:
+	case sock.LocalAddr().Network() == "unix":
+		return nil, gnet.None // its far end is closed, and so it will be
+	default:
 		ln, ok := l.listeners["tcp"+sock.LocalAddr().String()]
 		if !ok || ln.Accept == nil {
 			return nil, gnet.Close
--- a/membership/consul/consul_test.go
+++ b/membership/consul/consul_test.go
@@ -2,21 +2,13 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"crypto/x509/pkix"
 	"encoding/json"
-	"encoding/pem"
 	"fmt"
-	"math/big"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
-	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -26,6 +18,7 @@
 	"sloequay/broker"
 	"sloequay/conf"
 	"sloequay/membership"
+	"sloequay/standin"
 	"sloequay/standin/consul"
 )
 
@@ -89,64 +82,20 @@
 	}
 }
 
-// authority makes certificates for a test.
-type authority struct {
-	t    *testing.T
-	dir  string
-	key  *ecdsa.PrivateKey
-	cert *x509.Certificate
-	n    int64
-}
-
-func newAuthority(t *testing.T) *authority {
-	a := &authority{t: t, dir: t.TempDir()}
-	a.make("ca", nil)
-	return a
-}
-
-// make writes NAME.pem and NAME-key.pem.
-func (a *authority) make(name string, usage []x509.ExtKeyUsage) (cert, key string) {
-	a.t.Helper()
-	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+// TestHTTPS: the agent is believed by its authority and name, and sees our certificate; without either nothing is taken.
+func TestHTTPS(t *testing.T) {
+	ca, err := standin.NewAuthority(t.TempDir())
 	if err != nil {
-		a.t.Fatal(err)
-	}
-	a.n++
-	template := &x509.Certificate{SerialNumber: big.NewInt(a.n), Subject: pkix.Name{CommonName: name}, NotBefore: time.Now().Add(-time.Hour),
-		NotAfter: time.Now().Add(time.Hour), DNSNames: []string{"consul.test"}, ExtKeyUsage: usage, KeyUsage: x509.KeyUsageDigitalSignature}
-	parent, signer := a.cert, a.key
-	if parent == nil {
-		template.IsCA, template.BasicConstraintsValid, template.KeyUsage = true, true, x509.KeyUsageCertSign
-		parent, signer = template, k
+		t.Fatal(err)
 	}
-	der, err := x509.CreateCertificate(rand.Reader, template, parent, &k.PublicKey, signer)
+	serverCert, serverKey, err := ca.Make("server", "consul.test")
 	if err != nil {
-		a.t.Fatal(err)
-	}
-	if a.cert == nil {
-		a.key = k
-		if a.cert, err = x509.ParseCertificate(der); err != nil {
-			a.t.Fatal(err)
-		}
+		t.Fatal(err)
 	}
-	raw, err := x509.MarshalECPrivateKey(k)
+	ourCert, ourKey, err := ca.Make("doorman", "consul.test")
 	if err != nil {
-		a.t.Fatal(err)
-	}
-	cert, key = filepath.Join(a.dir, name+".pem"), filepath.Join(a.dir, name+"-key.pem")
-	for path, block := range map[string]*pem.Block{cert: {Type: "CERTIFICATE", Bytes: der}, key: {Type: "EC PRIVATE KEY", Bytes: raw}} {
-		if err := os.WriteFile(path, pem.EncodeToMemory(block), 0o600); err != nil {
-			a.t.Fatal(err)
-		}
+		t.Fatal(err)
 	}
-	return cert, key
-}
-
-// TestHTTPS: the agent is believed by its authority and name, and sees our certificate; without either nothing is taken.
-func TestHTTPS(t *testing.T) {
-	ca := newAuthority(t)
-	serverCert, serverKey := ca.make("server", []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth})
-	ourCert, ourKey := ca.make("doorman", []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth})
 	pair, err := tls.LoadX509KeyPair(serverCert, serverKey)
 	if err != nil {
 		t.Fatal(err)
@@ -159,12 +108,12 @@
 	t.Cleanup(agent.Close)
 	cluster.Put(consul.Instance{Node: "n", Service: "cache", ID: "c1", Address: "127.0.0.1", Port: 1, Meta: map[string]string{"site": "edge", "class": "std"}})
 	pool := x509.NewCertPool()
-	pool.AddCert(ca.cert)
+	pool.AddCert(ca.Cert)
 	server := httptest.NewUnstartedServer(http.HandlerFunc(agent.ServeHTTP))
 	server.TLS = &tls.Config{Certificates: []tls.Certificate{pair}, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert}
 	server.StartTLS()
 	t.Cleanup(server.Close)
-	caFile := filepath.Join(ca.dir, "ca.pem")
+	caFile := ca.File
 	address := server.Listener.Addr().(*net.TCPAddr).String()
 	for _, c := range []struct {
 		name, tls string
--- a/oplog/oplog.go
+++ b/oplog/oplog.go
@@ -44,6 +44,7 @@
 	"catalogue-register": zap.WarnLevel,
 
 	"audit": zap.WarnLevel, "keys-read": zap.InfoLevel, "keys-refused": zap.ErrorLevel,
+	"tls-handshake": zap.WarnLevel, "tls-renewed": zap.InfoLevel, "tls-failed": zap.ErrorLevel,
 
 	"snapshot-refused": zap.WarnLevel, "snapshot-failed": zap.ErrorLevel, "snapshot-read": zap.InfoLevel,
 }
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -73,7 +73,12 @@
 
 // Accept takes a new connection, or none where there is no descriptor for it.
 func (f *Front) Accept(remote net.Addr) loop.Handler {
-	c := &client{front: f, caller: identity.Caller{Front: "rpc"}, open: map[uint32]*broker.Request{}, msgs: map[*broker.Request]uint32{}}
+	return f.AcceptFrom(remote, identity.Caller{Front: "rpc"})
+}
+
+// AcceptFrom is Accept for a caller of whom something is known already.
+func (f *Front) AcceptFrom(remote net.Addr, caller identity.Caller) loop.Handler {
+	c := &client{front: f, caller: caller, open: map[uint32]*broker.Request{}, msgs: map[*broker.Request]uint32{}}
 	if c.guest = f.lobby.Enter(f.now(), c.leave); c.guest == nil {
 		f.log("client-limit", "front", "rpc", "from", remote)
 		return nil
@@ -103,6 +108,13 @@
 // Opened notes the connection.
 func (c *client) Opened(conn *loop.Conn) { c.conn = conn }
 
+// Abandon gives up a client whose connection never came to be.
+func Abandon(h loop.Handler) {
+	if c, ok := h.(*client); ok {
+		c.leave()
+	}
+}
+
 // Closed withdraws all that is open.
 func (c *client) Closed(*loop.Conn, error) { c.leave() }
 
@@ -118,7 +130,9 @@
 		c.front.emit(broker.Withdrawal{Request: r})
 	}
 	c.open, c.msgs = nil, nil
-	c.conn.Close()
+	if c.conn != nil {
+		c.conn.Close()
+	}
 }
 
 // Received takes the messages that have come whole.
