--- a/membership/watch/watch_test.go
+++ b/membership/watch/watch_test.go
@@ -145,6 +145,23 @@
 	t.Logf("worst: %v after the outage", worst)
 }
 
+// TestOutageWithoutChange: an agent that is back is known to be within a second, though nothing has changed that would end a
+// blocking query.
+func TestOutageWithoutChange(t *testing.T) {
+	for _, fault := range []Fault{Refused, Rejected, Garbled, Hung} {
+		x := newWorld(Config{}, 1)
+		from, to := start+3*time.Second, start+8*time.Second
+		x.agents[0].broken = broken(fault, from, to)
+		x.run(to)
+		if !x.w.Down() {
+			t.Errorf("%v: the outage is not known", fault)
+		}
+		if x.run(to + time.Second); x.w.Down() {
+			t.Errorf("%v: a second after the outage the agent counts as down", fault)
+		}
+	}
+}
+
 // TestFailover: the agent in use dies just before a change; the change arrives by another, within a second for the silent
 // death too and at once for a loud one, and the watch goes home when that agent is back.
 func TestFailover(t *testing.T) {
