Have all followed services together ask a failing agent once a second

Need: each followed service asked a failing agent once a second by itself, three of them three times: the rule is once an agent.

Change: the watches of one catalogue share what they know of its agents and run on one goroutine: who asked last, who got a list, which agent does not live. Once one has its list the others ask at once; a probe that failed for one counts for all.

--- a/cmd/sloequay/catalogue_test.go
+++ b/cmd/sloequay/catalogue_test.go
@@ -323,8 +323,7 @@
 			back := time.Now()
 			w.unused("c1", back, 1500*time.Millisecond)
 			f.wantServed(t)
-			// Three services are followed, each with a question of its own.
-			if most := 3 * (int(took/time.Second) + 2); c.fault != consul.Refuse && asked > most {
+			if most := int(took/time.Second) + 2; c.fault != consul.Refuse && asked > most {
 				t.Errorf("%d questions in %v, want at most %d", asked, took, most)
 			}
 			if log := w.log.String(); strings.Contains(log, "event=box-left") || strings.Count(log, "event=catalogue-back") != 3 {
--- a/membership/consul/follow.go
+++ b/membership/consul/follow.go
@@ -27,6 +27,7 @@
 	Seed uint64
 
 	followers []*follower
+	came      chan func() // what is to run on the followers' goroutine
 }
 
 // follower keeps one blocking query going: for a service, or for the purges.
@@ -38,8 +39,7 @@
 	fetch   func(client *api.Client, q *api.QueryOptions) (any, *api.QueryMeta, error)
 	use     func(answer any, v watch.Verdict, index uint64)
 	silent  func(bool)
-	confirm chan struct{}
-	came    chan func()
+	ctx     context.Context
 	cancel  map[uint64]context.CancelFunc
 	down    bool
 	agent   int
@@ -50,10 +50,13 @@
 // partMost is how many new boxes are told together.
 const partMost = 500
 
-// Start begins to follow, until ctx ends.
+// Start begins to follow, until ctx ends. All followers run on one goroutine, since they share what they know of the agents;
+// each question runs on its own.
 func (c *Catalogue) Start(ctx context.Context) error {
+	c.came = make(chan func(), 64)
+	agents := watch.NewAgents(len(c.Config.Agents))
 	for i, v := range c.Config.Services {
-		f, err := c.follower("service " + v.Name)
+		f, err := c.follower("service "+v.Name, agents)
 		if err != nil {
 			return err
 		}
@@ -61,7 +64,7 @@
 		c.followers = append(c.followers, f)
 	}
 	if c.Config.Purges != "" {
-		f, err := c.follower("purges")
+		f, err := c.follower("purges", agents)
 		if err != nil {
 			return err
 		}
@@ -69,63 +72,67 @@
 		c.followers = append(c.followers, f)
 	}
 	for _, f := range c.followers {
-		go f.run(ctx)
+		f.ctx = ctx
 	}
+	go c.run(ctx)
 	return nil
 }
 
 // Confirm has a source asked for its list at once.
 func (c *Catalogue) Confirm(src int) {
 	if i := src - c.First; i >= 0 && i < len(c.Config.Services) {
-		select {
-		case c.followers[i].confirm <- struct{}{}:
-		default: // it is asked for already
-		}
+		f := c.followers[i]
+		f.post(f.watch.Confirm) // where it is dropped the table asks once more
 	}
 }
 
-func (c *Catalogue) follower(name string) (*follower, error) {
+func (c *Catalogue) follower(name string, agents *watch.Agents) (*follower, error) {
 	clients, err := c.Config.clients()
 	if err != nil {
 		return nil, err
 	}
 	cfg := c.Config.Watch
 	cfg.Agents, cfg.Mode, cfg.Seed = len(clients), c.Config.Mode, c.Seed+uint64(len(c.followers))
-	return &follower{c: c, name: name, watch: watch.New(cfg), clients: clients, confirm: make(chan struct{}, 1),
-		came: make(chan func(), 16), cancel: map[uint64]context.CancelFunc{}, silent: func(bool) {}}, nil
+	return &follower{c: c, name: name, watch: watch.NewWith(cfg, agents), clients: clients, cancel: map[uint64]context.CancelFunc{}, silent: func(bool) {}}, nil
 }
 
-// run carries out what the watch decides.
-func (f *follower) run(ctx context.Context) {
+// run carries out what the watches decide.
+func (c *Catalogue) run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		for _, a := range f.watch.Step(f.c.Now()) {
-			if a.Start != nil {
-				f.start(ctx, *a.Start)
-			} else if cancel := f.cancel[a.Abort]; cancel != nil {
-				cancel()
-				delete(f.cancel, a.Abort)
-			}
+		for _, f := range c.followers {
+			f.step()
 		}
-		f.report()
 		wait := time.Hour
-		if next := f.watch.Next(); next != 0 {
-			wait = max(0, next-f.c.Now())
+		for _, f := range c.followers { // once all have been stepped: one may have found what holds for others
+			if next := f.watch.Next(); next != 0 {
+				wait = min(wait, max(0, next-c.Now()))
+			}
 		}
 		timer.Reset(wait)
 		select {
 		case <-ctx.Done():
 			return
-		case came := <-f.came:
+		case came := <-c.came:
 			came()
-		case <-f.confirm:
-			f.watch.Confirm()
 		case <-timer.C:
 		}
 	}
 }
 
+func (f *follower) step() {
+	for _, a := range f.watch.Step(f.c.Now()) {
+		if a.Start != nil {
+			f.start(f.ctx, *a.Start)
+		} else if cancel := f.cancel[a.Abort]; cancel != nil {
+			cancel()
+			delete(f.cancel, a.Abort)
+		}
+	}
+	f.report()
+}
+
 // report logs what the watch has found of the agents.
 func (f *follower) report() {
 	if down := f.watch.Down(); down != f.down {
@@ -155,7 +162,7 @@
 	}
 	done := func(came func()) {
 		select {
-		case f.came <- func() { delete(f.cancel, a.Serial); cancel(); came() }:
+		case f.c.came <- func() { delete(f.cancel, a.Serial); cancel(); came() }:
 		case <-ctx.Done(): // it was called off, and nothing is owed
 		}
 	}
@@ -187,10 +194,10 @@
 	}()
 }
 
-// post runs a task on the follower's goroutine, or drops it when that is far behind.
+// post runs a task on the followers' goroutine, or drops it when that is far behind.
 func (f *follower) post(task func()) {
 	select {
-	case f.came <- task:
+	case f.c.came <- task:
 	default:
 	}
 }
--- a/membership/watch/watch.go
+++ b/membership/watch/watch.go
@@ -5,9 +5,12 @@
 // The rules for the index are those of Consul's page on blocking queries: it is to be above 0, one that went back means to
 // begin anew at 0, and an answer with the same index brings nothing new.
 //
-// Invariants: at most one query for the list and one probe are out; an agent that does not answer well is asked at most
-// once in Spacing, and never later than Spacing after its last question, so that an agent that is back is found within a
-// second and not rushed; the index held never falls but by an answer of the consistent mode.
+// Several watches of the same agents share what they know of them (Agents): they must be stepped in turn, by one goroutine.
+//
+// Invariants: at most one query for the list and one probe are out of each watch; an agent that does not answer well is asked
+// at most once in Spacing by all watches together, but for the list behind a probe that was answered; it is asked again no later
+// than Spacing after that, and once one watch has its list the others ask at once, so that an agent that is back is found
+// within a second and not rushed; the index held never falls but by an answer of the consistent mode.
 package watch
 
 import (
@@ -132,15 +135,29 @@
 	Confirms bool // it answers a Confirm, in the consistent mode, and is sound
 }
 
+// agent is what one watch knows of an agent.
 type agent struct {
+	failed time.Duration // when it failed; 0: it has not
+	jitter time.Duration
+	free   bool // a probe was answered: the list may be asked for at once
+	probe  bool // it is to be asked whether it lives before it is asked for the list
+}
+
+// Agents is what watches of the same agents know together.
+type Agents struct{ list []together }
+
+// together is what is known of one agent by all.
+type together struct {
 	asked  time.Duration // when it was last asked anything
-	again  time.Duration // not before, since it failed
-	failed bool
 	alive  time.Duration // when it last answered
-	probe  bool          // it is to be asked whether it lives before it is asked for the list
-	proved bool          // since it failed it has said that it lives: it is the list that fails
+	well   time.Duration // when it last gave a list
+	dead   time.Duration // when a probe last failed
+	proved bool          // since it failed it has said that it lives: it is the lists that fail
 }
 
+// NewAgents makes what some watches share of so many agents.
+func NewAgents(n int) *Agents { return &Agents{list: make([]together, n)} }
+
 // question is one that is out.
 type question struct {
 	Ask
@@ -154,6 +171,7 @@
 	cfg     Config
 	rng     *rand.Rand
 	agents  []agent
+	shared  *Agents
 	current int
 	index   uint64
 	serial  uint64
@@ -170,9 +188,12 @@
 	out     []Action
 }
 
-// New makes a watch that has asked nothing.
-func New(cfg Config) *Watch {
-	return &Watch{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 0x7761746368)), agents: make([]agent, cfg.Agents),
+// New makes a watch that has asked nothing, with agents of its own.
+func New(cfg Config) *Watch { return NewWith(cfg, NewAgents(cfg.Agents)) }
+
+// NewWith is New for a watch that shares its agents with others.
+func NewWith(cfg Config, shared *Agents) *Watch {
+	return &Watch{cfg: cfg, shared: shared, rng: rand.New(rand.NewPCG(cfg.Seed, 0x7761746368)), agents: make([]agent, cfg.Agents),
 		anew: true}
 }
 
@@ -194,6 +215,7 @@
 	if q := w.probe; q != nil && now >= q.until {
 		w.abort(q)
 		w.probe = nil
+		w.shared.list[q.Agent].dead = now
 		w.fail(now, q.Agent, Hung)
 	}
 	if q := w.list; q != nil && now >= q.until {
@@ -202,6 +224,12 @@
 		w.confirm = w.confirm || q.confirm
 		w.fail(now, q.Agent, Hung)
 	}
+	if q := w.list; q != nil && w.shared.list[q.Agent].dead > q.at {
+		w.abort(q) // another watch has found that it does not live
+		w.list = nil
+		w.confirm = w.confirm || q.confirm
+		w.fail(now, q.Agent, Hung)
+	}
 	if q := w.list; q != nil && w.confirm && !q.confirm {
 		w.abort(q) // it may block for long
 		w.list = nil
@@ -232,8 +260,8 @@
 
 // probeAt is when the agent of the list's query is to be asked whether it lives.
 func (w *Watch) probeAt() time.Duration {
-	a := &w.agents[w.list.Agent]
-	return max(w.list.at, a.alive, a.asked) + w.cfg.Probe
+	s := &w.shared.list[w.list.Agent]
+	return max(w.list.at, s.alive, s.asked) + w.cfg.Probe
 }
 
 // Next is when Step is due at the latest; 0: only once something has come of a question.
@@ -249,6 +277,9 @@
 	}
 	if w.list != nil {
 		sooner(w.list.until)
+		if w.shared.list[w.list.Agent].dead > w.list.at {
+			sooner(1)
+		}
 		if w.probe == nil && w.probes() {
 			sooner(w.probeAt())
 		}
@@ -272,11 +303,20 @@
 	best := w.current
 	for i := range w.agents {
 		n := (w.current + i) % len(w.agents)
-		if w.agents[w.current].failed && w.agents[n].again < w.agents[best].again {
+		if w.agents[w.current].failed > 0 && w.again(n) < w.again(best) {
 			best = n
 		}
 	}
-	return best, w.agents[best].again
+	return best, w.again(best)
+}
+
+// again is when an agent may be asked for the list, or whether it lives.
+func (w *Watch) again(n int) time.Duration {
+	a, s := &w.agents[n], &w.shared.list[n]
+	if a.failed == 0 || a.free || s.well > a.failed {
+		return 0
+	}
+	return s.asked + Spacing + a.jitter
 }
 
 // askList puts the question for the list, or first asks an agent that failed whether it lives.
@@ -299,7 +339,7 @@
 	case w.confirm:
 		// Another agent's word weighs more than the same one's again.
 		for i := 1; i < len(w.agents); i++ {
-			if o := (n + i) % len(w.agents); !w.agents[o].failed {
+			if o := (n + i) % len(w.agents); w.agents[o].failed == 0 {
 				q.Agent = o
 				break
 			}
@@ -330,7 +370,8 @@
 func (w *Watch) start(now time.Duration, q *question) {
 	w.serial++
 	q.Serial = w.serial
-	w.agents[q.Agent].asked = now
+	w.shared.list[q.Agent].asked = now
+	w.agents[q.Agent].free = false
 	ask := q.Ask
 	w.out = append(w.out, Action{Start: &ask})
 }
@@ -339,18 +380,17 @@
 
 // fail notes that an agent did not answer well, and goes over to the next.
 func (w *Watch) fail(now time.Duration, n int, f Fault) {
-	a := &w.agents[n]
+	a, s := &w.agents[n], &w.shared.list[n]
 	// The bound is a second and does not grow: what changed meanwhile has to hold a second after the outage, and one
 	// small question a second is no rush.
-	from := a.asked
-	if now-from >= Spacing { // a blocking query that was out for long
-		from = now
+	if now-s.asked >= Spacing { // a blocking query that was out for long
+		s.asked = now
 	}
-	a.failed, a.again = true, from+Spacing+time.Duration(w.rng.Int64N(int64(Jitter)))
+	a.failed, a.free, a.jitter = max(now, 1), false, time.Duration(w.rng.Int64N(int64(Jitter)))
 	if f == Hung {
-		a.proved = false
+		s.proved = false
 	}
-	a.probe = f == Hung || f == Refused && !a.proved
+	a.probe = f == Hung || f == Refused && !s.proved
 	if q := w.list; q != nil && q.Agent == n {
 		w.abort(q)
 		w.list = nil
@@ -361,7 +401,7 @@
 	}
 	w.earlier, w.anew = 0, true
 	for i := range w.agents {
-		if !w.agents[i].failed {
+		if w.agents[i].failed == 0 {
 			return
 		}
 	}
@@ -370,8 +410,7 @@
 
 // well notes that an agent has answered.
 func (w *Watch) well(now time.Duration, n int) {
-	a := &w.agents[n]
-	a.alive, a.probe, a.again = now, false, 0
+	w.shared.list[n].alive, w.agents[n].probe = now, false
 }
 
 // Probed says that a probe was answered.
@@ -380,9 +419,10 @@
 		w.probe = nil
 		w.well(now, q.Agent)
 		a := &w.agents[q.Agent]
-		a.proved = a.failed
+		a.free = a.failed > 0
+		w.shared.list[q.Agent].proved = a.failed > 0
 		if w.homeward() && q.Agent == 0 {
-			a.failed = false
+			a.failed = 0
 			w.abort(w.list)
 			w.list, w.current, w.anew, w.earlier = nil, 0, true, 0
 		}
@@ -402,6 +442,7 @@
 	case w.probe != nil && w.probe.Serial == serial:
 		q := w.probe
 		w.probe = nil
+		w.shared.list[q.Agent].dead = now
 		w.fail(now, q.Agent, f)
 	case w.list != nil && w.list.Serial == serial:
 		q := w.list
@@ -419,7 +460,8 @@
 	}
 	w.list = nil
 	w.well(now, q.Agent)
-	w.agents[q.Agent].failed, w.agents[q.Agent].proved = false, false
+	w.agents[q.Agent].failed = 0
+	w.shared.list[q.Agent].well, w.shared.list[q.Agent].proved = now, false
 	w.down = false
 	w.earlier = now + w.cfg.Gap
 	sound := m.KnownLeader && !m.Filtered && m.Index > 0
--- a/membership/watch/watch_test.go
+++ b/membership/watch/watch_test.go
@@ -40,13 +40,40 @@
 	at  time.Duration // when something comes of it; 0: nothing will
 }
 
-func newWorld(cfg Config, agents int) *world {
+func newWorld(cfg Config, agents int) *world { return newShared(cfg, agents, 1)[0] }
+
+// several are worlds of watches that share their agents.
+type several []*world
+
+func newShared(cfg Config, agents, watches int) (out several) {
 	cfg.Agents = agents
 	cfg = cfg.WithDefaults()
 	if cfg.Probe == 0 {
 		cfg.Probe = time.Second
 	}
-	x := &world{w: New(cfg), now: start, version: 10, out: map[uint64]*pending{}}
+	shared := NewAgents(agents)
+	for range watches {
+		x := oneWorld(NewWith(cfg, shared), agents)
+		if len(out) > 0 {
+			x.agents = out[0].agents
+		}
+		out = append(out, x)
+		cfg.Seed++
+	}
+	return out
+}
+
+// run goes on until a time, all watches in turn.
+func (s several) run(until time.Duration) {
+	for now := s[0].now; now < until; now += ms {
+		for _, x := range s {
+			x.run(now + ms)
+		}
+	}
+}
+
+func oneWorld(w *Watch, agents int) *world {
+	x := &world{w: w, now: start, version: 10, out: map[uint64]*pending{}}
 	for range agents {
 		x.agents = append(x.agents, &fakeAgent{broken: func(time.Duration) (Fault, bool) { return 0, false }})
 	}
@@ -145,6 +172,47 @@
 	t.Logf("worst: %v after the outage", worst)
 }
 
+// TestSharedOutage: three watches of one agent ask it together no more than once a second while it fails, and each holds what
+// changed within a second of its being back.
+func TestSharedOutage(t *testing.T) {
+	worst := time.Duration(0)
+	for _, fault := range []Fault{Refused, Rejected, Garbled, Hung} {
+		for _, length := range []time.Duration{5 * time.Second, time.Minute} {
+			for phase := range 10 {
+				s := newShared(Config{Seed: uint64(phase)}, 1, 3)
+				from := start + 3*time.Second + time.Duration(phase)*97*ms
+				to := from + length
+				s[0].agents[0].broken = broken(fault, from, to)
+				s.run(from + length/2)
+				for _, x := range s {
+					x.change()
+				}
+				s.run(to)
+				asked := 0
+				for _, at := range s[0].agents[0].asked {
+					if at >= from {
+						asked++
+					}
+				}
+				if most := int(length/time.Second) + 1; asked > most {
+					t.Errorf("%v for %v: asked %d times, want at most %d", fault, length, asked, most)
+				}
+				s.run(to + 2*time.Second)
+				for i, x := range s {
+					if x.held != x.version || x.w.Down() {
+						t.Fatalf("%v for %v: watch %d holds %d of %d, down %v", fault, length, i, x.held, x.version, x.w.Down())
+					}
+					worst = max(worst, x.heldAt-to)
+				}
+			}
+		}
+	}
+	if worst >= time.Second {
+		t.Errorf("what changed in an outage was held %v after it", worst)
+	}
+	t.Logf("worst: %v after the outage", worst)
+}
+
 // TestOutageWithoutChange: an agent that is back is known to be within a second, though nothing has changed that would end a
 // blocking query.
 func TestOutageWithoutChange(t *testing.T) {
