--- a/identity/charge.go
+++ b/identity/charge.go
@@ -19,7 +19,6 @@
 type admitted struct {
 	key, subject, tenant string
 	until                time.Duration
-	place                int // in the heap
 }
 
 // NewKeyed makes an empty memory for at most so many keys.
@@ -67,11 +66,8 @@
 
 func (d keyedDue) Len() int           { return len(d) }
 func (d keyedDue) Less(i, j int) bool { return d[i].until < d[j].until }
-func (d keyedDue) Swap(i, j int) {
-	d[i], d[j] = d[j], d[i]
-	d[i].place, d[j].place = i, j
-}
-func (d *keyedDue) Push(x any) { *d = append(*d, x.(*admitted)) }
+func (d keyedDue) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
+func (d *keyedDue) Push(x any)        { *d = append(*d, x.(*admitted)) }
 func (d *keyedDue) Pop() any {
 	last := (*d)[len(*d)-1]
 	(*d)[len(*d)-1] = nil
--- a/identity/revoke.go
+++ b/identity/revoke.go
@@ -33,7 +33,6 @@
 	until  map[revoked]time.Duration
 	expiry revocationExpiry
 	most   int
-	change uint64
 }
 
 // NewRevocations makes an empty list of at most so many.
@@ -55,7 +54,6 @@
 		return fmt.Errorf("%d revocations are held, the most there may be", len(r.until))
 	}
 	r.until[k] = until
-	r.change++
 	if !held {
 		heap.Push(&r.expiry, revocationEnd{until, k})
 	}
--- a/membership/consul/follow.go
+++ b/membership/consul/follow.go
@@ -284,7 +284,7 @@
 	}
 	s := e.Service
 	in := health.Instance{ID: s.ID, Node: e.Node.Node, Address: s.Address, NodeAddress: e.Node.Address, Port: s.Port,
-		Tags: s.Tags, Meta: s.Meta, Passing: s.Weights.Passing, Warning: s.Weights.Warning, Create: s.CreateIndex}
+		Meta: s.Meta, Passing: s.Weights.Passing, Warning: s.Weights.Warning, Create: s.CreateIndex}
 	for _, c := range e.Checks {
 		if c != nil {
 			in.Checks = append(in.Checks, health.Check{ID: c.CheckID, Service: c.ServiceID, Status: c.Status})
--- a/membership/health/health.go
+++ b/membership/health/health.go
@@ -23,7 +23,6 @@
 	ID, Node             string
 	Address, NodeAddress string // the node's holds where the instance has none
 	Port                 int
-	Tags                 []string
 	Meta                 map[string]string
 	Passing, Warning     int // its weights by health
 	Checks               []Check
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -129,7 +129,6 @@
 	words   []word // by source
 	told    Box    // as it was told last; Gone: not told, or told as gone
 	queued  bool
-	serial  uint64 // order of coming
 	address string // that it is indexed under
 	moved   uint64 // the order of coming there
 }
@@ -360,8 +359,7 @@
 		t.full++
 		return nil
 	}
-	t.serial++
-	r := &record{id: id, words: make([]word, len(t.sources)), serial: t.serial}
+	r := &record{id: id, words: make([]word, len(t.sources))}
 	t.records[id] = r
 	return r
 }
--- a/standin/consul/agent.go
+++ b/standin/consul/agent.go
@@ -47,7 +47,6 @@
 	by     time.Duration // with StaleBy
 	over   chan struct{} // closed when the fault ends
 	count  int           // requests taken
-	paths  []string      // of them, the newest
 	open   bool
 	header http.Header // of the newest request for a list or a key
 	query  url.Values  // the same
@@ -153,9 +152,6 @@
 	a.mu.Lock()
 	a.count++
 	fault, by, over := a.fault, a.by, a.over
-	if a.paths = append(a.paths, r.URL.Path); len(a.paths) > 100 {
-		a.paths = slices.Clone(a.paths[50:])
-	}
 	if strings.HasPrefix(r.URL.Path, "/v1/health") || strings.HasPrefix(r.URL.Path, "/v1/kv") {
 		a.header, a.query = r.Header.Clone(), r.URL.Query()
 	}
