Ask again within a second after an answer for which rights or a leader were missing

Cause: a token that gets its rights moves no index at Consul, so the question after a filtered answer waited its whole 30 s, and an answer with the index already held counted as nothing new. TestCatalogueEntries failed so when a question with the old token overtook the change; the stand-in hid it by moving all indexes with the tokens. Change: such a question waits a second at most, and the answer after it is taken whole whatever its index. The stand-in's tokens move no index any more, as Consul's own don't.

--- a/cmd/sloequay/catalogue_test.go
+++ b/cmd/sloequay/catalogue_test.go
@@ -620,7 +620,6 @@
 	if err := os.WriteFile(token, []byte("right\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	c.SetTokens(map[string][]string{"right": {"cache", "trunk", "archive"}})
 	w.until("the boxes are known", func() bool { return strings.Count(w.log.String(), "event=box-added") == 4 })
 	for range 10 {
 		c.Mark("cache", "c2", consul.Warning)
--- a/membership/watch/watch.go
+++ b/membership/watch/watch.go
@@ -183,6 +183,7 @@
 	confirm bool          // a Confirm is asked for
 	reset   bool          // the index went back: look once more, consistently
 	fresh   bool          // once in the default mode: the last answer was too old
+	omits   bool          // the last answer left things out: rights or a leader may be back with no change of the index
 	down    bool          // no agent answers
 	aborts  []uint64
 	out     []Action
@@ -352,6 +353,9 @@
 	case w.anew:
 	default:
 		q.Index, q.Wait = w.index, w.cfg.Wait
+		if w.omits {
+			q.Wait = min(q.Wait, Spacing)
+		}
 	}
 	q.until = now + w.cfg.Limit
 	if q.Index > 0 {
@@ -482,9 +486,10 @@
 		v.Belief, v.Why = Omits, NoLeader
 	case m.Filtered:
 		v.Belief, v.Why = Omits, Filtered
-	case m.Index == w.index && q.Index > 0:
+	case m.Index == w.index && q.Index > 0 && !w.omits:
 		v.Belief = Same // the wait was over
 	}
+	w.omits = v.Belief == Omits
 	if q.Mode == Consistent {
 		w.reset = false
 	}
--- a/membership/watch/watch_test.go
+++ b/membership/watch/watch_test.go
@@ -332,9 +332,9 @@
 		{"a sound answer, then one that waits", Default, []Meta{sound}, []Verdict{{}}, Ask{Index: 20, Wait: 30 * time.Second}},
 		{"the wait is over", Default, []Meta{sound, sound}, []Verdict{{}, {Belief: Same}}, Ask{Index: 20, Wait: 30 * time.Second}},
 		{"rights are missing", Default, []Meta{{Index: 20, KnownLeader: true, Filtered: true}}, []Verdict{{Belief: Omits, Why: Filtered}},
-			Ask{Index: 20, Wait: 30 * time.Second}},
-		{"no leader", Stale, []Meta{{Index: 20}}, []Verdict{{Belief: Omits, Why: NoLeader}}, Ask{Index: 20, Wait: 30 * time.Second, Mode: Stale}},
-		{"index zero", Default, []Meta{{KnownLeader: true}}, []Verdict{{Belief: Omits, Why: ZeroIndex}}, Ask{Wait: 30 * time.Second}},
+			Ask{Index: 20, Wait: Spacing}},
+		{"no leader", Stale, []Meta{{Index: 20}}, []Verdict{{Belief: Omits, Why: NoLeader}}, Ask{Index: 20, Wait: Spacing, Mode: Stale}},
+		{"index zero", Default, []Meta{{KnownLeader: true}}, []Verdict{{Belief: Omits, Why: ZeroIndex}}, Ask{Wait: Spacing}},
 		{"too old", Stale, []Meta{{Index: 20, KnownLeader: true, LastContact: time.Minute}}, []Verdict{{Belief: Ignore, Why: TooOld}}, Ask{}},
 		{"the index went back", Default, []Meta{sound, {Index: 1, KnownLeader: true}}, []Verdict{{}, {Belief: Ignore, Why: WentBack}},
 			Ask{Mode: Consistent}},
@@ -367,6 +367,38 @@
 	}
 }
 
+// TestRightsAreBack: an answer that leaves things out is not waited upon for long: no index moves when a token gets its
+// rights, and the whole list is believed then though its index is the one that is held.
+func TestRightsAreBack(t *testing.T) {
+	for name, lacking := range map[string]Meta{"filtered": {Index: 10, KnownLeader: true, Filtered: true}, "no leader": {Index: 10}} {
+		w := New(Config{Agents: 1}.WithDefaults())
+		now, back := start, start+10*time.Second
+		asked := 0
+		for now < back+2*time.Second {
+			if now = max(now+ms, w.Next()); len(w.Step(now)) == 0 {
+				continue
+			}
+			asked++
+			q := w.list
+			now += q.Wait + rtt
+			m := lacking
+			if now-rtt >= back {
+				m = Meta{Index: 10, KnownLeader: true}
+			}
+			v, ok := w.Answered(now, q.Serial, m)
+			if !ok || (v.Belief == Whole) != (m == Meta{Index: 10, KnownLeader: true}) {
+				t.Fatalf("%s: after %v: belief %v, %v", name, now-start, v.Belief, ok)
+			}
+			if v.Belief == Whole {
+				break
+			}
+		}
+		if late := now - back; late > Spacing+250*ms || asked > 12 {
+			t.Errorf("%s: the list is whole %v after the rights are, with %d questions", name, late, asked)
+		}
+	}
+}
+
 // TestConfirm: it calls off what blocks, goes to another agent in the consistent mode, and only a sound answer confirms.
 func TestConfirm(t *testing.T) {
 	for _, agents := range []int{1, 2} {
--- a/standin/consul/cluster.go
+++ b/standin/consul/cluster.go
@@ -244,14 +244,12 @@
 	})
 }
 
-// SetTokens turns ACLs on: by token, the services that it may see. A request without a token has the token "".
+// SetTokens turns ACLs on: by token, the services that it may see. A request without a token has the token "". No index
+// moves and no blocking query is woken by it, as with Consul's own.
 func (c *Cluster) SetTokens(tokens map[string][]string) {
-	c.update("", func() {
-		c.tokens = tokens
-		for name := range c.services {
-			c.indexes[name] = c.index
-		}
-	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tokens = tokens
 }
 
 // expire turns TTL checks critical that were not renewed in time.
