Speak TLS to boxes by site, and take over the catalogue's certificates in service

Boxes were spoken to by plain TCP alone, and the catalogue's files were read once, at the start. Change: block box-tls: TLS 1.3 by site, the box's id in its certificate, ours shown where wanted; dial and handshake run beside the loop and join it by a pair of sockets. Its files and those of catalogue.tls are watched and taken over whole or not at all. Paced clients are looked at four messages a tick and for 2 s at most.

--- /dev/null
+++ b/cmd/sloequay/boxtls_test.go
@@ -0,0 +1,184 @@
+package main
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"sloequay/standin"
+)
+
+// swapped is a certificate that a stand-in box can change while it runs.
+type swapped struct {
+	mu   sync.Mutex
+	pair tls.Certificate
+}
+
+func (s *swapped) set(p tls.Certificate) {
+	s.mu.Lock()
+	s.pair = p
+	s.mu.Unlock()
+}
+
+// behindTLS has a box listen by TLS, with a certificate for a name, where clients must show one of the same authority. seen
+// is told the name of each.
+func (w *world) behindTLS(ca *standin.Authority, id, name string, seen func(string)) *swapped {
+	w.t.Helper()
+	s := &swapped{}
+	s.set(w.pair(ca, name))
+	roots := x509.NewCertPool()
+	roots.AddCert(ca.Cert)
+	cfg := &tls.Config{ClientCAs: roots, ClientAuth: tls.RequireAndVerifyClientCert,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			p := s.pair
+			return &p, nil
+		},
+		VerifyConnection: func(c tls.ConnectionState) error {
+			seen(c.PeerCertificates[0].DNSNames[0])
+			return nil
+		}}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { _ = ln.Close() })
+	go w.fleet.Serve(id, tls.NewListener(ln, cfg))
+	for _, h := range w.hosts {
+		if h["host"] == id {
+			h["dial"] = ln.Addr().String()
+		}
+	}
+	return s
+}
+
+func (w *world) pair(ca *standin.Authority, name string) tls.Certificate {
+	w.t.Helper()
+	cert, key, err := ca.Make(strings.ReplaceAll(name, ".", "-"), name)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	p, err := tls.LoadX509KeyPair(cert, key)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return p
+}
+
+// replaceFile puts a file in another's place, as operators do.
+func replaceFile(t *testing.T, from, to string) {
+	t.Helper()
+	text, err := os.ReadFile(from)
+	if err == nil {
+		err = os.WriteFile(to+".new", text, 0o600)
+	}
+	if err == nil {
+		err = os.Rename(to+".new", to)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestBoxTLS: boxes of one site are spoken to by TLS and show a certificate for their own id; those of another site are not.
+// What shows another's is sent nothing. Our certificate changes in service and no request fails; a torn one changes nothing.
+func TestBoxTLS(t *testing.T) {
+	t.Parallel()
+	large := strings.Repeat("y", 200_000)
+	w := newWorld(t, func(a *asked) { a.Answer("ACK", "tag=t1", large) })
+	ca, err := standin.NewAuthority(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var mu sync.Mutex
+	shown := map[string]int{}
+	seen := func(name string) {
+		mu.Lock()
+		shown[name]++
+		mu.Unlock()
+	}
+	w.behindTLS(ca, "c1", "c1.boxes.test", seen)
+	w.behindTLS(ca, "c2", "c1.boxes.test", seen) // an impostor
+	dir := t.TempDir()
+	cert, key := dir+"/our.pem", dir+"/our.key"
+	ours, oursKey, err := ca.Make("doorman-1", "doorman-1.test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	replaceFile(t, ours, cert)
+	replaceFile(t, oursKey, key)
+	w.own("box-tls {\nca " + ca.File + "\ncert " + cert + "\nkey " + key + "\nsuffix .boxes.test\nsite hub {\nplain on\n}\n}")
+	w.run()
+	client := w.dial()
+	var id atomic.Uint64
+	ask := func() reply {
+		n := id.Add(1)
+		client.send(request(n, "footage", map[string]string{"item": fmt.Sprintf("%016x", n)}, ""))
+		return client.want()
+	}
+	for range 30 {
+		if a := ask(); a.Error != "" || a.Body != large {
+			t.Fatalf("by TLS: error %q, %d bytes", a.Error, len(a.Body))
+		}
+	}
+	byBox := map[string]int{}
+	for _, a := range w.lines(word("ASK")) {
+		byBox[a.Box]++
+		if a.Fields["via"] == "c2" {
+			t.Error("the impostor is named as a source")
+		}
+	}
+	if byBox["c1"] == 0 || byBox["c2"] > 0 {
+		t.Errorf("sent by box: %v, want c1 and not c2, whose certificate is another's", byBox)
+	}
+	w.until("the impostor is logged", func() bool { return matches(`event=depot-dial box=c2 .*not c2\.boxes\.test`, w.log.String()) })
+	// A new certificate, under load.
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		load := w.dial()
+		for n := uint64(1); ; n++ {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			load.send(request(n, "footage", map[string]string{"txn": "00000000000f" + strings.Repeat("0", 3) + string("0123456789abcdef"[n%16])}, ""))
+			if a := load.want(); a.Error != "" {
+				t.Errorf("while certificates change: %+v", a.Error)
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	next, nextKey, err := ca.Make("doorman-2", "doorman-2.test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	replaceFile(t, next, cert) // the key is still the old one's: not taken over
+	w.until("what does not fit is refused", func() bool { return strings.Contains(w.log.String(), "event=keys-refused") })
+	replaceFile(t, nextKey, key)
+	w.until("it is taken over", func() bool { return strings.Contains(w.log.String(), "event=tls-renewed") })
+	mu.Lock()
+	if shown["doorman-1.test"] == 0 || shown["doorman-2.test"] > 0 {
+		t.Errorf("shown by then: %v", shown)
+	}
+	mu.Unlock()
+	close(stop)
+	<-done
+	w.fleet.Drop("c1") // connections that stand go on by the old one; new ones show the new
+	w.until("the new certificate is shown", func() bool {
+		ask()
+		mu.Lock()
+		defer mu.Unlock()
+		return shown["doorman-2.test"] > 0
+	})
+}
--- a/cmd/sloequay/conf.go
+++ b/cmd/sloequay/conf.go
@@ -22,6 +22,7 @@
 	catalogue *consul.Config   // nil: off
 	snapshot  *snapshotConfig  // nil: off
 	identity  *identityConfig  // nil: off
+	boxTLS    *boxTLS          // nil: boxes are spoken to by plain TCP
 	list      membership.Config
 	damping   membership.Damping
 	bulletin  bool   // whether the bulletin's word on boxes counts; its purges always do
@@ -50,6 +51,10 @@
 		o.identity = &identityConfig{}
 		return o.identity.section(), nil
 	})
+	s.Block("box-tls", false, "TLS towards boxes", func([]string) (*conf.Section, error) {
+		o.boxTLS = &boxTLS{}
+		return o.boxTLS.section(), nil
+	})
 	s.Block("dns", false, "DNS request routing", func([]string) (*conf.Section, error) {
 		o.dns = &dnsfront.Config{}
 		return o.dns.Section(), nil
--- a/cmd/sloequay/main.go
+++ b/cmd/sloequay/main.go
@@ -116,6 +116,11 @@
 	if p.own, err = readOwn(o.conf); err != nil {
 		return nil, err
 	}
+	if p.own.boxTLS != nil {
+		if err := p.own.boxTLS.check(p.settings.Control.ZoneNames); err != nil {
+			return nil, err
+		}
+	}
 	return p, p.decode()
 }
 
--- a/cmd/sloequay/serve.go
+++ b/cmd/sloequay/serve.go
@@ -116,6 +116,11 @@
 		Resolve: d.resolver.Resolve, Barred: d.broker.Barred,
 		Classes: s.Control.Classes, DialLimit: s.DialTimeout, Idle: s.ConnIdle, Streams: s.Streams, MayProbe: s.Control.Probes, FlowKBps: s.Control.FlowKBps,
 		Most: s.Sockets - s.Sockets/clientPart - ownSockets}
+	if secure := d.plan.own.boxTLS; secure != nil {
+		d.pool.Secure = secure.secure(s.Control.ZoneNames)
+		d.pool.Most /= boxDescriptors
+		secure.watch(d)
+	}
 	d.bulletin = &bulletin.Reader{Loop: l, Address: s.Bulletin, Names: d.plan.names, Last: d.plan.last, Emit: d.emit,
 		Now: clock, Log: d.log.Event}
 	if cfg := d.plan.own.identity; cfg != nil {
--- a/depot/depot.go
+++ b/depot/depot.go
@@ -53,9 +53,12 @@
 	DialLimit time.Duration
 	Idle      time.Duration // after which the boxes close an idle connection; 0: never
 	Streams   int
-	Most      int     // descriptors
-	MayProbe  bool    // whether the settings allow it
-	FlowKBps  float64 // of one answer; 0: not told
+	Most      int  // descriptors
+	MayProbe  bool // whether the settings allow it
+	// Secure gives how a box is to be connected to where that is not by plain TCP: the function runs beside the loop and ends in
+	// its own time. Nil, or a nil function: plain.
+	Secure   func(*broker.Box) func(address string) (net.Conn, error)
+	FlowKBps float64 // of one answer; 0: not told
 
 	boxes  map[control.NodeID]*depot
 	links  int // up or being dialled
@@ -184,7 +187,7 @@
 	if err != nil {
 		p.Loop.Post(func() { l.notDialled(err) })
 	} else if _, err := netip.ParseAddr(name); err == nil {
-		p.Loop.Dial("tcp", l.address, p.DialLimit, l, l.notDialled)
+		l.connect()
 	} else {
 		p.Resolve(name, func(ip netip.Addr, err error) { l.resolved(ip, port, err) })
 	}
@@ -202,10 +205,23 @@
 		l.notDialled(fmt.Errorf("the name server gives %s, whose box is draining or gone", address))
 	default:
 		l.address = address
-		l.pool.Loop.Dial("tcp", address, l.pool.DialLimit, l, l.notDialled)
+		l.connect()
 	}
 }
 
+// connect dials the link's address.
+func (l *link) connect() {
+	p := l.pool
+	if p.Secure != nil {
+		if dial := p.Secure(l.depot.box); dial != nil {
+			address := l.address
+			p.Loop.DialBy(func() (net.Conn, error) { return dial(address) }, l, l.notDialled)
+			return
+		}
+	}
+	p.Loop.Dial("tcp", l.address, p.DialLimit, l, l.notDialled)
+}
+
 func (l *link) load() int { return len(l.open) + len(l.waiting) }
 
 // gone takes the link out of the pool.
@@ -222,7 +238,7 @@
 	// A connection that was reset while it came up says nothing of the box; one that was refused does.
 	if errors.Is(err, syscall.ECONNRESET) && !l.again && !l.retired && !l.closed {
 		l.again = true
-		l.pool.Loop.Dial("tcp", l.address, l.pool.DialLimit, l, l.notDialled)
+		l.connect()
 		return
 	}
 	l.gone()
--- a/identity/source.go
+++ b/identity/source.go
@@ -23,9 +23,9 @@
 
 func (h *held) add(now time.Duration) { h.n, h.at = min(h.now(now)+1, heldCap), now }
 
-// now is the count as it stands; it ends by time, and by a clock that went back too.
+// now is the count as it stands. A caller's now may be a little older than the last call's: both are of one round.
 func (h *held) now(now time.Duration) int {
-	if now-h.at > heldFor || now < h.at {
+	if now-h.at > heldFor {
 		return 0
 	}
 	return h.n
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -375,6 +375,7 @@
 		return gnet.None
 	}
 	if len(c.rest) > 0 {
+		l.inbound += len(data)
 		c.rest = append(c.rest, data...)
 		data = c.rest
 	}
--- a/membership/consul/client.go
+++ b/membership/consul/client.go
@@ -14,24 +14,40 @@
 
 	"github.com/hashicorp/consul/api"
 
+	"sloequay/identity/tlsclient"
 	"sloequay/membership/watch"
 )
 
+// tlsLimit is what connecting to an agent by TLS may take.
+const tlsLimit = 3 * time.Second
+
 // clients makes the API's clients, one an agent, with connections of their own.
 func (c *Config) clients() ([]*api.Client, error) {
 	var out []*api.Client
+	var dialer *tlsclient.Dialer
+	if c.TLS != nil {
+		var err error
+		if dialer, err = c.TLS.dialer(); err != nil {
+			return nil, err
+		}
+	}
 	for _, agent := range c.Agents {
 		transport := &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-			MaxIdleConnsPerHost: 4, IdleConnTimeout: 90 * time.Second, TLSHandshakeTimeout: 2 * time.Second,
+			MaxIdleConnsPerHost: 4, IdleConnTimeout: 90 * time.Second,
 		}
 		cfg := api.Config{Address: agent, Scheme: "http", Datacenter: c.Datacentre, Transport: transport}
 		if c.TLS != nil {
-			tlsConfig, err := c.TLS.config()
-			if err != nil {
-				return nil, err
+			cfg.Scheme = "https"
+			transport.DialTLSContext = func(ctx context.Context, _, address string) (net.Conn, error) {
+				ctx, cancel := context.WithTimeout(ctx, tlsLimit)
+				defer cancel()
+				name := c.TLS.ServerName
+				if name == "" {
+					name, _, _ = net.SplitHostPort(address)
+				}
+				return dialer.Dial(ctx, address, name)
 			}
-			cfg.Scheme, transport.TLSClientConfig = "https", tlsConfig
 		}
 		cfg.HttpClient = &http.Client{Transport: transport}
 		client, err := api.NewClient(&cfg)
--- a/membership/consul/consul_test.go
+++ b/membership/consul/consul_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -133,6 +134,68 @@
 	}
 }
 
+// TestFilesChange: an authority and a certificate that are put right while the doorman runs are taken over without a restart.
+func TestFilesChange(t *testing.T) {
+	ca, err := standin.NewAuthority(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	stranger, err := standin.NewAuthority(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	files := map[string]string{}
+	copyTo := func(dir string, a *standin.Authority) {
+		cert, key, err := a.Make("doorman", "consul.test")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for name, from := range map[string]string{"ca": a.File, "cert": cert, "key": key} {
+			text, err := os.ReadFile(from)
+			if err == nil {
+				err = os.WriteFile(dir+"/"+name+".new", text, 0o600)
+			}
+			if err == nil {
+				err = os.Rename(dir+"/"+name+".new", dir+"/"+name)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			files[name] = dir + "/" + name
+		}
+	}
+	dir := t.TempDir()
+	copyTo(dir, stranger)
+	agent, err := consul.NewCluster().NewAgent("a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(agent.Close)
+	serverCert, serverKey, err := ca.Make("server", "consul.test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	pair, err := tls.LoadX509KeyPair(serverCert, serverKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(ca.Cert)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(agent.ServeHTTP))
+	server.TLS = &tls.Config{Certificates: []tls.Certificate{pair}, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert}
+	server.StartTLS()
+	t.Cleanup(server.Close)
+	h := &heard{}
+	h.start(t, parse(t, "agent "+server.Listener.Addr().String()+"\nservice cache {\n}\ntls {\nca "+files["ca"]+"\ncert "+files["cert"]+"\nkey "+files["key"]+
+		"\nserver-name consul.test\n}"))
+	h.until(t, "the stranger's files fail", func() bool { return len(h.words) > 0 })
+	if len(h.lists) > 0 {
+		t.Fatal("a list by the stranger's authority")
+	}
+	copyTo(dir, ca)
+	h.until(t, "the right files are in force", func() bool { return len(h.lists) > 0 })
+}
+
 // TestLargeListInParts: a first list of thousands comes in parts, and the whole of it last.
 func TestLargeListInParts(t *testing.T) {
 	cluster := consul.NewCluster()
--- a/membership/consul/follow.go
+++ b/membership/consul/follow.go
@@ -74,6 +74,19 @@
 	for _, f := range c.followers {
 		f.ctx = ctx
 	}
+	if t := c.Config.TLS; t != nil {
+		dialer, err := t.dialer()
+		if err != nil {
+			return err
+		}
+		go dialer.Watch(ctx.Done(), func(err error) {
+			if err != nil {
+				c.Log("keys-refused", "error", err)
+			} else {
+				c.Log("tls-renewed", "cert", t.CA)
+			}
+		})
+	}
 	go c.run(ctx)
 	return nil
 }
--- a/oplog/oplog.go
+++ b/oplog/oplog.go
@@ -19,11 +19,11 @@
 
 // Events is every event word with its level. docs/on-call.md says what each means; a test compares the two.
 var Events = map[string]zapcore.Level{
-	"started": zap.InfoLevel, "leaving": zap.InfoLevel, "left": zap.InfoLevel, "reloaded": zap.InfoLevel,
+	"started": zap.InfoLevel, "leaving": zap.InfoLevel, "left": zap.InfoLevel, "reloaded": zap.InfoLevel, "clock-stepped": zap.ErrorLevel,
 	"reload-failed": zap.ErrorLevel, "log-full": zap.WarnLevel, "module": zap.WarnLevel, "module-unknown": zap.ErrorLevel,
 
 	"client-frame": zap.WarnLevel, "client-request": zap.WarnLevel, "client-limit": zap.WarnLevel,
-	"client-half": zap.WarnLevel, "client-id": zap.WarnLevel, "dns-query": zap.WarnLevel, "dns-pack": zap.ErrorLevel,
+	"client-half": zap.WarnLevel, "client-paced": zap.WarnLevel, "client-id": zap.WarnLevel, "dns-query": zap.WarnLevel, "dns-pack": zap.ErrorLevel,
 	"dns-signature": zap.WarnLevel,
 
 	"depot-crowded": zap.WarnLevel, "depot-dial": zap.WarnLevel, "depot-stray": zap.WarnLevel,
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -35,10 +35,12 @@
 	mostExcess = 64 // requests beyond that in one read: who sends more does not look at the answers
 
 	// A client whose calls identity turns away for want of a budget is paced: at each Tick some of its messages are
-	// looked at, and some of all such clients' together. Who sends on meanwhile is closed.
-	pacedEach = 16
-	pacedAll  = 128
+	// looked at, and some of all such clients' together: sixteen at once were felt in the others' 99th percentile. Who sends
+	// on meanwhile is closed, and so is who can't be looked at in time.
+	pacedEach = 4
+	pacedAll  = 32
 	pacedMost = 2 * mostFrame
+	pacedWait = 2 * time.Second
 
 	// idleAfter is longer than clients keep an idle connection, so that no request crosses the close.
 	idleAfter = 6 * time.Second
@@ -108,6 +110,11 @@
 	if halves := f.lobby.Tick(now); halves > 0 {
 		f.log("client-half", "front", "rpc", "connections", halves)
 	}
+	for e := f.paced.Front(); e != nil && now-e.Value.(*client).since > pacedWait; e = f.paced.Front() {
+		c := e.Value.(*client)
+		f.log("client-paced", "from", c.caller.Remote, "waited", now-c.since)
+		c.leave()
+	}
 	for left, n := pacedAll, f.paced.Len(); n > 0 && left > 0; n-- { // each at most once, the rest next time
 		c := f.paced.Remove(f.paced.Front()).(*client)
 		c.waits, c.may = nil, min(pacedEach, left)
@@ -128,6 +135,7 @@
 	excess int // requests beyond mostOpen in this read
 	caller identity.Caller
 	waits  *list.Element // in the front's paced
+	since  time.Duration // when it began to wait there
 	may    int           // messages that may be looked at though the client is paced
 	left   bool
 }
@@ -210,7 +218,7 @@
 		return false
 	}
 	if c.waits == nil {
-		c.waits = c.front.paced.PushBack(c)
+		c.waits, c.since = c.front.paced.PushBack(c), now
 	}
 	return true
 }
--- a/standin/box.go
+++ b/standin/box.go
@@ -71,6 +71,17 @@
 	if ln := f.listeners[id]; ln != nil {
 		_ = ln.Close()
 	}
+	f.reset(id)
+}
+
+// Drop resets the connections of a box, which goes on listening.
+func (f *Fleet) Drop(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reset(id)
+}
+
+func (f *Fleet) reset(id string) {
 	for c := range f.conns[id] {
 		if tcp, ok := c.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
