Make contracts a tree of budgets with guarantees, ceilings, lending and honest times

Need: a contract was one flat bucket a team: nothing divided what is spare, nothing limited repeats, and a refusal did not say which budget it was. Change: package contract is a tree (installation, team, service, class) of GCRA pairs: a request is drawn from the nearest node whose guaranteed part has room beyond what it reserves for those below, so that an owner is admitted at once and ceilings hold at every instant; what is scarce goes by weight in virtual time. Grants give back where they were taken, through changes of the contracts. Refusals name node and kind, and their time counts what was promised. Package retry holds repeats to a share of first tries, by team and by box; a new end, withheld.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -15,6 +15,7 @@
 	"sloequay/control"
 	"sloequay/membership"
 	"sloequay/purge"
+	"sloequay/retry"
 )
 
 // Event is something that the broker is told.
@@ -146,22 +147,25 @@
 	cfg       control.Config
 	module    *control.Director
 	contracts *contract.Book
-	members   *membership.Table
-	openCap   int
-	now       time.Duration
-	offset    time.Duration // what the Unix clock is ahead
-	nextID    control.RequestID
-	open      map[control.RequestID]*Request
-	ids       map[string]*Request // the same by the clients' ids
-	boxes     map[control.NodeID]*Box
-	hosts     map[string]control.NodeID
-	byName    map[string]*Box   // by the id on the sockets, in lower case
-	byDial    map[string][]*Box // by address: mostly one, and those that were there before
-	gone      []departed        // in the order of their leaving
-	purges    *purge.Ledger
-	timers    timers
-	queue     []Event
-	effects   []Effect
+	// Repeats to first tries, by team and by box; nil: no limit.
+	teamRepeats *retry.Set[string]
+	boxRepeats  *retry.Set[control.NodeID]
+	members     *membership.Table
+	openCap     int
+	now         time.Duration
+	offset      time.Duration // what the Unix clock is ahead
+	nextID      control.RequestID
+	open        map[control.RequestID]*Request
+	ids         map[string]*Request // the same by the clients' ids
+	boxes       map[control.NodeID]*Box
+	hosts       map[string]control.NodeID
+	byName      map[string]*Box   // by the id on the sockets, in lower case
+	byDial      map[string][]*Box // by address: mostly one, and those that were there before
+	gone        []departed        // in the order of their leaving
+	purges      *purge.Ledger
+	timers      timers
+	queue       []Event
+	effects     []Effect
 }
 
 // New makes a broker. With contracts nil every team may do everything; members is which boxes there are.
@@ -268,12 +272,13 @@
 		b.answer(r, Final{Kind: Refusal, Wait: b.cfg.MaxRetryAfter, Reason: "too many open requests"})
 		return
 	}
-	account, wait, ok := b.contracts.Admit(r.Team, b.cfg.Classes[r.Class].Name, b.now)
-	if !ok {
-		b.answer(r, Final{Kind: Refusal, Wait: wait, Reason: "over the team's contract"})
+	class := &b.cfg.Classes[r.Class]
+	grant, over := b.contracts.Admit(b.now, r.Team, r.Service, class.Name, contract.Cost{Worth: class.Worth, Bytes: r.SizeKB * 1024})
+	if over != nil {
+		b.answer(r, overBudget(over))
 		return
 	}
-	r.account, r.admitted = account, true
+	r.grant, r.admitted = grant, true
 	b.nextID++
 	r.id = b.nextID
 	b.open[r.id], b.ids[r.ID] = r, r
@@ -335,9 +340,9 @@
 		b.queue = append(b.queue, Ending{Attempt: a, End: Barred})
 		return
 	}
-	if wait, ok := r.account.Spend(b.now); !ok {
-		r.wait = wait
-		b.queue = append(b.queue, Ending{Attempt: a, End: Barred})
+	if end, over := b.spend(r, a); over != nil {
+		r.over = over
+		b.queue = append(b.queue, Ending{Attempt: a, End: end})
 		return
 	}
 	if a.Deadline < r.deadline {
@@ -346,6 +351,72 @@
 	b.effect(Ask{a})
 }
 
+// spend charges an attempt to the budgets of its request, and of repeats: only one after an attempt that went out is a repeat,
+// since nothing else has cost a box anything.
+func (b *Broker) spend(r *Request, a *Attempt) (End, *contract.Refusal) {
+	repeat := slices.ContainsFunc(r.attempts, func(o *Attempt) bool { return o.Written })
+	if !repeat {
+		if over := r.grant.Spend(b.now, false); over != nil {
+			return Barred, over
+		}
+		if b.teamRepeats != nil && a.N == 0 {
+			b.teamRepeats.Of(r.grant.Tenant()).First(b.now, b.teamRepeats.Config())
+		}
+		if b.boxRepeats != nil {
+			b.boxRepeats.Of(a.Box.ID).First(b.now, b.boxRepeats.Config())
+		}
+		return 0, nil
+	}
+	var team, box *retry.Budget
+	if b.teamRepeats != nil {
+		if team = b.teamRepeats.Of(r.grant.Tenant()); team.Left(b.now, b.teamRepeats.Config()) < 1 {
+			return Withheld, &contract.Refusal{Node: r.grant.Tenant(), Kind: contract.Repeats, Asked: 1, Left: team.Left(b.now, b.teamRepeats.Config()), Later: repeatsWait}
+		}
+	}
+	if b.boxRepeats != nil {
+		if box = b.boxRepeats.Of(a.Box.ID); box.Left(b.now, b.boxRepeats.Config()) < 1 {
+			return Withheld, &contract.Refusal{Node: "box " + a.Box.Host, Kind: contract.Repeats, Asked: 1, Left: box.Left(b.now, b.boxRepeats.Config()), Later: repeatsWait}
+		}
+	}
+	if over := r.grant.Spend(b.now, true); over != nil {
+		return Withheld, over
+	}
+	if team != nil {
+		team.Take()
+	}
+	if box != nil {
+		box.Take()
+	}
+	return 0, nil
+}
+
+// repeatsWait is told where a budget of repeats is used up: the request itself is new when it comes again, and welcome.
+const repeatsWait = 100 * time.Millisecond
+
+// overBudget words a refusal by a budget.
+func overBudget(over *contract.Refusal) Final {
+	return Final{Kind: Refusal, Wait: over.Later, Budget: over.Name(), Reason: over.String()}
+}
+
+// boxesMost and teamsMost bound what is remembered of repeats.
+const boxesMost, teamsMost = 16384, 16384
+
+// LimitRepeats sets the budgets of repeats. What is left of them stays.
+func (b *Broker) LimitRepeats(teams, boxes retry.Config) {
+	if teams.Share > 0 && b.teamRepeats == nil {
+		b.teamRepeats = retry.NewSet[string](teams, teamsMost)
+	}
+	if boxes.Share > 0 && b.boxRepeats == nil {
+		b.boxRepeats = retry.NewSet[control.NodeID](boxes, boxesMost)
+	}
+	if b.teamRepeats != nil {
+		b.teamRepeats.Configure(teams)
+	}
+	if b.boxRepeats != nil {
+		b.boxRepeats.Configure(boxes)
+	}
+}
+
 // May says at the moment of writing whether an attempt may still go out, and the oldest copy that will do then: the
 // list and the purges may have moved on while it waited for its connection. The list's state outranks all else.
 func (b *Broker) May(a *Attempt, now time.Duration) (age time.Duration, ok bool) {
@@ -416,8 +487,8 @@
 // giveUp is the module's own end of a request; it goes out at once.
 func (b *Broker) giveUp(id control.RequestID, f Final) {
 	if r := b.open[id]; r != nil {
-		if r.wait > 0 && f.Kind == Refusal {
-			f.Wait, f.Reason = r.wait, "over the team's budget"
+		if r.over != nil && f.Kind == Refusal {
+			f = overBudget(r.over)
 		}
 		b.answer(r, f)
 	}
@@ -438,7 +509,7 @@
 	delete(b.open, r.id)
 	if r.admitted {
 		delete(b.ids, r.ID)
-		r.account.Done()
+		r.grant.Done(b.now)
 	}
 	for _, a := range r.attempts {
 		if a.Open() {
--- a/broker/end.go
+++ b/broker/end.go
@@ -17,6 +17,7 @@
 	NotDialled            // no connection came up: refused, or not within the time-out
 	Unsent                // the connection ended before anything of the attempt was written
 	Barred                // the list or the budget forbade it by the time it was to be written
+	Withheld              // a budget of repeats is used up
 	Crowded               // no descriptor or place is left for it here
 	Broken                // the connection ended after something of the attempt was written
 	Garbled               // the box's answer can't be read, and so its connection was closed
@@ -44,6 +45,7 @@
 	NotDialled: {"not-dialled", control.ConnectFailed},
 	Unsent:     {"unsent", control.Moot}, // no sign against the box: its next connection may do
 	Barred:     {"barred", control.Moot},
+	Withheld:   {"withheld", control.Moot},
 	Crowded:    {"crowded", control.Moot},
 	Broken:     {"broken", control.Reset},
 	Garbled:    {"garbled", control.Reset},
--- a/broker/request.go
+++ b/broker/request.go
@@ -19,6 +19,7 @@
 	ID      string // the client's own id of this try
 	Class   int
 	Team    string
+	Service string // whose it is; empty: the only one
 	Object  uint64
 	Thing   string // Object as the client wrote it
 	Part    int
@@ -39,9 +40,9 @@
 	deadline time.Duration // by which the answer must be on its way
 	attempts []*Attempt
 	ended    bool
-	admitted bool              // it holds a place of its team's contract
-	account  *contract.Account // that it and its attempts are charged to
-	wait     time.Duration     // for the client to stay away, where the budget ran out
+	admitted bool              // it holds what grant says
+	grant    contract.Grant    // that it and its attempts are charged to
+	over     *contract.Refusal // the budget that held an attempt back
 }
 
 // Final is the one answer to a request.
@@ -52,6 +53,7 @@
 	Body    []byte        // with Answered
 	Fields  []Field       // that the box sent with its answer
 	Wait    time.Duration // with Refusal: to stay away; 0: no advice
+	Budget  string        // with Refusal: which one was used up; empty: none
 	Reason  string        // with Refusal and Failure for people, with Denied a word of identity
 }
 
--- a/cmd/sloequay/conf.go
+++ b/cmd/sloequay/conf.go
@@ -17,12 +17,12 @@
 // own is our settings: the file that --conf names. Without it everything in it is off, as on the platform.
 type own struct {
 	section   *conf.Section
-	contracts *contract.Book   // nil: every team may do everything
-	dns       *dnsfront.Config // nil: off
-	catalogue *consul.Config   // nil: off
-	snapshot  *snapshotConfig  // nil: off
-	identity  *identityConfig  // nil: off
-	boxTLS    *boxTLS          // nil: boxes are spoken to by plain TCP
+	contracts *contract.Contracts // nil: every team may do everything
+	dns       *dnsfront.Config    // nil: off
+	catalogue *consul.Config      // nil: off
+	snapshot  *snapshotConfig     // nil: off
+	identity  *identityConfig     // nil: off
+	boxTLS    *boxTLS             // nil: boxes are spoken to by plain TCP
 	list      membership.Config
 	damping   membership.Damping
 	bulletin  bool   // whether the bulletin's word on boxes counts; its purges always do
@@ -43,8 +43,8 @@
 		damping: membership.Damping{Cut: 3, Reuse: 1, HalfLife: 5 * time.Second, Most: 20 * time.Second}}
 	s := o.section
 	s.Block("contracts", false, "what each team may send", func([]string) (*conf.Section, error) {
-		section, book := contract.Section()
-		o.contracts = book
+		section, contracts := contract.Section()
+		o.contracts = contracts
 		return section, nil
 	})
 	s.Block("identity", false, "who may do what", func([]string) (*conf.Section, error) {
--- a/cmd/sloequay/serve.go
+++ b/cmd/sloequay/serve.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sloequay/broker"
+	"sloequay/contract"
 	"sloequay/depot"
 	"sloequay/dnsfront"
 	"sloequay/identity/tsig"
@@ -47,23 +48,24 @@
 
 // doorman is the assembled program. Everything in it runs on the loop.
 type doorman struct {
-	plan     *plan
-	loop     *loop.Loop
-	broker   *broker.Broker
-	pool     *depot.Pool
-	bulletin *bulletin.Reader
-	front    *rpc.Front
-	dns      *dnsfront.Front // nil: off
-	resolver *resolver.Resolver
-	log      *oplog.Logger
-	list     *sources
-	door     *door // nil: every caller may do everything
-	events   []broker.Event
-	kept     time.Duration // when the last housekeeping was
-	signals  chan os.Signal
-	leaving  time.Duration // when SIGTERM came
-	steady   steady.Keeper
-	stopped  bool
+	plan      *plan
+	contracts *contract.Book // nil: every team may do everything
+	loop      *loop.Loop
+	broker    *broker.Broker
+	pool      *depot.Pool
+	bulletin  *bulletin.Reader
+	front     *rpc.Front
+	dns       *dnsfront.Front // nil: off
+	resolver  *resolver.Resolver
+	log       *oplog.Logger
+	list      *sources
+	door      *door // nil: every caller may do everything
+	events    []broker.Event
+	kept      time.Duration // when the last housekeeping was
+	signals   chan os.Signal
+	leaving   time.Duration // when SIGTERM came
+	steady    steady.Keeper
+	stopped   bool
 }
 
 // serve runs the doorman until SIGTERM has been seen through.
@@ -76,9 +78,15 @@
 	d := &doorman{plan: p, log: log, signals: make(chan os.Signal, 8)}
 	signal.Notify(d.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	var err error
-	if d.broker, err = broker.New(s.Control, s.Seed, s.OpenCap, p.own.contracts, p.members); err != nil {
+	if p.own.contracts != nil {
+		d.contracts = p.own.contracts.Book()
+	}
+	if d.broker, err = broker.New(s.Control, s.Seed, s.OpenCap, d.contracts, p.members); err != nil {
 		return err
 	}
+	if c := p.own.contracts; c != nil {
+		d.broker.LimitRepeats(c.Teams, c.Boxes)
+	}
 	full := func() bool { return int64(d.loop.Outbound()) > s.Memory/5 }
 	ready := func() bool { return d.leaving == 0 }
 	clients, listeners := s.Sockets/clientPart, []loop.Listener(nil)
@@ -165,8 +173,10 @@
 		return
 	}
 	d.bulletin.Follow(next.settings.Bulletin)
-	if d.plan.own.contracts != nil && next.own.contracts != nil {
-		d.plan.own.contracts.Renew(next.own.contracts)
+	if c := next.own.contracts; d.contracts != nil && c != nil {
+		d.contracts.Renew(clock(), c.Root.Share(c.Instances))
+		d.broker.LimitRepeats(c.Teams, c.Boxes)
+		d.log.Event("contracts-renewed", "version", d.contracts.Version, "teams", len(c.Root.Children), "open", d.contracts.Held())
 	}
 	d.log.Event("reloaded", "bulletin", next.settings.Bulletin, "after", d.bulletin.Last)
 	d.loop.NeedRound()
--- /dev/null
+++ b/contract/section.go
@@ -0,0 +1,142 @@
+package contract
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"sloequay/conf"
+	"sloequay/retry"
+)
+
+// Contracts is the block `contracts` as written.
+type Contracts struct {
+	Root      *Spec
+	Instances int // doormen that share the contracts
+	Teams     retry.Config
+	Boxes     retry.Config
+}
+
+// Section gives the directives of the block `contracts`, and what they say once it was read.
+func Section() (*conf.Section, *Contracts) {
+	c := &Contracts{Root: &Spec{Name: "installation"}, Instances: 1}
+	s := c.Root.section(false)
+	s.Int("instances", &c.Instances, 1, 10_000, "doormen that these contracts are shared by; each has its part of every budget")
+	s.Block("retries", false, "how many repeated attempts there may be to first ones", func([]string) (*conf.Section, error) {
+		p := &conf.Section{}
+		c.Teams.Window = time.Second
+		p.Number("team-share", &c.Teams.Share, 0, 5, "of one team; 0: no limit")
+		p.Rate("team-floor", &c.Teams.Floor, 0, 1e6, "that one team has whatever its first tries")
+		p.Number("box-share", &c.Boxes.Share, 0, 5, "to one box; 0: no limit")
+		p.Rate("box-floor", &c.Boxes.Floor, 0, 1e6, "that one box gets whatever its first tries")
+		p.Duration("window", &c.Teams.Window, 10*time.Millisecond, time.Minute, "in which what lies unused melts to a third")
+		p.Check(func() error {
+			c.Boxes.Window = c.Teams.Window
+			return nil
+		})
+		return p, nil
+	})
+	named := map[string]bool{}
+	tenant := func(name string) *conf.Section {
+		t := &Spec{Name: name}
+		c.Root.Children = append(c.Root.Children, t)
+		section := t.section(true)
+		section.Words("class", &t.Classes, nil, "classes that it may use; all without it")
+		t.below(section, "service", func(v *Spec, at *conf.Section) { v.below(at, "for", nil, "what one class of the service has of it") },
+			"what one of its services has of it")
+		t.below(section, "for", nil, "what one class has of it")
+		return section
+	}
+	s.Block("team", true, "what one team has agreed to", func(words []string) (*conf.Section, error) {
+		if len(words) != 1 {
+			return nil, fmt.Errorf("expected the team's name, got %d words", len(words))
+		}
+		if words[0] == "" || len(words[0]) > nameMost || named[words[0]] {
+			return nil, fmt.Errorf("the team %.80q is named twice, or is no name of 1 to %d letters", words[0], nameMost)
+		}
+		named[words[0]] = true
+		return tenant(words[0]), nil
+	})
+	s.Block("others", false, "what all teams have that are not named, together; without it they are refused",
+		func([]string) (*conf.Section, error) { return tenant(""), nil })
+	return s, c
+}
+
+const nameMost = 256
+
+// below adds a block for the children of a node.
+func (s *Spec) below(section *conf.Section, word string, more func(*Spec, *conf.Section), help string) {
+	section.Block(word, true, help, func(words []string) (*conf.Section, error) {
+		if len(words) != 1 || words[0] == "" || len(words[0]) > nameMost {
+			return nil, fmt.Errorf("expected a name of 1 to %d letters", nameMost)
+		}
+		if slices.ContainsFunc(s.Children, func(o *Spec) bool { return o.Name == words[0] }) {
+			return nil, fmt.Errorf("%s is named twice", words[0])
+		}
+		child := &Spec{Name: words[0]}
+		s.Children = append(s.Children, child)
+		at := child.section(true)
+		if more != nil {
+			more(child, at)
+		}
+		return at, nil
+	})
+}
+
+// section gives the directives that every node has.
+func (s *Spec) section(below bool) *conf.Section {
+	section := &conf.Section{}
+	for k := Requests; k < rateKinds; k++ {
+		help := k.String() + " a second"
+		if below {
+			help += ": guaranteed, and the ceiling where more may be borrowed"
+		}
+		section.Each(k.String(), func(words []string) error {
+			if s.Rates[k].Set {
+				return errors.New("given twice")
+			}
+			l, err := parseLimit(words, below)
+			s.Rates[k] = l
+			return err
+		}, help)
+	}
+	section.Number(Open.String(), &s.Most[Open-rateKinds], 0, 1e9, "requests open together; 0: no limit")
+	var size int64
+	section.Size(OpenBytes.String(), &size, 0, 1<<50, "what open requests may come to together; 0B: no limit")
+	section.Duration("burst", &s.Burst, 0, burstMost, "whose worth of each rate may come at once; a second's without it")
+	if below {
+		section.Number("weight", &s.Weight, 0, 1e6, "its part of what is spare, among its siblings; 1 without it")
+	}
+	section.Check(func() error {
+		s.Most[OpenBytes-rateKinds] = float64(size)
+		return nil
+	})
+	return section
+}
+
+// parseLimit reads `200/s` or `200/s 600/s`.
+func parseLimit(words []string, ceiling bool) (Limit, error) {
+	if len(words) == 0 || len(words) > 2 || len(words) == 2 && !ceiling {
+		return Limit{}, fmt.Errorf("expected one rate%s, got %d words", map[bool]string{true: ", or two", false: ""}[ceiling], len(words))
+	}
+	var rates []float64
+	for _, w := range words {
+		digits, ok := strings.CutSuffix(w, "/s")
+		v, err := strconv.ParseFloat(digits, 64)
+		if !ok || err != nil || !(v >= 0 && v <= rateMost) {
+			return Limit{}, fmt.Errorf("expected a rate of 0/s to %g/s, got %.80q", float64(rateMost), w)
+		}
+		rates = append(rates, v)
+	}
+	l := Limit{Set: true, Guaranteed: rates[0], Ceiling: rates[len(rates)-1]}
+	if l.Ceiling < l.Guaranteed {
+		return Limit{}, fmt.Errorf("the ceiling %s is under what is guaranteed, %s", words[1], words[0])
+	}
+	return l, nil
+}
+
+// Book makes what is in force of the contracts: this doorman's share.
+func (c *Contracts) Book() *Book { return NewBook(c.Root.Share(c.Instances)) }
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -439,6 +439,9 @@
 			later := (f.Wait + time.Millisecond - 1) / time.Millisecond
 			fields = []broker.Field{{Name: "later", Value: strconv.FormatInt(int64(later), 10)}}
 		}
+		if f.Budget != "" {
+			fields = append(fields, broker.Field{Name: "budget", Value: f.Budget})
+		}
 		c.fail(msg, wordRefused, fields)
 	case broker.Failure:
 		c.fail(msg, wordFailed, nil)
