Show and explain contracts to operators, by a socket of their own

Need: whoever runs contracts must see what is promised twice before it hurts, and what a running doorman has left. Result: over-commitment is told with both figures; a test asks a running doorman with a request open, and again after a kill had left the old socket.

--- a/cmd/sloequay/conf.go
+++ b/cmd/sloequay/conf.go
@@ -22,6 +22,7 @@
 	catalogue *consul.Config      // nil: off
 	snapshot  *snapshotConfig     // nil: off
 	identity  *identityConfig     // nil: off
+	control   string              // path of the operators' socket; empty: none
 	boxTLS    *boxTLS             // nil: boxes are spoken to by plain TCP
 	list      membership.Config
 	damping   membership.Damping
@@ -47,6 +48,12 @@
 		o.contracts = contracts
 		return section, nil
 	})
+	s.Text("control", &o.control, func(path string) error {
+		if info, err := os.Stat(filepath.Dir(path)); err != nil || !info.IsDir() || len(path) > 100 {
+			return fmt.Errorf("%.120s: no folder for a socket, or a path of more than 100 letters", path)
+		}
+		return nil
+	}, "path of a socket for operators, as sloequay contracts --show; none without it")
 	s.Block("identity", false, "who may do what", func([]string) (*conf.Section, error) {
 		o.identity = &identityConfig{}
 		return o.identity.section(), nil
--- a/cmd/sloequay/contracts_test.go
+++ b/cmd/sloequay/contracts_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -226,3 +229,48 @@
 		t.Errorf("attempts written a request: %.2f with the budget of repeats, %.2f without", with, without)
 	}
 }
+
+// TestContractsCommand: what is over-committed is told with figures, and a running doorman says how its contracts stand.
+func TestContractsCommand(t *testing.T) {
+	t.Parallel()
+	held := make(chan *asked, 10)
+	w := newWorld(t, func(a *asked) { held <- a })
+	socket := filepath.Join(t.TempDir(), "s")
+	w.own("control " + socket + "\ncontracts {\nrequests 100/s\nadaptive {\n}\nteam lanes {\nrequests 60/s 90/s\nopen 7\nfor lookup {\nrequests 50/s\n}\n}\nteam other {\nrequests 50/s\n}\n}")
+	run := func(args ...string) (string, error) {
+		out, err := exec.Command(program, append([]string{"contracts", "--conf", w.conf}, args...)...).CombinedOutput()
+		return string(out), err
+	}
+	if out, err := run("--check"); err == nil || !strings.Contains(out, "installation requests: 110/s are guaranteed below, of 100/s") {
+		t.Errorf("%v: %s", err, out)
+	}
+	if _, err := run("--show"); err == nil {
+		t.Error("a doorman that does not run has answered")
+	}
+	w.run()
+	client := w.dial()
+	client.send(request(1, "lookup", map[string]string{"team": "lanes", "limit": "60000"}, ""))
+	a := <-held
+	out, err := run("--show")
+	for _, want := range []string{"version 1, 1 open, 1 of 1 tenants", "capacity 200 open", `lanes +open +- +7 +6 +-`, `installation +requests +100/s`, "lanes has 1 open"} {
+		if err != nil || !matches(want, out) {
+			t.Errorf("%v, no %q in\n%s", err, want, out)
+		}
+	}
+	if out, err = run("--explain", "lanes", "lookup"); err != nil || !matches(`lanes/lookup +requests +50/s +50/s +49`, out) || !matches(`lanes +requests +60/s +90/s`, out) {
+		t.Errorf("%v: %s", err, out)
+	}
+	if out, err = run("--explain", "nobody", "lookup"); err != nil || !strings.Contains(out, "refused: no contract for nobody") {
+		t.Errorf("%v: %s", err, out)
+	}
+	if info, err := os.Stat(socket); err != nil || info.Mode().Perm() != 0o600 {
+		t.Errorf("the socket: %v, %v", info.Mode(), err)
+	}
+	a.Answer("ACK", "tag=t1", "done")
+	client.want()
+	w.kill()
+	w.run() // the socket that a killed doorman left is no hindrance
+	if out, err := run("--show"); err != nil || !strings.Contains(out, "version 1, 0 open") {
+		t.Errorf("after a kill: %v: %s", err, out)
+	}
+}
--- a/cmd/sloequay/serve.go
+++ b/cmd/sloequay/serve.go
@@ -135,6 +135,9 @@
 		d.door = d.newDoor(cfg)
 		d.front.Source = d.door.source
 	}
+	if path := d.plan.own.control; path != "" {
+		d.control(path)
+	}
 	d.list = &sources{doorman: d}
 	d.list.start()
 	go d.heed()
--- a/contract/contract.go
+++ b/contract/contract.go
@@ -388,16 +388,22 @@
 
 func (n *node) uses(now time.Duration) (out []Use) {
 	for p := n; p != nil; p = p.parent {
-		for k, r := range p.rates {
-			if r != nil {
-				out = append(out, Use{Node: p.name, Kind: Kind(k), Guaranteed: r.g.rate, Ceiling: r.c.rate, Left: max(0, r.g.has(now, r.gAt)-r.reserve),
-					Above: max(0, r.c.has(now, r.cAt)-r.g.burst)})
-			}
+		out = append(out, p.own(now)...)
+	}
+	return out
+}
+
+// own is the budgets of the node itself.
+func (n *node) own(now time.Duration) (out []Use) {
+	for k, r := range n.rates {
+		if r != nil {
+			out = append(out, Use{Node: n.name, Kind: Kind(k), Guaranteed: r.g.rate, Ceiling: r.c.rate, Left: max(0, r.g.has(now, r.gAt)-r.reserve),
+				Above: max(0, r.c.has(now, r.cAt)-r.g.burst)})
 		}
-		for k, most := range p.spec.Most {
-			if most > 0 {
-				out = append(out, Use{Node: p.name, Kind: rateKinds + Kind(k), Ceiling: most, Left: max(0, most-p.levels[k])})
-			}
+	}
+	for k, most := range n.spec.Most {
+		if most > 0 {
+			out = append(out, Use{Node: n.name, Kind: rateKinds + Kind(k), Ceiling: most, Left: max(0, most-n.levels[k])})
 		}
 	}
 	return out
--- /dev/null
+++ b/contract/show.go
@@ -0,0 +1,44 @@
+package contract
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+)
+
+// Stand is how one tenant in service stands.
+type Stand struct {
+	Node string
+	Open int
+	Uses []Use
+}
+
+// Show tells how tenants stand, those with the most open first, at most so many, and how many there are.
+func (b *Book) Show(now time.Duration, most int) (out []Stand, all int) {
+	list := slices.Clone(b.ring)
+	slices.SortFunc(list, func(x, y *node) int { return cmp.Or(cmp.Compare(y.open, x.open), cmp.Compare(x.name, y.name)) })
+	for _, n := range list[:min(most, len(list))] {
+		out = append(out, Stand{n.name, n.open, n.own(now)})
+	}
+	return out, len(list)
+}
+
+// Whole tells how the installation's own budgets stand.
+func (b *Book) Whole(now time.Duration) []Use { return b.root.own(now) }
+
+// Table writes budgets as a table for people.
+func Table(w io.Writer, uses []Use) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, "budget\tkind\tguaranteed\tceiling\tleft\tto borrow")
+	for _, u := range uses {
+		if u.Kind >= rateKinds {
+			fmt.Fprintf(t, "%s\t%s\t-\t%s\t%s\t-\n", u.Node, u.Kind, short(u.Ceiling), short(u.Left))
+			continue
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s/s\t%s/s\t%s\t%s\n", u.Node, u.Kind, short(u.Guaranteed), short(u.Ceiling), short(u.Left), short(u.Above))
+	}
+	return t.Flush()
+}
