Run several pools of boxes in one doorman, each with a module of its own

Need: several teams' services behind one doorman, of which one that hangs or fails costs the others nothing. Change: the assembly holds pools, each a broker with its decision module, its view of the list, its connections and its part of descriptors and open requests; requests are placed by route, lists are told to each pool as its claims say, and answers tell the moves. Without the block one pool runs as before.

--- a/broker/request.go
+++ b/broker/request.go
@@ -6,6 +6,7 @@
 	"sloequay/contract"
 	"sloequay/control"
 	"sloequay/identity"
+	"sloequay/route"
 )
 
 // Owner is the front that a request came by. It gets the final answer exactly once, unless it withdrew the request.
@@ -19,7 +20,9 @@
 	ID      string // the client's own id of this try
 	Class   int
 	Team    string
-	Service string // whose it is; empty: the only one
+	Service string       // whose it is; empty: the only one
+	Zone    string       // that a DNS query asked in; empty: another front
+	Placed  route.Choice // which pool it went to
 	Object  uint64
 	Thing   string // Object as the client wrote it
 	Part    int
--- a/cmd/sloequay/conf.go
+++ b/cmd/sloequay/conf.go
@@ -22,6 +22,7 @@
 	catalogue *consul.Config      // nil: off
 	snapshot  *snapshotConfig     // nil: off
 	identity  *identityConfig     // nil: off
+	services  *services           // nil: one pool for all
 	control   string              // path of the operators' socket; empty: none
 	boxTLS    *boxTLS             // nil: boxes are spoken to by plain TCP
 	list      membership.Config
@@ -58,6 +59,10 @@
 		o.identity = &identityConfig{}
 		return o.identity.section(), nil
 	})
+	s.Block("services", false, "services, their pools of boxes, and moves between those", func([]string) (*conf.Section, error) {
+		o.services = &services{}
+		return o.services.section(), nil
+	})
 	s.Block("box-tls", false, "TLS towards boxes", func([]string) (*conf.Section, error) {
 		o.boxTLS = &boxTLS{}
 		return o.boxTLS.section(), nil
--- a/cmd/sloequay/main.go
+++ b/cmd/sloequay/main.go
@@ -122,6 +122,14 @@
 			return nil, err
 		}
 	}
+	if p.own.services != nil {
+		if p.own.snapshot != nil {
+			return nil, errors.New("services: a snapshot is of one pool; leave out one of the two blocks")
+		}
+		if _, err := p.own.services.table(0, p.settings.Control.ZoneNames, p.settings.Control.KindNames); err != nil {
+			return nil, err
+		}
+	}
 	return p, p.decode()
 }
 
--- a/cmd/sloequay/serve.go
+++ b/cmd/sloequay/serve.go
@@ -10,7 +10,6 @@
 
 	"sloequay/broker"
 	"sloequay/contract"
-	"sloequay/depot"
 	"sloequay/dnsfront"
 	"sloequay/identity/tsig"
 	"sloequay/loop"
@@ -18,6 +17,7 @@
 	"sloequay/membership/bulletin"
 	"sloequay/oplog"
 	"sloequay/resolver"
+	"sloequay/route"
 	"sloequay/rpc"
 	"sloequay/settings"
 	"sloequay/steady"
@@ -51,16 +51,15 @@
 	plan      *plan
 	contracts *contract.Book // nil: every team may do everything
 	loop      *loop.Loop
-	broker    *broker.Broker
-	pool      *depot.Pool
+	pools     []*pool      // one, where the settings name none
+	routes    *route.Table // nil: one pool
 	bulletin  *bulletin.Reader
 	front     *rpc.Front
 	dns       *dnsfront.Front // nil: off
 	resolver  *resolver.Resolver
 	log       *oplog.Logger
 	list      *sources
-	door      *door // nil: every caller may do everything
-	events    []broker.Event
+	door      *door         // nil: every caller may do everything
 	kept      time.Duration // when the last housekeeping was
 	signals   chan os.Signal
 	leaving   time.Duration // when SIGTERM came
@@ -77,15 +76,14 @@
 	runtime.GOMAXPROCS(max(2, runtime.GOMAXPROCS(0)))
 	d := &doorman{plan: p, log: log, signals: make(chan os.Signal, 8)}
 	signal.Notify(d.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	var err error
 	if p.own.contracts != nil {
 		d.contracts = p.own.contracts.Book()
 	}
-	if d.broker, err = broker.New(s.Control, s.Seed, s.OpenCap, d.contracts, p.members); err != nil {
+	if err := d.newPools(); err != nil {
 		return err
 	}
 	if c := p.own.contracts; c != nil {
-		d.broker.LimitRepeats(c.Teams, c.Boxes)
+		d.limitRepeats(c)
 	}
 	full := func() bool { return int64(d.loop.Outbound()) > s.Memory/5 }
 	ready := func() bool { return d.leaving == 0 }
@@ -94,7 +92,7 @@
 		most := clients / 4
 		clients -= most
 		d.dns = &dnsfront.Front{Config: p.own.dns, Classes: s.Control.Classes, Emit: d.enter, Now: clock, Unix: unixClock,
-			Log: d.log.Event, Box: d.broker.Box, Most: most, Seed: s.Seed}
+			Log: d.log.Event, Box: d.box, Most: most, Seed: s.Seed}
 		if cfg := p.own.identity; cfg != nil {
 			d.dns.Skew = cfg.Gate.Policy.Skew
 			d.dns.Keys = func() *tsig.Keys { return d.door.tsig }
@@ -120,13 +118,10 @@
 	if dns := d.plan.own.dns; dns != nil {
 		d.resolver.Server, d.resolver.Limit = dns.Resolver, dns.ResolveLimit
 	}
-	d.pool = &depot.Pool{Loop: l, Emit: d.emit, Now: clock, May: d.broker.May, Log: d.log.Event,
-		Resolve: d.resolver.Resolve, Barred: d.broker.Barred,
-		Classes: s.Control.Classes, DialLimit: s.DialTimeout, Idle: s.ConnIdle, Streams: s.Streams, MayProbe: s.Control.Probes, FlowKBps: s.Control.FlowKBps,
-		Most: s.Sockets - s.Sockets/clientPart - ownSockets}
+	for _, p := range d.pools {
+		p.connect(d)
+	}
 	if secure := d.plan.own.boxTLS; secure != nil {
-		d.pool.Secure = secure.secure(s.Control.ZoneNames)
-		d.pool.Most /= boxDescriptors
 		secure.watch(d)
 	}
 	d.bulletin = &bulletin.Reader{Loop: l, Address: s.Bulletin, Names: d.plan.names, Last: d.plan.last, Emit: d.emit,
@@ -154,7 +149,14 @@
 	d.emit(e)
 }
 
-func (d *doorman) emit(e broker.Event) { d.events = append(d.events, e) }
+// emit passes on what the sources of boxes and purges tell, and what the fronts have let in.
+func (d *doorman) emit(e broker.Event) {
+	if d.routes == nil {
+		d.pools[0].emit(e)
+		return
+	}
+	d.dispatch(e)
+}
 
 // heed takes signals to the loop. Files are read here, beside it.
 func (d *doorman) heed() {
@@ -178,7 +180,7 @@
 	d.bulletin.Follow(next.settings.Bulletin)
 	if c := next.own.contracts; d.contracts != nil && c != nil {
 		d.contracts.Renew(clock(), c.Root.Share(c.Instances))
-		d.broker.LimitRepeats(c.Teams, c.Boxes)
+		d.limitRepeats(c)
 		d.log.Event("contracts-renewed", "version", d.contracts.Version, "teams", len(c.Root.Children), "open", d.contracts.Held())
 	}
 	d.log.Event("reloaded", "bulletin", next.settings.Bulletin, "after", d.bulletin.Last)
@@ -192,7 +194,7 @@
 	}
 	d.leaving = clock()
 	d.list.leave() // first thing: clients are to look elsewhere
-	d.log.Event("leaving", "open", d.broker.Open())
+	d.log.Event("leaving", "open", d.open())
 	d.loop.NeedRound()
 }
 
@@ -205,14 +207,19 @@
 			d.door.stepped()
 		}
 	}
-	d.broker.SetOffset(d.steady.Offset())
+	for _, p := range d.pools {
+		p.broker.SetOffset(d.steady.Offset())
+	}
 	if d.door != nil {
 		d.door.gate.SetOffset(d.steady.Offset())
 	}
 	if now-d.kept >= housekeepEvery {
 		d.kept = now
 		d.bulletin.Tick(now)
-		d.pool.Housekeep(now)
+		for _, p := range d.pools {
+			p.depots.Housekeep(now)
+		}
+		d.moves(now)
 		d.front.Tick(now)
 		d.resolver.Tick(now)
 		if d.dns != nil {
@@ -224,38 +231,45 @@
 		}
 		d.log.Tick(now)
 	}
-	d.pool.Watch(now)
-	for again := true; again; again = len(d.events) > 0 { // carrying out may bring ends of its own
-		events := d.events
-		d.events = nil
-		for _, e := range d.broker.Round(clock(), events) {
-			d.carryOut(e)
+	for _, p := range d.pools {
+		p.depots.Watch(now)
+	}
+	for again := true; again; { // carrying out may bring ends of its own, and what ends in one pool may be asked on in another
+		for _, p := range d.pools {
+			p.round(d)
+		}
+		again = false
+		for _, p := range d.pools {
+			again = again || len(p.events) > 0
 		}
 	}
-	if d.leaving > 0 && !d.stopped && now-d.leaving > leaveAfter && d.broker.Open() == 0 && d.loop.Outbound() == 0 && d.list.left() {
+	if d.leaving > 0 && !d.stopped && now-d.leaving > leaveAfter && d.open() == 0 && d.loop.Outbound() == 0 && d.list.left() {
 		d.stopped = true
 		d.log.Event("left")
 		d.loop.Stop()
 	}
 	wake := d.kept + housekeepEvery
-	if next := d.broker.Next(); next > 0 {
-		wake = min(wake, next)
+	for _, p := range d.pools {
+		if next := p.broker.Next(); next > 0 {
+			wake = min(wake, next)
+		}
 	}
 	d.loop.WakeAfter(max(0, wake-clock()))
 }
 
-func (d *doorman) carryOut(effect broker.Effect) {
+func (d *doorman) carryOut(p *pool, effect broker.Effect) {
 	switch e := effect.(type) {
 	case broker.Ask:
-		d.pool.Ask(e.Attempt)
+		p.depots.Ask(e.Attempt)
 	case broker.Quit:
-		d.pool.Quit(e.Attempt, e.Confirm)
+		p.depots.Quit(e.Attempt, e.Confirm)
 	case broker.Answer:
+		d.ended(e.Request, e.Final)
 		e.Request.Owner.Final(e.Request, e.Final)
 	case broker.Moved:
-		d.pool.Moved(e.Box, e.Restarted)
+		p.depots.Moved(e.Box, e.Restarted)
 	case broker.Probe:
-		d.pool.Probe(e.Box)
+		p.depots.Probe(e.Box)
 	case broker.Confirm:
 		d.list.confirm(e.Source)
 	case broker.Line:
--- a/dnsfront/dnsfront.go
+++ b/dnsfront/dnsfront.go
@@ -231,7 +231,7 @@
 	f.serial++
 	now, t := f.Now(), fl.target
 	fl.request = &broker.Request{Owner: f, ID: fmt.Sprintf("%016x", f.Seed+f.serial), Class: fl.class, Team: t.team,
-		Object: t.object, Thing: t.thing, Part: t.part, Group: t.group, Key: t.key, Caller: fl.caller, Arrived: now,
+		Object: t.object, Thing: t.thing, Part: t.part, Group: t.group, Key: t.key, Caller: fl.caller, Zone: f.Config.Zone, Arrived: now,
 		Limit: fl.end - now}
 	f.byReq[fl.request] = fl
 	f.Emit(broker.Arrival{Request: fl.request})
