Say ready only once the catalogue's boxes are known

Cause: under load a test of the catalogue saw its first request refused: status was true before the first list had come, so clients were taken in while no box was known.

--- a/cmd/sloequay/catalogue_test.go
+++ b/cmd/sloequay/catalogue_test.go
@@ -748,3 +748,21 @@
 		}
 	}
 }
+
+// TestNotReadyWithoutBoxes: while the catalogue has not answered, clients are not taken in; once they are, the boxes are known.
+func TestNotReadyWithoutBoxes(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, nil, "c1", "c2", "p1", "o1")
+	_, agents := w.catalogue(1, "")
+	agents[0].SetFault(consul.Refuse, 0)
+	go func() {
+		for !strings.Contains(w.log.String(), "event=catalogue-lost") {
+			time.Sleep(time.Millisecond)
+		}
+		agents[0].SetFault(consul.None, 0)
+	}()
+	w.run()
+	if n := strings.Count(w.log.String(), "event=box-added"); n != 4 {
+		t.Errorf("%d boxes were known when it was ready, want 4", n)
+	}
+}
--- a/cmd/sloequay/serve.go
+++ b/cmd/sloequay/serve.go
@@ -65,6 +65,7 @@
 	leaving   time.Duration // when SIGTERM came
 	steady    steady.Keeper
 	stopped   bool
+	known     bool // see knowsBoxes
 }
 
 // serve runs the doorman until SIGTERM has been seen through.
@@ -86,7 +87,7 @@
 		d.limitRepeats(c)
 	}
 	full := func() bool { return int64(d.loop.Outbound()) > s.Memory/5 }
-	ready := func() bool { return d.leaving == 0 }
+	ready := func() bool { return d.leaving == 0 && d.knowsBoxes() }
 	clients, listeners := s.Sockets/clientPart, []loop.Listener(nil)
 	if p.own.dns != nil {
 		most := clients / 4
@@ -158,6 +159,23 @@
 	d.dispatch(e)
 }
 
+// knowWithin is how long after its start a doorman says that it is not ready while a catalogue has not answered.
+const knowWithin = 3 * time.Second
+
+// knowsBoxes says whether clients are to be taken in: where boxes come from a catalogue, once each of its services was heard or was
+// in the snapshot. Before, requests would be refused for want of boxes. A catalogue that is away must not keep the rest for ever.
+func (d *doorman) knowsBoxes() bool {
+	if d.known || d.plan.own.catalogue == nil {
+		return true
+	}
+	d.known = true
+	for i := range d.plan.own.catalogue.Services {
+		d.known = d.known && d.plan.members.Sources()[d.plan.first+i].Heard > 0
+	}
+	d.known = d.known || clock()-time.Duration(born.UnixNano()) > knowWithin
+	return d.known
+}
+
 // heed takes signals to the loop. Files are read here, beside it.
 func (d *doorman) heed() {
 	for s := range d.signals {
