--- a/cmd/sloequay/contracts_test.go
+++ b/cmd/sloequay/contracts_test.go
@@ -129,25 +129,10 @@
 	t.Parallel()
 	held := make(chan *asked, 2000)
 	w := newWorld(t, func(a *asked) { held <- a })
-	w.own("include " + t.TempDir() + "/none*.conf")
-	contracts := func(text string) {
-		w.conf = ""
-		w.flags = nil
-		w.own(text)
-	}
-	contracts("contracts {\nteam lanes {\nopen 500\n}\n}")
+	w.own("contracts {\nteam lanes {\nopen 500\n}\n}")
 	path := w.conf
 	w.run()
-	const each, many = 25, 20
-	var clients []*client
-	for c := range many {
-		client := w.dial()
-		clients = append(clients, client)
-		for id := range uint64(each) {
-			client.send(request(id, "lookup", map[string]string{"team": "lanes", "txn": fmt.Sprintf("%08x%08x", c, id), "limit": "60000", "ram": "0.1"}, ""))
-		}
-	}
-	w.until("all are open", func() bool { return len(held) == each*many })
+	crowd := w.crowd(held, "lookup", map[string]string{"team": "lanes"})
 	for i := range 10 {
 		text := fmt.Sprintf("contracts {\nteam lanes {\nopen %d\nrequests %d/s\n}\n}", 400+30*i, 1000+i)
 		if i == 5 {
@@ -167,20 +152,7 @@
 	if a := probe.want(); a.Fields["budget"] != "lanes open" {
 		t.Errorf("with 500 open of 500: %+v", a)
 	}
-	for range each * many {
-		a := <-held
-		a.Answer("ACK", "tag=t1", "done")
-	}
-	for _, c := range clients {
-		seen := map[uint64]bool{}
-		for range each {
-			a := c.want()
-			if seen[a.ID] || a.Error != "" {
-				t.Errorf("%+v, want each open request served once", a)
-			}
-			seen[a.ID] = true
-		}
-	}
+	crowd.served()
 	w.setScript(nil)
 	probe.send(request(2, "lookup", map[string]string{"team": "lanes", "txn": "00000000000000ab"}, ""))
 	if a := probe.want(); a.Error != "" {
--- a/cmd/sloequay/identity_test.go
+++ b/cmd/sloequay/identity_test.go
@@ -226,16 +226,7 @@
 	k := w.identity("")
 	w.run()
 	token := k.token("lane-1", "lanes", time.Hour)
-	var clients []*client
-	const each, many = 25, 20
-	for c := range many {
-		client := w.dial()
-		clients = append(clients, client)
-		for id := range uint64(each) {
-			client.send(request(id, "charge", map[string]string{"token": token, "unique": fmt.Sprintf("u%d.%d", c, id), "txn": fmt.Sprintf("%08x%08x", c, id), "limit": "60000", "ram": "0.1"}, ""))
-		}
-	}
-	w.until("all are open", func() bool { return len(held) == each*many })
+	crowd := w.crowd(held, "charge", map[string]string{"token": token})
 	k.must("key", "revoke", "subject", "lane-1")
 	began := time.Now()
 	probe := w.dial()
@@ -248,20 +239,7 @@
 	if took := time.Since(began); took > 2*time.Second {
 		t.Errorf("the revocation took %v", took)
 	}
-	for range each * many {
-		a := <-held
-		a.Answer("ACK", "tag=t1", "done")
-	}
-	for _, c := range clients {
-		seen := map[uint64]bool{}
-		for range each {
-			a := c.want()
-			if seen[a.ID] || a.Error != "" {
-				t.Errorf("%+v, want each open request served once", a)
-			}
-			seen[a.ID] = true
-		}
-	}
+	crowd.served()
 }
 
 // TestKeysAway is the seventh hard case: the directory vanishes, comes back empty, half-written, and right. Until it is right
--- a/cmd/sloequay/world_test.go
+++ b/cmd/sloequay/world_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"os/exec"
@@ -296,3 +297,48 @@
 	}
 	return a
 }
+
+// crowd is 500 requests that are open, held by the boxes' script.
+type crowd struct {
+	w       *world
+	held    chan *asked
+	clients []*client
+}
+
+const crowdEach, crowdMany = 25, 20
+
+// crowd sends 500 requests, each with an id and a key of its own, and waits until all are with the boxes.
+func (w *world) crowd(held chan *asked, class string, fields map[string]string) *crowd {
+	w.t.Helper()
+	c := &crowd{w: w, held: held}
+	for n := range crowdMany {
+		client := w.dial()
+		c.clients = append(c.clients, client)
+		for id := range uint64(crowdEach) {
+			f := maps.Clone(fields)
+			f["unique"], f["txn"], f["limit"], f["ram"] = fmt.Sprintf("u%d.%d", n, id), fmt.Sprintf("%08x%08x", n, id), "60000", "0.1"
+			client.send(request(id, class, f, ""))
+		}
+	}
+	w.until("all are open", func() bool { return len(held) == crowdEach*crowdMany })
+	return c
+}
+
+// served has the boxes answer, and each request be served once.
+func (c *crowd) served() {
+	c.w.t.Helper()
+	for range crowdEach * crowdMany {
+		a := <-c.held
+		a.Answer("ACK", "tag=t1", "done")
+	}
+	for _, client := range c.clients {
+		seen := map[uint64]bool{}
+		for range crowdEach {
+			a := client.want()
+			if seen[a.ID] || a.Error != "" {
+				c.w.t.Errorf("%+v, want each open request served once", a)
+			}
+			seen[a.ID] = true
+		}
+	}
+}
--- a/membership/consul/consul_test.go
+++ b/membership/consul/consul_test.go
@@ -83,21 +83,33 @@
 	}
 }
 
-// TestHTTPS: the agent is believed by its authority and name, and sees our certificate; without either nothing is taken.
-func TestHTTPS(t *testing.T) {
-	ca, err := standin.NewAuthority(t.TempDir())
+// secured has an agent answer by HTTPS, and want a certificate.
+func secured(t *testing.T, ca *standin.Authority, agent *consul.Agent) *httptest.Server {
+	t.Helper()
+	cert, key, err := ca.Make("server", "consul.test")
 	if err != nil {
 		t.Fatal(err)
 	}
-	serverCert, serverKey, err := ca.Make("server", "consul.test")
+	pair, err := tls.LoadX509KeyPair(cert, key)
 	if err != nil {
 		t.Fatal(err)
 	}
-	ourCert, ourKey, err := ca.Make("doorman", "consul.test")
+	pool := x509.NewCertPool()
+	pool.AddCert(ca.Cert)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(agent.ServeHTTP))
+	server.TLS = &tls.Config{Certificates: []tls.Certificate{pair}, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert}
+	server.StartTLS()
+	t.Cleanup(server.Close)
+	return server
+}
+
+// TestHTTPS: the agent is believed by its authority and name, and sees our certificate; without either nothing is taken.
+func TestHTTPS(t *testing.T) {
+	ca, err := standin.NewAuthority(t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
-	pair, err := tls.LoadX509KeyPair(serverCert, serverKey)
+	ourCert, ourKey, err := ca.Make("doorman", "consul.test")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -108,12 +120,7 @@
 	}
 	t.Cleanup(agent.Close)
 	cluster.Put(consul.Instance{Node: "n", Service: "cache", ID: "c1", Address: "127.0.0.1", Port: 1, Meta: map[string]string{"site": "edge", "class": "std"}})
-	pool := x509.NewCertPool()
-	pool.AddCert(ca.Cert)
-	server := httptest.NewUnstartedServer(http.HandlerFunc(agent.ServeHTTP))
-	server.TLS = &tls.Config{Certificates: []tls.Certificate{pair}, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert}
-	server.StartTLS()
-	t.Cleanup(server.Close)
+	server := secured(t, ca, agent)
 	caFile := ca.File
 	address := server.Listener.Addr().(*net.TCPAddr).String()
 	for _, c := range []struct {
@@ -171,20 +178,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(agent.Close)
-	serverCert, serverKey, err := ca.Make("server", "consul.test")
-	if err != nil {
-		t.Fatal(err)
-	}
-	pair, err := tls.LoadX509KeyPair(serverCert, serverKey)
-	if err != nil {
-		t.Fatal(err)
-	}
-	pool := x509.NewCertPool()
-	pool.AddCert(ca.Cert)
-	server := httptest.NewUnstartedServer(http.HandlerFunc(agent.ServeHTTP))
-	server.TLS = &tls.Config{Certificates: []tls.Certificate{pair}, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert}
-	server.StartTLS()
-	t.Cleanup(server.Close)
+	server := secured(t, ca, agent)
 	h := &heard{}
 	h.start(t, parse(t, "agent "+server.Listener.Addr().String()+"\nservice cache {\n}\ntls {\nca "+files["ca"]+"\ncert "+files["cert"]+"\nkey "+files["key"]+
 		"\nserver-name consul.test\n}"))
