--- a/cmd/sloequay/pools.go
+++ b/cmd/sloequay/pools.go
@@ -200,7 +200,7 @@
 		Most: max(1, int(float64(all)*p.part))}
 	if secure := d.plan.own.boxTLS; secure != nil {
 		p.depots.Secure = secure.secure(s.Control.ZoneNames)
-		p.depots.Most /= boxDescriptors
+		p.depots.Most = max(1, p.depots.Most/boxDescriptors)
 	}
 }
 
--- a/dnsfront/dnsfront.go
+++ b/dnsfront/dnsfront.go
@@ -198,12 +198,12 @@
 			f.wait(w, old)
 			return
 		default:
-			f.refuse(w, crowdWait)
+			f.refuse(w, crowdWait, "")
 			return
 		}
 	}
 	if len(f.byReq)+len(f.byName) >= mostFlights {
-		f.refuse(w, crowdWait)
+		f.refuse(w, crowdWait, "")
 		return
 	}
 	fl := &flight{target: t, class: class, name: name, caller: caller, end: now + f.limit(class)}
@@ -291,7 +291,7 @@
 func (f *Front) answer(w *waiter, fl *flight) {
 	switch final := fl.final; final.Kind {
 	case broker.Refusal:
-		f.refuse(w, final.Wait)
+		f.refuse(w, final.Wait, final.Budget)
 	case broker.Failure:
 		f.code(w, dns.RcodeServerFailure, final.Reason)
 	case broker.Denied:
@@ -358,9 +358,13 @@
 // clip cuts a text to what one string of a TXT record holds.
 func clip(s string) string { return s[:min(len(s), 255)] }
 
-// refuse answers REFUSED with the time to stay away.
-func (f *Front) refuse(w *waiter, wait time.Duration) {
-	f.code(w, dns.RcodeRefused, "later="+strconv.FormatInt(max(1, wait.Milliseconds()), 10))
+// refuse answers REFUSED with the time to stay away, and the budget that was used up, if it was one.
+func (f *Front) refuse(w *waiter, wait time.Duration, budget string) {
+	text := "later=" + strconv.FormatInt(max(1, wait.Milliseconds()), 10)
+	if budget != "" {
+		text += " budget=" + strconv.Quote(budget)
+	}
+	f.code(w, dns.RcodeRefused, clip(text))
 }
 
 // ednsCodes is the extended error that goes with a code.
