--- a/contract/contract.go
+++ b/contract/contract.go
@@ -324,10 +324,7 @@
 		last := len(b.ring) - 1
 		b.ring[b.at], b.ring[last] = b.ring[last], nil
 		b.ring = b.ring[:last]
-		b.at = 0
-		if last > 0 {
-			b.at = b.at % last
-		}
+		b.at-- // the one that came to its place is next
 	}
 }
 
