--- a/cmd/sloequay/world_test.go
+++ b/cmd/sloequay/world_test.go
@@ -27,6 +27,9 @@
 var program string
 
 func TestMain(m *testing.M) {
+	if os.Getenv(filterVariable) == "1" {
+		underFilter()
+	}
 	dir, err := os.MkdirTemp("", "sloequay")
 	if err != nil {
 		panic(err)
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -18,7 +18,6 @@
 	"net"
 	"net/netip"
 	"os"
-	"syscall"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -55,6 +54,7 @@
 	engine    gnet.Engine
 	events    gnet.EventLoop
 	listeners map[string]Listener
+	handleTo  string // see handle
 	dirty     []*Conn
 	pending   bool // the end of a round is posted
 	timer     *time.Timer
@@ -114,6 +114,7 @@
 func Run(listeners []Listener, start func(*Loop), endRound func()) error {
 	l := &Loop{listeners: map[string]Listener{}, endRound: endRound, started: make(chan struct{})}
 	l.start = func() { start(l) }
+	l.handleTo = handleAddress(listeners)
 	var addresses []string
 	for _, ln := range listeners {
 		// SO_REUSEPORT would let a second program share the address unnoticed.
@@ -167,7 +168,7 @@
 	return nil
 }
 
-// OnBoot runs before the loop does; the first connection enrolled, a socket pair, brings its handle.
+// OnBoot runs before the loop does; the first connection enrolled brings its handle.
 func (l *Loop) OnBoot(engine gnet.Engine) gnet.Action {
 	l.engine = engine
 	go func() {
@@ -179,31 +180,55 @@
 	return gnet.None
 }
 
-// handle learns the EventLoop, which gnet gives out only with a connection, and starts the work on it.
+// handle learns the EventLoop, which gnet gives out only with a connection, and starts the work on it. The connection is
+// a UDP socket connected to the doorman's own address, over which nothing is sent: the platform allows TCP and UDP over
+// IPv4 alone (a socket pair of the Unix family is refused there, and getsockname on it fails), and a connected UDP socket
+// needs no peer to come up. gnet opens no such connection, so it is closed once its loop is known.
 func (l *Loop) handle() error {
-	pair, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	conn, err := net.Dial("udp4", l.handleTo)
 	if err != nil {
-		return fmt.Errorf("socket pair: %w", err)
+		return fmt.Errorf("handle: %w", err)
 	}
-	file := os.NewFile(uintptr(pair[0]), "handle")
-	conn, err := net.FileConn(file)
-	_ = file.Close()
-	_ = syscall.Close(pair[1])
-	if err != nil {
-		return fmt.Errorf("socket pair: %w", err)
-	}
-	ctx := gnet.NewNetConnContext(context.Background(), conn)
+	ctx := gnet.NewNetConnContext(gnet.NewContext(context.Background(), handleMark{}), conn)
 	for {
 		result, err := l.engine.Register(ctx)
 		if err != nil { // the loop is not there yet
 			time.Sleep(time.Millisecond)
 			continue
 		}
-		if r := <-result; r.Err != nil {
-			return r.Err
+		r := <-result
+		_ = conn.Close() // gnet holds a duplicate
+		if r.Err != nil {
+			return fmt.Errorf("handle: %w", r.Err)
+		}
+		events, sock := r.Conn.EventLoop(), r.Conn
+		return events.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+			_ = sock.Close()
+			if l.events == nil { // else a client was quicker
+				l.events = events
+				l.start()
+			}
+			return nil
+		}))
+	}
+}
+
+// handleMark is the context of the handle's connection, which gnet may or may not open.
+type handleMark struct{}
+
+// handleAddress is an IPv4 address of the doorman's own to point the handle's socket at: the first listener's, with an
+// unspecified host taken as loopback.
+func handleAddress(listeners []Listener) string {
+	for _, ln := range listeners {
+		if ap, err := netip.ParseAddrPort(ln.Address); err == nil && ap.Addr().Unmap().Is4() {
+			host := ap.Addr().Unmap()
+			if host.IsUnspecified() {
+				host = netip.AddrFrom4([4]byte{127, 0, 0, 1})
+			}
+			return netip.AddrPortFrom(host, ap.Port()).String()
 		}
-		return nil
 	}
+	return "127.0.0.1:9"
 }
 
 // Post runs a task on the loop, at the end of what is ready. It may be called from any goroutine once start has run.
@@ -335,7 +360,10 @@
 
 // OnOpen gives a new connection its handler.
 func (l *Loop) OnOpen(sock gnet.Conn) ([]byte, gnet.Action) {
-	if l.events == nil { // the handle's own connection, or a client that was quicker
+	if _, ok := sock.Context().(handleMark); ok {
+		return nil, gnet.None // handle closes it
+	}
+	if l.events == nil { // a client that was quicker than the handle
 		l.events = sock.EventLoop()
 		l.start()
 	}
@@ -344,8 +372,6 @@
 	case made && !c.adopted:
 		l.dials--
 	case made:
-	case sock.LocalAddr().Network() == "unix":
-		return nil, gnet.None // its far end is closed, and so it will be
 	default:
 		ln, ok := l.listeners["tcp"+sock.LocalAddr().String()]
 		if !ok || ln.Accept == nil {
@@ -367,7 +393,9 @@
 // OnTraffic collects what has come.
 func (l *Loop) OnTraffic(sock gnet.Conn) gnet.Action {
 	c, ok := sock.Context().(*Conn)
-	if !ok {
+	if _, handle := sock.Context().(handleMark); handle {
+		return gnet.None
+	} else if !ok {
 		return l.packet(sock)
 	}
 	data, err := sock.Next(-1)
