Module: a source the caches cannot reach is a hard sign; one trusted again is spared as cold

Lines at fault (control.go, judge and count): a failed fill was counted against the source weighed by the share of failures that all trunks showed; with both trunks of a hub down that share rose, so each failure weighed little, and a doorman sees a trunk a few times a second at most. And a server trusted again after an ejection was used at full rate, as warm.

Change: src_broke (the cache did not reach the source) is a hard sign, as a refused connection to a cache is; a server trusted again after an ejection gets the cold budget from that moment (server.back, used by coldRoom beside the list's start). Ruled out: the cold rule of the told doormans (the fall came before the list told anyone), the depot checks (all answered READY).

--- a/control/control.go
+++ b/control/control.go
@@ -730,6 +730,7 @@
 	doubt     float64       // how unlikely its silence is
 	left      time.Duration // when the list last told of it
 	broke     time.Duration // when a connection to it last ended under an attempt
+	back      time.Duration // when it was trusted again after it was ejected
 	window    []spent
 	slow      float64 // its answers' times over what is expected of it
 	out       []out   // the attempts that wait for it
@@ -765,7 +766,9 @@
 			(e.Status == Full || e.Status == Error && a.limit != nil)):
 		q.failed = append(q.failed, a.source)
 		if e.Note != NoteSourceLacks && e.Note != NoteOriginFailed && !a.late {
-			d.count(a.source, false, false)
+			// Not reached by the cache is as hard a sign as a refused connection: a doorman of a fleet sees a
+			// source seldom, and counted against what its peers show a dead trunk kept its fills for seconds.
+			d.count(a.source, false, e.Note == NoteSourceLost)
 		}
 	case e.Status == Reset && !q.again:
 		q.again = true // the answer may be lost and the copy there: the same cache once more
@@ -796,7 +799,8 @@
 		s.odds = max(0, s.odds+math.Log((1-badShare)/(1-share)))
 		if s.ejected && s.odds < badOdds/2 {
 			d.do(Log{fmt.Sprintf("trusted again %x", s.ID)})
-			s.ejected, s.ejectFor, s.odds = false, 0, 0
+			// What failed and answers again may have started anew, before the list says so: spared as cold.
+			s.ejected, s.ejectFor, s.odds, s.back = false, 0, 0, d.now
 		}
 		return
 	}
@@ -920,8 +924,9 @@
 	if s.role == roleParent {
 		from, span, multiple = d.cfg.ParentFrom, d.cfg.ParentFor, d.cfg.ParentFall
 	}
-	age := d.now - s.Since
-	if s.role == roleOrigin || s.Since == 0 || age >= span || multiple <= 0 {
+	since := max(s.Since, s.back)
+	age := d.now - since
+	if s.role == roleOrigin || since == 0 || age >= span || multiple <= 0 {
 		s.window = s.window[:0]
 		return true
 	}
--- a/control/director_test.go
+++ b/control/director_test.go
@@ -491,3 +491,91 @@
 		t.Error("the same events gave other actions")
 	}
 }
+
+// fillsVia sends requests one after another and answers each attempt by how;
+// it gives the number of fills that went by the parent.
+func fillsVia(b *bench, parent NodeID, requests int, how func(Get) (Status, Note)) int {
+	via := 0
+	for id := RequestID(1); id <= RequestID(requests); id++ {
+		b.call(id, 0, uint64(1000+id))
+		for b.finals[id] == nil {
+			g := b.settle(id)
+			if b.finals[id] != nil {
+				break
+			}
+			s, note := how(g)
+			if g.Source == parent && g.Node != parent {
+				via++
+			}
+			b.answer(id, s, note)
+		}
+		b.tick(20 * ms)
+	}
+	return via
+}
+
+// TestUnreachedSourceIsPassedSoon: a trunk that the caches cannot reach is passed over after two fills, though the other
+// trunk fails at times too. A doorman of a fleet sees each trunk seldom; weighed against what the other trunks showed,
+// a dead one kept its fills for seconds.
+func TestUnreachedSourceIsPassedSoon(t *testing.T) {
+	b := newBench(t, site())
+	// The other trunk is busy and turns fills away at times, as on a day when a hub is lost.
+	turned := 0
+	via := fillsVia(b, 100, 40, func(g Get) (Status, Note) {
+		if g.Source == 100 && g.Node != 100 {
+			return Error, NoteSourceLost
+		}
+		if turned++; g.Source == 101 && turned%2 == 0 {
+			return Full, NoteSourceRefused
+		}
+		return OK, NoteFilled
+	})
+	if via > 2 {
+		t.Errorf("%d fills by the unreached trunk in 40 requests, want 2 at most", via)
+	}
+}
+
+// TestTrustedAgainIsSparedAsCold: a trunk that failed and answers again has started anew before the list says so,
+// cold; it gets no more than a cold trunk's budget. At full rate all doormans together had it fall over.
+func TestTrustedAgainIsSparedAsCold(t *testing.T) {
+	b := newBench(t, site())
+	dead := true
+	fillsVia(b, 100, 30, func(g Get) (Status, Note) {
+		if dead && g.Source == 100 && g.Node != 100 {
+			return Error, NoteSourceLost
+		}
+		return OK, NoteFilled
+	})
+	if !b.d.servers[100].ejected {
+		t.Fatal("the failing trunk was not ejected")
+	}
+	dead = false
+	for tries := 0; b.d.servers[100].ejected; tries++ {
+		if tries > 100 {
+			t.Fatal("the trunk is never trusted again")
+		}
+		b.tick(100 * ms)
+		id := RequestID(100 + tries)
+		b.call(id, 0, uint64(7000+tries))
+		for b.finals[id] == nil {
+			b.settle(id)
+			if b.finals[id] == nil {
+				b.answer(id, OK, NoteFilled)
+			}
+		}
+	}
+	spent, id := 0.0, RequestID(5000)
+	for end := b.now + 2*sec; b.now < end; b.now += 5 * ms {
+		id++
+		b.call(id, 0, uint64(id))
+		g := b.settle(id)
+		if g.Source == 100 && g.Node != 100 || g.Node == 100 {
+			spent += b.d.classes[0].mean
+		}
+		b.answer(id, OK, NoteFilled)
+	}
+	// ParentFrom 0.1 rising over 20 s, FallMultiple 2, weight 40, shared by two directors: as TestColdBudget.
+	if budget := (0.1*2.0 + 0.1*3) * 40 * 2 / 2; spent > budget {
+		t.Errorf("%.2f s of sending in its first 2 s back, want at most %.2f", spent, budget)
+	}
+}
