--- a/broker/broker.go
+++ b/broker/broker.go
@@ -165,6 +165,7 @@
 	gone        []departed        // in the order of their leaving
 	purges      *purge.Ledger
 	timers      timers
+	sweepAt     int // timers, at which those that stand for nothing any more are dropped
 	queue       []Event
 	effects     []Effect
 }
@@ -192,6 +193,18 @@
 // Open is the number of requests without an end.
 func (b *Broker) Open() int { return len(b.open) }
 
+// Sizes is how much a broker holds. Open, Module and Timers follow the requests that are open, Boxes and Gone the lists of the
+// last minute, Purges what was issued in the time that boxes take to drop copies.
+type Sizes struct {
+	Open, Module, Timers, Boxes, Gone, Purges int
+}
+
+// Sizes tells what is held, for operators and for tests that nothing grows.
+func (b *Broker) Sizes() Sizes {
+	return Sizes{Open: len(b.open), Module: b.module.Open(), Timers: len(b.timers), Boxes: len(b.boxes), Gone: len(b.gone),
+		Purges: b.purges.Len()}
+}
+
 // Round takes what has happened by now and returns what is to be done. The result is valid until the next call.
 func (b *Broker) Round(now time.Duration, events []Event) []Effect {
 	b.now = max(b.now, now)
@@ -720,7 +733,22 @@
 	half    bool
 }
 
-func (b *Broker) at(t timer) { heap.Push(&b.timers, t) }
+// timersLeast is a number of timers that is not worth a sweep.
+const timersLeast = 1024
+
+// at sets a timer. What has ended leaves its timers behind, and a client may tell a limit of ten minutes and withdraw at once:
+// left until they fall due they would grow with what strangers send. They are swept out when they have doubled, so that a
+// timer costs a constant number of looks.
+func (b *Broker) at(t timer) {
+	if len(b.timers) >= max(timersLeast, b.sweepAt) {
+		b.timers = slices.DeleteFunc(b.timers, func(t timer) bool {
+			return t.request != nil && t.request.ended || t.attempt != nil && t.attempt.ended
+		})
+		heap.Init(&b.timers)
+		b.sweepAt = 2 * len(b.timers)
+	}
+	heap.Push(&b.timers, t)
+}
 
 // due puts what has fallen due before what has come in, but for deadlines: an answer that is here in time counts.
 func (b *Broker) due() {
--- /dev/null
+++ b/cmd/sloequay/badday_test.go
@@ -0,0 +1,413 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"sloequay/standin"
+)
+
+// A bad day plays the input that the fleet's days bring: spoilt answers, connections reset, lists torn, late, doubled and
+// empty, clients that give up or come again at once. On each, every request that was not taken back gets exactly one
+// final answer, what is served is what a box made, and once a round is over the doorman holds what it held before: rounds
+// are compared, so that what grows by a little each time is seen.
+
+const (
+	badRounds  = 5
+	badClients = 8
+	badEach    = 50 // requests of a client in a round
+	badWindow  = 8  // that it has open
+)
+
+// badDay is one kind of bad input.
+type badDay struct {
+	name   string
+	script func(n int64, a *asked) // what the nth attempt of the day meets
+	beside func(d *badRun)         // runs beside the requests of a round, until d.over is closed
+	after  func(d *badRun)         // puts right what beside has left
+	client badClient
+	least  float64 // of the requests that were not taken back, the share that is to be served
+}
+
+// badClient is how the day's clients behave.
+type badClient struct {
+	withdraws int // each so manieth request is taken back at once
+	leaves    int // and after each so manieth the client is gone, with what it has open
+	insists   int // a request that is not served comes again at once, so often
+}
+
+// badRun is a day as it runs.
+type badRun struct {
+	w             *world
+	over          chan struct{}
+	event         int // of the bulletin
+	served, ended atomic.Int64
+	ids           atomic.Uint64
+}
+
+func good(a *asked) {
+	a.Answer("ACK", fmt.Sprintf("tag=t1,minted=%d,remark=hit", time.Now().UnixMilli()), a.Fields["thing"])
+}
+
+// spoilt gives a box's answers one after another in each of the ways that the operators' page lists.
+func spoilt(n int64, a *asked) {
+	raw := func(format string, args ...any) { _, _ = fmt.Fprintf(a.Conn, format, args...) }
+	switch n % 36 {
+	case 0:
+		_, _ = a.Conn.Write([]byte{0x00, 0xff, 0x0d, 0x0a, 0x93, 0x0d, 0x0a})
+	case 1:
+		raw("%s ACK %s", a.ID, strings.Repeat("x", 3<<10)) // a line that does not end
+	case 2:
+		raw("%s ACK - 3000000000\r\n%s", a.ID, strings.Repeat("x", 1<<10))
+	case 3:
+		raw("%s ACK tag=t1 16\r\nhalf", a.ID)
+		_ = a.Conn.Close()
+	case 4:
+		raw("%s ACK tag=t1 -7\r\n", a.ID)
+	case 5:
+		raw("ffffffffffffffff ACK tag=t1,minted=1 3\r\nbad\r\n")
+		good(a)
+	case 6:
+		good(a)
+		good(a)
+	case 7: // never comes
+	case 8:
+		raw("%s ACK tag=t1 16\r\n7f3a9c21e0b4d655 and more\r\n", a.ID)
+	default:
+		good(a)
+	}
+}
+
+// TestBadDays plays them.
+func TestBadDays(t *testing.T) {
+	for _, day := range []badDay{
+		{name: "answers come spoilt", script: spoilt, least: 0.2},
+		{name: "connections are reset", least: 0.3, script: func(n int64, a *asked) {
+			if n%9 == 0 {
+				_ = a.Conn.Close() // once the request was read
+				return
+			}
+			good(a)
+		}, beside: func(d *badRun) {
+			for box := 0; ; box++ { // new, idle or under a request
+				select {
+				case <-d.over:
+					return
+				case <-time.After(5 * time.Millisecond):
+					d.w.fleet.Drop([]string{"c1", "c2", "p1", "o1"}[box%4])
+				}
+			}
+		}},
+		{name: "lists are empty, torn, doubled, old and late", least: 0.05, beside: (*badRun).badLists, after: (*badRun).soundList},
+		{name: "clients give up", client: badClient{withdraws: 3, leaves: 20}, least: 0.9, script: func(n int64, a *asked) {
+			time.Sleep(time.Duration(n%4) * 2 * time.Millisecond)
+			good(a)
+		}},
+		{name: "clients come again too often", client: badClient{insists: 10}, script: func(n int64, a *asked) {
+			if n%3 == 0 {
+				good(a)
+				return
+			}
+			a.Answer("AGAIN", "-", "")
+		}, least: 0.3},
+		{name: "all of it at once", script: spoilt, client: badClient{withdraws: 4, leaves: 15, insists: 3},
+			beside: func(d *badRun) {
+				d.badLists()
+				d.w.fleet.Drop("c1")
+			}, after: (*badRun).soundList, least: 0.02},
+	} {
+		t.Run(day.name, func(t *testing.T) {
+			t.Parallel()
+			var n atomic.Int64
+			w := newWorld(t, func(a *asked) {
+				if day.script == nil {
+					good(a)
+				} else {
+					day.script(n.Add(1), a)
+				}
+			})
+			socket := shortSocket(t)
+			w.own("control " + socket)
+			w.run()
+			go func() { // what the program asks of the bulletin is not looked at
+				for range w.after {
+				}
+			}()
+			d := &badRun{w: w, event: 1}
+			var held []map[string]int
+			for round := range badRounds {
+				d.round(&day)
+				if day.after != nil {
+					day.after(d)
+				}
+				var state map[string]int
+				w.until(fmt.Sprintf("what round %d left is gone: %v", round, state), func() bool {
+					state = w.held(socket)
+					return state["pool.0.open"]+state["pool.0.module"]+state["pool.0.sent"] == 0
+				})
+				state["descriptors"] = w.descriptors()
+				held = append(held, state)
+			}
+			first, last := held[1], held[badRounds-1]
+			for kind, n := range last {
+				if kind == "pool.0.given-up" { // kept for 10 s, as late answers may come
+					continue
+				}
+				// Rounds differ by what is just being closed; what is kept would be there for each request.
+				if most := first[kind] + badClients*badEach/4; kind != "pool.0.timers" && n > most {
+					t.Errorf("%s: %d after round 2, %d after round %d", kind, first[kind], n, badRounds)
+				}
+			}
+			if n := last["pool.0.timers"]; n > 2*badClients*badEach+1024 {
+				t.Errorf("%d timers are held with nothing open", n)
+			}
+			if share := float64(d.served.Load()) / float64(d.ended.Load()); share < day.least {
+				t.Errorf("%.2f of %d requests were served, at least %.2f wanted", share, d.ended.Load(), day.least)
+			}
+			select {
+			case err := <-w.exited:
+				w.cmd = nil
+				t.Errorf("the program ended: %v", err)
+			default:
+			}
+		})
+	}
+}
+
+// shortSocket gives a path for a Unix socket, which may have some hundred letters only.
+func shortSocket(t *testing.T) string {
+	t.Helper()
+	dir, err := os.MkdirTemp("", "sq")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = os.RemoveAll(dir) })
+	return filepath.Join(dir, "s")
+}
+
+// held asks the program how much it holds.
+func (w *world) held(socket string) map[string]int {
+	w.t.Helper()
+	var out bytes.Buffer
+	if err := askDoorman(&out, socket, "state"); err != nil {
+		w.t.Fatal(err)
+	}
+	state := map[string]int{}
+	for line := range strings.Lines(out.String()) {
+		kind, n, _ := strings.Cut(strings.TrimSpace(line), " ")
+		var err error
+		if state[kind], err = strconv.Atoi(n); err != nil {
+			w.t.Fatalf("state: %q", line)
+		}
+	}
+	return state
+}
+
+// descriptors counts those of the program.
+func (w *world) descriptors() int {
+	list, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", w.cmd.Process.Pid))
+	return len(list)
+}
+
+// round has all clients send what they have to send.
+func (d *badRun) round(day *badDay) {
+	d.over = make(chan struct{})
+	var beside, clients sync.WaitGroup
+	if day.beside != nil {
+		beside.Add(1)
+		go func() { defer beside.Done(); day.beside(d) }()
+	}
+	for range badClients {
+		clients.Add(1)
+		go func() { defer clients.Done(); d.client(day.client) }()
+	}
+	clients.Wait()
+	close(d.over)
+	beside.Wait()
+}
+
+// client sends its requests, a window of them at a time, and holds the doorman to one answer each.
+func (d *badRun) client(how badClient) {
+	t := d.w.t
+	for left := badEach; left > 0; {
+		c, err := standin.Dial(d.w.listen)
+		if err != nil {
+			t.Errorf("a client was not let in: %v", err)
+			return
+		}
+		open, again, taken := map[uint64]int{}, []int{}, map[uint64]bool{} // open and again: tries that are left
+		gone := 0
+		if how.leaves > 0 {
+			gone = how.leaves
+		}
+		for left > 0 || len(open) > 0 || len(again) > 0 {
+			for len(open) < badWindow && (left > 0 || len(again) > 0) {
+				tries := how.insists
+				if len(again) > 0 {
+					tries, again = again[0], again[1:]
+				} else {
+					left--
+				}
+				id := d.ids.Add(1)
+				open[id] = tries
+				object := fmt.Sprintf("%016x", id%50+1)
+				if err := c.Send(request(id, "footage", map[string]string{"item": object, "limit": "1500"}, "")); err != nil {
+					t.Errorf("request %d could not be sent: %v", id, err)
+					return
+				}
+				if how.withdraws > 0 && id%uint64(how.withdraws) == 0 {
+					_ = c.Send(withdrawal(id))
+					delete(open, id)
+					taken[id] = true
+				}
+				if gone--; how.leaves > 0 && gone == 0 {
+					break
+				}
+			}
+			if how.leaves > 0 && gone <= 0 {
+				break // with what it has open
+			}
+			if len(open) == 0 {
+				continue
+			}
+			a, err := c.Read(patience)
+			if err != nil {
+				t.Errorf("%d requests have no answer: %v", len(open), err)
+				break
+			}
+			tries, is := open[a.ID]
+			switch {
+			case taken[a.ID]: // it crossed the withdrawal, and may come once
+				delete(taken, a.ID)
+				continue
+			case !is:
+				t.Errorf("a second answer, or one to nothing: %+v", a)
+				continue
+			}
+			delete(open, a.ID)
+			d.ended.Add(1)
+			switch {
+			case a.Error == "":
+				d.served.Add(1)
+				if want := fmt.Sprintf("%016x", a.ID%50+1); a.Body != want {
+					t.Errorf("request %d was served %q, want %q", a.ID, a.Body, want)
+				}
+			case tries > 0:
+				again = append(again, tries-1) // whatever `later` says
+			}
+		}
+		_ = c.Conn.Close()
+	}
+}
+
+func withdrawal(id uint64) []byte {
+	b := []byte("\x93\x02\xa8withdraw\x91\xce")
+	return append(b, byte(id>>24), byte(id>>16), byte(id>>8), byte(id))
+}
+
+// badLists has the bulletin tell what can't be used, then what takes all boxes away, and break off in between.
+func (d *badRun) badLists() {
+	tell := func(line string) {
+		select {
+		case d.w.feed <- line:
+		case <-d.over:
+		}
+	}
+	for {
+		next := d.event + 1
+		for _, line := range []string{
+			`{"no":` + strconv.Itoa(next) + `,"roster":{"seq":1,"who`, // torn
+			"!",
+			roster(next, true), // hosts are none at all
+			"!",
+			roster(next, true, host("c1", "nowhere", "edge", "std", "up", 0)), // no address
+			"!",
+			empty(next), // all boxes are gone
+			empty(next), // twice
+			strconv.Itoa(next),
+			roster(1, false, host("c9", "127.0.0.1:1", "edge", "std", "up", 0)), // old
+			strconv.Itoa(next + 5), // five were missed, it says
+			roster(next+1, true, d.w.hosts[0], d.w.hosts[0], d.w.hosts[1], d.w.hosts[2], d.w.hosts[3]),
+		} {
+			tell(line)
+		}
+		d.event += 2
+		select {
+		case <-d.over:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// empty is a whole list without boxes.
+func empty(no int) string { return strings.Replace(roster(no, true), `"hosts":null`, `"hosts":[]`, 1) }
+
+// soundList has the bulletin tell the whole list, and waits until a box serves again.
+func (d *badRun) soundList() {
+	hosts := make([]map[string]any, 0, len(d.w.hosts))
+	for _, h := range d.w.hosts {
+		hosts = append(hosts, maps.Clone(h))
+	}
+	c := d.w.dial()
+	c.send(request(1, "status", nil, ""))
+	c.want()
+	d.w.until("a box serves again", func() bool {
+		// Numbers that the program has already, or that skip some, have it ask again: then the next one will do.
+		d.event++
+		select {
+		case d.w.feed <- roster(d.event, true, hosts...):
+		default:
+		}
+		select {
+		case d.w.feed <- "!":
+		default:
+		}
+		c, err := standin.Dial(d.w.listen)
+		if err != nil {
+			return false
+		}
+		defer c.Conn.Close()
+		_ = c.Send(request(d.ids.Add(1), "footage", map[string]string{"item": fmt.Sprintf("%016x", d.ids.Load()%50+1)}, ""))
+		a, err := c.Read(patience)
+		return err == nil && a.Error == ""
+	})
+	_ = c.conn.Close()
+}
+
+// TestTimersOfTheWithdrawn: a client that tells limits of an hour and takes each request back left two timers each, with
+// the request, for that hour.
+func TestTimersOfTheWithdrawn(t *testing.T) {
+	w := newWorld(t, func(*asked) {})
+	socket := shortSocket(t)
+	w.own("control " + socket)
+	w.run()
+	c := w.dial()
+	for id := uint64(1); id <= 3000; id++ {
+		c.send(request(id, "footage", map[string]string{"limit": "3600000"}, ""))
+		c.send(withdrawal(id))
+		if id%16 == 0 { // else they would be taken back in the round they came in, and not be taken up
+			c.send(request(id, "status", nil, ""))
+			c.want()
+			w.until("it is out", func() bool { return w.held(socket)["pool.0.open"] == 0 })
+		}
+	}
+	if n := w.held(socket)["pool.0.timers"]; n > 1100 {
+		t.Errorf("%d timers are held with nothing open", n)
+	}
+	w.signal(syscall.SIGTERM)
+	if err := <-w.exited; err != nil {
+		t.Errorf("it ended with %v", err)
+	}
+	w.cmd = nil
+}
--- a/cmd/sloequay/control.go
+++ b/cmd/sloequay/control.go
@@ -84,8 +84,10 @@
 	var out strings.Builder
 	now := clock()
 	switch {
+	case len(words) == 1 && words[0] == "state":
+		d.state(&out)
 	case len(words) == 0 || words[0] != "contracts":
-		return "error: the questions are: contracts; contracts TEAM CLASS [SERVICE]\n"
+		return "error: the questions are: state; contracts; contracts TEAM CLASS [SERVICE]\n"
 	case d.contracts == nil:
 		return "error: no contracts are in force\n"
 	case len(words) == 1:
@@ -116,6 +118,39 @@
 	return out.String()
 }
 
+// state tells how much the doorman holds, a kind a line. All of it must come back to what it was once a bad day is over.
+func (d *doorman) state(out io.Writer) {
+	fmt.Fprintf(out, "clients %d\n", d.front.Clients())
+	for i, p := range d.pools {
+		b, c := p.broker.Sizes(), p.depots.Sizes()
+		for _, line := range []struct {
+			kind string
+			n    int
+		}{{"open", b.Open}, {"module", b.Module}, {"timers", b.Timers}, {"boxes", b.Boxes}, {"gone", b.Gone}, {"purges", b.Purges},
+			{"spoken-to", c.Boxes}, {"connections", c.Links}, {"sent", c.Open}, {"given-up", c.Quit}} {
+			fmt.Fprintf(out, "pool.%d.%s %d\n", i, line.kind, line.n)
+		}
+	}
+}
+
+// stateCommand is `sloequay state`.
+func stateCommand(out io.Writer) *cobra.Command {
+	var path string
+	c := &cobra.Command{Use: "state", Short: "Ask the running doorman how much it holds: clients, requests, timers, boxes, connections",
+		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+			o, err := readOwn(path)
+			if err != nil {
+				return err
+			}
+			if o.control == "" {
+				return errors.New("the settings have no `control` by which a running doorman could be asked")
+			}
+			return askDoorman(out, o.control, "state")
+		}}
+	c.Flags().StringVar(&path, "conf", "", "our settings")
+	return c
+}
+
 // explain prints which budgets apply to a request, the nearest first, and what is left.
 func explain(out io.Writer, b *contract.Book, now time.Duration, team, class, service string) {
 	uses, refusal := b.Explain(now, team, service, class)
--- a/cmd/sloequay/platform_test.go
+++ b/cmd/sloequay/platform_test.go
@@ -27,6 +27,10 @@
 // filterVariable in the environment has the test binary, started by a test, install the filter and serve.
 const filterVariable = "SLOEQUAY_TEST_PLATFORM_FILTER"
 
+// spinVariable has the test binary serve with a goroutine beside it that never waits, so that the check for that is
+// seen to fail.
+const spinVariable = "SLOEQUAY_TEST_SPIN"
+
 // underFilter runs in the child: it installs the filter, shows that it holds, and runs the command line.
 func underFilter() {
 	if err := installFilter(); err != nil {
--- a/cmd/sloequay/world_test.go
+++ b/cmd/sloequay/world_test.go
@@ -30,6 +30,14 @@
 	if os.Getenv(filterVariable) == "1" {
 		underFilter()
 	}
+	if os.Getenv(spinVariable) == "1" {
+		go func() {
+			for {
+			}
+		}()
+		main()
+		os.Exit(0)
+	}
 	dir, err := os.MkdirTemp("", "sloequay")
 	if err != nil {
 		panic(err)
--- a/control/control.go
+++ b/control/control.go
@@ -163,6 +163,9 @@
 	return d.out
 }
 
+// Open is the number of requests without an end.
+func (d *Director) Open() int { return len(d.requests) }
+
 func (d *Director) do(a Action) { d.out = append(d.out, a) }
 
 // The three tables.
--- a/depot/depot.go
+++ b/depot/depot.go
@@ -387,6 +387,22 @@
 	}
 }
 
+// Sizes is how much a pool holds: boxes that were spoken to, connections up or being dialled, what waits or is open on them, and
+// ids that were given up there in the last 10 s.
+type Sizes struct{ Boxes, Links, Open, Quit int }
+
+// Sizes tells what is held, by a walk over all connections: for operators, and for tests that nothing grows.
+func (p *Pool) Sizes() Sizes {
+	s := Sizes{Boxes: len(p.boxes), Links: p.links}
+	for _, d := range p.boxes {
+		for _, l := range d.links {
+			s.Open += l.load()
+			s.Quit += len(l.quit)
+		}
+	}
+	return s
+}
+
 // silenced ends a connection on which nothing comes any more. A QUIT would not arrive; the close gives all up.
 func (l *link) silenced() {
 	l.pool.Log("depot-silent", "box", l.depot.box.Host, "open", len(l.open))
--- a/lobby/lobby.go
+++ b/lobby/lobby.go
@@ -55,6 +55,9 @@
 	return g
 }
 
+// Len is the number of guests.
+func (l *Lobby) Len() int { return l.count }
+
 func (l *Lobby) makeWay(now time.Duration) bool {
 	victim := l.fresh.Front()
 	if victim == nil || now-victim.Value.(*Guest).since < firstWithin {
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -84,6 +84,9 @@
 	return f
 }
 
+// Clients is the number of connections.
+func (f *Front) Clients() int { return f.lobby.Len() }
+
 // Accept takes a new connection, or none where there is no descriptor for it.
 func (f *Front) Accept(remote net.Addr) loop.Handler {
 	return f.AcceptFrom(remote, identity.Caller{Front: "rpc"})
