--- a/cmd/sloequay/badday_test.go
+++ b/cmd/sloequay/badday_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"sloequay/node/admin"
 	"sloequay/standin"
 )
 
@@ -199,7 +200,7 @@
 func (w *world) held(socket string) map[string]int {
 	w.t.Helper()
 	var out bytes.Buffer
-	if err := askDoorman(&out, socket, "state"); err != nil {
+	if err := admin.Ask(&out, socket, "state"); err != nil {
 		w.t.Fatal(err)
 	}
 	state := map[string]int{}
--- a/cmd/sloequay/conf_test.go
+++ b/cmd/sloequay/conf_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"sloequay/node"
 	"sloequay/standin"
 )
 
@@ -19,11 +20,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	o := newOwn()
-	if err := o.section.Parse("shipped", text); err != nil {
+	o := node.NewOwn()
+	if err := o.Section.Parse("shipped", text); err != nil {
 		t.Fatal(err)
 	}
-	if o.contracts != nil || o.dns != nil || o.catalogue != nil || o.snapshot != nil || o.identity != nil || o.boxTLS != nil {
+	if o.Contracts != nil || o.DNS != nil || o.Catalogue != nil || o.Snapshot != nil || o.Identity != nil || o.BoxTLS != nil {
 		t.Error("the shipped file turns something on")
 	}
 	keys := filepath.Join(t.TempDir(), "keys")
@@ -44,22 +45,22 @@
 	for name, file := range map[string]string{"boxes-ca.pem": ca.File, "doorman.pem": cert, "doorman.key": key} {
 		on = bytes.ReplaceAll(on, []byte("./"+name), []byte(file))
 	}
-	o = newOwn()
-	if err := o.section.Parse("examples", on); err != nil {
+	o = node.NewOwn()
+	if err := o.Section.Parse("examples", on); err != nil {
 		t.Fatal(err)
 	}
-	if o.contracts == nil || o.dns == nil || o.catalogue == nil || o.snapshot == nil || o.identity == nil || o.boxTLS == nil || len(o.catalogue.Services) != 3 {
+	if o.Contracts == nil || o.DNS == nil || o.Catalogue == nil || o.Snapshot == nil || o.Identity == nil || o.BoxTLS == nil || len(o.Catalogue.Services) != 3 {
 		t.Error("the examples do not turn everything on")
 	}
 	var once, twice bytes.Buffer
-	if err := o.section.Print(&once); err != nil {
+	if err := o.Section.Print(&once); err != nil {
 		t.Fatal(err)
 	}
-	again := newOwn()
-	if err := again.section.Parse("printed", once.Bytes()); err != nil {
+	again := node.NewOwn()
+	if err := again.Section.Parse("printed", once.Bytes()); err != nil {
 		t.Fatalf("what was printed can't be read: %v\n%s", err, once.String())
 	}
-	_ = again.section.Print(&twice)
+	_ = again.Section.Print(&twice)
 	bare := func(b bytes.Buffer) string { return strings.ReplaceAll(b.String(), "  # default", "") }
 	if bare(once) != bare(twice) {
 		t.Errorf("printed as\n%sand read back as\n%s", once.String(), twice.String())
--- a/cmd/sloequay/keys.go
+++ b/cmd/sloequay/keys.go
@@ -17,6 +17,7 @@
 	"sloequay/identity"
 	"sloequay/identity/keydir"
 	"sloequay/identity/tsig"
+	"sloequay/node"
 )
 
 func randomID(prefix string) string {
@@ -67,7 +68,7 @@
 		if err != nil {
 			return err
 		}
-		k.NotBefore = unixClock()
+		k.NotBefore = node.UnixClock()
 		k.SignFrom = k.NotBefore
 		if err := keydir.WriteKeys(dir, []identity.Key{k}); err != nil {
 			return err
@@ -80,7 +81,7 @@
 		if err != nil {
 			return err
 		}
-		return writeKeys(out, keys, unixClock())
+		return writeKeys(out, keys, node.UnixClock())
 	}}
 	r := identity.Rotation{}
 	keyRotate := named(&cobra.Command{Use: "rotate", Short: "Bring the next key: published, accepted, signing; the old one retires after the overlap",
@@ -89,7 +90,7 @@
 			if err != nil {
 				return err
 			}
-			now := unixClock()
+			now := node.UnixClock()
 			next, err := keydir.New(dir, fresh(), identity.Algorithm(algorithm))
 			if err != nil {
 				return err
@@ -119,7 +120,7 @@
 		if i < 0 {
 			return fmt.Errorf("there is no key %s", args[0])
 		}
-		now := unixClock()
+		now := node.UnixClock()
 		keys[i].RetireAfter = max(now, keys[i].NotBefore+1)
 		if err := keydir.WriteKeys(dir, keys); err != nil {
 			return err
@@ -131,7 +132,7 @@
 		RunE: func(_ *cobra.Command, args []string) error {
 			for what := identity.Token; what <= identity.KeyID; what++ {
 				if what.String() == args[0] {
-					now := unixClock()
+					now := node.UnixClock()
 					if err := keydir.Revoke(dir, now, keydir.Revocation{What: what, Name: args[1], Until: now + span}); err != nil {
 						return err
 					}
@@ -164,7 +165,7 @@
 		if err != nil {
 			return err
 		}
-		now := unixClock()
+		now := node.UnixClock()
 		k := set.Signer(now)
 		if k == nil {
 			return errors.New("no key signs now")
@@ -200,7 +201,7 @@
 			if err != nil {
 				return err
 			}
-			now := unixClock()
+			now := node.UnixClock()
 			revoked := identity.NewRevocations(len(c.Revoked) + 1)
 			for _, r := range c.Revoked {
 				_ = revoked.Add(r.What, r.Name, r.Until)
--- a/cmd/sloequay/main.go
+++ b/cmd/sloequay/main.go
@@ -2,7 +2,6 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -10,10 +9,8 @@
 
 	"github.com/spf13/cobra"
 
-	"sloequay/membership"
-	"sloequay/membership/bulletin"
+	"sloequay/node"
 	"sloequay/oplog"
-	"sloequay/settings"
 )
 
 func main() {
@@ -53,7 +50,7 @@
 	}
 	serveCmd := gone(files(&cobra.Command{Use: "serve", Short: "Run the doorman in the foreground",
 		RunE: func(*cobra.Command, []string) error {
-			p, err := o.load()
+			p, err := node.Load(o.config, o.conf)
 			if err != nil {
 				return err
 			}
@@ -61,35 +58,34 @@
 			if err != nil {
 				return err
 			}
-			return serve(p, log)
+			return node.Serve(p, log)
 		}}))
 	serveCmd.Flags().StringVar(&o.format, "log-format", "text", "form of the log: text or json")
 	serveCmd.Flags().StringVar(&o.level, "log-level", "info", "least level that is logged: debug, info, warn, error")
 	print := false
 	checkCmd := gone(files(&cobra.Command{Use: "check", Short: "Read all files, say what is wrong with them, and exit",
 		RunE: func(*cobra.Command, []string) error {
-			p, err := o.load()
+			p, err := node.Load(o.config, o.conf)
 			if err != nil {
 				return err
 			}
 			if print {
-				return p.own.section.Print(out)
+				return p.Print(out)
 			}
-			fmt.Fprintf(out, "the configuration of %s is sound: %d classes, %d boxes known\n", p.settings.Name,
-				len(p.settings.Control.Classes), p.boxes)
+			fmt.Fprintln(out, p)
 			return nil
 		}}))
 	checkCmd.Flags().BoolVar(&print, "print", false, "print our settings in force, with defaults marked")
-	var boxes boxesOptions
+	var boxes node.BoxesOptions
 	boxesCmd := files(&cobra.Command{Use: "boxes", Short: "Ask the sources of boxes once and print the merged view",
 		RunE: func(*cobra.Command, []string) error {
-			p, err := o.load()
+			p, err := node.Load(o.config, o.conf)
 			if err != nil {
 				return err
 			}
-			return printBoxes(out, p, boxes)
+			return node.PrintBoxes(out, p, boxes)
 		}})
-	boxesCmd.Flags().DurationVar(&boxes.wait, "wait", defaultBoxesWait, "how long the sources are given")
+	boxesCmd.Flags().DurationVar(&boxes.Wait, "wait", node.DefaultBoxesWait, "how long the sources are given")
 	var try tryOptions
 	tryCmd := &cobra.Command{Use: "try", Short: "Run a doorman on stand-ins for all that it talks to, and show what it does",
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return runTry(out, try) }}
@@ -104,46 +100,6 @@
 	return root
 }
 
-// load reads and checks all files.
-func (o options) load() (*plan, error) {
-	if o.config == "" {
-		return nil, errors.New("no configuration: set BALANCER_CONFIG or --config")
-	}
-	p := &plan{again: o.load}
-	var err error
-	if p.settings, err = settings.Load(o.config); err != nil {
-		return nil, err
-	}
-	if p.own, err = readOwn(o.conf); err != nil {
-		return nil, err
-	}
-	if p.own.boxTLS != nil {
-		if err := p.own.boxTLS.check(p.settings.Control.ZoneNames); err != nil {
-			return nil, err
-		}
-	}
-	if p.own.services != nil {
-		if p.own.snapshot != nil {
-			return nil, errors.New("services: a snapshot is of one pool; leave out one of the two blocks")
-		}
-		if _, err := p.own.services.table(0, p.settings.Control.ZoneNames, p.settings.Control.KindNames); err != nil {
-			return nil, err
-		}
-	}
-	return p, p.decode()
-}
-
-// decode reads the events of the start, so that check finds faults in them too.
-func (p *plan) decode() (err error) {
-	p.members, p.names.Source, p.first = p.own.members()
-	p.names.Names = membership.Names{Zones: p.settings.Control.ZoneNames, Kinds: p.settings.Control.KindNames}
-	if p.last, p.known, err = p.names.Known(p.settings.Known); err != nil {
-		return err
-	}
-	p.boxes = bulletin.Boxes(p.known)
-	return nil
-}
-
 // version is the commit that was built, where the build knows it.
 func version() string {
 	info, ok := debug.ReadBuildInfo()
--- a/cmd/sloequay/boxes.go
+++ b/node/boxes.go
@@ -1,4 +1,4 @@
-package main
+package node
 
 import (
 	"context"
@@ -13,12 +13,14 @@
 	"sloequay/membership/consul"
 )
 
-const defaultBoxesWait = 2 * time.Second
+// DefaultBoxesWait is the wait without a flag.
+const DefaultBoxesWait = 2 * time.Second
 
-type boxesOptions struct{ wait time.Duration }
+// BoxesOptions is how the sources are asked.
+type BoxesOptions struct{ Wait time.Duration }
 
-// printBoxes asks each source once and prints the merged view. What a source tells goes into the table as in a doorman.
-func printBoxes(out io.Writer, p *plan, o boxesOptions) error {
+// PrintBoxes asks each source once and prints the merged view. What a source tells goes into the table as in a doorman.
+func PrintBoxes(out io.Writer, p *Plan, o BoxesOptions) error {
 	var mu sync.Mutex // the sources tell from goroutines of their own
 	var said []string
 	now := clock
@@ -44,7 +46,7 @@
 			take(e)
 		}
 		if p.settings.Bulletin != "" {
-			events, err := p.names.Ask(p.settings.Bulletin, p.last, o.wait)
+			events, err := p.names.Ask(p.settings.Bulletin, p.last, o.Wait)
 			if err != nil {
 				said = append(said, fmt.Sprintf("bulletin %s: %v", p.settings.Bulletin, err))
 				take(broker.Speaks{Source: p.names.Source, Silent: true})
@@ -54,10 +56,10 @@
 			}
 		}
 	}
-	if p.own.catalogue != nil {
-		ctx, end := context.WithTimeout(context.Background(), o.wait)
+	if p.own.Catalogue != nil {
+		ctx, end := context.WithTimeout(context.Background(), o.Wait)
 		defer end()
-		c := &consul.Catalogue{Config: p.own.catalogue, Names: p.names.Names, First: p.first, Now: now, Seed: p.settings.Seed,
+		c := &consul.Catalogue{Config: p.own.Catalogue, Names: p.names.Names, First: p.first, Now: now, Seed: p.settings.Seed,
 			Log: func(event string, fields ...any) {
 				mu.Lock()
 				defer mu.Unlock()
@@ -74,7 +76,7 @@
 		for answered := false; !answered && ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
 			mu.Lock()
 			answered = true
-			for i := range p.own.catalogue.Services {
+			for i := range p.own.Catalogue.Services {
 				answered = answered && p.members.Sources()[p.first+i].Heard > 0
 			}
 			mu.Unlock()
@@ -88,7 +90,7 @@
 }
 
 // writeBoxes prints sources and boxes as tables.
-func writeBoxes(out io.Writer, p *plan, now time.Duration, said []string) error {
+func writeBoxes(out io.Writer, p *Plan, now time.Duration, said []string) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	sources := p.members.Sources()
 	fmt.Fprintln(w, "SOURCE\tSTATE\tBOXES\tVERSION\tHEARD")
--- a/cmd/sloequay/clock.go
+++ b/node/clock.go
@@ -1,4 +1,4 @@
-package main
+package node
 
 import "time"
 
@@ -14,3 +14,9 @@
 
 // unixClock is for what was stamped by others or will be read by them.
 func unixClock() time.Duration { return time.Duration(wall().UnixNano()) }
+
+// Clock is the time that a doorman goes by.
+func Clock() time.Duration { return clock() }
+
+// UnixClock is for commands that stamp what a doorman will read.
+func UnixClock() time.Duration { return unixClock() }
--- a/cmd/sloequay/clock_step.go
+++ b/node/clock_step.go
@@ -1,6 +1,6 @@
 //go:build clockstep
 
-package main
+package node
 
 import (
 	"os"
--- a/cmd/sloequay/conf.go
+++ b/node/conf.go
@@ -1,4 +1,4 @@
-package main
+package node
 
 import (
 	"errors"
@@ -14,17 +14,17 @@
 	"sloequay/membership/consul"
 )
 
-// own is our settings: the file that --conf names. Without it everything in it is off, as on the platform.
-type own struct {
-	section   *conf.Section
-	contracts *contract.Contracts // nil: every team may do everything
-	dns       *dnsfront.Config    // nil: off
-	catalogue *consul.Config      // nil: off
-	snapshot  *snapshotConfig     // nil: off
-	identity  *identityConfig     // nil: off
-	services  *services           // nil: one pool for all
-	control   string              // path of the operators' socket; empty: none
-	boxTLS    *boxTLS             // nil: boxes are spoken to by plain TCP
+// Own is our settings: the file that --conf names. Without it everything in it is off, as on the platform.
+type Own struct {
+	Section   *conf.Section
+	Contracts *contract.Contracts // nil: every team may do everything
+	DNS       *dnsfront.Config    // nil: off
+	Catalogue *consul.Config      // nil: off
+	Snapshot  *snapshotConfig     // nil: off
+	Identity  *identityConfig     // nil: off
+	Services  *services           // nil: one pool for all
+	Control   string              // path of the operators' socket; empty: none
+	BoxTLS    *boxTLS             // nil: boxes are spoken to by plain TCP
 	list      membership.Config
 	damping   membership.Damping
 	bulletin  bool   // whether the bulletin's word on boxes counts; its purges always do
@@ -38,59 +38,60 @@
 	Oldest time.Duration
 }
 
-func newOwn() *own {
-	o := &own{section: &conf.Section{}, bulletin: true, prefer: "bulletin",
+// NewOwn has everything off.
+func NewOwn() *Own {
+	o := &Own{Section: &conf.Section{}, bulletin: true, prefer: "bulletin",
 		list: membership.Config{MostBoxes: membership.DefaultMost, LossShare: 0.3, LossLeast: 2,
 			Confirm: membership.DefaultConfirm, SilentMost: 10 * time.Minute, Forget: membership.DefaultForget},
 		damping: membership.Damping{Cut: 3, Reuse: 1, HalfLife: 5 * time.Second, Most: 20 * time.Second}}
-	s := o.section
+	s := o.Section
 	s.Block("contracts", false, "what each team may send", func([]string) (*conf.Section, error) {
 		section, contracts := contract.Section()
-		o.contracts = contracts
+		o.Contracts = contracts
 		return section, nil
 	})
-	s.Text("control", &o.control, func(path string) error {
+	s.Text("control", &o.Control, func(path string) error {
 		if info, err := os.Stat(filepath.Dir(path)); err != nil || !info.IsDir() || len(path) > 100 {
 			return fmt.Errorf("%.120s: no folder for a socket, or a path of more than 100 letters", path)
 		}
 		return nil
 	}, "path of a socket for operators, as sloequay contracts --show; none without it")
 	s.Block("identity", false, "who may do what", func([]string) (*conf.Section, error) {
-		o.identity = &identityConfig{}
-		return o.identity.section(), nil
+		o.Identity = &identityConfig{}
+		return o.Identity.section(), nil
 	})
 	s.Block("services", false, "services, their pools of boxes, and moves between those", func([]string) (*conf.Section, error) {
-		o.services = &services{}
-		return o.services.section(), nil
+		o.Services = &services{}
+		return o.Services.section(), nil
 	})
 	s.Block("box-tls", false, "TLS towards boxes", func([]string) (*conf.Section, error) {
-		o.boxTLS = &boxTLS{}
-		return o.boxTLS.section(), nil
+		o.BoxTLS = &boxTLS{}
+		return o.BoxTLS.section(), nil
 	})
 	s.Block("dns", false, "DNS request routing", func([]string) (*conf.Section, error) {
-		o.dns = &dnsfront.Config{}
-		return o.dns.Section(), nil
+		o.DNS = &dnsfront.Config{}
+		return o.DNS.Section(), nil
 	})
 	s.Block("catalogue", false, "Consul's catalogue as a source of boxes", func([]string) (*conf.Section, error) {
-		o.catalogue = &consul.Config{}
-		return o.catalogue.Section(), nil
+		o.Catalogue = &consul.Config{}
+		return o.Catalogue.Section(), nil
 	})
 	s.Block("list", false, "how the sources of boxes are joined", func([]string) (*conf.Section, error) {
 		return o.listSection(), nil
 	})
 	s.Block("snapshot", false, "the last good list on a disk that lasts", func([]string) (*conf.Section, error) {
-		o.snapshot = &snapshotConfig{Every: 10 * time.Second, Oldest: 24 * time.Hour}
+		o.Snapshot = &snapshotConfig{Every: 10 * time.Second, Oldest: 24 * time.Hour}
 		p := &conf.Section{}
-		p.Text("file", &o.snapshot.File, func(path string) error {
+		p.Text("file", &o.Snapshot.File, func(path string) error {
 			if info, err := os.Stat(filepath.Dir(path)); err != nil || !info.IsDir() {
 				return fmt.Errorf("%s is no folder", filepath.Dir(path))
 			}
 			return nil
 		}, "where it is kept")
-		p.Duration("every", &o.snapshot.Every, 100*time.Millisecond, time.Hour, "least time between two")
-		p.Duration("oldest", &o.snapshot.Oldest, time.Second, 30*24*time.Hour, "age from which one is refused")
+		p.Duration("every", &o.Snapshot.Every, 100*time.Millisecond, time.Hour, "least time between two")
+		p.Duration("oldest", &o.Snapshot.Oldest, time.Second, 30*24*time.Hour, "age from which one is refused")
 		p.Check(func() error {
-			if o.snapshot.File == "" {
+			if o.Snapshot.File == "" {
 				return errors.New("file is missing")
 			}
 			return nil
@@ -100,7 +101,7 @@
 	return o
 }
 
-func (o *own) listSection() *conf.Section {
+func (o *Own) listSection() *conf.Section {
 	s, l, d := &conf.Section{}, &o.list, &o.damping
 	s.Flag("bulletin", &o.bulletin, "whether the bulletin's word on boxes counts; its purges always do")
 	s.Choice("prefer", &o.prefer, []string{"bulletin", "catalogue"}, "whose word on address, place, kind and weight goes first")
@@ -122,13 +123,13 @@
 	return s
 }
 
-// readOwn reads our settings; without a path all of them are off.
-func readOwn(path string) (*own, error) {
-	o := newOwn()
+// ReadOwn reads our settings; without a path all of them are off.
+func ReadOwn(path string) (*Own, error) {
+	o := NewOwn()
 	if path == "" {
 		return o, nil
 	}
-	if err := o.section.Load(path); err != nil {
+	if err := o.Section.Load(path); err != nil {
 		return nil, err
 	}
 	return o, nil
@@ -136,14 +137,14 @@
 
 // members makes the table of boxes. The bulletin is a source that tells changes, the others tell lists; first is the
 // catalogue's first, and bulletin the bulletin's.
-func (o *own) members() (table *membership.Table, bulletin, first int) {
+func (o *Own) members() (table *membership.Table, bulletin, first int) {
 	cfg := o.list
 	told := membership.Source{Name: "bulletin"}
-	if o.catalogue == nil {
+	if o.Catalogue == nil {
 		cfg.Sources = []membership.Source{told}
 		return membership.New(cfg), 0, 1
 	}
-	listed := o.catalogue.Sources(o.damping)
+	listed := o.Catalogue.Sources(o.damping)
 	if o.prefer == "catalogue" {
 		cfg.Sources = append(listed, told)
 		return membership.New(cfg), len(listed), 0
--- /dev/null
+++ b/node/control.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"sloequay/contract"
+	"sloequay/node/admin"
+)
+
+// shownMost is how many tenants are shown.
+const shownMost = 50
+
+// control opens the operators' socket, which meets the loop by posted tasks.
+func (d *doorman) control(path string) {
+	err := admin.Listen(path, func(words []string, to chan<- string) { d.loop.Post(func() { to <- d.ask(words) }) })
+	if err != nil {
+		d.log.Event("control-failed", "path", path, "error", err)
+	}
+}
+
+// ask answers a question of an operator's. It runs on the loop.
+func (d *doorman) ask(words []string) string {
+	var out strings.Builder
+	now := clock()
+	switch {
+	case len(words) == 1 && words[0] == "state":
+		d.state(&out)
+	case len(words) == 0 || words[0] != "contracts":
+		return "error: the questions are: state; contracts; contracts TEAM CLASS [SERVICE]\n"
+	case d.contracts == nil:
+		return "error: no contracts are in force\n"
+	case len(words) == 1:
+		stands, all := d.contracts.Show(now, shownMost)
+		fmt.Fprintf(&out, "version %d, %d open, %d of %d tenants in use shown\n", d.contracts.Version, d.contracts.Held(), len(stands), all)
+		if l := d.contracts.Capacity(); l != nil {
+			fmt.Fprintf(&out, "capacity %.0f open, as learned; %d are\n", l.Value(), l.Open())
+		}
+		uses := d.contracts.Whole(now)
+		for _, s := range stands {
+			uses = append(uses, s.Uses...)
+		}
+		_ = contract.Table(&out, uses)
+		for _, s := range stands {
+			if s.Open > 0 {
+				fmt.Fprintf(&out, "%s has %d open\n", s.Node, s.Open)
+			}
+		}
+	case len(words) >= 3:
+		service := ""
+		if len(words) > 3 {
+			service = words[3]
+		}
+		Explain(&out, d.contracts, now, words[1], words[2], service)
+	default:
+		return "error: contracts TEAM CLASS [SERVICE]\n"
+	}
+	return out.String()
+}
+
+// state tells how much the doorman holds, a kind a line. All of it must come back to what it was once a bad day is over.
+func (d *doorman) state(out io.Writer) {
+	fmt.Fprintf(out, "clients %d\n", d.front.Clients())
+	for i, p := range d.pools {
+		b, c := p.broker.Sizes(), p.depots.Sizes()
+		for _, line := range []struct {
+			kind string
+			n    int
+		}{{"open", b.Open}, {"module", b.Module}, {"timers", b.Timers}, {"boxes", b.Boxes}, {"gone", b.Gone}, {"purges", b.Purges},
+			{"spoken-to", c.Boxes}, {"connections", c.Links}, {"sent", c.Open}, {"given-up", c.Quit}} {
+			fmt.Fprintf(out, "pool.%d.%s %d\n", i, line.kind, line.n)
+		}
+	}
+}
+
+// Explain prints which budgets apply to a request, the nearest first, and what is left.
+func Explain(out io.Writer, b *contract.Book, now time.Duration, team, class, service string) {
+	uses, refusal := b.Explain(now, team, service, class)
+	if refusal != nil {
+		fmt.Fprintln(out, "refused:", refusal)
+		return
+	}
+	if len(uses) == 0 {
+		fmt.Fprintln(out, "no budget applies")
+		return
+	}
+	_ = contract.Table(out, uses)
+}
--- /dev/null
+++ b/node/plan.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"sloequay/broker"
+	"sloequay/membership"
+	"sloequay/membership/bulletin"
+	"sloequay/settings"
+)
+
+// Plan is what Serve runs by.
+type Plan struct {
+	settings *settings.Settings
+	own      *Own
+	members  *membership.Table
+	first    int // the catalogue's first source there
+	names    bulletin.Names
+	last     int64 // event of the bulletin
+	known    []broker.Event
+	boxes    int
+	again    func() (*Plan, error) // reads all files anew
+}
+
+// Print writes our settings in force, defaults marked.
+func (p *Plan) Print(out io.Writer) error { return p.own.Section.Print(out) }
+
+// String says in a line what was read.
+func (p *Plan) String() string {
+	return fmt.Sprintf("the configuration of %s is sound: %d classes, %d boxes known", p.settings.Name, len(p.settings.Control.Classes), p.boxes)
+}
+
+// Load reads and checks all files: the platform's configuration and our settings, of which the second may be empty.
+func Load(config, conf string) (*Plan, error) {
+	if config == "" {
+		return nil, errors.New("no configuration: set BALANCER_CONFIG or --config")
+	}
+	p := &Plan{again: func() (*Plan, error) { return Load(config, conf) }}
+	var err error
+	if p.settings, err = settings.Load(config); err != nil {
+		return nil, err
+	}
+	if p.own, err = ReadOwn(conf); err != nil {
+		return nil, err
+	}
+	if p.own.BoxTLS != nil {
+		if err := p.own.BoxTLS.check(p.settings.Control.ZoneNames); err != nil {
+			return nil, err
+		}
+	}
+	if p.own.Services != nil {
+		if p.own.Snapshot != nil {
+			return nil, errors.New("services: a snapshot is of one pool; leave out one of the two blocks")
+		}
+		if _, err := p.own.Services.table(0, p.settings.Control.ZoneNames, p.settings.Control.KindNames); err != nil {
+			return nil, err
+		}
+	}
+	return p, p.decode()
+}
+
+// decode reads the events of the start, so that check finds faults in them too.
+func (p *Plan) decode() (err error) {
+	p.members, p.names.Source, p.first = p.own.members()
+	p.names.Names = membership.Names{Zones: p.settings.Control.ZoneNames, Kinds: p.settings.Control.KindNames}
+	if p.last, p.known, err = p.names.Known(p.settings.Known); err != nil {
+		return err
+	}
+	p.boxes = bulletin.Boxes(p.known)
+	return nil
+}
--- a/cmd/sloequay/pools.go
+++ b/node/pools.go
@@ -1,4 +1,4 @@
-package main
+package node
 
 import (
 	"errors"
@@ -166,9 +166,9 @@
 func (d *doorman) newPools() error {
 	s, own := d.plan.settings, d.plan.own
 	parts := []float64{1}
-	if own.services != nil {
+	if own.Services != nil {
 		var err error
-		if d.routes, err = own.services.table(clock(), s.Control.ZoneNames, s.Control.KindNames); err != nil {
+		if d.routes, err = own.Services.table(clock(), s.Control.ZoneNames, s.Control.KindNames); err != nil {
 			return err
 		}
 		parts = parts[:0]
@@ -198,7 +198,7 @@
 	p.depots = &depot.Pool{Loop: d.loop, Emit: p.emit, Now: clock, May: p.broker.May, Log: d.log.Event, Resolve: d.resolver.Resolve, Barred: p.broker.Barred,
 		Classes: s.Control.Classes, DialLimit: s.DialTimeout, Idle: s.ConnIdle, Streams: s.Streams, MayProbe: s.Control.Probes, FlowKBps: s.Control.FlowKBps,
 		Most: max(1, int(float64(all)*p.part))}
-	if secure := d.plan.own.boxTLS; secure != nil {
+	if secure := d.plan.own.BoxTLS; secure != nil {
 		p.depots.Secure = secure.secure(s.Control.ZoneNames)
 		p.depots.Most = max(1, p.depots.Most/boxDescriptors)
 	}
--- a/cmd/sloequay/serve.go
+++ b/node/serve.go
@@ -1,4 +1,6 @@
-package main
+// Package node is the assembly: what `sloequay serve` joins on the event loop. It reads all files into a Plan, and runs the
+// doorman by it.
+package node
 
 import (
 	"os"
@@ -14,29 +16,14 @@
 	"sloequay/dnsfront"
 	"sloequay/identity/tsig"
 	"sloequay/loop"
-	"sloequay/membership"
 	"sloequay/membership/bulletin"
 	"sloequay/oplog"
 	"sloequay/resolver"
 	"sloequay/route"
 	"sloequay/rpc"
-	"sloequay/settings"
 	"sloequay/steady"
 )
 
-// plan is what serve runs by.
-type plan struct {
-	settings *settings.Settings
-	own      *own
-	members  *membership.Table
-	first    int // the catalogue's first source there
-	names    bulletin.Names
-	last     int64 // event of the bulletin
-	known    []broker.Event
-	boxes    int
-	again    func() (*plan, error) // reads all files anew
-}
-
 const (
 	housekeepEvery = 100 * time.Millisecond
 	tallyEvery     = 5 * time.Second // of what went to the boxes: a line a pool
@@ -50,7 +37,7 @@
 
 // doorman is the assembled program. Everything in it runs on the loop.
 type doorman struct {
-	plan      *plan
+	plan      *Plan
 	contracts *contract.Book // nil: every team may do everything
 	loop      *loop.Loop
 	pools     []*pool      // one, where the settings name none
@@ -71,8 +58,8 @@
 	known     bool // see knowsBoxes
 }
 
-// serve runs the doorman until SIGTERM has been seen through.
-func serve(p *plan, log *oplog.Logger) error {
+// Serve runs the doorman until SIGTERM has been seen through.
+func Serve(p *Plan, log *oplog.Logger) error {
 	s := p.settings
 	debug.SetMemoryLimit(s.Memory * 6 / 10) // the rest is for stacks, the runtime and the sockets' buffers
 	debug.SetGCPercent(300)                 // within that: eight collections a second were measured at full load
@@ -80,31 +67,31 @@
 	runtime.GOMAXPROCS(max(2, runtime.GOMAXPROCS(0)))
 	d := &doorman{plan: p, log: log, signals: make(chan os.Signal, 8)}
 	signal.Notify(d.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	if p.own.contracts != nil {
-		d.contracts = p.own.contracts.Book()
+	if p.own.Contracts != nil {
+		d.contracts = p.own.Contracts.Book()
 	}
 	if err := d.newPools(); err != nil {
 		return err
 	}
-	if c := p.own.contracts; c != nil {
+	if c := p.own.Contracts; c != nil {
 		d.limitRepeats(c)
 	}
 	full := func() bool { return int64(d.loop.Outbound()) > s.Memory/5 }
 	ready := func() bool { return d.leaving == 0 && d.knowsBoxes() }
 	clients, listeners := s.Sockets/clientPart, []loop.Listener(nil)
-	if p.own.dns != nil {
+	if p.own.DNS != nil {
 		most := clients / 4
 		clients -= most
-		d.dns = &dnsfront.Front{Config: p.own.dns, Classes: s.Control.Classes, Emit: d.enter, Now: clock, Unix: unixClock,
+		d.dns = &dnsfront.Front{Config: p.own.DNS, Classes: s.Control.Classes, Emit: d.enter, Now: clock, Unix: unixClock,
 			Log: d.log.Event, Box: d.box, Most: most, Seed: s.Seed}
-		if cfg := p.own.identity; cfg != nil {
+		if cfg := p.own.Identity; cfg != nil {
 			d.dns.Skew = cfg.Gate.Policy.Skew
 			d.dns.Keys = func() *tsig.Keys { return d.door.tsig }
 		}
-		listeners = append(listeners, loop.Listener{Network: "udp", Address: p.own.dns.Listen, Packet: d.dns.Packet},
-			loop.Listener{Network: "tcp", Address: p.own.dns.Listen, Accept: d.dns.Accept})
+		listeners = append(listeners, loop.Listener{Network: "udp", Address: p.own.DNS.Listen, Packet: d.dns.Packet},
+			loop.Listener{Network: "tcp", Address: p.own.DNS.Listen, Accept: d.dns.Accept})
 	}
-	if cfg := p.own.identity; cfg != nil && cfg.tls != nil {
+	if cfg := p.own.Identity; cfg != nil && cfg.tls != nil {
 		// A connection by TLS takes two descriptors more than one of the lobby's.
 		cfg.tls.Most = min(cfg.tls.Most, clients/4)
 		clients -= 2 * cfg.tls.Most
@@ -119,22 +106,22 @@
 	s := d.plan.settings
 	d.loop, l.Memory = l, int(s.Memory)
 	d.resolver = &resolver.Resolver{Loop: l, Now: clock}
-	if dns := d.plan.own.dns; dns != nil {
+	if dns := d.plan.own.DNS; dns != nil {
 		d.resolver.Server, d.resolver.Limit = dns.Resolver, dns.ResolveLimit
 	}
 	for _, p := range d.pools {
 		p.connect(d)
 	}
-	if secure := d.plan.own.boxTLS; secure != nil {
+	if secure := d.plan.own.BoxTLS; secure != nil {
 		secure.watch(d)
 	}
 	d.bulletin = &bulletin.Reader{Loop: l, Address: s.Bulletin, Names: d.plan.names, Last: d.plan.last, Emit: d.emit,
 		Now: clock, Log: d.log.Event}
-	if cfg := d.plan.own.identity; cfg != nil {
+	if cfg := d.plan.own.Identity; cfg != nil {
 		d.door = d.newDoor(cfg)
 		d.front.Source = d.door.source
 	}
-	if path := d.plan.own.control; path != "" {
+	if path := d.plan.own.Control; path != "" {
 		d.control(path)
 	}
 	d.list = &sources{doorman: d}
@@ -168,11 +155,11 @@
 // knowsBoxes says whether clients are to be taken in: where boxes come from a catalogue, once each of its services was heard or was
 // in the snapshot. Before, requests would be refused for want of boxes. A catalogue that is away must not keep the rest for ever.
 func (d *doorman) knowsBoxes() bool {
-	if d.known || d.plan.own.catalogue == nil {
+	if d.known || d.plan.own.Catalogue == nil {
 		return true
 	}
 	d.known = true
-	for i := range d.plan.own.catalogue.Services {
+	for i := range d.plan.own.Catalogue.Services {
 		d.known = d.known && d.plan.members.Sources()[d.plan.first+i].Heard > 0
 	}
 	d.known = d.known || clock()-time.Duration(born.UnixNano()) > knowWithin
@@ -193,13 +180,13 @@
 
 // reload takes over what may change while the program runs. A file that is not sound changes nothing: operators
 // replace files under load, and the doorman must outlive their slips.
-func (d *doorman) reload(next *plan, err error) {
+func (d *doorman) reload(next *Plan, err error) {
 	if err != nil {
 		d.log.Event("reload-failed", "error", err)
 		return
 	}
 	d.bulletin.Follow(next.settings.Bulletin)
-	if c := next.own.contracts; d.contracts != nil && c != nil {
+	if c := next.own.Contracts; d.contracts != nil && c != nil {
 		d.contracts.Renew(clock(), c.Root.Share(c.Instances))
 		d.limitRepeats(c)
 		d.log.Event("contracts-renewed", "version", d.contracts.Version, "teams", len(c.Root.Children), "open", d.contracts.Held())
--- a/cmd/sloequay/sources.go
+++ b/node/sources.go
@@ -1,4 +1,4 @@
-package main
+package node
 
 import (
 	"context"
@@ -47,18 +47,18 @@
 	}
 	d.bulletin = &bulletin.Reader{Loop: d.loop, Address: p.settings.Bulletin, Names: p.names, Last: p.last, Emit: emit,
 		Now: clock, Log: d.log.Event}
-	if p.own.catalogue == nil {
+	if p.own.Catalogue == nil {
 		return
 	}
 	var ctx context.Context
 	ctx, s.end = context.WithCancel(context.Background())
 	log := func(event string, fields ...any) { d.loop.Post(func() { d.log.Event(event, fields...) }) }
-	s.catalogue = &consul.Catalogue{Config: p.own.catalogue, Names: p.names.Names, First: p.first, Tell: s.tell, Log: log,
+	s.catalogue = &consul.Catalogue{Config: p.own.Catalogue, Names: p.names.Names, First: p.first, Tell: s.tell, Log: log,
 		Now: clock, Seed: p.settings.Seed}
 	if err := s.catalogue.Start(ctx); err != nil {
 		log("catalogue-lost", "error", err)
 	}
-	if p.own.catalogue.Register != nil {
+	if p.own.Catalogue.Register != nil {
 		s.kept.Store(true)
 		go func() {
 			defer s.kept.Store(false)
@@ -98,7 +98,7 @@
 // restore reads the snapshot.
 func (s *sources) restore() {
 	d := s.doorman
-	cfg := d.plan.own.snapshot
+	cfg := d.plan.own.Snapshot
 	if cfg == nil {
 		return
 	}
@@ -118,7 +118,7 @@
 // tick writes a snapshot when the list has changed and its time has come. The disk is waited for on a goroutine.
 func (s *sources) tick(now time.Duration) {
 	d := s.doorman
-	cfg := d.plan.own.snapshot
+	cfg := d.plan.own.Snapshot
 	if cfg == nil || s.saving || now-s.saved < cfg.Every {
 		return
 	}
