Add the rig of many processes and sloequay drill; a list at one address holds nothing up

Change: boxes at an address stand in the order of their coming; only the last one can be told as another by an arrival or a leaving, so only that is looked at. standin/fleet starts processes with addresses and folders of their own, plays links (cut, one-way, reset, refuse, delay, loss, slow), list service, boxes that are cold and fall over, clients by open loop, and audits all ends; plans are files, or drawn by a seed. `bind` has a doorman's connections come from its own address, so that links are told apart.

--- /dev/null
+++ b/cmd/sloequay/drill_test.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"flag"
+	"path/filepath"
+	"testing"
+
+	"sloequay/standin/fleet"
+)
+
+var (
+	drillSeeds    = flag.Int("drill-seeds", 1, "seeds that each shipped plan is played with, and drawn plans")
+	drillDoormans = flag.Int("drill-doormans", 8, "processes of a drill")
+)
+
+// drillsAtOnce bounds the drills that run together: each is some ten processes, and what they hold has times.
+const drillsAtOnce = 6
+
+var drillPlaces = make(chan bool, drillsAtOnce)
+
+func playDrill(t *testing.T, p *fleet.Plan, seed uint64) {
+	t.Helper()
+	t.Parallel()
+	drillPlaces <- true
+	defer func() { <-drillPlaces }()
+	p.Doormans = *drillDoormans
+	r, err := fleet.Run(p, program, t.TempDir(), seed, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range r.Checks {
+		if v.OK {
+			t.Logf("held: %s: %s", v.Hold.Line, v.Found)
+		} else {
+			t.Errorf("seed %d, did not hold: %s: %s", seed, v.Hold.Line, v.Found)
+		}
+	}
+}
+
+// TestDrills plays the plans that ship, by processes of the program.
+func TestDrills(t *testing.T) {
+	plans, err := filepath.Glob("../../deploy/drill/*.conf")
+	if err != nil || len(plans) < 10 {
+		t.Fatalf("%d plans: %v", len(plans), err)
+	}
+	for _, path := range plans {
+		for seed := range uint64(*drillSeeds) {
+			t.Run(filepath.Base(path), func(t *testing.T) {
+				p, err := fleet.Load(path)
+				if err != nil {
+					t.Fatal(err)
+				}
+				playDrill(t, p, seed+1)
+			})
+		}
+	}
+}
+
+// TestDrawnDrills plays plans drawn by lot.
+func TestDrawnDrills(t *testing.T) {
+	for seed := range uint64(*drillSeeds) {
+		t.Run("drawn", func(t *testing.T) {
+			p, err := fleet.Draw(seed + 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			playDrill(t, p, seed+1)
+		})
+	}
+}
--- a/cmd/sloequay/main.go
+++ b/cmd/sloequay/main.go
@@ -91,7 +91,7 @@
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return runTry(out, try) }}
 	tryCmd.Flags().BoolVar(&try.keep, "keep", false, "leave all of it running, with the addresses printed, until it is interrupted")
 	root.AddCommand(keyCommands(out)...)
-	root.AddCommand(contractsCommand(out), stateCommand(out))
+	root.AddCommand(contractsCommand(out), stateCommand(out), drillCommand(out))
 	root.AddCommand(serveCmd, checkCmd, boxesCmd, tryCmd, &cobra.Command{Use: "version", Short: "Print what was built",
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
 			_, err := fmt.Fprintln(out, "sloequay", version())
--- a/loop/loop.go
+++ b/loop/loop.go
@@ -50,7 +50,9 @@
 // Loop is the one event loop. All methods but Post must be called on it.
 type Loop struct {
 	gnet.BuiltinEventEngine
-	Memory    int // bytes that the program may use, of which the bounds below are parts
+	Memory int // bytes that the program may use, of which the bounds below are parts
+	// Bind is the address that dials come from; nil: the system's choice.
+	Bind      *net.TCPAddr
 	engine    gnet.Engine
 	events    gnet.EventLoop
 	listeners map[string]Listener
@@ -315,7 +317,11 @@
 
 // Dial connects without blocking the loop. Either handler.Opened follows or failed.
 func (l *Loop) Dial(network, address string, limit time.Duration, handler Handler, failed func(error)) {
-	l.DialBy(func() (net.Conn, error) { return net.DialTimeout(network, address, limit) }, handler, failed)
+	dialer := net.Dialer{Timeout: limit}
+	if l.Bind != nil {
+		dialer.LocalAddr = l.Bind
+	}
+	l.DialBy(func() (net.Conn, error) { return dialer.Dial(network, address) }, handler, failed)
 }
 
 // DialBy is Dial by a function that runs beside the loop and must end in its own time.
--- a/membership/consul/client.go
+++ b/membership/consul/client.go
@@ -33,7 +33,7 @@
 	}
 	for _, agent := range c.Agents {
 		transport := &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+			DialContext:         (&net.Dialer{Timeout: time.Second, LocalAddr: c.Bind}).DialContext,
 			MaxIdleConnsPerHost: 4, IdleConnTimeout: 90 * time.Second,
 		}
 		cfg := api.Config{Address: agent, Scheme: "http", Datacenter: c.Datacentre, Transport: transport}
--- a/membership/consul/config.go
+++ b/membership/consul/config.go
@@ -30,6 +30,7 @@
 	Services   []*Service
 	Purges     string    // prefix of the KV store; empty: none
 	Register   *Register // nil: the doorman does not register itself
+	Bind       net.Addr  // that connections come from; nil: the system's choice
 }
 
 // TLS is how agents are spoken to by HTTPS.
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -159,7 +159,7 @@
 	cfg       Config
 	sources   []source
 	records   map[string]*record
-	addresses map[string][]*record // boxes by address, in no order
+	addresses map[string][]*record // boxes by address, in the order in which they came there (record.moved)
 	serial    uint64
 	up, down  []*record // whose change is to be told
 	due       dues
@@ -496,42 +496,47 @@
 func (t *Table) settleAt(r *record, address string) {
 	t.leave(r)
 	r.address = address
-	t.addresses[address] = append(t.addresses[address], r)
-	if len(t.addresses[address]) == 1 {
-		t.serial++
-		r.moved = t.serial
-		return
-	}
 	t.renew(r)
 }
 
-// renew makes a box the last that came to its address.
+// renew makes a box the last that came to its address. Only the one that was the last until now may be told as another by it:
+// those before that were outdone already. A list that names thousands of ids at one address is a slip that happens, and a look
+// at all of them for each would hold the loop for seconds.
 func (t *Table) renew(r *record) {
+	t.unplace(r)
+	t.queueLast(r.address, &t.down)
 	t.serial++
 	r.moved = t.serial
-	for _, o := range t.addresses[r.address] {
-		if o != r && !o.queued {
-			o.queued = true
-			t.down = append(t.down, o)
-		}
+	t.addresses[r.address] = append(t.addresses[r.address], r)
+}
+
+// unplace takes a box out of the order at its address, where it stands in it.
+func (t *Table) unplace(r *record) {
+	here := t.addresses[r.address]
+	i, found := slices.BinarySearchFunc(here, r.moved, func(o *record, moved uint64) int { return cmp.Compare(o.moved, moved) })
+	if found && here[i] == r {
+		t.addresses[r.address] = slices.Delete(here, i, i+1)
+	}
+}
+
+// queueLast has the last box at an address looked at again. If it turns out to be gone it leaves, and the one before it is.
+func (t *Table) queueLast(address string, to *[]*record) {
+	here := t.addresses[address]
+	if n := len(here); n > 0 && !here[n-1].queued {
+		here[n-1].queued = true
+		*to = append(*to, here[n-1])
 	}
 }
 
+// leave takes a box off its address. Only the last one there that is left may be told as another by it.
 func (t *Table) leave(r *record) {
 	if r.address == "" {
 		return
 	}
-	rest := slices.DeleteFunc(t.addresses[r.address], func(o *record) bool { return o == r })
-	if len(rest) == 0 {
+	if t.unplace(r); len(t.addresses[r.address]) == 0 {
 		delete(t.addresses, r.address)
 	} else {
-		t.addresses[r.address] = rest
-		for _, o := range rest {
-			if !o.queued {
-				o.queued = true
-				t.up = append(t.up, o)
-			}
-		}
+		t.queueLast(r.address, &t.up)
 	}
 	r.address = ""
 }
@@ -594,12 +599,10 @@
 	if b.State != Up {
 		return b, by, why
 	}
-	for _, o := range t.addresses[r.address] {
-		if o == r || o.moved < r.moved {
-			continue
-		}
-		if other, _, _ := t.decide(now, o); other.State != Gone {
+	for here, i := t.addresses[r.address], len(t.addresses[r.address])-1; i >= 0 && here[i] != r; i-- {
+		if other, _, _ := t.decide(now, here[i]); other.State != Gone {
 			b.State, why = Draining, Replaced
+			break
 		}
 	}
 	return b, by, why
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -570,3 +570,25 @@
 		})
 	}
 }
+
+// BenchmarkOneAddress is a list of 6,000 ids, of their own addresses and all at one, taken in and told.
+func BenchmarkOneAddress(b *testing.B) {
+	for _, c := range []struct {
+		name string
+		at   func(i int) string
+	}{{"own", func(i int) string { return fmt.Sprintf("10.0.%d.%d:1", i>>8, i&255) }}, {"one", func(int) string { return "10.0.0.1:1" }}} {
+		b.Run(c.name, func(b *testing.B) {
+			var list List
+			for i := range 6000 {
+				list.Boxes = append(list.Boxes, Box{ID: fmt.Sprint("x", i), Address: c.at(i), State: Up, Weight: 1})
+			}
+			for b.Loop() {
+				t := New(Config{Sources: make([]Source, 1)})
+				t.Whole(time.Second, 0, list)
+				for t.Pending() {
+					t.Take(time.Second, 200)
+				}
+			}
+		})
+	}
+}
--- a/node/conf.go
+++ b/node/conf.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"time"
@@ -25,6 +27,7 @@
 	Services  *services           // nil: one pool for all
 	Control   string              // path of the operators' socket; empty: none
 	BoxTLS    *boxTLS             // nil: boxes are spoken to by plain TCP
+	bind      string              // address that our own connections come from; empty: the system's choice
 	list      membership.Config
 	damping   membership.Damping
 	bulletin  bool   // whether the bulletin's word on boxes counts; its purges always do
@@ -56,6 +59,12 @@
 		}
 		return nil
 	}, "path of a socket for operators, as sloequay contracts --show; none without it")
+	s.Text("bind", &o.bind, func(word string) error {
+		if a, err := netip.ParseAddr(word); err != nil || !a.Is4() {
+			return fmt.Errorf("expected an IPv4 address, got %.80q", word)
+		}
+		return nil
+	}, "address that connections to boxes, lists and other doormans come from; the system's choice without it")
 	s.Block("identity", false, "who may do what", func([]string) (*conf.Section, error) {
 		o.Identity = &identityConfig{}
 		return o.Identity.section(), nil
@@ -152,3 +161,11 @@
 	cfg.Sources = append([]membership.Source{told}, listed...)
 	return membership.New(cfg), 0, 1
 }
+
+// from is the address that our own connections come from; nil: the system's choice.
+func (o *Own) from() *net.TCPAddr {
+	if o.bind == "" {
+		return nil
+	}
+	return &net.TCPAddr{IP: net.ParseIP(o.bind)}
+}
--- a/node/serve.go
+++ b/node/serve.go
@@ -104,7 +104,7 @@
 // start joins the parts once the loop runs, and hands the module what was known at the start.
 func (d *doorman) start(l *loop.Loop) {
 	s := d.plan.settings
-	d.loop, l.Memory = l, int(s.Memory)
+	d.loop, l.Memory, l.Bind = l, int(s.Memory), d.plan.own.from()
 	d.resolver = &resolver.Resolver{Loop: l, Now: clock}
 	if dns := d.plan.own.DNS; dns != nil {
 		d.resolver.Server, d.resolver.Limit = dns.Resolver, dns.ResolveLimit
--- a/node/sources.go
+++ b/node/sources.go
@@ -53,6 +53,9 @@
 	var ctx context.Context
 	ctx, s.end = context.WithCancel(context.Background())
 	log := func(event string, fields ...any) { d.loop.Post(func() { d.log.Event(event, fields...) }) }
+	if from := p.own.from(); from != nil {
+		p.own.Catalogue.Bind = from
+	}
 	s.catalogue = &consul.Catalogue{Config: p.own.Catalogue, Names: p.names.Names, First: p.first, Tell: s.tell, Log: log,
 		Now: clock, Seed: p.settings.Seed}
 	if err := s.catalogue.Start(ctx); err != nil {
--- a/standin/box.go
+++ b/standin/box.go
@@ -33,6 +33,7 @@
 	mu        sync.Mutex
 	script    func(*Asked)
 	deaf      func(*Asked) bool
+	heed      func(*Asked)
 	heard     []*Asked
 	listeners map[string]net.Listener
 	conns     map[string]map[net.Conn]bool
@@ -44,6 +45,20 @@
 	return &Fleet{script: script, listeners: map[string]net.Listener{}, conns: map[string]map[net.Conn]bool{}}
 }
 
+// Put has a box be known by a listener that the caller serves by Serve, so that Kill and Drop find it.
+func (f *Fleet) Put(id string, ln net.Listener) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listeners[id] = ln
+}
+
+// Heed has a function called with each line that is no ASK. With one, nothing is remembered for Heard.
+func (f *Fleet) Heed(heed func(*Asked)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heed = heed
+}
+
 // Add starts a box at an address; port 0 picks one.
 func (f *Fleet) Add(id, address string) (net.Listener, error) {
 	ln, err := net.Listen("tcp", address)
@@ -83,7 +98,7 @@
 
 func (f *Fleet) reset(id string) {
 	for c := range f.conns[id] {
-		if tcp, ok := c.(*net.TCPConn); ok {
+		if tcp, ok := c.(interface{ SetLinger(int) error }); ok {
 			_ = tcp.SetLinger(0)
 		}
 		_ = c.Close()
@@ -190,11 +205,16 @@
 			_, _ = fmt.Fprintf(conn, "%s %s %s %d\r\n%s\r\n", a.ID, word, fields, len(body), body)
 		}
 		f.mu.Lock()
-		if f.heard = append(f.heard, a); len(f.heard) > heardMost {
-			f.heard = append([]*Asked(nil), f.heard[heardMost/2:]...)
+		script, deaf, heed := f.script, f.deaf, f.heed
+		if heed == nil {
+			if f.heard = append(f.heard, a); len(f.heard) > heardMost {
+				f.heard = append([]*Asked(nil), f.heard[heardMost/2:]...)
+			}
 		}
-		script, deaf := f.script, f.deaf
 		f.mu.Unlock()
+		if heed != nil && a.Word != "ASK" {
+			heed(a)
+		}
 		switch {
 		case a.Word == "NOOP" && (deaf == nil || !deaf(a)):
 			a.Answer("READY", "-", "")
--- a/standin/client.go
+++ b/standin/client.go
@@ -13,6 +13,7 @@
 type Client struct {
 	Conn net.Conn
 	r    *bufio.Reader
+	part []byte // of an answer that had not come whole when a Read gave up
 }
 
 // Dial connects to a doorman.
@@ -60,17 +61,17 @@
 	return err
 }
 
-// Read takes one answer, and gives up after a time.
+// Read takes one answer, and gives up after a time; the next Read goes on where it was.
 func (c *Client) Read(limit time.Duration) (Reply, error) {
 	_ = c.Conn.SetReadDeadline(time.Now().Add(limit))
-	var data []byte
 	for {
 		b, err := c.r.ReadByte()
 		if err != nil {
 			return Reply{}, err
 		}
-		data = append(data, b)
-		if a, ok := parseReply(data); ok {
+		c.part = append(c.part, b)
+		if a, ok := parseReply(c.part); ok {
+			c.part = c.part[:0]
 			return a, nil
 		}
 	}
--- a/standin/consul/agent.go
+++ b/standin/consul/agent.go
@@ -41,6 +41,8 @@
 	name    string
 	server  *http.Server
 	address string
+	listens func(address string) (net.Listener, error)
+	middle  func(http.Handler) http.Handler
 
 	mu     sync.Mutex
 	fault  Fault
@@ -54,7 +56,17 @@
 
 // NewAgent starts an agent.
 func (c *Cluster) NewAgent(name string) (*Agent, error) {
-	a := &Agent{cluster: c, name: name, address: "127.0.0.1:0", over: make(chan struct{})}
+	return c.NewAgentOn(name, "127.0.0.1:0", nil, nil)
+}
+
+// NewAgentOn starts an agent at an address, on a listener of the caller's making, and with a handler of the caller's round its
+// own; either may be nil.
+func (c *Cluster) NewAgentOn(name, address string, listen func(string) (net.Listener, error),
+	middle func(http.Handler) http.Handler) (*Agent, error) {
+	if listen == nil {
+		listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
+	a := &Agent{cluster: c, name: name, address: address, over: make(chan struct{}), listens: listen, middle: middle}
 	if err := a.listen(); err != nil {
 		return nil, err
 	}
@@ -65,12 +77,15 @@
 }
 
 func (a *Agent) listen() error {
-	ln, err := net.Listen("tcp", a.address)
+	ln, err := a.listens(a.address)
 	if err != nil {
 		return err
 	}
 	a.address = ln.Addr().String()
 	a.server = &http.Server{Handler: a, ReadHeaderTimeout: 10 * time.Second}
+	if a.middle != nil {
+		a.server.Handler = a.middle(a)
+	}
 	server := a.server
 	go func() { _ = server.Serve(ln) }()
 	a.open = true
--- /dev/null
+++ b/standin/fleet/record.go
@@ -0,0 +1,95 @@
+package fleet
+
+import (
+	"sync"
+	"time"
+)
+
+// Record is what all ends saw, in times of the drill. The auditor reads it once the drill is over.
+type Record struct {
+	mu       sync.Mutex
+	Requests []*Request
+	Attempts []*Attempt
+	Calls    []Call  // to the list service
+	Made     []Made  // connections
+	Lives    []*Life // of doormans
+	Falls    []Word  // boxes that fell over
+	Drains   []Word  // told by the list
+	Back     []Word  // drained boxes that are up again
+	Changes  []time.Duration
+	Upset    []Span         // times in which the clients' own way to a doorman was disturbed
+	Strays   int            // answers to nothing
+	Posted   map[string]int // charges by key, repeats within the window dropped
+	last     map[string]time.Time
+}
+
+// Request is one try of a client.
+type Request struct {
+	ID, Key, Class string
+	Doorman        int
+	Sent, Ended    time.Duration // Ended 0: never
+	Answers        int
+	End            string // served, refused, failed, or broken: its connection ended
+	Repeats        bool   // it was sent a second time over a new connection, as the protocol allows
+}
+
+// Attempt is one sending of a request to a box, as the box saw it.
+type Attempt struct {
+	ID, Key, Class, Box, From string
+	At, Ended                 time.Duration // Ended 0: not answered
+	Quit                      time.Duration // 0: not given up
+	Ran                       bool
+	conn                      *linked // by which it came; nil: not known
+}
+
+// over is when the attempt was out no more: it was answered, given up, or its connection was closed. 0: it is out still.
+func (a *Attempt) over() time.Duration {
+	at := time.Duration(0)
+	for _, t := range []time.Duration{a.Ended, a.Quit, a.conn.over()} {
+		if t > 0 && (at == 0 || t < at) {
+			at = t
+		}
+	}
+	return at
+}
+
+// Call is one question to the list service.
+type Call struct {
+	At   time.Duration
+	From string
+}
+
+// Made is one new connection.
+type Made struct {
+	At       time.Duration
+	From, To string
+}
+
+// Word is something that was seen or said of a box.
+type Word struct {
+	At  time.Duration
+	Box string
+}
+
+// Life is one process of a doorman from its start to its end.
+type Life struct {
+	Doorman      int
+	Start, Ready time.Duration // Ready 0: never
+	End          time.Duration // 0: it lived to the end of the drill
+	Ours         bool          // it was ended, or bidden to
+	Stops        []Span
+	Versions     map[string]string // what it said of itself at the end
+	Error        string
+}
+
+// Span is a time from a moment to another; To 0: without end.
+type Span struct{ From, To time.Duration }
+
+// has says whether two times overlap.
+func (s Span) has(from, to time.Duration) bool { return s.From <= to && (s.To == 0 || from <= s.To) }
+
+func (r *Record) add(do func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	do()
+}
--- /dev/null
+++ b/standin/fleet/timeline.go
@@ -0,0 +1,81 @@
+package fleet
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// Timeline is what a drill's charts show: figures by second, in panels of lines.
+type Timeline struct {
+	Title  string
+	Panels []Panel
+}
+
+// Panel is lines over one another.
+type Panel struct {
+	Title string
+	Lines []Line
+}
+
+// Line is a figure for each second.
+type Line struct {
+	Name   string
+	Values []float64
+}
+
+// JSON is the form in which it is kept in a report's folder.
+func (t Timeline) JSON() []byte {
+	text, _ := json.MarshalIndent(t, "", " ")
+	return text
+}
+
+// Timeline counts the record by seconds: requests, calls to the list service, connections, and doormans that are ready.
+func (r *Result) Timeline() Timeline {
+	rec := r.World.Record
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	seconds := int(r.Took/time.Second) + 1
+	count := func(name string, each func(add func(time.Duration))) Line {
+		l := Line{name, make([]float64, seconds)}
+		each(func(at time.Duration) {
+			if i := int(at / time.Second); i >= 0 && i < seconds {
+				l.Values[i]++
+			}
+		})
+		return l
+	}
+	requests := func(name, end string) Line {
+		return count(name, func(add func(time.Duration)) {
+			for _, q := range rec.Requests {
+				if end == "" || q.End == end {
+					add(q.Sent)
+				}
+			}
+		})
+	}
+	ready := Line{"ready", make([]float64, seconds)}
+	for i := range ready.Values {
+		at := time.Duration(i+1) * time.Second
+		for _, l := range rec.Lives {
+			if l.Ready > 0 && l.Ready <= at && (l.End == 0 || l.End > at) {
+				ready.Values[i]++
+			}
+		}
+	}
+	return Timeline{r.World.Plan.File, []Panel{
+		{"requests a second", []Line{requests("sent", ""), requests("served", "served"), requests("refused", "refused"), requests("failed", "failed")}},
+		{"calls to the list service a second", []Line{count("calls", func(add func(time.Duration)) {
+			for _, c := range rec.Calls {
+				add(c.At)
+			}
+		})}},
+		{"new connections to boxes a second", []Line{count("connections", func(add func(time.Duration)) {
+			for _, m := range rec.Made {
+				if toBox(m.To) {
+					add(m.At)
+				}
+			}
+		})}},
+		{"doormans ready", []Line{ready}},
+	}}
+}
