Pass over cold and ejected boxes without a look at each of them

Need: a cold fleet pays most when it can least: with all caches cold the guards turned each one down for each request, at each source anew, behind a sort of the whole order.

The profile was the sort and the walk of throughCaches over caches times sources; ruled out: the gap tables and the limits.

Change: the guard of cold servers tells from when on the cheapest class has room (package ramp, tried against a walk over time), and an ejected server from when on its trial is due; until then rendezvous passes them over, but for the first two of an order, which are who holds the copies. Where both limits of fills are narrow, no further cache is tried.

--- a/control/control.go
+++ b/control/control.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"sloequay/purge"
+	"sloequay/ramp"
 	"sloequay/rendezvous"
 )
 
@@ -52,6 +53,8 @@
 	goneFor       = time.Minute     // a server that is gone is remembered
 	defaultWeight = 8.0             // flows, where weights are not told
 
+	shutMost = 250 * ms // that a cold server is passed over for without a look: costs are learnt meanwhile
+
 	aimUse       = 0.85    // part of the wanted time that an answer may take by the estimate
 	quickRefusal = 50 * ms // a full cache says so at once; later it is the source that was not reached
 	lookSpare    = 4       // attempts that looks leave for the fill and its retries
@@ -298,7 +301,19 @@
 // ranking is servers by weighted rendezvous hash of a part: the loss of one moves its share only.
 type ranking = rendezvous.Ranking[*server]
 
-func (d *Director) rank(r *ranking, s *server) { r.Add(s, uint64(s.ID), d.flows(s)) }
+func (d *Director) rank(r *ranking, s *server) {
+	s.place = len(r.Members())
+	r.Add(s, uint64(s.ID), d.flows(s))
+}
+
+// shut has requests pass a server over until a time by which the guards would turn each of them down.
+func (d *Director) shut(s *server, until time.Duration) {
+	if r := &d.caches; d.ours(s) && s.State != Gone {
+		r.Shut(s.place, until)
+	} else if s.role == roleParent && s.State != Gone {
+		d.parents.Shut(s.place, until)
+	}
+}
 
 // flows is a server's link in answers at full pace, as far as it is told.
 func (d *Director) flows(s *server) float64 {
@@ -325,7 +340,7 @@
 			holder = s
 		}
 	}
-	order := d.caches.Begin(q.part.hash(), holder)
+	order := d.caches.Begin(q.part.hash(), holder, d.now)
 	if q.keep == 3 && order.At(1) != nil {
 		a, b := order.At(0), order.At(1)
 		if d.usable(a) && d.usable(b) && d.crowd(b) < d.crowd(a) {
@@ -416,7 +431,7 @@
 
 // tryNext sends one attempt by the first way that the guards let pass: caches, then parents, then the origin.
 func (d *Director) tryNext(q *request) bool {
-	parents := d.parents.Begin(q.part.hash(), nil)
+	parents := d.parents.Begin(q.part.hash(), nil, d.now)
 	if q.class.Write {
 		return d.direct(q, nil, d.origin) || d.throughCaches(q, nil) || d.direct(q, parents, nil)
 	}
@@ -430,11 +445,14 @@
 	if d.look(q, order) {
 		return true
 	}
+	// No fill will go where both limits are narrow, whichever cache it is by.
+	narrow := !q.class.Write && d.narrow(q, &d.fills) && (q.asked || d.narrow(q, &d.held))
 	for c := range order.Then(nil) {
 		if !d.fit(q, c) {
 			continue
 		}
-		if !d.room(q, c) {
+		free := q.row != nil && q.row.holder == c.ID || q.second && c == order.At(0) // of those limits
+		if !d.room(q, c) || narrow && !free {
 			q.crowded = true
 			return false
 		}
@@ -502,9 +520,9 @@
 	if !d.mayRun(q, node) || !d.mayUse(node, source) || !d.coldRoom(q, node) || !d.coldRoom(q, source) {
 		return false
 	}
-	node.window = append(node.window, spent{d.now, q.class.cost})
+	node.sent.Spend(d.now, q.class.cost)
 	if source != node {
-		source.window = append(source.window, spent{d.now, q.class.cost})
+		source.sent.Spend(d.now, q.class.cost)
 	}
 	age, purged := d.ageLimit(q)
 	a := Get{ID: q.id, Node: node.ID, Source: source.ID, Age: age, HeldOnly: heldOnly,
@@ -734,9 +752,10 @@
 	left      time.Duration // when the list last told of it
 	broke     time.Duration // when a connection to it last ended under an attempt
 	back      time.Duration // when it was trusted again after it was ejected
-	window    []spent
-	slow      float64 // its answers' times over what is expected of it
-	out       []out   // the attempts that wait for it
+	sent      ramp.Meter    // while it is cold
+	place     int           // in its ranking
+	slow      float64       // its answers' times over what is expected of it
+	out       []out         // the attempts that wait for it
 }
 
 // out is an attempt that is out: the nth of a request.
@@ -804,6 +823,7 @@
 			d.do(Log{fmt.Sprintf("trusted again %x", s.ID)})
 			// What failed and answers again may have started anew, before the list says so: spared as cold.
 			s.ejected, s.ejectFor, s.odds, s.back = false, 0, 0, d.now
+			d.shut(s, 0)
 		}
 		return
 	}
@@ -823,6 +843,7 @@
 	}
 	s.ejectFor = min(ejectMost, max(ejectFirst, 2*s.ejectFor))
 	s.ejected, s.trial, s.until, s.odds = true, false, d.now+s.ejectFor, badOdds/2+1
+	d.shut(s, s.until)
 }
 
 func (d *Director) onList(e ListEvent) {
@@ -915,12 +936,6 @@
 	return node.Zone == d.cfg.Zone && (source.role != roleCache || near || d.cfg.Siblings == ReachAny)
 }
 
-// spent is one attempt in the budget of a cold server.
-type spent struct {
-	at   time.Duration
-	cost float64
-}
-
 // coldRoom keeps rule 4: this director's share of what a cold server bears in any window of FallFor.
 func (d *Director) coldRoom(q *request, s *server) bool {
 	from, span, multiple := d.cfg.ColdFrom, d.cfg.ColdFor, d.cfg.FallMultiple
@@ -928,18 +943,22 @@
 		from, span, multiple = d.cfg.ParentFrom, d.cfg.ParentFor, d.cfg.ParentFall
 	}
 	since := max(s.Since, s.back)
-	age := d.now - since
-	if s.role == roleOrigin || since == 0 || age >= span || multiple <= 0 {
-		s.window = s.window[:0]
+	if s.role == roleOrigin || since == 0 || d.now-since >= span || multiple <= 0 {
+		s.sent.Clear()
 		return true
 	}
-	grown := from + (1-from)*max(0, float64(age)/float64(span))
-	budget := coldUse * multiple * grown * d.share(s) * d.cfg.FallFor.Seconds()
-	s.window = slices.DeleteFunc(s.window, func(w spent) bool { return d.now-w.at > d.cfg.FallFor })
-	for _, w := range s.window {
-		budget -= w.cost
+	window := d.cfg.FallFor
+	full := coldUse * multiple * d.share(s) * window.Seconds()
+	r := ramp.Ramp{From: from, Span: span, Full: full, Window: window}
+	if q.class.cost <= s.sent.Left(d.now, since, &r) {
+		return true
 	}
-	return q.class.cost <= budget
+	least := q.class.cost
+	for i := range d.classes {
+		least = min(least, d.classes[i].cost)
+	}
+	d.shut(s, min(s.sent.When(d.now, since, least, &r), d.now+shutMost))
+	return false
 }
 
 // ageLimit keeps rule 5: the oldest copy that will do is younger than the last purge.
--- a/rendezvous/ranking.go
+++ b/rendezvous/ranking.go
@@ -1,6 +1,9 @@
 package rendezvous
 
-import "iter"
+import (
+	"iter"
+	"time"
+)
 
 // Ranking is members of a set in their order for one key, with one of them put first. It is computed as far as it is
 // looked at. The zero value of M stands for "none".
@@ -26,14 +29,20 @@
 	r.set.Add(id, weight)
 }
 
+// Shut has the member that was added as the nth passed over until a time, but where it is among the first two of an order.
+func (r *Ranking[M]) Shut(n int, until time.Duration) { r.set.Shut(n, int64(until)) }
+
+// IsShut says whether the member that was added as the nth is passed over at a time.
+func (r *Ranking[M]) IsShut(n int, now time.Duration) bool { return r.set.shut[n] > int64(now) }
+
 // Members is all members in the order of Add. It must not be changed.
 func (r *Ranking[M]) Members() []M { return r.members }
 
-// Begin asks for the order for a key, in which first, where it is not the zero value, stands before all others. first
+// Begin asks for the order for a key at a time, in which first, where it is not the zero value, stands before all others. first
 // must be a member. What an earlier Begin gave is void.
-func (r *Ranking[M]) Begin(key uint64, first M) *Ranking[M] {
+func (r *Ranking[M]) Begin(key uint64, first M, now time.Duration) *Ranking[M] {
 	var none M
-	r.order.Begin(&r.set, key)
+	r.order.Begin(&r.set, key, int64(now))
 	if r.next, r.first, r.got = 0, first, r.got[:0]; first != none {
 		r.got = append(r.got, first)
 	}
