Add start: who of a fleet asks the list service, and what a peer's word is worth

Need: hundreds of doormans that start together all ask the list service for the whole list, and each goes on asking it once a second whether it lives.

Change: a pure machine. Three doormans of each zone ask, by rendezvous among the living; digests name version, checksum and when the service was heard; the rest fetch deltas or parts from whoever has them, spread as a tree; a list counts once two peers tell it, else as a hint where nothing is known, or after an own look. Without peers the calls are spread by full jitter over 15 ms a doorman.

--- /dev/null
+++ b/start/start.go
@@ -0,0 +1,820 @@
+// Package start decides how one of many doormans comes to its lists of boxes without all of them asking the list service: who
+// asks, when, what is passed on from doorman to doorman, and when a word of a peer is believed. It does no I/O, asks no clock
+// and starts nothing: it is told what happens and says what is to be done.
+//
+// A few doormans of each zone ask the service, chosen by rendezvous among those that live (Askers). They tell the others of
+// their zone in short digests which list they have, and how long ago the service was heard; the others fetch what they lack
+// from whoever has it, as a delta or in parts. Where no peer is heard, or none is set, a doorman asks by itself, at a time
+// drawn from a window that grows with the fleet (full jitter, as in Brooker's "Exponential Backoff And Jitter"), so that the
+// calls of a fleet that starts together are spread at a rate that does not depend on its size.
+//
+// What is believed: a list that the service told this doorman itself; and one whose version and checksum two peers have told
+// (Quorum), once its content was fetched and has that checksum. A list that one peer alone tells is used only where nothing
+// at all is known, and then only what it has up: one peer's word never takes a box away. A peer whose word the service itself
+// refutes is not heard for a while.
+//
+// Invariants:
+//   - the version of the list in use never falls, but by the service's own word;
+//   - state is bounded: claims by Config.Claims a list, what is being fetched by one list of Config.Boxes, older lists kept
+//     for deltas by Config.History;
+//   - at most Askers*Widest doormans of a zone ask, but for those that hear no peer;
+//   - no message is waited for without an end: a fetch is tried elsewhere after FetchFor, and given up after FetchTries.
+package start
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sloequay/membership"
+)
+
+// Config is the settings of a Machine.
+type Config struct {
+	Name    string
+	Epoch   uint64 // of this process: another one with each start
+	Zone    string
+	Peers   bool // whether doormans know of each other here
+	Lists   int  // lists that the service has
+	Fleet   int  // doormans that there are, as told
+	Askers  int  // of a zone
+	Boxes   int  // of a list; more are not taken
+	Claims  int  // remembered of each list
+	History int  // older lists kept, for deltas
+	Seed    uint64
+}
+
+// WithDefaults fills in what is 0.
+func (c Config) WithDefaults() Config {
+	c.Fleet, c.Askers, c.Boxes = max(1, c.Fleet), cmp.Or(c.Askers, 3), cmp.Or(c.Boxes, membership.DefaultMost)
+	c.Claims, c.History = cmp.Or(c.Claims, 16), cmp.Or(c.History, 4)
+	return c
+}
+
+// The times and numbers of the rules.
+const (
+	Quorum = 2 // peers that must tell the same of a list
+	Widest = 4 // times Askers, that ask while the service is not heard
+
+	// PerDoorman is what each doorman of a fleet adds to the window in which they ask: some 65 calls a second for each list,
+	// whatever the fleet's size.
+	PerDoorman  = 15 * time.Millisecond
+	WindowLeast = 250 * time.Millisecond
+	Settle      = 200 * time.Millisecond // after the start, in which peers are met before the first one asks
+	Beat        = time.Second            // between two digests of an asker, at least
+	BeatsMost   = 64                     // digests a second that an asker sends: in a larger zone they come less often
+	FreshFor    = 3                      // beats, after which the service counts as not heard
+	FetchFor    = 300 * time.Millisecond
+	FetchTries  = 5
+	HintAfter   = 500 * time.Millisecond // that a list one peer alone tells has to wait before it counts as known
+	ConfirmIn   = 500 * time.Millisecond // after which a list that one peer alone tells is looked at by ourselves
+	ConfirmMost = 10 * time.Second       // between two such looks
+	LookFor     = 2 * time.Second        // that a look by ourselves may take
+	Stay        = 2 * time.Second        // that one who asks goes on when others should
+	DistrustFor = time.Minute
+	WidenEvery  = 5 * time.Second // of the service's silence, for Askers more
+	ServeEvery  = 100 * time.Millisecond
+	ServeMost   = 8   // whole lists that are served in that time
+	PartBoxes   = 100 // of a part
+)
+
+// Peer is another doorman that lives.
+type Peer struct{ Name, Zone string }
+
+// Mark names a list.
+type Mark struct {
+	List    int
+	Version uint64
+	Sum     uint64
+}
+
+// Claim is what a digest says of a list: which one a doorman has, and how long ago the service was heard.
+type Claim struct {
+	Mark
+	Heard time.Duration // ago; negative: the sender does not ask
+}
+
+// Message is one word from doorman to doorman. Exactly one of the fields below Epoch is set.
+type Message struct {
+	From   string
+	Epoch  uint64
+	Digest []Claim // of all lists that the sender has
+	Want   *Want
+	Part   *Part
+	Delta  *Delta
+	Busy   *Busy
+}
+
+// Want asks for the content of a list. Have is the sum of the one that the sender has; 0: none.
+type Want struct {
+	Mark
+	Have uint64
+}
+
+// Part is one of Of parts of a list's content.
+type Part struct {
+	Mark
+	N, Of int
+	Boxes []membership.Box
+}
+
+// Delta leads from the list with the sum Was to another one.
+type Delta struct {
+	Mark
+	Was   uint64
+	Boxes []membership.Box
+	Gone  []string
+}
+
+// Busy answers a Want that is not served: Peer has the list too; empty: ask again later.
+type Busy struct {
+	Mark
+	Peer string
+}
+
+// Effect is something that is to be done.
+type Effect interface{ isEffect() }
+
+// Send sends a message to a peer. It may be lost.
+type Send struct {
+	To      string
+	Message Message
+}
+
+// Follow begins to ask the list service, or ends that.
+type Follow struct{ On bool }
+
+// Use puts a list in force that peers told. Hint: only what it names counts.
+type Use struct {
+	List    int
+	Version uint64
+	Boxes   []membership.Box
+	Hint    bool
+}
+
+// Speaks says that the service is heard through peers, or is not any more.
+type Speaks struct {
+	List   int
+	Silent bool
+}
+
+// Note is something for the log.
+type Note struct {
+	What Word
+	Peer string
+	List int
+}
+
+// Word is what a Note tells.
+type Word uint8
+
+// The words.
+const (
+	Asks       Word = iota // this doorman asks the service now
+	Listens                // it does not any more
+	Alone                  // no peer is heard: it asks by itself
+	Believed               // a list of peers is in force
+	Hinted                 // a list that one peer alone tells is used, as nothing else is known
+	Refuted                // the service says otherwise than a peer, who is not heard for a while
+	Spoilt                 // what a peer sent has not the checksum that it told
+	wordsCount             // of words
+)
+
+// String gives the word of the log.
+func (w Word) String() string {
+	return [wordsCount]string{"asks", "listens", "alone", "believed", "hinted", "refuted", "spoilt"}[w]
+}
+
+func (Send) isEffect()   {}
+func (Follow) isEffect() {}
+func (Use) isEffect()    {}
+func (Speaks) isEffect() {}
+func (Note) isEffect()   {}
+
+// content is a list with its boxes by id.
+type content struct {
+	Mark
+	boxes []membership.Box
+}
+
+// claim is what a peer has told last of a list.
+type claim struct {
+	Claim
+	peer string
+	at   time.Duration
+}
+
+// fetch is a list that is being fetched.
+type fetch struct {
+	Mark
+	from  string
+	parts [][]membership.Box
+	got   int
+	until time.Duration
+	tries int
+	asked map[string]bool
+}
+
+// list is what is known of one list.
+type list struct {
+	held    *content // in force
+	own     bool     // by the service's own word
+	older   []*content
+	claims  []claim  // newest last
+	waiting *content // fetched, and not believed yet
+	since   time.Duration
+	hinted  time.Duration // when waiting was used as a hint; 0: it was not
+	fetch   *fetch
+	silent  bool
+	told    time.Duration // when the service was last heard by ourselves
+}
+
+// Machine is the state of one doorman.
+type Machine struct {
+	cfg      Config
+	now      time.Duration
+	began    time.Duration
+	alone    time.Duration // when it asks by itself if no peer is heard
+	rng      *rand.Rand
+	peers    []Peer // of the own zone, by name, without this one
+	others   map[string]bool
+	lists    []list
+	follows  bool
+	since    time.Duration // when that last changed
+	should   time.Duration // when it was last right to follow
+	look     time.Duration // until when a look by ourselves goes on
+	looked   time.Duration // when the last one began
+	beat     time.Duration // when the next digest is due
+	distrust map[string]time.Duration
+	served   map[uint64][]string // who was served a whole list of late, by sum
+	serves   int
+	servesAt time.Duration
+	out      []Effect
+}
+
+// New makes a machine at a time.
+func New(now time.Duration, cfg Config) *Machine {
+	cfg = cfg.WithDefaults()
+	m := &Machine{cfg: cfg, now: now, began: now, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Epoch)), others: map[string]bool{},
+		lists: make([]list, cfg.Lists), distrust: map[string]time.Duration{}, served: map[uint64][]string{}}
+	m.alone, m.looked = now+m.jitter(), now-ConfirmMost
+	m.beat = now + time.Duration(m.rng.Int64N(int64(Beat)))
+	return m
+}
+
+// jitter draws from the window of the whole fleet.
+func (m *Machine) jitter() time.Duration {
+	window := time.Duration(m.cfg.Fleet) * PerDoorman
+	if m.cfg.Fleet == 1 {
+		return 0
+	}
+	return time.Duration(m.rng.Int64N(int64(max(WindowLeast, window))))
+}
+
+func (m *Machine) do(e Effect) { m.out = append(m.out, e) }
+
+func (m *Machine) take() []Effect {
+	out := m.out
+	m.out = nil
+	return out
+}
+
+// Live tells which other doormans live, in any order.
+func (m *Machine) Live(now time.Duration, peers []Peer) []Effect {
+	m.now = max(m.now, now)
+	m.peers, m.others = m.peers[:0], map[string]bool{}
+	for _, p := range peers {
+		if p.Name == m.cfg.Name {
+			continue
+		}
+		m.others[p.Name] = true
+		if p.Zone == m.cfg.Zone {
+			m.peers = append(m.peers, p)
+		}
+	}
+	slices.SortFunc(m.peers, func(a, b Peer) int { return cmp.Compare(a.Name, b.Name) })
+	for i := range m.lists {
+		l := &m.lists[i]
+		l.claims = slices.DeleteFunc(l.claims, func(c claim) bool { return !m.others[c.peer] })
+	}
+	m.step()
+	return m.take()
+}
+
+// Told takes a whole list that the service told this doorman.
+func (m *Machine) Told(now time.Duration, n int, version uint64, boxes []membership.Box) []Effect {
+	m.now = max(m.now, now)
+	l := &m.lists[n]
+	c := newContent(n, version, boxes)
+	changed := l.held == nil || l.held.Sum != c.Sum || l.held.Version != c.Version
+	m.hold(l, c)
+	l.own, l.told, l.silent = true, m.now, false
+	m.refute(n, l)
+	if changed && m.follows {
+		m.tell()
+	}
+	m.step()
+	return m.take()
+}
+
+// Heard says that the service was heard by this doorman, with nothing new.
+func (m *Machine) Heard(now time.Duration, n int) []Effect {
+	m.now = max(m.now, now)
+	m.lists[n].told = m.now
+	m.step()
+	return m.take()
+}
+
+// refute takes back the trust in peers that tell another list than the service under the same or a later version.
+func (m *Machine) refute(n int, l *list) {
+	if l.waiting != nil && l.waiting.Sum == l.held.Sum {
+		l.waiting = nil
+	}
+	for _, c := range l.claims {
+		// A later version may be true, since the service may have changed between. The same one can't, and neither can one that
+		// the service has not reached when we looked because of it.
+		if c.Version == l.held.Version && c.Sum != l.held.Sum || c.Version > l.held.Version && m.look > m.now {
+			m.blame(n, c.peer, Refuted)
+		}
+	}
+	if m.look > m.now && l.waiting != nil && l.waiting.Version > l.held.Version {
+		l.waiting = nil
+	}
+}
+
+func (m *Machine) blame(n int, peer string, why Word) {
+	m.distrust[peer] = m.now + DistrustFor
+	m.do(Note{why, peer, n})
+	for i := range m.lists {
+		l := &m.lists[i]
+		l.claims = slices.DeleteFunc(l.claims, func(c claim) bool { return c.peer == peer })
+		if l.fetch != nil && l.fetch.from == peer {
+			l.fetch = nil
+		}
+	}
+}
+
+// hold puts a list in force, and keeps the one before for deltas.
+func (m *Machine) hold(l *list, c *content) {
+	if l.held != nil && l.held.Sum != c.Sum {
+		l.older = append(l.older, l.held)
+		if len(l.older) > m.cfg.History {
+			l.older = slices.Clone(l.older[1:])
+		}
+	}
+	l.held = c
+	if l.fetch != nil && !m.newer(l, l.fetch.Mark) {
+		l.fetch = nil
+	}
+	clear(m.served)
+}
+
+// Take takes a message of a peer.
+func (m *Machine) Take(now time.Duration, msg Message) []Effect {
+	m.now = max(m.now, now)
+	if !m.others[msg.From] || m.distrust[msg.From] > m.now {
+		return nil // not one of the fleet, or one that has lied
+	}
+	switch {
+	case msg.Digest != nil:
+		for _, c := range msg.Digest {
+			m.claimed(msg.From, c)
+		}
+	case msg.Want != nil:
+		m.wanted(msg.From, msg.Want)
+	case msg.Part != nil:
+		m.part(msg.From, msg.Part)
+	case msg.Delta != nil:
+		m.delta(msg.From, msg.Delta)
+	case msg.Busy != nil:
+		m.busy(msg.From, msg.Busy)
+	}
+	m.step()
+	return m.take()
+}
+
+func (m *Machine) list(n int) *list {
+	if n < 0 || n >= len(m.lists) {
+		return nil
+	}
+	return &m.lists[n]
+}
+
+// claimed takes what a peer says that it has.
+func (m *Machine) claimed(peer string, c Claim) {
+	l := m.list(c.List)
+	if l == nil {
+		return
+	}
+	l.claims = slices.DeleteFunc(l.claims, func(o claim) bool { return o.peer == peer })
+	l.claims = append(l.claims, claim{c, peer, m.now})
+	if len(l.claims) > m.cfg.Claims {
+		l.claims = slices.Clone(l.claims[1:])
+	}
+	if c.Sum == 0 || l.held != nil && c.Sum == l.held.Sum || l.waiting != nil && c.Sum == l.waiting.Sum {
+		return
+	}
+	if m.newer(l, c.Mark) && (l.fetch == nil || l.fetch.until <= m.now) {
+		m.fetchFrom(l, c.Mark, peer)
+	}
+}
+
+// newer says whether a list may take the place of the one in force. What is fetched and not believed does not stand in the
+// way of another one, whatever version it claims.
+func (m *Machine) newer(l *list, k Mark) bool {
+	return l.held == nil || k.Version > l.held.Version
+}
+
+func (m *Machine) fetchFrom(l *list, k Mark, peer string) {
+	if l.fetch == nil || l.fetch.Sum != k.Sum {
+		l.fetch = &fetch{Mark: k, asked: map[string]bool{}}
+	}
+	f := l.fetch
+	f.from, f.until, f.parts, f.got = peer, m.now+FetchFor, nil, 0
+	f.tries++
+	f.asked[peer] = true
+	have := uint64(0)
+	if l.held != nil {
+		have = l.held.Sum
+	}
+	m.send(peer, Message{Want: &Want{k, have}})
+}
+
+func (m *Machine) send(to string, msg Message) {
+	msg.From, msg.Epoch = m.cfg.Name, m.cfg.Epoch
+	m.do(Send{to, msg})
+}
+
+// wanted serves the content of a list, as a delta where the one that the peer has is known here.
+func (m *Machine) wanted(peer string, w *Want) {
+	l := m.list(w.List)
+	if l == nil || l.held == nil || l.held.Sum != w.Sum {
+		m.send(peer, Message{Busy: &Busy{Mark: w.Mark}})
+		return
+	}
+	for _, o := range l.older {
+		if w.Have != 0 && o.Sum == w.Have {
+			m.send(peer, Message{Delta: difference(o, l.held)})
+			return
+		}
+	}
+	if m.now-m.servesAt >= ServeEvery {
+		m.serves, m.servesAt = 0, m.now
+	}
+	if m.serves >= ServeMost {
+		// One of those that were served may serve it too, so that the content spreads as a tree.
+		next := ""
+		if have := m.served[w.Sum]; len(have) > 0 {
+			next = have[m.rng.IntN(len(have))]
+		}
+		if next == peer {
+			next = ""
+		}
+		m.send(peer, Message{Busy: &Busy{w.Mark, next}})
+		return
+	}
+	m.serves++
+	if have := m.served[w.Sum]; len(have) < m.cfg.Claims && !slices.Contains(have, peer) {
+		m.served[w.Sum] = append(have, peer)
+	}
+	of := max(1, (len(l.held.boxes)+PartBoxes-1)/PartBoxes)
+	for n := range of {
+		boxes := l.held.boxes[min(len(l.held.boxes), n*PartBoxes):min(len(l.held.boxes), (n+1)*PartBoxes)]
+		m.send(peer, Message{Part: &Part{l.held.Mark, n, of, boxes}})
+	}
+}
+
+// part takes a part of what is being fetched.
+func (m *Machine) part(peer string, p *Part) {
+	l := m.list(p.List)
+	if l == nil || l.fetch == nil || l.fetch.Mark != p.Mark || l.fetch.from != peer {
+		return
+	}
+	f := l.fetch
+	if p.Of < 1 || p.Of > m.cfg.Boxes/PartBoxes+1 || p.N < 0 || p.N >= p.Of || len(p.Boxes) > PartBoxes || f.parts != nil && len(f.parts) != p.Of {
+		m.blame(p.List, peer, Spoilt)
+		return
+	}
+	if f.parts == nil {
+		f.parts = make([][]membership.Box, p.Of)
+	}
+	if f.parts[p.N] == nil {
+		f.parts[p.N] = append([]membership.Box{}, p.Boxes...)
+		f.got++
+	}
+	f.until = m.now + FetchFor
+	if f.got == p.Of {
+		m.fetched(l, peer, slices.Concat(f.parts...))
+	}
+}
+
+// delta takes what leads from the list in force to the one that is being fetched.
+func (m *Machine) delta(peer string, d *Delta) {
+	l := m.list(d.List)
+	if l == nil || l.fetch == nil || l.fetch.Mark != d.Mark || l.fetch.from != peer || l.held == nil || l.held.Sum != d.Was ||
+		len(d.Boxes) > m.cfg.Boxes {
+		return
+	}
+	gone := map[string]bool{}
+	for _, id := range d.Gone {
+		gone[id] = true
+	}
+	for _, b := range d.Boxes {
+		gone[b.ID] = true
+	}
+	boxes := slices.Clone(d.Boxes)
+	for _, b := range l.held.boxes {
+		if !gone[b.ID] {
+			boxes = append(boxes, b)
+		}
+	}
+	m.fetched(l, peer, boxes)
+}
+
+// fetched judges content that is there whole.
+func (m *Machine) fetched(l *list, peer string, boxes []membership.Box) {
+	k := l.fetch.Mark
+	l.fetch = nil
+	c := newContent(k.List, k.Version, boxes)
+	if c.Sum != k.Sum {
+		m.blame(k.List, peer, Spoilt)
+		return
+	}
+	l.waiting, l.since, l.hinted = c, m.now, 0
+}
+
+// vouchers counts the peers that tell a list.
+func (l *list) vouchers(k Mark) (n int) {
+	for _, c := range l.claims {
+		if c.Mark == k {
+			n++
+		}
+	}
+	return n
+}
+
+// busy tries another one.
+func (m *Machine) busy(peer string, b *Busy) {
+	l := m.list(b.List)
+	if l == nil || l.fetch == nil || l.fetch.Sum != b.Sum || l.fetch.from != peer {
+		return
+	}
+	if b.Peer != "" && m.others[b.Peer] && !l.fetch.asked[b.Peer] && m.distrust[b.Peer] <= m.now && l.fetch.tries < FetchTries {
+		m.fetchFrom(l, l.fetch.Mark, b.Peer)
+		return
+	}
+	l.fetch.until = m.now + time.Duration(m.rng.Int64N(int64(FetchFor))) // the step tries again
+}
+
+// rank is this doorman's place among those of its zone that might ask.
+func (m *Machine) rank() int {
+	score := func(name string) uint64 { return xxhash.Sum64String(m.cfg.Zone + " " + name) }
+	own, rank := score(m.cfg.Name), 0
+	for _, p := range m.peers {
+		if score(p.Name) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// beatEvery is the time between two digests of an asker.
+func (m *Machine) beatEvery() time.Duration {
+	return max(Beat, time.Duration(len(m.peers))*time.Second/BeatsMost)
+}
+
+// heard is when the service was last heard, by ourselves or through a quorum of peers, and whether any asker is heard at all.
+func (m *Machine) heard(l *list) (at time.Duration, askers int) {
+	var told []time.Duration
+	for _, c := range l.claims {
+		if c.Heard >= 0 && m.now-c.at <= FreshFor*m.beatEvery() {
+			askers++
+			if l.held != nil && c.Sum == l.held.Sum {
+				told = append(told, c.at-c.Heard)
+			}
+		}
+	}
+	slices.SortFunc(told, func(a, b time.Duration) int { return cmp.Compare(b, a) })
+	if len(told) >= Quorum {
+		at = told[Quorum-1]
+	}
+	return max(at, l.told), askers
+}
+
+// Step does what has fallen due by now.
+func (m *Machine) Step(now time.Duration) []Effect {
+	m.now = max(m.now, now)
+	m.step()
+	return m.take()
+}
+
+func (m *Machine) step() {
+	for i := range m.lists {
+		m.stepList(i, &m.lists[i])
+	}
+	m.stepRole()
+	if m.follows && m.cfg.Peers && m.now >= m.beat {
+		m.beat = m.now + m.beatEvery()
+		m.tell()
+	}
+	for peer, until := range m.distrust {
+		if until <= m.now {
+			delete(m.distrust, peer)
+		}
+	}
+}
+
+// tell sends the digest to all of the zone.
+func (m *Machine) tell() {
+	digest := m.digest()
+	if len(digest) == 0 {
+		return
+	}
+	for _, p := range m.peers {
+		m.send(p.Name, Message{Digest: digest})
+	}
+}
+
+func (m *Machine) digest() []Claim {
+	var out []Claim
+	for i := range m.lists {
+		l := &m.lists[i]
+		switch {
+		case l.held == nil:
+			out = append(out, Claim{Mark{List: i}, m.now - m.began}) // so that the others know that it is asked for
+		case l.own:
+			out = append(out, Claim{l.held.Mark, m.now - l.told})
+		}
+	}
+	return out
+}
+
+// stepList looks after what is fetched and what waits to be believed.
+func (m *Machine) stepList(n int, l *list) {
+	if f := l.fetch; f != nil && m.now >= f.until {
+		next := ""
+		for _, c := range l.claims {
+			if c.Sum == f.Sum && (next == "" || f.asked[next] && !f.asked[c.peer]) {
+				next = c.peer
+			}
+		}
+		if next == "" || f.tries >= FetchTries {
+			l.fetch = nil // the next digest will have it fetched
+		} else {
+			m.fetchFrom(l, f.Mark, next)
+		}
+	}
+	w := l.waiting
+	if w == nil {
+		return
+	}
+	switch {
+	case !m.newer(l, w.Mark):
+		l.waiting = nil
+	case l.vouchers(w.Mark) >= Quorum:
+		m.hold(l, w)
+		l.waiting, l.own, l.silent = nil, false, false
+		m.do(Use{n, w.Version, w.boxes, false})
+		m.do(Note{Believed, "", n})
+	case l.held == nil && l.hinted == 0:
+		l.hinted = m.now
+		var up []membership.Box
+		for _, b := range w.boxes {
+			if b.State == membership.Up {
+				up = append(up, b)
+			}
+		}
+		m.do(Use{n, w.Version, up, true})
+		m.do(Note{Hinted, "", n})
+	}
+}
+
+// stepRole decides whether this doorman asks the service.
+func (m *Machine) stepRole() {
+	want, alone := false, false
+	switch settled := m.now >= m.began+Settle; {
+	case !m.cfg.Peers || len(m.others) == 0:
+		alone = m.now >= m.alone
+		want = alone
+	default:
+		limit, hear := m.cfg.Askers, len(m.lists) > 0
+		for i := range m.lists {
+			l := &m.lists[i]
+			at, askers := m.heard(l)
+			hear = hear && askers > 0
+			// While the service is silent for those that ask, a few more try, since it may be their way to it that is cut.
+			if at = max(at, m.began); askers > 0 {
+				limit = max(limit, m.cfg.Askers*min(Widest, 1+int((m.now-at)/WidenEvery)))
+			}
+			if l.waiting != nil && m.now-l.since > ConfirmIn && m.now-m.looked >= ConfirmMost {
+				m.looked, m.look = m.now, m.now+LookFor // one peer alone tells it: the service itself is to say
+			}
+		}
+		switch {
+		case settled && m.rank() < limit:
+			want = true
+		case hear:
+			m.alone = 0
+		case m.alone == 0:
+			m.alone = m.now + m.jitter() // nobody is heard any more, by all of us at once
+		case m.now >= m.alone:
+			want, alone = true, true
+		}
+		want = want || m.look > m.now
+	}
+	if want {
+		m.should = m.now
+	}
+	switch {
+	case want && !m.follows:
+		m.follows, m.since = true, m.now
+		m.do(Follow{true})
+		if alone && m.cfg.Peers {
+			m.do(Note{Alone, "", -1})
+		} else {
+			m.do(Note{Asks, "", -1})
+		}
+	case !want && m.follows && m.now-m.should >= Stay:
+		m.follows, m.since = false, m.now
+		m.do(Follow{false})
+		m.do(Note{Listens, "", -1})
+	}
+	for i := range m.lists {
+		l := &m.lists[i]
+		if l.held == nil || m.follows {
+			continue
+		}
+		at, _ := m.heard(l)
+		if silent := m.now-at > FreshFor*m.beatEvery(); silent != l.silent {
+			l.silent = silent
+			m.do(Speaks{i, silent})
+		}
+	}
+}
+
+// Next is when Step is due at the latest: what waits for a time of its own is looked at in ticks.
+func (m *Machine) Next() time.Duration {
+	for i := range m.lists {
+		if l := &m.lists[i]; l.fetch != nil || l.waiting != nil || l.held == nil {
+			return m.now + tick
+		}
+	}
+	return m.now + 4*tick
+}
+
+const tick = 50 * time.Millisecond
+
+// Known says whether each list is known well enough to serve by: told by the service, believed, or for HintAfter used as a hint.
+func (m *Machine) Known() bool {
+	for i := range m.lists {
+		if l := &m.lists[i]; l.held == nil && (l.hinted == 0 || m.now-l.hinted < HintAfter) {
+			return false
+		}
+	}
+	return true
+}
+
+// Held names the list in force.
+func (m *Machine) Held(n int) (Mark, bool) {
+	if m.lists[n].held == nil {
+		return Mark{List: n}, false
+	}
+	return m.lists[n].held.Mark, true
+}
+
+// Asks says whether this doorman asks the service.
+func (m *Machine) Asks() bool { return m.follows }
+
+// newContent orders boxes by id and computes their sum.
+func newContent(n int, version uint64, boxes []membership.Box) *content {
+	boxes = slices.Clone(boxes)
+	slices.SortStableFunc(boxes, func(a, b membership.Box) int { return cmp.Compare(a.ID, b.ID) })
+	boxes = slices.CompactFunc(boxes, func(a, b membership.Box) bool { return a.ID == b.ID })
+	return &content{Mark{n, version, sum(version, boxes)}, boxes}
+}
+
+// difference is the delta between two lists, which are in order.
+func difference(was, is *content) *Delta {
+	d := &Delta{Mark: is.Mark, Was: was.Sum}
+	i := 0
+	for _, b := range is.boxes {
+		for ; i < len(was.boxes) && was.boxes[i].ID < b.ID; i++ {
+			d.Gone = append(d.Gone, was.boxes[i].ID)
+		}
+		if i < len(was.boxes) && was.boxes[i].ID == b.ID {
+			if was.boxes[i] != b {
+				d.Boxes = append(d.Boxes, b)
+			}
+			i++
+			continue
+		}
+		d.Boxes = append(d.Boxes, b)
+	}
+	for ; i < len(was.boxes); i++ {
+		d.Gone = append(d.Gone, was.boxes[i].ID)
+	}
+	return d
+}
