Join peers in service: a few doormans ask the list service, the others hear by them

Need: with 8, 30 and 100 doormans started in one second the catalogue got 48, 180 and 600 questions in the first second and one a second from each for ever after.

Block `peers`, `sloequay peers`, log lines.

Off without the block.

--- a/cmd/sloequay/contracts.go
+++ b/cmd/sloequay/contracts.go
@@ -65,20 +65,19 @@
 	return nil
 }
 
-// stateCommand is `sloequay state`.
-func stateCommand(out io.Writer) *cobra.Command {
+// askCommand is a command that puts one question to the running doorman, as `sloequay state`.
+func askCommand(out io.Writer, question, short string) *cobra.Command {
 	var path string
-	c := &cobra.Command{Use: "state", Short: "Ask the running doorman how much it holds: clients, requests, timers, boxes, connections",
-		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
-			o, err := node.ReadOwn(path)
-			if err != nil {
-				return err
-			}
-			if o.Control == "" {
-				return errors.New("the settings have no `control` by which a running doorman could be asked")
-			}
-			return admin.Ask(out, o.Control, "state")
-		}}
+	c := &cobra.Command{Use: question, Short: short, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+		o, err := node.ReadOwn(path)
+		if err != nil {
+			return err
+		}
+		if o.Control == "" {
+			return errors.New("the settings have no `control` by which a running doorman could be asked")
+		}
+		return admin.Ask(out, o.Control, question)
+	}}
 	c.Flags().StringVar(&path, "conf", "", "our settings")
 	return c
 }
--- a/cmd/sloequay/main.go
+++ b/cmd/sloequay/main.go
@@ -91,7 +91,9 @@
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return runTry(out, try) }}
 	tryCmd.Flags().BoolVar(&try.keep, "keep", false, "leave all of it running, with the addresses printed, until it is interrupted")
 	root.AddCommand(keyCommands(out)...)
-	root.AddCommand(contractsCommand(out), stateCommand(out), drillCommand(out))
+	root.AddCommand(contractsCommand(out), drillCommand(out),
+		askCommand(out, "state", "Ask the running doorman how much it holds: clients, requests, timers, boxes, connections"),
+		askCommand(out, "peers", "Ask the running doorman which others live, which lists it holds, and whether it asks for them"))
 	root.AddCommand(serveCmd, checkCmd, boxesCmd, tryCmd, &cobra.Command{Use: "version", Short: "Print what was built",
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
 			_, err := fmt.Fprintln(out, "sloequay", version())
--- a/membership/consul/follow.go
+++ b/membership/consul/follow.go
@@ -24,7 +24,9 @@
 	Tell func(...broker.Event)
 	Log  func(event string, fields ...any)
 	Now  func() time.Duration
-	Seed uint64
+	// Lives is called when an agent has answered that it lives; nil: nobody wants to know.
+	Lives func()
+	Seed  uint64
 
 	followers []*follower
 	came      chan func() // what is to run on the followers' goroutine
@@ -188,6 +190,9 @@
 					f.failed(a, err)
 				} else {
 					f.watch.Probed(f.c.Now(), a.Serial)
+					if f.c.Lives != nil {
+						f.c.Lives()
+					}
 				}
 			})
 			return
--- a/node/conf.go
+++ b/node/conf.go
@@ -14,6 +14,7 @@
 	"sloequay/dnsfront"
 	"sloequay/membership"
 	"sloequay/membership/consul"
+	"sloequay/peer/link"
 )
 
 // Own is our settings: the file that --conf names. Without it everything in it is off, as on the platform.
@@ -27,6 +28,7 @@
 	Services  *services           // nil: one pool for all
 	Control   string              // path of the operators' socket; empty: none
 	BoxTLS    *boxTLS             // nil: boxes are spoken to by plain TCP
+	Peers     *link.Config        // nil: no other doorman is known
 	bind      string              // address that our own connections come from; empty: the system's choice
 	list      membership.Config
 	damping   membership.Damping
@@ -65,6 +67,10 @@
 		}
 		return nil
 	}, "address that connections to boxes, lists and other doormans come from; the system's choice without it")
+	s.Block("peers", false, "doormans that know of each other", func([]string) (*conf.Section, error) {
+		o.Peers = &link.Config{}
+		return o.Peers.Section(), nil
+	})
 	s.Block("identity", false, "who may do what", func([]string) (*conf.Section, error) {
 		o.Identity = &identityConfig{}
 		return o.Identity.section(), nil
--- a/node/control.go
+++ b/node/control.go
@@ -28,8 +28,13 @@
 	switch {
 	case len(words) == 1 && words[0] == "state":
 		d.state(&out)
+	case len(words) == 1 && words[0] == "peers":
+		if d.list.herd == nil {
+			return "error: there is no list service that peers could spare\n"
+		}
+		d.list.herd.show(&out)
 	case len(words) == 0 || words[0] != "contracts":
-		return "error: the questions are: state; contracts; contracts TEAM CLASS [SERVICE]\n"
+		return "error: the questions are: state; peers; contracts; contracts TEAM CLASS [SERVICE]\n"
 	case d.contracts == nil:
 		return "error: no contracts are in force\n"
 	case len(words) == 1:
--- /dev/null
+++ b/node/herd.go
@@ -0,0 +1,208 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"runtime/debug"
+	"time"
+
+	"sloequay/broker"
+	"sloequay/membership"
+	"sloequay/peer"
+	"sloequay/peer/link"
+	"sloequay/start"
+)
+
+// herd joins the decisions of a start and the link to other doormans to the sources of boxes. Its methods run on the loop, but
+// for those that the link calls.
+type herd struct {
+	sources *sources
+	machine *start.Machine
+	link    *link.Link         // nil: no peers
+	tapped  []*membership.List // by list: what the service told last, while the table has not judged it
+	stepped time.Duration
+}
+
+// partMost is how many boxes of a list that peers told are handed on together, so that a large one does not hold the loop.
+const partMost = 500
+
+func newHerd(s *sources) *herd {
+	d := s.doorman
+	p, site := d.plan, d.plan.settings.Control
+	h := &herd{sources: s, tapped: make([]*membership.List, len(p.own.Catalogue.Services))}
+	cfg := start.Config{Name: p.settings.Name, Epoch: uint64(unixClock()), Lists: len(h.tapped), Fleet: site.Instances, Seed: p.settings.Seed}
+	if site.Zone < len(site.ZoneNames) {
+		cfg.Zone = site.ZoneNames[site.Zone]
+	}
+	if own := p.own.Peers; own != nil {
+		cfg.Peers, cfg.Askers = true, own.Askers
+		if own.Fleet > 0 {
+			cfg.Fleet = own.Fleet
+		}
+		var err error
+		if h.link, err = link.Open(*own, link.Self{Name: cfg.Name, Zone: cfg.Zone, Program: program(), Epoch: cfg.Epoch, Bind: p.own.from()}, h); err != nil {
+			// What others know is a help and no need: without it the doorman asks by itself.
+			d.log.Event("peers-failed", "error", err)
+			cfg.Peers = false
+		}
+	}
+	h.machine = start.New(clock(), cfg)
+	return h
+}
+
+// program names what was built, as far as the build knows.
+func program() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return fmt.Sprintf("%.12s", s.Value)
+		}
+	}
+	return info.Main.Version
+}
+
+// Live takes who else lives. It is called by the link.
+func (h *herd) Live(members []peer.Member) {
+	peers := make([]start.Peer, 0, len(members))
+	for _, m := range members {
+		peers = append(peers, start.Peer{Name: m.Name, Zone: m.Zone})
+	}
+	h.sources.doorman.loop.Post(func() { h.carry(h.machine.Live(clock(), peers)) })
+}
+
+// Message takes what a peer has sent and returns once the loop has it, so that no more is read than it can take. It is called by
+// the link.
+func (h *herd) Message(from string, body []byte) {
+	var m start.Message
+	if err := link.Decode(body, &m); err != nil {
+		h.Log("peer-refused", "peer", from, "why", err)
+		return
+	}
+	m.From = from
+	taken := make(chan struct{})
+	h.sources.doorman.loop.Post(func() {
+		h.carry(h.machine.Take(clock(), m))
+		close(taken)
+	})
+	<-taken
+}
+
+// Log writes a line. It may be called beside the loop.
+func (h *herd) Log(event string, fields ...any) {
+	d := h.sources.doorman
+	d.loop.Post(func() { d.log.Event(event, fields...) })
+}
+
+// hear looks at what the catalogue tells this doorman. A list goes to the others only once the table of boxes has not doubted it.
+func (h *herd) hear(e broker.Event) {
+	first := h.sources.doorman.plan.first
+	switch e := e.(type) {
+	case broker.Listing:
+		if n := e.Source - first; n >= 0 && n < len(h.tapped) && !e.List.Part && !e.List.Omits {
+			list := e.List
+			h.tapped[n] = &list
+		}
+	case broker.Speaks:
+		if n := e.Source - first; n >= 0 && n < len(h.tapped) && !e.Silent && h.tapped[n] == nil {
+			h.carry(h.machine.Heard(clock(), n))
+		}
+	}
+}
+
+// alive notes that the service answered a question other than for a list.
+func (h *herd) alive() {
+	for n := range h.tapped {
+		if h.tapped[n] == nil {
+			h.carry(h.machine.Heard(clock(), n))
+		}
+	}
+}
+
+// round passes on what the table has taken, and steps the machine.
+func (h *herd) round(now time.Duration) {
+	var views []membership.SourceView
+	for n, list := range h.tapped {
+		if list == nil {
+			continue
+		}
+		if views == nil {
+			views = h.sources.doorman.plan.members.Sources()
+		}
+		if views[h.sources.doorman.plan.first+n].Doubted == 0 {
+			h.tapped[n] = nil
+			h.carry(h.machine.Told(now, n, list.Version, list.Boxes))
+		}
+	}
+	if now-h.stepped >= stepEvery || now >= h.machine.Next() {
+		h.stepped = now
+		h.carry(h.machine.Step(now))
+	}
+}
+
+const stepEvery = 50 * time.Millisecond
+
+func (h *herd) carry(effects []start.Effect) {
+	d := h.sources.doorman
+	for _, e := range effects {
+		switch e := e.(type) {
+		case start.Send:
+			if body, err := link.Encode(e.Message); err == nil && h.link != nil {
+				h.link.Send(e.To, body)
+			}
+		case start.Follow:
+			h.sources.follow(e.On)
+		case start.Use:
+			src := d.plan.first + e.List
+			for at := 0; len(e.Boxes) > partMost && at < len(e.Boxes); at += partMost {
+				d.emit(broker.Listing{Source: src, List: membership.List{Version: e.Version, Boxes: e.Boxes[at:min(at+partMost, len(e.Boxes))], Part: true}})
+			}
+			// What two peers tell has been confirmed by each of them, where it lacks much.
+			d.emit(broker.Listing{Source: src, List: membership.List{Version: e.Version, Boxes: e.Boxes, Confirms: !e.Hint, Omits: e.Hint}})
+		case start.Speaks:
+			d.emit(broker.Speaks{Source: d.plan.first + e.List, Silent: e.Silent})
+		case start.Note:
+			fields := []any{"what", e.What}
+			if e.List >= 0 {
+				fields = append(fields, "of", d.plan.own.Catalogue.Services[e.List].Name)
+			}
+			if e.Peer != "" {
+				fields = append(fields, "peer", e.Peer)
+			}
+			d.log.Event("fleet", fields...)
+		}
+	}
+	if len(effects) > 0 {
+		d.loop.NeedRound()
+	}
+}
+
+// leave tells the others that this doorman goes, beside the loop.
+func (h *herd) leave() {
+	if h.link != nil {
+		go h.link.Leave(leaveAfter / 2)
+	}
+}
+
+// show prints who else lives and which lists are held.
+func (h *herd) show(out io.Writer) {
+	role := "listens to peers"
+	if h.machine.Asks() {
+		role = "asks the list service"
+	}
+	fmt.Fprintln(out, role)
+	for n := range h.tapped {
+		k, ok := h.machine.Held(n)
+		fmt.Fprintf(out, "list %s version %d sum %016x held %v\n", h.sources.doorman.plan.own.Catalogue.Services[n].Name, k.Version, k.Sum, ok)
+	}
+	if h.link == nil {
+		return
+	}
+	members, sent := h.link.Stand()
+	fmt.Fprintf(out, "sent %d messages, %d bytes; %d dropped, %d not heard\n", sent.Messages, sent.Bytes, sent.Dropped, sent.Unheard)
+	for _, m := range members {
+		fmt.Fprintf(out, "peer %s zone %s epoch %d program %s\n", m.Name, m.Zone, m.Epoch, m.Program)
+	}
+}
--- a/node/serve.go
+++ b/node/serve.go
@@ -21,6 +21,7 @@
 	"sloequay/resolver"
 	"sloequay/route"
 	"sloequay/rpc"
+	"sloequay/start"
 	"sloequay/steady"
 )
 
@@ -162,7 +163,9 @@
 	for i := range d.plan.own.Catalogue.Services {
 		d.known = d.known && d.plan.members.Sources()[d.plan.first+i].Heard > 0
 	}
-	d.known = d.known || clock()-time.Duration(born.UnixNano()) > knowWithin
+	d.known = d.known && (d.list.restored || d.list.herd.machine.Known())
+	window := time.Duration(d.plan.settings.Control.Instances) * start.PerDoorman // in which doormans ask one after another
+	d.known = d.known || clock()-time.Duration(born.UnixNano()) > knowWithin+window
 	return d.known
 }
 
@@ -259,12 +262,18 @@
 			again = again || len(p.events) > 0
 		}
 	}
+	if d.list.herd != nil {
+		d.list.herd.round(now)
+	}
 	if d.leaving > 0 && !d.stopped && now-d.leaving > leaveAfter && d.open() == 0 && d.loop.Outbound() == 0 && d.list.left() {
 		d.stopped = true
 		d.log.Event("left")
 		d.loop.Stop()
 	}
 	wake := d.kept + housekeepEvery
+	if d.list.herd != nil {
+		wake = min(wake, d.list.herd.stepped+stepEvery)
+	}
 	for _, p := range d.pools {
 		if next := p.broker.Next(); next > 0 {
 			wake = min(wake, next)
--- a/node/sources.go
+++ b/node/sources.go
@@ -18,8 +18,11 @@
 // sources joins the sources of boxes and purges to the doorman. Its methods run on the loop.
 type sources struct {
 	doorman   *doorman
-	catalogue *consul.Catalogue // nil: off
+	herd      *herd             // nil: there is no catalogue
+	lists     *consul.Config    // what is asked for by who is to ask
+	catalogue *consul.Catalogue // nil: it is not asked
 	end       context.CancelFunc
+	restored  bool          // a snapshot was read
 	leaving   chan struct{} // closed with the end: the registration is to be taken back
 	kept      atomic.Bool   // the registration is being kept, or taken back
 	saved     time.Duration // when the last snapshot was begun
@@ -50,35 +53,82 @@
 	if p.own.Catalogue == nil {
 		return
 	}
-	var ctx context.Context
-	ctx, s.end = context.WithCancel(context.Background())
-	log := func(event string, fields ...any) { d.loop.Post(func() { d.log.Event(event, fields...) }) }
 	if from := p.own.from(); from != nil {
 		p.own.Catalogue.Bind = from
 	}
-	s.catalogue = &consul.Catalogue{Config: p.own.Catalogue, Names: p.names.Names, First: p.first, Tell: s.tell, Log: log,
-		Now: clock, Seed: p.settings.Seed}
-	if err := s.catalogue.Start(ctx); err != nil {
-		log("catalogue-lost", "error", err)
+	lists, purges := *p.own.Catalogue, *p.own.Catalogue
+	s.lists = &lists
+	if p.own.Peers != nil {
+		// Who asks for lists comes and goes; purges are asked for by every doorman.
+		if lists.Purges = ""; purges.Purges != "" {
+			purges.Services = nil
+			s.open(context.Background(), &purges)
+		}
 	}
+	s.herd = newHerd(s)
+	s.herd.round(clock())
 	if p.own.Catalogue.Register != nil {
+		keeper := &consul.Catalogue{Config: p.own.Catalogue, Names: p.names.Names, Tell: s.tell, Log: s.log, Now: clock, Seed: p.settings.Seed}
 		s.kept.Store(true)
 		go func() {
 			defer s.kept.Store(false)
-			if err := s.catalogue.Keep(s.leaving, p.settings.Name, p.settings.Listen); err != nil {
-				log("catalogue-register", "error", err)
+			if err := keeper.Keep(s.leaving, p.settings.Name, p.settings.Listen); err != nil {
+				s.log("catalogue-register", "error", err)
 			}
 			d.loop.Post(d.loop.NeedRound)
 		}()
 	}
 }
 
+// log writes a line. It may be called beside the loop.
+func (s *sources) log(event string, fields ...any) {
+	s.doorman.loop.Post(func() { s.doorman.log.Event(event, fields...) })
+}
+
+// open begins to ask the catalogue, until ctx ends. What comes after that is dropped.
+func (s *sources) open(ctx context.Context, cfg *consul.Config) *consul.Catalogue {
+	p := s.doorman.plan
+	c := &consul.Catalogue{Config: cfg, Names: p.names.Names, First: p.first, Log: s.log, Now: clock, Seed: p.settings.Seed,
+		Tell: func(events ...broker.Event) {
+			if ctx.Err() == nil {
+				s.tell(events...)
+			}
+		},
+		Lives: func() {
+			s.doorman.loop.Post(func() {
+				if s.herd != nil && ctx.Err() == nil {
+					s.herd.alive()
+				}
+			})
+		}}
+	if err := c.Start(ctx); err != nil {
+		s.log("catalogue-lost", "error", err)
+	}
+	return c
+}
+
+// follow begins to ask the catalogue for its lists, or ends that.
+func (s *sources) follow(on bool) {
+	if s.end != nil {
+		s.end()
+		s.end, s.catalogue = nil, nil
+	}
+	if on {
+		var ctx context.Context
+		ctx, s.end = context.WithCancel(context.Background())
+		s.catalogue = s.open(ctx, s.lists)
+	}
+}
+
 // tell takes events to the loop and returns once they are there.
 func (s *sources) tell(events ...broker.Event) {
 	taken := make(chan struct{})
 	s.doorman.loop.Post(func() {
 		for _, e := range events {
 			s.doorman.emit(e)
+			if s.herd != nil {
+				s.herd.hear(e)
+			}
 		}
 		s.doorman.loop.NeedRound()
 		close(taken)
@@ -93,7 +143,12 @@
 }
 
 // leave begins the end.
-func (s *sources) leave() { close(s.leaving) }
+func (s *sources) leave() {
+	close(s.leaving)
+	if s.herd != nil {
+		s.herd.leave()
+	}
+}
 
 // left says whether nothing of the end is left to do.
 func (s *sources) left() bool { return !s.kept.Load() }
@@ -114,6 +169,7 @@
 		d.log.Event("snapshot-refused", "file", cfg.File, "error", err)
 	default:
 		d.log.Event("snapshot-read", "file", cfg.File, "age", age.Round(time.Millisecond))
+		s.restored = true
 		d.emit(broker.Restored{Words: words})
 	}
 }
--- a/oplog/oplog.go
+++ b/oplog/oplog.go
@@ -43,6 +43,8 @@
 	"catalogue-token": zap.ErrorLevel, "catalogue-registered": zap.InfoLevel, "catalogue-unregistered": zap.InfoLevel,
 	"catalogue-register": zap.WarnLevel,
 
+	"fleet": zap.InfoLevel, "peer-lives": zap.InfoLevel, "peer-gone": zap.InfoLevel, "peer-refused": zap.WarnLevel, "peers-failed": zap.ErrorLevel,
+
 	"audit": zap.WarnLevel, "keys-read": zap.InfoLevel, "keys-refused": zap.ErrorLevel,
 	"tls-handshake": zap.WarnLevel, "tls-renewed": zap.InfoLevel, "tls-failed": zap.ErrorLevel,
 
--- /dev/null
+++ b/peer/link/link.go
@@ -0,0 +1,499 @@
+// Package link joins a doorman to the others of its fleet: memberlist (SWIM with suspicion and Lifeguard, keyed) finds who lives,
+// and carries messages as datagrams or, where they are large, over a connection. What a word is worth is decided in package
+// peer; here is the I/O, on goroutines of its own.
+//
+// The fleet's key keeps strangers out; it does not tell members apart. So each life of a doorman makes a pair of Ed25519 keys,
+// the public one goes along with its membership, and each message is signed: one member can not speak for another that lives.
+package link
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/rand"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	mathrand "math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-msgpack/v2/codec"
+	"github.com/hashicorp/memberlist"
+
+	"sloequay/conf"
+	"sloequay/peer"
+)
+
+// Config is the block `peers` of the settings.
+type Config struct {
+	Listen, Advertise string // host:port, TCP and UDP; the second empty: the first
+	Seeds             []string
+	KeyFile           string
+	Askers, Fleet     int // see package start
+	MembersMost       int
+	keys              [][]byte
+}
+
+func address(s string) error {
+	if a, err := netip.ParseAddrPort(s); err != nil || !a.Addr().Unmap().Is4() || a.Port() == 0 {
+		return fmt.Errorf("expected an IPv4 address with a port, got %.80q", s)
+	}
+	return nil
+}
+
+// Section gives the directives of the block.
+func (c *Config) Section() *conf.Section {
+	c.Askers, c.MembersMost = 3, 2000
+	s := &conf.Section{}
+	s.Text("listen", &c.Listen, address, "where other doormans reach this one, by TCP and UDP")
+	s.Text("advertise", &c.Advertise, address, "the same as they see it, where it differs")
+	s.Words("seed", &c.Seeds, address, "addresses of some doormans; a few that start first will do")
+	s.Text("key-file", &c.KeyFile, nil, "file with the fleet's keys, 16, 24 or 32 bytes in base64, a line each; the first encrypts")
+	s.Int("askers", &c.Askers, 1, 100, "doormans of a zone that ask the list service")
+	s.Int("fleet", &c.Fleet, 0, 100_000, "doormans that there are, for the time over which they ask where no peer is heard; 0: as the platform's settings tell")
+	s.Int("most", &c.MembersMost, 1, 100_000, "other doormans that are remembered")
+	s.Check(func() (err error) {
+		if c.Listen == "" || c.KeyFile == "" {
+			return errors.New("listen and key-file are needed")
+		}
+		c.keys, err = readKeys(c.KeyFile)
+		return err
+	})
+	return s
+}
+
+// NewConfig is the settings with these values and the defaults.
+func NewConfig(listen, advertise, keyFile string, seeds []string) (c Config, err error) {
+	c.Section()
+	c.Listen, c.Advertise, c.KeyFile, c.Seeds = listen, advertise, keyFile, seeds
+	c.keys, err = readKeys(keyFile)
+	return c, err
+}
+
+// readKeys reads the fleet's keys.
+func readKeys(path string) (keys [][]byte, err error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if info.Mode().Perm()&0o077 != 0 {
+		return nil, fmt.Errorf("%s: others may read it; chmod 600", path)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	for i, line := range strings.Split(strings.TrimSpace(string(text)), "\n") {
+		key, err := base64.StdEncoding.DecodeString(strings.TrimSpace(line))
+		if err == nil {
+			err = memberlist.ValidateKey(key)
+		}
+		if err != nil {
+			return nil, fmt.Errorf("%s:%d: expected 16, 24 or 32 bytes in base64", path, i+1)
+		}
+		keys = append(keys, key)
+	}
+	return keys, nil
+}
+
+const (
+	datagramMost = 1100      // bytes of a message that goes as one
+	messageMost  = 256 << 10 // of any
+	outMost      = 512       // messages that wait for their sending
+	inMost       = 1024      // messages that wait to be read
+	metaMost     = 512
+	joinLimit    = 2 * time.Second
+	joinFirst    = 100 * time.Millisecond
+	joinMost     = 2 * time.Second
+	rejoinEvery  = 15 * time.Second // of a seed that is not in view: two halves that lost each other meet again
+)
+
+// Self is who this doorman is.
+type Self struct {
+	Name, Zone, Program string
+	Epoch               uint64
+	Bind                *net.TCPAddr // that connections come from; nil: the listen address
+}
+
+// Told takes what the link hears; it is called on goroutines of the link's own, one call at a time.
+type Told interface {
+	Live(members []peer.Member)
+	Message(from string, body []byte)
+	Log(event string, fields ...any)
+}
+
+// Link is a doorman's place in the fleet.
+type Link struct {
+	cfg     Config
+	self    Self
+	told    Told
+	list    *memberlist.Memberlist
+	private ed25519.PrivateKey
+	meta    []byte
+	out     chan outgoing
+	in      chan []byte
+	ctx     context.Context
+	end     context.CancelFunc
+
+	mu      sync.Mutex
+	view    *peer.View
+	nodes   map[string]*memberlist.Node
+	number  uint64
+	changed chan struct{}
+	Sent    Count // by this doorman
+}
+
+// Count is messages and bytes, and what was dropped for want of room or not heard.
+type Count struct{ Messages, Bytes, Dropped, Unheard uint64 }
+
+type outgoing struct {
+	to   string
+	body []byte
+}
+
+// envelope is a message as it travels.
+type envelope struct {
+	From   string
+	Epoch  uint64
+	Number uint64
+	To     string // so that it can't be passed on to another
+	Body   []byte
+	Sig    []byte
+}
+
+// meta is what a member tells of itself.
+type meta struct {
+	Zone, Program string
+	Epoch         uint64
+	Key           []byte
+}
+
+// Encode and Decode are the form of messages: MessagePack of plain structures. Decode takes at most what a message may have.
+func Encode(v any) ([]byte, error) {
+	var b []byte
+	err := codec.NewEncoderBytes(&b, &handle).Encode(v)
+	return b, err
+}
+
+// Decode reads what Encode has written.
+func Decode(b []byte, v any) (err error) {
+	defer func() { // the library panics on some malformed input
+		if r := recover(); r != nil {
+			err = fmt.Errorf("malformed: %v", r)
+		}
+	}()
+	if len(b) > messageMost {
+		return fmt.Errorf("%d bytes, at most %d expected", len(b), messageMost)
+	}
+	return codec.NewDecoderBytes(b, &handle).Decode(v)
+}
+
+// handle has memory follow what is there, whatever length a message announces.
+var handle = codec.MsgpackHandle{BasicHandle: codec.BasicHandle{DecodeOptions: codec.DecodeOptions{MaxInitLen: 1024}}}
+
+// Open joins the fleet; it goes on trying until Close.
+func Open(cfg Config, self Self, told Told) (*Link, error) {
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	l := &Link{cfg: cfg, self: self, told: told, private: private, view: peer.NewView(self.Name, cfg.MembersMost),
+		nodes: map[string]*memberlist.Node{}, out: make(chan outgoing, outMost), in: make(chan []byte, inMost), changed: make(chan struct{}, 1)}
+	if l.meta, err = Encode(meta{self.Zone, self.Program, self.Epoch, public}); err != nil {
+		return nil, err
+	}
+	if len(l.meta) > metaMost {
+		return nil, fmt.Errorf("peers: what is told of this doorman has %d bytes, at most %d may be", len(l.meta), metaMost)
+	}
+	l.ctx, l.end = context.WithCancel(context.Background())
+	at := netip.MustParseAddrPort(cfg.Listen)
+	seen := at
+	if cfg.Advertise != "" {
+		seen = netip.MustParseAddrPort(cfg.Advertise)
+	}
+	c := memberlist.DefaultLANConfig()
+	c.Name, c.BindAddr, c.BindPort = self.Name, at.Addr().String(), int(at.Port())
+	c.AdvertiseAddr, c.AdvertisePort = seen.Addr().String(), int(seen.Port())
+	c.Delegate, c.Events = delegate{l}, delegate{l}
+	c.LogOutput, c.Logger = nil, log.New(io.Discard, "", 0)
+	c.ProbeInterval, c.ProbeTimeout, c.TCPTimeout = 500*time.Millisecond, 200*time.Millisecond, joinLimit
+	c.PushPullInterval = 20 * time.Second
+	c.DeadNodeReclaimTime = time.Second // a doorman that is started anew may have another address
+	c.EnableCompression = false
+	c.Keyring, err = memberlist.NewKeyring(cfg.keys, cfg.keys[0])
+	if err != nil {
+		return nil, err
+	}
+	inner, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{c.BindAddr}, BindPort: c.BindPort, Logger: c.Logger})
+	if err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	from := self.Bind
+	if from == nil {
+		from = &net.TCPAddr{IP: at.Addr().AsSlice()}
+	}
+	c.Transport = transport{inner, from}
+	if l.list, err = memberlist.Create(c); err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	go l.join()
+	go l.send()
+	go l.read()
+	go l.tell()
+	return l, nil
+}
+
+// transport is memberlist's own, but that connections come from the doorman's address.
+type transport struct {
+	*memberlist.NetTransport
+	from *net.TCPAddr
+}
+
+// DialTimeout connects to a member.
+func (t transport) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
+	d := net.Dialer{Timeout: timeout, LocalAddr: t.from}
+	return d.Dial("tcp", addr)
+}
+
+// DialAddressTimeout is the same.
+func (t transport) DialAddressTimeout(a memberlist.Address, timeout time.Duration) (net.Conn, error) {
+	return t.DialTimeout(a.Addr, timeout)
+}
+
+// join asks seeds until somebody is in view, and later now and then one that is not.
+func (l *Link) join() {
+	wait := joinFirst
+	for {
+		var missing []string
+		there := map[string]bool{}
+		for _, n := range l.list.Members() {
+			there[n.Address()] = true
+		}
+		for _, s := range l.cfg.Seeds {
+			if !there[s] && s != l.cfg.Advertise && s != l.cfg.Listen {
+				missing = append(missing, s)
+			}
+		}
+		alone := l.list.NumMembers() <= 1
+		if len(missing) > 0 {
+			if n, _ := l.list.Join([]string{missing[mathrand.IntN(len(missing))]}); n > 0 {
+				alone = false
+			}
+		}
+		if wait = min(joinMost, 2*wait); !alone {
+			wait = rejoinEvery
+		}
+		if len(l.cfg.Seeds) == 0 {
+			return
+		}
+		// Full jitter: those that start together do not ask the seeds together again.
+		select {
+		case <-time.After(wait/4 + time.Duration(mathrand.Int64N(int64(wait)))):
+		case <-l.ctx.Done():
+			return
+		}
+	}
+}
+
+// Send sends a message to a member, or drops it where it can't be sent soon. It does not wait.
+func (l *Link) Send(to string, body []byte) {
+	select {
+	case l.out <- outgoing{to, body}:
+	default:
+		l.mu.Lock()
+		l.Sent.Dropped++
+		l.mu.Unlock()
+	}
+}
+
+func (l *Link) send() {
+	var places = make(chan struct{}, 16) // connections at once
+	for {
+		var o outgoing
+		select {
+		case o = <-l.out:
+		case <-l.ctx.Done():
+			return
+		}
+		l.mu.Lock()
+		node := l.nodes[o.to]
+		l.number++
+		e := envelope{From: l.self.Name, Epoch: l.self.Epoch, Number: l.number, To: o.to, Body: o.body}
+		l.mu.Unlock()
+		if node == nil {
+			continue
+		}
+		e.Sig = ed25519.Sign(l.private, e.signed())
+		packet, err := Encode(e)
+		if err != nil || len(packet) > messageMost {
+			l.told.Log("peers-failed", "error", fmt.Sprintf("a message of %d bytes: %v", len(packet), err))
+			continue
+		}
+		l.mu.Lock()
+		l.Sent.Messages++
+		l.Sent.Bytes += uint64(len(packet))
+		l.mu.Unlock()
+		if len(packet) <= datagramMost {
+			_ = l.list.SendBestEffort(node, packet)
+			continue
+		}
+		places <- struct{}{}
+		go func() {
+			_ = l.list.SendReliable(node, packet) // one that is lost is asked for again
+			<-places
+		}()
+	}
+}
+
+// signed is what the signature is of.
+func (e *envelope) signed() []byte {
+	b, _ := Encode(envelope{From: e.From, Epoch: e.Epoch, Number: e.Number, To: e.To, Body: e.Body})
+	return b
+}
+
+// read checks what has come and hands it on.
+func (l *Link) read() {
+	for {
+		select {
+		case packet := <-l.in:
+			var e envelope
+			if Decode(packet, &e) != nil || e.To != l.self.Name || !l.accept(&e) {
+				l.mu.Lock()
+				l.Sent.Unheard++
+				l.mu.Unlock()
+				continue
+			}
+			l.told.Message(e.From, e.Body)
+		case <-l.ctx.Done():
+			return
+		}
+	}
+}
+
+func (l *Link) accept(e *envelope) bool {
+	l.mu.Lock()
+	key, ok := l.view.Key(e.From, e.Epoch)
+	l.mu.Unlock()
+	if !ok || len(key) != ed25519.PublicKeySize || !ed25519.Verify(ed25519.PublicKey(key), e.signed(), e.Sig) {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.view.Accept(e.From, e.Epoch, e.Number)
+}
+
+// tell tells who lives, a moment after it changed, so that a herd's joining is told in one.
+func (l *Link) tell() {
+	for {
+		select {
+		case <-l.changed:
+		case <-l.ctx.Done():
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+		l.mu.Lock()
+		members := l.view.Members()
+		l.mu.Unlock()
+		l.told.Live(members)
+	}
+}
+
+// Leave tells the others that this doorman goes, for at most a time.
+func (l *Link) Leave(limit time.Duration) { _ = l.list.Leave(limit) }
+
+// Close ends the link.
+func (l *Link) Close() {
+	l.end()
+	_ = l.list.Shutdown()
+}
+
+// Stand is how the link stands, for operators.
+func (l *Link) Stand() (members []peer.Member, sent Count) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.view.Members(), l.Sent
+}
+
+// delegate is what memberlist calls.
+type delegate struct{ *Link }
+
+// NodeMeta gives what is told of this doorman.
+func (d delegate) NodeMeta(int) []byte { return d.meta }
+
+// NotifyMsg takes a message; it must not wait.
+func (d delegate) NotifyMsg(b []byte) {
+	select {
+	case d.in <- append([]byte(nil), b...):
+	default:
+		d.mu.Lock()
+		d.Sent.Dropped++
+		d.mu.Unlock()
+	}
+}
+
+// GetBroadcasts has none.
+func (d delegate) GetBroadcasts(int, int) [][]byte { return nil }
+
+// LocalState has none.
+func (d delegate) LocalState(bool) []byte { return nil }
+
+// MergeRemoteState takes none.
+func (d delegate) MergeRemoteState([]byte, bool) {}
+
+// NotifyJoin meets a member.
+func (d delegate) NotifyJoin(n *memberlist.Node) { d.meet(n) }
+
+// NotifyUpdate meets one that tells other things of itself.
+func (d delegate) NotifyUpdate(n *memberlist.Node) { d.meet(n) }
+
+// NotifyLeave parts from one.
+func (d delegate) NotifyLeave(n *memberlist.Node) {
+	var m meta
+	if Decode(n.Meta, &m) != nil {
+		return
+	}
+	d.mu.Lock()
+	parted := d.view.Part(n.Name, m.Epoch)
+	if parted {
+		delete(d.nodes, n.Name)
+	}
+	d.mu.Unlock()
+	if parted {
+		d.told.Log("peer-gone", "peer", n.Name, "epoch", m.Epoch)
+		d.notice()
+	}
+}
+
+func (d delegate) meet(n *memberlist.Node) {
+	var m meta
+	if err := Decode(n.Meta, &m); err != nil {
+		return
+	}
+	d.mu.Lock()
+	verdict := d.view.Meet(peer.Member{Name: n.Name, Zone: m.Zone, Program: m.Program, Epoch: m.Epoch, Key: string(m.Key)})
+	if verdict != peer.Conflict && verdict != peer.Full && n.Name != d.self.Name {
+		copied := *n
+		d.nodes[n.Name] = &copied
+	}
+	d.mu.Unlock()
+	switch verdict {
+	case peer.Joined, peer.Restarted:
+		d.told.Log("peer-lives", "peer", n.Name, "zone", m.Zone, "epoch", m.Epoch, "was", verdict)
+	case peer.Conflict, peer.Full:
+		d.told.Log("peer-refused", "peer", n.Name, "zone", m.Zone, "epoch", m.Epoch, "why", verdict)
+	}
+	d.notice()
+}
+
+func (d delegate) notice() {
+	select {
+	case d.changed <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/standin/fleet/liar.go
@@ -0,0 +1,127 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+
+	"sloequay/membership"
+	"sloequay/peer"
+	"sloequay/peer/link"
+	"sloequay/start"
+)
+
+// lies are the lists that a liar tells, of a version far ahead.
+var lies = map[string]func(w *World) []membership.Box{
+	"empty": func(*World) []membership.Box { return nil },
+	"dead": func(w *World) (out []membership.Box) {
+		for _, b := range w.order {
+			out = append(out, membership.Box{ID: b.id, Address: b.address, State: membership.Draining})
+		}
+		return out
+	},
+	"many": func(w *World) (out []membership.Box) {
+		for i := range 20_000 {
+			out = append(out, membership.Box{ID: fmt.Sprint("m", i), Address: w.order[0].address, Zone: 1, State: membership.Up, Weight: 1000})
+		}
+		return out
+	},
+}
+
+// liar is a member of the fleet that has its key and tells all of a plaza what is not so.
+type liar struct {
+	w     *World
+	link  *link.Link
+	relay *Relay
+	boxes []membership.Box // of the lie, in order
+	peers []peer.Member
+	told  chan func()
+	end   chan struct{}
+}
+
+// newLiar has one join the fleet as a doorman of a plaza.
+func (w *World) newLiar(plaza int, kind string) (*liar, error) {
+	ip := fmt.Sprintf("%s.49.%d", w.base, plaza)
+	w.fabric.Join(ip, "liar")
+	listen, err := vacant(ip)
+	if err != nil {
+		return nil, err
+	}
+	l := &liar{w: w, boxes: start.Sorted(lies[kind](w)), told: make(chan func(), 64), end: make(chan struct{})}
+	if l.relay, err = w.fabric.NewRelay("liar", fmt.Sprintf("%s.48.%d", w.base, plaza), listen); err != nil {
+		return nil, err
+	}
+	var seed []string
+	for _, o := range w.doormans[:min(seeds, len(w.doormans))] {
+		seed = append(seed, o.relay.Address())
+	}
+	cfg, err := link.NewConfig(listen, l.relay.Address(), w.key, seed)
+	if err != nil {
+		return nil, err
+	}
+	if l.link, err = link.Open(cfg, link.Self{Name: "liar", Zone: fmt.Sprintf("p%d", plaza), Epoch: uint64(time.Now().UnixNano())}, l); err != nil {
+		return nil, err
+	}
+	go l.run()
+	return l, nil
+}
+
+// run tells the lie to everybody, again and again, and serves it to whoever asks.
+func (l *liar) run() {
+	var digest []start.Claim
+	for n := range len(services) {
+		digest = append(digest, start.Claim{Mark: start.MarkOf(n, 1<<40, l.boxes)})
+	}
+	tick := time.NewTicker(200 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case do := <-l.told:
+			do()
+		case <-tick.C:
+			for _, p := range l.peers {
+				l.send(p.Name, start.Message{Digest: digest})
+			}
+		case <-l.end:
+			return
+		}
+	}
+}
+
+func (l *liar) send(to string, m start.Message) {
+	if body, err := link.Encode(m); err == nil {
+		l.link.Send(to, body)
+	}
+}
+
+// Live takes who is there.
+func (l *liar) Live(members []peer.Member) { l.told <- func() { l.peers = members } }
+
+// Log has none.
+func (l *liar) Log(string, ...any) {}
+
+// Message serves the lie.
+func (l *liar) Message(from string, body []byte) {
+	var m start.Message
+	if link.Decode(body, &m) != nil || m.Want == nil {
+		return
+	}
+	want := m.Want.Mark
+	l.told <- func() {
+		boxes := l.boxes
+		of := max(1, (len(boxes)+start.PartBoxes-1)/start.PartBoxes)
+		for n := range of {
+			part := boxes[min(len(boxes), n*start.PartBoxes):min(len(boxes), (n+1)*start.PartBoxes)]
+			l.send(from, start.Message{Part: &start.Part{Mark: want, N: n, Of: of, Boxes: part}})
+		}
+	}
+}
+
+func (l *liar) close() {
+	close(l.end)
+	go func() { // what is under way in the link must not wait for ever
+		for range l.told {
+		}
+	}()
+	l.link.Close()
+	l.relay.Close()
+}
--- a/standin/fleet/run.go
+++ b/standin/fleet/run.go
@@ -320,6 +320,15 @@
 		}
 		return back(one(func() error { w.list.fault(kind, amount); return nil }),
 			func() error { w.list.fault("well", 0); return nil }), nil
+	case "liar":
+		plaza, _ := strconv.Atoi(a.Words[0])
+		var l *liar
+		return back(one(func() (err error) {
+			if l, err = w.newLiar(plaza, a.Words[1]); err == nil {
+				w.liars = append(w.liars, l)
+			}
+			return err
+		}), func() error { return nil }), nil
 	case "same-address":
 		n, _ := strconv.Atoi(a.Words[0])
 		return one(func() error { w.list.stuff(n, w.order[0].address); return nil }), nil
--- a/standin/fleet/timeline.go
+++ b/standin/fleet/timeline.go
@@ -14,11 +14,11 @@
 // Panel is lines over one another.
 type Panel struct {
 	Title string
-	Lines []Line
+	Lines []Series
 }
 
-// Line is a figure for each second.
-type Line struct {
+// Series is a figure for each second.
+type Series struct {
 	Name   string
 	Values []float64
 }
@@ -35,8 +35,8 @@
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
 	seconds := int(r.Took/time.Second) + 1
-	count := func(name string, each func(add func(time.Duration))) Line {
-		l := Line{name, make([]float64, seconds)}
+	count := func(name string, each func(add func(time.Duration))) Series {
+		l := Series{name, make([]float64, seconds)}
 		each(func(at time.Duration) {
 			if i := int(at / time.Second); i >= 0 && i < seconds {
 				l.Values[i]++
@@ -44,7 +44,7 @@
 		})
 		return l
 	}
-	requests := func(name, end string) Line {
+	requests := func(name, end string) Series {
 		return count(name, func(add func(time.Duration)) {
 			for _, q := range rec.Requests {
 				if end == "" || q.End == end {
@@ -53,7 +53,7 @@
 			}
 		})
 	}
-	ready := Line{"ready", make([]float64, seconds)}
+	ready := Series{"ready", make([]float64, seconds)}
 	for i := range ready.Values {
 		at := time.Duration(i+1) * time.Second
 		for _, l := range rec.Lives {
@@ -63,19 +63,19 @@
 		}
 	}
 	return Timeline{r.World.Plan.File, []Panel{
-		{"requests a second", []Line{requests("sent", ""), requests("served", "served"), requests("refused", "refused"), requests("failed", "failed")}},
-		{"calls to the list service a second", []Line{count("calls", func(add func(time.Duration)) {
+		{"requests a second", []Series{requests("sent", ""), requests("served", "served"), requests("refused", "refused"), requests("failed", "failed")}},
+		{"calls to the list service a second", []Series{count("calls", func(add func(time.Duration)) {
 			for _, c := range rec.Calls {
 				add(c.At)
 			}
 		})}},
-		{"new connections to boxes a second", []Line{count("connections", func(add func(time.Duration)) {
+		{"new connections to boxes a second", []Series{count("connections", func(add func(time.Duration)) {
 			for _, m := range rec.Made {
 				if toBox(m.To) {
 					add(m.At)
 				}
 			}
 		})}},
-		{"doormans ready", []Line{ready}},
+		{"doormans ready", []Series{ready}},
 	}}
 }
--- a/standin/fleet/world.go
+++ b/standin/fleet/world.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -29,6 +30,7 @@
 	began    time.Time
 	seed     uint64
 	base     string // of all addresses: 127.N
+	key      string // file with the fleet's key
 	boxes    map[string]*box
 	order    []*box
 	fleet    *standin.Fleet
@@ -36,6 +38,7 @@
 	doormans []*doorman
 	spawn    *spawner
 	clients  *clients
+	liars    []*liar
 	ids      atomic.Uint64
 }
 
@@ -128,15 +131,57 @@
 		}
 		w.doormans = append(w.doormans, d)
 	}
+	if p.Peers {
+		if err := w.meet(); err != nil {
+			return err
+		}
+	}
 	w.clients = newClients(w)
 	return nil
 }
 
+// meet gives each doorman a relay by which the others reach it, and all of them one key.
+func (w *World) meet() error {
+	key := fmt.Sprintf("%016x%016x", w.seed, w.seed+1)
+	w.key = filepath.Join(w.Dir, "peers.key")
+	if err := os.WriteFile(w.key, []byte(base64.StdEncoding.EncodeToString([]byte(key))+"\n"), 0o600); err != nil {
+		return err
+	}
+	for n, d := range w.doormans {
+		var err error
+		if d.peers, err = vacant(d.ip); err != nil {
+			return err
+		}
+		if d.relay, err = w.fabric.NewRelay(d.name, fmt.Sprintf("%s.%d.%d", w.base, 51+n/200, 1+n%200), d.peers); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// seeds is how many doormans the others ask to be let in.
+const seeds = 3
+
+// peersBlock is the settings of a doorman's link to the others.
+func (w *World) peersBlock(d *doorman) string {
+	if !w.Plan.Peers {
+		return ""
+	}
+	var known []string
+	for _, o := range w.doormans[:min(seeds, len(w.doormans))] {
+		known = append(known, o.relay.Address())
+	}
+	return fmt.Sprintf("peers {\nlisten %s\nadvertise %s\nseed %s\nkey-file %s\n}\n", d.peers, d.relay.Address(), strings.Join(known, " "), w.key)
+}
+
 // Close ends all that was started.
 func (w *World) Close() {
 	if w.clients != nil {
 		w.clients.close()
 	}
+	for _, l := range w.liars {
+		l.close()
+	}
 	for _, d := range w.doormans {
 		d.close()
 	}
@@ -711,9 +756,9 @@
 	if err != nil {
 		return err
 	}
-	own += "bind " + d.ip + "\n"
+	own += "bind " + d.ip + "\n" + w.peersBlock(d)
 	for _, line := range w.Plan.Doorman {
-		own += strings.NewReplacer("@dir", d.disk, "@ip", d.ip, "@name", d.name, "@plaza", fmt.Sprintf("p%d", d.plaza)).Replace(line) + "\n"
+		own += strings.NewReplacer("@{", "{", "@}", "}", "@dir", d.disk, "@ip", d.ip, "@name", d.name, "@plaza", fmt.Sprintf("p%d", d.plaza)).Replace(line) + "\n"
 	}
 	return errors.Join(os.WriteFile(filepath.Join(d.dir, "config.json"), text, 0o600),
 		os.WriteFile(filepath.Join(d.dir, "sloequay.conf"), []byte(own), 0o600))
--- a/start/sim_test.go
+++ b/start/sim_test.go
@@ -196,6 +196,9 @@
 				ask()
 			}
 		case Use:
+			if e.Hint && len(e.Boxes) == 0 {
+				w.t.Fatalf("%v: %s takes an empty list from one peer alone", w.now, n.name)
+			}
 			for _, b := range e.Boxes {
 				if e.Hint && b.State != membership.Up {
 					w.t.Fatalf("%v: %s takes %v of %s from one peer alone", w.now, n.name, b.State, b.ID)
--- a/start/start.go
+++ b/start/start.go
@@ -241,6 +241,7 @@
 	rng      *rand.Rand
 	peers    []Peer // of the own zone, by name, without this one
 	others   map[string]bool
+	met      bool // some peer was ever in view
 	lists    []list
 	follows  bool
 	since    time.Duration // when that last changed
@@ -285,6 +286,10 @@
 // Live tells which other doormans live, in any order.
 func (m *Machine) Live(now time.Duration, peers []Peer) []Effect {
 	m.now = max(m.now, now)
+	if !m.met && len(peers) > 0 && m.cfg.Peers {
+		// Those that are to ask have just begun to; the rest is not to take them for silent at once.
+		m.met, m.alone = true, max(m.alone, m.now+Settle+WindowLeast+m.jitter())
+	}
 	m.peers, m.others = m.peers[:0], map[string]bool{}
 	for _, p := range peers {
 		if p.Name == m.cfg.Name {
@@ -680,13 +685,16 @@
 		m.do(Use{n, w.Version, w.boxes, false})
 		m.do(Note{Believed, "", n})
 	case l.held == nil && l.hinted == 0:
-		l.hinted = m.now
 		var up []membership.Box
 		for _, b := range w.boxes {
 			if b.State == membership.Up {
 				up = append(up, b)
 			}
 		}
+		if len(up) == 0 {
+			return // by such a list nobody could be served
+		}
+		l.hinted = m.now
 		m.do(Use{n, w.Version, up, true})
 		m.do(Note{Hinted, "", n})
 	}
@@ -695,7 +703,10 @@
 // stepRole decides whether this doorman asks the service.
 func (m *Machine) stepRole() {
 	want, alone := false, false
-	switch settled := m.now >= m.began+Settle; {
+	// While less than half of the fleet is in view, many would hold themselves for the chosen ones.
+	half := 2*(len(m.others)+1) >= m.cfg.Fleet
+	window := time.Duration(m.cfg.Fleet)*PerDoorman + WindowLeast
+	switch settled := m.now >= m.began+Settle && (half || m.now >= m.began+window); {
 	case !m.cfg.Peers || len(m.others) == 0:
 		alone = m.now >= m.alone
 		want = alone
@@ -796,6 +807,14 @@
 	return &content{Mark{n, version, sum(version, boxes)}, boxes}
 }
 
+// Sorted gives boxes in the order that their sum is of, each id once.
+func Sorted(boxes []membership.Box) []membership.Box { return newContent(0, 0, boxes).boxes }
+
+// MarkOf names a list that has these boxes.
+func MarkOf(n int, version uint64, boxes []membership.Box) Mark {
+	return newContent(n, version, boxes).Mark
+}
+
 // difference is the delta between two lists, which are in order.
 func difference(was, is *content) *Delta {
 	d := &Delta{Mark: is.Mark, Was: was.Sum}
