Doormans that know nothing ask others; seeds are remembered; clocks and bytes in drills

Two causes: who holds a list by peers told nobody of it, and those that start together are each other's seeds, an island beside the living until the library's gossip joins them. Also found: an epoch by the clock made a doorman unheard whose clock is set back between two lives; a list that was doubted when a doorman stopped asking counted once the doubt was lifted by another.

Change: who knows no list asks three others of any zone what they hold; followers tell also lists that they hold by peers; `remember` keeps addresses of others for the next start, and joining goes on until half of the fleet is in view; epochs are drawn by lot. Plans set clocks and bound the bytes that a doorman sends to others.

--- a/node/clock.go
+++ b/node/clock.go
@@ -3,7 +3,10 @@
 import "time"
 
 // wall is the system's Unix clock; a build with the tag clockstep puts one in its place that tests can set.
-var wall = time.Now
+var wall = func() time.Time { return time.Now().Add(ahead) }
+
+// ahead is what the Unix clock is taken to be ahead of the system's, for drills; it is set before anything runs.
+var ahead time.Duration
 
 // born is what clock counts from.
 var born = time.Now()
--- a/node/conf.go
+++ b/node/conf.go
@@ -29,6 +29,7 @@
 	Control   string              // path of the operators' socket; empty: none
 	BoxTLS    *boxTLS             // nil: boxes are spoken to by plain TCP
 	Peers     *link.Config        // nil: no other doorman is known
+	ahead     time.Duration       // of the Unix clock here, for drills
 	bind      string              // address that our own connections come from; empty: the system's choice
 	list      membership.Config
 	damping   membership.Damping
@@ -67,6 +68,7 @@
 		}
 		return nil
 	}, "address that connections to boxes, lists and other doormans come from; the system's choice without it")
+	s.Duration("clock-ahead", &o.ahead, -10*365*24*time.Hour, 10*365*24*time.Hour, "for drills: what the Unix clock here is taken to be ahead of the system's")
 	s.Block("peers", false, "doormans that know of each other", func([]string) (*conf.Section, error) {
 		o.Peers = &link.Config{}
 		return o.Peers.Section(), nil
--- a/node/herd.go
+++ b/node/herd.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"runtime/debug"
 	"time"
 
@@ -30,7 +31,7 @@
 	d := s.doorman
 	p, site := d.plan, d.plan.settings.Control
 	h := &herd{sources: s, tapped: make([]*membership.List, len(p.own.Catalogue.Services))}
-	cfg := start.Config{Name: p.settings.Name, Epoch: uint64(unixClock()), Lists: len(h.tapped), Fleet: site.Instances, Seed: p.settings.Seed}
+	cfg := start.Config{Name: p.settings.Name, Epoch: rand.Uint64(), Lists: len(h.tapped), Fleet: site.Instances, Seed: p.settings.Seed}
 	if site.Zone < len(site.ZoneNames) {
 		cfg.Zone = site.ZoneNames[site.Zone]
 	}
@@ -40,7 +41,7 @@
 			cfg.Fleet = own.Fleet
 		}
 		var err error
-		if h.link, err = link.Open(*own, link.Self{Name: cfg.Name, Zone: cfg.Zone, Program: program(), Epoch: cfg.Epoch, Bind: p.own.from()}, h); err != nil {
+		if h.link, err = link.Open(*own, link.Self{Name: cfg.Name, Zone: cfg.Zone, Program: program(), Epoch: cfg.Epoch, Fleet: cfg.Fleet, Bind: p.own.from()}, h); err != nil {
 			// What others know is a help and no need: without it the doorman asks by itself.
 			d.log.Event("peers-failed", "error", err)
 			cfg.Peers = false
@@ -153,6 +154,9 @@
 				h.link.Send(e.To, body)
 			}
 		case start.Follow:
+			if !e.On {
+				clear(h.tapped) // what was doubted then must not count once something else has put the doubt aside
+			}
 			h.sources.follow(e.On)
 		case start.Use:
 			src := d.plan.first + e.List
--- a/node/serve.go
+++ b/node/serve.go
@@ -62,6 +62,7 @@
 // Serve runs the doorman until SIGTERM has been seen through.
 func Serve(p *Plan, log *oplog.Logger) error {
 	s := p.settings
+	ahead = p.own.ahead
 	debug.SetMemoryLimit(s.Memory * 6 / 10) // the rest is for stacks, the runtime and the sockets' buffers
 	debug.SetGCPercent(300)                 // within that: eight collections a second were measured at full load
 	// The loop never parks its goroutine. With one P, dials beside it were seen only each 10 ms and took 25 to 50 ms.
--- a/peer/link/link.go
+++ b/peer/link/link.go
@@ -19,6 +19,8 @@
 	"net"
 	"net/netip"
 	"os"
+	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -35,7 +37,8 @@
 	Listen, Advertise string // host:port, TCP and UDP; the second empty: the first
 	Seeds             []string
 	KeyFile           string
-	Askers, Fleet     int // see package start
+	Remember          string // file of addresses of others; empty: none
+	Askers, Fleet     int    // see package start
 	MembersMost       int
 	keys              [][]byte
 }
@@ -55,6 +58,12 @@
 	s.Text("advertise", &c.Advertise, address, "the same as they see it, where it differs")
 	s.Words("seed", &c.Seeds, address, "addresses of some doormans; a few that start first will do")
 	s.Text("key-file", &c.KeyFile, nil, "file with the fleet's keys, 16, 24 or 32 bytes in base64, a line each; the first encrypts")
+	s.Text("remember", &c.Remember, func(path string) error {
+		if info, err := os.Stat(filepath.Dir(path)); err != nil || !info.IsDir() {
+			return fmt.Errorf("%.120s is in no folder", path)
+		}
+		return nil
+	}, "file, on a disk that lasts, of some addresses of others: seeds of the next start")
 	s.Int("askers", &c.Askers, 1, 100, "doormans of a zone that ask the list service")
 	s.Int("fleet", &c.Fleet, 0, 100_000, "doormans that there are, for the time over which they ask where no peer is heard; 0: as the platform's settings tell")
 	s.Int("most", &c.MembersMost, 1, 100_000, "other doormans that are remembered")
@@ -111,6 +120,9 @@
 	joinLimit    = 2 * time.Second
 	joinFirst    = 100 * time.Millisecond
 	joinMost     = 2 * time.Second
+	joinFor      = 10 * time.Second // after the start, in which seeds are asked until half of the fleet is in view
+	rememberMost = 32               // addresses
+	rememberGap  = 2 * time.Second  // between two writings
 	rejoinEvery  = 15 * time.Second // of a seed that is not in view: two halves that lost each other meet again
 )
 
@@ -118,6 +130,7 @@
 type Self struct {
 	Name, Zone, Program string
 	Epoch               uint64
+	Fleet               int          // doormans that there are, as told
 	Bind                *net.TCPAddr // that connections come from; nil: the listen address
 }
 
@@ -140,6 +153,7 @@
 	in      chan []byte
 	ctx     context.Context
 	end     context.CancelFunc
+	seeds   []string // of the settings, and those remembered
 
 	mu      sync.Mutex
 	view    *peer.View
@@ -211,6 +225,7 @@
 	if len(l.meta) > metaMost {
 		return nil, fmt.Errorf("peers: what is told of this doorman has %d bytes, at most %d may be", len(l.meta), metaMost)
 	}
+	l.seeds = append(slices.Clone(cfg.Seeds), remembered(cfg.Remember)...)
 	l.ctx, l.end = context.WithCancel(context.Background())
 	at := netip.MustParseAddrPort(cfg.Listen)
 	seen := at
@@ -266,33 +281,29 @@
 	return t.DialTimeout(a.Addr, timeout)
 }
 
-// join asks seeds until somebody is in view, and later now and then one that is not.
+// join asks seeds to be let in. One is not enough at first: those that start together after a power cut are each other's seeds, and
+// would be an island beside those that lived on. Later it asks, now and then, one that is not in view.
 func (l *Link) join() {
-	wait := joinFirst
-	for {
+	began, wait := time.Now(), joinFirst
+	for len(l.seeds) > 0 {
 		var missing []string
 		there := map[string]bool{}
 		for _, n := range l.list.Members() {
 			there[n.Address()] = true
 		}
-		for _, s := range l.cfg.Seeds {
-			if !there[s] && s != l.cfg.Advertise && s != l.cfg.Listen {
+		early := time.Since(began) < joinFor && 2*l.list.NumMembers() < l.self.Fleet
+		for _, s := range l.seeds {
+			if (early || !there[s]) && s != l.cfg.Advertise && s != l.cfg.Listen {
 				missing = append(missing, s)
 			}
 		}
-		alone := l.list.NumMembers() <= 1
 		if len(missing) > 0 {
-			if n, _ := l.list.Join([]string{missing[mathrand.IntN(len(missing))]}); n > 0 {
-				alone = false
-			}
+			_, _ = l.list.Join([]string{missing[mathrand.IntN(len(missing))]}) // the next one may answer
 		}
-		if wait = min(joinMost, 2*wait); !alone {
+		if wait = min(joinMost, 2*wait); !early && l.list.NumMembers() > 1 {
 			wait = rejoinEvery
 		}
-		if len(l.cfg.Seeds) == 0 {
-			return
-		}
-		// Full jitter: those that start together do not ask the seeds together again.
+		// Jitter: those that start together do not ask the seeds together again.
 		select {
 		case <-time.After(wait/4 + time.Duration(mathrand.Int64N(int64(wait)))):
 		case <-l.ctx.Done():
@@ -301,6 +312,43 @@
 	}
 }
 
+// remembered reads the addresses of an earlier life; what can't be used is passed over.
+func remembered(path string) (out []string) {
+	if path == "" {
+		return nil
+	}
+	text, _ := os.ReadFile(path)
+	for _, word := range strings.Fields(string(text)) {
+		if address(word) == nil && len(out) < rememberMost {
+			out = append(out, word)
+		}
+	}
+	return out
+}
+
+// remember writes addresses of others, the newest view's, drawn by lot so that not all doormans come to the same ones.
+func (l *Link) remember() {
+	var all []string
+	for _, n := range l.list.Members() {
+		if n.Name != l.self.Name {
+			all = append(all, n.Address())
+		}
+	}
+	if len(all) == 0 {
+		return
+	}
+	mathrand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	text := strings.Join(all[:min(len(all), rememberMost)], "\n") + "\n"
+	next := l.cfg.Remember + ".new"
+	err := os.WriteFile(next, []byte(text), 0o600)
+	if err == nil {
+		err = os.Rename(next, l.cfg.Remember)
+	}
+	if err != nil {
+		l.told.Log("peers-failed", "error", err)
+	}
+}
+
 // Send sends a message to a member, or drops it where it can't be sent soon. It does not wait.
 func (l *Link) Send(to string, body []byte) {
 	select {
@@ -390,6 +438,7 @@
 
 // tell tells who lives, a moment after it changed, so that a herd's joining is told in one.
 func (l *Link) tell() {
+	var written time.Time
 	for {
 		select {
 		case <-l.changed:
@@ -401,6 +450,10 @@
 		members := l.view.Members()
 		l.mu.Unlock()
 		l.told.Live(members)
+		if l.cfg.Remember != "" && time.Since(written) > rememberGap {
+			written = time.Now()
+			l.remember()
+		}
 	}
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -2,9 +2,10 @@
 // with which key it signs, and whether the word was heard before. It does no I/O and asks no clock; peer/link tells it what a
 // library for membership finds, and asks it about each message.
 //
-// A member is a name with an epoch, which is another one with each start, and the public key of that life. A key is pinned to a
-// name for as long as that life is in the view: another key under the same epoch, or an older epoch, is a conflict and changes
-// nothing. A later epoch takes the place of an earlier one, as a restart does.
+// A member is a name with an epoch, which is another one by lot with each start, and the public key of that life. A key is pinned
+// to a name for as long as that life is in the view: another key under the same epoch is a conflict and changes nothing. Another
+// epoch takes the place of the one before, as a restart does: which is the later one the library knows, by incarnations of its own,
+// and no clock is asked, since one may be set back between two lives.
 //
 // Words are numbered; one that was heard before, or is far behind, is not heard again (the window of RFC 4303, section 3.4.3).
 //
@@ -30,7 +31,7 @@
 const (
 	Known     Verdict = iota // nothing is new
 	Joined                   // it was not there
-	Restarted                // a later life of one that was
+	Restarted                // another life of one that was
 	Conflict                 // it contradicts what is pinned, and changes nothing
 	Full                     // there is no place for it
 )
@@ -73,7 +74,7 @@
 	case s == nil:
 		v.members[m.Name] = &state{Member: m}
 		return Joined
-	case m.Epoch < s.Epoch, m.Epoch == s.Epoch && m.Key != s.Key:
+	case m.Epoch == s.Epoch && m.Key != s.Key:
 		return Conflict
 	case m.Epoch == s.Epoch:
 		s.Zone, s.Program = m.Zone, m.Program
@@ -83,10 +84,10 @@
 	return Restarted
 }
 
-// Part takes a word that a life of a member is gone, and says whether it was there. An older life's end says nothing of a later one.
+// Part takes a word that a life of a member is gone, and says whether it was there. One life's end says nothing of another.
 func (v *View) Part(name string, epoch uint64) bool {
 	s := v.members[name]
-	if s == nil || epoch < s.Epoch {
+	if s == nil || epoch != s.Epoch {
 		return false
 	}
 	delete(v.members, name)
--- a/standin/fleet/audit.go
+++ b/standin/fleet/audit.go
@@ -190,6 +190,23 @@
 			f.add("%d", n)
 		}
 		return f.verdict(h, fmt.Sprint(n))
+	case "peer-bytes":
+		most, which := 0.0, ""
+		for from, list := range r.Sent {
+			sum, seconds := 0, 0
+			for second, n := range list {
+				if h.in(time.Duration(second) * time.Second) {
+					sum, seconds = sum+n, seconds+1
+				}
+			}
+			if mean := float64(sum) / float64(max(1, seconds)); mean > most {
+				most, which = mean, from
+			}
+		}
+		if want, _ := bound(h); most > want || most == 0 {
+			f.add("%.0f by %s", most, which)
+		}
+		return f.verdict(h, fmt.Sprintf("%.0f by %s", most, which))
 	case "box-connections":
 		by := map[string][]time.Duration{}
 		for _, m := range r.Made {
--- a/standin/fleet/audit_test.go
+++ b/standin/fleet/audit_test.go
@@ -21,6 +21,7 @@
 	r.Calls = []Call{{At: sec}, {At: sec + 1}, {At: 3 * sec}}
 	r.Made = []Made{{At: sec, From: "d000", To: "box:c1"}, {At: sec, From: "d001", To: "box:c2"}, {At: sec, From: "d001", To: "list"}}
 	r.Drains = []Word{{At: 4 * sec, Box: "c1"}}
+	r.Sent = map[string][]int{"d000": {10, 30}, "d001": {5, 5}}
 	return r
 }
 
@@ -66,6 +67,8 @@
 		{"alive", "one ended by itself", func(r *Record) { r.Lives[1].Ours = false }},
 		{"list-calls 3", "one more", func(r *Record) { r.Calls = append(r.Calls, Call{At: 9 * sec}) }},
 		{"list-peak 2", "one more in that second", func(r *Record) { r.Calls = append(r.Calls, Call{At: 2*sec - 1}) }},
+		{"peer-bytes 20", "one sends more", func(r *Record) { r.Sent["d001"][1] = 100 }},
+		{"peer-bytes 20", "nothing was sent", func(r *Record) { r.Sent = nil }},
 		{"box-connections 1", "one more to a box", func(r *Record) { r.Made = append(r.Made, Made{At: sec, To: "box:c1"}) }},
 	} {
 		h, err := parseHold(strings.Fields(c.hold))
--- a/standin/fleet/link.go
+++ b/standin/fleet/link.go
@@ -48,8 +48,9 @@
 	memo  map[[2]string]Link // dropped when a rule comes or goes
 	conns map[*linked]bool
 	rng   *rand.Rand
-	made  func(from, to string) // a connection was made
-	began time.Time             // of the drill
+	made  func(from, to string)    // a connection was made
+	sent  func(from string, n int) // bytes of a doorman to others; nil: nobody counts
+	began time.Time                // of the drill
 }
 
 // NewFabric makes one without ends. made is told of each connection.
@@ -125,6 +126,13 @@
 	return l
 }
 
+// passed counts what a doorman sends to others.
+func (f *Fabric) passed(from string, n int) {
+	if f.sent != nil {
+		f.sent(from, n)
+	}
+}
+
 // chance draws by lot.
 func (f *Fabric) chance(p float64) bool {
 	if p <= 0 {
--- a/standin/fleet/plan.go
+++ b/standin/fleet/plan.go
@@ -75,6 +75,7 @@
 	"term":         {1, 1, "WHO: SIGTERM"},
 	"stop":         {1, 1, "WHO: SIGSTOP; SIGCONT when it is over"},
 	"hup":          {1, 1, "WHO: SIGHUP"},
+	"clock":        {2, 2, "WHO TIME: what its Unix clock is ahead, from its next start on"},
 	"roll":         {2, 3, "WHO GAP [TIMES]: kill and start again each in turn"},
 	"keep-disk":    {1, 1, "WHO: remember the disk, for old-disk"},
 	"cut":          {2, 3, "WHO WHO [one-way]"},
@@ -108,6 +109,7 @@
 	"alive":           {0, 0, "no doorman ended by itself"},
 	"list-calls":      {1, 1, "N calls to the list service at most"},
 	"list-peak":       {1, 1, "N calls to the list service in any second at most"},
+	"peer-bytes":      {1, 1, "N bytes a second that any one doorman sends to others, at most, as the mean of the time"},
 	"box-connections": {1, 1, "N new connections to any one box in any second at most"},
 }
 
@@ -222,6 +224,10 @@
 		if len(a.Words) > 1 && !strings.Contains(" with-disk without-disk old-disk ", " "+a.Words[1]+" ") {
 			return a, fmt.Errorf("start takes %s", known.help)
 		}
+	case "clock":
+		if _, err := time.ParseDuration(a.Words[1]); err != nil {
+			return a, fmt.Errorf("expected a time, got %.40q", a.Words[1])
+		}
 	case "roll":
 		if gap, err := time.ParseDuration(a.Words[1]); err != nil || gap <= 0 {
 			return a, fmt.Errorf("expected a time, got %.40q", a.Words[1])
--- a/standin/fleet/process.go
+++ b/standin/fleet/process.go
@@ -45,8 +45,9 @@
 	name, ip, listen string
 	plaza            int // its zone, from 1
 	dir, disk        string
-	peers            string // where it listens for other doormans
-	relay            *Relay // by which they reach it; nil: no peers
+	ahead            time.Duration // of its Unix clock, at its next start
+	peers            string        // where it listens for other doormans
+	relay            *Relay        // by which they reach it; nil: no peers
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd // nil: none runs
--- a/standin/fleet/record.go
+++ b/standin/fleet/record.go
@@ -17,9 +17,10 @@
 	Drains   []Word  // told by the list
 	Back     []Word  // drained boxes that are up again
 	Changes  []time.Duration
-	Upset    []Span         // times in which the clients' own way to a doorman was disturbed
-	Strays   int            // answers to nothing
-	Posted   map[string]int // charges by key, repeats within the window dropped
+	Upset    []Span           // times in which the clients' own way to a doorman was disturbed
+	Strays   int              // answers to nothing
+	Sent     map[string][]int // bytes that a doorman sent to others, by second
+	Posted   map[string]int   // charges by key, repeats within the window dropped
 	last     map[string]time.Time
 }
 
@@ -88,6 +89,18 @@
 // has says whether two times overlap.
 func (s Span) has(from, to time.Duration) bool { return s.From <= to && (s.To == 0 || from <= s.To) }
 
+// sent counts bytes of a doorman to others.
+func (r *Record) sent(at time.Duration, from string, n int) {
+	r.add(func() {
+		list := r.Sent[from]
+		for len(list) <= int(at/time.Second) {
+			list = append(list, 0)
+		}
+		list[at/time.Second] += n
+		r.Sent[from] = list
+	})
+}
+
 func (r *Record) add(do func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/standin/fleet/relay.go
+++ b/standin/fleet/relay.go
@@ -76,21 +76,22 @@
 			}
 			var both sync.WaitGroup
 			both.Add(2)
-			go func() { defer both.Done(); pump(far, near) }()
-			go func() { defer both.Done(); pump(near, far) }()
+			go func() { defer both.Done(); r.pump(far, near, near.(*linked).Source()) }()
+			go func() { defer both.Done(); r.pump(near, far, r.end) }()
 			both.Wait()
 		}()
 	}
 }
 
-// pump copies until either side ends, and ends both.
-func pump(to, from net.Conn) {
+// pump copies what an end sends until either side ends, and ends both.
+func (r *Relay) pump(to, from net.Conn, sender string) {
 	defer to.Close()
 	defer from.Close()
 	buffer := make([]byte, pieceMost)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
+			r.fabric.passed(sender, n)
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
@@ -108,7 +109,9 @@
 		if err != nil {
 			return
 		}
-		l := r.fabric.link(r.fabric.who(from), r.end)
+		sender := r.fabric.who(from)
+		r.fabric.passed(sender, n)
+		l := r.fabric.link(sender, r.end)
 		if l.Cut || l.Refuse || r.fabric.chance(l.Loss) {
 			continue
 		}
--- a/standin/fleet/run.go
+++ b/standin/fleet/run.go
@@ -220,7 +220,7 @@
 		}
 	}
 	switch a.Do {
-	case "start", "kill", "term", "stop", "hup", "keep-disk", "roll":
+	case "start", "kill", "term", "stop", "hup", "keep-disk", "roll", "clock":
 		list, err := w.places(a.Words[0])
 		if err != nil {
 			return nil, err
@@ -270,6 +270,9 @@
 				}
 				return nil
 			}), nil
+		case "clock":
+			by, _ := time.ParseDuration(a.Words[1])
+			return one(each(list, func(d *doorman) error { d.ahead = by; return nil })), nil
 		case "kill":
 			return one(each(list, func(d *doorman) error { d.signal(syscall.SIGKILL, true); return nil })), nil
 		case "term":
--- a/start/sim_test.go
+++ b/start/sim_test.go
@@ -551,6 +551,26 @@
 			w.change(func() { w.truth[0].State = membership.Draining })
 			w.run(w.now + 3*time.Second)
 		}},
+		{"a whole zone starts anew while the service is dead", func(w *world) {
+			for i, n := range w.nodes {
+				n.zone = fmt.Sprint("z", i%2)
+			}
+			w.startAll()
+			w.run(5 * time.Second)
+			w.up = false
+			for _, n := range w.nodes {
+				if n.zone == "z0" {
+					w.kill(n)
+				}
+			}
+			w.run(7 * time.Second)
+			for _, n := range w.nodes {
+				if !n.alive {
+					w.start(n)
+				}
+			}
+			w.run(9 * time.Second)
+		}},
 		{"a stranger tells lists", func(w *world) {
 			w.startAll()
 			w.run(5 * time.Second)
--- a/start/start.go
+++ b/start/start.go
@@ -79,6 +79,8 @@
 	ServeEvery  = 100 * time.Millisecond
 	ServeMost   = 8   // whole lists that are served in that time
 	PartBoxes   = 100 // of a part
+	Inquired    = 3   // doormans that are asked at once what they hold, by one that knows nothing
+	RepliesMost = 32  // answers to that in ServeEvery
 )
 
 // Peer is another doorman that lives.
@@ -234,26 +236,30 @@
 
 // Machine is the state of one doorman.
 type Machine struct {
-	cfg      Config
-	now      time.Duration
-	began    time.Duration
-	alone    time.Duration // when it asks by itself if no peer is heard
-	rng      *rand.Rand
-	peers    []Peer // of the own zone, by name, without this one
-	others   map[string]bool
-	met      bool // some peer was ever in view
-	lists    []list
-	follows  bool
-	since    time.Duration // when that last changed
-	should   time.Duration // when it was last right to follow
-	look     time.Duration // until when a look by ourselves goes on
-	looked   time.Duration // when the last one began
-	beat     time.Duration // when the next digest is due
-	distrust map[string]time.Duration
-	served   map[uint64][]string // who was served a whole list of late, by sum
-	serves   int
-	servesAt time.Duration
-	out      []Effect
+	cfg       Config
+	now       time.Duration
+	began     time.Duration
+	alone     time.Duration // when it asks by itself if no peer is heard
+	rng       *rand.Rand
+	peers     []Peer // of the own zone, by name, without this one
+	others    map[string]bool
+	all       []string // the same by name, of all zones
+	met       bool     // some peer was ever in view
+	lists     []list
+	follows   bool
+	since     time.Duration // when that last changed
+	should    time.Duration // when it was last right to follow
+	look      time.Duration // until when a look by ourselves goes on
+	looked    time.Duration // when the last one began
+	beat      time.Duration // when the next digest is due
+	distrust  map[string]time.Duration
+	served    map[uint64][]string // who was served a whole list of late, by sum
+	inquiry   time.Duration       // when others are next asked what they hold
+	replies   int
+	repliesAt time.Duration
+	serves    int
+	servesAt  time.Duration
+	out       []Effect
 }
 
 // New makes a machine at a time.
@@ -263,6 +269,7 @@
 		lists: make([]list, cfg.Lists), distrust: map[string]time.Duration{}, served: map[uint64][]string{}}
 	m.alone, m.looked = now+m.jitter(), now-ConfirmMost
 	m.beat = now + time.Duration(m.rng.Int64N(int64(Beat)))
+	m.inquiry = now + Settle
 	return m
 }
 
@@ -290,16 +297,18 @@
 		// Those that are to ask have just begun to; the rest is not to take them for silent at once.
 		m.met, m.alone = true, max(m.alone, m.now+Settle+WindowLeast+m.jitter())
 	}
-	m.peers, m.others = m.peers[:0], map[string]bool{}
+	m.peers, m.all, m.others = m.peers[:0], m.all[:0], map[string]bool{}
 	for _, p := range peers {
 		if p.Name == m.cfg.Name {
 			continue
 		}
 		m.others[p.Name] = true
+		m.all = append(m.all, p.Name)
 		if p.Zone == m.cfg.Zone {
 			m.peers = append(m.peers, p)
 		}
 	}
+	slices.Sort(m.all)
 	slices.SortFunc(m.peers, func(a, b Peer) int { return cmp.Compare(a.Name, b.Name) })
 	for i := range m.lists {
 		l := &m.lists[i]
@@ -385,8 +394,15 @@
 	}
 	switch {
 	case msg.Digest != nil:
+		wants := false
 		for _, c := range msg.Digest {
 			m.claimed(msg.From, c)
+			if l := m.list(c.List); l != nil && c.Sum == 0 && l.held != nil {
+				wants = true
+			}
+		}
+		if wants && m.reply() {
+			m.send(msg.From, Message{Digest: m.digest()})
 		}
 	case msg.Want != nil:
 		m.wanted(msg.From, msg.Want)
@@ -453,6 +469,27 @@
 	m.do(Send{to, msg})
 }
 
+// reply says whether one more digest may be sent to who knows nothing yet.
+func (m *Machine) reply() bool {
+	if m.now-m.repliesAt >= ServeEvery {
+		m.replies, m.repliesAt = 0, m.now
+	}
+	m.replies++
+	return m.replies <= RepliesMost
+}
+
+// inquire asks a few others, of any zone, what they hold, while this doorman knows nothing of some list: the service may be dead,
+// and all of the zone may have started with it.
+func (m *Machine) inquire() {
+	if !m.cfg.Peers || len(m.all) == 0 || m.now < m.inquiry || !slices.ContainsFunc(m.lists, func(l list) bool { return l.held == nil }) {
+		return
+	}
+	m.inquiry = m.now + Beat/2
+	for _, i := range m.rng.Perm(len(m.all))[:min(Inquired, len(m.all))] {
+		m.send(m.all[i], Message{Digest: m.digest()})
+	}
+}
+
 // wanted serves the content of a list, as a delta where the one that the peer has is known here.
 func (m *Machine) wanted(peer string, w *Want) {
 	l := m.list(w.List)
@@ -621,6 +658,7 @@
 		m.stepList(i, &m.lists[i])
 	}
 	m.stepRole()
+	m.inquire()
 	if m.follows && m.cfg.Peers && m.now >= m.beat {
 		m.beat = m.now + m.beatEvery()
 		m.tell()
@@ -635,9 +673,6 @@
 // tell sends the digest to all of the zone.
 func (m *Machine) tell() {
 	digest := m.digest()
-	if len(digest) == 0 {
-		return
-	}
 	for _, p := range m.peers {
 		m.send(p.Name, Message{Digest: digest})
 	}
@@ -647,11 +682,15 @@
 	var out []Claim
 	for i := range m.lists {
 		l := &m.lists[i]
-		switch {
-		case l.held == nil:
+		switch at, _ := m.heard(l); {
+		case !m.follows && l.held != nil:
+			out = append(out, Claim{l.held.Mark, -1})
+		case l.held != nil:
+			out = append(out, Claim{l.held.Mark, m.now - at})
+		case m.follows:
 			out = append(out, Claim{Mark{List: i}, m.now - m.began}) // so that the others know that it is asked for
-		case l.own:
-			out = append(out, Claim{l.held.Mark, m.now - l.told})
+		default:
+			out = append(out, Claim{Mark{List: i}, -1})
 		}
 	}
 	return out
