--- a/node/herd.go
+++ b/node/herd.go
@@ -137,13 +137,18 @@
 			h.carry(h.machine.Told(now, n, list.Version, list.Boxes))
 		}
 	}
-	if now-h.stepped >= stepEvery || now >= h.machine.Next() {
+	if now-h.stepped >= stepEvery {
 		h.stepped = now
 		h.carry(h.machine.Step(now))
+		if h.link != nil {
+			if body, err := link.Encode(start.Message{Digest: h.machine.Digest()}); err == nil {
+				h.link.SetState(body)
+			}
+		}
 	}
 }
 
-const stepEvery = 50 * time.Millisecond
+const stepEvery = 100 * time.Millisecond
 
 func (h *herd) carry(effects []start.Effect) {
 	d := h.sources.doorman
--- a/peer/link/link.go
+++ b/peer/link/link.go
@@ -118,6 +118,7 @@
 	inMost       = 1024      // messages that wait to be read
 	metaMost     = 512
 	joinLimit    = 2 * time.Second
+	joinSpread   = 3 * time.Millisecond // for each of the fleet, over which they ask to be let in
 	joinFirst    = 100 * time.Millisecond
 	joinMost     = 2 * time.Second
 	joinFor      = 10 * time.Second // after the start, in which seeds are asked until half of the fleet is in view
@@ -150,7 +151,7 @@
 	private ed25519.PrivateKey
 	meta    []byte
 	out     chan outgoing
-	in      chan []byte
+	in      chan incoming
 	ctx     context.Context
 	end     context.CancelFunc
 	seeds   []string // of the settings, and those remembered
@@ -159,6 +160,7 @@
 	view    *peer.View
 	nodes   map[string]*memberlist.Node
 	number  uint64
+	state   []byte // the message that goes along with an exchange; nil: none
 	changed chan struct{}
 	Sent    Count // by this doorman
 }
@@ -166,6 +168,12 @@
 // Count is messages and bytes, and what was dropped for want of room or not heard.
 type Count struct{ Messages, Bytes, Dropped, Unheard uint64 }
 
+// incoming is a message as it came: as itself, or with an exchange of all that two members know.
+type incoming struct {
+	packet    []byte
+	exchanged bool
+}
+
 type outgoing struct {
 	to   string
 	body []byte
@@ -218,7 +226,7 @@
 		return nil, err
 	}
 	l := &Link{cfg: cfg, self: self, told: told, private: private, view: peer.NewView(self.Name, cfg.MembersMost),
-		nodes: map[string]*memberlist.Node{}, out: make(chan outgoing, outMost), in: make(chan []byte, inMost), changed: make(chan struct{}, 1)}
+		nodes: map[string]*memberlist.Node{}, out: make(chan outgoing, outMost), in: make(chan incoming, inMost), changed: make(chan struct{}, 1)}
 	if l.meta, err = Encode(meta{self.Zone, self.Program, self.Epoch, public}); err != nil {
 		return nil, err
 	}
@@ -237,8 +245,13 @@
 	c.AdvertiseAddr, c.AdvertisePort = seen.Addr().String(), int(seen.Port())
 	c.Delegate, c.Events = delegate{l}, delegate{l}
 	c.LogOutput, c.Logger = nil, log.New(io.Discard, "", 0)
-	c.ProbeInterval, c.ProbeTimeout, c.TCPTimeout = 500*time.Millisecond, 200*time.Millisecond, joinLimit
-	c.PushPullInterval = 20 * time.Second
+	// The library's own times for a LAN. With probes twice as often and 200 ms for an answer, 300 that started on a machine which had
+	// no time for all of them held each other for dead, and the gossip about that took the rest. A second probe by a connection
+	// made it worse: where datagrams do not arrive there is no gossip either.
+	c.TCPTimeout, c.DisableTcpPings = joinLimit, true
+	// A fleet that starts has each of its N members tell each of the N that it lives: that is told half as often as the library would,
+	// since what is missed then comes with the next exchange of all.
+	c.RetransmitMult = 2
 	c.DeadNodeReclaimTime = time.Second // a doorman that is started anew may have another address
 	c.EnableCompression = false
 	c.Keyring, err = memberlist.NewKeyring(cfg.keys, cfg.keys[0])
@@ -285,6 +298,12 @@
 // would be an island beside those that lived on. Later it asks, now and then, one that is not in view.
 func (l *Link) join() {
 	began, wait := time.Now(), joinFirst
+	// A seed takes in one after another, each with all that it knows of the others.
+	select {
+	case <-time.After(time.Duration(mathrand.Int64N(int64(max(1, l.self.Fleet)) * int64(joinSpread)))):
+	case <-l.ctx.Done():
+		return
+	}
 	for len(l.seeds) > 0 {
 		var missing []string
 		there := map[string]bool{}
@@ -409,9 +428,13 @@
 func (l *Link) read() {
 	for {
 		select {
-		case packet := <-l.in:
+		case m := <-l.in:
 			var e envelope
-			if Decode(packet, &e) != nil || e.To != l.self.Name || !l.accept(&e) {
+			to := l.self.Name
+			if m.exchanged {
+				to = ""
+			}
+			if Decode(m.packet, &e) != nil || e.To != to || !l.accept(&e) {
 				l.mu.Lock()
 				l.Sent.Unheard++
 				l.mu.Unlock()
@@ -466,6 +489,13 @@
 	_ = l.list.Shutdown()
 }
 
+// SetState sets the message that goes along where two members exchange all that they know.
+func (l *Link) SetState(body []byte) {
+	l.mu.Lock()
+	l.state = body
+	l.mu.Unlock()
+}
+
 // Stand is how the link stands, for operators.
 func (l *Link) Stand() (members []peer.Member, sent Count) {
 	l.mu.Lock()
@@ -482,7 +512,7 @@
 // NotifyMsg takes a message; it must not wait.
 func (d delegate) NotifyMsg(b []byte) {
 	select {
-	case d.in <- append([]byte(nil), b...):
+	case d.in <- incoming{append([]byte(nil), b...), false}:
 	default:
 		d.mu.Lock()
 		d.Sent.Dropped++
@@ -493,11 +523,31 @@
 // GetBroadcasts has none.
 func (d delegate) GetBroadcasts(int, int) [][]byte { return nil }
 
-// LocalState has none.
-func (d delegate) LocalState(bool) []byte { return nil }
+// LocalState goes along where two members exchange all that they know, as on joining: what this doorman tells of itself.
+func (d delegate) LocalState(bool) []byte {
+	d.mu.Lock()
+	body := d.state
+	d.number++
+	e := envelope{From: d.self.Name, Epoch: d.self.Epoch, Number: d.number, Body: body}
+	d.mu.Unlock()
+	if body == nil {
+		return nil
+	}
+	e.Sig = ed25519.Sign(d.private, e.signed())
+	packet, _ := Encode(e)
+	return packet
+}
 
-// MergeRemoteState takes none.
-func (d delegate) MergeRemoteState([]byte, bool) {}
+// MergeRemoteState takes what another has told so; its key came with the same exchange.
+func (d delegate) MergeRemoteState(b []byte, _ bool) {
+	if len(b) == 0 {
+		return
+	}
+	select {
+	case d.in <- incoming{append([]byte(nil), b...), true}:
+	default:
+	}
+}
 
 // NotifyJoin meets a member.
 func (d delegate) NotifyJoin(n *memberlist.Node) { d.meet(n) }
--- a/start/start.go
+++ b/start/start.go
@@ -678,6 +678,9 @@
 	}
 }
 
+// Digest is what this doorman tells of its lists.
+func (m *Machine) Digest() []Claim { return m.digest() }
+
 func (m *Machine) digest() []Claim {
 	var out []Claim
 	for i := range m.lists {
