--- a/node/serve.go
+++ b/node/serve.go
@@ -164,7 +164,8 @@
 	for i := range d.plan.own.Catalogue.Services {
 		d.known = d.known && d.plan.members.Sources()[d.plan.first+i].Heard > 0
 	}
-	d.known = d.known && (d.list.restored || d.list.herd.machine.Known())
+	// Where peers tell lists, one that a single one of them tells is not known at once.
+	d.known = d.known && (d.list.restored || d.list.herd.link == nil || d.list.herd.machine.Known())
 	window := time.Duration(d.plan.settings.Control.Instances) * start.PerDoorman // in which doormans ask one after another
 	d.known = d.known || clock()-time.Duration(born.UnixNano()) > knowWithin+window
 	return d.known
--- a/peer/link/link.go
+++ b/peer/link/link.go
@@ -396,7 +396,7 @@
 		if node == nil {
 			continue
 		}
-		e.Sig = ed25519.Sign(l.private, e.signed())
+		e.Sig = l.sign(&e)
 		packet, err := Encode(e)
 		if err != nil || len(packet) > messageMost {
 			l.told.Log("peers-failed", "error", fmt.Sprintf("a message of %d bytes: %v", len(packet), err))
@@ -418,6 +418,9 @@
 	}
 }
 
+// sign gives this life's signature of a message.
+func (l *Link) sign(e *envelope) []byte { return ed25519.Sign(l.private, e.signed()) }
+
 // signed is what the signature is of.
 func (e *envelope) signed() []byte {
 	b, _ := Encode(envelope{From: e.From, Epoch: e.Epoch, Number: e.Number, To: e.To, Body: e.Body})
@@ -533,7 +536,7 @@
 	if body == nil {
 		return nil
 	}
-	e.Sig = ed25519.Sign(d.private, e.signed())
+	e.Sig = d.sign(&e)
 	packet, _ := Encode(e)
 	return packet
 }
--- a/standin/fleet/chart/chart.go
+++ b/standin/fleet/chart/chart.go
@@ -27,6 +27,9 @@
 	for i, panel := range t.Panels {
 		p := plot.New()
 		p.Title.Text, p.X.Label.Text, p.Y.Min, p.Legend.Top = panel.Title, "s", 0, true
+		if n := len(panel.Lines[0].Values); n > 0 {
+			p.X.Max = float64(n) * 1.15 // room for the names of the lines
+		}
 		for k, l := range panel.Lines {
 			points := make(plotter.XYs, len(l.Values))
 			for x, y := range l.Values {
--- a/standin/fleet/timeline.go
+++ b/standin/fleet/timeline.go
@@ -34,7 +34,7 @@
 	rec := r.World.Record
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	seconds := int(r.Took/time.Second) + 1
+	seconds := max(1, int(r.World.Plan.Lasts/time.Second)) // whole ones: a part of one would look like a fall
 	count := func(name string, each func(add func(time.Duration))) Series {
 		l := Series{name, make([]float64, seconds)}
 		each(func(at time.Duration) {
