--- a/standin/fleet/record.go
+++ b/standin/fleet/record.go
@@ -10,12 +10,13 @@
 	mu       sync.Mutex
 	Requests []*Request
 	Attempts []*Attempt
-	Calls    []Call  // to the list service
-	Made     []Made  // connections
-	Lives    []*Life // of doormans
-	Falls    []Word  // boxes that fell over
-	Drains   []Word  // told by the list
-	Back     []Word  // drained boxes that are up again
+	out      map[string]*Attempt // the last one of a request at a box
+	Calls    []Call              // to the list service
+	Made     []Made              // connections
+	Lives    []*Life             // of doormans
+	Falls    []Word              // boxes that fell over
+	Drains   []Word              // told by the list
+	Back     []Word              // drained boxes that are up again
 	Changes  []time.Duration
 	Upset    []Span           // times in which the clients' own way to a doorman was disturbed
 	Strays   int              // answers to nothing
--- a/standin/fleet/world.go
+++ b/standin/fleet/world.go
@@ -56,7 +56,7 @@
 
 // New builds a world. Nothing runs in it but the stand-ins.
 func New(p *Plan, program, dir string, seed uint64) (*World, error) {
-	w := &World{Plan: p, Dir: dir, Program: program, seed: seed, Record: &Record{Posted: map[string]int{}, last: map[string]time.Time{}, Sent: map[string][]int{}}, boxes: map[string]*box{}}
+	w := &World{Plan: p, Dir: dir, Program: program, seed: seed, Record: &Record{Posted: map[string]int{}, last: map[string]time.Time{}, Sent: map[string][]int{}, out: map[string]*Attempt{}}, boxes: map[string]*box{}}
 	w.base = fmt.Sprintf("127.%d", 80+(os.Getpid()*13+int(worlds.Add(1))*29)%150)
 	w.began = time.Now()
 	w.fabric = NewFabric(seed, func(from, to string) {
@@ -309,7 +309,10 @@
 	if conn != nil {
 		seen.From = conn.Source()
 	}
-	w.Record.add(func() { w.Record.Attempts = append(w.Record.Attempts, seen) })
+	w.Record.add(func() {
+		w.Record.Attempts = append(w.Record.Attempts, seen)
+		w.Record.out[a.ID+" "+a.Box] = seen
+	})
 	answer := func(word, fields string, ran bool) {
 		at := w.now()
 		w.Record.add(func() { seen.Ended, seen.Ran = at, ran })
@@ -415,11 +418,8 @@
 	}
 	at := w.now()
 	w.Record.add(func() {
-		for i := len(w.Record.Attempts) - 1; i >= 0 && i >= len(w.Record.Attempts)-5000; i-- {
-			if t := w.Record.Attempts[i]; t.ID == a.ID && t.Box == a.Box {
-				t.Quit = at
-				return
-			}
+		if t := w.Record.out[a.ID+" "+a.Box]; t != nil {
+			t.Quit = at
 		}
 	})
 }
