Let a doorman join three seeds early at most, as each costs the seed all it knows

Need: a seed of 300 sent up to 322 KB a second while they started; who joined asked again and again until half of the told fleet was in view, which at a start takes seconds.

Ruled out: digests (16.7 KB a second at 100) and the lists' content.

Change: three early joins that succeeded are enough; after that the gossip, and one exchange now and then, bring the rest.

--- a/peer/link/link.go
+++ b/peer/link/link.go
@@ -122,6 +122,7 @@
 	joinFirst    = 100 * time.Millisecond
 	joinMost     = 2 * time.Second
 	joinFor      = 10 * time.Second // after the start, in which seeds are asked until half of the fleet is in view
+	joinsMost    = 3                // that were let in, early: each costs the seed all that it knows of the others
 	rememberMost = 32               // addresses
 	rememberGap  = 2 * time.Second  // between two writings
 	rejoinEvery  = 15 * time.Second // of a seed that is not in view: two halves that lost each other meet again
@@ -297,7 +298,7 @@
 // join asks seeds to be let in. One is not enough at first: those that start together after a power cut are each other's seeds, and
 // would be an island beside those that lived on. Later it asks, now and then, one that is not in view.
 func (l *Link) join() {
-	began, wait := time.Now(), joinFirst
+	began, wait, joined := time.Now(), joinFirst, 0
 	// A seed takes in one after another, each with all that it knows of the others.
 	select {
 	case <-time.After(time.Duration(mathrand.Int64N(int64(max(1, l.self.Fleet)) * int64(joinSpread)))):
@@ -310,14 +311,16 @@
 		for _, n := range l.list.Members() {
 			there[n.Address()] = true
 		}
-		early := time.Since(began) < joinFor && 2*l.list.NumMembers() < l.self.Fleet
+		early := time.Since(began) < joinFor && 2*l.list.NumMembers() < l.self.Fleet && joined < joinsMost
 		for _, s := range l.seeds {
 			if (early || !there[s]) && s != l.cfg.Advertise && s != l.cfg.Listen {
 				missing = append(missing, s)
 			}
 		}
 		if len(missing) > 0 {
-			_, _ = l.list.Join([]string{missing[mathrand.IntN(len(missing))]}) // the next one may answer
+			if n, _ := l.list.Join([]string{missing[mathrand.IntN(len(missing))]}); n > 0 { // else the next one may answer
+				joined++
+			}
 		}
 		if wait = min(joinMost, 2*wait); !early && l.list.NumMembers() > 1 {
 			wait = rejoinEvery
