--- a/standin/fleet/run.go
+++ b/standin/fleet/run.go
@@ -5,7 +5,6 @@
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -331,7 +330,11 @@
 				w.liars = append(w.liars, l)
 			}
 			return err
-		}), func() error { return nil }), nil
+		}), func() error {
+			w.liars = slices.DeleteFunc(w.liars, func(o *liar) bool { return o == l })
+			l.close()
+			return nil
+		}), nil
 	case "same-address":
 		n, _ := strconv.Atoi(a.Words[0])
 		return one(func() error { w.list.stuff(n, w.order[0].address); return nil }), nil
@@ -369,14 +372,3 @@
 		}
 	}
 }
-
-// Logs gives the folder of each doorman's files, for a report.
-func (w *World) Logs() []string {
-	var out []string
-	for _, d := range w.doormans {
-		if _, err := os.Stat(d.dir); err == nil {
-			out = append(out, d.dir)
-		}
-	}
-	return out
-}
