Have the liar's drill fail without the quorum: lies by names and versions of their own

Need: the drill held with Quorum set to 1, so it showed nothing of the rule it is for.

Seen: the empty list was believed and then doubted by each doorman's own table, which is wary of empty lists; the second liar had the name and the version of the first, so its list was no newer. Ruled out: that nobody listened (9 lists were believed by peers).

That a doubted list is not told to others is still shown by no drill; it is in the roadmap.

--- a/standin/fleet/liar.go
+++ b/standin/fleet/liar.go
@@ -31,6 +31,7 @@
 // liar is a member of the fleet that has its key and tells all of a plaza what is not so.
 type liar struct {
 	w     *World
+	n     int // of the liars, from 0
 	link  *link.Link
 	relay *Relay
 	boxes []membership.Box // of the lie, in order
@@ -47,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &liar{w: w, boxes: start.Sorted(lies[kind](w)), told: make(chan func(), 64), end: make(chan struct{})}
+	l := &liar{w: w, n: len(w.liars), boxes: start.Sorted(lies[kind](w)), told: make(chan func(), 64), end: make(chan struct{})}
 	if l.relay, err = w.fabric.NewRelay("liar", fmt.Sprintf("%s.48.%d", w.base, plaza), listen); err != nil {
 		return nil, err
 	}
@@ -59,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if l.link, err = link.Open(cfg, link.Self{Name: "liar", Zone: fmt.Sprintf("p%d", plaza), Epoch: rand.Uint64()}, l); err != nil {
+	if l.link, err = link.Open(cfg, link.Self{Name: fmt.Sprint("liar", l.n), Zone: fmt.Sprintf("p%d", plaza), Epoch: rand.Uint64()}, l); err != nil {
 		return nil, err
 	}
 	go l.run()
@@ -70,7 +71,7 @@
 func (l *liar) run() {
 	var digest []start.Claim
 	for n := range len(services) {
-		digest = append(digest, start.Claim{Mark: start.MarkOf(n, 1<<40, l.boxes)})
+		digest = append(digest, start.Claim{Mark: start.MarkOf(n, uint64(l.n+1)<<40, l.boxes)})
 	}
 	tick := time.NewTicker(200 * time.Millisecond)
 	defer tick.Stop()
