Excuse late fills only for parents that answer, and cut fills while a write is still out

Now a late fill is weighed by the others' only if its parent has answered anything since it was sent; one that waits for a slow origin goes on answering from what it holds.

A write out for 0.6 of its wanted time now cuts the limit at once, as far as a cut goes.

--- a/control/control.go
+++ b/control/control.go
@@ -563,12 +563,10 @@
 		if e.Status == OK && e.Note == NoteFilledOrigin && !a.late {
 			d.behind.Note(&a.source.late, d.now, false)
 		}
-	} else if q.class.Write && a.node.role == roleOrigin && !slices.Contains(noSign, e.Status) &&
-		e.Took.Seconds() > writeUse*d.aim(q) {
-		d.fills.Adapt(d.zone, false) // writes wait behind fills there, and are worth more
 	}
 	a.ran = !slices.Contains(neverRan, e.Status)
 	if e.Status == OK {
+		a.source.heard = d.now
 		a.timing(d).Observe(e.Took.Seconds() - a.expect)
 		d.passBy(q, a)
 	}
@@ -656,14 +654,19 @@
 			}
 			since := max(a.sent, a.node.firstWait)
 			a.node.doubt += (d.now - since).Seconds() / (slowdown * max(q.expect, q.class.mean))
-			if a.limit != nil && a.source != a.node && !a.late && (d.now-a.sent).Seconds() > d.aim(q) {
+			switch took := (d.now - a.sent).Seconds(); {
+			case a.late:
+			case q.class.Write && a.node.role == roleOrigin && took > writeUse*d.aim(q):
+				a.late = true
+				d.fills.Back() // writes wait behind fills there, and are worth more
+			case a.limit != nil && a.source != a.node && took > d.aim(q):
 				a.late = true
 				d.tardy(a)
 			}
 		}
 	}
 	for _, s := range d.parents.Members() {
-		if s.ejected && s.tardy && d.others(s) > behind {
+		if s.ejected && s.tardy && d.behind.Others(&s.late, d.now, len(d.parents.Members())) > behind {
 			d.trust(s)
 		}
 	}
@@ -682,21 +685,16 @@
 // Ejected by turns, the parents had each other's objects asked of the slow origin once more.
 func (d *Director) tardy(a *attempt) {
 	s := a.source
-	if s.role != roleParent || a.held {
-		d.count(s, false, false)
+	if s.role != roleParent || a.held || s.heard < a.sent {
+		d.count(s, false, false) // one that answers nothing at all is not waiting for the origin
 		return
 	}
-	share, out := d.others(s), s.ejected
+	share, out := d.behind.Others(&s.late, d.now, len(d.parents.Members())), s.ejected
 	d.behind.Note(&s.late, d.now, true)
 	d.weigh(s, false, false, share)
 	s.tardy = s.ejected && (s.tardy || !out)
 }
 
-// others is the share of late fills by way of the other parents.
-func (d *Director) others(s *server) float64 {
-	return d.behind.Others(&s.late, d.now, len(d.parents.Members()))
-}
-
 // move has a request go on whose only attempt waits for an ejected server, or whose answer must be lost.
 // Where two may be out together the first stays; else it is called off, and its end sends the next one.
 func (d *Director) move(q *request) {
@@ -776,6 +774,7 @@
 	sent      ramp.Meter    // while it is cold
 	place     int           // in its ranking
 	late      blame.Member  // its fills that come late
+	heard     time.Duration // when a fill by way of it last came
 	tardy     bool          // it is ejected for these alone
 	slow      float64       // its answers' times over what is expected of it
 	out       []out         // the attempts that wait for it
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -340,7 +340,8 @@
 	}
 }
 
-// TestSlowWritesHoldFillsBack: writes wait behind fills at the origin, which says nothing but by being late.
+// TestSlowWritesHoldFillsBack: writes wait behind fills at the origin, which says nothing but by being late. Counted at their
+// ends, the first one told of a crowd 3 s after it had begun.
 func TestSlowWritesHoldFillsBack(t *testing.T) {
 	for _, c := range []struct {
 		took time.Duration
@@ -348,9 +349,18 @@
 	}{{100 * ms, false}, {300 * ms, true}} {
 		b := newBench(t, site())
 		b.call(1, 1, 7)
-		b.do(AnswerEvent{ID: 1, Node: b.last(1).Node, Took: c.took, Settled: true, Status: OK})
+		b.tick(c.took)
 		if cut := b.d.fills.Most < fills.First; cut != c.cut {
 			t.Errorf("a write of %v: the limit on fills is %v, cut %v, want %v", c.took, b.d.fills.Most, cut, c.cut)
 		}
 	}
 }
+
+// TestDeadParentsAreLeft: two parents of a lost zone answer nothing at all. Each one's late fills were excused by the other's.
+func TestDeadParentsAreLeft(t *testing.T) {
+	b := newBench(t, site())
+	fillThrough(b, 20, map[NodeID]bool{100: true, 101: true})
+	if !b.d.servers[100].ejected && !b.d.servers[101].ejected {
+		t.Error("two parents that answer nothing stay in use")
+	}
+}
--- a/fills/fills.go
+++ b/fills/fills.go
@@ -50,3 +50,7 @@
 		l.Most = min(2*First, l.Most+rise/zone)
 	}
 }
+
+// Back cuts the limit as far as one cut goes: for a sure sign that what is behind is crowded, though no fill has ended yet. At
+// an origin that turns nobody away, each write waited out its 3 s before its end was counted, and the queue stood meanwhile.
+func (l *Limiter) Back() { l.Most = max(Least, l.Most*l.keep) }
