--- a/depot/depot.go
+++ b/depot/depot.go
@@ -32,7 +32,7 @@
 	doubtAfter  = 30 * time.Millisecond // of a check that is out, new attempts go by another connection
 	checkLooks  = 3                     // rounds of ours that must have passed: a loop that stalled knows nothing
 	watchEvery  = 20 * time.Millisecond
-	// silentAfter is the same where probes are not allowed; then, if an answer is late, new attempts go by another connection.
+	// silentAfter is the same where probes are not allowed; then new attempts go by another connection.
 	silentAfter = 600 * time.Millisecond
 	// quitKept is how long an id that was given up is remembered, to drop its late answer.
 	quitKept  = 10 * time.Second
@@ -549,8 +549,7 @@
 func (l *link) watch(now time.Duration) {
 	quiet := now - max(l.heard, l.awaits)
 	if !l.pool.MayProbe {
-		// A connection is quiet while it waits for large answers too: where none is late, it is not given up for that.
-		if quiet > silentAfter && l.late(now) {
+		if quiet > silentAfter {
 			l.retire()
 		}
 		return
@@ -577,16 +576,6 @@
 	}
 }
 
-// late says whether an answer is overdue.
-func (l *link) late(now time.Duration) bool {
-	for _, o := range l.open {
-		if o.attempt != nil && now > o.due {
-			return true
-		}
-	}
-	return false
-}
-
 // mayCheck says whether a connection on which nothing is asked yet is to be asked whether it lives: only where an answer
 // is overdue, and nothing has come for quietLeast. A check is priced and answered from the box's budget of probes, which
 // all doormans share; one asked whenever a connection was quiet for 100 ms, whatever was due, came with a fifth of all
