Weigh late fills by the other parents alone; a hit at a cache is no answer of a parent

Seen in the code of late fills (control: onAnswer, tardy, weigh): a hit at a cache marked its named parent as heard, though nothing was asked of that parent, so a dead one was excused as long as caches answered from what they hold; and what is usual among parents entered the share that a late fill is weighed by, so that of two parents of which one is slow half of all outcomes were usual and the slow one was not told from the other after a trouble of both.

Now only a filled answer counts as the parent's, late fills are weighed by the others' share alone (over 0.3 of theirs late: no sign at all; half is forgotten in 4 s), and the odds are bounded in one place, Odds.Weigh.

--- a/blame/blame.go
+++ b/blame/blame.go
@@ -4,7 +4,8 @@
 //
 // Each Member has the share of its late outcomes among the last ones, which loses half its weight in every Half. Others is
 // the mean of that over all members but one: the odds at which that one's next late outcome is nobody's fault in particular.
-// It takes constant time, whatever the number of members.
+// It takes constant time, whatever the number of members. Whether one server is at fault is weighed by Odds, against what is
+// Usual among its kind.
 //
 // Invariants: a share lies in 0 to 1; the total is the sum of the members' shares, but for rounding; a member that is dropped
 // without a word counts on until its share has faded, some four times Half.
@@ -15,7 +16,7 @@
 	"time"
 )
 
-// Group is what is behind several sources. The zero value is ready, with no decay; set Half and Weight.
+// Group is what is behind several sources.
 type Group struct {
 	Half   time.Duration // in which what was seen loses half its weight
 	Weight float64       // of one outcome in a member's share, 0 to 1
@@ -23,6 +24,9 @@
 	at     time.Duration
 }
 
+// New makes a Group that follows a shared cause within a second, at some ten outcomes a second, and forgets it as soon.
+func New() Group { return Group{Half: 4 * time.Second, Weight: 0.4} }
+
 // Member is one source's part in a Group. The zero value has seen nothing.
 type Member struct {
 	share float64
@@ -47,13 +51,18 @@
 	g.total, g.at = max(0, g.fade(g.total, g.at, now)+m.share-old), now
 }
 
-// Others is the mean share of late outcomes of the other members of a group of so many: 0 where there is none.
+// Others is the mean share of late outcomes of the other members of a group of so many: 0 where there is none, and Share where
+// it is over shared, so that by Odds a late outcome is no sign at all. Not what is Usual: of two members a slow one makes half
+// of all outcomes late, and that would be usual.
 func (g *Group) Others(m *Member, now time.Duration, members int) float64 {
 	if members < 2 {
 		return 0
 	}
 	rest := g.fade(g.total, g.at, now) - g.fade(m.share, m.at, now)
-	return min(1, max(0, rest/float64(members-1)))
+	if mean := max(0, rest/float64(members-1)); mean <= shared {
+		return mean
+	}
+	return Share
 }
 
 const (
@@ -62,6 +71,7 @@
 	// Share is how many of a faulty server's outcomes are bad, and the most that can be usual.
 	Share = 0.5
 
+	shared = 0.3  // of the others' outcomes late
 	least  = 0.02 // of a sound one's, where its peers show none
 	weight = 0.05 // of a new outcome in what is usual
 )
@@ -69,12 +79,12 @@
 // Usual is the share of bad outcomes among servers of one kind.
 type Usual float64
 
-// Take notes an outcome and gives the share of bad ones that a sound server has just now, at least floor. A hard sign, such
-// as a refused connection, is no sound server's, and changes nothing of what is usual; nor does what is not to count.
-func (u *Usual) Take(ok, hard, counts bool, floor float64) float64 {
-	share := max(least, floor, min(Share, float64(*u)))
+// Take notes an outcome and gives the share of bad ones that a sound server has just now. A hard sign, such as a refused
+// connection, is no sound server's, and changes nothing of what is usual; nor does what is not to count.
+func (u *Usual) Take(ok, hard, counts bool) float64 {
+	share := float64(*u)
 	if hard {
-		return least
+		return 0
 	}
 	if counts {
 		*u *= 1 - weight
@@ -82,7 +92,7 @@
 			*u += weight
 		}
 	}
-	return min(Share, share)
+	return share
 }
 
 // Odds are the log odds that a server is at fault, from 0 to twice Enough.
@@ -90,6 +100,7 @@
 
 // Weigh moves the odds by an outcome, of which a sound server has a bad one with the probability share.
 func (o *Odds) Weigh(ok bool, share float64) {
+	share = max(least, min(Share, share))
 	if ok {
 		*o = max(0, *o+Odds(math.Log((1-Share)/(1-share))))
 	} else {
--- a/blame/blame_test.go
+++ b/blame/blame_test.go
@@ -35,10 +35,64 @@
 						want += model[j] / float64(len(model)-1)
 					}
 				}
-				if got := g.Others(&members[i], now, len(members)); math.Abs(got-want) > 1e-9 {
+				if want > shared {
+					want = Share
+				}
+				if got := g.Others(&members[i], now, len(members)); math.Abs(got-want) > 1e-9 && math.Abs(want-shared) > 1e-9 {
 					t.Fatalf("others of member %d: %v, the model has %v", i, got, want)
 				}
 			}
 		}
 	})
 }
+
+// TestUsual: bad outcomes become usual, and cease to be when good ones come; hard signs and those that do not count change
+// nothing.
+func TestUsual(t *testing.T) {
+	var u Usual
+	for range 100 {
+		u.Take(false, false, true)
+	}
+	if got := u.Take(false, false, false); got < 0.95 {
+		t.Errorf("all bad: a share of %v is usual", got)
+	}
+	if got := u.Take(false, true, true); got != 0 {
+		t.Errorf("a hard sign: a share of %v, want 0", got)
+	}
+	before := u
+	u.Take(true, false, false)
+	u.Take(true, true, true)
+	if u != before {
+		t.Errorf("what does not count moved the share from %v to %v", before, u)
+	}
+	for range 200 {
+		u.Take(true, false, true)
+	}
+	if got := u.Take(false, false, false); got > least {
+		t.Errorf("all good again: a share of %v is usual, want at most %v", got, least)
+	}
+}
+
+// TestOdds: with what is usual far from a faulty server's share two bad outcomes in three show it, with all bad none does.
+func TestOdds(t *testing.T) {
+	for _, c := range []struct {
+		share float64
+		want  bool
+	}{{least, true}, {Share, false}} {
+		var o Odds
+		for i := range 60 {
+			o.Weigh(i%3 == 0, c.share)
+		}
+		if got := o >= Enough; got != c.want || o > 2*Enough || o < 0 {
+			t.Errorf("a usual share of %v: odds of %.1f, faulty %v, want %v", c.share, o, got, c.want)
+		}
+	}
+}
+
+// TestBadIsNeverGood: where more than a faulty server's share is usual, a bad outcome is no sign in its favour.
+func TestBadIsNeverGood(t *testing.T) {
+	o := Odds(3)
+	if o.Weigh(false, 0.95); o != 3 {
+		t.Errorf("a bad outcome moved the odds from 3 to %v", o)
+	}
+}
--- a/broker/list_test.go
+++ b/broker/list_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -152,3 +153,40 @@
 		})
 	}
 }
+
+// TestRefusedComeBackInTime: the broker's own refusals told the longest wait that clients heed, as the module's did.
+func TestRefusedComeBackInTime(t *testing.T) {
+	cfg := control.Config{Classes: []control.Class{{Name: "a", Aim: 600 * time.Millisecond, Deadline: 5 * time.Second}},
+		MaxRetryAfter: 2 * time.Second, MaxAttempts: 6, OriginKind: 2, ParentKind: 1, Direct: true}
+	for _, c := range []struct {
+		name    string
+		openCap int
+	}{{"too many open", 1}, {"no box reached by half its time", 10}} {
+		b, err := New(cfg, 1, c.openCap, nil, membership.New(membership.Config{Sources: []membership.Source{{Name: "bulletin"}}}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := 1000 * time.Second
+		b.Round(now, []Event{Listing{List: membership.List{Boxes: []membership.Box{
+			{ID: "c1", Address: "10.0.0.1:1", State: membership.Up}, {ID: "o1", Address: "10.0.0.2:1", Kind: 2, State: membership.Up}}}}})
+		arrive := func(id string, object uint64) Event {
+			return Arrival{&Request{ID: id, Object: object, Arrived: now, Limit: 5 * time.Second, SizeKB: 1}}
+		}
+		effects := slices.Clone(b.Round(now, []Event{arrive("a1", 1), arrive("a2", 2)}))
+		for range 400 { // nothing is ever written
+			now += 10 * time.Millisecond
+			effects = append(effects, b.Round(now, nil)...)
+		}
+		refused := 0
+		for _, e := range effects {
+			if a, ok := e.(Answer); ok && a.Final.Kind == Refusal {
+				if refused++; a.Final.Wait != 300*time.Millisecond {
+					t.Errorf("%s: %q told to stay away for %v, want half of 600 ms", c.name, a.Final.Reason, a.Final.Wait)
+				}
+			}
+		}
+		if refused == 0 {
+			t.Errorf("%s: nothing was refused", c.name)
+		}
+	}
+}
--- a/control/control.go
+++ b/control/control.go
@@ -51,15 +51,12 @@
 
 	shutMost = 250 * ms // that a cold server is passed over for without a look: costs are learnt meanwhile
 
-	aimUse       = 0.85            // part of the wanted time that an answer may take by the estimate
-	quickRefusal = 50 * ms         // a full cache says so at once; later it is its source
-	lookSpare    = 4               // attempts that looks leave for the fill and its retries
-	writeUse     = 0.6             // of a write's wanted time; later the origin has too many fills
-	joinAfter    = time.Second     // of a purge: most fills that began before it are over
-	lateHalf     = 2 * time.Second // of what is known of late fills by way of others
-	lateSeen     = 0.4             // weight of one
-	behind       = 0.3             // of the others' fills late: the origin is slow
-	valueSwing   = 0.5             // how much of the limit depends on a request's worth for its cost
+	aimUse       = 0.85        // part of the wanted time that an answer may take by the estimate
+	quickRefusal = 50 * ms     // a full cache says so at once; later it is its source
+	lookSpare    = 4           // attempts that looks leave for the fill and its retries
+	writeUse     = 0.6         // of a write's wanted time; later the origin has too many fills
+	joinAfter    = time.Second // of a purge: most fills that began before it are over
+	valueSwing   = 0.5         // how much of the limit depends on a request's worth for its cost
 )
 
 // neverRan are the outcomes that prove that an attempt had no effect.
@@ -114,7 +111,7 @@
 		requests: map[RequestID]*request{},
 		purges:   purge.New(purge.Config{Takes: cfg.PurgeTakes, Slack: time.Second}),
 		fills:    fills.New(), held: fills.NewHeld(),
-		behind: blame.Group{Half: lateHalf, Weight: lateSeen},
+		behind: blame.New(),
 		late:   [2]overdue.Timing{overdue.New(), overdue.New()},
 		tables: tables{rows: map[part]*row{}, single: list.New()}}
 	d.tables.resize(0)
@@ -565,8 +562,10 @@
 		}
 	}
 	a.ran = !slices.Contains(neverRan, e.Status)
+	if e.Status == OK && (e.Note == NoteFilled || e.Note == NoteFilledOrigin) {
+		a.source.heard = d.now // and not where its cache had the copy
+	}
 	if e.Status == OK {
-		a.source.heard = d.now
 		a.timing(d).Observe(e.Took.Seconds() - a.expect)
 		d.passBy(q, a)
 	}
@@ -666,7 +665,7 @@
 		}
 	}
 	for _, s := range d.parents.Members() {
-		if s.ejected && s.tardy && d.behind.Others(&s.late, d.now, len(d.parents.Members())) > behind {
+		if s.ejected && s.tardy && d.behind.Others(&s.late, d.now, len(d.parents.Members())) == blame.Share {
 			d.trust(s)
 		}
 	}
@@ -689,9 +688,9 @@
 		d.count(s, false, false) // one that answers nothing at all is not waiting for the origin
 		return
 	}
-	share, out := d.behind.Others(&s.late, d.now, len(d.parents.Members())), s.ejected
+	out := s.ejected
+	d.weigh(s, false, d.behind.Others(&s.late, d.now, len(d.parents.Members())))
 	d.behind.Note(&s.late, d.now, true)
-	d.weigh(s, false, false, share)
 	s.tardy = s.ejected && (s.tardy || !out)
 }
 
@@ -831,11 +830,13 @@
 }
 
 // count weighs an outcome by the odds that the server is at fault, not what it shares with its peers.
-func (d *Director) count(s *server, ok, hard bool) { d.weigh(s, ok, hard, 0) }
+func (d *Director) count(s *server, ok, hard bool) {
+	s.tardy = s.tardy && !hard
+	d.weigh(s, ok, d.bad[s.role].Take(ok, hard, !s.ejected))
+}
 
-func (d *Director) weigh(s *server, ok, hard bool, least float64) {
-	s.odds.Weigh(ok, d.bad[s.role].Take(ok, hard, !s.ejected, least))
-	switch s.tardy = s.tardy && !hard; {
+func (d *Director) weigh(s *server, ok bool, share float64) {
+	switch s.odds.Weigh(ok, share); {
 	case ok && s.ejected && s.odds < blame.Enough/2:
 		s.back = d.now // it may have started anew, before the list says so: spared as cold
 		d.trust(s)
--- a/control/director_test.go
+++ b/control/director_test.go
@@ -48,6 +48,7 @@
 	finals map[RequestID]Action
 	banned map[NodeID]bool
 	log    []Action
+	next   RequestID // by lateFills
 }
 
 func newBench(t *testing.T, cfg Config) *bench {
--- a/control/fleet_test.go
+++ b/control/fleet_test.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -276,52 +278,90 @@
 	}
 }
 
-// lateFills has fills by way of the given parents come late in turn, n of each, and says which parents are left out after it.
-func lateFills(t *testing.T, parents map[NodeID]bool, n int) (out map[NodeID]bool) {
-	cfg := site()
-	cfg.MaxAttempts, cfg.SecondCopies = 40, false
-	b := newBench(t, cfg)
-	out = map[NodeID]bool{}
-	seen, id := map[NodeID]int{}, RequestID(0)
-	for ; id < 400; id++ {
-		if seen[100] >= n && seen[101] >= n {
-			break
+// lateFills has fills by way of each of two parents end, n by each, late where their parent is in late. It gives how often
+// each was ejected meanwhile, and whether it is at the end.
+func lateFills(t *testing.T, b *bench, late map[NodeID]bool, n int) (times map[NodeID]int, out map[NodeID]bool) {
+	t.Helper()
+	seen, from := map[NodeID]int{}, len(b.log)
+	for ; seen[100] < n || seen[101] < n; b.next++ {
+		if b.next > 2000 {
+			t.Fatalf("the parents got %v fills, want %d each", seen, n)
 		}
-		b.call(id+1, 0, uint64(id)+1)
-		if b.finals[id+1] != nil {
+		id := b.next + 1
+		if b.call(id, 0, uint64(id)+1); b.finals[id] != nil {
 			b.tick(50 * ms)
 			continue
 		}
-		g := b.settle(id + 1)
-		if seen[g.Source]++; parents[g.Source] {
+		g := b.settle(id)
+		b.tick(tickEvery)
+		b.d.servers[g.Source].heard = b.now // it answers others from what it holds
+		if seen[g.Source]++; late[g.Source] {
 			b.tick(700 * ms) // 400 ms and twice 100 ms are wanted
 		} else {
 			b.tick(100 * ms)
 		}
-		if b.finals[id+1] == nil {
-			b.answer(id+1, OK, NoteFilledOrigin)
+		if b.finals[id] == nil {
+			b.answer(id, OK, NoteFilledOrigin)
 		}
+	}
+	times, out = map[NodeID]int{}, map[NodeID]bool{}
+	for _, a := range b.log[from:] {
 		for _, p := range []NodeID{100, 101} {
-			out[p] = out[p] || b.d.servers[p].ejected
+			if l, ok := a.(Log); ok && strings.HasPrefix(l.Text, fmt.Sprintf("ejected %x:", p)) {
+				times[p]++
+			}
+			out[p] = b.d.servers[p].ejected
 		}
 	}
-	if id == 400 {
-		t.Fatalf("the parents got %v fills, want %d each", seen, n)
-	}
-	for _, p := range []NodeID{100, 101} {
-		out[p] = b.d.servers[p].ejected
-	}
-	return out
+	return times, out
+}
+
+// parentsBench drives a director whose fills are asked once.
+func parentsBench(t *testing.T) *bench {
+	cfg := site()
+	cfg.MaxAttempts, cfg.SecondCopies = 40, false
+	return newBench(t, cfg)
 }
 
 // TestSlowOriginIsNotTheParents: with the origin slow all fills are late. Both parents were ejected by turns, and what each
-// held was asked of the origin once more by the other. One whose fills alone are late is at fault, as before.
+// held was asked of the origin once more by the other. One whose fills alone are late is at fault, as before, and soon so
+// when the origin is sound again.
 func TestSlowOriginIsNotTheParents(t *testing.T) {
-	if out := lateFills(t, map[NodeID]bool{100: true, 101: true}, 4); out[100] || out[101] {
-		t.Errorf("all fills late: parents left out: %v, want none", out)
+	b := parentsBench(t)
+	lateFills(t, b, map[NodeID]bool{100: true, 101: true}, 4)
+	if times, out := lateFills(t, b, map[NodeID]bool{100: true, 101: true}, 12); len(times) > 0 || out[100] || out[101] {
+		t.Errorf("all fills late: ejected %v, out at the end %v, want none", times, out)
 	}
-	if out := lateFills(t, map[NodeID]bool{100: true}, 4); !out[100] || out[101] {
-		t.Errorf("one parent's fills late: left out: %v, want that one", out)
+	if _, out := lateFills(t, b, map[NodeID]bool{100: true}, 6); !out[100] || out[101] {
+		t.Errorf("then one parent's late: left out %v, want that one", out)
+	}
+	if _, out := lateFills(t, parentsBench(t), map[NodeID]bool{100: true}, 4); !out[100] || out[101] {
+		t.Errorf("one parent's fills late: left out %v, want that one", out)
+	}
+}
+
+// TestLateAndDead: a parent that was left out for late fills alone is taken back once the others turn out as late; one that
+// could not be reached meanwhile is not.
+func TestLateAndDead(t *testing.T) {
+	for _, hard := range []bool{false, true} {
+		b := parentsBench(t)
+		s, other := b.d.servers[100], b.d.servers[101]
+		for range 2 {
+			b.d.tardy(&attempt{node: b.d.servers[1], source: s})
+		}
+		if !s.ejected {
+			t.Fatal("two late fills do not leave their parent out")
+		}
+		if hard {
+			b.d.count(s, false, true)
+		}
+		other.heard = b.now
+		for range 3 {
+			b.d.tardy(&attempt{node: b.d.servers[1], source: other})
+		}
+		if b.tick(tickEvery); s.ejected != hard {
+			t.Errorf("hard sign %v: still left out %v", hard, s.ejected)
+		}
 	}
 }
 
@@ -356,11 +396,58 @@
 	}
 }
 
-// TestDeadParentsAreLeft: two parents of a lost zone answer nothing at all. Each one's late fills were excused by the other's.
+// TestLateHeldFillsCount: what the parent holds does not wait for the origin, however late all else is.
+func TestLateHeldFillsCount(t *testing.T) {
+	b := parentsBench(t)
+	s, other := b.d.servers[100], b.d.servers[101]
+	s.heard, other.heard = b.now, b.now
+	for range 5 {
+		b.d.behind.Note(&other.late, b.now, true)
+	}
+	for range 2 {
+		b.d.tardy(&attempt{node: b.d.servers[1], source: s, held: true})
+	}
+	if !s.ejected {
+		t.Error("a parent that is late with what it holds stays in use, since the others' fills are late")
+	}
+}
+
+// TestDeadParentsAreLeft: two parents of a lost zone answer nothing at all. Each one's late fills were excused by the other's,
+// and hits at a cache, for which a parent is named and not asked, are no answer of it.
 func TestDeadParentsAreLeft(t *testing.T) {
-	b := newBench(t, site())
-	fillThrough(b, 20, map[NodeID]bool{100: true, 101: true})
-	if !b.d.servers[100].ejected && !b.d.servers[101].ejected {
-		t.Error("two parents that answer nothing stay in use")
+	for _, hits := range []bool{false, true} {
+		b := parentsBench(t)
+		left, asked := map[NodeID]bool{}, map[NodeID]bool{}
+		for id := RequestID(9001); id <= 9016; id++ { // what the caches hold
+			b.call(id, 0, uint64(id%8))
+			b.settle(id)
+			b.answer(id, OK, NoteFilled)
+		}
+		b.tick(10 * sec)
+		hit := RequestID(10000)
+		for id := RequestID(1); id <= 12; id++ {
+			b.call(id, 0, uint64(1000+id))
+			if b.finals[id] == nil {
+				b.settle(id)
+			}
+			for range 16 {
+				b.tick(50 * ms)
+				if hits {
+					hit++
+					b.call(hit, 0, uint64(hit%8))
+					asked[b.last(hit).Source] = true
+					b.answer(hit, OK, NoteHit)
+				}
+				for _, p := range []NodeID{100, 101} {
+					left[p] = left[p] || b.d.servers[p].ejected
+				}
+			}
+		}
+		if hits && (!asked[100] || !asked[101]) {
+			t.Errorf("hits name the sources %v, not both parents: the test does not try it", asked)
+		}
+		if !left[100] || !left[101] {
+			t.Errorf("hits %v: parents that answer nothing were left out: %v, want both", hits, left)
+		}
 	}
 }
