Tell a box's second answer from the next attempt's, and let nothing wait for a box that does not read

A box that answers twice, the second time after the next attempt for that request went out on the same connection, ended that one: a third went out beside it (TestSecondAnswer on the old program: "an attempt to o1 went out while one was out at o1"), and for a write of which the copy says that it never ran, that was believed.

Ruled out: going by time (how fast a box may answer is not known), and not using the same connection again (each look that finds nothing is followed by a fill at the same box: that would double the connections).

Now an answer other than a good one whose words are those of the one before under the same id is not believed at once: the attempt is given up, and ends when the box has read that; of a class that may not simply be repeated it may have run, whatever it says. Where probes are not allowed another connection is used. A connection whose bytes the box does not take for 0.1 to 0.2 s is closed, and closing a silent one drops what the system holds for it.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -38,6 +38,8 @@
 	Address string        // of the connection that the answer came by
 	Body    []byte
 	Fields  []Field
+	// Doubtful says that the box may have meant the attempt before, and that this one was given up: it may have run, whatever End says.
+	Doubtful bool
 }
 
 // Listing is the whole list of one source of boxes.
@@ -494,6 +496,9 @@
 	if r.ended {
 		return
 	}
+	if e.Doubtful && b.cfg.Classes[r.Class].Effect != control.Safe && slices.Contains(neverRan, outcomes[e.End].status) {
+		e.End = CalledOff
+	}
 	if e.End.Good() {
 		final := Final{Kind: Answered, Box: a.Box, Address: e.Address, Body: e.Body, Fields: e.Fields}
 		if e.End == Unchanged {
--- a/broker/end.go
+++ b/broker/end.go
@@ -54,6 +54,9 @@
 	CalledOff:  {"called-off", control.Cancelled},
 }
 
+// neverRan are the outcomes that promise that the attempt had no effect.
+var neverRan = []control.Status{control.Full, control.ConnectFailed, control.Moot, control.Miss}
+
 // String gives the name that the log uses.
 func (e End) String() string { return outcomes[e].name }
 
--- /dev/null
+++ b/cmd/sloequay/rare_test.go
@@ -0,0 +1,240 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"sloequay/standin"
+)
+
+// TestSecondAnswer: a box answers an attempt twice, the second time when the next one for the same request is out on the same
+// connection. It was taken for that one's answer, and a third attempt went out beside it.
+func TestSecondAnswer(t *testing.T) {
+	for _, c := range []struct{ name, method, word, remark string }{
+		{"a write that was over already", "charge", "STALE", "-"},
+		{"a read that found nothing", "lookup", "NOENT", "remark=src_lacks"},
+		{"a box that failed", "lookup", "EIO", "-"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var mu sync.Mutex
+			told := map[string]bool{} // what each box was asked once
+			w := newWorld(t, func(a *asked) {
+				mu.Lock()
+				defer mu.Unlock()
+				if key := a.Box + a.ID; !told[key] {
+					told[key] = true
+					a.Answer(c.word, c.remark, "")
+					return
+				}
+				a.Answer(c.word, c.remark, "") // of the attempt before; this one is being worked on
+			}, "c2")
+			w.run()
+			client := w.dial()
+			client.send(request(1, c.method, map[string]string{"unique": "k1", "limit": "1500"}, ""))
+			client.want()
+			var out *asked // the attempt that is out for all that its box said
+			seen := map[string]bool{}
+			for _, a := range w.lines(func(a *asked) bool { return a.ID == "0000000000000001" }) {
+				switch key := fmt.Sprint(a.Box, a.Conn.LocalAddr(), a.Conn.RemoteAddr()); {
+				case a.Word == "QUIT":
+					if out != nil && out.Conn == a.Conn {
+						out = nil
+					}
+				case out != nil:
+					t.Fatalf("an attempt to %s went out while one was out at %s", a.Box, out.Box)
+				case seen[key]:
+					out = a
+				default:
+					seen[key] = true
+				}
+			}
+		})
+	}
+}
+
+// deafBox is a box that takes connections and reads nothing until it is let.
+func (w *world) deafBox() (address string, read chan chan []int) {
+	w.t.Helper()
+	ln := w.listenOn("127.0.0.1:0")
+	if raw, err := ln.(*net.TCPListener).SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+	}
+	var mu sync.Mutex
+	var conns []net.Conn
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			conns = append(conns, conn)
+			mu.Unlock()
+		}
+	}()
+	read = make(chan chan []int)
+	go func() {
+		out := <-read
+		mu.Lock()
+		defer mu.Unlock()
+		var whole []int
+		for _, conn := range conns {
+			_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+			whole = append(whole, wholeAsks(conn))
+		}
+		out <- whole
+	}()
+	return ln.Addr().String(), read
+}
+
+// wholeAsks counts the attempts that come whole on a connection, until it ends.
+func wholeAsks(conn net.Conn) (n int) {
+	for r := bufio.NewReader(conn); ; {
+		line, err := r.ReadString('\n')
+		words := strings.Fields(line)
+		if err != nil {
+			return n
+		}
+		if len(words) == 4 && words[0] == "ASK" {
+			var size int64
+			_, _ = fmt.Sscan(words[3], &size)
+			if _, err := io.CopyN(io.Discard, r, size+2); err != nil {
+				return n
+			}
+			n++
+		}
+	}
+}
+
+// TestNothingWaitsForABoxThatDoesNotRead: what was written for a box that does not read waited with us, and went out whenever it read
+// again: after a drain, a purge, or the client's leaving.
+func TestNothingWaitsForABoxThatDoesNotRead(t *testing.T) {
+	w := newWorld(t, nil, "c1", "c2", "p1")
+	address, read := w.deafBox()
+	w.hosts[0]["dial"] = address
+	w.run()
+	const many = 150
+	body := strings.Repeat("x", 48000)
+	var clients []*client
+	for n := range uint64(many) {
+		if n%25 == 0 {
+			clients = append(clients, w.dial())
+		}
+		c := clients[len(clients)-1]
+		c.send(request(n+1, "charge", map[string]string{"unique": fmt.Sprint("k", n), "limit": "3000", "item": fmt.Sprintf("%016x", n+1)}, body))
+	}
+	w.until("the connections that are not read are closed", func() bool { return strings.Contains(w.log.String(), "event=depot-silent") })
+	for _, c := range clients {
+		_ = c.conn.Close()
+	}
+	left := time.Now()
+	time.Sleep(time.Until(left.Add(300 * time.Millisecond))) // from here on nothing may go out for them
+	whole := make(chan []int)
+	read <- whole
+	const holds = 3 // attempts that the box's own socket holds, and that nobody can call back
+	got, few := <-whole, 0
+	for _, n := range got {
+		if n <= holds {
+			few++
+		}
+	}
+	if closed := strings.Count(w.log.String(), "event=depot-silent"); few < closed {
+		t.Errorf("%d connections were closed; on its connections the box read %v whole attempts later", closed, got)
+	}
+}
+
+// TestClientsThatLeave: a client leaves while its request waits, in each way in which it can. Nothing is sent on for it from then on;
+// what is out is called off.
+func TestClientsThatLeave(t *testing.T) {
+	leave := map[string]func(c *client){
+		"withdraw": func(c *client) { c.send(withdraw(1)) },
+		"close":    func(c *client) { _ = c.conn.Close() },
+		"reset": func(c *client) {
+			_ = c.conn.(*net.TCPConn).SetLinger(0)
+			_ = c.conn.Close()
+		},
+		"half-close": func(c *client) { _ = c.conn.(*net.TCPConn).CloseWrite() },
+	}
+	for _, c := range []struct {
+		name string
+		// wait brings the request to where it waits, and gives what ends that wait.
+		wait func(w *world, c *client, held chan *asked) (release func())
+		sent int // attempts for it that were sent by then
+	}{
+		{"for a dial", func(w *world, c *client, _ chan *asked) func() {
+			c.send(request(1, "lookup", map[string]string{"limit": "3000"}, ""))
+			c.send(request(2, "status", nil, ""))
+			c.want() // so the first one was read
+			return func() { go w.fleet.Serve("c1", w.full) }
+		}, 0},
+		{"for its answer", func(w *world, c *client, held chan *asked) func() {
+			c.send(request(1, "lookup", nil, ""))
+			a := next(w.t, held)
+			return func() { a.Answer("NOENT", "-", "") } // at which it would go on elsewhere
+		}, 1},
+	} {
+		for way, goes := range leave {
+			t.Run(c.name+", by "+way, func(t *testing.T) {
+				t.Parallel()
+				held := make(chan *asked, 100)
+				w := newWorld(t, func(a *asked) { held <- a }, "c2")
+				if c.sent == 0 {
+					w.hosts[0]["dial"] = w.fullListener()
+					w.config["settings"].(map[string]any)["limits"].(map[string]any)["dial-timeout-ms"] = 60000
+				}
+				w.run()
+				client := w.dial()
+				release := c.wait(w, client, held)
+				goes(client)
+				if c.sent > 0 {
+					w.until("its attempt is called off", func() bool { return len(w.lines(word("QUIT"))) > 0 })
+				} else {
+					w.until("it is noticed", func() bool { return gone(w, client, way) })
+				}
+				release()
+				// Requests of another client, by the same ways, show that what had to come for the first one would have come.
+				w.setScript(func(a *asked) { a.Answer("ACK", "tag=t1", "done") })
+				other, id := w.dial(), uint64(100)
+				w.until("another client is served", func() bool {
+					id++
+					other.send(request(id, "lookup", map[string]string{"item": fmt.Sprintf("%016x", id)}, ""))
+					return other.want().Error == ""
+				})
+				asks := w.lines(func(a *asked) bool { return a.Word == "ASK" && a.ID == "0000000000000001" })
+				if len(asks) != c.sent {
+					t.Errorf("%d attempts were sent for the client that left, want %d", len(asks), c.sent)
+				}
+			})
+		}
+	}
+}
+
+// gone says whether the program knows that the client has left: it answers no more on a connection that still is, and closes one that is
+// half closed.
+func gone(w *world, c *client, way string) bool {
+	switch way {
+	case "withdraw":
+		c.send(request(3, "status", nil, ""))
+		return c.want().ID == 3
+	case "half-close":
+		_ = c.conn.SetReadDeadline(time.Now().Add(patience))
+		_, err := c.conn.Read(make([]byte, 1))
+		return err == io.EOF
+	}
+	// Another client that connects and asks afterwards is read in a later round.
+	return standin.Ready(w.listen)
+}
+
+// withdraw is the notice that takes a request back.
+func withdraw(id byte) []byte {
+	return slices.Concat([]byte{0x93, 2, 0xa8}, []byte("withdraw"), []byte{0x91, id})
+}
--- a/depot/answer.go
+++ b/depot/answer.go
@@ -19,6 +19,7 @@
 // answer is one answer of a depot.
 type answer struct {
 	id, word string
+	said     string // word, fields and length as they came
 	fields   []broker.Field
 	body     []byte
 }
@@ -66,7 +67,7 @@
 	if data[stop] != '\r' || data[stop+1] != '\n' {
 		return a, 0, fmt.Errorf("%d bytes are not followed by CR LF", length)
 	}
-	a.id, a.word = words[0], words[1]
+	a.id, a.word, a.said = words[0], words[1], strings.Join(words[1:], " ")
 	_, isEnd := ends[a.word]
 	if _, isProbe := probes[a.word]; !isEnd && !isProbe {
 		return a, 0, fmt.Errorf("unknown word %.32q", a.word)
--- a/depot/depot.go
+++ b/depot/depot.go
@@ -34,8 +34,13 @@
 	watchEvery  = 20 * time.Millisecond
 	// silentAfter is the same where probes are not allowed; then new attempts go by another connection.
 	silentAfter = 600 * time.Millisecond
-	// quitKept is how long an id that was given up is remembered, to drop its late answer.
-	quitKept  = 10 * time.Second
+	// quitKept is how long an id that was given up is remembered, to drop its late answer, and saidKept how long what was
+	// answered under an id is, to know it when it comes twice: seen doubled were answers some milliseconds apart.
+	quitKept = 10 * time.Second
+	saidKept = time.Second
+	// stuckMost is how long bytes may wait for a box that does not read. What waits here goes out at its own time: after a drain, a
+	// purge or the client's leaving, of which the narrowest is 0.3 s. Looked at from mark to mark it is twice that at most.
+	stuckMost = 100 * time.Millisecond
 	probeMost = time.Second
 )
 
@@ -83,12 +88,14 @@
 	begun   time.Duration // when it was dialled
 	waiting []*broker.Attempt
 	open    map[string]*pending
-	quit    map[string]time.Duration // ids that were given up here
-	heard   time.Duration            // when something was last read
-	awaits  time.Duration            // since when something is open without a break
+	past    map[string]past // ids that were given up here, or whose answer was not their request's last
+	heard   time.Duration   // when something was last read
+	awaits  time.Duration   // since when something is open without a break
 	used    time.Duration
 	alive   time.Duration // when a check was last answered
 	doubted bool          // a check is out for long
+	mark    uint64        // bytes that were left for it at
+	marked  time.Duration // that time
 	again   bool          // it was dialled a second time
 	retired bool          // takes nothing new, and closes when nothing is open on it
 	closed  bool
@@ -98,11 +105,18 @@
 type pending struct {
 	attempt *broker.Attempt // nil: a probe or a check
 	sent    time.Duration
-	due     time.Duration // of an attempt: its answer is overdue then
-	start   uint64        // of its bytes on the connection
-	check   bool          // of the connection itself
-	looks   int           // at the check since it was sent
-	off     string        // the check behind the QUIT of an attempt that was called off
+	due     time.Duration  // of an attempt: its answer is overdue then
+	start   uint64         // of its bytes on the connection
+	check   bool           // of the connection itself
+	looks   int            // at the check since it was sent
+	off     string         // the check behind the QUIT of an attempt that was called off
+	doubt   *broker.Ending // an answer that may be the second to the attempt before
+}
+
+// past is an id that was open on a connection.
+type past struct {
+	at   time.Duration
+	said string // its answer's words; empty: it was given up
 }
 
 func (p *Pool) depot(box *broker.Box) *depot {
@@ -140,7 +154,7 @@
 		dialling = dialling || l.conn == nil && !l.retired
 		// An id that was given up on a connection does not go out there again: its late answer could not be told
 		// from the new one.
-		if _, quit := l.quit[id]; quit || l.open[id] != nil || l.retired || l.load() >= p.Streams || l.doubted {
+		if l.stale(id) || l.open[id] != nil || l.retired || l.load() >= p.Streams || l.doubted {
 			continue
 		}
 		up := best != nil && best.conn != nil
@@ -182,7 +196,7 @@
 func (p *Pool) dial(d *depot) *link {
 	now := p.Now()
 	l := &link{pool: p, depot: d, listed: d.box.Dial, address: d.box.Dial, begun: now, used: now, heard: now,
-		open: map[string]*pending{}, quit: map[string]time.Duration{}}
+		open: map[string]*pending{}, past: map[string]past{}}
 	d.links = append(d.links, l)
 	p.links++
 	p.Tally.Dials++
@@ -225,6 +239,13 @@
 	p.Loop.Dial("tcp", l.address, p.DialLimit, l, l.notDialled)
 }
 
+// stale says whether a late answer under the id could be taken for that of a new attempt. A second copy of an answer that was taken is
+// known by its words and asked about, where that is possible.
+func (l *link) stale(id string) bool {
+	old, ok := l.past[id]
+	return ok && (old.said == "" || !l.pool.MayProbe)
+}
+
 func (l *link) load() int { return len(l.open) + len(l.waiting) }
 
 // gone takes the link out of the pool.
@@ -349,7 +370,7 @@
 func (l *link) answer(a *answer) error {
 	o := l.open[a.id]
 	if o == nil {
-		if _, quit := l.quit[a.id]; !quit {
+		if _, known := l.past[a.id]; !known {
 			l.pool.Log("depot-stray", "box", l.depot.box.Host, "id", fmt.Sprintf("%.32s", a.id))
 		}
 		return nil // a late answer, or one too many; another may follow, so the id stays known
@@ -366,8 +387,15 @@
 		return fmt.Errorf("%s does not answer what was asked", a.word)
 	default:
 		e := a.ending(o.attempt)
-		e.Body = l.pool.Loop.Keep(e.Body) // until the round has passed it on
 		e.Address = l.address
+		if !e.End.Good() {
+			if l.past[a.id].said == a.said && o.off == "" {
+				l.ask(a.id, o, e)
+				return nil
+			}
+			l.past[a.id] = past{l.heard, a.said}
+		}
+		e.Body = l.pool.Loop.Keep(e.Body) // until the round has passed it on
 		l.pool.Emit(e)
 	}
 	delete(l.open, a.id)
@@ -375,13 +403,27 @@
 	return nil
 }
 
+// ask meets an answer with the words of the one before under the same id. It may be that one's second copy, with the attempt still out
+// at the box: so the attempt is given up, and counts as answered once the box has read that.
+func (l *link) ask(id string, o *pending, e broker.Ending) {
+	e.Body, e.Doubtful = nil, true
+	o.doubt = &e
+	l.conn.Send([]byte("QUIT " + id + "\r\n"))
+	l.pool.Tally.Confirms++
+	o.off = l.check()
+}
+
 // confirmed ends the attempts whose QUIT came before a check that was answered: the box has read it, so that they are
 // not out any more and the next ones may be sent.
 func (l *link) confirmed(tag string) {
 	for id, o := range l.open {
 		if o.off == tag {
-			l.pool.Emit(broker.Ending{Attempt: o.attempt, End: broker.CalledOff})
-			l.quit[id] = l.heard
+			e := broker.Ending{Attempt: o.attempt, End: broker.CalledOff}
+			if o.doubt != nil {
+				e = *o.doubt
+			}
+			l.pool.Emit(e)
+			l.past[id] = past{at: l.heard}
 			delete(l.open, id)
 		}
 	}
@@ -397,7 +439,7 @@
 	for _, d := range p.boxes {
 		for _, l := range d.links {
 			s.Open += l.load()
-			s.Quit += len(l.quit)
+			s.Quit += len(l.past)
 		}
 	}
 	return s
@@ -408,6 +450,7 @@
 	l.pool.Log("depot-silent", "box", l.depot.box.Host, "open", len(l.open))
 	l.pool.Tally.Silenced++
 	l.endAll(func(*pending) broker.End { return broker.Silenced })
+	l.conn.Abort()
 	l.retire()
 }
 
@@ -481,7 +524,7 @@
 					return
 				}
 				delete(l.open, id)
-				l.quit[id] = p.Now()
+				l.past[id] = past{at: p.Now()}
 				l.rest()
 				break
 			}
@@ -539,7 +582,7 @@
 	p.seen = now
 	for _, d := range p.boxes {
 		for _, l := range slices.Clone(d.links) {
-			if l.conn != nil && len(l.open) > 0 {
+			if l.conn != nil && (len(l.open) > 0 || l.conn.Waits() > 0) {
 				l.watch(now)
 			}
 		}
@@ -547,6 +590,10 @@
 }
 
 func (l *link) watch(now time.Duration) {
+	if l.stuck(now) {
+		l.silenced()
+		return
+	}
 	quiet := now - max(l.heard, l.awaits)
 	if !l.pool.MayProbe {
 		if quiet > silentAfter {
@@ -576,6 +623,14 @@
 	}
 }
 
+// stuck says whether the box has not read for too long what was written to it.
+func (l *link) stuck(now time.Duration) bool {
+	if l.mark <= l.conn.Flushed() {
+		l.mark, l.marked = l.conn.Queued(), now
+	}
+	return now-l.marked > stuckMost
+}
+
 // mayCheck says whether a connection on which nothing is asked yet is to be asked whether it lives: only where an answer
 // is overdue, and nothing has come for quietLeast. A check is priced and answered from the box's budget of probes, which
 // all doormans share; one asked whenever a connection was quiet for 100 ms, whatever was due, came with a fifth of all
@@ -593,9 +648,9 @@
 func (p *Pool) Housekeep(now time.Duration) {
 	for id, d := range p.boxes {
 		for _, l := range slices.Clone(d.links) {
-			for quit, at := range l.quit {
-				if now-at > quitKept {
-					delete(l.quit, quit)
+			for id, old := range l.past {
+				if since := now - old.at; since > quitKept || old.said != "" && since > saidKept {
+					delete(l.past, id)
 				}
 			}
 			for tag, o := range l.open {
