--- /dev/null
+++ b/broker/crossings_test.go
@@ -0,0 +1,259 @@
+package broker
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sloequay/control"
+	"sloequay/membership"
+)
+
+// crossing drives a broker as a depot and a front do, with what comes and when left to the test. It checks after each round what must
+// always hold.
+type crossing struct {
+	t        rapid.TB
+	b        *Broker
+	now      time.Duration
+	events   []Event
+	boxes    []membership.Box
+	version  uint64
+	requests []*Request
+	answers  map[*Request]int
+	waiting  []*Attempt        // asked, not written
+	out      []*Attempt        // written, not ended, not given up
+	quit     []*Attempt        // given up, its end still to be confirmed
+	ran      map[*Request]bool // an attempt may have run
+	sent     map[*Request]int
+	left     map[*Request]bool // withdrawn in an earlier round
+	done     []*Attempt        // ended
+}
+
+// zoned and once are the classes that may not be refused once they may have run; once is not to be sent again either.
+const zoned, once = 2, 3
+
+func newCrossing(t rapid.TB) *crossing {
+	cfg := control.Config{Classes: []control.Class{
+		{Name: "safe", Aim: 300 * time.Millisecond, Deadline: 2 * time.Second},
+		{Name: "keyed", Aim: 300 * time.Millisecond, Deadline: 2 * time.Second, Effect: control.Keyed, Window: 2 * time.Second, Write: true},
+		{Name: "zoned", Aim: 300 * time.Millisecond, Deadline: 2 * time.Second, Effect: control.Keyed, Group: control.GroupZone, Window: 2 * time.Second, Write: true},
+		{Name: "once", Aim: 300 * time.Millisecond, Deadline: 2 * time.Second, Effect: control.Unsafe, Write: true}},
+		MaxAttempts: 6, OriginKind: 2, ParentKind: 1, Direct: true, Cancel: true, Instances: 1, ZoneInstances: []int{1}}
+	b, err := New(cfg, 1, 100, nil, membership.New(membership.Config{Sources: []membership.Source{{Name: "bulletin"}}}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := &crossing{t: t, b: b, now: 1000 * time.Second, version: 1, answers: map[*Request]int{}, ran: map[*Request]bool{}, sent: map[*Request]int{}, left: map[*Request]bool{}}
+	for i, id := range []string{"c1", "c2", "p1", "p2", "o1"} {
+		x.boxes = append(x.boxes, membership.Box{ID: id, Address: fmt.Sprintf("10.0.0.%d:1", i+1), Kind: []int{0, 0, 1, 1, 2}[i], State: membership.Up})
+	}
+	x.events = append(x.events, Listing{List: membership.List{Version: 1, Boxes: slices.Clone(x.boxes)}})
+	x.round()
+	return x
+}
+
+// arrive has a request of a class come.
+func (x *crossing) arrive(class int) *Request {
+	r := &Request{ID: fmt.Sprintf("%016x", len(x.requests)+1), Class: class, Object: uint64(len(x.requests)%3 + 1), Group: -1, Arrived: x.now,
+		Limit: 2 * time.Second, SizeKB: 1}
+	if class == 1 || class == 2 {
+		r.Key = r.ID
+	}
+	x.requests = append(x.requests, r)
+	x.events = append(x.events, Arrival{r})
+	return r
+}
+
+// state has the list tell a box's state.
+func (x *crossing) state(box int, s membership.State) {
+	x.version++
+	x.boxes[box].State = s
+	x.events = append(x.events, Changes{Version: x.version, Boxes: []membership.Box{x.boxes[box]}})
+}
+
+// write is the moment of writing the nth attempt that waits.
+func (x *crossing) write(n int) {
+	a := x.waiting[n]
+	x.waiting = slices.Delete(x.waiting, n, n+1)
+	if _, ok := x.b.May(a, x.now); !ok {
+		x.events = append(x.events, Ending{Attempt: a, End: Barred})
+		return
+	}
+	r := a.Request
+	switch {
+	case x.left[r]:
+		x.t.Fatalf("request %s was withdrawn in an earlier round, and is written to %s", r.ID, a.Box.Host)
+	case a.Box.State != control.Ready || a.Source.State != control.Ready:
+		x.t.Fatalf("request %s is written to %s, filled from %s: states %v, %v", r.ID, a.Box.Host, a.Source.Host, a.Box.State, a.Source.State)
+	case r.Class == once && x.ran[r]:
+		x.t.Fatalf("request %s may have run, may not be repeated, and is written to %s", r.ID, a.Box.Host)
+	}
+	for _, o := range slices.Concat(x.out, x.quit) {
+		if o.Request == r {
+			x.t.Fatalf("request %s is written to %s while it is out at %s", r.ID, a.Box.Host, o.Box.Host)
+		}
+	}
+	a.Written = true
+	x.sent[r]++
+	x.ran[r] = true
+	x.out = append(x.out, a)
+}
+
+// end has the nth attempt that is out end.
+func (x *crossing) end(n int, end End, doubtful bool) {
+	a := x.out[n]
+	x.out = slices.Delete(x.out, n, n+1)
+	x.done = append(x.done, a)
+	if slices.Contains([]End{Missed, TurnedAway, Over}, end) && !doubtful {
+		x.ran[a.Request] = false // as far as this one goes: it is the only one that was out
+	}
+	x.events = append(x.events, Ending{Attempt: a, End: end, Doubtful: doubtful})
+}
+
+// round takes the events in the order in which they stand.
+func (x *crossing) round() {
+	events := x.events
+	x.events = nil // of the next round
+	for _, e := range x.b.Round(x.now, events) {
+		switch e := e.(type) {
+		case Ask:
+			x.waiting = append(x.waiting, e.Attempt)
+		case Quit:
+			drop := func(list *[]*Attempt) bool {
+				i := slices.Index(*list, e.Attempt)
+				if i >= 0 {
+					*list = slices.Delete(*list, i, i+1)
+				}
+				return i >= 0
+			}
+			switch { // one that waits and is given up may still be about to be written
+			case e.Confirm && drop(&x.waiting):
+				x.events = append(x.events, Ending{Attempt: e.Attempt, End: CalledOff})
+			case e.Confirm && drop(&x.out):
+				x.quit = append(x.quit, e.Attempt)
+			case !e.Confirm && !drop(&x.out):
+				drop(&x.quit)
+			}
+		case Answer:
+			if x.answers[e.Request]++; x.answers[e.Request] > 1 || x.left[e.Request] {
+				x.t.Fatalf("request %s has %d answers, withdrawn before: %v", e.Request.ID, x.answers[e.Request], x.left[e.Request])
+			}
+			if f := e.Final; f.Kind == Refusal && x.ran[e.Request] && e.Request.Class >= zoned {
+				x.t.Fatalf("request %s may have run, and is refused: %s", e.Request.ID, f.Reason)
+			}
+		}
+	}
+	for _, r := range x.requests {
+		x.left[r] = r.Withdrawn
+	}
+}
+
+// TestCrossings: whatever comes in whatever order, each request has exactly one end, in its time; nothing is written to a box that drains or
+// is gone, or is filled from one, nor for a client that has left; no two attempts are out together; what may have run and may not be
+// repeated is not; and nothing is held in the end.
+func TestCrossings(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x := newCrossing(t)
+		ends := []End{Served, Missed, TurnedAway, Failed, Over, Broken, Garbled, Silenced}
+		for range rapid.IntRange(5, 60).Draw(t, "rounds") {
+			for range rapid.IntRange(1, 5).Draw(t, "events") {
+				pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "which") }
+				switch what := rapid.IntRange(0, 9).Draw(t, "event"); {
+				case what <= 1:
+					x.arrive(rapid.IntRange(0, once).Draw(t, "class"))
+				case what == 2 && len(x.requests) > 0:
+					if r := x.requests[pick(len(x.requests))]; !r.Withdrawn && x.answers[r] == 0 {
+						r.Withdrawn = true
+						x.events = append(x.events, Withdrawal{r})
+					}
+				case what == 3:
+					x.state(pick(len(x.boxes)), rapid.SampledFrom([]membership.State{membership.Up, membership.Draining, membership.Gone}).Draw(t, "state"))
+				case what == 4:
+					x.events = append(x.events, Purge{Object: uint64(1 + pick(3)), Issued: x.now})
+				case what == 5 && len(x.quit) > 0:
+					a := x.quit[0]
+					x.quit = x.quit[1:]
+					x.events = append(x.events, Ending{Attempt: a, End: CalledOff})
+				case what == 6 && len(x.waiting) > 0:
+					n := pick(len(x.waiting))
+					a := x.waiting[n]
+					x.waiting = slices.Delete(x.waiting, n, n+1)
+					x.events = append(x.events, Ending{Attempt: a, End: rapid.SampledFrom([]End{NotDialled, Unsent, Crowded}).Draw(t, "unsent")})
+				case what == 7 && len(x.out) > 0:
+					x.end(pick(len(x.out)), rapid.SampledFrom(ends).Draw(t, "end"), rapid.Bool().Draw(t, "doubtful"))
+				case what == 8 && len(x.done) > 0: // a second word of one that has ended
+					x.events = append(x.events, Ending{Attempt: x.done[pick(len(x.done))], End: rapid.SampledFrom(ends).Draw(t, "second end")})
+				case len(x.waiting) > 0:
+					x.write(pick(len(x.waiting)))
+				}
+			}
+			x.now += time.Duration(rapid.IntRange(0, 120).Draw(t, "ms")) * time.Millisecond
+			x.round()
+		}
+		for range 300 { // boxes say nothing more
+			x.now += 10 * time.Millisecond
+			x.round()
+		}
+		for _, r := range x.requests {
+			if x.answers[r] == 0 && !r.Withdrawn {
+				t.Fatalf("request %s has no answer", r.ID)
+			}
+		}
+		if s := x.b.Sizes(); s.Open+s.Module > 0 {
+			t.Fatalf("held in the end: %+v", s)
+		}
+	})
+}
+
+// TestDrainCrossesRequest: a request and what the list says of its box, or of its source, come in one round, in both orders.
+func TestDrainCrossesRequest(t *testing.T) {
+	const many = 3 // fills are limited
+	for _, c := range []struct {
+		name string
+		says func(x *crossing)
+	}{
+		{"a box drains", func(x *crossing) { x.state(0, membership.Draining) }},
+		{"a box drains, is up and drains again", func(x *crossing) {
+			x.state(0, membership.Draining)
+			x.state(0, membership.Up)
+			x.state(0, membership.Draining)
+		}},
+		{"a source drains", func(x *crossing) { x.state(2, membership.Draining) }},
+		{"a box is gone", func(x *crossing) { x.state(1, membership.Gone) }},
+	} {
+		for _, first := range []bool{true, false} {
+			x := newCrossing(t)
+			ask := func() {
+				for range many {
+					x.arrive(0)
+				}
+			}
+			if first {
+				c.says(x)
+				ask()
+			} else {
+				ask()
+				c.says(x)
+			}
+			for x.round(); len(x.answers) < many; x.round() { // write checks where it goes
+				for len(x.waiting) > 0 {
+					x.write(0)
+				}
+				for len(x.out) > 0 {
+					x.end(0, Served, false)
+				}
+				if x.now += time.Millisecond; x.now > 1003*time.Second {
+					t.Fatalf("%s, the list first %v: %d of %d requests have an answer", c.name, first, len(x.answers), many)
+				}
+			}
+			for _, r := range x.requests {
+				if x.sent[r] == 0 {
+					t.Errorf("%s, the list first %v: request %s was sent nowhere", c.name, first, r.ID)
+				}
+			}
+		}
+	}
+}
