Force the crossings of a list's watch, and of a box that does not read, over sockets

The need: the table of crossings names a test for each cell, and watches had theirs only in the order in which TestBulletin plays them. TestWatches has a watch fall silent in the middle of a line, tell a number beyond what it told, tell events in another order, and end; then a drain comes in the catch-up, with a repeat of its number, and no attempt may go to that box. TestReloadToWhatIsNotUp moves the address by SIGHUP to one that is not up yet. The box that does not read is played without probes too, as only there the new guard acts alone (with probes the NOOP closes the connection as well, and taking the guard out was not seen).

No fault was found in the watches; no code is changed.

--- a/cmd/sloequay/rare_test.go
+++ b/cmd/sloequay/rare_test.go
@@ -118,7 +118,22 @@
 // TestNothingWaitsForABoxThatDoesNotRead: what was written for a box that does not read waited with us, and went out whenever it read
 // again: after a drain, a purge, or the client's leaving.
 func TestNothingWaitsForABoxThatDoesNotRead(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		probes  bool
+		streams int
+	}{
+		{"many connections, each within what the system holds", true, 32},
+		{"one connection beyond that, and no word that it lives may be asked for", false, 1000},
+	} {
+		t.Run(c.name, func(t *testing.T) { notRead(t, c.probes, c.streams) })
+	}
+}
+
+func notRead(t *testing.T, probes bool, streams int) {
 	w := newWorld(t, nil, "c1", "c2", "p1")
+	limits := w.config["settings"].(map[string]any)["limits"].(map[string]any)
+	limits["may-probe"], limits["streams-per-conn"] = probes, streams
 	address, read := w.deafBox()
 	w.hosts[0]["dial"] = address
 	w.run()
@@ -238,3 +253,83 @@
 func withdraw(id byte) []byte {
 	return slices.Concat([]byte{0x93, 2, 0xa8}, []byte("withdraw"), []byte{0x91, id})
 }
+
+// TestWatches: a watch that falls silent, or whose numbers show that something is missing, is followed anew behind the last event that came
+// whole, and what it then tells holds for requests that are asked right after.
+func TestWatches(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		feed []string
+	}{
+		{"silent in the middle of a line", []string{`~{"no":2,"roster":{"seq":2,"who`}},
+		{"a heartbeat beyond what was told", []string{"1", "5"}},
+		{"events in another order", []string{`{"no":3,"recall":{"lot":3,"issued":1}}`}},
+		{"the connection ends", []string{"1", "!"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, nil)
+			w.run()
+			w.asks()
+			for _, text := range c.feed {
+				w.feed <- text
+			}
+			w.until("it is noticed", func() bool { return strings.Contains(w.log.String(), "event=bulletin-lost") })
+			w.feed <- "!" // the stand-in serves one connection at a time
+			if after := w.asks(); after != "after 1" {
+				t.Fatalf("the program asks for %q, want what came after the last whole event", after)
+			}
+			address := w.boxes["c1"].Addr().String()
+			w.feed <- roster(2, false, host("c1", address, "edge", "std", "draining", 0))
+			w.feed <- roster(2, false, host("c1", address, "edge", "std", "up", 0)) // a repeat: it has this number
+			w.drained("c1")
+		})
+	}
+}
+
+// drained waits until the program knows that a box drains, and has requests go elsewhere.
+func (w *world) drained(box string) {
+	w.t.Helper()
+	w.until("the drain is known", func() bool { return matches("event=box-drains box="+box, w.log.String()) })
+	client := w.dial()
+	before := len(w.lines(func(a *asked) bool { return a.Word == "ASK" && a.Box == box }))
+	for id := range uint64(20) {
+		client.send(request(id+1, "lookup", map[string]string{"item": fmt.Sprintf("%016x", id+1)}, ""))
+		if a := client.want(); a.Error != "" {
+			w.t.Errorf("%+v, want it served elsewhere", a)
+		}
+	}
+	if asks := w.lines(func(a *asked) bool { return a.Word == "ASK" && a.Box == box }); len(asks) > before {
+		w.t.Errorf("%d attempts went to the draining box", len(asks)-before)
+	}
+}
+
+// TestReloadToWhatIsNotUp: SIGHUP names a bulletin that is not there yet. It is asked until it is, behind the last event, and what it tells
+// holds.
+func TestReloadToWhatIsNotUp(t *testing.T) {
+	w := newWorld(t, nil)
+	w.run()
+	w.asks()
+	w.feed <- `{"no":2,"recall":{"lot":3,"issued":1}}`
+	w.feed <- "2"
+	later := w.free()
+	w.config["bulletin"] = later
+	w.configure()
+	w.signal(syscall.SIGHUP)
+	w.until("the new one is missed", func() bool { return strings.Contains(w.log.String(), "event=bulletin-lost") })
+	next, err := standin.NewBulletinAt(later)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(next.Close)
+	select {
+	case after := <-next.After:
+		if after != "after 2" {
+			t.Errorf("the new bulletin is asked for %q, want what comes after event 2", after)
+		}
+	case <-time.After(patience):
+		t.Fatal("the new bulletin is not asked")
+	}
+	next.Feed <- roster(3, false, host("c1", w.boxes["c1"].Addr().String(), "edge", "std", "draining", 0))
+	w.drained("c1")
+}
--- a/standin/bulletin.go
+++ b/standin/bulletin.go
@@ -10,7 +10,8 @@
 	"github.com/miekg/dns"
 )
 
-// Bulletin is a stand-in bulletin that tells each line of Feed to whoever is connected. The line "!" ends the connection.
+// Bulletin is a stand-in bulletin that tells each line of Feed to whoever is connected. The line "!" ends the connection; what begins
+// with "~" is told without the end of its line.
 type Bulletin struct {
 	Feed  chan string
 	After chan string // what each connection asked for
@@ -19,7 +20,12 @@
 
 // NewBulletin starts one on a loopback port. It serves one connection at a time.
 func NewBulletin() (*Bulletin, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return NewBulletinAt("127.0.0.1:0")
+}
+
+// NewBulletinAt starts one at an address.
+func NewBulletinAt(address string) (*Bulletin, error) {
+	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -47,7 +53,11 @@
 				if text == "!" {
 					break
 				}
-				if _, err := io.WriteString(conn, text+"\n"); err != nil {
+				line, half := strings.CutPrefix(text, "~")
+				if !half {
+					line += "\n"
+				}
+				if _, err := io.WriteString(conn, line); err != nil {
 					break
 				}
 			}
