Have the half-read request of the test of leaving come on a connection that was used

The guard that spares connections with a half request was taken out of a scratch copy, and TestLeaving did not see it: a connection that never sent a whole message is new, not idle. With a status asked first it fails there (no attempt reaches a box), and passes with the guard.

--- a/cmd/sloequay/leave_test.go
+++ b/cmd/sloequay/leave_test.go
@@ -122,6 +122,8 @@
 		}},
 		{"a request half read", 0, func(t *testing.T, w *world, held chan *asked) {
 			client := w.dial()
+			client.send(request(9, "status", nil, "")) // so that it is idle, but for what it has begun
+			client.want()
 			frame := request(1, "charge", map[string]string{"unique": "k1"}, "body")
 			client.send(frame[:len(frame)-2])
 			w.dial() // idle
