Judge two thirds of requests by another size of their class where room is short

Now, by lot, two thirds are judged by the size of the last request of their class where that is smaller: whatever the bound, the largest are let in at least two thirds as often as their class by its own sizes (size.TestJudged).

--- a/control/control.go
+++ b/control/control.go
@@ -16,6 +16,7 @@
 	"sloequay/purge"
 	"sloequay/ramp"
 	"sloequay/rendezvous"
+	"sloequay/size"
 )
 
 // Settings and tuned constants.
@@ -99,6 +100,7 @@
 	mean float64 // sending time in seconds
 	cost float64 // the same in cold budgets, never net of crowding: too low would push cold servers over
 	seen float64 // sizes that it rests on
+	last float64 // sending time of the last request
 }
 
 // New makes a Director. The seed is not used: the same events give the same actions at every director.
@@ -122,7 +124,7 @@
 		if c.Effect < Safe || c.Effect > Unsafe {
 			return nil, fmt.Errorf("config: Classes[%d].Effect: unknown value %d", i, c.Effect)
 		}
-		d.classes = append(d.classes, classState{c, max(c.Aim, ms).Seconds(), max(c.Aim, ms).Seconds(), 0})
+		d.classes = append(d.classes, classState{c, max(c.Aim, ms).Seconds(), max(c.Aim, ms).Seconds(), 0, 0})
 	}
 	if cfg.Zone < 0 || len(cfg.ZoneNames) > 0 && cfg.Zone >= len(cfg.ZoneNames) {
 		return nil, fmt.Errorf("config: Zone: %d out of range", cfg.Zone)
@@ -379,6 +381,7 @@
 	second   bool // goes to the second copy, filled from the holder
 	deadline time.Duration
 	expect   float64 // sending time, seconds
+	judged   float64 // the one by which it is let in, see size
 	asked    bool    // a parent was asked for what it holds only
 	price    float64 // sending time for a worth of 1
 	sized    bool    // and whether its size was told
@@ -396,8 +399,7 @@
 	q := &request{id: e.ID, class: c, part: part{e.Object, e.Part}, group: e.Group, deadline: d.now + e.Left}
 	d.arrived++
 	q.expect, q.sized = c.mean, e.SizeKB > 0 && d.cfg.FlowKBps > 0
-	if q.sized {
-		// What a client says of the size may be wrong, and must not spoil what is known of the class.
+	if q.sized { // what a client says of its size may be wrong, and must not spoil what is known of the class
 		q.expect = min(e.SizeKB/d.cfg.FlowKBps, max(e.Left.Seconds(), c.mean))
 		c.mean += (min(q.expect, sizeMost*c.mean) - c.mean) * meanWeight
 		c.seen++ // a plain mean at first: the wanted time is far beyond it, and cold servers got nothing
@@ -412,6 +414,7 @@
 			q.keep = 1
 		}
 	}
+	q.judged, c.last = size.Judged(q.expect, c.last, rendezvous.Mix(uint64(q.id))), q.expect
 	q.price = max(q.expect, leastAge.Seconds()) / cmp.Or(c.Worth, 1)
 	d.price = cmp.Or(d.price, q.price)*(1-meanWeight) + q.price*meanWeight
 	d.requests[e.ID] = q
@@ -556,7 +559,7 @@
 	d.release(q, e.Attempt)
 	a.node.firstWait = d.now
 	if a.limit != nil && e.Note != NoteHit && !slices.Contains(noSign, e.Status) {
-		a.limit.Adapt(d.zone, e.Took.Seconds() <= d.aim(q) && (e.Status == OK || e.Status == Miss))
+		a.limit.Adapt(d.zone, e.Took.Seconds() <= q.aim(q.expect) && (e.Status == OK || e.Status == Miss))
 		if e.Status == OK && e.Note == NoteFilledOrigin && !a.late {
 			d.behind.Note(&a.source.late, d.now, false)
 		}
@@ -655,10 +658,10 @@
 			a.node.doubt += (d.now - since).Seconds() / (slowdown * max(q.expect, q.class.mean))
 			switch took := (d.now - a.sent).Seconds(); {
 			case a.late:
-			case q.class.Write && a.node.role == roleOrigin && took > writeUse*d.aim(q):
+			case q.class.Write && a.node.role == roleOrigin && took > writeUse*q.aim(q.expect):
 				a.late = true
 				d.fills.Back() // writes wait behind fills there, and are worth more
-			case a.limit != nil && a.source != a.node && took > d.aim(q):
+			case a.limit != nil && a.source != a.node && took > q.aim(q.expect):
 				a.late = true
 				d.tardy(a)
 			}
@@ -681,7 +684,6 @@
 }
 
 // tardy counts a fill that is late, unless those by way of the other parents are as well: the origin is slow.
-// Ejected by turns, the parents had each other's objects asked of the slow origin once more.
 func (d *Director) tardy(a *attempt) {
 	s := a.source
 	if s.role != roleParent || a.held || s.heard < a.sent {
@@ -694,8 +696,7 @@
 	s.tardy = s.ejected && (s.tardy || !out)
 }
 
-// move has a request go on whose only attempt waits for an ejected server, or whose answer must be lost.
-// Where two may be out together the first stays; else it is called off, and its end sends the next one.
+// move has a request go on whose attempt waits for an ejected server or is lost: beside it, or in its place.
 func (d *Director) move(q *request) {
 	if q.open != 1 || q.class.Effect == Unsafe || q.deadline-d.now < lastCall {
 		return
@@ -1017,15 +1018,14 @@
 	return max(1, d.cfg.Instances)
 }
 
-// room says whether a server can answer in time beside what is out to it: large requests are shed first.
+// room says whether a server can answer in time beside what is out to it.
 func (d *Director) room(q *request, s *server) bool {
-	crowd := d.crowd(s)
-	return s.open == 0 || s.role == roleOrigin || q.expect*crowd < aimUse*d.aim(q)
+	return s.open == 0 || s.role == roleOrigin || q.judged*d.crowd(s) < aimUse*q.aim(q.judged)
 }
 
-// aim is the wanted time of a request in seconds, as far as its size is known.
-func (d *Director) aim(q *request) float64 {
-	return q.class.Aim.Seconds() + q.class.AimStretch*q.expect
+// aim is the wanted time of a request that takes so many seconds to send.
+func (q *request) aim(seconds float64) float64 {
+	return q.class.Aim.Seconds() + q.class.AimStretch*seconds
 }
 
 // value weighs a request by its worth for what it costs, 1 being the mean.
@@ -1035,5 +1035,5 @@
 
 // narrow says whether a limit, weighed by worth for cost, has no room; a part of a fill is given by lot.
 func (d *Director) narrow(q *request, l *fills.Limiter) bool {
-	return l.Narrow(d.zone, d.value(q), float64(rendezvous.Mix(uint64(q.id))>>11)/(1<<53))
+	return l.Narrow(d.zone, d.value(q), size.Lot(rendezvous.Mix(uint64(q.id))))
 }
