--- a/oplog/oplog.go
+++ b/oplog/oplog.go
@@ -19,7 +19,7 @@
 
 // Events is every event word with its level. docs/on-call.md says what each means; a test compares the two.
 var Events = map[string]zapcore.Level{
-	"started": zap.InfoLevel, "leaving": zap.InfoLevel, "left": zap.InfoLevel, "reloaded": zap.InfoLevel, "contracts-renewed": zap.InfoLevel, "team-moved": zap.WarnLevel, "control-failed": zap.ErrorLevel, "clock-stepped": zap.ErrorLevel,
+	"started": zap.InfoLevel, "leaving": zap.InfoLevel, "leaving-cut": zap.WarnLevel, "left": zap.InfoLevel, "reloaded": zap.InfoLevel, "contracts-renewed": zap.InfoLevel, "team-moved": zap.WarnLevel, "control-failed": zap.ErrorLevel, "clock-stepped": zap.ErrorLevel,
 	"reload-failed": zap.ErrorLevel, "log-full": zap.WarnLevel, "module": zap.WarnLevel, "module-unknown": zap.ErrorLevel,
 
 	"client-frame": zap.WarnLevel, "client-request": zap.WarnLevel, "client-limit": zap.WarnLevel,
