Answer what came whole before a client can't be read, and give advice only where allowed

Seen: a client with a sound request open sends noise, a length of 4 GB, the same number again, or a half frame that stays a half for 2 s. The connection was closed (rpc.client.Received, lobby.Tick) and the sound request had no answer: lost, by the protocol. Two ways were weighed for what can't be read: to serve what is open and close then, or to fail it and close. Of the same number twice only the first one is answered, as nobody could tell the two answers apart. A half frame waits as long as something whole is open beside it.

Seen: with retry-after not allowed, clients with too much open were told later=100 (rpc.client.request), and a budget told its own wait; with 40 ms as the longest that clients heed, 100 was told all the same.

--- a/lobby/lobby.go
+++ b/lobby/lobby.go
@@ -18,8 +18,8 @@
 // Lobby is all clients of one front. Clients that connect by hundreds and say nothing, or ask once and stay, must not
 // keep others out: when all places are taken one of those makes way.
 //
-// Invariant: who has something open, or has not taken all of its answers, is in no queue, so that it is bidden to leave only when it
-// takes nothing for as long as an idle one may stay.
+// Invariant: who has something open is never bidden to leave; who has not taken all of its answers is only when it takes nothing for as
+// long as an idle one may stay.
 type Lobby struct {
 	most    int
 	patient time.Duration // with idle clients
@@ -91,8 +91,8 @@
 	for e := l.idle.Front(); e != nil && now-e.Value.(*Guest).since > l.patient; e = l.idle.Front() {
 		e.Value.(*Guest).bid()
 	}
-	for g := range l.halves {
-		if now-g.half > WholeWithin {
+	for g := range l.halves { // one that has something open stays: what it sent before the half was whole
+		if now-g.half > WholeWithin && !g.busy && !l.owed[g] {
 			halves++
 			g.bid()
 		}
--- a/node/serve.go
+++ b/node/serve.go
@@ -98,6 +98,7 @@
 		clients -= 2 * cfg.tls.Most
 	}
 	d.front = rpc.New(s.Control.Classes, clients, d.enter, clock, ready, full, d.log.Event)
+	d.front.MostWait = s.Control.MaxRetryAfter
 	listeners = append(listeners, loop.Listener{Network: "tcp", Address: s.Listen, Accept: d.front.Accept})
 	return loop.Run(listeners, d.start, d.round)
 }
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -6,8 +6,10 @@
 	"container/list"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -44,6 +46,9 @@
 
 	// idleAfter is longer than clients keep an idle connection, so that no request crosses the close.
 	idleAfter = 6 * time.Second
+
+	// crowdedWait is told a client that has too much open, or while memory is short.
+	crowdedWait = 100 * time.Millisecond
 )
 
 // The words of the protocol.
@@ -68,6 +73,9 @@
 	lobby   *lobby.Lobby
 	paced   list.List // of *client, which wait to be looked at
 
+	// MostWait bounds what a refused client is told of when to come back. Zero: nothing may be told.
+	MostWait time.Duration
+
 	// Source gives what identity knows of where a client comes from. Nil: identity is off.
 	Source func(remote string) *identity.Source
 }
@@ -188,6 +196,15 @@
 	}
 }
 
+// abandon ends the connection of a client that can't be understood any more. What it asked before was well-formed and is owed an
+// answer; it is not served, as nobody can tell which answer such a client takes for which.
+func (c *client) abandon() {
+	for _, msg := range slices.Sorted(maps.Keys(c.open)) {
+		c.fail(msg, wordFailed, nil)
+	}
+	c.leave()
+}
+
 // Received takes the messages that have come whole.
 func (c *client) Received(conn *loop.Conn) {
 	c.excess = 0
@@ -202,8 +219,8 @@
 			break
 		}
 		if err != nil {
-			c.front.log("client-frame", "error", err)
-			c.leave()
+			c.front.log("client-frame", "error", err, "open", len(c.open))
+			c.abandon()
 		}
 		used += done
 	}
@@ -285,10 +302,9 @@
 		c.fail(msg, wordMalformed, nil)
 	case c.open[msg] != nil:
 		c.front.log("client-id", "message", msg)
-		c.fail(msg, wordMalformed, nil) // the first one's answer is still to come, under the same id
 		return end, fmt.Errorf("message id %d used twice", msg)
 	case len(c.open) >= mostOpen || c.front.full():
-		c.fail(msg, wordRefused, []broker.Field{{Name: "later", Value: "100"}})
+		c.refuse(msg, broker.Final{Wait: min(crowdedWait, c.front.MostWait)})
 		if c.excess++; c.excess > mostExcess {
 			return end, fmt.Errorf("%d requests beyond the %d that may be open", c.excess, mostOpen)
 		}
@@ -448,15 +464,7 @@
 		}
 		c.conn.Send(b, f.Body, appendFields(nil, fields))
 	case broker.Refusal:
-		var fields []broker.Field
-		if f.Wait > 0 {
-			later := (f.Wait + time.Millisecond - 1) / time.Millisecond
-			fields = []broker.Field{{Name: "later", Value: strconv.FormatInt(int64(later), 10)}}
-		}
-		if f.Budget != "" {
-			fields = append(fields, broker.Field{Name: "budget", Value: f.Budget})
-		}
-		c.fail(msg, wordRefused, fields)
+		c.refuse(msg, f)
 	case broker.Failure:
 		c.fail(msg, wordFailed, nil)
 	case broker.Denied:
@@ -469,6 +477,19 @@
 	return msgpack.AppendUint(msgpack.AppendUint(msgpack.AppendArray(nil, 4), kindAnswer), uint64(msg))
 }
 
+// refuse says that a further try is harmless, and when it is welcome.
+func (c *client) refuse(msg uint32, f broker.Final) {
+	var fields []broker.Field
+	if f.Wait > 0 {
+		later := (f.Wait + time.Millisecond - 1) / time.Millisecond
+		fields = append(fields, broker.Field{Name: "later", Value: strconv.FormatInt(int64(later), 10)})
+	}
+	if f.Budget != "" {
+		fields = append(fields, broker.Field{Name: "budget", Value: f.Budget})
+	}
+	c.fail(msg, wordRefused, fields)
+}
+
 func (c *client) fail(msg uint32, word string, fields []broker.Field) {
 	b := msgpack.AppendText(msgpack.AppendArray(answerHead(msg), 2), word)
 	c.conn.Send(msgpack.AppendNil(appendFields(b, fields)))
