Call attempts off only where allowed, put nothing behind an endless answer, write once a round

QUIT: Pool.Quit wrote it whatever limits.cancelling says; the module asks, the broker's own ends (a client's leaving, a deadline) did not. Now the attempt stays on its connection, with its place counted, until the time that the box was told is up, and a late answer ends nothing. An id that is out there is not put on that connection again, as before. Seen in TestNoQuitWhereNotAllowed: a QUIT in three of three cases, and with one stream a connection a second attempt on it.

An answer that trickles: while bytes come a connection counts as alive, so requests were put behind an answer that never ends: in TestTrickle the next two waited out 9 s and were refused. Now nothing new goes behind an answer that has been coming for 1 s, and the connection ends once the answer's own request is over and another one is late behind it. Served 2 s later, at the first one's deadline.

What waited for a dial was written in the callback of its coming up, before what was read beside it counted. It is written at the end of the round now, in one place (Pool.Write), after the round's withdrawals and lists.

TestTermCrossesAttempts, TestHalfClosedByTheBox and TestEndMeetsTheNextRequest force cells of the table that had no test; they pass on the program before as well. TestBurstOfLeavers counts 320 requests whose clients leave while they wait for a dial: 0 sent on, before as well.

--- a/cmd/sloequay/crossing_test.go
+++ b/cmd/sloequay/crossing_test.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -16,6 +18,57 @@
 	return w.config["settings"].(map[string]any)["limits"].(map[string]any)
 }
 
+// TestNoQuitWhereNotAllowed: the settings forbid that attempts are called off, and a QUIT went out all the same. Now the attempt stays
+// where it is: it takes its place on the connection until the time that the box was told is up, and no other one joins it under its id.
+func TestNoQuitWhereNotAllowed(t *testing.T) {
+	for _, c := range []struct {
+		name, limit string
+		ends        func(w *world, c *client)
+	}{
+		{"the client takes it back", "1500", func(w *world, c *client) {
+			c.send(withdraw(1))
+			c.send(request(9, "status", nil, ""))
+			c.want()
+		}},
+		{"the client goes", "1500", func(w *world, c *client) { _ = c.conn.Close() }},
+		{"its time is up", "400", func(w *world, c *client) {
+			if a := c.want(); a.Error == "" {
+				w.t.Errorf("%+v, want an error", a)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			held := make(chan *asked, 100)
+			w := newWorld(t, func(a *asked) { held <- a }, "c2")
+			w.limits()["cancelling"], w.limits()["streams-per-conn"] = false, 1
+			w.run()
+			client := w.dial()
+			client.send(request(1, "lookup", map[string]string{"limit": c.limit}, ""))
+			first := next(t, held)
+			c.ends(w, client)
+			other := w.dial()
+			other.send(request(2, "lookup", map[string]string{"limit": "3000"}, ""))
+			second := next(t, held)
+			if first.Conn == second.Conn && c.limit != "400" {
+				t.Error("a second attempt is on a connection that carries one at most")
+			}
+			first.Answer("ACK", "tag=t1", "late") // nobody waits for it
+			second.Answer("ACK", "tag=t1", "done")
+			if a := other.want(); a.Body != "done" {
+				t.Errorf("%+v, want it served", a)
+			}
+			// An answer for each further connection shows that all before was read.
+			w.setScript(func(a *asked) { a.Answer("ACK", "tag=t1", "done") })
+			other.send(request(3, "lookup", nil, ""))
+			other.want()
+			if quits := w.lines(word("QUIT")); len(quits) > 0 {
+				t.Errorf("%d QUIT went out", len(quits))
+			}
+		})
+	}
+}
+
 // TestNoAdviceWhereNotAllowed: whoever refuses, a client is told when to come back only where the settings allow that, and no longer than
 // they say.
 func TestNoAdviceWhereNotAllowed(t *testing.T) {
@@ -104,6 +157,167 @@
 	}
 }
 
+// TestTrickle: an answer comes byte by byte and does not end. What stands behind it on its connection is late until the request of that
+// answer is over, and goes elsewhere then; and nothing new is put behind it.
+func TestTrickle(t *testing.T) {
+	over := make(chan struct{})
+	t.Cleanup(func() { close(over) })
+	var first atomic.Pointer[net.Conn]
+	held := make(chan *asked, 100)
+	w := newWorld(t, func(a *asked) {
+		if a.ID != "0000000000000001" {
+			if conn := first.Load(); conn == nil || a.Conn != *conn {
+				a.Answer("ACK", "tag=t1", "done")
+			}
+			held <- a
+			return
+		}
+		if !first.CompareAndSwap(nil, &a.Conn) {
+			a.Answer("ACK", "tag=t1", "done")
+			return
+		}
+		_, err := fmt.Fprintf(a.Conn, "%s ACK tag=t1 200000\r\n", a.ID)
+		for held <- a; err == nil; {
+			select {
+			case <-over:
+				return
+			case <-time.After(10 * time.Millisecond):
+				_, err = io.WriteString(a.Conn, "x")
+			}
+		}
+	}, "c2")
+	w.limits()["attempts-cap"] = 6
+	w.run()
+	client := w.dial()
+	client.send(request(1, "lookup", map[string]string{"limit": "2000"}, ""))
+	next(t, held)
+	begun := time.Now()
+	client.send(request(2, "lookup", map[string]string{"limit": "9000"}, ""))
+	if behind := next(t, held); behind.Conn != *first.Load() {
+		t.Fatal("the second request went by another connection: nothing is tried")
+	}
+	time.Sleep(time.Until(begun.Add(1200 * time.Millisecond))) // longer than anything new is put behind it
+	other := w.dial()
+	other.send(request(3, "lookup", map[string]string{"limit": "9000"}, ""))
+	if a := other.want(); a.Body != "done" || next(t, held).Conn == *first.Load() {
+		t.Errorf("%+v, want it served by another connection", a)
+	}
+	if a := client.want(); a.ID != 1 || a.Error == "" {
+		t.Errorf("%+v, want the first request failed when its time is up", a)
+	}
+	if a, took := client.want(), time.Since(begun); a.ID != 2 || a.Body != "done" || took > 6*time.Second {
+		t.Errorf("%+v after %v, want the second request served soon after that", a, took)
+	}
+}
+
+// TestTermCrossesAttempts: SIGTERM while an attempt waits for its dial, or is half read by its box: it goes on as always.
+func TestTermCrossesAttempts(t *testing.T) {
+	t.Run("its dial", func(t *testing.T) {
+		t.Parallel()
+		w := newWorld(t, nil, "c2")
+		w.hosts[0]["dial"] = w.fullListener()
+		w.limits()["dial-timeout-ms"] = 60000
+		w.run()
+		client := w.dial()
+		client.send(request(1, "lookup", map[string]string{"limit": "3000"}, ""))
+		client.send(request(2, "status", nil, ""))
+		client.want() // so the first one was read
+		w.term()
+		go w.fleet.Serve("c1", w.full)
+		if a := client.want(); a.Error != "" {
+			t.Errorf("%+v, want it served", a)
+		}
+		w.ended()
+	})
+	t.Run("half read", func(t *testing.T) {
+		t.Parallel()
+		w := newWorld(t, nil)
+		ln := w.listenOn("127.0.0.1:0")
+		w.hosts[len(w.hosts)-1]["dial"] = ln.Addr().String() // the origin
+		w.run()
+		half, termed := make(chan struct{}), make(chan struct{})
+		go func() {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			r := bufio.NewReaderSize(conn, 16)
+			_, _ = io.ReadFull(r, make([]byte, 20000))
+			close(half)
+			<-termed
+			rest, _ := r.ReadString('#') // which ends the body
+			_, _ = fmt.Fprintf(conn, "0000000000000001 ACK tag=t1 4\r\n%04d\r\n", len(rest)%10000)
+		}()
+		client := w.dial()
+		client.send(request(1, "charge", map[string]string{"unique": "k1"}, strings.Repeat("x", 47999)+"#"))
+		<-half
+		w.term()
+		close(termed)
+		if a := client.want(); a.Error != "" || len(a.Body) != 4 {
+			t.Errorf("%+v, want it served", a)
+		}
+		w.ended()
+	})
+}
+
+// TestHalfClosedByTheBox: a box ends its side of a connection, with a request out or just answered. That is read as the end of both
+// sides: the request goes on by another connection, once.
+func TestHalfClosedByTheBox(t *testing.T) {
+	for _, method := range []string{"lookup", "charge"} {
+		t.Run(method, func(t *testing.T) {
+			t.Parallel()
+			var n atomic.Int64
+			w := newWorld(t, func(a *asked) {
+				if n.Add(1)%2 == 1 {
+					_ = a.Conn.(*net.TCPConn).CloseWrite()
+					return
+				}
+				a.Answer("ACK", "tag=t1", "done")
+			}, "c2")
+			w.run()
+			client := w.dial()
+			for id := range uint64(10) {
+				client.send(request(id+1, method, map[string]string{"unique": fmt.Sprint("k", id)}, ""))
+				if a := client.want(); a.Body != "done" {
+					t.Fatalf("%+v, want it served", a)
+				}
+			}
+			if asks := w.lines(word("ASK")); len(asks) != 20 {
+				t.Errorf("%d attempts went out for ten requests, want two for each", len(asks))
+			}
+		})
+	}
+}
+
+// TestEndMeetsTheNextRequest: a box ends a connection with its answer, and the client's next request comes as that end does, in both orders.
+func TestEndMeetsTheNextRequest(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		t.Run(fmt.Sprint("by reset ", reset), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, func(a *asked) {
+				a.Answer("ACK", "tag=t1", "done")
+				if reset {
+					time.Sleep(time.Millisecond) // or it would take the answer with it
+					_ = a.Conn.(*net.TCPConn).SetLinger(0)
+				}
+				_ = a.Conn.Close()
+			}, "c2")
+			w.run()
+			client := w.dial()
+			for id := range uint64(200) {
+				method := []string{"lookup", "charge"}[id%2]
+				client.send(request(id+1, method, map[string]string{"unique": fmt.Sprint("k", id)}, ""))
+				if a := client.want(); a.Body != "done" {
+					t.Fatalf("request %d: %+v, want it served", id, a)
+				}
+				if reset {
+					time.Sleep(time.Duration(id%8) * 300 * time.Microsecond) // round the moment of the reset
+				}
+			}
+		})
+	}
+}
+
 // TestLeftWhileNothingWasRead: the program stands still; meanwhile clients ask and leave, in each way in which they can. When it goes on
 // it reads both at once, and nothing is sent on for any of them; who stayed is served.
 func TestLeftWhileNothingWasRead(t *testing.T) {
@@ -157,3 +371,54 @@
 	}},
 	{"half-close", func(c *client, _ byte) { _ = c.conn.(*net.TCPConn).CloseWrite() }},
 }
+
+// TestBurstOfLeavers: hundreds of requests wait for one box's connection to come up, most of their clients leave meanwhile, and it comes
+// up 0.4 s later. None of theirs is sent on, and each of the others is served once.
+func TestBurstOfLeavers(t *testing.T) {
+	w := newWorld(t, nil, "c2")
+	w.hosts[0]["dial"] = w.fullListener()
+	w.limits()["dial-timeout-ms"], w.limits()["streams-per-conn"] = 60000, 1000
+	w.run()
+	const many, each = 20, 20
+	var clients []*client
+	for n := range many {
+		c := w.dial()
+		clients = append(clients, c)
+		for id := range uint64(each) {
+			c.send(request(id+1, "lookup", map[string]string{"limit": "60000", "ram": "0.01", "txn": fmt.Sprintf("%08x%08x", n, id+1),
+				"item": fmt.Sprintf("%08x%08x", n, id+1)}, ""))
+		}
+		c.send(request(each+1, "status", nil, ""))
+		for c.want().ID != each+1 { // what is refused meanwhile has its answer
+		}
+	}
+	left := map[string]bool{}
+	for n, c := range clients {
+		if n%5 == 0 {
+			continue
+		}
+		for id := range byte(each) {
+			left[fmt.Sprintf("%08x%08x", n, id+1)] = true
+			leavings[n%len(leavings)].leave(c, id+1)
+		}
+	}
+	time.Sleep(400 * time.Millisecond)
+	go w.fleet.Serve("c1", w.full)
+	stayed, served := clients[0], 0
+	for end := time.Now().Add(patience); served == 0 && time.Now().Before(end); {
+		if a, err := stayed.read(); err == nil && a.Error == "" {
+			served++
+		}
+	}
+	asks := w.lines(word("ASK"))
+	sent := 0
+	for _, a := range asks {
+		if left[a.ID] {
+			sent++
+		}
+	}
+	if sent > 0 || served == 0 || len(asks) == 0 {
+		t.Errorf("%d of %d requests whose clients had left were sent on; %d attempts in all", sent, len(left), len(asks))
+	}
+	t.Logf("%d of %d requests whose clients had left were sent on, %d attempts in all", sent, len(left), len(asks))
+}
--- a/depot/answer.go
+++ b/depot/answer.go
@@ -85,6 +85,15 @@
 	return a, stop + 2, nil
 }
 
+// begun gives the id of an answer that has come in part; empty: not even that is whole.
+func begun(data []byte) string {
+	id, _, _ := bytes.Cut(data[:min(len(data), mostLine)], []byte(" "))
+	if len(id) == len(data) {
+		return ""
+	}
+	return string(id)
+}
+
 func (a *answer) field(name string) string {
 	for _, f := range a.fields {
 		if f.Name == name {
--- a/depot/depot.go
+++ b/depot/depot.go
@@ -42,6 +42,9 @@
 	// purge or the client's leaving, of which the narrowest is 0.3 s. Looked at from mark to mark it is twice that at most.
 	stuckMost = 100 * time.Millisecond
 	probeMost = time.Second
+	// trickleMost is how long an answer may be on its way before nothing new is put behind it: a whole one of 240,000 bytes takes 0.8 s
+	// at the pace of one transfer. Where its own request is over by then, and another one is late behind it, the connection is ended.
+	trickleMost = time.Second
 )
 
 // Pool is all connections to boxes.
@@ -59,6 +62,7 @@
 	Streams   int
 	Most      int  // descriptors
 	MayProbe  bool // whether the settings allow it
+	MayQuit   bool // whether they allow that an attempt is called off
 	// Secure gives how a box is to be connected to where that is not by plain TCP: the function runs beside the loop and ends in
 	// its own time. Nil, or a nil function: plain.
 	Secure   func(*broker.Box) func(address string) (net.Conn, error)
@@ -67,8 +71,9 @@
 	Tally Tally // see Take
 
 	boxes  map[control.NodeID]*depot
-	links  int // up or being dialled
-	probes int // numbers their tags
+	up     []*link // since the last Write
+	links  int     // up or being dialled
+	probes int     // numbers their tags
 	seen   time.Duration
 }
 
@@ -94,6 +99,8 @@
 	used    time.Duration
 	alive   time.Duration // when a check was last answered
 	doubted bool          // a check is out for long
+	coming  string        // the id of an answer of which a part has come
+	since   time.Duration // when that began; 0: none has
 	mark    uint64        // bytes that were left for it at
 	marked  time.Duration // that time
 	again   bool          // it was dialled a second time
@@ -154,7 +161,7 @@
 		dialling = dialling || l.conn == nil && !l.retired
 		// An id that was given up on a connection does not go out there again: its late answer could not be told
 		// from the new one.
-		if l.stale(id) || l.open[id] != nil || l.retired || l.load() >= p.Streams || l.doubted {
+		if l.stale(id) || l.open[id] != nil || l.retired || l.load() >= p.Streams || l.doubted || l.trickles(p.Now()) {
 			continue
 		}
 		up := best != nil && best.conn != nil
@@ -243,7 +250,7 @@
 // known by its words and asked about, where that is possible.
 func (l *link) stale(id string) bool {
 	old, ok := l.past[id]
-	return ok && (old.said == "" || !l.pool.MayProbe)
+	return ok && (old.said == "" || !l.pool.MayProbe || !l.pool.MayQuit)
 }
 
 func (l *link) load() int { return len(l.open) + len(l.waiting) }
@@ -274,23 +281,39 @@
 	if len(l.waiting) > 0 {
 		l.pool.Log("depot-dial", "box", l.depot.box.Host, "address", l.address, "error", err)
 	}
+	l.unsent(end)
+}
+
+// unsent ends what waits for the connection.
+func (l *link) unsent(end broker.End) {
 	for _, a := range l.waiting {
 		l.pool.Emit(broker.Ending{Attempt: a, End: end})
 	}
 	l.waiting = nil
 }
 
-// Opened writes what has waited for the connection.
+// Opened notes the connection. What has waited for it goes out at the end of the round: what comes beside it, as that the client has left
+// or the box drains, counts first.
 func (l *link) Opened(c *loop.Conn) {
 	l.conn, l.heard = c, l.pool.Now()
-	waiting := l.waiting
-	l.waiting = nil
-	for _, a := range waiting {
-		l.write(a)
-	}
+	l.pool.up = append(l.pool.up, l)
 	l.rest()
 }
 
+// Write sends what has waited for the connections that are up since it was last called. It is called once what the round brought is known.
+func (p *Pool) Write() {
+	up := p.up
+	p.up = nil
+	for _, l := range up {
+		waiting := l.waiting
+		l.waiting = nil
+		for _, a := range waiting {
+			l.write(a)
+		}
+		l.rest()
+	}
+}
+
 // write puts an attempt on the connection, if the list and the purges still allow it.
 func (l *link) write(a *broker.Attempt) {
 	now := l.pool.Now()
@@ -363,10 +386,34 @@
 			return
 		}
 	}
+	if used > 0 {
+		l.since = 0
+	}
+	if rest := c.In[used:]; len(rest) > 0 {
+		if l.coming = begun(rest); l.since == 0 {
+			l.since = l.heard
+		}
+	}
 	c.Used(used)
 	l.rest()
 }
 
+// trickles says whether an answer has been on its way for so long that nothing is to wait behind it.
+func (l *link) trickles(now time.Duration) bool { return l.since != 0 && now-l.since > trickleMost }
+
+// blocked says whether such an answer, which nobody waits for any more, holds up another that is late.
+func (l *link) blocked(now time.Duration) bool {
+	if o := l.open[l.coming]; !l.trickles(now) || o != nil && (o.attempt == nil || o.attempt.Open()) {
+		return false
+	}
+	for _, o := range l.open {
+		if o.attempt != nil && o.attempt.Open() && now > o.due {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *link) answer(a *answer) error {
 	o := l.open[a.id]
 	if o == nil {
@@ -481,6 +528,7 @@
 		l.pool.Log("depot-broken", "box", l.depot.box.Host, "open", len(l.open), "error", fmt.Sprint(err))
 		l.pool.Tally.Broken++
 	}
+	l.unsent(broker.Unsent)
 	l.endAll(func(o *pending) broker.End {
 		if o.start >= taken {
 			if o.attempt != nil {
@@ -507,7 +555,9 @@
 }
 
 // Quit gives up an attempt that may be out. With confirm its ending comes when it is out no more for certain: the box
-// may read the QUIT later than another one reads the next attempt, or never.
+// may read the QUIT later than another one reads the next attempt, or never. Where the settings don't allow that attempts are called
+// off, it stays where it is until the time that the box was told is up, and takes a place on the connection; what comes for it ends
+// nothing any more.
 func (p *Pool) Quit(a *broker.Attempt, confirm bool) {
 	id := a.Request.ID
 	if d := p.boxes[a.Box.ID]; d != nil {
@@ -517,15 +567,18 @@
 				break
 			}
 			if o := l.open[id]; o != nil && o.attempt == a {
-				l.conn.Send([]byte("QUIT " + id + "\r\n"))
+				if !p.MayQuit && p.Now() < a.Deadline {
+					break
+				}
+				if p.MayQuit {
+					l.conn.Send([]byte("QUIT " + id + "\r\n"))
+				}
 				if confirm && p.MayProbe {
 					p.Tally.Confirms++
 					o.off = l.check()
 					return
 				}
-				delete(l.open, id)
-				l.past[id] = past{at: p.Now()}
-				l.rest()
+				l.forget(id, p.Now())
 				break
 			}
 		}
@@ -535,6 +588,13 @@
 	}
 }
 
+// forget has an id that is open be one that was given up.
+func (l *link) forget(id string, now time.Duration) {
+	delete(l.open, id)
+	l.past[id] = past{at: now}
+	l.rest()
+}
+
 // Probe asks a box whether it is ready.
 func (p *Pool) Probe(box *broker.Box) {
 	d := p.depot(box)
@@ -561,14 +621,11 @@
 		old := restarted && (l.begun < box.Since || l.listed != box.Dial)
 		switch {
 		case l.conn != nil && (old || box.State == control.Gone):
+			l.unsent(broker.Barred)
 			l.endAll(func(*pending) broker.End { return broker.Broken })
 			l.retire()
 		case old || box.State != control.Ready:
-			// What waits for a dial goes elsewhere now; it would be barred when it was written.
-			for _, a := range l.waiting {
-				p.Emit(broker.Ending{Attempt: a, End: broker.Barred})
-			}
-			l.waiting = nil
+			l.unsent(broker.Barred) // what waits for a dial goes elsewhere now; it would be barred when it was written
 			l.retire()
 		}
 	}
@@ -594,6 +651,10 @@
 		l.silenced()
 		return
 	}
+	if l.blocked(now) {
+		l.garbled(fmt.Errorf("an answer under %.32q has not ended for %v, and its request is over", l.coming, now-l.since))
+		return
+	}
 	quiet := now - max(l.heard, l.awaits)
 	if !l.pool.MayProbe {
 		if quiet > silentAfter {
@@ -654,9 +715,12 @@
 				}
 			}
 			for tag, o := range l.open {
-				if o.attempt == nil && !o.check && now-o.sent > probeMost {
+				switch {
+				case o.attempt == nil && !o.check && now-o.sent > probeMost:
 					delete(l.open, tag)
 					p.Emit(broker.Probed{Node: id, Status: control.Timeout, Took: now - o.sent})
+				case o.attempt != nil && !o.attempt.Open() && now >= o.attempt.Deadline:
+					l.forget(tag, now) // it could not be called off
 				}
 			}
 			// Before the box does: an attempt that crosses its close would be lost.
--- a/node/pools.go
+++ b/node/pools.go
@@ -196,7 +196,7 @@
 	s := d.plan.settings
 	all := s.Sockets - s.Sockets/clientPart - ownSockets
 	p.depots = &depot.Pool{Loop: d.loop, Emit: p.emit, Now: clock, May: p.broker.May, Log: d.log.Event, Resolve: d.resolver.Resolve, Barred: p.broker.Barred,
-		Classes: s.Control.Classes, DialLimit: s.DialTimeout, Idle: s.ConnIdle, Streams: s.Streams, MayProbe: s.Control.Probes, FlowKBps: s.Control.FlowKBps,
+		Classes: s.Control.Classes, DialLimit: s.DialTimeout, Idle: s.ConnIdle, Streams: s.Streams, MayProbe: s.Control.Probes, MayQuit: s.Control.Cancel, FlowKBps: s.Control.FlowKBps,
 		Most: max(1, int(float64(all)*p.part))}
 	if secure := d.plan.own.BoxTLS; secure != nil {
 		p.depots.Secure = secure.secure(s.Control.ZoneNames)
@@ -211,6 +211,7 @@
 	for _, e := range p.broker.Round(clock(), events) {
 		d.carryOut(p, e)
 	}
+	p.depots.Write()
 }
 
 // dispatch gives each pool what concerns it. A box that is not a pool's is gone for it, also one that was.
