--- a/broker/crossings_test.go
+++ b/broker/crossings_test.go
@@ -257,3 +257,162 @@
 		}
 	}
 }
+
+// TestOneRound: two events of one request come in one round, in both orders. What each of them has to come to is the same.
+func TestOneRound(t *testing.T) {
+	served := func(x *crossing, a *Attempt) {
+		x.events = append(x.events, Ending{Attempt: a, End: Served, Body: []byte("done")})
+	}
+	broken := func(x *crossing, a *Attempt) { x.events = append(x.events, Ending{Attempt: a, End: Broken}) }
+	drains := func(x *crossing, a *Attempt) {
+		x.state(slices.IndexFunc(x.boxes, func(b membership.Box) bool { return b.ID == a.Box.Host }), membership.Draining)
+	}
+	goes := func(x *crossing, a *Attempt) {
+		x.state(slices.IndexFunc(x.boxes, func(b membership.Box) bool { return b.ID == a.Box.Host }), membership.Gone)
+	}
+	purged := func(x *crossing, a *Attempt) {
+		x.events = append(x.events, Purge{Object: a.Request.Object, Issued: x.now})
+	}
+	leaves := func(x *crossing, a *Attempt) {
+		a.Request.Withdrawn = true
+		x.events = append(x.events, Withdrawal{a.Request})
+	}
+	none := func(*crossing, *Attempt) {}
+	for _, c := range []struct {
+		name  string
+		a, b  func(*crossing, *Attempt)
+		class int
+		late  bool // the round is that of the deadline
+		want  []Kind
+		goes  bool // on elsewhere
+	}{
+		{"an answer at the deadline", served, none, 0, true, []Kind{Answered}, false},
+		{"a reset at the deadline", broken, none, 0, true, []Kind{Refusal, Failure}, false},
+		{"a reset at the deadline, of what may run once", broken, none, once, true, []Kind{Failure}, false},
+		{"a drain at the deadline", drains, none, once, true, []Kind{Failure}, false},
+		{"an answer, and its box drains", served, drains, 0, false, []Kind{Answered}, false},
+		{"an answer, and its box is gone", served, goes, 0, false, []Kind{Answered}, false},
+		{"an answer, and its object is purged", served, purged, 0, false, []Kind{Answered}, false},
+		{"an answer and a reset", served, broken, once, false, []Kind{Answered, Failure}, false},
+		{"a reset, and its box drains", broken, drains, 0, false, nil, true},
+		{"a reset, and its box drains, of what may run once", broken, drains, once, false, []Kind{Failure}, false},
+		{"a drain while it is out", drains, none, once, false, nil, false},
+		{"a reset, and its client leaves", broken, leaves, 0, false, []Kind{}, false},
+		{"an answer, and its client leaves", served, leaves, 0, false, []Kind{Answered}, false},
+	} {
+		for _, first := range []bool{true, false} {
+			x := newCrossing(t)
+			r := x.arrive(c.class)
+			for x.round(); len(x.waiting) > 0 && len(x.out) == 0; x.round() {
+				x.write(0)
+			}
+			if len(x.out) != 1 {
+				t.Fatalf("%s: %d attempts are out", c.name, len(x.out))
+			}
+			a := x.out[0]
+			x.out = nil // what may be said of it stands below; write must not take it for one that is out
+			if c.late {
+				x.now = r.deadline
+			} else {
+				x.now += 20 * time.Millisecond
+			}
+			if c.a(x, a); first {
+				c.b(x, a)
+			} else {
+				events := x.events
+				x.events = nil
+				c.b(x, a)
+				x.events = append(x.events, events...)
+			}
+			var finals []Kind
+			for _, e := range x.b.Round(x.now, x.events) {
+				switch e := e.(type) {
+				case Answer:
+					finals = append(finals, e.Final.Kind)
+				case Ask:
+					if _, may := x.b.May(e.Attempt, x.now); may { // as it is asked when it is written, at the end of the round
+						x.waiting = append(x.waiting, e.Attempt)
+					}
+				}
+			}
+			fits := len(finals) == 1 && slices.Contains(c.want, finals[0]) || len(finals) == 0 && (c.want == nil || r.Withdrawn)
+			if !fits || (len(x.waiting) > 0) != c.goes {
+				t.Errorf("%s, in the order written %v: answers %v, want one of %v; goes on elsewhere %v, want %v", c.name, first, finals, c.want, len(x.waiting) > 0, c.goes)
+			}
+			for len(x.waiting) > 0 {
+				x.write(0) // which checks where it goes
+			}
+		}
+	}
+}
+
+// TestPurgeCrossesRequest: a purge and a request for its object, or for one of its group, come in one round, in both orders. Only a copy
+// from after the purge will do.
+func TestPurgeCrossesRequest(t *testing.T) {
+	for _, group := range []bool{false, true} {
+		for _, first := range []bool{true, false} {
+			x := newCrossing(t)
+			x.now += time.Minute
+			issued := x.now - 100*time.Millisecond
+			p := Purge{Object: 1, Issued: issued}
+			if group {
+				p = Purge{Group: 7, Issued: issued}
+			}
+			if first {
+				x.events = append(x.events, p)
+			}
+			if r := x.arrive(0); group {
+				r.Group = 7
+			}
+			if !first {
+				x.events = append(x.events, p)
+			}
+			if x.round(); len(x.waiting) == 0 {
+				t.Fatal("nothing is sent")
+			}
+			for _, later := range []time.Duration{0, 40 * time.Millisecond} { // that it waits for its connection
+				if age, ok := x.b.May(x.waiting[0], x.now+later); !ok || age <= 0 || x.now+later-age < issued {
+					t.Errorf("group %v, the purge first %v: a copy of %v will do, %v after the purge", group, first, age, x.now+later-issued)
+				}
+			}
+		}
+	}
+}
+
+// TestGuardsBehindTheModule: what the module does not do either, the broker does not let through.
+func TestGuardsBehindTheModule(t *testing.T) {
+	x := newCrossing(t)
+	gone := x.arrive(0)
+	gone.Withdrawn = true
+	x.events = append(x.events, Withdrawal{gone})
+	if x.round(); len(x.waiting) > 0 {
+		t.Error("a request that was taken back in the round of its coming is sent on")
+	}
+	r := x.arrive(0)
+	x.round()
+	x.write(0)
+	first := x.out[0]
+	x.b.effects = x.b.effects[:0]
+	x.b.get(control.Get{ID: r.id, Node: first.Box.ID, Source: first.Box.ID}) // beside the one that is out
+	for _, e := range x.b.effects {
+		if _, ok := e.(Ask); ok {
+			t.Error("a second attempt goes out beside the first, where second copies are not allowed")
+		}
+	}
+	if n := len(x.b.queue); n == 0 {
+		t.Error("the second attempt has no end")
+	} else if e, ok := x.b.queue[n-1].(Ending); !ok || e.Attempt == first || e.End != Barred {
+		t.Errorf("the second attempt ends with %+v, want that it never ran", x.b.queue[n-1])
+	}
+	x.b.queue = nil
+	quit := false
+	r.Withdrawn = true
+	for _, e := range x.b.Round(x.now, []Event{Withdrawal{r}}) {
+		if q, ok := e.(Quit); ok && q.Attempt == first {
+			quit = true
+		}
+	}
+	if _, may := x.b.May(first, x.now); may || !quit || first.Open() {
+		t.Errorf("its client has left, and the attempt may still be written: %v; it was given up: %v; it is open: %v", may, quit, first.Open())
+	}
+}
--- a/cmd/sloequay/crossing_test.go
+++ b/cmd/sloequay/crossing_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -422,3 +423,39 @@
 	}
 	t.Logf("%d of %d requests whose clients had left were sent on, %d attempts in all", sent, len(left), len(asks))
 }
+
+// TestSIGHUPWhileReplaced: the file is taken away, empty and cut off in turn as SIGHUP comes, while requests are open; the old settings
+// stay, nothing that is open is lost, and the next sound file is taken.
+func TestSIGHUPWhileReplaced(t *testing.T) {
+	held := make(chan *asked, 100)
+	w := newWorld(t, func(a *asked) { held <- a })
+	w.run()
+	whole, err := os.ReadFile(w.path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := w.dial()
+	for i, text := range [][]byte{nil, {}, whole[:len(whole)/2], whole} {
+		client.send(request(uint64(i+1), "charge", map[string]string{"unique": fmt.Sprint("k", i)}, ""))
+		a := next(t, held)
+		w.log.reset()
+		if err := os.Remove(w.path); err != nil {
+			t.Fatal(err)
+		}
+		if text != nil {
+			if err := os.WriteFile(w.path, text, 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		w.signal(syscall.SIGHUP)
+		word := []string{"event=reload-failed", "event=reloaded"}[i/3]
+		w.until(word, func() bool { return strings.Contains(w.log.String(), word) })
+		a.Answer("ACK", "tag=t1", "done")
+		if got := client.want(); got.Body != "done" {
+			t.Errorf("file %d: %+v, want it served", i, got)
+		}
+		if text == nil {
+			_ = os.WriteFile(w.path, nil, 0o600)
+		}
+	}
+}
