Look at the window of repeats again when a keyed attempt is written

Cause: control.mayRun looks at the window when it decides, within 0.8 of it; what is decided then waits for its connection, up to the dial's limit, and Broker.May, which is asked at the moment of writing, did not look again. 0.8 s and 0.4 s are more than 1 s.

Ruled out: the group (all).

Now May looks again (mayRepeat); how long repeats may go out is one function for both (Class.RepeatsFor). An end that proves that an attempt never ran is kept with the attempt. TestRepeatWaitsForADialTooLong starts the program, holds the second connection for 0.7 s with a window of 0.5 s, and fails without the change, as do TestRepeatWaitsTooLong and TestCrossings, whose window is 0.5 s now in place of 2 s, which no step reached.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -443,7 +443,7 @@
 // May says at the moment of writing whether an attempt may still go out, and the oldest copy that will do then: the
 // list and the purges may have moved on while it waited for its connection. The list's state outranks all else.
 func (b *Broker) May(a *Attempt, now time.Duration) (age time.Duration, ok bool) {
-	if a.ended || a.Request.ended || now >= a.Deadline || !usable(a.Box) || !usable(a.Source) {
+	if a.ended || a.Request.ended || now >= a.Deadline || !usable(a.Box) || !usable(a.Source) || !b.mayRepeat(a, now) {
 		return 0, false
 	}
 	age = a.Age // counted from the decision, so by now it asks for a younger copy still
@@ -456,6 +456,18 @@
 	return age, true
 }
 
+// mayRepeat says whether an attempt is still within the time in which repeats of the ones before are dropped. The module looks when it
+// decides; a connection may come up seconds later.
+func (b *Broker) mayRepeat(a *Attempt, now time.Duration) bool {
+	class := &b.cfg.Classes[a.Request.Class]
+	if class.Effect != control.Keyed {
+		return true
+	}
+	return !slices.ContainsFunc(a.Request.attempts, func(o *Attempt) bool {
+		return o != a && o.Written && !o.neverRan && now-o.sent > class.RepeatsFor()
+	})
+}
+
 // Box finds a box of the list by its id on the sockets, without regard to case.
 func (b *Broker) Box(host string) *Box { return b.byName[strings.ToLower(host)] }
 
@@ -499,6 +511,7 @@
 	if e.Doubtful && b.cfg.Classes[r.Class].Effect != control.Safe && slices.Contains(neverRan, outcomes[e.End].status) {
 		e.End = CalledOff
 	}
+	a.neverRan = slices.Contains(neverRan, outcomes[e.End].status)
 	if e.End.Good() {
 		final := Final{Kind: Answered, Box: a.Box, Address: e.Address, Body: e.Body, Fields: e.Fields}
 		if e.End == Unchanged {
--- a/broker/crossings_test.go
+++ b/broker/crossings_test.go
@@ -23,30 +23,34 @@
 	version  uint64
 	requests []*Request
 	answers  map[*Request]int
-	waiting  []*Attempt        // asked, not written
-	out      []*Attempt        // written, not ended, not given up
-	quit     []*Attempt        // given up, its end still to be confirmed
-	ran      map[*Request]bool // an attempt may have run
+	waiting  []*Attempt                 // asked, not written
+	out      []*Attempt                 // written, not ended, not given up
+	quit     []*Attempt                 // given up, its end still to be confirmed
+	ran      map[*Request]bool          // an attempt may have run
+	first    map[*Request]time.Duration // when the first attempt that may have run was written
 	sent     map[*Request]int
 	left     map[*Request]bool // withdrawn in an earlier round
 	done     []*Attempt        // ended
 }
 
 // zoned and once are the classes that may not be refused once they may have run; once is not to be sent again either.
-const zoned, once = 2, 3
+const keyed, zoned, once = 1, 2, 3
+
+// window is how long boxes drop repeats of keyed requests here.
+const window = 500 * time.Millisecond
 
 func newCrossing(t rapid.TB) *crossing {
 	cfg := control.Config{Classes: []control.Class{
 		{Name: "safe", Aim: 300 * time.Millisecond, Deadline: 2 * time.Second},
-		{Name: "keyed", Aim: 300 * time.Millisecond, Deadline: 2 * time.Second, Effect: control.Keyed, Window: 2 * time.Second, Write: true},
-		{Name: "zoned", Aim: 300 * time.Millisecond, Deadline: 2 * time.Second, Effect: control.Keyed, Group: control.GroupZone, Window: 2 * time.Second, Write: true},
+		{Name: "keyed", Aim: 300 * time.Millisecond, Deadline: 2 * time.Second, Effect: control.Keyed, Window: window, Write: true},
+		{Name: "zoned", Aim: 300 * time.Millisecond, Deadline: 2 * time.Second, Effect: control.Keyed, Group: control.GroupZone, Window: window, Write: true},
 		{Name: "once", Aim: 300 * time.Millisecond, Deadline: 2 * time.Second, Effect: control.Unsafe, Write: true}},
 		MaxAttempts: 6, OriginKind: 2, ParentKind: 1, Direct: true, Cancel: true, Instances: 1, ZoneInstances: []int{1}}
 	b, err := New(cfg, 1, 100, nil, membership.New(membership.Config{Sources: []membership.Source{{Name: "bulletin"}}}))
 	if err != nil {
 		t.Fatal(err)
 	}
-	x := &crossing{t: t, b: b, now: 1000 * time.Second, version: 1, answers: map[*Request]int{}, ran: map[*Request]bool{}, sent: map[*Request]int{}, left: map[*Request]bool{}}
+	x := &crossing{t: t, b: b, now: 1000 * time.Second, version: 1, answers: map[*Request]int{}, ran: map[*Request]bool{}, first: map[*Request]time.Duration{}, sent: map[*Request]int{}, left: map[*Request]bool{}}
 	for i, id := range []string{"c1", "c2", "p1", "p2", "o1"} {
 		x.boxes = append(x.boxes, membership.Box{ID: id, Address: fmt.Sprintf("10.0.0.%d:1", i+1), Kind: []int{0, 0, 1, 1, 2}[i], State: membership.Up})
 	}
@@ -59,7 +63,7 @@
 func (x *crossing) arrive(class int) *Request {
 	r := &Request{ID: fmt.Sprintf("%016x", len(x.requests)+1), Class: class, Object: uint64(len(x.requests)%3 + 1), Group: -1, Arrived: x.now,
 		Limit: 2 * time.Second, SizeKB: 1}
-	if class == 1 || class == 2 {
+	if class == keyed || class == zoned {
 		r.Key = r.ID
 	}
 	x.requests = append(x.requests, r)
@@ -88,6 +92,8 @@
 		x.t.Fatalf("request %s was withdrawn in an earlier round, and is written to %s", r.ID, a.Box.Host)
 	case a.Box.State != control.Ready || a.Source.State != control.Ready:
 		x.t.Fatalf("request %s is written to %s, filled from %s: states %v, %v", r.ID, a.Box.Host, a.Source.Host, a.Box.State, a.Source.State)
+	case r.Key != "" && x.first[r] > 0 && x.now-x.first[r] > window:
+		x.t.Fatalf("request %s is written to %s %v after an attempt that may have run: boxes drop repeats for %v", r.ID, a.Box.Host, x.now-x.first[r], window)
 	case r.Class == once && x.ran[r]:
 		x.t.Fatalf("request %s may have run, may not be repeated, and is written to %s", r.ID, a.Box.Host)
 	}
@@ -99,6 +105,9 @@
 	a.Written = true
 	x.sent[r]++
 	x.ran[r] = true
+	if x.first[r] == 0 {
+		x.first[r] = x.now
+	}
 	x.out = append(x.out, a)
 }
 
@@ -109,6 +118,9 @@
 	x.done = append(x.done, a)
 	if slices.Contains([]End{Missed, TurnedAway, Over}, end) && !doubtful {
 		x.ran[a.Request] = false // as far as this one goes: it is the only one that was out
+		if x.sent[a.Request] == 1 {
+			delete(x.first, a.Request)
+		}
 	}
 	x.events = append(x.events, Ending{Attempt: a, End: end, Doubtful: doubtful})
 }
@@ -379,6 +391,36 @@
 	}
 }
 
+// TestRepeatWaitsTooLong: an attempt of a keyed request may have run, the next one is decided while boxes drop repeats, and its connection
+// comes up when they don't any more.
+func TestRepeatWaitsTooLong(t *testing.T) {
+	for _, c := range []struct {
+		class int
+		end   End
+		wait  time.Duration // for the connection
+		may   bool
+	}{
+		{keyed, Broken, 300 * time.Millisecond, false},
+		{keyed, Broken, 50 * time.Millisecond, true},
+		{keyed, TurnedAway, 300 * time.Millisecond, true}, // it never ran
+		{zoned, Silenced, 300 * time.Millisecond, false},
+		{0, Broken, 300 * time.Millisecond, true},
+	} {
+		x := newCrossing(t)
+		x.arrive(c.class)
+		x.round()
+		x.write(0)
+		x.now += 300 * time.Millisecond
+		x.end(0, c.end, false)
+		if x.round(); len(x.waiting) != 1 {
+			t.Fatalf("class %d: %d attempts wait", c.class, len(x.waiting))
+		}
+		if _, may := x.b.May(x.waiting[0], x.now+c.wait); may != c.may {
+			t.Errorf("class %d, %v, %v later: it may be written: %v, want %v", c.class, c.end, 300*time.Millisecond+c.wait, may, c.may)
+		}
+	}
+}
+
 // TestGuardsBehindTheModule: what the module does not do either, the broker does not let through.
 func TestGuardsBehindTheModule(t *testing.T) {
 	x := newCrossing(t)
--- a/broker/request.go
+++ b/broker/request.go
@@ -100,8 +100,9 @@
 	Deadline time.Duration
 	Written  bool // by the pool: it went out whole, as far as is known
 
-	sent  time.Duration
-	ended bool
+	sent     time.Duration
+	ended    bool
+	neverRan bool // as its end proves
 }
 
 // Open says whether the attempt has no end yet.
--- a/cmd/sloequay/crossing_test.go
+++ b/cmd/sloequay/crossing_test.go
@@ -459,3 +459,64 @@
 		}
 	}
 }
+
+// TestRepeatWaitsForADialTooLong: a write may have run when its connection breaks. The next attempt is decided at once, but its connection
+// comes up when boxes drop repeats no more: it must not go out.
+func TestRepeatWaitsForADialTooLong(t *testing.T) {
+	w := newWorld(t, nil)
+	w.hosts[len(w.hosts)-1]["dial"] = w.fullListener() // the origin; its queue holds one connection, which nobody has taken
+	w.limits()["dial-timeout-ms"] = 60000
+	for _, c := range w.config["settings"].(map[string]any)["classes"].([]any) {
+		if class := c.(map[string]any); class["name"] == "charge" {
+			class["window-ms"], class["deadline-ms"] = 500, 9000
+		}
+	}
+	w.run()
+	take := func() net.Conn {
+		conn, err := w.full.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return conn
+	}
+	client := w.dial()
+	client.send(request(1, "charge", map[string]string{"unique": "k1", "limit": "8000"}, "body"))
+	_ = take().Close() // now the program's own connection comes up
+	first := take()
+	if n := readAsk(first); n != 1 {
+		t.Fatalf("%d attempts came", n)
+	}
+	filler, err := net.Dial("tcp", w.full.Addr().String()) // no further one does
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer filler.Close()
+	_ = first.Close()
+	time.Sleep(700 * time.Millisecond) // it is the time that is tried: boxes drop repeats for 500 ms
+	_ = take().Close()
+	late := make(chan int, 1)
+	go func() {
+		conn := take()
+		_ = conn.SetReadDeadline(time.Now().Add(patience))
+		late <- readAsk(conn)
+	}()
+	if a := client.want(); a.Error == "" {
+		t.Errorf("%+v, want it given up", a)
+	}
+	w.kill() // so that the late connection ends
+	if n := <-late; n != 0 {
+		t.Error("the attempt went out again when repeats were not dropped any more")
+	}
+}
+
+// readAsk reads one attempt, and says whether one came whole before the connection ended.
+func readAsk(conn net.Conn) int {
+	r := bufio.NewReaderSize(conn, 16)
+	line, err := r.ReadString('\n')
+	if err == nil && strings.HasPrefix(line, "ASK ") {
+		if _, err = r.ReadString('\n'); err == nil {
+			return 1
+		}
+	}
+	return 0
+}
--- a/control/api.go
+++ b/control/api.go
@@ -67,6 +67,10 @@
 	Grace      time.Duration // time past Fresh in which a copy may still be served
 }
 
+// RepeatsFor is how long after an attempt that may have run another one may go out: boxes drop repeats for Window, and what is decided
+// has yet to be written, sent and read.
+func (c *Class) RepeatsFor() time.Duration { return c.Window * 8 / 10 }
+
 // Config is what a Director is told at its start. Times of 0 mean "no such limit" unless said otherwise.
 type Config struct {
 	Ordinal, Instances int
--- a/control/control.go
+++ b/control/control.go
@@ -926,7 +926,7 @@
 		if !a.ran || q.class.Effect == Safe {
 			continue
 		}
-		if q.class.Effect == Unsafe || d.now-a.sent > q.class.Window*8/10 ||
+		if q.class.Effect == Unsafe || d.now-a.sent > q.class.RepeatsFor() ||
 			q.class.Group == GroupZone && a.node.Zone != node.Zone ||
 			q.class.Group == GroupCell && a.node.Cell != node.Cell {
 			return false
