--- a/size/size.go
+++ b/size/size.go
@@ -11,6 +11,8 @@
 // let in as of the class in the long run, if a request of the class's usual sizes is let in that often.
 package size
 
+import "math"
+
 // Owed is the part of their class's share that the largest requests are owed: two thirds on quiet days, half on others. A day is not known
 // for what it is, so it is two thirds always.
 const Owed = 2.0 / 3
@@ -26,8 +28,8 @@
 var above = [rest]float64{tenth: 0.1, fifth: 0.3}
 
 const (
-	// stepLeast is the part by which one request moves where a band begins, more at first: it follows sizes within some hundreds, and is
-	// within a tenth of where it belongs.
+	// stepLeast is the part of the usual distance of two sizes by which one request moves where a band begins, more at first: it follows
+	// sizes within some hundreds, however near or far apart they are.
 	stepLeast = 0.02
 	// recent is the weight of one request in the share of its band that is let in, and recentAll in the class's: both tell of the last
 	// hundred or two of the class's.
@@ -40,6 +42,7 @@
 	seen   float64 // requests
 	last   float64
 	from   [rest]float64  // where the bands begin
+	apart  float64        // usual distance of two sizes, by their logarithms
 	turned [bands]float64 // share of each that was turned away lately
 	all    float64        // and of the class
 }
@@ -47,23 +50,29 @@
 // Judged takes a new request and gives the size by which it is to be let in: its own, or that of the one before where that is smaller and
 // its band is owed something.
 func (s *Shares) Judged(own float64) float64 {
+	if own <= 0 { // not told, and nothing learnt of the class
+		return own
+	}
 	judged, band := own, s.band(own)
 	if 1-s.turned[band] < Owed*(1-s.all) {
 		judged = min(own, s.last)
 	}
-	s.last = own
 	s.seen++
-	step := max(stepLeast, 1/s.seen)
-	for i, part := range above {
+	part := max(stepLeast, 1/s.seen)
+	if s.last > 0 {
+		s.apart += (math.Abs(math.Log(own/s.last)) - s.apart) * part
+	}
+	for i, share := range above {
 		switch {
 		case s.from[i] == 0:
 			s.from[i] = own
 		case own > s.from[i]:
-			s.from[i] *= 1 + step*(1-part)
+			s.from[i] *= math.Exp(part * s.apart * (1 - share))
 		default:
-			s.from[i] *= 1 - step*part
+			s.from[i] *= math.Exp(-part * s.apart * share)
 		}
 	}
+	s.last = own
 	return judged
 }
 
