--- a/cmd/sloequay/rare_test.go
+++ b/cmd/sloequay/rare_test.go
@@ -260,11 +260,12 @@
 	for _, c := range []struct {
 		name string
 		feed []string
+		why  string // as the log has it: each would be noticed by its silence in the end
 	}{
-		{"silent in the middle of a line", []string{`~{"no":2,"roster":{"seq":2,"who`}},
-		{"a heartbeat beyond what was told", []string{"1", "5"}},
-		{"events in another order", []string{`{"no":3,"recall":{"lot":3,"issued":1}}`}},
-		{"the connection ends", []string{"1", "!"}},
+		{"silent in the middle of a line", []string{`~{"no":2,"roster":{"seq":2,"who`}, "nothing came for"},
+		{"a heartbeat beyond what was told", []string{"1", "5"}, "event 2 was missed"},
+		{"events in another order", []string{`{"no":3,"recall":{"lot":3,"issued":1}}`}, "event 3 came after event 1"},
+		{"the connection ends", []string{"1", "!"}, "connection ended"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -274,7 +275,7 @@
 			for _, text := range c.feed {
 				w.feed <- text
 			}
-			w.until("it is noticed", func() bool { return strings.Contains(w.log.String(), "event=bulletin-lost") })
+			w.until("it is noticed", func() bool { return matches("event=bulletin-lost error=\"?"+c.why, w.log.String()) })
 			w.feed <- "!" // the stand-in serves one connection at a time
 			if after := w.asks(); after != "after 1" {
 				t.Fatalf("the program asks for %q, want what came after the last whole event", after)
--- a/depot/depot.go
+++ b/depot/depot.go
@@ -528,7 +528,6 @@
 		l.pool.Log("depot-broken", "box", l.depot.box.Host, "open", len(l.open), "error", fmt.Sprint(err))
 		l.pool.Tally.Broken++
 	}
-	l.unsent(broker.Unsent)
 	l.endAll(func(o *pending) broker.End {
 		if o.start >= taken {
 			if o.attempt != nil {
