Word advice in the fronts alone, so that DNS and the door tell none either where none is allowed

Siblings of the fault of: a refusal by the DNS front said later=1 or more and its own 200 ms, one by the door (identity) its own wait, whatever the settings allow; the broker's answers alone were looked at. The look stands where each front words a refusal now, with the longest time that clients heed; the broker's is gone. TestNoAdviceWhereNotAllowed asks by DNS too and fails without it.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -538,9 +538,6 @@
 	if r.ended {
 		return
 	}
-	if b.cfg.MaxRetryAfter == 0 {
-		f.Wait = 0 // whoever gave it: the settings allow no advice
-	}
 	b.close(r, b.outcome(r, f))
 	b.effect(Answer{r, f})
 }
--- a/cmd/sloequay/crossing_test.go
+++ b/cmd/sloequay/crossing_test.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/miekg/dns"
 )
 
 // limits is the settings' block of that name.
@@ -85,6 +87,7 @@
 			w := newWorld(t, func(a *asked) { held <- a })
 			w.limits()["retry-after"], w.limits()["max-retry-after-ms"] = c.allowed, c.most
 			w.own("contracts {\nteam lanes {\nclass lookup\n}\n}")
+			w.withDNS("")
 			w.run()
 			client := w.dial()
 			for id := range uint64(33) { // one more than may be open
@@ -98,6 +101,11 @@
 			if a := other.want(); a.Error != "Overloaded" || (a.Fields["later"] == "") == c.allowed {
 				t.Errorf("not in the contract: %+v, want advice: %v", a, c.allowed)
 			}
+			query := w.stub("udp")
+			query.ask(1, "n0.00000000000000aa.footage.lanes", dns.TypeA)
+			if a := query.want(); a.Rcode != "REFUSED" || strings.Contains(a.Text, "later=") != c.allowed || !strings.Contains(a.Text, "budget=") {
+				t.Errorf("not in the contract, by DNS: %+v, want advice: %v", a, c.allowed)
+			}
 		})
 	}
 }
--- a/dnsfront/dnsfront.go
+++ b/dnsfront/dnsfront.go
@@ -45,6 +45,9 @@
 	Keys    func() *tsig.Keys // by which queries are signed; nil: none
 	Skew    time.Duration     // of the callers' clocks
 
+	// MostWait is the longest time to stay away that clients heed. Zero: nobody may be told one, whoever refuses.
+	MostWait time.Duration
+
 	byName  map[string]*flight          // keyed requests, open or finished within their window
 	byReq   map[*broker.Request]*flight // open
 	queries map[string]*waiter          // open, by who asked: a retransmit joins itself
@@ -198,12 +201,12 @@
 			f.wait(w, old)
 			return
 		default:
-			f.refuse(w, crowdWait, "")
+			f.refuse(w, min(crowdWait, f.MostWait), "")
 			return
 		}
 	}
 	if len(f.byReq)+len(f.byName) >= mostFlights {
-		f.refuse(w, crowdWait, "")
+		f.refuse(w, min(crowdWait, f.MostWait), "")
 		return
 	}
 	fl := &flight{target: t, class: class, name: name, caller: caller, end: now + f.limit(class)}
@@ -358,13 +361,16 @@
 // clip cuts a text to what one string of a TXT record holds.
 func clip(s string) string { return s[:min(len(s), 255)] }
 
-// refuse answers REFUSED with the time to stay away, and the budget that was used up, if it was one.
+// refuse answers REFUSED with the time to stay away, where one may be told, and the budget that was used up, if it was one.
 func (f *Front) refuse(w *waiter, wait time.Duration, budget string) {
-	text := "later=" + strconv.FormatInt(max(1, wait.Milliseconds()), 10)
+	var words []string
+	if f.MostWait > 0 {
+		words = append(words, "later="+strconv.FormatInt(max(1, wait.Milliseconds()), 10))
+	}
 	if budget != "" {
-		text += " budget=" + strconv.Quote(budget)
+		words = append(words, "budget="+strconv.Quote(budget))
 	}
-	f.code(w, dns.RcodeRefused, clip(text))
+	f.code(w, dns.RcodeRefused, clip(strings.Join(words, " ")))
 }
 
 // ednsCodes is the extended error that goes with a code.
--- a/node/serve.go
+++ b/node/serve.go
@@ -84,7 +84,7 @@
 		most := clients / 4
 		clients -= most
 		d.dns = &dnsfront.Front{Config: p.own.DNS, Classes: s.Control.Classes, Emit: d.enter, Now: clock, Unix: unixClock,
-			Log: d.log.Event, Box: d.box, Most: most, Seed: s.Seed}
+			Log: d.log.Event, Box: d.box, Most: most, Seed: s.Seed, MostWait: s.Control.MaxRetryAfter}
 		if cfg := p.own.Identity; cfg != nil {
 			d.dns.Skew = cfg.Gate.Policy.Skew
 			d.dns.Keys = func() *tsig.Keys { return d.door.tsig }
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -73,7 +73,7 @@
 	lobby   *lobby.Lobby
 	paced   list.List // of *client, which wait to be looked at
 
-	// MostWait bounds what a refused client is told of when to come back. Zero: nothing may be told.
+	// MostWait is the longest time to stay away that clients heed. Zero: nobody may be told one, whoever refuses.
 	MostWait time.Duration
 
 	// Source gives what identity knows of where a client comes from. Nil: identity is off.
@@ -480,7 +480,7 @@
 // refuse says that a further try is harmless, and when it is welcome.
 func (c *client) refuse(msg uint32, f broker.Final) {
 	var fields []broker.Field
-	if f.Wait > 0 {
+	if f.Wait > 0 && c.front.MostWait > 0 {
 		later := (f.Wait + time.Millisecond - 1) / time.Millisecond
 		fields = append(fields, broker.Field{Name: "later", Value: strconv.FormatInt(int64(later), 10)})
 	}
