Take what has come before what has fallen due, so that a standstill ejects nobody

Broker.Round told the module's timers first, then the events, then deadlines. After a standstill of 1 s the tick found caches with work and no answer and ejected both of them as silent (TestAnswersAfterAStandstill: 60 requests, 2 boxes), though their answers lay in the same round; attempts that looked lost were called off as well. The events come first now, then all timers in the order of their times, which takes a case out of due(). With no answers there the boxes are ejected as before, which the test looks at too.

--- a/broker/broker.go
+++ b/broker/broker.go
@@ -222,11 +222,20 @@
 		b.members.Step(b.now)
 	}
 	b.follow()
+	// What has come is taken before what has fallen due: an answer that is here in time counts, and after a standstill the module would hold
+	// boxes for silent whose answers lie in this round.
+	b.takeAll()
 	b.due()
-	for i := 0; i < len(b.queue); i++ { // what the module does may add to it
+	b.takeAll()
+	return b.effects
+}
+
+// takeAll takes what has come, and what the module adds to it meanwhile.
+func (b *Broker) takeAll() {
+	for i := 0; i < len(b.queue); i++ {
 		b.take(b.queue[i])
 	}
-	return b.effects
+	b.queue = b.queue[:0]
 }
 
 // Next is when the next round is due at the latest; 0: no time is set.
@@ -775,26 +784,14 @@
 	heap.Push(&b.timers, t)
 }
 
-// due puts what has fallen due before what has come in, but for deadlines: an answer that is here in time counts.
+// due takes what has fallen due, in the order of its times.
 func (b *Broker) due() {
-	var late []timer
 	for len(b.timers) > 0 && b.timers[0].at <= b.now {
-		t := heap.Pop(&b.timers).(timer)
-		if t.attempt != nil || t.request != nil {
-			late = append(late, t)
-			continue
+		if t := heap.Pop(&b.timers).(timer); t.attempt != nil || t.request != nil {
+			b.overdue(t)
+		} else {
+			b.tell(control.TimerEvent{Token: t.token})
 		}
-		b.tell(control.TimerEvent{Token: t.token})
-	}
-	if len(late) == 0 {
-		return
-	}
-	for i := 0; i < len(b.queue); i++ {
-		b.take(b.queue[i])
-	}
-	b.queue = b.queue[:0]
-	for _, t := range late {
-		b.overdue(t)
 	}
 }
 
--- a/broker/crossings_test.go
+++ b/broker/crossings_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -357,6 +358,35 @@
 	}
 }
 
+// TestAnswersAfterAStandstill: answers that lie in the first round after a standstill are taken before the module looks for silent boxes.
+// It ejected them.
+func TestAnswersAfterAStandstill(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		x := newCrossing(t)
+		for range 60 {
+			x.arrive(0)
+		}
+		x.round()
+		for len(x.waiting) > 0 {
+			x.write(0)
+		}
+		if x.now += time.Second; answered {
+			for len(x.out) > 0 {
+				x.end(0, Served, false)
+			}
+		}
+		ejected := 0
+		for _, e := range x.b.Round(x.now, x.events) {
+			if line, ok := e.(Line); ok && line.Event == "module" && strings.Contains(fmt.Sprint(line.Fields...), "ejected") {
+				ejected++
+			}
+		}
+		if (ejected > 0) == answered {
+			t.Errorf("their answers are there: %v; boxes that are held for silent: %d", answered, ejected)
+		}
+	}
+}
+
 // TestPurgeCrossesRequest: a purge and a request for its object, or for one of its group, come in one round, in both orders. Only a copy
 // from after the purge will do.
 func TestPurgeCrossesRequest(t *testing.T) {
