Want three quiet steps before a standstill counts as caught up

One step with few events ended the catching up; where the loop's thread is held up between arming the step's timer and the next look at epoll, the step ends before that look. Tried and taken back: 256 tasks posted one after another, as gnet's bound on tasks a look; low-priority tasks run by the other queue, which has no bound.

Now three steps of 1 ms on end have to bring little.

--- a/loop/loop.go
+++ b/loop/loop.go
@@ -73,6 +73,7 @@
 	last      time.Time     // when the last round was ended
 	wait      time.Duration // after that one was asked for
 	steps     int           // of catching up, see behind
+	quiet     int           // the last of them, with few events
 	heard     int           // openings, reads and ends since the last of them
 	kept      []byte        // see Keep
 	spare     [][]byte      // empty buffers for what goes out
@@ -114,11 +115,13 @@
 	spareSize = 1 << 20
 
 	// A loop whose round comes later than it was asked for by heldUp stood still: the machine did, or the core was taken by others. What
-	// came meanwhile is read first: until a step brings fewer events than gnet takes at once at the least (32), in stepMost steps at most.
-	heldUp   = 100 * time.Millisecond
-	stepFor  = time.Millisecond
-	stepFew  = 16
-	stepMost = 20
+	// came meanwhile is read first: until stepQuiet steps on end bring fewer events than gnet takes at once at the least (32), in stepMost
+	// steps at most. One is not enough: a loop that is held up just there takes the end of the step before it looks what is ready.
+	heldUp    = 100 * time.Millisecond
+	stepFor   = time.Millisecond
+	stepFew   = 16
+	stepQuiet = 3
+	stepMost  = 20
 )
 
 // ErrOverflow is the end of a connection whose peer does not read.
@@ -270,7 +273,7 @@
 		time.AfterFunc(stepFor, func() { l.Post(l.finish) }) // beside the loop, or it would run before anything more is read
 		return
 	}
-	l.pending, l.last, l.wait, l.steps, l.heard = false, now, 0, 0, 0
+	l.pending, l.last, l.wait, l.steps, l.heard, l.quiet = false, now, 0, 0, 0, 0
 	l.endRound()
 	l.flush()
 	if l.kept = l.kept[:0]; cap(l.kept) > keptMost {
@@ -283,7 +286,13 @@
 // of the end of a connection only once its bytes were read. So the first round after a standstill of 0.4 s sent on the requests of clients
 // that had left, as their ends stood unread behind them; and it could have followed an old list.
 func (l *Loop) behind(now time.Time) bool {
-	if l.last.IsZero() || now.Sub(l.last) <= l.wait+heldUp || l.steps == stepMost || l.steps > 0 && l.heard < stepFew {
+	if l.last.IsZero() || now.Sub(l.last) <= l.wait+heldUp {
+		return false
+	}
+	if l.quiet++; l.steps == 0 || l.heard >= stepFew {
+		l.quiet = 0
+	}
+	if l.steps == stepMost || l.quiet == stepQuiet {
 		return false
 	}
 	l.steps++
