--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -9,8 +9,8 @@
 	"io"
 	"os"
 
-	"sloequay/control"
-	"sloequay/wire"
+	"sloequay/internal/policy"
+	"sloequay/internal/simwire"
 )
 
 func main() {
@@ -23,11 +23,11 @@
 // run answers batches until the input ends.
 func run(in io.Reader, out io.Writer) error {
 	r := bufio.NewReaderSize(in, 1<<20)
-	directors := map[uint32]*control.Director{}
-	var batch wire.Batch
-	var reply wire.Reply
+	directors := map[uint32]*policy.Director{}
+	var batch simwire.Batch
+	var reply simwire.Reply
 	for {
-		err := wire.ReadBatch(r, &batch)
+		err := simwire.ReadBatch(r, &batch)
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
@@ -45,7 +45,7 @@
 }
 
 // answer hands every record of the batch to its instance and collects the actions.
-func answer(batch *wire.Batch, reply *wire.Reply, directors map[uint32]*control.Director) error {
+func answer(batch *simwire.Batch, reply *simwire.Reply, directors map[uint32]*policy.Director) error {
 	for {
 		rec, err := batch.Next()
 		if errors.Is(err, io.EOF) {
@@ -56,7 +56,7 @@
 		}
 		switch {
 		case rec.Hello != nil:
-			d, err := control.New(rec.Hello.Config, rec.Hello.Seed)
+			d, err := policy.New(rec.Hello.Config, rec.Hello.Seed)
 			if err != nil {
 				return fmt.Errorf("HELLO of instance %d: %w", rec.Instance, err)
 			}
@@ -72,7 +72,7 @@
 }
 
 // handle passes one event on. A panic of the module becomes a FATAL of that instance and the result false.
-func handle(d *control.Director, batch *wire.Batch, rec wire.Record, reply *wire.Reply) (ok bool) {
+func handle(d *policy.Director, batch *simwire.Batch, rec simwire.Record, reply *simwire.Reply) (ok bool) {
 	defer func() {
 		if p := recover(); p != nil {
 			reply.Fatal(rec.Instance, fmt.Sprint(p))
--- a/cmd/chart/main.go
+++ b/cmd/chart/main.go
@@ -7,8 +7,8 @@
 	"os"
 	"path/filepath"
 
-	"sloequay/standin/fleet"
-	"sloequay/standin/fleet/chart"
+	"sloequay/internal/drill"
+	"sloequay/internal/drill/chart"
 )
 
 func main() {
@@ -26,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	var t fleet.Timeline
+	var t drill.Timeline
 	if err := json.Unmarshal(text, &t); err != nil {
 		return fmt.Errorf("timeline.json: %w", err)
 	}
--- a/start/start.go
+++ b/internal/bootstrap/bootstrap.go
@@ -1,4 +1,4 @@
-// Package start decides how one of many doormans comes to its lists of boxes without all of them asking the list service: who
+// Package bootstrap decides how one of many doormans comes to its lists of boxes without all of them asking the list service: who
 // asks, when, what is passed on from doorman to doorman, and when a word of a peer is believed. It does no I/O, asks no clock
 // and starts nothing: it is told what happens and says what is to be done.
 //
@@ -19,7 +19,7 @@
 //     for deltas by Config.History;
 //   - at most Askers*Widest doormans of a zone ask, but for those that hear no peer;
 //   - no message is waited for without an end: a fetch is tried elsewhere after FetchFor, and given up after FetchTries.
-package start
+package bootstrap
 
 import (
 	"cmp"
@@ -29,7 +29,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"sloequay/membership"
+	"sloequay/internal/membership"
 )
 
 // Config is the settings of a Machine.
--- a/start/sim_test.go
+++ b/internal/bootstrap/sim_test.go
@@ -1,4 +1,4 @@
-package start
+package bootstrap
 
 import (
 	"container/heap"
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"sloequay/membership"
+	"sloequay/internal/membership"
 )
 
 const ms = time.Millisecond
--- a/start/sum.go
+++ b/internal/bootstrap/sum.go
@@ -1,4 +1,4 @@
-package start
+package bootstrap
 
 import (
 	"encoding/binary"
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"sloequay/membership"
+	"sloequay/internal/membership"
 )
 
 // sum is the checksum of a list: of its version and all that its boxes are. It finds spoilt and torn content; it is no proof of
--- a/broker/broker.go
+++ b/internal/broker/broker.go
@@ -12,12 +12,12 @@
 	"strings"
 	"time"
 
-	"sloequay/capacity"
-	"sloequay/contract"
-	"sloequay/control"
-	"sloequay/membership"
-	"sloequay/purge"
-	"sloequay/retry"
+	"sloequay/internal/concurrency"
+	"sloequay/internal/invalidation"
+	"sloequay/internal/membership"
+	"sloequay/internal/policy"
+	"sloequay/internal/quota"
+	"sloequay/internal/retry"
 )
 
 // Event is something that the broker is told.
@@ -33,7 +33,7 @@
 type Ending struct {
 	Attempt *Attempt
 	End     End
-	Note    control.Note
+	Note    policy.Note
 	Lag     time.Duration // waited for the source
 	Address string        // of the connection that the answer came by
 	Body    []byte
@@ -73,8 +73,8 @@
 
 // Probed is the result of a probe.
 type Probed struct {
-	Node   control.NodeID
-	Status control.Status
+	Node   policy.NodeID
+	Status policy.Status
 	Took   time.Duration
 }
 
@@ -152,25 +152,25 @@
 
 // Broker is the state. It is not safe for concurrent use.
 type Broker struct {
-	cfg       control.Config
-	module    *control.Director
-	contracts *contract.Book
+	cfg       policy.Config
+	module    *policy.Director
+	contracts *quota.Book
 	// Repeats to first tries, by team and by box; nil: no limit.
 	teamRepeats *retry.Set[string]
-	boxRepeats  *retry.Set[control.NodeID]
+	boxRepeats  *retry.Set[policy.NodeID]
 	members     *membership.Table
 	openCap     int
 	now         time.Duration
 	offset      time.Duration // what the Unix clock is ahead
-	nextID      control.RequestID
-	open        map[control.RequestID]*Request
+	nextID      policy.RequestID
+	open        map[policy.RequestID]*Request
 	ids         map[string]*Request // the same by the clients' ids
-	boxes       map[control.NodeID]*Box
-	hosts       map[string]control.NodeID
+	boxes       map[policy.NodeID]*Box
+	hosts       map[string]policy.NodeID
 	byName      map[string]*Box   // by the id on the sockets, in lower case
 	byDial      map[string][]*Box // by address: mostly one, and those that were there before
 	gone        []departed        // in the order of their leaving
-	purges      *purge.Ledger
+	purges      *invalidation.Ledger
 	timers      timers
 	sweepAt     int // timers, at which those that stand for nothing any more are dropped
 	queue       []Event
@@ -178,16 +178,16 @@
 }
 
 // New makes a broker. With contracts nil every team may do everything; members is which boxes there are.
-func New(cfg control.Config, seed uint64, openCap int, contracts *contract.Book, members *membership.Table) (*Broker,
+func New(cfg policy.Config, seed uint64, openCap int, contracts *quota.Book, members *membership.Table) (*Broker,
 	error) {
-	module, err := control.New(cfg, seed)
+	module, err := policy.New(cfg, seed)
 	if err != nil {
 		return nil, err
 	}
 	return &Broker{cfg: cfg, module: module, contracts: contracts, members: members, openCap: openCap,
-		open: map[control.RequestID]*Request{}, ids: map[string]*Request{}, boxes: map[control.NodeID]*Box{},
-		hosts: map[string]control.NodeID{}, byName: map[string]*Box{}, byDial: map[string][]*Box{},
-		purges: purge.New(purge.Config{Takes: cfg.PurgeTakes, Slack: purgeSlack})}, nil
+		open: map[policy.RequestID]*Request{}, ids: map[string]*Request{}, boxes: map[policy.NodeID]*Box{},
+		hosts: map[string]policy.NodeID{}, byName: map[string]*Box{}, byDial: map[string][]*Box{},
+		purges: invalidation.New(invalidation.Config{Takes: cfg.PurgeTakes, Slack: purgeSlack})}, nil
 }
 
 // SetOffset tells by how much the Unix clock is ahead of the times that the broker is given. What others have stamped, starts
@@ -256,8 +256,8 @@
 		b.arrive(e.Request)
 	case Withdrawal:
 		if r := e.Request; !r.ended {
-			b.close(r, capacity.Silent)
-			b.tell(control.GoneEvent{ID: r.id})
+			b.close(r, concurrency.Silent)
+			b.tell(policy.GoneEvent{ID: r.id})
 		}
 	case Ending:
 		b.end(e)
@@ -281,11 +281,11 @@
 	case Purge:
 		issued := e.Issued - b.offset
 		b.purges.Note(b.now, e.Object, e.Group, issued)
-		b.tell(control.PurgeEvent{Object: e.Object, Group: e.Group, Age: max(0, b.now-issued)})
+		b.tell(policy.PurgeEvent{Object: e.Object, Group: e.Group, Age: max(0, b.now-issued)})
 	case Cutoff:
 		b.cutOff()
 	case Probed:
-		b.tell(control.ProbeEvent{Node: e.Node, Status: e.Status, Took: e.Took})
+		b.tell(policy.ProbeEvent{Node: e.Node, Status: e.Status, Took: e.Took})
 	}
 }
 
@@ -305,7 +305,7 @@
 		return
 	}
 	class := &b.cfg.Classes[r.Class]
-	grant, over := b.contracts.Admit(b.now, r.Team, r.Service, class.Name, contract.Cost{Worth: class.Worth, Bytes: r.SizeKB * 1024})
+	grant, over := b.contracts.Admit(b.now, r.Team, r.Service, class.Name, quota.Cost{Worth: class.Worth, Bytes: r.SizeKB * 1024})
 	if over != nil {
 		b.answer(r, overBudget(over))
 		return
@@ -316,37 +316,37 @@
 	b.open[r.id], b.ids[r.ID] = r, r
 	b.at(timer{at: r.deadline, request: r})
 	b.at(timer{at: r.Arrived + r.Limit/2 - min(halfEarly, r.Limit/16), request: r, half: true})
-	b.tell(control.CallEvent{ID: r.id, Class: r.Class, Object: r.Object, Part: r.Part, Group: r.Group,
+	b.tell(policy.CallEvent{ID: r.id, Class: r.Class, Object: r.Object, Part: r.Part, Group: r.Group,
 		Left: r.deadline - b.now, SizeKB: r.SizeKB, Repeat: r.Second})
 }
 
 // tell hands one event to the module and carries out what it wants.
-func (b *Broker) tell(e control.Event) {
+func (b *Broker) tell(e policy.Event) {
 	for _, action := range b.module.Handle(b.now, e) {
 		b.do(action)
 	}
 }
 
-func (b *Broker) do(action control.Action) {
+func (b *Broker) do(action policy.Action) {
 	switch a := action.(type) {
-	case control.Get:
+	case policy.Get:
 		b.get(a)
-	case control.Refuse:
+	case policy.Refuse:
 		b.giveUp(a.ID, Final{Kind: Refusal, Wait: a.Wait, Reason: "refused"})
-	case control.Fail:
+	case policy.Fail:
 		b.giveUp(a.ID, Final{Kind: Failure, Reason: "failed"})
-	case control.Cancel:
+	case policy.Cancel:
 		// What the module calls off after a request's end was quit by close.
 		if r := b.open[a.ID]; r != nil && a.Attempt < len(r.attempts) && r.attempts[a.Attempt].Open() {
 			b.effect(Quit{Attempt: r.attempts[a.Attempt], Confirm: true})
 		}
-	case control.Timer:
+	case policy.Timer:
 		b.at(timer{at: a.At, token: a.Token})
-	case control.Probe:
+	case policy.Probe:
 		if box := b.boxes[a.Node]; box != nil {
 			b.effect(Probe{box})
 		}
-	case control.Log:
+	case policy.Log:
 		b.effect(Line{"module", []any{"text", a.Text}})
 	}
 }
@@ -354,7 +354,7 @@
 func (b *Broker) effect(e Effect) { b.effects = append(b.effects, e) }
 
 // get makes the next attempt of a request.
-func (b *Broker) get(g control.Get) {
+func (b *Broker) get(g policy.Get) {
 	r, box, source := b.open[g.ID], b.boxes[g.Node], b.boxes[g.Source]
 	if r == nil || box == nil || source == nil {
 		b.effect(Line{"module-unknown", []any{"get", fmt.Sprintf("%+v", g)}})
@@ -385,7 +385,7 @@
 
 // spend charges an attempt to the budgets of its request, and of repeats: only one after an attempt that went out is a repeat,
 // since nothing else has cost a box anything.
-func (b *Broker) spend(r *Request, a *Attempt) (End, *contract.Refusal) {
+func (b *Broker) spend(r *Request, a *Attempt) (End, *quota.Refusal) {
 	repeat := slices.ContainsFunc(r.attempts, func(o *Attempt) bool { return o.Written })
 	if !repeat {
 		if over := r.grant.Spend(b.now, false); over != nil {
@@ -402,12 +402,12 @@
 	var team, box *retry.Budget
 	if b.teamRepeats != nil {
 		if team = b.teamRepeats.Of(r.grant.Tenant()); team.Left(b.now, b.teamRepeats.Config()) < 1 {
-			return Withheld, &contract.Refusal{Node: r.grant.Tenant(), Kind: contract.Repeats, Asked: 1, Left: team.Left(b.now, b.teamRepeats.Config()), Later: repeatsWait}
+			return Withheld, &quota.Refusal{Node: r.grant.Tenant(), Kind: quota.Repeats, Asked: 1, Left: team.Left(b.now, b.teamRepeats.Config()), Later: repeatsWait}
 		}
 	}
 	if b.boxRepeats != nil {
 		if box = b.boxRepeats.Of(a.Box.ID); box.Left(b.now, b.boxRepeats.Config()) < 1 {
-			return Withheld, &contract.Refusal{Node: "box " + a.Box.Host, Kind: contract.Repeats, Asked: 1, Left: box.Left(b.now, b.boxRepeats.Config()), Later: repeatsWait}
+			return Withheld, &quota.Refusal{Node: "box " + a.Box.Host, Kind: quota.Repeats, Asked: 1, Left: box.Left(b.now, b.boxRepeats.Config()), Later: repeatsWait}
 		}
 	}
 	if over := r.grant.Spend(b.now, true); over != nil {
@@ -426,7 +426,7 @@
 const repeatsWait = 100 * time.Millisecond
 
 // overBudget words a refusal by a budget.
-func overBudget(over *contract.Refusal) Final {
+func overBudget(over *quota.Refusal) Final {
 	return Final{Kind: Refusal, Wait: over.Later, Budget: over.Name(), Reason: over.String()}
 }
 
@@ -439,7 +439,7 @@
 		b.teamRepeats = retry.NewSet[string](teams, teamsMost)
 	}
 	if boxes.Share > 0 && b.boxRepeats == nil {
-		b.boxRepeats = retry.NewSet[control.NodeID](boxes, boxesMost)
+		b.boxRepeats = retry.NewSet[policy.NodeID](boxes, boxesMost)
 	}
 	if b.teamRepeats != nil {
 		b.teamRepeats.Configure(teams)
@@ -469,7 +469,7 @@
 // decides; a connection may come up seconds later.
 func (b *Broker) mayRepeat(a *Attempt, now time.Duration) bool {
 	class := &b.cfg.Classes[a.Request.Class]
-	if class.Effect != control.Keyed {
+	if class.Effect != policy.Keyed {
 		return true
 	}
 	return !slices.ContainsFunc(a.Request.attempts, func(o *Attempt) bool {
@@ -491,7 +491,7 @@
 		if usable(box) {
 			return false
 		}
-		barred = barred || box.State == control.Draining || b.now-box.told < leftFor
+		barred = barred || box.State == policy.Draining || b.now-box.told < leftFor
 	}
 	return barred
 }
@@ -504,7 +504,7 @@
 	return age
 }
 
-func usable(box *Box) bool { return box.State == control.Ready }
+func usable(box *Box) bool { return box.State == policy.Ready }
 
 // end takes the end of an attempt. Only the first counts.
 func (b *Broker) end(e Ending) {
@@ -517,7 +517,7 @@
 	if r.ended {
 		return
 	}
-	if e.Doubtful && b.cfg.Classes[r.Class].Effect != control.Safe && slices.Contains(neverRan, outcomes[e.End].status) {
+	if e.Doubtful && b.cfg.Classes[r.Class].Effect != policy.Safe && slices.Contains(neverRan, outcomes[e.End].status) {
 		e.End = CalledOff
 	}
 	a.neverRan = slices.Contains(neverRan, outcomes[e.End].status)
@@ -528,12 +528,12 @@
 		}
 		b.answer(r, final)
 	}
-	b.tell(control.AnswerEvent{ID: r.id, Node: a.Box.ID, Attempt: a.N, Took: b.now - a.sent, Settled: r.ended,
+	b.tell(policy.AnswerEvent{ID: r.id, Node: a.Box.ID, Attempt: a.N, Took: b.now - a.sent, Settled: r.ended,
 		Note: e.Note, FirstByte: e.Lag, Status: outcomes[e.End].status})
 }
 
 // giveUp is the module's own end of a request; it goes out at once.
-func (b *Broker) giveUp(id control.RequestID, f Final) {
+func (b *Broker) giveUp(id policy.RequestID, f Final) {
 	if r := b.open[id]; r != nil {
 		if r.over != nil && f.Kind == Refusal {
 			f = overBudget(r.over)
@@ -552,7 +552,7 @@
 }
 
 // outcome is what an answer tells of the load on the boxes.
-func (b *Broker) outcome(r *Request, f Final) capacity.Outcome {
+func (b *Broker) outcome(r *Request, f Final) concurrency.Outcome {
 	switch {
 	case f.Kind == Answered || f.Kind == Same:
 		class := &b.cfg.Classes[r.Class]
@@ -561,17 +561,17 @@
 			aim += time.Duration(class.AimStretch * r.SizeKB / b.cfg.FlowKBps * float64(time.Second))
 		}
 		if aim > 0 && b.now-r.Arrived > aim {
-			return capacity.Late
+			return concurrency.Late
 		}
-		return capacity.InTime
+		return concurrency.InTime
 	case f.Budget != "":
-		return capacity.Silent
+		return concurrency.Silent
 	}
-	return capacity.Turned
+	return concurrency.Turned
 }
 
 // close ends a request: what is still out for it is given up.
-func (b *Broker) close(r *Request, o capacity.Outcome) {
+func (b *Broker) close(r *Request, o concurrency.Outcome) {
 	r.ended = true
 	delete(b.open, r.id)
 	if r.admitted {
@@ -595,8 +595,8 @@
 )
 
 // states is what the merged view's states are to the module.
-var states = [...]control.State{membership.Gone: control.Gone, membership.Draining: control.Draining,
-	membership.Up: control.Ready}
+var states = [...]policy.State{membership.Gone: policy.Gone, membership.Draining: policy.Draining,
+	membership.Up: policy.Ready}
 
 // follow takes over what is new in the merged view of the boxes.
 func (b *Broker) follow() {
@@ -608,12 +608,12 @@
 		return
 	}
 	changes := b.members.Take(b.now, changesMost)
-	e := control.ListEvent{Kind: control.ListDelta}
+	e := policy.ListEvent{Kind: policy.ListDelta}
 	for i, c := range changes {
 		if i < linesMost {
 			b.logChange(c)
 		}
-		n := Box{Host: c.Box.ID, Dial: c.Box.Address, Node: control.Node{Zone: c.Box.Zone, Kind: c.Box.Kind,
+		n := Box{Host: c.Box.ID, Dial: c.Box.Address, Node: policy.Node{Zone: c.Box.Zone, Kind: c.Box.Kind,
 			Cell: c.Box.Cell, State: states[c.Box.State], Weight: c.Box.Weight}, born: c.Box.Born}
 		if node, ok := b.change(n); ok {
 			e.Nodes = append(e.Nodes, node)
@@ -629,9 +629,9 @@
 }
 
 // change takes over one box, and gives it as the module is to know it.
-func (b *Broker) change(n Box) (control.Node, bool) {
-	if _, known := b.hosts[n.Host]; !known && n.State == control.Gone {
-		return control.Node{}, false // nor is its name to be kept
+func (b *Broker) change(n Box) (policy.Node, bool) {
+	if _, known := b.hosts[n.Host]; !known && n.State == policy.Gone {
+		return policy.Node{}, false // nor is its name to be kept
 	}
 	id := b.nodeID(n.Host)
 	box, old := b.boxes[id], Box{}
@@ -640,13 +640,13 @@
 		box = &Box{}
 		b.boxes[id] = box
 		b.byName[strings.ToLower(n.Host)] = box
-	case n.State == control.Gone && box.State == control.Gone:
-		return control.Node{}, false
-	case n.State == control.Gone:
+	case n.State == policy.Gone && box.State == policy.Gone:
+		return policy.Node{}, false
+	case n.State == policy.Gone:
 		// The rest of such an entry need not be there.
 		old = *box
 		n = old
-		n.State = control.Gone
+		n.State = policy.Gone
 	default:
 		old = *box
 	}
@@ -663,7 +663,7 @@
 	}
 	*box = n
 	box.told = b.now
-	if n.State == control.Gone {
+	if n.State == policy.Gone {
 		b.gone = append(b.gone, departed{box, b.now})
 	}
 	if old.Host != "" {
@@ -721,7 +721,7 @@
 	for len(b.gone) > 0 && b.now-b.gone[0].at > goneFor {
 		box := b.gone[0].box
 		b.gone = b.gone[1:]
-		if box.State != control.Gone || b.now-box.told <= goneFor || b.boxes[box.ID] != box {
+		if box.State != policy.Gone || b.now-box.told <= goneFor || b.boxes[box.ID] != box {
 			continue // it was back meanwhile
 		}
 		delete(b.boxes, box.ID)
@@ -743,13 +743,13 @@
 }
 
 // nodeID gives the same id to a host at every doorman, for the shared hashes.
-func (b *Broker) nodeID(host string) control.NodeID {
+func (b *Broker) nodeID(host string) policy.NodeID {
 	if id, ok := b.hosts[host]; ok {
 		return id
 	}
-	id := control.NodeID(14695981039346656037) // FNV-1a
+	id := policy.NodeID(14695981039346656037) // FNV-1a
 	for i := range len(host) {
-		id = (id ^ control.NodeID(host[i])) * 1099511628211
+		id = (id ^ policy.NodeID(host[i])) * 1099511628211
 	}
 	for id == 0 || b.boxes[id] != nil {
 		id++
@@ -790,7 +790,7 @@
 		if t := heap.Pop(&b.timers).(timer); t.attempt != nil || t.request != nil {
 			b.overdue(t)
 		} else {
-			b.tell(control.TimerEvent{Token: t.token})
+			b.tell(policy.TimerEvent{Token: t.token})
 		}
 	}
 }
@@ -807,7 +807,7 @@
 	if t.half {
 		if !slices.ContainsFunc(r.attempts, func(a *Attempt) bool { return a.Written }) {
 			b.answer(r, Final{Kind: Refusal, Wait: b.cfg.Later(&b.cfg.Classes[r.Class]), Reason: "no box could be reached"})
-			b.tell(control.GoneEvent{ID: r.id})
+			b.tell(policy.GoneEvent{ID: r.id})
 		}
 		return
 	}
@@ -818,7 +818,7 @@
 	}
 	if !r.ended {
 		b.answer(r, Final{Kind: Failure, Reason: "past its deadline"})
-		b.tell(control.GoneEvent{ID: r.id})
+		b.tell(policy.GoneEvent{ID: r.id})
 	}
 }
 
--- a/broker/crossings_test.go
+++ b/internal/broker/crossings_test.go
@@ -9,8 +9,8 @@
 
 	"pgregory.net/rapid"
 
-	"sloequay/control"
-	"sloequay/membership"
+	"sloequay/internal/membership"
+	"sloequay/internal/policy"
 )
 
 // crossing drives a broker as a depot and a front do, with what comes and when left to the test. It checks after each round what must
@@ -41,11 +41,11 @@
 const window = 500 * time.Millisecond
 
 func newCrossing(t rapid.TB) *crossing {
-	cfg := control.Config{Classes: []control.Class{
+	cfg := policy.Config{Classes: []policy.Class{
 		{Name: "safe", Aim: 300 * time.Millisecond, Deadline: 2 * time.Second},
-		{Name: "keyed", Aim: 300 * time.Millisecond, Deadline: 2 * time.Second, Effect: control.Keyed, Window: window, Write: true},
-		{Name: "zoned", Aim: 300 * time.Millisecond, Deadline: 2 * time.Second, Effect: control.Keyed, Group: control.GroupZone, Window: window, Write: true},
-		{Name: "once", Aim: 300 * time.Millisecond, Deadline: 2 * time.Second, Effect: control.Unsafe, Write: true}},
+		{Name: "keyed", Aim: 300 * time.Millisecond, Deadline: 2 * time.Second, Effect: policy.Keyed, Window: window, Write: true},
+		{Name: "zoned", Aim: 300 * time.Millisecond, Deadline: 2 * time.Second, Effect: policy.Keyed, Group: policy.GroupZone, Window: window, Write: true},
+		{Name: "once", Aim: 300 * time.Millisecond, Deadline: 2 * time.Second, Effect: policy.Unsafe, Write: true}},
 		MaxAttempts: 6, OriginKind: 2, ParentKind: 1, Direct: true, Cancel: true, Instances: 1, ZoneInstances: []int{1}}
 	b, err := New(cfg, 1, 100, nil, membership.New(membership.Config{Sources: []membership.Source{{Name: "bulletin"}}}))
 	if err != nil {
@@ -91,7 +91,7 @@
 	switch {
 	case x.left[r]:
 		x.t.Fatalf("request %s was withdrawn in an earlier round, and is written to %s", r.ID, a.Box.Host)
-	case a.Box.State != control.Ready || a.Source.State != control.Ready:
+	case a.Box.State != policy.Ready || a.Source.State != policy.Ready:
 		x.t.Fatalf("request %s is written to %s, filled from %s: states %v, %v", r.ID, a.Box.Host, a.Source.Host, a.Box.State, a.Source.State)
 	case r.Class == once && x.ran[r]:
 		x.t.Fatalf("request %s may have run, may not be repeated, and is written to %s", r.ID, a.Box.Host)
@@ -464,7 +464,7 @@
 	x.write(0)
 	first := x.out[0]
 	x.b.effects = x.b.effects[:0]
-	x.b.get(control.Get{ID: r.id, Node: first.Box.ID, Source: first.Box.ID}) // beside the one that is out
+	x.b.get(policy.Get{ID: r.id, Node: first.Box.ID, Source: first.Box.ID}) // beside the one that is out
 	for _, e := range x.b.effects {
 		if _, ok := e.(Ask); ok {
 			t.Error("a second attempt goes out beside the first, where second copies are not allowed")
--- a/broker/end.go
+++ b/internal/broker/end.go
@@ -1,6 +1,6 @@
 package broker
 
-import "sloequay/control"
+import "sloequay/internal/policy"
 
 // End is how an attempt ended. Every way in which an answer can come, or a connection can end under an attempt, is
 // one of these values.
@@ -30,35 +30,35 @@
 // outcome is what an End means to the module, and whether the answer reaches the client.
 type outcome struct {
 	name   string
-	status control.Status
+	status policy.Status
 }
 
 // outcomes is the one place that maps ends to outcomes of the module. Full, ConnectFailed, Moot and Miss promise that
 // the attempt never ran; so nothing of which a byte was written may become one of them but by the box's own word.
 var outcomes = [endCount]outcome{
-	Served:     {"served", control.OK},
-	Unchanged:  {"unchanged", control.OK},
-	Missed:     {"missed", control.Miss},
-	TurnedAway: {"turned-away", control.Full},
-	Failed:     {"failed", control.Error},
-	Over:       {"over", control.Moot},
-	NotDialled: {"not-dialled", control.ConnectFailed},
-	Unsent:     {"unsent", control.Moot}, // no sign against the box: its next connection may do
-	Barred:     {"barred", control.Moot},
-	Withheld:   {"withheld", control.Moot},
-	Crowded:    {"crowded", control.Moot},
-	Broken:     {"broken", control.Reset},
-	Garbled:    {"garbled", control.Reset},
-	Silenced:   {"silenced", control.Reset},
-	TimedOut:   {"timed-out", control.Timeout},
-	CalledOff:  {"called-off", control.Cancelled},
+	Served:     {"served", policy.OK},
+	Unchanged:  {"unchanged", policy.OK},
+	Missed:     {"missed", policy.Miss},
+	TurnedAway: {"turned-away", policy.Full},
+	Failed:     {"failed", policy.Error},
+	Over:       {"over", policy.Moot},
+	NotDialled: {"not-dialled", policy.ConnectFailed},
+	Unsent:     {"unsent", policy.Moot}, // no sign against the box: its next connection may do
+	Barred:     {"barred", policy.Moot},
+	Withheld:   {"withheld", policy.Moot},
+	Crowded:    {"crowded", policy.Moot},
+	Broken:     {"broken", policy.Reset},
+	Garbled:    {"garbled", policy.Reset},
+	Silenced:   {"silenced", policy.Reset},
+	TimedOut:   {"timed-out", policy.Timeout},
+	CalledOff:  {"called-off", policy.Cancelled},
 }
 
 // neverRan are the outcomes that promise that the attempt had no effect.
-var neverRan = []control.Status{control.Full, control.ConnectFailed, control.Moot, control.Miss}
+var neverRan = []policy.Status{policy.Full, policy.ConnectFailed, policy.Moot, policy.Miss}
 
 // String gives the name that the log uses.
 func (e End) String() string { return outcomes[e].name }
 
 // Good says whether the attempt brought the final answer.
-func (e End) Good() bool { return outcomes[e].status == control.OK }
+func (e End) Good() bool { return outcomes[e].status == policy.OK }
--- a/broker/index_test.go
+++ b/internal/broker/index_test.go
@@ -8,15 +8,15 @@
 
 	"pgregory.net/rapid"
 
-	"sloequay/control"
-	"sloequay/membership"
-	"sloequay/purge"
+	"sloequay/internal/invalidation"
+	"sloequay/internal/membership"
+	"sloequay/internal/policy"
 )
 
-func testConfig() control.Config {
-	return control.Config{Instances: 1, Zone: 1, ParentKind: 1, OriginKind: 2, FlowKBps: 9500, WeightsTold: true,
+func testConfig() policy.Config {
+	return policy.Config{Instances: 1, Zone: 1, ParentKind: 1, OriginKind: 2, FlowKBps: 9500, WeightsTold: true,
 		Direct: true, MaxAttempts: 6, Cancel: true, MaxRetryAfter: time.Second, PurgeTakes: 6 * time.Second,
-		Classes: []control.Class{{Name: "lookup", Aim: 250 * time.Millisecond, Deadline: 3 * time.Second, Worth: 1}}}
+		Classes: []policy.Class{{Name: "lookup", Aim: 250 * time.Millisecond, Deadline: 3 * time.Second, Worth: 1}}}
 }
 
 func newBroker(t testing.TB) *Broker {
@@ -49,7 +49,7 @@
 			if usable(box) {
 				return false
 			}
-			barred = barred || box.State == control.Draining || b.now-box.told < leftFor
+			barred = barred || box.State == policy.Draining || b.now-box.told < leftFor
 		}
 	}
 	return barred
@@ -116,10 +116,10 @@
 		{"another object", Purge{Object: 8, Issued: now - time.Second}, 3, false},
 		{"its group", Purge{Group: 3, Issued: now - time.Second}, 3, true},
 		{"another group", Purge{Group: 4, Issued: now - time.Second}, 3, false},
-		{"any group, where it tells none", Purge{Group: 4, Issued: now - time.Second}, purge.AnyGroup, true},
+		{"any group, where it tells none", Purge{Group: 4, Issued: now - time.Second}, invalidation.AnyGroup, true},
 	} {
 		b := newBroker(t)
-		box := Box{Host: "c1", Dial: "10.0.0.1:1", Node: control.Node{State: control.Ready}}
+		box := Box{Host: "c1", Dial: "10.0.0.1:1", Node: policy.Node{State: policy.Ready}}
 		a := &Attempt{Request: &Request{Object: 7, Group: c.group}, Box: &box, Source: &box, Deadline: now + time.Second}
 		b.Round(now, []Event{c.purge})
 		age, ok := b.May(a, now+10*time.Millisecond)
@@ -142,7 +142,7 @@
 				events = append(events, Purge{Object: uint64(i + 1), Issued: now - time.Duration(i)*time.Microsecond})
 			}
 			broker.Round(now, append(events, Listing{List: list}))
-			box := Box{Host: "x", Dial: "10.9.9.9:1", Node: control.Node{State: control.Ready}}
+			box := Box{Host: "x", Dial: "10.9.9.9:1", Node: policy.Node{State: policy.Ready}}
 			a := &Attempt{Request: &Request{Object: 1 << 40, Group: 3}, Box: &box, Source: &box, Deadline: now + time.Second}
 			b.ReportAllocs()
 			b.ResetTimer()
@@ -173,7 +173,7 @@
 				for _, e := range broker.Round(now, []Event{Arrival{r}}) {
 					if ask, ok := e.(Ask); ok {
 						broker.May(ask.Attempt, now)
-						broker.Round(now, []Event{Ending{Attempt: ask.Attempt, End: Served, Note: control.NoteHit}})
+						broker.Round(now, []Event{Ending{Attempt: ask.Attempt, End: Served, Note: policy.NoteHit}})
 						break
 					}
 				}
--- a/broker/list_test.go
+++ b/internal/broker/list_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"sloequay/control"
-	"sloequay/membership"
+	"sloequay/internal/membership"
+	"sloequay/internal/policy"
 )
 
 func fleet(n int) []membership.Box {
@@ -57,7 +57,7 @@
 	}
 	boxes[len(boxes)-1].State = membership.Draining
 	b.Round(now, []Event{Listing{Source: 1, List: membership.List{Boxes: boxes}}})
-	if box := b.Box(boxes[len(boxes)-1].ID); box.State != control.Draining {
+	if box := b.Box(boxes[len(boxes)-1].ID); box.State != policy.Draining {
 		t.Errorf("after one round the draining box is %v", box.State)
 	}
 }
@@ -156,7 +156,7 @@
 
 // TestRefusedComeBackInTime: the broker's own refusals told the longest wait that clients heed, as the module's did.
 func TestRefusedComeBackInTime(t *testing.T) {
-	cfg := control.Config{Classes: []control.Class{{Name: "a", Aim: 600 * time.Millisecond, Deadline: 5 * time.Second}},
+	cfg := policy.Config{Classes: []policy.Class{{Name: "a", Aim: 600 * time.Millisecond, Deadline: 5 * time.Second}},
 		MaxRetryAfter: 2 * time.Second, MaxAttempts: 6, OriginKind: 2, ParentKind: 1, Direct: true}
 	for _, c := range []struct {
 		name    string
--- a/broker/request.go
+++ b/internal/broker/request.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"sloequay/contract"
-	"sloequay/control"
-	"sloequay/identity"
-	"sloequay/route"
+	"sloequay/internal/identity"
+	"sloequay/internal/policy"
+	"sloequay/internal/quota"
+	"sloequay/internal/route"
 )
 
 // Owner is the front that a request came by. It gets the final answer exactly once, unless it withdrew the request.
@@ -40,13 +40,13 @@
 	// taken up at all: hundreds of those must not reach the boxes.
 	Withdrawn bool
 
-	id       control.RequestID
+	id       policy.RequestID
 	deadline time.Duration // by which the answer must be on its way
 	attempts []*Attempt
 	ended    bool
-	admitted bool              // it holds what grant says
-	grant    contract.Grant    // that it and its attempts are charged to
-	over     *contract.Refusal // the budget that held an attempt back
+	admitted bool           // it holds what grant says
+	grant    quota.Grant    // that it and its attempts are charged to
+	over     *quota.Refusal // the budget that held an attempt back
 }
 
 // Final is the one answer to a request.
@@ -78,7 +78,7 @@
 
 // Box is a server of the list: a cache, a parent or the origin. Its fields follow the list.
 type Box struct {
-	control.Node
+	policy.Node
 	Host string // its id on the sockets
 	Dial string // host:port
 	told time.Duration
--- a/cmd/sloequay/contracts.go
+++ b/internal/cli/contracts.go
@@ -1,4 +1,4 @@
-package main
+package cli
 
 import (
 	"errors"
@@ -8,9 +8,9 @@
 
 	"github.com/spf13/cobra"
 
-	"sloequay/contract"
-	"sloequay/node"
-	"sloequay/node/admin"
+	"sloequay/internal/proxy"
+	"sloequay/internal/proxy/admin"
+	"sloequay/internal/quota"
 )
 
 // contractsCommand is `sloequay contracts`.
@@ -19,7 +19,7 @@
 	var check, show, explained bool
 	c := &cobra.Command{Use: "contracts", Short: "Check contracts, show how they stand, or explain what applies to a team's class",
 		Args: cobra.MaximumNArgs(2), RunE: func(_ *cobra.Command, args []string) error {
-			o, err := node.ReadOwn(path)
+			o, err := proxy.ReadOwn(path)
 			if err != nil {
 				return err
 			}
@@ -39,7 +39,7 @@
 				return errors.New("the settings have no `control` by which a running doorman could be asked")
 			case explained:
 				fmt.Fprintln(out, "as written, nothing being used:")
-				node.Explain(out, o.Contracts.Book(), node.Clock(), args[0], args[1], service)
+				proxy.Explain(out, o.Contracts.Book(), proxy.Clock(), args[0], args[1], service)
 				return nil
 			}
 			return checkContracts(out, o.Contracts)
@@ -53,7 +53,7 @@
 }
 
 // checkContracts tells over-commitment with figures, and fails by it.
-func checkContracts(out io.Writer, c *contract.Contracts) error {
+func checkContracts(out io.Writer, c *quota.Contracts) error {
 	faults := c.Root.Check()
 	for _, f := range faults {
 		fmt.Fprintln(out, f)
@@ -69,7 +69,7 @@
 func askCommand(out io.Writer, question, short string) *cobra.Command {
 	var path string
 	c := &cobra.Command{Use: question, Short: short, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
-		o, err := node.ReadOwn(path)
+		o, err := proxy.ReadOwn(path)
 		if err != nil {
 			return err
 		}
--- a/cmd/sloequay/drill.go
+++ b/internal/cli/drill.go
@@ -1,4 +1,4 @@
-package main
+package cli
 
 import (
 	"errors"
@@ -11,7 +11,7 @@
 
 	"github.com/spf13/cobra"
 
-	"sloequay/standin/fleet"
+	"sloequay/internal/drill"
 )
 
 // drillCommand is `sloequay drill`.
@@ -22,15 +22,15 @@
 	var drawn bool
 	c := &cobra.Command{Use: "drill [FILE]", Short: "Start many doormans with faults between them by a plan, and say what held",
 		Args: cobra.MaximumNArgs(1), RunE: func(_ *cobra.Command, args []string) error {
-			var p *fleet.Plan
+			var p *drill.Plan
 			var err error
 			switch {
 			case drawn && len(args) == 0:
-				if p, err = fleet.Draw(seed); err == nil {
+				if p, err = drill.Draw(seed); err == nil {
 					fmt.Fprint(out, p.Text, "\n")
 				}
 			case !drawn && len(args) == 1:
-				p, err = fleet.Load(args[0])
+				p, err = drill.Load(args[0])
 			default:
 				return errors.New("either a plan's file or --draw")
 			}
@@ -50,7 +50,7 @@
 }
 
 // runDrill plays a plan and prints what had to hold and did.
-func runDrill(out io.Writer, p *fleet.Plan, seed uint64, report string) error {
+func runDrill(out io.Writer, p *drill.Plan, seed uint64, report string) error {
 	self, err := os.Executable()
 	if err != nil {
 		return err
@@ -65,7 +65,7 @@
 		return err
 	}
 	fmt.Fprintf(out, "%s: %d doormans, seed %d, %v\n", p.File, p.Doormans, seed, p.Lasts)
-	r, err := fleet.Run(p, self, dir, seed, out)
+	r, err := drill.Run(p, self, dir, seed, out)
 	if err != nil {
 		return err
 	}
--- a/cmd/sloequay/try.go
+++ b/internal/cli/try.go
@@ -1,4 +1,4 @@
-package main
+package cli
 
 import (
 	"bytes"
@@ -20,8 +20,8 @@
 
 	"github.com/miekg/dns"
 
-	"sloequay/standin"
-	"sloequay/standin/consul"
+	"sloequay/internal/emulator"
+	"sloequay/internal/emulator/consul"
 )
 
 type tryOptions struct{ keep bool }
@@ -38,7 +38,7 @@
 // stage is a doorman with stand-ins for all that it talks to.
 type stage struct {
 	out     io.Writer
-	fleet   *standin.Fleet
+	fleet   *emulator.Fleet
 	cluster *consul.Cluster
 	agents  []*consul.Agent
 	listen  string
@@ -103,7 +103,7 @@
 // build starts the stand-ins and the doorman, and waits until it is ready.
 func (s *stage) build() error {
 	var err error
-	s.fleet, s.cluster = standin.NewFleet(standin.Caching("o1")), consul.NewCluster()
+	s.fleet, s.cluster = emulator.NewFleet(emulator.Caching("o1")), consul.NewCluster()
 	for _, b := range []struct{ id, service, class, site string }{{"c1", "cache", "std", "edge"}, {"c2", "cache", "std", "edge"},
 		{"c3", "cache", "std", "edge"}, {"c4", "cache", "std", "edge"}, {"c5", "cache", "std", "edge"}, {"p1", "trunk", "parent", "hub"},
 		{"p2", "trunk", "parent", "hub"}, {"o1", "archive", "origin", "hub"}} {
@@ -132,7 +132,7 @@
 		return err
 	}
 	config, err := json.Marshal(map[string]any{"name": "try", "listen": s.listen, "seed": "1",
-		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "settings": json.RawMessage(standin.Settings)})
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "settings": json.RawMessage(emulator.Settings)})
 	if err != nil {
 		return err
 	}
@@ -161,7 +161,7 @@
 	s.ended = make(chan error, 1)
 	go func() { s.ended <- s.doorman.Wait() }()
 	for end := time.Now().Add(tryPatient); ; time.Sleep(10 * time.Millisecond) {
-		if text, _ := os.ReadFile(log.Name()); standin.Ready(s.listen) && bytes.Count(text, []byte("event=box-added")) >= 8 {
+		if text, _ := os.ReadFile(log.Name()); emulator.Ready(s.listen) && bytes.Count(text, []byte("event=box-added")) >= 8 {
 			return nil
 		}
 		if time.Now().After(end) {
@@ -212,7 +212,7 @@
 
 // requests sends by the platform's front until stop is closed, and returns once all are answered.
 func (s *stage) requests(stop <-chan struct{}) error {
-	c, err := standin.Dial(s.listen)
+	c, err := emulator.Dial(s.listen)
 	if err != nil {
 		return err
 	}
@@ -235,7 +235,7 @@
 			id := sent
 			at[id] = time.Now()
 			mu.Unlock()
-			if c.Send(standin.Request(id, "lookup", map[string]string{"item": fmt.Sprintf("%016x", zipf.Uint64()+1), "ram": "20"}, "")) != nil {
+			if c.Send(emulator.Request(id, "lookup", map[string]string{"item": fmt.Sprintf("%016x", zipf.Uint64()+1), "ram": "20"}, "")) != nil {
 				return
 			}
 		}
@@ -306,7 +306,7 @@
 	s.counts = map[string]int{}
 	s.mu.Unlock()
 	sends := map[string]int{}
-	for _, a := range s.fleet.Heard(func(a *standin.Asked) bool { return a.Word == "ASK" && a.At.After(since) }) {
+	for _, a := range s.fleet.Heard(func(a *emulator.Asked) bool { return a.Word == "ASK" && a.At.After(since) }) {
 		sends[a.Box]++
 	}
 	var used []string
@@ -320,7 +320,7 @@
 
 // lastUse is when a box was last sent something, or named as a source.
 func (s *stage) lastUse(id string) time.Time {
-	lines := s.fleet.Heard(func(a *standin.Asked) bool { return a.Word == "ASK" && (a.Box == id || a.Fields["via"] == id) })
+	lines := s.fleet.Heard(func(a *emulator.Asked) bool { return a.Word == "ASK" && (a.Box == id || a.Fields["via"] == id) })
 	if len(lines) == 0 {
 		return time.Time{}
 	}
@@ -421,7 +421,7 @@
 
 // firstUse is when a box was first sent something after a time.
 func (s *stage) firstUse(id string, after time.Time) time.Time {
-	lines := s.fleet.Heard(func(a *standin.Asked) bool { return a.Word == "ASK" && a.Box == id && a.At.After(after) })
+	lines := s.fleet.Heard(func(a *emulator.Asked) bool { return a.Word == "ASK" && a.Box == id && a.At.After(after) })
 	if len(lines) == 0 {
 		return time.Time{}
 	}
--- a/steady/steady.go
+++ b/internal/clock/clock.go
@@ -1,7 +1,7 @@
-// Package steady tells apart the two times that a long-running program needs: one that only ever goes on at its own rate, for
+// Package clock tells apart the two times that a long-running program needs: one that only ever goes on at its own rate, for
 // deadlines, timers, budgets and ages, and the Unix clock, which operators and time servers set, for what others have stamped.
 // It reads no clock: its user hands in both readings, taken together.
-package steady
+package clock
 
 import "time"
 
--- a/steady/steady_test.go
+++ b/internal/clock/clock_test.go
@@ -1,4 +1,4 @@
-package steady
+package clock
 
 import (
 	"testing"
--- a/capacity/capacity.go
+++ b/internal/concurrency/concurrency.go
@@ -1,11 +1,11 @@
-// Package capacity learns how many requests may be open together so that they still come in time, from how those end, and
+// Package concurrency learns how many requests may be open together so that they still come in time, from how those end, and
 // divides that among contracts. It does no I/O and asks no clock.
 //
 // The limit grows while it is in use and requests come in time, and is cut when too many come late or are turned away further
 // on: additive increase and multiplicative decrease (Chiu and Jain, 1989), with a part of growth that goes with its size so that a
 // large one is found again soon. A gradient on answer times would need to know what an unloaded time is, and that is
 // another for each class and size; whether a request was in time is known.
-package capacity
+package concurrency
 
 import (
 	"math"
--- a/capacity/capacity_test.go
+++ b/internal/concurrency/concurrency_test.go
@@ -1,4 +1,4 @@
-package capacity
+package concurrency
 
 import (
 	"container/heap"
--- a/conf/conf.go
+++ b/internal/config/config.go
@@ -1,7 +1,7 @@
-// Package conf reads our settings: one directive a line, its words split as a shell does, # comments, include GLOB, and
+// Package config reads our settings: one directive a line, its words split as a shell does, # comments, include GLOB, and
 // blocks that a last word { opens and a line } closes. A package states its directives in a Section, bound to its own
 // variables; what it does not state is an error. All errors are found, not the first alone, each with file, line and key.
-package conf
+package config
 
 import (
 	"errors"
--- a/conf/parse.go
+++ b/internal/config/parse.go
@@ -1,4 +1,4 @@
-package conf
+package config
 
 import (
 	"bytes"
--- a/standin/fleet/chart/chart.go
+++ b/internal/drill/chart/chart.go
@@ -12,7 +12,7 @@
 	"gonum.org/v1/plot/vg/draw"
 	"gonum.org/v1/plot/vg/vgsvg"
 
-	"sloequay/standin/fleet"
+	"sloequay/internal/drill"
 )
 
 const width, height = 18 * vg.Centimeter, 5 * vg.Centimeter // of a panel
@@ -21,7 +21,7 @@
 var colours = []color.Color{color.RGBA{0, 0, 0, 255}, color.RGBA{0, 114, 178, 255}, color.RGBA{230, 159, 0, 255}, color.RGBA{213, 94, 0, 255}}
 
 // SVG draws the panels below one another.
-func SVG(t fleet.Timeline) ([]byte, error) {
+func SVG(t drill.Timeline) ([]byte, error) {
 	canvas := vgsvg.New(width, height*vg.Length(len(t.Panels)))
 	page := draw.New(canvas)
 	for i, panel := range t.Panels {
--- a/standin/fleet/clients.go
+++ b/internal/drill/clients.go
@@ -1,4 +1,4 @@
-package fleet
+package drill
 
 import (
 	"errors"
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"sloequay/standin"
+	"sloequay/internal/emulator"
 )
 
 // clients asks by open loop: requests come when they come, whatever became of those before.
@@ -90,7 +90,7 @@
 
 // clientConn is a connection to a doorman.
 type clientConn struct {
-	c    *standin.Client
+	c    *emulator.Client
 	d    *doorman
 	mu   sync.Mutex
 	next uint64
@@ -117,7 +117,7 @@
 		fields["unique"] = r.Key
 	}
 	c.w.Record.add(func() { c.w.Record.Requests = append(c.w.Record.Requests, r) })
-	c.put(d, &asking{r: r, frame: func(msg uint64) []byte { return standin.Request(msg, r.Class, fields, "") }})
+	c.put(d, &asking{r: r, frame: func(msg uint64) []byte { return emulator.Request(msg, r.Class, fields, "") }})
 }
 
 // put writes a request to a connection with room.
@@ -144,7 +144,7 @@
 			c.ended(a, "broken")
 			return
 		}
-		k = &clientConn{c: standin.NewClient(conn), d: d, open: map[uint64]*asking{}, late: map[uint64]bool{}}
+		k = &clientConn{c: emulator.NewClient(conn), d: d, open: map[uint64]*asking{}, late: map[uint64]bool{}}
 		c.conn[d.n] = append(c.conn[d.n], k)
 		go c.read(k)
 	}
--- a/standin/fleet/liar.go
+++ b/internal/drill/liar.go
@@ -1,14 +1,14 @@
-package fleet
+package drill
 
 import (
 	"fmt"
 	"math/rand/v2"
 	"time"
 
-	"sloequay/membership"
-	"sloequay/peer"
-	"sloequay/peer/link"
-	"sloequay/start"
+	"sloequay/internal/bootstrap"
+	"sloequay/internal/membership"
+	"sloequay/internal/peer"
+	"sloequay/internal/peer/transport"
 )
 
 // lies are the lists that a liar tells, of a version far ahead.
@@ -32,7 +32,7 @@
 type liar struct {
 	w     *World
 	n     int // of the liars, from 0
-	link  *link.Link
+	link  *transport.Link
 	relay *Relay
 	boxes []membership.Box // of the lie, in order
 	peers []peer.Member
@@ -48,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &liar{w: w, n: len(w.liars), boxes: start.Sorted(lies[kind](w)), told: make(chan func(), 64), end: make(chan struct{})}
+	l := &liar{w: w, n: len(w.liars), boxes: bootstrap.Sorted(lies[kind](w)), told: make(chan func(), 64), end: make(chan struct{})}
 	if l.relay, err = w.fabric.NewRelay("liar", fmt.Sprintf("%s.48.%d", w.base, plaza), listen); err != nil {
 		return nil, err
 	}
@@ -56,11 +56,11 @@
 	for _, o := range w.doormans[:min(seeds, len(w.doormans))] {
 		seed = append(seed, o.relay.Address())
 	}
-	cfg, err := link.NewConfig(listen, l.relay.Address(), w.key, seed)
+	cfg, err := transport.NewConfig(listen, l.relay.Address(), w.key, seed)
 	if err != nil {
 		return nil, err
 	}
-	if l.link, err = link.Open(cfg, link.Self{Name: fmt.Sprint("liar", l.n), Zone: fmt.Sprintf("p%d", plaza), Epoch: rand.Uint64()}, l); err != nil {
+	if l.link, err = transport.Open(cfg, transport.Self{Name: fmt.Sprint("liar", l.n), Zone: fmt.Sprintf("p%d", plaza), Epoch: rand.Uint64()}, l); err != nil {
 		return nil, err
 	}
 	go l.run()
@@ -69,9 +69,9 @@
 
 // run tells the lie to everybody, again and again, and serves it to whoever asks.
 func (l *liar) run() {
-	var digest []start.Claim
+	var digest []bootstrap.Claim
 	for n := range len(services) {
-		digest = append(digest, start.Claim{Mark: start.MarkOf(n, uint64(l.n+1)<<40, l.boxes)})
+		digest = append(digest, bootstrap.Claim{Mark: bootstrap.MarkOf(n, uint64(l.n+1)<<40, l.boxes)})
 	}
 	tick := time.NewTicker(200 * time.Millisecond)
 	defer tick.Stop()
@@ -81,7 +81,7 @@
 			do()
 		case <-tick.C:
 			for _, p := range l.peers {
-				l.send(p.Name, start.Message{Digest: digest})
+				l.send(p.Name, bootstrap.Message{Digest: digest})
 			}
 		case <-l.end:
 			return
@@ -89,8 +89,8 @@
 	}
 }
 
-func (l *liar) send(to string, m start.Message) {
-	if body, err := link.Encode(m); err == nil {
+func (l *liar) send(to string, m bootstrap.Message) {
+	if body, err := transport.Encode(m); err == nil {
 		l.link.Send(to, body)
 	}
 }
@@ -103,17 +103,17 @@
 
 // Message serves the lie.
 func (l *liar) Message(from string, body []byte) {
-	var m start.Message
-	if link.Decode(body, &m) != nil || m.Want == nil {
+	var m bootstrap.Message
+	if transport.Decode(body, &m) != nil || m.Want == nil {
 		return
 	}
 	want := m.Want.Mark
 	l.told <- func() {
 		boxes := l.boxes
-		of := max(1, (len(boxes)+start.PartBoxes-1)/start.PartBoxes)
+		of := max(1, (len(boxes)+bootstrap.PartBoxes-1)/bootstrap.PartBoxes)
 		for n := range of {
-			part := boxes[min(len(boxes), n*start.PartBoxes):min(len(boxes), (n+1)*start.PartBoxes)]
-			l.send(from, start.Message{Part: &start.Part{Mark: want, N: n, Of: of, Boxes: part}})
+			part := boxes[min(len(boxes), n*bootstrap.PartBoxes):min(len(boxes), (n+1)*bootstrap.PartBoxes)]
+			l.send(from, bootstrap.Message{Part: &bootstrap.Part{Mark: want, N: n, Of: of, Boxes: part}})
 		}
 	}
 }
--- a/standin/fleet/plan.go
+++ b/internal/drill/plan.go
@@ -1,7 +1,7 @@
-// Package fleet is the rig for drills: it starts many processes of the built program, each with an address and a folder of
+// Package drill is the rig for drills: it starts many processes of the built program, each with an address and a folder of
 // its own, stand-ins for all that they talk to, and open-loop clients; it puts faults between them by a plan, and audits
 // what all ends saw. Everything runs on loopback, bounded in count and time, and all that is started is ended.
-package fleet
+package drill
 
 import (
 	"errors"
@@ -13,7 +13,7 @@
 	"strings"
 	"time"
 
-	"sloequay/conf"
+	"sloequay/internal/config"
 )
 
 // Plan is a drill: a world, a time line of faults, and what must hold. It is written in the line-based form of our settings.
@@ -114,8 +114,8 @@
 }
 
 // section binds the directives.
-func (p *Plan) section() *conf.Section {
-	s := &conf.Section{}
+func (p *Plan) section() *config.Section {
+	s := &config.Section{}
 	s.Int("doormans", &p.Doormans, 1, 1000, "processes of the program")
 	s.Int("plazas", &p.Plazas, 1, 16, "sites of caches")
 	s.Int("caches", &p.Caches, 1, 64, "of each plaza")
--- a/standin/fleet/process.go
+++ b/internal/drill/process.go
@@ -1,4 +1,4 @@
-package fleet
+package drill
 
 import (
 	"fmt"
@@ -11,7 +11,7 @@
 	"syscall"
 	"time"
 
-	"sloequay/standin"
+	"sloequay/internal/emulator"
 )
 
 // spawner starts processes on one thread that lives as long as the drill: the system kills a child when the thread that
@@ -153,7 +153,7 @@
 // await asks the process until it says that it is ready.
 func (d *doorman) await(life *Life, ended chan struct{}) {
 	for {
-		if standin.Ready(d.listen) {
+		if emulator.Ready(d.listen) {
 			at := d.w.now()
 			d.w.Record.add(func() { life.Ready = at })
 			return
--- a/standin/fleet/run.go
+++ b/internal/drill/run.go
@@ -1,4 +1,4 @@
-package fleet
+package drill
 
 import (
 	"fmt"
--- a/standin/fleet/world.go
+++ b/internal/drill/world.go
@@ -1,4 +1,4 @@
-package fleet
+package drill
 
 import (
 	"encoding/base64"
@@ -15,8 +15,8 @@
 	"sync/atomic"
 	"time"
 
-	"sloequay/standin"
-	"sloequay/standin/consul"
+	"sloequay/internal/emulator"
+	"sloequay/internal/emulator/consul"
 )
 
 // World is a drill's ends: processes of doormans, and in this process boxes, the list service and clients.
@@ -33,7 +33,7 @@
 	key      string // file with the fleet's key
 	boxes    map[string]*box
 	order    []*box
-	fleet    *standin.Fleet
+	fleet    *emulator.Fleet
 	list     lister
 	doormans []*doorman
 	spawn    *spawner
@@ -64,7 +64,7 @@
 		w.Record.add(func() { w.Record.Made = append(w.Record.Made, Made{at, from, to}) })
 	})
 	w.fabric.sent = func(from string, n int) { w.Record.sent(w.now(), from, n) }
-	w.fleet = standin.NewFleet(w.serve)
+	w.fleet = emulator.NewFleet(w.serve)
 	w.fleet.Heed(w.quit)
 	if err := w.build(); err != nil {
 		w.Close()
@@ -302,7 +302,7 @@
 const sourceLimit = 300 * time.Millisecond
 
 // serve is the script of all boxes.
-func (w *World) serve(a *standin.Asked) {
+func (w *World) serve(a *emulator.Asked) {
 	b := w.boxes[a.Box]
 	conn, _ := a.Conn.(*linked)
 	seen := &Attempt{conn: conn, ID: a.ID, Key: a.Fields["replay"], Class: a.Fields["profile"], Box: a.Box, From: "?", At: a.At.Sub(w.began)}
@@ -412,7 +412,7 @@
 }
 
 // quit notes an attempt that was given up.
-func (w *World) quit(a *standin.Asked) {
+func (w *World) quit(a *emulator.Asked) {
 	if a.Word != "QUIT" {
 		return
 	}
@@ -722,7 +722,7 @@
 // site is the platform's settings for a doorman.
 func (w *World) site(d *doorman) (map[string]any, error) {
 	var site map[string]any
-	if err := json.Unmarshal([]byte(standin.Settings), &site); err != nil {
+	if err := json.Unmarshal([]byte(emulator.Settings), &site); err != nil {
 		return nil, err
 	}
 	p := w.Plan
--- a/standin/box.go
+++ b/internal/emulator/box.go
@@ -1,6 +1,6 @@
-// Package standin has stand-ins for what a doorman talks to: boxes, the bulletin, a name server. They are written from
+// Package emulator has stand-ins for what a doorman talks to: boxes, the bulletin, a name server. They are written from
 // the protocols' pages, listen on loopback, and are scripted: tests, the experiments and `sloequay try` share them.
-package standin
+package emulator
 
 import (
 	"bufio"
--- a/standin/bulletin.go
+++ b/internal/emulator/bulletin.go
@@ -1,4 +1,4 @@
-package standin
+package emulator
 
 import (
 	"bufio"
--- a/standin/client.go
+++ b/internal/emulator/client.go
@@ -1,4 +1,4 @@
-package standin
+package emulator
 
 import (
 	"bufio"
@@ -6,7 +6,7 @@
 	"net"
 	"time"
 
-	"sloequay/msgpack"
+	"sloequay/internal/frontend/rpc/msgpack"
 )
 
 // Client is a stand-in for a client of the platform's front. Send and Read may be called from two goroutines.
--- a/oplog/oplog.go
+++ b/internal/eventlog/eventlog.go
@@ -1,6 +1,6 @@
-// Package oplog writes the operators' log by zap: one event a line, a stable event word and then fields, as text
+// Package eventlog writes the operators' log by zap: one event a line, a stable event word and then fields, as text
 // (event=box-left box=c1) or JSON, and at most so many lines a second, with the count of what was left out.
-package oplog
+package eventlog
 
 import (
 	"fmt"
--- a/oplog/oplog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -1,4 +1,4 @@
-package oplog
+package eventlog
 
 import (
 	"bytes"
@@ -66,7 +66,7 @@
 
 // TestEventsAreDocumented compares the event words with docs/on-call.md, and with the words that the program uses.
 func TestEventsAreDocumented(t *testing.T) {
-	page, err := os.ReadFile("../docs/on-call.md")
+	page, err := os.ReadFile("../../docs/on-call.md")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/loop/loop.go
+++ b/internal/eventloop/eventloop.go
@@ -1,4 +1,4 @@
-// Package loop runs everything on one gnet event loop: it owns the connections, ends each round once all that was
+// Package eventloop runs everything on one gnet event loop: it owns the connections, ends each round once all that was
 // ready has been read, and writes to each connection once a round. It knows no protocol.
 //
 // What gnet 2.9.7 does, as far as this package rests on it:
@@ -9,7 +9,7 @@
 //     after those, so a task posted from a callback comes after all that could be read: it ends the round.
 //   - EventLoop.Enroll takes a connection made elsewhere, duplicates its descriptor and opens it on the loop. Dials
 //     run on goroutines and meet the loop only there. Register would dial without a time-out.
-package loop
+package eventloop
 
 import (
 	"context"
--- a/loop/loop_test.go
+++ b/internal/eventloop/eventloop_test.go
@@ -1,4 +1,4 @@
-package loop
+package eventloop
 
 import (
 	"io"
--- a/lobby/lobby.go
+++ b/internal/frontend/connlimit/connlimit.go
@@ -1,6 +1,6 @@
-// Package lobby keeps the clients of a front within its descriptors and its patience: who has said nothing yet, who
+// Package connlimit keeps the clients of a front within its descriptors and its patience: who has said nothing yet, who
 // has sent a part of a message, who is idle, and who makes way when a new one comes.
-package lobby
+package connlimit
 
 import (
 	"container/list"
--- a/lobby/lobby_test.go
+++ b/internal/frontend/connlimit/connlimit_test.go
@@ -1,4 +1,4 @@
-package lobby
+package connlimit
 
 import (
 	"testing"
--- a/dnsfront/config.go
+++ b/internal/frontend/dns/config.go
@@ -1,4 +1,4 @@
-package dnsfront
+package dns
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 
 	"github.com/miekg/dns"
 
-	"sloequay/conf"
+	"sloequay/internal/config"
 )
 
 // Config is the block `dns` of the settings, which turns the DNS side on.
@@ -20,7 +20,7 @@
 }
 
 // Section gives the directives of the block.
-func (c *Config) Section() *conf.Section {
+func (c *Config) Section() *config.Section {
 	c.Limit, c.ResolveLimit = 2*time.Second, 300*time.Millisecond
 	address := func(s string) error {
 		if _, err := netip.ParseAddrPort(s); err != nil {
@@ -28,7 +28,7 @@
 		}
 		return nil
 	}
-	s := &conf.Section{}
+	s := &config.Section{}
 	s.Text("listen", &c.Listen, address, "where queries come, by UDP and TCP")
 	s.Text("zone", &c.Zone, func(zone string) error {
 		if _, ok := dns.IsDomainName(zone); !ok || dns.CanonicalName(zone) == "." {
--- a/dnsfront/dnsfront.go
+++ b/internal/frontend/dns/dns.go
@@ -1,6 +1,6 @@
-// Package dnsfront is the front for clients that can only ask a name server where to go. A query is a request like
+// Package dns is the front for clients that can only ask a name server where to go. A query is a request like
 // any other: it goes through contracts, broker and module, and its answer names the box that served it.
-package dnsfront
+package dns
 
 import (
 	"encoding/binary"
@@ -14,12 +14,12 @@
 
 	"github.com/miekg/dns"
 
-	"sloequay/broker"
-	"sloequay/control"
-	"sloequay/identity"
-	"sloequay/identity/tsig"
-	"sloequay/lobby"
-	"sloequay/loop"
+	"sloequay/internal/broker"
+	"sloequay/internal/eventloop"
+	"sloequay/internal/frontend/connlimit"
+	"sloequay/internal/identity"
+	"sloequay/internal/identity/tsig"
+	"sloequay/internal/policy"
 )
 
 const (
@@ -34,7 +34,7 @@
 // Front answers the queries of one zone.
 type Front struct {
 	Config  *Config
-	Classes []control.Class
+	Classes []policy.Class
 	Emit    func(broker.Event)
 	Now     func() time.Duration
 	Unix    func() time.Duration // the Unix clock, which signatures go by
@@ -51,7 +51,7 @@
 	byName  map[string]*flight          // keyed requests, open or finished within their window
 	byReq   map[*broker.Request]*flight // open
 	queries map[string]*waiter          // open, by who asked: a retransmit joins itself
-	lobby   *lobby.Lobby                // of TCP connections
+	lobby   *connlimit.Lobby            // of TCP connections
 	serial  uint64
 	caller  identity.Caller // of queries that are not signed
 }
@@ -83,7 +83,7 @@
 	if f.byName == nil {
 		f.byName, f.byReq = map[string]*flight{}, map[*broker.Request]*flight{}
 		f.caller.Front = "dns"
-		f.queries, f.lobby = map[string]*waiter{}, lobby.New(f.Most, tcpIdle)
+		f.queries, f.lobby = map[string]*waiter{}, connlimit.New(f.Most, tcpIdle)
 	}
 }
 
@@ -160,7 +160,7 @@
 		f.nameBox(w, t.box)
 	case class < 0:
 		f.code(w, dns.RcodeNameError, "")
-	case f.Classes[class].Effect != control.Safe && t.key == "":
+	case f.Classes[class].Effect != policy.Safe && t.key == "":
 		f.code(w, dns.RcodeFormatError, "this class needs a key")
 	case question.Qtype != dns.TypeA && question.Qtype != dns.TypeSRV && question.Qtype != dns.TypeTXT:
 		f.code(w, dns.RcodeSuccess, "") // the name is there, a record of that type is not
@@ -185,7 +185,7 @@
 	if w.signed != nil {
 		caller = w.signed.Caller()
 	}
-	if f.Classes[class].Effect != control.Safe {
+	if f.Classes[class].Effect != policy.Safe {
 		// The key and not the address of the client says what is the same request: retries come from other ports.
 		// Two subjects never share one: the second is to be refused, and not told what came of the first.
 		name = caller.Subject + " " + t.team + " " + t.class + " " + t.key
@@ -249,7 +249,7 @@
 	delete(f.byReq, r)
 	now := f.Now()
 	served := final.Kind == broker.Answered || final.Kind == broker.Same
-	if served && final.Box.State != control.Ready && fl.name == "" && fl.end-now > 50*time.Millisecond {
+	if served && final.Box.State != policy.Ready && fl.name == "" && fl.end-now > 50*time.Millisecond {
 		// The box that served it began to drain meanwhile. Nothing happened that may not happen again: ask on.
 		f.submit(fl)
 		return
@@ -331,7 +331,7 @@
 // records names a box, or gives nil where it may not be named or has no IPv4 address.
 func (f *Front) records(name string, box *broker.Box, address string) (*dns.A, *dns.SRV) {
 	at, err := netip.ParseAddrPort(address)
-	if err != nil || box == nil || box.State != control.Ready || !at.Addr().Unmap().Is4() {
+	if err != nil || box == nil || box.State != policy.Ready || !at.Addr().Unmap().Is4() {
 		return nil, nil
 	}
 	return &dns.A{Hdr: header(name, dns.TypeA), A: net.IP(at.Addr().Unmap().AsSlice())},
@@ -342,7 +342,7 @@
 // nameBox answers for the target of an earlier SRV record.
 func (f *Front) nameBox(w *waiter, host string) {
 	box := f.Box(host)
-	if box == nil || box.State != control.Ready {
+	if box == nil || box.State != policy.Ready {
 		f.code(w, dns.RcodeNameError, "")
 		return
 	}
@@ -438,15 +438,15 @@
 // stream is one TCP connection: messages with their lengths in front.
 type stream struct {
 	front *Front
-	guest *lobby.Guest
-	conn  *loop.Conn
+	guest *connlimit.Guest
+	conn  *eventloop.Conn
 	from  string
 	open  int // queries without an answer
 	left  bool
 }
 
 // Accept takes a TCP connection, or none where there is no descriptor for it.
-func (f *Front) Accept(remote net.Addr) loop.Handler {
+func (f *Front) Accept(remote net.Addr) eventloop.Handler {
 	f.init()
 	s := &stream{front: f, from: "tcp " + remote.String()}
 	if s.guest = f.lobby.Enter(f.Now(), s.leave, s.unsent); s.guest == nil {
@@ -469,7 +469,7 @@
 }
 
 // Opened notes the connection.
-func (s *stream) Opened(c *loop.Conn) { s.conn = c }
+func (s *stream) Opened(c *eventloop.Conn) { s.conn = c }
 
 // unsent is how much of its answers the client has not taken.
 func (s *stream) unsent() int {
@@ -480,7 +480,7 @@
 }
 
 // Received takes whole messages.
-func (s *stream) Received(c *loop.Conn) {
+func (s *stream) Received(c *eventloop.Conn) {
 	used := 0
 	for len(c.In)-used >= 2 && !s.left {
 		n := int(binary.BigEndian.Uint16(c.In[used:]))
@@ -519,7 +519,7 @@
 }
 
 // Closed gives up what the client waited for.
-func (s *stream) Closed(*loop.Conn, error) { s.leave() }
+func (s *stream) Closed(*eventloop.Conn, error) { s.leave() }
 
 // leave closes the connection and withdraws what only this client waited for. A keyed request goes on: its result may
 // be asked for again.
--- a/dnsfront/name.go
+++ b/internal/frontend/dns/name.go
@@ -1,4 +1,4 @@
-package dnsfront
+package dns
 
 import (
 	"errors"
@@ -8,7 +8,7 @@
 
 	"github.com/miekg/dns"
 
-	"sloequay/broker"
+	"sloequay/internal/broker"
 )
 
 // target is what a name under the zone asks for: a request, or the address of a box.
--- a/rpc/rpc.go
+++ b/internal/frontend/rpc/rpc.go
@@ -14,12 +14,12 @@
 	"strings"
 	"time"
 
-	"sloequay/broker"
-	"sloequay/control"
-	"sloequay/identity"
-	"sloequay/lobby"
-	"sloequay/loop"
-	"sloequay/msgpack"
+	"sloequay/internal/broker"
+	"sloequay/internal/eventloop"
+	"sloequay/internal/frontend/connlimit"
+	"sloequay/internal/frontend/rpc/msgpack"
+	"sloequay/internal/identity"
+	"sloequay/internal/policy"
 )
 
 const (
@@ -70,7 +70,7 @@
 	log     func(event string, fields ...any)
 	ready   func() bool // whether new clients are wanted
 	full    func() bool // whether memory is short
-	lobby   *lobby.Lobby
+	lobby   *connlimit.Lobby
 	paced   list.List // of *client, which wait to be looked at
 
 	// MostWait is the longest time to stay away that clients heed. Zero: nobody may be told one, whoever refuses.
@@ -81,13 +81,13 @@
 }
 
 // New makes the front. most bounds its connections.
-func New(classes []control.Class, most int, emit func(broker.Event), now func() time.Duration,
+func New(classes []policy.Class, most int, emit func(broker.Event), now func() time.Duration,
 	ready, full func() bool, log func(string, ...any)) *Front {
 	f := &Front{classes: map[string]int{}, emit: emit, now: now, ready: ready, full: full, log: log,
-		lobby: lobby.New(most, idleAfter)}
+		lobby: connlimit.New(most, idleAfter)}
 	for i, c := range classes {
 		f.classes[c.Name] = i
-		f.keyed = append(f.keyed, c.Effect == control.Keyed)
+		f.keyed = append(f.keyed, c.Effect == policy.Keyed)
 	}
 	return f
 }
@@ -96,12 +96,12 @@
 func (f *Front) Clients() int { return f.lobby.Len() }
 
 // Accept takes a new connection, or none where there is no descriptor for it.
-func (f *Front) Accept(remote net.Addr) loop.Handler {
+func (f *Front) Accept(remote net.Addr) eventloop.Handler {
 	return f.AcceptFrom(remote, identity.Caller{Front: "rpc"})
 }
 
 // AcceptFrom is Accept for a caller of whom something is known already.
-func (f *Front) AcceptFrom(remote net.Addr, caller identity.Caller) loop.Handler {
+func (f *Front) AcceptFrom(remote net.Addr, caller identity.Caller) eventloop.Handler {
 	if f.Source != nil {
 		if caller.Remote == "" {
 			caller.Remote, _, _ = net.SplitHostPort(remote.String())
@@ -139,8 +139,8 @@
 // client is one connection and what is open on it.
 type client struct {
 	front  *Front
-	guest  *lobby.Guest
-	conn   *loop.Conn
+	guest  *connlimit.Guest
+	conn   *eventloop.Conn
 	open   map[uint32]*broker.Request // by message id
 	msgs   map[*broker.Request]uint32
 	excess int // requests beyond mostOpen in this read
@@ -152,7 +152,7 @@
 }
 
 // Opened notes the connection.
-func (c *client) Opened(conn *loop.Conn) { c.conn = conn }
+func (c *client) Opened(conn *eventloop.Conn) { c.conn = conn }
 
 // unsent is how much of its answers the client has not taken.
 func (c *client) unsent() int {
@@ -166,14 +166,14 @@
 func (f *Front) Dismiss() { f.lobby.Dismiss() }
 
 // Abandon gives up a client whose connection never came to be.
-func Abandon(h loop.Handler) {
+func Abandon(h eventloop.Handler) {
 	if c, ok := h.(*client); ok {
 		c.leave()
 	}
 }
 
 // Closed withdraws all that is open.
-func (c *client) Closed(*loop.Conn, error) { c.leave() }
+func (c *client) Closed(*eventloop.Conn, error) { c.leave() }
 
 // leave closes the connection: nobody waits for what is open on it.
 func (c *client) leave() {
@@ -206,7 +206,7 @@
 }
 
 // Received takes the messages that have come whole.
-func (c *client) Received(conn *loop.Conn) {
+func (c *client) Received(conn *eventloop.Conn) {
 	c.excess = 0
 	used, now, held := 0, c.front.now(), false
 	for used < len(conn.In) && !c.left {
--- a/identity/keydir/keydir.go
+++ b/internal/identity/keydir/keydir.go
@@ -22,8 +22,8 @@
 	"strings"
 	"time"
 
-	"sloequay/identity"
-	"sloequay/identity/tsig"
+	"sloequay/internal/identity"
+	"sloequay/internal/identity/tsig"
 )
 
 // Names of the files.
--- a/identity/keydir/keydir_test.go
+++ b/internal/identity/keydir/keydir_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"sloequay/identity"
+	"sloequay/internal/identity"
 )
 
 const now = 1_800_000_000 * time.Second
--- a/identity/tlsclient/tlsclient.go
+++ b/internal/identity/tlsclient/tlsclient.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"sloequay/identity/files"
+	"sloequay/internal/identity/files"
 )
 
 // Config is the settings of a Dialer.
--- a/identity/tlsdoor/tlsdoor.go
+++ b/internal/identity/tlslistener/tlslistener.go
@@ -1,7 +1,7 @@
-// Package tlsdoor takes clients in by TLS 1.3 beside the event loop. Handshakes run on goroutines, bounded in number and time;
+// Package tlslistener takes clients in by TLS 1.3 beside the event loop. Handshakes run on goroutines, bounded in number and time;
 // decrypted bytes meet the loop by a pair of sockets, so that each side that is slow holds up the other by the kernel's own
 // buffers and nothing grows here. Certificates and authorities change in service.
-package tlsdoor
+package tlslistener
 
 import (
 	"crypto/rand"
@@ -17,8 +17,8 @@
 	"sync/atomic"
 	"time"
 
-	"sloequay/identity"
-	"sloequay/loop/bridge"
+	"sloequay/internal/eventloop/bridge"
+	"sloequay/internal/identity"
 )
 
 // Config is the settings of a door.
--- a/identity/tlsdoor/tlsdoor_test.go
+++ b/internal/identity/tlslistener/tlslistener_test.go
@@ -1,4 +1,4 @@
-package tlsdoor
+package tlslistener
 
 import (
 	"crypto/tls"
@@ -10,15 +10,15 @@
 	"testing"
 	"time"
 
-	"sloequay/identity"
-	"sloequay/loop/bridge"
-	"sloequay/standin"
+	"sloequay/internal/emulator"
+	"sloequay/internal/eventloop/bridge"
+	"sloequay/internal/identity"
 )
 
 // opened starts a door whose connections are answered with what they send.
-func opened(t testing.TB) (*Door, *standin.Authority, *tls.Config) {
+func opened(t testing.TB) (*Door, *emulator.Authority, *tls.Config) {
 	t.Helper()
-	ca, err := standin.NewAuthority(t.TempDir())
+	ca, err := emulator.NewAuthority(t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -46,7 +46,7 @@
 
 // TestLoad: files that do not fit, are not there, or that others can read are refused by name.
 func TestLoad(t *testing.T) {
-	ca, err := standin.NewAuthority(t.TempDir())
+	ca, err := emulator.NewAuthority(t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/identity/tsig/tsig.go
+++ b/internal/identity/tsig/tsig.go
@@ -12,7 +12,7 @@
 
 	"github.com/miekg/dns"
 
-	"sloequay/identity"
+	"sloequay/internal/identity"
 )
 
 // Key is a shared secret and whose it is.
--- a/purge/purge.go
+++ b/internal/invalidation/invalidation.go
@@ -1,4 +1,4 @@
-// Package purge keeps the purges that copies may still be older than, and says in constant time how old a copy may be.
+// Package invalidation keeps the purges that copies may still be older than, and says in constant time how old a copy may be.
 //
 // The rule for dropping one: boxes drop their older copies by themselves within Takes of a purge, so once it was issued
 // Takes and Slack ago no copy can be older than it and be served. Until then it must be kept, however many there are:
@@ -7,7 +7,7 @@
 //
 // Invariants: Newest is never before the newest live purge that fits the object or its group; after Expire nothing is
 // held that is past its time. It is not safe for concurrent use.
-package purge
+package invalidation
 
 import (
 	"container/heap"
--- a/purge/purge_test.go
+++ b/internal/invalidation/invalidation_test.go
@@ -1,4 +1,4 @@
-package purge
+package invalidation
 
 import (
 	"fmt"
--- a/membership/watch/watch.go
+++ b/internal/membership/consul/blockingquery/blockingquery.go
@@ -1,4 +1,4 @@
-// Package watch decides how one blocking query of Consul's HTTP API is kept going over several agents: whom to ask, when,
+// Package blockingquery decides how one blocking query of Consul's HTTP API is kept going over several agents: whom to ask, when,
 // in which mode, when an agent counts as hung, and what of an answer is to be believed. It does no I/O and asks no clock: its
 // user carries out the Actions and tells what came of them.
 //
@@ -11,7 +11,7 @@
 // at most once in Spacing by all watches together, but for the list behind a probe that was answered; it is asked again no later
 // than Spacing after that, and once one watch has its list the others ask at once, so that an agent that is back is found
 // within a second and not rushed; the index held never falls but by an answer of the consistent mode.
-package watch
+package blockingquery
 
 import (
 	"cmp"
--- a/membership/watch/watch_test.go
+++ b/internal/membership/consul/blockingquery/blockingquery_test.go
@@ -1,4 +1,4 @@
-package watch
+package blockingquery
 
 import (
 	"fmt"
--- a/membership/consul/client.go
+++ b/internal/membership/consul/client.go
@@ -14,8 +14,8 @@
 
 	"github.com/hashicorp/consul/api"
 
-	"sloequay/identity/tlsclient"
-	"sloequay/membership/watch"
+	"sloequay/internal/identity/tlsclient"
+	"sloequay/internal/membership/consul/blockingquery"
 )
 
 // tlsLimit is what connecting to an agent by TLS may take.
@@ -69,28 +69,28 @@
 }
 
 // options gives the options of a question. headed is called when its answer begins.
-func (c *Config) options(ctx context.Context, a watch.Ask, token string, headed func()) *api.QueryOptions {
+func (c *Config) options(ctx context.Context, a blockingquery.Ask, token string, headed func()) *api.QueryOptions {
 	if headed != nil {
 		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: headed})
 	}
-	q := &api.QueryOptions{WaitIndex: a.Index, WaitTime: a.Wait, Token: token, AllowStale: a.Mode == watch.Stale,
-		RequireConsistent: a.Mode == watch.Consistent}
+	q := &api.QueryOptions{WaitIndex: a.Index, WaitTime: a.Wait, Token: token, AllowStale: a.Mode == blockingquery.Stale,
+		RequireConsistent: a.Mode == blockingquery.Consistent}
 	return q.WithContext(ctx)
 }
 
 // faultOf says how a question failed.
-func faultOf(err error) watch.Fault {
+func faultOf(err error) blockingquery.Fault {
 	var status api.StatusError
 	var network net.Error
 	switch {
 	case errors.As(err, &status):
-		return watch.Rejected
+		return blockingquery.Rejected
 	case errors.Is(err, context.DeadlineExceeded), errors.As(err, &network) && network.Timeout():
-		return watch.Hung
+		return blockingquery.Hung
 	case errors.As(err, &network), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isReset(err):
-		return watch.Refused
+		return blockingquery.Refused
 	}
-	return watch.Garbled
+	return blockingquery.Garbled
 }
 
 // isReset says whether a connection broke off, which the client tells in words of its own at times.
@@ -99,7 +99,7 @@
 	return errors.As(err, &op) || strings.Contains(err.Error(), "connection reset")
 }
 
-func metaOf(m *api.QueryMeta) watch.Meta {
-	return watch.Meta{Index: m.LastIndex, KnownLeader: m.KnownLeader, LastContact: m.LastContact,
+func metaOf(m *api.QueryMeta) blockingquery.Meta {
+	return blockingquery.Meta{Index: m.LastIndex, KnownLeader: m.KnownLeader, LastContact: m.LastContact,
 		Filtered: m.ResultsFilteredByACLs}
 }
--- a/membership/consul/config.go
+++ b/internal/membership/consul/config.go
@@ -12,11 +12,11 @@
 	"strings"
 	"time"
 
-	"sloequay/conf"
-	"sloequay/identity/tlsclient"
-	"sloequay/membership"
-	"sloequay/membership/health"
-	"sloequay/membership/watch"
+	"sloequay/internal/config"
+	"sloequay/internal/identity/tlsclient"
+	"sloequay/internal/membership"
+	"sloequay/internal/membership/consul/blockingquery"
+	"sloequay/internal/membership/consul/health"
 )
 
 // Config is the block `catalogue` of the settings.
@@ -24,8 +24,8 @@
 	Agents     []string // host:port; the first is the one at home
 	TokenFile  string
 	Datacentre string
-	Mode       watch.Mode
-	Watch      watch.Config
+	Mode       blockingquery.Mode
+	Watch      blockingquery.Config
 	TLS        *TLS
 	Services   []*Service
 	Purges     string    // prefix of the KV store; empty: none
@@ -81,9 +81,9 @@
 }
 
 // Section gives the directives of the block.
-func (c *Config) Section() *conf.Section {
-	s := &conf.Section{}
-	c.Watch = watch.Config{Probe: time.Second}.WithDefaults()
+func (c *Config) Section() *config.Section {
+	s := &config.Section{}
+	c.Watch = blockingquery.Config{Probe: time.Second}.WithDefaults()
 	mode := c.Mode.String()
 	s.Words("agent", &c.Agents, address, "addresses of agents, host:port; the first is the one at home")
 	s.Text("token-file", &c.TokenFile, readable, "file that holds the token; read again for each question")
@@ -97,9 +97,9 @@
 	s.Duration("probe-limit", &c.Watch.ProbeFor, 50*time.Millisecond, 10*time.Second, "for the answer to that")
 	s.Duration("home", &c.Watch.Home, time.Second, time.Hour, "after which the agent at home is tried again")
 	s.Text("purges", &c.Purges, nil, "prefix of the KV store that holds purges")
-	s.Block("tls", false, "HTTPS to the agents", func([]string) (*conf.Section, error) {
+	s.Block("tls", false, "HTTPS to the agents", func([]string) (*config.Section, error) {
 		c.TLS = &TLS{}
-		t := &conf.Section{}
+		t := &config.Section{}
 		t.Text("ca", &c.TLS.CA, readable, "file with the authorities that sign agents; the system's without it")
 		t.Text("cert", &c.TLS.Cert, readable, "file with our certificate")
 		t.Text("key", &c.TLS.Key, readable, "file with its key")
@@ -113,7 +113,7 @@
 		})
 		return t, nil
 	})
-	s.Block("service", true, "a service whose instances are boxes", func(words []string) (*conf.Section, error) {
+	s.Block("service", true, "a service whose instances are boxes", func(words []string) (*config.Section, error) {
 		if len(words) != 1 || word("service")(words[0]) != nil {
 			return nil, errors.New("expected the name of one service")
 		}
@@ -126,9 +126,9 @@
 		c.Services = append(c.Services, v)
 		return v.section(), nil
 	})
-	s.Block("register", false, "the doorman's own registration", func([]string) (*conf.Section, error) {
+	s.Block("register", false, "the doorman's own registration", func([]string) (*config.Section, error) {
 		c.Register = &Register{TTL: 10 * time.Second}
-		r := &conf.Section{}
+		r := &config.Section{}
 		r.Text("service", &c.Register.Service, word("service"), "name of the service")
 		r.Text("id", &c.Register.ID, word("instance"), "of this doorman; its name without it")
 		r.Text("address", &c.Register.Address, address, "host:port to be told; where it listens without it")
@@ -143,7 +143,7 @@
 		return r, nil
 	})
 	s.Check(func() error {
-		c.Mode, _ = watch.Modes(mode)
+		c.Mode, _ = blockingquery.Modes(mode)
 		switch {
 		case len(c.Agents) == 0:
 			return errors.New("no agent is given")
@@ -155,8 +155,8 @@
 	return s
 }
 
-func (v *Service) section() *conf.Section {
-	s, r := &conf.Section{}, &v.Rules
+func (v *Service) section() *config.Section {
+	s, r := &config.Section{}, &v.Rules
 	warning := "up"
 	s.Words("tag", &v.Tags, nil, "tags that an instance must all have")
 	s.Text("filter", &v.Filter, nil, "filter expression of the API")
--- a/membership/consul/consul_test.go
+++ b/internal/membership/consul/consul_test.go
@@ -16,18 +16,18 @@
 
 	"github.com/hashicorp/consul/api"
 
-	"sloequay/broker"
-	"sloequay/conf"
-	"sloequay/membership"
-	"sloequay/standin"
-	"sloequay/standin/consul"
+	"sloequay/internal/broker"
+	"sloequay/internal/config"
+	"sloequay/internal/emulator"
+	"sloequay/internal/emulator/consul"
+	"sloequay/internal/membership"
 )
 
 func parse(t testing.TB, text string) *Config {
 	t.Helper()
 	c := &Config{}
-	root := &conf.Section{}
-	root.Block("catalogue", false, "", func([]string) (*conf.Section, error) { return c.Section(), nil })
+	root := &config.Section{}
+	root.Block("catalogue", false, "", func([]string) (*config.Section, error) { return c.Section(), nil })
 	if err := root.Parse("test", []byte("catalogue {\n"+text+"\n}")); err != nil {
 		t.Fatal(err)
 	}
@@ -84,7 +84,7 @@
 }
 
 // secured has an agent answer by HTTPS, and want a certificate.
-func secured(t *testing.T, ca *standin.Authority, agent *consul.Agent) *httptest.Server {
+func secured(t *testing.T, ca *emulator.Authority, agent *consul.Agent) *httptest.Server {
 	t.Helper()
 	cert, key, err := ca.Make("server", "consul.test")
 	if err != nil {
@@ -105,7 +105,7 @@
 
 // TestHTTPS: the agent is believed by its authority and name, and sees our certificate; without either nothing is taken.
 func TestHTTPS(t *testing.T) {
-	ca, err := standin.NewAuthority(t.TempDir())
+	ca, err := emulator.NewAuthority(t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -143,16 +143,16 @@
 
 // TestFilesChange: an authority and a certificate that are put right while the doorman runs are taken over without a restart.
 func TestFilesChange(t *testing.T) {
-	ca, err := standin.NewAuthority(t.TempDir())
+	ca, err := emulator.NewAuthority(t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
-	stranger, err := standin.NewAuthority(t.TempDir())
+	stranger, err := emulator.NewAuthority(t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
 	files := map[string]string{}
-	copyTo := func(dir string, a *standin.Authority) {
+	copyTo := func(dir string, a *emulator.Authority) {
 		cert, key, err := a.Make("doorman", "consul.test")
 		if err != nil {
 			t.Fatal(err)
@@ -233,8 +233,8 @@
 		{"agent 127.0.0.1:1\nservice a {\n}\ntls {\ncert /nowhere\n}", "test:6: catalogue.tls.cert: open /nowhere: no such file or directory"},
 	} {
 		cfg := &Config{}
-		root := &conf.Section{}
-		root.Block("catalogue", false, "", func([]string) (*conf.Section, error) { return cfg.Section(), nil })
+		root := &config.Section{}
+		root.Block("catalogue", false, "", func([]string) (*config.Section, error) { return cfg.Section(), nil })
 		if err := root.Parse("test", []byte("catalogue {\n"+c.text+"\n}")); err == nil || err.Error() != c.want {
 			t.Errorf("%q:\n got %v\nwant %s", c.text, err, c.want)
 		}
--- a/membership/consul/follow.go
+++ b/internal/membership/consul/follow.go
@@ -8,11 +8,11 @@
 
 	"github.com/hashicorp/consul/api"
 
-	"sloequay/broker"
-	"sloequay/membership"
-	"sloequay/membership/health"
-	"sloequay/membership/watch"
-	"sloequay/purge"
+	"sloequay/internal/broker"
+	"sloequay/internal/invalidation"
+	"sloequay/internal/membership"
+	"sloequay/internal/membership/consul/blockingquery"
+	"sloequay/internal/membership/consul/health"
 )
 
 // Catalogue is the running source. Its calls to Tell and Log come from goroutines of its own.
@@ -36,16 +36,16 @@
 type follower struct {
 	c       *Catalogue
 	name    string // for the log
-	watch   *watch.Watch
+	watch   *blockingquery.Watch
 	clients []*api.Client
 	fetch   func(client *api.Client, q *api.QueryOptions) (any, *api.QueryMeta, error)
-	use     func(answer any, v watch.Verdict, index uint64)
+	use     func(answer any, v blockingquery.Verdict, index uint64)
 	silent  func(bool)
 	ctx     context.Context
 	cancel  map[uint64]context.CancelFunc
 	down    bool
 	agent   int
-	why     watch.Why
+	why     blockingquery.Why
 	badTok  bool
 }
 
@@ -56,7 +56,7 @@
 // each question runs on its own.
 func (c *Catalogue) Start(ctx context.Context) error {
 	c.came = make(chan func(), 64)
-	agents := watch.NewAgents(len(c.Config.Agents))
+	agents := blockingquery.NewAgents(len(c.Config.Agents))
 	for i, v := range c.Config.Services {
 		f, err := c.follower("service "+v.Name, agents)
 		if err != nil {
@@ -101,14 +101,14 @@
 	}
 }
 
-func (c *Catalogue) follower(name string, agents *watch.Agents) (*follower, error) {
+func (c *Catalogue) follower(name string, agents *blockingquery.Agents) (*follower, error) {
 	clients, err := c.Config.clients()
 	if err != nil {
 		return nil, err
 	}
 	cfg := c.Config.Watch
 	cfg.Agents, cfg.Mode, cfg.Seed = len(clients), c.Config.Mode, c.Seed+uint64(len(c.followers))
-	return &follower{c: c, name: name, watch: watch.NewWith(cfg, agents), clients: clients, cancel: map[uint64]context.CancelFunc{}, silent: func(bool) {}}, nil
+	return &follower{c: c, name: name, watch: blockingquery.NewWith(cfg, agents), clients: clients, cancel: map[uint64]context.CancelFunc{}, silent: func(bool) {}}, nil
 }
 
 // run carries out what the watches decide.
@@ -166,7 +166,7 @@
 }
 
 // start puts a question on a goroutine of its own.
-func (f *follower) start(ctx context.Context, a watch.Ask) {
+func (f *follower) start(ctx context.Context, a blockingquery.Ask) {
 	ctx, cancel := context.WithCancel(ctx)
 	f.cancel[a.Serial] = cancel
 	token, err := f.c.Config.token()
@@ -183,7 +183,7 @@
 	}
 	client := f.clients[a.Agent]
 	go func() {
-		if a.Kind == watch.Probe {
+		if a.Kind == blockingquery.Probe {
 			_, err := client.Status().LeaderWithQueryOptions(f.c.Config.options(ctx, a, token, nil))
 			done(func() {
 				if err != nil {
@@ -220,7 +220,7 @@
 	}
 }
 
-func (f *follower) failed(a watch.Ask, err error) {
+func (f *follower) failed(a blockingquery.Ask, err error) {
 	fault := faultOf(err)
 	if !f.down {
 		f.c.Log("catalogue-answer", "of", f.name, "agent", f.c.Config.Agents[a.Agent], "why", fault, "error", short(err))
@@ -231,9 +231,9 @@
 // short cuts what an agent wrote into an error.
 func short(err error) string { return fmt.Sprintf("%.200s", err.Error()) }
 
-func (f *follower) answered(a watch.Ask, answer any, m watch.Meta, v watch.Verdict) {
+func (f *follower) answered(a blockingquery.Ask, answer any, m blockingquery.Meta, v blockingquery.Verdict) {
 	if v.Why != f.why {
-		if f.why = v.Why; v.Why != watch.Sound {
+		if f.why = v.Why; v.Why != blockingquery.Sound {
 			f.c.Log("catalogue-answer", "of", f.name, "agent", f.c.Config.Agents[a.Agent], "why", v.Why, "index", m.Index)
 		}
 	}
@@ -249,16 +249,16 @@
 	f.silent = func(silent bool) { f.c.Tell(broker.Speaks{Source: src, Silent: silent}) }
 	left := map[string]string{} // what was left out of the last answer, and why: it is logged once
 	known := 0
-	f.use = func(answer any, verdict watch.Verdict, index uint64) {
+	f.use = func(answer any, verdict blockingquery.Verdict, index uint64) {
 		switch {
-		case verdict.Belief == watch.Ignore:
+		case verdict.Belief == blockingquery.Ignore:
 			return
-		case verdict.Belief == watch.Same && !verdict.Confirms:
+		case verdict.Belief == blockingquery.Same && !verdict.Confirms:
 			f.c.Tell(broker.Speaks{Source: src})
 			return
 		}
 		entries, _ := answer.([]*api.ServiceEntry)
-		list := membership.List{Version: index, Confirms: verdict.Confirms, Omits: verdict.Belief == watch.Omits}
+		list := membership.List{Version: index, Confirms: verdict.Confirms, Omits: verdict.Belief == blockingquery.Omits}
 		now := map[string]string{}
 		for _, e := range entries {
 			box, err := v.box(e, f.c.Names)
@@ -321,8 +321,8 @@
 		return wrap(client.KV().List(prefix, q))
 	}
 	told := map[string]uint64{} // by key: the index that it was told at
-	f.use = func(answer any, verdict watch.Verdict, _ uint64) {
-		if verdict.Belief == watch.Ignore {
+	f.use = func(answer any, verdict blockingquery.Verdict, _ uint64) {
+		if verdict.Belief == blockingquery.Ignore {
 			return
 		}
 		pairs, _ := answer.(api.KVPairs)
@@ -333,7 +333,7 @@
 			if told[p.Key] == p.ModifyIndex || strings.HasSuffix(p.Key, "/") {
 				continue
 			}
-			object, group, isObject, issued, err := purge.ParseKey(strings.TrimPrefix(p.Key, prefix), string(p.Value))
+			object, group, isObject, issued, err := invalidation.ParseKey(strings.TrimPrefix(p.Key, prefix), string(p.Value))
 			if err != nil {
 				f.c.Log("catalogue-key", "error", short(err))
 				continue
@@ -343,7 +343,7 @@
 			}
 			events = append(events, broker.Purge{Object: object, Group: group, Issued: issued})
 		}
-		if verdict.Belief == watch.Whole { // what was left out of another answer is not gone
+		if verdict.Belief == blockingquery.Whole { // what was left out of another answer is not gone
 			told = now
 		} else {
 			for k, index := range now {
--- a/membership/health/health.go
+++ b/internal/membership/consul/health/health.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"strings"
 
-	"sloequay/membership"
+	"sloequay/internal/membership"
 )
 
 // Check is one check of an instance or of its node.
--- a/membership/health/health_test.go
+++ b/internal/membership/consul/health/health_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"sloequay/membership"
+	"sloequay/internal/membership"
 )
 
 func instance(change func(*Instance)) *Instance {
--- a/membership/consul/register.go
+++ b/internal/membership/consul/register.go
@@ -10,7 +10,7 @@
 
 	"github.com/hashicorp/consul/api"
 
-	"sloequay/membership/registrar"
+	"sloequay/internal/membership/consul/registrar"
 )
 
 // callLimit bounds one call for the registration.
--- a/membership/bulletin/bulletin.go
+++ b/internal/membership/listwatch/listwatch.go
@@ -1,5 +1,5 @@
-// Package bulletin follows the list of boxes and the purges: numbered events, one JSON object a line.
-package bulletin
+// Package listwatch follows the list of boxes and the purges: numbered events, one JSON object a line.
+package listwatch
 
 import (
 	"bufio"
@@ -13,9 +13,9 @@
 
 	"github.com/tidwall/gjson"
 
-	"sloequay/broker"
-	"sloequay/loop"
-	"sloequay/membership"
+	"sloequay/internal/broker"
+	"sloequay/internal/eventloop"
+	"sloequay/internal/membership"
 )
 
 const (
@@ -150,7 +150,7 @@
 
 // Reader keeps a connection to the bulletin and resumes after the last event it has.
 type Reader struct {
-	Loop    *loop.Loop
+	Loop    *eventloop.Loop
 	Address string // empty: there is none
 	Names   Names
 	Last    int64
@@ -169,7 +169,7 @@
 // session is one connection to the bulletin, or the dial of one. What comes on any but the Reader's own is dropped.
 type session struct {
 	reader *Reader
-	conn   *loop.Conn // nil while it is dialled
+	conn   *eventloop.Conn // nil while it is dialled
 	heard  time.Duration
 }
 
@@ -219,7 +219,7 @@
 }
 
 // Opened asks for what has happened since.
-func (s *session) Opened(c *loop.Conn) {
+func (s *session) Opened(c *eventloop.Conn) {
 	if s.reader.session != s { // the dial of an address that is not followed any more
 		c.Close()
 		return
@@ -229,14 +229,14 @@
 }
 
 // Closed has the connection dialled again.
-func (s *session) Closed(_ *loop.Conn, err error) {
+func (s *session) Closed(_ *eventloop.Conn, err error) {
 	if s.reader.session == s {
 		s.reader.lost(fmt.Errorf("connection ended: %v", err))
 	}
 }
 
 // Received takes whole lines.
-func (s *session) Received(c *loop.Conn) {
+func (s *session) Received(c *eventloop.Conn) {
 	r := s.reader
 	s.heard = r.Now()
 	used := 0
--- a/membership/bulletin/session_test.go
+++ b/internal/membership/listwatch/session_test.go
@@ -1,11 +1,11 @@
-package bulletin
+package listwatch
 
 import (
 	"testing"
 	"time"
 
-	"sloequay/broker"
-	"sloequay/loop"
+	"sloequay/internal/broker"
+	"sloequay/internal/eventloop"
 )
 
 // TestOldSessionsWords: what an old connection still brings after the next one has begun counts for nothing.
@@ -16,7 +16,7 @@
 	old := &session{reader: r}
 	r.session = &session{reader: r}
 	for _, text := range []string{"5\n", `{"no":5,"recall":{"lot":3,"issued":1}}` + "\n", "{\"no\":"} {
-		c := &loop.Conn{In: []byte(text)}
+		c := &eventloop.Conn{In: []byte(text)}
 		if old.Received(c); len(c.In) > 0 {
 			t.Errorf("%q: %d bytes are kept", text, len(c.In))
 		}
@@ -25,7 +25,7 @@
 	if r.Last != 4 || len(events) > 0 || r.down || r.session == nil {
 		t.Errorf("last event %d, %d events, down %v: want 4, none, false", r.Last, len(events), r.down)
 	}
-	c := &loop.Conn{In: []byte(`{"no":5,"recall":{"lot":3,"issued":1}}` + "\n")}
+	c := &eventloop.Conn{In: []byte(`{"no":5,"recall":{"lot":3,"issued":1}}` + "\n")}
 	if r.session.Received(c); r.Last != 5 || len(events) == 0 {
 		t.Errorf("the new connection's words: last event %d, %d events", r.Last, len(events))
 	}
--- a/peer/link/link.go
+++ b/internal/peer/transport/transport.go
@@ -1,10 +1,10 @@
-// Package link joins a doorman to the others of its fleet: memberlist (SWIM with suspicion and Lifeguard, keyed) finds who lives,
+// Package transport joins a doorman to the others of its fleet: memberlist (SWIM with suspicion and Lifeguard, keyed) finds who lives,
 // and carries messages as datagrams or, where they are large, over a connection. What a word is worth is decided in package
 // peer; here is the I/O, on goroutines of its own.
 //
 // The fleet's key keeps strangers out; it does not tell members apart. So each life of a doorman makes a pair of Ed25519 keys,
 // the public one goes along with its membership, and each message is signed: one member can not speak for another that lives.
-package link
+package transport
 
 import (
 	"context"
@@ -28,8 +28,8 @@
 	"github.com/hashicorp/go-msgpack/v2/codec"
 	"github.com/hashicorp/memberlist"
 
-	"sloequay/conf"
-	"sloequay/peer"
+	"sloequay/internal/config"
+	"sloequay/internal/peer"
 )
 
 // Config is the block `peers` of the settings.
@@ -51,9 +51,9 @@
 }
 
 // Section gives the directives of the block.
-func (c *Config) Section() *conf.Section {
+func (c *Config) Section() *config.Section {
 	c.Askers, c.MembersMost = 3, 2000
-	s := &conf.Section{}
+	s := &config.Section{}
 	s.Text("listen", &c.Listen, address, "where other doormans reach this one, by TCP and UDP")
 	s.Text("advertise", &c.Advertise, address, "the same as they see it, where it differs")
 	s.Words("seed", &c.Seeds, address, "addresses of some doormans; a few that start first will do")
--- a/peer/link/link_test.go
+++ b/internal/peer/transport/transport_test.go
@@ -1,4 +1,4 @@
-package link
+package transport
 
 import (
 	"encoding/base64"
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"sloequay/peer"
+	"sloequay/internal/peer"
 )
 
 // ear keeps what a link hears.
--- a/settings/control.go
+++ b/internal/platformconfig/control.go
@@ -1,6 +1,6 @@
-// Package settings reads what a doorman is told at its start: the configuration of the platform, and in it the
+// Package platformconfig reads what a doorman is told at its start: the configuration of the platform, and in it the
 // settings of the site, which the simulator gives its instances too.
-package settings
+package platformconfig
 
 import (
 	"fmt"
@@ -9,22 +9,22 @@
 
 	"github.com/tidwall/gjson"
 
-	"sloequay/control"
+	"sloequay/internal/policy"
 )
 
 // The words of the settings.
 var (
-	effects = map[string]control.Effect{
-		"": control.Safe, "repeatable": control.Safe, "by_key": control.Keyed, "once": control.Unsafe,
+	effects = map[string]policy.Effect{
+		"": policy.Safe, "repeatable": policy.Safe, "by_key": policy.Keyed, "once": policy.Unsafe,
 	}
-	groups = map[string]control.Group{
-		"": control.GroupAll, "all": control.GroupAll, "zone": control.GroupZone, "cell": control.GroupCell,
+	groups = map[string]policy.Group{
+		"": policy.GroupAll, "all": policy.GroupAll, "zone": policy.GroupZone, "cell": policy.GroupCell,
 	}
-	reaches = map[string]control.Reach{
-		"": control.ReachNone, "off": control.ReachNone, "location": control.ReachZone, "any": control.ReachAny,
+	reaches = map[string]policy.Reach{
+		"": policy.ReachNone, "off": policy.ReachNone, "location": policy.ReachZone, "any": policy.ReachAny,
 	}
-	details = map[string]control.Detail{
-		"": control.DetailOff, "off": control.DetailOff, "hit": control.DetailHit, "all": control.DetailAll,
+	details = map[string]policy.Detail{
+		"": policy.DetailOff, "off": policy.DetailOff, "hit": policy.DetailHit, "all": policy.DetailAll,
 	}
 )
 
@@ -156,9 +156,9 @@
 }
 
 // ParseControl reads the settings of a site for the decision module. Unknown keys are passed over.
-func ParseControl(text []byte) (control.Config, error) {
+func ParseControl(text []byte) (policy.Config, error) {
 	r := parse(text, "settings")
-	cfg := control.Config{
+	cfg := policy.Config{
 		Ordinal: r.whole("ordinal"), Instances: r.whole("n-instances"), Zone: r.whole("zone"),
 		ZoneNames: r.texts("dcs"), KindNames: r.texts("machine-types"), Tick: r.ms("period-ms"),
 		ParentKind:    r.wholeOr("family-info.shield-kind", -1),
@@ -194,7 +194,7 @@
 	stale := r.numbers("family-info.stale-earns")
 	for i, v := range r.get("classes", "a list", gjson.Result.IsArray).Array() {
 		c := parse([]byte(v.Raw), fmt.Sprintf("settings.classes[%d]", i))
-		cfg.Classes = append(cfg.Classes, control.Class{
+		cfg.Classes = append(cfg.Classes, policy.Class{
 			Name: c.text("name"), Aim: c.ms("on-time-ms"), AimStretch: c.number("aim-stretch"),
 			Deadline: c.ms("deadline-ms"), Worth: c.number("worth"), LateWorth: c.number("late-value"),
 			StaleWorth: at(stale, i), Effect: word(c, "idempotency", effects), Group: word(c, "group", groups),
--- a/settings/settings.go
+++ b/internal/platformconfig/platformconfig.go
@@ -1,4 +1,4 @@
-package settings
+package platformconfig
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 
 	"github.com/tidwall/gjson"
 
-	"sloequay/control"
+	"sloequay/internal/policy"
 )
 
 // Settings is what one doorman is told at its start.
@@ -19,7 +19,7 @@
 	Seed     uint64
 	Memory   int64 // bytes
 	Sockets  int   // file descriptors
-	Control  control.Config
+	Control  policy.Config
 
 	DialTimeout time.Duration
 	ConnIdle    time.Duration // after which depots close an idle connection; 0: never
@@ -107,7 +107,7 @@
 		return nil, err
 	}
 	// The module checks the rest of what it rests on: no class at all, negative times, a zone out of range.
-	if _, err := control.New(s.Control, s.Seed); err != nil {
+	if _, err := policy.New(s.Control, s.Seed); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	return s, nil
--- a/fills/fills.go
+++ b/internal/policy/aimd/aimd.go
@@ -1,4 +1,4 @@
-// Package fills bounds what one sender has out to the narrow places behind the caches: the link into the zone, the parents
+// Package aimd bounds what one sender has out to the narrow places behind the caches: the link into the zone, the parents
 // and the origin. Which of them is narrow is not told, and shows only in fills that come late.
 //
 // The limit rises by a part of a fill for each that comes in time while at least half of it is in use, and is cut for each
@@ -10,7 +10,7 @@
 // nothing would raise it again for long; so no cut takes more than a part of it.
 //
 // Invariants: Least <= the limit <= twice First, in links.
-package fills
+package aimd
 
 const (
 	// First is the number of probable fills out at the start, in multiples of the zone's links.
--- a/fills/fills_test.go
+++ b/internal/policy/aimd/aimd_test.go
@@ -1,4 +1,4 @@
-package fills
+package aimd
 
 import (
 	"testing"
--- a/control/director_test.go
+++ b/internal/policy/director_test.go
@@ -1,4 +1,4 @@
-package control
+package policy
 
 import (
 	"fmt"
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"sloequay/fills"
+	"sloequay/internal/policy/aimd"
 )
 
 const sec = time.Second
@@ -377,7 +377,7 @@
 // TestHeldOnlyWhileFillsAreNarrow: a slow origin shut what the parents hold.
 func TestHeldOnlyWhileFillsAreNarrow(t *testing.T) {
 	b := newBench(t, site())
-	b.d.fills.Most = fills.Least
+	b.d.fills.Most = aimd.Least
 	for id := RequestID(1); id <= 40; id++ {
 		b.call(id, 0, uint64(id))
 		if b.finals[id] == nil {
--- a/size/size.go
+++ b/internal/policy/fairness/fairness.go
@@ -1,4 +1,4 @@
-// Package size sees to it that the largest requests of a class are not the ones that are always turned away where room is short. A bound on
+// Package fairness sees to it that the largest requests of a class are not the ones that are always turned away where room is short. A bound on
 // how much may be out is a bound on sizes: below it all are let in, above it none, and the same large request is turned away as often as it
 // comes (of the largest tenth 0.31 were answered where of all 0.91 were, at half as much again as the caches could send). So who is let in
 // is counted, for a class and for its largest; while those are let in less than Owed times as often as their class, they are judged by the
@@ -9,7 +9,7 @@
 //
 // Invariant: whatever bounds on sizes come, of the largest tenth of a class's requests and of the next fifth at least Owed times as many are
 // let in as of the class in the long run, if a request of the class's usual sizes is let in that often.
-package size
+package fairness
 
 import "math"
 
--- a/size/size_test.go
+++ b/internal/policy/fairness/fairness_test.go
@@ -1,4 +1,4 @@
-package size
+package fairness
 
 import (
 	"math"
--- a/control/fleet_test.go
+++ b/internal/policy/fleet_test.go
@@ -1,4 +1,4 @@
-package control
+package policy
 
 import (
 	"fmt"
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"sloequay/blame"
-	"sloequay/fills"
+	"sloequay/internal/policy/aimd"
+	"sloequay/internal/policy/outlier"
 )
 
 // manyDirectors gives settings like site's with n directors in the zone of this one.
@@ -95,7 +95,7 @@
 // TestSharedTroubleEjectsNobody: with a slow origin all parents' fills are overdue; once that is usual none is.
 func TestSharedTroubleEjectsNobody(t *testing.T) {
 	b := newBench(t, site())
-	b.d.bad[roleParent] = blame.Share
+	b.d.bad[roleParent] = outlier.Share
 	fillThrough(b, 20, map[NodeID]bool{100: true, 101: true})
 	if b.d.servers[100].ejected || b.d.servers[101].ejected {
 		t.Error("a parent is ejected for what all parents share")
@@ -390,7 +390,7 @@
 		b := newBench(t, site())
 		b.call(1, 1, 7)
 		b.tick(c.took)
-		if cut := b.d.fills.Most < fills.First; cut != c.cut {
+		if cut := b.d.fills.Most < aimd.First; cut != c.cut {
 			t.Errorf("a write of %v: the limit on fills is %v, cut %v, want %v", c.took, b.d.fills.Most, cut, c.cut)
 		}
 	}
--- a/blame/blame.go
+++ b/internal/policy/outlier/outlier.go
@@ -1,4 +1,4 @@
-// Package blame tells a source that is slow from something slow behind all sources alike. Fills by way of several parents
+// Package outlier tells a source that is slow from something slow behind all sources alike. Fills by way of several parents
 // all wait for one origin; when it is slow, every parent's fills are late, and a parent that is held to be at fault for that
 // has its objects filled by others, which lack them and ask the slow origin once more.
 //
@@ -9,7 +9,7 @@
 //
 // Invariants: a share lies in 0 to 1; the total is the sum of the members' shares, but for rounding; a member that is dropped
 // without a word counts on until its share has faded, some four times Half.
-package blame
+package outlier
 
 import (
 	"math"
--- a/blame/blame_test.go
+++ b/internal/policy/outlier/outlier_test.go
@@ -1,4 +1,4 @@
-package blame
+package outlier
 
 import (
 	"math"
--- a/control/control.go
+++ b/internal/policy/policy.go
@@ -1,6 +1,6 @@
-// Package control decides for a front of caches of large objects: cache, source, rank, and all in trouble.
+// Package policy decides for a front of caches of large objects: cache, source, rank, and all in trouble.
 // Its interface (Config, events, actions, ids) is in api.go; everything that is decided is in this file.
-package control
+package policy
 
 import (
 	"cmp"
@@ -10,13 +10,13 @@
 	"slices"
 	"time"
 
-	"sloequay/blame"
-	"sloequay/fills"
-	"sloequay/overdue"
-	"sloequay/purge"
-	"sloequay/ramp"
-	"sloequay/rendezvous"
-	"sloequay/size"
+	"sloequay/internal/invalidation"
+	"sloequay/internal/policy/aimd"
+	"sloequay/internal/policy/fairness"
+	"sloequay/internal/policy/outlier"
+	"sloequay/internal/policy/rendezvous"
+	"sloequay/internal/policy/rto"
+	"sloequay/internal/policy/slowstart"
 )
 
 // Settings and tuned constants.
@@ -80,27 +80,27 @@
 	tables   tables
 	requests map[RequestID]*request
 	waiting  []*request // in order of arrival; what is over stays until the next tick
-	purges   *purge.Ledger
+	purges   *invalidation.Ledger
 	classes  []classState
-	bad      [roleOrigin + 1]blame.Usual // by role
-	rate     float64                     // requests a second
+	bad      [roleOrigin + 1]outlier.Usual // by role
+	rate     float64                       // requests a second
 	rateAt   time.Duration
 	arrived  float64
-	fills    fills.Limiter     // probable fills
-	held     fills.Limiter     // of these, the ones that the parent answers from what it holds
-	behind   blame.Group       // the origin, behind all parents
-	late     [2]overdue.Timing // of answers from what is kept, and of fills
-	zone     float64           // this director's part of the links of the zone's caches
-	price    float64           // mean sending time for a worth of 1: what a request costs here
+	fills    aimd.Limiter  // probable fills
+	held     aimd.Limiter  // of these, the ones that the parent answers from what it holds
+	behind   outlier.Group // the origin, behind all parents
+	late     [2]rto.Timing // of answers from what is kept, and of fills
+	zone     float64       // this director's part of the links of the zone's caches
+	price    float64       // mean sending time for a worth of 1: what a request costs here
 }
 
 // classState is what has been learnt of a class.
 type classState struct {
 	Class
-	mean  float64     // sending time in seconds
-	cost  float64     // the same in cold budgets, never net of crowding: too low would push cold servers over
-	seen  float64     // sizes that it rests on
-	sizes size.Shares // by sending time
+	mean  float64         // sending time in seconds
+	cost  float64         // the same in cold budgets, never net of crowding: too low would push cold servers over
+	seen  float64         // sizes that it rests on
+	sizes fairness.Shares // by sending time
 }
 
 // New makes a Director. The seed is not used: the same events give the same actions at every director.
@@ -111,10 +111,10 @@
 	d := &Director{cfg: cfg, servers: map[NodeID]*server{},
 		roles:    map[int]int{cfg.ParentKind: roleParent, cfg.OriginKind: roleOrigin},
 		requests: map[RequestID]*request{},
-		purges:   purge.New(purge.Config{Takes: cfg.PurgeTakes, Slack: time.Second}),
-		fills:    fills.New(), held: fills.NewHeld(),
-		behind: blame.New(),
-		late:   [2]overdue.Timing{overdue.New(), overdue.New()},
+		purges:   invalidation.New(invalidation.Config{Takes: cfg.PurgeTakes, Slack: time.Second}),
+		fills:    aimd.New(), held: aimd.NewHeld(),
+		behind: outlier.New(),
+		late:   [2]rto.Timing{rto.New(), rto.New()},
 		tables: tables{rows: map[part]*row{}, single: list.New()}}
 	d.tables.resize(0)
 	for i, c := range cfg.Classes {
@@ -361,12 +361,12 @@
 	done         bool
 	ran          bool // may have run
 	moved        bool
-	crowd        float64        // at the cache when it was sent
-	expect       float64        // seconds: its sending time in that crowd
-	passed       int            // answers before its own, though for more and asked for later
-	late         bool           // its source has been counted for it
-	held         bool           // asks the source for what it holds only
-	limit        *fills.Limiter // of probable fills
+	crowd        float64       // at the cache when it was sent
+	expect       float64       // seconds: its sending time in that crowd
+	passed       int           // answers before its own, though for more and asked for later
+	late         bool          // its source has been counted for it
+	held         bool          // asks the source for what it holds only
+	limit        *aimd.Limiter // of probable fills
 }
 
 type request struct {
@@ -506,7 +506,7 @@
 func (d *Director) send(q *request, node, source *server, heldOnly bool) bool {
 	fill := !q.class.Write && (node.role != roleCache ||
 		source.role != roleCache && (q.row == nil || q.row.holder != node.ID))
-	var limit *fills.Limiter
+	var limit *aimd.Limiter
 	if fill {
 		limit = &d.fills
 		if heldOnly {
@@ -670,7 +670,7 @@
 		}
 	}
 	for _, s := range d.parents.Members() {
-		if s.ejected && s.tardy && d.behind.Others(&s.late, d.now, len(d.parents.Members())) == blame.Share {
+		if s.ejected && s.tardy && d.behind.Others(&s.late, d.now, len(d.parents.Members())) == outlier.Share {
 			d.trust(s)
 		}
 	}
@@ -742,7 +742,7 @@
 }
 
 // timing is what such answers as an attempt waits for take beyond their sending time.
-func (a *attempt) timing(d *Director) *overdue.Timing {
+func (a *attempt) timing(d *Director) *rto.Timing {
 	if a.limit != nil {
 		return &d.late[1]
 	}
@@ -764,22 +764,22 @@
 	usual     float64       // its average
 	settled   time.Duration // up to when it is averaged
 	firstWait time.Duration // since when it has had work without an answer
-	odds      blame.Odds    // of being at fault
+	odds      outlier.Odds  // of being at fault
 	ejected   bool
 	until     time.Duration
 	ejectFor  time.Duration
-	trial     bool          // one trial request is out
-	doubt     float64       // how unlikely its silence is
-	left      time.Duration // when the list last told of it
-	broke     time.Duration // when a connection to it last ended under an attempt
-	back      time.Duration // when it was trusted again after it was ejected
-	sent      ramp.Meter    // while it is cold
-	place     int           // in its ranking
-	late      blame.Member  // its fills that come late
-	heard     time.Duration // when a fill by way of it last came
-	tardy     bool          // it is ejected for these alone
-	slow      float64       // its answers' times over what is expected of it
-	out       []out         // the attempts that wait for it
+	trial     bool            // one trial request is out
+	doubt     float64         // how unlikely its silence is
+	left      time.Duration   // when the list last told of it
+	broke     time.Duration   // when a connection to it last ended under an attempt
+	back      time.Duration   // when it was trusted again after it was ejected
+	sent      slowstart.Meter // while it is cold
+	place     int             // in its ranking
+	late      outlier.Member  // its fills that come late
+	heard     time.Duration   // when a fill by way of it last came
+	tardy     bool            // it is ejected for these alone
+	slow      float64         // its answers' times over what is expected of it
+	out       []out           // the attempts that wait for it
 }
 
 // out is an attempt that is out: the nth of a request.
@@ -838,10 +838,10 @@
 
 func (d *Director) weigh(s *server, ok bool, share float64) {
 	switch s.odds.Weigh(ok, share); {
-	case ok && s.ejected && s.odds < blame.Enough/2:
+	case ok && s.ejected && s.odds < outlier.Enough/2:
 		s.back = d.now // it may have started anew, before the list says so: spared as cold
 		d.trust(s)
-	case !ok && (s.ejected || s.odds >= blame.Enough && s.role != roleOrigin):
+	case !ok && (s.ejected || s.odds >= outlier.Enough && s.role != roleOrigin):
 		d.eject(s, "failing")
 	}
 }
@@ -859,7 +859,7 @@
 		d.do(Log{fmt.Sprintf("ejected %x: %s", s.ID, why)})
 	}
 	s.ejectFor = min(ejectMost, max(ejectFirst, 2*s.ejectFor))
-	s.ejected, s.trial, s.until, s.odds = true, false, d.now+s.ejectFor, blame.Enough/2+1
+	s.ejected, s.trial, s.until, s.odds = true, false, d.now+s.ejectFor, outlier.Enough/2+1
 	d.shut(s, s.until)
 }
 
@@ -966,7 +966,7 @@
 	}
 	window := d.cfg.FallFor
 	full := coldUse * multiple * d.share(s) * window.Seconds()
-	r := ramp.Ramp{From: from, Span: span, Full: full, Window: window}
+	r := slowstart.Ramp{From: from, Span: span, Full: full, Window: window}
 	if q.class.cost <= s.sent.Left(d.now, since, &r) {
 		return true
 	}
@@ -1034,6 +1034,6 @@
 }
 
 // narrow says whether a limit, weighed by worth for cost, has no room; a part of a fill is given by lot.
-func (d *Director) narrow(q *request, l *fills.Limiter) bool {
-	return l.Narrow(d.zone, d.value(q), size.Lot(rendezvous.Mix(uint64(q.id))))
+func (d *Director) narrow(q *request, l *aimd.Limiter) bool {
+	return l.Narrow(d.zone, d.value(q), fairness.Lot(rendezvous.Mix(uint64(q.id))))
 }
--- a/overdue/overdue.go
+++ b/internal/policy/rto/rto.go
@@ -1,6 +1,6 @@
-// Package overdue learns when an answer is later than answers are, as TCP learns its retransmission time-out (RFC 6298): from
+// Package rto learns when an answer is later than answers are, as TCP learns its retransmission time-out (RFC 6298): from
 // the mean of what they take beyond what is expected of them, and its mean deviation. Times are in seconds.
-package overdue
+package rto
 
 import "math"
 
--- a/overdue/overdue_test.go
+++ b/internal/policy/rto/rto_test.go
@@ -1,4 +1,4 @@
-package overdue
+package rto
 
 import "testing"
 
--- a/control/size_test.go
+++ b/internal/policy/size_test.go
@@ -1,4 +1,4 @@
-package control
+package policy
 
 import (
 	"os"
--- a/ramp/ramp.go
+++ b/internal/policy/slowstart/slowstart.go
@@ -1,10 +1,10 @@
-// Package ramp is what one of many senders may send to a server that has just started: a budget in any window of time,
+// Package slowstart is what one of many senders may send to a server that has just started: a budget in any window of time,
 // which grows with the server's age from a part of its capacity to the whole. It does no I/O and asks no clock.
 //
 // Invariants: the costs that were spent in a window never exceed the budget at its end by more than the last one; When gives
 // the first time at which Left is enough, so that until then the server need not be looked at; what is remembered is bounded
 // by what is sent in one window.
-package ramp
+package slowstart
 
 import "time"
 
--- a/ramp/ramp_test.go
+++ b/internal/policy/slowstart/slowstart_test.go
@@ -1,4 +1,4 @@
-package ramp
+package slowstart
 
 import (
 	"testing"
--- a/control/trace_test.go
+++ b/internal/policy/trace_test.go
@@ -1,4 +1,4 @@
-package control
+package policy
 
 import (
 	"container/heap"
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"sloequay/rendezvous"
+	"sloequay/internal/policy/rendezvous"
 )
 
 // due is something that a random day has planned: an answer, or a timer's token.
--- a/node/boxes.go
+++ b/internal/proxy/boxes.go
@@ -1,4 +1,4 @@
-package node
+package proxy
 
 import (
 	"context"
@@ -9,8 +9,8 @@
 	"text/tabwriter"
 	"time"
 
-	"sloequay/broker"
-	"sloequay/membership/consul"
+	"sloequay/internal/broker"
+	"sloequay/internal/membership/consul"
 )
 
 // DefaultBoxesWait is the wait without a flag.
@@ -23,7 +23,7 @@
 func PrintBoxes(out io.Writer, p *Plan, o BoxesOptions) error {
 	var mu sync.Mutex // the sources tell from goroutines of their own
 	var said []string
-	now := clock
+	now := monotonicNow
 	take := func(e broker.Event) {
 		mu.Lock()
 		defer mu.Unlock()
--- a/node/boxtls.go
+++ b/internal/proxy/boxtls.go
@@ -1,4 +1,4 @@
-package node
+package proxy
 
 import (
 	"context"
@@ -6,10 +6,10 @@
 	"net"
 	"time"
 
-	"sloequay/broker"
-	"sloequay/conf"
-	"sloequay/identity/tlsclient"
-	"sloequay/loop/bridge"
+	"sloequay/internal/broker"
+	"sloequay/internal/config"
+	"sloequay/internal/eventloop/bridge"
+	"sloequay/internal/identity/tlsclient"
 )
 
 // boxTLS is the block `box-tls` of the settings: how boxes are connected to by TLS, by their site.
@@ -31,11 +31,11 @@
 // boxDescriptors is what a connection to a box by TLS takes: its own, and the pair that joins it to the loop.
 const boxDescriptors = 3
 
-func (b *boxTLS) section() *conf.Section {
+func (b *boxTLS) section() *config.Section {
 	b.limit, b.sites = time.Second, map[string]*boxSite{}
 	s := b.all.section()
 	s.Duration("limit", &b.limit, 10*time.Millisecond, 30*time.Second, "for connecting to a box, the handshake included")
-	s.Block("site", true, "what differs at one site", func(words []string) (*conf.Section, error) {
+	s.Block("site", true, "what differs at one site", func(words []string) (*config.Section, error) {
 		if len(words) != 1 {
 			return nil, fmt.Errorf("expected the site's name, got %d words", len(words))
 		}
@@ -51,9 +51,9 @@
 	return s
 }
 
-func (s *boxSite) section() *conf.Section {
+func (s *boxSite) section() *config.Section {
 	s.Now = wall
-	section := &conf.Section{}
+	section := &config.Section{}
 	section.Text("ca", &s.CA, nil, "file of the authorities that sign boxes; the system's without it")
 	section.Text("cert", &s.Cert, nil, "file of our certificate, where boxes want one")
 	section.Text("key", &s.Key, nil, "file of its key, readable by its owner alone")
--- a/node/clock.go
+++ b/internal/proxy/clock.go
@@ -1,4 +1,4 @@
-package node
+package proxy
 
 import "time"
 
@@ -8,18 +8,18 @@
 // ahead is what the Unix clock is taken to be ahead of the system's, for drills; it is set before anything runs.
 var ahead time.Duration
 
-// born is what clock counts from.
+// born is what monotonicNow counts from.
 var born = time.Now()
 
 // clock is the time that everything but stamps goes by. It starts as the Unix clock and only ever goes on, whatever is done to
 // that one.
-func clock() time.Duration { return time.Duration(born.UnixNano()) + time.Since(born) }
+func monotonicNow() time.Duration { return time.Duration(born.UnixNano()) + time.Since(born) }
 
 // unixClock is for what was stamped by others or will be read by them.
 func unixClock() time.Duration { return time.Duration(wall().UnixNano()) }
 
 // Clock is the time that a doorman goes by.
-func Clock() time.Duration { return clock() }
+func Clock() time.Duration { return monotonicNow() }
 
 // UnixClock is for commands that stamp what a doorman will read.
 func UnixClock() time.Duration { return unixClock() }
--- a/node/clock_step.go
+++ b/internal/proxy/clock_step.go
@@ -1,6 +1,6 @@
 //go:build clockstep
 
-package node
+package proxy
 
 import (
 	"os"
--- a/node/conf.go
+++ b/internal/proxy/conf.go
@@ -1,4 +1,4 @@
-package node
+package proxy
 
 import (
 	"errors"
@@ -9,28 +9,28 @@
 	"path/filepath"
 	"time"
 
-	"sloequay/conf"
-	"sloequay/contract"
-	"sloequay/dnsfront"
-	"sloequay/membership"
-	"sloequay/membership/consul"
-	"sloequay/peer/link"
+	"sloequay/internal/config"
+	"sloequay/internal/frontend/dns"
+	"sloequay/internal/membership"
+	"sloequay/internal/membership/consul"
+	"sloequay/internal/peer/transport"
+	"sloequay/internal/quota"
 )
 
 // Own is our settings: the file that --conf names. Without it everything in it is off, as on the platform.
 type Own struct {
-	Section   *conf.Section
-	Contracts *contract.Contracts // nil: every team may do everything
-	DNS       *dnsfront.Config    // nil: off
-	Catalogue *consul.Config      // nil: off
-	Snapshot  *snapshotConfig     // nil: off
-	Identity  *identityConfig     // nil: off
-	Services  *services           // nil: one pool for all
-	Control   string              // path of the operators' socket; empty: none
-	BoxTLS    *boxTLS             // nil: boxes are spoken to by plain TCP
-	Peers     *link.Config        // nil: no other doorman is known
-	ahead     time.Duration       // of the Unix clock here, for drills
-	bind      string              // address that our own connections come from; empty: the system's choice
+	Section   *config.Section
+	Contracts *quota.Contracts  // nil: every team may do everything
+	DNS       *dns.Config       // nil: off
+	Catalogue *consul.Config    // nil: off
+	Snapshot  *snapshotConfig   // nil: off
+	Identity  *identityConfig   // nil: off
+	Services  *services         // nil: one pool for all
+	Control   string            // path of the operators' socket; empty: none
+	BoxTLS    *boxTLS           // nil: boxes are spoken to by plain TCP
+	Peers     *transport.Config // nil: no other doorman is known
+	ahead     time.Duration     // of the Unix clock here, for drills
+	bind      string            // address that our own connections come from; empty: the system's choice
 	list      membership.Config
 	damping   membership.Damping
 	bulletin  bool   // whether the bulletin's word on boxes counts; its purges always do
@@ -46,13 +46,13 @@
 
 // NewOwn has everything off.
 func NewOwn() *Own {
-	o := &Own{Section: &conf.Section{}, bulletin: true, prefer: "bulletin",
+	o := &Own{Section: &config.Section{}, bulletin: true, prefer: "bulletin",
 		list: membership.Config{MostBoxes: membership.DefaultMost, LossShare: 0.3, LossLeast: 2,
 			Confirm: membership.DefaultConfirm, SilentMost: 10 * time.Minute, Forget: membership.DefaultForget},
 		damping: membership.Damping{Cut: 3, Reuse: 1, HalfLife: 5 * time.Second, Most: 20 * time.Second}}
 	s := o.Section
-	s.Block("contracts", false, "what each team may send", func([]string) (*conf.Section, error) {
-		section, contracts := contract.Section()
+	s.Block("contracts", false, "what each team may send", func([]string) (*config.Section, error) {
+		section, contracts := quota.Section()
 		o.Contracts = contracts
 		return section, nil
 	})
@@ -69,36 +69,36 @@
 		return nil
 	}, "address that connections to boxes, lists and other doormans come from; the system's choice without it")
 	s.Duration("clock-ahead", &o.ahead, -10*365*24*time.Hour, 10*365*24*time.Hour, "for drills: what the Unix clock here is taken to be ahead of the system's")
-	s.Block("peers", false, "doormans that know of each other", func([]string) (*conf.Section, error) {
-		o.Peers = &link.Config{}
+	s.Block("peers", false, "doormans that know of each other", func([]string) (*config.Section, error) {
+		o.Peers = &transport.Config{}
 		return o.Peers.Section(), nil
 	})
-	s.Block("identity", false, "who may do what", func([]string) (*conf.Section, error) {
+	s.Block("identity", false, "who may do what", func([]string) (*config.Section, error) {
 		o.Identity = &identityConfig{}
 		return o.Identity.section(), nil
 	})
-	s.Block("services", false, "services, their pools of boxes, and moves between those", func([]string) (*conf.Section, error) {
+	s.Block("services", false, "services, their pools of boxes, and moves between those", func([]string) (*config.Section, error) {
 		o.Services = &services{}
 		return o.Services.section(), nil
 	})
-	s.Block("box-tls", false, "TLS towards boxes", func([]string) (*conf.Section, error) {
+	s.Block("box-tls", false, "TLS towards boxes", func([]string) (*config.Section, error) {
 		o.BoxTLS = &boxTLS{}
 		return o.BoxTLS.section(), nil
 	})
-	s.Block("dns", false, "DNS request routing", func([]string) (*conf.Section, error) {
-		o.DNS = &dnsfront.Config{}
+	s.Block("dns", false, "DNS request routing", func([]string) (*config.Section, error) {
+		o.DNS = &dns.Config{}
 		return o.DNS.Section(), nil
 	})
-	s.Block("catalogue", false, "Consul's catalogue as a source of boxes", func([]string) (*conf.Section, error) {
+	s.Block("catalogue", false, "Consul's catalogue as a source of boxes", func([]string) (*config.Section, error) {
 		o.Catalogue = &consul.Config{}
 		return o.Catalogue.Section(), nil
 	})
-	s.Block("list", false, "how the sources of boxes are joined", func([]string) (*conf.Section, error) {
+	s.Block("list", false, "how the sources of boxes are joined", func([]string) (*config.Section, error) {
 		return o.listSection(), nil
 	})
-	s.Block("snapshot", false, "the last good list on a disk that lasts", func([]string) (*conf.Section, error) {
+	s.Block("snapshot", false, "the last good list on a disk that lasts", func([]string) (*config.Section, error) {
 		o.Snapshot = &snapshotConfig{Every: 10 * time.Second, Oldest: 24 * time.Hour}
-		p := &conf.Section{}
+		p := &config.Section{}
 		p.Text("file", &o.Snapshot.File, func(path string) error {
 			if info, err := os.Stat(filepath.Dir(path)); err != nil || !info.IsDir() {
 				return fmt.Errorf("%s is no folder", filepath.Dir(path))
@@ -118,8 +118,8 @@
 	return o
 }
 
-func (o *Own) listSection() *conf.Section {
-	s, l, d := &conf.Section{}, &o.list, &o.damping
+func (o *Own) listSection() *config.Section {
+	s, l, d := &config.Section{}, &o.list, &o.damping
 	s.Flag("bulletin", &o.bulletin, "whether the bulletin's word on boxes counts; its purges always do")
 	s.Choice("prefer", &o.prefer, []string{"bulletin", "catalogue"}, "whose word on address, place, kind and weight goes first")
 	s.Int("most-boxes", &l.MostBoxes, 1, 1_000_000, "boxes held")
--- a/node/control.go
+++ b/internal/proxy/control.go
@@ -1,4 +1,4 @@
-package node
+package proxy
 
 import (
 	"fmt"
@@ -6,8 +6,8 @@
 	"strings"
 	"time"
 
-	"sloequay/contract"
-	"sloequay/node/admin"
+	"sloequay/internal/proxy/admin"
+	"sloequay/internal/quota"
 )
 
 // shownMost is how many tenants are shown.
@@ -24,7 +24,7 @@
 // ask answers a question of an operator's. It runs on the loop.
 func (d *doorman) ask(words []string) string {
 	var out strings.Builder
-	now := clock()
+	now := monotonicNow()
 	switch {
 	case len(words) == 1 && words[0] == "state":
 		d.state(&out)
@@ -47,7 +47,7 @@
 		for _, s := range stands {
 			uses = append(uses, s.Uses...)
 		}
-		_ = contract.Table(&out, uses)
+		_ = quota.Table(&out, uses)
 		for _, s := range stands {
 			if s.Open > 0 {
 				fmt.Fprintf(&out, "%s has %d open\n", s.Node, s.Open)
@@ -81,7 +81,7 @@
 }
 
 // Explain prints which budgets apply to a request, the nearest first, and what is left.
-func Explain(out io.Writer, b *contract.Book, now time.Duration, team, class, service string) {
+func Explain(out io.Writer, b *quota.Book, now time.Duration, team, class, service string) {
 	uses, refusal := b.Explain(now, team, service, class)
 	if refusal != nil {
 		fmt.Fprintln(out, "refused:", refusal)
@@ -91,5 +91,5 @@
 		fmt.Fprintln(out, "no budget applies")
 		return
 	}
-	_ = contract.Table(out, uses)
+	_ = quota.Table(out, uses)
 }
--- a/node/door.go
+++ b/internal/proxy/door.go
@@ -1,4 +1,4 @@
-package node
+package proxy
 
 import (
 	"errors"
@@ -9,15 +9,15 @@
 	"strings"
 	"time"
 
-	"sloequay/broker"
-	"sloequay/conf"
-	"sloequay/identity"
-	"sloequay/identity/files"
-	"sloequay/identity/keydir"
-	"sloequay/identity/tlsdoor"
-	"sloequay/identity/tsig"
-	"sloequay/loop"
-	"sloequay/rpc"
+	"sloequay/internal/broker"
+	"sloequay/internal/config"
+	"sloequay/internal/eventloop"
+	"sloequay/internal/frontend/rpc"
+	"sloequay/internal/identity"
+	"sloequay/internal/identity/files"
+	"sloequay/internal/identity/keydir"
+	"sloequay/internal/identity/tlslistener"
+	"sloequay/internal/identity/tsig"
 )
 
 // identityConfig is the block `identity` of the settings.
@@ -29,9 +29,9 @@
 	roles    map[string][]identity.Rule
 	uses     map[string][]string // roles by tenant
 	rights   *identity.Rights
-	tls      *tlsdoor.Config   // nil: no such listener
-	exact    map[string]string // tenants by the names of client certificates
-	wild     map[string]string // the same by what follows "*."
+	tls      *tlslistener.Config // nil: no such listener
+	exact    map[string]string   // tenants by the names of client certificates
+	wild     map[string]string   // the same by what follows "*."
 }
 
 // who gives the tenant and subject that a client certificate's names stand for.
@@ -47,11 +47,11 @@
 	return "", ""
 }
 
-func (c *identityConfig) section() *conf.Section {
+func (c *identityConfig) section() *config.Section {
 	c.Gate, c.roles, c.uses = identity.Defaults(), map[string][]identity.Rule{}, map[string][]string{}
 	c.exact, c.wild = map[string]string{}, map[string]string{}
 	p := &c.Gate.Policy
-	s := &conf.Section{}
+	s := &config.Section{}
 	s.Text("keys", &c.Keys, nil, "directory of keys.json and revoked; without it no tokens are taken")
 	s.Text("audience", &p.Audience, nil, "that a token must name; any without it")
 	s.Duration("skew", &p.Skew, 0, 5*time.Minute, "of the callers' clocks, either way")
@@ -63,7 +63,7 @@
 	s.Int("tokens", &c.Gate.Cached, 1, 10_000_000, "verified tokens remembered")
 	s.Int("keyed", &c.Gate.Keyed, 1, 10_000_000, "idempotency keys remembered")
 	s.Int("revocations", &c.Gate.Revoked, 1, 10_000_000, "revocations held")
-	rule := func(section *conf.Section, to *[]identity.Rule) {
+	rule := func(section *config.Section, to *[]identity.Rule) {
 		for _, name := range []string{"right", "deny"} {
 			section.Each(name, func(words []string) error {
 				r, err := identity.ParseRule(name == "deny", words)
@@ -72,11 +72,11 @@
 			}, "classes, or * for all, with front=, site=, group=, object=")
 		}
 	}
-	s.Block("tls", false, "a listener for TLS 1.3", func([]string) (*conf.Section, error) {
-		c.tls = &tlsdoor.Config{Now: wall, Handshakes: 64, Limit: 3 * time.Second, Most: 64, Tickets: time.Hour}
+	s.Block("tls", false, "a listener for TLS 1.3", func([]string) (*config.Section, error) {
+		c.tls = &tlslistener.Config{Now: wall, Handshakes: 64, Limit: 3 * time.Second, Most: 64, Tickets: time.Hour}
 		return c.tlsSection(), nil
 	})
-	s.Block("role", true, "rules that several tenants share", func(words []string) (*conf.Section, error) {
+	s.Block("role", true, "rules that several tenants share", func(words []string) (*config.Section, error) {
 		if len(words) != 1 {
 			return nil, fmt.Errorf("expected the role's name, got %d words", len(words))
 		}
@@ -84,19 +84,19 @@
 			return nil, fmt.Errorf("the role %s is named twice", words[0])
 		}
 		var list []identity.Rule
-		section := &conf.Section{}
+		section := &config.Section{}
 		rule(section, &list)
 		section.Check(func() error { c.roles[words[0]] = list; return nil })
 		c.roles[words[0]] = nil
 		return section, nil
 	})
-	s.Block("tenant", true, "what one tenant may do", func(words []string) (*conf.Section, error) {
+	s.Block("tenant", true, "what one tenant may do", func(words []string) (*config.Section, error) {
 		if len(words) != 1 {
 			return nil, fmt.Errorf("expected the tenant's name, got %d words", len(words))
 		}
 		var list []identity.Rule
 		var roles []string
-		section := &conf.Section{}
+		section := &config.Section{}
 		section.Words("role", &roles, nil, "roles whose rules it has too")
 		var names []string
 		section.Words("certificate", &names, nil, "names of client certificates that are of it, or *.DOMAIN for all right below")
@@ -144,8 +144,8 @@
 	return s
 }
 
-func (c *identityConfig) tlsSection() *conf.Section {
-	d, s := c.tls, &conf.Section{}
+func (c *identityConfig) tlsSection() *config.Section {
+	d, s := c.tls, &config.Section{}
 	s.Text("listen", &d.Listen, func(a string) error {
 		if _, err := netip.ParseAddrPort(a); err != nil {
 			return fmt.Errorf("expected ip:port, got %q", a)
@@ -164,7 +164,7 @@
 		if d.Listen == "" {
 			return errors.New("listen is missing")
 		}
-		_, err := tlsdoor.Load(*d)
+		_, err := tlslistener.Load(*d)
 		return err
 	})
 	return s
@@ -188,10 +188,10 @@
 	audit   *identity.Audit
 	jobs    chan *identity.Job
 	sources *identity.Sources
-	tsig    *tsig.Keys     // of DNS
-	tls     *tlsdoor.Door  // nil: none
-	bad     string         // the fault that was logged last
-	content keydir.Content // that is in force
+	tsig    *tsig.Keys        // of DNS
+	tls     *tlslistener.Door // nil: none
+	bad     string            // the fault that was logged last
+	content keydir.Content    // that is in force
 }
 
 func (d *doorman) newDoor(cfg *identityConfig) *door {
@@ -203,7 +203,7 @@
 			for j := range g.jobs {
 				claims, reason := identity.Verify(j.Token, j.Key)
 				d.loop.Post(func() {
-					for _, o := range g.gate.Verified(clock(), j, claims, reason) {
+					for _, o := range g.gate.Verified(monotonicNow(), j, claims, reason) {
 						g.settle(o)
 					}
 					d.loop.NeedRound()
@@ -217,7 +217,7 @@
 	if cfg.tls != nil {
 		log := func(event string, fields ...any) { d.loop.Post(func() { d.log.Event(event, fields...) }) }
 		var err error
-		if g.tls, err = tlsdoor.Open(*cfg.tls, cfg.who, g.adopt, log); err != nil {
+		if g.tls, err = tlslistener.Open(*cfg.tls, cfg.who, g.adopt, log); err != nil {
 			log("tls-failed", "error", err)
 		}
 	}
@@ -227,7 +227,7 @@
 
 // adopt has a connection of the TLS door served like any other client's. It is called on a goroutine of the connection's.
 func (g *door) adopt(conn net.Conn, caller identity.Caller) bool {
-	d, made := g.doorman, make(chan loop.Handler, 1)
+	d, made := g.doorman, make(chan eventloop.Handler, 1)
 	d.loop.Post(func() { made <- d.front.AcceptFrom(conn.RemoteAddr(), caller) })
 	h := <-made
 	if h == nil { // no place is left
@@ -258,7 +258,7 @@
 	if r.Key != "" {
 		c.Key, c.Window = class.Name+" "+r.Key, class.Window
 	}
-	o, j := g.gate.Arrive(clock(), c)
+	o, j := g.gate.Arrive(monotonicNow(), c)
 	switch {
 	case o != nil:
 		g.settle(o)
@@ -295,7 +295,7 @@
 	if who == "" {
 		who = "-"
 	}
-	missed, ok := g.audit.Line(clock(), who+" "+o.Reason.String())
+	missed, ok := g.audit.Line(monotonicNow(), who+" "+o.Reason.String())
 	if !ok {
 		return
 	}
--- a/node/herd.go
+++ b/internal/proxy/herd.go
@@ -1,4 +1,4 @@
-package node
+package proxy
 
 import (
 	"fmt"
@@ -7,19 +7,19 @@
 	"runtime/debug"
 	"time"
 
-	"sloequay/broker"
-	"sloequay/membership"
-	"sloequay/peer"
-	"sloequay/peer/link"
-	"sloequay/start"
+	"sloequay/internal/bootstrap"
+	"sloequay/internal/broker"
+	"sloequay/internal/membership"
+	"sloequay/internal/peer"
+	"sloequay/internal/peer/transport"
 )
 
 // herd joins the decisions of a start and the link to other doormans to the sources of boxes. Its methods run on the loop, but
 // for those that the link calls.
 type herd struct {
 	sources *sources
-	machine *start.Machine
-	link    *link.Link         // nil: no peers
+	machine *bootstrap.Machine
+	link    *transport.Link    // nil: no peers
 	tapped  []*membership.List // by list: what the service told last, while the table has not judged it
 	stepped time.Duration
 }
@@ -31,7 +31,7 @@
 	d := s.doorman
 	p, site := d.plan, d.plan.settings.Control
 	h := &herd{sources: s, tapped: make([]*membership.List, len(p.own.Catalogue.Services))}
-	cfg := start.Config{Name: p.settings.Name, Epoch: rand.Uint64(), Lists: len(h.tapped), Fleet: site.Instances, Seed: p.settings.Seed}
+	cfg := bootstrap.Config{Name: p.settings.Name, Epoch: rand.Uint64(), Lists: len(h.tapped), Fleet: site.Instances, Seed: p.settings.Seed}
 	if site.Zone < len(site.ZoneNames) {
 		cfg.Zone = site.ZoneNames[site.Zone]
 	}
@@ -41,13 +41,13 @@
 			cfg.Fleet = own.Fleet
 		}
 		var err error
-		if h.link, err = link.Open(*own, link.Self{Name: cfg.Name, Zone: cfg.Zone, Program: program(), Epoch: cfg.Epoch, Fleet: cfg.Fleet, Bind: p.own.from()}, h); err != nil {
+		if h.link, err = transport.Open(*own, transport.Self{Name: cfg.Name, Zone: cfg.Zone, Program: program(), Epoch: cfg.Epoch, Fleet: cfg.Fleet, Bind: p.own.from()}, h); err != nil {
 			// What others know is a help and no need: without it the doorman asks by itself.
 			d.log.Event("peers-failed", "error", err)
 			cfg.Peers = false
 		}
 	}
-	h.machine = start.New(clock(), cfg)
+	h.machine = bootstrap.New(monotonicNow(), cfg)
 	return h
 }
 
@@ -67,25 +67,25 @@
 
 // Live takes who else lives. It is called by the link.
 func (h *herd) Live(members []peer.Member) {
-	peers := make([]start.Peer, 0, len(members))
+	peers := make([]bootstrap.Peer, 0, len(members))
 	for _, m := range members {
-		peers = append(peers, start.Peer{Name: m.Name, Zone: m.Zone})
+		peers = append(peers, bootstrap.Peer{Name: m.Name, Zone: m.Zone})
 	}
-	h.sources.doorman.loop.Post(func() { h.carry(h.machine.Live(clock(), peers)) })
+	h.sources.doorman.loop.Post(func() { h.carry(h.machine.Live(monotonicNow(), peers)) })
 }
 
 // Message takes what a peer has sent and returns once the loop has it, so that no more is read than it can take. It is called by
 // the link.
 func (h *herd) Message(from string, body []byte) {
-	var m start.Message
-	if err := link.Decode(body, &m); err != nil {
+	var m bootstrap.Message
+	if err := transport.Decode(body, &m); err != nil {
 		h.Log("peer-refused", "peer", from, "why", err)
 		return
 	}
 	m.From = from
 	taken := make(chan struct{})
 	h.sources.doorman.loop.Post(func() {
-		h.carry(h.machine.Take(clock(), m))
+		h.carry(h.machine.Take(monotonicNow(), m))
 		close(taken)
 	})
 	<-taken
@@ -108,7 +108,7 @@
 		}
 	case broker.Speaks:
 		if n := e.Source - first; n >= 0 && n < len(h.tapped) && !e.Silent && h.tapped[n] == nil {
-			h.carry(h.machine.Heard(clock(), n))
+			h.carry(h.machine.Heard(monotonicNow(), n))
 		}
 	}
 }
@@ -117,7 +117,7 @@
 func (h *herd) alive() {
 	for n := range h.tapped {
 		if h.tapped[n] == nil {
-			h.carry(h.machine.Heard(clock(), n))
+			h.carry(h.machine.Heard(monotonicNow(), n))
 		}
 	}
 }
@@ -141,7 +141,7 @@
 		h.stepped = now
 		h.carry(h.machine.Step(now))
 		if h.link != nil {
-			if body, err := link.Encode(start.Message{Digest: h.machine.Digest()}); err == nil {
+			if body, err := transport.Encode(bootstrap.Message{Digest: h.machine.Digest()}); err == nil {
 				h.link.SetState(body)
 			}
 		}
@@ -150,29 +150,29 @@
 
 const stepEvery = 100 * time.Millisecond
 
-func (h *herd) carry(effects []start.Effect) {
+func (h *herd) carry(effects []bootstrap.Effect) {
 	d := h.sources.doorman
 	for _, e := range effects {
 		switch e := e.(type) {
-		case start.Send:
-			if body, err := link.Encode(e.Message); err == nil && h.link != nil {
+		case bootstrap.Send:
+			if body, err := transport.Encode(e.Message); err == nil && h.link != nil {
 				h.link.Send(e.To, body)
 			}
-		case start.Follow:
+		case bootstrap.Follow:
 			if !e.On {
 				clear(h.tapped) // what was doubted then must not count once something else has put the doubt aside
 			}
 			h.sources.follow(e.On)
-		case start.Use:
+		case bootstrap.Use:
 			src := d.plan.first + e.List
 			for at := 0; len(e.Boxes) > partMost && at < len(e.Boxes); at += partMost {
 				d.emit(broker.Listing{Source: src, List: membership.List{Version: e.Version, Boxes: e.Boxes[at:min(at+partMost, len(e.Boxes))], Part: true}})
 			}
 			// What two peers tell has been confirmed by each of them, where it lacks much.
 			d.emit(broker.Listing{Source: src, List: membership.List{Version: e.Version, Boxes: e.Boxes, Confirms: !e.Hint, Omits: e.Hint}})
-		case start.Speaks:
+		case bootstrap.Speaks:
 			d.emit(broker.Speaks{Source: d.plan.first + e.List, Silent: e.Silent})
-		case start.Note:
+		case bootstrap.Note:
 			fields := []any{"what", e.What}
 			if e.List >= 0 {
 				fields = append(fields, "of", d.plan.own.Catalogue.Services[e.List].Name)
--- a/node/plan.go
+++ b/internal/proxy/plan.go
@@ -1,23 +1,23 @@
-package node
+package proxy
 
 import (
 	"errors"
 	"fmt"
 	"io"
 
-	"sloequay/broker"
-	"sloequay/membership"
-	"sloequay/membership/bulletin"
-	"sloequay/settings"
+	"sloequay/internal/broker"
+	"sloequay/internal/membership"
+	"sloequay/internal/membership/listwatch"
+	"sloequay/internal/platformconfig"
 )
 
 // Plan is what Serve runs by.
 type Plan struct {
-	settings *settings.Settings
+	settings *platformconfig.Settings
 	own      *Own
 	members  *membership.Table
 	first    int // the catalogue's first source there
-	names    bulletin.Names
+	names    listwatch.Names
 	last     int64 // event of the bulletin
 	known    []broker.Event
 	boxes    int
@@ -39,7 +39,7 @@
 	}
 	p := &Plan{again: func() (*Plan, error) { return Load(config, conf) }}
 	var err error
-	if p.settings, err = settings.Load(config); err != nil {
+	if p.settings, err = platformconfig.Load(config); err != nil {
 		return nil, err
 	}
 	if p.own, err = ReadOwn(conf); err != nil {
@@ -68,6 +68,6 @@
 	if p.last, p.known, err = p.names.Known(p.settings.Known); err != nil {
 		return err
 	}
-	p.boxes = bulletin.Boxes(p.known)
+	p.boxes = listwatch.Boxes(p.known)
 	return nil
 }
--- a/node/pools.go
+++ b/internal/proxy/pools.go
@@ -1,4 +1,4 @@
-package node
+package proxy
 
 import (
 	"errors"
@@ -8,12 +8,12 @@
 	"strings"
 	"time"
 
-	"sloequay/broker"
-	"sloequay/conf"
-	"sloequay/contract"
-	"sloequay/depot"
-	"sloequay/membership"
-	"sloequay/route"
+	"sloequay/internal/broker"
+	"sloequay/internal/config"
+	"sloequay/internal/membership"
+	"sloequay/internal/quota"
+	"sloequay/internal/route"
+	"sloequay/internal/upstream"
 )
 
 // services is the block `services` of the settings: it is joined with the platform's names by table.
@@ -30,16 +30,16 @@
 
 type claimWords struct{ sites, classes, boxes []string }
 
-func (s *services) section() *conf.Section {
+func (s *services) section() *config.Section {
 	s.plan.Services = map[string]string{}
-	section := &conf.Section{}
-	section.Block("pool", true, "boxes with a decision module of their own; the first serves what names no service", func(words []string) (*conf.Section, error) {
+	section := &config.Section{}
+	section.Block("pool", true, "boxes with a decision module of their own; the first serves what names no service", func(words []string) (*config.Section, error) {
 		if len(words) != 1 {
 			return nil, fmt.Errorf("expected the pool's name, got %d words", len(words))
 		}
 		p := &poolWords{Pool: route.Pool{Name: words[0]}}
 		s.pools = append(s.pools, p)
-		at := &conf.Section{}
+		at := &config.Section{}
 		at.Number("part", &p.Part, 0, 1, "of connections and of open requests; an even part of the rest without it")
 		at.Each("boxes", func(words []string) error {
 			c, err := parseClaim(words)
@@ -74,12 +74,12 @@
 		s.plan.Rules = append(s.plan.Rules, r)
 		return nil
 	}, "whose requests are a service's: the first rule that fits counts")
-	section.Block("move", true, "a team that goes to another pool by and by", func(words []string) (*conf.Section, error) {
+	section.Block("move", true, "a team that goes to another pool by and by", func(words []string) (*config.Section, error) {
 		if len(words) != 2 {
 			return nil, errors.New("expected the team and the pool it goes to")
 		}
 		m := route.MovePlan{Team: words[0], To: words[1], Config: route.MoveConfig{Hold: time.Minute, Least: 50, Worse: 0.02, Tries: 3}}
-		at, i := &conf.Section{}, len(s.plan.Moves)
+		at, i := &config.Section{}, len(s.plan.Moves)
 		s.plan.Moves = append(s.plan.Moves, m)
 		c := &s.plan.Moves[i].Config
 		least, worse, tries, hold := c.Least, c.Worse, c.Tries, c.Hold
@@ -155,7 +155,7 @@
 // pool is one set of boxes with its module, its view of the list and its connections. Pools see nothing of one another.
 type pool struct {
 	broker *broker.Broker
-	depots *depot.Pool
+	depots *upstream.Pool
 	events []broker.Event
 	part   float64
 }
@@ -168,7 +168,7 @@
 	parts := []float64{1}
 	if own.Services != nil {
 		var err error
-		if d.routes, err = own.Services.table(clock(), s.Control.ZoneNames, s.Control.KindNames); err != nil {
+		if d.routes, err = own.Services.table(monotonicNow(), s.Control.ZoneNames, s.Control.KindNames); err != nil {
 			return err
 		}
 		parts = parts[:0]
@@ -195,7 +195,7 @@
 func (p *pool) connect(d *doorman) {
 	s := d.plan.settings
 	all := s.Sockets - s.Sockets/clientPart - ownSockets
-	p.depots = &depot.Pool{Loop: d.loop, Emit: p.emit, Now: clock, May: p.broker.May, Log: d.log.Event, Resolve: d.resolver.Resolve, Barred: p.broker.Barred,
+	p.depots = &upstream.Pool{Loop: d.loop, Emit: p.emit, Now: monotonicNow, May: p.broker.May, Log: d.log.Event, Resolve: d.resolver.Resolve, Barred: p.broker.Barred,
 		Classes: s.Control.Classes, DialLimit: s.DialTimeout, Idle: s.ConnIdle, Streams: s.Streams, MayProbe: s.Control.Probes, MayQuit: s.Control.Cancel, FlowKBps: s.Control.FlowKBps,
 		Most: max(1, int(float64(all)*p.part))}
 	if secure := d.plan.own.BoxTLS; secure != nil {
@@ -208,7 +208,7 @@
 func (p *pool) round(d *doorman) {
 	events := p.events
 	p.events = nil
-	for _, e := range p.broker.Round(clock(), events) {
+	for _, e := range p.broker.Round(monotonicNow(), events) {
 		d.carryOut(p, e)
 	}
 	p.depots.Write()
@@ -272,7 +272,7 @@
 	return n
 }
 
-func (d *doorman) limitRepeats(c *contract.Contracts) {
+func (d *doorman) limitRepeats(c *quota.Contracts) {
 	for _, p := range d.pools {
 		p.broker.LimitRepeats(c.Teams, c.Boxes)
 	}
@@ -284,7 +284,7 @@
 		return
 	}
 	failed := f.Kind == broker.Refusal || f.Kind == broker.Failure
-	if team := d.routes.Ended(clock(), r.Placed, failed); team != "" {
+	if team := d.routes.Ended(monotonicNow(), r.Placed, failed); team != "" {
 		d.tellMove(team)
 	}
 }
--- a/node/serve.go
+++ b/internal/proxy/serve.go
@@ -1,6 +1,6 @@
-// Package node is the assembly: what `sloequay serve` joins on the event loop. It reads all files into a Plan, and runs the
+// Package proxy is the assembly: what `sloequay serve` joins on the event loop. It reads all files into a Plan, and runs the
 // doorman by it.
-package node
+package proxy
 
 import (
 	"os"
@@ -10,20 +10,20 @@
 	"syscall"
 	"time"
 
-	"sloequay/broker"
-	"sloequay/contract"
-	"sloequay/depot"
-	"sloequay/dnsfront"
-	"sloequay/identity/tsig"
-	"sloequay/leave"
-	"sloequay/loop"
-	"sloequay/membership/bulletin"
-	"sloequay/oplog"
-	"sloequay/resolver"
-	"sloequay/route"
-	"sloequay/rpc"
-	"sloequay/start"
-	"sloequay/steady"
+	"sloequay/internal/bootstrap"
+	"sloequay/internal/broker"
+	"sloequay/internal/clock"
+	"sloequay/internal/eventlog"
+	"sloequay/internal/eventloop"
+	"sloequay/internal/frontend/dns"
+	"sloequay/internal/frontend/rpc"
+	"sloequay/internal/identity/tsig"
+	"sloequay/internal/membership/listwatch"
+	"sloequay/internal/quota"
+	"sloequay/internal/route"
+	"sloequay/internal/shutdown"
+	"sloequay/internal/upstream"
+	"sloequay/internal/upstream/resolver"
 )
 
 const (
@@ -38,35 +38,35 @@
 // doorman is the assembled program. Everything in it runs on the loop.
 type doorman struct {
 	plan      *Plan
-	contracts *contract.Book // nil: every team may do everything
-	loop      *loop.Loop
+	contracts *quota.Book // nil: every team may do everything
+	loop      *eventloop.Loop
 	pools     []*pool      // one, where the settings name none
 	routes    *route.Table // nil: one pool
-	bulletin  *bulletin.Reader
+	bulletin  *listwatch.Reader
 	front     *rpc.Front
-	dns       *dnsfront.Front // nil: off
+	dns       *dns.Front // nil: off
 	resolver  *resolver.Resolver
-	log       *oplog.Logger
+	log       *eventlog.Logger
 	list      *sources
 	door      *door         // nil: every caller may do everything
 	kept      time.Duration // when the last housekeeping was
 	tallied   time.Duration // when the depots' tallies were last logged
 	signals   chan os.Signal
-	leaving   leave.Leave
-	steady    steady.Keeper
+	leaving   shutdown.Leave
+	steady    clock.Keeper
 	stopped   bool
 	known     bool // see knowsBoxes
 }
 
 // Serve runs the doorman until SIGTERM has been seen through.
-func Serve(p *Plan, log *oplog.Logger) error {
+func Serve(p *Plan, log *eventlog.Logger) error {
 	s := p.settings
 	ahead = p.own.ahead
 	debug.SetMemoryLimit(s.Memory * 6 / 10) // the rest is for stacks, the runtime and the sockets' buffers
 	debug.SetGCPercent(300)                 // within that: eight collections a second were measured at full load
 	// The loop never parks its goroutine. With one P, dials beside it were seen only each 10 ms and took 25 to 50 ms.
 	runtime.GOMAXPROCS(max(2, runtime.GOMAXPROCS(0)))
-	d := &doorman{plan: p, log: log, leaving: leave.Leave{Longest: s.Longest()}, signals: make(chan os.Signal, 8)}
+	d := &doorman{plan: p, log: log, leaving: shutdown.Leave{Longest: s.Longest()}, signals: make(chan os.Signal, 8)}
 	signal.Notify(d.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	if p.own.Contracts != nil {
 		d.contracts = p.own.Contracts.Book()
@@ -79,35 +79,35 @@
 	}
 	full := func() bool { return int64(d.loop.Outbound()) > s.Memory/5 }
 	ready := func() bool { return !d.leaving.Begun() && d.knowsBoxes() }
-	clients, listeners := s.Sockets/clientPart, []loop.Listener(nil)
+	clients, listeners := s.Sockets/clientPart, []eventloop.Listener(nil)
 	if p.own.DNS != nil {
 		most := clients / 4
 		clients -= most
-		d.dns = &dnsfront.Front{Config: p.own.DNS, Classes: s.Control.Classes, Emit: d.enter, Now: clock, Unix: unixClock,
+		d.dns = &dns.Front{Config: p.own.DNS, Classes: s.Control.Classes, Emit: d.enter, Now: monotonicNow, Unix: unixClock,
 			Log: d.log.Event, Box: d.box, Most: most, Seed: s.Seed, MostWait: s.Control.MaxRetryAfter}
 		if cfg := p.own.Identity; cfg != nil {
 			d.dns.Skew = cfg.Gate.Policy.Skew
 			d.dns.Keys = func() *tsig.Keys { return d.door.tsig }
 		}
-		listeners = append(listeners, loop.Listener{Network: "udp", Address: p.own.DNS.Listen, Packet: d.dns.Packet},
-			loop.Listener{Network: "tcp", Address: p.own.DNS.Listen, Accept: d.dns.Accept})
+		listeners = append(listeners, eventloop.Listener{Network: "udp", Address: p.own.DNS.Listen, Packet: d.dns.Packet},
+			eventloop.Listener{Network: "tcp", Address: p.own.DNS.Listen, Accept: d.dns.Accept})
 	}
 	if cfg := p.own.Identity; cfg != nil && cfg.tls != nil {
 		// A connection by TLS takes two descriptors more than one of the lobby's.
 		cfg.tls.Most = min(cfg.tls.Most, clients/4)
 		clients -= 2 * cfg.tls.Most
 	}
-	d.front = rpc.New(s.Control.Classes, clients, d.enter, clock, ready, full, d.log.Event)
+	d.front = rpc.New(s.Control.Classes, clients, d.enter, monotonicNow, ready, full, d.log.Event)
 	d.front.MostWait = s.Control.MaxRetryAfter
-	listeners = append(listeners, loop.Listener{Network: "tcp", Address: s.Listen, Accept: d.front.Accept})
-	return loop.Run(listeners, d.start, d.round)
+	listeners = append(listeners, eventloop.Listener{Network: "tcp", Address: s.Listen, Accept: d.front.Accept})
+	return eventloop.Run(listeners, d.start, d.round)
 }
 
 // start joins the parts once the loop runs, and hands the module what was known at the start.
-func (d *doorman) start(l *loop.Loop) {
+func (d *doorman) start(l *eventloop.Loop) {
 	s := d.plan.settings
 	d.loop, l.Memory, l.Bind = l, int(s.Memory), d.plan.own.from()
-	d.resolver = &resolver.Resolver{Loop: l, Now: clock}
+	d.resolver = &resolver.Resolver{Loop: l, Now: monotonicNow}
 	if dns := d.plan.own.DNS; dns != nil {
 		d.resolver.Server, d.resolver.Limit = dns.Resolver, dns.ResolveLimit
 	}
@@ -117,8 +117,8 @@
 	if secure := d.plan.own.BoxTLS; secure != nil {
 		secure.watch(d)
 	}
-	d.bulletin = &bulletin.Reader{Loop: l, Address: s.Bulletin, Names: d.plan.names, Last: d.plan.last, Emit: d.emit,
-		Now: clock, Log: d.log.Event}
+	d.bulletin = &listwatch.Reader{Loop: l, Address: s.Bulletin, Names: d.plan.names, Last: d.plan.last, Emit: d.emit,
+		Now: monotonicNow, Log: d.log.Event}
 	if cfg := d.plan.own.Identity; cfg != nil {
 		d.door = d.newDoor(cfg)
 		d.front.Source = d.door.source
@@ -136,7 +136,7 @@
 // enter takes what a front has: a request meets the door first, where there is one.
 func (d *doorman) enter(e broker.Event) {
 	if a, ok := e.(broker.Arrival); ok {
-		a.Request.Limit = d.leaving.Limit(clock(), a.Request.Limit)
+		a.Request.Limit = d.leaving.Limit(monotonicNow(), a.Request.Limit)
 		if d.door != nil {
 			d.door.arrive(a.Request)
 			return
@@ -169,8 +169,8 @@
 	}
 	// Where peers tell lists, one that a single one of them tells is not known at once.
 	d.known = d.known && (d.list.restored || d.list.herd.link == nil || d.list.herd.machine.Known())
-	window := time.Duration(d.plan.settings.Control.Instances) * start.PerDoorman // in which doormans ask one after another
-	d.known = d.known || clock()-time.Duration(born.UnixNano()) > knowWithin+window
+	window := time.Duration(d.plan.settings.Control.Instances) * bootstrap.PerDoorman // in which doormans ask one after another
+	d.known = d.known || monotonicNow()-time.Duration(born.UnixNano()) > knowWithin+window
 	return d.known
 }
 
@@ -195,7 +195,7 @@
 	}
 	d.bulletin.Follow(next.settings.Bulletin)
 	if c := next.own.Contracts; d.contracts != nil && c != nil {
-		d.contracts.Renew(clock(), c.Root.Share(c.Instances))
+		d.contracts.Renew(monotonicNow(), c.Root.Share(c.Instances))
 		d.limitRepeats(c)
 		d.log.Event("contracts-renewed", "version", d.contracts.Version, "teams", len(c.Root.Children), "open", d.contracts.Held())
 	}
@@ -205,7 +205,7 @@
 
 // leave begins the end: status says false, and what is open or still comes is served.
 func (d *doorman) leave() {
-	if !d.leaving.Begin(clock()) {
+	if !d.leaving.Begin(monotonicNow()) {
 		return
 	}
 	d.list.leave() // first thing: clients are to look elsewhere
@@ -215,22 +215,22 @@
 
 // end does what the end wants next.
 func (d *doorman) end(now time.Duration) {
-	held := leave.Held{Open: d.open(), Clients: d.front.Clients(), Unsent: d.loop.Outbound(), Others: !d.list.left()}
+	held := shutdown.Held{Open: d.open(), Clients: d.front.Clients(), Unsent: d.loop.Outbound(), Others: !d.list.left()}
 	if d.dns != nil {
 		held.Clients += d.dns.Clients()
 	}
 	switch d.leaving.Step(now, held) {
-	case leave.Dismiss:
+	case shutdown.Dismiss:
 		d.front.Dismiss()
 		if d.dns != nil {
 			d.dns.Dismiss()
 		}
-	case leave.Cut:
+	case shutdown.Cut:
 		for _, p := range d.pools {
 			p.emit(broker.Cutoff{})
 		}
 		d.loop.NeedRound()
-	case leave.Stop:
+	case shutdown.Stop:
 		d.stopped = true
 		d.log.Event("left", "open", held.Open, "clients", held.Clients, "unsent", held.Unsent)
 		d.loop.Stop()
@@ -239,7 +239,7 @@
 
 // round hands what has been gathered to the module in one go, and carries out what comes back.
 func (d *doorman) round() {
-	now := clock()
+	now := monotonicNow()
 	if step := d.steady.Read(now, unixClock()); step != 0 {
 		d.log.Event("clock-stepped", "by", step)
 		if d.door != nil {
@@ -274,7 +274,7 @@
 	if now-d.tallied >= tallyEvery {
 		d.tallied = now
 		for i, p := range d.pools {
-			if t := p.depots.Take(); t != (depot.Tally{}) {
+			if t := p.depots.Take(); t != (upstream.Tally{}) {
 				d.log.Event("depot-tally", append([]any{"pool", i}, t.Fields()...)...)
 			}
 		}
@@ -306,7 +306,7 @@
 			wake = min(wake, next)
 		}
 	}
-	d.loop.WakeAfter(max(0, wake-clock()))
+	d.loop.WakeAfter(max(0, wake-monotonicNow()))
 }
 
 func (d *doorman) carryOut(p *pool, effect broker.Effect) {
--- a/node/sources.go
+++ b/internal/proxy/sources.go
@@ -1,4 +1,4 @@
-package node
+package proxy
 
 import (
 	"context"
@@ -7,12 +7,12 @@
 	"sync/atomic"
 	"time"
 
-	"sloequay/broker"
-	"sloequay/membership"
-	"sloequay/membership/bulletin"
-	"sloequay/membership/consul"
-	"sloequay/snapshot"
-	"sloequay/snapshot/disk"
+	"sloequay/internal/broker"
+	"sloequay/internal/membership"
+	"sloequay/internal/membership/consul"
+	"sloequay/internal/membership/listwatch"
+	"sloequay/internal/snapshot"
+	"sloequay/internal/snapshot/disk"
 )
 
 // sources joins the sources of boxes and purges to the doorman. Its methods run on the loop.
@@ -48,8 +48,8 @@
 	for _, e := range p.known {
 		emit(e)
 	}
-	d.bulletin = &bulletin.Reader{Loop: d.loop, Address: p.settings.Bulletin, Names: p.names, Last: p.last, Emit: emit,
-		Now: clock, Log: d.log.Event}
+	d.bulletin = &listwatch.Reader{Loop: d.loop, Address: p.settings.Bulletin, Names: p.names, Last: p.last, Emit: emit,
+		Now: monotonicNow, Log: d.log.Event}
 	if p.own.Catalogue == nil {
 		return
 	}
@@ -66,9 +66,9 @@
 		}
 	}
 	s.herd = newHerd(s)
-	s.herd.round(clock())
+	s.herd.round(monotonicNow())
 	if p.own.Catalogue.Register != nil {
-		keeper := &consul.Catalogue{Config: p.own.Catalogue, Names: p.names.Names, Tell: s.tell, Log: s.log, Now: clock, Seed: p.settings.Seed}
+		keeper := &consul.Catalogue{Config: p.own.Catalogue, Names: p.names.Names, Tell: s.tell, Log: s.log, Now: monotonicNow, Seed: p.settings.Seed}
 		s.kept.Store(true)
 		go func() {
 			defer s.kept.Store(false)
@@ -88,7 +88,7 @@
 // open begins to ask the catalogue, until ctx ends. What comes after that is dropped.
 func (s *sources) open(ctx context.Context, cfg *consul.Config) *consul.Catalogue {
 	p := s.doorman.plan
-	c := &consul.Catalogue{Config: cfg, Names: p.names.Names, First: p.first, Log: s.log, Now: clock, Seed: p.settings.Seed,
+	c := &consul.Catalogue{Config: cfg, Names: p.names.Names, First: p.first, Log: s.log, Now: monotonicNow, Seed: p.settings.Seed,
 		Tell: func(events ...broker.Event) {
 			if ctx.Err() == nil {
 				s.tell(events...)
--- a/contract/meter.go
+++ b/internal/quota/meter.go
@@ -1,4 +1,4 @@
-package contract
+package quota
 
 import (
 	"math"
--- a/contract/contract.go
+++ b/internal/quota/quota.go
@@ -1,11 +1,11 @@
-package contract
+package quota
 
 import (
 	"cmp"
 	"slices"
 	"time"
 
-	"sloequay/capacity"
+	"sloequay/internal/concurrency"
 )
 
 const (
@@ -35,14 +35,14 @@
 	ring    []*node          // the same, in no order, for the sweep
 	at      int              // of the sweep
 	Version int
-	limit   *capacity.Limit // nil: none
+	limit   *concurrency.Limit // nil: none
 }
 
 // Grant is what an admission has taken. Its zero value is that of no contract.
 type Grant struct {
 	leaf  *node
 	cost  Cost
-	limit *capacity.Limit
+	limit *concurrency.Limit
 }
 
 // NewBook makes a book of contracts. root's children are the tenants, of which one with an empty name stands for all that are not
@@ -83,10 +83,10 @@
 
 // Adapt has a limit on all that is open learned from how requests end; nil: none. Each tenant always has its part of it, by what
 // it is guaranteed, or by weight where nobody is guaranteed anything.
-func (b *Book) Adapt(l *capacity.Limit) { b.limit = l }
+func (b *Book) Adapt(l *concurrency.Limit) { b.limit = l }
 
 // Capacity is that limit; nil: none.
-func (b *Book) Capacity() *capacity.Limit { return b.limit }
+func (b *Book) Capacity() *concurrency.Limit { return b.limit }
 
 // Renew takes over other contracts. Requests that were admitted keep their grants, and nodes that stay what they have used.
 func (b *Book) Renew(now time.Duration, root *Spec) {
@@ -288,10 +288,10 @@
 }
 
 // Done gives back what an admission holds, where it was taken, and tells nothing of the load. Either it or End must be called once.
-func (g Grant) Done(now time.Duration) { g.End(now, capacity.Silent, 0) }
+func (g Grant) Done(now time.Duration) { g.End(now, concurrency.Silent, 0) }
 
 // End is Done with how the request ended, as far as it tells of the load, and how long it took.
-func (g Grant) End(now time.Duration, o capacity.Outcome, took time.Duration) {
+func (g Grant) End(now time.Duration, o concurrency.Outcome, took time.Duration) {
 	if g.limit != nil {
 		g.limit.Done(now, o, took)
 	}
--- a/contract/section.go
+++ b/internal/quota/section.go
@@ -1,4 +1,4 @@
-package contract
+package quota
 
 import (
 	"errors"
@@ -8,9 +8,9 @@
 	"strings"
 	"time"
 
-	"sloequay/capacity"
-	"sloequay/conf"
-	"sloequay/retry"
+	"sloequay/internal/concurrency"
+	"sloequay/internal/config"
+	"sloequay/internal/retry"
 )
 
 // Contracts is the block `contracts` as written.
@@ -19,16 +19,16 @@
 	Instances int // doormen that share the contracts
 	Teams     retry.Config
 	Boxes     retry.Config
-	Adaptive  *capacity.Config // nil: what is open in all is not limited by what is learned
+	Adaptive  *concurrency.Config // nil: what is open in all is not limited by what is learned
 }
 
 // Section gives the directives of the block `contracts`, and what they say once it was read.
-func Section() (*conf.Section, *Contracts) {
+func Section() (*config.Section, *Contracts) {
 	c := &Contracts{Root: &Spec{Name: "installation"}, Instances: 1}
 	s := c.Root.section(false)
 	s.Int("instances", &c.Instances, 1, 10_000, "doormen that these contracts are shared by; each has its part of every budget")
-	s.Block("retries", false, "how many repeated attempts there may be to first ones", func([]string) (*conf.Section, error) {
-		p := &conf.Section{}
+	s.Block("retries", false, "how many repeated attempts there may be to first ones", func([]string) (*config.Section, error) {
+		p := &config.Section{}
 		c.Teams.Window = time.Second
 		p.Number("team-share", &c.Teams.Share, 0, 5, "of one team; 0: no limit")
 		p.Rate("team-floor", &c.Teams.Floor, 0, 1e6, "that one team has whatever its first tries")
@@ -41,10 +41,10 @@
 		})
 		return p, nil
 	})
-	s.Block("adaptive", false, "a limit on all that is open, learned from how requests end", func([]string) (*conf.Section, error) {
-		a := &capacity.Config{Least: 16, Most: 100_000, Start: 200, Late: 0.04, Window: 100 * time.Millisecond}
+	s.Block("adaptive", false, "a limit on all that is open, learned from how requests end", func([]string) (*config.Section, error) {
+		a := &concurrency.Config{Least: 16, Most: 100_000, Start: 200, Late: 0.04, Window: 100 * time.Millisecond}
 		c.Adaptive = a
-		p := &conf.Section{}
+		p := &config.Section{}
 		p.Number("least", &a.Least, 1, 1e6, "requests that may always be open")
 		p.Number("most", &a.Most, 1, 1e6, "and that may never be exceeded")
 		p.Number("start", &a.Start, 1, 1e6, "what it begins with")
@@ -59,17 +59,17 @@
 		return p, nil
 	})
 	named := map[string]bool{}
-	tenant := func(name string) *conf.Section {
+	tenant := func(name string) *config.Section {
 		t := &Spec{Name: name}
 		c.Root.Children = append(c.Root.Children, t)
 		section := t.section(true)
 		section.Words("class", &t.Classes, nil, "classes that it may use; all without it")
-		t.below(section, "service", func(v *Spec, at *conf.Section) { v.below(at, "for", nil, "what one class of the service has of it") },
+		t.below(section, "service", func(v *Spec, at *config.Section) { v.below(at, "for", nil, "what one class of the service has of it") },
 			"what one of its services has of it")
 		t.below(section, "for", nil, "what one class has of it")
 		return section
 	}
-	s.Block("team", true, "what one team has agreed to", func(words []string) (*conf.Section, error) {
+	s.Block("team", true, "what one team has agreed to", func(words []string) (*config.Section, error) {
 		if len(words) != 1 {
 			return nil, fmt.Errorf("expected the team's name, got %d words", len(words))
 		}
@@ -80,15 +80,15 @@
 		return tenant(words[0]), nil
 	})
 	s.Block("others", false, "what all teams have that are not named, together; without it they are refused",
-		func([]string) (*conf.Section, error) { return tenant(""), nil })
+		func([]string) (*config.Section, error) { return tenant(""), nil })
 	return s, c
 }
 
 const nameMost = 256
 
 // below adds a block for the children of a node.
-func (s *Spec) below(section *conf.Section, word string, more func(*Spec, *conf.Section), help string) {
-	section.Block(word, true, help, func(words []string) (*conf.Section, error) {
+func (s *Spec) below(section *config.Section, word string, more func(*Spec, *config.Section), help string) {
+	section.Block(word, true, help, func(words []string) (*config.Section, error) {
 		if len(words) != 1 || words[0] == "" || len(words[0]) > nameMost {
 			return nil, fmt.Errorf("expected a name of 1 to %d letters", nameMost)
 		}
@@ -106,8 +106,8 @@
 }
 
 // section gives the directives that every node has.
-func (s *Spec) section(below bool) *conf.Section {
-	section := &conf.Section{}
+func (s *Spec) section(below bool) *config.Section {
+	section := &config.Section{}
 	for k := Requests; k < rateKinds; k++ {
 		help := k.String() + " a second"
 		if below {
@@ -161,7 +161,7 @@
 func (c *Contracts) Book() *Book {
 	b := NewBook(c.Root.Share(c.Instances))
 	if c.Adaptive != nil {
-		b.Adapt(capacity.New(*c.Adaptive))
+		b.Adapt(concurrency.New(*c.Adaptive))
 	}
 	return b
 }
--- a/contract/tree.go
+++ b/internal/quota/tree.go
@@ -1,7 +1,7 @@
-// Package contract holds what teams have agreed to, as a tree of budgets: the installation, tenants, their services, the
+// Package quota holds what teams have agreed to, as a tree of budgets: the installation, tenants, their services, the
 // services' classes. Each node may limit any of the kinds; what is not used is lent by weight and called back at once. It is the
 // block `contracts` of the settings, and decides by events at a time: it does no I/O and asks no clock.
-package contract
+package quota
 
 import (
 	"math"
--- a/leave/leave.go
+++ b/internal/shutdown/shutdown.go
@@ -1,10 +1,10 @@
-// Package leave decides how a doorman ends: how long it stays after it was told to, what the clients that are still there are
+// Package shutdown decides how a doorman ends: how long it stays after it was told to, what the clients that are still there are
 // owed, and when nothing can be lost any more. It has no I/O and no clock.
 //
 // Invariants: once begun it comes to Stop, at Longest and grace at the latest; before that it stops only when nothing is open, all answers
 // were taken by the system, and no client has been connected for crossing; it never says Cut before a request that came in time could
 // have had its answer.
-package leave
+package shutdown
 
 import "time"
 
--- a/leave/leave_test.go
+++ b/internal/shutdown/shutdown_test.go
@@ -1,4 +1,4 @@
-package leave
+package shutdown
 
 import (
 	"testing"
--- a/wire/wire.go
+++ b/internal/simwire/simwire.go
@@ -1,6 +1,6 @@
-// Package wire turns frames of the simulator's protocol into the types of package control and back.
+// Package simwire turns frames of the simulator's protocol into the types of package control and back.
 // It decides nothing.
-package wire
+package simwire
 
 import (
 	"encoding/binary"
@@ -10,8 +10,8 @@
 	"math"
 	"time"
 
-	"sloequay/control"
-	"sloequay/settings"
+	"sloequay/internal/platformconfig"
+	"sloequay/internal/policy"
 )
 
 const (
@@ -55,15 +55,15 @@
 	"WHISPER", "DOWN", "RECALLED",
 }
 
-var statuses = map[uint16]control.Status{
-	200: control.OK, 502: control.Error, 429: control.Full, 408: control.Timeout, 521: control.ConnectFailed,
-	520: control.Reset, 444: control.Cancelled, 409: control.Moot, 204: control.Miss,
+var statuses = map[uint16]policy.Status{
+	200: policy.OK, 502: policy.Error, 429: policy.Full, 408: policy.Timeout, 521: policy.ConnectFailed,
+	520: policy.Reset, 444: policy.Cancelled, 409: policy.Moot, 204: policy.Miss,
 }
 
 // Hello starts an instance.
 type Hello struct {
 	Seed   uint64
-	Config control.Config
+	Config policy.Config
 }
 
 // Record is one record of a batch: exactly one of Hello, Down and Event is set.
@@ -71,7 +71,7 @@
 	Instance uint32
 	Hello    *Hello
 	Down     bool
-	Event    control.Event
+	Event    policy.Event
 }
 
 // Batch is one frame from the simulator, its records still undecoded.
@@ -98,7 +98,7 @@
 	if length < 8 {
 		return fmt.Errorf("batch header: byte 8: length %d, expected 8 or more", length)
 	}
-	b.Now = settings.MS(clock)
+	b.Now = platformconfig.MS(clock)
 	b.Count = binary.LittleEndian.Uint32(head[12:])
 	b.Seq = binary.LittleEndian.Uint32(head[16:])
 	b.left, b.pos, b.data = b.Count, 0, b.data[:0]
@@ -175,18 +175,18 @@
 }
 
 func (r *reader) time(what string) time.Duration {
-	return settings.MS(math.Float64frombits(r.u64(what)))
+	return platformconfig.MS(math.Float64frombits(r.u64(what)))
 }
 
-func (r *reader) node(what string) control.NodeID {
+func (r *reader) node(what string) policy.NodeID {
 	if b := r.take(6, what); b != nil {
-		return control.NodeID(binary.BigEndian.Uint32(b))<<16 |
-			control.NodeID(binary.LittleEndian.Uint16(b[4:]))
+		return policy.NodeID(binary.BigEndian.Uint32(b))<<16 |
+			policy.NodeID(binary.LittleEndian.Uint16(b[4:]))
 	}
 	return 0
 }
 
-func (r *reader) status(what string) control.Status {
+func (r *reader) status(what string) policy.Status {
 	code := r.u16(what)
 	s, ok := statuses[code]
 	if !ok && r.err == nil {
@@ -255,7 +255,7 @@
 		h := &Hello{Seed: r.u64("init-seed")}
 		text := r.take(int(r.u32("info count")), "info")
 		if r.err == nil {
-			if h.Config, r.err = settings.ParseControl(text); r.err != nil {
+			if h.Config, r.err = platformconfig.ParseControl(text); r.err != nil {
 				r.err = fmt.Errorf("HELLO: byte %d: %w", 17, r.err)
 			}
 		}
@@ -263,41 +263,41 @@
 	case codeBackends:
 		rec.Event = decodeList(r)
 	case codeCall:
-		e := control.CallEvent{ID: control.RequestID(r.u32("txn")), Class: int(r.u16("type")),
+		e := policy.CallEvent{ID: policy.RequestID(r.u32("txn")), Class: int(r.u16("type")),
 			Tenant: int(r.u16("account")), Object: r.u64("asset"), Left: r.time("ttl-ms"),
 			SizeKB: r.f32("kbytes")}
 		e.Group, e.Part = small(r.f32("tag")), small(r.f32("part"))
 		e.Repeat = r.u8("marks")&2 != 0
 		rec.Event = e
 	case codeHeaders:
-		rec.Event = control.HeadersEvent{ID: control.RequestID(r.u32("txn")), Node: r.node("node"),
+		rec.Event = policy.HeadersEvent{ID: policy.RequestID(r.u32("txn")), Node: r.node("node"),
 			Attempt: int(r.u8("round-no")), Took: r.time("duration-ms")}
 	case codeAnswer:
-		rec.Event = control.AnswerEvent{ID: control.RequestID(r.u32("txn")), Took: r.time("duration-ms"),
-			Node: r.node("node"), Settled: r.u8("settled") != 0, Note: control.Note(r.u8("note")),
+		rec.Event = policy.AnswerEvent{ID: policy.RequestID(r.u32("txn")), Took: r.time("duration-ms"),
+			Node: r.node("node"), Settled: r.u8("settled") != 0, Note: policy.Note(r.u8("note")),
 			Attempt: int(r.u8("round-no")), FirstByte: r.time("first-byte-ms"),
 			Status: r.status("reason"), Load: r.load()}
 	case codeGone:
-		rec.Event = control.GoneEvent{ID: control.RequestID(r.u32("txn"))}
+		rec.Event = policy.GoneEvent{ID: policy.RequestID(r.u32("txn"))}
 	case codeElapsed:
-		rec.Event = control.TimerEvent{Token: r.u64("label")}
+		rec.Event = policy.TimerEvent{Token: r.u64("label")}
 	case codeCheck:
-		rec.Event = control.ProbeEvent{Node: r.node("node"), Status: r.status("reason"),
+		rec.Event = policy.ProbeEvent{Node: r.node("node"), Status: r.status("reason"),
 			Took: r.time("duration-ms"), Load: r.load()}
 	case codeWhisper:
-		rec.Event = control.PeerEvent{From: int(r.u16("who")),
+		rec.Event = policy.PeerEvent{From: int(r.u16("who")),
 			Data: append([]byte(nil), r.take(int(r.u16("raw count")), "raw")...)}
 	case codeDown:
 		rec.Down = true
 	case codeRecalled:
-		rec.Event = control.PurgeEvent{Object: r.u64("asset"), Group: int(r.u16("family-id")),
+		rec.Event = policy.PurgeEvent{Object: r.u64("asset"), Group: int(r.u16("family-id")),
 			Age: r.time("age-span-ms")}
 	}
 }
 
-func decodeList(r *reader) control.ListEvent {
-	e := control.ListEvent{Kind: control.ListKind(r.u8("scope"))}
-	if r.err == nil && e.Kind > control.ListFailed {
+func decodeList(r *reader) policy.ListEvent {
+	e := policy.ListEvent{Kind: policy.ListKind(r.u8("scope"))}
+	if r.err == nil && e.Kind > policy.ListFailed {
 		r.err = fmt.Errorf("%s: byte 5: scope %d, expected 0 to 3", r.name, e.Kind)
 	}
 	e.Version = r.u64("seq-no")
@@ -310,15 +310,15 @@
 			r.name, r.pos-r.start, room, n*entrySize, n)
 		return e
 	}
-	e.Nodes = make([]control.Node, n)
+	e.Nodes = make([]policy.Node, n)
 	for i := range e.Nodes {
 		nd := &e.Nodes[i]
 		nd.ID = r.node("node")
 		nd.Zone, nd.Kind = int(r.u8("az")), int(r.u8("machine"))
 		nd.Cell = int(r.u16("cluster"))
-		nd.State = control.State(r.u8("status"))
+		nd.State = policy.State(r.u8("status"))
 		nd.Weight, nd.Since = r.f32("scale"), r.time("since-ms")
-		if nd.State > control.Draining {
+		if nd.State > policy.Draining {
 			r.err = fmt.Errorf("%s: entry %d: byte 10: status %d, expected 0 to 2", r.name, i, nd.State)
 			return e
 		}
@@ -357,7 +357,7 @@
 
 func (r *Reply) time(d time.Duration) { r.u64(math.Float64bits(toMS(d))) }
 
-func (r *Reply) node(n control.NodeID) {
+func (r *Reply) node(n policy.NodeID) {
 	r.buf = binary.BigEndian.AppendUint32(r.buf, uint32(n>>16))
 	r.buf = binary.LittleEndian.AppendUint16(r.buf, uint16(n))
 }
@@ -385,9 +385,9 @@
 }
 
 // Add appends one action of an instance.
-func (r *Reply) Add(inst uint32, action control.Action) {
+func (r *Reply) Add(inst uint32, action policy.Action) {
 	switch a := action.(type) {
-	case control.Get:
+	case policy.Get:
 		r.begin(codeGet, inst)
 		r.u32(uint32(a.ID))
 		r.node(a.Node)
@@ -396,30 +396,30 @@
 		r.buf = append(r.buf, uint8(a.Keep))
 		r.time(a.Age)
 		r.buf = append(r.buf, bits(a.Join, a.HeldOnly, a.NoParent, a.Renew))
-	case control.Refuse:
+	case policy.Refuse:
 		r.begin(codeBusy, inst)
 		r.u32(uint32(a.ID))
 		r.time(a.Wait)
-	case control.Fail:
+	case policy.Fail:
 		r.begin(codeSurrender, inst)
 		r.u32(uint32(a.ID))
-	case control.Cancel:
+	case policy.Cancel:
 		r.begin(codeUndo, inst)
 		r.u32(uint32(a.ID))
 		r.buf = append(r.buf, uint8(a.Attempt))
-	case control.Timer:
+	case policy.Timer:
 		r.begin(codeDefer, inst)
 		r.u64(a.Token)
 		r.time(a.At)
-	case control.Probe:
+	case policy.Probe:
 		r.begin(codeSoundOut, inst)
 		r.node(a.Node)
-	case control.Watch:
+	case policy.Watch:
 		r.begin(codeTail, inst)
 		r.buf = append(r.buf, bits(a.On))
-	case control.FetchList:
+	case policy.FetchList:
 		r.begin(codeGetList, inst)
-	case control.Log:
+	case policy.Log:
 		r.begin(codeNote, inst)
 		r.text(a.Text)
 	}
--- a/snapshot/disk/disk.go
+++ b/internal/snapshot/disk/disk.go
@@ -10,8 +10,8 @@
 	"path/filepath"
 	"time"
 
-	"sloequay/membership"
-	"sloequay/snapshot"
+	"sloequay/internal/membership"
+	"sloequay/internal/snapshot"
 )
 
 // Write replaces the snapshot at a path. The old one stays where anything fails.
--- a/snapshot/disk/disk_test.go
+++ b/internal/snapshot/disk/disk_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"sloequay/membership"
-	"sloequay/snapshot"
+	"sloequay/internal/membership"
+	"sloequay/internal/snapshot"
 )
 
 const now = 1_000_000 * time.Second
--- a/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -13,7 +13,7 @@
 	"hash/crc32"
 	"time"
 
-	"sloequay/membership"
+	"sloequay/internal/membership"
 )
 
 // Version is the form's version. A reader refuses any other.
--- a/depot/answer.go
+++ b/internal/upstream/answer.go
@@ -1,4 +1,4 @@
-package depot
+package upstream
 
 import (
 	"bytes"
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
-	"sloequay/broker"
-	"sloequay/control"
+	"sloequay/internal/broker"
+	"sloequay/internal/policy"
 )
 
 const (
@@ -31,14 +31,14 @@
 }
 
 // probes is what they mean for a probe.
-var probes = map[string]control.Status{"READY": control.OK, "AILING": control.Error}
+var probes = map[string]policy.Status{"READY": policy.OK, "AILING": policy.Error}
 
 // notes is the words of a remark.
-var notes = map[string]control.Note{
-	"hit": control.NoteHit, "filled": control.NoteFilled, "via_origin": control.NoteFilledOrigin,
-	"joined": control.NoteJoined, "stale": control.NoteStale, "src_refused": control.NoteSourceRefused,
-	"src_broke": control.NoteSourceLost, "src_lacks": control.NoteSourceLacks, "no_slot": control.NoteNoPlace,
-	"origin_failed": control.NoteOriginFailed,
+var notes = map[string]policy.Note{
+	"hit": policy.NoteHit, "filled": policy.NoteFilled, "via_origin": policy.NoteFilledOrigin,
+	"joined": policy.NoteJoined, "stale": policy.NoteStale, "src_refused": policy.NoteSourceRefused,
+	"src_broke": policy.NoteSourceLost, "src_lacks": policy.NoteSourceLacks, "no_slot": policy.NoteNoPlace,
+	"origin_failed": policy.NoteOriginFailed,
 }
 
 // parse takes one answer off the front of data: "ID WORD FIELDS LENGTH CR LF", the bytes, CR LF. With used 0 and no
--- a/depot/check_test.go
+++ b/internal/upstream/check_test.go
@@ -1,4 +1,4 @@
-package depot
+package upstream
 
 import (
 	"testing"
--- a/resolver/resolver.go
+++ b/internal/upstream/resolver/resolver.go
@@ -12,7 +12,7 @@
 
 	"github.com/miekg/dns"
 
-	"sloequay/loop"
+	"sloequay/internal/eventloop"
 )
 
 // mostOpen bounds the names that are looked up together.
@@ -20,7 +20,7 @@
 
 // Resolver asks one server.
 type Resolver struct {
-	Loop   *loop.Loop
+	Loop   *eventloop.Loop
 	Server string        // ip:port; empty: no name can be resolved
 	Limit  time.Duration // for one name, with one retransmit half-way
 	Now    func() time.Duration
@@ -33,7 +33,7 @@
 	resolver *Resolver
 	name     string
 	query    *dns.Msg
-	conn     *loop.Conn
+	conn     *eventloop.Conn
 	begun    time.Duration
 	again    bool // asked twice
 	done     []func(netip.Addr, error)
@@ -86,7 +86,7 @@
 }
 
 // Opened sends the question.
-func (l *lookup) Opened(c *loop.Conn) {
+func (l *lookup) Opened(c *eventloop.Conn) {
 	if l.conn = c; l.done == nil { // given up meanwhile
 		c.Close()
 		return
@@ -95,7 +95,7 @@
 }
 
 // Received takes an answer; what does not fit the question is passed over.
-func (l *lookup) Received(c *loop.Conn) {
+func (l *lookup) Received(c *eventloop.Conn) {
 	packet := c.In
 	defer func() { c.Used(len(c.In)) }()
 	m := &dns.Msg{}
@@ -119,7 +119,7 @@
 }
 
 // Closed ends a lookup whose socket failed.
-func (l *lookup) Closed(_ *loop.Conn, err error) {
+func (l *lookup) Closed(_ *eventloop.Conn, err error) {
 	l.conn = nil
 	l.finish(netip.Addr{}, fmt.Errorf("%s: %v", l.name, err))
 }
--- a/depot/tally.go
+++ b/internal/upstream/tally.go
@@ -1,6 +1,6 @@
-package depot
+package upstream
 
-import "sloequay/control"
+import "sloequay/internal/policy"
 
 // Tally counts what a pool did on the wire and what the boxes said, since it was last taken. Each of these is harmless
 // in one doorman and is multiplied by every doorman of a fleet: probes and new connections are priced over all of
@@ -24,15 +24,15 @@
 const wordCount = len(wordNames)
 
 // The notes that tell of trouble behind a box, in the order of Tally.Notes.
-var noteWatched = [...]control.Note{control.NoteSourceRefused, control.NoteSourceLost, control.NoteSourceLacks,
-	control.NoteNoPlace, control.NoteOriginFailed}
+var noteWatched = [...]policy.Note{policy.NoteSourceRefused, policy.NoteSourceLost, policy.NoteSourceLacks,
+	policy.NoteNoPlace, policy.NoteOriginFailed}
 
 var noteNames = [...]string{"src-refused", "src-broke", "src-lacks", "no-slot", "origin-failed"}
 
 const noteCount = len(noteWatched)
 
 // word counts the word of an answer.
-func (t *Tally) word(w string, note control.Note) {
+func (t *Tally) word(w string, note policy.Note) {
 	for i, name := range wordNames {
 		if name == w {
 			t.Words[i]++
--- a/depot/depot.go
+++ b/internal/upstream/upstream.go
@@ -1,6 +1,6 @@
-// Package depot speaks to caches, parents and the origin: lines of words, many requests on a connection, answers in
+// Package upstream speaks to caches, parents and the origin: lines of words, many requests on a connection, answers in
 // any order. It keeps a pool of connections to each box, keyed by the box's id and not by its address.
-package depot
+package upstream
 
 import (
 	"errors"
@@ -11,9 +11,9 @@
 	"syscall"
 	"time"
 
-	"sloequay/broker"
-	"sloequay/control"
-	"sloequay/loop"
+	"sloequay/internal/broker"
+	"sloequay/internal/eventloop"
+	"sloequay/internal/policy"
 )
 
 const (
@@ -49,14 +49,14 @@
 
 // Pool is all connections to boxes.
 type Pool struct {
-	Loop      *loop.Loop
+	Loop      *eventloop.Loop
 	Emit      func(broker.Event)
 	Now       func() time.Duration
 	May       func(*broker.Attempt, time.Duration) (time.Duration, bool)
 	Resolve   func(name string, done func(netip.Addr, error))
 	Barred    func(address string) bool // that a name server gave
 	Log       func(event string, fields ...any)
-	Classes   []control.Class
+	Classes   []policy.Class
 	DialLimit time.Duration
 	Idle      time.Duration // after which the boxes close an idle connection; 0: never
 	Streams   int
@@ -70,7 +70,7 @@
 
 	Tally Tally // see Take
 
-	boxes  map[control.NodeID]*depot
+	boxes  map[policy.NodeID]*depot
 	up     []*link // since the last Write
 	links  int     // up or being dialled
 	probes int     // numbers their tags
@@ -87,10 +87,10 @@
 type link struct {
 	pool    *Pool
 	depot   *depot
-	conn    *loop.Conn    // nil while it is dialled
-	listed  string        // the address or name in the list
-	address string        // the same resolved
-	begun   time.Duration // when it was dialled
+	conn    *eventloop.Conn // nil while it is dialled
+	listed  string          // the address or name in the list
+	address string          // the same resolved
+	begun   time.Duration   // when it was dialled
 	waiting []*broker.Attempt
 	open    map[string]*pending
 	past    map[string]past // ids that were given up here, or whose answer was not their request's last
@@ -128,7 +128,7 @@
 
 func (p *Pool) depot(box *broker.Box) *depot {
 	if p.boxes == nil {
-		p.boxes = map[control.NodeID]*depot{}
+		p.boxes = map[policy.NodeID]*depot{}
 	}
 	d := p.boxes[box.ID]
 	if d == nil {
@@ -294,7 +294,7 @@
 
 // Opened notes the connection. What has waited for it goes out at the end of the round: what comes beside it, as that the client has left
 // or the box drains, counts first.
-func (l *link) Opened(c *loop.Conn) {
+func (l *link) Opened(c *eventloop.Conn) {
 	l.conn, l.heard = c, l.pool.Now()
 	l.pool.up = append(l.pool.up, l)
 	l.rest()
@@ -366,7 +366,7 @@
 }
 
 // Received takes the answers that have come whole.
-func (l *link) Received(c *loop.Conn) {
+func (l *link) Received(c *eventloop.Conn) {
 	l.heard, l.doubted = l.pool.Now(), false
 	used := 0
 	for {
@@ -514,7 +514,7 @@
 		if o.attempt != nil {
 			l.pool.Emit(broker.Ending{Attempt: o.attempt, End: how(o)})
 		} else if !o.check {
-			l.pool.Emit(broker.Probed{Node: l.depot.box.ID, Status: control.ConnectFailed,
+			l.pool.Emit(broker.Probed{Node: l.depot.box.ID, Status: policy.ConnectFailed,
 				Took: l.pool.Now() - o.sent})
 		}
 		delete(l.open, id)
@@ -522,7 +522,7 @@
 }
 
 // Closed ends what was open: what was not written for certain never ran, the rest may have.
-func (l *link) Closed(c *loop.Conn, err error) {
+func (l *link) Closed(c *eventloop.Conn, err error) {
 	taken := c.Taken()
 	if len(l.open) > 0 {
 		l.pool.Log("depot-broken", "box", l.depot.box.Host, "open", len(l.open), "error", fmt.Sprint(err))
@@ -599,7 +599,7 @@
 	d := p.depot(box)
 	l := p.pick(d, "")
 	if l == nil || l.conn == nil { // a dial that has begun says more than a probe would
-		p.Emit(broker.Probed{Node: box.ID, Status: control.ConnectFailed})
+		p.Emit(broker.Probed{Node: box.ID, Status: policy.ConnectFailed})
 		return
 	}
 	p.probes++
@@ -619,11 +619,11 @@
 	for _, l := range slices.Clone(d.links) {
 		old := restarted && (l.begun < box.Since || l.listed != box.Dial)
 		switch {
-		case l.conn != nil && (old || box.State == control.Gone):
+		case l.conn != nil && (old || box.State == policy.Gone):
 			l.unsent(broker.Barred)
 			l.endAll(func(*pending) broker.End { return broker.Broken })
 			l.retire()
-		case old || box.State != control.Ready:
+		case old || box.State != policy.Ready:
 			l.unsent(broker.Barred) // what waits for a dial goes elsewhere now; it would be barred when it was written
 			l.retire()
 		}
@@ -717,7 +717,7 @@
 				switch {
 				case o.attempt == nil && !o.check && now-o.sent > probeMost:
 					delete(l.open, tag)
-					p.Emit(broker.Probed{Node: id, Status: control.Timeout, Took: now - o.sent})
+					p.Emit(broker.Probed{Node: id, Status: policy.Timeout, Took: now - o.sent})
 				case o.attempt != nil && !o.attempt.Open() && now >= o.attempt.Deadline:
 					l.forget(tag, now) // it could not be called off
 				}
@@ -727,7 +727,7 @@
 				l.retire()
 			}
 		}
-		if d.box.State == control.Gone && len(d.links) == 0 {
+		if d.box.State == policy.Gone && len(d.links) == 0 {
 			delete(p.boxes, id)
 		}
 	}
--- a/cmd/sloequay/badday_test.go
+++ b/test/badday_test.go
@@ -1,4 +1,4 @@
-package main
+package test
 
 import (
 	"bytes"
@@ -14,8 +14,8 @@
 	"testing"
 	"time"
 
-	"sloequay/node/admin"
-	"sloequay/standin"
+	"sloequay/internal/emulator"
+	"sloequay/internal/proxy/admin"
 )
 
 // A bad day plays the input that the fleet's days bring: spoilt answers, connections reset, lists torn, late, doubled and
@@ -241,7 +241,7 @@
 func (d *badRun) client(how badClient) {
 	t := d.w.t
 	for left := badEach; left > 0; {
-		c, err := standin.Dial(d.w.listen)
+		c, err := emulator.Dial(d.w.listen)
 		if err != nil {
 			t.Errorf("a client was not let in: %v", err)
 			return
@@ -374,7 +374,7 @@
 		case d.w.feed <- "!":
 		default:
 		}
-		c, err := standin.Dial(d.w.listen)
+		c, err := emulator.Dial(d.w.listen)
 		if err != nil {
 			return false
 		}
--- a/cmd/sloequay/boxtls_test.go
+++ b/test/boxtls_test.go
@@ -1,4 +1,4 @@
-package main
+package test
 
 import (
 	"crypto/tls"
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"sloequay/standin"
+	"sloequay/internal/emulator"
 )
 
 // swapped is a certificate that a stand-in box can change while it runs.
@@ -29,7 +29,7 @@
 
 // behindTLS has a box listen by TLS, with a certificate for a name, where clients must show one of the same authority. seen
 // is told the name of each.
-func (w *world) behindTLS(ca *standin.Authority, id, name string, seen func(string)) *swapped {
+func (w *world) behindTLS(ca *emulator.Authority, id, name string, seen func(string)) *swapped {
 	w.t.Helper()
 	s := &swapped{}
 	s.set(w.pair(ca, name))
@@ -60,7 +60,7 @@
 	return s
 }
 
-func (w *world) pair(ca *standin.Authority, name string) tls.Certificate {
+func (w *world) pair(ca *emulator.Authority, name string) tls.Certificate {
 	w.t.Helper()
 	cert, key, err := ca.Make(strings.ReplaceAll(name, ".", "-"), name)
 	if err != nil {
@@ -94,7 +94,7 @@
 	t.Parallel()
 	large := strings.Repeat("y", 200_000)
 	w := newWorld(t, func(a *asked) { a.Answer("ACK", "tag=t1", large) })
-	ca, err := standin.NewAuthority(t.TempDir())
+	ca, err := emulator.NewAuthority(t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/sloequay/catalogue_test.go
+++ b/test/catalogue_test.go
@@ -1,4 +1,4 @@
-package main
+package test
 
 import (
 	"flag"
@@ -16,7 +16,7 @@
 	"testing"
 	"time"
 
-	"sloequay/standin/consul"
+	"sloequay/internal/emulator/consul"
 )
 
 var (
--- a/cmd/sloequay/clock_test.go
+++ b/test/clock_test.go
@@ -1,4 +1,4 @@
-package main
+package test
 
 import (
 	"fmt"
@@ -14,7 +14,7 @@
 // steppable is the program with a Unix clock that a test can set.
 var steppable = sync.OnceValues(func() (string, error) {
 	path := program + "-clockstep"
-	if out, err := exec.Command("go", "build", "-tags", "clockstep", "-o", path, ".").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-tags", "clockstep", "-o", path, "../cmd/sloequay").CombinedOutput(); err != nil {
 		return "", fmt.Errorf("%w: %s", err, out)
 	}
 	return path, nil
--- a/cmd/sloequay/conf_test.go
+++ b/test/conf_test.go
@@ -1,4 +1,4 @@
-package main
+package test
 
 import (
 	"bytes"
@@ -9,18 +9,18 @@
 	"strings"
 	"testing"
 
-	"sloequay/node"
-	"sloequay/standin"
+	"sloequay/internal/emulator"
+	"sloequay/internal/proxy"
 )
 
 // TestShippedSettings: the file in deploy is sound and turns nothing on; with its examples uncommented it is sound too and
 // turns everything on, and what check --print writes of that reads back as the same.
 func TestShippedSettings(t *testing.T) {
-	text, err := os.ReadFile("../../deploy/sloequay.conf")
+	text, err := os.ReadFile("../deploy/sloequay.conf")
 	if err != nil {
 		t.Fatal(err)
 	}
-	o := node.NewOwn()
+	o := proxy.NewOwn()
 	if err := o.Section.Parse("shipped", text); err != nil {
 		t.Fatal(err)
 	}
@@ -34,7 +34,7 @@
 	on := regexp.MustCompile(`(?m)^#([^ \n])`).ReplaceAll(text, []byte("$1"))
 	on = regexp.MustCompile(`(?m)^#(    +[a-z}])`).ReplaceAll(on, []byte("$1"))
 	on = bytes.ReplaceAll(on, []byte("./keys"), []byte(keys))
-	ca, err := standin.NewAuthority(t.TempDir())
+	ca, err := emulator.NewAuthority(t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -50,7 +50,7 @@
 		t.Fatal(err)
 	}
 	on = bytes.ReplaceAll(on, []byte("./peers.key"), []byte(peersKey))
-	o = node.NewOwn()
+	o = proxy.NewOwn()
 	if err := o.Section.Parse("examples", on); err != nil {
 		t.Fatal(err)
 	}
@@ -61,7 +61,7 @@
 	if err := o.Section.Print(&once); err != nil {
 		t.Fatal(err)
 	}
-	again := node.NewOwn()
+	again := proxy.NewOwn()
 	if err := again.Section.Parse("printed", once.Bytes()); err != nil {
 		t.Fatalf("what was printed can't be read: %v\n%s", err, once.String())
 	}
--- a/cmd/sloequay/contracts_test.go
+++ b/test/contracts_test.go
@@ -1,4 +1,4 @@
-package main
+package test
 
 import (
 	"fmt"
--- a/cmd/sloequay/cpu_test.go
+++ b/test/cpu_test.go
@@ -1,4 +1,4 @@
-package main
+package test
 
 import (
 	"flag"
@@ -8,9 +8,9 @@
 	"testing"
 	"time"
 
-	"sloequay/identity"
-	"sloequay/identity/keydir"
-	"sloequay/standin"
+	"sloequay/internal/emulator"
+	"sloequay/internal/identity"
+	"sloequay/internal/identity/keydir"
 )
 
 var (
@@ -72,7 +72,7 @@
 		return w.world, w.connect(w.config("lane3.lanes.test")), none
 	case "box-tls":
 		w := newWorld(t, nil)
-		ca, err := standin.NewAuthority(t.TempDir())
+		ca, err := emulator.NewAuthority(t.TempDir())
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/cmd/sloequay/drill_test.go
+++ b/test/drill_test.go
@@ -1,11 +1,11 @@
-package main
+package test
 
 import (
 	"flag"
 	"path/filepath"
 	"testing"
 
-	"sloequay/standin/fleet"
+	"sloequay/internal/drill"
 )
 
 var (
@@ -18,7 +18,7 @@
 
 var drillPlaces = make(chan bool, drillsAtOnce)
 
-func playDrill(t *testing.T, p *fleet.Plan, seed uint64) {
+func playDrill(t *testing.T, p *drill.Plan, seed uint64) {
 	t.Helper()
 	t.Parallel()
 	drillPlaces <- true
@@ -26,7 +26,7 @@
 	if *drillDoormans > 0 {
 		p.Doormans = *drillDoormans
 	}
-	r, err := fleet.Run(p, program, t.TempDir(), seed, nil)
+	r, err := drill.Run(p, program, t.TempDir(), seed, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -41,14 +41,14 @@
 
 // TestDrills plays the plans that ship, by processes of the program.
 func TestDrills(t *testing.T) {
-	plans, err := filepath.Glob("../../deploy/drill/*.conf")
+	plans, err := filepath.Glob("../deploy/drill/*.conf")
 	if err != nil || len(plans) < 10 {
 		t.Fatalf("%d plans: %v", len(plans), err)
 	}
 	for _, path := range plans {
 		for seed := range uint64(*drillSeeds) {
 			t.Run(filepath.Base(path), func(t *testing.T) {
-				p, err := fleet.Load(path)
+				p, err := drill.Load(path)
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -62,7 +62,7 @@
 func TestDrawnDrills(t *testing.T) {
 	for seed := range uint64(*drillSeeds) {
 		t.Run("drawn", func(t *testing.T) {
-			p, err := fleet.Draw(seed + 1)
+			p, err := drill.Draw(seed + 1)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/cmd/sloequay/identity_test.go
+++ b/test/identity_test.go
@@ -1,4 +1,4 @@
-package main
+package test
 
 import (
 	"errors"
@@ -15,7 +15,7 @@
 
 	"github.com/miekg/dns"
 
-	"sloequay/standin"
+	"sloequay/internal/emulator"
 )
 
 // keyring works a directory of keys by the program's own commands.
@@ -452,7 +452,7 @@
 		go func() {
 			defer close(done)
 			var open int
-			var flood *standin.Client
+			var flood *emulator.Client
 			first, began := sent, time.Now()
 			for {
 				select {
@@ -465,7 +465,7 @@
 				}
 				if flood == nil {
 					var err error
-					if flood, err = standin.Dial(w.listen); err != nil {
+					if flood, err = emulator.Dial(w.listen); err != nil {
 						t.Errorf("the flood finds no door: %v", err)
 						return
 					}
--- a/cmd/sloequay/leave_test.go
+++ b/test/leave_test.go
@@ -1,4 +1,4 @@
-package main
+package test
 
 import (
 	"errors"
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"sloequay/standin"
+	"sloequay/internal/emulator"
 )
 
 // deadlines sets the deadline of all classes.
@@ -58,7 +58,7 @@
 		w.t.Fatal(err)
 	}
 	w.t.Cleanup(func() { _ = conn.Close() })
-	return &client{t: w.t, conn: conn, c: standin.NewClient(conn)}
+	return &client{t: w.t, conn: conn, c: emulator.NewClient(conn)}
 }
 
 // next is the next attempt that a box has read.
@@ -234,7 +234,7 @@
 						return
 					}
 					defer conn.Close()
-					c = &client{t: t, conn: conn, c: standin.NewClient(conn)}
+					c = &client{t: t, conn: conn, c: emulator.NewClient(conn)}
 				}
 				select {
 				case <-stop:
--- a/cmd/sloequay/platform_test.go
+++ b/test/platform_test.go
@@ -1,4 +1,4 @@
-package main
+package test
 
 import (
 	"debug/elf"
@@ -16,6 +16,8 @@
 
 	"golang.org/x/net/bpf"
 	"golang.org/x/sys/unix"
+
+	"sloequay/internal/cli"
 )
 
 // The fleet's platform runs each doorman under a system-call filter of its own: no other program, no fork, no
@@ -47,7 +49,7 @@
 		fmt.Fprintln(os.Stderr, "filter: another program could be started")
 		os.Exit(3)
 	}
-	main()
+	cli.Main()
 	os.Exit(0)
 }
 
@@ -147,7 +149,7 @@
 // TestBuildLinksDynamically checks that the deploy file builds with external linking and cgo on, and, where a C
 // compiler is at hand, that the program so built asks for the dynamic loader: the platform's library is loaded into it.
 func TestBuildLinksDynamically(t *testing.T) {
-	text, err := os.ReadFile(filepath.Join("..", "..", "deploy", "balancer.toml"))
+	text, err := os.ReadFile(filepath.Join("..", "deploy", "balancer.toml"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -164,7 +166,7 @@
 		t.Skip("no C compiler here, so no external linking")
 	}
 	out := filepath.Join(t.TempDir(), "sloequay")
-	cmd := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", out, ".")
+	cmd := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", out, "../cmd/sloequay")
 	cmd.Env = append(os.Environ(), "CGO_ENABLED=1")
 	if text, err := cmd.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, text)
--- a/cmd/sloequay/rare_test.go
+++ b/test/rare_test.go
@@ -1,4 +1,4 @@
-package main
+package test
 
 import (
 	"bufio"
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"sloequay/standin"
+	"sloequay/internal/emulator"
 )
 
 // TestSecondAnswer: a box answers an attempt twice, the second time when the next one for the same request is out on the same
@@ -246,7 +246,7 @@
 		return err == io.EOF
 	}
 	// Another client that connects and asks afterwards is read in a later round.
-	return standin.Ready(w.listen)
+	return emulator.Ready(w.listen)
 }
 
 // withdraw is the notice that takes a request back.
@@ -318,7 +318,7 @@
 	w.configure()
 	w.signal(syscall.SIGHUP)
 	w.until("the new one is missed", func() bool { return strings.Contains(w.log.String(), "event=bulletin-lost") })
-	next, err := standin.NewBulletinAt(later)
+	next, err := emulator.NewBulletinAt(later)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/sloequay/service_test.go
+++ b/test/service_test.go
@@ -1,4 +1,4 @@
-package main
+package test
 
 import (
 	"bufio"
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"sloequay/msgpack"
+	"sloequay/internal/frontend/rpc/msgpack"
 )
 
 // reader is the next connection to a stand-in bulletin with what the program asked for there.
--- a/cmd/sloequay/tls_test.go
+++ b/test/tls_test.go
@@ -1,4 +1,4 @@
-package main
+package test
 
 import (
 	"crypto/tls"
@@ -11,13 +11,13 @@
 	"testing"
 	"time"
 
-	"sloequay/standin"
+	"sloequay/internal/emulator"
 )
 
 // tlsWorld has identity with a TLS door, and certificates for a lane and a terminal.
 type tlsWorld struct {
 	*world
-	ca      *standin.Authority
+	ca      *emulator.Authority
 	address string
 	cert    string
 	key     string
@@ -26,7 +26,7 @@
 func newTLSWorld(t *testing.T, script func(*asked)) *tlsWorld {
 	w := &tlsWorld{world: newWorld(t, script)}
 	var err error
-	if w.ca, err = standin.NewAuthority(t.TempDir()); err == nil {
+	if w.ca, err = emulator.NewAuthority(t.TempDir()); err == nil {
 		w.cert, w.key, err = w.ca.Make("server", "doorman.test")
 	}
 	if err != nil {
@@ -65,7 +65,7 @@
 		w.t.Fatal(err)
 	}
 	w.t.Cleanup(func() { _ = conn.Close() })
-	return &client{t: w.t, conn: conn, c: standin.NewClient(conn)}
+	return &client{t: w.t, conn: conn, c: emulator.NewClient(conn)}
 }
 
 // TestTLSDoor: who calls is told by its certificate, on a new connection and a resumed one; large answers come whole.
@@ -151,7 +151,7 @@
 		_ = conn.Close()
 		t.Error("TLS at the plain door is taken")
 	}
-	stranger, err := standin.NewAuthority(t.TempDir())
+	stranger, err := emulator.NewAuthority(t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -224,7 +224,7 @@
 	}
 	finished := tls.Client(half, config)
 	if err := finished.Handshake(); err == nil { // it may have run out of time
-		c := &client{t: t, conn: finished, c: standin.NewClient(finished)}
+		c := &client{t: t, conn: finished, c: emulator.NewClient(finished)}
 		c.send(request(1, "lookup", map[string]string{"txn": "00000000000000ff"}, ""))
 		if a := c.want(); a.Error != "" {
 			t.Errorf("the handshake that was half done: %+v", a)
--- a/cmd/sloequay/world_test.go
+++ b/test/world_test.go
@@ -1,4 +1,4 @@
-package main
+package test
 
 import (
 	"bytes"
@@ -18,7 +18,8 @@
 	"testing"
 	"time"
 
-	"sloequay/standin"
+	"sloequay/internal/cli"
+	"sloequay/internal/emulator"
 )
 
 // patience is how long a test waits for what must happen; no test rests on anything taking long.
@@ -35,7 +36,7 @@
 			for {
 			}
 		}()
-		main()
+		cli.Main()
 		os.Exit(0)
 	}
 	dir, err := os.MkdirTemp("", "sloequay")
@@ -43,7 +44,7 @@
 		panic(err)
 	}
 	program = filepath.Join(dir, "sloequay")
-	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", program, "../cmd/sloequay").CombinedOutput(); err != nil {
 		panic(string(out))
 	}
 	code := m.Run()
@@ -52,7 +53,7 @@
 }
 
 // asked is one line that a stand-in box has read.
-type asked = standin.Asked
+type asked = emulator.Asked
 
 // logbook is what the program logs; it may be read while the program runs.
 type logbook struct {
@@ -98,18 +99,18 @@
 	log      logbook
 	cmd      *exec.Cmd
 	exited   chan error
-	fleet    *standin.Fleet
+	fleet    *emulator.Fleet
 	boxes    map[string]net.Listener
-	bulletin *standin.Bulletin
+	bulletin *emulator.Bulletin
 	full     net.Listener // see fullListener
 	feed     chan string  // lines for the bulletin to tell
 	after    chan string  // what the program asked of the bulletin
-	names    *standin.NameServer
+	names    *emulator.NameServer
 }
 
 // newWorld has caches c1 and c2, the parent p1 and the origin o1, all listed but for those in absent.
 func newWorld(t *testing.T, script func(*asked), absent ...string) *world {
-	w := &world{t: t, hosts: []map[string]any{}, boxes: map[string]net.Listener{}, fleet: standin.NewFleet(script)}
+	w := &world{t: t, hosts: []map[string]any{}, boxes: map[string]net.Listener{}, fleet: emulator.NewFleet(script)}
 	t.Cleanup(w.fleet.Close)
 	for _, b := range []struct{ id, site, class string }{{"c1", "edge", "std"}, {"c2", "edge", "std"},
 		{"p1", "hub", "parent"}, {"o1", "hub", "origin"}} {
@@ -122,14 +123,14 @@
 		}
 	}
 	var err error
-	if w.bulletin, err = standin.NewBulletin(); err != nil {
+	if w.bulletin, err = emulator.NewBulletin(); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(w.bulletin.Close)
 	w.feed, w.after = w.bulletin.Feed, w.bulletin.After
 	w.listen = w.free()
 	var site any
-	if err := json.Unmarshal([]byte(standin.Settings), &site); err != nil {
+	if err := json.Unmarshal([]byte(emulator.Settings), &site); err != nil {
 		t.Fatal(err)
 	}
 	w.config = map[string]any{"name": "n1", "listen": w.listen, "seed": "8c1f30d27a5be964",
@@ -191,7 +192,7 @@
 	cmd := w.cmd
 	go func() { exited <- cmd.Wait() }()
 	w.exited = exited
-	w.until("the program answers status", func() bool { return standin.Ready(w.listen) })
+	w.until("the program answers status", func() bool { return emulator.Ready(w.listen) })
 }
 
 // own adds to our settings, and has the program read them.
@@ -257,7 +258,7 @@
 // nameServer is a stand-in for the name server that knows boxes listed by name.
 func (w *world) nameServer(records map[string]string) {
 	var err error
-	if w.names, err = standin.NewNameServer(records); err != nil {
+	if w.names, err = emulator.NewNameServer(records); err != nil {
 		w.t.Fatal(err)
 	}
 	w.t.Cleanup(w.names.Close)
@@ -270,12 +271,12 @@
 type client struct {
 	t    *testing.T
 	conn net.Conn
-	c    *standin.Client
+	c    *emulator.Client
 }
 
 func (w *world) dial() *client {
 	w.t.Helper()
-	c, err := standin.Dial(w.listen)
+	c, err := emulator.Dial(w.listen)
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -291,10 +292,10 @@
 }
 
 // reply is an answer as the client reads it.
-type reply = standin.Reply
+type reply = emulator.Reply
 
 // request builds a frame; see standin.Request.
-var request = standin.Request
+var request = emulator.Request
 
 // read takes one answer.
 func (c *client) read() (reply, error) { return c.c.Read(patience) }
