--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -88,53 +88,54 @@
 
 // Mark names a list.
 type Mark struct {
-	List    int
-	Version uint64
-	Sum     uint64
+	List    int    `codec:"List"`
+	Version uint64 `codec:"Version"`
+	Sum     uint64 `codec:"Sum"`
 }
 
 // Claim is what a digest says of a list: which one a doorman has, and how long ago the service was heard.
 type Claim struct {
 	Mark
-	Heard time.Duration // ago; negative: the sender does not ask
+	Heard time.Duration `codec:"Heard"` // ago; negative: the sender does not ask
 }
 
 // Message is one word from doorman to doorman. Exactly one of the fields below Epoch is set.
 type Message struct {
-	From   string
-	Epoch  uint64
-	Digest []Claim // of all lists that the sender has
-	Want   *Want
-	Part   *Part
-	Delta  *Delta
-	Busy   *Busy
+	From   string  `codec:"From"`
+	Epoch  uint64  `codec:"Epoch"`
+	Digest []Claim `codec:"Digest"` // of all lists that the sender has
+	Want   *Want   `codec:"Want"`
+	Part   *Part   `codec:"Part"`
+	Delta  *Delta  `codec:"Delta"`
+	Busy   *Busy   `codec:"Busy"`
 }
 
 // Want asks for the content of a list. Have is the sum of the one that the sender has; 0: none.
 type Want struct {
 	Mark
-	Have uint64
+	Have uint64 `codec:"Have"`
 }
 
 // Part is one of Of parts of a list's content.
 type Part struct {
 	Mark
-	N, Of int
-	Boxes []membership.Box
+	N     int              `codec:"N"`
+	Of    int              `codec:"Of"`
+	Boxes []membership.Box `codec:"Boxes"`
 }
 
 // Delta leads from the list with the sum Was to another one.
 type Delta struct {
 	Mark
-	Was   uint64
-	Boxes []membership.Box
-	Gone  []string
+	Was   uint64           `codec:"Was"`
+	Boxes []membership.Box `codec:"Boxes"`
+	Gone  []string         `codec:"Gone"`
 }
 
 // Busy answers a Want that is not served: Peer has the list too; empty: ask again later.
 type Busy struct {
 	Mark
-	Peer string
+	Peer string `codec:"Peer"`
 }
 
 // Effect is something that is to be done.
--- /dev/null
+++ b/internal/bootstrap/wire_test.go
@@ -0,0 +1,72 @@
+package bootstrap_test
+
+import (
+	"encoding/hex"
+	"flag"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"sloequay/internal/bootstrap"
+	"sloequay/internal/membership"
+	"sloequay/internal/peer/transport"
+)
+
+var updateMessages = flag.Bool("update-messages", false, "write the encoded messages to testdata")
+
+// messages has one of each kind, with every field set.
+func messages() []bootstrap.Message {
+	mark := bootstrap.Mark{List: 3, Version: 41, Sum: 1 << 60}
+	boxes := []membership.Box{{ID: "c1", Address: "10.0.0.1:7001", Zone: 1, Kind: 2, Cell: 3, Weight: 1.5,
+		Born: 5 * time.Second, Incarnation: 9, State: membership.Draining}}
+	return []bootstrap.Message{
+		{From: "p1", Epoch: 7, Digest: []bootstrap.Claim{{Mark: mark, Heard: -time.Second}}},
+		{From: "p1", Epoch: 7, Want: &bootstrap.Want{Mark: mark, Have: 6}},
+		{From: "p1", Epoch: 7, Part: &bootstrap.Part{Mark: mark, N: 1, Of: 2, Boxes: boxes}},
+		{From: "p1", Epoch: 7, Delta: &bootstrap.Delta{Mark: mark, Was: 8, Boxes: boxes, Gone: []string{"c2"}}},
+		{From: "p1", Epoch: 7, Busy: &bootstrap.Busy{Mark: mark, Peer: "p2"}},
+	}
+}
+
+// TestMessagesKeepTheirForm compares the encoded messages with those that commit 1dcc078 wrote: proxies of several versions
+// talk to each other during a release.
+func TestMessagesKeepTheirForm(t *testing.T) {
+	path := filepath.Join("testdata", "messages.hex")
+	var lines []string
+	for _, message := range messages() {
+		data, err := transport.Encode(message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		lines = append(lines, hex.EncodeToString(data))
+	}
+	if *updateMessages {
+		if err := os.WriteFile(path, []byte(strings.Join(lines, "\n")+"\n"), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	kept := strings.Split(strings.TrimSpace(string(text)), "\n")
+	if len(kept) != len(lines) {
+		t.Fatalf("%d messages in %s, expected %d", len(kept), path, len(lines))
+	}
+	for i, message := range messages() {
+		if kept[i] != lines[i] {
+			t.Errorf("message %d is encoded as\n%s, expected\n%s", i, lines[i], kept[i])
+		}
+		data, err := hex.DecodeString(kept[i])
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got bootstrap.Message
+		if err := transport.Decode(data, &got); err != nil || !reflect.DeepEqual(got, message) {
+			t.Errorf("message %d is decoded as %+v (%v), expected %+v", i, got, err, message)
+		}
+	}
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -42,13 +42,15 @@
 
 // Box is what a source says of a box.
 type Box struct {
-	ID               string
-	Address          string // host:port
-	Zone, Kind, Cell int
-	Weight           float64
-	Born             time.Duration // its most recent start on the Unix clock; 0: long ago
-	Incarnation      uint64        // another one with each registration; 0: the source tells none
-	State            State
+	ID          string        `codec:"ID"`
+	Address     string        `codec:"Address"` // host:port
+	Zone        int           `codec:"Zone"`
+	Kind        int           `codec:"Kind"`
+	Cell        int           `codec:"Cell"`
+	Weight      float64       `codec:"Weight"`
+	Born        time.Duration `codec:"Born"`        // its most recent start on the Unix clock; 0: long ago
+	Incarnation uint64        `codec:"Incarnation"` // another one with each registration; 0: the source tells none
+	State       State         `codec:"State"`
 }
 
 // Source is one source's settings.
--- a/internal/peer/transport/transport.go
+++ b/internal/peer/transport/transport.go
@@ -182,19 +182,20 @@
 
 // envelope is a message as it travels.
 type envelope struct {
-	From   string
-	Epoch  uint64
-	Number uint64
-	To     string // so that it can't be passed on to another
-	Body   []byte
-	Sig    []byte
+	From   string `codec:"From"`
+	Epoch  uint64 `codec:"Epoch"`
+	Number uint64 `codec:"Number"`
+	To     string `codec:"To"` // so that it can't be passed on to another
+	Body   []byte `codec:"Body"`
+	Sig    []byte `codec:"Sig"`
 }
 
 // meta is what a member tells of itself.
 type meta struct {
-	Zone, Program string
-	Epoch         uint64
-	Key           []byte
+	Zone    string `codec:"Zone"`
+	Program string `codec:"Program"`
+	Epoch   uint64 `codec:"Epoch"`
+	Key     []byte `codec:"Key"`
 }
 
 // Encode and Decode are the form of messages: MessagePack of plain structures. Decode takes at most what a message may have.
