--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -23,7 +23,7 @@
 // run answers batches until the input ends.
 func run(in io.Reader, out io.Writer) error {
 	r := bufio.NewReaderSize(in, 1<<20)
-	directors := map[uint32]*policy.Director{}
+	directors := map[uint32]*policy.Engine{}
 	var batch simwire.Batch
 	var reply simwire.Reply
 	for {
@@ -45,7 +45,7 @@
 }
 
 // answer hands every record of the batch to its instance and collects the actions.
-func answer(batch *simwire.Batch, reply *simwire.Reply, directors map[uint32]*policy.Director) error {
+func answer(batch *simwire.Batch, reply *simwire.Reply, directors map[uint32]*policy.Engine) error {
 	for {
 		rec, err := batch.Next()
 		if errors.Is(err, io.EOF) {
@@ -72,7 +72,7 @@
 }
 
 // handle passes one event on. A panic of the module becomes a FATAL of that instance and the result false.
-func handle(d *policy.Director, batch *simwire.Batch, rec simwire.Record, reply *simwire.Reply) (ok bool) {
+func handle(d *policy.Engine, batch *simwire.Batch, rec simwire.Record, reply *simwire.Reply) (ok bool) {
 	defer func() {
 		if p := recover(); p != nil {
 			reply.Fatal(rec.Instance, fmt.Sprint(p))
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -73,7 +73,7 @@
 
 // Probed is the result of a probe.
 type Probed struct {
-	Node   policy.NodeID
+	Node   policy.EndpointID
 	Status policy.Status
 	Took   time.Duration
 }
@@ -153,11 +153,11 @@
 // Broker is the state. It is not safe for concurrent use.
 type Broker struct {
 	cfg       policy.Config
-	module    *policy.Director
+	module    *policy.Engine
 	contracts *quota.Book
 	// Repeats to first tries, by team and by box; nil: no limit.
 	teamRepeats *retry.Set[string]
-	boxRepeats  *retry.Set[policy.NodeID]
+	boxRepeats  *retry.Set[policy.EndpointID]
 	members     *membership.Table
 	openCap     int
 	now         time.Duration
@@ -165,8 +165,8 @@
 	nextID      policy.RequestID
 	open        map[policy.RequestID]*Request
 	ids         map[string]*Request // the same by the clients' ids
-	boxes       map[policy.NodeID]*Box
-	hosts       map[string]policy.NodeID
+	boxes       map[policy.EndpointID]*Box
+	hosts       map[string]policy.EndpointID
 	byName      map[string]*Box   // by the id on the sockets, in lower case
 	byDial      map[string][]*Box // by address: mostly one, and those that were there before
 	gone        []departed        // in the order of their leaving
@@ -185,9 +185,9 @@
 		return nil, err
 	}
 	return &Broker{cfg: cfg, module: module, contracts: contracts, members: members, openCap: openCap,
-		open: map[policy.RequestID]*Request{}, ids: map[string]*Request{}, boxes: map[policy.NodeID]*Box{},
-		hosts: map[string]policy.NodeID{}, byName: map[string]*Box{}, byDial: map[string][]*Box{},
-		purges: invalidation.New(invalidation.Config{Takes: cfg.PurgeTakes, Slack: purgeSlack})}, nil
+		open: map[policy.RequestID]*Request{}, ids: map[string]*Request{}, boxes: map[policy.EndpointID]*Box{},
+		hosts: map[string]policy.EndpointID{}, byName: map[string]*Box{}, byDial: map[string][]*Box{},
+		purges: invalidation.New(invalidation.Config{Takes: cfg.PurgePropagation, Slack: purgeSlack})}, nil
 }
 
 // SetOffset tells by how much the Unix clock is ahead of the times that the broker is given. What others have stamped, starts
@@ -208,7 +208,7 @@
 
 // Sizes tells what is held, for operators and for tests that nothing grows.
 func (b *Broker) Sizes() Sizes {
-	return Sizes{Open: len(b.open), Module: b.module.Open(), Timers: len(b.timers), Boxes: len(b.boxes), Gone: len(b.gone),
+	return Sizes{Open: len(b.open), Module: b.module.OpenRequests(), Timers: len(b.timers), Boxes: len(b.boxes), Gone: len(b.gone),
 		Purges: b.purges.Len()}
 }
 
@@ -257,7 +257,7 @@
 	case Withdrawal:
 		if r := e.Request; !r.ended {
 			b.close(r, concurrency.Silent)
-			b.tell(policy.GoneEvent{ID: r.id})
+			b.tell(policy.ClientGoneEvent{ID: r.id})
 		}
 	case Ending:
 		b.end(e)
@@ -285,7 +285,7 @@
 	case Cutoff:
 		b.cutOff()
 	case Probed:
-		b.tell(policy.ProbeEvent{Node: e.Node, Status: e.Status, Took: e.Took})
+		b.tell(policy.HealthCheckEvent{Endpoint: e.Node, Status: e.Status, Elapsed: e.Took})
 	}
 }
 
@@ -301,11 +301,11 @@
 		return
 	}
 	if len(b.open) >= b.openCap {
-		b.answer(r, Final{Kind: Refusal, Wait: b.cfg.Later(&b.cfg.Classes[r.Class]), Reason: "too many open requests"})
+		b.answer(r, Final{Kind: Refusal, Wait: b.cfg.RetryAfter(&b.cfg.Classes[r.Class]), Reason: "too many open requests"})
 		return
 	}
 	class := &b.cfg.Classes[r.Class]
-	grant, over := b.contracts.Admit(b.now, r.Team, r.Service, class.Name, quota.Cost{Worth: class.Worth, Bytes: r.SizeKB * 1024})
+	grant, over := b.contracts.Admit(b.now, r.Team, r.Service, class.Name, quota.Cost{Worth: class.PriorityWeight, Bytes: r.SizeKB * 1024})
 	if over != nil {
 		b.answer(r, overBudget(over))
 		return
@@ -316,8 +316,8 @@
 	b.open[r.id], b.ids[r.ID] = r, r
 	b.at(timer{at: r.deadline, request: r})
 	b.at(timer{at: r.Arrived + r.Limit/2 - min(halfEarly, r.Limit/16), request: r, half: true})
-	b.tell(policy.CallEvent{ID: r.id, Class: r.Class, Object: r.Object, Part: r.Part, Group: r.Group,
-		Left: r.deadline - b.now, SizeKB: r.SizeKB, Repeat: r.Second})
+	b.tell(policy.RequestEvent{ID: r.id, Class: r.Class, Object: r.Object, Part: r.Part, Group: r.Group,
+		Remaining: r.deadline - b.now, SizeKB: r.SizeKB, Retry: r.Second})
 }
 
 // tell hands one event to the module and carries out what it wants.
@@ -329,21 +329,21 @@
 
 func (b *Broker) do(action policy.Action) {
 	switch a := action.(type) {
-	case policy.Get:
+	case policy.SendAttempt:
 		b.get(a)
-	case policy.Refuse:
-		b.giveUp(a.ID, Final{Kind: Refusal, Wait: a.Wait, Reason: "refused"})
+	case policy.Reject:
+		b.giveUp(a.ID, Final{Kind: Refusal, Wait: a.RetryAfter, Reason: "refused"})
 	case policy.Fail:
 		b.giveUp(a.ID, Final{Kind: Failure, Reason: "failed"})
-	case policy.Cancel:
+	case policy.CancelAttempt:
 		// What the module calls off after a request's end was quit by close.
 		if r := b.open[a.ID]; r != nil && a.Attempt < len(r.attempts) && r.attempts[a.Attempt].Open() {
 			b.effect(Quit{Attempt: r.attempts[a.Attempt], Confirm: true})
 		}
-	case policy.Timer:
+	case policy.SetTimer:
 		b.at(timer{at: a.At, token: a.Token})
-	case policy.Probe:
-		if box := b.boxes[a.Node]; box != nil {
+	case policy.HealthCheck:
+		if box := b.boxes[a.Endpoint]; box != nil {
 			b.effect(Probe{box})
 		}
 	case policy.Log:
@@ -354,21 +354,21 @@
 func (b *Broker) effect(e Effect) { b.effects = append(b.effects, e) }
 
 // get makes the next attempt of a request.
-func (b *Broker) get(g policy.Get) {
-	r, box, source := b.open[g.ID], b.boxes[g.Node], b.boxes[g.Source]
+func (b *Broker) get(g policy.SendAttempt) {
+	r, box, source := b.open[g.ID], b.boxes[g.Endpoint], b.boxes[g.Source]
 	if r == nil || box == nil || source == nil {
 		b.effect(Line{"module-unknown", []any{"get", fmt.Sprintf("%+v", g)}})
 		return
 	}
-	a := &Attempt{Request: r, N: len(r.attempts), Box: box, Source: source, Keep: g.Keep, Age: g.Age, Join: g.Join,
-		HeldOnly: g.HeldOnly, NoParent: g.NoParent, Renew: g.Renew, Deadline: r.deadline, sent: b.now}
-	if g.Patience > 0 {
-		a.Deadline = min(a.Deadline, b.now+g.Patience)
+	a := &Attempt{Request: r, N: len(r.attempts), Box: box, Source: source, Keep: g.CacheRank, Age: g.MaxAge, Join: g.JoinFill,
+		HeldOnly: g.CachedOnly, NoParent: g.BypassParent, Renew: g.Revalidate, Deadline: r.deadline, sent: b.now}
+	if g.Timeout > 0 {
+		a.Deadline = min(a.Deadline, b.now+g.Timeout)
 	}
 	busy := slices.ContainsFunc(r.attempts, (*Attempt).Open)
 	r.attempts = append(r.attempts, a)
 	// Never two attempts out together, whatever the module says: rule 2.
-	if busy && !b.cfg.SecondCopies {
+	if busy && !b.cfg.Hedging {
 		b.queue = append(b.queue, Ending{Attempt: a, End: Barred})
 		return
 	}
@@ -439,7 +439,7 @@
 		b.teamRepeats = retry.NewSet[string](teams, teamsMost)
 	}
 	if boxes.Share > 0 && b.boxRepeats == nil {
-		b.boxRepeats = retry.NewSet[policy.NodeID](boxes, boxesMost)
+		b.boxRepeats = retry.NewSet[policy.EndpointID](boxes, boxesMost)
 	}
 	if b.teamRepeats != nil {
 		b.teamRepeats.Configure(teams)
@@ -469,11 +469,11 @@
 // decides; a connection may come up seconds later.
 func (b *Broker) mayRepeat(a *Attempt, now time.Duration) bool {
 	class := &b.cfg.Classes[a.Request.Class]
-	if class.Effect != policy.Keyed {
+	if class.Idempotency != policy.IdempotentByKey {
 		return true
 	}
 	return !slices.ContainsFunc(a.Request.attempts, func(o *Attempt) bool {
-		return o != a && o.Written && !o.neverRan && now-o.sent > class.RepeatsFor()
+		return o != a && o.Written && !o.neverRan && now-o.sent > class.RetryWindow()
 	})
 }
 
@@ -498,7 +498,7 @@
 
 // capAge cuts an age to the fresh time of the class, where there is one.
 func (b *Broker) capAge(class int, age time.Duration) time.Duration {
-	if fresh := b.cfg.Classes[class].Fresh; fresh > 0 {
+	if fresh := b.cfg.Classes[class].FreshFor; fresh > 0 {
 		return min(age, fresh)
 	}
 	return age
@@ -517,7 +517,7 @@
 	if r.ended {
 		return
 	}
-	if e.Doubtful && b.cfg.Classes[r.Class].Effect != policy.Safe && slices.Contains(neverRan, outcomes[e.End].status) {
+	if e.Doubtful && b.cfg.Classes[r.Class].Idempotency != policy.Idempotent && slices.Contains(neverRan, outcomes[e.End].status) {
 		e.End = CalledOff
 	}
 	a.neverRan = slices.Contains(neverRan, outcomes[e.End].status)
@@ -528,7 +528,7 @@
 		}
 		b.answer(r, final)
 	}
-	b.tell(policy.AnswerEvent{ID: r.id, Node: a.Box.ID, Attempt: a.N, Took: b.now - a.sent, Settled: r.ended,
+	b.tell(policy.ResponseEvent{ID: r.id, Endpoint: a.Box.ID, Attempt: a.N, Elapsed: b.now - a.sent, Concluded: r.ended,
 		Note: e.Note, FirstByte: e.Lag, Status: outcomes[e.End].status})
 }
 
@@ -556,9 +556,9 @@
 	switch {
 	case f.Kind == Answered || f.Kind == Same:
 		class := &b.cfg.Classes[r.Class]
-		aim := class.Aim
+		aim := class.LatencyObjective
 		if b.cfg.FlowKBps > 0 {
-			aim += time.Duration(class.AimStretch * r.SizeKB / b.cfg.FlowKBps * float64(time.Second))
+			aim += time.Duration(class.ObjectiveStretch * r.SizeKB / b.cfg.FlowKBps * float64(time.Second))
 		}
 		if aim > 0 && b.now-r.Arrived > aim {
 			return concurrency.Late
@@ -613,25 +613,25 @@
 		if i < linesMost {
 			b.logChange(c)
 		}
-		n := Box{Host: c.Box.ID, Dial: c.Box.Address, Node: policy.Node{Zone: c.Box.Zone, Kind: c.Box.Kind,
+		n := Box{Host: c.Box.ID, Dial: c.Box.Address, Endpoint: policy.Endpoint{Zone: c.Box.Zone, Kind: c.Box.Kind,
 			Cell: c.Box.Cell, State: states[c.Box.State], Weight: c.Box.Weight}, born: c.Box.Born}
 		if node, ok := b.change(n); ok {
-			e.Nodes = append(e.Nodes, node)
+			e.Endpoints = append(e.Endpoints, node)
 		}
 	}
 	if rest := len(changes) - linesMost; rest > 0 {
 		b.effect(Line{"list-changed", []any{"unlisted", rest}})
 	}
-	if len(e.Nodes) > 0 {
+	if len(e.Endpoints) > 0 {
 		b.tell(e)
 	}
 	b.forget()
 }
 
 // change takes over one box, and gives it as the module is to know it.
-func (b *Broker) change(n Box) (policy.Node, bool) {
+func (b *Broker) change(n Box) (policy.Endpoint, bool) {
 	if _, known := b.hosts[n.Host]; !known && n.State == policy.Gone {
-		return policy.Node{}, false // nor is its name to be kept
+		return policy.Endpoint{}, false // nor is its name to be kept
 	}
 	id := b.nodeID(n.Host)
 	box, old := b.boxes[id], Box{}
@@ -641,7 +641,7 @@
 		b.boxes[id] = box
 		b.byName[strings.ToLower(n.Host)] = box
 	case n.State == policy.Gone && box.State == policy.Gone:
-		return policy.Node{}, false
+		return policy.Endpoint{}, false
 	case n.State == policy.Gone:
 		// The rest of such an entry need not be there.
 		old = *box
@@ -651,10 +651,10 @@
 		old = *box
 	}
 	n.ID = id
-	if n.Since = old.Since; n.born != old.born { // as told; the offset may have moved since
-		n.Since = 0
+	if n.StartedAt = old.StartedAt; n.born != old.born { // as told; the offset may have moved since
+		n.StartedAt = 0
 		if n.born != 0 {
-			n.Since = max(1, n.born-b.offset)
+			n.StartedAt = max(1, n.born-b.offset)
 		}
 	}
 	if n.Dial != old.Dial || old.Host == "" {
@@ -667,9 +667,9 @@
 		b.gone = append(b.gone, departed{box, b.now})
 	}
 	if old.Host != "" {
-		b.effect(Moved{box, n.Since != old.Since || n.Dial != old.Dial})
+		b.effect(Moved{box, n.StartedAt != old.StartedAt || n.Dial != old.Dial})
 	}
-	return n.Node, true
+	return n.Endpoint, true
 }
 
 func (b *Broker) logChange(c membership.Change) {
@@ -743,13 +743,13 @@
 }
 
 // nodeID gives the same id to a host at every doorman, for the shared hashes.
-func (b *Broker) nodeID(host string) policy.NodeID {
+func (b *Broker) nodeID(host string) policy.EndpointID {
 	if id, ok := b.hosts[host]; ok {
 		return id
 	}
-	id := policy.NodeID(14695981039346656037) // FNV-1a
+	id := policy.EndpointID(14695981039346656037) // FNV-1a
 	for i := range len(host) {
-		id = (id ^ policy.NodeID(host[i])) * 1099511628211
+		id = (id ^ policy.EndpointID(host[i])) * 1099511628211
 	}
 	for id == 0 || b.boxes[id] != nil {
 		id++
@@ -806,8 +806,8 @@
 	}
 	if t.half {
 		if !slices.ContainsFunc(r.attempts, func(a *Attempt) bool { return a.Written }) {
-			b.answer(r, Final{Kind: Refusal, Wait: b.cfg.Later(&b.cfg.Classes[r.Class]), Reason: "no box could be reached"})
-			b.tell(policy.GoneEvent{ID: r.id})
+			b.answer(r, Final{Kind: Refusal, Wait: b.cfg.RetryAfter(&b.cfg.Classes[r.Class]), Reason: "no box could be reached"})
+			b.tell(policy.ClientGoneEvent{ID: r.id})
 		}
 		return
 	}
@@ -818,7 +818,7 @@
 	}
 	if !r.ended {
 		b.answer(r, Final{Kind: Failure, Reason: "past its deadline"})
-		b.tell(policy.GoneEvent{ID: r.id})
+		b.tell(policy.ClientGoneEvent{ID: r.id})
 	}
 }
 
--- a/internal/broker/crossings_test.go
+++ b/internal/broker/crossings_test.go
@@ -42,11 +42,11 @@
 
 func newCrossing(t rapid.TB) *crossing {
 	cfg := policy.Config{Classes: []policy.Class{
-		{Name: "safe", Aim: 300 * time.Millisecond, Deadline: 2 * time.Second},
-		{Name: "keyed", Aim: 300 * time.Millisecond, Deadline: 2 * time.Second, Effect: policy.Keyed, Window: window, Write: true},
-		{Name: "zoned", Aim: 300 * time.Millisecond, Deadline: 2 * time.Second, Effect: policy.Keyed, Group: policy.GroupZone, Window: window, Write: true},
-		{Name: "once", Aim: 300 * time.Millisecond, Deadline: 2 * time.Second, Effect: policy.Unsafe, Write: true}},
-		MaxAttempts: 6, OriginKind: 2, ParentKind: 1, Direct: true, Cancel: true, Instances: 1, ZoneInstances: []int{1}}
+		{Name: "safe", LatencyObjective: 300 * time.Millisecond, Deadline: 2 * time.Second},
+		{Name: "keyed", LatencyObjective: 300 * time.Millisecond, Deadline: 2 * time.Second, Idempotency: policy.IdempotentByKey, DedupWindow: window, Write: true},
+		{Name: "zoned", LatencyObjective: 300 * time.Millisecond, Deadline: 2 * time.Second, Idempotency: policy.IdempotentByKey, DedupScope: policy.DedupZone, DedupWindow: window, Write: true},
+		{Name: "once", LatencyObjective: 300 * time.Millisecond, Deadline: 2 * time.Second, Idempotency: policy.NotIdempotent, Write: true}},
+		MaxAttempts: 6, OriginKind: 2, ParentKind: 1, DirectFetch: true, MayCancel: true, Instances: 1, ZoneInstances: []int{1}}
 	b, err := New(cfg, 1, 100, nil, membership.New(membership.Config{Sources: []membership.Source{{Name: "bulletin"}}}))
 	if err != nil {
 		t.Fatal(err)
@@ -464,7 +464,7 @@
 	x.write(0)
 	first := x.out[0]
 	x.b.effects = x.b.effects[:0]
-	x.b.get(policy.Get{ID: r.id, Node: first.Box.ID, Source: first.Box.ID}) // beside the one that is out
+	x.b.get(policy.SendAttempt{ID: r.id, Endpoint: first.Box.ID, Source: first.Box.ID}) // beside the one that is out
 	for _, e := range x.b.effects {
 		if _, ok := e.(Ask); ok {
 			t.Error("a second attempt goes out beside the first, where second copies are not allowed")
--- a/internal/broker/end.go
+++ b/internal/broker/end.go
@@ -36,29 +36,29 @@
 // outcomes is the one place that maps ends to outcomes of the module. Full, ConnectFailed, Moot and Miss promise that
 // the attempt never ran; so nothing of which a byte was written may become one of them but by the box's own word.
 var outcomes = [endCount]outcome{
-	Served:     {"served", policy.OK},
-	Unchanged:  {"unchanged", policy.OK},
-	Missed:     {"missed", policy.Miss},
-	TurnedAway: {"turned-away", policy.Full},
-	Failed:     {"failed", policy.Error},
-	Over:       {"over", policy.Moot},
-	NotDialled: {"not-dialled", policy.ConnectFailed},
-	Unsent:     {"unsent", policy.Moot}, // no sign against the box: its next connection may do
-	Barred:     {"barred", policy.Moot},
-	Withheld:   {"withheld", policy.Moot},
-	Crowded:    {"crowded", policy.Moot},
-	Broken:     {"broken", policy.Reset},
-	Garbled:    {"garbled", policy.Reset},
-	Silenced:   {"silenced", policy.Reset},
-	TimedOut:   {"timed-out", policy.Timeout},
-	CalledOff:  {"called-off", policy.Cancelled},
+	Served:     {"served", policy.StatusOK},
+	Unchanged:  {"unchanged", policy.StatusOK},
+	Missed:     {"missed", policy.StatusMiss},
+	TurnedAway: {"turned-away", policy.StatusAtCapacity},
+	Failed:     {"failed", policy.StatusError},
+	Over:       {"over", policy.StatusNotExecuted},
+	NotDialled: {"not-dialled", policy.StatusConnectFailed},
+	Unsent:     {"unsent", policy.StatusNotExecuted}, // no sign against the box: its next connection may do
+	Barred:     {"barred", policy.StatusNotExecuted},
+	Withheld:   {"withheld", policy.StatusNotExecuted},
+	Crowded:    {"crowded", policy.StatusNotExecuted},
+	Broken:     {"broken", policy.StatusReset},
+	Garbled:    {"garbled", policy.StatusReset},
+	Silenced:   {"silenced", policy.StatusReset},
+	TimedOut:   {"timed-out", policy.StatusTimeout},
+	CalledOff:  {"called-off", policy.StatusCanceled},
 }
 
 // neverRan are the outcomes that promise that the attempt had no effect.
-var neverRan = []policy.Status{policy.Full, policy.ConnectFailed, policy.Moot, policy.Miss}
+var neverRan = []policy.Status{policy.StatusAtCapacity, policy.StatusConnectFailed, policy.StatusNotExecuted, policy.StatusMiss}
 
 // String gives the name that the log uses.
 func (e End) String() string { return outcomes[e].name }
 
 // Good says whether the attempt brought the final answer.
-func (e End) Good() bool { return outcomes[e].status == policy.OK }
+func (e End) Good() bool { return outcomes[e].status == policy.StatusOK }
--- a/internal/broker/index_test.go
+++ b/internal/broker/index_test.go
@@ -14,9 +14,9 @@
 )
 
 func testConfig() policy.Config {
-	return policy.Config{Instances: 1, Zone: 1, ParentKind: 1, OriginKind: 2, FlowKBps: 9500, WeightsTold: true,
-		Direct: true, MaxAttempts: 6, Cancel: true, MaxRetryAfter: time.Second, PurgeTakes: 6 * time.Second,
-		Classes: []policy.Class{{Name: "lookup", Aim: 250 * time.Millisecond, Deadline: 3 * time.Second, Worth: 1}}}
+	return policy.Config{Instances: 1, Zone: 1, ParentKind: 1, OriginKind: 2, FlowKBps: 9500, WeightsReported: true,
+		DirectFetch: true, MaxAttempts: 6, MayCancel: true, MaxRetryAfter: time.Second, PurgePropagation: 6 * time.Second,
+		Classes: []policy.Class{{Name: "lookup", LatencyObjective: 250 * time.Millisecond, Deadline: 3 * time.Second, PriorityWeight: 1}}}
 }
 
 func newBroker(t testing.TB) *Broker {
@@ -119,7 +119,7 @@
 		{"any group, where it tells none", Purge{Group: 4, Issued: now - time.Second}, invalidation.AnyGroup, true},
 	} {
 		b := newBroker(t)
-		box := Box{Host: "c1", Dial: "10.0.0.1:1", Node: policy.Node{State: policy.Ready}}
+		box := Box{Host: "c1", Dial: "10.0.0.1:1", Endpoint: policy.Endpoint{State: policy.Ready}}
 		a := &Attempt{Request: &Request{Object: 7, Group: c.group}, Box: &box, Source: &box, Deadline: now + time.Second}
 		b.Round(now, []Event{c.purge})
 		age, ok := b.May(a, now+10*time.Millisecond)
@@ -142,7 +142,7 @@
 				events = append(events, Purge{Object: uint64(i + 1), Issued: now - time.Duration(i)*time.Microsecond})
 			}
 			broker.Round(now, append(events, Listing{List: list}))
-			box := Box{Host: "x", Dial: "10.9.9.9:1", Node: policy.Node{State: policy.Ready}}
+			box := Box{Host: "x", Dial: "10.9.9.9:1", Endpoint: policy.Endpoint{State: policy.Ready}}
 			a := &Attempt{Request: &Request{Object: 1 << 40, Group: 3}, Box: &box, Source: &box, Deadline: now + time.Second}
 			b.ReportAllocs()
 			b.ResetTimer()
--- a/internal/broker/list_test.go
+++ b/internal/broker/list_test.go
@@ -156,8 +156,8 @@
 
 // TestRefusedComeBackInTime: the broker's own refusals told the longest wait that clients heed, as the module's did.
 func TestRefusedComeBackInTime(t *testing.T) {
-	cfg := policy.Config{Classes: []policy.Class{{Name: "a", Aim: 600 * time.Millisecond, Deadline: 5 * time.Second}},
-		MaxRetryAfter: 2 * time.Second, MaxAttempts: 6, OriginKind: 2, ParentKind: 1, Direct: true}
+	cfg := policy.Config{Classes: []policy.Class{{Name: "a", LatencyObjective: 600 * time.Millisecond, Deadline: 5 * time.Second}},
+		MaxRetryAfter: 2 * time.Second, MaxAttempts: 6, OriginKind: 2, ParentKind: 1, DirectFetch: true}
 	for _, c := range []struct {
 		name    string
 		openCap int
--- a/internal/broker/request.go
+++ b/internal/broker/request.go
@@ -78,7 +78,7 @@
 
 // Box is a server of the list: a cache, a parent or the origin. Its fields follow the list.
 type Box struct {
-	policy.Node
+	policy.Endpoint
 	Host string // its id on the sockets
 	Dial string // host:port
 	told time.Duration
--- a/internal/frontend/dns/dns.go
+++ b/internal/frontend/dns/dns.go
@@ -160,7 +160,7 @@
 		f.nameBox(w, t.box)
 	case class < 0:
 		f.code(w, dns.RcodeNameError, "")
-	case f.Classes[class].Effect != policy.Safe && t.key == "":
+	case f.Classes[class].Idempotency != policy.Idempotent && t.key == "":
 		f.code(w, dns.RcodeFormatError, "this class needs a key")
 	case question.Qtype != dns.TypeA && question.Qtype != dns.TypeSRV && question.Qtype != dns.TypeTXT:
 		f.code(w, dns.RcodeSuccess, "") // the name is there, a record of that type is not
@@ -185,7 +185,7 @@
 	if w.signed != nil {
 		caller = w.signed.Caller()
 	}
-	if f.Classes[class].Effect != policy.Safe {
+	if f.Classes[class].Idempotency != policy.Idempotent {
 		// The key and not the address of the client says what is the same request: retries come from other ports.
 		// Two subjects never share one: the second is to be refused, and not told what came of the first.
 		name = caller.Subject + " " + t.team + " " + t.class + " " + t.key
@@ -259,7 +259,7 @@
 	if fl.name != "" {
 		// A refusal promises that another try is harmless, so it is repeated for its wait only.
 		// A signed query may be sent again by whoever saw it, as long as its time will do: it must find this result.
-		kept := f.Classes[fl.class].Window
+		kept := f.Classes[fl.class].DedupWindow
 		if fl.caller.Subject != "" {
 			kept = max(kept, 2*(f.Skew+time.Second))
 		}
--- a/internal/frontend/rpc/rpc.go
+++ b/internal/frontend/rpc/rpc.go
@@ -87,7 +87,7 @@
 		lobby: connlimit.New(most, idleAfter)}
 	for i, c := range classes {
 		f.classes[c.Name] = i
-		f.keyed = append(f.keyed, c.Effect == policy.Keyed)
+		f.keyed = append(f.keyed, c.Idempotency == policy.IdempotentByKey)
 	}
 	return f
 }
--- a/internal/platformconfig/control.go
+++ b/internal/platformconfig/control.go
@@ -14,11 +14,11 @@
 
 // The words of the settings.
 var (
-	effects = map[string]policy.Effect{
-		"": policy.Safe, "repeatable": policy.Safe, "by_key": policy.Keyed, "once": policy.Unsafe,
+	effects = map[string]policy.Idempotency{
+		"": policy.Idempotent, "repeatable": policy.Idempotent, "by_key": policy.IdempotentByKey, "once": policy.NotIdempotent,
 	}
-	groups = map[string]policy.Group{
-		"": policy.GroupAll, "all": policy.GroupAll, "zone": policy.GroupZone, "cell": policy.GroupCell,
+	groups = map[string]policy.DedupScope{
+		"": policy.DedupAll, "all": policy.DedupAll, "zone": policy.DedupZone, "cell": policy.DedupCell,
 	}
 	reaches = map[string]policy.Reach{
 		"": policy.ReachNone, "off": policy.ReachNone, "location": policy.ReachZone, "any": policy.ReachAny,
@@ -163,26 +163,26 @@
 		ZoneNames: r.texts("dcs"), KindNames: r.texts("machine-types"), Tick: r.ms("period-ms"),
 		ParentKind:    r.wholeOr("family-info.shield-kind", -1),
 		OriginKind:    r.wholeOr("family-info.master-kind", -1),
-		ZoneInstances: r.wholes("family-info.instances-by-zone"), ZoneHub: r.wholes("family-info.zone-hub"),
+		ZoneInstances: r.wholes("family-info.instances-by-zone"), ZoneRegion: r.wholes("family-info.zone-hub"),
 		ZoneLinkKBps: r.numbers("family-info.link-in-kb-per-s"),
 		FlowKBps:     r.number("family-info.one-flow-kb-per-s"),
 		Siblings:     word(r, "family-info.peers-fill", reaches), Detail: word(r, "family-info.detail", details),
-		Direct: r.flag("family-info.pass-through-ok"), Joins: r.flag("family-info.merges-fills"),
-		PurgeGrace: r.ms("family-info.purge-slack-ms"), PurgeTakes: r.ms("family-info.purge-takes-ms"),
-		OriginFallMultiple: r.number("family-info.origin-fall-multiple"),
-		OriginFallFor:      r.ms("family-info.origin-over-for-ms"),
-		DrainGrace:         r.ms("safety.drain-grace-ms"), AnswerSlack: r.ms("safety.answer-slack-ms"),
-		ColdFrom: r.number("safety.cold-from"), ColdFor: r.ms("safety.cold-ms"),
-		FallMultiple: r.number("safety.tip-multiple"), FallFor: r.ms("safety.overload-for-ms"),
-		ParentFrom: r.number("family-info.upper-cold-from"), ParentFor: r.ms("family-info.upper-cold-ms"),
-		ParentFall:  r.number("family-info.upper-fall-multiple"),
-		MaxAttempts: r.whole("limits.attempts-cap"), Cancel: r.flag("limits.cancelling"),
-		SecondCopies: r.flag("limits.second-copies"), Probes: r.flag("limits.may-probe"),
-		ProbePrice: r.number("prices.probe"), AskDiscovery: r.text("discovery") == "on_request",
-		AskWithin: r.ms("safety.ask-within-ms"),
+		DirectFetch: r.flag("family-info.pass-through-ok"), JoinFills: r.flag("family-info.merges-fills"),
+		PurgeGrace: r.ms("family-info.purge-slack-ms"), PurgePropagation: r.ms("family-info.purge-takes-ms"),
+		OriginOverloadMultiple: r.number("family-info.origin-fall-multiple"),
+		OriginOverloadWindow:   r.ms("family-info.origin-over-for-ms"),
+		DrainGrace:             r.ms("safety.drain-grace-ms"), ResponseSlack: r.ms("safety.answer-slack-ms"),
+		ColdStartShare: r.number("safety.cold-from"), WarmupTime: r.ms("safety.cold-ms"),
+		OverloadMultiple: r.number("safety.tip-multiple"), OverloadWindow: r.ms("safety.overload-for-ms"),
+		ParentStartShare: r.number("family-info.upper-cold-from"), ParentWarmupTime: r.ms("family-info.upper-cold-ms"),
+		ParentOverloadMultiple: r.number("family-info.upper-fall-multiple"),
+		MaxAttempts:            r.whole("limits.attempts-cap"), MayCancel: r.flag("limits.cancelling"),
+		Hedging: r.flag("limits.second-copies"), HealthChecks: r.flag("limits.may-probe"),
+		HealthCheckCost: r.number("prices.probe"), PollDiscovery: r.text("discovery") == "on_request",
+		PollWithin: r.ms("safety.ask-within-ms"),
 	}
 	weights := r.text("weights")
-	cfg.WeightsTold, cfg.WeightsLive = weights != "" && weights != "off", weights == "live"
+	cfg.WeightsReported, cfg.WeightsLive = weights != "" && weights != "off", weights == "live"
 	if how := r.text("load-info.how"); how != "" && how != "off" {
 		cfg.LoadNames = r.texts("load-info.names")
 	}
@@ -195,11 +195,11 @@
 	for i, v := range r.get("classes", "a list", gjson.Result.IsArray).Array() {
 		c := parse([]byte(v.Raw), fmt.Sprintf("settings.classes[%d]", i))
 		cfg.Classes = append(cfg.Classes, policy.Class{
-			Name: c.text("name"), Aim: c.ms("on-time-ms"), AimStretch: c.number("aim-stretch"),
-			Deadline: c.ms("deadline-ms"), Worth: c.number("worth"), LateWorth: c.number("late-value"),
-			StaleWorth: at(stale, i), Effect: word(c, "idempotency", effects), Group: word(c, "group", groups),
-			Window: c.ms("window-ms"), Streamed: c.flag("streamed"), Parts: at(parts, i), Write: at(writes, i),
-			Fresh: MS(at(fresh, i)), Grace: MS(at(grace, i)),
+			Name: c.text("name"), LatencyObjective: c.ms("on-time-ms"), ObjectiveStretch: c.number("aim-stretch"),
+			Deadline: c.ms("deadline-ms"), PriorityWeight: c.number("worth"), OverdueWeight: c.number("late-value"),
+			StaleWeight: at(stale, i), Idempotency: word(c, "idempotency", effects), DedupScope: word(c, "group", groups),
+			DedupWindow: c.ms("window-ms"), Streamed: c.flag("streamed"), Parts: at(parts, i), Write: at(writes, i),
+			FreshFor: MS(at(fresh, i)), StaleFor: MS(at(grace, i)),
 		})
 		if r.err == nil {
 			r.err = c.err
--- a/internal/policy/api.go
+++ b/internal/policy/api.go
@@ -2,30 +2,30 @@
 
 import "time"
 
-// NodeID names a server. It is handed back unmodified and carries no meaning.
-type NodeID uint64
+// EndpointID names a server. It is handed back unmodified and carries no meaning.
+type EndpointID uint64
 
 // RequestID names one try of one client. It is never used twice.
 type RequestID uint32
 
-// Effect says what may happen when a request of a class runs more than once.
-type Effect int
+// Idempotency says what may happen when a request of a class runs more than once.
+type Idempotency int
 
 // The effects of a class.
 const (
-	Safe   Effect = iota // may be repeated and refused at will
-	Keyed                // repeats are dropped within Class.Group for Class.Window
-	Unsafe               // may run once only
+	Idempotent      Idempotency = iota // may be repeated and refused at will
+	IdempotentByKey                    // repeats are dropped within Class.Group for Class.Window
+	NotIdempotent                      // may run once only
 )
 
-// Group says which servers drop the repeats of a keyed request together.
-type Group int
+// DedupScope says which servers drop the repeats of a keyed request together.
+type DedupScope int
 
 // The groups of a keyed class.
 const (
-	GroupAll Group = iota
-	GroupZone
-	GroupCell
+	DedupAll DedupScope = iota
+	DedupZone
+	DedupCell
 )
 
 // Reach says which caches may be the source of a fill.
@@ -50,26 +50,26 @@
 
 // Class is a class of requests.
 type Class struct {
-	Name       string // for the log only
-	Aim        time.Duration
-	AimStretch float64
-	Deadline   time.Duration
-	Worth      float64
-	LateWorth  float64
-	StaleWorth float64
-	Effect     Effect
-	Group      Group
-	Window     time.Duration
-	Streamed   bool
-	Parts      bool
-	Write      bool
-	Fresh      time.Duration // 0: a copy is good until it is purged
-	Grace      time.Duration // time past Fresh in which a copy may still be served
+	Name             string // for the log only
+	LatencyObjective time.Duration
+	ObjectiveStretch float64
+	Deadline         time.Duration
+	PriorityWeight   float64
+	OverdueWeight    float64
+	StaleWeight      float64
+	Idempotency      Idempotency
+	DedupScope       DedupScope
+	DedupWindow      time.Duration
+	Streamed         bool
+	Parts            bool
+	Write            bool
+	FreshFor         time.Duration // 0: a copy is good until it is purged
+	StaleFor         time.Duration // time past Fresh in which a copy may still be served
 }
 
-// RepeatsFor is how long after an attempt that may have run another one may go out: boxes drop repeats for Window, and what is decided
+// RetryWindow is how long after an attempt that may have run another one may go out: boxes drop repeats for Window, and what is decided
 // has yet to be written, sent and read.
-func (c *Class) RepeatsFor() time.Duration { return c.Window * 8 / 10 }
+func (c *Class) RetryWindow() time.Duration { return c.DedupWindow * 8 / 10 }
 
 // Config is what a Director is told at its start. Times of 0 mean "no such limit" unless said otherwise.
 type Config struct {
@@ -80,50 +80,50 @@
 	Classes            []Class
 	Tick               time.Duration
 
-	ParentKind, OriginKind int // index of the kind in list entries; -1: none
-	ZoneInstances          []int
-	ZoneHub                []int
-	ZoneLinkKBps           []float64 // 0: not told
-	FlowKBps               float64   // top pace of one answer; the unit of Node.Weight
-	WeightsTold            bool      // false: Node.Weight says nothing
-	WeightsLive            bool      // true: weights vary from list to list
-	Siblings               Reach
-	Detail                 Detail
-	Direct                 bool // requests may go straight to a parent or the origin
-	Joins                  bool
-	PurgeGrace, PurgeTakes time.Duration
-
-	OriginFallMultiple float64
-	OriginFallFor      time.Duration
-
-	DrainGrace   time.Duration
-	AnswerSlack  time.Duration
-	ColdFrom     float64
-	ColdFor      time.Duration
-	FallMultiple float64
-	FallFor      time.Duration
-	ParentFrom   float64
-	ParentFor    time.Duration
-	ParentFall   float64
-
-	MaxAttempts   int
-	Cancel        bool
-	SecondCopies  bool
-	MaxRetryAfter time.Duration // longest advice that a client heeds; 0: advice is not allowed
-	Probes        bool
-	ProbePrice    float64
-	AskDiscovery  bool // the list comes only on request
-	AskWithin     time.Duration
-	LoadNames     []string
+	ParentKind, OriginKind       int // index of the kind in list entries; -1: none
+	ZoneInstances                []int
+	ZoneRegion                   []int
+	ZoneLinkKBps                 []float64 // 0: not told
+	FlowKBps                     float64   // top pace of one answer; the unit of Node.Weight
+	WeightsReported              bool      // false: Node.Weight says nothing
+	WeightsLive                  bool      // true: weights vary from list to list
+	Siblings                     Reach
+	Detail                       Detail
+	DirectFetch                  bool // requests may go straight to a parent or the origin
+	JoinFills                    bool
+	PurgeGrace, PurgePropagation time.Duration
+
+	OriginOverloadMultiple float64
+	OriginOverloadWindow   time.Duration
+
+	DrainGrace             time.Duration
+	ResponseSlack          time.Duration
+	ColdStartShare         float64
+	WarmupTime             time.Duration
+	OverloadMultiple       float64
+	OverloadWindow         time.Duration
+	ParentStartShare       float64
+	ParentWarmupTime       time.Duration
+	ParentOverloadMultiple float64
+
+	MaxAttempts     int
+	MayCancel       bool
+	Hedging         bool
+	MaxRetryAfter   time.Duration // longest advice that a client heeds; 0: advice is not allowed
+	HealthChecks    bool
+	HealthCheckCost float64
+	PollDiscovery   bool // the list comes only on request
+	PollWithin      time.Duration
+	LoadNames       []string
 }
 
-// Later is how long a client that is turned away is told to stay away: half the time in which the class's answer is
+// RetryAfter is how long a client that is turned away is told to stay away: half the time in which the class's answer is
 // wanted, as who comes back after it comes for nothing, and no longer than clients heed. 0: no advice.
-func (c *Config) Later(class *Class) time.Duration {
-	if class.Aim <= 0 {
+func (c *Config) RetryAfter(class *Class) time.Duration {
+	if class.LatencyObjective <= 0 {
 		return c.MaxRetryAfter
 	}
-	return min(c.MaxRetryAfter, class.Aim/2)
+	return min(c.MaxRetryAfter, class.LatencyObjective/2)
 }
 
 // State is what the list says of a server.
@@ -152,15 +152,15 @@
 
 // The outcomes of an attempt or a probe.
 const (
-	OK Status = iota
-	Error
-	Full
-	Timeout
-	ConnectFailed
-	Reset
-	Cancelled
-	Moot
-	Miss
+	StatusOK Status = iota
+	StatusError
+	StatusAtCapacity
+	StatusTimeout
+	StatusConnectFailed
+	StatusReset
+	StatusCanceled
+	StatusNotExecuted
+	StatusMiss
 )
 
 // Note tells how an answer came about, as far as Config.Detail goes.
@@ -174,22 +174,22 @@
 	NoteFilledOrigin
 	NoteJoined
 	NoteStale
-	NoteSourceRefused
+	NoteSourceRejected
 	NoteSourceLost
-	NoteSourceLacks
-	NoteNoPlace
+	NoteSourceMiss
+	NoteNoCapacity
 	NoteOriginFailed
 )
 
-// Node is an entry of the list of servers.
-type Node struct {
-	ID     NodeID
-	Zone   int
-	Kind   int
-	Cell   int
-	State  State
-	Weight float64
-	Since  time.Duration // its most recent start; 0: long ago
+// Endpoint is an entry of the list of servers.
+type Endpoint struct {
+	ID        EndpointID
+	Zone      int
+	Kind      int
+	Cell      int
+	State     State
+	Weight    float64
+	StartedAt time.Duration // its most recent start; 0: long ago
 }
 
 // Event is something that a Director is told.
@@ -197,57 +197,57 @@
 
 // ListEvent brings the list of servers or changes to it.
 type ListEvent struct {
-	Kind    ListKind
-	Version uint64
-	Nodes   []Node
+	Kind      ListKind
+	Version   uint64
+	Endpoints []Endpoint
 }
 
-// CallEvent is a new request.
-type CallEvent struct {
-	ID     RequestID
-	Class  int
-	Tenant int
-	Object uint64
-	Part   int
-	Group  int
-	Left   time.Duration // until the client gives this try up
-	SizeKB float64       // 0: not told
-	Repeat bool          // the client marked it as a repeat
+// RequestEvent is a new request.
+type RequestEvent struct {
+	ID        RequestID
+	Class     int
+	Tenant    int
+	Object    uint64
+	Part      int
+	Group     int
+	Remaining time.Duration // until the client gives this try up
+	SizeKB    float64       // 0: not told
+	Retry     bool          // the client marked it as a repeat
 }
 
 // HeadersEvent says that a streamed answer has begun.
 type HeadersEvent struct {
-	ID      RequestID
-	Node    NodeID
-	Attempt int
-	Took    time.Duration
+	ID       RequestID
+	Endpoint EndpointID
+	Attempt  int
+	Elapsed  time.Duration
 }
 
-// AnswerEvent says how an attempt ended.
-type AnswerEvent struct {
+// ResponseEvent says how an attempt ended.
+type ResponseEvent struct {
 	ID        RequestID
-	Node      NodeID
+	Endpoint  EndpointID
 	Attempt   int
-	Took      time.Duration
-	Settled   bool // the request is concluded
+	Elapsed   time.Duration
+	Concluded bool // the request is concluded
 	Note      Note
 	FirstByte time.Duration
 	Status    Status
 	Load      []float64
 }
 
-// GoneEvent says that a client has left.
-type GoneEvent struct{ ID RequestID }
+// ClientGoneEvent says that a client has left.
+type ClientGoneEvent struct{ ID RequestID }
 
 // TimerEvent is the return of a Timer.
 type TimerEvent struct{ Token uint64 }
 
-// ProbeEvent is the result of a Probe.
-type ProbeEvent struct {
-	Node   NodeID
-	Status Status
-	Took   time.Duration
-	Load   []float64
+// HealthCheckEvent is the result of a Probe.
+type HealthCheckEvent struct {
+	Endpoint EndpointID
+	Status   Status
+	Elapsed  time.Duration
+	Load     []float64
 }
 
 // PeerEvent is a message from another director.
@@ -263,56 +263,56 @@
 	Age    time.Duration
 }
 
-func (ListEvent) isEvent()    {}
-func (CallEvent) isEvent()    {}
-func (HeadersEvent) isEvent() {}
-func (AnswerEvent) isEvent()  {}
-func (GoneEvent) isEvent()    {}
-func (TimerEvent) isEvent()   {}
-func (ProbeEvent) isEvent()   {}
-func (PeerEvent) isEvent()    {}
-func (PurgeEvent) isEvent()   {}
+func (ListEvent) isEvent()        {}
+func (RequestEvent) isEvent()     {}
+func (HeadersEvent) isEvent()     {}
+func (ResponseEvent) isEvent()    {}
+func (ClientGoneEvent) isEvent()  {}
+func (TimerEvent) isEvent()       {}
+func (HealthCheckEvent) isEvent() {}
+func (PeerEvent) isEvent()        {}
+func (PurgeEvent) isEvent()       {}
 
 // Action is something that a Director wants done.
 type Action interface{ isAction() }
 
-// Get sends an attempt. Attempts of a request are numbered from 0 in the order of their Gets.
-type Get struct {
-	ID       RequestID
-	Node     NodeID
-	Patience time.Duration // 0: until the client gives up
-	Source   NodeID        // Node itself: no fill
-	Keep     int           // 0: no copy, no change; 1 to 3: the rank of the copy
-	Age      time.Duration // oldest copy that will do; 0: the class's own limit
-	Join     bool          // wait for a fill that runs already
-	HeldOnly bool          // the source gives only what it holds
-	NoParent bool          // leave no copy at the parent
-	Renew    bool          // fetch an ageing copy anew while serving it
+// SendAttempt sends an attempt. Attempts of a request are numbered from 0 in the order of their Gets.
+type SendAttempt struct {
+	ID           RequestID
+	Endpoint     EndpointID
+	Timeout      time.Duration // 0: until the client gives up
+	Source       EndpointID    // Node itself: no fill
+	CacheRank    int           // 0: no copy, no change; 1 to 3: the rank of the copy
+	MaxAge       time.Duration // oldest copy that will do; 0: the class's own limit
+	JoinFill     bool          // wait for a fill that runs already
+	CachedOnly   bool          // the source gives only what it holds
+	BypassParent bool          // leave no copy at the parent
+	Revalidate   bool          // fetch an ageing copy anew while serving it
 }
 
-// Refuse is a final answer: nothing ran, a further try is harmless.
-type Refuse struct {
-	ID   RequestID
-	Wait time.Duration // 0: no advice
+// Reject is a final answer: nothing ran, a further try is harmless.
+type Reject struct {
+	ID         RequestID
+	RetryAfter time.Duration // 0: no advice
 }
 
 // Fail is a final answer that promises nothing.
 type Fail struct{ ID RequestID }
 
-// Cancel abandons one attempt.
-type Cancel struct {
+// CancelAttempt abandons one attempt.
+type CancelAttempt struct {
 	ID      RequestID
 	Attempt int
 }
 
-// Timer asks for a TimerEvent at a time.
-type Timer struct {
+// SetTimer asks for a TimerEvent at a time.
+type SetTimer struct {
 	Token uint64
 	At    time.Duration
 }
 
-// Probe examines a server.
-type Probe struct{ Node NodeID }
+// HealthCheck examines a server.
+type HealthCheck struct{ Endpoint EndpointID }
 
 // Watch subscribes to the changes of the list, or ends that.
 type Watch struct{ On bool }
@@ -323,12 +323,12 @@
 // Log adds a line to the report.
 type Log struct{ Text string }
 
-func (Get) isAction()       {}
-func (Refuse) isAction()    {}
-func (Fail) isAction()      {}
-func (Cancel) isAction()    {}
-func (Timer) isAction()     {}
-func (Probe) isAction()     {}
-func (Watch) isAction()     {}
-func (FetchList) isAction() {}
-func (Log) isAction()       {}
+func (SendAttempt) isAction()   {}
+func (Reject) isAction()        {}
+func (Fail) isAction()          {}
+func (CancelAttempt) isAction() {}
+func (SetTimer) isAction()      {}
+func (HealthCheck) isAction()   {}
+func (Watch) isAction()         {}
+func (FetchList) isAction()     {}
+func (Log) isAction()           {}
--- a/internal/policy/director_test.go
+++ b/internal/policy/director_test.go
@@ -17,36 +17,36 @@
 func site() Config {
 	return Config{
 		Instances: 2, Zone: 2, ZoneInstances: []int{0, 0, 1, 1}, ParentKind: 1, OriginKind: 2,
-		FlowKBps: 1000, WeightsTold: true, Siblings: ReachZone, Detail: DetailAll, Direct: true, Joins: true,
-		PurgeGrace: 500 * ms, PurgeTakes: 6 * sec, DrainGrace: sec, ColdFrom: 0.2, ColdFor: 20 * sec,
-		FallMultiple: 3, FallFor: 2 * sec, ParentFrom: 0.1, ParentFor: 20 * sec, ParentFall: 2,
-		MaxAttempts: 6, Cancel: true, SecondCopies: true, MaxRetryAfter: sec,
+		FlowKBps: 1000, WeightsReported: true, Siblings: ReachZone, Detail: DetailAll, DirectFetch: true, JoinFills: true,
+		PurgeGrace: 500 * ms, PurgePropagation: 6 * sec, DrainGrace: sec, ColdStartShare: 0.2, WarmupTime: 20 * sec,
+		OverloadMultiple: 3, OverloadWindow: 2 * sec, ParentStartShare: 0.1, ParentWarmupTime: 20 * sec, ParentOverloadMultiple: 2,
+		MaxAttempts: 6, MayCancel: true, Hedging: true, MaxRetryAfter: sec,
 		Classes: []Class{
-			{Aim: 400 * ms, AimStretch: 2, Deadline: 4 * sec, Worth: 2},
-			{Aim: 400 * ms, Deadline: 4 * sec, Worth: 3, Effect: Keyed, Window: 2 * sec, Write: true},
-			{Aim: 400 * ms, Deadline: 4 * sec, Worth: 3, Effect: Unsafe, Write: true},
+			{LatencyObjective: 400 * ms, ObjectiveStretch: 2, Deadline: 4 * sec, PriorityWeight: 2},
+			{LatencyObjective: 400 * ms, Deadline: 4 * sec, PriorityWeight: 3, Idempotency: IdempotentByKey, DedupWindow: 2 * sec, Write: true},
+			{LatencyObjective: 400 * ms, Deadline: 4 * sec, PriorityWeight: 3, Idempotency: NotIdempotent, Write: true},
 		},
 	}
 }
 
-func nodes() []Node {
-	list := []Node{{ID: 100, Zone: 0, Kind: 1, State: Ready, Weight: 40}, {ID: 101, Zone: 1, Kind: 1, State: Ready,
+func nodes() []Endpoint {
+	list := []Endpoint{{ID: 100, Zone: 0, Kind: 1, State: Ready, Weight: 40}, {ID: 101, Zone: 1, Kind: 1, State: Ready,
 		Weight: 40}, {ID: 200, Kind: 2, State: Ready, Weight: 1}}
 	for i := 1; i <= 4; i++ {
-		list = append(list, Node{ID: NodeID(i), Zone: 2, State: Ready, Weight: 8})
+		list = append(list, Endpoint{ID: EndpointID(i), Zone: 2, State: Ready, Weight: 8})
 	}
-	return append(list, Node{ID: 9, Zone: 3, State: Ready, Weight: 8})
+	return append(list, Endpoint{ID: 9, Zone: 3, State: Ready, Weight: 8})
 }
 
 // bench drives a Director by hand and watches the rules that hold for every action.
 type bench struct {
 	t      *testing.T
-	d      *Director
+	d      *Engine
 	now    time.Duration
 	open   map[RequestID]int // attempts sent to requests without a final answer
-	gets   map[RequestID][]Get
+	gets   map[RequestID][]SendAttempt
 	finals map[RequestID]Action
-	banned map[NodeID]bool
+	banned map[EndpointID]bool
 	log    []Action
 	next   RequestID // by lateFills
 }
@@ -57,9 +57,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &bench{t: t, d: d, now: 100 * sec, open: map[RequestID]int{}, gets: map[RequestID][]Get{},
-		finals: map[RequestID]Action{}, banned: map[NodeID]bool{}}
-	b.do(ListEvent{Kind: ListCached, Nodes: nodes()})
+	b := &bench{t: t, d: d, now: 100 * sec, open: map[RequestID]int{}, gets: map[RequestID][]SendAttempt{},
+		finals: map[RequestID]Action{}, banned: map[EndpointID]bool{}}
+	b.do(ListEvent{Kind: ListCached, Endpoints: nodes()})
 	return b
 }
 
@@ -69,18 +69,18 @@
 	b.log = append(b.log, out...)
 	for _, a := range out {
 		switch a := a.(type) {
-		case Get:
+		case SendAttempt:
 			if b.finals[a.ID] != nil {
 				b.t.Fatalf("%v: sent after the final answer", a)
 			}
-			if b.banned[a.Node] || b.banned[a.Source] {
+			if b.banned[a.Endpoint] || b.banned[a.Source] {
 				b.t.Fatalf("%+v: uses a server that drains or is gone", a)
 			}
 			b.gets[a.ID] = append(b.gets[a.ID], a)
 			if n := len(b.gets[a.ID]); n > b.d.cfg.MaxAttempts {
 				b.t.Fatalf("%d attempts, at most %d allowed", n, b.d.cfg.MaxAttempts)
 			}
-		case Refuse:
+		case Reject:
 			b.final(a.ID, a)
 		case Fail:
 			b.final(a.ID, a)
@@ -99,10 +99,10 @@
 
 func (b *bench) call(id RequestID, class int, object uint64) {
 	b.t.Helper()
-	b.do(CallEvent{ID: id, Class: class, Object: object, Left: 3 * sec, SizeKB: 100})
+	b.do(RequestEvent{ID: id, Class: class, Object: object, Remaining: 3 * sec, SizeKB: 100})
 }
 
-func (b *bench) last(id RequestID) Get {
+func (b *bench) last(id RequestID) SendAttempt {
 	b.t.Helper()
 	if len(b.gets[id]) == 0 {
 		b.t.Fatalf("%d: nothing was sent", id)
@@ -114,18 +114,18 @@
 func (b *bench) answer(id RequestID, s Status, note Note) {
 	b.t.Helper()
 	g := b.last(id)
-	if s == OK {
+	if s == StatusOK {
 		b.finals[id] = g
 	}
-	b.do(AnswerEvent{ID: id, Node: g.Node, Attempt: len(b.gets[id]) - 1, Took: 100 * ms, Settled: s == OK,
+	b.do(ResponseEvent{ID: id, Endpoint: g.Endpoint, Attempt: len(b.gets[id]) - 1, Elapsed: 100 * ms, Concluded: s == StatusOK,
 		Note: note, Status: s})
 }
 
 // settle answers looks with a miss until something else is sent.
-func (b *bench) settle(id RequestID) Get {
+func (b *bench) settle(id RequestID) SendAttempt {
 	b.t.Helper()
-	for b.last(id).Source == b.last(id).Node && b.finals[id] == nil {
-		b.answer(id, Miss, NoteNone)
+	for b.last(id).Source == b.last(id).Endpoint && b.finals[id] == nil {
+		b.answer(id, StatusMiss, NoteNone)
 	}
 	return b.last(id)
 }
@@ -143,10 +143,10 @@
 	for i, want := range []int{0, 1, 3} {
 		id := RequestID(i + 1)
 		b.call(id, 0, 7)
-		if got := b.settle(id).Keep; got != want {
+		if got := b.settle(id).CacheRank; got != want {
 			t.Errorf("request %d of an object: keep %d, want %d", i+1, got, want)
 		}
-		b.answer(id, OK, NoteFilled)
+		b.answer(id, StatusOK, NoteFilled)
 		b.now += sec
 	}
 }
@@ -156,20 +156,20 @@
 	for id := RequestID(1); id <= 3; id++ {
 		b.call(id, 0, 7)
 		b.settle(id)
-		b.answer(id, OK, NoteFilled)
+		b.answer(id, StatusOK, NoteFilled)
 		b.now += sec
 	}
-	holder := b.last(3).Node
+	holder := b.last(3).Endpoint
 	b.call(4, 0, 7)
-	if b.last(4).Node != holder {
-		t.Fatalf("a known object went to %d, want its holder %d", b.last(4).Node, holder)
+	if b.last(4).Endpoint != holder {
+		t.Fatalf("a known object went to %d, want its holder %d", b.last(4).Endpoint, holder)
 	}
 	b.call(5, 0, 7) // the holder has work out: the copy's turn
 	second := b.last(5)
-	if second.Node == holder || second.Source != holder || !second.HeldOnly {
+	if second.Endpoint == holder || second.Source != holder || !second.CachedOnly {
 		t.Fatalf("second copy: %+v, want another cache filled from holder %d by what it holds", second, holder)
 	}
-	b.answer(5, Miss, NoteSourceLacks)
+	b.answer(5, StatusMiss, NoteSourceMiss)
 	if g := b.last(5); g.Source != 100 && g.Source != 101 {
 		t.Errorf("the holder lacks it: %+v, want a parent to fill", g)
 	}
@@ -178,21 +178,21 @@
 func TestLooksBeforeFill(t *testing.T) {
 	b := newBench(t, site())
 	b.call(1, 0, 7)
-	if g := b.last(1); g.Source != g.Node {
+	if g := b.last(1); g.Source != g.Endpoint {
 		t.Fatalf("unknown part: %+v, want a look first", g)
 	}
-	b.answer(1, OK, NoteHit)
-	found := b.last(1).Node
+	b.answer(1, StatusOK, NoteHit)
+	found := b.last(1).Endpoint
 	b.now += sec
 	b.call(2, 0, 7)
-	if g := b.last(2); g.Node != found {
-		t.Errorf("known by a look at %d, but sent to %d", found, g.Node)
+	if g := b.last(2); g.Endpoint != found {
+		t.Errorf("known by a look at %d, but sent to %d", found, g.Endpoint)
 	}
 }
 
 func TestSameHomesAtAllDirectors(t *testing.T) {
 	one, two := newBench(t, site()), newBench(t, site())
-	two.do(ListEvent{Kind: ListDelta, Nodes: []Node{{ID: 5, Zone: 2, State: Ready, Weight: 8}}})
+	two.do(ListEvent{Kind: ListDelta, Endpoints: []Endpoint{{ID: 5, Zone: 2, State: Ready, Weight: 8}}})
 	moved := 0
 	for id := RequestID(1); id <= 300; id++ {
 		p := part{uint64(id) * 977, 0}
@@ -211,14 +211,14 @@
 
 func TestDrains(t *testing.T) {
 	b := newBench(t, site())
-	for _, n := range []Node{{ID: 1, Zone: 2, State: Draining, Weight: 8}, {ID: 100, Kind: 1, State: Gone}} {
-		b.do(ListEvent{Kind: ListDelta, Nodes: []Node{n}})
+	for _, n := range []Endpoint{{ID: 1, Zone: 2, State: Draining, Weight: 8}, {ID: 100, Kind: 1, State: Gone}} {
+		b.do(ListEvent{Kind: ListDelta, Endpoints: []Endpoint{n}})
 		b.banned[n.ID] = true
 	}
 	for id := RequestID(1); id <= 60; id++ {
 		b.call(id, 0, uint64(id))
 		b.settle(id)
-		b.answer(id, Error, NoteNone)
+		b.answer(id, StatusError, NoteNone)
 		b.now += 100 * ms
 	}
 }
@@ -235,29 +235,29 @@
 		b.call(id, 0, 7)
 		for tries := 0; tries < 3; tries++ {
 			g := b.last(id)
-			if step.most > 0 && (g.Age <= 0 || g.Age > step.most || g.Join != (step.most > joinAfter) || g.Renew) {
+			if step.most > 0 && (g.MaxAge <= 0 || g.MaxAge > step.most || g.JoinFill != (step.most > joinAfter) || g.Revalidate) {
 				t.Errorf("%v after the purge: %+v, want an age of at most %v", step.wait, g, step.most)
 			}
-			b.answer(id, Miss, NoteNone)
+			b.answer(id, StatusMiss, NoteNone)
 		}
 	}
 	b.do(PurgeEvent{Object: 8})
 	b.call(1, 0, 8)
-	if g := b.last(1); g.Age <= 0 || g.Age > ms {
-		t.Errorf("a purge just told: age %v, want the smallest that is not 'any'", g.Age)
+	if g := b.last(1); g.MaxAge <= 0 || g.MaxAge > ms {
+		t.Errorf("a purge just told: age %v, want the smallest that is not 'any'", g.MaxAge)
 	}
 	b.do(PurgeEvent{Group: 3, Age: ms})
-	b.do(CallEvent{ID: 2, Object: 9, Group: 3, Left: sec})
-	if g := b.last(2); g.Age <= 0 || g.Age > ms {
-		t.Errorf("a purged group: age %v", g.Age)
+	b.do(RequestEvent{ID: 2, Object: 9, Group: 3, Remaining: sec})
+	if g := b.last(2); g.MaxAge <= 0 || g.MaxAge > ms {
+		t.Errorf("a purged group: age %v", g.MaxAge)
 	}
 }
 
 func TestColdBudget(t *testing.T) {
-	for _, cold := range []Node{{ID: 1, Zone: 2, State: Ready, Weight: 8}, {ID: 100, Kind: 1, State: Ready, Weight: 40}} {
+	for _, cold := range []Endpoint{{ID: 1, Zone: 2, State: Ready, Weight: 8}, {ID: 100, Kind: 1, State: Ready, Weight: 40}} {
 		b := newBench(t, site())
-		cold.Since = b.now
-		b.do(ListEvent{Kind: ListDelta, Nodes: []Node{cold}})
+		cold.StartedAt = b.now
+		b.do(ListEvent{Kind: ListDelta, Endpoints: []Endpoint{cold}})
 		rate, share := 0.2*3.0, 1.0
 		if cold.Kind == 1 {
 			rate, share = 0.1*2.0, 2
@@ -268,11 +268,11 @@
 			b.call(id, 0, uint64(id))
 			b.settle(id)
 			for _, g := range b.gets[id] {
-				if g.Node == cold.ID || g.Source == cold.ID && g.Node != cold.ID {
+				if g.Endpoint == cold.ID || g.Source == cold.ID && g.Endpoint != cold.ID {
 					spentHere += b.d.classes[0].cost
 				}
 			}
-			b.answer(id, OK, NoteFilled)
+			b.answer(id, StatusOK, NoteFilled)
 		}
 		// The share may have grown to the end of the window: a tenth of the way to warm.
 		budget := (rate + 0.1*3) * cold.Weight * 2 / share
@@ -291,10 +291,10 @@
 		wantSend  bool
 		wantFinal Action
 	}{
-		{"keyed, within the window", 1, Error, 0, true, nil},
-		{"keyed, too late", 1, Error, 1900 * ms, false, Refuse{ID: 1, Wait: 200 * ms}},
-		{"unsafe, may have run", 2, Error, 0, false, Fail{ID: 1}},
-		{"unsafe, never ran", 2, ConnectFailed, 0, true, nil},
+		{"keyed, within the window", 1, StatusError, 0, true, nil},
+		{"keyed, too late", 1, StatusError, 1900 * ms, false, Reject{ID: 1, RetryAfter: 200 * ms}},
+		{"unsafe, may have run", 2, StatusError, 0, false, Fail{ID: 1}},
+		{"unsafe, never ran", 2, StatusConnectFailed, 0, true, nil},
 	} {
 		b := newBench(t, site())
 		b.call(1, c.class, 7)
@@ -313,7 +313,7 @@
 func TestLongAnswersAreNotSilence(t *testing.T) {
 	b := newBench(t, site())
 	for id := RequestID(1); id <= 12; id++ {
-		b.do(CallEvent{ID: id, Object: uint64(id), Left: 5 * sec, SizeKB: 900})
+		b.do(RequestEvent{ID: id, Object: uint64(id), Remaining: 5 * sec, SizeKB: 900})
 	}
 	b.tick(800 * ms)
 	for _, s := range b.d.caches.Members() {
@@ -327,7 +327,7 @@
 func TestSilentHolderIsLeft(t *testing.T) {
 	b := newBench(t, site())
 	for id := RequestID(1); id <= 6; id++ {
-		b.do(CallEvent{ID: id, Object: 7, Part: int(id), Left: 3 * sec, SizeKB: 50})
+		b.do(RequestEvent{ID: id, Object: 7, Part: int(id), Remaining: 3 * sec, SizeKB: 50})
 	}
 	b.tick(1500 * ms)
 	for id := RequestID(1); id <= 6; id++ {
@@ -344,14 +344,14 @@
 	for id := RequestID(1); id <= 200; id++ {
 		b.call(id, 0, uint64(id))
 		for b.finals[id] == nil {
-			if g := b.last(id); g.Node >= 100 {
-				if g.Node < 200 && g.Source != 200 {
+			if g := b.last(id); g.Endpoint >= 100 {
+				if g.Endpoint < 200 && g.Source != 200 {
 					t.Fatalf("%+v: a parent asked with itself as source fetches nothing", g)
 				}
-				b.answer(id, OK, NoteFilled)
+				b.answer(id, StatusOK, NoteFilled)
 				served++
 			} else {
-				b.answer(id, ConnectFailed, NoteNone)
+				b.answer(id, StatusConnectFailed, NoteNone)
 			}
 		}
 		b.tick(30 * ms)
@@ -368,9 +368,9 @@
 	b := newBench(t, cfg)
 	b.call(1, 0, 7)
 	first := b.settle(1)
-	b.do(AnswerEvent{ID: 1, Node: first.Node, Attempt: len(b.gets[1]) - 1, Took: 400 * ms, Status: Full})
-	if g := b.last(1); g.Node != first.Node || g.Source == first.Source {
-		t.Errorf("after a late refusal: %+v, want cache %d with another source than %d", g, first.Node, first.Source)
+	b.do(ResponseEvent{ID: 1, Endpoint: first.Endpoint, Attempt: len(b.gets[1]) - 1, Elapsed: 400 * ms, Status: StatusAtCapacity})
+	if g := b.last(1); g.Endpoint != first.Endpoint || g.Source == first.Source {
+		t.Errorf("after a late refusal: %+v, want cache %d with another source than %d", g, first.Endpoint, first.Source)
 	}
 }
 
@@ -381,7 +381,7 @@
 	for id := RequestID(1); id <= 40; id++ {
 		b.call(id, 0, uint64(id))
 		if b.finals[id] == nil {
-			if g := b.settle(id); g.HeldOnly && (g.Source == 100 || g.Source == 101) {
+			if g := b.settle(id); g.CachedOnly && (g.Source == 100 || g.Source == 101) {
 				return
 			}
 		}
@@ -393,7 +393,7 @@
 func TestNewProcess(t *testing.T) {
 	b := newBench(t, site())
 	b.d.servers[1].ejected = true
-	b.do(ListEvent{Kind: ListDelta, Nodes: []Node{{ID: 1, Zone: 2, State: Ready, Weight: 8, Since: b.now}}})
+	b.do(ListEvent{Kind: ListDelta, Endpoints: []Endpoint{{ID: 1, Zone: 2, State: Ready, Weight: 8, StartedAt: b.now}}})
 	if b.d.servers[1].ejected {
 		t.Error("a new process is still ejected for what the old one did")
 	}
@@ -401,8 +401,8 @@
 
 func TestBadSettings(t *testing.T) {
 	for name, spoil := range map[string]func(*Config){
-		"no class": func(c *Config) { c.Classes = nil }, "time": func(c *Config) { c.Classes[0].Aim = -1 },
-		"effect": func(c *Config) { c.Classes[0].Effect = 9 }, "zone": func(c *Config) { c.Zone = -1 },
+		"no class": func(c *Config) { c.Classes = nil }, "time": func(c *Config) { c.Classes[0].LatencyObjective = -1 },
+		"effect": func(c *Config) { c.Classes[0].Idempotency = 9 }, "zone": func(c *Config) { c.Zone = -1 },
 	} {
 		cfg := site()
 		spoil(&cfg)
@@ -426,7 +426,7 @@
 			id++
 			left := time.Duration(200+rnd.Intn(2000)) * ms
 			gone[id] = b.now + left
-			b.do(CallEvent{ID: id, Class: rnd.Intn(3), Object: uint64(rnd.Intn(40)), Left: left,
+			b.do(RequestEvent{ID: id, Class: rnd.Intn(3), Object: uint64(rnd.Intn(40)), Remaining: left,
 				SizeKB: float64(rnd.Intn(400))})
 		case 3, 4, 5, 6:
 			if id == 0 {
@@ -435,30 +435,30 @@
 			r := id - RequestID(rnd.Intn(min(int(id), 20)))
 			if n := len(b.gets[r]); n > 0 {
 				i := rnd.Intn(n)
-				s := Status(rnd.Intn(int(Miss) + 1))
-				if answered[[2]int{int(r), i}] && s == OK {
-					s = Error // a second answer to an attempt is hostile, but never the client's
+				s := Status(rnd.Intn(int(StatusMiss) + 1))
+				if answered[[2]int{int(r), i}] && s == StatusOK {
+					s = StatusError // a second answer to an attempt is hostile, but never the client's
 				}
 				answered[[2]int{int(r), i}] = true
-				if b.finals[r] == nil && s == OK {
+				if b.finals[r] == nil && s == StatusOK {
 					b.finals[r] = b.gets[r][i]
 				}
-				b.do(AnswerEvent{ID: r, Node: b.gets[r][i].Node, Attempt: i, Took: 50 * ms, Status: s,
-					Settled: b.finals[r] != nil, Note: Note(rnd.Intn(11))})
+				b.do(ResponseEvent{ID: r, Endpoint: b.gets[r][i].Endpoint, Attempt: i, Elapsed: 50 * ms, Status: s,
+					Concluded: b.finals[r] != nil, Note: Note(rnd.Intn(11))})
 			}
 		case 7:
 			b.do(PurgeEvent{Object: uint64(rnd.Intn(40)), Age: time.Duration(rnd.Intn(300)) * ms})
 		case 8:
 			n := nodes()[rnd.Intn(len(nodes()))]
 			n.State = State(rnd.Intn(3))
-			n.Since = b.now - time.Duration(rnd.Intn(2000))*ms
+			n.StartedAt = b.now - time.Duration(rnd.Intn(2000))*ms
 			b.banned[n.ID] = n.State != Ready
-			b.do(ListEvent{Kind: ListDelta, Nodes: []Node{n}})
+			b.do(ListEvent{Kind: ListDelta, Endpoints: []Endpoint{n}})
 		case 9: // what was never asked for
-			b.do(AnswerEvent{ID: 1 << 30, Attempt: rnd.Intn(300) - 1, Status: OK})
-			b.do(GoneEvent{ID: 1 << 30})
+			b.do(ResponseEvent{ID: 1 << 30, Attempt: rnd.Intn(300) - 1, Status: StatusOK})
+			b.do(ClientGoneEvent{ID: 1 << 30})
 			b.do(TimerEvent{Token: 999})
-			b.do(CallEvent{ID: 1<<30 + RequestID(step), Class: 99})
+			b.do(RequestEvent{ID: 1<<30 + RequestID(step), Class: 99})
 		default:
 			b.do(TimerEvent{Token: tickToken})
 		}
@@ -466,7 +466,7 @@
 			if at, waits := gone[r]; waits && b.now >= at {
 				if b.finals[r] == nil {
 					b.finals[r] = left{}
-					b.do(GoneEvent{ID: r})
+					b.do(ClientGoneEvent{ID: r})
 				}
 				delete(gone, r)
 			}
@@ -497,7 +497,7 @@
 
 // fillsVia sends requests one after another and answers each attempt by how;
 // it gives the number of fills that went by the parent.
-func fillsVia(b *bench, parent NodeID, requests int, how func(Get) (Status, Note)) int {
+func fillsVia(b *bench, parent EndpointID, requests int, how func(SendAttempt) (Status, Note)) int {
 	via := 0
 	for id := RequestID(1); id <= RequestID(requests); id++ {
 		b.call(id, 0, uint64(1000+id))
@@ -507,7 +507,7 @@
 				break
 			}
 			s, note := how(g)
-			if g.Source == parent && g.Node != parent {
+			if g.Source == parent && g.Endpoint != parent {
 				via++
 			}
 			b.answer(id, s, note)
@@ -524,14 +524,14 @@
 	b := newBench(t, site())
 	// The other trunk is busy and turns fills away at times, as on a day when a hub is lost.
 	turned := 0
-	via := fillsVia(b, 100, 40, func(g Get) (Status, Note) {
-		if g.Source == 100 && g.Node != 100 {
-			return Error, NoteSourceLost
+	via := fillsVia(b, 100, 40, func(g SendAttempt) (Status, Note) {
+		if g.Source == 100 && g.Endpoint != 100 {
+			return StatusError, NoteSourceLost
 		}
 		if turned++; g.Source == 101 && turned%2 == 0 {
-			return Full, NoteSourceRefused
+			return StatusAtCapacity, NoteSourceRejected
 		}
-		return OK, NoteFilled
+		return StatusOK, NoteFilled
 	})
 	if via > 2 {
 		t.Errorf("%d fills by the unreached trunk in 40 requests, want 2 at most", via)
@@ -543,11 +543,11 @@
 func TestTrustedAgainIsSparedAsCold(t *testing.T) {
 	b := newBench(t, site())
 	dead := true
-	fillsVia(b, 100, 30, func(g Get) (Status, Note) {
-		if dead && g.Source == 100 && g.Node != 100 {
-			return Error, NoteSourceLost
+	fillsVia(b, 100, 30, func(g SendAttempt) (Status, Note) {
+		if dead && g.Source == 100 && g.Endpoint != 100 {
+			return StatusError, NoteSourceLost
 		}
-		return OK, NoteFilled
+		return StatusOK, NoteFilled
 	})
 	if !b.d.servers[100].ejected {
 		t.Fatal("the failing trunk was not ejected")
@@ -563,7 +563,7 @@
 		for b.finals[id] == nil {
 			b.settle(id)
 			if b.finals[id] == nil {
-				b.answer(id, OK, NoteFilled)
+				b.answer(id, StatusOK, NoteFilled)
 			}
 		}
 	}
@@ -572,10 +572,10 @@
 		id++
 		b.call(id, 0, uint64(id))
 		g := b.settle(id)
-		if g.Source == 100 && g.Node != 100 || g.Node == 100 {
+		if g.Source == 100 && g.Endpoint != 100 || g.Endpoint == 100 {
 			spent += b.d.classes[0].mean
 		}
-		b.answer(id, OK, NoteFilled)
+		b.answer(id, StatusOK, NoteFilled)
 	}
 	// ParentFrom 0.1 rising over 20 s, FallMultiple 2, weight 40, shared by two directors: as TestColdBudget.
 	if budget := (0.1*2.0 + 0.1*3) * 40 * 2 / 2; spent > budget {
@@ -596,18 +596,18 @@
 	now := 100 * sec
 	list := nodes()
 	for i := range list {
-		list[i].Since = now
+		list[i].StartedAt = now
 	}
-	d.Handle(now, ListEvent{Kind: ListFull, Nodes: list})
+	d.Handle(now, ListEvent{Kind: ListFull, Endpoints: list})
 	sent := 0
 	for id := RequestID(1); id <= 10; id++ {
 		now += 100 * ms
-		for _, a := range d.Handle(now, CallEvent{ID: id, Object: uint64(id), Left: 3 * sec, SizeKB: 5}) {
-			if g, ok := a.(Get); ok {
-				if g.Node < 10 { // a cache, and not the origin past them all
+		for _, a := range d.Handle(now, RequestEvent{ID: id, Object: uint64(id), Remaining: 3 * sec, SizeKB: 5}) {
+			if g, ok := a.(SendAttempt); ok {
+				if g.Endpoint < 10 { // a cache, and not the origin past them all
 					sent++
 				}
-				d.Handle(now, AnswerEvent{ID: id, Node: g.Node, Took: ms, Settled: true, Note: NoteHit, Status: OK})
+				d.Handle(now, ResponseEvent{ID: id, Endpoint: g.Endpoint, Elapsed: ms, Concluded: true, Note: NoteHit, Status: StatusOK})
 				break
 			}
 		}
--- a/internal/policy/fleet_test.go
+++ b/internal/policy/fleet_test.go
@@ -55,14 +55,14 @@
 	for id := RequestID(1); id <= 12; id++ {
 		b.call(id, 0, uint64(id))
 		first := b.last(id)
-		b.answer(id, Reset, NoteNone)
-		if g := b.last(id); g.Node != first.Node && len(b.gets[id]) == 2 && g.Source == g.Node {
+		b.answer(id, StatusReset, NoteNone)
+		if g := b.last(id); g.Endpoint != first.Endpoint && len(b.gets[id]) == 2 && g.Source == g.Endpoint {
 			continue // a look that broke off goes on to the next cache
 		}
 		b.settle(id)
-		b.answer(id, OK, NoteFilled)
+		b.answer(id, StatusOK, NoteFilled)
 	}
-	for id := NodeID(1); id <= 4; id++ {
+	for id := EndpointID(1); id <= 4; id++ {
 		if b.d.servers[id].ejected {
 			t.Errorf("cache %d is ejected for answers that were lost once each", id)
 		}
@@ -70,12 +70,12 @@
 }
 
 // fillThrough sends n fills and answers in time what was asked of caches and of parents that are not silent.
-func fillThrough(b *bench, n int, silent map[NodeID]bool) {
+func fillThrough(b *bench, n int, silent map[EndpointID]bool) {
 	for id := RequestID(1); id <= RequestID(n); id++ {
 		b.call(id, 0, uint64(1000+id))
 		for r := RequestID(1); r <= id; r++ {
 			if b.finals[r] == nil && !silent[b.settle(r).Source] {
-				b.answer(r, OK, NoteFilled)
+				b.answer(r, StatusOK, NoteFilled)
 			}
 		}
 		b.tick(100 * ms)
@@ -86,7 +86,7 @@
 // TestOverdueFillsEjectTheirParent: a hung parent stayed in use until its fills ended by their own time-out.
 func TestOverdueFillsEjectTheirParent(t *testing.T) {
 	b := newBench(t, site())
-	fillThrough(b, 20, map[NodeID]bool{100: true})
+	fillThrough(b, 20, map[EndpointID]bool{100: true})
 	if !b.d.servers[100].ejected || b.d.servers[101].ejected {
 		t.Errorf("ejected: hung parent %v, sound parent %v", b.d.servers[100].ejected, b.d.servers[101].ejected)
 	}
@@ -96,7 +96,7 @@
 func TestSharedTroubleEjectsNobody(t *testing.T) {
 	b := newBench(t, site())
 	b.d.bad[roleParent] = outlier.Share
-	fillThrough(b, 20, map[NodeID]bool{100: true, 101: true})
+	fillThrough(b, 20, map[EndpointID]bool{100: true, 101: true})
 	if b.d.servers[100].ejected || b.d.servers[101].ejected {
 		t.Error("a parent is ejected for what all parents share")
 	}
@@ -107,17 +107,17 @@
 	b := newBench(t, site())
 	b.call(1, 0, 7)
 	b.settle(1)
-	b.answer(1, OK, NoteFilled)
+	b.answer(1, StatusOK, NoteFilled)
 	b.call(2, 0, 7)
 	b.settle(2)
-	b.answer(2, OK, NoteFilled)
+	b.answer(2, StatusOK, NoteFilled)
 	b.d.fills.Out = 1000
 	b.call(3, 0, 7)
-	if g := b.last(3); !g.HeldOnly {
+	if g := b.last(3); !g.CachedOnly {
 		t.Fatalf("fills are narrow: %+v, want what the parent holds only", g)
 	}
 	row := b.d.tables.rows[part{7, 0}]
-	if b.answer(3, Miss, NoteNone); row.holder != 0 {
+	if b.answer(3, StatusMiss, NoteNone); row.holder != 0 {
 		t.Errorf("the row still names %d, which lacked the part", row.holder)
 	}
 }
@@ -142,10 +142,10 @@
 		b.call(id, 0, 7)
 		g := b.last(id)
 		b.finals[id] = g
-		b.do(AnswerEvent{ID: id, Node: g.Node, Attempt: 0, Took: sec, Settled: true, Note: NoteHit, Status: OK})
+		b.do(ResponseEvent{ID: id, Endpoint: g.Endpoint, Attempt: 0, Elapsed: sec, Concluded: true, Note: NoteHit, Status: StatusOK})
 	}
 	slowest := 0.0
-	for id := NodeID(1); id <= 4; id++ {
+	for id := EndpointID(1); id <= 4; id++ {
 		slowest = max(slowest, b.d.servers[id].slow)
 	}
 	if slowest < 2 {
@@ -158,15 +158,15 @@
 	b := newBench(t, manyDirectors(9))
 	list := nodes()
 	for i := 1000; i < 1300; i++ {
-		list = append(list, Node{ID: NodeID(i), Zone: 2 + i%9, Kind: i % 3 % 2, State: State(i % 3), Weight: float64(i % 7),
-			Since: time.Duration(i%5) * 25 * sec})
+		list = append(list, Endpoint{ID: EndpointID(i), Zone: 2 + i%9, Kind: i % 3 % 2, State: State(i % 3), Weight: float64(i % 7),
+			StartedAt: time.Duration(i%5) * 25 * sec})
 	}
-	b.do(ListEvent{Kind: ListFull, Nodes: list})
+	b.do(ListEvent{Kind: ListFull, Endpoints: list})
 	for id := RequestID(1); id <= 400; id++ {
 		b.call(id, int(id)%3, uint64(id%37))
 		for b.finals[id] == nil && len(b.gets[id]) < 3 && id%5 != 0 {
 			n := len(b.gets[id])
-			b.answer(id, Status(int(id)%int(Miss+1)), Note(int(id)%int(NoteOriginFailed+1)))
+			b.answer(id, Status(int(id)%int(StatusMiss+1)), Note(int(id)%int(NoteOriginFailed+1)))
 			if len(b.gets[id]) == n {
 				break
 			}
@@ -187,7 +187,7 @@
 		g := b.last(id)
 		b.d.requests[id].attempts[0].crowd = 4
 		b.finals[id] = g
-		b.do(AnswerEvent{ID: id, Node: g.Node, Attempt: 0, Took: sec, Settled: true, Note: NoteHit, Status: OK})
+		b.do(ResponseEvent{ID: id, Endpoint: g.Endpoint, Attempt: 0, Elapsed: sec, Concluded: true, Note: NoteHit, Status: StatusOK})
 	}
 	if c.mean > 0.3 || c.cost < 0.9 {
 		t.Errorf("answers of 1 s at a crowd of 4: mean %.2f, want about 0.25; cost %.2f, want about 1", c.mean, c.cost)
@@ -197,9 +197,9 @@
 // oneCache gives a director without second copies a single cache.
 func oneCache(t *testing.T) *bench {
 	cfg := site()
-	cfg.SecondCopies = false
+	cfg.Hedging = false
 	b := newBench(t, cfg)
-	b.do(ListEvent{Kind: ListFull, Nodes: nodes()[:4]})
+	b.do(ListEvent{Kind: ListFull, Endpoints: nodes()[:4]})
 	return b
 }
 
@@ -211,18 +211,18 @@
 		b.call(1, 0, 7)
 		b.now += ms
 		for id := RequestID(2); id < RequestID(2+passed); id++ {
-			b.do(CallEvent{ID: id, Object: uint64(id), Left: 3 * sec, SizeKB: 200})
-			b.answer(id, OK, NoteHit)
+			b.do(RequestEvent{ID: id, Object: uint64(id), Remaining: 3 * sec, SizeKB: 200})
+			b.answer(id, StatusOK, NoteHit)
 		}
 		b.tick(2500 * ms)
-		if called := slices.Contains(b.log, Action(Cancel{1, 0})); called != (passed > 0) {
+		if called := slices.Contains(b.log, Action(CancelAttempt{1, 0})); called != (passed > 0) {
 			t.Errorf("passed by %d answers: called off %v", passed, called)
 		}
 		if len(b.gets[1]) != 1 {
 			t.Errorf("passed by %d answers: %d attempts before the end of the first", passed, len(b.gets[1]))
 		}
 		if passed > 0 {
-			if b.answer(1, Cancelled, NoteNone); len(b.gets[1]) != 2 {
+			if b.answer(1, StatusCanceled, NoteNone); len(b.gets[1]) != 2 {
 				t.Error("nothing was sent after the first was called off")
 			}
 		}
@@ -238,7 +238,7 @@
 			if len(b.gets[id]) == 0 {
 				b.call(id, 0, uint64(id))
 			}
-			b.answer(id, Reset, NoteNone)
+			b.answer(id, StatusReset, NoteNone)
 		}
 		b.now += 40 * ms
 	}
@@ -252,9 +252,9 @@
 func TestReplacedCachesDoNotWidenTheLink(t *testing.T) {
 	b := newBench(t, site())
 	before := b.d.zone
-	for id := NodeID(1000); id < 1100; id++ {
-		b.do(ListEvent{Nodes: []Node{{ID: id, Zone: 2, State: Ready, Weight: 8, Since: b.now}}})
-		b.do(ListEvent{Nodes: []Node{{ID: id, Zone: 2, State: Gone}}})
+	for id := EndpointID(1000); id < 1100; id++ {
+		b.do(ListEvent{Endpoints: []Endpoint{{ID: id, Zone: 2, State: Ready, Weight: 8, StartedAt: b.now}}})
+		b.do(ListEvent{Endpoints: []Endpoint{{ID: id, Zone: 2, State: Gone}}})
 		b.now += 10 * sec
 	}
 	if b.d.zone > 1.5*before {
@@ -272,7 +272,7 @@
 		b.call(id, 0, uint64(id))
 	}
 	before := b.d.classes[0].mean
-	b.do(CallEvent{ID: 99, Object: 99, Left: 3 * sec, SizeKB: 1e7})
+	b.do(RequestEvent{ID: 99, Object: 99, Remaining: 3 * sec, SizeKB: 1e7})
 	if after := b.d.classes[0].mean; after > 1.5*before {
 		t.Errorf("the mean sending time went from %.2f s to %.2f s", before, after)
 	}
@@ -280,9 +280,9 @@
 
 // lateFills has fills by way of each of two parents end, n by each, late where their parent is in late. It gives how often
 // each was ejected meanwhile, and whether it is at the end.
-func lateFills(t *testing.T, b *bench, late map[NodeID]bool, n int) (times map[NodeID]int, out map[NodeID]bool) {
+func lateFills(t *testing.T, b *bench, late map[EndpointID]bool, n int) (times map[EndpointID]int, out map[EndpointID]bool) {
 	t.Helper()
-	seen, from := map[NodeID]int{}, len(b.log)
+	seen, from := map[EndpointID]int{}, len(b.log)
 	for ; seen[100] < n || seen[101] < n; b.next++ {
 		if b.next > 2000 {
 			t.Fatalf("the parents got %v fills, want %d each", seen, n)
@@ -301,12 +301,12 @@
 			b.tick(100 * ms)
 		}
 		if b.finals[id] == nil {
-			b.answer(id, OK, NoteFilledOrigin)
+			b.answer(id, StatusOK, NoteFilledOrigin)
 		}
 	}
-	times, out = map[NodeID]int{}, map[NodeID]bool{}
+	times, out = map[EndpointID]int{}, map[EndpointID]bool{}
 	for _, a := range b.log[from:] {
-		for _, p := range []NodeID{100, 101} {
+		for _, p := range []EndpointID{100, 101} {
 			if l, ok := a.(Log); ok && strings.HasPrefix(l.Text, fmt.Sprintf("ejected %x:", p)) {
 				times[p]++
 			}
@@ -319,7 +319,7 @@
 // parentsBench drives a director whose fills are asked once.
 func parentsBench(t *testing.T) *bench {
 	cfg := site()
-	cfg.MaxAttempts, cfg.SecondCopies = 40, false
+	cfg.MaxAttempts, cfg.Hedging = 40, false
 	return newBench(t, cfg)
 }
 
@@ -328,14 +328,14 @@
 // when the origin is sound again.
 func TestSlowOriginIsNotTheParents(t *testing.T) {
 	b := parentsBench(t)
-	lateFills(t, b, map[NodeID]bool{100: true, 101: true}, 4)
-	if times, out := lateFills(t, b, map[NodeID]bool{100: true, 101: true}, 12); len(times) > 0 || out[100] || out[101] {
+	lateFills(t, b, map[EndpointID]bool{100: true, 101: true}, 4)
+	if times, out := lateFills(t, b, map[EndpointID]bool{100: true, 101: true}, 12); len(times) > 0 || out[100] || out[101] {
 		t.Errorf("all fills late: ejected %v, out at the end %v, want none", times, out)
 	}
-	if _, out := lateFills(t, b, map[NodeID]bool{100: true}, 6); !out[100] || out[101] {
+	if _, out := lateFills(t, b, map[EndpointID]bool{100: true}, 6); !out[100] || out[101] {
 		t.Errorf("then one parent's late: left out %v, want that one", out)
 	}
-	if _, out := lateFills(t, parentsBench(t), map[NodeID]bool{100: true}, 4); !out[100] || out[101] {
+	if _, out := lateFills(t, parentsBench(t), map[EndpointID]bool{100: true}, 4); !out[100] || out[101] {
 		t.Errorf("one parent's fills late: left out %v, want that one", out)
 	}
 }
@@ -370,11 +370,11 @@
 func TestComeBackInTime(t *testing.T) {
 	for _, c := range []struct{ most, aim, want time.Duration }{{2 * sec, 400 * ms, 200 * ms}, {100 * ms, 400 * ms, 100 * ms}, {2 * sec, 0, 2 * sec}, {0, 400 * ms, 0}} {
 		cfg := site()
-		cfg.MaxRetryAfter, cfg.Classes[0].Aim = c.most, c.aim
+		cfg.MaxRetryAfter, cfg.Classes[0].LatencyObjective = c.most, c.aim
 		b := newBench(t, cfg)
 		b.do(ListEvent{Kind: ListFull})
 		b.call(1, 0, 7)
-		if b.finals[1] != (Refuse{1, c.want}) {
+		if b.finals[1] != (Reject{1, c.want}) {
 			t.Errorf("most %v, aim %v: %+v, want a refusal with %v", c.most, c.aim, b.finals[1], c.want)
 		}
 	}
@@ -417,11 +417,11 @@
 func TestDeadParentsAreLeft(t *testing.T) {
 	for _, hits := range []bool{false, true} {
 		b := parentsBench(t)
-		left, asked := map[NodeID]bool{}, map[NodeID]bool{}
+		left, asked := map[EndpointID]bool{}, map[EndpointID]bool{}
 		for id := RequestID(9001); id <= 9016; id++ { // what the caches hold
 			b.call(id, 0, uint64(id%8))
 			b.settle(id)
-			b.answer(id, OK, NoteFilled)
+			b.answer(id, StatusOK, NoteFilled)
 		}
 		b.tick(10 * sec)
 		hit := RequestID(10000)
@@ -436,9 +436,9 @@
 					hit++
 					b.call(hit, 0, uint64(hit%8))
 					asked[b.last(hit).Source] = true
-					b.answer(hit, OK, NoteHit)
+					b.answer(hit, StatusOK, NoteHit)
 				}
-				for _, p := range []NodeID{100, 101} {
+				for _, p := range []EndpointID{100, 101} {
 					left[p] = left[p] || b.d.servers[p].ejected
 				}
 			}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -61,17 +61,17 @@
 )
 
 // neverRan are the outcomes that prove that an attempt had no effect.
-var neverRan = []Status{Full, ConnectFailed, Moot, Miss}
+var neverRan = []Status{StatusAtCapacity, StatusConnectFailed, StatusNotExecuted, StatusMiss}
 
 // noSign are the outcomes that say nothing of the way behind a cache.
-var noSign = []Status{Cancelled, Moot, ConnectFailed, Reset}
+var noSign = []Status{StatusCanceled, StatusNotExecuted, StatusConnectFailed, StatusReset}
 
-// Director makes the decisions of one front. It is not safe for concurrent use.
-type Director struct {
+// Engine makes the decisions of one front. It is not safe for concurrent use.
+type Engine struct {
 	cfg      Config
 	now      time.Duration
 	out      []Action
-	servers  map[NodeID]*server
+	servers  map[EndpointID]*server
 	roles    map[int]int // by kind; a cache where none is given
 	all      []*server   // in the order in which the list named them first
 	caches   ranking     // of the own zone
@@ -104,27 +104,27 @@
 }
 
 // New makes a Director. The seed is not used: the same events give the same actions at every director.
-func New(cfg Config, _ uint64) (*Director, error) {
+func New(cfg Config, _ uint64) (*Engine, error) {
 	if len(cfg.Classes) == 0 {
 		return nil, fmt.Errorf("config: Classes: none given")
 	}
-	d := &Director{cfg: cfg, servers: map[NodeID]*server{},
+	d := &Engine{cfg: cfg, servers: map[EndpointID]*server{},
 		roles:    map[int]int{cfg.ParentKind: roleParent, cfg.OriginKind: roleOrigin},
 		requests: map[RequestID]*request{},
-		purges:   invalidation.New(invalidation.Config{Takes: cfg.PurgeTakes, Slack: time.Second}),
+		purges:   invalidation.New(invalidation.Config{Takes: cfg.PurgePropagation, Slack: time.Second}),
 		fills:    aimd.New(), held: aimd.NewHeld(),
 		behind: outlier.New(),
 		late:   [2]rto.Timing{rto.New(), rto.New()},
 		tables: tables{rows: map[part]*row{}, single: list.New()}}
 	d.tables.resize(0)
 	for i, c := range cfg.Classes {
-		if c.Deadline < 0 || c.Aim < 0 || c.Window < 0 || c.Fresh < 0 || c.Grace < 0 {
+		if c.Deadline < 0 || c.LatencyObjective < 0 || c.DedupWindow < 0 || c.FreshFor < 0 || c.StaleFor < 0 {
 			return nil, fmt.Errorf("config: Classes[%d]: negative time", i)
 		}
-		if c.Effect < Safe || c.Effect > Unsafe {
-			return nil, fmt.Errorf("config: Classes[%d].Effect: unknown value %d", i, c.Effect)
+		if c.Idempotency < Idempotent || c.Idempotency > NotIdempotent {
+			return nil, fmt.Errorf("config: Classes[%d].Effect: unknown value %d", i, c.Idempotency)
 		}
-		mean := max(c.Aim, ms).Seconds()
+		mean := max(c.LatencyObjective, ms).Seconds()
 		d.classes = append(d.classes, classState{Class: c, mean: mean, cost: mean})
 	}
 	if cfg.Zone < 0 || len(cfg.ZoneNames) > 0 && cfg.Zone >= len(cfg.ZoneNames) {
@@ -134,12 +134,12 @@
 }
 
 // Handle takes one event and returns the actions that answer it; the slice is valid until the next call.
-func (d *Director) Handle(now time.Duration, event Event) []Action {
+func (d *Engine) Handle(now time.Duration, event Event) []Action {
 	d.out = d.out[:0]
 	if d.now == 0 {
 		d.rateAt = now
-		d.do(Timer{tickToken, now + tickEvery})
-		if d.cfg.AskDiscovery {
+		d.do(SetTimer{tickToken, now + tickEvery})
+		if d.cfg.PollDiscovery {
 			d.do(Watch{true})
 		}
 	}
@@ -147,11 +147,11 @@
 	switch e := event.(type) {
 	case ListEvent:
 		d.onList(e)
-	case CallEvent:
+	case RequestEvent:
 		d.onCall(e)
-	case AnswerEvent:
+	case ResponseEvent:
 		d.onAnswer(e)
-	case GoneEvent:
+	case ClientGoneEvent:
 		if q := d.requests[e.ID]; q != nil {
 			d.finish(q)
 		}
@@ -165,10 +165,10 @@
 	return d.out
 }
 
-// Open is the number of requests without an end.
-func (d *Director) Open() int { return len(d.requests) }
+// OpenRequests is the number of requests without an end.
+func (d *Engine) OpenRequests() int { return len(d.requests) }
 
-func (d *Director) do(a Action) { d.out = append(d.out, a) }
+func (d *Engine) do(a Action) { d.out = append(d.out, a) }
 
 // The three tables.
 
@@ -187,7 +187,7 @@
 // row is what is known of a part: who is believed to hold it, its last request, the gap before that.
 type row struct {
 	part   part
-	holder NodeID
+	holder EndpointID
 	last   time.Duration
 	gap    time.Duration // 0: seen once
 	table  int
@@ -300,13 +300,13 @@
 // ranking is servers by weighted rendezvous hash of a part: the loss of one moves its share only.
 type ranking = rendezvous.Ranking[*server]
 
-func (d *Director) rank(r *ranking, s *server) {
+func (d *Engine) rank(r *ranking, s *server) {
 	s.place = len(r.Members())
 	r.Add(s, uint64(s.ID), d.flows(s))
 }
 
 // shut has requests pass a server over until a time by which the guards would turn each of them down.
-func (d *Director) shut(s *server, until time.Duration) {
+func (d *Engine) shut(s *server, until time.Duration) {
 	if r := &d.caches; d.ours(s) && s.State != Gone {
 		r.Shut(s.place, until)
 	} else if s.role == roleParent && s.State != Gone {
@@ -315,15 +315,15 @@
 }
 
 // flows is a server's link in answers at full pace, as far as it is told.
-func (d *Director) flows(s *server) float64 {
-	if !d.cfg.WeightsTold || d.cfg.WeightsLive || s.Weight <= 0 {
+func (d *Engine) flows(s *server) float64 {
+	if !d.cfg.WeightsReported || d.cfg.WeightsLive || s.Weight <= 0 {
 		return defaultWeight
 	}
 	return s.Weight
 }
 
 // seenElsewhere picks (n-1) of n singles, by hash, so that not each of n directors fills a part unkept.
-func (d *Director) seenElsewhere(p part) bool {
+func (d *Engine) seenElsewhere(p part) bool {
 	n := uint64(0)
 	if len(d.caches.Members()) > 0 {
 		n = uint64(d.sharers(d.caches.Members()[0]))
@@ -332,7 +332,7 @@
 }
 
 // cacheOrder lists the zone's caches, best first: holder or at top rank the less busy copy, then by hash.
-func (d *Director) cacheOrder(q *request) *ranking {
+func (d *Engine) cacheOrder(q *request) *ranking {
 	var holder *server
 	if q.row != nil && q.row.holder != 0 {
 		if s := d.servers[q.row.holder]; s != nil && s.State != Gone && d.ours(s) {
@@ -351,7 +351,7 @@
 }
 
 // ours says whether a server is a cache of the own zone.
-func (d *Director) ours(s *server) bool { return s.role == roleCache && s.Zone == d.cfg.Zone }
+func (d *Engine) ours(s *server) bool { return s.role == roleCache && s.Zone == d.cfg.Zone }
 
 // The per-request state machine.
 
@@ -392,22 +392,22 @@
 	failed   []*server // as cache or as source
 }
 
-func (d *Director) onCall(e CallEvent) {
+func (d *Engine) onCall(e RequestEvent) {
 	if e.Class < 0 || e.Class >= len(d.classes) || d.requests[e.ID] != nil {
 		return
 	}
 	c := &d.classes[e.Class]
-	q := &request{id: e.ID, class: c, part: part{e.Object, e.Part}, group: e.Group, deadline: d.now + e.Left}
+	q := &request{id: e.ID, class: c, part: part{e.Object, e.Part}, group: e.Group, deadline: d.now + e.Remaining}
 	d.arrived++
 	q.expect, q.sized = c.mean, e.SizeKB > 0 && d.cfg.FlowKBps > 0
 	if q.sized { // what a client says of its size may be wrong, and must not spoil what is known of the class
-		q.expect = min(e.SizeKB/d.cfg.FlowKBps, max(e.Left.Seconds(), c.mean))
+		q.expect = min(e.SizeKB/d.cfg.FlowKBps, max(e.Remaining.Seconds(), c.mean))
 		c.mean += (min(q.expect, sizeMost*c.mean) - c.mean) * meanWeight
 		c.seen++ // a plain mean at first: the wanted time is far beyond it, and cold servers got nothing
 		c.cost += (min(q.expect, sizeMost*c.mean) - c.cost) * max(meanWeight, 1/c.seen)
 	}
 	if !c.Write {
-		if q.row = d.tables.rows[q.part]; q.row == nil || !e.Repeat {
+		if q.row = d.tables.rows[q.part]; q.row == nil || !e.Retry {
 			q.row = d.tables.touch(q.part, d.now)
 		}
 		q.keep = d.tables.rank(q.row)
@@ -416,7 +416,7 @@
 		}
 	}
 	q.judged = c.sizes.Judged(q.expect)
-	q.price = max(q.judged, leastAge.Seconds()) / cmp.Or(c.Worth, 1)
+	q.price = max(q.judged, leastAge.Seconds()) / cmp.Or(c.PriorityWeight, 1)
 	d.price = cmp.Or(d.price, q.price)*(1-meanWeight) + q.price*meanWeight
 	d.requests[e.ID] = q
 	d.waiting = append(d.waiting, q)
@@ -424,14 +424,14 @@
 }
 
 // advance sends the next attempt of a request that has none out, or gives it up.
-func (d *Director) advance(q *request) {
+func (d *Engine) advance(q *request) {
 	if q.open == 0 && (q.deadline-d.now < lastCall || !d.tryNext(q)) {
 		d.giveUp(q)
 	}
 }
 
 // tryNext sends one attempt by the first way that the guards let pass: caches, then parents, then the origin.
-func (d *Director) tryNext(q *request) bool {
+func (d *Engine) tryNext(q *request) bool {
 	parents := d.parents.Begin(q.part.hash(), nil, d.now)
 	if q.class.Write {
 		return d.direct(q, nil, d.origin) || d.throughCaches(q, nil) || d.direct(q, parents, nil)
@@ -441,7 +441,7 @@
 }
 
 // throughCaches tries the zone's caches, each with the parents in order and the origin as sources.
-func (d *Director) throughCaches(q *request, parents *ranking) bool {
+func (d *Engine) throughCaches(q *request, parents *ranking) bool {
 	order := d.cacheOrder(q)
 	if d.look(q, order) {
 		return true
@@ -470,7 +470,7 @@
 }
 
 // look asks the zone's caches one after another for a part that no row places: the paper's forwarding.
-func (d *Director) look(q *request, order *ranking) bool {
+func (d *Engine) look(q *request, order *ranking) bool {
 	filled := slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.source != a.node })
 	if q.row == nil || q.row.holder != 0 || filled || len(q.attempts) > d.cfg.MaxAttempts-lookSpare {
 		return false
@@ -485,8 +485,8 @@
 }
 
 // direct passes the caches by; a parent fetches what it lacks from the origin.
-func (d *Director) direct(q *request, parents *ranking, last *server) bool {
-	if !d.cfg.Direct || d.origin == nil {
+func (d *Engine) direct(q *request, parents *ranking, last *server) bool {
+	if !d.cfg.DirectFetch || d.origin == nil {
 		return false
 	}
 	for s := range parents.Then(last) {
@@ -498,12 +498,12 @@
 }
 
 // fit says whether a server may get a request that it has not failed before.
-func (d *Director) fit(q *request, s *server) bool {
+func (d *Engine) fit(q *request, s *server) bool {
 	return s != nil && d.usable(s) && !slices.Contains(q.failed, s)
 }
 
 // send is the only way out: it asks the guards, then sends.
-func (d *Director) send(q *request, node, source *server, heldOnly bool) bool {
+func (d *Engine) send(q *request, node, source *server, heldOnly bool) bool {
 	fill := !q.class.Write && (node.role != roleCache ||
 		source.role != roleCache && (q.row == nil || q.row.holder != node.ID))
 	var limit *aimd.Limiter
@@ -526,10 +526,10 @@
 		source.sent.Spend(d.now, q.class.cost)
 	}
 	age, purged := d.ageLimit(q)
-	a := Get{ID: q.id, Node: node.ID, Source: source.ID, Age: age, HeldOnly: heldOnly,
-		Join: d.cfg.Joins && (!purged || age > joinAfter), Renew: q.class.Fresh > 0 && !purged}
+	a := SendAttempt{ID: q.id, Endpoint: node.ID, Source: source.ID, MaxAge: age, CachedOnly: heldOnly,
+		JoinFill: d.cfg.JoinFills && (!purged || age > joinAfter), Revalidate: q.class.FreshFor > 0 && !purged}
 	if node.role == roleCache {
-		a.Keep = q.keep
+		a.CacheRank = q.keep
 	}
 	q.attempts = append(q.attempts, attempt{node: node, source: source, sent: d.now, ran: true, limit: limit,
 		held: heldOnly, crowd: d.crowd(node), expect: q.expect * max(1, d.crowd(node))})
@@ -549,7 +549,7 @@
 	return true
 }
 
-func (d *Director) onAnswer(e AnswerEvent) {
+func (d *Engine) onAnswer(e ResponseEvent) {
 	q := d.requests[e.ID]
 	if q == nil || e.Attempt < 0 || e.Attempt >= len(q.attempts) || q.attempts[e.Attempt].done {
 		return
@@ -560,24 +560,24 @@
 	d.release(q, e.Attempt)
 	a.node.firstWait = d.now
 	if a.limit != nil && e.Note != NoteHit && !slices.Contains(noSign, e.Status) {
-		a.limit.Adapt(d.zone, e.Took.Seconds() <= q.aim(q.expect) && (e.Status == OK || e.Status == Miss))
-		if e.Status == OK && e.Note == NoteFilledOrigin && !a.late {
+		a.limit.Adapt(d.zone, e.Elapsed.Seconds() <= q.aim(q.expect) && (e.Status == StatusOK || e.Status == StatusMiss))
+		if e.Status == StatusOK && e.Note == NoteFilledOrigin && !a.late {
 			d.behind.Note(&a.source.late, d.now, false)
 		}
 	}
 	a.ran = !slices.Contains(neverRan, e.Status)
-	if e.Status == OK && (e.Note == NoteFilled || e.Note == NoteFilledOrigin) {
+	if e.Status == StatusOK && (e.Note == NoteFilled || e.Note == NoteFilledOrigin) {
 		a.source.heard = d.now // and not where its cache had the copy
 	}
-	if e.Status == OK {
-		a.timing(d).Observe(e.Took.Seconds() - a.expect)
+	if e.Status == StatusOK {
+		a.timing(d).Observe(e.Elapsed.Seconds() - a.expect)
 		d.passBy(q, a)
 	}
 	d.judge(q, a, e)
-	if e.Status == OK {
+	if e.Status == StatusOK {
 		d.learn(q, a, e)
 	}
-	if e.Status == OK || e.Settled {
+	if e.Status == StatusOK || e.Concluded {
 		d.finish(q)
 	} else {
 		d.advance(q)
@@ -585,13 +585,13 @@
 }
 
 // learn takes from a good answer who holds the part and how long such answers take.
-func (d *Director) learn(q *request, a *attempt, e AnswerEvent) {
-	over := e.Took.Seconds() / max(1, a.crowd) // of a kept copy: its sending time, and what its cache adds
+func (d *Engine) learn(q *request, a *attempt, e ResponseEvent) {
+	over := e.Elapsed.Seconds() / max(1, a.crowd) // of a kept copy: its sending time, and what its cache adds
 	if kept := a.source == a.node || e.Note == NoteHit; kept && q.sized {
 		a.node.slow = max(slowLeast, a.node.slow*(1+(over/q.expect-1)*meanWeight*2))
 	} else if kept {
 		q.class.mean += (over - q.class.mean) * meanWeight * 2
-		q.class.cost += (e.Took.Seconds() - q.class.cost) * meanWeight * 2
+		q.class.cost += (e.Elapsed.Seconds() - q.class.cost) * meanWeight * 2
 	}
 	if q.row != nil && a.node.role == roleCache && (q.keep > 0 || a.source == a.node) && !q.second {
 		q.row.holder = a.node.ID
@@ -599,7 +599,7 @@
 }
 
 // release takes an attempt off what is out.
-func (d *Director) release(q *request, n int) {
+func (d *Engine) release(q *request, n int) {
 	a := &q.attempts[n]
 	d.settle(a.node)
 	a.node.open, a.node.trial = max(0, a.node.open-1), false
@@ -614,15 +614,15 @@
 }
 
 // finish forgets a request that has its final answer and cancels what is still out.
-func (d *Director) finish(q *request) {
+func (d *Engine) finish(q *request) {
 	for i := range q.attempts {
 		a := &q.attempts[i]
 		if a.done {
 			continue
 		}
 		d.release(q, i)
-		if d.cfg.Cancel {
-			d.do(Cancel{q.id, i})
+		if d.cfg.MayCancel {
+			d.do(CancelAttempt{q.id, i})
 		}
 	}
 	q.class.sizes.Ended(q.expect, q.crowded)
@@ -631,18 +631,18 @@
 }
 
 // giveUp ends a request at once: a refusal where none of it may have run, else a failure.
-func (d *Director) giveUp(q *request) {
+func (d *Engine) giveUp(q *request) {
 	var last Action = Fail{q.id}
 	if d.mayRefuse(q) {
-		last = Refuse{q.id, d.cfg.Later(&q.class.Class)}
+		last = Reject{q.id, d.cfg.RetryAfter(&q.class.Class)}
 	}
 	d.do(last)
 	d.finish(q)
 }
 
 // onTick looks after overdue attempts, silent servers and the sizes of the tables.
-func (d *Director) onTick() {
-	d.do(Timer{tickToken, d.now + tickEvery})
+func (d *Engine) onTick() {
+	d.do(SetTimer{tickToken, d.now + tickEvery})
 	if span := (d.now - d.rateAt).Seconds(); span >= 1 {
 		d.rate += (d.arrived/span - d.rate) * rateWeight
 		d.rateAt, d.arrived = d.now, 0
@@ -686,7 +686,7 @@
 }
 
 // tardy counts a fill that is late, unless those by way of the other parents are as well: the origin is slow.
-func (d *Director) tardy(a *attempt) {
+func (d *Engine) tardy(a *attempt) {
 	s := a.source
 	if s.role != roleParent || a.held || s.heard < a.sent {
 		d.count(s, false, false) // one that answers nothing at all is not waiting for the origin
@@ -699,17 +699,17 @@
 }
 
 // move has a request go on whose attempt waits for an ejected server or is lost: beside it, or in its place.
-func (d *Director) move(q *request) {
-	if q.open != 1 || q.class.Effect == Unsafe || q.deadline-d.now < lastCall {
+func (d *Engine) move(q *request) {
+	if q.open != 1 || q.class.Idempotency == NotIdempotent || q.deadline-d.now < lastCall {
 		return
 	}
 	i := slices.IndexFunc(q.attempts, func(a attempt) bool { return !a.done })
 	a := &q.attempts[i]
-	if d.cfg.SecondCopies {
+	if d.cfg.Hedging {
 		gone := a.node.ejected || a.source.ejected
 		usual := lostAfter*q.expect*max(1, a.crowd) + quickRefusal.Seconds()
 		lost := q.sized && a.limit == nil && (d.now-a.sent).Seconds() > usual
-		if a.moved || q.class.Effect != Safe || !lost && !gone {
+		if a.moved || q.class.Idempotency != Idempotent || !lost && !gone {
 			return
 		}
 		if a.moved, q.again = true, true; gone {
@@ -720,18 +720,18 @@
 	}
 	over := (d.now - a.sent).Seconds() - a.expect
 	lost := over > a.timing(d).Limit()*float64(uint(1)<<q.moves)+(slowdown-1)*a.expect
-	if !lost || a.passed < 2 || a.moved || !d.cfg.Cancel || len(q.attempts) >= d.cfg.MaxAttempts {
+	if !lost || a.passed < 2 || a.moved || !d.cfg.MayCancel || len(q.attempts) >= d.cfg.MaxAttempts {
 		return
 	}
 	a.timing(d).Observe(over) // so that the limit rises where all has become slow
 	a.moved = true
 	q.moves++
-	d.do(Cancel{q.id, i})
+	d.do(CancelAttempt{q.id, i})
 }
 
 // passBy notes the attempts that an answer came before, though they were sent earlier to the same server for
 // less: links are shared evenly, so that in a jam all are late alike, and what is passed by is lost.
-func (d *Director) passBy(q *request, by *attempt) {
+func (d *Engine) passBy(q *request, by *attempt) {
 	for _, o := range by.node.out {
 		a := &o.q.attempts[o.n]
 		if (a.limit != nil) == (by.limit != nil) && (a.limit == nil || a.source == by.source) &&
@@ -742,7 +742,7 @@
 }
 
 // timing is what such answers as an attempt waits for take beyond their sending time.
-func (a *attempt) timing(d *Director) *rto.Timing {
+func (a *attempt) timing(d *Engine) *rto.Timing {
 	if a.limit != nil {
 		return &d.late[1]
 	}
@@ -758,7 +758,7 @@
 )
 
 type server struct {
-	Node
+	Endpoint
 	role      int
 	open      int
 	usual     float64       // its average
@@ -789,54 +789,54 @@
 }
 
 // usable says whether a server may get ordinary work: ready, and not ejected or due for one trial.
-func (d *Director) usable(s *server) bool {
+func (d *Engine) usable(s *server) bool {
 	return s.State == Ready && (!s.ejected || d.now >= s.until && !s.trial)
 }
 
 // judge books an outcome to the server that is at fault: the cache, or the source behind it.
-func (d *Director) judge(q *request, a *attempt, e AnswerEvent) {
+func (d *Engine) judge(q *request, a *attempt, e ResponseEvent) {
 	source := a.source != a.node
 	switch {
-	case e.Status == OK:
+	case e.Status == StatusOK:
 		d.count(a.node, true, false)
 		if a.limit != nil && source && e.Note != NoteHit && !a.late {
 			d.count(a.source, true, false)
 		}
-	case e.Status == Cancelled || e.Status == Moot:
-	case e.Status == Miss && (a.source.role == roleCache || a.held):
+	case e.Status == StatusCanceled || e.Status == StatusNotExecuted:
+	case e.Status == StatusMiss && (a.source.role == roleCache || a.held):
 		if q.second = false; a.limit == nil && a.source != a.node && q.row != nil {
 			q.row.holder = 0 // a believed hit that was none
 		}
-	case source && (e.Status == Miss || e.Note >= NoteSourceRefused && e.Note != NoteNoPlace ||
-		e.Note == NoteNone && e.Took > quickRefusal &&
-			(e.Status == Full || e.Status == Error && a.limit != nil)):
+	case source && (e.Status == StatusMiss || e.Note >= NoteSourceRejected && e.Note != NoteNoCapacity ||
+		e.Note == NoteNone && e.Elapsed > quickRefusal &&
+			(e.Status == StatusAtCapacity || e.Status == StatusError && a.limit != nil)):
 		q.failed = append(q.failed, a.source)
-		if e.Note != NoteSourceLacks && e.Note != NoteOriginFailed && !a.late {
+		if e.Note != NoteSourceMiss && e.Note != NoteOriginFailed && !a.late {
 			// Not reached by the cache is as hard a sign as a refused connection: sources are seen seldom.
 			d.count(a.source, false, e.Note == NoteSourceLost)
 		}
-	case e.Status == Reset && !q.again:
+	case e.Status == StatusReset && !q.again:
 		q.again = true // the answer may be lost and the copy there: the same cache once more
 	default:
 		q.failed = append(q.failed, a.node)
 		// All that was out on a connection ends with it, and that is one sign: a bad answer is no dead box.
-		same := e.Status == Reset && a.node.broke == d.now
-		if e.Status != Full && e.Status != Timeout && !same {
-			d.count(a.node, false, e.Status == ConnectFailed && a.node.role == roleCache)
+		same := e.Status == StatusReset && a.node.broke == d.now
+		if e.Status != StatusAtCapacity && e.Status != StatusTimeout && !same {
+			d.count(a.node, false, e.Status == StatusConnectFailed && a.node.role == roleCache)
 		}
 	}
-	if e.Status == Reset {
+	if e.Status == StatusReset {
 		a.node.broke = d.now
 	}
 }
 
 // count weighs an outcome by the odds that the server is at fault, not what it shares with its peers.
-func (d *Director) count(s *server, ok, hard bool) {
+func (d *Engine) count(s *server, ok, hard bool) {
 	s.tardy = s.tardy && !hard
 	d.weigh(s, ok, d.bad[s.role].Take(ok, hard, !s.ejected))
 }
 
-func (d *Director) weigh(s *server, ok bool, share float64) {
+func (d *Engine) weigh(s *server, ok bool, share float64) {
 	switch s.odds.Weigh(ok, share); {
 	case ok && s.ejected && s.odds < outlier.Enough/2:
 		s.back = d.now // it may have started anew, before the list says so: spared as cold
@@ -847,14 +847,14 @@
 }
 
 // trust takes a server back.
-func (d *Director) trust(s *server) {
+func (d *Engine) trust(s *server) {
 	d.do(Log{fmt.Sprintf("trusted again %x", s.ID)})
 	s.ejected, s.tardy, s.ejectFor, s.odds = false, false, 0, 0
 	d.shut(s, 0)
 }
 
 // eject takes a server out of ordinary work, but for trials.
-func (d *Director) eject(s *server, why string) {
+func (d *Engine) eject(s *server, why string) {
 	if !s.ejected {
 		d.do(Log{fmt.Sprintf("ejected %x: %s", s.ID, why)})
 	}
@@ -863,22 +863,22 @@
 	d.shut(s, s.until)
 }
 
-func (d *Director) onList(e ListEvent) {
+func (d *Engine) onList(e ListEvent) {
 	if e.Kind == ListFull || e.Kind == ListCached {
 		for _, s := range d.all {
 			s.State, s.left = Gone, d.now
 		}
 	}
-	for _, n := range e.Nodes {
+	for _, n := range e.Endpoints {
 		s := d.servers[n.ID]
 		if s == nil {
 			s = &server{slow: 1}
 			d.servers[n.ID] = s
 			d.all = append(d.all, s)
-		} else if n.Since != s.Since {
+		} else if n.StartedAt != s.StartedAt {
 			*s = server{open: s.open, out: s.out, firstWait: d.now, slow: 1}
 		}
-		s.Node, s.role, s.left = n, d.roles[n.Kind], d.now
+		s.Endpoint, s.role, s.left = n, d.roles[n.Kind], d.now
 	}
 	d.caches.Reset()
 	d.parents.Reset()
@@ -904,7 +904,7 @@
 }
 
 // forget drops servers that are long gone: where each replacement has a new id they would be ever more.
-func (d *Director) forget() {
+func (d *Engine) forget() {
 	d.all = slices.DeleteFunc(d.all, func(s *server) bool {
 		old := s.State == Gone && s.open == 0 && d.now-s.left > goneFor
 		if old {
@@ -917,18 +917,18 @@
 // Guards of the rules.
 
 // mayRun keeps rules 1 and 2: no send after the end, attempts in bounds, no effect twice.
-func (d *Director) mayRun(q *request, node *server) bool {
+func (d *Engine) mayRun(q *request, node *server) bool {
 	if d.requests[q.id] != q || d.cfg.MaxAttempts > 0 && len(q.attempts) >= d.cfg.MaxAttempts ||
-		q.open > 0 && !d.cfg.SecondCopies {
+		q.open > 0 && !d.cfg.Hedging {
 		return false
 	}
 	for _, a := range q.attempts {
-		if !a.ran || q.class.Effect == Safe {
+		if !a.ran || q.class.Idempotency == Idempotent {
 			continue
 		}
-		if q.class.Effect == Unsafe || d.now-a.sent > q.class.RepeatsFor() ||
-			q.class.Group == GroupZone && a.node.Zone != node.Zone ||
-			q.class.Group == GroupCell && a.node.Cell != node.Cell {
+		if q.class.Idempotency == NotIdempotent || d.now-a.sent > q.class.RetryWindow() ||
+			q.class.DedupScope == DedupZone && a.node.Zone != node.Zone ||
+			q.class.DedupScope == DedupCell && a.node.Cell != node.Cell {
 			return false
 		}
 	}
@@ -936,35 +936,35 @@
 }
 
 // mayRefuse says whether "a further try is harmless" is true.
-func (d *Director) mayRefuse(q *request) bool {
-	return q.class.Effect == Safe || q.class.Effect == Keyed && q.class.Group == GroupAll ||
+func (d *Engine) mayRefuse(q *request) bool {
+	return q.class.Idempotency == Idempotent || q.class.Idempotency == IdempotentByKey && q.class.DedupScope == DedupAll ||
 		!slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.ran })
 }
 
 // mayUse keeps rule 3 and the reach of each server.
-func (d *Director) mayUse(node, source *server) bool {
+func (d *Engine) mayUse(node, source *server) bool {
 	if node.State != Ready || source.State != Ready {
 		return false
 	}
 	if node.role != roleCache {
-		return d.cfg.Direct && (source == node || source.role == roleOrigin)
+		return d.cfg.DirectFetch && (source == node || source.role == roleOrigin)
 	}
 	near := source == node || source.Zone == d.cfg.Zone && d.cfg.Siblings == ReachZone
 	return node.Zone == d.cfg.Zone && (source.role != roleCache || near || d.cfg.Siblings == ReachAny)
 }
 
 // coldRoom keeps rule 4: this director's share of what a cold server bears in any window of FallFor.
-func (d *Director) coldRoom(q *request, s *server) bool {
-	from, span, multiple := d.cfg.ColdFrom, d.cfg.ColdFor, d.cfg.FallMultiple
+func (d *Engine) coldRoom(q *request, s *server) bool {
+	from, span, multiple := d.cfg.ColdStartShare, d.cfg.WarmupTime, d.cfg.OverloadMultiple
 	if s.role == roleParent {
-		from, span, multiple = d.cfg.ParentFrom, d.cfg.ParentFor, d.cfg.ParentFall
+		from, span, multiple = d.cfg.ParentStartShare, d.cfg.ParentWarmupTime, d.cfg.ParentOverloadMultiple
 	}
-	since := max(s.Since, s.back)
+	since := max(s.StartedAt, s.back)
 	if s.role == roleOrigin || since == 0 || d.now-since >= span || multiple <= 0 {
 		s.sent.Clear()
 		return true
 	}
-	window := d.cfg.FallFor
+	window := d.cfg.OverloadWindow
 	full := coldUse * multiple * d.share(s) * window.Seconds()
 	r := slowstart.Ramp{From: from, Span: span, Full: full, Window: window}
 	if q.class.cost <= s.sent.Left(d.now, since, &r) {
@@ -979,14 +979,14 @@
 }
 
 // ageLimit keeps rule 5: the oldest copy that will do is younger than the last purge.
-func (d *Director) ageLimit(q *request) (time.Duration, bool) {
+func (d *Engine) ageLimit(q *request) (time.Duration, bool) {
 	at, ok := d.purges.Newest(q.part.object, q.group)
 	if !ok {
 		return 0, false
 	}
 	age := max(leastAge, d.now-at-purgeMargin)
-	if q.class.Fresh > 0 {
-		age = min(age, q.class.Fresh)
+	if q.class.FreshFor > 0 {
+		age = min(age, q.class.FreshFor)
 	}
 	return age, true
 }
@@ -994,24 +994,24 @@
 // Limits and shedding.
 
 // share is this director's part of a server's link, in answers at full pace: a cache serves its own zone's.
-func (d *Director) share(s *server) float64 {
+func (d *Engine) share(s *server) float64 {
 	return d.flows(s) / float64(d.sharers(s))
 }
 
 // crowd is what is out to a server with one more, in multiples of its link: others count as we do on average.
-func (d *Director) crowd(s *server) float64 {
+func (d *Engine) crowd(s *server) float64 {
 	d.settle(s)
 	return (float64(s.open+1) + s.usual*float64(d.sharers(s)-1)) / d.flows(s) * s.slow
 }
 
 // settle brings the average of what is out to a server up to now.
-func (d *Director) settle(s *server) {
+func (d *Engine) settle(s *server) {
 	s.usual += (float64(s.open) - s.usual) * (1 - math.Exp2(-float64(d.now-s.settled)/float64(usualHalf)))
 	s.settled = d.now
 }
 
 // sharers is the number of directors that send to a server: to a cache, those of its zone.
-func (d *Director) sharers(s *server) int {
+func (d *Engine) sharers(s *server) int {
 	if s.role == roleCache && s.Zone < len(d.cfg.ZoneInstances) {
 		return max(1, d.cfg.ZoneInstances[s.Zone])
 	}
@@ -1019,21 +1019,21 @@
 }
 
 // room says whether a server can answer in time beside what is out to it.
-func (d *Director) room(q *request, s *server) bool {
+func (d *Engine) room(q *request, s *server) bool {
 	return s.open == 0 || s.role == roleOrigin || q.judged*d.crowd(s) < aimUse*q.aim(q.judged)
 }
 
 // aim is the wanted time of a request that takes so many seconds to send.
 func (q *request) aim(seconds float64) float64 {
-	return q.class.Aim.Seconds() + q.class.AimStretch*seconds
+	return q.class.LatencyObjective.Seconds() + q.class.ObjectiveStretch*seconds
 }
 
 // value weighs a request by its worth for what it costs, 1 being the mean.
-func (d *Director) value(q *request) float64 {
+func (d *Engine) value(q *request) float64 {
 	return max(1-valueSwing, min(1+valueSwing, math.Sqrt(d.price/q.price)))
 }
 
 // narrow says whether a limit, weighed by worth for cost, has no room; a part of a fill is given by lot.
-func (d *Director) narrow(q *request, l *aimd.Limiter) bool {
+func (d *Engine) narrow(q *request, l *aimd.Limiter) bool {
 	return l.Narrow(d.zone, d.value(q), fairness.Lot(rendezvous.Mix(uint64(q.id))))
 }
--- a/internal/policy/sizes_test.go
+++ b/internal/policy/sizes_test.go
@@ -29,7 +29,7 @@
 func (day sizeDay) play(t *testing.T, seed uint64) (largest, next, all float64) {
 	t.Helper()
 	cfg := site()
-	cfg.Instances, cfg.ZoneInstances, cfg.SecondCopies = 1, []int{0, 0, 1, 1}, false
+	cfg.Instances, cfg.ZoneInstances, cfg.Hedging = 1, []int{0, 0, 1, 1}, false
 	d, err := New(cfg, 1)
 	if err != nil {
 		t.Fatal(err)
@@ -48,7 +48,7 @@
 		sent time.Duration
 	}
 	var requests []*sizeRequest
-	open, busy := map[RequestID]*sizeRequest{}, map[NodeID][]out{}
+	open, busy := map[RequestID]*sizeRequest{}, map[EndpointID][]out{}
 	back := map[time.Duration][]*sizeRequest{}
 	gets := map[RequestID]int{}
 	id, links := RequestID(0), 0.0
@@ -64,19 +64,19 @@
 	take = func(actions []Action) {
 		for _, a := range actions {
 			switch a := a.(type) {
-			case Get:
+			case SendAttempt:
 				r := open[a.ID]
-				busy[a.Node] = append(busy[a.Node], out{a.ID, gets[a.ID], r.size, now})
+				busy[a.Endpoint] = append(busy[a.Endpoint], out{a.ID, gets[a.ID], r.size, now})
 				gets[a.ID]++
-			case Cancel:
+			case CancelAttempt:
 				for node, b := range busy {
 					if i := slices.IndexFunc(b, func(o out) bool { return o.id == a.ID && o.n == a.Attempt }); i >= 0 {
 						o := b[i]
 						busy[node] = slices.Delete(b, i, i+1)
-						tell(AnswerEvent{ID: o.id, Node: node, Attempt: o.n, Took: now - o.sent, Status: Cancelled})
+						tell(ResponseEvent{ID: o.id, Endpoint: node, Attempt: o.n, Elapsed: now - o.sent, Status: StatusCanceled})
 					}
 				}
-			case Refuse:
+			case Reject:
 				r := open[a.ID]
 				delete(open, a.ID)
 				if r.tries <= 2 {
@@ -85,7 +85,7 @@
 				}
 			case Fail:
 				delete(open, a.ID)
-			case Timer:
+			case SetTimer:
 				timer = a.At
 			}
 		}
@@ -98,9 +98,9 @@
 		if day.told {
 			told = r.size * cfg.FlowKBps
 		}
-		tell(CallEvent{ID: id, Object: r.object, Part: r.part, Left: cfg.Classes[0].Deadline, SizeKB: told})
+		tell(RequestEvent{ID: id, Object: r.object, Part: r.part, Remaining: cfg.Classes[0].Deadline, SizeKB: told})
 	}
-	tell(ListEvent{Kind: ListCached, Nodes: nodes()})
+	tell(ListEvent{Kind: ListCached, Endpoints: nodes()})
 	for end := now + span; now < end+5*sec; now += step {
 		if timer > 0 && now >= timer {
 			tell(TimerEvent{Token: tickToken})
@@ -141,7 +141,7 @@
 				}
 				r.answered = true
 				delete(open, o.id)
-				tell(AnswerEvent{ID: o.id, Node: n.ID, Attempt: o.n, Took: now - o.sent, Status: OK, Note: NoteHit, Settled: true})
+				tell(ResponseEvent{ID: o.id, Endpoint: n.ID, Attempt: o.n, Elapsed: now - o.sent, Status: StatusOK, Note: NoteHit, Concluded: true})
 			}
 		}
 	}
--- a/internal/policy/trace_test.go
+++ b/internal/policy/trace_test.go
@@ -17,7 +17,7 @@
 	at     time.Duration
 	serial int
 	event  Event
-	get    Get // with an answer: what it answers
+	get    SendAttempt // with an answer: what it answers
 }
 
 type agenda []due
@@ -36,47 +36,47 @@
 
 // randomDay plays calls, answers of all kinds, purges and changes of the list from a seed, and gives a hash of every
 // action with its time. After each event, look sees the director.
-func randomDay(t testing.TB, seed int64, caches, calls int, warm bool, look func(*Director)) uint64 {
+func randomDay(t testing.TB, seed int64, caches, calls int, warm bool, look func(*Engine)) uint64 {
 	rng := rand.New(rand.NewSource(seed))
 	cfg := site()
-	cfg.SecondCopies = seed%2 == 0
-	cfg.WeightsTold = seed%3 != 0
+	cfg.Hedging = seed%2 == 0
+	cfg.WeightsReported = seed%3 != 0
 	if warm {
-		cfg.FallMultiple, cfg.ParentFall = 0, 0
+		cfg.OverloadMultiple, cfg.ParentOverloadMultiple = 0, 0
 	}
 	d, err := New(cfg, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	list := []Node{{ID: 100, Zone: 0, Kind: 1, State: Ready, Weight: 40}, {ID: 101, Zone: 1, Kind: 1, State: Ready,
+	list := []Endpoint{{ID: 100, Zone: 0, Kind: 1, State: Ready, Weight: 40}, {ID: 101, Zone: 1, Kind: 1, State: Ready,
 		Weight: 40}, {ID: 102, Zone: 1, Kind: 1, State: Ready, Weight: 20}, {ID: 200, Kind: 2, State: Ready, Weight: 1}}
 	for i := range caches {
-		list = append(list, Node{ID: NodeID(1000 + i), Zone: 2, State: Ready, Weight: float64(1 + rng.Intn(12))})
+		list = append(list, Endpoint{ID: EndpointID(1000 + i), Zone: 2, State: Ready, Weight: float64(1 + rng.Intn(12))})
 	}
 	for i := range 5 {
-		list = append(list, Node{ID: NodeID(90000 + i), Zone: 3, State: Ready, Weight: 8})
+		list = append(list, Endpoint{ID: EndpointID(90000 + i), Zone: 3, State: Ready, Weight: 8})
 	}
 	var plan agenda
 	serial, attempts := 0, map[RequestID]int{}
 	ended := map[RequestID]bool{}
 	sum := fnv.New64a()
 	now := 100 * sec
-	add := func(after time.Duration, e Event, g Get) {
+	add := func(after time.Duration, e Event, g SendAttempt) {
 		serial++
 		heap.Push(&plan, due{now + after, serial, e, g})
 	}
-	statuses := []Status{OK, OK, OK, OK, OK, OK, OK, OK, Miss, Miss, Full, Error, Timeout, ConnectFailed, Reset, Moot}
+	statuses := []Status{StatusOK, StatusOK, StatusOK, StatusOK, StatusOK, StatusOK, StatusOK, StatusOK, StatusMiss, StatusMiss, StatusAtCapacity, StatusError, StatusTimeout, StatusConnectFailed, StatusReset, StatusNotExecuted}
 	do := func(e Event) {
 		for _, a := range d.Handle(now, e) {
 			fmt.Fprintf(sum, "%d %T %+v\n", now, a, a)
 			switch a := a.(type) {
-			case Get:
+			case SendAttempt:
 				n := attempts[a.ID]
 				attempts[a.ID]++
 				status := statuses[rng.Intn(len(statuses))]
 				note := NoteHit
-				if a.Source != a.Node {
-					note = []Note{NoteFilled, NoteFilledOrigin, NoteJoined, NoteSourceLost, NoteNoPlace, NoteNone}[rng.Intn(6)]
+				if a.Source != a.Endpoint {
+					note = []Note{NoteFilled, NoteFilledOrigin, NoteJoined, NoteSourceLost, NoteNoCapacity, NoteNone}[rng.Intn(6)]
 				}
 				took := time.Duration(rng.ExpFloat64() * 60 * float64(ms))
 				if rng.Intn(40) == 0 {
@@ -85,24 +85,24 @@
 				if rng.Intn(200) == 0 {
 					continue // never answered
 				}
-				add(took, AnswerEvent{ID: a.ID, Node: a.Node, Attempt: n, Took: took, Note: note, Status: status}, a)
-			case Refuse:
+				add(took, ResponseEvent{ID: a.ID, Endpoint: a.Endpoint, Attempt: n, Elapsed: took, Note: note, Status: status}, a)
+			case Reject:
 				ended[a.ID] = true
 			case Fail:
 				ended[a.ID] = true
-			case Cancel:
+			case CancelAttempt:
 				if !ended[a.ID] {
-					add(ms, AnswerEvent{ID: a.ID, Attempt: a.Attempt, Took: 100 * ms, Status: Cancelled}, Get{})
+					add(ms, ResponseEvent{ID: a.ID, Attempt: a.Attempt, Elapsed: 100 * ms, Status: StatusCanceled}, SendAttempt{})
 				}
-			case Timer:
-				add(a.At-now, TimerEvent{a.Token}, Get{})
+			case SetTimer:
+				add(a.At-now, TimerEvent{a.Token}, SendAttempt{})
 			}
 		}
 		if look != nil {
 			look(d)
 		}
 	}
-	do(ListEvent{Kind: ListFull, Nodes: list})
+	do(ListEvent{Kind: ListFull, Endpoints: list})
 	zipf := rand.NewZipf(rng, 1.1, 4, 5000)
 	for id := RequestID(1); int(id) <= calls; id++ {
 		now += time.Duration(rng.ExpFloat64() * float64(2*ms))
@@ -110,12 +110,12 @@
 		for len(plan) > 0 && plan[0].at <= until {
 			p := heap.Pop(&plan).(due)
 			now = p.at
-			if e, ok := p.event.(AnswerEvent); ok {
+			if e, ok := p.event.(ResponseEvent); ok {
 				if ended[e.ID] {
 					continue
 				}
-				e.Settled = e.Status == OK
-				ended[e.ID] = e.Settled
+				e.Concluded = e.Status == StatusOK
+				ended[e.ID] = e.Concluded
 				p.event = e
 			}
 			do(p.event)
@@ -130,15 +130,15 @@
 			i := 1 + rng.Intn(len(list)-1)
 			list[i].State = []State{Gone, Ready, Ready, Draining}[rng.Intn(4)]
 			if rng.Intn(3) == 0 {
-				list[i].Since = now
+				list[i].StartedAt = now
 			}
-			do(ListEvent{Kind: ListDelta, Nodes: list[i : i+1]})
+			do(ListEvent{Kind: ListDelta, Endpoints: list[i : i+1]})
 		case n == 3 && rng.Intn(4) == 0:
-			do(ListEvent{Kind: ListFull, Nodes: list})
+			do(ListEvent{Kind: ListFull, Endpoints: list})
 		case n == 4 && id > 10:
 			gone := id - RequestID(rng.Intn(10)) - 1
 			ended[gone] = true
-			do(GoneEvent{gone})
+			do(ClientGoneEvent{gone})
 		}
 		class := 0
 		if rng.Intn(20) == 0 {
@@ -148,8 +148,8 @@
 		if rng.Intn(10) == 0 {
 			size = 0
 		}
-		do(CallEvent{ID: id, Class: class, Object: zipf.Uint64() + 1, Part: rng.Intn(2), Group: rng.Intn(8),
-			Left: 3 * sec, SizeKB: size})
+		do(RequestEvent{ID: id, Class: class, Object: zipf.Uint64() + 1, Part: rng.Intn(2), Group: rng.Intn(8),
+			Remaining: 3 * sec, SizeKB: size})
 	}
 	return sum.Sum64()
 }
@@ -164,7 +164,7 @@
 		caches, calls int
 	}{{1, 4, 6000}, {2, 4, 6000}, {3, 12, 6000}, {4, 12, 6000}, {5, 40, 4000}, {6, 40, 4000}, {7, 300, 2000}, {8, 300, 2000}, {9, 1, 3000}, {10, 2, 3000}} {
 		events := 0
-		got := randomDay(t, c.seed, c.caches, c.calls, true, func(d *Director) {
+		got := randomDay(t, c.seed, c.caches, c.calls, true, func(d *Engine) {
 			if events++; events%50 == 0 {
 				checkOut(t, d)
 			}
@@ -174,7 +174,7 @@
 				}
 			}
 		})
-		walk := randomDay(t, c.seed, c.caches, c.calls, true, func(d *Director) {
+		walk := randomDay(t, c.seed, c.caches, c.calls, true, func(d *Engine) {
 			for _, r := range []*ranking{&d.caches, &d.parents} {
 				for _, s := range r.Members() {
 					r.Shut(s.place, 0)
@@ -195,7 +195,7 @@
 func TestColdDays(t *testing.T) {
 	shut := 0
 	for seed := range int64(6) {
-		randomDay(t, seed, 12, 4000, false, func(d *Director) {
+		randomDay(t, seed, 12, 4000, false, func(d *Engine) {
 			checkOut(t, d)
 			for _, s := range d.caches.Members() {
 				if !d.caches.IsShut(s.place, d.now) || s.ejected {
@@ -219,7 +219,7 @@
 }
 
 // checkOut compares what each server has listed as out with a walk over all requests.
-func checkOut(t testing.TB, d *Director) {
+func checkOut(t testing.TB, d *Engine) {
 	want, listed := map[out]*server{}, 0
 	for _, q := range d.requests {
 		for i := range q.attempts {
@@ -246,7 +246,7 @@
 	for _, caches := range []int{10, 100, 1000, 4000} {
 		b.Run(fmt.Sprintf("caches/%d", caches), func(b *testing.B) {
 			cfg := site()
-			cfg.ColdFrom, cfg.ColdFor = 0.001, time.Hour
+			cfg.ColdStartShare, cfg.WarmupTime = 0.001, time.Hour
 			d, err := New(cfg, 1)
 			if err != nil {
 				b.Fatal(err)
@@ -254,9 +254,9 @@
 			now := 100 * sec
 			list := nodes()[:3]
 			for i := range caches {
-				list = append(list, Node{ID: NodeID(rendezvous.Mix(uint64(i))), Zone: 2, State: Ready, Weight: 1, Since: now})
+				list = append(list, Endpoint{ID: EndpointID(rendezvous.Mix(uint64(i))), Zone: 2, State: Ready, Weight: 1, StartedAt: now})
 			}
-			d.Handle(now, ListEvent{Kind: ListFull, Nodes: list})
+			d.Handle(now, ListEvent{Kind: ListFull, Endpoints: list})
 			drive(b, d, now)
 		})
 	}
@@ -272,17 +272,17 @@
 			}
 			list := nodes()
 			for i := range caches {
-				list = append(list, Node{ID: NodeID(rendezvous.Mix(uint64(i))), Zone: 2, State: Ready, Weight: 8})
+				list = append(list, Endpoint{ID: EndpointID(rendezvous.Mix(uint64(i))), Zone: 2, State: Ready, Weight: 8})
 			}
 			now := 100 * sec
-			d.Handle(now, ListEvent{Kind: ListFull, Nodes: list})
+			d.Handle(now, ListEvent{Kind: ListFull, Endpoints: list})
 			drive(b, d, now)
 		})
 	}
 }
 
 // drive puts requests through a director, a millisecond apart, and ends the first attempt of each.
-func drive(b *testing.B, d *Director, now time.Duration) {
+func drive(b *testing.B, d *Engine, now time.Duration) {
 	zipf := rand.NewZipf(rand.New(rand.NewSource(1)), 1.1, 4, 50000)
 	b.ReportAllocs()
 	b.ResetTimer()
@@ -292,9 +292,9 @@
 			d.Handle(now, TimerEvent{tickToken})
 		}
 		id := RequestID(i + 1)
-		for _, a := range d.Handle(now, CallEvent{ID: id, Object: zipf.Uint64() + 1, Left: 3 * sec, SizeKB: 40}) {
-			if g, ok := a.(Get); ok {
-				d.Handle(now, AnswerEvent{ID: id, Node: g.Node, Took: ms, Settled: true, Note: NoteHit, Status: OK})
+		for _, a := range d.Handle(now, RequestEvent{ID: id, Object: zipf.Uint64() + 1, Remaining: 3 * sec, SizeKB: 40}) {
+			if g, ok := a.(SendAttempt); ok {
+				d.Handle(now, ResponseEvent{ID: id, Endpoint: g.Endpoint, Elapsed: ms, Concluded: true, Note: NoteHit, Status: StatusOK})
 				break
 			}
 		}
--- a/internal/proxy/door.go
+++ b/internal/proxy/door.go
@@ -256,7 +256,7 @@
 		c.Caller = &identity.Caller{}
 	}
 	if r.Key != "" {
-		c.Key, c.Window = class.Name+" "+r.Key, class.Window
+		c.Key, c.Window = class.Name+" "+r.Key, class.DedupWindow
 	}
 	o, j := g.gate.Arrive(monotonicNow(), c)
 	switch {
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -196,7 +196,7 @@
 	s := d.plan.settings
 	all := s.Sockets - s.Sockets/clientPart - ownSockets
 	p.depots = &upstream.Pool{Loop: d.loop, Emit: p.emit, Now: monotonicNow, May: p.broker.May, Log: d.log.Event, Resolve: d.resolver.Resolve, Barred: p.broker.Barred,
-		Classes: s.Control.Classes, DialLimit: s.DialTimeout, Idle: s.ConnIdle, Streams: s.Streams, MayProbe: s.Control.Probes, MayQuit: s.Control.Cancel, FlowKBps: s.Control.FlowKBps,
+		Classes: s.Control.Classes, DialLimit: s.DialTimeout, Idle: s.ConnIdle, Streams: s.Streams, MayProbe: s.Control.HealthChecks, MayQuit: s.Control.MayCancel, FlowKBps: s.Control.FlowKBps,
 		Most: max(1, int(float64(all)*p.part))}
 	if secure := d.plan.own.BoxTLS; secure != nil {
 		p.depots.Secure = secure.secure(s.Control.ZoneNames)
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -56,8 +56,8 @@
 }
 
 var statuses = map[uint16]policy.Status{
-	200: policy.OK, 502: policy.Error, 429: policy.Full, 408: policy.Timeout, 521: policy.ConnectFailed,
-	520: policy.Reset, 444: policy.Cancelled, 409: policy.Moot, 204: policy.Miss,
+	200: policy.StatusOK, 502: policy.StatusError, 429: policy.StatusAtCapacity, 408: policy.StatusTimeout, 521: policy.StatusConnectFailed,
+	520: policy.StatusReset, 444: policy.StatusCanceled, 409: policy.StatusNotExecuted, 204: policy.StatusMiss,
 }
 
 // Hello starts an instance.
@@ -178,10 +178,10 @@
 	return platformconfig.MS(math.Float64frombits(r.u64(what)))
 }
 
-func (r *reader) node(what string) policy.NodeID {
+func (r *reader) node(what string) policy.EndpointID {
 	if b := r.take(6, what); b != nil {
-		return policy.NodeID(binary.BigEndian.Uint32(b))<<16 |
-			policy.NodeID(binary.LittleEndian.Uint16(b[4:]))
+		return policy.EndpointID(binary.BigEndian.Uint32(b))<<16 |
+			policy.EndpointID(binary.LittleEndian.Uint16(b[4:]))
 	}
 	return 0
 }
@@ -263,27 +263,27 @@
 	case codeBackends:
 		rec.Event = decodeList(r)
 	case codeCall:
-		e := policy.CallEvent{ID: policy.RequestID(r.u32("txn")), Class: int(r.u16("type")),
-			Tenant: int(r.u16("account")), Object: r.u64("asset"), Left: r.time("ttl-ms"),
+		e := policy.RequestEvent{ID: policy.RequestID(r.u32("txn")), Class: int(r.u16("type")),
+			Tenant: int(r.u16("account")), Object: r.u64("asset"), Remaining: r.time("ttl-ms"),
 			SizeKB: r.f32("kbytes")}
 		e.Group, e.Part = small(r.f32("tag")), small(r.f32("part"))
-		e.Repeat = r.u8("marks")&2 != 0
+		e.Retry = r.u8("marks")&2 != 0
 		rec.Event = e
 	case codeHeaders:
-		rec.Event = policy.HeadersEvent{ID: policy.RequestID(r.u32("txn")), Node: r.node("node"),
-			Attempt: int(r.u8("round-no")), Took: r.time("duration-ms")}
+		rec.Event = policy.HeadersEvent{ID: policy.RequestID(r.u32("txn")), Endpoint: r.node("node"),
+			Attempt: int(r.u8("round-no")), Elapsed: r.time("duration-ms")}
 	case codeAnswer:
-		rec.Event = policy.AnswerEvent{ID: policy.RequestID(r.u32("txn")), Took: r.time("duration-ms"),
-			Node: r.node("node"), Settled: r.u8("settled") != 0, Note: policy.Note(r.u8("note")),
+		rec.Event = policy.ResponseEvent{ID: policy.RequestID(r.u32("txn")), Elapsed: r.time("duration-ms"),
+			Endpoint: r.node("node"), Concluded: r.u8("settled") != 0, Note: policy.Note(r.u8("note")),
 			Attempt: int(r.u8("round-no")), FirstByte: r.time("first-byte-ms"),
 			Status: r.status("reason"), Load: r.load()}
 	case codeGone:
-		rec.Event = policy.GoneEvent{ID: policy.RequestID(r.u32("txn"))}
+		rec.Event = policy.ClientGoneEvent{ID: policy.RequestID(r.u32("txn"))}
 	case codeElapsed:
 		rec.Event = policy.TimerEvent{Token: r.u64("label")}
 	case codeCheck:
-		rec.Event = policy.ProbeEvent{Node: r.node("node"), Status: r.status("reason"),
-			Took: r.time("duration-ms"), Load: r.load()}
+		rec.Event = policy.HealthCheckEvent{Endpoint: r.node("node"), Status: r.status("reason"),
+			Elapsed: r.time("duration-ms"), Load: r.load()}
 	case codeWhisper:
 		rec.Event = policy.PeerEvent{From: int(r.u16("who")),
 			Data: append([]byte(nil), r.take(int(r.u16("raw count")), "raw")...)}
@@ -310,14 +310,14 @@
 			r.name, r.pos-r.start, room, n*entrySize, n)
 		return e
 	}
-	e.Nodes = make([]policy.Node, n)
-	for i := range e.Nodes {
-		nd := &e.Nodes[i]
+	e.Endpoints = make([]policy.Endpoint, n)
+	for i := range e.Endpoints {
+		nd := &e.Endpoints[i]
 		nd.ID = r.node("node")
 		nd.Zone, nd.Kind = int(r.u8("az")), int(r.u8("machine"))
 		nd.Cell = int(r.u16("cluster"))
 		nd.State = policy.State(r.u8("status"))
-		nd.Weight, nd.Since = r.f32("scale"), r.time("since-ms")
+		nd.Weight, nd.StartedAt = r.f32("scale"), r.time("since-ms")
 		if nd.State > policy.Draining {
 			r.err = fmt.Errorf("%s: entry %d: byte 10: status %d, expected 0 to 2", r.name, i, nd.State)
 			return e
@@ -357,7 +357,7 @@
 
 func (r *Reply) time(d time.Duration) { r.u64(math.Float64bits(toMS(d))) }
 
-func (r *Reply) node(n policy.NodeID) {
+func (r *Reply) node(n policy.EndpointID) {
 	r.buf = binary.BigEndian.AppendUint32(r.buf, uint32(n>>16))
 	r.buf = binary.LittleEndian.AppendUint16(r.buf, uint16(n))
 }
@@ -387,33 +387,33 @@
 // Add appends one action of an instance.
 func (r *Reply) Add(inst uint32, action policy.Action) {
 	switch a := action.(type) {
-	case policy.Get:
+	case policy.SendAttempt:
 		r.begin(codeGet, inst)
 		r.u32(uint32(a.ID))
-		r.node(a.Node)
-		r.time(a.Patience)
+		r.node(a.Endpoint)
+		r.time(a.Timeout)
 		r.node(a.Source)
-		r.buf = append(r.buf, uint8(a.Keep))
-		r.time(a.Age)
-		r.buf = append(r.buf, bits(a.Join, a.HeldOnly, a.NoParent, a.Renew))
-	case policy.Refuse:
+		r.buf = append(r.buf, uint8(a.CacheRank))
+		r.time(a.MaxAge)
+		r.buf = append(r.buf, bits(a.JoinFill, a.CachedOnly, a.BypassParent, a.Revalidate))
+	case policy.Reject:
 		r.begin(codeBusy, inst)
 		r.u32(uint32(a.ID))
-		r.time(a.Wait)
+		r.time(a.RetryAfter)
 	case policy.Fail:
 		r.begin(codeSurrender, inst)
 		r.u32(uint32(a.ID))
-	case policy.Cancel:
+	case policy.CancelAttempt:
 		r.begin(codeUndo, inst)
 		r.u32(uint32(a.ID))
 		r.buf = append(r.buf, uint8(a.Attempt))
-	case policy.Timer:
+	case policy.SetTimer:
 		r.begin(codeDefer, inst)
 		r.u64(a.Token)
 		r.time(a.At)
-	case policy.Probe:
+	case policy.HealthCheck:
 		r.begin(codeSoundOut, inst)
-		r.node(a.Node)
+		r.node(a.Endpoint)
 	case policy.Watch:
 		r.begin(codeTail, inst)
 		r.buf = append(r.buf, bits(a.On))
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -30,7 +30,7 @@
 	return append(h.b, b...)
 }
 
-const testNode = policy.NodeID(0x0a010203<<16 | 11200)
+const testNode = policy.EndpointID(0x0a010203<<16 | 11200)
 
 func TestEveryEvent(t *testing.T) {
 	for _, c := range []struct {
@@ -39,20 +39,20 @@
 		want Record
 	}{
 		{"list", rec(1, 5).u8(0).u64(41).u32(1).node().u8(2, 1).u16(7).u8(2).f32(1.5).f64(5),
-			Record{Instance: 5, Event: policy.ListEvent{Version: 41, Nodes: []policy.Node{{ID: testNode, Zone: 2,
-				Kind: 1, Cell: 7, State: policy.Draining, Weight: 1.5, Since: 5 * time.Millisecond}}}}},
+			Record{Instance: 5, Event: policy.ListEvent{Version: 41, Endpoints: []policy.Endpoint{{ID: testNode, Zone: 2,
+				Kind: 1, Cell: 7, State: policy.Draining, Weight: 1.5, StartedAt: 5 * time.Millisecond}}}}},
 		{"call", rec(2, 5).u32(9).u16(1).u16(2).u64(77).f64(250).f32(64).f32(11).f32(3).u8(2),
-			Record{Instance: 5, Event: policy.CallEvent{ID: 9, Class: 1, Tenant: 2, Object: 77, Part: 3, Group: 11,
-				Left: 250 * time.Millisecond, SizeKB: 64, Repeat: true}}},
+			Record{Instance: 5, Event: policy.RequestEvent{ID: 9, Class: 1, Tenant: 2, Object: 77, Part: 3, Group: 11,
+				Remaining: 250 * time.Millisecond, SizeKB: 64, Retry: true}}},
 		{"headers", rec(3, 5).u32(9).node().u8(1).f64(2),
-			Record{Instance: 5, Event: policy.HeadersEvent{ID: 9, Node: testNode, Attempt: 1, Took: 2 * time.Millisecond}}},
+			Record{Instance: 5, Event: policy.HeadersEvent{ID: 9, Endpoint: testNode, Attempt: 1, Elapsed: 2 * time.Millisecond}}},
 		{"answer", rec(4, 5).u32(9).f64(2).node().u8(1, 2, 1).f64(1).u16(200).u8(1).f32(0.5),
-			Record{Instance: 5, Event: policy.AnswerEvent{ID: 9, Node: testNode, Attempt: 1, Took: 2 * time.Millisecond,
-				Settled: true, Note: policy.NoteFilled, FirstByte: time.Millisecond, Load: []float64{0.5}}}},
-		{"gone", rec(5, 5).u32(9), Record{Instance: 5, Event: policy.GoneEvent{ID: 9}}},
+			Record{Instance: 5, Event: policy.ResponseEvent{ID: 9, Endpoint: testNode, Attempt: 1, Elapsed: 2 * time.Millisecond,
+				Concluded: true, Note: policy.NoteFilled, FirstByte: time.Millisecond, Load: []float64{0.5}}}},
+		{"gone", rec(5, 5).u32(9), Record{Instance: 5, Event: policy.ClientGoneEvent{ID: 9}}},
 		{"elapsed", rec(6, 5).u64(1), Record{Instance: 5, Event: policy.TimerEvent{Token: 1}}},
 		{"check", rec(7, 5).node().u16(521).f64(1).u8(0), Record{Instance: 5,
-			Event: policy.ProbeEvent{Node: testNode, Status: policy.ConnectFailed, Took: time.Millisecond}}},
+			Event: policy.HealthCheckEvent{Endpoint: testNode, Status: policy.StatusConnectFailed, Elapsed: time.Millisecond}}},
 		{"whisper", rec(8, 5).u16(2).u16(2).text("hi"), Record{Instance: 5,
 			Event: policy.PeerEvent{From: 2, Data: []byte("hi")}}},
 		{"down", rec(9, 5), Record{Instance: 5, Down: true}},
@@ -81,18 +81,18 @@
 		a    policy.Action
 		want *body
 	}{
-		{policy.Get{ID: 9, Node: testNode, Patience: 2 * time.Millisecond, Source: testNode, Keep: 3,
-			Age: time.Millisecond, Join: true, Renew: true},
+		{policy.SendAttempt{ID: 9, Endpoint: testNode, Timeout: 2 * time.Millisecond, Source: testNode, CacheRank: 3,
+			MaxAge: time.Millisecond, JoinFill: true, Revalidate: true},
 			rec(71, 5).u32(9).node().f64(2).node().u8(3).f64(1).u8(9)},
-		{policy.Refuse{ID: 9, Wait: time.Second}, rec(65, 5).u32(9).f64(1000)},
+		{policy.Reject{ID: 9, RetryAfter: time.Second}, rec(65, 5).u32(9).f64(1000)},
 		{policy.Fail{ID: 9}, rec(66, 5).u32(9)},
-		{policy.Cancel{ID: 9, Attempt: 2}, rec(74, 5).u32(9).u8(2)},
-		{policy.Timer{Token: 4, At: time.Second}, rec(72, 5).u64(4).f64(1000)},
-		{policy.Probe{Node: testNode}, rec(75, 5).node()},
+		{policy.CancelAttempt{ID: 9, Attempt: 2}, rec(74, 5).u32(9).u8(2)},
+		{policy.SetTimer{Token: 4, At: time.Second}, rec(72, 5).u64(4).f64(1000)},
+		{policy.HealthCheck{Endpoint: testNode}, rec(75, 5).node()},
 		{policy.Watch{On: true}, rec(73, 5).u8(1)},
 		{policy.FetchList{}, rec(68, 5)},
 		{policy.Log{Text: "hi"}, rec(76, 5).u16(2).text("hi")},
-		{policy.Get{HeldOnly: true, NoParent: true}, rec(71, 5).u32(0).u8(0, 0, 0, 0).u16(0).f64(0).
+		{policy.SendAttempt{CachedOnly: true, BypassParent: true}, rec(71, 5).u32(0).u8(0, 0, 0, 0).u16(0).f64(0).
 			u8(0, 0, 0, 0).u16(0).u8(0).f64(0).u8(6)},
 	} {
 		r.Add(5, c.a)
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -31,13 +31,13 @@
 }
 
 // probes is what they mean for a probe.
-var probes = map[string]policy.Status{"READY": policy.OK, "AILING": policy.Error}
+var probes = map[string]policy.Status{"READY": policy.StatusOK, "AILING": policy.StatusError}
 
 // notes is the words of a remark.
 var notes = map[string]policy.Note{
 	"hit": policy.NoteHit, "filled": policy.NoteFilled, "via_origin": policy.NoteFilledOrigin,
-	"joined": policy.NoteJoined, "stale": policy.NoteStale, "src_refused": policy.NoteSourceRefused,
-	"src_broke": policy.NoteSourceLost, "src_lacks": policy.NoteSourceLacks, "no_slot": policy.NoteNoPlace,
+	"joined": policy.NoteJoined, "stale": policy.NoteStale, "src_refused": policy.NoteSourceRejected,
+	"src_broke": policy.NoteSourceLost, "src_lacks": policy.NoteSourceMiss, "no_slot": policy.NoteNoCapacity,
 	"origin_failed": policy.NoteOriginFailed,
 }
 
--- a/internal/upstream/tally.go
+++ b/internal/upstream/tally.go
@@ -24,8 +24,8 @@
 const wordCount = len(wordNames)
 
 // The notes that tell of trouble behind a box, in the order of Tally.Notes.
-var noteWatched = [...]policy.Note{policy.NoteSourceRefused, policy.NoteSourceLost, policy.NoteSourceLacks,
-	policy.NoteNoPlace, policy.NoteOriginFailed}
+var noteWatched = [...]policy.Note{policy.NoteSourceRejected, policy.NoteSourceLost, policy.NoteSourceMiss,
+	policy.NoteNoCapacity, policy.NoteOriginFailed}
 
 var noteNames = [...]string{"src-refused", "src-broke", "src-lacks", "no-slot", "origin-failed"}
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -70,7 +70,7 @@
 
 	Tally Tally // see Take
 
-	boxes  map[policy.NodeID]*depot
+	boxes  map[policy.EndpointID]*depot
 	up     []*link // since the last Write
 	links  int     // up or being dialled
 	probes int     // numbers their tags
@@ -128,7 +128,7 @@
 
 func (p *Pool) depot(box *broker.Box) *depot {
 	if p.boxes == nil {
-		p.boxes = map[policy.NodeID]*depot{}
+		p.boxes = map[policy.EndpointID]*depot{}
 	}
 	d := p.boxes[box.ID]
 	if d == nil {
@@ -514,7 +514,7 @@
 		if o.attempt != nil {
 			l.pool.Emit(broker.Ending{Attempt: o.attempt, End: how(o)})
 		} else if !o.check {
-			l.pool.Emit(broker.Probed{Node: l.depot.box.ID, Status: policy.ConnectFailed,
+			l.pool.Emit(broker.Probed{Node: l.depot.box.ID, Status: policy.StatusConnectFailed,
 				Took: l.pool.Now() - o.sent})
 		}
 		delete(l.open, id)
@@ -599,7 +599,7 @@
 	d := p.depot(box)
 	l := p.pick(d, "")
 	if l == nil || l.conn == nil { // a dial that has begun says more than a probe would
-		p.Emit(broker.Probed{Node: box.ID, Status: policy.ConnectFailed})
+		p.Emit(broker.Probed{Node: box.ID, Status: policy.StatusConnectFailed})
 		return
 	}
 	p.probes++
@@ -617,7 +617,7 @@
 		return
 	}
 	for _, l := range slices.Clone(d.links) {
-		old := restarted && (l.begun < box.Since || l.listed != box.Dial)
+		old := restarted && (l.begun < box.StartedAt || l.listed != box.Dial)
 		switch {
 		case l.conn != nil && (old || box.State == policy.Gone):
 			l.unsent(broker.Barred)
@@ -717,7 +717,7 @@
 				switch {
 				case o.attempt == nil && !o.check && now-o.sent > probeMost:
 					delete(l.open, tag)
-					p.Emit(broker.Probed{Node: id, Status: policy.Timeout, Took: now - o.sent})
+					p.Emit(broker.Probed{Node: id, Status: policy.StatusTimeout, Took: now - o.sent})
 				case o.attempt != nil && !o.attempt.Open() && now >= o.attempt.Deadline:
 					l.forget(tag, now) // it could not be called off
 				}
