--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -23,46 +23,46 @@
 // Event is something that the broker is told.
 type Event interface{ isEvent() }
 
-// Arrival is a new request.
-type Arrival struct{ Request *Request }
-
-// Withdrawal says that nobody waits for a request any more.
-type Withdrawal struct{ Request *Request }
-
-// Ending says how an attempt ended.
-type Ending struct {
-	Attempt *Attempt
-	End     End
-	Note    policy.Note
-	Lag     time.Duration // waited for the source
-	Address string        // of the connection that the answer came by
-	Body    []byte
-	Fields  []Field
-	// Doubtful says that the box may have meant the attempt before, and that this one was given up: it may have run, whatever End says.
-	Doubtful bool
-}
-
-// Listing is the whole list of one source of boxes.
-type Listing struct {
+// RequestReceived is a new request.
+type RequestReceived struct{ Request *Request }
+
+// RequestCanceled says that nobody waits for a request any more.
+type RequestCanceled struct{ Request *Request }
+
+// AttemptEnded says how an attempt ended.
+type AttemptEnded struct {
+	Attempt     *Attempt
+	End         End
+	Note        policy.Note
+	SourceDelay time.Duration // waited for the source
+	Address     string        // of the connection that the answer came by
+	Body        []byte
+	Fields      []Field
+	// MayHaveRun says that the box may have meant the attempt before, and that this one was given up: it may have run, whatever End says.
+	MayHaveRun bool
+}
+
+// EndpointList is the whole list of one source of boxes.
+type EndpointList struct {
 	Source int // of the membership table
 	List   membership.List
 }
 
-// Changes are changes that one source of boxes tells.
-type Changes struct {
-	Source  int
-	Version uint64
-	Boxes   []membership.Box
+// EndpointDelta are changes that one source of boxes tells.
+type EndpointDelta struct {
+	Source    int
+	Version   uint64
+	Endpoints []membership.Box
 }
 
-// Speaks says that a source of boxes is heard, though it has nothing new to tell, or that it has fallen silent.
-type Speaks struct {
+// SourceStatus says that a source of boxes is heard, though it has nothing new to tell, or that it has fallen silent.
+type SourceStatus struct {
 	Source int
 	Silent bool
 }
 
-// Restored brings what the sources had said before a restart.
-type Restored struct{ Words []membership.Words }
+// SnapshotRestored brings what the sources had said before a restart.
+type SnapshotRestored struct{ Reports []membership.Words }
 
 // Purge says that copies from before Issued are out of date: those of an object, or of a group when Object is 0.
 type Purge struct {
@@ -71,70 +71,70 @@
 	Issued time.Duration // on the Unix clock
 }
 
-// Probed is the result of a probe.
-type Probed struct {
-	Node   policy.EndpointID
-	Status policy.Status
-	Took   time.Duration
+// HealthChecked is the result of a probe.
+type HealthChecked struct {
+	Endpoint policy.EndpointID
+	Status   policy.Status
+	Elapsed  time.Duration
 }
 
-// Cutoff ends all requests that are open: the program can't wait for them any longer.
-type Cutoff struct{}
+// FailInFlight ends all requests that are open: the program can't wait for them any longer.
+type FailInFlight struct{}
 
-func (Arrival) isEvent()    {}
-func (Withdrawal) isEvent() {}
-func (Ending) isEvent()     {}
-func (Listing) isEvent()    {}
-func (Changes) isEvent()    {}
-func (Speaks) isEvent()     {}
-func (Restored) isEvent()   {}
-func (Purge) isEvent()      {}
-func (Probed) isEvent()     {}
-func (Cutoff) isEvent()     {}
+func (RequestReceived) isEvent()  {}
+func (RequestCanceled) isEvent()  {}
+func (AttemptEnded) isEvent()     {}
+func (EndpointList) isEvent()     {}
+func (EndpointDelta) isEvent()    {}
+func (SourceStatus) isEvent()     {}
+func (SnapshotRestored) isEvent() {}
+func (Purge) isEvent()            {}
+func (HealthChecked) isEvent()    {}
+func (FailInFlight) isEvent()     {}
 
 // Effect is something that the broker wants done.
 type Effect interface{ isEffect() }
 
-// Ask sends an attempt. May must be asked again at the moment of writing.
-type Ask struct{ Attempt *Attempt }
+// SendAttempt sends an attempt. May must be asked again at the moment of writing.
+type SendAttempt struct{ Attempt *Attempt }
 
-// Quit gives an attempt up that may be out. With Confirm it is not ended yet: its Ending is owed once it is out no more.
-type Quit struct {
-	Attempt *Attempt
-	Confirm bool
+// CancelAttempt gives an attempt up that may be out. With Confirm it is not ended yet: its Ending is owed once it is out no more.
+type CancelAttempt struct {
+	Attempt  *Attempt
+	AwaitEnd bool
 }
 
-// Answer is the final answer to a request.
-type Answer struct {
-	Request *Request
-	Final   Final
+// Respond is the final answer to a request.
+type Respond struct {
+	Request  *Request
+	Response Response
 }
 
-// Moved says that the list has changed what is known of a box: connections to where it was are void if Restarted.
-type Moved struct {
-	Box       *Box
+// EndpointChanged says that the list has changed what is known of a box: connections to where it was are void if Restarted.
+type EndpointChanged struct {
+	Endpoint  *Endpoint
 	Restarted bool
 }
 
-// Probe examines a box.
-type Probe struct{ Box *Box }
+// HealthCheck examines a box.
+type HealthCheck struct{ Endpoint *Endpoint }
 
-// Confirm has a source of boxes asked for its whole list at once; the answer is a Listing that confirms.
-type Confirm struct{ Source int }
+// RefetchList has a source of boxes asked for its whole list at once; the answer is a Listing that confirms.
+type RefetchList struct{ Source int }
 
-// Line is a line for the log: an event word and names with values.
-type Line struct {
+// LogEntry is a line for the log: an event word and names with values.
+type LogEntry struct {
 	Event  string
 	Fields []any
 }
 
-func (Ask) isEffect()     {}
-func (Quit) isEffect()    {}
-func (Answer) isEffect()  {}
-func (Moved) isEffect()   {}
-func (Probe) isEffect()   {}
-func (Confirm) isEffect() {}
-func (Line) isEffect()    {}
+func (SendAttempt) isEffect()     {}
+func (CancelAttempt) isEffect()   {}
+func (Respond) isEffect()         {}
+func (EndpointChanged) isEffect() {}
+func (HealthCheck) isEffect()     {}
+func (RefetchList) isEffect()     {}
+func (LogEntry) isEffect()        {}
 
 const (
 	// answerEarly is taken off a client's limit, which counts from the request's last byte: the loop may come to read
@@ -165,11 +165,11 @@
 	nextID      policy.RequestID
 	open        map[policy.RequestID]*Request
 	ids         map[string]*Request // the same by the clients' ids
-	boxes       map[policy.EndpointID]*Box
+	boxes       map[policy.EndpointID]*Endpoint
 	hosts       map[string]policy.EndpointID
-	byName      map[string]*Box   // by the id on the sockets, in lower case
-	byDial      map[string][]*Box // by address: mostly one, and those that were there before
-	gone        []departed        // in the order of their leaving
+	byName      map[string]*Endpoint   // by the id on the sockets, in lower case
+	byDial      map[string][]*Endpoint // by address: mostly one, and those that were there before
+	gone        []departed             // in the order of their leaving
 	purges      *invalidation.Ledger
 	timers      timers
 	sweepAt     int // timers, at which those that stand for nothing any more are dropped
@@ -185,8 +185,8 @@
 		return nil, err
 	}
 	return &Broker{cfg: cfg, module: module, contracts: contracts, members: members, openCap: openCap,
-		open: map[policy.RequestID]*Request{}, ids: map[string]*Request{}, boxes: map[policy.EndpointID]*Box{},
-		hosts: map[string]policy.EndpointID{}, byName: map[string]*Box{}, byDial: map[string][]*Box{},
+		open: map[policy.RequestID]*Request{}, ids: map[string]*Request{}, boxes: map[policy.EndpointID]*Endpoint{},
+		hosts: map[string]policy.EndpointID{}, byName: map[string]*Endpoint{}, byDial: map[string][]*Endpoint{},
 		purges: invalidation.New(invalidation.Config{Takes: cfg.PurgePropagation, Slack: purgeSlack})}, nil
 }
 
@@ -197,18 +197,18 @@
 	b.members.SetOffset(offset)
 }
 
-// Open is the number of requests without an end.
-func (b *Broker) Open() int { return len(b.open) }
+// OpenRequests is the number of requests without an end.
+func (b *Broker) OpenRequests() int { return len(b.open) }
 
 // Sizes is how much a broker holds. Open, Module and Timers follow the requests that are open, Boxes and Gone the lists of the
 // last minute, Purges what was issued in the time that boxes take to drop copies.
 type Sizes struct {
-	Open, Module, Timers, Boxes, Gone, Purges int
+	Open, PolicyRequests, Timers, Endpoints, GoneEndpoints, Purges int
 }
 
 // Sizes tells what is held, for operators and for tests that nothing grows.
 func (b *Broker) Sizes() Sizes {
-	return Sizes{Open: len(b.open), Module: b.module.OpenRequests(), Timers: len(b.timers), Boxes: len(b.boxes), Gone: len(b.gone),
+	return Sizes{Open: len(b.open), PolicyRequests: b.module.OpenRequests(), Timers: len(b.timers), Endpoints: len(b.boxes), GoneEndpoints: len(b.gone),
 		Purges: b.purges.Len()}
 }
 
@@ -252,56 +252,56 @@
 
 func (b *Broker) take(e Event) {
 	switch e := e.(type) {
-	case Arrival:
+	case RequestReceived:
 		b.arrive(e.Request)
-	case Withdrawal:
+	case RequestCanceled:
 		if r := e.Request; !r.ended {
 			b.close(r, concurrency.Silent)
 			b.tell(policy.ClientGoneEvent{ID: r.id})
 		}
-	case Ending:
+	case AttemptEnded:
 		b.end(e)
-	case Listing:
+	case EndpointList:
 		b.members.Whole(b.now, e.Source, e.List)
 		b.follow()
-	case Changes:
-		b.members.Change(b.now, e.Source, e.Version, e.Boxes)
+	case EndpointDelta:
+		b.members.Change(b.now, e.Source, e.Version, e.Endpoints)
 		b.follow()
-	case Speaks:
+	case SourceStatus:
 		if e.Silent {
 			b.members.Silent(b.now, e.Source)
 		} else {
 			b.members.Heard(b.now, e.Source)
 		}
 		b.follow()
-	case Restored:
-		n := b.members.Restore(b.now, e.Words)
-		b.effect(Line{"list-restored", []any{"boxes", n}})
+	case SnapshotRestored:
+		n := b.members.Restore(b.now, e.Reports)
+		b.effect(LogEntry{"list-restored", []any{"boxes", n}})
 		b.follow()
 	case Purge:
 		issued := e.Issued - b.offset
 		b.purges.Note(b.now, e.Object, e.Group, issued)
 		b.tell(policy.PurgeEvent{Object: e.Object, Group: e.Group, Age: max(0, b.now-issued)})
-	case Cutoff:
+	case FailInFlight:
 		b.cutOff()
-	case Probed:
-		b.tell(policy.HealthCheckEvent{Endpoint: e.Node, Status: e.Status, Elapsed: e.Took})
+	case HealthChecked:
+		b.tell(policy.HealthCheckEvent{Endpoint: e.Endpoint, Status: e.Status, Elapsed: e.Elapsed})
 	}
 }
 
 // arrive takes a request: from here on it is owed exactly one answer.
 func (b *Broker) arrive(r *Request) {
-	if r.ended = r.Withdrawn; r.ended {
+	if r.ended = r.Canceled; r.ended {
 		return
 	}
-	r.deadline = r.Arrived + r.Limit - min(answerEarly, r.Limit/8)
+	r.deadline = r.ReceivedAt + r.Timeout - min(answerEarly, r.Timeout/8)
 	if b.ids[r.ID] != nil {
 		// Boxes and answers tell requests apart by this id: a second one could take the first one's answer.
-		b.answer(r, Final{Kind: Failure, Reason: "a request with this id is open"})
+		b.answer(r, Response{Kind: ResponseFailed, Reason: "a request with this id is open"})
 		return
 	}
 	if len(b.open) >= b.openCap {
-		b.answer(r, Final{Kind: Refusal, Wait: b.cfg.RetryAfter(&b.cfg.Classes[r.Class]), Reason: "too many open requests"})
+		b.answer(r, Response{Kind: ResponseRejected, RetryAfter: b.cfg.RetryAfter(&b.cfg.Classes[r.Class]), Reason: "too many open requests"})
 		return
 	}
 	class := &b.cfg.Classes[r.Class]
@@ -315,9 +315,9 @@
 	r.id = b.nextID
 	b.open[r.id], b.ids[r.ID] = r, r
 	b.at(timer{at: r.deadline, request: r})
-	b.at(timer{at: r.Arrived + r.Limit/2 - min(halfEarly, r.Limit/16), request: r, half: true})
+	b.at(timer{at: r.ReceivedAt + r.Timeout/2 - min(halfEarly, r.Timeout/16), request: r, half: true})
 	b.tell(policy.RequestEvent{ID: r.id, Class: r.Class, Object: r.Object, Part: r.Part, Group: r.Group,
-		Remaining: r.deadline - b.now, SizeKB: r.SizeKB, Retry: r.Second})
+		Remaining: r.deadline - b.now, SizeKB: r.SizeKB, Retry: r.MarkedRetry})
 }
 
 // tell hands one event to the module and carries out what it wants.
@@ -332,22 +332,22 @@
 	case policy.SendAttempt:
 		b.get(a)
 	case policy.Reject:
-		b.giveUp(a.ID, Final{Kind: Refusal, Wait: a.RetryAfter, Reason: "refused"})
+		b.giveUp(a.ID, Response{Kind: ResponseRejected, RetryAfter: a.RetryAfter, Reason: "refused"})
 	case policy.Fail:
-		b.giveUp(a.ID, Final{Kind: Failure, Reason: "failed"})
+		b.giveUp(a.ID, Response{Kind: ResponseFailed, Reason: "failed"})
 	case policy.CancelAttempt:
 		// What the module calls off after a request's end was quit by close.
 		if r := b.open[a.ID]; r != nil && a.Attempt < len(r.attempts) && r.attempts[a.Attempt].Open() {
-			b.effect(Quit{Attempt: r.attempts[a.Attempt], Confirm: true})
+			b.effect(CancelAttempt{Attempt: r.attempts[a.Attempt], AwaitEnd: true})
 		}
 	case policy.SetTimer:
 		b.at(timer{at: a.At, token: a.Token})
 	case policy.HealthCheck:
 		if box := b.boxes[a.Endpoint]; box != nil {
-			b.effect(Probe{box})
+			b.effect(HealthCheck{box})
 		}
 	case policy.Log:
-		b.effect(Line{"module", []any{"text", a.Text}})
+		b.effect(LogEntry{"module", []any{"text", a.Text}})
 	}
 }
 
@@ -357,11 +357,11 @@
 func (b *Broker) get(g policy.SendAttempt) {
 	r, box, source := b.open[g.ID], b.boxes[g.Endpoint], b.boxes[g.Source]
 	if r == nil || box == nil || source == nil {
-		b.effect(Line{"module-unknown", []any{"get", fmt.Sprintf("%+v", g)}})
+		b.effect(LogEntry{"module-unknown", []any{"get", fmt.Sprintf("%+v", g)}})
 		return
 	}
-	a := &Attempt{Request: r, N: len(r.attempts), Box: box, Source: source, Keep: g.CacheRank, Age: g.MaxAge, Join: g.JoinFill,
-		HeldOnly: g.CachedOnly, NoParent: g.BypassParent, Renew: g.Revalidate, Deadline: r.deadline, sent: b.now}
+	a := &Attempt{Request: r, Number: len(r.attempts), Endpoint: box, Source: source, CacheRank: g.CacheRank, MaxAge: g.MaxAge, JoinFill: g.JoinFill,
+		CachedOnly: g.CachedOnly, BypassParent: g.BypassParent, Revalidate: g.Revalidate, Deadline: r.deadline, sent: b.now}
 	if g.Timeout > 0 {
 		a.Deadline = min(a.Deadline, b.now+g.Timeout)
 	}
@@ -369,18 +369,18 @@
 	r.attempts = append(r.attempts, a)
 	// Never two attempts out together, whatever the module says: rule 2.
 	if busy && !b.cfg.Hedging {
-		b.queue = append(b.queue, Ending{Attempt: a, End: Barred})
+		b.queue = append(b.queue, AttemptEnded{Attempt: a, End: Blocked})
 		return
 	}
 	if end, over := b.spend(r, a); over != nil {
 		r.over = over
-		b.queue = append(b.queue, Ending{Attempt: a, End: end})
+		b.queue = append(b.queue, AttemptEnded{Attempt: a, End: end})
 		return
 	}
 	if a.Deadline < r.deadline {
 		b.at(timer{at: a.Deadline, attempt: a})
 	}
-	b.effect(Ask{a})
+	b.effect(SendAttempt{a})
 }
 
 // spend charges an attempt to the budgets of its request, and of repeats: only one after an attempt that went out is a repeat,
@@ -389,29 +389,29 @@
 	repeat := slices.ContainsFunc(r.attempts, func(o *Attempt) bool { return o.Written })
 	if !repeat {
 		if over := r.grant.Spend(b.now, false); over != nil {
-			return Barred, over
+			return Blocked, over
 		}
-		if b.teamRepeats != nil && a.N == 0 {
+		if b.teamRepeats != nil && a.Number == 0 {
 			b.teamRepeats.Of(r.grant.Tenant()).First(b.now, b.teamRepeats.Config())
 		}
 		if b.boxRepeats != nil {
-			b.boxRepeats.Of(a.Box.ID).First(b.now, b.boxRepeats.Config())
+			b.boxRepeats.Of(a.Endpoint.ID).First(b.now, b.boxRepeats.Config())
 		}
 		return 0, nil
 	}
 	var team, box *retry.Budget
 	if b.teamRepeats != nil {
 		if team = b.teamRepeats.Of(r.grant.Tenant()); team.Left(b.now, b.teamRepeats.Config()) < 1 {
-			return Withheld, &quota.Refusal{Node: r.grant.Tenant(), Kind: quota.Repeats, Asked: 1, Left: team.Left(b.now, b.teamRepeats.Config()), Later: repeatsWait}
+			return RetryBudgetExhausted, &quota.Refusal{Node: r.grant.Tenant(), Kind: quota.Repeats, Asked: 1, Left: team.Left(b.now, b.teamRepeats.Config()), Later: repeatsWait}
 		}
 	}
 	if b.boxRepeats != nil {
-		if box = b.boxRepeats.Of(a.Box.ID); box.Left(b.now, b.boxRepeats.Config()) < 1 {
-			return Withheld, &quota.Refusal{Node: "box " + a.Box.Host, Kind: quota.Repeats, Asked: 1, Left: box.Left(b.now, b.boxRepeats.Config()), Later: repeatsWait}
+		if box = b.boxRepeats.Of(a.Endpoint.ID); box.Left(b.now, b.boxRepeats.Config()) < 1 {
+			return RetryBudgetExhausted, &quota.Refusal{Node: "box " + a.Endpoint.Name, Kind: quota.Repeats, Asked: 1, Left: box.Left(b.now, b.boxRepeats.Config()), Later: repeatsWait}
 		}
 	}
 	if over := r.grant.Spend(b.now, true); over != nil {
-		return Withheld, over
+		return RetryBudgetExhausted, over
 	}
 	if team != nil {
 		team.Take()
@@ -426,15 +426,15 @@
 const repeatsWait = 100 * time.Millisecond
 
 // overBudget words a refusal by a budget.
-func overBudget(over *quota.Refusal) Final {
-	return Final{Kind: Refusal, Wait: over.Later, Budget: over.Name(), Reason: over.String()}
+func overBudget(over *quota.Refusal) Response {
+	return Response{Kind: ResponseRejected, RetryAfter: over.Later, Budget: over.Name(), Reason: over.String()}
 }
 
 // boxesMost and teamsMost bound what is remembered of repeats.
 const boxesMost, teamsMost = 16384, 16384
 
-// LimitRepeats sets the budgets of repeats. What is left of them stays.
-func (b *Broker) LimitRepeats(teams, boxes retry.Config) {
+// LimitRetries sets the budgets of repeats. What is left of them stays.
+func (b *Broker) LimitRetries(teams, boxes retry.Config) {
 	if teams.Share > 0 && b.teamRepeats == nil {
 		b.teamRepeats = retry.NewSet[string](teams, teamsMost)
 	}
@@ -449,13 +449,13 @@
 	}
 }
 
-// May says at the moment of writing whether an attempt may still go out, and the oldest copy that will do then: the
+// MaySend says at the moment of writing whether an attempt may still go out, and the oldest copy that will do then: the
 // list and the purges may have moved on while it waited for its connection. The list's state outranks all else.
-func (b *Broker) May(a *Attempt, now time.Duration) (age time.Duration, ok bool) {
-	if a.ended || a.Request.ended || now >= a.Deadline || !usable(a.Box) || !usable(a.Source) || !b.mayRepeat(a, now) {
+func (b *Broker) MaySend(a *Attempt, now time.Duration) (age time.Duration, ok bool) {
+	if a.ended || a.Request.ended || now >= a.Deadline || !usable(a.Endpoint) || !usable(a.Source) || !b.mayRepeat(a, now) {
 		return 0, false
 	}
-	age = a.Age // counted from the decision, so by now it asks for a younger copy still
+	age = a.MaxAge // counted from the decision, so by now it asks for a younger copy still
 	r := a.Request
 	if issued, ok := b.purges.Newest(r.Object, r.Group); ok {
 		if limit := max(leastAge, now-issued-purgeMargin); age == 0 || limit < age {
@@ -477,15 +477,15 @@
 	})
 }
 
-// Box finds a box of the list by its id on the sockets, without regard to case.
-func (b *Broker) Box(host string) *Box { return b.byName[strings.ToLower(host)] }
+// EndpointByName finds a box of the list by its id on the sockets, without regard to case.
+func (b *Broker) EndpointByName(host string) *Endpoint { return b.byName[strings.ToLower(host)] }
 
 // leftFor is how long the address of a box that is gone is kept from boxes that a name server gives it to.
 const leftFor = time.Minute
 
-// Barred says whether an address that a name server gave is that of a listed box which takes nothing new. The list
+// AddressBlocked says whether an address that a name server gave is that of a listed box which takes nothing new. The list
 // outranks the name server: its answers may be older.
-func (b *Broker) Barred(address string) bool {
+func (b *Broker) AddressBlocked(address string) bool {
 	barred := false
 	for _, box := range b.byDial[address] {
 		if usable(box) {
@@ -504,10 +504,10 @@
 	return age
 }
 
-func usable(box *Box) bool { return box.State == policy.Ready }
+func usable(box *Endpoint) bool { return box.State == policy.Ready }
 
 // end takes the end of an attempt. Only the first counts.
-func (b *Broker) end(e Ending) {
+func (b *Broker) end(e AttemptEnded) {
 	a := e.Attempt
 	if a.ended {
 		return
@@ -517,25 +517,25 @@
 	if r.ended {
 		return
 	}
-	if e.Doubtful && b.cfg.Classes[r.Class].Idempotency != policy.Idempotent && slices.Contains(neverRan, outcomes[e.End].status) {
-		e.End = CalledOff
+	if e.MayHaveRun && b.cfg.Classes[r.Class].Idempotency != policy.Idempotent && slices.Contains(neverRan, outcomes[e.End].status) {
+		e.End = Canceled
 	}
 	a.neverRan = slices.Contains(neverRan, outcomes[e.End].status)
-	if e.End.Good() {
-		final := Final{Kind: Answered, Box: a.Box, Address: e.Address, Body: e.Body, Fields: e.Fields}
-		if e.End == Unchanged {
-			final.Kind = Same
+	if e.End.Succeeded() {
+		final := Response{Kind: ResponseServed, Endpoint: a.Endpoint, Address: e.Address, Body: e.Body, Fields: e.Fields}
+		if e.End == NotModified {
+			final.Kind = ResponseNotModified
 		}
 		b.answer(r, final)
 	}
-	b.tell(policy.ResponseEvent{ID: r.id, Endpoint: a.Box.ID, Attempt: a.N, Elapsed: b.now - a.sent, Concluded: r.ended,
-		Note: e.Note, FirstByte: e.Lag, Status: outcomes[e.End].status})
+	b.tell(policy.ResponseEvent{ID: r.id, Endpoint: a.Endpoint.ID, Attempt: a.Number, Elapsed: b.now - a.sent, Concluded: r.ended,
+		Note: e.Note, FirstByte: e.SourceDelay, Status: outcomes[e.End].status})
 }
 
 // giveUp is the module's own end of a request; it goes out at once.
-func (b *Broker) giveUp(id policy.RequestID, f Final) {
+func (b *Broker) giveUp(id policy.RequestID, f Response) {
 	if r := b.open[id]; r != nil {
-		if r.over != nil && f.Kind == Refusal {
+		if r.over != nil && f.Kind == ResponseRejected {
 			f = overBudget(r.over)
 		}
 		b.answer(r, f)
@@ -543,24 +543,24 @@
 }
 
 // answer gives the one final answer.
-func (b *Broker) answer(r *Request, f Final) {
+func (b *Broker) answer(r *Request, f Response) {
 	if r.ended {
 		return
 	}
 	b.close(r, b.outcome(r, f))
-	b.effect(Answer{r, f})
+	b.effect(Respond{r, f})
 }
 
 // outcome is what an answer tells of the load on the boxes.
-func (b *Broker) outcome(r *Request, f Final) concurrency.Outcome {
+func (b *Broker) outcome(r *Request, f Response) concurrency.Outcome {
 	switch {
-	case f.Kind == Answered || f.Kind == Same:
+	case f.Kind == ResponseServed || f.Kind == ResponseNotModified:
 		class := &b.cfg.Classes[r.Class]
 		aim := class.LatencyObjective
 		if b.cfg.FlowKBps > 0 {
 			aim += time.Duration(class.ObjectiveStretch * r.SizeKB / b.cfg.FlowKBps * float64(time.Second))
 		}
-		if aim > 0 && b.now-r.Arrived > aim {
+		if aim > 0 && b.now-r.ReceivedAt > aim {
 			return concurrency.Late
 		}
 		return concurrency.InTime
@@ -576,12 +576,12 @@
 	delete(b.open, r.id)
 	if r.admitted {
 		delete(b.ids, r.ID)
-		r.grant.End(b.now, o, b.now-r.Arrived)
+		r.grant.End(b.now, o, b.now-r.ReceivedAt)
 	}
 	for _, a := range r.attempts {
 		if a.Open() {
 			a.ended = true
-			b.effect(Quit{Attempt: a})
+			b.effect(CancelAttempt{Attempt: a})
 		}
 	}
 	r.Body = nil
@@ -601,7 +601,7 @@
 // follow takes over what is new in the merged view of the boxes.
 func (b *Broker) follow() {
 	for _, src := range b.members.Confirm() {
-		b.effect(Confirm{src})
+		b.effect(RefetchList{src})
 	}
 	b.logNotes()
 	if !b.members.Pending() {
@@ -613,14 +613,14 @@
 		if i < linesMost {
 			b.logChange(c)
 		}
-		n := Box{Host: c.Box.ID, Dial: c.Box.Address, Endpoint: policy.Endpoint{Zone: c.Box.Zone, Kind: c.Box.Kind,
+		n := Endpoint{Name: c.Box.ID, Address: c.Box.Address, Endpoint: policy.Endpoint{Zone: c.Box.Zone, Kind: c.Box.Kind,
 			Cell: c.Box.Cell, State: states[c.Box.State], Weight: c.Box.Weight}, born: c.Box.Born}
 		if node, ok := b.change(n); ok {
 			e.Endpoints = append(e.Endpoints, node)
 		}
 	}
 	if rest := len(changes) - linesMost; rest > 0 {
-		b.effect(Line{"list-changed", []any{"unlisted", rest}})
+		b.effect(LogEntry{"list-changed", []any{"unlisted", rest}})
 	}
 	if len(e.Endpoints) > 0 {
 		b.tell(e)
@@ -629,17 +629,17 @@
 }
 
 // change takes over one box, and gives it as the module is to know it.
-func (b *Broker) change(n Box) (policy.Endpoint, bool) {
-	if _, known := b.hosts[n.Host]; !known && n.State == policy.Gone {
+func (b *Broker) change(n Endpoint) (policy.Endpoint, bool) {
+	if _, known := b.hosts[n.Name]; !known && n.State == policy.Gone {
 		return policy.Endpoint{}, false // nor is its name to be kept
 	}
-	id := b.nodeID(n.Host)
-	box, old := b.boxes[id], Box{}
+	id := b.nodeID(n.Name)
+	box, old := b.boxes[id], Endpoint{}
 	switch {
 	case box == nil:
-		box = &Box{}
+		box = &Endpoint{}
 		b.boxes[id] = box
-		b.byName[strings.ToLower(n.Host)] = box
+		b.byName[strings.ToLower(n.Name)] = box
 	case n.State == policy.Gone && box.State == policy.Gone:
 		return policy.Endpoint{}, false
 	case n.State == policy.Gone:
@@ -657,17 +657,17 @@
 			n.StartedAt = max(1, n.born-b.offset)
 		}
 	}
-	if n.Dial != old.Dial || old.Host == "" {
-		b.leaveDial(box, old.Dial)
-		b.byDial[n.Dial] = append(b.byDial[n.Dial], box)
+	if n.Address != old.Address || old.Name == "" {
+		b.leaveDial(box, old.Address)
+		b.byDial[n.Address] = append(b.byDial[n.Address], box)
 	}
 	*box = n
 	box.told = b.now
 	if n.State == policy.Gone {
 		b.gone = append(b.gone, departed{box, b.now})
 	}
-	if old.Host != "" {
-		b.effect(Moved{box, n.StartedAt != old.StartedAt || n.Dial != old.Dial})
+	if old.Name != "" {
+		b.effect(EndpointChanged{box, n.StartedAt != old.StartedAt || n.Address != old.Address})
 	}
 	return n.Endpoint, true
 }
@@ -680,7 +680,7 @@
 	if c.Why != membership.Word {
 		fields = append(fields, "why", c.Why)
 	}
-	b.effect(Line{"box-" + c.Kind.String(), fields})
+	b.effect(LogEntry{"box-" + c.Kind.String(), fields})
 }
 
 func (b *Broker) logNotes() {
@@ -699,16 +699,16 @@
 		if n.For > 0 {
 			fields = append(fields, "for", n.For)
 		}
-		b.effect(Line{n.Kind.String(), fields})
+		b.effect(LogEntry{n.Kind.String(), fields})
 	}
 	if dropped > 0 {
-		b.effect(Line{"list-notes", []any{"unlisted", dropped}})
+		b.effect(LogEntry{"list-notes", []any{"unlisted", dropped}})
 	}
 }
 
 // departed is a box that was gone at a time. It may be back, or have left again, since.
 type departed struct {
-	box *Box
+	box *Endpoint
 	at  time.Duration
 }
 
@@ -725,17 +725,17 @@
 			continue // it was back meanwhile
 		}
 		delete(b.boxes, box.ID)
-		delete(b.hosts, box.Host)
-		if name := strings.ToLower(box.Host); b.byName[name] == box {
+		delete(b.hosts, box.Name)
+		if name := strings.ToLower(box.Name); b.byName[name] == box {
 			delete(b.byName, name)
 		}
-		b.leaveDial(box, box.Dial)
+		b.leaveDial(box, box.Address)
 	}
 }
 
 // leaveDial takes a box off an address.
-func (b *Broker) leaveDial(box *Box, address string) {
-	if rest := slices.DeleteFunc(b.byDial[address], func(o *Box) bool { return o == box }); len(rest) > 0 {
+func (b *Broker) leaveDial(box *Endpoint, address string) {
+	if rest := slices.DeleteFunc(b.byDial[address], func(o *Endpoint) bool { return o == box }); len(rest) > 0 {
 		b.byDial[address] = rest
 	} else {
 		delete(b.byDial, address)
@@ -806,7 +806,7 @@
 	}
 	if t.half {
 		if !slices.ContainsFunc(r.attempts, func(a *Attempt) bool { return a.Written }) {
-			b.answer(r, Final{Kind: Refusal, Wait: b.cfg.RetryAfter(&b.cfg.Classes[r.Class]), Reason: "no box could be reached"})
+			b.answer(r, Response{Kind: ResponseRejected, RetryAfter: b.cfg.RetryAfter(&b.cfg.Classes[r.Class]), Reason: "no box could be reached"})
 			b.tell(policy.ClientGoneEvent{ID: r.id})
 		}
 		return
@@ -817,7 +817,7 @@
 		}
 	}
 	if !r.ended {
-		b.answer(r, Final{Kind: Failure, Reason: "past its deadline"})
+		b.answer(r, Response{Kind: ResponseFailed, Reason: "past its deadline"})
 		b.tell(policy.ClientGoneEvent{ID: r.id})
 	}
 }
@@ -827,7 +827,7 @@
 	if len(b.open) == 0 {
 		return
 	}
-	b.effect(Line{"leaving-cut", []any{"open", len(b.open)}})
+	b.effect(LogEntry{"leaving-cut", []any{"open", len(b.open)}})
 	for _, id := range slices.Sorted(maps.Keys(b.open)) {
 		if r := b.open[id]; r != nil {
 			b.overdue(timer{request: r})
@@ -836,8 +836,8 @@
 }
 
 func (b *Broker) timeOut(a *Attempt) {
-	b.effect(Quit{Attempt: a})
-	b.end(Ending{Attempt: a, End: TimedOut})
+	b.effect(CancelAttempt{Attempt: a})
+	b.end(AttemptEnded{Attempt: a, End: TimedOut})
 }
 
 type timers []timer
--- a/internal/broker/crossings_test.go
+++ b/internal/broker/crossings_test.go
@@ -55,20 +55,20 @@
 	for i, id := range []string{"c1", "c2", "p1", "p2", "o1"} {
 		x.boxes = append(x.boxes, membership.Box{ID: id, Address: fmt.Sprintf("10.0.0.%d:1", i+1), Kind: []int{0, 0, 1, 1, 2}[i], State: membership.Up})
 	}
-	x.events = append(x.events, Listing{List: membership.List{Version: 1, Boxes: slices.Clone(x.boxes)}})
+	x.events = append(x.events, EndpointList{List: membership.List{Version: 1, Boxes: slices.Clone(x.boxes)}})
 	x.round()
 	return x
 }
 
 // arrive has a request of a class come.
 func (x *crossing) arrive(class int) *Request {
-	r := &Request{ID: fmt.Sprintf("%016x", len(x.requests)+1), Class: class, Object: uint64(len(x.requests)%3 + 1), Group: -1, Arrived: x.now,
-		Limit: 2 * time.Second, SizeKB: 1}
+	r := &Request{ID: fmt.Sprintf("%016x", len(x.requests)+1), Class: class, Object: uint64(len(x.requests)%3 + 1), Group: -1, ReceivedAt: x.now,
+		Timeout: 2 * time.Second, SizeKB: 1}
 	if class == keyed || class == zoned {
 		r.Key = r.ID
 	}
 	x.requests = append(x.requests, r)
-	x.events = append(x.events, Arrival{r})
+	x.events = append(x.events, RequestReceived{r})
 	return r
 }
 
@@ -76,34 +76,34 @@
 func (x *crossing) state(box int, s membership.State) {
 	x.version++
 	x.boxes[box].State = s
-	x.events = append(x.events, Changes{Version: x.version, Boxes: []membership.Box{x.boxes[box]}})
+	x.events = append(x.events, EndpointDelta{Version: x.version, Endpoints: []membership.Box{x.boxes[box]}})
 }
 
 // write is the moment of writing the nth attempt that waits.
 func (x *crossing) write(n int) {
 	a := x.waiting[n]
 	x.waiting = slices.Delete(x.waiting, n, n+1)
-	if _, ok := x.b.May(a, x.now); !ok {
-		x.events = append(x.events, Ending{Attempt: a, End: Barred})
+	if _, ok := x.b.MaySend(a, x.now); !ok {
+		x.events = append(x.events, AttemptEnded{Attempt: a, End: Blocked})
 		return
 	}
 	r := a.Request
 	switch {
 	case x.left[r]:
-		x.t.Fatalf("request %s was withdrawn in an earlier round, and is written to %s", r.ID, a.Box.Host)
-	case a.Box.State != policy.Ready || a.Source.State != policy.Ready:
-		x.t.Fatalf("request %s is written to %s, filled from %s: states %v, %v", r.ID, a.Box.Host, a.Source.Host, a.Box.State, a.Source.State)
+		x.t.Fatalf("request %s was withdrawn in an earlier round, and is written to %s", r.ID, a.Endpoint.Name)
+	case a.Endpoint.State != policy.Ready || a.Source.State != policy.Ready:
+		x.t.Fatalf("request %s is written to %s, filled from %s: states %v, %v", r.ID, a.Endpoint.Name, a.Source.Name, a.Endpoint.State, a.Source.State)
 	case r.Class == once && x.ran[r]:
-		x.t.Fatalf("request %s may have run, may not be repeated, and is written to %s", r.ID, a.Box.Host)
+		x.t.Fatalf("request %s may have run, may not be repeated, and is written to %s", r.ID, a.Endpoint.Name)
 	}
 	for _, o := range slices.Concat(x.out, x.quit) {
 		if o.Request == r {
-			x.t.Fatalf("request %s is written to %s while it is out at %s", r.ID, a.Box.Host, o.Box.Host)
+			x.t.Fatalf("request %s is written to %s while it is out at %s", r.ID, a.Endpoint.Name, o.Endpoint.Name)
 		}
 	}
 	for _, o := range r.attempts {
 		if since := x.since[o]; since > 0 && r.Key != "" && x.now-since > window {
-			x.t.Fatalf("request %s is written to %s %v after an attempt that may have run: boxes drop repeats for %v", r.ID, a.Box.Host, x.now-since, window)
+			x.t.Fatalf("request %s is written to %s %v after an attempt that may have run: boxes drop repeats for %v", r.ID, a.Endpoint.Name, x.now-since, window)
 		}
 	}
 	a.Written = true
@@ -118,11 +118,11 @@
 	a := x.out[n]
 	x.out = slices.Delete(x.out, n, n+1)
 	x.done = append(x.done, a)
-	if slices.Contains([]End{Missed, TurnedAway, Over}, end) && !doubtful {
+	if slices.Contains([]End{CacheMiss, Rejected, AlreadyEnded}, end) && !doubtful {
 		x.ran[a.Request] = false // as far as this one goes: it is the only one that was out
 		delete(x.since, a)
 	}
-	x.events = append(x.events, Ending{Attempt: a, End: end, Doubtful: doubtful})
+	x.events = append(x.events, AttemptEnded{Attempt: a, End: end, MayHaveRun: doubtful})
 }
 
 // round takes the events in the order in which they stand.
@@ -131,9 +131,9 @@
 	x.events = nil // of the next round
 	for _, e := range x.b.Round(x.now, events) {
 		switch e := e.(type) {
-		case Ask:
+		case SendAttempt:
 			x.waiting = append(x.waiting, e.Attempt)
-		case Quit:
+		case CancelAttempt:
 			drop := func(list *[]*Attempt) bool {
 				i := slices.Index(*list, e.Attempt)
 				if i >= 0 {
@@ -142,24 +142,24 @@
 				return i >= 0
 			}
 			switch { // one that waits and is given up may still be about to be written
-			case e.Confirm && drop(&x.waiting):
-				x.events = append(x.events, Ending{Attempt: e.Attempt, End: CalledOff})
-			case e.Confirm && drop(&x.out):
+			case e.AwaitEnd && drop(&x.waiting):
+				x.events = append(x.events, AttemptEnded{Attempt: e.Attempt, End: Canceled})
+			case e.AwaitEnd && drop(&x.out):
 				x.quit = append(x.quit, e.Attempt)
-			case !e.Confirm && !drop(&x.out):
+			case !e.AwaitEnd && !drop(&x.out):
 				drop(&x.quit)
 			}
-		case Answer:
+		case Respond:
 			if x.answers[e.Request]++; x.answers[e.Request] > 1 || x.left[e.Request] {
 				x.t.Fatalf("request %s has %d answers, withdrawn before: %v", e.Request.ID, x.answers[e.Request], x.left[e.Request])
 			}
-			if f := e.Final; f.Kind == Refusal && x.ran[e.Request] && e.Request.Class >= zoned {
+			if f := e.Response; f.Kind == ResponseRejected && x.ran[e.Request] && e.Request.Class >= zoned {
 				x.t.Fatalf("request %s may have run, and is refused: %s", e.Request.ID, f.Reason)
 			}
 		}
 	}
 	for _, r := range x.requests {
-		x.left[r] = r.Withdrawn
+		x.left[r] = r.Canceled
 	}
 }
 
@@ -169,7 +169,7 @@
 func TestCrossings(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		x := newCrossing(t)
-		ends := []End{Served, Missed, TurnedAway, Failed, Over, Broken, Garbled, Silenced}
+		ends := []End{Served, CacheMiss, Rejected, Failed, AlreadyEnded, ConnectionReset, ProtocolError, Unresponsive}
 		for range rapid.IntRange(5, 60).Draw(t, "rounds") {
 			for range rapid.IntRange(1, 5).Draw(t, "events") {
 				pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "which") }
@@ -177,9 +177,9 @@
 				case what <= 1:
 					x.arrive(rapid.IntRange(0, once).Draw(t, "class"))
 				case what == 2 && len(x.requests) > 0:
-					if r := x.requests[pick(len(x.requests))]; !r.Withdrawn && x.answers[r] == 0 {
-						r.Withdrawn = true
-						x.events = append(x.events, Withdrawal{r})
+					if r := x.requests[pick(len(x.requests))]; !r.Canceled && x.answers[r] == 0 {
+						r.Canceled = true
+						x.events = append(x.events, RequestCanceled{r})
 					}
 				case what == 3:
 					x.state(pick(len(x.boxes)), rapid.SampledFrom([]membership.State{membership.Up, membership.Draining, membership.Gone}).Draw(t, "state"))
@@ -188,16 +188,16 @@
 				case what == 5 && len(x.quit) > 0:
 					a := x.quit[0]
 					x.quit = x.quit[1:]
-					x.events = append(x.events, Ending{Attempt: a, End: CalledOff})
+					x.events = append(x.events, AttemptEnded{Attempt: a, End: Canceled})
 				case what == 6 && len(x.waiting) > 0:
 					n := pick(len(x.waiting))
 					a := x.waiting[n]
 					x.waiting = slices.Delete(x.waiting, n, n+1)
-					x.events = append(x.events, Ending{Attempt: a, End: rapid.SampledFrom([]End{NotDialled, Unsent, Crowded}).Draw(t, "unsent")})
+					x.events = append(x.events, AttemptEnded{Attempt: a, End: rapid.SampledFrom([]End{ConnectFailed, NotSent, NoConnectionCapacity}).Draw(t, "unsent")})
 				case what == 7 && len(x.out) > 0:
 					x.end(pick(len(x.out)), rapid.SampledFrom(ends).Draw(t, "end"), rapid.Bool().Draw(t, "doubtful"))
 				case what == 8 && len(x.done) > 0: // a second word of one that has ended
-					x.events = append(x.events, Ending{Attempt: x.done[pick(len(x.done))], End: rapid.SampledFrom(ends).Draw(t, "second end")})
+					x.events = append(x.events, AttemptEnded{Attempt: x.done[pick(len(x.done))], End: rapid.SampledFrom(ends).Draw(t, "second end")})
 				case len(x.waiting) > 0:
 					x.write(pick(len(x.waiting)))
 				}
@@ -210,11 +210,11 @@
 			x.round()
 		}
 		for _, r := range x.requests {
-			if x.answers[r] == 0 && !r.Withdrawn {
+			if x.answers[r] == 0 && !r.Canceled {
 				t.Fatalf("request %s has no answer", r.ID)
 			}
 		}
-		if s := x.b.Sizes(); s.Open+s.Module > 0 {
+		if s := x.b.Sizes(); s.Open+s.PolicyRequests > 0 {
 			t.Fatalf("held in the end: %+v", s)
 		}
 	})
@@ -273,21 +273,23 @@
 // TestOneRound: two events of one request come in one round, in both orders. What each of them has to come to is the same.
 func TestOneRound(t *testing.T) {
 	served := func(x *crossing, a *Attempt) {
-		x.events = append(x.events, Ending{Attempt: a, End: Served, Body: []byte("done")})
+		x.events = append(x.events, AttemptEnded{Attempt: a, End: Served, Body: []byte("done")})
+	}
+	broken := func(x *crossing, a *Attempt) {
+		x.events = append(x.events, AttemptEnded{Attempt: a, End: ConnectionReset})
 	}
-	broken := func(x *crossing, a *Attempt) { x.events = append(x.events, Ending{Attempt: a, End: Broken}) }
 	drains := func(x *crossing, a *Attempt) {
-		x.state(slices.IndexFunc(x.boxes, func(b membership.Box) bool { return b.ID == a.Box.Host }), membership.Draining)
+		x.state(slices.IndexFunc(x.boxes, func(b membership.Box) bool { return b.ID == a.Endpoint.Name }), membership.Draining)
 	}
 	goes := func(x *crossing, a *Attempt) {
-		x.state(slices.IndexFunc(x.boxes, func(b membership.Box) bool { return b.ID == a.Box.Host }), membership.Gone)
+		x.state(slices.IndexFunc(x.boxes, func(b membership.Box) bool { return b.ID == a.Endpoint.Name }), membership.Gone)
 	}
 	purged := func(x *crossing, a *Attempt) {
 		x.events = append(x.events, Purge{Object: a.Request.Object, Issued: x.now})
 	}
 	leaves := func(x *crossing, a *Attempt) {
-		a.Request.Withdrawn = true
-		x.events = append(x.events, Withdrawal{a.Request})
+		a.Request.Canceled = true
+		x.events = append(x.events, RequestCanceled{a.Request})
 	}
 	none := func(*crossing, *Attempt) {}
 	for _, c := range []struct {
@@ -295,22 +297,22 @@
 		a, b  func(*crossing, *Attempt)
 		class int
 		late  bool // the round is that of the deadline
-		want  []Kind
+		want  []ResponseKind
 		goes  bool // on elsewhere
 	}{
-		{"an answer at the deadline", served, none, 0, true, []Kind{Answered}, false},
-		{"a reset at the deadline", broken, none, 0, true, []Kind{Refusal, Failure}, false},
-		{"a reset at the deadline, of what may run once", broken, none, once, true, []Kind{Failure}, false},
-		{"a drain at the deadline", drains, none, once, true, []Kind{Failure}, false},
-		{"an answer, and its box drains", served, drains, 0, false, []Kind{Answered}, false},
-		{"an answer, and its box is gone", served, goes, 0, false, []Kind{Answered}, false},
-		{"an answer, and its object is purged", served, purged, 0, false, []Kind{Answered}, false},
-		{"an answer and a reset", served, broken, once, false, []Kind{Answered, Failure}, false},
+		{"an answer at the deadline", served, none, 0, true, []ResponseKind{ResponseServed}, false},
+		{"a reset at the deadline", broken, none, 0, true, []ResponseKind{ResponseRejected, ResponseFailed}, false},
+		{"a reset at the deadline, of what may run once", broken, none, once, true, []ResponseKind{ResponseFailed}, false},
+		{"a drain at the deadline", drains, none, once, true, []ResponseKind{ResponseFailed}, false},
+		{"an answer, and its box drains", served, drains, 0, false, []ResponseKind{ResponseServed}, false},
+		{"an answer, and its box is gone", served, goes, 0, false, []ResponseKind{ResponseServed}, false},
+		{"an answer, and its object is purged", served, purged, 0, false, []ResponseKind{ResponseServed}, false},
+		{"an answer and a reset", served, broken, once, false, []ResponseKind{ResponseServed, ResponseFailed}, false},
 		{"a reset, and its box drains", broken, drains, 0, false, nil, true},
-		{"a reset, and its box drains, of what may run once", broken, drains, once, false, []Kind{Failure}, false},
+		{"a reset, and its box drains, of what may run once", broken, drains, once, false, []ResponseKind{ResponseFailed}, false},
 		{"a drain while it is out", drains, none, once, false, nil, false},
-		{"a reset, and its client leaves", broken, leaves, 0, false, []Kind{}, false},
-		{"an answer, and its client leaves", served, leaves, 0, false, []Kind{Answered}, false},
+		{"a reset, and its client leaves", broken, leaves, 0, false, []ResponseKind{}, false},
+		{"an answer, and its client leaves", served, leaves, 0, false, []ResponseKind{ResponseServed}, false},
 	} {
 		for _, first := range []bool{true, false} {
 			x := newCrossing(t)
@@ -336,18 +338,18 @@
 				c.b(x, a)
 				x.events = append(x.events, events...)
 			}
-			var finals []Kind
+			var finals []ResponseKind
 			for _, e := range x.b.Round(x.now, x.events) {
 				switch e := e.(type) {
-				case Answer:
-					finals = append(finals, e.Final.Kind)
-				case Ask:
-					if _, may := x.b.May(e.Attempt, x.now); may { // as it is asked when it is written, at the end of the round
+				case Respond:
+					finals = append(finals, e.Response.Kind)
+				case SendAttempt:
+					if _, may := x.b.MaySend(e.Attempt, x.now); may { // as it is asked when it is written, at the end of the round
 						x.waiting = append(x.waiting, e.Attempt)
 					}
 				}
 			}
-			fits := len(finals) == 1 && slices.Contains(c.want, finals[0]) || len(finals) == 0 && (c.want == nil || r.Withdrawn)
+			fits := len(finals) == 1 && slices.Contains(c.want, finals[0]) || len(finals) == 0 && (c.want == nil || r.Canceled)
 			if !fits || (len(x.waiting) > 0) != c.goes {
 				t.Errorf("%s, in the order written %v: answers %v, want one of %v; goes on elsewhere %v, want %v", c.name, first, finals, c.want, len(x.waiting) > 0, c.goes)
 			}
@@ -377,7 +379,7 @@
 		}
 		ejected := 0
 		for _, e := range x.b.Round(x.now, x.events) {
-			if line, ok := e.(Line); ok && line.Event == "module" && strings.Contains(fmt.Sprint(line.Fields...), "ejected") {
+			if line, ok := e.(LogEntry); ok && line.Event == "module" && strings.Contains(fmt.Sprint(line.Fields...), "ejected") {
 				ejected++
 			}
 		}
@@ -412,7 +414,7 @@
 				t.Fatal("nothing is sent")
 			}
 			for _, later := range []time.Duration{0, 40 * time.Millisecond} { // that it waits for its connection
-				if age, ok := x.b.May(x.waiting[0], x.now+later); !ok || age <= 0 || x.now+later-age < issued {
+				if age, ok := x.b.MaySend(x.waiting[0], x.now+later); !ok || age <= 0 || x.now+later-age < issued {
 					t.Errorf("group %v, the purge first %v: a copy of %v will do, %v after the purge", group, first, age, x.now+later-issued)
 				}
 			}
@@ -429,11 +431,11 @@
 		wait  time.Duration // for the connection
 		may   bool
 	}{
-		{keyed, Broken, 300 * time.Millisecond, false},
-		{keyed, Broken, 50 * time.Millisecond, true},
-		{keyed, TurnedAway, 300 * time.Millisecond, true}, // it never ran
-		{zoned, Silenced, 300 * time.Millisecond, false},
-		{0, Broken, 300 * time.Millisecond, true},
+		{keyed, ConnectionReset, 300 * time.Millisecond, false},
+		{keyed, ConnectionReset, 50 * time.Millisecond, true},
+		{keyed, Rejected, 300 * time.Millisecond, true}, // it never ran
+		{zoned, Unresponsive, 300 * time.Millisecond, false},
+		{0, ConnectionReset, 300 * time.Millisecond, true},
 	} {
 		x := newCrossing(t)
 		x.arrive(c.class)
@@ -444,7 +446,7 @@
 		if x.round(); len(x.waiting) != 1 {
 			t.Fatalf("class %d: %d attempts wait", c.class, len(x.waiting))
 		}
-		if _, may := x.b.May(x.waiting[0], x.now+c.wait); may != c.may {
+		if _, may := x.b.MaySend(x.waiting[0], x.now+c.wait); may != c.may {
 			t.Errorf("class %d, %v, %v later: it may be written: %v, want %v", c.class, c.end, 300*time.Millisecond+c.wait, may, c.may)
 		}
 	}
@@ -454,8 +456,8 @@
 func TestGuardsBehindTheModule(t *testing.T) {
 	x := newCrossing(t)
 	gone := x.arrive(0)
-	gone.Withdrawn = true
-	x.events = append(x.events, Withdrawal{gone})
+	gone.Canceled = true
+	x.events = append(x.events, RequestCanceled{gone})
 	if x.round(); len(x.waiting) > 0 {
 		t.Error("a request that was taken back in the round of its coming is sent on")
 	}
@@ -464,26 +466,26 @@
 	x.write(0)
 	first := x.out[0]
 	x.b.effects = x.b.effects[:0]
-	x.b.get(policy.SendAttempt{ID: r.id, Endpoint: first.Box.ID, Source: first.Box.ID}) // beside the one that is out
+	x.b.get(policy.SendAttempt{ID: r.id, Endpoint: first.Endpoint.ID, Source: first.Endpoint.ID}) // beside the one that is out
 	for _, e := range x.b.effects {
-		if _, ok := e.(Ask); ok {
+		if _, ok := e.(SendAttempt); ok {
 			t.Error("a second attempt goes out beside the first, where second copies are not allowed")
 		}
 	}
 	if n := len(x.b.queue); n == 0 {
 		t.Error("the second attempt has no end")
-	} else if e, ok := x.b.queue[n-1].(Ending); !ok || e.Attempt == first || e.End != Barred {
+	} else if e, ok := x.b.queue[n-1].(AttemptEnded); !ok || e.Attempt == first || e.End != Blocked {
 		t.Errorf("the second attempt ends with %+v, want that it never ran", x.b.queue[n-1])
 	}
 	x.b.queue = nil
 	quit := false
-	r.Withdrawn = true
-	for _, e := range x.b.Round(x.now, []Event{Withdrawal{r}}) {
-		if q, ok := e.(Quit); ok && q.Attempt == first {
+	r.Canceled = true
+	for _, e := range x.b.Round(x.now, []Event{RequestCanceled{r}}) {
+		if q, ok := e.(CancelAttempt); ok && q.Attempt == first {
 			quit = true
 		}
 	}
-	if _, may := x.b.May(first, x.now); may || !quit || first.Open() {
+	if _, may := x.b.MaySend(first, x.now); may || !quit || first.Open() {
 		t.Errorf("its client has left, and the attempt may still be written: %v; it was given up: %v; it is open: %v", may, quit, first.Open())
 	}
 }
--- a/internal/broker/index_test.go
+++ b/internal/broker/index_test.go
@@ -33,9 +33,9 @@
 }
 
 // boxByWalk and barredByWalk are the plain ways: a look at every box.
-func boxByWalk(b *Broker, host string) *Box {
+func boxByWalk(b *Broker, host string) *Endpoint {
 	for _, box := range b.boxes {
-		if strings.EqualFold(box.Host, host) {
+		if strings.EqualFold(box.Name, host) {
 			return box
 		}
 	}
@@ -45,7 +45,7 @@
 func barredByWalk(b *Broker, address string) bool {
 	barred := false
 	for _, box := range b.boxes {
-		if box.Dial == address {
+		if box.Address == address {
 			if usable(box) {
 				return false
 			}
@@ -76,27 +76,27 @@
 				}
 			}
 			if rapid.IntRange(0, 4).Draw(t, "whole") == 0 {
-				b.Round(now, []Event{Listing{List: membership.List{Boxes: boxes}}})
+				b.Round(now, []Event{EndpointList{List: membership.List{Boxes: boxes}}})
 			} else {
-				b.Round(now, []Event{Changes{Boxes: boxes}})
+				b.Round(now, []Event{EndpointDelta{Endpoints: boxes}})
 			}
 			for _, host := range hosts {
 				host = strings.ToUpper(host)
-				if got, want := b.Box(host), boxByWalk(b, host); got != want {
+				if got, want := b.EndpointByName(host), boxByWalk(b, host); got != want {
 					t.Fatalf("Box(%s): %v, want %v", host, got, want)
 				}
 			}
 			for _, dial := range dials {
-				if got, want := b.Barred(dial), barredByWalk(b, dial); got != want {
+				if got, want := b.AddressBlocked(dial), barredByWalk(b, dial); got != want {
 					t.Fatalf("Barred(%s): %v, want %v", dial, got, want)
 				}
 			}
 		}
-		b.Round(now, []Event{Listing{}})
-		b.Round(now+2*goneFor, []Event{Changes{Boxes: []membership.Box{testBox("last", "10.0.0.9:1", membership.Up)}}})
-		b.Round(now+2*goneFor, []Event{Listing{}})
-		b.Round(now+4*goneFor, []Event{Changes{Boxes: []membership.Box{testBox("last", "10.0.0.9:1", membership.Up)}}})
-		b.Round(now+4*goneFor, []Event{Listing{}})
+		b.Round(now, []Event{EndpointList{}})
+		b.Round(now+2*goneFor, []Event{EndpointDelta{Endpoints: []membership.Box{testBox("last", "10.0.0.9:1", membership.Up)}}})
+		b.Round(now+2*goneFor, []Event{EndpointList{}})
+		b.Round(now+4*goneFor, []Event{EndpointDelta{Endpoints: []membership.Box{testBox("last", "10.0.0.9:1", membership.Up)}}})
+		b.Round(now+4*goneFor, []Event{EndpointList{}})
 		if n := len(b.boxes) + len(b.hosts) + len(b.byName) + len(b.byDial) + len(b.gone); n != 5 {
 			t.Fatalf("%d entries are left of boxes that are gone for long, want the 5 of the last one", n)
 		}
@@ -119,10 +119,10 @@
 		{"any group, where it tells none", Purge{Group: 4, Issued: now - time.Second}, invalidation.AnyGroup, true},
 	} {
 		b := newBroker(t)
-		box := Box{Host: "c1", Dial: "10.0.0.1:1", Endpoint: policy.Endpoint{State: policy.Ready}}
-		a := &Attempt{Request: &Request{Object: 7, Group: c.group}, Box: &box, Source: &box, Deadline: now + time.Second}
+		box := Endpoint{Name: "c1", Address: "10.0.0.1:1", Endpoint: policy.Endpoint{State: policy.Ready}}
+		a := &Attempt{Request: &Request{Object: 7, Group: c.group}, Endpoint: &box, Source: &box, Deadline: now + time.Second}
 		b.Round(now, []Event{c.purge})
-		age, ok := b.May(a, now+10*time.Millisecond)
+		age, ok := b.MaySend(a, now+10*time.Millisecond)
 		if want := 1005 * time.Millisecond; !ok || (age == want) != c.aged || !c.aged && age != 0 {
 			t.Errorf("%s: age %v %v, want one of %v: %v", c.name, age, ok, want, c.aged)
 		}
@@ -141,15 +141,15 @@
 				list.Boxes = append(list.Boxes, testBox(fmt.Sprint("c", i), fmt.Sprintf("10.0.%d.%d:1", i>>8, i&255), membership.Up))
 				events = append(events, Purge{Object: uint64(i + 1), Issued: now - time.Duration(i)*time.Microsecond})
 			}
-			broker.Round(now, append(events, Listing{List: list}))
-			box := Box{Host: "x", Dial: "10.9.9.9:1", Endpoint: policy.Endpoint{State: policy.Ready}}
-			a := &Attempt{Request: &Request{Object: 1 << 40, Group: 3}, Box: &box, Source: &box, Deadline: now + time.Second}
+			broker.Round(now, append(events, EndpointList{List: list}))
+			box := Endpoint{Name: "x", Address: "10.9.9.9:1", Endpoint: policy.Endpoint{State: policy.Ready}}
+			a := &Attempt{Request: &Request{Object: 1 << 40, Group: 3}, Endpoint: &box, Source: &box, Deadline: now + time.Second}
 			b.ReportAllocs()
 			b.ResetTimer()
 			for range b.N {
-				broker.May(a, now)
-				broker.Barred("10.0.0.7:1")
-				broker.Box("c7")
+				broker.MaySend(a, now)
+				broker.AddressBlocked("10.0.0.7:1")
+				broker.EndpointByName("c7")
 			}
 		})
 	}
@@ -160,7 +160,7 @@
 			broker := newBroker(b)
 			var events []Event
 			for i := range 10 {
-				events = append(events, Changes{Boxes: []membership.Box{testBox(fmt.Sprint("c", i), fmt.Sprintf("10.0.0.%d:1", i), membership.Up)}})
+				events = append(events, EndpointDelta{Endpoints: []membership.Box{testBox(fmt.Sprint("c", i), fmt.Sprintf("10.0.0.%d:1", i), membership.Up)}})
 			}
 			for i := range purges {
 				events = append(events, Purge{Object: uint64(1<<50 + i), Issued: now - time.Duration(i)*time.Microsecond})
@@ -169,11 +169,11 @@
 			b.ReportAllocs()
 			b.ResetTimer()
 			for i := range b.N {
-				r := &Request{ID: "a", Object: uint64(i%5000 + 1), Group: 3, SizeKB: 40, Arrived: now, Limit: 3 * time.Second}
-				for _, e := range broker.Round(now, []Event{Arrival{r}}) {
-					if ask, ok := e.(Ask); ok {
-						broker.May(ask.Attempt, now)
-						broker.Round(now, []Event{Ending{Attempt: ask.Attempt, End: Served, Note: policy.NoteHit}})
+				r := &Request{ID: "a", Object: uint64(i%5000 + 1), Group: 3, SizeKB: 40, ReceivedAt: now, Timeout: 3 * time.Second}
+				for _, e := range broker.Round(now, []Event{RequestReceived{r}}) {
+					if ask, ok := e.(SendAttempt); ok {
+						broker.MaySend(ask.Attempt, now)
+						broker.Round(now, []Event{AttemptEnded{Attempt: ask.Attempt, End: Served, Note: policy.NoteHit}})
 						break
 					}
 				}
--- a/internal/broker/list_test.go
+++ b/internal/broker/list_test.go
@@ -35,7 +35,7 @@
 	b := listed(t)
 	now := 1000 * time.Second
 	boxes := fleet(3 * changesMost)
-	b.Round(now, []Event{Listing{Source: 1, List: membership.List{Boxes: boxes}}})
+	b.Round(now, []Event{EndpointList{Source: 1, List: membership.List{Boxes: boxes}}})
 	rounds := 1
 	for b.members.Pending() {
 		if b.Next() > now {
@@ -56,8 +56,8 @@
 		boxes[i].Weight = 4
 	}
 	boxes[len(boxes)-1].State = membership.Draining
-	b.Round(now, []Event{Listing{Source: 1, List: membership.List{Boxes: boxes}}})
-	if box := b.Box(boxes[len(boxes)-1].ID); box.State != policy.Draining {
+	b.Round(now, []Event{EndpointList{Source: 1, List: membership.List{Boxes: boxes}}})
+	if box := b.EndpointByName(boxes[len(boxes)-1].ID); box.State != policy.Draining {
 		t.Errorf("after one round the draining box is %v", box.State)
 	}
 }
@@ -66,13 +66,13 @@
 func TestDoubtedSourceIsAskedAgain(t *testing.T) {
 	b := listed(t)
 	now := 1000 * time.Second
-	b.Round(now, []Event{Listing{Source: 1, List: membership.List{Boxes: fleet(10)}}})
+	b.Round(now, []Event{EndpointList{Source: 1, List: membership.List{Boxes: fleet(10)}}})
 	asked, told := false, false
-	for _, e := range b.Round(now, []Event{Listing{Source: 1, List: membership.List{Boxes: fleet(2)}}}) {
+	for _, e := range b.Round(now, []Event{EndpointList{Source: 1, List: membership.List{Boxes: fleet(2)}}}) {
 		switch e := e.(type) {
-		case Confirm:
+		case RefetchList:
 			asked = e.Source == 1
-		case Line:
+		case LogEntry:
 			told = told || e.Event == "list-doubted"
 		}
 	}
@@ -113,9 +113,9 @@
 				br, now := listed(b), 1000*time.Second
 				for at := 0; at < n; at += 500 {
 					part := membership.List{Boxes: boxes[at:min(n, at+500)], Part: true}
-					worst = max(worst, longest(func() { br.Round(now, []Event{Listing{Source: 1, List: part}}) }), longest(rounds(br, now)[:4]...))
+					worst = max(worst, longest(func() { br.Round(now, []Event{EndpointList{Source: 1, List: part}}) }), longest(rounds(br, now)[:4]...))
 				}
-				worst = max(worst, longest(func() { br.Round(now, []Event{Listing{Source: 1, List: membership.List{Boxes: boxes}}}) }))
+				worst = max(worst, longest(func() { br.Round(now, []Event{EndpointList{Source: 1, List: membership.List{Boxes: boxes}}}) }))
 				worst = max(worst, longest(rounds(br, now)...))
 				if len(br.boxes) != n {
 					b.Fatalf("%d boxes of %d", len(br.boxes), n)
@@ -124,7 +124,7 @@
 			report(b, worst)
 		})
 		br, now := listed(b), 1000*time.Second
-		br.Round(now, []Event{Listing{Source: 1, List: membership.List{Boxes: boxes}}, Changes{Boxes: boxes[:n/2]}})
+		br.Round(now, []Event{EndpointList{Source: 1, List: membership.List{Boxes: boxes}}, EndpointDelta{Endpoints: boxes[:n/2]}})
 		longest(rounds(br, now)...)
 		b.Run(fmt.Sprintf("changed/%d", n), func(b *testing.B) {
 			b.ReportAllocs()
@@ -135,7 +135,7 @@
 					c := &boxes[(i*97+round*31)%n]
 					c.State = membership.Up + membership.Draining - c.State
 				}
-				worst = max(worst, longest(func() { br.Round(now, []Event{Listing{Source: 1, List: membership.List{Boxes: boxes}}}) }))
+				worst = max(worst, longest(func() { br.Round(now, []Event{EndpointList{Source: 1, List: membership.List{Boxes: boxes}}}) }))
 				worst = max(worst, longest(rounds(br, now)...))
 			}
 			report(b, worst)
@@ -144,9 +144,9 @@
 			worst := time.Duration(0)
 			for range b.N {
 				now += time.Second
-				worst = max(worst, longest(func() { br.Round(now, []Event{Speaks{Source: 1, Silent: true}}) }))
+				worst = max(worst, longest(func() { br.Round(now, []Event{SourceStatus{Source: 1, Silent: true}}) }))
 				longest(rounds(br, now)...)
-				worst = max(worst, longest(func() { br.Round(now, []Event{Speaks{Source: 1}}) }))
+				worst = max(worst, longest(func() { br.Round(now, []Event{SourceStatus{Source: 1}}) }))
 				longest(rounds(br, now)...)
 			}
 			report(b, worst)
@@ -167,10 +167,10 @@
 			t.Fatal(err)
 		}
 		now := 1000 * time.Second
-		b.Round(now, []Event{Listing{List: membership.List{Boxes: []membership.Box{
+		b.Round(now, []Event{EndpointList{List: membership.List{Boxes: []membership.Box{
 			{ID: "c1", Address: "10.0.0.1:1", State: membership.Up}, {ID: "o1", Address: "10.0.0.2:1", Kind: 2, State: membership.Up}}}}})
 		arrive := func(id string, object uint64) Event {
-			return Arrival{&Request{ID: id, Object: object, Arrived: now, Limit: 5 * time.Second, SizeKB: 1}}
+			return RequestReceived{&Request{ID: id, Object: object, ReceivedAt: now, Timeout: 5 * time.Second, SizeKB: 1}}
 		}
 		effects := slices.Clone(b.Round(now, []Event{arrive("a1", 1), arrive("a2", 2)}))
 		for range 400 { // nothing is ever written
@@ -179,9 +179,9 @@
 		}
 		refused := 0
 		for _, e := range effects {
-			if a, ok := e.(Answer); ok && a.Final.Kind == Refusal {
-				if refused++; a.Final.Wait != 300*time.Millisecond {
-					t.Errorf("%s: %q told to stay away for %v, want half of 600 ms", c.name, a.Final.Reason, a.Final.Wait)
+			if a, ok := e.(Respond); ok && a.Response.Kind == ResponseRejected {
+				if refused++; a.Response.RetryAfter != 300*time.Millisecond {
+					t.Errorf("%s: %q told to stay away for %v, want half of 600 ms", c.name, a.Response.Reason, a.Response.RetryAfter)
 				}
 			}
 		}
--- a/internal/frontend/dns/dns.go
+++ b/internal/frontend/dns/dns.go
@@ -39,8 +39,8 @@
 	Now     func() time.Duration
 	Unix    func() time.Duration // the Unix clock, which signatures go by
 	Log     func(event string, fields ...any)
-	Box     func(host string) *broker.Box // of the list; nil: unknown
-	Most    int                           // TCP connections
+	Box     func(host string) *broker.Endpoint // of the list; nil: unknown
+	Most    int                                // TCP connections
 	Seed    uint64
 	Keys    func() *tsig.Keys // by which queries are signed; nil: none
 	Skew    time.Duration     // of the callers' clocks
@@ -65,7 +65,7 @@
 	request *broker.Request
 	end     time.Duration // when the first query's time is over
 	waiters []*waiter
-	final   *broker.Final
+	final   *broker.Response
 	until   time.Duration // how long the final answer is given again
 }
 
@@ -233,23 +233,23 @@
 func (f *Front) submit(fl *flight) {
 	f.serial++
 	now, t := f.Now(), fl.target
-	fl.request = &broker.Request{Owner: f, ID: fmt.Sprintf("%016x", f.Seed+f.serial), Class: fl.class, Team: t.team,
-		Object: t.object, Thing: t.thing, Part: t.part, Group: t.group, Key: t.key, Caller: fl.caller, Zone: f.Config.Zone, Arrived: now,
-		Limit: fl.end - now}
+	fl.request = &broker.Request{Frontend: f, ID: fmt.Sprintf("%016x", f.Seed+f.serial), Class: fl.class, Team: t.team,
+		Object: t.object, ObjectName: t.thing, Part: t.part, Group: t.group, Key: t.key, Caller: fl.caller, Zone: f.Config.Zone, ReceivedAt: now,
+		Timeout: fl.end - now}
 	f.byReq[fl.request] = fl
-	f.Emit(broker.Arrival{Request: fl.request})
+	f.Emit(broker.RequestReceived{Request: fl.request})
 }
 
-// Final answers all queries that wait for a request.
-func (f *Front) Final(r *broker.Request, final broker.Final) {
+// Respond answers all queries that wait for a request.
+func (f *Front) Respond(r *broker.Request, final broker.Response) {
 	fl := f.byReq[r]
 	if fl == nil {
 		return
 	}
 	delete(f.byReq, r)
 	now := f.Now()
-	served := final.Kind == broker.Answered || final.Kind == broker.Same
-	if served && final.Box.State != policy.Ready && fl.name == "" && fl.end-now > 50*time.Millisecond {
+	served := final.Kind == broker.ResponseServed || final.Kind == broker.ResponseNotModified
+	if served && final.Endpoint.State != policy.Ready && fl.name == "" && fl.end-now > 50*time.Millisecond {
 		// The box that served it began to drain meanwhile. Nothing happened that may not happen again: ask on.
 		f.submit(fl)
 		return
@@ -264,9 +264,9 @@
 			kept = max(kept, 2*(f.Skew+time.Second))
 		}
 		switch fl.until = now + kept; final.Kind {
-		case broker.Refusal:
-			fl.until = now + final.Wait
-		case broker.Denied:
+		case broker.ResponseRejected:
+			fl.until = now + final.RetryAfter
+		case broker.ResponseDenied:
 			fl.until = now // nothing was tried by this key
 		}
 	}
@@ -293,16 +293,16 @@
 // answer puts a final answer into a message. Whether the box may be named is looked at now, not when it served.
 func (f *Front) answer(w *waiter, fl *flight) {
 	switch final := fl.final; final.Kind {
-	case broker.Refusal:
-		f.refuse(w, final.Wait, final.Budget)
-	case broker.Failure:
+	case broker.ResponseRejected:
+		f.refuse(w, final.RetryAfter, final.Budget)
+	case broker.ResponseFailed:
 		f.code(w, dns.RcodeServerFailure, final.Reason)
-	case broker.Denied:
+	case broker.ResponseDenied:
 		f.code(w, dns.RcodeRefused, final.Reason)
 	default:
 		m := f.message(w, dns.RcodeSuccess)
 		name := w.query.Question[0].Name
-		a, srv := f.records(name, final.Box, final.Address)
+		a, srv := f.records(name, final.Endpoint, final.Address)
 		outcome := "outcome=served"
 		if a == nil {
 			outcome = "outcome=served-by-a-box-that-left" // it can't be named any more
@@ -329,14 +329,14 @@
 }
 
 // records names a box, or gives nil where it may not be named or has no IPv4 address.
-func (f *Front) records(name string, box *broker.Box, address string) (*dns.A, *dns.SRV) {
+func (f *Front) records(name string, box *broker.Endpoint, address string) (*dns.A, *dns.SRV) {
 	at, err := netip.ParseAddrPort(address)
 	if err != nil || box == nil || box.State != policy.Ready || !at.Addr().Unmap().Is4() {
 		return nil, nil
 	}
 	return &dns.A{Hdr: header(name, dns.TypeA), A: net.IP(at.Addr().Unmap().AsSlice())},
 		&dns.SRV{Hdr: header(name, dns.TypeSRV), Port: at.Port(),
-			Target: strings.ToLower(box.Host) + ".box." + f.Config.Zone}
+			Target: strings.ToLower(box.Name) + ".box." + f.Config.Zone}
 }
 
 // nameBox answers for the target of an earlier SRV record.
@@ -347,7 +347,7 @@
 		return
 	}
 	m := f.message(w, dns.RcodeSuccess)
-	a, _ := f.records(w.query.Question[0].Name, box, box.Dial)
+	a, _ := f.records(w.query.Question[0].Name, box, box.Address)
 	if a != nil && w.query.Question[0].Qtype == dns.TypeA {
 		m.Answer = append(m.Answer, a)
 	}
@@ -541,8 +541,8 @@
 		}
 		if fl.waiters = others; len(others) == 0 && fl.name == "" {
 			delete(s.front.byReq, r)
-			r.Withdrawn = true
-			s.front.Emit(broker.Withdrawal{Request: r})
+			r.Canceled = true
+			s.front.Emit(broker.RequestCanceled{Request: r})
 		}
 	}
 }
--- a/internal/frontend/rpc/rpc.go
+++ b/internal/frontend/rpc/rpc.go
@@ -187,8 +187,8 @@
 	}
 	c.guest.Leave()
 	for _, r := range c.open {
-		r.Withdrawn = true
-		c.front.emit(broker.Withdrawal{Request: r})
+		r.Canceled = true
+		c.front.emit(broker.RequestCanceled{Request: r})
 	}
 	c.open, c.msgs = nil, nil
 	if c.conn != nil {
@@ -304,13 +304,13 @@
 		c.front.log("client-id", "message", msg)
 		return end, fmt.Errorf("message id %d used twice", msg)
 	case len(c.open) >= mostOpen || c.front.full():
-		c.refuse(msg, broker.Final{Wait: min(crowdedWait, c.front.MostWait)})
+		c.refuse(msg, broker.Response{RetryAfter: min(crowdedWait, c.front.MostWait)})
 		if c.excess++; c.excess > mostExcess {
 			return end, fmt.Errorf("%d requests beyond the %d that may be open", c.excess, mostOpen)
 		}
 	default:
 		c.open[msg], c.msgs[req] = req, msg
-		c.front.emit(broker.Arrival{Request: req})
+		c.front.emit(broker.RequestReceived{Request: req})
 	}
 	return end, nil
 }
@@ -339,8 +339,8 @@
 	if req := c.open[uint32(id)]; p.Err == nil && id <= 0xffffffff && req != nil {
 		delete(c.open, uint32(id))
 		delete(c.msgs, req)
-		req.Withdrawn = true
-		c.front.emit(broker.Withdrawal{Request: req})
+		req.Canceled = true
+		c.front.emit(broker.RequestCanceled{Request: req})
 	}
 	return r.Pos, nil
 }
@@ -371,12 +371,12 @@
 	if p.Err != nil {
 		return nil, p.Err
 	}
-	r := &broker.Request{Owner: c, ID: fields["txn"], Class: class, Team: fields["team"], Thing: fields["item"],
-		Token: fields["token"], Caller: &c.caller, Key: fields["unique"], Known: fields["got"], Second: fields["second"] == "1", Body: append([]byte(nil), body...), Arrived: c.front.now()}
+	r := &broker.Request{Frontend: c, ID: fields["txn"], Class: class, Team: fields["team"], ObjectName: fields["item"],
+		Token: fields["token"], Caller: &c.caller, Key: fields["unique"], ETag: fields["got"], MarkedRetry: fields["second"] == "1", Body: append([]byte(nil), body...), ReceivedAt: c.front.now()}
 	if !isHex16(r.ID) {
 		return nil, fmt.Errorf("txn %q: expected 16 hex digits", r.ID)
 	}
-	for _, f := range []string{r.Key, r.Known} {
+	for _, f := range []string{r.Key, r.ETag} {
 		if !isWord(f) {
 			return nil, fmt.Errorf("field %.80q: not a plain word", f)
 		}
@@ -384,10 +384,10 @@
 	if c.front.keyed[class] && r.Key == "" {
 		return nil, errors.New("unique: missing in a keyed class")
 	}
-	if !isHex16(r.Thing) {
-		return nil, fmt.Errorf("item %q: expected 16 hex digits", r.Thing)
+	if !isHex16(r.ObjectName) {
+		return nil, fmt.Errorf("item %q: expected 16 hex digits", r.ObjectName)
 	}
-	r.Object, _ = strconv.ParseUint(r.Thing, 16, 64)
+	r.Object, _ = strconv.ParseUint(r.ObjectName, 16, 64)
 	if r.Object == 0 {
 		r.Object = broker.ObjectZero
 	}
@@ -401,7 +401,7 @@
 	if nth != math.Trunc(nth) || batch != math.Trunc(batch) {
 		return nil, fmt.Errorf("nth %g, batch %g: expected whole numbers", nth, batch)
 	}
-	r.Limit = time.Duration(limit * float64(time.Millisecond))
+	r.Timeout = time.Duration(limit * float64(time.Millisecond))
 	r.Part, r.Group, r.SizeKB = int(nth), int(batch), ram
 	return r, nil
 }
@@ -441,8 +441,8 @@
 	return len(s) <= mostWord
 }
 
-// Final answers a request.
-func (c *client) Final(r *broker.Request, f broker.Final) {
+// Respond answers a request.
+func (c *client) Respond(r *broker.Request, f broker.Response) {
 	msg, ok := c.msgs[r]
 	if !ok {
 		return
@@ -450,24 +450,24 @@
 	delete(c.msgs, r)
 	delete(c.open, msg)
 	defer c.busy() // once the answer is on its way
-	if f.Kind == broker.Answered && len(f.Body) > smallBody && c.front.full() {
+	if f.Kind == broker.ResponseServed && len(f.Body) > smallBody && c.front.full() {
 		// Clients that do not read hold the memory. A short answer that says so is better than none at all.
-		f.Kind = broker.Failure
+		f.Kind = broker.ResponseFailed
 	}
 	switch f.Kind {
-	case broker.Answered, broker.Same:
+	case broker.ResponseServed, broker.ResponseNotModified:
 		b := msgpack.AppendArray(msgpack.AppendNil(answerHead(msg)), 2)
 		b = msgpack.AppendBinaryHead(b, len(f.Body))
 		fields := f.Fields
-		if f.Kind == broker.Same {
+		if f.Kind == broker.ResponseNotModified {
 			fields = append(fields[:len(fields):len(fields)], broker.Field{Name: "ok304", Value: "1"})
 		}
 		c.conn.Send(b, f.Body, appendFields(nil, fields))
-	case broker.Refusal:
+	case broker.ResponseRejected:
 		c.refuse(msg, f)
-	case broker.Failure:
+	case broker.ResponseFailed:
 		c.fail(msg, wordFailed, nil)
-	case broker.Denied:
+	case broker.ResponseDenied:
 		c.fail(msg, wordDenied, []broker.Field{{Name: "reason", Value: f.Reason}})
 	}
 }
@@ -478,10 +478,10 @@
 }
 
 // refuse says that a further try is harmless, and when it is welcome.
-func (c *client) refuse(msg uint32, f broker.Final) {
+func (c *client) refuse(msg uint32, f broker.Response) {
 	var fields []broker.Field
-	if f.Wait > 0 && c.front.MostWait > 0 {
-		later := (f.Wait + time.Millisecond - 1) / time.Millisecond
+	if f.RetryAfter > 0 && c.front.MostWait > 0 {
+		later := (f.RetryAfter + time.Millisecond - 1) / time.Millisecond
 		fields = append(fields, broker.Field{Name: "later", Value: strconv.FormatInt(int64(later), 10)})
 	}
 	if f.Budget != "" {
--- a/internal/membership/consul/consul_test.go
+++ b/internal/membership/consul/consul_test.go
@@ -54,7 +54,7 @@
 			h.mu.Lock()
 			defer h.mu.Unlock()
 			for _, e := range events {
-				if l, ok := e.(broker.Listing); ok {
+				if l, ok := e.(broker.EndpointList); ok {
 					h.lists = append(h.lists, l.List)
 				}
 			}
--- a/internal/membership/consul/follow.go
+++ b/internal/membership/consul/follow.go
@@ -246,7 +246,7 @@
 		q.Filter = v.Filter
 		return wrap(client.Health().ServiceMultipleTags(v.Name, v.Tags, false, q))
 	}
-	f.silent = func(silent bool) { f.c.Tell(broker.Speaks{Source: src, Silent: silent}) }
+	f.silent = func(silent bool) { f.c.Tell(broker.SourceStatus{Source: src, Silent: silent}) }
 	left := map[string]string{} // what was left out of the last answer, and why: it is logged once
 	known := 0
 	f.use = func(answer any, verdict blockingquery.Verdict, index uint64) {
@@ -254,7 +254,7 @@
 		case verdict.Belief == blockingquery.Ignore:
 			return
 		case verdict.Belief == blockingquery.Same && !verdict.Confirms:
-			f.c.Tell(broker.Speaks{Source: src})
+			f.c.Tell(broker.SourceStatus{Source: src})
 			return
 		}
 		entries, _ := answer.([]*api.ServiceEntry)
@@ -275,11 +275,11 @@
 		if len(list.Boxes) > known+partMost {
 			for at := 0; at < len(list.Boxes); at += partMost {
 				part := list.Boxes[at:min(at+partMost, len(list.Boxes))]
-				f.c.Tell(broker.Listing{Source: src, List: membership.List{Version: index, Boxes: part, Part: true}})
+				f.c.Tell(broker.EndpointList{Source: src, List: membership.List{Version: index, Boxes: part, Part: true}})
 			}
 		}
 		known = len(list.Boxes)
-		f.c.Tell(broker.Listing{Source: src, List: list})
+		f.c.Tell(broker.EndpointList{Source: src, List: list})
 	}
 }
 
--- a/internal/membership/listwatch/listwatch.go
+++ b/internal/membership/listwatch/listwatch.go
@@ -78,9 +78,9 @@
 	}
 	version := r.Get("seq").Uint()
 	if r.Get("whole").Bool() {
-		return broker.Listing{Source: n.Source, List: membership.List{Version: version, Boxes: boxes}}, nil
+		return broker.EndpointList{Source: n.Source, List: membership.List{Version: version, Boxes: boxes}}, nil
 	}
-	return broker.Changes{Source: n.Source, Version: version, Boxes: boxes}, nil
+	return broker.EndpointDelta{Source: n.Source, Version: version, Endpoints: boxes}, nil
 }
 
 func (n Names) box(h gjson.Result) (membership.Box, error) {
@@ -139,10 +139,10 @@
 func Boxes(events []broker.Event) (n int) {
 	for _, e := range events {
 		switch e := e.(type) {
-		case broker.Listing:
+		case broker.EndpointList:
 			n += len(e.List.Boxes)
-		case broker.Changes:
-			n += len(e.Boxes)
+		case broker.EndpointDelta:
+			n += len(e.Endpoints)
 		}
 	}
 	return n
@@ -210,7 +210,7 @@
 func (r *Reader) lost(err error) {
 	if !r.down {
 		r.Log("bulletin-lost", "error", err, "after", r.Last)
-		r.Emit(broker.Speaks{Source: r.Names.Source, Silent: true})
+		r.Emit(broker.SourceStatus{Source: r.Names.Source, Silent: true})
 	}
 	r.down = true
 	r.drop()
@@ -305,7 +305,7 @@
 	if r.session == nil {
 		return
 	}
-	r.Emit(broker.Speaks{Source: r.Names.Source})
+	r.Emit(broker.SourceStatus{Source: r.Names.Source})
 	if r.retry = 0; r.down {
 		r.Log("bulletin-back", "at", r.Last)
 		r.down = false
--- a/internal/proxy/boxes.go
+++ b/internal/proxy/boxes.go
@@ -28,11 +28,11 @@
 		mu.Lock()
 		defer mu.Unlock()
 		switch e := e.(type) {
-		case broker.Listing:
+		case broker.EndpointList:
 			p.members.Whole(now(), e.Source, e.List)
-		case broker.Changes:
-			p.members.Change(now(), e.Source, e.Version, e.Boxes)
-		case broker.Speaks:
+		case broker.EndpointDelta:
+			p.members.Change(now(), e.Source, e.Version, e.Endpoints)
+		case broker.SourceStatus:
 			if e.Silent {
 				p.members.Silent(now(), e.Source)
 			} else {
@@ -49,7 +49,7 @@
 			events, err := p.names.Ask(p.settings.Bulletin, p.last, o.Wait)
 			if err != nil {
 				said = append(said, fmt.Sprintf("bulletin %s: %v", p.settings.Bulletin, err))
-				take(broker.Speaks{Source: p.names.Source, Silent: true})
+				take(broker.SourceStatus{Source: p.names.Source, Silent: true})
 			}
 			for _, e := range events {
 				take(e)
--- a/internal/proxy/boxtls.go
+++ b/internal/proxy/boxtls.go
@@ -94,8 +94,8 @@
 }
 
 // secure gives how a box is connected to; nil: by plain TCP.
-func (b *boxTLS) secure(zones []string) func(*broker.Box) func(string) (net.Conn, error) {
-	return func(box *broker.Box) func(string) (net.Conn, error) {
+func (b *boxTLS) secure(zones []string) func(*broker.Endpoint) func(string) (net.Conn, error) {
+	return func(box *broker.Endpoint) func(string) (net.Conn, error) {
 		site := &b.all
 		if int(box.Zone) < len(zones) {
 			site = b.at(zones[box.Zone])
@@ -105,7 +105,7 @@
 		}
 		name := site.name
 		if name == "" {
-			name = box.Host + site.suffix
+			name = box.Name + site.suffix
 		}
 		return func(address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(context.Background(), b.limit)
--- a/internal/proxy/control.go
+++ b/internal/proxy/control.go
@@ -73,7 +73,7 @@
 		for _, line := range []struct {
 			kind string
 			n    int
-		}{{"open", b.Open}, {"module", b.Module}, {"timers", b.Timers}, {"boxes", b.Boxes}, {"gone", b.Gone}, {"purges", b.Purges},
+		}{{"open", b.Open}, {"module", b.PolicyRequests}, {"timers", b.Timers}, {"boxes", b.Endpoints}, {"gone", b.GoneEndpoints}, {"purges", b.Purges},
 			{"spoken-to", c.Boxes}, {"connections", c.Links}, {"sent", c.Open}, {"given-up", c.Quit}} {
 			fmt.Fprintf(out, "pool.%d.%s %d\n", i, line.kind, line.n)
 		}
--- a/internal/proxy/door.go
+++ b/internal/proxy/door.go
@@ -273,7 +273,7 @@
 	if o.Reason != identity.Allowed || o.Call.Key != "" {
 		g.tell(o, r)
 	}
-	if r.Withdrawn {
+	if r.Canceled {
 		return
 	}
 	switch o.Reason {
@@ -281,11 +281,11 @@
 		if o.KeyID != "" || o.Subject != "" || r.Team == "" {
 			r.Team = o.Tenant
 		}
-		g.doorman.emit(broker.Arrival{Request: r})
+		g.doorman.emit(broker.RequestReceived{Request: r})
 	case identity.Busy, identity.Full:
-		r.Owner.Final(r, broker.Final{Kind: broker.Refusal, Wait: o.Wait, Reason: o.Reason.String()})
+		r.Frontend.Respond(r, broker.Response{Kind: broker.ResponseRejected, RetryAfter: o.Wait, Reason: o.Reason.String()})
 	default:
-		r.Owner.Final(r, broker.Final{Kind: broker.Denied, Reason: o.Reason.String()})
+		r.Frontend.Respond(r, broker.Response{Kind: broker.ResponseDenied, Reason: o.Reason.String()})
 	}
 }
 
--- a/internal/proxy/herd.go
+++ b/internal/proxy/herd.go
@@ -101,12 +101,12 @@
 func (h *herd) hear(e broker.Event) {
 	first := h.sources.doorman.plan.first
 	switch e := e.(type) {
-	case broker.Listing:
+	case broker.EndpointList:
 		if n := e.Source - first; n >= 0 && n < len(h.tapped) && !e.List.Part && !e.List.Omits {
 			list := e.List
 			h.tapped[n] = &list
 		}
-	case broker.Speaks:
+	case broker.SourceStatus:
 		if n := e.Source - first; n >= 0 && n < len(h.tapped) && !e.Silent && h.tapped[n] == nil {
 			h.carry(h.machine.Heard(monotonicNow(), n))
 		}
@@ -166,12 +166,12 @@
 		case bootstrap.Use:
 			src := d.plan.first + e.List
 			for at := 0; len(e.Boxes) > partMost && at < len(e.Boxes); at += partMost {
-				d.emit(broker.Listing{Source: src, List: membership.List{Version: e.Version, Boxes: e.Boxes[at:min(at+partMost, len(e.Boxes))], Part: true}})
+				d.emit(broker.EndpointList{Source: src, List: membership.List{Version: e.Version, Boxes: e.Boxes[at:min(at+partMost, len(e.Boxes))], Part: true}})
 			}
 			// What two peers tell has been confirmed by each of them, where it lacks much.
-			d.emit(broker.Listing{Source: src, List: membership.List{Version: e.Version, Boxes: e.Boxes, Confirms: !e.Hint, Omits: e.Hint}})
+			d.emit(broker.EndpointList{Source: src, List: membership.List{Version: e.Version, Boxes: e.Boxes, Confirms: !e.Hint, Omits: e.Hint}})
 		case bootstrap.Speaks:
-			d.emit(broker.Speaks{Source: d.plan.first + e.List, Silent: e.Silent})
+			d.emit(broker.SourceStatus{Source: d.plan.first + e.List, Silent: e.Silent})
 		case bootstrap.Note:
 			fields := []any{"what", e.What}
 			if e.List >= 0 {
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -195,7 +195,7 @@
 func (p *pool) connect(d *doorman) {
 	s := d.plan.settings
 	all := s.Sockets - s.Sockets/clientPart - ownSockets
-	p.depots = &upstream.Pool{Loop: d.loop, Emit: p.emit, Now: monotonicNow, May: p.broker.May, Log: d.log.Event, Resolve: d.resolver.Resolve, Barred: p.broker.Barred,
+	p.depots = &upstream.Pool{Loop: d.loop, Emit: p.emit, Now: monotonicNow, May: p.broker.MaySend, Log: d.log.Event, Resolve: d.resolver.Resolve, Barred: p.broker.AddressBlocked,
 		Classes: s.Control.Classes, DialLimit: s.DialTimeout, Idle: s.ConnIdle, Streams: s.Streams, MayProbe: s.Control.HealthChecks, MayQuit: s.Control.MayCancel, FlowKBps: s.Control.FlowKBps,
 		Most: max(1, int(float64(all)*p.part))}
 	if secure := d.plan.own.BoxTLS; secure != nil {
@@ -217,15 +217,15 @@
 // dispatch gives each pool what concerns it. A box that is not a pool's is gone for it, also one that was.
 func (d *doorman) dispatch(e broker.Event) {
 	switch e := e.(type) {
-	case broker.Arrival:
+	case broker.RequestReceived:
 		r := e.Request
 		class := d.plan.settings.Control.Classes[r.Class].Name
-		r.Placed = d.routes.Choose(r.Team, class, r.Zone, r.Object)
-		r.Service = r.Placed.Service
-		d.pools[r.Placed.Pool].emit(e)
-	case broker.Withdrawal:
-		d.pools[e.Request.Placed.Pool].emit(e)
-	case broker.Listing:
+		r.Route = d.routes.Choose(r.Team, class, r.Zone, r.Object)
+		r.Service = r.Route.Service
+		d.pools[r.Route.Pool].emit(e)
+	case broker.RequestCanceled:
+		d.pools[e.Request.Route.Pool].emit(e)
+	case broker.EndpointList:
 		for i, p := range d.pools {
 			l := e
 			l.List.Boxes = nil
@@ -236,12 +236,12 @@
 			}
 			p.emit(l)
 		}
-	case broker.Changes:
+	case broker.EndpointDelta:
 		for i, p := range d.pools {
 			c := e
-			c.Boxes = slices.Clone(e.Boxes)
-			for k := range c.Boxes {
-				if b := &c.Boxes[k]; !d.routes.In(i, b.ID, b.Zone, b.Kind) {
+			c.Endpoints = slices.Clone(e.Endpoints)
+			for k := range c.Endpoints {
+				if b := &c.Endpoints[k]; !d.routes.In(i, b.ID, b.Zone, b.Kind) {
 					b.State = membership.Gone
 				}
 			}
@@ -255,9 +255,9 @@
 }
 
 // box finds a box of any pool by its id on the sockets.
-func (d *doorman) box(host string) *broker.Box {
+func (d *doorman) box(host string) *broker.Endpoint {
 	for _, p := range d.pools {
-		if b := p.broker.Box(host); b != nil {
+		if b := p.broker.EndpointByName(host); b != nil {
 			return b
 		}
 	}
@@ -267,24 +267,24 @@
 // open is the number of requests without an end.
 func (d *doorman) open() (n int) {
 	for _, p := range d.pools {
-		n += p.broker.Open()
+		n += p.broker.OpenRequests()
 	}
 	return n
 }
 
 func (d *doorman) limitRepeats(c *quota.Contracts) {
 	for _, p := range d.pools {
-		p.broker.LimitRepeats(c.Teams, c.Boxes)
+		p.broker.LimitRetries(c.Teams, c.Boxes)
 	}
 }
 
 // ended tells the moves how a request has ended. What a budget refused, and what the caller may not, is no pool's fault.
-func (d *doorman) ended(r *broker.Request, f broker.Final) {
-	if d.routes == nil || f.Kind == broker.Denied || f.Budget != "" {
+func (d *doorman) ended(r *broker.Request, f broker.Response) {
+	if d.routes == nil || f.Kind == broker.ResponseDenied || f.Budget != "" {
 		return
 	}
-	failed := f.Kind == broker.Refusal || f.Kind == broker.Failure
-	if team := d.routes.Ended(monotonicNow(), r.Placed, failed); team != "" {
+	failed := f.Kind == broker.ResponseRejected || f.Kind == broker.ResponseFailed
+	if team := d.routes.Ended(monotonicNow(), r.Route, failed); team != "" {
 		d.tellMove(team)
 	}
 }
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -135,8 +135,8 @@
 
 // enter takes what a front has: a request meets the door first, where there is one.
 func (d *doorman) enter(e broker.Event) {
-	if a, ok := e.(broker.Arrival); ok {
-		a.Request.Limit = d.leaving.Limit(monotonicNow(), a.Request.Limit)
+	if a, ok := e.(broker.RequestReceived); ok {
+		a.Request.Timeout = d.leaving.Limit(monotonicNow(), a.Request.Timeout)
 		if d.door != nil {
 			d.door.arrive(a.Request)
 			return
@@ -227,7 +227,7 @@
 		}
 	case shutdown.Cut:
 		for _, p := range d.pools {
-			p.emit(broker.Cutoff{})
+			p.emit(broker.FailInFlight{})
 		}
 		d.loop.NeedRound()
 	case shutdown.Stop:
@@ -311,20 +311,20 @@
 
 func (d *doorman) carryOut(p *pool, effect broker.Effect) {
 	switch e := effect.(type) {
-	case broker.Ask:
+	case broker.SendAttempt:
 		p.depots.Ask(e.Attempt)
-	case broker.Quit:
-		p.depots.Quit(e.Attempt, e.Confirm)
-	case broker.Answer:
-		d.ended(e.Request, e.Final)
-		e.Request.Owner.Final(e.Request, e.Final)
-	case broker.Moved:
-		p.depots.Moved(e.Box, e.Restarted)
-	case broker.Probe:
-		p.depots.Probe(e.Box)
-	case broker.Confirm:
+	case broker.CancelAttempt:
+		p.depots.Quit(e.Attempt, e.AwaitEnd)
+	case broker.Respond:
+		d.ended(e.Request, e.Response)
+		e.Request.Frontend.Respond(e.Request, e.Response)
+	case broker.EndpointChanged:
+		p.depots.Moved(e.Endpoint, e.Restarted)
+	case broker.HealthCheck:
+		p.depots.Probe(e.Endpoint)
+	case broker.RefetchList:
 		d.list.confirm(e.Source)
-	case broker.Line:
+	case broker.LogEntry:
 		d.log.Event(e.Event, e.Fields...)
 	}
 }
--- a/internal/proxy/sources.go
+++ b/internal/proxy/sources.go
@@ -37,7 +37,7 @@
 	s.leaving = make(chan struct{})
 	emit := func(e broker.Event) {
 		switch e.(type) {
-		case broker.Listing, broker.Changes, broker.Speaks:
+		case broker.EndpointList, broker.EndpointDelta, broker.SourceStatus:
 			if !p.own.bulletin {
 				return
 			}
@@ -170,7 +170,7 @@
 	default:
 		d.log.Event("snapshot-read", "file", cfg.File, "age", age.Round(time.Millisecond))
 		s.restored = true
-		d.emit(broker.Restored{Words: words})
+		d.emit(broker.SnapshotRestored{Reports: words})
 	}
 }
 
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -26,8 +26,8 @@
 
 // ends is what the words of an answer mean for an attempt.
 var ends = map[string]broker.End{
-	"ACK": broker.Served, "NOMOD": broker.Unchanged, "NOENT": broker.Missed, "AGAIN": broker.TurnedAway,
-	"EIO": broker.Failed, "STALE": broker.Over,
+	"ACK": broker.Served, "NOMOD": broker.NotModified, "NOENT": broker.CacheMiss, "AGAIN": broker.Rejected,
+	"EIO": broker.Failed, "STALE": broker.AlreadyEnded,
 }
 
 // probes is what they mean for a probe.
@@ -104,11 +104,11 @@
 }
 
 // ending is what the answer says of an attempt.
-func (a *answer) ending(attempt *broker.Attempt) broker.Ending {
-	e := broker.Ending{Attempt: attempt, End: ends[a.word], Note: notes[a.field("remark")], Body: a.body,
+func (a *answer) ending(attempt *broker.Attempt) broker.AttemptEnded {
+	e := broker.AttemptEnded{Attempt: attempt, End: ends[a.word], Note: notes[a.field("remark")], Body: a.body,
 		Fields: a.fields}
 	if lag, err := strconv.ParseFloat(a.field("lag"), 64); err == nil && lag > 0 && lag < 1e9 {
-		e.Lag = time.Duration(lag * float64(time.Millisecond))
+		e.SourceDelay = time.Duration(lag * float64(time.Millisecond))
 	}
 	return e
 }
@@ -124,15 +124,15 @@
 		}
 	}
 	field(" ", "profile", class)
-	field(",", "thing", r.Thing)
+	field(",", "thing", r.ObjectName)
 	field(",", "nth", strconv.Itoa(r.Part))
 	field(",", "max", strconv.FormatInt(max(1, wait.Milliseconds()), 10))
 	field(",", "replay", r.Key)
-	if a.Source != a.Box {
-		field(",", "via", a.Source.Host)
+	if a.Source != a.Endpoint {
+		field(",", "via", a.Source.Name)
 	}
-	if a.Keep > 0 {
-		field(",", "tier", strconv.Itoa(a.Keep))
+	if a.CacheRank > 0 {
+		field(",", "tier", strconv.Itoa(a.CacheRank))
 	}
 	if age > 0 {
 		field(",", "fresh", strconv.FormatInt(max(1, age.Milliseconds()), 10))
@@ -141,13 +141,13 @@
 	for _, o := range []struct {
 		on   bool
 		word string
-	}{{a.Join, "ride"}, {a.HeldOnly, "have-only"}, {a.NoParent, "through"}, {a.Renew, "update"}} {
+	}{{a.JoinFill, "ride"}, {a.CachedOnly, "have-only"}, {a.BypassParent, "through"}, {a.Revalidate, "update"}} {
 		if o.on {
 			opts = append(opts, o.word)
 		}
 	}
 	field(",", "opts", strings.Join(opts, "+"))
-	field(",", "known", r.Known)
+	field(",", "known", r.ETag)
 	b = append(strconv.AppendInt(append(b, ' '), int64(len(r.Body)), 10), "\r\n"...)
 	return append(append(b, r.Body...), "\r\n"...)
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -65,7 +65,7 @@
 	MayQuit   bool // whether they allow that an attempt is called off
 	// Secure gives how a box is to be connected to where that is not by plain TCP: the function runs beside the loop and ends in
 	// its own time. Nil, or a nil function: plain.
-	Secure   func(*broker.Box) func(address string) (net.Conn, error)
+	Secure   func(*broker.Endpoint) func(address string) (net.Conn, error)
 	FlowKBps float64 // of one answer; 0: not told
 
 	Tally Tally // see Take
@@ -79,7 +79,7 @@
 
 // depot is one box with the connections to it.
 type depot struct {
-	box   *broker.Box
+	box   *broker.Endpoint
 	links []*link
 }
 
@@ -112,12 +112,12 @@
 type pending struct {
 	attempt *broker.Attempt // nil: a probe or a check
 	sent    time.Duration
-	due     time.Duration  // of an attempt: its answer is overdue then
-	start   uint64         // of its bytes on the connection
-	check   bool           // of the connection itself
-	looks   int            // at the check since it was sent
-	off     string         // the check behind the QUIT of an attempt that was called off
-	doubt   *broker.Ending // an answer that may be the second to the attempt before
+	due     time.Duration        // of an attempt: its answer is overdue then
+	start   uint64               // of its bytes on the connection
+	check   bool                 // of the connection itself
+	looks   int                  // at the check since it was sent
+	off     string               // the check behind the QUIT of an attempt that was called off
+	doubt   *broker.AttemptEnded // an answer that may be the second to the attempt before
 }
 
 // past is an id that was open on a connection.
@@ -126,7 +126,7 @@
 	said string // its answer's words; empty: it was given up
 }
 
-func (p *Pool) depot(box *broker.Box) *depot {
+func (p *Pool) depot(box *broker.Endpoint) *depot {
 	if p.boxes == nil {
 		p.boxes = map[policy.EndpointID]*depot{}
 	}
@@ -141,11 +141,11 @@
 
 // Ask sends an attempt, at once or when a connection is up.
 func (p *Pool) Ask(a *broker.Attempt) {
-	l := p.pick(p.depot(a.Box), a.Request.ID)
+	l := p.pick(p.depot(a.Endpoint), a.Request.ID)
 	switch {
 	case l == nil:
-		p.Log("depot-crowded", "box", a.Box.Host)
-		p.Emit(broker.Ending{Attempt: a, End: broker.Crowded})
+		p.Log("depot-crowded", "box", a.Endpoint.Name)
+		p.Emit(broker.AttemptEnded{Attempt: a, End: broker.NoConnectionCapacity})
 	case l.conn == nil:
 		l.waiting = append(l.waiting, a)
 	default:
@@ -202,7 +202,7 @@
 
 func (p *Pool) dial(d *depot) *link {
 	now := p.Now()
-	l := &link{pool: p, depot: d, listed: d.box.Dial, address: d.box.Dial, begun: now, used: now, heard: now,
+	l := &link{pool: p, depot: d, listed: d.box.Address, address: d.box.Address, begun: now, used: now, heard: now,
 		open: map[string]*pending{}, past: map[string]past{}}
 	d.links = append(d.links, l)
 	p.links++
@@ -274,12 +274,12 @@
 	}
 	l.gone()
 	l.pool.Tally.DialFailed++
-	end := broker.NotDialled
+	end := broker.ConnectFailed
 	if errors.Is(err, syscall.ECONNRESET) {
-		end = broker.Unsent
+		end = broker.NotSent
 	}
 	if len(l.waiting) > 0 {
-		l.pool.Log("depot-dial", "box", l.depot.box.Host, "address", l.address, "error", err)
+		l.pool.Log("depot-dial", "box", l.depot.box.Name, "address", l.address, "error", err)
 	}
 	l.unsent(end)
 }
@@ -287,7 +287,7 @@
 // unsent ends what waits for the connection.
 func (l *link) unsent(end broker.End) {
 	for _, a := range l.waiting {
-		l.pool.Emit(broker.Ending{Attempt: a, End: end})
+		l.pool.Emit(broker.AttemptEnded{Attempt: a, End: end})
 	}
 	l.waiting = nil
 }
@@ -318,12 +318,12 @@
 func (l *link) write(a *broker.Attempt) {
 	now := l.pool.Now()
 	age, ok := l.pool.May(a, now)
-	if named := l.address != l.depot.box.Dial; named && l.pool.Barred(l.address) {
+	if named := l.address != l.depot.box.Address; named && l.pool.Barred(l.address) {
 		ok = false
 		l.retired = true // the next one asks the name server anew
 	}
 	if !ok || l.closed {
-		l.pool.Emit(broker.Ending{Attempt: a, End: broker.Barred})
+		l.pool.Emit(broker.AttemptEnded{Attempt: a, End: broker.Blocked})
 		return
 	}
 	a.Written = true
@@ -335,7 +335,7 @@
 // expected is how long the answer to an attempt may take where nothing is slow.
 func (p *Pool) expected(a *broker.Attempt) time.Duration {
 	d := hitWithin
-	if a.Source != a.Box {
+	if a.Source != a.Endpoint {
 		d = fillWithin
 	}
 	if p.FlowKBps > 0 {
@@ -418,7 +418,7 @@
 	o := l.open[a.id]
 	if o == nil {
 		if _, known := l.past[a.id]; !known {
-			l.pool.Log("depot-stray", "box", l.depot.box.Host, "id", fmt.Sprintf("%.32s", a.id))
+			l.pool.Log("depot-stray", "box", l.depot.box.Name, "id", fmt.Sprintf("%.32s", a.id))
 		}
 		return nil // a late answer, or one too many; another may follow, so the id stays known
 	}
@@ -429,13 +429,13 @@
 		l.alive = l.heard
 		l.confirmed(a.id)
 	case o.attempt == nil && !isEnd:
-		l.pool.Emit(broker.Probed{Node: l.depot.box.ID, Status: probes[a.word], Took: l.heard - o.sent})
-	case o.attempt == nil || !isEnd || a.word == "NOMOD" && o.attempt.Request.Known == "":
+		l.pool.Emit(broker.HealthChecked{Endpoint: l.depot.box.ID, Status: probes[a.word], Elapsed: l.heard - o.sent})
+	case o.attempt == nil || !isEnd || a.word == "NOMOD" && o.attempt.Request.ETag == "":
 		return fmt.Errorf("%s does not answer what was asked", a.word)
 	default:
 		e := a.ending(o.attempt)
 		e.Address = l.address
-		if !e.End.Good() {
+		if !e.End.Succeeded() {
 			if l.past[a.id].said == a.said && o.off == "" {
 				l.ask(a.id, o, e)
 				return nil
@@ -452,8 +452,8 @@
 
 // ask meets an answer with the words of the one before under the same id. It may be that one's second copy, with the attempt still out
 // at the box: so the attempt is given up, and counts as answered once the box has read that.
-func (l *link) ask(id string, o *pending, e broker.Ending) {
-	e.Body, e.Doubtful = nil, true
+func (l *link) ask(id string, o *pending, e broker.AttemptEnded) {
+	e.Body, e.MayHaveRun = nil, true
 	o.doubt = &e
 	l.conn.Send([]byte("QUIT " + id + "\r\n"))
 	l.pool.Tally.Confirms++
@@ -465,7 +465,7 @@
 func (l *link) confirmed(tag string) {
 	for id, o := range l.open {
 		if o.off == tag {
-			e := broker.Ending{Attempt: o.attempt, End: broker.CalledOff}
+			e := broker.AttemptEnded{Attempt: o.attempt, End: broker.Canceled}
 			if o.doubt != nil {
 				e = *o.doubt
 			}
@@ -494,17 +494,17 @@
 
 // silenced ends a connection on which nothing comes any more. A QUIT would not arrive; the close gives all up.
 func (l *link) silenced() {
-	l.pool.Log("depot-silent", "box", l.depot.box.Host, "open", len(l.open))
+	l.pool.Log("depot-silent", "box", l.depot.box.Name, "open", len(l.open))
 	l.pool.Tally.Silenced++
-	l.endAll(func(*pending) broker.End { return broker.Silenced })
+	l.endAll(func(*pending) broker.End { return broker.Unresponsive })
 	l.conn.Abort()
 	l.retire()
 }
 
 // garbled ends the connection whose answers can't be read.
 func (l *link) garbled(err error) {
-	l.pool.Log("depot-garbled", "box", l.depot.box.Host, "error", err)
-	l.endAll(func(*pending) broker.End { return broker.Garbled })
+	l.pool.Log("depot-garbled", "box", l.depot.box.Name, "error", err)
+	l.endAll(func(*pending) broker.End { return broker.ProtocolError })
 	l.retire()
 }
 
@@ -512,10 +512,10 @@
 func (l *link) endAll(how func(*pending) broker.End) {
 	for id, o := range l.open {
 		if o.attempt != nil {
-			l.pool.Emit(broker.Ending{Attempt: o.attempt, End: how(o)})
+			l.pool.Emit(broker.AttemptEnded{Attempt: o.attempt, End: how(o)})
 		} else if !o.check {
-			l.pool.Emit(broker.Probed{Node: l.depot.box.ID, Status: policy.StatusConnectFailed,
-				Took: l.pool.Now() - o.sent})
+			l.pool.Emit(broker.HealthChecked{Endpoint: l.depot.box.ID, Status: policy.StatusConnectFailed,
+				Elapsed: l.pool.Now() - o.sent})
 		}
 		delete(l.open, id)
 	}
@@ -525,7 +525,7 @@
 func (l *link) Closed(c *eventloop.Conn, err error) {
 	taken := c.Taken()
 	if len(l.open) > 0 {
-		l.pool.Log("depot-broken", "box", l.depot.box.Host, "open", len(l.open), "error", fmt.Sprint(err))
+		l.pool.Log("depot-broken", "box", l.depot.box.Name, "open", len(l.open), "error", fmt.Sprint(err))
 		l.pool.Tally.Broken++
 	}
 	l.endAll(func(o *pending) broker.End {
@@ -533,9 +533,9 @@
 			if o.attempt != nil {
 				o.attempt.Written = false
 			}
-			return broker.Unsent
+			return broker.NotSent
 		}
-		return broker.Broken
+		return broker.ConnectionReset
 	})
 	l.gone()
 }
@@ -559,7 +559,7 @@
 // nothing any more.
 func (p *Pool) Quit(a *broker.Attempt, confirm bool) {
 	id := a.Request.ID
-	if d := p.boxes[a.Box.ID]; d != nil {
+	if d := p.boxes[a.Endpoint.ID]; d != nil {
 		for _, l := range slices.Clone(d.links) {
 			if i := slices.Index(l.waiting, a); i >= 0 {
 				l.waiting = slices.Delete(l.waiting, i, i+1)
@@ -583,7 +583,7 @@
 		}
 	}
 	if confirm {
-		p.Emit(broker.Ending{Attempt: a, End: broker.CalledOff})
+		p.Emit(broker.AttemptEnded{Attempt: a, End: broker.Canceled})
 	}
 }
 
@@ -595,11 +595,11 @@
 }
 
 // Probe asks a box whether it is ready.
-func (p *Pool) Probe(box *broker.Box) {
+func (p *Pool) Probe(box *broker.Endpoint) {
 	d := p.depot(box)
 	l := p.pick(d, "")
 	if l == nil || l.conn == nil { // a dial that has begun says more than a probe would
-		p.Emit(broker.Probed{Node: box.ID, Status: policy.StatusConnectFailed})
+		p.Emit(broker.HealthChecked{Endpoint: box.ID, Status: policy.StatusConnectFailed})
 		return
 	}
 	p.probes++
@@ -611,20 +611,20 @@
 
 // Moved follows the list. A process that has started anew, or a box that is at another address, can't answer what
 // was sent before; nor can one that is gone. A new box may be at its address: it has its own connections.
-func (p *Pool) Moved(box *broker.Box, restarted bool) {
+func (p *Pool) Moved(box *broker.Endpoint, restarted bool) {
 	d := p.boxes[box.ID]
 	if d == nil {
 		return
 	}
 	for _, l := range slices.Clone(d.links) {
-		old := restarted && (l.begun < box.StartedAt || l.listed != box.Dial)
+		old := restarted && (l.begun < box.StartedAt || l.listed != box.Address)
 		switch {
 		case l.conn != nil && (old || box.State == policy.Gone):
-			l.unsent(broker.Barred)
-			l.endAll(func(*pending) broker.End { return broker.Broken })
+			l.unsent(broker.Blocked)
+			l.endAll(func(*pending) broker.End { return broker.ConnectionReset })
 			l.retire()
 		case old || box.State != policy.Ready:
-			l.unsent(broker.Barred) // what waits for a dial goes elsewhere now; it would be barred when it was written
+			l.unsent(broker.Blocked) // what waits for a dial goes elsewhere now; it would be barred when it was written
 			l.retire()
 		}
 	}
@@ -717,7 +717,7 @@
 				switch {
 				case o.attempt == nil && !o.check && now-o.sent > probeMost:
 					delete(l.open, tag)
-					p.Emit(broker.Probed{Node: id, Status: policy.StatusTimeout, Took: now - o.sent})
+					p.Emit(broker.HealthChecked{Endpoint: id, Status: policy.StatusTimeout, Elapsed: now - o.sent})
 				case o.attempt != nil && !o.attempt.Open() && now >= o.attempt.Deadline:
 					l.forget(tag, now) // it could not be called off
 				}
