--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -154,7 +154,7 @@
 type Broker struct {
 	cfg       policy.Config
 	module    *policy.Engine
-	contracts *quota.Book
+	contracts *quota.Ledger
 	// Repeats to first tries, by team and by box; nil: no limit.
 	teamRepeats *retry.Set[string]
 	boxRepeats  *retry.Set[policy.EndpointID]
@@ -178,7 +178,7 @@
 }
 
 // New makes a broker. With contracts nil every team may do everything; members is which boxes there are.
-func New(cfg policy.Config, seed uint64, openCap int, contracts *quota.Book, members *membership.Table) (*Broker,
+func New(cfg policy.Config, seed uint64, openCap int, contracts *quota.Ledger, members *membership.Table) (*Broker,
 	error) {
 	module, err := policy.New(cfg, seed)
 	if err != nil {
@@ -187,7 +187,7 @@
 	return &Broker{cfg: cfg, module: module, contracts: contracts, members: members, openCap: openCap,
 		open: map[policy.RequestID]*Request{}, ids: map[string]*Request{}, boxes: map[policy.EndpointID]*Endpoint{},
 		hosts: map[string]policy.EndpointID{}, byName: map[string]*Endpoint{}, byDial: map[string][]*Endpoint{},
-		purges: invalidation.New(invalidation.Config{Takes: cfg.PurgePropagation, Slack: purgeSlack})}, nil
+		purges: invalidation.New(invalidation.Config{Propagation: cfg.PurgePropagation, Slack: purgeSlack})}, nil
 }
 
 // SetOffset tells by how much the Unix clock is ahead of the times that the broker is given. What others have stamped, starts
@@ -256,7 +256,7 @@
 		b.arrive(e.Request)
 	case RequestCanceled:
 		if r := e.Request; !r.ended {
-			b.close(r, concurrency.Silent)
+			b.close(r, concurrency.NoSignal)
 			b.tell(policy.ClientGoneEvent{ID: r.id})
 		}
 	case AttemptEnded:
@@ -280,7 +280,7 @@
 		b.follow()
 	case Purge:
 		issued := e.Issued - b.offset
-		b.purges.Note(b.now, e.Object, e.Group, issued)
+		b.purges.Record(b.now, e.Object, e.Group, issued)
 		b.tell(policy.PurgeEvent{Object: e.Object, Group: e.Group, Age: max(0, b.now-issued)})
 	case FailInFlight:
 		b.cutOff()
@@ -305,7 +305,7 @@
 		return
 	}
 	class := &b.cfg.Classes[r.Class]
-	grant, over := b.contracts.Admit(b.now, r.Team, r.Service, class.Name, quota.Cost{Worth: class.PriorityWeight, Bytes: r.SizeKB * 1024})
+	grant, over := b.contracts.Admit(b.now, r.Team, r.Service, class.Name, quota.Cost{PriorityWeight: class.PriorityWeight, Bytes: r.SizeKB * 1024})
 	if over != nil {
 		b.answer(r, overBudget(over))
 		return
@@ -385,39 +385,39 @@
 
 // spend charges an attempt to the budgets of its request, and of repeats: only one after an attempt that went out is a repeat,
 // since nothing else has cost a box anything.
-func (b *Broker) spend(r *Request, a *Attempt) (End, *quota.Refusal) {
+func (b *Broker) spend(r *Request, a *Attempt) (End, *quota.Rejection) {
 	repeat := slices.ContainsFunc(r.attempts, func(o *Attempt) bool { return o.Written })
 	if !repeat {
 		if over := r.grant.Spend(b.now, false); over != nil {
 			return Blocked, over
 		}
 		if b.teamRepeats != nil && a.Number == 0 {
-			b.teamRepeats.Of(r.grant.Tenant()).First(b.now, b.teamRepeats.Config())
+			b.teamRepeats.Of(r.grant.Tenant()).Deposit(b.now, b.teamRepeats.Config())
 		}
 		if b.boxRepeats != nil {
-			b.boxRepeats.Of(a.Endpoint.ID).First(b.now, b.boxRepeats.Config())
+			b.boxRepeats.Of(a.Endpoint.ID).Deposit(b.now, b.boxRepeats.Config())
 		}
 		return 0, nil
 	}
 	var team, box *retry.Budget
 	if b.teamRepeats != nil {
-		if team = b.teamRepeats.Of(r.grant.Tenant()); team.Left(b.now, b.teamRepeats.Config()) < 1 {
-			return RetryBudgetExhausted, &quota.Refusal{Node: r.grant.Tenant(), Kind: quota.Repeats, Asked: 1, Left: team.Left(b.now, b.teamRepeats.Config()), Later: repeatsWait}
+		if team = b.teamRepeats.Of(r.grant.Tenant()); team.Available(b.now, b.teamRepeats.Config()) < 1 {
+			return RetryBudgetExhausted, &quota.Rejection{Node: r.grant.Tenant(), Kind: quota.Retries, Requested: 1, Left: team.Available(b.now, b.teamRepeats.Config()), RetryAfter: repeatsWait}
 		}
 	}
 	if b.boxRepeats != nil {
-		if box = b.boxRepeats.Of(a.Endpoint.ID); box.Left(b.now, b.boxRepeats.Config()) < 1 {
-			return RetryBudgetExhausted, &quota.Refusal{Node: "box " + a.Endpoint.Name, Kind: quota.Repeats, Asked: 1, Left: box.Left(b.now, b.boxRepeats.Config()), Later: repeatsWait}
+		if box = b.boxRepeats.Of(a.Endpoint.ID); box.Available(b.now, b.boxRepeats.Config()) < 1 {
+			return RetryBudgetExhausted, &quota.Rejection{Node: "box " + a.Endpoint.Name, Kind: quota.Retries, Requested: 1, Left: box.Available(b.now, b.boxRepeats.Config()), RetryAfter: repeatsWait}
 		}
 	}
 	if over := r.grant.Spend(b.now, true); over != nil {
 		return RetryBudgetExhausted, over
 	}
 	if team != nil {
-		team.Take()
+		team.Withdraw()
 	}
 	if box != nil {
-		box.Take()
+		box.Withdraw()
 	}
 	return 0, nil
 }
@@ -426,8 +426,8 @@
 const repeatsWait = 100 * time.Millisecond
 
 // overBudget words a refusal by a budget.
-func overBudget(over *quota.Refusal) Response {
-	return Response{Kind: ResponseRejected, RetryAfter: over.Later, Budget: over.Name(), Reason: over.String()}
+func overBudget(over *quota.Rejection) Response {
+	return Response{Kind: ResponseRejected, RetryAfter: over.RetryAfter, Budget: over.Name(), Reason: over.String()}
 }
 
 // boxesMost and teamsMost bound what is remembered of repeats.
@@ -561,13 +561,13 @@
 			aim += time.Duration(class.ObjectiveStretch * r.SizeKB / b.cfg.FlowKBps * float64(time.Second))
 		}
 		if aim > 0 && b.now-r.ReceivedAt > aim {
-			return concurrency.Late
+			return concurrency.Overdue
 		}
 		return concurrency.InTime
 	case f.Budget != "":
-		return concurrency.Silent
+		return concurrency.NoSignal
 	}
-	return concurrency.Turned
+	return concurrency.Rejected
 }
 
 // close ends a request: what is still out for it is given up.
@@ -576,7 +576,7 @@
 	delete(b.open, r.id)
 	if r.admitted {
 		delete(b.ids, r.ID)
-		r.grant.End(b.now, o, b.now-r.ReceivedAt)
+		r.grant.ReleaseWithOutcome(b.now, o, b.now-r.ReceivedAt)
 	}
 	for _, a := range r.attempts {
 		if a.Open() {
--- a/internal/broker/request.go
+++ b/internal/broker/request.go
@@ -44,9 +44,9 @@
 	deadline time.Duration // by which the answer must be on its way
 	attempts []*Attempt
 	ended    bool
-	admitted bool           // it holds what grant says
-	grant    quota.Grant    // that it and its attempts are charged to
-	over     *quota.Refusal // the budget that held an attempt back
+	admitted bool             // it holds what grant says
+	grant    quota.Grant      // that it and its attempts are charged to
+	over     *quota.Rejection // the budget that held an attempt back
 }
 
 // Response is the one answer to a request.
--- a/internal/cli/contracts.go
+++ b/internal/cli/contracts.go
@@ -39,7 +39,7 @@
 				return errors.New("the settings have no `control` by which a running doorman could be asked")
 			case explained:
 				fmt.Fprintln(out, "as written, nothing being used:")
-				proxy.Explain(out, o.Contracts.Book(), proxy.Clock(), args[0], args[1], service)
+				proxy.Explain(out, o.Contracts.Ledger(), proxy.Clock(), args[0], args[1], service)
 				return nil
 			}
 			return checkContracts(out, o.Contracts)
--- a/internal/concurrency/concurrency.go
+++ b/internal/concurrency/concurrency.go
@@ -14,10 +14,10 @@
 
 // Config is the settings of a Limit.
 type Config struct {
-	Least, Most, Start float64       // bounds of the limit in open requests, and what it begins with
-	Window             time.Duration // after which the limit is looked at; 0: 100 ms
-	Late               float64       // share of ends in a window, late or turned away, above which it is cut; 0: 0.04
-	Cut                float64       // what it is cut to at most in a window; 0: 0.85
+	Min, Max, Start float64       // bounds of the limit in open requests, and what it begins with
+	Window          time.Duration // after which the limit is looked at; 0: 100 ms
+	MaxOverdueShare float64       // share of ends in a window, late or turned away, above which it is cut; 0: 0.04
+	DecreaseFactor  float64       // what it is cut to at most in a window; 0: 0.85
 }
 
 // growth of the limit in a window in which it was in use.
@@ -34,10 +34,10 @@
 
 // The outcomes.
 const (
-	InTime Outcome = iota
-	Late           // later than it was wanted
-	Turned         // a box or the module turned it away, or its time ran out
-	Silent         // it says nothing: taken back, or over a budget
+	InTime   Outcome = iota
+	Overdue          // later than it was wanted
+	Rejected         // a box or the module turned it away, or its time ran out
+	NoSignal         // it says nothing: taken back, or over a budget
 )
 
 // Limit is the state. It is not safe for concurrent use.
@@ -61,15 +61,15 @@
 	if cfg.Window <= 0 {
 		cfg.Window = 100 * time.Millisecond
 	}
-	if cfg.Late <= 0 {
-		cfg.Late = 0.04
+	if cfg.MaxOverdueShare <= 0 {
+		cfg.MaxOverdueShare = 0.04
 	}
-	if cfg.Cut <= 0 {
-		cfg.Cut = 0.85
+	if cfg.DecreaseFactor <= 0 {
+		cfg.DecreaseFactor = 0.85
 	}
-	cfg.Least = math.Max(1, cfg.Least)
-	cfg.Most = math.Max(cfg.Least, cfg.Most)
-	return &Limit{cfg: cfg, value: math.Min(math.Max(cfg.Start, cfg.Least), cfg.Most)}
+	cfg.Min = math.Max(1, cfg.Min)
+	cfg.Max = math.Max(cfg.Min, cfg.Max)
+	return &Limit{cfg: cfg, value: math.Min(math.Max(cfg.Start, cfg.Min), cfg.Max)}
 }
 
 // Value is the limit as it stands, and Open what is open.
@@ -78,14 +78,14 @@
 // Open is the number of requests open.
 func (l *Limit) Open() int { return int(l.open) }
 
-// Part is what a tenant with a portion of the whole, from 0 to 1, may always have open.
-func (l *Limit) Part(portion float64) float64 { return l.value * portion }
+// GuaranteedFor is what a tenant with a portion of the whole, from 0 to 1, may always have open.
+func (l *Limit) GuaranteedFor(portion float64) float64 { return l.value * portion }
 
 // Admit takes a request in, of a tenant with so many open and a portion of the whole, or says when a place is likely. What is
 // admitted must be Done.
 func (l *Limit) Admit(now time.Duration, open int, portion float64) (wait time.Duration, ok bool) {
 	l.roll(now)
-	if l.open >= l.value && float64(open)+1 > math.Max(l.Part(portion), 0) {
+	if l.open >= l.value && float64(open)+1 > math.Max(l.GuaranteedFor(portion), 0) {
 		l.refusedNow = true
 		return l.wait(), false
 	}
@@ -108,7 +108,7 @@
 // Done takes the end of a request that was admitted, and how long it took.
 func (l *Limit) Done(now time.Duration, o Outcome, took time.Duration) {
 	l.open--
-	if o == Silent {
+	if o == NoSignal {
 		return
 	}
 	l.ends++
@@ -136,14 +136,14 @@
 		bad = float64(l.bad) / float64(l.ends)
 	}
 	switch {
-	case bad > l.cfg.Late && now >= l.quiet:
+	case bad > l.cfg.MaxOverdueShare && now >= l.quiet:
 		// The worse it is the deeper the cut, down to a half; from what was in use, since a limit far above that binds nothing.
-		cut := math.Max(0.5, l.cfg.Cut-0.5*(bad-l.cfg.Late))
-		l.value = math.Min(l.value, math.Max(l.peak, l.cfg.Least)) * cut
+		cut := math.Max(0.5, l.cfg.DecreaseFactor-0.5*(bad-l.cfg.MaxOverdueShare))
+		l.value = math.Min(l.value, math.Max(l.peak, l.cfg.Min)) * cut
 		l.quiet = now + max(l.cfg.Window, time.Duration(l.meanTook*1e9))
-	case bad <= l.cfg.Late/2 && (l.peak >= inUse*l.value || l.refusedNow):
+	case bad <= l.cfg.MaxOverdueShare/2 && (l.peak >= inUse*l.value || l.refusedNow):
 		l.value += growBy + growPart*l.value
 	}
-	l.value = math.Min(math.Max(l.value, l.cfg.Least), l.cfg.Most)
+	l.value = math.Min(math.Max(l.value, l.cfg.Min), l.cfg.Max)
 	l.began, l.ends, l.bad, l.peak, l.refusedNow = now, 0, 0, l.open, false
 }
--- a/internal/concurrency/concurrency_test.go
+++ b/internal/concurrency/concurrency_test.go
@@ -101,7 +101,7 @@
 			w.open[j.tenant]--
 			took, outcome := now-j.arrived, InTime
 			if took > w.aim {
-				outcome = Late
+				outcome = Overdue
 			} else if counts {
 				w.inTime[j.tenant]++
 			}
@@ -147,7 +147,7 @@
 		serve: 20 * ms, aim: 150 * ms, from: 5 * time.Second}
 }
 
-func limit() *Limit { return New(Config{Least: 4, Most: 10_000, Start: 20}) }
+func limit() *Limit { return New(Config{Min: 4, Max: 10_000, Start: 20}) }
 
 // TestOverload: the other tenant sends three times what all boxes can do. The quiet one keeps its on-time share, most of what
 // the boxes can do is used in time, and without the limit nearly nothing is in time.
@@ -194,7 +194,7 @@
 // let in, and all is back to zero at the end.
 func TestLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		cfg := Config{Least: float64(rapid.IntRange(1, 10).Draw(t, "least")), Most: float64(rapid.IntRange(10, 50).Draw(t, "most")), Start: 20}
+		cfg := Config{Min: float64(rapid.IntRange(1, 10).Draw(t, "least")), Max: float64(rapid.IntRange(10, 50).Draw(t, "most")), Start: 20}
 		l := New(cfg)
 		portions := []float64{0.5, 0.3, 0}
 		open := make([]int, 3)
@@ -208,7 +208,7 @@
 				total--
 			} else {
 				l.roll(now)
-				below := float64(open[i])+1 <= l.Part(portions[i])
+				below := float64(open[i])+1 <= l.GuaranteedFor(portions[i])
 				room := float64(total) < l.Value()
 				wait, ok := l.Admit(now, open[i], portions[i])
 				if ok != (below || room) || !ok && wait <= 0 {
@@ -219,7 +219,7 @@
 					total++
 				}
 			}
-			if v := l.Value(); v < cfg.Least || v > cfg.Most || l.Open() != total {
+			if v := l.Value(); v < cfg.Min || v > cfg.Max || l.Open() != total {
 				t.Fatalf("the limit is %g, open %d of %d", v, l.Open(), total)
 			}
 		}
@@ -228,7 +228,7 @@
 
 func BenchmarkLimit(b *testing.B) {
 	b.ReportAllocs()
-	l := New(Config{Least: 1, Most: 1e6, Start: 1000})
+	l := New(Config{Min: 1, Max: 1e6, Start: 1000})
 	now := start
 	for range b.N {
 		now += time.Microsecond
--- a/internal/invalidation/invalidation.go
+++ b/internal/invalidation/invalidation.go
@@ -16,13 +16,13 @@
 
 // Config bounds a Ledger.
 type Config struct {
-	Takes time.Duration // in which boxes drop older copies by themselves
-	Slack time.Duration // added to it, for what is told late and for clocks
-	Most  int           // purges held; 0: DefaultMost
+	Propagation time.Duration // in which boxes drop older copies by themselves
+	Slack       time.Duration // added to it, for what is told late and for clocks
+	MaxPurges   int           // purges held; 0: DefaultMost
 }
 
-// DefaultMost is some 6 MB of purges.
-const DefaultMost = 100_000
+// DefaultMaxPurges is some 6 MB of purges.
+const DefaultMaxPurges = 100_000
 
 // AnyGroup stands for a request that does not tell its group: it may be in any.
 const AnyGroup = -1
@@ -44,8 +44,8 @@
 
 // New makes an empty ledger.
 func New(cfg Config) *Ledger {
-	if cfg.Most <= 0 {
-		cfg.Most = DefaultMost
+	if cfg.MaxPurges <= 0 {
+		cfg.MaxPurges = DefaultMaxPurges
 	}
 	return &Ledger{cfg: cfg, issued: map[key]time.Duration{}}
 }
@@ -53,18 +53,18 @@
 // Len is the number of purges held.
 func (l *Ledger) Len() int { return len(l.issued) }
 
-// Note takes a purge of an object, or of a group where object is 0. An older one of the same changes nothing, and so
+// Record takes a purge of an object, or of a group where object is 0. An older one of the same changes nothing, and so
 // does one that is past its time already.
-func (l *Ledger) Note(now time.Duration, object uint64, group int, issued time.Duration) {
+func (l *Ledger) Record(now time.Duration, object uint64, group int, issued time.Duration) {
 	k := key{object, group}
 	if object != 0 {
 		k.group = 0
 	}
 	old, held := l.issued[k]
 	switch {
-	case issued <= old, now-issued > l.cfg.Takes+l.cfg.Slack:
+	case issued <= old, now-issued > l.cfg.Propagation+l.cfg.Slack:
 		return
-	case !held && len(l.issued) >= l.cfg.Most:
+	case !held && len(l.issued) >= l.cfg.MaxPurges:
 		l.rest = max(l.rest, issued)
 		return
 	}
@@ -98,7 +98,7 @@
 
 // Expire drops what no copy can be older than any more. It looks only at what has fallen due.
 func (l *Ledger) Expire(now time.Duration) {
-	over := now - l.cfg.Takes - l.cfg.Slack
+	over := now - l.cfg.Propagation - l.cfg.Slack
 	for len(l.expiry) > 0 && l.expiry[0].issued < over {
 		first := &l.expiry[0]
 		if at := l.issued[first.key]; at > first.issued { // purged again meanwhile
--- a/internal/invalidation/invalidation_test.go
+++ b/internal/invalidation/invalidation_test.go
@@ -31,7 +31,7 @@
 // TestLedgerAgainstAWalk compares random purges and questions with a walk over all.
 func TestLedgerAgainstAWalk(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		cfg := Config{Takes: 6 * time.Second, Slack: 2 * time.Second}
+		cfg := Config{Propagation: 6 * time.Second, Slack: 2 * time.Second}
 		l := New(cfg)
 		var all []told
 		now := 1000 * time.Second
@@ -40,13 +40,13 @@
 			p := told{uint64(rapid.IntRange(0, 5).Draw(t, "object")), rapid.IntRange(0, 3).Draw(t, "group"),
 				now - time.Duration(rapid.IntRange(0, 9000).Draw(t, "age"))*ms}
 			if rapid.Bool().Draw(t, "purge") {
-				l.Note(now, p.object, p.group, p.issued)
+				l.Record(now, p.object, p.group, p.issued)
 				all = append(all, p)
 			}
 			l.Expire(now)
 			object, group := uint64(rapid.IntRange(1, 5).Draw(t, "asked")), rapid.IntRange(-1, 3).Draw(t, "of")
 			got, ok := l.Newest(object, group)
-			want, wanted := newestOf(all, now-cfg.Takes-cfg.Slack, object, group)
+			want, wanted := newestOf(all, now-cfg.Propagation-cfg.Slack, object, group)
 			if got != want || ok != wanted {
 				t.Fatalf("object %d of group %d at %v: %v %v, want %v %v", object, group, now, got, ok, want, wanted)
 			}
@@ -61,9 +61,9 @@
 // TestFullLedgerAsksForYounger: what there is no place for must not let an old copy through.
 func TestFullLedgerAsksForYounger(t *testing.T) {
 	now := 1000 * time.Second
-	l := New(Config{Takes: 6 * time.Second, Most: 10})
+	l := New(Config{Propagation: 6 * time.Second, MaxPurges: 10})
 	for object := uint64(1); object <= 11; object++ {
-		l.Note(now, object, 0, now-time.Second+time.Duration(object)*ms)
+		l.Record(now, object, 0, now-time.Second+time.Duration(object)*ms)
 	}
 	if l.Len() != 10 {
 		t.Errorf("%d purges held, want the bound of 10", l.Len())
@@ -82,11 +82,11 @@
 func BenchmarkNewest(b *testing.B) {
 	now := 1000 * time.Second
 	for _, n := range []int{0, 100, 10_000, 100_000} {
-		l := New(Config{Takes: 6 * time.Second})
+		l := New(Config{Propagation: 6 * time.Second})
 		var all []told
 		for i := range n {
 			p := told{object: uint64(i + 1), issued: now - time.Duration(i)*time.Microsecond}
-			l.Note(now, p.object, p.group, p.issued)
+			l.Record(now, p.object, p.group, p.issued)
 			all = append(all, p)
 		}
 		b.Run(fmt.Sprintf("ledger/%d", n), func(b *testing.B) {
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -111,7 +111,7 @@
 	d := &Engine{cfg: cfg, servers: map[EndpointID]*server{},
 		roles:    map[int]int{cfg.ParentKind: roleParent, cfg.OriginKind: roleOrigin},
 		requests: map[RequestID]*request{},
-		purges:   invalidation.New(invalidation.Config{Takes: cfg.PurgePropagation, Slack: time.Second}),
+		purges:   invalidation.New(invalidation.Config{Propagation: cfg.PurgePropagation, Slack: time.Second}),
 		fills:    aimd.New(), held: aimd.NewHeld(),
 		behind: outlier.New(),
 		late:   [2]rto.Timing{rto.New(), rto.New()},
@@ -160,7 +160,7 @@
 			d.onTick()
 		}
 	case PurgeEvent:
-		d.purges.Note(d.now, e.Object, e.Group, d.now-e.Age)
+		d.purges.Record(d.now, e.Object, e.Group, d.now-e.Age)
 	}
 	return d.out
 }
--- a/internal/proxy/control.go
+++ b/internal/proxy/control.go
@@ -39,13 +39,13 @@
 		return "error: no contracts are in force\n"
 	case len(words) == 1:
 		stands, all := d.contracts.Show(now, shownMost)
-		fmt.Fprintf(&out, "version %d, %d open, %d of %d tenants in use shown\n", d.contracts.Version, d.contracts.Held(), len(stands), all)
+		fmt.Fprintf(&out, "version %d, %d open, %d of %d tenants in use shown\n", d.contracts.Version, d.contracts.InFlight(), len(stands), all)
 		if l := d.contracts.Capacity(); l != nil {
 			fmt.Fprintf(&out, "capacity %.0f open, as learned; %d are\n", l.Value(), l.Open())
 		}
-		uses := d.contracts.Whole(now)
+		uses := d.contracts.Installation(now)
 		for _, s := range stands {
-			uses = append(uses, s.Uses...)
+			uses = append(uses, s.Usages...)
 		}
 		_ = quota.Table(&out, uses)
 		for _, s := range stands {
@@ -81,7 +81,7 @@
 }
 
 // Explain prints which budgets apply to a request, the nearest first, and what is left.
-func Explain(out io.Writer, b *quota.Book, now time.Duration, team, class, service string) {
+func Explain(out io.Writer, b *quota.Ledger, now time.Duration, team, class, service string) {
 	uses, refusal := b.Explain(now, team, service, class)
 	if refusal != nil {
 		fmt.Fprintln(out, "refused:", refusal)
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -40,7 +40,7 @@
 		p := &poolWords{Pool: route.Pool{Name: words[0]}}
 		s.pools = append(s.pools, p)
 		at := &config.Section{}
-		at.Number("part", &p.Part, 0, 1, "of connections and of open requests; an even part of the rest without it")
+		at.Number("part", &p.Share, 0, 1, "of connections and of open requests; an even part of the rest without it")
 		at.Each("boxes", func(words []string) error {
 			c, err := parseClaim(words)
 			p.claims = append(p.claims, c)
@@ -78,11 +78,11 @@
 		if len(words) != 2 {
 			return nil, errors.New("expected the team and the pool it goes to")
 		}
-		m := route.MovePlan{Team: words[0], To: words[1], Config: route.MoveConfig{Hold: time.Minute, Least: 50, Worse: 0.02, Tries: 3}}
-		at, i := &config.Section{}, len(s.plan.Moves)
-		s.plan.Moves = append(s.plan.Moves, m)
-		c := &s.plan.Moves[i].Config
-		least, worse, tries, hold := c.Least, c.Worse, c.Tries, c.Hold
+		m := route.MigrationPlan{Team: words[0], To: words[1], Config: route.MigrationConfig{Hold: time.Minute, MinResults: 50, Tolerance: 0.02, MaxAttempts: 3}}
+		at, i := &config.Section{}, len(s.plan.Migrations)
+		s.plan.Migrations = append(s.plan.Migrations, m)
+		c := &s.plan.Migrations[i].Config
+		least, worse, tries, hold := c.MinResults, c.Tolerance, c.MaxAttempts, c.Hold
 		var steps []string
 		at.Words("steps", &steps, nil, "shares of the new pool; 0.01 0.05 0.25 0.5 1 without it")
 		at.Duration("hold", &hold, 10*time.Millisecond, 24*time.Hour, "that a step must do well for")
@@ -90,8 +90,8 @@
 		at.Number("worse", &worse, 0.0001, 0.5, "share of failures beyond the old pool's that is borne")
 		at.Int("tries", &tries, 1, 100, "steps back after which it is given up")
 		at.Check(func() error {
-			c := &s.plan.Moves[i].Config
-			c.Least, c.Worse, c.Tries, c.Hold = least, worse, tries, hold
+			c := &s.plan.Migrations[i].Config
+			c.MinResults, c.Tolerance, c.MaxAttempts, c.Hold = least, worse, tries, hold
 			for _, word := range steps {
 				v, err := strconv.ParseFloat(word, 64)
 				if err != nil {
@@ -127,7 +127,7 @@
 	for _, p := range s.pools {
 		out := p.Pool
 		for _, c := range p.claims {
-			claim := route.Claim{IDs: c.boxes}
+			claim := route.Selector{IDs: c.boxes}
 			for _, of := range []struct {
 				what         string
 				words, names []string
@@ -141,7 +141,7 @@
 					*of.to = append(*of.to, i)
 				}
 			}
-			out.Claims = append(out.Claims, claim)
+			out.Selectors = append(out.Selectors, claim)
 		}
 		plan.Pools = append(plan.Pools, out)
 	}
@@ -173,7 +173,7 @@
 		}
 		parts = parts[:0]
 		for _, p := range d.routes.Pools() {
-			parts = append(parts, p.Part)
+			parts = append(parts, p.Share)
 		}
 	}
 	for i, part := range parts {
@@ -230,7 +230,7 @@
 			l := e
 			l.List.Boxes = nil
 			for _, b := range e.List.Boxes {
-				if d.routes.In(i, b.ID, b.Zone, b.Kind) {
+				if d.routes.Contains(i, b.ID, b.Zone, b.Kind) {
 					l.List.Boxes = append(l.List.Boxes, b)
 				}
 			}
@@ -241,7 +241,7 @@
 			c := e
 			c.Endpoints = slices.Clone(e.Endpoints)
 			for k := range c.Endpoints {
-				if b := &c.Endpoints[k]; !d.routes.In(i, b.ID, b.Zone, b.Kind) {
+				if b := &c.Endpoints[k]; !d.routes.Contains(i, b.ID, b.Zone, b.Kind) {
 					b.State = membership.Gone
 				}
 			}
@@ -274,7 +274,7 @@
 
 func (d *doorman) limitRepeats(c *quota.Contracts) {
 	for _, p := range d.pools {
-		p.broker.LimitRetries(c.Teams, c.Boxes)
+		p.broker.LimitRetries(c.TeamRetries, c.EndpointRetries)
 	}
 }
 
@@ -284,7 +284,7 @@
 		return
 	}
 	failed := f.Kind == broker.ResponseRejected || f.Kind == broker.ResponseFailed
-	if team := d.routes.Ended(monotonicNow(), r.Route, failed); team != "" {
+	if team := d.routes.RecordResult(monotonicNow(), r.Route, failed); team != "" {
 		d.tellMove(team)
 	}
 }
@@ -300,6 +300,6 @@
 }
 
 func (d *doorman) tellMove(team string) {
-	share, phase := d.routes.Moved(team)
+	share, phase := d.routes.MigrationStatus(team)
 	d.log.Event("team-moved", "team", team, "share", share, "phase", phase)
 }
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -38,7 +38,7 @@
 // doorman is the assembled program. Everything in it runs on the loop.
 type doorman struct {
 	plan      *Plan
-	contracts *quota.Book // nil: every team may do everything
+	contracts *quota.Ledger // nil: every team may do everything
 	loop      *eventloop.Loop
 	pools     []*pool      // one, where the settings name none
 	routes    *route.Table // nil: one pool
@@ -69,7 +69,7 @@
 	d := &doorman{plan: p, log: log, leaving: shutdown.Leave{Longest: s.Longest()}, signals: make(chan os.Signal, 8)}
 	signal.Notify(d.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	if p.own.Contracts != nil {
-		d.contracts = p.own.Contracts.Book()
+		d.contracts = p.own.Contracts.Ledger()
 	}
 	if err := d.newPools(); err != nil {
 		return err
@@ -197,7 +197,7 @@
 	if c := next.own.Contracts; d.contracts != nil && c != nil {
 		d.contracts.Renew(monotonicNow(), c.Root.Share(c.Instances))
 		d.limitRepeats(c)
-		d.log.Event("contracts-renewed", "version", d.contracts.Version, "teams", len(c.Root.Children), "open", d.contracts.Held())
+		d.log.Event("contracts-renewed", "version", d.contracts.Version, "teams", len(c.Root.Children), "open", d.contracts.InFlight())
 	}
 	d.log.Event("reloaded", "bulletin", next.settings.Bulletin, "after", d.bulletin.Last)
 	d.loop.NeedRound()
--- a/internal/quota/bench_test.go
+++ b/internal/quota/bench_test.go
@@ -69,13 +69,13 @@
 					}
 					root.Children = append(root.Children, t)
 				}
-				book := NewBook(root)
+				book := NewLedger(root)
 				b.ReportAllocs()
 				now, refused := start, 0
 				for i := range b.N {
 					now += time.Microsecond
 					if grant, refusal := book.Admit(now, names[i*7919%10_000], "s", "c", Cost{}); refusal == nil {
-						grant.Done(now)
+						grant.Release(now)
 					} else {
 						refused++
 					}
@@ -92,7 +92,7 @@
 func BenchmarkRefuse(b *testing.B) {
 	s := tenant("a", 1, 1, 1)
 	s.Children = []*Spec{tenant("s", 1, 1, 1)}
-	book := NewBook(installation(100, s))
+	book := NewLedger(installation(100, s))
 	book.Admit(start, "a", "s", "", Cost{})
 	b.ReportAllocs()
 	for range b.N {
--- a/internal/quota/check.go
+++ b/internal/quota/check.go
@@ -21,9 +21,9 @@
 		out.Rates[k].Guaranteed /= float64(instances)
 		out.Rates[k].Ceiling /= float64(instances)
 	}
-	for k, most := range out.Most {
+	for k, most := range out.MaxHeld {
 		if most > 0 {
-			out.Most[k] = max(1, most/float64(instances))
+			out.MaxHeld[k] = max(1, most/float64(instances))
 		}
 	}
 	out.Children = make([]*Spec, len(s.Children))
@@ -33,27 +33,27 @@
 	return &out
 }
 
-// Fault is something that contracts promise and can't keep.
-type Fault struct {
+// Overcommitment is something that contracts promise and can't keep.
+type Overcommitment struct {
 	Node       string
 	Kind       Kind
 	Guaranteed float64 // to those below, together
-	Has        float64
+	Available  float64
 }
 
 // String words it for people.
-func (f Fault) String() string {
-	return fmt.Sprintf("%s %s: %s/s are guaranteed below, of %s/s", f.Node, f.Kind, short(f.Guaranteed), short(f.Has))
+func (f Overcommitment) String() string {
+	return fmt.Sprintf("%s %s: %s/s are guaranteed below, of %s/s", f.Node, f.Kind, short(f.Guaranteed), short(f.Available))
 }
 
 // Check finds over-commitment: nodes that guarantee more than they are guaranteed themselves.
-func (s *Spec) Check() (out []Fault) { return s.check(s.Name, nil) }
+func (s *Spec) Check() (out []Overcommitment) { return s.check(s.Name, nil) }
 
-func (s *Spec) check(path string, out []Fault) []Fault {
+func (s *Spec) check(path string, out []Overcommitment) []Overcommitment {
 	for k := Requests; k < rateKinds; k++ {
 		if l := s.Rates[k]; l.Set {
 			if sum := s.promised(k); sum > l.Guaranteed*(1+1e-9) {
-				out = append(out, Fault{path, k, sum, l.Guaranteed})
+				out = append(out, Overcommitment{path, k, sum, l.Guaranteed})
 			}
 		}
 	}
--- a/internal/quota/kinds.go
+++ b/internal/quota/kinds.go
@@ -11,18 +11,18 @@
 
 // The kinds: rates first, then what is held until it is given back.
 const (
-	Requests Kind = iota // a second
-	Worth                // a second
-	Bytes                // a second
-	Attempts             // a second: first ones and repeats
-	Repeats              // attempts after the first, a second
+	Requests       Kind = iota // a second
+	PriorityWeight             // a second
+	Bytes                      // a second
+	Attempts                   // a second: first ones and repeats
+	Retries                    // attempts after the first, a second
 	rateKinds
-	Open      = rateKinds // requests
-	OpenBytes = Open + 1
-	kindCount = OpenBytes + 1
-	Class     = kindCount     // not a budget: the contract does not have the class
-	Unknown   = kindCount + 1 // nor this: there is no contract
-	Capacity  = kindCount + 2 // what the boxes carry, as learned
+	OpenRequests = rateKinds // requests
+	OpenBytes    = OpenRequests + 1
+	kindCount    = OpenBytes + 1
+	NoClass      = kindCount     // not a budget: the contract does not have the class
+	NoContract   = kindCount + 1 // nor this: there is no contract
+	Capacity     = kindCount + 2 // what the boxes carry, as learned
 )
 
 const levelKinds = kindCount - rateKinds
@@ -39,43 +39,43 @@
 	Ceiling    float64 // units a second, at least Guaranteed
 }
 
-// Refusal says which budget turned a request away.
-type Refusal struct {
-	Node  string // its path, as "lanes/lookup"; "installation" for the whole
-	Kind  Kind
-	Asked float64
-	Left  float64       // that could have been had
-	Later time.Duration // when it would fit; 0: no time is known
+// Rejection says which budget turned a request away.
+type Rejection struct {
+	Node       string // its path, as "lanes/lookup"; "installation" for the whole
+	Kind       Kind
+	Requested  float64
+	Left       float64       // that could have been had
+	RetryAfter time.Duration // when it would fit; 0: no time is known
 }
 
 // String words it for people.
-func (r *Refusal) String() string {
+func (r *Rejection) String() string {
 	switch r.Kind {
-	case Unknown:
+	case NoContract:
 		return "no contract for " + r.Node
-	case Class:
+	case NoClass:
 		return "the class is not in the contract of " + r.Node
 	}
-	return fmt.Sprintf("budget %s %s: asked %s, left %s", r.Node, r.Kind, short(r.Asked), short(r.Left))
+	return fmt.Sprintf("budget %s %s: asked %s, left %s", r.Node, r.Kind, short(r.Requested), short(r.Left))
 }
 
 // Name is the budget alone, as a field of an answer tells it.
-func (r *Refusal) Name() string { return r.Node + " " + r.Kind.String() }
+func (r *Rejection) Name() string { return r.Node + " " + r.Kind.String() }
 
 func short(v float64) string { return strconv.FormatFloat(v, 'g', 4, 64) }
 
 // Cost is what one request takes of each kind at its admission.
 type Cost struct {
-	Worth float64
-	Bytes float64
+	PriorityWeight float64
+	Bytes          float64
 }
 
 func (c Cost) of(k Kind) float64 {
 	switch k {
-	case Requests, Open:
+	case Requests, OpenRequests:
 		return 1
-	case Worth:
-		return c.Worth
+	case PriorityWeight:
+		return c.PriorityWeight
 	case Bytes, OpenBytes:
 		return c.Bytes
 	}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -21,13 +21,13 @@
 	sweepMost = 2
 )
 
-// Book is all contracts in force. A nil Book allows everything.
+// Ledger is all contracts in force. A nil Book allows everything.
 //
 // Invariants, for contracts that are not over-committed: what is admitted at a node in any window is at most its ceiling's rate
 // times the window and its burst, and one request that is larger than the burst; a request within the guaranteed part of its node is
 // admitted, whatever others do; what is granted is given back to the last unit. Nodes in service are bounded by the tenants that are
 // named and in use. It is not safe for concurrent use.
-type Book struct {
+type Ledger struct {
 	root    *node
 	tenants map[string]*Spec // as written
 	others  *Spec            // of tenants that are not named, together; nil: they are refused
@@ -45,15 +45,15 @@
 	limit *concurrency.Limit
 }
 
-// NewBook makes a book of contracts. root's children are the tenants, of which one with an empty name stands for all that are not
+// NewLedger makes a book of contracts. root's children are the tenants, of which one with an empty name stands for all that are not
 // named.
-func NewBook(root *Spec) *Book {
-	b := &Book{nodes: map[string]*node{}}
+func NewLedger(root *Spec) *Ledger {
+	b := &Ledger{nodes: map[string]*node{}}
 	b.take(root)
 	return b
 }
 
-func (b *Book) take(root *Spec) {
+func (b *Ledger) take(root *Spec) {
 	b.Version++
 	b.tenants, b.others = make(map[string]*Spec, len(root.Children)), nil
 	for _, t := range root.Children {
@@ -83,13 +83,13 @@
 
 // Adapt has a limit on all that is open learned from how requests end; nil: none. Each tenant always has its part of it, by what
 // it is guaranteed, or by weight where nobody is guaranteed anything.
-func (b *Book) Adapt(l *concurrency.Limit) { b.limit = l }
+func (b *Ledger) Adapt(l *concurrency.Limit) { b.limit = l }
 
 // Capacity is that limit; nil: none.
-func (b *Book) Capacity() *concurrency.Limit { return b.limit }
+func (b *Ledger) Capacity() *concurrency.Limit { return b.limit }
 
 // Renew takes over other contracts. Requests that were admitted keep their grants, and nodes that stay what they have used.
-func (b *Book) Renew(now time.Duration, root *Spec) {
+func (b *Ledger) Renew(now time.Duration, root *Spec) {
 	b.root.used = now
 	b.take(root)
 	for name, n := range b.nodes {
@@ -119,11 +119,11 @@
 }
 
 // find gives the node of a tenant, or of one of its services or their classes where the contract has such.
-func (b *Book) find(now time.Duration, tenant, service, class string) (*node, *Refusal) {
+func (b *Ledger) find(now time.Duration, tenant, service, class string) (*node, *Rejection) {
 	spec := b.tenants[tenant]
 	if spec == nil {
 		if tenant, spec = "", b.others; spec == nil {
-			return nil, &Refusal{Kind: Unknown, Later: refusedWait}
+			return nil, &Rejection{Kind: NoContract, RetryAfter: refusedWait}
 		}
 	}
 	n := b.nodes[tenant]
@@ -137,7 +137,7 @@
 	}
 	n.used = now
 	if len(spec.Classes) > 0 && !slices.Contains(spec.Classes, class) {
-		return nil, &Refusal{Node: n.name, Kind: Class, Later: refusedWait}
+		return nil, &Rejection{Node: n.name, Kind: NoClass, RetryAfter: refusedWait}
 	}
 	for _, name := range [...]string{service, class} {
 		if kid := n.kid(name); kid != nil {
@@ -172,14 +172,14 @@
 }
 
 // Admit takes a request in, or says which budget it is over. All is taken, or nothing. What is granted must be Done.
-func (b *Book) Admit(now time.Duration, tenant, service, class string, cost Cost) (Grant, *Refusal) {
+func (b *Ledger) Admit(now time.Duration, tenant, service, class string, cost Cost) (Grant, *Rejection) {
 	if b == nil {
 		return Grant{}, nil
 	}
 	b.sweep(now)
 	n, refusal := b.find(now, tenant, service, class)
 	if refusal != nil {
-		if refusal.Kind == Unknown {
+		if refusal.Kind == NoContract {
 			refusal.Node = tenant
 		}
 		return Grant{}, refusal
@@ -187,9 +187,9 @@
 	for p := n; p != nil; p = p.parent {
 		for k := range p.levels {
 			kind := rateKinds + Kind(k)
-			most := p.spec.Most[k]
+			most := p.spec.MaxHeld[k]
 			if c := cost.of(kind); most > 0 && p.levels[k] > 0 && p.levels[k]+c > most {
-				return Grant{}, &Refusal{Node: p.name, Kind: kind, Asked: c, Left: max(0, most-p.levels[k]), Later: p.openWait()}
+				return Grant{}, &Rejection{Node: p.name, Kind: kind, Requested: c, Left: max(0, most-p.levels[k]), RetryAfter: p.openWait()}
 			}
 		}
 	}
@@ -201,14 +201,14 @@
 		}
 		d, wait, blocked, left := room(now, from, cost.of(k))
 		if wait > 0 {
-			return Grant{}, &Refusal{Node: blocked.node.name, Kind: k, Asked: cost.of(k), Left: left, Later: from.promise(now, cost.of(k))}
+			return Grant{}, &Rejection{Node: blocked.node.name, Kind: k, Requested: cost.of(k), Left: left, RetryAfter: from.promise(now, cost.of(k))}
 		}
 		drawn[k] = d
 	}
 	if b.limit != nil {
 		t := n.tenant()
 		if wait, ok := b.limit.Admit(now, t.open, t.spec.portion); !ok {
-			return Grant{}, &Refusal{Node: t.name, Kind: Capacity, Asked: 1, Left: max(0, b.limit.Value()-float64(b.limit.Open())), Later: wait}
+			return Grant{}, &Rejection{Node: t.name, Kind: Capacity, Requested: 1, Left: max(0, b.limit.Value()-float64(b.limit.Open())), RetryAfter: wait}
 		}
 	}
 	for k := Requests; k <= Bytes; k++ {
@@ -260,11 +260,11 @@
 }
 
 // Spend charges one attempt to the budgets of a grant, or says which one is used up.
-func (g Grant) Spend(now time.Duration, repeat bool) *Refusal {
+func (g Grant) Spend(now time.Duration, repeat bool) *Rejection {
 	if g.leaf == nil {
 		return nil
 	}
-	kinds := [...]Kind{Attempts, Repeats}
+	kinds := [...]Kind{Attempts, Retries}
 	n := 1
 	if repeat {
 		n = 2
@@ -274,7 +274,7 @@
 		if from := g.leaf.limited(k); from != nil {
 			d, wait, blocked, left := room(now, from, 1)
 			if wait > 0 {
-				return &Refusal{Node: blocked.node.name, Kind: k, Asked: 1, Left: left, Later: from.promise(now, 1)}
+				return &Rejection{Node: blocked.node.name, Kind: k, Requested: 1, Left: left, RetryAfter: from.promise(now, 1)}
 			}
 			drawn[i] = d
 		}
@@ -287,11 +287,11 @@
 	return nil
 }
 
-// Done gives back what an admission holds, where it was taken, and tells nothing of the load. Either it or End must be called once.
-func (g Grant) Done(now time.Duration) { g.End(now, concurrency.Silent, 0) }
+// Release gives back what an admission holds, where it was taken, and tells nothing of the load. Either it or End must be called once.
+func (g Grant) Release(now time.Duration) { g.ReleaseWithOutcome(now, concurrency.NoSignal, 0) }
 
-// End is Done with how the request ended, as far as it tells of the load, and how long it took.
-func (g Grant) End(now time.Duration, o concurrency.Outcome, took time.Duration) {
+// ReleaseWithOutcome is Done with how the request ended, as far as it tells of the load, and how long it took.
+func (g Grant) ReleaseWithOutcome(now time.Duration, o concurrency.Outcome, took time.Duration) {
 	if g.limit != nil {
 		g.limit.Done(now, o, took)
 	}
@@ -311,7 +311,7 @@
 }
 
 // sweep forgets some tenants that are full and hold nothing.
-func (b *Book) sweep(now time.Duration) {
+func (b *Ledger) sweep(now time.Duration) {
 	for i := 0; i < sweepMost && len(b.ring) > 0; i++ {
 		b.at = (b.at + 1) % len(b.ring)
 		n := b.ring[b.at]
@@ -359,22 +359,22 @@
 }
 
 // Tenants is the number of tenants in service, and Held what all of them have open.
-func (b *Book) Tenants() int { return len(b.nodes) }
+func (b *Ledger) Tenants() int { return len(b.nodes) }
 
-// Held is the number of requests that were admitted and not given back.
-func (b *Book) Held() int { return b.root.open }
+// InFlight is the number of requests that were admitted and not given back.
+func (b *Ledger) InFlight() int { return b.root.open }
 
-// Use is how one budget stands.
-type Use struct {
+// Usage is how one budget stands.
+type Usage struct {
 	Node                string
 	Kind                Kind
 	Guaranteed, Ceiling float64 // of a rate, a second; of what is held, Ceiling alone
 	Left                float64 // guaranteed and not used yet; of what is held, how much more may be
-	Above               float64 // that could be borrowed, by its own ceiling
+	Borrowable          float64 // that could be borrowed, by its own ceiling
 }
 
 // Explain tells which budgets apply to a request, the nearest first, and what is left of each.
-func (b *Book) Explain(now time.Duration, tenant, service, class string) ([]Use, *Refusal) {
+func (b *Ledger) Explain(now time.Duration, tenant, service, class string) ([]Usage, *Rejection) {
 	n, refusal := b.find(now, tenant, service, class)
 	if refusal != nil {
 		refusal.Node = cmp.Or(refusal.Node, tenant)
@@ -383,7 +383,7 @@
 	return n.uses(now), nil
 }
 
-func (n *node) uses(now time.Duration) (out []Use) {
+func (n *node) uses(now time.Duration) (out []Usage) {
 	for p := n; p != nil; p = p.parent {
 		out = append(out, p.own(now)...)
 	}
@@ -391,16 +391,16 @@
 }
 
 // own is the budgets of the node itself.
-func (n *node) own(now time.Duration) (out []Use) {
+func (n *node) own(now time.Duration) (out []Usage) {
 	for k, r := range n.rates {
 		if r != nil {
-			out = append(out, Use{Node: n.name, Kind: Kind(k), Guaranteed: r.g.rate, Ceiling: r.c.rate, Left: max(0, r.g.has(now, r.gAt)-r.reserve),
-				Above: max(0, r.c.has(now, r.cAt)-r.g.burst)})
+			out = append(out, Usage{Node: n.name, Kind: Kind(k), Guaranteed: r.g.rate, Ceiling: r.c.rate, Left: max(0, r.g.has(now, r.gAt)-r.reserve),
+				Borrowable: max(0, r.c.has(now, r.cAt)-r.g.burst)})
 		}
 	}
-	for k, most := range n.spec.Most {
+	for k, most := range n.spec.MaxHeld {
 		if most > 0 {
-			out = append(out, Use{Node: n.name, Kind: rateKinds + Kind(k), Ceiling: most, Left: max(0, most-n.levels[k])})
+			out = append(out, Usage{Node: n.name, Kind: rateKinds + Kind(k), Ceiling: most, Left: max(0, most-n.levels[k])})
 		}
 	}
 	return out
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -61,7 +61,7 @@
 				s.Burst = time.Duration(rapid.IntRange(1, 2000).Draw(t, "burst")) * ms
 				below = g
 			}
-			s.Most[0] = float64(rapid.IntRange(0, 30).Draw(t, "open"))
+			s.MaxHeld[0] = float64(rapid.IntRange(0, 30).Draw(t, "open"))
 			sum += below
 			root.Children = append(root.Children, s)
 			leaves = append(leaves, []string{s.Name, ""})
@@ -73,7 +73,7 @@
 		if faults := root.Check(); len(faults) > 0 {
 			t.Fatalf("a sound tree has faults: %v", faults)
 		}
-		b := NewBook(root)
+		b := NewLedger(root)
 		now := start
 		charged := map[*node][]taken{}
 		var open []Grant
@@ -87,7 +87,7 @@
 			now += time.Duration(rapid.IntRange(0, 120).Draw(t, "pause")) * ms
 			if len(open) > 0 && rapid.IntRange(0, 2).Draw(t, "an end") == 0 {
 				i := rapid.IntRange(0, len(open)-1).Draw(t, "of")
-				open[i].Done(now)
+				open[i].Release(now)
 				open = slices.Delete(open, i, i+1)
 				continue
 			}
@@ -95,7 +95,7 @@
 			n, _ := b.find(now, path[0], path[1], "")
 			full := false
 			for p := n; p != nil; p = p.parent {
-				full = full || p.spec.Most[0] > 0 && p.levels[0] >= p.spec.Most[0]
+				full = full || p.spec.MaxHeld[0] > 0 && p.levels[0] >= p.spec.MaxHeld[0]
 			}
 			own := n.limited(Requests)
 			within := false
@@ -111,13 +111,13 @@
 					continue // on the edge, where rounding decides
 				}
 			}
-			before := b.Held()
+			before := b.InFlight()
 			g, refusal := b.Admit(now, path[0], path[1], "", Cost{})
 			if refusal != nil {
 				if within && !full {
 					t.Fatalf("%v is within its guaranteed part and was refused: %v", path, refusal)
 				}
-				if refusal.Node == "" || b.Held() != before {
+				if refusal.Node == "" || b.InFlight() != before {
 					t.Fatalf("a refusal without a budget, or that took something: %+v", refusal)
 				}
 				continue
@@ -145,10 +145,10 @@
 			}
 		}
 		for _, g := range open {
-			g.Done(now)
+			g.Release(now)
 		}
-		if b.Held() != 0 || b.root.levels != [levelKinds]float64{} {
-			t.Fatalf("%d are held at the end", b.Held())
+		if b.InFlight() != 0 || b.root.levels != [levelKinds]float64{} {
+			t.Fatalf("%d are held at the end", b.InFlight())
 		}
 		now += 2 * time.Hour
 		for range 100 {
@@ -171,7 +171,7 @@
 }
 
 // play runs demands side by side in simulated time, and ends each request at once.
-func play(b *Book, length time.Duration, demands ...*demand) {
+func play(b *Ledger, length time.Duration, demands ...*demand) {
 	rng := rand.New(rand.NewPCG(1, 2))
 	for i := range demands {
 		demands[i].next = start + demands[i].from
@@ -189,7 +189,7 @@
 		}
 		if d.to == 0 || now < start+d.to {
 			if g, refusal := b.Admit(now, d.name, "", "", Cost{}); refusal == nil {
-				g.Done(now)
+				g.Release(now)
 				d.admitted = append(d.admitted, now-start)
 			} else {
 				d.refused++
@@ -220,7 +220,7 @@
 		root.Children = append(root.Children, tenant(fmt.Sprint("t", i), 0, 1000, w))
 		demands = append(demands, &demand{name: fmt.Sprint("t", i), rate: 60})
 	}
-	play(NewBook(root), 20*time.Second, demands...)
+	play(NewLedger(root), 20*time.Second, demands...)
 	var per []float64
 	total := 0
 	for i, d := range demands {
@@ -243,7 +243,7 @@
 // TestOwnerComesBack: the lender has its guarantee from its first request on, and the borrower what is left; alone, the borrower
 // has it all.
 func TestOwnerComesBack(t *testing.T) {
-	b := NewBook(installation(100, tenant("owner", 80, 80, 1), tenant("other", 10, 100, 1)))
+	b := NewLedger(installation(100, tenant("owner", 80, 80, 1), tenant("other", 10, 100, 1)))
 	owner, other := &demand{name: "owner", rate: 70, from: 10 * time.Second}, &demand{name: "other", rate: 300}
 	play(b, 20*time.Second, owner, other)
 	if owner.refused > 0 {
@@ -259,7 +259,7 @@
 
 // TestUnlimitedAbove: where the installation has no limit, ceilings alone bound what is borrowed.
 func TestUnlimitedAbove(t *testing.T) {
-	b := NewBook(&Spec{Name: "installation", Children: []*Spec{tenant("a", 10, 50, 1)}})
+	b := NewLedger(&Spec{Name: "installation", Children: []*Spec{tenant("a", 10, 50, 1)}})
 	d := &demand{name: "a", rate: 400}
 	play(b, 10*time.Second, d)
 	if n := d.between(2*time.Second, 10*time.Second); n < 390 || n > 410 {
@@ -271,7 +271,7 @@
 // want one request, at three times what it may send. The error is that of the time told against the one of admission.
 func TestPromises(t *testing.T) {
 	for name, root := range map[string]*Spec{"its own": installation(1000, tenant("a", 50, 50, 1)), "borrowed": installation(50, tenant("a", 10, 50, 1))} {
-		b := NewBook(root)
+		b := NewLedger(root)
 		rng := rand.New(rand.NewPCG(3, 4))
 		type client struct{ at, first, told time.Duration }
 		var waiting []client
@@ -292,7 +292,7 @@
 			c := &waiting[i]
 			g, refusal := b.Admit(c.at, "a", "", "", Cost{})
 			if refusal == nil {
-				g.Done(c.at)
+				g.Release(c.at)
 				if c.first > 0 {
 					errors = append(errors, math.Abs(float64(c.at-c.first)/float64(c.told)-1))
 				}
@@ -300,11 +300,11 @@
 				continue
 			}
 			if c.first == 0 {
-				c.first, c.told = c.at, refusal.Later
+				c.first, c.told = c.at, refusal.RetryAfter
 			} else {
 				again++
 			}
-			c.at += refusal.Later
+			c.at += refusal.RetryAfter
 		}
 		slices.Sort(errors)
 		median, p95 := stat.Quantile(0.5, stat.Empirical, errors, nil), stat.Quantile(0.95, stat.Empirical, errors, nil)
@@ -320,14 +320,14 @@
 func TestChangesInFlight(t *testing.T) {
 	with := func(open float64) *Spec {
 		s := tenant("a", 1000, 1000, 1)
-		s.Most[0] = open
+		s.MaxHeld[0] = open
 		s.Children = []*Spec{{Name: "s", Rates: rates(Bytes, 1e6, 1e6)}}
 		return &Spec{Name: "installation", Children: []*Spec{s}}
 	}
-	b := NewBook(with(0))
+	b := NewLedger(with(0))
 	now := start
 	var grants []Grant
-	admit := func() *Refusal {
+	admit := func() *Rejection {
 		g, refusal := b.Admit(now, "a", "s", "", Cost{Bytes: 10})
 		if refusal == nil {
 			grants = append(grants, g)
@@ -343,17 +343,17 @@
 		now += ms
 		b.Renew(now, root)
 		refusal := admit()
-		want := []Kind{kindCount, Open, Unknown, kindCount, Open}[i]
+		want := []Kind{kindCount, OpenRequests, NoContract, kindCount, OpenRequests}[i]
 		switch {
 		case want == kindCount && refusal != nil, want != kindCount && (refusal == nil || refusal.Kind != want):
 			t.Errorf("change %d: %v", i, refusal)
 		}
-		grants[0].Done(now)
+		grants[0].Release(now)
 		if grants = grants[1:]; i == 0 { // at 500 again
 			continue
 		}
 		if refusal == nil {
-			grants[0].Done(now)
+			grants[0].Release(now)
 			grants = grants[1:]
 		}
 		for len(grants) < 500 && i == 3 {
@@ -363,10 +363,10 @@
 		}
 	}
 	for _, g := range grants {
-		g.Done(now)
+		g.Release(now)
 	}
-	if b.Held() != 0 {
-		t.Errorf("%d are held at the end", b.Held())
+	if b.InFlight() != 0 {
+		t.Errorf("%d are held at the end", b.InFlight())
 	}
 }
 
@@ -374,18 +374,18 @@
 func TestRefusals(t *testing.T) {
 	a := tenant("a", 1, 1, 1)
 	a.Classes = []string{"lookup"}
-	a.Children = []*Spec{{Name: "pictures", Rates: rates(Worth, 2, 2)}}
+	a.Children = []*Spec{{Name: "pictures", Rates: rates(PriorityWeight, 2, 2)}}
 	open := tenant("open", 1000, 1000, 1)
-	open.Most[0] = 1
-	b := NewBook(installation(2000, a, open, &Spec{Name: "free"}))
+	open.MaxHeld[0] = 1
+	b := NewLedger(installation(2000, a, open, &Spec{Name: "free"}))
 	for _, c := range []struct {
 		tenant, service, class string
 		cost                   Cost
 		want                   string
 	}{
 		{"a", "", "charge", Cost{}, "the class is not in the contract of a"},
-		{"a", "pictures", "lookup", Cost{Worth: 2}, ""},
-		{"a", "pictures", "lookup", Cost{Worth: 2}, "budget a requests: asked 1, left 0"},
+		{"a", "pictures", "lookup", Cost{PriorityWeight: 2}, ""},
+		{"a", "pictures", "lookup", Cost{PriorityWeight: 2}, "budget a requests: asked 1, left 0"},
 		{"x", "", "lookup", Cost{}, "no contract for x"},
 		{"open", "", "lookup", Cost{}, ""},
 		{"open", "", "lookup", Cost{}, "budget open open: asked 1, left 0"},
@@ -394,7 +394,7 @@
 		_, refusal := b.Admit(start, c.tenant, c.service, c.class, c.cost)
 		got := ""
 		if refusal != nil {
-			if got = refusal.String(); refusal.Later <= 0 {
+			if got = refusal.String(); refusal.RetryAfter <= 0 {
 				t.Errorf("%s: no time is told", got)
 			}
 		}
--- a/internal/quota/section.go
+++ b/internal/quota/section.go
@@ -15,11 +15,11 @@
 
 // Contracts is the block `contracts` as written.
 type Contracts struct {
-	Root      *Spec
-	Instances int // doormen that share the contracts
-	Teams     retry.Config
-	Boxes     retry.Config
-	Adaptive  *concurrency.Config // nil: what is open in all is not limited by what is learned
+	Root            *Spec
+	Instances       int // doormen that share the contracts
+	TeamRetries     retry.Config
+	EndpointRetries retry.Config
+	Adaptive        *concurrency.Config // nil: what is open in all is not limited by what is learned
 }
 
 // Section gives the directives of the block `contracts`, and what they say once it was read.
@@ -29,29 +29,29 @@
 	s.Int("instances", &c.Instances, 1, 10_000, "doormen that these contracts are shared by; each has its part of every budget")
 	s.Block("retries", false, "how many repeated attempts there may be to first ones", func([]string) (*config.Section, error) {
 		p := &config.Section{}
-		c.Teams.Window = time.Second
-		p.Number("team-share", &c.Teams.Share, 0, 5, "of one team; 0: no limit")
-		p.Rate("team-floor", &c.Teams.Floor, 0, 1e6, "that one team has whatever its first tries")
-		p.Number("box-share", &c.Boxes.Share, 0, 5, "to one box; 0: no limit")
-		p.Rate("box-floor", &c.Boxes.Floor, 0, 1e6, "that one box gets whatever its first tries")
-		p.Duration("window", &c.Teams.Window, 10*time.Millisecond, time.Minute, "in which what lies unused melts to a third")
+		c.TeamRetries.Window = time.Second
+		p.Number("team-share", &c.TeamRetries.Share, 0, 5, "of one team; 0: no limit")
+		p.Rate("team-floor", &c.TeamRetries.Floor, 0, 1e6, "that one team has whatever its first tries")
+		p.Number("box-share", &c.EndpointRetries.Share, 0, 5, "to one box; 0: no limit")
+		p.Rate("box-floor", &c.EndpointRetries.Floor, 0, 1e6, "that one box gets whatever its first tries")
+		p.Duration("window", &c.TeamRetries.Window, 10*time.Millisecond, time.Minute, "in which what lies unused melts to a third")
 		p.Check(func() error {
-			c.Boxes.Window = c.Teams.Window
+			c.EndpointRetries.Window = c.TeamRetries.Window
 			return nil
 		})
 		return p, nil
 	})
 	s.Block("adaptive", false, "a limit on all that is open, learned from how requests end", func([]string) (*config.Section, error) {
-		a := &concurrency.Config{Least: 16, Most: 100_000, Start: 200, Late: 0.04, Window: 100 * time.Millisecond}
+		a := &concurrency.Config{Min: 16, Max: 100_000, Start: 200, MaxOverdueShare: 0.04, Window: 100 * time.Millisecond}
 		c.Adaptive = a
 		p := &config.Section{}
-		p.Number("least", &a.Least, 1, 1e6, "requests that may always be open")
-		p.Number("most", &a.Most, 1, 1e6, "and that may never be exceeded")
+		p.Number("least", &a.Min, 1, 1e6, "requests that may always be open")
+		p.Number("most", &a.Max, 1, 1e6, "and that may never be exceeded")
 		p.Number("start", &a.Start, 1, 1e6, "what it begins with")
-		p.Number("late", &a.Late, 0.001, 0.9, "share of requests, late or turned away by boxes, from which it is cut")
+		p.Number("late", &a.MaxOverdueShare, 0.001, 0.9, "share of requests, late or turned away by boxes, from which it is cut")
 		p.Duration("window", &a.Window, 10*time.Millisecond, 10*time.Second, "how often it is looked at")
 		p.Check(func() error {
-			if a.Least > a.Most {
+			if a.Min > a.Max {
 				return errors.New("least is above most")
 			}
 			return nil
@@ -122,7 +122,7 @@
 			return err
 		}, help)
 	}
-	section.Number(Open.String(), &s.Most[Open-rateKinds], 0, 1e9, "requests open together; 0: no limit")
+	section.Number(OpenRequests.String(), &s.MaxHeld[OpenRequests-rateKinds], 0, 1e9, "requests open together; 0: no limit")
 	var size int64
 	section.Size(OpenBytes.String(), &size, 0, 1<<50, "what open requests may come to together; 0B: no limit")
 	section.Duration("burst", &s.Burst, 0, burstMost, "whose worth of each rate may come at once; a second's without it")
@@ -130,7 +130,7 @@
 		section.Number("weight", &s.Weight, 0, 1e6, "its part of what is spare, among its siblings; 1 without it")
 	}
 	section.Check(func() error {
-		s.Most[OpenBytes-rateKinds] = float64(size)
+		s.MaxHeld[OpenBytes-rateKinds] = float64(size)
 		return nil
 	})
 	return section
@@ -157,9 +157,9 @@
 	return l, nil
 }
 
-// Book makes what is in force of the contracts: this doorman's share.
-func (c *Contracts) Book() *Book {
-	b := NewBook(c.Root.Share(c.Instances))
+// Ledger makes what is in force of the contracts: this doorman's share.
+func (c *Contracts) Ledger() *Ledger {
+	b := NewLedger(c.Root.Share(c.Instances))
 	if c.Adaptive != nil {
 		b.Adapt(concurrency.New(*c.Adaptive))
 	}
--- a/internal/quota/section_test.go
+++ b/internal/quota/section_test.go
@@ -30,11 +30,11 @@
 	if err := s.Parse("f", []byte("requests 100/s\ninstances 4\nteam a {\nrequests 40/s 80/s\nopen 9\nservice s {\nworth 4/s\nfor c {\nbytes 8/s\n}\n}\n}\nothers {\nopen-bytes 1MiB\n}")); err != nil {
 		t.Fatal(err)
 	}
-	uses, refusal := c.Book().Explain(start, "a", "s", "c")
-	if refusal != nil || len(uses) != 5 || uses[0].Node != "a/s/c" || uses[0].Guaranteed != 2 || uses[1].Kind != Worth || uses[2].Ceiling != 20 || uses[3].Ceiling != 2.25 {
+	uses, refusal := c.Ledger().Explain(start, "a", "s", "c")
+	if refusal != nil || len(uses) != 5 || uses[0].Node != "a/s/c" || uses[0].Guaranteed != 2 || uses[1].Kind != PriorityWeight || uses[2].Ceiling != 20 || uses[3].Ceiling != 2.25 {
 		t.Errorf("%v %v", uses, refusal)
 	}
-	if uses, _ = c.Book().Explain(start, "x", "", ""); len(uses) != 2 || uses[0].Node != "others" || uses[0].Ceiling != 1<<18 {
+	if uses, _ = c.Ledger().Explain(start, "x", "", ""); len(uses) != 2 || uses[0].Node != "others" || uses[0].Ceiling != 1<<18 {
 		t.Errorf("others: %v", uses)
 	}
 }
@@ -48,20 +48,20 @@
 		if s.Parse("f", []byte(text)) != nil {
 			return
 		}
-		b := c.Book()
+		b := c.Ledger()
 		for i, tenant := range []string{"a", "x", "", "a"} {
-			g, refusal := b.Admit(start, tenant, "s", "c", Cost{Worth: float64(i), Bytes: 1e6})
+			g, refusal := b.Admit(start, tenant, "s", "c", Cost{PriorityWeight: float64(i), Bytes: 1e6})
 			if refusal != nil {
-				if refusal.String() == "" || refusal.Later < 0 {
+				if refusal.String() == "" || refusal.RetryAfter < 0 {
 					t.Fatalf("%+v", refusal)
 				}
 				continue
 			}
 			_ = g.Spend(start, i > 0)
-			g.Done(start)
+			g.Release(start)
 		}
-		if b.Held() != 0 {
-			t.Fatalf("%d are held", b.Held())
+		if b.InFlight() != 0 {
+			t.Fatalf("%d are held", b.InFlight())
 		}
 	})
 }
--- a/internal/quota/show.go
+++ b/internal/quota/show.go
@@ -9,28 +9,28 @@
 	"time"
 )
 
-// Stand is how one tenant in service stands.
-type Stand struct {
-	Node string
-	Open int
-	Uses []Use
+// TenantStatus is how one tenant in service stands.
+type TenantStatus struct {
+	Node   string
+	Open   int
+	Usages []Usage
 }
 
 // Show tells how tenants stand, those with the most open first, at most so many, and how many there are.
-func (b *Book) Show(now time.Duration, most int) (out []Stand, all int) {
+func (b *Ledger) Show(now time.Duration, most int) (out []TenantStatus, all int) {
 	list := slices.Clone(b.ring)
 	slices.SortFunc(list, func(x, y *node) int { return cmp.Or(cmp.Compare(y.open, x.open), cmp.Compare(x.name, y.name)) })
 	for _, n := range list[:min(most, len(list))] {
-		out = append(out, Stand{n.name, n.open, n.own(now)})
+		out = append(out, TenantStatus{n.name, n.open, n.own(now)})
 	}
 	return out, len(list)
 }
 
-// Whole tells how the installation's own budgets stand.
-func (b *Book) Whole(now time.Duration) []Use { return b.root.own(now) }
+// Installation tells how the installation's own budgets stand.
+func (b *Ledger) Installation(now time.Duration) []Usage { return b.root.own(now) }
 
 // Table writes budgets as a table for people.
-func Table(w io.Writer, uses []Use) error {
+func Table(w io.Writer, uses []Usage) error {
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(t, "budget\tkind\tguaranteed\tceiling\tleft\tto borrow")
 	for _, u := range uses {
@@ -38,7 +38,7 @@
 			fmt.Fprintf(t, "%s\t%s\t-\t%s\t%s\t-\n", u.Node, u.Kind, short(u.Ceiling), short(u.Left))
 			continue
 		}
-		fmt.Fprintf(t, "%s\t%s\t%s/s\t%s/s\t%s\t%s\n", u.Node, u.Kind, short(u.Guaranteed), short(u.Ceiling), short(u.Left), short(u.Above))
+		fmt.Fprintf(t, "%s\t%s\t%s/s\t%s/s\t%s\t%s\n", u.Node, u.Kind, short(u.Guaranteed), short(u.Ceiling), short(u.Left), short(u.Borrowable))
 	}
 	return t.Flush()
 }
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -50,16 +50,16 @@
 	b.tokens, b.at = floor, now
 }
 
-// First counts a first try.
-func (b *Budget) First(now time.Duration, c Config) {
+// Deposit counts a first try.
+func (b *Budget) Deposit(now time.Duration, c Config) {
 	if c.Share > 0 {
 		b.roll(now, c)
 		b.tokens += c.Share
 	}
 }
 
-// Left is how many repeats there are now.
-func (b *Budget) Left(now time.Duration, c Config) float64 {
+// Available is how many repeats there are now.
+func (b *Budget) Available(now time.Duration, c Config) float64 {
 	if c.Share <= 0 {
 		return math.Inf(1)
 	}
@@ -67,8 +67,8 @@
 	return b.tokens
 }
 
-// Take takes a repeat that Left has room for.
-func (b *Budget) Take() { b.tokens-- }
+// Withdraw takes a repeat that Left has room for.
+func (b *Budget) Withdraw() { b.tokens-- }
 
 // Set is the budgets of many: of boxes, or of teams. It holds at most the number it was made for; whose last attempt is the
 // longest ago makes way, and begins anew, with one repeat if there is a floor.
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -23,15 +23,15 @@
 		}
 		var b Budget
 		now := start
-		past := []moment{{at: now, left: b.Left(now, c)}}
+		past := []moment{{at: now, left: b.Available(now, c)}}
 		firsts, repeats := 0, 0
 		for range rapid.IntRange(1, 200).Draw(t, "attempts") {
 			now += time.Duration(rapid.IntRange(0, 800).Draw(t, "pause")) * time.Millisecond
 			if rapid.Bool().Draw(t, "first") {
-				b.First(now, c)
+				b.Deposit(now, c)
 				firsts++
-			} else if b.Left(now, c) >= 1 {
-				b.Take()
+			} else if b.Available(now, c) >= 1 {
+				b.Withdraw()
 				repeats++
 			}
 			for _, p := range past {
@@ -40,7 +40,7 @@
 					t.Fatalf("%g repeats in %v, at most %g were due", got, now-p.at, most)
 				}
 			}
-			past = append(past, moment{now, firsts, repeats, b.Left(now, c)})
+			past = append(past, moment{now, firsts, repeats, b.Available(now, c)})
 		}
 	})
 }
@@ -53,13 +53,13 @@
 	now, firsts, repeats := start, 0, 0
 	for range 2000 {
 		now += 5 * time.Millisecond
-		b.First(now, c)
+		b.Deposit(now, c)
 		firsts++
 		for range 5 {
-			if b.Left(now, c) < 1 {
+			if b.Available(now, c) < 1 {
 				break
 			}
-			b.Take()
+			b.Withdraw()
 			repeats++
 		}
 	}
@@ -69,11 +69,11 @@
 	var rare Budget
 	for _, floor := range []float64{0.02, 1} {
 		now += time.Hour
-		if rare.First(now, Config{Share: 0.1, Floor: floor}); rare.Left(now, Config{Share: 0.1, Floor: floor}) < 1 {
+		if rare.Deposit(now, Config{Share: 0.1, Floor: floor}); rare.Available(now, Config{Share: 0.1, Floor: floor}) < 1 {
 			t.Errorf("floor %g: nothing for who sends little", floor)
 		}
 	}
-	if left := b.Left(now, Config{}); !math.IsInf(left, 1) {
+	if left := b.Available(now, Config{}); !math.IsInf(left, 1) {
 		t.Errorf("without settings %g are left", left)
 	}
 }
@@ -85,11 +85,11 @@
 	for key := range 10 {
 		b := s.Of(key)
 		for range 5 {
-			b.First(start, c)
+			b.Deposit(start, c)
 		}
 	}
-	if s.Len() != 3 || s.Of(9).Left(start, c) < 5 || s.Of(0).Left(start, c) != 0 {
-		t.Errorf("%d held; the newest has %g, one that was forgotten %g", s.Len(), s.Of(9).Left(start, c), s.Of(0).Left(start, c))
+	if s.Len() != 3 || s.Of(9).Available(start, c) < 5 || s.Of(0).Available(start, c) != 0 {
+		t.Errorf("%d held; the newest has %g, one that was forgotten %g", s.Len(), s.Of(9).Available(start, c), s.Of(0).Available(start, c))
 	}
 }
 
@@ -102,8 +102,8 @@
 			for i := range b.N {
 				now += time.Microsecond
 				k := s.Of(uint64(i * 2654435761 % boxes))
-				if k.First(now, s.cfg); k.Left(now, s.cfg) >= 1 {
-					k.Take()
+				if k.Deposit(now, s.cfg); k.Available(now, s.cfg) >= 1 {
+					k.Withdraw()
 				}
 			}
 		})
--- a/internal/route/move.go
+++ b/internal/route/move.go
@@ -7,9 +7,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Place is where a team's object lies on the line from 0 to 1 that moves go along: the same at every doorman and at every
+// Position is where a team's object lies on the line from 0 to 1 that moves go along: the same at every doorman and at every
 // time, so that the first hundredth that is moved is a part of the first tenth.
-func Place(team string, object uint64) float64 {
+func Position(team string, object uint64) float64 {
 	h := xxhash.New()
 	_, _ = h.WriteString(team)
 	var b [9]byte
@@ -20,13 +20,13 @@
 	return float64(h.Sum64()>>11) / (1 << 53)
 }
 
-// MoveConfig is the settings of a move.
-type MoveConfig struct {
-	Steps []float64     // shares of the new pool, rising, the last 1; empty: 1%, 5%, 25%, 50%, all
-	Hold  time.Duration // that a step must do well for before the next
-	Least int           // results of the new pool that a judgement needs
-	Worse float64       // share of failures over that of the old pool that is borne; 0: 0.02
-	Tries int           // steps back after which the move is given up; 0: 3
+// MigrationConfig is the settings of a move.
+type MigrationConfig struct {
+	Steps       []float64     // shares of the new pool, rising, the last 1; empty: 1%, 5%, 25%, 50%, all
+	Hold        time.Duration // that a step must do well for before the next
+	MinResults  int           // results of the new pool that a judgement needs
+	Tolerance   float64       // share of failures over that of the old pool that is borne; 0: 0.02
+	MaxAttempts int           // steps back after which the move is given up; 0: 3
 }
 
 var defaultSteps = []float64{0.01, 0.05, 0.25, 0.5, 1}
@@ -36,22 +36,22 @@
 
 // The phases.
 const (
-	Moving  Phase = iota // at a step, which is being judged
-	Resting              // a step was taken back, and the next try is waited for
-	Arrived              // all is in the new pool, and the last step did well
-	Given                // given up: all is in the old pool
+	Advancing  Phase = iota // at a step, which is being judged
+	BackingOff              // a step was taken back, and the next try is waited for
+	Completed               // all is in the new pool, and the last step did well
+	Abandoned               // given up: all is in the old pool
 )
 
 // String gives the word that the log uses.
 func (p Phase) String() string { return [...]string{"moving", "resting", "arrived", "given-up"}[p] }
 
-// Move takes a team from one pool to another by steps, and back when the new pool fails more than the old one does.
+// Migration takes a team from one pool to another by steps, and back when the new pool fails more than the old one does.
 //
 // Invariants: the share is one of the steps, or 0; it rises by one step at a time, after the step has stood for Hold with
 // at least Least results that speak for it, and falls at once; a rest after the nth step back lasts Hold times 2 to the n, so that a pool on the
 // edge does not flap; after Tries steps back it is given up. It is not safe for concurrent use.
-type Move struct {
-	cfg   MoveConfig
+type Migration struct {
+	cfg   MigrationConfig
 	phase Phase
 	step  int // of Steps; -1: none
 	since time.Duration
@@ -70,39 +70,39 @@
 	return float64(w.failed) / float64(w.all)
 }
 
-// NewMove begins a move at its first step.
-func NewMove(now time.Duration, cfg MoveConfig) *Move {
+// NewMigration begins a move at its first step.
+func NewMigration(now time.Duration, cfg MigrationConfig) *Migration {
 	if len(cfg.Steps) == 0 {
 		cfg.Steps = defaultSteps
 	}
-	if cfg.Worse <= 0 {
-		cfg.Worse = 0.02
+	if cfg.Tolerance <= 0 {
+		cfg.Tolerance = 0.02
 	}
-	if cfg.Tries <= 0 {
-		cfg.Tries = 3
+	if cfg.MaxAttempts <= 0 {
+		cfg.MaxAttempts = 3
 	}
-	cfg.Least = max(cfg.Least, 1)
-	return &Move{cfg: cfg, since: now}
+	cfg.MinResults = max(cfg.MinResults, 1)
+	return &Migration{cfg: cfg, since: now}
 }
 
 // Phase is how the move stands, and Share what part of the line the new pool has.
-func (m *Move) Phase() Phase { return m.phase }
+func (m *Migration) Phase() Phase { return m.phase }
 
 // Share is what part of the line the new pool has, from 0 to 1.
-func (m *Move) Share() float64 {
-	if m.phase == Given || m.step < 0 {
+func (m *Migration) Share() float64 {
+	if m.phase == Abandoned || m.step < 0 {
 		return 0
 	}
 	return m.cfg.Steps[m.step]
 }
 
-// New says whether a place is the new pool's by now.
-func (m *Move) New(place float64) bool { return place < m.Share() }
+// InNewPool says whether a place is the new pool's by now.
+func (m *Migration) InNewPool(place float64) bool { return place < m.Share() }
 
-// Result takes how a request ended in one of the pools. failed is the pool's own fault: what was refused by a budget or taken back
+// RecordResult takes how a request ended in one of the pools. failed is the pool's own fault: what was refused by a budget or taken back
 // is no result. It returns whether the share has changed.
-func (m *Move) Result(now time.Duration, inNew, failed bool) bool {
-	if m.phase == Given || m.phase == Arrived && !inNew {
+func (m *Migration) RecordResult(now time.Duration, inNew, failed bool) bool {
+	if m.phase == Abandoned || m.phase == Completed && !inNew {
 		return false
 	}
 	w := &m.olds
@@ -114,7 +114,7 @@
 		w.failed++
 	}
 	// What is old must not outweigh what is new for ever.
-	if w.all >= 64*m.cfg.Least {
+	if w.all >= 64*m.cfg.MinResults {
 		w.all, w.failed = w.all/2, w.failed/2
 	}
 	return inNew && m.judge(now)
@@ -126,51 +126,51 @@
 
 // score is the logarithm of the likelihood of the new pool's results, if it fails thrice Worse more than the old one, over that
 // if it fails Worse more.
-func (m *Move) score() float64 {
-	p0 := math.Min(m.olds.share()+m.cfg.Worse, 0.98)
-	p1 := math.Min(m.olds.share()+3*m.cfg.Worse, 0.99)
+func (m *Migration) score() float64 {
+	p0 := math.Min(m.olds.share()+m.cfg.Tolerance, 0.98)
+	p1 := math.Min(m.olds.share()+3*m.cfg.Tolerance, 0.99)
 	failed, well := float64(m.news.failed), float64(m.news.all-m.news.failed)
 	return failed*math.Log(p1/p0) + well*math.Log((1-p1)/(1-p0))
 }
 
 // judge takes a step back as soon as the new pool has failed clearly more than the old one.
-func (m *Move) judge(now time.Duration) bool {
-	if m.phase == Resting && m.step < 0 || m.news.all < m.cfg.Least {
+func (m *Migration) judge(now time.Duration) bool {
+	if m.phase == BackingOff && m.step < 0 || m.news.all < m.cfg.MinResults {
 		return false
 	}
 	if m.score() <= alarm {
 		return false
 	}
 	m.backs++
-	if m.step--; m.backs >= m.cfg.Tries {
-		m.phase = Given
+	if m.step--; m.backs >= m.cfg.MaxAttempts {
+		m.phase = Abandoned
 	} else {
-		m.phase = Resting
+		m.phase = BackingOff
 	}
 	m.begin(now)
 	return true
 }
 
 // Step takes the time, and says whether the share has changed.
-func (m *Move) Step(now time.Duration) bool {
+func (m *Migration) Step(now time.Duration) bool {
 	if next := m.Next(); next == 0 || now < next {
 		return false
 	}
 	switch m.phase {
-	case Resting:
-		m.phase = Moving
+	case BackingOff:
+		m.phase = Advancing
 		if m.step < 0 { // nothing of the new pool was seen meanwhile: the first step anew
 			m.step = 0
 			m.begin(now)
 			return true
 		}
 		m.begin(now) // where it stands it must do well again
-	case Moving:
-		if m.news.all < m.cfg.Least || m.score() > 0 { // too few results, or more like a sick pool's: it stays
+	case Advancing:
+		if m.news.all < m.cfg.MinResults || m.score() > 0 { // too few results, or more like a sick pool's: it stays
 			return false
 		}
 		if m.step == len(m.cfg.Steps)-1 {
-			m.phase = Arrived
+			m.phase = Completed
 			return false
 		}
 		m.step++
@@ -181,14 +181,14 @@
 }
 
 // begin counts the new pool's results anew. The old one's stay: at the last step there are no others to compare with.
-func (m *Move) begin(now time.Duration) { m.since, m.news = now, window{} }
+func (m *Migration) begin(now time.Duration) { m.since, m.news = now, window{} }
 
 // Next is when Step may change something at the earliest; 0: never, but by results.
-func (m *Move) Next() time.Duration {
+func (m *Migration) Next() time.Duration {
 	switch m.phase {
-	case Moving:
+	case Advancing:
 		return m.since + m.cfg.Hold
-	case Resting:
+	case BackingOff:
 		return m.since + m.cfg.Hold<<min(m.backs, 10)
 	}
 	return 0
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -63,9 +63,9 @@
 	var tenth [10]int
 	same := 0
 	for i := range uint64(n) {
-		p := Place("lanes", i)
+		p := Position("lanes", i)
 		tenth[int(p*10)]++
-		if math.Abs(p-Place("lane", i)) < 0.01 {
+		if math.Abs(p-Position("lane", i)) < 0.01 {
 			same++
 		}
 	}
@@ -80,17 +80,17 @@
 }
 
 // drive sends results at a rate until a time: pools fail with the shares told.
-func drive(m *Move, rng *rand.Rand, from, length time.Duration, oldFails, newFails func(time.Duration) float64) (now time.Duration, changes int) {
+func drive(m *Migration, rng *rand.Rand, from, length time.Duration, oldFails, newFails func(time.Duration) float64) (now time.Duration, changes int) {
 	for now = from; now < from+length; now += 2 * time.Millisecond {
 		if m.Step(now) {
 			changes++
 		}
-		inNew := m.New(rng.Float64())
+		inNew := m.InNewPool(rng.Float64())
 		fails := oldFails(now - from)
 		if inNew {
 			fails = newFails(now - from)
 		}
-		if m.Result(now, inNew, rng.Float64() < fails) {
+		if m.RecordResult(now, inNew, rng.Float64() < fails) {
 			changes++
 		}
 	}
@@ -103,27 +103,27 @@
 
 // TestMoves plays moves to new pools of several kinds.
 func TestMoves(t *testing.T) {
-	cfg := MoveConfig{Hold: 10 * time.Second, Least: 20, Worse: 0.02}
+	cfg := MigrationConfig{Hold: 10 * time.Second, MinResults: 20, Tolerance: 0.02}
 	for _, c := range []struct {
 		name     string
 		old, new func(time.Duration) float64
 		phase    Phase
 		most     int // changes of the share
 	}{
-		{"a sound pool", always(0.01), always(0.01), Arrived, 4},
-		{"both fail alike", always(0.3), always(0.3), Arrived, 4},
-		{"a pool that fails all", always(0.01), always(1), Given, 6},
-		{"a pool that fails one in ten", always(0.01), always(0.1), Given, 8},
-		{"one that fails under load alone", always(0), func(at time.Duration) float64 { return 0.5 * math.Min(1, at.Seconds()/40) }, Given, 10},
+		{"a sound pool", always(0.01), always(0.01), Completed, 4},
+		{"both fail alike", always(0.3), always(0.3), Completed, 4},
+		{"a pool that fails all", always(0.01), always(1), Abandoned, 6},
+		{"a pool that fails one in ten", always(0.01), always(0.1), Abandoned, 8},
+		{"one that fails under load alone", always(0), func(at time.Duration) float64 { return 0.5 * math.Min(1, at.Seconds()/40) }, Abandoned, 10},
 		{"one that was sick for a while", always(0), func(at time.Duration) float64 {
 			if at > 15*time.Second && at < 25*time.Second {
 				return 0.5
 			}
 			return 0
-		}, Arrived, 8},
+		}, Completed, 8},
 	} {
 		for seed := range uint64(20) {
-			m := NewMove(start, cfg)
+			m := NewMigration(start, cfg)
 			_, changes := drive(m, rand.New(rand.NewPCG(seed, 1)), start, 10*time.Minute, c.old, c.new)
 			if m.Phase() != c.phase || changes > c.most {
 				t.Errorf("%s, seed %d: %v at %g after %d changes", c.name, seed, m.Phase(), m.Share(), changes)
@@ -136,7 +136,7 @@
 func TestEdge(t *testing.T) {
 	worst := 0
 	for seed := range uint64(50) {
-		m := NewMove(start, MoveConfig{Hold: 10 * time.Second, Least: 20, Worse: 0.02})
+		m := NewMigration(start, MigrationConfig{Hold: 10 * time.Second, MinResults: 20, Tolerance: 0.02})
 		_, changes := drive(m, rand.New(rand.NewPCG(seed, 2)), start, time.Hour/4, always(0.01), always(0.03))
 		worst = max(worst, changes)
 	}
@@ -149,28 +149,28 @@
 // TestMoveInvariants: whatever comes, the share is a step or 0, rises by one step at a time and not before Hold.
 func TestMoveInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := NewMove(start, MoveConfig{Hold: time.Second, Least: rapid.IntRange(1, 5).Draw(t, "least"), Tries: rapid.IntRange(1, 5).Draw(t, "tries")})
+		m := NewMigration(start, MigrationConfig{Hold: time.Second, MinResults: rapid.IntRange(1, 5).Draw(t, "least"), MaxAttempts: rapid.IntRange(1, 5).Draw(t, "tries")})
 		now, rose := start, start
 		place := rapid.Float64Range(0, 1).Draw(t, "an object")
 		for range rapid.IntRange(1, 400).Draw(t, "events") {
 			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * time.Millisecond
-			before, step, inNew := m.Share(), m.step, m.New(place)
+			before, step, inNew := m.Share(), m.step, m.InNewPool(place)
 			if rapid.Bool().Draw(t, "the time") {
 				m.Step(now)
 			} else {
-				m.Result(now, rapid.Bool().Draw(t, "in the new"), rapid.IntRange(0, 9).Draw(t, "luck") == 0)
+				m.RecordResult(now, rapid.Bool().Draw(t, "in the new"), rapid.IntRange(0, 9).Draw(t, "luck") == 0)
 			}
 			after := m.Share()
 			switch {
 			case after > before:
-				if m.step != step+1 || now-rose < time.Second || inNew && !m.New(place) {
+				if m.step != step+1 || now-rose < time.Second || inNew && !m.InNewPool(place) {
 					t.Fatalf("it rose from %g to %g, %v after the last change", before, after, now-rose)
 				}
 				rose = now
 			case after < before:
 				rose = now
 			}
-			if m.backs > m.cfg.Tries || m.phase == Given && after != 0 {
+			if m.backs > m.cfg.MaxAttempts || m.phase == Abandoned && after != 0 {
 				t.Fatalf("%v at %g after %d steps back", m.phase, after, m.backs)
 			}
 		}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -7,17 +7,17 @@
 	"time"
 )
 
-// Claim says which boxes are a pool's. What is empty fits any; a pool without a claim has the boxes that no other claims.
-type Claim struct {
+// Selector says which boxes are a pool's. What is empty fits any; a pool without a claim has the boxes that no other claims.
+type Selector struct {
 	Zones, Kinds []int
 	IDs          []string // patterns as path.Match takes them
 }
 
 // Empty says that there is no claim.
-func (c *Claim) Empty() bool { return len(c.Zones) == 0 && len(c.Kinds) == 0 && len(c.IDs) == 0 }
+func (c *Selector) Empty() bool { return len(c.Zones) == 0 && len(c.Kinds) == 0 && len(c.IDs) == 0 }
 
-// Fits says whether a box is claimed.
-func (c *Claim) Fits(id string, zone, kind int) bool {
+// Matches says whether a box is claimed.
+func (c *Selector) Matches(id string, zone, kind int) bool {
 	if len(c.Zones) > 0 && !slices.Contains(c.Zones, zone) || len(c.Kinds) > 0 && !slices.Contains(c.Kinds, kind) {
 		return false
 	}
@@ -29,24 +29,24 @@
 
 // Pool is one set of boxes with a decision module of its own.
 type Pool struct {
-	Name   string
-	Claims []Claim // a box is the pool's if any fits
-	Part   float64 // of what is divided among pools: connections, open requests; 0: an even part of the rest
+	Name      string
+	Selectors []Selector // a box is the pool's if any fits
+	Share     float64    // of what is divided among pools: connections, open requests; 0: an even part of the rest
 }
 
 // Plan is services and pools as written.
 type Plan struct {
-	Pools    []Pool // the first is for services that name none
-	Services map[string]string
-	Rules    []Rule
-	Moves    []MovePlan
+	Pools      []Pool // the first is for services that name none
+	Services   map[string]string
+	Rules      []Rule
+	Migrations []MigrationPlan
 }
 
-// MovePlan is a move as written.
-type MovePlan struct {
+// MigrationPlan is a move as written.
+type MigrationPlan struct {
 	Team   string
 	To     string // pool
-	Config MoveConfig
+	Config MigrationConfig
 }
 
 // Table decides, for each request, whose it is and which pool serves it; and for each box, which pools it is in. It is not safe
@@ -66,7 +66,7 @@
 type moving struct {
 	team string
 	to   int
-	*Move
+	*Migration
 }
 
 // Choice is where a request goes.
@@ -89,10 +89,10 @@
 			return nil, fmt.Errorf("the pool %s is named twice", pool.Name)
 		}
 		t.pools[pool.Name] = i
-		if sum += pool.Part; pool.Part == 0 {
+		if sum += pool.Share; pool.Share == 0 {
 			open++
 		}
-		for _, c := range pool.Claims {
+		for _, c := range pool.Selectors {
 			for _, id := range c.IDs {
 				if _, err := path.Match(id, ""); err != nil {
 					return nil, fmt.Errorf("the pool %s: box %q: %w", pool.Name, id, err)
@@ -104,8 +104,8 @@
 		return nil, fmt.Errorf("the parts of the pools come to %g, and nothing is left", sum)
 	}
 	for i := range t.plan.Pools {
-		if t.plan.Pools[i].Part == 0 {
-			t.plan.Pools[i].Part = (1 - sum) / float64(open)
+		if t.plan.Pools[i].Share == 0 {
+			t.plan.Pools[i].Share = (1 - sum) / float64(open)
 		}
 	}
 	for name, pool := range p.Services {
@@ -119,7 +119,7 @@
 	if t.rules, err = NewRules(p.Rules); err != nil {
 		return nil, err
 	}
-	for _, m := range p.Moves {
+	for _, m := range p.Migrations {
 		at, known := t.pools[m.To]
 		if !known || t.moves[m.Team] != nil {
 			return nil, fmt.Errorf("the move of %s: there is no pool %s, or the team is moved twice", m.Team, m.To)
@@ -130,7 +130,7 @@
 				return nil, fmt.Errorf("the move of %s: steps must rise from above 0 to 1", m.Team)
 			}
 		}
-		mv := &moving{m.Team, at, NewMove(now, m.Config)}
+		mv := &moving{m.Team, at, NewMigration(now, m.Config)}
 		t.moves[m.Team] = mv
 		t.order = append(t.order, mv)
 	}
@@ -146,18 +146,18 @@
 	c := Choice{Service: service, Pool: t.of[service]} // services without a line are the first pool's
 	if m := t.moves[team]; m != nil && c.Pool != m.to {
 		c.team = team
-		if c.inNew = m.New(Place(team, object)); c.inNew {
+		if c.inNew = m.InNewPool(Position(team, object)); c.inNew {
 			c.Pool = m.to
 		}
 	}
 	return c
 }
 
-// Ended takes how a request that Choose placed has ended; failed is the pool's fault. It says which team's share has changed; empty:
+// RecordResult takes how a request that Choose placed has ended; failed is the pool's fault. It says which team's share has changed; empty:
 // none.
-func (t *Table) Ended(now time.Duration, c Choice, failed bool) string {
+func (t *Table) RecordResult(now time.Duration, c Choice, failed bool) string {
 	if c.team != "" {
-		if m := t.moves[c.team]; m != nil && m.Result(now, c.inNew, failed) {
+		if m := t.moves[c.team]; m != nil && m.RecordResult(now, c.inNew, failed) {
 			return c.team
 		}
 	}
@@ -184,21 +184,21 @@
 	return next
 }
 
-// Moved tells how the move of a team stands.
-func (t *Table) Moved(team string) (share float64, phase Phase) {
+// MigrationStatus tells how the move of a team stands.
+func (t *Table) MigrationStatus(team string) (share float64, phase Phase) {
 	if m := t.moves[team]; m != nil {
 		return m.Share(), m.Phase()
 	}
-	return 0, Given
+	return 0, Abandoned
 }
 
-// In says whether a box is in a pool.
-func (t *Table) In(pool int, id string, zone, kind int) bool {
+// Contains says whether a box is in a pool.
+func (t *Table) Contains(pool int, id string, zone, kind int) bool {
 	fits := func(p *Pool) bool {
-		return slices.ContainsFunc(p.Claims, func(c Claim) bool { return c.Fits(id, zone, kind) })
+		return slices.ContainsFunc(p.Selectors, func(c Selector) bool { return c.Matches(id, zone, kind) })
 	}
 	p := &t.plan.Pools[pool]
-	if len(p.Claims) > 0 {
+	if len(p.Selectors) > 0 {
 		return fits(p)
 	}
 	for i := range t.plan.Pools {
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -10,10 +10,10 @@
 )
 
 func testPlan() Plan {
-	return Plan{Pools: []Pool{{Name: "main"}, {Name: "pictures", Claims: []Claim{{Zones: []int{1}, IDs: []string{"cam-*", "p?"}}, {Kinds: []int{2}}}, Part: 0.4}},
-		Services: map[string]string{"billing": "main", "cameras": "pictures"},
-		Rules:    []Rule{{Team: "cams", Service: "cameras"}, {Class: "charge", Service: "billing"}},
-		Moves:    []MovePlan{{"lanes", "pictures", MoveConfig{Steps: []float64{0.5, 1}, Hold: time.Second, Least: 2}}}}
+	return Plan{Pools: []Pool{{Name: "main"}, {Name: "pictures", Selectors: []Selector{{Zones: []int{1}, IDs: []string{"cam-*", "p?"}}, {Kinds: []int{2}}}, Share: 0.4}},
+		Services:   map[string]string{"billing": "main", "cameras": "pictures"},
+		Rules:      []Rule{{Team: "cams", Service: "cameras"}, {Class: "charge", Service: "billing"}},
+		Migrations: []MigrationPlan{{"lanes", "pictures", MigrationConfig{Steps: []float64{0.5, 1}, Hold: time.Second, MinResults: 2}}}}
 }
 
 // TestTable: requests by rule and move, boxes by claim, and what is wrong with a plan.
@@ -22,7 +22,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if parts := table.Pools(); parts[0].Part != 0.6 || parts[1].Part != 0.4 {
+	if parts := table.Pools(); parts[0].Share != 0.6 || parts[1].Share != 0.4 {
 		t.Errorf("parts: %v", parts)
 	}
 	for _, c := range []struct {
@@ -38,18 +38,18 @@
 		zone, kind int
 		main, pics bool
 	}{{"cam-1", 1, 0, false, true}, {"cam-1", 0, 0, true, false}, {"p7", 1, 1, false, true}, {"q7", 1, 1, true, false}, {"o", 0, 2, false, true}} {
-		if main, pics := table.In(0, c.id, c.zone, c.kind), table.In(1, c.id, c.zone, c.kind); main != c.main || pics != c.pics {
+		if main, pics := table.Contains(0, c.id, c.zone, c.kind), table.Contains(1, c.id, c.zone, c.kind); main != c.main || pics != c.pics {
 			t.Errorf("%+v: in main %v, in pictures %v", c, main, pics)
 		}
 	}
 	for want, change := range map[string]func(*Plan){
 		"no pool":                  func(p *Plan) { p.Pools = nil },
 		"named twice":              func(p *Plan) { p.Pools[1].Name = "main" },
-		"nothing is left":          func(p *Plan) { p.Pools[1].Part = 1 },
+		"nothing is left":          func(p *Plan) { p.Pools[1].Share = 1 },
 		"there is no pool nowhere": func(p *Plan) { p.Services["x"] = "nowhere" },
-		"syntax error in pattern":  func(p *Plan) { p.Pools[1].Claims[0].IDs[0] = "[" },
-		"moved twice":              func(p *Plan) { p.Moves = append(p.Moves, p.Moves[0]) },
-		"steps must rise":          func(p *Plan) { p.Moves[0].Config.Steps = []float64{0.5, 0.4, 1} },
+		"syntax error in pattern":  func(p *Plan) { p.Pools[1].Selectors[0].IDs[0] = "[" },
+		"moved twice":              func(p *Plan) { p.Migrations = append(p.Migrations, p.Migrations[0]) },
+		"steps must rise":          func(p *Plan) { p.Migrations[0].Config.Steps = []float64{0.5, 0.4, 1} },
 		"rule 1: no service":       func(p *Plan) { p.Rules[0].Service = "" },
 	} {
 		p := testPlan()
@@ -70,21 +70,21 @@
 		now, moved := start, map[uint64]bool{}
 		for range rapid.IntRange(1, 200).Draw(t, "requests") {
 			now += time.Duration(rapid.IntRange(0, 200).Draw(t, "pause")) * time.Millisecond
-			share, _ := table.Moved("lanes")
+			share, _ := table.MigrationStatus("lanes")
 			table.Step(now)
 			object := uint64(rapid.IntRange(0, 50).Draw(t, "object"))
 			c := table.Choose("lanes", "lookup", "", object)
 			if again := table.Choose("lanes", "lookup", "", object); again != c {
 				t.Fatal("the same request goes elsewhere")
 			}
-			if after, _ := table.Moved("lanes"); after < share {
+			if after, _ := table.MigrationStatus("lanes"); after < share {
 				clear(moved)
 			}
 			if moved[object] && c.Pool != 1 {
 				t.Fatalf("the object %d was moved and came back", object)
 			}
 			moved[object] = c.Pool == 1
-			if table.Ended(now, c, rapid.IntRange(0, 19).Draw(t, "luck") == 0) != "" {
+			if table.RecordResult(now, c, rapid.IntRange(0, 19).Draw(t, "luck") == 0) != "" {
 				clear(moved)
 			}
 		}
