--- a/internal/drill/liar.go
+++ b/internal/drill/liar.go
@@ -32,7 +32,7 @@
 type liar struct {
 	w     *World
 	n     int // of the liars, from 0
-	link  *transport.Link
+	link  *transport.Transport
 	relay *Relay
 	boxes []membership.Box // of the lie, in order
 	peers []peer.Member
@@ -60,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if l.link, err = transport.Open(cfg, transport.Self{Name: fmt.Sprint("liar", l.n), Zone: fmt.Sprintf("p%d", plaza), Epoch: rand.Uint64()}, l); err != nil {
+	if l.link, err = transport.Open(cfg, transport.Identity{Name: fmt.Sprint("liar", l.n), Zone: fmt.Sprintf("p%d", plaza), Incarnation: rand.Uint64()}, l); err != nil {
 		return nil, err
 	}
 	go l.run()
@@ -95,14 +95,14 @@
 	}
 }
 
-// Live takes who is there.
-func (l *liar) Live(members []peer.Member) { l.told <- func() { l.peers = members } }
+// MembersChanged takes who is there.
+func (l *liar) MembersChanged(members []peer.Member) { l.told <- func() { l.peers = members } }
 
 // Log has none.
 func (l *liar) Log(string, ...any) {}
 
-// Message serves the lie.
-func (l *liar) Message(from string, body []byte) {
+// MessageReceived serves the lie.
+func (l *liar) MessageReceived(from string, body []byte) {
 	var m bootstrap.Message
 	if transport.Decode(body, &m) != nil || m.Want == nil {
 		return
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -20,7 +20,7 @@
 // Member is one doorman of the fleet.
 type Member struct {
 	Name, Zone, Program string
-	Epoch               uint64
+	Incarnation         uint64
 	Key                 string // of the signatures of this life
 }
 
@@ -29,11 +29,11 @@
 
 // The verdicts.
 const (
-	Known     Verdict = iota // nothing is new
-	Joined                   // it was not there
-	Restarted                // another life of one that was
-	Conflict                 // it contradicts what is pinned, and changes nothing
-	Full                     // there is no place for it
+	Unchanged  Verdict = iota // nothing is new
+	Joined                    // it was not there
+	Restarted                 // another life of one that was
+	Conflict                  // it contradicts what is pinned, and changes nothing
+	NoCapacity                // there is no place for it
 )
 
 // String gives the word of the log.
@@ -62,32 +62,32 @@
 	return &View{most: most, self: self, members: map[string]*state{}}
 }
 
-// Meet takes a word that a member lives.
-func (v *View) Meet(m Member) Verdict {
+// Observe takes a word that a member lives.
+func (v *View) Observe(m Member) Verdict {
 	if m.Name == v.self || m.Name == "" {
-		return Known
+		return Unchanged
 	}
 	s := v.members[m.Name]
 	switch {
 	case s == nil && len(v.members) >= v.most:
-		return Full
+		return NoCapacity
 	case s == nil:
 		v.members[m.Name] = &state{Member: m}
 		return Joined
-	case m.Epoch == s.Epoch && m.Key != s.Key:
+	case m.Incarnation == s.Incarnation && m.Key != s.Key:
 		return Conflict
-	case m.Epoch == s.Epoch:
+	case m.Incarnation == s.Incarnation:
 		s.Zone, s.Program = m.Zone, m.Program
-		return Known
+		return Unchanged
 	}
 	v.members[m.Name] = &state{Member: m}
 	return Restarted
 }
 
-// Part takes a word that a life of a member is gone, and says whether it was there. One life's end says nothing of another.
-func (v *View) Part(name string, epoch uint64) bool {
+// Remove takes a word that a life of a member is gone, and says whether it was there. One life's end says nothing of another.
+func (v *View) Remove(name string, epoch uint64) bool {
 	s := v.members[name]
-	if s == nil || epoch != s.Epoch {
+	if s == nil || epoch != s.Incarnation {
 		return false
 	}
 	delete(v.members, name)
@@ -97,16 +97,16 @@
 // Key gives the key by which a member's words of a life are to be signed.
 func (v *View) Key(name string, epoch uint64) (string, bool) {
 	s := v.members[name]
-	if s == nil || s.Epoch != epoch {
+	if s == nil || s.Incarnation != epoch {
 		return "", false
 	}
 	return s.Key, true
 }
 
-// Accept says whether a member's word with a number, whose signature is right, is heard for the first time.
-func (v *View) Accept(name string, epoch, number uint64) bool {
+// AcceptMessage says whether a member's word with a number, whose signature is right, is heard for the first time.
+func (v *View) AcceptMessage(name string, epoch, number uint64) bool {
 	s := v.members[name]
-	if s == nil || s.Epoch != epoch || number == 0 {
+	if s == nil || s.Incarnation != epoch || number == 0 {
 		return false
 	}
 	if number > s.latest {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -21,21 +21,21 @@
 			old, there := lives[name]
 			switch rapid.IntRange(0, 3).Draw(t, "what") {
 			case 0:
-				m := Member{Name: name, Epoch: epoch, Key: rapid.SampledFrom([]string{"k1", "k2"}).Draw(t, "key")}
+				m := Member{Name: name, Incarnation: epoch, Key: rapid.SampledFrom([]string{"k1", "k2"}).Draw(t, "key")}
 				want := Joined
 				switch {
 				case name == "me" || name == "":
-					want = Known
+					want = Unchanged
 				case !there && len(lives) >= most:
-					want = Full
-				case there && epoch != old.Epoch:
+					want = NoCapacity
+				case there && epoch != old.Incarnation:
 					want = Restarted
 				case there && m.Key != old.Key:
 					want = Conflict
 				case there:
-					want = Known
+					want = Unchanged
 				}
-				if got := v.Meet(m); got != want {
+				if got := v.Observe(m); got != want {
 					t.Fatalf("%+v beside %+v: %v, want %v", m, old, got, want)
 				}
 				if want == Joined || want == Restarted {
@@ -46,8 +46,8 @@
 					delete(latest, life)
 				}
 			case 1:
-				want := there && epoch == old.Epoch
-				if got := v.Part(name, epoch); got != want {
+				want := there && epoch == old.Incarnation
+				if got := v.Remove(name, epoch); got != want {
 					t.Fatalf("end of %s beside %+v: %v, want %v", life, old, got, want)
 				}
 				if want {
@@ -56,14 +56,14 @@
 			default:
 				number := rapid.Uint64Range(0, 200).Draw(t, "number")
 				id := fmt.Sprint(life, " ", number)
-				want := there && old.Epoch == epoch && number > 0 && !heard[id] && number+window > latest[life]
-				if got := v.Accept(name, epoch, number); got != want {
+				want := there && old.Incarnation == epoch && number > 0 && !heard[id] && number+window > latest[life]
+				if got := v.AcceptMessage(name, epoch, number); got != want {
 					t.Fatalf("number %d of %s, latest %d: %v, want %v", number, life, latest[life], got, want)
 				}
 				if want {
 					heard[id], latest[life] = true, max(latest[life], number)
 				}
-				if key, ok := v.Key(name, epoch); ok != (there && old.Epoch == epoch) || ok && key != old.Key {
+				if key, ok := v.Key(name, epoch); ok != (there && old.Incarnation == epoch) || ok && key != old.Key {
 					t.Fatalf("key of %s: %q %v", life, key, ok)
 				}
 			}
--- a/internal/peer/transport/transport.go
+++ b/internal/peer/transport/transport.go
@@ -37,9 +37,9 @@
 	Listen, Advertise string // host:port, TCP and UDP; the second empty: the first
 	Seeds             []string
 	KeyFile           string
-	Remember          string // file of addresses of others; empty: none
-	Askers, Fleet     int    // see package start
-	MembersMost       int
+	MembersFile       string // file of addresses of others; empty: none
+	Pollers, Fleet    int    // see package start
+	MaxMembers        int
 	keys              [][]byte
 }
 
@@ -52,21 +52,21 @@
 
 // Section gives the directives of the block.
 func (c *Config) Section() *config.Section {
-	c.Askers, c.MembersMost = 3, 2000
+	c.Pollers, c.MaxMembers = 3, 2000
 	s := &config.Section{}
 	s.Text("listen", &c.Listen, address, "where other doormans reach this one, by TCP and UDP")
 	s.Text("advertise", &c.Advertise, address, "the same as they see it, where it differs")
 	s.Words("seed", &c.Seeds, address, "addresses of some doormans; a few that start first will do")
 	s.Text("key-file", &c.KeyFile, nil, "file with the fleet's keys, 16, 24 or 32 bytes in base64, a line each; the first encrypts")
-	s.Text("remember", &c.Remember, func(path string) error {
+	s.Text("remember", &c.MembersFile, func(path string) error {
 		if info, err := os.Stat(filepath.Dir(path)); err != nil || !info.IsDir() {
 			return fmt.Errorf("%.120s is in no folder", path)
 		}
 		return nil
 	}, "file, on a disk that lasts, of some addresses of others: seeds of the next start")
-	s.Int("askers", &c.Askers, 1, 100, "doormans of a zone that ask the list service")
+	s.Int("askers", &c.Pollers, 1, 100, "doormans of a zone that ask the list service")
 	s.Int("fleet", &c.Fleet, 0, 100_000, "doormans that there are, for the time over which they ask where no peer is heard; 0: as the platform's settings tell")
-	s.Int("most", &c.MembersMost, 1, 100_000, "other doormans that are remembered")
+	s.Int("most", &c.MaxMembers, 1, 100_000, "other doormans that are remembered")
 	s.Check(func() (err error) {
 		if c.Listen == "" || c.KeyFile == "" {
 			return errors.New("listen and key-file are needed")
@@ -128,26 +128,26 @@
 	rejoinEvery  = 15 * time.Second // of a seed that is not in view: two halves that lost each other meet again
 )
 
-// Self is who this doorman is.
-type Self struct {
+// Identity is who this doorman is.
+type Identity struct {
 	Name, Zone, Program string
-	Epoch               uint64
+	Incarnation         uint64
 	Fleet               int          // doormans that there are, as told
 	Bind                *net.TCPAddr // that connections come from; nil: the listen address
 }
 
-// Told takes what the link hears; it is called on goroutines of the link's own, one call at a time.
-type Told interface {
-	Live(members []peer.Member)
-	Message(from string, body []byte)
+// Receiver takes what the link hears; it is called on goroutines of the link's own, one call at a time.
+type Receiver interface {
+	MembersChanged(members []peer.Member)
+	MessageReceived(from string, body []byte)
 	Log(event string, fields ...any)
 }
 
-// Link is a doorman's place in the fleet.
-type Link struct {
+// Transport is a doorman's place in the fleet.
+type Transport struct {
 	cfg     Config
-	self    Self
-	told    Told
+	self    Identity
+	told    Receiver
 	list    *memberlist.Memberlist
 	private ed25519.PrivateKey
 	meta    []byte
@@ -163,11 +163,11 @@
 	number  uint64
 	state   []byte // the message that goes along with an exchange; nil: none
 	changed chan struct{}
-	Sent    Count // by this doorman
+	Sent    Counters // by this doorman
 }
 
-// Count is messages and bytes, and what was dropped for want of room or not heard.
-type Count struct{ Messages, Bytes, Dropped, Unheard uint64 }
+// Counters is messages and bytes, and what was dropped for want of room or not heard.
+type Counters struct{ Messages, Bytes, Dropped, Rejected uint64 }
 
 // incoming is a message as it came: as itself, or with an exchange of all that two members know.
 type incoming struct {
@@ -222,20 +222,20 @@
 var handle = codec.MsgpackHandle{BasicHandle: codec.BasicHandle{DecodeOptions: codec.DecodeOptions{MaxInitLen: 1024}}}
 
 // Open joins the fleet; it goes on trying until Close.
-func Open(cfg Config, self Self, told Told) (*Link, error) {
+func Open(cfg Config, self Identity, told Receiver) (*Transport, error) {
 	public, private, err := ed25519.GenerateKey(rand.Reader)
 	if err != nil {
 		return nil, err
 	}
-	l := &Link{cfg: cfg, self: self, told: told, private: private, view: peer.NewView(self.Name, cfg.MembersMost),
+	l := &Transport{cfg: cfg, self: self, told: told, private: private, view: peer.NewView(self.Name, cfg.MaxMembers),
 		nodes: map[string]*memberlist.Node{}, out: make(chan outgoing, outMost), in: make(chan incoming, inMost), changed: make(chan struct{}, 1)}
-	if l.meta, err = Encode(meta{self.Zone, self.Program, self.Epoch, public}); err != nil {
+	if l.meta, err = Encode(meta{self.Zone, self.Program, self.Incarnation, public}); err != nil {
 		return nil, err
 	}
 	if len(l.meta) > metaMost {
 		return nil, fmt.Errorf("peers: what is told of this doorman has %d bytes, at most %d may be", len(l.meta), metaMost)
 	}
-	l.seeds = append(slices.Clone(cfg.Seeds), remembered(cfg.Remember)...)
+	l.seeds = append(slices.Clone(cfg.Seeds), remembered(cfg.MembersFile)...)
 	l.ctx, l.end = context.WithCancel(context.Background())
 	at := netip.MustParseAddrPort(cfg.Listen)
 	seen := at
@@ -298,7 +298,7 @@
 
 // join asks seeds to be let in. One is not enough at first: those that start together after a power cut are each other's seeds, and
 // would be an island beside those that lived on. Later it asks, now and then, one that is not in view.
-func (l *Link) join() {
+func (l *Transport) join() {
 	began, wait, joined := time.Now(), joinFirst, 0
 	// A seed takes in one after another, each with all that it knows of the others.
 	select {
@@ -350,7 +350,7 @@
 }
 
 // remember writes addresses of others, the newest view's, drawn by lot so that not all doormans come to the same ones.
-func (l *Link) remember() {
+func (l *Transport) remember() {
 	var all []string
 	for _, n := range l.list.Members() {
 		if n.Name != l.self.Name {
@@ -362,10 +362,10 @@
 	}
 	mathrand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	text := strings.Join(all[:min(len(all), rememberMost)], "\n") + "\n"
-	next := l.cfg.Remember + ".new"
+	next := l.cfg.MembersFile + ".new"
 	err := os.WriteFile(next, []byte(text), 0o600)
 	if err == nil {
-		err = os.Rename(next, l.cfg.Remember)
+		err = os.Rename(next, l.cfg.MembersFile)
 	}
 	if err != nil {
 		l.told.Log("peers-failed", "error", err)
@@ -373,7 +373,7 @@
 }
 
 // Send sends a message to a member, or drops it where it can't be sent soon. It does not wait.
-func (l *Link) Send(to string, body []byte) {
+func (l *Transport) Send(to string, body []byte) {
 	select {
 	case l.out <- outgoing{to, body}:
 	default:
@@ -383,7 +383,7 @@
 	}
 }
 
-func (l *Link) send() {
+func (l *Transport) send() {
 	var places = make(chan struct{}, 16) // connections at once
 	for {
 		var o outgoing
@@ -395,7 +395,7 @@
 		l.mu.Lock()
 		node := l.nodes[o.to]
 		l.number++
-		e := envelope{From: l.self.Name, Epoch: l.self.Epoch, Number: l.number, To: o.to, Body: o.body}
+		e := envelope{From: l.self.Name, Epoch: l.self.Incarnation, Number: l.number, To: o.to, Body: o.body}
 		l.mu.Unlock()
 		if node == nil {
 			continue
@@ -423,7 +423,7 @@
 }
 
 // sign gives this life's signature of a message.
-func (l *Link) sign(e *envelope) []byte { return ed25519.Sign(l.private, e.signed()) }
+func (l *Transport) sign(e *envelope) []byte { return ed25519.Sign(l.private, e.signed()) }
 
 // signed is what the signature is of.
 func (e *envelope) signed() []byte {
@@ -432,7 +432,7 @@
 }
 
 // read checks what has come and hands it on.
-func (l *Link) read() {
+func (l *Transport) read() {
 	for {
 		select {
 		case m := <-l.in:
@@ -443,18 +443,18 @@
 			}
 			if Decode(m.packet, &e) != nil || e.To != to || !l.accept(&e) {
 				l.mu.Lock()
-				l.Sent.Unheard++
+				l.Sent.Rejected++
 				l.mu.Unlock()
 				continue
 			}
-			l.told.Message(e.From, e.Body)
+			l.told.MessageReceived(e.From, e.Body)
 		case <-l.ctx.Done():
 			return
 		}
 	}
 }
 
-func (l *Link) accept(e *envelope) bool {
+func (l *Transport) accept(e *envelope) bool {
 	l.mu.Lock()
 	key, ok := l.view.Key(e.From, e.Epoch)
 	l.mu.Unlock()
@@ -463,11 +463,11 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.view.Accept(e.From, e.Epoch, e.Number)
+	return l.view.AcceptMessage(e.From, e.Epoch, e.Number)
 }
 
 // tell tells who lives, a moment after it changed, so that a herd's joining is told in one.
-func (l *Link) tell() {
+func (l *Transport) tell() {
 	var written time.Time
 	for {
 		select {
@@ -479,8 +479,8 @@
 		l.mu.Lock()
 		members := l.view.Members()
 		l.mu.Unlock()
-		l.told.Live(members)
-		if l.cfg.Remember != "" && time.Since(written) > rememberGap {
+		l.told.MembersChanged(members)
+		if l.cfg.MembersFile != "" && time.Since(written) > rememberGap {
 			written = time.Now()
 			l.remember()
 		}
@@ -488,30 +488,30 @@
 }
 
 // Leave tells the others that this doorman goes, for at most a time.
-func (l *Link) Leave(limit time.Duration) { _ = l.list.Leave(limit) }
+func (l *Transport) Leave(limit time.Duration) { _ = l.list.Leave(limit) }
 
 // Close ends the link.
-func (l *Link) Close() {
+func (l *Transport) Close() {
 	l.end()
 	_ = l.list.Shutdown()
 }
 
 // SetState sets the message that goes along where two members exchange all that they know.
-func (l *Link) SetState(body []byte) {
+func (l *Transport) SetState(body []byte) {
 	l.mu.Lock()
 	l.state = body
 	l.mu.Unlock()
 }
 
-// Stand is how the link stands, for operators.
-func (l *Link) Stand() (members []peer.Member, sent Count) {
+// Status is how the link stands, for operators.
+func (l *Transport) Status() (members []peer.Member, sent Counters) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.view.Members(), l.Sent
 }
 
 // delegate is what memberlist calls.
-type delegate struct{ *Link }
+type delegate struct{ *Transport }
 
 // NodeMeta gives what is told of this doorman.
 func (d delegate) NodeMeta(int) []byte { return d.meta }
@@ -535,7 +535,7 @@
 	d.mu.Lock()
 	body := d.state
 	d.number++
-	e := envelope{From: d.self.Name, Epoch: d.self.Epoch, Number: d.number, Body: body}
+	e := envelope{From: d.self.Name, Epoch: d.self.Incarnation, Number: d.number, Body: body}
 	d.mu.Unlock()
 	if body == nil {
 		return nil
@@ -569,7 +569,7 @@
 		return
 	}
 	d.mu.Lock()
-	parted := d.view.Part(n.Name, m.Epoch)
+	parted := d.view.Remove(n.Name, m.Epoch)
 	if parted {
 		delete(d.nodes, n.Name)
 	}
@@ -586,8 +586,8 @@
 		return
 	}
 	d.mu.Lock()
-	verdict := d.view.Meet(peer.Member{Name: n.Name, Zone: m.Zone, Program: m.Program, Epoch: m.Epoch, Key: string(m.Key)})
-	if verdict != peer.Conflict && verdict != peer.Full && n.Name != d.self.Name {
+	verdict := d.view.Observe(peer.Member{Name: n.Name, Zone: m.Zone, Program: m.Program, Incarnation: m.Epoch, Key: string(m.Key)})
+	if verdict != peer.Conflict && verdict != peer.NoCapacity && n.Name != d.self.Name {
 		copied := *n
 		d.nodes[n.Name] = &copied
 	}
@@ -595,7 +595,7 @@
 	switch verdict {
 	case peer.Joined, peer.Restarted:
 		d.told.Log("peer-lives", "peer", n.Name, "zone", m.Zone, "epoch", m.Epoch, "was", verdict)
-	case peer.Conflict, peer.Full:
+	case peer.Conflict, peer.NoCapacity:
 		d.told.Log("peer-refused", "peer", n.Name, "zone", m.Zone, "epoch", m.Epoch, "why", verdict)
 	}
 	d.notice()
--- a/internal/peer/transport/transport_test.go
+++ b/internal/peer/transport/transport_test.go
@@ -22,7 +22,7 @@
 	messages []string
 }
 
-func (e *ear) Live(members []peer.Member) {
+func (e *ear) MembersChanged(members []peer.Member) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.live = map[string]bool{}
@@ -31,7 +31,7 @@
 	}
 }
 
-func (e *ear) Message(from string, body []byte) {
+func (e *ear) MessageReceived(from string, body []byte) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.messages = append(e.messages, from+" "+string(body))
@@ -82,7 +82,7 @@
 	return path
 }
 
-func (f *fleet) open(n int, name, key string, remember string) (*Link, *ear) {
+func (f *fleet) open(n int, name, key string, remember string) (*Transport, *ear) {
 	f.t.Helper()
 	ln, err := net.Listen("tcp", fmt.Sprintf("%s.%d:0", f.base, n))
 	if err != nil {
@@ -100,9 +100,9 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	cfg.Remember = remember
+	cfg.MembersFile = remember
 	e := &ear{}
-	l, err := Open(cfg, Self{Name: name, Zone: "z", Epoch: rand.Uint64(), Fleet: 4}, e)
+	l, err := Open(cfg, Identity{Name: name, Zone: "z", Incarnation: rand.Uint64(), Fleet: 4}, e)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -134,8 +134,8 @@
 	a.Send("b", []byte(large))
 	f.until("both came", func() bool { return earB.heard("a small") == 1 && earB.heard("a "+large) == 1 })
 	// c forges a word of a's, and passes one of its own to b that was meant for a.
-	for _, e := range []envelope{{From: "a", Epoch: a.self.Epoch, Number: 1000, To: "b", Body: []byte("forged")},
-		{From: "c", Epoch: c.self.Epoch, Number: 1000, To: "a", Body: []byte("passed on")}} {
+	for _, e := range []envelope{{From: "a", Epoch: a.self.Incarnation, Number: 1000, To: "b", Body: []byte("forged")},
+		{From: "c", Epoch: c.self.Incarnation, Number: 1000, To: "a", Body: []byte("passed on")}} {
 		e.Sig = c.sign(&e)
 		packet, err := Encode(e)
 		if err != nil {
@@ -146,7 +146,7 @@
 		}
 	}
 	// One that is right, twice; and noise.
-	e := envelope{From: "c", Epoch: c.self.Epoch, Number: 1001, To: "b", Body: []byte("once")}
+	e := envelope{From: "c", Epoch: c.self.Incarnation, Number: 1001, To: "b", Body: []byte("once")}
 	e.Sig = c.sign(&e)
 	packet, _ := Encode(e)
 	rng := rand.New(rand.NewPCG(1, 1))
--- a/internal/proxy/herd.go
+++ b/internal/proxy/herd.go
@@ -19,8 +19,8 @@
 type herd struct {
 	sources *sources
 	machine *bootstrap.Machine
-	link    *transport.Link    // nil: no peers
-	tapped  []*membership.List // by list: what the service told last, while the table has not judged it
+	link    *transport.Transport // nil: no peers
+	tapped  []*membership.List   // by list: what the service told last, while the table has not judged it
 	stepped time.Duration
 }
 
@@ -36,12 +36,12 @@
 		cfg.Zone = site.ZoneNames[site.Zone]
 	}
 	if own := p.own.Peers; own != nil {
-		cfg.Peers, cfg.Askers = true, own.Askers
+		cfg.Peers, cfg.Askers = true, own.Pollers
 		if own.Fleet > 0 {
 			cfg.Fleet = own.Fleet
 		}
 		var err error
-		if h.link, err = transport.Open(*own, transport.Self{Name: cfg.Name, Zone: cfg.Zone, Program: program(), Epoch: cfg.Epoch, Fleet: cfg.Fleet, Bind: p.own.from()}, h); err != nil {
+		if h.link, err = transport.Open(*own, transport.Identity{Name: cfg.Name, Zone: cfg.Zone, Program: program(), Incarnation: cfg.Epoch, Fleet: cfg.Fleet, Bind: p.own.from()}, h); err != nil {
 			// What others know is a help and no need: without it the doorman asks by itself.
 			d.log.Event("peers-failed", "error", err)
 			cfg.Peers = false
@@ -65,8 +65,8 @@
 	return info.Main.Version
 }
 
-// Live takes who else lives. It is called by the link.
-func (h *herd) Live(members []peer.Member) {
+// MembersChanged takes who else lives. It is called by the link.
+func (h *herd) MembersChanged(members []peer.Member) {
 	peers := make([]bootstrap.Peer, 0, len(members))
 	for _, m := range members {
 		peers = append(peers, bootstrap.Peer{Name: m.Name, Zone: m.Zone})
@@ -74,9 +74,9 @@
 	h.sources.doorman.loop.Post(func() { h.carry(h.machine.Live(monotonicNow(), peers)) })
 }
 
-// Message takes what a peer has sent and returns once the loop has it, so that no more is read than it can take. It is called by
+// MessageReceived takes what a peer has sent and returns once the loop has it, so that no more is read than it can take. It is called by
 // the link.
-func (h *herd) Message(from string, body []byte) {
+func (h *herd) MessageReceived(from string, body []byte) {
 	var m bootstrap.Message
 	if err := transport.Decode(body, &m); err != nil {
 		h.Log("peer-refused", "peer", from, "why", err)
@@ -212,9 +212,9 @@
 	if h.link == nil {
 		return
 	}
-	members, sent := h.link.Stand()
-	fmt.Fprintf(out, "sent %d messages, %d bytes; %d dropped, %d not heard\n", sent.Messages, sent.Bytes, sent.Dropped, sent.Unheard)
+	members, sent := h.link.Status()
+	fmt.Fprintf(out, "sent %d messages, %d bytes; %d dropped, %d not heard\n", sent.Messages, sent.Bytes, sent.Dropped, sent.Rejected)
 	for _, m := range members {
-		fmt.Fprintf(out, "peer %s zone %s epoch %d program %s\n", m.Name, m.Zone, m.Epoch, m.Program)
+		fmt.Fprintf(out, "peer %s zone %s epoch %d program %s\n", m.Name, m.Zone, m.Incarnation, m.Program)
 	}
 }
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -52,7 +52,7 @@
 	kept      time.Duration // when the last housekeeping was
 	tallied   time.Duration // when the depots' tallies were last logged
 	signals   chan os.Signal
-	leaving   shutdown.Leave
+	leaving   shutdown.Sequence
 	steady    clock.Keeper
 	stopped   bool
 	known     bool // see knowsBoxes
@@ -66,7 +66,7 @@
 	debug.SetGCPercent(300)                 // within that: eight collections a second were measured at full load
 	// The loop never parks its goroutine. With one P, dials beside it were seen only each 10 ms and took 25 to 50 ms.
 	runtime.GOMAXPROCS(max(2, runtime.GOMAXPROCS(0)))
-	d := &doorman{plan: p, log: log, leaving: shutdown.Leave{Longest: s.Longest()}, signals: make(chan os.Signal, 8)}
+	d := &doorman{plan: p, log: log, leaving: shutdown.Sequence{LongestDeadline: s.Longest()}, signals: make(chan os.Signal, 8)}
 	signal.Notify(d.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	if p.own.Contracts != nil {
 		d.contracts = p.own.Contracts.Ledger()
@@ -136,7 +136,7 @@
 // enter takes what a front has: a request meets the door first, where there is one.
 func (d *doorman) enter(e broker.Event) {
 	if a, ok := e.(broker.RequestReceived); ok {
-		a.Request.Timeout = d.leaving.Limit(monotonicNow(), a.Request.Timeout)
+		a.Request.Timeout = d.leaving.TimeoutFor(monotonicNow(), a.Request.Timeout)
 		if d.door != nil {
 			d.door.arrive(a.Request)
 			return
@@ -215,22 +215,22 @@
 
 // end does what the end wants next.
 func (d *doorman) end(now time.Duration) {
-	held := shutdown.Held{Open: d.open(), Clients: d.front.Clients(), Unsent: d.loop.Outbound(), Others: !d.list.left()}
+	held := shutdown.Load{Open: d.open(), Clients: d.front.Clients(), Unsent: d.loop.Outbound(), Blocked: !d.list.left()}
 	if d.dns != nil {
 		held.Clients += d.dns.Clients()
 	}
 	switch d.leaving.Step(now, held) {
-	case shutdown.Dismiss:
+	case shutdown.CloseIdle:
 		d.front.Dismiss()
 		if d.dns != nil {
 			d.dns.Dismiss()
 		}
-	case shutdown.Cut:
+	case shutdown.FailInFlight:
 		for _, p := range d.pools {
 			p.emit(broker.FailInFlight{})
 		}
 		d.loop.NeedRound()
-	case shutdown.Stop:
+	case shutdown.Exit:
 		d.stopped = true
 		d.log.Event("left", "open", held.Open, "clients", held.Clients, "unsent", held.Unsent)
 		d.loop.Stop()
--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -25,35 +25,35 @@
 	grace = time.Second
 )
 
-// Held is what the doorman holds.
-type Held struct {
+// Load is what the doorman holds.
+type Load struct {
 	Open    int  // requests without an end
 	Clients int  // connections of clients
 	Unsent  int  // bytes of answers that the system has not taken
-	Others  bool // something else has to end first
+	Blocked bool // something else has to end first
 }
 
-// Do is what there is to do.
-type Do int
+// Action is what there is to do.
+type Action int
 
 // What there is to do, each beside what came before it.
 const (
-	Stay    Do = iota // nothing
-	Dismiss           // close the connections of clients that have nothing open
-	Cut               // end all requests that are open
-	Stop              // end the program
+	KeepServing  Action = iota // nothing
+	CloseIdle                  // close the connections of clients that have nothing open
+	FailInFlight               // end all requests that are open
+	Exit                       // end the program
 )
 
-// Leave is the end of one doorman. The zero value has not begun; Longest is to be set.
-type Leave struct {
-	Longest time.Duration // deadline of a class
-	begun   bool
-	since   time.Duration
-	alone   time.Duration // since when no client is there; 0: one is
+// Sequence is the end of one doorman. The zero value has not begun; Longest is to be set.
+type Sequence struct {
+	LongestDeadline time.Duration // deadline of a class
+	begun           bool
+	since           time.Duration
+	alone           time.Duration // since when no client is there; 0: one is
 }
 
 // Begin notes the signal; a second one changes nothing. It says whether it was the first.
-func (l *Leave) Begin(now time.Duration) bool {
+func (l *Sequence) Begin(now time.Duration) bool {
 	if l.begun {
 		return false
 	}
@@ -62,21 +62,21 @@
 }
 
 // Begun says whether the signal came.
-func (l *Leave) Begun() bool { return l.begun }
+func (l *Sequence) Begun() bool { return l.begun }
 
-// Limit is how long a request that comes now may wait, of the limit that its client told.
-func (l *Leave) Limit(now, limit time.Duration) time.Duration {
+// TimeoutFor is how long a request that comes now may wait, of the limit that its client told.
+func (l *Sequence) TimeoutFor(now, limit time.Duration) time.Duration {
 	if !l.begun || now-l.since < lateFrom {
 		return limit
 	}
-	end := l.since + min(l.Longest, killAt) + lateFrom - early
+	end := l.since + min(l.LongestDeadline, killAt) + lateFrom - early
 	return min(limit, max(least, end-now))
 }
 
 // Step says what to do now.
-func (l *Leave) Step(now time.Duration, h Held) Do {
+func (l *Sequence) Step(now time.Duration, h Load) Action {
 	if !l.begun {
-		return Stay
+		return KeepServing
 	}
 	if h.Clients > 0 {
 		l.alone = 0
@@ -84,15 +84,15 @@
 		l.alone = max(1, now)
 	}
 	past := now - l.since
-	switch end := max(clientsFor, l.Longest+lateFrom); {
+	switch end := max(clientsFor, l.LongestDeadline+lateFrom); {
 	case past >= end+grace:
-		return Stop
+		return Exit
 	case past >= end && h.Open > 0:
-		return Cut
+		return FailInFlight
 	case past < clientsFor:
-		return Stay
-	case h.Open == 0 && h.Unsent == 0 && !h.Others && l.alone > 0 && now-l.alone >= crossing:
-		return Stop
+		return KeepServing
+	case h.Open == 0 && h.Unsent == 0 && !h.Blocked && l.alone > 0 && now-l.alone >= crossing:
+		return Exit
 	}
-	return Dismiss
+	return CloseIdle
 }
