--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -34,23 +34,23 @@
 
 // Config is the settings of a Machine.
 type Config struct {
-	Name    string
-	Epoch   uint64 // of this process: another one with each start
-	Zone    string
-	Peers   bool // whether doormans know of each other here
-	Lists   int  // lists that the service has
-	Fleet   int  // doormans that there are, as told
-	Askers  int  // of a zone
-	Boxes   int  // of a list; more are not taken
-	Claims  int  // remembered of each list
-	History int  // older lists kept, for deltas
-	Seed    uint64
+	Name              string
+	Incarnation       uint64 // of this process: another one with each start
+	Zone              string
+	Peers             bool // whether doormans know of each other here
+	Lists             int  // lists that the service has
+	Fleet             int  // doormans that there are, as told
+	Pollers           int  // of a zone
+	MaxEndpoints      int  // of a list; more are not taken
+	MaxAdvertisements int  // remembered of each list
+	History           int  // older lists kept, for deltas
+	Seed              uint64
 }
 
 // WithDefaults fills in what is 0.
 func (c Config) WithDefaults() Config {
-	c.Fleet, c.Askers, c.Boxes = max(1, c.Fleet), cmp.Or(c.Askers, 3), cmp.Or(c.Boxes, membership.DefaultMost)
-	c.Claims, c.History = cmp.Or(c.Claims, 16), cmp.Or(c.History, 4)
+	c.Fleet, c.Pollers, c.MaxEndpoints = max(1, c.Fleet), cmp.Or(c.Pollers, 3), cmp.Or(c.MaxEndpoints, membership.DefaultMost)
+	c.MaxAdvertisements, c.History = cmp.Or(c.MaxAdvertisements, 16), cmp.Or(c.History, 4)
 	return c
 }
 
@@ -59,82 +59,82 @@
 	Quorum = 2 // peers that must tell the same of a list
 	Widest = 4 // times Askers, that ask while the service is not heard
 
-	// PerDoorman is what each doorman of a fleet adds to the window in which they ask: some 65 calls a second for each list,
+	// WindowPerProxy is what each doorman of a fleet adds to the window in which they ask: some 65 calls a second for each list,
 	// whatever the fleet's size.
-	PerDoorman  = 15 * time.Millisecond
-	WindowLeast = 250 * time.Millisecond
-	Settle      = 200 * time.Millisecond // after the start, in which peers are met before the first one asks
-	Beat        = time.Second            // between two digests of an asker, at least
-	BeatsMost   = 64                     // digests a second that an asker sends: in a larger zone they come less often
-	FreshFor    = 3                      // beats, after which the service counts as not heard
-	FetchFor    = 300 * time.Millisecond
-	FetchTries  = 5
-	HintAfter   = 500 * time.Millisecond // that a list one peer alone tells has to wait before it counts as known
-	ConfirmIn   = 500 * time.Millisecond // after which a list that one peer alone tells is looked at by ourselves
-	ConfirmMost = 10 * time.Second       // between two such looks
-	LookFor     = 2 * time.Second        // that a look by ourselves may take
-	Stay        = 2 * time.Second        // that one who asks goes on when others should
-	DistrustFor = time.Minute
-	WidenEvery  = 5 * time.Second // of the service's silence, for Askers more
-	ServeEvery  = 100 * time.Millisecond
-	ServeMost   = 8   // whole lists that are served in that time
-	PartBoxes   = 100 // of a part
-	Inquired    = 3   // doormans that are asked at once what they hold, by one that knows nothing
-	RepliesMost = 32  // answers to that in ServeEvery
+	WindowPerProxy    = 15 * time.Millisecond
+	MinWindow         = 250 * time.Millisecond
+	Settle            = 200 * time.Millisecond // after the start, in which peers are met before the first one asks
+	HeartbeatInterval = time.Second            // between two digests of an asker, at least
+	MaxHeartbeats     = 64                     // digests a second that an asker sends: in a larger zone they come less often
+	FreshFor          = 3                      // beats, after which the service counts as not heard
+	FetchFor          = 300 * time.Millisecond
+	MaxFetchAttempts  = 5
+	HintAfter         = 500 * time.Millisecond // that a list one peer alone tells has to wait before it counts as known
+	ConfirmIn         = 500 * time.Millisecond // after which a list that one peer alone tells is looked at by ourselves
+	MaxConfirmDelay   = 10 * time.Second       // between two such looks
+	LookFor           = 2 * time.Second        // that a look by ourselves may take
+	Stay              = 2 * time.Second        // that one who asks goes on when others should
+	DistrustFor       = time.Minute
+	WidenEvery        = 5 * time.Second // of the service's silence, for Askers more
+	ServeEvery        = 100 * time.Millisecond
+	MaxServed         = 8   // whole lists that are served in that time
+	EndpointsPerPart  = 100 // of a part
+	Inquired          = 3   // doormans that are asked at once what they hold, by one that knows nothing
+	MaxReplies        = 32  // answers to that in ServeEvery
 )
 
 // Peer is another doorman that lives.
 type Peer struct{ Name, Zone string }
 
-// Mark names a list.
-type Mark struct {
+// ListVersion names a list.
+type ListVersion struct {
 	List    int    `codec:"List"`
 	Version uint64 `codec:"Version"`
 	Sum     uint64 `codec:"Sum"`
 }
 
-// Claim is what a digest says of a list: which one a doorman has, and how long ago the service was heard.
-type Claim struct {
-	Mark
-	Heard time.Duration `codec:"Heard"` // ago; negative: the sender does not ask
+// Advertisement is what a digest says of a list: which one a doorman has, and how long ago the service was heard.
+type Advertisement struct {
+	ListVersion
+	LastSeen time.Duration `codec:"Heard"` // ago; negative: the sender does not ask
 }
 
 // Message is one word from doorman to doorman. Exactly one of the fields below Epoch is set.
 type Message struct {
-	From   string  `codec:"From"`
-	Epoch  uint64  `codec:"Epoch"`
-	Digest []Claim `codec:"Digest"` // of all lists that the sender has
-	Want   *Want   `codec:"Want"`
-	Part   *Part   `codec:"Part"`
-	Delta  *Delta  `codec:"Delta"`
-	Busy   *Busy   `codec:"Busy"`
+	From        string          `codec:"From"`
+	Incarnation uint64          `codec:"Epoch"`
+	Digest      []Advertisement `codec:"Digest"` // of all lists that the sender has
+	Fetch       *Fetch          `codec:"Want"`
+	Part        *Part           `codec:"Part"`
+	Delta       *Delta          `codec:"Delta"`
+	Busy        *Busy           `codec:"Busy"`
 }
 
-// Want asks for the content of a list. Have is the sum of the one that the sender has; 0: none.
-type Want struct {
-	Mark
-	Have uint64 `codec:"Have"`
+// Fetch asks for the content of a list. Have is the sum of the one that the sender has; 0: none.
+type Fetch struct {
+	ListVersion
+	HaveSum uint64 `codec:"Have"`
 }
 
 // Part is one of Of parts of a list's content.
 type Part struct {
-	Mark
-	N     int              `codec:"N"`
-	Of    int              `codec:"Of"`
-	Boxes []membership.Box `codec:"Boxes"`
+	ListVersion
+	Number    int              `codec:"N"`
+	Of        int              `codec:"Of"`
+	Endpoints []membership.Box `codec:"Boxes"`
 }
 
 // Delta leads from the list with the sum Was to another one.
 type Delta struct {
-	Mark
-	Was   uint64           `codec:"Was"`
-	Boxes []membership.Box `codec:"Boxes"`
-	Gone  []string         `codec:"Gone"`
+	ListVersion
+	BaseSum   uint64           `codec:"Was"`
+	Endpoints []membership.Box `codec:"Boxes"`
+	Removed   []string         `codec:"Gone"`
 }
 
 // Busy answers a Want that is not served: Peer has the list too; empty: ask again later.
 type Busy struct {
-	Mark
+	ListVersion
 	Peer string `codec:"Peer"`
 }
 
@@ -147,72 +147,72 @@
 	Message Message
 }
 
-// Follow begins to ask the list service, or ends that.
-type Follow struct{ On bool }
+// Poll begins to ask the list service, or ends that.
+type Poll struct{ On bool }
 
-// Use puts a list in force that peers told. Hint: only what it names counts.
-type Use struct {
-	List    int
-	Version uint64
-	Boxes   []membership.Box
-	Hint    bool
+// Adopt puts a list in force that peers told. Hint: only what it names counts.
+type Adopt struct {
+	List      int
+	Version   uint64
+	Endpoints []membership.Box
+	Hint      bool
 }
 
-// Speaks says that the service is heard through peers, or is not any more.
-type Speaks struct {
+// SourceStatus says that the service is heard through peers, or is not any more.
+type SourceStatus struct {
 	List   int
 	Silent bool
 }
 
-// Note is something for the log.
-type Note struct {
-	What Word
-	Peer string
-	List int
+// LogEntry is something for the log.
+type LogEntry struct {
+	Event Event
+	Peer  string
+	List  int
 }
 
-// Word is what a Note tells.
-type Word uint8
+// Event is what a Note tells.
+type Event uint8
 
 // The words.
 const (
-	Asks       Word = iota // this doorman asks the service now
-	Listens                // it does not any more
-	Alone                  // no peer is heard: it asks by itself
-	Believed               // a list of peers is in force
-	Hinted                 // a list that one peer alone tells is used, as nothing else is known
-	Refuted                // the service says otherwise than a peer, who is not heard for a while
-	Spoilt                 // what a peer sent has not the checksum that it told
-	wordsCount             // of words
+	Polling          Event = iota // this doorman asks the service now
+	Following                     // it does not any more
+	Isolated                      // no peer is heard: it asks by itself
+	ListAccepted                  // a list of peers is in force
+	HintUsed                      // a list that one peer alone tells is used, as nothing else is known
+	PeerRefuted                   // the service says otherwise than a peer, who is not heard for a while
+	ChecksumMismatch              // what a peer sent has not the checksum that it told
+	wordsCount                    // of words
 )
 
 // String gives the word of the log.
-func (w Word) String() string {
+func (w Event) String() string {
 	return [wordsCount]string{"asks", "listens", "alone", "believed", "hinted", "refuted", "spoilt"}[w]
 }
 
-func (Send) isEffect()   {}
-func (Follow) isEffect() {}
-func (Use) isEffect()    {}
-func (Speaks) isEffect() {}
-func (Note) isEffect()   {}
+func (Send) isEffect()         {}
+func (Poll) isEffect()         {}
+func (Adopt) isEffect()        {}
+func (SourceStatus) isEffect() {}
+func (LogEntry) isEffect()     {}
 
 // content is a list with its boxes by id.
 type content struct {
-	Mark
+	ListVersion
 	boxes []membership.Box
 }
 
 // claim is what a peer has told last of a list.
 type claim struct {
-	Claim
+	Advertisement
 	peer string
 	at   time.Duration
 }
 
 // fetch is a list that is being fetched.
 type fetch struct {
-	Mark
+	ListVersion
 	from  string
 	parts [][]membership.Box
 	got   int
@@ -266,21 +266,21 @@
 // New makes a machine at a time.
 func New(now time.Duration, cfg Config) *Machine {
 	cfg = cfg.WithDefaults()
-	m := &Machine{cfg: cfg, now: now, began: now, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Epoch)), others: map[string]bool{},
+	m := &Machine{cfg: cfg, now: now, began: now, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)), others: map[string]bool{},
 		lists: make([]list, cfg.Lists), distrust: map[string]time.Duration{}, served: map[uint64][]string{}}
-	m.alone, m.looked = now+m.jitter(), now-ConfirmMost
-	m.beat = now + time.Duration(m.rng.Int64N(int64(Beat)))
+	m.alone, m.looked = now+m.jitter(), now-MaxConfirmDelay
+	m.beat = now + time.Duration(m.rng.Int64N(int64(HeartbeatInterval)))
 	m.inquiry = now + Settle
 	return m
 }
 
 // jitter draws from the window of the whole fleet.
 func (m *Machine) jitter() time.Duration {
-	window := time.Duration(m.cfg.Fleet) * PerDoorman
+	window := time.Duration(m.cfg.Fleet) * WindowPerProxy
 	if m.cfg.Fleet == 1 {
 		return 0
 	}
-	return time.Duration(m.rng.Int64N(int64(max(WindowLeast, window))))
+	return time.Duration(m.rng.Int64N(int64(max(MinWindow, window))))
 }
 
 func (m *Machine) do(e Effect) { m.out = append(m.out, e) }
@@ -291,12 +291,12 @@
 	return out
 }
 
-// Live tells which other doormans live, in any order.
-func (m *Machine) Live(now time.Duration, peers []Peer) []Effect {
+// PeersChanged tells which other doormans live, in any order.
+func (m *Machine) PeersChanged(now time.Duration, peers []Peer) []Effect {
 	m.now = max(m.now, now)
 	if !m.met && len(peers) > 0 && m.cfg.Peers {
 		// Those that are to ask have just begun to; the rest is not to take them for silent at once.
-		m.met, m.alone = true, max(m.alone, m.now+Settle+WindowLeast+m.jitter())
+		m.met, m.alone = true, max(m.alone, m.now+Settle+MinWindow+m.jitter())
 	}
 	m.peers, m.all, m.others = m.peers[:0], m.all[:0], map[string]bool{}
 	for _, p := range peers {
@@ -319,8 +319,8 @@
 	return m.take()
 }
 
-// Told takes a whole list that the service told this doorman.
-func (m *Machine) Told(now time.Duration, n int, version uint64, boxes []membership.Box) []Effect {
+// ListFromService takes a whole list that the service told this doorman.
+func (m *Machine) ListFromService(now time.Duration, n int, version uint64, boxes []membership.Box) []Effect {
 	m.now = max(m.now, now)
 	l := &m.lists[n]
 	c := newContent(n, version, boxes)
@@ -335,8 +335,8 @@
 	return m.take()
 }
 
-// Heard says that the service was heard by this doorman, with nothing new.
-func (m *Machine) Heard(now time.Duration, n int) []Effect {
+// ServiceSeen says that the service was heard by this doorman, with nothing new.
+func (m *Machine) ServiceSeen(now time.Duration, n int) []Effect {
 	m.now = max(m.now, now)
 	m.lists[n].told = m.now
 	m.step()
@@ -352,7 +352,7 @@
 		// A later version may be true, since the service may have changed between. The same one can't, and neither can one that
 		// the service has not reached when we looked because of it.
 		if c.Version == l.held.Version && c.Sum != l.held.Sum || c.Version > l.held.Version && m.look > m.now {
-			m.blame(n, c.peer, Refuted)
+			m.blame(n, c.peer, PeerRefuted)
 		}
 	}
 	if m.look > m.now && l.waiting != nil && l.waiting.Version > l.held.Version {
@@ -360,9 +360,9 @@
 	}
 }
 
-func (m *Machine) blame(n int, peer string, why Word) {
+func (m *Machine) blame(n int, peer string, why Event) {
 	m.distrust[peer] = m.now + DistrustFor
-	m.do(Note{why, peer, n})
+	m.do(LogEntry{why, peer, n})
 	for i := range m.lists {
 		l := &m.lists[i]
 		l.claims = slices.DeleteFunc(l.claims, func(c claim) bool { return c.peer == peer })
@@ -381,14 +381,14 @@
 		}
 	}
 	l.held = c
-	if l.fetch != nil && !m.newer(l, l.fetch.Mark) {
+	if l.fetch != nil && !m.newer(l, l.fetch.ListVersion) {
 		l.fetch = nil
 	}
 	clear(m.served)
 }
 
-// Take takes a message of a peer.
-func (m *Machine) Take(now time.Duration, msg Message) []Effect {
+// MessageReceived takes a message of a peer.
+func (m *Machine) MessageReceived(now time.Duration, msg Message) []Effect {
 	m.now = max(m.now, now)
 	if !m.others[msg.From] || m.distrust[msg.From] > m.now {
 		return nil // not one of the fleet, or one that has lied
@@ -405,8 +405,8 @@
 		if wants && m.reply() {
 			m.send(msg.From, Message{Digest: m.digest()})
 		}
-	case msg.Want != nil:
-		m.wanted(msg.From, msg.Want)
+	case msg.Fetch != nil:
+		m.wanted(msg.From, msg.Fetch)
 	case msg.Part != nil:
 		m.part(msg.From, msg.Part)
 	case msg.Delta != nil:
@@ -426,33 +426,33 @@
 }
 
 // claimed takes what a peer says that it has.
-func (m *Machine) claimed(peer string, c Claim) {
+func (m *Machine) claimed(peer string, c Advertisement) {
 	l := m.list(c.List)
 	if l == nil {
 		return
 	}
 	l.claims = slices.DeleteFunc(l.claims, func(o claim) bool { return o.peer == peer })
 	l.claims = append(l.claims, claim{c, peer, m.now})
-	if len(l.claims) > m.cfg.Claims {
+	if len(l.claims) > m.cfg.MaxAdvertisements {
 		l.claims = slices.Clone(l.claims[1:])
 	}
 	if c.Sum == 0 || l.held != nil && c.Sum == l.held.Sum || l.waiting != nil && c.Sum == l.waiting.Sum {
 		return
 	}
-	if m.newer(l, c.Mark) && (l.fetch == nil || l.fetch.until <= m.now) {
-		m.fetchFrom(l, c.Mark, peer)
+	if m.newer(l, c.ListVersion) && (l.fetch == nil || l.fetch.until <= m.now) {
+		m.fetchFrom(l, c.ListVersion, peer)
 	}
 }
 
 // newer says whether a list may take the place of the one in force. What is fetched and not believed does not stand in the
 // way of another one, whatever version it claims.
-func (m *Machine) newer(l *list, k Mark) bool {
+func (m *Machine) newer(l *list, k ListVersion) bool {
 	return l.held == nil || k.Version > l.held.Version
 }
 
-func (m *Machine) fetchFrom(l *list, k Mark, peer string) {
+func (m *Machine) fetchFrom(l *list, k ListVersion, peer string) {
 	if l.fetch == nil || l.fetch.Sum != k.Sum {
-		l.fetch = &fetch{Mark: k, asked: map[string]bool{}}
+		l.fetch = &fetch{ListVersion: k, asked: map[string]bool{}}
 	}
 	f := l.fetch
 	f.from, f.until, f.parts, f.got = peer, m.now+FetchFor, nil, 0
@@ -462,11 +462,11 @@
 	if l.held != nil {
 		have = l.held.Sum
 	}
-	m.send(peer, Message{Want: &Want{k, have}})
+	m.send(peer, Message{Fetch: &Fetch{k, have}})
 }
 
 func (m *Machine) send(to string, msg Message) {
-	msg.From, msg.Epoch = m.cfg.Name, m.cfg.Epoch
+	msg.From, msg.Incarnation = m.cfg.Name, m.cfg.Incarnation
 	m.do(Send{to, msg})
 }
 
@@ -476,7 +476,7 @@
 		m.replies, m.repliesAt = 0, m.now
 	}
 	m.replies++
-	return m.replies <= RepliesMost
+	return m.replies <= MaxReplies
 }
 
 // inquire asks a few others, of any zone, what they hold, while this doorman knows nothing of some list: the service may be dead,
@@ -485,21 +485,21 @@
 	if !m.cfg.Peers || len(m.all) == 0 || m.now < m.inquiry || !slices.ContainsFunc(m.lists, func(l list) bool { return l.held == nil }) {
 		return
 	}
-	m.inquiry = m.now + Beat/2
+	m.inquiry = m.now + HeartbeatInterval/2
 	for _, i := range m.rng.Perm(len(m.all))[:min(Inquired, len(m.all))] {
 		m.send(m.all[i], Message{Digest: m.digest()})
 	}
 }
 
 // wanted serves the content of a list, as a delta where the one that the peer has is known here.
-func (m *Machine) wanted(peer string, w *Want) {
+func (m *Machine) wanted(peer string, w *Fetch) {
 	l := m.list(w.List)
 	if l == nil || l.held == nil || l.held.Sum != w.Sum {
-		m.send(peer, Message{Busy: &Busy{Mark: w.Mark}})
+		m.send(peer, Message{Busy: &Busy{ListVersion: w.ListVersion}})
 		return
 	}
 	for _, o := range l.older {
-		if w.Have != 0 && o.Sum == w.Have {
+		if w.HaveSum != 0 && o.Sum == w.HaveSum {
 			m.send(peer, Message{Delta: difference(o, l.held)})
 			return
 		}
@@ -507,7 +507,7 @@
 	if m.now-m.servesAt >= ServeEvery {
 		m.serves, m.servesAt = 0, m.now
 	}
-	if m.serves >= ServeMost {
+	if m.serves >= MaxServed {
 		// One of those that were served may serve it too, so that the content spreads as a tree.
 		next := ""
 		if have := m.served[w.Sum]; len(have) > 0 {
@@ -516,36 +516,36 @@
 		if next == peer {
 			next = ""
 		}
-		m.send(peer, Message{Busy: &Busy{w.Mark, next}})
+		m.send(peer, Message{Busy: &Busy{w.ListVersion, next}})
 		return
 	}
 	m.serves++
-	if have := m.served[w.Sum]; len(have) < m.cfg.Claims && !slices.Contains(have, peer) {
+	if have := m.served[w.Sum]; len(have) < m.cfg.MaxAdvertisements && !slices.Contains(have, peer) {
 		m.served[w.Sum] = append(have, peer)
 	}
-	of := max(1, (len(l.held.boxes)+PartBoxes-1)/PartBoxes)
+	of := max(1, (len(l.held.boxes)+EndpointsPerPart-1)/EndpointsPerPart)
 	for n := range of {
-		boxes := l.held.boxes[min(len(l.held.boxes), n*PartBoxes):min(len(l.held.boxes), (n+1)*PartBoxes)]
-		m.send(peer, Message{Part: &Part{l.held.Mark, n, of, boxes}})
+		boxes := l.held.boxes[min(len(l.held.boxes), n*EndpointsPerPart):min(len(l.held.boxes), (n+1)*EndpointsPerPart)]
+		m.send(peer, Message{Part: &Part{l.held.ListVersion, n, of, boxes}})
 	}
 }
 
 // part takes a part of what is being fetched.
 func (m *Machine) part(peer string, p *Part) {
 	l := m.list(p.List)
-	if l == nil || l.fetch == nil || l.fetch.Mark != p.Mark || l.fetch.from != peer {
+	if l == nil || l.fetch == nil || l.fetch.ListVersion != p.ListVersion || l.fetch.from != peer {
 		return
 	}
 	f := l.fetch
-	if p.Of < 1 || p.Of > m.cfg.Boxes/PartBoxes+1 || p.N < 0 || p.N >= p.Of || len(p.Boxes) > PartBoxes || f.parts != nil && len(f.parts) != p.Of {
-		m.blame(p.List, peer, Spoilt)
+	if p.Of < 1 || p.Of > m.cfg.MaxEndpoints/EndpointsPerPart+1 || p.Number < 0 || p.Number >= p.Of || len(p.Endpoints) > EndpointsPerPart || f.parts != nil && len(f.parts) != p.Of {
+		m.blame(p.List, peer, ChecksumMismatch)
 		return
 	}
 	if f.parts == nil {
 		f.parts = make([][]membership.Box, p.Of)
 	}
-	if f.parts[p.N] == nil {
-		f.parts[p.N] = append([]membership.Box{}, p.Boxes...)
+	if f.parts[p.Number] == nil {
+		f.parts[p.Number] = append([]membership.Box{}, p.Endpoints...)
 		f.got++
 	}
 	f.until = m.now + FetchFor
@@ -557,18 +557,18 @@
 // delta takes what leads from the list in force to the one that is being fetched.
 func (m *Machine) delta(peer string, d *Delta) {
 	l := m.list(d.List)
-	if l == nil || l.fetch == nil || l.fetch.Mark != d.Mark || l.fetch.from != peer || l.held == nil || l.held.Sum != d.Was ||
-		len(d.Boxes) > m.cfg.Boxes {
+	if l == nil || l.fetch == nil || l.fetch.ListVersion != d.ListVersion || l.fetch.from != peer || l.held == nil || l.held.Sum != d.BaseSum ||
+		len(d.Endpoints) > m.cfg.MaxEndpoints {
 		return
 	}
 	gone := map[string]bool{}
-	for _, id := range d.Gone {
+	for _, id := range d.Removed {
 		gone[id] = true
 	}
-	for _, b := range d.Boxes {
+	for _, b := range d.Endpoints {
 		gone[b.ID] = true
 	}
-	boxes := slices.Clone(d.Boxes)
+	boxes := slices.Clone(d.Endpoints)
 	for _, b := range l.held.boxes {
 		if !gone[b.ID] {
 			boxes = append(boxes, b)
@@ -579,20 +579,20 @@
 
 // fetched judges content that is there whole.
 func (m *Machine) fetched(l *list, peer string, boxes []membership.Box) {
-	k := l.fetch.Mark
+	k := l.fetch.ListVersion
 	l.fetch = nil
 	c := newContent(k.List, k.Version, boxes)
 	if c.Sum != k.Sum {
-		m.blame(k.List, peer, Spoilt)
+		m.blame(k.List, peer, ChecksumMismatch)
 		return
 	}
 	l.waiting, l.since, l.hinted = c, m.now, 0
 }
 
 // vouchers counts the peers that tell a list.
-func (l *list) vouchers(k Mark) (n int) {
+func (l *list) vouchers(k ListVersion) (n int) {
 	for _, c := range l.claims {
-		if c.Mark == k {
+		if c.ListVersion == k {
 			n++
 		}
 	}
@@ -605,8 +605,8 @@
 	if l == nil || l.fetch == nil || l.fetch.Sum != b.Sum || l.fetch.from != peer {
 		return
 	}
-	if b.Peer != "" && m.others[b.Peer] && !l.fetch.asked[b.Peer] && m.distrust[b.Peer] <= m.now && l.fetch.tries < FetchTries {
-		m.fetchFrom(l, l.fetch.Mark, b.Peer)
+	if b.Peer != "" && m.others[b.Peer] && !l.fetch.asked[b.Peer] && m.distrust[b.Peer] <= m.now && l.fetch.tries < MaxFetchAttempts {
+		m.fetchFrom(l, l.fetch.ListVersion, b.Peer)
 		return
 	}
 	l.fetch.until = m.now + time.Duration(m.rng.Int64N(int64(FetchFor))) // the step tries again
@@ -626,17 +626,17 @@
 
 // beatEvery is the time between two digests of an asker.
 func (m *Machine) beatEvery() time.Duration {
-	return max(Beat, time.Duration(len(m.peers))*time.Second/BeatsMost)
+	return max(HeartbeatInterval, time.Duration(len(m.peers))*time.Second/MaxHeartbeats)
 }
 
 // heard is when the service was last heard, by ourselves or through a quorum of peers, and whether any asker is heard at all.
 func (m *Machine) heard(l *list) (at time.Duration, askers int) {
 	var told []time.Duration
 	for _, c := range l.claims {
-		if c.Heard >= 0 && m.now-c.at <= FreshFor*m.beatEvery() {
+		if c.LastSeen >= 0 && m.now-c.at <= FreshFor*m.beatEvery() {
 			askers++
 			if l.held != nil && c.Sum == l.held.Sum {
-				told = append(told, c.at-c.Heard)
+				told = append(told, c.at-c.LastSeen)
 			}
 		}
 	}
@@ -680,21 +680,21 @@
 }
 
 // Digest is what this doorman tells of its lists.
-func (m *Machine) Digest() []Claim { return m.digest() }
+func (m *Machine) Digest() []Advertisement { return m.digest() }
 
-func (m *Machine) digest() []Claim {
-	var out []Claim
+func (m *Machine) digest() []Advertisement {
+	var out []Advertisement
 	for i := range m.lists {
 		l := &m.lists[i]
 		switch at, _ := m.heard(l); {
 		case !m.follows && l.held != nil:
-			out = append(out, Claim{l.held.Mark, -1})
+			out = append(out, Advertisement{l.held.ListVersion, -1})
 		case l.held != nil:
-			out = append(out, Claim{l.held.Mark, m.now - at})
+			out = append(out, Advertisement{l.held.ListVersion, m.now - at})
 		case m.follows:
-			out = append(out, Claim{Mark{List: i}, m.now - m.began}) // so that the others know that it is asked for
+			out = append(out, Advertisement{ListVersion{List: i}, m.now - m.began}) // so that the others know that it is asked for
 		default:
-			out = append(out, Claim{Mark{List: i}, -1})
+			out = append(out, Advertisement{ListVersion{List: i}, -1})
 		}
 	}
 	return out
@@ -709,10 +709,10 @@
 				next = c.peer
 			}
 		}
-		if next == "" || f.tries >= FetchTries {
+		if next == "" || f.tries >= MaxFetchAttempts {
 			l.fetch = nil // the next digest will have it fetched
 		} else {
-			m.fetchFrom(l, f.Mark, next)
+			m.fetchFrom(l, f.ListVersion, next)
 		}
 	}
 	w := l.waiting
@@ -720,13 +720,13 @@
 		return
 	}
 	switch {
-	case !m.newer(l, w.Mark):
+	case !m.newer(l, w.ListVersion):
 		l.waiting = nil
-	case l.vouchers(w.Mark) >= Quorum:
+	case l.vouchers(w.ListVersion) >= Quorum:
 		m.hold(l, w)
 		l.waiting, l.own, l.silent = nil, false, false
-		m.do(Use{n, w.Version, w.boxes, false})
-		m.do(Note{Believed, "", n})
+		m.do(Adopt{n, w.Version, w.boxes, false})
+		m.do(LogEntry{ListAccepted, "", n})
 	case l.held == nil && l.hinted == 0:
 		var up []membership.Box
 		for _, b := range w.boxes {
@@ -738,8 +738,8 @@
 			return // by such a list nobody could be served
 		}
 		l.hinted = m.now
-		m.do(Use{n, w.Version, up, true})
-		m.do(Note{Hinted, "", n})
+		m.do(Adopt{n, w.Version, up, true})
+		m.do(LogEntry{HintUsed, "", n})
 	}
 }
 
@@ -748,22 +748,22 @@
 	want, alone := false, false
 	// While less than half of the fleet is in view, many would hold themselves for the chosen ones.
 	half := 2*(len(m.others)+1) >= m.cfg.Fleet
-	window := time.Duration(m.cfg.Fleet)*PerDoorman + WindowLeast
+	window := time.Duration(m.cfg.Fleet)*WindowPerProxy + MinWindow
 	switch settled := m.now >= m.began+Settle && (half || m.now >= m.began+window); {
 	case !m.cfg.Peers || len(m.others) == 0:
 		alone = m.now >= m.alone
 		want = alone
 	default:
-		limit, hear := m.cfg.Askers, len(m.lists) > 0
+		limit, hear := m.cfg.Pollers, len(m.lists) > 0
 		for i := range m.lists {
 			l := &m.lists[i]
 			at, askers := m.heard(l)
 			hear = hear && askers > 0
 			// While the service is silent for those that ask, a few more try, since it may be their way to it that is cut.
 			if at = max(at, m.began); askers > 0 {
-				limit = max(limit, m.cfg.Askers*min(Widest, 1+int((m.now-at)/WidenEvery)))
+				limit = max(limit, m.cfg.Pollers*min(Widest, 1+int((m.now-at)/WidenEvery)))
 			}
-			if l.waiting != nil && m.now-l.since > ConfirmIn && m.now-m.looked >= ConfirmMost {
+			if l.waiting != nil && m.now-l.since > ConfirmIn && m.now-m.looked >= MaxConfirmDelay {
 				m.looked, m.look = m.now, m.now+LookFor // one peer alone tells it: the service itself is to say
 			}
 		}
@@ -785,16 +785,16 @@
 	switch {
 	case want && !m.follows:
 		m.follows, m.since = true, m.now
-		m.do(Follow{true})
+		m.do(Poll{true})
 		if alone && m.cfg.Peers {
-			m.do(Note{Alone, "", -1})
+			m.do(LogEntry{Isolated, "", -1})
 		} else {
-			m.do(Note{Asks, "", -1})
+			m.do(LogEntry{Polling, "", -1})
 		}
 	case !want && m.follows && m.now-m.should >= Stay:
 		m.follows, m.since = false, m.now
-		m.do(Follow{false})
-		m.do(Note{Listens, "", -1})
+		m.do(Poll{false})
+		m.do(LogEntry{Following, "", -1})
 	}
 	for i := range m.lists {
 		l := &m.lists[i]
@@ -804,7 +804,7 @@
 		at, _ := m.heard(l)
 		if silent := m.now-at > FreshFor*m.beatEvery(); silent != l.silent {
 			l.silent = silent
-			m.do(Speaks{i, silent})
+			m.do(SourceStatus{i, silent})
 		}
 	}
 }
@@ -831,52 +831,52 @@
 	return true
 }
 
-// Held names the list in force.
-func (m *Machine) Held(n int) (Mark, bool) {
+// Versions names the list in force.
+func (m *Machine) Versions(n int) (ListVersion, bool) {
 	if m.lists[n].held == nil {
-		return Mark{List: n}, false
+		return ListVersion{List: n}, false
 	}
-	return m.lists[n].held.Mark, true
+	return m.lists[n].held.ListVersion, true
 }
 
-// Asks says whether this doorman asks the service.
-func (m *Machine) Asks() bool { return m.follows }
+// Polls says whether this doorman asks the service.
+func (m *Machine) Polls() bool { return m.follows }
 
 // newContent orders boxes by id and computes their sum.
 func newContent(n int, version uint64, boxes []membership.Box) *content {
 	boxes = slices.Clone(boxes)
 	slices.SortStableFunc(boxes, func(a, b membership.Box) int { return cmp.Compare(a.ID, b.ID) })
 	boxes = slices.CompactFunc(boxes, func(a, b membership.Box) bool { return a.ID == b.ID })
-	return &content{Mark{n, version, sum(version, boxes)}, boxes}
+	return &content{ListVersion{n, version, sum(version, boxes)}, boxes}
 }
 
 // Sorted gives boxes in the order that their sum is of, each id once.
 func Sorted(boxes []membership.Box) []membership.Box { return newContent(0, 0, boxes).boxes }
 
-// MarkOf names a list that has these boxes.
-func MarkOf(n int, version uint64, boxes []membership.Box) Mark {
-	return newContent(n, version, boxes).Mark
+// VersionOf names a list that has these boxes.
+func VersionOf(n int, version uint64, boxes []membership.Box) ListVersion {
+	return newContent(n, version, boxes).ListVersion
 }
 
 // difference is the delta between two lists, which are in order.
 func difference(was, is *content) *Delta {
-	d := &Delta{Mark: is.Mark, Was: was.Sum}
+	d := &Delta{ListVersion: is.ListVersion, BaseSum: was.Sum}
 	i := 0
 	for _, b := range is.boxes {
 		for ; i < len(was.boxes) && was.boxes[i].ID < b.ID; i++ {
-			d.Gone = append(d.Gone, was.boxes[i].ID)
+			d.Removed = append(d.Removed, was.boxes[i].ID)
 		}
 		if i < len(was.boxes) && was.boxes[i].ID == b.ID {
 			if was.boxes[i] != b {
-				d.Boxes = append(d.Boxes, b)
+				d.Endpoints = append(d.Endpoints, b)
 			}
 			i++
 			continue
 		}
-		d.Boxes = append(d.Boxes, b)
+		d.Endpoints = append(d.Endpoints, b)
 	}
 	for ; i < len(was.boxes); i++ {
-		d.Gone = append(d.Gone, was.boxes[i].ID)
+		d.Removed = append(d.Removed, was.boxes[i].ID)
 	}
 	return d
 }
--- a/internal/bootstrap/sim_test.go
+++ b/internal/bootstrap/sim_test.go
@@ -43,7 +43,7 @@
 	missed     []func()
 	cutOff     bool // from the service
 	lie        func(m Message) Message
-	last       Mark
+	last       ListVersion
 	ready      time.Duration // after its start
 	started    time.Duration
 	peersOn    bool
@@ -102,7 +102,7 @@
 	if !n.alive || !n.follows || !w.up || n.cutOff {
 		return
 	}
-	w.hand(n, func() []Effect { return n.Told(w.now, 0, w.index, w.truth) })
+	w.hand(n, func() []Effect { return n.ListFromService(w.now, 0, w.index, w.truth) })
 }
 
 // hand has a node take something, now or when it wakes.
@@ -123,8 +123,8 @@
 func (w *world) start(n *node) {
 	n.alive, n.stopped, n.missed, n.started, n.ready = true, false, nil, w.now, 0
 	n.epoch++
-	n.last = Mark{}
-	n.Machine = New(w.now, Config{Name: n.name, Zone: n.zone, Epoch: n.epoch, Peers: n.peersOn, Lists: 1, Fleet: n.fleet, Seed: w.rng.Uint64()})
+	n.last = ListVersion{}
+	n.Machine = New(w.now, Config{Name: n.name, Zone: n.zone, Incarnation: n.epoch, Peers: n.peersOn, Lists: 1, Fleet: n.fleet, Seed: w.rng.Uint64()})
 	epoch := n.epoch
 	var tick func()
 	tick = func() {
@@ -149,7 +149,7 @@
 		if n.alive && n.peersOn {
 			w.after(time.Duration(w.rng.Int64N(int64(w.meets))), func() {
 				if n.alive {
-					w.hand(n, func() []Effect { return n.Live(w.now, w.live(n)) })
+					w.hand(n, func() []Effect { return n.PeersChanged(w.now, w.live(n)) })
 				}
 			})
 		}
@@ -178,7 +178,7 @@
 					w.deliver(n, to, msg)
 				}
 			}
-		case Follow:
+		case Poll:
 			if e.On {
 				epoch := n.epoch
 				var ask func()
@@ -195,21 +195,21 @@
 				}
 				ask()
 			}
-		case Use:
-			if e.Hint && len(e.Boxes) == 0 {
+		case Adopt:
+			if e.Hint && len(e.Endpoints) == 0 {
 				w.t.Fatalf("%v: %s takes an empty list from one peer alone", w.now, n.name)
 			}
-			for _, b := range e.Boxes {
+			for _, b := range e.Endpoints {
 				if e.Hint && b.State != membership.Up {
 					w.t.Fatalf("%v: %s takes %v of %s from one peer alone", w.now, n.name, b.State, b.ID)
 				}
 			}
-			if !e.Hint && !w.ever[sum(e.Version, newContent(0, e.Version, e.Boxes).boxes)] {
-				w.t.Fatalf("%v: %s believes a list that the service never had: version %d, %d boxes", w.now, n.name, e.Version, len(e.Boxes))
+			if !e.Hint && !w.ever[sum(e.Version, newContent(0, e.Version, e.Endpoints).boxes)] {
+				w.t.Fatalf("%v: %s believes a list that the service never had: version %d, %d boxes", w.now, n.name, e.Version, len(e.Endpoints))
 			}
 		}
 	}
-	if k, ok := n.Held(0); ok && k != n.last {
+	if k, ok := n.Versions(0); ok && k != n.last {
 		if !n.lists[0].own && k.Version < n.last.Version {
 			w.t.Fatalf("%v: %s went back from version %d to %d by a peer's word", w.now, n.name, n.last.Version, k.Version)
 		}
@@ -219,7 +219,7 @@
 		n.ready = max(1, w.now-n.started)
 	}
 	l := &n.lists[0]
-	if len(l.claims) > n.cfg.Claims || len(l.older) > n.cfg.History || len(n.served) > 1 || len(n.distrust) > len(w.nodes) {
+	if len(l.claims) > n.cfg.MaxAdvertisements || len(l.older) > n.cfg.History || len(n.served) > 1 || len(n.distrust) > len(w.nodes) {
 		w.t.Fatalf("%v: %s holds %d claims, %d older lists, %d served", w.now, n.name, len(l.claims), len(l.older), len(n.served))
 	}
 }
@@ -232,7 +232,7 @@
 			w.calls = append(w.calls, w.now)
 			if w.up && !n.cutOff {
 				if n.lists[0].told > 0 && n.last.Version == w.index {
-					w.hand(n, func() []Effect { return n.Heard(w.now, 0) })
+					w.hand(n, func() []Effect { return n.ServiceSeen(w.now, 0) })
 				} else {
 					w.answer(n)
 				}
@@ -257,7 +257,7 @@
 		}
 		w.after(ms+time.Duration(w.rng.ExpFloat64()*float64(3*ms)), func() {
 			if to.alive && to.epoch == epoch {
-				w.hand(to, func() []Effect { return to.Take(w.now, msg) })
+				w.hand(to, func() []Effect { return to.MessageReceived(w.now, msg) })
 			}
 		})
 	}
@@ -284,7 +284,7 @@
 		if n.follows {
 			asks++
 		}
-		if k, ok := n.Held(0); !ok || k != want.Mark {
+		if k, ok := n.Versions(0); !ok || k != want.ListVersion {
 			w.t.Fatalf("%s: %s holds version %d (%v), the service has %d", when, n.name, k.Version, ok, want.Version)
 		}
 	}
@@ -438,9 +438,9 @@
 		empty := newContent(0, 1<<40, nil)
 		switch {
 		case m.Digest != nil:
-			m.Digest = []Claim{{empty.Mark, 0}}
+			m.Digest = []Advertisement{{empty.ListVersion, 0}}
 		case m.Part != nil, m.Delta != nil, m.Busy != nil:
-			m.Part, m.Delta, m.Busy = &Part{empty.Mark, 0, 1, nil}, nil, nil
+			m.Part, m.Delta, m.Busy = &Part{empty.ListVersion, 0, 1, nil}, nil, nil
 		}
 		return m
 	}},
@@ -452,21 +452,21 @@
 		bad := newContent(0, 1<<40, boxes)
 		switch {
 		case m.Digest != nil:
-			m.Digest = []Claim{{bad.Mark, 0}}
+			m.Digest = []Advertisement{{bad.ListVersion, 0}}
 		case m.Part != nil, m.Delta != nil, m.Busy != nil:
-			m.Part, m.Delta, m.Busy = &Part{bad.Mark, 0, 1, bad.boxes}, nil, nil
+			m.Part, m.Delta, m.Busy = &Part{bad.ListVersion, 0, 1, bad.boxes}, nil, nil
 		}
 		return m
 	}},
 	{"content that is not what was told", func(m Message) Message {
 		if m.Part != nil {
 			p := *m.Part
-			p.Boxes = nil
+			p.Endpoints = nil
 			m.Part = &p
 		}
 		if m.Delta != nil {
 			d := *m.Delta
-			d.Gone = []string{"c01", "c02"}
+			d.Removed = []string{"c01", "c02"}
 			m.Delta = &d
 		}
 		return m
@@ -481,15 +481,15 @@
 	}},
 	{"lists that there are not", func(m Message) Message {
 		if m.Digest != nil {
-			m.Digest = []Claim{{Mark{-1, 1, 1}, 0}, {Mark{99, 1, 1}, 0}}
+			m.Digest = []Advertisement{{ListVersion{-1, 1, 1}, 0}, {ListVersion{99, 1, 1}, 0}}
 		}
 		return m
 	}},
 	{"always fresh, whatever it hears", func(m Message) Message {
 		if m.Digest != nil {
-			d := append([]Claim(nil), m.Digest...)
+			d := append([]Advertisement(nil), m.Digest...)
 			for i := range d {
-				d[i].Heard = 0
+				d[i].LastSeen = 0
 			}
 			m.Digest = d
 		}
@@ -525,7 +525,7 @@
 					asker = n.name
 				}
 			}
-			w.nodes[5].cfg.Askers = 0 // it is none itself
+			w.nodes[5].cfg.Pollers = 0 // it is none itself
 			w.run(8 * time.Second)
 			w.cut = only(asker) // they stay in its view
 			w.change(func() { w.truth[0].State = membership.Draining })
@@ -577,7 +577,9 @@
 			empty := newContent(0, 1<<40, nil)
 			for _, n := range w.nodes {
 				for _, from := range []string{"x1", "x2", "x3"} {
-					w.hand(n, func() []Effect { return n.Take(w.now, Message{From: from, Digest: []Claim{{empty.Mark, 0}}}) })
+					w.hand(n, func() []Effect {
+						return n.MessageReceived(w.now, Message{From: from, Digest: []Advertisement{{empty.ListVersion, 0}}})
+					})
 				}
 				if len(n.lists[0].claims) > len(w.nodes) {
 					w.t.Errorf("%s remembers what strangers tell", n.name)
@@ -607,7 +609,7 @@
 			for _, n := range w.nodes {
 				n.lie = func(m Message) Message { // none: it counts
 					if m.Part != nil {
-						boxes += len(m.Part.Boxes)
+						boxes += len(m.Part.Endpoints)
 					}
 					return m
 				}
@@ -634,15 +636,15 @@
 // TestSpoiltIsNamed: content that has not the checksum that was told is dropped, and who sent it is not heard for a while.
 func TestSpoiltIsNamed(t *testing.T) {
 	c := newContent(0, 3, []membership.Box{{ID: "a", Address: "1"}})
-	for _, m := range []Message{{Part: &Part{c.Mark, 0, 1, nil}}, {Part: &Part{c.Mark, 0, 1 << 30, nil}}, {Part: &Part{c.Mark, 5, 2, nil}}} {
+	for _, m := range []Message{{Part: &Part{c.ListVersion, 0, 1, nil}}, {Part: &Part{c.ListVersion, 0, 1 << 30, nil}}, {Part: &Part{c.ListVersion, 5, 2, nil}}} {
 		n := New(0, Config{Name: "a", Zone: "z", Peers: true, Lists: 1, Fleet: 3})
-		n.Live(0, []Peer{{"b", "z"}, {"c", "z"}})
-		n.Take(1, Message{From: "b", Digest: []Claim{{c.Mark, 0}}})
+		n.PeersChanged(0, []Peer{{"b", "z"}, {"c", "z"}})
+		n.MessageReceived(1, Message{From: "b", Digest: []Advertisement{{c.ListVersion, 0}}})
 		m.From = "b"
 		spoilt := false
-		for _, e := range n.Take(2, m) {
-			note, is := e.(Note)
-			spoilt = spoilt || is && note.What == Spoilt && note.Peer == "b"
+		for _, e := range n.MessageReceived(2, m) {
+			note, is := e.(LogEntry)
+			spoilt = spoilt || is && note.Event == ChecksumMismatch && note.Peer == "b"
 		}
 		if !spoilt || n.distrust["b"] == 0 || len(n.lists[0].claims) > 0 {
 			t.Errorf("%+v is taken", m.Part)
--- a/internal/bootstrap/wire_test.go
+++ b/internal/bootstrap/wire_test.go
@@ -19,15 +19,15 @@
 
 // messages has one of each kind, with every field set.
 func messages() []bootstrap.Message {
-	mark := bootstrap.Mark{List: 3, Version: 41, Sum: 1 << 60}
+	mark := bootstrap.ListVersion{List: 3, Version: 41, Sum: 1 << 60}
 	boxes := []membership.Box{{ID: "c1", Address: "10.0.0.1:7001", Zone: 1, Kind: 2, Cell: 3, Weight: 1.5,
 		Born: 5 * time.Second, Incarnation: 9, State: membership.Draining}}
 	return []bootstrap.Message{
-		{From: "p1", Epoch: 7, Digest: []bootstrap.Claim{{Mark: mark, Heard: -time.Second}}},
-		{From: "p1", Epoch: 7, Want: &bootstrap.Want{Mark: mark, Have: 6}},
-		{From: "p1", Epoch: 7, Part: &bootstrap.Part{Mark: mark, N: 1, Of: 2, Boxes: boxes}},
-		{From: "p1", Epoch: 7, Delta: &bootstrap.Delta{Mark: mark, Was: 8, Boxes: boxes, Gone: []string{"c2"}}},
-		{From: "p1", Epoch: 7, Busy: &bootstrap.Busy{Mark: mark, Peer: "p2"}},
+		{From: "p1", Incarnation: 7, Digest: []bootstrap.Advertisement{{ListVersion: mark, LastSeen: -time.Second}}},
+		{From: "p1", Incarnation: 7, Fetch: &bootstrap.Fetch{ListVersion: mark, HaveSum: 6}},
+		{From: "p1", Incarnation: 7, Part: &bootstrap.Part{ListVersion: mark, Number: 1, Of: 2, Endpoints: boxes}},
+		{From: "p1", Incarnation: 7, Delta: &bootstrap.Delta{ListVersion: mark, BaseSum: 8, Endpoints: boxes, Removed: []string{"c2"}}},
+		{From: "p1", Incarnation: 7, Busy: &bootstrap.Busy{ListVersion: mark, Peer: "p2"}},
 	}
 }
 
--- a/internal/drill/liar.go
+++ b/internal/drill/liar.go
@@ -69,9 +69,9 @@
 
 // run tells the lie to everybody, again and again, and serves it to whoever asks.
 func (l *liar) run() {
-	var digest []bootstrap.Claim
+	var digest []bootstrap.Advertisement
 	for n := range len(services) {
-		digest = append(digest, bootstrap.Claim{Mark: bootstrap.MarkOf(n, uint64(l.n+1)<<40, l.boxes)})
+		digest = append(digest, bootstrap.Advertisement{ListVersion: bootstrap.VersionOf(n, uint64(l.n+1)<<40, l.boxes)})
 	}
 	tick := time.NewTicker(200 * time.Millisecond)
 	defer tick.Stop()
@@ -104,16 +104,16 @@
 // MessageReceived serves the lie.
 func (l *liar) MessageReceived(from string, body []byte) {
 	var m bootstrap.Message
-	if transport.Decode(body, &m) != nil || m.Want == nil {
+	if transport.Decode(body, &m) != nil || m.Fetch == nil {
 		return
 	}
-	want := m.Want.Mark
+	want := m.Fetch.ListVersion
 	l.told <- func() {
 		boxes := l.boxes
-		of := max(1, (len(boxes)+bootstrap.PartBoxes-1)/bootstrap.PartBoxes)
+		of := max(1, (len(boxes)+bootstrap.EndpointsPerPart-1)/bootstrap.EndpointsPerPart)
 		for n := range of {
-			part := boxes[min(len(boxes), n*bootstrap.PartBoxes):min(len(boxes), (n+1)*bootstrap.PartBoxes)]
-			l.send(from, bootstrap.Message{Part: &bootstrap.Part{Mark: want, N: n, Of: of, Boxes: part}})
+			part := boxes[min(len(boxes), n*bootstrap.EndpointsPerPart):min(len(boxes), (n+1)*bootstrap.EndpointsPerPart)]
+			l.send(from, bootstrap.Message{Part: &bootstrap.Part{ListVersion: want, Number: n, Of: of, Endpoints: part}})
 		}
 	}
 }
--- a/internal/proxy/herd.go
+++ b/internal/proxy/herd.go
@@ -31,17 +31,17 @@
 	d := s.doorman
 	p, site := d.plan, d.plan.settings.Control
 	h := &herd{sources: s, tapped: make([]*membership.List, len(p.own.Catalogue.Services))}
-	cfg := bootstrap.Config{Name: p.settings.Name, Epoch: rand.Uint64(), Lists: len(h.tapped), Fleet: site.Instances, Seed: p.settings.Seed}
+	cfg := bootstrap.Config{Name: p.settings.Name, Incarnation: rand.Uint64(), Lists: len(h.tapped), Fleet: site.Instances, Seed: p.settings.Seed}
 	if site.Zone < len(site.ZoneNames) {
 		cfg.Zone = site.ZoneNames[site.Zone]
 	}
 	if own := p.own.Peers; own != nil {
-		cfg.Peers, cfg.Askers = true, own.Pollers
+		cfg.Peers, cfg.Pollers = true, own.Pollers
 		if own.Fleet > 0 {
 			cfg.Fleet = own.Fleet
 		}
 		var err error
-		if h.link, err = transport.Open(*own, transport.Identity{Name: cfg.Name, Zone: cfg.Zone, Program: program(), Incarnation: cfg.Epoch, Fleet: cfg.Fleet, Bind: p.own.from()}, h); err != nil {
+		if h.link, err = transport.Open(*own, transport.Identity{Name: cfg.Name, Zone: cfg.Zone, Program: program(), Incarnation: cfg.Incarnation, Fleet: cfg.Fleet, Bind: p.own.from()}, h); err != nil {
 			// What others know is a help and no need: without it the doorman asks by itself.
 			d.log.Event("peers-failed", "error", err)
 			cfg.Peers = false
@@ -71,7 +71,7 @@
 	for _, m := range members {
 		peers = append(peers, bootstrap.Peer{Name: m.Name, Zone: m.Zone})
 	}
-	h.sources.doorman.loop.Post(func() { h.carry(h.machine.Live(monotonicNow(), peers)) })
+	h.sources.doorman.loop.Post(func() { h.carry(h.machine.PeersChanged(monotonicNow(), peers)) })
 }
 
 // MessageReceived takes what a peer has sent and returns once the loop has it, so that no more is read than it can take. It is called by
@@ -85,7 +85,7 @@
 	m.From = from
 	taken := make(chan struct{})
 	h.sources.doorman.loop.Post(func() {
-		h.carry(h.machine.Take(monotonicNow(), m))
+		h.carry(h.machine.MessageReceived(monotonicNow(), m))
 		close(taken)
 	})
 	<-taken
@@ -108,7 +108,7 @@
 		}
 	case broker.SourceStatus:
 		if n := e.Source - first; n >= 0 && n < len(h.tapped) && !e.Silent && h.tapped[n] == nil {
-			h.carry(h.machine.Heard(monotonicNow(), n))
+			h.carry(h.machine.ServiceSeen(monotonicNow(), n))
 		}
 	}
 }
@@ -117,7 +117,7 @@
 func (h *herd) alive() {
 	for n := range h.tapped {
 		if h.tapped[n] == nil {
-			h.carry(h.machine.Heard(monotonicNow(), n))
+			h.carry(h.machine.ServiceSeen(monotonicNow(), n))
 		}
 	}
 }
@@ -134,7 +134,7 @@
 		}
 		if views[h.sources.doorman.plan.first+n].Doubted == 0 {
 			h.tapped[n] = nil
-			h.carry(h.machine.Told(now, n, list.Version, list.Boxes))
+			h.carry(h.machine.ListFromService(now, n, list.Version, list.Boxes))
 		}
 	}
 	if now-h.stepped >= stepEvery {
@@ -158,22 +158,22 @@
 			if body, err := transport.Encode(e.Message); err == nil && h.link != nil {
 				h.link.Send(e.To, body)
 			}
-		case bootstrap.Follow:
+		case bootstrap.Poll:
 			if !e.On {
 				clear(h.tapped) // what was doubted then must not count once something else has put the doubt aside
 			}
 			h.sources.follow(e.On)
-		case bootstrap.Use:
+		case bootstrap.Adopt:
 			src := d.plan.first + e.List
-			for at := 0; len(e.Boxes) > partMost && at < len(e.Boxes); at += partMost {
-				d.emit(broker.EndpointList{Source: src, List: membership.List{Version: e.Version, Boxes: e.Boxes[at:min(at+partMost, len(e.Boxes))], Part: true}})
+			for at := 0; len(e.Endpoints) > partMost && at < len(e.Endpoints); at += partMost {
+				d.emit(broker.EndpointList{Source: src, List: membership.List{Version: e.Version, Boxes: e.Endpoints[at:min(at+partMost, len(e.Endpoints))], Part: true}})
 			}
 			// What two peers tell has been confirmed by each of them, where it lacks much.
-			d.emit(broker.EndpointList{Source: src, List: membership.List{Version: e.Version, Boxes: e.Boxes, Confirms: !e.Hint, Omits: e.Hint}})
-		case bootstrap.Speaks:
+			d.emit(broker.EndpointList{Source: src, List: membership.List{Version: e.Version, Boxes: e.Endpoints, Confirms: !e.Hint, Omits: e.Hint}})
+		case bootstrap.SourceStatus:
 			d.emit(broker.SourceStatus{Source: d.plan.first + e.List, Silent: e.Silent})
-		case bootstrap.Note:
-			fields := []any{"what", e.What}
+		case bootstrap.LogEntry:
+			fields := []any{"what", e.Event}
 			if e.List >= 0 {
 				fields = append(fields, "of", d.plan.own.Catalogue.Services[e.List].Name)
 			}
@@ -201,12 +201,12 @@
 // show prints who else lives and which lists are held.
 func (h *herd) show(out io.Writer) {
 	role := "listens to peers"
-	if h.machine.Asks() {
+	if h.machine.Polls() {
 		role = "asks the list service"
 	}
 	fmt.Fprintln(out, role)
 	for n := range h.tapped {
-		k, ok := h.machine.Held(n)
+		k, ok := h.machine.Versions(n)
 		fmt.Fprintf(out, "list %s version %d sum %016x held %v\n", h.sources.doorman.plan.own.Catalogue.Services[n].Name, k.Version, k.Sum, ok)
 	}
 	if h.link == nil {
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -169,7 +169,7 @@
 	}
 	// Where peers tell lists, one that a single one of them tells is not known at once.
 	d.known = d.known && (d.list.restored || d.list.herd.link == nil || d.list.herd.machine.Known())
-	window := time.Duration(d.plan.settings.Control.Instances) * bootstrap.PerDoorman // in which doormans ask one after another
+	window := time.Duration(d.plan.settings.Control.Instances) * bootstrap.WindowPerProxy // in which doormans ask one after another
 	d.known = d.known || monotonicNow()-time.Duration(born.UnixNano()) > knowWithin+window
 	return d.known
 }
