--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -49,7 +49,7 @@
 
 // WithDefaults fills in what is 0.
 func (c Config) WithDefaults() Config {
-	c.Fleet, c.Pollers, c.MaxEndpoints = max(1, c.Fleet), cmp.Or(c.Pollers, 3), cmp.Or(c.MaxEndpoints, membership.DefaultMost)
+	c.Fleet, c.Pollers, c.MaxEndpoints = max(1, c.Fleet), cmp.Or(c.Pollers, 3), cmp.Or(c.MaxEndpoints, membership.DefaultMaxEndpoints)
 	c.MaxAdvertisements, c.History = cmp.Or(c.MaxAdvertisements, 16), cmp.Or(c.History, 4)
 	return c
 }
@@ -119,17 +119,17 @@
 // Part is one of Of parts of a list's content.
 type Part struct {
 	ListVersion
-	Number    int              `codec:"N"`
-	Of        int              `codec:"Of"`
-	Endpoints []membership.Box `codec:"Boxes"`
+	Number    int                   `codec:"N"`
+	Of        int                   `codec:"Of"`
+	Endpoints []membership.Endpoint `codec:"Boxes"`
 }
 
 // Delta leads from the list with the sum Was to another one.
 type Delta struct {
 	ListVersion
-	BaseSum   uint64           `codec:"Was"`
-	Endpoints []membership.Box `codec:"Boxes"`
-	Removed   []string         `codec:"Gone"`
+	BaseSum   uint64                `codec:"Was"`
+	Endpoints []membership.Endpoint `codec:"Boxes"`
+	Removed   []string              `codec:"Gone"`
 }
 
 // Busy answers a Want that is not served: Peer has the list too; empty: ask again later.
@@ -154,7 +154,7 @@
 type Adopt struct {
 	List      int
 	Version   uint64
-	Endpoints []membership.Box
+	Endpoints []membership.Endpoint
 	Hint      bool
 }
 
@@ -200,7 +200,7 @@
 // content is a list with its boxes by id.
 type content struct {
 	ListVersion
-	boxes []membership.Box
+	boxes []membership.Endpoint
 }
 
 // claim is what a peer has told last of a list.
@@ -214,7 +214,7 @@
 type fetch struct {
 	ListVersion
 	from  string
-	parts [][]membership.Box
+	parts [][]membership.Endpoint
 	got   int
 	until time.Duration
 	tries int
@@ -320,7 +320,7 @@
 }
 
 // ListFromService takes a whole list that the service told this doorman.
-func (m *Machine) ListFromService(now time.Duration, n int, version uint64, boxes []membership.Box) []Effect {
+func (m *Machine) ListFromService(now time.Duration, n int, version uint64, boxes []membership.Endpoint) []Effect {
 	m.now = max(m.now, now)
 	l := &m.lists[n]
 	c := newContent(n, version, boxes)
@@ -542,10 +542,10 @@
 		return
 	}
 	if f.parts == nil {
-		f.parts = make([][]membership.Box, p.Of)
+		f.parts = make([][]membership.Endpoint, p.Of)
 	}
 	if f.parts[p.Number] == nil {
-		f.parts[p.Number] = append([]membership.Box{}, p.Endpoints...)
+		f.parts[p.Number] = append([]membership.Endpoint{}, p.Endpoints...)
 		f.got++
 	}
 	f.until = m.now + FetchFor
@@ -578,7 +578,7 @@
 }
 
 // fetched judges content that is there whole.
-func (m *Machine) fetched(l *list, peer string, boxes []membership.Box) {
+func (m *Machine) fetched(l *list, peer string, boxes []membership.Endpoint) {
 	k := l.fetch.ListVersion
 	l.fetch = nil
 	c := newContent(k.List, k.Version, boxes)
@@ -728,7 +728,7 @@
 		m.do(Adopt{n, w.Version, w.boxes, false})
 		m.do(LogEntry{ListAccepted, "", n})
 	case l.held == nil && l.hinted == 0:
-		var up []membership.Box
+		var up []membership.Endpoint
 		for _, b := range w.boxes {
 			if b.State == membership.Up {
 				up = append(up, b)
@@ -843,18 +843,18 @@
 func (m *Machine) Polls() bool { return m.follows }
 
 // newContent orders boxes by id and computes their sum.
-func newContent(n int, version uint64, boxes []membership.Box) *content {
+func newContent(n int, version uint64, boxes []membership.Endpoint) *content {
 	boxes = slices.Clone(boxes)
-	slices.SortStableFunc(boxes, func(a, b membership.Box) int { return cmp.Compare(a.ID, b.ID) })
-	boxes = slices.CompactFunc(boxes, func(a, b membership.Box) bool { return a.ID == b.ID })
+	slices.SortStableFunc(boxes, func(a, b membership.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	boxes = slices.CompactFunc(boxes, func(a, b membership.Endpoint) bool { return a.ID == b.ID })
 	return &content{ListVersion{n, version, sum(version, boxes)}, boxes}
 }
 
 // Sorted gives boxes in the order that their sum is of, each id once.
-func Sorted(boxes []membership.Box) []membership.Box { return newContent(0, 0, boxes).boxes }
+func Sorted(boxes []membership.Endpoint) []membership.Endpoint { return newContent(0, 0, boxes).boxes }
 
 // VersionOf names a list that has these boxes.
-func VersionOf(n int, version uint64, boxes []membership.Box) ListVersion {
+func VersionOf(n int, version uint64, boxes []membership.Endpoint) ListVersion {
 	return newContent(n, version, boxes).ListVersion
 }
 
--- a/internal/bootstrap/sim_test.go
+++ b/internal/bootstrap/sim_test.go
@@ -23,7 +23,7 @@
 	queue  events
 	serial int
 	nodes  []*node
-	truth  []membership.Box
+	truth  []membership.Endpoint
 	index  uint64
 	ever   map[uint64]bool // sums of lists that the service has had
 	up     bool            // the service answers
@@ -72,7 +72,7 @@
 func newWorld(t testing.TB, seed uint64, n, zones int, peers bool) *world {
 	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 3)), ever: map[uint64]bool{}, up: true, meets: 300 * ms}
 	for i := range 20 {
-		w.truth = append(w.truth, membership.Box{ID: fmt.Sprintf("c%02d", i), Address: fmt.Sprint("10.0.0.", i), State: membership.Up, Weight: 8})
+		w.truth = append(w.truth, membership.Endpoint{ID: fmt.Sprintf("c%02d", i), Address: fmt.Sprint("10.0.0.", i), State: membership.Up, Weight: 8})
 	}
 	w.change(func() {})
 	for i := range n {
@@ -445,9 +445,9 @@
 		return m
 	}},
 	{"every box drains", func(m Message) Message {
-		var boxes []membership.Box
+		var boxes []membership.Endpoint
 		for i := range 20 {
-			boxes = append(boxes, membership.Box{ID: fmt.Sprintf("c%02d", i), Address: "10.0.0.1", State: membership.Draining})
+			boxes = append(boxes, membership.Endpoint{ID: fmt.Sprintf("c%02d", i), Address: "10.0.0.1", State: membership.Draining})
 		}
 		bad := newContent(0, 1<<40, boxes)
 		switch {
@@ -595,7 +595,7 @@
 			w.loss = 0.2
 			w.change(func() {
 				for i := range 3000 {
-					w.truth = append(w.truth, membership.Box{ID: fmt.Sprint("x", i), Address: "10.1.0.1", State: membership.Up})
+					w.truth = append(w.truth, membership.Endpoint{ID: fmt.Sprint("x", i), Address: "10.1.0.1", State: membership.Up})
 				}
 			})
 			w.startAll()
@@ -635,7 +635,7 @@
 
 // TestSpoiltIsNamed: content that has not the checksum that was told is dropped, and who sent it is not heard for a while.
 func TestSpoiltIsNamed(t *testing.T) {
-	c := newContent(0, 3, []membership.Box{{ID: "a", Address: "1"}})
+	c := newContent(0, 3, []membership.Endpoint{{ID: "a", Address: "1"}})
 	for _, m := range []Message{{Part: &Part{c.ListVersion, 0, 1, nil}}, {Part: &Part{c.ListVersion, 0, 1 << 30, nil}}, {Part: &Part{c.ListVersion, 5, 2, nil}}} {
 		n := New(0, Config{Name: "a", Zone: "z", Peers: true, Lists: 1, Fleet: 3})
 		n.PeersChanged(0, []Peer{{"b", "z"}, {"c", "z"}})
--- a/internal/bootstrap/sum.go
+++ b/internal/bootstrap/sum.go
@@ -11,7 +11,7 @@
 
 // sum is the checksum of a list: of its version and all that its boxes are. It finds spoilt and torn content; it is no proof of
 // who made it.
-func sum(version uint64, boxes []membership.Box) uint64 {
+func sum(version uint64, boxes []membership.Endpoint) uint64 {
 	h := xxhash.New()
 	var b [8]byte
 	word := func(v uint64) {
@@ -32,7 +32,7 @@
 		word(uint64(x.Cell))
 		word(uint64(x.State))
 		word(math.Float64bits(x.Weight))
-		word(uint64(x.Born))
+		word(uint64(x.StartedAt))
 		word(x.Incarnation)
 	}
 	return h.Sum64()
--- a/internal/bootstrap/wire_test.go
+++ b/internal/bootstrap/wire_test.go
@@ -20,8 +20,8 @@
 // messages has one of each kind, with every field set.
 func messages() []bootstrap.Message {
 	mark := bootstrap.ListVersion{List: 3, Version: 41, Sum: 1 << 60}
-	boxes := []membership.Box{{ID: "c1", Address: "10.0.0.1:7001", Zone: 1, Kind: 2, Cell: 3, Weight: 1.5,
-		Born: 5 * time.Second, Incarnation: 9, State: membership.Draining}}
+	boxes := []membership.Endpoint{{ID: "c1", Address: "10.0.0.1:7001", Zone: 1, Kind: 2, Cell: 3, Weight: 1.5,
+		StartedAt: 5 * time.Second, Incarnation: 9, State: membership.Draining}}
 	return []bootstrap.Message{
 		{From: "p1", Incarnation: 7, Digest: []bootstrap.Advertisement{{ListVersion: mark, LastSeen: -time.Second}}},
 		{From: "p1", Incarnation: 7, Fetch: &bootstrap.Fetch{ListVersion: mark, HaveSum: 6}},
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -52,7 +52,7 @@
 type EndpointDelta struct {
 	Source    int
 	Version   uint64
-	Endpoints []membership.Box
+	Endpoints []membership.Endpoint
 }
 
 // SourceStatus says that a source of boxes is heard, though it has nothing new to tell, or that it has fallen silent.
@@ -62,7 +62,7 @@
 }
 
 // SnapshotRestored brings what the sources had said before a restart.
-type SnapshotRestored struct{ Reports []membership.Words }
+type SnapshotRestored struct{ Reports []membership.SourceReport }
 
 // Purge says that copies from before Issued are out of date: those of an object, or of a group when Object is 0.
 type Purge struct {
@@ -240,7 +240,7 @@
 
 // Next is when the next round is due at the latest; 0: no time is set.
 func (b *Broker) Next() time.Duration {
-	if b.members.Pending() {
+	if b.members.HasChanges() {
 		return b.now
 	}
 	next := b.members.Next()
@@ -262,16 +262,16 @@
 	case AttemptEnded:
 		b.end(e)
 	case EndpointList:
-		b.members.Whole(b.now, e.Source, e.List)
+		b.members.ReplaceList(b.now, e.Source, e.List)
 		b.follow()
 	case EndpointDelta:
-		b.members.Change(b.now, e.Source, e.Version, e.Endpoints)
+		b.members.ApplyDelta(b.now, e.Source, e.Version, e.Endpoints)
 		b.follow()
 	case SourceStatus:
 		if e.Silent {
-			b.members.Silent(b.now, e.Source)
+			b.members.SourceSilent(b.now, e.Source)
 		} else {
-			b.members.Heard(b.now, e.Source)
+			b.members.SourceSeen(b.now, e.Source)
 		}
 		b.follow()
 	case SnapshotRestored:
@@ -600,21 +600,21 @@
 
 // follow takes over what is new in the merged view of the boxes.
 func (b *Broker) follow() {
-	for _, src := range b.members.Confirm() {
+	for _, src := range b.members.SourcesToRefetch() {
 		b.effect(RefetchList{src})
 	}
 	b.logNotes()
-	if !b.members.Pending() {
+	if !b.members.HasChanges() {
 		return
 	}
-	changes := b.members.Take(b.now, changesMost)
+	changes := b.members.TakeChanges(b.now, changesMost)
 	e := policy.ListEvent{Kind: policy.ListDelta}
 	for i, c := range changes {
 		if i < linesMost {
 			b.logChange(c)
 		}
-		n := Endpoint{Name: c.Box.ID, Address: c.Box.Address, Endpoint: policy.Endpoint{Zone: c.Box.Zone, Kind: c.Box.Kind,
-			Cell: c.Box.Cell, State: states[c.Box.State], Weight: c.Box.Weight}, born: c.Box.Born}
+		n := Endpoint{Name: c.Endpoint.ID, Address: c.Endpoint.Address, Endpoint: policy.Endpoint{Zone: c.Endpoint.Zone, Kind: c.Endpoint.Kind,
+			Cell: c.Endpoint.Cell, State: states[c.Endpoint.State], Weight: c.Endpoint.Weight}, born: c.Endpoint.StartedAt}
 		if node, ok := b.change(n); ok {
 			e.Endpoints = append(e.Endpoints, node)
 		}
@@ -673,12 +673,12 @@
 }
 
 func (b *Broker) logChange(c membership.Change) {
-	fields := []any{"box", c.Box.ID, "address", c.Box.Address}
-	if c.By >= 0 {
-		fields = append(fields, "source", b.members.Sources()[c.By].Name)
+	fields := []any{"box", c.Endpoint.ID, "address", c.Endpoint.Address}
+	if c.DecidedBy >= 0 {
+		fields = append(fields, "source", b.members.Sources()[c.DecidedBy].Name)
 	}
-	if c.Why != membership.Word {
-		fields = append(fields, "why", c.Why)
+	if c.Reason != membership.Reported {
+		fields = append(fields, "why", c.Reason)
 	}
 	b.effect(LogEntry{"box-" + c.Kind.String(), fields})
 }
@@ -687,8 +687,8 @@
 	notes, dropped := b.members.Notes()
 	for _, n := range notes {
 		fields := []any{"source", b.members.Sources()[n.Source].Name}
-		if n.Box != "" {
-			fields = append(fields, "box", n.Box)
+		if n.Endpoint != "" {
+			fields = append(fields, "box", n.Endpoint)
 		}
 		if n.Other != "" {
 			fields = append(fields, "other", n.Other)
--- a/internal/broker/crossings_test.go
+++ b/internal/broker/crossings_test.go
@@ -20,7 +20,7 @@
 	b        *Broker
 	now      time.Duration
 	events   []Event
-	boxes    []membership.Box
+	boxes    []membership.Endpoint
 	version  uint64
 	requests []*Request
 	answers  map[*Request]int
@@ -53,9 +53,9 @@
 	}
 	x := &crossing{t: t, b: b, now: 1000 * time.Second, version: 1, answers: map[*Request]int{}, ran: map[*Request]bool{}, since: map[*Attempt]time.Duration{}, sent: map[*Request]int{}, left: map[*Request]bool{}}
 	for i, id := range []string{"c1", "c2", "p1", "p2", "o1"} {
-		x.boxes = append(x.boxes, membership.Box{ID: id, Address: fmt.Sprintf("10.0.0.%d:1", i+1), Kind: []int{0, 0, 1, 1, 2}[i], State: membership.Up})
+		x.boxes = append(x.boxes, membership.Endpoint{ID: id, Address: fmt.Sprintf("10.0.0.%d:1", i+1), Kind: []int{0, 0, 1, 1, 2}[i], State: membership.Up})
 	}
-	x.events = append(x.events, EndpointList{List: membership.List{Version: 1, Boxes: slices.Clone(x.boxes)}})
+	x.events = append(x.events, EndpointList{List: membership.List{Version: 1, Endpoints: slices.Clone(x.boxes)}})
 	x.round()
 	return x
 }
@@ -76,7 +76,7 @@
 func (x *crossing) state(box int, s membership.State) {
 	x.version++
 	x.boxes[box].State = s
-	x.events = append(x.events, EndpointDelta{Version: x.version, Endpoints: []membership.Box{x.boxes[box]}})
+	x.events = append(x.events, EndpointDelta{Version: x.version, Endpoints: []membership.Endpoint{x.boxes[box]}})
 }
 
 // write is the moment of writing the nth attempt that waits.
@@ -279,10 +279,10 @@
 		x.events = append(x.events, AttemptEnded{Attempt: a, End: ConnectionReset})
 	}
 	drains := func(x *crossing, a *Attempt) {
-		x.state(slices.IndexFunc(x.boxes, func(b membership.Box) bool { return b.ID == a.Endpoint.Name }), membership.Draining)
+		x.state(slices.IndexFunc(x.boxes, func(b membership.Endpoint) bool { return b.ID == a.Endpoint.Name }), membership.Draining)
 	}
 	goes := func(x *crossing, a *Attempt) {
-		x.state(slices.IndexFunc(x.boxes, func(b membership.Box) bool { return b.ID == a.Endpoint.Name }), membership.Gone)
+		x.state(slices.IndexFunc(x.boxes, func(b membership.Endpoint) bool { return b.ID == a.Endpoint.Name }), membership.Gone)
 	}
 	purged := func(x *crossing, a *Attempt) {
 		x.events = append(x.events, Purge{Object: a.Request.Object, Issued: x.now})
--- a/internal/broker/index_test.go
+++ b/internal/broker/index_test.go
@@ -28,8 +28,8 @@
 	return b
 }
 
-func testBox(host, dial string, state membership.State) membership.Box {
-	return membership.Box{ID: host, Address: dial, Zone: 1, State: state, Weight: 8}
+func testBox(host, dial string, state membership.State) membership.Endpoint {
+	return membership.Endpoint{ID: host, Address: dial, Zone: 1, State: state, Weight: 8}
 }
 
 // boxByWalk and barredByWalk are the plain ways: a look at every box.
@@ -68,7 +68,7 @@
 		dials := []string{"10.0.0.1:1", "10.0.0.2:1", "c3.example:1", "10.0.0.3:1"}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 30000).Draw(t, "ms")) * time.Millisecond
-			var boxes []membership.Box
+			var boxes []membership.Endpoint
 			for _, host := range hosts {
 				if rapid.IntRange(0, 2).Draw(t, "told") == 0 {
 					state := rapid.SampledFrom([]membership.State{membership.Gone, membership.Draining, membership.Up}).Draw(t, "state")
@@ -76,7 +76,7 @@
 				}
 			}
 			if rapid.IntRange(0, 4).Draw(t, "whole") == 0 {
-				b.Round(now, []Event{EndpointList{List: membership.List{Boxes: boxes}}})
+				b.Round(now, []Event{EndpointList{List: membership.List{Endpoints: boxes}}})
 			} else {
 				b.Round(now, []Event{EndpointDelta{Endpoints: boxes}})
 			}
@@ -93,9 +93,9 @@
 			}
 		}
 		b.Round(now, []Event{EndpointList{}})
-		b.Round(now+2*goneFor, []Event{EndpointDelta{Endpoints: []membership.Box{testBox("last", "10.0.0.9:1", membership.Up)}}})
+		b.Round(now+2*goneFor, []Event{EndpointDelta{Endpoints: []membership.Endpoint{testBox("last", "10.0.0.9:1", membership.Up)}}})
 		b.Round(now+2*goneFor, []Event{EndpointList{}})
-		b.Round(now+4*goneFor, []Event{EndpointDelta{Endpoints: []membership.Box{testBox("last", "10.0.0.9:1", membership.Up)}}})
+		b.Round(now+4*goneFor, []Event{EndpointDelta{Endpoints: []membership.Endpoint{testBox("last", "10.0.0.9:1", membership.Up)}}})
 		b.Round(now+4*goneFor, []Event{EndpointList{}})
 		if n := len(b.boxes) + len(b.hosts) + len(b.byName) + len(b.byDial) + len(b.gone); n != 5 {
 			t.Fatalf("%d entries are left of boxes that are gone for long, want the 5 of the last one", n)
@@ -138,7 +138,7 @@
 			var list membership.List
 			events := []Event(nil)
 			for i := range n {
-				list.Boxes = append(list.Boxes, testBox(fmt.Sprint("c", i), fmt.Sprintf("10.0.%d.%d:1", i>>8, i&255), membership.Up))
+				list.Endpoints = append(list.Endpoints, testBox(fmt.Sprint("c", i), fmt.Sprintf("10.0.%d.%d:1", i>>8, i&255), membership.Up))
 				events = append(events, Purge{Object: uint64(i + 1), Issued: now - time.Duration(i)*time.Microsecond})
 			}
 			broker.Round(now, append(events, EndpointList{List: list}))
@@ -160,7 +160,7 @@
 			broker := newBroker(b)
 			var events []Event
 			for i := range 10 {
-				events = append(events, EndpointDelta{Endpoints: []membership.Box{testBox(fmt.Sprint("c", i), fmt.Sprintf("10.0.0.%d:1", i), membership.Up)}})
+				events = append(events, EndpointDelta{Endpoints: []membership.Endpoint{testBox(fmt.Sprint("c", i), fmt.Sprintf("10.0.0.%d:1", i), membership.Up)}})
 			}
 			for i := range purges {
 				events = append(events, Purge{Object: uint64(1<<50 + i), Issued: now - time.Duration(i)*time.Microsecond})
--- a/internal/broker/list_test.go
+++ b/internal/broker/list_test.go
@@ -10,10 +10,10 @@
 	"sloequay/internal/policy"
 )
 
-func fleet(n int) []membership.Box {
-	boxes := make([]membership.Box, n)
+func fleet(n int) []membership.Endpoint {
+	boxes := make([]membership.Endpoint, n)
 	for i := range boxes {
-		boxes[i] = membership.Box{ID: fmt.Sprintf("cache-%06d", i), Address: fmt.Sprintf("10.%d.%d.%d:1", i>>16, i>>8&255, i&255),
+		boxes[i] = membership.Endpoint{ID: fmt.Sprintf("cache-%06d", i), Address: fmt.Sprintf("10.%d.%d.%d:1", i>>16, i>>8&255, i&255),
 			Zone: i % 20, Weight: 8, State: membership.Up, Incarnation: uint64(i)}
 	}
 	return boxes
@@ -21,8 +21,8 @@
 
 func listed(t testing.TB) *Broker {
 	t.Helper()
-	b, err := New(testConfig(), 1, 1000, nil, membership.New(membership.Config{LossShare: 0.3, LossLeast: 2,
-		Sources: []membership.Source{{Name: "bulletin"}, {Name: "consul:cache", Protect: true, Starts: true}}}))
+	b, err := New(testConfig(), 1, 1000, nil, membership.New(membership.Config{MaxLossShare: 0.3, MinLoss: 2,
+		Sources: []membership.Source{{Name: "bulletin"}, {Name: "consul:cache", ConfirmLosses: true, FirstSeenIsStart: true}}}))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -35,9 +35,9 @@
 	b := listed(t)
 	now := 1000 * time.Second
 	boxes := fleet(3 * changesMost)
-	b.Round(now, []Event{EndpointList{Source: 1, List: membership.List{Boxes: boxes}}})
+	b.Round(now, []Event{EndpointList{Source: 1, List: membership.List{Endpoints: boxes}}})
 	rounds := 1
-	for b.members.Pending() {
+	for b.members.HasChanges() {
 		if b.Next() > now {
 			t.Fatalf("the next round is due at %v, now is %v", b.Next(), now)
 		}
@@ -56,7 +56,7 @@
 		boxes[i].Weight = 4
 	}
 	boxes[len(boxes)-1].State = membership.Draining
-	b.Round(now, []Event{EndpointList{Source: 1, List: membership.List{Boxes: boxes}}})
+	b.Round(now, []Event{EndpointList{Source: 1, List: membership.List{Endpoints: boxes}}})
 	if box := b.EndpointByName(boxes[len(boxes)-1].ID); box.State != policy.Draining {
 		t.Errorf("after one round the draining box is %v", box.State)
 	}
@@ -66,9 +66,9 @@
 func TestDoubtedSourceIsAskedAgain(t *testing.T) {
 	b := listed(t)
 	now := 1000 * time.Second
-	b.Round(now, []Event{EndpointList{Source: 1, List: membership.List{Boxes: fleet(10)}}})
+	b.Round(now, []Event{EndpointList{Source: 1, List: membership.List{Endpoints: fleet(10)}}})
 	asked, told := false, false
-	for _, e := range b.Round(now, []Event{EndpointList{Source: 1, List: membership.List{Boxes: fleet(2)}}}) {
+	for _, e := range b.Round(now, []Event{EndpointList{Source: 1, List: membership.List{Endpoints: fleet(2)}}}) {
 		switch e := e.(type) {
 		case RefetchList:
 			asked = e.Source == 1
@@ -112,10 +112,10 @@
 			for range b.N {
 				br, now := listed(b), 1000*time.Second
 				for at := 0; at < n; at += 500 {
-					part := membership.List{Boxes: boxes[at:min(n, at+500)], Part: true}
+					part := membership.List{Endpoints: boxes[at:min(n, at+500)], Part: true}
 					worst = max(worst, longest(func() { br.Round(now, []Event{EndpointList{Source: 1, List: part}}) }), longest(rounds(br, now)[:4]...))
 				}
-				worst = max(worst, longest(func() { br.Round(now, []Event{EndpointList{Source: 1, List: membership.List{Boxes: boxes}}}) }))
+				worst = max(worst, longest(func() { br.Round(now, []Event{EndpointList{Source: 1, List: membership.List{Endpoints: boxes}}}) }))
 				worst = max(worst, longest(rounds(br, now)...))
 				if len(br.boxes) != n {
 					b.Fatalf("%d boxes of %d", len(br.boxes), n)
@@ -124,7 +124,7 @@
 			report(b, worst)
 		})
 		br, now := listed(b), 1000*time.Second
-		br.Round(now, []Event{EndpointList{Source: 1, List: membership.List{Boxes: boxes}}, EndpointDelta{Endpoints: boxes[:n/2]}})
+		br.Round(now, []Event{EndpointList{Source: 1, List: membership.List{Endpoints: boxes}}, EndpointDelta{Endpoints: boxes[:n/2]}})
 		longest(rounds(br, now)...)
 		b.Run(fmt.Sprintf("changed/%d", n), func(b *testing.B) {
 			b.ReportAllocs()
@@ -135,7 +135,7 @@
 					c := &boxes[(i*97+round*31)%n]
 					c.State = membership.Up + membership.Draining - c.State
 				}
-				worst = max(worst, longest(func() { br.Round(now, []Event{EndpointList{Source: 1, List: membership.List{Boxes: boxes}}}) }))
+				worst = max(worst, longest(func() { br.Round(now, []Event{EndpointList{Source: 1, List: membership.List{Endpoints: boxes}}}) }))
 				worst = max(worst, longest(rounds(br, now)...))
 			}
 			report(b, worst)
@@ -167,7 +167,7 @@
 			t.Fatal(err)
 		}
 		now := 1000 * time.Second
-		b.Round(now, []Event{EndpointList{List: membership.List{Boxes: []membership.Box{
+		b.Round(now, []Event{EndpointList{List: membership.List{Endpoints: []membership.Endpoint{
 			{ID: "c1", Address: "10.0.0.1:1", State: membership.Up}, {ID: "o1", Address: "10.0.0.2:1", Kind: 2, State: membership.Up}}}}})
 		arrive := func(id string, object uint64) Event {
 			return RequestReceived{&Request{ID: id, Object: object, ReceivedAt: now, Timeout: 5 * time.Second, SizeKB: 1}}
--- a/internal/drill/liar.go
+++ b/internal/drill/liar.go
@@ -12,17 +12,17 @@
 )
 
 // lies are the lists that a liar tells, of a version far ahead.
-var lies = map[string]func(w *World) []membership.Box{
-	"empty": func(*World) []membership.Box { return nil },
-	"dead": func(w *World) (out []membership.Box) {
+var lies = map[string]func(w *World) []membership.Endpoint{
+	"empty": func(*World) []membership.Endpoint { return nil },
+	"dead": func(w *World) (out []membership.Endpoint) {
 		for _, b := range w.order {
-			out = append(out, membership.Box{ID: b.id, Address: b.address, State: membership.Draining})
+			out = append(out, membership.Endpoint{ID: b.id, Address: b.address, State: membership.Draining})
 		}
 		return out
 	},
-	"many": func(w *World) (out []membership.Box) {
+	"many": func(w *World) (out []membership.Endpoint) {
 		for i := range 20_000 {
-			out = append(out, membership.Box{ID: fmt.Sprint("m", i), Address: w.order[0].address, Zone: 1, State: membership.Up, Weight: 1000})
+			out = append(out, membership.Endpoint{ID: fmt.Sprint("m", i), Address: w.order[0].address, Zone: 1, State: membership.Up, Weight: 1000})
 		}
 		return out
 	},
@@ -34,7 +34,7 @@
 	n     int // of the liars, from 0
 	link  *transport.Transport
 	relay *Relay
-	boxes []membership.Box // of the lie, in order
+	boxes []membership.Endpoint // of the lie, in order
 	peers []peer.Member
 	told  chan func()
 	end   chan struct{}
--- a/internal/membership/consul/config.go
+++ b/internal/membership/consul/config.go
@@ -21,16 +21,16 @@
 
 // Config is the block `catalogue` of the settings.
 type Config struct {
-	Agents     []string // host:port; the first is the one at home
-	TokenFile  string
-	Datacentre string
-	Mode       blockingquery.Mode
-	Watch      blockingquery.Config
-	TLS        *TLS
-	Services   []*Service
-	Purges     string    // prefix of the KV store; empty: none
-	Register   *Register // nil: the doorman does not register itself
-	Bind       net.Addr  // that connections come from; nil: the system's choice
+	Agents       []string // host:port; the first is the one at home
+	TokenFile    string
+	Datacentre   string
+	Mode         blockingquery.Mode
+	Watch        blockingquery.Config
+	TLS          *TLS
+	Services     []*Service
+	Purges       string        // prefix of the KV store; empty: none
+	Registration *Registration // nil: the doorman does not register itself
+	Bind         net.Addr      // that connections come from; nil: the system's choice
 }
 
 // TLS is how agents are spoken to by HTTPS.
@@ -48,8 +48,8 @@
 	Rules  health.Rules
 }
 
-// Register is the doorman's own registration.
-type Register struct {
+// Registration is the doorman's own registration.
+type Registration struct {
 	Service, ID, Address string
 	Tags                 []string
 	TTL                  time.Duration
@@ -127,15 +127,15 @@
 		return v.section(), nil
 	})
 	s.Block("register", false, "the doorman's own registration", func([]string) (*config.Section, error) {
-		c.Register = &Register{TTL: 10 * time.Second}
+		c.Registration = &Registration{TTL: 10 * time.Second}
 		r := &config.Section{}
-		r.Text("service", &c.Register.Service, word("service"), "name of the service")
-		r.Text("id", &c.Register.ID, word("instance"), "of this doorman; its name without it")
-		r.Text("address", &c.Register.Address, address, "host:port to be told; where it listens without it")
-		r.Words("tag", &c.Register.Tags, nil, "tags of the instance")
-		r.Duration("ttl", &c.Register.TTL, time.Second, 10*time.Minute, "of the check")
+		r.Text("service", &c.Registration.Service, word("service"), "name of the service")
+		r.Text("id", &c.Registration.ID, word("instance"), "of this doorman; its name without it")
+		r.Text("address", &c.Registration.Address, address, "host:port to be told; where it listens without it")
+		r.Words("tag", &c.Registration.Tags, nil, "tags of the instance")
+		r.Duration("ttl", &c.Registration.TTL, time.Second, 10*time.Minute, "of the check")
 		r.Check(func() error {
-			if c.Register.Service == "" {
+			if c.Registration.Service == "" {
 				return errors.New("service is missing")
 			}
 			return nil
@@ -147,7 +147,7 @@
 		switch {
 		case len(c.Agents) == 0:
 			return errors.New("no agent is given")
-		case len(c.Services) == 0 && c.Purges == "" && c.Register == nil:
+		case len(c.Services) == 0 && c.Purges == "" && c.Registration == nil:
 			return errors.New("neither service nor purges nor register is given")
 		}
 		return nil
@@ -192,7 +192,7 @@
 // Sources gives the sources of boxes that the catalogue is, one a service, for the membership's settings.
 func (c *Config) Sources(damping membership.Damping) (out []membership.Source) {
 	for _, v := range c.Services {
-		out = append(out, membership.Source{Name: "consul:" + v.Name, Protect: true, Starts: true, Damping: damping})
+		out = append(out, membership.Source{Name: "consul:" + v.Name, ConfirmLosses: true, FirstSeenIsStart: true, Damping: damping})
 	}
 	return out
 }
--- a/internal/membership/consul/consul_test.go
+++ b/internal/membership/consul/consul_test.go
@@ -50,7 +50,7 @@
 			defer h.mu.Unlock()
 			h.words = append(h.words, fmt.Sprint(event, fields))
 		},
-		Tell: func(events ...broker.Event) {
+		Publish: func(events ...broker.Event) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
 			for _, e := range events {
@@ -211,12 +211,12 @@
 	defer h.mu.Unlock()
 	sum := 0
 	for _, l := range h.lists[:len(h.lists)-1] {
-		if sum += len(l.Boxes); !l.Part || len(l.Boxes) > partMost {
-			t.Errorf("a part of %d boxes, part %v", len(l.Boxes), l.Part)
+		if sum += len(l.Endpoints); !l.Part || len(l.Endpoints) > partMost {
+			t.Errorf("a part of %d boxes, part %v", len(l.Endpoints), l.Part)
 		}
 	}
-	if last := h.lists[len(h.lists)-1]; sum != 2500 || len(last.Boxes) != 2500 {
-		t.Errorf("%d boxes in parts, %d in the whole", sum, len(last.Boxes))
+	if last := h.lists[len(h.lists)-1]; sum != 2500 || len(last.Endpoints) != 2500 {
+		t.Errorf("%d boxes in parts, %d in the whole", sum, len(last.Endpoints))
 	}
 }
 
@@ -261,7 +261,7 @@
 				}
 				continue
 			}
-			if box.ID == "" || box.State != membership.Gone && (box.Zone < 0 || box.Kind < 0 || box.Address == "") || box.Born < 0 || box.Weight != box.Weight {
+			if box.ID == "" || box.State != membership.Gone && (box.Zone < 0 || box.Kind < 0 || box.Address == "") || box.StartedAt < 0 || box.Weight != box.Weight {
 				t.Fatalf("taken: %+v", box)
 			}
 		}
@@ -285,8 +285,8 @@
 		h := &heard{}
 		h.start(t, parse(t, "agent "+agent.Address()+"\ndatacentre dc9\nmode "+mode+"\nservice cache {\ntag edge\nfilter 'Service.Port == 1'\n}"))
 		h.until(t, "a list comes", func() bool { return len(h.lists) > 0 })
-		if len(h.lists[0].Boxes) != 1 || h.lists[0].Boxes[0].ID != "c1" {
-			t.Errorf("%s: %+v, want the one with the tag", mode, h.lists[0].Boxes)
+		if len(h.lists[0].Endpoints) != 1 || h.lists[0].Endpoints[0].ID != "c1" {
+			t.Errorf("%s: %+v, want the one with the tag", mode, h.lists[0].Endpoints)
 		}
 		dc, _ := agent.Query("dc")
 		filter, _ := agent.Query("filter")
--- a/internal/membership/consul/follow.go
+++ b/internal/membership/consul/follow.go
@@ -17,16 +17,16 @@
 
 // Catalogue is the running source. Its calls to Tell and Log come from goroutines of its own.
 type Catalogue struct {
-	Config *Config
-	Names  membership.Names
-	First  int // the source that the first service is, in the membership's order
-	// Tell hands events on and returns once they are taken, so that a large list comes in parts.
-	Tell func(...broker.Event)
-	Log  func(event string, fields ...any)
-	Now  func() time.Duration
-	// Lives is called when an agent has answered that it lives; nil: nobody wants to know.
-	Lives func()
-	Seed  uint64
+	Config      *Config
+	Names       membership.Names
+	FirstSource int // the source that the first service is, in the membership's order
+	// Publish hands events on and returns once they are taken, so that a large list comes in parts.
+	Publish func(...broker.Event)
+	Log     func(event string, fields ...any)
+	Now     func() time.Duration
+	// AgentAlive is called when an agent has answered that it lives; nil: nobody wants to know.
+	AgentAlive func()
+	Seed       uint64
 
 	followers []*follower
 	came      chan func() // what is to run on the followers' goroutine
@@ -62,7 +62,7 @@
 		if err != nil {
 			return err
 		}
-		f.service(v, c.First+i)
+		f.service(v, c.FirstSource+i)
 		c.followers = append(c.followers, f)
 	}
 	if c.Config.Purges != "" {
@@ -95,7 +95,7 @@
 
 // Confirm has a source asked for its list at once.
 func (c *Catalogue) Confirm(src int) {
-	if i := src - c.First; i >= 0 && i < len(c.Config.Services) {
+	if i := src - c.FirstSource; i >= 0 && i < len(c.Config.Services) {
 		f := c.followers[i]
 		f.post(f.watch.Confirm) // where it is dropped the table asks once more
 	}
@@ -190,8 +190,8 @@
 					f.failed(a, err)
 				} else {
 					f.watch.Probed(f.c.Now(), a.Serial)
-					if f.c.Lives != nil {
-						f.c.Lives()
+					if f.c.AgentAlive != nil {
+						f.c.AgentAlive()
 					}
 				}
 			})
@@ -246,7 +246,7 @@
 		q.Filter = v.Filter
 		return wrap(client.Health().ServiceMultipleTags(v.Name, v.Tags, false, q))
 	}
-	f.silent = func(silent bool) { f.c.Tell(broker.SourceStatus{Source: src, Silent: silent}) }
+	f.silent = func(silent bool) { f.c.Publish(broker.SourceStatus{Source: src, Silent: silent}) }
 	left := map[string]string{} // what was left out of the last answer, and why: it is logged once
 	known := 0
 	f.use = func(answer any, verdict blockingquery.Verdict, index uint64) {
@@ -254,11 +254,11 @@
 		case verdict.Belief == blockingquery.Ignore:
 			return
 		case verdict.Belief == blockingquery.Same && !verdict.Confirms:
-			f.c.Tell(broker.SourceStatus{Source: src})
+			f.c.Publish(broker.SourceStatus{Source: src})
 			return
 		}
 		entries, _ := answer.([]*api.ServiceEntry)
-		list := membership.List{Version: index, Confirms: verdict.Confirms, Omits: verdict.Belief == blockingquery.Omits}
+		list := membership.List{Version: index, Confirms: verdict.Confirms, Incomplete: verdict.Belief == blockingquery.Omits}
 		now := map[string]string{}
 		for _, e := range entries {
 			box, err := v.box(e, f.c.Names)
@@ -269,17 +269,17 @@
 				}
 				continue
 			}
-			list.Boxes = append(list.Boxes, box)
+			list.Endpoints = append(list.Endpoints, box)
 		}
 		left = now
-		if len(list.Boxes) > known+partMost {
-			for at := 0; at < len(list.Boxes); at += partMost {
-				part := list.Boxes[at:min(at+partMost, len(list.Boxes))]
-				f.c.Tell(broker.EndpointList{Source: src, List: membership.List{Version: index, Boxes: part, Part: true}})
+		if len(list.Endpoints) > known+partMost {
+			for at := 0; at < len(list.Endpoints); at += partMost {
+				part := list.Endpoints[at:min(at+partMost, len(list.Endpoints))]
+				f.c.Publish(broker.EndpointList{Source: src, List: membership.List{Version: index, Endpoints: part, Part: true}})
 			}
 		}
-		known = len(list.Boxes)
-		f.c.Tell(broker.EndpointList{Source: src, List: list})
+		known = len(list.Endpoints)
+		f.c.Publish(broker.EndpointList{Source: src, List: list})
 	}
 }
 
@@ -296,9 +296,9 @@
 }
 
 // box reads an instance.
-func (v *Service) box(e *api.ServiceEntry, names membership.Names) (membership.Box, error) {
+func (v *Service) box(e *api.ServiceEntry, names membership.Names) (membership.Endpoint, error) {
 	if e == nil || e.Service == nil || e.Node == nil {
-		return membership.Box{}, fmt.Errorf("an entry without service or node")
+		return membership.Endpoint{}, fmt.Errorf("an entry without service or node")
 	}
 	s := e.Service
 	in := health.Instance{ID: s.ID, Node: e.Node.Node, Address: s.Address, NodeAddress: e.Node.Address, Port: s.Port,
@@ -310,9 +310,9 @@
 	}
 	entry, err := v.Rules.Read(&in)
 	if err != nil {
-		return membership.Box{}, err
+		return membership.Endpoint{}, err
 	}
-	return names.Box(entry)
+	return names.Endpoint(entry)
 }
 
 // purges has the follower read the keys below a prefix as purges. Each is told once.
@@ -352,7 +352,7 @@
 		}
 		for len(events) > 0 {
 			n := min(len(events), partMost)
-			f.c.Tell(events[:n]...)
+			f.c.Publish(events[:n]...)
 			events = events[n:]
 		}
 	}
--- a/internal/membership/consul/health/health.go
+++ b/internal/membership/consul/health/health.go
@@ -73,32 +73,32 @@
 
 // Read gives an instance as a box. The error names the instance and what makes it of no use; such a one is left out.
 func (r *Rules) Read(in *Instance) (membership.Entry, error) {
-	e := membership.Entry{Host: in.ID, Site: r.Site, Class: r.Class, Incarnation: in.Create}
+	e := membership.Entry{ID: in.ID, Zone: r.Site, Kind: r.Class, Incarnation: in.Create}
 	key, meta := strings.CutPrefix(r.ID, "meta:")
 	switch {
 	case meta:
-		e.Host = in.Meta[key]
+		e.ID = in.Meta[key]
 	case r.ID == "node":
-		e.Host = in.Node
+		e.ID = in.Node
 	case r.ID == "node/service":
-		e.Host = in.Node + "/" + in.ID
+		e.ID = in.Node + "/" + in.ID
 	}
-	name := e.Host
+	name := e.ID
 	if name == "" {
 		name = in.Node + "/" + in.ID
 	}
-	if e.Site == "" {
-		e.Site = in.Meta[r.SiteKey]
+	if e.Zone == "" {
+		e.Zone = in.Meta[r.SiteKey]
 	}
-	if e.Class == "" {
-		e.Class = in.Meta[r.ClassKey]
+	if e.Kind == "" {
+		e.Kind = in.Meta[r.ClassKey]
 	}
 	if text := in.Meta[r.BornKey]; text != "" {
 		born, err := strconv.ParseInt(text, 10, 64)
 		if err != nil {
 			return e, fmt.Errorf("%s: %s %.32q is not a number of milliseconds", name, r.BornKey, text)
 		}
-		e.Born = born
+		e.StartedAtMS = born
 	}
 	state, warned, err := r.state(in)
 	if err != nil {
@@ -125,7 +125,7 @@
 	if in.Port <= 0 || in.Port > 65535 {
 		return e, fmt.Errorf("%s: port %d", name, in.Port)
 	}
-	e.Dial = address + ":" + strconv.Itoa(in.Port)
+	e.Address = address + ":" + strconv.Itoa(in.Port)
 	return e, nil
 }
 
--- a/internal/membership/consul/health/health_test.go
+++ b/internal/membership/consul/health/health_test.go
@@ -32,7 +32,7 @@
 }
 
 func TestRead(t *testing.T) {
-	up := membership.Entry{Host: "c1", Dial: "10.0.0.1:8443", Site: "edge", Class: "std", State: membership.Up, Weight: 4, Incarnation: 7}
+	up := membership.Entry{ID: "c1", Address: "10.0.0.1:8443", Zone: "edge", Kind: "std", State: membership.Up, Weight: 4, Incarnation: 7}
 	with := func(change func(*membership.Entry)) membership.Entry {
 		e := up
 		change(&e)
@@ -65,18 +65,18 @@
 		{name: "an odd status", in: checks("a=fine"), err: `c1: check "a" has the status "fine"`},
 		{name: "capacity", in: func(in *Instance) { in.Meta["capacity"] = "12.5" }, want: with(func(e *membership.Entry) { e.Weight = 12.5 })},
 		{name: "capacity that is none", in: func(in *Instance) { in.Meta["capacity"] = "NaN" }, err: `c1: capacity "NaN"`},
-		{name: "a late start", in: func(in *Instance) { in.Meta["born_ms"] = "1700" }, want: with(func(e *membership.Entry) { e.Born = 1700 })},
+		{name: "a late start", in: func(in *Instance) { in.Meta["born_ms"] = "1700" }, want: with(func(e *membership.Entry) { e.StartedAtMS = 1700 })},
 		{name: "a start that is none", in: func(in *Instance) { in.Meta["born_ms"] = "soon" }, err: `c1: born_ms "soon"`},
 		{name: "the node's address", in: func(in *Instance) { in.Address, in.NodeAddress = "", "10.9.9.9" },
-			want: with(func(e *membership.Entry) { e.Dial = "10.9.9.9:8443" })},
-		{name: "an IPv6 address", in: func(in *Instance) { in.Address = "::1" }, want: with(func(e *membership.Entry) { e.Dial = "[::1]:8443" })},
+			want: with(func(e *membership.Entry) { e.Address = "10.9.9.9:8443" })},
+		{name: "an IPv6 address", in: func(in *Instance) { in.Address = "::1" }, want: with(func(e *membership.Entry) { e.Address = "[::1]:8443" })},
 		{name: "no port", in: func(in *Instance) { in.Port = 0 }, err: "c1: port 0"},
-		{name: "ids by node", rules: func(r *Rules) { r.ID = "node" }, want: with(func(e *membership.Entry) { e.Host = "n1" })},
-		{name: "ids by both", rules: func(r *Rules) { r.ID = "node/service" }, want: with(func(e *membership.Entry) { e.Host = "n1/c1" })},
+		{name: "ids by node", rules: func(r *Rules) { r.ID = "node" }, want: with(func(e *membership.Entry) { e.ID = "n1" })},
+		{name: "ids by both", rules: func(r *Rules) { r.ID = "node/service" }, want: with(func(e *membership.Entry) { e.ID = "n1/c1" })},
 		{name: "ids by metadata", rules: func(r *Rules) { r.ID = "meta:box" }, in: func(in *Instance) { in.Meta["box"] = "b9" },
-			want: with(func(e *membership.Entry) { e.Host = "b9" })},
+			want: with(func(e *membership.Entry) { e.ID = "b9" })},
 		{name: "site and class by the settings", rules: func(r *Rules) { r.Site, r.Class = "hub", "parent" },
-			want: with(func(e *membership.Entry) { e.Site, e.Class = "hub", "parent" })},
+			want: with(func(e *membership.Entry) { e.Zone, e.Kind = "hub", "parent" })},
 	} {
 		r := Default()
 		if c.rules != nil {
--- a/internal/membership/consul/register.go
+++ b/internal/membership/consul/register.go
@@ -16,14 +16,14 @@
 // callLimit bounds one call for the registration.
 const callLimit = time.Second
 
-// Keep keeps the doorman registered at the first agent until leave is closed, and then takes the registration back. It
+// KeepRegistered keeps the doorman registered at the first agent until leave is closed, and then takes the registration back. It
 // returns when that is done. name and listen stand in where the settings tell no id and no address.
-func (c *Catalogue) Keep(leave <-chan struct{}, name, listen string) error {
+func (c *Catalogue) KeepRegistered(leave <-chan struct{}, name, listen string) error {
 	clients, err := c.Config.clients()
 	if err != nil {
 		return err
 	}
-	set := *c.Config.Register
+	set := *c.Config.Registration
 	if set.ID == "" {
 		set.ID = name
 	}
--- a/internal/membership/listwatch/listwatch.go
+++ b/internal/membership/listwatch/listwatch.go
@@ -34,14 +34,14 @@
 var states = map[string]membership.State{"up": membership.Up, "draining": membership.Draining,
 	"removed": membership.Gone}
 
-// Names decodes events for one source of the list.
-type Names struct {
+// Decoder decodes events for one source of the list.
+type Decoder struct {
 	membership.Names
 	Source int
 }
 
 // Decode reads one event.
-func (n Names) Decode(e gjson.Result) (no int64, events []broker.Event, err error) {
+func (n Decoder) Decode(e gjson.Result) (no int64, events []broker.Event, err error) {
 	if !e.IsObject() || e.Get("no").Type != gjson.Number {
 		return 0, nil, fmt.Errorf("not an event with a number: %.80q", e.Raw)
 	}
@@ -63,12 +63,12 @@
 	return no, events, nil
 }
 
-func (n Names) roster(r gjson.Result) (broker.Event, error) {
+func (n Decoder) roster(r gjson.Result) (broker.Event, error) {
 	hosts := r.Get("hosts").Array()
 	if !r.Get("hosts").IsArray() || len(hosts) > mostHosts {
 		return nil, fmt.Errorf("hosts: expected a list of at most %d", mostHosts)
 	}
-	boxes := make([]membership.Box, 0, len(hosts))
+	boxes := make([]membership.Endpoint, 0, len(hosts))
 	for i, h := range hosts {
 		box, err := n.box(h)
 		if err != nil {
@@ -78,19 +78,19 @@
 	}
 	version := r.Get("seq").Uint()
 	if r.Get("whole").Bool() {
-		return broker.EndpointList{Source: n.Source, List: membership.List{Version: version, Boxes: boxes}}, nil
+		return broker.EndpointList{Source: n.Source, List: membership.List{Version: version, Endpoints: boxes}}, nil
 	}
 	return broker.EndpointDelta{Source: n.Source, Version: version, Endpoints: boxes}, nil
 }
 
-func (n Names) box(h gjson.Result) (membership.Box, error) {
+func (n Decoder) box(h gjson.Result) (membership.Endpoint, error) {
 	state, ok := states[h.Get("health").String()]
 	if !ok {
-		return membership.Box{}, fmt.Errorf("health %q", h.Get("health").String())
+		return membership.Endpoint{}, fmt.Errorf("health %q", h.Get("health").String())
 	}
-	return n.Box(membership.Entry{Host: h.Get("host").String(), Dial: h.Get("dial").String(),
-		Site: h.Get("site").String(), Class: h.Get("class").String(), Block: int(h.Get("block").Int()), State: state,
-		Weight: h.Get("share").Float(), Born: h.Get("born_ms").Int()})
+	return n.Endpoint(membership.Entry{ID: h.Get("host").String(), Address: h.Get("dial").String(),
+		Zone: h.Get("site").String(), Kind: h.Get("class").String(), Cell: int(h.Get("block").Int()), State: state,
+		Weight: h.Get("share").Float(), StartedAtMS: h.Get("born_ms").Int()})
 }
 
 func decodeRecall(r gjson.Result) (broker.Purge, error) {
@@ -117,8 +117,8 @@
 	return p, nil
 }
 
-// Known decodes the events of the start.
-func (n Names) Known(known gjson.Result) (last int64, events []broker.Event, err error) {
+// DecodeInitial decodes the events of the start.
+func (n Decoder) DecodeInitial(known gjson.Result) (last int64, events []broker.Event, err error) {
 	if !known.Exists() {
 		return 0, nil, nil
 	}
@@ -135,12 +135,12 @@
 	return known.Get("no").Int(), events, nil
 }
 
-// Boxes is the number of entries of boxes in events.
-func Boxes(events []broker.Event) (n int) {
+// CountEndpoints is the number of entries of boxes in events.
+func CountEndpoints(events []broker.Event) (n int) {
 	for _, e := range events {
 		switch e := e.(type) {
 		case broker.EndpointList:
-			n += len(e.List.Boxes)
+			n += len(e.List.Endpoints)
 		case broker.EndpointDelta:
 			n += len(e.Endpoints)
 		}
@@ -148,15 +148,15 @@
 	return n
 }
 
-// Reader keeps a connection to the bulletin and resumes after the last event it has.
-type Reader struct {
-	Loop    *eventloop.Loop
-	Address string // empty: there is none
-	Names   Names
-	Last    int64
-	Emit    func(broker.Event)
-	Now     func() time.Duration
-	Log     func(event string, fields ...any)
+// Watcher keeps a connection to the bulletin and resumes after the last event it has.
+type Watcher struct {
+	Loop      *eventloop.Loop
+	Address   string // empty: there is none
+	Decoder   Decoder
+	LastEvent int64
+	Emit      func(broker.Event)
+	Now       func() time.Duration
+	Log       func(event string, fields ...any)
 
 	session *session // nil: none, and the next dial is due at again
 	retry   time.Duration
@@ -168,13 +168,13 @@
 
 // session is one connection to the bulletin, or the dial of one. What comes on any but the Reader's own is dropped.
 type session struct {
-	reader *Reader
+	reader *Watcher
 	conn   *eventloop.Conn // nil while it is dialled
 	heard  time.Duration
 }
 
 // Tick dials when there is no connection, and drops one that has gone quiet.
-func (r *Reader) Tick(now time.Duration) {
+func (r *Watcher) Tick(now time.Duration) {
 	switch s := r.session; {
 	case s != nil && s.conn != nil && now-s.heard > quietMost:
 		r.lost(fmt.Errorf("nothing came for %v", now-s.heard))
@@ -189,8 +189,8 @@
 	}
 }
 
-// Follow goes over to another address and asks there for what has happened since the last event. The numbers go on.
-func (r *Reader) Follow(address string) {
+// SwitchTo goes over to another address and asks there for what has happened since the last event. The numbers go on.
+func (r *Watcher) SwitchTo(address string) {
 	if address == r.Address {
 		return
 	}
@@ -199,7 +199,7 @@
 	r.Tick(r.Now())
 }
 
-func (r *Reader) drop() {
+func (r *Watcher) drop() {
 	if s := r.session; s != nil && s.conn != nil {
 		s.conn.Close()
 	}
@@ -207,10 +207,10 @@
 }
 
 // lost drops the connection and sets the time of the next dial.
-func (r *Reader) lost(err error) {
+func (r *Watcher) lost(err error) {
 	if !r.down {
-		r.Log("bulletin-lost", "error", err, "after", r.Last)
-		r.Emit(broker.SourceStatus{Source: r.Names.Source, Silent: true})
+		r.Log("bulletin-lost", "error", err, "after", r.LastEvent)
+		r.Emit(broker.SourceStatus{Source: r.Decoder.Source, Silent: true})
 	}
 	r.down = true
 	r.drop()
@@ -225,7 +225,7 @@
 		return
 	}
 	s.conn, s.heard = c, s.reader.Now()
-	c.Send([]byte("after " + strconv.FormatInt(s.reader.Last, 10) + "\n"))
+	c.Send([]byte("after " + strconv.FormatInt(s.reader.LastEvent, 10) + "\n"))
 }
 
 // Closed has the connection dialled again.
@@ -259,13 +259,13 @@
 }
 
 // line takes an event, or the number of the last one alone.
-func (r *Reader) line(line []byte) {
+func (r *Watcher) line(line []byte) {
 	if len(line) == 0 {
 		return
 	}
 	if last, err := strconv.ParseInt(string(line), 10, 64); err == nil {
-		if last > r.Last && !r.skip {
-			r.lost(fmt.Errorf("event %d was missed", r.Last+1))
+		if last > r.LastEvent && !r.skip {
+			r.lost(fmt.Errorf("event %d was missed", r.LastEvent+1))
 		}
 		r.settled()
 		return
@@ -274,25 +274,25 @@
 	var events []broker.Event
 	err := fmt.Errorf("not valid JSON: %.80q", line)
 	if gjson.ValidBytes(line) {
-		no, events, err = r.Names.Decode(gjson.ParseBytes(line))
+		no, events, err = r.Decoder.Decode(gjson.ParseBytes(line))
 	}
 	switch {
-	case err != nil && r.badAt == r.Last+1:
+	case err != nil && r.badAt == r.LastEvent+1:
 		// It came again after resuming, so it is what the bulletin has; go on without it.
 		r.Log("bulletin-skipped", "error", err)
 		r.skip = true
-		if no == r.Last+1 {
-			r.Last = no
+		if no == r.LastEvent+1 {
+			r.LastEvent = no
 		}
 	case err != nil:
-		r.badAt = r.Last + 1
-		r.Log("bulletin-line", "error", err, "after", r.Last)
+		r.badAt = r.LastEvent + 1
+		r.Log("bulletin-line", "error", err, "after", r.LastEvent)
 		r.lost(err)
-	case no <= r.Last:
-	case no > r.Last+1 && r.Last > 0 && !r.skip:
-		r.lost(fmt.Errorf("event %d came after event %d", no, r.Last))
+	case no <= r.LastEvent:
+	case no > r.LastEvent+1 && r.LastEvent > 0 && !r.skip:
+		r.lost(fmt.Errorf("event %d came after event %d", no, r.LastEvent))
 	default:
-		r.Last, r.skip = no, false
+		r.LastEvent, r.skip = no, false
 		for _, e := range events {
 			r.Emit(e)
 		}
@@ -301,20 +301,20 @@
 }
 
 // settled notes that the stream runs.
-func (r *Reader) settled() {
+func (r *Watcher) settled() {
 	if r.session == nil {
 		return
 	}
-	r.Emit(broker.SourceStatus{Source: r.Names.Source})
+	r.Emit(broker.SourceStatus{Source: r.Decoder.Source})
 	if r.retry = 0; r.down {
-		r.Log("bulletin-back", "at", r.Last)
+		r.Log("bulletin-back", "at", r.LastEvent)
 		r.down = false
 	}
 }
 
-// Ask connects once and gives the events after one that are there by the first line that tells the last number, or within
+// FetchOnce connects once and gives the events after one that are there by the first line that tells the last number, or within
 // limit.
-func (n Names) Ask(address string, after int64, limit time.Duration) (events []broker.Event, err error) {
+func (n Decoder) FetchOnce(address string, after int64, limit time.Duration) (events []broker.Event, err error) {
 	end := time.Now().Add(limit)
 	conn, err := net.DialTimeout("tcp", address, limit)
 	if err != nil {
--- a/internal/membership/listwatch/session_test.go
+++ b/internal/membership/listwatch/session_test.go
@@ -11,7 +11,7 @@
 // TestOldSessionsWords: what an old connection still brings after the next one has begun counts for nothing.
 func TestOldSessionsWords(t *testing.T) {
 	var events []broker.Event
-	r := &Reader{Last: 4, Emit: func(e broker.Event) { events = append(events, e) }, Now: func() time.Duration { return time.Second },
+	r := &Watcher{LastEvent: 4, Emit: func(e broker.Event) { events = append(events, e) }, Now: func() time.Duration { return time.Second },
 		Log: func(string, ...any) {}}
 	old := &session{reader: r}
 	r.session = &session{reader: r}
@@ -22,11 +22,11 @@
 		}
 	}
 	old.Closed(nil, nil)
-	if r.Last != 4 || len(events) > 0 || r.down || r.session == nil {
-		t.Errorf("last event %d, %d events, down %v: want 4, none, false", r.Last, len(events), r.down)
+	if r.LastEvent != 4 || len(events) > 0 || r.down || r.session == nil {
+		t.Errorf("last event %d, %d events, down %v: want 4, none, false", r.LastEvent, len(events), r.down)
 	}
 	c := &eventloop.Conn{In: []byte(`{"no":5,"recall":{"lot":3,"issued":1}}` + "\n")}
-	if r.session.Received(c); r.Last != 5 || len(events) == 0 {
-		t.Errorf("the new connection's words: last event %d, %d events", r.Last, len(events))
+	if r.session.Received(c); r.LastEvent != 5 || len(events) == 0 {
+		t.Errorf("the new connection's words: last event %d, %d events", r.LastEvent, len(events))
 	}
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -40,15 +40,15 @@
 // String gives the word that operators read.
 func (s State) String() string { return [...]string{"gone", "draining", "up"}[s] }
 
-// Box is what a source says of a box.
-type Box struct {
+// Endpoint is what a source says of a box.
+type Endpoint struct {
 	ID          string        `codec:"ID"`
 	Address     string        `codec:"Address"` // host:port
 	Zone        int           `codec:"Zone"`
 	Kind        int           `codec:"Kind"`
 	Cell        int           `codec:"Cell"`
 	Weight      float64       `codec:"Weight"`
-	Born        time.Duration `codec:"Born"`        // its most recent start on the Unix clock; 0: long ago
+	StartedAt   time.Duration `codec:"Born"`        // its most recent start on the Unix clock; 0: long ago
 	Incarnation uint64        `codec:"Incarnation"` // another one with each registration; 0: the source tells none
 	State       State         `codec:"State"`
 }
@@ -56,47 +56,47 @@
 // Source is one source's settings.
 type Source struct {
 	Name string
-	// Protect has whole lists doubted that lack many boxes at once. Only for sources that can be asked again.
-	Protect bool
-	// Starts says that the source does not tell of late starts: what appears after its first list started then.
-	Starts  bool
-	Damping Damping
+	// ConfirmLosses has whole lists doubted that lack many boxes at once. Only for sources that can be asked again.
+	ConfirmLosses bool
+	// FirstSeenIsStart says that the source does not tell of late starts: what appears after its first list started then.
+	FirstSeenIsStart bool
+	Damping          Damping
 }
 
 // Damping holds a box down that flaps, after RFC 2439: each way down adds 1 to its penalty, which halves in HalfLife.
 // Above Cut the way up waits until it is under Reuse, and for Most at the longest. The zero value damps nothing.
 type Damping struct {
-	Cut, Reuse float64
-	HalfLife   time.Duration
-	Most       time.Duration
+	SuppressAbove, ReuseBelow float64
+	HalfLife                  time.Duration
+	MaxSuppress               time.Duration
 }
 
 // Config is the settings of a Table.
 type Config struct {
-	Sources    []Source      // in the order in which they are believed about what a box is
-	MostBoxes  int           // boxes held; further ones are left out and counted; 0: DefaultMost
-	LossShare  float64       // of a source's boxes: a list that lacks more at once is doubted; 0: none is
-	LossLeast  int           // and at least so many
-	Confirm    time.Duration // how often a doubted source is asked again; 0: DefaultConfirm
-	SilentMost time.Duration // see the rule; 0: for ever
-	Forget     time.Duration // how long "gone" of a source that tells changes is remembered; 0: DefaultForget
+	Sources         []Source      // in the order in which they are believed about what a box is
+	MaxEndpoints    int           // boxes held; further ones are left out and counted; 0: DefaultMost
+	MaxLossShare    float64       // of a source's boxes: a list that lacks more at once is doubted; 0: none is
+	MinLoss         int           // and at least so many
+	ConfirmInterval time.Duration // how often a doubted source is asked again; 0: DefaultConfirm
+	MaxSilence      time.Duration // see the rule; 0: for ever
+	Forget          time.Duration // how long "gone" of a source that tells changes is remembered; 0: DefaultForget
 }
 
 // Defaults of Config.
 const (
-	DefaultMost    = 100_000
-	DefaultConfirm = 300 * time.Millisecond
-	DefaultForget  = time.Minute
+	DefaultMaxEndpoints    = 100_000
+	DefaultConfirmInterval = 300 * time.Millisecond
+	DefaultForget          = time.Minute
 )
 
 // List is a whole list of a source.
 type List struct {
-	Version uint64
-	Boxes   []Box
+	Version   uint64
+	Endpoints []Endpoint
 	// Confirms says that it was asked for after a Confirm and in the way that is most to be trusted.
 	Confirms bool
-	// Omits has only what is named count: the answer may lack boxes, so none is lost by it.
-	Omits bool
+	// Incomplete has only what is named count: the answer may lack boxes, so none is lost by it.
+	Incomplete bool
 	// Part says that the list comes in parts, of which this is one, so that a large first one does not hold its reader
 	// up: nothing is lost by a part. The whole list follows as the last.
 	Part bool
@@ -105,7 +105,7 @@
 // word is what one source says of a box.
 type word struct {
 	has     bool
-	box     Box           // as told, but for Born
+	box     Endpoint      // as told, but for Born
 	born    time.Duration // as told or found
 	at      time.Duration // when it last changed
 	gen     uint64        // the whole list that named it last
@@ -128,8 +128,8 @@
 // record is all that is known of a box.
 type record struct {
 	id      string
-	words   []word // by source
-	told    Box    // as it was told last; Gone: not told, or told as gone
+	words   []word   // by source
+	told    Endpoint // as it was told last; Gone: not told, or told as gone
 	queued  bool
 	address string // that it is indexed under
 	moved   uint64 // the order of coming there
@@ -175,8 +175,8 @@
 
 // New makes an empty table.
 func New(cfg Config) *Table {
-	cfg.MostBoxes = cmp.Or(cfg.MostBoxes, DefaultMost)
-	cfg.Confirm, cfg.Forget = cmp.Or(cfg.Confirm, DefaultConfirm), cmp.Or(cfg.Forget, DefaultForget)
+	cfg.MaxEndpoints = cmp.Or(cfg.MaxEndpoints, DefaultMaxEndpoints)
+	cfg.ConfirmInterval, cfg.Forget = cmp.Or(cfg.ConfirmInterval, DefaultConfirmInterval), cmp.Or(cfg.Forget, DefaultForget)
 	t := &Table{cfg: cfg, records: map[string]*record{}, addresses: map[string][]*record{}}
 	for _, s := range cfg.Sources {
 		t.sources = append(t.sources, source{Source: s})
@@ -191,22 +191,22 @@
 // Len is the number of boxes held, those that are gone and remembered among them.
 func (t *Table) Len() int { return len(t.records) }
 
-// Whole takes a whole list of a source. What it does not name the source has no word on any more, unless the loss is
+// ReplaceList takes a whole list of a source. What it does not name the source has no word on any more, unless the loss is
 // doubted. What is named twice counts once.
-func (t *Table) Whole(now time.Duration, src int, l List) {
+func (t *Table) ReplaceList(now time.Duration, src int, l List) {
 	s := &t.sources[src]
-	t.Heard(now, src)
+	t.SourceSeen(now, src)
 	s.version = l.Version
 	first := !s.ever
 	before := s.words
 	// An empty first answer may be that of an agent that has only just started: what comes next is not new for that.
-	s.ever = s.ever || !l.Part && len(l.Boxes) > 0
-	omits := l.Omits || l.Part
+	s.ever = s.ever || !l.Part && len(l.Endpoints) > 0
+	omits := l.Incomplete || l.Part
 	s.gen++
 	next, seen, fresh := s.spare[:0], 0, []*record(nil)
 	cursor := 0
-	for i := range l.Boxes {
-		b := &l.Boxes[i]
+	for i := range l.Endpoints {
+		b := &l.Endpoints[i]
 		var r *record
 		// Sources name their boxes in much the same order each time, which spares most look-ups.
 		if cursor < len(s.order) && s.order[cursor].id == b.ID {
@@ -221,7 +221,7 @@
 		}
 		w := &r.words[src]
 		if w.gen == s.gen {
-			t.note(Note{Kind: NamedTwice, Source: src, Box: b.ID})
+			t.note(Note{Kind: DuplicateID, Source: src, Endpoint: b.ID})
 			continue
 		}
 		switch {
@@ -269,7 +269,7 @@
 		}
 		if heir := here[w.box.Address]; heir != nil {
 			// The same process under another name, or another one in its place: nothing is lost.
-			t.note(Note{Kind: Renamed, Source: src, Box: r.id, Other: heir.id})
+			t.note(Note{Kind: Renamed, Source: src, Endpoint: r.id, Other: heir.id})
 			t.unsay(now, src, r)
 			continue
 		}
@@ -282,13 +282,13 @@
 	}
 	total := len(lost) + len(next) // of the boxes that it might have named
 	empty := len(next) == 0 && len(lost) > 0
-	many := s.Protect && t.cfg.LossShare > 0 && len(lost) >= max(1, t.cfg.LossLeast) &&
-		float64(len(lost)) > t.cfg.LossShare*float64(total)
+	many := s.ConfirmLosses && t.cfg.MaxLossShare > 0 && len(lost) >= max(1, t.cfg.MinLoss) &&
+		float64(len(lost)) > t.cfg.MaxLossShare*float64(total)
 	confirmed := s.doubt != nil && l.Confirms
 	switch {
 	case len(lost) == 0:
 		t.settle(now, src)
-	case s.Protect && empty:
+	case s.ConfirmLosses && empty:
 		t.doubt(now, src, lost, total, true)
 	case many && !confirmed:
 		t.doubt(now, src, lost, total, false)
@@ -307,10 +307,10 @@
 func (t *Table) doubt(now time.Duration, src int, lost []*record, total int, empty bool) {
 	s := &t.sources[src]
 	if s.doubt == nil || s.doubt.empty != empty {
-		s.doubt = &doubt{empty: empty, since: now, again: now + t.cfg.Confirm}
-		t.note(Note{Kind: LossDoubted, Source: src, Count: len(lost), Of: total})
+		s.doubt = &doubt{empty: empty, since: now, again: now + t.cfg.ConfirmInterval}
+		t.note(Note{Kind: LossSuspected, Source: src, Count: len(lost), Of: total})
 		t.ask(src)
-		t.at(now+t.cfg.Confirm, nil, src)
+		t.at(now+t.cfg.ConfirmInterval, nil, src)
 	}
 	s.doubt.lost = lost
 }
@@ -323,10 +323,10 @@
 	}
 }
 
-// Change takes changes of a source: boxes whose state is Gone need only their ID.
-func (t *Table) Change(now time.Duration, src int, version uint64, boxes []Box) {
+// ApplyDelta takes changes of a source: boxes whose state is Gone need only their ID.
+func (t *Table) ApplyDelta(now time.Duration, src int, version uint64, boxes []Endpoint) {
 	s := &t.sources[src]
-	t.Heard(now, src)
+	t.SourceSeen(now, src)
 	first := !s.ever
 	s.ever, s.version = true, version
 	for i := range boxes {
@@ -362,7 +362,7 @@
 
 // add makes a record, or counts the box as left out.
 func (t *Table) add(now time.Duration, id string) *record {
-	if len(t.records) >= t.cfg.MostBoxes {
+	if len(t.records) >= t.cfg.MaxEndpoints {
 		t.full++
 		return nil
 	}
@@ -373,13 +373,13 @@
 
 func (t *Table) noteFull(src int) {
 	if t.full > 0 {
-		t.note(Note{Kind: ListFull, Source: src, Count: t.full, Of: t.cfg.MostBoxes})
+		t.note(Note{Kind: ListFull, Source: src, Count: t.full, Of: t.cfg.MaxEndpoints})
 		t.full = 0
 	}
 }
 
 // say sets a source's word on a box.
-func (t *Table) say(now time.Duration, src int, r *record, b *Box, first bool) {
+func (t *Table) say(now time.Duration, src int, r *record, b *Endpoint, first bool) {
 	s, w := &t.sources[src], &r.words[src]
 	if w.has && w.box == *b {
 		return
@@ -389,7 +389,7 @@
 		s.words++
 	}
 	w.has, w.box, w.at = true, *b, now
-	if w.born = b.Born; s.Starts && b.Born == 0 {
+	if w.born = b.StartedAt; s.FirstSeenIsStart && b.StartedAt == 0 {
 		// The source tells registrations and no starts, so a new one is a start: the box may be cold. What the first
 		// list names may be of any age.
 		switch {
@@ -416,7 +416,7 @@
 	t.sources[src].words--
 	// The penalty stays with the record: one that is deregistered and registered again flaps as well.
 	*w = word{penalty: w.penalty, scored: w.scored, gen: w.gen, place: w.place, down: Gone}
-	if d := t.sources[src].Damping; d.Cut > 0 {
+	if d := t.sources[src].Damping; d.SuppressAbove > 0 {
 		t.score(now, d, w)
 		w.penalty++
 		t.at(now+t.cfg.Forget, r, src) // to forget the record
@@ -436,8 +436,8 @@
 	s.order = s.order[:last]
 }
 
-// Heard says that a source speaks, though it has nothing new to tell.
-func (t *Table) Heard(now time.Duration, src int) {
+// SourceSeen says that a source speaks, though it has nothing new to tell.
+func (t *Table) SourceSeen(now time.Duration, src int) {
 	s := &t.sources[src]
 	s.heard = max(s.heard, now)
 	if s.silent {
@@ -446,16 +446,16 @@
 	}
 }
 
-// Silent says that a source can't be heard. What it has said stays, by the rule.
-func (t *Table) Silent(now time.Duration, src int) {
+// SourceSilent says that a source can't be heard. What it has said stays, by the rule.
+func (t *Table) SourceSilent(now time.Duration, src int) {
 	s := &t.sources[src]
 	if s.silent {
 		return
 	}
 	s.silent = true
 	t.touchAll(now, src)
-	if t.cfg.SilentMost > 0 {
-		t.at(s.heard+t.cfg.SilentMost, nil, src)
+	if t.cfg.MaxSilence > 0 {
+		t.at(s.heard+t.cfg.MaxSilence, nil, src)
 	}
 }
 
@@ -555,7 +555,7 @@
 	for i := range t.sources {
 		w := &r.words[i]
 		if i != src && w.has && !t.sources[i].silent &&
-			(w.at > s.heard || t.cfg.SilentMost > 0 && now-s.heard >= t.cfg.SilentMost) {
+			(w.at > s.heard || t.cfg.MaxSilence > 0 && now-s.heard >= t.cfg.MaxSilence) {
 			return false
 		}
 	}
@@ -563,8 +563,8 @@
 }
 
 // decide applies the rule to a box, but for what is at its address.
-func (t *Table) decide(now time.Duration, r *record) (b Box, by int, why Why) {
-	why, by = Unnamed, -1
+func (t *Table) decide(now time.Duration, r *record) (b Endpoint, by int, why Reason) {
+	why, by = Unlisted, -1
 	facts := -1
 	for i := range t.sources {
 		if !t.counts(now, r, i) {
@@ -572,9 +572,9 @@
 		}
 		w := &r.words[i]
 		if by < 0 || w.state() < b.State {
-			b.State, by, why = w.state(), i, Word
+			b.State, by, why = w.state(), i, Reported
 			if w.until > 0 && w.box.State > w.state() {
-				why = Held
+				why = Suppressed
 			}
 		}
 		if w.box.Address != "" && (facts < 0 || r.words[facts].box.State == Gone && w.box.State != Gone) {
@@ -582,21 +582,21 @@
 		}
 	}
 	if facts < 0 {
-		return Box{ID: r.id}, by, why
+		return Endpoint{ID: r.id}, by, why
 	}
 	state := b.State
 	b = r.words[facts].box
-	b.State, b.Born = state, 0
+	b.State, b.StartedAt = state, 0
 	for i := range t.sources {
 		if t.counts(now, r, i) {
-			b.Born = max(b.Born, r.words[i].born)
+			b.StartedAt = max(b.StartedAt, r.words[i].born)
 		}
 	}
 	return b, by, why
 }
 
 // view is decide with what is at the box's address: the rule's last point.
-func (t *Table) view(now time.Duration, r *record) (b Box, by int, why Why) {
+func (t *Table) view(now time.Duration, r *record) (b Endpoint, by int, why Reason) {
 	b, by, why = t.decide(now, r)
 	if b.State != Up {
 		return b, by, why
@@ -621,12 +621,12 @@
 			}
 			continue
 		}
-		if t.cfg.SilentMost > 0 && s.silent && now >= s.heard+t.cfg.SilentMost {
+		if t.cfg.MaxSilence > 0 && s.silent && now >= s.heard+t.cfg.MaxSilence {
 			t.touchAll(now, d.src)
 		}
 		// An empty list is not believed however often it comes, so that one question is enough.
 		if s.doubt != nil && !s.doubt.empty && now >= s.doubt.again {
-			s.doubt.again = now + t.cfg.Confirm
+			s.doubt.again = now + t.cfg.ConfirmInterval
 			t.ask(d.src)
 			t.at(s.doubt.again, nil, d.src)
 		}
@@ -641,7 +641,7 @@
 			return // put off meanwhile; there is another entry
 		}
 		w.until = 0
-		t.note(Note{Kind: BoxLoosed, Source: src, Box: r.id})
+		t.note(Note{Kind: EndpointReleased, Source: src, Endpoint: r.id})
 		t.touch(now, r)
 		return
 	}
@@ -674,14 +674,14 @@
 	return t.due[0].at
 }
 
-// Changed counts what has changed in the words of the sources: as long as it is the same, Export gives the same boxes.
-func (t *Table) Changed() uint64 { return t.changed }
+// Revision counts what has changed in the words of the sources: as long as it is the same, Export gives the same boxes.
+func (t *Table) Revision() uint64 { return t.changed }
 
-// Pending says whether there are changes to Take.
-func (t *Table) Pending() bool { return len(t.down)+len(t.up) > 0 }
+// HasChanges says whether there are changes to Take.
+func (t *Table) HasChanges() bool { return len(t.down)+len(t.up) > 0 }
 
-// Take gives at most so many changes, those first that take something away. What changed back meanwhile is not told.
-func (t *Table) Take(now time.Duration, most int) []Change {
+// TakeChanges gives at most so many changes, those first that take something away. What changed back meanwhile is not told.
+func (t *Table) TakeChanges(now time.Duration, most int) []Change {
 	var out []Change
 	for len(out) < most && len(t.down)+len(t.up) > 0 {
 		var r *record
@@ -696,7 +696,7 @@
 		r.queued = false
 		b, by, why := t.view(now, r)
 		if kind, changed := compare(r.told, b); changed {
-			out = append(out, Change{Kind: kind, Box: b, Was: r.told, By: by, Why: why})
+			out = append(out, Change{Kind: kind, Endpoint: b, Previous: r.told, DecidedBy: by, Reason: why})
 		}
 		if r.told = b; b.State == Gone {
 			t.leave(r)
@@ -716,7 +716,7 @@
 		if w.has {
 			return
 		}
-		if t.score(now, d, w); d.Cut > 0 && w.penalty >= d.Reuse {
+		if t.score(now, d, w); d.SuppressAbove > 0 && w.penalty >= d.ReuseBelow {
 			t.at(now+t.cfg.Forget, r, i)
 			return
 		}
--- a/internal/membership/names.go
+++ b/internal/membership/names.go
@@ -13,33 +13,33 @@
 
 // Entry is what a source tells of a box in words, whichever source it is.
 type Entry struct {
-	Host, Dial, Site, Class string
-	Block                   int
+	ID, Address, Zone, Kind string
+	Cell                    int
 	State                   State
 	Weight                  float64
-	Born                    int64 // Unix millisecond of a late start, or 0
+	StartedAtMS             int64 // Unix millisecond of a late start, or 0
 	Incarnation             uint64
 }
 
 const latestClock = 1 << 42 // milliseconds: some hundred years from now
 
-// Box checks an entry. One that is gone need not tell more than its id. Errors name the box and what is wrong with it.
-func (n Names) Box(e Entry) (Box, error) {
-	b := Box{ID: e.Host, Address: e.Dial, Zone: slices.Index(n.Zones, e.Site), Kind: slices.Index(n.Kinds, e.Class),
-		Cell: e.Block, State: e.State, Weight: e.Weight, Born: time.Duration(e.Born) * time.Millisecond,
+// Endpoint checks an entry. One that is gone need not tell more than its id. Errors name the box and what is wrong with it.
+func (n Names) Endpoint(e Entry) (Endpoint, error) {
+	b := Endpoint{ID: e.ID, Address: e.Address, Zone: slices.Index(n.Zones, e.Zone), Kind: slices.Index(n.Kinds, e.Kind),
+		Cell: e.Cell, State: e.State, Weight: e.Weight, StartedAt: time.Duration(e.StartedAtMS) * time.Millisecond,
 		Incarnation: e.Incarnation}
 	switch {
-	case !isHost(e.Host):
-		return b, fmt.Errorf("host %q", e.Host)
-	case e.Born < 0 || e.Born > latestClock:
-		return b, fmt.Errorf("%s: born_ms %d", e.Host, e.Born)
+	case !isHost(e.ID):
+		return b, fmt.Errorf("host %q", e.ID)
+	case e.StartedAtMS < 0 || e.StartedAtMS > latestClock:
+		return b, fmt.Errorf("%s: born_ms %d", e.ID, e.StartedAtMS)
 	case e.State == Gone:
 	case b.Zone < 0:
-		return b, fmt.Errorf("%s: site %q is not in the settings", e.Host, e.Site)
+		return b, fmt.Errorf("%s: site %q is not in the settings", e.ID, e.Zone)
 	case b.Kind < 0:
-		return b, fmt.Errorf("%s: class %q is not in the settings", e.Host, e.Class)
-	case !isAddress(e.Dial):
-		return b, fmt.Errorf("%s: address %q is not host:port", e.Host, e.Dial)
+		return b, fmt.Errorf("%s: class %q is not in the settings", e.ID, e.Kind)
+	case !isAddress(e.Address):
+		return b, fmt.Errorf("%s: address %q is not host:port", e.ID, e.Address)
 	}
 	return b, nil
 }
--- a/internal/membership/tell.go
+++ b/internal/membership/tell.go
@@ -12,13 +12,13 @@
 
 // The kinds of changes.
 const (
-	Left      Kind = iota // it is gone
-	Added                 // it was gone or unknown; it may drain already
-	Drains                // it takes nothing new
-	Moved                 // it is at another address
-	Restarted             // it has started anew
-	Back                  // it drained and is up
-	Altered               // place, kind or weight
+	Removed         Kind = iota // it is gone
+	Added                       // it was gone or unknown; it may drain already
+	StartedDraining             // it takes nothing new
+	Moved                       // it is at another address
+	Restarted                   // it has started anew
+	Recovered                   // it drained and is up
+	Modified                    // place, kind or weight
 )
 
 // String gives the word that the log uses.
@@ -26,49 +26,49 @@
 	return [...]string{"left", "added", "drains", "moved", "restarted", "back", "altered"}[k]
 }
 
-// Why says what in the rule decided a box's state.
-type Why uint8
+// Reason says what in the rule decided a box's state.
+type Reason uint8
 
 // The reasons.
 const (
-	Word     Why = iota // the word of the source that is named
-	Unnamed             // no source has a word on it
-	Held                // it flapped, and its way up waits
-	Replaced            // another box came to its address later
+	Reported   Reason = iota // the word of the source that is named
+	Unlisted                 // no source has a word on it
+	Suppressed               // it flapped, and its way up waits
+	Replaced                 // another box came to its address later
 )
 
 // String gives the words that operators read.
-func (w Why) String() string { return [...]string{"word", "unnamed", "held", "replaced"}[w] }
+func (w Reason) String() string { return [...]string{"word", "unnamed", "held", "replaced"}[w] }
 
 // Change is what is new about a box.
 type Change struct {
-	Kind Kind
-	Box  Box
-	Was  Box
-	By   int // the source that decided; -1: none
-	Why  Why
+	Kind      Kind
+	Endpoint  Endpoint
+	Previous  Endpoint
+	DecidedBy int // the source that decided; -1: none
+	Reason    Reason
 }
 
 // compare says what is new.
-func compare(old, b Box) (Kind, bool) {
+func compare(old, b Endpoint) (Kind, bool) {
 	old.Incarnation = b.Incarnation
 	switch {
 	case old.State == Gone && b.State == Gone || old == b:
 		return 0, false
 	case b.State == Gone:
-		return Left, true
+		return Removed, true
 	case old.State == Gone:
 		return Added, true
 	case b.State < old.State:
-		return Drains, true
+		return StartedDraining, true
 	case b.Address != old.Address:
 		return Moved, true
-	case b.Born != old.Born:
+	case b.StartedAt != old.StartedAt:
 		return Restarted, true
 	case b.State > old.State:
-		return Back, true
+		return Recovered, true
 	}
-	return Altered, true
+	return Modified, true
 }
 
 // NoteKind is the kind of a Note.
@@ -76,17 +76,17 @@
 
 // The kinds of notes.
 const (
-	LossDoubted   NoteKind = iota // a whole list lacked too many boxes, or all
+	LossSuspected NoteKind = iota // a whole list lacked too many boxes, or all
 	LossConfirmed                 // and it was true
 	LossRefuted                   // and it was not
 	Renamed                       // Box is at the address of Other now, which was gone in the same list
-	NamedTwice
-	ListFull   // Count boxes were left out
-	BoxHeld    // Box flaps; its way up waits For
-	BoxLoosed  // that is over
-	noteKinds  // the number of kinds
-	notesMost  = 64
-	neverScore = 1e-3
+	DuplicateID
+	ListFull           // Count boxes were left out
+	EndpointSuppressed // Box flaps; its way up waits For
+	EndpointReleased   // that is over
+	noteKinds          // the number of kinds
+	notesMost          = 64
+	neverScore         = 1e-3
 )
 
 // String gives the event's word in the log.
@@ -97,11 +97,11 @@
 
 // Note is something for the log that is no change.
 type Note struct {
-	Kind       NoteKind
-	Source     int
-	Box, Other string
-	Count, Of  int
-	For        time.Duration
+	Kind            NoteKind
+	Source          int
+	Endpoint, Other string
+	Count, Of       int
+	For             time.Duration
 }
 
 func (t *Table) note(n Note) {
@@ -119,9 +119,9 @@
 	return notes, dropped
 }
 
-// Confirm gives the sources that are to be asked for their whole list at once, in the way that is most to be trusted;
+// SourcesToRefetch gives the sources that are to be asked for their whole list at once, in the way that is most to be trusted;
 // the answer comes as a List that Confirms.
-func (t *Table) Confirm() []int {
+func (t *Table) SourcesToRefetch() []int {
 	out := t.asks
 	t.asks = nil
 	return out
@@ -147,7 +147,7 @@
 // damp counts a way down, and holds a way up of what flaps.
 func (t *Table) damp(now time.Duration, src int, r *record, had bool, old State) {
 	d, w := t.sources[src].Damping, &r.words[src]
-	if d.Cut <= 0 {
+	if d.SuppressAbove <= 0 {
 		return
 	}
 	t.score(now, d, w)
@@ -155,17 +155,17 @@
 	case had && w.box.State < old:
 		w.penalty++
 	case w.box.State > old || !had:
-		if w.penalty < d.Cut {
+		if w.penalty < d.SuppressAbove {
 			return
 		}
-		held := time.Duration(float64(d.HalfLife) * math.Log2(w.penalty/max(d.Reuse, neverScore)))
-		held = min(max(held, 0), d.Most)
+		held := time.Duration(float64(d.HalfLife) * math.Log2(w.penalty/max(d.ReuseBelow, neverScore)))
+		held = min(max(held, 0), d.MaxSuppress)
 		if !had {
 			old = Gone
 		}
 		if w.until == 0 {
 			w.down = old
-			t.note(Note{Kind: BoxHeld, Source: src, Box: r.id, For: held})
+			t.note(Note{Kind: EndpointSuppressed, Source: src, Endpoint: r.id, For: held})
 		}
 		w.down, w.until = min(w.down, old), now+held
 		t.at(w.until, r, src)
@@ -174,13 +174,13 @@
 
 // SourceView is what operators see of a source.
 type SourceView struct {
-	Name    string
-	Version uint64
-	Ever    bool // it has told something, or its words were restored
-	Silent  bool
-	Heard   time.Duration // when it was last heard
-	Boxes   int           // that it has a word on
-	Doubted int           // that are kept though its last list lacked them
+	Name        string
+	Version     uint64
+	HasReported bool // it has told something, or its words were restored
+	Silent      bool
+	LastSeen    time.Duration // when it was last heard
+	Endpoints   int           // that it has a word on
+	Suspected   int           // that are kept though its last list lacked them
 }
 
 // Sources gives all sources in their order.
@@ -188,69 +188,69 @@
 	var out []SourceView
 	for i := range t.sources {
 		s := &t.sources[i]
-		v := SourceView{Name: s.Name, Version: s.version, Ever: s.ever, Silent: s.silent, Heard: s.heard, Boxes: s.words}
+		v := SourceView{Name: s.Name, Version: s.version, HasReported: s.ever, Silent: s.silent, LastSeen: s.heard, Endpoints: s.words}
 		if s.doubt != nil {
-			v.Doubted = len(s.doubt.lost)
+			v.Suspected = len(s.doubt.lost)
 		}
 		out = append(out, v)
 	}
 	return out
 }
 
-// View is what operators see of a box.
-type View struct {
-	Box   Box
-	By    int // the source that decided; -1: none
-	Why   Why
-	Since time.Duration // of that source's word
-	Words []string      // of each source; empty: none
+// EndpointView is what operators see of a box.
+type EndpointView struct {
+	Endpoint  Endpoint
+	DecidedBy int // the source that decided; -1: none
+	Reason    Reason
+	Since     time.Duration // of that source's word
+	Reports   []string      // of each source; empty: none
 }
 
 // All gives every box that is held, by id. It sorts them all.
-func (t *Table) All(now time.Duration) []View {
-	var out []View
+func (t *Table) All(now time.Duration) []EndpointView {
+	var out []EndpointView
 	for _, r := range t.records {
 		b, by, why := t.view(now, r)
-		v := View{Box: b, By: by, Why: why, Words: make([]string, len(t.sources))}
+		v := EndpointView{Endpoint: b, DecidedBy: by, Reason: why, Reports: make([]string, len(t.sources))}
 		if by >= 0 {
 			v.Since = r.words[by].at
 		}
 		for i := range r.words {
 			if w := &r.words[i]; w.has {
-				v.Words[i] = w.box.State.String()
+				v.Reports[i] = w.box.State.String()
 				if !t.counts(now, r, i) {
-					v.Words[i] = "(" + v.Words[i] + ")"
+					v.Reports[i] = "(" + v.Reports[i] + ")"
 				}
 			}
 		}
 		out = append(out, v)
 	}
-	slices.SortFunc(out, func(a, b View) int { return cmp.Compare(a.Box.ID, b.Box.ID) })
+	slices.SortFunc(out, func(a, b EndpointView) int { return cmp.Compare(a.Endpoint.ID, b.Endpoint.ID) })
 	return out
 }
 
-// Words is all that one source has said, for a snapshot.
-type Words struct {
-	Source  string
-	Version uint64
-	Heard   time.Duration // when it was last heard
-	Boxes   []Box         // with Born as told or found; only such that are not gone
+// SourceReport is all that one source has said, for a snapshot.
+type SourceReport struct {
+	Source    string
+	Version   uint64
+	LastSeen  time.Duration // when it was last heard
+	Endpoints []Endpoint    // with Born as told or found; only such that are not gone
 }
 
 // Export gives the last words of all sources that have told any. Boxes stand in the order of the source's last list.
-func (t *Table) Export() []Words {
-	var out []Words
+func (t *Table) Export() []SourceReport {
+	var out []SourceReport
 	for i := range t.sources {
 		s := &t.sources[i]
 		if !s.ever {
 			continue
 		}
-		w := Words{Source: s.Name, Version: s.version, Heard: s.heard + t.offset}
+		w := SourceReport{Source: s.Name, Version: s.version, LastSeen: s.heard + t.offset}
 		for _, r := range s.order {
 			if word := &r.words[i]; word.has && word.box.State != Gone {
 				b := word.box
-				b.Born = word.born
-				w.Boxes = append(w.Boxes, b)
+				b.StartedAt = word.born
+				w.Endpoints = append(w.Endpoints, b)
 			}
 		}
 		out = append(out, w)
@@ -261,27 +261,27 @@
 // Restore takes words from before a restart. Their sources count as silent until they are heard, so that the rule and
 // the doubts hold for them as for any that fell silent. Words of unknown sources, and of such that have told something
 // already, are passed over; it returns how many boxes were taken.
-func (t *Table) Restore(now time.Duration, all []Words) int {
+func (t *Table) Restore(now time.Duration, all []SourceReport) int {
 	taken := 0
 	for _, words := range all {
-		words.Heard -= t.offset
+		words.LastSeen -= t.offset
 		src := slices.IndexFunc(t.sources, func(s source) bool { return s.Name == words.Source })
 		if src < 0 || t.sources[src].ever {
 			continue
 		}
-		t.Whole(words.Heard, src, List{Version: words.Version, Boxes: words.Boxes})
+		t.ReplaceList(words.LastSeen, src, List{Version: words.Version, Endpoints: words.Endpoints})
 		s := &t.sources[src]
 		taken += s.words
 		for _, r := range s.order {
 			w := &r.words[src]
 			// A start that was found here comes back as found, not as told: the source will tell none.
-			if w.born = w.box.Born; s.Starts {
-				w.box.Born = 0
+			if w.born = w.box.StartedAt; s.FirstSeenIsStart {
+				w.box.StartedAt = 0
 			}
 		}
-		s.heard = min(words.Heard, now)
+		s.heard = min(words.LastSeen, now)
 		s.silent = false
-		t.Silent(now, src)
+		t.SourceSilent(now, src)
 	}
 	return taken
 }
--- a/internal/proxy/boxes.go
+++ b/internal/proxy/boxes.go
@@ -29,14 +29,14 @@
 		defer mu.Unlock()
 		switch e := e.(type) {
 		case broker.EndpointList:
-			p.members.Whole(now(), e.Source, e.List)
+			p.members.ReplaceList(now(), e.Source, e.List)
 		case broker.EndpointDelta:
-			p.members.Change(now(), e.Source, e.Version, e.Endpoints)
+			p.members.ApplyDelta(now(), e.Source, e.Version, e.Endpoints)
 		case broker.SourceStatus:
 			if e.Silent {
-				p.members.Silent(now(), e.Source)
+				p.members.SourceSilent(now(), e.Source)
 			} else {
-				p.members.Heard(now(), e.Source)
+				p.members.SourceSeen(now(), e.Source)
 			}
 		}
 	}
@@ -46,7 +46,7 @@
 			take(e)
 		}
 		if p.settings.Bulletin != "" {
-			events, err := p.names.Ask(p.settings.Bulletin, p.last, o.Wait)
+			events, err := p.names.FetchOnce(p.settings.Bulletin, p.last, o.Wait)
 			if err != nil {
 				said = append(said, fmt.Sprintf("bulletin %s: %v", p.settings.Bulletin, err))
 				take(broker.SourceStatus{Source: p.names.Source, Silent: true})
@@ -59,13 +59,13 @@
 	if p.own.Catalogue != nil {
 		ctx, end := context.WithTimeout(context.Background(), o.Wait)
 		defer end()
-		c := &consul.Catalogue{Config: p.own.Catalogue, Names: p.names.Names, First: p.first, Now: now, Seed: p.settings.Seed,
+		c := &consul.Catalogue{Config: p.own.Catalogue, Names: p.names.Names, FirstSource: p.first, Now: now, Seed: p.settings.Seed,
 			Log: func(event string, fields ...any) {
 				mu.Lock()
 				defer mu.Unlock()
 				said = append(said, strings.TrimSpace(event+" "+fmt.Sprintln(fields...)))
 			},
-			Tell: func(events ...broker.Event) {
+			Publish: func(events ...broker.Event) {
 				for _, e := range events {
 					take(e)
 				}
@@ -77,7 +77,7 @@
 			mu.Lock()
 			answered = true
 			for i := range p.own.Catalogue.Services {
-				answered = answered && p.members.Sources()[p.first+i].Heard > 0
+				answered = answered && p.members.Sources()[p.first+i].LastSeen > 0
 			}
 			mu.Unlock()
 		}
@@ -85,7 +85,7 @@
 	mu.Lock()
 	defer mu.Unlock()
 	p.members.Step(now())
-	p.members.Take(now(), p.members.Len())
+	p.members.TakeChanges(now(), p.members.Len())
 	return writeBoxes(out, p, now(), said)
 }
 
@@ -96,19 +96,19 @@
 	fmt.Fprintln(w, "SOURCE\tSTATE\tBOXES\tVERSION\tHEARD")
 	for _, s := range sources {
 		state, heard := "speaks", "never"
-		if s.Heard > 0 {
-			heard = (now - s.Heard).Round(time.Millisecond).String() + " ago"
+		if s.LastSeen > 0 {
+			heard = (now - s.LastSeen).Round(time.Millisecond).String() + " ago"
 		}
 		if s.Silent {
 			state = "silent"
 		}
-		if s.Heard == 0 {
+		if s.LastSeen == 0 {
 			state = "unheard"
 		}
-		if s.Doubted > 0 {
-			state += fmt.Sprintf(", %d doubted", s.Doubted)
+		if s.Suspected > 0 {
+			state += fmt.Sprintf(", %d doubted", s.Suspected)
 		}
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\n", s.Name, state, s.Boxes, s.Version, heard)
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\n", s.Name, state, s.Endpoints, s.Version, heard)
 	}
 	fmt.Fprintln(w)
 	fmt.Fprint(w, "BOX\tSTATE\tADDRESS\tSITE\tCLASS\tDECIDED BY\tAGE\tWHY")
@@ -124,17 +124,17 @@
 	}
 	for _, v := range p.members.All(now) {
 		by, age := "-", "-"
-		if v.By >= 0 {
-			by, age = sources[v.By].Name, (now - v.Since).Round(time.Millisecond).String()
+		if v.DecidedBy >= 0 {
+			by, age = sources[v.DecidedBy].Name, (now - v.Since).Round(time.Millisecond).String()
 		}
-		address, site, class := v.Box.Address, "-", "-"
+		address, site, class := v.Endpoint.Address, "-", "-"
 		if address == "" {
 			address = "-"
 		} else {
-			site, class = word(p.names.Zones, v.Box.Zone), word(p.names.Kinds, v.Box.Kind)
+			site, class = word(p.names.Zones, v.Endpoint.Zone), word(p.names.Kinds, v.Endpoint.Kind)
 		}
-		fmt.Fprintf(w, "%s\t%v\t%s\t%s\t%s\t%s\t%s\t%v", v.Box.ID, v.Box.State, address, site, class, by, age, v.Why)
-		for _, s := range v.Words {
+		fmt.Fprintf(w, "%s\t%v\t%s\t%s\t%s\t%s\t%s\t%v", v.Endpoint.ID, v.Endpoint.State, address, site, class, by, age, v.Reason)
+		for _, s := range v.Reports {
 			if s == "" {
 				s = "-"
 			}
--- a/internal/proxy/conf.go
+++ b/internal/proxy/conf.go
@@ -47,9 +47,9 @@
 // NewOwn has everything off.
 func NewOwn() *Own {
 	o := &Own{Section: &config.Section{}, bulletin: true, prefer: "bulletin",
-		list: membership.Config{MostBoxes: membership.DefaultMost, LossShare: 0.3, LossLeast: 2,
-			Confirm: membership.DefaultConfirm, SilentMost: 10 * time.Minute, Forget: membership.DefaultForget},
-		damping: membership.Damping{Cut: 3, Reuse: 1, HalfLife: 5 * time.Second, Most: 20 * time.Second}}
+		list: membership.Config{MaxEndpoints: membership.DefaultMaxEndpoints, MaxLossShare: 0.3, MinLoss: 2,
+			ConfirmInterval: membership.DefaultConfirmInterval, MaxSilence: 10 * time.Minute, Forget: membership.DefaultForget},
+		damping: membership.Damping{SuppressAbove: 3, ReuseBelow: 1, HalfLife: 5 * time.Second, MaxSuppress: 20 * time.Second}}
 	s := o.Section
 	s.Block("contracts", false, "what each team may send", func([]string) (*config.Section, error) {
 		section, contracts := quota.Section()
@@ -122,17 +122,17 @@
 	s, l, d := &config.Section{}, &o.list, &o.damping
 	s.Flag("bulletin", &o.bulletin, "whether the bulletin's word on boxes counts; its purges always do")
 	s.Choice("prefer", &o.prefer, []string{"bulletin", "catalogue"}, "whose word on address, place, kind and weight goes first")
-	s.Int("most-boxes", &l.MostBoxes, 1, 1_000_000, "boxes held")
-	s.Number("loss-share", &l.LossShare, 0, 1, "of a source's boxes: a list that lacks more at once is doubted; 0: none")
-	s.Int("loss-least", &l.LossLeast, 1, 1_000_000, "and at least so many")
-	s.Duration("confirm", &l.Confirm, 50*time.Millisecond, 10*time.Second, "how often a doubted source is asked again")
-	s.Duration("silent-most", &l.SilentMost, time.Second, 30*24*time.Hour, "after which a silent source is overruled by any other")
-	s.Number("flap-cut", &d.Cut, 0, 1000, "ways down, halved by flap-half-life, from which a box is held down; 0: never")
-	s.Number("flap-reuse", &d.Reuse, 0.01, 1000, "under which it is let go")
+	s.Int("most-boxes", &l.MaxEndpoints, 1, 1_000_000, "boxes held")
+	s.Number("loss-share", &l.MaxLossShare, 0, 1, "of a source's boxes: a list that lacks more at once is doubted; 0: none")
+	s.Int("loss-least", &l.MinLoss, 1, 1_000_000, "and at least so many")
+	s.Duration("confirm", &l.ConfirmInterval, 50*time.Millisecond, 10*time.Second, "how often a doubted source is asked again")
+	s.Duration("silent-most", &l.MaxSilence, time.Second, 30*24*time.Hour, "after which a silent source is overruled by any other")
+	s.Number("flap-cut", &d.SuppressAbove, 0, 1000, "ways down, halved by flap-half-life, from which a box is held down; 0: never")
+	s.Number("flap-reuse", &d.ReuseBelow, 0.01, 1000, "under which it is let go")
 	s.Duration("flap-half-life", &d.HalfLife, 10*time.Millisecond, time.Hour, "of that count")
-	s.Duration("flap-most", &d.Most, 10*time.Millisecond, time.Hour, "longest that a box is held down")
+	s.Duration("flap-most", &d.MaxSuppress, 10*time.Millisecond, time.Hour, "longest that a box is held down")
 	s.Check(func() error {
-		if d.Cut > 0 && d.Reuse >= d.Cut {
+		if d.SuppressAbove > 0 && d.ReuseBelow >= d.SuppressAbove {
 			return errors.New("flap-reuse must be under flap-cut")
 		}
 		return nil
--- a/internal/proxy/herd.go
+++ b/internal/proxy/herd.go
@@ -102,7 +102,7 @@
 	first := h.sources.doorman.plan.first
 	switch e := e.(type) {
 	case broker.EndpointList:
-		if n := e.Source - first; n >= 0 && n < len(h.tapped) && !e.List.Part && !e.List.Omits {
+		if n := e.Source - first; n >= 0 && n < len(h.tapped) && !e.List.Part && !e.List.Incomplete {
 			list := e.List
 			h.tapped[n] = &list
 		}
@@ -132,9 +132,9 @@
 		if views == nil {
 			views = h.sources.doorman.plan.members.Sources()
 		}
-		if views[h.sources.doorman.plan.first+n].Doubted == 0 {
+		if views[h.sources.doorman.plan.first+n].Suspected == 0 {
 			h.tapped[n] = nil
-			h.carry(h.machine.ListFromService(now, n, list.Version, list.Boxes))
+			h.carry(h.machine.ListFromService(now, n, list.Version, list.Endpoints))
 		}
 	}
 	if now-h.stepped >= stepEvery {
@@ -166,10 +166,10 @@
 		case bootstrap.Adopt:
 			src := d.plan.first + e.List
 			for at := 0; len(e.Endpoints) > partMost && at < len(e.Endpoints); at += partMost {
-				d.emit(broker.EndpointList{Source: src, List: membership.List{Version: e.Version, Boxes: e.Endpoints[at:min(at+partMost, len(e.Endpoints))], Part: true}})
+				d.emit(broker.EndpointList{Source: src, List: membership.List{Version: e.Version, Endpoints: e.Endpoints[at:min(at+partMost, len(e.Endpoints))], Part: true}})
 			}
 			// What two peers tell has been confirmed by each of them, where it lacks much.
-			d.emit(broker.EndpointList{Source: src, List: membership.List{Version: e.Version, Boxes: e.Endpoints, Confirms: !e.Hint, Omits: e.Hint}})
+			d.emit(broker.EndpointList{Source: src, List: membership.List{Version: e.Version, Endpoints: e.Endpoints, Confirms: !e.Hint, Incomplete: e.Hint}})
 		case bootstrap.SourceStatus:
 			d.emit(broker.SourceStatus{Source: d.plan.first + e.List, Silent: e.Silent})
 		case bootstrap.LogEntry:
--- a/internal/proxy/plan.go
+++ b/internal/proxy/plan.go
@@ -17,7 +17,7 @@
 	own      *Own
 	members  *membership.Table
 	first    int // the catalogue's first source there
-	names    listwatch.Names
+	names    listwatch.Decoder
 	last     int64 // event of the bulletin
 	known    []broker.Event
 	boxes    int
@@ -65,9 +65,9 @@
 func (p *Plan) decode() (err error) {
 	p.members, p.names.Source, p.first = p.own.members()
 	p.names.Names = membership.Names{Zones: p.settings.Control.ZoneNames, Kinds: p.settings.Control.KindNames}
-	if p.last, p.known, err = p.names.Known(p.settings.Known); err != nil {
+	if p.last, p.known, err = p.names.DecodeInitial(p.settings.Known); err != nil {
 		return err
 	}
-	p.boxes = listwatch.Boxes(p.known)
+	p.boxes = listwatch.CountEndpoints(p.known)
 	return nil
 }
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -228,10 +228,10 @@
 	case broker.EndpointList:
 		for i, p := range d.pools {
 			l := e
-			l.List.Boxes = nil
-			for _, b := range e.List.Boxes {
+			l.List.Endpoints = nil
+			for _, b := range e.List.Endpoints {
 				if d.routes.Contains(i, b.ID, b.Zone, b.Kind) {
-					l.List.Boxes = append(l.List.Boxes, b)
+					l.List.Endpoints = append(l.List.Endpoints, b)
 				}
 			}
 			p.emit(l)
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -42,7 +42,7 @@
 	loop      *eventloop.Loop
 	pools     []*pool      // one, where the settings name none
 	routes    *route.Table // nil: one pool
-	bulletin  *listwatch.Reader
+	bulletin  *listwatch.Watcher
 	front     *rpc.Front
 	dns       *dns.Front // nil: off
 	resolver  *resolver.Resolver
@@ -117,7 +117,7 @@
 	if secure := d.plan.own.BoxTLS; secure != nil {
 		secure.watch(d)
 	}
-	d.bulletin = &listwatch.Reader{Loop: l, Address: s.Bulletin, Names: d.plan.names, Last: d.plan.last, Emit: d.emit,
+	d.bulletin = &listwatch.Watcher{Loop: l, Address: s.Bulletin, Decoder: d.plan.names, LastEvent: d.plan.last, Emit: d.emit,
 		Now: monotonicNow, Log: d.log.Event}
 	if cfg := d.plan.own.Identity; cfg != nil {
 		d.door = d.newDoor(cfg)
@@ -165,7 +165,7 @@
 	}
 	d.known = true
 	for i := range d.plan.own.Catalogue.Services {
-		d.known = d.known && d.plan.members.Sources()[d.plan.first+i].Heard > 0
+		d.known = d.known && d.plan.members.Sources()[d.plan.first+i].LastSeen > 0
 	}
 	// Where peers tell lists, one that a single one of them tells is not known at once.
 	d.known = d.known && (d.list.restored || d.list.herd.link == nil || d.list.herd.machine.Known())
@@ -193,13 +193,13 @@
 		d.log.Event("reload-failed", "error", err)
 		return
 	}
-	d.bulletin.Follow(next.settings.Bulletin)
+	d.bulletin.SwitchTo(next.settings.Bulletin)
 	if c := next.own.Contracts; d.contracts != nil && c != nil {
 		d.contracts.Renew(monotonicNow(), c.Root.Share(c.Instances))
 		d.limitRepeats(c)
 		d.log.Event("contracts-renewed", "version", d.contracts.Version, "teams", len(c.Root.Children), "open", d.contracts.InFlight())
 	}
-	d.log.Event("reloaded", "bulletin", next.settings.Bulletin, "after", d.bulletin.Last)
+	d.log.Event("reloaded", "bulletin", next.settings.Bulletin, "after", d.bulletin.LastEvent)
 	d.loop.NeedRound()
 }
 
--- a/internal/proxy/sources.go
+++ b/internal/proxy/sources.go
@@ -48,7 +48,7 @@
 	for _, e := range p.known {
 		emit(e)
 	}
-	d.bulletin = &listwatch.Reader{Loop: d.loop, Address: p.settings.Bulletin, Names: p.names, Last: p.last, Emit: emit,
+	d.bulletin = &listwatch.Watcher{Loop: d.loop, Address: p.settings.Bulletin, Decoder: p.names, LastEvent: p.last, Emit: emit,
 		Now: monotonicNow, Log: d.log.Event}
 	if p.own.Catalogue == nil {
 		return
@@ -67,12 +67,12 @@
 	}
 	s.herd = newHerd(s)
 	s.herd.round(monotonicNow())
-	if p.own.Catalogue.Register != nil {
-		keeper := &consul.Catalogue{Config: p.own.Catalogue, Names: p.names.Names, Tell: s.tell, Log: s.log, Now: monotonicNow, Seed: p.settings.Seed}
+	if p.own.Catalogue.Registration != nil {
+		keeper := &consul.Catalogue{Config: p.own.Catalogue, Names: p.names.Names, Publish: s.tell, Log: s.log, Now: monotonicNow, Seed: p.settings.Seed}
 		s.kept.Store(true)
 		go func() {
 			defer s.kept.Store(false)
-			if err := keeper.Keep(s.leaving, p.settings.Name, p.settings.Listen); err != nil {
+			if err := keeper.KeepRegistered(s.leaving, p.settings.Name, p.settings.Listen); err != nil {
 				s.log("catalogue-register", "error", err)
 			}
 			d.loop.Post(d.loop.NeedRound)
@@ -88,13 +88,13 @@
 // open begins to ask the catalogue, until ctx ends. What comes after that is dropped.
 func (s *sources) open(ctx context.Context, cfg *consul.Config) *consul.Catalogue {
 	p := s.doorman.plan
-	c := &consul.Catalogue{Config: cfg, Names: p.names.Names, First: p.first, Log: s.log, Now: monotonicNow, Seed: p.settings.Seed,
-		Tell: func(events ...broker.Event) {
+	c := &consul.Catalogue{Config: cfg, Names: p.names.Names, FirstSource: p.first, Log: s.log, Now: monotonicNow, Seed: p.settings.Seed,
+		Publish: func(events ...broker.Event) {
 			if ctx.Err() == nil {
 				s.tell(events...)
 			}
 		},
-		Lives: func() {
+		AgentAlive: func() {
 			s.doorman.loop.Post(func() {
 				if s.herd != nil && ctx.Err() == nil {
 					s.herd.alive()
@@ -181,7 +181,7 @@
 	if cfg == nil || s.saving || now-s.saved < cfg.Every {
 		return
 	}
-	version, words := d.plan.members.Changed(), []membership.Words(nil)
+	version, words := d.plan.members.Revision(), []membership.SourceReport(nil)
 	if version == s.version {
 		// Nothing has changed; but how old it is must not count from the change.
 		if now-s.saved < max(cfg.Every, cfg.Oldest/10) {
--- a/internal/snapshot/disk/disk.go
+++ b/internal/snapshot/disk/disk.go
@@ -45,22 +45,22 @@
 }
 
 // Read reads the snapshot at a path; see snapshot.Decode for what is refused.
-func Read(path string, now, oldest time.Duration, zones, kinds int) ([]membership.Words, time.Duration, error) {
+func Read(path string, now, oldest time.Duration, zones, kinds int) ([]membership.SourceReport, time.Duration, error) {
 	f, err := os.Open(path)
 	if err != nil {
 		return nil, 0, err
 	}
 	defer f.Close()
-	data, err := io.ReadAll(io.LimitReader(f, snapshot.Most+1))
+	data, err := io.ReadAll(io.LimitReader(f, snapshot.MaxBytes+1))
 	if err != nil {
 		return nil, 0, err
 	}
-	if len(data) > snapshot.Most {
-		return nil, 0, fmt.Errorf("%w: over %d bytes", snapshot.ErrForeign, snapshot.Most)
+	if len(data) > snapshot.MaxBytes {
+		return nil, 0, fmt.Errorf("%w: over %d bytes", snapshot.ErrForeign, snapshot.MaxBytes)
 	}
 	all, age, err := snapshot.Decode(data, now, oldest)
 	if err == nil {
-		err = snapshot.Fits(all, zones, kinds)
+		err = snapshot.Check(all, zones, kinds)
 	}
 	if err != nil {
 		return nil, age, err
--- a/internal/snapshot/disk/disk_test.go
+++ b/internal/snapshot/disk/disk_test.go
@@ -15,10 +15,10 @@
 
 const now = 1_000_000 * time.Second
 
-func some() []membership.Words {
-	return []membership.Words{{Source: "consul:cache", Version: 71, Heard: now - time.Second, Boxes: []membership.Box{
-		{ID: "c1", Address: "10.0.0.1:1", Zone: 1, Kind: 0, Cell: 2, Weight: 4.5, Born: 3 * time.Second, Incarnation: 9, State: membership.Up},
-		{ID: "c2", Address: "10.0.0.2:1", State: membership.Draining}}}, {Source: "bulletin", Heard: now}}
+func some() []membership.SourceReport {
+	return []membership.SourceReport{{Source: "consul:cache", Version: 71, LastSeen: now - time.Second, Endpoints: []membership.Endpoint{
+		{ID: "c1", Address: "10.0.0.1:1", Zone: 1, Kind: 0, Cell: 2, Weight: 4.5, StartedAt: 3 * time.Second, Incarnation: 9, State: membership.Up},
+		{ID: "c2", Address: "10.0.0.2:1", State: membership.Draining}}}, {Source: "bulletin", LastSeen: now}}
 }
 
 func encoded(t testing.TB) []byte {
@@ -56,7 +56,7 @@
 func TestTornAtEveryLength(t *testing.T) {
 	data := encoded(t)
 	for n := range data {
-		if _, _, err := snapshot.Decode(data[:n], now, time.Hour); !errors.Is(err, snapshot.ErrTorn) && !errors.Is(err, snapshot.ErrForeign) {
+		if _, _, err := snapshot.Decode(data[:n], now, time.Hour); !errors.Is(err, snapshot.ErrCorrupt) && !errors.Is(err, snapshot.ErrForeign) {
 			t.Fatalf("the first %d bytes of %d: %v", n, len(data), err)
 		}
 		changed := append([]byte(nil), data...)
@@ -80,8 +80,8 @@
 		{"a newer version", newer, now, snapshot.ErrVersion},
 		{"too old", data, now + 2*time.Hour, snapshot.ErrTooOld},
 		{"from the future", data, now - time.Hour, snapshot.ErrFuture},
-		{"empty", nil, now, snapshot.ErrTorn},
-		{"with something behind", append(append([]byte(nil), data...), ' '), now, snapshot.ErrTorn},
+		{"empty", nil, now, snapshot.ErrCorrupt},
+		{"with something behind", append(append([]byte(nil), data...), ' '), now, snapshot.ErrCorrupt},
 	} {
 		path := filepath.Join(t.TempDir(), "list")
 		if err := os.WriteFile(path, c.data, 0o600); err != nil {
@@ -106,7 +106,7 @@
 // TestSilentSource: the words of a source that was silent for too long are left out, however new the snapshot is.
 func TestSilentSource(t *testing.T) {
 	words := some()
-	words[0].Heard = now - 2*time.Hour
+	words[0].LastSeen = now - 2*time.Hour
 	data, err := snapshot.Encode(now, words)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -19,14 +19,14 @@
 // Version is the form's version. A reader refuses any other.
 const Version = 1
 
-// Most is the largest snapshot that is read, in bytes.
-const Most = 64 << 20
+// MaxBytes is the largest snapshot that is read, in bytes.
+const MaxBytes = 64 << 20
 
 // Reasons for refusing a snapshot; errors.Is tells them apart.
 var (
 	ErrForeign = errors.New("it is no snapshot of this program")
 	ErrVersion = errors.New("it has another version")
-	ErrTorn    = errors.New("it is torn")
+	ErrCorrupt = errors.New("it is torn")
 	ErrTooOld  = errors.New("it is too old")
 	ErrFuture  = errors.New("it is from the future")
 )
@@ -63,12 +63,12 @@
 func ms(d time.Duration) int64 { return d.Milliseconds() }
 
 // Encode gives the form of what the sources have said by now.
-func Encode(now time.Duration, all []membership.Words) ([]byte, error) {
+func Encode(now time.Duration, all []membership.SourceReport) ([]byte, error) {
 	b := body{Written: ms(now)}
 	for _, w := range all {
-		out := words{Source: w.Source, Version: w.Version, Heard: ms(w.Heard)}
-		for _, x := range w.Boxes {
-			out.Boxes = append(out.Boxes, box{x.ID, x.Address, x.Zone, x.Kind, x.Cell, x.Weight, ms(x.Born), x.Incarnation,
+		out := words{Source: w.Source, Version: w.Version, Heard: ms(w.LastSeen)}
+		for _, x := range w.Endpoints {
+			out.Boxes = append(out.Boxes, box{x.ID, x.Address, x.Zone, x.Kind, x.Cell, x.Weight, ms(x.StartedAt), x.Incarnation,
 				x.State.String()})
 		}
 		b.Sources = append(b.Sources, out)
@@ -82,16 +82,16 @@
 
 // Decode reads the form. It refuses what was written longer than oldest before now, or after now by more than a minute,
 // which is left to two clocks, and leaves out sources that had not been heard for so long. The age is that of its writing.
-func Decode(data []byte, now, oldest time.Duration) (all []membership.Words, age time.Duration, err error) {
+func Decode(data []byte, now, oldest time.Duration) (all []membership.SourceReport, age time.Duration, err error) {
 	if !bytes.HasPrefix(data, []byte(magic+" ")) {
 		if len(data) < len(magic) && bytes.HasPrefix([]byte(magic), data) {
-			return nil, 0, ErrTorn
+			return nil, 0, ErrCorrupt
 		}
 		return nil, 0, ErrForeign
 	}
 	head, text, whole := bytes.Cut(data, []byte("\n"))
 	if !whole {
-		return nil, 0, ErrTorn
+		return nil, 0, ErrCorrupt
 	}
 	var version, length int
 	var sum uint32
@@ -100,10 +100,10 @@
 	} else if version != Version {
 		return nil, 0, fmt.Errorf("%w: %d, and this program reads %d", ErrVersion, version, Version)
 	} else if n < 3 {
-		return nil, 0, ErrTorn
+		return nil, 0, ErrCorrupt
 	}
 	if len(text) != length || crc32.Checksum(text, table) != sum {
-		return nil, 0, fmt.Errorf("%w: %d bytes of %d, or bytes that were changed", ErrTorn, len(text), length)
+		return nil, 0, fmt.Errorf("%w: %d bytes of %d, or bytes that were changed", ErrCorrupt, len(text), length)
 	}
 	var b body
 	if err := json.Unmarshal(text, &b); err != nil {
@@ -120,7 +120,7 @@
 		if now-time.Duration(w.Heard)*time.Millisecond > oldest {
 			continue // a source that was not heard for so long may have been given up
 		}
-		out := membership.Words{Source: w.Source, Version: w.Version, Heard: time.Duration(w.Heard) * time.Millisecond}
+		out := membership.SourceReport{Source: w.Source, Version: w.Version, LastSeen: time.Duration(w.Heard) * time.Millisecond}
 		for _, x := range w.Boxes {
 			state := membership.Up
 			switch x.State {
@@ -130,19 +130,19 @@
 			default:
 				return nil, age, fmt.Errorf("%w: box %.64q is %.32q", ErrForeign, x.ID, x.State)
 			}
-			out.Boxes = append(out.Boxes, membership.Box{ID: x.ID, Address: x.Address, Zone: x.Zone, Kind: x.Kind, Cell: x.Cell,
-				Weight: x.Weight, Born: time.Duration(x.Born) * time.Millisecond, Incarnation: x.Inc, State: state})
+			out.Endpoints = append(out.Endpoints, membership.Endpoint{ID: x.ID, Address: x.Address, Zone: x.Zone, Kind: x.Kind, Cell: x.Cell,
+				Weight: x.Weight, StartedAt: time.Duration(x.Born) * time.Millisecond, Incarnation: x.Inc, State: state})
 		}
 		all = append(all, out)
 	}
 	return all, age, nil
 }
 
-// Fits says whether a snapshot's boxes fit the settings of now, which may have changed meanwhile: places and kinds are
+// Check says whether a snapshot's boxes fit the settings of now, which may have changed meanwhile: places and kinds are
 // numbers in lists of that size.
-func Fits(all []membership.Words, zones, kinds int) error {
+func Check(all []membership.SourceReport, zones, kinds int) error {
 	for _, w := range all {
-		for _, b := range w.Boxes {
+		for _, b := range w.Endpoints {
 			if b.Zone < 0 || b.Zone >= zones || b.Kind < 0 || b.Kind >= kinds {
 				return fmt.Errorf("%w: box %.64q has place %d and kind %d, which the settings do not have", ErrForeign, b.ID,
 					b.Zone, b.Kind)
