--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -11,7 +11,7 @@
 // clock slews beside it, and slewing alone is none.
 func TestSteps(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var k Keeper
+		var k Tracker
 		steady, unix := time.Hour, 1_800_000_000*time.Second
 		k.Read(steady, unix)
 		slew := rapid.Int64Range(-500, 500).Draw(t, "slewing in parts of a million")
@@ -28,10 +28,10 @@
 				unix += want
 			}
 			got := k.Read(steady, unix)
-			if (got == 0) != (want == 0) || got-want > StepLeast || want-got > StepLeast {
+			if (got == 0) != (want == 0) || got-want > MinStep || want-got > MinStep {
 				t.Fatalf("a step by %v was told as %v", want, got)
 			}
-			if k.Unix(steady) != unix || k.Steady(unix) != steady {
+			if k.Unix(steady) != unix || k.Monotonic(unix) != steady {
 				t.Fatal("the two times do not undo one another")
 			}
 		}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -14,8 +14,8 @@
 	"go.uber.org/zap/zapcore"
 )
 
-// LinesMost is how many lines a second are written: a log must not be what fills a machine.
-const LinesMost = 50
+// MaxLinesPerSecond is how many lines a second are written: a log must not be what fills a machine.
+const MaxLinesPerSecond = 50
 
 // Events is every event word with its level. docs/on-call.md says what each means; a test compares the two.
 var Events = map[string]zapcore.Level{
@@ -90,7 +90,7 @@
 
 // Event writes a line: a word of Events, then names with values.
 func (l *Logger) Event(event string, fields ...any) {
-	if l.lines++; l.lines > LinesMost {
+	if l.lines++; l.lines > MaxLinesPerSecond {
 		l.dropped++
 		return
 	}
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -47,11 +47,11 @@
 	var b bytes.Buffer
 	l, _ := New(&b, "text", "info")
 	l.Tick(time.Second)
-	for range LinesMost + 30 {
+	for range MaxLinesPerSecond + 30 {
 		l.Event("depot-dial")
 	}
-	if n := strings.Count(b.String(), "\n"); n != LinesMost {
-		t.Errorf("%d lines in a second, at most %d wanted", n, LinesMost)
+	if n := strings.Count(b.String(), "\n"); n != MaxLinesPerSecond {
+		t.Errorf("%d lines in a second, at most %d wanted", n, MaxLinesPerSecond)
 	}
 	l.Tick(2 * time.Second)
 	if !strings.HasSuffix(b.String(), "event=log-full lines=30\n") {
--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -258,8 +258,8 @@
 	}))
 }
 
-// NeedRound asks for the end of the round.
-func (l *Loop) NeedRound() {
+// RequestRound asks for the end of the round.
+func (l *Loop) RequestRound() {
 	if l.pending {
 		return
 	}
@@ -315,10 +315,10 @@
 	}
 }
 
-// Keep copies bytes that are needed until the end of this round and no longer. At full load the bodies of answers, made
+// CopyForRound copies bytes that are needed until the end of this round and no longer. At full load the bodies of answers, made
 // anew each, had the collector run eight times a second; while it runs, each change of the module's tables costs a
 // write barrier a row, and requests waited 30 ms and more.
-func (l *Loop) Keep(b []byte) []byte {
+func (l *Loop) CopyForRound(b []byte) []byte {
 	start := len(l.kept)
 	l.kept = append(l.kept, b...) // what was handed out before stays where it is when this grows
 	return l.kept[start:len(l.kept):len(l.kept)]
@@ -338,7 +338,7 @@
 func (l *Loop) WakeAfter(d time.Duration) {
 	l.wait = d
 	if l.timer == nil {
-		l.timer = time.AfterFunc(d, func() { l.Post(l.NeedRound) })
+		l.timer = time.AfterFunc(d, func() { l.Post(l.RequestRound) })
 		return
 	}
 	l.timer.Reset(d)
@@ -349,16 +349,16 @@
 	go func() { _ = l.engine.Stop(context.Background()) }()
 }
 
-// Dials is the number of dials under way, each of which may hold two descriptors.
-func (l *Loop) Dials() int { return l.dials }
+// PendingDials is the number of dials under way, each of which may hold two descriptors.
+func (l *Loop) PendingDials() int { return l.dials }
 
-// Outbound is the number of bytes that wait for peers to read, those of this round that are not written yet among them. What
+// UnsentBytes is the number of bytes that wait for peers to read, those of this round that are not written yet among them. What
 // peers took since the last write to them counts until Recount.
-func (l *Loop) Outbound() int { return l.outbound }
+func (l *Loop) UnsentBytes() int { return l.outbound }
 
-// Recount looks how much peers have taken that had not taken all: gnet does not tell. Without it the bytes of a slow reader
+// RecountUnsent looks how much peers have taken that had not taken all: gnet does not tell. Without it the bytes of a slow reader
 // counted until its next answer or its end, and the doorman held its memory for short.
-func (l *Loop) Recount() {
+func (l *Loop) RecountUnsent() {
 	owing := l.owing[:0]
 	for _, c := range l.owing {
 		if c.count(); c.counted > 0 {
@@ -373,7 +373,7 @@
 
 // count takes over how much the connection's peer has not taken.
 func (c *Conn) count() {
-	waits := c.Waits()
+	waits := c.Unsent()
 	c.loop.outbound += waits - c.counted
 	c.counted = waits
 }
@@ -394,7 +394,7 @@
 		l.Post(func() {
 			l.dials--
 			failed(err)
-			l.NeedRound()
+			l.RequestRound()
 		})
 	}
 	go func() {
@@ -457,7 +457,7 @@
 	}
 	c.sock = sock
 	c.handler.Opened(c)
-	l.NeedRound()
+	l.RequestRound()
 	return nil, gnet.None
 }
 
@@ -498,15 +498,15 @@
 		c.rest = nil
 	}
 	if !c.later {
-		l.NeedRound()
+		l.RequestRound()
 	}
 }
 
-// Later says, while Received runs, that nothing was done and no round is needed: the handler asks Again when it will go on.
-func (c *Conn) Later() { c.later = true }
+// DeferRead says, while Received runs, that nothing was done and no round is needed: the handler asks Again when it will go on.
+func (c *Conn) DeferRead() { c.later = true }
 
-// Again has the handler look once more at what it left.
-func (c *Conn) Again() {
+// ReadAgain has the handler look once more at what it left.
+func (c *Conn) ReadAgain() {
 	if !c.closing && len(c.rest) > 0 {
 		c.deliver(c.rest)
 	}
@@ -523,7 +523,7 @@
 	}
 	// gnet sends datagrams from AsyncWrite at once, also after the event that brought sock.
 	ln.Packet(data, sock.RemoteAddr(), func(answer []byte) { _ = sock.AsyncWrite(answer, nil) })
-	l.NeedRound()
+	l.RequestRound()
 	return gnet.None
 }
 
@@ -539,12 +539,12 @@
 	l.inbound -= len(c.rest)
 	c.counted, c.rest = 0, nil
 	c.handler.Closed(c, err)
-	l.NeedRound()
+	l.RequestRound()
 	return gnet.None
 }
 
-// Used takes n bytes off the front of In.
-func (c *Conn) Used(n int) {
+// Consume takes n bytes off the front of In.
+func (c *Conn) Consume(n int) {
 	c.In = c.In[n:]
 }
 
@@ -568,18 +568,18 @@
 // Queued is how many bytes were left for the connection so far.
 func (c *Conn) Queued() uint64 { return c.queued }
 
-// Taken is how many of them may have gone out, also after the end of the connection: gnet tries to write what it still holds then, and
+// Written is how many of them may have gone out, also after the end of the connection: gnet tries to write what it still holds then, and
 // a peer that has closed its own side alone reads that. It is right up to the handler's Closed. What lies beyond it was never written.
-func (c *Conn) Taken() uint64 { return c.queued - uint64(len(c.out)) }
+func (c *Conn) Written() uint64 { return c.queued - uint64(len(c.out)) }
 
 // Flushed is how many of them the system has taken.
-func (c *Conn) Flushed() uint64 { return c.queued - uint64(c.Waits()) }
+func (c *Conn) Flushed() uint64 { return c.queued - uint64(c.Unsent()) }
 
 func (c *Conn) mark() {
 	if !c.dirty {
 		c.dirty = true
 		c.loop.dirty = append(c.loop.dirty, c)
-		c.loop.NeedRound()
+		c.loop.RequestRound()
 	}
 }
 
@@ -629,8 +629,8 @@
 	}
 }
 
-// Waits is the number of bytes that the peer has not taken yet.
-func (c *Conn) Waits() int {
+// Unsent is the number of bytes that the peer has not taken yet.
+func (c *Conn) Unsent() int {
 	if c.closed {
 		return 0
 	}
--- a/internal/eventloop/eventloop_test.go
+++ b/internal/eventloop/eventloop_test.go
@@ -19,9 +19,9 @@
 func (k *keeper) Received(c *Conn) {
 	n := len(c.In)
 	if k.take {
-		c.Used(n)
+		c.Consume(n)
 	} else if k.later {
-		c.Later()
+		c.DeferRead()
 	}
 	k.lengths <- n
 }
@@ -81,11 +81,11 @@
 	<-k.lengths
 	const much = 5 << 20 // beyond what the sockets hold
 	on(func() {
-		if k.conn.Send(make([]byte, much)); l.Outbound() != much {
-			t.Errorf("%d bytes are on their way before they are written, want %d", l.Outbound(), much)
+		if k.conn.Send(make([]byte, much)); l.UnsentBytes() != much {
+			t.Errorf("%d bytes are on their way before they are written, want %d", l.UnsentBytes(), much)
 		}
-		if k.conn.Taken() != 0 || k.conn.Flushed() != 0 {
-			t.Errorf("taken %d, flushed %d before the write, want none", k.conn.Taken(), k.conn.Flushed())
+		if k.conn.Written() != 0 || k.conn.Flushed() != 0 {
+			t.Errorf("taken %d, flushed %d before the write, want none", k.conn.Written(), k.conn.Flushed())
 		}
 	})
 	left := 0
@@ -93,19 +93,19 @@
 		if time.Sleep(time.Millisecond); time.Now().After(end) {
 			t.Fatalf("%d bytes are left of %d after the write, want some", left, much)
 		}
-		on(func() { left = l.Outbound() })
+		on(func() { left = l.UnsentBytes() })
 	}
 	on(func() { // what gnet holds may go out as the connection ends
-		if k.conn.Taken() != much || k.conn.Flushed() > uint64(much-left) && l.Outbound() == left {
-			t.Errorf("taken %d, flushed %d of %d with %d left, want all taken", k.conn.Taken(), k.conn.Flushed(), much, left)
+		if k.conn.Written() != much || k.conn.Flushed() > uint64(much-left) && l.UnsentBytes() == left {
+			t.Errorf("taken %d, flushed %d of %d with %d left, want all taken", k.conn.Written(), k.conn.Flushed(), much, left)
 		}
 	})
 	if _, err := io.ReadFull(conn, make([]byte, much)); err != nil {
 		t.Fatal(err)
 	}
 	on(func() {
-		if l.Recount(); l.Outbound() != 0 {
-			t.Errorf("%d bytes are on their way after the peer has read all", l.Outbound())
+		if l.RecountUnsent(); l.UnsentBytes() != 0 {
+			t.Errorf("%d bytes are on their way after the peer has read all", l.UnsentBytes())
 		}
 	})
 }
@@ -150,7 +150,7 @@
 	counted(600)
 	on(func() {
 		k.take = true
-		k.conn.Again()
+		k.conn.ReadAgain()
 	})
 	if n := <-k.lengths; n != 600 {
 		t.Errorf("once more it sees %d bytes, want 600", n)
@@ -164,7 +164,7 @@
 func (k *counter) Opened(*Conn) { k.opened++ }
 func (k *counter) Received(c *Conn) {
 	k.bytes += len(c.In)
-	c.Used(len(c.In))
+	c.Consume(len(c.In))
 }
 func (k *counter) Closed(*Conn, error) { k.closed++ }
 
--- a/internal/frontend/connlimit/connlimit.go
+++ b/internal/frontend/connlimit/connlimit.go
@@ -8,31 +8,31 @@
 )
 
 const (
-	// WholeWithin is how long a client may take for its first message and for the rest of one that it has begun. A bad
+	// MessageTimeout is how long a client may take for its first message and for the rest of one that it has begun. A bad
 	// client is owed a refusal, an error or a close within 3 s.
-	WholeWithin = 2 * time.Second
+	MessageTimeout = 2 * time.Second
 	// firstWithin is how long a new client stays for certain while there are idle ones.
 	firstWithin = 250 * time.Millisecond
 )
 
-// Lobby is all clients of one front. Clients that connect by hundreds and say nothing, or ask once and stay, must not
+// Limiter is all clients of one front. Clients that connect by hundreds and say nothing, or ask once and stay, must not
 // keep others out: when all places are taken one of those makes way.
 //
 // Invariant: who has something open is never bidden to leave; who has not taken all of its answers is only when it takes nothing for as
 // long as an idle one may stay.
-type Lobby struct {
+type Limiter struct {
 	most    int
 	patient time.Duration // with idle clients
 	count   int
 	fresh   *list.List // guests without a whole message yet, the oldest first
 	idle    *list.List // guests with nothing open and nothing unsent, the longest idle first
-	halves  map[*Guest]bool
-	owed    map[*Guest]bool // guests whose answers are on their way
+	halves  map[*Client]bool
+	owed    map[*Client]bool // guests whose answers are on their way
 }
 
-// Guest is one client's connection.
-type Guest struct {
-	lobby  *Lobby
+// Client is one client's connection.
+type Client struct {
+	lobby  *Limiter
 	bid    func()     // bids it leave: closes the connection
 	unsent func() int // bytes of its answers that the system has not taken
 	left   int        // of them when it was last looked at
@@ -46,32 +46,32 @@
 }
 
 // New makes a lobby with a number of places. A guest with nothing open is bidden to leave after patient.
-func New(most int, patient time.Duration) *Lobby {
-	return &Lobby{most: most, patient: patient, fresh: list.New(), idle: list.New(), halves: map[*Guest]bool{},
-		owed: map[*Guest]bool{}}
+func New(most int, patient time.Duration) *Limiter {
+	return &Limiter{most: most, patient: patient, fresh: list.New(), idle: list.New(), halves: map[*Client]bool{},
+		owed: map[*Client]bool{}}
 }
 
-// Enter gives a client a place, or nil where all guests are busy. bid must close the connection and call Leave; unsent says how
+// Admit gives a client a place, or nil where all guests are busy. bid must close the connection and call Leave; unsent says how
 // many bytes of its answers the system has not taken.
-func (l *Lobby) Enter(now time.Duration, bid func(), unsent func() int) *Guest {
+func (l *Limiter) Admit(now time.Duration, bid func(), unsent func() int) *Client {
 	if l.count >= l.most && !l.makeWay(now) {
 		return nil
 	}
 	l.count++
-	g := &Guest{lobby: l, bid: bid, unsent: unsent}
+	g := &Client{lobby: l, bid: bid, unsent: unsent}
 	g.settle(now)
 	return g
 }
 
 // Len is the number of guests.
-func (l *Lobby) Len() int { return l.count }
+func (l *Limiter) Len() int { return l.count }
 
-func (l *Lobby) makeWay(now time.Duration) bool {
+func (l *Limiter) makeWay(now time.Duration) bool {
 	if l.idle.Len() == 0 {
 		l.recount(now)
 	}
 	victim := l.fresh.Front()
-	if victim == nil || now-victim.Value.(*Guest).since < firstWithin {
+	if victim == nil || now-victim.Value.(*Client).since < firstWithin {
 		if longest := l.idle.Front(); longest != nil {
 			victim = longest
 		}
@@ -79,20 +79,20 @@
 	if victim == nil {
 		return false
 	}
-	victim.Value.(*Guest).bid()
+	victim.Value.(*Client).bid()
 	return true
 }
 
 // Tick bids those leave whose time is over, and counts those that did not end a message.
-func (l *Lobby) Tick(now time.Duration) (halves int) {
-	for e := l.fresh.Front(); e != nil && now-e.Value.(*Guest).since > WholeWithin; e = l.fresh.Front() {
-		e.Value.(*Guest).bid()
+func (l *Limiter) Tick(now time.Duration) (halves int) {
+	for e := l.fresh.Front(); e != nil && now-e.Value.(*Client).since > MessageTimeout; e = l.fresh.Front() {
+		e.Value.(*Client).bid()
 	}
-	for e := l.idle.Front(); e != nil && now-e.Value.(*Guest).since > l.patient; e = l.idle.Front() {
-		e.Value.(*Guest).bid()
+	for e := l.idle.Front(); e != nil && now-e.Value.(*Client).since > l.patient; e = l.idle.Front() {
+		e.Value.(*Client).bid()
 	}
 	for g := range l.halves { // one that has something open stays: what it sent before the half was whole
-		if now-g.half > WholeWithin && !g.busy && !l.owed[g] {
+		if now-g.half > MessageTimeout && !g.busy && !l.owed[g] {
 			halves++
 			g.bid()
 		}
@@ -102,7 +102,7 @@
 }
 
 // recount looks which guests have taken their answers meanwhile.
-func (l *Lobby) recount(now time.Duration) {
+func (l *Limiter) recount(now time.Duration) {
 	for g := range l.owed {
 		switch left := g.unsent(); {
 		case left == 0:
@@ -116,10 +116,10 @@
 	}
 }
 
-// Dismiss bids all leave that are idle and have not begun a message: nothing is lost with them.
-func (l *Lobby) Dismiss() {
+// CloseIdle bids all leave that are idle and have not begun a message: nothing is lost with them.
+func (l *Limiter) CloseIdle() {
 	for e := l.idle.Front(); e != nil; {
-		g := e.Value.(*Guest)
+		g := e.Value.(*Client)
 		e = e.Next()
 		if !l.halves[g] {
 			g.bid()
@@ -127,8 +127,8 @@
 	}
 }
 
-// Heard notes what has been read: whether messages came whole, and whether a part of one is left over.
-func (g *Guest) Heard(now time.Duration, whole, half bool) {
+// Received notes what has been read: whether messages came whole, and whether a part of one is left over.
+func (g *Client) Received(now time.Duration, whole, half bool) {
 	if g.gone {
 		return
 	}
@@ -145,7 +145,7 @@
 }
 
 // Busy says whether something is open for the guest. Where nothing is any more its last answers are still on their way.
-func (g *Guest) Busy(now time.Duration, busy bool) {
+func (g *Client) Busy(now time.Duration, busy bool) {
 	if g.gone {
 		return
 	}
@@ -158,7 +158,7 @@
 }
 
 // settle puts the guest last into the queue that it belongs to.
-func (g *Guest) settle(now time.Duration) {
+func (g *Client) settle(now time.Duration) {
 	if g.queue != nil {
 		g.queue.Remove(g.ticket)
 	}
@@ -173,8 +173,8 @@
 	g.ticket = g.queue.PushBack(g)
 }
 
-// Leave gives the place free. It may be called more than once.
-func (g *Guest) Leave() {
+// Remove gives the place free. It may be called more than once.
+func (g *Client) Remove() {
 	if g.gone {
 		return
 	}
--- a/internal/frontend/connlimit/connlimit_test.go
+++ b/internal/frontend/connlimit/connlimit_test.go
@@ -23,15 +23,15 @@
 		t.Run(c.name, func(t *testing.T) {
 			now, start := 100*sec, 100*sec
 			l := New(1, 6*sec)
-			var g *Guest
+			var g *Client
 			gone := time.Duration(0)
-			g = l.Enter(now, func() { gone = now - start; g.Leave() }, func() int { return c.left(now - start) })
-			g.Heard(now, true, false)
+			g = l.Admit(now, func() { gone = now - start; g.Remove() }, func() int { return c.left(now - start) })
+			g.Received(now, true, false)
 			g.Busy(now, true)
 			g.Busy(now, false)
 			for ; gone == 0 && now-start < 30*sec; now += 100 * time.Millisecond {
 				if l.Tick(now); gone == 0 && c.left(now-start) > 0 {
-					if l.Dismiss(); gone != 0 || l.Enter(now, nil, nil) != nil {
+					if l.CloseIdle(); gone != 0 || l.Admit(now, nil, nil) != nil {
 						t.Fatalf("it has to go after %v, with %d bytes of its answer not taken", now-start, c.left(now-start))
 					}
 				}
@@ -50,17 +50,17 @@
 func TestDismiss(t *testing.T) {
 	l := New(10, 6*sec)
 	gone := map[string]bool{}
-	for name, does := range map[string]func(g *Guest){
-		"new":  func(*Guest) {},
-		"idle": func(g *Guest) { g.Heard(0, true, false) },
-		"half": func(g *Guest) { g.Heard(0, true, true) },
-		"busy": func(g *Guest) { g.Heard(0, true, false); g.Busy(0, true) },
+	for name, does := range map[string]func(g *Client){
+		"new":  func(*Client) {},
+		"idle": func(g *Client) { g.Received(0, true, false) },
+		"half": func(g *Client) { g.Received(0, true, true) },
+		"busy": func(g *Client) { g.Received(0, true, false); g.Busy(0, true) },
 	} {
-		var g *Guest
-		g = l.Enter(0, func() { gone[name] = true; g.Leave() }, func() int { return 0 })
+		var g *Client
+		g = l.Admit(0, func() { gone[name] = true; g.Remove() }, func() int { return 0 })
 		does(g)
 	}
-	if l.Dismiss(); len(gone) != 1 || !gone["idle"] {
+	if l.CloseIdle(); len(gone) != 1 || !gone["idle"] {
 		t.Errorf("%v had to go, want the idle one", gone)
 	}
 }
--- a/internal/frontend/dns/config.go
+++ b/internal/frontend/dns/config.go
@@ -12,16 +12,16 @@
 
 // Config is the block `dns` of the settings, which turns the DNS side on.
 type Config struct {
-	Listen       string        // ip:port, UDP and TCP
-	Zone         string        // lower case, with the last dot
-	Limit        time.Duration // that a query waits at most
-	Resolver     string        // ip:port of the server that knows boxes listed by name; empty: none
-	ResolveLimit time.Duration
+	Listen         string        // ip:port, UDP and TCP
+	Zone           string        // lower case, with the last dot
+	Timeout        time.Duration // that a query waits at most
+	Resolver       string        // ip:port of the server that knows boxes listed by name; empty: none
+	ResolveTimeout time.Duration
 }
 
 // Section gives the directives of the block.
 func (c *Config) Section() *config.Section {
-	c.Limit, c.ResolveLimit = 2*time.Second, 300*time.Millisecond
+	c.Timeout, c.ResolveTimeout = 2*time.Second, 300*time.Millisecond
 	address := func(s string) error {
 		if _, err := netip.ParseAddrPort(s); err != nil {
 			return fmt.Errorf("expected ip:port, got %q", s)
@@ -36,9 +36,9 @@
 		}
 		return nil
 	}, "the zone whose names are requests")
-	s.Duration("limit", &c.Limit, time.Millisecond, time.Minute, "that a query waits at most")
+	s.Duration("limit", &c.Timeout, time.Millisecond, time.Minute, "that a query waits at most")
 	s.Text("resolver", &c.Resolver, address, "name server that knows boxes listed by name")
-	s.Duration("resolve-limit", &c.ResolveLimit, time.Millisecond, time.Minute, "for the address of one name")
+	s.Duration("resolve-limit", &c.ResolveTimeout, time.Millisecond, time.Minute, "for the address of one name")
 	s.Check(func() error {
 		if c.Listen == "" || c.Zone == "" {
 			return fmt.Errorf("listen and zone are needed")
--- a/internal/frontend/dns/dns.go
+++ b/internal/frontend/dns/dns.go
@@ -31,27 +31,27 @@
 	crowdWait   = 200 * time.Millisecond
 )
 
-// Front answers the queries of one zone.
-type Front struct {
-	Config  *Config
-	Classes []policy.Class
-	Emit    func(broker.Event)
-	Now     func() time.Duration
-	Unix    func() time.Duration // the Unix clock, which signatures go by
-	Log     func(event string, fields ...any)
-	Box     func(host string) *broker.Endpoint // of the list; nil: unknown
-	Most    int                                // TCP connections
-	Seed    uint64
-	Keys    func() *tsig.Keys // by which queries are signed; nil: none
-	Skew    time.Duration     // of the callers' clocks
-
-	// MostWait is the longest time to stay away that clients heed. Zero: nobody may be told one, whoever refuses.
-	MostWait time.Duration
+// Server answers the queries of one zone.
+type Server struct {
+	Config         *Config
+	Classes        []policy.Class
+	Emit           func(broker.Event)
+	Now            func() time.Duration
+	Unix           func() time.Duration // the Unix clock, which signatures go by
+	Log            func(event string, fields ...any)
+	EndpointByName func(host string) *broker.Endpoint // of the list; nil: unknown
+	MaxConnections int                                // TCP connections
+	Seed           uint64
+	Keys           func() *tsig.Keys // by which queries are signed; nil: none
+	Skew           time.Duration     // of the callers' clocks
+
+	// MaxRetryAfter is the longest time to stay away that clients heed. Zero: nobody may be told one, whoever refuses.
+	MaxRetryAfter time.Duration
 
 	byName  map[string]*flight          // keyed requests, open or finished within their window
 	byReq   map[*broker.Request]*flight // open
 	queries map[string]*waiter          // open, by who asked: a retransmit joins itself
-	lobby   *connlimit.Lobby            // of TCP connections
+	lobby   *connlimit.Limiter          // of TCP connections
 	serial  uint64
 	caller  identity.Caller // of queries that are not signed
 }
@@ -79,21 +79,21 @@
 	signed *tsig.Signed // nil: it is not
 }
 
-func (f *Front) init() {
+func (f *Server) init() {
 	if f.byName == nil {
 		f.byName, f.byReq = map[string]*flight{}, map[*broker.Request]*flight{}
 		f.caller.Front = "dns"
-		f.queries, f.lobby = map[string]*waiter{}, connlimit.New(f.Most, tcpIdle)
+		f.queries, f.lobby = map[string]*waiter{}, connlimit.New(f.MaxConnections, tcpIdle)
 	}
 }
 
 // Packet takes a query that came by UDP.
-func (f *Front) Packet(packet []byte, from net.Addr, reply func([]byte)) {
+func (f *Server) Packet(packet []byte, from net.Addr, reply func([]byte)) {
 	f.take(packet, from.String(), reply, nil)
 }
 
 // take parses a query and answers it, or has it wait for its request.
-func (f *Front) take(packet []byte, from string, reply func([]byte), s *stream) {
+func (f *Server) take(packet []byte, from string, reply func([]byte), s *stream) {
 	f.init()
 	q := &dns.Msg{}
 	err := q.Unpack(packet)
@@ -169,7 +169,7 @@
 	}
 }
 
-func (f *Front) class(name string) int {
+func (f *Server) class(name string) int {
 	for i, c := range f.Classes {
 		if c.Name == name {
 			return i
@@ -179,7 +179,7 @@
 }
 
 // request has a query join the request of its key, or makes a request of it.
-func (f *Front) request(w *waiter, t target, class int) {
+func (f *Server) request(w *waiter, t target, class int) {
 	now := f.Now()
 	name, caller := "", &f.caller
 	if w.signed != nil {
@@ -201,12 +201,12 @@
 			f.wait(w, old)
 			return
 		default:
-			f.refuse(w, min(crowdWait, f.MostWait), "")
+			f.refuse(w, min(crowdWait, f.MaxRetryAfter), "")
 			return
 		}
 	}
 	if len(f.byReq)+len(f.byName) >= mostFlights {
-		f.refuse(w, min(crowdWait, f.MostWait), "")
+		f.refuse(w, min(crowdWait, f.MaxRetryAfter), "")
 		return
 	}
 	fl := &flight{target: t, class: class, name: name, caller: caller, end: now + f.limit(class)}
@@ -217,20 +217,20 @@
 	f.submit(fl)
 }
 
-func (f *Front) limit(class int) time.Duration {
+func (f *Server) limit(class int) time.Duration {
 	if deadline := f.Classes[class].Deadline; deadline > 0 {
-		return min(f.Config.Limit, deadline)
+		return min(f.Config.Timeout, deadline)
 	}
-	return f.Config.Limit
+	return f.Config.Timeout
 }
 
-func (f *Front) wait(w *waiter, fl *flight) {
+func (f *Server) wait(w *waiter, fl *flight) {
 	fl.waiters = append(fl.waiters, w)
 	f.queries[w.who] = w
 }
 
 // submit makes the broker's request of a flight.
-func (f *Front) submit(fl *flight) {
+func (f *Server) submit(fl *flight) {
 	f.serial++
 	now, t := f.Now(), fl.target
 	fl.request = &broker.Request{Frontend: f, ID: fmt.Sprintf("%016x", f.Seed+f.serial), Class: fl.class, Team: t.team,
@@ -241,7 +241,7 @@
 }
 
 // Respond answers all queries that wait for a request.
-func (f *Front) Respond(r *broker.Request, final broker.Response) {
+func (f *Server) Respond(r *broker.Request, final broker.Response) {
 	fl := f.byReq[r]
 	if fl == nil {
 		return
@@ -278,7 +278,7 @@
 }
 
 // Tick forgets finished requests whose time is over, and closes idle connections.
-func (f *Front) Tick(now time.Duration) {
+func (f *Server) Tick(now time.Duration) {
 	f.init()
 	for name, fl := range f.byName {
 		if fl.final != nil && now >= fl.until {
@@ -291,7 +291,7 @@
 }
 
 // answer puts a final answer into a message. Whether the box may be named is looked at now, not when it served.
-func (f *Front) answer(w *waiter, fl *flight) {
+func (f *Server) answer(w *waiter, fl *flight) {
 	switch final := fl.final; final.Kind {
 	case broker.ResponseRejected:
 		f.refuse(w, final.RetryAfter, final.Budget)
@@ -329,7 +329,7 @@
 }
 
 // records names a box, or gives nil where it may not be named or has no IPv4 address.
-func (f *Front) records(name string, box *broker.Endpoint, address string) (*dns.A, *dns.SRV) {
+func (f *Server) records(name string, box *broker.Endpoint, address string) (*dns.A, *dns.SRV) {
 	at, err := netip.ParseAddrPort(address)
 	if err != nil || box == nil || box.State != policy.Ready || !at.Addr().Unmap().Is4() {
 		return nil, nil
@@ -340,8 +340,8 @@
 }
 
 // nameBox answers for the target of an earlier SRV record.
-func (f *Front) nameBox(w *waiter, host string) {
-	box := f.Box(host)
+func (f *Server) nameBox(w *waiter, host string) {
+	box := f.EndpointByName(host)
 	if box == nil || box.State != policy.Ready {
 		f.code(w, dns.RcodeNameError, "")
 		return
@@ -362,9 +362,9 @@
 func clip(s string) string { return s[:min(len(s), 255)] }
 
 // refuse answers REFUSED with the time to stay away, where one may be told, and the budget that was used up, if it was one.
-func (f *Front) refuse(w *waiter, wait time.Duration, budget string) {
+func (f *Server) refuse(w *waiter, wait time.Duration, budget string) {
 	var words []string
-	if f.MostWait > 0 {
+	if f.MaxRetryAfter > 0 {
 		words = append(words, "later="+strconv.FormatInt(max(1, wait.Milliseconds()), 10))
 	}
 	if budget != "" {
@@ -379,7 +379,7 @@
 
 // code answers without a record. The text goes into an extended error, or into a TXT record where the client knows
 // no EDNS.
-func (f *Front) code(w *waiter, rcode int, text string) {
+func (f *Server) code(w *waiter, rcode int, text string) {
 	m := f.message(w, rcode)
 	if opt := m.IsEdns0(); opt != nil && text != "" {
 		opt.Option = append(opt.Option, &dns.EDNS0_EDE{InfoCode: ednsCodes[rcode], ExtraText: text})
@@ -389,7 +389,7 @@
 	f.send(w, m)
 }
 
-func (f *Front) message(w *waiter, rcode int) *dns.Msg {
+func (f *Server) message(w *waiter, rcode int) *dns.Msg {
 	m := &dns.Msg{}
 	m.SetRcode(w.query, rcode)
 	m.Authoritative = true
@@ -400,7 +400,7 @@
 }
 
 // send packs a message; over UDP what is too long goes out empty and marked, and the client asks again by TCP.
-func (f *Front) send(w *waiter, m *dns.Msg) {
+func (f *Server) send(w *waiter, m *dns.Msg) {
 	if len(m.Answer) == 0 && (m.Rcode == dns.RcodeSuccess || m.Rcode == dns.RcodeNameError) {
 		m.Ns = append(m.Ns, &dns.SOA{Hdr: header(f.Config.Zone, dns.TypeSOA), Ns: "ns." + f.Config.Zone,
 			Mbox: "hostmaster." + f.Config.Zone, Serial: 1, Refresh: 3600, Retry: 600, Expire: 86400})
@@ -437,8 +437,8 @@
 
 // stream is one TCP connection: messages with their lengths in front.
 type stream struct {
-	front *Front
-	guest *connlimit.Guest
+	front *Server
+	guest *connlimit.Client
 	conn  *eventloop.Conn
 	from  string
 	open  int // queries without an answer
@@ -446,10 +446,10 @@
 }
 
 // Accept takes a TCP connection, or none where there is no descriptor for it.
-func (f *Front) Accept(remote net.Addr) eventloop.Handler {
+func (f *Server) Accept(remote net.Addr) eventloop.Handler {
 	f.init()
 	s := &stream{front: f, from: "tcp " + remote.String()}
-	if s.guest = f.lobby.Enter(f.Now(), s.leave, s.unsent); s.guest == nil {
+	if s.guest = f.lobby.Admit(f.Now(), s.leave, s.unsent); s.guest == nil {
 		f.Log("client-limit", "front", "dns", "from", remote)
 		return nil
 	}
@@ -457,15 +457,15 @@
 }
 
 // Clients is the number of TCP connections.
-func (f *Front) Clients() int {
+func (f *Server) Clients() int {
 	f.init()
 	return f.lobby.Len()
 }
 
-// Dismiss closes the TCP connections on which nothing is open, nothing of an answer is on its way and no query has begun.
-func (f *Front) Dismiss() {
+// CloseIdle closes the TCP connections on which nothing is open, nothing of an answer is on its way and no query has begun.
+func (f *Server) CloseIdle() {
 	f.init()
-	f.lobby.Dismiss()
+	f.lobby.CloseIdle()
 }
 
 // Opened notes the connection.
@@ -476,7 +476,7 @@
 	if s.conn == nil {
 		return 0
 	}
-	return s.conn.Waits()
+	return s.conn.Unsent()
 }
 
 // Received takes whole messages.
@@ -502,8 +502,8 @@
 	if s.left {
 		used = len(c.In)
 	}
-	c.Used(used)
-	s.guest.Heard(s.front.Now(), used > 0, len(c.In) > 0)
+	c.Consume(used)
+	s.guest.Received(s.front.Now(), used > 0, len(c.In) > 0)
 	s.guest.Busy(s.front.Now(), s.open > 0)
 }
 
@@ -528,7 +528,7 @@
 		return
 	}
 	s.left = true
-	s.guest.Leave()
+	s.guest.Remove()
 	s.conn.Close()
 	for r, fl := range s.front.byReq {
 		others := fl.waiters[:0]
--- a/internal/frontend/rpc/msgpack/msgpack.go
+++ b/internal/frontend/rpc/msgpack/msgpack.go
@@ -15,11 +15,11 @@
 // Reader takes values off the front of Data. The first failure sticks. What is announced to go beyond Most bytes of
 // Data, or beyond Values values, is refused at once, before any of it is waited for.
 type Reader struct {
-	Data   []byte
-	Pos    int
-	Most   int // 0: no limit
-	Values int // that may still be skipped; 0: no limit
-	Err    error
+	Data        []byte
+	Pos         int
+	MaxElements int // 0: no limit
+	Values      int // that may still be skipped; 0: no limit
+	Err         error
 }
 
 // deepest is how far Skip follows nested values.
@@ -37,9 +37,9 @@
 		return nil
 	}
 	if uint64(n) > uint64(len(r.Data)-r.Pos) {
-		if r.Err = ErrShort; r.Most > 0 && uint64(r.Pos)+uint64(n) > uint64(r.Most) {
+		if r.Err = ErrShort; r.MaxElements > 0 && uint64(r.Pos)+uint64(n) > uint64(r.MaxElements) {
 			r.Err = nil
-			r.fail("%d bytes are announced, at most %d expected in all", n, r.Most)
+			r.fail("%d bytes are announced, at most %d expected in all", n, r.MaxElements)
 		}
 		return nil
 	}
--- a/internal/frontend/rpc/rpc.go
+++ b/internal/frontend/rpc/rpc.go
@@ -61,8 +61,8 @@
 	wordDenied    = "Denied"
 )
 
-// Front is all client connections.
-type Front struct {
+// Server is all client connections.
+type Server struct {
 	classes map[string]int
 	keyed   []bool
 	emit    func(broker.Event)
@@ -70,11 +70,11 @@
 	log     func(event string, fields ...any)
 	ready   func() bool // whether new clients are wanted
 	full    func() bool // whether memory is short
-	lobby   *connlimit.Lobby
+	lobby   *connlimit.Limiter
 	paced   list.List // of *client, which wait to be looked at
 
-	// MostWait is the longest time to stay away that clients heed. Zero: nobody may be told one, whoever refuses.
-	MostWait time.Duration
+	// MaxRetryAfter is the longest time to stay away that clients heed. Zero: nobody may be told one, whoever refuses.
+	MaxRetryAfter time.Duration
 
 	// Source gives what identity knows of where a client comes from. Nil: identity is off.
 	Source func(remote string) *identity.Source
@@ -82,8 +82,8 @@
 
 // New makes the front. most bounds its connections.
 func New(classes []policy.Class, most int, emit func(broker.Event), now func() time.Duration,
-	ready, full func() bool, log func(string, ...any)) *Front {
-	f := &Front{classes: map[string]int{}, emit: emit, now: now, ready: ready, full: full, log: log,
+	ready, full func() bool, log func(string, ...any)) *Server {
+	f := &Server{classes: map[string]int{}, emit: emit, now: now, ready: ready, full: full, log: log,
 		lobby: connlimit.New(most, idleAfter)}
 	for i, c := range classes {
 		f.classes[c.Name] = i
@@ -93,15 +93,15 @@
 }
 
 // Clients is the number of connections.
-func (f *Front) Clients() int { return f.lobby.Len() }
+func (f *Server) Clients() int { return f.lobby.Len() }
 
 // Accept takes a new connection, or none where there is no descriptor for it.
-func (f *Front) Accept(remote net.Addr) eventloop.Handler {
+func (f *Server) Accept(remote net.Addr) eventloop.Handler {
 	return f.AcceptFrom(remote, identity.Caller{Front: "rpc"})
 }
 
 // AcceptFrom is Accept for a caller of whom something is known already.
-func (f *Front) AcceptFrom(remote net.Addr, caller identity.Caller) eventloop.Handler {
+func (f *Server) AcceptFrom(remote net.Addr, caller identity.Caller) eventloop.Handler {
 	if f.Source != nil {
 		if caller.Remote == "" {
 			caller.Remote, _, _ = net.SplitHostPort(remote.String())
@@ -109,7 +109,7 @@
 		caller.Source = f.Source(caller.Remote)
 	}
 	c := &client{front: f, caller: caller, open: map[uint32]*broker.Request{}, msgs: map[*broker.Request]uint32{}}
-	if c.guest = f.lobby.Enter(f.now(), c.leave, c.unsent); c.guest == nil {
+	if c.guest = f.lobby.Admit(f.now(), c.leave, c.unsent); c.guest == nil {
 		f.log("client-limit", "front", "rpc", "from", remote)
 		return nil
 	}
@@ -117,7 +117,7 @@
 }
 
 // Tick closes connections that are idle or owe the rest of a message.
-func (f *Front) Tick(now time.Duration) {
+func (f *Server) Tick(now time.Duration) {
 	if halves := f.lobby.Tick(now); halves > 0 {
 		f.log("client-half", "front", "rpc", "connections", halves)
 	}
@@ -130,7 +130,7 @@
 		c := f.paced.Remove(f.paced.Front()).(*client)
 		c.waits, c.may = nil, min(pacedEach, left)
 		left -= c.may
-		c.conn.Again()
+		c.conn.ReadAgain()
 		left += c.may
 		c.may = 0
 	}
@@ -138,8 +138,8 @@
 
 // client is one connection and what is open on it.
 type client struct {
-	front  *Front
-	guest  *connlimit.Guest
+	front  *Server
+	guest  *connlimit.Client
 	conn   *eventloop.Conn
 	open   map[uint32]*broker.Request // by message id
 	msgs   map[*broker.Request]uint32
@@ -159,11 +159,11 @@
 	if c.conn == nil {
 		return 0
 	}
-	return c.conn.Waits()
+	return c.conn.Unsent()
 }
 
-// Dismiss closes the connections on which nothing is open, none of an answer is on its way and no request has begun.
-func (f *Front) Dismiss() { f.lobby.Dismiss() }
+// CloseIdle closes the connections on which nothing is open, none of an answer is on its way and no request has begun.
+func (f *Server) CloseIdle() { f.lobby.CloseIdle() }
 
 // Abandon gives up a client whose connection never came to be.
 func Abandon(h eventloop.Handler) {
@@ -185,7 +185,7 @@
 		c.front.paced.Remove(c.waits)
 		c.waits = nil
 	}
-	c.guest.Leave()
+	c.guest.Remove()
 	for _, r := range c.open {
 		r.Canceled = true
 		c.front.emit(broker.RequestCanceled{Request: r})
@@ -213,7 +213,7 @@
 		if held = c.hold(now); held {
 			break
 		}
-		r := msgpack.Reader{Data: conn.In[used:], Most: mostFrame, Values: mostValues}
+		r := msgpack.Reader{Data: conn.In[used:], MaxElements: mostFrame, Values: mostValues}
 		done, err := c.frame(&r)
 		if errors.Is(err, msgpack.ErrShort) {
 			break
@@ -231,11 +231,11 @@
 	if c.left {
 		used = len(conn.In)
 	}
-	if conn.Used(used); held && used == 0 {
-		conn.Later() // what was left over is whole, as far as is known
+	if conn.Consume(used); held && used == 0 {
+		conn.DeferRead() // what was left over is whole, as far as is known
 		return
 	}
-	c.guest.Heard(now, used > 0, len(conn.In) > 0 && !held)
+	c.guest.Received(now, used > 0, len(conn.In) > 0 && !held)
 	c.busy()
 }
 
@@ -304,7 +304,7 @@
 		c.front.log("client-id", "message", msg)
 		return end, fmt.Errorf("message id %d used twice", msg)
 	case len(c.open) >= mostOpen || c.front.full():
-		c.refuse(msg, broker.Response{RetryAfter: min(crowdedWait, c.front.MostWait)})
+		c.refuse(msg, broker.Response{RetryAfter: min(crowdedWait, c.front.MaxRetryAfter)})
 		if c.excess++; c.excess > mostExcess {
 			return end, fmt.Errorf("%d requests beyond the %d that may be open", c.excess, mostOpen)
 		}
@@ -480,7 +480,7 @@
 // refuse says that a further try is harmless, and when it is welcome.
 func (c *client) refuse(msg uint32, f broker.Response) {
 	var fields []broker.Field
-	if f.RetryAfter > 0 && c.front.MostWait > 0 {
+	if f.RetryAfter > 0 && c.front.MaxRetryAfter > 0 {
 		later := (f.RetryAfter + time.Millisecond - 1) / time.Millisecond
 		fields = append(fields, broker.Field{Name: "later", Value: strconv.FormatInt(int64(later), 10)})
 	}
--- a/internal/membership/listwatch/listwatch.go
+++ b/internal/membership/listwatch/listwatch.go
@@ -252,7 +252,7 @@
 	if r.session != s { // nothing more of it counts
 		used = len(c.In)
 	}
-	c.Used(used)
+	c.Consume(used)
 	if len(c.In) > mostLine {
 		r.lost(fmt.Errorf("a line of over %d bytes", mostLine))
 	}
--- a/internal/platformconfig/platformconfig.go
+++ b/internal/platformconfig/platformconfig.go
@@ -13,23 +13,23 @@
 
 // Settings is what one doorman is told at its start.
 type Settings struct {
-	Name     string
-	Listen   string // host:port for clients
-	Bulletin string // host:port of the bulletin; empty: there is none
-	Seed     uint64
-	Memory   int64 // bytes
-	Sockets  int   // file descriptors
-	Control  policy.Config
+	Name        string
+	Listen      string // host:port for clients
+	ListAddress string // host:port of the bulletin; empty: there is none
+	Seed        uint64
+	Memory      int64 // bytes
+	Sockets     int   // file descriptors
+	Control     policy.Config
 
 	DialTimeout time.Duration
 	ConnIdle    time.Duration // after which depots close an idle connection; 0: never
 	Streams     int           // attempts that one connection carries together
 	OpenCap     int           // requests held open together
-	Known       gjson.Result  // the events of the bulletin so far: {"no":LAST,"items":[...]}
+	InitialList gjson.Result  // the events of the bulletin so far: {"no":LAST,"items":[...]}
 }
 
-// Longest is the longest deadline of a class; a usual one where none is told.
-func (s *Settings) Longest() (longest time.Duration) {
+// LongestDeadline is the longest deadline of a class; a usual one where none is told.
+func (s *Settings) LongestDeadline() (longest time.Duration) {
 	for _, c := range s.Control.Classes {
 		longest = max(longest, c.Deadline)
 	}
@@ -65,13 +65,13 @@
 		return nil, fmt.Errorf("configuration%w", r.err)
 	}
 	s := &Settings{
-		Name: r.text("name"), Listen: r.text("listen"), Bulletin: r.text("bulletin"),
+		Name: r.text("name"), Listen: r.text("listen"), ListAddress: r.text("bulletin"),
 		Memory:      int64(within(r.wholeOr("limits.memory_mb", mostMemoryMB), mostMemoryMB)) << 20,
 		Sockets:     within(r.wholeOr("limits.sockets", mostSockets), mostSockets),
 		DialTimeout: r.ms("settings.limits.dial-timeout-ms"), ConnIdle: r.ms("settings.limits.conn-idle-ms"),
-		Streams: r.wholeOr("settings.limits.streams-per-conn", defaultStreams),
-		OpenCap: r.wholeOr("settings.limits.open-cap", defaultOpen),
-		Known:   r.get("known", "an object", gjson.Result.IsObject),
+		Streams:     r.wholeOr("settings.limits.streams-per-conn", defaultStreams),
+		OpenCap:     r.wholeOr("settings.limits.open-cap", defaultOpen),
+		InitialList: r.get("known", "an object", gjson.Result.IsObject),
 	}
 	if seed := r.text("seed"); seed != "" {
 		if _, err := fmt.Sscanf(seed, "%x", &s.Seed); err != nil {
@@ -79,7 +79,7 @@
 		}
 	}
 	r.address("listen", s.Listen, true)
-	r.address("bulletin", s.Bulletin, false)
+	r.address("bulletin", s.ListAddress, false)
 	if s.Sockets < leastSockets {
 		r.fail("limits.sockets", fmt.Sprintf("%d are too few, %d needed", s.Sockets, leastSockets))
 	}
--- a/internal/proxy/boxes.go
+++ b/internal/proxy/boxes.go
@@ -45,10 +45,10 @@
 		for _, e := range p.known {
 			take(e)
 		}
-		if p.settings.Bulletin != "" {
-			events, err := p.names.FetchOnce(p.settings.Bulletin, p.last, o.Wait)
+		if p.settings.ListAddress != "" {
+			events, err := p.names.FetchOnce(p.settings.ListAddress, p.last, o.Wait)
 			if err != nil {
-				said = append(said, fmt.Sprintf("bulletin %s: %v", p.settings.Bulletin, err))
+				said = append(said, fmt.Sprintf("bulletin %s: %v", p.settings.ListAddress, err))
 				take(broker.SourceStatus{Source: p.names.Source, Silent: true})
 			}
 			for _, e := range events {
--- a/internal/proxy/control.go
+++ b/internal/proxy/control.go
@@ -74,7 +74,7 @@
 			kind string
 			n    int
 		}{{"open", b.Open}, {"module", b.PolicyRequests}, {"timers", b.Timers}, {"boxes", b.Endpoints}, {"gone", b.GoneEndpoints}, {"purges", b.Purges},
-			{"spoken-to", c.Boxes}, {"connections", c.Links}, {"sent", c.Open}, {"given-up", c.Quit}} {
+			{"spoken-to", c.Endpoints}, {"connections", c.Connections}, {"sent", c.Open}, {"given-up", c.Canceled}} {
 			fmt.Fprintf(out, "pool.%d.%s %d\n", i, line.kind, line.n)
 		}
 	}
--- a/internal/proxy/door.go
+++ b/internal/proxy/door.go
@@ -206,7 +206,7 @@
 					for _, o := range g.gate.Verified(monotonicNow(), j, claims, reason) {
 						g.settle(o)
 					}
-					d.loop.NeedRound()
+					d.loop.RequestRound()
 				})
 			}
 		}()
@@ -353,7 +353,7 @@
 			content, err := keydir.Read(g.cfg.Keys)
 			g.doorman.loop.Post(func() {
 				g.take(content, err)
-				g.doorman.loop.NeedRound()
+				g.doorman.loop.RequestRound()
 			})
 		})
 	}
--- a/internal/proxy/herd.go
+++ b/internal/proxy/herd.go
@@ -184,7 +184,7 @@
 		}
 	}
 	if len(effects) > 0 {
-		d.loop.NeedRound()
+		d.loop.RequestRound()
 	}
 }
 
--- a/internal/proxy/plan.go
+++ b/internal/proxy/plan.go
@@ -65,7 +65,7 @@
 func (p *Plan) decode() (err error) {
 	p.members, p.names.Source, p.first = p.own.members()
 	p.names.Names = membership.Names{Zones: p.settings.Control.ZoneNames, Kinds: p.settings.Control.KindNames}
-	if p.last, p.known, err = p.names.DecodeInitial(p.settings.Known); err != nil {
+	if p.last, p.known, err = p.names.DecodeInitial(p.settings.InitialList); err != nil {
 		return err
 	}
 	p.boxes = listwatch.CountEndpoints(p.known)
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -195,12 +195,12 @@
 func (p *pool) connect(d *doorman) {
 	s := d.plan.settings
 	all := s.Sockets - s.Sockets/clientPart - ownSockets
-	p.depots = &upstream.Pool{Loop: d.loop, Emit: p.emit, Now: monotonicNow, May: p.broker.MaySend, Log: d.log.Event, Resolve: d.resolver.Resolve, Barred: p.broker.AddressBlocked,
-		Classes: s.Control.Classes, DialLimit: s.DialTimeout, Idle: s.ConnIdle, Streams: s.Streams, MayProbe: s.Control.HealthChecks, MayQuit: s.Control.MayCancel, FlowKBps: s.Control.FlowKBps,
-		Most: max(1, int(float64(all)*p.part))}
+	p.depots = &upstream.Pool{Loop: d.loop, Emit: p.emit, Now: monotonicNow, MaySend: p.broker.MaySend, Log: d.log.Event, Resolve: d.resolver.Resolve, AddressBlocked: p.broker.AddressBlocked,
+		Classes: s.Control.Classes, DialTimeout: s.DialTimeout, IdleTimeout: s.ConnIdle, Streams: s.Streams, HealthChecksAllowed: s.Control.HealthChecks, CancelAllowed: s.Control.MayCancel, FlowKBps: s.Control.FlowKBps,
+		MaxConnections: max(1, int(float64(all)*p.part))}
 	if secure := d.plan.own.BoxTLS; secure != nil {
-		p.depots.Secure = secure.secure(s.Control.ZoneNames)
-		p.depots.Most = max(1, p.depots.Most/boxDescriptors)
+		p.depots.SecureDialer = secure.secure(s.Control.ZoneNames)
+		p.depots.MaxConnections = max(1, p.depots.MaxConnections/boxDescriptors)
 	}
 }
 
@@ -211,7 +211,7 @@
 	for _, e := range p.broker.Round(monotonicNow(), events) {
 		d.carryOut(p, e)
 	}
-	p.depots.Write()
+	p.depots.Flush()
 }
 
 // dispatch gives each pool what concerns it. A box that is not a pool's is gone for it, also one that was.
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -43,8 +43,8 @@
 	pools     []*pool      // one, where the settings name none
 	routes    *route.Table // nil: one pool
 	bulletin  *listwatch.Watcher
-	front     *rpc.Front
-	dns       *dns.Front // nil: off
+	front     *rpc.Server
+	dns       *dns.Server // nil: off
 	resolver  *resolver.Resolver
 	log       *eventlog.Logger
 	list      *sources
@@ -53,7 +53,7 @@
 	tallied   time.Duration // when the depots' tallies were last logged
 	signals   chan os.Signal
 	leaving   shutdown.Sequence
-	steady    clock.Keeper
+	steady    clock.Tracker
 	stopped   bool
 	known     bool // see knowsBoxes
 }
@@ -66,7 +66,7 @@
 	debug.SetGCPercent(300)                 // within that: eight collections a second were measured at full load
 	// The loop never parks its goroutine. With one P, dials beside it were seen only each 10 ms and took 25 to 50 ms.
 	runtime.GOMAXPROCS(max(2, runtime.GOMAXPROCS(0)))
-	d := &doorman{plan: p, log: log, leaving: shutdown.Sequence{LongestDeadline: s.Longest()}, signals: make(chan os.Signal, 8)}
+	d := &doorman{plan: p, log: log, leaving: shutdown.Sequence{LongestDeadline: s.LongestDeadline()}, signals: make(chan os.Signal, 8)}
 	signal.Notify(d.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	if p.own.Contracts != nil {
 		d.contracts = p.own.Contracts.Ledger()
@@ -77,14 +77,14 @@
 	if c := p.own.Contracts; c != nil {
 		d.limitRepeats(c)
 	}
-	full := func() bool { return int64(d.loop.Outbound()) > s.Memory/5 }
+	full := func() bool { return int64(d.loop.UnsentBytes()) > s.Memory/5 }
 	ready := func() bool { return !d.leaving.Begun() && d.knowsBoxes() }
 	clients, listeners := s.Sockets/clientPart, []eventloop.Listener(nil)
 	if p.own.DNS != nil {
 		most := clients / 4
 		clients -= most
-		d.dns = &dns.Front{Config: p.own.DNS, Classes: s.Control.Classes, Emit: d.enter, Now: monotonicNow, Unix: unixClock,
-			Log: d.log.Event, Box: d.box, Most: most, Seed: s.Seed, MostWait: s.Control.MaxRetryAfter}
+		d.dns = &dns.Server{Config: p.own.DNS, Classes: s.Control.Classes, Emit: d.enter, Now: monotonicNow, Unix: unixClock,
+			Log: d.log.Event, EndpointByName: d.box, MaxConnections: most, Seed: s.Seed, MaxRetryAfter: s.Control.MaxRetryAfter}
 		if cfg := p.own.Identity; cfg != nil {
 			d.dns.Skew = cfg.Gate.Policy.Skew
 			d.dns.Keys = func() *tsig.Keys { return d.door.tsig }
@@ -98,7 +98,7 @@
 		clients -= 2 * cfg.tls.Most
 	}
 	d.front = rpc.New(s.Control.Classes, clients, d.enter, monotonicNow, ready, full, d.log.Event)
-	d.front.MostWait = s.Control.MaxRetryAfter
+	d.front.MaxRetryAfter = s.Control.MaxRetryAfter
 	listeners = append(listeners, eventloop.Listener{Network: "tcp", Address: s.Listen, Accept: d.front.Accept})
 	return eventloop.Run(listeners, d.start, d.round)
 }
@@ -109,7 +109,7 @@
 	d.loop, l.Memory, l.Bind = l, int(s.Memory), d.plan.own.from()
 	d.resolver = &resolver.Resolver{Loop: l, Now: monotonicNow}
 	if dns := d.plan.own.DNS; dns != nil {
-		d.resolver.Server, d.resolver.Limit = dns.Resolver, dns.ResolveLimit
+		d.resolver.Server, d.resolver.Limit = dns.Resolver, dns.ResolveTimeout
 	}
 	for _, p := range d.pools {
 		p.connect(d)
@@ -117,7 +117,7 @@
 	if secure := d.plan.own.BoxTLS; secure != nil {
 		secure.watch(d)
 	}
-	d.bulletin = &listwatch.Watcher{Loop: l, Address: s.Bulletin, Decoder: d.plan.names, LastEvent: d.plan.last, Emit: d.emit,
+	d.bulletin = &listwatch.Watcher{Loop: l, Address: s.ListAddress, Decoder: d.plan.names, LastEvent: d.plan.last, Emit: d.emit,
 		Now: monotonicNow, Log: d.log.Event}
 	if cfg := d.plan.own.Identity; cfg != nil {
 		d.door = d.newDoor(cfg)
@@ -130,7 +130,7 @@
 	d.list.start()
 	go d.heed()
 	d.log.Event("started", "name", s.Name, "listen", s.Listen, "boxes", d.plan.boxes)
-	l.NeedRound()
+	l.RequestRound()
 }
 
 // enter takes what a front has: a request meets the door first, where there is one.
@@ -193,14 +193,14 @@
 		d.log.Event("reload-failed", "error", err)
 		return
 	}
-	d.bulletin.SwitchTo(next.settings.Bulletin)
+	d.bulletin.SwitchTo(next.settings.ListAddress)
 	if c := next.own.Contracts; d.contracts != nil && c != nil {
 		d.contracts.Renew(monotonicNow(), c.Root.Share(c.Instances))
 		d.limitRepeats(c)
 		d.log.Event("contracts-renewed", "version", d.contracts.Version, "teams", len(c.Root.Children), "open", d.contracts.InFlight())
 	}
-	d.log.Event("reloaded", "bulletin", next.settings.Bulletin, "after", d.bulletin.LastEvent)
-	d.loop.NeedRound()
+	d.log.Event("reloaded", "bulletin", next.settings.ListAddress, "after", d.bulletin.LastEvent)
+	d.loop.RequestRound()
 }
 
 // leave begins the end: status says false, and what is open or still comes is served.
@@ -210,26 +210,26 @@
 	}
 	d.list.leave() // first thing: clients are to look elsewhere
 	d.log.Event("leaving", "open", d.open())
-	d.loop.NeedRound()
+	d.loop.RequestRound()
 }
 
 // end does what the end wants next.
 func (d *doorman) end(now time.Duration) {
-	held := shutdown.Load{Open: d.open(), Clients: d.front.Clients(), Unsent: d.loop.Outbound(), Blocked: !d.list.left()}
+	held := shutdown.Load{Open: d.open(), Clients: d.front.Clients(), Unsent: d.loop.UnsentBytes(), Blocked: !d.list.left()}
 	if d.dns != nil {
 		held.Clients += d.dns.Clients()
 	}
 	switch d.leaving.Step(now, held) {
 	case shutdown.CloseIdle:
-		d.front.Dismiss()
+		d.front.CloseIdle()
 		if d.dns != nil {
-			d.dns.Dismiss()
+			d.dns.CloseIdle()
 		}
 	case shutdown.FailInFlight:
 		for _, p := range d.pools {
 			p.emit(broker.FailInFlight{})
 		}
-		d.loop.NeedRound()
+		d.loop.RequestRound()
 	case shutdown.Exit:
 		d.stopped = true
 		d.log.Event("left", "open", held.Open, "clients", held.Clients, "unsent", held.Unsent)
@@ -254,7 +254,7 @@
 	}
 	if now-d.kept >= housekeepEvery {
 		d.kept = now
-		d.loop.Recount()
+		d.loop.RecountUnsent()
 		d.bulletin.Tick(now)
 		for _, p := range d.pools {
 			p.depots.Housekeep(now)
@@ -274,13 +274,13 @@
 	if now-d.tallied >= tallyEvery {
 		d.tallied = now
 		for i, p := range d.pools {
-			if t := p.depots.Take(); t != (upstream.Tally{}) {
+			if t := p.depots.TakeStats(); t != (upstream.Stats{}) {
 				d.log.Event("depot-tally", append([]any{"pool", i}, t.Fields()...)...)
 			}
 		}
 	}
 	for _, p := range d.pools {
-		p.depots.Watch(now)
+		p.depots.CheckLiveness(now)
 	}
 	for again := true; again; { // carrying out may bring ends of its own, and what ends in one pool may be asked on in another
 		for _, p := range d.pools {
@@ -312,16 +312,16 @@
 func (d *doorman) carryOut(p *pool, effect broker.Effect) {
 	switch e := effect.(type) {
 	case broker.SendAttempt:
-		p.depots.Ask(e.Attempt)
+		p.depots.Send(e.Attempt)
 	case broker.CancelAttempt:
-		p.depots.Quit(e.Attempt, e.AwaitEnd)
+		p.depots.Cancel(e.Attempt, e.AwaitEnd)
 	case broker.Respond:
 		d.ended(e.Request, e.Response)
 		e.Request.Frontend.Respond(e.Request, e.Response)
 	case broker.EndpointChanged:
-		p.depots.Moved(e.Endpoint, e.Restarted)
+		p.depots.EndpointChanged(e.Endpoint, e.Restarted)
 	case broker.HealthCheck:
-		p.depots.Probe(e.Endpoint)
+		p.depots.CheckHealth(e.Endpoint)
 	case broker.RefetchList:
 		d.list.confirm(e.Source)
 	case broker.LogEntry:
--- a/internal/proxy/sources.go
+++ b/internal/proxy/sources.go
@@ -48,7 +48,7 @@
 	for _, e := range p.known {
 		emit(e)
 	}
-	d.bulletin = &listwatch.Watcher{Loop: d.loop, Address: p.settings.Bulletin, Decoder: p.names, LastEvent: p.last, Emit: emit,
+	d.bulletin = &listwatch.Watcher{Loop: d.loop, Address: p.settings.ListAddress, Decoder: p.names, LastEvent: p.last, Emit: emit,
 		Now: monotonicNow, Log: d.log.Event}
 	if p.own.Catalogue == nil {
 		return
@@ -75,7 +75,7 @@
 			if err := keeper.KeepRegistered(s.leaving, p.settings.Name, p.settings.Listen); err != nil {
 				s.log("catalogue-register", "error", err)
 			}
-			d.loop.Post(d.loop.NeedRound)
+			d.loop.Post(d.loop.RequestRound)
 		}()
 	}
 }
@@ -130,7 +130,7 @@
 				s.herd.hear(e)
 			}
 		}
-		s.doorman.loop.NeedRound()
+		s.doorman.loop.RequestRound()
 		close(taken)
 	})
 	<-taken
--- a/internal/upstream/resolver/resolver.go
+++ b/internal/upstream/resolver/resolver.go
@@ -97,7 +97,7 @@
 // Received takes an answer; what does not fit the question is passed over.
 func (l *lookup) Received(c *eventloop.Conn) {
 	packet := c.In
-	defer func() { c.Used(len(c.In)) }()
+	defer func() { c.Consume(len(c.In)) }()
 	m := &dns.Msg{}
 	if err := m.Unpack(packet); err != nil || !m.Response || m.Id != l.query.Id || len(m.Question) != 1 ||
 		!strings.EqualFold(m.Question[0].Name, l.name) {
--- a/internal/upstream/tally.go
+++ b/internal/upstream/tally.go
@@ -2,20 +2,20 @@
 
 import "sloequay/internal/policy"
 
-// Tally counts what a pool did on the wire and what the boxes said, since it was last taken. Each of these is harmless
+// Stats counts what a pool did on the wire and what the boxes said, since it was last taken. Each of these is harmless
 // in one doorman and is multiplied by every doorman of a fleet: probes and new connections are priced over all of
 // them, and a box answers all of them from one budget. The counts are plain integers; nothing grows.
-type Tally struct {
-	Written    int // attempts written whole to a connection
-	Checks     int // NOOPs that ask whether a connection lives
-	Confirms   int // of these, the ones behind a QUIT
-	Probes     int // NOOPs that the module asked for
-	Silenced   int // connections closed because a check was not answered
-	Dials      int // connections begun
-	DialFailed int
-	Broken     int // connections that ended under what was open
-	Words      [wordCount]int
-	Notes      [noteCount]int
+type Stats struct {
+	Written        int // attempts written whole to a connection
+	LivenessChecks int // NOOPs that ask whether a connection lives
+	CancelConfirms int // of these, the ones behind a QUIT
+	HealthChecks   int // NOOPs that the module asked for
+	Unresponsive   int // connections closed because a check was not answered
+	Dials          int // connections begun
+	DialFailed     int
+	Resets         int // connections that ended under what was open
+	Words          [wordCount]int
+	Notes          [noteCount]int
 }
 
 // The words of answers, in the order of Tally.Words.
@@ -32,7 +32,7 @@
 const noteCount = len(noteWatched)
 
 // word counts the word of an answer.
-func (t *Tally) word(w string, note policy.Note) {
+func (t *Stats) word(w string, note policy.Note) {
 	for i, name := range wordNames {
 		if name == w {
 			t.Words[i]++
@@ -46,7 +46,7 @@
 }
 
 // Fields gives the counts that are not zero, as name and value, in a fixed order.
-func (t *Tally) Fields() []any {
+func (t *Stats) Fields() []any {
 	var out []any
 	add := func(name string, n int) {
 		if n != 0 {
@@ -54,13 +54,13 @@
 		}
 	}
 	add("written", t.Written)
-	add("checks", t.Checks)
-	add("confirms", t.Confirms)
-	add("probes", t.Probes)
-	add("silenced", t.Silenced)
+	add("checks", t.LivenessChecks)
+	add("confirms", t.CancelConfirms)
+	add("probes", t.HealthChecks)
+	add("silenced", t.Unresponsive)
 	add("dials", t.Dials)
 	add("dial-failed", t.DialFailed)
-	add("broken", t.Broken)
+	add("broken", t.Resets)
 	for i, n := range t.Words {
 		add(wordNames[i], n)
 	}
@@ -70,9 +70,9 @@
 	return out
 }
 
-// Take gives the tally and starts a new one.
-func (p *Pool) Take() Tally {
-	t := p.Tally
-	p.Tally = Tally{}
+// TakeStats gives the tally and starts a new one.
+func (p *Pool) TakeStats() Stats {
+	t := p.Stats
+	p.Stats = Stats{}
 	return t
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -49,26 +49,26 @@
 
 // Pool is all connections to boxes.
 type Pool struct {
-	Loop      *eventloop.Loop
-	Emit      func(broker.Event)
-	Now       func() time.Duration
-	May       func(*broker.Attempt, time.Duration) (time.Duration, bool)
-	Resolve   func(name string, done func(netip.Addr, error))
-	Barred    func(address string) bool // that a name server gave
-	Log       func(event string, fields ...any)
-	Classes   []policy.Class
-	DialLimit time.Duration
-	Idle      time.Duration // after which the boxes close an idle connection; 0: never
-	Streams   int
-	Most      int  // descriptors
-	MayProbe  bool // whether the settings allow it
-	MayQuit   bool // whether they allow that an attempt is called off
-	// Secure gives how a box is to be connected to where that is not by plain TCP: the function runs beside the loop and ends in
+	Loop                *eventloop.Loop
+	Emit                func(broker.Event)
+	Now                 func() time.Duration
+	MaySend             func(*broker.Attempt, time.Duration) (time.Duration, bool)
+	Resolve             func(name string, done func(netip.Addr, error))
+	AddressBlocked      func(address string) bool // that a name server gave
+	Log                 func(event string, fields ...any)
+	Classes             []policy.Class
+	DialTimeout         time.Duration
+	IdleTimeout         time.Duration // after which the boxes close an idle connection; 0: never
+	Streams             int
+	MaxConnections      int  // descriptors
+	HealthChecksAllowed bool // whether the settings allow it
+	CancelAllowed       bool // whether they allow that an attempt is called off
+	// SecureDialer gives how a box is to be connected to where that is not by plain TCP: the function runs beside the loop and ends in
 	// its own time. Nil, or a nil function: plain.
-	Secure   func(*broker.Endpoint) func(address string) (net.Conn, error)
-	FlowKBps float64 // of one answer; 0: not told
+	SecureDialer func(*broker.Endpoint) func(address string) (net.Conn, error)
+	FlowKBps     float64 // of one answer; 0: not told
 
-	Tally Tally // see Take
+	Stats Stats // see Take
 
 	boxes  map[policy.EndpointID]*depot
 	up     []*link // since the last Write
@@ -139,8 +139,8 @@
 	return d
 }
 
-// Ask sends an attempt, at once or when a connection is up.
-func (p *Pool) Ask(a *broker.Attempt) {
+// Send sends an attempt, at once or when a connection is up.
+func (p *Pool) Send(a *broker.Attempt) {
 	l := p.pick(p.depot(a.Endpoint), a.Request.ID)
 	switch {
 	case l == nil:
@@ -183,7 +183,7 @@
 
 // room says whether one more connection may be opened; an idle one elsewhere makes way for it.
 func (p *Pool) room() bool {
-	if p.links+p.Loop.Dials() < p.Most {
+	if p.links+p.Loop.PendingDials() < p.MaxConnections {
 		return true
 	}
 	var idle *link
@@ -206,7 +206,7 @@
 		open: map[string]*pending{}, past: map[string]past{}}
 	d.links = append(d.links, l)
 	p.links++
-	p.Tally.Dials++
+	p.Stats.Dials++
 	name, port, err := net.SplitHostPort(l.address)
 	if err != nil {
 		p.Loop.Post(func() { l.notDialled(err) })
@@ -225,7 +225,7 @@
 	case l.closed:
 	case err != nil:
 		l.notDialled(err)
-	case l.pool.Barred(address):
+	case l.pool.AddressBlocked(address):
 		l.notDialled(fmt.Errorf("the name server gives %s, whose box is draining or gone", address))
 	default:
 		l.address = address
@@ -236,21 +236,21 @@
 // connect dials the link's address.
 func (l *link) connect() {
 	p := l.pool
-	if p.Secure != nil {
-		if dial := p.Secure(l.depot.box); dial != nil {
+	if p.SecureDialer != nil {
+		if dial := p.SecureDialer(l.depot.box); dial != nil {
 			address := l.address
 			p.Loop.DialBy(func() (net.Conn, error) { return dial(address) }, l, l.notDialled)
 			return
 		}
 	}
-	p.Loop.Dial("tcp", l.address, p.DialLimit, l, l.notDialled)
+	p.Loop.Dial("tcp", l.address, p.DialTimeout, l, l.notDialled)
 }
 
 // stale says whether a late answer under the id could be taken for that of a new attempt. A second copy of an answer that was taken is
 // known by its words and asked about, where that is possible.
 func (l *link) stale(id string) bool {
 	old, ok := l.past[id]
-	return ok && (old.said == "" || !l.pool.MayProbe || !l.pool.MayQuit)
+	return ok && (old.said == "" || !l.pool.HealthChecksAllowed || !l.pool.CancelAllowed)
 }
 
 func (l *link) load() int { return len(l.open) + len(l.waiting) }
@@ -273,7 +273,7 @@
 		return
 	}
 	l.gone()
-	l.pool.Tally.DialFailed++
+	l.pool.Stats.DialFailed++
 	end := broker.ConnectFailed
 	if errors.Is(err, syscall.ECONNRESET) {
 		end = broker.NotSent
@@ -300,8 +300,8 @@
 	l.rest()
 }
 
-// Write sends what has waited for the connections that are up since it was last called. It is called once what the round brought is known.
-func (p *Pool) Write() {
+// Flush sends what has waited for the connections that are up since it was last called. It is called once what the round brought is known.
+func (p *Pool) Flush() {
 	up := p.up
 	p.up = nil
 	for _, l := range up {
@@ -317,8 +317,8 @@
 // write puts an attempt on the connection, if the list and the purges still allow it.
 func (l *link) write(a *broker.Attempt) {
 	now := l.pool.Now()
-	age, ok := l.pool.May(a, now)
-	if named := l.address != l.depot.box.Address; named && l.pool.Barred(l.address) {
+	age, ok := l.pool.MaySend(a, now)
+	if named := l.address != l.depot.box.Address; named && l.pool.AddressBlocked(l.address) {
 		ok = false
 		l.retired = true // the next one asks the name server anew
 	}
@@ -327,7 +327,7 @@
 		return
 	}
 	a.Written = true
-	l.pool.Tally.Written++
+	l.pool.Stats.Written++
 	l.put(a.Request.ID, &pending{attempt: a, due: now + 2*l.pool.expected(a)})
 	l.conn.Send(ask(nil, a, l.pool.Classes[a.Request.Class].Name, age, a.Deadline-now))
 }
@@ -357,7 +357,7 @@
 
 // check asks whether the connection lives and all before it was read, and gives the tag of the answer.
 func (l *link) check() string {
-	l.pool.Tally.Checks++
+	l.pool.Stats.LivenessChecks++
 	l.pool.probes++
 	tag := fmt.Sprintf("p%d", l.pool.probes)
 	l.put(tag, &pending{check: true})
@@ -373,7 +373,7 @@
 		a, n, err := parse(c.In[used:])
 		if err != nil {
 			l.garbled(err)
-			c.Used(len(c.In))
+			c.Consume(len(c.In))
 			return
 		}
 		if n == 0 {
@@ -382,7 +382,7 @@
 		used += n
 		if err := l.answer(&a); err != nil {
 			l.garbled(err)
-			c.Used(len(c.In))
+			c.Consume(len(c.In))
 			return
 		}
 	}
@@ -394,7 +394,7 @@
 			l.since = l.heard
 		}
 	}
-	c.Used(used)
+	c.Consume(used)
 	l.rest()
 }
 
@@ -423,7 +423,7 @@
 		return nil // a late answer, or one too many; another may follow, so the id stays known
 	}
 	_, isEnd := ends[a.word]
-	l.pool.Tally.word(a.word, notes[a.field("remark")])
+	l.pool.Stats.word(a.word, notes[a.field("remark")])
 	switch {
 	case o.check && !isEnd:
 		l.alive = l.heard
@@ -442,7 +442,7 @@
 			}
 			l.past[a.id] = past{l.heard, a.said}
 		}
-		e.Body = l.pool.Loop.Keep(e.Body) // until the round has passed it on
+		e.Body = l.pool.Loop.CopyForRound(e.Body) // until the round has passed it on
 		l.pool.Emit(e)
 	}
 	delete(l.open, a.id)
@@ -456,7 +456,7 @@
 	e.Body, e.MayHaveRun = nil, true
 	o.doubt = &e
 	l.conn.Send([]byte("QUIT " + id + "\r\n"))
-	l.pool.Tally.Confirms++
+	l.pool.Stats.CancelConfirms++
 	o.off = l.check()
 }
 
@@ -478,15 +478,15 @@
 
 // Sizes is how much a pool holds: boxes that were spoken to, connections up or being dialled, what waits or is open on them, and
 // ids that were given up there in the last 10 s.
-type Sizes struct{ Boxes, Links, Open, Quit int }
+type Sizes struct{ Endpoints, Connections, Open, Canceled int }
 
 // Sizes tells what is held, by a walk over all connections: for operators, and for tests that nothing grows.
 func (p *Pool) Sizes() Sizes {
-	s := Sizes{Boxes: len(p.boxes), Links: p.links}
+	s := Sizes{Endpoints: len(p.boxes), Connections: p.links}
 	for _, d := range p.boxes {
 		for _, l := range d.links {
 			s.Open += l.load()
-			s.Quit += len(l.past)
+			s.Canceled += len(l.past)
 		}
 	}
 	return s
@@ -495,7 +495,7 @@
 // silenced ends a connection on which nothing comes any more. A QUIT would not arrive; the close gives all up.
 func (l *link) silenced() {
 	l.pool.Log("depot-silent", "box", l.depot.box.Name, "open", len(l.open))
-	l.pool.Tally.Silenced++
+	l.pool.Stats.Unresponsive++
 	l.endAll(func(*pending) broker.End { return broker.Unresponsive })
 	l.conn.Abort()
 	l.retire()
@@ -523,10 +523,10 @@
 
 // Closed ends what was open: what was not written for certain never ran, the rest may have.
 func (l *link) Closed(c *eventloop.Conn, err error) {
-	taken := c.Taken()
+	taken := c.Written()
 	if len(l.open) > 0 {
 		l.pool.Log("depot-broken", "box", l.depot.box.Name, "open", len(l.open), "error", fmt.Sprint(err))
-		l.pool.Tally.Broken++
+		l.pool.Stats.Resets++
 	}
 	l.endAll(func(o *pending) broker.End {
 		if o.start >= taken {
@@ -553,11 +553,11 @@
 	}
 }
 
-// Quit gives up an attempt that may be out. With confirm its ending comes when it is out no more for certain: the box
+// Cancel gives up an attempt that may be out. With confirm its ending comes when it is out no more for certain: the box
 // may read the QUIT later than another one reads the next attempt, or never. Where the settings don't allow that attempts are called
 // off, it stays where it is until the time that the box was told is up, and takes a place on the connection; what comes for it ends
 // nothing any more.
-func (p *Pool) Quit(a *broker.Attempt, confirm bool) {
+func (p *Pool) Cancel(a *broker.Attempt, confirm bool) {
 	id := a.Request.ID
 	if d := p.boxes[a.Endpoint.ID]; d != nil {
 		for _, l := range slices.Clone(d.links) {
@@ -566,14 +566,14 @@
 				break
 			}
 			if o := l.open[id]; o != nil && o.attempt == a {
-				if !p.MayQuit && p.Now() < a.Deadline {
+				if !p.CancelAllowed && p.Now() < a.Deadline {
 					break
 				}
-				if p.MayQuit {
+				if p.CancelAllowed {
 					l.conn.Send([]byte("QUIT " + id + "\r\n"))
 				}
-				if confirm && p.MayProbe {
-					p.Tally.Confirms++
+				if confirm && p.HealthChecksAllowed {
+					p.Stats.CancelConfirms++
 					o.off = l.check()
 					return
 				}
@@ -594,8 +594,8 @@
 	l.rest()
 }
 
-// Probe asks a box whether it is ready.
-func (p *Pool) Probe(box *broker.Endpoint) {
+// CheckHealth asks a box whether it is ready.
+func (p *Pool) CheckHealth(box *broker.Endpoint) {
 	d := p.depot(box)
 	l := p.pick(d, "")
 	if l == nil || l.conn == nil { // a dial that has begun says more than a probe would
@@ -603,15 +603,15 @@
 		return
 	}
 	p.probes++
-	p.Tally.Probes++
+	p.Stats.HealthChecks++
 	tag := fmt.Sprintf("p%d", p.probes)
 	l.put(tag, &pending{})
 	l.conn.Send([]byte("NOOP " + tag + "\r\n"))
 }
 
-// Moved follows the list. A process that has started anew, or a box that is at another address, can't answer what
+// EndpointChanged follows the list. A process that has started anew, or a box that is at another address, can't answer what
 // was sent before; nor can one that is gone. A new box may be at its address: it has its own connections.
-func (p *Pool) Moved(box *broker.Endpoint, restarted bool) {
+func (p *Pool) EndpointChanged(box *broker.Endpoint, restarted bool) {
 	d := p.boxes[box.ID]
 	if d == nil {
 		return
@@ -630,15 +630,15 @@
 	}
 }
 
-// Watch looks after connections on which something waits and nothing comes.
-func (p *Pool) Watch(now time.Duration) {
+// CheckLiveness looks after connections on which something waits and nothing comes.
+func (p *Pool) CheckLiveness(now time.Duration) {
 	if now-p.seen < watchEvery && now >= p.seen {
 		return
 	}
 	p.seen = now
 	for _, d := range p.boxes {
 		for _, l := range slices.Clone(d.links) {
-			if l.conn != nil && (len(l.open) > 0 || l.conn.Waits() > 0) {
+			if l.conn != nil && (len(l.open) > 0 || l.conn.Unsent() > 0) {
 				l.watch(now)
 			}
 		}
@@ -655,7 +655,7 @@
 		return
 	}
 	quiet := now - max(l.heard, l.awaits)
-	if !l.pool.MayProbe {
+	if !l.pool.HealthChecksAllowed {
 		if quiet > silentAfter {
 			l.retire()
 		}
@@ -723,7 +723,7 @@
 				}
 			}
 			// Before the box does: an attempt that crosses its close would be lost.
-			if l.conn != nil && l.load() == 0 && p.Idle > 0 && now-l.used > p.Idle*7/10 {
+			if l.conn != nil && l.load() == 0 && p.IdleTimeout > 0 && now-l.used > p.IdleTimeout*7/10 {
 				l.retire()
 			}
 		}
