--- a/internal/frontend/rpc/rpc.go
+++ b/internal/frontend/rpc/rpc.go
@@ -363,7 +363,7 @@
 		name := string(p.Text(mostText))
 		most := uint32(mostText)
 		if name == "token" {
-			most = identity.TokenMost
+			most = identity.MaxTokenBytes
 		}
 		fields[name] = string(p.Text(most))
 	}
--- a/internal/identity/charge.go
+++ b/internal/identity/charge.go
@@ -5,12 +5,12 @@
 	"time"
 )
 
-// Keyed remembers who was admitted with which idempotency key, for the key's window. A retry is decided by the authority
+// IdempotencyKeys remembers who was admitted with which idempotency key, for the key's window. A retry is decided by the authority
 // that admitted the first try: it may come after its token has expired, and it may only come from the same subject. What is
 // remembered is bounded; when it is full, new keyed work is refused, and nothing that is out is forgotten.
 //
 // Invariant: between Admit and the end of its window a key belongs to one subject. It is not safe for concurrent use.
-type Keyed struct {
+type IdempotencyKeys struct {
 	held map[string]*admitted
 	due  keyedDue
 	most int
@@ -21,15 +21,17 @@
 	until                time.Duration
 }
 
-// NewKeyed makes an empty memory for at most so many keys.
-func NewKeyed(most int) *Keyed { return &Keyed{held: map[string]*admitted{}, most: most} }
+// NewIdempotencyKeys makes an empty memory for at most so many keys.
+func NewIdempotencyKeys(most int) *IdempotencyKeys {
+	return &IdempotencyKeys{held: map[string]*admitted{}, most: most}
+}
 
 // Len is the number of keys held.
-func (k *Keyed) Len() int { return len(k.held) }
+func (k *IdempotencyKeys) Len() int { return len(k.held) }
 
 // Admit decides about a request with an idempotency key. reason is what its own authority gives now; window is how long
 // repeats of the key may come.
-func (k *Keyed) Admit(now time.Duration, key, subject, tenant string, reason Reason, window time.Duration) Reason {
+func (k *IdempotencyKeys) Admit(now time.Duration, key, subject, tenant string, reason Reason, window time.Duration) Reason {
 	k.expire(now)
 	if old := k.held[key]; old != nil {
 		switch {
@@ -56,7 +58,7 @@
 }
 
 // expire drops keys whose window is over.
-func (k *Keyed) expire(now time.Duration) {
+func (k *IdempotencyKeys) expire(now time.Duration) {
 	for len(k.due) > 0 && k.due[0].until <= now {
 		delete(k.held, heap.Pop(&k.due).(*admitted).key)
 	}
--- a/internal/identity/gate.go
+++ b/internal/identity/gate.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// GateConfig bounds a Gate.
-type GateConfig struct {
+// AuthenticatorConfig bounds a Gate.
+type AuthenticatorConfig struct {
 	Policy    Policy
 	Cached    int     // verified tokens remembered
 	Waiting   int     // requests that wait for a signature to be checked
@@ -19,8 +19,8 @@
 }
 
 // Defaults gives the bounds in force where the settings say nothing.
-func Defaults() GateConfig {
-	return GateConfig{Policy: Policy{Skew: 5 * time.Second}, Cached: 100_000, Waiting: 4096, Checks: 4000, PerConn: 400, PerSource: 1000,
+func Defaults() AuthenticatorConfig {
+	return AuthenticatorConfig{Policy: Policy{Skew: 5 * time.Second}, Cached: 100_000, Waiting: 4096, Checks: 4000, PerConn: 400, PerSource: 1000,
 		Keyed: 100_000, Revoked: 100_000}
 }
 
@@ -43,7 +43,7 @@
 type Call struct {
 	Caller *Caller
 	Token  string
-	Ask    Ask
+	Access Access
 	Key    string // idempotency key; empty: not keyed
 	Window time.Duration
 	Data   any // the user's own
@@ -75,17 +75,17 @@
 	begun  bool // it was found in force
 }
 
-// Gate decides who a caller is and whether it may do what it asks. It remembers tokens whose signature holds, and has
+// Authenticator decides who a caller is and whether it may do what it asks. It remembers tokens whose signature holds, and has
 // others checked within budgets, so that a flood of bad ones costs the sender's own connection first.
 //
 // Invariants: at most one Job is out for a token; what is remembered and what waits is bounded; every Call gets exactly
 // one Outcome. It is not safe for concurrent use.
-type Gate struct {
-	cfg     GateConfig
+type Authenticator struct {
+	cfg     AuthenticatorConfig
 	rights  *Rights
 	keys    *Keys
 	revoked *Revocations
-	keyed   *Keyed
+	keyed   *IdempotencyKeys
 	cache   map[[32]byte]*list.Element
 	recent  *list.List // of *verified, the newest first
 	waiting map[[32]byte][]*Call
@@ -96,34 +96,34 @@
 	Checked, Hits, Refused uint64
 }
 
-// NewGate makes a gate with no keys.
-func NewGate(cfg GateConfig, rights *Rights) *Gate {
-	return &Gate{cfg: cfg, rights: rights, revoked: NewRevocations(cfg.Revoked), keyed: NewKeyed(cfg.Keyed),
+// NewAuthenticator makes a gate with no keys.
+func NewAuthenticator(cfg AuthenticatorConfig, rights *Rights) *Authenticator {
+	return &Authenticator{cfg: cfg, rights: rights, revoked: NewRevocations(cfg.Revoked), keyed: NewIdempotencyKeys(cfg.Keyed),
 		cache: map[[32]byte]*list.Element{}, recent: list.New(), waiting: map[[32]byte][]*Call{}}
 }
 
 // SetOffset tells by how much the Unix clock, which tokens, keys and revocations go by, is ahead of the times that the gate
 // is given, which budgets and windows go by.
-func (g *Gate) SetOffset(offset time.Duration) { g.offset = offset }
+func (g *Authenticator) SetOffset(offset time.Duration) { g.offset = offset }
 
 // SetKeys takes another key set. Tokens of keys that stay are not checked again.
-func (g *Gate) SetKeys(k *Keys) { g.keys = k }
+func (g *Authenticator) SetKeys(k *Keys) { g.keys = k }
 
 // Keys is the set in force.
-func (g *Gate) Keys() *Keys { return g.keys }
+func (g *Authenticator) Keys() *Keys { return g.keys }
 
 // SetRights takes other rights.
-func (g *Gate) SetRights(r *Rights) { g.rights = r }
+func (g *Authenticator) SetRights(r *Rights) { g.rights = r }
 
 // Revocations is what was revoked.
-func (g *Gate) Revocations() *Revocations { return g.revoked }
+func (g *Authenticator) Revocations() *Revocations { return g.revoked }
 
 // Waiting is the number of calls that wait for a signature.
-func (g *Gate) Waiting() int { return g.queued }
+func (g *Authenticator) Waiting() int { return g.queued }
 
-// Arrive takes a call. Either its outcome comes back, or a job whose result decides it, or neither where it waits for a job
+// Authenticate takes a call. Either its outcome comes back, or a job whose result decides it, or neither where it waits for a job
 // that is out already.
-func (g *Gate) Arrive(now time.Duration, c *Call) (*Outcome, *Job) {
+func (g *Authenticator) Authenticate(now time.Duration, c *Call) (*Outcome, *Job) {
 	unix := now + g.offset
 	g.revoked.Expire(unix)
 	if c.Token == "" {
@@ -191,7 +191,7 @@
 	return err == nil && err2 == nil && x == y
 }
 
-func (g *Gate) busy(c *Call, wait time.Duration) *Outcome {
+func (g *Authenticator) busy(c *Call, wait time.Duration) *Outcome {
 	g.Refused++
 	return &Outcome{Call: c, Reason: Busy, Rule: -1, Wait: wait}
 }
@@ -199,8 +199,8 @@
 // badMost bounds how far bad signatures lower a connection's budget.
 const badMost = 100
 
-// Verified takes the result of a job, and gives the outcomes of all calls that waited for it.
-func (g *Gate) Verified(now time.Duration, j *Job, claims Claims, reason Reason) (out []*Outcome) {
+// SignatureChecked takes the result of a job, and gives the outcomes of all calls that waited for it.
+func (g *Authenticator) SignatureChecked(now time.Duration, j *Job, claims Claims, reason Reason) (out []*Outcome) {
 	calls := g.waiting[j.hash]
 	delete(g.waiting, j.hash)
 	g.queued -= len(calls)
@@ -221,7 +221,7 @@
 	return out
 }
 
-func (g *Gate) remember(v *verified) {
+func (g *Authenticator) remember(v *verified) {
 	if g.cache[v.hash] != nil {
 		return
 	}
@@ -231,13 +231,13 @@
 	}
 }
 
-func (g *Gate) drop(e *list.Element) {
+func (g *Authenticator) drop(e *list.Element) {
 	delete(g.cache, e.Value.(*verified).hash)
 	g.recent.Remove(e)
 }
 
 // Expire drops remembered tokens from the oldest end that have ended, at most so many: the rest goes as it is met.
-func (g *Gate) Expire(now time.Duration, most int) {
+func (g *Authenticator) Expire(now time.Duration, most int) {
 	g.keyed.expire(now)
 	unix := now + g.offset
 	g.revoked.Expire(unix)
@@ -251,7 +251,7 @@
 }
 
 // decide joins who the caller is, what it may do, and the rule for idempotency keys.
-func (g *Gate) decide(now time.Duration, c *Call, claims *Claims, reason Reason) *Outcome {
+func (g *Authenticator) decide(now time.Duration, c *Call, claims *Claims, reason Reason) *Outcome {
 	o := &Outcome{Call: c, Reason: reason, Rule: -1}
 	switch {
 	case claims != nil:
@@ -270,7 +270,7 @@
 		}
 	}
 	if o.Tenant != "" && (o.Reason == Allowed || c.Key != "" && (o.Reason == Expired || o.Reason == Retired)) {
-		ask := c.Ask
+		ask := c.Access
 		ask.Front, ask.Site = c.Caller.Front, c.Caller.Site
 		if claims != nil && claims.Site != "" {
 			ask.Site = claims.Site
@@ -319,4 +319,4 @@
 }
 
 // SetRevocations takes another list of what was revoked.
-func (g *Gate) SetRevocations(r *Revocations) { g.revoked = r }
+func (g *Authenticator) SetRevocations(r *Revocations) { g.revoked = r }
--- a/internal/identity/identity.go
+++ b/internal/identity/identity.go
@@ -43,8 +43,8 @@
 		"expired", "retired", "revoked", "audience", "binding", "key-in-use", "full", "busy"}[r]
 }
 
-// Ask is what a caller wants to do.
-type Ask struct {
+// Access is what a caller wants to do.
+type Access struct {
 	Class  string
 	Front  string // rpc, tls or dns
 	Site   string // that the caller speaks from, where that is known
@@ -126,7 +126,7 @@
 
 // covers says whether a rule speaks of an ask. A deny also covers what is not told: a request that hides its group must not
 // pass by a rule that forbids one.
-func (r *Rule) covers(a Ask) bool {
+func (r *Rule) covers(a Access) bool {
 	unknown := func(empty, known bool) bool { return empty || !known && r.Deny }
 	in := func(spans []span, n uint64) bool {
 		return slices.ContainsFunc(spans, func(s span) bool { return s.has(n) })
@@ -188,7 +188,7 @@
 }
 
 // May says whether a tenant may do what is asked. It looks only at the rules that name the class.
-func (r *Rights) May(tenant string, a Ask) Decision {
+func (r *Rights) May(tenant string, a Access) Decision {
 	t := r.tenants[tenant]
 	if t == nil {
 		return Decision{NoTenant, -1}
--- a/internal/identity/identity_test.go
+++ b/internal/identity/identity_test.go
@@ -96,23 +96,23 @@
 }
 
 // gateWith makes a gate with keys and the rights of testRights.
-func gateWith(t testing.TB, keys ...Key) *Gate {
+func gateWith(t testing.TB, keys ...Key) *Authenticator {
 	cfg := Defaults()
 	cfg.Policy.Audience = "doorman"
-	g := NewGate(cfg, testRights(t, "open"))
+	g := NewAuthenticator(cfg, testRights(t, "open"))
 	g.SetKeys(keySet(t, keys...))
 	return g
 }
 
 // call takes a call to its outcome, checking the signature where that is asked for.
-func call(g *Gate, now time.Duration, c *Call) *Outcome {
+func call(g *Authenticator, now time.Duration, c *Call) *Outcome {
 	if c.Caller == nil {
 		c.Caller = &Caller{Front: "rpc"}
 	}
-	o, j := g.Arrive(now, c)
+	o, j := g.Authenticate(now, c)
 	if j != nil {
 		claims, reason := Verify(j.Token, j.Key)
-		o = g.Verified(now, j, claims, reason)[0]
+		o = g.SignatureChecked(now, j, claims, reason)[0]
 	}
 	return o
 }
@@ -125,28 +125,28 @@
 	}
 	for _, c := range []struct {
 		name string
-		ask  Ask
+		ask  Access
 		want Reason
 		rule int
 	}{
-		{"allowed", Ask{Class: "lookup", Site: "north", Group: 3}, Allowed, 0},
-		{"no rule", Ask{Class: "footage", Site: "north"}, NoRight, -1},
-		{"denied by its group", Ask{Class: "lookup", Site: "north", Group: 7}, NoRight, 2},
-		{"a group that is not told may be the denied one", Ask{Class: "lookup", Site: "north", Group: -1}, NoRight, 2},
-		{"a site that is not told may be the denied one", Ask{Class: "lookup", Group: 3}, NoRight, 4},
-		{"denied by the object", Ask{Class: "lookup", Site: "north", Object: 0xf7}, NoRight, 3},
-		{"all that it needs", Ask{Class: "charge", Front: "tls", Site: "north", Group: 31}, Allowed, 1},
-		{"another front", Ask{Class: "charge", Front: "dns", Site: "north", Group: 3}, NoRight, -1},
-		{"another site", Ask{Class: "charge", Front: "rpc", Site: "east", Group: 3}, NoRight, -1},
-		{"a site that is not told allows nothing", Ask{Class: "charge", Front: "rpc", Group: 3}, NoRight, -1},
-		{"beyond its groups", Ask{Class: "charge", Front: "rpc", Site: "north", Group: 32}, NoRight, -1},
-		{"a group that is not told allows nothing", Ask{Class: "charge", Front: "rpc", Site: "north", Group: -1}, NoRight, -1},
+		{"allowed", Access{Class: "lookup", Site: "north", Group: 3}, Allowed, 0},
+		{"no rule", Access{Class: "footage", Site: "north"}, NoRight, -1},
+		{"denied by its group", Access{Class: "lookup", Site: "north", Group: 7}, NoRight, 2},
+		{"a group that is not told may be the denied one", Access{Class: "lookup", Site: "north", Group: -1}, NoRight, 2},
+		{"a site that is not told may be the denied one", Access{Class: "lookup", Group: 3}, NoRight, 4},
+		{"denied by the object", Access{Class: "lookup", Site: "north", Object: 0xf7}, NoRight, 3},
+		{"all that it needs", Access{Class: "charge", Front: "tls", Site: "north", Group: 31}, Allowed, 1},
+		{"another front", Access{Class: "charge", Front: "dns", Site: "north", Group: 3}, NoRight, -1},
+		{"another site", Access{Class: "charge", Front: "rpc", Site: "east", Group: 3}, NoRight, -1},
+		{"a site that is not told allows nothing", Access{Class: "charge", Front: "rpc", Group: 3}, NoRight, -1},
+		{"beyond its groups", Access{Class: "charge", Front: "rpc", Site: "north", Group: 32}, NoRight, -1},
+		{"a group that is not told allows nothing", Access{Class: "charge", Front: "rpc", Site: "north", Group: -1}, NoRight, -1},
 	} {
 		if got := r.May("a", c.ask); got != (Decision{c.want, c.rule}) {
 			t.Errorf("%s: %v by rule %d, want %v by %d", c.name, got.Reason, got.Rule, c.want, c.rule)
 		}
 	}
-	if got := r.May("b", Ask{Class: "lookup"}); got.Reason != NoTenant {
+	if got := r.May("b", Access{Class: "lookup"}); got.Reason != NoTenant {
 		t.Errorf("an unknown tenant: %v", got.Reason)
 	}
 	for _, text := range []string{"", "front=rpc", "x front=http", "x group=9-3", "x group=-1", "x object=xyz", "x site=", "x colour=red"} {
@@ -181,7 +181,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		ask := Ask{Class: rapid.SampledFrom(classes).Draw(t, "asked"), Front: rapid.SampledFrom(Fronts).Draw(t, "by"), Group: rapid.IntRange(-1, 5).Draw(t, "in")}
+		ask := Access{Class: rapid.SampledFrom(classes).Draw(t, "asked"), Front: rapid.SampledFrom(Fronts).Draw(t, "by"), Group: rapid.IntRange(-1, 5).Draw(t, "in")}
 		allowed, denied := false, false
 		for i := range all {
 			r := &all[i]
@@ -241,22 +241,22 @@
 		{"bound to a certificate", m.token(ed, func(c *Claims) { c.Thumbprint = "abc" }), Binding},
 	} {
 		g := gateWith(t, ed, es, coming, dead)
-		o := call(g, now, &Call{Token: c.token, Ask: Ask{Class: "charge"}})
+		o := call(g, now, &Call{Token: c.token, Access: Access{Class: "charge"}})
 		if o.Reason != c.want {
 			t.Errorf("%s: %v, want %v", c.name, o.Reason, c.want)
 		}
-		if again := call(g, now, &Call{Token: c.token, Ask: Ask{Class: "charge"}}); again.Reason != c.want {
+		if again := call(g, now, &Call{Token: c.token, Access: Access{Class: "charge"}}); again.Reason != c.want {
 			t.Errorf("%s: the second time %v", c.name, again.Reason)
 		}
 	}
 	g := gateWith(t, ed)
 	g.cfg.Policy.Audience = "another"
-	if o := call(g, now, &Call{Token: good, Ask: Ask{Class: "charge"}}); o.Reason != Audience {
+	if o := call(g, now, &Call{Token: good, Access: Access{Class: "charge"}}); o.Reason != Audience {
 		t.Errorf("for another audience: %v", o.Reason)
 	}
 	g = gateWith(t, ed)
 	bound := &Caller{Front: "tls", Thumbprint: "abc"}
-	if o := call(g, now, &Call{Caller: bound, Token: m.token(ed, func(c *Claims) { c.Thumbprint = "abc" }), Ask: Ask{Class: "charge"}}); o.Reason != Allowed {
+	if o := call(g, now, &Call{Caller: bound, Token: m.token(ed, func(c *Claims) { c.Thumbprint = "abc" }), Access: Access{Class: "charge"}}); o.Reason != Allowed {
 		t.Errorf("from the certificate that it is bound to: %v", o.Reason)
 	}
 	for _, c := range []struct {
@@ -264,9 +264,9 @@
 		call Call
 		want Reason
 	}{
-		{"unsigned, with that tenant's right", Call{Ask: Ask{Class: "lookup"}}, Allowed},
-		{"unsigned, without", Call{Ask: Ask{Class: "charge"}}, NoRight},
-		{"by its certificate", Call{Caller: &Caller{Tenant: "lanes", Subject: "l1"}, Ask: Ask{Class: "charge"}}, Allowed},
+		{"unsigned, with that tenant's right", Call{Access: Access{Class: "lookup"}}, Allowed},
+		{"unsigned, without", Call{Access: Access{Class: "charge"}}, NoRight},
+		{"by its certificate", Call{Caller: &Caller{Tenant: "lanes", Subject: "l1"}, Access: Access{Class: "charge"}}, Allowed},
 	} {
 		if o := call(g, now, &c.call); o.Reason != c.want {
 			t.Errorf("%s: %v, want %v", c.name, o.Reason, c.want)
@@ -280,29 +280,29 @@
 	k := m.key("k", EdDSA)
 	for _, c := range []struct {
 		name string
-		end  func(*Gate)
+		end  func(*Authenticator)
 		at   time.Duration
 		want Reason
 	}{
-		{"nothing", func(*Gate) {}, 0, Allowed},
-		{"its time", func(*Gate) {}, 2 * time.Hour, Expired},
-		{"the token revoked", func(g *Gate) { _ = g.Revocations().Add(Token, "t1", start+time.Hour) }, 0, Revoked},
-		{"the subject revoked", func(g *Gate) { _ = g.Revocations().Add(Subject, "s1", start+time.Hour) }, 0, Revoked},
-		{"the key revoked", func(g *Gate) { _ = g.Revocations().Add(KeyID, "k", start+time.Hour) }, 0, Revoked},
-		{"the key gone", func(g *Gate) { g.SetKeys(keySet(t)) }, 0, UnknownKey},
-		{"the key retired", func(g *Gate) { r := k; r.RetireAfter = start + 2; g.SetKeys(keySet(t, r)) }, 0, Retired},
-		{"other keys come", func(g *Gate) { g.SetKeys(keySet(t, k, m.key("new", ES256))) }, 0, Allowed},
-		{"the right taken", func(g *Gate) { r, _ := NewRights([]Tenant{{Name: "lanes"}}, ""); g.SetRights(r) }, 0, NoRight},
+		{"nothing", func(*Authenticator) {}, 0, Allowed},
+		{"its time", func(*Authenticator) {}, 2 * time.Hour, Expired},
+		{"the token revoked", func(g *Authenticator) { _ = g.Revocations().Add(Token, "t1", start+time.Hour) }, 0, Revoked},
+		{"the subject revoked", func(g *Authenticator) { _ = g.Revocations().Add(Subject, "s1", start+time.Hour) }, 0, Revoked},
+		{"the key revoked", func(g *Authenticator) { _ = g.Revocations().Add(KeyID, "k", start+time.Hour) }, 0, Revoked},
+		{"the key gone", func(g *Authenticator) { g.SetKeys(keySet(t)) }, 0, UnknownKey},
+		{"the key retired", func(g *Authenticator) { r := k; r.RetireAfter = start + 2; g.SetKeys(keySet(t, r)) }, 0, Retired},
+		{"other keys come", func(g *Authenticator) { g.SetKeys(keySet(t, k, m.key("new", ES256))) }, 0, Allowed},
+		{"the right taken", func(g *Authenticator) { r, _ := NewRights([]Tenant{{Name: "lanes"}}, ""); g.SetRights(r) }, 0, NoRight},
 	} {
 		m.n = 0
 		g := gateWith(t, k)
 		token := m.token(k, nil)
-		ask := Ask{Class: "charge"}
-		if o := call(g, start+1, &Call{Token: token, Ask: ask}); o.Reason != Allowed || g.Checked != 1 {
+		ask := Access{Class: "charge"}
+		if o := call(g, start+1, &Call{Token: token, Access: ask}); o.Reason != Allowed || g.Checked != 1 {
 			t.Fatalf("%s: at first %v, %d checked", c.name, o.Reason, g.Checked)
 		}
 		c.end(g)
-		if o := call(g, start+3+c.at, &Call{Token: token, Ask: ask}); o.Reason != c.want {
+		if o := call(g, start+3+c.at, &Call{Token: token, Access: ask}); o.Reason != c.want {
 			t.Errorf("%s: %v, want %v", c.name, o.Reason, c.want)
 		}
 	}
@@ -316,7 +316,7 @@
 	soon := m.token(k, func(c *Claims) { c.Expires = start + time.Second })
 	other := m.token(k, func(c *Claims) { c.Subject = "s2" })
 	keyed := func(token, key string) *Call {
-		return &Call{Token: token, Key: key, Window: window, Ask: Ask{Class: "charge"}}
+		return &Call{Token: token, Key: key, Window: window, Access: Access{Class: "charge"}}
 	}
 	g := gateWith(t, k)
 	for _, c := range []struct {
@@ -354,7 +354,7 @@
 
 // TestKeyedIsFull: when it is full new keyed work is refused, and what is out keeps its key.
 func TestKeyedIsFull(t *testing.T) {
-	k := NewKeyed(2)
+	k := NewIdempotencyKeys(2)
 	for i, c := range []struct {
 		at           time.Duration
 		key, subject string
@@ -370,7 +370,7 @@
 // TestKeyedBelongsToOne: over random requests, a key belongs to one subject from its admission to the end of its window.
 func TestKeyedBelongsToOne(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		k := NewKeyed(4)
+		k := NewIdempotencyKeys(4)
 		type owner struct {
 			subject string
 			until   time.Duration
@@ -496,7 +496,7 @@
 					delete(plain, k)
 				}
 			}
-			k := revoked{What(rapid.IntRange(0, 2).Draw(t, "what")), fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "name"))}
+			k := revoked{RevocationKind(rapid.IntRange(0, 2).Draw(t, "what")), fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "name"))}
 			until := now + time.Duration(rapid.IntRange(1, 5000).Draw(t, "for"))*time.Millisecond
 			_, held := plain[k]
 			if err := r.Add(k.what, k.name, until); (err == nil) != (held || len(plain) < 5) {
@@ -528,20 +528,20 @@
 	for i := range 30_000 {
 		now := start + time.Duration(i)*100*time.Microsecond
 		bad := fmt.Sprintf("%s%06d", good[:len(good)-6], i)
-		if _, j := g.Arrive(now, &Call{Caller: flood, Token: bad, Ask: Ask{Class: "charge"}}); j != nil {
+		if _, j := g.Authenticate(now, &Call{Caller: flood, Token: bad, Access: Access{Class: "charge"}}); j != nil {
 			checked++
-			for _, o := range g.Verified(now, j, Claims{}, Signature) {
+			for _, o := range g.SignatureChecked(now, j, Claims{}, Signature) {
 				if o.Reason == Allowed {
 					t.Fatal("a bad token is allowed")
 				}
 			}
 		}
 		if i%100 == 0 { // a hundred new tokens a second
-			o, j := g.Arrive(now, &Call{Caller: honest, Token: fmt.Sprintf("%s%06d", good[:len(good)-6], 500_000+i), Ask: Ask{Class: "charge"}})
+			o, j := g.Authenticate(now, &Call{Caller: honest, Token: fmt.Sprintf("%s%06d", good[:len(good)-6], 500_000+i), Access: Access{Class: "charge"}})
 			if j == nil {
 				t.Fatalf("at %v the other's token is not checked: %v", now-start, o.Reason)
 			}
-			g.Verified(now, j, Claims{ID: "x", Subject: "s1", Tenant: "lanes", KeyID: "k", Expires: start + time.Hour, audience: []string{"doorman"}}, Allowed)
+			g.SignatureChecked(now, j, Claims{ID: "x", Subject: "s1", Tenant: "lanes", KeyID: "k", Expires: start + time.Hour, audience: []string{"doorman"}}, Allowed)
 		}
 	}
 	if checked > 600 {
@@ -569,13 +569,13 @@
 			if j := jobs[token]; j != nil && rapid.Bool().Draw(t, "done") {
 				delete(jobs, token)
 				claims, reason := Verify(j.Token, j.Key)
-				for _, o := range g.Verified(now, j, claims, reason) {
+				for _, o := range g.SignatureChecked(now, j, claims, reason) {
 					note(o)
 				}
 				continue
 			}
 			calls++
-			o, j := g.Arrive(now, &Call{Caller: rapid.SampledFrom(callers).Draw(t, "caller"), Token: token, Ask: Ask{Class: "lookup"}})
+			o, j := g.Authenticate(now, &Call{Caller: rapid.SampledFrom(callers).Draw(t, "caller"), Token: token, Access: Access{Class: "lookup"}})
 			if o != nil {
 				note(o)
 			}
@@ -590,7 +590,7 @@
 			}
 		}
 		for _, j := range jobs {
-			for _, o := range g.Verified(now, j, Claims{}, Signature) {
+			for _, o := range g.SignatureChecked(now, j, Claims{}, Signature) {
 				note(o)
 			}
 		}
@@ -615,7 +615,7 @@
 	f.Add("..")
 	f.Add("eyJhbGciOiJub25lIiwia2lkIjoiayJ9.e30.")
 	f.Fuzz(func(t *testing.T, token string) {
-		o := call(g, start+1, &Call{Token: token, Ask: Ask{Class: "charge"}})
+		o := call(g, start+1, &Call{Token: token, Access: Access{Class: "charge"}})
 		if o.Reason == Allowed && token != good {
 			t.Fatalf("taken: %q", token)
 		}
@@ -626,21 +626,21 @@
 func BenchmarkArrive(b *testing.B) {
 	m := newMaker(b)
 	ed, es := m.key("ed", EdDSA), m.key("es", ES256)
-	ask := Ask{Class: "lookup"}
+	ask := Access{Class: "lookup"}
 	b.Run("unsigned", func(b *testing.B) {
 		g, c := gateWith(b, ed), &Caller{Front: "rpc"}
 		b.ReportAllocs()
 		for range b.N {
-			g.Arrive(start+1, &Call{Caller: c, Ask: ask})
+			g.Authenticate(start+1, &Call{Caller: c, Access: ask})
 		}
 	})
 	b.Run("cached", func(b *testing.B) {
 		g, c := gateWith(b, ed), &Caller{Front: "rpc"}
 		token := m.token(ed, nil)
-		call(g, start+1, &Call{Caller: c, Token: token, Ask: ask})
+		call(g, start+1, &Call{Caller: c, Token: token, Access: ask})
 		b.ReportAllocs()
 		for range b.N {
-			g.Arrive(start+1, &Call{Caller: c, Token: token, Ask: ask})
+			g.Authenticate(start+1, &Call{Caller: c, Token: token, Access: ask})
 		}
 	})
 	b.Run("new, on the loop", func(b *testing.B) {
@@ -654,8 +654,8 @@
 		b.ReportAllocs()
 		b.ResetTimer()
 		for i := range b.N {
-			_, j := g.Arrive(start+1, &Call{Caller: &Caller{Front: "rpc"}, Token: tokens[i%1000], Ask: ask})
-			g.Verified(start+1, j, Claims{ID: "x", Subject: "s", Tenant: "lanes", KeyID: "ed", Expires: start + time.Hour, audience: []string{"doorman"}}, Allowed)
+			_, j := g.Authenticate(start+1, &Call{Caller: &Caller{Front: "rpc"}, Token: tokens[i%1000], Access: ask})
+			g.SignatureChecked(start+1, j, Claims{ID: "x", Subject: "s", Tenant: "lanes", KeyID: "ed", Expires: start + time.Hour, audience: []string{"doorman"}}, Allowed)
 		}
 	})
 	for _, k := range []Key{ed, es} {
--- a/internal/identity/keydir/keydir.go
+++ b/internal/identity/keydir/keydir.go
@@ -58,7 +58,7 @@
 
 // Revocation is one line of the file of revocations.
 type Revocation struct {
-	What  identity.What
+	What  identity.RevocationKind
 	Name  string
 	Until time.Duration
 }
--- a/internal/identity/keys.go
+++ b/internal/identity/keys.go
@@ -75,8 +75,8 @@
 	return [32]byte{}, fmt.Errorf("key %q: no public key for %q", k.ID, k.Algorithm)
 }
 
-// KeysMost bounds a key set.
-const KeysMost = 1024
+// MaxKeys bounds a key set.
+const MaxKeys = 1024
 
 // ValidID says whether a text can name a key: a plain word, so that nothing is ever looked up by what it might mean as a path.
 func ValidID(id string) error {
@@ -102,8 +102,8 @@
 // NewKeys makes a set. All keys must be sound, with ids of their own.
 func NewKeys(all []Key) (*Keys, error) {
 	s := &Keys{keys: map[string]*Key{}, prints: map[string][32]byte{}}
-	if len(all) > KeysMost {
-		return nil, fmt.Errorf("%d keys, at most %d are held", len(all), KeysMost)
+	if len(all) > MaxKeys {
+		return nil, fmt.Errorf("%d keys, at most %d are held", len(all), MaxKeys)
 	}
 	for i := range all {
 		k := all[i]
--- a/internal/identity/revoke.go
+++ b/internal/identity/revoke.go
@@ -6,22 +6,22 @@
 	"time"
 )
 
-// What is what a revocation names.
-type What uint8
+// RevocationKind is what a revocation names.
+type RevocationKind uint8
 
 // What can be revoked.
 const (
-	Token   What = iota // one token, by its id
-	Subject             // all tokens of a subject
-	KeyID               // all tokens that a key has signed
+	Token   RevocationKind = iota // one token, by its id
+	Subject                       // all tokens of a subject
+	KeyID                         // all tokens that a key has signed
 )
 
 // String gives the word.
-func (w What) String() string { return [...]string{"token", "subject", "key"}[w] }
+func (w RevocationKind) String() string { return [...]string{"token", "subject", "key"}[w] }
 
 // revoked is one entry.
 type revoked struct {
-	what What
+	what RevocationKind
 	name string
 }
 
@@ -44,7 +44,7 @@
 func (r *Revocations) Len() int { return len(r.until) }
 
 // Add revokes something until a time. An entry is never shortened.
-func (r *Revocations) Add(what What, name string, until time.Duration) error {
+func (r *Revocations) Add(what RevocationKind, name string, until time.Duration) error {
 	k := revoked{what, name}
 	old, held := r.until[k]
 	if held && old >= until {
@@ -61,7 +61,7 @@
 }
 
 // Has says whether something is revoked.
-func (r *Revocations) Has(now time.Duration, what What, name string) bool {
+func (r *Revocations) Has(now time.Duration, what RevocationKind, name string) bool {
 	if r == nil || len(r.until) == 0 {
 		return false
 	}
--- a/internal/identity/source.go
+++ b/internal/identity/source.go
@@ -103,7 +103,7 @@
 }
 
 // hold turns a call away for want of a budget.
-func (g *Gate) hold(now time.Duration, c *Call, wait time.Duration) *Outcome {
+func (g *Authenticator) hold(now time.Duration, c *Call, wait time.Duration) *Outcome {
 	c.Caller.held.add(now)
 	if s := c.Caller.Source; s != nil {
 		s.held.add(now)
@@ -113,7 +113,7 @@
 
 // afford charges one token that is more than a look-up to the caller's connection and to its source. Bad signatures lower
 // both.
-func (g *Gate) afford(now time.Duration, c *Caller) (time.Duration, bool) {
+func (g *Authenticator) afford(now time.Duration, c *Caller) (time.Duration, bool) {
 	if wait, ok := c.budget.take(now, g.cfg.PerConn/float64(1+c.bad)); !ok {
 		return wait, false
 	}
--- a/internal/identity/source_test.go
+++ b/internal/identity/source_test.go
@@ -69,17 +69,17 @@
 	flood := &Caller{Front: "rpc", Source: sources.Of(here)}
 	good := m.token(ed, nil)
 	proven := &Caller{Front: "rpc", Source: sources.Of(here)}
-	if o := call(g, now, &Call{Caller: proven, Token: good, Ask: Ask{Class: "charge"}}); o.Reason != Allowed {
+	if o := call(g, now, &Call{Caller: proven, Token: good, Access: Access{Class: "charge"}}); o.Reason != Allowed {
 		t.Fatalf("a good token: %v", o.Reason)
 	}
 	jobs, busy := 0, 0
 	for i := range 2000 {
 		now += 100 * time.Microsecond
-		o, j := g.Arrive(now, &Call{Caller: flood, Token: fmt.Sprintf("%s%06d", good[:len(good)-6], i), Ask: Ask{Class: "charge"}})
+		o, j := g.Authenticate(now, &Call{Caller: flood, Token: fmt.Sprintf("%s%06d", good[:len(good)-6], i), Access: Access{Class: "charge"}})
 		if j != nil {
 			jobs++
 			claims, reason := Verify(j.Token, j.Key)
-			g.Verified(now, j, claims, reason)
+			g.SignatureChecked(now, j, claims, reason)
 		} else if o.Reason == Busy {
 			busy++
 		}
@@ -91,10 +91,10 @@
 	for i := range 400 {
 		now += 500 * time.Microsecond
 		c := &Caller{Front: "rpc", Source: sources.Of(here)}
-		if _, j := g.Arrive(now, &Call{Caller: c, Token: fmt.Sprintf("%s%06d", good[:len(good)-6], 500_000+i), Ask: Ask{Class: "charge"}}); j != nil {
+		if _, j := g.Authenticate(now, &Call{Caller: c, Token: fmt.Sprintf("%s%06d", good[:len(good)-6], 500_000+i), Access: Access{Class: "charge"}}); j != nil {
 			bought++
 			claims, reason := Verify(j.Token, j.Key)
-			g.Verified(now, j, claims, reason)
+			g.SignatureChecked(now, j, claims, reason)
 		}
 	}
 	if bought > 12 {
@@ -111,7 +111,7 @@
 			t.Errorf("%s: paced %v, want %v", name, !c.want, c.want)
 		}
 	}
-	if o := call(g, now, &Call{Caller: again, Token: good, Ask: Ask{Class: "charge"}}); o.Reason != Allowed || again.Paced(now) {
+	if o := call(g, now, &Call{Caller: again, Token: good, Access: Access{Class: "charge"}}); o.Reason != Allowed || again.Paced(now) {
 		t.Errorf("a remembered token on the new connection: %v, still paced %v", o.Reason, again.Paced(now))
 	}
 	if !flood.Paced(now - time.Millisecond) {
--- a/internal/identity/tlsclient/tlsclient.go
+++ b/internal/identity/tlsclient/tlsclient.go
@@ -17,10 +17,10 @@
 
 // Config is the settings of a Dialer.
 type Config struct {
-	CA        string           // file of the authorities that sign the far ends; empty: the system's
-	Cert, Key string           // files of our certificate; empty: none is shown
-	Least     uint16           // version of TLS; 0: 1.3
-	Now       func() time.Time // the Unix clock; nil: the system's
+	CA         string           // file of the authorities that sign the far ends; empty: the system's
+	Cert, Key  string           // files of our certificate; empty: none is shown
+	MinVersion uint16           // version of TLS; 0: 1.3
+	Now        func() time.Time // the Unix clock; nil: the system's
 }
 
 // Files are those whose change asks for Renew.
@@ -29,8 +29,8 @@
 // Load reads the files, and checks that they fit one another.
 func (c Config) Load() (*tls.Config, error) {
 	out := &tls.Config{MinVersion: tls.VersionTLS13, Time: c.Now, ClientSessionCache: tls.NewLRUClientSessionCache(sessions)}
-	if c.Least != 0 {
-		out.MinVersion = c.Least
+	if c.MinVersion != 0 {
+		out.MinVersion = c.MinVersion
 	}
 	if (c.Cert == "") != (c.Key == "") {
 		return nil, errors.New("tls: cert and key go together")
@@ -70,12 +70,12 @@
 // New reads the files.
 func New(cfg Config) (*Dialer, error) {
 	d := &Dialer{cfg: cfg}
-	return d, d.Renew()
+	return d, d.Reload()
 }
 
-// Renew reads the files again. Connections that stand go on; sessions under the old files are not taken up again, so that an
+// Reload reads the files again. Connections that stand go on; sessions under the old files are not taken up again, so that an
 // authority that is trusted no more is not trusted by one. With a fault the old files stay in force.
-func (d *Dialer) Renew() error {
+func (d *Dialer) Reload() error {
 	next, err := d.cfg.Load()
 	if err == nil {
 		d.current.Store(next)
@@ -86,7 +86,7 @@
 // Watch renews whenever the files change, until stop is closed, and tells each time how it went. It blocks.
 func (d *Dialer) Watch(stop <-chan struct{}, told func(error)) {
 	paths := d.cfg.Files()
-	files.Watch(stop, files.Folders(paths...), func() string { return files.Signature(paths...) }, func() { told(d.Renew()) })
+	files.Watch(stop, files.Folders(paths...), func() string { return files.Signature(paths...) }, func() { told(d.Reload()) })
 }
 
 // Dial connects to an address whose certificate must have a name. ctx bounds the handshake too.
--- a/internal/identity/tlslistener/tlslistener.go
+++ b/internal/identity/tlslistener/tlslistener.go
@@ -23,27 +23,27 @@
 
 // Config is the settings of a door.
 type Config struct {
-	Listen     string
-	Cert, Key  string           // files of our certificate, in PEM
-	ClientCA   string           // file of the authorities that sign clients; empty: clients show none
-	Needed     bool             // whether a client must show a certificate
-	Handshakes int              // at once
-	Limit      time.Duration    // for one
-	Most       int              // connections
-	Tickets    time.Duration    // how often the key of session tickets changes
-	Now        func() time.Time // the Unix clock; nil: the system's
+	Listen            string
+	Cert, Key         string           // files of our certificate, in PEM
+	ClientCA          string           // file of the authorities that sign clients; empty: clients show none
+	RequireClientCert bool             // whether a client must show a certificate
+	Handshakes        int              // at once
+	HandshakeTimeout  time.Duration    // for one
+	MaxConnections    int              // connections
+	Tickets           time.Duration    // how often the key of session tickets changes
+	Now               func() time.Time // the Unix clock; nil: the system's
 }
 
-// Who gives the tenant and subject of a client certificate's names; empty: none.
-type Who func(names []string) (tenant, subject string)
+// ClientIdentity gives the tenant and subject of a client certificate's names; empty: none.
+type ClientIdentity func(names []string) (tenant, subject string)
 
 // ticketKeys is how many keys of session tickets are taken: the newest makes new ones.
 const ticketKeys = 3
 
-// Door is a running listener.
-type Door struct {
+// Listener is a running listener.
+type Listener struct {
 	cfg    Config
-	who    Who
+	who    ClientIdentity
 	adopt  func(conn net.Conn, caller identity.Caller) bool
 	log    func(event string, fields ...any)
 	ln     net.Listener
@@ -62,10 +62,10 @@
 )
 
 // Open listens. adopt hands a connection to the loop, and says whether it was taken; it and log are called from goroutines.
-func Open(cfg Config, who Who, adopt func(net.Conn, identity.Caller) bool, log func(string, ...any)) (*Door, error) {
-	d := &Door{cfg: cfg, who: who, adopt: adopt, log: log, busy: make(chan struct{}, cfg.Handshakes), told: map[string]time.Time{},
+func Open(cfg Config, who ClientIdentity, adopt func(net.Conn, identity.Caller) bool, log func(string, ...any)) (*Listener, error) {
+	d := &Listener{cfg: cfg, who: who, adopt: adopt, log: log, busy: make(chan struct{}, cfg.Handshakes), told: map[string]time.Time{},
 		stop: make(chan struct{})}
-	if err := d.Renew(); err != nil {
+	if err := d.Reload(); err != nil {
 		return nil, err
 	}
 	var err error
@@ -78,7 +78,7 @@
 }
 
 // Close ends the listener; connections stay.
-func (d *Door) Close() {
+func (d *Listener) Close() {
 	close(d.stop)
 	_ = d.ln.Close()
 }
@@ -102,16 +102,16 @@
 		if !out.ClientCAs.AppendCertsFromPEM(text) {
 			return nil, fmt.Errorf("tls: %s: no certificate in it", cfg.ClientCA)
 		}
-		if out.ClientAuth = tls.VerifyClientCertIfGiven; cfg.Needed {
+		if out.ClientAuth = tls.VerifyClientCertIfGiven; cfg.RequireClientCert {
 			out.ClientAuth = tls.RequireAndVerifyClientCert
 		}
 	}
 	return out, nil
 }
 
-// Renew reads the files again. Handshakes that have begun end by the old ones, and connections that stand go on; with a fault
+// Reload reads the files again. Handshakes that have begun end by the old ones, and connections that stand go on; with a fault
 // the old ones stay in force.
-func (d *Door) Renew() error {
+func (d *Listener) Reload() error {
 	next, err := Load(d.cfg)
 	if err != nil {
 		return err
@@ -128,7 +128,7 @@
 }
 
 // rotate changes the key of session tickets.
-func (d *Door) rotate() {
+func (d *Listener) rotate() {
 	keys := [][32]byte{}
 	var of *tls.Config
 	tick := time.NewTicker(max(d.cfg.Tickets, time.Second))
@@ -148,7 +148,7 @@
 	}
 }
 
-func (d *Door) accept() {
+func (d *Listener) accept() {
 	for {
 		conn, err := d.ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -165,7 +165,7 @@
 			d.fault(conn, errors.New("too many handshakes at once"))
 			continue
 		}
-		if d.open.Add(1) > int64(d.cfg.Most) {
+		if d.open.Add(1) > int64(d.cfg.MaxConnections) {
 			d.open.Add(-1)
 			<-d.busy
 			_ = conn.Close()
@@ -177,7 +177,7 @@
 }
 
 // fault logs what a source did wrong, once in a while for each.
-func (d *Door) fault(conn net.Conn, err error) {
+func (d *Listener) fault(conn net.Conn, err error) {
 	host, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
 	now := time.Now()
 	d.mu.Lock()
@@ -195,10 +195,10 @@
 }
 
 // serve shakes hands and then moves bytes both ways until either side ends.
-func (d *Door) serve(raw net.Conn) {
+func (d *Listener) serve(raw net.Conn) {
 	defer d.open.Add(-1)
 	conn := tls.Server(raw, d.config.Load())
-	_ = raw.SetDeadline(time.Now().Add(d.cfg.Limit))
+	_ = raw.SetDeadline(time.Now().Add(d.cfg.HandshakeTimeout))
 	err := conn.Handshake()
 	<-d.busy
 	if err != nil {
--- a/internal/identity/tlslistener/tlslistener_test.go
+++ b/internal/identity/tlslistener/tlslistener_test.go
@@ -16,7 +16,7 @@
 )
 
 // opened starts a door whose connections are answered with what they send.
-func opened(t testing.TB) (*Door, *emulator.Authority, *tls.Config) {
+func opened(t testing.TB) (*Listener, *emulator.Authority, *tls.Config) {
 	t.Helper()
 	ca, err := emulator.NewAuthority(t.TempDir())
 	if err != nil {
@@ -26,7 +26,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d, err := Open(Config{Listen: "127.0.0.1:0", Cert: cert, Key: key, ClientCA: ca.File, Handshakes: 32, Limit: 5 * time.Second, Most: 1000, Tickets: time.Hour},
+	d, err := Open(Config{Listen: "127.0.0.1:0", Cert: cert, Key: key, ClientCA: ca.File, Handshakes: 32, HandshakeTimeout: 5 * time.Second, MaxConnections: 1000, Tickets: time.Hour},
 		func([]string) (string, string) { return "", "" },
 		func(conn net.Conn, _ identity.Caller) bool {
 			go func() {
--- a/internal/identity/token.go
+++ b/internal/identity/token.go
@@ -8,8 +8,8 @@
 	"github.com/golang-jwt/jwt/v5"
 )
 
-// TokenMost is the longest token that is looked at, in bytes.
-const TokenMost = 4096
+// MaxTokenBytes is the longest token that is looked at, in bytes.
+const MaxTokenBytes = 4096
 
 // Claims is what a verified token says. Times are on the Unix clock.
 type Claims struct {
@@ -34,9 +34,9 @@
 
 // Policy is what tokens are held to beside their signature.
 type Policy struct {
-	Audience string
-	Skew     time.Duration // of the callers' clocks, either way
-	LifeMost time.Duration // a token may be valid for so long at most; 0: any time
+	Audience    string
+	Skew        time.Duration // of the callers' clocks, either way
+	MaxLifetime time.Duration // a token may be valid for so long at most; 0: any time
 }
 
 // Head is a token's key id and algorithm, read without its signature: it says which key to look for and nothing more.
@@ -44,7 +44,7 @@
 	if token == "" {
 		return "", "", Unsigned
 	}
-	if len(token) > TokenMost || strings.Count(token, ".") != 2 {
+	if len(token) > MaxTokenBytes || strings.Count(token, ".") != 2 {
 		return "", "", Malformed
 	}
 	var b body
@@ -113,7 +113,7 @@
 		return Expired
 	case c.NotBefore > 0 && now < c.NotBefore-p.Skew && !begun:
 		return NotYet
-	case p.LifeMost > 0 && c.Expires-max(c.Issued, c.NotBefore) > p.LifeMost:
+	case p.MaxLifetime > 0 && c.Expires-max(c.Issued, c.NotBefore) > p.MaxLifetime:
 		return Malformed
 	}
 	return Allowed
@@ -159,7 +159,7 @@
 
 // Unchecked gives what a token says, whether or not its signature holds.
 func Unchecked(token string) (head, claims map[string]any, err error) {
-	if len(token) > TokenMost {
+	if len(token) > MaxTokenBytes {
 		return nil, nil, errors.New("the token is too long")
 	}
 	m := jwt.MapClaims{}
--- a/internal/identity/tsig/tsig.go
+++ b/internal/identity/tsig/tsig.go
@@ -27,8 +27,8 @@
 // Algorithms are those that are taken. MD5 and SHA-1 are not.
 var Algorithms = []string{"hmac-sha256", "hmac-sha384", "hmac-sha512"}
 
-// KeysMost bounds a set.
-const KeysMost = 4096
+// MaxKeys bounds a set.
+const MaxKeys = 4096
 
 // leastSecret is the shortest secret that is taken, in bytes: RFC 8945, section 8 asks for the hash's length.
 const leastSecret = 32
@@ -43,8 +43,8 @@
 
 // New makes a set. An error names the key and what is wrong with it, never the secret.
 func New(all []Key) (*Keys, error) {
-	if len(all) > KeysMost {
-		return nil, fmt.Errorf("%d keys, at most %d are held", len(all), KeysMost)
+	if len(all) > MaxKeys {
+		return nil, fmt.Errorf("%d keys, at most %d are held", len(all), MaxKeys)
 	}
 	s := &Keys{keys: map[string]*held{}}
 	for _, k := range all {
--- a/internal/membership/consul/config.go
+++ b/internal/membership/consul/config.go
@@ -185,7 +185,7 @@
 		return t.shared, nil
 	}
 	var err error
-	t.shared, err = tlsclient.New(tlsclient.Config{CA: t.CA, Cert: t.Cert, Key: t.Key, Least: tls.VersionTLS12, Now: t.Now})
+	t.shared, err = tlsclient.New(tlsclient.Config{CA: t.CA, Cert: t.Cert, Key: t.Key, MinVersion: tls.VersionTLS12, Now: t.Now})
 	return t.shared, err
 }
 
--- a/internal/proxy/door.go
+++ b/internal/proxy/door.go
@@ -23,7 +23,7 @@
 // identityConfig is the block `identity` of the settings.
 type identityConfig struct {
 	Keys     string // directory; empty: no tokens are taken
-	Gate     identity.GateConfig
+	Gate     identity.AuthenticatorConfig
 	unsigned string
 	tenants  []identity.Tenant
 	roles    map[string][]identity.Rule
@@ -55,7 +55,7 @@
 	s.Text("keys", &c.Keys, nil, "directory of keys.json and revoked; without it no tokens are taken")
 	s.Text("audience", &p.Audience, nil, "that a token must name; any without it")
 	s.Duration("skew", &p.Skew, 0, 5*time.Minute, "of the callers' clocks, either way")
-	s.Duration("life-most", &p.LifeMost, 0, 10*365*24*time.Hour, "longest life of a token; 0s: any")
+	s.Duration("life-most", &p.MaxLifetime, 0, 10*365*24*time.Hour, "longest life of a token; 0s: any")
 	s.Text("unsigned", &c.unsigned, nil, "tenant of callers without a token; they are refused without it")
 	s.Rate("checks", &c.Gate.Checks, 1, 1e6, "signatures checked a second")
 	s.Rate("checks-connection", &c.Gate.PerConn, 1, 1e6, "for one connection")
@@ -73,7 +73,7 @@
 		}
 	}
 	s.Block("tls", false, "a listener for TLS 1.3", func([]string) (*config.Section, error) {
-		c.tls = &tlslistener.Config{Now: wall, Handshakes: 64, Limit: 3 * time.Second, Most: 64, Tickets: time.Hour}
+		c.tls = &tlslistener.Config{Now: wall, Handshakes: 64, HandshakeTimeout: 3 * time.Second, MaxConnections: 64, Tickets: time.Hour}
 		return c.tlsSection(), nil
 	})
 	s.Block("role", true, "rules that several tenants share", func(words []string) (*config.Section, error) {
@@ -155,10 +155,10 @@
 	s.Text("cert", &d.Cert, nil, "file of our certificate")
 	s.Text("key", &d.Key, nil, "file of its key, readable by its owner alone")
 	s.Text("client-ca", &d.ClientCA, nil, "file of the authorities that sign clients; they show no certificates without it")
-	s.Flag("client-needed", &d.Needed, "whether a client must show a certificate")
+	s.Flag("client-needed", &d.RequireClientCert, "whether a client must show a certificate")
 	s.Int("handshakes", &d.Handshakes, 1, 10_000, "handshakes at once")
-	s.Duration("limit", &d.Limit, 10*time.Millisecond, time.Minute, "for one")
-	s.Int("connections", &d.Most, 1, 100_000, "connections; each takes three descriptors")
+	s.Duration("limit", &d.HandshakeTimeout, 10*time.Millisecond, time.Minute, "for one")
+	s.Int("connections", &d.MaxConnections, 1, 100_000, "connections; each takes three descriptors")
 	s.Duration("tickets", &d.Tickets, time.Second, 24*time.Hour, "how often the key of session tickets changes; three are taken")
 	s.Check(func() error {
 		if d.Listen == "" {
@@ -184,18 +184,18 @@
 type door struct {
 	doorman *doorman
 	cfg     *identityConfig
-	gate    *identity.Gate
+	gate    *identity.Authenticator
 	audit   *identity.Audit
 	jobs    chan *identity.Job
 	sources *identity.Sources
-	tsig    *tsig.Keys        // of DNS
-	tls     *tlslistener.Door // nil: none
-	bad     string            // the fault that was logged last
-	content keydir.Content    // that is in force
+	tsig    *tsig.Keys            // of DNS
+	tls     *tlslistener.Listener // nil: none
+	bad     string                // the fault that was logged last
+	content keydir.Content        // that is in force
 }
 
 func (d *doorman) newDoor(cfg *identityConfig) *door {
-	g := &door{doorman: d, cfg: cfg, gate: identity.NewGate(cfg.Gate, cfg.rights), audit: identity.NewAudit(auditMost),
+	g := &door{doorman: d, cfg: cfg, gate: identity.NewAuthenticator(cfg.Gate, cfg.rights), audit: identity.NewAudit(auditMost),
 		sources: identity.NewSources(sourcesMost),
 		jobs:    make(chan *identity.Job, cfg.Gate.Waiting)}
 	for range verifiers {
@@ -203,7 +203,7 @@
 			for j := range g.jobs {
 				claims, reason := identity.Verify(j.Token, j.Key)
 				d.loop.Post(func() {
-					for _, o := range g.gate.Verified(monotonicNow(), j, claims, reason) {
+					for _, o := range g.gate.SignatureChecked(monotonicNow(), j, claims, reason) {
 						g.settle(o)
 					}
 					d.loop.RequestRound()
@@ -251,14 +251,14 @@
 func (g *door) arrive(r *broker.Request) {
 	class := g.doorman.plan.settings.Control.Classes[r.Class]
 	c := &identity.Call{Caller: r.Caller, Token: r.Token, Data: r,
-		Ask: identity.Ask{Class: class.Name, Group: r.Group, Object: r.Object}}
+		Access: identity.Access{Class: class.Name, Group: r.Group, Object: r.Object}}
 	if c.Caller == nil {
 		c.Caller = &identity.Caller{}
 	}
 	if r.Key != "" {
 		c.Key, c.Window = class.Name+" "+r.Key, class.DedupWindow
 	}
-	o, j := g.gate.Arrive(monotonicNow(), c)
+	o, j := g.gate.Authenticate(monotonicNow(), c)
 	switch {
 	case o != nil:
 		g.settle(o)
@@ -299,7 +299,7 @@
 	if !ok {
 		return
 	}
-	g.doorman.log.Event("audit", "reason", o.Reason, "subject", who, "tenant", o.Tenant, "key", o.KeyID, "class", o.Call.Ask.Class,
+	g.doorman.log.Event("audit", "reason", o.Reason, "subject", who, "tenant", o.Tenant, "key", o.KeyID, "class", o.Call.Access.Class,
 		"front", o.Call.Caller.Front, "rule", o.Rule, "request", r.ID, "unlisted", missed)
 }
 
@@ -360,7 +360,7 @@
 	if g.tls != nil {
 		paths := []string{g.cfg.tls.Cert, g.cfg.tls.Key, g.cfg.tls.ClientCA}
 		go files.Watch(never, files.Folders(paths...), func() string { return files.Signature(paths...) }, func() {
-			g.doorman.renewed(g.cfg.tls.Cert, g.tls.Renew())
+			g.doorman.renewed(g.cfg.tls.Cert, g.tls.Reload())
 		})
 	}
 }
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -94,8 +94,8 @@
 	}
 	if cfg := p.own.Identity; cfg != nil && cfg.tls != nil {
 		// A connection by TLS takes two descriptors more than one of the lobby's.
-		cfg.tls.Most = min(cfg.tls.Most, clients/4)
-		clients -= 2 * cfg.tls.Most
+		cfg.tls.MaxConnections = min(cfg.tls.MaxConnections, clients/4)
+		clients -= 2 * cfg.tls.MaxConnections
 	}
 	d.front = rpc.New(s.Control.Classes, clients, d.enter, monotonicNow, ready, full, d.log.Event)
 	d.front.MaxRetryAfter = s.Control.MaxRetryAfter
