--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -78,16 +78,16 @@
 			return nil
 		}}))
 	checkCmd.Flags().BoolVar(&print, "print", false, "print our settings in force, with defaults marked")
-	var boxes proxy.BoxesOptions
+	var boxes proxy.EndpointsOptions
 	boxesCmd := files(&cobra.Command{Use: "boxes", Short: "Ask the sources of boxes once and print the merged view",
 		RunE: func(*cobra.Command, []string) error {
 			p, err := proxy.Load(o.config, o.conf)
 			if err != nil {
 				return err
 			}
-			return proxy.PrintBoxes(out, p, boxes)
+			return proxy.PrintEndpoints(out, p, boxes)
 		}})
-	boxesCmd.Flags().DurationVar(&boxes.Wait, "wait", proxy.DefaultBoxesWait, "how long the sources are given")
+	boxesCmd.Flags().DurationVar(&boxes.Wait, "wait", proxy.DefaultEndpointsWait, "how long the sources are given")
 	var try tryOptions
 	tryCmd := &cobra.Command{Use: "try", Short: "Run a doorman on stand-ins for all that it talks to, and show what it does",
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return runTry(out, try) }}
--- a/internal/cli/contracts.go
+++ b/internal/cli/contracts.go
@@ -19,7 +19,7 @@
 	var check, show, explained bool
 	c := &cobra.Command{Use: "contracts", Short: "Check contracts, show how they stand, or explain what applies to a team's class",
 		Args: cobra.MaximumNArgs(2), RunE: func(_ *cobra.Command, args []string) error {
-			o, err := proxy.ReadOwn(path)
+			o, err := proxy.ReadSettings(path)
 			if err != nil {
 				return err
 			}
@@ -39,7 +39,7 @@
 				return errors.New("the settings have no `control` by which a running doorman could be asked")
 			case explained:
 				fmt.Fprintln(out, "as written, nothing being used:")
-				proxy.Explain(out, o.Contracts.Ledger(), proxy.Clock(), args[0], args[1], service)
+				proxy.Explain(out, o.Contracts.Ledger(), proxy.MonotonicNow(), args[0], args[1], service)
 				return nil
 			}
 			return checkContracts(out, o.Contracts)
@@ -69,7 +69,7 @@
 func askCommand(out io.Writer, question, short string) *cobra.Command {
 	var path string
 	c := &cobra.Command{Use: question, Short: short, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
-		o, err := proxy.ReadOwn(path)
+		o, err := proxy.ReadSettings(path)
 		if err != nil {
 			return err
 		}
--- a/internal/cli/drill.go
+++ b/internal/cli/drill.go
@@ -38,7 +38,7 @@
 				return err
 			}
 			if doormans > 0 {
-				p.Doormans = doormans
+				p.Proxies = doormans
 			}
 			return runDrill(out, p, seed, report)
 		}}
@@ -64,7 +64,7 @@
 	} else if err = os.MkdirAll(dir, 0o700); err != nil {
 		return err
 	}
-	fmt.Fprintf(out, "%s: %d doormans, seed %d, %v\n", p.File, p.Doormans, seed, p.Lasts)
+	fmt.Fprintf(out, "%s: %d doormans, seed %d, %v\n", p.File, p.Proxies, seed, p.Lasts)
 	r, err := drill.Run(p, self, dir, seed, out)
 	if err != nil {
 		return err
@@ -76,7 +76,7 @@
 		if !v.OK {
 			held = "NO"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\n", held, v.Hold.Line, v.Found)
+		fmt.Fprintf(w, "%s\t%s\t%s\n", held, v.Invariant.Line, v.Found)
 	}
 	if err := w.Flush(); err != nil {
 		return err
--- a/internal/cli/try.go
+++ b/internal/cli/try.go
@@ -38,7 +38,7 @@
 // stage is a doorman with stand-ins for all that it talks to.
 type stage struct {
 	out     io.Writer
-	fleet   *emulator.Fleet
+	fleet   *emulator.Endpoints
 	cluster *consul.Cluster
 	agents  []*consul.Agent
 	listen  string
@@ -103,7 +103,7 @@
 // build starts the stand-ins and the doorman, and waits until it is ready.
 func (s *stage) build() error {
 	var err error
-	s.fleet, s.cluster = emulator.NewFleet(emulator.Caching("o1")), consul.NewCluster()
+	s.fleet, s.cluster = emulator.NewEndpoints(emulator.Caching("o1")), consul.NewCluster()
 	for _, b := range []struct{ id, service, class, site string }{{"c1", "cache", "std", "edge"}, {"c2", "cache", "std", "edge"},
 		{"c3", "cache", "std", "edge"}, {"c4", "cache", "std", "edge"}, {"c5", "cache", "std", "edge"}, {"p1", "trunk", "parent", "hub"},
 		{"p2", "trunk", "parent", "hub"}, {"o1", "archive", "origin", "hub"}} {
@@ -306,8 +306,8 @@
 	s.counts = map[string]int{}
 	s.mu.Unlock()
 	sends := map[string]int{}
-	for _, a := range s.fleet.Heard(func(a *emulator.Asked) bool { return a.Word == "ASK" && a.At.After(since) }) {
-		sends[a.Box]++
+	for _, a := range s.fleet.Received(func(a *emulator.ReceivedRequest) bool { return a.Word == "ASK" && a.At.After(since) }) {
+		sends[a.Endpoint]++
 	}
 	var used []string
 	for box, n := range sends {
@@ -320,7 +320,9 @@
 
 // lastUse is when a box was last sent something, or named as a source.
 func (s *stage) lastUse(id string) time.Time {
-	lines := s.fleet.Heard(func(a *emulator.Asked) bool { return a.Word == "ASK" && (a.Box == id || a.Fields["via"] == id) })
+	lines := s.fleet.Received(func(a *emulator.ReceivedRequest) bool {
+		return a.Word == "ASK" && (a.Endpoint == id || a.Fields["via"] == id)
+	})
 	if len(lines) == 0 {
 		return time.Time{}
 	}
@@ -421,7 +423,9 @@
 
 // firstUse is when a box was first sent something after a time.
 func (s *stage) firstUse(id string, after time.Time) time.Time {
-	lines := s.fleet.Heard(func(a *emulator.Asked) bool { return a.Word == "ASK" && a.Box == id && a.At.After(after) })
+	lines := s.fleet.Received(func(a *emulator.ReceivedRequest) bool {
+		return a.Word == "ASK" && a.Endpoint == id && a.At.After(after)
+	})
 	if len(lines) == 0 {
 		return time.Time{}
 	}
--- a/internal/drill/audit.go
+++ b/internal/drill/audit.go
@@ -18,11 +18,11 @@
 )
 
 // Audit holds the record against the plan.
-func (w *World) Audit() []Verdict {
+func (w *Cluster) Audit() []Verdict {
 	w.Record.mu.Lock()
 	defer w.Record.mu.Unlock()
 	var out []Verdict
-	for _, h := range w.Plan.Holds {
+	for _, h := range w.Plan.Invariants {
 		out = append(out, w.Record.hold(h))
 	}
 	return out
@@ -40,7 +40,7 @@
 	}
 }
 
-func (f *finding) verdict(h Hold, fine string) Verdict {
+func (f *finding) verdict(h Invariant, fine string) Verdict {
 	if f.count == 0 {
 		return Verdict{h, true, fine}
 	}
@@ -55,10 +55,10 @@
 }
 
 // in says whether a time is in the hold's.
-func (h Hold) in(at time.Duration) bool { return at >= h.From && (h.To == 0 || at < h.To) }
+func (h Invariant) in(at time.Duration) bool { return at >= h.From && (h.To == 0 || at < h.To) }
 
 // hold judges one line.
-func (r *Record) hold(h Hold) Verdict {
+func (r *Record) hold(h Invariant) Verdict {
 	var f finding
 	switch h.Check {
 	case "answers":
@@ -75,7 +75,7 @@
 			case r.excused(q):
 				excused++
 			default:
-				f.add("request %s sent at %.2f s to doorman %d: %s", q.ID, q.Sent.Seconds(), q.Doorman, q.fate())
+				f.add("request %s sent at %.2f s to doorman %d: %s", q.ID, q.Sent.Seconds(), q.Proxy, q.fate())
 			}
 		}
 		for range r.Strays {
@@ -111,20 +111,20 @@
 		for _, d := range r.Drains {
 			end := time.Duration(1 << 62)
 			for _, b := range r.Back {
-				if b.Box == d.Box && b.At > d.At {
+				if b.Endpoint == d.Endpoint && b.At > d.At {
 					end = min(end, b.At)
 				}
 			}
 			for _, a := range r.Attempts {
-				if a.Box == d.Box && a.At > d.At+limit && a.At < end {
-					f.add("%s drains since %.2f s, and was sent %s at %.2f s by %s", d.Box, d.At.Seconds(), a.ID, a.At.Seconds(), a.From)
+				if a.Endpoint == d.Endpoint && a.At > d.At+limit && a.At < end {
+					f.add("%s drains since %.2f s, and was sent %s at %.2f s by %s", d.Endpoint, d.At.Seconds(), a.ID, a.At.Seconds(), a.From)
 				}
 			}
 		}
 		return f.verdict(h, fmt.Sprintf("%d drains", len(r.Drains)))
 	case "upright":
 		for _, b := range r.Falls {
-			f.add("%s fell over at %.2f s", b.Box, b.At.Seconds())
+			f.add("%s fell over at %.2f s", b.Endpoint, b.At.Seconds())
 		}
 		return f.verdict(h, "none fell over")
 	case "served":
@@ -149,7 +149,7 @@
 			share, _ = strconv.ParseFloat(h.Words[1], 64)
 		}
 		var took []time.Duration
-		for _, l := range r.Lives {
+		for _, l := range r.ProcessRuns {
 			switch {
 			case !h.in(l.Start):
 			case l.Ready > 0:
@@ -169,12 +169,12 @@
 		}
 		return f.verdict(h, fmt.Sprintf("half of %d starts within %s, %g within %s", len(took), readyText(took[(len(took)-1)/2]), share, readyText(at)))
 	case "alive":
-		for _, l := range r.Lives {
+		for _, l := range r.ProcessRuns {
 			if l.End > 0 && !l.Ours {
-				f.add("doorman %d ended by itself at %.2f s: %s", l.Doorman, l.End.Seconds(), l.Error)
+				f.add("doorman %d ended by itself at %.2f s: %s", l.Proxy, l.End.Seconds(), l.Error)
 			}
 		}
-		return f.verdict(h, fmt.Sprintf("%d processes", len(r.Lives)))
+		return f.verdict(h, fmt.Sprintf("%d processes", len(r.ProcessRuns)))
 	case "list-calls", "list-peak":
 		var at []time.Duration
 		for _, c := range r.Calls {
@@ -275,8 +275,8 @@
 			return true
 		}
 	}
-	for _, l := range r.Lives {
-		if l.Doorman != q.Doorman {
+	for _, l := range r.ProcessRuns {
+		if l.Proxy != q.Proxy {
 			continue
 		}
 		if l.Ours && l.End > 0 && l.End >= q.Sent && l.Start <= q.Sent {
@@ -306,10 +306,10 @@
 		for i, a := range list[1:] {
 			before := list[i]
 			if over := before.over(); over == 0 || over > a.At+slack {
-				f.add("%s was out at %s since %.3f s when it was sent to %s at %.3f s", id, before.Box, before.At.Seconds(), a.Box, a.At.Seconds())
+				f.add("%s was out at %s since %.3f s when it was sent to %s at %.3f s", id, before.Endpoint, before.At.Seconds(), a.Endpoint, a.At.Seconds())
 			}
 			if before.Ended > 0 && before.Ran && before.Ended+slack < a.At && before.Quit == 0 && before.conn.over() == 0 {
-				f.add("%s had a good answer of %s and was sent to %s", id, before.Box, a.Box)
+				f.add("%s had a good answer of %s and was sent to %s", id, before.Endpoint, a.Endpoint)
 			}
 		}
 		if first := list[0]; first.Key != "" {
--- a/internal/drill/audit_test.go
+++ b/internal/drill/audit_test.go
@@ -12,15 +12,15 @@
 // sound is a record in which everything holds.
 func sound() *Record {
 	r := &Record{Posted: map[string]int{"k1": 1}}
-	r.Lives = []*Life{{Doorman: 0, Start: 0, Ready: sec / 2}, {Doorman: 1, Start: 0, Ready: sec, End: 5 * sec, Ours: true}}
+	r.ProcessRuns = []*ProcessRun{{Proxy: 0, Start: 0, Ready: sec / 2}, {Proxy: 1, Start: 0, Ready: sec, End: 5 * sec, Ours: true}}
 	r.Requests = []*Request{{ID: "1", Sent: 2 * sec, Ended: 3 * sec, Answers: 1, End: "served"},
 		{ID: "2", Key: "k1", Class: "charge", Sent: 2 * sec, Ended: 3 * sec, Answers: 1, End: "served"},
-		{ID: "3", Doorman: 1, Sent: 4 * sec, Ended: 5 * sec, Answers: 1, End: "broken"}}
-	r.Attempts = []*Attempt{{ID: "1", Box: "c1", At: 2 * sec, Ended: 2*sec + 1}, {ID: "1", Box: "c2", At: 2*sec + 2, Ended: 3 * sec, Ran: true},
-		{ID: "2", Key: "k1", Box: "o1", At: 2 * sec, Ended: 3 * sec, Ran: true}}
+		{ID: "3", Proxy: 1, Sent: 4 * sec, Ended: 5 * sec, Answers: 1, End: "broken"}}
+	r.Attempts = []*Attempt{{ID: "1", Endpoint: "c1", At: 2 * sec, Ended: 2*sec + 1}, {ID: "1", Endpoint: "c2", At: 2*sec + 2, Ended: 3 * sec, Ran: true},
+		{ID: "2", Key: "k1", Endpoint: "o1", At: 2 * sec, Ended: 3 * sec, Ran: true}}
 	r.Calls = []Call{{At: sec}, {At: sec + 1}, {At: 3 * sec}}
 	r.Made = []Made{{At: sec, From: "d000", To: "box:c1"}, {At: sec, From: "d001", To: "box:c2"}, {At: sec, From: "d001", To: "list"}}
-	r.Drains = []Word{{At: 4 * sec, Box: "c1"}}
+	r.Drains = []EndpointState{{At: 4 * sec, Endpoint: "c1"}}
 	r.Sent = map[string][]int{"d000": {10, 30}, "d001": {5, 5}}
 	return r
 }
@@ -35,36 +35,36 @@
 		{"answers", "two answers", func(r *Record) { r.Requests[0].Answers = 2 }},
 		{"answers", "none, of a doorman that lives", func(r *Record) { r.Requests[0].End, r.Requests[0].Ended = "", 0 }},
 		{"answers", "a connection that ended", func(r *Record) { r.Requests[0].End = "broken" }},
-		{"answers", "a doorman that was ended before it was asked", func(r *Record) { r.Lives[1].End = 3 * sec }},
+		{"answers", "a doorman that was ended before it was asked", func(r *Record) { r.ProcessRuns[1].End = 3 * sec }},
 		{"answers", "an answer to nothing", func(r *Record) { r.Strays = 1 }},
 		{"answers", "nothing was asked", func(r *Record) { r.Requests = nil }},
 		{"repeats", "two out together", func(r *Record) { r.Attempts[0].Ended = 3 * sec }},
 		{"repeats", "the first is out still", func(r *Record) { r.Attempts[0].Ended = 0 }},
 		{"repeats", "sent again after a good answer", func(r *Record) {
-			r.Attempts = append(r.Attempts, &Attempt{ID: "1", Box: "c1", At: 4 * sec, Ended: 5 * sec})
+			r.Attempts = append(r.Attempts, &Attempt{ID: "1", Endpoint: "c1", At: 4 * sec, Ended: 5 * sec})
 		}},
 		{"repeats", "too many", func(r *Record) {
 			for i := range 6 {
 				at := 3*sec + time.Duration(i+1)*100*time.Millisecond
-				r.Attempts = append(r.Attempts, &Attempt{ID: "9", Box: "c1", At: at, Ended: at + 1}, &Attempt{ID: "9", Box: "c1", At: at + 2, Ended: at + 3})
+				r.Attempts = append(r.Attempts, &Attempt{ID: "9", Endpoint: "c1", At: at, Ended: at + 1}, &Attempt{ID: "9", Endpoint: "c1", At: at + 2, Ended: at + 3})
 			}
 		}},
 		{"repeats", "a keyed one beyond its window", func(r *Record) {
 			r.Attempts[2].Ran, r.Attempts[2].Ended, r.Attempts[2].Quit = false, 0, 3*sec
-			r.Attempts = append(r.Attempts, &Attempt{ID: "2", Key: "k1", Box: "o1", At: 6 * sec, Ended: 7 * sec})
+			r.Attempts = append(r.Attempts, &Attempt{ID: "2", Key: "k1", Endpoint: "o1", At: 6 * sec, Ended: 7 * sec})
 		}},
 		{"ledger", "posted twice", func(r *Record) { r.Posted["k1"] = 2 }},
 		{"ledger", "answered and not posted", func(r *Record) { delete(r.Posted, "k1") }},
 		{"drains 1s", "sent after it", func(r *Record) {
-			r.Attempts = append(r.Attempts, &Attempt{ID: "8", Box: "c1", At: 5*sec + 60*time.Millisecond})
+			r.Attempts = append(r.Attempts, &Attempt{ID: "8", Endpoint: "c1", At: 5*sec + 60*time.Millisecond})
 		}},
-		{"upright", "one fell", func(r *Record) { r.Falls = []Word{{sec, "c1"}} }},
+		{"upright", "one fell", func(r *Record) { r.Falls = []EndpointState{{sec, "c1"}} }},
 		{"served 1", "one refused", func(r *Record) { r.Requests[0].End = "refused" }},
 		{"served 0", "none asked", func(r *Record) { r.Requests = nil }},
-		{"ready 1s", "one is late", func(r *Record) { r.Lives[1].Ready = 2 * sec }},
-		{"ready 1s", "one is never", func(r *Record) { r.Lives[0].Ready = 0 }},
-		{"ready 1s 0.5", "half is late", func(r *Record) { r.Lives[0].Ready, r.Lives[1].Ready = 2*sec, 2*sec }},
-		{"alive", "one ended by itself", func(r *Record) { r.Lives[1].Ours = false }},
+		{"ready 1s", "one is late", func(r *Record) { r.ProcessRuns[1].Ready = 2 * sec }},
+		{"ready 1s", "one is never", func(r *Record) { r.ProcessRuns[0].Ready = 0 }},
+		{"ready 1s 0.5", "half is late", func(r *Record) { r.ProcessRuns[0].Ready, r.ProcessRuns[1].Ready = 2*sec, 2*sec }},
+		{"alive", "one ended by itself", func(r *Record) { r.ProcessRuns[1].Ours = false }},
 		{"list-calls 3", "one more", func(r *Record) { r.Calls = append(r.Calls, Call{At: 9 * sec}) }},
 		{"list-peak 2", "one more in that second", func(r *Record) { r.Calls = append(r.Calls, Call{At: 2*sec - 1}) }},
 		{"peer-bytes 20", "one sends more", func(r *Record) { r.Sent["d001"][1] = 100 }},
@@ -134,7 +134,7 @@
 
 // TestWho resolves selectors.
 func TestWho(t *testing.T) {
-	w := &World{seed: 1, boxes: map[string]*box{}}
+	w := &Cluster{seed: 1, boxes: map[string]*box{}}
 	for n := range 10 {
 		w.doormans = append(w.doormans, &doorman{n: n, name: fmt.Sprint("d", n), plaza: 1 + n%2})
 	}
--- a/internal/drill/clients.go
+++ b/internal/drill/clients.go
@@ -14,7 +14,7 @@
 
 // clients asks by open loop: requests come when they come, whatever became of those before.
 type clients struct {
-	w    *World
+	w    *Cluster
 	stop chan struct{}
 	done sync.WaitGroup
 	mu   sync.Mutex
@@ -30,7 +30,7 @@
 	patience = 2 * time.Second
 )
 
-func newClients(w *World) *clients {
+func newClients(w *Cluster) *clients {
 	return &clients{w: w, stop: make(chan struct{}), conn: map[int][]*clientConn{}}
 }
 
@@ -109,7 +109,7 @@
 // send puts one request out.
 func (c *clients) send(d *doorman, object uint64, charge bool) {
 	id := c.w.ids.Add(1)
-	r := &Request{ID: fmt.Sprintf("%016x", id), Class: "lookup", Doorman: d.n, Sent: c.w.now()}
+	r := &Request{ID: fmt.Sprintf("%016x", id), Class: "lookup", Proxy: d.n, Sent: c.w.now()}
 	fields := map[string]string{"txn": r.ID, "item": fmt.Sprintf("%016x", object), "ram": fmt.Sprint(c.w.Plan.SizeKB),
 		"limit": fmt.Sprint(c.w.Plan.Limit.Milliseconds())}
 	if charge {
--- a/internal/drill/liar.go
+++ b/internal/drill/liar.go
@@ -12,15 +12,15 @@
 )
 
 // lies are the lists that a liar tells, of a version far ahead.
-var lies = map[string]func(w *World) []membership.Endpoint{
-	"empty": func(*World) []membership.Endpoint { return nil },
-	"dead": func(w *World) (out []membership.Endpoint) {
+var lies = map[string]func(w *Cluster) []membership.Endpoint{
+	"empty": func(*Cluster) []membership.Endpoint { return nil },
+	"dead": func(w *Cluster) (out []membership.Endpoint) {
 		for _, b := range w.order {
 			out = append(out, membership.Endpoint{ID: b.id, Address: b.address, State: membership.Draining})
 		}
 		return out
 	},
-	"many": func(w *World) (out []membership.Endpoint) {
+	"many": func(w *Cluster) (out []membership.Endpoint) {
 		for i := range 20_000 {
 			out = append(out, membership.Endpoint{ID: fmt.Sprint("m", i), Address: w.order[0].address, Zone: 1, State: membership.Up, Weight: 1000})
 		}
@@ -28,9 +28,9 @@
 	},
 }
 
-// liar is a member of the fleet that has its key and tells all of a plaza what is not so.
-type liar struct {
-	w     *World
+// byzantinePeer is a member of the fleet that has its key and tells all of a plaza what is not so.
+type byzantinePeer struct {
+	w     *Cluster
 	n     int // of the liars, from 0
 	link  *transport.Transport
 	relay *Relay
@@ -41,14 +41,14 @@
 }
 
 // newLiar has one join the fleet as a doorman of a plaza.
-func (w *World) newLiar(plaza int, kind string) (*liar, error) {
+func (w *Cluster) newLiar(plaza int, kind string) (*byzantinePeer, error) {
 	ip := fmt.Sprintf("%s.49.%d", w.base, plaza)
 	w.fabric.Join(ip, "liar")
 	listen, err := vacant(ip)
 	if err != nil {
 		return nil, err
 	}
-	l := &liar{w: w, n: len(w.liars), boxes: bootstrap.Sorted(lies[kind](w)), told: make(chan func(), 64), end: make(chan struct{})}
+	l := &byzantinePeer{w: w, n: len(w.liars), boxes: bootstrap.Sorted(lies[kind](w)), told: make(chan func(), 64), end: make(chan struct{})}
 	if l.relay, err = w.fabric.NewRelay("liar", fmt.Sprintf("%s.48.%d", w.base, plaza), listen); err != nil {
 		return nil, err
 	}
@@ -68,7 +68,7 @@
 }
 
 // run tells the lie to everybody, again and again, and serves it to whoever asks.
-func (l *liar) run() {
+func (l *byzantinePeer) run() {
 	var digest []bootstrap.Advertisement
 	for n := range len(services) {
 		digest = append(digest, bootstrap.Advertisement{ListVersion: bootstrap.VersionOf(n, uint64(l.n+1)<<40, l.boxes)})
@@ -89,20 +89,20 @@
 	}
 }
 
-func (l *liar) send(to string, m bootstrap.Message) {
+func (l *byzantinePeer) send(to string, m bootstrap.Message) {
 	if body, err := transport.Encode(m); err == nil {
 		l.link.Send(to, body)
 	}
 }
 
 // MembersChanged takes who is there.
-func (l *liar) MembersChanged(members []peer.Member) { l.told <- func() { l.peers = members } }
+func (l *byzantinePeer) MembersChanged(members []peer.Member) { l.told <- func() { l.peers = members } }
 
 // Log has none.
-func (l *liar) Log(string, ...any) {}
+func (l *byzantinePeer) Log(string, ...any) {}
 
 // MessageReceived serves the lie.
-func (l *liar) MessageReceived(from string, body []byte) {
+func (l *byzantinePeer) MessageReceived(from string, body []byte) {
 	var m bootstrap.Message
 	if transport.Decode(body, &m) != nil || m.Fetch == nil {
 		return
@@ -118,7 +118,7 @@
 	}
 }
 
-func (l *liar) close() {
+func (l *byzantinePeer) close() {
 	close(l.end)
 	go func() { // what is under way in the link must not wait for ever
 		for range l.told {
--- a/internal/drill/plan.go
+++ b/internal/drill/plan.go
@@ -20,7 +20,7 @@
 type Plan struct {
 	File string
 
-	Doormans int // unless the command says otherwise
+	Proxies  int // unless the command says otherwise
 	Plazas   int // sites of caches; doormans are spread over them evenly
 	Caches   int // a plaza
 	Trunks   int
@@ -42,14 +42,14 @@
 	FallFor  time.Duration
 	DownFor  time.Duration
 
-	Doorman []string // further lines of each doorman's settings
-	Acts    []Act
-	Holds   []Hold
-	Text    string // of a drawn plan, so that it can be saved
+	Proxy      []string // further lines of each doorman's settings
+	Steps      []Step
+	Invariants []Invariant
+	Text       string // of a drawn plan, so that it can be saved
 }
 
-// Act is one thing that is done at a time.
-type Act struct {
+// Step is one thing that is done at a time.
+type Step struct {
 	At    time.Duration
 	Do    string
 	Words []string
@@ -57,8 +57,8 @@
 	Line  string        // as written
 }
 
-// Hold is one thing that must hold.
-type Hold struct {
+// Invariant is one thing that must hold.
+type Invariant struct {
 	Check    string
 	Words    []string
 	From, To time.Duration // of the drill; To 0: to its end
@@ -116,7 +116,7 @@
 // section binds the directives.
 func (p *Plan) section() *config.Section {
 	s := &config.Section{}
-	s.Int("doormans", &p.Doormans, 1, 1000, "processes of the program")
+	s.Int("doormans", &p.Proxies, 1, 1000, "processes of the program")
 	s.Int("plazas", &p.Plazas, 1, 16, "sites of caches")
 	s.Int("caches", &p.Caches, 1, 64, "of each plaza")
 	s.Int("trunks", &p.Trunks, 0, 16, "at the hub")
@@ -138,24 +138,24 @@
 	s.Duration("fall-for", &p.FallFor, 100*time.Millisecond, time.Minute, "window for that")
 	s.Duration("down-for", &p.DownFor, 100*time.Millisecond, time.Minute, "that a box stays down then")
 	s.Each("doorman", func(words []string) error {
-		p.Doorman = append(p.Doorman, strings.Join(words, " "))
+		p.Proxy = append(p.Proxy, strings.Join(words, " "))
 		return nil
 	}, "a line of each doorman's settings; @dir, @ip, @name and @plaza stand for its own, @{ and @} for braces")
 	s.Each("at", func(words []string) error {
 		a, err := parseAct(words)
-		p.Acts = append(p.Acts, a)
+		p.Steps = append(p.Steps, a)
 		return err
 	}, "TIME DEED ... [for TIME]")
 	s.Each("hold", func(words []string) error {
 		h, err := parseHold(words)
-		p.Holds = append(p.Holds, h)
+		p.Invariants = append(p.Invariants, h)
 		return err
 	}, "CHECK ... [from TIME] [to TIME]")
 	s.Check(func() error {
-		if len(p.Holds) == 0 {
+		if len(p.Invariants) == 0 {
 			return errors.New("nothing has to hold: a drill without `hold` shows nothing")
 		}
-		for _, a := range p.Acts {
+		for _, a := range p.Steps {
 			if a.Do == "liar" && !p.Peers {
 				return fmt.Errorf("at %s: there are no peers to lie to", a.Line)
 			}
@@ -170,7 +170,7 @@
 
 // NewPlan has the values that hold without a line.
 func NewPlan() *Plan {
-	return &Plan{Doormans: 8, Plazas: 2, Caches: 3, Trunks: 2, Share: 8, Lasts: 15 * time.Second, Rate: 20, Objects: 300, SizeKB: 40,
+	return &Plan{Proxies: 8, Plazas: 2, Caches: 3, Trunks: 2, Share: 8, Lasts: 15 * time.Second, Rate: 20, Objects: 300, SizeKB: 40,
 		Limit: 2 * time.Second, List: "bulletin", ColdFrom: 0.2, ColdFor: 6 * time.Second, Fall: 2, FallFor: time.Second, DownFor: 4 * time.Second}
 }
 
@@ -193,7 +193,7 @@
 	return p, nil
 }
 
-func parseAct(words []string) (a Act, err error) {
+func parseAct(words []string) (a Step, err error) {
 	a.Line = strings.Join(words, " ")
 	if len(words) < 2 {
 		return a, errors.New("expected a time and a deed")
@@ -254,7 +254,7 @@
 }
 
 // linkOf gives the link that a deed makes.
-func linkOf(a Act) (l Link, err error) {
+func linkOf(a Step) (l Link, err error) {
 	bad := func(want string, word string) error {
 		return fmt.Errorf("%s: expected %s, got %.40q", a.Do, want, word)
 	}
@@ -313,7 +313,7 @@
 	return kind, 0, fmt.Errorf("list takes %s", acts["list"].help)
 }
 
-func parseHold(words []string) (h Hold, err error) {
+func parseHold(words []string) (h Invariant, err error) {
 	h.Line = strings.Join(words, " ")
 	if len(words) == 0 {
 		return h, errors.New("expected a check")
@@ -347,7 +347,7 @@
 }
 
 // bound reads a hold's first word: a time in seconds, or a number.
-func bound(h Hold) (float64, error) {
+func bound(h Invariant) (float64, error) {
 	if d, err := time.ParseDuration(h.Words[0]); err == nil && d > 0 {
 		return d.Seconds(), nil
 	}
--- a/internal/drill/process.go
+++ b/internal/drill/process.go
@@ -40,7 +40,7 @@
 
 // doorman is one place for a process of the program: its address and folder stay, processes come and go.
 type doorman struct {
-	w                *World
+	w                *Cluster
 	n                int
 	name, ip, listen string
 	plaza            int // its zone, from 1
@@ -51,12 +51,12 @@
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd // nil: none runs
-	life    *Life
+	life    *ProcessRun
 	stopped bool
 	ended   chan struct{} // closed when the process has
 }
 
-func (w *World) newDoorman(n int) (*doorman, error) {
+func (w *Cluster) newDoorman(n int) (*doorman, error) {
 	d := &doorman{w: w, n: n, name: fmt.Sprintf("d%03d", n), ip: fmt.Sprintf("%s.%d.%d", w.base, 1+n/200, 1+n%200), plaza: 1 + n%w.Plan.Plazas}
 	d.dir = filepath.Join(w.Dir, d.name)
 	d.disk = filepath.Join(d.dir, "disk")
@@ -121,7 +121,7 @@
 	// Hundreds of processes share this machine: with as many collector threads each as it has cores they would get in each
 	// other's way.
 	cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
-	life := &Life{Doorman: d.n, Start: d.w.now()}
+	life := &ProcessRun{Proxy: d.n, Start: d.w.now()}
 	if err := d.w.spawn.start(cmd); err != nil {
 		return err
 	}
@@ -131,7 +131,7 @@
 	d.mu.Lock()
 	d.cmd, d.life, d.ended, d.stopped = cmd, life, ended, false
 	d.mu.Unlock()
-	d.w.Record.add(func() { d.w.Record.Lives = append(d.w.Record.Lives, life) })
+	d.w.Record.add(func() { d.w.Record.ProcessRuns = append(d.w.Record.ProcessRuns, life) })
 	go func() {
 		err := cmd.Wait()
 		at := d.w.now()
@@ -151,7 +151,7 @@
 }
 
 // await asks the process until it says that it is ready.
-func (d *doorman) await(life *Life, ended chan struct{}) {
+func (d *doorman) await(life *ProcessRun, ended chan struct{}) {
 	for {
 		if emulator.Ready(d.listen) {
 			at := d.w.now()
--- a/internal/drill/record.go
+++ b/internal/drill/record.go
@@ -7,28 +7,28 @@
 
 // Record is what all ends saw, in times of the drill. The auditor reads it once the drill is over.
 type Record struct {
-	mu       sync.Mutex
-	Requests []*Request
-	Attempts []*Attempt
-	out      map[string]*Attempt // the last one of a request at a box
-	Calls    []Call              // to the list service
-	Made     []Made              // connections
-	Lives    []*Life             // of doormans
-	Falls    []Word              // boxes that fell over
-	Drains   []Word              // told by the list
-	Back     []Word              // drained boxes that are up again
-	Changes  []time.Duration
-	Upset    []Span           // times in which the clients' own way to a doorman was disturbed
-	Strays   int              // answers to nothing
-	Sent     map[string][]int // bytes that a doorman sent to others, by second
-	Posted   map[string]int   // charges by key, repeats within the window dropped
-	last     map[string]time.Time
+	mu          sync.Mutex
+	Requests    []*Request
+	Attempts    []*Attempt
+	out         map[string]*Attempt // the last one of a request at a box
+	Calls       []Call              // to the list service
+	Made        []Made              // connections
+	ProcessRuns []*ProcessRun       // of doormans
+	Falls       []EndpointState     // boxes that fell over
+	Drains      []EndpointState     // told by the list
+	Back        []EndpointState     // drained boxes that are up again
+	Changes     []time.Duration
+	Upset       []Span           // times in which the clients' own way to a doorman was disturbed
+	Strays      int              // answers to nothing
+	Sent        map[string][]int // bytes that a doorman sent to others, by second
+	Posted      map[string]int   // charges by key, repeats within the window dropped
+	last        map[string]time.Time
 }
 
 // Request is one try of a client.
 type Request struct {
 	ID, Key, Class string
-	Doorman        int
+	Proxy          int
 	Sent, Ended    time.Duration // Ended 0: never
 	Answers        int
 	End            string // served, refused, failed, or broken: its connection ended
@@ -37,11 +37,11 @@
 
 // Attempt is one sending of a request to a box, as the box saw it.
 type Attempt struct {
-	ID, Key, Class, Box, From string
-	At, Ended                 time.Duration // Ended 0: not answered
-	Quit                      time.Duration // 0: not given up
-	Ran                       bool
-	conn                      *linked // by which it came; nil: not known
+	ID, Key, Class, Endpoint, From string
+	At, Ended                      time.Duration // Ended 0: not answered
+	Quit                           time.Duration // 0: not given up
+	Ran                            bool
+	conn                           *linked // by which it came; nil: not known
 }
 
 // over is when the attempt was out no more: it was answered, given up, or its connection was closed. 0: it is out still.
@@ -67,15 +67,15 @@
 	From, To string
 }
 
-// Word is something that was seen or said of a box.
-type Word struct {
-	At  time.Duration
-	Box string
+// EndpointState is something that was seen or said of a box.
+type EndpointState struct {
+	At       time.Duration
+	Endpoint string
 }
 
-// Life is one process of a doorman from its start to its end.
-type Life struct {
-	Doorman      int
+// ProcessRun is one process of a doorman from its start to its end.
+type ProcessRun struct {
+	Proxy        int
 	Start, Ready time.Duration // Ready 0: never
 	End          time.Duration // 0: it lived to the end of the drill
 	Ours         bool          // it was ended, or bidden to
--- a/internal/drill/run.go
+++ b/internal/drill/run.go
@@ -15,16 +15,16 @@
 
 // Result is what a drill came to.
 type Result struct {
-	Checks []Verdict
-	World  *World
-	Took   time.Duration
+	Checks  []Verdict
+	Cluster *Cluster
+	Took    time.Duration
 }
 
 // Verdict is one `hold` line with what became of it.
 type Verdict struct {
-	Hold  Hold
-	OK    bool
-	Found string // figures, or the first things that broke it
+	Invariant Invariant
+	OK        bool
+	Found     string // figures, or the first things that broke it
 }
 
 // OK says whether all held.
@@ -42,7 +42,7 @@
 	if err := w.play(progress); err != nil {
 		return nil, err
 	}
-	r := &Result{World: w, Took: w.now()}
+	r := &Result{Cluster: w, Took: w.now()}
 	r.Checks = w.Audit()
 	return r, nil
 }
@@ -55,9 +55,9 @@
 }
 
 // play carries out the time line.
-func (w *World) play(progress io.Writer) error {
+func (w *Cluster) play(progress io.Writer) error {
 	var deeds []deed
-	for _, a := range w.Plan.Acts {
+	for _, a := range w.Plan.Steps {
 		ds, err := w.deeds(a)
 		if err != nil {
 			return fmt.Errorf("%s: at %s: %w", w.Plan.File, a.Line, err)
@@ -111,7 +111,7 @@
 	}
 }
 
-func (w *World) progress() string {
+func (w *Cluster) progress() string {
 	up := 0
 	for _, d := range w.doormans {
 		if d.serving() {
@@ -132,7 +132,7 @@
 
 // who resolves a selector to names of ends: doormans, doormans:SHARE, doorman:N, plaza:N, hub, boxes, box:ID, list, clients,
 // joined by +. A share is drawn by the drill's seed, the same each time.
-func (w *World) who(text string) (map[string]bool, error) {
+func (w *Cluster) who(text string) (map[string]bool, error) {
 	out := map[string]bool{}
 	for _, part := range strings.Split(text, "+") {
 		kind, arg, _ := strings.Cut(part, ":")
@@ -182,7 +182,7 @@
 }
 
 // places gives the doormans that a selector names.
-func (w *World) places(text string) ([]*doorman, error) {
+func (w *Cluster) places(text string) ([]*doorman, error) {
 	ends, err := w.who(text)
 	if err != nil {
 		return nil, err
@@ -200,7 +200,7 @@
 }
 
 // deeds resolves an act to what is done and, with a time, what takes it back.
-func (w *World) deeds(a Act) ([]deed, error) {
+func (w *Cluster) deeds(a Step) ([]deed, error) {
 	one := func(do func() error) []deed { return []deed{{a.At, a.Line, do}} }
 	back := func(ds []deed, undo func() error) []deed {
 		if a.For == 0 {
@@ -324,14 +324,14 @@
 			func() error { w.list.fault("well", 0); return nil }), nil
 	case "liar":
 		plaza, _ := strconv.Atoi(a.Words[0])
-		var l *liar
+		var l *byzantinePeer
 		return back(one(func() (err error) {
 			if l, err = w.newLiar(plaza, a.Words[1]); err == nil {
 				w.liars = append(w.liars, l)
 			}
 			return err
 		}), func() error {
-			w.liars = slices.DeleteFunc(w.liars, func(o *liar) bool { return o == l })
+			w.liars = slices.DeleteFunc(w.liars, func(o *byzantinePeer) bool { return o == l })
 			l.close()
 			return nil
 		}), nil
--- a/internal/drill/timeline.go
+++ b/internal/drill/timeline.go
@@ -31,10 +31,10 @@
 
 // Timeline counts the record by seconds: requests, calls to the list service, connections, and doormans that are ready.
 func (r *Result) Timeline() Timeline {
-	rec := r.World.Record
+	rec := r.Cluster.Record
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	seconds := max(1, int(r.World.Plan.Lasts/time.Second)) // whole ones: a part of one would look like a fall
+	seconds := max(1, int(r.Cluster.Plan.Lasts/time.Second)) // whole ones: a part of one would look like a fall
 	count := func(name string, each func(add func(time.Duration))) Series {
 		l := Series{name, make([]float64, seconds)}
 		each(func(at time.Duration) {
@@ -56,13 +56,13 @@
 	ready := Series{"ready", make([]float64, seconds)}
 	for i := range ready.Values {
 		at := time.Duration(i+1) * time.Second
-		for _, l := range rec.Lives {
+		for _, l := range rec.ProcessRuns {
 			if l.Ready > 0 && l.Ready <= at && (l.End == 0 || l.End > at) {
 				ready.Values[i]++
 			}
 		}
 	}
-	return Timeline{r.World.Plan.File, []Panel{
+	return Timeline{r.Cluster.Plan.File, []Panel{
 		{"requests a second", []Series{requests("sent", ""), requests("served", "served"), requests("refused", "refused"), requests("failed", "failed")}},
 		{"calls to the list service a second", []Series{count("calls", func(add func(time.Duration)) {
 			for _, c := range rec.Calls {
--- a/internal/drill/world.go
+++ b/internal/drill/world.go
@@ -19,8 +19,8 @@
 	"sloequay/internal/emulator/consul"
 )
 
-// World is a drill's ends: processes of doormans, and in this process boxes, the list service and clients.
-type World struct {
+// Cluster is a drill's ends: processes of doormans, and in this process boxes, the list service and clients.
+type Cluster struct {
 	Plan    *Plan
 	Dir     string // folders of the doormans, with their logs
 	Program string
@@ -33,12 +33,12 @@
 	key      string // file with the fleet's key
 	boxes    map[string]*box
 	order    []*box
-	fleet    *emulator.Fleet
+	fleet    *emulator.Endpoints
 	list     lister
 	doormans []*doorman
 	spawn    *spawner
 	clients  *clients
-	liars    []*liar
+	liars    []*byzantinePeer
 	ids      atomic.Uint64
 }
 
@@ -55,8 +55,8 @@
 var worlds atomic.Int32
 
 // New builds a world. Nothing runs in it but the stand-ins.
-func New(p *Plan, program, dir string, seed uint64) (*World, error) {
-	w := &World{Plan: p, Dir: dir, Program: program, seed: seed, Record: &Record{Posted: map[string]int{}, last: map[string]time.Time{}, Sent: map[string][]int{}, out: map[string]*Attempt{}}, boxes: map[string]*box{}}
+func New(p *Plan, program, dir string, seed uint64) (*Cluster, error) {
+	w := &Cluster{Plan: p, Dir: dir, Program: program, seed: seed, Record: &Record{Posted: map[string]int{}, last: map[string]time.Time{}, Sent: map[string][]int{}, out: map[string]*Attempt{}}, boxes: map[string]*box{}}
 	w.base = fmt.Sprintf("127.%d", 80+(os.Getpid()*13+int(worlds.Add(1))*29)%150)
 	w.began = time.Now()
 	w.fabric = NewFabric(seed, func(from, to string) {
@@ -64,8 +64,8 @@
 		w.Record.add(func() { w.Record.Made = append(w.Record.Made, Made{at, from, to}) })
 	})
 	w.fabric.sent = func(from string, n int) { w.Record.sent(w.now(), from, n) }
-	w.fleet = emulator.NewFleet(w.serve)
-	w.fleet.Heed(w.quit)
+	w.fleet = emulator.NewEndpoints(w.serve)
+	w.fleet.HandleSignals(w.quit)
 	if err := w.build(); err != nil {
 		w.Close()
 		return nil, err
@@ -74,11 +74,11 @@
 }
 
 // now is the time of the drill.
-func (w *World) now() time.Duration { return time.Since(w.began) }
+func (w *Cluster) now() time.Duration { return time.Since(w.began) }
 
-func (w *World) rng(salt uint64) *rand.Rand { return rand.New(rand.NewPCG(w.seed, salt)) }
+func (w *Cluster) rng(salt uint64) *rand.Rand { return rand.New(rand.NewPCG(w.seed, salt)) }
 
-func (w *World) build() error {
+func (w *Cluster) build() error {
 	p := w.Plan
 	w.fabric.Join(w.base+".201.1", "list")
 	w.fabric.Join(w.base+".202.1", "clients")
@@ -125,7 +125,7 @@
 		return err
 	}
 	w.spawn = newSpawner()
-	for n := range p.Doormans {
+	for n := range p.Proxies {
 		d, err := w.newDoorman(n)
 		if err != nil {
 			return err
@@ -142,7 +142,7 @@
 }
 
 // meet gives each doorman a relay by which the others reach it, and all of them one key.
-func (w *World) meet() error {
+func (w *Cluster) meet() error {
 	key := fmt.Sprintf("%016x%016x", w.seed, w.seed+1)
 	w.key = filepath.Join(w.Dir, "peers.key")
 	if err := os.WriteFile(w.key, []byte(base64.StdEncoding.EncodeToString([]byte(key))+"\n"), 0o600); err != nil {
@@ -164,7 +164,7 @@
 const seeds = 3
 
 // peersBlock is the settings of a doorman's link to the others.
-func (w *World) peersBlock(d *doorman) string {
+func (w *Cluster) peersBlock(d *doorman) string {
 	if !w.Plan.Peers {
 		return ""
 	}
@@ -177,7 +177,7 @@
 }
 
 // Close ends all that was started.
-func (w *World) Close() {
+func (w *Cluster) Close() {
 	if w.clients != nil {
 		w.clients.close()
 	}
@@ -262,7 +262,7 @@
 }
 
 // die has a box lose its connections and what it holds, and take nothing for a time. It is cold when it is back.
-func (w *World) die(b *box, for_ time.Duration) {
+func (w *Cluster) die(b *box, for_ time.Duration) {
 	b.mu.Lock()
 	b.down = time.Now().Add(for_)
 	b.born = b.down
@@ -273,7 +273,7 @@
 }
 
 // use has a box do its part of a request, and gives how long that takes; not ok: it is down.
-func (w *World) use(b *box, c float64) (took time.Duration, ok bool) {
+func (w *Cluster) use(b *box, c float64) (took time.Duration, ok bool) {
 	b.mu.Lock()
 	if time.Now().Before(b.down) {
 		b.mu.Unlock()
@@ -285,7 +285,7 @@
 	b.mu.Unlock()
 	if falls {
 		at := w.now()
-		w.Record.add(func() { w.Record.Falls = append(w.Record.Falls, Word{at, b.id}) })
+		w.Record.add(func() { w.Record.Falls = append(w.Record.Falls, EndpointState{at, b.id}) })
 		w.die(b, w.Plan.DownFor)
 		return 0, false
 	}
@@ -302,16 +302,16 @@
 const sourceLimit = 300 * time.Millisecond
 
 // serve is the script of all boxes.
-func (w *World) serve(a *emulator.Asked) {
-	b := w.boxes[a.Box]
+func (w *Cluster) serve(a *emulator.ReceivedRequest) {
+	b := w.boxes[a.Endpoint]
 	conn, _ := a.Conn.(*linked)
-	seen := &Attempt{conn: conn, ID: a.ID, Key: a.Fields["replay"], Class: a.Fields["profile"], Box: a.Box, From: "?", At: a.At.Sub(w.began)}
+	seen := &Attempt{conn: conn, ID: a.ID, Key: a.Fields["replay"], Class: a.Fields["profile"], Endpoint: a.Endpoint, From: "?", At: a.At.Sub(w.began)}
 	if conn != nil {
 		seen.From = conn.Source()
 	}
 	w.Record.add(func() {
 		w.Record.Attempts = append(w.Record.Attempts, seen)
-		w.Record.out[a.ID+" "+a.Box] = seen
+		w.Record.out[a.ID+" "+a.Endpoint] = seen
 	})
 	answer := func(word, fields string, ran bool) {
 		at := w.now()
@@ -389,7 +389,7 @@
 }
 
 // post books a charge in the ledger. Boxes drop repeats within the class's window.
-func (w *World) post(key string) {
+func (w *Cluster) post(key string) {
 	const window = 3 * time.Second // of standin.Settings
 	now := time.Now()
 	w.Record.add(func() {
@@ -412,20 +412,20 @@
 }
 
 // quit notes an attempt that was given up.
-func (w *World) quit(a *emulator.Asked) {
+func (w *Cluster) quit(a *emulator.ReceivedRequest) {
 	if a.Word != "QUIT" {
 		return
 	}
 	at := w.now()
 	w.Record.add(func() {
-		if t := w.Record.out[a.ID+" "+a.Box]; t != nil {
+		if t := w.Record.out[a.ID+" "+a.Endpoint]; t != nil {
 			t.Quit = at
 		}
 	})
 }
 
 // mark has the list tell a new state of a box.
-func (w *World) mark(b *box, state string) {
+func (w *Cluster) mark(b *box, state string) {
 	at := w.now()
 	b.mu.Lock()
 	b.state = state
@@ -434,16 +434,16 @@
 	w.Record.add(func() {
 		w.Record.Changes = append(w.Record.Changes, at)
 		if state == "draining" {
-			w.Record.Drains = append(w.Record.Drains, Word{at, b.id})
+			w.Record.Drains = append(w.Record.Drains, EndpointState{at, b.id})
 		} else {
-			w.Record.Back = append(w.Record.Back, Word{at, b.id})
+			w.Record.Back = append(w.Record.Back, EndpointState{at, b.id})
 		}
 	})
 }
 
 // catalogue is the list service as a stand-in for Consul.
 type catalogue struct {
-	w       *World
+	w       *Cluster
 	cluster *consul.Cluster
 	agent   *consul.Agent
 	mu      sync.Mutex
@@ -454,7 +454,7 @@
 
 var services = map[string]string{"std": "cache", "parent": "trunk", "origin": "archive"}
 
-func newCatalogue(w *World) (lister, error) {
+func newCatalogue(w *Cluster) (lister, error) {
 	c := &catalogue{w: w, cluster: consul.NewCluster(), rate: w.Plan.ListRate, left: 1}
 	for _, b := range w.order {
 		c.change(b)
@@ -562,7 +562,7 @@
 
 // bulletin is the list service as the platform has it: numbered events, one JSON object a line.
 type bulletin struct {
-	w  *World
+	w  *Cluster
 	ln net.Listener
 
 	mu     sync.Mutex
@@ -572,7 +572,7 @@
 	ended  chan struct{}
 }
 
-func newBulletin(w *World) (lister, error) {
+func newBulletin(w *Cluster) (lister, error) {
 	b := &bulletin{w: w, conns: map[net.Conn]*int{}, ended: make(chan struct{}), kind: "well"}
 	b.events = append(b.events, b.roster(1, true, w.order))
 	var err error
@@ -720,7 +720,7 @@
 }
 
 // site is the platform's settings for a doorman.
-func (w *World) site(d *doorman) (map[string]any, error) {
+func (w *Cluster) site(d *doorman) (map[string]any, error) {
 	var site map[string]any
 	if err := json.Unmarshal([]byte(emulator.Settings), &site); err != nil {
 		return nil, err
@@ -729,9 +729,9 @@
 	zones, by := []string{"hub"}, []int{0}
 	for z := range p.Plazas {
 		zones = append(zones, fmt.Sprintf("p%d", z+1))
-		by = append(by, (p.Doormans-z+p.Plazas-1)/p.Plazas)
+		by = append(by, (p.Proxies-z+p.Plazas-1)/p.Plazas)
 	}
-	site["dcs"], site["zone"], site["n-instances"], site["ordinal"] = zones, d.plaza, p.Doormans, d.n
+	site["dcs"], site["zone"], site["n-instances"], site["ordinal"] = zones, d.plaza, p.Proxies, d.n
 	family, safety := site["family-info"].(map[string]any), site["safety"].(map[string]any)
 	family["instances-by-zone"] = by
 	for _, of := range []struct {
@@ -745,7 +745,7 @@
 }
 
 // write puts a doorman's files into its folder.
-func (w *World) write(d *doorman) error {
+func (w *Cluster) write(d *doorman) error {
 	site, err := w.site(d)
 	if err != nil {
 		return err
@@ -762,7 +762,7 @@
 	if d.ahead != 0 {
 		own += fmt.Sprintf("clock-ahead %v\n", d.ahead)
 	}
-	for _, line := range w.Plan.Doorman {
+	for _, line := range w.Plan.Proxy {
 		own += strings.NewReplacer("@{", "{", "@}", "}", "@dir", d.disk, "@ip", d.ip, "@name", d.name, "@plaza", fmt.Sprintf("p%d", d.plaza)).Replace(line) + "\n"
 	}
 	return errors.Join(os.WriteFile(filepath.Join(d.dir, "config.json"), text, 0o600),
--- a/internal/emulator/box.go
+++ b/internal/emulator/box.go
@@ -12,14 +12,14 @@
 	"time"
 )
 
-// Asked is one line that a stand-in box has read.
-type Asked struct {
-	Box, Word, ID string
-	Fields        map[string]string
-	Body          string
-	At            time.Time
-	Answer        func(word, fields, body string) // may be called from any goroutine, and more than once
-	Conn          net.Conn
+// ReceivedRequest is one line that a stand-in box has read.
+type ReceivedRequest struct {
+	Endpoint, Word, ID string
+	Fields             map[string]string
+	Body               string
+	At                 time.Time
+	Answer             func(word, fields, body string) // may be called from any goroutine, and more than once
+	Conn               net.Conn
 }
 
 // heardMost bounds what a fleet remembers; beyond it the oldest half goes.
@@ -28,39 +28,39 @@
 // bodyMost is the largest body that a box reads.
 const bodyMost = 64 << 20
 
-// Fleet is stand-in boxes: caches, trunk caches and the archive, all alike but for what their script makes of them.
-type Fleet struct {
+// Endpoints is stand-in boxes: caches, trunk caches and the archive, all alike but for what their script makes of them.
+type Endpoints struct {
 	mu        sync.Mutex
-	script    func(*Asked)
-	deaf      func(*Asked) bool
-	heed      func(*Asked)
-	heard     []*Asked
+	script    func(*ReceivedRequest)
+	deaf      func(*ReceivedRequest) bool
+	heed      func(*ReceivedRequest)
+	heard     []*ReceivedRequest
 	listeners map[string]net.Listener
 	conns     map[string]map[net.Conn]bool
 }
 
-// NewFleet makes a fleet without boxes. The script is called on a goroutine of its own for each ASK; nil answers a hit
+// NewEndpoints makes a fleet without boxes. The script is called on a goroutine of its own for each ASK; nil answers a hit
 // with the object's name as the body.
-func NewFleet(script func(*Asked)) *Fleet {
-	return &Fleet{script: script, listeners: map[string]net.Listener{}, conns: map[string]map[net.Conn]bool{}}
+func NewEndpoints(script func(*ReceivedRequest)) *Endpoints {
+	return &Endpoints{script: script, listeners: map[string]net.Listener{}, conns: map[string]map[net.Conn]bool{}}
 }
 
 // Put has a box be known by a listener that the caller serves by Serve, so that Kill and Drop find it.
-func (f *Fleet) Put(id string, ln net.Listener) {
+func (f *Endpoints) Put(id string, ln net.Listener) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.listeners[id] = ln
 }
 
-// Heed has a function called with each line that is no ASK. With one, nothing is remembered for Heard.
-func (f *Fleet) Heed(heed func(*Asked)) {
+// HandleSignals has a function called with each line that is no ASK. With one, nothing is remembered for Heard.
+func (f *Endpoints) HandleSignals(heed func(*ReceivedRequest)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.heed = heed
 }
 
 // Add starts a box at an address; port 0 picks one.
-func (f *Fleet) Add(id, address string) (net.Listener, error) {
+func (f *Endpoints) Add(id, address string) (net.Listener, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -73,14 +73,14 @@
 }
 
 // Address is where a box listens.
-func (f *Fleet) Address(id string) string {
+func (f *Endpoints) Address(id string) string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.listeners[id].Addr().String()
 }
 
 // Kill ends a box as a dying process does: its listener closes and its connections are reset.
-func (f *Fleet) Kill(id string) {
+func (f *Endpoints) Kill(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if ln := f.listeners[id]; ln != nil {
@@ -90,13 +90,13 @@
 }
 
 // Drop resets the connections of a box, which goes on listening.
-func (f *Fleet) Drop(id string) {
+func (f *Endpoints) Drop(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reset(id)
 }
 
-func (f *Fleet) reset(id string) {
+func (f *Endpoints) reset(id string) {
 	for c := range f.conns[id] {
 		if tcp, ok := c.(interface{ SetLinger(int) error }); ok {
 			_ = tcp.SetLinger(0)
@@ -106,7 +106,7 @@
 }
 
 // Close ends all boxes.
-func (f *Fleet) Close() {
+func (f *Endpoints) Close() {
 	f.mu.Lock()
 	ids := make([]string, 0, len(f.listeners))
 	for id := range f.listeners {
@@ -119,24 +119,24 @@
 }
 
 // Script has the boxes act by another script from now on.
-func (f *Fleet) Script(script func(*Asked)) {
+func (f *Endpoints) Script(script func(*ReceivedRequest)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.script = script
 }
 
-// Deaf says which NOOP are not answered; nil: all are.
-func (f *Fleet) Deaf(deaf func(*Asked) bool) {
+// StopReading says which NOOP are not answered; nil: all are.
+func (f *Endpoints) StopReading(deaf func(*ReceivedRequest) bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.deaf = deaf
 }
 
-// Heard gives what the boxes have read that fits, in the order of its coming.
-func (f *Fleet) Heard(fits func(*Asked) bool) []*Asked {
+// Received gives what the boxes have read that fits, in the order of its coming.
+func (f *Endpoints) Received(fits func(*ReceivedRequest) bool) []*ReceivedRequest {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []*Asked
+	var out []*ReceivedRequest
 	for _, a := range f.heard {
 		if fits(a) {
 			out = append(out, a)
@@ -146,7 +146,7 @@
 }
 
 // Serve is a box on a listener of the caller's, until that is closed.
-func (f *Fleet) Serve(id string, ln net.Listener) {
+func (f *Endpoints) Serve(id string, ln net.Listener) {
 	f.mu.Lock()
 	if f.conns[id] == nil {
 		f.conns[id] = map[net.Conn]bool{}
@@ -171,7 +171,7 @@
 }
 
 // talk reads one connection's lines until it ends or says what can't be read.
-func (f *Fleet) talk(id string, conn net.Conn) {
+func (f *Endpoints) talk(id string, conn net.Conn) {
 	r := bufio.NewReader(conn)
 	var writing sync.Mutex
 	for {
@@ -180,7 +180,7 @@
 		if err != nil || len(words) < 2 {
 			return
 		}
-		a := &Asked{Box: id, Word: words[0], ID: words[1], Fields: map[string]string{}, At: time.Now(), Conn: conn}
+		a := &ReceivedRequest{Endpoint: id, Word: words[0], ID: words[1], Fields: map[string]string{}, At: time.Now(), Conn: conn}
 		if a.Word == "ASK" {
 			if len(words) < 4 {
 				return
@@ -208,7 +208,7 @@
 		script, deaf, heed := f.script, f.deaf, f.heed
 		if heed == nil {
 			if f.heard = append(f.heard, a); len(f.heard) > heardMost {
-				f.heard = append([]*Asked(nil), f.heard[heardMost/2:]...)
+				f.heard = append([]*ReceivedRequest(nil), f.heard[heardMost/2:]...)
 			}
 		}
 		f.mu.Unlock()
@@ -229,15 +229,15 @@
 
 // Caching is a script by which boxes hold what was filled into them, for as long as the fleet lives. A box in the
 // set origins has everything.
-func Caching(origins ...string) func(*Asked) {
+func Caching(origins ...string) func(*ReceivedRequest) {
 	var mu sync.Mutex
 	held := map[string]bool{}
-	return func(a *Asked) {
-		key := a.Box + " " + a.Fields["thing"] + " " + a.Fields["nth"]
+	return func(a *ReceivedRequest) {
+		key := a.Endpoint + " " + a.Fields["thing"] + " " + a.Fields["nth"]
 		mu.Lock()
 		has := held[key]
 		for _, origin := range origins {
-			has = has || a.Box == origin
+			has = has || a.Endpoint == origin
 		}
 		filled := !has && a.Fields["via"] != ""
 		if filled && len(held) < 1<<16 {
--- a/internal/emulator/bulletin.go
+++ b/internal/emulator/bulletin.go
@@ -10,37 +10,37 @@
 	"github.com/miekg/dns"
 )
 
-// Bulletin is a stand-in bulletin that tells each line of Feed to whoever is connected. The line "!" ends the connection; what begins
+// ListService is a stand-in bulletin that tells each line of Feed to whoever is connected. The line "!" ends the connection; what begins
 // with "~" is told without the end of its line.
-type Bulletin struct {
+type ListService struct {
 	Feed  chan string
 	After chan string // what each connection asked for
 	ln    net.Listener
 }
 
-// NewBulletin starts one on a loopback port. It serves one connection at a time.
-func NewBulletin() (*Bulletin, error) {
-	return NewBulletinAt("127.0.0.1:0")
+// NewListService starts one on a loopback port. It serves one connection at a time.
+func NewListService() (*ListService, error) {
+	return NewListServiceAt("127.0.0.1:0")
 }
 
-// NewBulletinAt starts one at an address.
-func NewBulletinAt(address string) (*Bulletin, error) {
+// NewListServiceAt starts one at an address.
+func NewListServiceAt(address string) (*ListService, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	b := &Bulletin{Feed: make(chan string, 64), After: make(chan string, 64), ln: ln}
+	b := &ListService{Feed: make(chan string, 64), After: make(chan string, 64), ln: ln}
 	go b.serve()
 	return b, nil
 }
 
 // Address is where it listens.
-func (b *Bulletin) Address() string { return b.ln.Addr().String() }
+func (b *ListService) Address() string { return b.ln.Addr().String() }
 
 // Close ends it.
-func (b *Bulletin) Close() { _ = b.ln.Close() }
+func (b *ListService) Close() { _ = b.ln.Close() }
 
-func (b *Bulletin) serve() {
+func (b *ListService) serve() {
 	for {
 		conn, err := b.ln.Accept()
 		if err != nil {
@@ -91,8 +91,8 @@
 // Close ends it.
 func (s *NameServer) Close() { _ = s.conn.Close() }
 
-// Asked gives the names that it was asked for.
-func (s *NameServer) Asked() []string {
+// Queries gives the names that it was asked for.
+func (s *NameServer) Queries() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return append([]string(nil), s.asked...)
--- a/internal/proxy/boxes.go
+++ b/internal/proxy/boxes.go
@@ -13,14 +13,14 @@
 	"sloequay/internal/membership/consul"
 )
 
-// DefaultBoxesWait is the wait without a flag.
-const DefaultBoxesWait = 2 * time.Second
+// DefaultEndpointsWait is the wait without a flag.
+const DefaultEndpointsWait = 2 * time.Second
 
-// BoxesOptions is how the sources are asked.
-type BoxesOptions struct{ Wait time.Duration }
+// EndpointsOptions is how the sources are asked.
+type EndpointsOptions struct{ Wait time.Duration }
 
-// PrintBoxes asks each source once and prints the merged view. What a source tells goes into the table as in a doorman.
-func PrintBoxes(out io.Writer, p *Plan, o BoxesOptions) error {
+// PrintEndpoints asks each source once and prints the merged view. What a source tells goes into the table as in a doorman.
+func PrintEndpoints(out io.Writer, p *Plan, o EndpointsOptions) error {
 	var mu sync.Mutex // the sources tell from goroutines of their own
 	var said []string
 	now := monotonicNow
--- a/internal/proxy/boxtls.go
+++ b/internal/proxy/boxtls.go
@@ -126,7 +126,7 @@
 }
 
 // watch takes over files of certificates that change, until the program ends.
-func (b *boxTLS) watch(d *doorman) {
+func (b *boxTLS) watch(d *server) {
 	never := make(chan struct{})
 	for _, s := range b.sites {
 		if !s.plain {
--- a/internal/proxy/clock.go
+++ b/internal/proxy/clock.go
@@ -18,8 +18,8 @@
 // unixClock is for what was stamped by others or will be read by them.
 func unixClock() time.Duration { return time.Duration(wall().UnixNano()) }
 
-// Clock is the time that a doorman goes by.
-func Clock() time.Duration { return monotonicNow() }
+// MonotonicNow is the time that a doorman goes by.
+func MonotonicNow() time.Duration { return monotonicNow() }
 
-// UnixClock is for commands that stamp what a doorman will read.
-func UnixClock() time.Duration { return unixClock() }
+// UnixNow is for commands that stamp what a doorman will read.
+func UnixNow() time.Duration { return unixClock() }
--- a/internal/proxy/conf.go
+++ b/internal/proxy/conf.go
@@ -17,24 +17,24 @@
 	"sloequay/internal/quota"
 )
 
-// Own is our settings: the file that --conf names. Without it everything in it is off, as on the platform.
-type Own struct {
-	Section   *config.Section
-	Contracts *quota.Contracts  // nil: every team may do everything
-	DNS       *dns.Config       // nil: off
-	Catalogue *consul.Config    // nil: off
-	Snapshot  *snapshotConfig   // nil: off
-	Identity  *identityConfig   // nil: off
-	Services  *services         // nil: one pool for all
-	Control   string            // path of the operators' socket; empty: none
-	BoxTLS    *boxTLS           // nil: boxes are spoken to by plain TCP
-	Peers     *transport.Config // nil: no other doorman is known
-	ahead     time.Duration     // of the Unix clock here, for drills
-	bind      string            // address that our own connections come from; empty: the system's choice
-	list      membership.Config
-	damping   membership.Damping
-	bulletin  bool   // whether the bulletin's word on boxes counts; its purges always do
-	prefer    string // whose word on what a box is goes first: "bulletin" or "catalogue"
+// Settings is our settings: the file that --conf names. Without it everything in it is off, as on the platform.
+type Settings struct {
+	Section     *config.Section
+	Contracts   *quota.Contracts  // nil: every team may do everything
+	DNS         *dns.Config       // nil: off
+	Catalogue   *consul.Config    // nil: off
+	Snapshot    *snapshotConfig   // nil: off
+	Identity    *identityConfig   // nil: off
+	Services    *services         // nil: one pool for all
+	Control     string            // path of the operators' socket; empty: none
+	UpstreamTLS *boxTLS           // nil: boxes are spoken to by plain TCP
+	Peers       *transport.Config // nil: no other doorman is known
+	ahead       time.Duration     // of the Unix clock here, for drills
+	bind        string            // address that our own connections come from; empty: the system's choice
+	list        membership.Config
+	damping     membership.Damping
+	bulletin    bool   // whether the bulletin's word on boxes counts; its purges always do
+	prefer      string // whose word on what a box is goes first: "bulletin" or "catalogue"
 }
 
 // snapshotConfig is the block `snapshot`.
@@ -44,9 +44,9 @@
 	Oldest time.Duration
 }
 
-// NewOwn has everything off.
-func NewOwn() *Own {
-	o := &Own{Section: &config.Section{}, bulletin: true, prefer: "bulletin",
+// NewSettings has everything off.
+func NewSettings() *Settings {
+	o := &Settings{Section: &config.Section{}, bulletin: true, prefer: "bulletin",
 		list: membership.Config{MaxEndpoints: membership.DefaultMaxEndpoints, MaxLossShare: 0.3, MinLoss: 2,
 			ConfirmInterval: membership.DefaultConfirmInterval, MaxSilence: 10 * time.Minute, Forget: membership.DefaultForget},
 		damping: membership.Damping{SuppressAbove: 3, ReuseBelow: 1, HalfLife: 5 * time.Second, MaxSuppress: 20 * time.Second}}
@@ -82,8 +82,8 @@
 		return o.Services.section(), nil
 	})
 	s.Block("box-tls", false, "TLS towards boxes", func([]string) (*config.Section, error) {
-		o.BoxTLS = &boxTLS{}
-		return o.BoxTLS.section(), nil
+		o.UpstreamTLS = &boxTLS{}
+		return o.UpstreamTLS.section(), nil
 	})
 	s.Block("dns", false, "DNS request routing", func([]string) (*config.Section, error) {
 		o.DNS = &dns.Config{}
@@ -118,7 +118,7 @@
 	return o
 }
 
-func (o *Own) listSection() *config.Section {
+func (o *Settings) listSection() *config.Section {
 	s, l, d := &config.Section{}, &o.list, &o.damping
 	s.Flag("bulletin", &o.bulletin, "whether the bulletin's word on boxes counts; its purges always do")
 	s.Choice("prefer", &o.prefer, []string{"bulletin", "catalogue"}, "whose word on address, place, kind and weight goes first")
@@ -140,9 +140,9 @@
 	return s
 }
 
-// ReadOwn reads our settings; without a path all of them are off.
-func ReadOwn(path string) (*Own, error) {
-	o := NewOwn()
+// ReadSettings reads our settings; without a path all of them are off.
+func ReadSettings(path string) (*Settings, error) {
+	o := NewSettings()
 	if path == "" {
 		return o, nil
 	}
@@ -154,7 +154,7 @@
 
 // members makes the table of boxes. The bulletin is a source that tells changes, the others tell lists; first is the
 // catalogue's first, and bulletin the bulletin's.
-func (o *Own) members() (table *membership.Table, bulletin, first int) {
+func (o *Settings) members() (table *membership.Table, bulletin, first int) {
 	cfg := o.list
 	told := membership.Source{Name: "bulletin"}
 	if o.Catalogue == nil {
@@ -171,7 +171,7 @@
 }
 
 // from is the address that our own connections come from; nil: the system's choice.
-func (o *Own) from() *net.TCPAddr {
+func (o *Settings) from() *net.TCPAddr {
 	if o.bind == "" {
 		return nil
 	}
--- a/internal/proxy/control.go
+++ b/internal/proxy/control.go
@@ -14,7 +14,7 @@
 const shownMost = 50
 
 // control opens the operators' socket, which meets the loop by posted tasks.
-func (d *doorman) control(path string) {
+func (d *server) control(path string) {
 	err := admin.Listen(path, func(words []string, to chan<- string) { d.loop.Post(func() { to <- d.ask(words) }) })
 	if err != nil {
 		d.log.Event("control-failed", "path", path, "error", err)
@@ -22,7 +22,7 @@
 }
 
 // ask answers a question of an operator's. It runs on the loop.
-func (d *doorman) ask(words []string) string {
+func (d *server) ask(words []string) string {
 	var out strings.Builder
 	now := monotonicNow()
 	switch {
@@ -66,7 +66,7 @@
 }
 
 // state tells how much the doorman holds, a kind a line. All of it must come back to what it was once a bad day is over.
-func (d *doorman) state(out io.Writer) {
+func (d *server) state(out io.Writer) {
 	fmt.Fprintf(out, "clients %d\n", d.front.Clients())
 	for i, p := range d.pools {
 		b, c := p.broker.Sizes(), p.depots.Sizes()
--- a/internal/proxy/door.go
+++ b/internal/proxy/door.go
@@ -182,7 +182,7 @@
 // door stands between the fronts and the broker where identity is on: who calls, and whether it may. Its methods run on the
 // loop; signatures are checked beside it.
 type door struct {
-	doorman *doorman
+	doorman *server
 	cfg     *identityConfig
 	gate    *identity.Authenticator
 	audit   *identity.Audit
@@ -194,7 +194,7 @@
 	content keydir.Content        // that is in force
 }
 
-func (d *doorman) newDoor(cfg *identityConfig) *door {
+func (d *server) newDoor(cfg *identityConfig) *door {
 	g := &door{doorman: d, cfg: cfg, gate: identity.NewAuthenticator(cfg.Gate, cfg.rights), audit: identity.NewAudit(auditMost),
 		sources: identity.NewSources(sourcesMost),
 		jobs:    make(chan *identity.Job, cfg.Gate.Waiting)}
@@ -366,7 +366,7 @@
 }
 
 // renewed tells that files of certificates were taken over, or why not. It may be called beside the loop.
-func (d *doorman) renewed(cert string, err error) {
+func (d *server) renewed(cert string, err error) {
 	d.loop.Post(func() {
 		if err != nil {
 			d.log.Event("keys-refused", "error", err)
--- a/internal/proxy/herd.go
+++ b/internal/proxy/herd.go
@@ -14,9 +14,9 @@
 	"sloequay/internal/peer/transport"
 )
 
-// herd joins the decisions of a start and the link to other doormans to the sources of boxes. Its methods run on the loop, but
+// fleet joins the decisions of a start and the link to other doormans to the sources of boxes. Its methods run on the loop, but
 // for those that the link calls.
-type herd struct {
+type fleet struct {
 	sources *sources
 	machine *bootstrap.Machine
 	link    *transport.Transport // nil: no peers
@@ -27,10 +27,10 @@
 // partMost is how many boxes of a list that peers told are handed on together, so that a large one does not hold the loop.
 const partMost = 500
 
-func newHerd(s *sources) *herd {
+func newHerd(s *sources) *fleet {
 	d := s.doorman
 	p, site := d.plan, d.plan.settings.Control
-	h := &herd{sources: s, tapped: make([]*membership.List, len(p.own.Catalogue.Services))}
+	h := &fleet{sources: s, tapped: make([]*membership.List, len(p.own.Catalogue.Services))}
 	cfg := bootstrap.Config{Name: p.settings.Name, Incarnation: rand.Uint64(), Lists: len(h.tapped), Fleet: site.Instances, Seed: p.settings.Seed}
 	if site.Zone < len(site.ZoneNames) {
 		cfg.Zone = site.ZoneNames[site.Zone]
@@ -66,7 +66,7 @@
 }
 
 // MembersChanged takes who else lives. It is called by the link.
-func (h *herd) MembersChanged(members []peer.Member) {
+func (h *fleet) MembersChanged(members []peer.Member) {
 	peers := make([]bootstrap.Peer, 0, len(members))
 	for _, m := range members {
 		peers = append(peers, bootstrap.Peer{Name: m.Name, Zone: m.Zone})
@@ -76,7 +76,7 @@
 
 // MessageReceived takes what a peer has sent and returns once the loop has it, so that no more is read than it can take. It is called by
 // the link.
-func (h *herd) MessageReceived(from string, body []byte) {
+func (h *fleet) MessageReceived(from string, body []byte) {
 	var m bootstrap.Message
 	if err := transport.Decode(body, &m); err != nil {
 		h.Log("peer-refused", "peer", from, "why", err)
@@ -92,13 +92,13 @@
 }
 
 // Log writes a line. It may be called beside the loop.
-func (h *herd) Log(event string, fields ...any) {
+func (h *fleet) Log(event string, fields ...any) {
 	d := h.sources.doorman
 	d.loop.Post(func() { d.log.Event(event, fields...) })
 }
 
 // hear looks at what the catalogue tells this doorman. A list goes to the others only once the table of boxes has not doubted it.
-func (h *herd) hear(e broker.Event) {
+func (h *fleet) hear(e broker.Event) {
 	first := h.sources.doorman.plan.first
 	switch e := e.(type) {
 	case broker.EndpointList:
@@ -114,7 +114,7 @@
 }
 
 // alive notes that the service answered a question other than for a list.
-func (h *herd) alive() {
+func (h *fleet) alive() {
 	for n := range h.tapped {
 		if h.tapped[n] == nil {
 			h.carry(h.machine.ServiceSeen(monotonicNow(), n))
@@ -123,7 +123,7 @@
 }
 
 // round passes on what the table has taken, and steps the machine.
-func (h *herd) round(now time.Duration) {
+func (h *fleet) round(now time.Duration) {
 	var views []membership.SourceView
 	for n, list := range h.tapped {
 		if list == nil {
@@ -150,7 +150,7 @@
 
 const stepEvery = 100 * time.Millisecond
 
-func (h *herd) carry(effects []bootstrap.Effect) {
+func (h *fleet) carry(effects []bootstrap.Effect) {
 	d := h.sources.doorman
 	for _, e := range effects {
 		switch e := e.(type) {
@@ -192,14 +192,14 @@
 const tellLeaving = 450 * time.Millisecond
 
 // leave tells the others that this doorman goes, beside the loop.
-func (h *herd) leave() {
+func (h *fleet) leave() {
 	if h.link != nil {
 		go h.link.Leave(tellLeaving)
 	}
 }
 
 // show prints who else lives and which lists are held.
-func (h *herd) show(out io.Writer) {
+func (h *fleet) show(out io.Writer) {
 	role := "listens to peers"
 	if h.machine.Polls() {
 		role = "asks the list service"
--- a/internal/proxy/plan.go
+++ b/internal/proxy/plan.go
@@ -14,7 +14,7 @@
 // Plan is what Serve runs by.
 type Plan struct {
 	settings *platformconfig.Settings
-	own      *Own
+	own      *Settings
 	members  *membership.Table
 	first    int // the catalogue's first source there
 	names    listwatch.Decoder
@@ -42,11 +42,11 @@
 	if p.settings, err = platformconfig.Load(config); err != nil {
 		return nil, err
 	}
-	if p.own, err = ReadOwn(conf); err != nil {
+	if p.own, err = ReadSettings(conf); err != nil {
 		return nil, err
 	}
-	if p.own.BoxTLS != nil {
-		if err := p.own.BoxTLS.check(p.settings.Control.ZoneNames); err != nil {
+	if p.own.UpstreamTLS != nil {
+		if err := p.own.UpstreamTLS.check(p.settings.Control.ZoneNames); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -163,7 +163,7 @@
 func (p *pool) emit(e broker.Event) { p.events = append(p.events, e) }
 
 // newPools makes the pools that the settings name, or the one for all.
-func (d *doorman) newPools() error {
+func (d *server) newPools() error {
 	s, own := d.plan.settings, d.plan.own
 	parts := []float64{1}
 	if own.Services != nil {
@@ -192,20 +192,20 @@
 }
 
 // connect makes the pool's connections.
-func (p *pool) connect(d *doorman) {
+func (p *pool) connect(d *server) {
 	s := d.plan.settings
 	all := s.Sockets - s.Sockets/clientPart - ownSockets
 	p.depots = &upstream.Pool{Loop: d.loop, Emit: p.emit, Now: monotonicNow, MaySend: p.broker.MaySend, Log: d.log.Event, Resolve: d.resolver.Resolve, AddressBlocked: p.broker.AddressBlocked,
 		Classes: s.Control.Classes, DialTimeout: s.DialTimeout, IdleTimeout: s.ConnIdle, Streams: s.Streams, HealthChecksAllowed: s.Control.HealthChecks, CancelAllowed: s.Control.MayCancel, FlowKBps: s.Control.FlowKBps,
 		MaxConnections: max(1, int(float64(all)*p.part))}
-	if secure := d.plan.own.BoxTLS; secure != nil {
+	if secure := d.plan.own.UpstreamTLS; secure != nil {
 		p.depots.SecureDialer = secure.secure(s.Control.ZoneNames)
 		p.depots.MaxConnections = max(1, p.depots.MaxConnections/boxDescriptors)
 	}
 }
 
 // round hands what has been gathered to the pool's module in one go, and carries out what comes back.
-func (p *pool) round(d *doorman) {
+func (p *pool) round(d *server) {
 	events := p.events
 	p.events = nil
 	for _, e := range p.broker.Round(monotonicNow(), events) {
@@ -215,7 +215,7 @@
 }
 
 // dispatch gives each pool what concerns it. A box that is not a pool's is gone for it, also one that was.
-func (d *doorman) dispatch(e broker.Event) {
+func (d *server) dispatch(e broker.Event) {
 	switch e := e.(type) {
 	case broker.RequestReceived:
 		r := e.Request
@@ -255,7 +255,7 @@
 }
 
 // box finds a box of any pool by its id on the sockets.
-func (d *doorman) box(host string) *broker.Endpoint {
+func (d *server) box(host string) *broker.Endpoint {
 	for _, p := range d.pools {
 		if b := p.broker.EndpointByName(host); b != nil {
 			return b
@@ -265,21 +265,21 @@
 }
 
 // open is the number of requests without an end.
-func (d *doorman) open() (n int) {
+func (d *server) open() (n int) {
 	for _, p := range d.pools {
 		n += p.broker.OpenRequests()
 	}
 	return n
 }
 
-func (d *doorman) limitRepeats(c *quota.Contracts) {
+func (d *server) limitRepeats(c *quota.Contracts) {
 	for _, p := range d.pools {
 		p.broker.LimitRetries(c.TeamRetries, c.EndpointRetries)
 	}
 }
 
 // ended tells the moves how a request has ended. What a budget refused, and what the caller may not, is no pool's fault.
-func (d *doorman) ended(r *broker.Request, f broker.Response) {
+func (d *server) ended(r *broker.Request, f broker.Response) {
 	if d.routes == nil || f.Kind == broker.ResponseDenied || f.Budget != "" {
 		return
 	}
@@ -290,7 +290,7 @@
 }
 
 // moves takes the time to the moves.
-func (d *doorman) moves(now time.Duration) {
+func (d *server) moves(now time.Duration) {
 	if d.routes == nil {
 		return
 	}
@@ -299,7 +299,7 @@
 	}
 }
 
-func (d *doorman) tellMove(team string) {
+func (d *server) tellMove(team string) {
 	share, phase := d.routes.MigrationStatus(team)
 	d.log.Event("team-moved", "team", team, "share", share, "phase", phase)
 }
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -35,8 +35,8 @@
 	clientPart = 2
 )
 
-// doorman is the assembled program. Everything in it runs on the loop.
-type doorman struct {
+// server is the assembled program. Everything in it runs on the loop.
+type server struct {
 	plan      *Plan
 	contracts *quota.Ledger // nil: every team may do everything
 	loop      *eventloop.Loop
@@ -66,7 +66,7 @@
 	debug.SetGCPercent(300)                 // within that: eight collections a second were measured at full load
 	// The loop never parks its goroutine. With one P, dials beside it were seen only each 10 ms and took 25 to 50 ms.
 	runtime.GOMAXPROCS(max(2, runtime.GOMAXPROCS(0)))
-	d := &doorman{plan: p, log: log, leaving: shutdown.Sequence{LongestDeadline: s.LongestDeadline()}, signals: make(chan os.Signal, 8)}
+	d := &server{plan: p, log: log, leaving: shutdown.Sequence{LongestDeadline: s.LongestDeadline()}, signals: make(chan os.Signal, 8)}
 	signal.Notify(d.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	if p.own.Contracts != nil {
 		d.contracts = p.own.Contracts.Ledger()
@@ -104,7 +104,7 @@
 }
 
 // start joins the parts once the loop runs, and hands the module what was known at the start.
-func (d *doorman) start(l *eventloop.Loop) {
+func (d *server) start(l *eventloop.Loop) {
 	s := d.plan.settings
 	d.loop, l.Memory, l.Bind = l, int(s.Memory), d.plan.own.from()
 	d.resolver = &resolver.Resolver{Loop: l, Now: monotonicNow}
@@ -114,7 +114,7 @@
 	for _, p := range d.pools {
 		p.connect(d)
 	}
-	if secure := d.plan.own.BoxTLS; secure != nil {
+	if secure := d.plan.own.UpstreamTLS; secure != nil {
 		secure.watch(d)
 	}
 	d.bulletin = &listwatch.Watcher{Loop: l, Address: s.ListAddress, Decoder: d.plan.names, LastEvent: d.plan.last, Emit: d.emit,
@@ -134,7 +134,7 @@
 }
 
 // enter takes what a front has: a request meets the door first, where there is one.
-func (d *doorman) enter(e broker.Event) {
+func (d *server) enter(e broker.Event) {
 	if a, ok := e.(broker.RequestReceived); ok {
 		a.Request.Timeout = d.leaving.TimeoutFor(monotonicNow(), a.Request.Timeout)
 		if d.door != nil {
@@ -146,7 +146,7 @@
 }
 
 // emit passes on what the sources of boxes and purges tell, and what the fronts have let in.
-func (d *doorman) emit(e broker.Event) {
+func (d *server) emit(e broker.Event) {
 	if d.routes == nil {
 		d.pools[0].emit(e)
 		return
@@ -159,7 +159,7 @@
 
 // knowsBoxes says whether clients are to be taken in: where boxes come from a catalogue, once each of its services was heard or was
 // in the snapshot. Before, requests would be refused for want of boxes. A catalogue that is away must not keep the rest for ever.
-func (d *doorman) knowsBoxes() bool {
+func (d *server) knowsBoxes() bool {
 	if d.known || d.plan.own.Catalogue == nil {
 		return true
 	}
@@ -175,7 +175,7 @@
 }
 
 // heed takes signals to the loop. Files are read here, beside it.
-func (d *doorman) heed() {
+func (d *server) heed() {
 	for s := range d.signals {
 		if s != syscall.SIGHUP {
 			d.loop.Post(d.leave)
@@ -188,7 +188,7 @@
 
 // reload takes over what may change while the program runs. A file that is not sound changes nothing: operators
 // replace files under load, and the doorman must outlive their slips.
-func (d *doorman) reload(next *Plan, err error) {
+func (d *server) reload(next *Plan, err error) {
 	if err != nil {
 		d.log.Event("reload-failed", "error", err)
 		return
@@ -204,7 +204,7 @@
 }
 
 // leave begins the end: status says false, and what is open or still comes is served.
-func (d *doorman) leave() {
+func (d *server) leave() {
 	if !d.leaving.Begin(monotonicNow()) {
 		return
 	}
@@ -214,7 +214,7 @@
 }
 
 // end does what the end wants next.
-func (d *doorman) end(now time.Duration) {
+func (d *server) end(now time.Duration) {
 	held := shutdown.Load{Open: d.open(), Clients: d.front.Clients(), Unsent: d.loop.UnsentBytes(), Blocked: !d.list.left()}
 	if d.dns != nil {
 		held.Clients += d.dns.Clients()
@@ -238,7 +238,7 @@
 }
 
 // round hands what has been gathered to the module in one go, and carries out what comes back.
-func (d *doorman) round() {
+func (d *server) round() {
 	now := monotonicNow()
 	if step := d.steady.Read(now, unixClock()); step != 0 {
 		d.log.Event("clock-stepped", "by", step)
@@ -309,7 +309,7 @@
 	d.loop.WakeAfter(max(0, wake-monotonicNow()))
 }
 
-func (d *doorman) carryOut(p *pool, effect broker.Effect) {
+func (d *server) carryOut(p *pool, effect broker.Effect) {
 	switch e := effect.(type) {
 	case broker.SendAttempt:
 		p.depots.Send(e.Attempt)
--- a/internal/proxy/sources.go
+++ b/internal/proxy/sources.go
@@ -17,8 +17,8 @@
 
 // sources joins the sources of boxes and purges to the doorman. Its methods run on the loop.
 type sources struct {
-	doorman   *doorman
-	herd      *herd             // nil: there is no catalogue
+	doorman   *server
+	herd      *fleet            // nil: there is no catalogue
 	lists     *consul.Config    // what is asked for by who is to ask
 	catalogue *consul.Catalogue // nil: it is not asked
 	end       context.CancelFunc
--- a/test/boxtls_test.go
+++ b/test/boxtls_test.go
@@ -131,7 +131,7 @@
 	}
 	byBox := map[string]int{}
 	for _, a := range w.lines(word("ASK")) {
-		byBox[a.Box]++
+		byBox[a.Endpoint]++
 		if a.Fields["via"] == "c2" {
 			t.Error("the impostor is named as a source")
 		}
--- a/test/catalogue_test.go
+++ b/test/catalogue_test.go
@@ -165,7 +165,7 @@
 
 // uses says whether a line is a send to a box, or one that names it as the source.
 func uses(id string) func(*asked) bool {
-	return func(a *asked) bool { return a.Word == "ASK" && (a.Box == id || a.Fields["via"] == id) }
+	return func(a *asked) bool { return a.Word == "ASK" && (a.Endpoint == id || a.Fields["via"] == id) }
 }
 
 // used waits until a box is in use.
@@ -201,7 +201,7 @@
 
 // filling is a script by which caches hold nothing: each request is filled.
 func filling(a *asked) {
-	if a.Fields["via"] == "" && a.Box[0] == 'c' {
+	if a.Fields["via"] == "" && a.Endpoint[0] == 'c' {
 		a.Answer("NOENT", "-", "")
 		return
 	}
@@ -453,7 +453,9 @@
 	time.Sleep(80 * time.Millisecond)
 	c.Put(w.instance("c1", ln.Addr().String()))
 	at := func(address string) func(*asked) bool {
-		return func(a *asked) bool { return uses("c1")(a) && a.Box == "c1" && a.Conn.LocalAddr().String() == address }
+		return func(a *asked) bool {
+			return uses("c1")(a) && a.Endpoint == "c1" && a.Conn.LocalAddr().String() == address
+		}
 	}
 	w.until("the new address is in use", func() bool { return len(w.lines(at(ln.Addr().String()))) > 3 })
 	if late := w.lines(func(a *asked) bool { return at(old)(a) && a.At.After(c.Written("c1").Add(time.Second)) }); len(late) > 0 {
--- a/test/conf_test.go
+++ b/test/conf_test.go
@@ -20,11 +20,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	o := proxy.NewOwn()
+	o := proxy.NewSettings()
 	if err := o.Section.Parse("shipped", text); err != nil {
 		t.Fatal(err)
 	}
-	if o.Contracts != nil || o.DNS != nil || o.Catalogue != nil || o.Snapshot != nil || o.Identity != nil || o.BoxTLS != nil || o.Peers != nil {
+	if o.Contracts != nil || o.DNS != nil || o.Catalogue != nil || o.Snapshot != nil || o.Identity != nil || o.UpstreamTLS != nil || o.Peers != nil {
 		t.Error("the shipped file turns something on")
 	}
 	keys := filepath.Join(t.TempDir(), "keys")
@@ -50,18 +50,18 @@
 		t.Fatal(err)
 	}
 	on = bytes.ReplaceAll(on, []byte("./peers.key"), []byte(peersKey))
-	o = proxy.NewOwn()
+	o = proxy.NewSettings()
 	if err := o.Section.Parse("examples", on); err != nil {
 		t.Fatal(err)
 	}
-	if o.Contracts == nil || o.DNS == nil || o.Catalogue == nil || o.Snapshot == nil || o.Identity == nil || o.BoxTLS == nil || o.Peers == nil || len(o.Catalogue.Services) != 3 {
+	if o.Contracts == nil || o.DNS == nil || o.Catalogue == nil || o.Snapshot == nil || o.Identity == nil || o.UpstreamTLS == nil || o.Peers == nil || len(o.Catalogue.Services) != 3 {
 		t.Error("the examples do not turn everything on")
 	}
 	var once, twice bytes.Buffer
 	if err := o.Section.Print(&once); err != nil {
 		t.Fatal(err)
 	}
-	again := proxy.NewOwn()
+	again := proxy.NewSettings()
 	if err := again.Section.Parse("printed", once.Bytes()); err != nil {
 		t.Fatalf("what was printed can't be read: %v\n%s", err, once.String())
 	}
--- a/test/dns_test.go
+++ b/test/dns_test.go
@@ -197,7 +197,7 @@
 	if diff := cmp.Diff(told{ID: 4, Rcode: "NOERROR", Names: served}, retry.want()); diff != "" {
 		t.Errorf("asked again (-want +got):\n%s", diff)
 	}
-	if asks := w.lines(word("ASK")); len(asks) != 1 || asks[0].Box != "o1" {
+	if asks := w.lines(word("ASK")); len(asks) != 1 || asks[0].Endpoint != "o1" {
 		t.Errorf("%d attempts, want one at the origin", len(asks))
 	}
 }
@@ -225,11 +225,11 @@
 		id++
 		s.ask(uint16(id), name(id), dns.TypeTXT)
 		s.want()
-		served := func(box string) func(*asked) bool { return func(a *asked) bool { return a.Box == box } }
+		served := func(box string) func(*asked) bool { return func(a *asked) bool { return a.Endpoint == box } }
 		return len(w.lines(served("c1"))) > 0 && len(w.lines(served("c2"))) > 0
 	})
 	w.setScript(func(a *asked) {
-		if a.Box == "c1" {
+		if a.Endpoint == "c1" {
 			hold <- a // its answer comes half a second after the box began to drain
 			return
 		}
@@ -264,17 +264,17 @@
 		}
 	}
 	s.none()
-	if late := w.lines(func(a *asked) bool { return a.Box == "c1" && a.At.After(began.Add(time.Second)) }); len(late) > 0 {
+	if late := w.lines(func(a *asked) bool { return a.Endpoint == "c1" && a.At.After(began.Add(time.Second)) }); len(late) > 0 {
 		t.Errorf("%d lines reached the drained box after 1 s, the first %+v", len(late), late[0])
 	}
 	ids := map[string]bool{}
 	for _, a := range w.lines(word("ASK")) {
-		if ids[a.ID] && a.Box == "c1" {
+		if ids[a.ID] && a.Endpoint == "c1" {
 			t.Errorf("request %s went to c1 twice", a.ID)
 		}
 		ids[a.ID] = true
 	}
-	if !slices.ContainsFunc(w.names.Asked(), func(n string) bool { return n == "c3.plaza.test." }) {
+	if !slices.ContainsFunc(w.names.Queries(), func(n string) bool { return n == "c3.plaza.test." }) {
 		t.Error("c3 was never looked up, so the case was not played")
 	}
 }
--- a/test/drill_test.go
+++ b/test/drill_test.go
@@ -24,7 +24,7 @@
 	drillPlaces <- true
 	defer func() { <-drillPlaces }()
 	if *drillDoormans > 0 {
-		p.Doormans = *drillDoormans
+		p.Proxies = *drillDoormans
 	}
 	r, err := drill.Run(p, program, t.TempDir(), seed, nil)
 	if err != nil {
@@ -32,9 +32,9 @@
 	}
 	for _, v := range r.Checks {
 		if v.OK {
-			t.Logf("held: %s: %s", v.Hold.Line, v.Found)
+			t.Logf("held: %s: %s", v.Invariant.Line, v.Found)
 		} else {
-			t.Errorf("seed %d, did not hold: %s: %s", seed, v.Hold.Line, v.Found)
+			t.Errorf("seed %d, did not hold: %s: %s", seed, v.Invariant.Line, v.Found)
 		}
 	}
 }
--- a/test/ends_test.go
+++ b/test/ends_test.go
@@ -59,7 +59,7 @@
 			}
 			var boxes []string
 			for _, a := range w.lines(word("ASK")) {
-				boxes = append(boxes, a.Box)
+				boxes = append(boxes, a.Endpoint)
 			}
 			if diff := cmp.Diff(c.boxes, boxes); c.boxes != nil && diff != "" {
 				t.Errorf("boxes (-want +got):\n%s", diff)
@@ -130,7 +130,7 @@
 		client.send(request(id, "footage", map[string]string{"item": fmt.Sprintf("%016x", id)}, ""))
 		client.want()
 		asks := w.lines(word("ASK"))
-		return asks[len(asks)-1].Box == "c2"
+		return asks[len(asks)-1].Endpoint == "c2"
 	})
 }
 
@@ -138,7 +138,7 @@
 // old one is tried again.
 func TestReplacedBox(t *testing.T) {
 	w := newWorld(t, func(a *asked) {
-		if a.Box == "c1" && a.Fields["nth"] == "0" {
+		if a.Endpoint == "c1" && a.Fields["nth"] == "0" {
 			return // silent
 		}
 		a.Answer("ACK", "-", a.Fields["nth"])
@@ -323,7 +323,7 @@
 		t.Fatal(err)
 	}
 	defer waiting.Close()
-	if asks := w.lines(func(a *asked) bool { return a.Box == "c1" }); len(asks) > 0 {
+	if asks := w.lines(func(a *asked) bool { return a.Endpoint == "c1" }); len(asks) > 0 {
 		t.Errorf("the draining box was sent %+v", asks[0])
 	}
 }
--- a/test/pools_test.go
+++ b/test/pools_test.go
@@ -15,7 +15,7 @@
 	t.Parallel()
 	var hung atomic.Bool
 	w := newWorld(t, func(a *asked) {
-		if a.Box != "c2" || !hung.Load() {
+		if a.Endpoint != "c2" || !hung.Load() {
 			a.Answer("ACK", "tag=t1", "done")
 		}
 	})
@@ -50,7 +50,7 @@
 	}
 	seen := map[string]int{}
 	for _, a := range w.lines(word("ASK")) {
-		seen[a.ID[:2]+" "+a.Box]++
+		seen[a.ID[:2]+" "+a.Endpoint]++
 	}
 	if seen["c0 c1"] > 0 || seen["a0 c2"] > 0 || seen["c0 c2"] < 40 || seen["a0 c1"] < 100 {
 		t.Errorf("asked by service and box: %v", seen)
@@ -66,7 +66,7 @@
 	t.Parallel()
 	var sick atomic.Bool
 	w := newWorld(t, func(a *asked) {
-		if a.Box == "c2" && sick.Load() {
+		if a.Endpoint == "c2" && sick.Load() {
 			a.Answer("EIO", "-", "")
 			return
 		}
@@ -87,11 +87,11 @@
 		}
 		return strings.Contains(w.log.String(), "event=team-moved team=lanes share=1 phase=moving")
 	})
-	before := len(w.lines(func(a *asked) bool { return a.Word == "ASK" && a.Box == "c2" }))
+	before := len(w.lines(func(a *asked) bool { return a.Word == "ASK" && a.Endpoint == "c2" }))
 	for range 20 {
 		ask("lanes")
 	}
-	if after := len(w.lines(func(a *asked) bool { return a.Word == "ASK" && a.Box == "c2" })); after != before+20 {
+	if after := len(w.lines(func(a *asked) bool { return a.Word == "ASK" && a.Endpoint == "c2" })); after != before+20 {
 		t.Errorf("%d of 20 went to the new pool", after-before)
 	}
 	sick.Store(true)
--- a/test/rare_test.go
+++ b/test/rare_test.go
@@ -30,7 +30,7 @@
 			w := newWorld(t, func(a *asked) {
 				mu.Lock()
 				defer mu.Unlock()
-				if key := a.Box + a.ID; !told[key] {
+				if key := a.Endpoint + a.ID; !told[key] {
 					told[key] = true
 					a.Answer(c.word, c.remark, "")
 					return
@@ -44,13 +44,13 @@
 			var out *asked // the attempt that is out for all that its box said
 			seen := map[string]bool{}
 			for _, a := range w.lines(func(a *asked) bool { return a.ID == "0000000000000001" }) {
-				switch key := fmt.Sprint(a.Box, a.Conn.LocalAddr(), a.Conn.RemoteAddr()); {
+				switch key := fmt.Sprint(a.Endpoint, a.Conn.LocalAddr(), a.Conn.RemoteAddr()); {
 				case a.Word == "QUIT":
 					if out != nil && out.Conn == a.Conn {
 						out = nil
 					}
 				case out != nil:
-					t.Fatalf("an attempt to %s went out while one was out at %s", a.Box, out.Box)
+					t.Fatalf("an attempt to %s went out while one was out at %s", a.Endpoint, out.Endpoint)
 				case seen[key]:
 					out = a
 				default:
@@ -293,14 +293,14 @@
 	w.t.Helper()
 	w.until("the drain is known", func() bool { return matches("event=box-drains box="+box, w.log.String()) })
 	client := w.dial()
-	before := len(w.lines(func(a *asked) bool { return a.Word == "ASK" && a.Box == box }))
+	before := len(w.lines(func(a *asked) bool { return a.Word == "ASK" && a.Endpoint == box }))
 	for id := range uint64(20) {
 		client.send(request(id+1, "lookup", map[string]string{"item": fmt.Sprintf("%016x", id+1)}, ""))
 		if a := client.want(); a.Error != "" {
 			w.t.Errorf("%+v, want it served elsewhere", a)
 		}
 	}
-	if asks := w.lines(func(a *asked) bool { return a.Word == "ASK" && a.Box == box }); len(asks) > before {
+	if asks := w.lines(func(a *asked) bool { return a.Word == "ASK" && a.Endpoint == box }); len(asks) > before {
 		w.t.Errorf("%d attempts went to the draining box", len(asks)-before)
 	}
 }
@@ -318,7 +318,7 @@
 	w.configure()
 	w.signal(syscall.SIGHUP)
 	w.until("the new one is missed", func() bool { return strings.Contains(w.log.String(), "event=bulletin-lost") })
-	next, err := emulator.NewBulletinAt(later)
+	next, err := emulator.NewListServiceAt(later)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/test/serve_test.go
+++ b/test/serve_test.go
@@ -40,7 +40,7 @@
 		},
 		{name: "a write goes to the origin with its key and body", method: "charge",
 			fields: map[string]string{"unique": "5c0f"}, body: "post\x00",
-			script: func(a *asked) { a.Answer("ACK", "-", a.Box+" "+a.Fields["replay"]+" "+a.Body) },
+			script: func(a *asked) { a.Answer("ACK", "-", a.Endpoint+" "+a.Fields["replay"]+" "+a.Body) },
 			want:   reply{ID: 5, Body: "o1 5c0f post\x00", Fields: map[string]string{}},
 		},
 		{name: "all are full: refused with a wait", method: "footage",
@@ -246,7 +246,7 @@
 	release := make(chan struct{})
 	w := newWorld(t, func(a *asked) {
 		<-release
-		a.Answer("ACK", "-", a.Box)
+		a.Answer("ACK", "-", a.Endpoint)
 	}, "c2")
 	w.run()
 	client := w.dial()
--- a/test/service_test.go
+++ b/test/service_test.go
@@ -61,7 +61,7 @@
 		client.send(request(id, "footage", nil, ""))
 		a := client.want()
 		asks := w.lines(word("ASK"))
-		return a.Error == "" && asks[len(asks)-1].Box == "c2"
+		return a.Error == "" && asks[len(asks)-1].Endpoint == "c2"
 	})
 }
 
@@ -196,7 +196,7 @@
 			a.Answer("ACK", "-", "again")
 		}
 	}, "c2")
-	w.fleet.Deaf(cut)
+	w.fleet.StopReading(cut)
 	w.run()
 	client := w.dial()
 	for id := range uint64(3) {
@@ -222,7 +222,7 @@
 			a.Answer("ACK", "-", a.Fields["nth"])
 		}
 	}, "c2")
-	w.fleet.Deaf(func(a *asked) bool {
+	w.fleet.StopReading(func(a *asked) bool {
 		if quits := w.lines(word("QUIT")); len(quits) > 0 && a.Conn == quits[0].Conn {
 			time.Sleep(50 * time.Millisecond)
 			if asks := w.lines(func(a *asked) bool { return a.Word == "ASK" && a.ID == quits[0].ID }); len(asks) > 1 {
--- a/test/world_test.go
+++ b/test/world_test.go
@@ -53,7 +53,7 @@
 }
 
 // asked is one line that a stand-in box has read.
-type asked = emulator.Asked
+type asked = emulator.ReceivedRequest
 
 // logbook is what the program logs; it may be read while the program runs.
 type logbook struct {
@@ -99,9 +99,9 @@
 	log      logbook
 	cmd      *exec.Cmd
 	exited   chan error
-	fleet    *emulator.Fleet
+	fleet    *emulator.Endpoints
 	boxes    map[string]net.Listener
-	bulletin *emulator.Bulletin
+	bulletin *emulator.ListService
 	full     net.Listener // see fullListener
 	feed     chan string  // lines for the bulletin to tell
 	after    chan string  // what the program asked of the bulletin
@@ -110,7 +110,7 @@
 
 // newWorld has caches c1 and c2, the parent p1 and the origin o1, all listed but for those in absent.
 func newWorld(t *testing.T, script func(*asked), absent ...string) *world {
-	w := &world{t: t, hosts: []map[string]any{}, boxes: map[string]net.Listener{}, fleet: emulator.NewFleet(script)}
+	w := &world{t: t, hosts: []map[string]any{}, boxes: map[string]net.Listener{}, fleet: emulator.NewEndpoints(script)}
 	t.Cleanup(w.fleet.Close)
 	for _, b := range []struct{ id, site, class string }{{"c1", "edge", "std"}, {"c2", "edge", "std"},
 		{"p1", "hub", "parent"}, {"o1", "hub", "origin"}} {
@@ -123,7 +123,7 @@
 		}
 	}
 	var err error
-	if w.bulletin, err = emulator.NewBulletin(); err != nil {
+	if w.bulletin, err = emulator.NewListService(); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(w.bulletin.Close)
@@ -251,7 +251,7 @@
 }
 
 // lines gives what the boxes have heard that fits.
-func (w *world) lines(fits func(*asked) bool) []*asked { return w.fleet.Heard(fits) }
+func (w *world) lines(fits func(*asked) bool) []*asked { return w.fleet.Received(fits) }
 
 func (w *world) setScript(script func(*asked)) { w.fleet.Script(script) }
 
