--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -276,7 +276,7 @@
 		b.follow()
 	case SnapshotRestored:
 		n := b.members.Restore(b.now, e.Reports)
-		b.effect(LogEntry{"list-restored", []any{"boxes", n}})
+		b.effect(LogEntry{"snapshot-restored", []any{"endpoints", n}})
 		b.follow()
 	case Purge:
 		issued := e.Issued - b.offset
@@ -347,7 +347,7 @@
 			b.effect(HealthCheck{box})
 		}
 	case policy.Log:
-		b.effect(LogEntry{"module", []any{"text", a.Text}})
+		b.effect(LogEntry{"outlier-detection", []any{"text", a.Text}})
 	}
 }
 
@@ -357,7 +357,7 @@
 func (b *Broker) get(g policy.SendAttempt) {
 	r, box, source := b.open[g.ID], b.boxes[g.Endpoint], b.boxes[g.Source]
 	if r == nil || box == nil || source == nil {
-		b.effect(LogEntry{"module-unknown", []any{"get", fmt.Sprintf("%+v", g)}})
+		b.effect(LogEntry{"policy-invalid-action", []any{"get", fmt.Sprintf("%+v", g)}})
 		return
 	}
 	a := &Attempt{Request: r, Number: len(r.attempts), Endpoint: box, Source: source, CacheRank: g.CacheRank, MaxAge: g.MaxAge, JoinFill: g.JoinFill,
@@ -620,7 +620,7 @@
 		}
 	}
 	if rest := len(changes) - linesMost; rest > 0 {
-		b.effect(LogEntry{"list-changed", []any{"unlisted", rest}})
+		b.effect(LogEntry{"endpoint-changes-omitted", []any{"omitted", rest}})
 	}
 	if len(e.Endpoints) > 0 {
 		b.tell(e)
@@ -673,14 +673,14 @@
 }
 
 func (b *Broker) logChange(c membership.Change) {
-	fields := []any{"box", c.Endpoint.ID, "address", c.Endpoint.Address}
+	fields := []any{"endpoint", c.Endpoint.ID, "address", c.Endpoint.Address}
 	if c.DecidedBy >= 0 {
 		fields = append(fields, "source", b.members.Sources()[c.DecidedBy].Name)
 	}
 	if c.Reason != membership.Reported {
-		fields = append(fields, "why", c.Reason)
+		fields = append(fields, "reason", c.Reason)
 	}
-	b.effect(LogEntry{"box-" + c.Kind.String(), fields})
+	b.effect(LogEntry{"endpoint-" + c.Kind.String(), fields})
 }
 
 func (b *Broker) logNotes() {
@@ -688,13 +688,13 @@
 	for _, n := range notes {
 		fields := []any{"source", b.members.Sources()[n.Source].Name}
 		if n.Endpoint != "" {
-			fields = append(fields, "box", n.Endpoint)
+			fields = append(fields, "endpoint", n.Endpoint)
 		}
 		if n.Other != "" {
 			fields = append(fields, "other", n.Other)
 		}
 		if n.Count > 0 {
-			fields = append(fields, "boxes", n.Count, "of", n.Of)
+			fields = append(fields, "endpoints", n.Count, "of", n.Of)
 		}
 		if n.For > 0 {
 			fields = append(fields, "for", n.For)
@@ -702,7 +702,7 @@
 		b.effect(LogEntry{n.Kind.String(), fields})
 	}
 	if dropped > 0 {
-		b.effect(LogEntry{"list-notes", []any{"unlisted", dropped}})
+		b.effect(LogEntry{"list-notes-omitted", []any{"omitted", dropped}})
 	}
 }
 
@@ -827,7 +827,7 @@
 	if len(b.open) == 0 {
 		return
 	}
-	b.effect(LogEntry{"leaving-cut", []any{"open", len(b.open)}})
+	b.effect(LogEntry{"drain-deadline", []any{"open", len(b.open)}})
 	for _, id := range slices.Sorted(maps.Keys(b.open)) {
 		if r := b.open[id]; r != nil {
 			b.overdue(timer{request: r})
--- a/internal/broker/crossings_test.go
+++ b/internal/broker/crossings_test.go
@@ -379,7 +379,7 @@
 		}
 		ejected := 0
 		for _, e := range x.b.Round(x.now, x.events) {
-			if line, ok := e.(LogEntry); ok && line.Event == "module" && strings.Contains(fmt.Sprint(line.Fields...), "ejected") {
+			if line, ok := e.(LogEntry); ok && line.Event == "outlier-detection" && strings.Contains(fmt.Sprint(line.Fields...), "ejected") {
 				ejected++
 			}
 		}
--- a/internal/broker/decisions_test.go
+++ b/internal/broker/decisions_test.go
@@ -287,7 +287,7 @@
 
 // fieldsText writes the values of a log line. The words for operators are behaviour, and stay.
 func (s *simulation) fieldsText(line broker.LogEntry) string {
-	if line.Event == "module-unknown" {
+	if line.Event == "policy-invalid-action" {
 		s.t.Error("the module names an endpoint or a request that the broker does not know")
 		return ""
 	}
@@ -343,7 +343,7 @@
 
 func (s *simulation) countLine(line broker.LogEntry) {
 	name := "lines " + line.Event
-	if line.Event == "module" {
+	if line.Event == "outlier-detection" {
 		text, _ := line.Fields[1].(string)
 		switch {
 		case strings.HasPrefix(text, "ejected"):
@@ -695,10 +695,10 @@
 	"barred at writing": 300, "cancels": 1000, "cancels to be confirmed": 30, "changed endpoints": 300,
 	"clients that left": 300, "confirmations": 20, "cut-offs": 6, "drains": 80, "ejections": 100,
 	"final answers: answered": 5000, "final answers: failed": 400, "final answers: rejected": 8000,
-	"final answers: same": 600, "hedges": 300, "late answers": 300, "lines box-added": 100,
-	"lines box-back": 40, "lines box-drains": 60, "lines box-held": 7, "lines box-left": 80,
-	"lines box-moved": 50, "lines box-released": 5, "lines box-restarted": 50, "lines leaving-cut": 6,
-	"lines list-doubted": 20, "lines list-refuted": 20, "lines list-restored": 3, "over a budget": 1000,
+	"final answers: same": 600, "hedges": 300, "late answers": 300, "lines endpoint-added": 100,
+	"lines endpoint-recovered": 40, "lines endpoint-draining": 60, "lines endpoint-suppressed": 7, "lines endpoint-removed": 80,
+	"lines endpoint-moved": 50, "lines endpoint-released": 5, "lines endpoint-restarted": 50, "lines drain-deadline": 6,
+	"lines list-loss-suspected": 20, "lines list-loss-refuted": 20, "lines snapshot-restored": 3, "over a budget": 1000,
 	"purges": 300, "readmissions": 50, "reloaded lists": 100, "restarted endpoints": 100, "retries": 3000,
 	"sends": 10000, "sources heard or silent": 100, "written with an age": 5000,
 }
--- a/internal/broker/list_test.go
+++ b/internal/broker/list_test.go
@@ -73,7 +73,7 @@
 		case RefetchList:
 			asked = e.Source == 1
 		case LogEntry:
-			told = told || e.Event == "list-doubted"
+			told = told || e.Event == "list-loss-suspected"
 		}
 	}
 	if !asked || !told || len(b.boxes) != 10 {
--- a/internal/cli/try.go
+++ b/internal/cli/try.go
@@ -161,7 +161,7 @@
 	s.ended = make(chan error, 1)
 	go func() { s.ended <- s.doorman.Wait() }()
 	for end := time.Now().Add(tryPatient); ; time.Sleep(10 * time.Millisecond) {
-		if text, _ := os.ReadFile(log.Name()); emulator.Ready(s.listen) && bytes.Count(text, []byte("event=box-added")) >= 8 {
+		if text, _ := os.ReadFile(log.Name()); emulator.Ready(s.listen) && bytes.Count(text, []byte("event=endpoint-added")) >= 8 {
 			return nil
 		}
 		if time.Now().After(end) {
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -1,5 +1,5 @@
 // Package eventlog writes the operators' log by zap: one event a line, a stable event word and then fields, as text
-// (event=box-left box=c1) or JSON, and at most so many lines a second, with the count of what was left out.
+// (event=endpoint-removed box=c1) or JSON, and at most so many lines a second, with the count of what was left out.
 package eventlog
 
 import (
@@ -19,36 +19,36 @@
 
 // Events is every event word with its level. docs/on-call.md says what each means; a test compares the two.
 var Events = map[string]zapcore.Level{
-	"started": zap.InfoLevel, "leaving": zap.InfoLevel, "leaving-cut": zap.WarnLevel, "left": zap.InfoLevel, "reloaded": zap.InfoLevel, "contracts-renewed": zap.InfoLevel, "team-moved": zap.WarnLevel, "control-failed": zap.ErrorLevel, "clock-stepped": zap.ErrorLevel,
-	"reload-failed": zap.ErrorLevel, "log-full": zap.WarnLevel, "module": zap.WarnLevel, "module-unknown": zap.ErrorLevel,
+	"started": zap.InfoLevel, "draining": zap.InfoLevel, "drain-deadline": zap.WarnLevel, "stopped": zap.InfoLevel, "reloaded": zap.InfoLevel, "contracts-reloaded": zap.InfoLevel, "team-migration": zap.WarnLevel, "admin-socket-failed": zap.ErrorLevel, "clock-stepped": zap.ErrorLevel,
+	"reload-failed": zap.ErrorLevel, "log-rate-limited": zap.WarnLevel, "outlier-detection": zap.WarnLevel, "policy-invalid-action": zap.ErrorLevel,
 
-	"client-frame": zap.WarnLevel, "client-request": zap.WarnLevel, "client-limit": zap.WarnLevel,
-	"client-half": zap.WarnLevel, "client-paced": zap.WarnLevel, "client-id": zap.WarnLevel, "dns-query": zap.WarnLevel, "dns-pack": zap.ErrorLevel,
-	"dns-signature": zap.WarnLevel,
+	"client-protocol-error": zap.WarnLevel, "client-bad-request": zap.WarnLevel, "client-connection-limit": zap.WarnLevel,
+	"client-message-timeout": zap.WarnLevel, "client-rate-limited": zap.WarnLevel, "client-duplicate-id": zap.WarnLevel, "dns-bad-query": zap.WarnLevel, "dns-encode-failed": zap.ErrorLevel,
+	"dns-signature-rejected": zap.WarnLevel,
 
-	"depot-crowded": zap.WarnLevel, "depot-dial": zap.WarnLevel, "depot-stray": zap.WarnLevel,
-	"depot-silent": zap.WarnLevel, "depot-garbled": zap.WarnLevel, "depot-broken": zap.WarnLevel, "depot-tally": zap.InfoLevel,
+	"upstream-connection-limit": zap.WarnLevel, "upstream-connect-failed": zap.WarnLevel, "upstream-unsolicited-response": zap.WarnLevel,
+	"upstream-unresponsive": zap.WarnLevel, "upstream-protocol-error": zap.WarnLevel, "upstream-connection-reset": zap.WarnLevel, "upstream-stats": zap.InfoLevel,
 
-	"bulletin-lost": zap.ErrorLevel, "bulletin-back": zap.InfoLevel, "bulletin-line": zap.WarnLevel,
-	"bulletin-skipped": zap.ErrorLevel,
+	"endpoint-list-stale": zap.ErrorLevel, "endpoint-list-resumed": zap.InfoLevel, "endpoint-list-bad-event": zap.WarnLevel,
+	"endpoint-list-event-skipped": zap.ErrorLevel,
 
-	"box-added": zap.InfoLevel, "box-left": zap.InfoLevel, "box-drains": zap.InfoLevel, "box-moved": zap.InfoLevel,
-	"box-restarted": zap.InfoLevel, "box-back": zap.InfoLevel, "box-altered": zap.InfoLevel, "box-held": zap.WarnLevel,
-	"box-released": zap.InfoLevel, "box-renamed": zap.InfoLevel, "box-named-twice": zap.WarnLevel,
-	"list-doubted": zap.ErrorLevel, "list-confirmed": zap.WarnLevel, "list-refuted": zap.WarnLevel,
-	"list-full": zap.ErrorLevel, "list-changed": zap.InfoLevel, "list-notes": zap.InfoLevel, "list-restored": zap.WarnLevel,
+	"endpoint-added": zap.InfoLevel, "endpoint-removed": zap.InfoLevel, "endpoint-draining": zap.InfoLevel, "endpoint-moved": zap.InfoLevel,
+	"endpoint-restarted": zap.InfoLevel, "endpoint-recovered": zap.InfoLevel, "endpoint-modified": zap.InfoLevel, "endpoint-suppressed": zap.WarnLevel,
+	"endpoint-released": zap.InfoLevel, "endpoint-renamed": zap.InfoLevel, "endpoint-duplicate-id": zap.WarnLevel,
+	"list-loss-suspected": zap.ErrorLevel, "list-loss-confirmed": zap.WarnLevel, "list-loss-refuted": zap.WarnLevel,
+	"endpoint-limit": zap.ErrorLevel, "endpoint-changes-omitted": zap.InfoLevel, "list-notes-omitted": zap.InfoLevel, "snapshot-restored": zap.WarnLevel,
 
-	"catalogue-lost": zap.ErrorLevel, "catalogue-back": zap.InfoLevel, "catalogue-agent": zap.WarnLevel,
-	"catalogue-answer": zap.WarnLevel, "catalogue-entry": zap.WarnLevel, "catalogue-key": zap.WarnLevel,
-	"catalogue-token": zap.ErrorLevel, "catalogue-registered": zap.InfoLevel, "catalogue-unregistered": zap.InfoLevel,
-	"catalogue-register": zap.WarnLevel,
+	"catalogue-unreachable": zap.ErrorLevel, "catalogue-reachable": zap.InfoLevel, "catalogue-agent-changed": zap.WarnLevel,
+	"catalogue-response-rejected": zap.WarnLevel, "catalogue-instance-rejected": zap.WarnLevel, "catalogue-purge-key-rejected": zap.WarnLevel,
+	"catalogue-token-unreadable": zap.ErrorLevel, "catalogue-registered": zap.InfoLevel, "catalogue-deregistered": zap.InfoLevel,
+	"catalogue-registration-failed": zap.WarnLevel,
 
-	"fleet": zap.InfoLevel, "peer-lives": zap.InfoLevel, "peer-gone": zap.InfoLevel, "peer-refused": zap.WarnLevel, "peers-failed": zap.ErrorLevel,
+	"bootstrap": zap.InfoLevel, "peer-joined": zap.InfoLevel, "peer-left": zap.InfoLevel, "peer-rejected": zap.WarnLevel, "peer-transport-failed": zap.ErrorLevel,
 
-	"audit": zap.WarnLevel, "keys-read": zap.InfoLevel, "keys-refused": zap.ErrorLevel,
-	"tls-handshake": zap.WarnLevel, "tls-renewed": zap.InfoLevel, "tls-failed": zap.ErrorLevel,
+	"audit": zap.WarnLevel, "keys-loaded": zap.InfoLevel, "keys-rejected": zap.ErrorLevel,
+	"tls-handshake-failed": zap.WarnLevel, "tls-reloaded": zap.InfoLevel, "tls-listener-failed": zap.ErrorLevel,
 
-	"snapshot-refused": zap.WarnLevel, "snapshot-failed": zap.ErrorLevel, "snapshot-read": zap.InfoLevel,
+	"snapshot-rejected": zap.WarnLevel, "snapshot-write-failed": zap.ErrorLevel, "snapshot-loaded": zap.InfoLevel,
 }
 
 // Formats and levels that New takes.
@@ -125,7 +125,7 @@
 	dropped := l.dropped
 	l.since, l.lines, l.dropped = now, 0, 0
 	if dropped > 0 {
-		l.Event("log-full", "lines", dropped)
+		l.Event("log-rate-limited", "lines", dropped)
 	}
 }
 
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -18,9 +18,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l.Event("box-left", "box", "c1", "why", "", "error", errors.New("a \"b\"\nevent=forged"), "for", 200*time.Millisecond, "n", 3)
+	l.Event("endpoint-removed", "box", "c1", "why", "", "error", errors.New("a \"b\"\nevent=forged"), "for", 200*time.Millisecond, "n", 3)
 	line := b.String()
-	if want := ` level=info event=box-left box=c1 why="" error="a \"b\"\nevent=forged" for=200ms n=3` + "\n"; !strings.HasSuffix(line, want) {
+	if want := ` level=info event=endpoint-removed box=c1 why="" error="a \"b\"\nevent=forged" for=200ms n=3` + "\n"; !strings.HasSuffix(line, want) {
 		t.Errorf("got %q, want it to end with %q", line, want)
 	}
 	if _, err := time.Parse(timeForm, strings.Fields(line)[0]); err != nil {
@@ -31,13 +31,13 @@
 func TestJSON(t *testing.T) {
 	var b bytes.Buffer
 	l, _ := New(&b, "json", "warn")
-	l.Event("box-left", "box", "c1")
-	l.Event("depot-dial", "box", "c1", "error", errors.New("refused"))
+	l.Event("endpoint-removed", "box", "c1")
+	l.Event("upstream-connect-failed", "box", "c1", "error", errors.New("refused"))
 	var got map[string]any
 	if err := json.Unmarshal(b.Bytes(), &got); err != nil {
 		t.Fatalf("%v in %q", err, b.String())
 	}
-	if got["event"] != "depot-dial" || got["level"] != "warn" || got["error"] != "refused" {
+	if got["event"] != "upstream-connect-failed" || got["level"] != "warn" || got["error"] != "refused" {
 		t.Errorf("got %v", got)
 	}
 }
@@ -48,13 +48,13 @@
 	l, _ := New(&b, "text", "info")
 	l.Tick(time.Second)
 	for range MaxLinesPerSecond + 30 {
-		l.Event("depot-dial")
+		l.Event("upstream-connect-failed")
 	}
 	if n := strings.Count(b.String(), "\n"); n != MaxLinesPerSecond {
 		t.Errorf("%d lines in a second, at most %d wanted", n, MaxLinesPerSecond)
 	}
 	l.Tick(2 * time.Second)
-	if !strings.HasSuffix(b.String(), "event=log-full lines=30\n") {
+	if !strings.HasSuffix(b.String(), "event=log-rate-limited lines=30\n") {
 		t.Errorf("the count of what was left out is missing: %q", b.String()[b.Len()-80:])
 	}
 	for _, c := range [][2]string{{"xml", "info"}, {"text", "loud"}} {
--- a/internal/frontend/dns/dns.go
+++ b/internal/frontend/dns/dns.go
@@ -102,7 +102,7 @@
 	}
 	w := &waiter{query: q, reply: reply, most: leastUDP, stream: s}
 	if err != nil {
-		f.Log("dns-query", "from", from, "error", err)
+		f.Log("dns-bad-query", "from", from, "error", err)
 		bare := &dns.Msg{}
 		bare.Id = binary.BigEndian.Uint16(packet)
 		w.query = bare
@@ -135,7 +135,7 @@
 		return
 	}
 	if w.signed != nil && w.signed.Error != 0 {
-		f.Log("dns-signature", "from", from, "error", dns.RcodeToString[int(w.signed.Error)])
+		f.Log("dns-signature-rejected", "from", from, "error", dns.RcodeToString[int(w.signed.Error)])
 		f.code(w, dns.RcodeNotAuth, "")
 		return
 	}
@@ -286,7 +286,7 @@
 		}
 	}
 	if halves := f.lobby.Tick(now); halves > 0 {
-		f.Log("client-half", "front", "dns", "connections", halves)
+		f.Log("client-message-timeout", "front", "dns", "connections", halves)
 	}
 }
 
@@ -423,7 +423,7 @@
 		out, err = w.signed.Sign(m, f.Unix())
 	}
 	if err != nil {
-		f.Log("dns-pack", "error", err)
+		f.Log("dns-encode-failed", "error", err)
 		m = new(dns.Msg).SetRcode(w.query, dns.RcodeServerFailure)
 		if out, err = m.Pack(); err != nil {
 			return
@@ -450,7 +450,7 @@
 	f.init()
 	s := &stream{front: f, from: "tcp " + remote.String()}
 	if s.guest = f.lobby.Admit(f.Now(), s.leave, s.unsent); s.guest == nil {
-		f.Log("client-limit", "front", "dns", "from", remote)
+		f.Log("client-connection-limit", "front", "dns", "from", remote)
 		return nil
 	}
 	return s
--- a/internal/frontend/rpc/rpc.go
+++ b/internal/frontend/rpc/rpc.go
@@ -110,7 +110,7 @@
 	}
 	c := &client{front: f, caller: caller, open: map[uint32]*broker.Request{}, msgs: map[*broker.Request]uint32{}}
 	if c.guest = f.lobby.Admit(f.now(), c.leave, c.unsent); c.guest == nil {
-		f.log("client-limit", "front", "rpc", "from", remote)
+		f.log("client-connection-limit", "front", "rpc", "from", remote)
 		return nil
 	}
 	return c
@@ -119,11 +119,11 @@
 // Tick closes connections that are idle or owe the rest of a message.
 func (f *Server) Tick(now time.Duration) {
 	if halves := f.lobby.Tick(now); halves > 0 {
-		f.log("client-half", "front", "rpc", "connections", halves)
+		f.log("client-message-timeout", "front", "rpc", "connections", halves)
 	}
 	for e := f.paced.Front(); e != nil && now-e.Value.(*client).since > pacedWait; e = f.paced.Front() {
 		c := e.Value.(*client)
-		f.log("client-paced", "from", c.caller.Remote, "waited", now-c.since)
+		f.log("client-rate-limited", "from", c.caller.Remote, "waited", now-c.since)
 		c.leave()
 	}
 	for left, n := pacedAll, f.paced.Len(); n > 0 && left > 0; n-- { // each at most once, the rest next time
@@ -219,13 +219,13 @@
 			break
 		}
 		if err != nil {
-			c.front.log("client-frame", "error", err, "open", len(c.open))
+			c.front.log("client-protocol-error", "error", err, "open", len(c.open))
 			c.abandon()
 		}
 		used += done
 	}
 	if held && len(conn.In)-used > pacedMost {
-		c.front.log("client-paced", "from", c.caller.Remote, "bytes", len(conn.In)-used)
+		c.front.log("client-rate-limited", "from", c.caller.Remote, "bytes", len(conn.In)-used)
 		c.leave()
 	}
 	if c.left {
@@ -298,10 +298,10 @@
 	req, err := c.parse(method, &p)
 	switch {
 	case err != nil:
-		c.front.log("client-request", "message", msg, "error", err)
+		c.front.log("client-bad-request", "message", msg, "error", err)
 		c.fail(msg, wordMalformed, nil)
 	case c.open[msg] != nil:
-		c.front.log("client-id", "message", msg)
+		c.front.log("client-duplicate-id", "message", msg)
 		return end, fmt.Errorf("message id %d used twice", msg)
 	case len(c.open) >= mostOpen || c.front.full():
 		c.refuse(msg, broker.Response{RetryAfter: min(crowdedWait, c.front.MaxRetryAfter)})
--- a/internal/identity/tlslistener/tlslistener.go
+++ b/internal/identity/tlslistener/tlslistener.go
@@ -191,7 +191,7 @@
 	}
 	d.told[host] = now
 	d.mu.Unlock()
-	d.log("tls-handshake", "from", host, "error", fmt.Sprintf("%.200s", err.Error()))
+	d.log("tls-handshake-failed", "from", host, "error", fmt.Sprintf("%.200s", err.Error()))
 }
 
 // serve shakes hands and then moves bytes both ways until either side ends.
--- a/internal/membership/consul/follow.go
+++ b/internal/membership/consul/follow.go
@@ -83,9 +83,9 @@
 		}
 		go dialer.Watch(ctx.Done(), func(err error) {
 			if err != nil {
-				c.Log("keys-refused", "error", err)
+				c.Log("keys-rejected", "error", err)
 			} else {
-				c.Log("tls-renewed", "cert", t.CA)
+				c.Log("tls-reloaded", "cert", t.CA)
 			}
 		})
 	}
@@ -153,15 +153,15 @@
 	if down := f.watch.Down(); down != f.down {
 		f.down = down
 		if down {
-			f.c.Log("catalogue-lost", "of", f.name, "agents", len(f.clients))
+			f.c.Log("catalogue-unreachable", "service", f.name, "agents", len(f.clients))
 		} else {
-			f.c.Log("catalogue-back", "of", f.name, "agent", f.c.Config.Agents[f.watch.Agent()], "index", f.watch.Index())
+			f.c.Log("catalogue-reachable", "service", f.name, "agent", f.c.Config.Agents[f.watch.Agent()], "index", f.watch.Index())
 		}
 		f.silent(down)
 	}
 	if agent := f.watch.Agent(); agent != f.agent {
 		f.agent = agent
-		f.c.Log("catalogue-agent", "of", f.name, "agent", f.c.Config.Agents[agent])
+		f.c.Log("catalogue-agent-changed", "service", f.name, "agent", f.c.Config.Agents[agent])
 	}
 }
 
@@ -172,7 +172,7 @@
 	token, err := f.c.Config.token()
 	if err != nil != f.badTok {
 		if f.badTok = err != nil; f.badTok {
-			f.c.Log("catalogue-token", "error", err)
+			f.c.Log("catalogue-token-unreadable", "error", err)
 		}
 	}
 	done := func(came func()) {
@@ -223,7 +223,7 @@
 func (f *follower) failed(a blockingquery.Ask, err error) {
 	fault := faultOf(err)
 	if !f.down {
-		f.c.Log("catalogue-answer", "of", f.name, "agent", f.c.Config.Agents[a.Agent], "why", fault, "error", short(err))
+		f.c.Log("catalogue-response-rejected", "service", f.name, "agent", f.c.Config.Agents[a.Agent], "reason", fault, "error", short(err))
 	}
 	f.watch.Failed(f.c.Now(), a.Serial, fault)
 }
@@ -234,7 +234,7 @@
 func (f *follower) answered(a blockingquery.Ask, answer any, m blockingquery.Meta, v blockingquery.Verdict) {
 	if v.Why != f.why {
 		if f.why = v.Why; v.Why != blockingquery.Sound {
-			f.c.Log("catalogue-answer", "of", f.name, "agent", f.c.Config.Agents[a.Agent], "why", v.Why, "index", m.Index)
+			f.c.Log("catalogue-response-rejected", "service", f.name, "agent", f.c.Config.Agents[a.Agent], "reason", v.Why, "index", m.Index)
 		}
 	}
 	f.use(answer, v, m.Index)
@@ -265,7 +265,7 @@
 			if err != nil {
 				name, why := idOf(e), short(err)
 				if now[name] = why; left[name] != why {
-					f.c.Log("catalogue-entry", "of", f.name, "instance", name, "error", why)
+					f.c.Log("catalogue-instance-rejected", "service", f.name, "instance", name, "error", why)
 				}
 				continue
 			}
@@ -335,7 +335,7 @@
 			}
 			object, group, isObject, issued, err := invalidation.ParseKey(strings.TrimPrefix(p.Key, prefix), string(p.Value))
 			if err != nil {
-				f.c.Log("catalogue-key", "error", short(err))
+				f.c.Log("catalogue-purge-key-rejected", "error", short(err))
 				continue
 			}
 			if isObject && object == 0 {
--- a/internal/membership/consul/register.go
+++ b/internal/membership/consul/register.go
@@ -71,14 +71,14 @@
 		r.Result(c.Now(), resultOf(err))
 		switch {
 		case err != nil && !failing:
-			c.Log("catalogue-register", "id", set.ID, "error", short(err))
+			c.Log("catalogue-registration-failed", "id", set.ID, "error", short(err))
 		case err == nil && action == registrar.Register && !was:
 			c.Log("catalogue-registered", "id", set.ID, "service", set.Service)
 		}
 		failing = err != nil
 	}
 	if !r.Registered() {
-		c.Log("catalogue-unregistered", "id", set.ID)
+		c.Log("catalogue-deregistered", "id", set.ID)
 	}
 	return nil
 }
--- a/internal/membership/listwatch/listwatch.go
+++ b/internal/membership/listwatch/listwatch.go
@@ -209,7 +209,7 @@
 // lost drops the connection and sets the time of the next dial.
 func (r *Watcher) lost(err error) {
 	if !r.down {
-		r.Log("bulletin-lost", "error", err, "after", r.LastEvent)
+		r.Log("endpoint-list-stale", "error", err, "after", r.LastEvent)
 		r.Emit(broker.SourceStatus{Source: r.Decoder.Source, Silent: true})
 	}
 	r.down = true
@@ -279,14 +279,14 @@
 	switch {
 	case err != nil && r.badAt == r.LastEvent+1:
 		// It came again after resuming, so it is what the bulletin has; go on without it.
-		r.Log("bulletin-skipped", "error", err)
+		r.Log("endpoint-list-event-skipped", "error", err)
 		r.skip = true
 		if no == r.LastEvent+1 {
 			r.LastEvent = no
 		}
 	case err != nil:
 		r.badAt = r.LastEvent + 1
-		r.Log("bulletin-line", "error", err, "after", r.LastEvent)
+		r.Log("endpoint-list-bad-event", "error", err, "after", r.LastEvent)
 		r.lost(err)
 	case no <= r.LastEvent:
 	case no > r.LastEvent+1 && r.LastEvent > 0 && !r.skip:
@@ -307,7 +307,7 @@
 	}
 	r.Emit(broker.SourceStatus{Source: r.Decoder.Source})
 	if r.retry = 0; r.down {
-		r.Log("bulletin-back", "at", r.LastEvent)
+		r.Log("endpoint-list-resumed", "at", r.LastEvent)
 		r.down = false
 	}
 }
--- a/internal/membership/tell.go
+++ b/internal/membership/tell.go
@@ -23,7 +23,7 @@
 
 // String gives the word that the log uses.
 func (k Kind) String() string {
-	return [...]string{"left", "added", "drains", "moved", "restarted", "back", "altered"}[k]
+	return [...]string{"removed", "added", "draining", "moved", "restarted", "recovered", "modified"}[k]
 }
 
 // Reason says what in the rule decided a box's state.
@@ -91,8 +91,8 @@
 
 // String gives the event's word in the log.
 func (k NoteKind) String() string {
-	return [noteKinds]string{"list-doubted", "list-confirmed", "list-refuted", "box-renamed", "box-named-twice",
-		"list-full", "box-held", "box-released"}[k]
+	return [noteKinds]string{"list-loss-suspected", "list-loss-confirmed", "list-loss-refuted", "endpoint-renamed", "endpoint-duplicate-id",
+		"endpoint-limit", "endpoint-suppressed", "endpoint-released"}[k]
 }
 
 // Note is something for the log that is no change.
--- a/internal/peer/transport/transport.go
+++ b/internal/peer/transport/transport.go
@@ -368,7 +368,7 @@
 		err = os.Rename(next, l.cfg.MembersFile)
 	}
 	if err != nil {
-		l.told.Log("peers-failed", "error", err)
+		l.told.Log("peer-transport-failed", "error", err)
 	}
 }
 
@@ -403,7 +403,7 @@
 		e.Sig = l.sign(&e)
 		packet, err := Encode(e)
 		if err != nil || len(packet) > messageMost {
-			l.told.Log("peers-failed", "error", fmt.Sprintf("a message of %d bytes: %v", len(packet), err))
+			l.told.Log("peer-transport-failed", "error", fmt.Sprintf("a message of %d bytes: %v", len(packet), err))
 			continue
 		}
 		l.mu.Lock()
@@ -575,7 +575,7 @@
 	}
 	d.mu.Unlock()
 	if parted {
-		d.told.Log("peer-gone", "peer", n.Name, "epoch", m.Epoch)
+		d.told.Log("peer-left", "peer", n.Name, "incarnation", m.Epoch)
 		d.notice()
 	}
 }
@@ -594,9 +594,9 @@
 	d.mu.Unlock()
 	switch verdict {
 	case peer.Joined, peer.Restarted:
-		d.told.Log("peer-lives", "peer", n.Name, "zone", m.Zone, "epoch", m.Epoch, "was", verdict)
+		d.told.Log("peer-joined", "peer", n.Name, "zone", m.Zone, "incarnation", m.Epoch, "was", verdict)
 	case peer.Conflict, peer.NoCapacity:
-		d.told.Log("peer-refused", "peer", n.Name, "zone", m.Zone, "epoch", m.Epoch, "why", verdict)
+		d.told.Log("peer-rejected", "peer", n.Name, "zone", m.Zone, "incarnation", m.Epoch, "reason", verdict)
 	}
 	d.notice()
 }
--- a/internal/proxy/control.go
+++ b/internal/proxy/control.go
@@ -17,7 +17,7 @@
 func (d *server) control(path string) {
 	err := admin.Listen(path, func(words []string, to chan<- string) { d.loop.Post(func() { to <- d.ask(words) }) })
 	if err != nil {
-		d.log.Event("control-failed", "path", path, "error", err)
+		d.log.Event("admin-socket-failed", "path", path, "error", err)
 	}
 }
 
--- a/internal/proxy/door.go
+++ b/internal/proxy/door.go
@@ -218,7 +218,7 @@
 		log := func(event string, fields ...any) { d.loop.Post(func() { d.log.Event(event, fields...) }) }
 		var err error
 		if g.tls, err = tlslistener.Open(*cfg.tls, cfg.who, g.adopt, log); err != nil {
-			log("tls-failed", "error", err)
+			log("tls-listener-failed", "error", err)
 		}
 	}
 	g.watch()
@@ -300,7 +300,7 @@
 		return
 	}
 	g.doorman.log.Event("audit", "reason", o.Reason, "subject", who, "tenant", o.Tenant, "key", o.KeyID, "class", o.Call.Access.Class,
-		"front", o.Call.Caller.Front, "rule", o.Rule, "request", r.ID, "unlisted", missed)
+		"front", o.Call.Caller.Front, "rule", o.Rule, "request", r.ID, "omitted", missed)
 }
 
 // stepped takes the directory's content over anew after the Unix clock was set: revocations that a clock set forward had
@@ -330,7 +330,7 @@
 	if err != nil {
 		if g.bad != err.Error() {
 			g.bad = err.Error()
-			g.doorman.log.Event("keys-refused", "error", err)
+			g.doorman.log.Event("keys-rejected", "error", err)
 		}
 		return
 	}
@@ -341,7 +341,7 @@
 	if k := keys.Signer(unixClock()); k != nil {
 		signer = k.ID
 	}
-	g.doorman.log.Event("keys-read", "keys", len(c.Keys), "signing", signer, "shared", len(c.TSIG), "revocations", revoked.Len())
+	g.doorman.log.Event("keys-loaded", "keys", len(c.Keys), "signing", signer, "shared", len(c.TSIG), "revocations", revoked.Len())
 }
 
 // watch takes over what changes: the directory of keys, and the files of the TLS door. It runs until the program ends.
@@ -369,9 +369,9 @@
 func (d *server) renewed(cert string, err error) {
 	d.loop.Post(func() {
 		if err != nil {
-			d.log.Event("keys-refused", "error", err)
+			d.log.Event("keys-rejected", "error", err)
 		} else {
-			d.log.Event("tls-renewed", "cert", cert)
+			d.log.Event("tls-reloaded", "cert", cert)
 		}
 	})
 }
--- a/internal/proxy/herd.go
+++ b/internal/proxy/herd.go
@@ -43,7 +43,7 @@
 		var err error
 		if h.link, err = transport.Open(*own, transport.Identity{Name: cfg.Name, Zone: cfg.Zone, Program: program(), Incarnation: cfg.Incarnation, Fleet: cfg.Fleet, Bind: p.own.from()}, h); err != nil {
 			// What others know is a help and no need: without it the doorman asks by itself.
-			d.log.Event("peers-failed", "error", err)
+			d.log.Event("peer-transport-failed", "error", err)
 			cfg.Peers = false
 		}
 	}
@@ -79,7 +79,7 @@
 func (h *fleet) MessageReceived(from string, body []byte) {
 	var m bootstrap.Message
 	if err := transport.Decode(body, &m); err != nil {
-		h.Log("peer-refused", "peer", from, "why", err)
+		h.Log("peer-rejected", "peer", from, "reason", err)
 		return
 	}
 	m.From = from
@@ -173,14 +173,14 @@
 		case bootstrap.SourceStatus:
 			d.emit(broker.SourceStatus{Source: d.plan.first + e.List, Silent: e.Silent})
 		case bootstrap.LogEntry:
-			fields := []any{"what", e.Event}
+			fields := []any{"change", e.Event}
 			if e.List >= 0 {
-				fields = append(fields, "of", d.plan.own.Catalogue.Services[e.List].Name)
+				fields = append(fields, "service", d.plan.own.Catalogue.Services[e.List].Name)
 			}
 			if e.Peer != "" {
 				fields = append(fields, "peer", e.Peer)
 			}
-			d.log.Event("fleet", fields...)
+			d.log.Event("bootstrap", fields...)
 		}
 	}
 	if len(effects) > 0 {
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -301,5 +301,5 @@
 
 func (d *server) tellMove(team string) {
 	share, phase := d.routes.MigrationStatus(team)
-	d.log.Event("team-moved", "team", team, "share", share, "phase", phase)
+	d.log.Event("team-migration", "team", team, "share", share, "phase", phase)
 }
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -129,7 +129,7 @@
 	d.list = &sources{doorman: d}
 	d.list.start()
 	go d.heed()
-	d.log.Event("started", "name", s.Name, "listen", s.Listen, "boxes", d.plan.boxes)
+	d.log.Event("started", "name", s.Name, "listen", s.Listen, "endpoints", d.plan.boxes)
 	l.RequestRound()
 }
 
@@ -197,7 +197,7 @@
 	if c := next.own.Contracts; d.contracts != nil && c != nil {
 		d.contracts.Renew(monotonicNow(), c.Root.Share(c.Instances))
 		d.limitRepeats(c)
-		d.log.Event("contracts-renewed", "version", d.contracts.Version, "teams", len(c.Root.Children), "open", d.contracts.InFlight())
+		d.log.Event("contracts-reloaded", "version", d.contracts.Version, "teams", len(c.Root.Children), "open", d.contracts.InFlight())
 	}
 	d.log.Event("reloaded", "bulletin", next.settings.ListAddress, "after", d.bulletin.LastEvent)
 	d.loop.RequestRound()
@@ -209,7 +209,7 @@
 		return
 	}
 	d.list.leave() // first thing: clients are to look elsewhere
-	d.log.Event("leaving", "open", d.open())
+	d.log.Event("draining", "open", d.open())
 	d.loop.RequestRound()
 }
 
@@ -232,7 +232,7 @@
 		d.loop.RequestRound()
 	case shutdown.Exit:
 		d.stopped = true
-		d.log.Event("left", "open", held.Open, "clients", held.Clients, "unsent", held.Unsent)
+		d.log.Event("stopped", "open", held.Open, "clients", held.Clients, "unsent", held.Unsent)
 		d.loop.Stop()
 	}
 }
@@ -275,7 +275,7 @@
 		d.tallied = now
 		for i, p := range d.pools {
 			if t := p.depots.TakeStats(); t != (upstream.Stats{}) {
-				d.log.Event("depot-tally", append([]any{"pool", i}, t.Fields()...)...)
+				d.log.Event("upstream-stats", append([]any{"pool", i}, t.Fields()...)...)
 			}
 		}
 	}
--- a/internal/proxy/sources.go
+++ b/internal/proxy/sources.go
@@ -73,7 +73,7 @@
 		go func() {
 			defer s.kept.Store(false)
 			if err := keeper.KeepRegistered(s.leaving, p.settings.Name, p.settings.Listen); err != nil {
-				s.log("catalogue-register", "error", err)
+				s.log("catalogue-registration-failed", "error", err)
 			}
 			d.loop.Post(d.loop.RequestRound)
 		}()
@@ -102,7 +102,7 @@
 			})
 		}}
 	if err := c.Start(ctx); err != nil {
-		s.log("catalogue-lost", "error", err)
+		s.log("catalogue-unreachable", "error", err)
 	}
 	return c
 }
@@ -166,9 +166,9 @@
 	switch {
 	case errors.Is(err, fs.ErrNotExist):
 	case err != nil:
-		d.log.Event("snapshot-refused", "file", cfg.File, "error", err)
+		d.log.Event("snapshot-rejected", "file", cfg.File, "error", err)
 	default:
-		d.log.Event("snapshot-read", "file", cfg.File, "age", age.Round(time.Millisecond))
+		d.log.Event("snapshot-loaded", "file", cfg.File, "age", age.Round(time.Millisecond))
 		s.restored = true
 		d.emit(broker.SnapshotRestored{Reports: words})
 	}
@@ -201,7 +201,7 @@
 		}
 		d.loop.Post(func() {
 			if s.saving = false; err != nil {
-				d.log.Event("snapshot-failed", "error", err)
+				d.log.Event("snapshot-write-failed", "error", err)
 			}
 		})
 	}()
--- a/internal/upstream/tally.go
+++ b/internal/upstream/tally.go
@@ -54,13 +54,13 @@
 		}
 	}
 	add("written", t.Written)
-	add("checks", t.LivenessChecks)
-	add("confirms", t.CancelConfirms)
-	add("probes", t.HealthChecks)
-	add("silenced", t.Unresponsive)
+	add("liveness-checks", t.LivenessChecks)
+	add("cancel-confirms", t.CancelConfirms)
+	add("health-checks", t.HealthChecks)
+	add("unresponsive", t.Unresponsive)
 	add("dials", t.Dials)
-	add("dial-failed", t.DialFailed)
-	add("broken", t.Resets)
+	add("connect-failed", t.DialFailed)
+	add("resets", t.Resets)
 	for i, n := range t.Words {
 		add(wordNames[i], n)
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -144,7 +144,7 @@
 	l := p.pick(p.depot(a.Endpoint), a.Request.ID)
 	switch {
 	case l == nil:
-		p.Log("depot-crowded", "box", a.Endpoint.Name)
+		p.Log("upstream-connection-limit", "endpoint", a.Endpoint.Name)
 		p.Emit(broker.AttemptEnded{Attempt: a, End: broker.NoConnectionCapacity})
 	case l.conn == nil:
 		l.waiting = append(l.waiting, a)
@@ -279,7 +279,7 @@
 		end = broker.NotSent
 	}
 	if len(l.waiting) > 0 {
-		l.pool.Log("depot-dial", "box", l.depot.box.Name, "address", l.address, "error", err)
+		l.pool.Log("upstream-connect-failed", "endpoint", l.depot.box.Name, "address", l.address, "error", err)
 	}
 	l.unsent(end)
 }
@@ -418,7 +418,7 @@
 	o := l.open[a.id]
 	if o == nil {
 		if _, known := l.past[a.id]; !known {
-			l.pool.Log("depot-stray", "box", l.depot.box.Name, "id", fmt.Sprintf("%.32s", a.id))
+			l.pool.Log("upstream-unsolicited-response", "endpoint", l.depot.box.Name, "id", fmt.Sprintf("%.32s", a.id))
 		}
 		return nil // a late answer, or one too many; another may follow, so the id stays known
 	}
@@ -494,7 +494,7 @@
 
 // silenced ends a connection on which nothing comes any more. A QUIT would not arrive; the close gives all up.
 func (l *link) silenced() {
-	l.pool.Log("depot-silent", "box", l.depot.box.Name, "open", len(l.open))
+	l.pool.Log("upstream-unresponsive", "endpoint", l.depot.box.Name, "open", len(l.open))
 	l.pool.Stats.Unresponsive++
 	l.endAll(func(*pending) broker.End { return broker.Unresponsive })
 	l.conn.Abort()
@@ -503,7 +503,7 @@
 
 // garbled ends the connection whose answers can't be read.
 func (l *link) garbled(err error) {
-	l.pool.Log("depot-garbled", "box", l.depot.box.Name, "error", err)
+	l.pool.Log("upstream-protocol-error", "endpoint", l.depot.box.Name, "error", err)
 	l.endAll(func(*pending) broker.End { return broker.ProtocolError })
 	l.retire()
 }
@@ -525,7 +525,7 @@
 func (l *link) Closed(c *eventloop.Conn, err error) {
 	taken := c.Written()
 	if len(l.open) > 0 {
-		l.pool.Log("depot-broken", "box", l.depot.box.Name, "open", len(l.open), "error", fmt.Sprint(err))
+		l.pool.Log("upstream-connection-reset", "endpoint", l.depot.box.Name, "open", len(l.open), "error", fmt.Sprint(err))
 		l.pool.Stats.Resets++
 	}
 	l.endAll(func(o *pending) broker.End {
--- a/test/boxtls_test.go
+++ b/test/boxtls_test.go
@@ -139,7 +139,9 @@
 	if byBox["c1"] == 0 || byBox["c2"] > 0 {
 		t.Errorf("sent by box: %v, want c1 and not c2, whose certificate is another's", byBox)
 	}
-	w.until("the impostor is logged", func() bool { return matches(`event=depot-dial box=c2 .*not c2\.boxes\.test`, w.log.String()) })
+	w.until("the impostor is logged", func() bool {
+		return matches(`event=upstream-connect-failed endpoint=c2 .*not c2\.boxes\.test`, w.log.String())
+	})
 	// A new certificate, under load.
 	stop, done := make(chan struct{}), make(chan struct{})
 	go func() {
@@ -164,9 +166,9 @@
 		t.Fatal(err)
 	}
 	replaceFile(t, next, cert) // the key is still the old one's: not taken over
-	w.until("what does not fit is refused", func() bool { return strings.Contains(w.log.String(), "event=keys-refused") })
+	w.until("what does not fit is refused", func() bool { return strings.Contains(w.log.String(), "event=keys-rejected") })
 	replaceFile(t, nextKey, key)
-	w.until("it is taken over", func() bool { return strings.Contains(w.log.String(), "event=tls-renewed") })
+	w.until("it is taken over", func() bool { return strings.Contains(w.log.String(), "event=tls-reloaded") })
 	mu.Lock()
 	if shown["doorman-1.test"] == 0 || shown["doorman-2.test"] > 0 {
 		t.Errorf("shown by then: %v", shown)
--- a/test/catalogue_test.go
+++ b/test/catalogue_test.go
@@ -215,7 +215,7 @@
 	c, _ := w.catalogue(1, "", "c3", "p2")
 	w.own("list {\nflap-cut 0\n}")
 	w.run()
-	w.until("all boxes are known", func() bool { return strings.Count(w.log.String(), "event=box-added") == 6 })
+	w.until("all boxes are known", func() bool { return strings.Count(w.log.String(), "event=endpoint-added") == 6 })
 	f := w.flow()
 	for _, id := range []string{"c1", "p1"} {
 		name, _, _ := service(id)
@@ -260,18 +260,18 @@
 	c.Put(w.instance("c1", address))
 	w.config["settings"].(map[string]any)["limits"].(map[string]any)["dial-timeout-ms"] = 60000
 	w.run()
-	w.until("all boxes are known", func() bool { return strings.Count(w.log.String(), "event=box-added") == 4 })
+	w.until("all boxes are known", func() bool { return strings.Count(w.log.String(), "event=endpoint-added") == 4 })
 	client := w.dial()
 	for id := range uint64(20) {
 		client.send(request(id, "footage", map[string]string{"limit": "60000", "item": fmt.Sprintf("%016x", id+1), "ram": "1"}, ""))
 	}
 	w.until("attempts wait for c1", func() bool { return len(w.lines(word("ASK"))) > 0 }) // c2 has no copies, and c1 is next
 	c.Mark("cache", "c1", consul.Critical)
-	w.until("c1 is gone", func() bool { return strings.Contains(w.log.String(), "event=box-left box=c1") })
+	w.until("c1 is gone", func() bool { return strings.Contains(w.log.String(), "event=endpoint-removed endpoint=c1") })
 	w.until("a fill is under way", func() bool { return len(held) > 0 })
 	fill := <-held
 	c.Mark("trunk", "p1", consul.Critical)
-	w.until("p1 is gone", func() bool { return strings.Contains(w.log.String(), "event=box-left box=p1") })
+	w.until("p1 is gone", func() bool { return strings.Contains(w.log.String(), "event=endpoint-removed endpoint=p1") })
 	marked := time.Now()
 	go func() { // the fills that are under way end well
 		for a := fill; ; a = <-held {
@@ -306,14 +306,14 @@
 			w := newWorld(t, filling, "c1", "c2", "p1", "o1")
 			cluster, agents := w.catalogue(1, "", "c3")
 			w.run()
-			w.until("all boxes are known", func() bool { return strings.Count(w.log.String(), "event=box-added") == 5 })
+			w.until("all boxes are known", func() bool { return strings.Count(w.log.String(), "event=endpoint-added") == 5 })
 			f := w.flow()
 			w.used("c1")
 			agents[0].SetFault(c.fault, 0)
 			cluster.Mark("archive", "o1", consul.Passing) // so that what blocks is answered, and fails
 			cluster.Mark("trunk", "p1", consul.Passing)
 			cluster.Mark("cache", "c2", consul.Passing)
-			w.until("the outage is found", func() bool { return strings.Count(w.log.String(), "event=catalogue-lost") == 3 })
+			w.until("the outage is found", func() bool { return strings.Count(w.log.String(), "event=catalogue-unreachable") == 3 })
 			before, from := agents[0].Requests(), time.Now()
 			time.Sleep(*outageFor) // the case's own length
 			cluster.Mark("cache", "c1", "maintenance")
@@ -326,7 +326,7 @@
 			if most := int(took/time.Second) + 2; c.fault != consul.Refuse && asked > most {
 				t.Errorf("%d questions in %v, want at most %d", asked, took, most)
 			}
-			if log := w.log.String(); strings.Contains(log, "event=box-left") || strings.Count(log, "event=catalogue-back") != 3 {
+			if log := w.log.String(); strings.Contains(log, "event=endpoint-removed") || strings.Count(log, "event=catalogue-reachable") != 3 {
 				t.Error("a box left, or the agent's return is not in the log")
 			}
 		})
@@ -342,20 +342,20 @@
 		by    time.Duration
 		log   string // what must be there
 	}{
-		{"an empty answer", consul.Empty200, 0, "event=list-doubted"},
-		{"filtered by rights", consul.FilteredBy, 0, "why=filtered"},
-		{"an index that goes back", consul.IndexBack, 0, "why=index-went-back"},
-		{"a stale answer", consul.StaleBy, time.Minute, "why=index-went-back"},
-		{"JSON that ends too soon", consul.Truncated, 0, "event=catalogue-answer"},
-		{"a byte at a time", consul.Slow, 0, "event=catalogue-lost"},
-		{"no leader", consul.NoLeader, 0, "why=no-leader"},
+		{"an empty answer", consul.Empty200, 0, "event=list-loss-suspected"},
+		{"filtered by rights", consul.FilteredBy, 0, "reason=filtered"},
+		{"an index that goes back", consul.IndexBack, 0, "reason=index-went-back"},
+		{"a stale answer", consul.StaleBy, time.Minute, "reason=index-went-back"},
+		{"JSON that ends too soon", consul.Truncated, 0, "event=catalogue-response-rejected"},
+		{"a byte at a time", consul.Slow, 0, "event=catalogue-unreachable"},
+		{"no leader", consul.NoLeader, 0, "reason=no-leader"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			w := newWorld(t, filling, "c1", "c2", "p1", "o1")
 			cluster, agents := w.catalogue(1, "limit 500ms", "c3", "c4", "c5")
 			w.run()
-			w.until("all boxes are known", func() bool { return strings.Count(w.log.String(), "event=box-added") == 7 })
+			w.until("all boxes are known", func() bool { return strings.Count(w.log.String(), "event=endpoint-added") == 7 })
 			f := w.flow()
 			agents[0].SetFault(c.fault, c.by)
 			w.until("the odd answer is noted", func() bool {
@@ -368,17 +368,17 @@
 				time.Sleep(20 * time.Millisecond)
 			}
 			agents[0].SetFault(consul.None, 0)
-			if log := w.log.String(); strings.Contains(log, "event=box-left") || strings.Contains(log, "event=box-drains") {
+			if log := w.log.String(); strings.Contains(log, "event=endpoint-removed") || strings.Contains(log, "event=endpoint-draining") {
 				t.Error("a box was lost by it")
 			}
 			w.until("the true list is believed again", func() bool {
 				cluster.Mark("cache", "c2", "maintenance")
-				return strings.Contains(w.log.String(), "event=box-drains box=c2")
+				return strings.Contains(w.log.String(), "event=endpoint-draining endpoint=c2")
 			})
 			cluster.Remove("cache", "c1", "c2", "c3", "c4")
 			w.unused("c3", cluster.Written("c3"), time.Second)
 			w.unused("c1", cluster.Written("c1"), time.Second)
-			if !strings.Contains(w.log.String(), "event=list-confirmed") {
+			if !strings.Contains(w.log.String(), "event=list-loss-confirmed") {
 				t.Error("the real loss was not doubted and confirmed")
 			}
 			f.wantServed(t)
@@ -421,15 +421,15 @@
 	tell(2, "draining") // the catalogue has it up
 	w.unused("c1", time.Now(), time.Second)
 	agents[0].SetFault(consul.Refuse, 0)
-	w.until("the catalogue is silent", func() bool { return strings.Count(w.log.String(), "event=catalogue-lost") == 3 })
+	w.until("the catalogue is silent", func() bool { return strings.Count(w.log.String(), "event=catalogue-unreachable") == 3 })
 	tell(3, "up") // and the catalogue's last word is up
 	w.used("c1")
 	agents[0].SetFault(consul.None, 0)
-	w.until("the catalogue is back", func() bool { return strings.Count(w.log.String(), "event=catalogue-back") == 3 })
+	w.until("the catalogue is back", func() bool { return strings.Count(w.log.String(), "event=catalogue-reachable") == 3 })
 	c.Mark("cache", "c1", consul.Critical)
 	w.unused("c1", c.Written("c1"), time.Second)
 	agents[0].SetFault(consul.Refuse, 0)
-	w.until("the catalogue is silent again", func() bool { return strings.Count(w.log.String(), "event=catalogue-lost") == 6 })
+	w.until("the catalogue is silent again", func() bool { return strings.Count(w.log.String(), "event=catalogue-unreachable") == 6 })
 	tell(4, "draining")
 	tell(5, "up") // said after the catalogue fell silent: it overrules its last word
 	w.used("c1")
@@ -479,7 +479,7 @@
 	agents[0].SetFault(consul.Refuse, 0)
 	c.Mark("cache", "c1", consul.Critical)
 	w.unused("c1", c.Written("c1"), time.Second)
-	if !strings.Contains(w.log.String(), "event=catalogue-agent") || strings.Contains(w.log.String(), "event=catalogue-lost") {
+	if !strings.Contains(w.log.String(), "event=catalogue-agent-changed") || strings.Contains(w.log.String(), "event=catalogue-unreachable") {
 		t.Error("the change of agents is not in the log, or the catalogue counts as lost")
 	}
 	f.wantServed(t)
@@ -513,8 +513,8 @@
 		log    string
 		served bool
 	}{
-		{"sound", sound, "event=snapshot-read", true},
-		{"torn", sound[:len(sound)/2], "event=snapshot-refused", false},
+		{"sound", sound, "event=snapshot-loaded", true},
+		{"torn", sound[:len(sound)/2], "event=snapshot-rejected", false},
 		{"newer", []byte(strings.Replace(string(sound), "list 1 ", "list 2 ", 1)), "another version", false},
 	} {
 		w.kill()
@@ -586,7 +586,7 @@
 	if asks := w.lines(word("ASK")); asks[len(asks)-1].Fields["fresh"] != "" {
 		t.Error("another object is asked for as if it were purged")
 	}
-	w.until("the odd key is logged", func() bool { return strings.Contains(w.log.String(), "event=catalogue-key") })
+	w.until("the odd key is logged", func() bool { return strings.Contains(w.log.String(), "event=catalogue-purge-key-rejected") })
 	c.SetKV("our/purges/group/3", fmt.Append(nil, time.Now().UnixMilli()))
 	w.until("a purge of the group holds for others of it", func() bool {
 		id++
@@ -595,7 +595,7 @@
 		asks := w.lines(word("ASK"))
 		return asks[len(asks)-1].Fields["fresh"] != ""
 	})
-	if n := strings.Count(w.log.String(), "event=catalogue-key"); n != 1 {
+	if n := strings.Count(w.log.String(), "event=catalogue-purge-key-rejected"); n != 1 {
 		t.Errorf("the odd key is logged %d times", n)
 	}
 }
@@ -618,11 +618,11 @@
 	bad.Meta["site"] = "nowhere"
 	c.Put(bad)
 	w.run()
-	w.until("the lack of rights is logged", func() bool { return strings.Contains(w.log.String(), "why=filtered") })
+	w.until("the lack of rights is logged", func() bool { return strings.Contains(w.log.String(), "reason=filtered") })
 	if err := os.WriteFile(token, []byte("right\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	w.until("the boxes are known", func() bool { return strings.Count(w.log.String(), "event=box-added") == 4 })
+	w.until("the boxes are known", func() bool { return strings.Count(w.log.String(), "event=endpoint-added") == 4 })
 	for range 10 {
 		c.Mark("cache", "c2", consul.Warning)
 		c.Mark("cache", "c2", consul.Passing)
@@ -657,7 +657,7 @@
 	c.Mark("cache", "c1", consul.Critical)
 	w.unused("c1", c.Written("c1"), time.Second)
 	log := w.log.String()
-	if n := strings.Count(log, "box=c1"); n > 30 {
+	if n := strings.Count(log, "endpoint=c1"); n > 30 {
 		t.Errorf("%d lines of a box that flapped", n)
 	}
 	f.wantServed(t)
@@ -758,13 +758,13 @@
 	_, agents := w.catalogue(1, "")
 	agents[0].SetFault(consul.Refuse, 0)
 	go func() {
-		for !strings.Contains(w.log.String(), "event=catalogue-lost") {
+		for !strings.Contains(w.log.String(), "event=catalogue-unreachable") {
 			time.Sleep(time.Millisecond)
 		}
 		agents[0].SetFault(consul.None, 0)
 	}()
 	w.run()
-	if n := strings.Count(w.log.String(), "event=box-added"); n != 4 {
+	if n := strings.Count(w.log.String(), "event=endpoint-added"); n != 4 {
 		t.Errorf("%d boxes were known when it was ready, want 4", n)
 	}
 }
--- a/test/clock_test.go
+++ b/test/clock_test.go
@@ -104,7 +104,7 @@
 		asks := w.lines(word("ASK"))
 		return asks[len(asks)-1].Fields["fresh"] != ""
 	})
-	if log := w.log.String(); strings.Contains(log, "snapshot-failed") || strings.Count(log, "event=keys-refused") > 0 {
+	if log := w.log.String(); strings.Contains(log, "snapshot-write-failed") || strings.Count(log, "event=keys-rejected") > 0 {
 		t.Error("the steps broke something beside")
 	}
 }
--- a/test/contracts_test.go
+++ b/test/contracts_test.go
@@ -145,7 +145,7 @@
 		w.own(text)
 		replaceFile(t, w.conf, path)
 		w.signal(syscall.SIGHUP)
-		w.until("the contracts are renewed", func() bool { return strings.Count(w.log.String(), "event=contracts-renewed") == i+1 })
+		w.until("the contracts are renewed", func() bool { return strings.Count(w.log.String(), "event=contracts-reloaded") == i+1 })
 	}
 	probe := w.dial()
 	probe.send(request(1, "lookup", map[string]string{"team": "lanes", "txn": "00000000000000aa"}, ""))
--- a/test/crossing_test.go
+++ b/test/crossing_test.go
@@ -120,9 +120,9 @@
 		want string // error of the sound request; empty: it is served
 		log  string
 	}{
-		{"noise", []byte("\xc1\xc1"), "Internal", "event=client-frame"},
-		{"a text of 4 GB", append(head(2), 0x81, 0xdb, 0xff, 0xff, 0xff, 0xff), "Internal", "event=client-frame"},
-		{"the same number again", request(1, "lookup", nil, ""), "Internal", "event=client-id"},
+		{"noise", []byte("\xc1\xc1"), "Internal", "event=client-protocol-error"},
+		{"a text of 4 GB", append(head(2), 0x81, 0xdb, 0xff, 0xff, 0xff, 0xff), "Internal", "event=client-protocol-error"},
+		{"the same number again", request(1, "lookup", nil, ""), "Internal", "event=client-duplicate-id"},
 		{"half a request", half[:len(half)-3], "", ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/test/identity_test.go
+++ b/test/identity_test.go
@@ -506,7 +506,7 @@
 		}()
 		others(&under, 1)
 		if !reads {
-			w.until("the flood is closed", func() bool { return strings.Contains(w.log.String(), "event=client-paced") })
+			w.until("the flood is closed", func() bool { return strings.Contains(w.log.String(), "event=client-rate-limited") })
 		}
 		close(stop)
 		<-done
--- a/test/leave_test.go
+++ b/test/leave_test.go
@@ -40,7 +40,7 @@
 	w.t.Helper()
 	at := time.Now()
 	w.signal(syscall.SIGTERM)
-	w.until("it is leaving", func() bool { return strings.Contains(w.log.String(), "event=leaving") })
+	w.until("it is leaving", func() bool { return strings.Contains(w.log.String(), "event=draining") })
 	return at
 }
 
@@ -273,7 +273,7 @@
 			t.Errorf("%+v, want it served", got)
 		}
 		if id == 1 {
-			w.until("the silence is noticed", func() bool { return strings.Contains(w.log.String(), "event=bulletin-lost") })
+			w.until("the silence is noticed", func() bool { return strings.Contains(w.log.String(), "event=endpoint-list-stale") })
 			w.feed <- "!" // the stand-in serves one connection at a time
 		}
 	}
--- a/test/pools_test.go
+++ b/test/pools_test.go
@@ -85,7 +85,7 @@
 		if a := ask("lanes"); a.Error != "" {
 			t.Fatalf("while it moves: %+v", a)
 		}
-		return strings.Contains(w.log.String(), "event=team-moved team=lanes share=1 phase=moving")
+		return strings.Contains(w.log.String(), "event=team-migration team=lanes share=1 phase=moving")
 	})
 	before := len(w.lines(func(a *asked) bool { return a.Word == "ASK" && a.Endpoint == "c2" }))
 	for range 20 {
@@ -99,7 +99,7 @@
 		ask("staff")
 		return strings.Contains(w.log.String(), "team=staff share=0 phase=given-up")
 	})
-	if n := strings.Count(w.log.String(), "event=team-moved team=staff"); n > 8 {
+	if n := strings.Count(w.log.String(), "event=team-migration team=staff"); n > 8 {
 		t.Errorf("the share of the staff changed %d times", n)
 	}
 	for range 20 {
--- a/test/quiet_test.go
+++ b/test/quiet_test.go
@@ -143,7 +143,7 @@
 			c.send(request(1, "footage", map[string]string{"item": "00000000000000aa", "limit": "60000"}, ""))
 			w.until("it is out", func() bool { return len(w.lines(word("ASK"))) > 0 })
 			w.signal(syscall.SIGTERM)
-			w.until("it leaves", func() bool { return strings.Contains(w.log.String(), "event=leaving") })
+			w.until("it leaves", func() bool { return strings.Contains(w.log.String(), "event=draining") })
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/test/rare_test.go
+++ b/test/rare_test.go
@@ -147,7 +147,7 @@
 		c := clients[len(clients)-1]
 		c.send(request(n+1, "charge", map[string]string{"unique": fmt.Sprint("k", n), "limit": "3000", "item": fmt.Sprintf("%016x", n+1)}, body))
 	}
-	w.until("the connections that are not read are closed", func() bool { return strings.Contains(w.log.String(), "event=depot-silent") })
+	w.until("the connections that are not read are closed", func() bool { return strings.Contains(w.log.String(), "event=upstream-unresponsive") })
 	for _, c := range clients {
 		_ = c.conn.Close()
 	}
@@ -162,7 +162,7 @@
 			few++
 		}
 	}
-	if closed := strings.Count(w.log.String(), "event=depot-silent"); few < closed {
+	if closed := strings.Count(w.log.String(), "event=upstream-unresponsive"); few < closed {
 		t.Errorf("%d connections were closed; on its connections the box read %v whole attempts later", closed, got)
 	}
 }
@@ -275,7 +275,7 @@
 			for _, text := range c.feed {
 				w.feed <- text
 			}
-			w.until("it is noticed", func() bool { return matches("event=bulletin-lost error=\"?"+c.why, w.log.String()) })
+			w.until("it is noticed", func() bool { return matches("event=endpoint-list-stale error=\"?"+c.why, w.log.String()) })
 			w.feed <- "!" // the stand-in serves one connection at a time
 			if after := w.asks(); after != "after 1" {
 				t.Fatalf("the program asks for %q, want what came after the last whole event", after)
@@ -291,7 +291,7 @@
 // drained waits until the program knows that a box drains, and has requests go elsewhere.
 func (w *world) drained(box string) {
 	w.t.Helper()
-	w.until("the drain is known", func() bool { return matches("event=box-drains box="+box, w.log.String()) })
+	w.until("the drain is known", func() bool { return matches("event=endpoint-draining endpoint="+box, w.log.String()) })
 	client := w.dial()
 	before := len(w.lines(func(a *asked) bool { return a.Word == "ASK" && a.Endpoint == box }))
 	for id := range uint64(20) {
@@ -317,7 +317,7 @@
 	w.config["bulletin"] = later
 	w.configure()
 	w.signal(syscall.SIGHUP)
-	w.until("the new one is missed", func() bool { return strings.Contains(w.log.String(), "event=bulletin-lost") })
+	w.until("the new one is missed", func() bool { return strings.Contains(w.log.String(), "event=endpoint-list-stale") })
 	next, err := emulator.NewListServiceAt(later)
 	if err != nil {
 		t.Fatal(err)
--- a/test/service_test.go
+++ b/test/service_test.go
@@ -207,7 +207,7 @@
 			t.Errorf("%+v, want it from another connection", a)
 		}
 	}
-	if !strings.Contains(w.log.String(), "depot-silent") {
+	if !strings.Contains(w.log.String(), "upstream-unresponsive") {
 		t.Error("the silent connection is not in the log")
 	}
 }
--- a/test/tls_test.go
+++ b/test/tls_test.go
@@ -171,8 +171,8 @@
 			t.Error("a certificate of another authority: the connection stands")
 		}
 	}
-	w.until("a fault is logged", func() bool { return strings.Contains(w.log.String(), "event=tls-handshake") })
-	if n := strings.Count(w.log.String(), "event=tls-handshake"); n != 1 {
+	w.until("a fault is logged", func() bool { return strings.Contains(w.log.String(), "event=tls-handshake-failed") })
+	if n := strings.Count(w.log.String(), "event=tls-handshake-failed"); n != 1 {
 		t.Errorf("%d lines of one source", n)
 	}
 	good.send(request(2, "lookup", nil, ""))
@@ -207,7 +207,7 @@
 	} else if text, err := os.ReadFile(other); err != nil || os.WriteFile(w.key, text, 0o600) != nil {
 		t.Fatal(err)
 	}
-	w.until("the key that does not fit is refused", func() bool { return strings.Contains(w.log.String(), "event=keys-refused") })
+	w.until("the key that does not fit is refused", func() bool { return strings.Contains(w.log.String(), "event=keys-rejected") })
 	if got := serial(w.connect(w.config("lane4.lanes.test"))); got != first {
 		t.Errorf("with a key that does not fit the certificate is %s, want the old %s", got, first)
 	}
