--- a/internal/policy/aimd/aimd.go
+++ b/internal/policy/aimd/aimd.go
@@ -13,10 +13,10 @@
 package aimd
 
 const (
-	// First is the number of probable fills out at the start, in multiples of the zone's links.
-	First = 1.5
-	// Least is what stays of it, whatever comes late: so that a recovery is seen.
-	Least = 0.08
+	// InitialLimit is the number of probable fills out at the start, in multiples of the zone's links.
+	InitialLimit = 1.5
+	// MinLimit is what stays of it, whatever comes late: so that a recovery is seen.
+	MinLimit = 0.08
 
 	cut, keep         = 2, 0.75  // in links, and what of the limit is left at least
 	heldCut, heldKeep = 2.4, 0.5 // for a fill from what the parent holds: then the link is narrow, not the origin
@@ -25,32 +25,32 @@
 
 // Limiter is one limit with what is out under it. It is not safe for concurrent use.
 type Limiter struct {
-	Out       int     // fills that are out
-	Most      float64 // the limit, in multiples of the zone's links
+	InFlight  int     // fills that are out
+	Max       float64 // the limit, in multiples of the zone's links
 	cut, keep float64
 }
 
 // New makes the limit on fills that may go on to the origin.
-func New() Limiter { return Limiter{Most: First, cut: cut, keep: keep} }
+func New() Limiter { return Limiter{Max: InitialLimit, cut: cut, keep: keep} }
 
-// NewHeld makes the limit on fills from what the parent holds.
-func NewHeld() Limiter { return Limiter{Most: First, cut: heldCut, keep: heldKeep} }
+// NewCachedOnly makes the limit on fills from what the parent holds.
+func NewCachedOnly() Limiter { return Limiter{Max: InitialLimit, cut: heldCut, keep: heldKeep} }
 
-// Narrow says whether there is no room for one more, where zone is this sender's part of the zone's links and value weighs
+// Full says whether there is no room for one more, where zone is this sender's part of the zone's links and value weighs
 // the request, 1 being the mean. A part of a fill is given by lot, from 0 up to 1.
-func (l *Limiter) Narrow(zone, value, lot float64) bool {
-	return float64(l.Out)+lot >= l.Most*zone*value
+func (l *Limiter) Full(zone, value, lot float64) bool {
+	return float64(l.InFlight)+lot >= l.Max*zone*value
 }
 
 // Adapt moves the limit by whether a fill came in time.
 func (l *Limiter) Adapt(zone float64, inTime bool) {
 	if !inTime {
-		l.Most = max(Least, l.Most*max(l.keep, 1-l.cut/zone))
-	} else if most := l.Most * zone; float64(l.Out+1) > most/2 {
-		l.Most = min(2*First, l.Most+rise/zone)
+		l.Max = max(MinLimit, l.Max*max(l.keep, 1-l.cut/zone))
+	} else if most := l.Max * zone; float64(l.InFlight+1) > most/2 {
+		l.Max = min(2*InitialLimit, l.Max+rise/zone)
 	}
 }
 
-// Back cuts the limit as far as one cut goes: for a sure sign that what is behind is crowded, though no fill has ended yet. At
+// Decrease cuts the limit as far as one cut goes: for a sure sign that what is behind is crowded, though no fill has ended yet. At
 // an origin that turns nobody away, each write waited out its 3 s before its end was counted, and the queue stood meanwhile.
-func (l *Limiter) Back() { l.Most = max(Least, l.Most*l.keep) }
+func (l *Limiter) Decrease() { l.Max = max(MinLimit, l.Max*l.keep) }
--- a/internal/policy/aimd/aimd_test.go
+++ b/internal/policy/aimd/aimd_test.go
@@ -9,13 +9,13 @@
 // TestSmallLimitRises: of a limit of two fills one is left out at an answer; it never rose.
 func TestSmallLimitRises(t *testing.T) {
 	l := New()
-	l.Out, l.Most = 1, 0.25
-	if l.Adapt(8, true); l.Most <= 0.25 {
-		t.Errorf("limit %.3f after a fill in time, want over 0.25", l.Most)
+	l.InFlight, l.Max = 1, 0.25
+	if l.Adapt(8, true); l.Max <= 0.25 {
+		t.Errorf("limit %.3f after a fill in time, want over 0.25", l.Max)
 	}
-	most := l.Most
-	if l.Adapt(8, false); l.Most >= most {
-		t.Errorf("limit %.3f after a late fill, want under %.3f", l.Most, most)
+	most := l.Max
+	if l.Adapt(8, false); l.Max >= most {
+		t.Errorf("limit %.3f after a late fill, want under %.3f", l.Max, most)
 	}
 }
 
@@ -24,17 +24,17 @@
 	rapid.Check(t, func(t *rapid.T) {
 		l := New()
 		if rapid.Bool().Draw(t, "held") {
-			l = NewHeld()
+			l = NewCachedOnly()
 		}
 		zone := rapid.Float64Range(0.1, 100).Draw(t, "zone")
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
-			l.Out = rapid.IntRange(0, 200).Draw(t, "out")
-			old, inTime := l.Most, rapid.Bool().Draw(t, "in time")
+			l.InFlight = rapid.IntRange(0, 200).Draw(t, "out")
+			old, inTime := l.Max, rapid.Bool().Draw(t, "in time")
 			l.Adapt(zone, inTime)
-			if l.Most < Least || l.Most > 2*First || l.Most < old*l.keep-1e-9 || inTime && l.Most < old || !inTime && l.Most > old {
-				t.Fatalf("limit %v after %v, in time %v", l.Most, old, inTime)
+			if l.Max < MinLimit || l.Max > 2*InitialLimit || l.Max < old*l.keep-1e-9 || inTime && l.Max < old || !inTime && l.Max > old {
+				t.Fatalf("limit %v after %v, in time %v", l.Max, old, inTime)
 			}
-			if lot := rapid.Float64Range(0, 0.99).Draw(t, "lot"); l.Narrow(zone, 1.5, lot) && !l.Narrow(zone, 0.5, lot) {
+			if lot := rapid.Float64Range(0, 0.99).Draw(t, "lot"); l.Full(zone, 1.5, lot) && !l.Full(zone, 0.5, lot) {
 				t.Fatal("a request of less worth found room where one of more did not")
 			}
 		}
@@ -44,10 +44,10 @@
 // TestOneOfHundreds: with a fifth of a link one late fill halved the limit, and a cut-off zone cost 0.017 of G on a day of 120
 // doormans.
 func TestOneOfHundreds(t *testing.T) {
-	for _, c := range []struct{ zone, want float64 }{{0.2, 0.75 * First}, {20, 0.9 * First}} {
+	for _, c := range []struct{ zone, want float64 }{{0.2, 0.75 * InitialLimit}, {20, 0.9 * InitialLimit}} {
 		l := New()
-		if l.Adapt(c.zone, false); l.Most < c.want-1e-9 || l.Most > c.want+1e-9 {
-			t.Errorf("%v links, one late fill: limit %v, want %v", c.zone, l.Most, c.want)
+		if l.Adapt(c.zone, false); l.Max < c.want-1e-9 || l.Max > c.want+1e-9 {
+			t.Errorf("%v links, one late fill: limit %v, want %v", c.zone, l.Max, c.want)
 		}
 	}
 }
--- a/internal/policy/director_test.go
+++ b/internal/policy/director_test.go
@@ -196,7 +196,7 @@
 	moved := 0
 	for id := RequestID(1); id <= 300; id++ {
 		p := part{uint64(id) * 977, 0}
-		a, b := one.d.caches.Begin(p.hash(), nil, 0).At(0).ID, two.d.caches.Begin(p.hash(), nil, 0).At(0).ID
+		a, b := one.d.caches.OrderFor(p.hash(), nil, 0).At(0).ID, two.d.caches.OrderFor(p.hash(), nil, 0).At(0).ID
 		if a != b {
 			moved++
 			if b != 5 {
@@ -377,7 +377,7 @@
 // TestHeldOnlyWhileFillsAreNarrow: a slow origin shut what the parents hold.
 func TestHeldOnlyWhileFillsAreNarrow(t *testing.T) {
 	b := newBench(t, site())
-	b.d.fills.Most = aimd.Least
+	b.d.fills.Max = aimd.MinLimit
 	for id := RequestID(1); id <= 40; id++ {
 		b.call(id, 0, uint64(id))
 		if b.finals[id] == nil {
@@ -392,9 +392,9 @@
 // TestNewProcess: a restart of a cache voids what was known of it.
 func TestNewProcess(t *testing.T) {
 	b := newBench(t, site())
-	b.d.servers[1].ejected = true
+	b.d.endpoints[1].ejected = true
 	b.do(ListEvent{Kind: ListDelta, Endpoints: []Endpoint{{ID: 1, Zone: 2, State: Ready, Weight: 8, StartedAt: b.now}}})
-	if b.d.servers[1].ejected {
+	if b.d.endpoints[1].ejected {
 		t.Error("a new process is still ejected for what the old one did")
 	}
 }
@@ -471,7 +471,7 @@
 				delete(gone, r)
 			}
 		}
-		if b.d.fills.Out < 0 || b.d.held.Out < 0 {
+		if b.d.fills.InFlight < 0 || b.d.held.InFlight < 0 {
 			t.Fatalf("seed %d step %d: fewer than no fills out", seed, step)
 		}
 	}
@@ -549,11 +549,11 @@
 		}
 		return StatusOK, NoteFilled
 	})
-	if !b.d.servers[100].ejected {
+	if !b.d.endpoints[100].ejected {
 		t.Fatal("the failing trunk was not ejected")
 	}
 	dead = false
-	for tries := 0; b.d.servers[100].ejected; tries++ {
+	for tries := 0; b.d.endpoints[100].ejected; tries++ {
 		if tries > 100 {
 			t.Fatal("the trunk is never trusted again")
 		}
--- a/internal/policy/fairness/fairness.go
+++ b/internal/policy/fairness/fairness.go
@@ -13,9 +13,9 @@
 
 import "math"
 
-// Owed is the part of their class's share that the largest requests are owed: two thirds on quiet days, half on others. A day is not known
+// MinAdmittedShare is the part of their class's share that the largest requests are owed: two thirds on quiet days, half on others. A day is not known
 // for what it is, so it is two thirds always.
-const Owed = 2.0 / 3
+const MinAdmittedShare = 2.0 / 3
 
 const (
 	tenth = iota // of a class's requests, with the largest sizes
@@ -47,14 +47,14 @@
 	all    float64        // and of the class
 }
 
-// Judged takes a new request and gives the size by which it is to be let in: its own, or that of the one before where that is smaller and
+// EffectiveSize takes a new request and gives the size by which it is to be let in: its own, or that of the one before where that is smaller and
 // its band is owed something.
-func (s *Shares) Judged(own float64) float64 {
+func (s *Shares) EffectiveSize(own float64) float64 {
 	if own <= 0 { // not told, and nothing learnt of the class
 		return own
 	}
 	judged, band := own, s.band(own)
-	if 1-s.turned[band] < Owed*(1-s.all) {
+	if 1-s.turned[band] < MinAdmittedShare*(1-s.all) {
 		judged = min(own, s.last)
 	}
 	s.seen++
@@ -76,8 +76,8 @@
 	return judged
 }
 
-// Ended counts a request, and whether it was turned away for want of room.
-func (s *Shares) Ended(own float64, turned bool) {
+// Record counts a request, and whether it was turned away for want of room.
+func (s *Shares) Record(own float64, turned bool) {
 	v := 0.0
 	if turned {
 		v = 1
@@ -96,5 +96,5 @@
 	return rest
 }
 
-// Lot makes a lot from 0 up to 1 of evenly spread bits.
-func Lot(bits uint64) float64 { return float64(bits>>11) / (1 << 53) }
+// UnitInterval makes a lot from 0 up to 1 of evenly spread bits.
+func UnitInterval(bits uint64) float64 { return float64(bits>>11) / (1 << 53) }
--- a/internal/policy/fairness/fairness_test.go
+++ b/internal/policy/fairness/fairness_test.go
@@ -26,12 +26,12 @@
 				bound = low + high*rnd.Float64()
 			}
 			own := math.Exp(sigma * rnd.NormFloat64())
-			judged := s.Judged(own)
+			judged := s.EffectiveSize(own)
 			let := judged <= bound
 			if own <= bound && !let {
 				t.Fatalf("a size of %v within %v is judged as %v", own, bound, judged)
 			}
-			s.Ended(own, !let)
+			s.Record(own, !let)
 			if n < first {
 				continue
 			}
@@ -52,7 +52,7 @@
 			if i == 0 || of[i] == 0 {
 				continue
 			}
-			if got := in[i] / of[i]; got < Owed*all-0.08 {
+			if got := in[i] / of[i]; got < MinAdmittedShare*all-0.08 {
 				t.Fatalf("of %s %.3f are let in, of all %.3f", name, got, all)
 			}
 		}
@@ -67,10 +67,10 @@
 	for _, own := range []float64{0, 0.3} {
 		var s Shares
 		for n := range 1000 {
-			if got := s.Judged(own); got != own {
+			if got := s.EffectiveSize(own); got != own {
 				t.Fatalf("request %d of size %v is judged as %v", n, own, got)
 			}
-			s.Ended(own, n%2 == 0)
+			s.Record(own, n%2 == 0)
 		}
 	}
 }
--- a/internal/policy/fleet_test.go
+++ b/internal/policy/fleet_test.go
@@ -37,14 +37,14 @@
 // TestCrowdCountsTheOthersByOurAverage: one of eight directors held a cache for full at two attempts of its own.
 func TestCrowdCountsTheOthersByOurAverage(t *testing.T) {
 	b := newBench(t, manyDirectors(8))
-	s := b.d.servers[1]
+	s := b.d.endpoints[1]
 	s.open = 2
 	s.settled = b.now
-	if got := b.d.crowd(s); got > 0.5 {
+	if got := b.d.load(s); got > 0.5 {
 		t.Errorf("two attempts out after a quiet time: crowd %.2f of a link of 8, want under 0.5", got)
 	}
 	b.d.now += 20 * sec
-	if got := b.d.crowd(s); got < 2 {
+	if got := b.d.load(s); got < 2 {
 		t.Errorf("two attempts out all the time at each of 8: crowd %.2f, want over 2", got)
 	}
 }
@@ -63,7 +63,7 @@
 		b.answer(id, StatusOK, NoteFilled)
 	}
 	for id := EndpointID(1); id <= 4; id++ {
-		if b.d.servers[id].ejected {
+		if b.d.endpoints[id].ejected {
 			t.Errorf("cache %d is ejected for answers that were lost once each", id)
 		}
 	}
@@ -87,17 +87,17 @@
 func TestOverdueFillsEjectTheirParent(t *testing.T) {
 	b := newBench(t, site())
 	fillThrough(b, 20, map[EndpointID]bool{100: true})
-	if !b.d.servers[100].ejected || b.d.servers[101].ejected {
-		t.Errorf("ejected: hung parent %v, sound parent %v", b.d.servers[100].ejected, b.d.servers[101].ejected)
+	if !b.d.endpoints[100].ejected || b.d.endpoints[101].ejected {
+		t.Errorf("ejected: hung parent %v, sound parent %v", b.d.endpoints[100].ejected, b.d.endpoints[101].ejected)
 	}
 }
 
 // TestSharedTroubleEjectsNobody: with a slow origin all parents' fills are overdue; once that is usual none is.
 func TestSharedTroubleEjectsNobody(t *testing.T) {
 	b := newBench(t, site())
-	b.d.bad[roleParent] = outlier.Share
+	b.d.bad[roleParent] = outlier.FaultyErrorRate
 	fillThrough(b, 20, map[EndpointID]bool{100: true, 101: true})
-	if b.d.servers[100].ejected || b.d.servers[101].ejected {
+	if b.d.endpoints[100].ejected || b.d.endpoints[101].ejected {
 		t.Error("a parent is ejected for what all parents share")
 	}
 }
@@ -111,7 +111,7 @@
 	b.call(2, 0, 7)
 	b.settle(2)
 	b.answer(2, StatusOK, NoteFilled)
-	b.d.fills.Out = 1000
+	b.d.fills.InFlight = 1000
 	b.call(3, 0, 7)
 	if g := b.last(3); !g.CachedOnly {
 		t.Fatalf("fills are narrow: %+v, want what the parent holds only", g)
@@ -146,7 +146,7 @@
 	}
 	slowest := 0.0
 	for id := EndpointID(1); id <= 4; id++ {
-		slowest = max(slowest, b.d.servers[id].slow)
+		slowest = max(slowest, b.d.endpoints[id].slow)
 	}
 	if slowest < 2 {
 		t.Errorf("40 answers at a tenth of the pace: the cache weighs %.2f, want over 2", slowest)
@@ -242,7 +242,7 @@
 		}
 		b.now += 40 * ms
 	}
-	if b.d.servers[1].ejected {
+	if b.d.endpoints[1].ejected {
 		t.Error("the cache was ejected for two broken connections")
 	}
 }
@@ -260,8 +260,8 @@
 	if b.d.zone > 1.5*before {
 		t.Errorf("the zone's link is %.1f, was %.1f", b.d.zone, before)
 	}
-	if n := len(b.d.all); n > 20 || len(b.d.servers) != n {
-		t.Errorf("%d servers are remembered, %d by id", n, len(b.d.servers))
+	if n := len(b.d.all); n > 20 || len(b.d.endpoints) != n {
+		t.Errorf("%d servers are remembered, %d by id", n, len(b.d.endpoints))
 	}
 }
 
@@ -294,7 +294,7 @@
 		}
 		g := b.settle(id)
 		b.tick(tickEvery)
-		b.d.servers[g.Source].heard = b.now // it answers others from what it holds
+		b.d.endpoints[g.Source].heard = b.now // it answers others from what it holds
 		if seen[g.Source]++; late[g.Source] {
 			b.tick(700 * ms) // 400 ms and twice 100 ms are wanted
 		} else {
@@ -310,7 +310,7 @@
 			if l, ok := a.(Log); ok && strings.HasPrefix(l.Text, fmt.Sprintf("ejected %x:", p)) {
 				times[p]++
 			}
-			out[p] = b.d.servers[p].ejected
+			out[p] = b.d.endpoints[p].ejected
 		}
 	}
 	return times, out
@@ -345,9 +345,9 @@
 func TestLateAndDead(t *testing.T) {
 	for _, hard := range []bool{false, true} {
 		b := parentsBench(t)
-		s, other := b.d.servers[100], b.d.servers[101]
+		s, other := b.d.endpoints[100], b.d.endpoints[101]
 		for range 2 {
-			b.d.tardy(&attempt{node: b.d.servers[1], source: s})
+			b.d.recordLateFill(&attempt{node: b.d.endpoints[1], source: s})
 		}
 		if !s.ejected {
 			t.Fatal("two late fills do not leave their parent out")
@@ -357,7 +357,7 @@
 		}
 		other.heard = b.now
 		for range 3 {
-			b.d.tardy(&attempt{node: b.d.servers[1], source: other})
+			b.d.recordLateFill(&attempt{node: b.d.endpoints[1], source: other})
 		}
 		if b.tick(tickEvery); s.ejected != hard {
 			t.Errorf("hard sign %v: still left out %v", hard, s.ejected)
@@ -390,8 +390,8 @@
 		b := newBench(t, site())
 		b.call(1, 1, 7)
 		b.tick(c.took)
-		if cut := b.d.fills.Most < aimd.First; cut != c.cut {
-			t.Errorf("a write of %v: the limit on fills is %v, cut %v, want %v", c.took, b.d.fills.Most, cut, c.cut)
+		if cut := b.d.fills.Max < aimd.InitialLimit; cut != c.cut {
+			t.Errorf("a write of %v: the limit on fills is %v, cut %v, want %v", c.took, b.d.fills.Max, cut, c.cut)
 		}
 	}
 }
@@ -399,13 +399,13 @@
 // TestLateHeldFillsCount: what the parent holds does not wait for the origin, however late all else is.
 func TestLateHeldFillsCount(t *testing.T) {
 	b := parentsBench(t)
-	s, other := b.d.servers[100], b.d.servers[101]
+	s, other := b.d.endpoints[100], b.d.endpoints[101]
 	s.heard, other.heard = b.now, b.now
 	for range 5 {
-		b.d.behind.Note(&other.late, b.now, true)
+		b.d.behind.Record(&other.late, b.now, true)
 	}
 	for range 2 {
-		b.d.tardy(&attempt{node: b.d.servers[1], source: s, held: true})
+		b.d.recordLateFill(&attempt{node: b.d.endpoints[1], source: s, held: true})
 	}
 	if !s.ejected {
 		t.Error("a parent that is late with what it holds stays in use, since the others' fills are late")
@@ -439,7 +439,7 @@
 					b.answer(hit, StatusOK, NoteHit)
 				}
 				for _, p := range []EndpointID{100, 101} {
-					left[p] = left[p] || b.d.servers[p].ejected
+					left[p] = left[p] || b.d.endpoints[p].ejected
 				}
 			}
 		}
--- a/internal/policy/outlier/outlier_test.go
+++ b/internal/policy/outlier/outlier_test.go
@@ -11,7 +11,7 @@
 // TestOthers compares the running total with the plainest model: each member's share, faded and summed anew every time.
 func TestOthers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		g := Group{Half: 2 * time.Second, Weight: rapid.Float64Range(0.01, 1).Draw(t, "weight")}
+		g := PeerGroup{HalfLife: 2 * time.Second, Weight: rapid.Float64Range(0.01, 1).Draw(t, "weight")}
 		members := make([]Member, rapid.IntRange(1, 6).Draw(t, "members"))
 		model := make([]float64, len(members))
 		now := time.Duration(0)
@@ -22,7 +22,7 @@
 				model[i] *= math.Exp2(-step.Seconds() / 2)
 			}
 			i, late := rapid.IntRange(0, len(members)-1).Draw(t, "member"), rapid.Bool().Draw(t, "late")
-			g.Note(&members[i], now, late)
+			g.Record(&members[i], now, late)
 			seen := 0.0
 			if late {
 				seen = 1
@@ -36,9 +36,9 @@
 					}
 				}
 				if want > shared {
-					want = Share
+					want = FaultyErrorRate
 				}
-				if got := g.Others(&members[i], now, len(members)); math.Abs(got-want) > 1e-9 && math.Abs(want-shared) > 1e-9 {
+				if got := g.OthersOverdueRate(&members[i], now, len(members)); math.Abs(got-want) > 1e-9 && math.Abs(want-shared) > 1e-9 {
 					t.Fatalf("others of member %d: %v, the model has %v", i, got, want)
 				}
 			}
@@ -49,26 +49,26 @@
 // TestUsual: bad outcomes become usual, and cease to be when good ones come; hard signs and those that do not count change
 // nothing.
 func TestUsual(t *testing.T) {
-	var u Usual
+	var u Baseline
 	for range 100 {
-		u.Take(false, false, true)
+		u.Record(false, false, true)
 	}
-	if got := u.Take(false, false, false); got < 0.95 {
+	if got := u.Record(false, false, false); got < 0.95 {
 		t.Errorf("all bad: a share of %v is usual", got)
 	}
-	if got := u.Take(false, true, true); got != 0 {
+	if got := u.Record(false, true, true); got != 0 {
 		t.Errorf("a hard sign: a share of %v, want 0", got)
 	}
 	before := u
-	u.Take(true, false, false)
-	u.Take(true, true, true)
+	u.Record(true, false, false)
+	u.Record(true, true, true)
 	if u != before {
 		t.Errorf("what does not count moved the share from %v to %v", before, u)
 	}
 	for range 200 {
-		u.Take(true, false, true)
+		u.Record(true, false, true)
 	}
-	if got := u.Take(false, false, false); got > least {
+	if got := u.Record(false, false, false); got > least {
 		t.Errorf("all good again: a share of %v is usual, want at most %v", got, least)
 	}
 }
@@ -78,12 +78,12 @@
 	for _, c := range []struct {
 		share float64
 		want  bool
-	}{{least, true}, {Share, false}} {
+	}{{least, true}, {FaultyErrorRate, false}} {
 		var o Odds
 		for i := range 60 {
-			o.Weigh(i%3 == 0, c.share)
+			o.Update(i%3 == 0, c.share)
 		}
-		if got := o >= Enough; got != c.want || o > 2*Enough || o < 0 {
+		if got := o >= EjectionThreshold; got != c.want || o > 2*EjectionThreshold || o < 0 {
 			t.Errorf("a usual share of %v: odds of %.1f, faulty %v, want %v", c.share, o, got, c.want)
 		}
 	}
@@ -92,7 +92,7 @@
 // TestBadIsNeverGood: where more than a faulty server's share is usual, a bad outcome is no sign in its favour.
 func TestBadIsNeverGood(t *testing.T) {
 	o := Odds(3)
-	if o.Weigh(false, 0.95); o != 3 {
+	if o.Update(false, 0.95); o != 3 {
 		t.Errorf("a bad outcome moved the odds from 3 to %v", o)
 	}
 }
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -36,19 +36,19 @@
 	leastAge    = 1 * ms  // 0 would mean "any age"
 	lastCall    = 20 * ms // an answer is never left later than this before the deadline
 
-	ejectFirst    = time.Second // doubles up to ejectMost while trials fail
-	ejectMost     = 4 * time.Second
-	silenceLeast  = 400 * ms        // longer than a short stall, which must not eject
-	doubtMost     = 7.0             // log odds against so long a silence of a live server
-	lostAfter     = 2.0             // sending times after which a kept copy's answer is held for lost
-	slowdown      = 1.5             // of a busy server's answers over their sending time
-	slowLeast     = 0.7             // links are told roughly; less was measured to let too much in
-	usualHalf     = 2 * time.Second // half-life of the average of what is out to a server
-	meanWeight    = 0.02            // weight of a new sample in slow averages
-	sizeMost      = 10.0            // mean sending times, as one sample of them
-	rateWeight    = 0.3             // of a new second in the rate of requests
-	goneFor       = time.Minute     // a server that is gone is remembered
-	defaultWeight = 8.0             // flows, where weights are not told
+	baseEjectionTime = time.Second // doubles up to ejectMost while trials fail
+	maxEjectionTime  = 4 * time.Second
+	silenceLeast     = 400 * ms        // longer than a short stall, which must not eject
+	doubtMost        = 7.0             // log odds against so long a silence of a live server
+	lostAfter        = 2.0             // sending times after which a kept copy's answer is held for lost
+	slowdown         = 1.5             // of a busy server's answers over their sending time
+	slowLeast        = 0.7             // links are told roughly; less was measured to let too much in
+	usualHalf        = 2 * time.Second // half-life of the average of what is out to a server
+	meanWeight       = 0.02            // weight of a new sample in slow averages
+	sizeMost         = 10.0            // mean sending times, as one sample of them
+	rateWeight       = 0.3             // of a new second in the rate of requests
+	goneFor          = time.Minute     // a server that is gone is remembered
+	defaultWeight    = 8.0             // flows, where weights are not told
 
 	shutMost = 250 * ms // that a cold server is passed over for without a look: costs are learnt meanwhile
 
@@ -68,30 +68,30 @@
 
 // Engine makes the decisions of one front. It is not safe for concurrent use.
 type Engine struct {
-	cfg      Config
-	now      time.Duration
-	out      []Action
-	servers  map[EndpointID]*server
-	roles    map[int]int // by kind; a cache where none is given
-	all      []*server   // in the order in which the list named them first
-	caches   ranking     // of the own zone
-	parents  ranking
-	origin   *server
-	tables   tables
-	requests map[RequestID]*request
-	waiting  []*request // in order of arrival; what is over stays until the next tick
-	purges   *invalidation.Ledger
-	classes  []classState
-	bad      [roleOrigin + 1]outlier.Usual // by role
-	rate     float64                       // requests a second
-	rateAt   time.Duration
-	arrived  float64
-	fills    aimd.Limiter  // probable fills
-	held     aimd.Limiter  // of these, the ones that the parent answers from what it holds
-	behind   outlier.Group // the origin, behind all parents
-	late     [2]rto.Timing // of answers from what is kept, and of fills
-	zone     float64       // this director's part of the links of the zone's caches
-	price    float64       // mean sending time for a worth of 1: what a request costs here
+	cfg       Config
+	now       time.Duration
+	out       []Action
+	endpoints map[EndpointID]*endpoint
+	roles     map[int]int // by kind; a cache where none is given
+	all       []*endpoint // in the order in which the list named them first
+	caches    ranking     // of the own zone
+	parents   ranking
+	origin    *endpoint
+	tables    tables
+	requests  map[RequestID]*request
+	waiting   []*request // in order of arrival; what is over stays until the next tick
+	purges    *invalidation.Ledger
+	classes   []classState
+	bad       [roleOrigin + 1]outlier.Baseline // by role
+	rate      float64                          // requests a second
+	rateAt    time.Duration
+	arrived   float64
+	fills     aimd.Limiter      // probable fills
+	held      aimd.Limiter      // of these, the ones that the parent answers from what it holds
+	behind    outlier.PeerGroup // the origin, behind all parents
+	late      [2]rto.Estimator  // of answers from what is kept, and of fills
+	zone      float64           // this director's part of the links of the zone's caches
+	price     float64           // mean sending time for a worth of 1: what a request costs here
 }
 
 // classState is what has been learnt of a class.
@@ -108,13 +108,13 @@
 	if len(cfg.Classes) == 0 {
 		return nil, fmt.Errorf("config: Classes: none given")
 	}
-	d := &Engine{cfg: cfg, servers: map[EndpointID]*server{},
+	d := &Engine{cfg: cfg, endpoints: map[EndpointID]*endpoint{},
 		roles:    map[int]int{cfg.ParentKind: roleParent, cfg.OriginKind: roleOrigin},
 		requests: map[RequestID]*request{},
 		purges:   invalidation.New(invalidation.Config{Propagation: cfg.PurgePropagation, Slack: time.Second}),
-		fills:    aimd.New(), held: aimd.NewHeld(),
+		fills:    aimd.New(), held: aimd.NewCachedOnly(),
 		behind: outlier.New(),
-		late:   [2]rto.Timing{rto.New(), rto.New()},
+		late:   [2]rto.Estimator{rto.New(), rto.New()},
 		tables: tables{rows: map[part]*row{}, single: list.New()}}
 	d.tables.resize(0)
 	for i, c := range cfg.Classes {
@@ -295,27 +295,27 @@
 // Placement: shared hashes, holder, second copy.
 
 // hash is what all directors compute alike for a part.
-func (p part) hash() uint64 { return rendezvous.Mix(p.object ^ rendezvous.Mix(uint64(p.index))) }
+func (p part) hash() uint64 { return rendezvous.Hash(p.object ^ rendezvous.Hash(uint64(p.index))) }
 
 // ranking is servers by weighted rendezvous hash of a part: the loss of one moves its share only.
-type ranking = rendezvous.Ranking[*server]
+type ranking = rendezvous.Ranking[*endpoint]
 
-func (d *Engine) rank(r *ranking, s *server) {
+func (d *Engine) rank(r *ranking, s *endpoint) {
 	s.place = len(r.Members())
 	r.Add(s, uint64(s.ID), d.flows(s))
 }
 
-// shut has requests pass a server over until a time by which the guards would turn each of them down.
-func (d *Engine) shut(s *server, until time.Duration) {
+// skipUntil has requests pass a server over until a time by which the guards would turn each of them down.
+func (d *Engine) skipUntil(s *endpoint, until time.Duration) {
 	if r := &d.caches; d.ours(s) && s.State != Gone {
-		r.Shut(s.place, until)
+		r.SkipUntil(s.place, until)
 	} else if s.role == roleParent && s.State != Gone {
-		d.parents.Shut(s.place, until)
+		d.parents.SkipUntil(s.place, until)
 	}
 }
 
 // flows is a server's link in answers at full pace, as far as it is told.
-func (d *Engine) flows(s *server) float64 {
+func (d *Engine) flows(s *endpoint) float64 {
 	if !d.cfg.WeightsReported || d.cfg.WeightsLive || s.Weight <= 0 {
 		return defaultWeight
 	}
@@ -328,21 +328,21 @@
 	if len(d.caches.Members()) > 0 {
 		n = uint64(d.sharers(d.caches.Members()[0]))
 	}
-	return n > 0 && rendezvous.Mix(p.hash()^uint64(d.cfg.Ordinal))%n != 0
+	return n > 0 && rendezvous.Hash(p.hash()^uint64(d.cfg.Ordinal))%n != 0
 }
 
 // cacheOrder lists the zone's caches, best first: holder or at top rank the less busy copy, then by hash.
 func (d *Engine) cacheOrder(q *request) *ranking {
-	var holder *server
+	var holder *endpoint
 	if q.row != nil && q.row.holder != 0 {
-		if s := d.servers[q.row.holder]; s != nil && s.State != Gone && d.ours(s) {
+		if s := d.endpoints[q.row.holder]; s != nil && s.State != Gone && d.ours(s) {
 			holder = s
 		}
 	}
-	order := d.caches.Begin(q.part.hash(), holder, d.now)
+	order := d.caches.OrderFor(q.part.hash(), holder, d.now)
 	if q.keep == 3 && order.At(1) != nil {
 		a, b := order.At(0), order.At(1)
-		if d.usable(a) && d.usable(b) && d.crowd(b) < d.crowd(a) {
+		if d.usable(a) && d.usable(b) && d.load(b) < d.load(a) {
 			order.Swap(0, 1)
 			q.second = true
 		}
@@ -351,12 +351,12 @@
 }
 
 // ours says whether a server is a cache of the own zone.
-func (d *Engine) ours(s *server) bool { return s.role == roleCache && s.Zone == d.cfg.Zone }
+func (d *Engine) ours(s *endpoint) bool { return s.role == roleCache && s.Zone == d.cfg.Zone }
 
 // The per-request state machine.
 
 type attempt struct {
-	node, source *server
+	node, source *endpoint
 	sent         time.Duration
 	done         bool
 	ran          bool // may have run
@@ -388,8 +388,8 @@
 	sized    bool    // and whether its size was told
 	attempts []attempt
 	open     int
-	over     bool      // it has its end
-	failed   []*server // as cache or as source
+	over     bool        // it has its end
+	failed   []*endpoint // as cache or as source
 }
 
 func (d *Engine) onCall(e RequestEvent) {
@@ -415,7 +415,7 @@
 			q.keep = 1
 		}
 	}
-	q.judged = c.sizes.Judged(q.expect)
+	q.judged = c.sizes.EffectiveSize(q.expect)
 	q.price = max(q.judged, leastAge.Seconds()) / cmp.Or(c.PriorityWeight, 1)
 	d.price = cmp.Or(d.price, q.price)*(1-meanWeight) + q.price*meanWeight
 	d.requests[e.ID] = q
@@ -432,7 +432,7 @@
 
 // tryNext sends one attempt by the first way that the guards let pass: caches, then parents, then the origin.
 func (d *Engine) tryNext(q *request) bool {
-	parents := d.parents.Begin(q.part.hash(), nil, d.now)
+	parents := d.parents.OrderFor(q.part.hash(), nil, d.now)
 	if q.class.Write {
 		return d.direct(q, nil, d.origin) || d.throughCaches(q, nil) || d.direct(q, parents, nil)
 	}
@@ -443,25 +443,25 @@
 // throughCaches tries the zone's caches, each with the parents in order and the origin as sources.
 func (d *Engine) throughCaches(q *request, parents *ranking) bool {
 	order := d.cacheOrder(q)
-	if d.look(q, order) {
+	if d.siblingLookup(q, order) {
 		return true
 	}
 	// No fill will go where both limits are narrow, whichever cache it is by.
-	narrow := !q.class.Write && d.narrow(q, &d.fills) && (q.asked || d.narrow(q, &d.held))
-	for c := range order.Then(nil) {
-		if !d.fit(q, c) {
+	narrow := !q.class.Write && d.limiterFull(q, &d.fills) && (q.asked || d.limiterFull(q, &d.held))
+	for c := range order.AllThen(nil) {
+		if !d.eligible(q, c) {
 			continue
 		}
 		free := q.row != nil && q.row.holder == c.ID || q.second && c == order.At(0) // of those limits
-		if !d.room(q, c) || narrow && !free {
+		if !d.hasCapacity(q, c) || narrow && !free {
 			q.crowded = true
 			return false
 		}
 		if c == order.At(0) && q.second && len(q.attempts) == 0 && d.send(q, c, order.At(1), true) {
 			return true
 		}
-		for s := range parents.Then(d.origin) {
-			if d.fit(q, s) && (d.send(q, c, s, false) || s.role == roleParent && d.send(q, c, s, true)) {
+		for s := range parents.AllThen(d.origin) {
+			if d.eligible(q, s) && (d.send(q, c, s, false) || s.role == roleParent && d.send(q, c, s, true)) {
 				return true
 			}
 		}
@@ -469,15 +469,15 @@
 	return false
 }
 
-// look asks the zone's caches one after another for a part that no row places: the paper's forwarding.
-func (d *Engine) look(q *request, order *ranking) bool {
+// siblingLookup asks the zone's caches one after another for a part that no row places: the paper's forwarding.
+func (d *Engine) siblingLookup(q *request, order *ranking) bool {
 	filled := slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.source != a.node })
 	if q.row == nil || q.row.holder != 0 || filled || len(q.attempts) > d.cfg.MaxAttempts-lookSpare {
 		return false
 	}
-	for c := range order.Then(nil) {
+	for c := range order.AllThen(nil) {
 		asked := slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.node == c })
-		if !asked && d.usable(c) && d.room(q, c) && d.send(q, c, c, false) {
+		if !asked && d.usable(c) && d.hasCapacity(q, c) && d.send(q, c, c, false) {
 			return true
 		}
 	}
@@ -485,25 +485,25 @@
 }
 
 // direct passes the caches by; a parent fetches what it lacks from the origin.
-func (d *Engine) direct(q *request, parents *ranking, last *server) bool {
+func (d *Engine) direct(q *request, parents *ranking, last *endpoint) bool {
 	if !d.cfg.DirectFetch || d.origin == nil {
 		return false
 	}
-	for s := range parents.Then(last) {
-		if d.fit(q, s) && d.room(q, s) && d.send(q, s, d.origin, false) {
+	for s := range parents.AllThen(last) {
+		if d.eligible(q, s) && d.hasCapacity(q, s) && d.send(q, s, d.origin, false) {
 			return true
 		}
 	}
 	return false
 }
 
-// fit says whether a server may get a request that it has not failed before.
-func (d *Engine) fit(q *request, s *server) bool {
+// eligible says whether a server may get a request that it has not failed before.
+func (d *Engine) eligible(q *request, s *endpoint) bool {
 	return s != nil && d.usable(s) && !slices.Contains(q.failed, s)
 }
 
 // send is the only way out: it asks the guards, then sends.
-func (d *Engine) send(q *request, node, source *server, heldOnly bool) bool {
+func (d *Engine) send(q *request, node, source *endpoint, heldOnly bool) bool {
 	fill := !q.class.Write && (node.role != roleCache ||
 		source.role != roleCache && (q.row == nil || q.row.holder != node.ID))
 	var limit *aimd.Limiter
@@ -512,12 +512,12 @@
 		if heldOnly {
 			limit = &d.held
 		}
-		if heldOnly && q.asked || d.narrow(q, limit) {
+		if heldOnly && q.asked || d.limiterFull(q, limit) {
 			q.crowded = true
 			return false
 		}
 	}
-	heldOnly = heldOnly || !fill && source.role == roleParent && d.narrow(q, &d.fills)
+	heldOnly = heldOnly || !fill && source.role == roleParent && d.limiterFull(q, &d.fills)
 	if !d.mayRun(q, node) || !d.mayUse(node, source) || !d.coldRoom(q, node) || !d.coldRoom(q, source) {
 		return false
 	}
@@ -532,9 +532,9 @@
 		a.CacheRank = q.keep
 	}
 	q.attempts = append(q.attempts, attempt{node: node, source: source, sent: d.now, ran: true, limit: limit,
-		held: heldOnly, crowd: d.crowd(node), expect: q.expect * max(1, d.crowd(node))})
+		held: heldOnly, crowd: d.load(node), expect: q.expect * max(1, d.load(node))})
 	if limit != nil {
-		limit.Out++
+		limit.InFlight++
 		q.asked = q.asked || heldOnly
 	}
 	if node.open == 0 {
@@ -562,7 +562,7 @@
 	if a.limit != nil && e.Note != NoteHit && !slices.Contains(noSign, e.Status) {
 		a.limit.Adapt(d.zone, e.Elapsed.Seconds() <= q.aim(q.expect) && (e.Status == StatusOK || e.Status == StatusMiss))
 		if e.Status == StatusOK && e.Note == NoteFilledOrigin && !a.late {
-			d.behind.Note(&a.source.late, d.now, false)
+			d.behind.Record(&a.source.late, d.now, false)
 		}
 	}
 	a.ran = !slices.Contains(neverRan, e.Status)
@@ -573,7 +573,7 @@
 		a.timing(d).Observe(e.Elapsed.Seconds() - a.expect)
 		d.passBy(q, a)
 	}
-	d.judge(q, a, e)
+	d.recordOutcome(q, a, e)
 	if e.Status == StatusOK {
 		d.learn(q, a, e)
 	}
@@ -609,7 +609,7 @@
 		a.node.out = a.node.out[:last]
 	}
 	if a.limit != nil {
-		a.limit.Out--
+		a.limit.InFlight--
 	}
 }
 
@@ -625,7 +625,7 @@
 			d.do(CancelAttempt{q.id, i})
 		}
 	}
-	q.class.sizes.Ended(q.expect, q.crowded)
+	q.class.sizes.Record(q.expect, q.crowded)
 	delete(d.requests, q.id)
 	q.over = true // the next tick takes it out of what waits
 }
@@ -662,16 +662,16 @@
 			case a.late:
 			case q.class.Write && a.node.role == roleOrigin && took > writeUse*q.aim(q.expect):
 				a.late = true
-				d.fills.Back() // writes wait behind fills there, and are worth more
+				d.fills.Decrease() // writes wait behind fills there, and are worth more
 			case a.limit != nil && a.source != a.node && took > q.aim(q.expect):
 				a.late = true
-				d.tardy(a)
+				d.recordLateFill(a)
 			}
 		}
 	}
 	for _, s := range d.parents.Members() {
-		if s.ejected && s.tardy && d.behind.Others(&s.late, d.now, len(d.parents.Members())) == outlier.Share {
-			d.trust(s)
+		if s.ejected && s.tardy && d.behind.OthersOverdueRate(&s.late, d.now, len(d.parents.Members())) == outlier.FaultyErrorRate {
+			d.readmit(s)
 		}
 	}
 	for _, s := range d.caches.Members() {
@@ -685,16 +685,16 @@
 	}
 }
 
-// tardy counts a fill that is late, unless those by way of the other parents are as well: the origin is slow.
-func (d *Engine) tardy(a *attempt) {
+// recordLateFill counts a fill that is late, unless those by way of the other parents are as well: the origin is slow.
+func (d *Engine) recordLateFill(a *attempt) {
 	s := a.source
 	if s.role != roleParent || a.held || s.heard < a.sent {
 		d.count(s, false, false) // one that answers nothing at all is not waiting for the origin
 		return
 	}
 	out := s.ejected
-	d.weigh(s, false, d.behind.Others(&s.late, d.now, len(d.parents.Members())))
-	d.behind.Note(&s.late, d.now, true)
+	d.weigh(s, false, d.behind.OthersOverdueRate(&s.late, d.now, len(d.parents.Members())))
+	d.behind.Record(&s.late, d.now, true)
 	s.tardy = s.ejected && (s.tardy || !out)
 }
 
@@ -719,7 +719,7 @@
 		return
 	}
 	over := (d.now - a.sent).Seconds() - a.expect
-	lost := over > a.timing(d).Limit()*float64(uint(1)<<q.moves)+(slowdown-1)*a.expect
+	lost := over > a.timing(d).Timeout()*float64(uint(1)<<q.moves)+(slowdown-1)*a.expect
 	if !lost || a.passed < 2 || a.moved || !d.cfg.MayCancel || len(q.attempts) >= d.cfg.MaxAttempts {
 		return
 	}
@@ -742,7 +742,7 @@
 }
 
 // timing is what such answers as an attempt waits for take beyond their sending time.
-func (a *attempt) timing(d *Engine) *rto.Timing {
+func (a *attempt) timing(d *Engine) *rto.Estimator {
 	if a.limit != nil {
 		return &d.late[1]
 	}
@@ -757,7 +757,7 @@
 	roleOrigin
 )
 
-type server struct {
+type endpoint struct {
 	Endpoint
 	role      int
 	open      int
@@ -768,18 +768,18 @@
 	ejected   bool
 	until     time.Duration
 	ejectFor  time.Duration
-	trial     bool            // one trial request is out
-	doubt     float64         // how unlikely its silence is
-	left      time.Duration   // when the list last told of it
-	broke     time.Duration   // when a connection to it last ended under an attempt
-	back      time.Duration   // when it was trusted again after it was ejected
-	sent      slowstart.Meter // while it is cold
-	place     int             // in its ranking
-	late      outlier.Member  // its fills that come late
-	heard     time.Duration   // when a fill by way of it last came
-	tardy     bool            // it is ejected for these alone
-	slow      float64         // its answers' times over what is expected of it
-	out       []out           // the attempts that wait for it
+	trial     bool             // one trial request is out
+	doubt     float64          // how unlikely its silence is
+	left      time.Duration    // when the list last told of it
+	broke     time.Duration    // when a connection to it last ended under an attempt
+	back      time.Duration    // when it was trusted again after it was ejected
+	sent      slowstart.Budget // while it is cold
+	place     int              // in its ranking
+	late      outlier.Member   // its fills that come late
+	heard     time.Duration    // when a fill by way of it last came
+	tardy     bool             // it is ejected for these alone
+	slow      float64          // its answers' times over what is expected of it
+	out       []out            // the attempts that wait for it
 }
 
 // out is an attempt that is out: the nth of a request.
@@ -789,12 +789,12 @@
 }
 
 // usable says whether a server may get ordinary work: ready, and not ejected or due for one trial.
-func (d *Engine) usable(s *server) bool {
+func (d *Engine) usable(s *endpoint) bool {
 	return s.State == Ready && (!s.ejected || d.now >= s.until && !s.trial)
 }
 
-// judge books an outcome to the server that is at fault: the cache, or the source behind it.
-func (d *Engine) judge(q *request, a *attempt, e ResponseEvent) {
+// recordOutcome books an outcome to the server that is at fault: the cache, or the source behind it.
+func (d *Engine) recordOutcome(q *request, a *attempt, e ResponseEvent) {
 	source := a.source != a.node
 	switch {
 	case e.Status == StatusOK:
@@ -831,36 +831,36 @@
 }
 
 // count weighs an outcome by the odds that the server is at fault, not what it shares with its peers.
-func (d *Engine) count(s *server, ok, hard bool) {
+func (d *Engine) count(s *endpoint, ok, hard bool) {
 	s.tardy = s.tardy && !hard
-	d.weigh(s, ok, d.bad[s.role].Take(ok, hard, !s.ejected))
+	d.weigh(s, ok, d.bad[s.role].Record(ok, hard, !s.ejected))
 }
 
-func (d *Engine) weigh(s *server, ok bool, share float64) {
-	switch s.odds.Weigh(ok, share); {
-	case ok && s.ejected && s.odds < outlier.Enough/2:
+func (d *Engine) weigh(s *endpoint, ok bool, share float64) {
+	switch s.odds.Update(ok, share); {
+	case ok && s.ejected && s.odds < outlier.EjectionThreshold/2:
 		s.back = d.now // it may have started anew, before the list says so: spared as cold
-		d.trust(s)
-	case !ok && (s.ejected || s.odds >= outlier.Enough && s.role != roleOrigin):
+		d.readmit(s)
+	case !ok && (s.ejected || s.odds >= outlier.EjectionThreshold && s.role != roleOrigin):
 		d.eject(s, "failing")
 	}
 }
 
-// trust takes a server back.
-func (d *Engine) trust(s *server) {
+// readmit takes a server back.
+func (d *Engine) readmit(s *endpoint) {
 	d.do(Log{fmt.Sprintf("trusted again %x", s.ID)})
 	s.ejected, s.tardy, s.ejectFor, s.odds = false, false, 0, 0
-	d.shut(s, 0)
+	d.skipUntil(s, 0)
 }
 
 // eject takes a server out of ordinary work, but for trials.
-func (d *Engine) eject(s *server, why string) {
+func (d *Engine) eject(s *endpoint, why string) {
 	if !s.ejected {
 		d.do(Log{fmt.Sprintf("ejected %x: %s", s.ID, why)})
 	}
-	s.ejectFor = min(ejectMost, max(ejectFirst, 2*s.ejectFor))
-	s.ejected, s.trial, s.until, s.odds = true, false, d.now+s.ejectFor, outlier.Enough/2+1
-	d.shut(s, s.until)
+	s.ejectFor = min(maxEjectionTime, max(baseEjectionTime, 2*s.ejectFor))
+	s.ejected, s.trial, s.until, s.odds = true, false, d.now+s.ejectFor, outlier.EjectionThreshold/2+1
+	d.skipUntil(s, s.until)
 }
 
 func (d *Engine) onList(e ListEvent) {
@@ -870,13 +870,13 @@
 		}
 	}
 	for _, n := range e.Endpoints {
-		s := d.servers[n.ID]
+		s := d.endpoints[n.ID]
 		if s == nil {
-			s = &server{slow: 1}
-			d.servers[n.ID] = s
+			s = &endpoint{slow: 1}
+			d.endpoints[n.ID] = s
 			d.all = append(d.all, s)
 		} else if n.StartedAt != s.StartedAt {
-			*s = server{open: s.open, out: s.out, firstWait: d.now, slow: 1}
+			*s = endpoint{open: s.open, out: s.out, firstWait: d.now, slow: 1}
 		}
 		s.Endpoint, s.role, s.left = n, d.roles[n.Kind], d.now
 	}
@@ -905,10 +905,10 @@
 
 // forget drops servers that are long gone: where each replacement has a new id they would be ever more.
 func (d *Engine) forget() {
-	d.all = slices.DeleteFunc(d.all, func(s *server) bool {
+	d.all = slices.DeleteFunc(d.all, func(s *endpoint) bool {
 		old := s.State == Gone && s.open == 0 && d.now-s.left > goneFor
 		if old {
-			delete(d.servers, s.ID)
+			delete(d.endpoints, s.ID)
 		}
 		return old
 	})
@@ -917,7 +917,7 @@
 // Guards of the rules.
 
 // mayRun keeps rules 1 and 2: no send after the end, attempts in bounds, no effect twice.
-func (d *Engine) mayRun(q *request, node *server) bool {
+func (d *Engine) mayRun(q *request, node *endpoint) bool {
 	if d.requests[q.id] != q || d.cfg.MaxAttempts > 0 && len(q.attempts) >= d.cfg.MaxAttempts ||
 		q.open > 0 && !d.cfg.Hedging {
 		return false
@@ -942,7 +942,7 @@
 }
 
 // mayUse keeps rule 3 and the reach of each server.
-func (d *Engine) mayUse(node, source *server) bool {
+func (d *Engine) mayUse(node, source *endpoint) bool {
 	if node.State != Ready || source.State != Ready {
 		return false
 	}
@@ -954,7 +954,7 @@
 }
 
 // coldRoom keeps rule 4: this director's share of what a cold server bears in any window of FallFor.
-func (d *Engine) coldRoom(q *request, s *server) bool {
+func (d *Engine) coldRoom(q *request, s *endpoint) bool {
 	from, span, multiple := d.cfg.ColdStartShare, d.cfg.WarmupTime, d.cfg.OverloadMultiple
 	if s.role == roleParent {
 		from, span, multiple = d.cfg.ParentStartShare, d.cfg.ParentWarmupTime, d.cfg.ParentOverloadMultiple
@@ -966,15 +966,15 @@
 	}
 	window := d.cfg.OverloadWindow
 	full := coldUse * multiple * d.share(s) * window.Seconds()
-	r := slowstart.Ramp{From: from, Span: span, Full: full, Window: window}
-	if q.class.cost <= s.sent.Left(d.now, since, &r) {
+	r := slowstart.Schedule{InitialShare: from, WarmupTime: span, FullBudget: full, Window: window}
+	if q.class.cost <= s.sent.Available(d.now, since, &r) {
 		return true
 	}
 	least := q.class.cost
 	for i := range d.classes {
 		least = min(least, d.classes[i].cost)
 	}
-	d.shut(s, min(s.sent.When(d.now, since, least, &r), d.now+shutMost))
+	d.skipUntil(s, min(s.sent.AvailableAt(d.now, since, least, &r), d.now+shutMost))
 	return false
 }
 
@@ -994,33 +994,33 @@
 // Limits and shedding.
 
 // share is this director's part of a server's link, in answers at full pace: a cache serves its own zone's.
-func (d *Engine) share(s *server) float64 {
+func (d *Engine) share(s *endpoint) float64 {
 	return d.flows(s) / float64(d.sharers(s))
 }
 
-// crowd is what is out to a server with one more, in multiples of its link: others count as we do on average.
-func (d *Engine) crowd(s *server) float64 {
+// load is what is out to a server with one more, in multiples of its link: others count as we do on average.
+func (d *Engine) load(s *endpoint) float64 {
 	d.settle(s)
 	return (float64(s.open+1) + s.usual*float64(d.sharers(s)-1)) / d.flows(s) * s.slow
 }
 
 // settle brings the average of what is out to a server up to now.
-func (d *Engine) settle(s *server) {
+func (d *Engine) settle(s *endpoint) {
 	s.usual += (float64(s.open) - s.usual) * (1 - math.Exp2(-float64(d.now-s.settled)/float64(usualHalf)))
 	s.settled = d.now
 }
 
 // sharers is the number of directors that send to a server: to a cache, those of its zone.
-func (d *Engine) sharers(s *server) int {
+func (d *Engine) sharers(s *endpoint) int {
 	if s.role == roleCache && s.Zone < len(d.cfg.ZoneInstances) {
 		return max(1, d.cfg.ZoneInstances[s.Zone])
 	}
 	return max(1, d.cfg.Instances)
 }
 
-// room says whether a server can answer in time beside what is out to it.
-func (d *Engine) room(q *request, s *server) bool {
-	return s.open == 0 || s.role == roleOrigin || q.judged*d.crowd(s) < aimUse*q.aim(q.judged)
+// hasCapacity says whether a server can answer in time beside what is out to it.
+func (d *Engine) hasCapacity(q *request, s *endpoint) bool {
+	return s.open == 0 || s.role == roleOrigin || q.judged*d.load(s) < aimUse*q.aim(q.judged)
 }
 
 // aim is the wanted time of a request that takes so many seconds to send.
@@ -1033,7 +1033,7 @@
 	return max(1-valueSwing, min(1+valueSwing, math.Sqrt(d.price/q.price)))
 }
 
-// narrow says whether a limit, weighed by worth for cost, has no room; a part of a fill is given by lot.
-func (d *Engine) narrow(q *request, l *aimd.Limiter) bool {
-	return l.Narrow(d.zone, d.value(q), fairness.Lot(rendezvous.Mix(uint64(q.id))))
+// limiterFull says whether a limit, weighed by worth for cost, has no room; a part of a fill is given by lot.
+func (d *Engine) limiterFull(q *request, l *aimd.Limiter) bool {
+	return l.Full(d.zone, d.value(q), fairness.UnitInterval(rendezvous.Hash(uint64(q.id))))
 }
--- a/internal/policy/rendezvous/ranking.go
+++ b/internal/policy/rendezvous/ranking.go
@@ -29,18 +29,18 @@
 	r.set.Add(id, weight)
 }
 
-// Shut has the member that was added as the nth passed over until a time, but where it is among the first two of an order.
-func (r *Ranking[M]) Shut(n int, until time.Duration) { r.set.Shut(n, int64(until)) }
+// SkipUntil has the member that was added as the nth passed over until a time, but where it is among the first two of an order.
+func (r *Ranking[M]) SkipUntil(n int, until time.Duration) { r.set.SkipUntil(n, int64(until)) }
 
-// IsShut says whether the member that was added as the nth is passed over at a time.
-func (r *Ranking[M]) IsShut(n int, now time.Duration) bool { return r.set.shut[n] > int64(now) }
+// Skipped says whether the member that was added as the nth is passed over at a time.
+func (r *Ranking[M]) Skipped(n int, now time.Duration) bool { return r.set.shut[n] > int64(now) }
 
 // Members is all members in the order of Add. It must not be changed.
 func (r *Ranking[M]) Members() []M { return r.members }
 
-// Begin asks for the order for a key at a time, in which first, where it is not the zero value, stands before all others. first
+// OrderFor asks for the order for a key at a time, in which first, where it is not the zero value, stands before all others. first
 // must be a member. What an earlier Begin gave is void.
-func (r *Ranking[M]) Begin(key uint64, first M, now time.Duration) *Ranking[M] {
+func (r *Ranking[M]) OrderFor(key uint64, first M, now time.Duration) *Ranking[M] {
 	var none M
 	r.order.Begin(&r.set, key, int64(now))
 	if r.next, r.first, r.got = 0, first, r.got[:0]; first != none {
@@ -66,8 +66,8 @@
 // Swap has the members of two places that were looked at change places.
 func (r *Ranking[M]) Swap(i, j int) { r.got[i], r.got[j] = r.got[j], r.got[i] }
 
-// Then goes through the ranking, of which nil has no members, and one member more unless that is the zero value.
-func (r *Ranking[M]) Then(last M) iter.Seq[M] {
+// AllThen goes through the ranking, of which nil has no members, and one member more unless that is the zero value.
+func (r *Ranking[M]) AllThen(last M) iter.Seq[M] {
 	return func(yield func(M) bool) {
 		var none M
 		for i := 0; r != nil && r.At(i) != none; i++ {
--- a/internal/policy/rendezvous/rendezvous.go
+++ b/internal/policy/rendezvous/rendezvous.go
@@ -14,8 +14,8 @@
 	"slices"
 )
 
-// Mix is a 64-bit finaliser (Stafford's variant 13 of the one in MurmurHash3, with the increment of SplitMix64).
-func Mix(x uint64) uint64 {
+// Hash is a 64-bit finaliser (Stafford's variant 13 of the one in MurmurHash3, with the increment of SplitMix64).
+func Hash(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
@@ -40,9 +40,9 @@
 	s.shut = append(s.shut, 0)
 }
 
-// Shut has a member passed over until a time, but where it is among the first two. A later call takes the place of an earlier
+// SkipUntil has a member passed over until a time, but where it is among the first two. A later call takes the place of an earlier
 // one.
-func (s *Set) Shut(i int, until int64) { s.shut[i] = until }
+func (s *Set) SkipUntil(i int, until int64) { s.shut[i] = until }
 
 // Len is the number of members.
 func (s *Set) Len() int { return len(s.ids) }
@@ -52,7 +52,7 @@
 
 // Score is the score of a member for a key.
 func (s *Set) Score(i int, key uint64) float64 {
-	return s.weights[i] / -math.Log(unit(Mix(key^s.ids[i])))
+	return s.weights[i] / -math.Log(unit(Hash(key^s.ids[i])))
 }
 
 // head is how many members the first walk finds. Most requests look at one or two, and a second walk sorts all.
@@ -151,7 +151,7 @@
 			}
 			to = &shut
 		}
-		u := unit(Mix(o.key ^ id))
+		u := unit(Hash(o.key ^ id))
 		// The bound is taken a little wide, for the rounding of both sides.
 		if to.n == to.most && s.weights[i] < to.floor*(1-u)*(1-1e-9) {
 			continue
--- a/internal/policy/rendezvous/rendezvous_test.go
+++ b/internal/policy/rendezvous/rendezvous_test.go
@@ -33,7 +33,7 @@
 		ids := rapid.SampledFrom([]uint64{3, 1 << 20, math.MaxUint64}).Draw(t, "ids")
 		seed := rapid.Uint64().Draw(t, "seed")
 		for i := range n {
-			draw := Mix(seed + uint64(i))
+			draw := Hash(seed + uint64(i))
 			s.Add(draw%ids, weights[draw>>32%uint64(len(weights))])
 		}
 		var o Order
@@ -42,9 +42,9 @@
 			want := sorted(&s, key)
 			every := rapid.SampledFrom([]uint64{1, 2, 7, 1 << 40}).Draw(t, "each so manieth is shut")
 			for i := range n {
-				s.Shut(i, 0)
-				if Mix(seed^uint64(i))%every == 0 {
-					s.Shut(i, 5)
+				s.SkipUntil(i, 0)
+				if Hash(seed^uint64(i))%every == 0 {
+					s.SkipUntil(i, 5)
 				}
 			}
 			kept := want[:0:0]
@@ -59,7 +59,7 @@
 				at := rapid.IntRange(0, n+1).Draw(t, "at")
 				got, ok := o.At(at)
 				if rapid.Bool().Draw(t, "shut meanwhile") && ok {
-					s.Shut(got, 9) // what was given stays
+					s.SkipUntil(got, 9) // what was given stays
 				}
 				if ok != (at < n) || ok && got != int(want[at].index) {
 					t.Fatalf("place %d of %d: got %d %v, want %v", at, n, got, ok, want[:min(at+1, n)])
@@ -82,7 +82,7 @@
 	firsts := map[uint64]int{}
 	const keys = 50000
 	for k := range keys {
-		key := Mix(uint64(k))
+		key := Hash(uint64(k))
 		o.Begin(&all, key, 0)
 		p.Begin(&less, key, 0)
 		a, _ := o.At(0)
@@ -105,12 +105,12 @@
 	for _, n := range []int{10, 100, 1000, 10000, 100000} {
 		var s Set
 		for i := range n {
-			s.Add(Mix(uint64(i)), float64(1+i%12))
+			s.Add(Hash(uint64(i)), float64(1+i%12))
 		}
 		b.Run(fmt.Sprintf("plain/%d", n), func(b *testing.B) {
 			b.ReportAllocs()
 			for i := range b.N {
-				order := sorted(&s, Mix(uint64(i)))
+				order := sorted(&s, Hash(uint64(i)))
 				_ = order[1]
 			}
 		})
@@ -118,7 +118,7 @@
 			b.ReportAllocs()
 			var o Order
 			for i := range b.N {
-				o.Begin(&s, Mix(uint64(i)), 0)
+				o.Begin(&s, Hash(uint64(i)), 0)
 				o.At(0)
 				o.At(1)
 			}
--- a/internal/policy/rto/rto_test.go
+++ b/internal/policy/rto/rto_test.go
@@ -10,20 +10,20 @@
 		varied.Observe(0.2 * float64(i%2))
 		slow.Observe(1)
 	}
-	if l := steady.Limit(); l < 0.1 || l > 0.11 {
+	if l := steady.Timeout(); l < 0.1 || l > 0.11 {
 		t.Errorf("answers of 0.1 s: a limit of %.3f, want a little over that", l)
 	}
-	if l := varied.Limit(); l < 0.4 || l > 0.6 {
+	if l := varied.Timeout(); l < 0.4 || l > 0.6 {
 		t.Errorf("answers of 0 and 0.2 s: a limit of %.3f, want the mean and four deviations of 0.1", l)
 	}
-	if l := slow.Limit(); l < 1 {
+	if l := slow.Timeout(); l < 1 {
 		t.Errorf("answers of 1 s: a limit of %.3f", l)
 	}
 	early := New()
 	for range 400 {
 		early.Observe(-0.3)
 	}
-	if early.Limit() < Least {
-		t.Errorf("answers before their time: a limit of %.3f, want %.3f at least", early.Limit(), Least)
+	if early.Timeout() < MinTimeout {
+		t.Errorf("answers before their time: a limit of %.3f, want %.3f at least", early.Timeout(), MinTimeout)
 	}
 }
--- a/internal/policy/slowstart/slowstart.go
+++ b/internal/policy/slowstart/slowstart.go
@@ -8,12 +8,12 @@
 
 import "time"
 
-// Ramp is what a server can bear, as far as this sender's part goes. The zero value bears nothing.
-type Ramp struct {
-	From   float64       // of Full, at age 0
-	Span   time.Duration // until it is Full
-	Full   float64       // budget of a window
-	Window time.Duration
+// Schedule is what a server can bear, as far as this sender's part goes. The zero value bears nothing.
+type Schedule struct {
+	InitialShare float64       // of Full, at age 0
+	WarmupTime   time.Duration // until it is Full
+	FullBudget   float64       // budget of a window
+	Window       time.Duration
 }
 
 // spent is one sending.
@@ -22,22 +22,22 @@
 	cost float64
 }
 
-// Meter is what one sender has sent to one server lately.
-type Meter struct{ spent []spent }
+// Budget is what one sender has sent to one server lately.
+type Budget struct{ spent []spent }
 
 // Spend notes a sending. Times must not fall.
-func (m *Meter) Spend(now time.Duration, cost float64) { m.spent = append(m.spent, spent{now, cost}) }
+func (m *Budget) Spend(now time.Duration, cost float64) { m.spent = append(m.spent, spent{now, cost}) }
 
 // Clear forgets all sendings, and keeps the memory.
-func (m *Meter) Clear() { m.spent = m.spent[:0] }
+func (m *Budget) Clear() { m.spent = m.spent[:0] }
 
 // budget is what the window that ends at a time bears, for a server that started at since.
-func (r *Ramp) budget(now, since time.Duration) float64 {
-	return r.Full * (r.From + (1-r.From)*min(1, max(0, float64(now-since)/float64(max(1, r.Span)))))
+func (r *Schedule) budget(now, since time.Duration) float64 {
+	return r.FullBudget * (r.InitialShare + (1-r.InitialShare)*min(1, max(0, float64(now-since)/float64(max(1, r.WarmupTime)))))
 }
 
-// Left is what may still be sent now. What has left the window is forgotten.
-func (m *Meter) Left(now, since time.Duration, r *Ramp) float64 {
+// Available is what may still be sent now. What has left the window is forgotten.
+func (m *Budget) Available(now, since time.Duration, r *Schedule) float64 {
 	gone := 0
 	for gone < len(m.spent) && now-m.spent[gone].at > r.Window {
 		gone++
@@ -52,17 +52,17 @@
 	return left
 }
 
-// When is the first time from now on at which a cost fits, if nothing is spent until then. A cost beyond Full fits once the
+// AvailableAt is the first time from now on at which a cost fits, if nothing is spent until then. A cost beyond Full fits once the
 // server counts as started for long: at since plus Span.
-func (m *Meter) When(now, since time.Duration, cost float64, r *Ramp) time.Duration {
-	left := m.Left(now, since, r) // of the budget at now; it grows while sendings leave the window
+func (m *Budget) AvailableAt(now, since time.Duration, cost float64, r *Schedule) time.Duration {
+	left := m.Available(now, since, r) // of the budget at now; it grows while sendings leave the window
 	at := now
 	slope := 0.0 // of the budget, in cost a nanosecond
-	if end := since + r.Span; at < end {
-		slope = r.Full * (1 - r.From) / float64(max(1, r.Span))
+	if end := since + r.WarmupTime; at < end {
+		slope = r.FullBudget * (1 - r.InitialShare) / float64(max(1, r.WarmupTime))
 	}
 	for i := 0; ; i++ {
-		next := since + r.Span
+		next := since + r.WarmupTime
 		if i < len(m.spent) {
 			next = min(next, m.spent[i].at+r.Window+1)
 		}
@@ -74,8 +74,8 @@
 				return fits
 			}
 		}
-		if next >= since+r.Span || i >= len(m.spent) {
-			return max(now, since+r.Span)
+		if next >= since+r.WarmupTime || i >= len(m.spent) {
+			return max(now, since+r.WarmupTime)
 		}
 		left += slope*float64(next-at) + m.spent[i].cost
 		at = next
--- a/internal/policy/slowstart/slowstart_test.go
+++ b/internal/policy/slowstart/slowstart_test.go
@@ -10,10 +10,10 @@
 // TestWhenIsTheFirstTime compares When with a walk over time, and Left with a sum over all that was ever sent.
 func TestWhenIsTheFirstTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		r := &Ramp{From: rapid.Float64Range(0.01, 1).Draw(t, "from"), Span: time.Duration(rapid.IntRange(1, 40).Draw(t, "span")) * 50 * time.Millisecond,
-			Full: rapid.Float64Range(0.1, 20).Draw(t, "full"), Window: time.Duration(rapid.IntRange(1, 20).Draw(t, "window")) * 50 * time.Millisecond}
+		r := &Schedule{InitialShare: rapid.Float64Range(0.01, 1).Draw(t, "from"), WarmupTime: time.Duration(rapid.IntRange(1, 40).Draw(t, "span")) * 50 * time.Millisecond,
+			FullBudget: rapid.Float64Range(0.1, 20).Draw(t, "full"), Window: time.Duration(rapid.IntRange(1, 20).Draw(t, "window")) * 50 * time.Millisecond}
 		since := time.Duration(rapid.IntRange(0, 1000).Draw(t, "since")) * time.Millisecond
-		var m Meter
+		var m Budget
 		var all []spent
 		now := since
 		for range rapid.IntRange(0, 30).Draw(t, "sendings") {
@@ -28,28 +28,28 @@
 				sum -= s.cost
 			}
 		}
-		if left := m.Left(now, since, r); left < sum-1e-9 || left > sum+1e-9 {
+		if left := m.Available(now, since, r); left < sum-1e-9 || left > sum+1e-9 {
 			t.Fatalf("left %g, want %g", left, sum)
 		}
 		cost := rapid.Float64Range(0.01, 3).Draw(t, "wanted")
-		when := m.When(now, since, cost, r)
+		when := m.AvailableAt(now, since, cost, r)
 		if when < now {
 			t.Fatalf("when %v lies before now %v", when, now)
 		}
 		fits := func(at time.Duration) bool {
-			if at >= since+r.Span {
+			if at >= since+r.WarmupTime {
 				return true // it is cold no more
 			}
-			c := Meter{append([]spent(nil), m.spent...)}
-			return cost <= c.Left(at, since, r)+1e-9
+			c := Budget{append([]spent(nil), m.spent...)}
+			return cost <= c.Available(at, since, r)+1e-9
 		}
 		if !fits(when + 2) {
 			t.Fatalf("at %v, from %v on, it does not fit", when, now)
 		}
 		for at := now; at < when-time.Millisecond; at += time.Millisecond {
 			if fits(at) && !fits(at-2) { // a place where it would have fitted before
-				c := Meter{append([]spent(nil), m.spent...)}
-				if cost <= c.Left(at, since, r)-1e-6 {
+				c := Budget{append([]spent(nil), m.spent...)}
+				if cost <= c.Available(at, since, r)-1e-6 {
 					t.Fatalf("it fits at %v, and when says %v", at, when)
 				}
 			}
--- a/internal/policy/trace_test.go
+++ b/internal/policy/trace_test.go
@@ -169,7 +169,7 @@
 				checkOut(t, d)
 			}
 			for _, s := range d.caches.Members() {
-				if d.caches.IsShut(s.place, d.now) {
+				if d.caches.Skipped(s.place, d.now) {
 					shut++
 				}
 			}
@@ -177,7 +177,7 @@
 		walk := randomDay(t, c.seed, c.caches, c.calls, true, func(d *Engine) {
 			for _, r := range []*ranking{&d.caches, &d.parents} {
 				for _, s := range r.Members() {
-					r.Shut(s.place, 0)
+					r.SkipUntil(s.place, 0)
 				}
 			}
 		})
@@ -198,7 +198,7 @@
 		randomDay(t, seed, 12, 4000, false, func(d *Engine) {
 			checkOut(t, d)
 			for _, s := range d.caches.Members() {
-				if !d.caches.IsShut(s.place, d.now) || s.ejected {
+				if !d.caches.Skipped(s.place, d.now) || s.ejected {
 					continue
 				}
 				shut++
@@ -220,7 +220,7 @@
 
 // checkOut compares what each server has listed as out with a walk over all requests.
 func checkOut(t testing.TB, d *Engine) {
-	want, listed := map[out]*server{}, 0
+	want, listed := map[out]*endpoint{}, 0
 	for _, q := range d.requests {
 		for i := range q.attempts {
 			if !q.attempts[i].done {
@@ -254,7 +254,7 @@
 			now := 100 * sec
 			list := nodes()[:3]
 			for i := range caches {
-				list = append(list, Endpoint{ID: EndpointID(rendezvous.Mix(uint64(i))), Zone: 2, State: Ready, Weight: 1, StartedAt: now})
+				list = append(list, Endpoint{ID: EndpointID(rendezvous.Hash(uint64(i))), Zone: 2, State: Ready, Weight: 1, StartedAt: now})
 			}
 			d.Handle(now, ListEvent{Kind: ListFull, Endpoints: list})
 			drive(b, d, now)
@@ -272,7 +272,7 @@
 			}
 			list := nodes()
 			for i := range caches {
-				list = append(list, Endpoint{ID: EndpointID(rendezvous.Mix(uint64(i))), Zone: 2, State: Ready, Weight: 8})
+				list = append(list, Endpoint{ID: EndpointID(rendezvous.Hash(uint64(i))), Zone: 2, State: Ready, Weight: 8})
 			}
 			now := 100 * sec
 			d.Handle(now, ListEvent{Kind: ListFull, Endpoints: list})
