--- a/internal/policy/director_test.go
+++ b/internal/policy/director_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sloequay/internal/policy/aimd"
+	"sloequay/internal/policy/gaptable"
 )
 
 const sec = time.Second
@@ -195,8 +196,8 @@
 	two.do(ListEvent{Kind: ListDelta, Endpoints: []Endpoint{{ID: 5, Zone: 2, State: Ready, Weight: 8}}})
 	moved := 0
 	for id := RequestID(1); id <= 300; id++ {
-		p := part{uint64(id) * 977, 0}
-		a, b := one.d.caches.OrderFor(p.hash(), nil, 0).At(0).ID, two.d.caches.OrderFor(p.hash(), nil, 0).At(0).ID
+		p := gaptable.Part{Object: uint64(id) * 977}
+		a, b := one.d.caches.OrderFor(hash(p), nil, 0).At(0).ID, two.d.caches.OrderFor(hash(p), nil, 0).At(0).ID
 		if a != b {
 			moved++
 			if b != 5 {
--- a/internal/policy/fleet_test.go
+++ b/internal/policy/fleet_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sloequay/internal/policy/aimd"
+	"sloequay/internal/policy/gaptable"
 	"sloequay/internal/policy/outlier"
 )
 
@@ -24,7 +25,7 @@
 		b := newBench(t, manyDirectors(c.directors))
 		kept := 0
 		for object := uint64(1); object <= 200; object++ {
-			if b.d.seenElsewhere(part{object, 0}) {
+			if b.d.seenElsewhere(gaptable.Part{Object: object}) {
 				kept++
 			}
 		}
@@ -116,9 +117,9 @@
 	if g := b.last(3); !g.CachedOnly {
 		t.Fatalf("fills are narrow: %+v, want what the parent holds only", g)
 	}
-	row := b.d.tables.rows[part{7, 0}]
-	if b.answer(3, StatusMiss, NoteNone); row.holder != 0 {
-		t.Errorf("the row still names %d, which lacked the part", row.holder)
+	row := b.d.tables.Row(gaptable.Part{Object: 7})
+	if b.answer(3, StatusMiss, NoteNone); row.CachedAt != 0 {
+		t.Errorf("the row still names %d, which lacked the part", row.CachedAt)
 	}
 }
 
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"container/list"
 	"fmt"
 	"math"
 	"slices"
@@ -13,6 +12,7 @@
 	"sloequay/internal/invalidation"
 	"sloequay/internal/policy/aimd"
 	"sloequay/internal/policy/fairness"
+	"sloequay/internal/policy/gaptable"
 	"sloequay/internal/policy/outlier"
 	"sloequay/internal/policy/rendezvous"
 	"sloequay/internal/policy/rto"
@@ -27,10 +27,6 @@
 	tickEvery = 10 * ms // health, hedges and give-ups are looked at this often; well under any aim
 	tickToken = 1
 
-	singleSeconds, multipleSeconds, cachingSeconds = 60.0, 20.0, 12.0 // of requests
-	tableFloor                                     = 64               // rows, for a quiet start
-	topShare, middleShare                          = 0.10, 0.40       // places at rank 3; at 2 or 3
-
 	coldUse     = 0.7     // share of the stated cold budget that is used: estimates are rough
 	purgeMargin = 5 * ms  // the clock ticks of both sides
 	leastAge    = 1 * ms  // 0 would mean "any age"
@@ -77,7 +73,7 @@
 	caches    ranking     // of the own zone
 	parents   ranking
 	origin    *endpoint
-	tables    tables
+	tables    *gaptable.Tables
 	requests  map[RequestID]*request
 	waiting   []*request // in order of arrival; what is over stays until the next tick
 	purges    *invalidation.Ledger
@@ -98,7 +94,7 @@
 type classState struct {
 	Class
 	mean  float64         // sending time in seconds
-	cost  float64         // the same in cold budgets, never net of crowding: too low would push cold servers over
+	cost  float64         // in cold budgets, never net of load: too low would overload cold servers
 	seen  float64         // sizes that it rests on
 	sizes fairness.Shares // by sending time
 }
@@ -111,12 +107,12 @@
 	d := &Engine{cfg: cfg, endpoints: map[EndpointID]*endpoint{},
 		roles:    map[int]int{cfg.ParentKind: roleParent, cfg.OriginKind: roleOrigin},
 		requests: map[RequestID]*request{},
-		purges:   invalidation.New(invalidation.Config{Propagation: cfg.PurgePropagation, Slack: time.Second}),
+		purges: invalidation.New(invalidation.Config{
+			Propagation: cfg.PurgePropagation, Slack: time.Second}),
 		fills:    aimd.New(), held: aimd.NewCachedOnly(),
 		behind: outlier.New(),
 		late:   [2]rto.Estimator{rto.New(), rto.New()},
-		tables: tables{rows: map[part]*row{}, single: list.New()}}
-	d.tables.resize(0)
+		tables: gaptable.New()}
 	for i, c := range cfg.Classes {
 		if c.Deadline < 0 || c.LatencyObjective < 0 || c.DedupWindow < 0 || c.FreshFor < 0 || c.StaleFor < 0 {
 			return nil, fmt.Errorf("config: Classes[%d]: negative time", i)
@@ -170,132 +166,12 @@
 
 func (d *Engine) do(a Action) { d.out = append(d.out, a) }
 
-// The three tables.
-
-// part is what is kept and filled: one part of an object.
-type part struct {
-	object uint64
-	index  int
-}
-
-const (
-	inSingle = iota
-	inMultiple
-	inCaching
-)
-
-// row is what is known of a part: who is believed to hold it, its last request, the gap before that.
-type row struct {
-	part   part
-	holder EndpointID
-	last   time.Duration
-	gap    time.Duration // 0: seen once
-	table  int
-	place  *list.Element // in the single-table
-}
-
-// order sorts rows by aged gap: (gap + now - last)/2 ages all alike, so gap - last is a fixed key.
-func (r *row) order() time.Duration { return r.gap - r.last }
-
-func compareRows(a, b *row) int {
-	return cmp.Or(cmp.Compare(a.order(), b.order()), cmp.Compare(a.part.object, b.part.object),
-		cmp.Compare(a.part.index, b.part.index))
-}
-
-type tables struct {
-	rows   map[part]*row
-	single *list.List // newest first
-	sorted [3][]*row  // inMultiple and inCaching, best first
-	limit  [3]int
-}
-
-// touch notes a request for p and moves its row as the design says.
-func (t *tables) touch(p part, now time.Duration) *row {
-	r := t.rows[p]
-	if r == nil {
-		r = &row{part: p, last: now}
-		t.rows[p] = r
-		t.toSingle(r)
-		return r
-	}
-	t.remove(r)
-	r.gap, r.last = now-r.last, now
-	t.promote(r, min(r.table+1, inCaching))
-	return r
-}
-
-// promote puts r into the table to when it beats the worst row there, else one table down.
-func (t *tables) promote(r *row, to int) {
-	s := t.sorted[to]
-	switch n := len(s); {
-	case to == inSingle:
-		t.toSingle(r)
-		return
-	case n >= t.limit[to] && compareRows(r, s[n-1]) >= 0:
-		t.promote(r, to-1)
-		return
-	}
-	i, _ := slices.BinarySearchFunc(s, r, compareRows)
-	t.sorted[to] = slices.Insert(s, i, r)
-	r.table = to
-	t.trim(to)
-}
-
-// trim lets what exceeds the bound of a sorted table fall back one table.
-func (t *tables) trim(table int) {
-	for n := len(t.sorted[table]); n > t.limit[table]; n-- {
-		r := t.sorted[table][n-1]
-		t.sorted[table] = t.sorted[table][:n-1]
-		t.promote(r, table-1)
-	}
-}
-
-func (t *tables) toSingle(r *row) {
-	r.table, r.place = inSingle, t.single.PushFront(r)
-	for t.single.Len() > t.limit[inSingle] {
-		worst := t.single.Remove(t.single.Back()).(*row)
-		delete(t.rows, worst.part)
-	}
-}
-
-func (t *tables) remove(r *row) {
-	if r.table == inSingle {
-		t.single.Remove(r.place)
-		return
-	}
-	if i, ok := slices.BinarySearchFunc(t.sorted[r.table], r, compareRows); ok {
-		t.sorted[r.table] = slices.Delete(t.sorted[r.table], i, i+1)
-	}
-}
-
-// rank gives the rank at which a copy is kept: by place in the caching-table, lowest in the multiple-table.
-func (t *tables) rank(r *row) int {
-	if r.table != inCaching {
-		return r.table // in the single-table 0, in the multiple-table 1
-	}
-	i, _ := slices.BinarySearchFunc(t.sorted[inCaching], r, compareRows)
-	switch place := float64(i) / float64(t.limit[inCaching]); {
-	case place < topShare:
-		return 3
-	case place < middleShare:
-		return 2
-	}
-	return 1
-}
-
-// resize makes the tables follow the rate of requests.
-func (t *tables) resize(rate float64) {
-	for i, span := range []float64{singleSeconds, multipleSeconds, cachingSeconds} {
-		t.limit[i] = max(tableFloor, int(rate*span))
-	}
-	t.trim(inCaching)
-	t.trim(inMultiple)
-}
-
 // Placement: shared hashes, holder, second copy.
 
 // hash is what all directors compute alike for a part.
-func (p part) hash() uint64 { return rendezvous.Hash(p.object ^ rendezvous.Hash(uint64(p.index))) }
+func hash(p gaptable.Part) uint64 {
+	return rendezvous.Hash(p.Object ^ rendezvous.Hash(uint64(p.Index)))
+}
 
 // ranking is servers by weighted rendezvous hash of a part: the loss of one moves its share only.
 type ranking = rendezvous.Ranking[*endpoint]
@@ -323,23 +199,23 @@
 }
 
 // seenElsewhere picks (n-1) of n singles, by hash, so that not each of n directors fills a part unkept.
-func (d *Engine) seenElsewhere(p part) bool {
+func (d *Engine) seenElsewhere(p gaptable.Part) bool {
 	n := uint64(0)
 	if len(d.caches.Members()) > 0 {
 		n = uint64(d.sharers(d.caches.Members()[0]))
 	}
-	return n > 0 && rendezvous.Hash(p.hash()^uint64(d.cfg.Ordinal))%n != 0
+	return n > 0 && rendezvous.Hash(hash(p)^uint64(d.cfg.Ordinal))%n != 0
 }
 
 // cacheOrder lists the zone's caches, best first: holder or at top rank the less busy copy, then by hash.
 func (d *Engine) cacheOrder(q *request) *ranking {
 	var holder *endpoint
-	if q.row != nil && q.row.holder != 0 {
-		if s := d.endpoints[q.row.holder]; s != nil && s.State != Gone && d.ours(s) {
+	if q.row != nil && q.row.CachedAt != 0 {
+		if s := d.endpoints[EndpointID(q.row.CachedAt)]; s != nil && s.State != Gone && d.ours(s) {
 			holder = s
 		}
 	}
-	order := d.caches.OrderFor(q.part.hash(), holder, d.now)
+	order := d.caches.OrderFor(hash(q.part), holder, d.now)
 	if q.keep == 3 && order.At(1) != nil {
 		a, b := order.At(0), order.At(1)
 		if d.usable(a) && d.usable(b) && d.load(b) < d.load(a) {
@@ -372,9 +248,9 @@
 type request struct {
 	id       RequestID
 	class    *classState
-	part     part
+	part     gaptable.Part
 	group    int
-	row      *row
+	row      *gaptable.Row
 	keep     int
 	crowded  bool // a cache had no room for it
 	again    bool // an answer was lost
@@ -397,7 +273,8 @@
 		return
 	}
 	c := &d.classes[e.Class]
-	q := &request{id: e.ID, class: c, part: part{e.Object, e.Part}, group: e.Group, deadline: d.now + e.Remaining}
+	q := &request{id: e.ID, class: c, part: gaptable.Part{Object: e.Object, Index: e.Part},
+		group: e.Group, deadline: d.now + e.Remaining}
 	d.arrived++
 	q.expect, q.sized = c.mean, e.SizeKB > 0 && d.cfg.FlowKBps > 0
 	if q.sized { // what a client says of its size may be wrong, and must not spoil what is known of the class
@@ -407,10 +284,10 @@
 		c.cost += (min(q.expect, sizeMost*c.mean) - c.cost) * max(meanWeight, 1/c.seen)
 	}
 	if !c.Write {
-		if q.row = d.tables.rows[q.part]; q.row == nil || !e.Retry {
-			q.row = d.tables.touch(q.part, d.now)
+		if q.row = d.tables.Row(q.part); q.row == nil || !e.Retry {
+			q.row = d.tables.Touch(q.part, d.now)
 		}
-		q.keep = d.tables.rank(q.row)
+		q.keep = d.tables.Rank(q.row)
 		if q.keep == 0 && d.seenElsewhere(q.part) {
 			q.keep = 1
 		}
@@ -432,7 +309,7 @@
 
 // tryNext sends one attempt by the first way that the guards let pass: caches, then parents, then the origin.
 func (d *Engine) tryNext(q *request) bool {
-	parents := d.parents.OrderFor(q.part.hash(), nil, d.now)
+	parents := d.parents.OrderFor(hash(q.part), nil, d.now)
 	if q.class.Write {
 		return d.direct(q, nil, d.origin) || d.throughCaches(q, nil) || d.direct(q, parents, nil)
 	}
@@ -452,7 +329,8 @@
 		if !d.eligible(q, c) {
 			continue
 		}
-		free := q.row != nil && q.row.holder == c.ID || q.second && c == order.At(0) // of those limits
+		// A believed hit and a replica from a sibling are no fills.
+		free := q.row != nil && q.row.CachedAt == uint64(c.ID) || q.second && c == order.At(0)
 		if !d.hasCapacity(q, c) || narrow && !free {
 			q.crowded = true
 			return false
@@ -469,10 +347,10 @@
 	return false
 }
 
-// siblingLookup asks the zone's caches one after another for a part that no row places: the paper's forwarding.
+// siblingLookup asks the zone's caches one after another for a part that no row places.
 func (d *Engine) siblingLookup(q *request, order *ranking) bool {
 	filled := slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.source != a.node })
-	if q.row == nil || q.row.holder != 0 || filled || len(q.attempts) > d.cfg.MaxAttempts-lookSpare {
+	if q.row == nil || q.row.CachedAt != 0 || filled || len(q.attempts) > d.cfg.MaxAttempts-lookSpare {
 		return false
 	}
 	for c := range order.AllThen(nil) {
@@ -505,7 +383,7 @@
 // send is the only way out: it asks the guards, then sends.
 func (d *Engine) send(q *request, node, source *endpoint, heldOnly bool) bool {
 	fill := !q.class.Write && (node.role != roleCache ||
-		source.role != roleCache && (q.row == nil || q.row.holder != node.ID))
+		source.role != roleCache && (q.row == nil || q.row.CachedAt != uint64(node.ID)))
 	var limit *aimd.Limiter
 	if fill {
 		limit = &d.fills
@@ -527,7 +405,8 @@
 	}
 	age, purged := d.ageLimit(q)
 	a := SendAttempt{ID: q.id, Endpoint: node.ID, Source: source.ID, MaxAge: age, CachedOnly: heldOnly,
-		JoinFill: d.cfg.JoinFills && (!purged || age > joinAfter), Revalidate: q.class.FreshFor > 0 && !purged}
+		JoinFill:   d.cfg.JoinFills && (!purged || age > joinAfter),
+		Revalidate: q.class.FreshFor > 0 && !purged}
 	if node.role == roleCache {
 		a.CacheRank = q.keep
 	}
@@ -560,7 +439,8 @@
 	d.release(q, e.Attempt)
 	a.node.firstWait = d.now
 	if a.limit != nil && e.Note != NoteHit && !slices.Contains(noSign, e.Status) {
-		a.limit.Adapt(d.zone, e.Elapsed.Seconds() <= q.aim(q.expect) && (e.Status == StatusOK || e.Status == StatusMiss))
+		inTime := e.Elapsed.Seconds() <= q.aim(q.expect)
+		a.limit.Adapt(d.zone, inTime && (e.Status == StatusOK || e.Status == StatusMiss))
 		if e.Status == StatusOK && e.Note == NoteFilledOrigin && !a.late {
 			d.behind.Record(&a.source.late, d.now, false)
 		}
@@ -594,7 +474,7 @@
 		q.class.cost += (e.Elapsed.Seconds() - q.class.cost) * meanWeight * 2
 	}
 	if q.row != nil && a.node.role == roleCache && (q.keep > 0 || a.source == a.node) && !q.second {
-		q.row.holder = a.node.ID
+		q.row.CachedAt = uint64(a.node.ID)
 	}
 }
 
@@ -646,7 +526,7 @@
 	if span := (d.now - d.rateAt).Seconds(); span >= 1 {
 		d.rate += (d.arrived/span - d.rate) * rateWeight
 		d.rateAt, d.arrived = d.now, 0
-		d.tables.resize(d.rate)
+		d.tables.Resize(d.rate)
 		d.purges.Expire(d.now)
 	}
 	d.waiting = slices.DeleteFunc(d.waiting, func(q *request) bool { return q.over })
@@ -670,7 +550,8 @@
 		}
 	}
 	for _, s := range d.parents.Members() {
-		if s.ejected && s.tardy && d.behind.OthersOverdueRate(&s.late, d.now, len(d.parents.Members())) == outlier.FaultyErrorRate {
+		others := d.behind.OthersOverdueRate(&s.late, d.now, len(d.parents.Members()))
+		if s.ejected && s.tardy && others == outlier.FaultyErrorRate {
 			d.readmit(s)
 		}
 	}
@@ -685,7 +566,8 @@
 	}
 }
 
-// recordLateFill counts a fill that is late, unless those by way of the other parents are as well: the origin is slow.
+// recordLateFill counts a fill that is late, unless those by way of the other parents are as well: then
+// the origin is slow.
 func (d *Engine) recordLateFill(a *attempt) {
 	s := a.source
 	if s.role != roleParent || a.held || s.heard < a.sent {
@@ -805,7 +687,7 @@
 	case e.Status == StatusCanceled || e.Status == StatusNotExecuted:
 	case e.Status == StatusMiss && (a.source.role == roleCache || a.held):
 		if q.second = false; a.limit == nil && a.source != a.node && q.row != nil {
-			q.row.holder = 0 // a believed hit that was none
+			q.row.CachedAt = 0 // a believed hit that was none
 		}
 	case source && (e.Status == StatusMiss || e.Note >= NoteSourceRejected && e.Note != NoteNoCapacity ||
 		e.Note == NoteNone && e.Elapsed > quickRefusal &&
@@ -937,7 +819,8 @@
 
 // mayRefuse says whether "a further try is harmless" is true.
 func (d *Engine) mayRefuse(q *request) bool {
-	return q.class.Idempotency == Idempotent || q.class.Idempotency == IdempotentByKey && q.class.DedupScope == DedupAll ||
+	return q.class.Idempotency == Idempotent ||
+		q.class.Idempotency == IdempotentByKey && q.class.DedupScope == DedupAll ||
 		!slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.ran })
 }
 
@@ -980,7 +863,7 @@
 
 // ageLimit keeps rule 5: the oldest copy that will do is younger than the last purge.
 func (d *Engine) ageLimit(q *request) (time.Duration, bool) {
-	at, ok := d.purges.Newest(q.part.object, q.group)
+	at, ok := d.purges.Newest(q.part.Object, q.group)
 	if !ok {
 		return 0, false
 	}
