--- a/internal/membership/consul/consul_test.go
+++ b/internal/membership/consul/consul_test.go
@@ -16,7 +16,6 @@
 
 	"github.com/hashicorp/consul/api"
 
-	"sloequay/internal/broker"
 	"sloequay/internal/config"
 	"sloequay/internal/emulator"
 	"sloequay/internal/emulator/consul"
@@ -50,11 +49,11 @@
 			defer h.mu.Unlock()
 			h.words = append(h.words, fmt.Sprint(event, fields))
 		},
-		Publish: func(events ...broker.Event) {
+		Publish: func(events ...membership.SourceEvent) {
 			h.mu.Lock()
 			defer h.mu.Unlock()
 			for _, e := range events {
-				if l, ok := e.(broker.EndpointList); ok {
+				if l, ok := e.(membership.ListReceived); ok {
 					h.lists = append(h.lists, l.List)
 				}
 			}
--- a/internal/membership/consul/follow.go
+++ b/internal/membership/consul/follow.go
@@ -8,7 +8,6 @@
 
 	"github.com/hashicorp/consul/api"
 
-	"sloequay/internal/broker"
 	"sloequay/internal/invalidation"
 	"sloequay/internal/membership"
 	"sloequay/internal/membership/consul/blockingquery"
@@ -21,7 +20,7 @@
 	Names       membership.Names
 	FirstSource int // the source that the first service is, in the membership's order
 	// Publish hands events on and returns once they are taken, so that a large list comes in parts.
-	Publish func(...broker.Event)
+	Publish func(...membership.SourceEvent)
 	Log     func(event string, fields ...any)
 	Now     func() time.Duration
 	// AgentAlive is called when an agent has answered that it lives; nil: nobody wants to know.
@@ -246,7 +245,7 @@
 		q.Filter = v.Filter
 		return wrap(client.Health().ServiceMultipleTags(v.Name, v.Tags, false, q))
 	}
-	f.silent = func(silent bool) { f.c.Publish(broker.SourceStatus{Source: src, Silent: silent}) }
+	f.silent = func(silent bool) { f.c.Publish(membership.SourceStatus{Source: src, Silent: silent}) }
 	left := map[string]string{} // what was left out of the last answer, and why: it is logged once
 	known := 0
 	f.use = func(answer any, verdict blockingquery.Verdict, index uint64) {
@@ -254,7 +253,7 @@
 		case verdict.Belief == blockingquery.Ignore:
 			return
 		case verdict.Belief == blockingquery.Same && !verdict.Confirms:
-			f.c.Publish(broker.SourceStatus{Source: src})
+			f.c.Publish(membership.SourceStatus{Source: src})
 			return
 		}
 		entries, _ := answer.([]*api.ServiceEntry)
@@ -275,11 +274,11 @@
 		if len(list.Endpoints) > known+partMost {
 			for at := 0; at < len(list.Endpoints); at += partMost {
 				part := list.Endpoints[at:min(at+partMost, len(list.Endpoints))]
-				f.c.Publish(broker.EndpointList{Source: src, List: membership.List{Version: index, Endpoints: part, Part: true}})
+				f.c.Publish(membership.ListReceived{Source: src, List: membership.List{Version: index, Endpoints: part, Part: true}})
 			}
 		}
 		known = len(list.Endpoints)
-		f.c.Publish(broker.EndpointList{Source: src, List: list})
+		f.c.Publish(membership.ListReceived{Source: src, List: list})
 	}
 }
 
@@ -327,7 +326,7 @@
 		}
 		pairs, _ := answer.(api.KVPairs)
 		now := make(map[string]uint64, len(pairs))
-		var events []broker.Event
+		var events []membership.SourceEvent
 		for _, p := range pairs {
 			now[p.Key] = p.ModifyIndex
 			if told[p.Key] == p.ModifyIndex || strings.HasSuffix(p.Key, "/") {
@@ -338,10 +337,7 @@
 				f.c.Log("catalogue-purge-key-rejected", "error", short(err))
 				continue
 			}
-			if isObject && object == 0 {
-				object = broker.ObjectZero
-			}
-			events = append(events, broker.Purge{Object: object, Group: group, Issued: issued})
+			events = append(events, membership.PurgeReceived{IsObject: isObject, Object: object, Group: group, Issued: issued})
 		}
 		if verdict.Belief == blockingquery.Whole { // what was left out of another answer is not gone
 			told = now
--- a/internal/membership/listwatch/listwatch.go
+++ b/internal/membership/listwatch/listwatch.go
@@ -13,7 +13,6 @@
 
 	"github.com/tidwall/gjson"
 
-	"sloequay/internal/broker"
 	"sloequay/internal/eventloop"
 	"sloequay/internal/membership"
 )
@@ -41,7 +40,7 @@
 }
 
 // Decode reads one event.
-func (n Decoder) Decode(e gjson.Result) (no int64, events []broker.Event, err error) {
+func (n Decoder) Decode(e gjson.Result) (no int64, events []membership.SourceEvent, err error) {
 	if !e.IsObject() || e.Get("no").Type != gjson.Number {
 		return 0, nil, fmt.Errorf("not an event with a number: %.80q", e.Raw)
 	}
@@ -63,7 +62,7 @@
 	return no, events, nil
 }
 
-func (n Decoder) roster(r gjson.Result) (broker.Event, error) {
+func (n Decoder) roster(r gjson.Result) (membership.SourceEvent, error) {
 	hosts := r.Get("hosts").Array()
 	if !r.Get("hosts").IsArray() || len(hosts) > mostHosts {
 		return nil, fmt.Errorf("hosts: expected a list of at most %d", mostHosts)
@@ -78,9 +77,9 @@
 	}
 	version := r.Get("seq").Uint()
 	if r.Get("whole").Bool() {
-		return broker.EndpointList{Source: n.Source, List: membership.List{Version: version, Endpoints: boxes}}, nil
+		return membership.ListReceived{Source: n.Source, List: membership.List{Version: version, Endpoints: boxes}}, nil
 	}
-	return broker.EndpointDelta{Source: n.Source, Version: version, Endpoints: boxes}, nil
+	return membership.DeltaReceived{Source: n.Source, Version: version, Endpoints: boxes}, nil
 }
 
 func (n Decoder) box(h gjson.Result) (membership.Endpoint, error) {
@@ -93,20 +92,19 @@
 		Weight: h.Get("share").Float(), StartedAtMS: h.Get("born_ms").Int()})
 }
 
-func decodeRecall(r gjson.Result) (broker.Purge, error) {
+func decodeRecall(r gjson.Result) (membership.PurgeReceived, error) {
 	issued := r.Get("issued")
 	if issued.Type != gjson.Number || issued.Int() < 0 || issued.Int() > latestClock {
-		return broker.Purge{}, fmt.Errorf("issued %.32q", issued.Raw)
+		return membership.PurgeReceived{}, fmt.Errorf("issued %.32q", issued.Raw)
 	}
-	p := broker.Purge{Issued: time.Duration(issued.Int()) * time.Millisecond}
+	p := membership.PurgeReceived{Issued: time.Duration(issued.Int()) * time.Millisecond}
 	if item := r.Get("item"); item.Exists() {
 		object, err := strconv.ParseUint(item.String(), 16, 64)
 		if err != nil {
 			return p, fmt.Errorf("item %.32q", item.String())
 		}
-		if p.Object = object; object == 0 {
-			p.Object = broker.ObjectZero
-		}
+		p.IsObject = true
+		p.Object = object
 		return p, nil
 	}
 	lot := r.Get("lot")
@@ -118,7 +116,7 @@
 }
 
 // DecodeInitial decodes the events of the start.
-func (n Decoder) DecodeInitial(known gjson.Result) (last int64, events []broker.Event, err error) {
+func (n Decoder) DecodeInitial(known gjson.Result) (last int64, events []membership.SourceEvent, err error) {
 	if !known.Exists() {
 		return 0, nil, nil
 	}
@@ -136,12 +134,12 @@
 }
 
 // CountEndpoints is the number of entries of boxes in events.
-func CountEndpoints(events []broker.Event) (n int) {
+func CountEndpoints(events []membership.SourceEvent) (n int) {
 	for _, e := range events {
 		switch e := e.(type) {
-		case broker.EndpointList:
+		case membership.ListReceived:
 			n += len(e.List.Endpoints)
-		case broker.EndpointDelta:
+		case membership.DeltaReceived:
 			n += len(e.Endpoints)
 		}
 	}
@@ -154,7 +152,7 @@
 	Address   string // empty: there is none
 	Decoder   Decoder
 	LastEvent int64
-	Emit      func(broker.Event)
+	Emit      func(membership.SourceEvent)
 	Now       func() time.Duration
 	Log       func(event string, fields ...any)
 
@@ -210,7 +208,7 @@
 func (r *Watcher) lost(err error) {
 	if !r.down {
 		r.Log("endpoint-list-stale", "error", err, "after", r.LastEvent)
-		r.Emit(broker.SourceStatus{Source: r.Decoder.Source, Silent: true})
+		r.Emit(membership.SourceStatus{Source: r.Decoder.Source, Silent: true})
 	}
 	r.down = true
 	r.drop()
@@ -271,7 +269,7 @@
 		return
 	}
 	var no int64
-	var events []broker.Event
+	var events []membership.SourceEvent
 	err := fmt.Errorf("not valid JSON: %.80q", line)
 	if gjson.ValidBytes(line) {
 		no, events, err = r.Decoder.Decode(gjson.ParseBytes(line))
@@ -305,7 +303,7 @@
 	if r.session == nil {
 		return
 	}
-	r.Emit(broker.SourceStatus{Source: r.Decoder.Source})
+	r.Emit(membership.SourceStatus{Source: r.Decoder.Source})
 	if r.retry = 0; r.down {
 		r.Log("endpoint-list-resumed", "at", r.LastEvent)
 		r.down = false
@@ -314,7 +312,7 @@
 
 // FetchOnce connects once and gives the events after one that are there by the first line that tells the last number, or within
 // limit.
-func (n Decoder) FetchOnce(address string, after int64, limit time.Duration) (events []broker.Event, err error) {
+func (n Decoder) FetchOnce(address string, after int64, limit time.Duration) (events []membership.SourceEvent, err error) {
 	end := time.Now().Add(limit)
 	conn, err := net.DialTimeout("tcp", address, limit)
 	if err != nil {
--- a/internal/membership/listwatch/session_test.go
+++ b/internal/membership/listwatch/session_test.go
@@ -4,14 +4,14 @@
 	"testing"
 	"time"
 
-	"sloequay/internal/broker"
 	"sloequay/internal/eventloop"
+	"sloequay/internal/membership"
 )
 
 // TestOldSessionsWords: what an old connection still brings after the next one has begun counts for nothing.
 func TestOldSessionsWords(t *testing.T) {
-	var events []broker.Event
-	r := &Watcher{LastEvent: 4, Emit: func(e broker.Event) { events = append(events, e) }, Now: func() time.Duration { return time.Second },
+	var events []membership.SourceEvent
+	r := &Watcher{LastEvent: 4, Emit: func(e membership.SourceEvent) { events = append(events, e) }, Now: func() time.Duration { return time.Second },
 		Log: func(string, ...any) {}}
 	old := &session{reader: r}
 	r.session = &session{reader: r}
--- a/internal/proxy/boxes.go
+++ b/internal/proxy/boxes.go
@@ -9,7 +9,7 @@
 	"text/tabwriter"
 	"time"
 
-	"sloequay/internal/broker"
+	"sloequay/internal/membership"
 	"sloequay/internal/membership/consul"
 )
 
@@ -24,15 +24,15 @@
 	var mu sync.Mutex // the sources tell from goroutines of their own
 	var said []string
 	now := monotonicNow
-	take := func(e broker.Event) {
+	take := func(e membership.SourceEvent) {
 		mu.Lock()
 		defer mu.Unlock()
 		switch e := e.(type) {
-		case broker.EndpointList:
+		case membership.ListReceived:
 			p.members.ReplaceList(now(), e.Source, e.List)
-		case broker.EndpointDelta:
+		case membership.DeltaReceived:
 			p.members.ApplyDelta(now(), e.Source, e.Version, e.Endpoints)
-		case broker.SourceStatus:
+		case membership.SourceStatus:
 			if e.Silent {
 				p.members.SourceSilent(now(), e.Source)
 			} else {
@@ -49,7 +49,7 @@
 			events, err := p.names.FetchOnce(p.settings.ListAddress, p.last, o.Wait)
 			if err != nil {
 				said = append(said, fmt.Sprintf("bulletin %s: %v", p.settings.ListAddress, err))
-				take(broker.SourceStatus{Source: p.names.Source, Silent: true})
+				take(membership.SourceStatus{Source: p.names.Source, Silent: true})
 			}
 			for _, e := range events {
 				take(e)
@@ -65,7 +65,7 @@
 				defer mu.Unlock()
 				said = append(said, strings.TrimSpace(event+" "+fmt.Sprintln(fields...)))
 			},
-			Publish: func(events ...broker.Event) {
+			Publish: func(events ...membership.SourceEvent) {
 				for _, e := range events {
 					take(e)
 				}
--- a/internal/proxy/herd.go
+++ b/internal/proxy/herd.go
@@ -98,15 +98,15 @@
 }
 
 // hear looks at what the catalogue tells this doorman. A list goes to the others only once the table of boxes has not doubted it.
-func (h *fleet) hear(e broker.Event) {
+func (h *fleet) hear(e membership.SourceEvent) {
 	first := h.sources.doorman.plan.first
 	switch e := e.(type) {
-	case broker.EndpointList:
+	case membership.ListReceived:
 		if n := e.Source - first; n >= 0 && n < len(h.tapped) && !e.List.Part && !e.List.Incomplete {
 			list := e.List
 			h.tapped[n] = &list
 		}
-	case broker.SourceStatus:
+	case membership.SourceStatus:
 		if n := e.Source - first; n >= 0 && n < len(h.tapped) && !e.Silent && h.tapped[n] == nil {
 			h.carry(h.machine.ServiceSeen(monotonicNow(), n))
 		}
--- a/internal/proxy/plan.go
+++ b/internal/proxy/plan.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 
-	"sloequay/internal/broker"
 	"sloequay/internal/membership"
 	"sloequay/internal/membership/listwatch"
 	"sloequay/internal/platformconfig"
@@ -19,7 +18,7 @@
 	first    int // the catalogue's first source there
 	names    listwatch.Decoder
 	last     int64 // event of the bulletin
-	known    []broker.Event
+	known    []membership.SourceEvent
 	boxes    int
 	again    func() (*Plan, error) // reads all files anew
 }
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -117,8 +117,6 @@
 	if secure := d.plan.own.UpstreamTLS; secure != nil {
 		secure.watch(d)
 	}
-	d.bulletin = &listwatch.Watcher{Loop: l, Address: s.ListAddress, Decoder: d.plan.names, LastEvent: d.plan.last, Emit: d.emit,
-		Now: monotonicNow, Log: d.log.Event}
 	if cfg := d.plan.own.Identity; cfg != nil {
 		d.door = d.newDoor(cfg)
 		d.front.Source = d.door.source
--- a/internal/proxy/sources.go
+++ b/internal/proxy/sources.go
@@ -35,14 +35,11 @@
 	d := s.doorman
 	p := d.plan
 	s.leaving = make(chan struct{})
-	emit := func(e broker.Event) {
-		switch e.(type) {
-		case broker.EndpointList, broker.EndpointDelta, broker.SourceStatus:
-			if !p.own.bulletin {
-				return
-			}
+	emit := func(event membership.SourceEvent) {
+		// Without a bulletin among the sources of endpoints, it still brings purges.
+		if _, isPurge := event.(membership.PurgeReceived); isPurge || p.own.bulletin {
+			d.emit(brokerEvent(event))
 		}
-		d.emit(e)
 	}
 	s.restore()
 	for _, e := range p.known {
@@ -89,7 +86,7 @@
 func (s *sources) open(ctx context.Context, cfg *consul.Config) *consul.Catalogue {
 	p := s.doorman.plan
 	c := &consul.Catalogue{Config: cfg, Names: p.names.Names, FirstSource: p.first, Log: s.log, Now: monotonicNow, Seed: p.settings.Seed,
-		Publish: func(events ...broker.Event) {
+		Publish: func(events ...membership.SourceEvent) {
 			if ctx.Err() == nil {
 				s.tell(events...)
 			}
@@ -121,11 +118,11 @@
 }
 
 // tell takes events to the loop and returns once they are there.
-func (s *sources) tell(events ...broker.Event) {
+func (s *sources) tell(events ...membership.SourceEvent) {
 	taken := make(chan struct{})
 	s.doorman.loop.Post(func() {
 		for _, e := range events {
-			s.doorman.emit(e)
+			s.doorman.emit(brokerEvent(e))
 			if s.herd != nil {
 				s.herd.hear(e)
 			}
