--- a/internal/proxy/sources.go
+++ b/internal/proxy/sources.go
@@ -159,7 +159,8 @@
 	}
 	disk.Clean(cfg.File)
 	c := d.plan.settings.Control
-	words, age, err := disk.Read(cfg.File, unixClock(), cfg.Oldest, len(c.ZoneNames), len(c.KindNames))
+	limits := snapshot.Limits{MaxAge: cfg.Oldest, Zones: len(c.ZoneNames), Kinds: len(c.KindNames)}
+	words, age, err := disk.Read(cfg.File, unixClock(), limits)
 	switch {
 	case errors.Is(err, fs.ErrNotExist):
 	case err != nil:
--- a/internal/snapshot/disk/disk.go
+++ b/internal/snapshot/disk/disk.go
@@ -1,5 +1,10 @@
-// Package disk writes and reads the snapshot's file: to a side file, synced, renamed, and the folder synced, so that
-// whoever reads it finds the old one or the new one whole.
+// Package disk writes and reads the file of a snapshot, so that whoever reads it finds the old snapshot or the new one
+// complete, whenever the process or the machine stops.
+//
+// Invariants: Write returns nil only after the new snapshot and the folder that names it are synced; the old snapshot
+// stays until the new one is synced and takes its name; a Write that fails leaves no temporary file that it can remove.
+//
+// Bounds: at most snapshot.MaxBytes are read. A crash in Write leaves one temporary file, which Clean removes.
 package disk
 
 import (
@@ -14,64 +19,97 @@
 	"sloequay/internal/snapshot"
 )
 
-// Write replaces the snapshot at a path. The old one stays where anything fails.
-func Write(path string, data []byte) (err error) {
-	side, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".new-*")
-	if err != nil {
+// temporaryPattern stands behind the snapshot's name in the name of a temporary file.
+const temporaryPattern = ".new-*"
+
+// Write replaces the snapshot at a path.
+func Write(path string, data []byte) error {
+	if err := replace(path, data); err != nil {
 		return fmt.Errorf("snapshot: %w", err)
 	}
-	defer func() {
-		if err != nil {
-			_ = os.Remove(side.Name())
-			err = fmt.Errorf("snapshot: %w", err)
-		}
-	}()
-	_, err = side.Write(data)
-	if err == nil {
-		err = side.Sync()
-	}
-	if err = errors.Join(err, side.Close()); err != nil {
+	return nil
+}
+
+// replace writes a temporary file in the snapshot's folder, syncs it, renames it and syncs the folder.
+func replace(path string, data []byte) error {
+	folder := filepath.Dir(path)
+	temporary, err := writeTemporary(folder, filepath.Base(path)+temporaryPattern, data)
+	if err != nil {
 		return err
 	}
-	if err = os.Rename(side.Name(), path); err != nil {
+	if err := os.Rename(temporary, path); err != nil {
+		_ = os.Remove(temporary)
 		return err
 	}
-	folder, err := os.Open(filepath.Dir(path))
+	return syncFolder(folder)
+}
+
+// writeTemporary gives the name of a new file whose data is synced.
+func writeTemporary(folder, pattern string, data []byte) (string, error) {
+	file, err := os.CreateTemp(folder, pattern)
+	if err != nil {
+		return "", err
+	}
+	_, err = file.Write(data)
+	if err == nil {
+		err = file.Sync()
+	}
+	if err = errors.Join(err, file.Close()); err != nil {
+		_ = os.Remove(file.Name())
+		return "", err
+	}
+	return file.Name(), nil
+}
+
+func syncFolder(path string) error {
+	folder, err := os.Open(path)
 	if err != nil {
 		return err
 	}
-	defer folder.Close()
-	return folder.Sync()
+	err = folder.Sync()
+	// The folder is only read, so that closing it can lose nothing.
+	_ = folder.Close()
+	return err
 }
 
-// Read reads the snapshot at a path; see snapshot.Decode for what is refused.
-func Read(path string, now, oldest time.Duration, zones, kinds int) ([]membership.SourceReport, time.Duration, error) {
-	f, err := os.Open(path)
+// Read reads the snapshot at a path and gives its age; see snapshot.Decode and snapshot.Check for what they refuse.
+func Read(
+	path string, now time.Duration, limits snapshot.Limits,
+) (reports []membership.SourceReport, age time.Duration, err error) {
+	data, err := readBounded(path)
 	if err != nil {
 		return nil, 0, err
 	}
-	defer f.Close()
-	data, err := io.ReadAll(io.LimitReader(f, snapshot.MaxBytes+1))
+	reports, age, err = snapshot.Decode(data, now, limits.MaxAge)
 	if err != nil {
-		return nil, 0, err
+		return nil, age, err
 	}
-	if len(data) > snapshot.MaxBytes {
-		return nil, 0, fmt.Errorf("%w: over %d bytes", snapshot.ErrForeign, snapshot.MaxBytes)
+	if err = snapshot.Check(reports, limits); err != nil {
+		return nil, age, err
 	}
-	all, age, err := snapshot.Decode(data, now, oldest)
-	if err == nil {
-		err = snapshot.Check(all, zones, kinds)
+	return reports, age, nil
+}
+
+func readBounded(path string) ([]byte, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
 	}
+	defer file.Close()
+	data, err := io.ReadAll(io.LimitReader(file, snapshot.MaxBytes+1))
 	if err != nil {
-		return nil, age, err
+		return nil, err
+	}
+	if len(data) > snapshot.MaxBytes {
+		return nil, fmt.Errorf("%w: over %d bytes", snapshot.ErrForeign, snapshot.MaxBytes)
 	}
-	return all, age, nil
+	return data, nil
 }
 
-// Clean removes side files that a crash has left beside the snapshot.
+// Clean removes temporary files that a crash in Write has left beside the snapshot.
 func Clean(path string) {
-	left, _ := filepath.Glob(path + ".new-*")
-	for _, p := range left {
-		_ = os.Remove(p)
+	files, _ := filepath.Glob(path + temporaryPattern)
+	for _, file := range files {
+		_ = os.Remove(file)
 	}
 }
--- a/internal/snapshot/disk/stored_test.go
+++ b/internal/snapshot/disk/stored_test.go
@@ -18,24 +18,29 @@
 	storedAt   = 1_790_000_000 * time.Second
 )
 
-// TestStoredFile reads a file that an earlier build wrote: without the source that was not heard for a day, refused
-// where the settings lack its places or kinds or where it is too old, and written by Write as the same bytes.
+// TestStoredFile reads a file that an earlier build wrote: without the source that was last seen over a day before,
+// refused where the settings lack its zones or kinds or where it is too old, and written by Write as the same bytes.
 func TestStoredFile(t *testing.T) {
 	want := []membership.SourceReport{
-		{Source: "consul:cache", Version: 71, LastSeen: storedAt - 1500*time.Millisecond, Endpoints: []membership.Endpoint{
-			{ID: "c1", Address: "10.0.0.1:8080", Zone: 1, Kind: 2, Cell: 3, Weight: 4.5, StartedAt: storedAt - time.Hour,
-				Incarnation: 1<<63 + 9, State: membership.Up},
-			{ID: "c2", Address: "[fd00::2]:8080", Kind: 1, Weight: 0.1, State: membership.Draining}}},
+		{
+			Source: "consul:cache", Version: 71, LastSeen: storedAt - 1500*time.Millisecond,
+			Endpoints: []membership.Endpoint{
+				{ID: "c1", Address: "10.0.0.1:8080", Zone: 1, Kind: 2, Cell: 3, Weight: 4.5,
+					StartedAt: storedAt - time.Hour, Incarnation: 1<<63 + 9, State: membership.Up},
+				{ID: "c2", Address: "[fd00::2]:8080", Kind: 1, Weight: 0.1, State: membership.Draining},
+			},
+		},
 		{Source: "bulletin", Version: 1<<64 - 1, LastSeen: storedAt},
 	}
-	got, age, err := Read(storedFile, storedAt+time.Hour, 24*time.Hour, 2, 3)
+	got, age, err := Read(storedFile, storedAt+time.Hour, limits(24*time.Hour, 2, 3))
 	if diff := cmp.Diff(want, got); err != nil || age != time.Hour || diff != "" {
 		t.Errorf("age %v, %v (-want +got):\n%s", age, err, diff)
 	}
-	if _, _, err := Read(storedFile, storedAt, 24*time.Hour, 2, 2); !errors.Is(err, snapshot.ErrForeign) {
+	if _, _, err := Read(storedFile, storedAt, limits(24*time.Hour, 2, 2)); !errors.Is(err, snapshot.ErrForeign) {
 		t.Errorf("with a kind too few: %v, want it refused", err)
 	}
-	if _, _, err := Read(storedFile, storedAt+25*time.Hour, 24*time.Hour, 2, 3); !errors.Is(err, snapshot.ErrTooOld) {
+	_, _, err = Read(storedFile, storedAt+25*time.Hour, limits(24*time.Hour, 2, 3))
+	if !errors.Is(err, snapshot.ErrTooOld) {
 		t.Errorf("after 25 hours: %v, want it refused", err)
 	}
 	stored, err := os.ReadFile(storedFile)
--- a/internal/snapshot/stored_test.go
+++ b/internal/snapshot/stored_test.go
@@ -12,30 +12,34 @@
 
 const storedAt = 1_790_000_000 * time.Second
 
-// storedWords are the words that testdata/sloequay.list was written from.
-func storedWords() []membership.SourceReport {
+// storedReports are the reports that testdata/sloequay.list was written from.
+func storedReports() []membership.SourceReport {
 	return []membership.SourceReport{
-		{Source: "consul:cache", Version: 71, LastSeen: storedAt - 1500*time.Millisecond, Endpoints: []membership.Endpoint{
-			{ID: "c1", Address: "10.0.0.1:8080", Zone: 1, Kind: 2, Cell: 3, Weight: 4.5, StartedAt: storedAt - time.Hour,
-				Incarnation: 1<<63 + 9, State: membership.Up},
-			{ID: "c2", Address: "[fd00::2]:8080", Kind: 1, Weight: 0.1, State: membership.Draining}}},
+		{
+			Source: "consul:cache", Version: 71, LastSeen: storedAt - 1500*time.Millisecond,
+			Endpoints: []membership.Endpoint{
+				{ID: "c1", Address: "10.0.0.1:8080", Zone: 1, Kind: 2, Cell: 3, Weight: 4.5,
+					StartedAt: storedAt - time.Hour, Incarnation: 1<<63 + 9, State: membership.Up},
+				{ID: "c2", Address: "[fd00::2]:8080", Kind: 1, Weight: 0.1, State: membership.Draining},
+			},
+		},
 		{Source: "consul:old", Version: 3, LastSeen: storedAt - 48*time.Hour, Endpoints: []membership.Endpoint{
 			{ID: "c3", Address: "10.0.0.3:8080", State: membership.Up}}},
 		{Source: "bulletin", Version: 1<<64 - 1, LastSeen: storedAt},
 	}
 }
 
-// TestStoredSnapshot reads a snapshot that an earlier build wrote, and writes the same words again as the same bytes.
+// TestStoredSnapshot reads a snapshot that an earlier build wrote, and writes the same reports again as the same bytes.
 func TestStoredSnapshot(t *testing.T) {
 	stored, err := os.ReadFile("testdata/sloequay.list")
 	if err != nil {
 		t.Fatal(err)
 	}
 	got, age, err := Decode(stored, storedAt+time.Minute, 72*time.Hour)
-	if diff := cmp.Diff(storedWords(), got); err != nil || age != time.Minute || diff != "" {
+	if diff := cmp.Diff(storedReports(), got); err != nil || age != time.Minute || diff != "" {
 		t.Errorf("age %v, %v (-want +got):\n%s", age, err, diff)
 	}
-	written, err := Encode(storedAt, storedWords())
+	written, err := Encode(storedAt, storedReports())
 	if diff := cmp.Diff(string(stored), string(written)); err != nil || diff != "" {
 		t.Errorf("%v, the form of the file has changed (-stored +written):\n%s", err, diff)
 	}
