--- a/test/pages/pages_test.go
+++ b/test/pages/pages_test.go
@@ -13,10 +13,36 @@
 	"slices"
 	"strings"
 	"testing"
+	"unicode/utf8"
 )
 
 const root = "../.."
 
+// lineMost is how many characters a line of a page may have.
+const lineMost = 140
+
+// longer are the pages that still have longer lines; one that has none any more is to be taken off the list.
+var longer = []string{
+	"README.md",
+	"docs/MEASUREMENTS.md",
+	"docs/ROADMAP.md",
+	"docs/catalogue.md",
+	"docs/contracts.md",
+	"docs/design/coldstart.md",
+	"docs/design/contracts.md",
+	"docs/design/crossings.md",
+	"docs/design/identity.md",
+	"docs/design/late-fills.md",
+	"docs/design/membership.md",
+	"docs/drill.md",
+	"docs/identity.md",
+	"docs/membership.md",
+	"docs/on-call.md",
+	"docs/peers.md",
+	"docs/questions.md",
+	"docs/services.md",
+}
+
 // history are pages whose text is kept as it was written, also where the code has moved on.
 var history = []string{"CHANGELOG.md"}
 
@@ -27,7 +53,8 @@
 var link = regexp.MustCompile(`\]\(([^)#\s]+)(?:#[^)]*)?\)`)
 
 // goName is what would be taken for a name of the code: client.Received, Pool.Send, AttemptEnded.
-var goName = regexp.MustCompile(`^[A-Za-z][A-Za-z0-9]*(\.[A-Za-z][A-Za-z0-9]*)+(\(\))?$|^[A-Z]+[a-z0-9]+[A-Z][A-Za-z0-9]*$`)
+var goName = regexp.MustCompile(
+	`^[A-Za-z][A-Za-z0-9]*(\.[A-Za-z][A-Za-z0-9]*)+(\(\))?$|^[A-Z]+[a-z0-9]+[A-Z][A-Za-z0-9]*$`)
 
 // file is what looks like one, which is no name of the code.
 var file = regexp.MustCompile(`\.(go|md|conf|toml|json|txt|pem|svg|sh|list|peers|key)$`)
@@ -180,8 +207,8 @@
 	return string(text)
 }
 
-// TestArchitecture: each file and each function, method and type that docs/ARCHITECTURE.md names is there, and names stand
-// behind the file that declares them.
+// TestArchitecture: each file and each function, method and type that docs/ARCHITECTURE.md names is there, and names
+// stand behind the file that declares them.
 func TestArchitecture(t *testing.T) {
 	text := read(t, "docs/ARCHITECTURE.md")
 	c := &checker{root: root, declared: map[string]map[string]bool{}}
@@ -193,7 +220,62 @@
 		names += len(declared)
 	}
 	if len(c.declared) < 10 || names < 100 {
-		t.Errorf("%d files looked at with %d declarations: the page names hardly anything, or is not understood", len(c.declared), names)
+		t.Errorf("%d files looked at with %d declarations: the page names hardly anything, or is not understood",
+			len(c.declared), names)
+	}
+}
+
+// TestPackagesAreDrawn: docs/ARCHITECTURE.md names each package by its folder's last word at the least.
+func TestPackagesAreDrawn(t *testing.T) {
+	text := read(t, "docs/ARCHITECTURE.md")
+	drawn := map[string]bool{}
+	for _, word := range regexp.MustCompile(`[a-z]+`).FindAllString(text, -1) {
+		drawn[word] = true
+	}
+	found := 0
+	err := filepath.WalkDir(filepath.Join(root, "internal"), func(path string, d fs.DirEntry, err error) error {
+		if err != nil || !d.IsDir() || d.Name() == "testdata" || d.Name() == "internal" {
+			return err
+		}
+		if files, _ := filepath.Glob(filepath.Join(path, "*.go")); len(files) == 0 {
+			return nil
+		}
+		if found++; !drawn[d.Name()] {
+			t.Errorf("docs/ARCHITECTURE.md does not name the package in %s", path)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if found < 40 {
+		t.Errorf("%d packages found", found)
+	}
+}
+
+// TestLineLength: no line of a page is too long, but in the pages that are listed as longer.
+func TestLineLength(t *testing.T) {
+	for _, page := range allPages(t) {
+		if slices.Contains(history, page) {
+			continue
+		}
+		long := 0
+		for number, line := range strings.Split(read(t, page), "\n") {
+			if utf8.RuneCountInString(line) <= lineMost {
+				continue
+			}
+			if long++; !slices.Contains(longer, page) {
+				t.Errorf("%s: line %d has more than %d characters", page, number+1, lineMost)
+			}
+		}
+		if long == 0 && slices.Contains(longer, page) {
+			t.Errorf("%s has no longer lines any more: take it off the list", page)
+		}
+	}
+	for _, page := range longer {
+		if _, err := os.Stat(filepath.Join(root, page)); err != nil {
+			t.Errorf("listed as longer: %v", err)
+		}
 	}
 }
 
@@ -237,7 +319,8 @@
 			t.Errorf("%s: got %q, want %q", test.text, faults, test.want)
 		}
 	}
-	if faults := c.links("docs/x.md", "[a](../README.md#top) [b](nowhere.md) [c](https://x.example)"); len(faults) != 1 {
+	faults := c.links("docs/x.md", "[a](../README.md#top) [b](nowhere.md) [c](https://x.example)")
+	if len(faults) != 1 {
 		t.Errorf("links: got %q, want one fault", faults)
 	}
 }
