--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -56,31 +56,31 @@
 
 // The times and numbers of the rules.
 const (
-	Quorum = 2 // peers that must tell the same of a list
-	Widest = 4 // times Askers, that ask while the service is not heard
+	Quorum      = 2 // peers that must tell the same of a list
+	MaxWidening = 4 // times Askers, that ask while the service is not heard
 
 	// WindowPerProxy is what each doorman of a fleet adds to the window in which they ask: some 65 calls a second for each list,
 	// whatever the fleet's size.
-	WindowPerProxy    = 15 * time.Millisecond
-	MinWindow         = 250 * time.Millisecond
-	Settle            = 200 * time.Millisecond // after the start, in which peers are met before the first one asks
-	HeartbeatInterval = time.Second            // between two digests of an asker, at least
-	MaxHeartbeats     = 64                     // digests a second that an asker sends: in a larger zone they come less often
-	FreshFor          = 3                      // beats, after which the service counts as not heard
-	FetchFor          = 300 * time.Millisecond
-	MaxFetchAttempts  = 5
-	HintAfter         = 500 * time.Millisecond // that a list one peer alone tells has to wait before it counts as known
-	ConfirmIn         = 500 * time.Millisecond // after which a list that one peer alone tells is looked at by ourselves
-	MaxConfirmDelay   = 10 * time.Second       // between two such looks
-	LookFor           = 2 * time.Second        // that a look by ourselves may take
-	Stay              = 2 * time.Second        // that one who asks goes on when others should
-	DistrustFor       = time.Minute
-	WidenEvery        = 5 * time.Second // of the service's silence, for Askers more
-	ServeEvery        = 100 * time.Millisecond
-	MaxServed         = 8   // whole lists that are served in that time
-	EndpointsPerPart  = 100 // of a part
-	Inquired          = 3   // doormans that are asked at once what they hold, by one that knows nothing
-	MaxReplies        = 32  // answers to that in ServeEvery
+	WindowPerProxy         = 15 * time.Millisecond
+	MinWindow              = 250 * time.Millisecond
+	SettleTime             = 200 * time.Millisecond // after the start, in which peers are met before the first one asks
+	HeartbeatInterval      = time.Second            // between two digests of an asker, at least
+	MaxHeartbeatsPerSecond = 64                     // digests a second that an asker sends: in a larger zone they come less often
+	MaxMissedHeartbeats    = 3                      // beats, after which the service counts as not heard
+	FetchTimeout           = 300 * time.Millisecond
+	MaxFetchAttempts       = 5
+	HintDelay              = 500 * time.Millisecond // that a list one peer alone tells has to wait before it counts as known
+	ConfirmDelay           = 500 * time.Millisecond // after which a list that one peer alone tells is looked at by ourselves
+	MinConfirmInterval     = 10 * time.Second       // between two such looks
+	ConfirmTimeout         = 2 * time.Second        // that a look by ourselves may take
+	PollGracePeriod        = 2 * time.Second        // that one who asks goes on when others should
+	DistrustPeriod         = time.Minute
+	WidenInterval          = 5 * time.Second // of the service's silence, for Askers more
+	ServeWindow            = 100 * time.Millisecond
+	MaxServedPerWindow     = 8   // whole lists that are served in that time
+	EndpointsPerPart       = 100 // of a part
+	InquiryFanout          = 3   // doormans that are asked at once what they hold, by one that knows nothing
+	MaxRepliesPerWindow    = 32  // answers to that in ServeEvery
 )
 
 // Peer is another doorman that lives.
@@ -120,7 +120,7 @@
 type Part struct {
 	ListVersion
 	Number    int                   `codec:"N"`
-	Of        int                   `codec:"Of"`
+	Total     int                   `codec:"Of"`
 	Endpoints []membership.Endpoint `codec:"Boxes"`
 }
 
@@ -183,12 +183,12 @@
 	HintUsed                      // a list that one peer alone tells is used, as nothing else is known
 	PeerRefuted                   // the service says otherwise than a peer, who is not heard for a while
 	ChecksumMismatch              // what a peer sent has not the checksum that it told
-	wordsCount                    // of words
+	eventCount                    // of words
 )
 
 // String gives the word of the log.
 func (w Event) String() string {
-	return [wordsCount]string{"asks", "listens", "alone", "believed", "hinted", "refuted", "spoilt"}[w]
+	return [eventCount]string{"asks", "listens", "alone", "believed", "hinted", "refuted", "spoilt"}[w]
 }
 
 func (Send) isEffect()         {}
@@ -268,9 +268,9 @@
 	cfg = cfg.WithDefaults()
 	m := &Machine{cfg: cfg, now: now, began: now, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)), others: map[string]bool{},
 		lists: make([]list, cfg.Lists), distrust: map[string]time.Duration{}, served: map[uint64][]string{}}
-	m.alone, m.looked = now+m.jitter(), now-MaxConfirmDelay
+	m.alone, m.looked = now+m.jitter(), now-MinConfirmInterval
 	m.beat = now + time.Duration(m.rng.Int64N(int64(HeartbeatInterval)))
-	m.inquiry = now + Settle
+	m.inquiry = now + SettleTime
 	return m
 }
 
@@ -296,7 +296,7 @@
 	m.now = max(m.now, now)
 	if !m.met && len(peers) > 0 && m.cfg.Peers {
 		// Those that are to ask have just begun to; the rest is not to take them for silent at once.
-		m.met, m.alone = true, max(m.alone, m.now+Settle+MinWindow+m.jitter())
+		m.met, m.alone = true, max(m.alone, m.now+SettleTime+MinWindow+m.jitter())
 	}
 	m.peers, m.all, m.others = m.peers[:0], m.all[:0], map[string]bool{}
 	for _, p := range peers {
@@ -361,7 +361,7 @@
 }
 
 func (m *Machine) blame(n int, peer string, why Event) {
-	m.distrust[peer] = m.now + DistrustFor
+	m.distrust[peer] = m.now + DistrustPeriod
 	m.do(LogEntry{why, peer, n})
 	for i := range m.lists {
 		l := &m.lists[i]
@@ -455,7 +455,7 @@
 		l.fetch = &fetch{ListVersion: k, asked: map[string]bool{}}
 	}
 	f := l.fetch
-	f.from, f.until, f.parts, f.got = peer, m.now+FetchFor, nil, 0
+	f.from, f.until, f.parts, f.got = peer, m.now+FetchTimeout, nil, 0
 	f.tries++
 	f.asked[peer] = true
 	have := uint64(0)
@@ -472,11 +472,11 @@
 
 // reply says whether one more digest may be sent to who knows nothing yet.
 func (m *Machine) reply() bool {
-	if m.now-m.repliesAt >= ServeEvery {
+	if m.now-m.repliesAt >= ServeWindow {
 		m.replies, m.repliesAt = 0, m.now
 	}
 	m.replies++
-	return m.replies <= MaxReplies
+	return m.replies <= MaxRepliesPerWindow
 }
 
 // inquire asks a few others, of any zone, what they hold, while this doorman knows nothing of some list: the service may be dead,
@@ -486,7 +486,7 @@
 		return
 	}
 	m.inquiry = m.now + HeartbeatInterval/2
-	for _, i := range m.rng.Perm(len(m.all))[:min(Inquired, len(m.all))] {
+	for _, i := range m.rng.Perm(len(m.all))[:min(InquiryFanout, len(m.all))] {
 		m.send(m.all[i], Message{Digest: m.digest()})
 	}
 }
@@ -504,10 +504,10 @@
 			return
 		}
 	}
-	if m.now-m.servesAt >= ServeEvery {
+	if m.now-m.servesAt >= ServeWindow {
 		m.serves, m.servesAt = 0, m.now
 	}
-	if m.serves >= MaxServed {
+	if m.serves >= MaxServedPerWindow {
 		// One of those that were served may serve it too, so that the content spreads as a tree.
 		next := ""
 		if have := m.served[w.Sum]; len(have) > 0 {
@@ -537,19 +537,19 @@
 		return
 	}
 	f := l.fetch
-	if p.Of < 1 || p.Of > m.cfg.MaxEndpoints/EndpointsPerPart+1 || p.Number < 0 || p.Number >= p.Of || len(p.Endpoints) > EndpointsPerPart || f.parts != nil && len(f.parts) != p.Of {
+	if p.Total < 1 || p.Total > m.cfg.MaxEndpoints/EndpointsPerPart+1 || p.Number < 0 || p.Number >= p.Total || len(p.Endpoints) > EndpointsPerPart || f.parts != nil && len(f.parts) != p.Total {
 		m.blame(p.List, peer, ChecksumMismatch)
 		return
 	}
 	if f.parts == nil {
-		f.parts = make([][]membership.Endpoint, p.Of)
+		f.parts = make([][]membership.Endpoint, p.Total)
 	}
 	if f.parts[p.Number] == nil {
 		f.parts[p.Number] = append([]membership.Endpoint{}, p.Endpoints...)
 		f.got++
 	}
-	f.until = m.now + FetchFor
-	if f.got == p.Of {
+	f.until = m.now + FetchTimeout
+	if f.got == p.Total {
 		m.fetched(l, peer, slices.Concat(f.parts...))
 	}
 }
@@ -609,7 +609,7 @@
 		m.fetchFrom(l, l.fetch.ListVersion, b.Peer)
 		return
 	}
-	l.fetch.until = m.now + time.Duration(m.rng.Int64N(int64(FetchFor))) // the step tries again
+	l.fetch.until = m.now + time.Duration(m.rng.Int64N(int64(FetchTimeout))) // the step tries again
 }
 
 // rank is this doorman's place among those of its zone that might ask.
@@ -626,14 +626,14 @@
 
 // beatEvery is the time between two digests of an asker.
 func (m *Machine) beatEvery() time.Duration {
-	return max(HeartbeatInterval, time.Duration(len(m.peers))*time.Second/MaxHeartbeats)
+	return max(HeartbeatInterval, time.Duration(len(m.peers))*time.Second/MaxHeartbeatsPerSecond)
 }
 
 // heard is when the service was last heard, by ourselves or through a quorum of peers, and whether any asker is heard at all.
 func (m *Machine) heard(l *list) (at time.Duration, askers int) {
 	var told []time.Duration
 	for _, c := range l.claims {
-		if c.LastSeen >= 0 && m.now-c.at <= FreshFor*m.beatEvery() {
+		if c.LastSeen >= 0 && m.now-c.at <= MaxMissedHeartbeats*m.beatEvery() {
 			askers++
 			if l.held != nil && c.Sum == l.held.Sum {
 				told = append(told, c.at-c.LastSeen)
@@ -749,7 +749,7 @@
 	// While less than half of the fleet is in view, many would hold themselves for the chosen ones.
 	half := 2*(len(m.others)+1) >= m.cfg.Fleet
 	window := time.Duration(m.cfg.Fleet)*WindowPerProxy + MinWindow
-	switch settled := m.now >= m.began+Settle && (half || m.now >= m.began+window); {
+	switch settled := m.now >= m.began+SettleTime && (half || m.now >= m.began+window); {
 	case !m.cfg.Peers || len(m.others) == 0:
 		alone = m.now >= m.alone
 		want = alone
@@ -761,10 +761,10 @@
 			hear = hear && askers > 0
 			// While the service is silent for those that ask, a few more try, since it may be their way to it that is cut.
 			if at = max(at, m.began); askers > 0 {
-				limit = max(limit, m.cfg.Pollers*min(Widest, 1+int((m.now-at)/WidenEvery)))
+				limit = max(limit, m.cfg.Pollers*min(MaxWidening, 1+int((m.now-at)/WidenInterval)))
 			}
-			if l.waiting != nil && m.now-l.since > ConfirmIn && m.now-m.looked >= MaxConfirmDelay {
-				m.looked, m.look = m.now, m.now+LookFor // one peer alone tells it: the service itself is to say
+			if l.waiting != nil && m.now-l.since > ConfirmDelay && m.now-m.looked >= MinConfirmInterval {
+				m.looked, m.look = m.now, m.now+ConfirmTimeout // one peer alone tells it: the service itself is to say
 			}
 		}
 		switch {
@@ -791,7 +791,7 @@
 		} else {
 			m.do(LogEntry{Polling, "", -1})
 		}
-	case !want && m.follows && m.now-m.should >= Stay:
+	case !want && m.follows && m.now-m.should >= PollGracePeriod:
 		m.follows, m.since = false, m.now
 		m.do(Poll{false})
 		m.do(LogEntry{Following, "", -1})
@@ -802,7 +802,7 @@
 			continue
 		}
 		at, _ := m.heard(l)
-		if silent := m.now-at > FreshFor*m.beatEvery(); silent != l.silent {
+		if silent := m.now-at > MaxMissedHeartbeats*m.beatEvery(); silent != l.silent {
 			l.silent = silent
 			m.do(SourceStatus{i, silent})
 		}
@@ -821,18 +821,18 @@
 
 const tick = 50 * time.Millisecond
 
-// Known says whether each list is known well enough to serve by: told by the service, believed, or for HintAfter used as a hint.
-func (m *Machine) Known() bool {
+// Ready says whether each list is known well enough to serve by: told by the service, believed, or for HintAfter used as a hint.
+func (m *Machine) Ready() bool {
 	for i := range m.lists {
-		if l := &m.lists[i]; l.held == nil && (l.hinted == 0 || m.now-l.hinted < HintAfter) {
+		if l := &m.lists[i]; l.held == nil && (l.hinted == 0 || m.now-l.hinted < HintDelay) {
 			return false
 		}
 	}
 	return true
 }
 
-// Versions names the list in force.
-func (m *Machine) Versions(n int) (ListVersion, bool) {
+// Version names the list in force.
+func (m *Machine) Version(n int) (ListVersion, bool) {
 	if m.lists[n].held == nil {
 		return ListVersion{List: n}, false
 	}
@@ -850,8 +850,10 @@
 	return &content{ListVersion{n, version, sum(version, boxes)}, boxes}
 }
 
-// Sorted gives boxes in the order that their sum is of, each id once.
-func Sorted(boxes []membership.Endpoint) []membership.Endpoint { return newContent(0, 0, boxes).boxes }
+// SortEndpoints gives boxes in the order that their sum is of, each id once.
+func SortEndpoints(boxes []membership.Endpoint) []membership.Endpoint {
+	return newContent(0, 0, boxes).boxes
+}
 
 // VersionOf names a list that has these boxes.
 func VersionOf(n int, version uint64, boxes []membership.Endpoint) ListVersion {
--- a/internal/bootstrap/decisions_test.go
+++ b/internal/bootstrap/decisions_test.go
@@ -110,7 +110,7 @@
 	case m.Fetch != nil:
 		x.write("send-want", append(head, markText(m.Fetch.ListVersion), unsigned(m.Fetch.HaveSum))...)
 	case m.Part != nil:
-		x.write("send-part", append(head, markText(m.Part.ListVersion), number(m.Part.Number), number(m.Part.Of),
+		x.write("send-part", append(head, markText(m.Part.ListVersion), number(m.Part.Number), number(m.Part.Total),
 			endpointsText(m.Part.Endpoints))...)
 	case m.Delta != nil:
 		x.write("send-delta", append(head, markText(m.Delta.ListVersion), unsigned(m.Delta.BaseSum),
@@ -330,7 +330,7 @@
 	case misshapen:
 		if m.Part != nil {
 			part := *m.Part
-			part.Number, part.Of = part.Of, part.Number
+			part.Number, part.Total = part.Total, part.Number
 			m.Part = &part
 		}
 	case unwilling:
@@ -353,8 +353,8 @@
 		list := m.Busy.List
 		version, all := f.forged(p, list)
 		if mark := VersionOf(list, version, all); mark == m.Busy.ListVersion {
-			all = Sorted(all)
-			m.Part, m.Busy = &Part{ListVersion: mark, Of: 1, Endpoints: all[:min(len(all), EndpointsPerPart)]}, nil
+			all = SortEndpoints(all)
+			m.Part, m.Busy = &Part{ListVersion: mark, Total: 1, Endpoints: all[:min(len(all), EndpointsPerPart)]}, nil
 		}
 	}
 	return m
@@ -455,7 +455,7 @@
 // beg has a greedy proxy ask a peer for whole lists many times at once.
 func (f *fleet) beg(p *proxy) {
 	to := f.proxies[f.random.IntN(len(f.proxies))]
-	mark, known := to.Versions(0)
+	mark, known := to.Version(0)
 	if p.lie != greedy || !known || !p.lives {
 		return
 	}
@@ -512,16 +512,16 @@
 
 // look records what a machine says of itself.
 func (f *fleet) look(p *proxy) {
-	words := []string{p.name, yes(p.Polls()), yes(p.Known()), microseconds(p.Next())}
+	words := []string{p.name, yes(p.Polls()), yes(p.Ready()), microseconds(p.Next())}
 	for list := range f.service.lists {
-		mark, held := p.Versions(list)
+		mark, held := p.Version(list)
 		words = append(words, yes(held), markText(mark))
 	}
 	for _, c := range p.Digest() {
 		words = append(words, markText(c.ListVersion), microseconds(c.LastSeen))
 	}
 	f.record.counts["asks-"+yes(p.Polls())]++
-	f.record.counts["known-"+yes(p.Known())]++
+	f.record.counts["known-"+yes(p.Ready())]++
 	f.record.write("proxy", words...)
 }
 
--- a/internal/bootstrap/sim_test.go
+++ b/internal/bootstrap/sim_test.go
@@ -209,13 +209,13 @@
 			}
 		}
 	}
-	if k, ok := n.Versions(0); ok && k != n.last {
+	if k, ok := n.Version(0); ok && k != n.last {
 		if !n.lists[0].own && k.Version < n.last.Version {
 			w.t.Fatalf("%v: %s went back from version %d to %d by a peer's word", w.now, n.name, n.last.Version, k.Version)
 		}
 		n.last = k
 	}
-	if n.ready == 0 && n.Known() {
+	if n.ready == 0 && n.Ready() {
 		n.ready = max(1, w.now-n.started)
 	}
 	l := &n.lists[0]
@@ -284,7 +284,7 @@
 		if n.follows {
 			asks++
 		}
-		if k, ok := n.Versions(0); !ok || k != want.ListVersion {
+		if k, ok := n.Version(0); !ok || k != want.ListVersion {
 			w.t.Fatalf("%s: %s holds version %d (%v), the service has %d", when, n.name, k.Version, ok, want.Version)
 		}
 	}
@@ -474,7 +474,7 @@
 	{"parts without end", func(m Message) Message {
 		if m.Part != nil {
 			p := *m.Part
-			p.Of = 1 << 30
+			p.Total = 1 << 30
 			m.Part = &p
 		}
 		return m
@@ -511,7 +511,7 @@
 			w.startAll()
 			w.run(3 * time.Second)
 			for _, n := range w.nodes {
-				if !n.Known() {
+				if !n.Ready() {
 					w.t.Errorf("%s knows nothing after 3 s", n.name)
 				}
 			}
@@ -538,7 +538,7 @@
 				n.cutOff = n.follows
 			}
 			w.change(func() { w.truth[0].State = membership.Draining })
-			w.run(w.now + 4*WidenEvery)
+			w.run(w.now + 4*WidenInterval)
 		}},
 		{"all that ask are killed at once", func(w *world) {
 			w.startAll()
--- a/internal/bootstrap/wire_test.go
+++ b/internal/bootstrap/wire_test.go
@@ -25,7 +25,7 @@
 	return []bootstrap.Message{
 		{From: "p1", Incarnation: 7, Digest: []bootstrap.Advertisement{{ListVersion: mark, LastSeen: -time.Second}}},
 		{From: "p1", Incarnation: 7, Fetch: &bootstrap.Fetch{ListVersion: mark, HaveSum: 6}},
-		{From: "p1", Incarnation: 7, Part: &bootstrap.Part{ListVersion: mark, Number: 1, Of: 2, Endpoints: boxes}},
+		{From: "p1", Incarnation: 7, Part: &bootstrap.Part{ListVersion: mark, Number: 1, Total: 2, Endpoints: boxes}},
 		{From: "p1", Incarnation: 7, Delta: &bootstrap.Delta{ListVersion: mark, BaseSum: 8, Endpoints: boxes, Removed: []string{"c2"}}},
 		{From: "p1", Incarnation: 7, Busy: &bootstrap.Busy{ListVersion: mark, Peer: "p2"}},
 	}
--- a/internal/drill/liar.go
+++ b/internal/drill/liar.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &byzantinePeer{w: w, n: len(w.liars), boxes: bootstrap.Sorted(lies[kind](w)), told: make(chan func(), 64), end: make(chan struct{})}
+	l := &byzantinePeer{w: w, n: len(w.liars), boxes: bootstrap.SortEndpoints(lies[kind](w)), told: make(chan func(), 64), end: make(chan struct{})}
 	if l.relay, err = w.fabric.NewRelay("liar", fmt.Sprintf("%s.48.%d", w.base, plaza), listen); err != nil {
 		return nil, err
 	}
@@ -113,7 +113,7 @@
 		of := max(1, (len(boxes)+bootstrap.EndpointsPerPart-1)/bootstrap.EndpointsPerPart)
 		for n := range of {
 			part := boxes[min(len(boxes), n*bootstrap.EndpointsPerPart):min(len(boxes), (n+1)*bootstrap.EndpointsPerPart)]
-			l.send(from, bootstrap.Message{Part: &bootstrap.Part{ListVersion: want, Number: n, Of: of, Endpoints: part}})
+			l.send(from, bootstrap.Message{Part: &bootstrap.Part{ListVersion: want, Number: n, Total: of, Endpoints: part}})
 		}
 	}
 }
--- a/internal/peer/transport/transport.go
+++ b/internal/peer/transport/transport.go
@@ -157,13 +157,13 @@
 	end     context.CancelFunc
 	seeds   []string // of the settings, and those remembered
 
-	mu      sync.Mutex
-	view    *peer.View
-	nodes   map[string]*memberlist.Node
-	number  uint64
-	state   []byte // the message that goes along with an exchange; nil: none
-	changed chan struct{}
-	Sent    Counters // by this doorman
+	mu       sync.Mutex
+	view     *peer.View
+	nodes    map[string]*memberlist.Node
+	number   uint64
+	state    []byte // the message that goes along with an exchange; nil: none
+	changed  chan struct{}
+	counters Counters // by this doorman
 }
 
 // Counters is messages and bytes, and what was dropped for want of room or not heard.
@@ -378,7 +378,7 @@
 	case l.out <- outgoing{to, body}:
 	default:
 		l.mu.Lock()
-		l.Sent.Dropped++
+		l.counters.Dropped++
 		l.mu.Unlock()
 	}
 }
@@ -407,8 +407,8 @@
 			continue
 		}
 		l.mu.Lock()
-		l.Sent.Messages++
-		l.Sent.Bytes += uint64(len(packet))
+		l.counters.Messages++
+		l.counters.Bytes += uint64(len(packet))
 		l.mu.Unlock()
 		if len(packet) <= datagramMost {
 			_ = l.list.SendBestEffort(node, packet)
@@ -443,7 +443,7 @@
 			}
 			if Decode(m.packet, &e) != nil || e.To != to || !l.accept(&e) {
 				l.mu.Lock()
-				l.Sent.Rejected++
+				l.counters.Rejected++
 				l.mu.Unlock()
 				continue
 			}
@@ -487,8 +487,8 @@
 	}
 }
 
-// Leave tells the others that this doorman goes, for at most a time.
-func (l *Transport) Leave(limit time.Duration) { _ = l.list.Leave(limit) }
+// AnnounceShutdown tells the others that this doorman goes, for at most a time.
+func (l *Transport) AnnounceShutdown(limit time.Duration) { _ = l.list.Leave(limit) }
 
 // Close ends the link.
 func (l *Transport) Close() {
@@ -507,7 +507,7 @@
 func (l *Transport) Status() (members []peer.Member, sent Counters) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.view.Members(), l.Sent
+	return l.view.Members(), l.counters
 }
 
 // delegate is what memberlist calls.
@@ -522,7 +522,7 @@
 	case d.in <- incoming{append([]byte(nil), b...), false}:
 	default:
 		d.mu.Lock()
-		d.Sent.Dropped++
+		d.counters.Dropped++
 		d.mu.Unlock()
 	}
 }
--- a/internal/peer/transport/transport_test.go
+++ b/internal/peer/transport/transport_test.go
@@ -175,7 +175,7 @@
 		t.Error("a stranger was let in")
 	}
 	f.until("addresses are remembered", func() bool { return len(remembered(filepath.Join(f.dir, "peers"))) > 0 })
-	a.Leave(time.Second)
+	a.AnnounceShutdown(time.Second)
 	f.until("who leaves is gone", func() bool { return !earB.sees("a") })
 	_ = b
 }
--- a/internal/proxy/herd.go
+++ b/internal/proxy/herd.go
@@ -194,7 +194,7 @@
 // leave tells the others that this doorman goes, beside the loop.
 func (h *fleet) leave() {
 	if h.link != nil {
-		go h.link.Leave(tellLeaving)
+		go h.link.AnnounceShutdown(tellLeaving)
 	}
 }
 
@@ -206,7 +206,7 @@
 	}
 	fmt.Fprintln(out, role)
 	for n := range h.tapped {
-		k, ok := h.machine.Versions(n)
+		k, ok := h.machine.Version(n)
 		fmt.Fprintf(out, "list %s version %d sum %016x held %v\n", h.sources.doorman.plan.own.Catalogue.Services[n].Name, k.Version, k.Sum, ok)
 	}
 	if h.link == nil {
