--- a/internal/proxy/control.go
+++ b/internal/proxy/control.go
@@ -32,7 +32,7 @@
 		if d.list.herd == nil {
 			return "error: there is no list service that peers could spare\n"
 		}
-		d.list.herd.show(&out)
+		d.list.herd.writeStatus(&out)
 	case len(words) == 0 || words[0] != "contracts":
 		return "error: the questions are: state; peers; contracts; contracts TEAM CLASS [SERVICE]\n"
 	case d.contracts == nil:
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -166,7 +166,7 @@
 		d.known = d.known && d.plan.members.Sources()[d.plan.first+i].LastSeen > 0
 	}
 	// Where peers tell lists, one that a single one of them tells is not known at once.
-	d.known = d.known && (d.list.restored || d.list.herd.link == nil || d.list.herd.machine.Ready())
+	d.known = d.known && (d.list.restored || d.list.herd.transport == nil || d.list.herd.machine.Ready())
 	window := time.Duration(d.plan.settings.Control.Instances) * bootstrap.WindowPerProxy // in which doormans ask one after another
 	d.known = d.known || monotonicNow()-time.Duration(born.UnixNano()) > knowWithin+window
 	return d.known
@@ -290,14 +290,14 @@
 		}
 	}
 	if d.list.herd != nil {
-		d.list.herd.round(now)
+		d.list.herd.step(now)
 	}
 	if d.leaving.Begun() && !d.stopped {
 		d.end(now)
 	}
 	wake := d.kept + housekeepEvery
 	if d.list.herd != nil {
-		wake = min(wake, d.list.herd.stepped+stepEvery)
+		wake = min(wake, d.list.herd.steppedAt+fleetStepInterval)
 	}
 	for _, p := range d.pools {
 		if next := p.broker.Next(); next > 0 {
--- a/internal/proxy/sources.go
+++ b/internal/proxy/sources.go
@@ -62,8 +62,8 @@
 			s.open(context.Background(), &purges)
 		}
 	}
-	s.herd = newHerd(s)
-	s.herd.round(monotonicNow())
+	s.herd = newFleet(s)
+	s.herd.step(monotonicNow())
 	if p.own.Catalogue.Registration != nil {
 		keeper := &consul.Catalogue{Config: p.own.Catalogue, Names: p.names.Names, Publish: s.tell, Log: s.log, Now: monotonicNow, Seed: p.settings.Seed}
 		s.kept.Store(true)
@@ -94,7 +94,7 @@
 		AgentAlive: func() {
 			s.doorman.loop.Post(func() {
 				if s.herd != nil && ctx.Err() == nil {
-					s.herd.alive()
+					s.herd.serviceSeen()
 				}
 			})
 		}}
@@ -124,7 +124,7 @@
 		for _, e := range events {
 			s.doorman.emit(brokerEvent(e))
 			if s.herd != nil {
-				s.herd.hear(e)
+				s.herd.observe(e)
 			}
 		}
 		s.doorman.loop.RequestRound()
@@ -143,7 +143,7 @@
 func (s *sources) leave() {
 	close(s.leaving)
 	if s.herd != nil {
-		s.herd.leave()
+		s.herd.announceShutdown()
 	}
 }
 
