--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -10,13 +10,14 @@
 
 	"github.com/spf13/cobra"
 
+	"sloequay/internal/clock"
 	"sloequay/internal/eventlog"
 	"sloequay/internal/proxy"
 )
 
 // Main runs the command that the process's arguments name. It exits with 1 after an error.
 func Main() {
-	if err := command(os.Stdout).Execute(); err != nil {
+	if err := command(os.Stdout, clock.NewSystem()).Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "sloequay:", err)
 		os.Exit(1)
 	}
@@ -30,8 +31,8 @@
 	level  string
 }
 
-// command is the command line.
-func command(out io.Writer) *cobra.Command {
+// command is the command line. All that it runs goes by one clock.
+func command(out io.Writer, system *clock.System) *cobra.Command {
 	var o options
 	root := &cobra.Command{Use: "sloequay", Short: "A doorman between the clients of many teams and the boxes of a media network",
 		SilenceUsage: true, SilenceErrors: true, CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true}}
@@ -52,7 +53,7 @@
 	}
 	serveCmd := gone(files(&cobra.Command{Use: "serve", Short: "Run the doorman in the foreground",
 		RunE: func(*cobra.Command, []string) error {
-			p, err := proxy.Load(o.config, o.conf)
+			p, err := proxy.Load(system, o.config, o.conf)
 			if err != nil {
 				return err
 			}
@@ -67,7 +68,7 @@
 	print := false
 	checkCmd := gone(files(&cobra.Command{Use: "check", Short: "Read all files, say what is wrong with them, and exit",
 		RunE: func(*cobra.Command, []string) error {
-			p, err := proxy.Load(o.config, o.conf)
+			p, err := proxy.Load(system, o.config, o.conf)
 			if err != nil {
 				return err
 			}
@@ -81,7 +82,7 @@
 	var boxes proxy.EndpointsOptions
 	boxesCmd := files(&cobra.Command{Use: "boxes", Short: "Ask the sources of boxes once and print the merged view",
 		RunE: func(*cobra.Command, []string) error {
-			p, err := proxy.Load(o.config, o.conf)
+			p, err := proxy.Load(system, o.config, o.conf)
 			if err != nil {
 				return err
 			}
@@ -92,10 +93,10 @@
 	tryCmd := &cobra.Command{Use: "try", Short: "Run a doorman on stand-ins for all that it talks to, and show what it does",
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return runTry(out, try) }}
 	tryCmd.Flags().BoolVar(&try.keep, "keep", false, "leave all of it running, with the addresses printed, until it is interrupted")
-	root.AddCommand(keyCommands(out)...)
-	root.AddCommand(contractsCommand(out), drillCommand(out),
-		askCommand(out, "state", "Ask the running doorman how much it holds: clients, requests, timers, boxes, connections"),
-		askCommand(out, "peers", "Ask the running doorman which others live, which lists it holds, and whether it asks for them"))
+	root.AddCommand(keyCommands(out, system)...)
+	root.AddCommand(contractsCommand(out, system), drillCommand(out),
+		askCommand(out, system, "state", "Ask the running doorman how much it holds: clients, requests, timers, boxes, connections"),
+		askCommand(out, system, "peers", "Ask the running doorman which others live, which lists it holds, and whether it asks for them"))
 	root.AddCommand(serveCmd, checkCmd, boxesCmd, tryCmd, &cobra.Command{Use: "version", Short: "Print what was built",
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
 			_, err := fmt.Fprintln(out, "sloequay", version())
--- a/internal/cli/contracts.go
+++ b/internal/cli/contracts.go
@@ -8,18 +8,19 @@
 
 	"github.com/spf13/cobra"
 
+	"sloequay/internal/clock"
 	"sloequay/internal/proxy"
 	"sloequay/internal/proxy/admin"
 	"sloequay/internal/quota"
 )
 
 // contractsCommand is `sloequay contracts`.
-func contractsCommand(out io.Writer) *cobra.Command {
+func contractsCommand(out io.Writer, system *clock.System) *cobra.Command {
 	var path, service string
 	var check, show, explained bool
 	c := &cobra.Command{Use: "contracts", Short: "Check contracts, show how they stand, or explain what applies to a team's class",
 		Args: cobra.MaximumNArgs(2), RunE: func(_ *cobra.Command, args []string) error {
-			o, err := proxy.ReadSettings(path)
+			o, err := proxy.ReadSettings(system, path)
 			if err != nil {
 				return err
 			}
@@ -39,7 +40,7 @@
 				return errors.New("the settings have no `control` by which a running doorman could be asked")
 			case explained:
 				fmt.Fprintln(out, "as written, nothing being used:")
-				proxy.Explain(out, o.Contracts.Ledger(), proxy.MonotonicNow(), args[0], args[1], service)
+				proxy.Explain(out, o.Contracts.Ledger(), system.Monotonic(), args[0], args[1], service)
 				return nil
 			}
 			return checkContracts(out, o.Contracts)
@@ -66,10 +67,10 @@
 }
 
 // askCommand is a command that puts one question to the running doorman, as `sloequay state`.
-func askCommand(out io.Writer, question, short string) *cobra.Command {
+func askCommand(out io.Writer, system *clock.System, question, short string) *cobra.Command {
 	var path string
 	c := &cobra.Command{Use: question, Short: short, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
-		o, err := proxy.ReadSettings(path)
+		o, err := proxy.ReadSettings(system, path)
 		if err != nil {
 			return err
 		}
--- a/internal/cli/keys.go
+++ b/internal/cli/keys.go
@@ -14,10 +14,10 @@
 
 	"github.com/spf13/cobra"
 
+	"sloequay/internal/clock"
 	"sloequay/internal/identity"
 	"sloequay/internal/identity/keydir"
 	"sloequay/internal/identity/tsig"
-	"sloequay/internal/proxy"
 )
 
 func randomID(prefix string) string {
@@ -27,7 +27,7 @@
 }
 
 // keyCommands are `key` and `token`, which work on a directory of keys.
-func keyCommands(out io.Writer) []*cobra.Command {
+func keyCommands(out io.Writer, system *clock.System) []*cobra.Command {
 	var dir string
 	group := func(use, short string, commands ...*cobra.Command) *cobra.Command {
 		c := &cobra.Command{Use: use, Short: short}
@@ -68,7 +68,7 @@
 		if err != nil {
 			return err
 		}
-		k.NotBefore = proxy.UnixNow()
+		k.NotBefore = system.Unix()
 		k.SignFrom = k.NotBefore
 		if err := keydir.WriteKeys(dir, []identity.Key{k}); err != nil {
 			return err
@@ -81,7 +81,7 @@
 		if err != nil {
 			return err
 		}
-		return writeKeys(out, keys, proxy.UnixNow())
+		return writeKeys(out, keys, system.Unix())
 	}}
 	r := identity.Rotation{}
 	keyRotate := named(&cobra.Command{Use: "rotate", Short: "Bring the next key: published, accepted, signing; the old one retires after the overlap",
@@ -90,7 +90,7 @@
 			if err != nil {
 				return err
 			}
-			now := proxy.UnixNow()
+			now := system.Unix()
 			next, err := keydir.New(dir, fresh(), identity.Algorithm(algorithm))
 			if err != nil {
 				return err
@@ -120,7 +120,7 @@
 		if i < 0 {
 			return fmt.Errorf("there is no key %s", args[0])
 		}
-		now := proxy.UnixNow()
+		now := system.Unix()
 		keys[i].RetireAfter = max(now, keys[i].NotBefore+1)
 		if err := keydir.WriteKeys(dir, keys); err != nil {
 			return err
@@ -132,7 +132,7 @@
 		RunE: func(_ *cobra.Command, args []string) error {
 			for what := identity.Token; what <= identity.KeyID; what++ {
 				if what.String() == args[0] {
-					now := proxy.UnixNow()
+					now := system.Unix()
 					if err := keydir.Revoke(dir, now, keydir.Revocation{What: what, Name: args[1], Until: now + span}); err != nil {
 						return err
 					}
@@ -165,7 +165,7 @@
 		if err != nil {
 			return err
 		}
-		now := proxy.UnixNow()
+		now := system.Unix()
 		k := set.Signer(now)
 		if k == nil {
 			return errors.New("no key signs now")
@@ -201,7 +201,7 @@
 			if err != nil {
 				return err
 			}
-			now := proxy.UnixNow()
+			now := system.Unix()
 			revoked := identity.NewRevocations(len(c.Revoked) + 1)
 			for _, r := range c.Revoked {
 				_ = revoked.Add(r.What, r.Name, r.Until)
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,48 +1,46 @@
-// Package clock tells apart the two times that a long-running program needs: one that only ever goes on at its own rate, for
-// deadlines, timers, budgets and ages, and the Unix clock, which operators and time servers set, for what others have stamped.
-// It reads no clock: its user hands in both readings, taken together.
+// Package clock tells apart the two times that a long-running program needs: a monotonic one for deadlines, timers, budgets
+// and ages, and Unix time, which operators and time servers set, for what others have stamped or will read.
+//
+// System reads the machine's clocks; the assembly builds one and passes it in. Tracker follows the offset between the two
+// times for code that is stepped: it reads no clock, its caller hands in both readings.
 package clock
 
 import "time"
 
-// MinStep is the least change of the offset between two readings that counts as a step of the Unix clock. What is less
-// is a time server's slewing (at most 0.05%, RFC 5905) or the delay between the readings.
-const MinStep = 500 * time.Millisecond
-
-// Tracker follows the offset between the two. Its zero value has seen no reading.
+// System is a process's source of both times.
 //
-// Invariants: Offset is the newest reading's, so that Steady and Unix undo one another; a step is told once.
-type Tracker struct {
-	offset time.Duration
-	told   time.Duration // the offset that Step last spoke of
-	seen   bool
+// Monotonic time starts as the Unix time at which the System was built, and goes on at its own rate whatever is done to the
+// Unix clock. Unix time is the machine's, plus the offset that SetOffset has set.
+type System struct {
+	started time.Time // with Go's monotonic reading
+	offset  time.Duration
+	drift   func() time.Duration // what a test has set the Unix clock off by; nil in the program that is shipped
 }
 
-// Read takes a reading of both clocks, and gives by how much the Unix clock was stepped since the one that Read last spoke of;
-// 0: not at all. The first reading is no step.
-func (k *Tracker) Read(steady, unix time.Duration) (step time.Duration) {
-	k.offset = unix - steady
-	if !k.seen {
-		k.seen, k.told = true, k.offset
-		return 0
-	}
-	d := k.offset - k.told
-	if d > -MinStep && d < MinStep {
-		if d > -MinStep/2 && d < MinStep/2 {
-			return 0
-		}
-		k.told = k.offset // slewed as far by and by: no step, and not to be taken for one later
-		return 0
-	}
-	k.told = k.offset
-	return d
-}
+// NewSystem builds a process's clock. The start of the process counts from here.
+func NewSystem() *System { return &System{started: time.Now(), drift: newDrift()} }
 
-// Offset is what the Unix clock is ahead.
-func (k *Tracker) Offset() time.Duration { return k.offset }
+// SetOffset sets by how much Unix time is ahead of the machine's, for drills. It must be called before anything reads the
+// clock on another goroutine.
+func (s *System) SetOffset(offset time.Duration) { s.offset = offset }
 
-// Unix gives the Unix time of a steady one.
-func (k *Tracker) Unix(steady time.Duration) time.Duration { return steady + k.offset }
+// Started is the monotonic time of the start.
+func (s *System) Started() time.Duration { return time.Duration(s.started.UnixNano()) }
 
-// Monotonic gives the steady time of a Unix one.
-func (k *Tracker) Monotonic(unix time.Duration) time.Duration { return unix - k.offset }
+// Uptime is how long ago the start was.
+func (s *System) Uptime() time.Duration { return time.Since(s.started) }
+
+// Monotonic is the time that everything but stamps goes by.
+func (s *System) Monotonic() time.Duration { return s.Started() + s.Uptime() }
+
+// Unix is the time since the Unix epoch, for what was stamped by others or will be read by them.
+func (s *System) Unix() time.Duration { return time.Duration(s.UnixTime().UnixNano()) }
+
+// UnixTime is Unix as a time.Time, for libraries that want one.
+func (s *System) UnixTime() time.Time {
+	offset := s.offset
+	if s.drift != nil {
+		offset += s.drift()
+	}
+	return time.Now().Add(offset)
+}
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -3,37 +3,39 @@
 import (
 	"testing"
 	"time"
-
-	"pgregory.net/rapid"
 )
 
-// TestSteps: each step of at least StepLeast between readings a tenth of a second apart is told once, with its size, whatever the
-// clock slews beside it, and slewing alone is none.
-func TestSteps(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		var k Tracker
-		steady, unix := time.Hour, 1_800_000_000*time.Second
-		k.Read(steady, unix)
-		slew := rapid.Int64Range(-500, 500).Draw(t, "slewing in parts of a million")
-		for range rapid.IntRange(1, 400).Draw(t, "readings") {
-			const pause = 100 * time.Millisecond
-			steady += pause
-			unix += pause + pause*time.Duration(slew)/1_000_000
-			want := time.Duration(0)
-			if rapid.IntRange(0, 19).Draw(t, "a step now") == 0 {
-				want = time.Duration(rapid.Int64Range(int64(time.Second), int64(48*time.Hour)).Draw(t, "by"))
-				if rapid.Bool().Draw(t, "back") {
-					want = -want
-				}
-				unix += want
+// TestSystemMonotonicStartsAsUnix: at the start both times are the same, and the uptime counts from there.
+func TestSystemMonotonicStartsAsUnix(t *testing.T) {
+	before := time.Now()
+	system := NewSystem()
+	after := time.Now()
+	if got := system.Started(); got < time.Duration(before.UnixNano()) || got > time.Duration(after.UnixNano()) {
+		t.Errorf("Started() = %v, want the Unix time at which NewSystem ran, %v to %v", got, before, after)
+	}
+	uptime := system.Uptime()
+	monotonic := system.Monotonic()
+	if got := monotonic - system.Started(); got < uptime || got > uptime+time.Minute {
+		t.Errorf("Monotonic() is %v after the start, want the uptime, which was %v just before", got, uptime)
+	}
+}
+
+// TestSystemOffsetMovesUnixTimeAlone: the offset of a drill moves Unix time by just as much, and not the monotonic time.
+func TestSystemOffsetMovesUnixTimeAlone(t *testing.T) {
+	for _, offset := range []time.Duration{0, 36 * time.Hour, -36 * time.Hour} {
+		t.Run(offset.String(), func(t *testing.T) {
+			system := NewSystem()
+			system.SetOffset(offset)
+			const tolerance = time.Minute // for a busy machine; the offsets are hours
+			if got := system.Unix() - time.Duration(time.Now().UnixNano()); (got - offset).Abs() > tolerance {
+				t.Errorf("Unix() is %v ahead of the machine's clock, want %v", got, offset)
 			}
-			got := k.Read(steady, unix)
-			if (got == 0) != (want == 0) || got-want > MinStep || want-got > MinStep {
-				t.Fatalf("a step by %v was told as %v", want, got)
+			if got := time.Until(system.UnixTime()); (got - offset).Abs() > tolerance {
+				t.Errorf("UnixTime() is %v ahead of the machine's clock, want %v", got, offset)
 			}
-			if k.Unix(steady) != unix || k.Monotonic(unix) != steady {
-				t.Fatal("the two times do not undo one another")
+			if got := system.Monotonic() - system.Started(); got < 0 || got > tolerance {
+				t.Errorf("Monotonic() is %v after the start, want next to nothing", got)
 			}
-		}
-	})
+		})
+	}
 }
--- a/internal/proxy/boxes.go
+++ b/internal/proxy/boxes.go
@@ -23,7 +23,7 @@
 func PrintEndpoints(out io.Writer, p *Plan, o EndpointsOptions) error {
 	var mu sync.Mutex // the sources tell from goroutines of their own
 	var said []string
-	now := monotonicNow
+	now := p.clock.Monotonic
 	take := func(e membership.SourceEvent) {
 		mu.Lock()
 		defer mu.Unlock()
--- a/internal/proxy/boxtls.go
+++ b/internal/proxy/boxtls.go
@@ -31,9 +31,9 @@
 // boxDescriptors is what a connection to a box by TLS takes: its own, and the pair that joins it to the loop.
 const boxDescriptors = 3
 
-func (b *boxTLS) section() *config.Section {
+func (b *boxTLS) section(unixTime func() time.Time) *config.Section {
 	b.limit, b.sites = time.Second, map[string]*boxSite{}
-	s := b.all.section()
+	s := b.all.section(unixTime)
 	s.Duration("limit", &b.limit, 10*time.Millisecond, 30*time.Second, "for connecting to a box, the handshake included")
 	s.Block("site", true, "what differs at one site", func(words []string) (*config.Section, error) {
 		if len(words) != 1 {
@@ -44,15 +44,15 @@
 		}
 		site := &boxSite{}
 		b.sites[words[0]] = site
-		section := site.section()
+		section := site.section(unixTime)
 		section.Flag("plain", &site.plain, "boxes of the site are spoken to by plain TCP")
 		return section, nil
 	})
 	return s
 }
 
-func (s *boxSite) section() *config.Section {
-	s.Now = wall
+func (s *boxSite) section(unixTime func() time.Time) *config.Section {
+	s.Now = unixTime
 	section := &config.Section{}
 	section.Text("ca", &s.CA, nil, "file of the authorities that sign boxes; the system's without it")
 	section.Text("cert", &s.Cert, nil, "file of our certificate, where boxes want one")
--- a/internal/proxy/conf.go
+++ b/internal/proxy/conf.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"time"
 
+	"sloequay/internal/clock"
 	"sloequay/internal/config"
 	"sloequay/internal/frontend/dns"
 	"sloequay/internal/membership"
@@ -29,8 +30,9 @@
 	Control     string            // path of the operators' socket; empty: none
 	UpstreamTLS *boxTLS           // nil: boxes are spoken to by plain TCP
 	Peers       *transport.Config // nil: no other doorman is known
-	ahead       time.Duration     // of the Unix clock here, for drills
-	bind        string            // address that our own connections come from; empty: the system's choice
+	clock       *clock.System
+	clockOffset time.Duration // of the Unix clock here, for drills
+	bind        string        // address that our own connections come from; empty: the system's choice
 	list        membership.Config
 	damping     membership.Damping
 	bulletin    bool   // whether the bulletin's word on boxes counts; its purges always do
@@ -44,9 +46,9 @@
 	Oldest time.Duration
 }
 
-// NewSettings has everything off.
-func NewSettings() *Settings {
-	o := &Settings{Section: &config.Section{}, bulletin: true, prefer: "bulletin",
+// NewSettings has everything off. What the settings configure goes by the clock.
+func NewSettings(system *clock.System) *Settings {
+	o := &Settings{Section: &config.Section{}, clock: system, bulletin: true, prefer: "bulletin",
 		list: membership.Config{MaxEndpoints: membership.DefaultMaxEndpoints, MaxLossShare: 0.3, MinLoss: 2,
 			ConfirmInterval: membership.DefaultConfirmInterval, MaxSilence: 10 * time.Minute, Forget: membership.DefaultForget},
 		damping: membership.Damping{SuppressAbove: 3, ReuseBelow: 1, HalfLife: 5 * time.Second, MaxSuppress: 20 * time.Second}}
@@ -68,14 +70,14 @@
 		}
 		return nil
 	}, "address that connections to boxes, lists and other doormans come from; the system's choice without it")
-	s.Duration("clock-ahead", &o.ahead, -10*365*24*time.Hour, 10*365*24*time.Hour, "for drills: what the Unix clock here is taken to be ahead of the system's")
+	s.Duration("clock-ahead", &o.clockOffset, -10*365*24*time.Hour, 10*365*24*time.Hour, "for drills: what the Unix clock here is taken to be ahead of the system's")
 	s.Block("peers", false, "doormans that know of each other", func([]string) (*config.Section, error) {
 		o.Peers = &transport.Config{}
 		return o.Peers.Section(), nil
 	})
 	s.Block("identity", false, "who may do what", func([]string) (*config.Section, error) {
 		o.Identity = &identityConfig{}
-		return o.Identity.section(), nil
+		return o.Identity.section(o.clock.UnixTime), nil
 	})
 	s.Block("services", false, "services, their pools of boxes, and moves between those", func([]string) (*config.Section, error) {
 		o.Services = &services{}
@@ -83,7 +85,7 @@
 	})
 	s.Block("box-tls", false, "TLS towards boxes", func([]string) (*config.Section, error) {
 		o.UpstreamTLS = &boxTLS{}
-		return o.UpstreamTLS.section(), nil
+		return o.UpstreamTLS.section(o.clock.UnixTime), nil
 	})
 	s.Block("dns", false, "DNS request routing", func([]string) (*config.Section, error) {
 		o.DNS = &dns.Config{}
@@ -141,8 +143,8 @@
 }
 
 // ReadSettings reads our settings; without a path all of them are off.
-func ReadSettings(path string) (*Settings, error) {
-	o := NewSettings()
+func ReadSettings(system *clock.System, path string) (*Settings, error) {
+	o := NewSettings(system)
 	if path == "" {
 		return o, nil
 	}
--- a/internal/proxy/control.go
+++ b/internal/proxy/control.go
@@ -24,7 +24,7 @@
 // ask answers a question of an operator's. It runs on the loop.
 func (d *server) ask(words []string) string {
 	var out strings.Builder
-	now := monotonicNow()
+	now := d.clock.Monotonic()
 	switch {
 	case len(words) == 1 && words[0] == "state":
 		d.state(&out)
--- a/internal/proxy/door.go
+++ b/internal/proxy/door.go
@@ -47,7 +47,7 @@
 	return "", ""
 }
 
-func (c *identityConfig) section() *config.Section {
+func (c *identityConfig) section(unixTime func() time.Time) *config.Section {
 	c.Gate, c.roles, c.uses = identity.Defaults(), map[string][]identity.Rule{}, map[string][]string{}
 	c.exact, c.wild = map[string]string{}, map[string]string{}
 	p := &c.Gate.Policy
@@ -73,7 +73,7 @@
 		}
 	}
 	s.Block("tls", false, "a listener for TLS 1.3", func([]string) (*config.Section, error) {
-		c.tls = &tlslistener.Config{Now: wall, Handshakes: 64, HandshakeTimeout: 3 * time.Second, MaxConnections: 64, Tickets: time.Hour}
+		c.tls = &tlslistener.Config{Now: unixTime, Handshakes: 64, HandshakeTimeout: 3 * time.Second, MaxConnections: 64, Tickets: time.Hour}
 		return c.tlsSection(), nil
 	})
 	s.Block("role", true, "rules that several tenants share", func(words []string) (*config.Section, error) {
@@ -203,7 +203,7 @@
 			for j := range g.jobs {
 				claims, reason := identity.Verify(j.Token, j.Key)
 				d.loop.Post(func() {
-					for _, o := range g.gate.SignatureChecked(monotonicNow(), j, claims, reason) {
+					for _, o := range g.gate.SignatureChecked(d.clock.Monotonic(), j, claims, reason) {
 						g.settle(o)
 					}
 					d.loop.RequestRound()
@@ -258,7 +258,7 @@
 	if r.Key != "" {
 		c.Key, c.Window = class.Name+" "+r.Key, class.DedupWindow
 	}
-	o, j := g.gate.Authenticate(monotonicNow(), c)
+	o, j := g.gate.Authenticate(g.doorman.clock.Monotonic(), c)
 	switch {
 	case o != nil:
 		g.settle(o)
@@ -295,7 +295,7 @@
 	if who == "" {
 		who = "-"
 	}
-	missed, ok := g.audit.Line(monotonicNow(), who+" "+o.Reason.String())
+	missed, ok := g.audit.Line(g.doorman.clock.Monotonic(), who+" "+o.Reason.String())
 	if !ok {
 		return
 	}
@@ -323,7 +323,7 @@
 		shared, err = tsig.New(c.TSIG)
 	}
 	for _, r := range c.Revoked {
-		if err == nil && r.Until > unixClock() {
+		if err == nil && r.Until > g.doorman.clock.Unix() {
 			err = revoked.Add(r.What, r.Name, r.Until)
 		}
 	}
@@ -338,7 +338,7 @@
 	g.gate.SetKeys(keys)
 	g.gate.SetRevocations(revoked)
 	signer := "-"
-	if k := keys.Signer(unixClock()); k != nil {
+	if k := keys.Signer(g.doorman.clock.Unix()); k != nil {
 		signer = k.ID
 	}
 	g.doorman.log.Event("keys-loaded", "keys", len(c.Keys), "signing", signer, "shared", len(c.TSIG), "revocations", revoked.Len())
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -47,7 +47,7 @@
 			cfg.Peers = false
 		}
 	}
-	h.machine = bootstrap.New(monotonicNow(), cfg)
+	h.machine = bootstrap.New(d.clock.Monotonic(), cfg)
 	return h
 }
 
@@ -71,7 +71,7 @@
 	for _, m := range members {
 		peers = append(peers, bootstrap.Peer{Name: m.Name, Zone: m.Zone})
 	}
-	h.sources.doorman.loop.Post(func() { h.apply(h.machine.PeersChanged(monotonicNow(), peers)) })
+	h.sources.doorman.loop.Post(func() { h.apply(h.machine.PeersChanged(h.sources.doorman.clock.Monotonic(), peers)) })
 }
 
 // MessageReceived takes what a peer has sent and returns once the loop has it, so that no more is read than it can take. It is called by
@@ -85,7 +85,7 @@
 	m.From = from
 	taken := make(chan struct{})
 	h.sources.doorman.loop.Post(func() {
-		h.apply(h.machine.MessageReceived(monotonicNow(), m))
+		h.apply(h.machine.MessageReceived(h.sources.doorman.clock.Monotonic(), m))
 		close(taken)
 	})
 	<-taken
@@ -108,7 +108,7 @@
 		}
 	case membership.SourceStatus:
 		if n := e.Source - first; n >= 0 && n < len(h.pending) && !e.Silent && h.pending[n] == nil {
-			h.apply(h.machine.ServiceSeen(monotonicNow(), n))
+			h.apply(h.machine.ServiceSeen(h.sources.doorman.clock.Monotonic(), n))
 		}
 	}
 }
@@ -117,7 +117,7 @@
 func (h *fleet) serviceSeen() {
 	for n := range h.pending {
 		if h.pending[n] == nil {
-			h.apply(h.machine.ServiceSeen(monotonicNow(), n))
+			h.apply(h.machine.ServiceSeen(h.sources.doorman.clock.Monotonic(), n))
 		}
 	}
 }
--- a/internal/proxy/plan.go
+++ b/internal/proxy/plan.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 
+	"sloequay/internal/clock"
 	"sloequay/internal/membership"
 	"sloequay/internal/membership/listwatch"
 	"sloequay/internal/platformconfig"
@@ -12,6 +13,7 @@
 
 // Plan is what Serve runs by.
 type Plan struct {
+	clock    *clock.System
 	settings *platformconfig.Settings
 	own      *Settings
 	members  *membership.Table
@@ -32,16 +34,16 @@
 }
 
 // Load reads and checks all files: the platform's configuration and our settings, of which the second may be empty.
-func Load(config, conf string) (*Plan, error) {
+func Load(system *clock.System, config, conf string) (*Plan, error) {
 	if config == "" {
 		return nil, errors.New("no configuration: set BALANCER_CONFIG or --config")
 	}
-	p := &Plan{again: func() (*Plan, error) { return Load(config, conf) }}
+	p := &Plan{clock: system, again: func() (*Plan, error) { return Load(system, config, conf) }}
 	var err error
 	if p.settings, err = platformconfig.Load(config); err != nil {
 		return nil, err
 	}
-	if p.own, err = ReadSettings(conf); err != nil {
+	if p.own, err = ReadSettings(system, conf); err != nil {
 		return nil, err
 	}
 	if p.own.UpstreamTLS != nil {
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -168,7 +168,7 @@
 	parts := []float64{1}
 	if own.Services != nil {
 		var err error
-		if d.routes, err = own.Services.table(monotonicNow(), s.Control.ZoneNames, s.Control.KindNames); err != nil {
+		if d.routes, err = own.Services.table(d.clock.Monotonic(), s.Control.ZoneNames, s.Control.KindNames); err != nil {
 			return err
 		}
 		parts = parts[:0]
@@ -195,7 +195,7 @@
 func (p *pool) connect(d *server) {
 	s := d.plan.settings
 	all := s.Sockets - s.Sockets/clientPart - ownSockets
-	p.depots = &upstream.Pool{Loop: d.loop, Emit: p.emit, Now: monotonicNow, MaySend: p.broker.MaySend, Log: d.log.Event, Resolve: d.resolver.Resolve, AddressBlocked: p.broker.AddressBlocked,
+	p.depots = &upstream.Pool{Loop: d.loop, Emit: p.emit, Now: d.clock.Monotonic, MaySend: p.broker.MaySend, Log: d.log.Event, Resolve: d.resolver.Resolve, AddressBlocked: p.broker.AddressBlocked,
 		Classes: s.Control.Classes, DialTimeout: s.DialTimeout, IdleTimeout: s.ConnIdle, Streams: s.Streams, HealthChecksAllowed: s.Control.HealthChecks, CancelAllowed: s.Control.MayCancel, FlowKBps: s.Control.FlowKBps,
 		MaxConnections: max(1, int(float64(all)*p.part))}
 	if secure := d.plan.own.UpstreamTLS; secure != nil {
@@ -208,7 +208,7 @@
 func (p *pool) round(d *server) {
 	events := p.events
 	p.events = nil
-	for _, e := range p.broker.Round(monotonicNow(), events) {
+	for _, e := range p.broker.Round(d.clock.Monotonic(), events) {
 		d.carryOut(p, e)
 	}
 	p.depots.Flush()
@@ -284,7 +284,7 @@
 		return
 	}
 	failed := f.Kind == broker.ResponseRejected || f.Kind == broker.ResponseFailed
-	if team := d.routes.RecordResult(monotonicNow(), r.Route, failed); team != "" {
+	if team := d.routes.RecordResult(d.clock.Monotonic(), r.Route, failed); team != "" {
 		d.tellMove(team)
 	}
 }
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -38,6 +38,7 @@
 // server is the assembled program. Everything in it runs on the loop.
 type server struct {
 	plan      *Plan
+	clock     *clock.System
 	contracts *quota.Ledger // nil: every team may do everything
 	loop      *eventloop.Loop
 	pools     []*pool      // one, where the settings name none
@@ -53,7 +54,7 @@
 	tallied   time.Duration // when the depots' tallies were last logged
 	signals   chan os.Signal
 	leaving   shutdown.Sequence
-	steady    clock.Tracker
+	unixClock clock.Tracker // finds steps of the Unix clock
 	stopped   bool
 	known     bool // see knowsBoxes
 }
@@ -61,12 +62,12 @@
 // Serve runs the doorman until SIGTERM has been seen through.
 func Serve(p *Plan, log *eventlog.Logger) error {
 	s := p.settings
-	ahead = p.own.ahead
+	p.clock.SetOffset(p.own.clockOffset)    // a reload does not move it
 	debug.SetMemoryLimit(s.Memory * 6 / 10) // the rest is for stacks, the runtime and the sockets' buffers
 	debug.SetGCPercent(300)                 // within that: eight collections a second were measured at full load
 	// The loop never parks its goroutine. With one P, dials beside it were seen only each 10 ms and took 25 to 50 ms.
 	runtime.GOMAXPROCS(max(2, runtime.GOMAXPROCS(0)))
-	d := &server{plan: p, log: log, leaving: shutdown.Sequence{LongestDeadline: s.LongestDeadline()}, signals: make(chan os.Signal, 8)}
+	d := &server{plan: p, clock: p.clock, log: log, leaving: shutdown.Sequence{LongestDeadline: s.LongestDeadline()}, signals: make(chan os.Signal, 8)}
 	signal.Notify(d.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	if p.own.Contracts != nil {
 		d.contracts = p.own.Contracts.Ledger()
@@ -83,7 +84,7 @@
 	if p.own.DNS != nil {
 		most := clients / 4
 		clients -= most
-		d.dns = &dns.Server{Config: p.own.DNS, Classes: s.Control.Classes, Emit: d.enter, Now: monotonicNow, Unix: unixClock,
+		d.dns = &dns.Server{Config: p.own.DNS, Classes: s.Control.Classes, Emit: d.enter, Now: d.clock.Monotonic, Unix: d.clock.Unix,
 			Log: d.log.Event, EndpointByName: d.box, MaxConnections: most, Seed: s.Seed, MaxRetryAfter: s.Control.MaxRetryAfter}
 		if cfg := p.own.Identity; cfg != nil {
 			d.dns.Skew = cfg.Gate.Policy.Skew
@@ -97,7 +98,7 @@
 		cfg.tls.MaxConnections = min(cfg.tls.MaxConnections, clients/4)
 		clients -= 2 * cfg.tls.MaxConnections
 	}
-	d.front = rpc.New(s.Control.Classes, clients, d.enter, monotonicNow, ready, full, d.log.Event)
+	d.front = rpc.New(s.Control.Classes, clients, d.enter, d.clock.Monotonic, ready, full, d.log.Event)
 	d.front.MaxRetryAfter = s.Control.MaxRetryAfter
 	listeners = append(listeners, eventloop.Listener{Network: "tcp", Address: s.Listen, Accept: d.front.Accept})
 	return eventloop.Run(listeners, d.start, d.round)
@@ -107,7 +108,7 @@
 func (d *server) start(l *eventloop.Loop) {
 	s := d.plan.settings
 	d.loop, l.Memory, l.Bind = l, int(s.Memory), d.plan.own.from()
-	d.resolver = &resolver.Resolver{Loop: l, Now: monotonicNow}
+	d.resolver = &resolver.Resolver{Loop: l, Now: d.clock.Monotonic}
 	if dns := d.plan.own.DNS; dns != nil {
 		d.resolver.Server, d.resolver.Limit = dns.Resolver, dns.ResolveTimeout
 	}
@@ -134,7 +135,7 @@
 // enter takes what a front has: a request meets the door first, where there is one.
 func (d *server) enter(e broker.Event) {
 	if a, ok := e.(broker.RequestReceived); ok {
-		a.Request.Timeout = d.leaving.TimeoutFor(monotonicNow(), a.Request.Timeout)
+		a.Request.Timeout = d.leaving.TimeoutFor(d.clock.Monotonic(), a.Request.Timeout)
 		if d.door != nil {
 			d.door.arrive(a.Request)
 			return
@@ -168,7 +169,7 @@
 	// Where peers tell lists, one that a single one of them tells is not known at once.
 	d.known = d.known && (d.list.restored || d.list.herd.transport == nil || d.list.herd.machine.Ready())
 	window := time.Duration(d.plan.settings.Control.Instances) * bootstrap.WindowPerProxy // in which doormans ask one after another
-	d.known = d.known || monotonicNow()-time.Duration(born.UnixNano()) > knowWithin+window
+	d.known = d.known || d.clock.Uptime() > knowWithin+window
 	return d.known
 }
 
@@ -193,7 +194,7 @@
 	}
 	d.bulletin.SwitchTo(next.settings.ListAddress)
 	if c := next.own.Contracts; d.contracts != nil && c != nil {
-		d.contracts.Renew(monotonicNow(), c.Root.Share(c.Instances))
+		d.contracts.Renew(d.clock.Monotonic(), c.Root.Share(c.Instances))
 		d.limitRepeats(c)
 		d.log.Event("contracts-reloaded", "version", d.contracts.Version, "teams", len(c.Root.Children), "open", d.contracts.InFlight())
 	}
@@ -203,7 +204,7 @@
 
 // leave begins the end: status says false, and what is open or still comes is served.
 func (d *server) leave() {
-	if !d.leaving.Begin(monotonicNow()) {
+	if !d.leaving.Begin(d.clock.Monotonic()) {
 		return
 	}
 	d.list.leave() // first thing: clients are to look elsewhere
@@ -237,18 +238,18 @@
 
 // round hands what has been gathered to the module in one go, and carries out what comes back.
 func (d *server) round() {
-	now := monotonicNow()
-	if step := d.steady.Read(now, unixClock()); step != 0 {
+	now := d.clock.Monotonic()
+	if step := d.unixClock.Read(now, d.clock.Unix()); step != 0 {
 		d.log.Event("clock-stepped", "by", step)
 		if d.door != nil {
 			d.door.stepped()
 		}
 	}
 	for _, p := range d.pools {
-		p.broker.SetOffset(d.steady.Offset())
+		p.broker.SetOffset(d.unixClock.Offset())
 	}
 	if d.door != nil {
-		d.door.gate.SetOffset(d.steady.Offset())
+		d.door.gate.SetOffset(d.unixClock.Offset())
 	}
 	if now-d.kept >= housekeepEvery {
 		d.kept = now
@@ -304,7 +305,7 @@
 			wake = min(wake, next)
 		}
 	}
-	d.loop.WakeAfter(max(0, wake-monotonicNow()))
+	d.loop.WakeAfter(max(0, wake-d.clock.Monotonic()))
 }
 
 func (d *server) carryOut(p *pool, effect broker.Effect) {
--- a/internal/proxy/sources.go
+++ b/internal/proxy/sources.go
@@ -46,7 +46,7 @@
 		emit(e)
 	}
 	d.bulletin = &listwatch.Watcher{Loop: d.loop, Address: p.settings.ListAddress, Decoder: p.names, LastEvent: p.last, Emit: emit,
-		Now: monotonicNow, Log: d.log.Event}
+		Now: d.clock.Monotonic, Log: d.log.Event}
 	if p.own.Catalogue == nil {
 		return
 	}
@@ -63,9 +63,9 @@
 		}
 	}
 	s.herd = newFleet(s)
-	s.herd.step(monotonicNow())
+	s.herd.step(d.clock.Monotonic())
 	if p.own.Catalogue.Registration != nil {
-		keeper := &consul.Catalogue{Config: p.own.Catalogue, Names: p.names.Names, Publish: s.tell, Log: s.log, Now: monotonicNow, Seed: p.settings.Seed}
+		keeper := &consul.Catalogue{Config: p.own.Catalogue, Names: p.names.Names, Publish: s.tell, Log: s.log, Now: d.clock.Monotonic, Seed: p.settings.Seed}
 		s.kept.Store(true)
 		go func() {
 			defer s.kept.Store(false)
@@ -85,7 +85,7 @@
 // open begins to ask the catalogue, until ctx ends. What comes after that is dropped.
 func (s *sources) open(ctx context.Context, cfg *consul.Config) *consul.Catalogue {
 	p := s.doorman.plan
-	c := &consul.Catalogue{Config: cfg, Names: p.names.Names, FirstSource: p.first, Log: s.log, Now: monotonicNow, Seed: p.settings.Seed,
+	c := &consul.Catalogue{Config: cfg, Names: p.names.Names, FirstSource: p.first, Log: s.log, Now: s.doorman.clock.Monotonic, Seed: p.settings.Seed,
 		Publish: func(events ...membership.SourceEvent) {
 			if ctx.Err() == nil {
 				s.tell(events...)
@@ -160,7 +160,7 @@
 	disk.Clean(cfg.File)
 	c := d.plan.settings.Control
 	limits := snapshot.Limits{MaxAge: cfg.Oldest, Zones: len(c.ZoneNames), Kinds: len(c.KindNames)}
-	words, age, err := disk.Read(cfg.File, unixClock(), limits)
+	words, age, err := disk.Read(cfg.File, d.clock.Unix(), limits)
 	switch {
 	case errors.Is(err, fs.ErrNotExist):
 	case err != nil:
@@ -191,7 +191,7 @@
 		return
 	}
 	s.saving, s.saved, s.version = true, now, version
-	at := unixClock()
+	at := d.clock.Unix()
 	go func() {
 		data, err := snapshot.Encode(at, words)
 		if err == nil {
--- a/test/conf_test.go
+++ b/test/conf_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"sloequay/internal/clock"
 	"sloequay/internal/emulator"
 	"sloequay/internal/proxy"
 )
@@ -20,7 +21,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	o := proxy.NewSettings()
+	o := proxy.NewSettings(clock.NewSystem())
 	if err := o.Section.Parse("shipped", text); err != nil {
 		t.Fatal(err)
 	}
@@ -50,7 +51,7 @@
 		t.Fatal(err)
 	}
 	on = bytes.ReplaceAll(on, []byte("./peers.key"), []byte(peersKey))
-	o = proxy.NewSettings()
+	o = proxy.NewSettings(clock.NewSystem())
 	if err := o.Section.Parse("examples", on); err != nil {
 		t.Fatal(err)
 	}
@@ -61,7 +62,7 @@
 	if err := o.Section.Print(&once); err != nil {
 		t.Fatal(err)
 	}
-	again := proxy.NewSettings()
+	again := proxy.NewSettings(clock.NewSystem())
 	if err := again.Section.Parse("printed", once.Bytes()); err != nil {
 		t.Fatalf("what was printed can't be read: %v\n%s", err, once.String())
 	}
