--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -388,7 +388,7 @@
 func (b *Broker) spend(r *Request, a *Attempt) (End, *quota.Rejection) {
 	repeat := slices.ContainsFunc(r.attempts, func(o *Attempt) bool { return o.Written })
 	if !repeat {
-		if over := r.grant.Spend(b.now, false); over != nil {
+		if over := r.grant.SpendAttempt(b.now); over != nil {
 			return Blocked, over
 		}
 		if b.teamRepeats != nil && a.Number == 0 {
@@ -410,7 +410,7 @@
 			return RetryBudgetExhausted, &quota.Rejection{Node: "box " + a.Endpoint.Name, Kind: quota.Retries, Requested: 1, Left: box.Available(b.now, b.boxRepeats.Config()), RetryAfter: repeatsWait}
 		}
 	}
-	if over := r.grant.Spend(b.now, true); over != nil {
+	if over := r.grant.SpendRetry(b.now); over != nil {
 		return RetryBudgetExhausted, over
 	}
 	if team != nil {
@@ -561,7 +561,7 @@
 			aim += time.Duration(class.ObjectiveStretch * r.SizeKB / b.cfg.FlowKBps * float64(time.Second))
 		}
 		if aim > 0 && b.now-r.ReceivedAt > aim {
-			return concurrency.Overdue
+			return concurrency.ObjectiveMissed
 		}
 		return concurrency.InTime
 	case f.Budget != "":
--- a/internal/broker/decisions_test.go
+++ b/internal/broker/decisions_test.go
@@ -136,7 +136,7 @@
 	}
 	small := &quota.Spec{Name: "small"}
 	small.Rates[quota.Requests] = quota.Limit{Set: true, Ceiling: 15}
-	small.MaxHeld[0] = 5 // requests that are open
+	small.MaxOpen[0] = 5 // requests that are open
 	return quota.NewLedger(&quota.Spec{Children: []*quota.Spec{small, {}}})
 }
 
--- a/internal/cli/contracts.go
+++ b/internal/cli/contracts.go
@@ -55,7 +55,7 @@
 
 // checkContracts tells over-commitment with figures, and fails by it.
 func checkContracts(out io.Writer, c *quota.Contracts) error {
-	faults := c.Root.Check()
+	faults := c.Root.Overcommitments()
 	for _, f := range faults {
 		fmt.Fprintln(out, f)
 	}
--- a/internal/concurrency/concurrency.go
+++ b/internal/concurrency/concurrency.go
@@ -14,10 +14,10 @@
 
 // Config is the settings of a Limit.
 type Config struct {
-	Min, Max, Start float64       // bounds of the limit in open requests, and what it begins with
-	Window          time.Duration // after which the limit is looked at; 0: 100 ms
-	MaxOverdueShare float64       // share of ends in a window, late or turned away, above which it is cut; 0: 0.04
-	DecreaseFactor  float64       // what it is cut to at most in a window; 0: 0.85
+	Min, Max, Start  float64       // bounds of the limit in open requests, and what it begins with
+	Window           time.Duration // after which the limit is looked at; 0: 100 ms
+	MaxOverloadShare float64       // share of ends in a window, late or turned away, above which it is cut; 0: 0.04
+	DecreaseFactor   float64       // what it is cut to at most in a window; 0: 0.85
 }
 
 // growth of the limit in a window in which it was in use.
@@ -34,10 +34,10 @@
 
 // The outcomes.
 const (
-	InTime   Outcome = iota
-	Overdue          // later than it was wanted
-	Rejected         // a box or the module turned it away, or its time ran out
-	NoSignal         // it says nothing: taken back, or over a budget
+	InTime          Outcome = iota
+	ObjectiveMissed         // later than it was wanted
+	Rejected                // a box or the module turned it away, or its time ran out
+	NoSignal                // it says nothing: taken back, or over a budget
 )
 
 // Limit is the state. It is not safe for concurrent use.
@@ -61,8 +61,8 @@
 	if cfg.Window <= 0 {
 		cfg.Window = 100 * time.Millisecond
 	}
-	if cfg.MaxOverdueShare <= 0 {
-		cfg.MaxOverdueShare = 0.04
+	if cfg.MaxOverloadShare <= 0 {
+		cfg.MaxOverloadShare = 0.04
 	}
 	if cfg.DecreaseFactor <= 0 {
 		cfg.DecreaseFactor = 0.85
@@ -105,8 +105,8 @@
 	return min(max(wait, 5*time.Millisecond), 5*time.Second)
 }
 
-// Done takes the end of a request that was admitted, and how long it took.
-func (l *Limit) Done(now time.Duration, o Outcome, took time.Duration) {
+// Release takes the end of a request that was admitted, and how long it took.
+func (l *Limit) Release(now time.Duration, o Outcome, took time.Duration) {
 	l.open--
 	if o == NoSignal {
 		return
@@ -136,12 +136,12 @@
 		bad = float64(l.bad) / float64(l.ends)
 	}
 	switch {
-	case bad > l.cfg.MaxOverdueShare && now >= l.quiet:
+	case bad > l.cfg.MaxOverloadShare && now >= l.quiet:
 		// The worse it is the deeper the cut, down to a half; from what was in use, since a limit far above that binds nothing.
-		cut := math.Max(0.5, l.cfg.DecreaseFactor-0.5*(bad-l.cfg.MaxOverdueShare))
+		cut := math.Max(0.5, l.cfg.DecreaseFactor-0.5*(bad-l.cfg.MaxOverloadShare))
 		l.value = math.Min(l.value, math.Max(l.peak, l.cfg.Min)) * cut
 		l.quiet = now + max(l.cfg.Window, time.Duration(l.meanTook*1e9))
-	case bad <= l.cfg.MaxOverdueShare/2 && (l.peak >= inUse*l.value || l.refusedNow):
+	case bad <= l.cfg.MaxOverloadShare/2 && (l.peak >= inUse*l.value || l.refusedNow):
 		l.value += growBy + growPart*l.value
 	}
 	l.value = math.Min(math.Max(l.value, l.cfg.Min), l.cfg.Max)
--- a/internal/concurrency/concurrency_test.go
+++ b/internal/concurrency/concurrency_test.go
@@ -101,12 +101,12 @@
 			w.open[j.tenant]--
 			took, outcome := now-j.arrived, InTime
 			if took > w.aim {
-				outcome = Overdue
+				outcome = ObjectiveMissed
 			} else if counts {
 				w.inTime[j.tenant]++
 			}
 			if w.limit != nil {
-				w.limit.Done(now, outcome, took)
+				w.limit.Release(now, outcome, took)
 				w.values = append(w.values, w.limit.Value())
 			}
 			for len(w.boxes.queue) > 0 && w.boxes.busy < w.boxes.places {
@@ -203,7 +203,7 @@
 			now += time.Duration(rapid.IntRange(0, 60).Draw(t, "pause")) * ms
 			i := rapid.IntRange(0, 2).Draw(t, "tenant")
 			if open[i] > 0 && rapid.Bool().Draw(t, "an end") {
-				l.Done(now, Outcome(rapid.IntRange(0, 3).Draw(t, "outcome")), time.Duration(rapid.IntRange(0, 500).Draw(t, "took"))*ms)
+				l.Release(now, Outcome(rapid.IntRange(0, 3).Draw(t, "outcome")), time.Duration(rapid.IntRange(0, 500).Draw(t, "took"))*ms)
 				open[i]--
 				total--
 			} else {
@@ -233,7 +233,7 @@
 	for range b.N {
 		now += time.Microsecond
 		if _, ok := l.Admit(now, 0, 0.1); ok {
-			l.Done(now, InTime, 20*ms)
+			l.Release(now, InTime, 20*ms)
 		}
 	}
 }
--- a/internal/concurrency/decisions_test.go
+++ b/internal/concurrency/decisions_test.go
@@ -23,7 +23,7 @@
 		config.Window = time.Duration(20*seed) * time.Millisecond
 	}
 	if seed%3 == 0 {
-		config.MaxOverdueShare = 0.02 * float64(seed)
+		config.MaxOverloadShare = 0.02 * float64(seed)
 	}
 	if seed%4 == 0 {
 		config.DecreaseFactor = 0.6
@@ -67,7 +67,7 @@
 				if random.IntN(200) == 0 {
 					took = -took // by a clock that went back
 				}
-				limit.Done(now, outcome, took)
+				limit.Release(now, outcome, took)
 				open[tenant]--
 			} else {
 				wait, ok := limit.Admit(now, open[tenant], portions[tenant])
--- a/internal/invalidation/decisions_test.go
+++ b/internal/invalidation/decisions_test.go
@@ -75,11 +75,12 @@
 			if random.IntN(4) == 0 {
 				counts["keys"]++
 				key, value := drawKey(random)
-				object, group, isObject, issued, err := invalidation.ParseKey(key, value)
+				purge, err := invalidation.ParsePurge(key, value)
 				if err != nil {
 					counts["keys that are wrong"]++
 				}
-				recorder.Add("%d %d %v %d %v", object, group, isObject, int64(issued), err)
+				isObject := err == nil && purge.Scope == invalidation.ObjectScope
+				recorder.Add("%d %d %v %d %v", purge.Object, purge.Group, isObject, int64(purge.Issued), err)
 			}
 		}
 	})
--- a/internal/invalidation/key.go
+++ b/internal/invalidation/key.go
@@ -7,29 +7,64 @@
 	"time"
 )
 
-// latest is the last Unix millisecond that is taken for one, some hundred years from now.
-const latest = 1 << 42
-
-// ParseKey reads a purge from a key and its value, as a KV store has it: PREFIX/object/16 hex digits or PREFIX/group/NUMBER,
-// with the Unix millisecond at which it was issued as the value. key is without the prefix. isObject tells which of the
-// two it is.
-func ParseKey(key, value string) (object uint64, group int, isObject bool, issued time.Duration, err error) {
-	ms, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
-	if err != nil || ms < 0 || ms > latest {
-		return 0, 0, false, 0, fmt.Errorf("%.80q: the value %.32q is no Unix millisecond", key, value)
+// Scope is what a purge names.
+type Scope uint8
+
+// The scopes.
+const (
+	ObjectScope Scope = iota
+	GroupScope
+)
+
+// Purge is a purge as a store has it.
+type Purge struct {
+	Scope  Scope
+	Object uint64        // of ObjectScope
+	Group  int           // of GroupScope
+	Issued time.Duration // on the Unix clock
+}
+
+const (
+	// maxIssuedMillis is the last Unix millisecond that is taken for one, some hundred years from now.
+	maxIssuedMillis = 1 << 42
+	// objectDigits is the length of an object's name, in hex digits.
+	objectDigits = 16
+	// groupBits bounds the numbers of groups.
+	groupBits = 30
+)
+
+// KeyError is returned for a key of a store, or its value, that is no purge.
+type KeyError struct {
+	Key     string
+	Problem string
+}
+
+// Error names the key, cut to a length that a log line has room for.
+func (e *KeyError) Error() string { return fmt.Sprintf("%.80q: %s", e.Key, e.Problem) }
+
+// ParsePurge reads a purge from a key and its value, as a KV store has it: object/16 hex digits or group/NUMBER below
+// the store's prefix, with the Unix millisecond at which it was issued as the value. key is without the prefix. Every
+// error is a *KeyError.
+func ParsePurge(key, value string) (Purge, error) {
+	millis, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
+	if err != nil || millis < 0 || millis > maxIssuedMillis {
+		return Purge{}, &KeyError{key, fmt.Sprintf("the value %.32q is no Unix millisecond", value)}
 	}
-	kind, name, _ := strings.Cut(strings.Trim(key, "/"), "/")
-	switch kind {
+	issued := time.Duration(millis) * time.Millisecond
+	scope, name, _ := strings.Cut(strings.Trim(key, "/"), "/")
+	switch scope {
 	case "object":
-		if object, err = strconv.ParseUint(name, 16, 64); err == nil && len(name) == 16 {
-			return object, 0, true, time.Duration(ms) * time.Millisecond, nil
+		object, err := strconv.ParseUint(name, 16, 64)
+		if err != nil || len(name) != objectDigits {
+			return Purge{}, &KeyError{key, fmt.Sprintf("%.32q is no object of %d hex digits", name, objectDigits)}
 		}
-		return 0, 0, false, 0, fmt.Errorf("%.80q: %.32q is no object of 16 hex digits", key, name)
+		return Purge{Scope: ObjectScope, Object: object, Issued: issued}, nil
 	case "group":
-		if n, err := strconv.ParseUint(name, 10, 30); err == nil {
-			return 0, int(n), false, time.Duration(ms) * time.Millisecond, nil
+		group, err := strconv.ParseUint(name, 10, groupBits)
+		if err != nil {
+			return Purge{}, &KeyError{key, fmt.Sprintf("%.32q is no number of a group", name)}
 		}
-		return 0, 0, false, 0, fmt.Errorf("%.80q: %.32q is no number of a group", key, name)
+		return Purge{Scope: GroupScope, Group: int(group), Issued: issued}, nil
 	}
-	return 0, 0, false, 0, fmt.Errorf("%.80q: expected object/... or group/...", key)
+	return Purge{}, &KeyError{key, "expected object/... or group/..."}
 }
--- a/internal/membership/consul/follow.go
+++ b/internal/membership/consul/follow.go
@@ -332,12 +332,13 @@
 			if told[p.Key] == p.ModifyIndex || strings.HasSuffix(p.Key, "/") {
 				continue
 			}
-			object, group, isObject, issued, err := invalidation.ParseKey(strings.TrimPrefix(p.Key, prefix), string(p.Value))
+			purge, err := invalidation.ParsePurge(strings.TrimPrefix(p.Key, prefix), string(p.Value))
 			if err != nil {
 				f.c.Log("catalogue-purge-key-rejected", "error", short(err))
 				continue
 			}
-			events = append(events, membership.PurgeReceived{IsObject: isObject, Object: object, Group: group, Issued: issued})
+			events = append(events, membership.PurgeReceived{IsObject: purge.Scope == invalidation.ObjectScope,
+				Object: purge.Object, Group: purge.Group, Issued: purge.Issued})
 		}
 		if verdict.Belief == blockingquery.Whole { // what was left out of another answer is not gone
 			told = now
--- a/internal/proxy/control.go
+++ b/internal/proxy/control.go
@@ -38,19 +38,19 @@
 	case d.contracts == nil:
 		return "error: no contracts are in force\n"
 	case len(words) == 1:
-		stands, all := d.contracts.Show(now, shownMost)
+		stands, all := d.contracts.BusiestTenants(now, shownMost)
 		fmt.Fprintf(&out, "version %d, %d open, %d of %d tenants in use shown\n", d.contracts.Version, d.contracts.InFlight(), len(stands), all)
-		if l := d.contracts.Capacity(); l != nil {
+		if l := d.contracts.ConcurrencyLimit(); l != nil {
 			fmt.Fprintf(&out, "capacity %.0f open, as learned; %d are\n", l.Value(), l.Open())
 		}
-		uses := d.contracts.Installation(now)
+		uses := d.contracts.InstallationUsage(now)
 		for _, s := range stands {
 			uses = append(uses, s.Usages...)
 		}
-		_ = quota.Table(&out, uses)
+		_ = quota.WriteTable(&out, uses)
 		for _, s := range stands {
-			if s.Open > 0 {
-				fmt.Fprintf(&out, "%s has %d open\n", s.Node, s.Open)
+			if s.InFlight > 0 {
+				fmt.Fprintf(&out, "%s has %d open\n", s.Node, s.InFlight)
 			}
 		}
 	case len(words) >= 3:
@@ -91,5 +91,5 @@
 		fmt.Fprintln(out, "no budget applies")
 		return
 	}
-	_ = quota.Table(out, uses)
+	_ = quota.WriteTable(out, uses)
 }
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -283,8 +283,11 @@
 	if d.routes == nil || f.Kind == broker.ResponseDenied || f.Budget != "" {
 		return
 	}
-	failed := f.Kind == broker.ResponseRejected || f.Kind == broker.ResponseFailed
-	if team := d.routes.RecordResult(d.clock.Monotonic(), r.Route, failed); team != "" {
+	result := route.Success
+	if f.Kind == broker.ResponseRejected || f.Kind == broker.ResponseFailed {
+		result = route.Failure
+	}
+	if team := d.routes.RecordResult(d.clock.Monotonic(), r.Route, result); team != "" {
 		d.tellMove(team)
 	}
 }
--- a/internal/quota/check.go
+++ b/internal/quota/check.go
@@ -21,9 +21,9 @@
 		out.Rates[k].Guaranteed /= float64(instances)
 		out.Rates[k].Ceiling /= float64(instances)
 	}
-	for k, most := range out.MaxHeld {
+	for k, most := range out.MaxOpen {
 		if most > 0 {
-			out.MaxHeld[k] = max(1, most/float64(instances))
+			out.MaxOpen[k] = max(1, most/float64(instances))
 		}
 	}
 	out.Children = make([]*Spec, len(s.Children))
@@ -46,8 +46,8 @@
 	return fmt.Sprintf("%s %s: %s/s are guaranteed below, of %s/s", f.Node, f.Kind, short(f.Guaranteed), short(f.Available))
 }
 
-// Check finds over-commitment: nodes that guarantee more than they are guaranteed themselves.
-func (s *Spec) Check() (out []Overcommitment) { return s.check(s.Name, nil) }
+// Overcommitments finds over-commitment: nodes that guarantee more than they are guaranteed themselves.
+func (s *Spec) Overcommitments() (out []Overcommitment) { return s.check(s.Name, nil) }
 
 func (s *Spec) check(path string, out []Overcommitment) []Overcommitment {
 	for k := Requests; k < rateKinds; k++ {
--- a/internal/quota/decisions_test.go
+++ b/internal/quota/decisions_test.go
@@ -87,10 +87,10 @@
 		below[kind] = spec.Rates[kind].Guaranteed
 	}
 	if s.random.IntN(3) == 0 {
-		spec.MaxHeld[0] = 1 + s.number(20)
+		spec.MaxOpen[0] = 1 + s.number(20)
 	}
 	if s.random.IntN(3) == 0 {
-		spec.MaxHeld[1] = 50 + s.number(200)
+		spec.MaxOpen[1] = 50 + s.number(200)
 	}
 	if depth == 1 && s.random.IntN(4) == 0 {
 		spec.Classes = []string{"c0", "c1"}
@@ -120,14 +120,14 @@
 		}
 	}
 	if s.random.IntN(4) == 0 {
-		root.MaxHeld[0] = 10 + s.number(60)
+		root.MaxOpen[0] = 10 + s.number(60)
 	}
-	for _, overcommitment := range root.Check() {
+	for _, overcommitment := range root.Overcommitments() {
 		s.counts["over-commitments"]++
 		s.recorder.Add("over-committed %s %v %v", overcommitment, overcommitment.Guaranteed, overcommitment.Available)
 	}
 	share := root.Share(1 + s.random.IntN(3))
-	s.recorder.Add("over-committed in a share %v", share.Check())
+	s.recorder.Add("over-committed in a share %v", share.Overcommitments())
 	return share
 }
 
@@ -136,7 +136,7 @@
 		counts: counts}
 	s.ledger = quota.NewLedger(s.contracts())
 	if seed%3 == 0 {
-		s.ledger.Adapt(concurrency.New(concurrency.Config{Min: 4, Max: 40, Start: 12}))
+		s.ledger.LimitConcurrency(concurrency.New(concurrency.Config{Min: 4, Max: 40, Start: 12}))
 	}
 	return s
 }
@@ -159,7 +159,7 @@
 			usage.Borrowable)
 	}
 	var table bytes.Buffer
-	err := quota.Table(&table, usages)
+	err := quota.WriteTable(&table, usages)
 	s.recorder.Add("%s %v", table.String(), err)
 }
 
@@ -184,9 +184,9 @@
 	}
 	s.recorder.Add("granted to %q", grant.Tenant())
 	s.granted = append(s.granted, grant)
-	s.rejected("first attempt", grant.Spend(s.now, false))
+	s.rejected("first attempt", grant.SpendAttempt(s.now))
 	if s.random.IntN(4) == 0 {
-		s.rejected("retry", grant.Spend(s.now, true))
+		s.rejected("retry", grant.SpendRetry(s.now))
 	}
 }
 
@@ -212,11 +212,11 @@
 	usages, rejection := s.ledger.Explain(s.now, tenant, service, class)
 	s.rejected("explanation", rejection)
 	s.usages(usages)
-	s.usages(s.ledger.Installation(s.now))
-	statuses, all := s.ledger.Show(s.now, 2)
+	s.usages(s.ledger.InstallationUsage(s.now))
+	statuses, all := s.ledger.BusiestTenants(s.now, 2)
 	s.recorder.Add("%d tenants", all)
 	for _, status := range statuses {
-		s.recorder.Add("%s has %d open", status.Node, status.Open)
+		s.recorder.Add("%s has %d open", status.Node, status.InFlight)
 		s.usages(status.Usages)
 	}
 }
@@ -242,7 +242,7 @@
 		s.admit()
 	}
 	s.recorder.Add("%d tenants, %d in flight, version %d", s.ledger.Tenants(), s.ledger.InFlight(), s.ledger.Version)
-	if limit := s.ledger.Capacity(); limit != nil {
+	if limit := s.ledger.ConcurrencyLimit(); limit != nil {
 		s.recorder.Add("capacity %v, %d open", limit.Value(), limit.Open())
 	}
 }
@@ -294,7 +294,7 @@
 		t.Errorf("printed otherwise (-want +got):\n%s", diff)
 	}
 	ledger := contracts.Ledger()
-	if got := ledger.Capacity().Value(); got != 200 {
+	if got := ledger.ConcurrencyLimit().Value(); got != 200 {
 		t.Errorf("the capacity begins with %v, want 200", got)
 	}
 }
--- a/internal/quota/kinds.go
+++ b/internal/quota/kinds.go
@@ -22,7 +22,7 @@
 	kindCount    = OpenBytes + 1
 	NoClass      = kindCount     // not a budget: the contract does not have the class
 	NoContract   = kindCount + 1 // nor this: there is no contract
-	Capacity     = kindCount + 2 // what the boxes carry, as learned
+	Concurrency  = kindCount + 2 // what the boxes carry, as learned
 )
 
 const levelKinds = kindCount - rateKinds
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -81,12 +81,12 @@
 	b.root.shape()
 }
 
-// Adapt has a limit on all that is open learned from how requests end; nil: none. Each tenant always has its part of it, by what
+// LimitConcurrency has a limit on all that is open learned from how requests end; nil: none. Each tenant always has its part of it, by what
 // it is guaranteed, or by weight where nobody is guaranteed anything.
-func (b *Ledger) Adapt(l *concurrency.Limit) { b.limit = l }
+func (b *Ledger) LimitConcurrency(l *concurrency.Limit) { b.limit = l }
 
-// Capacity is that limit; nil: none.
-func (b *Ledger) Capacity() *concurrency.Limit { return b.limit }
+// ConcurrencyLimit is that limit; nil: none.
+func (b *Ledger) ConcurrencyLimit() *concurrency.Limit { return b.limit }
 
 // Renew takes over other contracts. Requests that were admitted keep their grants, and nodes that stay what they have used.
 func (b *Ledger) Renew(now time.Duration, root *Spec) {
@@ -187,7 +187,7 @@
 	for p := n; p != nil; p = p.parent {
 		for k := range p.levels {
 			kind := rateKinds + Kind(k)
-			most := p.spec.MaxHeld[k]
+			most := p.spec.MaxOpen[k]
 			if c := cost.of(kind); most > 0 && p.levels[k] > 0 && p.levels[k]+c > most {
 				return Grant{}, &Rejection{Node: p.name, Kind: kind, Requested: c, Left: max(0, most-p.levels[k]), RetryAfter: p.openWait()}
 			}
@@ -208,7 +208,7 @@
 	if b.limit != nil {
 		t := n.tenant()
 		if wait, ok := b.limit.Admit(now, t.open, t.spec.portion); !ok {
-			return Grant{}, &Rejection{Node: t.name, Kind: Capacity, Requested: 1, Left: max(0, b.limit.Value()-float64(b.limit.Open())), RetryAfter: wait}
+			return Grant{}, &Rejection{Node: t.name, Kind: Concurrency, Requested: 1, Left: max(0, b.limit.Value()-float64(b.limit.Open())), RetryAfter: wait}
 		}
 	}
 	for k := Requests; k <= Bytes; k++ {
@@ -259,29 +259,30 @@
 	return n
 }
 
-// Spend charges one attempt to the budgets of a grant, or says which one is used up.
-func (g Grant) Spend(now time.Duration, repeat bool) *Rejection {
+// SpendAttempt charges a first attempt to the budgets of a grant, or says which one is used up.
+func (g Grant) SpendAttempt(now time.Duration) *Rejection { return g.spend(now, Attempts) }
+
+// SpendRetry charges a later attempt to the budgets of a grant, or says which one is used up.
+func (g Grant) SpendRetry(now time.Duration) *Rejection { return g.spend(now, Retries) }
+
+// spend charges one unit of each kind from Attempts to last, or of none.
+func (g Grant) spend(now time.Duration, last Kind) *Rejection {
 	if g.leaf == nil {
 		return nil
 	}
-	kinds := [...]Kind{Attempts, Retries}
-	n := 1
-	if repeat {
-		n = 2
-	}
-	var drawn [2]*rate
-	for i, k := range kinds[:n] {
+	var drawn [Retries + 1]*rate
+	for k := Attempts; k <= last; k++ {
 		if from := g.leaf.limited(k); from != nil {
 			d, wait, blocked, left := room(now, from, 1)
 			if wait > 0 {
 				return &Rejection{Node: blocked.node.name, Kind: k, Requested: 1, Left: left, RetryAfter: from.promise(now, 1)}
 			}
-			drawn[i] = d
+			drawn[k] = d
 		}
 	}
-	for i, k := range kinds[:n] {
+	for k := Attempts; k <= last; k++ {
 		if from := g.leaf.limited(k); from != nil {
-			charge(now, from, drawn[i], 1)
+			charge(now, from, drawn[k], 1)
 		}
 	}
 	return nil
@@ -293,7 +294,7 @@
 // ReleaseWithOutcome is Done with how the request ended, as far as it tells of the load, and how long it took.
 func (g Grant) ReleaseWithOutcome(now time.Duration, o concurrency.Outcome, took time.Duration) {
 	if g.limit != nil {
-		g.limit.Done(now, o, took)
+		g.limit.Release(now, o, took)
 	}
 	for p := g.leaf; p != nil; p = p.parent {
 		p.open--
@@ -398,7 +399,7 @@
 				Borrowable: max(0, r.c.has(now, r.cAt)-r.g.burst)})
 		}
 	}
-	for k, most := range n.spec.MaxHeld {
+	for k, most := range n.spec.MaxOpen {
 		if most > 0 {
 			out = append(out, Usage{Node: n.name, Kind: rateKinds + Kind(k), Ceiling: most, Left: max(0, most-n.levels[k])})
 		}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -61,7 +61,7 @@
 				s.Burst = time.Duration(rapid.IntRange(1, 2000).Draw(t, "burst")) * ms
 				below = g
 			}
-			s.MaxHeld[0] = float64(rapid.IntRange(0, 30).Draw(t, "open"))
+			s.MaxOpen[0] = float64(rapid.IntRange(0, 30).Draw(t, "open"))
 			sum += below
 			root.Children = append(root.Children, s)
 			leaves = append(leaves, []string{s.Name, ""})
@@ -70,7 +70,7 @@
 			c := sum + float64(rapid.IntRange(1, 50).Draw(t, "capacity"))
 			root.Rates = rates(Requests, c, c)
 		}
-		if faults := root.Check(); len(faults) > 0 {
+		if faults := root.Overcommitments(); len(faults) > 0 {
 			t.Fatalf("a sound tree has faults: %v", faults)
 		}
 		b := NewLedger(root)
@@ -95,7 +95,7 @@
 			n, _ := b.find(now, path[0], path[1], "")
 			full := false
 			for p := n; p != nil; p = p.parent {
-				full = full || p.spec.MaxHeld[0] > 0 && p.levels[0] >= p.spec.MaxHeld[0]
+				full = full || p.spec.MaxOpen[0] > 0 && p.levels[0] >= p.spec.MaxOpen[0]
 			}
 			own := n.limited(Requests)
 			within := false
@@ -320,7 +320,7 @@
 func TestChangesInFlight(t *testing.T) {
 	with := func(open float64) *Spec {
 		s := tenant("a", 1000, 1000, 1)
-		s.MaxHeld[0] = open
+		s.MaxOpen[0] = open
 		s.Children = []*Spec{{Name: "s", Rates: rates(Bytes, 1e6, 1e6)}}
 		return &Spec{Name: "installation", Children: []*Spec{s}}
 	}
@@ -376,7 +376,7 @@
 	a.Classes = []string{"lookup"}
 	a.Children = []*Spec{{Name: "pictures", Rates: rates(PriorityWeight, 2, 2)}}
 	open := tenant("open", 1000, 1000, 1)
-	open.MaxHeld[0] = 1
+	open.MaxOpen[0] = 1
 	b := NewLedger(installation(2000, a, open, &Spec{Name: "free"}))
 	for _, c := range []struct {
 		tenant, service, class string
@@ -403,10 +403,10 @@
 		}
 	}
 	over := installation(10, tenant("a", 8, 8, 1), &Spec{Name: "b", Children: []*Spec{tenant("s", 5, 5, 1)}})
-	if faults := over.Check(); len(faults) != 1 || faults[0].String() != "installation requests: 13/s are guaranteed below, of 10/s" {
+	if faults := over.Overcommitments(); len(faults) != 1 || faults[0].String() != "installation requests: 13/s are guaranteed below, of 10/s" {
 		t.Errorf("over-commitment: %v", faults)
 	}
-	if faults := over.Share(4).Check(); len(faults) != 1 || faults[0].Guaranteed != 13.0/4 {
+	if faults := over.Share(4).Overcommitments(); len(faults) != 1 || faults[0].Guaranteed != 13.0/4 {
 		t.Errorf("a share of over-commitment: %v", faults)
 	}
 }
--- a/internal/quota/section.go
+++ b/internal/quota/section.go
@@ -42,13 +42,13 @@
 		return p, nil
 	})
 	s.Block("adaptive", false, "a limit on all that is open, learned from how requests end", func([]string) (*config.Section, error) {
-		a := &concurrency.Config{Min: 16, Max: 100_000, Start: 200, MaxOverdueShare: 0.04, Window: 100 * time.Millisecond}
+		a := &concurrency.Config{Min: 16, Max: 100_000, Start: 200, MaxOverloadShare: 0.04, Window: 100 * time.Millisecond}
 		c.Adaptive = a
 		p := &config.Section{}
 		p.Number("least", &a.Min, 1, 1e6, "requests that may always be open")
 		p.Number("most", &a.Max, 1, 1e6, "and that may never be exceeded")
 		p.Number("start", &a.Start, 1, 1e6, "what it begins with")
-		p.Number("late", &a.MaxOverdueShare, 0.001, 0.9, "share of requests, late or turned away by boxes, from which it is cut")
+		p.Number("late", &a.MaxOverloadShare, 0.001, 0.9, "share of requests, late or turned away by boxes, from which it is cut")
 		p.Duration("window", &a.Window, 10*time.Millisecond, 10*time.Second, "how often it is looked at")
 		p.Check(func() error {
 			if a.Min > a.Max {
@@ -122,7 +122,7 @@
 			return err
 		}, help)
 	}
-	section.Number(OpenRequests.String(), &s.MaxHeld[OpenRequests-rateKinds], 0, 1e9, "requests open together; 0: no limit")
+	section.Number(OpenRequests.String(), &s.MaxOpen[OpenRequests-rateKinds], 0, 1e9, "requests open together; 0: no limit")
 	var size int64
 	section.Size(OpenBytes.String(), &size, 0, 1<<50, "what open requests may come to together; 0B: no limit")
 	section.Duration("burst", &s.Burst, 0, burstMost, "whose worth of each rate may come at once; a second's without it")
@@ -130,7 +130,7 @@
 		section.Number("weight", &s.Weight, 0, 1e6, "its part of what is spare, among its siblings; 1 without it")
 	}
 	section.Check(func() error {
-		s.MaxHeld[OpenBytes-rateKinds] = float64(size)
+		s.MaxOpen[OpenBytes-rateKinds] = float64(size)
 		return nil
 	})
 	return section
@@ -161,7 +161,7 @@
 func (c *Contracts) Ledger() *Ledger {
 	b := NewLedger(c.Root.Share(c.Instances))
 	if c.Adaptive != nil {
-		b.Adapt(concurrency.New(*c.Adaptive))
+		b.LimitConcurrency(concurrency.New(*c.Adaptive))
 	}
 	return b
 }
--- a/internal/quota/section_test.go
+++ b/internal/quota/section_test.go
@@ -57,7 +57,11 @@
 				}
 				continue
 			}
-			_ = g.Spend(start, i > 0)
+			spend := g.SpendAttempt
+			if i > 0 {
+				spend = g.SpendRetry
+			}
+			_ = spend(start)
 			g.Release(start)
 		}
 		if b.InFlight() != 0 {
--- a/internal/quota/show.go
+++ b/internal/quota/show.go
@@ -11,13 +11,13 @@
 
 // TenantStatus is how one tenant in service stands.
 type TenantStatus struct {
-	Node   string
-	Open   int
-	Usages []Usage
+	Node     string
+	InFlight int
+	Usages   []Usage
 }
 
-// Show tells how tenants stand, those with the most open first, at most so many, and how many there are.
-func (b *Ledger) Show(now time.Duration, most int) (out []TenantStatus, all int) {
+// BusiestTenants tells how tenants stand, those with the most open first, at most so many, and how many there are.
+func (b *Ledger) BusiestTenants(now time.Duration, most int) (out []TenantStatus, all int) {
 	list := slices.Clone(b.ring)
 	slices.SortFunc(list, func(x, y *node) int { return cmp.Or(cmp.Compare(y.open, x.open), cmp.Compare(x.name, y.name)) })
 	for _, n := range list[:min(most, len(list))] {
@@ -26,11 +26,11 @@
 	return out, len(list)
 }
 
-// Installation tells how the installation's own budgets stand.
-func (b *Ledger) Installation(now time.Duration) []Usage { return b.root.own(now) }
+// InstallationUsage tells how the installation's own budgets stand.
+func (b *Ledger) InstallationUsage(now time.Duration) []Usage { return b.root.own(now) }
 
-// Table writes budgets as a table for people.
-func Table(w io.Writer, uses []Usage) error {
+// WriteTable writes budgets as a table for people.
+func WriteTable(w io.Writer, uses []Usage) error {
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(t, "budget\tkind\tguaranteed\tceiling\tleft\tto borrow")
 	for _, u := range uses {
--- a/internal/quota/tree.go
+++ b/internal/quota/tree.go
@@ -13,7 +13,7 @@
 	Name     string
 	Weight   float64 // its part of what is spare among its siblings; 0: 1
 	Rates    [rateKinds]Limit
-	MaxHeld  [levelKinds]float64 // 0: no limit
+	MaxOpen  [levelKinds]float64 // 0: no limit
 	Burst    time.Duration       // whose worth of each rate may come at once; 0: a second's
 	Classes  []string            // that a tenant may use; empty: all
 	Children []*Spec
--- a/internal/route/decisions_test.go
+++ b/internal/route/decisions_test.go
@@ -152,7 +152,11 @@
 		s.counts["choices of the new pool"]++
 		failures = s.failures[1]
 	}
-	moved := s.table.RecordResult(s.now, choice, s.random.Float64() < failures)
+	result := route.Success
+	if s.random.Float64() < failures {
+		result = route.Failure
+	}
+	moved := s.table.RecordResult(s.now, choice, result)
 	s.recorder.Add("%q", moved)
 	switch after := s.teamShare(); {
 	case after > before:
--- a/internal/route/move.go
+++ b/internal/route/move.go
@@ -45,6 +45,15 @@
 // String gives the word that the log uses.
 func (p Phase) String() string { return [...]string{"moving", "resting", "arrived", "given-up"}[p] }
 
+// Result is how a request ended in a pool. A request that a budget rejected or that was canceled has none.
+type Result uint8
+
+// The results.
+const (
+	Success Result = iota
+	Failure        // by the pool's own fault
+)
+
 // Migration takes a team from one pool to another by steps, and back when the new pool fails more than the old one does.
 //
 // Invariants: the share is one of the steps, or 0; it rises by one step at a time, after the step has stood for Hold with
@@ -63,6 +72,17 @@
 // window counts results.
 type window struct{ all, failed int }
 
+// add counts a result. Results of long ago must not outweigh those of late for ever: all are halved at a bound.
+func (w *window) add(result Result, minResults int) {
+	w.all++
+	if result == Failure {
+		w.failed++
+	}
+	if w.all >= 64*minResults {
+		w.all, w.failed = w.all/2, w.failed/2
+	}
+}
+
 func (w window) share() float64 {
 	if w.all == 0 {
 		return 0
@@ -99,25 +119,21 @@
 // InNewPool says whether a place is the new pool's by now.
 func (m *Migration) InNewPool(place float64) bool { return place < m.Share() }
 
-// RecordResult takes how a request ended in one of the pools. failed is the pool's own fault: what was refused by a budget or taken back
-// is no result. It returns whether the share has changed.
-func (m *Migration) RecordResult(now time.Duration, inNew, failed bool) bool {
-	if m.phase == Abandoned || m.phase == Completed && !inNew {
-		return false
-	}
-	w := &m.olds
-	if inNew {
-		w = &m.news
-	}
-	w.all++
-	if failed {
-		w.failed++
+// RecordOldPool takes how a request ended in the old pool.
+func (m *Migration) RecordOldPool(result Result) {
+	if m.phase == Abandoned || m.phase == Completed {
+		return
 	}
-	// What is old must not outweigh what is new for ever.
-	if w.all >= 64*m.cfg.MinResults {
-		w.all, w.failed = w.all/2, w.failed/2
+	m.olds.add(result, m.cfg.MinResults)
+}
+
+// RecordNewPool takes how a request ended in the new pool, and returns whether the share has changed.
+func (m *Migration) RecordNewPool(now time.Duration, result Result) bool {
+	if m.phase == Abandoned {
+		return false
 	}
-	return inNew && m.judge(now)
+	m.news.add(result, m.cfg.MinResults)
+	return m.judge(now)
 }
 
 // alarm is the logarithm of how much likelier the results must be by a sick pool than by a sound one: looked at after every
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -79,6 +79,19 @@
 	}
 }
 
+// record hands a result to a migration, and says whether the share has changed.
+func record(m *Migration, now time.Duration, inNew, failed bool) bool {
+	result := Success
+	if failed {
+		result = Failure
+	}
+	if inNew {
+		return m.RecordNewPool(now, result)
+	}
+	m.RecordOldPool(result)
+	return false
+}
+
 // drive sends results at a rate until a time: pools fail with the shares told.
 func drive(m *Migration, rng *rand.Rand, from, length time.Duration, oldFails, newFails func(time.Duration) float64) (now time.Duration, changes int) {
 	for now = from; now < from+length; now += 2 * time.Millisecond {
@@ -90,7 +103,7 @@
 		if inNew {
 			fails = newFails(now - from)
 		}
-		if m.RecordResult(now, inNew, rng.Float64() < fails) {
+		if record(m, now, inNew, rng.Float64() < fails) {
 			changes++
 		}
 	}
@@ -158,7 +171,7 @@
 			if rapid.Bool().Draw(t, "the time") {
 				m.Step(now)
 			} else {
-				m.RecordResult(now, rapid.Bool().Draw(t, "in the new"), rapid.IntRange(0, 9).Draw(t, "luck") == 0)
+				record(m, now, rapid.Bool().Draw(t, "in the new"), rapid.IntRange(0, 9).Draw(t, "luck") == 0)
 			}
 			after := m.Share()
 			switch {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -153,13 +153,18 @@
 	return c
 }
 
-// RecordResult takes how a request that Choose placed has ended; failed is the pool's fault. It says which team's share has changed; empty:
-// none.
-func (t *Table) RecordResult(now time.Duration, c Choice, failed bool) string {
-	if c.team != "" {
-		if m := t.moves[c.team]; m != nil && m.RecordResult(now, c.inNew, failed) {
-			return c.team
-		}
+// RecordResult takes how a request that Choose placed has ended. It returns the team whose share has changed by that;
+// empty: none.
+func (t *Table) RecordResult(now time.Duration, c Choice, result Result) string {
+	m := t.moves[c.team]
+	switch {
+	case m == nil || c.team == "":
+		return ""
+	case !c.inNew:
+		m.RecordOldPool(result)
+		return ""
+	case m.RecordNewPool(now, result):
+		return c.team
 	}
 	return ""
 }
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -84,7 +84,11 @@
 				t.Fatalf("the object %d was moved and came back", object)
 			}
 			moved[object] = c.Pool == 1
-			if table.RecordResult(now, c, rapid.IntRange(0, 19).Draw(t, "luck") == 0) != "" {
+			result := Success
+			if rapid.IntRange(0, 19).Draw(t, "luck") == 0 {
+				result = Failure
+			}
+			if table.RecordResult(now, c, result) != "" {
 				clear(moved)
 			}
 		}
