--- a/internal/membership/consul/client.go
+++ b/internal/membership/consul/client.go
@@ -78,7 +78,9 @@
 	return q.WithContext(ctx)
 }
 
-// faultOf says how a question failed.
+// faultOf classifies why a query failed. The client keeps the causes of its errors, so their types say it all: whatever
+// the connection returns is a net.Error, syscall.ECONNRESET and the other errors of system calls among them. No text is
+// looked at, since parts of it are the agent's.
 func faultOf(err error) blockingquery.Fault {
 	var status api.StatusError
 	var network net.Error
@@ -87,18 +89,12 @@
 		return blockingquery.Rejected
 	case errors.Is(err, context.DeadlineExceeded), errors.As(err, &network) && network.Timeout():
 		return blockingquery.Hung
-	case errors.As(err, &network), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isReset(err):
+	case errors.As(err, &network), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return blockingquery.Refused
 	}
 	return blockingquery.Garbled
 }
 
-// isReset says whether a connection broke off, which the client tells in words of its own at times.
-func isReset(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) || strings.Contains(err.Error(), "connection reset")
-}
-
 func metaOf(m *api.QueryMeta) blockingquery.Meta {
 	return blockingquery.Meta{Index: m.LastIndex, KnownLeader: m.KnownLeader, LastContact: m.LastContact,
 		Filtered: m.ResultsFilteredByACLs}
