--- a/internal/membership/consul/blockingquery/blockingquery_test.go
+++ b/internal/membership/consul/blockingquery/blockingquery_test.go
@@ -36,7 +36,7 @@
 }
 
 type pending struct {
-	ask Ask
+	ask Query
 	at  time.Duration // when something comes of it; 0: nothing will
 }
 
@@ -46,14 +46,14 @@
 type several []*world
 
 func newShared(cfg Config, agents, watches int) (out several) {
-	cfg.Agents = agents
+	cfg.AgentCount = agents
 	cfg = cfg.WithDefaults()
-	if cfg.Probe == 0 {
-		cfg.Probe = time.Second
+	if cfg.ProbeAfter == 0 {
+		cfg.ProbeAfter = time.Second
 	}
-	shared := NewAgents(agents)
+	shared := NewSharedAgents(agents)
 	for range watches {
-		x := oneWorld(NewWith(cfg, shared), agents)
+		x := oneWorld(NewWithAgents(cfg, shared), agents)
 		if len(out) > 0 {
 			x.agents = out[0].agents
 		}
@@ -89,18 +89,18 @@
 			a := x.agents[p.ask.Agent]
 			fault, broken := a.broken(x.now)
 			switch {
-			case broken && fault == Hung, x.now < p.at:
+			case broken && fault == TimedOut, x.now < p.at:
 			case broken:
 				delete(x.out, serial)
-				x.w.Failed(x.now, serial, fault)
-			case p.ask.Kind == Probe:
+				x.w.QueryFailed(x.now, serial, fault)
+			case p.ask.Kind == LivenessProbe:
 				delete(x.out, serial)
-				x.w.Probed(x.now, serial)
+				x.w.ProbeSucceeded(x.now, serial)
 			case p.ask.Index == 0 || x.version != p.ask.Index || x.now >= p.at+p.ask.Wait:
 				delete(x.out, serial)
-				if v, ok := x.w.Answered(x.now, serial, Meta{Index: x.version, KnownLeader: true}); ok {
+				if v, ok := x.w.ListReceived(x.now, serial, ResponseMeta{Index: x.version, KnownLeader: true}); ok {
 					x.used = append(x.used, v)
-					if v.Belief == Whole && x.held != x.version {
+					if v.Disposition == Complete && x.held != x.version {
 						x.held, x.heldAt = x.version, x.now
 					}
 				}
@@ -111,7 +111,7 @@
 		}
 		for _, action := range x.w.Step(x.now) {
 			if action.Start == nil {
-				delete(x.out, action.Abort)
+				delete(x.out, action.Cancel)
 				continue
 			}
 			ask := *action.Start
@@ -119,7 +119,7 @@
 			a.asked = append(a.asked, x.now)
 			x.out[ask.Serial] = &pending{ask, x.now + rtt}
 		}
-		if down := x.w.Down(); down != x.wasDown {
+		if down := x.w.Unavailable(); down != x.wasDown {
 			x.wasDown = down
 			x.downs++
 		}
@@ -136,7 +136,7 @@
 // second of its being back, and it is asked at most once a second.
 func TestOutage(t *testing.T) {
 	worst := time.Duration(0)
-	for _, fault := range []Fault{Refused, Rejected, Garbled, Hung} {
+	for _, fault := range []Fault{ConnectionFailed, Rejected, Malformed, TimedOut} {
 		for _, length := range []time.Duration{5 * time.Second, time.Minute} {
 			for phase := range 20 {
 				x := newWorld(Config{Seed: uint64(phase)}, 1)
@@ -160,8 +160,8 @@
 					t.Fatalf("%v for %v: the change was never held", fault, length)
 				}
 				worst = max(worst, x.heldAt-to)
-				if x.w.Down() || x.downs > 2 {
-					t.Errorf("%v for %v: down and up %d times, down at the end: %v", fault, length, x.downs, x.w.Down())
+				if x.w.Unavailable() || x.downs > 2 {
+					t.Errorf("%v for %v: down and up %d times, down at the end: %v", fault, length, x.downs, x.w.Unavailable())
 				}
 			}
 		}
@@ -176,7 +176,7 @@
 // changed within a second of its being back.
 func TestSharedOutage(t *testing.T) {
 	worst := time.Duration(0)
-	for _, fault := range []Fault{Refused, Rejected, Garbled, Hung} {
+	for _, fault := range []Fault{ConnectionFailed, Rejected, Malformed, TimedOut} {
 		for _, length := range []time.Duration{5 * time.Second, time.Minute} {
 			for phase := range 10 {
 				s := newShared(Config{Seed: uint64(phase)}, 1, 3)
@@ -199,8 +199,8 @@
 				}
 				s.run(to + 2*time.Second)
 				for i, x := range s {
-					if x.held != x.version || x.w.Down() {
-						t.Fatalf("%v for %v: watch %d holds %d of %d, down %v", fault, length, i, x.held, x.version, x.w.Down())
+					if x.held != x.version || x.w.Unavailable() {
+						t.Fatalf("%v for %v: watch %d holds %d of %d, down %v", fault, length, i, x.held, x.version, x.w.Unavailable())
 					}
 					worst = max(worst, x.heldAt-to)
 				}
@@ -216,15 +216,15 @@
 // TestOutageWithoutChange: an agent that is back is known to be within a second, though nothing has changed that would end a
 // blocking query.
 func TestOutageWithoutChange(t *testing.T) {
-	for _, fault := range []Fault{Refused, Rejected, Garbled, Hung} {
+	for _, fault := range []Fault{ConnectionFailed, Rejected, Malformed, TimedOut} {
 		x := newWorld(Config{}, 1)
 		from, to := start+3*time.Second, start+8*time.Second
 		x.agents[0].broken = broken(fault, from, to)
 		x.run(to)
-		if !x.w.Down() {
+		if !x.w.Unavailable() {
 			t.Errorf("%v: the outage is not known", fault)
 		}
-		if x.run(to + time.Second); x.w.Down() {
+		if x.run(to + time.Second); x.w.Unavailable() {
 			t.Errorf("%v: a second after the outage the agent counts as down", fault)
 		}
 	}
@@ -233,7 +233,7 @@
 // TestFailover: the agent in use dies just before a change; the change arrives by another, within a second for the silent
 // death too and at once for a loud one, and the watch goes home when that agent is back.
 func TestFailover(t *testing.T) {
-	for fault, within := range map[Fault]time.Duration{Refused: 20 * ms, Rejected: 20 * ms, Hung: 1800 * ms} {
+	for fault, within := range map[Fault]time.Duration{ConnectionFailed: 20 * ms, Rejected: 20 * ms, TimedOut: 1800 * ms} {
 		x := newWorld(Config{}, 3)
 		dies, back := start+5*time.Second, start+30*time.Second
 		x.agents[0].broken = broken(fault, dies, back)
@@ -243,12 +243,12 @@
 		if x.held != x.version || x.heldAt-dies > within {
 			t.Errorf("%v: the change was held after %v, want within %v", fault, x.heldAt-dies, within)
 		}
-		if x.w.Agent() == 0 || x.downs > 0 {
-			t.Errorf("%v: agent %d in use, down %d times", fault, x.w.Agent(), x.downs)
+		if x.w.CurrentAgent() == 0 || x.downs > 0 {
+			t.Errorf("%v: agent %d in use, down %d times", fault, x.w.CurrentAgent(), x.downs)
 		}
 		x.run(back + 20*time.Second)
-		if x.w.Agent() != 0 {
-			t.Errorf("%v: agent %d in use long after the one at home is back", fault, x.w.Agent())
+		if x.w.CurrentAgent() != 0 {
+			t.Errorf("%v: agent %d in use long after the one at home is back", fault, x.w.CurrentAgent())
 		}
 		asked := len(x.agents[0].asked)
 		x.change()
@@ -303,8 +303,8 @@
 			for k := 1; k < len(a.asked); k++ {
 				_, was := a.broken(a.asked[k-1])
 				_, is := a.broken(a.asked[k])
-				if gap := a.asked[k] - a.asked[k-1]; was && is && gap < Spacing && k > 1 {
-					if _, before := a.broken(a.asked[k-2]); before && a.asked[k]-a.asked[k-2] < Spacing {
+				if gap := a.asked[k] - a.asked[k-1]; was && is && gap < RetryInterval && k > 1 {
+					if _, before := a.broken(a.asked[k-2]); before && a.asked[k]-a.asked[k-2] < RetryInterval {
 						t.Fatalf("agent %d was asked three times within %v while it failed", i, a.asked[k]-a.asked[k-2])
 					}
 				}
@@ -313,7 +313,7 @@
 		back := x.now
 		x.change()
 		x.run(back + 2*time.Second)
-		if x.held != x.version || x.w.Down() {
+		if x.held != x.version || x.w.Unavailable() {
 			t.Fatalf("2 s after all are well version %d is held, want %d", x.held, x.version)
 		}
 	})
@@ -321,35 +321,35 @@
 
 // TestVerdicts answers one question each and looks at what is believed and asked next.
 func TestVerdicts(t *testing.T) {
-	sound := Meta{Index: 20, KnownLeader: true}
+	sound := ResponseMeta{Index: 20, KnownLeader: true}
 	for _, c := range []struct {
 		name  string
 		mode  Mode
-		metas []Meta
+		metas []ResponseMeta
 		want  []Verdict
-		next  Ask // the question after the last
+		next  Query // the question after the last
 	}{
-		{"a sound answer, then one that waits", Default, []Meta{sound}, []Verdict{{}}, Ask{Index: 20, Wait: 30 * time.Second}},
-		{"the wait is over", Default, []Meta{sound, sound}, []Verdict{{}, {Belief: Same}}, Ask{Index: 20, Wait: 30 * time.Second}},
-		{"rights are missing", Default, []Meta{{Index: 20, KnownLeader: true, Filtered: true}}, []Verdict{{Belief: Omits, Why: Filtered}},
-			Ask{Index: 20, Wait: Spacing}},
-		{"no leader", Stale, []Meta{{Index: 20}}, []Verdict{{Belief: Omits, Why: NoLeader}}, Ask{Index: 20, Wait: Spacing, Mode: Stale}},
-		{"index zero", Default, []Meta{{KnownLeader: true}}, []Verdict{{Belief: Omits, Why: ZeroIndex}}, Ask{Wait: Spacing}},
-		{"too old", Stale, []Meta{{Index: 20, KnownLeader: true, LastContact: time.Minute}}, []Verdict{{Belief: Ignore, Why: TooOld}}, Ask{}},
-		{"the index went back", Default, []Meta{sound, {Index: 1, KnownLeader: true}}, []Verdict{{}, {Belief: Ignore, Why: WentBack}},
-			Ask{Mode: Consistent}},
-		{"and for good", Default, []Meta{sound, {Index: 1, KnownLeader: true}, {Index: 2, KnownLeader: true}},
-			[]Verdict{{}, {Belief: Ignore, Why: WentBack}, {}}, Ask{Index: 2, Wait: 30 * time.Second}},
-		{"or not", Default, []Meta{sound, {Index: 1, KnownLeader: true}, {Index: 22, KnownLeader: true}},
-			[]Verdict{{}, {Belief: Ignore, Why: WentBack}, {}}, Ask{Index: 22, Wait: 30 * time.Second}},
+		{"a sound answer, then one that waits", Default, []ResponseMeta{sound}, []Verdict{{}}, Query{Index: 20, Wait: 30 * time.Second}},
+		{"the wait is over", Default, []ResponseMeta{sound, sound}, []Verdict{{}, {Disposition: Unchanged}}, Query{Index: 20, Wait: 30 * time.Second}},
+		{"rights are missing", Default, []ResponseMeta{{Index: 20, KnownLeader: true, Filtered: true}}, []Verdict{{Disposition: Partial, Reason: Filtered}},
+			Query{Index: 20, Wait: RetryInterval}},
+		{"no leader", Stale, []ResponseMeta{{Index: 20}}, []Verdict{{Disposition: Partial, Reason: NoLeader}}, Query{Index: 20, Wait: RetryInterval, Mode: Stale}},
+		{"index zero", Default, []ResponseMeta{{KnownLeader: true}}, []Verdict{{Disposition: Partial, Reason: IndexZero}}, Query{Wait: RetryInterval}},
+		{"too old", Stale, []ResponseMeta{{Index: 20, KnownLeader: true, LastContact: time.Minute}}, []Verdict{{Disposition: Discard, Reason: TooStale}}, Query{}},
+		{"the index went back", Default, []ResponseMeta{sound, {Index: 1, KnownLeader: true}}, []Verdict{{}, {Disposition: Discard, Reason: IndexRegressed}},
+			Query{Mode: Consistent}},
+		{"and for good", Default, []ResponseMeta{sound, {Index: 1, KnownLeader: true}, {Index: 2, KnownLeader: true}},
+			[]Verdict{{}, {Disposition: Discard, Reason: IndexRegressed}, {}}, Query{Index: 2, Wait: 30 * time.Second}},
+		{"or not", Default, []ResponseMeta{sound, {Index: 1, KnownLeader: true}, {Index: 22, KnownLeader: true}},
+			[]Verdict{{}, {Disposition: Discard, Reason: IndexRegressed}, {}}, Query{Index: 22, Wait: 30 * time.Second}},
 	} {
-		w := New(Config{Agents: 1, Mode: c.mode, Seed: 1}.WithDefaults())
+		w := New(Config{AgentCount: 1, Mode: c.mode, Seed: 1}.WithDefaults())
 		now := start
 		var got []Verdict
 		ask := w.Step(now)[0].Start
 		for _, m := range c.metas {
 			now += time.Second
-			v, ok := w.Answered(now, ask.Serial, m)
+			v, ok := w.ListReceived(now, ask.Serial, m)
 			if !ok {
 				t.Fatalf("%s: the answer is not taken", c.name)
 			}
@@ -370,8 +370,8 @@
 // TestRightsAreBack: an answer that leaves things out is not waited upon for long: no index moves when a token gets its
 // rights, and the whole list is believed then though its index is the one that is held.
 func TestRightsAreBack(t *testing.T) {
-	for name, lacking := range map[string]Meta{"filtered": {Index: 10, KnownLeader: true, Filtered: true}, "no leader": {Index: 10}} {
-		w := New(Config{Agents: 1}.WithDefaults())
+	for name, lacking := range map[string]ResponseMeta{"filtered": {Index: 10, KnownLeader: true, Filtered: true}, "no leader": {Index: 10}} {
+		w := New(Config{AgentCount: 1}.WithDefaults())
 		now, back := start, start+10*time.Second
 		asked := 0
 		for now < back+2*time.Second {
@@ -379,21 +379,21 @@
 				continue
 			}
 			asked++
-			q := w.list
+			q := w.listQuery
 			now += q.Wait + rtt
 			m := lacking
 			if now-rtt >= back {
-				m = Meta{Index: 10, KnownLeader: true}
+				m = ResponseMeta{Index: 10, KnownLeader: true}
 			}
-			v, ok := w.Answered(now, q.Serial, m)
-			if !ok || (v.Belief == Whole) != (m == Meta{Index: 10, KnownLeader: true}) {
-				t.Fatalf("%s: after %v: belief %v, %v", name, now-start, v.Belief, ok)
+			v, ok := w.ListReceived(now, q.Serial, m)
+			if !ok || (v.Disposition == Complete) != (m == ResponseMeta{Index: 10, KnownLeader: true}) {
+				t.Fatalf("%s: after %v: belief %v, %v", name, now-start, v.Disposition, ok)
 			}
-			if v.Belief == Whole {
+			if v.Disposition == Complete {
 				break
 			}
 		}
-		if late := now - back; late > Spacing+250*ms || asked > 12 {
+		if late := now - back; late > RetryInterval+250*ms || asked > 12 {
 			t.Errorf("%s: the list is whole %v after the rights are, with %d questions", name, late, asked)
 		}
 	}
@@ -402,33 +402,33 @@
 // TestConfirm: it calls off what blocks, goes to another agent in the consistent mode, and only a sound answer confirms.
 func TestConfirm(t *testing.T) {
 	for _, agents := range []int{1, 2} {
-		w := New(Config{Agents: agents}.WithDefaults())
+		w := New(Config{AgentCount: agents}.WithDefaults())
 		ask := w.Step(start)[0].Start
-		w.Answered(start, ask.Serial, Meta{Index: 20, KnownLeader: true})
+		w.ListReceived(start, ask.Serial, ResponseMeta{Index: 20, KnownLeader: true})
 		blocking := w.Step(start + time.Second)[0].Start
 		w.Confirm()
-		var started *Ask
+		var started *Query
 		aborted := false
 		for _, a := range w.Step(start + time.Second) {
 			if a.Start != nil {
 				started = a.Start
 			} else {
-				aborted = aborted || a.Abort == blocking.Serial
+				aborted = aborted || a.Cancel == blocking.Serial
 			}
 		}
 		if started == nil || started.Mode != Consistent || started.Index != 0 || started.Agent != agents-1 || !aborted {
 			t.Fatalf("%d agents: asked %+v, aborted %v", agents, started, aborted)
 		}
-		if _, ok := w.Answered(start, blocking.Serial, Meta{Index: 21, KnownLeader: true}); ok {
+		if _, ok := w.ListReceived(start, blocking.Serial, ResponseMeta{Index: 21, KnownLeader: true}); ok {
 			t.Error("the answer to a question that was called off is taken")
 		}
-		v, ok := w.Answered(start, started.Serial, Meta{Index: 20, KnownLeader: true})
-		if !ok || !v.Confirms || v.Belief != Whole {
+		v, ok := w.ListReceived(start, started.Serial, ResponseMeta{Index: 20, KnownLeader: true})
+		if !ok || !v.Confirms || v.Disposition != Complete {
 			t.Errorf("%d agents: the confirming answer gives %+v %v", agents, v, ok)
 		}
 		w.Confirm()
 		started = w.Step(start + 2*time.Second)[0].Start
-		if v, _ = w.Answered(start, started.Serial, Meta{Index: 20, KnownLeader: true, Filtered: true}); v.Confirms {
+		if v, _ = w.ListReceived(start, started.Serial, ResponseMeta{Index: 20, KnownLeader: true, Filtered: true}); v.Confirms {
 			t.Error("an answer that lacks rights confirms")
 		}
 	}
@@ -447,14 +447,14 @@
 }
 
 func ExampleWatch() {
-	w := New(Config{Agents: 2}.WithDefaults())
+	w := New(Config{AgentCount: 2}.WithDefaults())
 	now := time.Duration(0)
 	ask := w.Step(now)[0].Start
 	fmt.Println("agent", ask.Agent, "index", ask.Index)
-	w.Failed(now, ask.Serial, Refused)
+	w.QueryFailed(now, ask.Serial, ConnectionFailed)
 	ask = w.Step(now)[0].Start
 	fmt.Println("agent", ask.Agent, "index", ask.Index)
-	w.Answered(now, ask.Serial, Meta{Index: 7, KnownLeader: true})
+	w.ListReceived(now, ask.Serial, ResponseMeta{Index: 7, KnownLeader: true})
 	ask = w.Step(now + time.Second)[0].Start
 	fmt.Println("agent", ask.Agent, "index", ask.Index, "waiting", ask.Wait)
 	// Output:
--- a/internal/membership/consul/client.go
+++ b/internal/membership/consul/client.go
@@ -18,8 +18,8 @@
 	"sloequay/internal/membership/consul/blockingquery"
 )
 
-// tlsLimit is what connecting to an agent by TLS may take.
-const tlsLimit = 3 * time.Second
+// tlsTimeout is what connecting to an agent by TLS may take.
+const tlsTimeout = 3 * time.Second
 
 // clients makes the API's clients, one an agent, with connections of their own.
 func (c *Config) clients() ([]*api.Client, error) {
@@ -36,11 +36,11 @@
 			DialContext:         (&net.Dialer{Timeout: time.Second, LocalAddr: c.Bind}).DialContext,
 			MaxIdleConnsPerHost: 4, IdleConnTimeout: 90 * time.Second,
 		}
-		cfg := api.Config{Address: agent, Scheme: "http", Datacenter: c.Datacentre, Transport: transport}
+		cfg := api.Config{Address: agent, Scheme: "http", Datacenter: c.Datacenter, Transport: transport}
 		if c.TLS != nil {
 			cfg.Scheme = "https"
 			transport.DialTLSContext = func(ctx context.Context, _, address string) (net.Conn, error) {
-				ctx, cancel := context.WithTimeout(ctx, tlsLimit)
+				ctx, cancel := context.WithTimeout(ctx, tlsTimeout)
 				defer cancel()
 				name := c.TLS.ServerName
 				if name == "" {
@@ -69,7 +69,7 @@
 }
 
 // options gives the options of a question. headed is called when its answer begins.
-func (c *Config) options(ctx context.Context, a blockingquery.Ask, token string, headed func()) *api.QueryOptions {
+func (c *Config) options(ctx context.Context, a blockingquery.Query, token string, headed func()) *api.QueryOptions {
 	if headed != nil {
 		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: headed})
 	}
@@ -88,14 +88,14 @@
 	case errors.As(err, &status):
 		return blockingquery.Rejected
 	case errors.Is(err, context.DeadlineExceeded), errors.As(err, &network) && network.Timeout():
-		return blockingquery.Hung
+		return blockingquery.TimedOut
 	case errors.As(err, &network), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
-		return blockingquery.Refused
+		return blockingquery.ConnectionFailed
 	}
-	return blockingquery.Garbled
+	return blockingquery.Malformed
 }
 
-func metaOf(m *api.QueryMeta) blockingquery.Meta {
-	return blockingquery.Meta{Index: m.LastIndex, KnownLeader: m.KnownLeader, LastContact: m.LastContact,
+func metaOf(m *api.QueryMeta) blockingquery.ResponseMeta {
+	return blockingquery.ResponseMeta{Index: m.LastIndex, KnownLeader: m.KnownLeader, LastContact: m.LastContact,
 		Filtered: m.ResultsFilteredByACLs}
 }
--- a/internal/membership/consul/client_test.go
+++ b/internal/membership/consul/client_test.go
@@ -31,19 +31,19 @@
 		{"a status", fmt.Errorf("agent: %w", api.StatusError{Code: http.StatusInternalServerError}), blockingquery.Rejected},
 		{"a status that speaks of a reset", api.StatusError{Code: http.StatusBadGateway, Body: "connection reset"},
 			blockingquery.Rejected},
-		{"out of time", &url.Error{Op: "Get", Err: context.DeadlineExceeded}, blockingquery.Hung},
-		{"a dial out of time", &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}, blockingquery.Hung},
-		{"a reset", reset, blockingquery.Refused},
-		{"a reset on a connection", &net.OpError{Op: "read", Err: reset}, blockingquery.Refused},
-		{"a reset, wrapped", fmt.Errorf("reading the body: %w", &net.OpError{Op: "read", Err: reset}), blockingquery.Refused},
-		{"a closed pipe", syscall.EPIPE, blockingquery.Refused},
+		{"out of time", &url.Error{Op: "Get", Err: context.DeadlineExceeded}, blockingquery.TimedOut},
+		{"a dial out of time", &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}, blockingquery.TimedOut},
+		{"a reset", reset, blockingquery.ConnectionFailed},
+		{"a reset on a connection", &net.OpError{Op: "read", Err: reset}, blockingquery.ConnectionFailed},
+		{"a reset, wrapped", fmt.Errorf("reading the body: %w", &net.OpError{Op: "read", Err: reset}), blockingquery.ConnectionFailed},
+		{"a closed pipe", syscall.EPIPE, blockingquery.ConnectionFailed},
 		{"a dial that was refused", &url.Error{Op: "Get", Err: &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}},
-			blockingquery.Refused},
-		{"no name", &net.DNSError{Err: "no such host", Name: "agent.test", IsNotFound: true}, blockingquery.Refused},
-		{"an end before the answer", &url.Error{Op: "Get", Err: io.EOF}, blockingquery.Refused},
-		{"an end within the answer", io.ErrUnexpectedEOF, blockingquery.Refused},
-		{"no JSON", json.Unmarshal([]byte("{,"), new(any)), blockingquery.Garbled},
-		{"a text that speaks of a reset", errors.New(`invalid duration "connection reset"`), blockingquery.Garbled},
+			blockingquery.ConnectionFailed},
+		{"no name", &net.DNSError{Err: "no such host", Name: "agent.test", IsNotFound: true}, blockingquery.ConnectionFailed},
+		{"an end before the answer", &url.Error{Op: "Get", Err: io.EOF}, blockingquery.ConnectionFailed},
+		{"an end within the answer", io.ErrUnexpectedEOF, blockingquery.ConnectionFailed},
+		{"no JSON", json.Unmarshal([]byte("{,"), new(any)), blockingquery.Malformed},
+		{"a text that speaks of a reset", errors.New(`invalid duration "connection reset"`), blockingquery.Malformed},
 	} {
 		if got := faultOf(c.err); got != c.want {
 			t.Errorf("%s: %v gives %v, want %v", c.name, c.err, got, c.want)
@@ -73,16 +73,16 @@
 		answer func(w http.ResponseWriter)
 		want   blockingquery.Fault
 	}{
-		{"reset before the header", func(w http.ResponseWriter) { hijack(w, "", true) }, blockingquery.Refused},
-		{"closed before the header", func(w http.ResponseWriter) { hijack(w, "", false) }, blockingquery.Refused},
-		{"reset within the body", func(w http.ResponseWriter) { hijack(w, header+`[{"Node":`, true) }, blockingquery.Refused},
-		{"closed within the body", func(w http.ResponseWriter) { hijack(w, header+`[{"Node":`, false) }, blockingquery.Refused},
+		{"reset before the header", func(w http.ResponseWriter) { hijack(w, "", true) }, blockingquery.ConnectionFailed},
+		{"closed before the header", func(w http.ResponseWriter) { hijack(w, "", false) }, blockingquery.ConnectionFailed},
+		{"reset within the body", func(w http.ResponseWriter) { hijack(w, header+`[{"Node":`, true) }, blockingquery.ConnectionFailed},
+		{"closed within the body", func(w http.ResponseWriter) { hijack(w, header+`[{"Node":`, false) }, blockingquery.ConnectionFailed},
 		{"status 500", func(w http.ResponseWriter) { w.WriteHeader(http.StatusInternalServerError) }, blockingquery.Rejected},
-		{"a body that is no JSON", func(w http.ResponseWriter) { io.WriteString(w, "connection reset") }, blockingquery.Garbled},
+		{"a body that is no JSON", func(w http.ResponseWriter) { io.WriteString(w, "connection reset") }, blockingquery.Malformed},
 		{"a body whose error quotes the agent", func(w http.ResponseWriter) {
 			io.WriteString(w, `[{"Checks":[{"Definition":{"Interval":"connection reset"}}]}]`)
-		}, blockingquery.Garbled},
-		{"no answer in time", func(http.ResponseWriter) { time.Sleep(400 * time.Millisecond) }, blockingquery.Hung},
+		}, blockingquery.Malformed},
+		{"no answer in time", func(http.ResponseWriter) { time.Sleep(400 * time.Millisecond) }, blockingquery.TimedOut},
 	} {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { c.answer(w) }))
 		clients, err := (&Config{Agents: []string{server.Listener.Addr().String()}}).clients()
--- a/internal/membership/consul/consul_test.go
+++ b/internal/membership/consul/consul_test.go
@@ -210,7 +210,7 @@
 	defer h.mu.Unlock()
 	sum := 0
 	for _, l := range h.lists[:len(h.lists)-1] {
-		if sum += len(l.Endpoints); !l.Part || len(l.Endpoints) > partMost {
+		if sum += len(l.Endpoints); !l.Part || len(l.Endpoints) > maxPartEndpoints {
 			t.Errorf("a part of %d boxes, part %v", len(l.Endpoints), l.Part)
 		}
 	}
@@ -253,7 +253,7 @@
 			return
 		}
 		for _, e := range entries {
-			box, err := v.box(e, names)
+			box, err := v.endpoint(e, names)
 			if err != nil {
 				if err.Error() == "" {
 					t.Fatal("an error without a reason")
--- a/internal/membership/consul/follow.go
+++ b/internal/membership/consul/follow.go
@@ -28,48 +28,48 @@
 	Seed       uint64
 
 	followers []*follower
-	came      chan func() // what is to run on the followers' goroutine
+	tasks     chan func() // what is to run on the followers' goroutine
 }
 
 // follower keeps one blocking query going: for a service, or for the purges.
 type follower struct {
-	c       *Catalogue
-	name    string // for the log
-	watch   *blockingquery.Watch
-	clients []*api.Client
-	fetch   func(client *api.Client, q *api.QueryOptions) (any, *api.QueryMeta, error)
-	use     func(answer any, v blockingquery.Verdict, index uint64)
-	silent  func(bool)
-	ctx     context.Context
-	cancel  map[uint64]context.CancelFunc
-	down    bool
-	agent   int
-	why     blockingquery.Why
-	badTok  bool
+	catalogue       *Catalogue
+	name            string // for the log
+	watch           *blockingquery.Watch
+	clients         []*api.Client
+	fetch           func(client *api.Client, q *api.QueryOptions) (any, *api.QueryMeta, error)
+	apply           func(answer any, v blockingquery.Verdict, index uint64)
+	publishSilent   func(bool)
+	ctx             context.Context
+	cancels         map[uint64]context.CancelFunc
+	unavailable     bool
+	lastAgent       int
+	lastReason      blockingquery.Reason
+	tokenUnreadable bool
 }
 
-// partMost is how many new boxes are told together.
-const partMost = 500
+// maxPartEndpoints is how many new boxes are told together.
+const maxPartEndpoints = 500
 
 // Start begins to follow, until ctx ends. All followers run on one goroutine, since they share what they know of the agents;
 // each question runs on its own.
 func (c *Catalogue) Start(ctx context.Context) error {
-	c.came = make(chan func(), 64)
-	agents := blockingquery.NewAgents(len(c.Config.Agents))
+	c.tasks = make(chan func(), 64)
+	agents := blockingquery.NewSharedAgents(len(c.Config.Agents))
 	for i, v := range c.Config.Services {
-		f, err := c.follower("service "+v.Name, agents)
+		f, err := c.newFollower("service "+v.Name, agents)
 		if err != nil {
 			return err
 		}
-		f.service(v, c.FirstSource+i)
+		f.followService(v, c.FirstSource+i)
 		c.followers = append(c.followers, f)
 	}
 	if c.Config.Purges != "" {
-		f, err := c.follower("purges", agents)
+		f, err := c.newFollower("purges", agents)
 		if err != nil {
 			return err
 		}
-		f.purges(strings.Trim(c.Config.Purges, "/") + "/")
+		f.followPurges(strings.Trim(c.Config.Purges, "/") + "/")
 		c.followers = append(c.followers, f)
 	}
 	for _, f := range c.followers {
@@ -100,14 +100,14 @@
 	}
 }
 
-func (c *Catalogue) follower(name string, agents *blockingquery.Agents) (*follower, error) {
+func (c *Catalogue) newFollower(name string, agents *blockingquery.SharedAgents) (*follower, error) {
 	clients, err := c.Config.clients()
 	if err != nil {
 		return nil, err
 	}
 	cfg := c.Config.Watch
-	cfg.Agents, cfg.Mode, cfg.Seed = len(clients), c.Config.Mode, c.Seed+uint64(len(c.followers))
-	return &follower{c: c, name: name, watch: blockingquery.NewWith(cfg, agents), clients: clients, cancel: map[uint64]context.CancelFunc{}, silent: func(bool) {}}, nil
+	cfg.AgentCount, cfg.Mode, cfg.Seed = len(clients), c.Config.Mode, c.Seed+uint64(len(c.followers))
+	return &follower{catalogue: c, name: name, watch: blockingquery.NewWithAgents(cfg, agents), clients: clients, cancels: map[uint64]context.CancelFunc{}, publishSilent: func(bool) {}}, nil
 }
 
 // run carries out what the watches decide.
@@ -128,7 +128,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case came := <-c.came:
+		case came := <-c.tasks:
 			came()
 		case <-timer.C:
 		}
@@ -136,76 +136,76 @@
 }
 
 func (f *follower) step() {
-	for _, a := range f.watch.Step(f.c.Now()) {
+	for _, a := range f.watch.Step(f.catalogue.Now()) {
 		if a.Start != nil {
 			f.start(f.ctx, *a.Start)
-		} else if cancel := f.cancel[a.Abort]; cancel != nil {
+		} else if cancel := f.cancels[a.Cancel]; cancel != nil {
 			cancel()
-			delete(f.cancel, a.Abort)
+			delete(f.cancels, a.Cancel)
 		}
 	}
-	f.report()
+	f.logChanges()
 }
 
-// report logs what the watch has found of the agents.
-func (f *follower) report() {
-	if down := f.watch.Down(); down != f.down {
-		f.down = down
+// logChanges logs what the watch has found of the agents.
+func (f *follower) logChanges() {
+	if down := f.watch.Unavailable(); down != f.unavailable {
+		f.unavailable = down
 		if down {
-			f.c.Log("catalogue-unreachable", "service", f.name, "agents", len(f.clients))
+			f.catalogue.Log("catalogue-unreachable", "service", f.name, "agents", len(f.clients))
 		} else {
-			f.c.Log("catalogue-reachable", "service", f.name, "agent", f.c.Config.Agents[f.watch.Agent()], "index", f.watch.Index())
+			f.catalogue.Log("catalogue-reachable", "service", f.name, "agent", f.catalogue.Config.Agents[f.watch.CurrentAgent()], "index", f.watch.Index())
 		}
-		f.silent(down)
+		f.publishSilent(down)
 	}
-	if agent := f.watch.Agent(); agent != f.agent {
-		f.agent = agent
-		f.c.Log("catalogue-agent-changed", "service", f.name, "agent", f.c.Config.Agents[agent])
+	if agent := f.watch.CurrentAgent(); agent != f.lastAgent {
+		f.lastAgent = agent
+		f.catalogue.Log("catalogue-agent-changed", "service", f.name, "agent", f.catalogue.Config.Agents[agent])
 	}
 }
 
 // start puts a question on a goroutine of its own.
-func (f *follower) start(ctx context.Context, a blockingquery.Ask) {
+func (f *follower) start(ctx context.Context, a blockingquery.Query) {
 	ctx, cancel := context.WithCancel(ctx)
-	f.cancel[a.Serial] = cancel
-	token, err := f.c.Config.token()
-	if err != nil != f.badTok {
-		if f.badTok = err != nil; f.badTok {
-			f.c.Log("catalogue-token-unreadable", "error", err)
+	f.cancels[a.Serial] = cancel
+	token, err := f.catalogue.Config.token()
+	if err != nil != f.tokenUnreadable {
+		if f.tokenUnreadable = err != nil; f.tokenUnreadable {
+			f.catalogue.Log("catalogue-token-unreadable", "error", err)
 		}
 	}
 	done := func(came func()) {
 		select {
-		case f.c.came <- func() { delete(f.cancel, a.Serial); cancel(); came() }:
+		case f.catalogue.tasks <- func() { delete(f.cancels, a.Serial); cancel(); came() }:
 		case <-ctx.Done(): // it was called off, and nothing is owed
 		}
 	}
 	client := f.clients[a.Agent]
 	go func() {
-		if a.Kind == blockingquery.Probe {
-			_, err := client.Status().LeaderWithQueryOptions(f.c.Config.options(ctx, a, token, nil))
+		if a.Kind == blockingquery.LivenessProbe {
+			_, err := client.Status().LeaderWithQueryOptions(f.catalogue.Config.options(ctx, a, token, nil))
 			done(func() {
 				if err != nil {
-					f.failed(a, err)
+					f.queryFailed(a, err)
 				} else {
-					f.watch.Probed(f.c.Now(), a.Serial)
-					if f.c.AgentAlive != nil {
-						f.c.AgentAlive()
+					f.watch.ProbeSucceeded(f.catalogue.Now(), a.Serial)
+					if f.catalogue.AgentAlive != nil {
+						f.catalogue.AgentAlive()
 					}
 				}
 			})
 			return
 		}
-		headed := func() { f.post(func() { f.watch.Headed(f.c.Now(), a.Serial) }) }
-		answer, meta, err := f.fetch(client, f.c.Config.options(ctx, a, token, headed))
+		headed := func() { f.post(func() { f.watch.ResponseStarted(f.catalogue.Now(), a.Serial) }) }
+		answer, meta, err := f.fetch(client, f.catalogue.Config.options(ctx, a, token, headed))
 		done(func() {
 			if err != nil {
-				f.failed(a, err)
+				f.queryFailed(a, err)
 				return
 			}
 			m := metaOf(meta)
-			if v, ok := f.watch.Answered(f.c.Now(), a.Serial, m); ok {
-				f.answered(a, answer, m, v)
+			if v, ok := f.watch.ListReceived(f.catalogue.Now(), a.Serial, m); ok {
+				f.listReceived(a, answer, m, v)
 			}
 		})
 	}()
@@ -214,97 +214,97 @@
 // post runs a task on the followers' goroutine, or drops it when that is far behind.
 func (f *follower) post(task func()) {
 	select {
-	case f.c.came <- task:
+	case f.catalogue.tasks <- task:
 	default:
 	}
 }
 
-func (f *follower) failed(a blockingquery.Ask, err error) {
+func (f *follower) queryFailed(a blockingquery.Query, err error) {
 	fault := faultOf(err)
-	if !f.down {
-		f.c.Log("catalogue-response-rejected", "service", f.name, "agent", f.c.Config.Agents[a.Agent], "reason", fault, "error", short(err))
+	if !f.unavailable {
+		f.catalogue.Log("catalogue-response-rejected", "service", f.name, "agent", f.catalogue.Config.Agents[a.Agent], "reason", fault, "error", truncated(err))
 	}
-	f.watch.Failed(f.c.Now(), a.Serial, fault)
+	f.watch.QueryFailed(f.catalogue.Now(), a.Serial, fault)
 }
 
-// short cuts what an agent wrote into an error.
-func short(err error) string { return fmt.Sprintf("%.200s", err.Error()) }
+// truncated cuts what an agent wrote into an error.
+func truncated(err error) string { return fmt.Sprintf("%.200s", err.Error()) }
 
-func (f *follower) answered(a blockingquery.Ask, answer any, m blockingquery.Meta, v blockingquery.Verdict) {
-	if v.Why != f.why {
-		if f.why = v.Why; v.Why != blockingquery.Sound {
-			f.c.Log("catalogue-response-rejected", "service", f.name, "agent", f.c.Config.Agents[a.Agent], "reason", v.Why, "index", m.Index)
+func (f *follower) listReceived(a blockingquery.Query, answer any, m blockingquery.ResponseMeta, v blockingquery.Verdict) {
+	if v.Reason != f.lastReason {
+		if f.lastReason = v.Reason; v.Reason != blockingquery.ReasonNone {
+			f.catalogue.Log("catalogue-response-rejected", "service", f.name, "agent", f.catalogue.Config.Agents[a.Agent], "reason", v.Reason, "index", m.Index)
 		}
 	}
-	f.use(answer, v, m.Index)
+	f.apply(answer, v, m.Index)
 }
 
-// service has the follower read a service's instances as the boxes of a source.
-func (f *follower) service(v *Service, src int) {
+// followService has the follower read a service's instances as the boxes of a source.
+func (f *follower) followService(v *Service, src int) {
 	f.fetch = func(client *api.Client, q *api.QueryOptions) (any, *api.QueryMeta, error) {
 		q.Filter = v.Filter
-		return wrap(client.Health().ServiceMultipleTags(v.Name, v.Tags, false, q))
+		return untyped(client.Health().ServiceMultipleTags(v.Name, v.Tags, false, q))
 	}
-	f.silent = func(silent bool) { f.c.Publish(membership.SourceStatus{Source: src, Silent: silent}) }
+	f.publishSilent = func(silent bool) { f.catalogue.Publish(membership.SourceStatus{Source: src, Silent: silent}) }
 	left := map[string]string{} // what was left out of the last answer, and why: it is logged once
 	known := 0
-	f.use = func(answer any, verdict blockingquery.Verdict, index uint64) {
+	f.apply = func(answer any, verdict blockingquery.Verdict, index uint64) {
 		switch {
-		case verdict.Belief == blockingquery.Ignore:
+		case verdict.Disposition == blockingquery.Discard:
 			return
-		case verdict.Belief == blockingquery.Same && !verdict.Confirms:
-			f.c.Publish(membership.SourceStatus{Source: src})
+		case verdict.Disposition == blockingquery.Unchanged && !verdict.Confirms:
+			f.catalogue.Publish(membership.SourceStatus{Source: src})
 			return
 		}
 		entries, _ := answer.([]*api.ServiceEntry)
-		list := membership.List{Version: index, Confirms: verdict.Confirms, Incomplete: verdict.Belief == blockingquery.Omits}
+		list := membership.List{Version: index, Confirms: verdict.Confirms, Incomplete: verdict.Disposition == blockingquery.Partial}
 		now := map[string]string{}
 		for _, e := range entries {
-			box, err := v.box(e, f.c.Names)
+			box, err := v.endpoint(e, f.catalogue.Names)
 			if err != nil {
-				name, why := idOf(e), short(err)
+				name, why := instanceName(e), truncated(err)
 				if now[name] = why; left[name] != why {
-					f.c.Log("catalogue-instance-rejected", "service", f.name, "instance", name, "error", why)
+					f.catalogue.Log("catalogue-instance-rejected", "service", f.name, "instance", name, "error", why)
 				}
 				continue
 			}
 			list.Endpoints = append(list.Endpoints, box)
 		}
 		left = now
-		if len(list.Endpoints) > known+partMost {
-			for at := 0; at < len(list.Endpoints); at += partMost {
-				part := list.Endpoints[at:min(at+partMost, len(list.Endpoints))]
-				f.c.Publish(membership.ListReceived{Source: src, List: membership.List{Version: index, Endpoints: part, Part: true}})
+		if len(list.Endpoints) > known+maxPartEndpoints {
+			for at := 0; at < len(list.Endpoints); at += maxPartEndpoints {
+				part := list.Endpoints[at:min(at+maxPartEndpoints, len(list.Endpoints))]
+				f.catalogue.Publish(membership.ListReceived{Source: src, List: membership.List{Version: index, Endpoints: part, Part: true}})
 			}
 		}
 		known = len(list.Endpoints)
-		f.c.Publish(membership.ListReceived{Source: src, List: list})
+		f.catalogue.Publish(membership.ListReceived{Source: src, List: list})
 	}
 }
 
-// wrap has an answer's type forgotten.
-func wrap[T any](answer T, meta *api.QueryMeta, err error) (any, *api.QueryMeta, error) {
+// untyped has an answer's type forgotten.
+func untyped[T any](answer T, meta *api.QueryMeta, err error) (any, *api.QueryMeta, error) {
 	return answer, meta, err
 }
 
-func idOf(e *api.ServiceEntry) string {
+func instanceName(e *api.ServiceEntry) string {
 	if e == nil || e.Service == nil || e.Node == nil {
 		return "?"
 	}
 	return e.Node.Node + "/" + e.Service.ID
 }
 
-// box reads an instance.
-func (v *Service) box(e *api.ServiceEntry, names membership.Names) (membership.Endpoint, error) {
+// endpoint reads an instance.
+func (v *Service) endpoint(e *api.ServiceEntry, names membership.Names) (membership.Endpoint, error) {
 	if e == nil || e.Service == nil || e.Node == nil {
 		return membership.Endpoint{}, fmt.Errorf("an entry without service or node")
 	}
 	s := e.Service
 	in := health.Instance{ID: s.ID, Node: e.Node.Node, Address: s.Address, NodeAddress: e.Node.Address, Port: s.Port,
-		Meta: s.Meta, Passing: s.Weights.Passing, Warning: s.Weights.Warning, Create: s.CreateIndex}
+		Meta: s.Meta, PassingWeight: s.Weights.Passing, WarningWeight: s.Weights.Warning, CreateIndex: s.CreateIndex}
 	for _, c := range e.Checks {
 		if c != nil {
-			in.Checks = append(in.Checks, health.Check{ID: c.CheckID, Service: c.ServiceID, Status: c.Status})
+			in.Checks = append(in.Checks, health.Check{ID: c.CheckID, ServiceID: c.ServiceID, Status: c.Status})
 		}
 	}
 	entry, err := v.Rules.Read(&in)
@@ -314,14 +314,14 @@
 	return names.Endpoint(entry)
 }
 
-// purges has the follower read the keys below a prefix as purges. Each is told once.
-func (f *follower) purges(prefix string) {
+// followPurges has the follower read the keys below a prefix as purges. Each is told once.
+func (f *follower) followPurges(prefix string) {
 	f.fetch = func(client *api.Client, q *api.QueryOptions) (any, *api.QueryMeta, error) {
-		return wrap(client.KV().List(prefix, q))
+		return untyped(client.KV().List(prefix, q))
 	}
 	told := map[string]uint64{} // by key: the index that it was told at
-	f.use = func(answer any, verdict blockingquery.Verdict, _ uint64) {
-		if verdict.Belief == blockingquery.Ignore {
+	f.apply = func(answer any, verdict blockingquery.Verdict, _ uint64) {
+		if verdict.Disposition == blockingquery.Discard {
 			return
 		}
 		pairs, _ := answer.(api.KVPairs)
@@ -334,13 +334,13 @@
 			}
 			purge, err := invalidation.ParsePurge(strings.TrimPrefix(p.Key, prefix), string(p.Value))
 			if err != nil {
-				f.c.Log("catalogue-purge-key-rejected", "error", short(err))
+				f.catalogue.Log("catalogue-purge-key-rejected", "error", truncated(err))
 				continue
 			}
 			events = append(events, membership.PurgeReceived{IsObject: purge.Scope == invalidation.ObjectScope,
 				Object: purge.Object, Group: purge.Group, Issued: purge.Issued})
 		}
-		if verdict.Belief == blockingquery.Whole { // what was left out of another answer is not gone
+		if verdict.Disposition == blockingquery.Complete { // what was left out of another answer is not gone
 			told = now
 		} else {
 			for k, index := range now {
@@ -348,8 +348,8 @@
 			}
 		}
 		for len(events) > 0 {
-			n := min(len(events), partMost)
-			f.c.Publish(events[:n]...)
+			n := min(len(events), maxPartEndpoints)
+			f.catalogue.Publish(events[:n]...)
 			events = events[n:]
 		}
 	}
--- a/internal/membership/consul/health/health.go
+++ b/internal/membership/consul/health/health.go
@@ -13,20 +13,20 @@
 
 // Check is one check of an instance or of its node.
 type Check struct {
-	ID      string
-	Service string // the instance's id; empty: it is the node's
-	Status  string
+	ID        string
+	ServiceID string // the instance's id; empty: it is the node's
+	Status    string
 }
 
 // Instance is what a catalogue says of an instance.
 type Instance struct {
-	ID, Node             string
-	Address, NodeAddress string // the node's holds where the instance has none
-	Port                 int
-	Meta                 map[string]string
-	Passing, Warning     int // its weights by health
-	Checks               []Check
-	Create               uint64 // another one with each registration
+	ID, Node                     string
+	Address, NodeAddress         string // the node's holds where the instance has none
+	Port                         int
+	Meta                         map[string]string
+	PassingWeight, WarningWeight int // its weights by health
+	Checks                       []Check
+	CreateIndex                  uint64 // another one with each registration
 }
 
 // Rules is how instances of a service are read.
@@ -34,20 +34,20 @@
 	// ID is where a box's id comes from: "service" (the instance's id, which must then be its own in all the cluster),
 	// "node", "node/service", or "meta:KEY".
 	ID string
-	// Site and Class are words of the platform's settings; with the keys they come from the metadata.
-	Site, SiteKey   string
-	Class, ClassKey string
-	// BornKey names the metadata that has the Unix millisecond of a late start; CapacityKey the weight.
-	BornKey, CapacityKey string
+	// Zone and Class are words of the platform's settings; with the keys they come from the metadata.
+	Zone, ZoneKey string
+	Kind, KindKey string
+	// StartedAtKey names the metadata that has the Unix millisecond of a late start; CapacityKey the weight.
+	StartedAtKey, WeightKey string
 	// Checks that count: "all", "service", "node", or ids of checks. Ignore are ids of such that do not, whatever Checks
 	// says. Maintenance always counts.
-	Checks, Ignore []string
-	Warning        membership.State // what a warning means: Up or Draining
+	Checks, IgnoredChecks []string
+	Warning               membership.State // what a warning means: Up or Draining
 }
 
-// Default gives the rules in force where the settings say nothing.
-func Default() Rules {
-	return Rules{ID: "service", SiteKey: "site", ClassKey: "class", BornKey: "born_ms", CapacityKey: "capacity",
+// DefaultRules gives the rules in force where the settings say nothing.
+func DefaultRules() Rules {
+	return Rules{ID: "service", ZoneKey: "site", KindKey: "class", StartedAtKey: "born_ms", WeightKey: "capacity",
 		Checks: []string{"all"}, Warning: membership.Up}
 }
 
@@ -60,20 +60,20 @@
 	serviceMaintenance = "_service_maintenance:"
 )
 
-// ids are the forms of Rules.ID.
-var ids = []string{"service", "node", "node/service"}
+// idForms are the forms of Rules.ID.
+var idForms = []string{"service", "node", "node/service"}
 
-// CheckID says whether a text is a form of Rules.ID.
-func CheckID(form string) error {
-	if key, ok := strings.CutPrefix(form, "meta:"); slices.Contains(ids, form) || ok && key != "" {
+// ValidateIDForm says whether a text is a form of Rules.ID.
+func ValidateIDForm(form string) error {
+	if key, ok := strings.CutPrefix(form, "meta:"); slices.Contains(idForms, form) || ok && key != "" {
 		return nil
 	}
-	return fmt.Errorf("expected one of %s or meta:KEY, got %q", strings.Join(ids, ", "), form)
+	return fmt.Errorf("expected one of %s or meta:KEY, got %q", strings.Join(idForms, ", "), form)
 }
 
 // Read gives an instance as a box. The error names the instance and what makes it of no use; such a one is left out.
 func (r *Rules) Read(in *Instance) (membership.Entry, error) {
-	e := membership.Entry{ID: in.ID, Zone: r.Site, Kind: r.Class, Incarnation: in.Create}
+	e := membership.Entry{ID: in.ID, Zone: r.Zone, Kind: r.Kind, Incarnation: in.CreateIndex}
 	key, meta := strings.CutPrefix(r.ID, "meta:")
 	switch {
 	case meta:
@@ -88,30 +88,30 @@
 		name = in.Node + "/" + in.ID
 	}
 	if e.Zone == "" {
-		e.Zone = in.Meta[r.SiteKey]
+		e.Zone = in.Meta[r.ZoneKey]
 	}
 	if e.Kind == "" {
-		e.Kind = in.Meta[r.ClassKey]
+		e.Kind = in.Meta[r.KindKey]
 	}
-	if text := in.Meta[r.BornKey]; text != "" {
+	if text := in.Meta[r.StartedAtKey]; text != "" {
 		born, err := strconv.ParseInt(text, 10, 64)
 		if err != nil {
-			return e, fmt.Errorf("%s: %s %.32q is not a number of milliseconds", name, r.BornKey, text)
+			return e, fmt.Errorf("%s: %s %.32q is not a number of milliseconds", name, r.StartedAtKey, text)
 		}
 		e.StartedAtMS = born
 	}
-	state, warned, err := r.state(in)
+	state, warned, err := r.aggregateState(in)
 	if err != nil {
 		return e, fmt.Errorf("%s: %w", name, err)
 	}
-	e.State, e.Weight = state, float64(in.Passing)
+	e.State, e.Weight = state, float64(in.PassingWeight)
 	if warned {
-		e.Weight = float64(in.Warning)
+		e.Weight = float64(in.WarningWeight)
 	}
-	if text := in.Meta[r.CapacityKey]; text != "" && !warned {
+	if text := in.Meta[r.WeightKey]; text != "" && !warned {
 		weight, err := strconv.ParseFloat(text, 64)
 		if err != nil || !(weight > 0 && weight < 1e9) {
-			return e, fmt.Errorf("%s: %s %.32q is not a number above 0", name, r.CapacityKey, text)
+			return e, fmt.Errorf("%s: %s %.32q is not a number above 0", name, r.WeightKey, text)
 		}
 		e.Weight = weight
 	}
@@ -129,9 +129,9 @@
 	return e, nil
 }
 
-// state is the word of the checks: the worst of those that count, as Consul's own aggregation has it; maintenance,
+// aggregateState is the word of the checks: the worst of those that count, as Consul's own aggregation has it; maintenance,
 // which is meant, goes before what may follow from it.
-func (r *Rules) state(in *Instance) (state membership.State, warned bool, err error) {
+func (r *Rules) aggregateState(in *Instance) (state membership.State, warned bool, err error) {
 	state = membership.Up
 	for _, c := range in.Checks {
 		if c.ID == nodeMaintenance || strings.HasPrefix(c.ID, serviceMaintenance) {
@@ -157,11 +157,11 @@
 }
 
 func (r *Rules) counts(c Check) bool {
-	if slices.Contains(r.Ignore, c.ID) {
+	if slices.Contains(r.IgnoredChecks, c.ID) {
 		return false
 	}
 	for _, which := range r.Checks {
-		if which == "all" || which == "service" && c.Service != "" || which == "node" && c.Service == "" || which == c.ID {
+		if which == "all" || which == "service" && c.ServiceID != "" || which == "node" && c.ServiceID == "" || which == c.ID {
 			return true
 		}
 	}
--- a/internal/membership/consul/health/health_test.go
+++ b/internal/membership/consul/health/health_test.go
@@ -10,7 +10,7 @@
 )
 
 func instance(change func(*Instance)) *Instance {
-	in := &Instance{ID: "c1", Node: "n1", Address: "10.0.0.1", Port: 8443, Passing: 4, Warning: 1, Create: 7,
+	in := &Instance{ID: "c1", Node: "n1", Address: "10.0.0.1", Port: 8443, PassingWeight: 4, WarningWeight: 1, CreateIndex: 7,
 		Meta: map[string]string{"site": "edge", "class": "std"}}
 	if change != nil {
 		change(in)
@@ -26,7 +26,7 @@
 			if strings.HasPrefix(id, "node") || id == "_node_maintenance" || id == "serfHealth" {
 				service = ""
 			}
-			in.Checks = append(in.Checks, Check{ID: id, Service: service, Status: status})
+			in.Checks = append(in.Checks, Check{ID: id, ServiceID: service, Status: status})
 		}
 	}
 }
@@ -61,7 +61,7 @@
 		{name: "only one check counts", rules: func(r *Rules) { r.Checks = []string{"b"} }, in: checks("a=critical", "b=passing"), want: up},
 		{name: "maintenance counts always", rules: func(r *Rules) { r.Checks = []string{"b"} }, in: checks("_node_maintenance=critical"),
 			want: state(membership.Draining)},
-		{name: "an ignored check", rules: func(r *Rules) { r.Ignore = []string{"a"} }, in: checks("a=critical"), want: up},
+		{name: "an ignored check", rules: func(r *Rules) { r.IgnoredChecks = []string{"a"} }, in: checks("a=critical"), want: up},
 		{name: "an odd status", in: checks("a=fine"), err: `c1: check "a" has the status "fine"`},
 		{name: "capacity", in: func(in *Instance) { in.Meta["capacity"] = "12.5" }, want: with(func(e *membership.Entry) { e.Weight = 12.5 })},
 		{name: "capacity that is none", in: func(in *Instance) { in.Meta["capacity"] = "NaN" }, err: `c1: capacity "NaN"`},
@@ -75,10 +75,10 @@
 		{name: "ids by both", rules: func(r *Rules) { r.ID = "node/service" }, want: with(func(e *membership.Entry) { e.ID = "n1/c1" })},
 		{name: "ids by metadata", rules: func(r *Rules) { r.ID = "meta:box" }, in: func(in *Instance) { in.Meta["box"] = "b9" },
 			want: with(func(e *membership.Entry) { e.ID = "b9" })},
-		{name: "site and class by the settings", rules: func(r *Rules) { r.Site, r.Class = "hub", "parent" },
+		{name: "site and class by the settings", rules: func(r *Rules) { r.Zone, r.Kind = "hub", "parent" },
 			want: with(func(e *membership.Entry) { e.Zone, e.Kind = "hub", "parent" })},
 	} {
-		r := Default()
+		r := DefaultRules()
 		if c.rules != nil {
 			c.rules(&r)
 		}
@@ -94,7 +94,7 @@
 		}
 	}
 	for _, form := range []string{"", "meta:", "host"} {
-		if CheckID(form) == nil {
+		if ValidateIDForm(form) == nil {
 			t.Errorf("ids from %q: no error", form)
 		}
 	}
--- a/internal/membership/consul/register.go
+++ b/internal/membership/consul/register.go
@@ -13,8 +13,8 @@
 	"sloequay/internal/membership/consul/registrar"
 )
 
-// callLimit bounds one call for the registration.
-const callLimit = time.Second
+// callTimeout bounds one call for the registration.
+const callTimeout = time.Second
 
 // KeepRegistered keeps the doorman registered at the first agent until leave is closed, and then takes the registration back. It
 // returns when that is done. name and listen stand in where the settings tell no id and no address.
@@ -41,19 +41,19 @@
 	check := "service:" + set.ID
 	r := registrar.New(set.TTL)
 	failing := false
-	for !r.Over() {
+	for !r.Finished() {
 		action := r.Step(c.Now())
-		if action == registrar.Nothing {
+		if action == registrar.None {
 			select {
 			case <-leave:
-				r.Leave(c.Now())
+				r.Deregister(c.Now())
 				leave = nil
 			case <-time.After(max(0, r.Next()-c.Now())):
 			}
 			continue
 		}
 		was := r.Registered()
-		ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		token, _ := c.Config.token()
 		q := (&api.QueryOptions{Token: token}).WithContext(ctx)
 		agent := clients[0].Agent()
@@ -68,10 +68,10 @@
 			err = agent.ServiceDeregisterOpts(set.ID, q)
 		}
 		cancel()
-		r.Result(c.Now(), resultOf(err))
+		r.ActionCompleted(c.Now(), resultOf(err))
 		switch {
 		case err != nil && !failing:
-			c.Log("catalogue-registration-failed", "id", set.ID, "error", short(err))
+			c.Log("catalogue-registration-failed", "id", set.ID, "error", truncated(err))
 		case err == nil && action == registrar.Register && !was:
 			c.Log("catalogue-registered", "id", set.ID, "service", set.Service)
 		}
@@ -87,9 +87,9 @@
 	var status api.StatusError
 	switch {
 	case err == nil:
-		return registrar.Done
+		return registrar.Succeeded
 	case errors.As(err, &status) && status.Code == http.StatusNotFound:
-		return registrar.Unknown
+		return registrar.NotFound
 	}
 	return registrar.Failed
 }
--- a/internal/membership/consul/registrar/registrar.go
+++ b/internal/membership/consul/registrar/registrar.go
@@ -13,7 +13,7 @@
 
 // The actions.
 const (
-	Nothing Action = iota
+	None Action = iota
 	Register
 	Renew
 	Deregister
@@ -24,30 +24,30 @@
 
 // The results.
 const (
-	Done    Result = iota
-	Unknown        // the agent does not know the check or the service
-	Failed         // it did not answer, or refused
+	Succeeded Result = iota
+	NotFound         // the agent does not know the check or the service
+	Failed           // it did not answer, or refused
 )
 
-// Tries is how often a registration is tried to be taken back.
-const Tries = 3
+// MaxDeregisterAttempts is how often a registration is tried to be taken back.
+const MaxDeregisterAttempts = 3
 
 const (
-	retryFirst = 500 * time.Millisecond
-	retryMost  = 5 * time.Second
-	leaveRetry = 100 * time.Millisecond
+	minRetryDelay        = 500 * time.Millisecond
+	maxRetryDelay        = 5 * time.Second
+	deregisterRetryDelay = 100 * time.Millisecond
 )
 
 // Registrar is the state. It is not safe for concurrent use.
 type Registrar struct {
-	ttl        time.Duration
-	registered bool
-	leaving    bool
-	over       bool
-	out        Action
-	next       time.Duration
-	retry      time.Duration
-	tries      int
+	ttl                time.Duration
+	registered         bool
+	deregistering      bool
+	finished           bool
+	pending            Action
+	nextStepAt         time.Duration
+	retryDelay         time.Duration
+	deregisterAttempts int
 }
 
 // New makes one that is not registered. The TTL must be at least a second.
@@ -56,59 +56,59 @@
 // Registered says whether the agent has it, as far as is known.
 func (r *Registrar) Registered() bool { return r.registered }
 
-// Over says that it is taken back, or that this was tried often enough.
-func (r *Registrar) Over() bool { return r.over }
+// Finished says that it is taken back, or that this was tried often enough.
+func (r *Registrar) Finished() bool { return r.finished }
 
-// Leave has the registration taken back.
-func (r *Registrar) Leave(now time.Duration) {
-	if !r.leaving {
-		r.leaving, r.next = true, now
+// Deregister has the registration taken back.
+func (r *Registrar) Deregister(now time.Duration) {
+	if !r.deregistering {
+		r.deregistering, r.nextStepAt = true, now
 	}
 }
 
 // Next is when Step has something to do; it counts only while nothing is out.
-func (r *Registrar) Next() time.Duration { return r.next }
+func (r *Registrar) Next() time.Duration { return r.nextStepAt }
 
 // Step gives what is to be done by now. Result is owed for anything but Nothing.
 func (r *Registrar) Step(now time.Duration) Action {
-	if r.out != Nothing || r.over || now < r.next {
-		return Nothing
+	if r.pending != None || r.finished || now < r.nextStepAt {
+		return None
 	}
 	switch {
-	case r.leaving:
+	case r.deregistering:
 		// Also where the registration was not answered: it may have arrived.
-		r.out = Deregister
+		r.pending = Deregister
 	case r.registered:
-		r.out = Renew
+		r.pending = Renew
 	default:
-		r.out = Register
+		r.pending = Register
 	}
-	return r.out
+	return r.pending
 }
 
-// Result takes what came of the action that is out.
-func (r *Registrar) Result(now time.Duration, res Result) {
-	out := r.out
-	r.out = Nothing
+// ActionCompleted takes what came of the action that is out.
+func (r *Registrar) ActionCompleted(now time.Duration, res Result) {
+	out := r.pending
+	r.pending = None
 	if out == Deregister {
-		r.tries++
-		r.over = res != Failed || r.tries >= Tries
+		r.deregisterAttempts++
+		r.finished = res != Failed || r.deregisterAttempts >= MaxDeregisterAttempts
 		r.registered = r.registered && res == Failed
-		r.next = now + leaveRetry
+		r.nextStepAt = now + deregisterRetryDelay
 		return
 	}
 	switch {
-	case res == Done:
-		r.registered, r.retry = true, 0
-		r.next = now + r.ttl/3
-	case res == Unknown && out == Renew:
-		r.registered, r.next = false, now // an agent that has started anew
+	case res == Succeeded:
+		r.registered, r.retryDelay = true, 0
+		r.nextStepAt = now + r.ttl/3
+	case res == NotFound && out == Renew:
+		r.registered, r.nextStepAt = false, now // an agent that has started anew
 	default:
 		// It stays registered while the agent is away: the check runs out by itself, and a renewal mends that.
-		r.retry = min(max(retryFirst, 2*r.retry), retryMost, r.ttl/3)
-		r.next = now + r.retry
+		r.retryDelay = min(max(minRetryDelay, 2*r.retryDelay), maxRetryDelay, r.ttl/3)
+		r.nextStepAt = now + r.retryDelay
 	}
-	if r.leaving {
-		r.next = now
+	if r.deregistering {
+		r.nextStepAt = now
 	}
 }
--- a/internal/membership/consul/registrar/registrar_test.go
+++ b/internal/membership/consul/registrar/registrar_test.go
@@ -17,29 +17,29 @@
 		want    []Action
 		over    bool
 	}{
-		{"registered and renewed", []Result{Done, Done, Done}, -1, []Action{Register, Renew, Renew}, false},
-		{"no agent at first", []Result{Failed, Failed, Done, Done}, -1, []Action{Register, Register, Register, Renew}, false},
-		{"the agent has forgotten it", []Result{Done, Unknown, Done, Done}, -1, []Action{Register, Renew, Register, Renew}, false},
-		{"the agent is away", []Result{Done, Failed, Failed, Done}, -1, []Action{Register, Renew, Renew, Renew}, false},
-		{"taken back", []Result{Done, Done}, 1, []Action{Register, Deregister, Nothing}, true},
-		{"taken back before it was registered", []Result{Failed, Unknown}, 1, []Action{Register, Deregister, Nothing}, true},
-		{"the agent is away at the end", []Result{Done, Failed, Failed, Failed}, 1, []Action{Register, Deregister, Deregister, Deregister, Nothing}, true},
+		{"registered and renewed", []Result{Succeeded, Succeeded, Succeeded}, -1, []Action{Register, Renew, Renew}, false},
+		{"no agent at first", []Result{Failed, Failed, Succeeded, Succeeded}, -1, []Action{Register, Register, Register, Renew}, false},
+		{"the agent has forgotten it", []Result{Succeeded, NotFound, Succeeded, Succeeded}, -1, []Action{Register, Renew, Register, Renew}, false},
+		{"the agent is away", []Result{Succeeded, Failed, Failed, Succeeded}, -1, []Action{Register, Renew, Renew, Renew}, false},
+		{"taken back", []Result{Succeeded, Succeeded}, 1, []Action{Register, Deregister, None}, true},
+		{"taken back before it was registered", []Result{Failed, NotFound}, 1, []Action{Register, Deregister, None}, true},
+		{"the agent is away at the end", []Result{Succeeded, Failed, Failed, Failed}, 1, []Action{Register, Deregister, Deregister, Deregister, None}, true},
 	} {
 		r := New(9 * time.Second)
 		now := time.Second
 		var got []Action
 		for i := 0; i < len(c.want); i++ {
 			if i == c.leave {
-				r.Leave(now)
+				r.Deregister(now)
 			}
 			now = max(now, r.Next())
 			a := r.Step(now)
-			if got = append(got, a); a != Nothing {
-				r.Result(now, c.results[i])
+			if got = append(got, a); a != None {
+				r.ActionCompleted(now, c.results[i])
 			}
 		}
-		if diff := cmp.Diff(c.want, got); diff != "" || r.Over() != c.over {
-			t.Errorf("%s: over %v (-want +got):\n%s", c.name, r.Over(), diff)
+		if diff := cmp.Diff(c.want, got); diff != "" || r.Finished() != c.over {
+			t.Errorf("%s: over %v (-want +got):\n%s", c.name, r.Finished(), diff)
 		}
 	}
 }
@@ -56,19 +56,19 @@
 				t.Fatalf("the next step is %v away", r.Next()-now)
 			}
 			now = max(now, r.Next())
-			if failed > 0 && now-failed < retryFirst {
+			if failed > 0 && now-failed < minRetryDelay {
 				t.Fatalf("asked again %v after a failure", now-failed)
 			}
 			r.Step(now)
-			if r.Step(now) != Nothing {
+			if r.Step(now) != None {
 				t.Fatal("two actions are out")
 			}
 			failed = 0
-			res := rapid.SampledFrom([]Result{Done, Done, Unknown, Failed}).Draw(t, "result")
+			res := rapid.SampledFrom([]Result{Succeeded, Succeeded, NotFound, Failed}).Draw(t, "result")
 			if res == Failed {
 				failed = now
 			}
-			r.Result(now, res)
+			r.ActionCompleted(now, res)
 		}
 	})
 }
--- a/internal/membership/listwatch/listwatch.go
+++ b/internal/membership/listwatch/listwatch.go
@@ -18,19 +18,19 @@
 )
 
 const (
-	mostLine  = 1 << 20 // the whole list of a large fleet
-	mostHosts = 4096
-	// quietMost is how long a connection may say nothing: a line comes each second. What a bulletin that stopped would
+	maxLineBytes = 1 << 20 // the whole list of a large fleet
+	maxEndpoints = 4096
+	// maxSilence is how long a connection may say nothing: a line comes each second. What a bulletin that stopped would
 	// have told counts as told 4 s later, and there is a dial and a drain's own second to come.
-	quietMost   = 1600 * time.Millisecond
-	dialLimit   = time.Second
-	retryFirst  = 100 * time.Millisecond
-	retryMost   = time.Second
-	latestClock = 1 << 42 // milliseconds: some hundred years from now
+	maxSilence    = 1600 * time.Millisecond
+	dialTimeout   = time.Second
+	minRetryDelay = 100 * time.Millisecond
+	maxRetryDelay = time.Second
+	maxIssuedMS   = 1 << 42 // milliseconds: some hundred years from now
 )
 
-// states is what the list calls the states of a box.
-var states = map[string]membership.State{"up": membership.Up, "draining": membership.Draining,
+// endpointStates is what the list calls the states of a box.
+var endpointStates = map[string]membership.State{"up": membership.Up, "draining": membership.Draining,
 	"removed": membership.Gone}
 
 // Decoder decodes events for one source of the list.
@@ -46,14 +46,14 @@
 	}
 	no = e.Get("no").Int()
 	if roster := e.Get("roster"); roster.Exists() {
-		list, err := n.roster(roster)
+		list, err := n.decodeList(roster)
 		if err != nil {
 			return no, nil, fmt.Errorf("event %d: roster: %w", no, err)
 		}
 		events = append(events, list)
 	}
 	if recall := e.Get("recall"); recall.Exists() {
-		purge, err := decodeRecall(recall)
+		purge, err := decodePurge(recall)
 		if err != nil {
 			return no, nil, fmt.Errorf("event %d: recall: %w", no, err)
 		}
@@ -62,14 +62,14 @@
 	return no, events, nil
 }
 
-func (n Decoder) roster(r gjson.Result) (membership.SourceEvent, error) {
+func (n Decoder) decodeList(r gjson.Result) (membership.SourceEvent, error) {
 	hosts := r.Get("hosts").Array()
-	if !r.Get("hosts").IsArray() || len(hosts) > mostHosts {
-		return nil, fmt.Errorf("hosts: expected a list of at most %d", mostHosts)
+	if !r.Get("hosts").IsArray() || len(hosts) > maxEndpoints {
+		return nil, fmt.Errorf("hosts: expected a list of at most %d", maxEndpoints)
 	}
 	boxes := make([]membership.Endpoint, 0, len(hosts))
 	for i, h := range hosts {
-		box, err := n.box(h)
+		box, err := n.decodeEndpoint(h)
 		if err != nil {
 			return nil, fmt.Errorf("hosts[%d]: %w", i, err)
 		}
@@ -82,8 +82,8 @@
 	return membership.DeltaReceived{Source: n.Source, Version: version, Endpoints: boxes}, nil
 }
 
-func (n Decoder) box(h gjson.Result) (membership.Endpoint, error) {
-	state, ok := states[h.Get("health").String()]
+func (n Decoder) decodeEndpoint(h gjson.Result) (membership.Endpoint, error) {
+	state, ok := endpointStates[h.Get("health").String()]
 	if !ok {
 		return membership.Endpoint{}, fmt.Errorf("health %q", h.Get("health").String())
 	}
@@ -92,9 +92,9 @@
 		Weight: h.Get("share").Float(), StartedAtMS: h.Get("born_ms").Int()})
 }
 
-func decodeRecall(r gjson.Result) (membership.PurgeReceived, error) {
+func decodePurge(r gjson.Result) (membership.PurgeReceived, error) {
 	issued := r.Get("issued")
-	if issued.Type != gjson.Number || issued.Int() < 0 || issued.Int() > latestClock {
+	if issued.Type != gjson.Number || issued.Int() < 0 || issued.Int() > maxIssuedMS {
 		return membership.PurgeReceived{}, fmt.Errorf("issued %.32q", issued.Raw)
 	}
 	p := membership.PurgeReceived{Issued: time.Duration(issued.Int()) * time.Millisecond}
@@ -152,36 +152,36 @@
 	Address   string // empty: there is none
 	Decoder   Decoder
 	LastEvent int64
-	Emit      func(membership.SourceEvent)
+	Publish   func(membership.SourceEvent)
 	Now       func() time.Duration
 	Log       func(event string, fields ...any)
 
-	session *session // nil: none, and the next dial is due at again
-	retry   time.Duration
-	again   time.Duration
-	badAt   int64 // the last event before a line that could not be read
-	skip    bool  // that line came again: go on behind it
-	down    bool
+	session        *session // nil: none, and the next dial is due at again
+	retryDelay     time.Duration
+	nextDialAt     time.Duration
+	malformedEvent int64 // the last event before a line that could not be read
+	skipping       bool  // that line came again: go on behind it
+	stale          bool
 }
 
 // session is one connection to the bulletin, or the dial of one. What comes on any but the Reader's own is dropped.
 type session struct {
-	reader *Watcher
-	conn   *eventloop.Conn // nil while it is dialled
-	heard  time.Duration
+	watcher    *Watcher
+	conn       *eventloop.Conn // nil while it is dialled
+	receivedAt time.Duration
 }
 
 // Tick dials when there is no connection, and drops one that has gone quiet.
 func (r *Watcher) Tick(now time.Duration) {
 	switch s := r.session; {
-	case s != nil && s.conn != nil && now-s.heard > quietMost:
-		r.lost(fmt.Errorf("nothing came for %v", now-s.heard))
-	case s == nil && r.Address != "" && now >= r.again:
-		s = &session{reader: r}
+	case s != nil && s.conn != nil && now-s.receivedAt > maxSilence:
+		r.disconnect(fmt.Errorf("nothing came for %v", now-s.receivedAt))
+	case s == nil && r.Address != "" && now >= r.nextDialAt:
+		s = &session{watcher: r}
 		r.session = s
-		r.Loop.Dial("tcp", r.Address, dialLimit, s, func(err error) {
+		r.Loop.Dial("tcp", r.Address, dialTimeout, s, func(err error) {
 			if r.session == s {
-				r.lost(err)
+				r.disconnect(err)
 			}
 		})
 	}
@@ -193,7 +193,7 @@
 		return
 	}
 	r.drop()
-	r.Address, r.retry, r.again = address, 0, 0
+	r.Address, r.retryDelay, r.nextDialAt = address, 0, 0
 	r.Tick(r.Now())
 }
 
@@ -204,39 +204,39 @@
 	r.session = nil
 }
 
-// lost drops the connection and sets the time of the next dial.
-func (r *Watcher) lost(err error) {
-	if !r.down {
+// disconnect drops the connection and sets the time of the next dial.
+func (r *Watcher) disconnect(err error) {
+	if !r.stale {
 		r.Log("endpoint-list-stale", "error", err, "after", r.LastEvent)
-		r.Emit(membership.SourceStatus{Source: r.Decoder.Source, Silent: true})
+		r.Publish(membership.SourceStatus{Source: r.Decoder.Source, Silent: true})
 	}
-	r.down = true
+	r.stale = true
 	r.drop()
-	r.again = r.Now() + r.retry
-	r.retry = min(max(retryFirst, 2*r.retry), retryMost)
+	r.nextDialAt = r.Now() + r.retryDelay
+	r.retryDelay = min(max(minRetryDelay, 2*r.retryDelay), maxRetryDelay)
 }
 
 // Opened asks for what has happened since.
 func (s *session) Opened(c *eventloop.Conn) {
-	if s.reader.session != s { // the dial of an address that is not followed any more
+	if s.watcher.session != s { // the dial of an address that is not followed any more
 		c.Close()
 		return
 	}
-	s.conn, s.heard = c, s.reader.Now()
-	c.Send([]byte("after " + strconv.FormatInt(s.reader.LastEvent, 10) + "\n"))
+	s.conn, s.receivedAt = c, s.watcher.Now()
+	c.Send([]byte("after " + strconv.FormatInt(s.watcher.LastEvent, 10) + "\n"))
 }
 
 // Closed has the connection dialled again.
 func (s *session) Closed(_ *eventloop.Conn, err error) {
-	if s.reader.session == s {
-		s.reader.lost(fmt.Errorf("connection ended: %v", err))
+	if s.watcher.session == s {
+		s.watcher.disconnect(fmt.Errorf("connection ended: %v", err))
 	}
 }
 
 // Received takes whole lines.
 func (s *session) Received(c *eventloop.Conn) {
-	r := s.reader
-	s.heard = r.Now()
+	r := s.watcher
+	s.receivedAt = r.Now()
 	used := 0
 	for r.session == s {
 		end := bytes.IndexByte(c.In[used:], '\n')
@@ -245,27 +245,27 @@
 		}
 		line := bytes.TrimSuffix(c.In[used:used+end], []byte("\r"))
 		used += end + 1
-		r.line(line)
+		r.handleLine(line)
 	}
 	if r.session != s { // nothing more of it counts
 		used = len(c.In)
 	}
 	c.Consume(used)
-	if len(c.In) > mostLine {
-		r.lost(fmt.Errorf("a line of over %d bytes", mostLine))
+	if len(c.In) > maxLineBytes {
+		r.disconnect(fmt.Errorf("a line of over %d bytes", maxLineBytes))
 	}
 }
 
-// line takes an event, or the number of the last one alone.
-func (r *Watcher) line(line []byte) {
+// handleLine takes an event, or the number of the last one alone.
+func (r *Watcher) handleLine(line []byte) {
 	if len(line) == 0 {
 		return
 	}
 	if last, err := strconv.ParseInt(string(line), 10, 64); err == nil {
-		if last > r.LastEvent && !r.skip {
-			r.lost(fmt.Errorf("event %d was missed", r.LastEvent+1))
+		if last > r.LastEvent && !r.skipping {
+			r.disconnect(fmt.Errorf("event %d was missed", r.LastEvent+1))
 		}
-		r.settled()
+		r.caughtUp()
 		return
 	}
 	var no int64
@@ -275,38 +275,38 @@
 		no, events, err = r.Decoder.Decode(gjson.ParseBytes(line))
 	}
 	switch {
-	case err != nil && r.badAt == r.LastEvent+1:
+	case err != nil && r.malformedEvent == r.LastEvent+1:
 		// It came again after resuming, so it is what the bulletin has; go on without it.
 		r.Log("endpoint-list-event-skipped", "error", err)
-		r.skip = true
+		r.skipping = true
 		if no == r.LastEvent+1 {
 			r.LastEvent = no
 		}
 	case err != nil:
-		r.badAt = r.LastEvent + 1
+		r.malformedEvent = r.LastEvent + 1
 		r.Log("endpoint-list-bad-event", "error", err, "after", r.LastEvent)
-		r.lost(err)
+		r.disconnect(err)
 	case no <= r.LastEvent:
-	case no > r.LastEvent+1 && r.LastEvent > 0 && !r.skip:
-		r.lost(fmt.Errorf("event %d came after event %d", no, r.LastEvent))
+	case no > r.LastEvent+1 && r.LastEvent > 0 && !r.skipping:
+		r.disconnect(fmt.Errorf("event %d came after event %d", no, r.LastEvent))
 	default:
-		r.LastEvent, r.skip = no, false
+		r.LastEvent, r.skipping = no, false
 		for _, e := range events {
-			r.Emit(e)
+			r.Publish(e)
 		}
-		r.settled()
+		r.caughtUp()
 	}
 }
 
-// settled notes that the stream runs.
-func (r *Watcher) settled() {
+// caughtUp notes that the stream runs.
+func (r *Watcher) caughtUp() {
 	if r.session == nil {
 		return
 	}
-	r.Emit(membership.SourceStatus{Source: r.Decoder.Source})
-	if r.retry = 0; r.down {
+	r.Publish(membership.SourceStatus{Source: r.Decoder.Source})
+	if r.retryDelay = 0; r.stale {
 		r.Log("endpoint-list-resumed", "at", r.LastEvent)
-		r.down = false
+		r.stale = false
 	}
 }
 
@@ -326,7 +326,7 @@
 		return nil, err
 	}
 	lines := bufio.NewScanner(conn)
-	lines.Buffer(nil, mostLine)
+	lines.Buffer(nil, maxLineBytes)
 	for lines.Scan() {
 		line := bytes.TrimSpace(lines.Bytes())
 		if _, err := strconv.ParseInt(string(line), 10, 64); err == nil {
--- a/internal/proxy/sources.go
+++ b/internal/proxy/sources.go
@@ -45,7 +45,7 @@
 	for _, e := range p.known {
 		emit(e)
 	}
-	d.bulletin = &listwatch.Watcher{Loop: d.loop, Address: p.settings.ListAddress, Decoder: p.names, LastEvent: p.last, Emit: emit,
+	d.bulletin = &listwatch.Watcher{Loop: d.loop, Address: p.settings.ListAddress, Decoder: p.names, LastEvent: p.last, Publish: emit,
 		Now: d.clock.Monotonic, Log: d.log.Event}
 	if p.own.Catalogue == nil {
 		return
