--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,16 +1,16 @@
-// Package clock tells apart the two times that a long-running program needs: a monotonic one for deadlines, timers, budgets
-// and ages, and Unix time, which operators and time servers set, for what others have stamped or will read.
+// Package clock tells apart the two times that a long-running program needs: a monotonic one for deadlines, timers,
+// budgets and ages, and Unix time, which operators and time servers set, for what others have stamped or will read.
 //
-// System reads the machine's clocks; the assembly builds one and passes it in. Tracker follows the offset between the two
-// times for code that is stepped: it reads no clock, its caller hands in both readings.
+// System reads the machine's clocks; the assembly builds one and passes it in. Tracker follows the offset between the
+// two times for code that is stepped: it reads no clock, its caller hands in both readings.
 package clock
 
 import "time"
 
 // System is a process's source of both times.
 //
-// Monotonic time starts as the Unix time at which the System was built, and goes on at its own rate whatever is done to the
-// Unix clock. Unix time is the machine's, plus the offset that SetOffset has set.
+// Monotonic time starts as the Unix time at which the System was built, and goes on at its own rate whatever is done
+// to the Unix clock. Unix time is the machine's, plus the offset that SetOffset has set.
 type System struct {
 	started time.Time // with Go's monotonic reading
 	offset  time.Duration
@@ -20,8 +20,8 @@
 // NewSystem builds a process's clock. The start of the process counts from here.
 func NewSystem() *System { return &System{started: time.Now(), drift: newDrift()} }
 
-// SetOffset sets by how much Unix time is ahead of the machine's, for drills. It must be called before anything reads the
-// clock on another goroutine.
+// SetOffset sets by how much Unix time is ahead of the machine's, for drills. It must be called before anything reads
+// the clock on another goroutine.
 func (s *System) SetOffset(offset time.Duration) { s.offset = offset }
 
 // Started is the monotonic time of the start.
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -10,8 +10,9 @@
 	before := time.Now()
 	system := NewSystem()
 	after := time.Now()
-	if got := system.Started(); got < time.Duration(before.UnixNano()) || got > time.Duration(after.UnixNano()) {
-		t.Errorf("Started() = %v, want the Unix time at which NewSystem ran, %v to %v", got, before, after)
+	earliest, latest := time.Duration(before.UnixNano()), time.Duration(after.UnixNano())
+	if got := system.Started(); got < earliest || got > latest {
+		t.Errorf("Started() = %v, want the Unix time at which NewSystem ran, %v to %v", got, earliest, latest)
 	}
 	uptime := system.Uptime()
 	monotonic := system.Monotonic()
--- a/internal/clock/tracker.go
+++ b/internal/clock/tracker.go
@@ -6,8 +6,8 @@
 // is a time server's slewing (at most 0.05%, RFC 5905) or the delay between the readings.
 const MinStep = 500 * time.Millisecond
 
-// Tracker follows the offset of the Unix clock from the monotonic one, and finds steps of it. Its zero value has seen no
-// reading.
+// Tracker follows the offset of the Unix clock from the monotonic one, and finds steps of it. Its zero value has seen
+// no reading.
 //
 // Invariants: Offset is the newest reading's, so that Monotonic and Unix undo one another; a step is reported once.
 type Tracker struct {
