--- a/internal/broker/crossings_test.go
+++ b/internal/broker/crossings_test.go
@@ -466,18 +466,18 @@
 	x.write(0)
 	first := x.out[0]
 	x.b.effects = x.b.effects[:0]
-	x.b.get(policy.SendAttempt{ID: r.id, Endpoint: first.Endpoint.ID, Source: first.Endpoint.ID}) // beside the one that is out
+	x.b.sendAttempt(policy.SendAttempt{ID: r.id, Endpoint: first.Endpoint.ID, Source: first.Endpoint.ID}) // beside the one that is out
 	for _, e := range x.b.effects {
 		if _, ok := e.(SendAttempt); ok {
 			t.Error("a second attempt goes out beside the first, where second copies are not allowed")
 		}
 	}
-	if n := len(x.b.queue); n == 0 {
+	if n := len(x.b.pending); n == 0 {
 		t.Error("the second attempt has no end")
-	} else if e, ok := x.b.queue[n-1].(AttemptEnded); !ok || e.Attempt == first || e.End != Blocked {
-		t.Errorf("the second attempt ends with %+v, want that it never ran", x.b.queue[n-1])
+	} else if e, ok := x.b.pending[n-1].(AttemptEnded); !ok || e.Attempt == first || e.End != Blocked {
+		t.Errorf("the second attempt ends with %+v, want that it never ran", x.b.pending[n-1])
 	}
-	x.b.queue = nil
+	x.b.pending = nil
 	quit := false
 	r.Canceled = true
 	for _, e := range x.b.Round(x.now, []Event{RequestCanceled{r}}) {
--- /dev/null
+++ b/internal/broker/endpoints.go
@@ -0,0 +1,173 @@
+package broker
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"sloequay/internal/policy"
+)
+
+// rememberDeparted is how long an endpoint that is gone is remembered: its connections may not have ended yet, its name
+// may come again, and its address is blocked for endpoints that a name server gives it to.
+const rememberDeparted = time.Minute
+
+// The offset basis and the prime of the 64-bit FNV-1a hash.
+const (
+	fnvOffset = 14695981039346656037
+	fnvPrime  = 1099511628211
+)
+
+// Endpoint is a server of the list: a cache, a parent or the origin. Its fields follow the list.
+type Endpoint struct {
+	policy.Endpoint
+	Name    string // its id in the list and to clients
+	Address string // host:port
+
+	changedAt     time.Duration // when the list last changed it
+	reportedStart time.Duration // its most recent start as reported, on the Unix clock; 0: long ago
+}
+
+// usable says whether attempts may be sent to the endpoint.
+func (e *Endpoint) usable() bool { return e.State == policy.Ready }
+
+// endpointIndex finds endpoints by their id, name and address. It forgets those that departed long ago.
+type endpointIndex struct {
+	byID       map[policy.EndpointID]*Endpoint
+	ids        map[string]policy.EndpointID // by name
+	byName     map[string]*Endpoint         // by name in lower case
+	byAddress  map[string][]*Endpoint       // mostly one, and those that were there before
+	departures []departure                  // in the order of time
+}
+
+// departure is that an endpoint was gone at a time. It may be back, or have departed again, since.
+type departure struct {
+	endpoint *Endpoint
+	at       time.Duration
+}
+
+// endpointUpdate is what a change of the list came to.
+type endpointUpdate struct {
+	endpoint  *Endpoint
+	isNew     bool
+	restarted bool // it has started anew or is at another address
+}
+
+func newEndpointIndex() endpointIndex {
+	return endpointIndex{
+		byID:      map[policy.EndpointID]*Endpoint{},
+		ids:       map[string]policy.EndpointID{},
+		byName:    map[string]*Endpoint{},
+		byAddress: map[string][]*Endpoint{},
+	}
+}
+
+// named finds an endpoint by its name, without regard to case.
+func (x *endpointIndex) named(name string) *Endpoint { return x.byName[strings.ToLower(name)] }
+
+// addressBlocked says whether an address is that of endpoints which take nothing new, or lately did.
+func (x *endpointIndex) addressBlocked(address string, now time.Duration) bool {
+	blocked := false
+	for _, endpoint := range x.byAddress[address] {
+		if endpoint.usable() {
+			return false
+		}
+		blocked = blocked || endpoint.State == policy.Draining || now-endpoint.changedAt < rememberDeparted
+	}
+	return blocked
+}
+
+// update takes over what the list says of one endpoint, if that is anything new. The offset is that of the Unix clock
+// over now.
+func (x *endpointIndex) update(reported Endpoint, now, offset time.Duration) (endpointUpdate, bool) {
+	if _, known := x.ids[reported.Name]; !known && reported.State == policy.Gone {
+		return endpointUpdate{}, false // its name is not to be remembered either
+	}
+	id := x.assignID(reported.Name)
+	endpoint := x.byID[id]
+	var previous Endpoint
+	switch {
+	case endpoint == nil:
+		endpoint = &Endpoint{}
+		x.byID[id] = endpoint
+		x.byName[strings.ToLower(reported.Name)] = endpoint
+	case reported.State == policy.Gone && endpoint.State == policy.Gone:
+		return endpointUpdate{}, false
+	case reported.State == policy.Gone:
+		// The other fields of such a report may be missing.
+		previous = *endpoint
+		reported = previous
+		reported.State = policy.Gone
+	default:
+		previous = *endpoint
+	}
+	isNew := previous.Name == ""
+	reported.ID = id
+	reported.StartedAt = previous.StartedAt
+	if reported.reportedStart != previous.reportedStart { // compared as reported: the offset may have changed since
+		reported.StartedAt = startTime(reported.reportedStart, offset)
+	}
+	if reported.Address != previous.Address || isNew {
+		x.detach(endpoint, previous.Address)
+		x.byAddress[reported.Address] = append(x.byAddress[reported.Address], endpoint)
+	}
+	*endpoint = reported
+	endpoint.changedAt = now
+	if reported.State == policy.Gone {
+		x.departures = append(x.departures, departure{endpoint, now})
+	}
+	restarted := reported.StartedAt != previous.StartedAt || reported.Address != previous.Address
+	return endpointUpdate{endpoint, isNew, restarted}, true
+}
+
+// startTime converts a reported start to the broker's clock; 0: long ago.
+func startTime(reported, offset time.Duration) time.Duration {
+	if reported == 0 {
+		return 0
+	}
+	return max(1, reported-offset)
+}
+
+// forget drops endpoints that have been gone for long, the earliest first.
+func (x *endpointIndex) forget(now time.Duration) {
+	for len(x.departures) > 0 && now-x.departures[0].at > rememberDeparted {
+		endpoint := x.departures[0].endpoint
+		x.departures = x.departures[1:]
+		isBack := endpoint.State != policy.Gone || now-endpoint.changedAt <= rememberDeparted
+		if isBack || x.byID[endpoint.ID] != endpoint {
+			continue
+		}
+		delete(x.byID, endpoint.ID)
+		delete(x.ids, endpoint.Name)
+		if name := strings.ToLower(endpoint.Name); x.byName[name] == endpoint {
+			delete(x.byName, name)
+		}
+		x.detach(endpoint, endpoint.Address)
+	}
+}
+
+// detach takes an endpoint off an address.
+func (x *endpointIndex) detach(endpoint *Endpoint, address string) {
+	rest := slices.DeleteFunc(x.byAddress[address], func(other *Endpoint) bool { return other == endpoint })
+	if len(rest) == 0 {
+		delete(x.byAddress, address)
+		return
+	}
+	x.byAddress[address] = rest
+}
+
+// assignID returns the id of a name, which is the same at every proxy, for the hashes that they share.
+func (x *endpointIndex) assignID(name string) policy.EndpointID {
+	if id, ok := x.ids[name]; ok {
+		return id
+	}
+	id := policy.EndpointID(fnvOffset)
+	for i := range len(name) {
+		id = (id ^ policy.EndpointID(name[i])) * fnvPrime
+	}
+	for id == 0 || x.byID[id] != nil {
+		id++
+	}
+	x.ids[name] = id
+	return id
+}
--- a/internal/broker/index_test.go
+++ b/internal/broker/index_test.go
@@ -34,7 +34,7 @@
 
 // boxByWalk and barredByWalk are the plain ways: a look at every box.
 func boxByWalk(b *Broker, host string) *Endpoint {
-	for _, box := range b.boxes {
+	for _, box := range b.endpoints.byID {
 		if strings.EqualFold(box.Name, host) {
 			return box
 		}
@@ -44,12 +44,12 @@
 
 func barredByWalk(b *Broker, address string) bool {
 	barred := false
-	for _, box := range b.boxes {
+	for _, box := range b.endpoints.byID {
 		if box.Address == address {
-			if usable(box) {
+			if box.usable() {
 				return false
 			}
-			barred = barred || box.State == policy.Draining || b.now-box.told < leftFor
+			barred = barred || box.State == policy.Draining || b.now-box.changedAt < rememberDeparted
 		}
 	}
 	return barred
@@ -93,11 +93,11 @@
 			}
 		}
 		b.Round(now, []Event{EndpointList{}})
-		b.Round(now+2*goneFor, []Event{EndpointDelta{Endpoints: []membership.Endpoint{testBox("last", "10.0.0.9:1", membership.Up)}}})
-		b.Round(now+2*goneFor, []Event{EndpointList{}})
-		b.Round(now+4*goneFor, []Event{EndpointDelta{Endpoints: []membership.Endpoint{testBox("last", "10.0.0.9:1", membership.Up)}}})
-		b.Round(now+4*goneFor, []Event{EndpointList{}})
-		if n := len(b.boxes) + len(b.hosts) + len(b.byName) + len(b.byDial) + len(b.gone); n != 5 {
+		b.Round(now+2*rememberDeparted, []Event{EndpointDelta{Endpoints: []membership.Endpoint{testBox("last", "10.0.0.9:1", membership.Up)}}})
+		b.Round(now+2*rememberDeparted, []Event{EndpointList{}})
+		b.Round(now+4*rememberDeparted, []Event{EndpointDelta{Endpoints: []membership.Endpoint{testBox("last", "10.0.0.9:1", membership.Up)}}})
+		b.Round(now+4*rememberDeparted, []Event{EndpointList{}})
+		if n := len(b.endpoints.byID) + len(b.endpoints.ids) + len(b.endpoints.byName) + len(b.endpoints.byAddress) + len(b.endpoints.departures); n != 5 {
 			t.Fatalf("%d entries are left of boxes that are gone for long, want the 5 of the last one", n)
 		}
 	})
--- a/internal/broker/list_test.go
+++ b/internal/broker/list_test.go
@@ -34,22 +34,22 @@
 func TestLargeListComesInRounds(t *testing.T) {
 	b := listed(t)
 	now := 1000 * time.Second
-	boxes := fleet(3 * changesMost)
+	boxes := fleet(3 * maxChangesPerRound)
 	b.Round(now, []Event{EndpointList{Source: 1, List: membership.List{Endpoints: boxes}}})
 	rounds := 1
 	for b.members.HasChanges() {
 		if b.Next() > now {
 			t.Fatalf("the next round is due at %v, now is %v", b.Next(), now)
 		}
-		before := len(b.boxes)
+		before := len(b.endpoints.byID)
 		b.Round(now, nil)
-		if n := len(b.boxes) - before; n > changesMost {
+		if n := len(b.endpoints.byID) - before; n > maxChangesPerRound {
 			t.Fatalf("one round took over %d boxes", n)
 		}
 		rounds++
 	}
-	if len(b.boxes) != len(boxes) || rounds < 3 {
-		t.Errorf("%d boxes of %d in %d rounds", len(b.boxes), len(boxes), rounds)
+	if len(b.endpoints.byID) != len(boxes) || rounds < 3 {
+		t.Errorf("%d boxes of %d in %d rounds", len(b.endpoints.byID), len(boxes), rounds)
 	}
 	// A drain among many changes is taken over in the first round.
 	for i := range boxes {
@@ -76,8 +76,8 @@
 			told = told || e.Event == "list-loss-suspected"
 		}
 	}
-	if !asked || !told || len(b.boxes) != 10 {
-		t.Errorf("asked %v, told %v, %d boxes", asked, told, len(b.boxes))
+	if !asked || !told || len(b.endpoints.byID) != 10 {
+		t.Errorf("asked %v, told %v, %d boxes", asked, told, len(b.endpoints.byID))
 	}
 }
 
@@ -101,7 +101,7 @@
 			b.ReportMetric(float64(worst.Microseconds())/1000, "hold-ms")
 		}
 		rounds := func(br *Broker, now time.Duration) (steps []func()) {
-			for range n/changesMost + 4 {
+			for range n/maxChangesPerRound + 4 {
 				steps = append(steps, func() { br.Round(now, nil) })
 			}
 			return steps
@@ -117,8 +117,8 @@
 				}
 				worst = max(worst, longest(func() { br.Round(now, []Event{EndpointList{Source: 1, List: membership.List{Endpoints: boxes}}}) }))
 				worst = max(worst, longest(rounds(br, now)...))
-				if len(br.boxes) != n {
-					b.Fatalf("%d boxes of %d", len(br.boxes), n)
+				if len(br.endpoints.byID) != n {
+					b.Fatalf("%d boxes of %d", len(br.endpoints.byID), n)
 				}
 			}
 			report(b, worst)
--- /dev/null
+++ b/internal/broker/log.go
@@ -0,0 +1,43 @@
+package broker
+
+import "sloequay/internal/membership"
+
+// log adds an entry to the effects: an event of docs/on-call.md and its fields, names and values in turn.
+func (b *Broker) log(event string, fields ...any) { b.emit(LogEntry{event, fields}) }
+
+// logChange reports what is new about an endpoint, and which source decided.
+func (b *Broker) logChange(change membership.Change) {
+	event := "endpoint-" + change.Kind.String()
+	fields := []any{"endpoint", change.Endpoint.ID, "address", change.Endpoint.Address}
+	if change.DecidedBy >= 0 {
+		fields = append(fields, "source", b.members.Sources()[change.DecidedBy].Name)
+	}
+	if change.Reason != membership.Reported {
+		fields = append(fields, "reason", change.Reason)
+	}
+	b.log(event, fields...)
+}
+
+// logListNotes reports what the merged view notes of its sources.
+func (b *Broker) logListNotes() {
+	notes, omitted := b.members.Notes()
+	for _, note := range notes {
+		fields := []any{"source", b.members.Sources()[note.Source].Name}
+		if note.Endpoint != "" {
+			fields = append(fields, "endpoint", note.Endpoint)
+		}
+		if note.Other != "" {
+			fields = append(fields, "other", note.Other)
+		}
+		if note.Count > 0 {
+			fields = append(fields, "endpoints", note.Count, "of", note.Of)
+		}
+		if note.For > 0 {
+			fields = append(fields, "for", note.For)
+		}
+		b.log(note.Kind.String(), fields...)
+	}
+	if omitted > 0 {
+		b.log("list-notes-omitted", "omitted", omitted)
+	}
+}
--- a/internal/broker/request.go
+++ b/internal/broker/request.go
@@ -1,34 +1,45 @@
 package broker
 
 import (
+	"slices"
 	"time"
 
+	"sloequay/internal/concurrency"
 	"sloequay/internal/identity"
 	"sloequay/internal/policy"
 	"sloequay/internal/quota"
 	"sloequay/internal/route"
 )
 
-// Frontend is the front that a request came by. It gets the final answer exactly once, unless it withdrew the request.
-type Frontend interface {
-	Respond(r *Request, f Response)
-}
+const (
+	// responseMargin is taken off a client's time-out, which counts from the request's last byte: the loop may come to
+	// read it late, and to respond late. With 15 ms a request of a day at full load had its response too late by 58 ms.
+	responseMargin = 50 * time.Millisecond
+	// halfTimeMargin is taken off the half of a request's time-out, by which it is rejected if none of its attempts
+	// reached an endpoint: later that costs more, and a response would hardly come in time any more.
+	halfTimeMargin = 20 * time.Millisecond
+	// Of short time-outs the margins take no more than these parts.
+	responseMarginPart = 8
+	halfTimeMarginPart = 16
+
+	bytesPerKB = 1024
+)
 
-// Request is what a client asked for. A front fills the exported fields; the rest is the broker's.
+// Request is what a client requested. A frontend fills in the exported fields; the rest is the broker's.
 type Request struct {
 	Frontend    Frontend
-	ID          string // the client's own id of this try
+	ID          string // the client's own id of this attempt
 	Class       int
 	Team        string
 	Service     string       // whose it is; empty: the only one
-	Zone        string       // that a DNS query asked in; empty: another front
+	Zone        string       // that a DNS query named; empty: another frontend
 	Route       route.Choice // which pool it went to
 	Object      uint64
 	ObjectName  string // Object as the client wrote it
 	Part        int
-	Group       int    // -1: not told
-	Key         string // in keyed classes: the same for all tries
-	ETag        string // the tag of the copy that the client holds
+	Group       int    // invalidation.AnyGroup: unknown
+	Key         string // in classes with an idempotency key: the same for all attempts
+	ETag        string // the tag of the copy that the client has
 	SizeKB      float64
 	MarkedRetry bool // the client marked it as its own retry
 	Body        []byte
@@ -36,77 +47,180 @@
 	Caller      *identity.Caller // the connection that it came by, as identity knows it
 	ReceivedAt  time.Duration    // of its last byte
 	Timeout     time.Duration    // that the client waits
-	// Canceled is set by the front with the Withdrawal. A request that is taken back in the round it came in is not
-	// taken up at all: hundreds of those must not reach the boxes.
+	// Canceled is set by the frontend with RequestCanceled. A request that is canceled in the round it came in is not
+	// admitted at all: hundreds of those must not reach the endpoints.
 	Canceled bool
 
-	id       policy.RequestID
-	deadline time.Duration // by which the answer must be on its way
-	attempts []*Attempt
-	ended    bool
-	admitted bool             // it holds what grant says
-	grant    quota.Grant      // that it and its attempts are charged to
-	over     *quota.Rejection // the budget that held an attempt back
-}
-
-// Response is the one answer to a request.
-type Response struct {
-	Kind       ResponseKind
-	Endpoint   *Endpoint     // that served it
-	Address    string        // where it did
-	Body       []byte        // with Answered
-	Fields     []Field       // that the box sent with its answer
-	RetryAfter time.Duration // with Refusal: to stay away; 0: no advice
-	Budget     string        // with Refusal: which one was used up; empty: none
-	Reason     string        // with Refusal and Failure for people, with Denied a word of identity
+	id        policy.RequestID
+	state     requestState
+	deadline  time.Duration // by which the response must be on its way
+	attempts  []*Attempt
+	grant     quota.Grant      // that it and its attempts are charged to while it is open
+	rejection *quota.Rejection // of the budget that blocked an attempt; nil: none did
 }
 
-// ResponseKind says what a final answer is.
-type ResponseKind int
+// requestState is where a request stands. The package's doc comment has the transitions.
+type requestState uint8
 
-// The kinds of final answers.
 const (
-	ResponseServed      ResponseKind = iota
-	ResponseNotModified              // the client's copy is the one
-	ResponseRejected                 // a further try is harmless
-	ResponseFailed                   // nothing is promised
-	ResponseDenied                   // the caller may not; Reason says why
+	requestNew   requestState = iota // not admitted
+	requestOpen                      // admitted: it has its grant, its ids and its timers
+	requestEnded                     // it has its response, or was canceled
 )
 
-// Field is a name with its value.
-type Field struct{ Name, Value string }
+// anyWritten says whether an attempt of the request has reached an endpoint, as far as is known.
+func (r *Request) anyWritten() bool {
+	return slices.ContainsFunc(r.attempts, func(attempt *Attempt) bool { return attempt.Written })
+}
+
+// class returns the class of a request.
+func (b *Broker) class(request *Request) *policy.Class { return &b.config.Classes[request.Class] }
+
+// receive takes a request in: from here on it is due exactly one response, unless it is canceled.
+func (b *Broker) receive(request *Request) {
+	if request.Canceled {
+		request.state = requestEnded
+		return
+	}
+	request.deadline = request.ReceivedAt + request.Timeout - min(responseMargin, request.Timeout/responseMarginPart)
+	if b.byClientID[request.ID] != nil {
+		// Endpoints and responses tell requests apart by this id: a second one could get the first one's response.
+		b.respond(request, Response{Kind: ResponseFailed, Reason: reasonDuplicateID})
+		return
+	}
+	if len(b.open) >= b.maxOpen {
+		b.respond(request, b.rejection(request, reasonTooManyOpen))
+		return
+	}
+	class := b.class(request)
+	cost := quota.Cost{PriorityWeight: class.PriorityWeight, Bytes: request.SizeKB * bytesPerKB}
+	grant, rejection := b.quotas.Admit(b.now, request.Team, request.Service, class.Name, cost)
+	if rejection != nil {
+		b.respond(request, quotaRejection(rejection))
+		return
+	}
+	b.admit(request, grant)
+}
+
+// admit opens a request and has the policy decide about it.
+func (b *Broker) admit(request *Request, grant quota.Grant) {
+	b.lastID++
+	request.id = b.lastID
+	request.state = requestOpen
+	request.grant = grant
+	b.open[request.id] = request
+	b.byClientID[request.ID] = request
+	halfTime := request.ReceivedAt + request.Timeout/2 - min(halfTimeMargin, request.Timeout/halfTimeMarginPart)
+	b.timers.push(timer{at: request.deadline, kind: deadlineTimer, request: request})
+	b.timers.push(timer{at: halfTime, kind: halfTimeTimer, request: request})
+	b.notify(policy.RequestEvent{
+		ID:        request.id,
+		Class:     request.Class,
+		Object:    request.Object,
+		Part:      request.Part,
+		Group:     request.Group,
+		Remaining: request.deadline - b.now,
+		SizeKB:    request.SizeKB,
+		Retry:     request.MarkedRetry,
+	})
+}
+
+// cancel ends a request whose client does not wait any more. It may not have been received yet.
+func (b *Broker) cancel(request *Request) {
+	if request.state == requestEnded {
+		return
+	}
+	b.close(request, concurrency.NoSignal)
+	b.notify(policy.ClientGoneEvent{ID: request.id})
+}
 
-// Endpoint is a server of the list: a cache, a parent or the origin. Its fields follow the list.
-type Endpoint struct {
-	policy.Endpoint
-	Name    string // its id on the sockets
-	Address string // host:port
-	told    time.Duration
-	born    time.Duration // its most recent start as it was told, on the Unix clock
+// passHalfTime rejects a request of which nothing has reached an endpoint in half of its time.
+func (b *Broker) passHalfTime(request *Request) {
+	if request.state == requestEnded || request.anyWritten() {
+		return
+	}
+	b.respond(request, b.rejection(request, reasonNoEndpointReached))
+	b.notify(policy.ClientGoneEvent{ID: request.id})
 }
 
-// Attempt is one sending of a request to a box.
-type Attempt struct {
-	Request      *Request
-	Number       int // from 0
-	Endpoint     *Endpoint
-	Source       *Endpoint // Box itself: no fill
-	CacheRank    int
-	MaxAge       time.Duration // oldest copy that will do; 0: the class's own limit
-	JoinFill     bool
-	CachedOnly   bool
-	BypassParent bool
-	Revalidate   bool
-	Deadline     time.Duration
-	Written      bool // by the pool: it went out whole, as far as is known
-
-	sent     time.Duration
-	ended    bool
-	neverRan bool // as its end proves
+// passDeadline ends a request. The policy may respond to the end of the attempts; else the request has failed.
+func (b *Broker) passDeadline(request *Request) {
+	if request.state == requestEnded {
+		return
+	}
+	for _, attempt := range request.attempts {
+		if attempt.Open() {
+			b.timeOut(attempt)
+		}
+	}
+	if request.state == requestEnded {
+		return
+	}
+	b.respond(request, Response{Kind: ResponseFailed, Reason: reasonDeadlinePassed})
+	b.notify(policy.ClientGoneEvent{ID: request.id})
 }
 
-// Open says whether the attempt has no end yet.
-func (a *Attempt) Open() bool { return !a.ended }
+// conclude responds to a request as the policy decided. The response of a budget that blocked an attempt says more than
+// the policy's rejection.
+func (b *Broker) conclude(id policy.RequestID, response Response) {
+	request := b.open[id]
+	if request == nil {
+		return
+	}
+	if request.rejection != nil && response.Kind == ResponseRejected {
+		response = quotaRejection(request.rejection)
+	}
+	b.respond(request, response)
+}
+
+// respond gives a request its one response.
+func (b *Broker) respond(request *Request, response Response) {
+	if request.state == requestEnded {
+		return
+	}
+	b.close(request, b.loadSignal(request, response))
+	b.emit(Respond{request, response})
+}
 
-// ObjectZero stands for the object 0, which in the module's purges means "a whole group".
-const ObjectZero = 1 << 63
+// loadSignal is what a response says of the load on the endpoints.
+func (b *Broker) loadSignal(request *Request, response Response) concurrency.Outcome {
+	switch {
+	case response.Kind == ResponseServed || response.Kind == ResponseNotModified:
+		objective := b.latencyObjective(request)
+		if objective > 0 && b.now-request.ReceivedAt > objective {
+			return concurrency.ObjectiveMissed
+		}
+		return concurrency.InTime
+	case response.Budget != "":
+		return concurrency.NoSignal
+	}
+	return concurrency.Rejected
+}
+
+// latencyObjective is the time in which a response is wanted, which grows with its size; 0: there is none.
+func (b *Broker) latencyObjective(request *Request) time.Duration {
+	class := b.class(request)
+	objective := class.LatencyObjective
+	if b.config.FlowKBps > 0 {
+		seconds := class.ObjectiveStretch * request.SizeKB / b.config.FlowKBps
+		objective += time.Duration(seconds * float64(time.Second))
+	}
+	return objective
+}
+
+// close ends a request: its grant is released, and the attempts that are still open are canceled.
+func (b *Broker) close(request *Request, outcome concurrency.Outcome) {
+	if request.state == requestOpen {
+		delete(b.open, request.id)
+		delete(b.byClientID, request.ID)
+		request.grant.ReleaseWithOutcome(b.now, outcome, b.now-request.ReceivedAt)
+	}
+	request.state = requestEnded
+	for _, attempt := range request.attempts {
+		if attempt.Open() {
+			attempt.state = attemptEnded
+			b.emit(CancelAttempt{Attempt: attempt})
+		}
+	}
+	request.Body = nil
+}
