--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -197,281 +197,281 @@
 func (SourceStatus) isEffect() {}
 func (LogEntry) isEffect()     {}
 
-// content is a list with its boxes by id.
-type content struct {
+// endpointList is a list with its boxes by id.
+type endpointList struct {
 	ListVersion
-	boxes []membership.Endpoint
+	endpoints []membership.Endpoint
 }
 
-// claim is what a peer has told last of a list.
-type claim struct {
+// peerAdvertisement is what a peer has told last of a list.
+type peerAdvertisement struct {
 	Advertisement
-	peer string
-	at   time.Duration
+	peer       string
+	receivedAt time.Duration
 }
 
-// fetch is a list that is being fetched.
-type fetch struct {
+// fetchState is a list that is being fetched.
+type fetchState struct {
 	ListVersion
-	from  string
-	parts [][]membership.Endpoint
-	got   int
-	until time.Duration
-	tries int
-	asked map[string]bool
-}
-
-// list is what is known of one list.
-type list struct {
-	held    *content // in force
-	own     bool     // by the service's own word
-	older   []*content
-	claims  []claim  // newest last
-	waiting *content // fetched, and not believed yet
-	since   time.Duration
-	hinted  time.Duration // when waiting was used as a hint; 0: it was not
-	fetch   *fetch
-	silent  bool
-	told    time.Duration // when the service was last heard by ourselves
+	peer      string
+	parts     [][]membership.Endpoint
+	received  int
+	deadline  time.Duration
+	attempts  int
+	requested map[string]bool
+}
+
+// listState is what is known of one list.
+type listState struct {
+	current        *endpointList // in force
+	fromService    bool          // by the service's own word
+	history        []*endpointList
+	advertisements []peerAdvertisement // newest last
+	candidate      *endpointList       // fetched, and not believed yet
+	candidateSince time.Duration
+	hintedAt       time.Duration // when waiting was used as a hint; 0: it was not
+	fetch          *fetchState
+	silent         bool
+	serviceSeenAt  time.Duration // when the service was last heard by ourselves
 }
 
 // Machine is the state of one doorman.
 type Machine struct {
-	cfg       Config
-	now       time.Duration
-	began     time.Duration
-	alone     time.Duration // when it asks by itself if no peer is heard
-	rng       *rand.Rand
-	peers     []Peer // of the own zone, by name, without this one
-	others    map[string]bool
-	all       []string // the same by name, of all zones
-	met       bool     // some peer was ever in view
-	lists     []list
-	follows   bool
-	since     time.Duration // when that last changed
-	should    time.Duration // when it was last right to follow
-	look      time.Duration // until when a look by ourselves goes on
-	looked    time.Duration // when the last one began
-	beat      time.Duration // when the next digest is due
-	distrust  map[string]time.Duration
-	served    map[uint64][]string // who was served a whole list of late, by sum
-	inquiry   time.Duration       // when others are next asked what they hold
-	replies   int
-	repliesAt time.Duration
-	serves    int
-	servesAt  time.Duration
-	out       []Effect
+	config           Config
+	now              time.Duration
+	startedAt        time.Duration
+	isolatedPollAt   time.Duration // when it asks by itself if no peer is heard
+	random           *rand.Rand
+	zonePeers        []Peer // of the own zone, by name, without this one
+	members          map[string]bool
+	memberNames      []string // the same by name, of all zones
+	peersSeen        bool     // some peer was ever in view
+	lists            []listState
+	polling          bool
+	since            time.Duration // when that last changed
+	pollNeededAt     time.Duration // when it was last right to follow
+	confirmUntil     time.Duration // until when a look by ourselves goes on
+	confirmStartedAt time.Duration // when the last one began
+	nextHeartbeat    time.Duration // when the next digest is due
+	distrustedUntil  map[string]time.Duration
+	servedPeers      map[uint64][]string // who was served a whole list of late, by sum
+	nextInquiry      time.Duration       // when others are next asked what they hold
+	replies          int
+	repliesAt        time.Duration
+	serves           int
+	servesAt         time.Duration
+	effects          []Effect
 }
 
 // New makes a machine at a time.
 func New(now time.Duration, cfg Config) *Machine {
 	cfg = cfg.WithDefaults()
-	m := &Machine{cfg: cfg, now: now, began: now, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)), others: map[string]bool{},
-		lists: make([]list, cfg.Lists), distrust: map[string]time.Duration{}, served: map[uint64][]string{}}
-	m.alone, m.looked = now+m.jitter(), now-MinConfirmInterval
-	m.beat = now + time.Duration(m.rng.Int64N(int64(HeartbeatInterval)))
-	m.inquiry = now + SettleTime
+	m := &Machine{config: cfg, now: now, startedAt: now, random: rand.New(rand.NewPCG(cfg.Seed, cfg.Incarnation)), members: map[string]bool{},
+		lists: make([]listState, cfg.Lists), distrustedUntil: map[string]time.Duration{}, servedPeers: map[uint64][]string{}}
+	m.isolatedPollAt, m.confirmStartedAt = now+m.jitter(), now-MinConfirmInterval
+	m.nextHeartbeat = now + time.Duration(m.random.Int64N(int64(HeartbeatInterval)))
+	m.nextInquiry = now + SettleTime
 	return m
 }
 
 // jitter draws from the window of the whole fleet.
 func (m *Machine) jitter() time.Duration {
-	window := time.Duration(m.cfg.Fleet) * WindowPerProxy
-	if m.cfg.Fleet == 1 {
+	window := time.Duration(m.config.Fleet) * WindowPerProxy
+	if m.config.Fleet == 1 {
 		return 0
 	}
-	return time.Duration(m.rng.Int64N(int64(max(MinWindow, window))))
+	return time.Duration(m.random.Int64N(int64(max(MinWindow, window))))
 }
 
-func (m *Machine) do(e Effect) { m.out = append(m.out, e) }
+func (m *Machine) addEffect(e Effect) { m.effects = append(m.effects, e) }
 
-func (m *Machine) take() []Effect {
-	out := m.out
-	m.out = nil
+func (m *Machine) takeEffects() []Effect {
+	out := m.effects
+	m.effects = nil
 	return out
 }
 
 // PeersChanged tells which other doormans live, in any order.
 func (m *Machine) PeersChanged(now time.Duration, peers []Peer) []Effect {
 	m.now = max(m.now, now)
-	if !m.met && len(peers) > 0 && m.cfg.Peers {
+	if !m.peersSeen && len(peers) > 0 && m.config.Peers {
 		// Those that are to ask have just begun to; the rest is not to take them for silent at once.
-		m.met, m.alone = true, max(m.alone, m.now+SettleTime+MinWindow+m.jitter())
+		m.peersSeen, m.isolatedPollAt = true, max(m.isolatedPollAt, m.now+SettleTime+MinWindow+m.jitter())
 	}
-	m.peers, m.all, m.others = m.peers[:0], m.all[:0], map[string]bool{}
+	m.zonePeers, m.memberNames, m.members = m.zonePeers[:0], m.memberNames[:0], map[string]bool{}
 	for _, p := range peers {
-		if p.Name == m.cfg.Name {
+		if p.Name == m.config.Name {
 			continue
 		}
-		m.others[p.Name] = true
-		m.all = append(m.all, p.Name)
-		if p.Zone == m.cfg.Zone {
-			m.peers = append(m.peers, p)
+		m.members[p.Name] = true
+		m.memberNames = append(m.memberNames, p.Name)
+		if p.Zone == m.config.Zone {
+			m.zonePeers = append(m.zonePeers, p)
 		}
 	}
-	slices.Sort(m.all)
-	slices.SortFunc(m.peers, func(a, b Peer) int { return cmp.Compare(a.Name, b.Name) })
+	slices.Sort(m.memberNames)
+	slices.SortFunc(m.zonePeers, func(a, b Peer) int { return cmp.Compare(a.Name, b.Name) })
 	for i := range m.lists {
 		l := &m.lists[i]
-		l.claims = slices.DeleteFunc(l.claims, func(c claim) bool { return !m.others[c.peer] })
+		l.advertisements = slices.DeleteFunc(l.advertisements, func(c peerAdvertisement) bool { return !m.members[c.peer] })
 	}
 	m.step()
-	return m.take()
+	return m.takeEffects()
 }
 
 // ListFromService takes a whole list that the service told this doorman.
 func (m *Machine) ListFromService(now time.Duration, n int, version uint64, boxes []membership.Endpoint) []Effect {
 	m.now = max(m.now, now)
 	l := &m.lists[n]
-	c := newContent(n, version, boxes)
-	changed := l.held == nil || l.held.Sum != c.Sum || l.held.Version != c.Version
-	m.hold(l, c)
-	l.own, l.told, l.silent = true, m.now, false
-	m.refute(n, l)
-	if changed && m.follows {
-		m.tell()
+	c := newEndpointList(n, version, boxes)
+	changed := l.current == nil || l.current.Sum != c.Sum || l.current.Version != c.Version
+	m.install(l, c)
+	l.fromService, l.serviceSeenAt, l.silent = true, m.now, false
+	m.refuteAdvertisements(n, l)
+	if changed && m.polling {
+		m.sendHeartbeats()
 	}
 	m.step()
-	return m.take()
+	return m.takeEffects()
 }
 
 // ServiceSeen says that the service was heard by this doorman, with nothing new.
 func (m *Machine) ServiceSeen(now time.Duration, n int) []Effect {
 	m.now = max(m.now, now)
-	m.lists[n].told = m.now
+	m.lists[n].serviceSeenAt = m.now
 	m.step()
-	return m.take()
+	return m.takeEffects()
 }
 
-// refute takes back the trust in peers that tell another list than the service under the same or a later version.
-func (m *Machine) refute(n int, l *list) {
-	if l.waiting != nil && l.waiting.Sum == l.held.Sum {
-		l.waiting = nil
+// refuteAdvertisements takes back the trust in peers that tell another list than the service under the same or a later version.
+func (m *Machine) refuteAdvertisements(n int, l *listState) {
+	if l.candidate != nil && l.candidate.Sum == l.current.Sum {
+		l.candidate = nil
 	}
-	for _, c := range l.claims {
+	for _, c := range l.advertisements {
 		// A later version may be true, since the service may have changed between. The same one can't, and neither can one that
 		// the service has not reached when we looked because of it.
-		if c.Version == l.held.Version && c.Sum != l.held.Sum || c.Version > l.held.Version && m.look > m.now {
-			m.blame(n, c.peer, PeerRefuted)
+		if c.Version == l.current.Version && c.Sum != l.current.Sum || c.Version > l.current.Version && m.confirmUntil > m.now {
+			m.distrust(n, c.peer, PeerRefuted)
 		}
 	}
-	if m.look > m.now && l.waiting != nil && l.waiting.Version > l.held.Version {
-		l.waiting = nil
+	if m.confirmUntil > m.now && l.candidate != nil && l.candidate.Version > l.current.Version {
+		l.candidate = nil
 	}
 }
 
-func (m *Machine) blame(n int, peer string, why Event) {
-	m.distrust[peer] = m.now + DistrustPeriod
-	m.do(LogEntry{why, peer, n})
+func (m *Machine) distrust(n int, peer string, why Event) {
+	m.distrustedUntil[peer] = m.now + DistrustPeriod
+	m.addEffect(LogEntry{why, peer, n})
 	for i := range m.lists {
 		l := &m.lists[i]
-		l.claims = slices.DeleteFunc(l.claims, func(c claim) bool { return c.peer == peer })
-		if l.fetch != nil && l.fetch.from == peer {
+		l.advertisements = slices.DeleteFunc(l.advertisements, func(c peerAdvertisement) bool { return c.peer == peer })
+		if l.fetch != nil && l.fetch.peer == peer {
 			l.fetch = nil
 		}
 	}
 }
 
-// hold puts a list in force, and keeps the one before for deltas.
-func (m *Machine) hold(l *list, c *content) {
-	if l.held != nil && l.held.Sum != c.Sum {
-		l.older = append(l.older, l.held)
-		if len(l.older) > m.cfg.History {
-			l.older = slices.Clone(l.older[1:])
+// install puts a list in force, and keeps the one before for deltas.
+func (m *Machine) install(l *listState, c *endpointList) {
+	if l.current != nil && l.current.Sum != c.Sum {
+		l.history = append(l.history, l.current)
+		if len(l.history) > m.config.History {
+			l.history = slices.Clone(l.history[1:])
 		}
 	}
-	l.held = c
+	l.current = c
 	if l.fetch != nil && !m.newer(l, l.fetch.ListVersion) {
 		l.fetch = nil
 	}
-	clear(m.served)
+	clear(m.servedPeers)
 }
 
 // MessageReceived takes a message of a peer.
 func (m *Machine) MessageReceived(now time.Duration, msg Message) []Effect {
 	m.now = max(m.now, now)
-	if !m.others[msg.From] || m.distrust[msg.From] > m.now {
+	if !m.members[msg.From] || m.distrustedUntil[msg.From] > m.now {
 		return nil // not one of the fleet, or one that has lied
 	}
 	switch {
 	case msg.Digest != nil:
 		wants := false
 		for _, c := range msg.Digest {
-			m.claimed(msg.From, c)
-			if l := m.list(c.List); l != nil && c.Sum == 0 && l.held != nil {
+			m.receiveAdvertisement(msg.From, c)
+			if l := m.list(c.List); l != nil && c.Sum == 0 && l.current != nil {
 				wants = true
 			}
 		}
-		if wants && m.reply() {
+		if wants && m.mayReply() {
 			m.send(msg.From, Message{Digest: m.digest()})
 		}
 	case msg.Fetch != nil:
-		m.wanted(msg.From, msg.Fetch)
+		m.serveFetch(msg.From, msg.Fetch)
 	case msg.Part != nil:
-		m.part(msg.From, msg.Part)
+		m.receivePart(msg.From, msg.Part)
 	case msg.Delta != nil:
-		m.delta(msg.From, msg.Delta)
+		m.receiveDelta(msg.From, msg.Delta)
 	case msg.Busy != nil:
-		m.busy(msg.From, msg.Busy)
+		m.receiveBusy(msg.From, msg.Busy)
 	}
 	m.step()
-	return m.take()
+	return m.takeEffects()
 }
 
-func (m *Machine) list(n int) *list {
+func (m *Machine) list(n int) *listState {
 	if n < 0 || n >= len(m.lists) {
 		return nil
 	}
 	return &m.lists[n]
 }
 
-// claimed takes what a peer says that it has.
-func (m *Machine) claimed(peer string, c Advertisement) {
+// receiveAdvertisement takes what a peer says that it has.
+func (m *Machine) receiveAdvertisement(peer string, c Advertisement) {
 	l := m.list(c.List)
 	if l == nil {
 		return
 	}
-	l.claims = slices.DeleteFunc(l.claims, func(o claim) bool { return o.peer == peer })
-	l.claims = append(l.claims, claim{c, peer, m.now})
-	if len(l.claims) > m.cfg.MaxAdvertisements {
-		l.claims = slices.Clone(l.claims[1:])
+	l.advertisements = slices.DeleteFunc(l.advertisements, func(o peerAdvertisement) bool { return o.peer == peer })
+	l.advertisements = append(l.advertisements, peerAdvertisement{c, peer, m.now})
+	if len(l.advertisements) > m.config.MaxAdvertisements {
+		l.advertisements = slices.Clone(l.advertisements[1:])
 	}
-	if c.Sum == 0 || l.held != nil && c.Sum == l.held.Sum || l.waiting != nil && c.Sum == l.waiting.Sum {
+	if c.Sum == 0 || l.current != nil && c.Sum == l.current.Sum || l.candidate != nil && c.Sum == l.candidate.Sum {
 		return
 	}
-	if m.newer(l, c.ListVersion) && (l.fetch == nil || l.fetch.until <= m.now) {
-		m.fetchFrom(l, c.ListVersion, peer)
+	if m.newer(l, c.ListVersion) && (l.fetch == nil || l.fetch.deadline <= m.now) {
+		m.startFetch(l, c.ListVersion, peer)
 	}
 }
 
 // newer says whether a list may take the place of the one in force. What is fetched and not believed does not stand in the
 // way of another one, whatever version it claims.
-func (m *Machine) newer(l *list, k ListVersion) bool {
-	return l.held == nil || k.Version > l.held.Version
+func (m *Machine) newer(l *listState, k ListVersion) bool {
+	return l.current == nil || k.Version > l.current.Version
 }
 
-func (m *Machine) fetchFrom(l *list, k ListVersion, peer string) {
+func (m *Machine) startFetch(l *listState, k ListVersion, peer string) {
 	if l.fetch == nil || l.fetch.Sum != k.Sum {
-		l.fetch = &fetch{ListVersion: k, asked: map[string]bool{}}
+		l.fetch = &fetchState{ListVersion: k, requested: map[string]bool{}}
 	}
 	f := l.fetch
-	f.from, f.until, f.parts, f.got = peer, m.now+FetchTimeout, nil, 0
-	f.tries++
-	f.asked[peer] = true
+	f.peer, f.deadline, f.parts, f.received = peer, m.now+FetchTimeout, nil, 0
+	f.attempts++
+	f.requested[peer] = true
 	have := uint64(0)
-	if l.held != nil {
-		have = l.held.Sum
+	if l.current != nil {
+		have = l.current.Sum
 	}
 	m.send(peer, Message{Fetch: &Fetch{k, have}})
 }
 
 func (m *Machine) send(to string, msg Message) {
-	msg.From, msg.Incarnation = m.cfg.Name, m.cfg.Incarnation
-	m.do(Send{to, msg})
+	msg.From, msg.Incarnation = m.config.Name, m.config.Incarnation
+	m.addEffect(Send{to, msg})
 }
 
-// reply says whether one more digest may be sent to who knows nothing yet.
-func (m *Machine) reply() bool {
+// mayReply says whether one more digest may be sent to who knows nothing yet.
+func (m *Machine) mayReply() bool {
 	if m.now-m.repliesAt >= ServeWindow {
 		m.replies, m.repliesAt = 0, m.now
 	}
@@ -482,25 +482,25 @@
 // inquire asks a few others, of any zone, what they hold, while this doorman knows nothing of some list: the service may be dead,
 // and all of the zone may have started with it.
 func (m *Machine) inquire() {
-	if !m.cfg.Peers || len(m.all) == 0 || m.now < m.inquiry || !slices.ContainsFunc(m.lists, func(l list) bool { return l.held == nil }) {
+	if !m.config.Peers || len(m.memberNames) == 0 || m.now < m.nextInquiry || !slices.ContainsFunc(m.lists, func(l listState) bool { return l.current == nil }) {
 		return
 	}
-	m.inquiry = m.now + HeartbeatInterval/2
-	for _, i := range m.rng.Perm(len(m.all))[:min(InquiryFanout, len(m.all))] {
-		m.send(m.all[i], Message{Digest: m.digest()})
+	m.nextInquiry = m.now + HeartbeatInterval/2
+	for _, i := range m.random.Perm(len(m.memberNames))[:min(InquiryFanout, len(m.memberNames))] {
+		m.send(m.memberNames[i], Message{Digest: m.digest()})
 	}
 }
 
-// wanted serves the content of a list, as a delta where the one that the peer has is known here.
-func (m *Machine) wanted(peer string, w *Fetch) {
+// serveFetch serves the content of a list, as a delta where the one that the peer has is known here.
+func (m *Machine) serveFetch(peer string, w *Fetch) {
 	l := m.list(w.List)
-	if l == nil || l.held == nil || l.held.Sum != w.Sum {
+	if l == nil || l.current == nil || l.current.Sum != w.Sum {
 		m.send(peer, Message{Busy: &Busy{ListVersion: w.ListVersion}})
 		return
 	}
-	for _, o := range l.older {
+	for _, o := range l.history {
 		if w.HaveSum != 0 && o.Sum == w.HaveSum {
-			m.send(peer, Message{Delta: difference(o, l.held)})
+			m.send(peer, Message{Delta: newDelta(o, l.current)})
 			return
 		}
 	}
@@ -510,8 +510,8 @@
 	if m.serves >= MaxServedPerWindow {
 		// One of those that were served may serve it too, so that the content spreads as a tree.
 		next := ""
-		if have := m.served[w.Sum]; len(have) > 0 {
-			next = have[m.rng.IntN(len(have))]
+		if have := m.servedPeers[w.Sum]; len(have) > 0 {
+			next = have[m.random.IntN(len(have))]
 		}
 		if next == peer {
 			next = ""
@@ -520,25 +520,25 @@
 		return
 	}
 	m.serves++
-	if have := m.served[w.Sum]; len(have) < m.cfg.MaxAdvertisements && !slices.Contains(have, peer) {
-		m.served[w.Sum] = append(have, peer)
+	if have := m.servedPeers[w.Sum]; len(have) < m.config.MaxAdvertisements && !slices.Contains(have, peer) {
+		m.servedPeers[w.Sum] = append(have, peer)
 	}
-	of := max(1, (len(l.held.boxes)+EndpointsPerPart-1)/EndpointsPerPart)
+	of := max(1, (len(l.current.endpoints)+EndpointsPerPart-1)/EndpointsPerPart)
 	for n := range of {
-		boxes := l.held.boxes[min(len(l.held.boxes), n*EndpointsPerPart):min(len(l.held.boxes), (n+1)*EndpointsPerPart)]
-		m.send(peer, Message{Part: &Part{l.held.ListVersion, n, of, boxes}})
+		boxes := l.current.endpoints[min(len(l.current.endpoints), n*EndpointsPerPart):min(len(l.current.endpoints), (n+1)*EndpointsPerPart)]
+		m.send(peer, Message{Part: &Part{l.current.ListVersion, n, of, boxes}})
 	}
 }
 
-// part takes a part of what is being fetched.
-func (m *Machine) part(peer string, p *Part) {
+// receivePart takes a part of what is being fetched.
+func (m *Machine) receivePart(peer string, p *Part) {
 	l := m.list(p.List)
-	if l == nil || l.fetch == nil || l.fetch.ListVersion != p.ListVersion || l.fetch.from != peer {
+	if l == nil || l.fetch == nil || l.fetch.ListVersion != p.ListVersion || l.fetch.peer != peer {
 		return
 	}
 	f := l.fetch
-	if p.Total < 1 || p.Total > m.cfg.MaxEndpoints/EndpointsPerPart+1 || p.Number < 0 || p.Number >= p.Total || len(p.Endpoints) > EndpointsPerPart || f.parts != nil && len(f.parts) != p.Total {
-		m.blame(p.List, peer, ChecksumMismatch)
+	if p.Total < 1 || p.Total > m.config.MaxEndpoints/EndpointsPerPart+1 || p.Number < 0 || p.Number >= p.Total || len(p.Endpoints) > EndpointsPerPart || f.parts != nil && len(f.parts) != p.Total {
+		m.distrust(p.List, peer, ChecksumMismatch)
 		return
 	}
 	if f.parts == nil {
@@ -546,19 +546,19 @@
 	}
 	if f.parts[p.Number] == nil {
 		f.parts[p.Number] = append([]membership.Endpoint{}, p.Endpoints...)
-		f.got++
+		f.received++
 	}
-	f.until = m.now + FetchTimeout
-	if f.got == p.Total {
-		m.fetched(l, peer, slices.Concat(f.parts...))
+	f.deadline = m.now + FetchTimeout
+	if f.received == p.Total {
+		m.completeFetch(l, peer, slices.Concat(f.parts...))
 	}
 }
 
-// delta takes what leads from the list in force to the one that is being fetched.
-func (m *Machine) delta(peer string, d *Delta) {
+// receiveDelta takes what leads from the list in force to the one that is being fetched.
+func (m *Machine) receiveDelta(peer string, d *Delta) {
 	l := m.list(d.List)
-	if l == nil || l.fetch == nil || l.fetch.ListVersion != d.ListVersion || l.fetch.from != peer || l.held == nil || l.held.Sum != d.BaseSum ||
-		len(d.Endpoints) > m.cfg.MaxEndpoints {
+	if l == nil || l.fetch == nil || l.fetch.ListVersion != d.ListVersion || l.fetch.peer != peer || l.current == nil || l.current.Sum != d.BaseSum ||
+		len(d.Endpoints) > m.config.MaxEndpoints {
 		return
 	}
 	gone := map[string]bool{}
@@ -569,29 +569,29 @@
 		gone[b.ID] = true
 	}
 	boxes := slices.Clone(d.Endpoints)
-	for _, b := range l.held.boxes {
+	for _, b := range l.current.endpoints {
 		if !gone[b.ID] {
 			boxes = append(boxes, b)
 		}
 	}
-	m.fetched(l, peer, boxes)
+	m.completeFetch(l, peer, boxes)
 }
 
-// fetched judges content that is there whole.
-func (m *Machine) fetched(l *list, peer string, boxes []membership.Endpoint) {
+// completeFetch judges content that is there whole.
+func (m *Machine) completeFetch(l *listState, peer string, boxes []membership.Endpoint) {
 	k := l.fetch.ListVersion
 	l.fetch = nil
-	c := newContent(k.List, k.Version, boxes)
+	c := newEndpointList(k.List, k.Version, boxes)
 	if c.Sum != k.Sum {
-		m.blame(k.List, peer, ChecksumMismatch)
+		m.distrust(k.List, peer, ChecksumMismatch)
 		return
 	}
-	l.waiting, l.since, l.hinted = c, m.now, 0
+	l.candidate, l.candidateSince, l.hintedAt = c, m.now, 0
 }
 
-// vouchers counts the peers that tell a list.
-func (l *list) vouchers(k ListVersion) (n int) {
-	for _, c := range l.claims {
+// advertisers counts the peers that tell a list.
+func (l *listState) advertisers(k ListVersion) (n int) {
+	for _, c := range l.advertisements {
 		if c.ListVersion == k {
 			n++
 		}
@@ -599,24 +599,24 @@
 	return n
 }
 
-// busy tries another one.
-func (m *Machine) busy(peer string, b *Busy) {
+// receiveBusy tries another one.
+func (m *Machine) receiveBusy(peer string, b *Busy) {
 	l := m.list(b.List)
-	if l == nil || l.fetch == nil || l.fetch.Sum != b.Sum || l.fetch.from != peer {
+	if l == nil || l.fetch == nil || l.fetch.Sum != b.Sum || l.fetch.peer != peer {
 		return
 	}
-	if b.Peer != "" && m.others[b.Peer] && !l.fetch.asked[b.Peer] && m.distrust[b.Peer] <= m.now && l.fetch.tries < MaxFetchAttempts {
-		m.fetchFrom(l, l.fetch.ListVersion, b.Peer)
+	if b.Peer != "" && m.members[b.Peer] && !l.fetch.requested[b.Peer] && m.distrustedUntil[b.Peer] <= m.now && l.fetch.attempts < MaxFetchAttempts {
+		m.startFetch(l, l.fetch.ListVersion, b.Peer)
 		return
 	}
-	l.fetch.until = m.now + time.Duration(m.rng.Int64N(int64(FetchTimeout))) // the step tries again
+	l.fetch.deadline = m.now + time.Duration(m.random.Int64N(int64(FetchTimeout))) // the step tries again
 }
 
 // rank is this doorman's place among those of its zone that might ask.
 func (m *Machine) rank() int {
-	score := func(name string) uint64 { return xxhash.Sum64String(m.cfg.Zone + " " + name) }
-	own, rank := score(m.cfg.Name), 0
-	for _, p := range m.peers {
+	score := func(name string) uint64 { return xxhash.Sum64String(m.config.Zone + " " + name) }
+	own, rank := score(m.config.Name), 0
+	for _, p := range m.zonePeers {
 		if score(p.Name) > own {
 			rank++
 		}
@@ -624,19 +624,19 @@
 	return rank
 }
 
-// beatEvery is the time between two digests of an asker.
-func (m *Machine) beatEvery() time.Duration {
-	return max(HeartbeatInterval, time.Duration(len(m.peers))*time.Second/MaxHeartbeatsPerSecond)
+// heartbeatInterval is the time between two digests of an asker.
+func (m *Machine) heartbeatInterval() time.Duration {
+	return max(HeartbeatInterval, time.Duration(len(m.zonePeers))*time.Second/MaxHeartbeatsPerSecond)
 }
 
-// heard is when the service was last heard, by ourselves or through a quorum of peers, and whether any asker is heard at all.
-func (m *Machine) heard(l *list) (at time.Duration, askers int) {
+// serviceSeen is when the service was last heard, by ourselves or through a quorum of peers, and whether any asker is heard at all.
+func (m *Machine) serviceSeen(l *listState) (at time.Duration, askers int) {
 	var told []time.Duration
-	for _, c := range l.claims {
-		if c.LastSeen >= 0 && m.now-c.at <= MaxMissedHeartbeats*m.beatEvery() {
+	for _, c := range l.advertisements {
+		if c.LastSeen >= 0 && m.now-c.receivedAt <= MaxMissedHeartbeats*m.heartbeatInterval() {
 			askers++
-			if l.held != nil && c.Sum == l.held.Sum {
-				told = append(told, c.at-c.LastSeen)
+			if l.current != nil && c.Sum == l.current.Sum {
+				told = append(told, c.receivedAt-c.LastSeen)
 			}
 		}
 	}
@@ -644,37 +644,37 @@
 	if len(told) >= Quorum {
 		at = told[Quorum-1]
 	}
-	return max(at, l.told), askers
+	return max(at, l.serviceSeenAt), askers
 }
 
 // Step does what has fallen due by now.
 func (m *Machine) Step(now time.Duration) []Effect {
 	m.now = max(m.now, now)
 	m.step()
-	return m.take()
+	return m.takeEffects()
 }
 
 func (m *Machine) step() {
 	for i := range m.lists {
 		m.stepList(i, &m.lists[i])
 	}
-	m.stepRole()
+	m.stepPolling()
 	m.inquire()
-	if m.follows && m.cfg.Peers && m.now >= m.beat {
-		m.beat = m.now + m.beatEvery()
-		m.tell()
+	if m.polling && m.config.Peers && m.now >= m.nextHeartbeat {
+		m.nextHeartbeat = m.now + m.heartbeatInterval()
+		m.sendHeartbeats()
 	}
-	for peer, until := range m.distrust {
+	for peer, until := range m.distrustedUntil {
 		if until <= m.now {
-			delete(m.distrust, peer)
+			delete(m.distrustedUntil, peer)
 		}
 	}
 }
 
-// tell sends the digest to all of the zone.
-func (m *Machine) tell() {
+// sendHeartbeats sends the digest to all of the zone.
+func (m *Machine) sendHeartbeats() {
 	digest := m.digest()
-	for _, p := range m.peers {
+	for _, p := range m.zonePeers {
 		m.send(p.Name, Message{Digest: digest})
 	}
 }
@@ -686,13 +686,13 @@
 	var out []Advertisement
 	for i := range m.lists {
 		l := &m.lists[i]
-		switch at, _ := m.heard(l); {
-		case !m.follows && l.held != nil:
-			out = append(out, Advertisement{l.held.ListVersion, -1})
-		case l.held != nil:
-			out = append(out, Advertisement{l.held.ListVersion, m.now - at})
-		case m.follows:
-			out = append(out, Advertisement{ListVersion{List: i}, m.now - m.began}) // so that the others know that it is asked for
+		switch at, _ := m.serviceSeen(l); {
+		case !m.polling && l.current != nil:
+			out = append(out, Advertisement{l.current.ListVersion, -1})
+		case l.current != nil:
+			out = append(out, Advertisement{l.current.ListVersion, m.now - at})
+		case m.polling:
+			out = append(out, Advertisement{ListVersion{List: i}, m.now - m.startedAt}) // so that the others know that it is asked for
 		default:
 			out = append(out, Advertisement{ListVersion{List: i}, -1})
 		}
@@ -701,35 +701,35 @@
 }
 
 // stepList looks after what is fetched and what waits to be believed.
-func (m *Machine) stepList(n int, l *list) {
-	if f := l.fetch; f != nil && m.now >= f.until {
+func (m *Machine) stepList(n int, l *listState) {
+	if f := l.fetch; f != nil && m.now >= f.deadline {
 		next := ""
-		for _, c := range l.claims {
-			if c.Sum == f.Sum && (next == "" || f.asked[next] && !f.asked[c.peer]) {
+		for _, c := range l.advertisements {
+			if c.Sum == f.Sum && (next == "" || f.requested[next] && !f.requested[c.peer]) {
 				next = c.peer
 			}
 		}
-		if next == "" || f.tries >= MaxFetchAttempts {
+		if next == "" || f.attempts >= MaxFetchAttempts {
 			l.fetch = nil // the next digest will have it fetched
 		} else {
-			m.fetchFrom(l, f.ListVersion, next)
+			m.startFetch(l, f.ListVersion, next)
 		}
 	}
-	w := l.waiting
+	w := l.candidate
 	if w == nil {
 		return
 	}
 	switch {
 	case !m.newer(l, w.ListVersion):
-		l.waiting = nil
-	case l.vouchers(w.ListVersion) >= Quorum:
-		m.hold(l, w)
-		l.waiting, l.own, l.silent = nil, false, false
-		m.do(Adopt{n, w.Version, w.boxes, false})
-		m.do(LogEntry{ListAccepted, "", n})
-	case l.held == nil && l.hinted == 0:
+		l.candidate = nil
+	case l.advertisers(w.ListVersion) >= Quorum:
+		m.install(l, w)
+		l.candidate, l.fromService, l.silent = nil, false, false
+		m.addEffect(Adopt{n, w.Version, w.endpoints, false})
+		m.addEffect(LogEntry{ListAccepted, "", n})
+	case l.current == nil && l.hintedAt == 0:
 		var up []membership.Endpoint
-		for _, b := range w.boxes {
+		for _, b := range w.endpoints {
 			if b.State == membership.Up {
 				up = append(up, b)
 			}
@@ -737,74 +737,74 @@
 		if len(up) == 0 {
 			return // by such a list nobody could be served
 		}
-		l.hinted = m.now
-		m.do(Adopt{n, w.Version, up, true})
-		m.do(LogEntry{HintUsed, "", n})
+		l.hintedAt = m.now
+		m.addEffect(Adopt{n, w.Version, up, true})
+		m.addEffect(LogEntry{HintUsed, "", n})
 	}
 }
 
-// stepRole decides whether this doorman asks the service.
-func (m *Machine) stepRole() {
+// stepPolling decides whether this doorman asks the service.
+func (m *Machine) stepPolling() {
 	want, alone := false, false
 	// While less than half of the fleet is in view, many would hold themselves for the chosen ones.
-	half := 2*(len(m.others)+1) >= m.cfg.Fleet
-	window := time.Duration(m.cfg.Fleet)*WindowPerProxy + MinWindow
-	switch settled := m.now >= m.began+SettleTime && (half || m.now >= m.began+window); {
-	case !m.cfg.Peers || len(m.others) == 0:
-		alone = m.now >= m.alone
+	half := 2*(len(m.members)+1) >= m.config.Fleet
+	window := time.Duration(m.config.Fleet)*WindowPerProxy + MinWindow
+	switch settled := m.now >= m.startedAt+SettleTime && (half || m.now >= m.startedAt+window); {
+	case !m.config.Peers || len(m.members) == 0:
+		alone = m.now >= m.isolatedPollAt
 		want = alone
 	default:
-		limit, hear := m.cfg.Pollers, len(m.lists) > 0
+		limit, hear := m.config.Pollers, len(m.lists) > 0
 		for i := range m.lists {
 			l := &m.lists[i]
-			at, askers := m.heard(l)
+			at, askers := m.serviceSeen(l)
 			hear = hear && askers > 0
 			// While the service is silent for those that ask, a few more try, since it may be their way to it that is cut.
-			if at = max(at, m.began); askers > 0 {
-				limit = max(limit, m.cfg.Pollers*min(MaxWidening, 1+int((m.now-at)/WidenInterval)))
+			if at = max(at, m.startedAt); askers > 0 {
+				limit = max(limit, m.config.Pollers*min(MaxWidening, 1+int((m.now-at)/WidenInterval)))
 			}
-			if l.waiting != nil && m.now-l.since > ConfirmDelay && m.now-m.looked >= MinConfirmInterval {
-				m.looked, m.look = m.now, m.now+ConfirmTimeout // one peer alone tells it: the service itself is to say
+			if l.candidate != nil && m.now-l.candidateSince > ConfirmDelay && m.now-m.confirmStartedAt >= MinConfirmInterval {
+				m.confirmStartedAt, m.confirmUntil = m.now, m.now+ConfirmTimeout // one peer alone tells it: the service itself is to say
 			}
 		}
 		switch {
 		case settled && m.rank() < limit:
 			want = true
 		case hear:
-			m.alone = 0
-		case m.alone == 0:
-			m.alone = m.now + m.jitter() // nobody is heard any more, by all of us at once
-		case m.now >= m.alone:
+			m.isolatedPollAt = 0
+		case m.isolatedPollAt == 0:
+			m.isolatedPollAt = m.now + m.jitter() // nobody is heard any more, by all of us at once
+		case m.now >= m.isolatedPollAt:
 			want, alone = true, true
 		}
-		want = want || m.look > m.now
+		want = want || m.confirmUntil > m.now
 	}
 	if want {
-		m.should = m.now
+		m.pollNeededAt = m.now
 	}
 	switch {
-	case want && !m.follows:
-		m.follows, m.since = true, m.now
-		m.do(Poll{true})
-		if alone && m.cfg.Peers {
-			m.do(LogEntry{Isolated, "", -1})
+	case want && !m.polling:
+		m.polling, m.since = true, m.now
+		m.addEffect(Poll{true})
+		if alone && m.config.Peers {
+			m.addEffect(LogEntry{Isolated, "", -1})
 		} else {
-			m.do(LogEntry{Polling, "", -1})
+			m.addEffect(LogEntry{Polling, "", -1})
 		}
-	case !want && m.follows && m.now-m.should >= PollGracePeriod:
-		m.follows, m.since = false, m.now
-		m.do(Poll{false})
-		m.do(LogEntry{Following, "", -1})
+	case !want && m.polling && m.now-m.pollNeededAt >= PollGracePeriod:
+		m.polling, m.since = false, m.now
+		m.addEffect(Poll{false})
+		m.addEffect(LogEntry{Following, "", -1})
 	}
 	for i := range m.lists {
 		l := &m.lists[i]
-		if l.held == nil || m.follows {
+		if l.current == nil || m.polling {
 			continue
 		}
-		at, _ := m.heard(l)
-		if silent := m.now-at > MaxMissedHeartbeats*m.beatEvery(); silent != l.silent {
+		at, _ := m.serviceSeen(l)
+		if silent := m.now-at > MaxMissedHeartbeats*m.heartbeatInterval(); silent != l.silent {
 			l.silent = silent
-			m.do(SourceStatus{i, silent})
+			m.addEffect(SourceStatus{i, silent})
 		}
 	}
 }
@@ -812,7 +812,7 @@
 // Next is when Step is due at the latest: what waits for a time of its own is looked at in ticks.
 func (m *Machine) Next() time.Duration {
 	for i := range m.lists {
-		if l := &m.lists[i]; l.fetch != nil || l.waiting != nil || l.held == nil {
+		if l := &m.lists[i]; l.fetch != nil || l.candidate != nil || l.current == nil {
 			return m.now + tick
 		}
 	}
@@ -824,7 +824,7 @@
 // Ready says whether each list is known well enough to serve by: told by the service, believed, or for HintAfter used as a hint.
 func (m *Machine) Ready() bool {
 	for i := range m.lists {
-		if l := &m.lists[i]; l.held == nil && (l.hinted == 0 || m.now-l.hinted < HintDelay) {
+		if l := &m.lists[i]; l.current == nil && (l.hintedAt == 0 || m.now-l.hintedAt < HintDelay) {
 			return false
 		}
 	}
@@ -833,43 +833,43 @@
 
 // Version names the list in force.
 func (m *Machine) Version(n int) (ListVersion, bool) {
-	if m.lists[n].held == nil {
+	if m.lists[n].current == nil {
 		return ListVersion{List: n}, false
 	}
-	return m.lists[n].held.ListVersion, true
+	return m.lists[n].current.ListVersion, true
 }
 
 // Polls says whether this doorman asks the service.
-func (m *Machine) Polls() bool { return m.follows }
+func (m *Machine) Polls() bool { return m.polling }
 
-// newContent orders boxes by id and computes their sum.
-func newContent(n int, version uint64, boxes []membership.Endpoint) *content {
+// newEndpointList orders boxes by id and computes their sum.
+func newEndpointList(n int, version uint64, boxes []membership.Endpoint) *endpointList {
 	boxes = slices.Clone(boxes)
 	slices.SortStableFunc(boxes, func(a, b membership.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	boxes = slices.CompactFunc(boxes, func(a, b membership.Endpoint) bool { return a.ID == b.ID })
-	return &content{ListVersion{n, version, sum(version, boxes)}, boxes}
+	return &endpointList{ListVersion{n, version, checksum(version, boxes)}, boxes}
 }
 
 // SortEndpoints gives boxes in the order that their sum is of, each id once.
 func SortEndpoints(boxes []membership.Endpoint) []membership.Endpoint {
-	return newContent(0, 0, boxes).boxes
+	return newEndpointList(0, 0, boxes).endpoints
 }
 
 // VersionOf names a list that has these boxes.
 func VersionOf(n int, version uint64, boxes []membership.Endpoint) ListVersion {
-	return newContent(n, version, boxes).ListVersion
+	return newEndpointList(n, version, boxes).ListVersion
 }
 
-// difference is the delta between two lists, which are in order.
-func difference(was, is *content) *Delta {
+// newDelta is the delta between two lists, which are in order.
+func newDelta(was, is *endpointList) *Delta {
 	d := &Delta{ListVersion: is.ListVersion, BaseSum: was.Sum}
 	i := 0
-	for _, b := range is.boxes {
-		for ; i < len(was.boxes) && was.boxes[i].ID < b.ID; i++ {
-			d.Removed = append(d.Removed, was.boxes[i].ID)
+	for _, b := range is.endpoints {
+		for ; i < len(was.endpoints) && was.endpoints[i].ID < b.ID; i++ {
+			d.Removed = append(d.Removed, was.endpoints[i].ID)
 		}
-		if i < len(was.boxes) && was.boxes[i].ID == b.ID {
-			if was.boxes[i] != b {
+		if i < len(was.endpoints) && was.endpoints[i].ID == b.ID {
+			if was.endpoints[i] != b {
 				d.Endpoints = append(d.Endpoints, b)
 			}
 			i++
@@ -877,8 +877,8 @@
 		}
 		d.Endpoints = append(d.Endpoints, b)
 	}
-	for ; i < len(was.boxes); i++ {
-		d.Removed = append(d.Removed, was.boxes[i].ID)
+	for ; i < len(was.endpoints); i++ {
+		d.Removed = append(d.Removed, was.endpoints[i].ID)
 	}
 	return d
 }
--- a/internal/bootstrap/sim_test.go
+++ b/internal/bootstrap/sim_test.go
@@ -89,9 +89,9 @@
 func (w *world) change(do func()) {
 	do()
 	w.index++
-	w.ever[sum(w.index, newContent(0, w.index, w.truth).boxes)] = true
+	w.ever[checksum(w.index, newEndpointList(0, w.index, w.truth).endpoints)] = true
 	for _, n := range w.nodes {
-		if n.alive && n.follows && w.up {
+		if n.alive && n.polling && w.up {
 			w.after(time.Duration(w.rng.IntN(20))*ms, func() { w.answer(n) })
 		}
 	}
@@ -99,7 +99,7 @@
 
 // answer has the service tell a doorman its list.
 func (w *world) answer(n *node) {
-	if !n.alive || !n.follows || !w.up || n.cutOff {
+	if !n.alive || !n.polling || !w.up || n.cutOff {
 		return
 	}
 	w.hand(n, func() []Effect { return n.ListFromService(w.now, 0, w.index, w.truth) })
@@ -183,7 +183,7 @@
 				epoch := n.epoch
 				var ask func()
 				ask = func() {
-					if n.alive && n.epoch == epoch && n.follows {
+					if n.alive && n.epoch == epoch && n.polling {
 						w.calls = append(w.calls, w.now)
 						if !w.up || n.cutOff {
 							w.after(time.Second, ask)
@@ -204,13 +204,13 @@
 					w.t.Fatalf("%v: %s takes %v of %s from one peer alone", w.now, n.name, b.State, b.ID)
 				}
 			}
-			if !e.Hint && !w.ever[sum(e.Version, newContent(0, e.Version, e.Endpoints).boxes)] {
+			if !e.Hint && !w.ever[checksum(e.Version, newEndpointList(0, e.Version, e.Endpoints).endpoints)] {
 				w.t.Fatalf("%v: %s believes a list that the service never had: version %d, %d boxes", w.now, n.name, e.Version, len(e.Endpoints))
 			}
 		}
 	}
 	if k, ok := n.Version(0); ok && k != n.last {
-		if !n.lists[0].own && k.Version < n.last.Version {
+		if !n.lists[0].fromService && k.Version < n.last.Version {
 			w.t.Fatalf("%v: %s went back from version %d to %d by a peer's word", w.now, n.name, n.last.Version, k.Version)
 		}
 		n.last = k
@@ -219,8 +219,8 @@
 		n.ready = max(1, w.now-n.started)
 	}
 	l := &n.lists[0]
-	if len(l.claims) > n.cfg.MaxAdvertisements || len(l.older) > n.cfg.History || len(n.served) > 1 || len(n.distrust) > len(w.nodes) {
-		w.t.Fatalf("%v: %s holds %d claims, %d older lists, %d served", w.now, n.name, len(l.claims), len(l.older), len(n.served))
+	if len(l.advertisements) > n.config.MaxAdvertisements || len(l.history) > n.config.History || len(n.servedPeers) > 1 || len(n.distrustedUntil) > len(w.nodes) {
+		w.t.Fatalf("%v: %s holds %d claims, %d older lists, %d served", w.now, n.name, len(l.advertisements), len(l.history), len(n.servedPeers))
 	}
 }
 
@@ -228,10 +228,10 @@
 func (w *world) beat(n *node) {
 	epoch := n.epoch
 	w.after(time.Second, func() {
-		if n.alive && n.epoch == epoch && n.follows {
+		if n.alive && n.epoch == epoch && n.polling {
 			w.calls = append(w.calls, w.now)
 			if w.up && !n.cutOff {
-				if n.lists[0].told > 0 && n.last.Version == w.index {
+				if n.lists[0].serviceSeenAt > 0 && n.last.Version == w.index {
 					w.hand(n, func() []Effect { return n.ServiceSeen(w.now, 0) })
 				} else {
 					w.answer(n)
@@ -275,13 +275,13 @@
 // agree checks that all honest nodes have the service's list, and that no more ask than should.
 func (w *world) agree(when string, most int) {
 	w.t.Helper()
-	want := newContent(0, w.index, w.truth)
+	want := newEndpointList(0, w.index, w.truth)
 	asks := 0
 	for _, n := range w.nodes {
 		if !n.alive || n.lie != nil {
 			continue
 		}
-		if n.follows {
+		if n.polling {
 			asks++
 		}
 		if k, ok := n.Version(0); !ok || k != want.ListVersion {
@@ -435,7 +435,7 @@
 	lie  func(m Message) Message
 }{
 	{"a list with no boxes, of a version far ahead", func(m Message) Message {
-		empty := newContent(0, 1<<40, nil)
+		empty := newEndpointList(0, 1<<40, nil)
 		switch {
 		case m.Digest != nil:
 			m.Digest = []Advertisement{{empty.ListVersion, 0}}
@@ -449,12 +449,12 @@
 		for i := range 20 {
 			boxes = append(boxes, membership.Endpoint{ID: fmt.Sprintf("c%02d", i), Address: "10.0.0.1", State: membership.Draining})
 		}
-		bad := newContent(0, 1<<40, boxes)
+		bad := newEndpointList(0, 1<<40, boxes)
 		switch {
 		case m.Digest != nil:
 			m.Digest = []Advertisement{{bad.ListVersion, 0}}
 		case m.Part != nil, m.Delta != nil, m.Busy != nil:
-			m.Part, m.Delta, m.Busy = &Part{bad.ListVersion, 0, 1, bad.boxes}, nil, nil
+			m.Part, m.Delta, m.Busy = &Part{bad.ListVersion, 0, 1, bad.endpoints}, nil, nil
 		}
 		return m
 	}},
@@ -521,11 +521,11 @@
 			w.run(5 * time.Second)
 			asker := ""
 			for _, n := range w.nodes {
-				if n.follows && n.name != "d005" {
+				if n.polling && n.name != "d005" {
 					asker = n.name
 				}
 			}
-			w.nodes[5].cfg.Pollers = 0 // it is none itself
+			w.nodes[5].config.Pollers = 0 // it is none itself
 			w.run(8 * time.Second)
 			w.cut = only(asker) // they stay in its view
 			w.change(func() { w.truth[0].State = membership.Draining })
@@ -535,7 +535,7 @@
 			w.startAll()
 			w.run(5 * time.Second)
 			for _, n := range w.nodes {
-				n.cutOff = n.follows
+				n.cutOff = n.polling
 			}
 			w.change(func() { w.truth[0].State = membership.Draining })
 			w.run(w.now + 4*WidenInterval)
@@ -544,7 +544,7 @@
 			w.startAll()
 			w.run(5 * time.Second)
 			for _, n := range w.nodes {
-				if n.follows {
+				if n.polling {
 					w.kill(n)
 				}
 			}
@@ -574,17 +574,17 @@
 		{"a stranger tells lists", func(w *world) {
 			w.startAll()
 			w.run(5 * time.Second)
-			empty := newContent(0, 1<<40, nil)
+			empty := newEndpointList(0, 1<<40, nil)
 			for _, n := range w.nodes {
 				for _, from := range []string{"x1", "x2", "x3"} {
 					w.hand(n, func() []Effect {
 						return n.MessageReceived(w.now, Message{From: from, Digest: []Advertisement{{empty.ListVersion, 0}}})
 					})
 				}
-				if len(n.lists[0].claims) > len(w.nodes) {
+				if len(n.lists[0].advertisements) > len(w.nodes) {
 					w.t.Errorf("%s remembers what strangers tell", n.name)
 				}
-				for _, c := range n.lists[0].claims {
+				for _, c := range n.lists[0].advertisements {
 					if c.Version == 1<<40 {
 						w.t.Errorf("%s heeds a stranger", n.name)
 					}
@@ -635,7 +635,7 @@
 
 // TestSpoiltIsNamed: content that has not the checksum that was told is dropped, and who sent it is not heard for a while.
 func TestSpoiltIsNamed(t *testing.T) {
-	c := newContent(0, 3, []membership.Endpoint{{ID: "a", Address: "1"}})
+	c := newEndpointList(0, 3, []membership.Endpoint{{ID: "a", Address: "1"}})
 	for _, m := range []Message{{Part: &Part{c.ListVersion, 0, 1, nil}}, {Part: &Part{c.ListVersion, 0, 1 << 30, nil}}, {Part: &Part{c.ListVersion, 5, 2, nil}}} {
 		n := New(0, Config{Name: "a", Zone: "z", Peers: true, Lists: 1, Fleet: 3})
 		n.PeersChanged(0, []Peer{{"b", "z"}, {"c", "z"}})
@@ -646,7 +646,7 @@
 			note, is := e.(LogEntry)
 			spoilt = spoilt || is && note.Event == ChecksumMismatch && note.Peer == "b"
 		}
-		if !spoilt || n.distrust["b"] == 0 || len(n.lists[0].claims) > 0 {
+		if !spoilt || n.distrustedUntil["b"] == 0 || len(n.lists[0].advertisements) > 0 {
 			t.Errorf("%+v is taken", m.Part)
 		}
 	}
--- a/internal/bootstrap/sum.go
+++ b/internal/bootstrap/sum.go
@@ -9,9 +9,9 @@
 	"sloequay/internal/membership"
 )
 
-// sum is the checksum of a list: of its version and all that its boxes are. It finds spoilt and torn content; it is no proof of
+// checksum is the checksum of a list: of its version and all that its boxes are. It finds spoilt and torn content; it is no proof of
 // who made it.
-func sum(version uint64, boxes []membership.Endpoint) uint64 {
+func checksum(version uint64, boxes []membership.Endpoint) uint64 {
 	h := xxhash.New()
 	var b [8]byte
 	word := func(v uint64) {
