--- a/internal/bootstrap/decisions_test.go
+++ b/internal/bootstrap/decisions_test.go
@@ -535,8 +535,8 @@
 	return fmt.Sprintf("%d %d %s", seed, record.lines, hex.EncodeToString(record.digest.Sum(nil)[:16]))
 }
 
-// TestDecisionsStayAsTheyWere plays seeded fleets and compares a digest of all that their machines give back with the
-// one that is kept for each seed. A change of names must leave every line as it is.
+// TestDecisionsStayAsTheyWere plays seeded fleets and compares a digest of all that their machines give back with
+// the one that is kept for each seed. A change of names must leave every line as it is.
 func TestDecisionsStayAsTheyWere(t *testing.T) {
 	counts := map[string]int{}
 	var lines []string
--- /dev/null
+++ b/internal/bootstrap/digest.go
@@ -0,0 +1,148 @@
+package bootstrap
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// peerAdvertisement is the last advertisement of a peer for a list.
+type peerAdvertisement struct {
+	Advertisement
+	peer       string
+	receivedAt time.Duration
+}
+
+// serviceView is what is known of the list service for one list.
+type serviceView struct {
+	lastSeen time.Duration // by this proxy, or by a quorum of its pollers; 0: never
+	pollers  int           // peers whose heartbeats come in time
+}
+
+// viewService combines this proxy's own contact with the advertisements of peers that poll.
+func (m *Machine) viewService(l *listState) serviceView {
+	maxAge := MaxMissedHeartbeats * m.heartbeatInterval()
+	var newest [Quorum]time.Duration // descending
+	pollers := 0
+	for i := range l.advertisements {
+		advertisement := &l.advertisements[i]
+		if !advertisement.isFromPoller() || m.now-advertisement.receivedAt > maxAge {
+			continue
+		}
+		pollers++
+		if l.current == nil || advertisement.Sum != l.current.Sum {
+			continue
+		}
+		seenAt := advertisement.receivedAt - advertisement.LastSeen
+		for rank := range newest {
+			if seenAt > newest[rank] {
+				newest[rank], seenAt = seenAt, newest[rank]
+			}
+		}
+	}
+	return serviceView{lastSeen: max(newest[Quorum-1], l.serviceSeenAt), pollers: pollers}
+}
+
+// heartbeatInterval is the time between two heartbeats of a poller.
+func (m *Machine) heartbeatInterval() time.Duration {
+	return max(HeartbeatInterval, time.Duration(len(m.zonePeers))*time.Second/MaxHeartbeatsPerSecond)
+}
+
+// stepHeartbeat sends a heartbeat when it is due.
+func (m *Machine) stepHeartbeat() {
+	if !m.polling || !m.config.Peers || m.now < m.nextHeartbeat {
+		return
+	}
+	m.nextHeartbeat = m.now + m.heartbeatInterval()
+	m.sendHeartbeats()
+}
+
+// sendHeartbeats sends the digest to all peers of the zone.
+func (m *Machine) sendHeartbeats() {
+	digest := m.Digest()
+	for _, peer := range m.zonePeers {
+		m.send(peer.Name, Message{Digest: digest})
+	}
+}
+
+// stepInquiry sends the digest to a few members of any zone while a list is missing, so that they answer with
+// theirs: the service may be unreachable, and all of the zone may have started together.
+func (m *Machine) stepInquiry() {
+	if !m.config.Peers || len(m.memberNames) == 0 || m.now < m.nextInquiry || !m.lacksList() {
+		return
+	}
+	m.nextInquiry = m.now + HeartbeatInterval/2
+	digest := m.Digest()
+	for _, i := range m.random.Perm(len(m.memberNames))[:min(InquiryFanout, len(m.memberNames))] {
+		m.send(m.memberNames[i], Message{Digest: digest})
+	}
+}
+
+func (m *Machine) lacksList() bool {
+	return slices.ContainsFunc(m.lists, func(l listState) bool { return l.current == nil })
+}
+
+// receiveDigest takes a peer's advertisements, and answers a peer that lacks a list of this proxy's.
+func (m *Machine) receiveDigest(peer string, digest []Advertisement) {
+	peerLacksList := false
+	for _, advertisement := range digest {
+		l := m.list(advertisement.List)
+		if l == nil {
+			continue
+		}
+		m.receiveAdvertisement(l, peer, advertisement)
+		if advertisement.Sum == 0 && l.current != nil {
+			peerLacksList = true
+		}
+	}
+	if peerLacksList && m.replies.allow(m.now, MaxRepliesPerWindow) {
+		m.send(peer, Message{Digest: m.Digest()})
+	}
+}
+
+// receiveAdvertisement remembers which version a peer has, and fetches one that may replace the current one.
+func (m *Machine) receiveAdvertisement(l *listState, peer string, advertisement Advertisement) {
+	l.forget(peer)
+	l.advertisements = append(l.advertisements, peerAdvertisement{advertisement, peer, m.now})
+	if len(l.advertisements) > m.config.MaxAdvertisements {
+		l.advertisements = slices.Clone(l.advertisements[1:])
+	}
+	if advertisement.Sum == 0 || l.hasContent(advertisement.Sum) || !l.isNewer(advertisement.ListVersion) {
+		return
+	}
+	if l.fetch == nil || l.fetch.deadline <= m.now {
+		m.startFetch(l, advertisement.ListVersion, peer)
+	}
+}
+
+// forget drops the advertisement of a peer.
+func (l *listState) forget(peer string) {
+	l.advertisements = slices.DeleteFunc(l.advertisements, func(advertisement peerAdvertisement) bool {
+		return advertisement.peer == peer
+	})
+}
+
+// setMembers takes the other proxies that are alive, and drops the advertisements of all others.
+func (m *Machine) setMembers(peers []Peer) {
+	m.zonePeers = m.zonePeers[:0]
+	m.memberNames = m.memberNames[:0]
+	m.members = make(map[string]bool, len(peers))
+	for _, peer := range peers {
+		if peer.Name == m.config.Name {
+			continue
+		}
+		m.members[peer.Name] = true
+		m.memberNames = append(m.memberNames, peer.Name)
+		if peer.Zone == m.config.Zone {
+			m.zonePeers = append(m.zonePeers, peer)
+		}
+	}
+	slices.Sort(m.memberNames)
+	slices.SortFunc(m.zonePeers, func(a, b Peer) int { return cmp.Compare(a.Name, b.Name) })
+	for i := range m.lists {
+		l := &m.lists[i]
+		l.advertisements = slices.DeleteFunc(l.advertisements, func(advertisement peerAdvertisement) bool {
+			return !m.members[advertisement.peer]
+		})
+	}
+}
--- /dev/null
+++ b/internal/bootstrap/fetch.go
@@ -0,0 +1,166 @@
+package bootstrap
+
+import (
+	"slices"
+	"time"
+
+	"sloequay/internal/membership"
+)
+
+// fetchState is the fetch of one list.
+type fetchState struct {
+	ListVersion
+	peer      string // the last request went to
+	parts     [][]membership.Endpoint
+	received  int // parts
+	deadline  time.Duration
+	attempts  int
+	requested map[string]bool // by peer
+}
+
+// startFetch requests a list from a peer, as the first or a further attempt.
+func (m *Machine) startFetch(l *listState, version ListVersion, peer string) {
+	if l.fetch == nil || l.fetch.Sum != version.Sum {
+		l.fetch = &fetchState{ListVersion: version, requested: map[string]bool{}}
+	}
+	f := l.fetch
+	f.peer = peer
+	f.deadline = m.now + FetchTimeout
+	f.parts = nil
+	f.received = 0
+	f.attempts++
+	f.requested[peer] = true
+	request := &Fetch{ListVersion: version}
+	if l.current != nil {
+		request.HaveSum = l.current.Sum
+	}
+	m.send(peer, Message{Fetch: request})
+}
+
+// stepFetch retries a fetch whose deadline has passed with another peer. A fetch that is given up starts again with
+// the next digest.
+func (m *Machine) stepFetch(l *listState) {
+	f := l.fetch
+	if f == nil || m.now < f.deadline {
+		return
+	}
+	next := l.nextPeer(f)
+	if next == "" || f.attempts >= MaxFetchAttempts {
+		l.fetch = nil
+		return
+	}
+	m.startFetch(l, f.ListVersion, next)
+}
+
+// nextPeer returns a peer that advertises what is fetched, if possible one that got no request yet.
+func (l *listState) nextPeer(f *fetchState) string {
+	next := ""
+	for i := range l.advertisements {
+		advertisement := &l.advertisements[i]
+		if advertisement.Sum != f.Sum {
+			continue
+		}
+		if next == "" || f.requested[next] && !f.requested[advertisement.peer] {
+			next = advertisement.peer
+		}
+	}
+	return next
+}
+
+// awaits reports whether a list is being fetched in this version from a peer.
+func (l *listState) awaits(version ListVersion, peer string) bool {
+	return l != nil && l.fetch != nil && l.fetch.ListVersion == version && l.fetch.peer == peer
+}
+
+// receivePart takes a part of what is fetched.
+func (m *Machine) receivePart(peer string, part *Part) {
+	l := m.list(part.List)
+	if !l.awaits(part.ListVersion, peer) {
+		return
+	}
+	f := l.fetch
+	if !f.fits(part, m.config.MaxEndpoints) {
+		m.distrust(part.List, peer, ChecksumMismatch)
+		return
+	}
+	if f.parts == nil {
+		f.parts = make([][]membership.Endpoint, part.Total)
+	}
+	if f.parts[part.Number] == nil {
+		f.parts[part.Number] = append([]membership.Endpoint{}, part.Endpoints...)
+		f.received++
+	}
+	f.deadline = m.now + FetchTimeout
+	if f.received == part.Total {
+		m.completeFetch(l, peer, slices.Concat(f.parts...))
+	}
+}
+
+// fits reports whether a part is within the bounds and goes with those received before.
+func (f *fetchState) fits(part *Part, maxEndpoints int) bool {
+	if part.Total < 1 || part.Total > maxEndpoints/EndpointsPerPart+1 {
+		return false
+	}
+	if part.Number < 0 || part.Number >= part.Total || len(part.Endpoints) > EndpointsPerPart {
+		return false
+	}
+	return f.parts == nil || len(f.parts) == part.Total
+}
+
+// receiveDelta applies a delta to the current list. One that does not start from it, or is too long, is ignored.
+func (m *Machine) receiveDelta(peer string, delta *Delta) {
+	l := m.list(delta.List)
+	if !l.awaits(delta.ListVersion, peer) || l.current == nil || l.current.Sum != delta.BaseSum {
+		return
+	}
+	if len(delta.Endpoints) > m.config.MaxEndpoints {
+		return
+	}
+	replaced := make(map[string]bool, len(delta.Removed)+len(delta.Endpoints))
+	for _, id := range delta.Removed {
+		replaced[id] = true
+	}
+	for _, endpoint := range delta.Endpoints {
+		replaced[endpoint.ID] = true
+	}
+	endpoints := slices.Clone(delta.Endpoints)
+	for _, endpoint := range l.current.endpoints {
+		if !replaced[endpoint.ID] {
+			endpoints = append(endpoints, endpoint)
+		}
+	}
+	m.completeFetch(l, peer, endpoints)
+}
+
+// completeFetch ends a fetch and makes its content the candidate, if it has the checksum that was advertised.
+func (m *Machine) completeFetch(l *listState, peer string, endpoints []membership.Endpoint) {
+	want := l.fetch.ListVersion
+	l.fetch = nil
+	fetched := newEndpointList(want.List, want.Version, endpoints)
+	if fetched.Sum != want.Sum {
+		m.distrust(want.List, peer, ChecksumMismatch)
+		return
+	}
+	l.candidate = &candidate{endpointList: fetched, since: m.now}
+}
+
+// receiveBusy sends the fetch to the peer that is named, or retries it after a backoff with jitter.
+func (m *Machine) receiveBusy(peer string, busy *Busy) {
+	l := m.list(busy.List)
+	if l == nil || l.fetch == nil || l.fetch.Sum != busy.Sum || l.fetch.peer != peer {
+		return
+	}
+	if m.mayRedirect(l.fetch, busy.Peer) {
+		m.startFetch(l, l.fetch.ListVersion, busy.Peer)
+		return
+	}
+	l.fetch.deadline = m.now + time.Duration(m.random.Int64N(int64(FetchTimeout)))
+}
+
+// mayRedirect reports whether a fetch may go to a peer that another one names.
+func (m *Machine) mayRedirect(f *fetchState, peer string) bool {
+	if peer == "" || !m.members[peer] || m.isDistrusted(peer) {
+		return false
+	}
+	return !f.requested[peer] && f.attempts < MaxFetchAttempts
+}
--- /dev/null
+++ b/internal/bootstrap/polling.go
@@ -0,0 +1,157 @@
+package bootstrap
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// pollReason is why this proxy should poll the list service.
+type pollReason uint8
+
+const (
+	pollNotNeeded    pollReason = iota
+	pollElected                 // it is among the pollers of its zone
+	pollConfirmation            // a list lacks a quorum, and the service is to confirm it
+	pollIsolated                // no poller is in view
+)
+
+// stepPolling starts or stops polling, and reports for a proxy that does not poll whether the service is silent.
+func (m *Machine) stepPolling() {
+	reason := m.pollReason()
+	if reason != pollNotNeeded {
+		m.pollNeededAt = m.now
+	}
+	switch {
+	case !m.polling && reason != pollNotNeeded:
+		m.startPolling(reason)
+	case m.polling && m.now-m.pollNeededAt >= PollGracePeriod:
+		m.polling = false
+		m.addEffect(Poll{On: false})
+		m.log(Following, noList, "")
+	}
+	if !m.polling {
+		m.stepSourceStatus()
+	}
+}
+
+func (m *Machine) startPolling(reason pollReason) {
+	m.polling = true
+	m.addEffect(Poll{On: true})
+	if reason == pollIsolated && m.config.Peers {
+		m.log(Isolated, noList, "")
+		return
+	}
+	m.log(Polling, noList, "")
+}
+
+// pollReason decides whether this proxy should poll now. It draws the time of an isolated poll when the last poller
+// is lost.
+func (m *Machine) pollReason() pollReason {
+	if !m.config.Peers || len(m.members) == 0 {
+		if m.now >= m.isolatedPollAt {
+			return pollIsolated
+		}
+		return pollNotNeeded
+	}
+	m.startConfirmation()
+	limit, pollersInView := m.pollerLimit()
+	if m.isSettled() && m.rank() < limit {
+		return pollElected
+	}
+	switch {
+	case pollersInView:
+		m.isolatedPollAt = 0
+	case m.isolatedPollAt == 0:
+		m.isolatedPollAt = m.now + m.jitter() // all of the zone lose them at once
+	case m.now >= m.isolatedPollAt:
+		return pollIsolated
+	}
+	if m.isConfirming() {
+		return pollConfirmation
+	}
+	return pollNotNeeded
+}
+
+// isSettled reports whether ranks can be relied on: while less than half of the fleet is in view, many proxies would
+// rank themselves among the pollers.
+func (m *Machine) isSettled() bool {
+	if m.now < m.startedAt+SettleTime {
+		return false
+	}
+	halfInView := 2*(len(m.members)+1) >= m.config.Fleet
+	return halfInView || m.now >= m.startedAt+m.fleetWindow()+MinWindow
+}
+
+// rank is this proxy's place, from 0, in the rendezvous order of its zone.
+func (m *Machine) rank() int {
+	own := m.score(m.config.Name)
+	rank := 0
+	for _, peer := range m.zonePeers {
+		if m.score(peer.Name) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+func (m *Machine) score(name string) uint64 { return xxhash.Sum64String(m.config.Zone + " " + name) }
+
+// pollerLimit returns how many proxies of the zone should poll, and whether a poller of each list is in view. While
+// the service is silent for the pollers, more of them try, since their connection to it may be what failed.
+func (m *Machine) pollerLimit() (limit int, pollersInView bool) {
+	limit = m.config.Pollers
+	pollersInView = len(m.lists) > 0
+	for i := range m.lists {
+		view := m.viewService(&m.lists[i])
+		if view.pollers == 0 {
+			pollersInView = false
+			continue
+		}
+		silence := m.now - max(view.lastSeen, m.startedAt)
+		limit = max(limit, m.config.Pollers*min(MaxWidening, 1+int(silence/WidenInterval)))
+	}
+	return limit, pollersInView
+}
+
+// startConfirmation has this proxy poll for ConfirmTimeout when a list lacks a quorum for too long.
+func (m *Machine) startConfirmation() {
+	for i := range m.lists {
+		candidate := m.lists[i].candidate
+		if candidate == nil || m.now-candidate.since <= ConfirmDelay || m.now-m.confirmStartedAt < MinConfirmInterval {
+			continue
+		}
+		m.confirmStartedAt = m.now
+		m.confirmUntil = m.now + ConfirmTimeout
+	}
+}
+
+// isConfirming reports whether this proxy polls to confirm a list.
+func (m *Machine) isConfirming() bool { return m.now < m.confirmUntil }
+
+// stepSourceStatus reports each list whose service became silent, as seen through the pollers, or is back.
+func (m *Machine) stepSourceStatus() {
+	maxSilence := MaxMissedHeartbeats * m.heartbeatInterval()
+	for i := range m.lists {
+		l := &m.lists[i]
+		if l.current == nil {
+			continue
+		}
+		silent := m.now-m.viewService(l).lastSeen > maxSilence
+		if silent != l.silent {
+			l.silent = silent
+			m.addEffect(SourceStatus{List: i, Silent: silent})
+		}
+	}
+}
+
+// fleetWindow is the time over which the fleet spreads its isolated polls.
+func (m *Machine) fleetWindow() time.Duration { return time.Duration(m.config.Fleet) * WindowPerProxy }
+
+// jitter draws a delay from the window of the fleet.
+func (m *Machine) jitter() time.Duration {
+	if m.config.Fleet == 1 {
+		return 0
+	}
+	return time.Duration(m.random.Int64N(int64(max(MinWindow, m.fleetWindow()))))
+}
--- a/internal/bootstrap/sim_test.go
+++ b/internal/bootstrap/sim_test.go
@@ -48,6 +48,8 @@
 	started    time.Duration
 	peersOn    bool
 	fleet      int
+	// fromService: its list is the service's own, not a quorum's of peers.
+	fromService bool
 }
 
 type event struct {
@@ -102,7 +104,10 @@
 	if !n.alive || !n.polling || !w.up || n.cutOff {
 		return
 	}
-	w.hand(n, func() []Effect { return n.ListFromService(w.now, 0, w.index, w.truth) })
+	w.hand(n, func() []Effect {
+		n.fromService = true
+		return n.ListFromService(w.now, 0, w.index, w.truth)
+	})
 }
 
 // hand has a node take something, now or when it wakes.
@@ -204,13 +209,16 @@
 					w.t.Fatalf("%v: %s takes %v of %s from one peer alone", w.now, n.name, b.State, b.ID)
 				}
 			}
+			if !e.Hint {
+				n.fromService = false
+			}
 			if !e.Hint && !w.ever[checksum(e.Version, newEndpointList(0, e.Version, e.Endpoints).endpoints)] {
 				w.t.Fatalf("%v: %s believes a list that the service never had: version %d, %d boxes", w.now, n.name, e.Version, len(e.Endpoints))
 			}
 		}
 	}
 	if k, ok := n.Version(0); ok && k != n.last {
-		if !n.lists[0].fromService && k.Version < n.last.Version {
+		if !n.fromService && k.Version < n.last.Version {
 			w.t.Fatalf("%v: %s went back from version %d to %d by a peer's word", w.now, n.name, n.last.Version, k.Version)
 		}
 		n.last = k
@@ -314,8 +322,8 @@
 	return all, peak
 }
 
-// TestFleetStarts: calls to the service in the first 10 s, in a quiet minute and at their peak do not grow with the fleet, all are
-// ready in time, and a change reaches everyone within the second that a drain may take.
+// TestFleetStarts: calls to the service in the first 10 s, in a quiet minute and at their peak do not grow with the
+// fleet, all are ready in time, and a change reaches everyone within the second that a drain may take.
 func TestFleetStarts(t *testing.T) {
 	var at30 [3]int
 	for _, size := range []int{8, 30, 100, 300} {
@@ -359,9 +367,9 @@
 	}
 }
 
-// TestSeededPlans plays faults drawn by lot: kills and starts, nodes that stand still and wake, cuts from the service and between
-// peers, an outage, changes of the list throughout, and a liar. Nobody ever believes what the service never had, and once all is
-// healed everybody has its list.
+// TestSeededPlans plays faults drawn by lot: kills and starts, nodes that stand still and wake, cuts from the
+// service and between peers, an outage, changes of the list throughout, and a liar. Nobody ever believes what the
+// service never had, and once all is healed everybody has its list.
 func TestSeededPlans(t *testing.T) {
 	for seed := range uint64(*plans) {
 		w := newWorld(t, seed, 6+int(seed%20), 1+int(seed%3), true)
@@ -633,7 +641,8 @@
 	}
 }
 
-// TestSpoiltIsNamed: content that has not the checksum that was told is dropped, and who sent it is not heard for a while.
+// TestSpoiltIsNamed: content that has not the checksum that was told is dropped, and who sent it is not heard for a
+// while.
 func TestSpoiltIsNamed(t *testing.T) {
 	c := newEndpointList(0, 3, []membership.Endpoint{{ID: "a", Address: "1"}})
 	for _, m := range []Message{{Part: &Part{c.ListVersion, 0, 1, nil}}, {Part: &Part{c.ListVersion, 0, 1 << 30, nil}}, {Part: &Part{c.ListVersion, 5, 2, nil}}} {
--- /dev/null
+++ b/internal/bootstrap/trust.go
@@ -0,0 +1,145 @@
+package bootstrap
+
+import (
+	"slices"
+	"time"
+
+	"sloequay/internal/membership"
+)
+
+// candidate is the complete content of a list that no quorum of peers advertises yet.
+type candidate struct {
+	*endpointList
+	since    time.Duration
+	hintedAt time.Duration // when it was used as a hint; 0: it was not
+}
+
+// stepCandidate drops a list that is no longer newer, accepts one that a quorum advertises, and uses one as a hint
+// where nothing else is known.
+func (m *Machine) stepCandidate(list int, l *listState) {
+	c := l.candidate
+	switch {
+	case c == nil:
+	case !l.isNewer(c.ListVersion):
+		l.candidate = nil
+	case l.advertisers(c.ListVersion) >= Quorum:
+		m.accept(list, l)
+	case l.current == nil && c.hintedAt == 0:
+		m.useHint(list, c)
+	}
+}
+
+// accept puts the candidate in force.
+func (m *Machine) accept(list int, l *listState) {
+	accepted := l.candidate.endpointList
+	m.install(l, accepted)
+	l.candidate = nil
+	l.silent = false
+	m.addEffect(Adopt{List: list, Version: accepted.Version, Endpoints: accepted.endpoints})
+	m.log(ListAccepted, list, "")
+}
+
+// useHint has the endpoints of a candidate used that are up. Without any it would serve nobody and is not used.
+func (m *Machine) useHint(list int, c *candidate) {
+	var up []membership.Endpoint
+	for _, endpoint := range c.endpoints {
+		if endpoint.State == membership.Up {
+			up = append(up, endpoint)
+		}
+	}
+	if len(up) == 0 {
+		return
+	}
+	c.hintedAt = m.now
+	m.addEffect(Adopt{List: list, Version: c.Version, Endpoints: up, Hint: true})
+	m.log(HintUsed, list, "")
+}
+
+// install makes a list the current one, and caches the one before for deltas.
+func (m *Machine) install(l *listState, installed *endpointList) {
+	if l.current != nil && l.current.Sum != installed.Sum {
+		l.history = append(l.history, l.current)
+		if len(l.history) > m.config.History {
+			l.history = slices.Clone(l.history[1:])
+		}
+	}
+	l.current = installed
+	if l.fetch != nil && !l.isNewer(l.fetch.ListVersion) {
+		l.fetch = nil
+	}
+	clear(m.servedPeers)
+}
+
+// isNewer reports whether a list may replace the current one. A candidate does not block another one, whatever
+// version it claims.
+func (l *listState) isNewer(version ListVersion) bool {
+	return l.current == nil || version.Version > l.current.Version
+}
+
+// hasContent reports whether the content with a checksum is here, in force or as the candidate.
+func (l *listState) hasContent(sum uint64) bool {
+	return l.current != nil && sum == l.current.Sum || l.candidate != nil && sum == l.candidate.Sum
+}
+
+// advertisers counts the peers that advertise a list.
+func (l *listState) advertisers(version ListVersion) int {
+	count := 0
+	for i := range l.advertisements {
+		if l.advertisements[i].ListVersion == version {
+			count++
+		}
+	}
+	return count
+}
+
+// refuteAdvertisements distrusts the peers that the service's own list contradicts, and drops a candidate that it
+// settles.
+func (m *Machine) refuteAdvertisements(list int, l *listState) {
+	if l.candidate != nil && l.candidate.Sum == l.current.Sum {
+		l.candidate = nil
+	}
+	// distrust shortens l.advertisements in place: the entry behind a refuted one moves up and is not examined here.
+	for _, advertisement := range l.advertisements {
+		if m.isRefuted(advertisement.ListVersion, l.current.ListVersion) {
+			m.distrust(list, advertisement.peer, PeerRefuted)
+		}
+	}
+	if m.isConfirming() && l.candidate != nil && l.candidate.Version > l.current.Version {
+		l.candidate = nil
+	}
+}
+
+// isRefuted reports whether the service's list contradicts an advertised one: by other content of the same version,
+// or by not having reached the version while this proxy polls to confirm it. Otherwise a later version may be true,
+// since the service may have changed meanwhile.
+func (m *Machine) isRefuted(advertised, current ListVersion) bool {
+	if advertised.Version == current.Version {
+		return advertised.Sum != current.Sum
+	}
+	return advertised.Version > current.Version && m.isConfirming()
+}
+
+// distrust drops what a peer has sent, and its messages for DistrustPeriod.
+func (m *Machine) distrust(list int, peer string, reason Event) {
+	m.distrustedUntil[peer] = m.now + DistrustPeriod
+	m.log(reason, list, peer)
+	for i := range m.lists {
+		l := &m.lists[i]
+		l.forget(peer)
+		if l.fetch != nil && l.fetch.peer == peer {
+			l.fetch = nil
+		}
+	}
+}
+
+// isDistrusted reports whether a peer's messages are dropped.
+func (m *Machine) isDistrusted(peer string) bool { return m.distrustedUntil[peer] > m.now }
+
+// stepDistrust forgets the peers whose period is over.
+func (m *Machine) stepDistrust() {
+	for peer, until := range m.distrustedUntil {
+		if until <= m.now {
+			delete(m.distrustedUntil, peer)
+		}
+	}
+}
--- a/internal/bootstrap/wire_test.go
+++ b/internal/bootstrap/wire_test.go
@@ -31,8 +31,8 @@
 	}
 }
 
-// TestMessagesKeepTheirForm compares the encoded messages with those that commit 1dcc078 wrote: proxies of several versions
-// talk to each other during a release.
+// TestMessagesKeepTheirForm compares the encoded messages with those that commit 1dcc078 wrote: proxies of several
+// versions talk to each other during a release.
 func TestMessagesKeepTheirForm(t *testing.T) {
 	path := filepath.Join("testdata", "messages.hex")
 	var lines []string
