--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -12,7 +12,7 @@
 	after := time.Now()
 	earliest, latest := time.Duration(before.UnixNano()), time.Duration(after.UnixNano())
 	if got := system.Started(); got < earliest || got > latest {
-		t.Errorf("Started() = %v, want the Unix time at which NewSystem ran, %v to %v", got, earliest, latest)
+		t.Errorf("Started() = %v, want the Unix time of NewSystem, %v to %v", got, earliest, latest)
 	}
 	uptime := system.Uptime()
 	monotonic := system.Monotonic()
@@ -21,7 +21,7 @@
 	}
 }
 
-// TestSystemOffsetMovesUnixTimeAlone: the offset of a drill moves Unix time by just as much, and not the monotonic time.
+// TestSystemOffsetMovesUnixTimeAlone: the offset of a drill moves Unix time by just as much, and leaves monotonic time.
 func TestSystemOffsetMovesUnixTimeAlone(t *testing.T) {
 	for _, offset := range []time.Duration{0, 36 * time.Hour, -36 * time.Hour} {
 		t.Run(offset.String(), func(t *testing.T) {
--- a/test/badday_test.go
+++ b/test/badday_test.go
@@ -24,44 +24,44 @@
 // are compared, so that what grows by a little each time is seen.
 
 const (
-	badRounds  = 5
-	badClients = 8
-	badEach    = 50 // requests of a client in a round
-	badWindow  = 8  // that it has open
+	faultRounds      = 5
+	faultClients     = 8
+	requestsPerRound = 50 // requests of a client in a round
+	openWindow       = 8  // that it has open
 )
 
-// badDay is one kind of bad input.
-type badDay struct {
-	name   string
-	script func(n int64, a *asked) // what the nth attempt of the day meets
-	beside func(d *badRun)         // runs beside the requests of a round, until d.over is closed
-	after  func(d *badRun)         // puts right what beside has left
-	client badClient
-	least  float64 // of the requests that were not taken back, the share that is to be served
+// faultCase is one kind of bad input.
+type faultCase struct {
+	name      string
+	script    func(n int64, a *receivedRequest) // what the nth attempt of the day meets
+	beside    func(d *faultRun)                 // runs beside the requests of a round, until d.over is closed
+	after     func(d *faultRun)                 // puts right what beside has left
+	client    clientFaults
+	minServed float64 // of the requests that were not taken back, the share that is to be served
 }
 
-// badClient is how the day's clients behave.
-type badClient struct {
-	withdraws int // each so manieth request is taken back at once
-	leaves    int // and after each so manieth the client is gone, with what it has open
-	insists   int // a request that is not served comes again at once, so often
+// clientFaults is how the day's clients behave.
+type clientFaults struct {
+	withdrawEvery int // each so manieth request is taken back at once
+	leaveAfter    int // and after each so manieth the client is gone, with what it has open
+	retries       int // a request that is not served comes again at once, so often
 }
 
-// badRun is a day as it runs.
-type badRun struct {
-	w             *world
+// faultRun is a day as it runs.
+type faultRun struct {
+	testbed       *testbed
 	over          chan struct{}
-	event         int // of the bulletin
+	listVersion   int // of the bulletin
 	served, ended atomic.Int64
 	ids           atomic.Uint64
 }
 
-func good(a *asked) {
+func answerServed(a *receivedRequest) {
 	a.Answer("ACK", fmt.Sprintf("tag=t1,minted=%d,remark=hit", time.Now().UnixMilli()), a.Fields["thing"])
 }
 
-// spoilt gives a box's answers one after another in each of the ways that the operators' page lists.
-func spoilt(n int64, a *asked) {
+// answerMalformed gives a box's answers one after another in each of the ways that the operators' page lists.
+func answerMalformed(n int64, a *receivedRequest) {
 	raw := func(format string, args ...any) { _, _ = fmt.Fprintf(a.Conn, format, args...) }
 	switch n % 36 {
 	case 0:
@@ -77,103 +77,103 @@
 		raw("%s ACK tag=t1 -7\r\n", a.ID)
 	case 5:
 		raw("ffffffffffffffff ACK tag=t1,minted=1 3\r\nbad\r\n")
-		good(a)
+		answerServed(a)
 	case 6:
-		good(a)
-		good(a)
+		answerServed(a)
+		answerServed(a)
 	case 7: // never comes
 	case 8:
 		raw("%s ACK tag=t1 16\r\n7f3a9c21e0b4d655 and more\r\n", a.ID)
 	default:
-		good(a)
+		answerServed(a)
 	}
 }
 
-// TestBadDays plays them.
-func TestBadDays(t *testing.T) {
-	for _, day := range []badDay{
-		{name: "answers come spoilt", script: spoilt, least: 0.05},
-		{name: "connections are reset", least: 0.05, script: func(n int64, a *asked) {
+// TestFaultsLeaveNothingHeld plays them.
+func TestFaultsLeaveNothingHeld(t *testing.T) {
+	for _, day := range []faultCase{
+		{name: "answers come spoilt", script: answerMalformed, minServed: 0.05},
+		{name: "connections are reset", minServed: 0.05, script: func(n int64, a *receivedRequest) {
 			if n%9 == 0 {
 				_ = a.Conn.Close() // once the request was read
 				return
 			}
-			good(a)
-		}, beside: func(d *badRun) {
+			answerServed(a)
+		}, beside: func(d *faultRun) {
 			for box := 0; ; box++ { // new, idle or under a request
 				select {
 				case <-d.over:
 					return
 				case <-time.After(5 * time.Millisecond):
-					d.w.fleet.Drop([]string{"c1", "c2", "p1", "o1"}[box%4])
+					d.testbed.endpoints.Drop([]string{"c1", "c2", "p1", "o1"}[box%4])
 				}
 			}
 		}},
-		{name: "lists are empty, torn, doubled, old and late", least: 0.05, beside: (*badRun).badLists, after: (*badRun).soundList},
-		{name: "clients give up", client: badClient{withdraws: 3, leaves: 20}, least: 0.5, script: func(n int64, a *asked) {
+		{name: "lists are empty, torn, doubled, old and late", minServed: 0.05, beside: (*faultRun).sendFaultyLists, after: (*faultRun).sendSoundList},
+		{name: "clients give up", client: clientFaults{withdrawEvery: 3, leaveAfter: 20}, minServed: 0.5, script: func(n int64, a *receivedRequest) {
 			time.Sleep(time.Duration(n%4) * 2 * time.Millisecond)
-			good(a)
+			answerServed(a)
 		}},
-		{name: "clients come again too often", client: badClient{insists: 10}, script: func(n int64, a *asked) {
+		{name: "clients come again too often", client: clientFaults{retries: 10}, script: func(n int64, a *receivedRequest) {
 			if n%3 == 0 {
-				good(a)
+				answerServed(a)
 				return
 			}
 			a.Answer("AGAIN", "-", "")
-		}, least: 0.05},
-		{name: "all of it at once", script: spoilt, client: badClient{withdraws: 4, leaves: 15, insists: 3},
-			beside: func(d *badRun) {
-				d.badLists()
-				d.w.fleet.Drop("c1")
-			}, after: (*badRun).soundList, least: 0.02},
+		}, minServed: 0.05},
+		{name: "all of it at once", script: answerMalformed, client: clientFaults{withdrawEvery: 4, leaveAfter: 15, retries: 3},
+			beside: func(d *faultRun) {
+				d.sendFaultyLists()
+				d.testbed.endpoints.Drop("c1")
+			}, after: (*faultRun).sendSoundList, minServed: 0.02},
 	} {
 		t.Run(day.name, func(t *testing.T) {
 			t.Parallel()
 			var n atomic.Int64
-			w := newWorld(t, func(a *asked) {
+			w := newTestbed(t, func(a *receivedRequest) {
 				if day.script == nil {
-					good(a)
+					answerServed(a)
 				} else {
 					day.script(n.Add(1), a)
 				}
 			})
-			socket := shortSocket(t)
-			w.own("control " + socket)
-			w.run()
+			socket := socketPath(t)
+			w.addSettings("control " + socket)
+			w.start()
 			go func() { // what the program asks of the bulletin is not looked at
-				for range w.after {
+				for range w.listPolls {
 				}
 			}()
-			d := &badRun{w: w, event: 1}
+			d := &faultRun{testbed: w, listVersion: 1}
 			var held []map[string]int
-			for round := range badRounds {
+			for round := range faultRounds {
 				d.round(&day)
 				if day.after != nil {
 					day.after(d)
 				}
 				var state map[string]int
-				w.until(fmt.Sprintf("what round %d left is gone: %v", round, state), func() bool {
-					state = w.held(socket)
+				w.waitUntil(fmt.Sprintf("what round %d left is gone: %v", round, state), func() bool {
+					state = w.heldState(socket)
 					return state["pool.0.open"]+state["pool.0.module"]+state["pool.0.sent"] == 0
 				})
 				state["descriptors"] = w.descriptors()
 				held = append(held, state)
 			}
-			first, last := held[1], held[badRounds-1]
+			first, last := held[1], held[faultRounds-1]
 			for kind, n := range last {
 				if kind == "pool.0.given-up" { // kept for 10 s, as late answers may come
 					continue
 				}
 				// Rounds differ by what is just being closed; what is kept would be there for each request.
-				if most := first[kind] + badClients*badEach/4; kind != "pool.0.timers" && n > most {
-					t.Errorf("%s: %d after round 2, %d after round %d", kind, first[kind], n, badRounds)
+				if most := first[kind] + faultClients*requestsPerRound/4; kind != "pool.0.timers" && n > most {
+					t.Errorf("%s: %d after round 2, %d after round %d", kind, first[kind], n, faultRounds)
 				}
 			}
-			if n := last["pool.0.timers"]; n > 2*badClients*badEach+1024 {
+			if n := last["pool.0.timers"]; n > 2*faultClients*requestsPerRound+1024 {
 				t.Errorf("%d timers are held with nothing open", n)
 			}
-			if share := float64(d.served.Load()) / float64(d.ended.Load()); share < day.least {
-				t.Errorf("%.2f of %d requests were served, at least %.2f wanted", share, d.ended.Load(), day.least)
+			if share := float64(d.served.Load()) / float64(d.ended.Load()); share < day.minServed {
+				t.Errorf("%.2f of %d requests were served, at least %.2f wanted", share, d.ended.Load(), day.minServed)
 			}
 			select {
 			case err := <-w.exited:
@@ -185,8 +185,8 @@
 	}
 }
 
-// shortSocket gives a path for a Unix socket, which may have some hundred letters only.
-func shortSocket(t *testing.T) string {
+// socketPath gives a path for a Unix socket, which may have some hundred letters only.
+func socketPath(t *testing.T) string {
 	t.Helper()
 	dir, err := os.MkdirTemp("", "sq")
 	if err != nil {
@@ -196,8 +196,8 @@
 	return filepath.Join(dir, "s")
 }
 
-// held asks the program how much it holds.
-func (w *world) held(socket string) map[string]int {
+// heldState asks the program how much it holds.
+func (w *testbed) heldState(socket string) map[string]int {
 	w.t.Helper()
 	var out bytes.Buffer
 	if err := admin.Ask(&out, socket, "state"); err != nil {
@@ -215,20 +215,20 @@
 }
 
 // descriptors counts those of the program.
-func (w *world) descriptors() int {
+func (w *testbed) descriptors() int {
 	list, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", w.cmd.Process.Pid))
 	return len(list)
 }
 
 // round has all clients send what they have to send.
-func (d *badRun) round(day *badDay) {
+func (d *faultRun) round(day *faultCase) {
 	d.over = make(chan struct{})
 	var beside, clients sync.WaitGroup
 	if day.beside != nil {
 		beside.Add(1)
 		go func() { defer beside.Done(); day.beside(d) }()
 	}
-	for range badClients {
+	for range faultClients {
 		clients.Add(1)
 		go func() { defer clients.Done(); d.client(day.client) }()
 	}
@@ -238,22 +238,22 @@
 }
 
 // client sends its requests, a window of them at a time, and holds the doorman to one answer each.
-func (d *badRun) client(how badClient) {
-	t := d.w.t
-	for left := badEach; left > 0; {
-		c, err := emulator.Dial(d.w.listen)
+func (d *faultRun) client(how clientFaults) {
+	t := d.testbed.t
+	for left := requestsPerRound; left > 0; {
+		c, err := emulator.Dial(d.testbed.address)
 		if err != nil {
 			t.Errorf("a client was not let in: %v", err)
 			return
 		}
 		open, again, taken := map[uint64]int{}, []int{}, map[uint64]bool{} // open and again: tries that are left
 		gone := 0
-		if how.leaves > 0 {
-			gone = how.leaves
+		if how.leaveAfter > 0 {
+			gone = how.leaveAfter
 		}
 		for left > 0 || len(open) > 0 || len(again) > 0 {
-			for len(open) < badWindow && (left > 0 || len(again) > 0) {
-				tries := how.insists
+			for len(open) < openWindow && (left > 0 || len(again) > 0) {
+				tries := how.retries
 				if len(again) > 0 {
 					tries, again = again[0], again[1:]
 				} else {
@@ -266,22 +266,22 @@
 					t.Errorf("request %d could not be sent: %v", id, err)
 					return
 				}
-				if how.withdraws > 0 && id%uint64(how.withdraws) == 0 {
+				if how.withdrawEvery > 0 && id%uint64(how.withdrawEvery) == 0 {
 					_ = c.Send(withdrawal(id))
 					delete(open, id)
 					taken[id] = true
 				}
-				if gone--; how.leaves > 0 && gone == 0 {
+				if gone--; how.leaveAfter > 0 && gone == 0 {
 					break
 				}
 			}
-			if how.leaves > 0 && gone <= 0 {
+			if how.leaveAfter > 0 && gone <= 0 {
 				break // with what it has open
 			}
 			if len(open) == 0 {
 				continue
 			}
-			a, err := c.Read(patience)
+			a, err := c.Read(waitLimit)
 			if err != nil {
 				t.Errorf("%d requests have no answer: %v", len(open), err)
 				break
@@ -316,33 +316,33 @@
 	return append(b, byte(id>>24), byte(id>>16), byte(id>>8), byte(id))
 }
 
-// badLists has the bulletin tell what can't be used, then what takes all boxes away, and break off in between.
-func (d *badRun) badLists() {
+// sendFaultyLists has the bulletin tell what can't be used, then what takes all boxes away, and break off in between.
+func (d *faultRun) sendFaultyLists() {
 	tell := func(line string) {
 		select {
-		case d.w.feed <- line:
+		case d.testbed.listFeed <- line:
 		case <-d.over:
 		}
 	}
 	for {
-		next := d.event + 1
+		next := d.listVersion + 1
 		for _, line := range []string{
 			`{"no":` + strconv.Itoa(next) + `,"roster":{"seq":1,"who`, // torn
 			"!",
-			roster(next, true), // hosts are none at all
+			listEvent(next, true), // hosts are none at all
 			"!",
-			roster(next, true, host("c1", "nowhere", "edge", "std", "up", 0)), // no address
+			listEvent(next, true, listEntry("c1", "nowhere", "edge", "std", "up", 0)), // no address
 			"!",
-			empty(next), // all boxes are gone
-			empty(next), // twice
+			emptyList(next), // all boxes are gone
+			emptyList(next), // twice
 			strconv.Itoa(next),
-			roster(1, false, host("c9", "127.0.0.1:1", "edge", "std", "up", 0)), // old
+			listEvent(1, false, listEntry("c9", "127.0.0.1:1", "edge", "std", "up", 0)), // old
 			strconv.Itoa(next + 5), // five were missed, it says
-			roster(next+1, true, d.w.hosts[0], d.w.hosts[0], d.w.hosts[1], d.w.hosts[2], d.w.hosts[3]),
+			listEvent(next+1, true, d.testbed.listed[0], d.testbed.listed[0], d.testbed.listed[1], d.testbed.listed[2], d.testbed.listed[3]),
 		} {
 			tell(line)
 		}
-		d.event += 2
+		d.listVersion += 2
 		select {
 		case <-d.over:
 			return
@@ -351,59 +351,61 @@
 	}
 }
 
-// empty is a whole list without boxes.
-func empty(no int) string { return strings.Replace(roster(no, true), `"hosts":null`, `"hosts":[]`, 1) }
+// emptyList is a whole list without boxes.
+func emptyList(no int) string {
+	return strings.Replace(listEvent(no, true), `"hosts":null`, `"hosts":[]`, 1)
+}
 
-// soundList has the bulletin tell the whole list, and waits until a box serves again.
-func (d *badRun) soundList() {
-	hosts := make([]map[string]any, 0, len(d.w.hosts))
-	for _, h := range d.w.hosts {
+// sendSoundList has the bulletin tell the whole list, and waits until a box serves again.
+func (d *faultRun) sendSoundList() {
+	hosts := make([]map[string]any, 0, len(d.testbed.listed))
+	for _, h := range d.testbed.listed {
 		hosts = append(hosts, maps.Clone(h))
 	}
-	c := d.w.dial()
+	c := d.testbed.dial()
 	c.send(request(1, "status", nil, ""))
-	c.want()
-	d.w.until("a box serves again", func() bool {
+	c.mustRead()
+	d.testbed.waitUntil("a box serves again", func() bool {
 		// Numbers that the program has already, or that skip some, have it ask again: then the next one will do.
-		d.event++
+		d.listVersion++
 		select {
-		case d.w.feed <- roster(d.event, true, hosts...):
+		case d.testbed.listFeed <- listEvent(d.listVersion, true, hosts...):
 		default:
 		}
 		select {
-		case d.w.feed <- "!":
+		case d.testbed.listFeed <- "!":
 		default:
 		}
-		c, err := emulator.Dial(d.w.listen)
+		c, err := emulator.Dial(d.testbed.address)
 		if err != nil {
 			return false
 		}
 		defer c.Conn.Close()
 		_ = c.Send(request(d.ids.Add(1), "footage", map[string]string{"item": fmt.Sprintf("%016x", d.ids.Load()%50+1)}, ""))
-		a, err := c.Read(patience)
+		a, err := c.Read(waitLimit)
 		return err == nil && a.Error == ""
 	})
 	_ = c.conn.Close()
 }
 
-// TestTimersOfTheWithdrawn: a client that tells limits of an hour and takes each request back left two timers each, with
+// TestWithdrawnRequestsReleaseTimers: a client that tells limits of an hour and takes each request back left two timers each, with
 // the request, for that hour.
-func TestTimersOfTheWithdrawn(t *testing.T) {
-	w := newWorld(t, func(*asked) {})
-	socket := shortSocket(t)
-	w.own("control " + socket)
-	w.run()
+func TestWithdrawnRequestsReleaseTimers(t *testing.T) {
+	w := newTestbed(t, func(*receivedRequest) {})
+	socket := socketPath(t)
+	w.addSettings("control " + socket)
+	w.start()
 	c := w.dial()
 	for id := uint64(1); id <= 3000; id++ {
 		c.send(request(id, "footage", map[string]string{"limit": "3600000"}, ""))
 		c.send(withdrawal(id))
 		if id%16 == 0 { // else they would be taken back in the round they came in, and not be taken up
 			c.send(request(id, "status", nil, ""))
-			c.want()
-			w.until("it is out", func() bool { return w.held(socket)["pool.0.open"] == 0 })
+			c.mustRead()
+			w.waitUntil("it is out", func() bool { return w.heldState(socket)["pool.0.open"] == 0 })
 		}
 	}
-	if n := w.held(socket)["pool.0.timers"]; n > 1100 {
+	if n := w.heldState(socket)["pool.0.timers"]; n > 1100 {
 		t.Errorf("%d timers are held with nothing open", n)
 	}
 	w.signal(syscall.SIGTERM)
--- a/test/boxtls_test.go
+++ b/test/boxtls_test.go
@@ -15,24 +15,24 @@
 	"sloequay/internal/emulator"
 )
 
-// swapped is a certificate that a stand-in box can change while it runs.
-type swapped struct {
+// swappableCertificate is a certificate that a stand-in box can change while it runs.
+type swappableCertificate struct {
 	mu   sync.Mutex
 	pair tls.Certificate
 }
 
-func (s *swapped) set(p tls.Certificate) {
+func (s *swappableCertificate) set(p tls.Certificate) {
 	s.mu.Lock()
 	s.pair = p
 	s.mu.Unlock()
 }
 
-// behindTLS has a box listen by TLS, with a certificate for a name, where clients must show one of the same authority. seen
+// serveTLS has a box listen by TLS, with a certificate for a name, where clients must show one of the same authority. seen
 // is told the name of each.
-func (w *world) behindTLS(ca *emulator.Authority, id, name string, seen func(string)) *swapped {
+func (w *testbed) serveTLS(ca *emulator.Authority, id, name string, seen func(string)) *swappableCertificate {
 	w.t.Helper()
-	s := &swapped{}
-	s.set(w.pair(ca, name))
+	s := &swappableCertificate{}
+	s.set(w.certificate(ca, name))
 	roots := x509.NewCertPool()
 	roots.AddCert(ca.Cert)
 	cfg := &tls.Config{ClientCAs: roots, ClientAuth: tls.RequireAndVerifyClientCert,
@@ -51,8 +51,8 @@
 		w.t.Fatal(err)
 	}
 	w.t.Cleanup(func() { _ = ln.Close() })
-	go w.fleet.Serve(id, tls.NewListener(ln, cfg))
-	for _, h := range w.hosts {
+	go w.endpoints.Serve(id, tls.NewListener(ln, cfg))
+	for _, h := range w.listed {
 		if h["host"] == id {
 			h["dial"] = ln.Addr().String()
 		}
@@ -60,7 +60,7 @@
 	return s
 }
 
-func (w *world) pair(ca *emulator.Authority, name string) tls.Certificate {
+func (w *testbed) certificate(ca *emulator.Authority, name string) tls.Certificate {
 	w.t.Helper()
 	cert, key, err := ca.Make(strings.ReplaceAll(name, ".", "-"), name)
 	if err != nil {
@@ -88,12 +88,12 @@
 	}
 }
 
-// TestBoxTLS: boxes of one site are spoken to by TLS and show a certificate for their own id; those of another site are not.
+// TestUpstreamTLS: boxes of one site are spoken to by TLS and show a certificate for their own id; those of another site are not.
 // What shows another's is sent nothing. Our certificate changes in service and no request fails; a torn one changes nothing.
-func TestBoxTLS(t *testing.T) {
+func TestUpstreamTLS(t *testing.T) {
 	t.Parallel()
 	large := strings.Repeat("y", 200_000)
-	w := newWorld(t, func(a *asked) { a.Answer("ACK", "tag=t1", large) })
+	w := newTestbed(t, func(a *receivedRequest) { a.Answer("ACK", "tag=t1", large) })
 	ca, err := emulator.NewAuthority(t.TempDir())
 	if err != nil {
 		t.Fatal(err)
@@ -105,8 +105,8 @@
 		shown[name]++
 		mu.Unlock()
 	}
-	w.behindTLS(ca, "c1", "c1.boxes.test", seen)
-	w.behindTLS(ca, "c2", "c1.boxes.test", seen) // an impostor
+	w.serveTLS(ca, "c1", "c1.boxes.test", seen)
+	w.serveTLS(ca, "c2", "c1.boxes.test", seen) // an impostor
 	dir := t.TempDir()
 	cert, key := dir+"/our.pem", dir+"/our.key"
 	ours, oursKey, err := ca.Make("doorman-1", "doorman-1.test")
@@ -115,14 +115,14 @@
 	}
 	replaceFile(t, ours, cert)
 	replaceFile(t, oursKey, key)
-	w.own("box-tls {\nca " + ca.File + "\ncert " + cert + "\nkey " + key + "\nsuffix .boxes.test\nsite hub {\nplain on\n}\n}")
-	w.run()
+	w.addSettings("box-tls {\nca " + ca.File + "\ncert " + cert + "\nkey " + key + "\nsuffix .boxes.test\nsite hub {\nplain on\n}\n}")
+	w.start()
 	client := w.dial()
 	var id atomic.Uint64
 	ask := func() reply {
 		n := id.Add(1)
 		client.send(request(n, "footage", map[string]string{"item": fmt.Sprintf("%016x", n)}, ""))
-		return client.want()
+		return client.mustRead()
 	}
 	for range 30 {
 		if a := ask(); a.Error != "" || a.Body != large {
@@ -130,7 +130,7 @@
 		}
 	}
 	byBox := map[string]int{}
-	for _, a := range w.lines(word("ASK")) {
+	for _, a := range w.received(hasWord("ASK")) {
 		byBox[a.Endpoint]++
 		if a.Fields["via"] == "c2" {
 			t.Error("the impostor is named as a source")
@@ -139,7 +139,7 @@
 	if byBox["c1"] == 0 || byBox["c2"] > 0 {
 		t.Errorf("sent by box: %v, want c1 and not c2, whose certificate is another's", byBox)
 	}
-	w.until("the impostor is logged", func() bool {
+	w.waitUntil("the impostor is logged", func() bool {
 		return matches(`event=upstream-connect-failed endpoint=c2 .*not c2\.boxes\.test`, w.log.String())
 	})
 	// A new certificate, under load.
@@ -154,7 +154,7 @@
 			default:
 			}
 			load.send(request(n, "footage", map[string]string{"txn": "00000000000f" + strings.Repeat("0", 3) + string("0123456789abcdef"[n%16])}, ""))
-			if a := load.want(); a.Error != "" {
+			if a := load.mustRead(); a.Error != "" {
 				t.Errorf("while certificates change: %+v", a.Error)
 				return
 			}
@@ -166,9 +166,9 @@
 		t.Fatal(err)
 	}
 	replaceFile(t, next, cert) // the key is still the old one's: not taken over
-	w.until("what does not fit is refused", func() bool { return strings.Contains(w.log.String(), "event=keys-rejected") })
+	w.waitUntil("what does not fit is refused", func() bool { return strings.Contains(w.log.String(), "event=keys-rejected") })
 	replaceFile(t, nextKey, key)
-	w.until("it is taken over", func() bool { return strings.Contains(w.log.String(), "event=tls-reloaded") })
+	w.waitUntil("it is taken over", func() bool { return strings.Contains(w.log.String(), "event=tls-reloaded") })
 	mu.Lock()
 	if shown["doorman-1.test"] == 0 || shown["doorman-2.test"] > 0 {
 		t.Errorf("shown by then: %v", shown)
@@ -176,8 +176,8 @@
 	mu.Unlock()
 	close(stop)
 	<-done
-	w.fleet.Drop("c1") // connections that stand go on by the old one; new ones show the new
-	w.until("the new certificate is shown", func() bool {
+	w.endpoints.Drop("c1") // connections that stand go on by the old one; new ones show the new
+	w.waitUntil("the new certificate is shown", func() bool {
 		ask()
 		mu.Lock()
 		defer mu.Unlock()
--- a/test/catalogue_test.go
+++ b/test/catalogue_test.go
@@ -26,7 +26,7 @@
 )
 
 // services are where the stand-in boxes are registered.
-func service(id string) (name, class, site string) {
+func catalogueService(id string) (name, class, site string) {
 	switch id[0] {
 	case 'p':
 		return "trunk", "parent", "hub"
@@ -36,35 +36,35 @@
 	return "cache", "std", "edge"
 }
 
-func (w *world) instance(id, address string) consul.Instance {
-	_, class, site := service(id)
+func (w *testbed) catalogueInstance(id, address string) consul.Instance {
+	_, class, site := catalogueService(id)
 	host, port, _ := net.SplitHostPort(address)
 	var number int
 	_, _ = fmt.Sscan(port, &number)
-	name, _, _ := service(id)
+	name, _, _ := catalogueService(id)
 	return consul.Instance{Node: "node-" + id, NodeAddress: "127.0.0.1", Service: name, ID: id, Address: host, Port: number,
 		Meta: map[string]string{"site": site, "class": class}, Weights: consul.Weights{Passing: 4, Warning: 1}}
 }
 
-// catalogue has the world's boxes in a stand-in catalogue with some agents, and the program follow it; further boxes are
+// enableCatalogue has the world's boxes in a stand-in catalogue with some agents, and the program follow it; further boxes are
 // made. extra goes into the block.
-func (w *world) catalogue(agents int, extra string, further ...string) (*consul.Cluster, []*consul.Agent) {
+func (w *testbed) enableCatalogue(agents int, extra string, further ...string) (*consul.Cluster, []*consul.Agent) {
 	w.t.Helper()
 	c := consul.NewCluster()
 	for _, id := range further {
-		ln, err := w.fleet.Add(id, "127.0.0.1:0")
+		ln, err := w.endpoints.Add(id, "127.0.0.1:0")
 		if err != nil {
 			w.t.Fatal(err)
 		}
-		w.boxes[id] = ln
+		w.listeners[id] = ln
 	}
-	ids := make([]string, 0, len(w.boxes))
-	for id := range w.boxes {
+	ids := make([]string, 0, len(w.listeners))
+	for id := range w.listeners {
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
-		c.Put(w.instance(id, w.boxes[id].Addr().String()))
+		c.Put(w.catalogueInstance(id, w.listeners[id].Addr().String()))
 	}
 	var all []*consul.Agent
 	text := "catalogue {\n"
@@ -77,22 +77,22 @@
 		all = append(all, a)
 		text += "agent " + a.Address() + "\n"
 	}
-	w.own(text + "service cache {\n}\nservice trunk {\n}\nservice archive {\n}\n" + extra + "\n}")
+	w.addSettings(text + "service cache {\n}\nservice trunk {\n}\nservice archive {\n}\n" + extra + "\n}")
 	return c, all
 }
 
-// flow is requests at a steady pace, and what came of them.
-type flow struct {
+// traffic is requests at a steady pace, and what came of them.
+type traffic struct {
 	mu     sync.Mutex
 	counts map[string]int // by error; served: empty
 	stop   chan struct{}
 	done   sync.WaitGroup
 }
 
-// flow sends lookups for ever new objects, a hundred and fifty a second, until stop is closed.
-func (w *world) flow() *flow {
+// startTraffic sends lookups for ever new objects, a hundred and fifty a second, until stop is closed.
+func (w *testbed) startTraffic() *traffic {
 	w.t.Helper()
-	f := &flow{counts: map[string]int{}, stop: make(chan struct{})}
+	f := &traffic{counts: map[string]int{}, stop: make(chan struct{})}
 	c := w.dial()
 	f.done.Add(2)
 	sent := make(chan int, 1)
@@ -107,7 +107,7 @@
 				sent <- id - 1
 				return
 			}
-			_ = c.c.Send(request(uint64(id), "lookup", map[string]string{"item": fmt.Sprintf("%016x", id+1), "ram": "1"}, ""))
+			_ = c.protocol.Send(request(uint64(id), "lookup", map[string]string{"item": fmt.Sprintf("%016x", id+1), "ram": "1"}, ""))
 		}
 	}()
 	go func() {
@@ -120,7 +120,7 @@
 				f.mu.Unlock()
 				return
 			}
-			a, err := c.c.Read(100 * time.Millisecond)
+			a, err := c.protocol.Read(100 * time.Millisecond)
 			if err == nil {
 				got++
 				f.mu.Lock()
@@ -134,7 +134,7 @@
 			}
 			select {
 			case total = <-sent:
-				until = time.Now().Add(patience / 2)
+				until = time.Now().Add(waitLimit / 2)
 			default:
 			}
 		}
@@ -142,17 +142,17 @@
 	return f
 }
 
-// end stops the flow and gives what came of all of it.
-func (f *flow) end() map[string]int {
+// stopAndCount stops the flow and gives what came of all of it.
+func (f *traffic) stopAndCount() map[string]int {
 	close(f.stop)
 	f.done.Wait()
 	return f.counts
 }
 
-// wantServed ends the flow and fails if anything but an answer came.
-func (f *flow) wantServed(t *testing.T) {
+// stopAllServed ends the flow and fails if anything but an answer came.
+func (f *traffic) stopAllServed(t *testing.T) {
 	t.Helper()
-	counts := f.end()
+	counts := f.stopAndCount()
 	for what, n := range counts {
 		if what != "" {
 			t.Errorf("%d requests ended with %q, %d were served", n, what, counts[""])
@@ -163,31 +163,31 @@
 	}
 }
 
-// uses says whether a line is a send to a box, or one that names it as the source.
-func uses(id string) func(*asked) bool {
-	return func(a *asked) bool { return a.Word == "ASK" && (a.Endpoint == id || a.Fields["via"] == id) }
+// sentOrSourced says whether a line is a send to a box, or one that names it as the source.
+func sentOrSourced(id string) func(*receivedRequest) bool {
+	return func(a *receivedRequest) bool { return a.Word == "ASK" && (a.Endpoint == id || a.Fields["via"] == id) }
 }
 
-// used waits until a box is in use.
-func (w *world) used(id string) {
+// waitInUse waits until a box is in use.
+func (w *testbed) waitInUse(id string) {
 	w.t.Helper()
 	from := time.Now()
-	w.until(id+" is in use", func() bool {
-		return len(w.lines(func(a *asked) bool { return uses(id)(a) && a.At.After(from) })) > 0
+	w.waitUntil(id+" is in use", func() bool {
+		return len(w.received(func(a *receivedRequest) bool { return sentOrSourced(id)(a) && a.At.After(from) })) > 0
 	})
 }
 
-// unused waits until nothing was sent to a box for a while, and fails if anything was later than within after since.
-func (w *world) unused(id string, since time.Time, within time.Duration) {
+// waitUnused waits until nothing was sent to a box for a while, and fails if anything was later than within after since.
+func (w *testbed) waitUnused(id string, since time.Time, within time.Duration) {
 	w.t.Helper()
 	last := func() time.Time {
-		lines := w.lines(uses(id))
+		lines := w.received(sentOrSourced(id))
 		if len(lines) == 0 {
 			return since
 		}
 		return lines[len(lines)-1].At
 	}
-	end := time.Now().Add(patience)
+	end := time.Now().Add(waitLimit)
 	for time.Since(last()) < 400*time.Millisecond || time.Since(since) < within+300*time.Millisecond {
 		if time.Now().After(end) {
 			w.t.Fatalf("%s is in use still, %v after it was marked", id, time.Since(since))
@@ -199,8 +199,8 @@
 	}
 }
 
-// filling is a script by which caches hold nothing: each request is filled.
-func filling(a *asked) {
+// answerFilled is a script by which caches hold nothing: each request is filled.
+func answerFilled(a *receivedRequest) {
 	if a.Fields["via"] == "" && a.Endpoint[0] == 'c' {
 		a.Answer("NOENT", "-", "")
 		return
@@ -208,70 +208,70 @@
 	a.Answer("ACK", "tag=t1,minted=1,remark=filled,lag=1", a.Fields["thing"])
 }
 
-// TestCatalogueStates: what the catalogue says of a box holds, under load, as target and as source.
-func TestCatalogueStates(t *testing.T) {
+// TestCatalogueStatusStopsTraffic: what the catalogue says of a box holds, under load, as target and as source.
+func TestCatalogueStatusStopsTraffic(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, filling, "c1", "c2", "p1", "o1")
-	c, _ := w.catalogue(1, "", "c3", "p2")
-	w.own("list {\nflap-cut 0\n}")
-	w.run()
-	w.until("all boxes are known", func() bool { return strings.Count(w.log.String(), "event=endpoint-added") == 6 })
-	f := w.flow()
+	w := newTestbed(t, answerFilled, "c1", "c2", "p1", "o1")
+	c, _ := w.enableCatalogue(1, "", "c3", "p2")
+	w.addSettings("list {\nflap-cut 0\n}")
+	w.start()
+	w.waitUntil("all boxes are known", func() bool { return strings.Count(w.log.String(), "event=endpoint-added") == 6 })
+	f := w.startTraffic()
 	for _, id := range []string{"c1", "p1"} {
-		name, _, _ := service(id)
+		name, _, _ := catalogueService(id)
 		for _, status := range []string{"maintenance", consul.Critical} {
-			w.used(id)
+			w.waitInUse(id)
 			c.Mark(name, id, status)
-			w.unused(id, c.Written(id), time.Second)
+			w.waitUnused(id, c.Written(id), time.Second)
 			c.Mark(name, id, consul.Passing)
 		}
-		w.used(id)
+		w.waitInUse(id)
 		c.MarkNode("node-"+id, consul.Critical)
-		w.unused(id, c.Written(id), time.Second)
+		w.waitUnused(id, c.Written(id), time.Second)
 		c.MarkNode("node-"+id, consul.Passing)
-		w.used(id)
+		w.waitInUse(id)
 		in := c.Instances(name)
 		c.Remove(name, id)
-		w.unused(id, c.Written(id), time.Second)
+		w.waitUnused(id, c.Written(id), time.Second)
 		for _, i := range in {
 			if i.ID == id {
 				c.Put(i)
 			}
 		}
-		w.used(id)
+		w.waitInUse(id)
 	}
-	f.wantServed(t)
+	f.stopAllServed(t)
 }
 
-// TestCatalogueDownWhileWaiting is the first hard case: a box is marked critical while fills from it are under way and
+// TestCriticalEndpointReleasesWaitingAttempts is the first hard case: a box is marked critical while fills from it are under way and
 // attempts wait for its connection. What waits goes elsewhere at once, and nothing new goes there.
-func TestCatalogueDownWhileWaiting(t *testing.T) {
+func TestCriticalEndpointReleasesWaitingAttempts(t *testing.T) {
 	t.Parallel()
-	held := make(chan *asked, 1000)
-	w := newWorld(t, func(a *asked) {
+	held := make(chan *receivedRequest, 1000)
+	w := newTestbed(t, func(a *receivedRequest) {
 		if a.Fields["via"] == "p1" {
 			held <- a // a fill that is under way
 			return
 		}
-		filling(a)
+		answerFilled(a)
 	}, "c1", "c2", "p1", "o1")
-	c, _ := w.catalogue(1, "")
-	address := w.fullListener() // no connection to c1 comes up
-	c.Put(w.instance("c1", address))
+	c, _ := w.enableCatalogue(1, "")
+	address := w.listenWithFullBacklog() // no connection to c1 comes up
+	c.Put(w.catalogueInstance("c1", address))
 	w.config["settings"].(map[string]any)["limits"].(map[string]any)["dial-timeout-ms"] = 60000
-	w.run()
-	w.until("all boxes are known", func() bool { return strings.Count(w.log.String(), "event=endpoint-added") == 4 })
+	w.start()
+	w.waitUntil("all boxes are known", func() bool { return strings.Count(w.log.String(), "event=endpoint-added") == 4 })
 	client := w.dial()
 	for id := range uint64(20) {
 		client.send(request(id, "footage", map[string]string{"limit": "60000", "item": fmt.Sprintf("%016x", id+1), "ram": "1"}, ""))
 	}
-	w.until("attempts wait for c1", func() bool { return len(w.lines(word("ASK"))) > 0 }) // c2 has no copies, and c1 is next
+	w.waitUntil("attempts wait for c1", func() bool { return len(w.received(hasWord("ASK"))) > 0 }) // c2 has no copies, and c1 is next
 	c.Mark("cache", "c1", consul.Critical)
-	w.until("c1 is gone", func() bool { return strings.Contains(w.log.String(), "event=endpoint-removed endpoint=c1") })
-	w.until("a fill is under way", func() bool { return len(held) > 0 })
+	w.waitUntil("c1 is gone", func() bool { return strings.Contains(w.log.String(), "event=endpoint-removed endpoint=c1") })
+	w.waitUntil("a fill is under way", func() bool { return len(held) > 0 })
 	fill := <-held
 	c.Mark("trunk", "p1", consul.Critical)
-	w.until("p1 is gone", func() bool { return strings.Contains(w.log.String(), "event=endpoint-removed endpoint=p1") })
+	w.waitUntil("p1 is gone", func() bool { return strings.Contains(w.log.String(), "event=endpoint-removed endpoint=p1") })
 	marked := time.Now()
 	go func() { // the fills that are under way end well
 		for a := fill; ; a = <-held {
@@ -279,50 +279,50 @@
 		}
 	}()
 	for range 20 {
-		if a := client.want(); a.Error != "" {
+		if a := client.mustRead(); a.Error != "" {
 			t.Errorf("%+v, want it served", a)
 		}
 	}
 	for id := uint64(100); id < 140; id++ {
 		client.send(request(id, "footage", map[string]string{"item": fmt.Sprintf("%016x", id+1), "ram": "1"}, ""))
-		client.want()
+		client.mustRead()
 	}
 	for _, id := range []string{"c1", "p1"} {
-		if late := w.lines(func(a *asked) bool { return uses(id)(a) && a.At.After(marked) }); len(late) > 0 {
+		if late := w.received(func(a *receivedRequest) bool { return sentOrSourced(id)(a) && a.At.After(marked) }); len(late) > 0 {
 			t.Errorf("%s was used after it was gone: %+v", id, late[0])
 		}
 	}
 }
 
-// TestCatalogueOutage is the second hard case: the agent fails in four ways. Every request is served as before, the agent
+// TestCatalogueOutageKeepsServing is the second hard case: the agent fails in four ways. Every request is served as before, the agent
 // is asked no more than once a second, and what changed meanwhile holds once it is back.
-func TestCatalogueOutage(t *testing.T) {
+func TestCatalogueOutageKeepsServing(t *testing.T) {
 	for _, c := range []struct {
 		name  string
 		fault consul.Fault
 	}{{"hangs", consul.Hang}, {"refuses", consul.Refuse}, {"resets", consul.Reset}, {"says 500", consul.Status500}} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			w := newWorld(t, filling, "c1", "c2", "p1", "o1")
-			cluster, agents := w.catalogue(1, "", "c3")
-			w.run()
-			w.until("all boxes are known", func() bool { return strings.Count(w.log.String(), "event=endpoint-added") == 5 })
-			f := w.flow()
-			w.used("c1")
+			w := newTestbed(t, answerFilled, "c1", "c2", "p1", "o1")
+			cluster, agents := w.enableCatalogue(1, "", "c3")
+			w.start()
+			w.waitUntil("all boxes are known", func() bool { return strings.Count(w.log.String(), "event=endpoint-added") == 5 })
+			f := w.startTraffic()
+			w.waitInUse("c1")
 			agents[0].SetFault(c.fault, 0)
 			cluster.Mark("archive", "o1", consul.Passing) // so that what blocks is answered, and fails
 			cluster.Mark("trunk", "p1", consul.Passing)
 			cluster.Mark("cache", "c2", consul.Passing)
-			w.until("the outage is found", func() bool { return strings.Count(w.log.String(), "event=catalogue-unreachable") == 3 })
+			w.waitUntil("the outage is found", func() bool { return strings.Count(w.log.String(), "event=catalogue-unreachable") == 3 })
 			before, from := agents[0].Requests(), time.Now()
 			time.Sleep(*outageFor) // the case's own length
 			cluster.Mark("cache", "c1", "maintenance")
-			w.used("c1") // nobody can know
+			w.waitInUse("c1") // nobody can know
 			asked, took := agents[0].Requests()-before, time.Since(from)
 			agents[0].SetFault(consul.None, 0)
 			back := time.Now()
-			w.unused("c1", back, 1500*time.Millisecond)
-			f.wantServed(t)
+			w.waitUnused("c1", back, 1500*time.Millisecond)
+			f.stopAllServed(t)
 			if most := int(took/time.Second) + 2; c.fault != consul.Refuse && asked > most {
 				t.Errorf("%d questions in %v, want at most %d", asked, took, most)
 			}
@@ -333,9 +333,9 @@
 	}
 }
 
-// TestCatalogueDoubts is the third hard case: answers that lack boxes without their being gone lose none, and a real loss of
+// TestSuspectCatalogueResponseLosesNoEndpoint is the third hard case: answers that lack boxes without their being gone lose none, and a real loss of
 // most is believed within a second.
-func TestCatalogueDoubts(t *testing.T) {
+func TestSuspectCatalogueResponseLosesNoEndpoint(t *testing.T) {
 	for _, c := range []struct {
 		name  string
 		fault consul.Fault
@@ -352,13 +352,13 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			w := newWorld(t, filling, "c1", "c2", "p1", "o1")
-			cluster, agents := w.catalogue(1, "limit 500ms", "c3", "c4", "c5")
-			w.run()
-			w.until("all boxes are known", func() bool { return strings.Count(w.log.String(), "event=endpoint-added") == 7 })
-			f := w.flow()
+			w := newTestbed(t, answerFilled, "c1", "c2", "p1", "o1")
+			cluster, agents := w.enableCatalogue(1, "limit 500ms", "c3", "c4", "c5")
+			w.start()
+			w.waitUntil("all boxes are known", func() bool { return strings.Count(w.log.String(), "event=endpoint-added") == 7 })
+			f := w.startTraffic()
 			agents[0].SetFault(c.fault, c.by)
-			w.until("the odd answer is noted", func() bool {
+			w.waitUntil("the odd answer is noted", func() bool {
 				cluster.Mark("cache", "c2", consul.Passing) // a change, so that what blocks is answered
 				time.Sleep(20 * time.Millisecond)
 				return strings.Contains(w.log.String(), c.log)
@@ -371,29 +371,29 @@
 			if log := w.log.String(); strings.Contains(log, "event=endpoint-removed") || strings.Contains(log, "event=endpoint-draining") {
 				t.Error("a box was lost by it")
 			}
-			w.until("the true list is believed again", func() bool {
+			w.waitUntil("the true list is believed again", func() bool {
 				cluster.Mark("cache", "c2", "maintenance")
 				return strings.Contains(w.log.String(), "event=endpoint-draining endpoint=c2")
 			})
 			cluster.Remove("cache", "c1", "c2", "c3", "c4")
-			w.unused("c3", cluster.Written("c3"), time.Second)
-			w.unused("c1", cluster.Written("c1"), time.Second)
+			w.waitUnused("c3", cluster.Written("c3"), time.Second)
+			w.waitUnused("c1", cluster.Written("c1"), time.Second)
 			if !strings.Contains(w.log.String(), "event=list-loss-confirmed") {
 				t.Error("the real loss was not doubted and confirmed")
 			}
-			f.wantServed(t)
+			f.stopAllServed(t)
 		})
 	}
 }
 
-// TestSourcesDisagree is the fourth hard case: bulletin and catalogue say different things, and one of them is silent.
-func TestSourcesDisagree(t *testing.T) {
+// TestListServiceAndCatalogueDisagree is the fourth hard case: bulletin and catalogue say different things, and one of them is silent.
+func TestListServiceAndCatalogueDisagree(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, filling)
-	c, agents := w.catalogue(1, "")
-	w.own("list {\nflap-cut 0\n}")
-	w.run()
-	<-w.after
+	w := newTestbed(t, answerFilled)
+	c, agents := w.enableCatalogue(1, "")
+	w.addSettings("list {\nflap-cut 0\n}")
+	w.start()
+	<-w.listPolls
 	var last atomic.Int64
 	last.Store(1)
 	over := make(chan struct{})
@@ -403,106 +403,106 @@
 			select {
 			case <-over:
 				return
-			case w.feed <- fmt.Sprint(last.Load()):
+			case w.listFeed <- fmt.Sprint(last.Load()):
 				time.Sleep(400 * time.Millisecond)
 			}
 		}
 	}()
 	tell := func(no int, health string) {
 		last.Store(int64(no))
-		w.feed <- roster(no, false, host("c1", w.boxes["c1"].Addr().String(), "edge", "std", health, 0))
+		w.listFeed <- listEvent(no, false, listEntry("c1", w.listeners["c1"].Addr().String(), "edge", "std", health, 0))
 	}
-	f := w.flow()
-	w.used("c1")
+	f := w.startTraffic()
+	w.waitInUse("c1")
 	c.Mark("cache", "c1", consul.Critical) // the bulletin has it up
-	w.unused("c1", c.Written("c1"), time.Second)
+	w.waitUnused("c1", c.Written("c1"), time.Second)
 	c.Mark("cache", "c1", consul.Passing)
-	w.used("c1")
+	w.waitInUse("c1")
 	tell(2, "draining") // the catalogue has it up
-	w.unused("c1", time.Now(), time.Second)
+	w.waitUnused("c1", time.Now(), time.Second)
 	agents[0].SetFault(consul.Refuse, 0)
-	w.until("the catalogue is silent", func() bool { return strings.Count(w.log.String(), "event=catalogue-unreachable") == 3 })
+	w.waitUntil("the catalogue is silent", func() bool { return strings.Count(w.log.String(), "event=catalogue-unreachable") == 3 })
 	tell(3, "up") // and the catalogue's last word is up
-	w.used("c1")
+	w.waitInUse("c1")
 	agents[0].SetFault(consul.None, 0)
-	w.until("the catalogue is back", func() bool { return strings.Count(w.log.String(), "event=catalogue-reachable") == 3 })
+	w.waitUntil("the catalogue is back", func() bool { return strings.Count(w.log.String(), "event=catalogue-reachable") == 3 })
 	c.Mark("cache", "c1", consul.Critical)
-	w.unused("c1", c.Written("c1"), time.Second)
+	w.waitUnused("c1", c.Written("c1"), time.Second)
 	agents[0].SetFault(consul.Refuse, 0)
-	w.until("the catalogue is silent again", func() bool { return strings.Count(w.log.String(), "event=catalogue-unreachable") == 6 })
+	w.waitUntil("the catalogue is silent again", func() bool { return strings.Count(w.log.String(), "event=catalogue-unreachable") == 6 })
 	tell(4, "draining")
 	tell(5, "up") // said after the catalogue fell silent: it overrules its last word
-	w.used("c1")
-	f.wantServed(t)
+	w.waitInUse("c1")
+	f.stopAllServed(t)
 }
 
-// TestSameIDElsewhere is the fifth hard case: an id comes back within 100 ms on another port, under another registration.
-func TestSameIDElsewhere(t *testing.T) {
+// TestEndpointRegisteredAtNewAddress is the fifth hard case: an id comes back within 100 ms on another port, under another registration.
+func TestEndpointRegisteredAtNewAddress(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, filling, "c1", "c2", "p1", "o1")
-	c, _ := w.catalogue(1, "")
-	w.run()
-	f := w.flow()
-	w.used("c1")
-	old := w.boxes["c1"].Addr().String()
+	w := newTestbed(t, answerFilled, "c1", "c2", "p1", "o1")
+	c, _ := w.enableCatalogue(1, "")
+	w.start()
+	f := w.startTraffic()
+	w.waitInUse("c1")
+	old := w.listeners["c1"].Addr().String()
 	c.Remove("cache", "c1")
-	ln, err := w.fleet.Add("c1", "127.0.0.1:0")
+	ln, err := w.endpoints.Add("c1", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(80 * time.Millisecond)
-	c.Put(w.instance("c1", ln.Addr().String()))
-	at := func(address string) func(*asked) bool {
-		return func(a *asked) bool {
-			return uses("c1")(a) && a.Endpoint == "c1" && a.Conn.LocalAddr().String() == address
+	c.Put(w.catalogueInstance("c1", ln.Addr().String()))
+	at := func(address string) func(*receivedRequest) bool {
+		return func(a *receivedRequest) bool {
+			return sentOrSourced("c1")(a) && a.Endpoint == "c1" && a.Conn.LocalAddr().String() == address
 		}
 	}
-	w.until("the new address is in use", func() bool { return len(w.lines(at(ln.Addr().String()))) > 3 })
-	if late := w.lines(func(a *asked) bool { return at(old)(a) && a.At.After(c.Written("c1").Add(time.Second)) }); len(late) > 0 {
+	w.waitUntil("the new address is in use", func() bool { return len(w.received(at(ln.Addr().String()))) > 3 })
+	if late := w.received(func(a *receivedRequest) bool { return at(old)(a) && a.At.After(c.Written("c1").Add(time.Second)) }); len(late) > 0 {
 		t.Errorf("the old address was sent %d lines a second after the new registration", len(late))
 	}
-	first := w.lines(at(ln.Addr().String()))[0].At
-	if late := w.lines(func(a *asked) bool { return at(old)(a) && a.At.After(first) }); len(late) > 0 {
+	first := w.received(at(ln.Addr().String()))[0].At
+	if late := w.received(func(a *receivedRequest) bool { return at(old)(a) && a.At.After(first) }); len(late) > 0 {
 		t.Errorf("the old address was sent %d lines after the new one was in use", len(late))
 	}
-	f.wantServed(t)
+	f.stopAllServed(t)
 }
 
-// TestAgentDies is the sixth hard case: the agent in use dies between a change and its answer.
-func TestAgentDies(t *testing.T) {
+// TestCatalogueAgentFailover is the sixth hard case: the agent in use dies between a change and its answer.
+func TestCatalogueAgentFailover(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, filling, "c1", "c2", "p1", "o1")
-	c, agents := w.catalogue(2, "")
-	w.run()
-	f := w.flow()
-	w.used("c1")
+	w := newTestbed(t, answerFilled, "c1", "c2", "p1", "o1")
+	c, agents := w.enableCatalogue(2, "")
+	w.start()
+	f := w.startTraffic()
+	w.waitInUse("c1")
 	agents[0].SetFault(consul.Refuse, 0)
 	c.Mark("cache", "c1", consul.Critical)
-	w.unused("c1", c.Written("c1"), time.Second)
+	w.waitUnused("c1", c.Written("c1"), time.Second)
 	if !strings.Contains(w.log.String(), "event=catalogue-agent-changed") || strings.Contains(w.log.String(), "event=catalogue-unreachable") {
 		t.Error("the change of agents is not in the log, or the catalogue counts as lost")
 	}
-	f.wantServed(t)
+	f.stopAllServed(t)
 }
 
-// TestSnapshotStart is the seventh hard case: a start while no source answers, with a snapshot that is sound, torn, or of a
+// TestStartFromSnapshot is the seventh hard case: a start while no source answers, with a snapshot that is sound, torn, or of a
 // newer version.
-func TestSnapshotStart(t *testing.T) {
+func TestStartFromSnapshot(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, nil, "c1", "c2", "p1", "o1")
-	_, agents := w.catalogue(1, "")
+	w := newTestbed(t, nil, "c1", "c2", "p1", "o1")
+	_, agents := w.enableCatalogue(1, "")
 	path := filepath.Join(t.TempDir(), "list")
-	w.own("snapshot {\nfile " + path + "\nevery 100ms\n}")
-	w.run()
+	w.addSettings("snapshot {\nfile " + path + "\nevery 100ms\n}")
+	w.start()
 	ask := func() string {
 		client := w.dial()
 		client.send(request(1, "footage", nil, ""))
-		a := client.want()
+		a := client.mustRead()
 		return a.Error
 	}
-	w.until("it serves", func() bool { return ask() == "" })
+	w.waitUntil("it serves", func() bool { return ask() == "" })
 	var sound []byte
-	w.until("the snapshot has all boxes", func() bool {
+	w.waitUntil("the snapshot has all boxes", func() bool {
 		sound, _ = os.ReadFile(path)
 		return strings.Count(string(sound), `"id"`) == 4
 	})
@@ -522,40 +522,40 @@
 		if err := os.WriteFile(path, c.data, 0o600); err != nil {
 			t.Fatal(err)
 		}
-		w.run()
+		w.start()
 		if got := ask() == ""; got != c.served || !strings.Contains(w.log.String(), c.log) {
 			t.Errorf("%s: served %v, want %v and %s in the log", c.name, got, c.served, c.log)
 		}
 	}
 	agents[0].SetFault(consul.None, 0)
-	w.until("it serves once the catalogue answers", func() bool { return ask() == "" })
+	w.waitUntil("it serves once the catalogue answers", func() bool { return ask() == "" })
 }
 
-// TestRegistration: the doorman is in the catalogue while it runs, also after its agent has forgotten it, and takes itself
+// TestCatalogueRegistration: the doorman is in the catalogue while it runs, also after its agent has forgotten it, and takes itself
 // out first thing at its end.
-func TestRegistration(t *testing.T) {
+func TestCatalogueRegistration(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, nil)
-	c, agents := w.catalogue(1, "register {\nservice doorman\nttl 1s\n}")
-	w.run()
+	w := newTestbed(t, nil)
+	c, agents := w.enableCatalogue(1, "register {\nservice doorman\nttl 1s\n}")
+	w.start()
 	there := func() bool {
 		in := c.Instances("doorman")
-		return len(in) == 1 && in[0].ID == "n1" && in[0].Checks[0].Status == consul.Passing && fmt.Sprint(in[0].Address, ":", in[0].Port) == w.listen
+		return len(in) == 1 && in[0].ID == "n1" && in[0].Checks[0].Status == consul.Passing && fmt.Sprint(in[0].Address, ":", in[0].Port) == w.address
 	}
-	w.until("it is registered", there)
+	w.waitUntil("it is registered", there)
 	agents[0].Restart()
-	w.until("it is registered again", there)
+	w.waitUntil("it is registered again", there)
 	time.Sleep(1200 * time.Millisecond) // longer than the TTL
 	if !there() {
 		t.Errorf("it is not kept: %+v", c.Instances("doorman"))
 	}
 	client := w.dial()
-	w.setScript(func(a *asked) { time.Sleep(300 * time.Millisecond); a.Answer("ACK", "tag=t1", "late") })
+	w.setResponder(func(a *receivedRequest) { time.Sleep(300 * time.Millisecond); a.Answer("ACK", "tag=t1", "late") })
 	client.send(request(1, "footage", nil, ""))
-	w.until("a request is open", func() bool { return len(w.lines(word("ASK"))) > 0 })
+	w.waitUntil("a request is open", func() bool { return len(w.received(hasWord("ASK"))) > 0 })
 	w.signal(syscall.SIGTERM)
-	w.until("it has taken itself out", func() bool { return len(c.Instances("doorman")) == 0 })
-	if a := client.want(); a.Body != "late" {
+	w.waitUntil("it has taken itself out", func() bool { return len(c.Instances("doorman")) == 0 })
+	if a := client.mustRead(); a.Body != "late" {
 		t.Errorf("%+v, want the open request served after that", a)
 	}
 	if err := <-w.exited; err != nil {
@@ -564,35 +564,35 @@
 	w.cmd = nil
 }
 
-// TestCataloguePurges: a key below the prefix has copies of before its time refused, and what is no purge is logged once.
-func TestCataloguePurges(t *testing.T) {
+// TestCatalogueInvalidations: a key below the prefix has copies of before its time refused, and what is no purge is logged once.
+func TestCatalogueInvalidations(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, nil)
-	c, _ := w.catalogue(1, "purges our/purges")
-	w.run()
+	w := newTestbed(t, nil)
+	c, _ := w.enableCatalogue(1, "purges our/purges")
+	w.start()
 	c.SetKV("our/purges/object/7f3a9c21e0b4d655", fmt.Append(nil, time.Now().UnixMilli()))
 	c.SetKV("our/purges/object/nonsense", []byte("1"))
 	client := w.dial()
 	id := uint64(0)
-	w.until("the purge holds", func() bool {
+	w.waitUntil("the purge holds", func() bool {
 		id++
 		client.send(request(id, "footage", nil, ""))
-		client.want()
-		asks := w.lines(word("ASK"))
+		client.mustRead()
+		asks := w.received(hasWord("ASK"))
 		return asks[len(asks)-1].Fields["fresh"] != ""
 	})
 	client.send(request(id+1, "footage", map[string]string{"item": "00000000000000aa"}, ""))
-	client.want()
-	if asks := w.lines(word("ASK")); asks[len(asks)-1].Fields["fresh"] != "" {
+	client.mustRead()
+	if asks := w.received(hasWord("ASK")); asks[len(asks)-1].Fields["fresh"] != "" {
 		t.Error("another object is asked for as if it were purged")
 	}
-	w.until("the odd key is logged", func() bool { return strings.Contains(w.log.String(), "event=catalogue-purge-key-rejected") })
+	w.waitUntil("the odd key is logged", func() bool { return strings.Contains(w.log.String(), "event=catalogue-purge-key-rejected") })
 	c.SetKV("our/purges/group/3", fmt.Append(nil, time.Now().UnixMilli()))
-	w.until("a purge of the group holds for others of it", func() bool {
+	w.waitUntil("a purge of the group holds for others of it", func() bool {
 		id++
 		client.send(request(id+1, "footage", map[string]string{"item": "00000000000000ab"}, ""))
-		client.want()
-		asks := w.lines(word("ASK"))
+		client.mustRead()
+		asks := w.received(hasWord("ASK"))
 		return asks[len(asks)-1].Fields["fresh"] != ""
 	})
 	if n := strings.Count(w.log.String(), "event=catalogue-purge-key-rejected"); n != 1 {
@@ -600,29 +600,29 @@
 	}
 }
 
-// TestCatalogueEntries: instances of no use are left out, each logged once and not with every answer; and the token is read
+// TestUnusableCatalogueInstances: instances of no use are left out, each logged once and not with every answer; and the token is read
 // again for each question.
-func TestCatalogueEntries(t *testing.T) {
+func TestUnusableCatalogueInstances(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, nil, "c1", "c2", "p1", "o1")
+	w := newTestbed(t, nil, "c1", "c2", "p1", "o1")
 	token := filepath.Join(t.TempDir(), "token")
 	if err := os.WriteFile(token, []byte("wrong\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	c, _ := w.catalogue(1, "token-file "+token)
+	c, _ := w.enableCatalogue(1, "token-file "+token)
 	c.SetTokens(map[string][]string{"right": {"cache", "trunk", "archive"}})
-	bad := w.instance("c9", "127.0.0.1:1")
+	bad := w.catalogueInstance("c9", "127.0.0.1:1")
 	bad.Port = 0
 	c.Put(bad)
-	bad = w.instance("c8", "127.0.0.1:1")
+	bad = w.catalogueInstance("c8", "127.0.0.1:1")
 	bad.Meta["site"] = "nowhere"
 	c.Put(bad)
-	w.run()
-	w.until("the lack of rights is logged", func() bool { return strings.Contains(w.log.String(), "reason=filtered") })
+	w.start()
+	w.waitUntil("the lack of rights is logged", func() bool { return strings.Contains(w.log.String(), "reason=filtered") })
 	if err := os.WriteFile(token, []byte("right\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	w.until("the boxes are known", func() bool { return strings.Count(w.log.String(), "event=endpoint-added") == 4 })
+	w.waitUntil("the boxes are known", func() bool { return strings.Count(w.log.String(), "event=endpoint-added") == 4 })
 	for range 10 {
 		c.Mark("cache", "c2", consul.Warning)
 		c.Mark("cache", "c2", consul.Passing)
@@ -639,15 +639,15 @@
 	}
 }
 
-// TestFlappingCheck: a check that flaps a hundred times a second costs a bounded number of changes, and the box is down when
+// TestFlappingCheckIsDamped: a check that flaps a hundred times a second costs a bounded number of changes, and the box is down when
 // it is marked down for good.
-func TestFlappingCheck(t *testing.T) {
+func TestFlappingCheckIsDamped(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, filling, "c1", "c2", "p1", "o1")
-	c, _ := w.catalogue(1, "")
-	w.run()
-	f := w.flow()
-	w.used("c1")
+	w := newTestbed(t, answerFilled, "c1", "c2", "p1", "o1")
+	c, _ := w.enableCatalogue(1, "")
+	w.start()
+	f := w.startTraffic()
+	w.waitInUse("c1")
 	for range 150 {
 		c.Mark("cache", "c1", consul.Critical)
 		time.Sleep(5 * time.Millisecond)
@@ -655,26 +655,26 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 	c.Mark("cache", "c1", consul.Critical)
-	w.unused("c1", c.Written("c1"), time.Second)
+	w.waitUnused("c1", c.Written("c1"), time.Second)
 	log := w.log.String()
 	if n := strings.Count(log, "endpoint=c1"); n > 30 {
 		t.Errorf("%d lines of a box that flapped", n)
 	}
-	f.wantServed(t)
+	f.stopAllServed(t)
 }
 
-// TestBoxes: the command prints the merged view, with who decided.
-func TestBoxes(t *testing.T) {
+// TestEndpointsCommand: the command prints the merged view, with who decided.
+func TestEndpointsCommand(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, nil)
-	c, agents := w.catalogue(1, "")
+	w := newTestbed(t, nil)
+	c, agents := w.enableCatalogue(1, "")
 	c.Mark("cache", "c1", "maintenance")
-	w.path = filepath.Join(t.TempDir(), "config.json")
-	w.configure()
-	w.feed <- roster(2, false, host("c2", w.boxes["c2"].Addr().String(), "edge", "std", "removed", 0))
-	w.feed <- "2"
+	w.configPath = filepath.Join(t.TempDir(), "config.json")
+	w.writeConfig()
+	w.listFeed <- listEvent(2, false, listEntry("c2", w.listeners["c2"].Addr().String(), "edge", "std", "removed", 0))
+	w.listFeed <- "2"
 	view := func() string {
-		out, err := exec.Command(program, "boxes", "--config", w.path, "--conf", w.conf, "--wait", "1s").CombinedOutput()
+		out, err := exec.Command(program, "boxes", "--config", w.configPath, "--conf", w.settingsPath, "--wait", "1s").CombinedOutput()
 		if err != nil {
 			t.Fatalf("%v: %s", err, out)
 		}
@@ -688,30 +688,30 @@
 		}
 	}
 	agents[0].SetFault(consul.Refuse, 0)
-	w.feed <- "!"
-	w.feed <- "2"
+	w.listFeed <- "!"
+	w.listFeed <- "2"
 	if out = view(); !matches("consul:cache +unheard", out) || !matches("# catalogue-lost", out) {
 		t.Errorf("without its agent:\n%s", out)
 	}
 }
 
-// TestDrainTimes measures how long after the catalogue's change of a box the last new send to it goes out, over seeded
+// TestDrainLatency measures how long after the catalogue's change of a box the last new send to it goes out, over seeded
 // changes under 150 requests a second. -drains sets how many.
-func TestDrainTimes(t *testing.T) {
+func TestDrainLatency(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, filling, "c1", "c2", "p1", "o1")
-	c, _ := w.catalogue(1, "", "c3", "c4", "c5", "c6", "p2")
-	w.own("list {\nflap-cut 0\n}")
-	w.run()
-	f := w.flow()
+	w := newTestbed(t, answerFilled, "c1", "c2", "p1", "o1")
+	c, _ := w.enableCatalogue(1, "", "c3", "c4", "c5", "c6", "p2")
+	w.addSettings("list {\nflap-cut 0\n}")
+	w.start()
+	f := w.startTraffic()
 	rng := rand.New(rand.NewSource(*drainSeed))
 	var times []time.Duration
 	for range *drains {
 		id := []string{"c1", "c2", "c3", "c4", "c5", "c6", "p1", "p2"}[rng.Intn(8)]
-		name, _, _ := service(id)
-		w.used(id)
+		name, _, _ := catalogueService(id)
+		w.waitInUse(id)
 		time.Sleep(time.Duration(rng.Intn(250)) * time.Millisecond)
-		in := w.instance(id, w.boxes[id].Addr().String())
+		in := w.catalogueInstance(id, w.listeners[id].Addr().String())
 		switch rng.Intn(3) {
 		case 0:
 			c.Mark(name, id, "maintenance")
@@ -721,8 +721,8 @@
 			c.Remove(name, id)
 		}
 		marked := c.Written(id)
-		w.unused(id, marked, time.Second)
-		lines := w.lines(uses(id))
+		w.waitUnused(id, marked, time.Second)
+		lines := w.received(sentOrSourced(id))
 		times = append(times, max(0, lines[len(lines)-1].At.Sub(marked)))
 		if len(c.Instances(name)) == 0 || !slices.ContainsFunc(c.Instances(name), func(i consul.Instance) bool { return i.ID == id }) {
 			c.Put(in)
@@ -730,15 +730,15 @@
 			c.Mark(name, id, consul.Passing)
 		}
 	}
-	f.wantServed(t)
+	f.stopAllServed(t)
 	slices.Sort(times)
 	t.Logf("all: %v", times)
 	at := func(q float64) time.Duration { return times[min(len(times)-1, int(q*float64(len(times))))] }
 	t.Logf("%d changes: median %v, 99th percentile %v, worst %v", len(times), at(0.5), at(0.99), times[len(times)-1])
 }
 
-// TestTry: the newcomer's command runs to its end, and all it shows is as it should be.
-func TestTry(t *testing.T) {
+// TestTryCommand: the newcomer's command runs to its end, and all it shows is as it should be.
+func TestTryCommand(t *testing.T) {
 	t.Parallel()
 	out, err := exec.Command(program, "try").CombinedOutput()
 	if err != nil {
@@ -751,11 +751,11 @@
 	}
 }
 
-// TestNotReadyWithoutBoxes: while the catalogue has not answered, clients are not taken in; once they are, the boxes are known.
-func TestNotReadyWithoutBoxes(t *testing.T) {
+// TestNotReadyWithoutEndpoints: while the catalogue has not answered, clients are not taken in; once they are, the boxes are known.
+func TestNotReadyWithoutEndpoints(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, nil, "c1", "c2", "p1", "o1")
-	_, agents := w.catalogue(1, "")
+	w := newTestbed(t, nil, "c1", "c2", "p1", "o1")
+	_, agents := w.enableCatalogue(1, "")
 	agents[0].SetFault(consul.Refuse, 0)
 	go func() {
 		for !strings.Contains(w.log.String(), "event=catalogue-unreachable") {
@@ -763,7 +763,7 @@
 		}
 		agents[0].SetFault(consul.None, 0)
 	}()
-	w.run()
+	w.start()
 	if n := strings.Count(w.log.String(), "event=endpoint-added"); n != 4 {
 		t.Errorf("%d boxes were known when it was ready, want 4", n)
 	}
--- a/test/clock_test.go
+++ b/test/clock_test.go
@@ -11,8 +11,8 @@
 	"time"
 )
 
-// steppable is the program with a Unix clock that a test can set.
-var steppable = sync.OnceValues(func() (string, error) {
+// clockstepProgram is the program with a Unix clock that a test can set.
+var clockstepProgram = sync.OnceValues(func() (string, error) {
 	path := program + "-clockstep"
 	if out, err := exec.Command("go", "build", "-tags", "clockstep", "-o", path, "../cmd/sloequay").CombinedOutput(); err != nil {
 		return "", fmt.Errorf("%w: %s", err, out)
@@ -24,16 +24,16 @@
 // are under way. None is lost or late; what goes by stamps, tokens, revocations and purges, goes by the clock as it is.
 func TestClockSteps(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, nil)
-	k := w.identity("")
-	w.own("snapshot {\nfile " + filepath.Join(t.TempDir(), "list") + "\nevery 100ms\n}")
+	w := newTestbed(t, nil)
+	k := w.enableIdentity("")
+	w.addSettings("snapshot {\nfile " + filepath.Join(t.TempDir(), "list") + "\nevery 100ms\n}")
 	var err error
-	if w.program, err = steppable(); err != nil {
+	if w.program, err = clockstepProgram(); err != nil {
 		t.Fatal(err)
 	}
 	off := filepath.Join(t.TempDir(), "clock")
 	w.env = append(w.env, "SLOEQUAY_CLOCK="+off)
-	w.run()
+	w.start()
 	steps := 0
 	set := func(by time.Duration) {
 		t.Helper()
@@ -44,7 +44,7 @@
 			t.Fatal(err)
 		}
 		steps++
-		w.until("the step is logged", func() bool { return strings.Count(w.log.String(), "event=clock-stepped") == steps })
+		w.waitUntil("the step is logged", func() bool { return strings.Count(w.log.String(), "event=clock-stepped") == steps })
 	}
 	valid, stolen := k.token("lane-1", "lanes", 2*time.Hour), k.token("lane-2", "lanes", 2*time.Hour)
 	k.must("key", "revoke", "subject", "lane-2", "--for", "3h")
@@ -52,9 +52,9 @@
 	ask := func(fields map[string]string) reply {
 		id++
 		client.send(request(id, "lookup", fields, ""))
-		return client.want()
+		return client.mustRead()
 	}
-	w.until("the theft is known", func() bool { return ask(map[string]string{"token": stolen}).Fields["reason"] == "revoked" })
+	w.waitUntil("the theft is known", func() bool { return ask(map[string]string{"token": stolen}).Fields["reason"] == "revoked" })
 	served := func(when string) {
 		t.Helper()
 		for range 20 {
@@ -64,18 +64,18 @@
 		}
 	}
 	served("before")
-	held := make(chan *asked, 1)
+	held := make(chan *receivedRequest, 1)
 	hold := func() {
-		w.setScript(func(a *asked) { held <- a })
+		w.setResponder(func(a *receivedRequest) { held <- a })
 		id++
 		client.send(request(id, "lookup", map[string]string{"token": valid, "limit": "5000"}, ""))
 	}
 	release := func(when string) {
 		t.Helper()
 		a := <-held
-		w.setScript(nil)
+		w.setResponder(nil)
 		a.Answer("ACK", "tag=t1", "done")
-		if a := client.want(); a.Error != "" || a.ID != id {
+		if a := client.mustRead(); a.Error != "" || a.ID != id {
 			t.Errorf("what was open %s: %+v", when, a)
 		}
 	}
@@ -98,10 +98,10 @@
 	if a := ask(map[string]string{"token": stolen}); a.Fields["reason"] != "revoked" {
 		t.Errorf("a token whose revocation had ended a day ahead: %+v, want it revoked again", a)
 	}
-	w.feed <- fmt.Sprintf(`{"no":2,"recall":{"item":"7f3a9c21e0b4d655","issued":%d}}`, time.Now().UnixMilli())
-	w.until("a purge holds", func() bool {
+	w.listFeed <- fmt.Sprintf(`{"no":2,"recall":{"item":"7f3a9c21e0b4d655","issued":%d}}`, time.Now().UnixMilli())
+	w.waitUntil("a purge holds", func() bool {
 		ask(map[string]string{"token": valid})
-		asks := w.lines(word("ASK"))
+		asks := w.received(hasWord("ASK"))
 		return asks[len(asks)-1].Fields["fresh"] != ""
 	})
 	if log := w.log.String(); strings.Contains(log, "snapshot-write-failed") || strings.Count(log, "event=keys-rejected") > 0 {
--- a/test/contracts_test.go
+++ b/test/contracts_test.go
@@ -13,18 +13,18 @@
 	"time"
 )
 
-// sender sends requests of a team at a rate, without waiting for answers, and counts what comes.
-type sender struct {
-	team                          string
-	sent, inTime, served, refused int
-	budgets                       map[string]int
-	unnamed                       []reply
-	twice                         int
+// loadGenerator sends requests of a team at a rate, without waiting for answers, and counts what comes.
+type loadGenerator struct {
+	team                           string
+	sent, onTime, served, rejected int
+	budgets                        map[string]int
+	withoutBudget                  []reply
+	duplicates                     int
 }
 
 // send sends for a time, each request with a limit, and waits for all answers. One connection has at most 32 open, so several
 // are used in turn.
-func (s *sender) send(w *world, perSecond float64, length time.Duration, prefix string) {
+func (s *loadGenerator) send(w *testbed, perSecond float64, length time.Duration, prefix string) {
 	w.t.Helper()
 	if s.budgets == nil {
 		s.budgets = map[string]int{}
@@ -53,16 +53,16 @@
 				delete(began[i], a.ID)
 				switch took := time.Since(at); {
 				case !open:
-					s.twice++
+					s.duplicates++
 				case a.Error == "":
 					if s.served++; took < 500*time.Millisecond {
-						s.inTime++
+						s.onTime++
 					}
 				case a.Fields["budget"] != "":
-					s.refused++
+					s.rejected++
 					s.budgets[a.Fields["budget"]]++
 				default:
-					s.unnamed = append(s.unnamed, a)
+					s.withoutBudget = append(s.withoutBudget, a)
 				}
 				mu.Unlock()
 			}
@@ -84,37 +84,37 @@
 	wg.Wait()
 }
 
-// TestBurstBesideQuiet is the first hard case: one team sends three times its budget while all that is contracted is nine
+// TestNoisyTeamBesideQuietTeam is the first hard case: one team sends three times its budget while all that is contracted is nine
 // tenths of what the boxes can do. The quiet team's on-time share is within 5% of what it has alone, and every refusal of the
 // other names the budget.
-func TestBurstBesideQuiet(t *testing.T) {
+func TestNoisyTeamBesideQuietTeam(t *testing.T) {
 	t.Parallel()
 	places := make(chan struct{}, 10) // each request takes 40 ms: 250 a second
-	w := newWorld(t, func(a *asked) {
+	w := newTestbed(t, func(a *receivedRequest) {
 		places <- struct{}{}
 		time.Sleep(40 * time.Millisecond)
 		<-places
 		a.Answer("ACK", "tag=t1", "done")
 	})
-	w.own("contracts {\nrequests 225/s\nburst 100ms\nadaptive {\nstart 12\nleast 10\nmost 14\n}\nteam quiet {\nrequests 90/s\nburst 500ms\n}\nteam loud {\nrequests 110/s 130/s\nburst 50ms\n}\n}")
-	w.run()
-	alone, beside, loud := &sender{team: "quiet"}, &sender{team: "quiet"}, &sender{team: "loud"}
+	w.addSettings("contracts {\nrequests 225/s\nburst 100ms\nadaptive {\nstart 12\nleast 10\nmost 14\n}\nteam quiet {\nrequests 90/s\nburst 500ms\n}\nteam loud {\nrequests 110/s 130/s\nburst 50ms\n}\n}")
+	w.start()
+	alone, beside, loud := &loadGenerator{team: "quiet"}, &loadGenerator{team: "quiet"}, &loadGenerator{team: "loud"}
 	alone.send(w, 60, 2*time.Second, "000a")
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		(&sender{team: "loud"}).send(w, 100, time.Second, "000d") // within its budget: the boxes and the module know the load
+		(&loadGenerator{team: "loud"}).send(w, 100, time.Second, "000d") // within its budget: the boxes and the module know the load
 		loud.send(w, 390, 3*time.Second, "000b")
 	}()
 	beside.send(w, 60, 4*time.Second, "000c")
 	<-done
-	solo, share := float64(alone.inTime)/float64(alone.sent), float64(beside.inTime)/float64(beside.sent)
+	solo, share := float64(alone.onTime)/float64(alone.sent), float64(beside.onTime)/float64(beside.sent)
 	t.Logf("quiet: on time %.3f alone, %.3f beside; loud: %d sent, %d served, refused by %v", solo, share, loud.sent, loud.served, loud.budgets)
 	if share < 0.95*solo {
 		t.Errorf("the quiet team's on-time share is %.3f beside the loud one, %.3f alone", share, solo)
 	}
-	if loud.refused == 0 || len(loud.unnamed) > 0 || loud.twice+alone.twice+beside.twice > 0 {
-		t.Errorf("refused %d, without a budget %d: %v; answered twice %d", loud.refused, len(loud.unnamed), loud.unnamed, loud.twice)
+	if loud.rejected == 0 || len(loud.withoutBudget) > 0 || loud.duplicates+alone.duplicates+beside.duplicates > 0 {
+		t.Errorf("refused %d, without a budget %d: %v; answered twice %d", loud.rejected, len(loud.withoutBudget), loud.withoutBudget, loud.duplicates)
 	}
 	for budget := range loud.budgets {
 		if !strings.HasPrefix(budget, "loud ") && !strings.HasPrefix(budget, "installation ") {
@@ -123,16 +123,16 @@
 	}
 }
 
-// TestContractChanges is the second hard case: the contracts change ten times while 500 requests are open, once to nothing. Each
+// TestQuotaReloadUnderLoad is the second hard case: the contracts change ten times while 500 requests are open, once to nothing. Each
 // is answered once, and then as many may be open as before.
-func TestContractChanges(t *testing.T) {
+func TestQuotaReloadUnderLoad(t *testing.T) {
 	t.Parallel()
-	held := make(chan *asked, 2000)
-	w := newWorld(t, func(a *asked) { held <- a })
-	w.own("contracts {\nteam lanes {\nopen 500\n}\n}")
-	path := w.conf
-	w.run()
-	crowd := w.crowd(held, "lookup", map[string]string{"team": "lanes"})
+	held := make(chan *receivedRequest, 2000)
+	w := newTestbed(t, func(a *receivedRequest) { held <- a })
+	w.addSettings("contracts {\nteam lanes {\nopen 500\n}\n}")
+	path := w.settingsPath
+	w.start()
+	crowd := w.openMany(held, "lookup", map[string]string{"team": "lanes"})
 	for i := range 10 {
 		text := fmt.Sprintf("contracts {\nteam lanes {\nopen %d\nrequests %d/s\n}\n}", 400+30*i, 1000+i)
 		if i == 5 {
@@ -141,56 +141,56 @@
 		if i == 9 {
 			text = "contracts {\nteam lanes {\nopen 500\n}\n}"
 		}
-		w.conf, w.flags = "", nil
-		w.own(text)
-		replaceFile(t, w.conf, path)
+		w.settingsPath, w.flags = "", nil
+		w.addSettings(text)
+		replaceFile(t, w.settingsPath, path)
 		w.signal(syscall.SIGHUP)
-		w.until("the contracts are renewed", func() bool { return strings.Count(w.log.String(), "event=contracts-reloaded") == i+1 })
+		w.waitUntil("the contracts are renewed", func() bool { return strings.Count(w.log.String(), "event=contracts-reloaded") == i+1 })
 	}
 	probe := w.dial()
 	probe.send(request(1, "lookup", map[string]string{"team": "lanes", "txn": "00000000000000aa"}, ""))
-	if a := probe.want(); a.Fields["budget"] != "lanes open" {
+	if a := probe.mustRead(); a.Fields["budget"] != "lanes open" {
 		t.Errorf("with 500 open of 500: %+v", a)
 	}
-	crowd.served()
-	w.setScript(nil)
+	crowd.answerAll()
+	w.setResponder(nil)
 	probe.send(request(2, "lookup", map[string]string{"team": "lanes", "txn": "00000000000000ab"}, ""))
-	if a := probe.want(); a.Error != "" {
+	if a := probe.mustRead(); a.Error != "" {
 		t.Errorf("once all have ended: %+v", a)
 	}
 }
 
-// TestFailingBoxes is the third hard case: the boxes fail two requests in five for a time: with all of them the module itself stops sending. What is written stays under first tries
+// TestRetryBudgetBoundsAttempts is the third hard case: the boxes fail two requests in five for a time: with all of them the module itself stops sending. What is written stays under first tries
 // times 1.2, where without the budget it is more, and afterwards requests are served at once.
-func TestFailingBoxes(t *testing.T) {
+func TestRetryBudgetBoundsAttempts(t *testing.T) {
 	t.Parallel()
 	written := func(conf string) (ratio float64) {
 		var failing atomic.Bool
 		var count atomic.Int64
-		w := newWorld(t, func(a *asked) {
+		w := newTestbed(t, func(a *receivedRequest) {
 			if failing.Load() && count.Add(1)%5 < 2 {
 				a.Answer("EIO", "-", "")
 				return
 			}
 			a.Answer("ACK", "tag=t1", "done")
 		})
-		w.own(conf)
-		w.run()
-		s := &sender{team: "lanes"}
+		w.addSettings(conf)
+		w.start()
+		s := &loadGenerator{team: "lanes"}
 		s.send(w, 200, 500*time.Millisecond, "000a")
 		failing.Store(true)
-		before := len(w.lines(word("ASK")))
-		bad := &sender{team: "lanes"}
+		before := len(w.received(hasWord("ASK")))
+		bad := &loadGenerator{team: "lanes"}
 		bad.send(w, 200, 2*time.Second, "000b")
-		asks := len(w.lines(word("ASK"))) - before
+		asks := len(w.received(hasWord("ASK"))) - before
 		failing.Store(false)
-		w.until("requests are served again", func() bool {
-			again := &sender{team: "lanes"}
+		w.waitUntil("requests are served again", func() bool {
+			again := &loadGenerator{team: "lanes"}
 			again.send(w, 100, 200*time.Millisecond, fmt.Sprintf("%04x", time.Now().UnixNano()&0xffff))
 			return again.served >= 19
 		})
-		if bad.sent != bad.served+bad.refused+len(bad.unnamed) {
-			t.Errorf("of %d requests %d were answered", bad.sent, bad.served+bad.refused+len(bad.unnamed))
+		if bad.sent != bad.served+bad.rejected+len(bad.withoutBudget) {
+			t.Errorf("of %d requests %d were answered", bad.sent, bad.served+bad.rejected+len(bad.withoutBudget))
 		}
 		return float64(asks) / float64(bad.sent)
 	}
@@ -205,12 +205,12 @@
 // TestContractsCommand: what is over-committed is told with figures, and a running doorman says how its contracts stand.
 func TestContractsCommand(t *testing.T) {
 	t.Parallel()
-	held := make(chan *asked, 10)
-	w := newWorld(t, func(a *asked) { held <- a })
+	held := make(chan *receivedRequest, 10)
+	w := newTestbed(t, func(a *receivedRequest) { held <- a })
 	socket := filepath.Join(t.TempDir(), "s")
-	w.own("control " + socket + "\ncontracts {\nrequests 100/s\nadaptive {\n}\nteam lanes {\nrequests 60/s 90/s\nopen 7\nfor lookup {\nrequests 50/s\n}\n}\nteam other {\nrequests 50/s\n}\n}")
+	w.addSettings("control " + socket + "\ncontracts {\nrequests 100/s\nadaptive {\n}\nteam lanes {\nrequests 60/s 90/s\nopen 7\nfor lookup {\nrequests 50/s\n}\n}\nteam other {\nrequests 50/s\n}\n}")
 	run := func(args ...string) (string, error) {
-		out, err := exec.Command(program, append([]string{"contracts", "--conf", w.conf}, args...)...).CombinedOutput()
+		out, err := exec.Command(program, append([]string{"contracts", "--conf", w.settingsPath}, args...)...).CombinedOutput()
 		return string(out), err
 	}
 	if out, err := run("--check"); err == nil || !strings.Contains(out, "installation requests: 110/s are guaranteed below, of 100/s") {
@@ -219,7 +219,7 @@
 	if _, err := run("--show"); err == nil {
 		t.Error("a doorman that does not run has answered")
 	}
-	w.run()
+	w.start()
 	client := w.dial()
 	client.send(request(1, "lookup", map[string]string{"team": "lanes", "limit": "60000"}, ""))
 	a := <-held
@@ -239,9 +239,9 @@
 		t.Errorf("the socket: %v, %v", info.Mode(), err)
 	}
 	a.Answer("ACK", "tag=t1", "done")
-	client.want()
+	client.mustRead()
 	w.kill()
-	w.run() // the socket that a killed doorman left is no hindrance
+	w.start() // the socket that a killed doorman left is no hindrance
 	if out, err := run("--show"); err != nil || !strings.Contains(out, "version 1, 0 open") {
 		t.Errorf("after a kill: %v: %s", err, out)
 	}
--- a/test/cpu_test.go
+++ b/test/cpu_test.go
@@ -28,7 +28,7 @@
 	if *cpuProgram != "" {
 		program = *cpuProgram
 	}
-	w, c, token := cpuWorld(t)
+	w, c, token := newCPUTestbed(t)
 	ticks := func() (n int) {
 		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", w.cmd.Process.Pid))
 		if err != nil {
@@ -47,49 +47,49 @@
 	for id := range *cpuRequests {
 		send(id)
 		if id >= 16 {
-			c.want()
+			c.mustRead()
 		}
 	}
 	t.Logf("%d requests by %s, %.1f us of CPU each", *cpuRequests, *cpuBy, float64(ticks()-before)*10_000/float64(*cpuRequests))
 }
 
-// cpuWorld runs the program for callers of a kind, and gives a client and the token of each request; empty: none.
-func cpuWorld(t *testing.T) (*world, *client, func(int) string) {
+// newCPUTestbed runs the program for callers of a kind, and gives a client and the token of each request; empty: none.
+func newCPUTestbed(t *testing.T) (*testbed, *client, func(int) string) {
 	none := func(int) string { return "" }
 	switch *cpuBy {
 	case "plain":
-		w := newWorld(t, nil)
-		w.run()
+		w := newTestbed(t, nil)
+		w.start()
 		return w, w.dial(), none
 	case "unsigned":
-		w := newWorld(t, nil)
-		w.identity("unsigned staff")
-		w.run()
+		w := newTestbed(t, nil)
+		w.enableIdentity("unsigned staff")
+		w.start()
 		return w, w.dial(), none
 	case "tls":
-		w := newTLSWorld(t, nil)
-		w.run()
-		return w.world, w.connect(w.config("lane3.lanes.test")), none
+		w := newTLSTestbed(t, nil)
+		w.start()
+		return w.testbed, w.dialTLS(w.clientConfig("lane3.lanes.test")), none
 	case "box-tls":
-		w := newWorld(t, nil)
+		w := newTestbed(t, nil)
 		ca, err := emulator.NewAuthority(t.TempDir())
 		if err != nil {
 			t.Fatal(err)
 		}
 		for _, id := range []string{"c1", "c2", "p1", "o1"} {
-			w.behindTLS(ca, id, id+".boxes.test", func(string) {})
+			w.serveTLS(ca, id, id+".boxes.test", func(string) {})
 		}
 		cert, key, err := ca.Make("doorman", "doorman.test")
 		if err != nil {
 			t.Fatal(err)
 		}
-		w.own("box-tls {\nca " + ca.File + "\ncert " + cert + "\nkey " + key + "\nsuffix .boxes.test\n}")
-		w.run()
+		w.addSettings("box-tls {\nca " + ca.File + "\ncert " + cert + "\nkey " + key + "\nsuffix .boxes.test\n}")
+		w.start()
 		return w, w.dial(), none
 	}
-	w := newWorld(t, nil)
-	k := w.identity("checks 1000000/s\nchecks-connection 1000000/s\nchecks-source 1000000/s")
-	w.run()
+	w := newTestbed(t, nil)
+	k := w.enableIdentity("checks 1000000/s\nchecks-connection 1000000/s\nchecks-source 1000000/s")
+	w.start()
 	first := k.token("lane-1", "lanes", time.Hour)
 	if *cpuBy == "token" {
 		return w, w.dial(), func(int) string { return first }
--- a/test/drill_test.go
+++ b/test/drill_test.go
@@ -9,22 +9,22 @@
 )
 
 var (
-	drillSeeds    = flag.Int("drill-seeds", 1, "seeds that each shipped plan is played with, and drawn plans")
-	drillDoormans = flag.Int("drill-doormans", 0, "processes of a drill; 0: as the plan says")
+	drillSeeds   = flag.Int("drill-seeds", 1, "seeds that each shipped plan is played with, and drawn plans")
+	drillProxies = flag.Int("drill-doormans", 0, "processes of a drill; 0: as the plan says")
 )
 
 // drillsAtOnce bounds the drills that run together: each is some ten processes, and what they hold has times.
 const drillsAtOnce = 6
 
-var drillPlaces = make(chan bool, drillsAtOnce)
+var drillSlots = make(chan bool, drillsAtOnce)
 
 func playDrill(t *testing.T, p *drill.Plan, seed uint64) {
 	t.Helper()
 	t.Parallel()
-	drillPlaces <- true
-	defer func() { <-drillPlaces }()
-	if *drillDoormans > 0 {
-		p.Proxies = *drillDoormans
+	drillSlots <- true
+	defer func() { <-drillSlots }()
+	if *drillProxies > 0 {
+		p.Proxies = *drillProxies
 	}
 	r, err := drill.Run(p, program, t.TempDir(), seed, nil)
 	if err != nil {
--- a/test/identity_test.go
+++ b/test/identity_test.go
@@ -43,48 +43,48 @@
 	return k.must("token", "sign", "--subject", subject, "--tenant", tenant, "--life", life.String(), "--audience", "doorman")
 }
 
-// identity turns identity on: lanes may charge, staff may look up, and callers without a token may do what extra says.
-func (w *world) identity(extra string) keyring {
+// enableIdentity turns identity on: lanes may charge, staff may look up, and callers without a token may do what extra says.
+func (w *testbed) enableIdentity(extra string) keyring {
 	w.t.Helper()
 	k := keyring{w.t, filepath.Join(w.t.TempDir(), "keys")}
 	k.must("key", "new", "--id", "k1")
-	w.own("identity {\nkeys " + k.dir + "\naudience doorman\nskew 0s\nrole reader {\nright lookup footage\n}\n" +
+	w.addSettings("identity {\nkeys " + k.dir + "\naudience doorman\nskew 0s\nrole reader {\nright lookup footage\n}\n" +
 		"tenant lanes {\nright charge\nrole reader\n}\ntenant staff {\nrole reader\n}\n" + extra + "\n}")
 	return k
 }
 
-// TestWhoMayCharge is the third hard case: a stolen staff token posts charges by both fronts. All are refused with the reason,
+// TestRightsOfTokens is the third hard case: a stolen staff token posts charges by both fronts. All are refused with the reason,
 // and nothing reaches any box; a lane controller's go through, as its own tenant whatever team it names.
-func TestWhoMayCharge(t *testing.T) {
+func TestRightsOfTokens(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, nil)
-	k := w.identity("tenant open {\nright lookup\n}\nunsigned open")
-	w.withDNS("")
-	w.run()
+	w := newTestbed(t, nil)
+	k := w.enableIdentity("tenant open {\nright lookup\n}\nunsigned open")
+	w.enableDNS("")
+	w.start()
 	staff, lanes := k.token("terminal-7", "staff", time.Hour), k.token("lane-3", "lanes", time.Hour)
 	client := w.dial()
 	const many = 2000
 	go func() {
 		for id := uint64(1); id <= many; id++ {
-			_ = client.c.Send(request(id, "charge", map[string]string{"token": staff, "team": "lanes", "unique": fmt.Sprint("u", id)}, "post"))
+			_ = client.protocol.Send(request(id, "charge", map[string]string{"token": staff, "team": "lanes", "unique": fmt.Sprint("u", id)}, "post"))
 			if id%16 == 0 {
 				time.Sleep(time.Millisecond) // no more than 32 may be open
 			}
 		}
 	}()
 	for range many {
-		if a := client.want(); a.Error != "Denied" || a.Fields["reason"] != "right" {
+		if a := client.mustRead(); a.Error != "Denied" || a.Fields["reason"] != "right" {
 			t.Fatalf("%+v, want it denied for want of the right", a)
 		}
 	}
-	s := w.stub("udp")
+	s := w.dialDNS("udp")
 	for id := range uint16(100) {
-		s.ask(id, fmt.Sprintf("k-%d.n0.00000000000000aa.charge.lanes", id), dns.TypeTXT)
-		if a := s.want(); a.Rcode != "REFUSED" || a.Text != "right" {
+		s.query(id, fmt.Sprintf("k-%d.n0.00000000000000aa.charge.lanes", id), dns.TypeTXT)
+		if a := s.mustRead(); a.Rcode != "REFUSED" || a.Text != "right" {
 			t.Fatalf("%+v, want it refused for want of the right", a)
 		}
 	}
-	if asks := w.lines(word("ASK")); len(asks) > 0 {
+	if asks := w.received(hasWord("ASK")); len(asks) > 0 {
 		t.Errorf("%d lines reached a box, the first %+v", len(asks), asks[0])
 	}
 	for i, c := range []struct{ token, method, err, reason string }{{lanes, "charge", "", ""}, {lanes, "lookup", "", ""}, {staff, "lookup", "", ""}, {"", "lookup", "", ""},
@@ -94,7 +94,7 @@
 			fields["token"] = c.token
 		}
 		client.send(request(uint64(9000+i), c.method, fields, ""))
-		if a := client.want(); a.Error != c.err || a.Fields["reason"] != c.reason {
+		if a := client.mustRead(); a.Error != c.err || a.Fields["reason"] != c.reason {
 			t.Errorf("%s with %.10q: %+v, want %q for %q", c.method, c.token, a, c.err, c.reason)
 		}
 	}
@@ -114,13 +114,13 @@
 	}
 }
 
-// TestRotationUnderLoad is the first hard case: rotations while requests are in flight. No request whose token is good is
+// TestKeyRotationUnderLoad is the first hard case: rotations while requests are in flight. No request whose token is good is
 // refused, and after the overlap every one of the retired key is, with that reason.
-func TestRotationUnderLoad(t *testing.T) {
+func TestKeyRotationUnderLoad(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, nil)
-	k := w.identity("")
-	w.run()
+	w := newTestbed(t, nil)
+	k := w.enableIdentity("")
+	w.start()
 	first := k.token("lane-1", "lanes", time.Hour)
 	var token atomic.Value
 	token.Store(first)
@@ -136,14 +136,14 @@
 				return
 			case <-tick.C:
 			}
-			_ = client.c.Send(request(uint64(id), "charge", map[string]string{"token": token.Load().(string), "unique": fmt.Sprint("u", id), "ram": "1"}, ""))
+			_ = client.protocol.Send(request(uint64(id), "charge", map[string]string{"token": token.Load().(string), "unique": fmt.Sprint("u", id), "ram": "1"}, ""))
 		}
 	}()
 	ended := make(chan error, 1)
 	go func() {
 		total, got := -1, 0
 		for got != total {
-			if a, err := client.c.Read(200 * time.Millisecond); err == nil {
+			if a, err := client.protocol.Read(200 * time.Millisecond); err == nil {
 				got++
 				if a.Error != "" {
 					ended <- fmt.Errorf("request %d: %+v", a.ID, a)
@@ -162,44 +162,44 @@
 	for i := range rotations {
 		next := fmt.Sprint("k", i+2)
 		k.must("key", "rotate", "--id", next, "--publish", "400ms", "--accept", "100ms", "--overlap", "900ms")
-		w.until("the next key signs", func() bool {
+		w.waitUntil("the next key signs", func() bool {
 			out := k.must("key", "list")
 			return matches(next+" +EdDSA +signing", out)
 		})
 		token.Store(k.token("lane-1", "lanes", time.Hour)) // tokens of the old key are in flight still
-		w.until("the old key is retired", func() bool { return matches(fmt.Sprint("k", i+1)+" +EdDSA +retired", k.must("key", "list")) })
+		w.waitUntil("the old key is retired", func() bool { return matches(fmt.Sprint("k", i+1)+" +EdDSA +retired", k.must("key", "list")) })
 	}
 	close(stop)
 	if err := <-ended; err != nil {
 		t.Errorf("a good request was refused: %v", err)
 	}
 	client.send(request(1_000_000, "lookup", map[string]string{"token": first}, ""))
-	if a := client.want(); a.Error != "Denied" || a.Fields["reason"] != "retired" {
+	if a := client.mustRead(); a.Error != "Denied" || a.Fields["reason"] != "retired" {
 		t.Errorf("%+v, want the retired key's token refused as such", a)
 	}
 }
 
-// TestExpiresBetweenTries is the second hard case: the token expires between a charge and its retry. The retry is taken for
+// TestTokenExpiresBetweenRetries is the second hard case: the token expires between a charge and its retry. The retry is taken for
 // the same subject, and refused for another.
-func TestExpiresBetweenTries(t *testing.T) {
+func TestTokenExpiresBetweenRetries(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, nil)
-	k := w.identity("")
-	w.run()
+	w := newTestbed(t, nil)
+	k := w.enableIdentity("")
+	w.start()
 	soon, other := k.token("lane-1", "lanes", 1500*time.Millisecond), k.token("lane-2", "lanes", time.Hour)
 	client := w.dial()
 	charge := func(id uint64, token, unique string) reply {
 		client.send(request(id, "charge", map[string]string{"token": token, "unique": unique}, "post"))
-		return client.want()
+		return client.mustRead()
 	}
 	if a := charge(1, soon, "u1"); a.Error != "" {
 		t.Fatalf("the first try: %+v", a)
 	}
 	id := uint64(1)
-	w.until("the token has expired", func() bool {
+	w.waitUntil("the token has expired", func() bool {
 		id++
 		client.send(request(id, "lookup", map[string]string{"token": soon}, ""))
-		return client.want().Fields["reason"] == "expired"
+		return client.mustRead().Fields["reason"] == "expired"
 	})
 	if a := charge(1001, soon, "u1"); a.Error != "" {
 		t.Errorf("the retry: %+v, want it taken by the first try's authority", a)
@@ -210,52 +210,52 @@
 	if a := charge(1003, soon, "u2"); a.Fields["reason"] != "expired" {
 		t.Errorf("a new charge by the expired token: %+v", a)
 	}
-	for _, a := range w.lines(word("ASK")) {
+	for _, a := range w.received(hasWord("ASK")) {
 		if a.Fields["profile"] == "charge" && a.Fields["replay"] != "u1" {
 			t.Errorf("a box was sent %+v", a)
 		}
 	}
 }
 
-// TestRevocation is the fourth hard case: a subject is revoked while requests of it are open. What is open ends once, and
+// TestRevocationUnderLoad is the fourth hard case: a subject is revoked while requests of it are open. What is open ends once, and
 // nothing new of it is taken a second later.
-func TestRevocation(t *testing.T) {
+func TestRevocationUnderLoad(t *testing.T) {
 	t.Parallel()
-	held := make(chan *asked, 600)
-	w := newWorld(t, func(a *asked) { held <- a })
-	k := w.identity("")
-	w.run()
+	held := make(chan *receivedRequest, 600)
+	w := newTestbed(t, func(a *receivedRequest) { held <- a })
+	k := w.enableIdentity("")
+	w.start()
 	token := k.token("lane-1", "lanes", time.Hour)
-	crowd := w.crowd(held, "charge", map[string]string{"token": token})
+	crowd := w.openMany(held, "charge", map[string]string{"token": token})
 	k.must("key", "revoke", "subject", "lane-1")
 	began := time.Now()
 	probe := w.dial()
 	id := uint64(0)
-	w.until("it is revoked", func() bool {
+	w.waitUntil("it is revoked", func() bool {
 		id++
 		probe.send(request(id, "lookup", map[string]string{"token": token, "limit": "300"}, ""))
-		return probe.want().Fields["reason"] == "revoked"
+		return probe.mustRead().Fields["reason"] == "revoked"
 	})
 	if took := time.Since(began); took > 2*time.Second {
 		t.Errorf("the revocation took %v", took)
 	}
-	crowd.served()
+	crowd.answerAll()
 }
 
-// TestKeysAway is the seventh hard case: the directory vanishes, comes back empty, half-written, and right. Until it is right
+// TestUnreadableKeysKeepOldSet is the seventh hard case: the directory vanishes, comes back empty, half-written, and right. Until it is right
 // the old set is in force.
-func TestKeysAway(t *testing.T) {
+func TestUnreadableKeysKeepOldSet(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, nil)
-	k := w.identity("")
-	w.run()
+	w := newTestbed(t, nil)
+	k := w.enableIdentity("")
+	w.start()
 	token := k.token("lane-1", "lanes", time.Hour)
 	client := w.dial()
 	id := uint64(0)
 	taken := func() bool {
 		id++
 		client.send(request(id, "lookup", map[string]string{"token": token}, ""))
-		return client.want().Error == ""
+		return client.mustRead().Error == ""
 	}
 	if !taken() {
 		t.Fatal("the token is refused at first")
@@ -279,7 +279,7 @@
 			t.Fatal(err)
 		}
 		if c.fault != "" {
-			w.until(c.name+" is logged", func() bool { return strings.Contains(w.log.String(), c.fault) })
+			w.waitUntil(c.name+" is logged", func() bool { return strings.Contains(w.log.String(), c.fault) })
 		}
 		if !taken() {
 			t.Errorf("%s: the old set is not in force", c.name)
@@ -290,7 +290,7 @@
 	}
 	k.must("key", "rotate", "--id", "k9", "--publish", "0s", "--accept", "0s", "--overlap", "1h")
 	token = k.token("lane-1", "lanes", time.Hour)
-	w.until("a token of the next key is taken", taken)
+	w.waitUntil("a token of the next key is taken", taken)
 }
 
 // TestKeyCommands tries the steps of the run-book, each as an operator would.
@@ -327,19 +327,19 @@
 	}
 }
 
-// TestSignedQueries: a charge by DNS needs a key with that right; answers are signed, wrong signatures are refused as the RFC
+// TestTSIGSignedQueries: a charge by DNS needs a key with that right; answers are signed, wrong signatures are refused as the RFC
 // says, and the same idempotency key is one subject's.
-func TestSignedQueries(t *testing.T) {
+func TestTSIGSignedQueries(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, nil)
-	k := w.identity("")
-	w.withDNS("")
+	w := newTestbed(t, nil)
+	k := w.enableIdentity("")
+	w.enableDNS("")
 	secret := func(name, tenant string) string {
 		line := k.must("key", "tsig", name, "--tenant", tenant, "--subject", strings.TrimSuffix(name, "."))
 		return line[strings.LastIndex(line, ":")+1:]
 	}
 	lane, other, staff := secret("lane-3.", "lanes"), secret("lane-4.", "lanes"), secret("terminal-7.", "staff")
-	w.run()
+	w.start()
 	for i, c := range []struct {
 		name, key, secret string
 		signed            time.Duration // after now
@@ -358,7 +358,7 @@
 		{"an hour ago", "lane-3.", lane, -time.Hour, "k-u6.n0.00000000000000aa.charge._", dns.RcodeNotAuth, dns.RcodeBadTime, ""},
 	} {
 		for _, network := range []string{"udp", "tcp"} {
-			s := w.stub(network)
+			s := w.dialDNS(network)
 			m := new(dns.Msg).SetQuestion(c.question+"."+zone, dns.TypeTXT)
 			m.Id = uint16(100 + i)
 			m.SetEdns0(1232, false)
@@ -400,7 +400,7 @@
 			}
 		}
 	}
-	charges := w.lines(func(a *asked) bool { return a.Word == "ASK" && a.Fields["profile"] == "charge" })
+	charges := w.received(func(a *receivedRequest) bool { return a.Word == "ASK" && a.Fields["profile"] == "charge" })
 	if len(charges) != 1 {
 		t.Errorf("%d charges reached a box, want the lane's one", len(charges))
 	}
@@ -426,9 +426,9 @@
 }
 
 func testBadTokenFlood(t *testing.T, reads bool) {
-	w := newWorld(t, nil)
-	k := w.identity("")
-	w.run()
+	w := newTestbed(t, nil)
+	k := w.enableIdentity("")
+	w.start()
 	token := k.token("lane-1", "lanes", time.Hour)
 	c := w.dial()
 	n := 0
@@ -438,7 +438,7 @@
 			least--
 			began := time.Now()
 			c.send(request(uint64(n), "lookup", map[string]string{"token": token, "ram": "1", "txn": fmt.Sprintf("%016x", began.UnixNano())}, ""))
-			if a := c.want(); a.Error != "" {
+			if a := c.mustRead(); a.Error != "" {
 				t.Fatalf("one of the others: %+v", a)
 			}
 			*took = append(*took, time.Since(began))
@@ -465,7 +465,7 @@
 				}
 				if flood == nil {
 					var err error
-					if flood, err = emulator.Dial(w.listen); err != nil {
+					if flood, err = emulator.Dial(w.address); err != nil {
 						t.Errorf("the flood finds no door: %v", err)
 						return
 					}
@@ -487,7 +487,7 @@
 					}
 					continue
 				}
-				a, err := flood.Read(patience)
+				a, err := flood.Read(waitLimit)
 				if err != nil {
 					t.Errorf("no answer to a bad token: %v", err)
 					return
@@ -506,7 +506,7 @@
 		}()
 		others(&under, 1)
 		if !reads {
-			w.until("the flood is closed", func() bool { return strings.Contains(w.log.String(), "event=client-rate-limited") })
+			w.waitUntil("the flood is closed", func() bool { return strings.Contains(w.log.String(), "event=client-rate-limited") })
 		}
 		close(stop)
 		<-done
@@ -514,7 +514,7 @@
 	if reads && (denied == 0 || busy == 0) {
 		t.Errorf("of %d bad tokens %d were checked and %d held off", sent, denied, busy)
 	}
-	if asks := w.lines(func(a *asked) bool { return a.Fields["profile"] == "charge" }); len(asks) > 0 {
+	if asks := w.received(func(a *receivedRequest) bool { return a.Fields["profile"] == "charge" }); len(asks) > 0 {
 		t.Errorf("%d charges reached a box", len(asks))
 	}
 	p := func(took []time.Duration, q int) time.Duration {
@@ -525,13 +525,13 @@
 		sent, denied, closed, p(under, 50), p(under, 99), len(under), p(alone, 50), p(alone, 99), len(alone))
 }
 
-// TestKeyChangeTimes measures how long after a change of the directory it holds in the running doorman. -key-changes sets how
+// TestRevocationLatency measures how long after a change of the directory it holds in the running doorman. -key-changes sets how
 // many.
-func TestKeyChangeTimes(t *testing.T) {
+func TestRevocationLatency(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, nil)
-	k := w.identity("")
-	w.run()
+	w := newTestbed(t, nil)
+	k := w.enableIdentity("")
+	w.start()
 	c := w.dial()
 	var took []time.Duration
 	id := uint64(0)
@@ -541,14 +541,14 @@
 		reason := func() string {
 			id++
 			c.send(request(id, "lookup", map[string]string{"token": token, "ram": "1"}, ""))
-			return c.want().Fields["reason"]
+			return c.mustRead().Fields["reason"]
 		}
 		if got := reason(); got != "" {
 			t.Fatalf("at first refused for %s", got)
 		}
 		k.must("key", "revoke", "subject", subject)
 		began := time.Now()
-		w.until("the revocation holds", func() bool { return reason() == "revoked" })
+		w.waitUntil("the revocation holds", func() bool { return reason() == "revoked" })
 		took = append(took, time.Since(began))
 	}
 	slices.Sort(took)
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -33,8 +33,8 @@
 // seen to fail.
 const spinVariable = "SLOEQUAY_TEST_SPIN"
 
-// underFilter runs in the child: it installs the filter, shows that it holds, and runs the command line.
-func underFilter() {
+// serveUnderFilter runs in the child: it installs the filter, shows that it holds, and runs the command line.
+func serveUnderFilter() {
 	if err := installFilter(); err != nil {
 		fmt.Fprintln(os.Stderr, "filter:", err)
 		os.Exit(3)
@@ -127,16 +127,16 @@
 	if runtime.GOOS != "linux" || runtime.GOARCH != "amd64" {
 		t.Skip("the filter is written for Linux on amd64")
 	}
-	w := newWorld(t, nil)
+	w := newTestbed(t, nil)
 	self, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
 	}
 	w.program, w.env = self, []string{filterVariable + "=1"}
-	w.run()
+	w.start()
 	c := w.dial()
 	c.send(request(5, "footage", nil, ""))
-	if a := c.want(); a.Error != "" || a.Body != "7f3a9c21e0b4d655" {
+	if a := c.mustRead(); a.Error != "" || a.Body != "7f3a9c21e0b4d655" {
 		t.Fatalf("answer %+v, want the body served", a)
 	}
 	w.signal(syscall.SIGTERM)
--- a/test/pools_test.go
+++ b/test/pools_test.go
@@ -7,25 +7,25 @@
 	"testing"
 )
 
-const twoPools = "services {\npool main {\nboxes id=c1\nboxes class=parent,origin\n}\npool pictures {\nboxes id=c2\nboxes class=parent,origin\npart 0.5\n}\nservice cams pictures\nrule cams team=cams\n"
+const twoPoolsSettings = "services {\npool main {\nboxes id=c1\nboxes class=parent,origin\n}\npool pictures {\nboxes id=c2\nboxes class=parent,origin\npart 0.5\n}\nservice cams pictures\nrule cams team=cams\n"
 
-// TestPools: each service's requests go to its own pool's boxes alone. One pool hangs with all that it may have open; the other
+// TestPoolIsolation: each service's requests go to its own pool's boxes alone. One pool hangs with all that it may have open; the other
 // serves every request as before, and what the hung one can't take is refused at once.
-func TestPools(t *testing.T) {
+func TestPoolIsolation(t *testing.T) {
 	t.Parallel()
 	var hung atomic.Bool
-	w := newWorld(t, func(a *asked) {
+	w := newTestbed(t, func(a *receivedRequest) {
 		if a.Endpoint != "c2" || !hung.Load() {
 			a.Answer("ACK", "tag=t1", "done")
 		}
 	})
-	w.own(twoPools + "}")
-	w.run()
+	w.addSettings(twoPoolsSettings + "}")
+	w.start()
 	caller, id := w.dial(), uint64(0)
 	ask := func(team string) reply {
 		id++
 		caller.send(request(id, "lookup", map[string]string{"team": team, "ram": "1", "txn": fmt.Sprintf("%s%014x", map[string]string{"cams": "c0", "lanes": "a0"}[team], id), "item": fmt.Sprintf("%016x", id%50+1), "limit": "2000"}, ""))
-		return caller.want()
+		return caller.mustRead()
 	}
 	for range 40 {
 		for _, team := range []string{"cams", "lanes"} {
@@ -49,7 +49,7 @@
 		}
 	}
 	seen := map[string]int{}
-	for _, a := range w.lines(word("ASK")) {
+	for _, a := range w.received(hasWord("ASK")) {
 		seen[a.ID[:2]+" "+a.Endpoint]++
 	}
 	if seen["c0 c1"] > 0 || seen["a0 c2"] > 0 || seen["c0 c2"] < 40 || seen["a0 c1"] < 100 {
@@ -60,12 +60,12 @@
 	}
 }
 
-// TestMoveBetweenPools: a team moves by steps to another pool and stays; another one's new pool fails it, and it goes back, three
+// TestTeamMigration: a team moves by steps to another pool and stays; another one's new pool fails it, and it goes back, three
 // times, and then for good. Whoever asks meanwhile is served or told that it failed, once.
-func TestMoveBetweenPools(t *testing.T) {
+func TestTeamMigration(t *testing.T) {
 	t.Parallel()
 	var sick atomic.Bool
-	w := newWorld(t, func(a *asked) {
+	w := newTestbed(t, func(a *receivedRequest) {
 		if a.Endpoint == "c2" && sick.Load() {
 			a.Answer("EIO", "-", "")
 			return
@@ -73,29 +73,29 @@
 		a.Answer("ACK", "tag=t1", "done")
 	})
 	move := "hold 20ms\nleast 10\nsteps 0.3 1\n}\n"
-	w.own(strings.Replace(twoPools, "boxes id=c1\nboxes class=parent,origin\n}\npool pictures {\nboxes id=c2\nboxes class=parent,origin", "}\npool pictures {\nboxes id=c2", 1) + "move lanes pictures {\n" + move + "move staff pictures {\n" + move + "}")
-	w.run()
+	w.addSettings(strings.Replace(twoPoolsSettings, "boxes id=c1\nboxes class=parent,origin\n}\npool pictures {\nboxes id=c2\nboxes class=parent,origin", "}\npool pictures {\nboxes id=c2", 1) + "move lanes pictures {\n" + move + "move staff pictures {\n" + move + "}")
+	w.start()
 	client, id := w.dial(), uint64(0)
 	ask := func(team string) reply {
 		id++
 		client.send(request(id, "lookup", map[string]string{"team": team, "ram": "1", "item": fmt.Sprintf("%016x", id), "limit": "2000"}, ""))
-		return client.want()
+		return client.mustRead()
 	}
-	w.until("all of the lanes' is moved", func() bool {
+	w.waitUntil("all of the lanes' is moved", func() bool {
 		if a := ask("lanes"); a.Error != "" {
 			t.Fatalf("while it moves: %+v", a)
 		}
 		return strings.Contains(w.log.String(), "event=team-migration team=lanes share=1 phase=moving")
 	})
-	before := len(w.lines(func(a *asked) bool { return a.Word == "ASK" && a.Endpoint == "c2" }))
+	before := len(w.received(func(a *receivedRequest) bool { return a.Word == "ASK" && a.Endpoint == "c2" }))
 	for range 20 {
 		ask("lanes")
 	}
-	if after := len(w.lines(func(a *asked) bool { return a.Word == "ASK" && a.Endpoint == "c2" })); after != before+20 {
+	if after := len(w.received(func(a *receivedRequest) bool { return a.Word == "ASK" && a.Endpoint == "c2" })); after != before+20 {
 		t.Errorf("%d of 20 went to the new pool", after-before)
 	}
 	sick.Store(true)
-	w.until("the staff's move is given up", func() bool {
+	w.waitUntil("the staff's move is given up", func() bool {
 		ask("staff")
 		return strings.Contains(w.log.String(), "team=staff share=0 phase=given-up")
 	})
--- a/test/quiet_test.go
+++ b/test/quiet_test.go
@@ -17,14 +17,14 @@
 // seen to spin: a peer that is half closed or does not read is always ready for the poller, and what is refused at once
 // is tried again at once.
 
-// process is what the system tells of a running process.
-type process struct {
+// processUsage is what the system tells of a running process.
+type processUsage struct {
 	threads  map[int]time.Duration // processor time
 	all      time.Duration         // of those that have ended, too
 	children []int
 }
 
-func look(pid int) (p process, err error) {
+func readProcessUsage(pid int) (p processUsage, err error) {
 	p.threads = map[int]time.Duration{}
 	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
 	for _, path := range tasks {
@@ -55,40 +55,40 @@
 	return p, err
 }
 
-// quietShare is how much of a core a doorman with nothing to do may use. It uses 0.01 to 0.03; a goroutine that spins uses
+// idleShare is how much of a core a doorman with nothing to do may use. It uses 0.01 to 0.03; a goroutine that spins uses
 // all it gets, on a busy machine less than the whole.
-const quietShare = 0.2
+const idleShare = 0.2
 
-// busiest gives the share of a core that the process used in a window.
-func busiest(t *testing.T, pid int, window time.Duration) float64 {
+// cpuShare gives the share of a core that the process used in a window.
+func cpuShare(t *testing.T, pid int, window time.Duration) float64 {
 	t.Helper()
-	before, err := look(pid)
+	before, err := readProcessUsage(pid)
 	if err != nil {
 		t.Fatal(err)
 	}
 	began := time.Now()
 	time.Sleep(window)
-	after, err := look(pid)
+	after, err := readProcessUsage(pid)
 	if err != nil {
 		t.Fatal(err)
 	}
 	return float64(after.all-before.all) / float64(time.Since(began))
 }
 
-// TestNothingSpins: a doorman that has nothing to do, or only peers that make it look as if it had, waits. It never has
+// TestIdleProxyDoesNotSpin: a doorman that has nothing to do, or only peers that make it look as if it had, waits. It never has
 // children.
-func TestNothingSpins(t *testing.T) {
+func TestIdleProxyDoesNotSpin(t *testing.T) {
 	if _, err := os.Stat("/proc/self/schedstat"); err != nil {
 		t.Skip("no schedstat here")
 	}
 	for _, c := range []struct {
 		name    string
-		prepare func(w *world) // before the program starts
-		trouble func(w *world)
+		prepare func(w *testbed) // before the program starts
+		trouble func(w *testbed)
 	}{
-		{"nobody comes", nil, func(*world) {}},
-		{"the bulletin refuses connections", func(w *world) { w.config["bulletin"] = "127.0.0.1:1" }, func(*world) {}},
-		{"the bulletin closes each connection at once", func(w *world) {
+		{"nobody comes", nil, func(*testbed) {}},
+		{"the bulletin refuses connections", func(w *testbed) { w.config["bulletin"] = "127.0.0.1:1" }, func(*testbed) {}},
+		{"the bulletin closes each connection at once", func(w *testbed) {
 			ln := w.listenOn("127.0.0.1:0")
 			w.config["bulletin"] = ln.Addr().String()
 			go func() {
@@ -100,17 +100,17 @@
 					_ = conn.Close()
 				}
 			}()
-		}, func(*world) {}},
-		{"clients have half closed their connections", nil, func(w *world) {
+		}, func(*testbed) {}},
+		{"clients have half closed their connections", nil, func(w *testbed) {
 			for id := range uint64(20) {
 				c := w.dial()
 				c.send(request(id+1, "footage", map[string]string{"item": "00000000000000aa", "limit": "60000"}, ""))
 				_ = c.conn.(*net.TCPConn).CloseWrite()
 			}
 		}},
-		{"clients do not read", func(w *world) {
-			w.setScript(func(a *asked) { a.Answer("ACK", "-", strings.Repeat("x", 200<<10)) })
-		}, func(w *world) {
+		{"clients do not read", func(w *testbed) {
+			w.setResponder(func(a *receivedRequest) { a.Answer("ACK", "-", strings.Repeat("x", 200<<10)) })
+		}, func(w *testbed) {
 			for range 5 {
 				c := w.dial()
 				for id := range uint64(30) {
@@ -118,9 +118,9 @@
 				}
 			}
 		}},
-		{"boxes close each connection at once", func(w *world) {
+		{"boxes close each connection at once", func(w *testbed) {
 			ln := w.listenOn("127.0.0.1:0")
-			for _, h := range w.hosts {
+			for _, h := range w.listed {
 				h["dial"] = ln.Addr().String()
 			}
 			go func() {
@@ -132,23 +132,23 @@
 					_ = conn.Close()
 				}
 			}()
-		}, func(w *world) {
+		}, func(w *testbed) {
 			c := w.dial()
 			for id := range uint64(30) {
 				c.send(request(id+1, "footage", map[string]string{"limit": "60000"}, ""))
 			}
 		}},
-		{"it leaves, and a request stays open", nil, func(w *world) {
+		{"it leaves, and a request stays open", nil, func(w *testbed) {
 			c := w.dial()
 			c.send(request(1, "footage", map[string]string{"item": "00000000000000aa", "limit": "60000"}, ""))
-			w.until("it is out", func() bool { return len(w.lines(word("ASK"))) > 0 })
+			w.waitUntil("it is out", func() bool { return len(w.received(hasWord("ASK"))) > 0 })
 			w.signal(syscall.SIGTERM)
-			w.until("it leaves", func() bool { return strings.Contains(w.log.String(), "event=draining") })
+			w.waitUntil("it leaves", func() bool { return strings.Contains(w.log.String(), "event=draining") })
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			w := newWorld(t, func(a *asked) {
+			w := newTestbed(t, func(a *receivedRequest) {
 				if a.Fields["thing"] != "00000000000000aa" { // which are never answered
 					a.Answer("ACK", "-", "sound")
 				}
@@ -156,29 +156,29 @@
 			if c.prepare != nil {
 				c.prepare(w)
 			}
-			w.run()
+			w.start()
 			c.trouble(w)
 			// What the trouble itself brings about takes a moment; a spin does not end.
-			w.until("the doorman waits", func() bool {
-				return busiest(t, w.cmd.Process.Pid, 300*time.Millisecond) < quietShare
+			w.waitUntil("the doorman waits", func() bool {
+				return cpuShare(t, w.cmd.Process.Pid, 300*time.Millisecond) < idleShare
 			})
-			if share := busiest(t, w.cmd.Process.Pid, time.Second); share > quietShare {
+			if share := cpuShare(t, w.cmd.Process.Pid, time.Second); share > idleShare {
 				t.Errorf("it used %.2f of a core with nothing to do", share)
 			}
-			if p, _ := look(w.cmd.Process.Pid); len(p.children) > 0 {
+			if p, _ := readProcessUsage(w.cmd.Process.Pid); len(p.children) > 0 {
 				t.Errorf("it has the children %v", p.children)
 			}
 		})
 	}
 	t.Run("a goroutine that spins is seen", func(t *testing.T) {
 		t.Parallel()
-		w := newWorld(t, nil)
+		w := newTestbed(t, nil)
 		self, err := os.Executable()
 		if err != nil {
 			t.Fatal(err)
 		}
 		w.program, w.env = self, []string{spinVariable + "=1"}
-		w.run()
-		w.until("it is seen", func() bool { return busiest(t, w.cmd.Process.Pid, time.Second) > quietShare })
+		w.start()
+		w.waitUntil("it is seen", func() bool { return cpuShare(t, w.cmd.Process.Pid, time.Second) > idleShare })
 	})
 }
--- a/test/rare_test.go
+++ b/test/rare_test.go
@@ -15,9 +15,9 @@
 	"sloequay/internal/emulator"
 )
 
-// TestSecondAnswer: a box answers an attempt twice, the second time when the next one for the same request is out on the same
+// TestDuplicateResponse: a box answers an attempt twice, the second time when the next one for the same request is out on the same
 // connection. It was taken for that one's answer, and a third attempt went out beside it.
-func TestSecondAnswer(t *testing.T) {
+func TestDuplicateResponse(t *testing.T) {
 	for _, c := range []struct{ name, method, word, remark string }{
 		{"a write that was over already", "charge", "STALE", "-"},
 		{"a read that found nothing", "lookup", "NOENT", "remark=src_lacks"},
@@ -27,7 +27,7 @@
 			t.Parallel()
 			var mu sync.Mutex
 			told := map[string]bool{} // what each box was asked once
-			w := newWorld(t, func(a *asked) {
+			w := newTestbed(t, func(a *receivedRequest) {
 				mu.Lock()
 				defer mu.Unlock()
 				if key := a.Endpoint + a.ID; !told[key] {
@@ -37,13 +37,13 @@
 				}
 				a.Answer(c.word, c.remark, "") // of the attempt before; this one is being worked on
 			}, "c2")
-			w.run()
+			w.start()
 			client := w.dial()
 			client.send(request(1, c.method, map[string]string{"unique": "k1", "limit": "1500"}, ""))
-			client.want()
-			var out *asked // the attempt that is out for all that its box said
+			client.mustRead()
+			var out *receivedRequest // the attempt that is out for all that its box said
 			seen := map[string]bool{}
-			for _, a := range w.lines(func(a *asked) bool { return a.ID == "0000000000000001" }) {
+			for _, a := range w.received(func(a *receivedRequest) bool { return a.ID == "0000000000000001" }) {
 				switch key := fmt.Sprint(a.Endpoint, a.Conn.LocalAddr(), a.Conn.RemoteAddr()); {
 				case a.Word == "QUIT":
 					if out != nil && out.Conn == a.Conn {
@@ -61,8 +61,8 @@
 	}
 }
 
-// deafBox is a box that takes connections and reads nothing until it is let.
-func (w *world) deafBox() (address string, read chan chan []int) {
+// listenWithoutReading is a box that takes connections and reads nothing until it is let.
+func (w *testbed) listenWithoutReading() (address string, read chan chan []int) {
 	w.t.Helper()
 	ln := w.listenOn("127.0.0.1:0")
 	if raw, err := ln.(*net.TCPListener).SyscallConn(); err == nil {
@@ -89,15 +89,15 @@
 		var whole []int
 		for _, conn := range conns {
 			_ = conn.SetReadDeadline(time.Now().Add(time.Second))
-			whole = append(whole, wholeAsks(conn))
+			whole = append(whole, countAttempts(conn))
 		}
 		out <- whole
 	}()
 	return ln.Addr().String(), read
 }
 
-// wholeAsks counts the attempts that come whole on a connection, until it ends.
-func wholeAsks(conn net.Conn) (n int) {
+// countAttempts counts the attempts that come whole on a connection, until it ends.
+func countAttempts(conn net.Conn) (n int) {
 	for r := bufio.NewReader(conn); ; {
 		line, err := r.ReadString('\n')
 		words := strings.Fields(line)
@@ -115,9 +115,9 @@
 	}
 }
 
-// TestNothingWaitsForABoxThatDoesNotRead: what was written for a box that does not read waited with us, and went out whenever it read
+// TestEndpointThatDoesNotRead: what was written for a box that does not read waited with us, and went out whenever it read
 // again: after a drain, a purge, or the client's leaving.
-func TestNothingWaitsForABoxThatDoesNotRead(t *testing.T) {
+func TestEndpointThatDoesNotRead(t *testing.T) {
 	for _, c := range []struct {
 		name    string
 		probes  bool
@@ -126,17 +126,17 @@
 		{"many connections, each within what the system holds", true, 32},
 		{"one connection beyond that, and no word that it lives may be asked for", false, 1000},
 	} {
-		t.Run(c.name, func(t *testing.T) { notRead(t, c.probes, c.streams) })
+		t.Run(c.name, func(t *testing.T) { testEndpointThatDoesNotRead(t, c.probes, c.streams) })
 	}
 }
 
-func notRead(t *testing.T, probes bool, streams int) {
-	w := newWorld(t, nil, "c1", "c2", "p1")
+func testEndpointThatDoesNotRead(t *testing.T, probes bool, streams int) {
+	w := newTestbed(t, nil, "c1", "c2", "p1")
 	limits := w.config["settings"].(map[string]any)["limits"].(map[string]any)
 	limits["may-probe"], limits["streams-per-conn"] = probes, streams
-	address, read := w.deafBox()
-	w.hosts[0]["dial"] = address
-	w.run()
+	address, read := w.listenWithoutReading()
+	w.listed[0]["dial"] = address
+	w.start()
 	const many = 150
 	body := strings.Repeat("x", 48000)
 	var clients []*client
@@ -147,7 +147,7 @@
 		c := clients[len(clients)-1]
 		c.send(request(n+1, "charge", map[string]string{"unique": fmt.Sprint("k", n), "limit": "3000", "item": fmt.Sprintf("%016x", n+1)}, body))
 	}
-	w.until("the connections that are not read are closed", func() bool { return strings.Contains(w.log.String(), "event=upstream-unresponsive") })
+	w.waitUntil("the connections that are not read are closed", func() bool { return strings.Contains(w.log.String(), "event=upstream-unresponsive") })
 	for _, c := range clients {
 		_ = c.conn.Close()
 	}
@@ -167,9 +167,9 @@
 	}
 }
 
-// TestClientsThatLeave: a client leaves while its request waits, in each way in which it can. Nothing is sent on for it from then on;
+// TestClientLeavesWaitingRequest: a client leaves while its request waits, in each way in which it can. Nothing is sent on for it from then on;
 // what is out is called off.
-func TestClientsThatLeave(t *testing.T) {
+func TestClientLeavesWaitingRequest(t *testing.T) {
 	leave := map[string]func(c *client){
 		"withdraw": func(c *client) { c.send(withdraw(1)) },
 		"close":    func(c *client) { _ = c.conn.Close() },
@@ -182,49 +182,49 @@
 	for _, c := range []struct {
 		name string
 		// wait brings the request to where it waits, and gives what ends that wait.
-		wait func(w *world, c *client, held chan *asked) (release func())
+		wait func(w *testbed, c *client, held chan *receivedRequest) (release func())
 		sent int // attempts for it that were sent by then
 	}{
-		{"for a dial", func(w *world, c *client, _ chan *asked) func() {
+		{"for a dial", func(w *testbed, c *client, _ chan *receivedRequest) func() {
 			c.send(request(1, "lookup", map[string]string{"limit": "3000"}, ""))
 			c.send(request(2, "status", nil, ""))
-			c.want() // so the first one was read
-			return func() { go w.fleet.Serve("c1", w.full) }
+			c.mustRead() // so the first one was read
+			return func() { go w.endpoints.Serve("c1", w.fullListener) }
 		}, 0},
-		{"for its answer", func(w *world, c *client, held chan *asked) func() {
+		{"for its answer", func(w *testbed, c *client, held chan *receivedRequest) func() {
 			c.send(request(1, "lookup", nil, ""))
-			a := next(w.t, held)
+			a := nextReceived(w.t, held)
 			return func() { a.Answer("NOENT", "-", "") } // at which it would go on elsewhere
 		}, 1},
 	} {
 		for way, goes := range leave {
 			t.Run(c.name+", by "+way, func(t *testing.T) {
 				t.Parallel()
-				held := make(chan *asked, 100)
-				w := newWorld(t, func(a *asked) { held <- a }, "c2")
+				held := make(chan *receivedRequest, 100)
+				w := newTestbed(t, func(a *receivedRequest) { held <- a }, "c2")
 				if c.sent == 0 {
-					w.hosts[0]["dial"] = w.fullListener()
+					w.listed[0]["dial"] = w.listenWithFullBacklog()
 					w.config["settings"].(map[string]any)["limits"].(map[string]any)["dial-timeout-ms"] = 60000
 				}
-				w.run()
+				w.start()
 				client := w.dial()
 				release := c.wait(w, client, held)
 				goes(client)
 				if c.sent > 0 {
-					w.until("its attempt is called off", func() bool { return len(w.lines(word("QUIT"))) > 0 })
+					w.waitUntil("its attempt is called off", func() bool { return len(w.received(hasWord("QUIT"))) > 0 })
 				} else {
-					w.until("it is noticed", func() bool { return gone(w, client, way) })
+					w.waitUntil("it is noticed", func() bool { return leaveNoticed(w, client, way) })
 				}
 				release()
 				// Requests of another client, by the same ways, show that what had to come for the first one would have come.
-				w.setScript(func(a *asked) { a.Answer("ACK", "tag=t1", "done") })
+				w.setResponder(func(a *receivedRequest) { a.Answer("ACK", "tag=t1", "done") })
 				other, id := w.dial(), uint64(100)
-				w.until("another client is served", func() bool {
+				w.waitUntil("another client is served", func() bool {
 					id++
 					other.send(request(id, "lookup", map[string]string{"item": fmt.Sprintf("%016x", id)}, ""))
-					return other.want().Error == ""
+					return other.mustRead().Error == ""
 				})
-				asks := w.lines(func(a *asked) bool { return a.Word == "ASK" && a.ID == "0000000000000001" })
+				asks := w.received(func(a *receivedRequest) bool { return a.Word == "ASK" && a.ID == "0000000000000001" })
 				if len(asks) != c.sent {
 					t.Errorf("%d attempts were sent for the client that left, want %d", len(asks), c.sent)
 				}
@@ -233,20 +233,20 @@
 	}
 }
 
-// gone says whether the program knows that the client has left: it answers no more on a connection that still is, and closes one that is
+// leaveNoticed says whether the program knows that the client has left: it answers no more on a connection that still is, and closes one that is
 // half closed.
-func gone(w *world, c *client, way string) bool {
+func leaveNoticed(w *testbed, c *client, way string) bool {
 	switch way {
 	case "withdraw":
 		c.send(request(3, "status", nil, ""))
-		return c.want().ID == 3
+		return c.mustRead().ID == 3
 	case "half-close":
-		_ = c.conn.SetReadDeadline(time.Now().Add(patience))
+		_ = c.conn.SetReadDeadline(time.Now().Add(waitLimit))
 		_, err := c.conn.Read(make([]byte, 1))
 		return err == io.EOF
 	}
 	// Another client that connects and asks afterwards is read in a later round.
-	return emulator.Ready(w.listen)
+	return emulator.Ready(w.address)
 }
 
 // withdraw is the notice that takes a request back.
@@ -254,9 +254,9 @@
 	return slices.Concat([]byte{0x93, 2, 0xa8}, []byte("withdraw"), []byte{0x91, id})
 }
 
-// TestWatches: a watch that falls silent, or whose numbers show that something is missing, is followed anew behind the last event that came
+// TestListWatchFaults: a watch that falls silent, or whose numbers show that something is missing, is followed anew behind the last event that came
 // whole, and what it then tells holds for requests that are asked right after.
-func TestWatches(t *testing.T) {
+func TestListWatchFaults(t *testing.T) {
 	for _, c := range []struct {
 		name string
 		feed []string
@@ -269,55 +269,55 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			w := newWorld(t, nil)
-			w.run()
-			w.asks()
+			w := newTestbed(t, nil)
+			w.start()
+			w.waitListPoll()
 			for _, text := range c.feed {
-				w.feed <- text
+				w.listFeed <- text
 			}
-			w.until("it is noticed", func() bool { return matches("event=endpoint-list-stale error=\"?"+c.why, w.log.String()) })
-			w.feed <- "!" // the stand-in serves one connection at a time
-			if after := w.asks(); after != "after 1" {
+			w.waitUntil("it is noticed", func() bool { return matches("event=endpoint-list-stale error=\"?"+c.why, w.log.String()) })
+			w.listFeed <- "!" // the stand-in serves one connection at a time
+			if after := w.waitListPoll(); after != "after 1" {
 				t.Fatalf("the program asks for %q, want what came after the last whole event", after)
 			}
-			address := w.boxes["c1"].Addr().String()
-			w.feed <- roster(2, false, host("c1", address, "edge", "std", "draining", 0))
-			w.feed <- roster(2, false, host("c1", address, "edge", "std", "up", 0)) // a repeat: it has this number
-			w.drained("c1")
+			address := w.listeners["c1"].Addr().String()
+			w.listFeed <- listEvent(2, false, listEntry("c1", address, "edge", "std", "draining", 0))
+			w.listFeed <- listEvent(2, false, listEntry("c1", address, "edge", "std", "up", 0)) // a repeat: it has this number
+			w.waitDrained("c1")
 		})
 	}
 }
 
-// drained waits until the program knows that a box drains, and has requests go elsewhere.
-func (w *world) drained(box string) {
+// waitDrained waits until the program knows that a box drains, and has requests go elsewhere.
+func (w *testbed) waitDrained(box string) {
 	w.t.Helper()
-	w.until("the drain is known", func() bool { return matches("event=endpoint-draining endpoint="+box, w.log.String()) })
+	w.waitUntil("the drain is known", func() bool { return matches("event=endpoint-draining endpoint="+box, w.log.String()) })
 	client := w.dial()
-	before := len(w.lines(func(a *asked) bool { return a.Word == "ASK" && a.Endpoint == box }))
+	before := len(w.received(func(a *receivedRequest) bool { return a.Word == "ASK" && a.Endpoint == box }))
 	for id := range uint64(20) {
 		client.send(request(id+1, "lookup", map[string]string{"item": fmt.Sprintf("%016x", id+1)}, ""))
-		if a := client.want(); a.Error != "" {
+		if a := client.mustRead(); a.Error != "" {
 			w.t.Errorf("%+v, want it served elsewhere", a)
 		}
 	}
-	if asks := w.lines(func(a *asked) bool { return a.Word == "ASK" && a.Endpoint == box }); len(asks) > before {
+	if asks := w.received(func(a *receivedRequest) bool { return a.Word == "ASK" && a.Endpoint == box }); len(asks) > before {
 		w.t.Errorf("%d attempts went to the draining box", len(asks)-before)
 	}
 }
 
-// TestReloadToWhatIsNotUp: SIGHUP names a bulletin that is not there yet. It is asked until it is, behind the last event, and what it tells
+// TestReloadToListServiceNotYetUp: SIGHUP names a bulletin that is not there yet. It is asked until it is, behind the last event, and what it tells
 // holds.
-func TestReloadToWhatIsNotUp(t *testing.T) {
-	w := newWorld(t, nil)
-	w.run()
-	w.asks()
-	w.feed <- `{"no":2,"recall":{"lot":3,"issued":1}}`
-	w.feed <- "2"
-	later := w.free()
+func TestReloadToListServiceNotYetUp(t *testing.T) {
+	w := newTestbed(t, nil)
+	w.start()
+	w.waitListPoll()
+	w.listFeed <- `{"no":2,"recall":{"lot":3,"issued":1}}`
+	w.listFeed <- "2"
+	later := w.freeAddress()
 	w.config["bulletin"] = later
-	w.configure()
+	w.writeConfig()
 	w.signal(syscall.SIGHUP)
-	w.until("the new one is missed", func() bool { return strings.Contains(w.log.String(), "event=endpoint-list-stale") })
+	w.waitUntil("the new one is missed", func() bool { return strings.Contains(w.log.String(), "event=endpoint-list-stale") })
 	next, err := emulator.NewListServiceAt(later)
 	if err != nil {
 		t.Fatal(err)
@@ -328,9 +328,9 @@
 		if after != "after 2" {
 			t.Errorf("the new bulletin is asked for %q, want what comes after event 2", after)
 		}
-	case <-time.After(patience):
+	case <-time.After(waitLimit):
 		t.Fatal("the new bulletin is not asked")
 	}
-	next.Feed <- roster(3, false, host("c1", w.boxes["c1"].Addr().String(), "edge", "std", "draining", 0))
-	w.drained("c1")
+	next.Feed <- listEvent(3, false, listEntry("c1", w.listeners["c1"].Addr().String(), "edge", "std", "draining", 0))
+	w.waitDrained("c1")
 }
--- a/test/serve_test.go
+++ b/test/serve_test.go
@@ -16,7 +16,7 @@
 		method string
 		fields map[string]string
 		body   string
-		script func(*asked)
+		script func(*receivedRequest)
 		want   reply
 		heard  []string
 	}{
@@ -24,11 +24,11 @@
 			want: reply{ID: 5, Body: "7f3a9c21e0b4d655", Fields: map[string]string{"tag": "t1", "minted": "1", "remark": "hit"}},
 		},
 		{name: "the client's copy holds", method: "footage", fields: map[string]string{"got": "t1"},
-			script: func(a *asked) { a.Answer("NOMOD", "tag=t1", "") },
+			script: func(a *receivedRequest) { a.Answer("NOMOD", "tag=t1", "") },
 			want:   reply{ID: 5, Fields: map[string]string{"tag": "t1", "ok304": "1"}},
 		},
 		{name: "a miss is filled", method: "footage",
-			script: func(a *asked) {
+			script: func(a *receivedRequest) {
 				if a.Fields["via"] == "" {
 					a.Answer("NOENT", "-", "")
 				} else {
@@ -40,15 +40,15 @@
 		},
 		{name: "a write goes to the origin with its key and body", method: "charge",
 			fields: map[string]string{"unique": "5c0f"}, body: "post\x00",
-			script: func(a *asked) { a.Answer("ACK", "-", a.Endpoint+" "+a.Fields["replay"]+" "+a.Body) },
+			script: func(a *receivedRequest) { a.Answer("ACK", "-", a.Endpoint+" "+a.Fields["replay"]+" "+a.Body) },
 			want:   reply{ID: 5, Body: "o1 5c0f post\x00", Fields: map[string]string{}},
 		},
 		{name: "all are full: refused with a wait", method: "footage",
-			script: func(a *asked) { a.Answer("AGAIN", "-", "") },
+			script: func(a *receivedRequest) { a.Answer("AGAIN", "-", "") },
 			want:   reply{ID: 5, Error: "Overloaded", Fields: map[string]string{"later": "250"}},
 		},
 		{name: "a silent box: answered before the client gives up", method: "footage",
-			fields: map[string]string{"limit": "300"}, script: func(*asked) {},
+			fields: map[string]string{"limit": "300"}, script: func(*receivedRequest) {},
 			want: reply{ID: 5, Error: "Overloaded", Fields: map[string]string{"later": "250"}},
 		},
 		{name: "unknown class", method: "nonsense", want: reply{ID: 5, Error: "Malformed", Fields: map[string]string{}}},
@@ -62,20 +62,20 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			w := newWorld(t, c.script)
-			w.run()
+			w := newTestbed(t, c.script)
+			w.start()
 			client := w.dial()
 			client.send(request(5, c.method, c.fields, c.body))
-			if diff := cmp.Diff(c.want, client.want()); diff != "" {
+			if diff := cmp.Diff(c.want, client.mustRead()); diff != "" {
 				t.Errorf("answer (-want +got):\n%s", diff)
 			}
 		})
 	}
 }
 
-// TestMarkedRetry: a client's own retry, marked as such, is no new wish for the object and must not have it kept. The mark was
+// TestMarkedRetryIsNotCounted: a client's own retry, marked as such, is no new wish for the object and must not have it kept. The mark was
 // not read, so that the tables counted what one client wanted once as wanted twice.
-func TestMarkedRetry(t *testing.T) {
+func TestMarkedRetryIsNotCounted(t *testing.T) {
 	for _, c := range []struct {
 		name, second string
 		want         string // the rank at which the second request has the copy kept; empty: passed through
@@ -83,7 +83,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			ranks := make(chan string, 10)
-			w := newWorld(t, func(a *asked) {
+			w := newTestbed(t, func(a *receivedRequest) {
 				if a.Fields["via"] == "" {
 					a.Answer("NOENT", "-", "")
 					return
@@ -91,10 +91,10 @@
 				ranks <- a.Fields["tier"]
 				a.Answer("EIO", "remark=no_slot", "")
 			})
-			w.run()
+			w.start()
 			client := w.dial()
 			client.send(request(5, "footage", map[string]string{"txn": "00000000000000a1"}, ""))
-			client.want()
+			client.mustRead()
 			for len(ranks) > 0 {
 				<-ranks
 			}
@@ -103,7 +103,7 @@
 				fields["second"] = c.second
 			}
 			client.send(request(6, "footage", fields, ""))
-			client.want()
+			client.mustRead()
 			if got := <-ranks; got != c.want {
 				t.Errorf("the second request is kept at rank %q, want %q", got, c.want)
 			}
@@ -111,11 +111,11 @@
 	}
 }
 
-// TestBrokenFrames: what can't be read ends its connection, after an error answer where the id is known, and the
+// TestMalformedFrames: what can't be read ends its connection, after an error answer where the id is known, and the
 // program goes on.
-func TestBrokenFrames(t *testing.T) {
-	w := newWorld(t, nil)
-	w.run()
+func TestMalformedFrames(t *testing.T) {
+	w := newTestbed(t, nil)
+	w.start()
 	for _, c := range []struct {
 		name, frame string
 		answers     []reply
@@ -147,20 +147,20 @@
 	}
 	client := w.dial()
 	client.send(request(1, "footage", nil, ""))
-	if a := client.want(); a.Error != "" {
+	if a := client.mustRead(); a.Error != "" {
 		t.Errorf("after all that: %+v", a)
 	}
 }
 
-// TestRestartAtOnce: a doorman that was killed with connections open left them in TIME_WAIT; the next one exited with
+// TestRestartWithoutDelay: a doorman that was killed with connections open left them in TIME_WAIT; the next one exited with
 // "address already in use", because the sockets had SO_REUSEPORT without SO_REUSEADDR.
-func TestRestartAtOnce(t *testing.T) {
-	w := newWorld(t, nil)
+func TestRestartWithoutDelay(t *testing.T) {
+	w := newTestbed(t, nil)
 	for round := range 3 {
-		w.run()
+		w.start()
 		client := w.dial()
 		client.send(request(1, "footage", nil, ""))
-		if a := client.want(); a.Error != "" {
+		if a := client.mustRead(); a.Error != "" {
 			t.Fatalf("round %d: %+v", round, a)
 		}
 		w.kill()
@@ -168,33 +168,33 @@
 	}
 }
 
-// TestSecondProgramIsRefused: with SO_REUSEPORT a second program would share the address unnoticed.
-func TestSecondProgramIsRefused(t *testing.T) {
-	w := newWorld(t, nil)
-	w.run()
-	other := newWorld(t, nil)
-	other.config["listen"] = w.listen
-	other.listen = w.listen
-	other.run() // the first one answers its status
+// TestSecondProcessIsRejected: with SO_REUSEPORT a second program would share the address unnoticed.
+func TestSecondProcessIsRejected(t *testing.T) {
+	w := newTestbed(t, nil)
+	w.start()
+	other := newTestbed(t, nil)
+	other.config["listen"] = w.address
+	other.address = w.address
+	other.start() // the first one answers its status
 	if err := <-other.exited; err == nil {
 		t.Error("a second program listens on the same address")
 	}
 	other.cmd = nil
 }
 
-// TestTerm: after SIGTERM status says false, what is open is answered, and the program ends by itself.
-func TestTerm(t *testing.T) {
+// TestSIGTERMServesOpenRequest: after SIGTERM status says false, what is open is answered, and the program ends by itself.
+func TestSIGTERMServesOpenRequest(t *testing.T) {
 	release := make(chan struct{})
-	w := newWorld(t, func(a *asked) {
+	w := newTestbed(t, func(a *receivedRequest) {
 		<-release
 		a.Answer("ACK", "-", "late")
 	})
-	w.run()
+	w.start()
 	client := w.dial()
 	client.send(request(1, "footage", map[string]string{"limit": "9000"}, ""))
-	w.until("the attempt is out", func() bool { return len(w.lines(word("ASK"))) == 1 })
+	w.waitUntil("the attempt is out", func() bool { return len(w.received(hasWord("ASK"))) == 1 })
 	w.signal(syscall.SIGTERM)
-	w.until("status says false", func() bool {
+	w.waitUntil("status says false", func() bool {
 		c := w.dial()
 		defer c.conn.Close()
 		c.send(request(1, "status", nil, ""))
@@ -202,7 +202,7 @@
 		return err == nil && !a.Ready
 	})
 	close(release)
-	if a := client.want(); a.Body != "late" {
+	if a := client.mustRead(); a.Body != "late" {
 		t.Errorf("the request that was open at SIGTERM: %+v", a)
 	}
 	if err := <-w.exited; err != nil {
@@ -211,15 +211,15 @@
 	w.cmd = nil
 }
 
-// TestGivenUp: a withdrawal and a client that disconnects call their attempts off; nothing is owed for them, and a
+// TestCanceledAttempts: a withdrawal and a client that disconnects call their attempts off; nothing is owed for them, and a
 // late answer is not taken for that of another try.
-func TestGivenUp(t *testing.T) {
-	late := make(chan *asked, 8)
-	w := newWorld(t, func(a *asked) { late <- a })
-	w.run()
+func TestCanceledAttempts(t *testing.T) {
+	late := make(chan *receivedRequest, 8)
+	w := newTestbed(t, func(a *receivedRequest) { late <- a })
+	w.start()
 	quits := func(n int) {
 		t.Helper()
-		w.until(fmt.Sprint(n, " QUIT lines came"), func() bool { return len(w.lines(word("QUIT"))) == n })
+		w.waitUntil(fmt.Sprint(n, " QUIT lines came"), func() bool { return len(w.received(hasWord("QUIT"))) == n })
 	}
 	one, two := w.dial(), w.dial()
 	patient := map[string]string{"limit": "60000"} // or the deadline would call the attempts off
@@ -235,32 +235,32 @@
 	second := <-late
 	first.Answer("ACK", "-", "old")
 	second.Answer("ACK", "-", "new")
-	if diff := cmp.Diff(reply{ID: 3, Body: "new", Fields: map[string]string{}}, one.want()); diff != "" {
+	if diff := cmp.Diff(reply{ID: 3, Body: "new", Fields: map[string]string{}}, one.mustRead()); diff != "" {
 		t.Errorf("answer (-want +got):\n%s", diff)
 	}
 }
 
-// TestNothingWaitsForASpareConnection: a busy connection had further attempts wait for a new one's dial, and on a day at
+// TestBusyConnectionTakesAttempts: a busy connection had further attempts wait for a new one's dial, and on a day at
 // full load that took longer than the wanted time. Here new ones never come up, and the old one must do.
-func TestNothingWaitsForASpareConnection(t *testing.T) {
+func TestBusyConnectionTakesAttempts(t *testing.T) {
 	release := make(chan struct{})
-	w := newWorld(t, func(a *asked) {
+	w := newTestbed(t, func(a *receivedRequest) {
 		<-release
 		a.Answer("ACK", "-", a.Endpoint)
 	}, "c2")
-	w.run()
+	w.start()
 	client := w.dial()
 	client.send(request(1, "footage", nil, ""))
-	w.until("the first attempt is out", func() bool { return len(w.lines(word("ASK"))) == 1 })
-	_ = w.boxes["c1"].Close()
+	w.waitUntil("the first attempt is out", func() bool { return len(w.received(hasWord("ASK"))) == 1 })
+	_ = w.listeners["c1"].Close()
 	const many = 30
 	for id := uint64(2); id <= many; id++ {
 		client.send(request(id, "footage", map[string]string{"ram": "1"}, ""))
 	}
-	w.until("all attempts are out", func() bool { return len(w.lines(word("ASK"))) == many })
+	w.waitUntil("all attempts are out", func() bool { return len(w.received(hasWord("ASK"))) == many })
 	close(release)
 	for range many {
-		if a := client.want(); a.Body != "c1" {
+		if a := client.mustRead(); a.Body != "c1" {
 			t.Errorf("%+v, want it from c1", a)
 		}
 	}
--- a/test/stored_test.go
+++ b/test/stored_test.go
@@ -61,12 +61,12 @@
 	if err := os.WriteFile(filepath.Join(dir, "sloequay.conf"), settings, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	w := newWorld(t, nil)
+	w := newTestbed(t, nil)
 	config, err := json.Marshal(w.config)
 	if err != nil {
 		t.Fatal(err)
 	}
-	check := exec.Command(program, "check", "--print", "--config", w.file(string(config)), "--conf", "sloequay.conf")
+	check := exec.Command(program, "check", "--print", "--config", w.writeFile(string(config)), "--conf", "sloequay.conf")
 	check.Dir = dir
 	printed, err := check.CombinedOutput()
 	if err != nil {
--- a/test/tls_test.go
+++ b/test/tls_test.go
@@ -14,17 +14,17 @@
 	"sloequay/internal/emulator"
 )
 
-// tlsWorld has identity with a TLS door, and certificates for a lane and a terminal.
-type tlsWorld struct {
-	*world
+// tlsTestbed has identity with a TLS door, and certificates for a lane and a terminal.
+type tlsTestbed struct {
+	*testbed
 	ca      *emulator.Authority
 	address string
 	cert    string
 	key     string
 }
 
-func newTLSWorld(t *testing.T, script func(*asked)) *tlsWorld {
-	w := &tlsWorld{world: newWorld(t, script)}
+func newTLSTestbed(t *testing.T, script func(*receivedRequest)) *tlsTestbed {
+	w := &tlsTestbed{testbed: newTestbed(t, script)}
 	var err error
 	if w.ca, err = emulator.NewAuthority(t.TempDir()); err == nil {
 		w.cert, w.key, err = w.ca.Make("server", "doorman.test")
@@ -32,14 +32,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w.address = w.free()
-	w.identity("tls {\nlisten " + w.address + "\ncert " + w.cert + "\nkey " + w.key + "\nclient-ca " + w.ca.File + "\nlimit 500ms\nhandshakes 4\n}\n" +
+	w.address = w.freeAddress()
+	w.enableIdentity("tls {\nlisten " + w.address + "\ncert " + w.cert + "\nkey " + w.key + "\nclient-ca " + w.ca.File + "\nlimit 500ms\nhandshakes 4\n}\n" +
 		"tenant controllers {\nright charge lookup front=tls\ncertificate *.lanes.test\n}\ntenant terminals {\nright lookup\ncertificate t7.staff.test\n}")
 	return w
 }
 
-// config is a client's, with a certificate for a name; empty: none.
-func (w *tlsWorld) config(name string) *tls.Config {
+// clientConfig is a client's, with a certificate for a name; empty: none.
+func (w *tlsTestbed) clientConfig(name string) *tls.Config {
 	w.t.Helper()
 	roots := x509.NewCertPool()
 	roots.AddCert(w.ca.Cert)
@@ -58,28 +58,28 @@
 	return c
 }
 
-func (w *tlsWorld) connect(c *tls.Config) *client {
+func (w *tlsTestbed) dialTLS(c *tls.Config) *client {
 	w.t.Helper()
 	conn, err := tls.Dial("tcp", w.address, c)
 	if err != nil {
 		w.t.Fatal(err)
 	}
 	w.t.Cleanup(func() { _ = conn.Close() })
-	return &client{t: w.t, conn: conn, c: emulator.NewClient(conn)}
+	return &client{t: w.t, conn: conn, protocol: emulator.NewClient(conn)}
 }
 
-// TestTLSDoor: who calls is told by its certificate, on a new connection and a resumed one; large answers come whole.
-func TestTLSDoor(t *testing.T) {
+// TestTLSListener: who calls is told by its certificate, on a new connection and a resumed one; large answers come whole.
+func TestTLSListener(t *testing.T) {
 	t.Parallel()
 	large := strings.Repeat("x", 240_000)
-	w := newTLSWorld(t, func(a *asked) {
+	w := newTLSTestbed(t, func(a *receivedRequest) {
 		if a.Fields["profile"] == "charge" {
 			a.Answer("ACK", "-", "posted")
 			return
 		}
 		a.Answer("ACK", "tag=t1", large)
 	})
-	w.run()
+	w.start()
 	for _, c := range []struct{ name, method, err, reason, body string }{
 		{"lane3.lanes.test", "charge", "", "", "posted"},
 		{"t7.staff.test", "charge", "Denied", "right", ""},
@@ -87,11 +87,11 @@
 		{"t8.staff.test", "lookup", "Denied", "unsigned", ""},
 		{"", "charge", "Denied", "unsigned", ""},
 	} {
-		config := w.config(c.name)
+		config := w.clientConfig(c.name)
 		for round := range 2 {
-			client := w.connect(config)
+			client := w.dialTLS(config)
 			client.send(request(1, c.method, map[string]string{"unique": fmt.Sprint(c.name, round), "txn": fmt.Sprintf("%016x", len(c.name)*2+round)}, ""))
-			if a := client.want(); a.Error != c.err || a.Fields["reason"] != c.reason || a.Body != c.body {
+			if a := client.mustRead(); a.Error != c.err || a.Fields["reason"] != c.reason || a.Body != c.body {
 				t.Errorf("%q, %s, round %d: error %q, reason %q, %d bytes", c.name, c.method, round, a.Error, a.Fields["reason"], len(a.Body))
 			}
 			if resumed := client.conn.(*tls.Conn).ConnectionState().DidResume; resumed != (round == 1) {
@@ -100,20 +100,20 @@
 			_ = client.conn.Close()
 		}
 	}
-	if charges := w.lines(func(a *asked) bool { return a.Fields["profile"] == "charge" }); len(charges) != 2 {
+	if charges := w.received(func(a *receivedRequest) bool { return a.Fields["profile"] == "charge" }); len(charges) != 2 {
 		t.Errorf("%d charges reached a box, want the lane's two", len(charges))
 	}
 }
 
-// TestWrongDoors: plain text at the TLS door, TLS at the plain one, handshakes that stop or never begin, and an old version
+// TestTLSListenerRejects: plain text at the TLS door, TLS at the plain one, handshakes that stop or never begin, and an old version
 // are closed in time, logged once a source, and keep nobody else out.
-func TestWrongDoors(t *testing.T) {
+func TestTLSListenerRejects(t *testing.T) {
 	t.Parallel()
-	w := newTLSWorld(t, nil)
-	w.run()
+	w := newTLSTestbed(t, nil)
+	w.start()
 	closed := func(what string, conn net.Conn) {
 		t.Helper()
-		_ = conn.SetReadDeadline(time.Now().Add(patience))
+		_ = conn.SetReadDeadline(time.Now().Add(waitLimit))
 		if _, err := io.Copy(io.Discard, conn); err != nil && strings.Contains(err.Error(), "timeout") {
 			t.Errorf("%s: not closed", what)
 		}
@@ -133,21 +133,21 @@
 		slow = append(slow, dial(w.address, "\x16\x03\x01\x02"))
 	}
 	closed("plain text at the TLS door", dial(w.address, string(request(1, "lookup", nil, ""))))
-	good := w.connect(w.config("lane3.lanes.test"))
+	good := w.dialTLS(w.clientConfig("lane3.lanes.test"))
 	good.send(request(1, "lookup", nil, ""))
-	if a := good.want(); a.Error != "" {
+	if a := good.mustRead(); a.Error != "" {
 		t.Errorf("beside slow handshakes: %+v", a)
 	}
 	for _, conn := range slow {
 		closed("half a handshake", conn)
 	}
-	old := w.config("lane3.lanes.test")
+	old := w.clientConfig("lane3.lanes.test")
 	old.MaxVersion = tls.VersionTLS12
 	if conn, err := tls.Dial("tcp", w.address, old); err == nil {
 		_ = conn.Close()
 		t.Error("TLS 1.2 is taken")
 	}
-	if conn, err := tls.DialWithDialer(&net.Dialer{Timeout: patience}, "tcp", w.listen, w.config("")); err == nil {
+	if conn, err := tls.DialWithDialer(&net.Dialer{Timeout: waitLimit}, "tcp", w.address, w.clientConfig("")); err == nil {
 		_ = conn.Close()
 		t.Error("TLS at the plain door is taken")
 	}
@@ -163,7 +163,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := w.config("")
+	c := w.clientConfig("")
 	c.Certificates = []tls.Certificate{pair}
 	if conn, err := tls.Dial("tcp", w.address, c); err == nil { // the refusal of a client's certificate comes with the first read
 		closed("a certificate of another authority", conn)
@@ -171,12 +171,12 @@
 			t.Error("a certificate of another authority: the connection stands")
 		}
 	}
-	w.until("a fault is logged", func() bool { return strings.Contains(w.log.String(), "event=tls-handshake-failed") })
+	w.waitUntil("a fault is logged", func() bool { return strings.Contains(w.log.String(), "event=tls-handshake-failed") })
 	if n := strings.Count(w.log.String(), "event=tls-handshake-failed"); n != 1 {
 		t.Errorf("%d lines of one source", n)
 	}
 	good.send(request(2, "lookup", nil, ""))
-	if a := good.want(); a.Error != "" {
+	if a := good.mustRead(); a.Error != "" {
 		t.Errorf("after all that: %+v", a)
 	}
 }
@@ -185,13 +185,13 @@
 // done; one that does not fit its key leaves the old one in force.
 func TestCertificateSwap(t *testing.T) {
 	t.Parallel()
-	w := newTLSWorld(t, nil)
-	w.run()
-	config := w.config("lane3.lanes.test")
+	w := newTLSTestbed(t, nil)
+	w.start()
+	config := w.clientConfig("lane3.lanes.test")
 	serial := func(c *client) string {
 		return c.conn.(*tls.Conn).ConnectionState().PeerCertificates[0].SerialNumber.String()
 	}
-	standing := w.connect(config)
+	standing := w.dialTLS(config)
 	first := serial(standing)
 	half, err := net.Dial("tcp", w.address)
 	if err != nil {
@@ -207,8 +207,8 @@
 	} else if text, err := os.ReadFile(other); err != nil || os.WriteFile(w.key, text, 0o600) != nil {
 		t.Fatal(err)
 	}
-	w.until("the key that does not fit is refused", func() bool { return strings.Contains(w.log.String(), "event=keys-rejected") })
-	if got := serial(w.connect(w.config("lane4.lanes.test"))); got != first {
+	w.waitUntil("the key that does not fit is refused", func() bool { return strings.Contains(w.log.String(), "event=keys-rejected") })
+	if got := serial(w.dialTLS(w.clientConfig("lane4.lanes.test"))); got != first {
 		t.Errorf("with a key that does not fit the certificate is %s, want the old %s", got, first)
 	}
 	if err := os.WriteFile(w.key, sound, 0o600); err != nil {
@@ -217,23 +217,23 @@
 	if _, _, err := w.ca.Make("server", "doorman.test"); err != nil {
 		t.Fatal(err)
 	}
-	w.until("the next certificate is in force", func() bool { return serial(w.connect(w.config("lane5.lanes.test"))) != first })
+	w.waitUntil("the next certificate is in force", func() bool { return serial(w.dialTLS(w.clientConfig("lane5.lanes.test"))) != first })
 	standing.send(request(1, "lookup", nil, ""))
-	if a := standing.want(); a.Error != "" {
+	if a := standing.mustRead(); a.Error != "" {
 		t.Errorf("the connection that stood: %+v", a)
 	}
 	finished := tls.Client(half, config)
 	if err := finished.Handshake(); err == nil { // it may have run out of time
-		c := &client{t: t, conn: finished, c: emulator.NewClient(finished)}
+		c := &client{t: t, conn: finished, protocol: emulator.NewClient(finished)}
 		c.send(request(1, "lookup", map[string]string{"txn": "00000000000000ff"}, ""))
-		if a := c.want(); a.Error != "" {
+		if a := c.mustRead(); a.Error != "" {
 			t.Errorf("the handshake that was half done: %+v", a)
 		}
 	}
 }
 
 // files is how many descriptors the program holds.
-func (w *world) files() int {
+func (w *testbed) files() int {
 	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", w.cmd.Process.Pid))
 	if err != nil {
 		w.t.Skip("no /proc here")
@@ -241,19 +241,19 @@
 	return len(entries)
 }
 
-// TestTLSConnectionsGo: connections that end leave no descriptor behind, whichever side ends them.
-func TestTLSConnectionsGo(t *testing.T) {
+// TestTLSConnectionsReleaseDescriptors: connections that end leave no descriptor behind, whichever side ends them.
+func TestTLSConnectionsReleaseDescriptors(t *testing.T) {
 	t.Parallel()
-	w := newTLSWorld(t, nil)
-	w.run()
-	config := w.config("lane3.lanes.test")
-	w.connect(config).send(request(1, "lookup", nil, ""))
-	w.until("a box is connected", func() bool { return len(w.lines(word("ASK"))) > 0 })
+	w := newTLSTestbed(t, nil)
+	w.start()
+	config := w.clientConfig("lane3.lanes.test")
+	w.dialTLS(config).send(request(1, "lookup", nil, ""))
+	w.waitUntil("a box is connected", func() bool { return len(w.received(hasWord("ASK"))) > 0 })
 	base := w.files()
 	for id := range 20 {
-		c := w.connect(config)
+		c := w.dialTLS(config)
 		c.send(request(1, "lookup", map[string]string{"txn": fmt.Sprintf("%016x", id+100)}, ""))
-		c.want()
+		c.mustRead()
 		if id%2 == 0 {
 			c.send([]byte{0xc1, 0xc1, 0xc1}) // what can't be read has the program end it
 			if _, err := c.read(); err == nil {
@@ -262,5 +262,5 @@
 		}
 		_ = c.conn.Close()
 	}
-	w.until("the descriptors are given back", func() bool { return w.files() <= base })
+	w.waitUntil("the descriptors are given back", func() bool { return w.files() <= base })
 }
