--- a/test/catalogue_test.go
+++ b/test/catalogue_test.go
@@ -690,7 +690,7 @@
 	agents[0].SetFault(consul.Refuse, 0)
 	w.listFeed <- "!"
 	w.listFeed <- "2"
-	if out = view(); !matches("consul:cache +unheard", out) || !matches("# catalogue-lost", out) {
+	if out = view(); !matches("consul:cache +unheard", out) || !matches("# catalogue-unreachable", out) {
 		t.Errorf("without its agent:\n%s", out)
 	}
 }
