--- a/test/pages/pages_test.go
+++ b/test/pages/pages_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"unicode/utf8"
@@ -251,6 +252,39 @@
 	}
 }
 
+// TestEventsHaveTheirWriters: each event of docs/on-call.md is a string in a package that its section names, whole or
+// as the two parts that a prefix and a kind make.
+func TestEventsHaveTheirWriters(t *testing.T) {
+	c := &checker{root: root}
+	event := regexp.MustCompile("(?m)^\\| `([a-z-]+)`")
+	found := 0
+	for _, section := range strings.Split(read(t, "docs/on-call.md"), "\n### ") {
+		events := event.FindAllStringSubmatch(section, -1)
+		if len(events) == 0 {
+			continue
+		}
+		title, _, _ := strings.Cut(section, "\n")
+		var code strings.Builder
+		for _, match := range span.FindAllStringSubmatch(section, -1) {
+			if strings.HasPrefix(match[1], "internal/") && !strings.HasSuffix(match[1], ".go") {
+				code.WriteString(c.text(match[1], isProgram))
+			}
+		}
+		text := code.String()
+		for _, match := range events {
+			found++
+			prefix, kind, _ := strings.Cut(match[1], "-")
+			if !strings.Contains(text, strconv.Quote(match[1])) &&
+				!(strings.Contains(text, strconv.Quote(prefix+"-")) && strings.Contains(text, strconv.Quote(kind))) {
+				t.Errorf("docs/on-call.md, %s: no package named there writes %s", title, match[1])
+			}
+		}
+	}
+	if found < 60 {
+		t.Errorf("%d events found", found)
+	}
+}
+
 // TestLineLength: no line of a page is too long, but in the pages that are listed as longer.
 func TestLineLength(t *testing.T) {
 	for _, page := range allPages(t) {
@@ -294,6 +328,102 @@
 	}
 }
 
+// command is a piece of code with a command of Go's, which may go on in the next line.
+var command = regexp.MustCompile(
+	"`((?:go (?:test|run|build)|-run|-bench) [^`]+)`|(?m:^    (go (?:test|run|build) .*)$)")
+
+// flagsOfGo are flags of `go test` itself.
+var flagsOfGo = []string{"-run", "-bench", "-v", "-count", "-race", "-o", "-benchtime", "-timeout", "-print"}
+
+// commands gives what is wrong with the commands of Go's in a page. One without a folder is of the last one's.
+func (c *checker) commands(text string) (faults []string) {
+	folder := ""
+	for _, match := range command.FindAllStringSubmatch(text, -1) {
+		line := strings.Join(strings.Fields(match[1]+match[2]), " ")
+		words := strings.Fields(strings.NewReplacer("'", "", "[", "", "]", "").Replace(line))
+		for _, word := range words {
+			path, ok := strings.CutPrefix(word, "./")
+			if !ok || words[0] != "go" {
+				continue
+			}
+			folder = strings.TrimSuffix(strings.TrimSuffix(path, "..."), "/")
+			if _, err := os.Stat(filepath.Join(c.root, folder)); err != nil {
+				faults = append(faults, fmt.Sprintf("`%s`: there is no folder %s", line, word))
+			}
+		}
+		for i, word := range words {
+			if fault := c.flag(folder, word); fault != "" {
+				faults = append(faults, fmt.Sprintf("`%s`: %s", line, fault))
+			}
+			if i > 0 && (words[i-1] == "-run" || words[i-1] == "-bench") && !c.hasTest(folder, words[i-1], word) {
+				faults = append(faults, fmt.Sprintf("`%s`: %s has nothing for %s %s", line, folder, words[i-1], word))
+			}
+		}
+	}
+	return faults
+}
+
+// flag says what is wrong with a flag of a command: one that is not of Go's has to be declared by the folder's tests.
+func (c *checker) flag(folder, word string) string {
+	word, _, _ = strings.Cut(word, "=")
+	if !strings.HasPrefix(word, "-") || slices.Contains(flagsOfGo, word) {
+		return ""
+	}
+	if strings.Contains(c.tests(folder), strconv.Quote(strings.TrimPrefix(word, "-"))) {
+		return ""
+	}
+	return fmt.Sprintf("the tests of %s have no flag %s", folder, word)
+}
+
+// hasTest says whether a folder has a test or benchmark that a pattern fits.
+func (c *checker) hasTest(folder, kind, pattern string) bool {
+	prefix := map[string]string{"-run": "Test", "-bench": "Benchmark"}[kind]
+	pattern, _, _ = strings.Cut(pattern, "/")
+	fits, err := regexp.Compile(pattern)
+	if err != nil {
+		return false
+	}
+	for _, match := range regexp.MustCompile(`(?m)^func (`+prefix+`\w+)\(`).FindAllStringSubmatch(c.tests(folder), -1) {
+		if fits.MatchString(match[1]) {
+			return true
+		}
+	}
+	return false
+}
+
+// tests is the text of a folder's test files.
+func (c *checker) tests(folder string) string {
+	return c.text(folder, func(name string) bool { return !isProgram(name) })
+}
+
+// isProgram says whether a Go file is no test.
+func isProgram(name string) bool { return !strings.HasSuffix(name, "_test.go") }
+
+// text is that of the folder's Go files whose names fit.
+func (c *checker) text(folder string, fits func(name string) bool) string {
+	var all strings.Builder
+	files, _ := filepath.Glob(filepath.Join(c.root, folder, "*.go"))
+	for _, name := range files {
+		if text, err := os.ReadFile(name); err == nil && fits(name) {
+			all.Write(text)
+		}
+	}
+	return all.String()
+}
+
+// TestCommands: the folders, tests, benchmarks and flags that commands of the pages name are there.
+func TestCommands(t *testing.T) {
+	c := &checker{root: root}
+	for _, page := range allPages(t) {
+		if slices.Contains(history, page) {
+			continue
+		}
+		for _, fault := range c.commands(read(t, page)) {
+			t.Errorf("%s: %s", page, fault)
+		}
+	}
+}
+
 // TestChecker: the checker finds each kind of fault, and passes what is sound.
 func TestChecker(t *testing.T) {
 	c := &checker{root: root, declared: map[string]map[string]bool{}}
@@ -317,6 +447,19 @@
 			t.Errorf("%s: got %q, want %q", test.text, faults, test.want)
 		}
 	}
+	for text, want := range map[string]string{
+		"`go test ./test/pages -run TestChecker -v`, and `-run\nTestPaths`": "",
+		"`go test -count=1 ./...`, `go run ./tools/lintgate -print`":        "",
+		"    go test ./nowhere":                     "no folder ./nowhere",
+		"`go test ./test/pages -run 'TestNo|Nope'`": "has nothing for -run TestNo|Nope",
+		"`go test ./test/pages -bench Checker`":     "has nothing for -bench Checker",
+		"`go test ./test/pages -nope 3`":            "have no flag -nope",
+	} {
+		faults := strings.Join(c.commands(text), "\n")
+		if want == "" && faults != "" || !strings.Contains(faults, want) {
+			t.Errorf("%s: got %q, want %q", text, faults, want)
+		}
+	}
 	faults := c.links("docs/x.md", "[a](../README.md#top) [b](nowhere.md) [c](https://x.example)")
 	if len(faults) != 1 {
 		t.Errorf("links: got %q, want one fault", faults)
