--- a/test/pages/pages_test.go
+++ b/test/pages/pages_test.go
@@ -375,20 +375,18 @@
 	return fmt.Sprintf("the tests of %s have no flag %s", folder, word)
 }
 
-// hasTest says whether a folder has a test or benchmark that a pattern fits.
+// hasTest says whether a folder has a test or benchmark for each alternative of a pattern.
 func (c *checker) hasTest(folder, kind, pattern string) bool {
 	prefix := map[string]string{"-run": "Test", "-bench": "Benchmark"}[kind]
+	names := regexp.MustCompile(`(?m)^func (`+prefix+`\w+)\(`).FindAllStringSubmatch(c.tests(folder), -1)
 	pattern, _, _ = strings.Cut(pattern, "/")
-	fits, err := regexp.Compile(pattern)
-	if err != nil {
-		return false
-	}
-	for _, match := range regexp.MustCompile(`(?m)^func (`+prefix+`\w+)\(`).FindAllStringSubmatch(c.tests(folder), -1) {
-		if fits.MatchString(match[1]) {
-			return true
+	for _, alternative := range strings.Split(pattern, "|") {
+		fits, err := regexp.Compile(alternative)
+		if err != nil || !slices.ContainsFunc(names, func(name []string) bool { return fits.MatchString(name[1]) }) {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // tests is the text of a folder's test files.
@@ -424,6 +422,39 @@
 	}
 }
 
+// testName is a test that a page names, with its package or without.
+var testName = regexp.MustCompile(`^(?:[a-z]+\.)?((?:Test|Benchmark)[A-Z]\w+)$`)
+
+// TestNamedTests: tests that the pages name are there.
+func TestNamedTests(t *testing.T) {
+	declared := map[string]bool{"TestName": true} // as docs/ci.md calls any
+	for _, top := range []string{"internal", "test", "cmd", "tools"} {
+		err := filepath.WalkDir(filepath.Join(root, top), func(path string, _ fs.DirEntry, err error) error {
+			if err != nil || isProgram(path) {
+				return err
+			}
+			text, err := os.ReadFile(path)
+			for _, match := range regexp.MustCompile(`(?m)^func ((?:Test|Benchmark)\w+)\(`).FindAllSubmatch(text, -1) {
+				declared[string(match[1])] = true
+			}
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, page := range allPages(t) {
+		if slices.Contains(history, page) {
+			continue
+		}
+		for _, match := range span.FindAllStringSubmatch(read(t, page), -1) {
+			if name := testName.FindStringSubmatch(match[1]); name != nil && !declared[name[1]] {
+				t.Errorf("%s names the test %s, which is not there", page, match[1])
+			}
+		}
+	}
+}
+
 // TestChecker: the checker finds each kind of fault, and passes what is sound.
 func TestChecker(t *testing.T) {
 	c := &checker{root: root, declared: map[string]map[string]bool{}}
@@ -450,10 +481,10 @@
 	for text, want := range map[string]string{
 		"`go test ./test/pages -run TestChecker -v`, and `-run\nTestPaths`": "",
 		"`go test -count=1 ./...`, `go run ./tools/lintgate -print`":        "",
-		"    go test ./nowhere":                     "no folder ./nowhere",
-		"`go test ./test/pages -run 'TestNo|Nope'`": "has nothing for -run TestNo|Nope",
-		"`go test ./test/pages -bench Checker`":     "has nothing for -bench Checker",
-		"`go test ./test/pages -nope 3`":            "have no flag -nope",
+		"    go test ./nowhere":                          "no folder ./nowhere",
+		"`go test ./test/pages -run 'TestChecker|Nope'`": "has nothing for -run TestChecker|Nope",
+		"`go test ./test/pages -bench Checker`":          "has nothing for -bench Checker",
+		"`go test ./test/pages -nope 3`":                 "have no flag -nope",
 	} {
 		faults := strings.Join(c.commands(text), "\n")
 		if want == "" && faults != "" || !strings.Contains(faults, want) {
