--- /dev/null
+++ b/internal/broker/bench_test.go
@@ -0,0 +1,184 @@
+package broker
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"sloequay/internal/membership"
+	"sloequay/internal/policy"
+)
+
+const benchStart = 1000 * time.Second
+
+// BenchmarkWrite is what one write asks the list and the purges, and then a whole request.
+func BenchmarkWrite(b *testing.B) {
+	for _, n := range []int{0, 100, 10_000} {
+		b.Run(fmt.Sprintf("boxes+purges/%d", n), func(b *testing.B) { benchmarkMaySend(b, n) })
+	}
+	for _, purges := range []int{0, 10_000} {
+		b.Run(fmt.Sprintf("request/purges-%d", purges), func(b *testing.B) { benchmarkRequest(b, purges) })
+	}
+}
+
+// benchmarkMaySend looks at the list and the purges where there are n of each.
+func benchmarkMaySend(b *testing.B, n int) {
+	broker := newBroker(b)
+	var list membership.List
+	var events []Event
+	for i := range n {
+		address := fmt.Sprintf("10.0.%d.%d:1", i>>8, i&255)
+		list.Endpoints = append(list.Endpoints, testEndpoint(fmt.Sprint("c", i), address, membership.Up))
+		events = append(events, Purge{Object: uint64(i + 1), Issued: benchStart - time.Duration(i)*time.Microsecond})
+	}
+	broker.Round(benchStart, append(events, EndpointList{List: list}))
+	endpoint := readyEndpoint("x", "10.9.9.9:1")
+	request := &Request{Object: 1 << 40, Group: 3}
+	attempt := &Attempt{Request: request, Endpoint: endpoint, Source: endpoint, Deadline: benchStart + time.Second}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		broker.MaySend(attempt, benchStart)
+		broker.AddressBlocked("10.0.0.7:1")
+		broker.EndpointByName("c7")
+	}
+}
+
+// benchmarkRequest is a request and its one attempt, through the broker and the policy.
+func benchmarkRequest(b *testing.B, purges int) {
+	broker := newBroker(b)
+	var events []Event
+	for i := range 10 {
+		endpoint := testEndpoint(fmt.Sprint("c", i), fmt.Sprintf("10.0.0.%d:1", i), membership.Up)
+		events = append(events, EndpointDelta{Endpoints: []membership.Endpoint{endpoint}})
+	}
+	for i := range purges {
+		issued := benchStart - time.Duration(i)*time.Microsecond
+		events = append(events, Purge{Object: uint64(1<<50 + i), Issued: issued})
+	}
+	broker.Round(benchStart, events)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		request := &Request{
+			ID:         "a",
+			Object:     uint64(i%5000 + 1),
+			Group:      3,
+			SizeKB:     40,
+			ReceivedAt: benchStart,
+			Timeout:    3 * time.Second,
+		}
+		for _, effect := range broker.Round(benchStart, []Event{RequestReceived{request}}) {
+			if send, ok := effect.(SendAttempt); ok {
+				broker.MaySend(send.Attempt, benchStart)
+				served := AttemptEnded{Attempt: send.Attempt, End: Served, Note: policy.NoteHit}
+				broker.Round(benchStart, []Event{served})
+				break
+			}
+		}
+	}
+}
+
+// BenchmarkList is what lists cost the loop, through table, broker and policy: a first list in parts, one that changes
+// 1%, and a source that falls silent. hold-ms is the longest that one round holds the loop.
+func BenchmarkList(b *testing.B) {
+	for _, n := range []int{100, 1000, 10_000, 100_000} {
+		bench := &listBench{endpoints: manyEndpoints(n)}
+		b.Run(fmt.Sprintf("first/%d", n), bench.first)
+		bench.start(b)
+		half := bench.endpoints[:n/2]
+		bench.broker.Round(bench.now, []Event{consulList(bench.endpoints), EndpointDelta{Endpoints: half}})
+		bench.settle()
+		b.Run(fmt.Sprintf("changed/%d", n), bench.changed)
+		b.Run(fmt.Sprintf("silent+heard/%d", n), bench.silent)
+	}
+}
+
+// listBench has a broker take lists, and measures its rounds.
+type listBench struct {
+	endpoints []membership.Endpoint
+	broker    *Broker
+	now       time.Duration
+	longest   time.Duration // round since the start of a benchmark
+}
+
+// start makes a new broker.
+func (l *listBench) start(b *testing.B) {
+	l.broker = newTwoSourceBroker(b)
+	l.now = benchStart
+}
+
+// round measures one round.
+func (l *listBench) round(events ...Event) {
+	began := time.Now()
+	l.broker.Round(l.now, events)
+	l.longest = max(l.longest, time.Since(began))
+}
+
+// finish plays rounds until all changes are taken over.
+func (l *listBench) finish() {
+	for range len(l.endpoints)/maxChangesPerRound + 4 {
+		l.round()
+	}
+}
+
+// settle is finish without measuring.
+func (l *listBench) settle() {
+	longest := l.longest
+	l.finish()
+	l.longest = longest
+}
+
+func (l *listBench) report(b *testing.B) {
+	b.ReportMetric(float64(l.longest.Microseconds())/1000, "hold-ms")
+}
+
+func (l *listBench) first(b *testing.B) {
+	const partSize = 500
+	b.ReportAllocs()
+	l.longest = 0
+	for range b.N {
+		l.start(b)
+		for from := 0; from < len(l.endpoints); from += partSize {
+			part := l.endpoints[from:min(len(l.endpoints), from+partSize)]
+			l.round(EndpointList{Source: consulSource, List: membership.List{Endpoints: part, Part: true}})
+			for range 4 {
+				l.round()
+			}
+		}
+		l.round(consulList(l.endpoints))
+		l.finish()
+		if n := len(l.broker.endpoints.byID); n != len(l.endpoints) {
+			b.Fatalf("%d endpoints of %d", n, len(l.endpoints))
+		}
+	}
+	l.report(b)
+}
+
+func (l *listBench) changed(b *testing.B) {
+	b.ReportAllocs()
+	l.longest = 0
+	n := len(l.endpoints)
+	for iteration := range b.N {
+		l.now += time.Second
+		for i := range n / 100 {
+			endpoint := &l.endpoints[(i*97+iteration*31)%n]
+			endpoint.State = membership.Up + membership.Draining - endpoint.State
+		}
+		l.round(consulList(l.endpoints))
+		l.finish()
+	}
+	l.report(b)
+}
+
+func (l *listBench) silent(b *testing.B) {
+	l.longest = 0
+	for range b.N {
+		l.now += time.Second
+		l.round(SourceStatus{Source: consulSource, Silent: true})
+		l.settle()
+		l.round(SourceStatus{Source: consulSource})
+		l.settle()
+	}
+	l.report(b)
+}
