--- a/internal/bootstrap/bench_test.go
+++ b/internal/bootstrap/bench_test.go
@@ -9,7 +9,8 @@
 	"sloequay/internal/membership"
 )
 
-// fleetOf returns a machine that has a list of 1000 endpoints from the service, the peers of its zone, and endpoints.
+// fleetOf returns a machine that has a list of 1000 endpoints from the service, the peers of its zone, and
+// endpoints.
 func fleetOf(size int) (*bootstrap.Machine, []bootstrap.Peer, []membership.Endpoint) {
 	var endpoints []membership.Endpoint
 	for i := range 1000 {
@@ -19,7 +20,9 @@
 	for i := range size {
 		peers = append(peers, bootstrap.Peer{Name: fmt.Sprintf("p%03d", i), Zone: "z"})
 	}
-	m := bootstrap.New(0, bootstrap.Config{Name: "p000", Incarnation: 1, Zone: "z", Peers: true, Lists: 1, Fleet: size})
+	m := bootstrap.New(0, bootstrap.Config{
+		Name: "p000", Incarnation: 1, Zone: "z", Peers: true, Lists: 1, Fleet: size,
+	})
 	m.PeersChanged(0, peers)
 	m.ListFromService(time.Second, 0, 1, endpoints)
 	return m, peers, endpoints
--- a/internal/bootstrap/wire_test.go
+++ b/internal/bootstrap/messages_test.go
@@ -19,15 +19,18 @@
 
 // messages has one of each kind, with every field set.
 func messages() []bootstrap.Message {
-	mark := bootstrap.ListVersion{List: 3, Version: 41, Sum: 1 << 60}
-	boxes := []membership.Endpoint{{ID: "c1", Address: "10.0.0.1:7001", Zone: 1, Kind: 2, Cell: 3, Weight: 1.5,
+	version := bootstrap.ListVersion{List: 3, Version: 41, Sum: 1 << 60}
+	endpoints := []membership.Endpoint{{ID: "c1", Address: "10.0.0.1:7001", Zone: 1, Kind: 2, Cell: 3, Weight: 1.5,
 		StartedAt: 5 * time.Second, Incarnation: 9, State: membership.Draining}}
+	delta := &bootstrap.Delta{ListVersion: version, BaseSum: 8, Endpoints: endpoints, Removed: []string{"c2"}}
+	digest := []bootstrap.Advertisement{{ListVersion: version, LastSeen: -time.Second}}
+	part := &bootstrap.Part{ListVersion: version, Number: 1, Total: 2, Endpoints: endpoints}
 	return []bootstrap.Message{
-		{From: "p1", Incarnation: 7, Digest: []bootstrap.Advertisement{{ListVersion: mark, LastSeen: -time.Second}}},
-		{From: "p1", Incarnation: 7, Fetch: &bootstrap.Fetch{ListVersion: mark, HaveSum: 6}},
-		{From: "p1", Incarnation: 7, Part: &bootstrap.Part{ListVersion: mark, Number: 1, Total: 2, Endpoints: boxes}},
-		{From: "p1", Incarnation: 7, Delta: &bootstrap.Delta{ListVersion: mark, BaseSum: 8, Endpoints: boxes, Removed: []string{"c2"}}},
-		{From: "p1", Incarnation: 7, Busy: &bootstrap.Busy{ListVersion: mark, Peer: "p2"}},
+		{From: "p1", Incarnation: 7, Digest: digest},
+		{From: "p1", Incarnation: 7, Fetch: &bootstrap.Fetch{ListVersion: version, HaveSum: 6}},
+		{From: "p1", Incarnation: 7, Part: part},
+		{From: "p1", Incarnation: 7, Delta: delta},
+		{From: "p1", Incarnation: 7, Busy: &bootstrap.Busy{ListVersion: version, Peer: "p2"}},
 	}
 }
 
@@ -52,15 +55,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	kept := strings.Split(strings.TrimSpace(string(text)), "\n")
-	if len(kept) != len(lines) {
-		t.Fatalf("%d messages in %s, expected %d", len(kept), path, len(lines))
+	recorded := strings.Split(strings.TrimSpace(string(text)), "\n")
+	if len(recorded) != len(lines) {
+		t.Fatalf("%d messages in %s, expected %d", len(recorded), path, len(lines))
 	}
 	for i, message := range messages() {
-		if kept[i] != lines[i] {
-			t.Errorf("message %d is encoded as\n%s, expected\n%s", i, lines[i], kept[i])
+		if recorded[i] != lines[i] {
+			t.Errorf("message %d is encoded as\n%s, expected\n%s", i, lines[i], recorded[i])
 		}
-		data, err := hex.DecodeString(kept[i])
+		data, err := hex.DecodeString(recorded[i])
 		if err != nil {
 			t.Fatal(err)
 		}
