--- a/test/pages/pages_test.go
+++ b/test/pages/pages_test.go
@@ -31,8 +31,6 @@
 	"docs/design/identity.md",
 	"docs/design/late-fills.md",
 	"docs/design/membership.md",
-	"docs/drill.md",
-	"docs/identity.md",
 	"docs/questions.md",
 }
 
