--- /dev/null
+++ b/test/pages/checker_test.go
@@ -0,0 +1,208 @@
+package pages
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+)
+
+const root = "../.."
+
+// span is a piece of code in a line of a page: `like this`.
+var span = regexp.MustCompile("`([^`\n]+)`")
+
+// link is a Markdown link.
+var link = regexp.MustCompile(`\]\(([^)#\s]+)(?:#[^)]*)?\)`)
+
+// goName is what would be taken for a name of the code: client.Received, Pool.Send, AttemptEnded.
+var goName = regexp.MustCompile(
+	`^[A-Za-z][A-Za-z0-9]*(\.[A-Za-z][A-Za-z0-9]*)+(\(\))?$|^[A-Z]+[a-z0-9]+[A-Z][A-Za-z0-9]*$`)
+
+// file is what looks like one, which is no name of the code.
+var file = regexp.MustCompile(`\.(go|md|conf|toml|json|txt|pem|svg|sh|list|peers|key)$`)
+
+// places are the folders of the repository that a path in a page may begin with.
+var places = []string{"internal/", "cmd/", "test/", "tools/", "docs/", "deploy/", ".ci/", "journal/"}
+
+// checker finds what a page names and the repository lacks.
+type checker struct {
+	root     string
+	declared map[string]map[string]bool // by file
+}
+
+// page gives what is wrong in a page. In a strict one each name of the code stands behind its file, as in
+// `internal/upstream/upstream.go: Pool.Send, link.write`.
+func (c *checker) page(text string, strict bool) (faults []string) {
+	for number, line := range strings.Split(text, "\n") {
+		for _, match := range span.FindAllStringSubmatch(line, -1) {
+			for _, fault := range c.span(match[1], strict) {
+				faults = append(faults, fmt.Sprintf("line %d: `%s`: %s", number+1, match[1], fault))
+			}
+		}
+	}
+	return faults
+}
+
+// span checks one piece of code.
+func (c *checker) span(code string, strict bool) (faults []string) {
+	path, names, named := strings.Cut(code, ": ")
+	if !slices.ContainsFunc(places, func(place string) bool { return strings.HasPrefix(path, place) }) {
+		if strict && goName.MatchString(code) && !file.MatchString(code) {
+			return []string{"a name of the code without its file"}
+		}
+		return nil
+	}
+	if strings.ContainsAny(path, " ") {
+		return []string{"a path with a blank; names follow a file as in `internal/x/x.go: A, b.C`"}
+	}
+	found, err := filepath.Glob(filepath.Join(c.root, path))
+	if err != nil || len(found) == 0 {
+		return []string{"no such file or folder"}
+	}
+	if !named {
+		return nil
+	}
+	if !strings.HasSuffix(path, ".go") {
+		return []string{"names can follow a Go file only"}
+	}
+	declared, err := c.declarations(path)
+	if err != nil {
+		return []string{err.Error()}
+	}
+	for _, name := range strings.Split(names, ", ") {
+		if !declared[name] {
+			faults = append(faults, fmt.Sprintf("%s does not declare %s", path, name))
+		}
+	}
+	return faults
+}
+
+// declarations are a file's functions, methods as Type.Method, types, constants and variables.
+func (c *checker) declarations(path string) (map[string]bool, error) {
+	if known := c.declared[path]; known != nil {
+		return known, nil
+	}
+	parsed, err := parser.ParseFile(token.NewFileSet(), filepath.Join(c.root, path), nil, parser.SkipObjectResolution)
+	if err != nil {
+		return nil, err
+	}
+	names := map[string]bool{}
+	for _, declaration := range parsed.Decls {
+		switch d := declaration.(type) {
+		case *ast.FuncDecl:
+			names[receiver(d)+d.Name.Name] = true
+		case *ast.GenDecl:
+			for _, spec := range d.Specs {
+				switch s := spec.(type) {
+				case *ast.TypeSpec:
+					names[s.Name.Name] = true
+				case *ast.ValueSpec:
+					for _, name := range s.Names {
+						names[name.Name] = true
+					}
+				}
+			}
+		}
+	}
+	c.declared[path] = names
+	return names, nil
+}
+
+// receiver is the type that a method is of, with a dot; empty for a function.
+func receiver(d *ast.FuncDecl) string {
+	if d.Recv == nil || len(d.Recv.List) == 0 {
+		return ""
+	}
+	t := d.Recv.List[0].Type
+	for {
+		switch of := t.(type) {
+		case *ast.StarExpr:
+			t = of.X
+		case *ast.IndexExpr:
+			t = of.X
+		case *ast.IndexListExpr:
+			t = of.X
+		case *ast.Ident:
+			return of.Name + "."
+		default:
+			return ""
+		}
+	}
+}
+
+// links gives the links of a page that lead nowhere.
+func (c *checker) links(page, text string) (faults []string) {
+	for _, match := range link.FindAllStringSubmatch(text, -1) {
+		if strings.Contains(match[1], "://") {
+			continue
+		}
+		if _, err := os.Stat(filepath.Join(c.root, filepath.Dir(page), match[1])); err != nil {
+			faults = append(faults, "the link "+match[1]+" leads nowhere")
+		}
+	}
+	return faults
+}
+
+// isProgram says whether a Go file is no test.
+func isProgram(name string) bool { return !strings.HasSuffix(name, "_test.go") }
+
+// text is that of the folder's Go files whose names fit.
+func (c *checker) text(folder string, fits func(name string) bool) string {
+	var all strings.Builder
+	files, _ := filepath.Glob(filepath.Join(c.root, folder, "*.go"))
+	for _, name := range files {
+		if text, err := os.ReadFile(name); err == nil && fits(name) {
+			all.Write(text)
+		}
+	}
+	return all.String()
+}
+
+// TestChecker: the checker finds each kind of fault, and passes what is sound.
+func TestChecker(t *testing.T) {
+	c := &checker{root: root, declared: map[string]map[string]bool{}}
+	const here = "test/pages/checker_test.go"
+	for _, test := range []struct{ text, want string }{
+		{"`" + here + ": checker.page, receiver, root, checker`", ""},
+		{"`test/pages`, `test/*/pages_test.go`, `SIGHUP`, `go test ./...`, `sloequay.conf`", ""},
+		{"`internal/nowhere/x.go`", "no such file"},
+		{"`internal/nowhere/x.go: A`", "no such file"},
+		{"`test/nothing/*.go`", "no such file"},
+		{"`" + here + ": checker.missing`", "does not declare checker.missing"},
+		{"`" + here + ": receiver, missing`", "does not declare missing"},
+		{"`" + here + ": page`", "does not declare page"}, // a method without its type
+		{"`" + here + " checker`", "a path with a blank"},
+		{"`test/pages: checker`", "a Go file only"},
+		{"`Pool.Send`", "without its file"},
+		{"`AttemptEnded`", "without its file"},
+	} {
+		faults := strings.Join(c.page(test.text, true), "\n")
+		if test.want == "" && faults != "" || !strings.Contains(faults, test.want) {
+			t.Errorf("%s: got %q, want %q", test.text, faults, test.want)
+		}
+	}
+	for text, want := range map[string]string{
+		"`go test ./test/pages -run TestChecker -v`, and `-run\nTestPaths`": "",
+		"`go test -count=1 ./...`, `go run ./tools/lintgate -print`":        "",
+		"    go test ./nowhere":                          "no folder ./nowhere",
+		"`go test ./test/pages -run 'TestChecker|Nope'`": "has nothing for -run TestChecker|Nope",
+		"`go test ./test/pages -bench Checker`":          "has nothing for -bench Checker",
+		"`go test ./test/pages -nope 3`":                 "have no flag -nope",
+	} {
+		faults := strings.Join(c.commands(text), "\n")
+		if want == "" && faults != "" || !strings.Contains(faults, want) {
+			t.Errorf("%s: got %q, want %q", text, faults, want)
+		}
+	}
+	faults := c.links("docs/x.md", "[a](../README.md#top) [b](nowhere.md) [c](https://x.example)")
+	if len(faults) != 1 {
+		t.Errorf("links: got %q, want one fault", faults)
+	}
+}
