--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,15 +1,18 @@
-// Package peer is which other doormans there are, and what a word of one is worth: who it is, which of its lives it speaks for,
-// with which key it signs, and whether the word was heard before. It does no I/O and asks no clock; peer/link tells it what a
-// library for membership finds, and asks it about each message.
+// Package peer is the view of the other proxies of a fleet, and checks who a message is from: which member, which of
+// its incarnations, by which key, and whether it is a replay. It does no I/O and reads no clock; package
+// peer/transport reports what its membership library finds, and passes each message through the view.
 //
-// A member is a name with an epoch, which is another one by lot with each start, and the public key of that life. A key is pinned
-// to a name for as long as that life is in the view: another key under the same epoch is a conflict and changes nothing. Another
-// epoch takes the place of the one before, as a restart does: which is the later one the library knows, by incarnations of its own,
-// and no clock is asked, since one may be set back between two lives.
+// A member is a name with an incarnation, drawn at random with each start, and the public key of that incarnation.
+// The key is pinned to the name while the incarnation is in the view: another key for it is a conflict and changes
+// nothing. Another incarnation replaces the one before, as after a restart. Which of two is the later one is left
+// to the membership library, which counts on its own; no clock decides, since one may be set back between two
+// starts.
 //
-// Words are numbered; one that was heard before, or is far behind, is not heard again (the window of RFC 4303, section 3.4.3).
+// Invariants:
+//   - a member has one incarnation and one key at a time;
+//   - no message number of an incarnation is accepted twice while it is in the view.
 //
-// Invariants: members are at most Most; one member has one key; no number of a life is accepted twice.
+// Bounds: the members by the maximum given to NewView, and the state of a member by its replay window.
 package peer
 
 import (
@@ -17,120 +20,110 @@
 	"slices"
 )
 
-// Member is one doorman of the fleet.
+// Member is another proxy of the fleet.
 type Member struct {
 	Name, Zone, Program string
 	Incarnation         uint64
-	Key                 string // of the signatures of this life
+	Key                 string // public key of the incarnation's signatures
 }
 
-// Verdict is what became of a word on who there is.
+// Verdict is what an observation of a member changed.
 type Verdict uint8
 
 // The verdicts.
 const (
-	Unchanged  Verdict = iota // nothing is new
-	Joined                    // it was not there
-	Restarted                 // another life of one that was
-	Conflict                  // it contradicts what is pinned, and changes nothing
-	NoCapacity                // there is no place for it
+	Unchanged  Verdict = iota // at most the zone and the program are new
+	Joined                    // a new member
+	Restarted                 // another incarnation of a member
+	Conflict                  // another key for an incarnation; the view stays as it is
+	NoCapacity                // a new member beyond the maximum; the view stays as it is
 )
 
-// String gives the word of the log.
+// String returns the verdict's value in the log.
 func (v Verdict) String() string {
 	return [...]string{"known", "joined", "restarted", "conflict", "full"}[v]
 }
 
-// window is how many numbers behind the latest one a word may be.
-const window = 64
-
-type state struct {
-	Member
-	latest uint64
-	seen   uint64 // bit i: latest-i was heard
+// View is the other members of the fleet. It is not safe for concurrent use.
+type View struct {
+	self       string
+	maxMembers int
+	members    map[string]*memberState
 }
 
-// View is the members.
-type View struct {
-	most    int
-	self    string
-	members map[string]*state
+type memberState struct {
+	Member
+	replay replayWindow
 }
 
-// NewView makes an empty view of at most so many others.
-func NewView(self string, most int) *View {
-	return &View{most: most, self: self, members: map[string]*state{}}
+// NewView returns an empty view for the proxy of this name.
+func NewView(self string, maxMembers int) *View {
+	return &View{self: self, maxMembers: maxMembers, members: map[string]*memberState{}}
 }
 
-// Observe takes a word that a member lives.
-func (v *View) Observe(m Member) Verdict {
-	if m.Name == v.self || m.Name == "" {
+// Observe takes a member that is alive. It ignores this proxy itself and members without a name.
+func (v *View) Observe(observed Member) Verdict {
+	if observed.Name == v.self || observed.Name == "" {
 		return Unchanged
 	}
-	s := v.members[m.Name]
+	known := v.members[observed.Name]
 	switch {
-	case s == nil && len(v.members) >= v.most:
+	case known == nil && len(v.members) >= v.maxMembers:
 		return NoCapacity
-	case s == nil:
-		v.members[m.Name] = &state{Member: m}
+	case known == nil:
+		v.members[observed.Name] = &memberState{Member: observed}
 		return Joined
-	case m.Incarnation == s.Incarnation && m.Key != s.Key:
+	case observed.Incarnation != known.Incarnation:
+		v.members[observed.Name] = &memberState{Member: observed}
+		return Restarted
+	case observed.Key != known.Key:
 		return Conflict
-	case m.Incarnation == s.Incarnation:
-		s.Zone, s.Program = m.Zone, m.Program
-		return Unchanged
 	}
-	v.members[m.Name] = &state{Member: m}
-	return Restarted
+	known.Zone = observed.Zone
+	known.Program = observed.Program
+	return Unchanged
 }
 
-// Remove takes a word that a life of a member is gone, and says whether it was there. One life's end says nothing of another.
-func (v *View) Remove(name string, epoch uint64) bool {
-	s := v.members[name]
-	if s == nil || epoch != s.Incarnation {
+// Remove drops a member if it has this incarnation, and reports whether it did. A later incarnation stays.
+func (v *View) Remove(name string, incarnation uint64) bool {
+	if v.find(name, incarnation) == nil {
 		return false
 	}
 	delete(v.members, name)
 	return true
 }
 
-// Key gives the key by which a member's words of a life are to be signed.
-func (v *View) Key(name string, epoch uint64) (string, bool) {
-	s := v.members[name]
-	if s == nil || s.Incarnation != epoch {
+// Key returns the key for the signatures of a member's incarnation, if that is in the view.
+func (v *View) Key(name string, incarnation uint64) (string, bool) {
+	known := v.find(name, incarnation)
+	if known == nil {
 		return "", false
 	}
-	return s.Key, true
+	return known.Key, true
 }
 
-// AcceptMessage says whether a member's word with a number, whose signature is right, is heard for the first time.
-func (v *View) AcceptMessage(name string, epoch, number uint64) bool {
-	s := v.members[name]
-	if s == nil || s.Incarnation != epoch || number == 0 {
-		return false
-	}
-	if number > s.latest {
-		shift := number - s.latest
-		if s.seen <<= shift; shift >= window {
-			s.seen = 0
-		}
-		s.latest, s.seen = number, s.seen|1
-		return true
-	}
-	behind := s.latest - number
-	if behind >= window || s.seen>>behind&1 == 1 {
-		return false
-	}
-	s.seen |= 1 << behind
-	return true
+// AcceptMessage reports whether a message with a valid signature is new, and remembers its number. Numbers start at
+// 1.
+func (v *View) AcceptMessage(name string, incarnation, number uint64) bool {
+	known := v.find(name, incarnation)
+	return known != nil && known.replay.accept(number)
 }
 
-// Members gives all, by name.
+// Members returns all, by name.
 func (v *View) Members() []Member {
-	out := make([]Member, 0, len(v.members))
-	for _, s := range v.members {
-		out = append(out, s.Member)
+	members := make([]Member, 0, len(v.members))
+	for _, known := range v.members {
+		members = append(members, known.Member)
+	}
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return members
+}
+
+// find returns a member if it has this incarnation.
+func (v *View) find(name string, incarnation uint64) *memberState {
+	known := v.members[name]
+	if known == nil || known.Incarnation != incarnation {
+		return nil
 	}
-	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
-	return out
+	return known
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -7,68 +7,102 @@
 	"pgregory.net/rapid"
 )
 
-// TestViewAgainstModel holds a view against the plainest model: maps of lives, and a set of all numbers ever accepted.
+// viewModel is the plainest model of a view: maps of members, and a set of all numbers ever accepted.
+type viewModel struct {
+	maxMembers int
+	members    map[string]Member
+	accepted   map[string]bool   // by name, incarnation and number
+	latest     map[string]uint64 // by name and incarnation
+}
+
+func incarnationID(name string, incarnation uint64) string { return fmt.Sprint(name, " ", incarnation) }
+
+func messageID(name string, incarnation, number uint64) string {
+	return fmt.Sprint(name, " ", incarnation, " ", number)
+}
+
+// observe returns the verdict that is due, and takes the member in. A new one starts with no numbers accepted.
+func (m *viewModel) observe(observed Member, maxNumber uint64) Verdict {
+	known, isKnown := m.members[observed.Name]
+	verdict := Joined
+	switch {
+	case observed.Name == "self" || observed.Name == "":
+		return Unchanged
+	case !isKnown && len(m.members) >= m.maxMembers:
+		return NoCapacity
+	case isKnown && observed.Incarnation != known.Incarnation:
+		verdict = Restarted
+	case isKnown && observed.Key != known.Key:
+		return Conflict
+	case isKnown:
+		return Unchanged
+	}
+	m.members[observed.Name] = observed
+	for number := range maxNumber + 1 {
+		delete(m.accepted, messageID(observed.Name, observed.Incarnation, number))
+	}
+	delete(m.latest, incarnationID(observed.Name, observed.Incarnation))
+	return verdict
+}
+
+// has reports whether a member has an incarnation.
+func (m *viewModel) has(name string, incarnation uint64) bool {
+	known, isKnown := m.members[name]
+	return isKnown && known.Incarnation == incarnation
+}
+
+// accept reports whether a number is new and not too old.
+func (m *viewModel) accept(name string, incarnation, number uint64) bool {
+	message, sender := messageID(name, incarnation, number), incarnationID(name, incarnation)
+	isRecent := number+replayWindowSize > m.latest[sender]
+	if !m.has(name, incarnation) || number == 0 || m.accepted[message] || !isRecent {
+		return false
+	}
+	m.accepted[message] = true
+	m.latest[sender] = max(m.latest[sender], number)
+	return true
+}
+
+// TestViewAgainstModel compares a view with the model after every step.
 func TestViewAgainstModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const most = 4
-		v := NewView("me", most)
-		lives := map[string]Member{}
-		heard, latest := map[string]bool{}, map[string]uint64{}
+		const maxMembers, maxNumber = 4, 200
+		view := NewView("self", maxMembers)
+		model := &viewModel{maxMembers, map[string]Member{}, map[string]bool{}, map[string]uint64{}}
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
-			name := rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "me", ""}).Draw(t, "name")
-			epoch := rapid.Uint64Range(1, 3).Draw(t, "epoch")
-			life := fmt.Sprint(name, " ", epoch)
-			old, there := lives[name]
-			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			name := rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "self", ""}).Draw(t, "name")
+			incarnation := rapid.Uint64Range(1, 3).Draw(t, "incarnation")
+			known := model.members[name]
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
 			case 0:
-				m := Member{Name: name, Incarnation: epoch, Key: rapid.SampledFrom([]string{"k1", "k2"}).Draw(t, "key")}
-				want := Joined
-				switch {
-				case name == "me" || name == "":
-					want = Unchanged
-				case !there && len(lives) >= most:
-					want = NoCapacity
-				case there && epoch != old.Incarnation:
-					want = Restarted
-				case there && m.Key != old.Key:
-					want = Conflict
-				case there:
-					want = Unchanged
-				}
-				if got := v.Observe(m); got != want {
-					t.Fatalf("%+v beside %+v: %v, want %v", m, old, got, want)
-				}
-				if want == Joined || want == Restarted {
-					lives[name] = m
-					for n := range uint64(300) {
-						delete(heard, fmt.Sprint(life, " ", n))
-					}
-					delete(latest, life)
+				key := rapid.SampledFrom([]string{"k1", "k2"}).Draw(t, "key")
+				observed := Member{Name: name, Incarnation: incarnation, Key: key}
+				want := model.observe(observed, maxNumber)
+				if got := view.Observe(observed); got != want {
+					t.Fatalf("%+v beside %+v: %v, want %v", observed, known, got, want)
 				}
 			case 1:
-				want := there && epoch == old.Incarnation
-				if got := v.Remove(name, epoch); got != want {
-					t.Fatalf("end of %s beside %+v: %v, want %v", life, old, got, want)
+				want := model.has(name, incarnation)
+				if got := view.Remove(name, incarnation); got != want {
+					t.Fatalf("end of %s %d beside %+v: %v, want %v", name, incarnation, known, got, want)
 				}
 				if want {
-					delete(lives, name)
+					delete(model.members, name)
 				}
 			default:
-				number := rapid.Uint64Range(0, 200).Draw(t, "number")
-				id := fmt.Sprint(life, " ", number)
-				want := there && old.Incarnation == epoch && number > 0 && !heard[id] && number+window > latest[life]
-				if got := v.AcceptMessage(name, epoch, number); got != want {
-					t.Fatalf("number %d of %s, latest %d: %v, want %v", number, life, latest[life], got, want)
-				}
-				if want {
-					heard[id], latest[life] = true, max(latest[life], number)
+				number := rapid.Uint64Range(0, maxNumber).Draw(t, "number")
+				latest := model.latest[incarnationID(name, incarnation)]
+				want := model.accept(name, incarnation, number)
+				if got := view.AcceptMessage(name, incarnation, number); got != want {
+					t.Fatalf("number %d of %s %d, latest %d: %v, want %v", number, name, incarnation, latest, got, want)
 				}
-				if key, ok := v.Key(name, epoch); ok != (there && old.Incarnation == epoch) || ok && key != old.Key {
-					t.Fatalf("key of %s: %q %v", life, key, ok)
+				key, ok := view.Key(name, incarnation)
+				if ok != model.has(name, incarnation) || ok && key != known.Key {
+					t.Fatalf("key of %s %d: %q %v", name, incarnation, key, ok)
 				}
 			}
-			if len(v.Members()) != len(lives) {
-				t.Fatalf("%d members, want %d", len(v.Members()), len(lives))
+			if len(view.Members()) != len(model.members) {
+				t.Fatalf("%d members, want %d", len(view.Members()), len(model.members))
 			}
 		}
 	})
