--- a/internal/peer/decisions_test.go
+++ b/internal/peer/decisions_test.go
@@ -57,8 +57,13 @@
 		}
 		switch kind := random.IntN(40); {
 		case kind < 4:
-			member := Member{Name: name, Zone: fmt.Sprint("z", random.IntN(2)), Program: fmt.Sprint("p", random.IntN(2)),
-				Incarnation: incarnation, Key: fmt.Sprint("k", random.IntN(8)/7)}
+			member := Member{
+				Name:        name,
+				Zone:        fmt.Sprint("z", random.IntN(2)),
+				Program:     fmt.Sprint("p", random.IntN(2)),
+				Incarnation: incarnation,
+				Key:         fmt.Sprint("k", random.IntN(8)/7),
+			}
 			write("observe "+verdictText(view.Observe(member)), member.Name)
 		case kind < 5:
 			write(fmt.Sprint("remove ", view.Remove(name, incarnation)), name)
@@ -92,8 +97,9 @@
 		lines = append(lines, decisionLine(seed, counts))
 	}
 	for _, kind := range []string{
-		"observe unchanged/known", "observe joined/joined", "observe restarted/restarted", "observe conflict/conflict",
-		"observe no-capacity/full", "remove true", "remove false", "key true", "key false", "accept true", "accept false",
+		"observe unchanged/known", "observe joined/joined", "observe restarted/restarted",
+		"observe conflict/conflict", "observe no-capacity/full",
+		"remove true", "remove false", "key true", "key false", "accept true", "accept false",
 	} {
 		if counts[kind] < 100 {
 			t.Errorf("%d outputs of kind %q, want at least 100: %v", counts[kind], kind, counts)
--- a/internal/shutdown/decisions_test.go
+++ b/internal/shutdown/decisions_test.go
@@ -35,8 +35,9 @@
 	return "?"
 }
 
-// decisionLine steps one sequence through seeded loads, past its end, and returns its line of the file. Steps are short
-// after the signal, at which most limits lie, and loads become rarer with time, so that each action is reached.
+// decisionLine steps one sequence through seeded loads, past its end, and returns its line of the file. Steps are
+// short after the signal, at which most limits lie, and loads become rarer with time, so that each action is
+// reached.
 func decisionLine(seed uint64, counts map[string]int) string {
 	random := rand.New(rand.NewPCG(seed, 72))
 	digest := sha256.New()
@@ -65,8 +66,8 @@
 	return fmt.Sprintf("%d %s", seed, hex.EncodeToString(digest.Sum(nil)[:16]))
 }
 
-// TestDecisionsStayAsTheyWere steps seeded sequences and compares a digest of all that they return with the one recorded
-// for each seed. A change of names or shape must leave every line as it is.
+// TestDecisionsStayAsTheyWere steps seeded sequences and compares a digest of all that they return with the one
+// recorded for each seed. A change of names or shape must leave every line as it is.
 func TestDecisionsStayAsTheyWere(t *testing.T) {
 	counts := map[string]int{}
 	var lines []string
--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -1,98 +1,123 @@
-// Package shutdown decides how a doorman ends: how long it stays after it was told to, what the clients that are still there are
-// owed, and when nothing can be lost any more. It has no I/O and no clock.
+// Package shutdown decides how a proxy ends after the signal to do so: how long it goes on serving, what the
+// clients that are still connected get, and when it may exit without losing anything. It does no I/O and reads no
+// clock.
 //
-// Invariants: once begun it comes to Stop, at Longest and grace at the latest; before that it stops only when nothing is open, all answers
-// were taken by the system, and no client has been connected for crossing; it never says Cut before a request that came in time could
-// have had its answer.
+// Invariants:
+//   - before the time is up it exits only when no request is open, all responses were taken by the system, nothing
+//     blocks it, and no client has been connected for reconnectWindow;
+//   - it never fails a request that came in time before that could have had its response.
+//
+// Bounds: once begun it exits at the latest LongestDeadline, excusedWindow and slowReaderGrace after the signal, or
+// arrivalWindow and slowReaderGrace where that is later.
 package shutdown
 
 import "time"
 
 const (
-	// clientsFor is how long after the signal clients may come and ask: new connections 0.4 s, requests on them 0.2 s more, and
-	// as much as a busy loop may be late.
-	clientsFor = 900 * time.Millisecond
-	// lateFrom is when a request is late: the platform may kill the program after Longest, or killAt where that is shorter, and
-	// lateFrom more. What came earlier and is open then is excused, what came later is not.
-	lateFrom = 700 * time.Millisecond
-	killAt   = 3 * time.Second
-	// early is taken off the time of a late request, so that its answer is with the client when the program is killed.
-	early = 100 * time.Millisecond
-	least = 50 * time.Millisecond // that a late request is given all the same
-	// crossing is how long no client must have been connected: one whose request crosses our close comes again within 50 ms.
-	crossing = 100 * time.Millisecond
-	// grace is given to clients that are slow to read, beyond the longest deadline.
-	grace = time.Second
+	// arrivalWindow is how long after the signal clients may arrive: they connect for 0.4 s, send requests on these
+	// connections for 0.2 s more, and the rest is what a busy event loop may be late.
+	arrivalWindow = 900 * time.Millisecond
+	// excusedWindow is how long after the signal requests may arrive that are excused if they are open when the
+	// platform kills the program; a later one has to be answered before.
+	excusedWindow = 700 * time.Millisecond
+	// maxKillDelay bounds when the platform may kill the program: excusedWindow after LongestDeadline, or after this
+	// where it is shorter.
+	maxKillDelay = 3 * time.Second
+	// responseMargin is taken off the time of a request after excusedWindow, so that its response has reached the
+	// client when the program is killed.
+	responseMargin = 100 * time.Millisecond
+	// minTimeout is given to such a request in any case.
+	minTimeout = 50 * time.Millisecond
+	// reconnectWindow is how long no client must have been connected: one whose request crosses our close of its
+	// connection comes again within 50 ms.
+	reconnectWindow = 100 * time.Millisecond
+	// slowReaderGrace is added to the longest deadline for clients that are slow to read.
+	slowReaderGrace = time.Second
 )
 
-// Load is what the doorman holds.
+// Load is what the proxy still has to finish.
 type Load struct {
-	Open    int  // requests without an end
+	Open    int  // requests without a response
 	Clients int  // connections of clients
-	Unsent  int  // bytes of answers that the system has not taken
+	Unsent  int  // bytes of responses that the system has not taken
 	Blocked bool // something else has to end first
 }
 
-// Action is what there is to do.
+// Action is what to do now.
 type Action int
 
-// What there is to do, each beside what came before it.
+// The actions. Each includes those before it.
 const (
 	KeepServing  Action = iota // nothing
-	CloseIdle                  // close the connections of clients that have nothing open
-	FailInFlight               // end all requests that are open
+	CloseIdle                  // close the connections of clients without an open request
+	FailInFlight               // fail all open requests
 	Exit                       // end the program
 )
 
-// Sequence is the end of one doorman. The zero value has not begun; Longest is to be set.
+// Sequence is the shutdown of one proxy. The zero value has not begun.
 type Sequence struct {
-	LongestDeadline time.Duration // deadline of a class
+	LongestDeadline time.Duration // of all request classes
 	begun           bool
-	since           time.Duration
-	alone           time.Duration // since when no client is there; 0: one is
+	signalAt        time.Duration
+	noClientSince   time.Duration // 0: a client is connected
 }
 
-// Begin notes the signal; a second one changes nothing. It says whether it was the first.
-func (l *Sequence) Begin(now time.Duration) bool {
-	if l.begun {
+// Begin notes the signal, and reports whether it is the first. Others change nothing.
+func (s *Sequence) Begin(now time.Duration) bool {
+	if s.begun {
 		return false
 	}
-	l.begun, l.since = true, now
+	s.begun = true
+	s.signalAt = now
 	return true
 }
 
-// Begun says whether the signal came.
-func (l *Sequence) Begun() bool { return l.begun }
+// Begun reports whether the signal came.
+func (s *Sequence) Begun() bool { return s.begun }
 
-// TimeoutFor is how long a request that comes now may wait, of the limit that its client told.
-func (l *Sequence) TimeoutFor(now, limit time.Duration) time.Duration {
-	if !l.begun || now-l.since < lateFrom {
-		return limit
+// TimeoutFor returns how long a request that arrives now may take, given the timeout that its client asks for.
+func (s *Sequence) TimeoutFor(now, timeout time.Duration) time.Duration {
+	if !s.begun || now-s.signalAt < excusedWindow {
+		return timeout
 	}
-	end := l.since + min(l.LongestDeadline, killAt) + lateFrom - early
-	return min(limit, max(least, end-now))
+	killAt := s.signalAt + min(s.LongestDeadline, maxKillDelay) + excusedWindow
+	return min(timeout, max(minTimeout, killAt-responseMargin-now))
 }
 
-// Step says what to do now.
-func (l *Sequence) Step(now time.Duration, h Load) Action {
-	if !l.begun {
+// Step returns what to do now.
+func (s *Sequence) Step(now time.Duration, load Load) Action {
+	if !s.begun {
 		return KeepServing
 	}
-	if h.Clients > 0 {
-		l.alone = 0
-	} else if l.alone == 0 {
-		l.alone = max(1, now)
-	}
-	past := now - l.since
-	switch end := max(clientsFor, l.LongestDeadline+lateFrom); {
-	case past >= end+grace:
+	s.observeClients(now, load.Clients)
+	elapsed := now - s.signalAt
+	lastResponse := max(arrivalWindow, s.LongestDeadline+excusedWindow)
+	switch {
+	case elapsed >= lastResponse+slowReaderGrace:
 		return Exit
-	case past >= end && h.Open > 0:
+	case elapsed >= lastResponse && load.Open > 0:
 		return FailInFlight
-	case past < clientsFor:
+	case elapsed < arrivalWindow:
 		return KeepServing
-	case h.Open == 0 && h.Unsent == 0 && !h.Blocked && l.alone > 0 && now-l.alone >= crossing:
+	case s.isDone(now, load):
 		return Exit
 	}
 	return CloseIdle
 }
+
+func (s *Sequence) observeClients(now time.Duration, clients int) {
+	switch {
+	case clients > 0:
+		s.noClientSince = 0
+	case s.noClientSince == 0:
+		s.noClientSince = max(1, now)
+	}
+}
+
+// isDone reports whether an exit loses nothing.
+func (s *Sequence) isDone(now time.Duration, load Load) bool {
+	if load.Open != 0 || load.Unsent != 0 || load.Blocked {
+		return false
+	}
+	return s.noClientSince > 0 && now-s.noClientSince >= reconnectWindow
+}
--- a/internal/shutdown/shutdown_test.go
+++ b/internal/shutdown/shutdown_test.go
@@ -9,87 +9,97 @@
 
 const ms = time.Millisecond
 
-// TestStep: what there is to do for what is held, by the time since the signal.
+// TestStep: the action for each load, by the time since the signal.
 func TestStep(t *testing.T) {
 	for _, c := range []struct {
-		name  string
-		past  time.Duration
-		alone time.Duration // for which no client was there
-		held  Load
-		want  Action
+		name     string
+		elapsed  time.Duration // since the signal
+		noClient time.Duration // for which no client was connected
+		load     Load
+		want     Action
 	}{
-		{"clients may still come", 899 * ms, time.Second, Load{}, KeepServing},
-		{"nothing is held and nobody is there", 900 * ms, 100 * ms, Load{}, Exit},
+		{"clients may still arrive", 899 * ms, time.Second, Load{}, KeepServing},
+		{"nothing is open and no client is connected", 900 * ms, 100 * ms, Load{}, Exit},
 		{"the last client has just gone: its request may cross the close", 900 * ms, 99 * ms, Load{}, CloseIdle},
-		{"a client is there", 2 * time.Second, 0, Load{Clients: 1}, CloseIdle},
+		{"a client is connected", 2 * time.Second, 0, Load{Clients: 1}, CloseIdle},
 		{"a request is open", 2 * time.Second, time.Second, Load{Open: 1}, CloseIdle},
-		{"the end of an answer is with us", 2 * time.Second, time.Second, Load{Unsent: 1}, CloseIdle},
+		{"part of a response is not sent", 2 * time.Second, time.Second, Load{Unsent: 1}, CloseIdle},
 		{"a registration is being taken back", 2 * time.Second, time.Second, Load{Blocked: true}, CloseIdle},
-		{"open to the last", 6699 * ms, 0, Load{Open: 1, Clients: 1}, CloseIdle},
+		{"open up to the longest deadline", 6699 * ms, 0, Load{Open: 1, Clients: 1}, CloseIdle},
 		{"open beyond the longest deadline", 6700 * ms, 0, Load{Open: 1, Clients: 1}, FailInFlight},
-		{"a client does not read what it is owed", 7699 * ms, 0, Load{Clients: 1, Unsent: 1}, CloseIdle},
-		{"nor at the very end", 7700 * ms, 0, Load{Clients: 1, Unsent: 1}, Exit},
+		{"a client does not read its response", 7699 * ms, 0, Load{Clients: 1, Unsent: 1}, CloseIdle},
+		{"nor at the end of its grace", 7700 * ms, 0, Load{Clients: 1, Unsent: 1}, Exit},
 	} {
-		l := Sequence{LongestDeadline: 6 * time.Second}
+		sequence := Sequence{LongestDeadline: 6 * time.Second}
 		start := time.Hour
-		if l.Step(start, Load{}) != KeepServing || !l.Begin(start) || l.Begin(start+ms) {
-			t.Fatal("it begins once")
+		if sequence.Step(start, Load{}) != KeepServing || !sequence.Begin(start) || sequence.Begin(start+ms) {
+			t.Fatal("it begins more than once, or before the signal")
 		}
-		l.Step(start, Load{Clients: 1})
-		if c.alone > 0 {
-			l.Step(start+c.past-c.alone, Load{})
+		sequence.Step(start, Load{Clients: 1})
+		if c.noClient > 0 {
+			sequence.Step(start+c.elapsed-c.noClient, Load{})
 		}
-		if got := l.Step(start+c.past, c.held); got != c.want {
+		if got := sequence.Step(start+c.elapsed, c.load); got != c.want {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
 		}
 	}
 }
 
-// TestLimit: what comes late has its answer before the program may be killed; what comes in time keeps its time.
+// TestLimit: a request after excusedWindow has its response before the program may be killed; one before it keeps
+// its timeout.
 func TestLimit(t *testing.T) {
-	for _, c := range []struct{ longest, past, limit, want time.Duration }{
+	for _, c := range []struct{ longest, elapsed, timeout, want time.Duration }{
 		{6 * time.Second, 699 * ms, 6 * time.Second, 6 * time.Second},
 		{6 * time.Second, 700 * ms, 6 * time.Second, 2900 * ms}, // killed after 3.7 s
 		{6 * time.Second, 700 * ms, 200 * ms, 200 * ms},
 		{800 * ms, 700 * ms, 800 * ms, 700 * ms}, // killed after 1.5 s
 		{800 * ms, 5 * time.Second, 800 * ms, 50 * ms},
 	} {
-		l := Sequence{LongestDeadline: c.longest}
-		if got := l.TimeoutFor(time.Hour, c.limit); got != c.limit {
-			t.Errorf("before the signal a limit of %v becomes %v", c.limit, got)
+		sequence := Sequence{LongestDeadline: c.longest}
+		if got := sequence.TimeoutFor(time.Hour, c.timeout); got != c.timeout {
+			t.Errorf("before the signal a timeout of %v becomes %v", c.timeout, got)
 		}
-		l.Begin(time.Hour)
-		if got := l.TimeoutFor(time.Hour+c.past, c.limit); got != c.want {
-			t.Errorf("%v after the signal, longest deadline %v: %v becomes %v, want %v", c.past, c.longest, c.limit, got, c.want)
+		sequence.Begin(time.Hour)
+		if got := sequence.TimeoutFor(time.Hour+c.elapsed, c.timeout); got != c.want {
+			t.Errorf("%v after the signal, longest deadline %v: %v becomes %v, want %v",
+				c.elapsed, c.longest, c.timeout, got, c.want)
 		}
 	}
 }
 
-// TestInvariants: whatever comes and goes in whatever order, the program ends in its time, and never with something lost that
-// could have been kept.
+// TestInvariants: for any loads in any order, the program exits in time, and never loses what could have been
+// finished.
 func TestInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		l := Sequence{LongestDeadline: time.Duration(rapid.IntRange(100, 8000).Draw(t, "longest")) * ms}
+		sequence := Sequence{LongestDeadline: time.Duration(rapid.IntRange(100, 8000).Draw(t, "longest")) * ms}
 		now := time.Duration(rapid.IntRange(0, 1000).Draw(t, "start")) * ms
-		l.Begin(now)
-		start, gone := now, now // gone: when the last client was seen
+		sequence.Begin(now)
+		signalAt, clientSeenAt := now, now
 		for {
 			now += time.Duration(rapid.IntRange(0, 150).Draw(t, "step")) * ms
-			h := Load{Open: rapid.IntRange(0, 2).Draw(t, "open"), Clients: rapid.IntRange(0, 1).Draw(t, "clients"),
-				Unsent: rapid.IntRange(0, 1).Draw(t, "unsent"), Blocked: rapid.Bool().Draw(t, "others")}
-			do, past := l.Step(now, h), now-start
-			last := max(clientsFor, l.LongestDeadline+lateFrom)
-			if h.Clients > 0 {
-				gone = now
+			load := Load{
+				Open:    rapid.IntRange(0, 2).Draw(t, "open"),
+				Clients: rapid.IntRange(0, 1).Draw(t, "clients"),
+				Unsent:  rapid.IntRange(0, 1).Draw(t, "unsent"),
+				Blocked: rapid.Bool().Draw(t, "blocked"),
 			}
+			if load.Clients > 0 {
+				clientSeenAt = now
+			}
+			action := sequence.Step(now, load)
+			elapsed := now - signalAt
+			lastResponse := max(arrivalWindow, sequence.LongestDeadline+excusedWindow)
+			isTimeUp := elapsed >= lastResponse+slowReaderGrace
+			isUnfinished := load.Open > 0 || load.Unsent > 0 || load.Blocked
+			mayArrive := now-clientSeenAt < reconnectWindow || elapsed < arrivalWindow
 			switch {
-			case do != Exit && past >= last+grace:
-				t.Fatalf("it stays %v, longest deadline %v", past, l.LongestDeadline)
-			case do == FailInFlight && past < last:
-				t.Fatalf("it cuts %v after the signal, longest deadline %v", past, l.LongestDeadline)
-			case do == Exit && past < last+grace && (h.Open > 0 || h.Unsent > 0 || h.Blocked || now-gone < crossing || past < clientsFor):
-				t.Fatalf("it stops after %v with %+v, the last client seen %v ago", past, h, now-gone)
-			case do == Exit:
+			case action != Exit && isTimeUp:
+				t.Fatalf("no exit after %v, longest deadline %v", elapsed, sequence.LongestDeadline)
+			case action == FailInFlight && elapsed < lastResponse:
+				t.Fatalf("requests fail %v after the signal, longest deadline %v", elapsed, sequence.LongestDeadline)
+			case action == Exit && !isTimeUp && (isUnfinished || mayArrive):
+				t.Fatalf("exit after %v with %+v, the last client seen %v ago", elapsed, load, now-clientSeenAt)
+			case action == Exit:
 				return
 			}
 		}
