--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -5,45 +5,77 @@
 	"time"
 )
 
-// meter is one rate with a burst by the generic cell rate algorithm in its virtual scheduling form (ITU-T I.371, annex A): its
-// only state is the time at which it is full again, so that a full one needs none.
+const (
+	nanosPerSecond = 1e9
+	// never is a wait without an end.
+	never = time.Duration(math.MaxInt64)
+	// maxWaitNanos is the longest wait that is not never: some thirty years.
+	maxWaitNanos = 1e18
+	// roundingUnits is by how many units rounding may make a burst less than what is wanted of it.
+	roundingUnits = 1e-9
+)
+
+// meter is a rate with a burst.
 type meter struct {
 	rate  float64 // units a second; 0: it never refills
 	burst float64 // units
 }
 
-// state is when a meter is full again, in nanoseconds.
-type state float64
-
-// has is how many units there are; below 0 in debt.
-func (m meter) has(now time.Duration, s state) float64 {
-	if lack := float64(s) - float64(now); lack > 0 {
-		return m.burst - lack*m.rate/1e9
-	}
-	return m.burst
+// bucket counts against a meter by the generic cell rate algorithm in its virtual scheduling form (ITU-T I.371, annex
+// A): its state is the time at which it is full again, so that a full one is the zero value.
+type bucket struct {
+	meter
+	fullAt    float64       // nanoseconds
+	lastRetry time.Duration // the latest time that somebody who is to draw from it was told to come at
 }
 
-// take takes units, whether they are there or not.
-func (m meter) take(now time.Duration, s *state, units float64) {
-	if m.rate > 0 {
-		*s = state(math.Max(float64(*s), float64(now)) + units/m.rate*1e9)
+// available returns how many units there are; below 0 in debt.
+func (b *bucket) available(now time.Duration) float64 {
+	if lack := b.fullAt - float64(now); lack > 0 {
+		return b.burst - lack*b.rate/nanosPerSecond
 	}
+	return b.burst
 }
 
-// never is a wait without an end.
-const never = time.Duration(math.MaxInt64)
-
-// until is how long it takes until there are so many units, if nothing is taken meanwhile.
-func (m meter) until(now time.Duration, s state, units float64) time.Duration {
-	lack := units - m.has(now, s)
+// wait returns how long it takes until there are so many units, if nothing is taken meanwhile.
+func (b *bucket) wait(now time.Duration, units float64) time.Duration {
+	lack := units - b.available(now)
 	switch {
 	case lack <= 0:
 		return 0
-	case m.rate <= 0 || units > m.burst+1e-9:
+	case b.rate <= 0 || units > b.burst+roundingUnits:
 		return never
 	}
-	if wait := math.Ceil(lack / m.rate * 1e9); wait < 1e18 {
-		return time.Duration(wait)
+	if nanos := math.Ceil(lack / b.rate * nanosPerSecond); nanos < maxWaitNanos {
+		return time.Duration(nanos)
 	}
 	return never
 }
+
+// take takes units, whether they are there or not.
+func (b *bucket) take(now time.Duration, units float64) {
+	if b.rate > 0 {
+		b.fullAt = math.Max(b.fullAt, float64(now)) + units/b.rate*nanosPerSecond
+	}
+}
+
+// nextRetry returns when the next cost may come after those that were told to come later; 0: nobody was.
+func (b *bucket) nextRetry(cost float64) time.Duration {
+	if b.lastRetry == 0 || b.rate <= 0 {
+		return 0
+	}
+	return b.lastRetry + time.Duration(math.Min(cost/b.rate*nanosPerSecond, float64(maxRetryAfter)))
+}
+
+// full reports whether it owes nothing and nobody was told to come later than now.
+func (b *bucket) full(now time.Duration) bool { return b.fullAt <= float64(now) && b.lastRetry <= now }
+
+// resized returns the bucket with another meter. What it owes stays the same number of units.
+func (b *bucket) resized(now time.Duration, to meter) bucket {
+	out := bucket{meter: to, lastRetry: b.lastRetry}
+	lack := b.burst - b.available(now)
+	if lack > 0 && to.rate > 0 {
+		out.fullAt = float64(now) + math.Min(lack, to.burst)/to.rate*nanosPerSecond
+	}
+	return out
+}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -95,17 +95,17 @@
 			n, _ := b.find(now, path[0], path[1], "")
 			full := false
 			for p := n; p != nil; p = p.parent {
-				full = full || p.spec.MaxOpen[0] > 0 && p.levels[0] >= p.spec.MaxOpen[0]
+				full = full || p.spec.MaxOpen[0] > 0 && p.openUnits[0] >= p.spec.MaxOpen[0]
 			}
-			own := n.limited(Requests)
+			own := n.limitOf(Requests)
 			within := false
-			if own != nil && len(own.node.spec.Children) == 0 && own.g.rate > 0 {
+			if own != nil && len(own.node.spec.Children) == 0 && own.guaranteed.rate > 0 {
 				k := owned[own]
 				if k == nil {
-					k = &bucket{own.g.burst, now}
+					k = &bucket{own.guaranteed.burst, now}
 					owned[own] = k
 				}
-				k.tokens = math.Min(own.g.burst, k.tokens+(now-k.at).Seconds()*own.g.rate)
+				k.tokens = math.Min(own.guaranteed.burst, k.tokens+(now-k.at).Seconds()*own.guaranteed.rate)
 				k.at = now
 				if within = k.tokens >= 1+1e-6; k.tokens >= 1-1e-6 && !within {
 					continue // on the edge, where rounding decides
@@ -138,7 +138,7 @@
 				total, list := 0.0, charged[p]
 				for i := len(list) - 1; i >= 0; i-- {
 					total += list[i].cost
-					if most := r.c.rate*(now-list[i].at).Seconds() + r.c.burst; total > most+1e-6 {
+					if most := r.ceiling.rate*(now-list[i].at).Seconds() + r.ceiling.burst; total > most+1e-6 {
 						t.Fatalf("%s was charged %g in %v, and its ceiling is %g", p.name, total, now-list[i].at, most)
 					}
 				}
@@ -147,7 +147,7 @@
 		for _, g := range open {
 			g.Release(now)
 		}
-		if b.InFlight() != 0 || b.root.levels != [levelKinds]float64{} {
+		if b.InFlight() != 0 || b.root.openUnits != [openKinds]float64{} {
 			t.Fatalf("%d are held at the end", b.InFlight())
 		}
 		now += 2 * time.Hour
