--- a/internal/policy/aimd/aimd.go
+++ b/internal/policy/aimd/aimd.go
@@ -1,56 +1,74 @@
-// Package aimd bounds what one sender has out to the narrow places behind the caches: the link into the zone, the parents
-// and the origin. Which of them is narrow is not told, and shows only in fills that come late.
+// Package aimd limits the fills that one proxy has in flight to what is behind the caches: the link into the zone, the
+// parents and the origin. Additive increase, multiplicative decrease: which of them is short of capacity is not known,
+// and shows only in fills that miss their objective.
 //
-// The limit rises by a part of a fill for each that comes in time while at least half of it is in use, and is cut for each
-// that comes late. An origin that turns nobody away answers all that it is asked, each later than the one before; what is
-// out to it beyond what it can do in the wanted time is lost, and so are the writes that share it. So the cut is steep: at
-// 0.7 links instead of 2 days of mass purges and a slow origin lose 0.011 to 0.016 of G (docs/MEASUREMENTS.md).
+// The limit rises by a part of a fill for each that comes in time while at least half of it is in use, and falls for
+// each that is slow. An origin that rejects nothing answers all that it gets, each later than the one before; what is
+// in flight to it beyond what it can do within the objective is lost, and so are the writes that share it. So the
+// decrease is steep: at 0.7 links instead of 2 days of mass purges and a slow origin lose 0.011 to 0.016 of G
+// (docs/MEASUREMENTS.md). Where a proxy has little of the links, as one of hundreds has, the same decrease would halve
+// the limit for one slow fill and nothing would raise it again for long; so no decrease takes more than a part of it.
 //
-// Where a sender has little of the links, as one of hundreds has, the same cut would halve the limit for one late fill and
-// nothing would raise it again for long; so no cut takes more than a part of it.
+// Invariants: the limit lies between MinLimit and twice InitialLimit, in multiples of the links; a decrease leaves at
+// least the limiter's part of it; what is full for a request is full for each of a lower weight.
 //
-// Invariants: Least <= the limit <= twice First, in links.
+// Bounds: four numbers and constant time a call. The package does no I/O and reads no clock.
 package aimd
 
 const (
-	// InitialLimit is the number of probable fills out at the start, in multiples of the zone's links.
+	// InitialLimit is the limit at the start, in multiples of the zone's links.
 	InitialLimit = 1.5
-	// MinLimit is what stays of it, whatever comes late: so that a recovery is seen.
+	// MinLimit is the lowest limit, so that a recovery is seen.
 	MinLimit = 0.08
 
-	cut, keep         = 2, 0.75  // in links, and what of the limit is left at least
-	heldCut, heldKeep = 2.4, 0.5 // for a fill from what the parent holds: then the link is narrow, not the origin
-	rise              = 0.25     // of a fill, for one that comes in time
+	maxLimit = 2 * InitialLimit
+	increase = 0.25 // of a fill, for one that comes in time
+
+	// A slow fill decreases the limit by so many links over the proxy's part of them, to no less than a share of it.
+	decreaseLinks           = 2
+	minKeptShare            = 0.75
+	cachedOnlyDecreaseLinks = 2.4 // of a fill from what the parent caches: then the link is short, not the origin
+	cachedOnlyMinKeptShare  = 0.5
 )
 
-// Limiter is one limit with what is out under it. It is not safe for concurrent use.
+// Limiter is one limit with what is in flight under it. It is not safe for concurrent use.
 type Limiter struct {
-	InFlight  int     // fills that are out
-	Max       float64 // the limit, in multiples of the zone's links
-	cut, keep float64
+	InFlight int     // fills
+	Max      float64 // the limit, in multiples of the zone's links
+
+	decreaseLinks float64
+	minKeptShare  float64
 }
 
 // New makes the limit on fills that may go on to the origin.
-func New() Limiter { return Limiter{Max: InitialLimit, cut: cut, keep: keep} }
+func New() Limiter {
+	return Limiter{Max: InitialLimit, decreaseLinks: decreaseLinks, minKeptShare: minKeptShare}
+}
 
-// NewCachedOnly makes the limit on fills from what the parent holds.
-func NewCachedOnly() Limiter { return Limiter{Max: InitialLimit, cut: heldCut, keep: heldKeep} }
+// NewCachedOnly makes the limit on fills from what the parent caches.
+func NewCachedOnly() Limiter {
+	return Limiter{Max: InitialLimit, decreaseLinks: cachedOnlyDecreaseLinks, minKeptShare: cachedOnlyMinKeptShare}
+}
 
-// Full says whether there is no room for one more, where zone is this sender's part of the zone's links and value weighs
-// the request, 1 being the mean. A part of a fill is given by lot, from 0 up to 1.
-func (l *Limiter) Full(zone, value, lot float64) bool {
-	return float64(l.InFlight)+lot >= l.Max*zone*value
+// Full says whether there is no capacity for one more fill, where links is this proxy's part of the zone's links and
+// weight that of the request, 1 being the mean. A part of a fill is admitted by chance: draw is from 0 up to 1.
+func (l *Limiter) Full(links, weight, draw float64) bool {
+	return float64(l.InFlight)+draw >= l.Max*links*weight
 }
 
-// Adapt moves the limit by whether a fill came in time.
-func (l *Limiter) Adapt(zone float64, inTime bool) {
-	if !inTime {
-		l.Max = max(MinLimit, l.Max*max(l.keep, 1-l.cut/zone))
-	} else if most := l.Max * zone; float64(l.InFlight+1) > most/2 {
-		l.Max = min(2*InitialLimit, l.Max+rise/zone)
+// Increase raises the limit for a fill that came in time, if at least half of the limit is in use.
+func (l *Limiter) Increase(links float64) {
+	if float64(l.InFlight+1) > l.Max*links/2 {
+		l.Max = min(maxLimit, l.Max+increase/links)
 	}
 }
 
-// Decrease cuts the limit as far as one cut goes: for a sure sign that what is behind is crowded, though no fill has ended yet. At
-// an origin that turns nobody away, each write waited out its 3 s before its end was counted, and the queue stood meanwhile.
-func (l *Limiter) Decrease() { l.Max = max(MinLimit, l.Max*l.keep) }
+// Decrease lowers the limit for a slow fill.
+func (l *Limiter) Decrease(links float64) {
+	l.Max = max(MinLimit, l.Max*max(l.minKeptShare, 1-l.decreaseLinks/links))
+}
+
+// DecreaseFully lowers the limit as far as one decrease may: for a sure sign that what is behind is overloaded, though
+// no fill has ended yet. At an origin that rejects nothing, each write waited out its 3 s before its end was counted,
+// and the queue stood meanwhile.
+func (l *Limiter) DecreaseFully() { l.Max = max(MinLimit, l.Max*l.minKeptShare) }
--- a/internal/policy/aimd/aimd_test.go
+++ b/internal/policy/aimd/aimd_test.go
@@ -6,48 +6,71 @@
 	"pgregory.net/rapid"
 )
 
-// TestSmallLimitRises: of a limit of two fills one is left out at an answer; it never rose.
+// TestSmallLimitRises: of a limit of two fills one is left in flight at an answer; it never rose.
 func TestSmallLimitRises(t *testing.T) {
-	l := New()
-	l.InFlight, l.Max = 1, 0.25
-	if l.Adapt(8, true); l.Max <= 0.25 {
-		t.Errorf("limit %.3f after a fill in time, want over 0.25", l.Max)
+	limiter := New()
+	limiter.InFlight, limiter.Max = 1, 0.25
+	if limiter.Increase(8); limiter.Max <= 0.25 {
+		t.Errorf("limit %.3f after a fill in time, want over 0.25", limiter.Max)
 	}
-	most := l.Max
-	if l.Adapt(8, false); l.Max >= most {
-		t.Errorf("limit %.3f after a late fill, want under %.3f", l.Max, most)
+	raised := limiter.Max
+	if limiter.Decrease(8); limiter.Max >= raised {
+		t.Errorf("limit %.3f after a slow fill, want under %.3f", limiter.Max, raised)
 	}
 }
 
-// TestBounds: whatever comes, the limit stays in its bounds, no cut takes more than its part, and more fits under a higher value.
+// TestBounds: whatever comes, the limit stays in its bounds, no decrease takes more than its part, and more fits under
+// a higher weight.
 func TestBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		l := New()
-		if rapid.Bool().Draw(t, "held") {
-			l = NewCachedOnly()
+		limiter := New()
+		if rapid.Bool().Draw(t, "cached only") {
+			limiter = NewCachedOnly()
 		}
-		zone := rapid.Float64Range(0.1, 100).Draw(t, "zone")
+		links := rapid.Float64Range(0.1, 100).Draw(t, "links")
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
-			l.InFlight = rapid.IntRange(0, 200).Draw(t, "out")
-			old, inTime := l.Max, rapid.Bool().Draw(t, "in time")
-			l.Adapt(zone, inTime)
-			if l.Max < MinLimit || l.Max > 2*InitialLimit || l.Max < old*l.keep-1e-9 || inTime && l.Max < old || !inTime && l.Max > old {
-				t.Fatalf("limit %v after %v, in time %v", l.Max, old, inTime)
+			limiter.InFlight = rapid.IntRange(0, 200).Draw(t, "in flight")
+			old, inTime := limiter.Max, rapid.Bool().Draw(t, "in time")
+			if inTime {
+				limiter.Increase(links)
+			} else {
+				limiter.Decrease(links)
 			}
-			if lot := rapid.Float64Range(0, 0.99).Draw(t, "lot"); l.Full(zone, 1.5, lot) && !l.Full(zone, 0.5, lot) {
-				t.Fatal("a request of less worth found room where one of more did not")
+			isOutOfBounds := limiter.Max < MinLimit || limiter.Max > 2*InitialLimit
+			isCutTooFar := limiter.Max < old*limiter.minKeptShare-1e-9
+			if isOutOfBounds || isCutTooFar || inTime && limiter.Max < old || !inTime && limiter.Max > old {
+				t.Fatalf("limit %v after %v, in time %v", limiter.Max, old, inTime)
+			}
+			draw := rapid.Float64Range(0, 0.99).Draw(t, "draw")
+			if limiter.Full(links, 1.5, draw) && !limiter.Full(links, 0.5, draw) {
+				t.Fatal("a request of less weight was admitted where one of more was not")
 			}
 		}
 	})
 }
 
-// TestOneOfHundreds: with a fifth of a link one late fill halved the limit, and a cut-off zone cost 0.017 of G on a day of 120
-// doormans.
+// TestFullDecreaseTakesTheWholePart: a sure sign of overload takes all that one decrease may, whatever the links.
+func TestFullDecreaseTakesTheWholePart(t *testing.T) {
+	for _, limiter := range []Limiter{New(), NewCachedOnly()} {
+		if limiter.DecreaseFully(); limiter.Max != InitialLimit*limiter.minKeptShare {
+			t.Errorf("limit %v, want %v", limiter.Max, InitialLimit*limiter.minKeptShare)
+		}
+		for range 100 {
+			limiter.DecreaseFully()
+		}
+		if limiter.Max != MinLimit {
+			t.Errorf("limit %v after 100 decreases, want %v", limiter.Max, MinLimit)
+		}
+	}
+}
+
+// TestOneOfHundreds: with a fifth of a link one slow fill halved the limit, and a cut-off zone cost 0.017 of G on a day
+// of 120 proxies.
 func TestOneOfHundreds(t *testing.T) {
-	for _, c := range []struct{ zone, want float64 }{{0.2, 0.75 * InitialLimit}, {20, 0.9 * InitialLimit}} {
-		l := New()
-		if l.Adapt(c.zone, false); l.Max < c.want-1e-9 || l.Max > c.want+1e-9 {
-			t.Errorf("%v links, one late fill: limit %v, want %v", c.zone, l.Max, c.want)
+	for _, c := range []struct{ links, want float64 }{{0.2, 0.75 * InitialLimit}, {20, 0.9 * InitialLimit}} {
+		limiter := New()
+		if limiter.Decrease(c.links); limiter.Max < c.want-1e-9 || limiter.Max > c.want+1e-9 {
+			t.Errorf("%v links, one slow fill: limit %v, want %v", c.links, limiter.Max, c.want)
 		}
 	}
 }
--- a/internal/policy/director_test.go
+++ b/internal/policy/director_test.go
@@ -10,9 +10,13 @@
 
 	"sloequay/internal/policy/aimd"
 	"sloequay/internal/policy/gaptable"
+	"sloequay/internal/policy/outlier"
 )
 
-const sec = time.Second
+const (
+	ms  = time.Millisecond
+	sec = time.Second
+)
 
 // site gives settings with a zone of its own (2), two parents and an origin, everything allowed.
 func site() Config {
@@ -134,7 +138,7 @@
 func (b *bench) tick(span time.Duration) {
 	b.t.Helper()
 	for end := b.now + span; b.now < end; {
-		b.now += tickEvery
+		b.now += tickInterval
 		b.do(TimerEvent{Token: tickToken})
 	}
 }
@@ -197,7 +201,7 @@
 	moved := 0
 	for id := RequestID(1); id <= 300; id++ {
 		p := gaptable.Part{Object: uint64(id) * 977}
-		a, b := one.d.caches.OrderFor(hash(p), nil, 0).At(0).ID, two.d.caches.OrderFor(hash(p), nil, 0).At(0).ID
+		a, b := one.d.endpoints.Caches.OrderFor(p.Hash(), nil, 0).At(0).ID, two.d.endpoints.Caches.OrderFor(p.Hash(), nil, 0).At(0).ID
 		if a != b {
 			moved++
 			if b != 5 {
@@ -236,7 +240,7 @@
 		b.call(id, 0, 7)
 		for tries := 0; tries < 3; tries++ {
 			g := b.last(id)
-			if step.most > 0 && (g.MaxAge <= 0 || g.MaxAge > step.most || g.JoinFill != (step.most > joinAfter) || g.Revalidate) {
+			if step.most > 0 && (g.MaxAge <= 0 || g.MaxAge > step.most || g.JoinFill != (step.most > joinFillsAfter) || g.Revalidate) {
 				t.Errorf("%v after the purge: %+v, want an age of at most %v", step.wait, g, step.most)
 			}
 			b.answer(id, StatusMiss, NoteNone)
@@ -270,7 +274,7 @@
 			b.settle(id)
 			for _, g := range b.gets[id] {
 				if g.Endpoint == cold.ID || g.Source == cold.ID && g.Endpoint != cold.ID {
-					spentHere += b.d.classes[0].cost
+					spentHere += b.d.classes[0].cost.Cost()
 				}
 			}
 			b.answer(id, StatusOK, NoteFilled)
@@ -317,8 +321,8 @@
 		b.do(RequestEvent{ID: id, Object: uint64(id), Remaining: 5 * sec, SizeKB: 900})
 	}
 	b.tick(800 * ms)
-	for _, s := range b.d.caches.Members() {
-		if s.ejected {
+	for _, s := range b.d.endpoints.Caches.Members() {
+		if s.Health.Ejected() {
 			t.Errorf("cache %d ejected after 0.8 s of sending 0.9 s answers", s.ID)
 		}
 	}
@@ -378,7 +382,7 @@
 // TestHeldOnlyWhileFillsAreNarrow: a slow origin shut what the parents hold.
 func TestHeldOnlyWhileFillsAreNarrow(t *testing.T) {
 	b := newBench(t, site())
-	b.d.fills.Max = aimd.MinLimit
+	b.d.fillLimiter.Max = aimd.MinLimit
 	for id := RequestID(1); id <= 40; id++ {
 		b.call(id, 0, uint64(id))
 		if b.finals[id] == nil {
@@ -393,9 +397,9 @@
 // TestNewProcess: a restart of a cache voids what was known of it.
 func TestNewProcess(t *testing.T) {
 	b := newBench(t, site())
-	b.d.endpoints[1].ejected = true
+	b.d.endpoints.Eject(b.now, b.d.endpoints.Get(1), outlier.Failing)
 	b.do(ListEvent{Kind: ListDelta, Endpoints: []Endpoint{{ID: 1, Zone: 2, State: Ready, Weight: 8, StartedAt: b.now}}})
-	if b.d.endpoints[1].ejected {
+	if b.d.endpoints.Get(1).Health.Ejected() {
 		t.Error("a new process is still ejected for what the old one did")
 	}
 }
@@ -472,7 +476,7 @@
 				delete(gone, r)
 			}
 		}
-		if b.d.fills.InFlight < 0 || b.d.held.InFlight < 0 {
+		if b.d.fillLimiter.InFlight < 0 || b.d.cachedOnlyLimiter.InFlight < 0 {
 			t.Fatalf("seed %d step %d: fewer than no fills out", seed, step)
 		}
 	}
@@ -550,11 +554,11 @@
 		}
 		return StatusOK, NoteFilled
 	})
-	if !b.d.endpoints[100].ejected {
+	if !b.d.endpoints.Get(100).Health.Ejected() {
 		t.Fatal("the failing trunk was not ejected")
 	}
 	dead = false
-	for tries := 0; b.d.endpoints[100].ejected; tries++ {
+	for tries := 0; b.d.endpoints.Get(100).Health.Ejected(); tries++ {
 		if tries > 100 {
 			t.Fatal("the trunk is never trusted again")
 		}
@@ -574,7 +578,7 @@
 		b.call(id, 0, uint64(id))
 		g := b.settle(id)
 		if g.Source == 100 && g.Endpoint != 100 || g.Endpoint == 100 {
-			spent += b.d.classes[0].mean
+			spent += b.d.classes[0].cost.Mean()
 		}
 		b.answer(id, StatusOK, NoteFilled)
 	}
--- /dev/null
+++ b/internal/policy/events.go
@@ -0,0 +1,84 @@
+package policy
+
+import "time"
+
+// Event is something that a Director is told.
+type Event interface{ isEvent() }
+
+// ListEvent brings the list of servers or changes to it.
+type ListEvent struct {
+	Kind      ListKind
+	Version   uint64
+	Endpoints []Endpoint
+}
+
+// RequestEvent is a new request.
+type RequestEvent struct {
+	ID        RequestID
+	Class     int
+	Tenant    int
+	Object    uint64
+	Part      int
+	Group     int
+	Remaining time.Duration // until the client gives this try up
+	SizeKB    float64       // 0: not told
+	Retry     bool          // the client marked it as a repeat
+}
+
+// HeadersEvent says that a streamed answer has begun.
+type HeadersEvent struct {
+	ID       RequestID
+	Endpoint EndpointID
+	Attempt  int
+	Elapsed  time.Duration
+}
+
+// ResponseEvent says how an attempt ended.
+type ResponseEvent struct {
+	ID        RequestID
+	Endpoint  EndpointID
+	Attempt   int
+	Elapsed   time.Duration
+	Concluded bool // the request is concluded
+	Note      Note
+	FirstByte time.Duration
+	Status    Status
+	Load      []float64
+}
+
+// ClientGoneEvent says that a client has left.
+type ClientGoneEvent struct{ ID RequestID }
+
+// TimerEvent is the return of a Timer.
+type TimerEvent struct{ Token uint64 }
+
+// HealthCheckEvent is the result of a Probe.
+type HealthCheckEvent struct {
+	Endpoint EndpointID
+	Status   Status
+	Elapsed  time.Duration
+	Load     []float64
+}
+
+// PeerEvent is a message from another director.
+type PeerEvent struct {
+	From int
+	Data []byte
+}
+
+// PurgeEvent says that older copies of an object, or of a whole group when Object is 0, are out of date.
+type PurgeEvent struct {
+	Object uint64
+	Group  int
+	Age    time.Duration
+}
+
+func (ListEvent) isEvent()        {}
+func (RequestEvent) isEvent()     {}
+func (HeadersEvent) isEvent()     {}
+func (ResponseEvent) isEvent()    {}
+func (ClientGoneEvent) isEvent()  {}
+func (TimerEvent) isEvent()       {}
+func (HealthCheckEvent) isEvent() {}
+func (PeerEvent) isEvent()        {}
+func (PurgeEvent) isEvent()       {}
--- a/internal/policy/fairness/fairness_test.go
+++ b/internal/policy/fairness/fairness_test.go
@@ -8,8 +8,9 @@
 	"pgregory.net/rapid"
 )
 
-// TestShares: whatever bounds on sizes come, the largest tenth and the next fifth are let in Owed times as often as their class; who is
-// within the bound is never judged to be beyond it; and where the largest have their share anyway, none is judged by another size.
+// TestShares: whatever bounds on sizes come, the largest tenth and the next fifth are admitted MinAdmittedShare times as
+// often as their class; who is within the bound never has an effective size beyond it; and where the largest have their
+// share anyway, each request has its own size.
 func TestShares(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
@@ -17,60 +18,70 @@
 		low, high := rapid.Float64Range(0.2, 5).Draw(t, "low"), rapid.Float64Range(0, 5).Draw(t, "beyond low")
 		every := rapid.IntRange(1, 500).Draw(t, "every") // requests, the bound is another one
 		const many, first = 40000, 1000
-		var s Shares
+		var shares Shares
 		bound := low
-		var of, in [3]float64 // all, tenth, fifth
+		var seen, admitted [3]float64 // all, tenth, fifth
 		changed := 0
 		for n := range many {
 			if n%every == 0 {
 				bound = low + high*rnd.Float64()
 			}
-			own := math.Exp(sigma * rnd.NormFloat64())
-			judged := s.EffectiveSize(own)
-			let := judged <= bound
-			if own <= bound && !let {
-				t.Fatalf("a size of %v within %v is judged as %v", own, bound, judged)
+			size := math.Exp(sigma * rnd.NormFloat64())
+			effective := shares.EffectiveSize(size)
+			isAdmitted := effective <= bound
+			if size <= bound && !isAdmitted {
+				t.Fatalf("a size of %v within %v has the effective size %v", size, bound, effective)
+			}
+			if isAdmitted {
+				shares.RecordAdmitted(size)
+			} else {
+				shares.RecordRejected(size)
 			}
-			s.Record(own, !let)
 			if n < first {
 				continue
 			}
-			if judged != own {
+			if effective != size {
 				changed++
 			}
-			for i, is := range [3]bool{true, own > math.Exp(1.2816*sigma), own > math.Exp(0.5244*sigma) && own <= math.Exp(1.2816*sigma)} {
-				if is {
-					of[i]++
-					if let {
-						in[i]++
+			isInTenth := size > math.Exp(1.2816*sigma)
+			isInFifth := size > math.Exp(0.5244*sigma) && !isInTenth
+			for i, isIn := range [3]bool{true, isInTenth, isInFifth} {
+				if isIn {
+					seen[i]++
+					if isAdmitted {
+						admitted[i]++
 					}
 				}
 			}
 		}
-		all := in[0] / of[0]
+		all := admitted[0] / seen[0]
 		for i, name := range []string{"", "the largest tenth", "the next fifth"} {
-			if i == 0 || of[i] == 0 {
+			if i == 0 || seen[i] == 0 {
 				continue
 			}
-			if got := in[i] / of[i]; got < MinAdmittedShare*all-0.08 {
-				t.Fatalf("of %s %.3f are let in, of all %.3f", name, got, all)
+			if got := admitted[i] / seen[i]; got < MinAdmittedShare*all-0.08 {
+				t.Fatalf("of %s %.3f are admitted, of all %.3f", name, got, all)
 			}
 		}
 		if low > math.Exp(3*sigma) && changed > 0 {
-			t.Fatalf("all have room, and %d are judged by another size", changed)
+			t.Fatalf("all fit, and %d have another effective size", changed)
 		}
 	})
 }
 
-// TestAlike: with all sizes alike or none, every request is judged by that size.
+// TestAlike: with all sizes alike or none, every request has that effective size.
 func TestAlike(t *testing.T) {
-	for _, own := range []float64{0, 0.3} {
-		var s Shares
+	for _, size := range []float64{0, 0.3} {
+		var shares Shares
 		for n := range 1000 {
-			if got := s.EffectiveSize(own); got != own {
-				t.Fatalf("request %d of size %v is judged as %v", n, own, got)
+			if got := shares.EffectiveSize(size); got != size {
+				t.Fatalf("request %d of size %v has the effective size %v", n, size, got)
+			}
+			if n%2 == 0 {
+				shares.RecordRejected(size)
+			} else {
+				shares.RecordAdmitted(size)
 			}
-			s.Record(own, n%2 == 0)
 		}
 	}
 }
--- a/internal/policy/fleet_test.go
+++ b/internal/policy/fleet_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"sloequay/internal/policy/aimd"
+	"sloequay/internal/policy/classcost"
+	"sloequay/internal/policy/endpointset"
 	"sloequay/internal/policy/gaptable"
 	"sloequay/internal/policy/outlier"
 )
@@ -25,7 +27,7 @@
 		b := newBench(t, manyDirectors(c.directors))
 		kept := 0
 		for object := uint64(1); object <= 200; object++ {
-			if b.d.seenElsewhere(gaptable.Part{Object: object}) {
+			if b.d.cachedForOthers(gaptable.Part{Object: object}) {
 				kept++
 			}
 		}
@@ -38,14 +40,15 @@
 // TestCrowdCountsTheOthersByOurAverage: one of eight directors held a cache for full at two attempts of its own.
 func TestCrowdCountsTheOthersByOurAverage(t *testing.T) {
 	b := newBench(t, manyDirectors(8))
-	s := b.d.endpoints[1]
-	s.open = 2
-	s.settled = b.now
-	if got := b.d.load(s); got > 0.5 {
+	s := b.d.endpoints.Get(1)
+	for n := range 2 {
+		s.Start(b.now, attemptRef{n: n})
+	}
+	if got := b.d.endpoints.Load(b.d.now, s); got > 0.5 {
 		t.Errorf("two attempts out after a quiet time: crowd %.2f of a link of 8, want under 0.5", got)
 	}
 	b.d.now += 20 * sec
-	if got := b.d.load(s); got < 2 {
+	if got := b.d.endpoints.Load(b.d.now, s); got < 2 {
 		t.Errorf("two attempts out all the time at each of 8: crowd %.2f, want over 2", got)
 	}
 }
@@ -64,7 +67,7 @@
 		b.answer(id, StatusOK, NoteFilled)
 	}
 	for id := EndpointID(1); id <= 4; id++ {
-		if b.d.endpoints[id].ejected {
+		if b.d.endpoints.Get(id).Health.Ejected() {
 			t.Errorf("cache %d is ejected for answers that were lost once each", id)
 		}
 	}
@@ -88,17 +91,19 @@
 func TestOverdueFillsEjectTheirParent(t *testing.T) {
 	b := newBench(t, site())
 	fillThrough(b, 20, map[EndpointID]bool{100: true})
-	if !b.d.endpoints[100].ejected || b.d.endpoints[101].ejected {
-		t.Errorf("ejected: hung parent %v, sound parent %v", b.d.endpoints[100].ejected, b.d.endpoints[101].ejected)
+	if !b.d.endpoints.Get(100).Health.Ejected() || b.d.endpoints.Get(101).Health.Ejected() {
+		t.Errorf("ejected: hung parent %v, sound parent %v", b.d.endpoints.Get(100).Health.Ejected(), b.d.endpoints.Get(101).Health.Ejected())
 	}
 }
 
 // TestSharedTroubleEjectsNobody: with a slow origin all parents' fills are overdue; once that is usual none is.
 func TestSharedTroubleEjectsNobody(t *testing.T) {
 	b := newBench(t, site())
-	b.d.bad[roleParent] = outlier.FaultyErrorRate
+	for range 14 { // another parent's, so that half of all outcomes are failures
+		b.d.endpoints.Observe(&endpointState{Role: endpointset.Parent}, outlier.Failure)
+	}
 	fillThrough(b, 20, map[EndpointID]bool{100: true, 101: true})
-	if b.d.endpoints[100].ejected || b.d.endpoints[101].ejected {
+	if b.d.endpoints.Get(100).Health.Ejected() || b.d.endpoints.Get(101).Health.Ejected() {
 		t.Error("a parent is ejected for what all parents share")
 	}
 }
@@ -112,7 +117,7 @@
 	b.call(2, 0, 7)
 	b.settle(2)
 	b.answer(2, StatusOK, NoteFilled)
-	b.d.fills.InFlight = 1000
+	b.d.fillLimiter.InFlight = 1000
 	b.call(3, 0, 7)
 	if g := b.last(3); !g.CachedOnly {
 		t.Fatalf("fills are narrow: %+v, want what the parent holds only", g)
@@ -147,7 +152,7 @@
 	}
 	slowest := 0.0
 	for id := EndpointID(1); id <= 4; id++ {
-		slowest = max(slowest, b.d.endpoints[id].slow)
+		slowest = max(slowest, b.d.endpoints.Get(id).Slowness())
 	}
 	if slowest < 2 {
 		t.Errorf("40 answers at a tenth of the pace: the cache weighs %.2f, want over 2", slowest)
@@ -182,16 +187,16 @@
 	cfg.FlowKBps = 0 // sizes are not told
 	b := newBench(t, cfg)
 	c := &b.d.classes[0]
-	c.mean, c.cost = 1, 1
+	c.cost = classcost.New(1)
 	for id := RequestID(1); id <= 200; id++ {
 		b.call(id, 0, uint64(id))
 		g := b.last(id)
-		b.d.requests[id].attempts[0].crowd = 4
+		b.d.requests[id].attempts[0].load = 4
 		b.finals[id] = g
 		b.do(ResponseEvent{ID: id, Endpoint: g.Endpoint, Attempt: 0, Elapsed: sec, Concluded: true, Note: NoteHit, Status: StatusOK})
 	}
-	if c.mean > 0.3 || c.cost < 0.9 {
-		t.Errorf("answers of 1 s at a crowd of 4: mean %.2f, want about 0.25; cost %.2f, want about 1", c.mean, c.cost)
+	if mean, cost := c.cost.Mean(), c.cost.Cost(); mean > 0.3 || cost < 0.9 {
+		t.Errorf("answers of 1 s at a load of 4: mean %.2f, want about 0.25; cost %.2f, want about 1", mean, cost)
 	}
 }
 
@@ -243,7 +248,7 @@
 		}
 		b.now += 40 * ms
 	}
-	if b.d.endpoints[1].ejected {
+	if b.d.endpoints.Get(1).Health.Ejected() {
 		t.Error("the cache was ejected for two broken connections")
 	}
 }
@@ -252,17 +257,23 @@
 // without end where replacements have new ids, and none was ever forgotten.
 func TestReplacedCachesDoNotWidenTheLink(t *testing.T) {
 	b := newBench(t, site())
-	before := b.d.zone
+	before := b.d.endpoints.Links()
 	for id := EndpointID(1000); id < 1100; id++ {
 		b.do(ListEvent{Endpoints: []Endpoint{{ID: id, Zone: 2, State: Ready, Weight: 8, StartedAt: b.now}}})
 		b.do(ListEvent{Endpoints: []Endpoint{{ID: id, Zone: 2, State: Gone}}})
 		b.now += 10 * sec
 	}
-	if b.d.zone > 1.5*before {
-		t.Errorf("the zone's link is %.1f, was %.1f", b.d.zone, before)
+	if b.d.endpoints.Links() > 1.5*before {
+		t.Errorf("the zone's link is %.1f, was %.1f", b.d.endpoints.Links(), before)
+	}
+	byID := 0
+	for id := range EndpointID(1100) {
+		if b.d.endpoints.Get(id) != nil {
+			byID++
+		}
 	}
-	if n := len(b.d.all); n > 20 || len(b.d.endpoints) != n {
-		t.Errorf("%d servers are remembered, %d by id", n, len(b.d.endpoints))
+	if n := len(b.d.endpoints.All()); n > 20 || byID != n {
+		t.Errorf("%d endpoints are remembered, %d by id", n, byID)
 	}
 }
 
@@ -272,9 +283,9 @@
 	for id := RequestID(1); id <= 50; id++ {
 		b.call(id, 0, uint64(id))
 	}
-	before := b.d.classes[0].mean
+	before := b.d.classes[0].cost.Mean()
 	b.do(RequestEvent{ID: 99, Object: 99, Remaining: 3 * sec, SizeKB: 1e7})
-	if after := b.d.classes[0].mean; after > 1.5*before {
+	if after := b.d.classes[0].cost.Mean(); after > 1.5*before {
 		t.Errorf("the mean sending time went from %.2f s to %.2f s", before, after)
 	}
 }
@@ -294,8 +305,8 @@
 			continue
 		}
 		g := b.settle(id)
-		b.tick(tickEvery)
-		b.d.endpoints[g.Source].heard = b.now // it answers others from what it holds
+		b.tick(tickInterval)
+		b.d.endpoints.Get(g.Source).LastFillAt = b.now // it answers others from what it holds
 		if seen[g.Source]++; late[g.Source] {
 			b.tick(700 * ms) // 400 ms and twice 100 ms are wanted
 		} else {
@@ -311,7 +322,7 @@
 			if l, ok := a.(Log); ok && strings.HasPrefix(l.Text, fmt.Sprintf("ejected %x:", p)) {
 				times[p]++
 			}
-			out[p] = b.d.endpoints[p].ejected
+			out[p] = b.d.endpoints.Get(p).Health.Ejected()
 		}
 	}
 	return times, out
@@ -346,22 +357,22 @@
 func TestLateAndDead(t *testing.T) {
 	for _, hard := range []bool{false, true} {
 		b := parentsBench(t)
-		s, other := b.d.endpoints[100], b.d.endpoints[101]
+		s, other := b.d.endpoints.Get(100), b.d.endpoints.Get(101)
 		for range 2 {
-			b.d.recordLateFill(&attempt{node: b.d.endpoints[1], source: s})
+			b.d.recordSlowFill(&attemptState{route: route{endpoint: b.d.endpoints.Get(1), source: s}})
 		}
-		if !s.ejected {
+		if !s.Health.Ejected() {
 			t.Fatal("two late fills do not leave their parent out")
 		}
 		if hard {
-			b.d.count(s, false, true)
+			b.d.count(s, outlier.HardFailure)
 		}
-		other.heard = b.now
+		other.LastFillAt = b.now
 		for range 3 {
-			b.d.recordLateFill(&attempt{node: b.d.endpoints[1], source: other})
+			b.d.recordSlowFill(&attemptState{route: route{endpoint: b.d.endpoints.Get(1), source: other}})
 		}
-		if b.tick(tickEvery); s.ejected != hard {
-			t.Errorf("hard sign %v: still left out %v", hard, s.ejected)
+		if b.tick(tickInterval); s.Health.Ejected() != hard {
+			t.Errorf("hard sign %v: still left out %v", hard, s.Health.Ejected())
 		}
 	}
 }
@@ -391,8 +402,8 @@
 		b := newBench(t, site())
 		b.call(1, 1, 7)
 		b.tick(c.took)
-		if cut := b.d.fills.Max < aimd.InitialLimit; cut != c.cut {
-			t.Errorf("a write of %v: the limit on fills is %v, cut %v, want %v", c.took, b.d.fills.Max, cut, c.cut)
+		if cut := b.d.fillLimiter.Max < aimd.InitialLimit; cut != c.cut {
+			t.Errorf("a write of %v: the limit on fills is %v, cut %v, want %v", c.took, b.d.fillLimiter.Max, cut, c.cut)
 		}
 	}
 }
@@ -400,15 +411,15 @@
 // TestLateHeldFillsCount: what the parent holds does not wait for the origin, however late all else is.
 func TestLateHeldFillsCount(t *testing.T) {
 	b := parentsBench(t)
-	s, other := b.d.endpoints[100], b.d.endpoints[101]
-	s.heard, other.heard = b.now, b.now
+	s, other := b.d.endpoints.Get(100), b.d.endpoints.Get(101)
+	s.LastFillAt, other.LastFillAt = b.now, b.now
 	for range 5 {
-		b.d.behind.Record(&other.late, b.now, true)
+		b.d.endpoints.RecordParentPace(b.now, other, outlier.Slow)
 	}
 	for range 2 {
-		b.d.recordLateFill(&attempt{node: b.d.endpoints[1], source: s, held: true})
+		b.d.recordSlowFill(&attemptState{route: route{endpoint: b.d.endpoints.Get(1), source: s, cachedOnly: true}})
 	}
-	if !s.ejected {
+	if !s.Health.Ejected() {
 		t.Error("a parent that is late with what it holds stays in use, since the others' fills are late")
 	}
 }
@@ -440,7 +451,7 @@
 					b.answer(hit, StatusOK, NoteHit)
 				}
 				for _, p := range []EndpointID{100, 101} {
-					left[p] = left[p] || b.d.endpoints[p].ejected
+					left[p] = left[p] || b.d.endpoints.Get(p).Health.Ejected()
 				}
 			}
 		}
--- a/internal/policy/gaptable/gaptable.go
+++ b/internal/policy/gaptable/gaptable.go
@@ -15,6 +15,8 @@
 	"container/list"
 	"slices"
 	"time"
+
+	"sloequay/internal/policy/rendezvous"
 )
 
 const (
@@ -23,8 +25,11 @@
 	cachingSeconds  = 12.0
 	minRows         = 64 // of each table, for the start, when the rate is not known
 
-	topShare    = 0.10 // share of the caching table's places at rank 3
-	middleShare = 0.40 // share of its places at rank 2 or 3
+	// TopRank is the rank at which two caches of a zone have a copy.
+	TopRank = 3
+
+	topShare    = 0.10 // share of the caching table's places at TopRank
+	middleShare = 0.40 // share of its places at rank 2 or TopRank
 )
 
 // Part is what is cached and filled: one part of an object.
@@ -33,6 +38,9 @@
 	Index  int
 }
 
+// Hash is the same at all proxies for a part.
+func (p Part) Hash() uint64 { return rendezvous.Hash(p.Object ^ rendezvous.Hash(uint64(p.Index))) }
+
 // level is one of the three tables.
 type level int
 
@@ -69,6 +77,7 @@
 	single *list.List     // newest first
 	sorted [levels][]*Row // multiple and caching, best first
 	limit  [levels]int
+	rate   rate
 }
 
 // New makes empty tables of the smallest size.
@@ -98,7 +107,7 @@
 }
 
 // Rank gives the rank at which a copy is cached: 0 for a part requested once, 1 in the multiple table, and in the
-// caching table 1 to 3 by place.
+// caching table 1 to TopRank by place.
 func (t *Tables) Rank(row *Row) int {
 	if row.level != caching {
 		return int(row.level)
@@ -106,7 +115,7 @@
 	index, _ := slices.BinarySearchFunc(t.sorted[caching], row, compareRows)
 	switch place := float64(index) / float64(t.limit[caching]); {
 	case place < topShare:
-		return 3
+		return TopRank
 	case place < middleShare:
 		return 2
 	}
--- /dev/null
+++ b/internal/policy/health.go
@@ -0,0 +1,151 @@
+package policy
+
+import (
+	"fmt"
+
+	"sloequay/internal/policy/endpointset"
+	"sloequay/internal/policy/outlier"
+)
+
+// saysNothingOfSource are the outcomes that say nothing of what is behind a cache.
+var saysNothingOfSource = []Status{StatusCanceled, StatusNotExecuted, StatusConnectFailed, StatusReset}
+
+// recordOutcome books an answer to the endpoint that is at fault: the attempt's own, or the source behind it.
+func (e *Engine) recordOutcome(request *requestState, attempt *attemptState, event ResponseEvent) {
+	switch {
+	case event.Status == StatusOK:
+		e.count(attempt.endpoint, outlier.Success)
+		if attempt.limiter != nil && attempt.isFill() && event.Note != NoteHit && !attempt.slow {
+			e.count(attempt.source, outlier.Success)
+		}
+	case event.Status == StatusCanceled || event.Status == StatusNotExecuted:
+		// These say nothing of anybody.
+	case event.Status == StatusMiss && (attempt.source.Role == endpointset.Cache || attempt.cachedOnly):
+		request.recordExpectedMiss(attempt)
+	case sourceFailed(attempt, event):
+		request.failed = append(request.failed, attempt.source)
+		e.recordSourceFailure(attempt, event)
+	case event.Status == StatusReset && !request.answerLost:
+		request.answerLost = true // it may be cached there by now: the same cache once more
+	default:
+		request.failed = append(request.failed, attempt.endpoint)
+		e.recordEndpointFailure(attempt, event)
+	}
+	if event.Status == StatusReset {
+		attempt.endpoint.LastResetAt = e.now
+	}
+}
+
+// recordExpectedMiss takes a miss where only a cached copy was asked for, which is nobody's fault.
+func (r *requestState) recordExpectedMiss(attempt *attemptState) {
+	r.toReplica = false
+	if attempt.limiter == nil && attempt.isFill() && r.row != nil {
+		r.row.CachedAt = 0 // a believed hit that was none
+	}
+}
+
+// sourceFailed says whether an answer without success is the fault of the source behind a cache. A cache at
+// capacity says so at once; what comes later than that and without a note is its source's.
+func sourceFailed(attempt *attemptState, event ResponseEvent) bool {
+	if !attempt.isFill() {
+		return false
+	}
+	if event.Status == StatusMiss || event.Note >= NoteSourceRejected && event.Note != NoteNoCapacity {
+		return true
+	}
+	if event.Note != NoteNone || event.Elapsed <= rejectionTime {
+		return false
+	}
+	return event.Status == StatusAtCapacity || event.Status == StatusError && attempt.limiter != nil
+}
+
+// recordSourceFailure counts a failure against the source, unless it is that of the origin behind it.
+func (e *Engine) recordSourceFailure(attempt *attemptState, event ResponseEvent) {
+	if event.Note == NoteSourceMiss || event.Note == NoteOriginFailed || attempt.slow {
+		return
+	}
+	outcome := outlier.Failure
+	if event.Note == NoteSourceLost {
+		outcome = outlier.HardFailure // as hard a sign as a refused connection: sources are seen seldom
+	}
+	e.count(attempt.source, outcome)
+}
+
+// recordEndpointFailure counts a failure against the attempt's endpoint, where it is a sign of a fault.
+func (e *Engine) recordEndpointFailure(attempt *attemptState, event ResponseEvent) {
+	if event.Status == StatusAtCapacity || event.Status == StatusTimeout {
+		return
+	}
+	// All that was in flight on a connection ends with it, and that is one sign: one bad answer does not make
+	// a fault.
+	if event.Status == StatusReset && attempt.endpoint.LastResetAt == e.now {
+		return
+	}
+	outcome := outlier.Failure
+	if event.Status == StatusConnectFailed && attempt.endpoint.Role == endpointset.Cache {
+		outcome = outlier.HardFailure
+	}
+	e.count(attempt.endpoint, outcome)
+}
+
+// count weighs an outcome against what is usual for the endpoint's role.
+func (e *Engine) count(endpoint *endpointState, outcome outlier.Outcome) {
+	e.apply(e.endpoints.Observe(endpoint, outcome), endpoint, outlier.Failing)
+}
+
+// apply ejects or readmits an endpoint. The origin is never ejected.
+func (e *Engine) apply(verdict outlier.Verdict, endpoint *endpointState, cause outlier.Cause) {
+	switch {
+	case verdict == outlier.Recovered:
+		endpoint.ReadmittedAt = e.now // it may have started anew, before the list says so: it is warming up
+		e.readmit(endpoint)
+	case verdict == outlier.Faulty && (endpoint.Health.Ejected() || endpoint.Role != endpointset.Origin):
+		e.eject(endpoint, cause)
+	}
+}
+
+// recordSlowFill counts a slow fill, unless those by the other parents are slow as well: then the origin is.
+func (e *Engine) recordSlowFill(attempt *attemptState) {
+	source := attempt.source
+	if source.Role != endpointset.Parent || attempt.cachedOnly || source.LastFillAt < attempt.sentAt {
+		e.count(source, outlier.Failure) // one that answers nothing at all is not waiting for the origin
+		return
+	}
+	verdict := source.Health.Record(outlier.Failure, e.endpoints.OthersSlowRate(e.now, source))
+	e.apply(verdict, source, outlier.SlowFills)
+	e.endpoints.RecordParentPace(e.now, source, outlier.Slow)
+}
+
+// readmitSlowParents readmits the parents that are ejected for slow fills alone, once the others are as slow.
+func (e *Engine) readmitSlowParents() {
+	for _, parent := range e.endpoints.Parents.Members() {
+		othersSlowRate := e.endpoints.OthersSlowRate(e.now, parent)
+		if parent.Health.EjectedForSlowness() && othersSlowRate == outlier.FaultyErrorRate {
+			e.readmit(parent)
+		}
+	}
+}
+
+// ejectSilentCaches ejects the caches of the zone that have been silent for too long.
+func (e *Engine) ejectSilentCaches() {
+	for _, cache := range e.endpoints.Caches.Members() {
+		if cache.Health.Silent(e.now) {
+			e.eject(cache, outlier.Unresponsive)
+		}
+		cache.Health.ClearSuspicion()
+	}
+}
+
+// eject takes an endpoint out of ordinary work, but for trials.
+func (e *Engine) eject(endpoint *endpointState, cause outlier.Cause) {
+	if !endpoint.Health.Ejected() {
+		e.emit(Log{fmt.Sprintf("ejected %x: %s", endpoint.ID, cause)})
+	}
+	e.endpoints.Eject(e.now, endpoint, cause)
+}
+
+// readmit takes an endpoint back into ordinary work.
+func (e *Engine) readmit(endpoint *endpointState) {
+	e.emit(Log{fmt.Sprintf("trusted again %x", endpoint.ID)})
+	e.endpoints.Readmit(endpoint)
+}
--- a/internal/policy/outlier/outlier.go
+++ b/internal/policy/outlier/outlier.go
@@ -1,14 +1,17 @@
-// Package outlier tells a source that is slow from something slow behind all sources alike. Fills by way of several parents
-// all wait for one origin; when it is slow, every parent's fills are late, and a parent that is held to be at fault for that
-// has its objects filled by others, which lack them and ask the slow origin once more.
+// Package outlier finds the endpoint that is at fault: by its outcomes (Odds against the Baseline of its kind), by its
+// silence, and by fills that are slow where the other endpoints' are not (PeerGroup). Health joins these for one
+// endpoint, ejects it, lets single trial requests through with growing pauses, and readmits it.
 //
-// Each Member has the share of its late outcomes among the last ones, which loses half its weight in every Half. Others is
-// the mean of that over all members but one: the odds at which that one's next late outcome is nobody's fault in particular.
-// It takes constant time, whatever the number of members. Whether one server is at fault is weighed by Odds, against what is
-// Usual among its kind.
+// Fills by way of several parents all wait for one origin. When that is slow, every parent's fills are slow; a parent
+// that is ejected for it has its objects filled by others, which lack them and ask the slow origin once more. So
+// a PeerGroup gives the rate at which the fills of the others are slow, against which one parent's are weighed.
 //
-// Invariants: a share lies in 0 to 1; the total is the sum of the members' shares, but for rounding; a member that is dropped
-// without a word counts on until its share has faded, some four times Half.
+// Invariants: rates lie in 0 to 1; a group's total is the sum of its members' rates, but for rounding; odds lie in 0
+// to twice EjectionThreshold; only an ejected endpoint has a trial in flight or is ejected for slowness alone.
+//
+// Bounds: constant memory for each endpoint and group, and constant time a call, whatever the number of endpoints.
+// A member that is dropped counts on until its rate has faded, some four half-lives. The package does no I/O and reads
+// no clock; times must not fall.
 package outlier
 
 import (
@@ -16,94 +19,93 @@
 	"time"
 )
 
-// PeerGroup is what is behind several sources.
-type PeerGroup struct {
-	HalfLife time.Duration // in which what was seen loses half its weight
-	Weight   float64       // of one outcome in a member's share, 0 to 1
-	total    float64
-	at       time.Duration
-}
+const (
+	// FaultyErrorRate is the rate at which a faulty endpoint fails, and the highest that a sound one is taken to have.
+	FaultyErrorRate = 0.5
 
-// New makes a Group that follows a shared cause within a second, at some ten outcomes a second, and forgets it as soon.
-func New() PeerGroup { return PeerGroup{HalfLife: 4 * time.Second, Weight: 0.4} }
+	minErrorRate   = 0.02 // of a sound endpoint, where its peers show none
+	baselineWeight = 0.05 // of a new outcome in the baseline
 
-// Member is one source's part in a Group. The zero value has seen nothing.
-type Member struct {
-	share float64
-	at    time.Duration
-}
+	groupHalfLife = 4 * time.Second
+	groupWeight   = 0.4 // of one outcome in a member's rate
+	sharedRate    = 0.3 // of the others' outcomes that are slow, beyond which the cause is shared
+)
 
-// fade is what is left at now of a value that stood at a time.
-func (g *PeerGroup) fade(value float64, at, now time.Duration) float64 {
-	if g.HalfLife <= 0 || now <= at {
-		return value
-	}
-	return value * math.Exp2(-float64(now-at)/float64(g.HalfLife))
-}
+// Baseline is the rate at which the endpoints of one kind fail.
+type Baseline float64
 
-// Record takes an outcome of a member that went all the way: late or in time. Times must not fall.
-func (g *PeerGroup) Record(m *Member, now time.Duration, late bool) {
-	old, seen := g.fade(m.share, m.at, now), 0.0
-	if late {
-		seen = 1
+// ErrorRate gives the rate at which a sound endpoint has an outcome like this one: 0 for a hard failure.
+func (b Baseline) ErrorRate(outcome Outcome) float64 {
+	if outcome == HardFailure {
+		return 0
 	}
-	m.share, m.at = old+(seen-old)*g.Weight, now
-	g.total, g.at = max(0, g.fade(g.total, g.at, now)+m.share-old), now
+	return float64(b)
 }
 
-// OthersOverdueRate is the mean share of late outcomes of the other members of a group of so many: 0 where there is none, and Share where
-// it is over shared, so that by Odds a late outcome is no sign at all. Not what is Usual: of two members a slow one makes half
-// of all outcomes late, and that would be usual.
-func (g *PeerGroup) OthersOverdueRate(m *Member, now time.Duration, members int) float64 {
-	if members < 2 {
-		return 0
+// Record takes an outcome of an endpoint in use. A hard failure is no sound endpoint's, and changes nothing.
+func (b *Baseline) Record(outcome Outcome) {
+	if outcome == HardFailure {
+		return
 	}
-	rest := g.fade(g.total, g.at, now) - g.fade(m.share, m.at, now)
-	if mean := max(0, rest/float64(members-1)); mean <= shared {
-		return mean
+	*b *= 1 - baselineWeight
+	if outcome == Failure {
+		*b += baselineWeight
 	}
-	return FaultyErrorRate
 }
 
-const (
-	// EjectionThreshold is the log odds of being at fault that it takes to leave a server out.
-	EjectionThreshold = 5.0
-	// FaultyErrorRate is how many of a faulty server's outcomes are bad, and the most that can be usual.
-	FaultyErrorRate = 0.5
+// Pace says whether an outcome came within its objective.
+type Pace int
 
-	shared = 0.3  // of the others' outcomes late
-	least  = 0.02 // of a sound one's, where its peers show none
-	weight = 0.05 // of a new outcome in what is usual
+// The paces, as the outcome's value in a member's rate.
+const (
+	InTime Pace = 0
+	Slow   Pace = 1
 )
 
-// Baseline is the share of bad outcomes among servers of one kind.
-type Baseline float64
+// PeerGroup is several endpoints in front of something that they share.
+type PeerGroup struct {
+	halfLife  time.Duration // in which what was seen loses half its weight
+	weight    float64       // of one outcome in a member's rate, 0 to 1
+	total     float64       // of the members' rates at updatedAt
+	updatedAt time.Duration
+}
 
-// Record notes an outcome and gives the share of bad ones that a sound server has just now. A hard sign, such as a refused
-// connection, is no sound server's, and changes nothing of what is usual; nor does what is not to count.
-func (u *Baseline) Record(ok, hard, counts bool) float64 {
-	share := float64(*u)
-	if hard {
-		return 0
-	}
-	if counts {
-		*u *= 1 - weight
-		if !ok {
-			*u += weight
-		}
+// New makes a group that follows a shared cause within a second, at some ten outcomes a second, and forgets it as soon.
+func New() PeerGroup { return PeerGroup{halfLife: groupHalfLife, weight: groupWeight} }
+
+// Member is one endpoint's part in a group. The zero value has seen nothing.
+type Member struct {
+	slowRate  float64
+	updatedAt time.Duration
+}
+
+// fade is what is left now of a value of an earlier time.
+func (g *PeerGroup) fade(value float64, at, now time.Duration) float64 {
+	if g.halfLife <= 0 || now <= at {
+		return value
 	}
-	return share
+	return value * math.Exp2(-float64(now-at)/float64(g.halfLife))
 }
 
-// Odds are the log odds that a server is at fault, from 0 to twice Enough.
-type Odds float64
+// Record takes an outcome of a member that went all the way to what the group shares.
+func (g *PeerGroup) Record(member *Member, now time.Duration, pace Pace) {
+	before := g.fade(member.slowRate, member.updatedAt, now)
+	member.slowRate = before + (float64(pace)-before)*g.weight
+	member.updatedAt = now
+	g.total = max(0, g.fade(g.total, g.updatedAt, now)+member.slowRate-before)
+	g.updatedAt = now
+}
 
-// Update moves the odds by an outcome, of which a sound server has a bad one with the probability share.
-func (o *Odds) Update(ok bool, share float64) {
-	share = max(least, min(FaultyErrorRate, share))
-	if ok {
-		*o = max(0, *o+Odds(math.Log((1-FaultyErrorRate)/(1-share))))
-	} else {
-		*o = min(*o+Odds(math.Log(FaultyErrorRate/share)), 2*EjectionThreshold)
+// OthersSlowRate is the mean rate of slow outcomes of the other members of a group of so many: 0 where there are none,
+// and FaultyErrorRate where it is over sharedRate, so that by Odds a slow outcome is no sign at all. It is not weighed
+// against a Baseline: of two members a slow one makes half of all outcomes slow, and that would become usual.
+func (g *PeerGroup) OthersSlowRate(member *Member, now time.Duration, members int) float64 {
+	if members < 2 {
+		return 0
+	}
+	others := g.fade(g.total, g.updatedAt, now) - g.fade(member.slowRate, member.updatedAt, now)
+	if mean := max(0, others/float64(members-1)); mean <= sharedRate {
+		return mean
 	}
+	return FaultyErrorRate
 }
--- a/internal/policy/outlier/outlier_test.go
+++ b/internal/policy/outlier/outlier_test.go
@@ -8,10 +8,11 @@
 	"pgregory.net/rapid"
 )
 
-// TestOthers compares the running total with the plainest model: each member's share, faded and summed anew every time.
-func TestOthers(t *testing.T) {
+// TestOthersSlowRate compares the running total with the plainest model: each member's rate, faded and summed anew every
+// time.
+func TestOthersSlowRate(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		g := PeerGroup{HalfLife: 2 * time.Second, Weight: rapid.Float64Range(0.01, 1).Draw(t, "weight")}
+		group := PeerGroup{halfLife: 2 * time.Second, weight: rapid.Float64Range(0.01, 1).Draw(t, "weight")}
 		members := make([]Member, rapid.IntRange(1, 6).Draw(t, "members"))
 		model := make([]float64, len(members))
 		now := time.Duration(0)
@@ -21,13 +22,14 @@
 			for i := range model {
 				model[i] *= math.Exp2(-step.Seconds() / 2)
 			}
-			i, late := rapid.IntRange(0, len(members)-1).Draw(t, "member"), rapid.Bool().Draw(t, "late")
-			g.Record(&members[i], now, late)
+			i := rapid.IntRange(0, len(members)-1).Draw(t, "member")
+			pace := rapid.SampledFrom([]Pace{InTime, Slow}).Draw(t, "pace")
+			group.Record(&members[i], now, pace)
 			seen := 0.0
-			if late {
+			if pace == Slow {
 				seen = 1
 			}
-			model[i] += (seen - model[i]) * g.Weight
+			model[i] += (seen - model[i]) * group.weight
 			for i := range members {
 				want := 0.0
 				for j := range model {
@@ -35,10 +37,11 @@
 						want += model[j] / float64(len(model)-1)
 					}
 				}
-				if want > shared {
+				if want > sharedRate {
 					want = FaultyErrorRate
 				}
-				if got := g.OthersOverdueRate(&members[i], now, len(members)); math.Abs(got-want) > 1e-9 && math.Abs(want-shared) > 1e-9 {
+				got := group.OthersSlowRate(&members[i], now, len(members))
+				if math.Abs(got-want) > 1e-9 && math.Abs(want-sharedRate) > 1e-9 {
 					t.Fatalf("others of member %d: %v, the model has %v", i, got, want)
 				}
 			}
@@ -46,53 +49,71 @@
 	})
 }
 
-// TestUsual: bad outcomes become usual, and cease to be when good ones come; hard signs and those that do not count change
-// nothing.
-func TestUsual(t *testing.T) {
-	var u Baseline
+// TestBaseline: failures become usual, and cease to be when successes come; hard failures change nothing.
+func TestBaseline(t *testing.T) {
+	var baseline Baseline
 	for range 100 {
-		u.Record(false, false, true)
+		baseline.Record(Failure)
 	}
-	if got := u.Record(false, false, false); got < 0.95 {
-		t.Errorf("all bad: a share of %v is usual", got)
+	if got := baseline.ErrorRate(Failure); got < 0.95 {
+		t.Errorf("failures alone: a rate of %v is usual", got)
 	}
-	if got := u.Record(false, true, true); got != 0 {
-		t.Errorf("a hard sign: a share of %v, want 0", got)
+	if got := baseline.ErrorRate(HardFailure); got != 0 {
+		t.Errorf("a hard failure: a rate of %v, want 0", got)
 	}
-	before := u
-	u.Record(true, false, false)
-	u.Record(true, true, true)
-	if u != before {
-		t.Errorf("what does not count moved the share from %v to %v", before, u)
+	before := baseline
+	if baseline.Record(HardFailure); baseline != before {
+		t.Errorf("a hard failure moved the rate from %v to %v", before, baseline)
 	}
 	for range 200 {
-		u.Record(true, false, true)
+		baseline.Record(Success)
 	}
-	if got := u.Record(false, false, false); got > least {
-		t.Errorf("all good again: a share of %v is usual, want at most %v", got, least)
+	if got := baseline.ErrorRate(Failure); got > minErrorRate {
+		t.Errorf("successes again: a rate of %v is usual, want at most %v", got, minErrorRate)
 	}
 }
 
-// TestOdds: with what is usual far from a faulty server's share two bad outcomes in three show it, with all bad none does.
+// TestEjectedCountsForNothing: what an ejected endpoint does is weighed against the baseline and does not move it.
+func TestEjectedCountsForNothing(t *testing.T) {
+	baseline := Baseline(0.1)
+	var health Health
+	health.Eject(0, Failing)
+	for _, outcome := range []Outcome{Success, Failure, HardFailure} {
+		if health.Observe(outcome, &baseline); baseline != 0.1 {
+			t.Errorf("outcome %d of an ejected endpoint moved the baseline to %v", outcome, baseline)
+		}
+	}
+	var sound Health
+	if sound.Observe(Failure, &baseline); baseline <= 0.1 {
+		t.Errorf("a failure of an endpoint in use left the baseline at %v", baseline)
+	}
+}
+
+// TestOdds: with a baseline far from a faulty endpoint's rate two failures in three show it, with failures alone none
+// does.
 func TestOdds(t *testing.T) {
 	for _, c := range []struct {
-		share float64
-		want  bool
-	}{{least, true}, {FaultyErrorRate, false}} {
-		var o Odds
+		rate float64
+		want bool
+	}{{minErrorRate, true}, {FaultyErrorRate, false}} {
+		var odds Odds
 		for i := range 60 {
-			o.Update(i%3 == 0, c.share)
+			outcome := Failure
+			if i%3 == 0 {
+				outcome = Success
+			}
+			odds.Update(outcome, c.rate)
 		}
-		if got := o >= EjectionThreshold; got != c.want || o > 2*EjectionThreshold || o < 0 {
-			t.Errorf("a usual share of %v: odds of %.1f, faulty %v, want %v", c.share, o, got, c.want)
+		if got := odds >= EjectionThreshold; got != c.want || odds > 2*EjectionThreshold || odds < 0 {
+			t.Errorf("a usual rate of %v: odds of %.1f, faulty %v, want %v", c.rate, odds, got, c.want)
 		}
 	}
 }
 
-// TestBadIsNeverGood: where more than a faulty server's share is usual, a bad outcome is no sign in its favour.
-func TestBadIsNeverGood(t *testing.T) {
-	o := Odds(3)
-	if o.Update(false, 0.95); o != 3 {
-		t.Errorf("a bad outcome moved the odds from 3 to %v", o)
+// TestFailureIsNeverGood: where more than a faulty endpoint's rate is usual, a failure is no sign in its favour.
+func TestFailureIsNeverGood(t *testing.T) {
+	odds := Odds(3)
+	if odds.Update(Failure, 0.95); odds != 3 {
+		t.Errorf("a failure moved the odds from 3 to %v", odds)
 	}
 }
--- /dev/null
+++ b/internal/policy/placement.go
@@ -0,0 +1,219 @@
+package policy
+
+import (
+	"slices"
+
+	"sloequay/internal/policy/aimd"
+	"sloequay/internal/policy/endpointset"
+	"sloequay/internal/policy/gaptable"
+	"sloequay/internal/policy/rendezvous"
+)
+
+// attemptsAfterLookups is how many attempts the lookups at siblings leave for the fill and its retries.
+const attemptsAfterLookups = 4
+
+// ranking is endpoints by weighted rendezvous hash of a part: the loss of one moves its share only.
+type ranking = rendezvous.Ranking[*endpointState]
+
+// route is one way for an attempt.
+type route struct {
+	endpoint   *endpointState
+	source     *endpointState // the endpoint itself: nothing is filled
+	cachedOnly bool           // the source gives only what it caches
+}
+
+func (r route) isFill() bool { return r.source != r.endpoint }
+
+// cachedForOthers picks, by hash, n-1 in n of the parts that were requested once, for a zone with n proxies:
+// else each of them would fill a part before it is cached.
+func (e *Engine) cachedForOthers(part gaptable.Part) bool {
+	if len(e.endpoints.Caches.Members()) == 0 {
+		return false
+	}
+	proxies := uint64(e.endpoints.ProxiesOf(e.endpoints.Caches.Members()[0]))
+	return rendezvous.Hash(part.Hash()^uint64(e.cfg.Ordinal))%proxies != 0
+}
+
+// tryNext sends one attempt by the first route that the guards let pass: caches, then parents, then the
+// origin.
+func (e *Engine) tryNext(request *requestState) bool {
+	parents := e.endpoints.Parents.OrderFor(request.part.Hash(), nil, e.now)
+	if request.class.Write {
+		return e.sendDirect(request, nil, e.endpoints.Origin) || e.sendThroughCaches(request, nil) ||
+			e.sendDirect(request, parents, nil)
+	}
+	request.atCapacity = false
+	if e.sendThroughCaches(request, parents) {
+		return true
+	}
+	return !request.atCapacity && e.sendDirect(request, parents, e.endpoints.Origin)
+}
+
+// cacheOrder ranks the zone's caches for a request: first the one that is believed to cache the part, then by
+// hash. At the top rank the first two have a copy, and the one with less load goes first.
+func (e *Engine) cacheOrder(request *requestState) *ranking {
+	var believed *endpointState
+	if request.row != nil && request.row.CachedAt != 0 {
+		believed = e.endpoints.LocalCache(EndpointID(request.row.CachedAt))
+	}
+	order := e.endpoints.Caches.OrderFor(request.part.Hash(), believed, e.now)
+	if request.cacheRank < gaptable.TopRank || order.At(1) == nil {
+		return order
+	}
+	first, second := order.At(0), order.At(1)
+	if first.Usable(e.now) && second.Usable(e.now) &&
+		e.endpoints.Load(e.now, second) < e.endpoints.Load(e.now, first) {
+		order.Swap(0, 1)
+		request.toReplica = true
+	}
+	return order
+}
+
+// believedAt says whether an endpoint is believed to cache a request's part.
+func (r *requestState) believedAt(endpoint *endpointState) bool {
+	return r.row != nil && r.row.CachedAt == uint64(endpoint.ID)
+}
+
+// sendThroughCaches tries the zone's caches in order, each with all sources. It stops at the first cache
+// without capacity: the request is at capacity then, and the later ones are not tried.
+func (e *Engine) sendThroughCaches(request *requestState, parents *ranking) bool {
+	order := e.cacheOrder(request)
+	if e.siblingLookup(request, order) {
+		return true
+	}
+	// No fill is sent where both limiters are full, whichever cache it is by.
+	fillsFull := !request.class.Write && e.limiterFull(request, &e.fillLimiter) &&
+		(request.cachedOnlySent || e.limiterFull(request, &e.cachedOnlyLimiter))
+	for cache := range order.AllThen(nil) {
+		if !e.eligible(request, cache) {
+			continue
+		}
+		isReplica := request.toReplica && cache == order.At(0)
+		needsLimiter := !request.believedAt(cache) && !isReplica
+		if !e.hasCapacity(request, cache) || fillsFull && needsLimiter {
+			request.atCapacity = true
+			return false
+		}
+		mayCopy := isReplica && len(request.attempts) == 0
+		if mayCopy && e.send(request, route{endpoint: cache, source: order.At(1), cachedOnly: true}) ||
+			e.sendToCache(request, cache, parents) {
+			return true
+		}
+	}
+	return false
+}
+
+// sendToCache tries a cache with each source: the parents, which may be full for all but what they cache, and
+// the origin.
+func (e *Engine) sendToCache(request *requestState, cache *endpointState, parents *ranking) bool {
+	for source := range parents.AllThen(e.endpoints.Origin) {
+		if !e.eligible(request, source) {
+			continue
+		}
+		if e.send(request, route{endpoint: cache, source: source}) {
+			return true
+		}
+		if source.Role == endpointset.Parent &&
+			e.send(request, route{endpoint: cache, source: source, cachedOnly: true}) {
+			return true
+		}
+	}
+	return false
+}
+
+// siblingLookup tries the zone's caches one after another, without a fill, for a part that no row places.
+func (e *Engine) siblingLookup(request *requestState, order *ranking) bool {
+	if request.row == nil || request.row.CachedAt != 0 ||
+		len(request.attempts) > e.cfg.MaxAttempts-attemptsAfterLookups ||
+		slices.ContainsFunc(request.attempts, attemptState.isFill) {
+		return false
+	}
+	for cache := range order.AllThen(nil) {
+		isAtCache := func(attempt attemptState) bool { return attempt.endpoint == cache }
+		wasTried := slices.ContainsFunc(request.attempts, isAtCache)
+		if !wasTried && cache.Usable(e.now) && e.hasCapacity(request, cache) &&
+			e.send(request, route{endpoint: cache, source: cache}) {
+			return true
+		}
+	}
+	return false
+}
+
+// sendDirect passes the caches by; a parent fills what it lacks from the origin.
+func (e *Engine) sendDirect(request *requestState, parents *ranking, last *endpointState) bool {
+	if !e.cfg.DirectFetch || e.endpoints.Origin == nil {
+		return false
+	}
+	for endpoint := range parents.AllThen(last) {
+		if e.eligible(request, endpoint) && e.hasCapacity(request, endpoint) &&
+			e.send(request, route{endpoint: endpoint, source: e.endpoints.Origin}) {
+			return true
+		}
+	}
+	return false
+}
+
+// eligible says whether an endpoint may get a request that it has not failed before.
+func (e *Engine) eligible(request *requestState, endpoint *endpointState) bool {
+	return endpoint != nil && endpoint.Usable(e.now) && !slices.Contains(request.failed, endpoint)
+}
+
+// send sends an attempt, if a limiter has capacity for it and the guards let it pass. All attempts go by it.
+func (e *Engine) send(request *requestState, route route) bool {
+	limiter := e.limiterOf(request, route)
+	if limiter != nil && (route.cachedOnly && request.cachedOnlySent || e.limiterFull(request, limiter)) {
+		request.atCapacity = true
+		return false
+	}
+	if limiter == nil && route.source.Role == endpointset.Parent && e.limiterFull(request, &e.fillLimiter) {
+		route.cachedOnly = true // a believed hit that is none must not become a fill
+	}
+	if !e.guardsPass(request, route) {
+		return false
+	}
+	route.endpoint.Budget.Spend(e.now, request.class.cost.Cost())
+	if route.isFill() {
+		route.source.Budget.Spend(e.now, request.class.cost.Cost())
+	}
+	e.startAttempt(request, route, limiter)
+	return true
+}
+
+// limiterOf is the limiter that a route counts against: nil where no fill is likely.
+func (e *Engine) limiterOf(request *requestState, route route) *aimd.Limiter {
+	isCopy := route.source.Role == endpointset.Cache || request.believedAt(route.endpoint)
+	if request.class.Write || isCopy && route.endpoint.Role == endpointset.Cache {
+		return nil
+	}
+	if route.cachedOnly {
+		return &e.cachedOnlyLimiter
+	}
+	return &e.fillLimiter
+}
+
+// startAttempt books an attempt and emits its action.
+func (e *Engine) startAttempt(request *requestState, route route, limiter *aimd.Limiter) {
+	endpoint := route.endpoint
+	maxAge, isPurged := e.maxAge(request)
+	action := SendAttempt{
+		ID: request.id, Endpoint: endpoint.ID, Source: route.source.ID,
+		MaxAge: maxAge, CachedOnly: route.cachedOnly,
+		JoinFill:   e.cfg.JoinFills && (!isPurged || maxAge > joinFillsAfter),
+		Revalidate: request.class.FreshFor > 0 && !isPurged,
+	}
+	if endpoint.Role == endpointset.Cache {
+		action.CacheRank = request.cacheRank
+	}
+	load := e.endpoints.Load(e.now, endpoint)
+	request.attempts = append(request.attempts, attemptState{
+		route: route, limiter: limiter, sentAt: e.now, mayHaveRun: true,
+		load: load, expectedSeconds: request.expectedSeconds * max(1, load),
+	})
+	if limiter != nil {
+		limiter.InFlight++
+		request.cachedOnlySent = request.cachedOnlySent || route.cachedOnly
+	}
+	endpoint.Start(e.now, attemptRef{request, len(request.attempts) - 1})
+	request.inFlight++
+	e.emit(action)
+}
--- /dev/null
+++ b/internal/policy/rejection.go
@@ -0,0 +1,73 @@
+package policy
+
+import (
+	"slices"
+	"time"
+
+	"sloequay/internal/policy/aimd"
+	"sloequay/internal/policy/endpointset"
+	"sloequay/internal/policy/outlier"
+	"sloequay/internal/policy/rendezvous"
+)
+
+// objectivePart is the part of a request's objective that its answer may take by the estimate.
+const objectivePart = 0.85
+
+// giveUp ends a request at once: by a rejection where none of it may have run, else by a failure.
+func (e *Engine) giveUp(request *requestState) {
+	if e.mayReject(request) {
+		e.emit(Reject{request.id, e.cfg.RetryAfter(&request.class.Class)})
+	} else {
+		e.emit(Fail{request.id})
+	}
+	e.finish(request)
+}
+
+// RetryAfter is how long a rejected client is asked to stay away: half of its class's latency objective, as
+// who comes back after the objective comes for nothing, and no longer than clients heed. 0: no advice.
+func (c *Config) RetryAfter(class *Class) time.Duration {
+	if class.LatencyObjective <= 0 {
+		return c.MaxRetryAfter
+	}
+	return min(c.MaxRetryAfter, class.LatencyObjective/2)
+}
+
+// hasCapacity says whether an endpoint can answer in time beside what is in flight to it.
+func (e *Engine) hasCapacity(request *requestState, endpoint *endpointState) bool {
+	if len(endpoint.InFlight()) == 0 || endpoint.Role == endpointset.Origin {
+		return true
+	}
+	seconds := request.effectiveSeconds
+	return seconds*e.endpoints.Load(e.now, endpoint) < objectivePart*request.objectiveSeconds(seconds)
+}
+
+// objectiveSeconds is the latency objective of a request that takes so many seconds to send.
+func (r *requestState) objectiveSeconds(seconds float64) float64 {
+	return r.class.LatencyObjective.Seconds() + r.class.ObjectiveStretch*seconds
+}
+
+// limiterFull says whether a limiter has no capacity for a request. A part of a fill is admitted by chance.
+func (e *Engine) limiterFull(request *requestState, limiter *aimd.Limiter) bool {
+	draw := rendezvous.Draw(uint64(request.id))
+	return limiter.Full(e.endpoints.Links(), e.prices.Weight(request.price), draw)
+}
+
+// recordFill adapts an attempt's limiter to its answer, and notes which parents give answers.
+func (e *Engine) recordFill(request *requestState, attempt *attemptState, event ResponseEvent) {
+	isOK := event.Status == StatusOK
+	if isOK && (event.Note == NoteFilled || event.Note == NoteFilledOrigin) {
+		attempt.source.LastFillAt = e.now // and not where its cache had the copy
+	}
+	if attempt.limiter == nil || event.Note == NoteHit || slices.Contains(saysNothingOfSource, event.Status) {
+		return
+	}
+	isInTime := event.Elapsed.Seconds() <= request.objectiveSeconds(request.expectedSeconds)
+	if isInTime && (isOK || event.Status == StatusMiss) {
+		attempt.limiter.Increase(e.endpoints.Links())
+	} else {
+		attempt.limiter.Decrease(e.endpoints.Links())
+	}
+	if isOK && event.Note == NoteFilledOrigin && !attempt.slow {
+		e.endpoints.RecordParentPace(e.now, attempt.source, outlier.InTime)
+	}
+}
--- a/internal/policy/rendezvous/ranking.go
+++ b/internal/policy/rendezvous/ranking.go
@@ -5,15 +5,15 @@
 	"time"
 )
 
-// Ranking is members of a set in their order for one key, with one of them put first. It is computed as far as it is
-// looked at. The zero value of M stands for "none".
+// Ranking is the members of a set in their order for one key, with one of them put first. It is computed as far as it
+// is read. The zero value of M stands for "none". It is not safe for concurrent use.
 type Ranking[M comparable] struct {
 	members []M
 	set     Set
 	order   Order
-	next    int // place in the order that was not looked at yet
+	next    int // place in the order that was not read yet
 	first   M
-	got     []M // so far
+	ranked  []M // so far
 }
 
 // Reset empties the set and keeps its memory.
@@ -24,47 +24,52 @@
 }
 
 // Add adds a member with its id for the hash; the weight must be above 0.
-func (r *Ranking[M]) Add(m M, id uint64, weight float64) {
-	r.members = append(r.members, m)
+func (r *Ranking[M]) Add(member M, id uint64, weight float64) {
+	r.members = append(r.members, member)
 	r.set.Add(id, weight)
 }
 
-// SkipUntil has the member that was added as the nth passed over until a time, but where it is among the first two of an order.
+// SkipUntil has the member that was added as the nth skipped until a time, unless it is among the first two of an
+// order.
 func (r *Ranking[M]) SkipUntil(n int, until time.Duration) { r.set.SkipUntil(n, int64(until)) }
 
-// Skipped says whether the member that was added as the nth is passed over at a time.
-func (r *Ranking[M]) Skipped(n int, now time.Duration) bool { return r.set.shut[n] > int64(now) }
+// Skipped says whether the member that was added as the nth is skipped at a time.
+func (r *Ranking[M]) Skipped(n int, now time.Duration) bool { return r.set.skipUntil[n] > int64(now) }
 
 // Members is all members in the order of Add. It must not be changed.
 func (r *Ranking[M]) Members() []M { return r.members }
 
-// OrderFor asks for the order for a key at a time, in which first, where it is not the zero value, stands before all others. first
-// must be a member. What an earlier Begin gave is void.
+// OrderFor begins the order for a key at a time, in which first, where it is not the zero value, stands before all
+// others; it must be a member. What an earlier call gave is void.
 func (r *Ranking[M]) OrderFor(key uint64, first M, now time.Duration) *Ranking[M] {
 	var none M
 	r.order.Begin(&r.set, key, int64(now))
-	if r.next, r.first, r.got = 0, first, r.got[:0]; first != none {
-		r.got = append(r.got, first)
+	r.next = 0
+	r.first = first
+	r.ranked = r.ranked[:0]
+	if first != none {
+		r.ranked = append(r.ranked, first)
 	}
 	return r
 }
 
-// At gives the member in place i, or the zero value.
-func (r *Ranking[M]) At(i int) (m M) {
-	for len(r.got) <= i {
-		n, ok := r.order.At(r.next)
+// At gives the member in a place, from 0, or the zero value.
+func (r *Ranking[M]) At(place int) (member M) {
+	for len(r.ranked) <= place {
+		index, ok := r.order.At(r.next)
 		if !ok {
-			return m
+			return member
 		}
-		if r.next++; r.members[n] != r.first {
-			r.got = append(r.got, r.members[n])
+		r.next++
+		if r.members[index] != r.first {
+			r.ranked = append(r.ranked, r.members[index])
 		}
 	}
-	return r.got[i]
+	return r.ranked[place]
 }
 
-// Swap has the members of two places that were looked at change places.
-func (r *Ranking[M]) Swap(i, j int) { r.got[i], r.got[j] = r.got[j], r.got[i] }
+// Swap has the members of two places that were read change places.
+func (r *Ranking[M]) Swap(i, j int) { r.ranked[i], r.ranked[j] = r.ranked[j], r.ranked[i] }
 
 // AllThen goes through the ranking, of which nil has no members, and one member more unless that is the zero value.
 func (r *Ranking[M]) AllThen(last M) iter.Seq[M] {
--- a/internal/policy/rendezvous/rendezvous.go
+++ b/internal/policy/rendezvous/rendezvous.go
@@ -1,11 +1,15 @@
 // Package rendezvous orders weighted members by highest random weight for a key, and computes only as much of the order
-// as is looked at.
+// as is read.
 //
 // The score of a member is weight / -ln(u), with u drawn from a hash of key and member: "Weighted Distributed Hash
-// Tables" (Schindelhauer and Schomaker, SPAA 2005), the logarithmic method. The loss of a member moves its share only.
+// Tables" (Schindelhauer and Schomaker, SPAA 2005), the logarithmic method. The loss of a member moves its share of the
+// keys only.
 //
-// Invariants: the order is the one that a stable sort of all members by falling score gives; equal scores stand in the
-// order of Add. Nothing allocates once an Order has been used with a set of its size.
+// Invariants: the order is the one that a stable sort of all members by falling score gives, less those that are
+// skipped beyond the first two places; equal scores stand in the order of Add.
+//
+// Bounds: a walk over all members for each of the first few reads and one sort after them. Nothing allocates once an
+// Order has been used with a set of its size. The package does no I/O and reads no clock.
 package rendezvous
 
 import (
@@ -14,6 +18,17 @@
 	"slices"
 )
 
+const (
+	// walkLength is how many members one walk finds. Most requests read one or two, and a later walk sorts all.
+	walkLength = 8
+	// maxWalks is how many walks an order makes for a few members each before it sorts the rest.
+	maxWalks = 4
+	// alwaysRanked is how many members stand in an order though they are skipped: they are who caches the copies.
+	alwaysRanked = 2
+	// boundMargin widens the bound by which a walk passes over members, for the rounding of both sides.
+	boundMargin = 1e-9
+)
+
 // Hash is a 64-bit finaliser (Stafford's variant 13 of the one in MurmurHash3, with the increment of SplitMix64).
 func Hash(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
@@ -22,27 +37,33 @@
 	return x ^ x>>31
 }
 
-// Set is the members. The zero value is empty. Ids and weights lie in rows of their own, since a walk over them is what a
-// request pays for.
+// Draw maps a key to an evenly spread number from 0 up to 1.
+func Draw(key uint64) float64 { return float64(Hash(key)>>11) / (1 << 53) }
+
+// Set is the members. The zero value is empty. Ids and weights lie in slices of their own, since a walk over them is
+// what a request pays for.
 type Set struct {
-	ids     []uint64
-	weights []float64
-	shut    []int64 // until when a member is passed over
-	most    float64 // the largest weight
+	ids       []uint64
+	weights   []float64
+	skipUntil []int64
 }
 
 // Reset empties the set and keeps its memory.
-func (s *Set) Reset() { s.ids, s.weights, s.shut, s.most = s.ids[:0], s.weights[:0], s.shut[:0], 0 }
+func (s *Set) Reset() {
+	s.ids = s.ids[:0]
+	s.weights = s.weights[:0]
+	s.skipUntil = s.skipUntil[:0]
+}
 
 // Add adds a member. The weight must be above 0. Members are known by their index, in the order of Add.
 func (s *Set) Add(id uint64, weight float64) {
-	s.ids, s.weights, s.most = append(s.ids, id), append(s.weights, weight), max(s.most, weight)
-	s.shut = append(s.shut, 0)
+	s.ids = append(s.ids, id)
+	s.weights = append(s.weights, weight)
+	s.skipUntil = append(s.skipUntil, 0)
 }
 
-// SkipUntil has a member passed over until a time, but where it is among the first two. A later call takes the place of an earlier
-// one.
-func (s *Set) SkipUntil(i int, until int64) { s.shut[i] = until }
+// SkipUntil has a member skipped until a time, unless it is among the first two. A later call replaces an earlier one.
+func (s *Set) SkipUntil(index int, until int64) { s.skipUntil[index] = until }
 
 // Len is the number of members.
 func (s *Set) Len() int { return len(s.ids) }
@@ -51,160 +72,166 @@
 func unit(hash uint64) float64 { return (float64(hash>>11) + 0.5) / (1 << 53) }
 
 // Score is the score of a member for a key.
-func (s *Set) Score(i int, key uint64) float64 {
-	return s.weights[i] / -math.Log(unit(Hash(key^s.ids[i])))
+func (s *Set) Score(index int, key uint64) float64 {
+	return s.weights[index] / -math.Log(unit(Hash(key^s.ids[index])))
 }
 
-// head is how many members the first walk finds. Most requests look at one or two, and a second walk sorts all.
-const head = 8
-
-type ranked struct {
+// scored is a member with its score for the key.
+type scored struct {
 	score float64
 	index int32
 }
 
-func compare(a, b ranked) int {
+func compare(a, b scored) int {
 	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.index, b.index))
 }
 
-// Order is the members' order for one key: the first two whatever is shut, since they are who holds the copies, and then those
-// that are not. What has been given stays, also if it is shut meanwhile. The zero value has none; Begin sets set and key.
+// Order is the members' order for one key: the first two, skipped or not, and then those that are not skipped. What has
+// been given stays, also if it is skipped meanwhile. The zero value has no members; Begin sets set and key.
 type Order struct {
-	set   *Set
-	key   uint64
-	now   int64
-	found []ranked // best first: none yet, the first ones, or all
-	tail  ranked   // the last of them that was not shut
-	walks int
-	whole bool // all are found
+	set      *Set
+	key      uint64
+	now      int64
+	found    []scored // best first: none yet, the first ones, or all
+	last     scored   // the last of them that was not skipped
+	walks    int
+	complete bool // all are found
 }
 
-const (
-	always = 2 // members that stand in an order though they are shut
-	// walksMost is how many walks an order makes for a few members each before it sorts the rest.
-	walksMost = 4
-)
-
-// Begin asks for the order of a set for a key, at a time by which members are shut or not. The set's members must not change
-// while the order is in use. It costs nothing until At is called.
-func (o *Order) Begin(s *Set, key uint64, now int64) {
-	o.set, o.key, o.now, o.found, o.walks, o.whole = s, key, now, o.found[:0], 0, false
+// Begin starts the order of a set for a key, at a time by which members are skipped or not. The set's members must not
+// change while the order is in use. It costs nothing until At is called.
+func (o *Order) Begin(set *Set, key uint64, now int64) {
+	o.set = set
+	o.key = key
+	o.now = now
+	o.found = o.found[:0]
+	o.walks = 0
+	o.complete = false
 }
 
-// At gives the index of the member in place n, from 0, and whether there is one. The first calls walk the set for a few
+// At gives the index of the member in a place, from 0, and whether there is one. The first calls walk the set for a few
 // members at a time; one beyond those sorts the rest.
-func (o *Order) At(n int) (int, bool) {
-	if o.set == nil || n >= o.set.Len() {
+func (o *Order) At(place int) (index int, ok bool) {
+	if o.set == nil || place >= o.set.Len() {
 		return 0, false
 	}
-	for n >= len(o.found) && !o.whole {
+	for place >= len(o.found) && !o.complete {
 		switch {
-		case o.set.Len() <= head:
-			o.all()
-		case o.walks < walksMost && n < len(o.found)+head:
+		case o.set.Len() <= walkLength:
+			o.sortAll()
+		case o.walks < maxWalks && place < len(o.found)+walkLength:
 			o.walk()
 		default:
-			o.rest()
+			o.sortRest()
 		}
 	}
-	if n >= len(o.found) {
+	if place >= len(o.found) {
 		return 0, false
 	}
-	return int(o.found[n].index), true
+	return int(o.found[place].index), true
 }
 
 // leaders is the best few of a walk.
 type leaders struct {
-	best  [head]ranked
-	n     int
-	most  int
-	floor float64 // score of the last one, once there are most
+	best     [walkLength]scored
+	length   int
+	capacity int
+	floor    float64 // score of the last one, once they are complete
 }
 
-func (l *leaders) offer(r ranked) {
-	if l.n == l.most {
-		if compare(r, l.best[l.n-1]) >= 0 {
+func (l *leaders) offer(member scored) {
+	if l.length == l.capacity {
+		if compare(member, l.best[l.length-1]) >= 0 {
 			return
 		}
-		l.n--
+		l.length--
 	}
-	at := l.n
-	for ; at > 0 && compare(r, l.best[at-1]) < 0; at-- {
+	at := l.length
+	for ; at > 0 && compare(member, l.best[at-1]) < 0; at-- {
 		l.best[at] = l.best[at-1]
 	}
-	l.best[at] = r
-	if l.n++; l.n == l.most {
-		l.floor = l.best[l.n-1].score
+	l.best[at] = member
+	l.length++
+	if l.length == l.capacity {
+		l.floor = l.best[l.length-1].score
 	}
 }
 
-// walk finds the next few in one walk. A logarithm is taken only of what may be among them: -ln(u) >= 1-u, so a score
-// is at most weight / (1-u).
+// walk finds the next few members in one walk. A logarithm is taken only of what may be among them: -ln(u) >= 1-u, so
+// a score is at most weight / (1-u).
 func (o *Order) walk() {
-	s, first := o.set, o.walks == 0
-	open, shut := leaders{most: head}, leaders{most: always}
-	for i, id := range s.ids {
+	set, isFirst := o.set, o.walks == 0
+	open := leaders{capacity: walkLength}
+	skipped := leaders{capacity: alwaysRanked}
+	for i, id := range set.ids {
 		to := &open
-		if s.shut[i] > o.now {
-			if !first {
+		if set.skipUntil[i] > o.now {
+			if !isFirst {
 				continue
 			}
-			to = &shut
+			to = &skipped
 		}
 		u := unit(Hash(o.key ^ id))
-		// The bound is taken a little wide, for the rounding of both sides.
-		if to.n == to.most && s.weights[i] < to.floor*(1-u)*(1-1e-9) {
+		if to.length == to.capacity && set.weights[i] < to.floor*(1-u)*(1-boundMargin) {
 			continue
 		}
-		if r := (ranked{s.weights[i] / -math.Log(u), int32(i)}); first || compare(r, o.tail) > 0 {
-			to.offer(r)
+		member := scored{set.weights[i] / -math.Log(u), int32(i)}
+		if isFirst || compare(member, o.last) > 0 {
+			to.offer(member)
 		}
 	}
-	k := 0
-	for _, r := range open.best[:open.n] {
-		for ; k < shut.n && len(o.found) < always && compare(shut.best[k], r) < 0; k++ {
-			o.found = append(o.found, shut.best[k])
+	o.merge(open.best[:open.length], skipped.best[:skipped.length])
+	o.walks++
+	o.complete = open.length < walkLength
+}
+
+// merge appends what a walk found, with skipped members in the first places only.
+func (o *Order) merge(open, skipped []scored) {
+	for _, member := range open {
+		for len(skipped) > 0 && len(o.found) < alwaysRanked && compare(skipped[0], member) < 0 {
+			o.found = append(o.found, skipped[0])
+			skipped = skipped[1:]
 		}
-		o.found, o.tail = append(o.found, r), r
+		o.found = append(o.found, member)
+		o.last = member
 	}
-	for ; k < shut.n && len(o.found) < always; k++ {
-		o.found = append(o.found, shut.best[k])
+	for len(skipped) > 0 && len(o.found) < alwaysRanked {
+		o.found = append(o.found, skipped[0])
+		skipped = skipped[1:]
 	}
-	o.walks++
-	o.whole = open.n < head
 }
 
-// rest sorts what is not shut and was not found.
-func (o *Order) rest() {
+// sortRest sorts the members that are not skipped and were not found.
+func (o *Order) sortRest() {
 	if o.walks == 0 {
 		o.walk()
 	}
-	s, from := o.set, len(o.found)
-	for i := range s.ids {
-		if s.shut[i] > o.now {
+	set, from := o.set, len(o.found)
+	for i := range set.ids {
+		if set.skipUntil[i] > o.now {
 			continue
 		}
-		if r := (ranked{s.Score(i, o.key), int32(i)}); compare(r, o.tail) > 0 {
-			o.found = append(o.found, r)
+		if member := (scored{set.Score(i, o.key), int32(i)}); compare(member, o.last) > 0 {
+			o.found = append(o.found, member)
 		}
 	}
 	slices.SortFunc(o.found[from:], compare)
-	o.whole = true
+	o.complete = true
 }
 
-// all sorts a small set.
-func (o *Order) all() {
-	s := o.set
-	o.whole = true
-	for i := range s.ids {
-		o.found = append(o.found, ranked{s.Score(i, o.key), int32(i)})
+// sortAll sorts a small set.
+func (o *Order) sortAll() {
+	set := o.set
+	o.complete = true
+	for i := range set.ids {
+		o.found = append(o.found, scored{set.Score(i, o.key), int32(i)})
 	}
 	slices.SortFunc(o.found, compare)
-	kept := o.found[:0]
-	for i, r := range o.found {
-		if i < always || s.shut[r.index] <= o.now {
-			kept = append(kept, r)
+	ranked := o.found[:0]
+	for i, member := range o.found {
+		if i < alwaysRanked || set.skipUntil[member.index] <= o.now {
+			ranked = append(ranked, member)
 		}
 	}
-	o.found = kept
+	o.found = ranked
 }
--- a/internal/policy/rendezvous/rendezvous_test.go
+++ b/internal/policy/rendezvous/rendezvous_test.go
@@ -11,20 +11,20 @@
 )
 
 // sorted is the plain way: score all, sort all.
-func sorted(s *Set, key uint64) []ranked {
-	order := make([]ranked, s.Len())
+func sorted(set *Set, key uint64) []scored {
+	order := make([]scored, set.Len())
 	for i := range order {
-		order[i] = ranked{s.Score(i, key), int32(i)}
+		order[i] = scored{set.Score(i, key), int32(i)}
 	}
-	slices.SortStableFunc(order, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
+	slices.SortStableFunc(order, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
 	return order
 }
 
 // TestOrderIsTheFullSort takes random sets of all sizes about the border of the first walk, equal weights and equal ids
-// among them, and looks at random places in random turns.
+// among them, and reads random places in random turns.
 func TestOrderIsTheFullSort(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var s Set
+		var set Set
 		n := rapid.IntRange(0, 60).Draw(t, "members")
 		if rapid.Bool().Draw(t, "large") {
 			n = rapid.IntRange(60, 3000).Draw(t, "many")
@@ -34,32 +34,32 @@
 		seed := rapid.Uint64().Draw(t, "seed")
 		for i := range n {
 			draw := Hash(seed + uint64(i))
-			s.Add(draw%ids, weights[draw>>32%uint64(len(weights))])
+			set.Add(draw%ids, weights[draw>>32%uint64(len(weights))])
 		}
-		var o Order
+		var order Order
 		for range 3 {
 			key := rapid.Uint64().Draw(t, "key")
-			want := sorted(&s, key)
-			every := rapid.SampledFrom([]uint64{1, 2, 7, 1 << 40}).Draw(t, "each so manieth is shut")
+			want := sorted(&set, key)
+			every := rapid.SampledFrom([]uint64{1, 2, 7, 1 << 40}).Draw(t, "one in so many is skipped")
 			for i := range n {
-				s.SkipUntil(i, 0)
+				set.SkipUntil(i, 0)
 				if Hash(seed^uint64(i))%every == 0 {
-					s.SkipUntil(i, 5)
+					set.SkipUntil(i, 5)
 				}
 			}
-			kept := want[:0:0]
-			for i, r := range want {
-				if i < always || s.shut[r.index] <= 4 {
-					kept = append(kept, r)
+			remaining := want[:0:0]
+			for i, member := range want {
+				if i < alwaysRanked || set.skipUntil[member.index] <= 4 {
+					remaining = append(remaining, member)
 				}
 			}
-			want, n := kept, len(kept)
-			o.Begin(&s, key, 4)
+			want, n := remaining, len(remaining)
+			order.Begin(&set, key, 4)
 			for range 12 {
 				at := rapid.IntRange(0, n+1).Draw(t, "at")
-				got, ok := o.At(at)
-				if rapid.Bool().Draw(t, "shut meanwhile") && ok {
-					s.SkipUntil(got, 9) // what was given stays
+				got, ok := order.At(at)
+				if rapid.Bool().Draw(t, "skipped meanwhile") && ok {
+					set.SkipUntil(got, 9) // what was given stays
 				}
 				if ok != (at < n) || ok && got != int(want[at].index) {
 					t.Fatalf("place %d of %d: got %d %v, want %v", at, n, got, ok, want[:min(at+1, n)])
@@ -78,18 +78,19 @@
 			less.Add(uint64(i), float64(1+i%4))
 		}
 	}
-	var o, p Order
+	var orderOfAll, orderOfLess Order
 	firsts := map[uint64]int{}
 	const keys = 50000
 	for k := range keys {
 		key := Hash(uint64(k))
-		o.Begin(&all, key, 0)
-		p.Begin(&less, key, 0)
-		a, _ := o.At(0)
-		b, _ := p.At(0)
-		firsts[all.ids[a]]++
-		if all.ids[a] != 7 && less.ids[b] != all.ids[a] {
-			t.Fatalf("key %x went from %d to %d, though neither is the one lost", key, all.ids[a], less.ids[b])
+		orderOfAll.Begin(&all, key, 0)
+		orderOfLess.Begin(&less, key, 0)
+		i, _ := orderOfAll.At(0)
+		j, _ := orderOfLess.At(0)
+		before, after := all.ids[i], less.ids[j]
+		firsts[before]++
+		if before != 7 && after != before {
+			t.Fatalf("key %x went from %d to %d, though neither is the one lost", key, before, after)
 		}
 	}
 	for id, n := range firsts {
@@ -100,27 +101,27 @@
 	}
 }
 
-// BenchmarkFirstTwo looks at two places, as most requests do, the plain way and this one.
+// BenchmarkFirstTwo reads two places, as most requests do, the plain way and this one.
 func BenchmarkFirstTwo(b *testing.B) {
 	for _, n := range []int{10, 100, 1000, 10000, 100000} {
-		var s Set
+		var set Set
 		for i := range n {
-			s.Add(Hash(uint64(i)), float64(1+i%12))
+			set.Add(Hash(uint64(i)), float64(1+i%12))
 		}
 		b.Run(fmt.Sprintf("plain/%d", n), func(b *testing.B) {
 			b.ReportAllocs()
 			for i := range b.N {
-				order := sorted(&s, Hash(uint64(i)))
+				order := sorted(&set, Hash(uint64(i)))
 				_ = order[1]
 			}
 		})
 		b.Run(fmt.Sprintf("order/%d", n), func(b *testing.B) {
 			b.ReportAllocs()
-			var o Order
+			var order Order
 			for i := range b.N {
-				o.Begin(&s, Hash(uint64(i)), 0)
-				o.At(0)
-				o.At(1)
+				order.Begin(&set, Hash(uint64(i)), 0)
+				order.At(0)
+				order.At(1)
 			}
 		})
 	}
--- a/internal/policy/slowstart/slowstart.go
+++ b/internal/policy/slowstart/slowstart.go
@@ -1,83 +1,96 @@
-// Package slowstart is what one of many senders may send to a server that has just started: a budget in any window of time,
-// which grows with the server's age from a part of its capacity to the whole. It does no I/O and asks no clock.
+// Package slowstart limits what one of many senders sends to an endpoint that has just started: a budget in any window
+// of time, which grows with the endpoint's age from a share of its capacity to all of it.
 //
-// Invariants: the costs that were spent in a window never exceed the budget at its end by more than the last one; When gives
-// the first time at which Left is enough, so that until then the server need not be looked at; what is remembered is bounded
-// by what is sent in one window.
+// Invariants: the costs spent within a window exceed the budget at its end by the last one at most; AvailableAt gives
+// the first time at which Available covers a cost, so that until then the endpoint need not be considered.
+//
+// Bounds: memory for what is sent within one window, and time in proportion to it. The package does no I/O and reads
+// no clock; times must not fall.
 package slowstart
 
 import "time"
 
-// Schedule is what a server can bear, as far as this sender's part goes. The zero value bears nothing.
+// Schedule is what an endpoint can bear, as far as this sender's part goes. The zero value bears nothing.
 type Schedule struct {
-	InitialShare float64       // of Full, at age 0
-	WarmupTime   time.Duration // until it is Full
-	FullBudget   float64       // budget of a window
+	InitialShare float64       // of FullBudget, at age 0
+	WarmupTime   time.Duration // until the endpoint has its full budget
+	FullBudget   float64       // cost that fits into a window
 	Window       time.Duration
 }
 
-// spent is one sending.
-type spent struct {
-	at   time.Duration
-	cost float64
+// budget is what the window that ends now bears, for an endpoint that started at a time.
+func (s *Schedule) budget(now, startedAt time.Duration) float64 {
+	age := float64(now-startedAt) / float64(max(1, s.WarmupTime))
+	return s.FullBudget * (s.InitialShare + (1-s.InitialShare)*min(1, max(0, age)))
 }
 
-// Budget is what one sender has sent to one server lately.
-type Budget struct{ spent []spent }
+// growth is by how much the budget grows at a time, in cost a nanosecond.
+func (s *Schedule) growth(now, startedAt time.Duration) float64 {
+	if now >= startedAt+s.WarmupTime {
+		return 0
+	}
+	return s.FullBudget * (1 - s.InitialShare) / float64(max(1, s.WarmupTime))
+}
 
-// Spend notes a sending. Times must not fall.
-func (m *Budget) Spend(now time.Duration, cost float64) { m.spent = append(m.spent, spent{now, cost}) }
+// expense is one sending.
+type expense struct {
+	at   time.Duration
+	cost float64
+}
 
-// Clear forgets all sendings, and keeps the memory.
-func (m *Budget) Clear() { m.spent = m.spent[:0] }
+// Budget is what one sender has sent to one endpoint within the window. The zero value has sent nothing.
+type Budget struct {
+	expenses []expense // the oldest first
+}
 
-// budget is what the window that ends at a time bears, for a server that started at since.
-func (r *Schedule) budget(now, since time.Duration) float64 {
-	return r.FullBudget * (r.InitialShare + (1-r.InitialShare)*min(1, max(0, float64(now-since)/float64(max(1, r.WarmupTime)))))
+// Spend records a sending.
+func (b *Budget) Spend(now time.Duration, cost float64) {
+	b.expenses = append(b.expenses, expense{now, cost})
 }
 
-// Available is what may still be sent now. What has left the window is forgotten.
-func (m *Budget) Available(now, since time.Duration, r *Schedule) float64 {
-	gone := 0
-	for gone < len(m.spent) && now-m.spent[gone].at > r.Window {
-		gone++
+// Clear forgets all sendings, and keeps the memory for others.
+func (b *Budget) Clear() { b.expenses = b.expenses[:0] }
+
+// Available is the cost that may still be spent now. Sendings that have left the window are forgotten.
+func (b *Budget) Available(now, startedAt time.Duration, schedule *Schedule) float64 {
+	expired := 0
+	for expired < len(b.expenses) && now-b.expenses[expired].at > schedule.Window {
+		expired++
 	}
-	if gone > 0 {
-		m.spent = m.spent[:copy(m.spent, m.spent[gone:])]
+	if expired > 0 {
+		b.expenses = b.expenses[:copy(b.expenses, b.expenses[expired:])]
 	}
-	left := r.budget(now, since)
-	for _, s := range m.spent {
-		left -= s.cost
+	available := schedule.budget(now, startedAt)
+	for _, expense := range b.expenses {
+		available -= expense.cost
 	}
-	return left
+	return available
 }
 
-// AvailableAt is the first time from now on at which a cost fits, if nothing is spent until then. A cost beyond Full fits once the
-// server counts as started for long: at since plus Span.
-func (m *Budget) AvailableAt(now, since time.Duration, cost float64, r *Schedule) time.Duration {
-	left := m.Available(now, since, r) // of the budget at now; it grows while sendings leave the window
+// AvailableAt is the first time from now on at which a cost fits, if nothing is spent until then. A cost beyond the
+// full budget fits at the end of the warm-up.
+func (b *Budget) AvailableAt(now, startedAt time.Duration, cost float64, schedule *Schedule) time.Duration {
+	warmAt := startedAt + schedule.WarmupTime
+	growth := schedule.growth(now, startedAt)
+	available := b.Available(now, startedAt, schedule) // at the time at, from which the loop goes on
 	at := now
-	slope := 0.0 // of the budget, in cost a nanosecond
-	if end := since + r.WarmupTime; at < end {
-		slope = r.FullBudget * (1 - r.InitialShare) / float64(max(1, r.WarmupTime))
-	}
 	for i := 0; ; i++ {
-		next := since + r.WarmupTime
-		if i < len(m.spent) {
-			next = min(next, m.spent[i].at+r.Window+1)
+		next := warmAt
+		if i < len(b.expenses) {
+			next = min(next, b.expenses[i].at+schedule.Window+1)
 		}
-		if cost <= left {
+		if cost <= available {
 			return at
 		}
-		if slope > 0 {
-			if fits := at + time.Duration((cost-left)/slope) + 1; fits < next {
+		if growth > 0 {
+			if fits := at + time.Duration((cost-available)/growth) + 1; fits < next {
 				return fits
 			}
 		}
-		if next >= since+r.WarmupTime || i >= len(m.spent) {
-			return max(now, since+r.WarmupTime)
+		if next >= warmAt || i >= len(b.expenses) {
+			return max(now, warmAt)
 		}
-		left += slope*float64(next-at) + m.spent[i].cost
+		available += growth*float64(next-at) + b.expenses[i].cost
 		at = next
 	}
 }
--- a/internal/policy/slowstart/slowstart_test.go
+++ b/internal/policy/slowstart/slowstart_test.go
@@ -7,50 +7,55 @@
 	"pgregory.net/rapid"
 )
 
-// TestWhenIsTheFirstTime compares When with a walk over time, and Left with a sum over all that was ever sent.
-func TestWhenIsTheFirstTime(t *testing.T) {
+// TestAvailableAtIsTheFirstTime compares AvailableAt with a walk over time, and Available with a sum over all that was
+// ever sent.
+func TestAvailableAtIsTheFirstTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		r := &Schedule{InitialShare: rapid.Float64Range(0.01, 1).Draw(t, "from"), WarmupTime: time.Duration(rapid.IntRange(1, 40).Draw(t, "span")) * 50 * time.Millisecond,
-			FullBudget: rapid.Float64Range(0.1, 20).Draw(t, "full"), Window: time.Duration(rapid.IntRange(1, 20).Draw(t, "window")) * 50 * time.Millisecond}
-		since := time.Duration(rapid.IntRange(0, 1000).Draw(t, "since")) * time.Millisecond
-		var m Budget
-		var all []spent
-		now := since
+		schedule := &Schedule{
+			InitialShare: rapid.Float64Range(0.01, 1).Draw(t, "initial share"),
+			WarmupTime:   time.Duration(rapid.IntRange(1, 40).Draw(t, "warm-up")) * 50 * time.Millisecond,
+			FullBudget:   rapid.Float64Range(0.1, 20).Draw(t, "full budget"),
+			Window:       time.Duration(rapid.IntRange(1, 20).Draw(t, "window")) * 50 * time.Millisecond,
+		}
+		startedAt := time.Duration(rapid.IntRange(0, 1000).Draw(t, "started at")) * time.Millisecond
+		var budget Budget
+		var all []expense
+		now := startedAt
 		for range rapid.IntRange(0, 30).Draw(t, "sendings") {
 			now += time.Duration(rapid.IntRange(0, 100).Draw(t, "gap")) * time.Millisecond
 			cost := rapid.Float64Range(0.01, 3).Draw(t, "cost")
-			m.Spend(now, cost)
-			all = append(all, spent{now, cost})
+			budget.Spend(now, cost)
+			all = append(all, expense{now, cost})
 		}
-		sum := r.budget(now, since)
-		for _, s := range all {
-			if now-s.at <= r.Window {
-				sum -= s.cost
+		sum := schedule.budget(now, startedAt)
+		for _, spent := range all {
+			if now-spent.at <= schedule.Window {
+				sum -= spent.cost
 			}
 		}
-		if left := m.Available(now, since, r); left < sum-1e-9 || left > sum+1e-9 {
-			t.Fatalf("left %g, want %g", left, sum)
+		if available := budget.Available(now, startedAt, schedule); available < sum-1e-9 || available > sum+1e-9 {
+			t.Fatalf("available %g, want %g", available, sum)
 		}
 		cost := rapid.Float64Range(0.01, 3).Draw(t, "wanted")
-		when := m.AvailableAt(now, since, cost, r)
-		if when < now {
-			t.Fatalf("when %v lies before now %v", when, now)
+		availableAt := budget.AvailableAt(now, startedAt, cost, schedule)
+		if availableAt < now {
+			t.Fatalf("available at %v, which lies before now, %v", availableAt, now)
 		}
 		fits := func(at time.Duration) bool {
-			if at >= since+r.WarmupTime {
-				return true // it is cold no more
+			if at >= startedAt+schedule.WarmupTime {
+				return true // it is warm
 			}
-			c := Budget{append([]spent(nil), m.spent...)}
-			return cost <= c.Available(at, since, r)+1e-9
+			other := Budget{append([]expense(nil), budget.expenses...)}
+			return cost <= other.Available(at, startedAt, schedule)+1e-9
 		}
-		if !fits(when + 2) {
-			t.Fatalf("at %v, from %v on, it does not fit", when, now)
+		if !fits(availableAt + 2) {
+			t.Fatalf("at %v, from %v on, it does not fit", availableAt, now)
 		}
-		for at := now; at < when-time.Millisecond; at += time.Millisecond {
+		for at := now; at < availableAt-time.Millisecond; at += time.Millisecond {
 			if fits(at) && !fits(at-2) { // a place where it would have fitted before
-				c := Budget{append([]spent(nil), m.spent...)}
-				if cost <= c.Available(at, since, r)-1e-6 {
-					t.Fatalf("it fits at %v, and when says %v", at, when)
+				other := Budget{append([]expense(nil), budget.expenses...)}
+				if cost <= other.Available(at, startedAt, schedule)-1e-6 {
+					t.Fatalf("it fits at %v, and is said to at %v", at, availableAt)
 				}
 			}
 		}
--- a/internal/policy/trace_test.go
+++ b/internal/policy/trace_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"sloequay/internal/policy/classcost"
 	"sloequay/internal/policy/rendezvous"
 )
 
@@ -168,16 +169,16 @@
 			if events++; events%50 == 0 {
 				checkOut(t, d)
 			}
-			for _, s := range d.caches.Members() {
-				if d.caches.Skipped(s.place, d.now) {
+			for _, s := range d.endpoints.Caches.Members() {
+				if d.endpoints.Skipped(s, d.now) {
 					shut++
 				}
 			}
 		})
 		walk := randomDay(t, c.seed, c.caches, c.calls, true, func(d *Engine) {
-			for _, r := range []*ranking{&d.caches, &d.parents} {
+			for _, r := range []*ranking{&d.endpoints.Caches, &d.endpoints.Parents} {
 				for _, s := range r.Members() {
-					r.SkipUntil(s.place, 0)
+					d.endpoints.SkipUntil(s, 0)
 				}
 			}
 		})
@@ -197,17 +198,17 @@
 	for seed := range int64(6) {
 		randomDay(t, seed, 12, 4000, false, func(d *Engine) {
 			checkOut(t, d)
-			for _, s := range d.caches.Members() {
-				if !d.caches.Skipped(s.place, d.now) || s.ejected {
+			for _, s := range d.endpoints.Caches.Members() {
+				if !d.endpoints.Skipped(s, d.now) || s.Health.Ejected() {
 					continue
 				}
 				shut++
 				least := math.Inf(1)
 				for i := range d.classes {
-					least = min(least, d.classes[i].cost)
+					least = min(least, d.classes[i].cost.Cost())
 				}
-				q := &request{class: &classState{cost: least * 1.3}}
-				if d.coldRoom(q, s) {
+				q := &requestState{class: &classState{cost: classcost.New(least * 1.3)}}
+				if d.withinWarmupBudget(q, s) {
 					t.Fatalf("seed %d: server %d is shut at %v, and has room", seed, s.ID, d.now)
 				}
 			}
@@ -220,19 +221,19 @@
 
 // checkOut compares what each server has listed as out with a walk over all requests.
 func checkOut(t testing.TB, d *Engine) {
-	want, listed := map[out]*endpoint{}, 0
+	want, listed := map[attemptRef]*endpointState{}, 0
 	for _, q := range d.requests {
 		for i := range q.attempts {
 			if !q.attempts[i].done {
-				want[out{q, i}] = q.attempts[i].node
+				want[attemptRef{q, i}] = q.attempts[i].endpoint
 			}
 		}
 	}
-	for _, s := range d.all {
-		listed += len(s.out)
-		for _, o := range s.out {
+	for _, s := range d.endpoints.All() {
+		listed += len(s.InFlight())
+		for _, o := range s.InFlight() {
 			if want[o] != s {
-				t.Fatalf("server %x lists attempt %d of request %d, which is not out there", s.ID, o.n, o.q.id)
+				t.Fatalf("server %x lists attempt %d of request %d, which is not out there", s.ID, o.n, o.request.id)
 			}
 		}
 	}
