--- a/internal/membership/consul/blockingquery/agents.go
+++ b/internal/membership/consul/blockingquery/agents.go
@@ -30,8 +30,8 @@
 	needsProbe  bool // it is to be probed before the next list query
 }
 
-// chooseAgent returns the agent to query and when that may be: the one in use, or where that one has failed the one that
-// may be queried soonest.
+// chooseAgent returns the agent to query and when that may be: the one in use, or where that one has failed the one
+// that may be queried soonest.
 func (w *Watch) chooseAgent() (agent int, at time.Duration) {
 	best := w.currentAgent
 	if w.agents[best].failedAt > 0 {
@@ -57,8 +57,8 @@
 // failAgent notes that an agent did not answer well, cancels its list query, and has the next Step choose an agent.
 func (w *Watch) failAgent(now time.Duration, agent int, fault Fault) {
 	state, shared := &w.agents[agent], &w.shared.states[agent]
-	// The pause is a second and does not grow: what changed meanwhile has to be in force a second after the outage, and
-	// one small query a second is no load.
+	// The pause is a second and does not grow: what changed meanwhile has to be in force a second after the outage,
+	// and one small query a second is no load.
 	if now-shared.queriedAt >= RetryInterval { // a blocking query was in flight for long
 		shared.queriedAt = now
 	}
--- a/internal/membership/consul/blockingquery/blockingquery.go
+++ b/internal/membership/consul/blockingquery/blockingquery.go
@@ -1,18 +1,19 @@
-// Package blockingquery decides how one blocking query of Consul's HTTP API is kept going over several agents: which agent
-// to query, when and in which mode, when an agent counts as unresponsive, and how far an answer is to be trusted. It does
-// no I/O and reads no clock: its user steps it, carries out the Actions, and reports what came of them.
+// Package blockingquery decides how one blocking query of Consul's HTTP API is kept going over several agents: which
+// agent to query, when and in which mode, when an agent counts as unresponsive, and how far an answer is to be
+// trusted. It does no I/O and reads no clock: its user steps it, carries out the Actions, and reports what came of
+// them.
 //
-// The rules for the index are those of Consul's page on blocking queries: it has to be above 0, one that went back means
-// to start again at 0, and an answer with the same index brings nothing new. Several watches of the same agents share what
-// they know of them (SharedAgents); they must be stepped in turn, by one goroutine.
+// The rules for the index are those of Consul's page on blocking queries: it has to be above 0, one that went back
+// means to start again at 0, and an answer with the same index brings nothing new. Several watches of the same agents
+// share what they know of them (SharedAgents); they must be stepped in turn, by one goroutine.
 //
-// Invariants: each watch has at most one list query and one liveness probe in flight. The index it has taken over falls
-// only by an answer in the consistent mode.
+// Invariants: each watch has at most one list query and one liveness probe in flight. The index it has taken over
+// falls only by an answer in the consistent mode.
 //
-// Bounds: an agent that fails is queried at most once in RetryInterval by all watches together, except that a list query
-// may follow a probe that succeeded at once. It is queried again no later than RetryInterval and MaxRetryJitter after
-// that, and as soon as one watch has its list the others follow at once. So an agent that is back is found within a second
-// and not rushed.
+// Bounds: an agent that fails is queried at most once in RetryInterval by all watches together, except that a list
+// query may follow a probe that succeeded at once. It is queried again no later than RetryInterval and MaxRetryJitter
+// after that, and as soon as one watch has its list the others follow at once. So an agent that is back is found
+// within a second and not rushed.
 package blockingquery
 
 import (
@@ -20,7 +21,8 @@
 	"time"
 )
 
-// randomStream is the second word of the random generator's seed. It is fixed, so that a seed gives one course of events.
+// randomStream is the second word of the random generator's seed. It is fixed, so that a seed gives one course of
+// events.
 const randomStream = 0x7761746368
 
 // Watch is the state of one blocking query. It is not safe for concurrent use.
--- a/internal/membership/consul/blockingquery/blockingquery_test.go
+++ b/internal/membership/consul/blockingquery/blockingquery_test.go
@@ -172,8 +172,8 @@
 	t.Logf("worst: %v after the outage", worst)
 }
 
-// TestSharedOutage: three watches of one agent ask it together no more than once a second while it fails, and each holds what
-// changed within a second of its being back.
+// TestSharedOutage: three watches of one agent ask it together no more than once a second while it fails, and each
+// holds what changed within a second of its being back.
 func TestSharedOutage(t *testing.T) {
 	worst := time.Duration(0)
 	for _, fault := range []Fault{ConnectionFailed, Rejected, Malformed, TimedOut} {
@@ -213,8 +213,8 @@
 	t.Logf("worst: %v after the outage", worst)
 }
 
-// TestOutageWithoutChange: an agent that is back is known to be within a second, though nothing has changed that would end a
-// blocking query.
+// TestOutageWithoutChange: an agent that is back is known to be within a second, though nothing has changed that
+// would end a blocking query.
 func TestOutageWithoutChange(t *testing.T) {
 	for _, fault := range []Fault{ConnectionFailed, Rejected, Malformed, TimedOut} {
 		x := newWorld(Config{}, 1)
@@ -230,8 +230,8 @@
 	}
 }
 
-// TestFailover: the agent in use dies just before a change; the change arrives by another, within a second for the silent
-// death too and at once for a loud one, and the watch goes home when that agent is back.
+// TestFailover: the agent in use dies just before a change; the change arrives by another, within a second for the
+// silent death too and at once for a loud one, and the watch goes home when that agent is back.
 func TestFailover(t *testing.T) {
 	for fault, within := range map[Fault]time.Duration{ConnectionFailed: 20 * ms, Rejected: 20 * ms, TimedOut: 1800 * ms} {
 		x := newWorld(Config{}, 3)
@@ -259,8 +259,8 @@
 	}
 }
 
-// TestRandomOutages: whatever the agents do, an agent that fails is asked at most once a second, no more than a list and a
-// probe are out, and a second after any agent is well for good the list is held.
+// TestRandomOutages: whatever the agents do, an agent that fails is asked at most once a second, no more than a list
+// and a probe are out, and a second after any agent is well for good the list is held.
 func TestRandomOutages(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 3).Draw(t, "agents")
@@ -367,8 +367,8 @@
 	}
 }
 
-// TestRightsAreBack: an answer that leaves things out is not waited upon for long: no index moves when a token gets its
-// rights, and the whole list is believed then though its index is the one that is held.
+// TestRightsAreBack: an answer that leaves things out is not waited upon for long: no index moves when a token gets
+// its rights, and the whole list is believed then though its index is the one that is held.
 func TestRightsAreBack(t *testing.T) {
 	for name, lacking := range map[string]ResponseMeta{"filtered": {Index: 10, KnownLeader: true, Filtered: true}, "no leader": {Index: 10}} {
 		w := New(Config{AgentCount: 1}.WithDefaults())
@@ -399,7 +399,8 @@
 	}
 }
 
-// TestConfirm: it calls off what blocks, goes to another agent in the consistent mode, and only a sound answer confirms.
+// TestConfirm: it calls off what blocks, goes to another agent in the consistent mode, and only a sound answer
+// confirms.
 func TestConfirm(t *testing.T) {
 	for _, agents := range []int{1, 2} {
 		w := New(Config{AgentCount: agents}.WithDefaults())
--- a/internal/membership/consul/blockingquery/config.go
+++ b/internal/membership/consul/blockingquery/config.go
@@ -64,8 +64,9 @@
 	return c
 }
 
-// RetryInterval is the time between two queries to an agent that fails, and MaxRetryJitter bounds the random time on top
-// of it. Both together stay under one second, the time by which a change during an outage has to be in force after it.
+// RetryInterval is the time between two queries to an agent that fails, and MaxRetryJitter bounds the random time on
+// top of it. Both together stay under one second, the time by which a change during an outage has to be in force
+// after it.
 const (
 	RetryInterval  = 980 * time.Millisecond
 	MaxRetryJitter = 12 * time.Millisecond
--- a/internal/membership/consul/blockingquery/query.go
+++ b/internal/membership/consul/blockingquery/query.go
@@ -11,8 +11,8 @@
 	LivenessProbe             // whether the agent answers: any cheap call
 )
 
-// Query is a query to send to an agent. Exactly one of ListReceived, ProbeSucceeded or QueryFailed is owed for it, unless
-// it is canceled.
+// Query is a query to send to an agent. Exactly one of ListReceived, ProbeSucceeded or QueryFailed is owed for it,
+// unless it is canceled.
 type Query struct {
 	Serial uint64
 	Kind   Kind
@@ -22,7 +22,8 @@
 	Mode   Mode
 }
 
-// Action is what is to be done: a query to start, or the serial of one to cancel, for which nothing is owed after that.
+// Action is what is to be done: a query to start, or the serial of one to cancel, for which nothing is owed after
+// that.
 type Action struct {
 	Start  *Query
 	Cancel uint64
@@ -88,7 +89,8 @@
 	return query
 }
 
-// confirmingAgent is the next agent that has not failed: another agent's answer weighs more than the same one's again.
+// confirmingAgent is the next agent that has not failed: another agent's answer weighs more than the same one's
+// again.
 func (w *Watch) confirmingAgent(agent int) int {
 	for i := 1; i < len(w.agents); i++ {
 		if other := (agent + i) % len(w.agents); w.agents[other].failedAt == 0 {
--- a/internal/membership/consul/health/health_test.go
+++ b/internal/membership/consul/health/health_test.go
@@ -9,15 +9,19 @@
 	"sloequay/internal/membership"
 )
 
+// instance is one that is read well as it is, and changed.
 func instance(change func(*Instance)) *Instance {
-	in := &Instance{ID: "c1", Node: "n1", Address: "10.0.0.1", Port: 8443, PassingWeight: 4, WarningWeight: 1, CreateIndex: 7,
-		Meta: map[string]string{"site": "edge", "class": "std"}}
+	instance := &Instance{
+		ID: "c1", Node: "n1", Address: "10.0.0.1", Port: 8443, PassingWeight: 4, WarningWeight: 1, CreateIndex: 7,
+		Meta: map[string]string{"site": "edge", "class": "std"},
+	}
 	if change != nil {
-		change(in)
+		change(instance)
 	}
-	return in
+	return instance
 }
 
+// checks gives an instance checks, each written as id=status.
 func checks(all ...string) func(*Instance) {
 	return func(in *Instance) {
 		for _, c := range all {
@@ -31,8 +35,10 @@
 	}
 }
 
+// TestRead: what each rule makes of an instance, and what it refuses.
 func TestRead(t *testing.T) {
-	up := membership.Entry{ID: "c1", Address: "10.0.0.1:8443", Zone: "edge", Kind: "std", State: membership.Up, Weight: 4, Incarnation: 7}
+	up := membership.Entry{ID: "c1", Address: "10.0.0.1:8443", Zone: "edge", Kind: "std", State: membership.Up,
+		Weight: 4, Incarnation: 7}
 	with := func(change func(*membership.Entry)) membership.Entry {
 		e := up
 		change(&e)
@@ -50,39 +56,59 @@
 	}{
 		{name: "no checks", want: up},
 		{name: "passing", in: checks("a=passing", "serfHealth=passing"), want: up},
-		{name: "warning has its weight", in: checks("a=warning"), want: with(func(e *membership.Entry) { e.Weight = 1 })},
+		{name: "warning has its weight", in: checks("a=warning"),
+			want: with(func(e *membership.Entry) { e.Weight = 1 })},
 		{name: "warning may drain", rules: func(r *Rules) { r.Warning = membership.Draining }, in: checks("a=warning"),
 			want: with(func(e *membership.Entry) { e.Weight, e.State = 1, membership.Draining })},
-		{name: "critical", in: checks("a=passing", "b=critical", "c=warning"), want: with(func(e *membership.Entry) { e.Weight, e.State = 1, membership.Gone })},
-		{name: "the node's check", in: checks("a=passing", "serfHealth=critical"), want: state(membership.Gone)},
-		{name: "service maintenance", in: checks("a=critical", "_service_maintenance:c1=critical"), want: state(membership.Draining)},
-		{name: "node maintenance", in: checks("_node_maintenance=critical"), want: state(membership.Draining)},
-		{name: "the node's checks do not count", rules: func(r *Rules) { r.Checks = []string{"service"} }, in: checks("serfHealth=critical"), want: up},
-		{name: "only one check counts", rules: func(r *Rules) { r.Checks = []string{"b"} }, in: checks("a=critical", "b=passing"), want: up},
-		{name: "maintenance counts always", rules: func(r *Rules) { r.Checks = []string{"b"} }, in: checks("_node_maintenance=critical"),
+		{name: "critical", in: checks("a=passing", "b=critical", "c=warning"),
+			want: with(func(e *membership.Entry) { e.Weight, e.State = 1, membership.Gone })},
+		{name: "the node's check", in: checks("a=passing", "serfHealth=critical"),
+			want: state(membership.Gone)},
+		{name: "service maintenance", in: checks("a=critical", "_service_maintenance:c1=critical"),
+			want: state(membership.Draining)},
+		{name: "node maintenance", in: checks("_node_maintenance=critical"),
+			want: state(membership.Draining)},
+		{name: "the node's checks do not count", rules: func(r *Rules) { r.Checks = []string{"service"} },
+			in:   checks("serfHealth=critical"),
+			want: up},
+		{name: "only one check counts", rules: func(r *Rules) { r.Checks = []string{"b"} },
+			in:   checks("a=critical", "b=passing"),
+			want: up},
+		{name: "maintenance counts always", rules: func(r *Rules) { r.Checks = []string{"b"} },
+			in:   checks("_node_maintenance=critical"),
 			want: state(membership.Draining)},
-		{name: "an ignored check", rules: func(r *Rules) { r.IgnoredChecks = []string{"a"} }, in: checks("a=critical"), want: up},
+		{name: "an ignored check", rules: func(r *Rules) { r.IgnoredChecks = []string{"a"} },
+			in:   checks("a=critical"),
+			want: up},
 		{name: "an odd status", in: checks("a=fine"), err: `c1: check "a" has the status "fine"`},
-		{name: "capacity", in: func(in *Instance) { in.Meta["capacity"] = "12.5" }, want: with(func(e *membership.Entry) { e.Weight = 12.5 })},
-		{name: "capacity that is none", in: func(in *Instance) { in.Meta["capacity"] = "NaN" }, err: `c1: capacity "NaN"`},
-		{name: "a late start", in: func(in *Instance) { in.Meta["born_ms"] = "1700" }, want: with(func(e *membership.Entry) { e.StartedAtMS = 1700 })},
-		{name: "a start that is none", in: func(in *Instance) { in.Meta["born_ms"] = "soon" }, err: `c1: born_ms "soon"`},
+		{name: "capacity", in: func(in *Instance) { in.Meta["capacity"] = "12.5" },
+			want: with(func(e *membership.Entry) { e.Weight = 12.5 })},
+		{name: "capacity that is none", in: func(in *Instance) { in.Meta["capacity"] = "NaN" },
+			err: `c1: capacity "NaN"`},
+		{name: "a late start", in: func(in *Instance) { in.Meta["born_ms"] = "1700" },
+			want: with(func(e *membership.Entry) { e.StartedAtMS = 1700 })},
+		{name: "a start that is none", in: func(in *Instance) { in.Meta["born_ms"] = "soon" },
+			err: `c1: born_ms "soon"`},
 		{name: "the node's address", in: func(in *Instance) { in.Address, in.NodeAddress = "", "10.9.9.9" },
 			want: with(func(e *membership.Entry) { e.Address = "10.9.9.9:8443" })},
-		{name: "an IPv6 address", in: func(in *Instance) { in.Address = "::1" }, want: with(func(e *membership.Entry) { e.Address = "[::1]:8443" })},
+		{name: "an IPv6 address", in: func(in *Instance) { in.Address = "::1" },
+			want: with(func(e *membership.Entry) { e.Address = "[::1]:8443" })},
 		{name: "no port", in: func(in *Instance) { in.Port = 0 }, err: "c1: port 0"},
-		{name: "ids by node", rules: func(r *Rules) { r.ID = "node" }, want: with(func(e *membership.Entry) { e.ID = "n1" })},
-		{name: "ids by both", rules: func(r *Rules) { r.ID = "node/service" }, want: with(func(e *membership.Entry) { e.ID = "n1/c1" })},
-		{name: "ids by metadata", rules: func(r *Rules) { r.ID = "meta:box" }, in: func(in *Instance) { in.Meta["box"] = "b9" },
+		{name: "ids by node", rules: func(r *Rules) { r.ID = "node" },
+			want: with(func(e *membership.Entry) { e.ID = "n1" })},
+		{name: "ids by both", rules: func(r *Rules) { r.ID = "node/service" },
+			want: with(func(e *membership.Entry) { e.ID = "n1/c1" })},
+		{name: "ids by metadata", rules: func(r *Rules) { r.ID = "meta:box" },
+			in:   func(in *Instance) { in.Meta["box"] = "b9" },
 			want: with(func(e *membership.Entry) { e.ID = "b9" })},
 		{name: "site and class by the settings", rules: func(r *Rules) { r.Zone, r.Kind = "hub", "parent" },
 			want: with(func(e *membership.Entry) { e.Zone, e.Kind = "hub", "parent" })},
 	} {
-		r := DefaultRules()
+		rules := DefaultRules()
 		if c.rules != nil {
-			c.rules(&r)
+			c.rules(&rules)
 		}
-		got, err := r.Read(instance(c.in))
+		got, err := rules.Read(instance(c.in))
 		if c.err != "" {
 			if err == nil || !strings.HasPrefix(err.Error(), c.err) {
 				t.Errorf("%s: error %v, want %s", c.name, err, c.err)
--- a/internal/membership/consul/registrar/registrar_test.go
+++ b/internal/membership/consul/registrar/registrar_test.go
@@ -8,67 +8,76 @@
 	"pgregory.net/rapid"
 )
 
-// TestCourse plays what the agent answers, one answer a step, and notes what is asked for.
+// TestCourse plays what the agent answers, one answer a step, and notes which actions are wanted.
 func TestCourse(t *testing.T) {
+	const never = -1
 	for _, c := range []struct {
-		name    string
-		results []Result
-		leave   int // before this step; -1: never
-		want    []Action
-		over    bool
+		name             string
+		results          []Result
+		deregisterBefore int // this step
+		want             []Action
+		finished         bool
 	}{
-		{"registered and renewed", []Result{Succeeded, Succeeded, Succeeded}, -1, []Action{Register, Renew, Renew}, false},
-		{"no agent at first", []Result{Failed, Failed, Succeeded, Succeeded}, -1, []Action{Register, Register, Register, Renew}, false},
-		{"the agent has forgotten it", []Result{Succeeded, NotFound, Succeeded, Succeeded}, -1, []Action{Register, Renew, Register, Renew}, false},
-		{"the agent is away", []Result{Succeeded, Failed, Failed, Succeeded}, -1, []Action{Register, Renew, Renew, Renew}, false},
-		{"taken back", []Result{Succeeded, Succeeded}, 1, []Action{Register, Deregister, None}, true},
-		{"taken back before it was registered", []Result{Failed, NotFound}, 1, []Action{Register, Deregister, None}, true},
-		{"the agent is away at the end", []Result{Succeeded, Failed, Failed, Failed}, 1, []Action{Register, Deregister, Deregister, Deregister, None}, true},
+		{"registered and renewed", []Result{Succeeded, Succeeded, Succeeded}, never,
+			[]Action{Register, Renew, Renew}, false},
+		{"no agent at first", []Result{Failed, Failed, Succeeded, Succeeded}, never,
+			[]Action{Register, Register, Register, Renew}, false},
+		{"the agent has lost it", []Result{Succeeded, NotFound, Succeeded, Succeeded}, never,
+			[]Action{Register, Renew, Register, Renew}, false},
+		{"the agent is away", []Result{Succeeded, Failed, Failed, Succeeded}, never,
+			[]Action{Register, Renew, Renew, Renew}, false},
+		{"deregistered", []Result{Succeeded, Succeeded}, 1,
+			[]Action{Register, Deregister, None}, true},
+		{"deregistered before it was registered", []Result{Failed, NotFound}, 1,
+			[]Action{Register, Deregister, None}, true},
+		{"the agent is away at the end", []Result{Succeeded, Failed, Failed, Failed}, 1,
+			[]Action{Register, Deregister, Deregister, Deregister, None}, true},
 	} {
-		r := New(9 * time.Second)
+		registrar := New(9 * time.Second)
 		now := time.Second
 		var got []Action
-		for i := 0; i < len(c.want); i++ {
-			if i == c.leave {
-				r.Deregister(now)
+		for step := range c.want {
+			if step == c.deregisterBefore {
+				registrar.Deregister(now)
 			}
-			now = max(now, r.Next())
-			a := r.Step(now)
-			if got = append(got, a); a != None {
-				r.ActionCompleted(now, c.results[i])
+			now = max(now, registrar.Next())
+			action := registrar.Step(now)
+			got = append(got, action)
+			if action != None {
+				registrar.ActionCompleted(now, c.results[step])
 			}
 		}
-		if diff := cmp.Diff(c.want, got); diff != "" || r.Finished() != c.over {
-			t.Errorf("%s: over %v (-want +got):\n%s", c.name, r.Finished(), diff)
+		if diff := cmp.Diff(c.want, got); diff != "" || registrar.Finished() != c.finished {
+			t.Errorf("%s: finished %v (-want +got):\n%s", c.name, registrar.Finished(), diff)
 		}
 	}
 }
 
-// TestRenewedInTime: whatever the agent answers, once it answers well it is never longer than a third of the TTL unrenewed,
-// and questions to one that fails are spaced.
+// TestRenewedInTime: whatever the agent answers, once it answers well it is never longer than a third of the TTL
+// unrenewed, and calls to one that fails are spaced.
 func TestRenewedInTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const ttl = 9 * time.Second
-		r := New(ttl)
-		now, failed := time.Second, time.Duration(0)
+		registrar := New(ttl)
+		now, failedAt := time.Second, time.Duration(0)
 		for range 100 {
-			if r.Next() > now+ttl/3 {
-				t.Fatalf("the next step is %v away", r.Next()-now)
+			if registrar.Next() > now+ttl/3 {
+				t.Fatalf("the next step is %v away", registrar.Next()-now)
 			}
-			now = max(now, r.Next())
-			if failed > 0 && now-failed < minRetryDelay {
-				t.Fatalf("asked again %v after a failure", now-failed)
+			now = max(now, registrar.Next())
+			if failedAt > 0 && now-failedAt < minRetryDelay {
+				t.Fatalf("called again %v after a failure", now-failedAt)
 			}
-			r.Step(now)
-			if r.Step(now) != None {
-				t.Fatal("two actions are out")
+			registrar.Step(now)
+			if registrar.Step(now) != None {
+				t.Fatal("two actions are in flight")
 			}
-			failed = 0
-			res := rapid.SampledFrom([]Result{Succeeded, Succeeded, NotFound, Failed}).Draw(t, "result")
-			if res == Failed {
-				failed = now
+			failedAt = 0
+			result := rapid.SampledFrom([]Result{Succeeded, Succeeded, NotFound, Failed}).Draw(t, "result")
+			if result == Failed {
+				failedAt = now
 			}
-			r.ActionCompleted(now, res)
+			registrar.ActionCompleted(now, result)
 		}
 	})
 }
