--- a/internal/membership/consul/client.go
+++ b/internal/membership/consul/client.go
@@ -18,48 +18,67 @@
 	"sloequay/internal/membership/consul/blockingquery"
 )
 
-// tlsTimeout is what connecting to an agent by TLS may take.
-const tlsTimeout = 3 * time.Second
+const (
+	dialTimeout = time.Second
+	// tlsTimeout bounds connecting to an agent by TLS, the handshake included.
+	tlsTimeout = 3 * time.Second
+	// idleConnTimeout and maxIdleConnsPerAgent bound the connections that a client keeps open.
+	idleConnTimeout      = 90 * time.Second
+	maxIdleConnsPerAgent = 4
+)
 
-// clients makes the API's clients, one an agent, with connections of their own.
+// clients makes the API's clients, one for each agent, with connections of their own.
 func (c *Config) clients() ([]*api.Client, error) {
-	var out []*api.Client
+	scheme := "http"
 	var dialer *tlsclient.Dialer
 	if c.TLS != nil {
+		scheme = "https"
 		var err error
 		if dialer, err = c.TLS.dialer(); err != nil {
 			return nil, err
 		}
 	}
+	var clients []*api.Client
 	for _, agent := range c.Agents {
-		transport := &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: time.Second, LocalAddr: c.Bind}).DialContext,
-			MaxIdleConnsPerHost: 4, IdleConnTimeout: 90 * time.Second,
-		}
-		cfg := api.Config{Address: agent, Scheme: "http", Datacenter: c.Datacenter, Transport: transport}
-		if c.TLS != nil {
-			cfg.Scheme = "https"
-			transport.DialTLSContext = func(ctx context.Context, _, address string) (net.Conn, error) {
-				ctx, cancel := context.WithTimeout(ctx, tlsTimeout)
-				defer cancel()
-				name := c.TLS.ServerName
-				if name == "" {
-					name, _, _ = net.SplitHostPort(address)
-				}
-				return dialer.Dial(ctx, address, name)
-			}
-		}
-		cfg.HttpClient = &http.Client{Transport: transport}
-		client, err := api.NewClient(&cfg)
+		transport := c.transport(dialer)
+		client, err := api.NewClient(&api.Config{
+			Address:    agent,
+			Scheme:     scheme,
+			Datacenter: c.Datacenter,
+			Transport:  transport,
+			HttpClient: &http.Client{Transport: transport},
+		})
 		if err != nil {
 			return nil, fmt.Errorf("consul: %w", err)
 		}
-		out = append(out, client)
+		clients = append(clients, client)
+	}
+	return clients, nil
+}
+
+// transport makes the connections of one client. dialer is nil without TLS.
+func (c *Config) transport(dialer *tlsclient.Dialer) *http.Transport {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout, LocalAddr: c.Bind}).DialContext,
+		MaxIdleConnsPerHost: maxIdleConnsPerAgent,
+		IdleConnTimeout:     idleConnTimeout,
+	}
+	if dialer == nil {
+		return transport
+	}
+	transport.DialTLSContext = func(ctx context.Context, _, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, tlsTimeout)
+		defer cancel()
+		serverName := c.TLS.ServerName
+		if serverName == "" {
+			serverName, _, _ = net.SplitHostPort(address)
+		}
+		return dialer.Dial(ctx, address, serverName)
 	}
-	return out, nil
+	return transport
 }
 
-// token reads the token's file, which may have changed.
+// token reads the token's file for each call, since it may have changed.
 func (c *Config) token() (string, error) {
 	if c.TokenFile == "" {
 		return "", nil
@@ -68,19 +87,26 @@
 	return strings.TrimSpace(string(text)), err
 }
 
-// options gives the options of a question. headed is called when its answer begins.
-func (c *Config) options(ctx context.Context, a blockingquery.Query, token string, headed func()) *api.QueryOptions {
-	if headed != nil {
-		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: headed})
+// queryOptions returns the options of a call to an agent.
+func queryOptions(ctx context.Context, query blockingquery.Query, token string) *api.QueryOptions {
+	options := &api.QueryOptions{
+		WaitIndex:         query.Index,
+		WaitTime:          query.Wait,
+		Token:             token,
+		AllowStale:        query.Mode == blockingquery.Stale,
+		RequireConsistent: query.Mode == blockingquery.Consistent,
 	}
-	q := &api.QueryOptions{WaitIndex: a.Index, WaitTime: a.Wait, Token: token, AllowStale: a.Mode == blockingquery.Stale,
-		RequireConsistent: a.Mode == blockingquery.Consistent}
-	return q.WithContext(ctx)
+	return options.WithContext(ctx)
 }
 
-// faultOf classifies why a query failed. The client keeps the causes of its errors, so their types say it all: whatever
-// the connection returns is a net.Error, syscall.ECONNRESET and the other errors of system calls among them. No text is
-// looked at, since parts of it are the agent's.
+// withResponseTrace has a function called when the answer to a call begins.
+func withResponseTrace(ctx context.Context, responseStarted func()) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: responseStarted})
+}
+
+// faultOf classifies why a query failed. The client keeps the causes of its errors, so their types are enough:
+// whatever the connection returns is a net.Error, syscall.ECONNRESET and the other errors of system calls among them.
+// No text is looked at, since parts of it may be the agent's.
 func faultOf(err error) blockingquery.Fault {
 	var status api.StatusError
 	var network net.Error
@@ -95,7 +121,11 @@
 	return blockingquery.Malformed
 }
 
-func metaOf(m *api.QueryMeta) blockingquery.ResponseMeta {
-	return blockingquery.ResponseMeta{Index: m.LastIndex, KnownLeader: m.KnownLeader, LastContact: m.LastContact,
-		Filtered: m.ResultsFilteredByACLs}
+func responseMeta(meta *api.QueryMeta) blockingquery.ResponseMeta {
+	return blockingquery.ResponseMeta{
+		Index:       meta.LastIndex,
+		KnownLeader: meta.KnownLeader,
+		LastContact: meta.LastContact,
+		Filtered:    meta.ResultsFilteredByACLs,
+	}
 }
--- a/internal/membership/consul/client_test.go
+++ b/internal/membership/consul/client_test.go
@@ -51,7 +51,8 @@
 	}
 }
 
-// TestFaultOfConnection: what the client makes of connections that break at each stage of an answer is told as what it is.
+// TestFaultOfConnection: what the client makes of connections that break at each stage of an answer is told as what
+// it is.
 func TestFaultOfConnection(t *testing.T) {
 	hijack := func(w http.ResponseWriter, text string, reset bool) {
 		conn, buffer, err := w.(http.Hijacker).Hijack()
--- a/internal/membership/consul/config.go
+++ b/internal/membership/consul/config.go
@@ -1,6 +1,3 @@
-// Package consul follows Consul's catalogue as a source of boxes, and its KV store as one of purges, and keeps the doorman
-// itself registered. What it decides is in membership/watch, membership/health and membership/registrar; here is the I/O,
-// on goroutines of its own, since the client blocks.
 package consul
 
 import (
@@ -21,26 +18,30 @@
 
 // Config is the block `catalogue` of the settings.
 type Config struct {
-	Agents       []string // host:port; the first is the one at home
+	Agents       []string // host:port; the first is the preferred one
 	TokenFile    string
-	Datacenter   string
+	Datacenter   string // empty: the agents' own
 	Mode         blockingquery.Mode
 	Watch        blockingquery.Config
-	TLS          *TLS
+	TLS          *TLS // nil: agents are called by HTTP
 	Services     []*Service
 	Purges       string        // prefix of the KV store; empty: none
-	Registration *Registration // nil: the doorman does not register itself
-	Bind         net.Addr      // that connections come from; nil: the system's choice
+	Registration *Registration // nil: the proxy does not register itself
+	Bind         net.Addr      // the local address of connections; nil: the system's choice
 }
 
-// TLS is how agents are spoken to by HTTPS.
+// TLS is how agents are called by HTTPS.
 type TLS struct {
-	CA, Cert, Key, ServerName string
-	Now                       func() time.Time // the Unix clock; nil: the system's
-	sharedDialer              *tlsclient.Dialer
+	CA         string
+	Cert       string
+	Key        string
+	ServerName string
+	Now        func() time.Time // the Unix clock; nil: the system's
+
+	sharedDialer *tlsclient.Dialer // made when the settings are checked, before anything runs
 }
 
-// Service is one service whose instances are boxes.
+// Service is one service whose instances are endpoints.
 type Service struct {
 	Name   string
 	Tags   []string
@@ -48,101 +49,43 @@
 	Rules  health.Rules
 }
 
-// Registration is the doorman's own registration.
+// Registration is the proxy's own registration.
 type Registration struct {
-	Service, ID, Address string
-	Tags                 []string
-	TTL                  time.Duration
+	Service string
+	ID      string // empty: the proxy's name
+	Address string // empty: where the proxy listens
+	Tags    []string
+	TTL     time.Duration
 }
 
-// pathSegment refuses what can't be part of a path.
-func pathSegment(what string) func(string) error {
-	return func(s string) error {
-		if s == "" || strings.ContainsAny(s, "/?#% ") || len(s) > 255 {
-			return fmt.Errorf("expected the name of a %s, got %q", what, s)
-		}
-		return nil
-	}
-}
+const (
+	defaultProbeAfter = time.Second
+	defaultTTL        = 10 * time.Second
 
-func hostPort(s string) error {
-	if _, port, err := net.SplitHostPort(s); err != nil || port == "" {
-		return fmt.Errorf("expected host:port, got %q", s)
-	}
-	return nil
-}
-
-func readableFile(s string) error {
-	f, err := os.Open(s)
-	if err != nil {
-		return err
-	}
-	return f.Close()
-}
+	maxPathSegmentBytes = 255
+)
 
-// Section gives the directives of the block.
+// Section returns the directives of the block.
 func (c *Config) Section() *config.Section {
-	s := &config.Section{}
-	c.Watch = blockingquery.Config{ProbeAfter: time.Second}.WithDefaults()
+	section := &config.Section{}
+	c.Watch = blockingquery.Config{ProbeAfter: defaultProbeAfter}.WithDefaults()
 	mode := c.Mode.String()
-	s.Words("agent", &c.Agents, hostPort, "addresses of agents, host:port; the first is the one at home")
-	s.Text("token-file", &c.TokenFile, readableFile, "file that holds the token; read again for each question")
-	s.Text("datacentre", &c.Datacenter, pathSegment("datacentre"), "asked for, where it is not the agents' own")
-	s.Choice("mode", &mode, []string{"default", "stale", "consistent"}, "how consistent answers are to be")
-	s.Duration("stale-most", &c.Watch.MaxStaleness, 10*time.Millisecond, 10*time.Minute, "oldest answer that mode stale takes")
-	s.Duration("wait", &c.Watch.Wait, time.Second, 10*time.Minute, "of one blocking query")
-	s.Duration("limit", &c.Watch.ResponseTimeout, 100*time.Millisecond, time.Minute, "for an answer that need not wait")
-	s.Duration("gap", &c.Watch.MinInterval, 10*time.Millisecond, 800*time.Millisecond, "between two lists while things change")
-	s.Duration("probe", &c.Watch.ProbeAfter, 100*time.Millisecond, time.Minute, "silence after which an agent is asked whether it lives")
-	s.Duration("probe-limit", &c.Watch.ProbeTimeout, 50*time.Millisecond, 10*time.Second, "for the answer to that")
-	s.Duration("home", &c.Watch.PreferredRetryAfter, time.Second, time.Hour, "after which the agent at home is tried again")
-	s.Text("purges", &c.Purges, nil, "prefix of the KV store that holds purges")
-	s.Block("tls", false, "HTTPS to the agents", func([]string) (*config.Section, error) {
+	section.Words("agent", &c.Agents, hostPort, "addresses of agents, host:port; the first is the one at home")
+	section.Text("token-file", &c.TokenFile, readableFile, "file that holds the token; read again for each question")
+	section.Text("datacentre", &c.Datacenter, pathSegment("datacentre"), "asked for, where it is not the agents' own")
+	section.Choice("mode", &mode, modeNames(), "how consistent answers are to be")
+	c.addTimes(section)
+	section.Text("purges", &c.Purges, nil, "prefix of the KV store that holds purges")
+	section.Block("tls", false, "HTTPS to the agents", func([]string) (*config.Section, error) {
 		c.TLS = &TLS{}
-		t := &config.Section{}
-		t.Text("ca", &c.TLS.CA, readableFile, "file with the authorities that sign agents; the system's without it")
-		t.Text("cert", &c.TLS.Cert, readableFile, "file with our certificate")
-		t.Text("key", &c.TLS.Key, readableFile, "file with its key")
-		t.Text("server-name", &c.TLS.ServerName, nil, "name that the agents' certificates have")
-		t.Check(func() error {
-			if (c.TLS.Cert == "") != (c.TLS.Key == "") {
-				return errors.New("cert and key go together")
-			}
-			_, err := c.TLS.dialer()
-			return err
-		})
-		return t, nil
-	})
-	s.Block("service", true, "a service whose instances are boxes", func(words []string) (*config.Section, error) {
-		if len(words) != 1 || pathSegment("service")(words[0]) != nil {
-			return nil, errors.New("expected the name of one service")
-		}
-		for _, o := range c.Services {
-			if o.Name == words[0] {
-				return nil, fmt.Errorf("the service %s is named twice", o.Name)
-			}
-		}
-		v := &Service{Name: words[0], Rules: health.DefaultRules()}
-		c.Services = append(c.Services, v)
-		return v.section(), nil
+		return c.TLS.section(), nil
 	})
-	s.Block("register", false, "the doorman's own registration", func([]string) (*config.Section, error) {
-		c.Registration = &Registration{TTL: 10 * time.Second}
-		r := &config.Section{}
-		r.Text("service", &c.Registration.Service, pathSegment("service"), "name of the service")
-		r.Text("id", &c.Registration.ID, pathSegment("instance"), "of this doorman; its name without it")
-		r.Text("address", &c.Registration.Address, hostPort, "host:port to be told; where it listens without it")
-		r.Words("tag", &c.Registration.Tags, nil, "tags of the instance")
-		r.Duration("ttl", &c.Registration.TTL, time.Second, 10*time.Minute, "of the check")
-		r.Check(func() error {
-			if c.Registration.Service == "" {
-				return errors.New("service is missing")
-			}
-			return nil
-		})
-		return r, nil
+	section.Block("service", true, "a service whose instances are boxes", c.serviceSection)
+	section.Block("register", false, "the doorman's own registration", func([]string) (*config.Section, error) {
+		c.Registration = &Registration{TTL: defaultTTL}
+		return c.Registration.section(), nil
 	})
-	s.Check(func() error {
+	section.Check(func() error {
 		c.Mode, _ = blockingquery.ParseMode(mode)
 		switch {
 		case len(c.Agents) == 0:
@@ -152,47 +95,168 @@
 		}
 		return nil
 	})
-	return s
-}
-
-func (v *Service) section() *config.Section {
-	s, r := &config.Section{}, &v.Rules
-	warning := "up"
-	s.Words("tag", &v.Tags, nil, "tags that an instance must all have")
-	s.Text("filter", &v.Filter, nil, "filter expression of the API")
-	s.Text("id", &r.ID, health.ValidateIDForm, "where a box's id comes from: service, node, node/service or meta:KEY")
-	s.Text("site", &r.Zone, nil, "site of all instances, where the metadata does not tell it")
-	s.Text("site-key", &r.ZoneKey, nil, "metadata that has the site")
-	s.Text("class", &r.Kind, nil, "class of all instances, where the metadata does not tell it")
-	s.Text("class-key", &r.KindKey, nil, "metadata that has the class")
-	s.Text("born-key", &r.StartedAtKey, nil, "metadata that has the Unix millisecond of a late start")
-	s.Text("capacity-key", &r.WeightKey, nil, "metadata that has the weight; the weights by health without it")
-	s.Words("check", &r.Checks, nil, "checks that count: all, service, node, or ids")
-	s.Words("ignore-check", &r.IgnoredChecks, nil, "ids of checks that do not count")
-	s.Choice("warning", &warning, []string{"up", "draining"}, "what a warning means")
-	s.Check(func() error {
-		if r.Warning = membership.Up; warning == "draining" {
-			r.Warning = membership.Draining
+	return section
+}
+
+func modeNames() []string {
+	modes := []blockingquery.Mode{blockingquery.Default, blockingquery.Stale, blockingquery.Consistent}
+	var names []string
+	for _, mode := range modes {
+		names = append(names, mode.String())
+	}
+	return names
+}
+
+// addTimes adds the directives for the times of the watches.
+func (c *Config) addTimes(section *config.Section) {
+	section.Duration("stale-most", &c.Watch.MaxStaleness, 10*time.Millisecond, 10*time.Minute,
+		"oldest answer that mode stale takes")
+	section.Duration("wait", &c.Watch.Wait, time.Second, 10*time.Minute,
+		"of one blocking query")
+	section.Duration("limit", &c.Watch.ResponseTimeout, 100*time.Millisecond, time.Minute,
+		"for an answer that need not wait")
+	section.Duration("gap", &c.Watch.MinInterval, 10*time.Millisecond, 800*time.Millisecond,
+		"between two lists while things change")
+	section.Duration("probe", &c.Watch.ProbeAfter, 100*time.Millisecond, time.Minute,
+		"silence after which an agent is asked whether it lives")
+	section.Duration("probe-limit", &c.Watch.ProbeTimeout, 50*time.Millisecond, 10*time.Second,
+		"for the answer to that")
+	section.Duration("home", &c.Watch.PreferredRetryAfter, time.Second, time.Hour,
+		"after which the agent at home is tried again")
+}
+
+// section returns the directives of the block `tls`.
+func (t *TLS) section() *config.Section {
+	section := &config.Section{}
+	section.Text("ca", &t.CA, readableFile, "file with the authorities that sign agents; the system's without it")
+	section.Text("cert", &t.Cert, readableFile, "file with our certificate")
+	section.Text("key", &t.Key, readableFile, "file with its key")
+	section.Text("server-name", &t.ServerName, nil, "name that the agents' certificates have")
+	section.Check(func() error {
+		if (t.Cert == "") != (t.Key == "") {
+			return errors.New("cert and key go together")
+		}
+		_, err := t.dialer()
+		return err
+	})
+	return section
+}
+
+// serviceSection adds a service and returns the directives of its block.
+func (c *Config) serviceSection(words []string) (*config.Section, error) {
+	if len(words) != 1 || pathSegment("service")(words[0]) != nil {
+		return nil, errors.New("expected the name of one service")
+	}
+	name := words[0]
+	for _, other := range c.Services {
+		if other.Name == name {
+			return nil, fmt.Errorf("the service %s is named twice", name)
+		}
+	}
+	service := &Service{Name: name, Rules: health.DefaultRules()}
+	c.Services = append(c.Services, service)
+	return service.section(), nil
+}
+
+// section returns the directives of the block `service`.
+func (s *Service) section() *config.Section {
+	section := &config.Section{}
+	rules := &s.Rules
+	warning := membership.Up.String()
+	section.Words("tag", &s.Tags, nil, "tags that an instance must all have")
+	section.Text("filter", &s.Filter, nil, "filter expression of the API")
+	section.Text("id", &rules.ID, health.ValidateIDForm,
+		"where a box's id comes from: service, node, node/service or meta:KEY")
+	section.Text("site", &rules.Zone, nil, "site of all instances, where the metadata does not tell it")
+	section.Text("site-key", &rules.ZoneKey, nil, "metadata that has the site")
+	section.Text("class", &rules.Kind, nil, "class of all instances, where the metadata does not tell it")
+	section.Text("class-key", &rules.KindKey, nil, "metadata that has the class")
+	section.Text("born-key", &rules.StartedAtKey, nil, "metadata that has the Unix millisecond of a late start")
+	section.Text("capacity-key", &rules.WeightKey, nil,
+		"metadata that has the weight; the weights by health without it")
+	section.Words("check", &rules.Checks, nil, "checks that count: all, service, node, or ids")
+	section.Words("ignore-check", &rules.IgnoredChecks, nil, "ids of checks that do not count")
+	section.Choice("warning", &warning, []string{membership.Up.String(), membership.Draining.String()},
+		"what a warning means")
+	section.Check(func() error {
+		rules.Warning = membership.Up
+		if warning == membership.Draining.String() {
+			rules.Warning = membership.Draining
 		}
 		return nil
 	})
-	return s
+	return section
 }
 
-// dialer gives how agents are connected to. Its files are taken over when they change.
+// section returns the directives of the block `register`.
+func (r *Registration) section() *config.Section {
+	section := &config.Section{}
+	section.Text("service", &r.Service, pathSegment("service"), "name of the service")
+	section.Text("id", &r.ID, pathSegment("instance"), "of this doorman; its name without it")
+	section.Text("address", &r.Address, hostPort, "host:port to be told; where it listens without it")
+	section.Words("tag", &r.Tags, nil, "tags of the instance")
+	section.Duration("ttl", &r.TTL, time.Second, 10*time.Minute, "of the check")
+	section.Check(func() error {
+		if r.Service == "" {
+			return errors.New("service is missing")
+		}
+		return nil
+	})
+	return section
+}
+
+// pathSegment returns a check that refuses what can't be part of a path.
+func pathSegment(what string) func(string) error {
+	return func(text string) error {
+		if text == "" || strings.ContainsAny(text, "/?#% ") || len(text) > maxPathSegmentBytes {
+			return fmt.Errorf("expected the name of a %s, got %q", what, text)
+		}
+		return nil
+	}
+}
+
+func hostPort(text string) error {
+	if _, port, err := net.SplitHostPort(text); err != nil || port == "" {
+		return fmt.Errorf("expected host:port, got %q", text)
+	}
+	return nil
+}
+
+func readableFile(path string) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	return file.Close()
+}
+
+// dialer returns what connects to agents, which takes its files over when they change. All clients share it.
 func (t *TLS) dialer() (*tlsclient.Dialer, error) {
 	if t.sharedDialer != nil {
 		return t.sharedDialer, nil
 	}
-	var err error
-	t.sharedDialer, err = tlsclient.New(tlsclient.Config{CA: t.CA, Cert: t.Cert, Key: t.Key, MinVersion: tls.VersionTLS12, Now: t.Now})
-	return t.sharedDialer, err
+	dialer, err := tlsclient.New(tlsclient.Config{
+		CA:         t.CA,
+		Cert:       t.Cert,
+		Key:        t.Key,
+		MinVersion: tls.VersionTLS12,
+		Now:        t.Now,
+	})
+	t.sharedDialer = dialer
+	return dialer, err
 }
 
-// Sources gives the sources of boxes that the catalogue is, one a service, for the membership's settings.
-func (c *Config) Sources(damping membership.Damping) (out []membership.Source) {
-	for _, v := range c.Services {
-		out = append(out, membership.Source{Name: "consul:" + v.Name, ConfirmLosses: true, FirstSeenIsStart: true, Damping: damping})
+// Sources returns the sources of endpoints that the catalogue is, one for each service, for the membership's
+// settings.
+func (c *Config) Sources(damping membership.Damping) []membership.Source {
+	var sources []membership.Source
+	for _, service := range c.Services {
+		sources = append(sources, membership.Source{
+			Name:             "consul:" + service.Name,
+			ConfirmLosses:    true,
+			FirstSeenIsStart: true,
+			Damping:          damping,
+		})
 	}
-	return out
+	return sources
 }
--- a/internal/membership/consul/consul_test.go
+++ b/internal/membership/consul/consul_test.go
@@ -102,7 +102,8 @@
 	return server
 }
 
-// TestHTTPS: the agent is believed by its authority and name, and sees our certificate; without either nothing is taken.
+// TestHTTPS: the agent is believed by its authority and name, and sees our certificate; without either nothing is
+// taken.
 func TestHTTPS(t *testing.T) {
 	ca, err := emulator.NewAuthority(t.TempDir())
 	if err != nil {
@@ -140,7 +141,8 @@
 	}
 }
 
-// TestFilesChange: an authority and a certificate that are put right while the doorman runs are taken over without a restart.
+// TestFilesChange: an authority and a certificate that are put right while the doorman runs are taken over without a
+// restart.
 func TestFilesChange(t *testing.T) {
 	ca, err := emulator.NewAuthority(t.TempDir())
 	if err != nil {
@@ -210,7 +212,7 @@
 	defer h.mu.Unlock()
 	sum := 0
 	for _, l := range h.lists[:len(h.lists)-1] {
-		if sum += len(l.Endpoints); !l.Part || len(l.Endpoints) > maxPartEndpoints {
+		if sum += len(l.Endpoints); !l.Part || len(l.Endpoints) > maxBatchSize {
 			t.Errorf("a part of %d boxes, part %v", len(l.Endpoints), l.Part)
 		}
 	}
--- a/internal/membership/consul/register.go
+++ b/internal/membership/consul/register.go
@@ -13,72 +13,106 @@
 	"sloequay/internal/membership/consul/registrar"
 )
 
-// callTimeout bounds one call for the registration.
-const callTimeout = time.Second
+// registrationTimeout bounds one call for the registration.
+const registrationTimeout = time.Second
 
-// KeepRegistered keeps the doorman registered at the first agent until leave is closed, and then takes the registration back. It
-// returns when that is done. name and listen stand in where the settings tell no id and no address.
-func (c *Catalogue) KeepRegistered(leave <-chan struct{}, name, listen string) error {
-	clients, err := c.Config.clients()
-	if err != nil {
-		return err
-	}
-	set := *c.Config.Registration
-	if set.ID == "" {
-		set.ID = name
-	}
-	if set.Address == "" {
-		set.Address = listen
-	}
-	host, port, err := net.SplitHostPort(set.Address)
-	if err != nil {
-		return err
-	}
-	number, err := strconv.Atoi(port)
+// KeepRegistered keeps the proxy registered at the preferred agent until stop is closed, and then deregisters it. It
+// returns once that is done, which takes registrar.MaxDeregisterAttempts calls at most. name and listen stand in
+// where the settings have no ID and no address.
+func (c *Catalogue) KeepRegistered(stop <-chan struct{}, name, listen string) error {
+	client, err := c.newRegistrarClient(name, listen)
 	if err != nil {
 		return err
 	}
-	check := "service:" + set.ID
-	r := registrar.New(set.TTL)
-	failing := false
-	for !r.Finished() {
-		action := r.Step(c.Now())
+	decider := registrar.New(c.Config.Registration.TTL)
+	isFailing := false
+	for !decider.Finished() {
+		action := decider.Step(c.Now())
 		if action == registrar.None {
 			select {
-			case <-leave:
-				r.Deregister(c.Now())
-				leave = nil
-			case <-time.After(max(0, r.Next()-c.Now())):
+			case <-stop:
+				decider.Deregister(c.Now())
+				stop = nil
+			case <-time.After(max(0, decider.Next()-c.Now())):
 			}
 			continue
 		}
-		was := r.Registered()
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-		token, _ := c.Config.token()
-		q := (&api.QueryOptions{Token: token}).WithContext(ctx)
-		agent := clients[0].Agent()
-		switch action {
-		case registrar.Register:
-			err = agent.ServiceRegisterOpts(&api.AgentServiceRegistration{ID: set.ID, Name: set.Service, Address: host,
-				Port: number, Tags: set.Tags, Check: &api.AgentServiceCheck{CheckID: check, TTL: set.TTL.String(),
-					Status: api.HealthPassing}}, api.ServiceRegisterOpts{Token: token}.WithContext(ctx))
-		case registrar.Renew:
-			err = agent.UpdateTTLOpts(check, "", api.HealthPassing, q)
-		case registrar.Deregister:
-			err = agent.ServiceDeregisterOpts(set.ID, q)
-		}
-		cancel()
-		r.ActionCompleted(c.Now(), resultOf(err))
+		wasRegistered := decider.Registered()
+		err := client.call(action)
+		decider.ActionCompleted(c.Now(), resultOf(err))
 		switch {
-		case err != nil && !failing:
-			c.Log("catalogue-registration-failed", "id", set.ID, "error", truncated(err))
-		case err == nil && action == registrar.Register && !was:
-			c.Log("catalogue-registered", "id", set.ID, "service", set.Service)
+		case err != nil && !isFailing:
+			c.Log("catalogue-registration-failed", "id", client.service.ID, "error", truncated(err))
+		case err == nil && action == registrar.Register && !wasRegistered:
+			c.Log("catalogue-registered", "id", client.service.ID, "service", client.service.Name)
 		}
-		failing = err != nil
+		isFailing = err != nil
+	}
+	if !decider.Registered() {
+		c.Log("catalogue-deregistered", "id", client.service.ID)
 	}
-	if !r.Registered() {
-		c.Log("catalogue-deregistered", "id", set.ID)
+	return nil
+}
+
+// registrarClient makes the calls that the registrar wants.
+type registrarClient struct {
+	config  *Config
+	agent   *api.Agent
+	service *api.AgentServiceRegistration
+}
+
+func (c *Catalogue) newRegistrarClient(name, listen string) (*registrarClient, error) {
+	clients, err := c.Config.clients()
+	if err != nil {
+		return nil, err
+	}
+	settings := *c.Config.Registration
+	if settings.ID == "" {
+		settings.ID = name
+	}
+	if settings.Address == "" {
+		settings.Address = listen
+	}
+	host, portText, err := net.SplitHostPort(settings.Address)
+	if err != nil {
+		return nil, err
+	}
+	port, err := strconv.Atoi(portText)
+	if err != nil {
+		return nil, err
+	}
+	return &registrarClient{
+		config: c.Config,
+		agent:  clients[0].Agent(),
+		service: &api.AgentServiceRegistration{
+			ID:      settings.ID,
+			Name:    settings.Service,
+			Address: host,
+			Port:    port,
+			Tags:    settings.Tags,
+			Check: &api.AgentServiceCheck{
+				CheckID: "service:" + settings.ID,
+				TTL:     settings.TTL.String(),
+				Status:  api.HealthPassing,
+			},
+		},
+	}, nil
+}
+
+// call carries out one action. A token that can't be read is left out: the agent then rejects the call, and that is
+// logged.
+func (r *registrarClient) call(action registrar.Action) error {
+	ctx, cancel := context.WithTimeout(context.Background(), registrationTimeout)
+	defer cancel()
+	token, _ := r.config.token()
+	options := (&api.QueryOptions{Token: token}).WithContext(ctx)
+	switch action {
+	case registrar.Register:
+		return r.agent.ServiceRegisterOpts(r.service, api.ServiceRegisterOpts{Token: token}.WithContext(ctx))
+	case registrar.Renew:
+		return r.agent.UpdateTTLOpts(r.service.Check.CheckID, "", api.HealthPassing, options)
+	case registrar.Deregister:
+		return r.agent.ServiceDeregisterOpts(r.service.ID, options)
 	}
 	return nil
 }
