--- a/internal/platformconfig/control.go
+++ b/internal/platformconfig/control.go
@@ -196,7 +196,7 @@
 		c := parse([]byte(v.Raw), fmt.Sprintf("settings.classes[%d]", i))
 		cfg.Classes = append(cfg.Classes, policy.Class{
 			Name: c.text("name"), LatencyObjective: c.ms("on-time-ms"), ObjectiveStretch: c.number("aim-stretch"),
-			Deadline: c.ms("deadline-ms"), PriorityWeight: c.number("worth"), OverdueWeight: c.number("late-value"),
+			Deadline: c.ms("deadline-ms"), PriorityWeight: c.number("worth"), SlowWeight: c.number("late-value"),
 			StaleWeight: at(stale, i), Idempotency: word(c, "idempotency", effects), DedupScope: word(c, "group", groups),
 			DedupWindow: c.ms("window-ms"), Streamed: c.flag("streamed"), Parts: at(parts, i), Write: at(writes, i),
 			FreshFor: MS(at(fresh, i)), StaleFor: MS(at(grace, i)),
--- a/internal/policy/actions.go
+++ b/internal/policy/actions.go
@@ -2,30 +2,30 @@
 
 import "time"
 
-// Action is something that a Director wants done.
+// Action is an output of an Engine: what its caller is to do.
 type Action interface{ isAction() }
 
-// SendAttempt sends an attempt. Attempts of a request are numbered from 0 in the order of their Gets.
+// SendAttempt sends an attempt. Attempts of a request are numbered from 0 in the order in which they are sent.
 type SendAttempt struct {
 	ID           RequestID
 	Endpoint     EndpointID
 	Timeout      time.Duration // 0: until the client gives up
-	Source       EndpointID    // Node itself: no fill
+	Source       EndpointID    // Endpoint itself: no fill
 	CacheRank    int           // 0: no copy, no change; 1 to 3: the rank of the copy
 	MaxAge       time.Duration // oldest copy that will do; 0: the class's own limit
-	JoinFill     bool          // wait for a fill that runs already
-	CachedOnly   bool          // the source gives only what it holds
+	JoinFill     bool          // wait for a fill that is in flight already
+	CachedOnly   bool          // the source gives only what it caches
 	BypassParent bool          // leave no copy at the parent
 	Revalidate   bool          // fetch an ageing copy anew while serving it
 }
 
-// Reject is a final answer: nothing ran, a further try is harmless.
+// Reject ends a request: a retry is harmless.
 type Reject struct {
 	ID         RequestID
 	RetryAfter time.Duration // 0: no advice
 }
 
-// Fail is a final answer that promises nothing.
+// Fail ends a request and promises nothing.
 type Fail struct{ ID RequestID }
 
 // CancelAttempt abandons one attempt.
@@ -40,16 +40,16 @@
 	At    time.Duration
 }
 
-// HealthCheck examines a server.
+// HealthCheck examines an endpoint.
 type HealthCheck struct{ Endpoint EndpointID }
 
-// Watch subscribes to the changes of the list, or ends that.
+// Watch subscribes to changes of the list, or ends that.
 type Watch struct{ On bool }
 
 // FetchList asks once for the whole list.
 type FetchList struct{}
 
-// Log adds a line to the report.
+// Log adds a line to the operators' report.
 type Log struct{ Text string }
 
 func (SendAttempt) isAction()   {}
--- a/internal/policy/aimd/aimd.go
+++ b/internal/policy/aimd/aimd.go
@@ -26,9 +26,9 @@
 
 	// A slow fill decreases the limit by so many links over the proxy's part of them, to no less than a share of it.
 	decreaseLinks           = 2
-	minKeptShare            = 0.75
+	minRemainder            = 0.75
 	cachedOnlyDecreaseLinks = 2.4 // of a fill from what the parent caches: then the link is short, not the origin
-	cachedOnlyMinKeptShare  = 0.5
+	cachedOnlyMinRemainder  = 0.5
 )
 
 // Limiter is one limit with what is in flight under it. It is not safe for concurrent use.
@@ -37,17 +37,17 @@
 	Max      float64 // the limit, in multiples of the zone's links
 
 	decreaseLinks float64
-	minKeptShare  float64
+	minRemainder  float64
 }
 
 // New makes the limit on fills that may go on to the origin.
 func New() Limiter {
-	return Limiter{Max: InitialLimit, decreaseLinks: decreaseLinks, minKeptShare: minKeptShare}
+	return Limiter{Max: InitialLimit, decreaseLinks: decreaseLinks, minRemainder: minRemainder}
 }
 
 // NewCachedOnly makes the limit on fills from what the parent caches.
 func NewCachedOnly() Limiter {
-	return Limiter{Max: InitialLimit, decreaseLinks: cachedOnlyDecreaseLinks, minKeptShare: cachedOnlyMinKeptShare}
+	return Limiter{Max: InitialLimit, decreaseLinks: cachedOnlyDecreaseLinks, minRemainder: cachedOnlyMinRemainder}
 }
 
 // Full says whether there is no capacity for one more fill, where links is this proxy's part of the zone's links and
@@ -65,10 +65,10 @@
 
 // Decrease lowers the limit for a slow fill.
 func (l *Limiter) Decrease(links float64) {
-	l.Max = max(MinLimit, l.Max*max(l.minKeptShare, 1-l.decreaseLinks/links))
+	l.Max = max(MinLimit, l.Max*max(l.minRemainder, 1-l.decreaseLinks/links))
 }
 
 // DecreaseFully lowers the limit as far as one decrease may: for a sure sign that what is behind is overloaded, though
 // no fill has ended yet. At an origin that rejects nothing, each write waited out its 3 s before its end was counted,
 // and the queue stood meanwhile.
-func (l *Limiter) DecreaseFully() { l.Max = max(MinLimit, l.Max*l.minKeptShare) }
+func (l *Limiter) DecreaseFully() { l.Max = max(MinLimit, l.Max*l.minRemainder) }
--- a/internal/policy/aimd/aimd_test.go
+++ b/internal/policy/aimd/aimd_test.go
@@ -37,7 +37,7 @@
 				limiter.Decrease(links)
 			}
 			isOutOfBounds := limiter.Max < MinLimit || limiter.Max > 2*InitialLimit
-			isCutTooFar := limiter.Max < old*limiter.minKeptShare-1e-9
+			isCutTooFar := limiter.Max < old*limiter.minRemainder-1e-9
 			if isOutOfBounds || isCutTooFar || inTime && limiter.Max < old || !inTime && limiter.Max > old {
 				t.Fatalf("limit %v after %v, in time %v", limiter.Max, old, inTime)
 			}
@@ -49,11 +49,11 @@
 	})
 }
 
-// TestFullDecreaseTakesTheWholePart: a sure sign of overload takes all that one decrease may, whatever the links.
-func TestFullDecreaseTakesTheWholePart(t *testing.T) {
+// TestFullDecreaseTakesItsPart: a sure sign of overload takes all that one decrease may, whatever the links.
+func TestFullDecreaseTakesItsPart(t *testing.T) {
 	for _, limiter := range []Limiter{New(), NewCachedOnly()} {
-		if limiter.DecreaseFully(); limiter.Max != InitialLimit*limiter.minKeptShare {
-			t.Errorf("limit %v, want %v", limiter.Max, InitialLimit*limiter.minKeptShare)
+		if limiter.DecreaseFully(); limiter.Max != InitialLimit*limiter.minRemainder {
+			t.Errorf("limit %v, want %v", limiter.Max, InitialLimit*limiter.minRemainder)
 		}
 		for range 100 {
 			limiter.DecreaseFully()
@@ -64,8 +64,8 @@
 	}
 }
 
-// TestOneOfHundreds: with a fifth of a link one slow fill halved the limit, and a cut-off zone cost 0.017 of G on a day
-// of 120 proxies.
+// TestOneOfHundreds: with a fifth of a link one slow fill halved the limit, and a cut-off zone cost 0.017 of G on a
+// day of 120 proxies.
 func TestOneOfHundreds(t *testing.T) {
 	for _, c := range []struct{ links, want float64 }{{0.2, 0.75 * InitialLimit}, {20, 0.9 * InitialLimit}} {
 		limiter := New()
--- a/internal/policy/director_test.go
+++ b/internal/policy/director_test.go
@@ -522,9 +522,9 @@
 	return via
 }
 
-// TestUnreachedSourceIsPassedSoon: a trunk that the caches cannot reach is passed over after two fills, though the other
-// trunk fails at times too. A doorman of a fleet sees each trunk seldom; weighed against what the other trunks showed,
-// a dead one kept its fills for seconds.
+// TestUnreachedSourceIsPassedSoon: a trunk that the caches cannot reach is passed over after two fills, though the
+// other trunk fails at times too. A doorman of a fleet sees each trunk seldom; weighed against what the other trunks
+// showed, a dead one kept its fills for seconds.
 func TestUnreachedSourceIsPassedSoon(t *testing.T) {
 	b := newBench(t, site())
 	// The other trunk is busy and turns fills away at times, as on a day when a hub is lost.
@@ -588,9 +588,10 @@
 	}
 }
 
-// TestFirstSizesReachColdServers: until a size was seen a request was held for one that takes all of the wanted time, and that
-// guess was left by a fiftieth a request: one doorman of a hundred, whose part of a cold server's budget is small, sent nothing
-// for its first hundred requests, and a fleet that started together served three quarters of what it could.
+// TestFirstSizesReachColdServers: until a size was seen a request was held for one that takes all of the wanted time,
+// and that guess was left by a fiftieth a request: one doorman of a hundred, whose part of a cold server's budget is
+// small, sent nothing for its first hundred requests, and a fleet that started together served three quarters of what
+// it could.
 func TestFirstSizesReachColdServers(t *testing.T) {
 	cfg := site()
 	cfg.Instances, cfg.ZoneInstances = 100, []int{0, 0, 50, 50}
--- a/internal/policy/doc.go
+++ b/internal/policy/doc.go
@@ -2,8 +2,8 @@
 // is retried, and when it is rejected or failed. An Engine takes events and gives the actions that answer them.
 //
 // Invariants: no attempt is sent that breaks one of the protocol's five rules, each of which has its function in
-// guards.go; an open request has an attempt in flight after each event, or it has got its end; the same events give the
-// same actions, in the same order, at every proxy that has the same settings.
+// guards.go; an open request has an attempt in flight after each event, or it has got its end; the same events give
+// the same actions, in the same order, at every proxy that has the same settings.
 //
 // Bounds: memory for the requests without an end, the rows of package gaptable, the endpoints of the list and those
 // that left it within the last minute. An event takes time in proportion to the attempts that it sends and, for the
--- a/internal/policy/endpointset/endpointset.go
+++ b/internal/policy/endpointset/endpointset.go
@@ -1,9 +1,9 @@
 // Package endpointset keeps the endpoints of the list, each with what one proxy knows of it, and ranks those that the
 // proxy may send to.
 //
-// Invariants: an endpoint stands in the ranking of its role, or is the origin, if and only if the list does not say that
-// it is gone; caches of other zones stand in none. A new process of an endpoint starts with nothing known but for what
-// is in flight. Equal calls give equal sets, in the order in which the list named the endpoints first.
+// Invariants: an endpoint stands in the ranking of its role, or is the origin, if and only if the list does not say
+// that it is gone; caches of other zones stand in none. A new process of an endpoint starts with nothing known but for
+// what is in flight. Equal calls give equal sets, in the order in which the list named the endpoints first.
 //
 // Bounds: the endpoints of the list, and those that left it up to a minute ago or still have attempts in flight. A
 // change of the list takes time in proportion to all endpoints, each other call constant time. The package does no I/O
@@ -248,8 +248,8 @@
 	return s.flows(endpoint) / float64(s.ProxiesOf(endpoint))
 }
 
-// Load is what is in flight to an endpoint with one attempt more, in multiples of its link: other proxies count as this
-// one does on average.
+// Load is what is in flight to an endpoint with one attempt more, in multiples of its link: other proxies count as
+// this one does on average.
 func (s *Set[A]) Load(now time.Duration, endpoint *Endpoint[A]) float64 {
 	endpoint.updateAverage(now)
 	own := float64(len(endpoint.inFlight) + 1)
--- a/internal/policy/events.go
+++ b/internal/policy/events.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// Event is something that a Director is told.
+// Event is an input of an Engine.
 type Event interface{ isEvent() }
 
-// ListEvent brings the list of servers or changes to it.
+// ListEvent brings the list of endpoints or changes to it.
 type ListEvent struct {
 	Kind      ListKind
 	Version   uint64
@@ -20,12 +20,12 @@
 	Object    uint64
 	Part      int
 	Group     int
-	Remaining time.Duration // until the client gives this try up
-	SizeKB    float64       // 0: not told
-	Retry     bool          // the client marked it as a repeat
+	Remaining time.Duration // until the client gives this request up
+	SizeKB    float64       // 0: not known
+	Retry     bool          // the client has made it before
 }
 
-// HeadersEvent says that a streamed answer has begun.
+// HeadersEvent says that a streamed response has begun.
 type HeadersEvent struct {
 	ID       RequestID
 	Endpoint EndpointID
@@ -38,8 +38,8 @@
 	ID        RequestID
 	Endpoint  EndpointID
 	Attempt   int
-	Elapsed   time.Duration
-	Concluded bool // the request is concluded
+	Elapsed   time.Duration // since the attempt was sent
+	Concluded bool          // the request has its end by it
 	Note      Note
 	FirstByte time.Duration
 	Status    Status
@@ -49,10 +49,10 @@
 // ClientGoneEvent says that a client has left.
 type ClientGoneEvent struct{ ID RequestID }
 
-// TimerEvent is the return of a Timer.
+// TimerEvent says that the time of a SetTimer has come.
 type TimerEvent struct{ Token uint64 }
 
-// HealthCheckEvent is the result of a Probe.
+// HealthCheckEvent is the result of a HealthCheck.
 type HealthCheckEvent struct {
 	Endpoint EndpointID
 	Status   Status
@@ -60,7 +60,7 @@
 	Load     []float64
 }
 
-// PeerEvent is a message from another director.
+// PeerEvent is a message from another proxy.
 type PeerEvent struct {
 	From int
 	Data []byte
@@ -70,7 +70,7 @@
 type PurgeEvent struct {
 	Object uint64
 	Group  int
-	Age    time.Duration
+	Age    time.Duration // since the purge
 }
 
 func (ListEvent) isEvent()        {}
--- a/internal/policy/fairness/fairness_test.go
+++ b/internal/policy/fairness/fairness_test.go
@@ -8,9 +8,9 @@
 	"pgregory.net/rapid"
 )
 
-// TestShares: whatever bounds on sizes come, the largest tenth and the next fifth are admitted MinAdmittedShare times as
-// often as their class; who is within the bound never has an effective size beyond it; and where the largest have their
-// share anyway, each request has its own size.
+// TestShares: whatever bounds on sizes come, the largest tenth and the next fifth are admitted MinAdmittedShare times
+// as often as their class; who is within the bound never has an effective size beyond it; and where the largest have
+// their share anyway, each request has its own size.
 func TestShares(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rnd := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
--- a/internal/policy/fleet_test.go
+++ b/internal/policy/fleet_test.go
@@ -209,8 +209,8 @@
 	return b
 }
 
-// TestPassedByAnswerIsCalledOff: an answer that never came kept its request until the client gave up, where two may not
-// be out together. In a jam all are late alike, and nothing is called off.
+// TestPassedByAnswerIsCalledOff: an answer that never came kept its request until the client gave up, where two may
+// not be out together. In a jam all are late alike, and nothing is called off.
 func TestPassedByAnswerIsCalledOff(t *testing.T) {
 	for _, passed := range []int{0, 2} {
 		b := oneCache(t)
@@ -235,8 +235,8 @@
 	}
 }
 
-// TestBrokenConnectionIsOneSign: all that was out on a connection ended with it, each end was held against the cache, and
-// one bad answer had it ejected for seconds.
+// TestBrokenConnectionIsOneSign: all that was out on a connection ended with it, each end was held against the cache,
+// and one bad answer had it ejected for seconds.
 func TestBrokenConnectionIsOneSign(t *testing.T) {
 	b := oneCache(t)
 	for range 2 { // the second connection breaks too
@@ -290,8 +290,8 @@
 	}
 }
 
-// lateFills has fills by way of each of two parents end, n by each, late where their parent is in late. It gives how often
-// each was ejected meanwhile, and whether it is at the end.
+// lateFills has fills by way of each of two parents end, n by each, late where their parent is in late. It gives how
+// often each was ejected meanwhile, and whether it is at the end.
 func lateFills(t *testing.T, b *bench, late map[EndpointID]bool, n int) (times map[EndpointID]int, out map[EndpointID]bool) {
 	t.Helper()
 	seen, from := map[EndpointID]int{}, len(b.log)
@@ -335,9 +335,9 @@
 	return newBench(t, cfg)
 }
 
-// TestSlowOriginIsNotTheParents: with the origin slow all fills are late. Both parents were ejected by turns, and what each
-// held was asked of the origin once more by the other. One whose fills alone are late is at fault, as before, and soon so
-// when the origin is sound again.
+// TestSlowOriginIsNotTheParents: with the origin slow all fills are late. Both parents were ejected by turns, and what
+// each held was asked of the origin once more by the other. One whose fills alone are late is at fault, as before, and
+// soon so when the origin is sound again.
 func TestSlowOriginIsNotTheParents(t *testing.T) {
 	b := parentsBench(t)
 	lateFills(t, b, map[EndpointID]bool{100: true, 101: true}, 4)
@@ -352,8 +352,8 @@
 	}
 }
 
-// TestLateAndDead: a parent that was left out for late fills alone is taken back once the others turn out as late; one that
-// could not be reached meanwhile is not.
+// TestLateAndDead: a parent that was left out for late fills alone is taken back once the others turn out as late; one
+// that could not be reached meanwhile is not.
 func TestLateAndDead(t *testing.T) {
 	for _, hard := range []bool{false, true} {
 		b := parentsBench(t)
@@ -377,8 +377,8 @@
 	}
 }
 
-// TestComeBackInTime: a client was told to stay away for as long as clients heed, 2 s at one deployment, and came back when
-// nobody wanted the answer any more.
+// TestComeBackInTime: a client was told to stay away for as long as clients heed, 2 s at one deployment, and came back
+// when nobody wanted the answer any more.
 func TestComeBackInTime(t *testing.T) {
 	for _, c := range []struct{ most, aim, want time.Duration }{{2 * sec, 400 * ms, 200 * ms}, {100 * ms, 400 * ms, 100 * ms}, {2 * sec, 0, 2 * sec}, {0, 400 * ms, 0}} {
 		cfg := site()
@@ -392,8 +392,8 @@
 	}
 }
 
-// TestSlowWritesHoldFillsBack: writes wait behind fills at the origin, which says nothing but by being late. Counted at their
-// ends, the first one told of a crowd 3 s after it had begun.
+// TestSlowWritesHoldFillsBack: writes wait behind fills at the origin, which says nothing but by being late. Counted
+// at their ends, the first one told of a crowd 3 s after it had begun.
 func TestSlowWritesHoldFillsBack(t *testing.T) {
 	for _, c := range []struct {
 		took time.Duration
@@ -424,8 +424,8 @@
 	}
 }
 
-// TestDeadParentsAreLeft: two parents of a lost zone answer nothing at all. Each one's late fills were excused by the other's,
-// and hits at a cache, for which a parent is named and not asked, are no answer of it.
+// TestDeadParentsAreLeft: two parents of a lost zone answer nothing at all. Each one's late fills were excused by the
+// other's, and hits at a cache, for which a parent is named and not asked, are no answer of it.
 func TestDeadParentsAreLeft(t *testing.T) {
 	for _, hits := range []bool{false, true} {
 		b := parentsBench(t)
--- a/internal/policy/gaptable/gaptable.go
+++ b/internal/policy/gaptable/gaptable.go
@@ -6,8 +6,8 @@
 // Invariants: each part has one row, in exactly one table; both sorted tables are in the order of the aged gap, the
 // best row first; equal calls give equal tables.
 //
-// Bounds: each table has at most as many rows as Resize last gave it, that is max(64, rate * 60 s, 20 s or 12 s). Touch
-// takes a binary search and a move within a sorted table. The package does no I/O and reads no clock.
+// Bounds: each table has at most as many rows as Resize last gave it, that is max(64, rate * 60 s, 20 s or 12 s).
+// Touch takes a binary search and a move within a sorted table. The package does no I/O and reads no clock.
 package gaptable
 
 import (
--- a/internal/policy/guards.go
+++ b/internal/policy/guards.go
@@ -30,7 +30,7 @@
 func (e *Engine) guardsPass(request *requestState, route route) bool {
 	hasAttemptsLeft := e.cfg.MaxAttempts <= 0 || len(request.attempts) < e.cfg.MaxAttempts
 	return hasAttemptsLeft && e.isOpen(request) && e.mayRepeatAt(request, route.endpoint) &&
-		!isLeaving(route) && e.isReachable(route) &&
+		bothReady(route) && e.isReachable(route) &&
 		e.withinWarmupBudget(request, route.endpoint) && e.withinWarmupBudget(request, route.source)
 }
 
@@ -72,9 +72,9 @@
 // for DedupWindow, and what is decided has yet to be written, sent and read.
 func (c *Class) RetryWindow() time.Duration { return c.DedupWindow * retryWindowPart / 10 }
 
-// isLeaving keeps rule 3, draining done safely: an endpoint that drains or is gone is neither sent an attempt
+// bothReady keeps rule 3, draining done safely: an endpoint that drains or is gone is neither sent an attempt
 // nor named as a source.
-func isLeaving(route route) bool { return route.endpoint.State != Ready || route.source.State != Ready }
+func bothReady(route route) bool { return route.endpoint.State == Ready && route.source.State == Ready }
 
 // withinWarmupBudget keeps rule 4, controlled fail-back: an endpoint that has just started gets no more than
 // this proxy's share of what it bears in any window of OverloadWindow. One without budget is skipped until it
--- a/internal/policy/outlier/health_test.go
+++ b/internal/policy/outlier/health_test.go
@@ -7,8 +7,8 @@
 	"pgregory.net/rapid"
 )
 
-// TestEjectionBacksOff: the time to the next trial doubles with each trial that fails, up to its bound, and starts anew
-// after a readmission.
+// TestEjectionBacksOff: the time to the next trial doubles with each trial that fails, up to its bound, and starts
+// anew after a readmission.
 func TestEjectionBacksOff(t *testing.T) {
 	var health Health
 	now := 100 * time.Second
@@ -44,8 +44,8 @@
 	}
 }
 
-// TestSilence: an endpoint is silent when attempts have waited for several times what was expected, and for longer than
-// a short stall; an answer starts its silence anew.
+// TestSilence: an endpoint is silent when attempts have waited for several times what was expected, and for longer
+// than a short stall; an answer starts its silence anew.
 func TestSilence(t *testing.T) {
 	sentAt := 100 * time.Second
 	for _, c := range []struct {
@@ -73,8 +73,8 @@
 	}
 }
 
-// TestHealthInvariants plays random outcomes as package policy does: odds stay in their bounds, only an ejected endpoint
-// has a trial in flight or is ejected for slowness alone, and a verdict is one that its state allows.
+// TestHealthInvariants plays random outcomes as package policy does: odds stay in their bounds, only an ejected
+// endpoint has a trial in flight or is ejected for slowness alone, and a verdict is one that its state allows.
 func TestHealthInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var health Health
--- a/internal/policy/outlier/outlier.go
+++ b/internal/policy/outlier/outlier.go
@@ -70,7 +70,8 @@
 	updatedAt time.Duration
 }
 
-// New makes a group that follows a shared cause within a second, at some ten outcomes a second, and forgets it as soon.
+// New makes a group that follows a shared cause within a second, at some ten outcomes a second, and forgets it as
+// soon.
 func New() PeerGroup { return PeerGroup{halfLife: groupHalfLife, weight: groupWeight} }
 
 // Member is one endpoint's part in a group. The zero value has seen nothing.
--- a/internal/policy/outlier/outlier_test.go
+++ b/internal/policy/outlier/outlier_test.go
@@ -8,8 +8,8 @@
 	"pgregory.net/rapid"
 )
 
-// TestOthersSlowRate compares the running total with the plainest model: each member's rate, faded and summed anew every
-// time.
+// TestOthersSlowRate compares the running total with the plainest model: each member's rate, faded and summed anew
+// every time.
 func TestOthersSlowRate(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		group := PeerGroup{halfLife: 2 * time.Second, weight: rapid.Float64Range(0.01, 1).Draw(t, "weight")}
--- a/internal/policy/rendezvous/rendezvous.go
+++ b/internal/policy/rendezvous/rendezvous.go
@@ -1,9 +1,9 @@
-// Package rendezvous orders weighted members by highest random weight for a key, and computes only as much of the order
-// as is read.
+// Package rendezvous orders weighted members by highest random weight for a key, and computes only as much of the
+// order as is read.
 //
 // The score of a member is weight / -ln(u), with u drawn from a hash of key and member: "Weighted Distributed Hash
-// Tables" (Schindelhauer and Schomaker, SPAA 2005), the logarithmic method. The loss of a member moves its share of the
-// keys only.
+// Tables" (Schindelhauer and Schomaker, SPAA 2005), the logarithmic method. The loss of a member moves its share of
+// the keys only.
 //
 // Invariants: the order is the one that a stable sort of all members by falling score gives, less those that are
 // skipped beyond the first two places; equal scores stand in the order of Add.
@@ -86,8 +86,8 @@
 	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.index, b.index))
 }
 
-// Order is the members' order for one key: the first two, skipped or not, and then those that are not skipped. What has
-// been given stays, also if it is skipped meanwhile. The zero value has no members; Begin sets set and key.
+// Order is the members' order for one key: the first two, skipped or not, and then those that are not skipped. What
+// has been given stays, also if it is skipped meanwhile. The zero value has no members; Begin sets set and key.
 type Order struct {
 	set      *Set
 	key      uint64
@@ -109,8 +109,8 @@
 	o.complete = false
 }
 
-// At gives the index of the member in a place, from 0, and whether there is one. The first calls walk the set for a few
-// members at a time; one beyond those sorts the rest.
+// At gives the index of the member in a place, from 0, and whether there is one. The first calls walk the set for a
+// few members at a time; one beyond those sorts the rest.
 func (o *Order) At(place int) (index int, ok bool) {
 	if o.set == nil || place >= o.set.Len() {
 		return 0, false
--- a/internal/policy/rendezvous/rendezvous_test.go
+++ b/internal/policy/rendezvous/rendezvous_test.go
@@ -20,8 +20,8 @@
 	return order
 }
 
-// TestOrderIsTheFullSort takes random sets of all sizes about the border of the first walk, equal weights and equal ids
-// among them, and reads random places in random turns.
+// TestOrderIsTheFullSort takes random sets of all sizes about the border of the first walk, equal weights and equal
+// ids among them, and reads random places in random turns.
 func TestOrderIsTheFullSort(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var set Set
--- a/internal/policy/sizes_test.go
+++ b/internal/policy/sizes_test.go
@@ -8,8 +8,9 @@
 	"time"
 )
 
-// sizeDay is a day of one zone whose four caches hold everything and share their links evenly among what is out: what is answered and what is
-// not depends on sizes and on what the module lets in alone. Clients that are turned away come again, twice at most.
+// sizeDay is a day of one zone whose four caches hold everything and share their links evenly among what is out: what
+// is answered and what is not depends on sizes and on what the module lets in alone. Clients that are turned away come
+// again, twice at most.
 type sizeDay struct {
 	load  float64 // of the caches' links
 	sigma float64 // of the logarithm of sizes; 0: all alike
@@ -25,7 +26,8 @@
 	answered bool
 }
 
-// play gives the share of requests that were answered by a try, of the tenth with the largest sizes, of the next fifth and of all.
+// play gives the share of requests that were answered by a try, of the tenth with the largest sizes, of the next fifth
+// and of all.
 func (day sizeDay) play(t *testing.T, seed uint64) (largest, next, all float64) {
 	t.Helper()
 	cfg := site()
@@ -170,8 +172,8 @@
 	return share(requests[:n/10]), share(requests[n/10 : 3*n/10]), share(requests)
 }
 
-// TestSizes: of the largest tenth of a class's requests, and of the next fifth, at least two thirds as many are answered as of all on a
-// quiet day, and half as many on others, with retries as clients make them.
+// TestSizes: of the largest tenth of a class's requests, and of the next fifth, at least two thirds as many are
+// answered as of all on a quiet day, and half as many on others, with retries as clients make them.
 func TestSizes(t *testing.T) {
 	for _, c := range []struct {
 		name  string
--- a/internal/policy/trace_test.go
+++ b/internal/policy/trace_test.go
@@ -155,9 +155,9 @@
 	return sum.Sum64()
 }
 
-// TestSameDecisions plays random days without cold boxes, on which boxes drain, leave, start anew, fail, fall silent and are
-// ejected and limits become narrow: passing over what the guards would turn down changes no decision against a walk that
-// looks at every server, as all are opened again after each event.
+// TestSameDecisions plays random days without cold boxes, on which boxes drain, leave, start anew, fail, fall silent
+// and are ejected and limits become narrow: passing over what the guards would turn down changes no decision against a
+// walk that looks at every server, as all are opened again after each event.
 func TestSameDecisions(t *testing.T) {
 	shut := 0
 	for _, c := range []struct {
@@ -191,8 +191,8 @@
 	}
 }
 
-// TestColdDays plays days with cold boxes, where what is shut must be what the guard turns down: a server that is passed over
-// has no room for the cheapest class, but for what costs have moved since it was shut.
+// TestColdDays plays days with cold boxes, where what is shut must be what the guard turns down: a server that is
+// passed over has no room for the cheapest class, but for what costs have moved since it was shut.
 func TestColdDays(t *testing.T) {
 	shut := 0
 	for seed := range int64(6) {
--- a/internal/policy/types.go
+++ b/internal/policy/types.go
@@ -9,27 +9,27 @@
 // EndpointID names an endpoint. It is handed back unmodified and carries no meaning.
 type EndpointID = endpointset.ID
 
-// RequestID names one try of one client. It is never used twice.
+// RequestID names one request, as one client made it once. It is never used twice.
 type RequestID uint32
 
 // Idempotency says what may happen when a request of a class runs more than once.
 type Idempotency int
 
-// The effects of a class.
+// What may happen when a request runs more than once.
 const (
-	Idempotent      Idempotency = iota // may be repeated and refused at will
-	IdempotentByKey                    // repeats are dropped within Class.Group for Class.Window
+	Idempotent      Idempotency = iota // may be repeated and rejected at will
+	IdempotentByKey                    // repeats are dropped within Class.DedupScope for Class.DedupWindow
 	NotIdempotent                      // may run once only
 )
 
-// DedupScope says which servers drop the repeats of a keyed request together.
+// DedupScope says which endpoints drop the repeats of a request with an idempotency key together.
 type DedupScope int
 
-// The groups of a keyed class.
+// The scopes of a class with idempotency keys.
 const (
-	DedupAll DedupScope = iota
-	DedupZone
-	DedupCell
+	DedupAll  DedupScope = iota // all endpoints
+	DedupZone                   // those of one zone
+	DedupCell                   // those of one cell
 )
 
 // Reach says which caches may be the source of a fill.
@@ -42,13 +42,13 @@
 	ReachAny
 )
 
-// Detail says which notes the answers carry.
+// Detail says which notes the responses carry.
 type Detail int
 
 // The degrees of detail.
 const (
-	DetailOff Detail = iota
-	DetailHit
+	DetailOff Detail = iota // none
+	DetailHit               // whether the copy was cached
 	DetailAll
 )
 
@@ -56,41 +56,41 @@
 type Class struct {
 	Name             string // for the log only
 	LatencyObjective time.Duration
-	ObjectiveStretch float64
+	ObjectiveStretch float64 // added to the objective, in sending times of the answer
 	Deadline         time.Duration
-	PriorityWeight   float64
-	OverdueWeight    float64
-	StaleWeight      float64
+	PriorityWeight   float64 // of an answer within its objective
+	SlowWeight       float64 // of one after it
+	StaleWeight      float64 // of one from a stale copy
 	Idempotency      Idempotency
 	DedupScope       DedupScope
 	DedupWindow      time.Duration
 	Streamed         bool
 	Parts            bool
-	Write            bool
-	FreshFor         time.Duration // 0: a copy is good until it is purged
-	StaleFor         time.Duration // time past Fresh in which a copy may still be served
+	Write            bool          // its requests go to the origin
+	FreshFor         time.Duration // 0: a copy is fresh until it is purged
+	StaleFor         time.Duration // time past FreshFor in which a copy may still be served
 }
 
-// Config is what a Director is told at its start. Times of 0 mean "no such limit" unless said otherwise.
+// Config is the settings of an Engine. Times of 0 mean "no such limit" unless said otherwise.
 type Config struct {
-	Ordinal, Instances int
-	Zone               int
+	Ordinal, Instances int      // of this proxy among all, from 0; how many there are
+	Zone               int      // of this proxy
 	ZoneNames          []string // for the log only
 	KindNames          []string // for the log only
 	Classes            []Class
 	Tick               time.Duration
 
-	ParentKind, OriginKind       int // index of the kind in list entries; -1: none
-	ZoneInstances                []int
+	ParentKind, OriginKind       int   // index of the kind in list entries; -1: none
+	ZoneInstances                []int // proxies by zone
 	ZoneRegion                   []int
-	ZoneLinkKBps                 []float64 // 0: not told
-	FlowKBps                     float64   // top pace of one answer; the unit of Node.Weight
-	WeightsReported              bool      // false: Node.Weight says nothing
+	ZoneLinkKBps                 []float64 // 0: not reported
+	FlowKBps                     float64   // full pace of one answer; the unit of Endpoint.Weight
+	WeightsReported              bool      // false: Endpoint.Weight says nothing
 	WeightsLive                  bool      // true: weights vary from list to list
 	Siblings                     Reach
 	Detail                       Detail
 	DirectFetch                  bool // requests may go straight to a parent or the origin
-	JoinFills                    bool
+	JoinFills                    bool // an attempt may wait for a fill that is in flight
 	PurgeGrace, PurgePropagation time.Duration
 
 	OriginOverloadMultiple float64
@@ -108,11 +108,11 @@
 
 	MaxAttempts     int
 	MayCancel       bool
-	Hedging         bool
-	MaxRetryAfter   time.Duration // longest advice that a client heeds; 0: advice is not allowed
+	Hedging         bool          // two attempts of a request may be in flight together
+	MaxRetryAfter   time.Duration // the longest that clients keep to; 0: no advice is allowed
 	HealthChecks    bool
 	HealthCheckCost float64
-	PollDiscovery   bool // the list comes only on request
+	PollDiscovery   bool // the list has to be asked for
 	PollWithin      time.Duration
 	LoadNames       []string
 }
@@ -144,7 +144,7 @@
 // Status is how an attempt ended.
 type Status int
 
-// The outcomes of an attempt or a probe.
+// The outcomes of an attempt or a health check.
 const (
 	StatusOK Status = iota
 	StatusError
@@ -157,10 +157,10 @@
 	StatusMiss
 )
 
-// Note tells how an answer came about, as far as Config.Detail goes.
+// Note says how a response came about, as far as Config.Detail goes.
 type Note int
 
-// The notes on an answer.
+// The notes on a response.
 const (
 	NoteNone Note = iota
 	NoteHit
