--- a/internal/broker/attempt.go
+++ b/internal/broker/attempt.go
@@ -96,7 +96,7 @@
 	})
 }
 
-// endAttempt handles the end of an attempt. Only the first end counts, and none after that of the request.
+// endAttempt handles the end of an attempt. Only the first end counts; the end of a request is that of its attempts.
 func (b *Broker) endAttempt(event AttemptEnded) {
 	attempt := event.Attempt
 	request := attempt.Request
@@ -104,9 +104,6 @@
 		return
 	}
 	attempt.state = attemptEnded
-	if request.state == requestEnded {
-		return
-	}
 	end := event.End
 	if event.MayHaveRun && end.provesNotExecuted() && b.class(request).Idempotency != policy.Idempotent {
 		end = Canceled
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -106,7 +106,7 @@
 // list and the purges may have moved on while it waited for its connection. The list's state outranks all else.
 func (b *Broker) MaySend(attempt *Attempt, now time.Duration) (maxAge time.Duration, ok bool) {
 	switch {
-	case !attempt.Open() || attempt.Request.state == requestEnded || now >= attempt.Deadline:
+	case !attempt.Open() || now >= attempt.Deadline:
 		return 0, false
 	case !attempt.Endpoint.usable() || !attempt.Source.usable():
 		return 0, false
