--- a/test/pages/pages_test.go
+++ b/test/pages/pages_test.go
@@ -15,11 +15,6 @@
 // lineMost is how many characters a line of a page may have.
 const lineMost = 140
 
-// longer are the pages that still have longer lines; one that has none any more is to be taken off the list.
-var longer = []string{
-	"docs/MEASUREMENTS.md",
-}
-
 // history are pages whose text is kept as it was written, also where the code has moved on.
 var history = []string{"CHANGELOG.md"}
 
@@ -70,29 +65,17 @@
 	}
 }
 
-// TestLineLength: no line of a page is too long, but in the pages that are listed as longer.
+// TestLineLength: no line of a page is too long.
 func TestLineLength(t *testing.T) {
 	for _, page := range allPages(t) {
 		if slices.Contains(history, page) {
 			continue
 		}
-		long := 0
 		for number, line := range strings.Split(read(t, page), "\n") {
-			if utf8.RuneCountInString(line) <= lineMost {
-				continue
-			}
-			if long++; !slices.Contains(longer, page) {
+			if utf8.RuneCountInString(line) > lineMost {
 				t.Errorf("%s: line %d has more than %d characters", page, number+1, lineMost)
 			}
 		}
-		if long == 0 && slices.Contains(longer, page) {
-			t.Errorf("%s has no longer lines any more: take it off the list", page)
-		}
-	}
-	for _, page := range longer {
-		if _, err := os.Stat(filepath.Join(root, page)); err != nil {
-			t.Errorf("listed as longer: %v", err)
-		}
 	}
 }
 
