--- a/internal/membership/consul/health/health.go
+++ b/internal/membership/consul/health/health.go
@@ -134,7 +134,9 @@
 		return err
 	}
 	entry.State = state
-	if entry.Weight, err = r.weight(instance, isWarning); err != nil {
+	if isWarning {
+		entry.Weight = float64(instance.WarningWeight)
+	} else if entry.Weight, err = r.weight(instance); err != nil {
 		return err
 	}
 	entry.Address, err = addressOf(instance)
@@ -169,10 +171,8 @@
 	return startedAtMS, nil
 }
 
-func (r *Rules) weight(instance *Instance, isWarning bool) (float64, error) {
-	if isWarning {
-		return float64(instance.WarningWeight), nil
-	}
+// weight returns the weight of an instance that has no warning.
+func (r *Rules) weight(instance *Instance) (float64, error) {
 	text := instance.Meta[r.WeightKey]
 	if text == "" {
 		return float64(instance.PassingWeight), nil
