--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"sloequay/internal/bootstrap"
@@ -14,207 +15,289 @@
 	"sloequay/internal/peer/transport"
 )
 
-// fleet joins the decisions of a start and the link to other doormans to the sources of boxes. Its methods run on the loop, but
-// for those that the link calls.
+const (
+	// maxPartEndpoints is how many endpoints of a list of peers are published together, so that a large one does
+	// not hold the loop.
+	maxPartEndpoints = 500
+	// fleetStepInterval is the time between two steps of the machine without an event.
+	fleetStepInterval = 100 * time.Millisecond
+	// announceTimeout is how long the announcement of a shutdown may take; the proxy serves for at least twice as
+	// long.
+	announceTimeout = 450 * time.Millisecond
+)
+
+// fleet connects the decisions of package bootstrap with the transport to other proxies, the catalogue and the
+// endpoint lists. Its methods run on the loop, except those of transport.Receiver.
+//
+// Lists of the catalogue go to the machine, and so to the peers, only once the endpoint table accepts them; lists of
+// peers that the machine accepts are published like those of any source.
 type fleet struct {
-	sources   *sources
+	server    *server
 	machine   *bootstrap.Machine
 	transport *transport.Transport // nil: no peers
-	pending   []*membership.List   // by list: what the service told last, while the table has not judged it
+	pending   []*membership.List   // by list: the catalogue's last one, until the endpoint table accepts it
 	steppedAt time.Duration
 }
 
-// maxPartEndpoints is how many boxes of a list that peers told are handed on together, so that a large one does not hold the loop.
-const maxPartEndpoints = 500
-
+// newFleet opens the transport and makes the machine.
 func newFleet(s *sources) *fleet {
-	d := s.doorman
-	p, site := d.plan, d.plan.settings.Control
-	h := &fleet{sources: s, pending: make([]*membership.List, len(p.own.Catalogue.Services))}
-	cfg := bootstrap.Config{Name: p.settings.Name, Incarnation: rand.Uint64(), Lists: len(h.pending), Fleet: site.Instances, Seed: p.settings.Seed}
-	if site.Zone < len(site.ZoneNames) {
-		cfg.Zone = site.ZoneNames[site.Zone]
-	}
-	if own := p.own.Peers; own != nil {
-		cfg.Peers, cfg.Pollers = true, own.Pollers
-		if own.Fleet > 0 {
-			cfg.Fleet = own.Fleet
+	f := &fleet{server: s.doorman}
+	p := f.server.plan
+	f.pending = make([]*membership.List, len(p.own.Catalogue.Services))
+	config := f.machineConfig()
+	if p.own.Peers != nil {
+		opened, err := transport.Open(*p.own.Peers, transport.Identity{
+			Name:        config.Name,
+			Zone:        config.Zone,
+			Program:     programVersion(),
+			Incarnation: config.Incarnation,
+			Fleet:       config.Fleet,
+			Bind:        p.own.from(),
+		}, f)
+		if err != nil {
+			// Peers help but are not needed: without them the proxy polls by itself.
+			f.server.log.Event("peer-transport-failed", "error", err)
 		}
-		var err error
-		if h.transport, err = transport.Open(*own, transport.Identity{Name: cfg.Name, Zone: cfg.Zone, Program: programVersion(), Incarnation: cfg.Incarnation, Fleet: cfg.Fleet, Bind: p.own.from()}, h); err != nil {
-			// What others know is a help and no need: without it the doorman asks by itself.
-			d.log.Event("peer-transport-failed", "error", err)
-			cfg.Peers = false
+		config.Peers = err == nil
+		f.transport = opened
+	}
+	f.machine = bootstrap.New(f.now(), config)
+	return f
+}
+
+// machineConfig combines the proxy's settings, the platform's and those of the block for peers.
+func (f *fleet) machineConfig() bootstrap.Config {
+	p := f.server.plan
+	platform := p.settings.Control
+	config := bootstrap.Config{
+		Name:        p.settings.Name,
+		Incarnation: rand.Uint64(),
+		Lists:       len(p.own.Catalogue.Services),
+		Fleet:       platform.Instances,
+		Seed:        p.settings.Seed,
+	}
+	if platform.Zone < len(platform.ZoneNames) {
+		config.Zone = platform.ZoneNames[platform.Zone]
+	}
+	if peers := p.own.Peers; peers != nil {
+		config.Pollers = peers.Pollers
+		if peers.Fleet > 0 {
+			config.Fleet = peers.Fleet
 		}
 	}
-	h.machine = bootstrap.New(d.clock.Monotonic(), cfg)
-	return h
+	return config
 }
 
-// programVersion names what was built, as far as the build knows.
+// programVersion names the build, as far as it is known.
 func programVersion() string {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
 		return ""
 	}
-	for _, s := range info.Settings {
-		if s.Key == "vcs.revision" {
-			return fmt.Sprintf("%.12s", s.Value)
+	for _, setting := range info.Settings {
+		if setting.Key == "vcs.revision" {
+			return fmt.Sprintf("%.12s", setting.Value)
 		}
 	}
 	return info.Main.Version
 }
 
-// MembersChanged takes who else lives. It is called by the link.
-func (h *fleet) MembersChanged(members []peer.Member) {
+func (f *fleet) now() time.Duration { return f.server.clock.Monotonic() }
+
+// MembersChanged takes the other members. The transport calls it beside the loop.
+func (f *fleet) MembersChanged(members []peer.Member) {
 	peers := make([]bootstrap.Peer, 0, len(members))
-	for _, m := range members {
-		peers = append(peers, bootstrap.Peer{Name: m.Name, Zone: m.Zone})
+	for _, member := range members {
+		peers = append(peers, bootstrap.Peer{Name: member.Name, Zone: member.Zone})
 	}
-	h.sources.doorman.loop.Post(func() { h.apply(h.machine.PeersChanged(h.sources.doorman.clock.Monotonic(), peers)) })
+	f.server.loop.Post(func() { f.apply(f.machine.PeersChanged(f.now(), peers)) })
 }
 
-// MessageReceived takes what a peer has sent and returns once the loop has it, so that no more is read than it can take. It is called by
-// the link.
-func (h *fleet) MessageReceived(from string, body []byte) {
-	var m bootstrap.Message
-	if err := transport.Decode(body, &m); err != nil {
-		h.Log("peer-rejected", "peer", from, "reason", err)
+// MessageReceived takes a message of a peer, and returns once the loop has handled it, so that no more is read than
+// the loop can take. The transport calls it beside the loop.
+func (f *fleet) MessageReceived(from string, body []byte) {
+	var message bootstrap.Message
+	if err := transport.Decode(body, &message); err != nil {
+		f.Log("peer-rejected", "peer", from, "reason", err)
 		return
 	}
-	m.From = from
-	taken := make(chan struct{})
-	h.sources.doorman.loop.Post(func() {
-		h.apply(h.machine.MessageReceived(h.sources.doorman.clock.Monotonic(), m))
-		close(taken)
+	message.From = from // as signed; the message itself may claim another sender
+	handled := make(chan struct{})
+	f.server.loop.Post(func() {
+		f.apply(f.machine.MessageReceived(f.now(), message))
+		close(handled)
 	})
-	<-taken
+	<-handled
 }
 
-// Log writes a line. It may be called beside the loop.
-func (h *fleet) Log(event string, fields ...any) {
-	d := h.sources.doorman
-	d.loop.Post(func() { d.log.Event(event, fields...) })
+// Log writes a line of the event log. It may be called beside the loop.
+func (f *fleet) Log(event string, fields ...any) {
+	f.server.loop.Post(func() { f.server.log.Event(event, fields...) })
 }
 
-// observe looks at what the catalogue tells this doorman. A list goes to the others only once the table of boxes has not doubted it.
-func (h *fleet) observe(e membership.SourceEvent) {
-	first := h.sources.doorman.plan.first
-	switch e := e.(type) {
+// observe takes what the catalogue sends to this proxy. A complete list is pending until the endpoint table accepts
+// it.
+func (f *fleet) observe(event membership.SourceEvent) {
+	switch event := event.(type) {
 	case membership.ListReceived:
-		if n := e.Source - first; n >= 0 && n < len(h.pending) && !e.List.Part && !e.List.Incomplete {
-			list := e.List
-			h.pending[n] = &list
+		list, known := f.list(event.Source)
+		if known && !event.List.Part && !event.List.Incomplete {
+			received := event.List
+			f.pending[list] = &received
 		}
 	case membership.SourceStatus:
-		if n := e.Source - first; n >= 0 && n < len(h.pending) && !e.Silent && h.pending[n] == nil {
-			h.apply(h.machine.ServiceSeen(h.sources.doorman.clock.Monotonic(), n))
+		list, known := f.list(event.Source)
+		if known && !event.Silent && f.pending[list] == nil {
+			f.apply(f.machine.ServiceSeen(f.now(), list))
 		}
 	}
 }
 
-// serviceSeen notes that the service answered a question other than for a list.
-func (h *fleet) serviceSeen() {
-	for n := range h.pending {
-		if h.pending[n] == nil {
-			h.apply(h.machine.ServiceSeen(h.sources.doorman.clock.Monotonic(), n))
+// list returns the machine's index of a source, and whether it has one.
+func (f *fleet) list(source int) (int, bool) {
+	list := source - f.server.plan.first
+	return list, list >= 0 && list < len(f.pending)
+}
+
+// source returns the index among the sources of one of the machine's lists.
+func (f *fleet) source(list int) int { return f.server.plan.first + list }
+
+// serviceSeen takes an answer of the catalogue to a call that is not for a list.
+func (f *fleet) serviceSeen() {
+	for list := range f.pending {
+		if f.pending[list] == nil {
+			f.apply(f.machine.ServiceSeen(f.now(), list))
 		}
 	}
 }
 
-// step passes on what the table has taken, and steps the machine.
-func (h *fleet) step(now time.Duration) {
-	var views []membership.SourceView
-	for n, list := range h.pending {
-		if list == nil {
-			continue
-		}
-		if views == nil {
-			views = h.sources.doorman.plan.members.Sources()
-		}
-		if views[h.sources.doorman.plan.first+n].Suspected == 0 {
-			h.pending[n] = nil
-			h.apply(h.machine.ListFromService(now, n, list.Version, list.Endpoints))
-		}
+// step passes on the pending lists that the endpoint table has accepted, and steps the machine.
+func (f *fleet) step(now time.Duration) {
+	f.passOnAccepted(now)
+	if now-f.steppedAt < fleetStepInterval {
+		return
 	}
-	if now-h.steppedAt >= fleetStepInterval {
-		h.steppedAt = now
-		h.apply(h.machine.Step(now))
-		if h.transport != nil {
-			if body, err := transport.Encode(bootstrap.Message{Digest: h.machine.Digest()}); err == nil {
-				h.transport.SetState(body)
-			}
-		}
+	f.steppedAt = now
+	f.apply(f.machine.Step(now))
+	if f.transport == nil {
+		return
+	}
+	if body, err := transport.Encode(bootstrap.Message{Digest: f.machine.Digest()}); err == nil {
+		f.transport.SetState(body)
 	}
 }
 
-const fleetStepInterval = 100 * time.Millisecond
+// passOnAccepted passes on the pending lists under no suspicion.
+func (f *fleet) passOnAccepted(now time.Duration) {
+	isPending := func(list *membership.List) bool { return list != nil }
+	if !slices.ContainsFunc(f.pending, isPending) {
+		return
+	}
+	views := f.server.plan.members.Sources()
+	for list, received := range f.pending {
+		if received == nil || views[f.source(list)].Suspected != 0 {
+			continue
+		}
+		f.pending[list] = nil
+		f.apply(f.machine.ListFromService(now, list, received.Version, received.Endpoints))
+	}
+}
 
-func (h *fleet) apply(effects []bootstrap.Effect) {
-	d := h.sources.doorman
-	for _, e := range effects {
-		switch e := e.(type) {
+// apply carries out the effects of the machine.
+func (f *fleet) apply(effects []bootstrap.Effect) {
+	for _, effect := range effects {
+		switch effect := effect.(type) {
 		case bootstrap.Send:
-			if body, err := transport.Encode(e.Message); err == nil && h.transport != nil {
-				h.transport.Send(e.To, body)
-			}
+			f.send(effect)
 		case bootstrap.Poll:
-			if !e.On {
-				clear(h.pending) // what was doubted then must not count once something else has put the doubt aside
-			}
-			h.sources.follow(e.On)
+			f.poll(effect)
 		case bootstrap.Adopt:
-			src := d.plan.first + e.List
-			for at := 0; len(e.Endpoints) > maxPartEndpoints && at < len(e.Endpoints); at += maxPartEndpoints {
-				d.emit(broker.EndpointList{Source: src, List: membership.List{Version: e.Version, Endpoints: e.Endpoints[at:min(at+maxPartEndpoints, len(e.Endpoints))], Part: true}})
-			}
-			// What two peers tell has been confirmed by each of them, where it lacks much.
-			d.emit(broker.EndpointList{Source: src, List: membership.List{Version: e.Version, Endpoints: e.Endpoints, Confirms: !e.Hint, Incomplete: e.Hint}})
+			f.adopt(effect)
 		case bootstrap.SourceStatus:
-			d.emit(broker.SourceStatus{Source: d.plan.first + e.List, Silent: e.Silent})
+			f.server.emit(broker.SourceStatus{Source: f.source(effect.List), Silent: effect.Silent})
 		case bootstrap.LogEntry:
-			fields := []any{"change", e.Event}
-			if e.List >= 0 {
-				fields = append(fields, "service", d.plan.own.Catalogue.Services[e.List].Name)
-			}
-			if e.Peer != "" {
-				fields = append(fields, "peer", e.Peer)
-			}
-			d.log.Event("bootstrap", fields...)
+			f.logEntry(effect)
 		}
 	}
 	if len(effects) > 0 {
-		d.loop.RequestRound()
+		f.server.loop.RequestRound()
+	}
+}
+
+func (f *fleet) send(sent bootstrap.Send) {
+	if f.transport == nil {
+		return
+	}
+	if body, err := transport.Encode(sent.Message); err == nil {
+		f.transport.Send(sent.To, body)
+	}
+}
+
+// poll starts or stops polling the catalogue.
+func (f *fleet) poll(polled bootstrap.Poll) {
+	if !polled.On {
+		clear(f.pending) // a list under suspicion must not count later, when another source has lifted the suspicion
+	}
+	f.server.list.follow(polled.On)
+}
+
+// adopt publishes a list of peers: a large one in parts first, which makes the complete one that follows cheap.
+func (f *fleet) adopt(adopted bootstrap.Adopt) {
+	source := f.source(adopted.List)
+	if len(adopted.Endpoints) > maxPartEndpoints {
+		for part := range slices.Chunk(adopted.Endpoints, maxPartEndpoints) {
+			list := membership.List{Version: adopted.Version, Endpoints: part, Part: true}
+			f.server.emit(broker.EndpointList{Source: source, List: list})
+		}
+	}
+	f.server.emit(broker.EndpointList{Source: source, List: membership.List{
+		Version:    adopted.Version,
+		Endpoints:  adopted.Endpoints,
+		Confirms:   !adopted.Hint, // a quorum of peers has confirmed it, even where it lacks many endpoints
+		Incomplete: adopted.Hint,
+	}})
+}
+
+func (f *fleet) logEntry(entry bootstrap.LogEntry) {
+	fields := []any{"change", entry.Event}
+	if entry.List >= 0 {
+		fields = append(fields, "service", f.serviceName(entry.List))
+	}
+	if entry.Peer != "" {
+		fields = append(fields, "peer", entry.Peer)
 	}
+	f.server.log.Event("bootstrap", fields...)
 }
 
-// announceTimeout is how long the others may take to hear of it; the doorman stays for twice that at least.
-const announceTimeout = 450 * time.Millisecond
+func (f *fleet) serviceName(list int) string { return f.server.plan.own.Catalogue.Services[list].Name }
 
-// announceShutdown tells the others that this doorman goes, beside the loop.
-func (h *fleet) announceShutdown() {
-	if h.transport != nil {
-		go h.transport.AnnounceShutdown(announceTimeout)
+// announceShutdown tells the other members that this proxy leaves. It does not wait.
+func (f *fleet) announceShutdown() {
+	if f.transport != nil {
+		f.transport.AnnounceShutdown(announceTimeout)
 	}
 }
 
-// writeStatus prints who else lives and which lists are held.
-func (h *fleet) writeStatus(out io.Writer) {
+// writeStatus prints whether this proxy polls, its lists, and the other members, for `sloequay peers`.
+func (f *fleet) writeStatus(out io.Writer) {
 	role := "listens to peers"
-	if h.machine.Polls() {
+	if f.machine.Polls() {
 		role = "asks the list service"
 	}
 	fmt.Fprintln(out, role)
-	for n := range h.pending {
-		k, ok := h.machine.Version(n)
-		fmt.Fprintf(out, "list %s version %d sum %016x held %v\n", h.sources.doorman.plan.own.Catalogue.Services[n].Name, k.Version, k.Sum, ok)
+	for list := range f.pending {
+		version, known := f.machine.Version(list)
+		fmt.Fprintf(out, "list %s version %d sum %016x held %v\n",
+			f.serviceName(list), version.Version, version.Sum, known)
 	}
-	if h.transport == nil {
+	if f.transport == nil {
 		return
 	}
-	members, sent := h.transport.Status()
-	fmt.Fprintf(out, "sent %d messages, %d bytes; %d dropped, %d not heard\n", sent.Messages, sent.Bytes, sent.Dropped, sent.Rejected)
-	for _, m := range members {
-		fmt.Fprintf(out, "peer %s zone %s epoch %d program %s\n", m.Name, m.Zone, m.Incarnation, m.Program)
+	members, counters := f.transport.Status()
+	fmt.Fprintf(out, "sent %d messages, %d bytes; %d dropped, %d not heard\n",
+		counters.Messages, counters.Bytes, counters.Dropped, counters.Rejected)
+	for _, member := range members {
+		fmt.Fprintf(out, "peer %s zone %s epoch %d program %s\n",
+			member.Name, member.Zone, member.Incarnation, member.Program)
 	}
 }
