--- a/test/pages/checker_test.go
+++ b/test/pages/checker_test.go
@@ -78,12 +78,27 @@
 	}
 	for _, name := range strings.Split(names, ", ") {
 		if !declared[name] {
-			faults = append(faults, fmt.Sprintf("%s does not declare %s", path, name))
+			faults = append(faults, fmt.Sprintf("%s does not declare %s%s", path, name, c.elsewhere(path, name)))
 		}
 	}
 	return faults
 }
 
+// elsewhere says in which other file of its folder a name is declared, for who follows a move.
+func (c *checker) elsewhere(path, name string) string {
+	files, _ := filepath.Glob(filepath.Join(c.root, filepath.Dir(path), "*.go"))
+	for _, other := range files {
+		relative, err := filepath.Rel(c.root, other)
+		if err != nil || !isProgram(other) {
+			continue
+		}
+		if declared, err := c.declarations(relative); err == nil && declared[name] {
+			return "; " + relative + " does"
+		}
+	}
+	return ""
+}
+
 // declarations are a file's functions, methods as Type.Method, types, constants and variables.
 func (c *checker) declarations(path string) (map[string]bool, error) {
 	if known := c.declared[path]; known != nil {
@@ -177,6 +192,7 @@
 		{"`test/nothing/*.go`", "no such file"},
 		{"`" + here + ": checker.missing`", "does not declare checker.missing"},
 		{"`" + here + ": receiver, missing`", "does not declare missing"},
+		{"`internal/broker/effects.go: Broker.Round`", "; internal/broker/broker.go does"},
 		{"`" + here + ": page`", "does not declare page"}, // a method without its type
 		{"`" + here + " checker`", "a path with a blank"},
 		{"`test/pages: checker`", "a Go file only"},
