--- a/internal/concurrency/concurrency.go
+++ b/internal/concurrency/concurrency.go
@@ -7,10 +7,7 @@
 // another for each class and size; whether a request was in time is known.
 package concurrency
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Config is the settings of a Limit.
 type Config struct {
@@ -67,9 +64,9 @@
 	if cfg.DecreaseFactor <= 0 {
 		cfg.DecreaseFactor = 0.85
 	}
-	cfg.Min = math.Max(1, cfg.Min)
-	cfg.Max = math.Max(cfg.Min, cfg.Max)
-	return &Limit{cfg: cfg, value: math.Min(math.Max(cfg.Start, cfg.Min), cfg.Max)}
+	cfg.Min = max(1, cfg.Min)
+	cfg.Max = max(cfg.Min, cfg.Max)
+	return &Limit{cfg: cfg, value: min(max(cfg.Start, cfg.Min), cfg.Max)}
 }
 
 // Value is the limit as it stands, and Open what is open.
@@ -85,12 +82,12 @@
 // admitted must be Done.
 func (l *Limit) Admit(now time.Duration, open int, portion float64) (wait time.Duration, ok bool) {
 	l.roll(now)
-	if l.open >= l.value && float64(open)+1 > math.Max(l.GuaranteedFor(portion), 0) {
+	if l.open >= l.value && float64(open)+1 > max(l.GuaranteedFor(portion), 0) {
 		l.refusedNow = true
 		return l.wait(), false
 	}
 	l.open++
-	l.peak = math.Max(l.peak, l.open)
+	l.peak = max(l.peak, l.open)
 	return 0, true
 }
 
@@ -101,7 +98,7 @@
 		took = 0.1
 	}
 	excess := l.open - l.value + 1
-	wait := time.Duration(took * excess / math.Max(1, l.open) * 1e9)
+	wait := time.Duration(took * excess / max(1, l.open) * 1e9)
 	return min(max(wait, 5*time.Millisecond), 5*time.Second)
 }
 
@@ -138,12 +135,12 @@
 	switch {
 	case bad > l.cfg.MaxOverloadShare && now >= l.quiet:
 		// The worse it is the deeper the cut, down to a half; from what was in use, since a limit far above that binds nothing.
-		cut := math.Max(0.5, l.cfg.DecreaseFactor-0.5*(bad-l.cfg.MaxOverloadShare))
-		l.value = math.Min(l.value, math.Max(l.peak, l.cfg.Min)) * cut
+		cut := max(0.5, l.cfg.DecreaseFactor-0.5*(bad-l.cfg.MaxOverloadShare))
+		l.value = min(l.value, max(l.peak, l.cfg.Min)) * cut
 		l.quiet = now + max(l.cfg.Window, time.Duration(l.meanTook*1e9))
 	case bad <= l.cfg.MaxOverloadShare/2 && (l.peak >= inUse*l.value || l.refusedNow):
 		l.value += growBy + growPart*l.value
 	}
-	l.value = math.Min(math.Max(l.value, l.cfg.Min), l.cfg.Max)
+	l.value = min(max(l.value, l.cfg.Min), l.cfg.Max)
 	l.began, l.ends, l.bad, l.peak, l.refusedNow = now, 0, 0, l.open, false
 }
--- a/internal/quota/grant.go
+++ b/internal/quota/grant.go
@@ -32,11 +32,11 @@
 	if g.leaf == nil {
 		return nil
 	}
-	draws, rejection := g.leaf.findRoom(now, Attempts, last, Cost{})
-	if rejection != nil {
+	var found draws
+	if rejection := g.leaf.findRoom(now, Attempts, last, Cost{}, &found); rejection != nil {
 		return rejection
 	}
-	g.leaf.charge(now, Attempts, last, Cost{}, &draws)
+	found.charge(now, Cost{})
 	return nil
 }
 
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -55,7 +55,7 @@
 // take takes units, whether they are there or not.
 func (b *bucket) take(now time.Duration, units float64) {
 	if b.rate > 0 {
-		b.fullAt = math.Max(b.fullAt, float64(now)) + units/b.rate*nanosPerSecond
+		b.fullAt = max(b.fullAt, float64(now)) + units/b.rate*nanosPerSecond
 	}
 }
 
@@ -64,7 +64,7 @@
 	if b.lastRetry == 0 || b.rate <= 0 {
 		return 0
 	}
-	return b.lastRetry + time.Duration(math.Min(cost/b.rate*nanosPerSecond, float64(maxRetryAfter)))
+	return b.lastRetry + time.Duration(min(cost/b.rate*nanosPerSecond, float64(maxRetryAfter)))
 }
 
 // full reports whether it owes nothing and nobody was told to come later than now.
@@ -75,7 +75,7 @@
 	out := bucket{meter: to, lastRetry: b.lastRetry}
 	lack := b.burst - b.available(now)
 	if lack > 0 && to.rate > 0 {
-		out.fullAt = float64(now) + math.Min(lack, to.burst)/to.rate*nanosPerSecond
+		out.fullAt = float64(now) + min(lack, to.burst)/to.rate*nanosPerSecond
 	}
 	return out
 }
--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -29,8 +29,12 @@
 	releaseInterval float64 // moving average of the nanoseconds between two releases
 }
 
-// draws is, by kind of rate, whose guaranteed part a cost is drawn from; nil: nobody's, as no limit above applies.
-type draws [rateKinds]*rate
+// draw is the nearest limit of a kind, and that whose guaranteed part a cost of it is drawn from; nil: nobody's, as no
+// limit above applies.
+type draw struct{ limit, drawn *rate }
+
+// draws is a draw by kind of rate; without a limit where a request costs nothing of the kind or nothing limits it.
+type draws [rateKinds]draw
 
 // newNode puts a node below a parent.
 func newNode(spec *Spec, parent *node) *node {
@@ -137,8 +141,8 @@
 	return min(max(time.Duration(n.releaseInterval), minOpenWait), maxOpenWait)
 }
 
-// findRoom finds where a cost is drawn from for each kind from first to last, and takes nothing of it yet.
-func (n *node) findRoom(now time.Duration, first, last Kind, cost Cost) (found draws, rejection *Rejection) {
+// findRoom finds where a cost is drawn from for each kind from first to last, and takes nothing yet.
+func (n *node) findRoom(now time.Duration, first, last Kind, cost Cost, found *draws) *Rejection {
 	for kind := first; kind <= last; kind++ {
 		limit, units := n.limitOf(kind), cost.of(kind)
 		if limit == nil || units == 0 {
@@ -146,22 +150,21 @@
 		}
 		room := limit.findRoom(now, units)
 		if room.wait > 0 {
-			return found, &Rejection{
+			return &Rejection{
 				Node: room.blocked.node.name, Kind: kind, Requested: units,
 				Left: room.left, RetryAfter: limit.scheduleRetry(now, units),
 			}
 		}
-		found[kind] = room.drawn
+		found[kind] = draw{limit, room.drawn}
 	}
-	return found, nil
+	return nil
 }
 
-// charge takes a cost of the kinds from first to last from where findRoom has found it.
-func (n *node) charge(now time.Duration, first, last Kind, cost Cost, found *draws) {
-	for kind := first; kind <= last; kind++ {
-		limit, units := n.limitOf(kind), cost.of(kind)
-		if limit != nil && units > 0 {
-			limit.charge(now, found[kind], units)
+// charge takes a cost from where findRoom has found it.
+func (found *draws) charge(now time.Duration, cost Cost) {
+	for kind := range found {
+		if d := &found[kind]; d.limit != nil {
+			d.limit.charge(now, d.drawn, cost.of(Kind(kind)))
 		}
 	}
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -71,23 +71,22 @@
 	if rejection = leaf.checkOpen(cost); rejection != nil {
 		return Grant{}, rejection
 	}
-	draws, rejection := leaf.findRoom(now, Requests, Bytes, cost)
-	if rejection != nil {
+	var found draws
+	if rejection = leaf.findRoom(now, Requests, Bytes, cost, &found); rejection != nil {
 		return Grant{}, rejection
 	}
-	if rejection = l.admitConcurrent(now, leaf.tenant()); rejection != nil {
-		return Grant{}, rejection
+	if l.limit != nil {
+		if rejection = l.admitConcurrent(now, leaf.tenant()); rejection != nil {
+			return Grant{}, rejection
+		}
 	}
-	leaf.charge(now, Requests, Bytes, cost, &draws)
+	found.charge(now, cost)
 	leaf.open(cost)
 	return Grant{leaf, cost, l.limit}, nil
 }
 
 // admitConcurrent takes a place of the concurrency limit.
 func (l *Ledger) admitConcurrent(now time.Duration, tenant *node) *Rejection {
-	if l.limit == nil {
-		return nil
-	}
 	wait, ok := l.limit.Admit(now, tenant.inFlight, tenant.spec.portion)
 	if ok {
 		return nil
--- a/internal/quota/rate.go
+++ b/internal/quota/rate.go
@@ -1,9 +1,6 @@
 package quota
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// borrowsFor is how long a node counts as a borrower after it last wanted to borrow.
@@ -48,7 +45,7 @@
 		node: n, guaranteed: bucket{meter: guaranteed}, ceiling: bucket{meter: ceiling},
 		reserve: n.spec.reserve(kind), weight: n.spec.weight(),
 	}
-	r.spare = math.Max(0, guaranteed.burst-r.reserve)
+	r.spare = max(0, guaranteed.burst-r.reserve)
 	if old != nil {
 		r.guaranteed = old.guaranteed.resized(n.lastUsed, guaranteed)
 		r.ceiling = old.ceiling.resized(n.lastUsed, ceiling)
@@ -102,7 +99,7 @@
 
 // left returns what is guaranteed and not used yet, without the reserve.
 func (r *rate) left(now time.Duration) float64 {
-	return math.Max(0, r.guaranteed.available(now)-r.reserve)
+	return max(0, r.guaranteed.available(now)-r.reserve)
 }
 
 // ownWait returns how long it takes until a cost can be drawn from the guaranteed part beyond the reserve.
@@ -110,7 +107,7 @@
 	if r.spare <= 0 {
 		return never
 	}
-	return r.guaranteed.wait(now, r.reserve+math.Min(cost, r.spare))
+	return r.guaranteed.wait(now, r.reserve+min(cost, r.spare))
 }
 
 // borrowWait returns how long it takes until the ceiling has room for a cost that is borrowed from above.
@@ -119,7 +116,7 @@
 	if borrowable <= 0 {
 		return never
 	}
-	return r.ceiling.wait(now, r.guaranteed.burst+math.Min(cost, borrowable))
+	return r.ceiling.wait(now, r.guaranteed.burst+min(cost, borrowable))
 }
 
 // ceilingWait returns how long the ceilings from here upward hold a cost up that is drawn here: only over-committed
@@ -127,7 +124,7 @@
 func (r *rate) ceilingWait(now time.Duration, cost float64) time.Duration {
 	wait := time.Duration(0)
 	for p := r; p != nil; p = p.parent {
-		wait = max(wait, p.ceiling.wait(now, math.Min(cost, p.ceiling.burst)))
+		wait = max(wait, p.ceiling.wait(now, min(cost, p.ceiling.burst)))
 	}
 	return wait
 }
@@ -146,7 +143,7 @@
 	if r.guaranteed.available(now)-r.reserve >= freeLendShare*r.spare {
 		return 0
 	}
-	weights := math.Max(r.activeWeight, borrower.weight)
+	weights := max(r.activeWeight, borrower.weight)
 	lead := borrower.tag - r.virtualTime - freeLendShare*r.spare/weights
 	if lead <= 0 {
 		return 0
@@ -163,7 +160,7 @@
 	} else {
 		r.borrows = true
 		lender.activeWeight += r.weight
-		r.tag = math.Max(r.tag, lender.virtualTime)
+		r.tag = max(r.tag, lender.virtualTime)
 	}
 	r.lastWanted = now
 	lender.link(r)
@@ -225,7 +222,7 @@
 		}
 		if p.parent != nil && p.parent == drawn {
 			p.tag += cost / p.weight
-			drawn.virtualTime += cost / math.Max(drawn.activeWeight, p.weight)
+			drawn.virtualTime += cost / max(drawn.activeWeight, p.weight)
 		}
 	}
 }
--- a/internal/quota/spec.go
+++ b/internal/quota/spec.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 )
 
@@ -128,15 +127,15 @@
 	limit := s.Rates[kind]
 	guaranteed = meter{rate: limit.Guaranteed, burst: limit.Guaranteed * s.burstSeconds()}
 	if limit.Guaranteed > 0 {
-		guaranteed.burst = math.Max(guaranteed.burst, 1)
+		guaranteed.burst = max(guaranteed.burst, 1)
 	}
 	if below := s.reserve(kind); below > 0 { // what is guaranteed below, and something to lend
-		lendable := math.Max(1, limit.Guaranteed*minLendTime.Seconds())
-		guaranteed.burst = math.Max(guaranteed.burst, below+lendable)
+		lendable := max(1, limit.Guaranteed*minLendTime.Seconds())
+		guaranteed.burst = max(guaranteed.burst, below+lendable)
 	}
 	ceiling = meter{rate: limit.Ceiling, burst: guaranteed.burst}
 	if extra := limit.Ceiling - limit.Guaranteed; extra > 0 {
-		ceiling.burst += math.Max(1, extra*s.burstSeconds())
+		ceiling.burst += max(1, extra*s.burstSeconds())
 	}
 	return guaranteed, ceiling
 }
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -45,7 +45,7 @@
 	// The floor drips in evenly, melting too; where it is slow it still comes to a whole token.
 	floor := b.tokens*melt + c.Floor*window*(1-melt)
 	if c.Floor > 0 && c.Floor*window < 1 {
-		floor = math.Max(floor, math.Min(1, b.tokens+c.Floor*passed))
+		floor = max(floor, min(1, b.tokens+c.Floor*passed))
 	}
 	b.tokens, b.at = floor, now
 }
--- a/internal/route/move.go
+++ b/internal/route/move.go
@@ -143,8 +143,8 @@
 // score is the logarithm of the likelihood of the new pool's results, if it fails thrice Worse more than the old one, over that
 // if it fails Worse more.
 func (m *Migration) score() float64 {
-	p0 := math.Min(m.olds.share()+m.cfg.Tolerance, 0.98)
-	p1 := math.Min(m.olds.share()+3*m.cfg.Tolerance, 0.99)
+	p0 := min(m.olds.share()+m.cfg.Tolerance, 0.98)
+	p1 := min(m.olds.share()+3*m.cfg.Tolerance, 0.99)
 	failed, well := float64(m.news.failed), float64(m.news.all-m.news.failed)
 	return failed*math.Log(p1/p0) + well*math.Log((1-p1)/(1-p0))
 }
