--- a/internal/broker/attempt.go
+++ b/internal/broker/attempt.go
@@ -13,18 +13,18 @@
 	Request      *Request
 	Number       int // from 0
 	Endpoint     *Endpoint
-	Source       *Endpoint // Endpoint itself: no fill
-	CacheRank    int
+	Source       *Endpoint     // Endpoint itself: no fill
+	CacheRank    int           // 0: no copy, no change; 1 to 3: the rank of the copy
 	MaxAge       time.Duration // oldest copy that will do; 0: the class's own limit
-	JoinFill     bool
-	CachedOnly   bool
-	BypassParent bool
-	Revalidate   bool
+	JoinFill     bool          // wait for a fill that is in progress
+	CachedOnly   bool          // the source gives only what it has cached
+	BypassParent bool          // no copy is left at the parent
+	Revalidate   bool          // an ageing copy is fetched anew while it is served
 	Deadline     time.Duration
 	Written      bool // set by the pool: all of it was written, as far as is known
 
-	sentAt time.Duration // when it was decided
-	state  attemptState
+	decidedAt time.Duration // by the policy; it may wait for its connection from then on
+	state     attemptState
 }
 
 // attemptState is where an attempt stands. The package's doc comment has the transitions.
@@ -60,7 +60,7 @@
 		BypassParent: action.BypassParent,
 		Revalidate:   action.Revalidate,
 		Deadline:     request.deadline,
-		sentAt:       b.now,
+		decidedAt:    b.now,
 	}
 	if action.Timeout > 0 {
 		attempt.Deadline = min(attempt.Deadline, b.now+action.Timeout)
@@ -92,7 +92,7 @@
 	}
 	return !slices.ContainsFunc(attempt.Request.attempts, func(other *Attempt) bool {
 		mayHaveRun := other.Written && other.state != attemptNotExecuted
-		return other != attempt && mayHaveRun && now-other.sentAt > class.RetryWindow()
+		return other != attempt && mayHaveRun && now-other.decidedAt > class.RetryWindow()
 	})
 }
 
@@ -118,7 +118,7 @@
 		ID:        request.id,
 		Endpoint:  attempt.Endpoint.ID,
 		Attempt:   attempt.Number,
-		Elapsed:   b.now - attempt.sentAt,
+		Elapsed:   b.now - attempt.decidedAt,
 		Concluded: request.state == requestEnded,
 		Note:      event.Note,
 		FirstByte: event.SourceDelay,
--- a/internal/broker/request.go
+++ b/internal/broker/request.go
@@ -28,10 +28,10 @@
 // Request is what a client requested. A frontend fills in the exported fields; the rest is the broker's.
 type Request struct {
 	Frontend    Frontend
-	ID          string // the client's own id of this attempt
-	Class       int
-	Team        string
-	Service     string       // whose it is; empty: the only one
+	ID          string       // the client's own id of this attempt
+	Class       int          // its index in policy.Config.Classes
+	Team        string       // whose quota it is charged to
+	Service     string       // of the team; empty: its only one
 	Zone        string       // that a DNS query named; empty: another frontend
 	Route       route.Choice // which pool it went to
 	Object      uint64
