--- a/internal/proxy/control.go
+++ b/internal/proxy/control.go
@@ -29,10 +29,10 @@
 	case len(words) == 1 && words[0] == "state":
 		d.state(&out)
 	case len(words) == 1 && words[0] == "peers":
-		if d.list.herd == nil {
+		if d.sources.fleet == nil {
 			return "error: there is no list service that peers could spare\n"
 		}
-		d.list.herd.writeStatus(&out)
+		d.sources.fleet.writeStatus(&out)
 	case len(words) == 0 || words[0] != "contracts":
 		return "error: the questions are: state; peers; contracts; contracts TEAM CLASS [SERVICE]\n"
 	case d.contracts == nil:
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -41,7 +41,7 @@
 
 // newFleet opens the transport and makes the machine.
 func newFleet(s *sources) *fleet {
-	f := &fleet{server: s.doorman}
+	f := &fleet{server: s.server}
 	p := f.server.plan
 	f.pending = make([]*membership.List, len(p.own.Catalogue.Services))
 	config := f.machineConfig()
@@ -235,10 +235,12 @@
 
 // poll starts or stops polling the catalogue.
 func (f *fleet) poll(polled bootstrap.Poll) {
-	if !polled.On {
-		clear(f.pending) // a list under suspicion must not count later, when another source has lifted the suspicion
+	if polled.On {
+		f.server.sources.pollLists()
+		return
 	}
-	f.server.list.follow(polled.On)
+	clear(f.pending) // a list under suspicion must not count later, when another source has lifted the suspicion
+	f.server.sources.endPolling()
 }
 
 // adopt publishes a list of peers: a large one in parts first, which makes the complete one that follows cheap.
--- a/internal/proxy/layout_test.go
+++ b/internal/proxy/layout_test.go
@@ -14,8 +14,8 @@
 	"membership/consul/registrar",
 }
 
-// TestArrowsGoDown: what stands below the event loop imports nothing that stands above, not by way of others either, and
-// the sources of endpoints know nothing of the broker that takes what they report.
+// TestArrowsGoDown: what stands below the event loop imports nothing that stands above, not by way of others either,
+// and the sources of endpoints know nothing of the broker that takes what they report.
 func TestArrowsGoDown(t *testing.T) {
 	for _, name := range belowTheLoop {
 		forbid(t, name, "eventloop", "proxy", "frontend", "upstream", "emulator", "drill")
@@ -41,7 +41,8 @@
 	}
 }
 
-// importsOf gives the packages of internal/ that one imports at whatever depth, and by which way. Tests' own do not count.
+// importsOf gives the packages of internal/ that one imports at whatever depth, and by which way. Tests' own do not
+// count.
 func importsOf(t *testing.T, name string) map[string]string {
 	t.Helper()
 	const root = "sloequay/internal/"
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -48,7 +48,7 @@
 	dns       *dns.Server // nil: off
 	resolver  *resolver.Resolver
 	log       *eventlog.Logger
-	list      *sources
+	sources   *sources
 	door      *door         // nil: every caller may do everything
 	kept      time.Duration // when the last housekeeping was
 	tallied   time.Duration // when the depots' tallies were last logged
@@ -125,8 +125,8 @@
 	if path := d.plan.own.Control; path != "" {
 		d.control(path)
 	}
-	d.list = &sources{doorman: d}
-	d.list.start()
+	d.sources = &sources{server: d}
+	d.sources.start()
 	go d.heed()
 	d.log.Event("started", "name", s.Name, "listen", s.Listen, "endpoints", d.plan.boxes)
 	l.RequestRound()
@@ -167,7 +167,7 @@
 		d.known = d.known && d.plan.members.Sources()[d.plan.first+i].LastSeen > 0
 	}
 	// Where peers tell lists, one that a single one of them tells is not known at once.
-	d.known = d.known && (d.list.restored || d.list.herd.transport == nil || d.list.herd.machine.Ready())
+	d.known = d.known && (d.sources.restored || d.sources.fleet.transport == nil || d.sources.fleet.machine.Ready())
 	window := time.Duration(d.plan.settings.Control.Instances) * bootstrap.WindowPerProxy // in which doormans ask one after another
 	d.known = d.known || d.clock.Uptime() > knowWithin+window
 	return d.known
@@ -207,14 +207,14 @@
 	if !d.leaving.Begin(d.clock.Monotonic()) {
 		return
 	}
-	d.list.leave() // first thing: clients are to look elsewhere
+	d.sources.beginShutdown() // first thing: clients are to look elsewhere
 	d.log.Event("draining", "open", d.open())
 	d.loop.RequestRound()
 }
 
 // end does what the end wants next.
 func (d *server) end(now time.Duration) {
-	held := shutdown.Load{Open: d.open(), Clients: d.front.Clients(), Unsent: d.loop.UnsentBytes(), Blocked: !d.list.left()}
+	held := shutdown.Load{Open: d.open(), Clients: d.front.Clients(), Unsent: d.loop.UnsentBytes(), Blocked: !d.sources.shutdownDone()}
 	if d.dns != nil {
 		held.Clients += d.dns.Clients()
 	}
@@ -264,7 +264,7 @@
 		if d.dns != nil {
 			d.dns.Tick(now)
 		}
-		d.list.tick(now)
+		d.sources.tick(now)
 		if d.door != nil {
 			d.door.tick(now)
 		}
@@ -290,15 +290,15 @@
 			again = again || len(p.events) > 0
 		}
 	}
-	if d.list.herd != nil {
-		d.list.herd.step(now)
+	if d.sources.fleet != nil {
+		d.sources.fleet.step(now)
 	}
 	if d.leaving.Begun() && !d.stopped {
 		d.end(now)
 	}
 	wake := d.kept + housekeepEvery
-	if d.list.herd != nil {
-		wake = min(wake, d.list.herd.steppedAt+fleetStepInterval)
+	if d.sources.fleet != nil {
+		wake = min(wake, d.sources.fleet.steppedAt+fleetStepInterval)
 	}
 	for _, p := range d.pools {
 		if next := p.broker.Next(); next > 0 {
@@ -322,7 +322,7 @@
 	case broker.HealthCheck:
 		p.depots.CheckHealth(e.Endpoint)
 	case broker.RefetchList:
-		d.list.confirm(e.Source)
+		d.sources.confirm(e.Source)
 	case broker.LogEntry:
 		d.log.Event(e.Event, e.Fields...)
 	}
--- /dev/null
+++ b/internal/proxy/snapshots.go
@@ -0,0 +1,88 @@
+package proxy
+
+import (
+	"errors"
+	"io/fs"
+	"time"
+
+	"sloequay/internal/broker"
+	"sloequay/internal/snapshot"
+	"sloequay/internal/snapshot/disk"
+)
+
+// refreshesPerMaxAge is how often an unchanged snapshot is written within its oldest usable age: how old it is must
+// not count from the last change.
+const refreshesPerMaxAge = 10
+
+// snapshotWriter reads the snapshot at the start and writes it while the proxy runs. Its methods run on the loop.
+type snapshotWriter struct {
+	server    *server
+	writtenAt time.Duration // when the last snapshot was begun
+	revision  uint64        // of the endpoints in it
+	isWriting bool
+}
+
+// restore reads the snapshot and says whether there was one to use.
+func (w *snapshotWriter) restore() bool {
+	server := w.server
+	settings := server.plan.own.Snapshot
+	if settings == nil {
+		return false
+	}
+	disk.Clean(settings.File)
+	control := server.plan.settings.Control
+	limits := snapshot.Limits{
+		MaxAge: settings.Oldest,
+		Zones:  len(control.ZoneNames),
+		Kinds:  len(control.KindNames),
+	}
+	reports, age, err := disk.Read(settings.File, server.clock.Unix(), limits)
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+		return false
+	case err != nil:
+		server.log.Event("snapshot-rejected", "file", settings.File, "error", err)
+		return false
+	}
+	server.log.Event("snapshot-loaded", "file", settings.File, "age", age.Round(time.Millisecond))
+	server.emit(broker.SnapshotRestored{Reports: reports})
+	return true
+}
+
+// tick writes a snapshot when the endpoints have changed and its time has come. A goroutine waits for the disk. The
+// exit does not wait for it: the file holds the old snapshot or the new one, whenever the process ends.
+func (w *snapshotWriter) tick(now time.Duration) {
+	server := w.server
+	settings := server.plan.own.Snapshot
+	if settings == nil || w.isWriting {
+		return
+	}
+	interval := settings.Every
+	revision := server.plan.members.Revision()
+	if revision == w.revision {
+		interval = max(interval, settings.Oldest/refreshesPerMaxAge)
+	}
+	if now-w.writtenAt < interval {
+		return
+	}
+	reports := server.plan.members.Export()
+	if len(reports) == 0 {
+		return
+	}
+	w.isWriting = true
+	w.writtenAt = now
+	w.revision = revision
+	at := server.clock.Unix()
+	go func() {
+		data, err := snapshot.Encode(at, reports)
+		if err == nil {
+			err = disk.Write(settings.File, data)
+		}
+		server.loop.Post(func() {
+			w.isWriting = false
+			if err != nil {
+				server.log.Event("snapshot-write-failed", "error", err)
+			}
+		})
+	}()
+}
--- a/internal/proxy/source_events.go
+++ b/internal/proxy/source_events.go
@@ -7,8 +7,8 @@
 	"sloequay/internal/membership"
 )
 
-// brokerEvent gives what a source of endpoints or purges reports as the broker takes it. Sources stand below the broker and
-// know nothing of its events; here the two meet.
+// brokerEvent gives what a source of endpoints or purges reports as the broker takes it. Sources stand below the
+// broker and know nothing of its events; here the two meet.
 func brokerEvent(event membership.SourceEvent) broker.Event {
 	switch event := event.(type) {
 	case membership.ListReceived:
--- a/internal/proxy/source_events_test.go
+++ b/internal/proxy/source_events_test.go
@@ -10,7 +10,8 @@
 	"sloequay/internal/membership"
 )
 
-// TestBrokerEvent: each event of a source becomes the broker's own with all that it says, and the object 0 stays an object.
+// TestBrokerEvent: each event of a source becomes the broker's own with all that it says, and the object 0 stays an
+// object.
 func TestBrokerEvent(t *testing.T) {
 	endpoints := []membership.Endpoint{{ID: "c1", Address: "10.0.0.1:80", State: membership.Up, Weight: 4}}
 	list := membership.List{Version: 7, Endpoints: endpoints, Confirms: true, Incomplete: true, Part: true}
--- a/internal/proxy/sources.go
+++ b/internal/proxy/sources.go
@@ -2,205 +2,198 @@
 
 import (
 	"context"
-	"errors"
-	"io/fs"
 	"sync/atomic"
 	"time"
 
-	"sloequay/internal/broker"
 	"sloequay/internal/membership"
 	"sloequay/internal/membership/consul"
 	"sloequay/internal/membership/listwatch"
-	"sloequay/internal/snapshot"
-	"sloequay/internal/snapshot/disk"
 )
 
-// sources joins the sources of boxes and purges to the doorman. Its methods run on the loop.
+// sources joins the sources of endpoints and purges to the server: the endpoint list watch, Consul's catalogue, the
+// peers (by way of fleet) and the snapshot. Its methods run on the loop, but for log and publish.
 type sources struct {
-	doorman   *server
-	herd      *fleet            // nil: there is no catalogue
-	lists     *consul.Config    // what is asked for by who is to ask
-	catalogue *consul.Catalogue // nil: it is not asked
-	end       context.CancelFunc
-	restored  bool          // a snapshot was read
-	leaving   chan struct{} // closed with the end: the registration is to be taken back
-	kept      atomic.Bool   // the registration is being kept, or taken back
-	saved     time.Duration // when the last snapshot was begun
-	version   uint64        // of the list that it has
-	saving    bool
+	server      *server
+	fleet       *fleet            // nil: there is no catalogue
+	listConfig  *consul.Config    // what is polled while this proxy polls
+	catalogue   *consul.Catalogue // nil: this proxy does not poll it
+	stopPolling context.CancelFunc
+	restored    bool // a snapshot was read
+	snapshots   snapshotWriter
+
+	deregister         chan struct{} // closed when the shutdown begins
+	registrationActive atomic.Bool   // a goroutine keeps the registration, or removes it
 }
 
-// start hands on what was known at the start, and begins to follow.
+// start publishes what is known at the start, and begins to follow the sources.
 func (s *sources) start() {
-	d := s.doorman
-	p := d.plan
-	s.leaving = make(chan struct{})
-	emit := func(event membership.SourceEvent) {
-		// Without a bulletin among the sources of endpoints, it still brings purges.
-		if _, isPurge := event.(membership.PurgeReceived); isPurge || p.own.bulletin {
-			d.emit(brokerEvent(event))
-		}
-	}
-	s.restore()
-	for _, e := range p.known {
-		emit(e)
+	s.deregister = make(chan struct{})
+	s.snapshots.server = s.server
+	s.restored = s.snapshots.restore()
+	s.startListWatch()
+	if s.server.plan.own.Catalogue != nil {
+		s.startCatalogue()
 	}
-	d.bulletin = &listwatch.Watcher{Loop: d.loop, Address: p.settings.ListAddress, Decoder: p.names, LastEvent: p.last, Publish: emit,
-		Now: d.clock.Monotonic, Log: d.log.Event}
-	if p.own.Catalogue == nil {
-		return
+}
+
+// startListWatch publishes the events of the settings, after which the watch goes on.
+func (s *sources) startListWatch() {
+	server := s.server
+	plan := server.plan
+	for _, event := range plan.known {
+		s.publishWatched(event)
+	}
+	server.bulletin = &listwatch.Watcher{
+		Loop:      server.loop,
+		Address:   plan.settings.ListAddress,
+		Decoder:   plan.names,
+		LastEvent: plan.last,
+		Publish:   s.publishWatched,
+		Now:       server.clock.Monotonic,
+		Log:       server.log.Event,
 	}
-	if from := p.own.from(); from != nil {
-		p.own.Catalogue.Bind = from
+}
+
+// publishWatched takes an event of the endpoint list watch. Where the settings leave the watch out of the sources of
+// endpoints, it still brings purges.
+func (s *sources) publishWatched(event membership.SourceEvent) {
+	if _, isPurge := event.(membership.PurgeReceived); isPurge || s.server.plan.own.bulletin {
+		s.server.emit(brokerEvent(event))
 	}
-	lists, purges := *p.own.Catalogue, *p.own.Catalogue
-	s.lists = &lists
-	if p.own.Peers != nil {
-		// Who asks for lists comes and goes; purges are asked for by every doorman.
-		if lists.Purges = ""; purges.Purges != "" {
-			purges.Services = nil
-			s.open(context.Background(), &purges)
+}
+
+// startCatalogue begins to follow the catalogue, as far as this proxy is to poll it, and to keep the proxy
+// registered.
+func (s *sources) startCatalogue() {
+	plan := s.server.plan
+	if from := plan.own.from(); from != nil {
+		plan.own.Catalogue.Bind = from
+	}
+	lists := *plan.own.Catalogue
+	if plan.own.Peers != nil {
+		// Peers take turns in polling lists; each proxy polls purges.
+		purges := lists
+		purges.Services = nil
+		lists.Purges = ""
+		if purges.Purges != "" {
+			s.openCatalogue(context.Background(), &purges)
 		}
 	}
-	s.herd = newFleet(s)
-	s.herd.step(d.clock.Monotonic())
-	if p.own.Catalogue.Registration != nil {
-		keeper := &consul.Catalogue{Config: p.own.Catalogue, Names: p.names.Names, Publish: s.tell, Log: s.log, Now: d.clock.Monotonic, Seed: p.settings.Seed}
-		s.kept.Store(true)
-		go func() {
-			defer s.kept.Store(false)
-			if err := keeper.KeepRegistered(s.leaving, p.settings.Name, p.settings.Listen); err != nil {
-				s.log("catalogue-registration-failed", "error", err)
-			}
-			d.loop.Post(d.loop.RequestRound)
-		}()
+	s.listConfig = &lists
+	s.fleet = newFleet(s)
+	s.fleet.step(s.server.clock.Monotonic())
+	if plan.own.Catalogue.Registration != nil {
+		s.keepRegistered()
 	}
 }
 
-// log writes a line. It may be called beside the loop.
-func (s *sources) log(event string, fields ...any) {
-	s.doorman.loop.Post(func() { s.doorman.log.Event(event, fields...) })
+// keepRegistered keeps the registration on a goroutine of its own, which ends once deregister is closed and the
+// registration is removed, or was attempted to be. The shutdown waits for it: see shutdownDone.
+func (s *sources) keepRegistered() {
+	settings := s.server.plan.settings
+	catalogue := s.newCatalogue(s.server.plan.own.Catalogue)
+	s.registrationActive.Store(true)
+	go func() {
+		defer s.registrationActive.Store(false)
+		if err := catalogue.KeepRegistered(s.deregister, settings.Name, settings.Listen); err != nil {
+			s.log("catalogue-registration-failed", "error", err)
+		}
+		s.server.loop.Post(s.server.loop.RequestRound)
+	}()
+}
+
+// newCatalogue makes a catalogue that publishes here.
+func (s *sources) newCatalogue(config *consul.Config) *consul.Catalogue {
+	plan := s.server.plan
+	return &consul.Catalogue{
+		Config:      config,
+		Names:       plan.names.Names,
+		FirstSource: plan.first,
+		Publish:     s.publish,
+		Log:         s.log,
+		Now:         s.server.clock.Monotonic,
+		Seed:        plan.settings.Seed,
+	}
 }
 
-// open begins to ask the catalogue, until ctx ends. What comes after that is dropped.
-func (s *sources) open(ctx context.Context, cfg *consul.Config) *consul.Catalogue {
-	p := s.doorman.plan
-	c := &consul.Catalogue{Config: cfg, Names: p.names.Names, FirstSource: p.first, Log: s.log, Now: s.doorman.clock.Monotonic, Seed: p.settings.Seed,
-		Publish: func(events ...membership.SourceEvent) {
-			if ctx.Err() == nil {
-				s.tell(events...)
+// openCatalogue begins to poll the catalogue, until ctx ends. What comes after that is dropped.
+func (s *sources) openCatalogue(ctx context.Context, config *consul.Config) *consul.Catalogue {
+	catalogue := s.newCatalogue(config)
+	catalogue.Publish = func(events ...membership.SourceEvent) {
+		if ctx.Err() == nil {
+			s.publish(events...)
+		}
+	}
+	catalogue.AgentAlive = func() {
+		s.server.loop.Post(func() {
+			if s.fleet != nil && ctx.Err() == nil {
+				s.fleet.serviceSeen()
 			}
-		},
-		AgentAlive: func() {
-			s.doorman.loop.Post(func() {
-				if s.herd != nil && ctx.Err() == nil {
-					s.herd.serviceSeen()
-				}
-			})
-		}}
-	if err := c.Start(ctx); err != nil {
+		})
+	}
+	if err := catalogue.Start(ctx); err != nil {
 		s.log("catalogue-unreachable", "error", err)
 	}
-	return c
+	return catalogue
 }
 
-// follow begins to ask the catalogue for its lists, or ends that.
-func (s *sources) follow(on bool) {
-	if s.end != nil {
-		s.end()
-		s.end, s.catalogue = nil, nil
-	}
-	if on {
-		var ctx context.Context
-		ctx, s.end = context.WithCancel(context.Background())
-		s.catalogue = s.open(ctx, s.lists)
+// pollLists begins to poll the catalogue for its lists, anew where it is polled already.
+func (s *sources) pollLists() {
+	s.endPolling()
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stopPolling = cancel
+	s.catalogue = s.openCatalogue(ctx, s.listConfig)
+}
+
+// endPolling ends that.
+func (s *sources) endPolling() {
+	if s.stopPolling == nil {
+		return
 	}
+	s.stopPolling()
+	s.stopPolling = nil
+	s.catalogue = nil
+}
+
+// log writes a log event. Any goroutine may call it.
+func (s *sources) log(event string, fields ...any) {
+	s.server.loop.Post(func() { s.server.log.Event(event, fields...) })
 }
 
-// tell takes events to the loop and returns once they are there.
-func (s *sources) tell(events ...membership.SourceEvent) {
+// publish takes events of the catalogue to the loop and returns once they are there, so that a source that reports
+// much waits for the loop. It is called beside the loop.
+func (s *sources) publish(events ...membership.SourceEvent) {
 	taken := make(chan struct{})
-	s.doorman.loop.Post(func() {
-		for _, e := range events {
-			s.doorman.emit(brokerEvent(e))
-			if s.herd != nil {
-				s.herd.observe(e)
+	s.server.loop.Post(func() {
+		for _, event := range events {
+			s.server.emit(brokerEvent(event))
+			if s.fleet != nil {
+				s.fleet.observe(event)
 			}
 		}
-		s.doorman.loop.RequestRound()
+		s.server.loop.RequestRound()
 		close(taken)
 	})
 	<-taken
 }
 
-func (s *sources) confirm(src int) {
+// confirm has a source's list fetched again at once, if it is the catalogue's and this proxy polls it.
+func (s *sources) confirm(source int) {
 	if s.catalogue != nil {
-		s.catalogue.Confirm(src)
+		s.catalogue.Confirm(source)
 	}
 }
 
-// leave begins the end.
-func (s *sources) leave() {
-	close(s.leaving)
-	if s.herd != nil {
-		s.herd.announceShutdown()
-	}
-}
-
-// left says whether nothing of the end is left to do.
-func (s *sources) left() bool { return !s.kept.Load() }
+// tick writes a snapshot when one is due.
+func (s *sources) tick(now time.Duration) { s.snapshots.tick(now) }
 
-// restore reads the snapshot.
-func (s *sources) restore() {
-	d := s.doorman
-	cfg := d.plan.own.Snapshot
-	if cfg == nil {
-		return
-	}
-	disk.Clean(cfg.File)
-	c := d.plan.settings.Control
-	limits := snapshot.Limits{MaxAge: cfg.Oldest, Zones: len(c.ZoneNames), Kinds: len(c.KindNames)}
-	words, age, err := disk.Read(cfg.File, d.clock.Unix(), limits)
-	switch {
-	case errors.Is(err, fs.ErrNotExist):
-	case err != nil:
-		d.log.Event("snapshot-rejected", "file", cfg.File, "error", err)
-	default:
-		d.log.Event("snapshot-loaded", "file", cfg.File, "age", age.Round(time.Millisecond))
-		s.restored = true
-		d.emit(broker.SnapshotRestored{Reports: words})
+// beginShutdown has the registration removed, and tells the peers.
+func (s *sources) beginShutdown() {
+	close(s.deregister)
+	if s.fleet != nil {
+		s.fleet.announceShutdown()
 	}
 }
 
-// tick writes a snapshot when the list has changed and its time has come. The disk is waited for on a goroutine.
-func (s *sources) tick(now time.Duration) {
-	d := s.doorman
-	cfg := d.plan.own.Snapshot
-	if cfg == nil || s.saving || now-s.saved < cfg.Every {
-		return
-	}
-	version, words := d.plan.members.Revision(), []membership.SourceReport(nil)
-	if version == s.version {
-		// Nothing has changed; but how old it is must not count from the change.
-		if now-s.saved < max(cfg.Every, cfg.Oldest/10) {
-			return
-		}
-	}
-	words = d.plan.members.Export()
-	if len(words) == 0 {
-		return
-	}
-	s.saving, s.saved, s.version = true, now, version
-	at := d.clock.Unix()
-	go func() {
-		data, err := snapshot.Encode(at, words)
-		if err == nil {
-			err = disk.Write(cfg.File, data)
-		}
-		d.loop.Post(func() {
-			if s.saving = false; err != nil {
-				d.log.Event("snapshot-write-failed", "error", err)
-			}
-		})
-	}()
-}
+// shutdownDone says whether nothing of the shutdown is left to do.
+func (s *sources) shutdownDone() bool { return !s.registrationActive.Load() }
