--- a/test/catalogue_test.go
+++ b/test/catalogue_test.go
@@ -4,10 +4,8 @@
 	"flag"
 	"fmt"
 	"math/rand"
-	"os"
 	"path/filepath"
 	"slices"
-	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -16,73 +14,73 @@
 	"sloequay/internal/emulator/consul"
 )
 
-// TestCatalogueStatusStopsTraffic: what the catalogue says of a box holds, under load, as target and as source.
+// TestCatalogueStatusStopsTraffic: what the catalogue says of an endpoint holds, under load, as target and as source.
 func TestCatalogueStatusStopsTraffic(t *testing.T) {
 	t.Parallel()
 	w := newTestbed(t, answerFilled, "c1", "c2", "p1", "o1")
-	c, _ := w.enableCatalogue(1, "", "c3", "p2")
-	w.addSettings("list {\nflap-cut 0\n}")
+	cluster, _ := w.enableCatalogue(1, "", "c3", "p2")
+	w.addSettings("list {", "flap-cut 0", "}")
 	w.start()
-	w.waitUntil("all boxes are known", func() bool { return strings.Count(w.log.String(), "event=endpoint-added") == 6 })
-	f := w.startTraffic()
+	w.waitEndpointsKnown(6)
+	load := w.startLookups()
 	for _, id := range []string{"c1", "p1"} {
-		name, _, _ := catalogueService(id)
+		service, _, _ := placement(id)
 		for _, status := range []string{"maintenance", consul.Critical} {
 			w.waitInUse(id)
-			c.Mark(name, id, status)
-			w.waitUnused(id, c.Written(id), time.Second)
-			c.Mark(name, id, consul.Passing)
+			cluster.Mark(service, id, status)
+			w.waitUnused(id, cluster.Written(id), time.Second)
+			cluster.Mark(service, id, consul.Passing)
 		}
 		w.waitInUse(id)
-		c.MarkNode("node-"+id, consul.Critical)
-		w.waitUnused(id, c.Written(id), time.Second)
-		c.MarkNode("node-"+id, consul.Passing)
+		cluster.MarkNode("node-"+id, consul.Critical)
+		w.waitUnused(id, cluster.Written(id), time.Second)
+		cluster.MarkNode("node-"+id, consul.Passing)
 		w.waitInUse(id)
-		in := c.Instances(name)
-		c.Remove(name, id)
-		w.waitUnused(id, c.Written(id), time.Second)
-		for _, i := range in {
-			if i.ID == id {
-				c.Put(i)
+		instances := cluster.Instances(service)
+		cluster.Remove(service, id)
+		w.waitUnused(id, cluster.Written(id), time.Second)
+		for _, instance := range instances {
+			if instance.ID == id {
+				cluster.Put(instance)
 			}
 		}
 		w.waitInUse(id)
 	}
-	f.stopAllServed(t)
+	load.stopAllServed(t)
 }
 
-// TestCriticalEndpointReleasesWaitingAttempts is the first hard case: a box is marked critical while fills from it are under way and
+// TestCriticalEndpointReleasesWaitingAttempts: an endpoint is marked critical while fills from it are under way and
 // attempts wait for its connection. What waits goes elsewhere at once, and nothing new goes there.
 func TestCriticalEndpointReleasesWaitingAttempts(t *testing.T) {
 	t.Parallel()
-	held := make(chan *receivedRequest, 1000)
+	fills := make(chan *receivedRequest, 1000) // from p1, that are under way
 	w := newTestbed(t, func(a *receivedRequest) {
 		if a.Fields["via"] == "p1" {
-			held <- a // a fill that is under way
+			fills <- a
 			return
 		}
 		answerFilled(a)
 	}, "c1", "c2", "p1", "o1")
-	c, _ := w.enableCatalogue(1, "")
-	address := w.listenWithFullBacklog() // no connection to c1 comes up
-	c.Put(w.catalogueInstance("c1", address))
-	w.config["settings"].(map[string]any)["limits"].(map[string]any)["dial-timeout-ms"] = 60000
+	cluster, _ := w.enableCatalogue(1, "")
+	cluster.Put(w.catalogueInstance("c1", w.listenWithFullBacklog())) // no connection to c1 comes up
+	w.platformLimits()["dial-timeout-ms"] = 60000
 	w.start()
-	w.waitUntil("all boxes are known", func() bool { return strings.Count(w.log.String(), "event=endpoint-added") == 4 })
+	w.waitEndpointsKnown(4)
 	client := w.dial()
 	for id := range uint64(20) {
-		client.send(request(id, "footage", map[string]string{"limit": "60000", "item": fmt.Sprintf("%016x", id+1), "ram": "1"}, ""))
+		fields := map[string]string{"limit": "60000", "item": hexID(id + 1), "ram": "1"}
+		client.send(request(id, "footage", fields, ""))
 	}
-	w.waitUntil("attempts wait for c1", func() bool { return len(w.received(hasWord("ASK"))) > 0 }) // c2 has no copies, and c1 is next
-	c.Mark("cache", "c1", consul.Critical)
-	w.waitUntil("c1 is gone", func() bool { return strings.Contains(w.log.String(), "event=endpoint-removed endpoint=c1") })
-	w.waitUntil("a fill is under way", func() bool { return len(held) > 0 })
-	fill := <-held
-	c.Mark("trunk", "p1", consul.Critical)
-	w.waitUntil("p1 is gone", func() bool { return strings.Contains(w.log.String(), "event=endpoint-removed endpoint=p1") })
+	w.waitFirstAttempt() // attempts wait for c1: c2 has no copies, and c1 is next
+	cluster.Mark("cache", "c1", consul.Critical)
+	w.waitLogged("event=endpoint-removed endpoint=c1")
+	w.waitUntil("a fill is under way", func() bool { return len(fills) > 0 })
+	fill := <-fills
+	cluster.Mark("trunk", "p1", consul.Critical)
+	w.waitLogged("event=endpoint-removed endpoint=p1")
 	marked := time.Now()
 	go func() { // the fills that are under way end well
-		for a := fill; ; a = <-held {
+		for a := fill; ; a = <-fills {
 			a.Answer("ACK", "tag=t1,minted=1,remark=filled,lag=1", a.Fields["thing"])
 		}
 	}()
@@ -92,29 +90,23 @@
 		}
 	}
 	for id := uint64(100); id < 140; id++ {
-		client.send(request(id, "footage", map[string]string{"item": fmt.Sprintf("%016x", id+1), "ram": "1"}, ""))
-		client.mustRead()
+		client.ask(id, "footage", map[string]string{"item": hexID(id + 1), "ram": "1"})
 	}
 	for _, id := range []string{"c1", "p1"} {
-		if late := w.received(func(a *receivedRequest) bool { return sentOrSourced(id)(a) && a.At.After(marked) }); len(late) > 0 {
-			t.Errorf("%s was used after it was gone: %+v", id, late[0])
+		if uses := w.usesSince(id, marked); len(uses) > 0 {
+			t.Errorf("%s was used after it was gone: %+v", id, uses[0])
 		}
 	}
 }
 
-// TestListServiceAndCatalogueDisagree is the fourth hard case: bulletin and catalogue say different things, and one of them is silent.
-func TestListServiceAndCatalogueDisagree(t *testing.T) {
-	t.Parallel()
-	w := newTestbed(t, answerFilled)
-	c, agents := w.enableCatalogue(1, "")
-	w.addSettings("list {\nflap-cut 0\n}")
-	w.start()
-	<-w.listPolls
-	var last atomic.Int64
+// startHeartbeats has the list service say that it is there, until the test ends. The returned number is that of the
+// last event.
+func (w *testbed) startHeartbeats() *atomic.Int64 {
+	last := &atomic.Int64{}
 	last.Store(1)
 	over := make(chan struct{})
-	defer close(over)
-	go func() { // a bulletin says each second that it is there
+	w.t.Cleanup(func() { close(over) })
+	go func() {
 		for {
 			select {
 			case <-over:
@@ -124,196 +116,198 @@
 			}
 		}
 	}()
-	tell := func(no int, health string) {
-		last.Store(int64(no))
-		w.listFeed <- listEvent(no, false, listEntry("c1", w.listeners["c1"].Addr().String(), "edge", "std", health, 0))
+	return last
+}
+
+// TestListServiceAndCatalogueDisagree: the list service and the catalogue say different things, and one of them is
+// silent.
+func TestListServiceAndCatalogueDisagree(t *testing.T) {
+	t.Parallel()
+	w := newTestbed(t, answerFilled)
+	cluster, agents := w.enableCatalogue(1, "")
+	w.addSettings("list {", "flap-cut 0", "}")
+	w.start()
+	w.waitListPoll()
+	last := w.startHeartbeats()
+	tell := func(number int, health string) {
+		last.Store(int64(number))
+		w.listFeed <- w.listChange(number, "c1", health)
 	}
-	f := w.startTraffic()
+	load := w.startLookups()
 	w.waitInUse("c1")
-	c.Mark("cache", "c1", consul.Critical) // the bulletin has it up
-	w.waitUnused("c1", c.Written("c1"), time.Second)
-	c.Mark("cache", "c1", consul.Passing)
+	cluster.Mark("cache", "c1", consul.Critical) // the list service has it up
+	w.waitUnused("c1", cluster.Written("c1"), time.Second)
+	cluster.Mark("cache", "c1", consul.Passing)
 	w.waitInUse("c1")
 	tell(2, "draining") // the catalogue has it up
 	w.waitUnused("c1", time.Now(), time.Second)
 	agents[0].SetFault(consul.Refuse, 0)
-	w.waitUntil("the catalogue is silent", func() bool { return strings.Count(w.log.String(), "event=catalogue-unreachable") == 3 })
+	w.waitLoggedTimes("event=catalogue-unreachable", 3)
 	tell(3, "up") // and the catalogue's last word is up
 	w.waitInUse("c1")
 	agents[0].SetFault(consul.None, 0)
-	w.waitUntil("the catalogue is back", func() bool { return strings.Count(w.log.String(), "event=catalogue-reachable") == 3 })
-	c.Mark("cache", "c1", consul.Critical)
-	w.waitUnused("c1", c.Written("c1"), time.Second)
+	w.waitLoggedTimes("event=catalogue-reachable", 3)
+	cluster.Mark("cache", "c1", consul.Critical)
+	w.waitUnused("c1", cluster.Written("c1"), time.Second)
 	agents[0].SetFault(consul.Refuse, 0)
-	w.waitUntil("the catalogue is silent again", func() bool { return strings.Count(w.log.String(), "event=catalogue-unreachable") == 6 })
+	w.waitLoggedTimes("event=catalogue-unreachable", 6)
 	tell(4, "draining")
 	tell(5, "up") // said after the catalogue fell silent: it overrules its last word
 	w.waitInUse("c1")
-	f.stopAllServed(t)
+	load.stopAllServed(t)
 }
 
-// TestEndpointRegisteredAtNewAddress is the fifth hard case: an id comes back within 100 ms on another port, under another registration.
+// TestEndpointRegisteredAtNewAddress: an id comes back within 100 ms on another port, under another registration.
 func TestEndpointRegisteredAtNewAddress(t *testing.T) {
 	t.Parallel()
 	w := newTestbed(t, answerFilled, "c1", "c2", "p1", "o1")
-	c, _ := w.enableCatalogue(1, "")
+	cluster, _ := w.enableCatalogue(1, "")
 	w.start()
-	f := w.startTraffic()
+	load := w.startLookups()
 	w.waitInUse("c1")
-	old := w.listeners["c1"].Addr().String()
-	c.Remove("cache", "c1")
-	ln, err := w.endpoints.Add("c1", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	oldAddress := w.endpointAddress("c1")
+	cluster.Remove("cache", "c1")
+	w.addEndpoint("c1")
+	newAddress := w.endpointAddress("c1")
+	time.Sleep(80 * time.Millisecond) // the case's own time
+	cluster.Put(w.catalogueInstance("c1", newAddress))
+	sentTo := func(address string, since time.Time) []*receivedRequest {
+		return w.received(func(a *receivedRequest) bool {
+			return sentOrSourced("c1")(a) && a.Endpoint == "c1" && a.Conn.LocalAddr().String() == address &&
+				a.At.After(since)
+		})
 	}
-	time.Sleep(80 * time.Millisecond)
-	c.Put(w.catalogueInstance("c1", ln.Addr().String()))
-	at := func(address string) func(*receivedRequest) bool {
-		return func(a *receivedRequest) bool {
-			return sentOrSourced("c1")(a) && a.Endpoint == "c1" && a.Conn.LocalAddr().String() == address
-		}
-	}
-	w.waitUntil("the new address is in use", func() bool { return len(w.received(at(ln.Addr().String()))) > 3 })
-	if late := w.received(func(a *receivedRequest) bool { return at(old)(a) && a.At.After(c.Written("c1").Add(time.Second)) }); len(late) > 0 {
-		t.Errorf("the old address was sent %d lines a second after the new registration", len(late))
+	w.waitUntil("the new address is in use", func() bool { return len(sentTo(newAddress, time.Time{})) > 3 })
+	if stale := sentTo(oldAddress, cluster.Written("c1").Add(time.Second)); len(stale) > 0 {
+		t.Errorf("the old address was sent %d attempts a second after the new registration, want none", len(stale))
 	}
-	first := w.received(at(ln.Addr().String()))[0].At
-	if late := w.received(func(a *receivedRequest) bool { return at(old)(a) && a.At.After(first) }); len(late) > 0 {
-		t.Errorf("the old address was sent %d lines after the new one was in use", len(late))
+	first := sentTo(newAddress, time.Time{})[0].At
+	if stale := sentTo(oldAddress, first); len(stale) > 0 {
+		t.Errorf("the old address was sent %d attempts after the new one was in use, want none", len(stale))
 	}
-	f.stopAllServed(t)
+	load.stopAllServed(t)
 }
 
-// TestFlappingCheckIsDamped: a check that flaps a hundred times a second costs a bounded number of changes, and the box is down when
-// it is marked down for good.
+// TestFlappingCheckIsDamped: a check that flaps a hundred times a second costs a bounded number of changes, and the
+// endpoint is down when it is marked down for good.
 func TestFlappingCheckIsDamped(t *testing.T) {
 	t.Parallel()
 	w := newTestbed(t, answerFilled, "c1", "c2", "p1", "o1")
-	c, _ := w.enableCatalogue(1, "")
+	cluster, _ := w.enableCatalogue(1, "")
 	w.start()
-	f := w.startTraffic()
+	load := w.startLookups()
 	w.waitInUse("c1")
 	for range 150 {
-		c.Mark("cache", "c1", consul.Critical)
+		cluster.Mark("cache", "c1", consul.Critical)
 		time.Sleep(5 * time.Millisecond)
-		c.Mark("cache", "c1", consul.Passing)
+		cluster.Mark("cache", "c1", consul.Passing)
 		time.Sleep(5 * time.Millisecond)
 	}
-	c.Mark("cache", "c1", consul.Critical)
-	w.waitUnused("c1", c.Written("c1"), time.Second)
-	log := w.log.String()
-	if n := strings.Count(log, "endpoint=c1"); n > 30 {
-		t.Errorf("%d lines of a box that flapped", n)
+	cluster.Mark("cache", "c1", consul.Critical)
+	w.waitUnused("c1", cluster.Written("c1"), time.Second)
+	if n := w.timesLogged("endpoint=c1"); n > 30 {
+		t.Errorf("%d lines of an endpoint that flapped, want at most 30", n)
 	}
-	f.stopAllServed(t)
+	load.stopAllServed(t)
 }
 
-// TestUnusableCatalogueInstances: instances of no use are left out, each logged once and not with every answer; and the token is read
-// again for each question.
+// TestUnusableCatalogueInstances: instances of no use are left out, each logged once and not with every answer; and
+// the token is read again for each question.
 func TestUnusableCatalogueInstances(t *testing.T) {
 	t.Parallel()
 	w := newTestbed(t, nil, "c1", "c2", "p1", "o1")
 	token := filepath.Join(t.TempDir(), "token")
-	if err := os.WriteFile(token, []byte("wrong\n"), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	c, _ := w.enableCatalogue(1, "token-file "+token)
-	c.SetTokens(map[string][]string{"right": {"cache", "trunk", "archive"}})
-	bad := w.catalogueInstance("c9", "127.0.0.1:1")
-	bad.Port = 0
-	c.Put(bad)
-	bad = w.catalogueInstance("c8", "127.0.0.1:1")
-	bad.Meta["site"] = "nowhere"
-	c.Put(bad)
+	writeFile(t, token, "wrong\n")
+	cluster, _ := w.enableCatalogue(1, "token-file "+token)
+	cluster.SetTokens(map[string][]string{"right": {"cache", "trunk", "archive"}})
+	withoutPort := w.catalogueInstance("c9", "127.0.0.1:1")
+	withoutPort.Port = 0
+	cluster.Put(withoutPort)
+	unknownSite := w.catalogueInstance("c8", "127.0.0.1:1")
+	unknownSite.Meta["site"] = "nowhere"
+	cluster.Put(unknownSite)
 	w.start()
-	w.waitUntil("the lack of rights is logged", func() bool { return strings.Contains(w.log.String(), "reason=filtered") })
-	if err := os.WriteFile(token, []byte("right\n"), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	w.waitUntil("the boxes are known", func() bool { return strings.Count(w.log.String(), "event=endpoint-added") == 4 })
-	for range 10 {
-		c.Mark("cache", "c2", consul.Warning)
-		c.Mark("cache", "c2", consul.Passing)
+	w.waitLogged("reason=filtered") // for want of rights
+	writeFile(t, token, "right\n")
+	w.waitEndpointsKnown(4)
+	for range 10 { // each change is an answer
+		cluster.Mark("cache", "c2", consul.Warning)
+		cluster.Mark("cache", "c2", consul.Passing)
 		time.Sleep(30 * time.Millisecond)
 	}
-	log := w.log.String()
-	for _, want := range []string{"instance=node-c9/c9 error=\"c9: port 0\"", "site \\\"nowhere\\\" is not in the settings"} {
-		if strings.Count(log, want) != 1 {
-			t.Errorf("%q is logged %d times, want once", want, strings.Count(log, want))
+	for _, want := range []string{`instance=node-c9/c9 error="c9: port 0"`, `site \"nowhere\" is not in the settings`} {
+		if n := w.timesLogged(want); n != 1 {
+			t.Errorf("%q is logged %d times, want once", want, n)
 		}
 	}
-	if strings.Contains(log, "right") && strings.Contains(log, "wrong") {
+	if w.logged("right") && w.logged("wrong") {
 		t.Error("a token is in the log")
 	}
 }
 
-// TestCatalogueInvalidations: a key below the prefix has copies of before its time refused, and what is no purge is logged once.
+// TestCatalogueInvalidations: a key below the prefix has copies of before its time refused, and what is no purge is
+// logged once.
 func TestCatalogueInvalidations(t *testing.T) {
 	t.Parallel()
 	w := newTestbed(t, nil)
-	c, _ := w.enableCatalogue(1, "purges our/purges")
+	cluster, _ := w.enableCatalogue(1, "purges our/purges")
 	w.start()
-	c.SetKV("our/purges/object/7f3a9c21e0b4d655", fmt.Append(nil, time.Now().UnixMilli()))
-	c.SetKV("our/purges/object/nonsense", []byte("1"))
+	cluster.SetKV("our/purges/object/7f3a9c21e0b4d655", fmt.Append(nil, time.Now().UnixMilli()))
+	cluster.SetKV("our/purges/object/nonsense", []byte("1"))
 	client := w.dial()
 	id := uint64(0)
-	w.waitUntil("the purge holds", func() bool {
+	asksForFresh := func(fields map[string]string) bool {
 		id++
-		client.send(request(id, "footage", nil, ""))
-		client.mustRead()
-		asks := w.received(hasWord("ASK"))
-		return asks[len(asks)-1].Fields["fresh"] != ""
-	})
-	client.send(request(id+1, "footage", map[string]string{"item": "00000000000000aa"}, ""))
-	client.mustRead()
-	if asks := w.received(hasWord("ASK")); asks[len(asks)-1].Fields["fresh"] != "" {
+		client.ask(id, "footage", fields)
+		return w.lastAttempt().Fields["fresh"] != ""
+	}
+	w.waitUntil("the purge holds", func() bool { return asksForFresh(nil) })
+	if asksForFresh(map[string]string{"item": "00000000000000aa"}) {
 		t.Error("another object is asked for as if it were purged")
 	}
-	w.waitUntil("the odd key is logged", func() bool { return strings.Contains(w.log.String(), "event=catalogue-purge-key-rejected") })
-	c.SetKV("our/purges/group/3", fmt.Append(nil, time.Now().UnixMilli()))
+	w.waitLogged("event=catalogue-purge-key-rejected")
+	cluster.SetKV("our/purges/group/3", fmt.Append(nil, time.Now().UnixMilli()))
 	w.waitUntil("a purge of the group holds for others of it", func() bool {
-		id++
-		client.send(request(id+1, "footage", map[string]string{"item": "00000000000000ab"}, ""))
-		client.mustRead()
-		asks := w.received(hasWord("ASK"))
-		return asks[len(asks)-1].Fields["fresh"] != ""
+		return asksForFresh(map[string]string{"item": "00000000000000ab"})
 	})
-	if n := strings.Count(w.log.String(), "event=catalogue-purge-key-rejected"); n != 1 {
-		t.Errorf("the odd key is logged %d times", n)
+	if n := w.timesLogged("event=catalogue-purge-key-rejected"); n != 1 {
+		t.Errorf("the odd key is logged %d times, want once", n)
 	}
 }
 
-// TestCatalogueRegistration: the doorman is in the catalogue while it runs, also after its agent has forgotten it, and takes itself
-// out first thing at its end.
+// TestCatalogueRegistration: the proxy is in the catalogue while it runs, also after its agent has forgotten it, and
+// takes itself out first thing at its end.
 func TestCatalogueRegistration(t *testing.T) {
 	t.Parallel()
 	w := newTestbed(t, nil)
-	c, agents := w.enableCatalogue(1, "register {\nservice doorman\nttl 1s\n}")
+	cluster, agents := w.enableCatalogue(1, "register {\nservice doorman\nttl 1s\n}")
 	w.start()
-	there := func() bool {
-		in := c.Instances("doorman")
-		return len(in) == 1 && in[0].ID == "n1" && in[0].Checks[0].Status == consul.Passing && fmt.Sprint(in[0].Address, ":", in[0].Port) == w.address
+	registered := func() bool {
+		instances := cluster.Instances("doorman")
+		return len(instances) == 1 && instances[0].ID == "n1" &&
+			instances[0].Checks[0].Status == consul.Passing &&
+			fmt.Sprint(instances[0].Address, ":", instances[0].Port) == w.address
 	}
-	w.waitUntil("it is registered", there)
+	w.waitUntil("it is registered", registered)
 	agents[0].Restart()
-	w.waitUntil("it is registered again", there)
+	w.waitUntil("it is registered again", registered)
 	time.Sleep(1200 * time.Millisecond) // longer than the TTL
-	if !there() {
-		t.Errorf("it is not kept: %+v", c.Instances("doorman"))
+	if !registered() {
+		t.Errorf("it is not kept: %+v", cluster.Instances("doorman"))
 	}
 	client := w.dial()
-	w.setResponder(func(a *receivedRequest) { time.Sleep(300 * time.Millisecond); a.Answer("ACK", "tag=t1", "late") })
+	w.setResponder(func(a *receivedRequest) {
+		time.Sleep(300 * time.Millisecond)
+		a.Answer("ACK", "tag=t1", "late")
+	})
 	client.send(request(1, "footage", nil, ""))
-	w.waitUntil("a request is open", func() bool { return len(w.received(hasWord("ASK"))) > 0 })
+	w.waitFirstAttempt()
 	w.signal(syscall.SIGTERM)
-	w.waitUntil("it has taken itself out", func() bool { return len(c.Instances("doorman")) == 0 })
+	w.waitUntil("it has taken itself out", func() bool { return len(cluster.Instances("doorman")) == 0 })
 	if a := client.mustRead(); a.Body != "late" {
 		t.Errorf("%+v, want the open request served after that", a)
 	}
-	if err := <-w.exited; err != nil {
-		t.Errorf("it ended with %v", err)
-	}
-	w.cmd = nil
+	w.waitExit()
 }
 
 var (
@@ -321,44 +315,48 @@
 	drainSeed = flag.Int64("drain-seed", 7, "their seed")
 )
 
-// TestDrainLatency measures how long after the catalogue's change of a box the last new send to it goes out, over seeded
-// changes under 150 requests a second. -drains sets how many.
+// TestDrainLatency measures how long after the catalogue's change of an endpoint the last new send to it goes out,
+// over seeded changes under 150 requests a second. -drains sets how many.
 func TestDrainLatency(t *testing.T) {
 	t.Parallel()
 	w := newTestbed(t, answerFilled, "c1", "c2", "p1", "o1")
-	c, _ := w.enableCatalogue(1, "", "c3", "c4", "c5", "c6", "p2")
-	w.addSettings("list {\nflap-cut 0\n}")
+	cluster, _ := w.enableCatalogue(1, "", "c3", "c4", "c5", "c6", "p2")
+	w.addSettings("list {", "flap-cut 0", "}")
 	w.start()
-	f := w.startTraffic()
-	rng := rand.New(rand.NewSource(*drainSeed))
-	var times []time.Duration
+	load := w.startLookups()
+	random := rand.New(rand.NewSource(*drainSeed))
+	var latencies []time.Duration
 	for range *drains {
-		id := []string{"c1", "c2", "c3", "c4", "c5", "c6", "p1", "p2"}[rng.Intn(8)]
-		name, _, _ := catalogueService(id)
+		id := []string{"c1", "c2", "c3", "c4", "c5", "c6", "p1", "p2"}[random.Intn(8)]
+		service, _, _ := placement(id)
 		w.waitInUse(id)
-		time.Sleep(time.Duration(rng.Intn(250)) * time.Millisecond)
-		in := w.catalogueInstance(id, w.listeners[id].Addr().String())
-		switch rng.Intn(3) {
+		time.Sleep(time.Duration(random.Intn(250)) * time.Millisecond)
+		removed := false
+		switch random.Intn(3) {
 		case 0:
-			c.Mark(name, id, "maintenance")
+			cluster.Mark(service, id, "maintenance")
 		case 1:
-			c.Mark(name, id, consul.Critical)
+			cluster.Mark(service, id, consul.Critical)
 		default:
-			c.Remove(name, id)
+			cluster.Remove(service, id)
+			removed = true
 		}
-		marked := c.Written(id)
+		marked := cluster.Written(id)
 		w.waitUnused(id, marked, time.Second)
-		lines := w.received(sentOrSourced(id))
-		times = append(times, max(0, lines[len(lines)-1].At.Sub(marked)))
-		if len(c.Instances(name)) == 0 || !slices.ContainsFunc(c.Instances(name), func(i consul.Instance) bool { return i.ID == id }) {
-			c.Put(in)
+		uses := w.received(sentOrSourced(id))
+		latencies = append(latencies, max(0, uses[len(uses)-1].At.Sub(marked)))
+		if removed {
+			cluster.Put(w.catalogueInstance(id, w.endpointAddress(id)))
 		} else {
-			c.Mark(name, id, consul.Passing)
+			cluster.Mark(service, id, consul.Passing)
 		}
 	}
-	f.stopAllServed(t)
-	slices.Sort(times)
-	t.Logf("all: %v", times)
-	at := func(q float64) time.Duration { return times[min(len(times)-1, int(q*float64(len(times))))] }
-	t.Logf("%d changes: median %v, 99th percentile %v, worst %v", len(times), at(0.5), at(0.99), times[len(times)-1])
+	load.stopAllServed(t)
+	slices.Sort(latencies)
+	t.Logf("all: %v", latencies)
+	at := func(q float64) time.Duration {
+		return latencies[min(len(latencies)-1, int(q*float64(len(latencies))))]
+	}
+	t.Logf("%d changes: median %v, 99th percentile %v, worst %v", len(latencies), at(0.5), at(0.99),
+		latencies[len(latencies)-1])
 }
--- a/test/clients_test.go
+++ b/test/clients_test.go
@@ -23,92 +23,96 @@
 func TestMalformedFrames(t *testing.T) {
 	w := newTestbed(t, nil)
 	w.start()
+	answered := []reply{{ID: 9, Error: "Malformed", Fields: map[string]string{}}}
 	for _, c := range []struct {
 		name, frame string
 		answers     []reply
 	}{
 		{"not an array", "\xc1", nil},
 		{"an id of nine bytes", "\x94\x00\xcf\x01\x00\x00\x00\x00\x00\x00\x00\xa1m\x90", nil},
-		{"a never used code behind the id", "\x94\x00\x09\xa1m\xc1",
-			[]reply{{ID: 9, Error: "Malformed", Fields: map[string]string{}}}},
-		{"nested without end", "\x94\x00\x09\xa1m\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91",
-			[]reply{{ID: 9, Error: "Malformed", Fields: map[string]string{}}}},
+		{"a never used code behind the id", "\x94\x00\x09\xa1m\xc1", answered},
+		{"nested without end", "\x94\x00\x09\xa1m\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91", answered},
 		{"an answer instead of a request", "\x94\x01\x09\xc0\xc0", nil},
 	} {
 		client := w.dial()
 		client.send([]byte(c.frame))
 		var got []reply
-		for {
-			a, err := client.read()
-			if err != nil {
-				if err != io.EOF {
-					t.Errorf("%s: %v, want the end of the connection", c.name, err)
-				}
-				break
-			}
+		a, err := client.read()
+		for ; err == nil; a, err = client.read() {
 			got = append(got, a)
 		}
+		if !errors.Is(err, io.EOF) {
+			t.Errorf("%s: %v, want the end of the connection", c.name, err)
+		}
 		if diff := cmp.Diff(c.answers, got); diff != "" {
 			t.Errorf("%s (-want +got):\n%s", c.name, diff)
 		}
 	}
 	client := w.dial()
-	client.send(request(1, "footage", nil, ""))
-	if a := client.mustRead(); a.Error != "" {
-		t.Errorf("after all that: %+v", a)
+	if a := client.ask(1, "footage", nil); a.Error != "" {
+		t.Errorf("after all that: %+v, want it served", a)
 	}
 }
 
-// TestMalformedClients: all that can't be used ends in an error or a close, though the client goes on sending and reading, and
-// is never served; nothing of it reaches a box.
-func TestMalformedClients(t *testing.T) {
-	var w *testbed
-	w = newTestbed(t, func(a *receivedRequest) {
-		if a.Fields["thing"] == "7f3a9c21e0b4d655" {
-			a.Answer("ACK", "-", "served")
-		}
-	})
-	w.start()
-	w.dial().send(request(77, "footage", map[string]string{"item": "00000000000000aa", "limit": "60000"}, "")) // stays open
-	w.waitUntil("the open request is out", func() bool { return len(w.received(hasWord("ASK"))) == 1 })
-	for name, frame := range map[string][]byte{
+// malformedFrames is what clients can send that can't be used, by what is wrong with it. Request 77 is open.
+func malformedFrames() map[string][]byte {
+	with := func(field, value string) []byte { return request(1, "footage", map[string]string{field: value}, "") }
+	head := func(rest ...byte) []byte { return append(requestHead(1), rest...) }
+	plain := request(1, "footage", nil, "")
+	return map[string][]byte{
 		"says nothing":                     {},
 		"half a request":                   request(1, "footage", nil, "body")[:40],
-		"a body of 60 MB":                  append(msgpack.AppendMap(requestHead(1), 0), 0xc6, 0x03, 0x93, 0x87, 0x00),
-		"a map of 4 billion":               append(requestHead(1), 0xdf, 0xff, 0xff, 0xff, 0xff),
+		"a body of 60 MB":                  head(0x80, 0xc6, 0x03, 0x93, 0x87, 0x00),
+		"a map of 4 billion":               head(0xdf, 0xff, 0xff, 0xff, 0xff),
 		"a text of 4 GB":                   append(msgpack.AppendMap(requestHead(1), 1), 0xdb, 0xff, 0xff, 0xff, 0xff),
-		"thousands of values":              append(requestHead(1), bytes.Repeat([]byte{0x9f}, 400)...),
+		"thousands of values":              head(bytes.Repeat([]byte{0x9f}, 400)...),
 		"a negative id":                    {0x94, 0x00, 0xff},
-		"no id":                            request(1, "footage", map[string]string{"txn": ""}, ""),
+		"no id":                            with("txn", ""),
 		"the id of an open request":        request(77, "footage", nil, ""),
-		"a part that is no whole number":   request(1, "footage", map[string]string{"nth": "1.5"}, ""),
-		"a part in another notation":       request(1, "footage", map[string]string{"nth": "0x1p2"}, ""),
-		"a part out of range":              request(1, "footage", map[string]string{"nth": "99999999"}, ""),
-		"a group out of range":             request(1, "footage", map[string]string{"batch": "256"}, ""),
-		"a size that is no number":         request(1, "footage", map[string]string{"ram": "nan"}, ""),
-		"a size beyond all":                request(1, "footage", map[string]string{"ram": "99999999999"}, ""),
-		"a key that a box might not read":  request(1, "footage", map[string]string{"unique": "a;b"}, ""),
-		"a key without end":                request(1, "footage", map[string]string{"unique": strings.Repeat("k", 200)}, ""),
-		"a tag that a box might not read":  request(1, "footage", map[string]string{"got": "\xff"}, ""),
-		"two requests under one number":    append(request(1, "footage", nil, ""), request(1, "footage", nil, "")...),
-		"a request taken back at once":     append(request(1, "footage", nil, ""), "\x93\x02\xa8withdraw\x91\x01\xc1"...),
+		"a part that is no whole number":   with("nth", "1.5"),
+		"a part in another notation":       with("nth", "0x1p2"),
+		"a part out of range":              with("nth", "99999999"),
+		"a group out of range":             with("batch", "256"),
+		"a size that is no number":         with("ram", "nan"),
+		"a size beyond all":                with("ram", "99999999999"),
+		"a key that a box might not read":  with("unique", "a;b"),
+		"a key without end":                with("unique", strings.Repeat("k", 200)),
+		"a tag that a box might not read":  with("got", "\xff"),
+		"two requests under one number":    append(bytes.Clone(plain), plain...),
+		"a request taken back at once":     append(append(bytes.Clone(plain), withdrawal(1)...), 0xc1),
 		"hundreds of requests at once":     requestFlood(300),
 		"an answer instead of a request":   {0x94, 0x01, 0x09, 0xc0, 0xc0},
-		"a limit that is none":             request(1, "footage", map[string]string{"limit": "-5"}, ""),
+		"a limit that is none":             with("limit", "-5"),
 		"a class that does not exist":      request(1, "footage_x", nil, ""),
-		"more than a frame, byte for byte": append(requestHead(1), bytes.Repeat([]byte{0xc4, 0xff}, 60<<10)...),
-	} {
+		"more than a frame, byte for byte": head(bytes.Repeat([]byte{0xc4, 0xff}, 60<<10)...),
+	}
+}
+
+// TestMalformedClients: all that can't be used ends in an error or a close, though the client goes on sending and
+// reading, and is never served; nothing of it reaches an endpoint.
+func TestMalformedClients(t *testing.T) {
+	const object = "7f3a9c21e0b4d655" // that requests ask for, unless they name another
+	w := newTestbed(t, func(a *receivedRequest) {
+		if a.Fields["thing"] == object {
+			a.Answer("ACK", "-", "served")
+		}
+	})
+	w.start()
+	open := map[string]string{"item": "00000000000000aa", "limit": "60000"}
+	w.dial().send(request(77, "footage", open, ""))
+	w.waitAttempts(1)
+	for name, frame := range malformedFrames() {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c := w.dial()
-			go func() { _, _ = c.conn.Write(frame) }()
+			client := w.dial()
+			go func() { _, _ = client.conn.Write(frame) }()
 			for {
-				a, err := c.read()
+				a, err := client.read()
 				if errors.Is(err, os.ErrDeadlineExceeded) {
-					t.Error("neither an answer nor a close came")
+					t.Errorf("neither an answer nor a close came within %v", waitLimit)
 				}
 				if err == nil && a.Error == "" {
-					t.Errorf("served: %+v", a)
+					t.Errorf("%+v, want an error", a)
 				}
 				if err != nil || !strings.HasPrefix(name, "hundreds") {
 					break
@@ -118,16 +122,19 @@
 	}
 	t.Cleanup(func() {
 		// What comes with the same read as its end is not taken up at all; of the flood a part may come before.
-		if asks := w.received(func(a *receivedRequest) bool { return a.Fields["thing"] == "7f3a9c21e0b4d655" }); len(asks) > 0 {
-			t.Errorf("%d attempts of bad clients reached the boxes", len(asks))
+		sent := w.received(func(a *receivedRequest) bool { return a.Fields["thing"] == object })
+		if len(sent) > 0 {
+			t.Errorf("%d attempts of malformed clients reached endpoints, want none", len(sent))
 		}
 	})
 }
 
-// TestCompleteRequestIsAnsweredBeforeProtocolError: a client sends a sound request, and on the same connection what can't be read, or half of something. The
-// connection ended, and the sound request with it had no answer.
+// TestCompleteRequestIsAnsweredBeforeProtocolError: a client sends a sound request, and on the same connection what
+// can't be read, or half of something. The connection ended, and the sound request with it had no answer.
 func TestCompleteRequestIsAnsweredBeforeProtocolError(t *testing.T) {
 	half := request(2, "charge", map[string]string{"unique": "k2"}, "body")
+	half = half[:len(half)-3]
+	hugeText := append(requestHead(2), 0x81, 0xdb, 0xff, 0xff, 0xff, 0xff)
 	for _, c := range []struct {
 		name string
 		then []byte
@@ -135,53 +142,51 @@
 		log  string
 	}{
 		{"noise", []byte("\xc1\xc1"), "Internal", "event=client-protocol-error"},
-		{"a text of 4 GB", append(requestHead(2), 0x81, 0xdb, 0xff, 0xff, 0xff, 0xff), "Internal", "event=client-protocol-error"},
+		{"a text of 4 GB", hugeText, "Internal", "event=client-protocol-error"},
 		{"the same number again", request(1, "lookup", nil, ""), "Internal", "event=client-duplicate-id"},
-		{"half a request", half[:len(half)-3], "", ""},
+		{"half a request", half, "", ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			held := make(chan *receivedRequest, 100)
-			w := newTestbed(t, func(a *receivedRequest) { held <- a })
+			pending := make(chan *receivedRequest, 100)
+			w := newTestbed(t, func(a *receivedRequest) { pending <- a })
 			w.start()
 			client := w.dial()
 			client.send(request(1, "lookup", map[string]string{"limit": "9000"}, ""))
-			a := nextReceived(t, held)
+			attempt := nextReceived(t, pending)
 			client.send(c.then)
 			if c.want == "" { // longer than a half may wait by itself: another client's is closed meanwhile
 				other := w.dial()
-				other.send(half[:len(half)-3])
-				if a, err := other.read(); err != io.EOF {
+				other.send(half)
+				if a, err := other.read(); !errors.Is(err, io.EOF) {
 					t.Errorf("%+v, %v: want the half alone to be closed", a, err)
 				}
-				a.Answer("ACK", "tag=t1", "done")
+				answerDone(attempt)
 			}
 			var got *reply // to the sound request
-			for {
-				a, err := client.read()
-				if err != nil {
-					if err != io.EOF && !errors.Is(err, syscall.ECONNRESET) {
-						t.Errorf("%v, want the end of the connection", err)
-					}
-					break
-				}
+			a, err := client.read()
+			for ; err == nil; a, err = client.read() {
 				switch {
 				case a.ID == 1 && got == nil:
-					got = &a
+					first := a
+					got = &first
 				case a.ID == 1 || a.Error != "Malformed":
 					t.Errorf("%+v came besides", a)
 				}
 			}
+			if !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("%v, want the end of the connection", err)
+			}
 			if got == nil || got.Error != c.want || c.want == "" && got.Body != "done" {
 				t.Errorf("the sound request: %+v, want it answered, with the error %q", got, c.want)
 			}
-			w.waitUntil("the log says why", func() bool { return strings.Contains(w.log.String(), c.log) })
+			w.waitLogged(c.log)
 		})
 	}
 }
 
-// TestIdleClientsAreEvicted: clients by hundreds that say nothing, or ask once and stay, took all places; others were turned away. Now
-// the silent ones and then the longest idle ones make way, and one that waits for an answer never does.
+// TestIdleClientsAreEvicted: clients by hundreds that say nothing, or ask once and stay, took all places; others were
+// rejected. Now the silent ones and then the longest idle ones make way, and one that waits for an answer never does.
 func TestIdleClientsAreEvicted(t *testing.T) {
 	release := make(chan struct{})
 	w := newTestbed(t, func(a *receivedRequest) {
@@ -194,68 +199,68 @@
 	w.start()
 	patient := w.dial()
 	patient.send(request(9999, "footage", map[string]string{"nth": "1", "limit": "60000"}, ""))
-	w.waitUntil("it is out", func() bool { return len(w.received(hasWord("ASK"))) == 1 })
+	w.waitAttempts(1)
 	for id := range uint64(200) {
 		w.dial() // and says nothing
-		c := w.dial()
-		c.send(request(id+1, "footage", nil, ""))
-		if a := c.mustRead(); a.Error != "" {
-			t.Fatalf("client %d: %+v", id, a)
+		client := w.dial()
+		if a := client.ask(id+1, "footage", nil); a.Error != "" {
+			t.Fatalf("client %d: %+v, want it served", id, a)
 		}
 	}
 	close(release)
 	if a := patient.mustRead(); a.Error != "" {
-		t.Errorf("the one that waited: %+v", a)
+		t.Errorf("the one that waited: %+v, want it served", a)
 	}
 }
 
+// corruptor spoils messages at random places; its seed is fixed. It may be used by several goroutines.
+type corruptor struct {
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+// corrupt gives a copy of a message with one to four bytes changed, and up to an eighth cut off.
+func (c *corruptor) corrupt(message []byte) []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	message = bytes.Clone(message)
+	for range 1 + c.random.Intn(4) {
+		message[c.random.Intn(len(message))] = byte(c.random.Intn(256))
+	}
+	return message[:len(message)-c.random.Intn(len(message))/8]
+}
+
 // TestCorruptedMessages spoils sound messages at random places on every socket. Whatever comes, the program goes on.
 func TestCorruptedMessages(t *testing.T) {
-	rnd := rand.New(rand.NewSource(1))
-	var mu sync.Mutex
-	spoil := func(b []byte) []byte {
-		mu.Lock()
-		defer mu.Unlock()
-		b = append([]byte(nil), b...)
-		for range 1 + rnd.Intn(4) {
-			b[rnd.Intn(len(b))] = byte(rnd.Intn(256))
-		}
-		return b[:len(b)-rnd.Intn(len(b))/8]
-	}
-	sound := func(a *receivedRequest) { a.Answer("ACK", "tag=t1", "bytes") }
+	messages := &corruptor{random: rand.New(rand.NewSource(1))}
 	w := newTestbed(t, func(a *receivedRequest) {
 		line := fmt.Sprintf("%s ACK tag=t1,minted=1,remark=hit,lag=2 5\r\nbytes\r\n", a.ID)
-		_, _ = a.Conn.Write(spoil([]byte(line)))
+		_, _ = a.Conn.Write(messages.corrupt([]byte(line)))
 	})
 	w.enableDNS("")
 	w.start()
-	<-w.listPolls
-	udp := w.dialDNS("udp")
+	w.waitListPoll()
+	resolver := w.dialDNS("udp")
+	listLine := []byte(listEvent(2, false, listEntry("c9", "127.0.0.1:1", "edge", "std", "draining", 0)))
 	for id := uint64(1); id <= 400; id++ {
-		c := w.dial()
-		_, _ = c.conn.Write(request(id, "footage", map[string]string{"limit": "200"}, "body"))
-		_, _ = c.conn.Write(spoil(request(id+1, "charge", map[string]string{"unique": "k1"}, "body")))
-		m, _ := new(dns.Msg).SetQuestion("k-1.n0.00000000000000aa.charge._."+zone, dns.TypeSRV).Pack()
-		_, _ = udp.conn.Write(spoil(m))
+		client := w.dial()
+		_, _ = client.conn.Write(request(id, "footage", map[string]string{"limit": "200"}, "body"))
+		charge := request(id+1, "charge", map[string]string{"unique": "k1"}, "body")
+		_, _ = client.conn.Write(messages.corrupt(charge))
+		query, _ := new(dns.Msg).SetQuestion("k-1.n0.00000000000000aa.charge._."+zone, dns.TypeSRV).Pack()
+		_, _ = resolver.conn.Write(messages.corrupt(query))
 		if id%20 == 0 {
-			w.listFeed <- string(bytes.ReplaceAll(spoil([]byte(listEvent(2, false, listEntry("c9", "127.0.0.1:1", "edge", "std", "draining", 0)))),
-				[]byte("\n"), nil))
+			w.listFeed <- string(bytes.ReplaceAll(messages.corrupt(listLine), []byte("\n"), nil))
 		}
 		if id%3 == 0 {
-			_ = c.conn.Close()
+			_ = client.conn.Close()
 		}
 	}
-	w.setResponder(sound)
-	c, id := w.dial(), uint64(0)
+	w.setResponder(func(a *receivedRequest) { a.Answer("ACK", "tag=t1", "bytes") })
+	client, id := w.dial(), uint64(0)
 	w.waitUntil("sound requests are served again", func() bool {
 		id++
-		c.send(request(id, "footage", nil, ""))
-		return c.mustRead().Error == ""
+		return client.ask(id, "footage", nil).Error == ""
 	})
-	select {
-	case err := <-w.exited:
-		w.cmd = nil
-		t.Errorf("the program ended: %v", err)
-	default:
-	}
+	w.expectRunning()
 }
--- a/test/clock_test.go
+++ b/test/clock_test.go
@@ -2,98 +2,92 @@
 
 import (
 	"fmt"
-	"os"
 	"path/filepath"
-	"strings"
 	"testing"
 	"time"
 )
 
-// TestClockSteps is the second half of the sixth hard case: the Unix clock steps back an hour and forward a day while requests
-// are under way. None is lost or late; what goes by stamps, tokens, revocations and purges, goes by the clock as it is.
+// TestClockSteps: the Unix clock steps back an hour and forward a day while requests are under way. None is lost or
+// late; what goes by stamps, tokens, revocations and purges, goes by the clock as it is.
 func TestClockSteps(t *testing.T) {
 	t.Parallel()
 	w := newTestbed(t, nil)
-	k := w.enableIdentity("")
-	w.addSettings("snapshot {\nfile " + filepath.Join(t.TempDir(), "list") + "\nevery 100ms\n}")
+	keys := w.enableIdentity("")
+	w.addSettings("snapshot {", "file "+filepath.Join(t.TempDir(), "list"), "every 100ms", "}")
 	var err error
 	if w.program, err = clockstepProgram(); err != nil {
 		t.Fatal(err)
 	}
-	off := filepath.Join(t.TempDir(), "clock")
-	w.env = append(w.env, "SLOEQUAY_CLOCK="+off)
+	driftFile, nextDrift := filepath.Join(t.TempDir(), "drift"), filepath.Join(t.TempDir(), "next")
+	w.env = append(w.env, "SLOEQUAY_CLOCK="+driftFile)
 	w.start()
 	steps := 0
-	set := func(by time.Duration) {
+	setDrift := func(drift time.Duration) {
 		t.Helper()
-		if err := os.WriteFile(off+".new", fmt.Append(nil, int64(by)), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.Rename(off+".new", off); err != nil {
-			t.Fatal(err)
-		}
+		writeFile(t, nextDrift, fmt.Sprint(int64(drift)))
+		replaceFile(t, nextDrift, driftFile)
 		steps++
-		w.waitUntil("the step is logged", func() bool { return strings.Count(w.log.String(), "event=clock-stepped") == steps })
+		w.waitLoggedTimes("event=clock-stepped", steps)
 	}
-	valid, stolen := k.token("lane-1", "lanes", 2*time.Hour), k.token("lane-2", "lanes", 2*time.Hour)
-	k.must("key", "revoke", "subject", "lane-2", "--for", "3h")
+	valid, stolen := keys.token("lane-1", "lanes", 2*time.Hour), keys.token("lane-2", "lanes", 2*time.Hour)
+	keys.must("key", "revoke", "subject", "lane-2", "--for", "3h")
 	client, id := w.dial(), uint64(0)
-	ask := func(fields map[string]string) reply {
+	lookup := func(token string) reply {
 		id++
-		client.send(request(id, "lookup", fields, ""))
-		return client.mustRead()
+		return client.ask(id, "lookup", map[string]string{"token": token})
 	}
-	w.waitUntil("the theft is known", func() bool { return ask(map[string]string{"token": stolen}).Fields["reason"] == "revoked" })
-	served := func(when string) {
+	w.waitUntil("the stolen token is revoked", func() bool { return lookup(stolen).Fields["reason"] == "revoked" })
+	expectServed := func(when string) {
 		t.Helper()
 		for range 20 {
-			if a := ask(map[string]string{"token": valid}); a.Error != "" {
-				t.Fatalf("%s: %+v", when, a)
+			if a := lookup(valid); a.Error != "" {
+				t.Fatalf("%s: %+v, want it served", when, a)
 			}
 		}
 	}
-	served("before")
-	held := make(chan *receivedRequest, 1)
+	expectReason := func(when, token, want string) {
+		t.Helper()
+		if a := lookup(token); a.Fields["reason"] != want {
+			t.Errorf("%s: %+v, want it rejected for the reason %q", when, a, want)
+		}
+	}
+	expectServed("before the first step")
+	pending := make(chan *receivedRequest, 1)
 	hold := func() {
-		w.setResponder(func(a *receivedRequest) { held <- a })
+		w.setResponder(func(a *receivedRequest) { pending <- a })
 		id++
 		client.send(request(id, "lookup", map[string]string{"token": valid, "limit": "5000"}, ""))
 	}
 	release := func(when string) {
 		t.Helper()
-		a := <-held
+		a := <-pending
 		w.setResponder(nil)
-		a.Answer("ACK", "tag=t1", "done")
+		answerDone(a)
 		if a := client.mustRead(); a.Error != "" || a.ID != id {
-			t.Errorf("what was open %s: %+v", when, a)
+			t.Errorf("the request that was open %s: %+v, want it served", when, a)
 		}
 	}
 	hold()
-	set(-time.Hour)
+	setDrift(-time.Hour)
 	release("when the clock stepped back an hour")
-	served("an hour back")
-	if a := ask(map[string]string{"token": stolen}); a.Fields["reason"] != "revoked" {
-		t.Errorf("a revoked token an hour back: %+v", a)
-	}
+	expectServed("an hour back")
+	expectReason("a revoked token an hour back", stolen, "revoked")
 	hold()
-	set(24 * time.Hour)
+	setDrift(24 * time.Hour)
 	release("when the clock stepped forward a day")
-	if a := ask(map[string]string{"token": valid}); a.Fields["reason"] != "expired" {
-		t.Errorf("a token of two hours a day later: %+v, want it refused as expired", a)
-	}
-	// A purge is stamped by a right clock; a day ahead the doorman must not take it for a day old.
-	set(0)
-	served("back at the right time")
-	if a := ask(map[string]string{"token": stolen}); a.Fields["reason"] != "revoked" {
-		t.Errorf("a token whose revocation had ended a day ahead: %+v, want it revoked again", a)
-	}
-	w.listFeed <- fmt.Sprintf(`{"no":2,"recall":{"item":"7f3a9c21e0b4d655","issued":%d}}`, time.Now().UnixMilli())
+	expectReason("a token of two hours a day later", valid, "expired")
+	// A purge is stamped by a right clock; a day ahead the proxy must not take it for a day old.
+	setDrift(0)
+	expectServed("back at the right time")
+	expectReason("a token whose revocation had ended a day ahead", stolen, "revoked")
+	w.listFeed <- invalidateObject(2, "7f3a9c21e0b4d655", time.Now().UnixMilli())
 	w.waitUntil("a purge holds", func() bool {
-		ask(map[string]string{"token": valid})
-		asks := w.received(hasWord("ASK"))
-		return asks[len(asks)-1].Fields["fresh"] != ""
+		lookup(valid)
+		return w.lastAttempt().Fields["fresh"] != ""
 	})
-	if log := w.log.String(); strings.Contains(log, "snapshot-write-failed") || strings.Count(log, "event=keys-rejected") > 0 {
-		t.Error("the steps broke something beside")
+	for _, fault := range []string{"snapshot-write-failed", "event=keys-rejected"} {
+		if w.logged(fault) {
+			t.Errorf("%q is logged, want the steps to break nothing", fault)
+		}
 	}
 }
--- a/test/connections_test.go
+++ b/test/connections_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -23,31 +22,32 @@
 	w.start()
 	client := w.dial()
 	client.send(request(1, "footage", nil, ""))
-	w.waitUntil("the first attempt is out", func() bool { return len(w.received(hasWord("ASK"))) == 1 })
+	w.waitAttempts(1)
 	_ = w.listeners["c1"].Close()
-	const many = 30
-	for id := uint64(2); id <= many; id++ {
+	const count = 30
+	for id := uint64(2); id <= count; id++ {
 		client.send(request(id, "footage", map[string]string{"ram": "1"}, ""))
 	}
-	w.waitUntil("all attempts are out", func() bool { return len(w.received(hasWord("ASK"))) == many })
+	w.waitAttempts(count)
 	close(release)
-	for range many {
+	for range count {
 		if a := client.mustRead(); a.Body != "c1" {
 			t.Errorf("%+v, want it from c1", a)
 		}
 	}
 }
 
-// TestUnresponsiveConnection: a connection that was cut off stays open and says nothing; what waited on it did so until its
-// deadline, and a QUIT on it does not arrive. It is found by a NOOP and closed, and its requests go out on another.
+// TestUnresponsiveConnection: a connection that was cut off stays open and says nothing; what waited on it did so
+// until its deadline, and a QUIT on it does not arrive. It is found by a NOOP and closed, and its requests go out on
+// another.
 func TestUnresponsiveConnection(t *testing.T) {
-	var w *testbed
-	cut := func(a *receivedRequest) bool { return a.Conn == w.received(hasWord("ASK"))[0].Conn }
-	w = newTestbed(t, func(a *receivedRequest) {
+	w := newTestbed(t, nil, "c2")
+	cut := func(a *receivedRequest) bool { return a.Conn == w.attempts()[0].Conn }
+	w.setResponder(func(a *receivedRequest) {
 		if !cut(a) {
 			a.Answer("ACK", "-", "again")
 		}
-	}, "c2")
+	})
 	w.endpoints.StopReading(cut)
 	w.start()
 	client := w.dial()
@@ -59,26 +59,27 @@
 			t.Errorf("%+v, want it from another connection", a)
 		}
 	}
-	if !strings.Contains(w.log.String(), "upstream-unresponsive") {
-		t.Error("the silent connection is not in the log")
+	if !w.logged("upstream-unresponsive") {
+		t.Error("the unresponsive connection is not in the log")
 	}
 }
 
-// TestLostResponse: one answer never comes, on a connection that lives. Its attempt is called off once later ones for more
-// have come, and the next one is sent only when the box has read the QUIT: it answers the NOOP behind it.
+// TestLostResponse: one answer never comes, on a connection that lives. Its attempt is called off once later ones for
+// more have come, and the next one is sent only when the endpoint has read the QUIT: it answers the NOOP behind it.
 func TestLostResponse(t *testing.T) {
-	var w *testbed
-	read := make(chan bool)
-	w = newTestbed(t, func(a *receivedRequest) {
-		if first := w.received(hasWord("ASK"))[0]; a != first {
+	w := newTestbed(t, nil, "c2")
+	w.setResponder(func(a *receivedRequest) {
+		if first := w.attempts()[0]; a != first {
 			a.Answer("ACK", "-", a.Fields["nth"])
 		}
-	}, "c2")
+	})
+	read := make(chan bool)
 	w.endpoints.StopReading(func(a *receivedRequest) bool {
-		if quits := w.received(hasWord("QUIT")); len(quits) > 0 && a.Conn == quits[0].Conn {
-			time.Sleep(50 * time.Millisecond)
-			if asks := w.received(func(a *receivedRequest) bool { return a.Word == "ASK" && a.ID == quits[0].ID }); len(asks) > 1 {
-				t.Error("the next attempt went out before the QUIT was read for certain")
+		if quits := w.cancellations(); len(quits) > 0 && a.Conn == quits[0].Conn {
+			time.Sleep(50 * time.Millisecond) // in which a next attempt that does not wait would come
+			same := func(a *receivedRequest) bool { return a.Word == "ASK" && a.ID == quits[0].ID }
+			if sent := w.received(same); len(sent) > 1 {
+				t.Errorf("%d attempts went out before the QUIT was read for certain, want the first alone", len(sent))
 			}
 			close(read)
 		}
@@ -86,14 +87,13 @@
 	})
 	w.start()
 	client := w.dial()
-	patient := func(nth, ram string) map[string]string {
-		return map[string]string{"nth": nth, "ram": ram, "limit": "60000"}
+	patient := func(nth, size string) map[string]string {
+		return map[string]string{"nth": nth, "ram": size, "limit": "60000"}
 	}
 	client.send(request(1, "footage", patient("1", "40"), ""))
-	w.waitUntil("it is out", func() bool { return len(w.received(hasWord("ASK"))) == 1 })
+	w.waitAttempts(1)
 	for id := uint64(2); id <= 4; id++ {
-		client.send(request(id, "footage", patient(strconv.FormatUint(id, 10), "80"), ""))
-		client.mustRead()
+		client.ask(id, "footage", patient(strconv.FormatUint(id, 10), "80"))
 	}
 	<-read
 	if a := client.mustRead(); a.ID != 1 || a.Body != "1" {
@@ -101,42 +101,31 @@
 	}
 }
 
-// TestDuplicateResponse: a box answers an attempt twice, the second time when the next one for the same request is out on the same
-// connection. It was taken for that one's answer, and a third attempt went out beside it.
+// TestDuplicateResponse: an endpoint answers an attempt twice, the second time when the next one for the same request
+// is out on the same connection. It was taken for that one's answer, and a third attempt went out beside it.
 func TestDuplicateResponse(t *testing.T) {
-	for _, c := range []struct{ name, method, word, remark string }{
+	for _, c := range []struct{ name, class, word, fields string }{
 		{"a write that was over already", "charge", "STALE", "-"},
 		{"a read that found nothing", "lookup", "NOENT", "remark=src_lacks"},
 		{"a box that failed", "lookup", "EIO", "-"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			var mu sync.Mutex
-			told := map[string]bool{} // what each box was asked once
-			w := newTestbed(t, func(a *receivedRequest) {
-				mu.Lock()
-				defer mu.Unlock()
-				if key := a.Endpoint + a.ID; !told[key] {
-					told[key] = true
-					a.Answer(c.word, c.remark, "")
-					return
-				}
-				a.Answer(c.word, c.remark, "") // of the attempt before; this one is being worked on
-			}, "c2")
+			// At the second attempt the answer is one more to that before; the second itself is being worked on.
+			w := newTestbed(t, func(a *receivedRequest) { a.Answer(c.word, c.fields, "") }, "c2")
 			w.start()
 			client := w.dial()
-			client.send(request(1, c.method, map[string]string{"unique": "k1", "limit": "1500"}, ""))
-			client.mustRead()
-			var out *receivedRequest // the attempt that is out for all that its box said
+			client.ask(1, c.class, map[string]string{"unique": "k1", "limit": "1500"})
+			var out *receivedRequest // the attempt that is out for all that its endpoint said
 			seen := map[string]bool{}
-			for _, a := range w.received(func(a *receivedRequest) bool { return a.ID == "0000000000000001" }) {
+			for _, a := range w.received(func(a *receivedRequest) bool { return a.ID == hexID(1) }) {
 				switch key := fmt.Sprint(a.Endpoint, a.Conn.LocalAddr(), a.Conn.RemoteAddr()); {
 				case a.Word == "QUIT":
 					if out != nil && out.Conn == a.Conn {
 						out = nil
 					}
 				case out != nil:
-					t.Fatalf("an attempt to %s went out while one was out at %s", a.Endpoint, out.Endpoint)
+					t.Fatalf("an attempt to %s went out beside one at %s, want one at a time", a.Endpoint, out.Endpoint)
 				case seen[key]:
 					out = a
 				default:
@@ -147,16 +136,16 @@
 	}
 }
 
-// TestResetNewConnectionsDoNotEject: two connections that were reset as they came up had the box ejected for seconds, as each request that
-// waited for them was held against it.
+// TestResetNewConnectionsDoNotEject: two connections that were reset as they came up had the endpoint ejected for
+// seconds, as each request that waited for them was held against it.
 func TestResetNewConnectionsDoNotEject(t *testing.T) {
 	w := newTestbed(t, nil, "c2")
-	ln := w.listenOn("127.0.0.1:0")
-	w.listed[0]["dial"] = ln.Addr().String()
-	next := make(chan net.Conn)
+	listener := w.listenOn("127.0.0.1:0")
+	w.listAt("c1", listener.Addr().String())
+	sound := make(chan net.Conn)
 	go func() {
 		for n := 0; ; n++ {
-			conn, err := ln.Accept()
+			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
@@ -165,10 +154,10 @@
 				_ = conn.Close()
 				continue
 			}
-			next <- conn
+			sound <- conn
 		}
 	}()
-	go w.endpoints.Serve("c1", channelListener{ln, next})
+	go w.endpoints.Serve("c1", channelListener{listener, sound})
 	w.start()
 	client := w.dial()
 	for id := range uint64(4) {
@@ -179,23 +168,24 @@
 			t.Errorf("%+v, want it served", a)
 		}
 	}
-	if strings.Contains(w.log.String(), "ejected") {
-		t.Error("the box was ejected")
+	if w.logged("ejected") {
+		t.Error("the endpoint was ejected")
 	}
 }
 
-// TestLivenessChecks: when a connection on which an answer waits is asked by NOOP whether it lives. Every
-// check is priced and answered from the box's budget of probes, which all doormans of a fleet share. Checks after each
-// 100 ms of quiet, due or not, came with a fifth of all attempts on a fleet day, and a slow box drew dozens for one
-// answer; all were answered READY. Its size makes the answer due in about 0.47 s.
+// TestLivenessChecks: when a connection on which an answer waits is asked by NOOP whether it lives. Every check is
+// priced and answered from the endpoint's budget of health checks, which all proxies of a fleet share. Checks after
+// each 100 ms of quiet, due or not, came with a fifth of all attempts on a fleet day, and a slow endpoint drew dozens
+// for one answer; all were answered READY. Its size makes the answer due in about 0.47 s.
 func TestLivenessChecks(t *testing.T) {
 	for _, c := range []struct {
-		name        string
-		takes       time.Duration
-		least, most int
+		name     string
+		takes    time.Duration
+		min, max int
 	}{
 		{"an answer that is not late is waited for without a check", 300 * time.Millisecond, 0, 0},
-		{"a late answer of a box that answers the check is slow: one check, two at most", 1200 * time.Millisecond, 1, 2},
+		{"a late answer of a box that answers the check is slow: one check, two at most",
+			1200 * time.Millisecond, 1, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -205,75 +195,85 @@
 			}, "c2")
 			w.start()
 			client := w.dial()
-			client.send(request(1, "footage", map[string]string{"ram": "2000", "limit": "60000"}, ""))
-			if a := client.mustRead(); a.Body != "sound" {
+			if a := client.ask(1, "footage", map[string]string{"ram": "2000", "limit": "60000"}); a.Body != "sound" {
 				t.Fatalf("%+v, want it served", a)
 			}
-			if n := len(w.received(hasWord("NOOP"))); n < c.least || n > c.most {
-				t.Errorf("%d NOOPs, want %d to %d", n, c.least, c.most)
+			if n := len(w.received(hasWord("NOOP"))); n < c.min || n > c.max {
+				t.Errorf("%d NOOPs, want %d to %d", n, c.min, c.max)
 			}
 		})
 	}
 }
 
-// TestTrickledResponseReleasesWaiting: an answer comes byte by byte and does not end. What stands behind it on its connection is late until the request of that
-// answer is over, and goes elsewhere then; and nothing new is put behind it.
-func TestTrickledResponseReleasesWaiting(t *testing.T) {
-	over := make(chan struct{})
-	t.Cleanup(func() { close(over) })
-	var first atomic.Pointer[net.Conn]
-	held := make(chan *receivedRequest, 100)
-	w := newTestbed(t, func(a *receivedRequest) {
-		if a.ID != "0000000000000001" {
-			if conn := first.Load(); conn == nil || a.Conn != *conn {
-				a.Answer("ACK", "tag=t1", "done")
-			}
-			held <- a
-			return
+// trickle is a responder by which the first attempt of request 1 is answered byte by byte without end, on the first
+// connection; what stands behind it there waits, and all else is served. What it was asked goes to pending.
+type trickle struct {
+	pending chan *receivedRequest
+	first   atomic.Pointer[net.Conn] // on which the answer trickles
+	over    chan struct{}            // closed when the test ends
+}
+
+// respond is for newTestbed.
+func (r *trickle) respond(a *receivedRequest) {
+	if a.ID != hexID(1) {
+		if conn := r.first.Load(); conn == nil || a.Conn != *conn {
+			answerDone(a)
 		}
-		if !first.CompareAndSwap(nil, &a.Conn) {
-			a.Answer("ACK", "tag=t1", "done")
+		r.pending <- a
+		return
+	}
+	if !r.first.CompareAndSwap(nil, &a.Conn) {
+		answerDone(a)
+		return
+	}
+	_, err := fmt.Fprintf(a.Conn, "%s ACK tag=t1 200000\r\n", a.ID)
+	for r.pending <- a; err == nil; {
+		select {
+		case <-r.over:
 			return
+		case <-time.After(10 * time.Millisecond):
+			_, err = io.WriteString(a.Conn, "x")
 		}
-		_, err := fmt.Fprintf(a.Conn, "%s ACK tag=t1 200000\r\n", a.ID)
-		for held <- a; err == nil; {
-			select {
-			case <-over:
-				return
-			case <-time.After(10 * time.Millisecond):
-				_, err = io.WriteString(a.Conn, "x")
-			}
-		}
-	}, "c2")
+	}
+}
+
+// TestTrickledResponseReleasesWaiting: an answer comes byte by byte and does not end. What stands behind it on its
+// connection is late until the request of that answer is over, and goes elsewhere then; and nothing new is put behind
+// it.
+func TestTrickledResponseReleasesWaiting(t *testing.T) {
+	responder := &trickle{pending: make(chan *receivedRequest, 100), over: make(chan struct{})}
+	t.Cleanup(func() { close(responder.over) })
+	w := newTestbed(t, responder.respond, "c2")
 	w.platformLimits()["attempts-cap"] = 6
 	w.start()
 	client := w.dial()
 	client.send(request(1, "lookup", map[string]string{"limit": "2000"}, ""))
-	nextReceived(t, held)
-	begun := time.Now()
+	nextReceived(t, responder.pending)
+	began := time.Now()
 	client.send(request(2, "lookup", map[string]string{"limit": "9000"}, ""))
-	if behind := nextReceived(t, held); behind.Conn != *first.Load() {
+	if waiting := nextReceived(t, responder.pending); waiting.Conn != *responder.first.Load() {
 		t.Fatal("the second request went by another connection: nothing is tried")
 	}
-	time.Sleep(time.Until(begun.Add(1200 * time.Millisecond))) // longer than anything new is put behind it
+	time.Sleep(time.Until(began.Add(1200 * time.Millisecond))) // longer than anything new is put behind it
 	other := w.dial()
-	other.send(request(3, "lookup", map[string]string{"limit": "9000"}, ""))
-	if a := other.mustRead(); a.Body != "done" || nextReceived(t, held).Conn == *first.Load() {
+	a := other.ask(3, "lookup", map[string]string{"limit": "9000"})
+	if a.Body != "done" || nextReceived(t, responder.pending).Conn == *responder.first.Load() {
 		t.Errorf("%+v, want it served by another connection", a)
 	}
 	if a := client.mustRead(); a.ID != 1 || a.Error == "" {
 		t.Errorf("%+v, want the first request failed when its time is up", a)
 	}
-	if a, took := client.mustRead(), time.Since(begun); a.ID != 2 || a.Body != "done" || took > 6*time.Second {
+	a = client.mustRead()
+	if took := time.Since(began); a.ID != 2 || a.Body != "done" || took > 6*time.Second {
 		t.Errorf("%+v after %v, want the second request served soon after that", a, took)
 	}
 }
 
-// TestEndpointHalfCloses: a box ends its side of a connection, with a request out or just answered. That is read as the end of both
-// sides: the request goes on by another connection, once.
+// TestEndpointHalfCloses: an endpoint ends its side of a connection, with a request out or just answered. That is
+// read as the end of both sides: the request goes on by another connection, once.
 func TestEndpointHalfCloses(t *testing.T) {
-	for _, method := range []string{"lookup", "charge"} {
-		t.Run(method, func(t *testing.T) {
+	for _, class := range []string{"lookup", "charge"} {
+		t.Run(class, func(t *testing.T) {
 			t.Parallel()
 			var n atomic.Int64
 			w := newTestbed(t, func(a *receivedRequest) {
@@ -281,30 +281,30 @@
 					_ = a.Conn.(*net.TCPConn).CloseWrite()
 					return
 				}
-				a.Answer("ACK", "tag=t1", "done")
+				answerDone(a)
 			}, "c2")
 			w.start()
 			client := w.dial()
 			for id := range uint64(10) {
-				client.send(request(id+1, method, map[string]string{"unique": fmt.Sprint("k", id)}, ""))
-				if a := client.mustRead(); a.Body != "done" {
+				if a := client.ask(id+1, class, map[string]string{"unique": fmt.Sprint("k", id)}); a.Body != "done" {
 					t.Fatalf("%+v, want it served", a)
 				}
 			}
-			if asks := w.received(hasWord("ASK")); len(asks) != 20 {
-				t.Errorf("%d attempts went out for ten requests, want two for each", len(asks))
+			if attempts := w.attempts(); len(attempts) != 20 {
+				t.Errorf("%d attempts went out for ten requests, want two for each", len(attempts))
 			}
 		})
 	}
 }
 
-// TestEndpointClosesAsNextRequestArrives: a box ends a connection with its answer, and the client's next request comes as that end does, in both orders.
+// TestEndpointClosesAsNextRequestArrives: an endpoint ends a connection with its answer, and the client's next
+// request comes as that end does, in both orders.
 func TestEndpointClosesAsNextRequestArrives(t *testing.T) {
 	for _, reset := range []bool{false, true} {
 		t.Run(fmt.Sprint("by reset ", reset), func(t *testing.T) {
 			t.Parallel()
 			w := newTestbed(t, func(a *receivedRequest) {
-				a.Answer("ACK", "tag=t1", "done")
+				answerDone(a)
 				if reset {
 					time.Sleep(time.Millisecond) // or it would take the answer with it
 					_ = a.Conn.(*net.TCPConn).SetLinger(0)
@@ -314,9 +314,8 @@
 			w.start()
 			client := w.dial()
 			for id := range uint64(200) {
-				method := []string{"lookup", "charge"}[id%2]
-				client.send(request(id+1, method, map[string]string{"unique": fmt.Sprint("k", id)}, ""))
-				if a := client.mustRead(); a.Body != "done" {
+				class := []string{"lookup", "charge"}[id%2]
+				if a := client.ask(id+1, class, map[string]string{"unique": fmt.Sprint("k", id)}); a.Body != "done" {
 					t.Fatalf("request %d: %+v, want it served", id, a)
 				}
 				if reset {
@@ -327,54 +326,59 @@
 	}
 }
 
-// TestEndpointThatDoesNotRead: what was written for a box that does not read waited with us, and went out whenever it read
-// again: after a drain, a purge, or the client's leaving.
+// TestEndpointThatDoesNotRead: what was written for an endpoint that does not read waited with us, and went out
+// whenever it read again: after a drain, a purge, or the client's leaving.
 func TestEndpointThatDoesNotRead(t *testing.T) {
 	for _, c := range []struct {
 		name    string
-		probes  bool
-		streams int
+		checks  bool // whether the settings allow NOOP
+		streams int  // attempts on a connection
 	}{
 		{"many connections, each within what the system holds", true, 32},
 		{"one connection beyond that, and no word that it lives may be asked for", false, 1000},
 	} {
-		t.Run(c.name, func(t *testing.T) { testEndpointThatDoesNotRead(t, c.probes, c.streams) })
+		t.Run(c.name, func(t *testing.T) {
+			w := newTestbed(t, nil, "c1", "c2", "p1")
+			limits := w.platformLimits()
+			limits["may-probe"], limits["streams-per-conn"] = c.checks, c.streams
+			expectUnreadAttemptsDropped(t, w)
+		})
 	}
 }
 
-func testEndpointThatDoesNotRead(t *testing.T, probes bool, streams int) {
-	w := newTestbed(t, nil, "c1", "c2", "p1")
-	limits := w.config["settings"].(map[string]any)["limits"].(map[string]any)
-	limits["may-probe"], limits["streams-per-conn"] = probes, streams
+// expectUnreadAttemptsDropped has the origin read nothing while clients send large requests and leave. It fails
+// unless, of each connection that the program closed, the origin reads no more than its own socket holds.
+func expectUnreadAttemptsDropped(t *testing.T, w *testbed) {
+	t.Helper()
 	address, read := w.listenWithoutReading()
-	w.listed[0]["dial"] = address
+	w.listAt("o1", address)
 	w.start()
-	const many = 150
+	const requests, each = 150, 25
 	body := strings.Repeat("x", 48000)
 	var clients []*client
-	for n := range uint64(many) {
-		if n%25 == 0 {
+	for n := range uint64(requests) {
+		if n%each == 0 {
 			clients = append(clients, w.dial())
 		}
-		c := clients[len(clients)-1]
-		c.send(request(n+1, "charge", map[string]string{"unique": fmt.Sprint("k", n), "limit": "3000", "item": fmt.Sprintf("%016x", n+1)}, body))
+		fields := map[string]string{"unique": fmt.Sprint("k", n), "limit": "3000", "item": hexID(n + 1)}
+		clients[len(clients)-1].send(request(n+1, "charge", fields, body))
 	}
-	w.waitUntil("the connections that are not read are closed", func() bool { return strings.Contains(w.log.String(), "event=upstream-unresponsive") })
+	w.waitLogged("event=upstream-unresponsive")
 	for _, c := range clients {
 		_ = c.conn.Close()
 	}
-	left := time.Now()
-	time.Sleep(time.Until(left.Add(300 * time.Millisecond))) // from here on nothing may go out for them
-	whole := make(chan []int)
-	read <- whole
-	const holds = 3 // attempts that the box's own socket holds, and that nobody can call back
-	got, few := <-whole, 0
+	time.Sleep(300 * time.Millisecond) // from here on nothing may go out for them
+	counts := make(chan []int)
+	read <- counts
+	const holds = 3 // attempts that the endpoint's own socket holds, and that nobody can call back
+	got, within := <-counts, 0
 	for _, n := range got {
 		if n <= holds {
-			few++
+			within++
 		}
 	}
-	if closed := strings.Count(w.log.String(), "event=upstream-unresponsive"); few < closed {
-		t.Errorf("%d connections were closed; on its connections the box read %v whole attempts later", closed, got)
+	if closed := w.timesLogged("event=upstream-unresponsive"); within < closed {
+		t.Errorf("%d connections were closed, and of its connections the endpoint read %v complete attempts later, "+
+			"want at most %d on as many as were closed", closed, got, holds)
 	}
 }
--- a/test/drill_test.go
+++ b/test/drill_test.go
@@ -16,43 +16,45 @@
 // drillsAtOnce bounds the drills that run together: each is some ten processes, and what they hold has times.
 const drillsAtOnce = 6
 
+// drillSlots is taken by each drill that runs.
 var drillSlots = make(chan bool, drillsAtOnce)
 
-func playDrill(t *testing.T, p *drill.Plan, seed uint64) {
+// playDrill plays a plan beside other drills, and fails unless all that it says must hold does.
+func playDrill(t *testing.T, plan *drill.Plan, seed uint64) {
 	t.Helper()
 	t.Parallel()
 	drillSlots <- true
 	defer func() { <-drillSlots }()
 	if *drillProxies > 0 {
-		p.Proxies = *drillProxies
+		plan.Proxies = *drillProxies
 	}
-	r, err := drill.Run(p, program, t.TempDir(), seed, nil)
+	result, err := drill.Run(plan, program, t.TempDir(), seed, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, v := range r.Checks {
-		if v.OK {
-			t.Logf("held: %s: %s", v.Invariant.Line, v.Found)
+	for _, check := range result.Checks {
+		if check.OK {
+			t.Logf("held: %s: %s", check.Invariant.Line, check.Found)
 		} else {
-			t.Errorf("seed %d, did not hold: %s: %s", seed, v.Invariant.Line, v.Found)
+			t.Errorf("seed %d, did not hold: %s: %s", seed, check.Invariant.Line, check.Found)
 		}
 	}
 }
 
 // TestDrills plays the plans that ship, by processes of the program.
 func TestDrills(t *testing.T) {
-	plans, err := filepath.Glob("../deploy/drill/*.conf")
-	if err != nil || len(plans) < 10 {
-		t.Fatalf("%d plans: %v", len(plans), err)
+	paths, err := filepath.Glob("../deploy/drill/*.conf")
+	if err != nil || len(paths) < 10 {
+		t.Fatalf("%d plans: %v, want at least 10", len(paths), err)
 	}
-	for _, path := range plans {
+	for _, path := range paths {
 		for seed := range uint64(*drillSeeds) {
 			t.Run(filepath.Base(path), func(t *testing.T) {
-				p, err := drill.Load(path)
+				plan, err := drill.Load(path)
 				if err != nil {
 					t.Fatal(err)
 				}
-				playDrill(t, p, seed+1)
+				playDrill(t, plan, seed+1)
 			})
 		}
 	}
@@ -62,11 +64,11 @@
 func TestDrawnDrills(t *testing.T) {
 	for seed := range uint64(*drillSeeds) {
 		t.Run("drawn", func(t *testing.T) {
-			p, err := drill.Draw(seed + 1)
+			plan, err := drill.Draw(seed + 1)
 			if err != nil {
 				t.Fatal(err)
 			}
-			playDrill(t, p, seed+1)
+			playDrill(t, plan, seed+1)
 		})
 	}
 }
--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,50 +13,68 @@
 	"sloequay/internal/emulator"
 )
 
-// A bad day plays the input that the fleet's days bring: spoilt answers, connections reset, lists torn, late, doubled and
-// empty, clients that give up or come again at once. On each, every request that was not taken back gets exactly one
-// final answer, what is served is what a box made, and once a round is over the doorman holds what it held before: rounds
-// are compared, so that what grows by a little each time is seen.
+// A fault case plays the input that the fleet's bad days bring: answers that can't be read, connections reset, lists
+// torn, late, doubled and empty, clients that give up or come again at once. On each, every request that was not
+// taken back gets exactly one final answer, what is served is what an endpoint made, and once a round is over the
+// proxy holds what it held before: rounds are compared, so that what grows by a little each time is seen.
 
 const (
 	faultRounds      = 5
 	faultClients     = 8
-	requestsPerRound = 50 // requests of a client in a round
-	openWindow       = 8  // that it has open
+	requestsPerRound = 50 // of a client
+	openWindow       = 8  // requests that a client has open
 )
 
 // faultCase is one kind of bad input.
 type faultCase struct {
 	name      string
-	script    func(n int64, a *receivedRequest) // what the nth attempt of the day meets
-	beside    func(d *faultRun)                 // runs beside the requests of a round, until d.over is closed
-	after     func(d *faultRun)                 // puts right what beside has left
+	respond   func(n int64, a *receivedRequest) // what the nth attempt of the case meets; nil: it is served
+	beside    func(r *faultRun)                 // runs beside a round, until over is closed; nil: nothing
+	after     func(r *faultRun)                 // puts right what beside has left; nil: nothing
 	client    clientFaults
 	minServed float64 // of the requests that were not taken back, the share that is to be served
 }
 
-// clientFaults is how the day's clients behave.
+// clientFaults is how the case's clients behave; 0: none of it.
 type clientFaults struct {
-	withdrawEvery int // each so manieth request is taken back at once
-	leaveAfter    int // and after each so manieth the client is gone, with what it has open
-	retries       int // a request that is not served comes again at once, so often
+	withdrawEvery   int // each so manieth request is taken back at once
+	disconnectAfter int // after so many requests the client is gone, with what it has open, and comes anew
+	retries         int // a request that is not served comes again at once, so often
 }
 
-// faultRun is a day as it runs.
+// faultRun is a case as it runs.
 type faultRun struct {
 	testbed       *testbed
-	over          chan struct{}
-	listVersion   int // of the bulletin
+	over          chan struct{} // closed when the requests of a round have ended
+	listVersion   int           // that the list service has told last
 	served, ended atomic.Int64
 	ids           atomic.Uint64
 }
 
-func answerServed(a *receivedRequest) {
+var faultCases = []faultCase{
+	{name: "answers come spoilt", respond: respondMalformed, minServed: 0.05},
+	{name: "connections are reset", respond: respondOrClose, beside: (*faultRun).resetConnections, minServed: 0.05},
+	{name: "lists are empty, torn, doubled, old and late", beside: (*faultRun).sendFaultyLists,
+		after: (*faultRun).sendSoundList, minServed: 0.05},
+	{name: "clients give up", client: clientFaults{withdrawEvery: 3, disconnectAfter: 20}, respond: respondSlowly,
+		minServed: 0.5},
+	{name: "clients come again too often", client: clientFaults{retries: 10}, respond: respondOrReject,
+		minServed: 0.05},
+	{name: "all of it at once", respond: respondMalformed,
+		client: clientFaults{withdrawEvery: 4, disconnectAfter: 15, retries: 3},
+		beside: func(r *faultRun) {
+			r.sendFaultyLists()
+			r.testbed.endpoints.Drop("c1")
+		}, after: (*faultRun).sendSoundList, minServed: 0.02},
+}
+
+// respondServed answers with the object that was asked for.
+func respondServed(a *receivedRequest) {
 	a.Answer("ACK", fmt.Sprintf("tag=t1,minted=%d,remark=hit", time.Now().UnixMilli()), a.Fields["thing"])
 }
 
-// answerMalformed gives a box's answers one after another in each of the ways that the operators' page lists.
-func answerMalformed(n int64, a *receivedRequest) {
+// respondMalformed answers one attempt after another in each of the ways that the operators' page lists.
+func respondMalformed(n int64, a *receivedRequest) {
 	raw := func(format string, args ...any) { _, _ = fmt.Fprintf(a.Conn, format, args...) }
 	switch n % 36 {
 	case 0:
@@ -73,215 +90,60 @@
 		raw("%s ACK tag=t1 -7\r\n", a.ID)
 	case 5:
 		raw("ffffffffffffffff ACK tag=t1,minted=1 3\r\nbad\r\n")
-		answerServed(a)
+		respondServed(a)
 	case 6:
-		answerServed(a)
-		answerServed(a)
+		respondServed(a)
+		respondServed(a)
 	case 7: // never comes
 	case 8:
 		raw("%s ACK tag=t1 16\r\n7f3a9c21e0b4d655 and more\r\n", a.ID)
 	default:
-		answerServed(a)
+		respondServed(a)
 	}
 }
 
-// TestFaultsLeaveNothingHeld plays them.
-func TestFaultsLeaveNothingHeld(t *testing.T) {
-	for _, day := range []faultCase{
-		{name: "answers come spoilt", script: answerMalformed, minServed: 0.05},
-		{name: "connections are reset", minServed: 0.05, script: func(n int64, a *receivedRequest) {
-			if n%9 == 0 {
-				_ = a.Conn.Close() // once the request was read
-				return
-			}
-			answerServed(a)
-		}, beside: func(d *faultRun) {
-			for box := 0; ; box++ { // new, idle or under a request
-				select {
-				case <-d.over:
-					return
-				case <-time.After(5 * time.Millisecond):
-					d.testbed.endpoints.Drop([]string{"c1", "c2", "p1", "o1"}[box%4])
-				}
-			}
-		}},
-		{name: "lists are empty, torn, doubled, old and late", minServed: 0.05, beside: (*faultRun).sendFaultyLists, after: (*faultRun).sendSoundList},
-		{name: "clients give up", client: clientFaults{withdrawEvery: 3, leaveAfter: 20}, minServed: 0.5, script: func(n int64, a *receivedRequest) {
-			time.Sleep(time.Duration(n%4) * 2 * time.Millisecond)
-			answerServed(a)
-		}},
-		{name: "clients come again too often", client: clientFaults{retries: 10}, script: func(n int64, a *receivedRequest) {
-			if n%3 == 0 {
-				answerServed(a)
-				return
-			}
-			a.Answer("AGAIN", "-", "")
-		}, minServed: 0.05},
-		{name: "all of it at once", script: answerMalformed, client: clientFaults{withdrawEvery: 4, leaveAfter: 15, retries: 3},
-			beside: func(d *faultRun) {
-				d.sendFaultyLists()
-				d.testbed.endpoints.Drop("c1")
-			}, after: (*faultRun).sendSoundList, minServed: 0.02},
-	} {
-		t.Run(day.name, func(t *testing.T) {
-			t.Parallel()
-			var n atomic.Int64
-			w := newTestbed(t, func(a *receivedRequest) {
-				if day.script == nil {
-					answerServed(a)
-				} else {
-					day.script(n.Add(1), a)
-				}
-			})
-			socket := socketPath(t)
-			w.addSettings("control " + socket)
-			w.start()
-			go func() { // what the program asks of the bulletin is not looked at
-				for range w.listPolls {
-				}
-			}()
-			d := &faultRun{testbed: w, listVersion: 1}
-			var held []map[string]int
-			for round := range faultRounds {
-				d.round(&day)
-				if day.after != nil {
-					day.after(d)
-				}
-				var state map[string]int
-				w.waitUntil(fmt.Sprintf("what round %d left is gone: %v", round, state), func() bool {
-					state = w.heldState(socket)
-					return state["pool.0.open"]+state["pool.0.module"]+state["pool.0.sent"] == 0
-				})
-				state["descriptors"] = w.descriptors()
-				held = append(held, state)
-			}
-			first, last := held[1], held[faultRounds-1]
-			for kind, n := range last {
-				if kind == "pool.0.given-up" { // kept for 10 s, as late answers may come
-					continue
-				}
-				// Rounds differ by what is just being closed; what is kept would be there for each request.
-				if most := first[kind] + faultClients*requestsPerRound/4; kind != "pool.0.timers" && n > most {
-					t.Errorf("%s: %d after round 2, %d after round %d", kind, first[kind], n, faultRounds)
-				}
-			}
-			if n := last["pool.0.timers"]; n > 2*faultClients*requestsPerRound+1024 {
-				t.Errorf("%d timers are held with nothing open", n)
-			}
-			if share := float64(d.served.Load()) / float64(d.ended.Load()); share < day.minServed {
-				t.Errorf("%.2f of %d requests were served, at least %.2f wanted", share, d.ended.Load(), day.minServed)
-			}
-			select {
-			case err := <-w.exited:
-				w.cmd = nil
-				t.Errorf("the program ended: %v", err)
-			default:
-			}
-		})
+// respondOrClose closes each ninth attempt's connection once the attempt was read.
+func respondOrClose(n int64, a *receivedRequest) {
+	if n%9 == 0 {
+		_ = a.Conn.Close()
+		return
 	}
+	respondServed(a)
 }
 
-// round has all clients send what they have to send.
-func (d *faultRun) round(day *faultCase) {
-	d.over = make(chan struct{})
-	var beside, clients sync.WaitGroup
-	if day.beside != nil {
-		beside.Add(1)
-		go func() { defer beside.Done(); day.beside(d) }()
-	}
-	for range faultClients {
-		clients.Add(1)
-		go func() { defer clients.Done(); d.client(day.client) }()
-	}
-	clients.Wait()
-	close(d.over)
-	beside.Wait()
+// respondSlowly takes up to six milliseconds.
+func respondSlowly(n int64, a *receivedRequest) {
+	time.Sleep(time.Duration(n%4) * 2 * time.Millisecond)
+	respondServed(a)
 }
 
-// client sends its requests, a window of them at a time, and holds the doorman to one answer each.
-func (d *faultRun) client(how clientFaults) {
-	t := d.testbed.t
-	for left := requestsPerRound; left > 0; {
-		c, err := emulator.Dial(d.testbed.address)
-		if err != nil {
-			t.Errorf("a client was not let in: %v", err)
-			return
-		}
-		open, again, taken := map[uint64]int{}, []int{}, map[uint64]bool{} // open and again: tries that are left
-		gone := 0
-		if how.leaveAfter > 0 {
-			gone = how.leaveAfter
-		}
-		for left > 0 || len(open) > 0 || len(again) > 0 {
-			for len(open) < openWindow && (left > 0 || len(again) > 0) {
-				tries := how.retries
-				if len(again) > 0 {
-					tries, again = again[0], again[1:]
-				} else {
-					left--
-				}
-				id := d.ids.Add(1)
-				open[id] = tries
-				object := fmt.Sprintf("%016x", id%50+1)
-				if err := c.Send(request(id, "footage", map[string]string{"item": object, "limit": "1500"}, "")); err != nil {
-					t.Errorf("request %d could not be sent: %v", id, err)
-					return
-				}
-				if how.withdrawEvery > 0 && id%uint64(how.withdrawEvery) == 0 {
-					_ = c.Send(withdrawal(id))
-					delete(open, id)
-					taken[id] = true
-				}
-				if gone--; how.leaveAfter > 0 && gone == 0 {
-					break
-				}
-			}
-			if how.leaveAfter > 0 && gone <= 0 {
-				break // with what it has open
-			}
-			if len(open) == 0 {
-				continue
-			}
-			a, err := c.Read(waitLimit)
-			if err != nil {
-				t.Errorf("%d requests have no answer: %v", len(open), err)
-				break
-			}
-			tries, is := open[a.ID]
-			switch {
-			case taken[a.ID]: // it crossed the withdrawal, and may come once
-				delete(taken, a.ID)
-				continue
-			case !is:
-				t.Errorf("a second answer, or one to nothing: %+v", a)
-				continue
-			}
-			delete(open, a.ID)
-			d.ended.Add(1)
-			switch {
-			case a.Error == "":
-				d.served.Add(1)
-				if want := fmt.Sprintf("%016x", a.ID%50+1); a.Body != want {
-					t.Errorf("request %d was served %q, want %q", a.ID, a.Body, want)
-				}
-			case tries > 0:
-				again = append(again, tries-1) // whatever `later` says
-			}
-		}
-		_ = c.Conn.Close()
+// respondOrReject serves each third attempt.
+func respondOrReject(n int64, a *receivedRequest) {
+	if n%3 == 0 {
+		respondServed(a)
+		return
 	}
+	a.Answer("AGAIN", "-", "")
 }
 
-// sendFaultyLists has the bulletin tell what can't be used, then what takes all boxes away, and break off in between.
-func (d *faultRun) sendFaultyLists() {
-	tell := func(line string) {
+// resetConnections resets those of one endpoint after another, whether new, idle or under a request.
+func (r *faultRun) resetConnections() {
+	for n := 0; ; n++ {
 		select {
-		case d.testbed.listFeed <- line:
-		case <-d.over:
+		case <-r.over:
+			return
+		case <-time.After(5 * time.Millisecond):
+			r.testbed.endpoints.Drop([]string{"c1", "c2", "p1", "o1"}[n%4])
 		}
 	}
+}
+
+// sendFaultyLists has the list service tell what can't be used, then what takes all endpoints away, and break off in
+// between.
+func (r *faultRun) sendFaultyLists() {
+	w := r.testbed
 	for {
-		next := d.listVersion + 1
+		next := r.listVersion + 1
 		for _, line := range []string{
 			`{"no":` + strconv.Itoa(next) + `,"roster":{"seq":1,"who`, // torn
 			"!",
@@ -289,79 +151,271 @@
 			"!",
 			listEvent(next, true, listEntry("c1", "nowhere", "edge", "std", "up", 0)), // no address
 			"!",
-			emptyList(next), // all boxes are gone
+			emptyList(next), // all endpoints are gone
 			emptyList(next), // twice
 			strconv.Itoa(next),
 			listEvent(1, false, listEntry("c9", "127.0.0.1:1", "edge", "std", "up", 0)), // old
 			strconv.Itoa(next + 5), // five were missed, it says
-			listEvent(next+1, true, d.testbed.listed[0], d.testbed.listed[0], d.testbed.listed[1], d.testbed.listed[2], d.testbed.listed[3]),
+			listEvent(next+1, true, w.listed[0], w.listed[0], w.listed[1], w.listed[2], w.listed[3]),
 		} {
-			tell(line)
+			select {
+			case w.listFeed <- line:
+			case <-r.over:
+			}
 		}
-		d.listVersion += 2
+		r.listVersion += 2
 		select {
-		case <-d.over:
+		case <-r.over:
 			return
 		case <-time.After(20 * time.Millisecond):
 		}
 	}
 }
 
-// sendSoundList has the bulletin tell the whole list, and waits until a box serves again.
-func (d *faultRun) sendSoundList() {
-	hosts := make([]map[string]any, 0, len(d.testbed.listed))
-	for _, h := range d.testbed.listed {
-		hosts = append(hosts, maps.Clone(h))
-	}
-	c := d.testbed.dial()
-	c.send(request(1, "status", nil, ""))
-	c.mustRead()
-	d.testbed.waitUntil("a box serves again", func() bool {
+// sendSoundList has the list service tell the complete list, and waits until an endpoint serves again.
+func (r *faultRun) sendSoundList() {
+	w := r.testbed
+	standing := w.dial()
+	standing.awaitRound(1)
+	w.waitUntil("an endpoint serves again", func() bool {
 		// Numbers that the program has already, or that skip some, have it ask again: then the next one will do.
-		d.listVersion++
-		select {
-		case d.testbed.listFeed <- listEvent(d.listVersion, true, hosts...):
-		default:
-		}
-		select {
-		case d.testbed.listFeed <- "!":
-		default:
+		r.listVersion++
+		for _, line := range []string{listEvent(r.listVersion, true, w.listed...), "!"} {
+			select {
+			case w.listFeed <- line:
+			default:
+			}
 		}
-		c, err := emulator.Dial(d.testbed.address)
+		protocol, err := emulator.Dial(w.address)
 		if err != nil {
 			return false
 		}
-		defer c.Conn.Close()
-		_ = c.Send(request(d.ids.Add(1), "footage", map[string]string{"item": fmt.Sprintf("%016x", d.ids.Load()%50+1)}, ""))
-		a, err := c.Read(waitLimit)
+		defer protocol.Conn.Close()
+		id := r.ids.Add(1)
+		_ = protocol.Send(request(id, "footage", map[string]string{"item": faultObject(id)}, ""))
+		a, err := protocol.Read(waitLimit)
 		return err == nil && a.Error == ""
 	})
-	_ = c.conn.Close()
+	_ = standing.conn.Close()
 }
 
-// TestWithdrawnRequestsReleaseTimers: a client that tells limits of an hour and takes each request back left two timers each, with
-// the request, for that hour.
+// faultObject is the object that a request asks for: one of fifty.
+func faultObject(request uint64) string { return hexID(request%50 + 1) }
+
+// round has all clients send what they have to send.
+func (r *faultRun) round(c *faultCase) {
+	r.over = make(chan struct{})
+	var beside, clients sync.WaitGroup
+	if c.beside != nil {
+		beside.Add(1)
+		go func() { defer beside.Done(); c.beside(r) }()
+	}
+	for range faultClients {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			client := &faultClient{run: r, faults: c.client, left: requestsPerRound}
+			for client.left > 0 && client.connect() {
+			}
+		}()
+	}
+	clients.Wait()
+	close(r.over)
+	beside.Wait()
+}
+
+// faultClient sends its requests, a window of them at a time, and holds the proxy to one answer each.
+type faultClient struct {
+	run    *faultRun
+	faults clientFaults
+	left   int // requests that were not sent yet
+
+	// Of the connection that stands:
+	protocol  *emulator.Client
+	open      map[uint64]int // retries that are left, by the request's id
+	again     []int          // the same, of requests that are to come again
+	withdrawn map[uint64]bool
+	sent      int
+}
+
+// connect sends requests on a new connection until all have ended or the client leaves, and says whether it may come
+// anew.
+func (c *faultClient) connect() bool {
+	t := c.run.testbed.t
+	var err error
+	if c.protocol, err = emulator.Dial(c.run.testbed.address); err != nil {
+		t.Errorf("a client was not let in: %v", err)
+		return false
+	}
+	defer c.protocol.Conn.Close()
+	c.open, c.again, c.withdrawn, c.sent = map[uint64]int{}, nil, map[uint64]bool{}, 0
+	for c.left > 0 || len(c.open) > 0 || len(c.again) > 0 {
+		if err := c.fillWindow(); err != nil {
+			t.Errorf("a request could not be sent: %v", err)
+			return false
+		}
+		if c.disconnects() {
+			return true // with what it has open
+		}
+		if len(c.open) == 0 {
+			continue
+		}
+		a, err := c.protocol.Read(waitLimit)
+		if err != nil {
+			t.Errorf("%d requests have no answer: %v", len(c.open), err)
+			return true
+		}
+		c.take(a)
+	}
+	return true
+}
+
+// disconnects says whether the client is to leave now.
+func (c *faultClient) disconnects() bool {
+	return c.faults.disconnectAfter > 0 && c.sent >= c.faults.disconnectAfter
+}
+
+// fillWindow sends requests until the window is full.
+func (c *faultClient) fillWindow() error {
+	for len(c.open) < openWindow && (c.left > 0 || len(c.again) > 0) && !c.disconnects() {
+		retries := c.faults.retries
+		if len(c.again) > 0 {
+			retries, c.again = c.again[0], c.again[1:]
+		} else {
+			c.left--
+		}
+		id := c.run.ids.Add(1)
+		c.open[id] = retries
+		c.sent++
+		fields := map[string]string{"item": faultObject(id), "limit": "1500"}
+		if err := c.protocol.Send(request(id, "footage", fields, "")); err != nil {
+			return err
+		}
+		if c.faults.withdrawEvery > 0 && id%uint64(c.faults.withdrawEvery) == 0 {
+			_ = c.protocol.Send(withdrawal(id))
+			delete(c.open, id)
+			c.withdrawn[id] = true
+		}
+	}
+	return nil
+}
+
+// take takes an answer.
+func (c *faultClient) take(a reply) {
+	t := c.run.testbed.t
+	retries, open := c.open[a.ID]
+	switch {
+	case c.withdrawn[a.ID]: // it crossed the withdrawal, and may come once
+		delete(c.withdrawn, a.ID)
+		return
+	case !open:
+		t.Errorf("%+v is a second answer, or one to nothing", a)
+		return
+	}
+	delete(c.open, a.ID)
+	c.run.ended.Add(1)
+	switch {
+	case a.Error == "":
+		c.run.served.Add(1)
+		if want := faultObject(a.ID); a.Body != want {
+			t.Errorf("request %d was served %q, want %q", a.ID, a.Body, want)
+		}
+	case retries > 0:
+		c.again = append(c.again, retries-1) // whatever `later` says
+	}
+}
+
+// TestFaultsReleaseEverything plays the fault cases.
+func TestFaultsReleaseEverything(t *testing.T) {
+	for _, c := range faultCases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var attempts atomic.Int64
+			w := newTestbed(t, func(a *receivedRequest) {
+				if c.respond == nil {
+					respondServed(a)
+				} else {
+					c.respond(attempts.Add(1), a)
+				}
+			})
+			socket := socketPath(t)
+			w.addSettings("control " + socket)
+			w.start()
+			go func() { // what the program asks of the list service is not looked at
+				for range w.listPolls {
+				}
+			}()
+			run := &faultRun{testbed: w, listVersion: 1}
+			var states []map[string]int // at the end of each round
+			for round := range faultRounds {
+				run.round(&c)
+				if c.after != nil {
+					c.after(run)
+				}
+				states = append(states, run.waitNothingOpen(round, socket))
+			}
+			expectNoGrowth(t, states[1], states[faultRounds-1])
+			share := float64(run.served.Load()) / float64(run.ended.Load())
+			if share < c.minServed {
+				t.Errorf("%.2f of %d requests were served, want at least %.2f", share, run.ended.Load(), c.minServed)
+			}
+			w.expectRunning()
+		})
+	}
+}
+
+// waitNothingOpen waits until nothing of a round is open any more, and gives how much the program holds then.
+func (r *faultRun) waitNothingOpen(round int, socket string) (state map[string]int) {
+	r.testbed.t.Helper()
+	r.testbed.waitUntil(fmt.Sprintf("what round %d left is gone", round), func() bool {
+		state = r.testbed.stateCounts(socket)
+		return state["pool.0.open"]+state["pool.0.module"]+state["pool.0.sent"] == 0
+	})
+	state["descriptors"] = r.testbed.openDescriptors()
+	return state
+}
+
+// expectNoGrowth compares how much the program holds after the second round and after the last. Rounds differ by what
+// is just being closed; what is kept would be there for each request.
+func expectNoGrowth(t *testing.T, second, last map[string]int) {
+	t.Helper()
+	const roundRequests = faultClients * requestsPerRound
+	for kind, n := range last {
+		switch kind {
+		case "pool.0.given-up": // kept for 10 s, as late answers may come
+			continue
+		case "pool.0.timers": // see below
+			continue
+		}
+		if limit := second[kind] + roundRequests/4; n > limit {
+			t.Errorf("%s: %d after round 2, %d after round %d, want at most %d", kind, second[kind], n,
+				faultRounds, limit)
+		}
+	}
+	if n, limit := last["pool.0.timers"], 2*roundRequests+1024; n > limit {
+		t.Errorf("%d timers are held with nothing open, want at most %d", n, limit)
+	}
+}
+
+// TestWithdrawnRequestsReleaseTimers: a client that tells limits of an hour and takes each request back left two
+// timers each, with the request, for that hour.
 func TestWithdrawnRequestsReleaseTimers(t *testing.T) {
 	w := newTestbed(t, func(*receivedRequest) {})
 	socket := socketPath(t)
 	w.addSettings("control " + socket)
 	w.start()
-	c := w.dial()
+	client := w.dial()
 	for id := uint64(1); id <= 3000; id++ {
-		c.send(request(id, "footage", map[string]string{"limit": "3600000"}, ""))
-		c.send(withdrawal(id))
+		client.send(request(id, "footage", map[string]string{"limit": "3600000"}, ""))
+		client.send(withdrawal(id))
 		if id%16 == 0 { // else they would be taken back in the round they came in, and not be taken up
-			c.send(request(id, "status", nil, ""))
-			c.mustRead()
-			w.waitUntil("it is out", func() bool { return w.heldState(socket)["pool.0.open"] == 0 })
+			client.awaitRound(id)
+			w.waitUntil("nothing is open", func() bool { return w.stateCounts(socket)["pool.0.open"] == 0 })
 		}
 	}
-	if n := w.heldState(socket)["pool.0.timers"]; n > 1100 {
-		t.Errorf("%d timers are held with nothing open", n)
+	if n, limit := w.stateCounts(socket)["pool.0.timers"], 1100; n > limit {
+		t.Errorf("%d timers are held with nothing open, want at most %d", n, limit)
 	}
 	w.signal(syscall.SIGTERM)
-	if err := <-w.exited; err != nil {
-		t.Errorf("it ended with %v", err)
-	}
-	w.cmd = nil
+	w.waitExit()
 }
--- a/test/harness_catalogue_test.go
+++ b/test/harness_catalogue_test.go
@@ -2,101 +2,96 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"sloequay/internal/emulator/consul"
 )
 
-// services are where the stand-in boxes are registered.
-func catalogueService(id string) (name, class, site string) {
-	switch id[0] {
-	case 'p':
-		return "trunk", "parent", "hub"
-	case 'o':
-		return "archive", "origin", "hub"
-	}
-	return "cache", "std", "edge"
-}
-
+// catalogueInstance is an endpoint as a catalogue has it, at an address.
 func (w *testbed) catalogueInstance(id, address string) consul.Instance {
-	_, class, site := catalogueService(id)
-	host, port, _ := net.SplitHostPort(address)
-	var number int
-	_, _ = fmt.Sscan(port, &number)
-	name, _, _ := catalogueService(id)
-	return consul.Instance{Node: "node-" + id, NodeAddress: "127.0.0.1", Service: name, ID: id, Address: host, Port: number,
-		Meta: map[string]string{"site": site, "class": class}, Weights: consul.Weights{Passing: 4, Warning: 1}}
+	w.t.Helper()
+	service, class, site := placement(id)
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	number, err := strconv.Atoi(port)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return consul.Instance{Node: "node-" + id, NodeAddress: "127.0.0.1", Service: service, ID: id, Address: host,
+		Port: number, Meta: map[string]string{"site": site, "class": class},
+		Weights: consul.Weights{Passing: 4, Warning: 1}}
 }
 
-// enableCatalogue has the world's boxes in a stand-in catalogue with some agents, and the program follow it; further boxes are
-// made. extra goes into the block.
+// enableCatalogue has an emulated catalogue with some agents tell the testbed's endpoints, and the program follow it.
+// Further endpoints are added; extra goes into the block of the settings.
 func (w *testbed) enableCatalogue(agents int, extra string, further ...string) (*consul.Cluster, []*consul.Agent) {
 	w.t.Helper()
-	c := consul.NewCluster()
+	cluster := consul.NewCluster()
 	for _, id := range further {
-		ln, err := w.endpoints.Add(id, "127.0.0.1:0")
-		if err != nil {
-			w.t.Fatal(err)
-		}
-		w.listeners[id] = ln
+		w.addEndpoint(id)
 	}
-	ids := make([]string, 0, len(w.listeners))
-	for id := range w.listeners {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
-		c.Put(w.catalogueInstance(id, w.listeners[id].Addr().String()))
+	for _, id := range slices.Sorted(maps.Keys(w.listeners)) {
+		cluster.Put(w.catalogueInstance(id, w.endpointAddress(id)))
 	}
 	var all []*consul.Agent
-	text := "catalogue {\n"
+	var block strings.Builder
+	block.WriteString("catalogue {\n")
 	for i := range agents {
-		a, err := c.NewAgent(fmt.Sprint("agent", i))
+		agent, err := cluster.NewAgent(fmt.Sprint("agent", i))
 		if err != nil {
 			w.t.Fatal(err)
 		}
-		w.t.Cleanup(a.Close)
-		all = append(all, a)
-		text += "agent " + a.Address() + "\n"
+		w.t.Cleanup(agent.Close)
+		all = append(all, agent)
+		fmt.Fprintf(&block, "agent %s\n", agent.Address())
 	}
-	w.addSettings(text + "service cache {\n}\nservice trunk {\n}\nservice archive {\n}\n" + extra + "\n}")
-	return c, all
+	block.WriteString("service cache {\n}\nservice trunk {\n}\nservice archive {\n}\n" + extra + "\n}")
+	w.addSettings(block.String())
+	return cluster, all
 }
 
-// sentOrSourced says whether a line is a send to a box, or one that names it as the source.
+// sentOrSourced fits an attempt that was sent to an endpoint, or names it as the source to fill from.
 func sentOrSourced(id string) func(*receivedRequest) bool {
 	return func(a *receivedRequest) bool { return a.Word == "ASK" && (a.Endpoint == id || a.Fields["via"] == id) }
 }
 
-// waitInUse waits until a box is in use.
+// usesSince gives the attempts that were sent to an endpoint, or named it as the source, after a moment.
+func (w *testbed) usesSince(id string, since time.Time) []*receivedRequest {
+	return w.received(func(a *receivedRequest) bool { return sentOrSourced(id)(a) && a.At.After(since) })
+}
+
+// waitInUse waits until an endpoint is used from now on.
 func (w *testbed) waitInUse(id string) {
 	w.t.Helper()
 	from := time.Now()
-	w.waitUntil(id+" is in use", func() bool {
-		return len(w.received(func(a *receivedRequest) bool { return sentOrSourced(id)(a) && a.At.After(from) })) > 0
-	})
+	w.waitUntil(id+" is in use", func() bool { return len(w.usesSince(id, from)) > 0 })
 }
 
-// waitUnused waits until nothing was sent to a box for a while, and fails if anything was later than within after since.
+// waitUnused waits until an endpoint was not used for a while, and fails if it was later than within after since.
 func (w *testbed) waitUnused(id string, since time.Time, within time.Duration) {
 	w.t.Helper()
 	last := func() time.Time {
-		lines := w.received(sentOrSourced(id))
-		if len(lines) == 0 {
+		uses := w.received(sentOrSourced(id))
+		if len(uses) == 0 {
 			return since
 		}
-		return lines[len(lines)-1].At
+		return uses[len(uses)-1].At
 	}
-	end := time.Now().Add(waitLimit)
+	deadline := time.Now().Add(waitLimit)
 	for time.Since(last()) < 400*time.Millisecond || time.Since(since) < within+300*time.Millisecond {
-		if time.Now().After(end) {
+		if time.Now().After(deadline) {
 			w.t.Fatalf("%s is in use still, %v after it was marked", id, time.Since(since))
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
-	if late := last().Sub(since); late > within {
-		w.t.Errorf("%s was used %v after it was marked, want at most %v", id, late, within)
+	if lastUse := last().Sub(since); lastUse > within {
+		w.t.Errorf("%s was used %v after it was marked, want at most %v", id, lastUse, within)
 	}
 }
--- a/test/harness_clients_test.go
+++ b/test/harness_clients_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
-	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -13,13 +13,22 @@
 	"sloequay/internal/frontend/rpc/msgpack"
 )
 
-// client is a stand-in for a client of the platform's front, for a test.
+// client is an emulator of a client of the platform's front, for a test.
 type client struct {
 	t        *testing.T
 	conn     net.Conn
 	protocol *emulator.Client
 }
 
+// reply is an answer as the client reads it.
+type reply = emulator.Reply
+
+// newClient speaks the clients' protocol on a connection.
+func newClient(t *testing.T, conn net.Conn) *client {
+	return &client{t: t, conn: conn, protocol: emulator.NewClient(conn)}
+}
+
+// dial connects a client, until the test ends.
 func (w *testbed) dial() *client {
 	w.t.Helper()
 	c, err := emulator.Dial(w.address)
@@ -30,26 +39,33 @@
 	return &client{t: w.t, conn: c.Conn, protocol: c}
 }
 
-// dialSmallBuffer is a client whose connection holds little that it has not read.
+// dialSmallBuffer connects a client whose connection holds little that it has not read.
 func (w *testbed) dialSmallBuffer() *client {
 	w.t.Helper()
-	d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+	dialer := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
 		var err error
-		return errors.Join(c.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096)
-		}), err)
+		return errors.Join(c.Control(func(fd uintptr) { err = setSmallReceiveBuffer(fd) }), err)
 	}}
-	conn, err := d.Dial("tcp", w.address)
+	conn, err := dialer.Dial("tcp", w.address)
 	if err != nil {
 		w.t.Fatal(err)
 	}
 	w.t.Cleanup(func() { _ = conn.Close() })
-	return &client{t: w.t, conn: conn, protocol: emulator.NewClient(conn)}
+	return newClient(w.t, conn)
 }
 
-func (c *client) send(b []byte) {
+// request builds the frame of one; see emulator.Request.
+func request(id uint64, class string, fields map[string]string, body string) []byte {
+	return emulator.Request(id, class, fields, body)
+}
+
+// hexID writes a number as objects and attempts have their ids.
+func hexID[N int | int64 | uint64](number N) string { return fmt.Sprintf("%016x", number) }
+
+// send writes a frame, or a part of one.
+func (c *client) send(frame []byte) {
 	c.t.Helper()
-	if err := c.protocol.Send(b); err != nil {
+	if err := c.protocol.Send(frame); err != nil {
 		c.t.Fatal(err)
 	}
 }
@@ -57,21 +73,28 @@
 // read takes one answer.
 func (c *client) read() (reply, error) { return c.protocol.Read(waitLimit) }
 
-// mustRead reads one answer and fails without it.
+// mustRead takes one answer, and fails without it.
 func (c *client) mustRead() reply {
 	c.t.Helper()
 	a, err := c.read()
 	if err != nil {
-		c.t.Fatalf("no answer: %v", err)
+		c.t.Fatalf("no answer came: %v", err)
 	}
 	return a
 }
 
-// reply is an answer as the client reads it.
-type reply = emulator.Reply
+// ask sends a request without a body, and takes the next answer.
+func (c *client) ask(id uint64, class string, fields map[string]string) reply {
+	c.t.Helper()
+	c.send(request(id, class, fields, ""))
+	return c.mustRead()
+}
 
-// request builds a frame; see standin.Request.
-var request = emulator.Request
+// awaitRound asks for the status: once that is answered, the program has read all that the client sent before.
+func (c *client) awaitRound(id uint64) {
+	c.t.Helper()
+	c.ask(id, "status", nil)
+}
 
 // requestHead is a request up to the place of its fields.
 func requestHead(id uint64) []byte {
@@ -79,48 +102,47 @@
 	return msgpack.AppendArray(msgpack.AppendText(b, "footage"), 2)
 }
 
-func requestFlood(n int) (b []byte) {
-	for id := range uint64(n) {
-		b = append(b, request(id+1, "footage", map[string]string{"item": "00000000000000bb"}, "")...)
+// requestFlood is that many requests in one piece.
+func requestFlood(count int) (frames []byte) {
+	for id := range uint64(count) {
+		frames = append(frames, request(id+1, "footage", map[string]string{"item": "00000000000000bb"}, "")...)
 	}
-	return b
+	return frames
 }
 
+// withdrawal is the notice that takes a request back. Small ids are written in one byte, others in five.
 func withdrawal(id uint64) []byte {
-	b := []byte("\x93\x02\xa8withdraw\x91\xce")
-	return append(b, byte(id>>24), byte(id>>16), byte(id>>8), byte(id))
-}
-
-// withdraw is the notice that takes a request back.
-func withdraw(id byte) []byte {
-	return slices.Concat([]byte{0x93, 2, 0xa8}, []byte("withdraw"), []byte{0x91, id})
+	frame := []byte("\x93\x02\xa8withdraw\x91")
+	if id < 128 {
+		return append(frame, byte(id))
+	}
+	return append(frame, 0xce, byte(id>>24), byte(id>>16), byte(id>>8), byte(id))
 }
 
-// leaveWays are the ways in which a client leaves a request.
-var leaveWays = []struct {
-	name  string
-	leave func(c *client, id byte)
+// abandonWays are the ways in which a client leaves a request.
+var abandonWays = []struct {
+	name    string
+	abandon func(c *client, id uint64)
 }{
-	{"withdraw", func(c *client, id byte) { c.send(withdraw(id)) }},
-	{"close", func(c *client, _ byte) { _ = c.conn.Close() }},
-	{"reset", func(c *client, _ byte) {
+	{"withdraw", func(c *client, id uint64) { c.send(withdrawal(id)) }},
+	{"close", func(c *client, _ uint64) { _ = c.conn.Close() }},
+	{"reset", func(c *client, _ uint64) {
 		_ = c.conn.(*net.TCPConn).SetLinger(0)
 		_ = c.conn.Close()
 	}},
-	{"half-close", func(c *client, _ byte) { _ = c.conn.(*net.TCPConn).CloseWrite() }},
+	{"half-close", func(c *client, _ uint64) { _ = c.conn.(*net.TCPConn).CloseWrite() }},
 }
 
-// leaveNoticed says whether the program knows that the client has left: it answers no more on a connection that still is, and closes one that is
-// half closed.
-func leaveNoticed(w *testbed, c *client, way string) bool {
+// abandonNoticed says whether the program knows that a client has left by one of the abandonWays: it answers no more on
+// a connection that still is, and closes one that is half closed.
+func abandonNoticed(w *testbed, c *client, way string) bool {
 	switch way {
 	case "withdraw":
-		c.send(request(3, "status", nil, ""))
-		return c.mustRead().ID == 3
+		return c.ask(3, "status", nil).ID == 3
 	case "half-close":
 		_ = c.conn.SetReadDeadline(time.Now().Add(waitLimit))
 		_, err := c.conn.Read(make([]byte, 1))
-		return err == io.EOF
+		return errors.Is(err, io.EOF)
 	}
 	// Another client that connects and asks afterwards is read in a later round.
 	return emulator.Ready(w.address)
--- a/test/harness_dns_test.go
+++ b/test/harness_dns_test.go
@@ -10,22 +10,24 @@
 	"github.com/miekg/dns"
 )
 
+// zone is the one that the program answers for.
 const zone = "boxes.test."
 
 // enableDNS turns the DNS side on; extra is added to its block.
 func (w *testbed) enableDNS(extra string) {
 	w.t.Helper()
 	address := w.freeAddress()
-	w.addSettings("dns {\nlisten " + address + "\nzone " + zone + "\n" + extra + "\n}")
+	w.addSettings("dns {", "listen "+address, "zone "+zone, extra, "}")
 	w.dnsAddress = address
 }
 
-// dnsClient is a stand-in for a resolver that asks the doorman over UDP or TCP.
+// dnsClient is an emulator of a resolver that asks the program over UDP or TCP.
 type dnsClient struct {
 	t    *testing.T
 	conn *dns.Conn
 }
 
+// dialDNS connects one, until the test ends; network is udp or tcp.
 func (w *testbed) dialDNS(network string) *dnsClient {
 	w.t.Helper()
 	conn, err := net.Dial(network, w.dnsAddress)
@@ -37,13 +39,19 @@
 	return &dnsClient{w.t, &dns.Conn{Conn: conn}}
 }
 
-func (s *dnsClient) query(id uint16, name string, qtype uint16) {
-	s.t.Helper()
-	m := new(dns.Msg).SetQuestion(name+"."+zone, qtype)
-	m.Id = id
-	m.SetEdns0(1232, false)
-	if err := s.conn.WriteMsg(m); err != nil {
-		s.t.Fatal(err)
+// newQuestion is a query for a name in the zone, with EDNS.
+func newQuestion(id uint16, name string, qtype uint16) *dns.Msg {
+	message := new(dns.Msg).SetQuestion(name+"."+zone, qtype)
+	message.Id = id
+	message.SetEdns0(1232, false)
+	return message
+}
+
+// query sends a question for a name in the zone.
+func (c *dnsClient) query(id uint16, name string, qtype uint16) {
+	c.t.Helper()
+	if err := c.conn.WriteMsg(newQuestion(id, name, qtype)); err != nil {
+		c.t.Fatal(err)
 	}
 }
 
@@ -55,41 +63,48 @@
 	Text  string   // of the extended error
 }
 
-func (s *dnsClient) mustRead() dnsAnswer {
-	s.t.Helper()
-	m, err := s.conn.ReadMsg()
+// mustRead takes one answer, and fails without it or if it may be cached.
+func (c *dnsClient) mustRead() dnsAnswer {
+	c.t.Helper()
+	message, err := c.conn.ReadMsg()
 	if err != nil {
-		s.t.Fatalf("no answer: %v", err)
+		c.t.Fatalf("no answer came: %v", err)
 	}
-	a := dnsAnswer{ID: m.Id, Rcode: dns.RcodeToString[m.Rcode]}
-	for _, rr := range m.Answer {
-		if rr.Header().Ttl != 0 {
-			s.t.Errorf("TTL %d in %v", rr.Header().Ttl, rr)
+	answer := dnsAnswer{ID: message.Id, Rcode: dns.RcodeToString[message.Rcode], Text: extendedError(message)}
+	for _, record := range message.Answer {
+		if record.Header().Ttl != 0 {
+			c.t.Errorf("TTL %d in %v, want 0", record.Header().Ttl, record)
 		}
-		switch rr := rr.(type) {
+		switch record := record.(type) {
 		case *dns.SRV:
-			a.Names = append(a.Names, fmt.Sprintf("%s:%d", strings.TrimSuffix(rr.Target, ".box."+zone), rr.Port))
+			target := strings.TrimSuffix(record.Target, ".box."+zone)
+			answer.Names = append(answer.Names, fmt.Sprintf("%s:%d", target, record.Port))
 		case *dns.A:
-			a.Names = append(a.Names, rr.A.String())
+			answer.Names = append(answer.Names, record.A.String())
 		case *dns.TXT:
-			a.Names = append(a.Names, rr.Txt...)
+			answer.Names = append(answer.Names, record.Txt...)
 		}
 	}
-	if opt := m.IsEdns0(); opt != nil {
-		for _, o := range opt.Option {
-			if e, ok := o.(*dns.EDNS0_EDE); ok {
-				a.Text = e.ExtraText
+	return answer
+}
+
+// extendedError is the text of a message's extended error (RFC 8914); empty: it has none.
+func extendedError(message *dns.Msg) (text string) {
+	if opt := message.IsEdns0(); opt != nil {
+		for _, option := range opt.Option {
+			if extended, ok := option.(*dns.EDNS0_EDE); ok {
+				text = extended.ExtraText
 			}
 		}
 	}
-	return a
+	return text
 }
 
 // expectNoMore checks that no further answer is on its way: what comes next is that of a question asked now.
-func (s *dnsClient) expectNoMore() {
-	s.t.Helper()
-	s.query(9999, "n0.00000000000000aa.nosuchclass._", dns.TypeA)
-	if a := s.mustRead(); a.ID != 9999 {
-		s.t.Errorf("a second answer: %+v", a)
+func (c *dnsClient) expectNoMore() {
+	c.t.Helper()
+	c.query(9999, "n0.00000000000000aa.nosuchclass._", dns.TypeA)
+	if a := c.mustRead(); a.ID != 9999 {
+		c.t.Errorf("%+v came besides, want no further answer", a)
 	}
 }
--- a/test/harness_endpoints_test.go
+++ b/test/harness_endpoints_test.go
@@ -18,43 +18,97 @@
 	"sloequay/internal/emulator"
 )
 
-// receivedRequest is one line that a stand-in box has read.
+// receivedRequest is one line that an endpoint has read: an attempt (ASK), its cancellation (QUIT) or a check (NOOP).
 type receivedRequest = emulator.ReceivedRequest
 
-// received gives what the boxes have heard that fits.
+// addEndpoint adds one that listens; the list does not have it for that.
+func (w *testbed) addEndpoint(id string) {
+	w.t.Helper()
+	listener, err := w.endpoints.Add(id, "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.listeners[id] = listener
+}
+
+// endpointAddress is where an endpoint listens.
+func (w *testbed) endpointAddress(id string) string { return w.listeners[id].Addr().String() }
+
+// setResponder sets how endpoints answer from now on; nil: as emulator.NewEndpoints does.
+func (w *testbed) setResponder(respond func(*receivedRequest)) { w.endpoints.Script(respond) }
+
+// answerDone serves an attempt.
+func answerDone(a *receivedRequest) { a.Answer("ACK", "tag=t1", "done") }
+
+// answerFilled is for caches that hold nothing: each request is filled from a parent or the origin.
+func answerFilled(a *receivedRequest) {
+	if a.Fields["via"] == "" && a.Endpoint[0] == 'c' {
+		a.Answer("NOENT", "-", "")
+		return
+	}
+	a.Answer("ACK", "tag=t1,minted=1,remark=filled,lag=1", a.Fields["thing"])
+}
+
+// received gives what endpoints have read that fits, in the order of its coming.
 func (w *testbed) received(fits func(*receivedRequest) bool) []*receivedRequest {
 	return w.endpoints.Received(fits)
 }
 
+// hasWord fits what has a word of the endpoints' protocol.
 func hasWord(word string) func(*receivedRequest) bool {
 	return func(a *receivedRequest) bool { return a.Word == word }
 }
 
-// nextReceived is the next attempt that a box has read.
-func nextReceived(t *testing.T, held chan *receivedRequest) *receivedRequest {
+// attempts gives the attempts that endpoints have read.
+func (w *testbed) attempts() []*receivedRequest { return w.received(hasWord("ASK")) }
+
+// attemptsAt gives the attempts that one endpoint has read.
+func (w *testbed) attemptsAt(id string) []*receivedRequest {
+	return w.received(func(a *receivedRequest) bool { return a.Word == "ASK" && a.Endpoint == id })
+}
+
+// lastAttempt is the newest of all attempts.
+func (w *testbed) lastAttempt() *receivedRequest {
+	all := w.attempts()
+	return all[len(all)-1]
+}
+
+// attemptsOfClass gives the attempts of a class of requests.
+func (w *testbed) attemptsOfClass(class string) []*receivedRequest {
+	return w.received(func(a *receivedRequest) bool { return a.Fields["profile"] == class })
+}
+
+// cancellations gives the QUIT lines that endpoints have read.
+func (w *testbed) cancellations() []*receivedRequest { return w.received(hasWord("QUIT")) }
+
+// waitAttempts waits until endpoints have read just so many attempts.
+func (w *testbed) waitAttempts(count int) {
+	w.t.Helper()
+	what := fmt.Sprint(count, " attempts have reached endpoints")
+	w.waitUntil(what, func() bool { return len(w.attempts()) == count })
+}
+
+// waitFirstAttempt waits until an endpoint has read an attempt.
+func (w *testbed) waitFirstAttempt() {
+	w.t.Helper()
+	w.waitUntil("an attempt has reached an endpoint", func() bool { return len(w.attempts()) > 0 })
+}
+
+// nextReceived is the next attempt that a responder has handed on.
+func nextReceived(t *testing.T, received chan *receivedRequest) *receivedRequest {
 	t.Helper()
 	select {
-	case a := <-held:
+	case a := <-received:
 		return a
 	case <-time.After(waitLimit):
-		t.Fatal("no attempt reaches a box")
+		t.Fatalf("no attempt has reached an endpoint within %v", waitLimit)
 		return nil
 	}
 }
 
-func (w *testbed) setResponder(script func(*receivedRequest)) { w.endpoints.Script(script) }
-
-// answerFilled is a script by which caches hold nothing: each request is filled.
-func answerFilled(a *receivedRequest) {
-	if a.Fields["via"] == "" && a.Endpoint[0] == 'c' {
-		a.Answer("NOENT", "-", "")
-		return
-	}
-	a.Answer("ACK", "tag=t1,minted=1,remark=filled,lag=1", a.Fields["thing"])
-}
-
 // listenWithFullBacklog gives an address where nothing is accepted and the queue is full, so that dials wait.
 func (w *testbed) listenWithFullBacklog() (address string) {
+	w.t.Helper()
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
 		w.t.Fatal(err)
@@ -78,18 +132,35 @@
 	return w.fullListener.Addr().String()
 }
 
-// listenWithoutReading is a box that takes connections and reads nothing until it is let.
+// listenAndClose gives an address where each connection is closed as soon as it has come.
+func (w *testbed) listenAndClose() (address string) {
+	w.t.Helper()
+	listener := w.listenOn("127.0.0.1:0")
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = conn.Close()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// listenWithoutReading gives an address that takes connections and reads nothing until it is sent a channel by read.
+// It then reads all connections to their ends, and sends how many complete attempts came on each.
 func (w *testbed) listenWithoutReading() (address string, read chan chan []int) {
 	w.t.Helper()
-	ln := w.listenOn("127.0.0.1:0")
-	if raw, err := ln.(*net.TCPListener).SyscallConn(); err == nil {
-		_ = raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096) })
+	listener := w.listenOn("127.0.0.1:0")
+	if raw, err := listener.(*net.TCPListener).SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = setSmallReceiveBuffer(fd) })
 	}
 	var mu sync.Mutex
 	var conns []net.Conn
 	go func() {
 		for {
-			conn, err := ln.Accept()
+			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
@@ -103,17 +174,22 @@
 		out := <-read
 		mu.Lock()
 		defer mu.Unlock()
-		var whole []int
+		var counts []int
 		for _, conn := range conns {
 			_ = conn.SetReadDeadline(time.Now().Add(time.Second))
-			whole = append(whole, countAttempts(conn))
+			counts = append(counts, countAttempts(conn))
 		}
-		out <- whole
+		out <- counts
 	}()
-	return ln.Addr().String(), read
+	return listener.Addr().String(), read
+}
+
+// setSmallReceiveBuffer has a socket hold little that was not read.
+func setSmallReceiveBuffer(fd uintptr) error {
+	return syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4096)
 }
 
-// countAttempts counts the attempts that come whole on a connection, until it ends.
+// countAttempts counts the attempts that come complete on a connection, until it ends.
 func countAttempts(conn net.Conn) (n int) {
 	for r := bufio.NewReader(conn); ; {
 		line, err := r.ReadString('\n')
@@ -132,16 +208,15 @@
 	}
 }
 
-// readAttempt reads one attempt, and says whether one came whole before the connection ended.
-func readAttempt(conn net.Conn) int {
+// readAttempt reads one attempt, and says whether it came complete before the connection ended.
+func readAttempt(conn net.Conn) bool {
 	r := bufio.NewReaderSize(conn, 16)
 	line, err := r.ReadString('\n')
-	if err == nil && strings.HasPrefix(line, "ASK ") {
-		if _, err = r.ReadString('\n'); err == nil {
-			return 1
-		}
+	if err != nil || !strings.HasPrefix(line, "ASK ") {
+		return false
 	}
-	return 0
+	_, err = r.ReadString('\n')
+	return err == nil
 }
 
 // channelListener is a listener whose connections come from a channel.
@@ -150,59 +225,32 @@
 	conns chan net.Conn
 }
 
-func (h channelListener) Accept() (net.Conn, error) { return <-h.conns, nil }
-
-// swappableCertificate is a certificate that a stand-in box can change while it runs.
-type swappableCertificate struct {
-	mu   sync.Mutex
-	pair tls.Certificate
-}
-
-func (s *swappableCertificate) set(p tls.Certificate) {
-	s.mu.Lock()
-	s.pair = p
-	s.mu.Unlock()
-}
+// Accept gives the next connection of the channel.
+func (l channelListener) Accept() (net.Conn, error) { return <-l.conns, nil }
 
-// serveTLS has a box listen by TLS, with a certificate for a name, where clients must show one of the same authority. seen
-// is told the name of each.
-func (w *testbed) serveTLS(ca *emulator.Authority, id, name string, seen func(string)) *swappableCertificate {
+// serveTLS has an endpoint listen by TLS, with a certificate for a name, where clients must show one of the same
+// authority. seen is told the name of each, at every handshake.
+func (w *testbed) serveTLS(authority *emulator.Authority, id, name string, seen func(string)) {
 	w.t.Helper()
-	s := &swappableCertificate{}
-	s.set(w.certificate(ca, name))
 	roots := x509.NewCertPool()
-	roots.AddCert(ca.Cert)
-	cfg := &tls.Config{ClientCAs: roots, ClientAuth: tls.RequireAndVerifyClientCert,
-		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			p := s.pair
-			return &p, nil
-		},
-		VerifyConnection: func(c tls.ConnectionState) error {
-			seen(c.PeerCertificates[0].DNSNames[0])
+	roots.AddCert(authority.Cert)
+	config := &tls.Config{ClientCAs: roots, ClientAuth: tls.RequireAndVerifyClientCert,
+		Certificates: []tls.Certificate{makeCertificate(w.t, authority, name)},
+		VerifyConnection: func(state tls.ConnectionState) error {
+			seen(state.PeerCertificates[0].DNSNames[0])
 			return nil
 		}}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	w.t.Cleanup(func() { _ = ln.Close() })
-	go w.endpoints.Serve(id, tls.NewListener(ln, cfg))
-	for _, h := range w.listed {
-		if h["host"] == id {
-			h["dial"] = ln.Addr().String()
-		}
-	}
-	return s
+	listener := w.listenOn("127.0.0.1:0")
+	go w.endpoints.Serve(id, tls.NewListener(listener, config))
+	w.listAt(id, listener.Addr().String())
 }
 
-// startNameServer is a stand-in for the name server that knows boxes listed by name.
+// startNameServer starts one that knows the records, for endpoints that are listed by name.
 func (w *testbed) startNameServer(records map[string]string) {
+	w.t.Helper()
 	var err error
 	if w.nameServer, err = emulator.NewNameServer(records); err != nil {
 		w.t.Fatal(err)
 	}
 	w.t.Cleanup(w.nameServer.Close)
-	w.resolver = w.nameServer.Address()
 }
--- a/test/harness_identity_test.go
+++ b/test/harness_identity_test.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -19,56 +18,100 @@
 	dir string
 }
 
+// newKeyring names a directory that is not there yet.
+func newKeyring(t *testing.T) keyring {
+	t.Helper()
+	return keyring{t, filepath.Join(t.TempDir(), "keys")}
+}
+
+// run runs a command on the directory.
 func (k keyring) run(args ...string) (string, error) {
 	out, err := exec.Command(program, append(args, "--dir", k.dir)...).CombinedOutput()
 	return strings.TrimSpace(string(out)), err
 }
 
+// must is run for a command that must succeed.
 func (k keyring) must(args ...string) string {
 	k.t.Helper()
 	out, err := k.run(args...)
 	if err != nil {
-		k.t.Fatalf("%v: %v: %s", args, err, out)
+		k.t.Fatalf("%v: %v, want it to succeed: %s", args, err, out)
 	}
 	return out
 }
 
+// token signs one for a subject, which is valid so long.
 func (k keyring) token(subject, tenant string, life time.Duration) string {
 	k.t.Helper()
-	return k.must("token", "sign", "--subject", subject, "--tenant", tenant, "--life", life.String(), "--audience", "doorman")
+	return k.must("token", "sign", "--subject", subject, "--tenant", tenant, "--life", life.String(),
+		"--audience", "doorman")
 }
 
-// enableIdentity turns identity on: lanes may charge, staff may look up, and callers without a token may do what extra says.
+// enableIdentity turns identity on: lanes may charge, staff may look up, and callers without a token may do what
+// extra says.
 func (w *testbed) enableIdentity(extra string) keyring {
 	w.t.Helper()
-	k := keyring{w.t, filepath.Join(w.t.TempDir(), "keys")}
-	k.must("key", "new", "--id", "k1")
-	w.addSettings("identity {\nkeys " + k.dir + "\naudience doorman\nskew 0s\nrole reader {\nright lookup footage\n}\n" +
-		"tenant lanes {\nright charge\nrole reader\n}\ntenant staff {\nrole reader\n}\n" + extra + "\n}")
-	return k
+	keys := newKeyring(w.t)
+	keys.must("key", "new", "--id", "k1")
+	w.addSettings("identity {", "keys "+keys.dir, "audience doorman", "skew 0s",
+		"role reader {", "right lookup footage", "}",
+		"tenant lanes {", "right charge", "role reader", "}",
+		"tenant staff {", "role reader", "}",
+		extra, "}")
+	return keys
 }
 
-// tlsTestbed has identity with a TLS door, and certificates for a lane and a terminal.
-type tlsTestbed struct {
-	*testbed
-	ca      *emulator.Authority
-	address string
-	cert    string
-	key     string
+// newAuthority makes one that signs certificates.
+func newAuthority(t *testing.T) *emulator.Authority {
+	t.Helper()
+	authority, err := emulator.NewAuthority(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return authority
 }
 
-func newTLSTestbed(t *testing.T, script func(*receivedRequest)) *tlsTestbed {
-	w := &tlsTestbed{testbed: newTestbed(t, script)}
-	var err error
-	if w.ca, err = emulator.NewAuthority(t.TempDir()); err == nil {
-		w.cert, w.key, err = w.ca.Make("server", "doorman.test")
+// makeCertificateFiles makes a certificate for a name, and gives the paths of it and of its key, which are named by
+// base. A second call with the same base replaces both.
+func makeCertificateFiles(t *testing.T, authority *emulator.Authority, base, name string) (cert, key string) {
+	t.Helper()
+	cert, key, err := authority.Make(base, name)
+	if err != nil {
+		t.Fatal(err)
 	}
+	return cert, key
+}
+
+// makeCertificate makes a certificate for a name and loads it.
+func makeCertificate(t *testing.T, authority *emulator.Authority, name string) tls.Certificate {
+	t.Helper()
+	cert, key := makeCertificateFiles(t, authority, strings.ReplaceAll(name, ".", "-"), name)
+	pair, err := tls.LoadX509KeyPair(cert, key)
 	if err != nil {
 		t.Fatal(err)
 	}
-	w.address = w.freeAddress()
-	w.enableIdentity("tls {\nlisten " + w.address + "\ncert " + w.cert + "\nkey " + w.key + "\nclient-ca " + w.ca.File + "\nlimit 500ms\nhandshakes 4\n}\n" +
-		"tenant controllers {\nright charge lookup front=tls\ncertificate *.lanes.test\n}\ntenant terminals {\nright lookup\ncertificate t7.staff.test\n}")
+	return pair
+}
+
+// tlsTestbed has identity with a TLS listener, and tenants for the certificates of lanes and of a terminal.
+type tlsTestbed struct {
+	*testbed
+	authority  *emulator.Authority
+	tlsAddress string
+	cert       string // path of the listener's certificate
+	key        string // path of its key
+}
+
+func newTLSTestbed(t *testing.T, respond func(*receivedRequest)) *tlsTestbed {
+	t.Helper()
+	w := &tlsTestbed{testbed: newTestbed(t, respond), authority: newAuthority(t)}
+	w.cert, w.key = makeCertificateFiles(t, w.authority, "server", "doorman.test")
+	w.tlsAddress = w.freeAddress()
+	w.enableIdentity(strings.Join([]string{
+		"tls {", "listen " + w.tlsAddress, "cert " + w.cert, "key " + w.key, "client-ca " + w.authority.File,
+		"limit 500ms", "handshakes 4", "}",
+		"tenant controllers {", "right charge lookup front=tls", "certificate *.lanes.test", "}",
+		"tenant terminals {", "right lookup", "certificate t7.staff.test", "}"}, "\n"))
 	return w
 }
 
@@ -76,56 +119,22 @@
 func (w *tlsTestbed) clientConfig(name string) *tls.Config {
 	w.t.Helper()
 	roots := x509.NewCertPool()
-	roots.AddCert(w.ca.Cert)
-	c := &tls.Config{RootCAs: roots, ServerName: "doorman.test", ClientSessionCache: tls.NewLRUClientSessionCache(8)}
+	roots.AddCert(w.authority.Cert)
+	config := &tls.Config{RootCAs: roots, ServerName: "doorman.test",
+		ClientSessionCache: tls.NewLRUClientSessionCache(8)}
 	if name != "" {
-		cert, key, err := w.ca.Make(strings.ReplaceAll(name, ".", "-"), name)
-		if err != nil {
-			w.t.Fatal(err)
-		}
-		pair, err := tls.LoadX509KeyPair(cert, key)
-		if err != nil {
-			w.t.Fatal(err)
-		}
-		c.Certificates = []tls.Certificate{pair}
+		config.Certificates = []tls.Certificate{makeCertificate(w.t, w.authority, name)}
 	}
-	return c
+	return config
 }
 
-func (w *tlsTestbed) dialTLS(c *tls.Config) *client {
+// dialTLS connects a client by TLS, until the test ends.
+func (w *tlsTestbed) dialTLS(config *tls.Config) *client {
 	w.t.Helper()
-	conn, err := tls.Dial("tcp", w.address, c)
+	conn, err := tls.Dial("tcp", w.tlsAddress, config)
 	if err != nil {
 		w.t.Fatal(err)
 	}
 	w.t.Cleanup(func() { _ = conn.Close() })
-	return &client{t: w.t, conn: conn, protocol: emulator.NewClient(conn)}
-}
-
-func (w *testbed) certificate(ca *emulator.Authority, name string) tls.Certificate {
-	w.t.Helper()
-	cert, key, err := ca.Make(strings.ReplaceAll(name, ".", "-"), name)
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	p, err := tls.LoadX509KeyPair(cert, key)
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	return p
-}
-
-// replaceFile puts a file in another's place, as operators do.
-func replaceFile(t *testing.T, from, to string) {
-	t.Helper()
-	text, err := os.ReadFile(from)
-	if err == nil {
-		err = os.WriteFile(to+".new", text, 0o600)
-	}
-	if err == nil {
-		err = os.Rename(to+".new", to)
-	}
-	if err != nil {
-		t.Fatal(err)
-	}
+	return newClient(w.t, conn)
 }
--- a/test/harness_listservice_test.go
+++ b/test/harness_listservice_test.go
@@ -9,37 +9,79 @@
 	"time"
 )
 
-func listEntry(id, dial, site, class, health string, born int64) map[string]any {
-	return map[string]any{"host": id, "dial": dial, "site": site, "class": class, "block": 0, "health": health,
-		"share": 4, "born_ms": born}
+// listEntry is an endpoint as the list service tells it; startedAt is in Unix milliseconds, 0 if it was not told.
+func listEntry(id, address, site, class, health string, startedAt int64) map[string]any {
+	return map[string]any{"host": id, "dial": address, "site": site, "class": class, "block": 0, "health": health,
+		"share": 4, "born_ms": startedAt}
 }
 
-func listEvent(no int, whole bool, hosts ...map[string]any) string {
-	text, _ := json.Marshal(map[string]any{"no": no, "roster": map[string]any{"seq": no, "whole": whole, "hosts": hosts}})
+// entry is the entry of one of the testbed's endpoints.
+func (w *testbed) entry(id, health string) map[string]any {
+	_, class, site := placement(id)
+	return listEntry(id, w.endpointAddress(id), site, class, health, 0)
+}
+
+// listAt has the list that the program starts with name an address for an endpoint.
+func (w *testbed) listAt(id, address string) {
+	w.t.Helper()
+	for _, entry := range w.listed {
+		if entry["host"] == id {
+			entry["dial"] = address
+			return
+		}
+	}
+	w.t.Fatalf("the endpoint %s is not in the list", id)
+}
+
+// listEvent is a numbered line of the list service: the complete list, or the entries that have changed.
+func listEvent(number int, complete bool, entries ...map[string]any) string {
+	list := map[string]any{"seq": number, "whole": complete, "hosts": entries}
+	text, _ := json.Marshal(map[string]any{"no": number, "roster": list})
 	return string(text)
 }
 
-// emptyList is a whole list without boxes.
-func emptyList(no int) string {
-	return strings.Replace(listEvent(no, true), `"hosts":null`, `"hosts":[]`, 1)
+// listChange is the event that tells a new health of one endpoint.
+func (w *testbed) listChange(number int, id, health string) string {
+	return listEvent(number, false, w.entry(id, health))
+}
+
+// emptyList is the event of a complete list that has no endpoint.
+func emptyList(number int) string { return listEvent(number, true, []map[string]any{}...) }
+
+// invalidateObject is the event that refuses copies of an object from before a Unix millisecond.
+func invalidateObject(number int, object string, issued int64) string {
+	return fmt.Sprintf(`{"no":%d,"recall":{"item":%q,"issued":%d}}`, number, object, issued)
+}
+
+// invalidateGroup is the same for all objects of a group.
+func invalidateGroup(number, group int, issued int64) string {
+	return fmt.Sprintf(`{"no":%d,"recall":{"lot":%d,"issued":%d}}`, number, group, issued)
 }
 
-// waitListPoll waits until the program has asked the bulletin.
+// waitListPoll waits until the program has asked the list service, and gives what for.
 func (w *testbed) waitListPoll() string {
 	w.t.Helper()
 	select {
 	case after := <-w.listPolls:
 		return after
 	case <-time.After(waitLimit):
-		w.t.Fatal("the bulletin is not asked")
+		w.t.Fatalf("the program has not asked the list service within %v", waitLimit)
 		return ""
 	}
 }
 
-// acceptListPoll is the next connection to a stand-in bulletin with what the program asked for there.
-func (w *testbed) acceptListPoll(ln net.Listener) (net.Conn, string) {
+// expectListPoll waits until the program has asked the list service, and fails unless it was for what is wanted.
+func (w *testbed) expectListPoll(want string) {
+	w.t.Helper()
+	if got := w.waitListPoll(); got != want {
+		w.t.Fatalf("the program asked the list service for %q, want %q", got, want)
+	}
+}
+
+// acceptListPoll takes the next connection to a list service of the test's own, with what the program asks for there.
+func (w *testbed) acceptListPoll(listener net.Listener) (net.Conn, string) {
 	w.t.Helper()
-	conn, err := ln.Accept()
+	conn, err := listener.Accept()
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -51,19 +93,18 @@
 	return conn, strings.TrimSpace(line)
 }
 
-// waitDrained waits until the program knows that a box drains, and has requests go elsewhere.
-func (w *testbed) waitDrained(box string) {
+// expectDrained waits until the program knows that an endpoint drains, and fails unless requests go elsewhere then.
+func (w *testbed) expectDrained(id string) {
 	w.t.Helper()
-	w.waitUntil("the drain is known", func() bool { return matches("event=endpoint-draining endpoint="+box, w.log.String()) })
+	w.waitLogMatches("event=endpoint-draining endpoint=" + id)
 	client := w.dial()
-	before := len(w.received(func(a *receivedRequest) bool { return a.Word == "ASK" && a.Endpoint == box }))
-	for id := range uint64(20) {
-		client.send(request(id+1, "lookup", map[string]string{"item": fmt.Sprintf("%016x", id+1)}, ""))
-		if a := client.mustRead(); a.Error != "" {
+	before := len(w.attemptsAt(id))
+	for n := range uint64(20) {
+		if a := client.ask(n+1, "lookup", map[string]string{"item": hexID(n + 1)}); a.Error != "" {
 			w.t.Errorf("%+v, want it served elsewhere", a)
 		}
 	}
-	if asks := w.received(func(a *receivedRequest) bool { return a.Word == "ASK" && a.Endpoint == box }); len(asks) > before {
-		w.t.Errorf("%d attempts went to the draining box", len(asks)-before)
+	if sent := len(w.attemptsAt(id)) - before; sent > 0 {
+		w.t.Errorf("%d attempts went to the draining endpoint %s, want none", sent, id)
 	}
 }
--- a/test/harness_load_test.go
+++ b/test/harness_load_test.go
@@ -4,205 +4,235 @@
 	"fmt"
 	"maps"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 )
 
-// openRequests is 500 requests that are open, held by the boxes' script.
+// openRequests are 500 requests that endpoints have read and not answered.
 type openRequests struct {
 	testbed *testbed
-	held    chan *receivedRequest
+	pending chan *receivedRequest
 	clients []*client
 }
 
-const requestsPerClient, openClients = 25, 20
+const (
+	openClients       = 20
+	requestsPerClient = 25
+)
 
-// openMany sends 500 requests, each with an id and a key of its own, and waits until all are with the boxes.
-func (w *testbed) openMany(held chan *receivedRequest, class string, fields map[string]string) *openRequests {
+// openMany sends 500 requests, each with an id and a key of its own, and waits until all are with the endpoints,
+// whose responder must hand them to pending.
+func (w *testbed) openMany(pending chan *receivedRequest, class string, fields map[string]string) *openRequests {
 	w.t.Helper()
-	c := &openRequests{testbed: w, held: held}
+	open := &openRequests{testbed: w, pending: pending}
 	for n := range openClients {
 		client := w.dial()
-		c.clients = append(c.clients, client)
+		open.clients = append(open.clients, client)
 		for id := range uint64(requestsPerClient) {
-			f := maps.Clone(fields)
-			f["unique"], f["txn"], f["limit"], f["ram"] = fmt.Sprintf("u%d.%d", n, id), fmt.Sprintf("%08x%08x", n, id), "60000", "0.1"
-			client.send(request(id, class, f, ""))
+			own := maps.Clone(fields)
+			own["unique"], own["txn"] = fmt.Sprintf("u%d.%d", n, id), fmt.Sprintf("%08x%08x", n, id)
+			own["limit"], own["ram"] = "60000", "0.1"
+			client.send(request(id, class, own, ""))
 		}
 	}
-	w.waitUntil("all are open", func() bool { return len(held) == requestsPerClient*openClients })
-	return c
+	w.waitUntil("all requests are with endpoints", func() bool { return len(pending) == openClients*requestsPerClient })
+	return open
 }
 
-// answerAll has the boxes answer, and each request be served once.
-func (c *openRequests) answerAll() {
-	c.testbed.t.Helper()
-	for range requestsPerClient * openClients {
-		a := <-c.held
-		a.Answer("ACK", "tag=t1", "done")
+// answerAll has the endpoints answer, and fails unless each request is served once.
+func (o *openRequests) answerAll() {
+	o.testbed.t.Helper()
+	for range openClients * requestsPerClient {
+		answerDone(<-o.pending)
 	}
-	for _, client := range c.clients {
+	for _, client := range o.clients {
 		seen := map[uint64]bool{}
 		for range requestsPerClient {
 			a := client.mustRead()
 			if seen[a.ID] || a.Error != "" {
-				c.testbed.t.Errorf("%+v, want each open request served once", a)
+				o.testbed.t.Errorf("%+v, want each open request served once", a)
 			}
 			seen[a.ID] = true
 		}
 	}
 }
 
-// traffic is requests at a steady pace, and what came of them.
+// traffic is requests at an even pace, and what came of them.
 type traffic struct {
 	mu     sync.Mutex
-	counts map[string]int // by error; served: empty
+	counts map[string]int // by error and reason; served: empty
 	stop   chan struct{}
 	done   sync.WaitGroup
 }
 
-// startTraffic sends lookups for ever new objects, a hundred and fifty a second, until stop is closed.
-func (w *testbed) startTraffic() *traffic {
+// startTraffic sends frames on one connection, so many a second, until stopAllServed. frame gives that of the nth
+// request, from 1 on, which is its id too.
+func (w *testbed) startTraffic(perSecond int, frame func(n uint64) []byte) *traffic {
 	w.t.Helper()
-	f := &traffic{counts: map[string]int{}, stop: make(chan struct{})}
-	c := w.dial()
-	f.done.Add(2)
+	load := &traffic{counts: map[string]int{}, stop: make(chan struct{})}
+	client := w.dial()
 	sent := make(chan int, 1)
+	load.done.Add(2)
 	go func() {
-		defer f.done.Done()
-		tick := time.NewTicker(time.Second / 150)
+		defer load.done.Done()
+		tick := time.NewTicker(time.Second / time.Duration(perSecond))
 		defer tick.Stop()
-		for id := 1; ; id++ {
+		for n := 1; ; n++ {
 			select {
 			case <-tick.C:
-			case <-f.stop:
-				sent <- id - 1
+			case <-load.stop:
+				sent <- n - 1
 				return
 			}
-			_ = c.protocol.Send(request(uint64(id), "lookup", map[string]string{"item": fmt.Sprintf("%016x", id+1), "ram": "1"}, ""))
+			_ = client.protocol.Send(frame(uint64(n)))
 		}
 	}()
 	go func() {
-		defer f.done.Done()
-		total, until := -1, time.Time{}
-		for got := 0; got != total; {
-			if total >= 0 && time.Now().After(until) {
-				f.mu.Lock()
-				f.counts["no answer"] = total - got
-				f.mu.Unlock()
-				return
-			}
-			a, err := c.protocol.Read(100 * time.Millisecond)
-			if err == nil {
-				got++
-				f.mu.Lock()
-				f.counts[a.Error]++
-				f.mu.Unlock()
-			} else if ne, ok := err.(net.Error); !ok || !ne.Timeout() {
-				f.mu.Lock()
-				f.counts[err.Error()]++
-				f.mu.Unlock()
-				return
-			}
-			select {
-			case total = <-sent:
-				until = time.Now().Add(waitLimit / 2)
-			default:
-			}
-		}
+		defer load.done.Done()
+		load.read(client, sent)
 	}()
-	return f
+	return load
 }
 
-// stopAndCount stops the flow and gives what came of all of it.
-func (f *traffic) stopAndCount() map[string]int {
-	close(f.stop)
-	f.done.Wait()
-	return f.counts
+// startLookups is traffic of 150 lookups a second, each for another object.
+func (w *testbed) startLookups() *traffic {
+	w.t.Helper()
+	return w.startTraffic(150, func(n uint64) []byte {
+		return request(n, "lookup", map[string]string{"item": hexID(n + 1), "ram": "1"}, "")
+	})
 }
 
-// stopAllServed ends the flow and fails if anything but an answer came.
-func (f *traffic) stopAllServed(t *testing.T) {
+// read counts the answers until as many have come as were sent, which is told once nothing more will be.
+func (load *traffic) read(client *client, sent <-chan int) {
+	total, deadline := -1, time.Time{}
+	for got := 0; got != total; {
+		if total >= 0 && time.Now().After(deadline) {
+			load.count("no answer", total-got)
+			return
+		}
+		a, err := client.protocol.Read(100 * time.Millisecond)
+		if err == nil {
+			got++
+			load.count(strings.TrimSpace(a.Error+" "+a.Fields["reason"]), 1)
+		} else if ne, ok := err.(net.Error); !ok || !ne.Timeout() {
+			load.count(err.Error(), 1)
+			return
+		}
+		select {
+		case total = <-sent:
+			deadline = time.Now().Add(waitLimit / 2)
+		default:
+		}
+	}
+}
+
+// count adds to how many requests have ended in a way.
+func (load *traffic) count(outcome string, requests int) {
+	load.mu.Lock()
+	defer load.mu.Unlock()
+	load.counts[outcome] += requests
+}
+
+// stopAllServed ends the traffic, and fails unless all of it was served.
+func (load *traffic) stopAllServed(t *testing.T) {
 	t.Helper()
-	counts := f.stopAndCount()
-	for what, n := range counts {
-		if what != "" {
-			t.Errorf("%d requests ended with %q, %d were served", n, what, counts[""])
+	close(load.stop)
+	load.done.Wait()
+	for outcome, n := range load.counts {
+		if outcome != "" {
+			t.Errorf("%d requests ended with %q, want all served, as %d were", n, outcome, load.counts[""])
 		}
 	}
-	if counts[""] == 0 {
+	if load.counts[""] == 0 {
 		t.Error("no request was served")
 	}
 }
 
-// loadGenerator sends requests of a team at a rate, without waiting for answers, and counts what comes.
-type loadGenerator struct {
-	team                           string
-	sent, onTime, served, rejected int
-	budgets                        map[string]int
-	withoutBudget                  []reply
-	duplicates                     int
+// teamLoad sends requests of a team at a rate, without waiting for answers, and counts what comes.
+type teamLoad struct {
+	team          string
+	sent          int
+	served        int
+	onTime        int // served within half a second
+	rejected      int // by a budget that the answer names
+	budgets       map[string]int
+	withoutBudget []reply // other errors
+	duplicates    int     // answers to nothing that is open
+}
+
+// teamConnections is how many connections a load is spread over, as one has at most 32 requests open.
+const teamConnections = 16
+
+// teamConnection is one of them, with the requests that are open on it.
+type teamConnection struct {
+	*client
+	began map[uint64]time.Time
 }
 
-// send sends for a time, each request with a limit, and waits for all answers. One connection has at most 32 open, so several
-// are used in turn.
-func (s *loadGenerator) send(w *testbed, perSecond float64, length time.Duration, prefix string) {
+// send sends for a time, each request with a limit of 3 s and an id that begins with prefix, and waits for all
+// answers.
+func (load *teamLoad) send(w *testbed, perSecond float64, length time.Duration, prefix string) {
 	w.t.Helper()
-	if s.budgets == nil {
-		s.budgets = map[string]int{}
+	if load.budgets == nil {
+		load.budgets = map[string]int{}
 	}
-	const connections = 16
 	var mu sync.Mutex
-	var wg sync.WaitGroup
-	var clients [connections]*client
-	var began [connections]map[uint64]time.Time
-	for i := range clients {
-		clients[i], began[i] = w.dial(), map[uint64]time.Time{}
+	var readers sync.WaitGroup
+	var connections [teamConnections]teamConnection
+	for i := range connections {
+		connections[i] = teamConnection{w.dial(), map[uint64]time.Time{}}
 	}
-	n := int(perSecond * length.Seconds())
-	for i := range clients {
-		wg.Add(1)
+	total := int(perSecond * length.Seconds())
+	for i := range connections {
+		readers.Add(1)
 		go func() {
-			defer wg.Done()
-			for k := i; k < n; k += connections {
-				a, err := clients[i].read()
+			defer readers.Done()
+			for n := i; n < total; n += teamConnections {
+				a, err := connections[i].read()
 				if err != nil {
-					w.t.Errorf("%s: no answer: %v", s.team, err)
+					w.t.Errorf("%s: no answer came: %v", load.team, err)
 					return
 				}
 				mu.Lock()
-				at, open := began[i][a.ID]
-				delete(began[i], a.ID)
-				switch took := time.Since(at); {
-				case !open:
-					s.duplicates++
-				case a.Error == "":
-					if s.served++; took < 500*time.Millisecond {
-						s.onTime++
-					}
-				case a.Fields["budget"] != "":
-					s.rejected++
-					s.budgets[a.Fields["budget"]]++
-				default:
-					s.withoutBudget = append(s.withoutBudget, a)
-				}
+				began, open := connections[i].began[a.ID]
+				delete(connections[i].began, a.ID)
+				load.count(a, time.Since(began), open)
 				mu.Unlock()
 			}
 		}()
 	}
 	start := time.Now()
-	for k := range n {
-		if early := time.Duration(float64(k)/perSecond*1e9) - time.Since(start); early > time.Millisecond {
+	for n := range total {
+		if early := time.Duration(float64(n)/perSecond*1e9) - time.Since(start); early > time.Millisecond {
 			time.Sleep(early)
 		}
-		i := k % connections
+		connection := connections[n%teamConnections]
 		mu.Lock()
-		began[i][uint64(k)] = time.Now()
-		s.sent++
+		connection.began[uint64(n)] = time.Now()
+		load.sent++
 		mu.Unlock()
-		clients[i].send(request(uint64(k), "lookup", map[string]string{"team": s.team, "ram": "1", "limit": "3000",
-			"txn": fmt.Sprintf("%s%012x", prefix, k), "item": fmt.Sprintf("%016x", k%997+1)}, ""))
+		connection.send(request(uint64(n), "lookup", map[string]string{"team": load.team, "ram": "1", "limit": "3000",
+			"txn": fmt.Sprintf("%s%012x", prefix, n), "item": hexID(n%997 + 1)}, ""))
+	}
+	readers.Wait()
+}
+
+// count takes an answer that came after a time, to a request that was open or not.
+func (load *teamLoad) count(a reply, took time.Duration, open bool) {
+	switch {
+	case !open:
+		load.duplicates++
+	case a.Error == "":
+		load.served++
+		if took < 500*time.Millisecond {
+			load.onTime++
+		}
+	case a.Fields["budget"] != "":
+		load.rejected++
+		load.budgets[a.Fields["budget"]]++
+	default:
+		load.withoutBudget = append(load.withoutBudget, a)
 	}
-	wg.Wait()
 }
--- a/test/harness_process_test.go
+++ b/test/harness_process_test.go
@@ -13,30 +13,26 @@
 	"sloequay/internal/proxy/admin"
 )
 
-// The fleet's platform holds a thread that neither waits nor ends for 20 s of real time for a crash, and one core is
-// shared by many doormans: whoever has nothing to do must wait. Each case is one in which programs of this kind have been
-// seen to spin: a peer that is half closed or does not read is always ready for the poller, and what is refused at once
-// is tried again at once.
-
 // processUsage is what the system tells of a running process.
 type processUsage struct {
 	threads  map[int]time.Duration // processor time
-	all      time.Duration         // of those that have ended, too
+	total    time.Duration         // of all threads that run
 	children []int
 }
 
-func readProcessUsage(pid int) (p processUsage, err error) {
-	p.threads = map[int]time.Duration{}
+// readProcessUsage reads it from /proc; an error: the process is gone.
+func readProcessUsage(pid int) (usage processUsage, err error) {
+	usage.threads = map[int]time.Duration{}
 	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
 	for _, path := range tasks {
 		text, err := os.ReadFile(path)
 		if err != nil {
 			continue // it has ended
 		}
-		tid, _ := strconv.Atoi(filepath.Base(filepath.Dir(path)))
+		thread, _ := strconv.Atoi(filepath.Base(filepath.Dir(path)))
 		n, _ := strconv.ParseInt(strings.Fields(string(text))[0], 10, 64)
-		p.threads[tid] = time.Duration(n)
-		p.all += time.Duration(n)
+		usage.threads[thread] = time.Duration(n)
+		usage.total += time.Duration(n)
 	}
 	stats, _ := filepath.Glob("/proc/[0-9]*/stat")
 	for _, path := range stats {
@@ -44,19 +40,23 @@
 		if err != nil {
 			continue
 		}
-		after := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:])) // state, parent, ...
-		if len(after) > 1 && after[1] == strconv.Itoa(pid) {
+		if fields := statFields(string(text)); len(fields) > 1 && fields[1] == strconv.Itoa(pid) {
 			child, _ := strconv.Atoi(filepath.Base(filepath.Dir(path)))
-			p.children = append(p.children, child)
+			usage.children = append(usage.children, child)
 		}
 	}
-	if len(p.threads) == 0 {
-		return p, fmt.Errorf("the process %d is gone", pid)
+	if len(usage.threads) == 0 {
+		return usage, fmt.Errorf("the process %d is gone", pid)
 	}
-	return p, err
+	return usage, err
+}
+
+// statFields are those of /proc/PID/stat from the state on: state, parent, ...
+func statFields(stat string) []string {
+	return strings.Fields(stat[strings.LastIndexByte(stat, ')')+1:])
 }
 
-// cpuShare gives the share of a core that the process used in a window.
+// cpuShare gives the share of a core that a process used in a window.
 func cpuShare(t *testing.T, pid int, window time.Duration) float64 {
 	t.Helper()
 	before, err := readProcessUsage(pid)
@@ -69,25 +69,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return float64(after.all-before.all) / float64(time.Since(began))
+	return float64(after.total-before.total) / float64(time.Since(began))
 }
 
-// descriptors counts those of the program.
-func (w *testbed) descriptors() int {
-	list, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", w.cmd.Process.Pid))
-	return len(list)
-}
-
-// files is how many descriptors the program holds.
-func (w *testbed) files() int {
+// openDescriptors counts those of the program.
+func (w *testbed) openDescriptors() int {
+	w.t.Helper()
 	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", w.cmd.Process.Pid))
 	if err != nil {
-		w.t.Skip("no /proc here")
+		w.t.Fatalf("the program's descriptors: %v", err)
 	}
 	return len(entries)
 }
 
-// socketPath gives a path for a Unix socket, which may have some hundred letters only.
+// socketPath gives a path for the operators' socket, which may have some hundred letters only.
 func socketPath(t *testing.T) string {
 	t.Helper()
 	dir, err := os.MkdirTemp("", "sq")
@@ -98,8 +93,8 @@
 	return filepath.Join(dir, "s")
 }
 
-// heldState asks the program how much it holds.
-func (w *testbed) heldState(socket string) map[string]int {
+// stateCounts asks the program by the operators' socket how much it holds of each kind.
+func (w *testbed) stateCounts(socket string) map[string]int {
 	w.t.Helper()
 	var out bytes.Buffer
 	if err := admin.Ask(&out, socket, "state"); err != nil {
@@ -110,8 +105,35 @@
 		kind, n, _ := strings.Cut(strings.TrimSpace(line), " ")
 		var err error
 		if state[kind], err = strconv.Atoi(n); err != nil {
-			w.t.Fatalf("state: %q", line)
+			w.t.Fatalf("state: %q, want a kind and a number", line)
 		}
 	}
 	return state
 }
+
+// writeFile writes a file that only its owner can read.
+func writeFile(t *testing.T, path, text string) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// readFile reads one that must be there.
+func readFile(t *testing.T, path string) string {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// replaceFile puts a copy of a file in another's place in one step, as operators do.
+func replaceFile(t *testing.T, from, to string) {
+	t.Helper()
+	writeFile(t, to+".new", readFile(t, from))
+	if err := os.Rename(to+".new", to); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/test/harness_settings_test.go
@@ -0,0 +1,35 @@
+package test
+
+import (
+	"path/filepath"
+	"regexp"
+	"testing"
+)
+
+// shippedSettings is the text of deploy/sloequay.conf.
+func shippedSettings(t *testing.T) string {
+	t.Helper()
+	return readFile(t, "../deploy/sloequay.conf")
+}
+
+// exampleSettings is the shipped settings with all examples in their comments turned on.
+func exampleSettings(t *testing.T) string {
+	t.Helper()
+	text := regexp.MustCompile(`(?m)^#([^ \n])`).ReplaceAllString(shippedSettings(t), "$1")
+	return regexp.MustCompile(`(?m)^#(    +[a-z}])`).ReplaceAllString(text, "$1")
+}
+
+// settingsFolder makes a folder with all files that the examples in the shipped settings name.
+func settingsFolder(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	mustRunProgram(t, "key", "new", "--dir", filepath.Join(dir, "keys"))
+	authority := newAuthority(t)
+	cert, key := makeCertificateFiles(t, authority, "doorman", "doorman.test")
+	sources := map[string]string{"boxes-ca.pem": authority.File, "doorman.pem": cert, "doorman.key": key}
+	for name, source := range sources {
+		writeFile(t, filepath.Join(dir, name), readFile(t, source))
+	}
+	writeFile(t, filepath.Join(dir, "peers.key"), "MDEyMzQ1Njc4OWFiY2RlZg==\n")
+	return dir
+}
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -1,3 +1,9 @@
+// Package test starts the built program as a process, with emulators for all that it talks to, and holds it to what
+// its clients, its endpoints and its operators may expect of it.
+//
+// The helpers stand in the files harness_*_test.go. A test makes a testbed, changes what it needs in its
+// configuration, starts the program, and talks to it as clients, endpoints, list service and operators do. It waits
+// for conditions; where it sleeps, the time itself is what the test is about.
 package test
 
 import (
@@ -8,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,44 +26,60 @@
 	"sloequay/internal/emulator"
 )
 
-// testbed is a program under test with stand-ins for all that it talks to.
+// testbed is the program under test with emulators for all that it talks to.
 type testbed struct {
-	t            *testing.T
-	config       map[string]any
-	flags        []string
-	program      string   // empty: the one that is shipped
-	env          []string // beside the test's own
-	settingsPath string   // our settings, which w.own adds to
-	ip           string
-	address      string
-	dnsAddress   string
-	resolver     string
-	configPath   string           // of the configuration
-	listed       []map[string]any // of the list
-	log          logBuffer
-	cmd          *exec.Cmd
-	exited       chan error
+	t *testing.T
+
+	// What the program is started with; a test may change it before start.
+	program      string           // path; empty: the build that is shipped
+	env          []string         // beside the test's own
+	flags        []string         // of the command serve
+	config       map[string]any   // the platform's configuration
+	configPath   string           // of the file that it is written to
+	listed       []map[string]any // the endpoint list in config
+	settingsPath string           // of our settings, which addSettings adds to; empty: none
+	ip           string           // loopback address of this testbed alone
+	address      string           // that clients connect to
+	dnsAddress   string           // empty: DNS is off
+
+	// The process.
+	cmd    *exec.Cmd // nil: none runs
+	exited chan error
+	log    logBuffer
+
+	// The emulators.
 	endpoints    *emulator.Endpoints
-	listeners    map[string]net.Listener
+	listeners    map[string]net.Listener // of the endpoints, by id
 	listService  *emulator.ListService
-	fullListener net.Listener // see fullListener
-	listFeed     chan string  // lines for the bulletin to tell
-	listPolls    chan string  // what the program asked of the bulletin
+	listFeed     chan string // lines for the list service to send
+	listPolls    chan string // what the program has asked the list service for
 	nameServer   *emulator.NameServer
+	fullListener net.Listener // see listenWithFullBacklog
 }
 
-// newTestbed has caches c1 and c2, the parent p1 and the origin o1, all listed but for those in absent.
-func newTestbed(t *testing.T, script func(*receivedRequest), absent ...string) *testbed {
-	w := &testbed{t: t, listed: []map[string]any{}, listeners: map[string]net.Listener{}, endpoints: emulator.NewEndpoints(script)}
+// placement is where an endpoint stands, by the first letter of its id: the service that a catalogue has it in, its
+// class and its site.
+func placement(id string) (service, class, site string) {
+	switch id[0] {
+	case 'p':
+		return "trunk", "parent", "hub"
+	case 'o':
+		return "archive", "origin", "hub"
+	}
+	return "cache", "std", "edge"
+}
+
+// newTestbed has the caches c1 and c2, the parent p1 and the origin o1, all listed but for those in absent. They
+// answer by respond; nil: as emulator.NewEndpoints does.
+func newTestbed(t *testing.T, respond func(*receivedRequest), absent ...string) *testbed {
+	t.Helper()
+	w := &testbed{t: t, listed: []map[string]any{}, listeners: map[string]net.Listener{},
+		endpoints: emulator.NewEndpoints(respond)}
 	t.Cleanup(w.endpoints.Close)
-	for _, b := range []struct{ id, site, class string }{{"c1", "edge", "std"}, {"c2", "edge", "std"},
-		{"p1", "hub", "parent"}, {"o1", "hub", "origin"}} {
-		var err error
-		if w.listeners[b.id], err = w.endpoints.Add(b.id, "127.0.0.1:0"); err != nil {
-			t.Fatal(err)
-		}
-		if !strings.Contains(strings.Join(absent, " "), b.id) {
-			w.listed = append(w.listed, listEntry(b.id, w.listeners[b.id].Addr().String(), b.site, b.class, "up", 0))
+	for _, id := range []string{"c1", "c2", "p1", "o1"} {
+		w.addEndpoint(id)
+		if !slices.Contains(absent, id) {
+			w.listed = append(w.listed, w.entry(id, "up"))
 		}
 	}
 	var err error
@@ -66,14 +89,15 @@
 	t.Cleanup(w.listService.Close)
 	w.listFeed, w.listPolls = w.listService.Feed, w.listService.After
 	w.address = w.freeAddress()
-	var site any
-	if err := json.Unmarshal([]byte(emulator.Settings), &site); err != nil {
+	var settings any
+	if err := json.Unmarshal([]byte(emulator.Settings), &settings); err != nil {
 		t.Fatal(err)
 	}
+	initial := map[string]any{"seq": 1, "whole": true, "hosts": w.listed}
 	w.config = map[string]any{"name": "n1", "listen": w.address, "seed": "8c1f30d27a5be964",
-		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "settings": site,
-		"bulletin": w.listService.Address(), "known": map[string]any{"no": 1, "items": []any{
-			map[string]any{"no": 1, "roster": map[string]any{"seq": 1, "whole": true, "hosts": w.listed}}}}}
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "settings": settings,
+		"bulletin": w.listService.Address(),
+		"known":    map[string]any{"no": 1, "items": []any{map[string]any{"no": 1, "roster": initial}}}}
 	t.Cleanup(func() {
 		w.kill()
 		if t.Failed() {
@@ -83,28 +107,106 @@
 	return w
 }
 
+// testbedCount numbers the testbeds, so that each has a loopback address of its own.
 var testbedCount atomic.Int32
 
-// start starts the program and waits until it is ready.
+// freeAddress gives an address that the program can listen on. It is on the testbed's own loopback address: on a
+// shared one an emulator of another test took the port before the program did.
+func (w *testbed) freeAddress() string {
+	if w.ip == "" {
+		n := testbedCount.Add(1)
+		w.ip = fmt.Sprintf("127.77.%d.%d", n>>8, n&255)
+	}
+	listener := w.listenOn(w.ip + ":0")
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// listenOn listens until the test ends.
+func (w *testbed) listenOn(address string) net.Listener {
+	w.t.Helper()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
+// platformSettings is the block `settings` of the configuration.
+func (w *testbed) platformSettings() map[string]any { return w.config["settings"].(map[string]any) }
+
+// platformLimits is the block `limits` of the platform's settings.
+func (w *testbed) platformLimits() map[string]any {
+	return w.platformSettings()["limits"].(map[string]any)
+}
+
+// setDeadlines sets the deadline of all classes.
+func (w *testbed) setDeadlines(milliseconds int) {
+	for _, class := range w.platformSettings()["classes"].([]any) {
+		class.(map[string]any)["deadline-ms"] = milliseconds
+	}
+}
+
+// addSettings adds lines to our settings, and has the program read them.
+func (w *testbed) addSettings(lines ...string) {
+	w.t.Helper()
+	if w.settingsPath == "" {
+		w.settingsPath = filepath.Join(w.t.TempDir(), "sloequay.conf")
+		w.flags = append(w.flags, "--conf", w.settingsPath)
+	}
+	file, err := os.OpenFile(w.settingsPath, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err == nil {
+		_, err = file.WriteString(strings.Join(lines, "\n") + "\n")
+		err = errors.Join(err, file.Close())
+	}
+	if err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// writeConfig writes the configuration, over that of an earlier call.
+func (w *testbed) writeConfig() {
+	w.t.Helper()
+	if w.configPath == "" {
+		w.configPath = filepath.Join(w.t.TempDir(), "config.json")
+	}
+	text, err := json.Marshal(w.config)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	writeFile(w.t, w.configPath, string(text))
+}
+
+// start writes the configuration, starts the program and waits until it is ready.
 func (w *testbed) start() {
 	w.t.Helper()
-	w.configPath = filepath.Join(w.t.TempDir(), "config.json")
 	w.writeConfig()
 	if w.program == "" {
 		w.program = program
 	}
-	w.cmd = exec.Command(w.program, append([]string{"serve", "--config", w.configPath}, w.flags...)...)
-	w.cmd.Stderr, w.cmd.Env = &w.log, append(os.Environ(), w.env...)
-	if err := w.cmd.Start(); err != nil {
+	cmd := exec.Command(w.program, append([]string{"serve", "--config", w.configPath}, w.flags...)...)
+	cmd.Stderr, cmd.Env = &w.log, append(os.Environ(), w.env...)
+	if err := cmd.Start(); err != nil {
 		w.t.Fatal(err)
 	}
 	exited := make(chan error, 1)
-	cmd := w.cmd
 	go func() { exited <- cmd.Wait() }()
-	w.exited = exited
+	w.cmd, w.exited = cmd, exited
 	w.waitUntil("the program answers status", func() bool { return emulator.Ready(w.address) })
 }
 
+// startSelf starts the test binary as the program, with a variable in its environment by which TestMain knows.
+func (w *testbed) startSelf(variable string) {
+	w.t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.program, w.env = self, []string{variable + "=1"}
+	w.start()
+}
+
 // signal sends one to the program.
 func (w *testbed) signal(s syscall.Signal) {
 	w.t.Helper()
@@ -113,28 +215,40 @@
 	}
 }
 
-// terminate sends SIGTERM and says when.
+// terminate sends SIGTERM, waits until the program drains, and gives when the signal was sent.
 func (w *testbed) terminate() time.Time {
 	w.t.Helper()
 	at := time.Now()
 	w.signal(syscall.SIGTERM)
-	w.waitUntil("it is leaving", func() bool { return strings.Contains(w.log.String(), "event=draining") })
+	w.waitLogged("event=draining")
 	return at
 }
 
-// waitExit waits until the program has ended by itself, with exit status 0.
+// waitExit waits until the program has ended by itself, and fails unless its exit status is 0.
 func (w *testbed) waitExit() {
 	w.t.Helper()
 	select {
 	case err := <-w.exited:
 		if w.cmd = nil; err != nil {
-			w.t.Errorf("the program ended with %v", err)
+			w.t.Errorf("the program ended with %v, want exit status 0", err)
 		}
 	case <-time.After(waitLimit):
-		w.t.Errorf("the program does not end")
+		w.t.Errorf("the program still runs after %v, want it to end by itself", waitLimit)
+	}
+}
+
+// expectRunning fails if the program has ended.
+func (w *testbed) expectRunning() {
+	w.t.Helper()
+	select {
+	case err := <-w.exited:
+		w.cmd = nil
+		w.t.Errorf("the program ended with %v, want it to run still", err)
+	default:
 	}
 }
 
+// kill ends the program at once, if it runs.
 func (w *testbed) kill() {
 	if w.cmd != nil {
 		_ = w.cmd.Process.Signal(syscall.SIGKILL)
@@ -143,85 +257,34 @@
 	}
 }
 
-// addSettings adds to our settings, and has the program read them.
-func (w *testbed) addSettings(text string) {
-	w.t.Helper()
-	if w.settingsPath == "" {
-		w.settingsPath = filepath.Join(w.t.TempDir(), "sloequay.conf")
-		w.flags = append(w.flags, "--conf", w.settingsPath)
-	}
-	f, err := os.OpenFile(w.settingsPath, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
-	if err == nil {
-		_, err = f.WriteString(text + "\n")
-		err = errors.Join(err, f.Close())
-	}
-	if err != nil {
-		w.t.Fatal(err)
-	}
-}
-
-// writeConfig writes the configuration.
-func (w *testbed) writeConfig() {
-	w.t.Helper()
-	text, err := json.Marshal(w.config)
-	if err == nil {
-		err = os.WriteFile(w.configPath, text, 0o600)
-	}
-	if err != nil {
-		w.t.Fatal(err)
-	}
-}
-
-// platformLimits is the settings' block of that name.
-func (w *testbed) platformLimits() map[string]any {
-	return w.config["settings"].(map[string]any)["limits"].(map[string]any)
-}
-
-// setDeadlines sets the deadline of all classes.
-func (w *testbed) setDeadlines(ms int) {
-	for _, c := range w.config["settings"].(map[string]any)["classes"].([]any) {
-		c.(map[string]any)["deadline-ms"] = ms
-	}
-}
-
-func (w *testbed) writeFile(text string) string {
-	path := filepath.Join(w.t.TempDir(), "file.json")
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		w.t.Fatal(err)
-	}
-	return path
-}
+// program is the path of the build under test, which TestMain makes.
+var program string
 
-// freeAddress gives an address to the program. It is on a loopback address of the world's own: on a shared one a stand-in of
-// another test took the port before the program did.
-func (w *testbed) freeAddress() string {
-	if w.ip == "" {
-		n := testbedCount.Add(1)
-		w.ip = fmt.Sprintf("127.77.%d.%d", n>>8, n&255)
-	}
-	ln := w.listenOn(w.ip + ":0")
-	defer ln.Close()
-	return ln.Addr().String()
+// runProgram runs a command of the program to its end, and gives what it prints on either stream.
+func runProgram(args ...string) (string, error) {
+	out, err := exec.Command(program, args...).CombinedOutput()
+	return string(out), err
 }
 
-func (w *testbed) listenOn(address string) net.Listener {
-	w.t.Helper()
-	ln, err := net.Listen("tcp", address)
+// mustRunProgram is runProgram for a command that must succeed.
+func mustRunProgram(t *testing.T, args ...string) string {
+	t.Helper()
+	out, err := runProgram(args...)
 	if err != nil {
-		w.t.Fatal(err)
+		t.Fatalf("sloequay %v: %v, want it to succeed; it printed\n%s", args, err, out)
 	}
-	w.t.Cleanup(func() { _ = ln.Close() })
-	return ln
+	return out
 }
 
-var program string
-
+// TestMain builds the program and runs the tests. In a process that a test has started it is the program itself,
+// under the condition that the environment names.
 func TestMain(m *testing.M) {
 	if os.Getenv(filterVariable) == "1" {
 		serveUnderFilter()
 	}
 	if os.Getenv(spinVariable) == "1" {
 		go func() {
+			//lint:ignore SA5002 it must spin: TestIdleProxyDoesNotSpin is to see that it would find one that does
 			for {
 			}
 		}()
@@ -241,10 +304,11 @@
 	os.Exit(code)
 }
 
-// clockstepProgram is the program with a Unix clock that a test can set.
+// clockstepProgram builds the program with a Unix clock that a test can set, once, and gives its path.
 var clockstepProgram = sync.OnceValues(func() (string, error) {
 	path := program + "-clockstep"
-	if out, err := exec.Command("go", "build", "-tags", "clockstep", "-o", path, "../cmd/sloequay").CombinedOutput(); err != nil {
+	build := exec.Command("go", "build", "-tags", "clockstep", "-o", path, "../cmd/sloequay")
+	if out, err := build.CombinedOutput(); err != nil {
 		return "", fmt.Errorf("%w: %s", err, out)
 	}
 	return path, nil
--- a/test/harness_wait_test.go
+++ b/test/harness_wait_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"fmt"
 	"regexp"
+	"strings"
 	"sync"
 	"time"
 )
@@ -10,34 +12,67 @@
 // waitLimit is how long a test waits for what must happen; no test rests on anything taking long.
 const waitLimit = 10 * time.Second
 
-// waitUntil waits for a condition.
-func (w *testbed) waitUntil(what string, ok func() bool) {
+// waitUntil waits for a condition, which what names.
+func (w *testbed) waitUntil(what string, condition func() bool) {
 	w.t.Helper()
-	for end := time.Now().Add(waitLimit); !ok(); time.Sleep(2 * time.Millisecond) {
-		if time.Now().After(end) {
+	for deadline := time.Now().Add(waitLimit); !condition(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(deadline) {
 			w.t.Fatalf("waited %v in vain until %s", waitLimit, what)
 		}
 	}
 }
 
+// waitLogged waits until a text stands in the program's log.
+func (w *testbed) waitLogged(text string) {
+	w.t.Helper()
+	w.waitUntil(fmt.Sprintf("%q is logged", text), func() bool { return w.logged(text) })
+}
+
+// waitLoggedTimes waits until a text stands in the program's log just so often.
+func (w *testbed) waitLoggedTimes(text string, times int) {
+	w.t.Helper()
+	w.waitUntil(fmt.Sprintf("%q is logged %d times", text, times), func() bool { return w.timesLogged(text) == times })
+}
+
+// waitLogMatches waits until an expression fits a place in the program's log.
+func (w *testbed) waitLogMatches(expression string) {
+	w.t.Helper()
+	w.waitUntil(fmt.Sprintf("%q fits the log", expression), func() bool { return matches(expression, w.log.String()) })
+}
+
+// waitEndpointsKnown waits until the program has added so many endpoints from its sources.
+func (w *testbed) waitEndpointsKnown(count int) {
+	w.t.Helper()
+	w.waitLoggedTimes("event=endpoint-added", count)
+}
+
+// logged says whether a text stands in the program's log.
+func (w *testbed) logged(text string) bool { return strings.Contains(w.log.String(), text) }
+
+// timesLogged is how often a text stands in the program's log.
+func (w *testbed) timesLogged(text string) int { return strings.Count(w.log.String(), text) }
+
 // logBuffer is what the program logs; it may be read while the program runs.
 type logBuffer struct {
 	mu   sync.Mutex
 	text bytes.Buffer
 }
 
+// Write takes what the program logs.
 func (l *logBuffer) Write(b []byte) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.text.Write(b)
 }
 
+// String is all that was logged since the last reset.
 func (l *logBuffer) String() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.text.String()
 }
 
+// reset drops what was logged so far.
 func (l *logBuffer) reset() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/test/identity_test.go
+++ b/test/identity_test.go
@@ -3,7 +3,6 @@
 import (
 	"flag"
 	"fmt"
-	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -15,154 +14,164 @@
 	"sloequay/internal/emulator"
 )
 
-// TestRightsOfTokens is the third hard case: a stolen staff token posts charges by both fronts. All are refused with the reason,
-// and nothing reaches any box; a lane controller's go through, as its own tenant whatever team it names.
+// TestRightsOfTokens: a stolen staff token posts charges by both fronts. All are rejected with the reason, and
+// nothing reaches any endpoint; a lane controller's go through, as its own tenant whatever team it names.
 func TestRightsOfTokens(t *testing.T) {
 	t.Parallel()
 	w := newTestbed(t, nil)
-	k := w.enableIdentity("tenant open {\nright lookup\n}\nunsigned open")
+	keys := w.enableIdentity("tenant open {\nright lookup\n}\nunsigned open")
 	w.enableDNS("")
 	w.start()
-	staff, lanes := k.token("terminal-7", "staff", time.Hour), k.token("lane-3", "lanes", time.Hour)
+	staff, lanes := keys.token("terminal-7", "staff", time.Hour), keys.token("lane-3", "lanes", time.Hour)
 	client := w.dial()
-	const many = 2000
-	go func() {
-		for id := uint64(1); id <= many; id++ {
-			_ = client.protocol.Send(request(id, "charge", map[string]string{"token": staff, "team": "lanes", "unique": fmt.Sprint("u", id)}, "post"))
-			if id%16 == 0 {
-				time.Sleep(time.Millisecond) // no more than 32 may be open
-			}
-		}
-	}()
-	for range many {
-		if a := client.mustRead(); a.Error != "Denied" || a.Fields["reason"] != "right" {
-			t.Fatalf("%+v, want it denied for want of the right", a)
-		}
-	}
-	s := w.dialDNS("udp")
+	expectChargesDenied(t, client, staff)
+	resolver := w.dialDNS("udp")
 	for id := range uint16(100) {
-		s.query(id, fmt.Sprintf("k-%d.n0.00000000000000aa.charge.lanes", id), dns.TypeTXT)
-		if a := s.mustRead(); a.Rcode != "REFUSED" || a.Text != "right" {
-			t.Fatalf("%+v, want it refused for want of the right", a)
+		resolver.query(id, fmt.Sprintf("k-%d.n0.00000000000000aa.charge.lanes", id), dns.TypeTXT)
+		if a := resolver.mustRead(); a.Rcode != "REFUSED" || a.Text != "right" {
+			t.Fatalf("%+v, want it rejected for want of the right", a)
 		}
 	}
-	if asks := w.received(hasWord("ASK")); len(asks) > 0 {
-		t.Errorf("%d lines reached a box, the first %+v", len(asks), asks[0])
+	if attempts := w.attempts(); len(attempts) > 0 {
+		t.Errorf("%d attempts reached endpoints, the first %+v, want none", len(attempts), attempts[0])
 	}
-	for i, c := range []struct{ token, method, err, reason string }{{lanes, "charge", "", ""}, {lanes, "lookup", "", ""}, {staff, "lookup", "", ""}, {"", "lookup", "", ""},
-		{"", "charge", "Denied", "right"}, {"junk", "lookup", "Denied", "malformed"}} {
+	for i, c := range []struct{ token, class, err, reason string }{
+		{lanes, "charge", "", ""},
+		{lanes, "lookup", "", ""},
+		{staff, "lookup", "", ""},
+		{"", "lookup", "", ""},
+		{"", "charge", "Denied", "right"},
+		{"junk", "lookup", "Denied", "malformed"},
+	} {
 		fields := map[string]string{"unique": fmt.Sprint("x", i)}
 		if c.token != "" {
 			fields["token"] = c.token
 		}
-		client.send(request(uint64(9000+i), c.method, fields, ""))
-		if a := client.mustRead(); a.Error != c.err || a.Fields["reason"] != c.reason {
-			t.Errorf("%s with %.10q: %+v, want %q for %q", c.method, c.token, a, c.err, c.reason)
+		if a := client.ask(uint64(9000+i), c.class, fields); a.Error != c.err || a.Fields["reason"] != c.reason {
+			t.Errorf("%s with %.10q: %+v, want %q for %q", c.class, c.token, a, c.err, c.reason)
 		}
 	}
-	log := w.log.String()
-	if !strings.Contains(log, "event=audit reason=right subject=terminal-7 tenant=staff key=k1 class=charge") {
-		t.Error("the audit does not name the subject")
+	if line := "event=audit reason=right subject=terminal-7 tenant=staff key=k1 class=charge"; !w.logged(line) {
+		t.Errorf("%q is not in the log", line)
 	}
-	if n := strings.Count(log, "subject=terminal-7"); n > 20 {
-		t.Errorf("%d audit lines of one subject", n)
+	if n := w.timesLogged("subject=terminal-7"); n > 20 {
+		t.Errorf("%d audit lines of one subject, want at most 20", n)
 	}
-	private, err := os.ReadFile(filepath.Join(k.dir, "private", "k1.pem"))
-	if err != nil || len(private) < 100 {
-		t.Fatal(err)
+	private := readFile(t, filepath.Join(keys.dir, "private", "k1.pem"))
+	if len(private) < 100 {
+		t.Fatalf("the private key has %d bytes, want at least 100", len(private))
 	}
-	if body := strings.Split(string(private), "\n")[1]; strings.Contains(log, body) || strings.Contains(log, staff) {
+	if body := strings.Split(private, "\n")[1]; w.logged(body) || w.logged(staff) {
 		t.Error("a key or a token is in the log")
 	}
 }
 
-// TestTokenExpiresBetweenRetries is the second hard case: the token expires between a charge and its retry. The retry is taken for
-// the same subject, and refused for another.
+// expectChargesDenied posts thousands of charges by a token, and fails unless each is denied for want of the right.
+func expectChargesDenied(t *testing.T, client *client, token string) {
+	t.Helper()
+	const count = 2000
+	go func() {
+		for id := uint64(1); id <= count; id++ {
+			fields := map[string]string{"token": token, "team": "lanes", "unique": fmt.Sprint("u", id)}
+			_ = client.protocol.Send(request(id, "charge", fields, "post"))
+			if id%16 == 0 {
+				time.Sleep(time.Millisecond) // no more than 32 may be open
+			}
+		}
+	}()
+	for range count {
+		if a := client.mustRead(); a.Error != "Denied" || a.Fields["reason"] != "right" {
+			t.Fatalf("%+v, want it denied for want of the right", a)
+		}
+	}
+}
+
+// TestTokenExpiresBetweenRetries: the token expires between a charge and its retry. The retry is taken for the same
+// subject, and rejected for another.
 func TestTokenExpiresBetweenRetries(t *testing.T) {
 	t.Parallel()
 	w := newTestbed(t, nil)
-	k := w.enableIdentity("")
+	keys := w.enableIdentity("")
 	w.start()
-	soon, other := k.token("lane-1", "lanes", 1500*time.Millisecond), k.token("lane-2", "lanes", time.Hour)
+	short := keys.token("lane-1", "lanes", 1500*time.Millisecond)
+	other := keys.token("lane-2", "lanes", time.Hour)
 	client := w.dial()
-	charge := func(id uint64, token, unique string) reply {
-		client.send(request(id, "charge", map[string]string{"token": token, "unique": unique}, "post"))
+	charge := func(id uint64, token, key string) reply {
+		client.send(request(id, "charge", map[string]string{"token": token, "unique": key}, "post"))
 		return client.mustRead()
 	}
-	if a := charge(1, soon, "u1"); a.Error != "" {
-		t.Fatalf("the first try: %+v", a)
+	if a := charge(1, short, "u1"); a.Error != "" {
+		t.Fatalf("the first attempt: %+v, want it served", a)
 	}
 	id := uint64(1)
 	w.waitUntil("the token has expired", func() bool {
 		id++
-		client.send(request(id, "lookup", map[string]string{"token": soon}, ""))
-		return client.mustRead().Fields["reason"] == "expired"
+		return client.ask(id, "lookup", map[string]string{"token": short}).Fields["reason"] == "expired"
 	})
-	if a := charge(1001, soon, "u1"); a.Error != "" {
-		t.Errorf("the retry: %+v, want it taken by the first try's authority", a)
+	if a := charge(1001, short, "u1"); a.Error != "" {
+		t.Errorf("the retry: %+v, want it taken by the first attempt's authority", a)
 	}
 	if a := charge(1002, other, "u1"); a.Fields["reason"] != "key-in-use" {
-		t.Errorf("another subject with the same key: %+v", a)
+		t.Errorf("another subject with the same key: %+v, want it rejected as key-in-use", a)
 	}
-	if a := charge(1003, soon, "u2"); a.Fields["reason"] != "expired" {
-		t.Errorf("a new charge by the expired token: %+v", a)
+	if a := charge(1003, short, "u2"); a.Fields["reason"] != "expired" {
+		t.Errorf("a new charge by the expired token: %+v, want it rejected as expired", a)
 	}
-	for _, a := range w.received(hasWord("ASK")) {
-		if a.Fields["profile"] == "charge" && a.Fields["replay"] != "u1" {
-			t.Errorf("a box was sent %+v", a)
+	for _, a := range w.attemptsOfClass("charge") {
+		if a.Word == "ASK" && a.Fields["replay"] != "u1" {
+			t.Errorf("an endpoint was sent %+v, want charges of the key u1 alone", a)
 		}
 	}
 }
 
-// TestRevocationUnderLoad is the fourth hard case: a subject is revoked while requests of it are open. What is open ends once, and
-// nothing new of it is taken a second later.
+// TestRevocationUnderLoad: a subject is revoked while requests of it are open. What is open ends once, and nothing
+// new of it is taken a second later.
 func TestRevocationUnderLoad(t *testing.T) {
 	t.Parallel()
-	held := make(chan *receivedRequest, 600)
-	w := newTestbed(t, func(a *receivedRequest) { held <- a })
-	k := w.enableIdentity("")
+	pending := make(chan *receivedRequest, 600)
+	w := newTestbed(t, func(a *receivedRequest) { pending <- a })
+	keys := w.enableIdentity("")
 	w.start()
-	token := k.token("lane-1", "lanes", time.Hour)
-	crowd := w.openMany(held, "charge", map[string]string{"token": token})
-	k.must("key", "revoke", "subject", "lane-1")
+	token := keys.token("lane-1", "lanes", time.Hour)
+	open := w.openMany(pending, "charge", map[string]string{"token": token})
+	keys.must("key", "revoke", "subject", "lane-1")
 	began := time.Now()
-	probe := w.dial()
+	client := w.dial()
 	id := uint64(0)
 	w.waitUntil("it is revoked", func() bool {
 		id++
-		probe.send(request(id, "lookup", map[string]string{"token": token, "limit": "300"}, ""))
-		return probe.mustRead().Fields["reason"] == "revoked"
+		fields := map[string]string{"token": token, "limit": "300"}
+		return client.ask(id, "lookup", fields).Fields["reason"] == "revoked"
 	})
 	if took := time.Since(began); took > 2*time.Second {
-		t.Errorf("the revocation took %v", took)
+		t.Errorf("the revocation took %v, want at most 2 s", took)
 	}
-	crowd.answerAll()
+	open.answerAll()
 }
 
 var keyChanges = flag.Int("key-changes", 3, "how many changes of the keys' directory are measured")
 
-// TestRevocationLatency measures how long after a change of the directory it holds in the running doorman. -key-changes sets how
-// many.
+// TestRevocationLatency measures how long after a change of the directory it holds in the running proxy. -key-changes
+// sets how many.
 func TestRevocationLatency(t *testing.T) {
 	t.Parallel()
 	w := newTestbed(t, nil)
-	k := w.enableIdentity("")
+	keys := w.enableIdentity("")
 	w.start()
-	c := w.dial()
+	client := w.dial()
 	var took []time.Duration
 	id := uint64(0)
 	for i := range *keyChanges {
 		subject := fmt.Sprint("lane-", i)
-		token := k.token(subject, "lanes", time.Hour)
+		token := keys.token(subject, "lanes", time.Hour)
 		reason := func() string {
 			id++
-			c.send(request(id, "lookup", map[string]string{"token": token, "ram": "1"}, ""))
-			return c.mustRead().Fields["reason"]
+			return client.ask(id, "lookup", map[string]string{"token": token, "ram": "1"}).Fields["reason"]
 		}
 		if got := reason(); got != "" {
-			t.Fatalf("at first refused for %s", got)
+			t.Fatalf("before the revocation: rejected for %q, want it served", got)
 		}
-		k.must("key", "revoke", "subject", subject)
+		keys.must("key", "revoke", "subject", subject)
 		began := time.Now()
 		w.waitUntil("the revocation holds", func() bool { return reason() == "revoked" })
 		took = append(took, time.Since(began))
@@ -171,197 +180,254 @@
 	t.Logf("%d changes: median %v, worst %v", len(took), took[len(took)/2], took[len(took)-1])
 }
 
-// TestTSIGSignedQueries: a charge by DNS needs a key with that right; answers are signed, wrong signatures are refused as the RFC
-// says, and the same idempotency key is one subject's.
+// signedQuery is a question that a shared key signs.
+type signedQuery struct {
+	name, key, secret string        // key: empty: it is not signed
+	signed            time.Duration // after now
+	question          string
+	rcode, tsigError  int
+	text              string // of the extended error
+}
+
+// exchange sends the query, and gives the answer and whether its signature is right.
+func (q *signedQuery) exchange(t *testing.T, client *dnsClient, id uint16) (answer *dns.Msg, signature error) {
+	t.Helper()
+	message := newQuestion(id, q.question, dns.TypeTXT)
+	packet, mac := []byte(nil), ""
+	var err error
+	if q.key == "" {
+		packet, err = message.Pack()
+	} else {
+		message.SetTsig(q.key, dns.HmacSHA256, 300, time.Now().Add(q.signed).Unix())
+		packet, mac, err = dns.TsigGenerate(message, q.secret, "", false)
+	}
+	if err == nil {
+		_, err = client.conn.Write(packet)
+	}
+	if err != nil {
+		t.Fatalf("%s: %v", q.name, err)
+	}
+	raw, err := client.conn.ReadMsgHeader(nil)
+	if err != nil {
+		t.Fatalf("%s: no answer came: %v", q.name, err)
+	}
+	answer = &dns.Msg{}
+	if err := answer.Unpack(raw); err != nil {
+		t.Fatalf("%s: %v", q.name, err)
+	}
+	return answer, dns.TsigVerify(raw, q.secret, mac, false)
+}
+
+// TestTSIGSignedQueries: a charge by DNS needs a key with that right; answers are signed, wrong signatures are
+// rejected as the RFC says, and the same idempotency key is one subject's.
 func TestTSIGSignedQueries(t *testing.T) {
 	t.Parallel()
 	w := newTestbed(t, nil)
-	k := w.enableIdentity("")
+	keys := w.enableIdentity("")
 	w.enableDNS("")
 	secret := func(name, tenant string) string {
-		line := k.must("key", "tsig", name, "--tenant", tenant, "--subject", strings.TrimSuffix(name, "."))
+		line := keys.must("key", "tsig", name, "--tenant", tenant, "--subject", strings.TrimSuffix(name, "."))
 		return line[strings.LastIndex(line, ":")+1:]
 	}
 	lane, other, staff := secret("lane-3.", "lanes"), secret("lane-4.", "lanes"), secret("terminal-7.", "staff")
 	w.start()
-	for i, c := range []struct {
-		name, key, secret string
-		signed            time.Duration // after now
-		question          string
-		rcode, tsig       int
-		text              string
-	}{
-		{"a charge of a lane", "lane-3.", lane, 0, "k-u1.n0.00000000000000aa.charge._", dns.RcodeSuccess, 0, ""},
-		{"the same again", "lane-3.", lane, 0, "k-u1.n0.00000000000000aa.charge._", dns.RcodeSuccess, 0, ""},
-		{"another lane with its key", "lane-4.", other, 0, "k-u1.n0.00000000000000aa.charge._", dns.RcodeRefused, 0, "key-in-use"},
-		{"a charge of a terminal", "terminal-7.", staff, 0, "k-u2.n0.00000000000000aa.charge._", dns.RcodeRefused, 0, "right"},
-		{"what a terminal may", "terminal-7.", staff, 0, "n0.00000000000000aa.lookup._", dns.RcodeSuccess, 0, ""},
-		{"unsigned", "", "", 0, "k-u3.n0.00000000000000aa.charge._", dns.RcodeRefused, 0, "unsigned"},
-		{"another's secret", "lane-3.", staff, 0, "k-u4.n0.00000000000000aa.charge._", dns.RcodeNotAuth, dns.RcodeBadSig, ""},
-		{"an unknown key", "lane-9.", lane, 0, "k-u5.n0.00000000000000aa.charge._", dns.RcodeNotAuth, dns.RcodeBadKey, ""},
-		{"an hour ago", "lane-3.", lane, -time.Hour, "k-u6.n0.00000000000000aa.charge._", dns.RcodeNotAuth, dns.RcodeBadTime, ""},
+	charge := func(key string) string { return "k-" + key + ".n0.00000000000000aa.charge._" }
+	const lookup = "n0.00000000000000aa.lookup._"
+	for i, c := range []signedQuery{
+		{"a charge of a lane", "lane-3.", lane, 0, charge("u1"), dns.RcodeSuccess, 0, ""},
+		{"the same again", "lane-3.", lane, 0, charge("u1"), dns.RcodeSuccess, 0, ""},
+		{"another lane with its key", "lane-4.", other, 0, charge("u1"), dns.RcodeRefused, 0, "key-in-use"},
+		{"a charge of a terminal", "terminal-7.", staff, 0, charge("u2"), dns.RcodeRefused, 0, "right"},
+		{"what a terminal may", "terminal-7.", staff, 0, lookup, dns.RcodeSuccess, 0, ""},
+		{"unsigned", "", "", 0, charge("u3"), dns.RcodeRefused, 0, "unsigned"},
+		{"another's secret", "lane-3.", staff, 0, charge("u4"), dns.RcodeNotAuth, dns.RcodeBadSig, ""},
+		{"an unknown key", "lane-9.", lane, 0, charge("u5"), dns.RcodeNotAuth, dns.RcodeBadKey, ""},
+		{"an hour ago", "lane-3.", lane, -time.Hour, charge("u6"), dns.RcodeNotAuth, dns.RcodeBadTime, ""},
 	} {
 		for _, network := range []string{"udp", "tcp"} {
-			s := w.dialDNS(network)
-			m := new(dns.Msg).SetQuestion(c.question+"."+zone, dns.TypeTXT)
-			m.Id = uint16(100 + i)
-			m.SetEdns0(1232, false)
-			packet, mac := []byte(nil), ""
-			var err error
-			if c.key == "" {
-				packet, err = m.Pack()
-			} else {
-				m.SetTsig(c.key, dns.HmacSHA256, 300, time.Now().Add(c.signed).Unix())
-				packet, mac, err = dns.TsigGenerate(m, c.secret, "", false)
-			}
-			if err == nil {
-				_, err = s.conn.Write(packet)
-			}
-			if err != nil {
-				t.Fatal(err)
+			answer, signature := c.exchange(t, w.dialDNS(network), uint16(100+i))
+			record, text := answer.IsTsig(), extendedError(answer)
+			if answer.Rcode != c.rcode || text != c.text {
+				t.Errorf("%s by %s: %s %q, want %s %q", c.name, network, dns.RcodeToString[answer.Rcode], text,
+					dns.RcodeToString[c.rcode], c.text)
 			}
-			raw, err := s.conn.ReadMsgHeader(nil)
-			if err != nil {
-				t.Fatalf("%s: %v", c.name, err)
+			if (record != nil) != (c.key != "") || record != nil && int(record.Error) != c.tsigError {
+				t.Errorf("%s by %s: the answer is signed with %v, want one where the query has one, with the error %d",
+					c.name, network, record, c.tsigError)
 			}
-			a := &dns.Msg{}
-			if err := a.Unpack(raw); err != nil {
-				t.Fatal(err)
-			}
-			record, text := a.IsTsig(), ""
-			for _, o := range a.IsEdns0().Option {
-				if e, ok := o.(*dns.EDNS0_EDE); ok {
-					text = e.ExtraText
-				}
-			}
-			if a.Rcode != c.rcode || text != c.text || (record != nil) != (c.key != "") || record != nil && int(record.Error) != c.tsig {
-				t.Errorf("%s by %s: %s %q with %v", c.name, network, dns.RcodeToString[a.Rcode], text, record)
-			}
-			if record != nil && c.tsig == 0 {
-				if err := dns.TsigVerify(raw, c.secret, mac, false); err != nil {
-					t.Errorf("%s by %s: the answer's signature: %v", c.name, network, err)
-				}
+			if record != nil && c.tsigError == 0 && signature != nil {
+				t.Errorf("%s by %s: the answer's signature: %v, want it right", c.name, network, signature)
 			}
 		}
 	}
 	charges := w.received(func(a *receivedRequest) bool { return a.Word == "ASK" && a.Fields["profile"] == "charge" })
 	if len(charges) != 1 {
-		t.Errorf("%d charges reached a box, want the lane's one", len(charges))
+		t.Errorf("%d charges reached endpoints, want the lane's one", len(charges))
 	}
-	if log := w.log.String(); strings.Contains(log, lane) || strings.Contains(log, staff) {
+	if w.logged(lane) || w.logged(staff) {
 		t.Error("a secret is in the log")
 	}
 }
 
 var floodFor = flag.Duration("flood", 300*time.Millisecond, "how long bad tokens are sent, and as long without")
 
-// TestBadTokenFlood is the fifth hard case: one client sends ten thousand distinct bad tokens a second, as its answers come or
-// without looking at them and connecting anew when it is closed, and the others' requests are all served. -flood sets for how
-// long; the times are told, and not judged here. With and without the flood take turns, so that the machine's own moods weigh
-// on both.
+// TestBadTokenFlood: one client sends ten thousand distinct bad tokens a second, as its answers come or without
+// looking at them and connecting anew when it is closed, and the others' requests are all served. -flood sets for how
+// long; the times are told, and not judged here. With and without the flood take turns, so that the machine's own
+// moods weigh on both.
 func TestBadTokenFlood(t *testing.T) {
 	t.Parallel()
-	for _, reads := range []bool{true, false} {
-		t.Run(map[bool]string{true: "reading", false: "deaf"}[reads], func(t *testing.T) { testBadTokenFlood(t, reads) })
+	for _, c := range []struct {
+		name  string
+		reads bool // whether the client takes its answers
+	}{{"reading", true}, {"deaf", false}} {
+		t.Run(c.name, func(t *testing.T) { expectServedBesideFlood(t, c.reads) })
 	}
 }
 
-func testBadTokenFlood(t *testing.T, reads bool) {
+// expectServedBesideFlood sends good tokens in turn without a flood of bad ones and beside it.
+func expectServedBesideFlood(t *testing.T, reads bool) {
+	t.Helper()
 	w := newTestbed(t, nil)
-	k := w.enableIdentity("")
+	keys := w.enableIdentity("")
 	w.start()
-	token := k.token("lane-1", "lanes", time.Hour)
-	c := w.dial()
-	n := 0
-	others := func(took *[]time.Duration, least int) {
-		for end := time.Now().Add(*floodFor / 8); time.Now().Before(end) || least > 0; time.Sleep(3 * time.Millisecond) {
-			n++
-			least--
-			began := time.Now()
-			c.send(request(uint64(n), "lookup", map[string]string{"token": token, "ram": "1", "txn": fmt.Sprintf("%016x", began.UnixNano())}, ""))
-			if a := c.mustRead(); a.Error != "" {
-				t.Fatalf("one of the others: %+v", a)
-			}
-			*took = append(*took, time.Since(began))
-		}
-	}
-	var alone, under []time.Duration
-	var sent, denied, busy, closed int
+	token := keys.token("lane-1", "lanes", time.Hour)
+	others := &goodCaller{client: w.dial(), token: token}
+	flood := &tokenFlood{testbed: w, token: token, reads: reads}
+	var alone, beside []time.Duration
 	for range 8 {
-		others(&alone, 1)
+		alone = append(alone, others.callFor(*floodFor/8)...)
 		stop, done := make(chan struct{}), make(chan struct{})
 		go func() {
 			defer close(done)
-			var open int
-			var flood *emulator.Client
-			first, began := sent, time.Now()
-			for {
-				select {
-				case <-stop:
-					if flood != nil {
-						_ = flood.Conn.Close()
-					}
-					return
-				default:
-				}
-				if flood == nil {
-					var err error
-					if flood, err = emulator.Dial(w.address); err != nil {
-						t.Errorf("the flood finds no door: %v", err)
-						return
-					}
-					open = 0
-				}
-				if early := time.Duration(sent-first)*100*time.Microsecond - time.Since(began); early > time.Millisecond {
-					time.Sleep(early) // ten thousand a second
-				}
-				var err error
-				for ; err == nil && (open < 16 || !reads && open%16 != 0); open++ {
-					sent++
-					bad := fmt.Sprintf("%s%08d", token[:len(token)-8], sent)
-					err = flood.Send(request(uint64(sent), "charge", map[string]string{"token": bad, "unique": fmt.Sprint("f", sent)}, ""))
-				}
-				if !reads {
-					if open++; err != nil {
-						_ = flood.Conn.Close()
-						flood, closed = nil, closed+1
-					}
-					continue
-				}
-				a, err := flood.Read(waitLimit)
-				if err != nil {
-					t.Errorf("no answer to a bad token: %v", err)
-					return
-				}
-				open--
-				switch {
-				case a.Error == "Denied" && a.Fields["reason"] == "signature":
-					denied++
-				case a.Error == "Overloaded" && a.Fields["later"] != "":
-					busy++
-				default:
-					t.Errorf("a bad token: %+v", a)
-					return
-				}
-			}
+			flood.run(stop)
 		}()
-		others(&under, 1)
+		beside = append(beside, others.callFor(*floodFor/8)...)
 		if !reads {
-			w.waitUntil("the flood is closed", func() bool { return strings.Contains(w.log.String(), "event=client-rate-limited") })
+			w.waitLogged("event=client-rate-limited")
 		}
 		close(stop)
 		<-done
 	}
-	if reads && (denied == 0 || busy == 0) {
-		t.Errorf("of %d bad tokens %d were checked and %d held off", sent, denied, busy)
+	if reads && (flood.denied == 0 || flood.rejected == 0) {
+		t.Errorf("of %d bad tokens %d were checked and %d held off, want some of both", flood.sent, flood.denied,
+			flood.rejected)
 	}
-	if asks := w.received(func(a *receivedRequest) bool { return a.Fields["profile"] == "charge" }); len(asks) > 0 {
-		t.Errorf("%d charges reached a box", len(asks))
+	if charges := w.attemptsOfClass("charge"); len(charges) > 0 {
+		t.Errorf("%d charges reached endpoints, want none", len(charges))
 	}
-	p := func(took []time.Duration, q int) time.Duration {
+	percentile := func(took []time.Duration, q int) time.Duration {
 		slices.Sort(took)
 		return took[min(len(took)-1, len(took)*q/100)]
 	}
-	t.Logf("%d bad tokens sent, %d checked, %d closes; others' 50th and 99th percentile %v and %v beside them (%d), %v and %v without (%d)",
-		sent, denied, closed, p(under, 50), p(under, 99), len(under), p(alone, 50), p(alone, 99), len(alone))
+	t.Logf("%d bad tokens sent, %d checked, %d closes; others' 50th and 99th percentile "+
+		"%v and %v beside them (%d), %v and %v without (%d)", flood.sent, flood.denied, flood.closed,
+		percentile(beside, 50), percentile(beside, 99), len(beside),
+		percentile(alone, 50), percentile(alone, 99), len(alone))
+}
+
+// goodCaller asks with a good token.
+type goodCaller struct {
+	client *client
+	token  string
+	sent   uint64
+}
+
+// callFor asks one request after another for a time, one at least, and gives how long each took. It fails if one is
+// not served.
+func (c *goodCaller) callFor(length time.Duration) (took []time.Duration) {
+	c.client.t.Helper()
+	for end := time.Now().Add(length); time.Now().Before(end) || len(took) == 0; time.Sleep(3 * time.Millisecond) {
+		c.sent++
+		began := time.Now()
+		fields := map[string]string{"token": c.token, "ram": "1", "txn": hexID(began.UnixNano())}
+		if a := c.client.ask(c.sent, "lookup", fields); a.Error != "" {
+			c.client.t.Fatalf("one of the others: %+v, want it served", a)
+		}
+		took = append(took, time.Since(began))
+	}
+	return took
+}
+
+// tokenFlood sends charges with distinct tokens whose signatures are wrong.
+type tokenFlood struct {
+	testbed *testbed
+	token   string // a good one, which the bad ones are made from
+	reads   bool   // it takes its answers
+
+	sent     int
+	denied   int // whose signature was checked
+	rejected int // told to come back later
+	closed   int // connections
+}
+
+// run sends ten thousand a second until stop is closed, and connects anew when it is closed.
+func (f *tokenFlood) run(stop <-chan struct{}) {
+	t := f.testbed.t
+	var protocol *emulator.Client
+	defer func() {
+		if protocol != nil {
+			_ = protocol.Conn.Close()
+		}
+	}()
+	open, first, began := 0, f.sent, time.Now()
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		if protocol == nil {
+			var err error
+			if protocol, err = emulator.Dial(f.testbed.address); err != nil {
+				t.Errorf("the flood can't connect: %v", err)
+				return
+			}
+			open = 0
+		}
+		if early := time.Duration(f.sent-first)*100*time.Microsecond - time.Since(began); early > time.Millisecond {
+			time.Sleep(early)
+		}
+		var err error
+		for ; err == nil && (open < 16 || !f.reads && open%16 != 0); open++ {
+			err = f.send(protocol)
+		}
+		if !f.reads {
+			if open++; err != nil {
+				_ = protocol.Conn.Close()
+				protocol = nil
+				f.closed++
+			}
+			continue
+		}
+		if err := f.read(protocol); err != nil {
+			t.Error(err)
+			return
+		}
+		open--
+	}
+}
+
+// send sends one charge.
+func (f *tokenFlood) send(protocol *emulator.Client) error {
+	f.sent++
+	bad := fmt.Sprintf("%s%08d", f.token[:len(f.token)-8], f.sent)
+	fields := map[string]string{"token": bad, "unique": fmt.Sprint("f", f.sent)}
+	return protocol.Send(request(uint64(f.sent), "charge", fields, ""))
+}
+
+// read takes one answer.
+func (f *tokenFlood) read(protocol *emulator.Client) error {
+	a, err := protocol.Read(waitLimit)
+	switch {
+	case err != nil:
+		return fmt.Errorf("no answer came to a bad token: %w", err)
+	case a.Error == "Denied" && a.Fields["reason"] == "signature":
+		f.denied++
+	case a.Error == "Overloaded" && a.Fields["later"] != "":
+		f.rejected++
+	default:
+		return fmt.Errorf("a bad token: %+v, want it denied for its signature, or rejected with a wait", a)
+	}
+	return nil
 }
