--- a/internal/concurrency/concurrency.go
+++ b/internal/concurrency/concurrency.go
@@ -1,146 +1,181 @@
-// Package concurrency learns how many requests may be open together so that they still come in time, from how those end, and
-// divides that among contracts. It does no I/O and asks no clock.
+// Package concurrency learns how many requests may be open together so that they still meet their latency objectives,
+// from how they end, and divides that among tenants.
 //
-// The limit grows while it is in use and requests come in time, and is cut when too many come late or are turned away further
-// on: additive increase and multiplicative decrease (Chiu and Jain, 1989), with a part of growth that goes with its size so that a
-// large one is found again soon. A gradient on answer times would need to know what an unloaded time is, and that is
-// another for each class and size; whether a request was in time is known.
+// The limit grows while it is in use and requests are in time, and is cut when too many miss their objective or are
+// rejected further on: additive increase and multiplicative decrease (Chiu and Jain, 1989), with a part of the increase
+// that goes with the limit's size, so that a large one is found again soon. A gradient of latencies would need the
+// latency without load, which differs by class and size; whether a request was in time is known.
+//
+// Invariants: Config.Min <= Value <= Config.Max; a tenant whose open requests are below its portion of Value is
+// admitted; any other only while all that is open is below Value.
+//
+// Bounds: a Limit has constant size and each operation takes constant time. It does no I/O; the caller passes the time.
 package concurrency
 
 import "time"
 
+const (
+	defaultWindow           = 100 * time.Millisecond
+	defaultMaxOverloadShare = 0.04
+	defaultDecreaseFactor   = 0.85
+
+	// increase and increaseShare, of the limit, are added after a window in which the limit was in use.
+	increase      = 1.0
+	increaseShare = 0.02
+	// usedShare is the share of the limit from which it counts as in use.
+	usedShare = 0.8
+	// minEnds is the number of ended requests that a window needs to say something; with fewer it goes on, for
+	// maxWindows times its length at most.
+	minEnds    = 8
+	maxWindows = 20
+	// minDecreaseFactor is the deepest cut, and overloadPenalty what each unit of overload share above the bound takes
+	// from the factor.
+	minDecreaseFactor = 0.5
+	overloadPenalty   = 0.5
+
+	// durationSmoothing is the part that the newest duration has in the moving average.
+	durationSmoothing = 0.05
+	// defaultDurationSeconds stands for the average before the first request has ended.
+	defaultDurationSeconds = 0.1
+	// minRetryAfter and maxRetryAfter bound the wait of a request that is not admitted.
+	minRetryAfter = 5 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+
+	nanosPerSecond = 1e9
+)
+
 // Config is the settings of a Limit.
 type Config struct {
 	Min, Max, Start  float64       // bounds of the limit in open requests, and what it begins with
-	Window           time.Duration // after which the limit is looked at; 0: 100 ms
-	MaxOverloadShare float64       // share of ends in a window, late or turned away, above which it is cut; 0: 0.04
-	DecreaseFactor   float64       // what it is cut to at most in a window; 0: 0.85
+	Window           time.Duration // after which the limit is adjusted; 0: 100 ms
+	MaxOverloadShare float64       // share of ends in a window, not in time or rejected, above which it is cut; 0: 0.04
+	DecreaseFactor   float64       // of the lightest cut in a window; 0: 0.85
 }
 
-// growth of the limit in a window in which it was in use.
-const (
-	growBy   = 1.0
-	growPart = 0.02
-	inUse    = 0.8 // of the limit, from which it counts as in use
-	fewest   = 8   // ends of a window that say something; with fewer the window goes on
-	longest  = 20  // windows that one may go on for
-)
-
-// Outcome is how a request ended, as far as it tells of the load.
-type Outcome uint8
+// Limit is a limit on open requests that adapts to how they end. It is not safe for concurrent use.
+type Limit struct {
+	config Config
+	value  float64
+	open   float64
 
-// The outcomes.
-const (
-	InTime          Outcome = iota
-	ObjectiveMissed         // later than it was wanted
-	Rejected                // a box or the module turned it away, or its time ran out
-	NoSignal                // it says nothing: taken back, or over a budget
-)
+	// The window.
+	began    time.Duration
+	ends     int
+	overload int     // of ends, those not in time or rejected
+	peak     float64 // of open
+	rejected bool    // some request was
 
-// Limit is the state. It is not safe for concurrent use.
-//
-// Invariants: Least <= Value <= Most; a tenant whose open requests are below its part of Value is admitted; any other only while
-// all that is open is below Value.
-type Limit struct {
-	cfg        Config
-	value      float64
-	open       float64
-	peak       float64 // of open in the window
-	began      time.Duration
-	ends, bad  int
-	quiet      time.Duration // a cut is not followed by another before what was open then has ended
-	meanTook   float64       // seconds
-	refusedNow bool
+	quietUntil   time.Duration // no cut before what was open at the last one has ended
+	meanDuration float64       // moving average, in seconds
 }
 
-// New makes a limit.
-func New(cfg Config) *Limit {
-	if cfg.Window <= 0 {
-		cfg.Window = 100 * time.Millisecond
+// New returns a limit.
+func New(config Config) *Limit {
+	if config.Window <= 0 {
+		config.Window = defaultWindow
 	}
-	if cfg.MaxOverloadShare <= 0 {
-		cfg.MaxOverloadShare = 0.04
+	if config.MaxOverloadShare <= 0 {
+		config.MaxOverloadShare = defaultMaxOverloadShare
 	}
-	if cfg.DecreaseFactor <= 0 {
-		cfg.DecreaseFactor = 0.85
+	if config.DecreaseFactor <= 0 {
+		config.DecreaseFactor = defaultDecreaseFactor
 	}
-	cfg.Min = max(1, cfg.Min)
-	cfg.Max = max(cfg.Min, cfg.Max)
-	return &Limit{cfg: cfg, value: min(max(cfg.Start, cfg.Min), cfg.Max)}
+	config.Min = max(1, config.Min)
+	config.Max = max(config.Min, config.Max)
+	return &Limit{config: config, value: min(max(config.Start, config.Min), config.Max)}
 }
 
-// Value is the limit as it stands, and Open what is open.
-func (l *Limit) Value() float64 { return l.value }
-
-// Open is the number of requests open.
-func (l *Limit) Open() int { return int(l.open) }
-
-// GuaranteedFor is what a tenant with a portion of the whole, from 0 to 1, may always have open.
-func (l *Limit) GuaranteedFor(portion float64) float64 { return l.value * portion }
-
-// Admit takes a request in, of a tenant with so many open and a portion of the whole, or says when a place is likely. What is
-// admitted must be Done.
-func (l *Limit) Admit(now time.Duration, open int, portion float64) (wait time.Duration, ok bool) {
-	l.roll(now)
-	if l.open >= l.value && float64(open)+1 > max(l.GuaranteedFor(portion), 0) {
-		l.refusedNow = true
-		return l.wait(), false
+// Admit takes a request of a tenant in, or returns when a place is likely to be free. open is how many requests the
+// tenant has open, portion its part of the limit. Each admission must be released once.
+func (l *Limit) Admit(now time.Duration, open int, portion float64) (retryAfter time.Duration, ok bool) {
+	l.adjust(now)
+	if l.open >= l.value && float64(open)+1 > l.GuaranteedFor(portion) {
+		l.rejected = true
+		return l.retryAfter(), false
 	}
 	l.open++
 	l.peak = max(l.peak, l.open)
 	return 0, true
 }
 
-// wait is when a place is likely: the excess ends at the pace of late.
-func (l *Limit) wait() time.Duration {
-	took := l.meanTook
-	if took == 0 {
-		took = 0.1
-	}
-	excess := l.open - l.value + 1
-	wait := time.Duration(took * excess / max(1, l.open) * 1e9)
-	return min(max(wait, 5*time.Millisecond), 5*time.Second)
-}
+// Outcome is how a request ended, as far as it says something about the load.
+type Outcome uint8
+
+// The outcomes.
+const (
+	InTime          Outcome = iota
+	ObjectiveMissed         // later than its latency objective
+	Rejected                // by an endpoint or for lack of one, or its time ran out
+	NoSignal                // it says nothing: canceled, or over a budget
+)
 
-// Release takes the end of a request that was admitted, and how long it took.
-func (l *Limit) Release(now time.Duration, o Outcome, took time.Duration) {
+// Release ends a request that was admitted, with how it ended and how long it took.
+func (l *Limit) Release(now time.Duration, outcome Outcome, took time.Duration) {
 	l.open--
-	if o == NoSignal {
+	if outcome == NoSignal {
 		return
 	}
 	l.ends++
-	if o != InTime {
-		l.bad++
+	if outcome != InTime {
+		l.overload++
 	}
-	const part = 0.05
-	if l.meanTook += part * (took.Seconds() - l.meanTook); l.meanTook < 0 {
-		l.meanTook = 0
+	l.meanDuration += durationSmoothing * (took.Seconds() - l.meanDuration)
+	l.meanDuration = max(0, l.meanDuration)
+	l.adjust(now)
+}
+
+// Value returns the limit as it stands.
+func (l *Limit) Value() float64 { return l.value }
+
+// Open returns the number of open requests.
+func (l *Limit) Open() int { return int(l.open) }
+
+// GuaranteedFor returns how many requests a tenant may always have open, by its portion of the limit from 0 to 1.
+func (l *Limit) GuaranteedFor(portion float64) float64 { return l.value * portion }
+
+// retryAfter returns when a place is likely to be free: when the excess has ended at the average pace.
+func (l *Limit) retryAfter() time.Duration {
+	duration := l.meanDuration
+	if duration == 0 {
+		duration = defaultDurationSeconds
 	}
-	l.roll(now)
+	excess := l.open - l.value + 1
+	wait := time.Duration(duration * excess / max(1, l.open) * nanosPerSecond)
+	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
-// roll ends a window when its time has come.
-func (l *Limit) roll(now time.Duration) {
+// adjust ends the window when its time has come.
+func (l *Limit) adjust(now time.Duration) {
 	if l.began == 0 || now < l.began {
 		l.began = now
 	}
 	passed := now - l.began
-	if passed < l.cfg.Window || l.ends < fewest && passed < longest*l.cfg.Window {
+	if passed < l.config.Window || l.ends < minEnds && passed < maxWindows*l.config.Window {
 		return
 	}
-	bad := 0.0
+	overloadShare := 0.0
 	if l.ends > 0 {
-		bad = float64(l.bad) / float64(l.ends)
+		overloadShare = float64(l.overload) / float64(l.ends)
 	}
+	inUse := l.peak >= usedShare*l.value || l.rejected
 	switch {
-	case bad > l.cfg.MaxOverloadShare && now >= l.quiet:
-		// The worse it is the deeper the cut, down to a half; from what was in use, since a limit far above that binds nothing.
-		cut := max(0.5, l.cfg.DecreaseFactor-0.5*(bad-l.cfg.MaxOverloadShare))
-		l.value = min(l.value, max(l.peak, l.cfg.Min)) * cut
-		l.quiet = now + max(l.cfg.Window, time.Duration(l.meanTook*1e9))
-	case bad <= l.cfg.MaxOverloadShare/2 && (l.peak >= inUse*l.value || l.refusedNow):
-		l.value += growBy + growPart*l.value
+	case overloadShare > l.config.MaxOverloadShare && now >= l.quietUntil:
+		l.decrease(now, overloadShare)
+	case overloadShare <= l.config.MaxOverloadShare/2 && inUse:
+		l.value += increase + increaseShare*l.value
 	}
-	l.value = min(max(l.value, l.cfg.Min), l.cfg.Max)
-	l.began, l.ends, l.bad, l.peak, l.refusedNow = now, 0, 0, l.open, false
+	l.value = min(max(l.value, l.config.Min), l.config.Max)
+	l.began = now
+	l.ends, l.overload = 0, 0
+	l.peak = l.open
+	l.rejected = false
+}
+
+// decrease cuts the limit, the deeper the more overload there was. It cuts what was in use, since a limit far above
+// that bounds nothing.
+func (l *Limit) decrease(now time.Duration, overloadShare float64) {
+	penalty := overloadPenalty * (overloadShare - l.config.MaxOverloadShare)
+	factor := max(minDecreaseFactor, l.config.DecreaseFactor-penalty)
+	l.value = min(l.value, max(l.peak, l.config.Min)) * factor
+	l.quietUntil = now + max(l.config.Window, time.Duration(l.meanDuration*nanosPerSecond))
 }
