--- a/internal/policy/guards.go
+++ b/internal/policy/guards.go
@@ -8,8 +8,8 @@
 	"sloequay/internal/policy/slowstart"
 )
 
-// The protocol page has five rules ("Five things never to do"). Each has its function here; send asks them
-// all.
+// The protocol page has five rules ("Five things never to do"). Each has its function here; send asks the
+// guards of the first four, and each attempt has the age that the fifth allows.
 
 const (
 	retryWindowPart = 8 // tenths of the window in which repeats are dropped
--- a/internal/policy/health.go
+++ b/internal/policy/health.go
@@ -7,16 +7,13 @@
 	"sloequay/internal/policy/outlier"
 )
 
-// saysNothingOfSource are the outcomes that say nothing of what is behind a cache.
-var saysNothingOfSource = []Status{StatusCanceled, StatusNotExecuted, StatusConnectFailed, StatusReset}
-
 // recordOutcome books an answer to the endpoint that is at fault: the attempt's own, or the source behind it.
 func (e *Engine) recordOutcome(request *requestState, attempt *attemptState, event ResponseEvent) {
 	switch {
 	case event.Status == StatusOK:
-		e.count(attempt.endpoint, outlier.Success)
+		e.observe(attempt.endpoint, outlier.Success)
 		if attempt.limiter != nil && attempt.isFill() && event.Note != NoteHit && !attempt.slow {
-			e.count(attempt.source, outlier.Success)
+			e.observe(attempt.source, outlier.Success)
 		}
 	case event.Status == StatusCanceled || event.Status == StatusNotExecuted:
 		// These say nothing of anybody.
@@ -68,7 +65,7 @@
 	if event.Note == NoteSourceLost {
 		outcome = outlier.HardFailure // as hard a sign as a refused connection: sources are seen seldom
 	}
-	e.count(attempt.source, outcome)
+	e.observe(attempt.source, outcome)
 }
 
 // recordEndpointFailure counts a failure against the attempt's endpoint, where it is a sign of a fault.
@@ -85,16 +82,16 @@
 	if event.Status == StatusConnectFailed && attempt.endpoint.Role == endpointset.Cache {
 		outcome = outlier.HardFailure
 	}
-	e.count(attempt.endpoint, outcome)
+	e.observe(attempt.endpoint, outcome)
 }
 
-// count weighs an outcome against what is usual for the endpoint's role.
-func (e *Engine) count(endpoint *endpointState, outcome outlier.Outcome) {
-	e.apply(e.endpoints.Observe(endpoint, outcome), endpoint, outlier.Failing)
+// observe weighs an outcome against what is usual for the endpoint's role.
+func (e *Engine) observe(endpoint *endpointState, outcome outlier.Outcome) {
+	e.applyVerdict(e.endpoints.Observe(endpoint, outcome), endpoint, outlier.Failing)
 }
 
-// apply ejects or readmits an endpoint. The origin is never ejected.
-func (e *Engine) apply(verdict outlier.Verdict, endpoint *endpointState, cause outlier.Cause) {
+// applyVerdict ejects or readmits an endpoint. The origin is never ejected.
+func (e *Engine) applyVerdict(verdict outlier.Verdict, endpoint *endpointState, cause outlier.Cause) {
 	switch {
 	case verdict == outlier.Recovered:
 		endpoint.ReadmittedAt = e.now // it may have started anew, before the list says so: it is warming up
@@ -108,11 +105,11 @@
 func (e *Engine) recordSlowFill(attempt *attemptState) {
 	source := attempt.source
 	if source.Role != endpointset.Parent || attempt.cachedOnly || source.LastFillAt < attempt.sentAt {
-		e.count(source, outlier.Failure) // one that answers nothing at all is not waiting for the origin
+		e.observe(source, outlier.Failure) // one that answers nothing at all is not waiting for the origin
 		return
 	}
 	verdict := source.Health.Record(outlier.Failure, e.endpoints.OthersSlowRate(e.now, source))
-	e.apply(verdict, source, outlier.SlowFills)
+	e.applyVerdict(verdict, source, outlier.SlowFills)
 	e.endpoints.RecordParentPace(e.now, source, outlier.Slow)
 }
 
--- a/internal/policy/health_test.go
+++ b/internal/policy/health_test.go
@@ -258,7 +258,7 @@
 			t.Fatal("two slow fills do not eject their parent")
 		}
 		if isUnreachable {
-			h.engine.count(endpoint, outlier.HardFailure)
+			h.engine.observe(endpoint, outlier.HardFailure)
 		}
 		other.LastFillAt = h.now
 		for range 3 {
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -17,8 +17,8 @@
 const (
 	tickInterval = 10 * time.Millisecond // of health, hedges and deadlines; well under any latency objective
 	tickToken    = 1
-	purgeSlack   = time.Second // in which a purge is remembered beyond its propagation
-	minObjective = time.Millisecond
+	purgeSlack   = time.Second      // in which a purge is remembered beyond its propagation
+	minObjective = time.Millisecond // for the first guess of a class's cost
 )
 
 // Engine makes the decisions of one proxy. It is not safe for concurrent use.
--- a/internal/policy/rejection.go
+++ b/internal/policy/rejection.go
@@ -13,6 +13,9 @@
 // objectivePart is the part of a request's objective that its answer may take by the estimate.
 const objectivePart = 0.85
 
+// saysNothingOfSource are the outcomes that say nothing of what is behind a cache.
+var saysNothingOfSource = []Status{StatusCanceled, StatusNotExecuted, StatusConnectFailed, StatusReset}
+
 // giveUp ends a request at once: by a rejection where none of it may have run, else by a failure.
 func (e *Engine) giveUp(request *requestState) {
 	if e.mayReject(request) {
--- a/internal/policy/retry.go
+++ b/internal/policy/retry.go
@@ -24,8 +24,7 @@
 	}
 }
 
-// checkInFlight adds each attempt in flight to its endpoint's silence, and counts those that have become
-// slow.
+// checkInFlight adds each attempt in flight to its endpoint's silence, and counts it once it has become slow.
 func (e *Engine) checkInFlight(request *requestState) {
 	for i := range request.attempts {
 		attempt := &request.attempts[i]
--- a/internal/policy/skipping_test.go
+++ b/internal/policy/skipping_test.go
@@ -280,16 +280,23 @@
 	}
 }
 
-// checkInFlight compares what each endpoint has listed as in flight with a walk over all requests.
+// checkInFlight compares what each endpoint has listed as in flight with a walk over all requests, of which each has an
+// attempt in flight.
 func checkInFlight(t testing.TB, engine *Engine) {
 	t.Helper()
 	want, listed := map[attemptRef]*endpointState{}, 0
 	for _, request := range engine.requests {
+		inFlight := 0
 		for i := range request.attempts {
 			if !request.attempts[i].done {
 				want[attemptRef{request, i}] = request.attempts[i].endpoint
+				inFlight++
 			}
 		}
+		if inFlight == 0 || inFlight != request.inFlight {
+			t.Fatalf("request %d is open with %d attempts in flight, and counts %d",
+				request.id, inFlight, request.inFlight)
+		}
 	}
 	for _, endpoint := range engine.endpoints.All() {
 		listed += len(endpoint.InFlight())
