--- a/test/catalogue_outage_test.go
+++ b/test/catalogue_outage_test.go
@@ -22,8 +22,8 @@
 	}{{"hangs", consul.Hang}, {"refuses", consul.Refuse}, {"resets", consul.Reset}, {"says 500", consul.Status500}} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			w := newTestbed(t, answerFilled, "c1", "c2", "p1", "o1")
-			cluster, agents := w.enableCatalogue(1, "", "c3")
+			w := newCatalogueTestbed(t, answerFilled, "c3")
+			cluster, agents := w.enableCatalogue(1, "")
 			w.start()
 			w.waitEndpointsKnown(5)
 			load := w.startLookups()
@@ -74,8 +74,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			w := newTestbed(t, answerFilled, "c1", "c2", "p1", "o1")
-			cluster, agents := w.enableCatalogue(1, "limit 500ms", "c3", "c4", "c5")
+			w := newCatalogueTestbed(t, answerFilled, "c3", "c4", "c5")
+			cluster, agents := w.enableCatalogue(1, "limit 500ms")
 			w.start()
 			w.waitEndpointsKnown(7)
 			load := w.startLookups()
@@ -116,7 +116,7 @@
 // TestCatalogueAgentFailover: the agent in use dies between a change and its answer.
 func TestCatalogueAgentFailover(t *testing.T) {
 	t.Parallel()
-	w := newTestbed(t, answerFilled, "c1", "c2", "p1", "o1")
+	w := newCatalogueTestbed(t, answerFilled)
 	cluster, agents := w.enableCatalogue(2, "")
 	w.start()
 	load := w.startLookups()
@@ -136,7 +136,7 @@
 // TestStartFromSnapshot: a start while no source answers, with a snapshot that is sound, torn, or of a newer version.
 func TestStartFromSnapshot(t *testing.T) {
 	t.Parallel()
-	w := newTestbed(t, nil, "c1", "c2", "p1", "o1")
+	w := newCatalogueTestbed(t, nil)
 	_, agents := w.enableCatalogue(1, "")
 	path := filepath.Join(t.TempDir(), "list")
 	w.addSettings("snapshot {", "file "+path, "every 100ms", "}")
@@ -174,7 +174,7 @@
 // endpoints are known.
 func TestNotReadyWithoutEndpoints(t *testing.T) {
 	t.Parallel()
-	w := newTestbed(t, nil, "c1", "c2", "p1", "o1")
+	w := newCatalogueTestbed(t, nil)
 	_, agents := w.enableCatalogue(1, "")
 	agents[0].SetFault(consul.Refuse, 0)
 	go func() {
--- a/test/catalogue_test.go
+++ b/test/catalogue_test.go
@@ -17,8 +17,8 @@
 // TestCatalogueStatusStopsTraffic: what the catalogue says of an endpoint holds, under load, as target and as source.
 func TestCatalogueStatusStopsTraffic(t *testing.T) {
 	t.Parallel()
-	w := newTestbed(t, answerFilled, "c1", "c2", "p1", "o1")
-	cluster, _ := w.enableCatalogue(1, "", "c3", "p2")
+	w := newCatalogueTestbed(t, answerFilled, "c3", "p2")
+	cluster, _ := w.enableCatalogue(1, "")
 	w.addSettings("list {", "flap-cut 0", "}")
 	w.start()
 	w.waitEndpointsKnown(6)
@@ -54,13 +54,13 @@
 func TestCriticalEndpointReleasesWaitingAttempts(t *testing.T) {
 	t.Parallel()
 	fills := make(chan *receivedRequest, 1000) // from p1, that are under way
-	w := newTestbed(t, func(a *receivedRequest) {
+	w := newCatalogueTestbed(t, func(a *receivedRequest) {
 		if a.Fields["via"] == "p1" {
 			fills <- a
 			return
 		}
 		answerFilled(a)
-	}, "c1", "c2", "p1", "o1")
+	})
 	cluster, _ := w.enableCatalogue(1, "")
 	cluster.Put(w.catalogueInstance("c1", w.listenWithFullBacklog())) // no connection to c1 comes up
 	w.platformLimits()["dial-timeout-ms"] = 60000
@@ -160,7 +160,7 @@
 // TestEndpointRegisteredAtNewAddress: an id comes back within 100 ms on another port, under another registration.
 func TestEndpointRegisteredAtNewAddress(t *testing.T) {
 	t.Parallel()
-	w := newTestbed(t, answerFilled, "c1", "c2", "p1", "o1")
+	w := newCatalogueTestbed(t, answerFilled)
 	cluster, _ := w.enableCatalogue(1, "")
 	w.start()
 	load := w.startLookups()
@@ -192,7 +192,7 @@
 // endpoint is down when it is marked down for good.
 func TestFlappingCheckIsDamped(t *testing.T) {
 	t.Parallel()
-	w := newTestbed(t, answerFilled, "c1", "c2", "p1", "o1")
+	w := newCatalogueTestbed(t, answerFilled)
 	cluster, _ := w.enableCatalogue(1, "")
 	w.start()
 	load := w.startLookups()
@@ -215,7 +215,7 @@
 // the token is read again for each question.
 func TestUnusableCatalogueInstances(t *testing.T) {
 	t.Parallel()
-	w := newTestbed(t, nil, "c1", "c2", "p1", "o1")
+	w := newCatalogueTestbed(t, nil)
 	token := filepath.Join(t.TempDir(), "token")
 	writeFile(t, token, "wrong\n")
 	cluster, _ := w.enableCatalogue(1, "token-file "+token)
@@ -319,8 +319,8 @@
 // over seeded changes under 150 requests a second. -drains sets how many.
 func TestDrainLatency(t *testing.T) {
 	t.Parallel()
-	w := newTestbed(t, answerFilled, "c1", "c2", "p1", "o1")
-	cluster, _ := w.enableCatalogue(1, "", "c3", "c4", "c5", "c6", "p2")
+	w := newCatalogueTestbed(t, answerFilled, "c3", "c4", "c5", "c6", "p2")
+	cluster, _ := w.enableCatalogue(1, "")
 	w.addSettings("list {", "flap-cut 0", "}")
 	w.start()
 	load := w.startLookups()
--- a/test/harness_catalogue_test.go
+++ b/test/harness_catalogue_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"testing"
 	"time"
 
 	"sloequay/internal/emulator/consul"
@@ -29,14 +30,22 @@
 		Weights: consul.Weights{Passing: 4, Warning: 1}}
 }
 
-// enableCatalogue has an emulated catalogue with some agents tell the testbed's endpoints, and the program follow it.
-// Further endpoints are added; extra goes into the block of the settings.
-func (w *testbed) enableCatalogue(agents int, extra string, further ...string) (*consul.Cluster, []*consul.Agent) {
-	w.t.Helper()
-	cluster := consul.NewCluster()
+// newCatalogueTestbed has the endpoints of newTestbed and further ones, of which the list service has none: they are
+// for a catalogue to tell.
+func newCatalogueTestbed(t *testing.T, respond func(*receivedRequest), further ...string) *testbed {
+	t.Helper()
+	w := newTestbed(t, respond, "c1", "c2", "p1", "o1")
 	for _, id := range further {
 		w.addEndpoint(id)
 	}
+	return w
+}
+
+// enableCatalogue has an emulated catalogue with some agents tell the testbed's endpoints, and the program follow it.
+// extra goes into the block of the settings.
+func (w *testbed) enableCatalogue(agents int, extra string) (*consul.Cluster, []*consul.Agent) {
+	w.t.Helper()
+	cluster := consul.NewCluster()
 	for _, id := range slices.Sorted(maps.Keys(w.listeners)) {
 		cluster.Put(w.catalogueInstance(id, w.endpointAddress(id)))
 	}
