--- a/internal/proxy/endpoints.go
+++ b/internal/proxy/endpoints.go
@@ -16,134 +16,193 @@
 // DefaultEndpointsWait is the wait without a flag.
 const DefaultEndpointsWait = 2 * time.Second
 
-// EndpointsOptions is how the sources are asked.
+// answerCheckInterval is how often PrintEndpoints looks whether the catalogue has answered.
+const answerCheckInterval = 5 * time.Millisecond
+
+// EndpointsOptions is how PrintEndpoints polls the sources.
 type EndpointsOptions struct{ Wait time.Duration }
 
-// PrintEndpoints asks each source once and prints the merged view. What a source tells goes into the table as in a doorman.
-func PrintEndpoints(out io.Writer, p *Plan, o EndpointsOptions) error {
-	var mu sync.Mutex // the sources tell from goroutines of their own
-	var said []string
-	now := p.clock.Monotonic
-	take := func(e membership.SourceEvent) {
-		mu.Lock()
-		defer mu.Unlock()
-		switch e := e.(type) {
-		case membership.ListReceived:
-			p.members.ReplaceList(now(), e.Source, e.List)
-		case membership.DeltaReceived:
-			p.members.ApplyDelta(now(), e.Source, e.Version, e.Endpoints)
-		case membership.SourceStatus:
-			if e.Silent {
-				p.members.SourceSilent(now(), e.Source)
-			} else {
-				p.members.SourceSeen(now(), e.Source)
-			}
-		}
-	}
-	bulletinCounts := p.own.bulletin
-	if bulletinCounts {
-		for _, e := range p.known {
-			take(e)
-		}
-		if p.settings.ListAddress != "" {
-			events, err := p.names.FetchOnce(p.settings.ListAddress, p.last, o.Wait)
-			if err != nil {
-				said = append(said, fmt.Sprintf("bulletin %s: %v", p.settings.ListAddress, err))
-				take(membership.SourceStatus{Source: p.names.Source, Silent: true})
-			}
-			for _, e := range events {
-				take(e)
-			}
-		}
+// PrintEndpoints polls each source once and prints the merged view. What a source reports goes into the table as in a
+// running proxy.
+func PrintEndpoints(out io.Writer, plan *Plan, options EndpointsOptions) error {
+	poll := &endpointsPoll{plan: plan}
+	if plan.own.bulletin {
+		poll.fetchWatched(options.Wait)
 	}
-	if p.own.Catalogue != nil {
-		ctx, end := context.WithTimeout(context.Background(), o.Wait)
-		defer end()
-		c := &consul.Catalogue{Config: p.own.Catalogue, Names: p.names.Names, FirstSource: p.first, Now: now, Seed: p.settings.Seed,
-			Log: func(event string, fields ...any) {
-				mu.Lock()
-				defer mu.Unlock()
-				said = append(said, strings.TrimSpace(event+" "+fmt.Sprintln(fields...)))
-			},
-			Publish: func(events ...membership.SourceEvent) {
-				for _, e := range events {
-					take(e)
-				}
-			}}
-		if err := c.Start(ctx); err != nil {
+	if plan.own.Catalogue != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), options.Wait)
+		defer cancel()
+		if err := poll.fetchCatalogue(ctx); err != nil {
 			return err
 		}
-		for answered := false; !answered && ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
-			mu.Lock()
-			answered = true
-			for i := range p.own.Catalogue.Services {
-				answered = answered && p.members.Sources()[p.first+i].LastSeen > 0
-			}
-			mu.Unlock()
-		}
 	}
-	mu.Lock()
-	defer mu.Unlock()
-	p.members.Step(now())
-	p.members.TakeChanges(now(), p.members.Len())
-	return writeBoxes(out, p, now(), said)
+	// What the catalogue's goroutines still bring waits for the lock, and the program ends.
+	poll.mu.Lock()
+	defer poll.mu.Unlock()
+	now := plan.clock.Monotonic()
+	plan.members.Step(now)
+	plan.members.TakeChanges(now, plan.members.Len())
+	return writeEndpoints(out, plan, plan.clock.Monotonic(), poll.remarks)
 }
 
-// writeBoxes prints sources and boxes as tables.
-func writeBoxes(out io.Writer, p *Plan, now time.Duration, said []string) error {
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	sources := p.members.Sources()
-	fmt.Fprintln(w, "SOURCE\tSTATE\tBOXES\tVERSION\tHEARD")
-	for _, s := range sources {
-		state, heard := "speaks", "never"
-		if s.LastSeen > 0 {
-			heard = (now - s.LastSeen).Round(time.Millisecond).String() + " ago"
-		}
-		if s.Silent {
-			state = "silent"
-		}
-		if s.LastSeen == 0 {
-			state = "unheard"
-		}
-		if s.Suspected > 0 {
-			state += fmt.Sprintf(", %d doubted", s.Suspected)
+// endpointsPoll polls the sources once.
+type endpointsPoll struct {
+	mu      sync.Mutex // the catalogue publishes and logs on goroutines of its own
+	plan    *Plan
+	remarks []string // what went wrong, printed below the tables
+}
+
+// apply takes events into the table. Purges do not change it.
+func (p *endpointsPoll) apply(events ...membership.SourceEvent) {
+	for _, event := range events {
+		p.applyOne(event)
+	}
+}
+
+func (p *endpointsPoll) applyOne(event membership.SourceEvent) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.plan.clock.Monotonic()
+	members := p.plan.members
+	switch event := event.(type) {
+	case membership.ListReceived:
+		members.ReplaceList(now, event.Source, event.List)
+	case membership.DeltaReceived:
+		members.ApplyDelta(now, event.Source, event.Version, event.Endpoints)
+	case membership.SourceStatus:
+		if event.Silent {
+			members.SourceSilent(now, event.Source)
+		} else {
+			members.SourceSeen(now, event.Source)
 		}
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\n", s.Name, state, s.Endpoints, s.Version, heard)
 	}
-	fmt.Fprintln(w)
-	fmt.Fprint(w, "BOX\tSTATE\tADDRESS\tSITE\tCLASS\tDECIDED BY\tAGE\tWHY")
-	for _, s := range sources {
-		fmt.Fprintf(w, "\t%s", strings.ToUpper(s.Name))
+}
+
+func (p *endpointsPoll) remark(text string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.remarks = append(p.remarks, text)
+}
+
+// fetchWatched takes the events of the settings and those that the endpoint list watch has after them.
+func (p *endpointsPoll) fetchWatched(wait time.Duration) {
+	plan := p.plan
+	p.apply(plan.known...)
+	address := plan.settings.ListAddress
+	if address == "" {
+		return
+	}
+	events, err := plan.names.FetchOnce(address, plan.last, wait)
+	if err != nil {
+		p.remark(fmt.Sprintf("bulletin %s: %v", address, err))
+		p.apply(membership.SourceStatus{Source: plan.names.Source, Silent: true})
+	}
+	p.apply(events...)
+}
+
+// fetchCatalogue follows the catalogue until each service has answered or ctx ends.
+func (p *endpointsPoll) fetchCatalogue(ctx context.Context) error {
+	plan := p.plan
+	catalogue := &consul.Catalogue{
+		Config:      plan.own.Catalogue,
+		Names:       plan.names.Names,
+		FirstSource: plan.first,
+		Now:         plan.clock.Monotonic,
+		Seed:        plan.settings.Seed,
+		Publish:     p.apply,
+		Log: func(event string, fields ...any) {
+			p.remark(strings.TrimSpace(event + " " + fmt.Sprintln(fields...)))
+		},
+	}
+	if err := catalogue.Start(ctx); err != nil {
+		return err
+	}
+	for !p.catalogueAnswered() && ctx.Err() == nil {
+		time.Sleep(answerCheckInterval)
 	}
-	fmt.Fprintln(w)
-	word := func(words []string, i int) string {
-		if i >= 0 && i < len(words) {
-			return words[i]
+	return nil
+}
+
+func (p *endpointsPoll) catalogueAnswered() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	sources := p.plan.members.Sources()
+	for i := range p.plan.own.Catalogue.Services {
+		if sources[p.plan.first+i].LastSeen == 0 {
+			return false
 		}
-		return "-"
 	}
-	for _, v := range p.members.All(now) {
-		by, age := "-", "-"
-		if v.DecidedBy >= 0 {
-			by, age = sources[v.DecidedBy].Name, (now - v.Since).Round(time.Millisecond).String()
+	return true
+}
+
+// writeEndpoints prints sources and endpoints as tables.
+func writeEndpoints(out io.Writer, plan *Plan, now time.Duration, remarks []string) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	sources := plan.members.Sources()
+	fmt.Fprintln(table, "SOURCE\tSTATE\tBOXES\tVERSION\tHEARD")
+	for _, source := range sources {
+		state, lastSeen := describeSource(source, now)
+		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%s\n", source.Name, state, source.Endpoints, source.Version, lastSeen)
+	}
+	fmt.Fprintln(table)
+	fmt.Fprint(table, "BOX\tSTATE\tADDRESS\tSITE\tCLASS\tDECIDED BY\tAGE\tWHY")
+	for _, source := range sources {
+		fmt.Fprintf(table, "\t%s", strings.ToUpper(source.Name))
+	}
+	fmt.Fprintln(table)
+	for _, view := range plan.members.All(now) {
+		decidedBy, age := "-", "-"
+		if view.DecidedBy >= 0 {
+			decidedBy = sources[view.DecidedBy].Name
+			age = (now - view.Since).Round(time.Millisecond).String()
 		}
-		address, site, class := v.Endpoint.Address, "-", "-"
-		if address == "" {
-			address = "-"
-		} else {
-			site, class = word(p.names.Zones, v.Endpoint.Zone), word(p.names.Kinds, v.Endpoint.Kind)
+		endpoint := view.Endpoint
+		zone, kind := "-", "-"
+		if endpoint.Address != "" {
+			zone = nameOrDash(plan.names.Zones, endpoint.Zone)
+			kind = nameOrDash(plan.names.Kinds, endpoint.Kind)
 		}
-		fmt.Fprintf(w, "%s\t%v\t%s\t%s\t%s\t%s\t%s\t%v", v.Endpoint.ID, v.Endpoint.State, address, site, class, by, age, v.Reason)
-		for _, s := range v.Reports {
-			if s == "" {
-				s = "-"
-			}
-			fmt.Fprintf(w, "\t%s", s)
+		fmt.Fprintf(table, "%s\t%v\t%s\t%s\t%s\t%s\t%s\t%v", endpoint.ID, endpoint.State,
+			textOrDash(endpoint.Address), zone, kind, decidedBy, age, view.Reason)
+		for _, report := range view.Reports {
+			fmt.Fprintf(table, "\t%s", textOrDash(report))
 		}
-		fmt.Fprintln(w)
+		fmt.Fprintln(table)
+	}
+	for _, line := range remarks {
+		fmt.Fprintln(table, "#", line)
 	}
-	for _, line := range said {
-		fmt.Fprintln(w, "#", line)
+	return table.Flush()
+}
+
+// describeSource returns the words that operators read of a source.
+func describeSource(source membership.SourceView, now time.Duration) (state, lastSeen string) {
+	state, lastSeen = "speaks", "never"
+	switch {
+	case source.LastSeen == 0:
+		state = "unheard"
+	case source.Silent:
+		state = "silent"
+	}
+	if source.LastSeen > 0 {
+		lastSeen = (now - source.LastSeen).Round(time.Millisecond).String() + " ago"
+	}
+	if source.Suspected > 0 {
+		state += fmt.Sprintf(", %d doubted", source.Suspected)
+	}
+	return state, lastSeen
+}
+
+func nameOrDash(names []string, index int) string {
+	if index < 0 || index >= len(names) {
+		return "-"
+	}
+	return names[index]
+}
+
+func textOrDash(text string) string {
+	if text == "" {
+		return "-"
 	}
-	return w.Flush()
+	return text
 }
