--- a/internal/proxy/conf.go
+++ b/internal/proxy/conf.go
@@ -20,23 +20,23 @@
 
 // Settings is our settings: the file that --conf names. Without it everything in it is off, as on the platform.
 type Settings struct {
-	Section     *config.Section
-	Contracts   *quota.Contracts  // nil: every team may do everything
-	DNS         *dns.Config       // nil: off
-	Catalogue   *consul.Config    // nil: off
-	Snapshot    *snapshotConfig   // nil: off
-	Identity    *identityConfig   // nil: off
-	Services    *services         // nil: one pool for all
-	Control     string            // path of the operators' socket; empty: none
-	UpstreamTLS *boxTLS           // nil: boxes are spoken to by plain TCP
-	Peers       *transport.Config // nil: no other doorman is known
-	clock       *clock.System
-	clockOffset time.Duration // of the Unix clock here, for drills
-	bind        string        // address that our own connections come from; empty: the system's choice
-	list        membership.Config
-	damping     membership.Damping
-	bulletin    bool   // whether the bulletin's word on boxes counts; its purges always do
-	prefer      string // whose word on what a box is goes first: "bulletin" or "catalogue"
+	Section       *config.Section
+	Contracts     *quota.Contracts  // nil: every team may do everything
+	DNS           *dns.Config       // nil: off
+	Catalogue     *consul.Config    // nil: off
+	Snapshot      *snapshotConfig   // nil: off
+	Identity      *identityConfig   // nil: off
+	Services      *services         // nil: one pool for all
+	Control       string            // path of the operators' socket; empty: none
+	UpstreamTLS   *boxTLS           // nil: boxes are spoken to by plain TCP
+	Peers         *transport.Config // nil: no other doorman is known
+	clock         *clock.System
+	clockOffset   time.Duration // of the Unix clock here, for drills
+	bind          string        // address that our own connections come from; empty: the system's choice
+	list          membership.Config
+	damping       membership.Damping
+	usesListWatch bool   // whether the endpoint list watch is a source of endpoints; it always is one of purges
+	prefer        string // whose word on what a box is goes first: "bulletin" or "catalogue"
 }
 
 // snapshotConfig is the block `snapshot`.
@@ -48,7 +48,7 @@
 
 // NewSettings has everything off. What the settings configure goes by the clock.
 func NewSettings(system *clock.System) *Settings {
-	o := &Settings{Section: &config.Section{}, clock: system, bulletin: true, prefer: "bulletin",
+	o := &Settings{Section: &config.Section{}, clock: system, usesListWatch: true, prefer: "bulletin",
 		list: membership.Config{MaxEndpoints: membership.DefaultMaxEndpoints, MaxLossShare: 0.3, MinLoss: 2,
 			ConfirmInterval: membership.DefaultConfirmInterval, MaxSilence: 10 * time.Minute, Forget: membership.DefaultForget},
 		damping: membership.Damping{SuppressAbove: 3, ReuseBelow: 1, HalfLife: 5 * time.Second, MaxSuppress: 20 * time.Second}}
@@ -122,7 +122,7 @@
 
 func (o *Settings) listSection() *config.Section {
 	s, l, d := &config.Section{}, &o.list, &o.damping
-	s.Flag("bulletin", &o.bulletin, "whether the bulletin's word on boxes counts; its purges always do")
+	s.Flag("bulletin", &o.usesListWatch, "whether the bulletin's word on boxes counts; its purges always do")
 	s.Choice("prefer", &o.prefer, []string{"bulletin", "catalogue"}, "whose word on address, place, kind and weight goes first")
 	s.Int("most-boxes", &l.MaxEndpoints, 1, 1_000_000, "boxes held")
 	s.Number("loss-share", &l.MaxLossShare, 0, 1, "of a source's boxes: a list that lacks more at once is doubted; 0: none")
@@ -154,22 +154,22 @@
 	return o, nil
 }
 
-// members makes the table of boxes. The bulletin is a source that tells changes, the others tell lists; first is the
-// catalogue's first, and bulletin the bulletin's.
-func (o *Settings) members() (table *membership.Table, bulletin, first int) {
-	cfg := o.list
-	told := membership.Source{Name: "bulletin"}
+// members makes the table of endpoints, and returns the places of its sources: the endpoint list watch's and that of the
+// catalogue's first service. The watch reports changes, the catalogue complete lists.
+func (o *Settings) members() (table *membership.Table, watchSource, firstCatalogueSource int) {
+	config := o.list
+	watch := membership.Source{Name: "bulletin"}
 	if o.Catalogue == nil {
-		cfg.Sources = []membership.Source{told}
-		return membership.New(cfg), 0, 1
+		config.Sources = []membership.Source{watch}
+		return membership.New(config), 0, 1
 	}
-	listed := o.Catalogue.Sources(o.damping)
+	services := o.Catalogue.Sources(o.damping)
 	if o.prefer == "catalogue" {
-		cfg.Sources = append(listed, told)
-		return membership.New(cfg), len(listed), 0
+		config.Sources = append(services, watch)
+		return membership.New(config), len(services), 0
 	}
-	cfg.Sources = append([]membership.Source{told}, listed...)
-	return membership.New(cfg), 0, 1
+	config.Sources = append([]membership.Source{watch}, services...)
+	return membership.New(config), 0, 1
 }
 
 // from is the address that our own connections come from; nil: the system's choice.
--- a/internal/proxy/endpoints.go
+++ b/internal/proxy/endpoints.go
@@ -26,7 +26,7 @@
 // running proxy.
 func PrintEndpoints(out io.Writer, plan *Plan, options EndpointsOptions) error {
 	poll := &endpointsPoll{plan: plan}
-	if plan.own.bulletin {
+	if plan.own.usesListWatch {
 		poll.fetchWatched(options.Wait)
 	}
 	if plan.own.Catalogue != nil {
@@ -87,15 +87,15 @@
 // fetchWatched takes the events of the settings and those that the endpoint list watch has after them.
 func (p *endpointsPoll) fetchWatched(wait time.Duration) {
 	plan := p.plan
-	p.apply(plan.known...)
+	p.apply(plan.initialEvents...)
 	address := plan.settings.ListAddress
 	if address == "" {
 		return
 	}
-	events, err := plan.names.FetchOnce(address, plan.last, wait)
+	events, err := plan.decoder.FetchOnce(address, plan.lastInitialEvent, wait)
 	if err != nil {
 		p.remark(fmt.Sprintf("bulletin %s: %v", address, err))
-		p.apply(membership.SourceStatus{Source: plan.names.Source, Silent: true})
+		p.apply(membership.SourceStatus{Source: plan.decoder.Source, Silent: true})
 	}
 	p.apply(events...)
 }
@@ -105,8 +105,8 @@
 	plan := p.plan
 	catalogue := &consul.Catalogue{
 		Config:      plan.own.Catalogue,
-		Names:       plan.names.Names,
-		FirstSource: plan.first,
+		Names:       plan.decoder.Names,
+		FirstSource: plan.firstCatalogueSource,
 		Now:         plan.clock.Monotonic,
 		Seed:        plan.settings.Seed,
 		Publish:     p.apply,
@@ -128,7 +128,7 @@
 	defer p.mu.Unlock()
 	sources := p.plan.members.Sources()
 	for i := range p.plan.own.Catalogue.Services {
-		if sources[p.plan.first+i].LastSeen == 0 {
+		if sources[p.plan.firstCatalogueSource+i].LastSeen == 0 {
 			return false
 		}
 	}
@@ -159,8 +159,8 @@
 		endpoint := view.Endpoint
 		zone, kind := "-", "-"
 		if endpoint.Address != "" {
-			zone = nameOrDash(plan.names.Zones, endpoint.Zone)
-			kind = nameOrDash(plan.names.Kinds, endpoint.Kind)
+			zone = nameOrDash(plan.decoder.Zones, endpoint.Zone)
+			kind = nameOrDash(plan.decoder.Kinds, endpoint.Kind)
 		}
 		fmt.Fprintf(table, "%s\t%v\t%s\t%s\t%s\t%s\t%s\t%v", endpoint.ID, endpoint.State,
 			textOrDash(endpoint.Address), zone, kind, decidedBy, age, view.Reason)
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -155,12 +155,12 @@
 
 // list returns the machine's index of a source, and whether it has one.
 func (f *fleet) list(source int) (int, bool) {
-	list := source - f.server.plan.first
+	list := source - f.server.plan.firstCatalogueSource
 	return list, list >= 0 && list < len(f.pending)
 }
 
 // source returns the index among the sources of one of the machine's lists.
-func (f *fleet) source(list int) int { return f.server.plan.first + list }
+func (f *fleet) source(list int) int { return f.server.plan.firstCatalogueSource + list }
 
 // serviceSeen takes an answer of the catalogue to a call that is not for a list.
 func (f *fleet) serviceSeen() {
--- a/internal/proxy/plan.go
+++ b/internal/proxy/plan.go
@@ -13,16 +13,16 @@
 
 // Plan is what Serve runs by.
 type Plan struct {
-	clock    *clock.System
-	settings *platformconfig.Settings
-	own      *Settings
-	members  *membership.Table
-	first    int // the catalogue's first source there
-	names    listwatch.Decoder
-	last     int64 // event of the bulletin
-	known    []membership.SourceEvent
-	boxes    int
-	again    func() (*Plan, error) // reads all files anew
+	clock                *clock.System
+	settings             *platformconfig.Settings
+	own                  *Settings
+	members              *membership.Table
+	firstCatalogueSource int // the place in members of the catalogue's first service
+	decoder              listwatch.Decoder
+	initialEvents        []membership.SourceEvent // of the endpoint list watch, as the platform's settings have them
+	lastInitialEvent     int64                    // the number of the last of them
+	initialEndpointCount int
+	reload               func() (*Plan, error) // reads all files anew
 }
 
 // Print writes our settings in force, defaults marked.
@@ -30,7 +30,8 @@
 
 // String says in a line what was read.
 func (p *Plan) String() string {
-	return fmt.Sprintf("the configuration of %s is sound: %d classes, %d boxes known", p.settings.Name, len(p.settings.Control.Classes), p.boxes)
+	return fmt.Sprintf("the configuration of %s is sound: %d classes, %d boxes known",
+		p.settings.Name, len(p.settings.Control.Classes), p.initialEndpointCount)
 }
 
 // Load reads and checks all files: the platform's configuration and our settings, of which the second may be empty.
@@ -38,7 +39,7 @@
 	if config == "" {
 		return nil, errors.New("no configuration: set BALANCER_CONFIG or --config")
 	}
-	p := &Plan{clock: system, again: func() (*Plan, error) { return Load(system, config, conf) }}
+	p := &Plan{clock: system, reload: func() (*Plan, error) { return Load(system, config, conf) }}
 	var err error
 	if p.settings, err = platformconfig.Load(config); err != nil {
 		return nil, err
@@ -62,13 +63,17 @@
 	return p, p.decode()
 }
 
-// decode reads the events of the start, so that check finds faults in them too.
-func (p *Plan) decode() (err error) {
-	p.members, p.names.Source, p.first = p.own.members()
-	p.names.Names = membership.Names{Zones: p.settings.Control.ZoneNames, Kinds: p.settings.Control.KindNames}
-	if p.last, p.known, err = p.names.DecodeInitial(p.settings.InitialList); err != nil {
+// decode reads the initial events, so that `sloequay check` finds faults in them too.
+func (p *Plan) decode() error {
+	control := p.settings.Control
+	p.members, p.decoder.Source, p.firstCatalogueSource = p.own.members()
+	p.decoder.Names = membership.Names{Zones: control.ZoneNames, Kinds: control.KindNames}
+	last, events, err := p.decoder.DecodeInitial(p.settings.InitialList)
+	if err != nil {
 		return err
 	}
-	p.boxes = listwatch.CountEndpoints(p.known)
+	p.lastInitialEvent = last
+	p.initialEvents = events
+	p.initialEndpointCount = listwatch.CountEndpoints(events)
 	return nil
 }
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -43,7 +43,7 @@
 	loop      *eventloop.Loop
 	pools     []*pool      // one, where the settings name none
 	routes    *route.Table // nil: one pool
-	bulletin  *listwatch.Watcher
+	listWatch *listwatch.Watcher
 	front     *rpc.Server
 	dns       *dns.Server // nil: off
 	resolver  *resolver.Resolver
@@ -128,7 +128,7 @@
 	d.sources = &sources{server: d}
 	d.sources.start()
 	go d.heed()
-	d.log.Event("started", "name", s.Name, "listen", s.Listen, "endpoints", d.plan.boxes)
+	d.log.Event("started", "name", s.Name, "listen", s.Listen, "endpoints", d.plan.initialEndpointCount)
 	l.RequestRound()
 }
 
@@ -164,7 +164,7 @@
 	}
 	d.known = true
 	for i := range d.plan.own.Catalogue.Services {
-		d.known = d.known && d.plan.members.Sources()[d.plan.first+i].LastSeen > 0
+		d.known = d.known && d.plan.members.Sources()[d.plan.firstCatalogueSource+i].LastSeen > 0
 	}
 	// Where peers tell lists, one that a single one of them tells is not known at once.
 	d.known = d.known && (d.sources.restored || d.sources.fleet.transport == nil || d.sources.fleet.machine.Ready())
@@ -180,7 +180,7 @@
 			d.loop.Post(d.leave)
 			continue
 		}
-		next, err := d.plan.again()
+		next, err := d.plan.reload()
 		d.loop.Post(func() { d.reload(next, err) })
 	}
 }
@@ -192,13 +192,13 @@
 		d.log.Event("reload-failed", "error", err)
 		return
 	}
-	d.bulletin.SwitchTo(next.settings.ListAddress)
+	d.listWatch.SwitchTo(next.settings.ListAddress)
 	if c := next.own.Contracts; d.contracts != nil && c != nil {
 		d.contracts.Renew(d.clock.Monotonic(), c.Root.Share(c.Instances))
 		d.limitRepeats(c)
 		d.log.Event("contracts-reloaded", "version", d.contracts.Version, "teams", len(c.Root.Children), "open", d.contracts.InFlight())
 	}
-	d.log.Event("reloaded", "bulletin", next.settings.ListAddress, "after", d.bulletin.LastEvent)
+	d.log.Event("reloaded", "bulletin", next.settings.ListAddress, "after", d.listWatch.LastEvent)
 	d.loop.RequestRound()
 }
 
@@ -254,7 +254,7 @@
 	if now-d.kept >= housekeepEvery {
 		d.kept = now
 		d.loop.RecountUnsent()
-		d.bulletin.Tick(now)
+		d.listWatch.Tick(now)
 		for _, p := range d.pools {
 			p.depots.Housekeep(now)
 		}
--- a/internal/proxy/sources.go
+++ b/internal/proxy/sources.go
@@ -40,14 +40,14 @@
 func (s *sources) startListWatch() {
 	server := s.server
 	plan := server.plan
-	for _, event := range plan.known {
+	for _, event := range plan.initialEvents {
 		s.publishWatched(event)
 	}
-	server.bulletin = &listwatch.Watcher{
+	server.listWatch = &listwatch.Watcher{
 		Loop:      server.loop,
 		Address:   plan.settings.ListAddress,
-		Decoder:   plan.names,
-		LastEvent: plan.last,
+		Decoder:   plan.decoder,
+		LastEvent: plan.lastInitialEvent,
 		Publish:   s.publishWatched,
 		Now:       server.clock.Monotonic,
 		Log:       server.log.Event,
@@ -57,7 +57,7 @@
 // publishWatched takes an event of the endpoint list watch. Where the settings leave the watch out of the sources of
 // endpoints, it still brings purges.
 func (s *sources) publishWatched(event membership.SourceEvent) {
-	if _, isPurge := event.(membership.PurgeReceived); isPurge || s.server.plan.own.bulletin {
+	if _, isPurge := event.(membership.PurgeReceived); isPurge || s.server.plan.own.usesListWatch {
 		s.server.emit(brokerEvent(event))
 	}
 }
@@ -107,8 +107,8 @@
 	plan := s.server.plan
 	return &consul.Catalogue{
 		Config:      config,
-		Names:       plan.names.Names,
-		FirstSource: plan.first,
+		Names:       plan.decoder.Names,
+		FirstSource: plan.firstCatalogueSource,
 		Publish:     s.publish,
 		Log:         s.log,
 		Now:         s.server.clock.Monotonic,
