--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -1,172 +1,143 @@
-// Package route says whose a request is, and which pool of boxes serves it: ordered rules give its service by team, class and DNS
-// zone; a service has pools, between which a team can be moved by and by. It does no I/O and asks no clock.
+// Package route decides whose a request is and which pool of endpoints serves it: ordered rules give its service by
+// team, class and DNS zone; a service has a pool, from which a team can be migrated to another step by step.
+//
+// Invariants: a request goes to exactly one pool, the same for the same team, class, zone and object while no
+// migration's share changes; an endpoint is in the pools that select it, or in those without a selector if none does.
+//
+// Bounds: a choice costs four look-ups by hash and one for each label of the zone, whatever the number of rules.
+// Nothing grows after NewTable, and nothing here does I/O; the caller passes the time.
 package route
 
 import (
-	"fmt"
-	"strings"
+	"slices"
+	"time"
 )
 
-// Rule is one line of the rules. What is empty fits anything.
-type Rule struct {
-	Team    string
-	Class   string
-	Zone    string // names at or below it, as "pictures.example.", without regard to case
-	Service string
+// Table decides, for each request, whose it is and which pool serves it; and for each endpoint, which pools it is in.
+// It is not safe for concurrent use.
+type Table struct {
+	pools         []Pool // with their shares filled in
+	serviceToPool map[string]int
+	rules         *Rules
+	migrations    map[string]*teamMigration // by team
+	ordered       []*teamMigration          // as written
 }
 
-// Rules finds the service of a request: that of the first rule that fits.
-//
-// The rules stand in four tables, by whether they name a team and whether they name a class. A table is a hash of those, and under each
-// a trie of the zone's labels from the right, so that a look-up costs four hashes and the labels of one name, whatever the
-// number of rules. It does not change after New.
-type Rules struct {
-	rules  []Rule
-	tables [4]map[key]*label
-	zoned  bool // some rule names a zone
+// teamMigration is the migration of one team to a pool.
+type teamMigration struct {
+	*Migration
+	team string
+	to   int
 }
 
-type key struct{ team, class string }
-
-// label is a node of a trie: the first rule that ends here, and what is left of it.
-type label struct {
-	first int32 // none: -1
-	below map[string]*label
+// Choice is where a request goes.
+type Choice struct {
+	Service string
+	Pool    int
+	team    string // that is migrating; empty: none
+	inNew   bool
 }
 
-const (
-	zoneMost  = 255 // octets of a name (RFC 1035, 2.3.4)
-	labelMost = 63
-)
-
-// NewRules builds the tables. An error names the rule by its number, from 1.
-func NewRules(rules []Rule) (*Rules, error) {
-	r := &Rules{rules: rules}
-	for i, rule := range rules {
-		if rule.Service == "" {
-			return nil, fmt.Errorf("rule %d: no service", i+1)
-		}
-		if err := checkZone(rule.Zone); err != nil {
-			return nil, fmt.Errorf("rule %d: %w", i+1, err)
-		}
-		t := table(rule.Team != "", rule.Class != "")
-		if r.tables[t] == nil {
-			r.tables[t] = map[key]*label{}
-		}
-		k := key{rule.Team, rule.Class}
-		n := r.tables[t][k]
-		if n == nil {
-			n = &label{first: -1}
-			r.tables[t][k] = n
-		}
-		r.zoned = r.zoned || rule.Zone != ""
-		for rest := strings.ToLower(strings.TrimSuffix(rule.Zone, ".")); rest != ""; {
-			var l string
-			rest, l = last(rest)
-			next := n.below[l]
-			if next == nil {
-				next = &label{first: -1}
-				if n.below == nil {
-					n.below = map[string]*label{}
-				}
-				n.below[l] = next
-			}
-			n = next
-		}
-		if n.first < 0 { // an earlier rule of the same words goes first
-			n.first = int32(i)
+// NewTable checks a plan and returns its table. Migrations begin.
+func NewTable(now time.Duration, plan Plan) (*Table, error) {
+	pools, err := plan.checkPools()
+	if err != nil {
+		return nil, err
+	}
+	t := &Table{pools: pools, serviceToPool: map[string]int{}, migrations: map[string]*teamMigration{}}
+	for service, pool := range plan.Services {
+		t.serviceToPool[service], err = plan.poolOfService(service, pool)
+		if err != nil {
+			return nil, err
 		}
 	}
-	return r, nil
-}
-
-func checkZone(zone string) error {
-	if len(zone) > zoneMost {
-		return fmt.Errorf("zone of %d octets, at most %d expected", len(zone), zoneMost)
+	t.rules, err = NewRules(plan.Rules)
+	if err != nil {
+		return nil, err
 	}
-	if zone == "" || zone == "." {
-		return nil
+	destinations, err := plan.checkMigrations()
+	if err != nil {
+		return nil, err
 	}
-	for l := range strings.SplitSeq(strings.TrimSuffix(zone, "."), ".") {
-		if l == "" || len(l) > labelMost {
-			return fmt.Errorf("zone %.80q: a label of %d octets, expected 1 to %d", zone, len(l), labelMost)
-		}
+	for i, migration := range plan.Migrations {
+		begun := &teamMigration{NewMigration(now, migration.Config), migration.Team, destinations[i]}
+		t.migrations[migration.Team] = begun
+		t.ordered = append(t.ordered, begun)
 	}
-	return nil
+	return t, nil
 }
 
-// table numbers the four.
-func table(team, class bool) (n int) {
-	if team {
-		n |= 1
+// Pools returns the pools, with their shares filled in.
+func (t *Table) Pools() []Pool { return t.pools }
+
+// Choose returns where a request goes. zone is the name that a DNS query asked for, empty for other frontends.
+func (t *Table) Choose(team, class, zone string, object uint64) Choice {
+	match, _ := t.rules.Find(team, class, zone)
+	choice := Choice{Service: match.Service}
+	choice.Pool = t.serviceToPool[match.Service] // the first pool for services that the plan doesn't name
+	migration := t.migrations[team]
+	if migration == nil || choice.Pool == migration.to {
+		return choice
 	}
-	if class {
-		n |= 2
+	choice.team = team
+	choice.inNew = migration.InNewPool(Position(team, object))
+	if choice.inNew {
+		choice.Pool = migration.to
 	}
-	return n
+	return choice
 }
 
-// last splits the last label off a name.
-func last(name string) (rest, label string) {
-	if i := strings.LastIndexByte(name, '.'); i >= 0 {
-		return name[:i], name[i+1:]
+// RecordResult takes how a request that Choose placed has ended. It returns the team whose share has changed by that;
+// empty: none.
+func (t *Table) RecordResult(now time.Duration, choice Choice, result Result) (changed string) {
+	if choice.team == "" {
+		return ""
+	}
+	migration := t.migrations[choice.team]
+	switch {
+	case migration == nil: // the choice is another table's
+		return ""
+	case !choice.inNew:
+		migration.RecordOldPool(result)
+		return ""
+	case migration.RecordNewPool(now, result):
+		return choice.team
 	}
-	return "", name
+	return ""
 }
 
-// Find gives the service of a request and the number of the rule that says so, from 0; -1: no rule fits. zone is the name that a DNS
-// query asked for, empty for other fronts.
-func (r *Rules) Find(team, class, zone string) (service string, rule int) {
-	if r == nil {
-		return "", -1
-	}
-	best := int32(-1)
-	if zone != "" && r.zoned {
-		zone = strings.TrimSuffix(zone, ".")
-		if hasUpper(zone) {
-			zone = strings.ToLower(zone)
+// Step takes the time, and returns the teams whose share has changed.
+func (t *Table) Step(now time.Duration) (changed []string) {
+	for _, migration := range t.ordered {
+		if migration.Step(now) {
+			changed = append(changed, migration.team)
 		}
-	} else {
-		zone = ""
 	}
-	for t := range r.tables {
-		if r.tables[t] == nil {
-			continue
-		}
-		var k key
-		if t&1 != 0 {
-			k.team = team
-		}
-		if t&2 != 0 {
-			k.class = class
-		}
-		if t&1 != 0 && team == "" || t&2 != 0 && class == "" {
-			continue
-		}
-		rest := zone
-		for n := r.tables[t][k]; n != nil; {
-			if n.first >= 0 && (best < 0 || n.first < best) {
-				best = n.first
-			}
-			if rest == "" || n.below == nil {
-				break
-			}
-			var l string
-			rest, l = last(rest)
-			n = n.below[l]
+	return changed
+}
+
+// Next returns when Step may change something at the earliest; 0: never by time alone.
+func (t *Table) Next() (next time.Duration) {
+	for _, migration := range t.ordered {
+		if at := migration.Next(); at != 0 && (next == 0 || at < next) {
+			next = at
 		}
 	}
-	if best < 0 {
-		return "", -1
+	return next
+}
+
+// MigrationStatus returns how the migration of a team stands.
+func (t *Table) MigrationStatus(team string) (share float64, phase Phase) {
+	if migration := t.migrations[team]; migration != nil {
+		return migration.Share(), migration.Phase()
 	}
-	return r.rules[best].Service, int(best)
+	return 0, Abandoned
 }
 
-func hasUpper(s string) bool {
-	for i := range len(s) {
-		if s[i] >= 'A' && s[i] <= 'Z' {
-			return true
-		}
+// Contains reports whether an endpoint is in a pool.
+func (t *Table) Contains(pool int, id string, zone, kind int) bool {
+	if own := &t.pools[pool]; len(own.Selectors) > 0 {
+		return own.selects(id, zone, kind)
 	}
-	return false
+	return !slices.ContainsFunc(t.pools, func(p Pool) bool { return p.selects(id, zone, kind) })
 }
