--- a/internal/invalidation/invalidation_test.go
+++ b/internal/invalidation/invalidation_test.go
@@ -10,50 +10,56 @@
 
 const ms = time.Millisecond
 
-// told is one purge of the plain model: a list that is walked.
-type told struct {
+// purge is one purge of the plain model: a list that is walked.
+type purge struct {
 	object uint64
 	group  int
 	issued time.Duration
 }
 
-// newestOf walks all purges, as the broker did at each write.
-func newestOf(all []told, over time.Duration, object uint64, group int) (at time.Duration, ok bool) {
-	for _, p := range all {
-		fits := p.object != 0 && p.object == object || p.object == 0 && (group == AnyGroup || p.group == group)
-		if fits && p.issued >= over && p.issued > 0 {
-			at, ok = max(at, p.issued), true
+// newestByWalk walks all purges, as the broker did at each write.
+func newestByWalk(all []purge, liveSince time.Duration, object uint64, group int) (at time.Duration, ok bool) {
+	for _, purged := range all {
+		concerns := purged.object == object
+		if purged.object == 0 {
+			concerns = group == AnyGroup || purged.group == group
+		}
+		if concerns && purged.issued >= liveSince && purged.issued > 0 {
+			at, ok = max(at, purged.issued), true
 		}
 	}
 	return at, ok
 }
 
-// TestLedgerAgainstAWalk compares random purges and questions with a walk over all.
+// TestLedgerAgainstAWalk compares random purges and look-ups with a walk over all.
 func TestLedgerAgainstAWalk(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		cfg := Config{Propagation: 6 * time.Second, Slack: 2 * time.Second}
-		l := New(cfg)
-		var all []told
+		config := Config{Propagation: 6 * time.Second, Slack: 2 * time.Second}
+		ledger := New(config)
+		var all []purge
 		now := 1000 * time.Second
 		for range rapid.IntRange(1, 120).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * ms
-			p := told{uint64(rapid.IntRange(0, 5).Draw(t, "object")), rapid.IntRange(0, 3).Draw(t, "group"),
-				now - time.Duration(rapid.IntRange(0, 9000).Draw(t, "age"))*ms}
+			purged := purge{
+				uint64(rapid.IntRange(0, 5).Draw(t, "object")), rapid.IntRange(0, 3).Draw(t, "group"),
+				now - time.Duration(rapid.IntRange(0, 9000).Draw(t, "age"))*ms,
+			}
 			if rapid.Bool().Draw(t, "purge") {
-				l.Record(now, p.object, p.group, p.issued)
-				all = append(all, p)
+				ledger.Record(now, purged.object, purged.group, purged.issued)
+				all = append(all, purged)
 			}
-			l.Expire(now)
-			object, group := uint64(rapid.IntRange(1, 5).Draw(t, "asked")), rapid.IntRange(-1, 3).Draw(t, "of")
-			got, ok := l.Newest(object, group)
-			want, wanted := newestOf(all, now-cfg.Propagation-cfg.Slack, object, group)
+			ledger.Expire(now)
+			object := uint64(rapid.IntRange(1, 5).Draw(t, "of object"))
+			group := rapid.IntRange(AnyGroup, 3).Draw(t, "of group")
+			got, ok := ledger.Newest(object, group)
+			want, wanted := newestByWalk(all, now-config.Propagation-config.Slack, object, group)
 			if got != want || ok != wanted {
 				t.Fatalf("object %d of group %d at %v: %v %v, want %v %v", object, group, now, got, ok, want, wanted)
 			}
 		}
-		l.Expire(now + time.Minute)
-		if l.Len() != 0 || len(l.expiry) != 0 {
-			t.Fatalf("%d purges and %d expiries are left after a minute", l.Len(), len(l.expiry))
+		ledger.Expire(now + time.Minute)
+		if ledger.Len() != 0 || len(ledger.expiry) != 0 {
+			t.Fatalf("%d purges and %d expiries are left after a minute", ledger.Len(), len(ledger.expiry))
 		}
 	})
 }
@@ -61,44 +67,44 @@
 // TestFullLedgerAsksForYounger: what there is no place for must not let an old copy through.
 func TestFullLedgerAsksForYounger(t *testing.T) {
 	now := 1000 * time.Second
-	l := New(Config{Propagation: 6 * time.Second, MaxPurges: 10})
+	ledger := New(Config{Propagation: 6 * time.Second, MaxPurges: 10})
 	for object := uint64(1); object <= 11; object++ {
-		l.Record(now, object, 0, now-time.Second+time.Duration(object)*ms)
+		ledger.Record(now, object, 0, now-time.Second+time.Duration(object)*ms)
 	}
-	if l.Len() != 10 {
-		t.Errorf("%d purges held, want the bound of 10", l.Len())
+	if ledger.Len() != 10 {
+		t.Errorf("%d purges, want the bound of 10", ledger.Len())
 	}
 	for _, object := range []uint64{1, 11, 99} {
-		if at, ok := l.Newest(object, 0); !ok || at < now-time.Second+11*ms {
+		if at, ok := ledger.Newest(object, 0); !ok || at < now-time.Second+11*ms {
 			t.Errorf("object %d: %v %v, want no copy older than the purge that had no place", object, at, ok)
 		}
 	}
-	l.Expire(now + 7*time.Second)
-	if at, ok := l.Newest(11, 0); ok {
-		t.Errorf("after its time the purge still holds: %v", at)
+	ledger.Expire(now + 7*time.Second)
+	if at, ok := ledger.Newest(11, 0); ok {
+		t.Errorf("the purge is live after its time: %v", at)
 	}
 }
 
 func BenchmarkNewest(b *testing.B) {
 	now := 1000 * time.Second
-	for _, n := range []int{0, 100, 10_000, 100_000} {
-		l := New(Config{Propagation: 6 * time.Second})
-		var all []told
-		for i := range n {
-			p := told{object: uint64(i + 1), issued: now - time.Duration(i)*time.Microsecond}
-			l.Record(now, p.object, p.group, p.issued)
-			all = append(all, p)
+	for _, count := range []int{0, 100, 10_000, 100_000} {
+		ledger := New(Config{Propagation: 6 * time.Second})
+		var all []purge
+		for i := range count {
+			purged := purge{object: uint64(i + 1), issued: now - time.Duration(i)*time.Microsecond}
+			ledger.Record(now, purged.object, purged.group, purged.issued)
+			all = append(all, purged)
 		}
-		b.Run(fmt.Sprintf("ledger/%d", n), func(b *testing.B) {
+		b.Run(fmt.Sprintf("ledger/%d", count), func(b *testing.B) {
 			b.ReportAllocs()
 			for i := range b.N {
-				l.Newest(uint64(i), i&255)
+				ledger.Newest(uint64(i), i&255)
 			}
 		})
-		b.Run(fmt.Sprintf("walk/%d", n), func(b *testing.B) {
+		b.Run(fmt.Sprintf("walk/%d", count), func(b *testing.B) {
 			b.ReportAllocs()
 			for i := range b.N {
-				newestOf(all, now-8*time.Second, uint64(i), i&255)
+				newestByWalk(all, now-8*time.Second, uint64(i), i&255)
 			}
 		})
 	}
