--- a/internal/membership/consul/blockingquery/agents.go
+++ b/internal/membership/consul/blockingquery/agents.go
@@ -54,7 +54,7 @@
 	return shared.queriedAt + RetryInterval + state.retryJitter
 }
 
-// failAgent notes that an agent did not answer well, cancels its list query, and has the next Step choose an agent.
+// failAgent notes that an agent gave no usable answer, cancels its list query, and has the next Step choose an agent.
 func (w *Watch) failAgent(now time.Duration, agent int, fault Fault) {
 	state, shared := &w.agents[agent], &w.shared.states[agent]
 	// The pause is a second and does not grow: what changed meanwhile has to be in force a second after the outage,
--- a/internal/membership/consul/blockingquery/query.go
+++ b/internal/membership/consul/blockingquery/query.go
@@ -182,7 +182,7 @@
 		w.askLeader = true
 		return Verdict{Disposition: Discard, Reason: TooStale}, true
 	case meta.Index < w.index && query.Mode != Consistent:
-		// Another agent that lags, or a cluster that was rebuilt: a consistent answer tells which.
+		// Another agent that lags, or a cluster that was rebuilt: a consistent answer shows which.
 		w.indexRegressed = true
 		return Verdict{Disposition: Discard, Reason: IndexRegressed}, true
 	}
--- a/internal/membership/consul/blockingquery/verdict.go
+++ b/internal/membership/consul/blockingquery/verdict.go
@@ -20,7 +20,7 @@
 type ResponseMeta struct {
 	Index       uint64
 	KnownLeader bool
-	LastContact time.Duration // since the server that answered last heard from its leader
+	LastContact time.Duration // since the last contact of the server that answered with its leader
 	Filtered    bool          // results were left out because the token lacks rights
 }
 
--- a/internal/membership/consul/client_test.go
+++ b/internal/membership/consul/client_test.go
@@ -20,7 +20,7 @@
 	"sloequay/internal/membership/consul/blockingquery"
 )
 
-// TestFaultOf: a fault is told by the types of an error's chain, whatever words stand in its text.
+// TestFaultOf: a fault is classified by the types of an error's chain, whatever words stand in its text.
 func TestFaultOf(t *testing.T) {
 	connReset := os.NewSyscallError("read", syscall.ECONNRESET)
 	for _, c := range []struct {
--- a/internal/membership/consul/health/health_test.go
+++ b/internal/membership/consul/health/health_test.go
@@ -9,7 +9,7 @@
 	"sloequay/internal/membership"
 )
 
-// instance is one that is read well as it is, and changed.
+// instance returns one that can be used as it is, with a change.
 func instance(change func(*Instance)) *Instance {
 	instance := &Instance{
 		ID: "c1", Node: "n1", Address: "10.0.0.1", Port: 8443, PassingWeight: 4, WarningWeight: 1, CreateIndex: 7,
--- a/internal/membership/listwatch/listwatch.go
+++ b/internal/membership/listwatch/listwatch.go
@@ -2,7 +2,7 @@
 // lists and changes of endpoints, and purges. A line with the number of the last event alone comes each second.
 //
 // Invariants: events are published in the order of their numbers, each at most once; a gap in the numbers drops the
-// connection, and the next one asks for what came after the last event. Only the newest connection counts. Unreadable
+// connection, and the next one requests what came after the last event. Only the newest connection counts. Unreadable
 // events are skipped only once they have come twice.
 //
 // Bounds: a line has at most maxLineBytes, a list at most maxEndpoints. A connection that says nothing for maxSilence
@@ -71,7 +71,7 @@
 	})
 }
 
-// SwitchTo goes over to another address and asks there for what came after the last event. The numbers go on.
+// SwitchTo goes over to another address and requests there what came after the last event. The numbers go on.
 func (w *Watcher) SwitchTo(address string) {
 	if address == w.Address {
 		return
@@ -171,7 +171,7 @@
 	receivedAt time.Duration   // when something came last
 }
 
-// Opened asks for what came after the last event.
+// Opened requests what came after the last event.
 func (s *session) Opened(conn *eventloop.Conn) {
 	if s.watcher.session != s { // the dial of an address that is not followed any more
 		conn.Close()
@@ -212,5 +212,5 @@
 	}
 }
 
-// request is the line that asks for what came after an event.
+// request is the line that requests what came after an event.
 func request(after int64) []byte { return []byte("after " + strconv.FormatInt(after, 10) + "\n") }
--- a/internal/membership/listwatch/watcher_test.go
+++ b/internal/membership/listwatch/watcher_test.go
@@ -29,7 +29,7 @@
 	return test
 }
 
-// describe names an event by what tells the tests' events apart.
+// describe names an event by what differs between the tests' events.
 func describe(event membership.SourceEvent) string {
 	switch event := event.(type) {
 	case membership.SourceStatus:
@@ -123,8 +123,8 @@
 	}
 }
 
-// TestRetryDelay: the pause before the next dial doubles up to its bound while the watch is lost, the loss is reported
-// once, and the next event ends both.
+// TestRetryDelay: the pause before the next dial doubles up to its bound while the watch is lost, the loss is
+// reported once, and the next event ends both.
 func TestRetryDelay(t *testing.T) {
 	test := newWatcherTest(4)
 	want := []time.Duration{0, 100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond,
--- a/internal/proxy/source_events.go
+++ b/internal/proxy/source_events.go
@@ -20,7 +20,7 @@
 	case membership.PurgeReceived:
 		object := event.Object
 		if event.IsObject && object == 0 {
-			object = broker.ObjectZero // 0 stands for a whole group there
+			object = broker.ObjectZero // 0 stands for a group there
 		}
 		return broker.Purge{Object: object, Group: event.Group, Issued: event.Issued}
 	}
--- a/internal/proxy/sources.go
+++ b/internal/proxy/sources.go
@@ -187,7 +187,7 @@
 // tick writes a snapshot when one is due.
 func (s *sources) tick(now time.Duration) { s.snapshots.tick(now) }
 
-// beginShutdown has the registration removed, and tells the peers.
+// beginShutdown has the registration removed, and notifies the peers.
 func (s *sources) beginShutdown() {
 	close(s.deregister)
 	if s.fleet != nil {
