--- a/internal/invalidation/invalidation.go
+++ b/internal/invalidation/invalidation.go
@@ -11,8 +11,9 @@
 package invalidation
 
 import (
-	"container/heap"
 	"time"
+
+	"sloequay/internal/expiry"
 )
 
 const (
@@ -32,8 +33,7 @@
 // Ledger is the live purges. Times are on the Unix clock. It is not safe for concurrent use.
 type Ledger struct {
 	config      Config
-	issued      map[key]time.Duration
-	expiry      expiryHeap
+	issued      *expiry.Set[key]
 	newestGroup time.Duration // the newest purge of any group: it is the last of them to expire
 	overflow    time.Duration // the newest purge that there was no place for
 }
@@ -49,29 +49,23 @@
 	if config.MaxPurges <= 0 {
 		config.MaxPurges = DefaultMaxPurges
 	}
-	return &Ledger{config: config, issued: map[key]time.Duration{}}
+	return &Ledger{config: config, issued: expiry.New[key](config.MaxPurges)}
 }
 
 // Record takes a purge of an object, or of a group where object is 0. An older one of the same changes nothing, and
 // neither does one that is past its time already.
 func (l *Ledger) Record(now time.Duration, object uint64, group int, issued time.Duration) {
+	if issued <= 0 || issued < l.liveSince(now) {
+		return
+	}
 	purged := key{object: object}
 	if object == 0 {
 		purged.group = group
 	}
-	old, known := l.issued[purged]
 	switch {
-	case issued <= old, issued < l.liveSince(now):
-		return
-	case !known && len(l.issued) >= l.config.MaxPurges:
+	case !l.issued.Put(purged, issued):
 		l.overflow = max(l.overflow, issued)
-		return
-	}
-	l.issued[purged] = issued
-	if !known { // a known key keeps its place in the heap; Expire moves it
-		heap.Push(&l.expiry, expiry{issued, purged})
-	}
-	if object == 0 {
+	case object == 0:
 		l.newestGroup = max(l.newestGroup, issued)
 	}
 }
@@ -79,30 +73,20 @@
 // Newest returns when the newest purge was issued that concerns an object of a group, and whether there is one.
 func (l *Ledger) Newest(object uint64, group int) (issued time.Duration, ok bool) {
 	if object != 0 {
-		issued = l.issued[key{object: object}]
+		issued, _ = l.issued.Until(key{object: object})
 	}
-	if group == AnyGroup {
-		issued = max(issued, l.newestGroup)
-	} else {
-		issued = max(issued, l.issued[key{group: group}])
+	ofGroup := l.newestGroup
+	if group != AnyGroup {
+		ofGroup, _ = l.issued.Until(key{group: group})
 	}
-	issued = max(issued, l.overflow)
+	issued = max(issued, ofGroup, l.overflow)
 	return issued, issued > 0
 }
 
 // Expire drops what no copy can be older than any more.
 func (l *Ledger) Expire(now time.Duration) {
 	liveSince := l.liveSince(now)
-	for len(l.expiry) > 0 && l.expiry[0].issued < liveSince {
-		first := &l.expiry[0]
-		if issued := l.issued[first.key]; issued > first.issued { // purged again meanwhile
-			first.issued = issued
-			heap.Fix(&l.expiry, 0)
-			continue
-		}
-		delete(l.issued, first.key)
-		heap.Pop(&l.expiry)
-	}
+	l.issued.DropBefore(liveSince)
 	if l.newestGroup < liveSince {
 		l.newestGroup = 0
 	}
@@ -112,29 +96,9 @@
 }
 
 // Len returns the number of purges.
-func (l *Ledger) Len() int { return len(l.issued) }
+func (l *Ledger) Len() int { return l.issued.Len() }
 
 // liveSince returns when the oldest purge that is still live may have been issued.
 func (l *Ledger) liveSince(now time.Duration) time.Duration {
 	return now - l.config.Propagation - l.config.Slack
 }
-
-// expiry is a purge in the order in which they expire.
-type expiry struct {
-	issued time.Duration
-	key    key
-}
-
-// expiryHeap has the purge that may expire first at its root.
-type expiryHeap []expiry
-
-// Len, Less, Swap, Push and Pop implement heap.Interface.
-func (h expiryHeap) Len() int           { return len(h) }
-func (h expiryHeap) Less(i, j int) bool { return h[i].issued < h[j].issued }
-func (h expiryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *expiryHeap) Push(x any)        { *h = append(*h, x.(expiry)) }
-func (h *expiryHeap) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
--- a/internal/invalidation/invalidation_test.go
+++ b/internal/invalidation/invalidation_test.go
@@ -58,8 +58,8 @@
 			}
 		}
 		ledger.Expire(now + time.Minute)
-		if ledger.Len() != 0 || len(ledger.expiry) != 0 {
-			t.Fatalf("%d purges and %d expiries are left after a minute", ledger.Len(), len(ledger.expiry))
+		if ledger.Len() != 0 {
+			t.Fatalf("%d purges are left after a minute", ledger.Len())
 		}
 	})
 }
