--- a/internal/invalidation/invalidation.go
+++ b/internal/invalidation/invalidation.go
@@ -6,8 +6,8 @@
 // Propagation of a purge, so that one is live until Propagation and Slack after it was issued.
 //
 // Bounds: at most MaxPurges are kept, some 6 MB for the default. Where there is no place for a live purge, the newest
-// such one counts for all objects until it is past its time: that asks for younger copies than needed, never for older
-// ones. Expire looks only at purges that may be past their time. Nothing here does I/O; the caller passes the time.
+// such one counts for all objects until it is past its time: copies must then be younger than needed, never older.
+// Expire looks only at purges that may be past their time. Nothing here does I/O; the caller passes the time.
 package invalidation
 
 import (
@@ -26,7 +26,7 @@
 // Config bounds a Ledger.
 type Config struct {
 	Propagation time.Duration // in which caches drop older copies by themselves
-	Slack       time.Duration // added to it, for purges that come late and for clocks
+	Slack       time.Duration // added to it, for delayed purges and for clocks that differ
 	MaxPurges   int           // 0: DefaultMaxPurges
 }
 
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -26,7 +26,7 @@
 type bucket struct {
 	meter
 	fullAt    float64       // nanoseconds
-	lastRetry time.Duration // the latest time that somebody who is to draw from it was told to come at
+	lastRetry time.Duration // the latest time for which a retry that draws from it is scheduled; 0: none
 }
 
 // available returns how many units there are; below 0 in debt.
@@ -59,7 +59,7 @@
 	}
 }
 
-// nextRetry returns when the next cost may come after those that were told to come later; 0: nobody was.
+// nextRetry returns the earliest time for one more retry, after those that are scheduled; 0: none is.
 func (b *bucket) nextRetry(cost float64) time.Duration {
 	if b.lastRetry == 0 || b.rate <= 0 {
 		return 0
@@ -67,7 +67,7 @@
 	return b.lastRetry + time.Duration(min(cost/b.rate*nanosPerSecond, float64(maxRetryAfter)))
 }
 
-// full reports whether it owes nothing and nobody was told to come later than now.
+// full reports whether it owes nothing and no retry is scheduled for later than now.
 func (b *bucket) full(now time.Duration) bool { return b.fullAt <= float64(now) && b.lastRetry <= now }
 
 // resized returns the bucket with another meter. What it owes stays the same number of units.
--- a/internal/quota/settings.go
+++ b/internal/quota/settings.go
@@ -12,6 +12,11 @@
 	"sloequay/internal/retry"
 )
 
+var (
+	errGivenTwice  = errors.New("given twice")
+	errMinAboveMax = errors.New("least is above most")
+)
+
 const (
 	maxRate       = 1e12 // units a second
 	maxBurst      = time.Hour
@@ -93,7 +98,7 @@
 	section.Duration("window", &limit.Window, 10*time.Millisecond, 10*time.Second, "how often it is looked at")
 	section.Check(func() error {
 		if limit.Min > limit.Max {
-			return errors.New("least is above most")
+			return errMinAboveMax
 		}
 		return nil
 	})
@@ -149,7 +154,7 @@
 	for k := Requests; k < rateKinds; k++ {
 		section.Each(k.String(), func(words []string) error {
 			if s.Rates[k].Set {
-				return errors.New("given twice")
+				return errGivenTwice
 			}
 			limit, err := form.parse(words)
 			s.Rates[k] = limit
--- a/internal/quota/spec.go
+++ b/internal/quota/spec.go
@@ -11,7 +11,7 @@
 	minLendTime = 100 * time.Millisecond
 	// defaultBurstSeconds is the burst where none is written.
 	defaultBurstSeconds = 1.0
-	// roundingFactor is what the sum of many parts may exceed the whole by.
+	// roundingFactor is by how much the sum of many parts may exceed their total.
 	roundingFactor = 1 + 1e-9
 	// installationName is the name of the root, which the paths of nodes leave out.
 	installationName = "installation"
--- a/internal/retry/decisions_test.go
+++ b/internal/retry/decisions_test.go
@@ -35,7 +35,7 @@
 	counts := map[string]int{}
 	digesttest.Check(t, decisionSeeds, func(seed uint64, recorder *digesttest.Recorder) {
 		random := rand.New(rand.NewPCG(seed, 0x4e_74))
-		set := retry.NewSet[int](drawConfig(random), random.IntN(6)) // 0: it holds one all the same
+		set := retry.NewSet[int](drawConfig(random), random.IntN(6)) // 0: it has one budget all the same
 		now := time.Duration(seed%2) * 1000 * time.Second
 		for range 1000 + 100*seed {
 			now += time.Duration(random.ExpFloat64() * float64(30*time.Millisecond))
--- a/internal/route/migration.go
+++ b/internal/route/migration.go
@@ -225,7 +225,7 @@
 	)
 	hash := xxhash.New()
 	_, _ = hash.WriteString(team)
-	var suffix [9]byte // the first byte is 0, which no name holds: it ends the team's
+	var suffix [9]byte // begins with a 0, which no name contains, to end the team's
 	for i := range 8 {
 		suffix[i+1] = byte(object >> (8 * i))
 	}
