--- a/test/connections_test.go
+++ b/test/connections_test.go
@@ -107,7 +107,7 @@
 	for _, c := range []struct{ name, class, word, fields string }{
 		{"a write that was over already", "charge", "STALE", "-"},
 		{"a read that found nothing", "lookup", "NOENT", "remark=src_lacks"},
-		{"a box that failed", "lookup", "EIO", "-"},
+		{"an endpoint that failed", "lookup", "EIO", "-"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -184,7 +184,7 @@
 		min, max int
 	}{
 		{"an answer that is not late is waited for without a check", 300 * time.Millisecond, 0, 0},
-		{"a late answer of a box that answers the check is slow: one check, two at most",
+		{"a late answer of an endpoint that answers the check is slow: one check, two at most",
 			1200 * time.Millisecond, 1, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/test/faults_test.go
+++ b/test/faults_test.go
@@ -52,7 +52,7 @@
 }
 
 var faultCases = []faultCase{
-	{name: "answers come spoilt", respond: respondMalformed, minServed: 0.05},
+	{name: "answers come malformed", respond: respondMalformed, minServed: 0.05},
 	{name: "connections are reset", respond: respondOrClose, beside: (*faultRun).resetConnections, minServed: 0.05},
 	{name: "lists are empty, torn, doubled, old and late", beside: (*faultRun).sendFaultyLists,
 		after: (*faultRun).sendSoundList, minServed: 0.05},
--- a/test/identity_test.go
+++ b/test/identity_test.go
@@ -280,7 +280,7 @@
 	for _, c := range []struct {
 		name  string
 		reads bool // whether the client takes its answers
-	}{{"reading", true}, {"deaf", false}} {
+	}{{"reading", true}, {"not reading", false}} {
 		t.Run(c.name, func(t *testing.T) { expectServedBesideFlood(t, c.reads) })
 	}
 }
--- a/test/idle_test.go
+++ b/test/idle_test.go
@@ -29,8 +29,8 @@
 
 var idleCases = []idleCase{
 	{"nobody comes", nil, nil},
-	{"the bulletin refuses connections", func(w *testbed) { w.config["bulletin"] = "127.0.0.1:1" }, nil},
-	{"the bulletin closes each connection at once", func(w *testbed) {
+	{"the list service refuses connections", func(w *testbed) { w.config["bulletin"] = "127.0.0.1:1" }, nil},
+	{"the list service closes each connection at once", func(w *testbed) {
 		w.config["bulletin"] = w.listenAndClose()
 	}, nil},
 	{"clients have half closed their connections", nil, func(w *testbed) {
@@ -50,7 +50,7 @@
 			}
 		}
 	}},
-	{"boxes close each connection at once", func(w *testbed) {
+	{"endpoints close each connection at once", func(w *testbed) {
 		address := w.listenAndClose()
 		for _, entry := range w.listed {
 			entry["dial"] = address
--- a/test/shutdown_test.go
+++ b/test/shutdown_test.go
@@ -52,9 +52,9 @@
 	{"the last answer is more than the socket takes", 0, playLargeLastAnswer},
 	{"a request half read", 0, playHalfRead},
 	{"a keyed request is out, and both signals come again", 0, playSignalsAgain},
-	{"a box never answers", 1500, playSilentEndpoint},
-	{"a box never answers, and the client waits long", 1000, playPatientClient},
-	{"a late request that no box answers", 0, playRequestAfterSIGTERM},
+	{"an endpoint never answers", 1500, playSilentEndpoint},
+	{"an endpoint never answers, and the client waits long", 1000, playPatientClient},
+	{"a late request that no endpoint answers", 0, playRequestAfterSIGTERM},
 }
 
 // playLargeLastAnswer: the last answer was given in the round that ended the program, and what the socket did not
