--- a/internal/policy/guards.go
+++ b/internal/policy/guards.go
@@ -27,11 +27,11 @@
 
 // guardsPass says whether an attempt breaks no rule and no limit of the settings. The budgets come last, as
 // they have an endpoint without one skipped.
-func (e *Engine) guardsPass(request *requestState, route route) bool {
+func (e *Engine) guardsPass(request *requestState, via route) bool {
 	hasAttemptsLeft := e.cfg.MaxAttempts <= 0 || len(request.attempts) < e.cfg.MaxAttempts
-	return hasAttemptsLeft && e.isOpen(request) && e.mayRepeatAt(request, route.endpoint) &&
-		bothReady(route) && e.isReachable(route) &&
-		e.withinWarmupBudget(request, route.endpoint) && e.withinWarmupBudget(request, route.source)
+	return hasAttemptsLeft && e.isOpen(request) && e.mayRepeatAt(request, via.endpoint) &&
+		bothReady(via) && e.isReachable(via) &&
+		e.withinWarmupBudget(request, via.endpoint) && e.withinWarmupBudget(request, via.source)
 }
 
 // isOpen keeps rule 1, every request answered: nothing is sent for a request that has its end. That each gets
@@ -39,8 +39,7 @@
 func (e *Engine) isOpen(request *requestState) bool { return e.requests[request.id] == request }
 
 // mayRepeatAt keeps rule 2, no effect done twice: an attempt after one that may have run goes only where, and
-// only as long as, a repeat is dropped. Only with hedging may two attempts of a request be in flight
-// together.
+// only as long as, a repeat is dropped. Two attempts of a request are in flight together only with hedging.
 func (e *Engine) mayRepeatAt(request *requestState, endpoint *endpointState) bool {
 	if request.inFlight > 0 && !e.cfg.Hedging {
 		return false
@@ -72,13 +71,11 @@
 // for DedupWindow, and what is decided has yet to be written, sent and read.
 func (c *Class) RetryWindow() time.Duration { return c.DedupWindow * retryWindowPart / 10 }
 
-// bothReady keeps rule 3, draining done safely: an endpoint that drains or is gone is neither sent an attempt
-// nor named as a source.
-func bothReady(route route) bool { return route.endpoint.State == Ready && route.source.State == Ready }
+// bothReady keeps rule 3, draining done safely: neither endpoint nor source drains or is gone.
+func bothReady(via route) bool { return via.endpoint.State == Ready && via.source.State == Ready }
 
-// withinWarmupBudget keeps rule 4, controlled fail-back: an endpoint that has just started gets no more than
-// this proxy's share of what it bears in any window of OverloadWindow. One without budget is skipped until it
-// has some.
+// withinWarmupBudget keeps rule 4, controlled fail-back: an endpoint that has just started gets at most this
+// proxy's share of what it bears in any OverloadWindow. Without budget it is skipped until it has some.
 func (e *Engine) withinWarmupBudget(request *requestState, endpoint *endpointState) bool {
 	initialShare, warmupTime := e.cfg.ColdStartShare, e.cfg.WarmupTime
 	multiple := e.cfg.OverloadMultiple
@@ -123,8 +120,8 @@
 }
 
 // isReachable says whether the settings allow a route.
-func (e *Engine) isReachable(route route) bool {
-	endpoint, source := route.endpoint, route.source
+func (e *Engine) isReachable(via route) bool {
+	endpoint, source := via.endpoint, via.source
 	if endpoint.Role != endpointset.Cache {
 		return e.cfg.DirectFetch && (source == endpoint || source.Role == endpointset.Origin)
 	}
--- a/internal/policy/placement.go
+++ b/internal/policy/placement.go
@@ -34,8 +34,7 @@
 	return rendezvous.Hash(part.Hash()^uint64(e.cfg.Ordinal))%proxies != 0
 }
 
-// tryNext sends one attempt by the first route that the guards let pass: caches, then parents, then the
-// origin.
+// tryNext sends one attempt by the first route that the guards let pass: by caches, parents or the origin.
 func (e *Engine) tryNext(request *requestState) bool {
 	parents := e.endpoints.Parents.OrderFor(request.part.Hash(), nil, e.now)
 	if request.class.Write {
@@ -103,8 +102,7 @@
 	return false
 }
 
-// sendToCache tries a cache with each source: the parents, which may be full for all but what they cache, and
-// the origin.
+// sendToCache tries a cache with each source: the parents, at least with what they cache, and the origin.
 func (e *Engine) sendToCache(request *requestState, cache *endpointState, parents *ranking) bool {
 	for source := range parents.AllThen(e.endpoints.Origin) {
 		if !e.eligible(request, source) {
@@ -159,45 +157,45 @@
 }
 
 // send sends an attempt, if a limiter has capacity for it and the guards let it pass. All attempts go by it.
-func (e *Engine) send(request *requestState, route route) bool {
-	limiter := e.limiterOf(request, route)
-	if limiter != nil && (route.cachedOnly && request.cachedOnlySent || e.limiterFull(request, limiter)) {
+func (e *Engine) send(request *requestState, via route) bool {
+	limiter := e.limiterOf(request, via)
+	if limiter != nil && (via.cachedOnly && request.cachedOnlySent || e.limiterFull(request, limiter)) {
 		request.atCapacity = true
 		return false
 	}
-	if limiter == nil && route.source.Role == endpointset.Parent && e.limiterFull(request, &e.fillLimiter) {
-		route.cachedOnly = true // a believed hit that is none must not become a fill
+	if limiter == nil && via.source.Role == endpointset.Parent && e.limiterFull(request, &e.fillLimiter) {
+		via.cachedOnly = true // a believed hit that is none must not become a fill
 	}
-	if !e.guardsPass(request, route) {
+	if !e.guardsPass(request, via) {
 		return false
 	}
-	route.endpoint.Budget.Spend(e.now, request.class.cost.Cost())
-	if route.isFill() {
-		route.source.Budget.Spend(e.now, request.class.cost.Cost())
+	via.endpoint.Budget.Spend(e.now, request.class.cost.Cost())
+	if via.isFill() {
+		via.source.Budget.Spend(e.now, request.class.cost.Cost())
 	}
-	e.startAttempt(request, route, limiter)
+	e.startAttempt(request, via, limiter)
 	return true
 }
 
 // limiterOf is the limiter that a route counts against: nil where no fill is likely.
-func (e *Engine) limiterOf(request *requestState, route route) *aimd.Limiter {
-	isCopy := route.source.Role == endpointset.Cache || request.believedAt(route.endpoint)
-	if request.class.Write || isCopy && route.endpoint.Role == endpointset.Cache {
+func (e *Engine) limiterOf(request *requestState, via route) *aimd.Limiter {
+	isCopy := via.source.Role == endpointset.Cache || request.believedAt(via.endpoint)
+	if request.class.Write || isCopy && via.endpoint.Role == endpointset.Cache {
 		return nil
 	}
-	if route.cachedOnly {
+	if via.cachedOnly {
 		return &e.cachedOnlyLimiter
 	}
 	return &e.fillLimiter
 }
 
 // startAttempt books an attempt and emits its action.
-func (e *Engine) startAttempt(request *requestState, route route, limiter *aimd.Limiter) {
-	endpoint := route.endpoint
+func (e *Engine) startAttempt(request *requestState, via route, limiter *aimd.Limiter) {
+	endpoint := via.endpoint
 	maxAge, isPurged := e.maxAge(request)
 	action := SendAttempt{
-		ID: request.id, Endpoint: endpoint.ID, Source: route.source.ID,
-		MaxAge: maxAge, CachedOnly: route.cachedOnly,
+		ID: request.id, Endpoint: endpoint.ID, Source: via.source.ID,
+		MaxAge: maxAge, CachedOnly: via.cachedOnly,
 		JoinFill:   e.cfg.JoinFills && (!isPurged || maxAge > joinFillsAfter),
 		Revalidate: request.class.FreshFor > 0 && !isPurged,
 	}
@@ -206,12 +204,12 @@
 	}
 	load := e.endpoints.Load(e.now, endpoint)
 	request.attempts = append(request.attempts, attemptState{
-		route: route, limiter: limiter, sentAt: e.now, mayHaveRun: true,
+		route: via, limiter: limiter, sentAt: e.now, mayHaveRun: true,
 		load: load, expectedSeconds: request.expectedSeconds * max(1, load),
 	})
 	if limiter != nil {
 		limiter.InFlight++
-		request.cachedOnlySent = request.cachedOnlySent || route.cachedOnly
+		request.cachedOnlySent = request.cachedOnlySent || via.cachedOnly
 	}
 	endpoint.Start(e.now, attemptRef{request, len(request.attempts) - 1})
 	request.inFlight++
--- a/internal/policy/retry.go
+++ b/internal/policy/retry.go
@@ -93,8 +93,7 @@
 }
 
 // cancelOvertaken cancels a lost attempt, so that the request goes on. Links are shared evenly and under
-// overload all attempts are late alike; lost are only those that answers to later and larger ones have
-// overtaken.
+// overload all attempts are slow alike; lost are only those that later and larger ones have overtaken.
 func (e *Engine) cancelOvertaken(request *requestState, n int) {
 	attempt := &request.attempts[n]
 	if attempt.overtaken < minOvertaken || !e.cfg.MayCancel || len(request.attempts) >= e.cfg.MaxAttempts {
