--- a/internal/policy/endpointset/endpointset_test.go
+++ b/internal/policy/endpointset/endpointset_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"sloequay/internal/policy/outlier"
+
 	"pgregory.net/rapid"
 )
 
@@ -178,3 +180,60 @@
 		t.Errorf("load %v of an endpoint that is twice as slow, want %v", got, want)
 	}
 }
+
+// TestOutcomesAreWeighedByRole: what is usual among parents is not so among caches, and the other parents' slow fills
+// excuse a parent's.
+func TestOutcomesAreWeighedByRole(t *testing.T) {
+	set := New[int](Config{ParentKind: 1, OriginKind: 2})
+	now := time.Hour
+	set.Apply(now, ListFull, []Entry{
+		{ID: 1, State: Ready}, {ID: 2, State: Ready, Kind: 1}, {ID: 3, State: Ready, Kind: 1},
+	})
+	cache, parent, other := set.Get(1), set.Get(2), set.Get(3)
+	for range 100 { // of a third parent, which is not in the list any more
+		set.Observe(&Endpoint[int]{Role: Parent}, outlier.Failure)
+	}
+	for range 20 {
+		if set.Observe(parent, outlier.Failure) == outlier.Faulty {
+			t.Fatal("a parent is faulty by failures that all parents have")
+		}
+	}
+	verdict := outlier.Unchanged
+	for range 20 {
+		verdict = max(verdict, set.Observe(cache, outlier.Failure))
+	}
+	if verdict != outlier.Faulty {
+		t.Error("a cache is not faulty by 20 failures")
+	}
+	for range 5 {
+		set.RecordParentPace(now, other, outlier.Slow)
+	}
+	if got := set.OthersSlowRate(now, parent); got != outlier.FaultyErrorRate {
+		t.Errorf("the other parent's fills are slow: a rate of %v, want %v", got, outlier.FaultyErrorRate)
+	}
+	if got := set.OthersSlowRate(now, other); got != 0 {
+		t.Errorf("the first parent's fills are not slow: a rate of %v", got)
+	}
+}
+
+// TestEjectedAreSkippedUntilTheirTrial: the ranking skips an ejected endpoint until its trial is due or it is
+// readmitted.
+func TestEjectedAreSkippedUntilTheirTrial(t *testing.T) {
+	set := New[int](Config{ParentKind: 1, OriginKind: 2})
+	now := time.Hour
+	set.Apply(now, ListFull, []Entry{{ID: 1, State: Ready}, {ID: 2, State: Ready, Kind: 2}})
+	for id, isRanked := range map[ID]bool{1: true, 2: false} {
+		endpoint := set.Get(id)
+		set.Eject(now, endpoint, outlier.Failing)
+		if set.Skipped(endpoint, now) != isRanked || set.Skipped(endpoint, endpoint.Health.RetryAt()) {
+			t.Errorf("endpoint %d: skipped when ejected: %v, want %v; when its trial is due: %v", id,
+				set.Skipped(endpoint, now), isRanked, set.Skipped(endpoint, endpoint.Health.RetryAt()))
+		}
+		if set.Readmit(endpoint); set.Skipped(endpoint, now) || !endpoint.Usable(now) {
+			t.Errorf("endpoint %d: skipped or not usable when readmitted", id)
+		}
+	}
+	if set.LocalCache(1) != set.Get(1) || set.LocalCache(2) != nil || set.LocalCache(3) != nil {
+		t.Errorf("local caches: %v %v %v, want the first only", set.LocalCache(1), set.LocalCache(2), set.LocalCache(3))
+	}
+}
--- a/internal/policy/outlier/health_test.go
+++ b/internal/policy/outlier/health_test.go
@@ -118,3 +118,35 @@
 		}
 	})
 }
+
+// TestSlownessIsForgottenByAHardFailure: an endpoint is ejected for slowness alone until it fails in another way or
+// is readmitted, and one that is ejected already for another cause never is.
+func TestSlownessIsForgottenByAHardFailure(t *testing.T) {
+	var health Health
+	health.Eject(time.Second, SlowFills)
+	if health.Record(Failure, 0); !health.EjectedForSlowness() {
+		t.Error("a failure that sound endpoints have at times is no other cause")
+	}
+	if health.Record(HardFailure, 0); health.EjectedForSlowness() {
+		t.Error("still ejected for slowness alone after a hard failure")
+	}
+	if health.Eject(time.Second, SlowFills); health.EjectedForSlowness() {
+		t.Error("ejected for slowness alone, while ejected for a hard failure")
+	}
+	health.Readmit()
+	if health.Eject(time.Second, SlowFills); !health.EjectedForSlowness() {
+		t.Error("not ejected for slowness alone after a readmission")
+	}
+	if health.Readmit(); health.Ejected() || health.EjectedForSlowness() {
+		t.Error("ejected after a readmission")
+	}
+}
+
+// TestCauseTexts: the operators' report has these words, and does not tell slow fills from failures.
+func TestCauseTexts(t *testing.T) {
+	for cause, want := range map[Cause]string{Failing: "failing", Unresponsive: "silent", SlowFills: "failing"} {
+		if got := cause.String(); got != want {
+			t.Errorf("cause %d: %q, want %q", cause, got, want)
+		}
+	}
+}
