--- a/internal/peer/transport/transport.go
+++ b/internal/peer/transport/transport.go
@@ -218,24 +218,29 @@
 	t.goroutines.Wait()
 }
 
-// publishMembers reports the members to the receiver after each change, and remembers some of their addresses.
+// publishMembers reports the members to the receiver after each change, and remembers some of their addresses. A change
+// that comes too soon after they were written is written later: a fleet that starts together is in view within a
+// second, and a file of those that were met first leads a restarted proxy to them alone.
 func (t *Transport) publishMembers() {
 	var rememberedAt time.Time
+	var rememberDue <-chan time.Time // nil: all that is known is written
 	for {
 		select {
 		case <-t.changed:
+			if !t.sleep(membersDelay) {
+				return
+			}
+			members, _ := t.Status()
+			t.receiver.MembersChanged(members)
+			if t.config.MembersFile != "" && rememberDue == nil {
+				rememberDue = time.After(max(0, minRememberInterval-time.Since(rememberedAt)))
+			}
+		case <-rememberDue:
+			rememberedAt, rememberDue = time.Now(), nil
+			t.rememberMembers()
 		case <-t.ctx.Done():
 			return
 		}
-		if !t.sleep(membersDelay) {
-			return
-		}
-		members, _ := t.Status()
-		t.receiver.MembersChanged(members)
-		if t.config.MembersFile != "" && time.Since(rememberedAt) > minRememberInterval {
-			rememberedAt = time.Now()
-			t.rememberMembers()
-		}
 	}
 }
 
