--- a/internal/broker/endpoints.go
+++ b/internal/broker/endpoints.go
@@ -80,44 +80,57 @@
 // update takes over what the list says of one endpoint, if that is anything new. The offset is that of the Unix clock
 // over now.
 func (x *endpointIndex) update(reported Endpoint, now, offset time.Duration) (endpointUpdate, bool) {
-	if _, known := x.ids[reported.Name]; !known && reported.State == policy.Gone {
-		return endpointUpdate{}, false // its name is not to be remembered either
-	}
-	id := x.assignID(reported.Name)
-	endpoint := x.byID[id]
-	var previous Endpoint
+	endpoint := x.byID[x.ids[reported.Name]]
+	isNew := endpoint == nil
+	isGone := reported.State == policy.Gone
 	switch {
-	case endpoint == nil:
-		endpoint = &Endpoint{}
-		x.byID[id] = endpoint
-		x.byName[strings.ToLower(reported.Name)] = endpoint
-	case reported.State == policy.Gone && endpoint.State == policy.Gone:
+	case isGone && (isNew || endpoint.State == policy.Gone):
 		return endpointUpdate{}, false
-	case reported.State == policy.Gone:
+	case isGone:
 		// The other fields of such a report may be missing.
-		previous = *endpoint
-		reported = previous
+		reported = *endpoint
 		reported.State = policy.Gone
-	default:
-		previous = *endpoint
+	case isNew:
+		endpoint = x.add(reported.Name)
 	}
-	isNew := previous.Name == ""
-	reported.ID = id
+	previous := *endpoint
+	reported.ID = previous.ID
 	reported.StartedAt = previous.StartedAt
 	if reported.reportedStart != previous.reportedStart { // compared as reported: the offset may have changed since
 		reported.StartedAt = startTime(reported.reportedStart, offset)
 	}
-	if reported.Address != previous.Address || isNew {
+	isMoved := reported.Address != previous.Address
+	if isNew || isMoved {
 		x.detach(endpoint, previous.Address)
 		x.byAddress[reported.Address] = append(x.byAddress[reported.Address], endpoint)
 	}
+	if isGone {
+		x.departures = append(x.departures, departure{endpoint: endpoint, at: now})
+	}
+	reported.changedAt = now
 	*endpoint = reported
-	endpoint.changedAt = now
-	if reported.State == policy.Gone {
-		x.departures = append(x.departures, departure{endpoint, now})
+	return endpointUpdate{
+		endpoint:  endpoint,
+		isNew:     isNew,
+		restarted: isMoved || reported.StartedAt != previous.StartedAt,
+	}, true
+}
+
+// add gives a name its id and an endpoint that nothing is known of. The id is the same at every proxy, for the hashes
+// that they share.
+func (x *endpointIndex) add(name string) *Endpoint {
+	id := policy.EndpointID(fnvOffset)
+	for i := range len(name) {
+		id = (id ^ policy.EndpointID(name[i])) * fnvPrime
 	}
-	restarted := reported.StartedAt != previous.StartedAt || reported.Address != previous.Address
-	return endpointUpdate{endpoint, isNew, restarted}, true
+	for id == 0 || x.byID[id] != nil {
+		id++
+	}
+	endpoint := &Endpoint{Endpoint: policy.Endpoint{ID: id}}
+	x.ids[name] = id
+	x.byID[id] = endpoint
+	x.byName[strings.ToLower(name)] = endpoint
+	return endpoint
 }
 
 // startTime converts a reported start to the broker's clock; 0: long ago.
@@ -155,19 +168,3 @@
 	}
 	x.byAddress[address] = rest
 }
-
-// assignID returns the id of a name, which is the same at every proxy, for the hashes that they share.
-func (x *endpointIndex) assignID(name string) policy.EndpointID {
-	if id, ok := x.ids[name]; ok {
-		return id
-	}
-	id := policy.EndpointID(fnvOffset)
-	for i := range len(name) {
-		id = (id ^ policy.EndpointID(name[i])) * fnvPrime
-	}
-	for id == 0 || x.byID[id] != nil {
-		id++
-	}
-	x.ids[name] = id
-	return id
-}
--- a/internal/broker/retries.go
+++ b/internal/broker/retries.go
@@ -14,6 +14,8 @@
 	// retryBudgetWait is the RetryAfter where a retry budget is used up: when the request itself comes again it is a
 	// new one, and welcome.
 	retryBudgetWait = 100 * time.Millisecond
+	// endpointNode begins the name that operators and clients read of an endpoint's budget.
+	endpointNode = "box "
 )
 
 // retryBudgets limits retries to a share of first attempts, by tenant and by endpoint; nil: no limit.
@@ -77,7 +79,7 @@
 	if endpoints := b.retries.endpoints; endpoints != nil {
 		ofEndpoint = endpoints.Of(attempt.Endpoint.ID)
 		if left := ofEndpoint.Available(b.now, endpoints.Config()); left < 1 {
-			return retriesExhausted("box "+attempt.Endpoint.Name, left)
+			return retriesExhausted(endpointNode+attempt.Endpoint.Name, left)
 		}
 	}
 	if rejection := grant.SpendRetry(b.now); rejection != nil {
