--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -42,7 +42,9 @@
 package bootstrap
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"sloequay/internal/membership"
@@ -248,6 +250,31 @@
 	return m.takeEffects()
 }
 
+// setMembers takes the other proxies that are alive, and drops the advertisements of all others.
+func (m *Machine) setMembers(peers []Peer) {
+	m.zonePeers = m.zonePeers[:0]
+	m.memberNames = m.memberNames[:0]
+	m.members = make(map[string]bool, len(peers))
+	for _, peer := range peers {
+		if peer.Name == m.config.Name {
+			continue
+		}
+		m.members[peer.Name] = true
+		m.memberNames = append(m.memberNames, peer.Name)
+		if peer.Zone == m.config.Zone {
+			m.zonePeers = append(m.zonePeers, peer)
+		}
+	}
+	slices.Sort(m.memberNames)
+	slices.SortFunc(m.zonePeers, func(a, b Peer) int { return cmp.Compare(a.Name, b.Name) })
+	for i := range m.lists {
+		l := &m.lists[i]
+		l.advertisements = slices.DeleteFunc(l.advertisements, func(advertisement peerAdvertisement) bool {
+			return !m.members[advertisement.peer]
+		})
+	}
+}
+
 // list returns the state of a list, or nil for an index that a peer made up.
 func (m *Machine) list(index int) *listState {
 	if index < 0 || index >= len(m.lists) {
--- a/internal/bootstrap/digest.go
+++ b/internal/bootstrap/digest.go
@@ -1,7 +1,6 @@
 package bootstrap
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -121,28 +120,3 @@
 		return advertisement.peer == peer
 	})
 }
-
-// setMembers takes the other proxies that are alive, and drops the advertisements of all others.
-func (m *Machine) setMembers(peers []Peer) {
-	m.zonePeers = m.zonePeers[:0]
-	m.memberNames = m.memberNames[:0]
-	m.members = make(map[string]bool, len(peers))
-	for _, peer := range peers {
-		if peer.Name == m.config.Name {
-			continue
-		}
-		m.members[peer.Name] = true
-		m.memberNames = append(m.memberNames, peer.Name)
-		if peer.Zone == m.config.Zone {
-			m.zonePeers = append(m.zonePeers, peer)
-		}
-	}
-	slices.Sort(m.memberNames)
-	slices.SortFunc(m.zonePeers, func(a, b Peer) int { return cmp.Compare(a.Name, b.Name) })
-	for i := range m.lists {
-		l := &m.lists[i]
-		l.advertisements = slices.DeleteFunc(l.advertisements, func(advertisement peerAdvertisement) bool {
-			return !m.members[advertisement.peer]
-		})
-	}
-}
