--- a/internal/membership/addresses.go
+++ b/internal/membership/addresses.go
@@ -11,8 +11,6 @@
 	arrivals uint64
 }
 
-func newAddressIndex() addressIndex { return addressIndex{records: map[string][]*record{}} }
-
 // at gives the records at an address; the one that came there last stands last.
 func (x *addressIndex) at(address string) []*record { return x.records[address] }
 
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -3,7 +3,7 @@
 // listPass is one walk over a list.
 type listPass struct {
 	order []*record // the records of the list, in its order
-	added []*record // those on which the source had no report before
+	added []*record // those on which the source had no report, if it had any reports before
 	known int       // the number of the others
 }
 
@@ -12,6 +12,7 @@
 	s := &t.sources[u.source]
 	s.generation++
 	pass := listPass{order: s.spare[:0]}
+	hadReports := s.endpoints > 0
 	expected := 0
 	for i := range endpoints {
 		received := &endpoints[i]
@@ -30,7 +31,7 @@
 		if current.present {
 			pass.known++
 			expected = current.position + 1
-		} else {
+		} else if hadReports {
 			pass.added = append(pass.added, r)
 		}
 		current.generation = s.generation
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -44,7 +44,6 @@
 	leftOut   int // endpoints for which the current call found no room
 	revision  uint64
 	offset    time.Duration // of the Unix clock
-	counting  []int         // scratch space of countingSources
 }
 
 // New makes an empty table.
@@ -55,8 +54,7 @@
 	t := &Table{
 		cfg:       cfg,
 		records:   map[string]*record{},
-		addresses: newAddressIndex(),
-		counting:  make([]int, 0, len(cfg.Sources)),
+		addresses: addressIndex{records: map[string][]*record{}},
 	}
 	for _, source := range cfg.Sources {
 		t.sources = append(t.sources, sourceState{Source: source})
--- a/internal/membership/rule.go
+++ b/internal/membership/rule.go
@@ -23,7 +23,8 @@
 
 // mergeReports applies points 1 to 4.
 func (t *Table) mergeReports(now time.Duration, r *record) decision {
-	counting := t.countingSources(now, r)
+	var space [commonSources]int
+	counting := t.countingSources(space[:0], now, r)
 	d := winningReport(r, counting)
 	description := describe(r, counting)
 	if description == nil {
@@ -87,10 +88,11 @@
 	return counts
 }
 
-// countingSources gives the sources whose report on an endpoint counts, in their order. The slice is valid until the
-// next call.
-func (t *Table) countingSources(now time.Duration, r *record) []int {
-	counting := t.counting[:0]
+// commonSources is a number of sources that few installations have more of: up to it a decision allocates nothing.
+const commonSources = 8
+
+// countingSources appends the sources whose report on an endpoint counts, in their order.
+func (t *Table) countingSources(counting []int, now time.Duration, r *record) []int {
 	for source := range t.sources {
 		if t.standing(now, r, source) == counts {
 			counting = append(counting, source)
