--- a/internal/route/rules.go
+++ b/internal/route/rules.go
@@ -143,15 +143,15 @@
 
 // firstRule returns the least number of a rule whose zone a name is at or below.
 func (n *zoneNode) firstRule(name string) int32 {
-	first := int32(noRule)
-	for n != nil {
-		first = min(first, n.rule)
-		if name == "" || n.below == nil {
-			break
-		}
+	first := n.rule
+	for name != "" && n.below != nil {
 		var label string
 		name, label = cutLastLabel(name)
 		n = n.below[label]
+		if n == nil {
+			break
+		}
+		first = min(first, n.rule)
 	}
 	return first
 }
