--- a/internal/broker/crossing_test.go
+++ b/internal/broker/crossing_test.go
@@ -26,22 +26,22 @@
 // crossing drives a broker as a pool of connections and a frontend do, with what comes and when left to the test. It
 // checks after each round what must always hold.
 type crossing struct {
-	t          rapid.TB
-	broker     *Broker
-	now        time.Duration
-	events     []Event // of the next round
-	endpoints  []membership.Endpoint
-	version    uint64 // of the endpoint list
-	requests   []*Request
-	responses  map[*Request]int
-	waiting    []*Attempt                 // to be sent, not written
-	inFlight   []*Attempt                 // written, neither ended nor canceled
-	canceled   []*Attempt                 // in flight and canceled, their ends still to be reported
-	ended      []*Attempt                 // that were in flight, their ends reported
-	mayHaveRun map[*Request]bool          // an attempt may
-	writtenAt  map[*Attempt]time.Duration // of attempts that may have run
-	written    map[*Request]int           // the number of its attempts that were
-	withdrawn  map[*Request]bool          // canceled in an earlier round
+	t              rapid.TB
+	broker         *Broker
+	now            time.Duration
+	events         []Event // of the next round
+	endpoints      []membership.Endpoint
+	version        uint64 // of the endpoint list
+	requests       []*Request
+	responses      map[*Request]int
+	waiting        []*Attempt                 // to be sent, not written
+	inFlight       []*Attempt                 // written, neither ended nor canceled
+	canceled       []*Attempt                 // in flight and canceled, their ends still to be reported
+	ended          []*Attempt                 // that were in flight, their ends reported
+	mayHaveRun     map[*Request]bool          // an attempt may
+	writtenAt      map[*Attempt]time.Duration // of attempts that may have run
+	written        map[*Request]int           // the number of its attempts that were
+	canceledBefore map[*Request]bool          // canceled in an earlier round
 }
 
 func crossingConfig() policy.Config {
@@ -79,15 +79,15 @@
 		t.Fatal(err)
 	}
 	x := &crossing{
-		t:          t,
-		broker:     broker,
-		now:        1000 * time.Second,
-		version:    1,
-		responses:  map[*Request]int{},
-		mayHaveRun: map[*Request]bool{},
-		writtenAt:  map[*Attempt]time.Duration{},
-		written:    map[*Request]int{},
-		withdrawn:  map[*Request]bool{},
+		t:              t,
+		broker:         broker,
+		now:            1000 * time.Second,
+		version:        1,
+		responses:      map[*Request]int{},
+		mayHaveRun:     map[*Request]bool{},
+		writtenAt:      map[*Attempt]time.Duration{},
+		written:        map[*Request]int{},
+		canceledBefore: map[*Request]bool{},
 	}
 	kinds := []int{0, 0, 1, 1, 2}
 	for i, id := range []string{"c1", "c2", "p1", "p2", "o1"} {
@@ -175,7 +175,7 @@
 func (x *crossing) checkWrite(attempt *Attempt) {
 	request, endpoint, source := attempt.Request, attempt.Endpoint, attempt.Source
 	switch {
-	case x.withdrawn[request]:
+	case x.canceledBefore[request]:
 		x.t.Fatalf("request %s was canceled in an earlier round, and is written to %s", request.ID, endpoint.Name)
 	case endpoint.State != policy.Ready || source.State != policy.Ready:
 		x.t.Fatalf("request %s is written to %s, filled from %s: states %v, %v",
@@ -229,7 +229,7 @@
 		}
 	}
 	for _, request := range x.requests {
-		x.withdrawn[request] = request.Canceled
+		x.canceledBefore[request] = request.Canceled
 	}
 }
 
@@ -257,9 +257,9 @@
 func (x *crossing) checkResponse(effect Respond) {
 	request := effect.Request
 	x.responses[request]++
-	if x.responses[request] > 1 || x.withdrawn[request] {
+	if x.responses[request] > 1 || x.canceledBefore[request] {
 		x.t.Fatalf("request %s has %d responses, canceled before: %v",
-			request.ID, x.responses[request], x.withdrawn[request])
+			request.ID, x.responses[request], x.canceledBefore[request])
 	}
 	rejected := effect.Response.Kind == ResponseRejected
 	if rejected && x.mayHaveRun[request] && request.Class >= zonedClass {
--- a/internal/broker/doc.go
+++ b/internal/broker/doc.go
@@ -7,14 +7,15 @@
 // # Invariants
 //
 //   - Every request that is received ends exactly once: with one Respond, or without one if its client canceled it.
-//     That is at its deadline at the latest, whatever the policy does.
+//     That is in the round of its deadline at the latest, whatever the policy does.
 //   - Only the first end of an attempt counts. When a request ends, all of its attempts end.
 //   - Unless hedging is configured, no two attempts of a request are open at the same time.
 //   - Nothing is written to an endpoint that drains or is gone, nor filled from one: MaySend looks again at the moment
 //     of writing.
 //   - An attempt of which a byte was written counts as not executed only if its endpoint said so. What may have been
 //     executed and must not run twice is not sent again.
-//   - A quota or retry budget is charged once for each attempt that is sent, and released once for each request.
+//   - Each attempt that is sent is charged once: to the quotas of its request and, if it is a retry, to the retry
+//     budgets. The grant of a request is released once.
 //   - Events of a round are handled before its timers: a response that has come in time counts.
 //
 // # Bounds
@@ -31,8 +32,8 @@
 //
 // The states of a request and of an attempt are requestState and attemptState; how an attempt ended is an End, and the
 // table outcomes says what each End means. An event that has no row for a state changes nothing in it. "Cancel" is a
-// CancelAttempt for each attempt of the request that is open; "actions" are those that the policy returns when it is
-// notified: SendAttempt, Respond, CancelAttempt with AwaitEnd, HealthCheck, LogEntry.
+// CancelAttempt for each attempt of the request that is open; "actions" are the effects of what the policy returns when
+// it is notified of the event.
 //
 //	State of a request  Event                                   Next state  Effects
 //	new                 RequestReceived, canceled before        ended       none
--- a/internal/broker/timers.go
+++ b/internal/broker/timers.go
@@ -61,7 +61,7 @@
 }
 
 // push sets a timer. What has ended leaves its timers in the queue, and a client may name a time-out of ten minutes and
-// cancel at once: kept until they are due they would grow with what strangers send. They are swept out when the timers
+// cancel at once: kept until they are due they would grow with what clients send. They are swept out when the timers
 // have doubled, so that a timer costs a constant number of looks.
 func (q *timerQueue) push(t timer) {
 	if len(q.heap) >= max(minSweepSize, q.sweepAt) {
