--- a/internal/peer/transport/join_test.go
+++ b/internal/peer/transport/join_test.go
@@ -5,10 +5,10 @@
 	"testing"
 )
 
-// TestMembersFileHasThoseThatCameLast opens a proxy's peers one after another, within the interval in which its members
-// file is written once: the file must have all of them in the end, though nothing changes after the last one came. With
-// the first ones alone in it, proxies that were killed and restarted together joined each other and were an island beside
-// those that stayed alive.
+// TestMembersFileHasThoseThatCameLast opens a proxy's peers one after another, within the interval in which its
+// members file is written once: the file must have all of them in the end, though nothing changes after the last
+// one came. With the first ones alone in it, proxies that were killed and restarted together joined each other and
+// were an island beside those that stayed alive.
 func TestMembersFileHasThoseThatCameLast(t *testing.T) {
 	f := newFleet(t)
 	key := f.keyFile("key", "0123456789abcdef")
--- a/internal/peer/transport/transport.go
+++ b/internal/peer/transport/transport.go
@@ -218,9 +218,9 @@
 	t.goroutines.Wait()
 }
 
-// publishMembers reports the members to the receiver after each change, and remembers some of their addresses. A change
-// that comes too soon after they were written is written later: a fleet that starts together is in view within a
-// second, and a file of those that were met first leads a restarted proxy to them alone.
+// publishMembers reports the members to the receiver after each change, and remembers some of their addresses. A
+// change that comes too soon after they were written is written later: a fleet that starts together is in view
+// within a second, and a file of those that were met first leads a restarted proxy to them alone.
 func (t *Transport) publishMembers() {
 	var rememberedAt time.Time
 	var rememberDue <-chan time.Time // nil: all that is known is written
@@ -236,7 +236,8 @@
 				rememberDue = time.After(max(0, minRememberInterval-time.Since(rememberedAt)))
 			}
 		case <-rememberDue:
-			rememberedAt, rememberDue = time.Now(), nil
+			rememberedAt = time.Now()
+			rememberDue = nil
 			t.rememberMembers()
 		case <-t.ctx.Done():
 			return
