--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -115,9 +115,9 @@
 	return nil
 }
 
-// checkOpen returns a rejection where a cost is more than may be open at some node of the path. A request larger than
-// the limit is admitted where nothing else is open.
-func (n *node) checkOpen(cost Cost) *Rejection {
+// checkOpenLimits returns a rejection where a cost is more than may be open at some node of the path. A request larger
+// than the limit is admitted where nothing else is open.
+func (n *node) checkOpenLimits(cost Cost) *Rejection {
 	for p := n; p != nil; p = p.parent {
 		for k, open := range p.openUnits {
 			kind := rateKinds + Kind(k)
@@ -169,8 +169,8 @@
 	}
 }
 
-// open counts an admitted request at each node of the path.
-func (n *node) open(cost Cost) {
+// countOpen counts an admitted request at each node of the path.
+func (n *node) countOpen(cost Cost) {
 	for p := n; p != nil; p = p.parent {
 		p.inFlight++
 		for k := range p.openUnits {
@@ -179,7 +179,7 @@
 	}
 }
 
-// release ends a request that open has counted.
+// release ends a request that countOpen has counted.
 func (n *node) release(now time.Duration, cost Cost) {
 	for p := n; p != nil; p = p.parent {
 		p.inFlight--
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -68,7 +68,7 @@
 	if rejection != nil {
 		return Grant{}, rejection
 	}
-	if rejection = leaf.checkOpen(cost); rejection != nil {
+	if rejection = leaf.checkOpenLimits(cost); rejection != nil {
 		return Grant{}, rejection
 	}
 	var found draws
@@ -81,7 +81,7 @@
 		}
 	}
 	found.charge(now, cost)
-	leaf.open(cost)
+	leaf.countOpen(cost)
 	return Grant{leaf, cost, l.limit}, nil
 }
 
@@ -123,7 +123,7 @@
 			l.tenants[tenant.Name] = tenant
 		}
 	}
-	root.divide()
+	root.setPortions()
 	if l.root == nil {
 		l.root = newNode(root, nil)
 		return
@@ -144,7 +144,7 @@
 	}
 	found := l.nodes[key]
 	if found == nil {
-		found = l.serve(key, spec)
+		found = l.addTenant(key, spec)
 	}
 	found.lastUsed = now
 	if len(spec.Classes) > 0 && !slices.Contains(spec.Classes, class) {
@@ -159,8 +159,8 @@
 	return found, nil
 }
 
-// serve makes the node of a tenant that is used for the first time.
-func (l *Ledger) serve(key string, spec *Spec) *node {
+// addTenant makes the node of a tenant that is used for the first time.
+func (l *Ledger) addTenant(key string, spec *Spec) *node {
 	tenant := newNode(spec, l.root)
 	if key == "" {
 		tenant.name = othersName
--- a/internal/quota/spec.go
+++ b/internal/quota/spec.go
@@ -140,8 +140,8 @@
 	return guaranteed, ceiling
 }
 
-// divide sets the portion that each tenant has of the concurrency limit.
-func (s *Spec) divide() {
+// setPortions sets the portion that each tenant has of the concurrency limit.
+func (s *Spec) setPortions() {
 	guaranteed, weights := 0.0, 0.0
 	for _, tenant := range s.Children {
 		guaranteed += tenant.Rates[Requests].Guaranteed
