--- /dev/null
+++ b/internal/membership/addresses_test.go
@@ -0,0 +1,108 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestIdentity: which changes of IDs and addresses are new starts, moves and renames.
+func TestIdentity(t *testing.T) {
+	now := start + time.Second
+	at := func(id, address string, incarnation uint64) Endpoint {
+		return Endpoint{ID: id, Address: address, State: Up, Incarnation: incarnation}
+	}
+	for _, c := range []struct {
+		name      string
+		before    []Endpoint
+		after     []Endpoint
+		log       []string
+		startedAt map[string]time.Duration
+	}{
+		{
+			name:      "an old ID on a new address is moved, and has started",
+			before:    []Endpoint{at("a", "x:1", 1)},
+			after:     []Endpoint{at("a", "x:2", 1)},
+			log:       []string{"moved a up by 0 word"},
+			startedAt: map[string]time.Duration{"a": now},
+		},
+		{
+			name:      "registered again: a new start",
+			before:    []Endpoint{at("a", "x:1", 1)},
+			after:     []Endpoint{at("a", "x:1", 9)},
+			log:       []string{"restarted a up by 0 word"},
+			startedAt: map[string]time.Duration{"a": now},
+		},
+		{
+			name:      "a new endpoint on an old address",
+			before:    []Endpoint{at("a", "x:1", 1), at("c", "y:1", 1)},
+			after:     []Endpoint{at("b", "x:1", 2), at("c", "y:1", 1)},
+			log:       []string{"removed a gone by -1 unnamed", "added b up by 0 word"},
+			startedAt: map[string]time.Duration{"b": now, "c": 0},
+		},
+		{
+			name:   "the old ID is named still: it takes nothing new",
+			before: []Endpoint{at("a", "x:1", 1)},
+			after:  []Endpoint{at("a", "x:1", 1), at("b", "x:1", 2)},
+			log:    []string{"draining a draining by 0 replaced", "added b up by 0 word"},
+		},
+		{
+			name:   "a rename storm is no loss",
+			before: []Endpoint{at("a", "x:1", 1), at("b", "x:2", 1), at("c", "x:3", 1), at("d", "x:4", 1)},
+			after:  []Endpoint{at("a2", "x:1", 2), at("b2", "x:2", 2), at("c2", "x:3", 2), at("d2", "x:4", 2)},
+			log: []string{
+				"removed a gone by -1 unnamed", "removed b gone by -1 unnamed",
+				"removed c gone by -1 unnamed", "removed d gone by -1 unnamed",
+				"added a2 up by 0 word", "added b2 up by 0 word",
+				"added c2 up by 0 word", "added d2 up by 0 word",
+			},
+		},
+		{
+			name:   "two swap their addresses",
+			before: []Endpoint{at("a", "x:1", 1), at("b", "x:2", 1)},
+			after:  []Endpoint{at("a", "x:2", 1), at("b", "x:1", 1)},
+			log:    []string{"moved b up by 0 word", "moved a up by 0 word"},
+		},
+		{
+			name:      "what the first list names is of any age",
+			after:     []Endpoint{at("a", "x:1", 7)},
+			log:       []string{"added a up by 0 word"},
+			startedAt: map[string]time.Duration{"a": 0},
+		},
+	} {
+		f := newFollower(Config{
+			Sources:      []Source{{Name: "consul", FirstSeenIsStart: true, ConfirmLosses: true}},
+			MaxLossShare: 0.2,
+		})
+		if c.before != nil {
+			f.replace(start, c.before...)
+		}
+		f.log = nil
+		f.replace(now, c.after...)
+		if diff := cmp.Diff(c.log, f.log); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", c.name, diff)
+		}
+		for id, want := range c.startedAt {
+			if got := f.published[id].StartedAt; got != want {
+				t.Errorf("%s: %s started at %v, want %v", c.name, id, got, want)
+			}
+		}
+	}
+}
+
+// TestReplacedComesBack: once the endpoint that took an address is gone, the one that was there may be used again.
+func TestReplacedComesBack(t *testing.T) {
+	f := newFollower(Config{Sources: []Source{{}}})
+	first, second := testEndpoint("a", Up), testEndpoint("b", Up)
+	second.Address = first.Address
+	f.replace(start, first)
+	f.replace(start+time.Second, first, second)
+	if f.state("a") != Draining || f.state("b") != Up {
+		t.Errorf("after a second endpoint a is %v and b is %v, want a replaced", f.state("a"), f.state("b"))
+	}
+	f.replace(start+time.Second, first)
+	if f.state("a") != Up || f.state("b") != Gone {
+		t.Errorf("without the second a is %v and b is %v, want a back", f.state("a"), f.state("b"))
+	}
+}
--- /dev/null
+++ b/internal/membership/helpers_test.go
@@ -0,0 +1,72 @@
+package membership
+
+import (
+	"fmt"
+	"math"
+	"time"
+)
+
+const (
+	ms    = time.Millisecond
+	start = 1_000_000 * time.Second
+)
+
+func testEndpoint(id string, state State) Endpoint {
+	return Endpoint{ID: id, Address: "10.0.0." + id + ":1", Zone: 1, Weight: 4, State: state}
+}
+
+func upEndpoints(ids ...string) (endpoints []Endpoint) {
+	for _, id := range ids {
+		endpoints = append(endpoints, testEndpoint(id, Up))
+	}
+	return endpoints
+}
+
+func numberedIDs(n int) (ids []string) {
+	for i := range n {
+		ids = append(ids, fmt.Sprint(i))
+	}
+	return ids
+}
+
+// follower keeps what a table has published, as the proxy does, and a line of text for each change.
+type follower struct {
+	*Table
+	published map[string]Endpoint
+	log       []string
+}
+
+func newFollower(cfg Config) *follower {
+	return &follower{Table: New(cfg), published: map[string]Endpoint{}}
+}
+
+// advance steps the table and takes all its changes.
+func (f *follower) advance(now time.Duration) {
+	f.Step(now)
+	for _, change := range f.TakeChanges(now, math.MaxInt) {
+		endpoint := change.Endpoint
+		f.log = append(f.log, fmt.Sprintf("%v %s %v by %d %v",
+			change.Kind, endpoint.ID, endpoint.State, change.DecidedBy, change.Reason))
+		if endpoint.State == Gone {
+			delete(f.published, endpoint.ID)
+		} else {
+			f.published[endpoint.ID] = endpoint
+		}
+	}
+}
+
+// replace has the only source give a complete list, and advances.
+func (f *follower) replace(now time.Duration, endpoints ...Endpoint) {
+	f.ReplaceList(now, 0, List{Endpoints: endpoints})
+	f.advance(now)
+}
+
+func (f *follower) state(id string) State { return f.published[id].State }
+
+func (f *follower) noteKinds() (kinds []NoteKind) {
+	notes, _ := f.Notes()
+	for _, note := range notes {
+		kinds = append(kinds, note.Kind)
+	}
+	return kinds
+}
--- a/internal/snapshot/snapshot.go
+++ b/internal/snapshot/snapshot.go
@@ -5,7 +5,7 @@
 // CRC-32C checksum of what follows; a snapshot of this version that any build wrote reads as the same reports, and is
 // written again as the same bytes; a decoded report names no endpoint that is gone.
 //
-// Bounds: Decode refuses a snapshot that is older than it is told to accept, and leaves out sources that were last seen
+// Bounds: Decode refuses a snapshot that is older than the caller accepts, and leaves out sources that were last seen
 // longer ago than that. At most MaxBytes are read.
 //
 // The form is a line "sloequay-list VERSION LENGTH CHECKSUM", then LENGTH bytes of JSON, which the checksum covers.
