--- a/internal/membership/damping.go
+++ b/internal/membership/damping.go
@@ -49,34 +49,3 @@
 	p.decay(now, halfLife)
 	p.score++
 }
-
-// damp counts a way down, or suppresses a way up, when a source's report on an endpoint has changed.
-func (t *Table) damp(u update, r *record, previous *report) {
-	damping := &t.sources[u.source].Damping
-	if !damping.enabled() {
-		return
-	}
-	current := &r.reports[u.source]
-	current.penalty.decay(u.now, damping.HalfLife)
-	if current.endpoint.State < previous.endpoint.State {
-		current.penalty.score++
-		return
-	}
-	rises := current.endpoint.State > previous.endpoint.State || !previous.present
-	if rises && current.penalty.score >= damping.SuppressAbove {
-		t.suppress(u, r, previous.endpoint.State)
-	}
-}
-
-// suppress has a source's report count as no higher than the ceiling for a time that its penalty gives.
-func (t *Table) suppress(u update, r *record, ceiling State) {
-	current := &r.reports[u.source]
-	wait := t.sources[u.source].Damping.suppression(current.penalty.score)
-	if current.suppressedUntil == 0 {
-		current.ceiling = ceiling
-		t.notes.add(Note{Kind: EndpointSuppressed, Source: u.source, Endpoint: r.id, For: wait})
-	}
-	current.ceiling = min(current.ceiling, ceiling)
-	current.suppressedUntil = u.now + wait
-	t.due.add(dueTime{at: current.suppressedUntil, record: r, source: u.source})
-}
--- a/internal/membership/damping_test.go
+++ b/internal/membership/damping_test.go
@@ -40,3 +40,28 @@
 		t.Error("a single way down after a quiet minute is suppressed")
 	}
 }
+
+// TestPenalty: a penalty halves once each half-life, and a way up waits until it has fallen to ReuseBelow.
+func TestPenalty(t *testing.T) {
+	damping := Damping{SuppressAbove: 3, ReuseBelow: 1, HalfLife: 5 * time.Second, MaxSuppress: 12 * time.Second}
+	var p penalty
+	for range 4 {
+		p.add(start, damping.HalfLife)
+	}
+	for _, c := range []struct {
+		score float64
+		want  time.Duration
+	}{{0.5, 0}, {1, 0}, {2, 5 * time.Second}, {4, 10 * time.Second}, {8, 12 * time.Second}} {
+		if got := damping.suppression(c.score); got != c.want {
+			t.Errorf("at a score of %v a way up waits %v, want %v", c.score, got, c.want)
+		}
+	}
+	p.decay(start+10*time.Second, damping.HalfLife)
+	if p.score != 1 {
+		t.Errorf("a score of 4 is %v after two half-lives, want 1", p.score)
+	}
+	p.decay(start+time.Minute, damping.HalfLife)
+	if p.score != 0 {
+		t.Errorf("it is %v after ten more, want it spent", p.score)
+	}
+}
--- a/internal/membership/decisions_test.go
+++ b/internal/membership/decisions_test.go
@@ -48,9 +48,9 @@
 		"reason-word": 8000, "reason-unnamed": 1500, "reason-held": 40, "reason-replaced": 1000,
 		"note-loss-doubted": 300, "note-loss-confirmed": 90, "note-loss-refuted": 150,
 		"note-renamed": 250, "note-named-twice": 600, "note-list-full": 500, "note-held": 150,
-		"note-released": 100,
-		"ask":           800, "pending": 130, "restored": 70, "source": 1800, "source-doubted": 70, "export-endpoint": 9000,
+		"note-released": 100, "ask": 800, "pending": 130, "restored": 70, "source": 1800, "source-doubted": 70,
 		"endpoint": 6000, "endpoint-overruled": 170, "endpoint-s0": 1300, "endpoint-s1": 2300, "endpoint-s2": 3000,
+		"export-endpoint": 9000,
 	})
 	compareDecisions(t, lines)
 }
--- /dev/null
+++ b/internal/membership/entry_test.go
@@ -0,0 +1,49 @@
+package membership
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestEntry(t *testing.T) {
+	names := Names{Zones: []string{"hub", "edge"}, Kinds: []string{"std", "origin"}}
+	valid := Entry{ID: "c1", Address: "10.0.0.1:80", Zone: "edge", Kind: "origin", Cell: 3, State: Up, Weight: 2.5,
+		StartedAtMS: 1500, Incarnation: 9}
+	got, err := names.Endpoint(valid)
+	want := Endpoint{ID: "c1", Address: "10.0.0.1:80", Zone: 1, Kind: 1, Cell: 3, State: Up, Weight: 2.5,
+		StartedAt: 1500 * time.Millisecond, Incarnation: 9}
+	if diff := cmp.Diff(want, got); err != nil || diff != "" {
+		t.Errorf("%v (-want +got):\n%s", err, diff)
+	}
+	if _, err := names.Endpoint(Entry{ID: "c1", State: Gone}); err != nil {
+		t.Errorf("gone with its ID alone: %v", err)
+	}
+	for _, c := range []struct {
+		change func(entry *Entry)
+		field  EntryField
+		text   string
+	}{
+		{func(e *Entry) { e.ID = "" }, FieldID, `host ""`},
+		{func(e *Entry) { e.ID = "a,b" }, FieldID, `host "a,b"`},
+		{func(e *Entry) { e.ID = strings.Repeat("a", 256) }, FieldID, `host "` + strings.Repeat("a", 256) + `"`},
+		{func(e *Entry) { e.StartedAtMS = -1 }, FieldStartedAt, "c1: born_ms -1"},
+		{func(e *Entry) { e.StartedAtMS = 1<<42 + 1 }, FieldStartedAt, "c1: born_ms 4398046511105"},
+		{func(e *Entry) { e.Zone = "moon" }, FieldZone, `c1: site "moon" is not in the settings`},
+		{func(e *Entry) { e.Kind = "x\n" }, FieldKind, `c1: class "x\n" is not in the settings`},
+		{func(e *Entry) { e.Address = "10.0.0.1" }, FieldAddress, `c1: address "10.0.0.1" is not host:port`},
+		{func(e *Entry) { e.Address = "fd00::1:80" }, FieldAddress, `c1: address "fd00::1:80" is not host:port`},
+		{func(e *Entry) { e.Address = "a:65536" }, FieldAddress, `c1: address "a:65536" is not host:port`},
+	} {
+		entry := valid
+		c.change(&entry)
+		_, err := names.Endpoint(entry)
+		var refused *EntryError
+		if !errors.As(err, &refused) || refused.Field != c.field || err.Error() != c.text {
+			t.Errorf("%v, want %s", err, c.text)
+		}
+	}
+}
--- a/internal/membership/loss_test.go
+++ b/internal/membership/loss_test.go
@@ -140,3 +140,18 @@
 		t.Error("it is fetched after the suspicion has ended")
 	}
 }
+
+// TestEmptyListRefetchesOnce: an empty list is never believed, so that one fetch is enough.
+func TestEmptyListRefetchesOnce(t *testing.T) {
+	f := newFollower(Config{Sources: []Source{{ConfirmLosses: true}}, MaxLossShare: 0.3})
+	f.replace(start, upEndpoints("1", "2")...)
+	f.replace(start)
+	refetches := 0
+	for now := start; now < start+3*time.Second; now += 10 * ms {
+		f.advance(now)
+		refetches += len(f.SourcesToRefetch())
+	}
+	if refetches != 1 {
+		t.Errorf("fetched %d times in 3 s, want once", refetches)
+	}
+}
