--- a/internal/policy/bench_test.go
+++ b/internal/policy/bench_test.go
@@ -51,6 +51,31 @@
 	}
 }
 
+// BenchmarkTick is one tick without requests, with a zone of so many caches.
+func BenchmarkTick(b *testing.B) {
+	for _, caches := range []int{1000, 4000, 10000} {
+		b.Run(fmt.Sprintf("caches/%d", caches), func(b *testing.B) {
+			engine, err := New(testConfig(), 1)
+			if err != nil {
+				b.Fatal(err)
+			}
+			list := testEndpoints()
+			for i := range caches {
+				id := EndpointID(rendezvous.Hash(uint64(i)))
+				list = append(list, Endpoint{ID: id, Zone: 2, State: Ready, Weight: 8})
+			}
+			now := 100 * sec
+			engine.Handle(now, ListEvent{Kind: ListFull, Endpoints: list})
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				now += tickInterval
+				engine.Handle(now, TimerEvent{tickToken})
+			}
+		})
+	}
+}
+
 // drive puts requests through an engine, a millisecond apart, and ends the first attempt of each.
 func drive(b *testing.B, engine *Engine, now time.Duration) {
 	zipf := rand.NewZipf(rand.New(rand.NewSource(1)), 1.1, 4, 50000)
--- a/internal/policy/endpointset/endpoint.go
+++ b/internal/policy/endpointset/endpoint.go
@@ -32,15 +32,16 @@
 	averagedAt      time.Duration
 	slowness        float64 // its answers' times over what is expected of it
 
-	index    int           // in its ranking
-	listedAt time.Duration // when the list last named it, or first did no more
+	index     int           // in its ranking
+	isSuspect bool          // it stands among the set's suspects
+	listedAt  time.Duration // when the list last named it, or first did no more
 }
 
 func newEndpoint[A comparable]() *Endpoint[A] { return &Endpoint[A]{slowness: 1} }
 
 // restart voids what was known of the old process, but for what is in flight.
 func (e *Endpoint[A]) restart(now time.Duration) {
-	*e = Endpoint[A]{inFlight: e.inFlight, slowness: 1}
+	*e = Endpoint[A]{inFlight: e.inFlight, slowness: 1, isSuspect: e.isSuspect}
 	e.Health.WaitFrom(now)
 }
 
--- a/internal/policy/endpointset/endpointset.go
+++ b/internal/policy/endpointset/endpointset.go
@@ -92,6 +92,8 @@
 
 	baselines   [roles]outlier.Baseline
 	parentPeers outlier.PeerGroup // the parents, in front of the origin
+	suspects    []*Endpoint[A]    // to which silence was added since it was cleared
+	silent      []*Endpoint[A]    // what SilentCaches gave last
 }
 
 // New makes an empty set.
@@ -197,13 +199,16 @@
 
 // forgetGone drops endpoints that are long gone: where each replacement has a new id they would be ever more.
 func (s *Set[A]) forgetGone(now time.Duration) {
-	s.all = slices.DeleteFunc(s.all, func(endpoint *Endpoint[A]) bool {
-		isOld := endpoint.State == Gone && len(endpoint.inFlight) == 0 && now-endpoint.listedAt > forgetAfter
-		if isOld {
+	isOld := func(endpoint *Endpoint[A]) bool {
+		return endpoint.State == Gone && len(endpoint.inFlight) == 0 && now-endpoint.listedAt > forgetAfter
+	}
+	for _, endpoint := range s.all {
+		if isOld(endpoint) {
 			delete(s.byID, endpoint.ID)
 		}
-		return isOld
-	})
+	}
+	s.all = slices.DeleteFunc(s.all, isOld)
+	s.suspects = slices.DeleteFunc(s.suspects, isOld)
 }
 
 // SkipUntil has the ranking skip an endpoint until a time, unless it is among the first two of an order.
--- a/internal/policy/endpointset/health.go
+++ b/internal/policy/endpointset/health.go
@@ -1,6 +1,8 @@
 package endpointset
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"sloequay/internal/policy/outlier"
@@ -26,6 +28,35 @@
 	return s.parentPeers.OthersSlowRate(&parent.slowFills, now, len(s.Parents.Members()))
 }
 
+// AddSilence adds the silence since an attempt in flight was sent, where its answer is expected in so many seconds.
+func (s *Set[A]) AddSilence(now time.Duration, endpoint *Endpoint[A], sentAt time.Duration, expectedSeconds float64) {
+	endpoint.Health.AddSilence(now, sentAt, expectedSeconds)
+	if !endpoint.isSuspect {
+		endpoint.isSuspect = true
+		s.suspects = append(s.suspects, endpoint)
+	}
+}
+
+// SilentCaches gives the caches of the proxy's zone that have been silent for too long, in the order of their ranking,
+// and forgets the silence that was added to each. The slice is valid until the next call. Only those that silence was added to
+// are looked at: a walk over 10,000 caches took 25 us at every tick, and this takes 0.3 us where all are idle.
+func (s *Set[A]) SilentCaches(now time.Duration) []*Endpoint[A] {
+	s.silent = s.silent[:0]
+	s.suspects = slices.DeleteFunc(s.suspects, func(endpoint *Endpoint[A]) bool {
+		if endpoint.State == Gone || !s.IsLocalCache(endpoint) {
+			return false
+		}
+		if endpoint.Health.Silent(now) {
+			s.silent = append(s.silent, endpoint)
+		}
+		endpoint.Health.ClearSuspicion()
+		endpoint.isSuspect = false
+		return true
+	})
+	slices.SortFunc(s.silent, func(a, b *Endpoint[A]) int { return cmp.Compare(a.index, b.index) })
+	return s.silent
+}
+
 // Eject takes an endpoint out of ordinary work, but for trials.
 func (s *Set[A]) Eject(now time.Duration, endpoint *Endpoint[A], cause outlier.Cause) {
 	endpoint.Health.Eject(now, cause)
--- a/internal/policy/health.go
+++ b/internal/policy/health.go
@@ -125,11 +125,8 @@
 
 // ejectSilentCaches ejects the caches of the zone that have been silent for too long.
 func (e *Engine) ejectSilentCaches() {
-	for _, cache := range e.endpoints.Caches.Members() {
-		if cache.Health.Silent(e.now) {
-			e.eject(cache, outlier.Unresponsive)
-		}
-		cache.Health.ClearSuspicion()
+	for _, cache := range e.endpoints.SilentCaches(e.now) {
+		e.eject(cache, outlier.Unresponsive)
 	}
 }
 
--- a/internal/policy/retry.go
+++ b/internal/policy/retry.go
@@ -32,7 +32,7 @@
 			continue
 		}
 		expectedSeconds := busySlowdown * max(request.expectedSeconds, request.class.cost.Mean())
-		attempt.endpoint.Health.AddSilence(e.now, attempt.sentAt, expectedSeconds)
+		e.endpoints.AddSilence(e.now, attempt.endpoint, attempt.sentAt, expectedSeconds)
 		if !attempt.slow {
 			e.checkSlow(request, attempt)
 		}
