--- a/internal/bootstrap/trust.go
+++ b/internal/bootstrap/trust.go
@@ -98,9 +98,8 @@
 	if l.candidate != nil && l.candidate.Sum == l.current.Sum {
 		l.candidate = nil
 	}
-	// A known fault: distrust shortens l.advertisements in place, so the entry after a refuted one is skipped, and is
-	// refuted only with the service's next list.
-	for _, advertisement := range l.advertisements {
+	// distrust shortens l.advertisements in place.
+	for _, advertisement := range slices.Clone(l.advertisements) {
 		if m.isRefuted(advertisement.ListVersion, l.current.ListVersion) {
 			m.distrust(list, advertisement.peer, PeerRefuted)
 		}
