--- a/test/reload_test.go
+++ b/test/reload_test.go
@@ -48,8 +48,13 @@
 	w := newTestbed(t, nil)
 	w.start()
 	w.waitListPoll()
-	w.listFeed <- invalidateGroup(2, 3, 1)
-	w.listFeed <- "2"
+	w.listFeed <- invalidateGroup(2, 3, time.Now().UnixMilli())
+	client, id := w.dial(), uint64(0)
+	w.waitUntil("event 2 has come", func() bool {
+		id++
+		client.ask(id, "footage", map[string]string{"batch": "3"})
+		return w.lastAttempt().Fields["fresh"] != ""
+	})
 	later := w.freeAddress()
 	w.config["bulletin"] = later
 	w.writeConfig()
