--- a/internal/membership/rule.go
+++ b/internal/membership/rule.go
@@ -11,6 +11,13 @@
 	reason   Reason
 }
 
+// verdict is what points 1 and 2 say.
+type verdict struct {
+	state  State
+	by     int // the source whose report decided, or NoSource
+	reason Reason
+}
+
 // decide applies the complete rule.
 func (t *Table) decide(now time.Duration, r *record) decision {
 	d := t.mergeReports(now, r)
@@ -25,36 +32,34 @@
 func (t *Table) mergeReports(now time.Duration, r *record) decision {
 	var space [commonSources]int
 	counting := t.countingSources(space[:0], now, r)
-	d := winningReport(r, counting)
+	verdict := judge(r, counting)
+	d := decision{by: verdict.by, reason: verdict.reason}
 	description := describe(r, counting)
 	if description == nil {
-		d.endpoint = Endpoint{ID: r.id}
+		d.endpoint.ID = r.id
 		return d
 	}
-	state := d.endpoint.State
 	d.endpoint = description.endpoint
-	d.endpoint.State = state
+	d.endpoint.State = verdict.state
 	d.endpoint.StartedAt = latestStart(r, counting)
 	return d
 }
 
-// winningReport is points 1 and 2: the state, and why.
-func winningReport(r *record, counting []int) decision {
-	d := decision{by: NoSource, reason: Unlisted}
+// judge is points 1 and 2.
+func judge(r *record, counting []int) verdict {
+	v := verdict{by: NoSource, reason: Unlisted}
 	for _, source := range counting {
 		current := &r.reports[source]
 		state := current.state()
-		if d.by != NoSource && state >= d.endpoint.State {
+		if v.by != NoSource && state >= v.state {
 			continue
 		}
-		d.endpoint.State = state
-		d.by = source
-		d.reason = Reported
+		v = verdict{state: state, by: source, reason: Reported}
 		if state < current.endpoint.State {
-			d.reason = Suppressed
+			v.reason = Suppressed
 		}
 	}
-	return d
+	return v
 }
 
 // standing says how a source's report on an endpoint stands under point 3.
