--- a/internal/membership/addresses_test.go
+++ b/internal/membership/addresses_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
 )
 
 // TestIdentity: which changes of IDs and addresses are new starts, moves and renames.
@@ -106,3 +107,53 @@
 		t.Errorf("without the second a is %v and b is %v, want a back", f.state("a"), f.state("b"))
 	}
 }
+
+// TestOneUpPerAddress drives two sources at random that name few IDs at few addresses, and checks point 5 of the rule
+// after every step.
+func TestOneUpPerAddress(t *testing.T) {
+	ids := rapid.SampledFrom([]string{"1", "2", "3", "4", "5", "6"})
+	addresses := rapid.SampledFrom([]string{"x:1", "x:2", "x:3"})
+	states := rapid.SampledFrom([]State{Gone, Draining, Up, Up, Up})
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFollower(Config{Sources: make([]Source, 2)})
+		now := start
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(1, 8000).Draw(t, "ms")) * ms
+			var endpoints []Endpoint
+			for range rapid.IntRange(0, 5).Draw(t, "endpoints") {
+				endpoint := testEndpoint(ids.Draw(t, "id"), states.Draw(t, "state"))
+				endpoint.Address = addresses.Draw(t, "address")
+				endpoint.Incarnation = uint64(rapid.IntRange(1, 2).Draw(t, "incarnation"))
+				endpoints = append(endpoints, endpoint)
+			}
+			f.ReplaceList(now, rapid.IntRange(0, 1).Draw(t, "source"), List{Endpoints: endpoints})
+			f.advance(now)
+			checkAddresses(t, f, now)
+		}
+	})
+}
+
+// checkAddresses checks that what is published is what the rule decides, that at most one endpoint is up at an address,
+// and that one is replaced only where another is at its address.
+func checkAddresses(t *rapid.T, f *follower, now time.Duration) {
+	up := map[string]int{}      // by address
+	present := map[string]int{} // by address; not gone
+	for _, endpoint := range f.published {
+		present[endpoint.Address]++
+		if endpoint.State == Up {
+			up[endpoint.Address]++
+		}
+	}
+	for _, view := range f.All(now) {
+		id, address := view.Endpoint.ID, view.Endpoint.Address
+		if f.state(id) != view.Endpoint.State {
+			t.Fatalf("%s is published as %v and decided as %v", id, f.state(id), view.Endpoint.State)
+		}
+		if up[address] > 1 {
+			t.Fatalf("%d endpoints are up at %s", up[address], address)
+		}
+		if view.Reason == Replaced && present[address] < 2 {
+			t.Fatalf("%s is replaced at %s, where there is no other", id, address)
+		}
+	}
+}
