--- a/internal/membership/addresses_test.go
+++ b/internal/membership/addresses_test.go
@@ -157,3 +157,31 @@
 		}
 	}
 }
+
+// TestGoneEndpointsLeaveNoAddress registers endpoints anew while they are reported as gone, as a catalogue does with
+// instances that stay critical. Once they are forgotten nothing of them may stay, least of all under the empty address.
+func TestGoneEndpointsLeaveNoAddress(t *testing.T) {
+	const endpoints = 50
+	f := newFollower(Config{Sources: []Source{{}}})
+	now := start
+	list := func(id string, state State, incarnation uint64) {
+		now += time.Second
+		f.replace(now, Endpoint{ID: id, Address: "10.0.0.1:1", State: state, Incarnation: incarnation})
+	}
+	for _, id := range numberedIDs(endpoints) {
+		list(id, Up, 1)
+		list(id, Gone, 1)
+		list(id, Gone, 2)
+	}
+	f.replace(now + time.Second)
+	for range 20 {
+		now += time.Minute
+		f.advance(now)
+	}
+	if f.Len() != 0 || len(f.addresses.records) != 0 {
+		t.Errorf("%d endpoints and the records at %d addresses are left, expected none", f.Len(), len(f.addresses.records))
+		for address, records := range f.addresses.records {
+			t.Errorf("at %q: %d records", address, len(records))
+		}
+	}
+}
--- a/internal/membership/apply.go
+++ b/internal/membership/apply.go
@@ -25,8 +25,10 @@
 	current.changedAt = u.now
 	current.startedAt = t.startOf(u, &previous, received)
 	t.damp(u, r, &previous)
-	reregistered := previous.present && previous.endpoint.Incarnation != received.Incarnation
-	if reregistered && previous.endpoint.Address == received.Address {
+	reregistered := previous.present && previous.endpoint.Incarnation != received.Incarnation &&
+		previous.endpoint.Address == received.Address
+	hasAddress := r.address != "" // one that is gone has none, and must not be filed under it
+	if reregistered && hasAddress {
 		t.arrive(r)
 	}
 	t.reconsider(u.now, r)
