--- a/internal/broker/decisions_test.go
+++ b/internal/broker/decisions_test.go
@@ -1,25 +1,17 @@
 package broker_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strconv"
-	"strings"
 	"testing"
 	"time"
 
 	"sloequay/internal/broker"
+	"sloequay/internal/digesttest"
 	"sloequay/internal/policy"
 )
 
-const (
-	decisionSeeds = 24
-	decisionsFile = "testdata/decisions.txt"
-)
-
-var update = flag.Bool("update", false, "write testdata/decisions.txt anew")
+const decisionSeeds = 24
 
 // effectText writes an effect from plain words and numbers, so that no name in the code shows in it.
 func (s *simulation) effectText(effect broker.Effect) string {
@@ -27,11 +19,11 @@
 	case broker.SendAttempt:
 		return attemptText(e.Attempt)
 	case broker.CancelAttempt:
-		return fmt.Sprintf("quit %s %d %s", e.Attempt.Request.ID, e.Attempt.Number, flags(e.AwaitEnd))
+		return fmt.Sprintf("quit %s %d %s", e.Attempt.Request.ID, e.Attempt.Number, digesttest.Flags(e.AwaitEnd))
 	case broker.Respond:
 		return "answer " + e.Request.ID + " " + responseText(e.Response)
 	case broker.EndpointChanged:
-		return "moved " + endpointText(e.Endpoint) + " " + flags(e.Restarted)
+		return "moved " + endpointText(e.Endpoint) + " " + digesttest.Flags(e.Restarted)
 	case broker.HealthCheck:
 		return "probe " + e.Endpoint.Name
 	case broker.RefetchList:
@@ -45,7 +37,7 @@
 func attemptText(a *broker.Attempt) string {
 	return fmt.Sprintf("send %s %d %s %s %d %d %s %d",
 		a.Request.ID, a.Number, a.Endpoint.Name, a.Source.Name, a.CacheRank, int64(a.MaxAge),
-		flags(a.JoinFill, a.CachedOnly, a.BypassParent, a.Revalidate), int64(a.Deadline))
+		digesttest.Flags(a.JoinFill, a.CachedOnly, a.BypassParent, a.Revalidate), int64(a.Deadline))
 }
 
 func responseText(response broker.Response) string {
@@ -114,27 +106,6 @@
 	return text
 }
 
-// flags writes truth values as digits.
-func flags(values ...bool) string {
-	text := make([]byte, len(values))
-	for i, value := range values {
-		text[i] = '0'
-		if value {
-			text[i] = '1'
-		}
-	}
-	return string(text)
-}
-
-// decisionLine plays one seed and gives its line of the file: the seed, the number of effects, the digest.
-func decisionLine(t *testing.T, seed uint64, counts map[string]int) string {
-	t.Helper()
-	s := newSimulation(t, seed, counts)
-	s.run(200 + 40*int(seed))
-	s.finish(seed%2 == 1)
-	return fmt.Sprintf("%d %d %x", seed, s.effects, s.digest.Sum(nil)[:16])
-}
-
 // decisionMinimums is how often each kind of thing happens at least, over all seeds. Fewer would mean that the
 // digests pin less than they seem to.
 var decisionMinimums = map[string]int{
@@ -152,48 +123,10 @@
 // TestDecisions plays random event sequences and compares the digests of all effects with those that are on file.
 func TestDecisions(t *testing.T) {
 	counts := map[string]int{}
-	var lines []string
-	for seed := uint64(1); seed <= decisionSeeds; seed++ {
-		lines = append(lines, decisionLine(t, seed, counts))
-	}
-	for name, minimum := range decisionMinimums {
-		if counts[name] < minimum {
-			t.Errorf("%s: %d over all seeds, at least %d wanted", name, counts[name], minimum)
-		}
-	}
-	compareDecisions(t, lines)
-	t.Log(counts)
-}
-
-// compareDecisions compares lines with the file, or writes it when that is asked for.
-func compareDecisions(t *testing.T, lines []string) {
-	t.Helper()
-	if *update {
-		if err := os.MkdirAll(filepath.Dir(decisionsFile), 0o755); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(decisionsFile, []byte(strings.Join(lines, "\n")+"\n"), 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	text, err := os.ReadFile(decisionsFile)
-	if err != nil {
-		t.Fatalf("%v; go test ./internal/broker -run TestDecisions -update writes it", err)
-	}
-	want := strings.Split(strings.TrimSpace(string(text)), "\n")
-	if len(want) != len(lines) {
-		t.Fatalf("%s has %d seeds, %d were played", decisionsFile, len(want), len(lines))
-	}
-	differ := 0
-	for i, line := range lines {
-		if line != want[i] {
-			differ++
-			t.Errorf("seed, actions, digest: %s, want %s", line, want[i])
-		}
-	}
-	if differ > 0 {
-		t.Errorf("%d of %d seeds differ: the broker or the policy decides otherwise. Only where that is meant: "+
-			"go test ./internal/broker -run TestDecisions -update", differ, len(lines))
-	}
+	digesttest.Check(t, decisionSeeds, func(seed uint64, recorder *digesttest.Recorder) {
+		s := newSimulation(t, seed, recorder, counts)
+		s.run(200 + 40*int(seed))
+		s.finish(seed%2 == 1)
+	})
+	digesttest.CheckCounts(t, counts, decisionMinimums)
 }
--- a/internal/broker/simulation_requests_test.go
+++ b/internal/broker/simulation_requests_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sloequay/internal/broker"
+	"sloequay/internal/digesttest"
 	"sloequay/internal/policy"
 )
 
@@ -79,8 +80,8 @@
 		return
 	}
 	age, may := s.broker.MaySend(attempt.Attempt, s.now)
-	fmt.Fprintf(s.digest, "%d may %s %d %d %s\n",
-		int64(s.now), attempt.Request.ID, attempt.Number, int64(age), flags(may))
+	s.recorder.AddUncounted("%d may %s %d %d %s",
+		int64(s.now), attempt.Request.ID, attempt.Number, int64(age), digesttest.Flags(may))
 	if !may {
 		s.counts["blocked at writing"]++
 		s.end(attempt, broker.AttemptEnded{End: broker.Blocked})
--- a/internal/broker/simulation_test.go
+++ b/internal/broker/simulation_test.go
@@ -1,10 +1,7 @@
 package broker_test
 
 import (
-	"container/heap"
-	"crypto/sha256"
 	"fmt"
-	"hash"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -12,6 +9,7 @@
 	"time"
 
 	"sloequay/internal/broker"
+	"sloequay/internal/digesttest"
 	"sloequay/internal/membership"
 	"sloequay/internal/policy"
 	"sloequay/internal/quota"
@@ -40,27 +38,6 @@
 	behaviours
 )
 
-// planned is something that is done at a time. The serial makes the order of equal times definite.
-type planned struct {
-	at     time.Duration
-	serial int
-	run    func()
-}
-
-type schedule []planned
-
-func (s schedule) Len() int { return len(s) }
-func (s schedule) Less(i, j int) bool {
-	return s[i].at < s[j].at || s[i].at == s[j].at && s[i].serial < s[j].serial
-}
-func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
-func (s *schedule) Push(x any)   { *s = append(*s, x.(planned)) }
-func (s *schedule) Pop() any {
-	last := (*s)[len(*s)-1]
-	*s = (*s)[:len(*s)-1]
-	return last
-}
-
 // simulation plays one seed: it stands for the frontend, the pool of connections, the endpoints and the sources of the
 // list, and digests the broker's effects.
 type simulation struct {
@@ -69,8 +46,7 @@
 	broker    *broker.Broker
 	config    policy.Config
 	now       time.Duration
-	serial    int
-	schedule  schedule
+	agenda    digesttest.Agenda[func()]
 	events    []broker.Event // of the next round
 	endpoints []membership.Endpoint
 	modes     map[string]behaviour
@@ -79,8 +55,7 @@
 	attempts  map[*broker.Attempt]*simulatedAttempt
 	order     []*simulatedRequest
 	objects   *rand.Zipf
-	digest    hash.Hash
-	effects   int
+	recorder  *digesttest.Recorder
 	counts    map[string]int
 }
 
@@ -153,7 +128,9 @@
 	return quota.NewLedger(&quota.Spec{Children: []*quota.Spec{small, {}}})
 }
 
-func newSimulation(t *testing.T, seed uint64, counts map[string]int) *simulation {
+func newSimulation(
+	t *testing.T, seed uint64, recorder *digesttest.Recorder, counts map[string]int,
+) *simulation {
 	t.Helper()
 	random := rand.New(rand.NewPCG(seed, 0xb2_0c))
 	damping := membership.Damping{
@@ -190,7 +167,7 @@
 		requests: map[*broker.Request]*simulatedRequest{},
 		attempts: map[*broker.Attempt]*simulatedAttempt{},
 		objects:  rand.NewZipf(random, 1.2, 4, 200),
-		digest:   sha256.New(),
+		recorder: recorder,
 		counts:   counts,
 	}
 	s.addEndpoints()
@@ -239,8 +216,7 @@
 
 // plan has something done after a time.
 func (s *simulation) plan(after time.Duration, run func()) {
-	s.serial++
-	heap.Push(&s.schedule, planned{s.now + after, s.serial, run})
+	s.agenda.Plan(s.now+after, run)
 }
 
 // milliseconds draws a time of less than so many milliseconds.
@@ -253,11 +229,10 @@
 	events := s.events
 	s.events = nil // of the next round
 	for _, effect := range s.broker.Round(s.now, events) {
-		s.effects++
-		fmt.Fprintf(s.digest, "%d %s\n", int64(s.now), s.effectText(effect))
+		s.recorder.Add("%d %s", int64(s.now), s.effectText(effect))
 		s.follow(effect)
 	}
-	fmt.Fprintf(s.digest, "next %d open %d\n", int64(s.broker.Next()), s.broker.OpenRequests())
+	s.recorder.AddUncounted("next %d open %d", int64(s.broker.Next()), s.broker.OpenRequests())
 }
 
 // follow has the simulated world do what an effect wants.
@@ -316,8 +291,8 @@
 		span += 70 * time.Second
 	}
 	s.now += span
-	for len(s.schedule) > 0 && s.schedule[0].at <= s.now {
-		heap.Pop(&s.schedule).(planned).run()
+	for _, run := range s.agenda.Due(s.now) {
+		run()
 	}
 }
 
@@ -412,6 +387,6 @@
 		}
 	}
 	sizes := s.broker.Sizes()
-	fmt.Fprintf(s.digest, "held %d %d %d %d %d %d\n", sizes.Open, sizes.PolicyRequests, sizes.Timers,
+	s.recorder.AddUncounted("held %d %d %d %d %d %d", sizes.Open, sizes.PolicyRequests, sizes.Timers,
 		sizes.Endpoints, sizes.GoneEndpoints, sizes.Purges)
 }
--- a/internal/policy/decisions_test.go
+++ b/internal/policy/decisions_test.go
@@ -1,22 +1,15 @@
 package policy_test
 
 import (
-	"flag"
-	"fmt"
-	"os"
-	"path/filepath"
-	"strings"
 	"testing"
 	"time"
 
+	"sloequay/internal/digesttest"
 	"sloequay/internal/policy"
 )
 
-var update = flag.Bool("update", false, "write testdata/decisions.txt anew")
-
 const (
 	decisionSeeds = 24
-	decisionsFile = "testdata/decisions.txt"
 	millisecond   = time.Millisecond
 
 	cacheKind, parentKind, originKind = 0, 1, 2
@@ -61,14 +54,6 @@
 	return config
 }
 
-// decisionLine plays one seed and gives its line of the file: the seed, the number of actions, the digest.
-func decisionLine(t *testing.T, seed uint64, counts map[string]int) string {
-	t.Helper()
-	s := newSimulation(t, seed, counts)
-	s.run(300 + 90*int(seed))
-	return fmt.Sprintf("%d %d %x", seed, s.actions, s.digest.Sum(nil)[:16])
-}
-
 // decisionMinimums is how often each kind of thing happens at least, over all seeds. Fewer would mean that the
 // digests pin less than they seem to.
 var decisionMinimums = map[string]int{
@@ -86,48 +71,8 @@
 // TestDecisions plays random event sequences and compares the digests of all actions with those that are on file.
 func TestDecisions(t *testing.T) {
 	counts := map[string]int{}
-	var lines []string
-	for seed := uint64(1); seed <= decisionSeeds; seed++ {
-		lines = append(lines, decisionLine(t, seed, counts))
-	}
-	for name, minimum := range decisionMinimums {
-		if counts[name] < minimum {
-			t.Errorf("%s: %d over all seeds, at least %d wanted", name, counts[name], minimum)
-		}
-	}
-	compareDecisions(t, lines)
-	t.Log(counts)
-}
-
-// compareDecisions compares lines with the file, or writes it when that is asked for.
-func compareDecisions(t *testing.T, lines []string) {
-	t.Helper()
-	if *update {
-		if err := os.MkdirAll(filepath.Dir(decisionsFile), 0o755); err != nil {
-			t.Fatal(err)
-		}
-		if err := os.WriteFile(decisionsFile, []byte(strings.Join(lines, "\n")+"\n"), 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	text, err := os.ReadFile(decisionsFile)
-	if err != nil {
-		t.Fatalf("%v; go test ./internal/policy -run TestDecisions -update writes it", err)
-	}
-	want := strings.Split(strings.TrimSpace(string(text)), "\n")
-	if len(want) != len(lines) {
-		t.Fatalf("%s has %d seeds, %d were played", decisionsFile, len(want), len(lines))
-	}
-	differ := 0
-	for i, line := range lines {
-		if line != want[i] {
-			differ++
-			t.Errorf("seed, actions, digest: %s, want %s", line, want[i])
-		}
-	}
-	if differ > 0 {
-		t.Errorf("%d of %d seeds differ: the module decides otherwise. Only where that is meant: "+
-			"go test ./internal/policy -run TestDecisions -update", differ, len(lines))
-	}
+	digesttest.Check(t, decisionSeeds, func(seed uint64, recorder *digesttest.Recorder) {
+		newSimulation(t, seed, recorder, counts).run(300 + 90*int(seed))
+	})
+	digesttest.CheckCounts(t, counts, decisionMinimums)
 }
--- a/internal/policy/simulation_test.go
+++ b/internal/policy/simulation_test.go
@@ -1,15 +1,13 @@
 package policy_test
 
 import (
-	"container/heap"
-	"crypto/sha256"
 	"fmt"
-	"hash"
 	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
 
+	"sloequay/internal/digesttest"
 	"sloequay/internal/policy"
 )
 
@@ -27,27 +25,6 @@
 	behaviours
 )
 
-// planned is an event that is due at a time. The serial makes the order of equal times definite.
-type planned struct {
-	at     time.Duration
-	serial int
-	event  policy.Event
-}
-
-type schedule []planned
-
-func (s schedule) Len() int { return len(s) }
-func (s schedule) Less(i, j int) bool {
-	return s[i].at < s[j].at || s[i].at == s[j].at && s[i].serial < s[j].serial
-}
-func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
-func (s *schedule) Push(x any)   { *s = append(*s, x.(planned)) }
-func (s *schedule) Pop() any {
-	last := (*s)[len(*s)-1]
-	*s = (*s)[:len(*s)-1]
-	return last
-}
-
 // clientRequest is what the simulation knows of one request.
 type clientRequest struct {
 	call     policy.RequestEvent
@@ -63,8 +40,7 @@
 	engine    *policy.Engine
 	config    policy.Config
 	now       time.Duration
-	serial    int
-	schedule  schedule
+	agenda    digesttest.Agenda[policy.Event]
 	endpoints []policy.Endpoint
 	modes     map[policy.EndpointID]behaviour
 	ejected   map[string]bool
@@ -72,12 +48,13 @@
 	lastID    policy.RequestID
 	meanGap   time.Duration
 	objects   *rand.Zipf
-	digest    hash.Hash
-	actions   int
+	recorder  *digesttest.Recorder
 	counts    map[string]int
 }
 
-func newSimulation(t *testing.T, seed uint64, counts map[string]int) *simulation {
+func newSimulation(
+	t *testing.T, seed uint64, recorder *digesttest.Recorder, counts map[string]int,
+) *simulation {
 	t.Helper()
 	random := rand.New(rand.NewPCG(seed, 0x51_0e))
 	config := decisionConfig(seed)
@@ -88,7 +65,7 @@
 	s := &simulation{random: random, engine: engine, config: config, now: 100 * time.Second,
 		modes: map[policy.EndpointID]behaviour{}, ejected: map[string]bool{},
 		requests: map[policy.RequestID]*clientRequest{}, objects: rand.NewZipf(random, 1.2, 4, 400),
-		meanGap: time.Duration(3+random.IntN(16)) * millisecond, digest: sha256.New(), counts: counts}
+		meanGap: time.Duration(3+random.IntN(16)) * millisecond, recorder: recorder, counts: counts}
 	for i := range 1 + random.IntN(10) {
 		s.addEndpoint(policy.EndpointID(1+i), cacheKind, ownZone, 2+random.IntN(10))
 	}
@@ -114,8 +91,7 @@
 
 // plan has an event come after a time.
 func (s *simulation) plan(after time.Duration, event policy.Event) {
-	s.serial++
-	heap.Push(&s.schedule, planned{s.now + after, s.serial, event})
+	s.agenda.Plan(s.now+after, event)
 }
 
 // milliseconds draws a time of less than so many milliseconds.
@@ -126,11 +102,10 @@
 // handle hands one event to the module, digests its actions and has the simulated world follow them.
 func (s *simulation) handle(event policy.Event) {
 	for _, action := range s.engine.Handle(s.now, event) {
-		s.actions++
-		fmt.Fprintf(s.digest, "%d %s\n", int64(s.now), actionText(action))
+		s.recorder.Add("%d %s", int64(s.now), actionText(action))
 		s.follow(action)
 	}
-	fmt.Fprintf(s.digest, "open %d\n", s.engine.OpenRequests())
+	s.recorder.AddUncounted("open %d", s.engine.OpenRequests())
 }
 
 // actionText writes an action from plain words and numbers, so that no name in the code shows in it.
@@ -139,7 +114,7 @@
 	case policy.SendAttempt:
 		return fmt.Sprintf("send %d %d %d %d %d %d %s", uint32(a.ID), uint64(a.Endpoint), int64(a.Timeout),
 			uint64(a.Source), a.CacheRank, int64(a.MaxAge),
-			flags(a.JoinFill, a.CachedOnly, a.BypassParent, a.Revalidate))
+			digesttest.Flags(a.JoinFill, a.CachedOnly, a.BypassParent, a.Revalidate))
 	case policy.Reject:
 		return fmt.Sprintf("reject %d %d", uint32(a.ID), int64(a.RetryAfter))
 	case policy.Fail:
@@ -151,7 +126,7 @@
 	case policy.HealthCheck:
 		return fmt.Sprintf("probe %d", uint64(a.Endpoint))
 	case policy.Watch:
-		return "watch " + flags(a.On)
+		return "watch " + digesttest.Flags(a.On)
 	case policy.FetchList:
 		return "fetch list"
 	case policy.Log:
@@ -160,17 +135,6 @@
 	panic("an action of an unknown kind: write its text in actionText")
 }
 
-// flags writes truth values as digits.
-func flags(values ...bool) string {
-	text := make([]byte, len(values))
-	for i, value := range values {
-		if text[i] = '0'; value {
-			text[i] = '1'
-		}
-	}
-	return string(text)
-}
-
 // follow has the simulated world do what an action wants.
 func (s *simulation) follow(action policy.Action) {
 	switch a := action.(type) {
@@ -414,10 +378,9 @@
 			s.now = until + s.milliseconds(1500) // a standstill: what was due meanwhile comes late
 			until = s.now
 		}
-		for len(s.schedule) > 0 && s.schedule[0].at <= until {
-			due := heap.Pop(&s.schedule).(planned)
-			s.now = max(s.now, due.at)
-			s.deliver(due.event)
+		for at, event := range s.agenda.Due(until) {
+			s.now = max(s.now, at)
+			s.deliver(event)
 			if until-s.now > time.Minute { // ticks would fill the quiet: what is due in it comes at its end
 				s.now = until - millisecond
 			}
@@ -487,7 +450,7 @@
 	if kind == policy.ListFailed {
 		nodes = nil
 	}
-	s.handle(policy.ListEvent{Kind: kind, Version: uint64(s.serial), Endpoints: nodes})
+	s.handle(policy.ListEvent{Kind: kind, Version: uint64(s.agenda.Planned()), Endpoints: nodes})
 }
 
 // hostile tells what was never asked for.
