--- a/internal/peer/decisions_test.go
+++ b/internal/peer/decisions_test.go
@@ -1,18 +1,12 @@
 package peer
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
-	"strings"
 	"testing"
-)
 
-var updateDecisions = flag.Bool("update", false, "write testdata/decisions.txt instead of comparing with it")
+	"sloequay/internal/digesttest"
+)
 
 const (
 	decisionSeeds = 24
@@ -38,14 +32,10 @@
 	return name + "/" + verdict.String()
 }
 
-// decisionLine plays one seed and returns its line of the file.
-func decisionLine(seed uint64, counts map[string]int) string {
+// playView plays one seed's events against a view.
+func playView(seed uint64, recorder *digesttest.Recorder, counts map[string]int) {
 	random := rand.New(rand.NewPCG(seed, 72))
-	digest := sha256.New()
-	write := func(kind string, words ...any) {
-		counts[kind]++
-		fmt.Fprintln(digest, append([]any{kind}, words...)...)
-	}
+	transcript := digesttest.NewTranscript(recorder, counts)
 	view := NewView("self", 2+random.IntN(5))
 	names := []string{"a", "b", "c", "d", "e", "f", "self", ""}
 	next := map[string]uint64{} // by name: the number of its last message
@@ -64,12 +54,12 @@
 				Incarnation: incarnation,
 				Key:         fmt.Sprint("k", random.IntN(8)/7),
 			}
-			write("observe "+verdictText(view.Observe(member)), member.Name)
+			transcript.Write("observe "+verdictText(view.Observe(member)), member.Name)
 		case kind < 5:
-			write(fmt.Sprint("remove ", view.Remove(name, incarnation)), name)
+			transcript.Write(fmt.Sprint("remove ", view.Remove(name, incarnation)), name)
 		case kind < 8:
 			key, known := view.Key(name, incarnation)
-			write(fmt.Sprint("key ", known), name, key)
+			transcript.Write(fmt.Sprint("key ", known), name, key)
 		default:
 			number := next[name] + uint64(random.IntN(3))
 			switch random.IntN(20) {
@@ -79,45 +69,25 @@
 				number -= min(number, uint64(random.IntN(80)))
 			}
 			next[name] = max(next[name], number)
-			write(fmt.Sprint("accept ", view.AcceptMessage(name, incarnation, number)), name, number)
+			accepted := view.AcceptMessage(name, incarnation, number)
+			transcript.Write(fmt.Sprint("accept ", accepted), name, digesttest.Unsigned(number))
 		}
 		for _, member := range view.Members() {
-			fmt.Fprintln(digest, member.Name, member.Zone, member.Program, member.Incarnation, member.Key)
+			recorder.Add("%s %s %s %d %s", member.Name, member.Zone, member.Program, member.Incarnation, member.Key)
 		}
 	}
-	return fmt.Sprintf("%d %s", seed, hex.EncodeToString(digest.Sum(nil)[:16]))
 }
 
 // TestDecisionsStayAsTheyWere plays seeded events and compares a digest of all that the views return with the one
 // recorded for each seed. A change of names or shape must leave every line as it is.
 func TestDecisionsStayAsTheyWere(t *testing.T) {
 	counts := map[string]int{}
-	var lines []string
-	for seed := range uint64(decisionSeeds) {
-		lines = append(lines, decisionLine(seed, counts))
-	}
-	for _, kind := range []string{
-		"observe unchanged/known", "observe joined/joined", "observe restarted/restarted",
-		"observe conflict/conflict", "observe no-capacity/full",
-		"remove true", "remove false", "key true", "key false", "accept true", "accept false",
-	} {
-		if counts[kind] < 100 {
-			t.Errorf("%d outputs of kind %q, want at least 100: %v", counts[kind], kind, counts)
-		}
-	}
-	path := filepath.Join("testdata", "decisions.txt")
-	text := strings.Join(lines, "\n") + "\n"
-	if *updateDecisions {
-		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
-			t.Fatal(err)
-		}
-		return
-	}
-	recorded, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if string(recorded) != text {
-		t.Errorf("%s has\n%sand the decisions are\n%s", path, recorded, text)
-	}
+	digesttest.Format{NoResults: true}.Check(t, decisionSeeds, func(seed uint64, recorder *digesttest.Recorder) {
+		playView(seed, recorder, counts)
+	})
+	digesttest.CheckCounts(t, counts, map[string]int{
+		"observe unchanged/known": 100, "observe joined/joined": 100, "observe restarted/restarted": 100,
+		"observe conflict/conflict": 100, "observe no-capacity/full": 100, "remove true": 100, "remove false": 100,
+		"key true": 100, "key false": 100, "accept true": 100, "accept false": 100,
+	})
 }
