--- a/internal/bootstrap/decisions_fleet_test.go
+++ b/internal/bootstrap/decisions_fleet_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"sloequay/internal/digesttest"
 	"sloequay/internal/membership"
 )
 
@@ -86,7 +87,7 @@
 		f.service.versions = append(f.service.versions, 1)
 	}
 	for i := range count {
-		p := &proxy{name: fmt.Sprintf("p%02d", i), zone: "zone" + number(i%(1+int(seed%2)))}
+		p := &proxy{name: fmt.Sprintf("p%02d", i), zone: "zone" + digesttest.Number(i%(1+int(seed%2)))}
 		f.proxies = append(f.proxies, p)
 		f.restart(p)
 	}
@@ -417,15 +418,16 @@
 
 // recordState records what a machine reports of itself.
 func (f *fleet) recordState(p *proxy) {
-	words := []string{p.name, yesNo(p.Polls()), yesNo(p.Ready()), microseconds(p.Next())}
+	polls, ready := digesttest.YesNo(p.Polls()), digesttest.YesNo(p.Ready())
+	words := []string{p.name, polls, ready, digesttest.Microseconds(p.Next())}
 	for list := range f.service.lists {
 		mark, inForce := p.Version(list)
-		words = append(words, yesNo(inForce), versionText(mark))
+		words = append(words, digesttest.YesNo(inForce), versionText(mark))
 	}
 	for _, c := range p.Digest() {
-		words = append(words, versionText(c.ListVersion), microseconds(c.LastSeen))
+		words = append(words, versionText(c.ListVersion), digesttest.Microseconds(c.LastSeen))
 	}
-	f.transcript.counts["asks-"+yesNo(p.Polls())]++
-	f.transcript.counts["known-"+yesNo(p.Ready())]++
-	f.transcript.write("proxy", words...)
+	f.transcript.Count("asks-" + polls)
+	f.transcript.Count("known-" + ready)
+	f.transcript.Write("proxy", words...)
 }
--- a/internal/bootstrap/simulation_test.go
+++ b/internal/bootstrap/simulation_test.go
@@ -1,12 +1,12 @@
 package bootstrap
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	"sloequay/internal/digesttest"
 	"sloequay/internal/membership"
 )
 
@@ -18,8 +18,7 @@
 	t               testing.TB
 	random          *rand.Rand
 	now             time.Duration
-	queue           schedule
-	lastSerial      int
+	agenda          digesttest.Agenda[func()]
 	nodes           []*node
 	endpoints       []membership.Endpoint // the service's present list
 	version         uint64
@@ -53,27 +52,6 @@
 // isIncarnation reports whether the node is alive and has not been restarted.
 func (n *node) isIncarnation(incarnation uint64) bool { return n.alive && n.incarnation == incarnation }
 
-type scheduled struct {
-	at     time.Duration
-	serial int
-	run    func()
-}
-
-// schedule is a heap by time, then by serial number.
-type schedule []scheduled
-
-func (s schedule) Len() int { return len(s) }
-func (s schedule) Less(i, j int) bool {
-	return s[i].at < s[j].at || s[i].at == s[j].at && s[i].serial < s[j].serial
-}
-func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
-func (s *schedule) Push(x any)   { *s = append(*s, x.(scheduled)) }
-func (s *schedule) Pop() any {
-	last := (*s)[len(*s)-1]
-	*s = (*s)[:len(*s)-1]
-	return last
-}
-
 func newSimulation(t testing.TB, seed uint64, size, zones int, withPeers bool) *simulation {
 	sim := &simulation{
 		t:               t,
@@ -97,15 +75,13 @@
 }
 
 func (sim *simulation) schedule(after time.Duration, run func()) {
-	sim.lastSerial++
-	heap.Push(&sim.queue, scheduled{sim.now + after, sim.lastSerial, run})
+	sim.agenda.Plan(sim.now+after, run)
 }
 
 func (sim *simulation) runUntil(until time.Duration) {
-	for len(sim.queue) > 0 && sim.queue[0].at <= until {
-		next := heap.Pop(&sim.queue).(scheduled)
-		sim.now = next.at
-		next.run()
+	for at, run := range sim.agenda.Due(until) {
+		sim.now = at
+		run()
 	}
 	sim.now = until
 }
