--- a/internal/membership/player_test.go
+++ b/internal/membership/player_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"sloequay/internal/digesttest"
 )
 
 // playedSource is a source as the player plays it: what it would list now, and the short list that it gave last.
@@ -24,10 +26,10 @@
 	offset    time.Duration
 	sources   []playedSource
 	refetches []int // sources that the table wants fetched again
-	record    *transcript
+	record    *digesttest.Transcript
 }
 
-func newPlayer(seed uint64, record *transcript) *player {
+func newPlayer(seed uint64, record *digesttest.Transcript) *player {
 	p := &player{random: rand.New(rand.NewPCG(seed, 71)), record: record}
 	p.now, p.offset = 5_000*time.Second, 900*time.Second
 	p.config = Config{MaxLossShare: 0.3, MinLoss: 2, MaxSilence: 10 * time.Second, Forget: 6 * time.Second}
@@ -229,7 +231,7 @@
 	p.advance(3 * time.Second)
 	p.table = New(p.config)
 	p.table.SetOffset(p.offset)
-	p.record.write("restored", number(p.table.Restore(p.now, reports)))
+	p.record.Write("restored", digesttest.Number(p.table.Restore(p.now, reports)))
 }
 
 func (p *player) wait(int) { p.advance(time.Duration(1+p.random.IntN(9)) * time.Second) }
@@ -272,55 +274,57 @@
 		limit = 2
 	}
 	for _, c := range p.table.TakeChanges(p.now, limit) {
-		p.record.counts[reasonText(c.Reason)]++
-		p.record.write(changeText(c.Kind), endpointText(c.Endpoint), endpointText(c.Previous), number(c.DecidedBy),
-			reasonText(c.Reason))
+		p.record.Count(reasonText(c.Reason))
+		p.record.Write(changeText(c.Kind), endpointText(c.Endpoint), endpointText(c.Previous),
+			digesttest.Number(c.DecidedBy), reasonText(c.Reason))
 	}
 	if p.table.HasChanges() {
-		p.record.write("pending")
+		p.record.Write("pending")
 	}
 	notes, dropped := p.table.Notes()
 	for _, n := range notes {
-		p.record.write(noteText(n.Kind), number(n.Source), n.Endpoint, n.Other, number(n.Count), number(n.Of),
-			microseconds(n.For))
+		p.record.Write(noteText(n.Kind), digesttest.Number(n.Source), n.Endpoint, n.Other,
+			digesttest.Number(n.Count), digesttest.Number(n.Of), digesttest.Microseconds(n.For))
 	}
 	if dropped > 0 {
-		p.record.write("notes-dropped", number(dropped))
+		p.record.Write("notes-dropped", digesttest.Number(dropped))
 	}
 	for _, source := range p.table.SourcesToRefetch() {
 		p.refetches = append(p.refetches, source)
-		p.record.write("ask", number(source))
+		p.record.Write("ask", digesttest.Number(source))
 	}
-	p.record.write("next", microseconds(p.table.Next()), number(p.table.Len()), unsigned(p.table.Revision()))
+	p.record.Write("next", digesttest.Microseconds(p.table.Next()), digesttest.Number(p.table.Len()),
+		digesttest.Unsigned(p.table.Revision()))
 }
 
 // look records all that operators can see, and what a snapshot would keep.
 func (p *player) look() {
 	for _, s := range p.table.Sources() {
-		p.record.write("source", s.Name, unsigned(s.Version), yes(s.HasReported), yes(s.Silent),
-			microseconds(s.LastSeen), number(s.Endpoints), number(s.Suspected))
+		p.record.Write("source", s.Name, digesttest.Unsigned(s.Version), digesttest.YesNo(s.HasReported),
+			digesttest.YesNo(s.Silent), digesttest.Microseconds(s.LastSeen), digesttest.Number(s.Endpoints),
+			digesttest.Number(s.Suspected))
 		if s.Suspected > 0 {
-			p.record.counts["source-doubted"]++
+			p.record.Count("source-doubted")
 		}
 	}
 	for _, v := range p.table.All(p.now) {
 		reports := strings.Join(v.Reports, "|")
-		p.record.write("endpoint", endpointText(v.Endpoint), number(v.DecidedBy), reasonText(v.Reason),
-			microseconds(v.Since), reports)
+		p.record.Write("endpoint", endpointText(v.Endpoint), digesttest.Number(v.DecidedBy), reasonText(v.Reason),
+			digesttest.Microseconds(v.Since), reports)
 		if strings.Contains(reports, "(") {
-			p.record.counts["endpoint-overruled"]++
+			p.record.Count("endpoint-overruled")
 		}
-		p.record.counts["endpoint-"+stateText(v.Endpoint.State)]++
+		p.record.Count("endpoint-" + stateText(v.Endpoint.State))
 	}
 	p.exported(p.table.Export())
 }
 
 func (p *player) exported(reports []SourceReport) {
 	for _, report := range reports {
-		p.record.write("export", report.Source, unsigned(report.Version), microseconds(report.LastSeen),
-			number(len(report.Endpoints)))
+		p.record.Write("export", report.Source, digesttest.Unsigned(report.Version),
+			digesttest.Microseconds(report.LastSeen), digesttest.Number(len(report.Endpoints)))
 		for _, endpoint := range report.Endpoints {
-			p.record.write("export-endpoint", endpointText(endpoint))
+			p.record.Write("export-endpoint", endpointText(endpoint))
 		}
 	}
 }
--- a/internal/membership/transcript_test.go
+++ b/internal/membership/transcript_test.go
@@ -1,30 +1,11 @@
 package membership
 
 import (
-	"fmt"
-	"hash"
 	"strconv"
 	"strings"
-	"time"
-)
-
-// transcript digests all that a table gives back, one output a line, and counts the outputs by kind. Its text is made
-// from plain words and numbers alone, so that it does not change with the names of types, fields and constants.
-type transcript struct {
-	digest hash.Hash
-	lines  int
-	counts map[string]int
-}
-
-func (x *transcript) write(kind string, words ...string) {
-	x.lines++
-	x.counts[kind]++
-	fmt.Fprintf(x.digest, "%s %s\n", kind, strings.Join(words, " "))
-}
 
-func number(n int) string                 { return strconv.Itoa(n) }
-func unsigned(n uint64) string            { return strconv.FormatUint(n, 10) }
-func microseconds(d time.Duration) string { return strconv.FormatInt(d.Microseconds(), 10) }
+	"sloequay/internal/digesttest"
+)
 
 func stateText(s State) string {
 	switch s {
@@ -96,14 +77,8 @@
 
 func endpointText(b Endpoint) string {
 	return strings.Join([]string{
-		b.ID, b.Address, number(b.Zone), number(b.Kind), number(b.Cell), strconv.FormatFloat(b.Weight, 'g', -1, 64),
-		microseconds(b.StartedAt), unsigned(b.Incarnation), stateText(b.State),
+		b.ID, b.Address, digesttest.Number(b.Zone), digesttest.Number(b.Kind), digesttest.Number(b.Cell),
+		strconv.FormatFloat(b.Weight, 'g', -1, 64), digesttest.Microseconds(b.StartedAt),
+		digesttest.Unsigned(b.Incarnation), stateText(b.State),
 	}, ",")
 }
-
-func yes(b bool) string {
-	if b {
-		return "yes"
-	}
-	return "no"
-}
