--- a/internal/membership/addresses_test.go
+++ b/internal/membership/addresses_test.go
@@ -179,7 +179,8 @@
 		f.advance(now)
 	}
 	if f.Len() != 0 || len(f.addresses.records) != 0 {
-		t.Errorf("%d endpoints and the records at %d addresses are left, expected none", f.Len(), len(f.addresses.records))
+		t.Errorf("%d endpoints and the records at %d addresses are left, expected none",
+			f.Len(), len(f.addresses.records))
 		for address, records := range f.addresses.records {
 			t.Errorf("at %q: %d records", address, len(records))
 		}
