--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -19,36 +19,89 @@
 
 // Events is every event word with its level. docs/on-call.md says what each means; a test compares the two.
 var Events = map[string]zapcore.Level{
-	"started": zap.InfoLevel, "draining": zap.InfoLevel, "drain-deadline": zap.WarnLevel, "stopped": zap.InfoLevel, "reloaded": zap.InfoLevel, "contracts-reloaded": zap.InfoLevel, "team-migration": zap.WarnLevel, "admin-socket-failed": zap.ErrorLevel, "clock-stepped": zap.ErrorLevel,
-	"reload-failed": zap.ErrorLevel, "log-rate-limited": zap.WarnLevel, "outlier-detection": zap.WarnLevel, "policy-invalid-action": zap.ErrorLevel,
-
-	"client-protocol-error": zap.WarnLevel, "client-bad-request": zap.WarnLevel, "client-connection-limit": zap.WarnLevel,
-	"client-message-timeout": zap.WarnLevel, "client-rate-limited": zap.WarnLevel, "client-duplicate-id": zap.WarnLevel, "dns-bad-query": zap.WarnLevel, "dns-encode-failed": zap.ErrorLevel,
-	"dns-signature-rejected": zap.WarnLevel,
-
-	"upstream-connection-limit": zap.WarnLevel, "upstream-connect-failed": zap.WarnLevel, "upstream-unsolicited-response": zap.WarnLevel,
-	"upstream-unresponsive": zap.WarnLevel, "upstream-protocol-error": zap.WarnLevel, "upstream-connection-reset": zap.WarnLevel, "upstream-stats": zap.InfoLevel,
-
-	"endpoint-list-stale": zap.ErrorLevel, "endpoint-list-resumed": zap.InfoLevel, "endpoint-list-bad-event": zap.WarnLevel,
+	"started":               zap.InfoLevel,
+	"draining":              zap.InfoLevel,
+	"drain-deadline":        zap.WarnLevel,
+	"stopped":               zap.InfoLevel,
+	"reloaded":              zap.InfoLevel,
+	"contracts-reloaded":    zap.InfoLevel,
+	"team-migration":        zap.WarnLevel,
+	"admin-socket-failed":   zap.ErrorLevel,
+	"clock-stepped":         zap.ErrorLevel,
+	"reload-failed":         zap.ErrorLevel,
+	"log-rate-limited":      zap.WarnLevel,
+	"outlier-detection":     zap.WarnLevel,
+	"policy-invalid-action": zap.ErrorLevel,
+
+	"client-protocol-error":   zap.WarnLevel,
+	"client-bad-request":      zap.WarnLevel,
+	"client-connection-limit": zap.WarnLevel,
+	"client-message-timeout":  zap.WarnLevel,
+	"client-rate-limited":     zap.WarnLevel,
+	"client-duplicate-id":     zap.WarnLevel,
+	"dns-bad-query":           zap.WarnLevel,
+	"dns-encode-failed":       zap.ErrorLevel,
+	"dns-signature-rejected":  zap.WarnLevel,
+
+	"upstream-connection-limit":     zap.WarnLevel,
+	"upstream-connect-failed":       zap.WarnLevel,
+	"upstream-unsolicited-response": zap.WarnLevel,
+	"upstream-unresponsive":         zap.WarnLevel,
+	"upstream-protocol-error":       zap.WarnLevel,
+	"upstream-connection-reset":     zap.WarnLevel,
+	"upstream-stats":                zap.InfoLevel,
+
+	"endpoint-list-stale":         zap.ErrorLevel,
+	"endpoint-list-resumed":       zap.InfoLevel,
+	"endpoint-list-bad-event":     zap.WarnLevel,
 	"endpoint-list-event-skipped": zap.ErrorLevel,
 
-	"endpoint-added": zap.InfoLevel, "endpoint-removed": zap.InfoLevel, "endpoint-draining": zap.InfoLevel, "endpoint-moved": zap.InfoLevel,
-	"endpoint-restarted": zap.InfoLevel, "endpoint-recovered": zap.InfoLevel, "endpoint-modified": zap.InfoLevel, "endpoint-suppressed": zap.WarnLevel,
-	"endpoint-released": zap.InfoLevel, "endpoint-renamed": zap.InfoLevel, "endpoint-duplicate-id": zap.WarnLevel,
-	"list-loss-suspected": zap.ErrorLevel, "list-loss-confirmed": zap.WarnLevel, "list-loss-refuted": zap.WarnLevel,
-	"endpoint-limit": zap.ErrorLevel, "endpoint-changes-omitted": zap.InfoLevel, "list-notes-omitted": zap.InfoLevel, "snapshot-restored": zap.WarnLevel,
-
-	"catalogue-unreachable": zap.ErrorLevel, "catalogue-reachable": zap.InfoLevel, "catalogue-agent-changed": zap.WarnLevel,
-	"catalogue-response-rejected": zap.WarnLevel, "catalogue-instance-rejected": zap.WarnLevel, "catalogue-purge-key-rejected": zap.WarnLevel,
-	"catalogue-token-unreadable": zap.ErrorLevel, "catalogue-registered": zap.InfoLevel, "catalogue-deregistered": zap.InfoLevel,
+	"endpoint-added":           zap.InfoLevel,
+	"endpoint-removed":         zap.InfoLevel,
+	"endpoint-draining":        zap.InfoLevel,
+	"endpoint-moved":           zap.InfoLevel,
+	"endpoint-restarted":       zap.InfoLevel,
+	"endpoint-recovered":       zap.InfoLevel,
+	"endpoint-modified":        zap.InfoLevel,
+	"endpoint-suppressed":      zap.WarnLevel,
+	"endpoint-released":        zap.InfoLevel,
+	"endpoint-renamed":         zap.InfoLevel,
+	"endpoint-duplicate-id":    zap.WarnLevel,
+	"list-loss-suspected":      zap.ErrorLevel,
+	"list-loss-confirmed":      zap.WarnLevel,
+	"list-loss-refuted":        zap.WarnLevel,
+	"endpoint-limit":           zap.ErrorLevel,
+	"endpoint-changes-omitted": zap.InfoLevel,
+	"list-notes-omitted":       zap.InfoLevel,
+	"snapshot-restored":        zap.WarnLevel,
+
+	"catalogue-unreachable":         zap.ErrorLevel,
+	"catalogue-reachable":           zap.InfoLevel,
+	"catalogue-agent-changed":       zap.WarnLevel,
+	"catalogue-response-rejected":   zap.WarnLevel,
+	"catalogue-instance-rejected":   zap.WarnLevel,
+	"catalogue-purge-key-rejected":  zap.WarnLevel,
+	"catalogue-token-unreadable":    zap.ErrorLevel,
+	"catalogue-registered":          zap.InfoLevel,
+	"catalogue-deregistered":        zap.InfoLevel,
 	"catalogue-registration-failed": zap.WarnLevel,
 
-	"bootstrap": zap.InfoLevel, "peer-joined": zap.InfoLevel, "peer-left": zap.InfoLevel, "peer-rejected": zap.WarnLevel, "peer-transport-failed": zap.ErrorLevel,
-
-	"audit": zap.WarnLevel, "keys-loaded": zap.InfoLevel, "keys-rejected": zap.ErrorLevel,
-	"tls-handshake-failed": zap.WarnLevel, "tls-reloaded": zap.InfoLevel, "tls-listener-failed": zap.ErrorLevel,
-
-	"snapshot-rejected": zap.WarnLevel, "snapshot-write-failed": zap.ErrorLevel, "snapshot-loaded": zap.InfoLevel,
+	"bootstrap":             zap.InfoLevel,
+	"peer-joined":           zap.InfoLevel,
+	"peer-left":             zap.InfoLevel,
+	"peer-rejected":         zap.WarnLevel,
+	"peer-transport-failed": zap.ErrorLevel,
+
+	"audit":                zap.WarnLevel,
+	"keys-loaded":          zap.InfoLevel,
+	"keys-rejected":        zap.ErrorLevel,
+	"tls-handshake-failed": zap.WarnLevel,
+	"tls-reloaded":         zap.InfoLevel,
+	"tls-listener-failed":  zap.ErrorLevel,
+
+	"snapshot-rejected":     zap.WarnLevel,
+	"snapshot-write-failed": zap.ErrorLevel,
+	"snapshot-loaded":       zap.InfoLevel,
 }
 
 // Formats and levels that New takes.
@@ -67,7 +120,7 @@
 
 // New makes a logger that writes to w what is at a level or above it.
 func New(w io.Writer, format, level string) (*Logger, error) {
-	least, err := zapcore.ParseLevel(level)
+	minLevel, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, fmt.Errorf("log level: %w", err)
 	}
@@ -83,7 +136,7 @@
 	default:
 		return nil, fmt.Errorf("log format: expected one of %s, got %q", strings.Join(Formats, ", "), format)
 	}
-	return &Logger{zap: zap.New(zapcore.NewCore(encoder, zapcore.AddSync(w), least))}, nil
+	return &Logger{zap: zap.New(zapcore.NewCore(encoder, zapcore.AddSync(w), minLevel))}, nil
 }
 
 const timeForm = "2006-01-02T15:04:05.000000Z"
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -18,9 +18,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l.Event("endpoint-removed", "box", "c1", "why", "", "error", errors.New("a \"b\"\nevent=forged"), "for", 200*time.Millisecond, "n", 3)
+	l.Event("endpoint-removed", "endpoint", "c1", "reason", "", "error", errors.New("a \"b\"\nevent=forged"),
+		"for", 200*time.Millisecond, "n", 3)
 	line := b.String()
-	if want := ` level=info event=endpoint-removed box=c1 why="" error="a \"b\"\nevent=forged" for=200ms n=3` + "\n"; !strings.HasSuffix(line, want) {
+	want := ` level=info event=endpoint-removed endpoint=c1 reason="" error="a \"b\"\nevent=forged" for=200ms n=3` + "\n"
+	if !strings.HasSuffix(line, want) {
 		t.Errorf("got %q, want it to end with %q", line, want)
 	}
 	if _, err := time.Parse(timeForm, strings.Fields(line)[0]); err != nil {
@@ -31,8 +33,8 @@
 func TestJSON(t *testing.T) {
 	var b bytes.Buffer
 	l, _ := New(&b, "json", "warn")
-	l.Event("endpoint-removed", "box", "c1")
-	l.Event("upstream-connect-failed", "box", "c1", "error", errors.New("refused"))
+	l.Event("endpoint-removed", "endpoint", "c1")
+	l.Event("upstream-connect-failed", "endpoint", "c1", "error", errors.New("refused"))
 	var got map[string]any
 	if err := json.Unmarshal(b.Bytes(), &got); err != nil {
 		t.Fatalf("%v in %q", err, b.String())
@@ -108,6 +110,7 @@
 		t.Fatal(err)
 	}
 	if len(found) < minEventsFound {
-		t.Errorf("%d events are found in the code, expected %d: the pattern misses how they are written", len(found), minEventsFound)
+		t.Errorf("%d events are found in the code, expected %d: the pattern misses how they are written",
+			len(found), minEventsFound)
 	}
 }
--- a/internal/membership/addresses_test.go
+++ b/internal/membership/addresses_test.go
@@ -158,9 +158,9 @@
 	}
 }
 
-// TestGoneEndpointsLeaveNoAddress registers endpoints anew while they are reported as gone, as a catalogue does with
+// TestGoneEndpointsHaveNoAddress registers endpoints anew while they are reported as gone, as a catalogue does with
 // instances that stay critical. Once they are forgotten nothing of them may stay, least of all under the empty address.
-func TestGoneEndpointsLeaveNoAddress(t *testing.T) {
+func TestGoneEndpointsHaveNoAddress(t *testing.T) {
 	const endpoints = 50
 	f := newFollower(Config{Sources: []Source{{}}})
 	now := start
--- a/tools/testgate/known.go
+++ b/tools/testgate/known.go
@@ -6,8 +6,8 @@
 	"strings"
 )
 
-// knownMost is how many known failures the list may hold.
-const knownMost = 3
+// maxKnown is how many known failures the list may hold.
+const maxKnown = 3
 
 // testName is a test as the list writes it: the package relative to the module, a dot, the test and its subtests.
 var testName = regexp.MustCompile(`^([^,\s]+?)\.((?:Test|Fuzz|Example)[^,\s]*)$`)
@@ -47,7 +47,7 @@
 
 // Error says how many lines there are and how many there may be.
 func (err *TooManyLinesError) Error() string {
-	return fmt.Sprintf("%d known failures are listed, at most %d may be", err.Lines, knownMost)
+	return fmt.Sprintf("%d known failures are listed, at most %d may be", err.Lines, maxKnown)
 }
 
 // parseKnown reads the list. Empty lines are passed over.
@@ -69,7 +69,7 @@
 		seen[known.Test] = true
 		list = append(list, known)
 	}
-	if len(list) > knownMost {
+	if len(list) > maxKnown {
 		return nil, &TooManyLinesError{Lines: len(list)}
 	}
 	return list, nil
--- a/tools/testgate/known_test.go
+++ b/tools/testgate/known_test.go
@@ -51,7 +51,7 @@
 	}
 }
 
-func TestParseKnownMost(t *testing.T) {
+func TestParseKnownTooMany(t *testing.T) {
 	three := "a.TestA, b, c\na.TestB, b, c\na.TestC, b, c\n"
 	if list, err := parseKnown(three); err != nil || len(list) != 3 {
 		t.Errorf("three lines: got %v, %v", list, err)
