--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -21,7 +21,8 @@
 	l.Event("endpoint-removed", "endpoint", "c1", "reason", "", "error", errors.New("a \"b\"\nevent=forged"),
 		"for", 200*time.Millisecond, "n", 3)
 	line := b.String()
-	want := ` level=info event=endpoint-removed endpoint=c1 reason="" error="a \"b\"\nevent=forged" for=200ms n=3` + "\n"
+	want := ` level=info event=endpoint-removed endpoint=c1 reason="" error="a \"b\"\nevent=forged" for=200ms n=3`
+	want += "\n"
 	if !strings.HasSuffix(line, want) {
 		t.Errorf("got %q, want it to end with %q", line, want)
 	}
