--- a/internal/drill/world.go
+++ b/internal/drill/world.go
@@ -65,7 +65,7 @@
 	})
 	w.fabric.sent = func(from string, n int) { w.Record.sent(w.now(), from, n) }
 	w.fleet = emulator.NewEndpoints(w.serve)
-	w.fleet.HandleSignals(w.quit)
+	w.fleet.OnControlLine(w.quit)
 	if err := w.build(); err != nil {
 		w.Close()
 		return nil, err
--- a/internal/emulator/box.go
+++ b/internal/emulator/box.go
@@ -33,7 +33,7 @@
 	mu        sync.Mutex
 	script    func(*ReceivedRequest)
 	deaf      func(*ReceivedRequest) bool
-	heed      func(*ReceivedRequest)
+	onControlLine      func(*ReceivedRequest)
 	heard     []*ReceivedRequest
 	listeners map[string]net.Listener
 	conns     map[string]map[net.Conn]bool
@@ -52,11 +52,11 @@
 	f.listeners[id] = ln
 }
 
-// HandleSignals has a function called with each line that is no ASK. With one, nothing is remembered for Heard.
-func (f *Endpoints) HandleSignals(heed func(*ReceivedRequest)) {
+// OnControlLine has a function called with each line that is no ASK (QUIT, NOOP). With one, nothing is kept for Received.
+func (f *Endpoints) OnControlLine(callback func(*ReceivedRequest)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.heed = heed
+	f.onControlLine = callback
 }
 
 // Add starts a box at an address; port 0 picks one.
@@ -205,7 +205,7 @@
 			_, _ = fmt.Fprintf(conn, "%s %s %s %d\r\n%s\r\n", a.ID, word, fields, len(body), body)
 		}
 		f.mu.Lock()
-		script, deaf, heed := f.script, f.deaf, f.heed
+		script, deaf, heed := f.script, f.deaf, f.onControlLine
 		if heed == nil {
 			if f.heard = append(f.heard, a); len(f.heard) > heardMost {
 				f.heard = append([]*ReceivedRequest(nil), f.heard[heardMost/2:]...)
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -84,7 +84,7 @@
 	if p.own.DNS != nil {
 		most := clients / 4
 		clients -= most
-		d.dns = &dns.Server{Config: p.own.DNS, Classes: s.Control.Classes, Emit: d.enter, Now: d.clock.Monotonic, Unix: d.clock.Unix,
+		d.dns = &dns.Server{Config: p.own.DNS, Classes: s.Control.Classes, Emit: d.admit, Now: d.clock.Monotonic, Unix: d.clock.Unix,
 			Log: d.log.Event, EndpointByName: d.box, MaxConnections: most, Seed: s.Seed, MaxRetryAfter: s.Control.MaxRetryAfter}
 		if cfg := p.own.Identity; cfg != nil {
 			d.dns.Skew = cfg.Gate.Policy.Skew
@@ -98,7 +98,7 @@
 		cfg.tls.MaxConnections = min(cfg.tls.MaxConnections, clients/4)
 		clients -= 2 * cfg.tls.MaxConnections
 	}
-	d.front = rpc.New(s.Control.Classes, clients, d.enter, d.clock.Monotonic, ready, full, d.log.Event)
+	d.front = rpc.New(s.Control.Classes, clients, d.admit, d.clock.Monotonic, ready, full, d.log.Event)
 	d.front.MaxRetryAfter = s.Control.MaxRetryAfter
 	listeners = append(listeners, eventloop.Listener{Network: "tcp", Address: s.Listen, Accept: d.front.Accept})
 	return eventloop.Run(listeners, d.start, d.round)
@@ -127,13 +127,13 @@
 	}
 	d.sources = &sources{server: d}
 	d.sources.start()
-	go d.heed()
+	go d.handleSignals()
 	d.log.Event("started", "name", s.Name, "listen", s.Listen, "endpoints", d.plan.initialEndpointCount)
 	l.RequestRound()
 }
 
-// enter takes what a front has: a request meets the door first, where there is one.
-func (d *server) enter(e broker.Event) {
+// admit takes what a front has: a request meets the door first, where there is one.
+func (d *server) admit(e broker.Event) {
 	if a, ok := e.(broker.RequestReceived); ok {
 		a.Request.Timeout = d.leaving.TimeoutFor(d.clock.Monotonic(), a.Request.Timeout)
 		if d.door != nil {
@@ -173,8 +173,8 @@
 	return d.known
 }
 
-// heed takes signals to the loop. Files are read here, beside it.
-func (d *server) heed() {
+// handleSignals takes signals to the loop. Files are read here, beside it.
+func (d *server) handleSignals() {
 	for s := range d.signals {
 		if s != syscall.SIGHUP {
 			d.loop.Post(d.leave)
