--- a/internal/emulator/box.go
+++ b/internal/emulator/box.go
@@ -30,13 +30,13 @@
 
 // Endpoints is stand-in boxes: caches, trunk caches and the archive, all alike but for what their script makes of them.
 type Endpoints struct {
-	mu        sync.Mutex
-	script    func(*ReceivedRequest)
-	deaf      func(*ReceivedRequest) bool
-	onControlLine      func(*ReceivedRequest)
-	heard     []*ReceivedRequest
-	listeners map[string]net.Listener
-	conns     map[string]map[net.Conn]bool
+	mu            sync.Mutex
+	script        func(*ReceivedRequest)
+	deaf          func(*ReceivedRequest) bool
+	onControlLine func(*ReceivedRequest)
+	heard         []*ReceivedRequest
+	listeners     map[string]net.Listener
+	conns         map[string]map[net.Conn]bool
 }
 
 // NewEndpoints makes a fleet without boxes. The script is called on a goroutine of its own for each ASK; nil answers a hit
