--- a/test/pages/pages_test.go
+++ b/test/pages/pages_test.go
@@ -12,8 +12,8 @@
 	"unicode/utf8"
 )
 
-// lineMost is how many characters a line of a page may have.
-const lineMost = 140
+// maxLineLength is how many characters a line of a page may have.
+const maxLineLength = 140
 
 // history are pages whose text is kept as it was written, also where the code has moved on.
 var history = []string{"CHANGELOG.md"}
@@ -72,8 +72,8 @@
 			continue
 		}
 		for number, line := range strings.Split(read(t, page), "\n") {
-			if utf8.RuneCountInString(line) > lineMost {
-				t.Errorf("%s: line %d has more than %d characters", page, number+1, lineMost)
+			if utf8.RuneCountInString(line) > maxLineLength {
+				t.Errorf("%s: line %d has more than %d characters", page, number+1, maxLineLength)
 			}
 		}
 	}
