Show that one failed accept ends the program, by system calls that fail in a test

Cause: gnet ends its loop, and with it the program, when accept fails with anything but EAGAIN, EINTR, ECONNRESET or ECONNABORTED. One ENFILE, which lasts a moment, ends all connections. Change: a harness of the process tests that fails chosen system calls of the program under test (seccomp with user notification, answered by a thread of the same process), and a test of accept.

--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -282,6 +282,9 @@
 	if os.Getenv(filterVariable) == "1" {
 		serveUnderFilter()
 	}
+	if faults := os.Getenv(faultsVariable); faults != "" {
+		serveWithFaults(faults)
+	}
 	if os.Getenv(spinVariable) == "1" {
 		go func() {
 			//lint:ignore SA5002 it must spin: TestIdleProxyDoesNotSpin is to see that it would find one that does
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -12,7 +12,6 @@
 	"strings"
 	"syscall"
 	"testing"
-	"unsafe"
 
 	"golang.org/x/net/bpf"
 	"golang.org/x/sys/unix"
@@ -102,23 +101,8 @@
 		bpf.RetConstant{Val: retErrno | uint32(unix.ENOSYS)},
 		bpf.RetConstant{Val: allow},
 	)
-	raw, err := bpf.Assemble(program)
-	if err != nil {
-		return err
-	}
-	filter := make([]unix.SockFilter, len(raw))
-	for i, r := range raw {
-		filter[i] = unix.SockFilter{Code: r.Op, Jt: r.Jt, Jf: r.Jf, K: r.K}
-	}
-	prog := unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]}
-	if err := unix.Prctl(unix.PR_SET_NO_NEW_PRIVS, 1, 0, 0, 0); err != nil {
-		return fmt.Errorf("no_new_privs: %w", err)
-	}
-	if _, _, errno := unix.Syscall(unix.SYS_SECCOMP, unix.SECCOMP_SET_MODE_FILTER, unix.SECCOMP_FILTER_FLAG_TSYNC,
-		uintptr(unsafe.Pointer(&prog))); errno != 0 {
-		return fmt.Errorf("seccomp: %w", errno)
-	}
-	return nil
+	_, err := installSeccomp(program, unix.SECCOMP_FILTER_FLAG_TSYNC)
+	return err
 }
 
 // TestServesUnderThePlatformFilter starts the proxy under the fleet platform's system-call filter: it must start,
