Accept connections beside the loop, so that a failed accept ends nothing

Cause: gnet's listener ends the event loop when accept fails with ENFILE, EMFILE, ENOBUFS, ENOMEM, EPROTO or ENETUNREACH (acceptor_unix.go). A connection that epoll refuses is reported: gnet gives no error for it, and a dial hung for ever. What fails at the start for want of something local is tried again for 5 s.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -33,6 +33,7 @@
 	"outlier-detection":     zap.WarnLevel,
 	"policy-invalid-action": zap.ErrorLevel,
 
+	"accept-failed":           zap.WarnLevel,
 	"client-protocol-error":   zap.WarnLevel,
 	"client-bad-request":      zap.WarnLevel,
 	"client-connection-limit": zap.WarnLevel,
--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -2,13 +2,15 @@
 // ready has been read, and writes to each connection once a round. It knows no protocol.
 //
 // What gnet 2.9.7 does, as far as this package rests on it:
-//   - With SO_REUSEPORT and one event loop, accepting, reading and writing all run on that loop. Without it a second
-//     loop accepts, and UDP is not possible.
+//   - With SO_REUSEPORT and one event loop, reading, writing and datagrams all run on that loop. Without it a second
+//     loop is started, and UDP is not possible.
+//   - Its listeners end the loop when accept fails, so that connections are accepted beside it (acceptor).
 //   - OnTick runs on a goroutine of its own, so the ticker is not used. Wake-ups are timers that post a task.
 //   - EventLoop.Execute queues a task behind an eventfd. epoll returns it with whatever else is ready and runs it
 //     after those, so a task posted from a callback comes after all that could be read: it ends the round.
 //   - EventLoop.Enroll takes a connection made elsewhere, duplicates its descriptor and opens it on the loop. Dials
-//     run on goroutines and meet the loop only there. Register would dial without a time-out.
+//     run on goroutines and meet the loop only there. Register would dial without a time-out. Where epoll refuses the
+//     descriptor Enroll gives no error: the connection is closed and never opened.
 package eventloop
 
 import (
@@ -18,6 +20,8 @@
 	"net"
 	"net/netip"
 	"os"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -52,31 +56,35 @@
 	gnet.BuiltinEventEngine
 	Memory int // bytes that the program may use, of which the bounds below are parts
 	// Bind is the address that dials come from; nil: the system's choice.
-	Bind      *net.TCPAddr
-	engine    gnet.Engine
-	events    gnet.EventLoop
-	listeners map[string]Listener
-	handleTo  string // see handle
-	dirty     []*Conn
-	owing     []*Conn // whose peers had not taken all by their last write
-	pending   bool    // the end of a round is posted
-	timer     *time.Timer
-	start     func()
-	endRound  func()
-	started   chan struct{}
-	dials     int
-	outbound  int // see Outbound
-	inbound   int // bytes of messages that are not whole yet
-	rounds    int // since
-	since     time.Time
-	busy      bool
-	last      time.Time     // when the last round was ended
-	wait      time.Duration // after that one was asked for
-	steps     int           // of catching up, see behind
-	quiet     int           // the last of them, with few events
-	heard     int           // openings, reads and ends since the last of them
-	kept      []byte        // see Keep
-	spare     [][]byte      // empty buffers for what goes out
+	Bind *net.TCPAddr
+	// AcceptFailed is told of connections that could not be accepted, on the loop; nil: nobody is.
+	AcceptFailed func(error)
+	engine       atomic.Pointer[gnet.Engine]
+	handleOnce   sync.Once
+	events       gnet.EventLoop
+	packets      map[string]PacketHandler // by local address
+	accepts      atomic.Int64             // see PendingAccepts
+	handleTo     string                   // see handle
+	dirty        []*Conn
+	owing        []*Conn // whose peers had not taken all by their last write
+	pending      bool    // the end of a round is posted
+	timer        *time.Timer
+	start        func()
+	endRound     func()
+	started      chan struct{}
+	dials        int
+	outbound     int // see Outbound
+	inbound      int // bytes of messages that are not whole yet
+	rounds       int // since
+	since        time.Time
+	busy         bool
+	last         time.Time     // when the last round was ended
+	wait         time.Duration // after that one was asked for
+	steps        int           // of catching up, see behind
+	quiet        int           // the last of them, with few events
+	heard        int           // openings, reads and ends since the last of them
+	kept         []byte        // see Keep
+	spare        [][]byte      // empty buffers for what goes out
 }
 
 // Conn is a connection on the loop.
@@ -92,6 +100,8 @@
 	dirty   bool
 	owing   bool
 	adopted bool
+	accept  func(remote net.Addr) Handler // of a connection that was accepted: gives its handler
+	opened  bool                          // OnOpen has seen it
 	later   bool
 	closing bool
 	closed  bool
@@ -124,77 +134,91 @@
 	stepMost  = 20
 )
 
+// errNotOpened is the end of a dial whose connection epoll refused, for want of memory or of watches.
+var errNotOpened = fmt.Errorf("the event loop could not watch the connection: %w", unix.ENOMEM)
+
 // ErrOverflow is the end of a connection whose peer does not read.
 var ErrOverflow = errors.New("the peer does not read its answers")
 
 // Run opens the listeners and runs the loop until Stop. start runs on the loop before anything is read; endRound at
 // the end of every round.
 func Run(listeners []Listener, start func(*Loop), endRound func()) error {
-	l := &Loop{listeners: map[string]Listener{}, endRound: endRound, started: make(chan struct{})}
-	l.start = func() { start(l) }
+	l := &Loop{packets: map[string]PacketHandler{}, endRound: endRound, started: make(chan struct{})}
 	l.handleTo = handleAddress(listeners)
 	var addresses []string
+	var acceptors []*acceptor
 	for _, ln := range listeners {
-		// SO_REUSEPORT would let a second program share the address unnoticed.
-		if err := vacant(ln); err != nil {
+		if ln.Packet == nil {
+			listener, err := listen(ln.Address)
+			if err != nil {
+				return fmt.Errorf("listen: %w", err)
+			}
+			defer listener.Close()
+			acceptors = append(acceptors, &acceptor{loop: l, accept: ln.Accept, listener: listener,
+				places: make(chan struct{}, maxPendingAccepts)})
+			continue
+		}
+		// SO_REUSEPORT, which gnet sets, would let a second program share the address unnoticed.
+		if err := retryLocal(func() error { return vacant(ln.Address) }); err != nil {
 			return err
 		}
-		l.listeners[ln.Network+ln.Address] = ln
+		l.packets[ln.Address] = ln.Packet
 		addresses = append(addresses, ln.Network+"://"+ln.Address)
 	}
-	// SO_REUSEADDR too: what is left in TIME_WAIT of a killed doorman's connections must not keep the next one from its
-	// address, and it does where those sockets had SO_REUSEPORT alone.
+	l.start = func() {
+		start(l)
+		for _, a := range acceptors {
+			go a.run()
+		}
+	}
+	if len(addresses) == 0 { // gnet gives no handle to an engine without a listener
+		addresses = append(addresses, "udp://"+unusedAddress(l.handleTo))
+	}
 	logger := zap.New(zapcore.NewCore(zapcore.NewConsoleEncoder(zap.NewProductionEncoderConfig()),
 		zapcore.Lock(os.Stderr), zapcore.ErrorLevel)).Sugar()
-	err := gnet.Rotate(l, addresses, gnet.WithReusePort(true), gnet.WithReuseAddr(true), gnet.WithNumEventLoop(1),
-		gnet.WithLogger(logger))
+	err := retryLocal(func() error {
+		return gnet.Rotate(l, addresses, gnet.WithReusePort(true), gnet.WithReuseAddr(true), gnet.WithNumEventLoop(1),
+			gnet.WithLogger(logger))
+	})
 	if err != nil {
 		return fmt.Errorf("event loop: %w", err)
 	}
 	return nil
 }
 
-// vacant says whether nobody else listens on an address. It binds and does not listen, so that no client is taken in
-// and lost. With SO_REUSEADDR what is left of connections of an earlier life does not count.
-func vacant(ln Listener) error {
-	address, err := netip.ParseAddrPort(ln.Address)
+// vacant says whether nobody else has an address for datagrams, by binding to it for a moment.
+func vacant(of string) error {
+	address, err := netip.ParseAddrPort(of)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	family, kind := unix.AF_INET6, unix.SOCK_STREAM
+	family := unix.AF_INET6
 	var to unix.Sockaddr = &unix.SockaddrInet6{Port: int(address.Port()), Addr: address.Addr().As16()}
 	if ip := address.Addr().Unmap(); ip.Is4() {
 		family, to = unix.AF_INET, &unix.SockaddrInet4{Port: int(address.Port()), Addr: ip.As4()}
 	}
-	if ln.Packet != nil {
-		kind = unix.SOCK_DGRAM
-	}
-	fd, err := unix.Socket(family, kind|unix.SOCK_CLOEXEC, 0)
+	fd, err := unix.Socket(family, unix.SOCK_DGRAM|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	defer unix.Close(fd)
-	if ln.Packet == nil {
-		err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
-	}
-	if err == nil {
-		err = unix.Bind(fd, to)
-	}
-	if err != nil {
-		return fmt.Errorf("listen: %s %s: %w", ln.Network, ln.Address, err)
+	if err = unix.Bind(fd, to); err != nil {
+		return fmt.Errorf("listen: udp %s: %w", of, err)
 	}
 	return nil
 }
 
 // OnBoot runs before the loop does; the first connection enrolled brings its handle.
 func (l *Loop) OnBoot(engine gnet.Engine) gnet.Action {
-	l.engine = engine
-	go func() {
-		if err := l.handle(); err != nil {
-			fmt.Fprintln(os.Stderr, "event loop:", err)
-			os.Exit(1)
-		}
-	}()
+	l.engine.Store(&engine)
+	l.handleOnce.Do(func() { // a start that failed for a moment is tried again, by another engine
+		go func() {
+			if err := retryLocal(l.handle); err != nil {
+				fmt.Fprintln(os.Stderr, "event loop:", err)
+				os.Exit(1)
+			}
+		}()
+	})
 	return gnet.None
 }
 
@@ -210,7 +234,7 @@
 	}
 	ctx := gnet.NewNetConnContext(gnet.NewContext(context.Background(), handleMark{}), conn)
 	for {
-		result, err := l.engine.Register(ctx)
+		result, err := l.engine.Load().Register(ctx)
 		if err != nil { // the loop is not there yet
 			time.Sleep(time.Millisecond)
 			continue
@@ -223,10 +247,8 @@
 		events, sock := r.Conn.EventLoop(), r.Conn
 		return events.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
 			_ = sock.Close()
-			if l.events == nil { // else a client was quicker
-				l.events = events
-				l.start()
-			}
+			l.events = events
+			l.start()
 			return nil
 		}))
 	}
@@ -250,6 +272,13 @@
 	return "127.0.0.1:9"
 }
 
+// unusedAddress is an address for datagrams on the same host, at a port that the system picks. What comes there is
+// dropped.
+func unusedAddress(address string) string {
+	host, _, _ := net.SplitHostPort(address)
+	return net.JoinHostPort(host, "0")
+}
+
 // Post runs a task on the loop, at the end of what is ready. It may be called from any goroutine once start has run.
 func (l *Loop) Post(task func()) {
 	_ = l.events.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
@@ -346,9 +375,12 @@
 
 // Stop ends Run.
 func (l *Loop) Stop() {
-	go func() { _ = l.engine.Stop(context.Background()) }()
+	go func() { _ = l.engine.Load().Stop(context.Background()) }()
 }
 
+// PendingAccepts is the number of connections that were accepted and that no handler knows of yet.
+func (l *Loop) PendingAccepts() int { return int(l.accepts.Load()) }
+
 // PendingDials is the number of dials under way, each of which may hold two descriptors.
 func (l *Loop) PendingDials() int { return l.dials }
 
@@ -403,8 +435,8 @@
 			fail(err)
 			return
 		}
-		ctx := gnet.NewContext(context.Background(), &Conn{handler: handler, loop: l})
-		result, err := l.events.Enroll(ctx, conn)
+		dialed := &Conn{handler: handler, loop: l}
+		result, err := l.events.Enroll(gnet.NewContext(context.Background(), dialed), conn)
 		if err == nil {
 			err = (<-result).Err
 		} else {
@@ -412,6 +444,8 @@
 		}
 		if err != nil {
 			fail(err)
+		} else if !dialed.opened { // OnOpen came before the result, if it came
+			fail(errNotOpened)
 		}
 	}()
 }
@@ -419,13 +453,20 @@
 // Adopt takes over a connection that was made elsewhere. It must not be called on the loop. With an error the handler
 // hears nothing.
 func (l *Loop) Adopt(conn net.Conn, handler Handler) error {
-	ctx := gnet.NewContext(context.Background(), &Conn{handler: handler, loop: l, adopted: true})
+	adopted := &Conn{handler: handler, loop: l, adopted: true}
+	ctx := gnet.NewContext(context.Background(), adopted)
 	result, err := l.events.Enroll(ctx, conn)
 	if err != nil {
 		_ = conn.Close()
 		return err
 	}
-	return (<-result).Err
+	if err := (<-result).Err; err != nil {
+		return err
+	}
+	if !adopted.opened { // OnOpen came before the result, if it came
+		return errNotOpened
+	}
+	return nil
 }
 
 // OnOpen gives a new connection its handler.
@@ -434,26 +475,20 @@
 		return nil, gnet.None // handle closes it
 	}
 	l.heard++
-	if l.events == nil { // a client that was quicker than the handle
-		l.events = sock.EventLoop()
-		l.start()
-	}
 	c, made := sock.Context().(*Conn)
+	if !made {
+		return nil, gnet.Close
+	}
+	c.opened = true
 	switch {
-	case made && !c.adopted:
-		l.dials--
-	case made:
-	default:
-		ln, ok := l.listeners["tcp"+sock.LocalAddr().String()]
-		if !ok || ln.Accept == nil {
+	case c.accept != nil:
+		l.accepts.Add(-1)
+		if c.handler = c.accept(sock.RemoteAddr()); c.handler == nil {
+			sock.SetContext(nil)
 			return nil, gnet.Close
 		}
-		handler := ln.Accept(sock.RemoteAddr())
-		if handler == nil {
-			return nil, gnet.Close
-		}
-		c = &Conn{handler: handler, loop: l}
-		sock.SetContext(c)
+	case !c.adopted:
+		l.dials--
 	}
 	c.sock = sock
 	c.handler.Opened(c)
@@ -513,8 +548,8 @@
 }
 
 func (l *Loop) packet(sock gnet.Conn) gnet.Action {
-	ln, ok := l.listeners["udp"+sock.LocalAddr().String()]
-	if !ok || ln.Packet == nil || l.events == nil {
+	take, ok := l.packets[sock.LocalAddr().String()]
+	if !ok || l.events == nil {
 		return gnet.None
 	}
 	data, err := sock.Next(-1)
@@ -522,7 +557,7 @@
 		return gnet.None
 	}
 	// gnet sends datagrams from AsyncWrite at once, also after the event that brought sock.
-	ln.Packet(data, sock.RemoteAddr(), func(answer []byte) { _ = sock.AsyncWrite(answer, nil) })
+	take(data, sock.RemoteAddr(), func(answer []byte) { _ = sock.AsyncWrite(answer, nil) })
 	l.RequestRound()
 	return gnet.None
 }
--- /dev/null
+++ b/internal/eventloop/transient.go
@@ -0,0 +1,38 @@
+package eventloop
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	startRetryPause = 20 * time.Millisecond
+	startRetryLimit = 5 * time.Second // after which what should pass is taken to stay
+)
+
+// localErrors are how system calls on sockets fail for want of something on this machine. None says anything of the peer.
+var localErrors = []error{
+	unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.EAGAIN, unix.EINTR, unix.EADDRNOTAVAIL, unix.ENETDOWN,
+	unix.ECONNABORTED,
+}
+
+// IsLocal says whether a system call on a socket failed for want of something on this machine: descriptors, memory,
+// ports. Such errors pass, and say nothing of the peer.
+func IsLocal(err error) bool {
+	return slices.ContainsFunc(localErrors, func(local error) bool { return errors.Is(err, local) })
+}
+
+// retryLocal calls try until it succeeds, fails for another reason than one that IsLocal, or startRetryLimit is over.
+func retryLocal(try func() error) error {
+	began := time.Now()
+	for {
+		err := try()
+		if err == nil || !IsLocal(err) || time.Since(began) > startRetryLimit {
+			return err
+		}
+		time.Sleep(startRetryPause)
+	}
+}
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -29,7 +29,8 @@
 const (
 	housekeepEvery = 100 * time.Millisecond
 	tallyEvery     = 5 * time.Second // of what went to the boxes: a line a pool
-	// ownSockets is what the program needs beside clients and boxes: listeners, epoll, bulletin, standard streams.
+	// ownSockets is what the program needs beside clients and boxes: listeners, epoll, bulletin, standard streams, and
+	// connections that were accepted and are handed to the loop.
 	ownSockets = 24
 	// clientPart of the descriptors is for clients. Usual ones hold a third at most; the rest is for those that stay.
 	clientPart = 2
@@ -108,6 +109,7 @@
 func (d *server) start(l *eventloop.Loop) {
 	s := d.plan.settings
 	d.loop, l.Memory, l.Bind = l, int(s.Memory), d.plan.own.from()
+	l.AcceptFailed = func(err error) { d.log.Event("accept-failed", "error", err) }
 	d.resolver = &resolver.Resolver{Loop: l, Now: d.clock.Monotonic}
 	if dns := d.plan.own.DNS; dns != nil {
 		d.resolver.Server, d.resolver.Limit = dns.Resolver, dns.ResolveTimeout
@@ -214,7 +216,7 @@
 
 // end does what the end wants next.
 func (d *server) end(now time.Duration) {
-	held := shutdown.Load{Open: d.open(), Clients: d.front.Clients(), Unsent: d.loop.UnsentBytes(), Blocked: !d.sources.shutdownDone()}
+	held := shutdown.Load{Open: d.open(), Clients: d.front.Clients() + d.loop.PendingAccepts(), Unsent: d.loop.UnsentBytes(), Blocked: !d.sources.shutdownDone()}
 	if d.dns != nil {
 		held.Clients += d.dns.Clients()
 	}
