--- a/internal/broker/endpoints.go
+++ b/internal/broker/endpoints.go
@@ -168,3 +168,6 @@
 	}
 	x.byAddress[address] = rest
 }
+
+// maxStartAhead is how far in the future a start may be reported.
+const maxStartAhead = 10 * time.Second
--- /dev/null
+++ b/test/signals_test.go
@@ -0,0 +1,66 @@
+package test
+
+import (
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// replaceByPipe puts a named pipe in the place of a file, so that whoever reads the file waits for a writer.
+func replaceByPipe(t *testing.T, path string) {
+	t.Helper()
+	if err := errors.Join(os.Remove(path), unix.Mkfifo(path, 0o600)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestSIGTERMDuringReloads: the files are slow to read, and SIGHUP comes again and again. SIGTERM, which comes last,
+// waits for none of that: the program drains at once.
+func TestSIGTERMDuringReloads(t *testing.T) {
+	t.Parallel()
+	w := newTestbed(t, nil)
+	w.addSettings("# nothing")
+	w.start()
+	replaceByPipe(t, w.settingsPath)
+	for range 30 {
+		w.signal(syscall.SIGHUP)
+		time.Sleep(2 * time.Millisecond) // signals that come at once are one
+	}
+	at := w.terminate()
+	if took := time.Since(at); took > time.Second {
+		t.Errorf("the program drains %v after SIGTERM, want it at once", took)
+	}
+	w.waitExit()
+}
+
+// TestSIGHUPDuringStart: a configuration is put in place while the program starts. SIGHUP must not end it.
+func TestSIGHUPDuringStart(t *testing.T) {
+	t.Parallel()
+	w := newTestbed(t, nil)
+	w.writeConfig()
+	settings := filepath.Join(t.TempDir(), "sloequay.conf")
+	writeFile(t, settings, "")
+	replaceByPipe(t, settings)
+	cmd := exec.Command(program, "serve", "--config", w.configPath, "--conf", settings)
+	cmd.Stderr = &w.log
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	w.cmd, w.exited = cmd, make(chan error, 1)
+	go func() { w.exited <- cmd.Wait() }()
+	pipe, err := os.OpenFile(settings, os.O_WRONLY, 0) // opens once the program reads it
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.signal(syscall.SIGHUP)
+	time.Sleep(100 * time.Millisecond) // for the signal to arrive, or the settings would be read before
+	_ = pipe.Close()
+	w.waitLogged("event=started")
+	w.expectRunning()
+}
