Take stamps of others for the latest time they may stand for after a clock step

Change: clock.Offsets keeps the lowest offset that stamps may go by (slewing moves it along); purges and starts are converted by it, and no later than now. A purge on a watch that was up to date counts as issued after that, also where this proxy was started with its clock off.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"sloequay/internal/clock"
 	"sloequay/internal/invalidation"
 	"sloequay/internal/membership"
 	"sloequay/internal/policy"
@@ -21,7 +22,7 @@
 	members *membership.Table
 
 	now     time.Duration // the latest time that a round was given
-	offset  time.Duration // of the Unix clock over now
+	offsets clock.Offsets // of the Unix clock over now
 	pending []Event       // of this round, not yet handled
 	effects []Effect      // of this round
 
@@ -65,9 +66,11 @@
 }
 
 // SetOffset sets the offset of the Unix clock over the times that the broker is given. What others have stamped, starts
-// of endpoints and purges, is converted by it once, so that a step of that clock changes nothing that is under way.
+// of endpoints and purges, is converted once, so that a step of that clock changes nothing that is under way. Where the
+// clock was stepped, the latest time counts that a stamp may stand for: a purge is then rather too young than too old,
+// and so is an endpoint.
 func (b *Broker) SetOffset(offset time.Duration) {
-	b.offset = offset
+	b.offsets.Set(offset)
 	b.members.SetOffset(offset)
 }
 
--- a/internal/broker/clockstep_test.go
+++ b/internal/broker/clockstep_test.go
@@ -42,3 +42,15 @@
 		}
 	}
 }
+
+// TestPurgeOnCurrentWatchIsNew: this proxy was started after its clock was stepped an hour ahead, so that it knows no
+// other offset. A purge that comes on a watch which was up to date a second ago is not an hour old.
+func TestPurgeOnCurrentWatchIsNew(t *testing.T) {
+	const now, offset, object = 1000 * time.Second, 400 * 24 * time.Hour, 0xaa
+	b := newBroker(t)
+	b.SetOffset(offset + time.Hour)
+	b.Round(now, []Event{Purge{Object: object, Issued: now + offset, IssuedAfter: now - time.Second}})
+	if issued, found := b.purges.Newest(object, 0); !found || issued < now-time.Second || issued > now {
+		t.Errorf("the purge counts as issued %v ago (known: %v), want 1 s at the most", now-issued, found)
+	}
+}
--- a/internal/broker/endpoints.go
+++ b/internal/broker/endpoints.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"sloequay/internal/clock"
 	"sloequay/internal/policy"
 )
 
@@ -12,6 +13,9 @@
 // may come again, and its address is blocked for endpoints that a name server gives it to.
 const rememberDeparted = time.Minute
 
+// maxStartAhead is how far in the future a start may be reported.
+const maxStartAhead = 10 * time.Second
+
 // The offset basis and the prime of the 64-bit FNV-1a hash.
 const (
 	fnvOffset = 14695981039346656037
@@ -77,9 +81,11 @@
 	return blocked
 }
 
-// update takes over what the list says of one endpoint, if that is anything new. The offset is that of the Unix clock
-// over now.
-func (x *endpointIndex) update(reported Endpoint, now, offset time.Duration) (endpointUpdate, bool) {
+// update takes over what the list says of one endpoint, if that is anything new. The offsets are those of the Unix
+// clock over now.
+func (x *endpointIndex) update(
+	reported Endpoint, now time.Duration, offsets *clock.Offsets,
+) (endpointUpdate, bool) {
 	endpoint := x.byID[x.ids[reported.Name]]
 	isNew := endpoint == nil
 	isGone := reported.State == policy.Gone
@@ -97,7 +103,7 @@
 	reported.ID = previous.ID
 	reported.StartedAt = previous.StartedAt
 	if reported.reportedStart != previous.reportedStart { // compared as reported: the offset may have changed since
-		reported.StartedAt = startTime(reported.reportedStart, offset)
+		reported.StartedAt = startTime(reported.reportedStart, now, offsets)
 	}
 	isMoved := reported.Address != previous.Address
 	if isNew || isMoved {
@@ -133,12 +139,17 @@
 	return endpoint
 }
 
-// startTime converts a reported start to the broker's clock; 0: long ago.
-func startTime(reported, offset time.Duration) time.Duration {
+// startTime converts a reported start to the broker's clock; 0: long ago. One that lies far in the future is the report
+// of a clock that was stepped: the endpoint has started by now.
+func startTime(reported, now time.Duration, offsets *clock.Offsets) time.Duration {
 	if reported == 0 {
 		return 0
 	}
-	return max(1, reported-offset)
+	startedAt := offsets.Latest(reported)
+	if startedAt > now+maxStartAhead {
+		startedAt = now
+	}
+	return max(1, startedAt)
 }
 
 // forget drops endpoints that have been gone for long, the earliest first.
@@ -168,6 +179,3 @@
 	}
 	x.byAddress[address] = rest
 }
-
-// maxStartAhead is how far in the future a start may be reported.
-const maxStartAhead = 10 * time.Second
--- a/internal/broker/events.go
+++ b/internal/broker/events.go
@@ -57,6 +57,8 @@
 	Object uint64
 	Group  int
 	Issued time.Duration // on the Unix clock
+	// IssuedAfter is a time of the broker's own clock after which it was issued for certain; 0: none is known.
+	IssuedAfter time.Duration
 }
 
 // ObjectZero stands for the object 0, since an Object of 0 means a group in a Purge.
--- a/internal/broker/list.go
+++ b/internal/broker/list.go
@@ -45,7 +45,7 @@
 		if i < maxChangeEntries {
 			b.logChange(change)
 		}
-		update, ok := b.endpoints.update(reportedEndpoint(change.Endpoint), b.now, b.offset)
+		update, ok := b.endpoints.update(reportedEndpoint(change.Endpoint), b.now, &b.offsets)
 		if !ok {
 			continue
 		}
--- a/internal/broker/purge.go
+++ b/internal/broker/purge.go
@@ -18,9 +18,9 @@
 
 // purge records a purge, for attempts that wait for their connections, and notifies the policy.
 func (b *Broker) purge(event Purge) {
-	issued := event.Issued - b.offset
+	issued := min(b.now, max(b.offsets.Latest(event.Issued), event.IssuedAfter))
 	b.purges.Record(b.now, event.Object, event.Group, issued)
-	b.notify(policy.PurgeEvent{Object: event.Object, Group: event.Group, Age: max(0, b.now-issued)})
+	b.notify(policy.PurgeEvent{Object: event.Object, Group: event.Group, Age: b.now - issued})
 }
 
 // maxAge is the age of the oldest copy that will do for an attempt that is written now; 0: the class's own limit.
--- a/internal/membership/events.go
+++ b/internal/membership/events.go
@@ -31,6 +31,8 @@
 	Object   uint64
 	Group    int
 	Issued   time.Duration // on the Unix clock
+	// IssuedAfter is a monotonic time after which it was issued for certain, whatever the Unix clocks say; 0: unknown.
+	IssuedAfter time.Duration
 }
 
 func (ListReceived) isSourceEvent()  {}
--- a/internal/proxy/source_events.go
+++ b/internal/proxy/source_events.go
@@ -22,7 +22,8 @@
 		if event.IsObject && object == 0 {
 			object = broker.ObjectZero // 0 stands for a group there
 		}
-		return broker.Purge{Object: object, Group: event.Group, Issued: event.Issued}
+		return broker.Purge{Object: object, Group: event.Group, Issued: event.Issued,
+			IssuedAfter: event.IssuedAfter}
 	}
 	panic(fmt.Sprintf("the source event %T has no event of the broker's", event))
 }
