Take signals over before files are read, and SIGTERM apart from SIGHUP

Cause: one channel of eight for all signals, and one goroutine that reads files for SIGHUP: SIGTERM was dropped behind eight of them and waited for a slow file; SIGHUP before the files were read ended the process.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -53,6 +53,7 @@
 	}
 	serveCmd := gone(files(&cobra.Command{Use: "serve", Short: "Run the doorman in the foreground",
 		RunE: func(*cobra.Command, []string) error {
+			signals := proxy.ReceiveSignals()
 			p, err := proxy.Load(system, o.config, o.conf)
 			if err != nil {
 				return err
@@ -61,7 +62,7 @@
 			if err != nil {
 				return err
 			}
-			return proxy.Serve(p, log)
+			return proxy.Serve(p, signals, log)
 		}}))
 	serveCmd.Flags().StringVar(&o.format, "log-format", "text", "form of the log: text or json")
 	serveCmd.Flags().StringVar(&o.level, "log-level", "info", "least level that is logged: debug, info, warn, error")
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -3,11 +3,8 @@
 package proxy
 
 import (
-	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"sloequay/internal/bootstrap"
@@ -53,7 +50,7 @@
 	door      *door         // nil: every caller may do everything
 	kept      time.Duration // when the last housekeeping was
 	tallied   time.Duration // when the depots' tallies were last logged
-	signals   chan os.Signal
+	signals   *Signals
 	leaving   shutdown.Sequence
 	unixClock clock.Tracker // finds steps of the Unix clock
 	stopped   bool
@@ -61,15 +58,14 @@
 }
 
 // Serve runs the doorman until SIGTERM has been seen through.
-func Serve(p *Plan, log *eventlog.Logger) error {
+func Serve(p *Plan, signals *Signals, log *eventlog.Logger) error {
 	s := p.settings
 	p.clock.SetOffset(p.own.clockOffset)    // a reload does not move it
 	debug.SetMemoryLimit(s.Memory * 6 / 10) // the rest is for stacks, the runtime and the sockets' buffers
 	debug.SetGCPercent(300)                 // within that: eight collections a second were measured at full load
 	// The loop never parks its goroutine. With one P, dials beside it were seen only each 10 ms and took 25 to 50 ms.
 	runtime.GOMAXPROCS(max(2, runtime.GOMAXPROCS(0)))
-	d := &server{plan: p, clock: p.clock, log: log, leaving: shutdown.Sequence{LongestDeadline: s.LongestDeadline()}, signals: make(chan os.Signal, 8)}
-	signal.Notify(d.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	d := &server{plan: p, clock: p.clock, log: log, leaving: shutdown.Sequence{LongestDeadline: s.LongestDeadline()}, signals: signals}
 	if p.own.Contracts != nil {
 		d.contracts = p.own.Contracts.Ledger()
 	}
@@ -129,7 +125,8 @@
 	}
 	d.sources = &sources{server: d}
 	d.sources.start()
-	go d.handleSignals()
+	go d.handleEnd()
+	go d.handleReloads()
 	d.log.Event("started", "name", s.Name, "listen", s.Listen, "endpoints", d.plan.initialEndpointCount)
 	l.RequestRound()
 }
@@ -175,18 +172,6 @@
 	return d.known
 }
 
-// handleSignals takes signals to the loop. Files are read here, beside it.
-func (d *server) handleSignals() {
-	for s := range d.signals {
-		if s != syscall.SIGHUP {
-			d.loop.Post(d.leave)
-			continue
-		}
-		next, err := d.plan.reload()
-		d.loop.Post(func() { d.reload(next, err) })
-	}
-}
-
 // reload takes over what may change while the program runs. A file that is not sound changes nothing: operators
 // replace files under load, and the doorman must outlive their slips.
 func (d *server) reload(next *Plan, err error) {
