Bound the open requests of a test by a window instead of by sleeps

Change: a window of 32 that each answer frees. All 2000 charges are still sent and each still has to be denied for want of the right.

--- a/test/identity_test.go
+++ b/test/identity_test.go
@@ -70,19 +70,19 @@
 func expectChargesDenied(t *testing.T, client *client, token string) {
 	t.Helper()
 	const count = 2000
+	open := make(chan bool, 32) // no more may be open on a connection
 	go func() {
 		for id := uint64(1); id <= count; id++ {
+			open <- true
 			fields := map[string]string{"token": token, "team": "lanes", "unique": fmt.Sprint("u", id)}
 			_ = client.protocol.Send(request(id, "charge", fields, "post"))
-			if id%16 == 0 {
-				time.Sleep(time.Millisecond) // no more than 32 may be open
-			}
 		}
 	}()
 	for range count {
 		if a := client.mustRead(); a.Error != "Denied" || a.Fields["reason"] != "right" {
 			t.Fatalf("%+v, want it denied for want of the right", a)
 		}
+		<-open
 	}
 }
 
