Count a request's time from when it may have come, and answer what is given up

Cause: ReceivedAt was the time of reading. After a standstill, and for messages of paced clients that wait to be looked at, that is late by seconds, and so was the deadline that endpoints are given. Paced clients that sent too much were closed with whole requests of theirs read and unanswered. Change: Conn.ReadLag tells how much earlier bytes may have come; held messages count from when the first of them came. Before a paced client is closed its open requests are failed and its unread whole ones rejected.

--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -311,6 +311,20 @@
 	l.rest()
 }
 
+// ReadLag is how much earlier than now bytes may have come that are read now: next to nothing while the loop reads as it
+// should, and the time since the last round where it stood still meanwhile.
+func (c *Conn) ReadLag() time.Duration {
+	l := c.loop
+	if l == nil || l.last.IsZero() {
+		return 0
+	}
+	sinceRound := time.Since(l.last)
+	if sinceRound <= l.wait+heldUp {
+		return 0
+	}
+	return sinceRound
+}
+
 // behind says whether the round has to wait for what came while the loop stood still. epoll tells of 32 sockets or some more at once, and
 // of the end of a connection only once its bytes were read. So the first round after a standstill of 0.4 s sent on the requests of clients
 // that had left, as their ends stood unread behind them; and it could have followed an old list.
--- a/internal/frontend/rpc/rpc.go
+++ b/internal/frontend/rpc/rpc.go
@@ -124,7 +124,9 @@
 	for e := f.paced.Front(); e != nil && now-e.Value.(*client).since > pacedWait; e = f.paced.Front() {
 		c := e.Value.(*client)
 		f.log("client-rate-limited", "from", c.caller.Remote, "waited", now-c.since)
-		c.leave()
+		c.refuse = true
+		c.conn.ReadAgain() // rejects what has come whole
+		c.abandon()
 	}
 	for left, n := pacedAll, f.paced.Len(); n > 0 && left > 0; n-- { // each at most once, the rest next time
 		c := f.paced.Remove(f.paced.Front()).(*client)
@@ -148,6 +150,9 @@
 	waits  *list.Element // in the front's paced
 	since  time.Duration // when it began to wait there
 	may    int           // messages that may be looked at though the client is paced
+	heldAt time.Duration // since when messages of it have waited without a break; 0: none waits
+	came   time.Duration // when the messages that are looked at may have come at the earliest
+	refuse bool          // whole requests are rejected unread, as the connection is about to be closed
 	left   bool
 }
 
@@ -209,6 +214,10 @@
 func (c *client) Received(conn *eventloop.Conn) {
 	c.excess = 0
 	used, now, held := 0, c.front.now(), false
+	c.came = now - conn.ReadLag()
+	if c.heldAt != 0 {
+		c.came = min(c.came, c.heldAt)
+	}
 	for used < len(conn.In) && !c.left {
 		if held = c.hold(now); held {
 			break
@@ -224,9 +233,16 @@
 		}
 		used += done
 	}
+	switch {
+	case !held:
+		c.heldAt = 0
+	case c.heldAt == 0:
+		c.heldAt = c.came
+	}
 	if held && len(conn.In)-used > pacedMost {
 		c.front.log("client-rate-limited", "from", c.caller.Remote, "bytes", len(conn.In)-used)
-		c.leave()
+		c.rejectWhole(conn.In[used:])
+		c.abandon()
 	}
 	if c.left {
 		used = len(conn.In)
@@ -239,9 +255,23 @@
 	c.busy()
 }
 
+// rejectWhole rejects the requests that have come whole and were not looked at: they were read, so that each is owed an
+// answer.
+func (c *client) rejectWhole(data []byte) {
+	c.refuse = true
+	for len(data) > 0 {
+		r := msgpack.Reader{Data: data, MaxElements: mostFrame, Values: mostValues}
+		used, err := c.frame(&r)
+		if err != nil {
+			return
+		}
+		data = data[used:]
+	}
+}
+
 // hold says whether the rest of what came has to wait, and has it looked at later.
 func (c *client) hold(now time.Duration) bool {
-	if c.front.Source == nil || !c.caller.Paced(now) {
+	if c.refuse || c.front.Source == nil || !c.caller.Paced(now) {
 		return false
 	}
 	if c.may > 0 {
@@ -289,6 +319,10 @@
 	}
 	end := r.Pos
 	p := msgpack.Reader{Data: r.Data[:end], Pos: start}
+	if c.refuse {
+		c.reject(msg, broker.Response{})
+		return end, nil
+	}
 	method := string(p.Text(mostText))
 	if p.Err == nil && method == "status" {
 		c.conn.Send(msgpack.AppendMap(msgpack.AppendBool(msgpack.AppendArray(
@@ -304,7 +338,7 @@
 		c.front.log("client-duplicate-id", "message", msg)
 		return end, fmt.Errorf("message id %d used twice", msg)
 	case len(c.open) >= mostOpen || c.front.full():
-		c.refuse(msg, broker.Response{RetryAfter: min(crowdedWait, c.front.MaxRetryAfter)})
+		c.reject(msg, broker.Response{RetryAfter: min(crowdedWait, c.front.MaxRetryAfter)})
 		if c.excess++; c.excess > mostExcess {
 			return end, fmt.Errorf("%d requests beyond the %d that may be open", c.excess, mostOpen)
 		}
@@ -372,7 +406,7 @@
 		return nil, p.Err
 	}
 	r := &broker.Request{Frontend: c, ID: fields["txn"], Class: class, Team: fields["team"], ObjectName: fields["item"],
-		Token: fields["token"], Caller: &c.caller, Key: fields["unique"], ETag: fields["got"], MarkedRetry: fields["second"] == "1", Body: append([]byte(nil), body...), ReceivedAt: c.front.now()}
+		Token: fields["token"], Caller: &c.caller, Key: fields["unique"], ETag: fields["got"], MarkedRetry: fields["second"] == "1", Body: append([]byte(nil), body...), ReceivedAt: c.came}
 	if !isHex16(r.ID) {
 		return nil, fmt.Errorf("txn %q: expected 16 hex digits", r.ID)
 	}
@@ -464,7 +498,7 @@
 		}
 		c.conn.Send(b, f.Body, appendFields(nil, fields))
 	case broker.ResponseRejected:
-		c.refuse(msg, f)
+		c.reject(msg, f)
 	case broker.ResponseFailed:
 		c.fail(msg, wordFailed, nil)
 	case broker.ResponseDenied:
@@ -477,8 +511,8 @@
 	return msgpack.AppendUint(msgpack.AppendUint(msgpack.AppendArray(nil, 4), kindAnswer), uint64(msg))
 }
 
-// refuse says that a further try is harmless, and when it is welcome.
-func (c *client) refuse(msg uint32, f broker.Response) {
+// reject says that a further try is harmless, and when it is welcome.
+func (c *client) reject(msg uint32, f broker.Response) {
 	var fields []broker.Field
 	if f.RetryAfter > 0 && c.front.MaxRetryAfter > 0 {
 		later := (f.RetryAfter + time.Millisecond - 1) / time.Millisecond
