--- a/test/cancellation_test.go
+++ b/test/cancellation_test.go
@@ -219,7 +219,7 @@
 		clients = append(clients, c)
 	}
 	stayed := clients[0]
-	w.signal(syscall.SIGSTOP)
+	w.standStill()
 	stayed.send(request(1, "lookup", map[string]string{"limit": "60000"}, ""))
 	for n, c := range clients[1:] {
 		for id := range uint64(requests) {
--- a/test/harness_process_test.go
+++ b/test/harness_process_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -56,6 +58,23 @@
 	return strings.Fields(stat[strings.LastIndexByte(stat, ')')+1:])
 }
 
+// standStill stops the program and waits until none of its threads runs any more.
+func (w *testbed) standStill() {
+	w.t.Helper()
+	w.signal(syscall.SIGSTOP)
+	threads := fmt.Sprintf("/proc/%d/task/*/stat", w.cmd.Process.Pid)
+	w.waitUntil("all threads of the program are stopped", func() bool {
+		paths, err := filepath.Glob(threads)
+		if err != nil || len(paths) == 0 {
+			return false
+		}
+		return !slices.ContainsFunc(paths, func(path string) bool {
+			text, err := os.ReadFile(path)
+			return err != nil || statFields(string(text))[0] != "T"
+		})
+	})
+}
+
 // cpuShare gives the share of a core that a process used in a window.
 func cpuShare(t *testing.T, pid int, window time.Duration) float64 {
 	t.Helper()
--- a/test/standstill_test.go
+++ b/test/standstill_test.go
@@ -18,7 +18,7 @@
 	w.start()
 	client := w.dial()
 	client.awaitRound(9)
-	w.signal(syscall.SIGSTOP)
+	w.standStill()
 	sent := time.Now()
 	client.send(request(1, "lookup", map[string]string{"limit": "2500"}, ""))
 	client.send(request(2, "lookup", map[string]string{"limit": "300"}, ""))
