--- a/test/syscalls_test.go
+++ b/test/syscalls_test.go
@@ -1,6 +1,8 @@
 package test
 
 import (
+	"os"
+	"path/filepath"
 	"testing"
 )
 
@@ -19,3 +21,53 @@
 	}
 	w.expectRunning()
 }
+
+// TestSurvivesFailedConnects: new connections to endpoints fail for want of something on this machine, for a moment at a
+// time. That says nothing of the endpoints: requests wait for it to pass and are served, and no endpoint is ejected.
+func TestSurvivesFailedConnects(t *testing.T) {
+	t.Parallel()
+	w := newTestbed(t, nil)
+	w.startWithFaults("connect=EADDRNOTAVAIL%0.4,connect=ENOBUFS%0.2,socket=ENFILE%0.3")
+	for id := range uint64(60) {
+		client := w.dial()
+		a := client.ask(id+1, "footage", map[string]string{"item": hexID(id + 1), "limit": "3000"})
+		if a.Error != "" {
+			t.Errorf("answer %+v, want the body served", a)
+		}
+		_ = client.conn.Close()
+		for _, id := range []string{"c1", "c2", "p1", "o1"} {
+			w.endpoints.Drop(id)
+		}
+	}
+	for _, fault := range []string{"ejected", "endpoints=0"} {
+		if w.logged(fault) {
+			t.Errorf("%q is logged, want no endpoint blamed", fault)
+		}
+	}
+}
+
+// TestStartsDespiteFailedCalls: what the start needs of the system fails for a moment.
+func TestStartsDespiteFailedCalls(t *testing.T) {
+	t.Parallel()
+	w := newTestbed(t, nil)
+	w.enableDNS("")
+	w.startWithFaults("socket=ENFILE@1-3,socket=ENOBUFS@5-6,connect=ENETUNREACH@1-2,epoll_ctl=ENOMEM@3-3")
+	if a := w.dial().ask(5, "footage", nil); a.Error != "" {
+		t.Errorf("answer %+v, want the body served", a)
+	}
+}
+
+// TestSnapshotIsWrittenOnceTheDiskIsBack: the disk fails while the snapshot is written, and nothing changes afterwards.
+// What the proxy was to keep is kept as soon as the disk works again.
+func TestSnapshotIsWrittenOnceTheDiskIsBack(t *testing.T) {
+	t.Parallel()
+	w := newTestbed(t, nil)
+	file := filepath.Join(t.TempDir(), "list")
+	w.addSettings("snapshot {", "file "+file, "every 200ms", "oldest 24h", "}")
+	w.startWithFaults("fsync=EIO@1-2,rename=ENOSPC@1-1")
+	w.waitLogged("event=snapshot-write-failed")
+	w.waitUntil("the snapshot is there", func() bool {
+		_, err := os.Stat(file)
+		return err == nil
+	})
+}
