Redial after local errors, write attempts last, and end stuck connections in time

Cause: a dial that failed with ENFILE, ENOBUFS or EADDRNOTAVAIL counted against the endpoint. Attempts were queued while the round was still being carried out: a standstill within it sent them on for clients that had left meanwhile. Bytes that an endpoint does not read waited for up to 0.22 s, and the client that left has 0.1 s. A client that made way was closed at the end of the round, and what was read on it until then was dropped. A start without a route ended at once. The holding back of a round has no test of its own yet.

--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -640,6 +640,13 @@
 	}
 }
 
+// CloseNow closes the connection at once and not at the end of the round: what is read on it until then would have no
+// answer. It must not be called while a handler of this connection runs.
+func (c *Conn) CloseNow() {
+	c.closing = true
+	c.write()
+}
+
 // Abort is Close for a peer that does not read: what the system holds for it is dropped, or it would be read whenever the peer goes on,
 // long after it was given up.
 func (c *Conn) Abort() {
--- a/internal/eventloop/transient.go
+++ b/internal/eventloop/transient.go
@@ -25,12 +25,13 @@
 	return slices.ContainsFunc(localErrors, func(local error) bool { return errors.Is(err, local) })
 }
 
-// retryLocal calls try until it succeeds, fails for another reason than one that IsLocal, or startRetryLimit is over.
+// retryLocal calls try until it succeeds, fails for another reason than one that IsLocal or a route that is missing, or
+// startRetryLimit is over.
 func retryLocal(try func() error) error {
 	began := time.Now()
 	for {
 		err := try()
-		if err == nil || !IsLocal(err) || time.Since(began) > startRetryLimit {
+		if err == nil || !IsLocal(err) && !errors.Is(err, unix.ENETUNREACH) || time.Since(began) > startRetryLimit {
 			return err
 		}
 		time.Sleep(startRetryPause)
--- a/internal/frontend/rpc/rpc.go
+++ b/internal/frontend/rpc/rpc.go
@@ -109,7 +109,7 @@
 		caller.Source = f.Source(caller.Remote)
 	}
 	c := &client{front: f, caller: caller, open: map[uint32]*broker.Request{}, msgs: map[*broker.Request]uint32{}}
-	if c.guest = f.lobby.Admit(f.now(), c.leave, c.unsent); c.guest == nil {
+	if c.guest = f.lobby.Admit(f.now(), c.evict, c.unsent); c.guest == nil {
 		f.log("client-connection-limit", "front", "rpc", "from", remote)
 		return nil
 	}
@@ -201,6 +201,14 @@
 	}
 }
 
+// evict closes the connection of a client that has nothing open, for another client or for the end of its time.
+func (c *client) evict() {
+	c.leave()
+	if c.conn != nil {
+		c.conn.CloseNow()
+	}
+}
+
 // abandon ends the connection of a client that can't be understood any more. What it asked before was well-formed and is owed an
 // answer; it is not served, as nobody can tell which answer such a client takes for which.
 func (c *client) abandon() {
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -211,7 +211,6 @@
 	for _, e := range p.broker.Round(d.clock.Monotonic(), events) {
 		d.carryOut(p, e)
 	}
-	p.depots.Flush()
 }
 
 // dispatch gives each pool what concerns it. A box that is not a pool's is gone for it, also one that was.
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -25,7 +25,9 @@
 
 const (
 	housekeepEvery = 100 * time.Millisecond
-	tallyEvery     = 5 * time.Second // of what went to the boxes: a line a pool
+	// maxRoundTime is how long a round may take to have its attempts written at once.
+	maxRoundTime = 50 * time.Millisecond
+	tallyEvery   = 5 * time.Second // of what went to the boxes: a line a pool
 	// ownSockets is what the program needs beside clients and boxes: listeners, epoll, bulletin, standard streams, and
 	// connections that were accepted and are handed to the loop.
 	ownSockets = 24
@@ -55,6 +57,7 @@
 	unixClock clock.Tracker // finds steps of the Unix clock
 	stopped   bool
 	known     bool // see knowsBoxes
+	heldBack  bool // the attempts of the last round are left to the next one, see flush
 }
 
 // Serve runs the doorman until SIGTERM has been seen through.
@@ -226,6 +229,8 @@
 // round hands what has been gathered to the module in one go, and carries out what comes back.
 func (d *server) round() {
 	now := d.clock.Monotonic()
+	mayHoldBack := !d.heldBack // or a machine that is always slow would send nothing
+	d.heldBack = false
 	if step := d.unixClock.Read(now, d.clock.Unix()); step != 0 {
 		d.log.Event("clock-stepped", "by", step)
 		if d.door != nil {
@@ -272,6 +277,7 @@
 		for _, p := range d.pools {
 			p.round(d)
 		}
+		d.flush(now, mayHoldBack)
 		again = false
 		for _, p := range d.pools {
 			again = again || len(p.events) > 0
@@ -295,6 +301,22 @@
 	d.loop.WakeAfter(max(0, wake-d.clock.Monotonic()))
 }
 
+// flush writes the attempts of the round. Where the round stood still, clients may have left and endpoints may drain since
+// it began: what came meanwhile is read first, and the attempts are left to the next round.
+func (d *server) flush(roundBegan time.Duration, mayHoldBack bool) {
+	stoodStill := d.clock.Monotonic()-roundBegan > maxRoundTime
+	switch {
+	case d.heldBack:
+	case stoodStill && mayHoldBack:
+		d.heldBack = true
+		d.loop.RequestRound()
+	default:
+		for _, p := range d.pools {
+			p.depots.Flush()
+		}
+	}
+}
+
 func (d *server) carryOut(p *pool, effect broker.Effect) {
 	switch e := effect.(type) {
 	case broker.SendAttempt:
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -36,12 +36,12 @@
 	silentAfter = 600 * time.Millisecond
 	// quitKept is how long an id that was given up is remembered, to drop its late answer, and saidKept how long what was
 	// answered under an id is, to know it when it comes twice: seen doubled were answers some milliseconds apart.
-	quitKept = 10 * time.Second
-	saidKept = time.Second
-	// stuckMost is how long bytes may wait for a box that does not read. What waits here goes out at its own time: after a drain, a
-	// purge or the client's leaving, of which the narrowest is 0.3 s. Looked at from mark to mark it is twice that at most.
-	stuckMost = 100 * time.Millisecond
+	quitKept  = 10 * time.Second
+	saidKept  = time.Second
 	probeMost = time.Second
+	// A dial that fails for want of something on this machine is tried again after these pauses, until DialTimeout.
+	minRedialPause = 10 * time.Millisecond
+	maxRedialPause = 100 * time.Millisecond
 	// trickleMost is how long an answer may be on its way before nothing new is put behind it: a whole one of 240,000 bytes takes 0.8 s
 	// at the pace of one transfer. Where its own request is over by then, and another one is late behind it, the connection is ended.
 	trickleMost = time.Second
@@ -71,7 +71,7 @@
 	Stats Stats // see Take
 
 	boxes  map[policy.EndpointID]*depot
-	up     []*link // since the last Write
+	ready  []*link // connections that are up and have attempts to be written, see Flush
 	links  int     // up or being dialled
 	probes int     // numbers their tags
 	seen   time.Duration
@@ -101,9 +101,10 @@
 	doubted bool          // a check is out for long
 	coming  string        // the id of an answer of which a part has come
 	since   time.Duration // when that began; 0: none has
-	mark    uint64        // bytes that were left for it at
-	marked  time.Duration // that time
+	queue   unflushed
 	again   bool          // it was dialled a second time
+	pause   time.Duration // before it was dialled last, as something was lacking here
+	inReady bool          // it is in the pool's ready
 	retired bool          // takes nothing new, and closes when nothing is open on it
 	closed  bool
 }
@@ -139,17 +140,18 @@
 	return d
 }
 
-// Send sends an attempt, at once or when a connection is up.
+// Send sends an attempt at the end of the round, or when a connection is up.
 func (p *Pool) Send(a *broker.Attempt) {
 	l := p.pick(p.depot(a.Endpoint), a.Request.ID)
 	switch {
 	case l == nil:
 		p.Log("upstream-connection-limit", "endpoint", a.Endpoint.Name)
 		p.Emit(broker.AttemptEnded{Attempt: a, End: broker.NoConnectionCapacity})
-	case l.conn == nil:
-		l.waiting = append(l.waiting, a)
 	default:
-		l.write(a)
+		l.waiting = append(l.waiting, a)
+		if l.conn != nil {
+			l.writeAtFlush()
+		}
 	}
 }
 
@@ -266,16 +268,23 @@
 }
 
 func (l *link) notDialled(err error) {
-	// A connection that was reset while it came up says nothing of the box; one that was refused does.
-	if errors.Is(err, syscall.ECONNRESET) && !l.again && !l.retired && !l.closed {
-		l.again = true
-		l.connect()
-		return
+	// A connection that was reset while it came up says nothing of the box, nor does what is lacking on this machine; one
+	// that was refused does.
+	wasReset, isLocal := errors.Is(err, syscall.ECONNRESET), eventloop.IsLocal(err)
+	if !l.retired && !l.closed {
+		if wasReset && !l.again {
+			l.again = true
+			l.connect()
+			return
+		}
+		if (isLocal || errors.Is(err, syscall.ENETUNREACH)) && l.redialLater() {
+			return
+		}
 	}
 	l.gone()
 	l.pool.Stats.DialFailed++
 	end := broker.ConnectFailed
-	if errors.Is(err, syscall.ECONNRESET) {
+	if wasReset || isLocal {
 		end = broker.NotSent
 	}
 	if len(l.waiting) > 0 {
@@ -284,6 +293,28 @@
 	l.unsent(end)
 }
 
+// redialLater has the dial tried again after a pause, if it may still come up in its time then.
+func (l *link) redialLater() bool {
+	p := l.pool
+	l.pause = min(max(minRedialPause, 2*l.pause), maxRedialPause)
+	if p.Now()-l.begun+l.pause > p.DialTimeout {
+		return false
+	}
+	time.AfterFunc(l.pause, func() { p.Loop.Post(l.redial) })
+	return true
+}
+
+// redial dials again, unless the list has changed meanwhile.
+func (l *link) redial() {
+	if !l.retired && !l.closed {
+		l.connect()
+		return
+	}
+	l.gone()
+	l.unsent(broker.NotSent)
+	l.pool.Loop.RequestRound()
+}
+
 // unsent ends what waits for the connection.
 func (l *link) unsent(end broker.End) {
 	for _, a := range l.waiting {
@@ -296,18 +327,32 @@
 // or the box drains, counts first.
 func (l *link) Opened(c *eventloop.Conn) {
 	l.conn, l.heard = c, l.pool.Now()
-	l.pool.up = append(l.pool.up, l)
+	l.writeAtFlush()
 	l.rest()
 }
 
-// Flush sends what has waited for the connections that are up since it was last called. It is called once what the round brought is known.
+// writeAtFlush has Flush write what waits for the connection.
+func (l *link) writeAtFlush() {
+	if !l.inReady {
+		l.inReady = true
+		l.pool.ready = append(l.pool.ready, l)
+	}
+}
+
+// Flush writes the attempts that wait for connections which are up. It is called once what the round brought is known, and just before
+// all is written to the sockets: an attempt whose client leaves, or whose box drains, until then is not sent.
 func (p *Pool) Flush() {
-	up := p.up
-	p.up = nil
-	for _, l := range up {
+	ready := p.ready
+	p.ready = nil
+	for _, l := range ready {
+		l.inReady = false
 		waiting := l.waiting
 		l.waiting = nil
 		for _, a := range waiting {
+			if l.retired { // since the attempt was put there
+				p.Emit(broker.AttemptEnded{Attempt: a, End: broker.NotSent})
+				continue
+			}
 			l.write(a)
 		}
 		l.rest()
@@ -329,7 +374,7 @@
 	a.Written = true
 	l.pool.Stats.Written++
 	l.put(a.Request.ID, &pending{attempt: a, due: now + 2*l.pool.expected(a)})
-	l.conn.Send(ask(nil, a, l.pool.Classes[a.Request.Class].Name, age, a.Deadline-now))
+	l.send(ask(nil, a, l.pool.Classes[a.Request.Class].Name, age, a.Deadline-now))
 }
 
 // expected is how long the answer to an attempt may take where nothing is slow.
@@ -355,13 +400,19 @@
 	l.open[id] = o
 }
 
+// send leaves bytes to be written at the end of the round.
+func (l *link) send(data []byte) {
+	l.conn.Send(data)
+	l.queue.queued(l.pool.Now(), l.conn.Queued())
+}
+
 // check asks whether the connection lives and all before it was read, and gives the tag of the answer.
 func (l *link) check() string {
 	l.pool.Stats.LivenessChecks++
 	l.pool.probes++
 	tag := fmt.Sprintf("p%d", l.pool.probes)
 	l.put(tag, &pending{check: true})
-	l.conn.Send([]byte("NOOP " + tag + "\r\n"))
+	l.send([]byte("NOOP " + tag + "\r\n"))
 	return tag
 }
 
@@ -455,7 +506,7 @@
 func (l *link) ask(id string, o *pending, e broker.AttemptEnded) {
 	e.Body, e.MayHaveRun = nil, true
 	o.doubt = &e
-	l.conn.Send([]byte("QUIT " + id + "\r\n"))
+	l.send([]byte("QUIT " + id + "\r\n"))
 	l.pool.Stats.CancelConfirms++
 	o.off = l.check()
 }
@@ -570,7 +621,7 @@
 					break
 				}
 				if p.CancelAllowed {
-					l.conn.Send([]byte("QUIT " + id + "\r\n"))
+					l.send([]byte("QUIT " + id + "\r\n"))
 				}
 				if confirm && p.HealthChecksAllowed {
 					p.Stats.CancelConfirms++
@@ -606,7 +657,7 @@
 	p.Stats.HealthChecks++
 	tag := fmt.Sprintf("p%d", p.probes)
 	l.put(tag, &pending{})
-	l.conn.Send([]byte("NOOP " + tag + "\r\n"))
+	l.send([]byte("NOOP " + tag + "\r\n"))
 }
 
 // EndpointChanged follows the list. A process that has started anew, or a box that is at another address, can't answer what
@@ -646,7 +697,7 @@
 }
 
 func (l *link) watch(now time.Duration) {
-	if l.stuck(now) {
+	if l.queue.isStuck(now, l.conn.Flushed()) {
 		l.silenced()
 		return
 	}
@@ -683,14 +734,6 @@
 	}
 }
 
-// stuck says whether the box has not read for too long what was written to it.
-func (l *link) stuck(now time.Duration) bool {
-	if l.mark <= l.conn.Flushed() {
-		l.mark, l.marked = l.conn.Queued(), now
-	}
-	return now-l.marked > stuckMost
-}
-
 // mayCheck says whether a connection on which nothing is asked yet is to be asked whether it lives: only where an answer
 // is overdue, and nothing has come for quietLeast. A check is priced and answered from the box's budget of probes, which
 // all doormans share; one asked whenever a connection was quiet for 100 ms, whatever was due, came with a fifth of all
