--- a/internal/proxy/snapshots.go
+++ b/internal/proxy/snapshots.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io/fs"
+	"math"
 	"time"
 
 	"sloequay/internal/broker"
@@ -14,6 +15,9 @@
 // not count from the last change.
 const refreshesPerMaxAge = 10
 
+// noRevision is no revision of the endpoints: nothing is on the disk.
+const noRevision = math.MaxUint64
+
 // snapshotWriter reads the snapshot at the start and writes it while the proxy runs. Its methods run on the loop.
 type snapshotWriter struct {
 	server    *server
@@ -81,6 +85,7 @@
 		server.loop.Post(func() {
 			w.isWriting = false
 			if err != nil {
+				w.revision = noRevision // what is on the disk is old, so that the next one is due after the usual time
 				server.log.Event("snapshot-write-failed", "error", err)
 			}
 		})
