Give a list watch that answers late more time, so that it is heard at all

Cause: a connection on which nothing came for 1.6 s was dropped, and a dial that took 1 s: a list service that is slow or crowded and answers later was dialed and dropped for ever, each time just before its answer. Change: connections and dials in a row that bring nothing have up to four times as long; one that has brought something is dropped after 1.6 s as before. Measured: TestSlowListServiceIsHeard (an answer after 2 s) fails without the change and passes with it; tests of list service and reloads pass twice.

--- a/internal/membership/listwatch/listwatch.go
+++ b/internal/membership/listwatch/listwatch.go
@@ -6,7 +6,8 @@
 // events are skipped only once they have come twice.
 //
 // Bounds: a line has at most maxLineBytes, a list at most maxEndpoints. A connection that says nothing for maxSilence
-// is dropped, and the next dial comes at most maxRetryDelay after a failure.
+// is dropped, and the next dial comes at most maxRetryDelay after a failure. Where nothing came on the connections before,
+// silence and dial may take up to four times as long.
 package listwatch
 
 import (
@@ -30,6 +31,8 @@
 	maxEventDelay = 2 * time.Second
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = time.Second
+	// maxPatienceDoublings bounds how long a watch may take that has not answered on several connections.
+	maxPatienceDoublings = 2
 )
 
 // Watcher keeps a connection to the endpoint list watch and resumes after the last event that it has. Its methods run
@@ -44,6 +47,7 @@
 	Log       func(event string, fields ...any)
 
 	session        *session // nil: none, and the next dial is due at nextDialAt
+	unanswered     int      // connections and dials in a row on which nothing came
 	retryDelay     time.Duration
 	nextDialAt     time.Duration
 	currentAt      time.Duration // when all events were known last; 0: never
@@ -55,7 +59,7 @@
 // Tick dials when there is no connection, and drops one that has gone quiet.
 func (w *Watcher) Tick(now time.Duration) {
 	if current := w.session; current != nil {
-		if silence := now - current.receivedAt; current.conn != nil && silence > maxSilence {
+		if silence := now - current.receivedAt; current.conn != nil && silence > w.patience(maxSilence) {
 			w.disconnect(fmt.Errorf("nothing came for %v", silence))
 		}
 		return
@@ -65,10 +69,16 @@
 	}
 }
 
+// patience is how long a connection is given for something that usually takes a time. One that answers later than that, as
+// it is slow or crowded, would else be dropped just before it answers, each time anew.
+func (w *Watcher) patience(usual time.Duration) time.Duration {
+	return usual << min(w.unanswered, maxPatienceDoublings)
+}
+
 func (w *Watcher) dial() {
 	dialed := &session{watcher: w}
 	w.session = dialed
-	w.Loop.Dial("tcp", w.Address, dialTimeout, dialed, func(err error) {
+	w.Loop.Dial("tcp", w.Address, w.patience(dialTimeout), dialed, func(err error) {
 		if w.session == dialed {
 			w.disconnect(err)
 		}
@@ -83,6 +93,7 @@
 	w.drop()
 	w.Address = address
 	w.retryDelay = 0
+	w.unanswered = 0
 	w.nextDialAt = 0
 	w.Tick(w.Now())
 }
@@ -102,6 +113,9 @@
 		w.Log("endpoint-list-stale", "error", cause, "after", w.LastEvent)
 		w.Publish(membership.SourceStatus{Source: w.Decoder.Source, Silent: true})
 	}
+	if current := w.session; current != nil && !current.answered {
+		w.unanswered++
+	}
 	w.drop()
 	w.nextDialAt = w.Now() + w.retryDelay
 	w.retryDelay = min(max(minRetryDelay, 2*w.retryDelay), maxRetryDelay)
@@ -185,6 +199,7 @@
 	watcher    *Watcher
 	conn       *eventloop.Conn // nil while it is dialed
 	receivedAt time.Duration   // when something came last
+	answered   bool            // something has come
 }
 
 // Opened requests what came after the last event.
@@ -209,6 +224,10 @@
 func (s *session) Received(conn *eventloop.Conn) {
 	watcher := s.watcher
 	s.receivedAt = watcher.Now()
+	s.answered = true
+	if watcher.session == s {
+		watcher.unanswered = 0
+	}
 	used := 0
 	for watcher.session == s {
 		length := bytes.IndexByte(conn.In[used:], '\n')
--- a/internal/membership/listwatch/watcher_test.go
+++ b/internal/membership/listwatch/watcher_test.go
@@ -1,6 +1,7 @@
 package listwatch
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -54,6 +55,26 @@
 	return course
 }
 
+// TestPatienceGrowsWithSlowWatch: a watch that answers later than the watcher waits would be dialed and dropped for ever.
+// So each connection in a row that brings nothing may take longer, up to a bound, until something comes.
+func TestPatienceGrowsWithSlowWatch(t *testing.T) {
+	test := newWatcherTest(6)
+	var waits []time.Duration
+	for range 4 {
+		waits = append(waits, test.watcher.patience(maxSilence))
+		test.watcher.session = &session{watcher: test.watcher}
+		test.watcher.session.Closed(nil, errors.New("nothing came"))
+	}
+	want := []time.Duration{maxSilence, 2 * maxSilence, 4 * maxSilence, 4 * maxSilence}
+	if diff := cmp.Diff(want, waits); diff != "" {
+		t.Errorf("the times that connections are given (-want +got):\n%s", diff)
+	}
+	test.receive("6\n")
+	if got := test.watcher.patience(maxSilence); got != maxSilence {
+		t.Errorf("after something has come the next connection is given %v, want %v", got, maxSilence)
+	}
+}
+
 // TestPurgeOnCurrentWatchIsBounded: a purge that comes first may be of any age; one that comes on a watch which was up to
 // date was issued after that, but for what the list service is late.
 func TestPurgeOnCurrentWatchIsBounded(t *testing.T) {
--- a/test/listwatch_test.go
+++ b/test/listwatch_test.go
@@ -188,3 +188,23 @@
 		t.Errorf("the draining endpoint was sent %+v, want nothing", sent[0])
 	}
 }
+
+// TestSlowListServiceIsHeard: the list service answers each connection only after 2 s, which is longer than a watch may
+// be silent. What it has to tell still arrives.
+func TestSlowListServiceIsHeard(t *testing.T) {
+	t.Parallel()
+	w := newTestbed(t, nil)
+	slow := w.listenOn("127.0.0.1:0")
+	w.config["bulletin"] = slow.Addr().String()
+	go func() {
+		for {
+			conn, err := slow.Accept()
+			if err != nil {
+				return
+			}
+			time.AfterFunc(2*time.Second, func() { _, _ = conn.Write([]byte(w.listChange(2, "c1", "draining") + "\n")) })
+		}
+	}()
+	w.start()
+	w.waitLogged("event=endpoint-draining")
+}
