Never wait for the reader of the log

Cause: lines were written to standard error on the event loop; a reader that stops reading, with its pipe full, stood the whole proxy still. The process tests have launch for processes that are started otherwise than by start.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"runtime/debug"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -23,6 +24,9 @@
 	}
 }
 
+// maxLogFlush is how long the end of the program waits for the reader of its log.
+const maxLogFlush = 200 * time.Millisecond
+
 // options are the flags that commands share.
 type options struct {
 	config string
@@ -58,7 +62,9 @@
 			if err != nil {
 				return err
 			}
-			log, err := eventlog.New(os.Stderr, o.format, o.level)
+			lines := eventlog.NewAsyncWriter(os.Stderr)
+			defer lines.Close(maxLogFlush)
+			log, err := eventlog.New(lines, o.format, o.level)
 			if err != nil {
 				return err
 			}
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -185,15 +186,20 @@
 	if w.program == "" {
 		w.program = program
 	}
-	cmd := exec.Command(w.program, append([]string{"serve", "--config", w.configPath}, w.flags...)...)
-	cmd.Stderr, cmd.Env = &w.log, append(os.Environ(), w.env...)
+	w.launch(exec.Command(w.program, append([]string{"serve", "--config", w.configPath}, w.flags...)...), &w.log)
+	w.waitUntil("the program answers status", func() bool { return emulator.Ready(w.address) })
+}
+
+// launch starts a process as the program, with its log going to a writer, and does not wait until it is ready.
+func (w *testbed) launch(cmd *exec.Cmd, log io.Writer) {
+	w.t.Helper()
+	cmd.Stderr, cmd.Env = log, append(os.Environ(), w.env...)
 	if err := cmd.Start(); err != nil {
 		w.t.Fatal(err)
 	}
 	exited := make(chan error, 1)
 	go func() { exited <- cmd.Wait() }()
 	w.cmd, w.exited = cmd, exited
-	w.waitUntil("the program answers status", func() bool { return emulator.Ready(w.address) })
 }
 
 // startSelf starts the test binary as the program, with a variable in its environment by which TestMain knows.
--- a/test/signals_test.go
+++ b/test/signals_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"sloequay/internal/emulator"
 )
 
 // replaceByPipe puts a named pipe in the place of a file, so that whoever reads the file waits for a writer.
@@ -39,6 +41,46 @@
 	w.waitExit()
 }
 
+// TestUnreadLogStopsNothing: nobody reads the log any more, and its pipe is full. Requests are served all the same, and the
+// program ends when it is told to, also once the pipe has no reader.
+func TestUnreadLogStopsNothing(t *testing.T) {
+	t.Parallel()
+	w := newTestbed(t, nil)
+	w.writeConfig()
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer reader.Close()
+	fillPipe(t, writer)
+	w.launch(exec.Command(program, "serve", "--config", w.configPath), writer)
+	w.waitUntil("the program answers status", func() bool { return emulator.Ready(w.address) })
+	_ = writer.Close()
+	client := w.dial()
+	for id := range uint64(20) {
+		if a := client.ask(id+1, "footage", nil); a.Error != "" {
+			t.Fatalf("answer %+v, want the body served", a)
+		}
+	}
+	_ = reader.Close()
+	w.signal(syscall.SIGTERM)
+	_ = client.conn.Close()
+	w.waitExit()
+}
+
+// fillPipe writes to a pipe until it takes no more.
+func fillPipe(t *testing.T, writer *os.File) {
+	t.Helper()
+	if err := writer.SetWriteDeadline(time.Now().Add(100 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	for {
+		if _, err := writer.Write(make([]byte, 4096)); err != nil {
+			return
+		}
+	}
+}
+
 // TestSIGHUPDuringStart: a configuration is put in place while the program starts. SIGHUP must not end it.
 func TestSIGHUPDuringStart(t *testing.T) {
 	t.Parallel()
@@ -47,13 +89,7 @@
 	settings := filepath.Join(t.TempDir(), "sloequay.conf")
 	writeFile(t, settings, "")
 	replaceByPipe(t, settings)
-	cmd := exec.Command(program, "serve", "--config", w.configPath, "--conf", settings)
-	cmd.Stderr = &w.log
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	w.cmd, w.exited = cmd, make(chan error, 1)
-	go func() { w.exited <- cmd.Wait() }()
+	w.launch(exec.Command(program, "serve", "--config", w.configPath, "--conf", settings), &w.log)
 	pipe, err := os.OpenFile(settings, os.O_WRONLY, 0) // opens once the program reads it
 	if err != nil {
 		t.Fatal(err)
