Check what must hold at run time, count and log what does not

Cause: that a request which has ended is not sent on, that no two attempts are in flight and the like rested on guards in several places; nothing would have told if one failed in service. Change: internal/invariant counts violations of six rules; the broker checks each attempt at the moment of writing by what request and endpoints are then, the RPC front each response without a request and each eviction. Logged as invariant-violated, counted by 'sloequay state'.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -7,6 +7,7 @@
 
 	"sloequay/internal/clock"
 	"sloequay/internal/invalidation"
+	"sloequay/internal/invariant"
 	"sloequay/internal/membership"
 	"sloequay/internal/policy"
 	"sloequay/internal/quota"
@@ -31,6 +32,7 @@
 	open       map[policy.RequestID]*Request
 	byClientID map[string]*Request // the open ones by their clients' ids
 
+	monitor   *invariant.Monitor // nil: nothing is checked
 	endpoints endpointIndex
 	purges    *invalidation.Ledger
 	timers    timerQueue
@@ -116,6 +118,7 @@
 	case !b.inRetryWindow(attempt, now):
 		return 0, false
 	}
+	b.checkWrite(attempt, now)
 	return b.maxAge(attempt, now), true
 }
 
--- a/internal/broker/clockstep_test.go
+++ b/internal/broker/clockstep_test.go
@@ -7,10 +7,10 @@
 	"sloequay/internal/membership"
 )
 
-// TestStampsSurviveClockSteps: the Unix clock of this machine is stepped; those of the list service and of the endpoints
-// are not, or it is this one that is put right. A purge must never be taken for older than it is, or copies from before
-// it would do; nor an endpoint that has just started, or it would be sent more than it bears. Neither may be taken for
-// so late that it lies in the future, or it would bind for as long as the step.
+// TestStampsSurviveClockSteps: the Unix clock of this machine is stepped; those of the list service and of the
+// endpoints are not, or it is this one that is put right. A purge must never be taken for older than it is, or copies
+// from before it would do; nor an endpoint that has just started, or it would be sent more than it bears. Neither may
+// be taken for so late that it lies in the future, or it would bind for as long as the step.
 func TestStampsSurviveClockSteps(t *testing.T) {
 	const now, offset, object = 1000 * time.Second, 400 * 24 * time.Hour, 0xaa
 	const age = 300 * time.Millisecond
@@ -31,8 +31,8 @@
 			})
 			issued, found := b.purges.Newest(object, 0)
 			if !found || issued < now-age || issued > now {
-				t.Errorf("step of %v, stamps by %s: a purge of %v ago counts as issued %v ago (known: %v), want %v to 0 s",
-					step, stampedBy, age, now-issued, found, age)
+				t.Errorf("step of %v, stamps by %s: a purge of %v ago counts as issued %v ago (known: %v), "+
+					"want %v to 0 s", step, stampedBy, age, now-issued, found, age)
 			}
 			startedAt := b.EndpointByName("c1").StartedAt
 			if startedAt < now-age || startedAt > now+maxStartAhead {
--- /dev/null
+++ b/internal/broker/invariants.go
@@ -0,0 +1,32 @@
+package broker
+
+import (
+	"slices"
+	"time"
+
+	"sloequay/internal/invariant"
+)
+
+// Monitor has the broker's invariants checked at run time from here on.
+func (b *Broker) Monitor(monitor *invariant.Monitor) { b.monitor = monitor }
+
+// checkWrite checks an attempt that MaySend has let pass, by what its request and its endpoints are now and not by the
+// guards that were to see to it.
+func (b *Broker) checkWrite(attempt *Attempt, now time.Duration) {
+	request := attempt.Request
+	if request.state != requestOpen || request.Canceled || b.open[request.id] != request {
+		b.monitor.Violated(invariant.RequestOpenAtWrite, request.ID)
+	}
+	if !attempt.Endpoint.usable() || !attempt.Source.usable() {
+		b.monitor.Violated(invariant.EndpointReadyAtWrite, request.ID)
+	}
+	if attempt.Deadline > request.ReceivedAt+request.Timeout || now >= attempt.Deadline {
+		b.monitor.Violated(invariant.DeadlineInTime, request.ID)
+	}
+	isBeside := slices.ContainsFunc(request.attempts, func(other *Attempt) bool {
+		return other != attempt && other.Written && other.Open()
+	})
+	if isBeside && !b.config.Hedging {
+		b.monitor.Violated(invariant.OneAttemptInFlight, request.ID)
+	}
+}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -32,6 +32,7 @@
 	"log-rate-limited":      zap.WarnLevel,
 	"outlier-detection":     zap.WarnLevel,
 	"policy-invalid-action": zap.ErrorLevel,
+	"invariant-violated":    zap.ErrorLevel,
 
 	"accept-failed":           zap.WarnLevel,
 	"client-protocol-error":   zap.WarnLevel,
--- a/internal/frontend/rpc/rpc.go
+++ b/internal/frontend/rpc/rpc.go
@@ -19,6 +19,7 @@
 	"sloequay/internal/frontend/connlimit"
 	"sloequay/internal/frontend/rpc/msgpack"
 	"sloequay/internal/identity"
+	"sloequay/internal/invariant"
 	"sloequay/internal/policy"
 )
 
@@ -76,6 +77,9 @@
 	// MaxRetryAfter is the longest time to stay away that clients heed. Zero: nobody may be told one, whoever refuses.
 	MaxRetryAfter time.Duration
 
+	// Monitor checks the front's invariants at run time; nil: nothing is checked.
+	Monitor *invariant.Monitor
+
 	// Source gives what identity knows of where a client comes from. Nil: identity is off.
 	Source func(remote string) *identity.Source
 }
@@ -203,6 +207,9 @@
 
 // evict closes the connection of a client that has nothing open, for another client or for the end of its time.
 func (c *client) evict() {
+	if len(c.open) > 0 {
+		c.front.Monitor.Violated(invariant.NothingOpenAtClose, c.caller.Remote)
+	}
 	c.leave()
 	if c.conn != nil {
 		c.conn.CloseNow()
@@ -487,6 +494,9 @@
 func (c *client) Respond(r *broker.Request, f broker.Response) {
 	msg, ok := c.msgs[r]
 	if !ok {
+		if !c.left && !r.Canceled {
+			c.front.Monitor.Violated(invariant.OneResponse, r.ID)
+		}
 		return
 	}
 	delete(c.msgs, r)
--- /dev/null
+++ b/internal/invariant/invariant_test.go
@@ -0,0 +1,25 @@
+package invariant
+
+import "testing"
+
+// TestMonitorCountsAndReportsViolations: each violation is counted under its rule, and is reported.
+func TestMonitorCountsAndReportsViolations(t *testing.T) {
+	var reported []string
+	m := Monitor{Report: func(rule Rule, subject string) { reported = append(reported, rule.String()+" "+subject) }}
+	for rule := range ruleCount {
+		m.Violated(rule, "b")
+		if rule.String() == "" {
+			t.Errorf("rule %d has no name", rule)
+		}
+		if m.counts[rule] != 1 {
+			t.Errorf("%v was counted %d times, want once", rule, m.counts[rule])
+		}
+	}
+	if m.Violations() != int(ruleCount) || len(reported) != int(ruleCount) || reported[0] != "request-open-at-write b" {
+		t.Errorf("%d violations, reported %q, want one of each rule", m.Violations(), reported)
+	}
+	var off *Monitor
+	if off.Violated(OneResponse, "c"); off.Violations() != 0 {
+		t.Error("a nil monitor has counted")
+	}
+}
--- a/internal/membership/listwatch/listwatch.go
+++ b/internal/membership/listwatch/listwatch.go
@@ -6,8 +6,8 @@
 // events are skipped only once they have come twice.
 //
 // Bounds: a line has at most maxLineBytes, a list at most maxEndpoints. A connection that says nothing for maxSilence
-// is dropped, and the next dial comes at most maxRetryDelay after a failure. Where nothing came on the connections before,
-// silence and dial may take up to four times as long.
+// is dropped, and the next dial comes at most maxRetryDelay after a failure. Where nothing came on the connections
+// before, silence and dial may take up to four times as long.
 package listwatch
 
 import (
@@ -69,8 +69,8 @@
 	}
 }
 
-// patience is how long a connection is given for something that usually takes a time. One that answers later than that, as
-// it is slow or crowded, would else be dropped just before it answers, each time anew.
+// patience is how long a connection is given for something that usually takes a time. One that answers later than that,
+// as it is slow or crowded, would else be dropped just before it answers, each time anew.
 func (w *Watcher) patience(usual time.Duration) time.Duration {
 	return usual << min(w.unanswered, maxPatienceDoublings)
 }
--- a/internal/membership/listwatch/watcher_test.go
+++ b/internal/membership/listwatch/watcher_test.go
@@ -55,8 +55,8 @@
 	return course
 }
 
-// TestPatienceGrowsWithSlowWatch: a watch that answers later than the watcher waits would be dialed and dropped for ever.
-// So each connection in a row that brings nothing may take longer, up to a bound, until something comes.
+// TestPatienceGrowsWithSlowWatch: a watch that answers later than the watcher waits would be dialed and dropped for
+// ever. So each connection in a row that brings nothing may take longer, up to a bound, until something comes.
 func TestPatienceGrowsWithSlowWatch(t *testing.T) {
 	test := newWatcherTest(6)
 	var waits []time.Duration
@@ -75,8 +75,8 @@
 	}
 }
 
-// TestPurgeOnCurrentWatchIsBounded: a purge that comes first may be of any age; one that comes on a watch which was up to
-// date was issued after that, but for what the list service is late.
+// TestPurgeOnCurrentWatchIsBounded: a purge that comes first may be of any age; one that comes on a watch which was up
+// to date was issued after that, but for what the list service is late.
 func TestPurgeOnCurrentWatchIsBounded(t *testing.T) {
 	test := newWatcherTest(6)
 	var bounds []time.Duration
--- a/internal/proxy/control.go
+++ b/internal/proxy/control.go
@@ -67,7 +67,7 @@
 
 // state tells how much the doorman holds, a kind a line. All of it must come back to what it was once a bad day is over.
 func (d *server) state(out io.Writer) {
-	fmt.Fprintf(out, "clients %d\n", d.front.Clients())
+	fmt.Fprintf(out, "clients %d\nviolations %d\n", d.front.Clients(), d.monitor.Violations())
 	for i, p := range d.pools {
 		b, c := p.broker.Sizes(), p.depots.Sizes()
 		for _, line := range []struct {
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -15,6 +15,7 @@
 	"sloequay/internal/frontend/dns"
 	"sloequay/internal/frontend/rpc"
 	"sloequay/internal/identity/tsig"
+	"sloequay/internal/invariant"
 	"sloequay/internal/membership/listwatch"
 	"sloequay/internal/quota"
 	"sloequay/internal/route"
@@ -54,6 +55,7 @@
 	tallied   time.Duration // when the depots' tallies were last logged
 	signals   *Signals
 	leaving   shutdown.Sequence
+	monitor   invariant.Monitor
 	unixClock clock.Tracker // finds steps of the Unix clock
 	stopped   bool
 	known     bool // see knowsBoxes
@@ -75,6 +77,12 @@
 	if err := d.newPools(); err != nil {
 		return err
 	}
+	d.monitor.Report = func(rule invariant.Rule, subject string) {
+		d.log.Event("invariant-violated", "rule", rule, "subject", subject)
+	}
+	for _, pool := range d.pools {
+		pool.broker.Monitor(&d.monitor)
+	}
 	if c := p.own.Contracts; c != nil {
 		d.limitRepeats(c)
 	}
@@ -99,6 +107,7 @@
 		clients -= 2 * cfg.tls.MaxConnections
 	}
 	d.front = rpc.New(s.Control.Classes, clients, d.admit, d.clock.Monotonic, ready, full, d.log.Event)
+	d.front.Monitor = &d.monitor
 	d.front.MaxRetryAfter = s.Control.MaxRetryAfter
 	listeners = append(listeners, eventloop.Listener{Network: "tcp", Address: s.Listen, Accept: d.front.Accept})
 	return eventloop.Run(listeners, d.start, d.round)
--- a/test/listwatch_test.go
+++ b/test/listwatch_test.go
@@ -202,7 +202,9 @@
 			if err != nil {
 				return
 			}
-			time.AfterFunc(2*time.Second, func() { _, _ = conn.Write([]byte(w.listChange(2, "c1", "draining") + "\n")) })
+			time.AfterFunc(2*time.Second, func() {
+				_, _ = conn.Write([]byte(w.listChange(2, "c1", "draining") + "\n"))
+			})
 		}
 	}()
 	w.start()
--- a/test/pages/layers_test.go
+++ b/test/pages/layers_test.go
@@ -24,7 +24,8 @@
 	{"broker"},
 	{"policy", "quota", "concurrency", "retry", "route", "invalidation", "membership", "identity", "bootstrap", "peer",
 		"snapshot", "shutdown"},
-	{"clock", "config", "eventlog", "eventloop", "expiry", "frontend/connlimit", "frontend/rpc/msgpack", "digesttest"},
+	{"clock", "config", "eventlog", "eventloop", "expiry", "frontend/connlimit", "frontend/rpc/msgpack", "digesttest",
+		"invariant"},
 }
 
 // ioPackages are of the standard library, and not for what decides: its caller does the I/O.
--- a/test/signals_test.go
+++ b/test/signals_test.go
@@ -41,8 +41,8 @@
 	w.waitExit()
 }
 
-// TestUnreadLogStopsNothing: nobody reads the log any more, and its pipe is full. Requests are served all the same, and the
-// program ends when it is told to, also once the pipe has no reader.
+// TestUnreadLogStopsNothing: nobody reads the log any more, and its pipe is full. Requests are served all the same, and
+// the program ends when it is told to, also once the pipe has no reader.
 func TestUnreadLogStopsNothing(t *testing.T) {
 	t.Parallel()
 	w := newTestbed(t, nil)
--- a/test/syscalls_test.go
+++ b/test/syscalls_test.go
@@ -22,8 +22,8 @@
 	w.expectRunning()
 }
 
-// TestSurvivesFailedConnects: new connections to endpoints fail for want of something on this machine, for a moment at a
-// time. That says nothing of the endpoints: requests wait for it to pass and are served, and no endpoint is ejected.
+// TestSurvivesFailedConnects: new connections to endpoints fail for want of something on this machine, for a moment at
+// a time. That says nothing of the endpoints: requests wait for it to pass and are served, and no endpoint is ejected.
 func TestSurvivesFailedConnects(t *testing.T) {
 	t.Parallel()
 	w := newTestbed(t, nil)
