Add a soak of processes: overlapping troubles, clients that leave, failing calls

Cause: no test put stops, ends, reloads, restarts, endpoints that die and clients that leave into the same seconds, with system calls that fail beside them. Change: drill.DrawSoak draws such plans; plans have leaves and the checks left, deadlines and monitors; a proxy that was told to end is no longer excused from answering what it had taken. The faults are answered by a process of their own: a thread of the same one was stopped with Go's world and hung the program (seen as 294 requests without an answer at one proxy, a fault of the harness).

--- a/internal/drill/audit.go
+++ b/internal/drill/audit.go
@@ -19,6 +19,7 @@
 
 // Audit holds the record against the plan.
 func (w *Cluster) Audit() []Verdict {
+	w.readViolations()
 	w.Record.mu.Lock()
 	defer w.Record.mu.Unlock()
 	var out []Verdict
@@ -71,7 +72,7 @@
 			switch {
 			case q.Answers > 1:
 				f.add("request %s had %d answers", q.ID, q.Answers)
-			case q.End == "served" || q.End == "refused" || q.End == "failed":
+			case q.End == "served" || q.End == "refused" || q.End == "failed" || q.End == "left":
 			case r.excused(q):
 				excused++
 			default:
@@ -122,6 +123,19 @@
 			}
 		}
 		return f.verdict(h, fmt.Sprintf("%d drains", len(r.Drains)))
+	case "left":
+		limit, _ := bound(h)
+		left := r.holdLeft(time.Duration(limit*float64(time.Second)), &f)
+		return f.verdict(h, fmt.Sprintf("%d clients left", left))
+	case "deadlines":
+		excess, _ := bound(h)
+		r.holdDeadlines(r.limit, time.Duration(excess*float64(time.Second)), &f)
+		return f.verdict(h, fmt.Sprintf("%d attempts", len(r.Attempts)))
+	case "monitors":
+		for _, violation := range r.Violations {
+			f.add("%s", violation)
+		}
+		return f.verdict(h, "none")
 	case "upright":
 		for _, b := range r.Falls {
 			f.add("%s fell over at %.2f s", b.Endpoint, b.At.Seconds())
@@ -259,8 +273,8 @@
 	return "it is open still"
 }
 
-// excused says whether a request may be without a final answer: its doorman was ended or stopped by the plan while it was
-// open, or the clients' way to it was disturbed.
+// excused says whether a request may be without a final answer: its doorman was killed or stopped by the plan while it was
+// open (one that was told to end has to answer first), or the clients' way to it was disturbed.
 func (r *Record) excused(q *Request) bool {
 	if q.End == "served" || q.End == "refused" || q.End == "failed" {
 		return false
@@ -279,7 +293,7 @@
 		if l.Proxy != q.Proxy {
 			continue
 		}
-		if l.Ours && l.End > 0 && l.End >= q.Sent && l.Start <= q.Sent {
+		if l.Killed && l.End > 0 && l.End >= q.Sent && l.Start <= q.Sent {
 			return true
 		}
 		for _, s := range l.Stops {
--- a/internal/drill/audit_test.go
+++ b/internal/drill/audit_test.go
@@ -11,8 +11,8 @@
 
 // sound is a record in which everything holds.
 func sound() *Record {
-	r := &Record{Posted: map[string]int{"k1": 1}}
-	r.ProcessRuns = []*ProcessRun{{Proxy: 0, Start: 0, Ready: sec / 2}, {Proxy: 1, Start: 0, Ready: sec, End: 5 * sec, Ours: true}}
+	r := &Record{Posted: map[string]int{"k1": 1}, limit: 2 * sec}
+	r.ProcessRuns = []*ProcessRun{{Proxy: 0, Start: 0, Ready: sec / 2}, {Proxy: 1, Start: 0, Ready: sec, End: 5 * sec, Ours: true, Killed: true}}
 	r.Requests = []*Request{{ID: "1", Sent: 2 * sec, Ended: 3 * sec, Answers: 1, End: "served"},
 		{ID: "2", Key: "k1", Class: "charge", Sent: 2 * sec, Ended: 3 * sec, Answers: 1, End: "served"},
 		{ID: "3", Proxy: 1, Sent: 4 * sec, Ended: 5 * sec, Answers: 1, End: "broken"}}
@@ -36,6 +36,12 @@
 		{"answers", "none, of a doorman that lives", func(r *Record) { r.Requests[0].End, r.Requests[0].Ended = "", 0 }},
 		{"answers", "a connection that ended", func(r *Record) { r.Requests[0].End = "broken" }},
 		{"answers", "a doorman that was ended before it was asked", func(r *Record) { r.ProcessRuns[1].End = 3 * sec }},
+		{"answers", "a doorman that was told to end", func(r *Record) { r.ProcessRuns[1].Killed = false }},
+		{"left 100ms", "sent after its client had left", func(r *Record) {
+			r.Requests[0].End, r.Requests[0].Left = "left", 2*sec-200*time.Millisecond
+		}},
+		{"deadlines 150ms", "more time than the client has", func(r *Record) { r.Attempts[0].Given = 2*sec + 250*time.Millisecond }},
+		{"monitors", "an invariant of its own", func(r *Record) { r.Violations = []string{"d000: one-response"} }},
 		{"answers", "an answer to nothing", func(r *Record) { r.Strays = 1 }},
 		{"answers", "nothing was asked", func(r *Record) { r.Requests = nil }},
 		{"repeats", "two out together", func(r *Record) { r.Attempts[0].Ended = 3 * sec }},
@@ -130,6 +136,15 @@
 	if len(seen) < 190 {
 		t.Errorf("200 seeds give %d plans", len(seen))
 	}
+	for seed := range uint64(200) {
+		p, err := DrawSoak(seed, 12*sec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if again, _ := DrawSoak(seed, 12*sec); again.Text != p.Text {
+			t.Fatalf("seed %d gives two plans for a soak", seed)
+		}
+	}
 }
 
 // TestWho resolves selectors.
--- a/internal/drill/clients.go
+++ b/internal/drill/clients.go
@@ -64,7 +64,8 @@
 				}
 			}
 			if len(up) > 0 {
-				c.send(up[rng.IntN(len(up))], zipf.Uint64()+1, rng.Float64() < c.w.Plan.Charges)
+				proxy, object, charge := up[rng.IntN(len(up))], zipf.Uint64()+1, rng.Float64() < c.w.Plan.Charges
+				c.send(proxy, object, charge, c.drawLeaving(rng))
 			}
 		}
 	}()
@@ -97,6 +98,8 @@
 	open map[uint64]*asking
 	late map[uint64]bool // given up: an answer may come still
 	dead bool
+	// alone says that it was made for one request.
+	alone bool
 }
 
 // asking is a request that waits for its answer.
@@ -104,10 +107,26 @@
 	r     *Request
 	frame func(id uint64) []byte
 	sent  time.Time
+	alone bool // it has a connection to itself
+}
+
+// leaving is whether a client leaves before it has its answer, and how.
+type leaving struct {
+	leaves, closes bool
+	after          time.Duration
+}
+
+// drawLeaving draws one. Without the plan's leaves nothing is drawn, so that the other draws stay as they are.
+func (c *clients) drawLeaving(rng *rand.Rand) leaving {
+	if c.w.Plan.Leaves == 0 {
+		return leaving{}
+	}
+	after := time.Duration(rng.Float64() * float64(maxLeaveDelay))
+	return leaving{leaves: rng.Float64() < c.w.Plan.Leaves, closes: rng.IntN(2) == 0, after: after}
 }
 
 // send puts one request out.
-func (c *clients) send(d *doorman, object uint64, charge bool) {
+func (c *clients) send(d *doorman, object uint64, charge bool, leave leaving) {
 	id := c.w.ids.Add(1)
 	r := &Request{ID: fmt.Sprintf("%016x", id), Class: "lookup", Proxy: d.n, Sent: c.w.now()}
 	fields := map[string]string{"txn": r.ID, "item": fmt.Sprintf("%016x", object), "ram": fmt.Sprint(c.w.Plan.SizeKB),
@@ -117,11 +136,18 @@
 		fields["unique"] = r.Key
 	}
 	c.w.Record.add(func() { c.w.Record.Requests = append(c.w.Record.Requests, r) })
-	c.put(d, &asking{r: r, frame: func(msg uint64) []byte { return emulator.Request(msg, r.Class, fields, "") }})
+	a := &asking{r: r, frame: func(msg uint64) []byte { return emulator.Request(msg, r.Class, fields, "") }}
+	if leave.leaves && leave.closes {
+		a.alone = true
+	}
+	k, msg := c.put(d, a)
+	if leave.leaves && k != nil {
+		go c.leave(k, msg, a, leave.after, leave.closes)
+	}
 }
 
-// put writes a request to a connection with room.
-func (c *clients) put(d *doorman, a *asking) {
+// put writes a request to a connection with room, and gives that with the message's id; nil: none could be made.
+func (c *clients) put(d *doorman, a *asking) (*clientConn, uint64) {
 	c.mu.Lock()
 	var k *clientConn
 	list := c.conn[d.n][:0]
@@ -132,7 +158,7 @@
 		if !dead {
 			list = append(list, o)
 		}
-		if !dead && n < openMost {
+		if !dead && n < openMost && !o.alone && !a.alone {
 			k = o
 		}
 	}
@@ -142,9 +168,9 @@
 		if err != nil {
 			c.mu.Unlock()
 			c.ended(a, "broken")
-			return
+			return nil, 0
 		}
-		k = &clientConn{c: emulator.NewClient(conn), d: d, open: map[uint64]*asking{}, late: map[uint64]bool{}}
+		k = &clientConn{c: emulator.NewClient(conn), d: d, alone: a.alone, open: map[uint64]*asking{}, late: map[uint64]bool{}}
 		c.conn[d.n] = append(c.conn[d.n], k)
 		go c.read(k)
 	}
@@ -157,6 +183,7 @@
 	k.mu.Unlock()
 	// A write that fails is seen by the reader too, which ends all that is open.
 	_ = k.c.Send(a.frame(msg))
+	return k, msg
 }
 
 // read takes a connection's answers until it ends.
--- a/internal/drill/plan.go
+++ b/internal/drill/plan.go
@@ -29,6 +29,7 @@
 	Rate     float64 // requests a second to each doorman
 	Objects  int
 	SizeKB   float64
+	Leaves   float64 // share of requests whose clients leave
 	Charges  float64 // share of requests that are keyed
 	Limit    time.Duration
 	List     string // bulletin or catalogue
@@ -42,10 +43,11 @@
 	FallFor  time.Duration
 	DownFor  time.Duration
 
-	Proxy      []string // further lines of each doorman's settings
-	Steps      []Step
-	Invariants []Invariant
-	Text       string // of a drawn plan, so that it can be saved
+	Environment []string // of each process, beside this one's; not in a plan's text
+	Proxy       []string // further lines of each doorman's settings
+	Steps       []Step
+	Invariants  []Invariant
+	Text        string // of a drawn plan, so that it can be saved
 }
 
 // Step is one thing that is done at a time.
@@ -103,6 +105,9 @@
 	"repeats":         {0, 0, "never two attempts of a request out together, none after its end, no more than the class allows"},
 	"ledger":          {0, 0, "each charge that was answered as posted is posted, and none is twice"},
 	"drains":          {1, 1, "TIME after a drain is told, nothing new goes to that box"},
+	"left":            {1, 1, "no attempt begins longer than TIME after its client has left"},
+	"deadlines":       {1, 1, "no box is given more time than the client has left and TIME"},
+	"monitors":        {0, 0, "no doorman has found one of its own invariants violated"},
 	"upright":         {0, 0, "no box fell over"},
 	"served":          {1, 1, "SHARE of the requests, at least"},
 	"ready":           {1, 2, "TIME [SHARE]: so many of the doormans' starts are ready within it; all without SHARE"},
@@ -126,6 +131,7 @@
 	s.Int("objects", &p.Objects, 1, 1_000_000, "that are asked for")
 	s.Number("size", &p.SizeKB, 0.1, 2000, "KB of each")
 	s.Number("charges", &p.Charges, 0, 1, "share of requests that are keyed writes")
+	s.Number("leaves", &p.Leaves, 0, 1, "share of requests whose clients leave within 0.12 s")
 	s.Duration("limit", &p.Limit, 50*time.Millisecond, time.Minute, "that a client waits")
 	s.Choice("list", &p.List, []string{"bulletin", "catalogue"}, "the list service")
 	s.Rate("list-rate", &p.ListRate, 0, 1e6, "calls that it answers; 0/s: any number")
--- a/internal/drill/process.go
+++ b/internal/drill/process.go
@@ -120,7 +120,7 @@
 	cmd.Stderr = log
 	// Hundreds of processes share this machine: with as many collector threads each as it has cores they would get in each
 	// other's way.
-	cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
+	cmd.Env = append(append(os.Environ(), "GOMAXPROCS=2"), d.w.Plan.Environment...)
 	life := &ProcessRun{Proxy: d.n, Start: d.w.now()}
 	if err := d.w.spawn.start(cmd); err != nil {
 		return err
@@ -188,7 +188,10 @@
 	}
 	if ours {
 		life := d.life
-		d.w.Record.add(func() { life.Ours = true })
+		d.w.Record.add(func() {
+			life.Ours = true
+			life.Killed = life.Killed || s == syscall.SIGKILL
+		})
 	}
 	_ = d.cmd.Process.Signal(s)
 }
--- a/internal/drill/record.go
+++ b/internal/drill/record.go
@@ -8,6 +8,7 @@
 // Record is what all ends saw, in times of the drill. The auditor reads it once the drill is over.
 type Record struct {
 	mu          sync.Mutex
+	limit       time.Duration // that clients wait
 	Requests    []*Request
 	Attempts    []*Attempt
 	out         map[string]*Attempt // the last one of a request at a box
@@ -21,6 +22,7 @@
 	Upset       []Span           // times in which the clients' own way to a doorman was disturbed
 	Strays      int              // answers to nothing
 	Sent        map[string][]int // bytes that a doorman sent to others, by second
+	Violations  []string         // that the doormans found themselves
 	Posted      map[string]int   // charges by key, repeats within the window dropped
 	last        map[string]time.Time
 }
@@ -31,8 +33,9 @@
 	Proxy          int
 	Sent, Ended    time.Duration // Ended 0: never
 	Answers        int
-	End            string // served, refused, failed, or broken: its connection ended
-	Repeats        bool   // it was sent a second time over a new connection, as the protocol allows
+	End            string        // served, refused, failed, or broken: its connection ended
+	Left           time.Duration // when its client gave it up; 0: it did not
+	Repeats        bool          // it was sent a second time over a new connection, as the protocol allows
 }
 
 // Attempt is one sending of a request to a box, as the box saw it.
@@ -40,6 +43,7 @@
 	ID, Key, Class, Endpoint, From string
 	At, Ended                      time.Duration // Ended 0: not answered
 	Quit                           time.Duration // 0: not given up
+	Given                          time.Duration // that the doorman says it waits
 	Ran                            bool
 	conn                           *linked // by which it came; nil: not known
 }
@@ -79,6 +83,7 @@
 	Start, Ready time.Duration // Ready 0: never
 	End          time.Duration // 0: it lived to the end of the drill
 	Ours         bool          // it was ended, or bidden to
+	Killed       bool          // it was ended at once
 	Stops        []Span
 	Versions     map[string]string // what it said of itself at the end
 	Error        string
--- a/internal/drill/world.go
+++ b/internal/drill/world.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -56,7 +57,7 @@
 
 // New builds a world. Nothing runs in it but the stand-ins.
 func New(p *Plan, program, dir string, seed uint64) (*Cluster, error) {
-	w := &Cluster{Plan: p, Dir: dir, Program: program, seed: seed, Record: &Record{Posted: map[string]int{}, last: map[string]time.Time{}, Sent: map[string][]int{}, out: map[string]*Attempt{}}, boxes: map[string]*box{}}
+	w := &Cluster{Plan: p, Dir: dir, Program: program, seed: seed, Record: &Record{limit: p.Limit, Posted: map[string]int{}, last: map[string]time.Time{}, Sent: map[string][]int{}, out: map[string]*Attempt{}}, boxes: map[string]*box{}}
 	w.base = fmt.Sprintf("127.%d", 80+(os.Getpid()*13+int(worlds.Add(1))*29)%150)
 	w.began = time.Now()
 	w.fabric = NewFabric(seed, func(from, to string) {
@@ -309,6 +310,9 @@
 	if conn != nil {
 		seen.From = conn.Source()
 	}
+	if given, err := strconv.ParseInt(a.Fields["max"], 10, 64); err == nil {
+		seen.Given = time.Duration(given) * time.Millisecond
+	}
 	w.Record.add(func() {
 		w.Record.Attempts = append(w.Record.Attempts, seen)
 		w.Record.out[a.ID+" "+a.Endpoint] = seen
--- a/internal/emulator/client.go
+++ b/internal/emulator/client.go
@@ -37,6 +37,12 @@
 	Ready  bool // of status
 }
 
+// Withdrawal is the notice that nobody waits for the answer to a message any more.
+func Withdrawal(id uint64) []byte {
+	b := msgpack.AppendText(msgpack.AppendUint(msgpack.AppendArray(nil, 3), 2), "withdraw")
+	return msgpack.AppendUint(msgpack.AppendArray(b, 1), id)
+}
+
 // Request builds a frame; fields override those of a sound request for object 7f3a9c21e0b4d655.
 func Request(id uint64, method string, fields map[string]string, body string) []byte {
 	all := map[string]string{"txn": fmt.Sprintf("%016x", id), "limit": "2000", "item": "7f3a9c21e0b4d655", "nth": "0",
--- a/test/harness_syscalls_test.go
+++ b/test/harness_syscalls_test.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/exec"
 	"runtime"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"unsafe"
 
@@ -17,15 +19,21 @@
 	"sloequay/internal/cli"
 )
 
-// System calls that fail: the test binary plays the program and answers some of its own system calls with an error. A
-// seccomp filter hands the calls that are named to a thread of the same process (user notification, which takes no
-// rights but no_new_privs); that thread lets each go on or fails it, by the faults that the environment names.
+// System calls that fail: the test binary plays the program, and some of its system calls are answered with an error. A
+// seccomp filter hands the calls that are named to a supervisor (user notification, which takes no rights but
+// no_new_privs), which lets each go on or fails it, by the faults that the environment names. The supervisor is a process
+// of its own, started by the program: a thread of the same one could not answer while Go stops the world, which waits for
+// threads in calls that Go does not know to block, as socket.
 
 // faultsVariable holds the faults, separated by commas. Each is CALL=ERRNO@FIRST-LAST, which fails the calls of that
 // name from the FIRST to the LAST, counted from 1 at the start of the process, or CALL=ERRNO%SHARE, which fails a share
 // of them that is drawn by a seed that the name of the call gives.
 const faultsVariable = "SLOEQUAY_TEST_SYSCALL_FAULTS"
 
+// supervisorVariable has the test binary answer the calls of the process that started it. It gets the filter's
+// descriptor over the socket at descriptor 3.
+const supervisorVariable = "SLOEQUAY_TEST_SYSCALL_SUPERVISOR"
+
 // Of linux/seccomp.h, which golang.org/x/sys has in part.
 const (
 	seccompReturnNotify   = 0x7fc00000
@@ -117,7 +125,7 @@
 func serveWithFaults(text string) {
 	faults, err := parseFaults(text)
 	if err == nil {
-		err = injectFaults(faults)
+		err = injectFaults(faults, text)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "faults:", err)
@@ -127,8 +135,15 @@
 	os.Exit(0)
 }
 
-// injectFaults installs the filter for all threads and starts the thread that answers for it.
-func injectFaults(faults []*syscallFault) error {
+// injectFaults starts the supervisor, installs the filter for all threads and hands over its descriptor.
+func injectFaults(faults []*syscallFault, text string) error {
+	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return err
+	}
+	if err := startSupervisor(text, os.NewFile(uintptr(pair[1]), "supervisor")); err != nil {
+		return err
+	}
 	program := []bpf.Instruction{bpf.LoadAbsolute{Off: 0, Size: 4}}
 	for _, fault := range faults {
 		program = append(program, bpf.JumpIf{Cond: bpf.JumpNotEqual, Val: uint32(fault.number), SkipTrue: 1},
@@ -140,8 +155,59 @@
 	if err != nil {
 		return err
 	}
-	go answerNotifications(listener, faults)
-	return nil
+	return unix.Sendmsg(pair[0], []byte{0}, unix.UnixRights(listener), nil, 0)
+}
+
+// startSupervisor starts a process that ends with this one, with one end of a socket pair. The system watches the
+// thread that started it, which must live on for that.
+func startSupervisor(faults string, end *os.File) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	supervisor := exec.Command(self)
+	supervisor.Env = append(os.Environ(), supervisorVariable+"="+faults)
+	supervisor.ExtraFiles = []*os.File{end}
+	supervisor.Stderr = os.Stderr
+	supervisor.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	go func() {
+		runtime.LockOSThread()
+		started <- supervisor.Start()
+		_ = supervisor.Wait()
+	}()
+	return errors.Join(<-started, end.Close())
+}
+
+// superviseFaults runs in the supervisor.
+func superviseFaults(text string) {
+	faults, err := parseFaults(text)
+	if err == nil {
+		var listener int
+		if listener, err = receiveDescriptor(3); err == nil {
+			answerNotifications(listener, faults)
+		}
+	}
+	fmt.Fprintln(os.Stderr, "faults:", err)
+	os.Exit(3)
+}
+
+// receiveDescriptor takes one descriptor that comes over a socket.
+func receiveDescriptor(socket int) (int, error) {
+	rights := make([]byte, unix.CmsgSpace(4))
+	_, n, _, _, err := unix.Recvmsg(socket, make([]byte, 1), rights, 0)
+	if err != nil {
+		return 0, err
+	}
+	messages, err := unix.ParseSocketControlMessage(rights[:n])
+	if err != nil || len(messages) != 1 {
+		return 0, fmt.Errorf("%d control messages: %w", len(messages), err)
+	}
+	descriptors, err := unix.ParseUnixRights(&messages[0])
+	if err != nil || len(descriptors) != 1 {
+		return 0, fmt.Errorf("%d descriptors: %w", len(descriptors), err)
+	}
+	return descriptors[0], nil
 }
 
 // installSeccomp installs a filter with flags, and gives what the system call returns.
@@ -168,7 +234,6 @@
 
 // answerNotifications lets each call go on or fails it, until the process ends.
 func answerNotifications(listener int, faults []*syscallFault) {
-	runtime.LockOSThread()
 	counts := map[int32]int{}
 	for {
 		var call notification
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -288,6 +288,9 @@
 	if os.Getenv(filterVariable) == "1" {
 		serveUnderFilter()
 	}
+	if faults := os.Getenv(supervisorVariable); faults != "" {
+		superviseFaults(faults)
+	}
 	if faults := os.Getenv(faultsVariable); faults != "" {
 		serveWithFaults(faults)
 	}
--- /dev/null
+++ b/test/soak_test.go
@@ -0,0 +1,79 @@
+package test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"runtime"
+	"testing"
+	"time"
+
+	"sloequay/internal/drill"
+)
+
+var (
+	soakSeeds = flag.Int("soak-seeds", 1, "plans that the soak plays, drawn by seeds from -soak-first on")
+	soakFirst = flag.Uint64("soak-first", 1, "the first seed of the soak")
+	soakLasts = flag.Duration("soak-lasts", 12*time.Second, "how long each plan of the soak lasts")
+	soakSlots = flag.Int("soak-slots", 2, "plans of the soak that are played at once")
+)
+
+// soakFaults are the system calls that fail in the soak, now and then, in each process.
+const soakFaults = "accept4=ENFILE%0.03,accept4=ECONNABORTED%0.03,socket=ENOBUFS%0.05,connect=EADDRNOTAVAIL%0.05"
+
+// TestSoak plays plans by processes in which several troubles overlap, clients leave, and system calls fail, and holds
+// all that must hold whatever happens, by what clients and endpoints saw and by the proxies' own monitors.
+func TestSoak(t *testing.T) {
+	if runtime.GOOS != "linux" || runtime.GOARCH != "amd64" {
+		t.Skip("the filter that fails system calls is written for Linux on amd64")
+	}
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	slots := make(chan bool, *soakSlots)
+	for n := range uint64(*soakSeeds) {
+		seed := *soakFirst + n
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			slots <- true
+			defer func() { <-slots }()
+			plan, err := drill.DrawSoak(seed, *soakLasts)
+			if err != nil {
+				t.Fatal(err)
+			}
+			plan.Environment = []string{faultsVariable + "=" + soakFaults}
+			result, err := drill.Run(plan, self, soakFolder(t), seed, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, check := range result.Checks {
+				if !check.OK {
+					t.Errorf("seed %d, did not hold: %s: %s", seed, check.Invariant.Line, check.Found)
+				} else {
+					t.Logf("held: %s: %s", check.Invariant.Line, check.Found)
+				}
+			}
+			if t.Failed() {
+				t.Logf("the plan:\n%s", plan.Text)
+			}
+		})
+	}
+}
+
+// soakReports names a folder in which the logs of each plan stay; without it they go with the test.
+var soakReports = flag.String("soak-reports", "", "folder in which the logs of the soak's processes stay")
+
+// soakFolder is where the processes of one plan have their files.
+func soakFolder(t *testing.T) string {
+	t.Helper()
+	if *soakReports == "" {
+		return t.TempDir()
+	}
+	folder, err := os.MkdirTemp(*soakReports, "soak-")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("the logs are in %s", folder)
+	return folder
+}
