Replace files by one package that syncs the folder, and read again after EIO

Cause: three packages replaced files by code of their own; keys and revocations did not sync the folder, the members file nothing at all. Files that had changed and could not be read for a moment (EIO) were not read again until they changed again, so that a revocation might never be taken over.

--- a/internal/identity/files/files.go
+++ b/internal/identity/files/files.go
@@ -3,9 +3,11 @@
 package files
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/fsnotify/fsnotify"
@@ -28,8 +30,9 @@
 }
 
 // Watch calls changed whenever signature gives something else than before, within a poll of a second at the latest, until stop
-// is closed. folders are those whose notices are heeded. It blocks.
-func Watch(stop <-chan struct{}, folders []string, signature func() string, changed func()) {
+// is closed. Where changed fails by an error of the system, as EIO, it is called again with the next poll: nothing may change
+// again. folders are those whose notices are heeded. It blocks.
+func Watch(stop <-chan struct{}, folders []string, signature func() string, changed func() error) {
 	var events chan fsnotify.Event
 	var faults chan error
 	w, err := fsnotify.NewWatcher()
@@ -37,7 +40,7 @@
 		defer w.Close()
 		events, faults = w.Events, w.Errors
 	}
-	last := signature()
+	last, unread := signature(), false
 	tick := time.NewTicker(poll)
 	defer tick.Stop()
 	for first := true; ; first = false {
@@ -62,9 +65,10 @@
 				}
 			}
 		}
-		if now := signature(); now != last {
+		if now := signature(); now != last || unread {
 			last = now
-			changed()
+			var errno syscall.Errno
+			unread = errors.As(changed(), &errno)
 		}
 	}
 }
--- a/internal/identity/keydir/keydir.go
+++ b/internal/identity/keydir/keydir.go
@@ -22,6 +22,7 @@
 	"strings"
 	"time"
 
+	"sloequay/internal/atomicfile"
 	"sloequay/internal/identity"
 	"sloequay/internal/identity/tsig"
 )
@@ -311,7 +312,7 @@
 		}
 		fmt.Fprintln(&text, o.Name, o.Algorithm, o.Secret, o.Tenant, o.Subject)
 	}
-	return k, write(filepath.Join(dir, tsigFile), text.Bytes(), 0o600)
+	return k, atomicfile.Replace(filepath.Join(dir, tsigFile), text.Bytes(), 0o600)
 }
 
 // Signature tells whether a directory's files may have changed: their times, sizes and numbers.
@@ -325,23 +326,6 @@
 	return out
 }
 
-// write replaces a file.
-func write(path string, data []byte, mode os.FileMode) error {
-	side, err := os.CreateTemp(filepath.Dir(path), "."+filepath.Base(path)+"-*")
-	if err != nil {
-		return err
-	}
-	_, err = side.Write(data)
-	err = errors.Join(err, side.Chmod(mode), side.Sync(), side.Close())
-	if err == nil {
-		err = os.Rename(side.Name(), path)
-	}
-	if err != nil {
-		_ = os.Remove(side.Name())
-	}
-	return err
-}
-
 // WriteKeys replaces the key set.
 func WriteKeys(dir string, keys []identity.Key) error {
 	if _, err := identity.NewKeys(keys); err != nil {
@@ -359,7 +343,7 @@
 	if err != nil {
 		return err
 	}
-	return write(filepath.Join(dir, keysFile), append(text, '\n'), 0o644)
+	return atomicfile.Replace(filepath.Join(dir, keysFile), append(text, '\n'), 0o644)
 }
 
 // New makes a key pair: the public half is returned, the private one written for its owner alone.
@@ -396,7 +380,7 @@
 	if _, err := os.Stat(path); err == nil {
 		return k, fmt.Errorf("%s is there already", path)
 	}
-	return k, write(path, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: der}), 0o600)
+	return k, atomicfile.Replace(path, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: der}), 0o600)
 }
 
 // Private reads the private half of a key, which must be that of the public one, and readable by its owner alone.
@@ -456,5 +440,5 @@
 			fmt.Fprintf(&b, "%v %s %s\n", r.What, r.Name, stamp(r.Until))
 		}
 	}
-	return write(path, b.Bytes(), 0o644)
+	return atomicfile.Replace(path, b.Bytes(), 0o644)
 }
--- a/internal/identity/tlsclient/tlsclient.go
+++ b/internal/identity/tlsclient/tlsclient.go
@@ -86,7 +86,11 @@
 // Watch renews whenever the files change, until stop is closed, and tells each time how it went. It blocks.
 func (d *Dialer) Watch(stop <-chan struct{}, told func(error)) {
 	paths := d.cfg.Files()
-	files.Watch(stop, files.Folders(paths...), func() string { return files.Signature(paths...) }, func() { told(d.Reload()) })
+	files.Watch(stop, files.Folders(paths...), func() string { return files.Signature(paths...) }, func() error {
+		err := d.Reload()
+		told(err)
+		return err
+	})
 }
 
 // Dial connects to an address whose certificate must have a name. ctx bounds the handshake too.
--- a/internal/peer/transport/join.go
+++ b/internal/peer/transport/join.go
@@ -5,6 +5,8 @@
 	"os"
 	"strings"
 	"time"
+
+	"sloequay/internal/atomicfile"
 )
 
 const (
@@ -122,19 +124,11 @@
 	}
 	mathrand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	addresses = addresses[:min(len(addresses), maxRememberedMembers)]
-	if err := replaceFile(t.config.MembersFile, strings.Join(addresses, "\n")+"\n"); err != nil {
+	if err := atomicfile.Replace(t.config.MembersFile, []byte(strings.Join(addresses, "\n")+"\n"), 0o600); err != nil {
 		t.receiver.Log("peer-transport-failed", "error", err)
 	}
 }
 
-func replaceFile(path, text string) error {
-	temporary := path + ".new"
-	if err := os.WriteFile(temporary, []byte(text), 0o600); err != nil {
-		return err
-	}
-	return os.Rename(temporary, path)
-}
-
 // randomDuration draws from 0 up to a limit.
 func randomDuration(limit time.Duration) time.Duration {
 	return time.Duration(mathrand.Int64N(int64(limit)))
--- a/internal/peer/transport/transport.go
+++ b/internal/peer/transport/transport.go
@@ -31,6 +31,7 @@
 
 	"github.com/hashicorp/memberlist"
 
+	"sloequay/internal/atomicfile"
 	"sloequay/internal/peer"
 )
 
@@ -123,6 +124,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if config.MembersFile != "" {
+		atomicfile.Clean(config.MembersFile)
+	}
 	t := &Transport{
 		config:       config,
 		self:         self,
--- a/internal/proxy/door.go
+++ b/internal/proxy/door.go
@@ -349,18 +349,21 @@
 	never := make(chan struct{})
 	if g.cfg.Keys != "" {
 		// The folder above tells of one that is replaced whole.
-		go files.Watch(never, []string{g.cfg.Keys, filepath.Dir(g.cfg.Keys)}, func() string { return keydir.Signature(g.cfg.Keys) }, func() {
+		go files.Watch(never, []string{g.cfg.Keys, filepath.Dir(g.cfg.Keys)}, func() string { return keydir.Signature(g.cfg.Keys) }, func() error {
 			content, err := keydir.Read(g.cfg.Keys)
 			g.doorman.loop.Post(func() {
 				g.take(content, err)
 				g.doorman.loop.RequestRound()
 			})
+			return err
 		})
 	}
 	if g.tls != nil {
 		paths := []string{g.cfg.tls.Cert, g.cfg.tls.Key, g.cfg.tls.ClientCA}
-		go files.Watch(never, files.Folders(paths...), func() string { return files.Signature(paths...) }, func() {
-			g.doorman.renewed(g.cfg.tls.Cert, g.tls.Reload())
+		go files.Watch(never, files.Folders(paths...), func() string { return files.Signature(paths...) }, func() error {
+			err := g.tls.Reload()
+			g.doorman.renewed(g.cfg.tls.Cert, err)
+			return err
 		})
 	}
 }
--- a/test/harness_syscalls_test.go
+++ b/test/harness_syscalls_test.go
@@ -19,11 +19,11 @@
 	"sloequay/internal/cli"
 )
 
-// System calls that fail: the test binary plays the program, and some of its system calls are answered with an error. A
-// seccomp filter hands the calls that are named to a supervisor (user notification, which takes no rights but
-// no_new_privs), which lets each go on or fails it, by the faults that the environment names. The supervisor is a process
-// of its own, started by the program: a thread of the same one could not answer while Go stops the world, which waits for
-// threads in calls that Go does not know to block, as socket.
+// System calls that fail: the test binary plays the program, and some of its system calls are answered with an error.
+// A seccomp filter hands the calls that are named to a supervisor (user notification, which takes no rights but
+// no_new_privs), which lets each go on or fails it, by the faults that the environment names. The supervisor is a
+// process of its own, started by the program: a thread of the same one could not answer while Go stops the world, which
+// waits for threads in calls that Go does not know to block, as socket.
 
 // faultsVariable holds the faults, separated by commas. Each is CALL=ERRNO@FIRST-LAST, which fails the calls of that
 // name from the FIRST to the LAST, counted from 1 at the start of the process, or CALL=ERRNO%SHARE, which fails a share
--- a/test/pages/layers_test.go
+++ b/test/pages/layers_test.go
@@ -25,7 +25,7 @@
 	{"policy", "quota", "concurrency", "retry", "route", "invalidation", "membership", "identity", "bootstrap", "peer",
 		"snapshot", "shutdown"},
 	{"clock", "config", "eventlog", "eventloop", "expiry", "frontend/connlimit", "frontend/rpc/msgpack", "digesttest",
-		"invariant"},
+		"invariant", "atomicfile"},
 }
 
 // ioPackages are of the standard library, and not for what decides: its caller does the I/O.
