Classify failed dials in one place, and blame no endpoint for a standstill

Cause: after a standstill of this machine all dials that were under way are told to have timed out, which counted against their endpoints. What a failed dial means stood between the I/O of the pool. A name that could not be resolved is never taken for a dial.

--- /dev/null
+++ b/internal/upstream/dial_failure.go
@@ -0,0 +1,47 @@
+package upstream
+
+import (
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"sloequay/internal/broker"
+	"sloequay/internal/eventloop"
+)
+
+// maxDialLateness is by how much a dial may be told to have timed out too late. Where it is later, this machine stood
+// still while it dialed.
+const maxDialLateness = 100 * time.Millisecond
+
+// redialing is whether a dial that failed is tried again.
+type redialing int
+
+const (
+	neverRedial      redialing = iota
+	redialOnce                 // at once
+	redialUntilLimit           // after pauses, until DialTimeout
+)
+
+// dialFailure is what a failed dial means: whether it is tried again, and how the attempts that wait for it end if it is
+// not, or not any more. broker.ConnectFailed counts against the endpoint, broker.NotSent does not.
+type dialFailure struct {
+	redial redialing
+	end    broker.End
+}
+
+// classifyDial says what a dial means that failed after a time, of a limit.
+func classifyDial(err error, took, limit time.Duration) dialFailure {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, syscall.ECONNRESET): // while it came up, which says nothing of the endpoint
+		return dialFailure{redialOnce, broker.NotSent}
+	case eventloop.IsLocal(err):
+		return dialFailure{redialUntilLimit, broker.NotSent}
+	case errors.Is(err, syscall.ENETUNREACH): // for a moment, or the address is wrong
+		return dialFailure{redialUntilLimit, broker.ConnectFailed}
+	case errors.As(err, &timeout) && timeout.Timeout() && took > limit+maxDialLateness:
+		return dialFailure{redialOnce, broker.NotSent}
+	}
+	return dialFailure{neverRedial, broker.ConnectFailed}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -3,12 +3,10 @@
 package upstream
 
 import (
-	"errors"
 	"fmt"
 	"net"
 	"net/netip"
 	"slices"
-	"syscall"
 	"time"
 
 	"sloequay/internal/broker"
@@ -91,22 +89,24 @@
 	listed  string          // the address or name in the list
 	address string          // the same resolved
 	begun   time.Duration   // when it was dialled
-	waiting []*broker.Attempt
-	open    map[string]*pending
-	past    map[string]past // ids that were given up here, or whose answer was not their request's last
-	heard   time.Duration   // when something was last read
-	awaits  time.Duration   // since when something is open without a break
-	used    time.Duration
-	alive   time.Duration // when a check was last answered
-	doubted bool          // a check is out for long
-	coming  string        // the id of an answer of which a part has come
-	since   time.Duration // when that began; 0: none has
-	queue   unflushed
-	again   bool          // it was dialled a second time
-	pause   time.Duration // before it was dialled last, as something was lacking here
-	inReady bool          // it is in the pool's ready
-	retired bool          // takes nothing new, and closes when nothing is open on it
-	closed  bool
+	// dialedAt is when it was dialled last: a dial that failed may be tried again.
+	dialedAt time.Duration
+	waiting  []*broker.Attempt
+	open     map[string]*pending
+	past     map[string]past // ids that were given up here, or whose answer was not their request's last
+	heard    time.Duration   // when something was last read
+	awaits   time.Duration   // since when something is open without a break
+	used     time.Duration
+	alive    time.Duration // when a check was last answered
+	doubted  bool          // a check is out for long
+	coming   string        // the id of an answer of which a part has come
+	since    time.Duration // when that began; 0: none has
+	queue    unflushed
+	again    bool          // it was dialled a second time
+	pause    time.Duration // before it was dialled last, as something was lacking here
+	inReady  bool          // it is in the pool's ready
+	retired  bool          // takes nothing new, and closes when nothing is open on it
+	closed   bool
 }
 
 // pending is an attempt, a probe or a check that was put on a connection.
@@ -226,7 +226,7 @@
 	switch {
 	case l.closed:
 	case err != nil:
-		l.notDialled(err)
+		l.notDialled(fmt.Errorf("name server: %v", err)) // no error of a dial, however it came about
 	case l.pool.AddressBlocked(address):
 		l.notDialled(fmt.Errorf("the name server gives %s, whose box is draining or gone", address))
 	default:
@@ -238,6 +238,7 @@
 // connect dials the link's address.
 func (l *link) connect() {
 	p := l.pool
+	l.dialedAt = p.Now()
 	if p.SecureDialer != nil {
 		if dial := p.SecureDialer(l.depot.box); dial != nil {
 			address := l.address
@@ -268,29 +269,30 @@
 }
 
 func (l *link) notDialled(err error) {
-	// A connection that was reset while it came up says nothing of the box, nor does what is lacking on this machine; one
-	// that was refused does.
-	wasReset, isLocal := errors.Is(err, syscall.ECONNRESET), eventloop.IsLocal(err)
-	if !l.retired && !l.closed {
-		if wasReset && !l.again {
-			l.again = true
-			l.connect()
-			return
-		}
-		if (isLocal || errors.Is(err, syscall.ENETUNREACH)) && l.redialLater() {
-			return
-		}
+	p := l.pool
+	failure := classifyDial(err, p.Now()-l.dialedAt, p.DialTimeout)
+	if !l.retired && !l.closed && l.redials(failure.redial) {
+		return
 	}
 	l.gone()
-	l.pool.Stats.DialFailed++
-	end := broker.ConnectFailed
-	if wasReset || isLocal {
-		end = broker.NotSent
-	}
+	p.Stats.DialFailed++
 	if len(l.waiting) > 0 {
 		l.pool.Log("upstream-connect-failed", "endpoint", l.depot.box.Name, "address", l.address, "error", err)
 	}
-	l.unsent(end)
+	l.unsent(failure.end)
+}
+
+// redials dials again if that is still to be done.
+func (l *link) redials(how redialing) bool {
+	switch {
+	case how == redialUntilLimit:
+		return l.redialLater()
+	case how == redialOnce && !l.again:
+		l.again = true
+		l.connect()
+		return true
+	}
+	return false
 }
 
 // redialLater has the dial tried again after a pause, if it may still come up in its time then.
