--- a/internal/eventlog/async.go
+++ b/internal/eventlog/async.go
@@ -22,6 +22,9 @@
 	go func() {
 		defer close(a.done)
 		for line := range a.lines {
+			if line == nil { // the mark that Close left
+				return
+			}
 			_, _ = w.Write(line) // a log that can't be written must not end the program
 		}
 	}()
@@ -31,17 +34,22 @@
 // Write takes one line. It never waits and never fails.
 func (a *AsyncWriter) Write(line []byte) (int, error) {
 	select {
-	case a.lines <- append([]byte(nil), line...):
+	case a.lines <- append([]byte{}, line...):
 	default:
 	}
 	return len(line), nil
 }
 
-// Close waits until all lines were passed on, for a time at most. Nothing may be written afterwards.
+// Close waits until all lines were passed on, for a time at most. What is written afterwards is dropped.
 func (a *AsyncWriter) Close(limit time.Duration) {
-	close(a.lines)
+	over := time.After(limit)
+	select {
+	case a.lines <- nil:
+	case <-over:
+		return
+	}
 	select {
 	case <-a.done:
-	case <-time.After(limit):
+	case <-over:
 	}
 }
