--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -19,30 +19,11 @@
 	// Nothing waits for that one: on a day of 2,900 requests a second at each doorman, attempts that waited for new
 	// connections took 78 ms at the 99th percentile to leave, and the module held the boxes for slow.
 	spread = 2
-	// A machine that is cut off, or a stream that broke off, leaves its connections open and silent. Where an answer is
-	// overdue and nothing was read for quietLeast, a NOOP asks whether the connection lives; what has not answered that
-	// within checkWithin is closed. A probe is answered beside the queue of the box, so one that is merely slow passes.
-	quietLeast  = 100 * time.Millisecond
-	aliveFor    = time.Second           // see mayCheck
-	hitWithin   = 25 * time.Millisecond // beside its sending time, an answer is overdue after that
-	fillWithin  = 100 * time.Millisecond
-	checkWithin = 120 * time.Millisecond
-	doubtAfter  = 30 * time.Millisecond // of a check that is out, new attempts go by another connection
-	checkLooks  = 3                     // rounds of ours that must have passed: a loop that stalled knows nothing
-	watchEvery  = 20 * time.Millisecond
-	// silentAfter is the same where probes are not allowed; then new attempts go by another connection.
-	silentAfter = 600 * time.Millisecond
 	// quitKept is how long an id that was given up is remembered, to drop its late answer, and saidKept how long what was
 	// answered under an id is, to know it when it comes twice: seen doubled were answers some milliseconds apart.
 	quitKept  = 10 * time.Second
 	saidKept  = time.Second
 	probeMost = time.Second
-	// A dial that fails for want of something on this machine is tried again after these pauses, until DialTimeout.
-	minRedialPause = 10 * time.Millisecond
-	maxRedialPause = 100 * time.Millisecond
-	// trickleMost is how long an answer may be on its way before nothing new is put behind it: a whole one of 240,000 bytes takes 0.8 s
-	// at the pace of one transfer. Where its own request is over by then, and another one is late behind it, the connection is ended.
-	trickleMost = time.Second
 )
 
 // Pool is all connections to boxes.
@@ -202,53 +183,6 @@
 	return idle != nil
 }
 
-func (p *Pool) dial(d *depot) *link {
-	now := p.Now()
-	l := &link{pool: p, depot: d, listed: d.box.Address, address: d.box.Address, begun: now, used: now, heard: now,
-		open: map[string]*pending{}, past: map[string]past{}}
-	d.links = append(d.links, l)
-	p.links++
-	p.Stats.Dials++
-	name, port, err := net.SplitHostPort(l.address)
-	if err != nil {
-		p.Loop.Post(func() { l.notDialled(err) })
-	} else if _, err := netip.ParseAddr(name); err == nil {
-		l.connect()
-	} else {
-		p.Resolve(name, func(ip netip.Addr, err error) { l.resolved(ip, port, err) })
-	}
-	return l
-}
-
-// resolved dials the address that a box's name stands for, unless the list says otherwise.
-func (l *link) resolved(ip netip.Addr, port string, err error) {
-	address := net.JoinHostPort(ip.String(), port)
-	switch {
-	case l.closed:
-	case err != nil:
-		l.notDialled(fmt.Errorf("name server: %v", err)) // no error of a dial, however it came about
-	case l.pool.AddressBlocked(address):
-		l.notDialled(fmt.Errorf("the name server gives %s, whose box is draining or gone", address))
-	default:
-		l.address = address
-		l.connect()
-	}
-}
-
-// connect dials the link's address.
-func (l *link) connect() {
-	p := l.pool
-	l.dialedAt = p.Now()
-	if p.SecureDialer != nil {
-		if dial := p.SecureDialer(l.depot.box); dial != nil {
-			address := l.address
-			p.Loop.DialBy(func() (net.Conn, error) { return dial(address) }, l, l.notDialled)
-			return
-		}
-	}
-	p.Loop.Dial("tcp", l.address, p.DialTimeout, l, l.notDialled)
-}
-
 // stale says whether a late answer under the id could be taken for that of a new attempt. A second copy of an answer that was taken is
 // known by its words and asked about, where that is possible.
 func (l *link) stale(id string) bool {
@@ -268,55 +202,6 @@
 	l.depot.links = slices.DeleteFunc(l.depot.links, func(o *link) bool { return o == l })
 }
 
-func (l *link) notDialled(err error) {
-	p := l.pool
-	failure := classifyDial(err, p.Now()-l.dialedAt, p.DialTimeout)
-	if !l.retired && !l.closed && l.redials(failure.redial) {
-		return
-	}
-	l.gone()
-	p.Stats.DialFailed++
-	if len(l.waiting) > 0 {
-		l.pool.Log("upstream-connect-failed", "endpoint", l.depot.box.Name, "address", l.address, "error", err)
-	}
-	l.unsent(failure.end)
-}
-
-// redials dials again if that is still to be done.
-func (l *link) redials(how redialing) bool {
-	switch {
-	case how == redialUntilLimit:
-		return l.redialLater()
-	case how == redialOnce && !l.again:
-		l.again = true
-		l.connect()
-		return true
-	}
-	return false
-}
-
-// redialLater has the dial tried again after a pause, if it may still come up in its time then.
-func (l *link) redialLater() bool {
-	p := l.pool
-	l.pause = min(max(minRedialPause, 2*l.pause), maxRedialPause)
-	if p.Now()-l.begun+l.pause > p.DialTimeout {
-		return false
-	}
-	time.AfterFunc(l.pause, func() { p.Loop.Post(l.redial) })
-	return true
-}
-
-// redial dials again, unless the list has changed meanwhile.
-func (l *link) redial() {
-	if !l.retired && !l.closed {
-		l.connect()
-		return
-	}
-	l.gone()
-	l.unsent(broker.NotSent)
-	l.pool.Loop.RequestRound()
-}
-
 // unsent ends what waits for the connection.
 func (l *link) unsent(end broker.End) {
 	for _, a := range l.waiting {
@@ -451,22 +336,6 @@
 	l.rest()
 }
 
-// trickles says whether an answer has been on its way for so long that nothing is to wait behind it.
-func (l *link) trickles(now time.Duration) bool { return l.since != 0 && now-l.since > trickleMost }
-
-// blocked says whether such an answer, which nobody waits for any more, holds up another that is late.
-func (l *link) blocked(now time.Duration) bool {
-	if o := l.open[l.coming]; !l.trickles(now) || o != nil && (o.attempt == nil || o.attempt.Open()) {
-		return false
-	}
-	for _, o := range l.open {
-		if o.attempt != nil && o.attempt.Open() && now > o.due {
-			return true
-		}
-	}
-	return false
-}
-
 func (l *link) answer(a *answer) error {
 	o := l.open[a.id]
 	if o == nil {
@@ -545,15 +414,6 @@
 	return s
 }
 
-// silenced ends a connection on which nothing comes any more. A QUIT would not arrive; the close gives all up.
-func (l *link) silenced() {
-	l.pool.Log("upstream-unresponsive", "endpoint", l.depot.box.Name, "open", len(l.open))
-	l.pool.Stats.Unresponsive++
-	l.endAll(func(*pending) broker.End { return broker.Unresponsive })
-	l.conn.Abort()
-	l.retire()
-}
-
 // garbled ends the connection whose answers can't be read.
 func (l *link) garbled(err error) {
 	l.pool.Log("upstream-protocol-error", "endpoint", l.depot.box.Name, "error", err)
@@ -683,72 +543,6 @@
 	}
 }
 
-// CheckLiveness looks after connections on which something waits and nothing comes.
-func (p *Pool) CheckLiveness(now time.Duration) {
-	if now-p.seen < watchEvery && now >= p.seen {
-		return
-	}
-	p.seen = now
-	for _, d := range p.boxes {
-		for _, l := range slices.Clone(d.links) {
-			if l.conn != nil && (len(l.open) > 0 || l.conn.Unsent() > 0) {
-				l.watch(now)
-			}
-		}
-	}
-}
-
-func (l *link) watch(now time.Duration) {
-	if l.queue.isStuck(now, l.conn.Flushed()) {
-		l.silenced()
-		return
-	}
-	if l.blocked(now) {
-		l.garbled(fmt.Errorf("an answer under %.32q has not ended for %v, and its request is over", l.coming, now-l.since))
-		return
-	}
-	quiet := now - max(l.heard, l.awaits)
-	if !l.pool.HealthChecksAllowed {
-		if quiet > silentAfter {
-			l.retire()
-		}
-		return
-	}
-	checked, overdue, late := false, false, false
-	for _, o := range l.open {
-		if !o.check {
-			// Late since the box last said that it lives, or late at all.
-			overdue = overdue || o.attempt != nil && now > o.due && o.due > l.alive
-			late = late || o.attempt != nil && now > o.due
-			continue
-		}
-		checked = true
-		// While bytes come the answer may be behind them.
-		since := now - max(o.sent, l.heard)
-		l.doubted = l.doubted || since > doubtAfter
-		if o.looks++; since > checkWithin && o.looks > checkLooks {
-			l.silenced()
-			return
-		}
-	}
-	if !checked && mayCheck(quiet, overdue, late) {
-		l.check()
-	}
-}
-
-// mayCheck says whether a connection on which nothing is asked yet is to be asked whether it lives: only where an answer
-// is overdue, and nothing has come for quietLeast. A check is priced and answered from the box's budget of probes, which
-// all doormans share; one asked whenever a connection was quiet for 100 ms, whatever was due, came with a fifth of all
-// attempts on a day of 80 doormans (zone+vast), every one of them answered READY, and cost 0.05 of G. A connection that
-// is cut off still shows: what is on it becomes overdue.
-//
-// A box that answered a check lives: what was late then is slow, not cut off, and is asked about again only after
-// aliveFor of quiet. Asked after each 100 ms of quiet, one answer that a slow box gave after 6 s brought dozens of
-// checks, and on join+vast (seed 879229280246) 11,770 checks went beside 45,588 attempts, all but 6 answered READY.
-func mayCheck(quiet time.Duration, overdue, late bool) bool {
-	return overdue && quiet > quietLeast || late && quiet > aliveFor
-}
-
 // Housekeep closes what is idle and forgets ids that were given up long ago.
 func (p *Pool) Housekeep(now time.Duration) {
 	for id, d := range p.boxes {
