Have the loop read before the attempts of a round that stood still are written

Cause: the round that was requested came before anything more was read, where the standstill was shorter than 0.1 s and the time that the loop was to wait.

--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -299,6 +299,9 @@
 		d.end(now)
 	}
 	wake := d.kept + housekeepEvery
+	if d.heldBack {
+		wake = now // by the timer, so that the loop reads before: a round that is requested would come first
+	}
 	if d.sources.fleet != nil {
 		wake = min(wake, d.sources.fleet.steppedAt+fleetStepInterval)
 	}
@@ -317,8 +320,7 @@
 	switch {
 	case d.heldBack:
 	case stoodStill && mayHoldBack:
-		d.heldBack = true
-		d.loop.RequestRound()
+		d.heldBack = true // the end of the round asks for the next one
 	default:
 		for _, p := range d.pools {
 			p.depots.Flush()
