--- a/internal/broker/clockstep_test.go
+++ b/internal/broker/clockstep_test.go
@@ -35,9 +35,9 @@
 					"want %v to 0 s", step, stampedBy, age, now-issued, found, age)
 			}
 			startedAt := b.EndpointByName("c1").StartedAt
-			if startedAt < now-age || startedAt > now+maxStartAhead {
+			if startedAt < now-age || startedAt > now+maxFutureStart {
 				t.Errorf("step of %v, stamps by %s: a start of %v ago counts as %v ago, want %v to %v",
-					step, stampedBy, age, now-startedAt, age, -maxStartAhead)
+					step, stampedBy, age, now-startedAt, age, -maxFutureStart)
 			}
 		}
 	}
--- a/internal/broker/endpoints.go
+++ b/internal/broker/endpoints.go
@@ -13,8 +13,8 @@
 // may come again, and its address is blocked for endpoints that a name server gives it to.
 const rememberDeparted = time.Minute
 
-// maxStartAhead is how far in the future a start may be reported.
-const maxStartAhead = 10 * time.Second
+// maxFutureStart is how far in the future a start may be reported.
+const maxFutureStart = 10 * time.Second
 
 // The offset basis and the prime of the 64-bit FNV-1a hash.
 const (
@@ -146,7 +146,7 @@
 		return 0
 	}
 	startedAt := offsets.Latest(reported)
-	if startedAt > now+maxStartAhead {
+	if startedAt > now+maxFutureStart {
 		startedAt = now
 	}
 	return max(1, startedAt)
--- a/internal/drill/clients.go
+++ b/internal/drill/clients.go
@@ -65,7 +65,7 @@
 			}
 			if len(up) > 0 {
 				proxy, object, charge := up[rng.IntN(len(up))], zipf.Uint64()+1, rng.Float64() < c.w.Plan.Charges
-				c.send(proxy, object, charge, c.drawLeaving(rng))
+				c.send(proxy, object, charge, c.drawCancellation(rng))
 			}
 		}
 	}()
@@ -110,23 +110,23 @@
 	alone bool // it has a connection to itself
 }
 
-// leaving is whether a client leaves before it has its answer, and how.
-type leaving struct {
-	leaves, closes bool
-	after          time.Duration
+// cancellation is whether a client leaves before it has its answer, and how.
+type cancellation struct {
+	cancels, closes bool
+	after           time.Duration
 }
 
-// drawLeaving draws one. Without the plan's leaves nothing is drawn, so that the other draws stay as they are.
-func (c *clients) drawLeaving(rng *rand.Rand) leaving {
+// drawCancellation draws one. Without the plan's leaves nothing is drawn, so that the other draws stay as they are.
+func (c *clients) drawCancellation(rng *rand.Rand) cancellation {
 	if c.w.Plan.Leaves == 0 {
-		return leaving{}
+		return cancellation{}
 	}
-	after := time.Duration(rng.Float64() * float64(maxLeaveDelay))
-	return leaving{leaves: rng.Float64() < c.w.Plan.Leaves, closes: rng.IntN(2) == 0, after: after}
+	after := time.Duration(rng.Float64() * float64(maxCancelDelay))
+	return cancellation{cancels: rng.Float64() < c.w.Plan.Leaves, closes: rng.IntN(2) == 0, after: after}
 }
 
 // send puts one request out.
-func (c *clients) send(d *doorman, object uint64, charge bool, leave leaving) {
+func (c *clients) send(d *doorman, object uint64, charge bool, plan cancellation) {
 	id := c.w.ids.Add(1)
 	r := &Request{ID: fmt.Sprintf("%016x", id), Class: "lookup", Proxy: d.n, Sent: c.w.now()}
 	fields := map[string]string{"txn": r.ID, "item": fmt.Sprintf("%016x", object), "ram": fmt.Sprint(c.w.Plan.SizeKB),
@@ -137,12 +137,12 @@
 	}
 	c.w.Record.add(func() { c.w.Record.Requests = append(c.w.Record.Requests, r) })
 	a := &asking{r: r, frame: func(msg uint64) []byte { return emulator.Request(msg, r.Class, fields, "") }}
-	if leave.leaves && leave.closes {
+	if plan.cancels && plan.closes {
 		a.alone = true
 	}
 	k, msg := c.put(d, a)
-	if leave.leaves && k != nil {
-		go c.leave(k, msg, a, leave.after, leave.closes)
+	if plan.cancels && k != nil {
+		go c.cancelLater(k, msg, a, plan.after, plan.closes)
 	}
 }
 
--- a/internal/drill/soak.go
+++ b/internal/drill/soak.go
@@ -12,11 +12,12 @@
 	"sloequay/internal/emulator"
 )
 
-// maxLeaveDelay is how long after its request a client that leaves does so at the latest.
-const maxLeaveDelay = 120 * time.Millisecond
+// maxCancelDelay is how long after its request a client that leaves does so at the latest.
+const maxCancelDelay = 120 * time.Millisecond
 
-// DrawSoak makes a plan by lot in which two or three troubles overlap at any time: processes that stop, end, are killed,
-// start and read their files anew, endpoints that drain, die and are reset, a list service that fails, clients that leave.
+// DrawSoak makes a plan by lot in which two or three troubles overlap at any time: processes that stop, end, are
+// killed, start and read their files anew, endpoints that drain, die and are reset, a list service that fails,
+// clients that leave.
 func DrawSoak(seed uint64, lasts time.Duration) (*Plan, error) {
 	rng := rand.New(rand.NewPCG(seed, 11))
 	var b strings.Builder
@@ -32,9 +33,12 @@
 	line("at 0s start doormans")
 	for at := 2 * time.Second; at < lasts-5*time.Second; {
 		at += time.Duration(rng.IntN(700)) * time.Millisecond
-		drawTrouble(rng, line, at)
+		drawFault(rng, line, at)
+	}
+	for _, check := range []string{"answers", "repeats", "ledger", "drains 9s", "alive", "left 0.1s", "deadlines 0.15s",
+		"monitors"} {
+		line("hold %s", check)
 	}
-	line("hold answers\nhold repeats\nhold ledger\nhold drains 9s\nhold alive\nhold left 0.1s\nhold deadlines 0.15s\nhold monitors")
 	plan, err := Parse(fmt.Sprintf("soak, seed %d", seed), []byte(b.String()))
 	if err != nil {
 		return nil, fmt.Errorf("%w in\n%s", err, b.String())
@@ -43,8 +47,8 @@
 	return plan, nil
 }
 
-// drawTrouble adds one trouble that begins at a time.
-func drawTrouble(rng *rand.Rand, line func(format string, args ...any), at time.Duration) {
+// drawFault adds one trouble that begins at a time.
+func drawFault(rng *rand.Rand, line func(format string, args ...any), at time.Duration) {
 	lasting := time.Duration(200+rng.IntN(1800)) * time.Millisecond
 	proxy := rng.IntN(8)
 	cache := fmt.Sprintf("box:c%d-%d", 1+rng.IntN(2), 1+rng.IntN(3))
@@ -70,8 +74,9 @@
 	}
 }
 
-// leave has a client give up a request after a time: it withdraws it, or closes the connection that it has to itself.
-func (c *clients) leave(k *clientConn, msg uint64, a *asking, after time.Duration, closes bool) {
+// cancelLater has a client give up a request after a time: it withdraws it, or closes the connection that it has to
+// itself.
+func (c *clients) cancelLater(k *clientConn, msg uint64, a *asking, after time.Duration, closes bool) {
 	time.Sleep(after)
 	k.mu.Lock()
 	isOpen := k.open[msg] == a
--- a/internal/eventloop/transient.go
+++ b/internal/eventloop/transient.go
@@ -13,7 +13,8 @@
 	startRetryLimit = 5 * time.Second // after which what should pass is taken to stay
 )
 
-// localErrors are how system calls on sockets fail for want of something on this machine. None says anything of the peer.
+// localErrors are how system calls on sockets fail for want of something on this machine. None says anything of the
+// peer.
 var localErrors = []error{
 	unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.EAGAIN, unix.EINTR, unix.EADDRNOTAVAIL, unix.ENETDOWN,
 	unix.ECONNABORTED,
@@ -25,8 +26,8 @@
 	return slices.ContainsFunc(localErrors, func(local error) bool { return errors.Is(err, local) })
 }
 
-// retryLocal calls try until it succeeds, fails for another reason than one that IsLocal or a route that is missing, or
-// startRetryLimit is over.
+// retryLocal calls try until it succeeds, fails for another reason than one that IsLocal or a route that is
+// missing, or startRetryLimit is over.
 func retryLocal(try func() error) error {
 	began := time.Now()
 	for {
--- a/internal/frontend/rpc/rpc.go
+++ b/internal/frontend/rpc/rpc.go
@@ -144,20 +144,20 @@
 
 // client is one connection and what is open on it.
 type client struct {
-	front  *Server
-	guest  *connlimit.Client
-	conn   *eventloop.Conn
-	open   map[uint32]*broker.Request // by message id
-	msgs   map[*broker.Request]uint32
-	excess int // requests beyond mostOpen in this read
-	caller identity.Caller
-	waits  *list.Element // in the front's paced
-	since  time.Duration // when it began to wait there
-	may    int           // messages that may be looked at though the client is paced
-	heldAt time.Duration // since when messages of it have waited without a break; 0: none waits
-	came   time.Duration // when the messages that are looked at may have come at the earliest
-	refuse bool          // whole requests are rejected unread, as the connection is about to be closed
-	left   bool
+	front        *Server
+	guest        *connlimit.Client
+	conn         *eventloop.Conn
+	open         map[uint32]*broker.Request // by message id
+	msgs         map[*broker.Request]uint32
+	excess       int // requests beyond mostOpen in this read
+	caller       identity.Caller
+	waits        *list.Element // in the front's paced
+	since        time.Duration // when it began to wait there
+	may          int           // messages that may be looked at though the client is paced
+	waitingSince time.Duration // since when messages of it have waited without a break; 0: none waits
+	came         time.Duration // when the messages that are looked at may have come at the earliest
+	refuse       bool          // whole requests are rejected unread, as the connection is about to be closed
+	left         bool
 }
 
 // Opened notes the connection.
@@ -230,8 +230,8 @@
 	c.excess = 0
 	used, now, held := 0, c.front.now(), false
 	c.came = now - conn.ReadLag()
-	if c.heldAt != 0 {
-		c.came = min(c.came, c.heldAt)
+	if c.waitingSince != 0 {
+		c.came = min(c.came, c.waitingSince)
 	}
 	for used < len(conn.In) && !c.left {
 		if held = c.hold(now); held {
@@ -250,13 +250,13 @@
 	}
 	switch {
 	case !held:
-		c.heldAt = 0
-	case c.heldAt == 0:
-		c.heldAt = c.came
+		c.waitingSince = 0
+	case c.waitingSince == 0:
+		c.waitingSince = c.came
 	}
 	if held && len(conn.In)-used > pacedMost {
 		c.front.log("client-rate-limited", "from", c.caller.Remote, "bytes", len(conn.In)-used)
-		c.rejectWhole(conn.In[used:])
+		c.rejectUnread(conn.In[used:])
 		c.abandon()
 	}
 	if c.left {
@@ -270,9 +270,9 @@
 	c.busy()
 }
 
-// rejectWhole rejects the requests that have come whole and were not looked at: they were read, so that each is owed an
+// rejectUnread rejects the requests that have come whole and were not looked at: they were read, so that each is owed an
 // answer.
-func (c *client) rejectWhole(data []byte) {
+func (c *client) rejectUnread(data []byte) {
 	c.refuse = true
 	for len(data) > 0 {
 		r := msgpack.Reader{Data: data, MaxElements: mostFrame, Values: mostValues}
--- a/internal/identity/files/files.go
+++ b/internal/identity/files/files.go
@@ -1,5 +1,5 @@
-// Package files tells when files that operators replace in service may have changed. The system's notices come at once where
-// they come; a poll finds what they miss, such as a folder that was away.
+// Package files tells when files that operators replace in service may have changed. The system's notices come at
+// once where they come; a poll finds what they miss, such as a folder that was away.
 package files
 
 import (
@@ -18,8 +18,8 @@
 	settle = 20 * time.Millisecond // a writer may touch several files
 )
 
-// Signature changes when one of the files does, as far as size, times and mode tell. A path that is empty or that leads
-// nowhere is passed over.
+// Signature changes when one of the files does, as far as size, times and mode tell. A path that is empty or that
+// leads nowhere is passed over.
 func Signature(paths ...string) (out string) {
 	for _, path := range paths {
 		if info, err := os.Stat(path); path != "" && err == nil {
@@ -29,9 +29,9 @@
 	return out
 }
 
-// Watch calls changed whenever signature gives something else than before, within a poll of a second at the latest, until stop
-// is closed. Where changed fails by an error of the system, as EIO, it is called again with the next poll: nothing may change
-// again. folders are those whose notices are heeded. It blocks.
+// Watch calls changed whenever signature gives something else than before, within a poll of a second at the latest,
+// until stop is closed. Where changed fails by an error of the system, as EIO, it is called again with the next
+// poll: nothing may change again. folders are those whose notices are heeded. It blocks.
 func Watch(stop <-chan struct{}, folders []string, signature func() string, changed func() error) {
 	var events chan fsnotify.Event
 	var faults chan error
--- a/internal/identity/files/files_test.go
+++ b/internal/identity/files/files_test.go
@@ -8,9 +8,9 @@
 	"time"
 )
 
-// TestWatchTriesAgainAfterDiskErrors: files have changed and can't be read for a moment. They are read again though they
+// TestWatchRetriesAfterDiskErrors: files have changed and can't be read for a moment. They are read again though they
 // do not change again; what is wrong in the files themselves waits for the next change.
-func TestWatchTriesAgainAfterDiskErrors(t *testing.T) {
+func TestWatchRetriesAfterDiskErrors(t *testing.T) {
 	for _, c := range []struct {
 		name string
 		err  error
--- a/internal/proxy/flush_test.go
+++ b/internal/proxy/flush_test.go
@@ -7,13 +7,13 @@
 	"sloequay/internal/clock"
 )
 
-// TestRoundThatStoodStillHoldsItsAttemptsBack: once, and not where the round before has done so; and for the whole round.
-func TestRoundThatStoodStillHoldsItsAttemptsBack(t *testing.T) {
+// TestStalledRoundDefersItsAttempts: once, and not where the round before has done so; and for the whole round.
+func TestStalledRoundDefersItsAttempts(t *testing.T) {
 	for _, c := range []struct {
-		name        string
-		took        time.Duration
-		mayHoldBack bool
-		want        bool
+		name     string
+		took     time.Duration
+		mayDefer bool
+		want     bool
 	}{
 		{"a round as usual", time.Millisecond, true, false},
 		{"a round that stood still", time.Second, true, true},
@@ -21,12 +21,12 @@
 	} {
 		d := &server{clock: clock.NewSystem()}
 		began := d.clock.Monotonic() - c.took
-		d.flush(began, c.mayHoldBack)
-		if d.heldBack != c.want {
-			t.Errorf("%s: held back %v, want %v", c.name, d.heldBack, c.want)
+		d.flush(began, c.mayDefer)
+		if d.deferred != c.want {
+			t.Errorf("%s: held back %v, want %v", c.name, d.deferred, c.want)
 		}
-		if d.flush(d.clock.Monotonic(), c.mayHoldBack); d.heldBack != c.want {
-			t.Errorf("%s: after another look in the same round held back %v, want %v", c.name, d.heldBack, c.want)
+		if d.flush(d.clock.Monotonic(), c.mayDefer); d.deferred != c.want {
+			t.Errorf("%s: after another look in the same round held back %v, want %v", c.name, d.deferred, c.want)
 		}
 	}
 }
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -59,7 +59,7 @@
 	unixClock clock.Tracker // finds steps of the Unix clock
 	stopped   bool
 	known     bool // see knowsBoxes
-	heldBack  bool // the attempts of the last round are left to the next one, see flush
+	deferred  bool // the attempts of the last round are left to the next one, see flush
 }
 
 // Serve runs the doorman until SIGTERM has been seen through.
@@ -238,8 +238,8 @@
 // round hands what has been gathered to the module in one go, and carries out what comes back.
 func (d *server) round() {
 	now := d.clock.Monotonic()
-	mayHoldBack := !d.heldBack // or a machine that is always slow would send nothing
-	d.heldBack = false
+	mayDefer := !d.deferred // or a machine that is always slow would send nothing
+	d.deferred = false
 	if step := d.unixClock.Read(now, d.clock.Unix()); step != 0 {
 		d.log.Event("clock-stepped", "by", step)
 		if d.door != nil {
@@ -286,7 +286,7 @@
 		for _, p := range d.pools {
 			p.round(d)
 		}
-		d.flush(now, mayHoldBack)
+		d.flush(now, mayDefer)
 		again = false
 		for _, p := range d.pools {
 			again = again || len(p.events) > 0
@@ -299,7 +299,7 @@
 		d.end(now)
 	}
 	wake := d.kept + housekeepEvery
-	if d.heldBack {
+	if d.deferred {
 		wake = now // by the timer, so that the loop reads before: a round that is requested would come first
 	}
 	if d.sources.fleet != nil {
@@ -315,12 +315,12 @@
 
 // flush writes the attempts of the round. Where the round stood still, clients may have left and endpoints may drain since
 // it began: what came meanwhile is read first, and the attempts are left to the next round.
-func (d *server) flush(roundBegan time.Duration, mayHoldBack bool) {
+func (d *server) flush(roundBegan time.Duration, mayDefer bool) {
 	stoodStill := d.clock.Monotonic()-roundBegan > maxRoundTime
 	switch {
-	case d.heldBack:
-	case stoodStill && mayHoldBack:
-		d.heldBack = true // the end of the round asks for the next one
+	case d.deferred:
+	case stoodStill && mayDefer:
+		d.deferred = true // the end of the round asks for the next one
 	default:
 		for _, p := range d.pools {
 			p.depots.Flush()
--- a/internal/upstream/dial_failure.go
+++ b/internal/upstream/dial_failure.go
@@ -23,8 +23,8 @@
 	redialUntilLimit           // after pauses, until DialTimeout
 )
 
-// dialFailure is what a failed dial means: whether it is tried again, and how the attempts that wait for it end if it is
-// not, or not any more. broker.ConnectFailed counts against the endpoint, broker.NotSent does not.
+// dialFailure is what a failed dial means: whether it is tried again, and how the attempts that wait for it end if
+// it is not, or not any more. broker.ConnectFailed counts against the endpoint, broker.NotSent does not.
 type dialFailure struct {
 	redial redialing
 	end    broker.End
--- a/internal/upstream/dial_failure_test.go
+++ b/internal/upstream/dial_failure_test.go
@@ -31,7 +31,7 @@
 		{"no ports", call("connect", syscall.EADDRNOTAVAIL), 0, dialFailure{redialUntilLimit, broker.NotSent}},
 		{"no route", call("connect", syscall.ENETUNREACH), 0, dialFailure{redialUntilLimit, broker.ConnectFailed}},
 		{"no host", call("connect", syscall.EHOSTUNREACH), 0, dialFailure{neverRedial, broker.ConnectFailed}},
-		{"timed out by the system", call("connect", syscall.ETIMEDOUT), limit, dialFailure{neverRedial, broker.ConnectFailed}},
+		{"system time-out", call("connect", syscall.ETIMEDOUT), limit, dialFailure{neverRedial, broker.ConnectFailed}},
 		{"timed out", timeout, limit + time.Millisecond, dialFailure{neverRedial, broker.ConnectFailed}},
 		{"timed out in a standstill", timeout, limit + time.Second, dialFailure{redialOnce, broker.NotSent}},
 	} {
--- a/internal/upstream/unflushed.go
+++ b/internal/upstream/unflushed.go
@@ -3,16 +3,18 @@
 import "time"
 
 const (
-	// maxUnflushed is how long bytes may wait for an endpoint that does not read, until its connection is ended. What
-	// waits here goes out at its own time: after a drain, after a purge, or after its client has left, of which the
-	// narrowest is 0.1 s, with a deadline that was right when it was queued. Connections are looked at every watchEvery.
+	// maxUnflushed is how long bytes may wait for an endpoint that does not read, until its connection is ended.
+	// What waits here goes out at its own time: after a drain, after a purge, or after its client has left, of
+	// which the narrowest is 0.1 s, with a deadline that was right when it was queued. Connections are looked at
+	// every watchEvery.
 	maxUnflushed = 70 * time.Millisecond
-	// unflushedStep is how far apart the times are that are remembered: what is queued within it counts as queued with
-	// the first.
+	// unflushedStep is how far apart the times are that are remembered: what is queued within it counts as queued
+	// with the first.
 	unflushedStep = 10 * time.Millisecond
 )
 
-// queuedBytes is an offset in what was queued on a connection, with the time of the earliest bytes that it stands for.
+// queuedBytes is an offset in what was queued on a connection, with the time of the earliest bytes that it stands
+// for.
 type queuedBytes struct {
 	end uint64
 	at  time.Duration
--- a/internal/upstream/unflushed_test.go
+++ b/internal/upstream/unflushed_test.go
@@ -7,8 +7,8 @@
 	"pgregory.net/rapid"
 )
 
-// TestUnflushedFindsOldBytes compares with the plainest model, which remembers the time of each byte: what has waited for
-// maxUnflushed is stuck, what has waited for unflushedStep less is not.
+// TestUnflushedFindsOldBytes compares with the plainest model, which remembers the time of each byte: what has
+// waited for maxUnflushed is stuck, what has waited for unflushedStep less is not.
 func TestUnflushedFindsOldBytes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var u unflushed
--- a/test/listwatch_test.go
+++ b/test/listwatch_test.go
@@ -189,9 +189,9 @@
 	}
 }
 
-// TestSlowListServiceIsHeard: the list service answers each connection only after 2 s, which is longer than a watch may
-// be silent. What it has to tell still arrives.
-func TestSlowListServiceIsHeard(t *testing.T) {
+// TestSlowListServiceIsFollowed: the list service answers each connection only after 2 s, which is longer than a
+// watch may be silent. What it has to tell still arrives.
+func TestSlowListServiceIsFollowed(t *testing.T) {
 	t.Parallel()
 	w := newTestbed(t, nil)
 	slow := w.listenOn("127.0.0.1:0")
