Count the first request of a late connection from when that may have come

Cause: a connection that waits to be accepted through a standstill, or while accept fails, is read after the round that knew of the delay: its first request counted as new, and endpoints got up to 0.6 s too much. Change: the acceptor knows when none waited last, the loop its last standstill; ReadLag takes both for what comes first on an accepted connection.

--- a/internal/eventloop/accept.go
+++ b/internal/eventloop/accept.go
@@ -15,6 +15,8 @@
 	maxPendingAccepts = 4
 	minAcceptPause    = 5 * time.Millisecond // after an accept that failed
 	maxAcceptPause    = 100 * time.Millisecond
+	// minAcceptWait is how long an accept takes at the least that found no connection waiting.
+	minAcceptWait = time.Millisecond
 )
 
 // acceptor accepts the connections of one address on a goroutine beside the loop and hands them to it. gnet's own
@@ -27,6 +29,7 @@
 	accept   func(remote net.Addr) Handler
 	listener net.Listener
 	places   chan struct{} // taken by each connection that the loop has not taken yet
+	emptyAt  time.Time     // when no connection waited to be accepted, as far as is known
 }
 
 // listen opens the address. Errors that pass are waited out.
@@ -43,9 +46,15 @@
 // run accepts until the listener is closed.
 func (a *acceptor) run() {
 	pause := time.Duration(0)
+	a.emptyAt = time.Now()
 	for {
 		a.places <- struct{}{}
+		called := time.Now()
 		conn, err := a.listener.Accept()
+		returned := time.Now()
+		if pause == 0 && returned.Sub(called) >= minAcceptWait { // after an error a connection waits all along
+			a.emptyAt = returned
+		}
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return
@@ -65,7 +74,7 @@
 func (a *acceptor) hand(conn net.Conn) {
 	l := a.loop
 	l.accepts.Add(1)
-	accepted := &Conn{loop: l, accept: a.accept}
+	accepted := &Conn{loop: l, accept: a.accept, waitedSince: a.emptyAt}
 	result, err := l.events.Enroll(gnet.NewContext(context.Background(), accepted), conn)
 	if err != nil { // the loop has ended
 		_ = conn.Close()
--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -80,13 +80,18 @@
 	busy         bool
 	last         time.Time     // when the last round was ended
 	wait         time.Duration // after that one was asked for
-	steps        int           // of catching up, see behind
-	quiet        int           // the last of them, with few events
-	heard        int           // openings, reads and ends since the last of them
-	kept         []byte        // see Keep
-	spare        [][]byte      // empty buffers for what goes out
+	// stoodStill is the last standstill that was longer than heldUp.
+	stoodStill standstill
+	steps      int      // of catching up, see behind
+	quiet      int      // the last of them, with few events
+	heard      int      // openings, reads and ends since the last of them
+	kept       []byte   // see Keep
+	spare      [][]byte // empty buffers for what goes out
 }
 
+// standstill is a time in which the loop did not run. The zero value is none.
+type standstill struct{ from, until time.Time }
+
 // Conn is a connection on the loop.
 type Conn struct {
 	In      []byte // received and not used yet; valid while Received runs
@@ -102,9 +107,12 @@
 	adopted bool
 	accept  func(remote net.Addr) Handler // of a connection that was accepted: gives its handler
 	opened  bool                          // OnOpen has seen it
-	later   bool
-	closing bool
-	closed  bool
+	// waitedSince is since when an accepted connection may have waited to be accepted.
+	waitedSince time.Time
+	wasRead     bool // the handler was given something
+	later       bool
+	closing     bool
+	closed      bool
 }
 
 const (
@@ -132,6 +140,8 @@
 	stepFew   = 16
 	stepQuiet = 3
 	stepMost  = 20
+	// acceptedWithin is how long after a standstill a connection may be accepted that was made in it.
+	acceptedWithin = 250 * time.Millisecond
 )
 
 // errNotOpened is the end of a dial whose connection epoll refused, for want of memory or of watches.
@@ -302,6 +312,9 @@
 		time.AfterFunc(stepFor, func() { l.Post(l.finish) }) // beside the loop, or it would run before anything more is read
 		return
 	}
+	if !l.last.IsZero() && now.Sub(l.last) > l.wait+heldUp {
+		l.stoodStill = standstill{from: l.last, until: now}
+	}
 	l.pending, l.last, l.wait, l.steps, l.heard, l.quiet = false, now, 0, 0, 0, 0
 	l.endRound()
 	l.flush()
@@ -313,16 +326,29 @@
 
 // ReadLag is how much earlier than now bytes may have come that are read now: next to nothing while the loop reads as it
 // should, and the time since the last round where it stood still meanwhile.
+//
+// What comes first on an accepted connection may be as old as the connection: it was accepted late where accept had
+// failed, or where the program stood still.
 func (c *Conn) ReadLag() time.Duration {
 	l := c.loop
 	if l == nil || l.last.IsZero() {
 		return 0
 	}
-	sinceRound := time.Since(l.last)
-	if sinceRound <= l.wait+heldUp {
-		return 0
+	now := time.Now()
+	lag := now.Sub(l.last)
+	if lag <= l.wait+heldUp {
+		lag = 0
+	}
+	if c.accept == nil || c.wasRead {
+		return lag
+	}
+	if waited := now.Sub(c.waitedSince); waited > heldUp {
+		lag = max(lag, waited)
+	}
+	if now.Sub(l.stoodStill.until) < acceptedWithin {
+		lag = max(lag, now.Sub(l.stoodStill.from))
 	}
-	return sinceRound
+	return lag
 }
 
 // behind says whether the round has to wait for what came while the loop stood still. epoll tells of 32 sockets or some more at once, and
@@ -540,6 +566,7 @@
 	l := c.loop
 	c.In, c.later = data, false
 	c.handler.Received(c)
+	c.wasRead = true
 	l.inbound -= len(c.rest)
 	c.rest = append(c.rest[:0], c.In...)
 	l.inbound += len(c.rest)
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -19,7 +19,9 @@
 )
 
 // soakFaults are the system calls that fail in the soak, now and then, in each process.
-const soakFaults = "accept4=ENFILE%0.03,accept4=ECONNABORTED%0.03,socket=ENOBUFS%0.05,connect=EADDRNOTAVAIL%0.05"
+var soakFaults = flag.String("soak-faults",
+	"accept4=ENFILE%0.03,accept4=ECONNABORTED%0.03,socket=ENOBUFS%0.05,connect=EADDRNOTAVAIL%0.05",
+	"system calls that fail in the soak, as "+faultsVariable+" has them")
 
 // TestSoak plays plans by processes in which several troubles overlap, clients leave, and system calls fail, and holds
 // all that must hold whatever happens, by what clients and endpoints saw and by the proxies' own monitors.
@@ -42,7 +44,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			plan.Environment = []string{faultsVariable + "=" + soakFaults}
+			plan.Environment = []string{faultsVariable + "=" + *soakFaults}
 			result, err := drill.Run(plan, self, soakFolder(t), seed, nil)
 			if err != nil {
 				t.Fatal(err)
--- a/test/standstill_test.go
+++ b/test/standstill_test.go
@@ -51,3 +51,53 @@
 		}
 	}
 }
+
+// TestNewConnectionsCountFromTheirRequests: a client connects and asks while the program stands still, or while accept
+// fails. Its time has run since, though the program learns of it late.
+func TestNewConnectionsCountFromTheirRequests(t *testing.T) {
+	const limit = 2500 * time.Millisecond
+	expectGiven := func(t *testing.T, w *testbed, waited time.Duration) {
+		t.Helper()
+		for _, a := range w.attempts() {
+			given, err := strconv.Atoi(a.Fields["max"])
+			if most := limit - waited + deadlineSlack; err != nil || time.Duration(given)*time.Millisecond > most {
+				t.Errorf("max=%s (%v) after %v of %v, want %v at the most", a.Fields["max"], err, waited, limit, most)
+			}
+		}
+	}
+	ask := func(w *testbed) *client {
+		client := w.dial()
+		client.send(request(1, "lookup", map[string]string{"limit": strconv.Itoa(int(limit.Milliseconds()))}, ""))
+		return client
+	}
+	t.Run("standstill", func(t *testing.T) {
+		t.Parallel()
+		w := newTestbed(t, nil)
+		w.start()
+		w.standStill()
+		var clients []*client
+		for range 20 {
+			clients = append(clients, ask(w))
+		}
+		const standstill = 800 * time.Millisecond
+		time.Sleep(standstill)
+		w.signal(syscall.SIGCONT)
+		for _, client := range clients {
+			client.mustRead()
+		}
+		expectGiven(t, w, standstill)
+	})
+	t.Run("accept fails", func(t *testing.T) {
+		t.Parallel()
+		w := newTestbed(t, nil)
+		w.startWithFaults("accept4=ENFILE@2-9") // the first one is for the harness, which asks for the status
+		before := time.Now()
+		client := ask(w)
+		client.mustRead()
+		waited := time.Since(before)
+		if waited < 300*time.Millisecond {
+			t.Fatalf("the request waited %v, so that the faults did not meet it", waited)
+		}
+		expectGiven(t, w, waited-50*time.Millisecond)
+	})
+}
