Say in the drill's report why a request that met a close was not sent again

Change: the record keeps the refusal (sent again before, no crossing, no close in good order, no other proxy of the zone) and the report names it. Who is sent again is as it was, and so are the checks.

--- a/internal/drill/client_conn.go
+++ b/internal/drill/client_conn.go
@@ -136,11 +136,15 @@
 		return // the drill is over, and closed it
 	}
 	for _, pending := range open {
-		if target := c.resendTarget(pending, err); target != nil {
+		target, refusal := c.resendTarget(pending, err)
+		if target != nil {
 			c.generator.resend(target, pending)
 			continue
 		}
-		c.generator.cluster.Record.update(func() { pending.record.EndError = err.Error() })
+		c.generator.cluster.Record.update(func() {
+			pending.record.EndError = err.Error()
+			pending.record.ResendRefusal = refusal
+		})
 		c.generator.recordOutcome(pending, OutcomeDisconnected)
 	}
 }
@@ -154,19 +158,23 @@
 }
 
 // resendTarget is the proxy to which a request goes again that may have crossed the close of its connection, and was
-// not sent again yet; nil: it may not, or there is none.
-func (c *clientConn) resendTarget(pending *pendingRequest, err error) *proxy {
-	if c.closedAt().Sub(pending.sentAt) >= crossingWindow || pending.record.Resent {
-		return nil
-	}
+// not sent again yet. Without one it says why.
+func (c *clientConn) resendTarget(pending *pendingRequest, err error) (target *proxy, refusal ResendRefusal) {
 	staysForRestarts := c.generator.cluster.Plan.DialAfterTerm > 0
 	switch {
+	case pending.record.Resent:
+		return nil, RefusedSentAgain
+	case c.closedAt().Sub(pending.sentAt) >= crossingWindow:
+		return nil, RefusedTooLate
 	case c.proxy.serving() && (errors.Is(err, io.EOF) || staysForRestarts && isOrderlyClose(err)):
-		return c.proxy
-	case staysForRestarts && c.proxy.endsByItself() && isOrderlyClose(err):
-		return c.generator.otherServingProxy(c.proxy)
+		return c.proxy, ""
+	case !staysForRestarts || !c.proxy.endsByItself() || !isOrderlyClose(err):
+		return nil, RefusedDisorderly
+	}
+	if target = c.generator.otherServingProxy(c.proxy); target == nil {
+		return nil, RefusedNoProxy
 	}
-	return nil
+	return target, ""
 }
 
 // isOrderlyClose reports whether an error may be that of a close in good order. Bytes that come in the very moment of
--- a/internal/drill/record.go
+++ b/internal/drill/record.go
@@ -45,6 +45,17 @@
 	}
 }
 
+// ResendRefusal is why a request whose connection ended is not sent again.
+type ResendRefusal string
+
+// The refusals.
+const (
+	RefusedSentAgain  ResendRefusal = "it was sent again before"
+	RefusedTooLate    ResendRefusal = "it did not cross the close"
+	RefusedDisorderly ResendRefusal = "the close was not in good order"
+	RefusedNoProxy    ResendRefusal = "no other proxy of its zone serves"
+)
+
 // Outcome is what became of a request for its client.
 type Outcome string
 
@@ -76,6 +87,7 @@
 	Resent         bool          // over a new connection, as the protocol allows once
 	FirstOfConn    bool          // it was the first on its connection
 	EndError       string        // by which its connection ended under it; empty: it did not
+	ResendRefusal  ResendRefusal // why it was not sent again then
 }
 
 // Attempt is one sending of a request to an endpoint, as the endpoint saw it.
