Count a purge from when it is taken, so that no clock lets an old copy through

Callers saw: a proxy started while its clock was ahead served copies that had been purged just before its start, for as long as these live; by a clock ahead by 1 to 3 s also copies from just before purges of its running watch. Cause: the age of a purge was its stamp held against this machine's clock. At a start nothing else tells how far that one is off, and on a running watch the bound by the last line allows 3 s. Change: a purge counts as issued in the round that takes it; its stamp is compared for the log alone (purge-stamp-implausible, once a minute). The bound IssuedAfter and its test TestPurgeOnCurrentWatchIsBounded are gone with what they bounded; the new test is stricter, as it allows no age at all. Why it works: what is taken was issued before, so that a copy that is younger than the taking is younger than the purge.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -36,6 +36,8 @@
 	endpoints endpointIndex
 	purges    *invalidation.Ledger
 	timers    timerQueue
+
+	stampLoggedAt time.Duration // when a purge's stamp was logged last; 0: never
 }
 
 // New makes a broker that holds at most maxOpen requests. With quotas nil every team may do everything; members is the
@@ -67,10 +69,10 @@
 	b.retries.configure(tenants, endpoints)
 }
 
-// SetOffset sets the offset of the Unix clock over the times that the broker is given. What others have stamped, starts
-// of endpoints and purges, is converted once, so that a step of that clock changes nothing that is under way. Where the
-// clock was stepped, the latest time counts that a stamp may stand for: a purge is then rather too young than too old,
-// and so is an endpoint.
+// SetOffset sets the offset of the Unix clock over the times that the broker is given. What others have stamped, the
+// starts of endpoints, is converted once, so that a step of that clock changes nothing that is under way. Where the
+// clock was stepped, the latest time counts that a stamp may stand for: an endpoint is then rather too young than too
+// old.
 func (b *Broker) SetOffset(offset time.Duration) {
 	b.offsets.Set(offset)
 	b.members.SetOffset(offset)
--- a/internal/broker/events.go
+++ b/internal/broker/events.go
@@ -51,13 +51,12 @@
 // SnapshotRestored brings what the sources had reported before a restart.
 type SnapshotRestored struct{ Reports []membership.SourceReport }
 
-// Purge says that copies from before Issued are out of date: those of an object, or of a group when Object is 0.
+// Purge says that copies from before it are out of date: those of an object, or of a group when Object is 0. It counts
+// from the round that takes it.
 type Purge struct {
 	Object uint64
 	Group  int
-	Issued time.Duration // on the Unix clock
-	// IssuedAfter is a time of the broker's own clock after which it was issued for certain; 0: none is known.
-	IssuedAfter time.Duration
+	Issued time.Duration // on the Unix clock of whoever stamped it
 }
 
 // ObjectZero stands for the object 0, since an Object of 0 means a group in a Purge.
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -34,7 +34,10 @@
 	"endpoint-ejected":      zap.WarnLevel,
 	"endpoint-readmitted":   zap.WarnLevel,
 	"policy-invalid-action": zap.ErrorLevel,
-	"invariant-violated":    zap.ErrorLevel,
+
+	"purge-stamp-implausible": zap.WarnLevel,
+
+	"invariant-violated": zap.ErrorLevel,
 
 	"accept-failed":           zap.WarnLevel,
 	"client-protocol-error":   zap.WarnLevel,
--- a/internal/membership/events.go
+++ b/internal/membership/events.go
@@ -25,14 +25,12 @@
 	Silent bool
 }
 
-// PurgeReceived says that copies from before Issued are out of date: those of one object or those of a group.
+// PurgeReceived says that copies from before it are out of date: those of one object or those of a group.
 type PurgeReceived struct {
 	IsObject bool // Object says which copies; without it Group does
 	Object   uint64
 	Group    int
-	Issued   time.Duration // on the Unix clock
-	// IssuedAfter is a monotonic time after which it was issued for certain, whatever the Unix clocks say; 0: unknown.
-	IssuedAfter time.Duration
+	Issued   time.Duration // on the Unix clock of whoever stamped it
 }
 
 func (ListReceived) isSourceEvent()  {}
--- a/internal/membership/listwatch/listwatch.go
+++ b/internal/membership/listwatch/listwatch.go
@@ -24,11 +24,8 @@
 	maxLineBytes = 1 << 20 // the complete list of a large fleet
 	// maxSilence is how long a connection may say nothing: a line comes each second. What a watch that stopped would
 	// have reported counts as reported 4 s later, and there is a dial and a second of draining to come.
-	maxSilence  = 1600 * time.Millisecond
-	dialTimeout = time.Second
-	// maxEventDelay is how long the list service may take from a purge to its event. Where it takes longer, the purge
-	// counts as younger than it is, which costs some fills.
-	maxEventDelay = 2 * time.Second
+	maxSilence    = 1600 * time.Millisecond
+	dialTimeout   = time.Second
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = time.Second
 	// maxPatienceDoublings bounds how long a watch may take that has not answered on several connections.
@@ -50,10 +47,9 @@
 	unanswered     int      // connections and dials in a row on which nothing came
 	retryDelay     time.Duration
 	nextDialAt     time.Duration
-	currentAt      time.Duration // when all events were known last; 0: never
-	malformedEvent int64         // the number after which a line could not be read
-	skipping       bool          // that line has come again and was skipped: the next event may have any higher number
-	stale          bool          // the loss of the watch was logged and published, and it has not caught up since
+	malformedEvent int64 // the number after which a line could not be read
+	skipping       bool  // that line has come again and was skipped: the next event may have any higher number
+	stale          bool  // the loss of the watch was logged and published, and it has not caught up since
 }
 
 // Tick dials when there is no connection, and drops one that has gone quiet.
@@ -146,23 +142,12 @@
 		w.LastEvent = number
 		w.skipping = false
 		for _, event := range events {
-			w.Publish(w.bounded(event))
+			w.Publish(event)
 		}
 		w.caughtUp()
 	}
 }
 
-// bounded adds to a purge that it was issued after all events were known last: a purge that comes on a watch which was
-// up to date is new, also where the clock that stamped it, or ours, was stepped.
-func (w *Watcher) bounded(event membership.SourceEvent) membership.SourceEvent {
-	purge, isPurge := event.(membership.PurgeReceived)
-	if !isPurge || w.currentAt == 0 {
-		return event
-	}
-	purge.IssuedAfter = w.currentAt - maxEventDelay
-	return purge
-}
-
 // handleMalformed connects again for an event that can't be read. One that comes again so is what the watch has: the
 // watcher goes on without it. number is 0 where not even that can be read.
 func (w *Watcher) handleMalformed(number int64, cause error) {
@@ -186,7 +171,6 @@
 		return
 	}
 	w.Publish(membership.SourceStatus{Source: w.Decoder.Source})
-	w.currentAt = w.Now()
 	w.retryDelay = 0
 	if w.stale {
 		w.stale = false
--- a/internal/proxy/source_events.go
+++ b/internal/proxy/source_events.go
@@ -22,8 +22,7 @@
 		if event.IsObject && object == 0 {
 			object = broker.ObjectZero // 0 stands for a group there
 		}
-		return broker.Purge{Object: object, Group: event.Group, Issued: event.Issued,
-			IssuedAfter: event.IssuedAfter}
+		return broker.Purge{Object: object, Group: event.Group, Issued: event.Issued}
 	}
 	panic(fmt.Sprintf("the source event %T has no event of the broker's", event))
 }
