Count a DNS query from when it may have come, not from when it is read

Callers saw: a query that lay unread while the program stood still had its whole time once more; endpoints were told max=1946 where 1.2 s of 2 s were left, and answers came after clients had given up. Cause: Server.join counted from when the query was read; requests by RPC count from when they may have come. Evidence: the new TestStandstillShortensDeadlinesOfQueries failed on by UDP and TCP, max=1946 after 0.8 s of 2 s, 1.35 s allowed. Why it works: after a standstill the loop reads what came meanwhile before the next round, and says by how much that may be late. Measured: the test passes, as do the tests of DNS and standstills (go test ./test -run 'Standstill|DNS|ClockStep').

--- a/internal/eventloop/round.go
+++ b/internal/eventloop/round.go
@@ -46,6 +46,9 @@
 	return l.standstill.FirstReadLag(now, now)
 }
 
+// PacketLag is Conn.ReadLag for datagrams: how much earlier than now one may have come that is read now.
+func (l *Loop) PacketLag() time.Duration { return l.standstill.ReadLag(time.Now()) }
+
 // roundDue ends the round, or puts that off. After a standstill what came meanwhile must be read first: it may say
 // that clients have left, or that the list has changed.
 func (l *Loop) roundDue() {
--- a/internal/frontend/dns/dns.go
+++ b/internal/frontend/dns/dns.go
@@ -34,6 +34,7 @@
 	Classes        []policy.Class
 	Emit           func(broker.Event)
 	Now            func() time.Duration // the monotonic clock
+	PacketLag      func() time.Duration // how much earlier than now a datagram may have come that is read now
 	Unix           func() time.Duration // the Unix clock, which signatures go by
 	Log            func(event string, fields ...any)
 	EndpointByName func(host string) *broker.Endpoint // of the endpoint list; nil: unknown
--- a/internal/frontend/dns/flight.go
+++ b/internal/frontend/dns/flight.go
@@ -53,12 +53,13 @@
 		s.sendOverloaded(query)
 		return
 	}
-	opened := &flight{target: requested, class: class, key: key, caller: caller, deadline: now + s.timeout(class)}
+	deadline := query.receivedAt + s.timeout(class)
+	opened := &flight{target: requested, class: class, key: key, caller: caller, deadline: deadline}
 	if key != "" {
 		s.byKey[key] = opened
 	}
 	s.wait(query, opened)
-	s.submit(opened)
+	s.submit(opened, query.receivedAt)
 }
 
 // joinKnown answers a query by the result of a request with the same key, or adds it to those that wait for the
@@ -81,10 +82,9 @@
 	s.pending[query.transaction] = query
 }
 
-// submit makes the broker's request for a flight and emits it.
-func (s *Server) submit(opened *flight) {
+// submit makes the broker's request for a flight, which counts from receivedAt, and emits it.
+func (s *Server) submit(opened *flight, receivedAt time.Duration) {
 	s.requests++
-	now := s.Now()
 	requested := &opened.target
 	opened.request = &broker.Request{
 		Frontend:   s,
@@ -98,8 +98,8 @@
 		Key:        requested.key,
 		Caller:     opened.caller,
 		Zone:       s.Config.Zone,
-		ReceivedAt: now,
-		Timeout:    opened.deadline - now,
+		ReceivedAt: receivedAt,
+		Timeout:    opened.deadline - receivedAt,
 	}
 	s.byRequest[opened.request] = opened
 	s.Emit(broker.RequestReceived{Request: opened.request})
@@ -117,7 +117,7 @@
 	served := response.Kind == broker.ResponseServed || response.Kind == broker.ResponseNotModified
 	if served && response.Endpoint.State != policy.Ready && ended.key == "" && ended.deadline-now > minResubmitTime {
 		// The endpoint that served it began to drain meanwhile. The request is idempotent: it is made again.
-		s.submit(ended)
+		s.submit(ended, now)
 		return
 	}
 	response.Body = nil
--- a/internal/frontend/dns/query.go
+++ b/internal/frontend/dns/query.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"time"
 
 	"github.com/miekg/dns"
 
@@ -22,8 +23,9 @@
 // pendingQuery is a query that must get exactly one answer.
 type pendingQuery struct {
 	message     *dns.Msg
-	from        string // its client's address
-	transaction string // its client, id and question: a retransmitted query has the same
+	from        string        // its client's address
+	transaction string        // its client, id and question: a retransmitted query has the same
+	receivedAt  time.Duration // when it may have come at the earliest
 	reply       func([]byte)
 	maxBytes    int          // of its answer
 	stream      *stream      // nil: it came by UDP
@@ -38,7 +40,10 @@
 
 // Packet handles a query that came by UDP. reply sends the answer, during the call or later.
 func (s *Server) Packet(packet []byte, from net.Addr, reply func([]byte)) {
-	s.handle(packet, &pendingQuery{from: from.String(), reply: reply, maxBytes: minUDPBytes})
+	receivedAt := s.Now() - s.PacketLag()
+	s.handle(packet, &pendingQuery{
+		from: from.String(), receivedAt: receivedAt, reply: reply, maxBytes: minUDPBytes,
+	})
 }
 
 // handle parses a packet into a query whose sender and transport are set. It answers the query at once, or when the
--- a/internal/frontend/dns/stream.go
+++ b/internal/frontend/dns/stream.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net"
+	"time"
 
 	"sloequay/internal/eventloop"
 	"sloequay/internal/frontend/connlimit"
@@ -40,7 +41,7 @@
 
 // Received handles the messages that have arrived completely.
 func (c *stream) Received(conn *eventloop.Conn) {
-	used := c.handleMessages(conn.In)
+	used := c.handleMessages(conn.In, c.server.Now()-conn.ReadLag())
 	if c.closed {
 		used = len(conn.In)
 	}
@@ -49,9 +50,9 @@
 	c.updateOpen()
 }
 
-// handleMessages handles complete messages from the front of data, and returns how many bytes they took. It closes
-// the connection at one that can't be answered under an id.
-func (c *stream) handleMessages(data []byte) (used int) {
+// handleMessages handles complete messages from the front of data, which may have come at receivedAt, and returns how
+// many bytes they took. It closes the connection at one that can't be answered under an id.
+func (c *stream) handleMessages(data []byte, receivedAt time.Duration) (used int) {
 	for len(data)-used >= lengthBytes && !c.closed {
 		length := int(binary.BigEndian.Uint16(data[used:]))
 		if length < headerBytes || c.open >= maxJoined {
@@ -68,7 +69,9 @@
 			break
 		}
 		c.open++
-		c.server.handle(packet, &pendingQuery{from: c.from, reply: c.reply, maxBytes: minUDPBytes, stream: c})
+		c.server.handle(packet, &pendingQuery{
+			from: c.from, receivedAt: receivedAt, reply: c.reply, maxBytes: minUDPBytes, stream: c,
+		})
 	}
 	return used
 }
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -129,6 +129,7 @@
 		Classes:        platform.Control.Classes,
 		Emit:           s.admit,
 		Now:            s.clock.Monotonic,
+		PacketLag:      func() time.Duration { return s.loop.PacketLag() }, // the loop does not run yet
 		Unix:           s.clock.Unix,
 		Log:            s.log.Event,
 		EndpointByName: s.endpointByName,
--- a/test/standstill_test.go
+++ b/test/standstill_test.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/miekg/dns"
 )
 
 // deadlineSlack is by how much the deadline that an endpoint is given may be over what the client has left.
@@ -109,3 +111,40 @@
 		expectGiven(t, bed, outage)
 	})
 }
+
+// TestStandstillShortensDeadlinesOfQueries guards against DNS queries that count from when they are read: they lay
+// unread while the program stood still, by UDP and on an open connection.
+func TestStandstillShortensDeadlinesOfQueries(t *testing.T) {
+	for _, network := range []string{"udp", "tcp"} {
+		t.Run(network, func(t *testing.T) {
+			t.Parallel()
+			const limit, standstill = 2 * time.Second, 800 * time.Millisecond
+			bed := newTestbed(t, nil)
+			bed.enableDNS("limit 2s")
+			bed.start()
+			client := bed.dialDNS(network)
+			client.query(1, "n0.00000000000000aa.lookup._", dns.TypeA)
+			client.mustRead()
+			before := len(bed.attempts())
+			bed.standStill()
+			client.query(2, "n0.00000000000000bb.lookup._", dns.TypeA)
+			time.Sleep(standstill)
+			bed.signal(syscall.SIGCONT)
+			if answer := client.mustRead(); answer.Rcode != "NOERROR" {
+				t.Errorf("%+v, want it served", answer)
+			}
+			attempts := bed.attempts()[before:]
+			if len(attempts) == 0 {
+				t.Error("nothing was sent to an endpoint")
+			}
+			for _, attempt := range attempts {
+				given, err := strconv.Atoi(attempt.Fields["max"])
+				maxGiven := limit - standstill + deadlineSlack
+				if err != nil || time.Duration(given)*time.Millisecond > maxGiven {
+					t.Errorf("max=%s (%v) after %v of %v, want %v at the most",
+						attempt.Fields["max"], err, standstill, limit, maxGiven)
+				}
+			}
+		})
+	}
+}
