Encode attempts right before they are written, so that a standstill leaves none untrue

Callers saw: where the proxy's process had stood still, an endpoint was given up to 0.4 s more than the client had left, and worked on for nobody; the same attempt could cross a drain or a purge that had come meanwhile. Cause: Pool.Flush encoded the attempts, and Loop.writeAll wrote them at the end of the round; a process that stood still in between wrote what had been true before. Change: the loop has a connection compose what it sends right before the write (eventloop.Composer); there list, purges and deadline are looked at. A round that has stood still by then leaves the rest to the next one. What took over 10 ms to encode is encoded anew. Why it works: between the last look at the clock and the system call there are some microseconds of one connection's own work, where the rest of the round was before.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -78,6 +78,21 @@
 	c.writeAtRoundEnd()
 }
 
+// RequestWrite has the connection written at the end of the round, though nothing may have been sent yet: its handler
+// is a Composer.
+func (c *Conn) RequestWrite() {
+	if c.state == connOpen {
+		c.writeAtRoundEnd()
+	}
+}
+
+// compose has a handler that waited for the write send what it has left.
+func (c *Conn) compose() {
+	if composer, ok := c.handler.(Composer); ok && c.state == connOpen {
+		composer.Compose(c)
+	}
+}
+
 // writeAtRoundEnd has Loop.writeAll write or close the connection.
 func (c *Conn) writeAtRoundEnd() {
 	if !c.isToBeWritten {
--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -26,6 +26,16 @@
 	Closed(conn *Conn, err error)
 }
 
+// Composer is a Handler that leaves what depends on the time of a write until right before it: a process may stand
+// still between the round that decided and the write.
+type Composer interface {
+	Handler
+	// Compose runs right before the connection is written, in a round in which something was sent on it or
+	// Conn.RequestWrite was called. What it sends goes out with that write. It is not called on a connection that is
+	// closing.
+	Compose(conn *Conn)
+}
+
 // PacketHandler takes the datagrams of one socket. It runs on the loop and must not block. Answers go back with reply,
 // at once or later; it must be called on the loop. The packet is valid during the call only.
 type PacketHandler func(packet []byte, from net.Addr, reply func([]byte))
--- a/internal/eventloop/round.go
+++ b/internal/eventloop/round.go
@@ -74,6 +74,7 @@
 func (l *Loop) writeAll() {
 	for i := 0; i < len(l.toWrite); i++ { // closing one may leave something for another
 		conn := l.toWrite[i]
+		conn.compose()
 		conn.isToBeWritten = false
 		conn.write()
 	}
--- a/internal/proxy/pools.go
+++ b/internal/proxy/pools.go
@@ -72,6 +72,7 @@
 		Emit:           p.publish,
 		Now:            server.clock.Monotonic,
 		MaySend:        p.broker.MaySend,
+		DeferWrites:    server.deferWrites,
 		Log:            server.log.Event,
 		Resolve:        server.resolver.Resolve,
 		AddressBlocked: p.broker.AddressBlocked,
--- a/internal/proxy/round.go
+++ b/internal/proxy/round.go
@@ -14,6 +14,7 @@
 // time after it has read what was ready.
 func (s *server) round() {
 	now := s.clock.Monotonic()
+	s.roundBeganAt = now
 	s.rounds.Begin()
 	s.followUnixClock(now)
 	s.housekeep(now)
@@ -64,6 +65,16 @@
 	}
 }
 
+// deferWrites reports whether attempts that are about to be written are left to the next round after all, as the
+// process stood still since the round gathered them.
+func (s *server) deferWrites() bool {
+	if s.rounds.Flush(s.clock.Monotonic() - s.roundBeganAt) {
+		return false
+	}
+	s.loop.WakeAfter(0) // by the timer, as in scheduleNextRound, which did not know
+	return true
+}
+
 // scheduleNextRound has the loop wake up for the next thing that is due by time.
 func (s *server) scheduleNextRound(now time.Duration) {
 	wake := s.lastHousekeeping + housekeepingInterval
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -51,6 +51,7 @@
 
 	// Rounds of the loop.
 	rounds           deferral.Rounds
+	roundBeganAt     time.Duration
 	unixClock        clock.Tracker // finds steps of the Unix clock
 	lastHousekeeping time.Duration
 	statsLoggedAt    time.Duration
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -38,8 +38,9 @@
 	dial          dialProgress
 	lastUsedAt    time.Duration // when something was sent or answered
 
-	waiting       []*broker.Attempt // for the connection to come up, or for Flush
+	waiting       []*broker.Attempt // for the connection to come up, or to be written
 	isFlushQueued bool              // it is in the pool's flushQueue
+	isFlushing    bool              // Flush has asked for it to be written in this round
 	attempts      map[string]*outstandingAttempt
 	history       idHistory
 	liveness      liveness.Monitor // knows the checks that are outstanding
@@ -118,6 +119,9 @@
 	c.endUnwritten(conn.Written())
 	c.endOutstanding(broker.ConnectionReset)
 	c.remove()
+	if len(c.waiting) > 0 {
+		c.queueFlush()
+	}
 }
 
 // retire takes the connection out of use. It closes when nothing is outstanding on it.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -28,7 +28,9 @@
 	// MaySend is asked just before an attempt is written, and says how old a copy may be.
 	MaySend func(*broker.Attempt, time.Duration) (maxAge time.Duration, ok bool)
 	// Resolve looks up a name and calls done on the loop, later.
-	Resolve        func(name string, done func(netip.Addr, error))
+	Resolve func(name string, done func(netip.Addr, error))
+	// DeferWrites is asked right before attempts are put on a connection, and says whether they wait for another round.
+	DeferWrites    func() bool
 	AddressBlocked func(address string) bool // whether an address that a name server gave may not be used
 	// SecureDialer gives the function that dials an endpoint where that is not by plain TCP. The function runs beside
 	// the loop and ends in its own time. A nil SecureDialer, or a nil function, stands for plain TCP.
@@ -52,7 +54,7 @@
 	livenessSteppedAt time.Duration // when CheckLiveness last looked
 }
 
-// Send has an attempt written by Flush, or once a connection is up. Its end is an AttemptEnded.
+// Send has an attempt written after the next Flush, or once a connection is up. Its end is an AttemptEnded.
 func (p *Pool) Send(attempt *broker.Attempt) {
 	connection := p.connectionFor(attempt)
 	if connection == nil {
@@ -115,14 +117,20 @@
 	return idle != nil
 }
 
-// Flush writes the attempts that wait for connections which are up. It is called once what the round brought is known,
-// and just before all is written to the sockets: an attempt whose client leaves, or whose endpoint drains, until then
-// is not sent.
+// Flush has the attempts written that wait for connections which are up. It is called once what the round brought is
+// known. They are composed right before the loop writes to the sockets, see connection.Compose: an attempt whose client
+// leaves, or whose endpoint drains, until then is not sent.
 func (p *Pool) Flush() {
 	queue := p.flushQueue
 	p.flushQueue = nil
 	for _, connection := range queue {
-		connection.flush()
+		connection.isFlushQueued = false
+		if connection.state == stateClosed {
+			connection.flush() // which ends what waits for it
+			continue
+		}
+		connection.isFlushing = true
+		connection.conn.RequestWrite()
 	}
 }
 
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sloequay/internal/broker"
+	"sloequay/internal/eventloop"
 )
 
 const (
@@ -14,9 +15,13 @@
 	expectedFillTime = 100 * time.Millisecond
 	// dueFactor times the expected time is when a response is due.
 	dueFactor = 2
+	// maxDraftTime is how long attempts of a connection may take to encode, unless the process stood still, and
+	// maxDrafts how often that is tried.
+	maxDraftTime = 10 * time.Millisecond
+	maxDrafts    = 3
 )
 
-// queueFlush has Pool.Flush write what waits for the connection.
+// queueFlush has the next Pool.Flush see to what waits for the connection.
 func (c *connection) queueFlush() {
 	if !c.isFlushQueued {
 		c.isFlushQueued = true
@@ -24,23 +29,60 @@
 	}
 }
 
-// flush writes what waits for the connection, which has come up and may be closed again.
+// Compose sends what waits for the connection, if Pool.Flush has asked for it. What an attempt says of times and
+// copies, and whether it may go out, is looked at here: the process may have stood still since Flush.
+func (c *connection) Compose(*eventloop.Conn) {
+	if !c.isFlushing {
+		return
+	}
+	c.isFlushing = false
+	if c.pool.DeferWrites() {
+		c.queueFlush()
+		return
+	}
+	c.flush()
+}
+
+// draft is an attempt that waits for its connection, as it would be sent now.
+type draft struct {
+	attempt *broker.Attempt
+	data    []byte
+	end     broker.End // how the attempt ends unsent, where there is no data
+}
+
+// flush sends what waits for the connection, which has come up and may be closed again. What was drafted while the
+// process stood still is drafted anew.
 func (c *connection) flush() {
-	c.isFlushQueued = false
 	waiting := c.waiting
 	c.waiting = nil
-	for _, attempt := range waiting {
-		if c.isRetired { // since the attempt was put there
-			c.pool.Emit(broker.AttemptEnded{Attempt: attempt, End: broker.NotSent})
-			continue
+	var drafts []draft
+	for range maxDrafts {
+		began := c.pool.Now()
+		drafts = c.draftAll(waiting)
+		if c.pool.Now()-began <= maxDraftTime {
+			break
 		}
-		c.write(attempt)
+	}
+	for i := range drafts {
+		c.sendDraft(&drafts[i])
 	}
 	c.closeIfDone()
 }
 
-// write puts an attempt on the connection, if the list and the purges still allow it.
-func (c *connection) write(attempt *broker.Attempt) {
+// draftAll drafts attempts, and changes nothing but that the connection may be retired.
+func (c *connection) draftAll(waiting []*broker.Attempt) []draft {
+	drafts := make([]draft, 0, len(waiting))
+	for _, attempt := range waiting {
+		drafts = append(drafts, c.draft(attempt))
+	}
+	return drafts
+}
+
+// draft encodes an attempt, if the list and the purges still allow it.
+func (c *connection) draft(attempt *broker.Attempt) draft {
+	if c.isRetired { // since the attempt was put there
+		return draft{attempt: attempt, end: broker.NotSent}
+	}
 	now := c.pool.Now()
 	maxAge, maySend := c.pool.MaySend(attempt, now)
 	isResolved := c.address != c.group.endpoint.Address
@@ -49,9 +91,23 @@
 		c.isRetired = true // the next connection asks the name server anew
 	}
 	if !maySend || c.state == stateClosed {
-		c.pool.Emit(broker.AttemptEnded{Attempt: attempt, End: broker.Blocked})
+		return draft{attempt: attempt, end: broker.Blocked}
+	}
+	class := c.pool.Classes[attempt.Request.Class].Name
+	timeLeft := attempt.Deadline - c.pool.Now() // the look at the list and the purges takes its time too
+	return draft{attempt: attempt, data: appendRequest(nil, attempt, class, maxAge, timeLeft)}
+}
+
+// sendDraft puts an attempt on the connection, or ends it. The round that decided it is over, so that another one has
+// to take its end.
+func (c *connection) sendDraft(drafted *draft) {
+	attempt := drafted.attempt
+	if drafted.data == nil {
+		c.pool.Emit(broker.AttemptEnded{Attempt: attempt, End: drafted.end})
+		c.pool.Loop.RequestRound()
 		return
 	}
+	now := c.pool.Now()
 	attempt.Written = true
 	c.pool.Stats.Written++
 	c.beforeSending(now)
@@ -60,8 +116,7 @@
 		dueAt:       now + dueFactor*c.pool.expectedTime(attempt),
 		startOffset: c.conn.Queued(),
 	}
-	class := c.pool.Classes[attempt.Request.Class].Name
-	c.send(now, appendRequest(nil, attempt, class, maxAge, attempt.Deadline-now))
+	c.send(now, drafted.data)
 }
 
 // expectedTime is how long the response to an attempt takes at most where nothing is slow.
