Join the seeds of the settings before remembered members, each once before any again

Callers saw: after a restart of a fleet that had moved, a proxy had no list from its peers for 11 s and more, said ready after 3 s, and rejected requests until then or polled the list service itself. Cause: each join drew one address among all that were missing, up to 32 remembered ones beside the few of the settings, and the backoff doubled to 2 s at each failure. Change: joinSchedule.pick tries each candidate once in a pass, those of the settings first; the backoff grows from pass to pass. Why it works: addresses that are gone can't come before a seed of the settings any more, nor a second time.

--- a/internal/peer/transport/join.go
+++ b/internal/peer/transport/join.go
@@ -3,6 +3,7 @@
 import (
 	mathrand "math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -15,6 +16,8 @@
 	joinSpreadPerProxy = 3 * time.Millisecond
 	minJoinBackoff     = 100 * time.Millisecond
 	maxJoinBackoff     = 2 * time.Second
+	// maxBackoffDoublings is beyond what takes minJoinBackoff to maxJoinBackoff.
+	maxBackoffDoublings = 8
 	// earlyJoinPeriod after the start is how long seeds are joined at short backoffs.
 	earlyJoinPeriod = 10 * time.Second
 	// maxEarlyJoins bounds them: each costs the seed an exchange of all that it knows.
@@ -27,12 +30,16 @@
 	minRememberInterval  = 2 * time.Second
 )
 
-// joinSchedule decides which seeds may be joined next, and how long the backoff after that is. One join is not enough
-// at first: proxies that start together after a power cut are each other's seeds, and would be an island beside those
-// that stayed alive, even where they are half of the fleet. Later a seed is joined now and then that is not in view.
+// joinSchedule decides which seed is joined next, and how long the backoff after that is. One join is not enough at
+// first: proxies that start together after a power cut are each other's seeds, and would be an island beside those that
+// stayed alive, even where they are half of the fleet. Later a seed is joined now and then that is not in view.
+//
+// Invariants: no seed is joined again while another one of the candidates was not tried in the same pass; those of the
+// settings come before those remembered, whose addresses may be gone; the backoff grows only from one pass to the next.
 type joinSchedule struct {
-	joins   int           // seeds that answered
-	backoff time.Duration // the last one
+	joins  int             // seeds that answered
+	passes int             // that were begun
+	tried  map[string]bool // in this pass
 }
 
 // seedView is what a proxy sees of its fleet.
@@ -50,11 +57,35 @@
 	if early && len(candidates) == 0 && !view.isHalf {
 		candidates = view.seeds
 	}
-	s.backoff = min(maxJoinBackoff, max(minJoinBackoff, s.backoff)*2)
+	if s.tried == nil || len(s.untried(candidates)) == 0 {
+		s.tried = map[string]bool{}
+		s.passes++
+	}
 	if !early && view.hasPeers {
-		s.backoff = rejoinInterval
+		return candidates, rejoinInterval
+	}
+	return candidates, min(maxJoinBackoff, minJoinBackoff<<min(s.passes, maxBackoffDoublings))
+}
+
+// untried returns the candidates that were not tried in this pass.
+func (s *joinSchedule) untried(candidates []string) []string {
+	return slices.DeleteFunc(slices.Clone(candidates), func(seed string) bool { return s.tried[seed] })
+}
+
+// pick returns the candidate to be joined, of those that next returned, and notes that it was tried; "": there is none.
+// Of equal ones it is drawn by random, which returns a number below its argument.
+func (s *joinSchedule) pick(candidates, configured []string, random func(int) int) string {
+	choices := s.untried(candidates)
+	isRemembered := func(seed string) bool { return !slices.Contains(configured, seed) }
+	if preferred := slices.DeleteFunc(slices.Clone(choices), isRemembered); len(preferred) > 0 {
+		choices = preferred
 	}
-	return candidates, s.backoff
+	if len(choices) == 0 {
+		return ""
+	}
+	seed := choices[random(len(choices))]
+	s.tried[seed] = true
+	return seed
 }
 
 // join joins seeds until Close.
@@ -67,7 +98,7 @@
 	var schedule joinSchedule
 	for {
 		candidates, backoff := schedule.next(time.Since(startedAt), t.viewSeeds())
-		if t.joinOne(candidates) {
+		if t.joinOne(schedule.pick(candidates, t.config.Seeds, mathrand.IntN)) {
 			schedule.joins++
 		}
 		// Jitter: proxies that start together do not join the seeds together again.
@@ -90,12 +121,12 @@
 
 func (t *Transport) isHalfInView() bool { return 2*t.list.NumMembers() >= t.self.Fleet }
 
-// joinOne joins one of some addresses, and reports whether it answered. If it did not, the next one may.
-func (t *Transport) joinOne(addresses []string) bool {
-	if len(addresses) == 0 {
+// joinOne joins an address, and reports whether it answered; "": there is none to join.
+func (t *Transport) joinOne(address string) bool {
+	if address == "" {
 		return false
 	}
-	joined, _ := t.list.Join([]string{addresses[mathrand.IntN(len(addresses))]})
+	joined, _ := t.list.Join([]string{address})
 	return joined > 0
 }
 
--- a/internal/peer/transport/join_test.go
+++ b/internal/peer/transport/join_test.go
@@ -1,8 +1,12 @@
 package transport
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -67,3 +71,63 @@
 	f.waitUntil("all peers are in view", func() bool { return receiver.sees("b", "c", "d") })
 	f.waitUntil("all peers are remembered", func() bool { return len(readMembersFile(membersFile)) == 3 })
 }
+
+// TestGoneSeedsDelayNoJoin guards against a fleet that moved: the addresses that a proxy remembers are gone, and refuse
+// at once, while the seeds of the settings answer.
+func TestGoneSeedsDelayNoJoin(t *testing.T) {
+	configured := []string{"s1", "s2"}
+	seeds := slices.Clone(configured)
+	for i := range maxRememberedMembers {
+		seeds = append(seeds, fmt.Sprint("gone", i))
+	}
+	view := seedView{seeds: seeds, missing: seeds}
+	var schedule joinSchedule
+	random := rand.New(rand.NewPCG(1, 2))
+	var picked []string
+	for pass := 1; pass <= 2; pass++ {
+		seen := map[string]bool{}
+		for i := range seeds {
+			candidates, backoff := schedule.next(time.Second, view)
+			seed := schedule.pick(candidates, configured, random.IntN)
+			if seen[seed] || (i < len(configured)) != slices.Contains(configured, seed) {
+				t.Fatalf("pass %d, join %d: %q, want each seed once and those of the settings first", pass, i, seed)
+			}
+			if want := minJoinBackoff << pass; backoff != want {
+				t.Fatalf("pass %d, join %d: backoff %v, want %v as long as seeds are untried", pass, i, backoff, want)
+			}
+			seen[seed] = true
+			picked = append(picked, seed)
+		}
+	}
+	if slices.Equal(picked[:len(seeds)], picked[len(seeds):]) {
+		t.Error("two passes have the same order, want it drawn")
+	}
+	if seed := schedule.pick(nil, configured, random.IntN); seed != "" {
+		t.Errorf("of no candidates %q was picked", seed)
+	}
+}
+
+// readyTimeout is how long a proxy waits at its start for sources, the peers among them, before it says ready.
+const readyTimeout = 3 * time.Second
+
+// TestRestartedProxyJoinsDespiteGoneMembers guards against a proxy of a fleet that moved which has no list from its
+// peers when it says ready: 32 remembered addresses refuse, and one seed of the settings answers.
+func TestRestartedProxyJoinsDespiteGoneMembers(t *testing.T) {
+	f := newFleet(t)
+	key := f.keyFile("key", "0123456789abcdef")
+	membersFile := filepath.Join(f.folder, "members")
+	var gone strings.Builder
+	for i := range maxRememberedMembers {
+		fmt.Fprintln(&gone, f.vacantAddress(100+i))
+	}
+	if err := os.WriteFile(membersFile, []byte(gone.String()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f.open(1, "a", key, "")
+	startedAt := time.Now()
+	_, receiver := f.open(2, "b", key, membersFile)
+	f.waitUntil("the seed is in view", func() bool { return receiver.sees("a") })
+	if took := time.Since(startedAt); took > readyTimeout {
+		t.Errorf("joined after %v, want it within %v", took.Round(time.Millisecond), readyTimeout)
+	}
+}
