--- a/internal/drill/client_conn.go
+++ b/internal/drill/client_conn.go
@@ -20,8 +20,6 @@
 	slowReaderPause = 30 * time.Millisecond
 	// maxOpenOfSlowReader is how many requests a slow reader has open.
 	maxOpenOfSlowReader = 4
-	// slowReaderBuffer is the bytes that the system takes for a slow reader.
-	slowReaderBuffer = 8 << 10
 )
 
 // clientConn is a client's connection to a proxy. Its reader ends what is open when it ends.
@@ -192,33 +190,6 @@
 	return time.Now()
 }
 
-// minReadWait is from when on a read counts as having waited for something to come.
-const minReadWait = 2 * time.Millisecond
-
-// slowConn is the connection of a slow reader. It knows when the reader last had read all that had come.
-type slowConn struct {
-	net.Conn
-	waitedAt time.Time // the reader's own
-}
-
-// newSlowConn makes a connection that was dialed that of a slow reader.
-func newSlowConn(inner net.Conn) *slowConn {
-	if tcp, ok := inner.(*linkedConn).Conn.(*net.TCPConn); ok {
-		_ = tcp.SetReadBuffer(slowReaderBuffer)
-	}
-	return &slowConn{Conn: inner, waitedAt: time.Now()}
-}
-
-// Read reads, and notes whether it had to wait.
-func (c *slowConn) Read(data []byte) (int, error) {
-	began := time.Now()
-	count, err := c.Conn.Read(data)
-	if now := time.Now(); now.Sub(began) >= minReadWait {
-		c.waitedAt = now
-	}
-	return count, err
-}
-
 // giveUpUnanswered gives up what has no answer long after its time.
 func (c *clientConn) giveUpUnanswered() {
 	c.mu.Lock()
--- a/internal/drill/proxy.go
+++ b/internal/drill/proxy.go
@@ -1,7 +1,6 @@
 package drill
 
 import (
-	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -9,7 +8,6 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 
 	"sloequay/internal/emulator"
@@ -18,9 +16,6 @@
 const (
 	// readyPollInterval is how often a process that starts is asked whether it is ready.
 	readyPollInterval = 20 * time.Millisecond
-	// maxStartTime is how long SIGHUP waits for a process to have started, and startPollInterval how often it looks.
-	maxStartTime      = 3 * time.Second
-	startPollInterval = 5 * time.Millisecond
 	// processorLimit keeps a process's collector threads few: hundreds of processes share one machine, and with as many
 	// threads each as it has cores they would get in each other's way.
 	processorLimit = "GOMAXPROCS=2"
@@ -195,160 +190,6 @@
 	}
 }
 
-// serving reports whether clients are to send there.
-func (p *proxy) serving() bool {
-	p.mu.Lock()
-	run, running := p.run, p.cmd != nil
-	p.mu.Unlock()
-	if !running || run == nil {
-		return false
-	}
-	p.cluster.Record.mu.Lock()
-	defer p.cluster.Record.mu.Unlock()
-	return run.ReadyAt > 0 && !run.EndRequested
-}
-
-// mayDial reports whether clients may connect there: the proxy serves, or SIGTERM came so short a time ago that they
-// do not know.
-func (p *proxy) mayDial() bool { return p.serving() || p.sinceTerm() < p.cluster.Plan.DialAfterTerm }
-
-// sinceTerm is how long ago the process that runs was sent SIGTERM; forever: it was not, or was not ready before.
-func (p *proxy) sinceTerm() time.Duration {
-	p.mu.Lock()
-	run, running := p.run, p.cmd != nil
-	p.mu.Unlock()
-	if !running || run == nil {
-		return forever
-	}
-	p.cluster.Record.mu.Lock()
-	defer p.cluster.Record.mu.Unlock()
-	if run.TermAt == 0 || run.ReadyAt == 0 || run.Killed {
-		return forever
-	}
-	return p.cluster.now() - run.TermAt
-}
-
-// drains reports whether clients go on by the connections that they have: after SIGTERM, until these are closed.
-func (p *proxy) drains() bool { return p.cluster.Plan.DialAfterTerm > 0 && p.sinceTerm() < forever }
-
-// endsByItself reports whether the last process was sent SIGTERM and not SIGKILL: it closes connections in good order.
-func (p *proxy) endsByItself() bool {
-	run := p.lastRun()
-	if run == nil {
-		return false
-	}
-	p.cluster.Record.mu.Lock()
-	defer p.cluster.Record.mu.Unlock()
-	return run.TermAt > 0 && !run.Killed
-}
-
-// finish ends the process as at a planned restart: SIGTERM, and SIGKILL at the protocol's earliest time if it runs
-// still. It returns once it has ended.
-func (p *proxy) finish() error {
-	p.mu.Lock()
-	running, ended := p.cmd != nil, p.ended
-	p.mu.Unlock()
-	if !running {
-		return nil
-	}
-	p.end(syscall.SIGTERM)
-	select {
-	case <-ended:
-	case <-time.After(p.cluster.Plan.earliestKill()):
-		p.end(syscall.SIGKILL)
-		<-ended
-	}
-	return nil
-}
-
-// breakSettings writes a configuration that can't be read, as one that is just being replaced.
-func (p *proxy) breakSettings() error {
-	return os.WriteFile(filepath.Join(p.dir, configurationFile), []byte(`{"listen":`), 0o600)
-}
-
-// reload sends SIGHUP to the process, if one runs, once it has taken its signals over: one that has just been started
-// ends by it, as any program does.
-func (p *proxy) reload() error {
-	p.mu.Lock()
-	running, ended, logBegan := p.cmd != nil, p.ended, p.logBegan
-	p.mu.Unlock()
-	for deadline := time.Now().Add(maxStartTime); running && time.Now().Before(deadline) && !p.hasStarted(logBegan); {
-		select {
-		case <-ended:
-			return nil
-		case <-time.After(startPollInterval):
-		}
-	}
-	p.signal(syscall.SIGHUP)
-	return nil
-}
-
-// hasStarted reports whether the log has the event of a start behind an offset.
-func (p *proxy) hasStarted(offset int64) bool {
-	text, err := os.ReadFile(filepath.Join(p.dir, logFile))
-	return err == nil && int64(len(text)) > offset && bytes.Contains(text[offset:], []byte("event=started"))
-}
-
-// signal sends a signal to the process, if one runs. It is to live on.
-func (p *proxy) signal(signal syscall.Signal) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cmd != nil {
-		_ = p.cmd.Process.Signal(signal)
-	}
-}
-
-// end sends a signal by which the process, if one runs, is to end, and notes that it was told to.
-func (p *proxy) end(signal syscall.Signal) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cmd == nil {
-		return
-	}
-	run, at := p.run, p.cluster.now()
-	p.cluster.Record.update(func() {
-		run.EndRequested = true
-		switch {
-		case signal == syscall.SIGKILL && !run.Killed:
-			run.Killed = true
-			run.KilledAt = at
-		case signal == syscall.SIGTERM && run.TermAt == 0:
-			run.TermAt = at
-		}
-	})
-	_ = p.cmd.Process.Signal(signal)
-}
-
-// pause has the process, if one has run, stand still until resume.
-func (p *proxy) pause() {
-	at, run := p.cluster.now(), p.lastRun()
-	if run == nil {
-		return
-	}
-	p.signal(syscall.SIGSTOP)
-	p.cluster.Record.update(func() { run.Pauses = append(run.Pauses, Span{From: at}) })
-}
-
-func (p *proxy) resume() {
-	at, run := p.cluster.now(), p.lastRun()
-	if run == nil {
-		return
-	}
-	p.signal(syscall.SIGCONT)
-	p.cluster.Record.update(func() {
-		if n := len(run.Pauses); n > 0 {
-			run.Pauses[n-1].To = at
-		}
-	})
-}
-
-// lastRun is the process that runs or ran last; nil: none has.
-func (p *proxy) lastRun() *ProcessRun {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.run
-}
-
 // keepDisk remembers the disk as it is now, for oldDisk.
 func (p *proxy) keepDisk() error {
 	_ = os.RemoveAll(p.savedDisk())
@@ -356,22 +197,3 @@
 }
 
 func (p *proxy) savedDisk() string { return p.disk + ".kept" }
-
-// close ends the process, at once.
-func (p *proxy) close() {
-	p.end(syscall.SIGKILL)
-	p.wait()
-	if p.relay != nil {
-		p.relay.close()
-	}
-}
-
-// wait returns once no process runs there.
-func (p *proxy) wait() {
-	p.mu.Lock()
-	ended := p.ended
-	p.mu.Unlock()
-	if ended != nil {
-		<-ended
-	}
-}
--- a/internal/drill/proxy_settings.go
+++ b/internal/drill/proxy_settings.go
@@ -130,3 +130,8 @@
 		class["on-time-ms"] = min(class["on-time-ms"].(float64), objectiveShare*milliseconds)
 	}
 }
+
+// breakSettings writes a configuration that can't be read, as one that is just being replaced.
+func (p *proxy) breakSettings() error {
+	return os.WriteFile(filepath.Join(p.dir, configurationFile), []byte(`{"listen":`), 0o600)
+}
--- /dev/null
+++ b/internal/drill/proxy_signals.go
@@ -0,0 +1,129 @@
+package drill
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+const (
+	// maxStartTime is how long SIGHUP waits for a process to have started, and startPollInterval how often it looks.
+	maxStartTime      = 3 * time.Second
+	startPollInterval = 5 * time.Millisecond
+)
+
+// finish ends the process as at a planned restart: SIGTERM, and SIGKILL at the protocol's earliest time if it runs
+// still. It returns once it has ended.
+func (p *proxy) finish() error {
+	p.mu.Lock()
+	running, ended := p.cmd != nil, p.ended
+	p.mu.Unlock()
+	if !running {
+		return nil
+	}
+	p.end(syscall.SIGTERM)
+	select {
+	case <-ended:
+	case <-time.After(p.cluster.Plan.earliestKill()):
+		p.end(syscall.SIGKILL)
+		<-ended
+	}
+	return nil
+}
+
+// reload sends SIGHUP to the process, if one runs, once it has taken its signals over: one that has just been started
+// ends by it, as any program does.
+func (p *proxy) reload() error {
+	p.mu.Lock()
+	running, ended, logBegan := p.cmd != nil, p.ended, p.logBegan
+	p.mu.Unlock()
+	for deadline := time.Now().Add(maxStartTime); running && time.Now().Before(deadline) && !p.hasStarted(logBegan); {
+		select {
+		case <-ended:
+			return nil
+		case <-time.After(startPollInterval):
+		}
+	}
+	p.signal(syscall.SIGHUP)
+	return nil
+}
+
+// hasStarted reports whether the log has the event of a start behind an offset.
+func (p *proxy) hasStarted(offset int64) bool {
+	text, err := os.ReadFile(filepath.Join(p.dir, logFile))
+	return err == nil && int64(len(text)) > offset && bytes.Contains(text[offset:], []byte("event=started"))
+}
+
+// signal sends a signal to the process, if one runs. It is to live on.
+func (p *proxy) signal(signal syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(signal)
+	}
+}
+
+// end sends a signal by which the process, if one runs, is to end, and notes that it was told to.
+func (p *proxy) end(signal syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return
+	}
+	run, at := p.run, p.cluster.now()
+	p.cluster.Record.update(func() {
+		run.EndRequested = true
+		switch {
+		case signal == syscall.SIGKILL && !run.Killed:
+			run.Killed = true
+			run.KilledAt = at
+		case signal == syscall.SIGTERM && run.TermAt == 0:
+			run.TermAt = at
+		}
+	})
+	_ = p.cmd.Process.Signal(signal)
+}
+
+// pause has the process, if one has run, stand still until resume.
+func (p *proxy) pause() {
+	at, run := p.cluster.now(), p.lastRun()
+	if run == nil {
+		return
+	}
+	p.signal(syscall.SIGSTOP)
+	p.cluster.Record.update(func() { run.Pauses = append(run.Pauses, Span{From: at}) })
+}
+
+func (p *proxy) resume() {
+	at, run := p.cluster.now(), p.lastRun()
+	if run == nil {
+		return
+	}
+	p.signal(syscall.SIGCONT)
+	p.cluster.Record.update(func() {
+		if n := len(run.Pauses); n > 0 {
+			run.Pauses[n-1].To = at
+		}
+	})
+}
+
+// close ends the process, at once.
+func (p *proxy) close() {
+	p.end(syscall.SIGKILL)
+	p.wait()
+	if p.relay != nil {
+		p.relay.close()
+	}
+}
+
+// wait returns once no process runs there.
+func (p *proxy) wait() {
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	if ended != nil {
+		<-ended
+	}
+}
