--- a/test/syscalls_test.go
+++ b/test/syscalls_test.go
@@ -46,6 +46,26 @@
 	}
 }
 
+// TestSurvivesRefusedWatches guards against clients that lose their first request as the system has no memory, for a
+// moment, to watch the connection that it has accepted.
+func TestSurvivesRefusedWatches(t *testing.T) {
+	t.Parallel()
+	bed := newTestbed(t, nil)
+	bed.startWithFaults("epoll_ctl=ENOMEM%0.2")
+	const clients = 40
+	lost := 0
+	for range clients {
+		client := bed.dial()
+		client.send(request(1, "footage", nil, ""))
+		if answer, err := client.read(); err != nil || answer.Error != "" {
+			lost++
+		}
+	}
+	if lost > 0 {
+		t.Errorf("%d of %d clients had no answer to their first request, want each served", lost, clients)
+	}
+}
+
 // TestStartsDespiteFailedCalls: what the start needs of the system fails for a moment.
 func TestStartsDespiteFailedCalls(t *testing.T) {
 	t.Parallel()
