--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -49,8 +49,8 @@
 	})
 }
 
-// keptRestartSeeds are played where no others are asked for: one that held, and those that found what is open still.
-var keptRestartSeeds = []uint64{1, 8, 10}
+// keptRestartSeeds are played where no others are asked for: one that held, and those that found something.
+var keptRestartSeeds = []uint64{1, 8, 10, 423}
 
 // consecutiveSeeds are so many seeds from the first one on.
 func consecutiveSeeds(first uint64, count int) []uint64 {
