Hold an accepted connection until both pollers watch it, and ask again where they refuse

Cause: two pollers watch an accepted connection, and each closes the descriptor that it can't watch: Go's within Accept, gnet's after Enroll. The acceptor learned of it when the connection was gone. Change: internal/eventloop/socket accepts by the system call and gives a socket that nothing watches; Loop.enrollHeld holds it and offers duplicates until both pollers watch one, after pauses of 5 to 100 ms, each in the log as accept-failed. A client that has reset its connection meanwhile ends the tries (TestResetBeforeItIsTaken: without a peer's address gnet would panic). Each pending connection has three descriptors instead of two, so that 28 of them, not 24, are kept back from clients and endpoints. Tried first: without a further duplicate one client of some hundred was lost as EEXIST: the filter had refused the end of an earlier watch too, and the next duplicate had the same number. Why it works: the socket's own descriptor is in nobody's hands but the acceptor's, and what its client has sent lies in the system until the loop reads it; its time counts from when it may have come, as before. The tests of failed calls, starts, shutdowns, TLS and new connections pass.

--- a/internal/eventloop/accept.go
+++ b/internal/eventloop/accept.go
@@ -1,18 +1,16 @@
 package eventloop
 
 import (
-	"context"
-	"errors"
 	"net"
 	"sync"
 	"time"
 
-	"github.com/panjf2000/gnet/v2"
+	"sloequay/internal/eventloop/socket"
 )
 
 const (
 	// maxPendingAccepts is how many accepted connections an address may have that the loop has not taken yet. Each has
-	// two descriptors: gnet duplicates what it takes.
+	// up to three descriptors: its own, that of Go's poller and that of gnet.
 	maxPendingAccepts = 4
 	minAcceptPause    = 5 * time.Millisecond // after an accept that failed
 	maxAcceptPause    = 100 * time.Millisecond
@@ -28,7 +26,7 @@
 type acceptor struct {
 	loop       *Loop
 	accept     func(remote net.Addr) Handler
-	listener   net.Listener
+	listener   *socket.Listener
 	places     chan struct{} // taken by each connection that the loop has not taken yet
 	emptySince time.Time     // when no connection waited to be accepted, as far as is known
 	closed     chan struct{}
@@ -43,9 +41,8 @@
 		places: make(chan struct{}, maxPendingAccepts),
 		closed: make(chan struct{}),
 	}
-	config := net.ListenConfig{KeepAlive: -1} // a client that says nothing is closed long before
 	err := retryLocal(func() (err error) {
-		a.listener, err = config.Listen(context.Background(), "tcp", listener.Address)
+		a.listener, err = socket.Listen(listener.Address)
 		return err
 	})
 	return a, err
@@ -56,8 +53,8 @@
 
 // close ends the goroutines, and waits for them. What was accepted and not taken by the loop is dropped with it.
 func (a *acceptor) close() {
-	_ = a.listener.Close()
 	close(a.closed)
+	_ = a.listener.Close()
 	a.goroutines.Wait()
 }
 
@@ -67,13 +64,13 @@
 	a.emptySince = time.Now()
 	for a.takePlace() {
 		called := time.Now()
-		conn, err := a.listener.Accept()
+		accepted, err := a.listener.Accept()
 		returned := time.Now()
 		if pause == 0 && returned.Sub(called) >= minAcceptWait { // after an error a connection waits all along
 			a.emptySince = returned
 		}
 		switch {
-		case errors.Is(err, net.ErrClosed):
+		case err != nil && a.isClosed():
 			return
 		case err != nil: // whatever it is: there is no other way to get clients
 			<-a.places
@@ -82,7 +79,7 @@
 			a.sleep(pause)
 		default:
 			pause = 0
-			a.hand(conn)
+			a.hand(accepted)
 		}
 	}
 }
@@ -105,34 +102,28 @@
 	}
 }
 
-// hand gives a connection to the loop.
-func (a *acceptor) hand(conn net.Conn) {
-	l := a.loop
-	l.pendingAccepts.Add(1)
-	accepted := &Conn{loop: l, origin: acceptedConn, accept: a.accept, acceptableSince: a.emptySince}
-	result, err := l.gnetLoop.Enroll(gnet.NewContext(context.Background(), accepted), conn)
-	if err != nil { // the loop has ended
-		_ = conn.Close()
-		l.pendingAccepts.Add(-1)
-		<-a.places
-		return
-	}
-	a.goroutines.Go(func() { a.awaitTaken(accepted, result) })
-}
-
-// awaitTaken frees the place of a connection once the loop has taken it. A loop that has ended takes nothing.
-func (a *acceptor) awaitTaken(accepted *Conn, result <-chan gnet.RegisteredResult) {
-	var taken gnet.RegisteredResult
+// isClosed reports whether close was called.
+func (a *acceptor) isClosed() bool {
 	select {
-	case taken = <-result:
 	case <-a.closed:
-		return
+		return true
+	default:
+		return false
 	}
+}
+
+// hand gives a connection to the loop, beside the acceptor.
+func (a *acceptor) hand(accepted *socket.Socket) {
+	conn := &Conn{loop: a.loop, origin: acceptedConn, accept: a.accept, acceptableSince: a.emptySince}
+	a.loop.pendingAccepts.Add(1)
+	a.goroutines.Go(func() { a.awaitTaken(conn, accepted) })
+}
+
+// awaitTaken frees the place of a connection once the loop has taken it, or has ended.
+func (a *acceptor) awaitTaken(conn *Conn, accepted *socket.Socket) {
+	err := a.loop.enrollHeld(conn, accepted, a.closed)
+	_ = accepted.Close()
 	<-a.places
-	err := taken.Err
-	if err == nil && !accepted.isOpened { // OnOpen came before the result, if it came
-		err = errNotOpened
-	}
 	if err != nil {
 		a.loop.pendingAccepts.Add(-1)
 		a.loop.acceptFailed(err)
--- /dev/null
+++ b/internal/eventloop/enroll_test.go
@@ -0,0 +1,39 @@
+package eventloop
+
+import (
+	"errors"
+	"net"
+	"testing"
+
+	"sloequay/internal/eventloop/socket"
+)
+
+// TestResetBeforeItIsTaken guards against a client that has left already when its connection is taken, and whose watch
+// would be asked for without end.
+func TestResetBeforeItIsTaken(t *testing.T) {
+	listener, err := socket.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	client, err := net.Dial("tcp", listener.Address().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = client.(*net.TCPConn).SetLinger(0)
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	if err := client.Close(); err != nil {
+		t.Fatal(err)
+	}
+	conn, err := accepted.Conn()
+	if err == nil {
+		conn.Close()
+	}
+	if !errors.Is(err, socket.ErrPeerLeft) {
+		t.Errorf("error %v, want %v", err, socket.ErrPeerLeft)
+	}
+}
--- a/internal/proxy/descriptors/descriptors.go
+++ b/internal/proxy/descriptors/descriptors.go
@@ -12,7 +12,7 @@
 const (
 	// ownDescriptors is what a proxy needs beside clients and endpoints: listeners, epoll, the endpoint list watch,
 	// standard streams, and connections that were accepted and are being handed to the loop.
-	ownDescriptors = 24
+	ownDescriptors = 28
 	// clientDivisor is the part of all that is for clients. Usually a third is used at most; the rest is for those
 	// that stay connected.
 	clientDivisor = 2
