Go on accepting on the operators' socket after an accept that failed

Cause: the loop that accepts took any error for the end of its listener (internal/proxy/admin/admin.go). Evidence: TestFailedAcceptsEndNothing failed on the code before, by a time-out, with ENFILE and ENOMEM from the listener. Change: the loop ends at net.ErrClosed, and tries again after 0.1 s otherwise. Why it works: no other error ends a listener; who lost a connection so may send the command again. Measured: the tests of admin pass.

--- a/internal/proxy/admin/admin.go
+++ b/internal/proxy/admin/admin.go
@@ -20,6 +20,8 @@
 	maxCommandSize = 1024
 	// timeout bounds one exchange; who asks waits for twice as long.
 	timeout = 2 * time.Second
+	// acceptPause is the time from an accept that failed to the next.
+	acceptPause = 100 * time.Millisecond
 	// ownerOnly is the umask by which the socket is its owner's alone.
 	ownerOnly = 0o177
 	// errorPrefix marks an answer that says why there is none.
@@ -62,14 +64,18 @@
 	return nil
 }
 
-// accept serves connections, and closes at once those beyond maxConnections.
+// accept serves connections until the listener is closed, and closes at once those beyond maxConnections.
 func accept(listener net.Listener, handler Handler) {
 	slots := make(chan struct{}, maxConnections)
 	for {
 		conn, err := listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil { // for want of descriptors or memory, which passes
+			time.Sleep(acceptPause)
+			continue
+		}
 		select {
 		case slots <- struct{}{}:
 			go func() {
--- a/internal/proxy/admin/admin_test.go
+++ b/internal/proxy/admin/admin_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 )
 
@@ -64,3 +65,35 @@
 		t.Error(err)
 	}
 }
+
+// failingListener fails its first accepts, as one does where the machine has no descriptor or memory left.
+type failingListener struct {
+	net.Listener
+	failures []error
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if len(l.failures) > 0 {
+		err := l.failures[0]
+		l.failures = l.failures[1:]
+		return nil, err
+	}
+	return l.Listener.Accept()
+}
+
+// TestFailedAcceptsEndNothing guards against an operators' socket that is dead for the rest of the process after one
+// accept has failed for a moment.
+func TestFailedAcceptsEndNothing(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "admin")
+	listener, err := net.Listen("unix", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	failing := &failingListener{Listener: listener, failures: []error{syscall.ENFILE, syscall.ENOMEM}}
+	go accept(failing, func(_ []string, answer chan<- string) { answer <- "well\n" })
+	var out strings.Builder
+	if err := Query(&out, path, "state"); err != nil || out.String() != "well\n" {
+		t.Errorf("answer %q, %v", out.String(), err)
+	}
+}
