Have the TLS listener outlast failures of the system to watch its sockets

Callers saw: one ENOMEM at epoll_ctl (or one other failure for want of something local) while the proxy started, and there was no TLS until its end; later, a client by TLS lost its connection, after its handshake with the request that it had sent. Cause: the TLS listener was opened once, and its connections accepted by net.Listener, which closes what Go's poller can't watch; so was the pair of sockets that joins a connection to the loop. Change: the listener is opened as the proxy's own are, and accepts sockets that nothing watches (internal/eventloop/socket); watches and pairs are asked for again, the pair for as long as a handshake may take. IsLocal and the retry of the start move from eventloop to that package, as it is below both. Why it works: nothing that the client has sent is closed while something may still pass it on.

--- a/internal/eventloop/accept.go
+++ b/internal/eventloop/accept.go
@@ -41,7 +41,7 @@
 		places: make(chan struct{}, maxPendingAccepts),
 		closed: make(chan struct{}),
 	}
-	err := retryLocal(func() (err error) {
+	err := socket.RetryLocal(func() (err error) {
 		a.listener, err = socket.Listen(listener.Address)
 		return err
 	})
--- a/internal/eventloop/enroll.go
+++ b/internal/eventloop/enroll.go
@@ -56,7 +56,7 @@
 		if err == nil {
 			err = l.enroll(c, conn, stop)
 		}
-		if err == nil || !IsLocal(err) {
+		if err == nil || !socket.IsLocal(err) {
 			return err
 		}
 		l.acceptFailed(fmt.Errorf("tried again in %v: %w", pause, err))
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"sloequay/internal/eventloop/socket"
 	"sloequay/internal/eventloop/standstill"
 )
 
@@ -69,7 +70,7 @@
 			continue
 		}
 		// SO_REUSEPORT, which gnet sets, would let a second program share the address unnoticed.
-		if err := retryLocal(func() error { return checkVacant(listener.Address) }); err != nil {
+		if err := socket.RetryLocal(func() error { return checkVacant(listener.Address) }); err != nil {
 			return err
 		}
 		loop.packetHandlers[listener.Address] = listener.Packet
@@ -84,7 +85,7 @@
 	if len(addresses) == 0 { // gnet gives no handle to an engine without a listener
 		addresses = append(addresses, "udp://"+unusedAddress(loop.handleAddress))
 	}
-	err := retryLocal(func() error {
+	err := socket.RetryLocal(func() error {
 		return gnet.Rotate(loop, addresses, gnet.WithReusePort(true), gnet.WithReuseAddr(true),
 			gnet.WithNumEventLoop(1), gnet.WithLogger(newErrorLogger()))
 	})
--- a/internal/eventloop/transient.go
+++ b/internal/eventloop/socket/local.go
@@ -1,4 +1,4 @@
-package eventloop
+package socket
 
 import (
 	"errors"
@@ -26,9 +26,9 @@
 	return slices.ContainsFunc(localErrors, func(local error) bool { return errors.Is(err, local) })
 }
 
-// retryLocal calls try until it succeeds, fails for another reason than one that IsLocal or a route that is
+// RetryLocal blocks and calls try until it succeeds, fails for another reason than one that IsLocal or a route that is
 // missing, or startRetryLimit is over.
-func retryLocal(try func() error) error {
+func RetryLocal(try func() error) error {
 	began := time.Now()
 	for {
 		err := try()
--- a/internal/eventloop/startup.go
+++ b/internal/eventloop/startup.go
@@ -10,6 +10,8 @@
 
 	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
+
+	"sloequay/internal/eventloop/socket"
 )
 
 // OnBoot runs before the loop does; the first connection enrolled brings its handle. gnet calls it.
@@ -17,7 +19,7 @@
 	l.engine.Store(&engine)
 	l.onceBooted.Do(func() { // a start that failed for a moment is tried again, by another engine
 		go func() {
-			if err := retryLocal(l.learnGnetLoop); err != nil {
+			if err := socket.RetryLocal(l.learnGnetLoop); err != nil {
 				fmt.Fprintln(os.Stderr, "event loop:", err)
 				os.Exit(1)
 			}
--- a/internal/identity/tlslistener/tlslistener.go
+++ b/internal/identity/tlslistener/tlslistener.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"sloequay/internal/eventloop/bridge"
+	"sloequay/internal/eventloop/socket"
 	"sloequay/internal/identity"
 )
 
@@ -24,7 +25,7 @@
 	maxTicketKeys = 3
 	// minTicketKeyRotation is how long a key of session tickets is the newest at least.
 	minTicketKeyRotation = time.Second
-	// acceptPause is how long accept waits where no descriptor is left.
+	// acceptPause is how long a connection waits where the system has no descriptor or memory for it.
 	acceptPause = 10 * time.Millisecond
 )
 
@@ -55,7 +56,7 @@
 	identify   ClientIdentity
 	adopt      func(conn net.Conn, caller identity.Caller) bool
 	log        func(event string, fields ...any)
-	socket     net.Listener
+	socket     *socket.Listener
 	tlsConfig  atomic.Pointer[tls.Config]
 	handshakes chan struct{} // one place each
 	open       atomic.Int64  // connections
@@ -63,8 +64,9 @@
 	stop       chan struct{}
 }
 
-// Open starts a listener. adopt passes a connection to the event loop and reports whether it was accepted; adopt,
-// identify and log are called on goroutines of the listener.
+// Open starts a listener. It blocks while the system has no memory or descriptor for that, for some seconds at most.
+// adopt passes a connection to the event loop and reports whether it was accepted; adopt, identify and log are called
+// on goroutines of the listener.
 func Open(
 	config Config,
 	identify ClientIdentity,
@@ -83,8 +85,11 @@
 	if err := listener.Reload(); err != nil {
 		return nil, err
 	}
-	var err error
-	if listener.socket, err = net.Listen("tcp", config.Listen); err != nil {
+	err := socket.RetryLocal(func() (err error) {
+		listener.socket, err = socket.Listen(config.Listen)
+		return err
+	})
+	if err != nil {
 		return nil, fmt.Errorf("tls: %w", err)
 	}
 	go listener.accept()
@@ -141,8 +146,8 @@
 // accept accepts connections until the listener is closed.
 func (l *Listener) accept() {
 	for {
-		conn, err := l.socket.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		conn, err := l.next()
+		if l.isClosed() {
 			return
 		}
 		if err != nil {
@@ -158,6 +163,32 @@
 	}
 }
 
+// next accepts a connection. One that the system has no memory to watch for a moment is tried again.
+func (l *Listener) next() (net.Conn, error) {
+	accepted, err := l.socket.Accept()
+	if err != nil {
+		return nil, err
+	}
+	defer accepted.Close()
+	for {
+		conn, err := accepted.Conn()
+		if !socket.IsLocal(err) || l.isClosed() {
+			return conn, err
+		}
+		time.Sleep(acceptPause)
+	}
+}
+
+// isClosed reports whether Close was called.
+func (l *Listener) isClosed() bool {
+	select {
+	case <-l.stop:
+		return true
+	default:
+		return false
+	}
+}
+
 // reserve reserves one of the places for handshakes and one for connections.
 func (l *Listener) reserve() error {
 	select {
@@ -187,7 +218,7 @@
 	}
 	_ = raw.SetDeadline(time.Time{})
 	caller := l.caller(conn)
-	ours, theirs, err := bridge.Pair()
+	ours, theirs, err := l.pair()
 	if err != nil {
 		_ = conn.Close()
 		l.logFault(raw, err)
@@ -202,6 +233,17 @@
 	bridge.Copy(conn, ours)
 }
 
+// pair makes the sockets that join a connection to the loop. The client may have sent a request by now, so what the
+// system lacks for a moment is waited for, as long as a handshake may take.
+func (l *Listener) pair() (ours, theirs net.Conn, err error) {
+	for began := time.Now(); ; time.Sleep(acceptPause) {
+		ours, theirs, err = bridge.Pair()
+		if !socket.IsLocal(err) || time.Since(began) > l.config.HandshakeTimeout {
+			return ours, theirs, err
+		}
+	}
+}
+
 // caller returns whom a connection is from, by its address and its certificate.
 func (l *Listener) caller(conn *tls.Conn) identity.Caller {
 	caller := identity.Caller{Front: "tls"}
--- a/internal/identity/tlslistener/tlslistener_test.go
+++ b/internal/identity/tlslistener/tlslistener_test.go
@@ -93,7 +93,7 @@
 // TestBackPressure: a side that does not read holds the other up, and nothing grows beyond the sockets' own buffers.
 func TestBackPressure(t *testing.T) {
 	d, _, cfg := opened(t)
-	conn, err := tls.Dial("tcp", d.socket.Addr().String(), cfg)
+	conn, err := tls.Dial("tcp", d.socket.Address().String(), cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -126,7 +126,7 @@
 	}
 	cfg.Certificates = []tls.Certificate{pair}
 	one := func(b *testing.B, c *tls.Config, resumed bool) {
-		conn, err := tls.Dial("tcp", d.socket.Addr().String(), c)
+		conn, err := tls.Dial("tcp", d.socket.Address().String(), c)
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -182,7 +182,7 @@
 	defer ours.Close()
 	go func() { _, _ = io.Copy(theirs, theirs) }()
 	b.Run("pair", run(ours))
-	conn, err := tls.Dial("tcp", d.socket.Addr().String(), cfg)
+	conn, err := tls.Dial("tcp", d.socket.Address().String(), cfg)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/upstream/dial_failure.go
+++ b/internal/upstream/dial_failure.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"sloequay/internal/broker"
-	"sloequay/internal/eventloop"
+	"sloequay/internal/eventloop/socket"
 )
 
 const (
@@ -41,7 +41,7 @@
 	switch {
 	case errors.Is(err, syscall.ECONNRESET): // while it came up, which says nothing of the endpoint
 		return dialFailure{redialOnce, broker.NotSent}
-	case eventloop.IsLocal(err):
+	case socket.IsLocal(err):
 		return dialFailure{redialUntilLimit, broker.NotSent}
 	case errors.Is(err, syscall.ENETUNREACH): // for a moment, or the address is wrong
 		return dialFailure{redialUntilLimit, broker.ConnectFailed}
--- a/test/tls_test.go
+++ b/test/tls_test.go
@@ -182,3 +182,30 @@
 	}
 	bed.waitUntil("the descriptors are given back", func() bool { return bed.openDescriptors() <= base })
 }
+
+// TestTLSListenerSurvivesRefusedWatches guards against clients by TLS that lose their connection, or their first
+// request with it, as the system has no memory to watch a socket for a moment.
+func TestTLSListenerSurvivesRefusedWatches(t *testing.T) {
+	t.Parallel()
+	bed := newTLSTestbed(t, nil)
+	config := bed.clientConfig("lane3.lanes.test")
+	bed.startWithFaults("epoll_ctl=ENOMEM%0.2")
+	const clients = 40
+	lost := 0
+	for id := range uint64(clients) {
+		conn, err := tls.Dial("tcp", bed.tlsAddress, config)
+		if err != nil {
+			lost++
+			continue
+		}
+		client := newClient(t, conn)
+		client.send(request(id+1, "lookup", nil, ""))
+		if answer, err := client.read(); err != nil || answer.Error != "" {
+			lost++
+		}
+		_ = conn.Close()
+	}
+	if lost > 0 {
+		t.Errorf("%d of %d clients had no answer to their first request, want each served", lost, clients)
+	}
+}
