Let a test refuse one operation of one poller, call by call

Callers saw: nothing; this is the harness alone.

Cause: a fault named a system call as a whole. The order in which Go's poller and gnet's refuse a connection, and the difference between a new watch, a changed one and a removed one, could not be forced.

Change: epoll_ctl_add, epoll_ctl_mod, epoll_ctl_del and fcntl_dupfd name one operation, by the call's second argument; /go and /gnet narrow the first three to a poller, by the epoll descriptor, of which Go's is known before gnet has one. CALL=ERRNO?FILE takes a script from the file, a letter for each call, and writes each refusal to the log. Calls are counted for each fault, which gives the same numbers as before for the faults that there were.

Why it works: TestFaultsAreNarrowed plays calls of both pollers and all operations against a script.

--- a/test/harness_syscalls_test.go
+++ b/test/harness_syscalls_test.go
@@ -1,11 +1,13 @@
 package test
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"runtime"
 	"strconv"
 	"strings"
@@ -28,9 +30,17 @@
 // faultsVariable holds the faults, separated by commas. Each is CALL=ERRNO@FIRST-LAST, which fails the calls of that
 // name from the FIRST to the LAST, counted from 1 at the start of the process, or CALL=ERRNO%SHARE, which fails a share
 // of them that is drawn by a seed that the name of the call gives, or CALL=ERRNO?FILE, which fails them while FILE is
-// there.
+// there. Where FILE holds a script of the letters of scriptFails and scriptPasses, each stands for a call, counted from
+// the first one that finds the file, and the last letter for all later ones. Each call that fails so is written to the
+// program's log. CALL/go and CALL/gnet narrow epoll_ctl and its operations to the poller of Go's runtime and of gnet.
 const faultsVariable = "SLOEQUAY_TEST_SYSCALL_FAULTS"
 
+// The letters of a script.
+const (
+	scriptFails  = 'x'
+	scriptPasses = '-'
+)
+
 // supervisorVariable has the test binary answer the calls of the process that started it. It gets the filter's
 // descriptor over the socket at descriptor 3.
 const supervisorVariable = "SLOEQUAY_TEST_SYSCALL_SUPERVISOR"
@@ -69,8 +79,22 @@
 var callNumbers = map[string]int32{
 	"accept4": unix.SYS_ACCEPT4, "socket": unix.SYS_SOCKET, "connect": unix.SYS_CONNECT, "fsync": unix.SYS_FSYNC,
 	"rename": unix.SYS_RENAMEAT, "epoll_ctl": unix.SYS_EPOLL_CTL, "nanosleep": unix.SYS_NANOSLEEP,
+	"epoll_ctl_add": unix.SYS_EPOLL_CTL, "epoll_ctl_mod": unix.SYS_EPOLL_CTL, "epoll_ctl_del": unix.SYS_EPOLL_CTL,
+	"fcntl_dupfd": unix.SYS_FCNTL,
 }
 
+// callOperations are the names in callNumbers that mean one operation of a system call: its second argument.
+var callOperations = map[string]uint64{
+	"epoll_ctl_add": unix.EPOLL_CTL_ADD, "epoll_ctl_mod": unix.EPOLL_CTL_MOD, "epoll_ctl_del": unix.EPOLL_CTL_DEL,
+	"fcntl_dupfd": unix.F_DUPFD_CLOEXEC,
+}
+
+// The pollers that a fault can name.
+const (
+	goPoller   = "go"
+	gnetPoller = "gnet"
+)
+
 // errorNumbers are the errors that a fault can name.
 var errorNumbers = map[string]unix.Errno{
 	"ECONNABORTED": unix.ECONNABORTED, "ENFILE": unix.ENFILE, "EMFILE": unix.EMFILE, "ENOBUFS": unix.ENOBUFS,
@@ -81,12 +105,25 @@
 
 // syscallFault is one fault of faultsVariable.
 type syscallFault struct {
+	name        string // as it is given
 	number      int32
+	operation   *uint64 // nil: all
+	poller      string  // empty: both
 	errno       unix.Errno
 	first, last int
 	share       float64
 	random      *rand.Rand // nil: by count or by file
 	file        string     // empty: by count
+	seen        int        // calls that it is meant for
+	scripted    int        // calls that found the file
+}
+
+// fits says whether the fault is meant for a call. goDescriptor is Go's epoll descriptor.
+func (f *syscallFault) fits(call *notification, goDescriptor uint64) bool {
+	if f.number != call.number || f.operation != nil && *f.operation != call.args[1] {
+		return false
+	}
+	return f.poller == "" || (f.poller == goPoller) == (call.args[0] == goDescriptor)
 }
 
 // hits says whether the fault fails the n-th call of its name.
@@ -95,24 +132,40 @@
 	case f.random != nil:
 		return f.random.Float64() < f.share
 	case f.file != "":
-		_, err := os.Stat(f.file)
-		return err == nil
+		return f.hitsByFile()
 	}
 	return n >= f.first && n <= f.last
 }
 
+// hitsByFile says whether the file, or its script, has the next call fail.
+func (f *syscallFault) hitsByFile() bool {
+	script, err := os.ReadFile(f.file)
+	if err != nil {
+		f.scripted = 0
+		return false
+	}
+	at := min(f.scripted, len(script)-1)
+	f.scripted++
+	return at < 0 || script[at] == scriptFails
+}
+
 // parseFaults reads the form of faultsVariable.
 func parseFaults(text string) ([]*syscallFault, error) {
 	var faults []*syscallFault
 	for _, word := range strings.Split(text, ",") {
-		call, rest, _ := strings.Cut(word, "=")
+		name, rest, _ := strings.Cut(word, "=")
+		call, poller, _ := strings.Cut(name, "/")
 		number, known := callNumbers[call]
 		at := strings.IndexAny(rest, "@%?")
+		known = known && (poller == "" || number == unix.SYS_EPOLL_CTL && (poller == goPoller || poller == gnetPoller))
 		if !known || at < 0 {
 			return nil, fmt.Errorf("fault %q: expected CALL=ERRNO@FIRST-LAST, CALL=ERRNO%%SHARE or CALL=ERRNO?FILE",
 				word)
 		}
-		fault := &syscallFault{number: number, errno: errorNumbers[rest[:at]]}
+		fault := &syscallFault{name: name, number: number, poller: poller, errno: errorNumbers[rest[:at]]}
+		if operation, isOne := callOperations[call]; isOne {
+			fault.operation = &operation
+		}
 		var err error
 		switch rest[at] {
 		case '%':
@@ -147,6 +200,10 @@
 
 // injectFaults starts the supervisor, installs the filter for all threads and hands over its descriptor.
 func injectFaults(faults []*syscallFault, text string) error {
+	goDescriptor, err := findGoPoller()
+	if err != nil {
+		return err
+	}
 	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return err
@@ -165,7 +222,35 @@
 	if err != nil {
 		return err
 	}
-	return unix.Sendmsg(pair[0], []byte{0}, unix.UnixRights(listener), nil, 0)
+	message := binary.LittleEndian.AppendUint32(nil, goDescriptor)
+	return unix.Sendmsg(pair[0], message, unix.UnixRights(listener), nil, 0)
+}
+
+// findGoPoller gives the epoll descriptor of Go's runtime. It must be called while there is no other.
+func findGoPoller() (uint32, error) {
+	reader, writer, err := os.Pipe() // the runtime has a poller from its first pollable descriptor on
+	if err != nil {
+		return 0, err
+	}
+	defer reader.Close()
+	defer writer.Close()
+	const directory = "/proc/self/fd/"
+	entries, err := os.ReadDir(directory)
+	if err != nil {
+		return 0, err
+	}
+	var found []uint32
+	for _, entry := range entries {
+		target, _ := os.Readlink(directory + entry.Name())
+		descriptor, err := strconv.ParseUint(entry.Name(), 10, 32)
+		if err == nil && target == "anon_inode:[eventpoll]" {
+			found = append(found, uint32(descriptor))
+		}
+	}
+	if len(found) != 1 {
+		return 0, fmt.Errorf("the epoll descriptors %v, want Go's alone", found)
+	}
+	return found[0], nil
 }
 
 // startSupervisor starts a process that ends with this one, with one end of a socket pair. The system watches the
@@ -194,30 +279,32 @@
 	faults, err := parseFaults(text)
 	if err == nil {
 		var listener int
-		if listener, err = receiveDescriptor(3); err == nil {
-			answerNotifications(listener, faults)
+		var goDescriptor uint32
+		if listener, goDescriptor, err = receiveDescriptor(3); err == nil {
+			answerNotifications(listener, faults, uint64(goDescriptor))
 		}
 	}
 	fmt.Fprintln(os.Stderr, "faults:", err)
 	os.Exit(3)
 }
 
-// receiveDescriptor takes one descriptor that comes over a socket.
-func receiveDescriptor(socket int) (int, error) {
+// receiveDescriptor takes one descriptor that comes over a socket, with a number.
+func receiveDescriptor(socket int) (descriptor int, number uint32, err error) {
+	message := make([]byte, 4)
 	rights := make([]byte, unix.CmsgSpace(4))
-	_, n, _, _, err := unix.Recvmsg(socket, make([]byte, 1), rights, 0)
-	if err != nil {
-		return 0, err
+	size, n, _, _, err := unix.Recvmsg(socket, message, rights, 0)
+	if err != nil || size != len(message) {
+		return 0, 0, fmt.Errorf("%d bytes: %w", size, err)
 	}
 	messages, err := unix.ParseSocketControlMessage(rights[:n])
 	if err != nil || len(messages) != 1 {
-		return 0, fmt.Errorf("%d control messages: %w", len(messages), err)
+		return 0, 0, fmt.Errorf("%d control messages: %w", len(messages), err)
 	}
 	descriptors, err := unix.ParseUnixRights(&messages[0])
 	if err != nil || len(descriptors) != 1 {
-		return 0, fmt.Errorf("%d descriptors: %w", len(descriptors), err)
+		return 0, 0, fmt.Errorf("%d descriptors: %w", len(descriptors), err)
 	}
-	return descriptors[0], nil
+	return descriptors[0], binary.LittleEndian.Uint32(message), nil
 }
 
 // installSeccomp installs a filter with flags, and gives what the system call returns.
@@ -243,20 +330,18 @@
 }
 
 // answerNotifications lets each call go on or fails it, until the process ends.
-func answerNotifications(listener int, faults []*syscallFault) {
-	counts := map[int32]int{}
+func answerNotifications(listener int, faults []*syscallFault, goDescriptor uint64) {
 	for {
 		var call notification
 		if _, _, errno := unix.Syscall(unix.SYS_IOCTL, uintptr(listener), notifyReceive,
 			uintptr(unsafe.Pointer(&call))); errno != 0 {
 			continue // EINTR, or the call was interrupted before it was received
 		}
-		counts[call.number]++
 		reply := notificationReply{id: call.id, flags: notifyContinue}
-		for _, fault := range faults {
-			if fault.number == call.number && fault.hits(counts[call.number]) {
-				reply = notificationReply{id: call.id, errno: -int32(fault.errno)}
-				break
+		if fault := failing(faults, &call, goDescriptor); fault != nil {
+			reply = notificationReply{id: call.id, errno: -int32(fault.errno)}
+			if fault.file != "" {
+				fmt.Fprintln(os.Stderr, refusedText(fault.name))
 			}
 		}
 		// ENOENT: the call was interrupted by a signal, and comes again.
@@ -267,6 +352,26 @@
 	}
 }
 
+// failing gives the first fault that fails a call; nil: none does.
+func failing(faults []*syscallFault, call *notification, goDescriptor uint64) *syscallFault {
+	var meant []*syscallFault
+	for _, fault := range faults {
+		if fault.fits(call, goDescriptor) {
+			fault.seen++
+			meant = append(meant, fault)
+		}
+	}
+	for _, fault := range meant {
+		if fault.hits(fault.seen) {
+			return fault
+		}
+	}
+	return nil
+}
+
+// refusedText is what stands in the program's log for each call that a file had fail.
+func refusedText(name string) string { return "faults: " + name + " refused" }
+
 // startWithFaults starts the test binary as the program with system calls that fail.
 func (bed *testbed) startWithFaults(faults string) {
 	bed.t.Helper()
@@ -300,3 +405,39 @@
 		t.Error("a fault without calls was taken")
 	}
 }
+
+// TestFaultsAreNarrowed shows that a fault can mean one operation of one poller, in the order that a script gives.
+func TestFaultsAreNarrowed(t *testing.T) {
+	const goDescriptor, gnetDescriptor = 4, 9
+	script := filepath.Join(t.TempDir(), "script")
+	faults, err := parseFaults("epoll_ctl_add/go=ENOMEM?" + script + ",epoll_ctl_mod=ENOMEM@2-2")
+	if err != nil {
+		t.Fatal(err)
+	}
+	fails := func(descriptor, operation uint64) bool {
+		call := &notification{number: unix.SYS_EPOLL_CTL, args: [6]uint64{descriptor, operation}}
+		return failing(faults, call, goDescriptor) != nil
+	}
+	if fails(goDescriptor, unix.EPOLL_CTL_ADD) {
+		t.Error("a call failed before the file was there")
+	}
+	writeFile(t, script, "x-x-")
+	for i, want := range []bool{true, false, true, false, false} {
+		if fails(gnetDescriptor, unix.EPOLL_CTL_ADD) || fails(goDescriptor, unix.EPOLL_CTL_DEL) {
+			t.Error("a call of the other poller or operation failed")
+		}
+		if got := fails(goDescriptor, unix.EPOLL_CTL_ADD); got != want {
+			t.Errorf("call %d fails: %v, want %v", i+1, got, want)
+		}
+	}
+	for i, want := range []bool{false, true, false} {
+		if got := fails(gnetDescriptor, unix.EPOLL_CTL_MOD); got != want {
+			t.Errorf("change %d fails: %v, want %v", i+1, got, want)
+		}
+	}
+	for _, wrong := range []string{"accept4/go=ENFILE@1-1", "epoll_ctl/other=ENOMEM@1-1"} {
+		if _, err := parseFaults(wrong); err == nil {
+			t.Errorf("%q was taken", wrong)
+		}
+	}
+}
