Write to slow readers by the loop itself, so that no watch has to be changed

Callers saw: where the system lacked memory to change an epoll watch, a client that reads slowly was disconnected in the middle of its answers without a line in the log, 13 of 20 answers whole; where the change back failed, the proxy used a whole core until that client had gone. Cause: gnet's Conn.Write keeps what the system does not take and has epoll tell when the socket is writable. It closes the connection where epoll refuses that (connection_unix.go: write), and drops the error of the change back (eventloop_unix.go: write), which is tried once. Evidence: forced call by call, on the code before: TestRefusedChangeOfWatchLosesNothing failed in 3 of 3 orders, TestRefusedChangeOfWatchBackDoesNotSpin used 0.98 to 1.03 of a core, TestLogTellsOfRefusedWatches/change found no line. Change: the loop writes by system calls and keeps what is not taken; it writes again after 1 ms, up to 32 ms where nothing is taken. A write that fails for want of memory or buffers waits likewise. Loop.RecountUnsent goes: unsent bytes are counted where they are written, and TestOutbound holds that without it. Tried and taken back: gnet's watches by edges. Why it works: a connection is added to epoll for reading once and nothing about that changes until it is closed, so there is no change that could fail.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -7,16 +7,6 @@
 	"github.com/panjf2000/gnet/v2"
 )
 
-const (
-	// What waits for one peer that does not read: beyond this part of Memory, and beyond maxUnsentPerPeer, its
-	// connection is closed.
-	unsentPerPeerPart = 10
-	maxUnsentPerPeer  = 6 << 20
-	// Buffers for writing that are used again: how many, and how large each may be.
-	maxSpareBuffers    = 32
-	maxSpareBufferSize = 1 << 20
-)
-
 // connState is how far the end of a connection is. It only goes up.
 type connState uint8
 
@@ -55,9 +45,13 @@
 
 	outbound      []byte // for the end of the round
 	queued        uint64 // bytes that were left for it, ever
-	countedUnsent int    // its part of Loop.unsentBytes
-	isToBeWritten bool   // it is in Loop.toWrite
-	isSlowReader  bool   // it is in Loop.slowReaders
+	unsent        unsentBuffer
+	writeErr      error // of a write that failed
+	countedUnsent int   // its part of Loop.unsentBytes
+	isToBeWritten bool  // it is in Loop.toWrite
+	isSlowReader  bool  // it is in Loop.slowReaders
+	retryPause    time.Duration
+	retryAt       time.Time // when a slow reader's connection is written again
 }
 
 // Send leaves bytes to be written at the end of the round. It copies them.
@@ -123,52 +117,19 @@
 	if c.state != connClosed {
 		_ = c.sock.SetLinger(0)
 		c.outbound = nil
+		c.unsent = unsentBuffer{}
 		c.Close()
 	}
 }
 
 func (c *Conn) beginClose() { c.state = max(c.state, connClosing) }
 
-// write writes what is left for the connection, and closes it if that is to be.
-func (c *Conn) write() {
-	if c.state == connClosed {
-		return
-	}
-	if len(c.outbound) > 0 {
-		// A failed write closes the connection, and Closed says so.
-		_, _ = c.sock.Write(c.outbound)
-		c.loop.reuseBuffer(c.outbound)
-		c.outbound = nil
-	}
-	if c.state == connClosed {
-		return
-	}
-	c.countUnsent()
-	if c.countedUnsent > 0 && !c.isSlowReader {
-		c.isSlowReader = true
-		c.loop.slowReaders = append(c.loop.slowReaders, c)
-	}
-	if c.countedUnsent > min(c.loop.Memory/unsentPerPeerPart, maxUnsentPerPeer) {
-		c.beginClose()
-	}
-	if c.state == connClosing {
-		_ = c.sock.EventLoop().Close(c.sock)
-	}
-}
-
-// reuseBuffer keeps a buffer that was written, for Conn.Send.
-func (l *Loop) reuseBuffer(written []byte) {
-	if len(l.spareBuffers) < maxSpareBuffers && cap(written) <= maxSpareBufferSize {
-		l.spareBuffers = append(l.spareBuffers, written[:0])
-	}
-}
-
 // Queued is how many bytes were left for the connection so far.
 func (c *Conn) Queued() uint64 { return c.queued }
 
-// Written is how many of them may have gone out, also after the end of the connection: gnet tries to write what it
-// still holds then, and a peer that has closed its own side alone reads that. It is right up to the handler's Closed.
-// What lies beyond it was never written.
+// Written is how many of them may have gone out, also after the end of the connection: what the system has not taken is
+// tried once more then, and a peer that has closed its own side alone reads that. It is right up to the handler's
+// Closed. What lies beyond it was never written.
 func (c *Conn) Written() uint64 { return c.queued - uint64(len(c.outbound)) }
 
 // Flushed is how many of them the system has taken.
@@ -179,31 +140,5 @@
 	if c.state == connClosed {
 		return 0
 	}
-	return len(c.outbound) + c.sock.OutboundBuffered()
-}
-
-// countUnsent takes over into Loop.unsentBytes how much the connection's peer has not taken.
-func (c *Conn) countUnsent() {
-	unsent := c.Unsent()
-	c.loop.unsentBytes += unsent - c.countedUnsent
-	c.countedUnsent = unsent
-}
-
-// UnsentBytes is the number of bytes that wait for peers to read, those of this round that are not written yet among
-// them. What peers took since the last write to them counts until RecountUnsent.
-func (l *Loop) UnsentBytes() int { return l.unsentBytes }
-
-// RecountUnsent looks how much peers have taken that had not taken all: gnet does not tell. Without it the bytes of a
-// slow reader would count until its next answer or its end.
-func (l *Loop) RecountUnsent() {
-	remaining := l.slowReaders[:0]
-	for _, conn := range l.slowReaders {
-		if conn.countUnsent(); conn.countedUnsent > 0 {
-			remaining = append(remaining, conn)
-		} else {
-			conn.isSlowReader = false
-		}
-	}
-	clear(l.slowReaders[len(remaining):])
-	l.slowReaders = remaining
+	return len(c.outbound) + c.unsent.len()
 }
--- a/internal/eventloop/eventloop.go
+++ b/internal/eventloop/eventloop.go
@@ -8,6 +8,8 @@
 //   - OnTick runs on a goroutine of its own, so the ticker is not used. Wake-ups are timers that post a task.
 //   - EventLoop.Execute queues a task behind an eventfd. epoll returns it with whatever else is ready and runs it
 //     after those, so a task posted from a callback comes after all that could be read: it ends the round.
+//   - Conn.Write has the watch of a connection changed when its peer is slow to read, and closes it where epoll refuses
+//     that, with what was left to be written. So this package writes by itself (Conn.write).
 //   - EventLoop.Enroll takes a connection made elsewhere, duplicates its descriptor and opens it on the loop. Dials
 //     run on goroutines and meet the loop only there. Register would dial without a time-out. Where epoll refuses the
 //     descriptor Enroll gives no error: the connection is closed and never opened.
--- a/internal/eventloop/eventloop_test.go
+++ b/internal/eventloop/eventloop_test.go
@@ -105,7 +105,7 @@
 		t.Fatal(err)
 	}
 	on(func() {
-		if l.RecountUnsent(); l.UnsentBytes() != 0 {
+		if l.UnsentBytes() != 0 {
 			t.Errorf("%d bytes are on their way after the peer has read all", l.UnsentBytes())
 		}
 	})
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -50,6 +50,9 @@
 	partialBytes int     // received, and not consumed by handlers
 	roundBuffer  []byte  // see CopyForRound
 	spareBuffers [][]byte
+
+	writeRetryTimer *time.Timer
+	writeRetryAt    time.Time // when it ends; zero: it does not run
 }
 
 // Run opens the listeners and runs the loop until Stop. start runs on the loop before anything is read; endRound at
--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -74,11 +74,16 @@
 		return gnet.None
 	}
 	l.standstill.EventSeen()
+	if err == nil {
+		err = conn.writeErr
+	}
+	conn.flushAtEnd()
 	conn.state = connClosed
 	l.unsentBytes -= conn.countedUnsent
 	l.partialBytes -= len(conn.partial)
 	conn.countedUnsent = 0
 	conn.partial = nil
+	conn.unsent = unsentBuffer{}
 	conn.handler.Closed(conn, err)
 	l.RequestRound()
 	return gnet.None
--- a/internal/proxy/housekeeping.go
+++ b/internal/proxy/housekeeping.go
@@ -34,7 +34,6 @@
 		return
 	}
 	s.lastHousekeeping = now
-	s.loop.RecountUnsent()
 	s.sources.listWatch.Tick(now)
 	for _, pool := range s.pools {
 		pool.connections.Housekeep(now)
--- a/test/watches_test.go
+++ b/test/watches_test.go
@@ -1,8 +1,12 @@
 package test
 
 import (
+	"errors"
+	"io"
+	"net"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"testing"
@@ -294,7 +298,99 @@
 	}
 }
 
-// TestLogTellsOfRefusedWatches: a client loses patience while its connection is not watched. The log says why.
+// Large answers: beyond what the sockets between a client and the program hold, and within what it keeps for one.
+const (
+	largeAnswerCount = 20
+	largeAnswerSize  = 200 << 10
+	firstLargeObject = 100
+)
+
+// askLargeAnswers plays a client that asks for large answers, with the ids from 1 on, and doesn't read them. It gives
+// the client once all of them have come to the program.
+func (bed *watchedTestbed) askLargeAnswers() *client {
+	bed.t.Helper()
+	before := len(bed.attempts())
+	client := bed.dialSmallBuffer()
+	for id := range uint64(largeAnswerCount) {
+		fields := map[string]string{"item": hexID(id + firstLargeObject), "limit": "60000", "ram": "2000"}
+		client.send(request(id+1, "footage", fields, ""))
+	}
+	bed.waitAttempts(before + largeAnswerCount)
+	bed.askAllEndpoints() // their answers come behind the large ones
+	return client
+}
+
+// answerLarge serves the objects from firstLargeObject on with large bodies.
+func answerLarge(attempt *receivedRequest) {
+	body := "small"
+	if number, _ := strconv.ParseUint(attempt.Fields["thing"], 16, 64); number >= firstLargeObject {
+		body = strings.Repeat("x", largeAnswerSize)
+	}
+	attempt.Answer("ACK", "tag=t1", body)
+}
+
+// readLargeAnswers counts those that come whole, and gives why no more came; nil: all did.
+func readLargeAnswers(c *client) (whole int, err error) {
+	for range largeAnswerCount {
+		answer, err := c.read()
+		if err != nil {
+			return whole, err
+		}
+		if answer.Error == "" && len(answer.Body) == largeAnswerSize {
+			whole++
+		}
+	}
+	return whole, nil
+}
+
+// TestRefusedChangeOfWatchLosesNothing guards against answers that are lost with their connection, as the system
+// refuses to tell when a client that reads slowly can take more of them.
+func TestRefusedChangeOfWatchLosesNothing(t *testing.T) {
+	for _, c := range []struct {
+		name, script string
+		ends         bool // before the client reads
+	}{
+		{"once", "x-", false},
+		{"until the client reads", "", true},
+		{"to the end", "", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			bed := newWatchedTestbed(t, answerLarge)
+			bed.change.begin(c.script)
+			client := bed.askLargeAnswers()
+			if c.ends {
+				bed.change.end()
+			}
+			if whole, err := readLargeAnswers(client); whole != largeAnswerCount || err != nil {
+				t.Errorf("%d of %d answers came whole (%v), want all; %d changes were refused",
+					whole, largeAnswerCount, err, bed.change.count())
+			}
+			client.awaitRound(largeAnswerCount + 1) // the connection lives on
+		})
+	}
+}
+
+// TestRefusedChangeOfWatchBackDoesNotSpin guards against a loop that spins: the system refuses to stop telling that a
+// client that has read all its answers could take more.
+func TestRefusedChangeOfWatchBackDoesNotSpin(t *testing.T) {
+	t.Parallel()
+	bed := newWatchedTestbed(t, answerLarge)
+	bed.change.begin("-x")
+	client := bed.askLargeAnswers()
+	if whole, err := readLargeAnswers(client); whole != largeAnswerCount || err != nil {
+		t.Fatalf("%d of %d answers came whole (%v), want all", whole, largeAnswerCount, err)
+	}
+	client.awaitRound(largeAnswerCount + 1)
+	if share := cpuShare(t, bed.cmd.Process.Pid, time.Second); share > idleShare {
+		t.Errorf("it used %.2f of a core with nothing to do, want at most %.2f; %d changes were refused",
+			share, idleShare, bed.change.count())
+	}
+	client.awaitRound(largeAnswerCount + 2) // the connection lives on
+}
+
+// TestLogTellsOfRefusedWatches: a client loses patience while its connection is not watched, or loses its connection.
+// The log says why.
 func TestLogTellsOfRefusedWatches(t *testing.T) {
 	const told = `event=\S+ .*cannot allocate memory`
 	for _, poller := range bothPollers {
@@ -308,4 +404,16 @@
 			bed.waitLogMatches(told)
 		})
 	}
+	t.Run("change", func(t *testing.T) {
+		t.Parallel()
+		bed := newWatchedTestbed(t, answerLarge)
+		bed.change.begin("")
+		client := bed.askLargeAnswers()
+		_, err := readLargeAnswers(client)
+		var timeout net.Error
+		isClosed := errors.Is(err, io.EOF) || err != nil && !(errors.As(err, &timeout) && timeout.Timeout())
+		if isClosed && !regexp.MustCompile(told).MatchString(bed.log.String()) {
+			t.Errorf("the program closed the connection (%v) and its log doesn't say why", err)
+		}
+	})
 }
