Excuse requests that stood in a stop of their proxy up to a planned kill

Cause: the drill's, not the proxy's. A planned restart of the protocol page has no stop, and the check returned for a planned kill before it looked at the pauses of the process (ProcessRun.excuses). Change: a request is excused that was open in a pause of its own process which lasts until the kill, if the pause began before the request was due. Why it works: the check is as strict as before wherever the process ran at the kill, or the request was due before it stood still.

--- a/internal/drill/audit_requests.go
+++ b/internal/drill/audit_requests.go
@@ -93,7 +93,7 @@
 		return true
 	}
 	for _, run := range r.ProcessRuns {
-		if run.Proxy == request.Proxy && run.excuses(request.SentAt, ended, r.earliestKill) {
+		if run.Proxy == request.Proxy && r.excuses(run, request.SentAt, ended) {
 			return true
 		}
 	}
@@ -122,12 +122,21 @@
 	return p.Killed && p.TermAt > 0 && p.KilledAt-p.TermAt >= earliestKill
 }
 
+// stoodStillUntilKill reports whether a request was open in a pause that lasted until the kill and that began before
+// the request was due: the process could have waited up to then, and from then on it could do nothing.
+func (p *ProcessRun) stoodStillUntilKill(sent, due time.Duration) bool {
+	return sent <= p.KilledAt && slices.ContainsFunc(p.Pauses, func(pause Span) bool {
+		return pause.From <= due && pause.overlaps(p.KilledAt, p.KilledAt)
+	})
+}
+
 // excuses reports whether the process was killed or stood still while a request to it was open. Of what a planned kill
-// finds open, the protocol excuses what came within killGrace of SIGTERM, and nothing else.
-func (p *ProcessRun) excuses(sent, ended, earliestKill time.Duration) bool {
-	isPlanned := p.isPlannedKill(earliestKill)
+// finds open, the protocol excuses what came within killGrace of SIGTERM. Beside that only a pause up to the kill
+// excuses: the protocol's planned restart has none, and no program answers in one.
+func (r *Record) excuses(p *ProcessRun, sent, ended time.Duration) bool {
+	isPlanned := p.isPlannedKill(r.earliestKill)
 	if isPlanned && sent >= p.StartedAt && ended >= p.KilledAt {
-		return sent <= p.TermAt+killGrace
+		return sent <= p.TermAt+killGrace || p.stoodStillUntilKill(sent, sent+r.clientLimit+socketSlack)
 	}
 	if p.Killed && !isPlanned && p.EndedAt > 0 && p.EndedAt >= sent && p.StartedAt <= sent {
 		return true
--- a/internal/drill/audit_test.go
+++ b/internal/drill/audit_test.go
@@ -6,7 +6,10 @@
 	"time"
 )
 
-const sec = time.Second
+const (
+	sec = time.Second
+	ms  = time.Millisecond
+)
 
 // sound is a record in which everything holds.
 func sound() *Record {
@@ -43,6 +46,44 @@
 	}
 }
 
+// TestPauseUpToAPlannedKillExcuses guards against a check that asks for what no program can do: SIGTERM comes at 2 s, a
+// request later than the protocol excuses it, and SIGKILL at 5 s, in a pause of the process. No other pause excuses.
+func TestPauseUpToAPlannedKillExcuses(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		sent     time.Duration
+		proxy    int // whose process stood still; the one that is killed is 1
+		pause    Span
+		excuses  bool
+		wasEnded time.Duration // 0: at the kill
+	}{
+		{"sent in it, and it ends after the kill", 4800 * ms, 1, Span{4700 * ms, 5100 * ms}, true, 0},
+		{"sent in it, and nothing ends it", 4800 * ms, 1, Span{4700 * ms, 0}, true, 0},
+		{"open when it begins", 4600 * ms, 1, Span{4700 * ms, 5100 * ms}, true, 0},
+		{"sent in it, and it begins before SIGTERM", 4800 * ms, 1, Span{1900 * ms, 5100 * ms}, true, 0},
+		{"no pause", 4800 * ms, 1, Span{-2, -1}, false, 0},
+		{"it ends just before the kill", 4800 * ms, 1, Span{4700 * ms, 5*sec - 1}, false, 0},
+		{"it begins after the kill", 4800 * ms, 1, Span{5*sec + 1, 6 * sec}, false, 0},
+		{"another process stands still", 4800 * ms, 0, Span{4700 * ms, 5100 * ms}, false, 0},
+		{"due before it begins", 2800 * ms, 1, Span{4851 * ms, 5100 * ms}, false, 0},
+		{"due as it begins", 2800 * ms, 1, Span{4850 * ms, 5100 * ms}, true, 0},
+		{"its connection ended before it", 4600 * ms, 1, Span{4700 * ms, 5100 * ms}, false, 4650 * ms},
+		{"sent after the kill", 5*sec + 1, 1, Span{4700 * ms, 5100 * ms}, false, 5050 * ms},
+	} {
+		r := sound()
+		planKill(r)
+		r.ProcessRuns[1].EndedAt = 5100 * ms
+		r.ProcessRuns[c.proxy].Pauses = []Span{c.pause}
+		r.Requests[2].SentAt = c.sent
+		if c.wasEnded > 0 {
+			r.Requests[2].EndedAt = c.wasEnded
+		}
+		if v := r.judge(Invariant{name: "answers"}); v.OK != c.excuses {
+			t.Errorf("%s: held %v, want %v: %s", c.name, v.OK, c.excuses, v.Found)
+		}
+	}
+}
+
 // TestCrossingWithoutTargetIsExcused: of the requests that are not sent again those alone that crossed a close in good
 // order, and that no proxy was left to take.
 func TestCrossingWithoutTargetIsExcused(t *testing.T) {
