Play stops of a proxy around SIGTERM and the kill of a planned restart

Callers saw: nothing; no plan was made to stop a proxy shortly before the kill, or too shortly for its loop to notice. Cause: the soak of restarts draws the times of stops at random. Evidence: a guess that was refuted: SIGTERM in a stop of 90 to 210 ms, 28 tries: the answer that a hanging endpoint owes came 60 ms before the earliest kill with 90 ms, and 145 ms before it with all longer ones, which the loop notices. TestGracefulShutdown has SIGTERM in a stop of 90 ms. Why it works: what is read after a stop is rejected at once where less than 50 ms are left until 0.1 s before the kill, counted from when SIGTERM may have been sent.

--- a/test/shutdown_test.go
+++ b/test/shutdown_test.go
@@ -56,6 +56,7 @@
 	{"an endpoint never answers, and the client waits long", 1000, playPatientClient},
 	{"a late request that no endpoint answers", 0, playRequestAfterSIGTERM},
 	{"a late request, and SIGTERM came while the program stood still", 0, playSIGTERMInStandstill},
+	{"a late request, and SIGTERM came in a short standstill", 600, playSIGTERMInShortStandstill},
 }
 
 // playLargeLastAnswer: the last answer was given in the round that ended the program, and what the socket did not
@@ -177,6 +178,25 @@
 	}
 }
 
+// playSIGTERMInShortStandstill: the loop takes no notice of a standstill this short. SIGKILL may come 1.3 s after
+// SIGTERM was sent all the same.
+func playSIGTERMInShortStandstill(t *testing.T, bed *testbed, pending chan *receivedRequest) {
+	client := bed.dial()
+	client.awaitRound(9)
+	bed.standStill()
+	at := time.Now()
+	bed.signal(syscall.SIGTERM)
+	time.Sleep(90 * time.Millisecond)
+	bed.signal(syscall.SIGCONT)
+	time.Sleep(time.Until(at.Add(850 * time.Millisecond)))
+	client.send(request(1, "footage", map[string]string{"limit": "600"}, ""))
+	nextReceived(t, pending)
+	answer := client.mustRead()
+	if past := time.Since(at); answer.Error == "" || past > 1300*time.Millisecond {
+		t.Errorf("%+v %v after SIGTERM was sent, want an error within 1.3 s", answer, past)
+	}
+}
+
 // TestGracefulShutdown has SIGTERM cross what can be under way. The program must then end by itself with status 0,
 // though no client closes its connection.
 func TestGracefulShutdown(t *testing.T) {
