Open the operators' socket again where that failed for a moment, and log lost commands

Callers saw: one failure to watch the operators' socket while the proxy started, and it had none for the rest of the process; a command whose connection could not be watched ended without a line in the proxy's log. Cause: admin.Listen tried once, and what a failed try leaves (the file) would have been in the way of a second; the loop that accepts told nobody. Evidence: found by load, each watch of the start refused in turn. Change: a failed try is repeated for up to 5 s, as for the proxy's own addresses; failed accepts are logged as accept-failed. Faults by a count are written to the program's log, after the reply to the call. Why it works: each try removes what the last has left, and a lack of this machine is not taken for an answer of another process.

--- a/internal/proxy/admin/admin.go
+++ b/internal/proxy/admin/admin.go
@@ -12,6 +12,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"sloequay/internal/eventloop/socket"
 )
 
 const (
@@ -35,21 +37,32 @@
 // it.
 type Handler func(words []string, answer chan<- string)
 
-// Listen opens the socket and answers beside the caller, until the process ends.
-func Listen(path string, handler Handler) error {
-	if err := removeStale(path); err != nil {
+// Listen opens the socket and answers beside the caller, until the process ends. It blocks while the system has no
+// memory or descriptor for that, for some seconds at most. acceptFailed is told, on a goroutine of the socket's, of
+// connections that could not be accepted.
+func Listen(path string, handler Handler, acceptFailed func(error)) error {
+	var listener net.Listener
+	err := socket.RetryLocal(func() (err error) {
+		listener, err = openSocket(path)
 		return err
-	}
-	previous := syscall.Umask(ownerOnly)
-	listener, err := net.Listen("unix", path)
-	syscall.Umask(previous)
+	})
 	if err != nil {
 		return err
 	}
-	go accept(listener, handler)
+	go accept(listener, handler, acceptFailed)
 	return nil
 }
 
+// openSocket tries once to open the socket. What a failed try leaves is stale for the next.
+func openSocket(path string) (net.Listener, error) {
+	if err := removeStale(path); err != nil {
+		return nil, err
+	}
+	previous := syscall.Umask(ownerOnly)
+	defer syscall.Umask(previous)
+	return net.Listen("unix", path)
+}
+
 // removeStale removes the socket of a process that was killed.
 func removeStale(path string) error {
 	conn, dialErr := net.DialTimeout("unix", path, timeout)
@@ -57,6 +70,9 @@
 		_ = conn.Close()
 		return ErrInUse
 	}
+	if socket.IsLocal(dialErr) {
+		return dialErr
+	}
 	info, err := os.Lstat(path)
 	if err == nil && info.Mode()&os.ModeSocket != 0 && errors.Is(dialErr, syscall.ECONNREFUSED) {
 		_ = os.Remove(path)
@@ -65,7 +81,7 @@
 }
 
 // accept serves connections until the listener is closed, and closes at once those beyond maxConnections.
-func accept(listener net.Listener, handler Handler) {
+func accept(listener net.Listener, handler Handler, acceptFailed func(error)) {
 	slots := make(chan struct{}, maxConnections)
 	for {
 		conn, err := listener.Accept()
@@ -73,6 +89,7 @@
 			return
 		}
 		if err != nil { // for want of descriptors or memory, which passes
+			acceptFailed(err)
 			time.Sleep(acceptPause)
 			continue
 		}
--- a/internal/proxy/admin/admin_test.go
+++ b/internal/proxy/admin/admin_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 )
@@ -19,7 +20,7 @@
 			return
 		}
 		answer <- strings.Join(words, ",") + "\n"
-	})
+	}, ignoreFailure)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -45,7 +46,7 @@
 // TestListenInUse: a socket on which a process answers is not taken over.
 func TestListenInUse(t *testing.T) {
 	path := listen(t)
-	if err := Listen(path, nil); !errors.Is(err, ErrInUse) {
+	if err := Listen(path, nil, nil); !errors.Is(err, ErrInUse) {
 		t.Errorf("got %v, want %v", err, ErrInUse)
 	}
 }
@@ -61,7 +62,7 @@
 	if err := stale.Close(); err != nil {
 		t.Fatal(err)
 	}
-	if err := Listen(path, func([]string, chan<- string) {}); err != nil {
+	if err := Listen(path, func([]string, chan<- string) {}, ignoreFailure); err != nil {
 		t.Error(err)
 	}
 }
@@ -91,9 +92,16 @@
 	}
 	defer listener.Close()
 	failing := &failingListener{Listener: listener, failures: []error{syscall.ENFILE, syscall.ENOMEM}}
-	go accept(failing, func(_ []string, answer chan<- string) { answer <- "well\n" })
+	var reported atomic.Int64
+	go accept(failing, func(_ []string, answer chan<- string) { answer <- "well\n" },
+		func(error) { reported.Add(1) })
 	var out strings.Builder
 	if err := Query(&out, path, "state"); err != nil || out.String() != "well\n" {
 		t.Errorf("answer %q, %v", out.String(), err)
 	}
+	if got := reported.Load(); got != 2 {
+		t.Errorf("%d failures were reported, want 2", got)
+	}
 }
+
+func ignoreFailure(error) {}
--- a/internal/proxy/admin_socket.go
+++ b/internal/proxy/admin_socket.go
@@ -25,6 +25,8 @@
 func (s *server) openAdminSocket(path string) {
 	err := admin.Listen(path, func(words []string, answer chan<- string) {
 		s.loop.Post(func() { answer <- s.answerCommand(words) })
+	}, func(err error) {
+		s.loop.Post(func() { s.log.Event("accept-failed", "path", path, "error", err) })
 	})
 	if err != nil {
 		s.log.Event("admin-socket-failed", "path", path, "error", err)
--- a/test/harness_identity_test.go
+++ b/test/harness_identity_test.go
@@ -105,14 +105,20 @@
 func newTLSTestbed(t *testing.T, respond func(*receivedRequest)) *tlsTestbed {
 	t.Helper()
 	bed := &tlsTestbed{testbed: newTestbed(t, respond), authority: newAuthority(t)}
-	bed.cert, bed.key = makeCertificateFiles(t, bed.authority, "server", "proxy.test")
+	bed.enableTLS("")
+	return bed
+}
+
+// enableTLS turns identity on with a TLS listener; extra is added to the block of identity.
+func (bed *tlsTestbed) enableTLS(extra string) {
+	bed.t.Helper()
+	bed.cert, bed.key = makeCertificateFiles(bed.t, bed.authority, "server", "proxy.test")
 	bed.tlsAddress = bed.freeAddress()
 	bed.enableIdentity(strings.Join([]string{
 		"tls {", "listen " + bed.tlsAddress, "cert " + bed.cert, "key " + bed.key, "client-ca " + bed.authority.File,
 		"limit 500ms", "handshakes 4", "}",
 		"tenant controllers {", "right charge lookup front=tls", "certificate *.lanes.test", "}",
-		"tenant terminals {", "right lookup", "certificate t7.staff.test", "}"}, "\n"))
-	return bed
+		"tenant terminals {", "right lookup", "certificate t7.staff.test", "}", extra}, "\n"))
 }
 
 // clientConfig is a client's, with a certificate for a name; empty: none.
--- a/test/harness_syscalls_test.go
+++ b/test/harness_syscalls_test.go
@@ -31,8 +31,9 @@
 // name from the FIRST to the LAST, counted from 1 at the start of the process, or CALL=ERRNO%SHARE, which fails a share
 // of them that is drawn by a seed that the name of the call gives, or CALL=ERRNO?FILE, which fails them while FILE is
 // there. Where FILE holds a script of the letters of scriptFails and scriptPasses, each stands for a call, counted from
-// the first one that finds the file, and the last letter for all later ones. Each call that fails so is written to the
-// program's log. CALL/go and CALL/gnet narrow epoll_ctl and its operations to the poller of Go's runtime and of gnet.
+// the first one that finds the file, and the last letter for all later ones. Each call that fails so, or by its count,
+// is written to the program's log. CALL/go and CALL/gnet narrow epoll_ctl and its operations to the poller of Go's
+// runtime and of gnet.
 const faultsVariable = "SLOEQUAY_TEST_SYSCALL_FAULTS"
 
 // The letters of a script.
@@ -338,17 +339,18 @@
 			continue // EINTR, or the call was interrupted before it was received
 		}
 		reply := notificationReply{id: call.id, flags: notifyContinue}
-		if fault := failing(faults, &call, goDescriptor); fault != nil {
+		fault := failing(faults, &call, goDescriptor)
+		if fault != nil {
 			reply = notificationReply{id: call.id, errno: -int32(fault.errno)}
-			if fault.file != "" {
-				fmt.Fprintln(os.Stderr, refusedText(fault.name))
-			}
 		}
 		// ENOENT: the call was interrupted by a signal, and comes again.
 		_, _, errno := unix.Syscall(unix.SYS_IOCTL, uintptr(listener), notifySend, uintptr(unsafe.Pointer(&reply)))
 		if errno != 0 && !errors.Is(errno, unix.ENOENT) {
 			fmt.Fprintln(os.Stderr, "faults: reply:", errno)
 		}
+		if fault != nil && fault.random == nil { // after the reply, which the program waits for
+			fmt.Fprintln(os.Stderr, refusedText(fault.name))
+		}
 	}
 }
 
@@ -369,7 +371,7 @@
 	return nil
 }
 
-// refusedText is what stands in the program's log for each call that a file had fail.
+// refusedText is what stands in the program's log for each call that a count or a file had fail.
 func refusedText(name string) string { return "faults: " + name + " refused" }
 
 // startWithFaults starts the test binary as the program with system calls that fail.
--- a/test/watches_test.go
+++ b/test/watches_test.go
@@ -23,6 +23,16 @@
 	path string
 }
 
+// newRefusal makes one that is off.
+func newRefusal(bed *testbed, name string) refusal {
+	bed.t.Helper()
+	file := strings.ReplaceAll(name, "/", "-")
+	return refusal{bed: bed, name: name, path: filepath.Join(bed.t.TempDir(), file)}
+}
+
+// fault is the fault that the program has to be started with.
+func (r refusal) fault(errno string) string { return r.name + "=" + errno + "?" + r.path }
+
 // begin has calls refused by a script from now on; empty: all.
 func (r refusal) begin(script string) {
 	r.bed.t.Helper()
@@ -67,21 +77,20 @@
 func newWatchedTestbed(t *testing.T, respond func(*receivedRequest)) *watchedTestbed {
 	t.Helper()
 	bed := newTestbed(t, respond)
-	dir := t.TempDir()
 	var faults []string
-	newRefusal := func(name, errno string) refusal {
-		r := refusal{bed: bed, name: name, path: filepath.Join(dir, strings.ReplaceAll(name, "/", "-"))}
-		faults = append(faults, name+"="+errno+"?"+r.path)
+	fail := func(name, errno string) refusal {
+		r := newRefusal(bed, name)
+		faults = append(faults, r.fault(errno))
 		return r
 	}
 	watched := &watchedTestbed{testbed: bed, add: map[string]refusal{}}
 	for _, poller := range bothPollers {
-		watched.add[poller] = newRefusal("epoll_ctl_add/"+poller, "ENOMEM")
+		watched.add[poller] = fail("epoll_ctl_add/"+poller, "ENOMEM")
 	}
-	watched.remove = newRefusal("epoll_ctl_del/"+goPoller, "ENOMEM")
-	watched.change = newRefusal("epoll_ctl_mod/"+gnetPoller, "ENOMEM")
-	watched.accept = newRefusal("accept4", "EMFILE")
-	watched.dup = newRefusal("fcntl_dupfd", "EMFILE")
+	watched.remove = fail("epoll_ctl_del/"+goPoller, "ENOMEM")
+	watched.change = fail("epoll_ctl_mod/"+gnetPoller, "ENOMEM")
+	watched.accept = fail("accept4", "EMFILE")
+	watched.dup = fail("fcntl_dupfd", "EMFILE")
 	bed.startWithFaults(strings.Join(faults, ","))
 	watched.askAllEndpoints()
 	return watched
