Answer requests from 0.65 s after SIGTERM on before the earliest kill

Callers saw: a request that came 0.700 to 0.701 s after SIGTERM was sent, where the longest deadline is over 3 s, was open at SIGKILL. Cause: the platform counts the 0.7 s from when it sent the signal, the program from when it took it, a moment later, so that a request of just past 0.7 s was taken for one that the kill excuses (internal/shutdown/shutdown.go: Sequence.TimeoutFor). Change: the last 50 ms of the 0.7 s count as past. Why it works: a signal is taken within 50 ms, or the loop's standstill says when it was sent. The row of TestLimit for 699 ms held the old behaviour; its place is taken by rows for 649, 650 and 699 ms, which fix the edge as narrowly.

--- a/internal/shutdown/shutdown.go
+++ b/internal/shutdown/shutdown.go
@@ -5,7 +5,7 @@
 // Invariants:
 //   - before the time is up it exits only when no request is open, all responses were taken by the system, nothing
 //     is being deregistered, and no client has been connected for reconnectWindow;
-//   - a request that came within excusedWindow is never failed before its own deadline;
+//   - a request that came within excusedWindow, less signalMargin, is never failed before its own deadline;
 //   - a later one is answered before the program may be killed, also where the program stood still when the signal
 //     came; one that is left less than minTimeout is rejected at once, so that its connection can be closed.
 //
@@ -22,6 +22,9 @@
 	// excusedWindow is how long after the signal requests may arrive that are excused if they are open when the
 	// platform kills the program; a later one has to be answered before.
 	excusedWindow = 700 * time.Millisecond
+	// signalMargin is how much sooner than excusedWindow says a request is taken for a later one: the platform counts
+	// from when it sent the signal, and the program learns of that a moment later. Clients send nothing so late.
+	signalMargin = 50 * time.Millisecond
 	// maxKillDelay and LongestDeadline, the shorter of them, bound when the platform may kill the program: that and
 	// excusedWindow after the signal.
 	maxKillDelay = 3 * time.Second
@@ -83,7 +86,7 @@
 // TimeoutFor returns how long a request that arrives now may take, given the timeout that its client asks for. Not ok:
 // the program may be killed before it could be answered, and it is to be rejected at once.
 func (s *Sequence) TimeoutFor(now, timeout time.Duration) (allowed time.Duration, ok bool) {
-	if !s.begun || now-s.sentAt < excusedWindow {
+	if !s.begun || now-s.sentAt < excusedWindow-signalMargin {
 		return timeout, true
 	}
 	left := s.killAt() - responseMargin - now
--- a/internal/shutdown/shutdown_test.go
+++ b/internal/shutdown/shutdown_test.go
@@ -46,11 +46,13 @@
 	}
 }
 
-// TestLimit: a request after excusedWindow has its response before the program may be killed; one before it keeps
-// its timeout.
+// TestLimit: a request after excusedWindow has its response before the program may be killed, and so has one of just
+// before it, as the signal was sent a moment before the program took it; one before that keeps its timeout.
 func TestLimit(t *testing.T) {
 	for _, c := range []struct{ longest, elapsed, timeout, want time.Duration }{
-		{6 * time.Second, 699 * ms, 6 * time.Second, 6 * time.Second},
+		{6 * time.Second, 649 * ms, 6 * time.Second, 6 * time.Second},
+		{6 * time.Second, 650 * ms, 6 * time.Second, 2950 * ms},
+		{6 * time.Second, 699 * ms, 6 * time.Second, 2901 * ms}, // it may have come 700 ms after the signal was sent
 		{6 * time.Second, 700 * ms, 6 * time.Second, 2900 * ms}, // killed after 3.7 s
 		{6 * time.Second, 700 * ms, 200 * ms, 200 * ms},
 		{800 * ms, 700 * ms, 800 * ms, 700 * ms}, // killed after 1.5 s
