Date the close of a slow reader's connection by its socket in the drill

Callers saw: nothing. Cause: the drill's. The proxy had closed the connection in good order 0.1 s before the kill; the reader, with answers left to read, met the end after it, and the drill asked then whether the process had been killed (clientConn.resendTarget). Change: emulator.EndWatch sees the close though answers are unread. A request crosses it within 50 ms before or after; good order is judged at that time. The drill's client leaves a connection 25 ms after its socket knows of the close, as a real one does. One that is sent later than that is a finding now, where it was none.

--- a/internal/drill/audit_test.go
+++ b/internal/drill/audit_test.go
@@ -88,7 +88,7 @@
 // order, and that no proxy was left to take.
 func TestCrossingWithoutTargetIsExcused(t *testing.T) {
 	for _, refusal := range []ResendRefusal{
-		"", RefusedSentAgain, RefusedTooLate, RefusedDisorderly, RefusedNoProxy,
+		"", RefusedSentAgain, RefusedTooLate, RefusedAfterClose, RefusedDisorderly, RefusedNoProxy,
 	} {
 		r := sound()
 		r.Requests[0].Outcome = OutcomeDisconnected
--- a/internal/drill/client_conn.go
+++ b/internal/drill/client_conn.go
@@ -133,14 +133,16 @@
 	if c.generator.isStopped() {
 		return // the drill is over, and closed it
 	}
+	closedAt := c.closedAt()
 	for _, pending := range open {
-		target, refusal := c.resendTarget(pending, err)
+		target, refusal := c.resendTarget(pending, closedAt, err)
 		if target != nil {
 			c.generator.resend(target, pending)
 			continue
 		}
 		c.generator.cluster.Record.update(func() {
 			pending.record.EndError = err.Error()
+			pending.record.ClosedAt = closedAt.Sub(c.generator.cluster.began)
 			pending.record.ResendRefusal = refusal
 		})
 		c.generator.recordOutcome(pending, OutcomeDisconnected)
@@ -155,18 +157,26 @@
 	return open < maxOpen
 }
 
-// resendTarget is the proxy to which a request goes again that may have crossed the close of its connection, and was
+// knowsClose reports whether a slow reader's client has had the time to learn from its socket that the connection was
+// closed, though the reader has answers left to read. Others learn by reading.
+func (c *clientConn) knowsClose() bool { return c.slow != nil && c.slow.closedFor() >= closeNoticeTime }
+
+// resendTarget is the proxy to which a request goes again that crossed the close of its connection at a time, and was
 // not sent again yet. Without one it says why.
-func (c *clientConn) resendTarget(pending *pendingRequest, err error) (target *proxy, refusal ResendRefusal) {
+func (c *clientConn) resendTarget(pending *pendingRequest, closedAt time.Time, err error) (target *proxy,
+	refusal ResendRefusal,
+) {
 	staysForRestarts := c.generator.cluster.Plan.DialAfterTerm > 0
 	switch {
 	case pending.record.Resent:
 		return nil, RefusedSentAgain
-	case c.closedAt().Sub(pending.sentAt) >= crossingWindow:
+	case closedAt.Sub(pending.sentAt) >= crossingWindow:
 		return nil, RefusedTooLate
+	case pending.sentAt.Sub(closedAt) >= crossingWindow:
+		return nil, RefusedAfterClose
 	case c.proxy.serving() && (errors.Is(err, io.EOF) || staysForRestarts && isOrderlyClose(err)):
 		return c.proxy, ""
-	case !staysForRestarts || !c.proxy.endsByItself() || !isOrderlyClose(err):
+	case !staysForRestarts || !c.proxy.endedByItselfAt(closedAt) || !isOrderlyClose(err):
 		return nil, RefusedDisorderly
 	}
 	if target = c.generator.otherServingProxy(c.proxy); target == nil {
@@ -181,11 +191,10 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// closedAt is the earliest time at which a connection may have been closed whose end was read just now. A slow reader
-// reads the end late: it may be as old as when the reader last had to wait for something to read.
+// closedAt is when a connection was closed whose end was read just now. A slow reader reads the end late.
 func (c *clientConn) closedAt() time.Time {
 	if c.slow != nil {
-		return c.slow.waitedAt
+		return c.slow.closedAt()
 	}
 	return time.Now()
 }
--- /dev/null
+++ b/internal/drill/client_conn_test.go
@@ -0,0 +1,121 @@
+package drill
+
+import (
+	"net"
+	"os/exec"
+	"testing"
+	"time"
+
+	"sloequay/internal/emulator"
+)
+
+// closingListener takes one connection after another. Each is closed in good order when closeNow is sent to, once all
+// that has come by then was read.
+type closingListener struct {
+	net.Listener
+	closeNow chan struct{}
+}
+
+func newClosingListener(t *testing.T) *closingListener {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := &closingListener{Listener: inner, closeNow: make(chan struct{})}
+	t.Cleanup(func() { _ = inner.Close() })
+	go listener.run()
+	return listener
+}
+
+func (l *closingListener) run() {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			<-l.closeNow
+			_ = conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+			_, _ = conn.Read(make([]byte, 1<<16))
+			_ = conn.Close()
+		}()
+	}
+}
+
+// drainingCluster has one proxy that runs, was ready and was sent SIGTERM.
+func drainingCluster(address string) (*Cluster, *proxy) {
+	plan := NewPlan()
+	plan.DialAfterTerm = 200 * time.Millisecond
+	c := &Cluster{Plan: plan, Record: newRecord(plan), began: time.Now().Add(-10 * time.Second)}
+	c.network = newNetwork(1, c.recordConnection, c.recordPeerBytes)
+	c.load = newLoadGenerator(c)
+	run := &ProcessRun{ReadyAt: sec, TermAt: 2 * sec, EndRequested: true}
+	p := &proxy{cluster: c, name: "d000", listen: address, zone: 1, run: run, cmd: &exec.Cmd{}}
+	c.proxies = []*proxy{p}
+	return c, p
+}
+
+// TestSlowReaderMeetsAClose: a slow reader meets the end of its connection long after the proxy has closed it. Whether
+// a request crossed the close, and whether that was in good order, is judged by when the proxy closed it.
+func TestSlowReaderMeetsAClose(t *testing.T) {
+	const (
+		soon = crossingWindow / 5
+		late = 2 * crossingWindow
+	)
+	for _, c := range []struct {
+		name        string
+		beforeClose time.Duration // from the request to the close
+		afterClose  time.Duration // from the close to the request, where that is longer than 0
+		killFirst   bool          // SIGKILL is sent before the close, and not after it
+		want        ResendRefusal
+	}{
+		{name: "it crosses the close, of which its client learns after SIGKILL", beforeClose: soon, want: RefusedNoProxy},
+		{name: "the same, and it comes just after the close", afterClose: soon, want: RefusedNoProxy},
+		{name: "SIGKILL closes the connection", beforeClose: soon, killFirst: true, want: RefusedDisorderly},
+		{name: "the proxy has it when it closes the connection", beforeClose: late, want: RefusedTooLate},
+		{name: "it comes long after the close", afterClose: late, want: RefusedAfterClose},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			listener := newClosingListener(t)
+			cluster, p := drainingCluster(listener.Addr().String())
+			inner, err := cluster.network.dial(clientsEnd, p.name, p.listen)
+			if err != nil {
+				t.Fatal(err)
+			}
+			conn := newClientConn(cluster.load, p, newSlowConn(inner))
+			pending := cluster.load.newRequest(p, lookupClass, 1, cancellation{})
+			if c.afterClose == 0 {
+				conn.send(pending)
+				time.Sleep(c.beforeClose)
+			}
+			if c.killFirst {
+				p.run.Killed, p.run.KilledAt = true, cluster.now()
+			}
+			listener.closeNow <- struct{}{}
+			awaitEndSeen(t, conn.slow.end)
+			if c.afterClose > 0 {
+				time.Sleep(c.afterClose)
+				conn.send(pending)
+			}
+			time.Sleep(late) // the reader has other answers to read
+			if !c.killFirst {
+				p.run.Killed, p.run.KilledAt = true, cluster.now()
+			}
+			conn.read()
+			if got := pending.record.ResendRefusal; got != c.want {
+				t.Errorf("not sent again as %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+// awaitEndSeen waits until a socket has met the end of its connection.
+func awaitEndSeen(t *testing.T, watch *emulator.EndWatch) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); watch.SeenAt().IsZero(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the end of the connection was not seen")
+		}
+	}
+}
--- a/internal/drill/load.go
+++ b/internal/drill/load.go
@@ -16,6 +16,9 @@
 	// crossingWindow is how long after its sending a request that meets the close of its connection is sent again once,
 	// as the protocol has it.
 	crossingWindow = 50 * time.Millisecond
+	// closeNoticeTime is how long a client goes on by a connection whose close its socket has: what it sends so late
+	// crosses the close still.
+	closeNoticeTime = crossingWindow / 2
 	// patience is how long after its limit an answer may still come, for what the machine itself is late.
 	patience = 2 * time.Second
 	// maxCancelDelay is how long after its request a client that cancels does so at the latest.
@@ -256,7 +259,7 @@
 			continue
 		}
 		alive = append(alive, conn)
-		if conn.hasRoom(open) && !conn.exclusive {
+		if conn.hasRoom(open) && !conn.exclusive && !conn.knowsClose() {
 			shared = conn
 		}
 	}
--- a/internal/drill/proxy_state.go
+++ b/internal/drill/proxy_state.go
@@ -38,15 +38,17 @@
 // drains reports whether clients go on by the connections that they have: after SIGTERM, until these are closed.
 func (p *proxy) drains() bool { return p.cluster.Plan.DialAfterTerm > 0 && p.sinceTerm() < forever }
 
-// endsByItself reports whether the last process was sent SIGTERM and not SIGKILL: it closes connections in good order.
-func (p *proxy) endsByItself() bool {
+// endedByItselfAt reports whether at a time the last process had been sent SIGTERM and not SIGKILL: it closed
+// connections in good order then.
+func (p *proxy) endedByItselfAt(at time.Time) bool {
 	run := p.lastRun()
 	if run == nil {
 		return false
 	}
+	since := at.Sub(p.cluster.began)
 	p.cluster.Record.mu.Lock()
 	defer p.cluster.Record.mu.Unlock()
-	return run.TermAt > 0 && !run.Killed
+	return run.TermAt > 0 && (!run.Killed || since < run.KilledAt)
 }
 
 // lastRun is the process that runs or ran last; nil: none has.
--- a/internal/drill/record.go
+++ b/internal/drill/record.go
@@ -52,6 +52,7 @@
 const (
 	RefusedSentAgain  ResendRefusal = "it was sent again before"
 	RefusedTooLate    ResendRefusal = "it did not cross the close"
+	RefusedAfterClose ResendRefusal = "it was sent after the close and does not cross it"
 	RefusedDisorderly ResendRefusal = "the close was not in good order"
 	RefusedNoProxy    ResendRefusal = "no other proxy of its zone serves"
 )
@@ -87,6 +88,7 @@
 	Resent         bool          // over a new connection, as the protocol allows once
 	FirstOfConn    bool          // it was the first on its connection
 	EndError       string        // by which its connection ended under it; empty: it did not
+	ClosedAt       time.Duration // when that was, by its client's socket
 	ResendRefusal  ResendRefusal // why it was not sent again then
 }
 
