Keep a connection of a draining proxy whose client has no room for its answers yet

Callers saw: a client that is slow to read lost answers that were written, when it sent one more request to a proxy that drains. Cause: a connection counted as idle once the system had taken its answers. It was closed 0.9 s after SIGTERM; the close stands behind the unread answers, so the client sends on, and the system answers by a reset and drops what it holds. TestCloseWaitsForDelivery, 3 of 3 lost on the code before. Change: connection.unsent counts what the system has not sent for want of room (SIOCOUTQNSD, Conn.Undelivered). Why it works: connlimit evicts no connection with something unsent, but one that takes nothing for the idle time-out. In TestRequestsUpToTheKill a kill finds unread answers also where the system held them; that is by when the client read them. By all that is not confirmed instead, the connection in use was not closed before the kill: tried, not taken.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+	"golang.org/x/sys/unix"
 )
 
 // connState is how far the end of a connection is. It only goes up.
@@ -142,3 +143,17 @@
 	}
 	return len(c.outbound) + c.unsent.len()
 }
+
+// Undelivered is the number of bytes that the system has not sent to the peer yet, for want of room there, Unsent among
+// them. They are lost if the connection is closed and something comes on it: the system answers that by a reset and
+// drops them. What was sent and not confirmed is left out, as confirmations may be late by 40 ms.
+func (c *Conn) Undelivered() int {
+	if c.state == connClosed {
+		return 0
+	}
+	waiting, err := unix.IoctlGetInt(c.sock.Fd(), unix.SIOCOUTQNSD)
+	if err != nil {
+		waiting = 0 // no TCP socket
+	}
+	return c.Unsent() + waiting
+}
--- a/internal/frontend/rpc/connection.go
+++ b/internal/frontend/rpc/connection.go
@@ -121,12 +121,12 @@
 // updateOpen tells the limiter how much is open: a connection with an open request is not evicted.
 func (c *connection) updateOpen() { c.client.SetOpen(c.server.Now(), len(c.open)) }
 
-// unsent returns how many bytes of responses the operating system has not accepted yet.
+// unsent returns how many bytes of responses the client's system has had no room for yet.
 func (c *connection) unsent() int {
 	if c.conn == nil {
 		return 0
 	}
-	return c.conn.Unsent()
+	return c.conn.Undelivered()
 }
 
 // close closes the connection once all that was sent is written, and cancels the requests that are open on it.
