Open the transport to the peers again where its first try failed

Callers saw: one failure to watch or open a socket of the transport while the proxy started (ENFILE, ENOMEM), and the proxy had no peers for the rest of the process: it polled the list service by itself. Cause: fleet.openTransport tried once. Change: it is tried five times, 20 ms apart. memberlist's errors hold their cause as text alone, so that all are tried again. Why it works: what fails for a moment at the start is over by then; what stays costs 80 ms.

--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -21,6 +21,9 @@
 	maxPartEndpoints = 500
 	// fleetStepInterval is the time between two steps of the machine without an event.
 	fleetStepInterval = 100 * time.Millisecond
+	// maxTransportTries is how often the transport is opened at the start, before it is done without.
+	maxTransportTries = 5
+	transportTryPause = 20 * time.Millisecond
 	// announceTimeout is how long the announcement of a shutdown may take; the proxy serves for at least twice as
 	// long.
 	announceTimeout = 450 * time.Millisecond
@@ -58,14 +61,19 @@
 // them the proxy polls by itself.
 func (f *fleet) openTransport(config bootstrap.Config) bool {
 	settings := f.server.plan.settings
-	opened, err := transport.Open(*settings.Peers, transport.Identity{
+	self := transport.Identity{
 		Name:        config.Name,
 		Zone:        config.Zone,
 		Program:     programVersion(),
 		Incarnation: config.Incarnation,
 		Fleet:       config.Fleet,
 		Bind:        settings.bindAddress(),
-	}, f)
+	}
+	opened, err := transport.Open(*settings.Peers, self, f)
+	for tries := 1; err != nil && tries < maxTransportTries; tries++ {
+		time.Sleep(transportTryPause) // memberlist's errors don't tell what passes from what stays
+		opened, err = transport.Open(*settings.Peers, self, f)
+	}
 	if err != nil {
 		f.server.log.Event("peer-transport-failed", "error", err)
 	}
--- a/test/doors_test.go
+++ b/test/doors_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -21,7 +22,7 @@
 // startWatches is at least how many watches the program adds until every door is open; refusedTogether is how many in
 // a row are refused in one run. Their order differs a little from run to run.
 const (
-	startWatches    = 22
+	startWatches    = 28
 	refusedTogether = 3
 )
 
@@ -38,6 +39,9 @@
 	bed := &doorsTestbed{tlsTestbed: secure, adminSocket: socketPath(t)}
 	bed.enableDNS("")
 	bed.addSettings("control " + bed.adminSocket)
+	keyFile := filepath.Join(t.TempDir(), "peers.key")
+	writeFile(t, keyFile, "MDEyMzQ1Njc4OWFiY2RlZg==\n")
+	bed.addSettings("peers {", "listen "+bed.freeAddress(), "key-file "+keyFile, "}")
 	return bed
 }
 
@@ -188,6 +192,9 @@
 					t.Errorf("%s: %v, want an answer", d.name, err)
 				}
 			}
+			if bed.logged("peer-transport-failed") {
+				t.Error("the transport to the peers is not open")
+			}
 		})
 	}
 }
