End notices of changed files whose watch was refused, and ask for them again

Callers saw: a proxy that used 1.2 to 2.3 cores until its end, with nothing to do. Cause: where epoll refuses to watch the descriptor of inotify, os.NewFile gives a file that is not polled and still does not block. fsnotify (inotify.readEvents) gets EAGAIN from each read, reports it and reads again at once; files.Watch took each report as a notice. Where inotify itself was refused, the proxy went on by its poll alone for ever. Change: such a watcher is closed, and the next poll, a second later, makes another one. Why it works: a watcher that says EAGAIN is not polled and never will be; the poll stands in until one is.

--- a/internal/identity/files/files.go
+++ b/internal/identity/files/files.go
@@ -49,7 +49,10 @@
 		select {
 		case <-stop:
 			return
-		case <-notices.faults: // the poll finds what the system did not tell
+		case err := <-notices.faults: // the poll finds what the system did not tell
+			if errors.Is(err, syscall.EAGAIN) { // Go's poller could not watch it: it would say so without end
+				notices.close()
+			}
 		case <-notices.events:
 			time.Sleep(settleTime)
 		case <-poll.C:
@@ -80,8 +83,12 @@
 	return &notifier{folders: folders, watcher: watcher, events: watcher.Events, faults: watcher.Errors}
 }
 
-// watchFolders subscribes to all folders again: one may have been deleted and made anew.
+// watchFolders subscribes to all folders again: one may have been deleted and made anew. Without a service it asks for
+// one again first, which the system may have lacked memory or descriptors for.
 func (n *notifier) watchFolders() {
+	if n.watcher == nil {
+		*n = *newNotifier(n.folders)
+	}
 	if n.watcher == nil {
 		return
 	}
@@ -92,10 +99,12 @@
 	}
 }
 
+// close ends the service; watchFolders begins another.
 func (n *notifier) close() {
 	if n.watcher != nil {
 		_ = n.watcher.Close()
 	}
+	*n = notifier{folders: n.folders}
 }
 
 // Folders returns the folders of files, each once. Empty paths are skipped.
--- a/test/idle_test.go
+++ b/test/idle_test.go
@@ -109,3 +109,19 @@
 		bed.waitUntil("it is seen", func() bool { return cpuShare(t, bed.cmd.Process.Pid, time.Second) > idleShare })
 	})
 }
+
+// TestRefusedWatchOfNoticesDoesNotSpin guards against a goroutine that asks without end for notices of changed files, as
+// the system had no memory for a moment to watch where they come from. Each fault draws other calls that fail.
+func TestRefusedWatchOfNoticesDoesNotSpin(t *testing.T) {
+	for _, errno := range []string{"ENOMEM", "ENFILE", "ENOBUFS", "EMFILE"} {
+		t.Run(errno, func(t *testing.T) {
+			t.Parallel()
+			bed := newTLSTestbed(t, nil)
+			bed.startWithFaults("epoll_ctl_add/go=" + errno + "%0.5")
+			bed.dial().ask(1, "lookup", nil) // it has started
+			if share := cpuShare(t, bed.cmd.Process.Pid, time.Second); share > idleShare {
+				t.Errorf("it used %.2f of a core with nothing to do, want at most %.2f", share, idleShare)
+			}
+		})
+	}
+}
