Try a watch again where its user has as many as the system allows

Callers saw: a client whose connection was reset, with its first request, where epoll had no watch left for the user that the proxy runs as (ENOSPC, /proc/sys/fs/epoll/max_user_watches). An endpoint would have been blamed for a dial that failed so. Cause: socket.IsLocal did not count ENOSPC, so that Loop.enrollHeld gave the connection up at once (enroll.go), as did the TLS listener (next, pair). For gnet's poller it was tried again, as errNotOpened stands for whatever epoll says. Evidence: TestWatchesBeyondTheUsersLimitAreTriedAgain/go failed before the change ("accept-failed ... no space left on device"); /gnet passed. Change: ENOSPC is one of the local errors. Why it works: the number of watches is a matter of this machine, and watches come free as connections end. No other call on a socket fails with ENOSPC. Measured: the test passed 3 times in a row; the tests of eventloop and upstream pass.

--- a/internal/eventloop/socket/local.go
+++ b/internal/eventloop/socket/local.go
@@ -16,12 +16,12 @@
 // localErrors are how system calls on sockets fail for want of something on this machine. None says anything of the
 // peer.
 var localErrors = []error{
-	unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.EAGAIN, unix.EINTR, unix.EADDRNOTAVAIL, unix.ENETDOWN,
-	unix.ECONNABORTED,
+	unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.ENOSPC, unix.EAGAIN, unix.EINTR, unix.EADDRNOTAVAIL,
+	unix.ENETDOWN, unix.ECONNABORTED,
 }
 
 // IsLocal says whether a system call on a socket failed for want of something on this machine: descriptors, memory,
-// ports. Such errors pass, and say nothing of the peer.
+// watches, ports. Such errors pass, and say nothing of the peer.
 func IsLocal(err error) bool {
 	return slices.ContainsFunc(localErrors, func(local error) bool { return errors.Is(err, local) })
 }
--- a/test/watches_test.go
+++ b/test/watches_test.go
@@ -152,6 +152,26 @@
 	}
 }
 
+// TestWatchesBeyondTheUsersLimitAreTriedAgain: the user that the program runs as has as many watches as the system allows
+// one (max_user_watches), until others end.
+func TestWatchesBeyondTheUsersLimitAreTriedAgain(t *testing.T) {
+	for _, poller := range bothPollers {
+		t.Run(poller, func(t *testing.T) {
+			t.Parallel()
+			bed := &watchedTestbed{testbed: newTestbed(t, nil)}
+			name := "epoll_ctl_add/" + poller
+			limit := refusal{bed: bed.testbed, name: name, path: filepath.Join(t.TempDir(), "limit")}
+			bed.startWithFaults(name + "=ENOSPC?" + limit.path)
+			bed.askAllEndpoints()
+			limit.begin("xx-")
+			expectServed(bed.sendFirst())
+			if got := limit.count(); got != 2 {
+				t.Errorf("%d watches were refused, want 2 as the test has it", got)
+			}
+		})
+	}
+}
+
 // TestRefusedWatchesAreTriedAgainWhereOneRemains: what holds an accepted connection for the next try keeps its watch in
 // Go's poller as well, where the system refuses to remove it. The same number can't be watched again then (EEXIST).
 func TestRefusedWatchesAreTriedAgainWhereOneRemains(t *testing.T) {
