Wait for a descriptor where the loop takes over a connection by TLS

Callers saw: a client by TLS that lost its connection after the handshake, with its first request, where the process had no free descriptor for a moment (EMFILE of fcntl F_DUPFD). No line in the log said so. Cause: Loop.Adopt gave up at the first duplicate that was refused (duplicable.File). Those before it (socket.Conn, bridge.Pair) and after it (socket.Conn, gnet's Enroll) are tried again. Evidence: a client takes six duplicates; TestTLSListenerSurvivesExhaustedDescriptors refuses each of them in turn, twice. Why it works: until the duplicate is made the connection itself stays open, with what the client has sent.

--- a/internal/eventloop/enroll.go
+++ b/internal/eventloop/enroll.go
@@ -35,7 +35,11 @@
 	if !ok {
 		return errors.Join(errNotDuplicable, conn.Close())
 	}
-	file, err := duplicable.File()
+	var file *os.File
+	err := socket.RetryLocal(func() (err error) {
+		file, err = duplicable.File()
+		return err
+	})
 	_ = conn.Close()
 	if err != nil {
 		return err
--- a/test/tls_test.go
+++ b/test/tls_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net"
+	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -209,3 +211,38 @@
 		t.Errorf("%d of %d clients had no answer to their first request, want each served", lost, clients)
 	}
 }
+
+// startWithDuplicates starts the program and gives the fault of its duplicates of descriptors. A client by TLS takes four
+// before its first request: of the accepted socket, of both ends of the pair, and of the end that the loop takes over.
+func (bed *tlsTestbed) startWithDuplicates(errno string) refusal {
+	bed.t.Helper()
+	duplicates := refusal{bed: bed.testbed, name: "fcntl_dupfd", path: filepath.Join(bed.t.TempDir(), "duplicates")}
+	bed.startWithFaults(duplicates.name + "=" + errno + "?" + duplicates.path)
+	warm := bed.dialTLS(bed.clientConfig("lane3.lanes.test")) // connects the endpoints
+	for id := range uint64(20) {
+		warm.ask(id+1, "lookup", map[string]string{"item": hexID(id + 1)})
+	}
+	return duplicates
+}
+
+// duplicatesOfClient is how many duplicates the program makes for a client by TLS, that of gnet among them.
+const duplicatesOfClient = 6
+
+// TestTLSListenerSurvivesExhaustedDescriptors guards against clients by TLS that lose their connection as one of the
+// duplicates that it takes was refused for a moment.
+func TestTLSListenerSurvivesExhaustedDescriptors(t *testing.T) {
+	for first := range duplicatesOfClient {
+		t.Run(strconv.Itoa(first+1), func(t *testing.T) {
+			t.Parallel()
+			bed := newTLSTestbed(t, nil)
+			duplicates := bed.startWithDuplicates("EMFILE")
+			duplicates.begin(strings.Repeat("-", first) + "xx-")
+			client := bed.dialTLS(bed.clientConfig("lane4.lanes.test"))
+			client.send(request(100, "lookup", nil, ""))
+			expectServed(client)
+			if got := duplicates.count(); got != 2 {
+				t.Errorf("%d duplicates were refused, want 2 as the test has it", got)
+			}
+		})
+	}
+}
