Say in the log why a client by TLS was lost before the loop had it

Callers saw: a client by TLS that lost its connection; the log had no line about it. Cause: authenticator.adopt dropped the error of Loop.Adopt, and the TLS listener that of accept and of the first duplicate (tlslistener.accept). Evidence: TestTLSListenerTellsOfLostClients refuses each of the six duplicates that a client takes for good (EIO). Before the change the 1st, 4th, 5th and 6th left no line; the 2nd and 3rd were logged as tls-handshake-failed. Change: both are logged as accept-failed, the listener's once a minute, as its other faults are for each source. Why it works: these are the two places where the error of a connection that was accepted ended.

--- a/internal/identity/tlslistener/tlslistener.go
+++ b/internal/identity/tlslistener/tlslistener.go
@@ -151,6 +151,9 @@
 			return
 		}
 		if err != nil {
+			if l.faults.shouldLog(time.Now(), "") { // of no source: there is no connection
+				l.log("accept-failed", "error", err)
+			}
 			time.Sleep(acceptPause)
 			continue
 		}
--- a/internal/proxy/authenticator.go
+++ b/internal/proxy/authenticator.go
@@ -104,7 +104,10 @@
 		return false
 	}
 	if err := server.loop.Adopt(conn, handler); err != nil {
-		server.loop.Post(func() { rpc.Abandon(handler) })
+		server.loop.Post(func() {
+			server.log.Event("accept-failed", "error", err)
+			rpc.Abandon(handler)
+		})
 		return false
 	}
 	return true
--- a/test/tls_test.go
+++ b/test/tls_test.go
@@ -212,8 +212,8 @@
 	}
 }
 
-// startWithDuplicates starts the program and gives the fault of its duplicates of descriptors. A client by TLS takes four
-// before its first request: of the accepted socket, of both ends of the pair, and of the end that the loop takes over.
+// startWithDuplicates starts the program and gives the fault of its duplicates of descriptors, once it needs none but
+// those of new clients.
 func (bed *tlsTestbed) startWithDuplicates(errno string) refusal {
 	bed.t.Helper()
 	duplicates := refusal{bed: bed.testbed, name: "fcntl_dupfd", path: filepath.Join(bed.t.TempDir(), "duplicates")}
@@ -225,7 +225,8 @@
 	return duplicates
 }
 
-// duplicatesOfClient is how many duplicates the program makes for a client by TLS, that of gnet among them.
+// duplicatesOfClient is how many duplicates the program makes for a client by TLS: of the accepted socket, of both ends
+// of the pair, and three of the end that the loop takes over, the last of which is gnet's.
 const duplicatesOfClient = 6
 
 // TestTLSListenerSurvivesExhaustedDescriptors guards against clients by TLS that lose their connection as one of the
@@ -246,3 +247,20 @@
 		})
 	}
 }
+
+// TestTLSListenerTellsOfLostClients: a duplicate is refused for good. The log says why the client has lost its
+// connection.
+func TestTLSListenerTellsOfLostClients(t *testing.T) {
+	for first := range duplicatesOfClient {
+		t.Run(strconv.Itoa(first+1), func(t *testing.T) {
+			t.Parallel()
+			bed := newTLSTestbed(t, nil)
+			duplicates := bed.startWithDuplicates("EIO")
+			duplicates.begin(strings.Repeat("-", first) + "x-")
+			if conn, err := tls.Dial("tcp", bed.tlsAddress, bed.clientConfig("lane4.lanes.test")); err == nil {
+				expectClosed(t, "a client whose duplicate was refused", conn)
+			}
+			bed.waitLogMatches(`event=\S+ .*input/output error`)
+		})
+	}
+}
