Close a connection by TLS whose client was given up before the loop had it

Callers saw: a client by TLS whose request had neither an answer nor an end for as long as it waited, where the watch of its connection was refused for two seconds. Its descriptors were held as long, outside of the limits. Cause: authenticator.adopt counts the client before Loop.Adopt has it, so the limiter gives it up as one that has sent nothing (connlimit.MessageTimeout). rpc.connection.close had no connection to close then, and Opened did not look; Received swallows whatever comes. Evidence: TestTLSClientGivenUpBeforeItsWatchIsTold had nothing within 10 s before the change. Change: Opened closes the connection of a client that was given up. Why it works: a closed client is in no queue of the limiter and has no open request, so its connection is of no use. That the client is given up after two seconds without a watch stays.

--- a/internal/frontend/rpc/connection.go
+++ b/internal/frontend/rpc/connection.go
@@ -43,8 +43,13 @@
 	return c
 }
 
-// Opened records the event loop's connection.
-func (c *connection) Opened(conn *eventloop.Conn) { c.conn = conn }
+// Opened records the event loop's connection. Its client may have been given up by now, where it was long in coming.
+func (c *connection) Opened(conn *eventloop.Conn) {
+	c.conn = conn
+	if c.closed {
+		conn.Close()
+	}
+}
 
 // Closed cancels all that is open.
 func (c *connection) Closed(*eventloop.Conn, error) { c.close() }
--- a/test/tls_test.go
+++ b/test/tls_test.go
@@ -1,7 +1,9 @@
 package test
 
 import (
+	"bytes"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +12,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"sloequay/internal/proxy/admin"
 )
 
 // TestTLSListener: who calls is told by its certificate, on a new connection and a resumed one; large answers come
@@ -264,3 +268,28 @@
 		})
 	}
 }
+
+// TestTLSClientGivenUpBeforeItsWatchIsTold guards against a connection that nobody closes and nobody answers: the proxy
+// has given the client up, as one that has said nothing, before the watch of its connection was taken.
+func TestTLSClientGivenUpBeforeItsWatchIsTold(t *testing.T) {
+	t.Parallel()
+	bed := newTLSTestbed(t, nil)
+	control := socketPath(t)
+	bed.addSettings("control " + control)
+	watches := refusal{bed: bed.testbed, name: "epoll_ctl_add/" + gnetPoller, path: filepath.Join(t.TempDir(), "watches")}
+	bed.startWithFaults(watches.name + "=ENOMEM?" + watches.path)
+	watches.begin("")
+	client := bed.dialTLS(bed.clientConfig("lane4.lanes.test"))
+	client.send(request(1, "lookup", nil, ""))
+	watches.wait(1)
+	bed.waitUntil("the client is given up", func() bool {
+		var state bytes.Buffer
+		return admin.Query(&state, control, "state") == nil && strings.HasPrefix(state.String(), "clients 0\n")
+	})
+	watches.end()
+	_ = client.conn.SetReadDeadline(time.Now().Add(waitLimit))
+	var timeout net.Error
+	if _, err := client.conn.Read(make([]byte, 1)); errors.As(err, &timeout) && timeout.Timeout() {
+		t.Errorf("neither an answer nor the end of the connection for %v, want one", waitLimit)
+	}
+}
