Bound the descriptors of a connection whose watches the system refuses to end

Callers saw: nothing yet. A connection whose watch gnet's poller refuses, while Go's poller refuses to end its own, took one descriptor more with each try: 26 after 30 tries, 34 after 40, in review. Cause: a further duplicate occupies each number whose watch remains (EEXIST), and nothing bounded them. Change: four of them are the most; then the connection is closed, with its cause in the log. Why it works: each try takes at most one, and the sockets pending are bounded already.

--- a/internal/eventloop/accept.go
+++ b/internal/eventloop/accept.go
@@ -10,7 +10,7 @@
 
 const (
 	// maxPendingAccepts is how many accepted connections an address may have that the loop has not taken yet. Each has
-	// up to three descriptors: its own, that of Go's poller and that of gnet.
+	// up to three descriptors: its own, that of Go's poller and that of gnet (see also socket.Socket).
 	maxPendingAccepts = 4
 	minAcceptPause    = 5 * time.Millisecond // after an accept that failed
 	maxAcceptPause    = 100 * time.Millisecond
--- a/internal/eventloop/eventloop_test.go
+++ b/internal/eventloop/eventloop_test.go
@@ -95,7 +95,7 @@
 		}
 		on(func() { left = l.UnsentBytes() })
 	}
-	on(func() { // what gnet holds may go out as the connection ends
+	on(func() { // what waits may go out as the connection ends
 		written, flushed := k.conn.Written(), k.conn.Flushed()
 		if written != much || flushed > uint64(much-left) && l.UnsentBytes() == left {
 			t.Errorf("written %d, flushed %d of %d with %d left, want all written", written, flushed, much, left)
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -19,8 +19,9 @@
 
 // Loop is the one event loop. All methods but Post, Adopt and Stop must be called on it; none but Adopt blocks.
 //
-// Beside it run: the goroutine of each acceptor, which Run ends and waits for; that of each dial, which ends by the
-// dial's own time-out and is not waited for; and that of Stop.
+// Beside it run: the goroutines of each acceptor, one that accepts and one for each connection that the loop has not
+// taken yet, which Run ends and waits for; that of each dial, which ends by the dial's own time-out and is not waited
+// for; that of the start; and that of Stop. Timers post to the loop.
 type Loop struct {
 	gnet.BuiltinEventEngine
 	Memory int // bytes that the program may use, of which the bounds below are parts; set by Run's start
--- a/internal/eventloop/socket/local.go
+++ b/internal/eventloop/socket/local.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	startRetryPause = 20 * time.Millisecond
-	startRetryLimit = 5 * time.Second // after which what should pass is taken to stay
+	localRetryPause = 20 * time.Millisecond
+	localRetryLimit = 5 * time.Second // after which what should pass is taken to stay
 )
 
 // localErrors are how system calls on sockets fail for want of something on this machine. None says anything of the
@@ -27,14 +27,14 @@
 }
 
 // RetryLocal blocks and calls try until it succeeds, fails for another reason than one that IsLocal or a route that is
-// missing, or startRetryLimit is over.
+// missing, or localRetryLimit is over.
 func RetryLocal(try func() error) error {
 	began := time.Now()
 	for {
 		err := try()
-		if err == nil || !IsLocal(err) && !errors.Is(err, unix.ENETUNREACH) || time.Since(began) > startRetryLimit {
+		if err == nil || !IsLocal(err) && !errors.Is(err, unix.ENETUNREACH) || time.Since(began) > localRetryLimit {
 			return err
 		}
-		time.Sleep(startRetryPause)
+		time.Sleep(localRetryPause)
 	}
 }
--- a/internal/eventloop/socket/socket.go
+++ b/internal/eventloop/socket/socket.go
@@ -20,6 +20,12 @@
 // errNotWatched says that Go's poller could not watch the listening socket.
 var errNotWatched = fmt.Errorf("the listening socket could not be watched: %w", unix.ENOMEM)
 
+// maxOccupied is how many further descriptors a socket may take while the system refuses to end watches.
+const maxOccupied = 4
+
+// errWatchesRemain says that the system has refused to end more watches of a socket than it may take descriptors for.
+var errWatchesRemain = errors.New("too many watches of the connection could not be ended")
+
 // ErrPeerLeft says that the peer has reset the connection before anybody took it.
 var ErrPeerLeft = errors.New("the peer has left")
 
@@ -80,33 +86,34 @@
 // Close ends the listener, and an Accept that waits.
 func (l *Listener) Close() error { return l.file.Close() }
 
-// Socket is an open connection that nothing watches. It is not safe for concurrent use.
+// Socket is an open connection of which duplicates are watched and the socket itself need not be. It is not safe for
+// concurrent use.
 type Socket struct {
-	// files has the socket, and further duplicates of it that occupy descriptor numbers: see Conn.
-	files []*os.File
+	file     *os.File
+	occupied []*os.File // duplicates that keep their numbers from others: see Conn
 }
 
 // New makes a Socket of a file, which is its own from then on.
-func New(file *os.File) *Socket { return &Socket{files: []*os.File{file}} }
+func New(file *os.File) *Socket { return &Socket{file: file} }
 
 // Close closes the socket. Connections that were made of it stay.
 func (s *Socket) Close() error {
-	var errs []error
-	for _, file := range s.files {
+	errs := []error{s.file.Close()}
+	for _, file := range s.occupied {
 		errs = append(errs, file.Close())
 	}
 	return errors.Join(errs...)
 }
 
 // Conn makes a connection of a duplicate of the socket, which Go's poller watches. Where that fails, the socket can be
-// tried again. Its errors are those of the system calls, and ErrPeerLeft.
+// tried again, for an error that IsLocal. Others are ErrPeerLeft, and that too many watches remain.
 func (s *Socket) Conn() (net.Conn, error) {
-	conn, err := net.FileConn(s.files[0])
+	conn, err := net.FileConn(s.file)
 	for errors.Is(err, unix.EEXIST) {
 		// An earlier duplicate had the same number, and epoll has refused to end its watch, which lasts as long as the
 		// socket. A further duplicate keeps that number from being given again.
 		if err = s.occupyNumber(); err == nil {
-			conn, err = net.FileConn(s.files[0])
+			conn, err = net.FileConn(s.file)
 		}
 	}
 	if err != nil {
@@ -123,10 +130,13 @@
 
 // occupyNumber duplicates the socket into the lowest number that is free.
 func (s *Socket) occupyNumber() error {
-	duplicate, err := unix.FcntlInt(s.files[0].Fd(), unix.F_DUPFD_CLOEXEC, 0)
+	if len(s.occupied) == maxOccupied {
+		return errWatchesRemain
+	}
+	duplicate, err := unix.FcntlInt(s.file.Fd(), unix.F_DUPFD_CLOEXEC, 0)
 	if err != nil {
 		return os.NewSyscallError("fcntl", err)
 	}
-	s.files = append(s.files, os.NewFile(uintptr(duplicate), "occupied"))
+	s.occupied = append(s.occupied, os.NewFile(uintptr(duplicate), "occupied"))
 	return nil
 }
--- a/test/watches_test.go
+++ b/test/watches_test.go
@@ -182,6 +182,27 @@
 	expectServed(bed.sendFirst())
 }
 
+// TestWatchesThatRemainHoldFewDescriptors guards against descriptors that grow for as long as the system refuses both
+// to watch a connection and to end a watch. The connection ends with a line in the log, and a later one is served.
+func TestWatchesThatRemainHoldFewDescriptors(t *testing.T) {
+	t.Parallel()
+	bed := newWatchedTestbed(t, nil)
+	before := bed.openDescriptors()
+	bed.remove.begin("")
+	bed.add[gnetPoller].begin("")
+	client := bed.sendFirst()
+	bed.waitLogMatches("event=accept-failed .*too many watches of the connection could not be ended")
+	if answer, err := client.read(); err == nil {
+		t.Errorf("answer %+v, want the connection closed", answer)
+	}
+	bed.remove.end()
+	bed.add[gnetPoller].end()
+	later := bed.sendFirst()
+	expectServed(later)
+	_ = later.conn.Close()
+	bed.waitUntil("the descriptors of both are closed", func() bool { return bed.openDescriptors() <= before })
+}
+
 // TestRefusedWatchesHoldAsManyAsMayWait guards against refused connections that take the places of later ones for good,
 // or lose them: more clients connect than may wait for the loop, twice.
 func TestRefusedWatchesHoldAsManyAsMayWait(t *testing.T) {
