Test the operators' socket with each socket of the start refused in turn

Seen in a review: ENFILE on the socket call of the operators' socket, or of the dial that looks whether another process has it, left the proxy without it, as the file of a killed process stood in the way.

--- a/test/syscalls_test.go
+++ b/test/syscalls_test.go
@@ -1,9 +1,15 @@
 package test
 
 import (
+	"bytes"
+	"fmt"
+	"net"
 	"os"
 	"path/filepath"
+	"strconv"
 	"testing"
+
+	"sloequay/internal/proxy/admin"
 )
 
 // TestSurvivesFailedAccepts: accept fails in each documented way for a moment, before the first client and between
@@ -77,6 +83,31 @@
 	}
 }
 
+// TestOpensControlSocketDespiteFailedCalls: the system has no descriptor for a moment for one of the sockets that the
+// start makes, in turn. Another process was killed and has left its socket's file, which stands in the way.
+func TestOpensControlSocketDespiteFailedCalls(t *testing.T) {
+	const sockets = 12 // that the start makes
+	for call := range sockets {
+		t.Run(strconv.Itoa(call+1), func(t *testing.T) {
+			t.Parallel()
+			bed := newTestbed(t, nil)
+			path := socketPath(t)
+			stale, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			stale.SetUnlinkOnClose(false)
+			_ = stale.Close()
+			bed.addSettings("control " + path)
+			bed.startWithFaults(fmt.Sprintf("socket=ENFILE@%d-%d", call+1, call+1))
+			bed.waitUntil("the socket answers", func() bool {
+				var state bytes.Buffer
+				return admin.Query(&state, path, "state") == nil && state.Len() > 0
+			})
+		})
+	}
+}
+
 // TestSnapshotIsWrittenOnceTheDiskIsBack: the disk fails while the snapshot is written, and nothing changes afterwards.
 // What the proxy was to keep is kept as soon as the disk works again.
 func TestSnapshotIsWrittenOnceTheDiskIsBack(t *testing.T) {
