--- a/internal/drill/audit_requests.go
+++ b/internal/drill/audit_requests.go
@@ -66,8 +66,8 @@
 func (r *Request) describeEnd() string {
 	switch r.Outcome {
 	case OutcomeDisconnected:
-		return fmt.Sprintf("its connection ended at %.3f s, closed at %.3f s: %s, the first of it %v, not sent again as %s",
-			r.EndedAt.Seconds(), r.ClosedAt.Seconds(), r.EndError, r.FirstOfConn, r.ResendRefusal)
+		const form = "its connection ended at %.3f s, closed at %.3f s: %s, the first of it %v, not sent again as %s"
+		return fmt.Sprintf(form, r.EndedAt.Seconds(), r.ClosedAt.Seconds(), r.EndError, r.FirstOfConn, r.ResendRefusal)
 	case OutcomeUnanswered:
 		return "no answer came"
 	}
--- a/internal/drill/client_conn_test.go
+++ b/internal/drill/client_conn_test.go
@@ -70,7 +70,7 @@
 		killFirst   bool          // SIGKILL is sent before the close, and not after it
 		want        ResendRefusal
 	}{
-		{name: "it crosses the close, of which its client learns after SIGKILL", beforeClose: soon, want: RefusedNoProxy},
+		{name: "it crosses the close, learned of after SIGKILL", beforeClose: soon, want: RefusedNoProxy},
 		{name: "the same, and it comes just after the close", afterClose: soon, want: RefusedNoProxy},
 		{name: "SIGKILL closes the connection", beforeClose: soon, killFirst: true, want: RefusedDisorderly},
 		{name: "the proxy has it when it closes the connection", beforeClose: late, want: RefusedTooLate},
--- a/test/idle_test.go
+++ b/test/idle_test.go
@@ -110,8 +110,8 @@
 	})
 }
 
-// TestRefusedWatchOfNoticesDoesNotSpin guards against a goroutine that asks without end for notices of changed files, as
-// the system had no memory for a moment to watch where they come from. Each fault draws other calls that fail.
+// TestRefusedWatchOfNoticesDoesNotSpin guards against a goroutine that asks without end for notices of changed files,
+// as the system had no memory for a moment to watch where they come from. Each fault draws other calls that fail.
 func TestRefusedWatchOfNoticesDoesNotSpin(t *testing.T) {
 	for _, errno := range []string{"ENOMEM", "ENFILE", "ENOBUFS", "EMFILE"} {
 		t.Run(errno, func(t *testing.T) {
--- a/test/tls_test.go
+++ b/test/tls_test.go
@@ -276,7 +276,7 @@
 	bed := newTLSTestbed(t, nil)
 	control := socketPath(t)
 	bed.addSettings("control " + control)
-	watches := refusal{bed: bed.testbed, name: "epoll_ctl_add/" + gnetPoller, path: filepath.Join(t.TempDir(), "watches")}
+	watches := newRefusal(bed.testbed, "epoll_ctl_add/"+gnetPoller)
 	bed.startWithFaults(watches.name + "=ENOMEM?" + watches.path)
 	watches.begin("")
 	client := bed.dialTLS(bed.clientConfig("lane4.lanes.test"))
--- a/test/watches_test.go
+++ b/test/watches_test.go
@@ -152,8 +152,8 @@
 	}
 }
 
-// TestWatchesBeyondTheUsersLimitAreTriedAgain: the user that the program runs as has as many watches as the system allows
-// one (max_user_watches), until others end.
+// TestWatchesBeyondTheUsersLimitAreTriedAgain: the user that the program runs as has as many watches as the system
+// allows one (max_user_watches), until others end.
 func TestWatchesBeyondTheUsersLimitAreTriedAgain(t *testing.T) {
 	for _, poller := range bothPollers {
 		t.Run(poller, func(t *testing.T) {
