--- a/internal/eventloop/accept.go
+++ b/internal/eventloop/accept.go
@@ -121,7 +121,7 @@
 
 // awaitTaken frees the place of a connection once the loop has taken it, or has ended.
 func (a *acceptor) awaitTaken(conn *Conn, accepted *socket.Socket) {
-	err := a.loop.enrollHeld(conn, accepted, a.closed)
+	err := a.loop.enrollSocket(conn, accepted, a.closed)
 	_ = accepted.Close()
 	<-a.places
 	if err != nil {
--- a/internal/eventloop/enroll.go
+++ b/internal/eventloop/enroll.go
@@ -44,19 +44,19 @@
 	if err != nil {
 		return err
 	}
-	held := socket.New(file)
-	defer held.Close()
-	return l.enrollHeld(&Conn{handler: handler, loop: l, origin: adoptedConn}, held, nil)
+	unwatched := socket.New(file)
+	defer unwatched.Close()
+	return l.enrollSocket(&Conn{handler: handler, loop: l, origin: adoptedConn}, unwatched, nil)
 }
 
-// enrollHeld has the loop take over a socket, and waits until that is done. Both Go's poller and gnet close the
+// enrollSocket has the loop take over a socket, and waits until that is done. Both Go's poller and gnet close the
 // duplicate that they can't watch, so the socket itself is held by the caller until then, and is tried again after a
 // pause that grows: nothing that its peer has sent is lost. It gives up when stop is closed or the loop has ended, and
 // for an error that does not pass.
-func (l *Loop) enrollHeld(c *Conn, held *socket.Socket, stop <-chan struct{}) error {
+func (l *Loop) enrollSocket(c *Conn, unwatched *socket.Socket, stop <-chan struct{}) error {
 	pause := minWatchPause
 	for {
-		conn, err := held.Conn()
+		conn, err := unwatched.Conn()
 		if err == nil {
 			err = l.enroll(c, conn, stop)
 		}
--- a/internal/eventloop/write.go
+++ b/internal/eventloop/write.go
@@ -26,7 +26,7 @@
 	maxWritePause = 32 * time.Millisecond
 )
 
-// unsentBuffer is what was to be written to a connection and the system has not taken. It is kept here and not in gnet,
+// unsentBuffer is what was to be written to a connection and the system has not taken. It is remaining here and not in gnet,
 // which has epoll tell when the system takes more, and closes the connection where epoll refuses.
 type unsentBuffer struct {
 	data  []byte
@@ -36,8 +36,8 @@
 // len is the number of bytes that are left.
 func (b *unsentBuffer) len() int { return len(b.data) - b.taken }
 
-// add leaves more bytes, and reports whether it keeps their buffer.
-func (b *unsentBuffer) add(data []byte) (isKept bool) {
+// add leaves more bytes, and reports whether it takes over their buffer.
+func (b *unsentBuffer) add(data []byte) (isTakenOver bool) {
 	if b.len() == 0 {
 		b.data = data
 		b.taken = 0
@@ -160,7 +160,7 @@
 func (l *Loop) retryWrites() {
 	l.writeRetryAt = time.Time{}
 	now := time.Now()
-	kept := 0
+	remaining := 0
 	for i := 0; i < len(l.slowReaders); i++ { // closing one may make another slow
 		conn := l.slowReaders[i]
 		if !conn.retryAt.After(now) {
@@ -170,12 +170,12 @@
 			conn.isSlowReader = false
 			continue
 		}
-		l.slowReaders[kept] = conn
-		kept++
+		l.slowReaders[remaining] = conn
+		remaining++
 		l.retryWritesAfter(max(minWritePause, conn.retryAt.Sub(now)))
 	}
-	clear(l.slowReaders[kept:])
-	l.slowReaders = l.slowReaders[:kept]
+	clear(l.slowReaders[remaining:])
+	l.slowReaders = l.slowReaders[:remaining]
 }
 
 // retryWrite writes again to a slow reader, and says when it is due next. What this round has left for it waits for the
--- a/internal/eventloop/write_test.go
+++ b/internal/eventloop/write_test.go
@@ -112,8 +112,8 @@
 				buffer.taken += taken
 				model = model[taken:]
 				buffer.trim()
-				if held := cap(buffer.data); held > maxIdleBuffer && held > 2*trimDivisor*buffer.len() {
-					t.Fatalf("it holds %d bytes for %d", held, buffer.len())
+				if size := cap(buffer.data); size > maxIdleBuffer && size > 2*trimDivisor*buffer.len() {
+					t.Fatalf("it holds %d bytes for %d", size, buffer.len())
 				}
 			}
 			if !bytes.Equal(buffer.data[buffer.taken:], model) {
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -21,9 +21,9 @@
 	maxPartEndpoints = 500
 	// fleetStepInterval is the time between two steps of the machine without an event.
 	fleetStepInterval = 100 * time.Millisecond
-	// maxTransportTries is how often the transport is opened at the start, before it is done without.
-	maxTransportTries = 5
-	transportTryPause = 20 * time.Millisecond
+	// maxTransportAttempts is how often the transport is opened at the start, before it is done without.
+	maxTransportAttempts = 5
+	transportRetryPause  = 20 * time.Millisecond
 	// announceTimeout is how long the announcement of a shutdown may take; the proxy serves for at least twice as
 	// long.
 	announceTimeout = 450 * time.Millisecond
@@ -70,8 +70,8 @@
 		Bind:        settings.bindAddress(),
 	}
 	opened, err := transport.Open(*settings.Peers, self, f)
-	for tries := 1; err != nil && tries < maxTransportTries; tries++ {
-		time.Sleep(transportTryPause) // memberlist's errors don't tell what passes from what stays
+	for attempts := 1; err != nil && attempts < maxTransportAttempts; attempts++ {
+		time.Sleep(transportRetryPause) // memberlist's errors don't tell what passes from what stays
 		opened, err = transport.Open(*settings.Peers, self, f)
 	}
 	if err != nil {
--- a/test/doors_test.go
+++ b/test/listeners_test.go
@@ -17,26 +17,26 @@
 )
 
 // The system may have no memory, for a moment, to watch a connection (epoll_ctl). These tests say what callers may
-// expect meanwhile and afterwards, at each door of the program.
+// expect meanwhile and afterwards, at each listener of the program.
 
-// startWatches is at least how many watches the program adds until every door is open; refusedTogether is how many in
-// a row are refused in one run. Their order differs a little from run to run.
+// startWatches is at least how many watches the program adds until all its listeners are open; refusedTogether is how
+// many in a row are refused in one run. Their order differs a little from run to run.
 const (
 	startWatches    = 28
 	refusedTogether = 3
 )
 
-// doorsTestbed has every door of the program open.
-type doorsTestbed struct {
+// listenersTestbed has every listener of the program open.
+type listenersTestbed struct {
 	*tlsTestbed
 	adminSocket string
 }
 
-func newDoorsTestbed(t *testing.T) *doorsTestbed {
+func newListenersTestbed(t *testing.T) *listenersTestbed {
 	t.Helper()
 	secure := &tlsTestbed{testbed: newTestbed(t, nil), authority: newAuthority(t)}
 	secure.enableTLS("unsigned staff")
-	bed := &doorsTestbed{tlsTestbed: secure, adminSocket: socketPath(t)}
+	bed := &listenersTestbed{tlsTestbed: secure, adminSocket: socketPath(t)}
 	bed.enableDNS("")
 	bed.addSettings("control " + bed.adminSocket)
 	keyFile := filepath.Join(t.TempDir(), "peers.key")
@@ -45,24 +45,24 @@
 	return bed
 }
 
-// door is one way into the program.
-type door struct {
+// entryPoint is one way into the program.
+type entryPoint struct {
 	name string
 	// connect connects, without waiting for the program. The function that it gives goes on from there: it asks, and
 	// says what is wrong with the answer.
-	connect func(bed *doorsTestbed) (ask func() error, err error)
+	connect func(bed *listenersTestbed) (ask func() error, err error)
 	// mayAskAgain is whether a caller has lost nothing with its connection: it has sent nothing that counts.
 	mayAskAgain bool
 }
 
-var doors = []door{
+var entryPoints = []entryPoint{
 	{"clients", connectClient, false},
 	{"DNS over TCP", connectDNS, false},
 	{"TLS", connectTLS, true},
 	{"operators", connectOperator, true},
 }
 
-func connectClient(bed *doorsTestbed) (func() error, error) {
+func connectClient(bed *listenersTestbed) (func() error, error) {
 	conn, err := emulator.Dial(bed.address)
 	if err != nil {
 		return nil, err
@@ -83,7 +83,7 @@
 	return err
 }
 
-func connectDNS(bed *doorsTestbed) (func() error, error) {
+func connectDNS(bed *listenersTestbed) (func() error, error) {
 	conn, err := net.Dial("tcp", bed.dnsAddress)
 	if err != nil {
 		return nil, err
@@ -103,7 +103,7 @@
 	}, nil
 }
 
-func connectTLS(bed *doorsTestbed) (func() error, error) {
+func connectTLS(bed *listenersTestbed) (func() error, error) {
 	raw, err := net.Dial("tcp", bed.tlsAddress)
 	if err != nil {
 		return nil, err
@@ -112,7 +112,7 @@
 	return func() error { return askLookup(emulator.NewClient(tls.Client(raw, config))) }, nil
 }
 
-func connectOperator(bed *doorsTestbed) (func() error, error) {
+func connectOperator(bed *listenersTestbed) (func() error, error) {
 	conn, err := net.Dial("unix", bed.adminSocket)
 	if err != nil {
 		return nil, err
@@ -132,64 +132,64 @@
 }
 
 // ask connects and asks.
-func (d *door) ask(bed *doorsTestbed) error {
-	ask, err := d.connect(bed)
+func (e *entryPoint) ask(bed *listenersTestbed) error {
+	ask, err := e.connect(bed)
 	if err != nil {
 		return err
 	}
 	return ask()
 }
 
-// TestDoorsSurviveRefusedWatches: the system refuses to watch a connection that came by a door, for a moment. Where its
-// caller may have sent a request, it is served all the same; where not, the log says why it was closed. Who comes
+// TestListenersSurviveRefusedWatches: the system refuses to watch a connection that was accepted, for a moment. Where
+// its caller may have sent a request, it is served all the same; where not, the log says why it was closed. Who comes
 // afterwards is served.
-func TestDoorsSurviveRefusedWatches(t *testing.T) {
+func TestListenersSurviveRefusedWatches(t *testing.T) {
 	t.Parallel()
-	for _, d := range doors {
-		t.Run(d.name, func(t *testing.T) {
+	for _, entry := range entryPoints {
+		t.Run(entry.name, func(t *testing.T) {
 			t.Parallel()
-			bed := newDoorsTestbed(t)
+			bed := newListenersTestbed(t)
 			watches := newRefusal(bed.testbed, "epoll_ctl_add")
 			bed.startWithFaults(watches.fault("ENOMEM"))
-			if err := d.ask(bed); err != nil {
+			if err := entry.ask(bed); err != nil {
 				t.Fatalf("before the fault: %v, want an answer", err)
 			}
 			watches.begin("")
-			ask, err := d.connect(bed)
+			ask, err := entry.connect(bed)
 			if err != nil {
 				t.Fatal(err)
 			}
 			watches.wait(1)
 			watches.end()
 			if err := ask(); err != nil {
-				if !d.mayAskAgain {
+				if !entry.mayAskAgain {
 					t.Errorf("the caller that was refused: %v, want an answer", err)
 				}
 				bed.waitLogMatches("event=accept-failed .*cannot allocate memory")
 			}
-			if err := d.ask(bed); err != nil {
+			if err := entry.ask(bed); err != nil {
 				t.Errorf("a caller that came afterwards: %v, want an answer", err)
 			}
 		})
 	}
 }
 
-// TestDoorsOpenDespiteRefusedWatches: the system refuses some of the watches that the start needs. Each door that the
-// settings name is open all the same.
-func TestDoorsOpenDespiteRefusedWatches(t *testing.T) {
+// TestListenersOpenDespiteRefusedWatches: the system refuses some of the watches that the start needs. Each listener
+// that the settings name is open all the same.
+func TestListenersOpenDespiteRefusedWatches(t *testing.T) {
 	t.Parallel()
 	for n := 1; n <= startWatches; n += refusedTogether {
 		t.Run(fmt.Sprint("watch ", n), func(t *testing.T) {
 			t.Parallel()
-			bed := newDoorsTestbed(t)
+			bed := newListenersTestbed(t)
 			bed.startWithFaults(fmt.Sprintf("epoll_ctl_add=ENOMEM@%d-%d", n, n+refusedTogether-1))
 			bed.waitUntil("all are refused", func() bool {
-				_ = doors[0].ask(bed) // adds further ones
+				_ = entryPoints[0].ask(bed) // adds further ones
 				return bed.timesLogged(refusedText("epoll_ctl_add")) == refusedTogether
 			})
-			for _, d := range doors {
-				if err := d.ask(bed); err != nil {
-					t.Errorf("%s: %v, want an answer", d.name, err)
+			for _, entry := range entryPoints {
+				if err := entry.ask(bed); err != nil {
+					t.Errorf("%s: %v, want an answer", entry.name, err)
 				}
 			}
 			if bed.logged("peer-transport-failed") {
