--- a/internal/eventloop/write.go
+++ b/internal/eventloop/write.go
@@ -26,7 +26,7 @@
 	maxWritePause = 32 * time.Millisecond
 )
 
-// unsentBuffer is what was to be written to a connection and the system has not taken. It is remaining here and not in gnet,
+// unsentBuffer is what was to be written to a connection and the system has not taken. It stays here and not in gnet,
 // which has epoll tell when the system takes more, and closes the connection where epoll refuses.
 type unsentBuffer struct {
 	data  []byte
