Keep the hint of a peer apart from what sources report themselves

What callers saw: after a hint, a list that one peer alone has told, true endpoints got no requests: another id at their address had replaced them, or they counted as just started once the list service answered.

Cause: the table of endpoints took a hint for a list of the source. It was compared by address with what other sources name, came first in describing an endpoint, made the source count as heard and as having reported, filled the table, and was exported.

Change: List.Unconfirmed, point 6 of the rule. Such reports count only where no source has a confirmed one, claim no address and take no room from those, are not exported, and are withdrawn by the source's first complete list without doubt; that list still counts as the first. Endpoints of peers that the settings do not describe are left out and counted in peer-endpoints-rejected; a negative zone was an index out of range.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -93,11 +93,12 @@
 	"catalogue-deregistered":        zap.InfoLevel,
 	"catalogue-registration-failed": zap.WarnLevel,
 
-	"bootstrap":             zap.InfoLevel,
-	"peer-joined":           zap.InfoLevel,
-	"peer-left":             zap.InfoLevel,
-	"peer-rejected":         zap.WarnLevel,
-	"peer-transport-failed": zap.ErrorLevel,
+	"bootstrap":               zap.InfoLevel,
+	"peer-joined":             zap.InfoLevel,
+	"peer-left":               zap.InfoLevel,
+	"peer-rejected":           zap.WarnLevel,
+	"peer-endpoints-rejected": zap.WarnLevel,
+	"peer-transport-failed":   zap.ErrorLevel,
 
 	"audit":                zap.WarnLevel,
 	"keys-loaded":          zap.InfoLevel,
--- a/internal/membership/addresses.go
+++ b/internal/membership/addresses.go
@@ -5,7 +5,11 @@
 	"slices"
 )
 
-// addressIndex holds the records at each address, in the order in which they claimed it.
+// confirmedClaim is set in the claim sequence of a record with a confirmed report.
+const confirmedClaim = 1 << 63
+
+// addressIndex holds the records at each address: first those without a confirmed report, then the others, each in the
+// order in which they claimed the address. So a record without a confirmed report never replaces one that has one.
 type addressIndex struct {
 	records   map[string][]*endpointRecord
 	lastClaim uint64
@@ -23,19 +27,26 @@
 	return records[len(records)-1]
 }
 
-// append adds a record as the latest at its address.
-func (x *addressIndex) append(r *endpointRecord) {
+// add adds a record as the latest of its sort at its address.
+func (x *addressIndex) add(r *endpointRecord) {
 	x.lastClaim++
 	r.claimSequence = x.lastClaim
-	x.records[r.address] = append(x.records[r.address], r)
+	if r.isConfirmed() {
+		r.claimSequence |= confirmedClaim
+	}
+	records := x.records[r.address]
+	i, _ := slices.BinarySearchFunc(records, r.claimSequence, compareClaim)
+	x.records[r.address] = slices.Insert(records, i, r)
+}
+
+func compareClaim(r *endpointRecord, sequence uint64) int {
+	return cmp.Compare(r.claimSequence, sequence)
 }
 
 // remove removes a record from its address, if it is there.
 func (x *addressIndex) remove(r *endpointRecord) {
 	records := x.records[r.address]
-	i, found := slices.BinarySearchFunc(records, r.claimSequence, func(other *endpointRecord, sequence uint64) int {
-		return cmp.Compare(other.claimSequence, sequence)
-	})
+	i, found := slices.BinarySearchFunc(records, r.claimSequence, compareClaim)
 	if found && records[i] == r {
 		x.records[r.address] = slices.Delete(records, i, i+1)
 	}
@@ -48,15 +59,15 @@
 	t.claimAddress(r)
 }
 
-// claimAddress makes an endpoint the latest to claim its address. Only the previous latest is re-evaluated: those
-// before it are replaced already. A faulty list may contain thousands of endpoints at one address, and re-evaluating
-// all of them for each claim would block the event loop for seconds.
+// claimAddress makes an endpoint the latest of its sort to claim its address. Only the previous latest is re-evaluated:
+// those before it are replaced already. A faulty list may contain thousands of endpoints at one address, and
+// re-evaluating all of them for each claim would block the event loop for seconds.
 func (t *Table) claimAddress(r *endpointRecord) {
 	t.addresses.remove(r)
 	if replaced := t.addresses.latest(r.address); replaced != nil && !replaced.queued {
 		t.pending.pushRestricting(replaced)
 	}
-	t.addresses.append(r)
+	t.addresses.add(r)
 }
 
 // releaseAddress removes an endpoint from its address. Only the latest of the remaining endpoints is re-evaluated; if
--- a/internal/membership/apply.go
+++ b/internal/membership/apply.go
@@ -6,21 +6,32 @@
 type sourceUpdate struct {
 	now     time.Duration
 	source  int
-	initial bool // whether the source had no reports before
+	initial bool // whether the source had no reports before, apart from unconfirmed ones
+	// unconfirmed is set if the reports are, see point 6 of the rule.
+	unconfirmed bool
 }
 
 // applyReport applies a source's report on an endpoint.
 func (t *Table) applyReport(update sourceUpdate, record *endpointRecord, received *Endpoint) {
 	state := &t.sources[update.source]
 	current := &record.reports[update.source]
-	if current.present && current.endpoint == *received {
+	if current.present && !current.unconfirmed && update.unconfirmed {
+		return // the first part of the source's own list came before
+	}
+	if current.present && current.unconfirmed == update.unconfirmed && current.endpoint == *received {
 		return
 	}
 	previous := *current
+	before := previous.unconfirmedCount()
 	if !previous.present {
 		state.endpoints++
 	}
+	if previous.unconfirmed {
+		previous = report{penalty: previous.penalty}
+	}
 	current.present = true
+	current.unconfirmed = update.unconfirmed
+	t.addUnconfirmed(update.source, current.unconfirmedCount()-before)
 	current.endpoint = *received
 	current.changedAt = update.now
 	current.startedAt = t.startTime(update, &previous, received)
@@ -31,6 +42,7 @@
 	if reregistered && hasAddress {
 		t.claimAddress(record)
 	}
+	t.adjustClaim(record)
 	t.reconsider(update.now, record)
 }
 
@@ -59,7 +71,7 @@
 		return // the endpoint is unknown, so there is nothing to remove
 	}
 	if record == nil {
-		record = t.add(change.ID)
+		record = t.add(update, change.ID)
 	}
 	if record == nil {
 		return // the table is full
@@ -123,6 +135,7 @@
 	}
 	state := &t.sources[source]
 	state.endpoints--
+	t.addUnconfirmed(source, -current.unconfirmedCount())
 	// The penalty is kept: an endpoint that is repeatedly deregistered and registered is flapping, too.
 	*current = report{
 		penalty:    current.penalty,
@@ -133,6 +146,7 @@
 		current.penalty.add(now, state.Damping.HalfLife)
 		t.due.add(dueTime{at: now + t.cfg.TombstoneTTL, record: record, source: source}) // forget the record then
 	}
+	t.adjustClaim(record)
 	t.reconsider(now, record)
 }
 
--- a/internal/membership/entry.go
+++ b/internal/membership/entry.go
@@ -96,6 +96,17 @@
 	return endpoint, nil
 }
 
+// Describes reports whether an endpoint that did not come from Names.Endpoint, such as one from a peer, is valid for
+// these settings.
+func (n Names) Describes(endpoint Endpoint) bool {
+	if endpoint.State == Gone {
+		return isID(endpoint.ID)
+	}
+	isKnownZone := 0 <= endpoint.Zone && endpoint.Zone < len(n.Zones)
+	isKnownKind := 0 <= endpoint.Kind && endpoint.Kind < len(n.Kinds)
+	return isID(endpoint.ID) && isAddress(endpoint.Address) && isKnownZone && isKnownKind && endpoint.State <= Up
+}
+
 // isID reports whether a text is valid as the ID of an endpoint, which must fit into a line of the wire protocols.
 func isID(id string) bool {
 	if id == "" || len(id) > maxIDBytes {
--- a/internal/membership/entry_test.go
+++ b/internal/membership/entry_test.go
@@ -47,3 +47,31 @@
 		}
 	}
 }
+
+// TestDescribes guards against endpoints of a peer that the settings do not describe, such as one in a negative zone,
+// which is an index out of range.
+func TestDescribes(t *testing.T) {
+	names := Names{Zones: []string{"a", "b"}, Kinds: []string{"k"}}
+	valid := Endpoint{ID: "e1", Address: "10.0.0.1:80", Zone: 1, State: Up}
+	for _, c := range []struct {
+		name   string
+		change func(e *Endpoint)
+		want   bool
+	}{
+		{"valid", func(*Endpoint) {}, true},
+		{"negative zone", func(e *Endpoint) { e.Zone = -1 }, false},
+		{"unknown zone", func(e *Endpoint) { e.Zone = 2 }, false},
+		{"negative kind", func(e *Endpoint) { e.Kind = -1 }, false},
+		{"unknown kind", func(e *Endpoint) { e.Kind = 1 }, false},
+		{"no address", func(e *Endpoint) { e.Address = "" }, false},
+		{"ID with a comma", func(e *Endpoint) { e.ID = "a,b" }, false},
+		{"unknown state", func(e *Endpoint) { e.State = Up + 1 }, false},
+		{"gone, by its ID alone", func(e *Endpoint) { *e = Endpoint{ID: "e1", Zone: -1, Kind: -1} }, true},
+	} {
+		endpoint := valid
+		c.change(&endpoint)
+		if got := names.Describes(endpoint); got != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/membership/export.go
+++ b/internal/membership/export.go
@@ -13,7 +13,8 @@
 	Endpoints []Endpoint    // without those that are gone; StartedAt as received or inferred
 }
 
-// Export returns the latest reports of all sources that have reported. Endpoints are in the order of the last list.
+// Export returns the latest reports of all sources that have reported, without unconfirmed ones: a restart must not
+// make a hint look like the source's own word. Endpoints are in the order of the last list.
 func (t *Table) Export() []SourceReport {
 	var reports []SourceReport
 	for source := range t.sources {
@@ -33,7 +34,7 @@
 	}
 	for _, r := range s.order {
 		current := &r.reports[source]
-		if !current.present || current.endpoint.State == Gone {
+		if !current.present || current.unconfirmed || current.endpoint.State == Gone {
 			continue
 		}
 		endpoint := current.endpoint
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -12,13 +12,13 @@
 	state := &t.sources[update.source]
 	state.generation++
 	pass := listPass{order: state.spareOrder[:0]}
-	hadReports := state.endpoints > 0
+	hadReports := state.confirmed() > 0
 	expected := 0
 	for i := range endpoints {
 		received := &endpoints[i]
 		record := t.lookUp(state, expected, received.ID)
 		if record == nil {
-			record = t.add(received.ID)
+			record = t.add(update, received.ID)
 		}
 		if record == nil {
 			continue // the table is full
@@ -28,7 +28,7 @@
 			t.notes.add(Note{Kind: DuplicateID, Source: update.source, Endpoint: received.ID})
 			continue
 		}
-		if current.present {
+		if current.present && !current.unconfirmed {
 			pass.known++
 			expected = current.position + 1
 		} else if hadReports {
--- a/internal/membership/loss.go
+++ b/internal/membership/loss.go
@@ -48,7 +48,7 @@
 	}
 	for _, record := range state.order {
 		current := &record.reports[update.source]
-		if !current.present || current.generation == state.generation {
+		if !current.present || current.unconfirmed || current.generation == state.generation {
 			continue
 		}
 		if successor := addedAt[current.endpoint.Address]; successor != nil {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -14,6 +14,9 @@
 //     Config.Sources, whose report counts and is not "gone". Its start is the latest that any counting report gives.
 //  5. An endpoint that would be up is draining if another endpoint that is not gone has claimed its address since. An
 //     endpoint claims an address when it appears there, moves there or is registered there again.
+//  6. Reports of an unconfirmed list count only while no source has a confirmed report on the endpoint, and such an
+//     endpoint claims no address from one with a confirmed report. The source's first complete list withdraws those
+//     that it lacks, as if they had never been there: they are no loss, and no endpoint counts as new because of them.
 //
 // Protections against a faulty source delay only losses by omission and upward transitions: a complete list that lacks
 // too many endpoints is suspected until a second answer confirms it, and an empty one never counts as a loss (both only
@@ -23,9 +26,10 @@
 // Invariants, after each call: no endpoint is published as up if a counting report on it is not up; the same calls
 // return the same changes in the same order.
 //
-// Bounds: a Table holds at most Config.MaxEndpoints endpoints and 64 notes. A list costs one comparison per endpoint;
-// only endpoints whose report differs are re-evaluated. When a source falls silent or returns, all its endpoints are
-// re-evaluated, unless no other source has reports.
+// Bounds: a Table holds at most Config.MaxEndpoints endpoints, apart from those with unconfirmed reports, and 64 notes.
+// Endpoints of unconfirmed lists are added only while the table holds fewer than Config.MaxEndpoints. A list costs one
+// comparison per endpoint; only endpoints whose report differs are re-evaluated. When a source falls silent or returns,
+// all its endpoints are re-evaluated, unless no other source has reports.
 package membership
 
 import (
@@ -43,6 +47,7 @@
 	due         dueTimes
 	refetch     []int // sources whose complete list must be fetched again
 	notes       noteBuffer
+	unconfirmed int // number of unconfirmed reports of all sources
 	overLimit   int // endpoints that the current call dropped because the table was full
 	revision    uint64
 	clockOffset time.Duration // added to a time to get Unix time
@@ -72,13 +77,19 @@
 // unless the loss is suspected. If several entries have the same ID, only the first is used.
 func (t *Table) ReplaceList(now time.Duration, source int, list List) {
 	state := &t.sources[source]
-	t.SourceSeen(now, source)
+	update := sourceUpdate{now: now, source: source, initial: !state.hasReported, unconfirmed: list.Unconfirmed}
+	if list.Unconfirmed {
+		if state.hasReported {
+			return
+		}
+	} else {
+		t.SourceSeen(now, source)
+		// An empty first list may come from an agent that has only just started. The next list still counts as the
+		// first one then, so that its endpoints do not count as just started.
+		state.hasReported = state.hasReported || !list.Part && len(list.Endpoints) > 0
+	}
 	state.version = list.Version
-	update := sourceUpdate{now: now, source: source, initial: !state.hasReported}
-	before := state.endpoints
-	// An empty first list may come from an agent that has only just started. The next list still counts as the first
-	// one then, so that its endpoints do not count as just started.
-	state.hasReported = state.hasReported || !list.Part && len(list.Endpoints) > 0
+	before := state.confirmed()
 	pass := t.applyList(update, list.Endpoints)
 	complete := !list.Incomplete && !list.Part
 	if pass.known == before {
@@ -86,6 +97,9 @@
 	} else if complete {
 		t.applyLosses(update, list, pass)
 	}
+	if complete && len(list.Endpoints) > 0 {
+		t.withdrawUnconfirmed(now, source)
+	}
 	if !complete || state.suspicion != nil {
 		pass.appendMissing(state, source)
 	}
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -12,6 +12,16 @@
 	claimSequence uint64   // orders the records at one address
 }
 
+// isReported reports whether any source has a report.
+func (r *endpointRecord) isReported() bool {
+	for i := range r.reports {
+		if r.reports[i].present {
+			return true
+		}
+	}
+	return false
+}
+
 // reportedByOther reports whether a source other than the given one has a report.
 func (r *endpointRecord) reportedByOther(source int) bool {
 	for i := range r.reports {
@@ -24,14 +34,15 @@
 
 // report is one source's report on an endpoint.
 type report struct {
-	present    bool
-	endpoint   Endpoint      // as received
-	startedAt  time.Duration // as received, or inferred because of Source.FirstSeenIsStart
-	changedAt  time.Duration
-	generation uint64 // sourceState.generation when the source last named the endpoint
-	position   int    // index in sourceState.order
-	tombstone  bool   // "gone" from a delta; stepReport withdraws it after Config.TombstoneTTL
-	penalty    penalty
+	present     bool
+	unconfirmed bool          // it comes from an unconfirmed list
+	endpoint    Endpoint      // as received
+	startedAt   time.Duration // as received, or inferred because of Source.FirstSeenIsStart
+	changedAt   time.Duration
+	generation  uint64 // sourceState.generation when the source last named the endpoint
+	position    int    // index in sourceState.order
+	tombstone   bool   // "gone" from a delta; stepReport withdraws it after Config.TombstoneTTL
+	penalty     penalty
 	// While suppressedUntil is set, the effective state is at most ceiling.
 	ceiling         State
 	suppressedUntil time.Duration
@@ -45,9 +56,14 @@
 	return r.endpoint.State
 }
 
-// add creates a record. It returns nil if the table is full.
-func (t *Table) add(id string) *endpointRecord {
-	if len(t.records) >= t.cfg.MaxEndpoints {
+// add creates a record for an update. It returns nil if the table is full. Unconfirmed reports take no room from
+// confirmed ones.
+func (t *Table) add(update sourceUpdate, id string) *endpointRecord {
+	room := t.cfg.MaxEndpoints - len(t.records)
+	if !update.unconfirmed {
+		room += t.unconfirmed
+	}
+	if room <= 0 {
 		t.overLimit++
 		return nil
 	}
--- a/internal/membership/rule.go
+++ b/internal/membership/rule.go
@@ -62,7 +62,7 @@
 	return result
 }
 
-// reportStatus says whether a source's report on an endpoint counts under point 3.
+// reportStatus says whether a source's report on an endpoint counts under points 3 and 6.
 type reportStatus uint8
 
 const (
@@ -71,11 +71,14 @@
 	counts
 )
 
-// statusOf applies point 3 to a source's report on an endpoint.
+// statusOf applies points 3 and 6 to a source's report on an endpoint.
 func (t *Table) statusOf(now time.Duration, r *endpointRecord, source int) reportStatus {
 	if !r.reports[source].present {
 		return noReport
 	}
+	if r.reports[source].unconfirmed && r.isConfirmed() {
+		return overruled
+	}
 	s := &t.sources[source]
 	if !s.silent {
 		return counts
@@ -83,7 +86,7 @@
 	expired := t.cfg.MaxSilence > 0 && now-s.lastSeen >= t.cfg.MaxSilence
 	for other := range t.sources {
 		report := &r.reports[other]
-		if !report.present || t.sources[other].silent {
+		if !report.present || report.unconfirmed || t.sources[other].silent {
 			continue
 		}
 		if expired || report.changedAt > s.lastSeen {
@@ -134,7 +137,8 @@
 	return latest
 }
 
-// isReplaced applies point 5: it reports whether an endpoint that is not gone has claimed the same address since.
+// isReplaced applies point 5, and point 6 by the order of the index: it reports whether an endpoint that is not gone
+// has claimed the same address since.
 func (t *Table) isReplaced(now time.Duration, r *endpointRecord) bool {
 	atAddress := t.addresses.at(r.address)
 	for i := len(atAddress) - 1; i >= 0 && atAddress[i] != r; i-- {
--- a/internal/membership/source.go
+++ b/internal/membership/source.go
@@ -13,9 +13,13 @@
 	spareOrder  []*endpointRecord // the previous order, whose memory the next list reuses
 	generation  uint64            // number of the last list
 	endpoints   int               // number of records with a report of this source
+	unconfirmed int               // how many of these reports are unconfirmed
 	suspicion   *suspicion        // nil: no loss is suspected
 }
 
+// confirmed returns the number of records with a confirmed report of this source.
+func (s *sourceState) confirmed() int { return s.endpoints - s.unconfirmed }
+
 // stepSource performs the work that is due for a source: it overrules the reports of one that has been silent for too
 // long, and requests another fetch of a suspected list.
 func (t *Table) stepSource(now time.Duration, source int) {
--- a/internal/membership/types.go
+++ b/internal/membership/types.go
@@ -74,4 +74,7 @@
 	// Part reports whether this is one part of a list, and the complete list follows. A large first list comes in
 	// parts so that it does not block whoever processes it. Reports on endpoints that a part lacks are kept.
 	Part bool
+	// Unconfirmed reports whether the list is only a hint, such as that of a single peer; see point 6 of the rule. It
+	// must also be Incomplete, and is ignored once the source itself has reported.
+	Unconfirmed bool
 }
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -268,20 +268,38 @@
 // follows cheap to apply.
 func (f *fleet) adopt(effect bootstrap.Adopt) {
 	source := f.sourceIndex(effect.List)
-	if len(effect.Endpoints) > maxPartEndpoints {
-		for part := range slices.Chunk(effect.Endpoints, maxPartEndpoints) {
-			list := membership.List{Version: effect.Version, Endpoints: part, Part: true}
+	endpoints := f.validEndpoints(effect)
+	if len(endpoints) > maxPartEndpoints {
+		for part := range slices.Chunk(endpoints, maxPartEndpoints) {
+			list := membership.List{Version: effect.Version, Endpoints: part, Part: true, Unconfirmed: effect.Hint}
 			f.server.publish(broker.EndpointList{Source: source, List: list})
 		}
 	}
 	f.server.publish(broker.EndpointList{Source: source, List: membership.List{
-		Version:    effect.Version,
-		Endpoints:  effect.Endpoints,
-		Confirms:   !effect.Hint, // a quorum of peers has confirmed it, even if it lacks many endpoints
-		Incomplete: effect.Hint,
+		Version:     effect.Version,
+		Endpoints:   endpoints,
+		Confirms:    !effect.Hint, // a quorum of peers has confirmed it, even if it lacks many endpoints
+		Incomplete:  effect.Hint,
+		Unconfirmed: effect.Hint,
 	}})
 }
 
+// validEndpoints returns the endpoints of a list from peers that the settings describe. A list of the catalogue lacks
+// the others as well; a peer may have other settings, or lie.
+func (f *fleet) validEndpoints(effect bootstrap.Adopt) []membership.Endpoint {
+	names := f.server.plan.decoder.Names
+	valid := make([]membership.Endpoint, 0, len(effect.Endpoints))
+	for _, endpoint := range effect.Endpoints {
+		if names.Describes(endpoint) {
+			valid = append(valid, endpoint)
+		}
+	}
+	if rejected := len(effect.Endpoints) - len(valid); rejected > 0 {
+		f.server.log.Event("peer-endpoints-rejected", "service", f.serviceName(effect.List), "count", rejected)
+	}
+	return valid
+}
+
 func (f *fleet) logEntry(entry bootstrap.LogEntry) {
 	fields := []any{"change", entry.Event}
 	if entry.List >= 0 {
--- a/internal/proxy/readiness.go
+++ b/internal/proxy/readiness.go
@@ -33,11 +33,12 @@
 	return status
 }
 
-// catalogueSeen reports whether each service of the catalogue has answered or was in the snapshot.
+// catalogueSeen reports whether each service of the catalogue has answered, was in the snapshot, or has endpoints by
+// the hints of peers.
 func (p *Plan) catalogueSeen() bool {
-	sources := p.members.Sources()
+	sources := p.members.Sources()[p.firstCatalogueSource:]
 	for i := range p.settings.Catalogue.Services {
-		if sources[p.firstCatalogueSource+i].LastSeen == 0 {
+		if sources[i].LastSeen == 0 && sources[i].Endpoints == 0 {
 			return false
 		}
 	}
