Believe one peer alone only where no other peer contradicts it

What callers saw: a proxy was restarted while the catalogue was silent and became ready by an honest peer's list.

Cause: without a list in force every fetched list was used as a hint, whoever sent it and whatever was in use. The log has change=hinted for each service again with each advertisement; it did not say whose list, so hinted names the peer now, and contradicted the peer with another list.

Change: internal/bootstrap/hint.go. Candidates are kept for up to four peers. One peer's word is enough only for the peer whose list was the only one after half a second; with a second list, before or after, only what two peers describe alike is added. What is in use stays, so a second peer takes nothing away.

Why it works: of all peers at most one adds endpoints on its own word, and that is settled once, when the hint comes into use. A list of a second peer is then never more than a vote.

Evidence: on with names for the new constants, TestLaterPeerAddsNoEndpoint (f1 in use, t2 at a false address), TestContradictingFirstLists (six of seven kinds of lie), TestLonePeerIsBelieved, TestHintWaitsForAdvertisedList and TestHintProperties fail.

--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -10,9 +10,10 @@
 // Jitter"), so that a fleet that starts all at once calls the service at a rate that does not depend on its size.
 //
 // A list is trusted if it comes from the service, or if a quorum of peers advertises its version and checksum and
-// its content, once fetched, has that checksum. A list that only one peer advertises is a hint: it is used only if no
-// other list is known, and only its endpoints that are up, so that a single peer never removes an endpoint. A peer
-// whose advertisement the service contradicts is distrusted for DistrustPeriod.
+// its content, once fetched, has that checksum. Until then a list is a candidate. While no list is trusted, the
+// candidates give hints, by the rules in hint.go: one peer's endpoints are used on its word alone only if no other peer
+// had sent a different list when the first of them was used, and no peer's word removes an endpoint. A peer whose
+// advertisement the service contradicts is distrusted for DistrustPeriod.
 //
 // The states of a list and the events that change them:
 //
@@ -22,21 +23,23 @@
 //	fetching    checksum mismatch, attempts used up        the state before the fetch
 //	fetching    timeout, busy                              fetching, if possible from another peer
 //	candidate   quorum of advertisements                   current
-//	candidate   step, no current list, an endpoint is up   hint
 //	candidate   ConfirmDelay without a quorum              candidate; this proxy polls for ConfirmTimeout
-//	hint        HintDelay                                  hint; the proxy is ready
+//	candidate   HintDelay, no current list, one peer       hint; the proxy is ready
+//	candidate   HintDelay, no current list, several peers  hint of the endpoints on which a quorum agrees
+//	hint        list of another peer                       hint, to which only a quorum adds endpoints
 //	any         list from the service                      current
 //	current     advertisement of a later version           fetching, beside the current list
 //
 // Invariants:
 //   - the version of the current list decreases only when the service itself sends an earlier one;
 //   - a hint removes no endpoint, and adds only endpoints that are up;
+//   - without a quorum, the endpoints of at most one peer are used as hints for a list, however many peers lie;
 //   - messages from proxies that are not members, or that are distrusted, change nothing.
 //
 // Bounds:
-//   - Config.MaxAdvertisements limits the advertisements kept for a list, Config.MaxEndpoints the parts and the delta
-//     of a fetch, Config.MaxHistory the earlier versions kept for deltas, and MaxServedPerWindow the complete lists
-//     served in each ServeWindow;
+//   - Config.MaxAdvertisements limits the advertisements kept for a list, MaxCandidates the candidates,
+//     Config.MaxEndpoints the parts and the delta of a fetch and the endpoints of hints, Config.MaxHistory the earlier
+//     versions kept for deltas, and MaxServedPerWindow the complete lists served in each ServeWindow;
 //   - at most Config.Pollers*MaxPollerMultiplier proxies of a zone poll, not counting those that are isolated or that
 //     confirm a list;
 //   - a request of a fetch times out after FetchTimeout, and a fetch ends after MaxFetchAttempts requests.
@@ -89,11 +92,12 @@
 	current        *endpointList       // the list in force; nil: none yet
 	history        []*endpointList     // earlier versions, newest last
 	advertisements []peerAdvertisement // newest last, one for each peer
-	candidate      *candidate          // nil: none
-	fetch          *fetchState         // nil: no fetch is in progress
-	reportedSilent bool                // the service was last reported as silent
-	serviceSeenAt  time.Duration       // when this proxy last saw the service
-	quorumSeenAt   time.Duration       // when a quorum of pollers with the current list last saw it
+	candidates     []candidate         // latest last, one for each peer
+	hint           hint
+	fetch          *fetchState   // nil: no fetch is in progress
+	reportedSilent bool          // the service was last reported as silent
+	serviceSeenAt  time.Duration // when this proxy last saw the service
+	quorumSeenAt   time.Duration // when a quorum of pollers with the current list last saw it
 }
 
 // New returns the machine of a proxy that starts now.
@@ -183,21 +187,17 @@
 // NextStep returns the time by which Step must be called again.
 func (m *Machine) NextStep() time.Duration {
 	for i := range m.lists {
-		if l := &m.lists[i]; l.fetch != nil || l.candidate != nil || l.current == nil {
+		if l := &m.lists[i]; l.fetch != nil || len(l.candidates) > 0 || l.current == nil {
 			return m.now + busyTick
 		}
 	}
 	return m.now + idleTick
 }
 
-// Ready reports whether each list is in force, or has been used as a hint for HintDelay.
+// Ready reports whether each list is in force or has a hint that suffices.
 func (m *Machine) Ready() bool {
 	for i := range m.lists {
-		l := &m.lists[i]
-		if l.current != nil {
-			continue
-		}
-		if l.candidate == nil || l.candidate.hintedAt == 0 || m.now-l.candidate.hintedAt < HintDelay {
+		if l := &m.lists[i]; l.current == nil && !l.hint.isReady {
 			return false
 		}
 	}
@@ -244,7 +244,7 @@
 	for i := range m.lists {
 		m.updateQuorumSeenAt(&m.lists[i])
 		m.stepFetch(&m.lists[i])
-		m.stepCandidate(i, &m.lists[i])
+		m.stepTrust(i, &m.lists[i])
 	}
 	m.stepPolling()
 	m.stepInquiry()
--- a/internal/bootstrap/config.go
+++ b/internal/bootstrap/config.go
@@ -70,8 +70,11 @@
 const (
 	// Quorum is how many peers must advertise the same version and checksum.
 	Quorum = 2
-	// HintDelay is how long a hint, a list without a quorum, must have been in use before the proxy counts as ready.
+	// HintDelay is how long a proxy without a list listens to its peers before it uses one that has no quorum. One
+	// inquiry falls into this time, so that peers in view that hold another list can contradict.
 	HintDelay = 500 * time.Millisecond
+	// MaxHintDelay is how long it waits for the content of the other lists that were advertised meanwhile.
+	MaxHintDelay = 3 * HintDelay
 	// ConfirmDelay is how long a fetched list may lack a quorum before this proxy polls the service to confirm it.
 	ConfirmDelay = 500 * time.Millisecond
 	// MinConfirmInterval is the shortest time between the starts of two such confirmations.
--- a/internal/bootstrap/digest.go
+++ b/internal/bootstrap/digest.go
@@ -116,7 +116,7 @@
 
 // receiveAdvertisement records which version a peer has, and starts to fetch it if it may replace the current list.
 func (m *Machine) receiveAdvertisement(l *listState, peer string, advertisement Advertisement) {
-	l.forget(peer)
+	l.forgetAdvertisement(peer)
 	l.advertisements = append(l.advertisements, peerAdvertisement{advertisement, peer, m.now})
 	if len(l.advertisements) > m.config.MaxAdvertisements {
 		l.advertisements = slices.Clone(l.advertisements[1:])
@@ -129,8 +129,8 @@
 	}
 }
 
-// forget drops the advertisement of a peer.
-func (l *listState) forget(peer string) {
+// forgetAdvertisement drops the advertisement of a peer.
+func (l *listState) forgetAdvertisement(peer string) {
 	l.advertisements = slices.DeleteFunc(l.advertisements, func(advertisement peerAdvertisement) bool {
 		return advertisement.peer == peer
 	})
--- a/internal/bootstrap/effects.go
+++ b/internal/bootstrap/effects.go
@@ -57,7 +57,8 @@
 	PollingStopped                      // this proxy stops polling and relies on its peers
 	IsolatedPollingStarted              // this proxy starts to poll because no poller is in view
 	ListAccepted                        // a list that a quorum of peers advertises is now in force
-	HintUsed                            // a list without a quorum is used, as no other list is known
+	HintUsed                            // endpoints of lists without a quorum are used, as no list is known to be true
+	HintsContradict                     // peers have sent different lists, and none is known to be true
 	PeerRefuted                         // the service contradicts a peer, which is distrusted for DistrustPeriod
 	ChecksumMismatch                    // content is malformed or does not match the advertised checksum
 	eventCount                          // number of events
@@ -65,7 +66,7 @@
 
 // String returns the value of the event in the log.
 func (e Event) String() string {
-	return [eventCount]string{"asks", "listens", "alone", "believed", "hinted", "refuted", "spoilt"}[e]
+	return [eventCount]string{"asks", "listens", "alone", "believed", "hinted", "contradicted", "refuted", "spoilt"}[e]
 }
 
 func (m *Machine) addEffect(e Effect) { m.effects = append(m.effects, e) }
--- a/internal/bootstrap/fetch.go
+++ b/internal/bootstrap/fetch.go
@@ -133,7 +133,7 @@
 	m.completeFetch(list, peer, endpoints)
 }
 
-// completeFetch ends a fetch. It makes the content the candidate, or distrusts the peer if the checksum is wrong.
+// completeFetch ends a fetch. It makes the content a candidate, or distrusts the peer if the checksum is wrong.
 func (m *Machine) completeFetch(l *listState, peer string, endpoints []membership.Endpoint) {
 	want := l.fetch.ListVersion
 	l.fetch = nil
@@ -142,7 +142,7 @@
 		m.distrust(want.List, peer, ChecksumMismatch)
 		return
 	}
-	l.candidate = &candidate{endpointList: fetched, fetchedAt: m.now}
+	l.addCandidate(candidate{endpointList: fetched, peer: peer, fetchedAt: m.now})
 }
 
 // receiveBusy redirects the fetch to the peer named in the message, or schedules a retry after a backoff with jitter.
--- a/internal/bootstrap/polling.go
+++ b/internal/bootstrap/polling.go
@@ -1,6 +1,7 @@
 package bootstrap
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -117,9 +118,7 @@
 // startConfirmation makes this proxy poll for ConfirmTimeout when a fetched list has lacked a quorum for too long.
 func (m *Machine) startConfirmation() {
 	for i := range m.lists {
-		candidate := m.lists[i].candidate
-		if candidate == nil || m.now-candidate.fetchedAt <= ConfirmDelay ||
-			m.now-m.confirmStartedAt < MinConfirmInterval {
+		if !m.lists[i].hasUnconfirmed(m.now) || m.now-m.confirmStartedAt < MinConfirmInterval {
 			continue
 		}
 		m.confirmStartedAt = m.now
@@ -127,6 +126,11 @@
 	}
 }
 
+// hasUnconfirmed reports whether a candidate has lacked a quorum for longer than ConfirmDelay.
+func (l *listState) hasUnconfirmed(now time.Duration) bool {
+	return slices.ContainsFunc(l.candidates, func(c candidate) bool { return now-c.fetchedAt > ConfirmDelay })
+}
+
 // isConfirming reports whether this proxy is polling to confirm a list.
 func (m *Machine) isConfirming() bool { return m.now < m.confirmUntil }
 
--- a/internal/bootstrap/transcript_test.go
+++ b/internal/bootstrap/transcript_test.go
@@ -38,6 +38,8 @@
 		return "note-believed"
 	case HintUsed:
 		return "note-hinted"
+	case HintsContradict:
+		return "note-contradicted"
 	case PeerRefuted:
 		return "note-refuted"
 	case ChecksumMismatch:
--- a/internal/bootstrap/trust.go
+++ b/internal/bootstrap/trust.go
@@ -2,60 +2,47 @@
 
 import (
 	"slices"
-	"time"
-
-	"sloequay/internal/membership"
 )
 
-// candidate is a completely fetched list that no quorum of peers advertises yet.
-type candidate struct {
-	*endpointList
-	fetchedAt time.Duration
-	hintedAt  time.Duration // when it was put to use as a hint; 0: it was not
+// stepTrust accepts a candidate that a quorum of peers advertises and drops those that are no longer newer than the
+// current list. While there is no current list, it uses the endpoints that hint allows.
+func (m *Machine) stepTrust(list int, l *listState) {
+	if len(l.candidates) == 0 {
+		return
+	}
+	l.dropOldCandidates()
+	if accepted := l.latestWithQuorum(); accepted != nil {
+		m.accept(list, l, accepted)
+	}
+	if l.current == nil {
+		m.stepHint(list, l)
+	}
 }
 
-// stepCandidate drops a candidate that is no longer newer than the current list, accepts one that a quorum advertises,
-// and uses one as a hint if no other list is known.
-func (m *Machine) stepCandidate(list int, l *listState) {
-	c := l.candidate
-	switch {
-	case c == nil:
-	case !l.isNewer(c.ListVersion):
-		l.candidate = nil
-	case l.countAdvertisers(c.ListVersion) >= Quorum:
-		m.accept(list, l)
-	case l.current == nil && c.hintedAt == 0:
-		m.useHint(list, c)
+// latestWithQuorum returns the latest candidate that a quorum of peers advertises, or nil.
+func (l *listState) latestWithQuorum() *endpointList {
+	var latest *endpointList
+	for i := range l.candidates {
+		candidate := &l.candidates[i]
+		if l.countAdvertisers(candidate.ListVersion) < Quorum {
+			continue
+		}
+		if latest == nil || candidate.Version > latest.Version {
+			latest = candidate.endpointList
+		}
 	}
+	return latest
 }
 
-// accept puts the candidate in force.
-func (m *Machine) accept(list int, l *listState) {
-	accepted := l.candidate.endpointList
+// accept puts a candidate in force.
+func (m *Machine) accept(list int, l *listState, accepted *endpointList) {
 	m.install(l, accepted)
-	l.candidate = nil
+	l.dropOldCandidates()
 	l.reportedSilent = false
 	m.addEffect(Adopt{List: list, Version: accepted.Version, Endpoints: accepted.endpoints})
 	m.log(ListAccepted, list, "")
 }
 
-// useHint publishes the endpoints of a candidate that are up as a hint. A candidate without any would serve no request
-// and is not used.
-func (m *Machine) useHint(list int, c *candidate) {
-	var up []membership.Endpoint
-	for _, endpoint := range c.endpoints {
-		if endpoint.State == membership.Up {
-			up = append(up, endpoint)
-		}
-	}
-	if len(up) == 0 {
-		return
-	}
-	c.hintedAt = m.now
-	m.addEffect(Adopt{List: list, Version: c.Version, Endpoints: up, Hint: true})
-	m.log(HintUsed, list, "")
-}
-
 // install makes a list the current one, and keeps the previous one in the history for deltas.
 func (m *Machine) install(l *listState, installed *endpointList) {
 	if l.current != nil && l.current.Sum != installed.Sum {
@@ -65,21 +52,25 @@
 		}
 	}
 	l.current = installed
+	l.hint = hint{}
 	if l.fetch != nil && !l.isNewer(l.fetch.ListVersion) {
 		l.fetch = nil
 	}
 	clear(m.servedPeers)
 }
 
-// isNewer reports whether a list may replace the current one. It is not compared with the candidate, so that a
+// isNewer reports whether a list may replace the current one. It is not compared with the candidates, so that a
 // candidate does not block others, whatever version it claims.
 func (l *listState) isNewer(version ListVersion) bool {
 	return l.current == nil || version.Version > l.current.Version
 }
 
-// hasContent reports whether the current list or the candidate has this checksum.
+// hasContent reports whether the current list or a candidate has this checksum.
 func (l *listState) hasContent(sum uint64) bool {
-	return l.current != nil && sum == l.current.Sum || l.candidate != nil && sum == l.candidate.Sum
+	if l.current != nil && sum == l.current.Sum {
+		return true
+	}
+	return slices.ContainsFunc(l.candidates, func(c candidate) bool { return c.Sum == sum })
 }
 
 // countAdvertisers returns the number of peers that advertise this version.
@@ -93,20 +84,18 @@
 	return count
 }
 
-// refuteAdvertisements distrusts the peers whose advertisements the service's list contradicts, and drops a candidate
-// that this list confirms or refutes.
+// refuteAdvertisements distrusts the peers whose advertisements the service's list contradicts, and drops the
+// candidates that this list confirms or refutes.
 func (m *Machine) refuteAdvertisements(list int, l *listState) {
-	if l.candidate != nil && l.candidate.Sum == l.current.Sum {
-		l.candidate = nil
-	}
+	l.candidates = slices.DeleteFunc(l.candidates, func(c candidate) bool { return c.Sum == l.current.Sum })
 	// distrust shortens l.advertisements in place.
 	for _, advertisement := range slices.Clone(l.advertisements) {
 		if m.isRefuted(advertisement.ListVersion, l.current.ListVersion) {
 			m.distrust(list, advertisement.peer, PeerRefuted)
 		}
 	}
-	if m.isConfirming() && l.candidate != nil && l.candidate.Version > l.current.Version {
-		l.candidate = nil
+	if m.isConfirming() {
+		l.candidates = nil
 	}
 }
 
@@ -126,7 +115,8 @@
 	m.log(reason, list, peer)
 	for i := range m.lists {
 		l := &m.lists[i]
-		l.forget(peer)
+		l.forgetAdvertisement(peer)
+		l.dropCandidate(peer)
 		if l.fetch != nil && l.fetch.peer == peer {
 			l.fetch = nil
 		}
