Fetch the lists of all peers, whatever one of them leaves unfinished

A restarted proxy is not ready by an honest peer's list.

Cause: every part, also one that was there, prolonged the only fetch of a list, and no other was started meanwhile; after it the next advertisement began the next fetch, so that the peer that advertises most often was asked most often.

Change: only a new part prolongs a fetch, and MaxFetchDuration ends it. A list that a quorum advertises ends the fetch of one that none advertises. Else the peers that advertise a missing list take turns.

Evidence: on the code before, TestUnfinishedFetchHoldsBackNoList fails (the list of two peers not in force after 1 s) and so does TestUnfinishedFetchHoldsBackNoHint (not ready after 4 s).

--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -42,7 +42,8 @@
 //     versions kept for deltas, and MaxServedPerWindow the complete lists served in each ServeWindow;
 //   - at most Config.Pollers*MaxPollerMultiplier proxies of a zone poll, not counting those that are isolated or that
 //     confirm a list;
-//   - a request of a fetch times out after FetchTimeout, and a fetch ends after MaxFetchAttempts requests.
+//   - a request of a fetch times out after FetchTimeout without a new part, and a fetch ends after MaxFetchAttempts
+//     requests or MaxFetchDuration.
 package bootstrap
 
 import (
--- a/internal/bootstrap/config.go
+++ b/internal/bootstrap/config.go
@@ -89,6 +89,8 @@
 const (
 	// FetchTimeout is how long a fetch waits for the next message from a peer before it is retried.
 	FetchTimeout = 300 * time.Millisecond
+	// MaxFetchDuration is how long a fetch may take, even if parts keep arriving.
+	MaxFetchDuration = 5 * time.Second
 	// MaxFetchAttempts is how many requests are sent for one fetch.
 	MaxFetchAttempts = 5
 	// EndpointsPerPart is the number of endpoints in a part; the last part may have fewer.
--- a/internal/bootstrap/digest.go
+++ b/internal/bootstrap/digest.go
@@ -10,6 +10,7 @@
 	Advertisement
 	peer       string
 	receivedAt time.Duration
+	askedAt    time.Duration // when the peer was last sent a request for this list; 0: never
 }
 
 // serviceView is what this proxy and the pollers know about the list service, for one list.
@@ -114,19 +115,35 @@
 	}
 }
 
-// receiveAdvertisement records which version a peer has, and starts to fetch it if it may replace the current list.
+// receiveAdvertisement records which version a peer has, and starts a fetch if one is due.
 func (m *Machine) receiveAdvertisement(l *listState, peer string, advertisement Advertisement) {
+	received := peerAdvertisement{Advertisement: advertisement, peer: peer, receivedAt: m.now}
+	if previous := l.advertisementOf(peer); previous != nil {
+		received.askedAt = previous.askedAt
+	}
 	l.forgetAdvertisement(peer)
-	l.advertisements = append(l.advertisements, peerAdvertisement{advertisement, peer, m.now})
+	l.advertisements = append(l.advertisements, received)
 	if len(l.advertisements) > m.config.MaxAdvertisements {
 		l.advertisements = slices.Clone(l.advertisements[1:])
 	}
-	if advertisement.Sum == 0 || l.hasContent(advertisement.Sum) || !l.isNewer(advertisement.ListVersion) {
-		return
+	if l.isMissing(advertisement.ListVersion) {
+		m.fetchMissing(l)
 	}
-	if l.fetch == nil || l.fetch.deadline <= m.now {
-		m.startFetch(l, advertisement.ListVersion, peer)
+}
+
+// advertisementOf returns the advertisement of a peer, or nil.
+func (l *listState) advertisementOf(peer string) *peerAdvertisement {
+	for i := range l.advertisements {
+		if l.advertisements[i].peer == peer {
+			return &l.advertisements[i]
+		}
 	}
+	return nil
+}
+
+// isMissing reports whether a version may replace the current list and this proxy does not have its content.
+func (l *listState) isMissing(version ListVersion) bool {
+	return version.Sum != 0 && !l.hasContent(version.Sum) && l.isNewer(version)
 }
 
 // forgetAdvertisement drops the advertisement of a peer.
--- a/internal/bootstrap/fetch.go
+++ b/internal/bootstrap/fetch.go
@@ -12,18 +12,60 @@
 	ListVersion
 	peer           string // that the last request went to
 	parts          [][]membership.Endpoint
-	receivedParts  int // number of parts received
-	deadline       time.Duration
+	receivedParts  int           // number of parts received
+	deadline       time.Duration // of the last request
+	endsAt         time.Duration // when the fetch ends, whatever arrives
 	attempts       int
 	requestedPeers map[string]bool // names of peers that were sent a request
 }
 
+// fetchMissing starts to fetch a missing list that a peer advertises. A list that a quorum advertises ends a fetch of
+// one that no quorum advertises.
+func (m *Machine) fetchMissing(l *listState) {
+	next, hasQuorum := l.nextMissing()
+	if next == nil {
+		return
+	}
+	isIdle := l.fetch == nil || l.fetch.deadline <= m.now
+	mayReplace := hasQuorum && !isIdle && l.countAdvertisers(l.fetch.ListVersion) < Quorum
+	if isIdle || mayReplace {
+		m.startFetch(l, next.ListVersion, next.peer)
+	}
+}
+
+// nextMissing returns the advertisement of the missing list to fetch next, or nil, and whether a quorum advertises it.
+// Lists with a quorum come first. Otherwise the peers take turns, so that one that advertises often, or never completes
+// what it sends, does not hold back the lists of the others.
+func (l *listState) nextMissing() (next *peerAdvertisement, nextHasQuorum bool) {
+	for i := range l.advertisements {
+		advertisement := &l.advertisements[i]
+		if !l.isMissing(advertisement.ListVersion) {
+			continue
+		}
+		hasQuorum := l.countAdvertisers(advertisement.ListVersion) >= Quorum
+		isPreferred := hasQuorum && !nextHasQuorum
+		isInTurn := hasQuorum == nextHasQuorum && (next == nil || advertisement.askedAt < next.askedAt)
+		if isPreferred || isInTurn {
+			next = advertisement
+			nextHasQuorum = hasQuorum
+		}
+	}
+	return next, nextHasQuorum
+}
+
 // startFetch requests a list from a peer, as the first attempt of a fetch or as a further one.
 func (m *Machine) startFetch(l *listState, version ListVersion, peer string) {
 	if l.fetch == nil || l.fetch.Sum != version.Sum {
-		l.fetch = &fetchState{ListVersion: version, requestedPeers: map[string]bool{}}
+		l.fetch = &fetchState{
+			ListVersion:    version,
+			requestedPeers: map[string]bool{},
+			endsAt:         m.now + MaxFetchDuration,
+		}
 	}
 	f := l.fetch
+	if advertisement := l.advertisementOf(peer); advertisement != nil {
+		advertisement.askedAt = max(1, m.now)
+	}
 	f.peer = peer
 	f.deadline = m.now + FetchTimeout
 	f.parts = nil
@@ -45,7 +87,7 @@
 		return
 	}
 	next := l.nextPeer(f)
-	if next == "" || f.attempts >= MaxFetchAttempts {
+	if next == "" || f.attempts >= MaxFetchAttempts || m.now >= f.endsAt {
 		l.fetch = nil
 		return
 	}
@@ -90,8 +132,8 @@
 	if f.parts[part.Number] == nil {
 		f.parts[part.Number] = append([]membership.Endpoint{}, part.Endpoints...)
 		f.receivedParts++
+		f.deadline = min(m.now+FetchTimeout, f.endsAt)
 	}
-	f.deadline = m.now + FetchTimeout
 	if f.receivedParts == part.Total {
 		m.completeFetch(list, peer, slices.Concat(f.parts...))
 	}
--- /dev/null
+++ b/internal/bootstrap/fetch_test.go
@@ -0,0 +1,64 @@
+package bootstrap
+
+import (
+	"testing"
+	"time"
+
+	"sloequay/internal/membership"
+)
+
+// hoardingPeer advertises a list of two parts and sends the first one again and again.
+type hoardingPeer struct{ list ListVersion }
+
+func newHoardingPeer() hoardingPeer {
+	return hoardingPeer{VersionOf(0, forgedVersion, []membership.Endpoint{testEndpoint("f1"), testEndpoint("f2")})}
+}
+
+// send makes the machine receive the advertisement and the first part.
+func (p hoardingPeer) send(h *hintHarness) {
+	h.handle(h.MessageReceived(h.now, Message{From: "liar", Digest: []Advertisement{{ListVersion: p.list}}}))
+	part := &Part{ListVersion: p.list, Total: 2, Endpoints: []membership.Endpoint{testEndpoint("f1")}}
+	h.handle(h.MessageReceived(h.now, Message{From: "liar", Part: part}))
+}
+
+// TestUnfinishedFetchHoldsBackNoList guards against a drain or a death that proxies learn of late: a peer that sent one
+// part of its list again and again kept them from fetching the list that others advertise.
+func TestUnfinishedFetchHoldsBackNoList(t *testing.T) {
+	h := newHintHarness("liar", "honest1", "honest2", "honest3")
+	h.handle(h.ListFromService(h.now, 0, 1, []membership.Endpoint{testEndpoint("t1")}))
+	liar := newHoardingPeer()
+	for range 20 {
+		liar.send(h)
+		h.wait(busyTick)
+	}
+	changedAt := h.now
+	for _, peer := range []string{"honest1", "honest2"} {
+		liar.send(h)
+		h.advertise(peer, 2, drainingEndpoint("t1"))
+	}
+	for {
+		if version, _ := h.Version(0); version.Version == 2 {
+			break
+		}
+		if h.now-changedAt > time.Second {
+			t.Fatal("the list of two peers is not in force 1 s after they advertised it")
+		}
+		liar.send(h)
+		h.wait(busyTick)
+	}
+}
+
+// TestUnfinishedFetchHoldsBackNoHint guards against a restarted proxy that is not ready by an honest peer's list, as
+// another peer advertises more often and never completes what it sends.
+func TestUnfinishedFetchHoldsBackNoHint(t *testing.T) {
+	h := newHintHarness("liar", "honest")
+	liar := newHoardingPeer()
+	for h.now < 4*time.Second && !h.Ready() {
+		for range int(HeartbeatInterval / busyTick) {
+			liar.send(h)
+			h.wait(busyTick)
+		}
+		h.advertise("honest", 3, testEndpoint("t1"))
+	}
+	h.check(t, true, "t1")
+}
