Count what waits before a TLS connection as unsent, and end it with close_notify

Cause: what the loop had written to the socket pair of a TLS connection counted as sent. A copy of that logs the pair at the exit: unsent=0 with 69,056, 84,560 and 69,056 bytes in the pair, of 200,000. Nothing waited for the goroutine that copies, and idle, flushing, memory and not reading were judged by the same figures.

Change: bridge.Relay in place of bridge.Copy. It counts what the loop has written and the TLS connection has not taken; Unsent, Flushed, Undelivered and UnsentBytes include it, so that all decisions see TLS as they see TCP. After the loop's close the relay sends the rest, then close_notify, reads on meanwhile, and closes once the system has sent all; until then it counts as a client. It gives up where nothing is taken for 6 s (50 ms for endpoints), and Abort drops what is left. The exit's bound is as it was.

Why it works: the bytes are counted where they stand, in one place below every decision that asks for them, so that no site has to know of TLS.

Planted faults: without reading on, without the wait for the system, with the pair closed at once, tests of bridge fail.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -6,6 +6,8 @@
 
 	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
+
+	"sloequay/internal/eventloop/bridge"
 )
 
 // connState is the state of a connection. It never decreases.
@@ -32,6 +34,7 @@
 
 	loop     *Loop
 	sock     gnet.Conn
+	relay    *bridge.Relay // copies between sock and the peer; nil: sock is the connection to the peer
 	handler  Handler
 	state    connState
 	origin   connOrigin
@@ -48,7 +51,7 @@
 	queued        uint64 // bytes passed to Send since the connection was opened
 	unsent        unsentBuffer
 	writeErr      error // of a failed write
-	countedUnsent int   // this connection's part of Loop.unsentBytes
+	countedUnsent int   // this connection's part of Loop.unsentBytes: the bytes that buffered returns
 	isToBeWritten bool  // is in Loop.toWrite
 	isSlowReader  bool  // is in Loop.slowReaders
 	retryPause    time.Duration
@@ -116,7 +119,11 @@
 // the peer could otherwise still read long after it was given up.
 func (c *Conn) Abort() {
 	if c.state != connClosed {
-		_ = c.sock.SetLinger(0)
+		if c.relay != nil {
+			c.relay.Abort()
+		} else {
+			_ = c.sock.SetLinger(0)
+		}
 		c.outbound = nil
 		c.unsent = unsentBuffer{}
 		c.Close()
@@ -129,19 +136,31 @@
 func (c *Conn) Queued() uint64 { return c.queued }
 
 // Written returns how many of the queued bytes may have reached the peer; the bytes after them were never written. It
-// includes bytes that the system has not accepted yet: closing the connection tries once more to write them, and a peer
-// that has closed only its own side still reads them. It is valid until the handler's Closed returns.
+// includes bytes that the system or a relay has not accepted yet: closing the connection tries once more to write them,
+// and a peer that has closed only its own side still reads them. It is valid until the handler's Closed returns.
 func (c *Conn) Written() uint64 { return c.queued - uint64(len(c.outbound)) }
 
-// Flushed returns how many of the queued bytes the system has accepted.
+// Flushed returns how many of the queued bytes the system has accepted for the peer.
 func (c *Conn) Flushed() uint64 { return c.queued - uint64(c.Unsent()) }
 
-// Unsent returns the number of queued bytes that the system has not accepted yet.
+// Unsent returns the number of queued bytes that the system has not accepted for the peer yet, including those that
+// wait in a relay.
 func (c *Conn) Unsent() int {
 	if c.state == connClosed {
 		return 0
 	}
-	return len(c.outbound) + c.unsent.len()
+	return c.buffered() + c.relayed()
+}
+
+// buffered returns the number of queued bytes that were not written to the socket yet.
+func (c *Conn) buffered() int { return len(c.outbound) + c.unsent.len() }
+
+// relayed returns the number of bytes that wait in the relay.
+func (c *Conn) relayed() int {
+	if c.relay == nil {
+		return 0
+	}
+	return c.relay.Pending()
 }
 
 // Undelivered returns the number of bytes that were not sent to the peer yet, for lack of room there, including Unsent.
@@ -151,6 +170,9 @@
 	if c.state == connClosed {
 		return 0
 	}
+	if c.relay != nil {
+		return c.Unsent() + c.relay.Unsent()
+	}
 	waiting, err := unix.IoctlGetInt(c.sock.Fd(), unix.SIOCOUTQNSD)
 	if err != nil {
 		waiting = 0 // not a TCP socket
--- a/internal/eventloop/dial.go
+++ b/internal/eventloop/dial.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"time"
+
+	"sloequay/internal/eventloop/bridge"
 )
 
 // PendingDials returns the number of dials in progress. Each may hold two descriptors.
@@ -17,8 +19,8 @@
 	l.DialWith(func() (net.Conn, error) { return dialer.Dial(network, address) }, handler, onError)
 }
 
-// DialWith is like Dial, with a function that makes the connection on its own goroutine. dial may block, and must
-// enforce its own timeout.
+// DialWith is like Dial, with a function that makes the connection on its own goroutine, and may return a
+// bridge.LoopEnd. dial may block, and must enforce its own timeout.
 func (l *Loop) DialWith(dial func() (net.Conn, error), handler Handler, onError func(error)) {
 	l.pendingDials++
 	go func() {
@@ -41,5 +43,9 @@
 	if err != nil {
 		return err
 	}
+	if end, ok := conn.(*bridge.LoopEnd); ok {
+		dialed.setRelay(end.Relay)
+		conn = end.UnixConn // gnet takes no other type
+	}
 	return l.enroll(dialed, conn, nil)
 }
--- a/internal/eventloop/enroll.go
+++ b/internal/eventloop/enroll.go
@@ -11,6 +11,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"golang.org/x/sys/unix"
 
+	"sloequay/internal/eventloop/bridge"
 	"sloequay/internal/eventloop/socket"
 )
 
@@ -28,8 +29,8 @@
 // errNotDuplicable is the error of Adopt for a connection that has no descriptor to duplicate.
 var errNotDuplicable = errors.New("the connection does not expose its file descriptor")
 
-// Adopt takes over a connection that was made elsewhere. It blocks and must not be called on the loop. If it returns an
-// error, the handler is not called.
+// Adopt takes over a connection that was made elsewhere, which may be a bridge.LoopEnd. It blocks and must not be
+// called on the loop. If it returns an error, the handler is not called.
 func (l *Loop) Adopt(conn net.Conn, handler Handler) error {
 	duplicable, ok := conn.(interface{ File() (*os.File, error) })
 	if !ok {
@@ -46,7 +47,17 @@
 	}
 	unwatched := socket.New(file)
 	defer unwatched.Close()
-	return l.enrollSocket(&Conn{handler: handler, loop: l, origin: adoptedConn}, unwatched, nil)
+	adopted := &Conn{handler: handler, loop: l, origin: adoptedConn}
+	if end, ok := conn.(*bridge.LoopEnd); ok {
+		adopted.setRelay(end.Relay)
+	}
+	return l.enrollSocket(adopted, unwatched, nil)
+}
+
+// setRelay sets the relay of a connection that the loop is about to take over.
+func (c *Conn) setRelay(relay *bridge.Relay) {
+	c.relay = relay
+	relay.Attach(&c.loop.relays)
 }
 
 // enrollSocket hands a socket to the loop, and waits until the loop has taken it over. Go's poller and gnet both close
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"sloequay/internal/eventloop/bridge"
 	"sloequay/internal/eventloop/socket"
 	"sloequay/internal/eventloop/standstill"
 )
@@ -47,9 +48,10 @@
 
 	toWrite         []*Conn // connections to be written or closed at the end of the round
 	slowReaders     []*Conn // connections with bytes that the system did not accept yet
-	unsentBytes     int     // see UnsentBytes
-	unconsumedBytes int     // received and not consumed by handlers, of all connections
-	roundBuffer     []byte  // see CopyForRound
+	unsentBytes     int     // bytes that were not written to sockets yet
+	relays          bridge.Totals
+	unconsumedBytes int    // received and not consumed by handlers, of all connections
+	roundBuffer     []byte // see CopyForRound
 	spareBuffers    [][]byte
 
 	writeRetryTimer *time.Timer
--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -78,6 +78,9 @@
 		err = conn.writeErr
 	}
 	conn.flushBeforeClose()
+	if conn.relay != nil {
+		conn.relay.LoopClosed()
+	}
 	conn.state = connClosed
 	l.unsentBytes -= conn.countedUnsent
 	l.unconsumedBytes -= len(conn.unconsumed)
--- a/internal/eventloop/write.go
+++ b/internal/eventloop/write.go
@@ -94,7 +94,7 @@
 		c.loop.slowReaders = append(c.loop.slowReaders, c)
 		c.loop.scheduleWriteRetry(minWritePause)
 	}
-	if c.countedUnsent > min(c.loop.MemoryLimit/unsentPerPeerDivisor, maxUnsentPerPeer) {
+	if c.Unsent() > min(c.loop.MemoryLimit/unsentPerPeerDivisor, maxUnsentPerPeer) {
 		c.beginClose()
 	}
 	if c.state == connClosing {
@@ -105,7 +105,7 @@
 // flush writes the unsent bytes. If the write fails the connection is closed.
 func (c *Conn) flush() {
 	if c.unsent.len() > 0 {
-		if c.writeErr = c.unsent.writeTo(c.sock.Fd()); c.writeErr != nil {
+		if c.writeErr = c.writeUnsent(); c.writeErr != nil {
 			c.beginClose()
 		}
 	}
@@ -121,26 +121,39 @@
 // flushBeforeClose writes the unsent bytes one last time before the socket is closed.
 func (c *Conn) flushBeforeClose() {
 	if c.unsent.len() > 0 && c.writeErr == nil {
-		_ = c.unsent.writeTo(c.sock.Fd())
+		_ = c.writeUnsent()
 	}
 }
 
+// writeUnsent writes unsent bytes to the socket, once.
+func (c *Conn) writeUnsent() error {
+	before := c.unsent.len()
+	err := c.unsent.writeTo(c.sock.Fd())
+	if c.relay != nil {
+		c.relay.Wrote(before - c.unsent.len())
+	}
+	return err
+}
+
 // delayRetry sets when to write to the connection again.
 func (c *Conn) delayRetry(pause time.Duration) {
 	c.retryPause = pause
 	c.retryAt = time.Now().Add(pause)
 }
 
-// countUnsent updates Loop.unsentBytes with the connection's unsent bytes.
+// countUnsent updates Loop.unsentBytes with the connection's buffered bytes.
 func (c *Conn) countUnsent() {
-	unsent := c.Unsent()
+	unsent := c.buffered()
 	c.loop.unsentBytes += unsent - c.countedUnsent
 	c.countedUnsent = unsent
 }
 
 // UnsentBytes returns the number of bytes that the system has not accepted yet, of all connections. It includes those
-// of this round that are not written yet.
-func (l *Loop) UnsentBytes() int { return l.unsentBytes }
+// of this round that are not written yet, and those that wait in relays, also of connections that the loop has closed.
+func (l *Loop) UnsentBytes() int { return l.unsentBytes + l.relays.Pending() }
+
+// DrainingRelays returns the number of connections that the loop has closed and whose relays have not ended yet.
+func (l *Loop) DrainingRelays() int { return l.relays.Draining() }
 
 // scheduleWriteRetry schedules retryWrites after a pause, unless it is already due earlier.
 func (l *Loop) scheduleWriteRetry(pause time.Duration) {
--- a/internal/identity/tlslistener/tlslistener.go
+++ b/internal/identity/tlslistener/tlslistener.go
@@ -27,6 +27,8 @@
 	minTicketKeyRotation = time.Second
 	// acceptPause is the delay before a retry while the system lacks descriptors or memory.
 	acceptPause = 10 * time.Millisecond
+	// drainTimeout is how long a client may take none of its responses after the event loop has closed its connection.
+	drainTimeout = 6 * time.Second
 )
 
 var (
@@ -222,28 +224,27 @@
 	}
 	_ = raw.SetDeadline(time.Time{})
 	caller := l.caller(conn)
-	ours, theirs, err := l.bridgePair()
+	relay, loopEnd, err := l.newRelay(conn)
 	if err != nil {
 		_ = conn.Close()
 		l.logHandshakeError(raw, err)
 		return
 	}
-	if !l.adopt(theirs, caller) {
-		_ = ours.Close()
-		_ = conn.Close()
+	if !l.adopt(loopEnd, caller) {
+		relay.Close()
 		return
 	}
 	// When the client closes the connection, the event loop sees its socket closed and cancels the open requests.
-	bridge.Copy(conn, ours)
+	relay.Run()
 }
 
-// bridgePair creates the socket pair that joins a connection to the event loop. The client may already have sent a
-// request, so while the system lacks descriptors or memory, it retries for up to HandshakeTimeout.
-func (l *Listener) bridgePair() (ours, theirs net.Conn, err error) {
+// newRelay creates the relay that joins a connection to the event loop. The client may already have sent a request, so
+// while the system lacks descriptors or memory, it retries for up to HandshakeTimeout.
+func (l *Listener) newRelay(conn net.Conn) (*bridge.Relay, *bridge.LoopEnd, error) {
 	for began := time.Now(); ; time.Sleep(acceptPause) {
-		ours, theirs, err = bridge.Pair()
+		relay, loopEnd, err := bridge.New(conn, drainTimeout)
 		if !socket.IsLocalError(err) || time.Since(began) > l.config.HandshakeTimeout {
-			return ours, theirs, err
+			return relay, loopEnd, err
 		}
 	}
 }
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -24,7 +24,7 @@
 func (s *server) stepShutdown(now time.Duration) {
 	load := shutdown.Load{
 		OpenRequests:      s.openRequests(),
-		ClientConnections: s.frontend.Clients() + s.loop.PendingAccepts(),
+		ClientConnections: s.frontend.Clients() + s.loop.PendingAccepts() + s.loop.DrainingRelays(),
 		UnsentBytes:       s.loop.UnsentBytes(),
 		Deregistering:     !s.sources.shutdownDone(),
 	}
--- a/internal/proxy/upstream_tls.go
+++ b/internal/proxy/upstream_tls.go
@@ -3,12 +3,17 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"sloequay/internal/broker"
 	"sloequay/internal/eventloop/bridge"
 	"sloequay/internal/identity/tlsclient"
 )
 
+// upstreamDrainTimeout is how long bytes for an endpoint that does not read may still be sent after the connection was
+// closed. Later, an attempt among them could begin after its client has left or its endpoint has drained.
+const upstreamDrainTimeout = 50 * time.Millisecond
+
 // zoneByName returns the settings for the zone with a name.
 func (u *upstreamTLS) zoneByName(name string) *zoneTLS {
 	if zone := u.zones[name]; zone != nil {
@@ -50,12 +55,12 @@
 	if err != nil {
 		return nil, err
 	}
-	bridgeEnd, loopEnd, err := bridge.Pair()
+	relay, loopEnd, err := bridge.New(tlsConn, upstreamDrainTimeout)
 	if err != nil {
 		_ = tlsConn.Close()
 		return nil, err
 	}
-	go bridge.Copy(tlsConn, bridgeEnd)
+	go relay.Run()
 	return loopEnd, nil
 }
 
--- a/test/connections_test.go
+++ b/test/connections_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -343,30 +344,41 @@
 // and are sent whenever it reads again: after a drain, a purge, or the client's disconnection.
 func TestEndpointThatDoesNotRead(t *testing.T) {
 	for _, c := range []struct {
-		name    string
-		checks  bool // whether the platform's settings allow NOOP
-		streams int  // maximum number of attempts on a connection
+		name     string
+		checks   bool // whether the platform's settings allow NOOP
+		streams  int  // maximum number of attempts on a connection
+		requests int
+		byTLS    bool
 	}{
-		{"many connections, each within the kernel's buffers", true, 32},
-		{"one connection beyond the kernel's buffers, without health checks", false, 1000},
+		{"many connections, each within the kernel's buffers", true, 32, 150, false},
+		{"one connection beyond the kernel's buffers, without health checks", false, 1000, 150, false},
+		{"one TLS connection, within the socket pair to it, without health checks", false, 1000, 4, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			bed := newTestbed(t, nil, "c1", "c2", "p1")
 			limits := bed.platformLimits()
 			limits["may-probe"], limits["streams-per-conn"] = c.checks, c.streams
-			expectUnreadAttemptsDropped(t, bed)
+			var config *tls.Config
+			if c.byTLS {
+				authority := newAuthority(t)
+				certificate := makeCertificate(t, authority, "o1.endpoints.test")
+				config = &tls.Config{Certificates: []tls.Certificate{certificate}}
+				bed.addSettings("box-tls {", "ca "+authority.CertFile, "suffix .endpoints.test", "}")
+			}
+			expectUnreadAttemptsDropped(t, bed, c.requests, config)
 		})
 	}
 }
 
 // expectUnreadAttemptsDropped makes the origin read nothing while clients send large requests and leave. It fails the
 // test unless, on each connection that the program closed, the origin reads no more attempts than its own socket holds.
-func expectUnreadAttemptsDropped(t *testing.T, bed *testbed) {
+// With a config, the origin is reached by TLS.
+func expectUnreadAttemptsDropped(t *testing.T, bed *testbed, requests int, config *tls.Config) {
 	t.Helper()
-	address, read := bed.listenWithoutReading()
+	address, read := bed.listenWithoutReading(config)
 	bed.setListedAddress("o1", address)
 	bed.start()
-	const requests, perClient = 150, 25
+	const perClient = 25
 	body := strings.Repeat("x", 48000)
 	var clients []*client
 	for n := range uint64(requests) {
--- a/test/harness_clients_test.go
+++ b/test/harness_clients_test.go
@@ -43,16 +43,30 @@
 // has read.
 func (bed *testbed) dialSmallBuffer() *client {
 	bed.t.Helper()
+	return newClient(bed.t, dialWithOptions(bed.t, bed.address, setSmallReceiveBuffer))
+}
+
+// dialWithOptions connects to an address with socket options. The connection is closed when the test ends.
+func dialWithOptions(t *testing.T, address string, set func(fd uintptr) error) net.Conn {
+	t.Helper()
 	dialer := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
 		var err error
-		return errors.Join(c.Control(func(fd uintptr) { err = setSmallReceiveBuffer(fd) }), err)
+		return errors.Join(c.Control(func(fd uintptr) { err = set(fd) }), err)
 	}}
-	conn, err := dialer.Dial("tcp", bed.address)
+	conn, err := dialer.Dial("tcp", address)
 	if err != nil {
-		bed.t.Fatal(err)
+		t.Fatal(err)
 	}
-	bed.t.Cleanup(func() { _ = conn.Close() })
-	return newClient(bed.t, conn)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// setSmallBuffers limits how much unread data the sockets of both sides hold: the system sizes the send buffer of the
+// other side by the segments that this one accepts.
+func setSmallBuffers(fd uintptr) error {
+	const smallSegment = 536 // bytes
+	return errors.Join(setSmallReceiveBuffer(fd),
+		syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, smallSegment))
 }
 
 // request returns the frame of a request; see emulator.Request.
--- a/test/harness_endpoints_test.go
+++ b/test/harness_endpoints_test.go
@@ -153,12 +153,16 @@
 
 // listenWithoutReading returns the address of a listener that accepts connections and reads nothing from them until it
 // receives a channel from read. It then reads every connection to its end, and sends on that channel how many complete
-// attempts each carried.
-func (bed *testbed) listenWithoutReading() (address string, read chan chan []int) {
+// attempts each carried. With a config, it completes a TLS handshake on each connection first.
+func (bed *testbed) listenWithoutReading(config *tls.Config) (address string, read chan chan []int) {
 	bed.t.Helper()
 	listener := bed.listenOn("127.0.0.1:0")
 	if raw, err := listener.(*net.TCPListener).SyscallConn(); err == nil {
-		_ = raw.Control(func(fd uintptr) { _ = setSmallReceiveBuffer(fd) })
+		setBuffers := setSmallReceiveBuffer
+		if config != nil { // so that most bytes stand before the TLS connection
+			setBuffers = setSmallBuffers
+		}
+		_ = raw.Control(func(fd uintptr) { _ = setBuffers(fd) })
 	}
 	var mu sync.Mutex
 	var conns []net.Conn
@@ -168,6 +172,11 @@
 			if err != nil {
 				return
 			}
+			if config != nil {
+				secure := tls.Server(conn, config)
+				_ = secure.Handshake() // the program sees an error as well, and the test by the log
+				conn = secure
+			}
 			mu.Lock()
 			conns = append(conns, conn)
 			mu.Unlock()
