--- a/test/requests_test.go
+++ b/test/requests_test.go
@@ -217,6 +217,7 @@
 	time.Sleep(700 * time.Millisecond) // the time under test: endpoints drop duplicates for 500 ms
 	_ = accept().Close()
 	reached := make(chan bool, 1)
+	_ = bed.fullBacklogListener.(*net.TCPListener).SetDeadline(time.Now().Add(waitLimit))
 	go func() {
 		conn, err := bed.fullBacklogListener.Accept()
 		if err != nil {
