Bind the content of a peers' list by a cryptographic hash

What callers saw: none has been seen. A peer that advertises the version that others advertise, and serves endpoints of its own making with the same checksum, has them put in force by all proxies that fetch from it, whether the list service answers or not.

Cause: the checksum is xxHash64, for which other content with the same sum is computed in microseconds: the incarnation of the last endpoint is enough. A quorum confirmed the sum, and so only what one peer said of the content.

Content must have both, and a quorum must agree on both.

--- a/internal/bootstrap/digest.go
+++ b/internal/bootstrap/digest.go
@@ -143,7 +143,7 @@
 
 // isMissing reports whether a version may replace the current list and this proxy does not have its content.
 func (l *listState) isMissing(version ListVersion) bool {
-	return version.Sum != 0 && !l.hasContent(version.Sum) && l.isNewer(version)
+	return version.Sum != 0 && !l.hasContent(version) && l.isNewer(version)
 }
 
 // forgetAdvertisement drops the advertisement of a peer.
--- a/internal/bootstrap/fetch.go
+++ b/internal/bootstrap/fetch.go
@@ -55,7 +55,7 @@
 
 // startFetch requests a list from a peer, as the first attempt of a fetch or as a further one.
 func (m *Machine) startFetch(l *listState, version ListVersion, peer string) {
-	if l.fetch == nil || l.fetch.Sum != version.Sum {
+	if l.fetch == nil || l.fetch.ListVersion != version {
 		l.fetch = &fetchState{
 			ListVersion:    version,
 			requestedPeers: map[string]bool{},
@@ -100,7 +100,7 @@
 	next := ""
 	for i := range l.advertisements {
 		advertisement := &l.advertisements[i]
-		if advertisement.Sum != f.Sum {
+		if advertisement.ListVersion != f.ListVersion {
 			continue
 		}
 		if next == "" || f.requestedPeers[next] && !f.requestedPeers[advertisement.peer] {
@@ -175,12 +175,12 @@
 	m.completeFetch(list, peer, endpoints)
 }
 
-// completeFetch ends a fetch. It makes the content a candidate, or distrusts the peer if the checksum is wrong.
+// completeFetch ends a fetch. It makes the content a candidate, or distrusts the peer if its checksum or hash is wrong.
 func (m *Machine) completeFetch(l *listState, peer string, endpoints []membership.Endpoint) {
 	want := l.fetch.ListVersion
 	l.fetch = nil
 	fetched := newEndpointList(want.List, want.Version, endpoints)
-	if fetched.Sum != want.Sum {
+	if !fetched.matches(want) {
 		m.distrust(want.List, peer, ChecksumMismatch)
 		return
 	}
--- a/internal/bootstrap/hint.go
+++ b/internal/bootstrap/hint.go
@@ -78,7 +78,7 @@
 // lacksAdvertisedContent reports whether a peer advertises a list whose content this proxy does not have.
 func (l *listState) lacksAdvertisedContent() bool {
 	for i := range l.advertisements {
-		if sum := l.advertisements[i].Sum; sum != 0 && !l.hasContent(sum) {
+		if version := l.advertisements[i].ListVersion; version.Sum != 0 && !l.hasContent(version) {
 			return true
 		}
 	}
--- a/internal/bootstrap/messages.go
+++ b/internal/bootstrap/messages.go
@@ -6,12 +6,13 @@
 	"sloequay/internal/membership"
 )
 
-// ListVersion identifies the content of a list: the index of the list, the service's version and the checksum. A Sum
-// of 0 means that there is no content.
+// ListVersion identifies the content of a list: the index of the list, the service's version, a checksum and a
+// cryptographic hash. A Sum of 0 means that there is no content. Earlier versions of this program send no Hash.
 type ListVersion struct {
 	List    int    `codec:"List"`
 	Version uint64 `codec:"Version"`
 	Sum     uint64 `codec:"Sum"`
+	Hash    string `codec:"Hash,omitempty"`
 }
 
 // Advertisement is the entry of a digest for one list: the version that the sender has, and when it last saw the
--- a/internal/bootstrap/messages_test.go
+++ b/internal/bootstrap/messages_test.go
@@ -34,6 +34,21 @@
 	}
 }
 
+// TestHashIsTransmitted checks that the hash of a list survives the encoding, whatever bytes it has.
+func TestHashIsTransmitted(t *testing.T) {
+	sent := bootstrap.Message{From: "p1", Digest: []bootstrap.Advertisement{{
+		ListVersion: bootstrap.VersionOf(0, 1, []membership.Endpoint{{ID: "c1"}}),
+	}}}
+	data, err := transport.Encode(sent)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got bootstrap.Message
+	if err := transport.Decode(data, &got); err != nil || !reflect.DeepEqual(got, sent) {
+		t.Errorf("got %+v and error %v, want %+v", got, err, sent)
+	}
+}
+
 // TestMessagesKeepTheirEncoding compares the encoded messages with those that commit 1dcc078 wrote, since proxies of
 // several versions exchange messages during a release.
 func TestMessagesKeepTheirEncoding(t *testing.T) {
--- a/internal/bootstrap/trust.go
+++ b/internal/bootstrap/trust.go
@@ -24,7 +24,11 @@
 	var latest *endpointList
 	for i := range l.candidates {
 		candidate := &l.candidates[i]
-		if l.countAdvertisers(candidate.ListVersion) < Quorum {
+		// Peers of an earlier version advertise the same content without its hash. The two are not counted together: a
+		// quorum with only one hash would bind the content by the word of one peer.
+		withoutHash := candidate.ListVersion
+		withoutHash.Hash = ""
+		if max(l.countAdvertisers(candidate.ListVersion), l.countAdvertisers(withoutHash)) < Quorum {
 			continue
 		}
 		if latest == nil || candidate.Version > latest.Version {
@@ -65,12 +69,12 @@
 	return l.current == nil || version.Version > l.current.Version
 }
 
-// hasContent reports whether the current list or a candidate has this checksum.
-func (l *listState) hasContent(sum uint64) bool {
-	if l.current != nil && sum == l.current.Sum {
+// hasContent reports whether the current list or a candidate has the content of this version.
+func (l *listState) hasContent(version ListVersion) bool {
+	if l.current != nil && l.current.matches(version) {
 		return true
 	}
-	return slices.ContainsFunc(l.candidates, func(c candidate) bool { return c.Sum == sum })
+	return slices.ContainsFunc(l.candidates, func(c candidate) bool { return c.matches(version) })
 }
 
 // countAdvertisers returns the number of peers that advertise this version.
@@ -104,7 +108,8 @@
 // times a later version may be genuine, since the list may have changed after the service sent it.
 func (m *Machine) isRefuted(advertised, current ListVersion) bool {
 	if advertised.Version == current.Version {
-		return advertised.Sum != current.Sum
+		isOtherHash := advertised.Hash != "" && advertised.Hash != current.Hash
+		return advertised.Sum != current.Sum || isOtherHash
 	}
 	return advertised.Version > current.Version && m.isConfirming()
 }
