--- a/internal/bootstrap/digest.go
+++ b/internal/bootstrap/digest.go
@@ -8,9 +8,9 @@
 // peerAdvertisement is the latest advertisement of a peer for a list.
 type peerAdvertisement struct {
 	Advertisement
-	peer       string
-	receivedAt time.Duration
-	askedAt    time.Duration // when the peer was last sent a request for this list; 0: never
+	peer        string
+	receivedAt  time.Duration
+	requestedAt time.Duration // when the peer was last sent a request for this list; 0: never
 }
 
 // serviceView is what this proxy and the pollers know about the list service, for one list.
@@ -119,7 +119,7 @@
 func (m *Machine) receiveAdvertisement(l *listState, peer string, advertisement Advertisement) {
 	received := peerAdvertisement{Advertisement: advertisement, peer: peer, receivedAt: m.now}
 	if previous := l.advertisementOf(peer); previous != nil {
-		received.askedAt = previous.askedAt
+		received.requestedAt = previous.requestedAt
 	}
 	l.forgetAdvertisement(peer)
 	l.advertisements = append(l.advertisements, received)
--- a/internal/bootstrap/fetch.go
+++ b/internal/bootstrap/fetch.go
@@ -21,15 +21,15 @@
 
 // fetchMissing starts to fetch a missing list that a peer advertises. A list that a quorum advertises ends a fetch of
 // one that no quorum advertises.
-func (m *Machine) fetchMissing(l *listState) {
-	next, hasQuorum := l.nextMissing()
+func (m *Machine) fetchMissing(list *listState) {
+	next, hasQuorum := list.nextMissing()
 	if next == nil {
 		return
 	}
-	isIdle := l.fetch == nil || l.fetch.deadline <= m.now
-	mayReplace := hasQuorum && !isIdle && l.countAdvertisers(l.fetch.ListVersion) < Quorum
+	isIdle := list.fetch == nil || list.fetch.deadline <= m.now
+	mayReplace := hasQuorum && !isIdle && list.countAdvertisers(list.fetch.ListVersion) < Quorum
 	if isIdle || mayReplace {
-		m.startFetch(l, next.ListVersion, next.peer)
+		m.startFetch(list, next.ListVersion, next.peer)
 	}
 }
 
@@ -44,7 +44,7 @@
 		}
 		hasQuorum := l.countAdvertisers(advertisement.ListVersion) >= Quorum
 		isPreferred := hasQuorum && !nextHasQuorum
-		isInTurn := hasQuorum == nextHasQuorum && (next == nil || advertisement.askedAt < next.askedAt)
+		isInTurn := hasQuorum == nextHasQuorum && (next == nil || advertisement.requestedAt < next.requestedAt)
 		if isPreferred || isInTurn {
 			next = advertisement
 			nextHasQuorum = hasQuorum
@@ -64,7 +64,7 @@
 	}
 	f := l.fetch
 	if advertisement := l.advertisementOf(peer); advertisement != nil {
-		advertisement.askedAt = max(1, m.now)
+		advertisement.requestedAt = max(1, m.now)
 	}
 	f.peer = peer
 	f.deadline = m.now + FetchTimeout
--- a/internal/bootstrap/fetch_test.go
+++ b/internal/bootstrap/fetch_test.go
@@ -16,24 +16,24 @@
 
 // send makes the machine receive the advertisement and the first part.
 func (p hoardingPeer) send(h *hintHarness) {
-	h.handle(h.MessageReceived(h.now, Message{From: "liar", Digest: []Advertisement{{ListVersion: p.list}}}))
+	h.handle(h.MessageReceived(h.now, Message{From: "byzantine", Digest: []Advertisement{{ListVersion: p.list}}}))
 	part := &Part{ListVersion: p.list, Total: 2, Endpoints: []membership.Endpoint{testEndpoint("f1")}}
-	h.handle(h.MessageReceived(h.now, Message{From: "liar", Part: part}))
+	h.handle(h.MessageReceived(h.now, Message{From: "byzantine", Part: part}))
 }
 
 // TestUnfinishedFetchHoldsBackNoList guards against a drain or a death that proxies learn of late: a peer that sent one
 // part of its list again and again kept them from fetching the list that others advertise.
 func TestUnfinishedFetchHoldsBackNoList(t *testing.T) {
-	h := newHintHarness("liar", "honest1", "honest2", "honest3")
+	h := newHintHarness("byzantine", "honest1", "honest2", "honest3")
 	h.handle(h.ListFromService(h.now, 0, 1, []membership.Endpoint{testEndpoint("t1")}))
-	liar := newHoardingPeer()
+	hoarder := newHoardingPeer()
 	for range 20 {
-		liar.send(h)
+		hoarder.send(h)
 		h.wait(busyTick)
 	}
 	changedAt := h.now
 	for _, peer := range []string{"honest1", "honest2"} {
-		liar.send(h)
+		hoarder.send(h)
 		h.advertise(peer, 2, drainingEndpoint("t1"))
 	}
 	for {
@@ -43,7 +43,7 @@
 		if h.now-changedAt > time.Second {
 			t.Fatal("the list of two peers is not in force 1 s after they advertised it")
 		}
-		liar.send(h)
+		hoarder.send(h)
 		h.wait(busyTick)
 	}
 }
@@ -51,11 +51,11 @@
 // TestUnfinishedFetchHoldsBackNoHint guards against a restarted proxy that is not ready by an honest peer's list, as
 // another peer advertises more often and never completes what it sends.
 func TestUnfinishedFetchHoldsBackNoHint(t *testing.T) {
-	h := newHintHarness("liar", "honest")
-	liar := newHoardingPeer()
+	h := newHintHarness("byzantine", "honest")
+	hoarder := newHoardingPeer()
 	for h.now < 4*time.Second && !h.Ready() {
 		for range int(HeartbeatInterval / busyTick) {
-			liar.send(h)
+			hoarder.send(h)
 			h.wait(busyTick)
 		}
 		h.advertise("honest", 3, testEndpoint("t1"))
--- a/internal/bootstrap/forgery_test.go
+++ b/internal/bootstrap/forgery_test.go
@@ -62,7 +62,7 @@
 // TestForgedChecksumIsRejected guards against requests to endpoints that a lying peer has invented: it advertised the
 // list that others advertise, and served other content with the same checksum, which a quorum then seemed to confirm.
 func TestForgedChecksumIsRejected(t *testing.T) {
-	h := newHintHarness("liar", "honest1", "honest2")
+	h := newHintHarness("byzantine", "honest1", "honest2")
 	h.handle(h.ListFromService(h.now, 0, 1, []membership.Endpoint{testEndpoint("t1")}))
 	honest := newEndpointList(0, 2, []membership.Endpoint{testEndpoint("t1"), testEndpoint("t2")})
 	// The content has 104 bytes: three blocks of xxHash64, and the incarnation as the only word behind them.
@@ -70,10 +70,10 @@
 		honest.Sum)
 
 	advertised := honest.ListVersion
-	digest := Message{From: "liar", Digest: []Advertisement{{ListVersion: advertised}}}
+	digest := Message{From: "byzantine", Digest: []Advertisement{{ListVersion: advertised}}}
 	h.handle(h.MessageReceived(h.now, digest))
 	part := &Part{ListVersion: advertised, Total: 1, Endpoints: forgery}
-	h.handle(h.MessageReceived(h.now, Message{From: "liar", Part: part}))
+	h.handle(h.MessageReceived(h.now, Message{From: "byzantine", Part: part}))
 	h.advertise("honest1", 2, honest.endpoints...)
 	if _, isInUse := h.published["f1"]; isInUse {
 		t.Fatal("the forged content is in force, want it rejected")
--- a/internal/bootstrap/hint.go
+++ b/internal/bootstrap/hint.go
@@ -6,17 +6,14 @@
 	"sloequay/internal/membership"
 )
 
-// A proxy that starts while the service is silent may know nobody but one peer that has a list. It then uses that
-// peer's word, as a hint, until a list is in force. The rules for hints are:
+// A proxy that starts while the service is silent may use a list without a quorum as a hint, by these rules:
 //
-//  1. Only endpoints that are up are used, and an endpoint in use is never removed by a hint.
-//  2. Nothing is used before this proxy has listened for HintDelay to other peers.
-//  3. If one peer alone has sent a list by then, its endpoints are used, and those that it adds later.
-//  4. Once a second peer has sent another list, an endpoint is only added if a quorum of peers describes it alike.
-//  5. The word of a peer that is not the first one in use is never enough on its own, even after that one has left.
+//  1. Nothing is used before this proxy has listened for HintDelay to other peers.
+//  2. If one peer alone has sent a list by then, its endpoints are used, and those that it adds later.
+//  3. Once a second peer has sent another list, an endpoint is added only if a quorum describes it alike.
+//  4. A hint adds only endpoints that are up, and removes none.
 //
-// Lists without endpoints that are up do not count as a list in these rules: they would serve no request, and so must
-// not keep another peer's list from being used.
+// A list without endpoints that are up does not count: it would serve no request.
 
 // hint is the state of the endpoints that are in use for a list that is not in force yet.
 type hint struct {
@@ -30,22 +27,22 @@
 }
 
 // stepHint publishes the endpoints that the candidates allow and that are not published yet.
-func (m *Machine) stepHint(list int, l *listState) {
-	if !l.hint.isOutdated {
+func (m *Machine) stepHint(index int, list *listState) {
+	if !list.hint.isOutdated {
 		return
 	}
-	voters := l.hintVoters()
-	if len(voters) == 0 || !m.hasListened(l) {
+	voters := list.hintVoters()
+	if len(voters) == 0 || !m.hasListened(list) {
 		return
 	}
-	l.hint.isOutdated = false
-	if len(voters) > 1 && !l.hint.isContested {
-		l.hint.isContested = true
-		m.log(HintsContradict, list, voters[len(voters)-1].peer)
+	list.hint.isOutdated = false
+	if len(voters) > 1 && !list.hint.isContested {
+		list.hint.isContested = true
+		m.log(HintsContradict, index, voters[len(voters)-1].peer)
 	}
-	usable := l.usableAsHint(voters)
-	l.hint.isReady = l.hint.isReady || sufficesAsHint(usable, voters)
-	m.publishHint(list, l, voters[0].Version, usable)
+	usable := list.usableAsHint(voters)
+	list.hint.isReady = list.hint.isReady || sufficesAsHint(usable, voters)
+	m.publishHint(index, list, voters[0].Version, usable)
 }
 
 // hintVoters returns the candidates that count in the rules for hints.
--- a/internal/bootstrap/hint_test.go
+++ b/internal/bootstrap/hint_test.go
@@ -143,17 +143,17 @@
 // TestLaterPeerAddsNoEndpoint guards against requests to endpoints that a lying peer has invented: the list of a second
 // peer was used as a hint in addition to the first one's.
 func TestLaterPeerAddsNoEndpoint(t *testing.T) {
-	h := newHintHarness("honest", "liar")
+	h := newHintHarness("honest", "byzantine")
 	h.advertise("honest", 3, testEndpoint("t1"), testEndpoint("t2"))
 	h.wait(HintDelay + busyTick)
-	h.advertise("liar", forgedVersion, testEndpoint("f1"), movedEndpoint("t2"))
+	h.advertise("byzantine", forgedVersion, testEndpoint("f1"), movedEndpoint("t2"))
 	h.wait(time.Second)
 	h.check(t, true, "t1", "t2")
 	if got := h.published["t2"].Address; got != "t2:80" {
 		t.Errorf("t2: got address %s, want the one of the first list", got)
 	}
-	h.setPeers("liar") // the honest peer leaves
-	h.advertise("liar", forgedVersion+1, testEndpoint("f2"))
+	h.setPeers("byzantine") // the honest peer leaves
+	h.advertise("byzantine", forgedVersion+1, testEndpoint("f2"))
 	h.wait(5 * time.Second)
 	h.check(t, true, "t1", "t2")
 	if !h.contested {
@@ -162,7 +162,7 @@
 }
 
 // TestContradictingFirstLists guards against requests to endpoints that a lying peer has invented, where its list
-// arrives first or with an honest one, and against a liar that keeps a proxy from what others agree on.
+// arrives first or with an honest one, and against a peer that keeps a proxy from what others agree on.
 func TestContradictingFirstLists(t *testing.T) {
 	honest := []membership.Endpoint{testEndpoint("t1"), testEndpoint("t2"), testEndpoint("t3")}
 	for _, c := range []struct {
@@ -184,13 +184,13 @@
 			drainingEndpoint("t3")}, true, []string{"t1", "t2", "t3"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			for _, liarIsFirst := range []bool{true, false} {
-				h := newHintHarness("honest", "liar")
-				if liarIsFirst {
-					h.advertise("liar", forgedVersion, c.forged...)
+			for _, forgedIsFirst := range []bool{true, false} {
+				h := newHintHarness("honest", "byzantine")
+				if forgedIsFirst {
+					h.advertise("byzantine", forgedVersion, c.forged...)
 				}
 				h.advertise("honest", 3, honest...)
-				h.advertise("liar", forgedVersion, c.forged...)
+				h.advertise("byzantine", forgedVersion, c.forged...)
 				h.wait(MaxHintDelay + time.Second)
 				h.check(t, c.wantReady, c.wantIDs...)
 			}
@@ -198,11 +198,11 @@
 	}
 }
 
-// TestLonePeerIsBelieved documents the limit of hints: a liar whose list is the only one for HintDelay is believed, and
-// an honest peer that appears later can't correct it. Only a quorum or the service can.
+// TestLonePeerIsBelieved documents the limit of hints: a byzantine peer whose list is the only one for HintDelay is
+// believed, and an honest peer that appears later can't correct it. Only a quorum or the service can.
 func TestLonePeerIsBelieved(t *testing.T) {
-	h := newHintHarness("honest", "liar", "second")
-	h.advertise("liar", forgedVersion, testEndpoint("f1"))
+	h := newHintHarness("honest", "byzantine", "second")
+	h.advertise("byzantine", forgedVersion, testEndpoint("f1"))
 	h.wait(HintDelay + busyTick)
 	h.check(t, true, "f1")
 	h.advertise("honest", 3, testEndpoint("t1"))
@@ -232,7 +232,7 @@
 // peer. After each step, what one peer alone has named must be in use only if that peer was the first one in use.
 func TestHintProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		peers := []string{"honest1", "honest2", "honest3", "liar"}
+		peers := []string{"honest1", "honest2", "honest3", "byzantine"}
 		h := newHintHarness(peers...)
 		version := uint64(1)
 		firstPeer := "" // whose list was the only one when the hint came into use
@@ -242,7 +242,7 @@
 			switch rapid.IntRange(0, 3).Draw(t, "event") {
 			case 0:
 				version++
-				h.advertise("liar", forgedVersion+version, drawEndpoints(t, "f1", "f2", "t1", "t2")...)
+				h.advertise("byzantine", forgedVersion+version, drawEndpoints(t, "f1", "f2", "t1", "t2")...)
 			case 1, 2:
 				version++
 				peer := rapid.SampledFrom(peers[:3]).Draw(t, "peer")
--- a/internal/eventloop/bridge/relay_test.go
+++ b/internal/eventloop/bridge/relay_test.go
@@ -275,9 +275,9 @@
 				got = append(got, buffer[:n]...)
 			}
 			// A write to the pipe is accepted when all of it is read, so up to a buffer may still count.
-			if low, most := len(sent)-len(got), len(sent)-len(got)+copyBufferBytes; h.Relay.Pending() < low ||
-				h.Relay.Pending() > most {
-				rt.Fatalf("got %d bytes pending, want %d to %d", h.Relay.Pending(), low, most)
+			unread := len(sent) - len(got)
+			if pending := h.Relay.Pending(); pending < unread || pending > unread+copyBufferBytes {
+				rt.Fatalf("got %d bytes pending, want %d to %d", pending, unread, unread+copyBufferBytes)
 			}
 		}
 		if !bytes.HasPrefix(sent, got) {
--- a/internal/membership/unconfirmed_test.go
+++ b/internal/membership/unconfirmed_test.go
@@ -76,9 +76,9 @@
 	}
 }
 
-// TestHintsLeaveConfirmedView applies random events to two tables, one of which also gets random hints. Each endpoint
+// TestHintsKeepConfirmedView applies random events to two tables, one of which also gets random hints. Each endpoint
 // with a confirmed report must be published alike by both.
-func TestHintsLeaveConfirmedView(t *testing.T) {
+func TestHintsKeepConfirmedView(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		config := Config{Sources: hintedSources, MaxLossShare: 0.5, MinLoss: 2, MaxSilence: 5 * time.Second}
 		plain, hinted := newFollower(config), newFollower(config)
