--- a/internal/bootstrap/fetch_test.go
+++ b/internal/bootstrap/fetch_test.go
@@ -62,3 +62,21 @@
 	}
 	h.check(t, true, "t1")
 }
+
+// TestEndlessFetchEnds guards against a peer that holds back the lists of others by a list of very many parts, of which
+// it sends a new one just in time.
+func TestEndlessFetchEnds(t *testing.T) {
+	h := newHintHarness("byzantine", "honest")
+	const parts = 1000
+	endless := ListVersion{Version: forgedVersion, Sum: 1}
+	h.handle(h.MessageReceived(h.now, Message{From: "byzantine", Digest: []Advertisement{{ListVersion: endless}}}))
+	h.advertise("honest", 3, testEndpoint("t1"))
+	for number := 0; number < parts && h.state().fetch != nil && h.state().fetch.peer == "byzantine"; number++ {
+		part := &Part{ListVersion: endless, Number: number, Total: parts}
+		h.handle(h.MessageReceived(h.now, Message{From: "byzantine", Part: part}))
+		h.wait(FetchTimeout - busyTick)
+	}
+	if h.now > MaxFetchDuration+FetchTimeout {
+		t.Errorf("the fetch ended after %v, want at most %v", h.now, MaxFetchDuration+FetchTimeout)
+	}
+}
--- a/internal/bootstrap/forgery_test.go
+++ b/internal/bootstrap/forgery_test.go
@@ -115,3 +115,22 @@
 		})
 	}
 }
+
+// TestForgedHashIsRefuted checks that the service's list refutes an advertisement with its version and checksum and
+// another hash.
+func TestForgedHashIsRefuted(t *testing.T) {
+	h := newHintHarness("byzantine", "honest", "earlier")
+	endpoints := []membership.Endpoint{testEndpoint("t1")}
+	version := VersionOf(0, 3, endpoints)
+	trueHash := version.Hash
+	for peer, hash := range map[string]string{"byzantine": "0123456789abcdef", "honest": trueHash, "earlier": ""} {
+		version.Hash = hash
+		h.handle(h.MessageReceived(h.now, Message{From: peer, Digest: []Advertisement{{ListVersion: version}}}))
+	}
+	h.handle(h.ListFromService(h.now, 0, 3, endpoints))
+	for peer, want := range map[string]bool{"byzantine": true, "honest": false, "earlier": false} {
+		if got := h.isDistrusted(peer); got != want {
+			t.Errorf("%s: got distrusted %v, want %v", peer, got, want)
+		}
+	}
+}
--- a/internal/bootstrap/hint_test.go
+++ b/internal/bootstrap/hint_test.go
@@ -1,6 +1,7 @@
 package bootstrap
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -304,3 +305,38 @@
 		}
 	}
 }
+
+// TestHintsAreBounded guards against memory that grows with what one peer sends: a lone peer that names ever new
+// endpoints is ignored from the maximum on.
+func TestHintsAreBounded(t *testing.T) {
+	h := newHintHarness("byzantine")
+	h.config.MaxEndpoints = 10
+	for version := range uint64(30) {
+		first, second := testEndpoint(fmt.Sprint("a", version)), testEndpoint(fmt.Sprint("b", version))
+		h.advertise("byzantine", version+1, first, second)
+		h.wait(HintDelay)
+	}
+	if got, most := len(h.state().hint.published), h.config.MaxEndpoints; got > most || len(h.published) > most {
+		t.Errorf("got %d endpoints kept and %d in use, want at most %d", got, len(h.published), most)
+	}
+}
+
+// TestFirstPeersListIsKept guards against the loss of the list whose endpoints are in use: it counts towards the quorum
+// on each endpoint, however many other lists come.
+func TestFirstPeersListIsKept(t *testing.T) {
+	h := newHintHarness("first", "p1", "p2", "p3", "p4", "p5")
+	h.advertise("first", 1, testEndpoint("t1"), drainingEndpoint("t2"))
+	h.wait(HintDelay + busyTick)
+	h.check(t, true, "t1")
+	for i, peer := range []string{"p1", "p2", "p3", "p4"} {
+		h.advertise(peer, uint64(i+2), testEndpoint("f"+peer))
+	}
+	h.advertise("p5", 9, testEndpoint("t2"))
+	h.check(t, true, "t1", "t2")
+	if got := len(h.state().candidates); got > MaxCandidates {
+		t.Errorf("got %d candidates, want at most %d", got, MaxCandidates)
+	}
+}
+
+// state returns the machine's state of the only list.
+func (h *hintHarness) state() *listState { return &h.Machine.lists[0] }
--- a/internal/eventloop/relay_test.go
+++ b/internal/eventloop/relay_test.go
@@ -75,3 +75,42 @@
 	<-ended
 	check("the relay has ended", 0, 0)
 }
+
+// TestRelayedBytesCountForLimit guards against memory that a slow reader takes beyond its limit: bytes in a relay are
+// part of its unsent bytes.
+func TestRelayedBytesCountForLimit(t *testing.T) {
+	loop, _, runOnLoop := startLoop(t, bulkHandler{})
+	conn, _, _ := adoptRelayed(t, loop)
+	body := bytes.Repeat([]byte("r"), 90_000)
+	runOnLoop(func() {
+		loop.MemoryLimit = unsentPerPeerDivisor * len(body) * 3 / 2 // for one body, not for two
+		conn.Send(body)
+	})
+	for _, wantOpen := range []bool{true, false} { // the pair alone would hold both
+		runOnLoop(func() {})
+		runOnLoop(func() {
+			if isOpen := conn.state == connOpen; isOpen != wantOpen {
+				t.Errorf("got open %v with %d bytes unsent, want %v", isOpen, conn.Unsent(), wantOpen)
+			}
+			conn.Send(body)
+		})
+	}
+}
+
+// TestAbortEndsRelay checks that a connection that is aborted sends nothing more and leaves no relay behind.
+func TestAbortEndsRelay(t *testing.T) {
+	loop, _, runOnLoop := startLoop(t, bulkHandler{})
+	conn, remote, ended := adoptRelayed(t, loop)
+	runOnLoop(func() { conn.Send(bytes.Repeat([]byte("r"), 100_000)) })
+	runOnLoop(func() {})
+	runOnLoop(conn.Abort)
+	select {
+	case <-ended:
+	case <-time.After(relayTestTimeout / 2): // before the relay gives up by itself
+		t.Fatal("the relay has not ended, want it ended by Abort")
+	}
+	_ = remote.SetReadDeadline(time.Now().Add(relayTestTimeout))
+	if n, err := remote.Read(make([]byte, 1)); err == nil {
+		t.Errorf("got %d bytes after Abort, want an error", n)
+	}
+}
--- a/internal/membership/unconfirmed_test.go
+++ b/internal/membership/unconfirmed_test.go
@@ -136,3 +136,19 @@
 		t.Fatalf("saved reports differ because of hints (-without +with):\n%s", diff)
 	}
 }
+
+// TestHintIsNotExported guards against a snapshot that brings a hint back as the source's own word, where the source
+// has so far sent only an incomplete list.
+func TestHintIsNotExported(t *testing.T) {
+	f := newFollower(Config{Sources: hintedSources})
+	f.hint(start, 0, upEndpoints("1", "9")...)
+	f.ReplaceList(start+ms, 0, List{Endpoints: upEndpoints("1", "2"), Incomplete: true})
+	f.advance(start + ms)
+	exported := f.Export()
+	if len(exported) != 1 {
+		t.Fatalf("got reports of %d sources, want one", len(exported))
+	}
+	if diff := cmp.Diff(upEndpoints("1", "2"), exported[0].Endpoints); diff != "" {
+		t.Errorf("exported endpoints differ (-want +got):\n%s", diff)
+	}
+}
