Build and run the tests that filter system calls on arm64 too

Its filter knew the architecture of x86-64 only, and the tests that filter or fail system calls skipped everywhere else. TestByzantinePeerGetsNoRequests counted log lines at readiness, although the log reaches the test by a pipe, later.

Change: the filter has the architectures of both machines, and refuses fork and vfork by number where they exist; the skips remain for other machines alone. The test of the lying peer waits for the four lines, and wants exactly four.

--- a/test/harness_syscalls_test.go
+++ b/test/harness_syscalls_test.go
@@ -384,8 +384,8 @@
 // faultsVariable.
 func (bed *testbed) startWithFaults(faults string) {
 	bed.t.Helper()
-	if runtime.GOOS != "linux" || runtime.GOARCH != "amd64" {
-		bed.t.Skip("the seccomp filter supports only Linux on amd64")
+	if _, ok := auditArchitectures[runtime.GOARCH]; runtime.GOOS != "linux" || !ok {
+		bed.t.Skip("the seccomp filter supports only Linux on amd64 and arm64")
 	}
 	self, err := os.Executable()
 	if err != nil {
--- a/test/peers_test.go
+++ b/test/peers_test.go
@@ -182,6 +182,10 @@
 	}
 	bed.startPeer("n2", 3, "c1", "c2", "p1", "o1")
 	bed.start()
+	// The program has written the lines when it is ready; they reach the test by a pipe, later.
+	bed.waitUntil("the 4 endpoints of the only peer are logged", func() bool {
+		return bed.timesLogged("event=endpoint-added") >= 4
+	})
 	if added := bed.timesLogged("event=endpoint-added"); added != 4 {
 		t.Errorf("got %d endpoints when the program was ready, want the 4 of the only peer", added)
 	}
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -31,6 +31,16 @@
 // that spins, to prove that the check for busy loops detects one.
 const spinVariable = "SLOEQUAY_TEST_SPIN"
 
+// auditArchitectures has the number by which a system-call filter knows each machine's architecture (AUDIT_ARCH_X86_64
+// and AUDIT_ARCH_AARCH64 of linux/audit.h), by the name that Go gives it.
+var auditArchitectures = map[string]uint32{"amd64": 0xc000003e, "arm64": 0xc00000b7}
+
+// The numbers of fork and vfork on amd64 (SYS_FORK and SYS_VFORK), which golang.org/x/sys does not define on arm64.
+const (
+	amd64Fork  = 57
+	amd64Vfork = 58
+)
+
 // serveUnderFilter runs in the child process: it installs the filter, verifies that the filter is in effect, and runs
 // the program.
 func serveUnderFilter() {
@@ -56,27 +66,30 @@
 // (EAFNOSUPPORT); execve, execveat, fork, vfork, clone except for threads, io_uring and sendfile (ENOSYS); and splice
 // (EINVAL). clone3 also fails with ENOSYS, so that the C library falls back to clone, whose flags a filter can inspect.
 func installFilter() error {
-	if runtime.GOARCH != "amd64" {
-		return errors.New("the filter is written for amd64")
+	architecture, ok := auditArchitectures[runtime.GOARCH]
+	if !ok {
+		return errors.New("the filter is written for amd64 and arm64")
 	}
 	const (
-		archX8664   = 0xc000003e // AUDIT_ARCH_X86_64
 		allow       = 0x7fff0000 // SECCOMP_RET_ALLOW
 		retErrno    = 0x00050000 // SECCOMP_RET_ERRNO
 		cloneThread = 0x00010000
 	)
-	refused := []struct {
+	type refusal struct {
 		nr    uint32
 		errno syscall.Errno
-	}{
-		{unix.SYS_EXECVE, unix.ENOSYS}, {unix.SYS_EXECVEAT, unix.ENOSYS}, {unix.SYS_FORK, unix.ENOSYS},
-		{unix.SYS_VFORK, unix.ENOSYS}, {unix.SYS_CLONE3, unix.ENOSYS}, {unix.SYS_IO_URING_SETUP, unix.ENOSYS},
-		{unix.SYS_IO_URING_ENTER, unix.ENOSYS}, {unix.SYS_IO_URING_REGISTER, unix.ENOSYS},
-		{unix.SYS_SENDFILE, unix.ENOSYS}, {unix.SYS_SPLICE, unix.EINVAL},
+	}
+	refused := []refusal{
+		{unix.SYS_EXECVE, unix.ENOSYS}, {unix.SYS_EXECVEAT, unix.ENOSYS}, {unix.SYS_CLONE3, unix.ENOSYS},
+		{unix.SYS_IO_URING_SETUP, unix.ENOSYS}, {unix.SYS_IO_URING_ENTER, unix.ENOSYS},
+		{unix.SYS_IO_URING_REGISTER, unix.ENOSYS}, {unix.SYS_SENDFILE, unix.ENOSYS}, {unix.SYS_SPLICE, unix.EINVAL},
+	}
+	if runtime.GOARCH == "amd64" { // arm64 has only clone and clone3
+		refused = append(refused, refusal{amd64Fork, unix.ENOSYS}, refusal{amd64Vfork, unix.ENOSYS})
 	}
 	program := []bpf.Instruction{
 		bpf.LoadAbsolute{Off: 4, Size: 4},
-		bpf.JumpIf{Cond: bpf.JumpEqual, Val: archX8664, SkipTrue: 1},
+		bpf.JumpIf{Cond: bpf.JumpEqual, Val: architecture, SkipTrue: 1},
 		bpf.RetConstant{Val: allow},
 		bpf.LoadAbsolute{Off: 0, Size: 4},
 	}
@@ -108,8 +121,8 @@
 // TestServesUnderThePlatformFilter starts the proxy under the platform's system-call filter. It must start, serve a
 // request, and exit on its own after SIGTERM.
 func TestServesUnderThePlatformFilter(t *testing.T) {
-	if runtime.GOOS != "linux" || runtime.GOARCH != "amd64" {
-		t.Skip("the filter is written for Linux on amd64")
+	if _, ok := auditArchitectures[runtime.GOARCH]; runtime.GOOS != "linux" || !ok {
+		t.Skip("the filter is written for Linux on amd64 and arm64")
 	}
 	bed := newTestbed(t, nil)
 	bed.startTestBinary(filterVariable)
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -65,8 +65,8 @@
 // runSeeds draws a plan for each seed and runs it with soakFaults.
 func runSeeds(t *testing.T, seeds []uint64, draw func(seed uint64) (*drill.Plan, error)) {
 	t.Helper()
-	if runtime.GOOS != "linux" || runtime.GOARCH != "amd64" {
-		t.Skip("the filter that injects system-call failures is written for Linux on amd64")
+	if _, ok := auditArchitectures[runtime.GOARCH]; runtime.GOOS != "linux" || !ok {
+		t.Skip("the filter that injects system-call failures is written for Linux on amd64 and arm64")
 	}
 	executable, err := os.Executable()
 	if err != nil {
