--- a/internal/broker/attempt.go
+++ b/internal/broker/attempt.go
@@ -127,6 +127,9 @@
 
 // successResponse returns the response to the request of a successful attempt.
 func successResponse(event AttemptEnded) Response {
+	if event.BodyDropped {
+		return Response{Kind: ResponseFailed, Reason: reasonBodyDropped}
+	}
 	kind := ResponseServed
 	if event.End == NotModified {
 		kind = ResponseNotModified
--- a/internal/broker/request.go
+++ b/internal/broker/request.go
@@ -6,6 +6,7 @@
 
 	"sloequay/internal/concurrency"
 	"sloequay/internal/identity"
+	"sloequay/internal/memory"
 	"sloequay/internal/policy"
 	"sloequay/internal/quota"
 	"sloequay/internal/route"
@@ -38,6 +39,8 @@
 	// Canceled is set by the frontend when it emits RequestCanceled. A request that is canceled in the round of its
 	// arrival is not admitted, so that a burst of hundreds of them does not reach the endpoints.
 	Canceled bool
+	// Memory is the frontend's charge for the memory that the request takes. It is released when the request ends.
+	Memory memory.Charge
 
 	id        policy.RequestID
 	state     requestState
@@ -67,6 +70,7 @@
 func (b *Broker) receive(request *Request) {
 	if request.Canceled {
 		request.state = requestEnded
+		request.Memory.Release()
 		return
 	}
 	request.deadline = responseDeadline(request.ReceivedAt, request.Timeout)
@@ -211,4 +215,5 @@
 		}
 	}
 	request.Body = nil
+	request.Memory.Release()
 }
--- a/internal/broker/response.go
+++ b/internal/broker/response.go
@@ -48,6 +48,7 @@
 	reasonTooManyOpen       = "too many open requests"
 	reasonNoEndpointReached = "no box could be reached"
 	reasonDeadlinePassed    = "past its deadline"
+	reasonBodyDropped       = "memory is short"
 )
 
 // rejection returns a rejection of a request by the broker itself.
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -57,6 +57,7 @@
 	"upstream-protocol-error":       zap.WarnLevel,
 	"upstream-connection-reset":     zap.WarnLevel,
 	"upstream-stats":                zap.InfoLevel,
+	"memory-short":                  zap.WarnLevel,
 
 	"endpoint-list-stale":         zap.ErrorLevel,
 	"endpoint-list-resumed":       zap.InfoLevel,
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sys/unix"
 
 	"sloequay/internal/eventloop/bridge"
+	"sloequay/internal/memory"
 )
 
 // connState is the state of a connection. It never decreases.
@@ -50,10 +51,11 @@
 	outbound      []byte // bytes to be written at the end of the round
 	queued        uint64 // bytes passed to Send since the connection was opened
 	unsent        unsentBuffer
-	writeErr      error // of a failed write
-	countedUnsent int   // this connection's part of Loop.unsentBytes: the bytes that buffered returns
-	isToBeWritten bool  // is in Loop.toWrite
-	isSlowReader  bool  // is in Loop.slowReaders
+	writeErr      error         // of a failed write
+	countedUnsent int           // this connection's part of Loop.unsentBytes: the bytes that buffered returns
+	input, output memory.Charge // for the buffers of unconsumed, and of outbound and unsent
+	isToBeWritten bool          // is in Loop.toWrite
+	isSlowReader  bool          // is in Loop.slowReaders
 	retryPause    time.Duration
 	retryAt       time.Time // when to write to a slow reader again
 }
@@ -63,9 +65,8 @@
 	if c.state != connOpen {
 		return
 	}
-	if n := len(c.loop.spareBuffers); c.outbound == nil && n > 0 {
-		c.outbound = c.loop.spareBuffers[n-1]
-		c.loop.spareBuffers = c.loop.spareBuffers[:n-1]
+	if c.outbound == nil {
+		c.outbound = c.loop.spareBuffers.take()
 	}
 	for _, part := range parts {
 		c.outbound = append(c.outbound, part...)
@@ -73,6 +74,7 @@
 		c.countedUnsent += len(part)
 		c.loop.unsentBytes += len(part)
 	}
+	c.output.Set(cap(c.outbound) + cap(c.unsent.data))
 	c.writeAtRoundEnd()
 }
 
@@ -143,6 +145,12 @@
 // Flushed returns how many of the queued bytes the system has accepted for the peer.
 func (c *Conn) Flushed() uint64 { return c.queued - uint64(c.Unsent()) }
 
+// HeldBytes returns the size of the connection's buffers for input and output.
+func (c *Conn) HeldBytes() int { return c.input.Bytes() + c.output.Bytes() }
+
+// HeldInputBytes returns the size of the buffer for input that was not consumed.
+func (c *Conn) HeldInputBytes() int { return c.input.Bytes() }
+
 // Unsent returns the number of queued bytes that the system has not accepted for the peer yet, including those that
 // wait in a relay.
 func (c *Conn) Unsent() int {
--- a/internal/eventloop/eventloop_test.go
+++ b/internal/eventloop/eventloop_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"testing"
 	"time"
+
+	"sloequay/internal/memory"
 )
 
 // retainingHandler consumes nothing until consumes is set. It reports the length of each delivery.
@@ -48,7 +50,7 @@
 	loops, ended := make(chan *Loop, 1), make(chan error, 1)
 	go func() {
 		ended <- Run([]Listener{{Network: "tcp", Address: address, Accept: func(net.Addr) Handler { return h }}},
-			func(l *Loop) { l.MemoryLimit = 64 << 20; loops <- l }, endRound)
+			func(l *Loop) { l.Memory = memory.NewAccount(64 << 20); loops <- l }, endRound)
 	}()
 	select {
 	case l = <-loops:
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -16,6 +16,7 @@
 	"sloequay/internal/eventloop/bridge"
 	"sloequay/internal/eventloop/socket"
 	"sloequay/internal/eventloop/standstill"
+	"sloequay/internal/memory"
 )
 
 // Loop is the event loop. All methods except Post, Adopt and Stop must be called on the loop; only Adopt blocks.
@@ -25,7 +26,8 @@
 // does not wait for; one at the start; and one for Stop. Timers post to the loop.
 type Loop struct {
 	gnet.BuiltinEventEngine
-	MemoryLimit int // bytes that the program may use; buffer limits are fractions of it; set by Run's start
+	// Memory accounts for the bytes that the loop holds for its peers. Run's start sets it.
+	Memory *memory.Account
 	// Bind is the local address of dials; nil: the system chooses.
 	Bind *net.TCPAddr
 	// OnAcceptError is called on the loop for each connection that could not be accepted; nil: errors are ignored.
@@ -50,9 +52,9 @@
 	slowReaders     []*Conn // connections with bytes that the system did not accept yet
 	unsentBytes     int     // bytes that were not written to sockets yet
 	relays          bridge.Totals
-	unconsumedBytes int    // received and not consumed by handlers, of all connections
-	roundBuffer     []byte // see CopyForRound
-	spareBuffers    [][]byte
+	unconsumedBytes int // received and not consumed by handlers, of all connections
+	roundBuffer     roundBuffer
+	spareBuffers    spareBuffers
 
 	writeRetryTimer *time.Timer
 	writeRetryAt    time.Time // when the timer fires; zero: it is not running
@@ -84,6 +86,8 @@
 	}
 	loop.start = func() {
 		start(loop)
+		loop.spareBuffers = newSpareBuffers(loop.Memory)
+		loop.roundBuffer = newRoundBuffer(loop.Memory)
 		for _, acceptor := range acceptors {
 			acceptor.start()
 		}
--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -4,13 +4,17 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+
+	"sloequay/internal/memory"
 )
 
 const (
-	// The received and unconsumed bytes of all connections may take MemoryLimit/unconsumedDivisor. Beyond that, a
-	// connection that receives more and holds more than maxIdleBuffer of them is closed.
-	unconsumedDivisor = 6
-	maxIdleBuffer     = 64 << 10 // bytes; larger buffers are released when empty
+	// maxIdleBuffer is the size in bytes of the largest buffer that a connection keeps while it is empty. Hundreds of
+	// connections may be idle.
+	maxIdleBuffer = 4 << 10
+	// maxExcessInput is the most that a connection may leave unconsumed while the memory account is exceeded, in bytes.
+	// A connection that receives more is closed. Handlers that strangers reach discard such input before.
+	maxExcessInput = 64 << 10
 )
 
 // OnOpen is called by gnet for each new connection. It sets the handler of an accepted one and calls Opened.
@@ -36,6 +40,8 @@
 	case adoptedConn:
 	}
 	conn.sock = sock
+	conn.input = l.Memory.NewCharge(memory.Input, 0)
+	conn.output = l.Memory.NewCharge(memory.Output, 0)
 	conn.handler.Opened(conn)
 	l.RequestRound()
 	return nil, gnet.None
@@ -57,10 +63,11 @@
 	if len(conn.unconsumed) > 0 {
 		l.unconsumedBytes += len(data)
 		conn.unconsumed = append(conn.unconsumed, data...)
+		conn.input.Set(cap(conn.unconsumed))
 		data = conn.unconsumed
 	}
 	conn.deliver(data) // often gnet's own buffer: complete messages are not copied
-	if l.unconsumedBytes > l.MemoryLimit/unconsumedDivisor && len(conn.unconsumed) > maxIdleBuffer {
+	if l.Memory.IsExceeded() && len(conn.unconsumed) > maxExcessInput {
 		conn.beginClose()
 		return gnet.Close // OnClose follows and calls the handler's Closed
 	}
@@ -87,6 +94,8 @@
 	conn.countedUnsent = 0
 	conn.unconsumed = nil
 	conn.unsent = unsentBuffer{}
+	conn.input.Release()
+	conn.output.Release()
 	conn.handler.Closed(conn, err)
 	l.RequestRound()
 	return gnet.None
@@ -115,17 +124,26 @@
 	c.handler.Received(c)
 	c.hasReceived = true
 	c.loop.unconsumedBytes -= len(c.unconsumed)
-	c.unconsumed = append(c.unconsumed[:0], c.In...)
+	c.keepUnconsumed()
 	c.loop.unconsumedBytes += len(c.unconsumed)
 	c.In = nil
-	if len(c.unconsumed) == 0 && cap(c.unconsumed) > maxIdleBuffer {
-		c.unconsumed = nil
-	}
+	c.input.Set(cap(c.unconsumed))
 	if !c.isReadDeferred {
 		c.loop.RequestRound()
 	}
 }
 
+// keepUnconsumed keeps the bytes of In that the handler did not consume. If they are few, a large buffer is replaced by
+// a smaller one, so that the memory used is in proportion to them.
+func (c *Conn) keepUnconsumed() {
+	isLarge := cap(c.unconsumed) > maxIdleBuffer
+	if isLarge && len(c.In) < cap(c.unconsumed)/trimDivisor {
+		c.unconsumed = append([]byte(nil), c.In...)
+		return
+	}
+	c.unconsumed = append(c.unconsumed[:0], c.In...)
+}
+
 // Consume removes the first n bytes of In. Handlers call it in Received.
 func (c *Conn) Consume(n int) { c.In = c.In[n:] }
 
--- a/internal/eventloop/relay_test.go
+++ b/internal/eventloop/relay_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sloequay/internal/eventloop/bridge"
+	"sloequay/internal/memory"
 )
 
 const relayTestTimeout = 10 * time.Second
@@ -83,7 +84,7 @@
 	conn, _, _ := adoptRelayed(t, loop)
 	body := bytes.Repeat([]byte("r"), 90_000)
 	runOnLoop(func() {
-		loop.MemoryLimit = unsentPerPeerDivisor * len(body) * 3 / 2 // for one body, not for two
+		loop.Memory = memory.NewAccount(unsentPerPeerDivisor * len(body) * 3 / 2) // for one body, not for two
 		conn.Send(body)
 	})
 	for _, wantOpen := range []bool{true, false} { // the pair alone would hold both
--- a/internal/eventloop/round.go
+++ b/internal/eventloop/round.go
@@ -14,8 +14,6 @@
 	busyWindow = 50 * time.Millisecond
 	busyRounds = 80
 	busyPause  = 300 * time.Microsecond
-	// maxRoundBuffer is the size in bytes of the largest buffer of CopyForRound that is reused.
-	maxRoundBuffer = 4 << 20
 )
 
 // RequestRound requests a round. It ends once everything that is ready now has been read, or later if the loop stood
@@ -62,9 +60,7 @@
 	l.isRoundRequested = false
 	l.endRound()
 	l.writeAll()
-	if l.roundBuffer = l.roundBuffer[:0]; cap(l.roundBuffer) > maxRoundBuffer {
-		l.roundBuffer = nil
-	}
+	l.roundBuffer.reset()
 	if l.pacer.roundEnded(time.Now()) {
 		sleepBriefly()
 	}
@@ -81,14 +77,6 @@
 	l.toWrite = l.toWrite[:0]
 }
 
-// CopyForRound copies bytes that are needed only until the end of this round. It uses a buffer that the next round
-// reuses, as separate allocations would burden the garbage collector.
-func (l *Loop) CopyForRound(data []byte) []byte {
-	start := len(l.roundBuffer)
-	l.roundBuffer = append(l.roundBuffer, data...) // earlier copies stay valid if append reallocates
-	return l.roundBuffer[start:len(l.roundBuffer):len(l.roundBuffer)]
-}
-
 // roundPacer decides whether the loop is busy and must sleep briefly after a round, so that the next round handles more
 // events. Without that, rounds of one or two events each would use up the CPU while input waits in the sockets.
 type roundPacer struct {
--- a/internal/eventloop/write.go
+++ b/internal/eventloop/write.go
@@ -11,13 +11,10 @@
 )
 
 const (
-	// The connection of a peer that does not read is closed if its unsent bytes exceed MemoryLimit/unsentPerPeerDivisor
-	// or maxUnsentPerPeer bytes.
+	// The connection of a peer that does not read is closed if its unsent bytes exceed the memory of the process
+	// divided by unsentPerPeerDivisor, or maxUnsentPerPeer bytes.
 	unsentPerPeerDivisor = 10
 	maxUnsentPerPeer     = 6 << 20
-	// Limits on the write buffers that are kept for reuse: their number, and the size of each in bytes.
-	maxSpareBuffers    = 32
-	maxSpareBufferSize = 1 << 20
 	// If less than 1/trimDivisor of a large buffer remains to be written, the rest moves to a smaller buffer.
 	trimDivisor = 4
 	// Pauses before writing again to a peer that is slow to read. The pause doubles while the system accepts nothing.
@@ -79,7 +76,7 @@
 	}
 	if len(c.outbound) > 0 {
 		if !c.unsent.add(c.outbound) {
-			c.loop.reuseBuffer(c.outbound)
+			c.loop.spareBuffers.keep(c.outbound)
 		}
 		c.outbound = nil
 	}
@@ -94,7 +91,7 @@
 		c.loop.slowReaders = append(c.loop.slowReaders, c)
 		c.loop.scheduleWriteRetry(minWritePause)
 	}
-	if c.Unsent() > min(c.loop.MemoryLimit/unsentPerPeerDivisor, maxUnsentPerPeer) {
+	if c.Unsent() > min(c.loop.Memory.Process()/unsentPerPeerDivisor, maxUnsentPerPeer) {
 		c.beginClose()
 	}
 	if c.state == connClosing {
@@ -112,7 +109,7 @@
 	if c.unsent.len() > 0 {
 		c.unsent.trim()
 	} else if c.unsent.data != nil {
-		c.loop.reuseBuffer(c.unsent.data)
+		c.loop.spareBuffers.keep(c.unsent.data)
 		c.unsent = unsentBuffer{}
 	}
 	c.countUnsent()
@@ -141,8 +138,9 @@
 	c.retryAt = time.Now().Add(pause)
 }
 
-// countUnsent updates Loop.unsentBytes with the connection's buffered bytes.
+// countUnsent updates Loop.unsentBytes with the connection's buffered bytes, and the charge for their buffers.
 func (c *Conn) countUnsent() {
+	c.output.Set(cap(c.outbound) + cap(c.unsent.data))
 	unsent := c.buffered()
 	c.loop.unsentBytes += unsent - c.countedUnsent
 	c.countedUnsent = unsent
@@ -209,10 +207,3 @@
 		c.delayRetry(min(2*c.retryPause, maxWritePause))
 	}
 }
-
-// reuseBuffer keeps a written buffer for reuse by Conn.Send.
-func (l *Loop) reuseBuffer(written []byte) {
-	if len(l.spareBuffers) < maxSpareBuffers && cap(written) <= maxSpareBufferSize {
-		l.spareBuffers = append(l.spareBuffers, written[:0])
-	}
-}
--- a/internal/frontend/rpc/connection.go
+++ b/internal/frontend/rpc/connection.go
@@ -26,9 +26,14 @@
 	messageIDs map[*broker.Request]uint32 // inverse of open
 	openLimit  pacing.OpenLimit
 	pace       pacing.Connection[*connection]
-	receivedAt time.Duration // the earliest time at which the messages being handled may have arrived
-	rejectAll  bool          // reject requests without parsing them, as the connection is about to be closed
+	receivedAt time.Duration     // the earliest time at which the messages being handled may have arrived
+	rejectAll  bool              // reject requests without parsing them
+	rejectNext bool              // reject the next request without parsing it
+	discarded  *discardedMessage // nil: none
 	closed     bool
+
+	unreadAnswers      int    // see countUnreadAnswer
+	unreadAnswersSince uint64 // the offset, among all bytes sent, from which they are counted
 }
 
 func newConnection(server *Server, caller identity.Caller) *connection {
@@ -59,48 +64,89 @@
 	c.openLimit.StartRead()
 	now := c.server.Now()
 	c.receivedAt = c.pace.EarliestArrival(now - conn.ReadLag())
-	used, mustWait := c.handleMessages(conn.In, now)
-	if mustWait {
+	result := c.handleMessages(conn.In, now)
+	if result.mustWait {
 		c.pace.MarkUnread(c.receivedAt)
 	} else {
 		c.pace.MarkAllRead()
 	}
-	if unread := len(conn.In) - used; mustWait && c.server.pacedQueue.TooMuchUnread(unread) {
+	if unread := len(conn.In) - result.used; result.mustWait && c.server.pacedQueue.TooMuchUnread(unread) {
 		c.server.Log("client-rate-limited", "from", c.caller.Remote, "bytes", unread)
-		c.rejectUnread(conn.In[used:])
+		c.rejectUnread(conn.In[result.used:])
 		c.failAndClose()
 	}
 	if c.closed {
-		used = len(conn.In)
+		result.used = len(conn.In)
 	}
-	conn.Consume(used)
-	if mustWait && used == 0 {
+	conn.Consume(result.used)
+	if result.mustWait && result.used == 0 {
 		conn.DeferRead()
 		return
 	}
 	// The rest of the data on a connection that must wait may be complete messages, so it does not count as partial.
-	c.client.Received(now, connlimit.Input{Complete: used > 0, Partial: len(conn.In) > 0 && !mustWait})
+	isPartial := c.discarded != nil || len(conn.In) > 0 && !result.mustWait
+	c.client.Received(now, connlimit.Input{Complete: result.completed, Partial: isPartial})
 	c.updateOpen()
 }
 
-// handleMessages handles complete messages at the front of data. It returns their size in bytes, and whether the rest
-// has to wait for the connection's turn.
-func (c *connection) handleMessages(data []byte, now time.Duration) (used int, mustWait bool) {
-	for used < len(data) && !c.closed {
-		if c.mustWait(now) {
-			return used, true
+// readResult is what became of the data of one read.
+type readResult struct {
+	used      int  // bytes that were handled or discarded
+	completed bool // whether a message was completed
+	mustWait  bool // whether the rest has to wait for the connection's turn
+}
+
+// handleMessages handles complete messages at the front of data. When memory is short, a large rest is not kept: an
+// incomplete message is discarded as it arrives, and messages that would have to wait for the connection's turn are
+// rejected.
+func (c *connection) handleMessages(data []byte, now time.Duration) (result readResult) {
+	if c.ignoresAnswers() {
+		c.protocolError(&unreadAnswersError{count: c.unreadAnswers})
+	}
+	for result.used < len(data) && !c.closed {
+		rest := data[result.used:]
+		mustWait := c.discarded == nil && c.mustWait(now)
+		if mustWait && c.mayKeep(rest) {
+			result.mustWait = true
+			return result
 		}
-		size, err := c.handleMessage(data[used:])
+		c.rejectNext = mustWait
+		size, err := c.handleNext(rest)
 		if errors.Is(err, msgpack.ErrIncomplete) {
 			break
 		}
 		if err != nil {
-			c.server.Log("client-protocol-error", "error", err, "open", len(c.open))
-			c.failAndClose()
+			c.protocolError(err)
+		}
+		result.used += size
+		result.completed = result.completed || c.discarded == nil
+		if c.discarded != nil && size == 0 {
+			break
+		}
+	}
+	return result
+}
+
+// handleNext handles the message at the front of data, or discards what has arrived of it. It returns how many bytes it
+// used, and the errors of handleMessage.
+func (c *connection) handleNext(data []byte) (used int, err error) {
+	if c.discarded != nil {
+		return c.continueDiscard(data)
+	}
+	used, err = c.handleMessage(data)
+	if errors.Is(err, msgpack.ErrIncomplete) && !c.mayKeep(data) {
+		if err := c.beginDiscard(data); err != nil {
+			return 0, err
 		}
-		used += size
+		return c.continueDiscard(data)
 	}
-	return used, false
+	return used, err
+}
+
+// protocolError closes the connection of a client that violates the protocol.
+func (c *connection) protocolError(err error) {
+	c.server.Log("client-protocol-error", "error", err, "open", len(c.open))
+	c.failAndClose()
 }
 
 // mustWait reports whether the next message has to wait for the connection's turn.
--- a/internal/frontend/rpc/frame.go
+++ b/internal/frontend/rpc/frame.go
@@ -49,25 +49,54 @@
 	return fmt.Sprintf("%d requests rejected in one read, at most %d may be open", e.excess, maxOpenRequests)
 }
 
+// unreadAnswersError is returned when a client goes on sending without reading its answers.
+type unreadAnswersError struct {
+	count int // answers that it did not read
+}
+
+// Error describes the error with the number of answers and the limit.
+func (e *unreadAnswersError) Error() string {
+	return fmt.Sprintf("%d answers were not read, at most %d may be", e.count, maxUnreadAnswers)
+}
+
 // readFrame parses one frame at the front of data. It returns msgpack.ErrIncomplete for a frame that has not arrived
 // completely; after any other error the connection must be closed.
 func readFrame(data []byte) (frame, error) {
 	reader := msgpack.Reader{Data: data, MaxBytes: maxFrameBytes, ValuesLeft: maxFrameValues}
+	header, err := readHeaderFrom(&reader)
+	if err != nil {
+		return frame{}, err
+	}
+	complete, err := readBody(&reader, header)
+	if header.kind == kindRequest && err != nil && !errors.Is(err, msgpack.ErrIncomplete) {
+		err = &malformedRequestError{messageID: header.messageID, err: err}
+	}
+	return complete, err
+}
+
+// readHeader parses the kind and the message id of the frame at the front of data, which may be incomplete. It returns
+// the same errors as readFrame.
+func readHeader(data []byte) (frame, error) {
+	return readHeaderFrom(&msgpack.Reader{Data: data})
+}
+
+// readHeaderFrom parses a frame up to its method.
+func readHeaderFrom(reader *msgpack.Reader) (frame, error) {
 	elements := reader.ArrayHeader()
 	kind := reader.Uint()
 	switch {
 	case reader.Err != nil:
 		return frame{}, reader.Err
 	case kind == kindRequest && elements == requestElements:
-		return readRequestFrame(&reader)
+		return readMessageID(reader)
 	case kind == kindNotification && elements == notificationElements:
-		return readBody(&reader, frame{kind: kindNotification})
+		return frame{kind: kindNotification}, nil
 	}
 	return frame{}, fmt.Errorf("unexpected message of kind %d with %d elements", kind, elements)
 }
 
-// readRequestFrame parses the rest of a request after its kind.
-func readRequestFrame(reader *msgpack.Reader) (frame, error) {
+// readMessageID parses the message id of a request.
+func readMessageID(reader *msgpack.Reader) (frame, error) {
 	id := reader.Uint()
 	if reader.Err != nil {
 		return frame{}, reader.Err
@@ -75,12 +104,7 @@
 	if id > maxMessageID {
 		return frame{}, fmt.Errorf("message id %d is out of range", id)
 	}
-	messageID := uint32(id)
-	request, err := readBody(reader, frame{kind: kindRequest, messageID: messageID})
-	if err != nil && !errors.Is(err, msgpack.ErrIncomplete) {
-		err = &malformedRequestError{messageID: messageID, err: err}
-	}
-	return request, err
+	return frame{kind: kindRequest, messageID: uint32(id)}, nil
 }
 
 // readBody skips the method and the parameters, the last elements of a message, and returns header with their position
@@ -123,7 +147,7 @@
 // handleRequest responds to a request or passes it to the broker. After an error the connection must be closed.
 func (c *connection) handleRequest(message *frame) error {
 	messageID := message.messageID
-	if c.rejectAll {
+	if c.rejectAll || c.rejectNext {
 		c.sendRejection(messageID, broker.Response{})
 		return nil
 	}
@@ -143,13 +167,8 @@
 		c.server.Log("client-duplicate-id", "message", messageID)
 		return &duplicateIDError{messageID: messageID}
 	}
-	decision := c.openLimit.Decide(pacing.Load{Open: len(c.open), MemoryShort: c.server.MemoryShort()})
-	if decision != pacing.Admit {
-		c.sendRejection(messageID, broker.Response{RetryAfter: c.server.RetryAfter.ConnectionFull()})
-		if decision == pacing.Close {
-			return &floodError{excess: c.openLimit.Excess()}
-		}
-		return nil
+	if decision := c.admit(request); decision != pacing.Admit {
+		return c.rejectForLoad(messageID, decision)
 	}
 	c.open[messageID] = request
 	c.messageIDs[request] = messageID
@@ -157,6 +176,16 @@
 	return nil
 }
 
+// rejectForLoad rejects a request because too much is open or memory is short. After an error the connection must be
+// closed.
+func (c *connection) rejectForLoad(messageID uint32, decision pacing.Decision) error {
+	c.sendRejection(messageID, broker.Response{RetryAfter: c.server.RetryAfter.ConnectionFull()})
+	if decision == pacing.Close {
+		return &floodError{excess: c.openLimit.Excess()}
+	}
+	return nil
+}
+
 // handleNotification cancels the open request that a notification names. Notifications get no response, and unknown
 // ones are ignored.
 func (c *connection) handleNotification(body *msgpack.Reader) {
--- /dev/null
+++ b/internal/frontend/rpc/memory.go
@@ -0,0 +1,129 @@
+package rpc
+
+import (
+	"sloequay/internal/broker"
+	"sloequay/internal/frontend/rpc/msgpack"
+	"sloequay/internal/frontend/rpc/pacing"
+	"sloequay/internal/memory"
+)
+
+const (
+	// requestOverheadBytes is the memory that an open request takes besides its body and its token: its fields, timers,
+	// attempts and entries in tables.
+	requestOverheadBytes = 2 << 10
+	// minDiscardBytes is the size of the smallest unhandled input that is discarded or rejected when memory is short.
+	// All that a notification needs is shorter.
+	minDiscardBytes = 1 << 10
+	// maxUnreadAnswers is the number of answers without a body, such as errors, that may wait for a client to read the
+	// answers before them.
+	maxUnreadAnswers = 64
+)
+
+// MemoryStats counts what was not served because memory is short.
+type MemoryStats struct {
+	Rejected  int // requests
+	Discarded int // messages that were not kept until they were complete; the requests among them were rejected
+	Failed    int // requests whose responses were too large to be kept until their clients read them
+}
+
+// discardedMessage is an incomplete message that is skipped as it arrives, because memory is short. If it is a request,
+// it is rejected once it is complete.
+type discardedMessage struct {
+	frame   frame // without a body
+	skipper msgpack.Skipper
+}
+
+// TakeMemoryStats returns the counts since the last call.
+func (s *Server) TakeMemoryStats() MemoryStats {
+	taken := s.memoryStats
+	s.memoryStats = MemoryStats{}
+	return taken
+}
+
+// heldBytes returns the memory that is charged for the connection and its open requests.
+func (c *connection) heldBytes() int {
+	held := c.conn.HeldBytes()
+	for _, request := range c.open {
+		held += request.Memory.Bytes()
+	}
+	return held
+}
+
+// requestCost returns the memory that a request takes while it is open, in bytes.
+func requestCost(request *broker.Request) int {
+	return requestOverheadBytes + len(request.Token) + len(request.Body)
+}
+
+// admit decides whether a request may be opened. If so, its memory is charged, and its body is copied from the input.
+func (c *connection) admit(request *broker.Request) pacing.Decision {
+	account := c.server.Memory
+	cost := requestCost(request)
+	fits := account.Admits(c.heldBytes(), cost)
+	decision := c.openLimit.Decide(pacing.Load{Open: len(c.open), MemoryShort: !fits})
+	if decision != pacing.Admit {
+		if !fits {
+			c.server.memoryStats.Rejected++
+		}
+		return decision
+	}
+	request.Memory = account.NewCharge(memory.Requests, cost)
+	request.Body = append([]byte(nil), request.Body...)
+	return decision
+}
+
+// mayKeep reports whether the unhandled rest of the input may be kept until more arrives or it is its turn.
+func (c *connection) mayKeep(rest []byte) bool {
+	if len(rest) <= minDiscardBytes {
+		return true
+	}
+	more := max(0, len(rest)-c.conn.HeldInputBytes())
+	return c.server.Memory.Admits(c.heldBytes(), more)
+}
+
+// beginDiscard begins to discard the incomplete message at the front of data.
+func (c *connection) beginDiscard(data []byte) error {
+	header, err := readHeader(data)
+	if err != nil {
+		return err
+	}
+	c.server.memoryStats.Discarded++
+	c.discarded = &discardedMessage{frame: header, skipper: msgpack.NewSkipper(maxFrameBytes, maxFrameValues)}
+	return nil
+}
+
+// continueDiscard discards what has arrived of the message. It returns how many bytes that is.
+func (c *connection) continueDiscard(data []byte) (used int, err error) {
+	discarded := c.discarded
+	used, complete, err := discarded.skipper.Skip(data)
+	isRequest := discarded.frame.kind == kindRequest
+	switch {
+	case err != nil && isRequest:
+		c.sendError(discarded.frame.messageID, errorMalformed, nil)
+	case complete:
+		c.discarded = nil
+		if isRequest {
+			err = c.rejectForLoad(discarded.frame.messageID, c.openLimit.Decide(pacing.Load{MemoryShort: true}))
+		}
+	}
+	return used, err
+}
+
+// canKeepResponse reports whether a response body may wait until the client reads it.
+func (c *connection) canKeepResponse(body []byte) bool {
+	return len(body) <= smallBodyBytes || c.server.Memory.Fits(c.conn.HeldBytes(), len(body))
+}
+
+// countUnreadAnswer counts an answer without a body that is about to be sent. The count begins again once the client
+// has taken what was queued when it began.
+func (c *connection) countUnreadAnswer() {
+	if c.conn.Flushed() >= c.unreadAnswersSince {
+		c.unreadAnswers = 0
+		c.unreadAnswersSince = c.conn.Queued() + 1
+	}
+	c.unreadAnswers++
+}
+
+// ignoresAnswers reports whether the client goes on sending without reading its answers.
+func (c *connection) ignoresAnswers() bool {
+	return c.unreadAnswers > maxUnreadAnswers && c.conn.Flushed() < c.unreadAnswersSince
+}
--- a/internal/frontend/rpc/msgpack/reader.go
+++ b/internal/frontend/rpc/msgpack/reader.go
@@ -66,9 +66,9 @@
 	code := r.code()
 	switch {
 	case isFixStr(code):
-		return r.takeAtMost(uint32(code&fixStrLengthMask), maxBytes)
+		return r.takeAtMost(uint64(code&fixStrLengthMask), maxBytes)
 	case code >= codeStr8 && code <= codeStr32:
-		return r.takeAtMost(uint32(r.number(1<<(code-codeStr8))), maxBytes)
+		return r.takeAtMost(r.number(1<<(code-codeStr8)), maxBytes)
 	}
 	r.wrongType(code, "a string")
 	return nil
@@ -81,7 +81,7 @@
 		r.wrongType(code, "a binary")
 		return nil
 	}
-	return r.takeAtMost(uint32(r.number(1<<(code-codeBin8))), maxBytes)
+	return r.takeAtMost(r.number(1<<(code-codeBin8)), maxBytes)
 }
 
 // Skip skips one value of any type.
@@ -97,7 +97,7 @@
 	code := r.code()
 	nested := r.nestedValues(code)
 	if nested == 0 {
-		r.skipScalar(code)
+		r.take(r.scalarLength(code))
 	}
 	r.countValues(nested)
 	for ; nested > 0 && r.Err == nil; nested-- { // ends with the data, however many values are announced
@@ -120,30 +120,31 @@
 	return 0
 }
 
-// skipScalar skips the rest of a value without nested values, whose code was read.
-func (r *Reader) skipScalar(code byte) {
+// scalarLength returns how many bytes are left of a value without nested values, whose code was read. It reads the
+// length that follows the code, if there is one.
+func (r *Reader) scalarLength(code byte) uint64 {
 	switch {
 	case code < positiveFixIntEnd, code >= negativeFixIntStart, code == codeNil, code == codeFalse, code == codeTrue:
+		return 0
 	case isFixStr(code):
-		r.take(uint32(code & fixStrLengthMask))
+		return uint64(code & fixStrLengthMask)
 	case code >= codeBin8 && code <= codeBin32:
-		r.take(uint32(r.number(1 << (code - codeBin8))))
+		return r.number(1 << (code - codeBin8))
 	case code >= codeExt8 && code <= codeExt32:
-		length := uint32(r.number(1 << (code - codeExt8)))
-		r.take(1) // the extension's type
-		r.take(length)
+		return 1 + r.number(1<<(code-codeExt8)) // the extension's type and its data
 	case code == codeFloat32 || code == codeFloat64:
-		r.take(4 << (code - codeFloat32))
+		return 4 << (code - codeFloat32)
 	case code >= codeUint8 && code <= codeInt64:
-		r.take(1 << ((code - codeUint8) & 3)) // four unsigned sizes, then the same four signed
+		return 1 << ((code - codeUint8) & 3) // four unsigned sizes, then the same four signed
 	case code >= codeFixExt1 && code <= codeFixExt16:
-		r.take(1 + 1<<(code-codeFixExt1)) // the extension's type and its data
+		return 1 + 1<<(code-codeFixExt1) // the extension's type and its data
 	case code >= codeStr8 && code <= codeStr32:
-		r.take(uint32(r.number(1 << (code - codeStr8))))
+		return r.number(1 << (code - codeStr8))
 	case isFixMap(code) || isFixArray(code) || code >= codeArray16 && code <= codeMap32: // no elements follow
-	default:
-		r.wrongType(code, "a value")
+		return 0
 	}
+	r.wrongType(code, "a value")
+	return 0
 }
 
 // countValues counts nested values against ValuesLeft.
@@ -166,7 +167,7 @@
 }
 
 // number reads a big-endian number of 1, 2, 4 or 8 bytes.
-func (r *Reader) number(bytes uint32) uint64 {
+func (r *Reader) number(bytes uint64) uint64 {
 	b := r.take(bytes)
 	switch len(b) {
 	case 1:
@@ -182,20 +183,20 @@
 }
 
 // takeAtMost returns the next length bytes. More than maxBytes are an error.
-func (r *Reader) takeAtMost(length, maxBytes uint32) []byte {
-	if r.Err == nil && length > maxBytes {
+func (r *Reader) takeAtMost(length uint64, maxBytes uint32) []byte {
+	if r.Err == nil && length > uint64(maxBytes) {
 		r.fail("value of %d bytes, expected at most %d", length, maxBytes)
 	}
 	return r.take(length)
 }
 
 // take returns the next length bytes, which share memory with Data, or nil after an error.
-func (r *Reader) take(length uint32) []byte {
+func (r *Reader) take(length uint64) []byte {
 	if r.Err != nil {
 		return nil
 	}
-	if uint64(length) > uint64(len(r.Data)-r.Pos) {
-		if r.MaxBytes > 0 && uint64(r.Pos)+uint64(length) > uint64(r.MaxBytes) {
+	if length > uint64(len(r.Data)-r.Pos) {
+		if r.MaxBytes > 0 && uint64(r.Pos)+length > uint64(r.MaxBytes) {
 			r.fail("value of %d bytes, expected at most %d in total", length, r.MaxBytes)
 		} else {
 			r.Err = ErrIncomplete
--- a/internal/frontend/rpc/request.go
+++ b/internal/frontend/rpc/request.go
@@ -20,7 +20,8 @@
 // requestIDDigits is the number of hex digits in a request id or an object.
 const requestIDDigits = 16
 
-// parseRequest parses and checks the parameters of a request for a method.
+// parseRequest parses and checks the parameters of a request for a method. The request's body shares memory with the
+// message.
 func (c *connection) parseRequest(method string, body *msgpack.Reader) (*broker.Request, error) {
 	class, known := c.server.classIndex[method]
 	if body.Err == nil && !known {
@@ -46,7 +47,7 @@
 		Key:         fields[fieldIdempotencyKey],
 		ETag:        fields[fieldETag],
 		MarkedRetry: fields[fieldMarkedRetry] == markedRetry,
-		Body:        append([]byte(nil), payload...),
+		Body:        payload,
 		Token:       fields[fieldToken],
 		Caller:      &c.caller,
 		ReceivedAt:  c.receivedAt,
--- a/internal/frontend/rpc/response.go
+++ b/internal/frontend/rpc/response.go
@@ -11,6 +11,7 @@
 
 // Respond sends the response to a request. The broker calls it once for each request that was not canceled.
 func (c *connection) Respond(request *broker.Request, response broker.Response) {
+	request.Memory.Release()
 	messageID, isOpen := c.messageIDs[request]
 	if !isOpen {
 		if !c.closed && !request.Canceled {
@@ -25,8 +26,9 @@
 }
 
 func (c *connection) sendResponse(messageID uint32, response broker.Response) {
-	if response.Kind == broker.ResponseServed && len(response.Body) > smallBodyBytes && c.server.MemoryShort() {
+	if response.Kind == broker.ResponseServed && !c.canKeepResponse(response.Body) {
 		// Clients that do not read their responses use up memory. A short error is better than no response.
+		c.server.memoryStats.Failed++
 		response.Kind = broker.ResponseFailed
 	}
 	switch response.Kind {
@@ -58,6 +60,7 @@
 	message := msgpack.AppendNil(appendResponseHeader(nil, messageID))
 	message = msgpack.AppendArrayHeader(message, 2)
 	message = msgpack.AppendBool(message, c.server.Ready())
+	c.countUnreadAnswer()
 	c.conn.Send(msgpack.AppendMapHeader(message, 0))
 }
 
@@ -80,6 +83,7 @@
 	message := msgpack.AppendArrayHeader(appendResponseHeader(nil, messageID), 2)
 	message = msgpack.AppendText(message, code)
 	message = appendFields(message, fields)
+	c.countUnreadAnswer()
 	c.conn.Send(msgpack.AppendNil(message))
 }
 
--- a/internal/frontend/rpc/rpc.go
+++ b/internal/frontend/rpc/rpc.go
@@ -15,6 +15,7 @@
 	"sloequay/internal/frontend/rpc/pacing"
 	"sloequay/internal/identity"
 	"sloequay/internal/invariant"
+	"sloequay/internal/memory"
 	"sloequay/internal/policy"
 	"sloequay/internal/retryafter"
 )
@@ -26,7 +27,7 @@
 	Emit           func(broker.Event)
 	Now            func() time.Duration // the monotonic clock
 	Ready          func() bool          // whether new clients are wanted
-	MemoryShort    func() bool          // whether responses that clients have not read use too much memory
+	Memory         *memory.Account      // charged for requests and for what clients have not read
 	Log            func(event string, fields ...any)
 
 	// RetryAfter computes the Retry-After advice for rejected clients, and decides whether any may be sent.
@@ -46,6 +47,8 @@
 	classIndex map[string]int // index in Config.Classes, by name
 	clients    *connlimit.Limiter
 	pacedQueue *pacing.Queue[*connection]
+
+	memoryStats MemoryStats
 }
 
 // New returns a server with no connections.
--- /dev/null
+++ b/internal/memory/memory.go
@@ -0,0 +1,136 @@
+// Package memory accounts for the memory that the process holds for others: bodies of open requests, input that is not
+// handled yet, and output that is not written yet. The process is killed if it exceeds its memory limit, so what others
+// can make it hold must be bounded by that limit in bytes, whatever the number of clients, requests and connections.
+//
+// An Account is the one owner of these bytes. Whoever holds memory for others has a Charge in it. New work asks Admits
+// before it holds anything, and is rejected if it does not fit. Work that was admitted asks Fits before it holds more,
+// such as the encoded copy of a request's body.
+//
+// Invariants:
+//   - Total is the sum of all charges, and 0 once all holders have released theirs;
+//   - new work is admitted only if it leaves half of the limit for the work that was admitted before;
+//   - a holder that has little is admitted beyond that, so that one with much can't have it rejected.
+//
+// Bounds: an Account has a constant size. What was received before its holder could ask is charged without a check, so
+// Total can exceed the limit by what is read from the connections at once.
+//
+// The package does no I/O and reads no clock. It is not safe for concurrent use.
+package memory
+
+import "fmt"
+
+const (
+	// limitNumerator / limitDenominator is the limit as a fraction of the memory of the process. The rest is for the
+	// state that does not grow with requests, and for garbage until it is collected.
+	limitNumerator   = 1
+	limitDenominator = 3
+	// admissionDivisor divides the limit to get the total up to which new work is admitted.
+	admissionDivisor = 2
+	// smallHolderNumerator / smallHolderDenominator is the fraction of the limit up to which new work of a small holder
+	// is admitted.
+	smallHolderNumerator   = 3
+	smallHolderDenominator = 4
+	// smallHolderBytes is the most that a small holder has, its new work included.
+	smallHolderBytes = 16 << 10
+	// progressDivisor divides the limit to get the most that a holder has while its work is continued up to the limit.
+	progressDivisor = 8
+)
+
+// Kind says what a charge is for.
+type Kind uint8
+
+// The kinds of charges.
+const (
+	Requests Kind = iota // open requests, with their bodies
+	Input                // received bytes that are not handled yet
+	Output               // bytes that are not written yet, and buffers that are kept for them
+	kindCount
+)
+
+var kindNames = [kindCount]string{Requests: "requests", Input: "input", Output: "output"}
+
+// String returns the name of the kind in the operators' view of the state.
+func (k Kind) String() string { return kindNames[k] }
+
+// Kinds returns all kinds.
+func Kinds() []Kind { return []Kind{Requests, Input, Output} }
+
+// Account sums the bytes of all charges.
+type Account struct {
+	process int
+	limit   int
+	total   int
+	held    [kindCount]int
+}
+
+// NewAccount returns an empty account for a process that may use the given memory, in bytes.
+func NewAccount(process int) *Account {
+	return &Account{process: process, limit: process / limitDenominator * limitNumerator}
+}
+
+// Process returns the memory that the process may use, in bytes.
+func (a *Account) Process() int { return a.process }
+
+// Limit returns the limit on the total, in bytes.
+func (a *Account) Limit() int { return a.limit }
+
+// Total returns the sum of all charges, in bytes.
+func (a *Account) Total() int { return a.total }
+
+// Held returns the sum of all charges of a kind, in bytes.
+func (a *Account) Held(kind Kind) int { return a.held[kind] }
+
+// Admits reports whether a holder that has own bytes may begin new work that takes more of them.
+func (a *Account) Admits(own, more int) bool {
+	if a.total+more <= a.limit/admissionDivisor {
+		return true
+	}
+	isSmall := own+more <= smallHolderBytes
+	return isSmall && a.total+more <= a.limit*smallHolderNumerator/smallHolderDenominator
+}
+
+// Fits reports whether work that was admitted may take more bytes for a holder that has own.
+func (a *Account) Fits(own, more int) bool {
+	if own+more <= a.limit/progressDivisor {
+		return a.total+more <= a.limit
+	}
+	return a.total+more <= a.limit/admissionDivisor
+}
+
+// IsExceeded reports whether the charges exceed the limit.
+func (a *Account) IsExceeded() bool { return a.total > a.limit }
+
+// NewCharge returns a charge of a number of bytes. It does not check whether they fit.
+func (a *Account) NewCharge(kind Kind, bytes int) Charge {
+	charge := Charge{account: a, kind: kind}
+	charge.Set(bytes)
+	return charge
+}
+
+// Charge is what one holder has of an account. The zero value holds nothing and can only be released. A charge must not
+// be copied once it is in use.
+type Charge struct {
+	account *Account
+	kind    Kind
+	bytes   int
+}
+
+// Bytes returns the number of bytes that are charged.
+func (c *Charge) Bytes() int { return c.bytes }
+
+// Set changes the number of bytes that are charged.
+func (c *Charge) Set(bytes int) {
+	if bytes < 0 {
+		panic(fmt.Sprintf("memory: charge of %d bytes", bytes))
+	}
+	c.account.total += bytes - c.bytes
+	c.account.held[c.kind] += bytes - c.bytes
+	c.bytes = bytes
+}
+
+// Release ends the charge. Further calls have no effect.
+func (c *Charge) Release() {
+	if c.bytes > 0 {
+		c.Set(0)
+	}
+}
--- /dev/null
+++ b/internal/memory/memory_test.go
@@ -0,0 +1,90 @@
+package memory
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestAccountMatchesModel checks over random holders that the account is the sum of its charges, that new work is
+// admitted only while half of the limit is left for work that goes on, and that a holder with little is still admitted
+// when others have more than that.
+func TestAccountMatchesModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		account := NewAccount(rapid.IntRange(1<<20, 192<<20).Draw(t, "process"))
+		limit := account.Limit()
+		charges := make([]Charge, 8)
+		for i := range charges {
+			charges[i] = account.NewCharge(Kinds()[i%len(Kinds())], 0)
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			charge := &charges[rapid.IntRange(0, len(charges)-1).Draw(t, "holder")]
+			more := rapid.IntRange(0, limit/2).Draw(t, "more")
+			before := account.Total()
+			switch rapid.SampledFrom([]string{"admit", "continue", "force", "release"}).Draw(t, "step") {
+			case "admit":
+				isAdmitted := account.Admits(charge.Bytes(), more)
+				if isSmall := charge.Bytes()+more <= smallHolderBytes; isAdmitted && !isSmall && before+more > limit/2 {
+					t.Fatalf("%d more bytes admitted at %d of %d", more, before, limit)
+				}
+				if isAdmitted {
+					charge.Set(charge.Bytes() + more)
+				}
+			case "continue":
+				if account.Fits(charge.Bytes(), more) {
+					if before+more > limit {
+						t.Fatalf("%d more bytes fit at %d of %d", more, before, limit)
+					}
+					charge.Set(charge.Bytes() + more)
+				}
+			case "force":
+				charge.Set(more)
+			case "release":
+				charge.Release()
+			}
+			checkSums(t, account, charges)
+		}
+		for i := range charges {
+			charges[i].Release()
+			charges[i].Release()
+		}
+		if account.Total() != 0 || account.IsExceeded() {
+			t.Fatalf("got %d bytes held after all were released, want 0", account.Total())
+		}
+	})
+}
+
+// checkSums checks that the account's sums are those of its charges.
+func checkSums(t *rapid.T, account *Account, charges []Charge) {
+	total := 0
+	byKind := map[Kind]int{}
+	for i := range charges {
+		total += charges[i].Bytes()
+		byKind[charges[i].kind] += charges[i].Bytes()
+	}
+	if account.Total() != total || account.IsExceeded() != (total > account.Limit()) {
+		t.Fatalf("got total %d, exceeded %v, want total %d of %d",
+			account.Total(), account.IsExceeded(), total, account.Limit())
+	}
+	for _, kind := range Kinds() {
+		if account.Held(kind) != byKind[kind] {
+			t.Fatalf("%s: got %d bytes, want %d", kind, account.Held(kind), byKind[kind])
+		}
+	}
+}
+
+// TestSmallHoldersAreAdmitted guards against holders with much that have the work of those with little rejected.
+func TestSmallHoldersAreAdmitted(t *testing.T) {
+	account := NewAccount(32 << 20)
+	large := account.NewCharge(Output, 0)
+	for account.Admits(large.Bytes(), 1<<10) {
+		large.Set(large.Bytes() + 1<<10)
+	}
+	if !account.Admits(0, 1<<10) || account.Admits(0, 2*smallHolderBytes) {
+		t.Errorf("at %d of %d bytes: got small work admitted %v, large %v, want true and false", account.Total(),
+			account.Limit(), account.Admits(0, 1<<10), account.Admits(0, 2*smallHolderBytes))
+	}
+	if !account.Fits(0, account.Limit()/progressDivisor) || account.Fits(large.Bytes(), 1<<10) {
+		t.Error("work that goes on: want that of another holder to fit, and not that of the large one")
+	}
+}
--- a/internal/proxy/housekeeping.go
+++ b/internal/proxy/housekeeping.go
@@ -3,12 +3,14 @@
 import (
 	"time"
 
+	"sloequay/internal/frontend/rpc"
+	"sloequay/internal/memory"
 	"sloequay/internal/upstream"
 )
 
 const (
 	housekeepingInterval = 100 * time.Millisecond
-	// statsInterval is the interval at which the statistics of attempts to endpoints are logged.
+	// statsInterval is the interval at which statistics are logged.
 	statsInterval = 5 * time.Second
 )
 
@@ -52,13 +54,31 @@
 	s.log.Tick(now)
 }
 
-// logUpstreamStats logs the statistics of each pool's attempts to endpoints, every statsInterval. Pools without any are
-// skipped.
-func (s *server) logUpstreamStats(now time.Duration) {
+// logMemoryStats logs what was rejected since the last call because memory is short, and what is held now, in bytes.
+func (s *server) logMemoryStats() {
+	stats := s.frontend.TakeMemoryStats()
+	if stats == (rpc.MemoryStats{}) {
+		return
+	}
+	fields := []any{"rejected", stats.Rejected, "discarded", stats.Discarded, "failed", stats.Failed}
+	for _, kind := range memory.Kinds() {
+		fields = append(fields, kind.String(), s.memory.Held(kind))
+	}
+	s.log.Event("memory-short", fields...)
+}
+
+// logStats logs statistics every statsInterval.
+func (s *server) logStats(now time.Duration) {
 	if now-s.statsLoggedAt < statsInterval {
 		return
 	}
 	s.statsLoggedAt = now
+	s.logUpstreamStats()
+	s.logMemoryStats()
+}
+
+// logUpstreamStats logs the statistics of each pool's attempts to endpoints. Pools without any are skipped.
+func (s *server) logUpstreamStats() {
 	for i, pool := range s.pools {
 		if stats := pool.connections.TakeStats(); stats != (upstream.Stats{}) {
 			s.log.Event("upstream-stats", append([]any{"pool", i}, stats.Fields()...)...)
--- a/internal/proxy/round.go
+++ b/internal/proxy/round.go
@@ -18,7 +18,7 @@
 	s.rounds.Begin()
 	s.followUnixClock(now)
 	s.housekeep(now)
-	s.logUpstreamStats(now)
+	s.logStats(now)
 	for _, pool := range s.pools {
 		pool.connections.CheckLiveness(now)
 	}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -12,6 +12,7 @@
 	"sloequay/internal/frontend/rpc"
 	"sloequay/internal/identity/tsig"
 	"sloequay/internal/invariant"
+	"sloequay/internal/memory"
 	"sloequay/internal/proxy/deferral"
 	"sloequay/internal/proxy/descriptors"
 	"sloequay/internal/proxy/readiness"
@@ -22,10 +23,6 @@
 	"sloequay/internal/upstream/resolver"
 )
 
-// unsentDivisor divides the process's memory to get the limit on responses that clients have not read yet. Above the
-// limit memory is short, see rpc.Config.MemoryShort.
-const unsentDivisor = 5
-
 // server is the assembled proxy. Its methods run on the event loop unless their comments say otherwise.
 type server struct {
 	plan    *Plan
@@ -36,6 +33,7 @@
 	loop    *eventloop.Loop // nil until the loop runs
 
 	descriptors descriptors.Split
+	memory      *memory.Account // what is held for clients, endpoints and peers
 
 	// Components that process requests, in the order in which a request passes them.
 	frontend      *rpc.Server
@@ -70,6 +68,7 @@
 		log:         log,
 		signals:     signals,
 		descriptors: descriptors.Plan(plan.descriptorDemand()),
+		memory:      memory.NewAccount(int(plan.platform.Memory)),
 		startup:     newStartup(plan),
 		shutdown:    shutdown.Sequence{LongestDeadline: plan.platform.LongestDeadline()},
 	}
@@ -106,7 +105,7 @@
 		Emit:           s.admit,
 		Now:            s.clock.Monotonic,
 		Ready:          s.isReady,
-		MemoryShort:    s.isMemoryShort,
+		Memory:         s.memory,
 		Log:            s.log.Event,
 		RetryAfter:     s.retryAfter(),
 		Monitor:        &s.monitor,
@@ -118,11 +117,6 @@
 	return retryafter.Advisor{Max: s.plan.platform.Policy.MaxRetryAfter}
 }
 
-// isMemoryShort reports whether responses that clients have not read yet take too much memory.
-func (s *server) isMemoryShort() bool {
-	return int64(s.loop.UnsentBytes()) > s.plan.platform.Memory/unsentDivisor
-}
-
 func (s *server) newDNSServer() *dns.Server {
 	platform := s.plan.platform
 	options := dns.Options{
@@ -163,7 +157,7 @@
 func (s *server) start(loop *eventloop.Loop) {
 	settings := s.plan.settings
 	s.loop = loop
-	loop.MemoryLimit = int(s.plan.platform.Memory)
+	loop.Memory = s.memory
 	loop.Bind = settings.bindAddress()
 	loop.OnAcceptError = func(err error) { s.log.Event("accept-failed", "error", err) }
 	s.resolver = s.newResolver()
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -46,6 +46,7 @@
 	liveness      liveness.Monitor // also tracks the outstanding checks
 	// partialResponseID is the id of the last response that arrived in part; it may have been completed since.
 	partialResponseID string
+	dropped           *droppedResponse // a partial response whose body is not kept; nil: none
 }
 
 // outstandingAttempt is an attempt that was queued on a connection for writing and has no response yet.
--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -12,23 +12,48 @@
 func (c *connection) Received(conn *eventloop.Conn) {
 	now := c.pool.Now()
 	c.liveness.BytesRead(now)
-	used, err := c.handleResponses(now, conn.In)
+	used, isCompleted, err := c.handleInput(now, conn.In)
 	if err != nil {
 		c.protocolError(err)
 		conn.Consume(len(conn.In))
 		return
 	}
-	if used > 0 {
+	if isCompleted {
 		c.liveness.ResponseCompleted()
 	}
 	if rest := conn.In[used:]; len(rest) > 0 {
 		c.partialResponseID = partialResponseID(rest)
+	}
+	if c.dropped != nil {
+		c.partialResponseID = c.dropped.response.id
+	}
+	if c.dropped != nil || len(conn.In) > used {
 		c.liveness.ResponseIncomplete()
 	}
 	conn.Consume(used)
 	c.closeIfDone()
 }
 
+// handleInput handles the complete responses in data, and drops what has arrived of a body that is not kept. It returns
+// how many bytes it used, and whether a response was completed.
+func (c *connection) handleInput(now time.Duration, data []byte) (used int, isCompleted bool, err error) {
+	if c.dropped != nil {
+		used, err = c.continueDrop(now, data)
+		if err != nil || c.dropped != nil {
+			return used, false, err
+		}
+		isCompleted = true
+	}
+	handled, err := c.handleResponses(now, data[used:])
+	used += handled
+	isCompleted = isCompleted || handled > 0
+	if err != nil || c.mayKeep(data[used:]) {
+		return used, isCompleted, err
+	}
+	dropped, err := c.beginDrop(now, data[used:])
+	return used + dropped, isCompleted, err
+}
+
 // handleResponses handles the complete responses at the front of data, and returns their length.
 func (c *connection) handleResponses(now time.Duration, data []byte) (used int, err error) {
 	for {
@@ -83,6 +108,11 @@
 	if response.code == codeNotModified && attempt.Request.ETag == "" {
 		return &mismatchError{response.code}
 	}
+	if len(response.body) > minDropBytes && !c.pool.Loop.Memory.Fits(0, len(response.body)) {
+		c.pool.Stats.NoMemory++
+		response.body = nil
+		response.isBodyDropped = true
+	}
 	ended := response.attemptEnded(attempt)
 	ended.Address = c.address
 	if !ended.End.Succeeded() {
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -21,50 +21,78 @@
 	digest string // code, fields and length as received: identical in duplicates of a response
 	fields []broker.Field
 	body   []byte // aliases the parsed bytes
+	// isBodyDropped says that the body was not kept, because memory is short.
+	isBodyDropped bool
 }
 
+// responseLine is the parsed line of a response, which precedes its body.
+type responseLine struct {
+	text       string
+	words      []string // id, code and fields
+	bodyStart  int      // offset of the body from the start of the line
+	bodyLength int
+}
+
+// size returns the size of the whole response in bytes.
+func (l *responseLine) size() int { return l.bodyStart + l.bodyLength + len(lineEnd) }
+
 // parseResponse parses the response at the front of data: "ID CODE FIELDS LENGTH CR LF", the body, CR LF. It returns
 // used 0 and no error if the response is incomplete.
 func parseResponse(data []byte) (parsed response, used int, err error) {
-	lineLength := bytes.Index(data[:min(len(data), maxLine)], []byte(lineEnd))
-	if lineLength < 0 {
+	line, isComplete, err := parseLine(data)
+	if err != nil || !isComplete || len(data) < line.size() {
+		return parsed, 0, err
+	}
+	bodyEnd := line.bodyStart + line.bodyLength
+	if string(data[bodyEnd:line.size()]) != lineEnd {
+		return parsed, 0, fmt.Errorf("response body of %d bytes is not followed by CR LF", line.bodyLength)
+	}
+	parsed, err = line.response()
+	if err != nil {
+		return parsed, 0, err
+	}
+	parsed.body = data[line.bodyStart:bodyEnd]
+	return parsed, line.size(), nil
+}
+
+// parseLine parses the line at the front of data, and reports whether it is complete.
+func parseLine(data []byte) (line responseLine, isComplete bool, err error) {
+	length := bytes.Index(data[:min(len(data), maxLine)], []byte(lineEnd))
+	if length < 0 {
 		if len(data) >= maxLine {
-			return parsed, 0, fmt.Errorf("response line exceeds %d bytes", maxLine)
+			return line, false, fmt.Errorf("response line exceeds %d bytes", maxLine)
 		}
-		return parsed, 0, nil
+		return line, false, nil
 	}
-	line := string(data[:lineLength])
-	words := strings.Split(line, " ")
+	text := string(data[:length])
+	words := strings.Split(text, " ")
 	if len(words) != 4 {
-		return parsed, 0, fmt.Errorf("response line has %d words, want 4", len(words))
+		return line, false, fmt.Errorf("response line has %d words, want 4", len(words))
 	}
 	bodyLength, err := strconv.ParseUint(words[3], 10, 32)
 	if err != nil || bodyLength > maxBody {
-		return parsed, 0, fmt.Errorf("response has body length %.32q, want a number up to %d", words[3], maxBody)
-	}
-	bodyStart := lineLength + len(lineEnd)
-	bodyEnd := bodyStart + int(bodyLength)
-	if len(data) < bodyEnd+len(lineEnd) {
-		return parsed, 0, nil
-	}
-	if string(data[bodyEnd:bodyEnd+len(lineEnd)]) != lineEnd {
-		return parsed, 0, fmt.Errorf("response body of %d bytes is not followed by CR LF", bodyLength)
+		return line, false, fmt.Errorf("response has body length %.32q, want a number up to %d", words[3], maxBody)
 	}
-	code, known := responseCodes[words[1]]
+	return responseLine{
+		text:       text,
+		words:      words,
+		bodyStart:  length + len(lineEnd),
+		bodyLength: int(bodyLength),
+	}, true, nil
+}
+
+// response returns the response of the line, without a body.
+func (l *responseLine) response() (response, error) {
+	id := l.words[0]
+	code, known := responseCodes[l.words[1]]
 	if !known {
-		return parsed, 0, fmt.Errorf("unknown response code %.32q", words[1])
+		return response{}, fmt.Errorf("unknown response code %.32q", l.words[1])
 	}
-	fields, err := parseFields(words[2])
+	fields, err := parseFields(l.words[2])
 	if err != nil {
-		return parsed, 0, err
+		return response{}, err
 	}
-	return response{
-		id:     words[0],
-		code:   code,
-		digest: line[len(words[0])+1:],
-		fields: fields,
-		body:   data[bodyStart:bodyEnd],
-	}, bodyEnd + len(lineEnd), nil
+	return response{id: id, code: code, digest: l.text[len(id)+1:], fields: fields}, nil
 }
 
 // parseFields parses "NAME=VALUE,NAME=VALUE".
@@ -108,5 +136,7 @@
 		Note:    notes[r.field(fieldNote)],
 		Body:    r.body,
 		Fields:  r.fields,
+
+		BodyDropped: r.isBodyDropped,
 	}
 }
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -98,10 +98,15 @@
 	return preparedAttempt{attempt: attempt, data: appendRequest(nil, attempt, class, maxAge, timeLeft)}
 }
 
-// sendPrepared queues a prepared attempt for writing, or ends it. The round that decided on the attempt is over, so its
-// end needs another round.
+// sendPrepared queues a prepared attempt for writing. It ends an attempt that can't be sent, or that does not fit into
+// memory. The round that decided on the attempt is over, so its end needs another round.
 func (c *connection) sendPrepared(prepared *preparedAttempt) {
 	attempt := prepared.attempt
+	if prepared.data != nil && !c.pool.Loop.Memory.Fits(0, len(prepared.data)) {
+		c.pool.Stats.NoMemory++
+		prepared.data = nil
+		prepared.end = broker.NoConnectionCapacity
+	}
 	if prepared.data == nil {
 		c.pool.Emit(broker.AttemptEnded{Attempt: attempt, End: prepared.end})
 		c.pool.Loop.RequestRound()
--- a/internal/upstream/standstill_test.go
+++ b/internal/upstream/standstill_test.go
@@ -10,6 +10,7 @@
 
 	"sloequay/internal/broker"
 	"sloequay/internal/eventloop"
+	"sloequay/internal/memory"
 	"sloequay/internal/policy"
 )
 
@@ -66,7 +67,7 @@
 	go func() {
 		ended <- eventloop.Run([]eventloop.Listener{{Network: "tcp", Address: address, Accept: refuse}},
 			func(loop *eventloop.Loop) {
-				loop.MemoryLimit = 64 << 20
+				loop.Memory = memory.NewAccount(64 << 20)
 				test.loop = loop
 				test.pool = &Pool{
 					Loop:           loop,
--- a/internal/upstream/stats.go
+++ b/internal/upstream/stats.go
@@ -12,6 +12,7 @@
 	Dials          int // connections started; redials of a connection do not count
 	DialFailed     int // connections whose last dial failed
 	Resets         int // connections that ended with attempts or checks outstanding
+	NoMemory       int // attempts that were not sent, and responses whose bodies were dropped, for lack of memory
 	Responses      [codeCount]int
 	Faults         [len(faultNotes)]int
 }
@@ -53,6 +54,7 @@
 	add("dials", s.Dials)
 	add("connect-failed", s.DialFailed)
 	add("resets", s.Resets)
+	add("no-memory", s.NoMemory)
 	for code, count := range s.Responses {
 		add(responseWords[code], count)
 	}
--- /dev/null
+++ b/test/memory_test.go
@@ -0,0 +1,286 @@
+package test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// The platform kills a proxy that takes more memory than its limit. These tests have clients and endpoints make it hold
+// as much as the protocol allows.
+
+const (
+	largestWrite      = 48_000 // bytes of a write, by the protocol
+	openPerConnection = 32     // requests, by the protocol
+)
+
+// memoryLimit is a limit on a proxy's memory and descriptors.
+type memoryLimit struct{ megabytes, sockets int }
+
+// memoryLimits are the smallest and the largest limits that the platform sets, and one between.
+var memoryLimits = []memoryLimit{{32, 1024}, {64, 512}, {192, 1024}}
+
+// clients returns how many connections clients hold: a third of the descriptors.
+func (l memoryLimit) clients() int { return l.sockets / 3 }
+
+// newMemoryTestbed returns a testbed with a limit. Its endpoints hold back their answers to writes until the function
+// that it returns is called.
+func newMemoryTestbed(t *testing.T, limit memoryLimit) (bed *testbed, release func()) {
+	released := make(chan struct{})
+	bed = newTestbed(t, func(attempt *receivedRequest) {
+		if attempt.Fields["profile"] == "charge" {
+			<-released
+		}
+		attempt.Answer("ACK", "-", attempt.ID)
+	})
+	bed.config["limits"] = map[string]any{"cores": 1, "memory_mb": limit.megabytes, "sockets": limit.sockets}
+	var once sync.Once
+	release = func() { once.Do(func() { close(released) }) }
+	t.Cleanup(release)
+	return bed, release
+}
+
+// forMemoryLimits runs a test for each limit.
+func forMemoryLimits(t *testing.T, test func(t *testing.T, limit memoryLimit)) {
+	for _, limit := range memoryLimits {
+		t.Run(fmt.Sprintf("%d MB, %d sockets", limit.megabytes, limit.sockets), func(t *testing.T) {
+			t.Parallel()
+			test(t, limit)
+		})
+	}
+}
+
+// writeID returns an id for a write that no other write of the test has.
+func writeID(client, index int) uint64 { return uint64(client)<<16 + uint64(index) + 1 }
+
+// write returns the frame of a write of the largest size.
+func write(client, index int) []byte {
+	id := writeID(client, index)
+	fields := map[string]string{"txn": hexID(id), "unique": hexID(id), "limit": "20000"}
+	return request(uint64(index+1), "charge", fields, strings.Repeat("x", largestWrite))
+}
+
+// answerCounts counts how requests ended.
+type answerCounts struct{ served, rejected, failed, unanswered atomic.Int64 }
+
+func (c *answerCounts) count(answer reply, err error) {
+	switch {
+	case err != nil:
+		c.unanswered.Add(1)
+	case answer.Error == "":
+		c.served.Add(1)
+	case answer.Error == "Overloaded":
+		c.rejected.Add(1)
+	default:
+		c.failed.Add(1)
+	}
+}
+
+// TestOpenWritesStayWithinMemory guards against bodies of open writes that take more memory than the process may use: a
+// third of the descriptors has clients that each send as many of the largest writes as may be open at once, while the
+// endpoints are slow. Each write must have one answer, and other clients' requests must be served meanwhile.
+func TestOpenWritesStayWithinMemory(t *testing.T) {
+	forMemoryLimits(t, func(t *testing.T, limit memoryLimit) {
+		bed, release := newMemoryTestbed(t, limit)
+		bed.start()
+		watch := bed.watchMemory(limit.megabytes)
+		usual := bed.startUsualClient()
+		var counts answerCounts
+		var senders, readers sync.WaitGroup
+		for client := range limit.clients() - 1 {
+			connected := bed.dial()
+			senders.Go(func() {
+				for index := range openPerConnection {
+					if connected.protocol.Send(write(client, index)) != nil {
+						return
+					}
+				}
+			})
+			readers.Go(func() {
+				for range openPerConnection {
+					answer, err := connected.read()
+					counts.count(answer, err)
+				}
+			})
+		}
+		senders.Wait()
+		usual.expectServed()
+		release()
+		readers.Wait()
+		watch.expectWithinLimit()
+		t.Logf("served %d, rejected %d", counts.served.Load(), counts.rejected.Load())
+		if counts.failed.Load() > 0 || counts.unanswered.Load() > 0 {
+			t.Errorf("got %d writes failed and %d unanswered, want all served or rejected",
+				counts.failed.Load(), counts.unanswered.Load())
+		}
+	})
+}
+
+// TestUnreadAttemptsStayWithinMemory guards against encoded attempts that take more memory than the process may use,
+// beside the bodies that they are made of: the endpoints read nothing.
+func TestUnreadAttemptsStayWithinMemory(t *testing.T) {
+	forMemoryLimits(t, func(t *testing.T, limit memoryLimit) {
+		bed, _ := newMemoryTestbed(t, limit)
+		bed.listenUnread("o1")
+		bed.start()
+		watch := bed.watchMemory(limit.megabytes)
+		var senders, readers sync.WaitGroup
+		for client := range limit.clients() {
+			connected := bed.dial()
+			senders.Go(func() {
+				for index := range openPerConnection {
+					if connected.protocol.Send(write(client, index)) != nil {
+						return
+					}
+				}
+			})
+			readers.Go(func() {
+				for range openPerConnection {
+					if _, err := connected.read(); err != nil {
+						return
+					}
+				}
+			})
+		}
+		senders.Wait()
+		time.Sleep(time.Second)
+		watch.expectWithinLimit()
+		bed.kill()
+		readers.Wait()
+	})
+}
+
+// listenUnread replaces an endpoint's listener by one whose connections are accepted and never read.
+func (bed *testbed) listenUnread(id string) {
+	listener := bed.listenOn(bed.ip + ":0")
+	for _, entry := range bed.listedEndpoints {
+		if entry["host"] == id {
+			entry["dial"] = listener.Addr().String()
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			bed.t.Cleanup(func() { _ = conn.Close() })
+		}
+	}()
+}
+
+// TestStoppedWritesStayWithinMemory guards against incomplete messages that take more memory than the process may use:
+// clients send the largest writes but for their last byte, or heads of very many short fields, beside requests that
+// are open on each connection. A write that is completed later must have an answer.
+func TestStoppedWritesStayWithinMemory(t *testing.T) {
+	for name, incomplete := range map[string]func(client, index int) []byte{
+		"body": func(client, index int) []byte {
+			frame := write(client, index)
+			return frame[:len(frame)-1]
+		},
+		"fields": func(int, int) []byte { return longHead() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			forMemoryLimits(t, func(t *testing.T, limit memoryLimit) {
+				bed, release := newMemoryTestbed(t, limit)
+				bed.start()
+				watch := bed.watchMemory(limit.megabytes)
+				usual := bed.startUsualClient()
+				var clients []*client
+				var senders, readers sync.WaitGroup
+				var counts answerCounts
+				for number := range limit.clients() - 1 {
+					connected := bed.dial()
+					clients = append(clients, connected)
+					senders.Go(func() {
+						_ = connected.protocol.Send(write(number, 0))
+						_ = connected.protocol.Send(incomplete(number, 1))
+					})
+				}
+				senders.Wait()
+				usual.expectServed()
+				release()
+				for _, connected := range clients {
+					readers.Go(func() {
+						_, err := connected.read()
+						counts.count(reply{}, err)
+						if name == "body" {
+							_ = connected.protocol.Send([]byte("x"))
+							answer, err := connected.read()
+							counts.count(answer, err)
+						}
+					})
+				}
+				readers.Wait()
+				watch.expectWithinLimit()
+				if counts.failed.Load() > 0 || counts.unanswered.Load() > 0 {
+					t.Errorf("got %d writes failed and %d unanswered, want all served or rejected",
+						counts.failed.Load(), counts.unanswered.Load())
+				}
+			})
+		})
+	}
+}
+
+// longHead returns the front of a request with as many fields as a request may have, each as long as it may be, without
+// the last one.
+func longHead() []byte {
+	const fields, bytes = 64, 250
+	frame := append(requestPrefix(2), 0xde, 0, fields)
+	for range 2*fields - 1 {
+		frame = append(frame, 0xd9, bytes)
+		frame = append(frame, strings.Repeat("f", bytes)...)
+	}
+	return frame
+}
+
+// TestIncompleteResponsesStayWithinMemory guards against incomplete responses of endpoints that take more memory than
+// the process may use. Each request must have one answer, and other clients' requests must be served meanwhile.
+func TestIncompleteResponsesStayWithinMemory(t *testing.T) {
+	const requests, bodyBytes = 300, 240_000
+	limit := memoryLimit{32, 1024}
+	finish := make(chan struct{})
+	var begun atomic.Int64
+	bed, _ := newMemoryTestbed(t, limit)
+	bed.setResponder(func(attempt *receivedRequest) {
+		if attempt.Fields["profile"] == "lookup" {
+			attempt.Answer("ACK", "-", attempt.ID)
+			return
+		}
+		body := strings.Repeat("b", bodyBytes)
+		_, _ = fmt.Fprintf(attempt.Conn, "%s ACK - %d\r\n%s", attempt.ID, len(body), body)
+		begun.Add(1)
+		<-finish
+		_, _ = attempt.Conn.Write([]byte("\r\n"))
+	})
+	bed.platformLimits()["streams-per-conn"] = 1
+	bed.start()
+	watch := bed.watchMemory(limit.megabytes)
+	usual := bed.startUsualClient()
+	var counts answerCounts
+	var readers sync.WaitGroup
+	for number := range uint64(requests) {
+		connected := bed.dial()
+		connected.send(request(1, "footage", map[string]string{
+			"txn": hexID(number + 1), "item": hexID(number + 1), "limit": "20000", "ram": "2000"}, ""))
+		readers.Go(func() {
+			answer, err := connected.read()
+			counts.count(answer, err)
+		})
+	}
+	bed.waitUntil("each request has its answer or the front of one", func() bool {
+		answered := counts.served.Load() + counts.rejected.Load() + counts.failed.Load()
+		return begun.Load()+answered >= requests
+	})
+	usual.expectServed()
+	close(finish)
+	readers.Wait()
+	watch.expectWithinLimit()
+	t.Logf("served %d, rejected %d, failed %d", counts.served.Load(), counts.rejected.Load(), counts.failed.Load())
+	if counts.unanswered.Load() > 0 {
+		t.Errorf("got %d requests unanswered, want none", counts.unanswered.Load())
+	}
+}
--- a/test/pages/layers_test.go
+++ b/test/pages/layers_test.go
@@ -26,7 +26,7 @@
 		"bootstrap", "peer", "snapshot", "shutdown", "frontend/connlimit", "frontend/rpc/pacing",
 		"upstream/liveness"},
 	{"clock", "config", "eventlog", "eventloop", "expiry", "frontend/rpc/msgpack", "digesttest", "invariant",
-		"atomicfile"},
+		"atomicfile", "memory"},
 }
 
 // ioPackages are packages of the standard library that pure packages must not import, as their callers do the I/O.
