Bound the memory of DNS queries by the account, and their size

What callers saw: 300 DNS queries with 4,000 additional records each, by UDP, or 250 by TCP on one connection, had a proxy take 77 to 91 MB of its 32 MB. A platform kills it for that, with all that others have open.

Cause: a query that waits for its answer kept its parsed message, in which a record of 15 bytes takes over a hundred. Waiting queries were bounded by number alone.

Change: a query over 4 KiB is answered FORMERR from its header and never parsed; a waiting query keeps its question and whether it uses EDNS; all that waits or is kept is charged to the memory account, DNS as one holder.

--- a/internal/frontend/dns/dns.go
+++ b/internal/frontend/dns/dns.go
@@ -14,6 +14,7 @@
 	"sloequay/internal/frontend/connlimit"
 	"sloequay/internal/identity"
 	"sloequay/internal/identity/tsig"
+	"sloequay/internal/memory"
 	"sloequay/internal/policy"
 	"sloequay/internal/retryafter"
 )
@@ -22,6 +23,13 @@
 	maxFlights        = 4096 // open requests plus keyed ones that are open or whose results are kept
 	maxWaitingQueries = 256  // per request and per TCP connection
 
+	// maxQueryBytes is the size of the largest query that is parsed. Queries are shorter than 1 KiB, signed ones too.
+	maxQueryBytes = 4096
+	// queryMemoryBytes and flightMemoryBytes are the memory that a waiting query takes, and a flight besides its
+	// queries.
+	queryMemoryBytes  = 2 << 10
+	flightMemoryBytes = 3 << 10
+
 	minUDPBytes = dns.MinMsgSize // size of an answer that every client accepts
 	maxUDPBytes = 1232           // size of an answer that nearly all networks carry without fragmentation
 
@@ -39,6 +47,7 @@
 	Log            func(event string, fields ...any)
 	EndpointByName func(host string) *broker.Endpoint // looks up the endpoint list; nil: unknown
 	MaxConnections int                                // over TCP
+	Memory         *memory.Account                    // charged for what waits for an answer
 	Seed           uint64                             // for request ids
 	Keys           func() *tsig.Keys                  // that queries may be signed with; nil: none
 	MaxClockSkew   time.Duration                      // of clients' clocks, either way
@@ -82,7 +91,7 @@
 func (s *Server) Tick(now time.Duration) {
 	for key, keyed := range s.byKey {
 		if keyed.final != nil && now >= keyed.keepUntil {
-			delete(s.byKey, key)
+			s.forget(key)
 		}
 	}
 	if unfinished := s.clients.Tick(now); unfinished > 0 {
--- a/internal/frontend/dns/flight.go
+++ b/internal/frontend/dns/flight.go
@@ -8,6 +8,7 @@
 
 	"sloequay/internal/broker"
 	"sloequay/internal/identity"
+	"sloequay/internal/memory"
 	"sloequay/internal/policy"
 )
 
@@ -29,6 +30,7 @@
 	waiting   []*pendingQuery
 	final     *broker.Response // nil: the request is open
 	keepUntil time.Duration    // until when the final response is returned for further queries
+	memory    memory.Charge    // for all but the waiting queries
 }
 
 // join adds a query to the flight with the same key, or opens a new flight for it.
@@ -49,13 +51,15 @@
 			return
 		}
 	}
-	if len(s.byRequest)+len(s.byKey) >= maxFlights {
+	if len(s.byRequest)+len(s.byKey) >= maxFlights || !s.admits(flightMemoryBytes+queryMemoryBytes) {
 		s.sendOverloaded(query)
 		return
 	}
 	deadline := query.receivedAt + s.timeout(class)
 	newFlight := &flight{target: requested, class: class, key: key, caller: caller, deadline: deadline}
+	newFlight.memory = s.Memory.NewCharge(memory.Queries, flightMemoryBytes)
 	if key != "" {
+		s.forget(key)
 		s.byKey[key] = newFlight
 	}
 	s.addWaiting(query, newFlight)
@@ -70,14 +74,27 @@
 		s.sendStatus(query, status{rcode: dns.RcodeFormatError, text: "this key was used for another object"})
 	case existing.final != nil:
 		s.answer(query, existing.final)
-	case len(existing.waiting) < maxWaitingQueries:
+	case len(existing.waiting) < maxWaitingQueries && s.admits(queryMemoryBytes):
 		s.addWaiting(query, existing)
 	default:
 		s.sendOverloaded(query)
 	}
 }
 
+// admits reports whether the memory account admits more waiting queries. They are all one holder there, as one client
+// can send them from many addresses.
+func (s *Server) admits(bytes int) bool { return s.Memory.Admits(s.Memory.Held(memory.Queries), bytes) }
+
+// forget removes the kept result of a key, if there is one.
+func (s *Server) forget(key string) {
+	if kept := s.byKey[key]; kept != nil {
+		kept.memory.Release()
+		delete(s.byKey, key)
+	}
+}
+
 func (s *Server) addWaiting(query *pendingQuery, inFlight *flight) {
+	query.memory = s.Memory.NewCharge(memory.Queries, queryMemoryBytes)
 	inFlight.waiting = append(inFlight.waiting, query)
 	s.pending[query.transaction] = query
 }
@@ -127,9 +144,13 @@
 	}
 	for _, query := range ended.waiting {
 		delete(s.pending, query.transaction)
+		query.memory.Release()
 		s.answer(query, ended.final)
 	}
 	ended.waiting = nil
+	if ended.key == "" {
+		ended.memory.Release()
+	}
 }
 
 // resultLifetime returns how long the final response to a keyed request is returned for further queries.
@@ -152,6 +173,7 @@
 
 // cancel cancels a request that no query waits for.
 func (s *Server) cancel(request *broker.Request) {
+	s.byRequest[request].memory.Release()
 	delete(s.byRequest, request)
 	request.Canceled = true
 	s.Emit(broker.RequestCanceled{Request: request})
--- a/internal/frontend/dns/query.go
+++ b/internal/frontend/dns/query.go
@@ -11,6 +11,7 @@
 	"github.com/miekg/dns"
 
 	"sloequay/internal/identity/tsig"
+	"sloequay/internal/memory"
 	"sloequay/internal/policy"
 )
 
@@ -30,6 +31,7 @@
 	maxBytes    int                  // limit on the size of its answer
 	stream      *stream              // nil: it arrived over UDP
 	signed      *tsig.QuerySignature // nil: the query is not signed
+	memory      memory.Charge        // while it waits for its answer
 }
 
 // status is an answer without records.
@@ -49,16 +51,17 @@
 // handle parses a packet into query, whose sender and transport the caller has set. It answers the query at once, or
 // when the response to its request arrives.
 func (s *Server) handle(packet []byte, query *pendingQuery) {
-	query.message = &dns.Msg{}
-	err := query.message.Unpack(packet)
 	if len(packet) < headerBytes || packet[flagsByte]&flagAnswer != 0 {
 		return // no id to answer with, or an answer itself: answering it could cause a loop
 	}
-	if err != nil {
+	query.message = &dns.Msg{}
+	if len(packet) > maxQueryBytes {
+		s.rejectMalformed(packet, query)
+		return
+	}
+	if err := query.message.Unpack(packet); err != nil {
 		s.Log("dns-bad-query", "from", query.from, "error", err)
-		query.message = &dns.Msg{}
-		query.message.Id = binary.BigEndian.Uint16(packet)
-		s.sendStatus(query, status{rcode: dns.RcodeFormatError})
+		s.rejectMalformed(packet, query)
 		return
 	}
 	query.maxBytes = maxAnswerBytes(query)
@@ -70,6 +73,7 @@
 		s.sendStatus(query, rejection)
 		return
 	}
+	dropRecords(query.message)
 	question := &query.message.Question[0]
 	name := strings.ToLower(question.Name)
 	query.transaction = fmt.Sprintf("%s %d %d %s", query.from, query.message.Id, question.Qtype, name)
@@ -82,6 +86,26 @@
 	s.dispatch(query)
 }
 
+// rejectMalformed answers a query that can't be parsed, given at least its header.
+func (s *Server) rejectMalformed(packet []byte, query *pendingQuery) {
+	query.message = &dns.Msg{}
+	query.message.Id = binary.BigEndian.Uint16(packet)
+	s.sendStatus(query, status{rcode: dns.RcodeFormatError})
+}
+
+// dropRecords removes the records of a query that its answer does not depend on. A short query can have hundreds of
+// them, which take many times its size.
+func dropRecords(message *dns.Msg) {
+	opt := message.IsEdns0()
+	message.Answer = nil
+	message.Ns = nil
+	message.Extra = nil
+	if opt != nil {
+		opt.Option = nil
+		message.Extra = []dns.RR{opt}
+	}
+}
+
 // maxAnswerBytes returns the largest size that the answer to a query may have.
 func maxAnswerBytes(query *pendingQuery) int {
 	if query.stream != nil {
--- a/internal/frontend/dns/stream.go
+++ b/internal/frontend/dns/stream.go
@@ -20,6 +20,8 @@
 	from   string
 	open   int // queries that are not answered yet
 	closed bool
+
+	skipBytes int // of a query that is too long, still to arrive
 }
 
 // Accept returns the handler of a new TCP connection, or nil if the connection limit is reached.
@@ -54,8 +56,16 @@
 // returns their size in bytes. It closes the connection at a message that is too short for a header, at one that is an
 // answer, and when too many queries are open.
 func (c *stream) handleMessages(data []byte, receivedAt time.Duration) (used int) {
+	used = c.skip(data)
 	for len(data)-used >= lengthBytes && !c.closed {
 		length := int(binary.BigEndian.Uint16(data[used:]))
+		if length > maxQueryBytes && len(data)-used >= lengthBytes+headerBytes {
+			used += lengthBytes
+			c.rejectLong(data[used:used+headerBytes], receivedAt)
+			c.skipBytes = length
+			used += c.skip(data[used:])
+			continue
+		}
 		if length < headerBytes || c.open >= maxWaitingQueries {
 			c.close()
 			break
@@ -70,13 +80,29 @@
 			break
 		}
 		c.open++
-		c.server.handle(packet, &pendingQuery{
-			from: c.from, receivedAt: receivedAt, reply: c.reply, maxBytes: minUDPBytes, stream: c,
-		})
+		c.server.handle(packet, c.newQuery(receivedAt))
 	}
 	return used
 }
 
+// rejectLong answers a query that is too long to be parsed, given its header.
+func (c *stream) rejectLong(header []byte, receivedAt time.Duration) {
+	c.open++
+	c.server.rejectMalformed(header, c.newQuery(receivedAt))
+}
+
+// skip drops what has arrived of a query that was too long, and returns how many bytes that is.
+func (c *stream) skip(data []byte) (skipped int) {
+	skipped = min(c.skipBytes, len(data))
+	c.skipBytes -= skipped
+	return skipped
+}
+
+// newQuery returns a query that arrived on the connection, before it is parsed.
+func (c *stream) newQuery(receivedAt time.Duration) *pendingQuery {
+	return &pendingQuery{from: c.from, receivedAt: receivedAt, reply: c.reply, maxBytes: minUDPBytes, stream: c}
+}
+
 func (c *stream) reply(packet []byte) {
 	if !c.closed {
 		c.conn.Send(binary.BigEndian.AppendUint16(nil, uint16(len(packet))), packet)
@@ -123,6 +149,7 @@
 	for _, query := range inFlight.waiting {
 		if query.stream == c {
 			delete(c.server.pending, query.transaction)
+			query.memory.Release()
 		} else {
 			remaining = append(remaining, query)
 		}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -129,6 +129,7 @@
 		Log:            s.log.Event,
 		EndpointByName: s.endpointByName,
 		MaxConnections: s.descriptors.DNS,
+		Memory:         s.memory,
 		Seed:           platform.Seed,
 		RetryAfter:     s.retryAfter(),
 	}
--- /dev/null
+++ b/test/memory_dns_test.go
@@ -0,0 +1,94 @@
+package test
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/miekg/dns"
+)
+
+// heldDNSName returns the name of a request of the class charge with a key, which the endpoints of a memory testbed do
+// not answer.
+func heldDNSName(key int) string { return fmt.Sprintf("k-%d.n0.00000000000000aa.charge.lanes", key) }
+
+// crowdedDNSQuery returns a query with as many additional records as fit into a datagram.
+func crowdedDNSQuery(t *testing.T, id uint16, key int) []byte {
+	t.Helper()
+	const records = 4000 // of 15 bytes
+	message := newDNSQuery(id, heldDNSName(key), dns.TypeTXT)
+	for range records {
+		header := dns.RR_Header{Name: ".", Rrtype: dns.TypeA, Class: dns.ClassINET}
+		message.Extra = append(message.Extra, &dns.A{Hdr: header, A: net.IPv4(127, 0, 0, 1)})
+	}
+	packet, err := message.Pack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return packet
+}
+
+// TestDNSQueriesStayWithinMemory guards against DNS queries that take more memory than the process may use while they
+// wait: many of one key each, many of one key, and few with very many records, by UDP and by TCP. Clients of the
+// platform's protocol must be served meanwhile.
+func TestDNSQueriesStayWithinMemory(t *testing.T) {
+	limit := memoryLimit{32, 512}
+	const (
+		queries        = 60_000
+		crowdedQueries = 300
+		queriesPerConn = 250
+	)
+	plain := func(key func(index int) int) func(bed *testbed, t *testing.T) {
+		return func(bed *testbed, t *testing.T) {
+			for index := 0; index < queries; {
+				client := bed.dialDNS("udp")
+				for range min(1<<14, queries-index) {
+					client.query(uint16(index), heldDNSName(key(index)), dns.TypeTXT)
+					index++
+				}
+			}
+		}
+	}
+	for name, send := range map[string]func(bed *testbed, t *testing.T){
+		"a key each":     plain(func(index int) int { return index }),
+		"keys in common": plain(func(index int) int { return index % 300 }),
+		"records by UDP": func(bed *testbed, t *testing.T) { sendCrowded(t, bed.dialDNS("udp"), crowdedQueries) },
+		"records by TCP": func(bed *testbed, t *testing.T) { sendCrowded(t, bed.dialDNS("tcp"), queriesPerConn) },
+		"stopped by TCP": stopDNSQueries,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			bed, _ := newMemoryTestbed(t, limit)
+			bed.enableDNS("limit 20s")
+			bed.start()
+			watch := bed.watchMemory(limit.megabytes)
+			usual := bed.startUsualClient()
+			send(bed, t)
+			time.Sleep(200 * time.Millisecond)
+			usual.expectServed()
+			watch.expectWithinLimit()
+			bed.expectRunning()
+		})
+	}
+}
+
+// sendCrowded sends crowded queries, each of a key of its own.
+func sendCrowded(t *testing.T, client *dnsClient, count int) {
+	for index := range count {
+		if _, err := client.conn.Write(crowdedDNSQuery(t, uint16(index), index)); err != nil {
+			t.Logf("after %d queries: %v", index, err)
+			return
+		}
+		time.Sleep(time.Millisecond) // so that the system does not drop datagrams
+	}
+}
+
+// stopDNSQueries has as many connections as the program takes send the longest message but for its last byte.
+func stopDNSQueries(bed *testbed, _ *testing.T) {
+	const connections, length = 64, 65535
+	for range connections {
+		message := append([]byte{length >> 8, length & 0xff}, make([]byte, length-1)...)
+		_, _ = bed.dialDNS("tcp").conn.Conn.Write(message)
+	}
+}
