Remember ids that may have run, so that a repeat does not run again

What callers saw: a charge that came again under its txn and key on a new connection, after its first client had left, ran a second time: in a class once, and in a keyed class after the archive's window.

Cause: an id was known only while its request was open. What may have run was forgotten with the request.

A repeat fails; in a keyed class it is sent while the window lasts, and looked at again just before each write. It is never rejected, as that says that a retry is harmless.

Why it works: txn is new with every request by the protocol, so a repeat under one id is the same request, and the check stands where every request of every front is received.

--- a/internal/broker/attempt.go
+++ b/internal/broker/attempt.go
@@ -91,6 +91,9 @@
 	if class.Idempotency != policy.IdempotentByKey {
 		return true
 	}
+	if attempt.Request.wasExecuted && !b.dropsRepeat(attempt.Request, now) {
+		return false
+	}
 	return !slices.ContainsFunc(attempt.Request.attempts, func(other *Attempt) bool {
 		mayHaveRun := other.Written && other.state != attemptNotExecuted
 		return other != attempt && mayHaveRun && !class.InRetryWindow(now-other.decidedAt)
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -31,6 +31,7 @@
 	lastID     policy.RequestID
 	open       map[policy.RequestID]*Request
 	byClientID map[string]*Request // the open requests by Request.ID
+	executed   executedRequests
 
 	monitor   *invariant.Monitor // nil: violations are ignored
 	endpoints endpointIndex
@@ -56,6 +57,7 @@
 		maxOpen:    maxOpen,
 		open:       map[policy.RequestID]*Request{},
 		byClientID: map[string]*Request{},
+		executed:   executedRequests{firstAt: map[string]time.Duration{}},
 		endpoints:  newEndpointIndex(),
 		purges: invalidation.New(invalidation.Config{
 			Propagation: config.PurgePropagation,
--- a/internal/broker/doc.go
+++ b/internal/broker/doc.go
@@ -14,6 +14,8 @@
 //     before the write.
 //   - An attempt of which a byte was written counts as not executed only if its endpoint said so. A request that may
 //     have been executed and must not run twice is not sent again.
+//   - A request that comes again under the id of one that may have been executed, and must not run twice, is not sent
+//     unless endpoints still drop the repeat. It is never rejected, as a rejection says that a retry is harmless.
 //   - Each attempt that is sent is charged once: to the quotas of its request and, if it is a retry, to the retry
 //     budgets. The grant of a request is released once.
 //   - The events of a round are handled before its timers, so a response that arrived in time counts.
@@ -23,6 +25,8 @@
 //   - Open requests: the limit given to New. Requests beyond it are rejected.
 //   - Timers: once there are minSweepSize, the timers of ended requests and attempts are dropped whenever the queue has
 //     doubled since the last sweep.
+//   - Ids of requests that may have been executed: maxExecuted, of the last executedRetention. After that, and after a
+//     restart, a repeat is a new request.
 //   - Endpoints: those in the endpoint list, and those that departed less than departedRetention ago.
 //   - Work in a round: maxChangesPerRound changes of the list and maxChangeEntries log entries about them. The
 //     remaining changes wait for the next round, which is due at once.
@@ -40,6 +44,9 @@
 //	State of a request  Event                                   Next state  Effects
 //	new                 RequestReceived, already canceled       ended       none
 //	new                 RequestReceived, its ID is in use       ended       Respond: failed
+//	new                 RequestReceived, a request with its ID  ended       Respond: failed
+//	                    may have run, and the repeat is not
+//	                    dropped
 //	new                 RequestReceived, maxOpen or a quota     ended       Respond: rejected
 //	                    reached
 //	new                 RequestReceived, otherwise              open        actions
--- a/internal/broker/request.go
+++ b/internal/broker/request.go
@@ -42,12 +42,16 @@
 	// Memory is the frontend's charge for the memory that the request takes. It is released when the request ends.
 	Memory memory.Charge
 
-	id        policy.RequestID
-	state     requestState
-	deadline  time.Duration // by which the response must be on its way
-	attempts  []*Attempt
-	grant     quota.Grant      // charged for the request and its attempts while it is open
-	blockedBy *quota.Rejection // rejection by the budget that blocked the latest attempt; nil: none did
+	id       policy.RequestID
+	state    requestState
+	deadline time.Duration // by which the response must be on its way
+	attempts []*Attempt
+	// wasExecuted says that an ended request with the same ID may have been executed, the first time by an attempt that
+	// was decided on at executedAt.
+	wasExecuted bool
+	executedAt  time.Duration
+	grant       quota.Grant      // charged for the request and its attempts while it is open
+	blockedBy   *quota.Rejection // rejection by the budget that blocked the latest attempt; nil: none did
 }
 
 // requestState is the state of a request. The package's doc comment lists the transitions.
@@ -79,6 +83,10 @@
 		b.respond(request, Response{Kind: ResponseFailed, Reason: reasonDuplicateID})
 		return
 	}
+	if !b.mayExecuteAgain(request) {
+		b.respond(request, Response{Kind: ResponseFailed, Reason: reasonExecuted})
+		return
+	}
 	if len(b.open) >= b.maxOpen {
 		b.respond(request, b.rejection(request, reasonTooManyOpen))
 		return
@@ -170,6 +178,9 @@
 	if request.state == requestEnded {
 		return
 	}
+	if request.wasExecuted && response.Kind == ResponseRejected {
+		response = Response{Kind: ResponseFailed, Reason: reasonExecuted} // a rejection says that a retry is harmless
+	}
 	b.close(request, b.loadSignal(request, response))
 	b.emit(Respond{request, response})
 }
@@ -214,6 +225,7 @@
 			b.emit(CancelAttempt{Attempt: attempt})
 		}
 	}
+	b.rememberExecuted(request)
 	request.Body = nil
 	request.Memory.Release()
 }
--- a/internal/broker/response.go
+++ b/internal/broker/response.go
@@ -45,6 +45,7 @@
 	reasonRefused           = "refused"
 	reasonFailed            = "failed"
 	reasonDuplicateID       = "a request with this id is open"
+	reasonExecuted          = "a request with this id may have run"
 	reasonTooManyOpen       = "too many open requests"
 	reasonNoEndpointReached = "no box could be reached"
 	reasonDeadlinePassed    = "past its deadline"
