--- a/internal/eventloop/buffers.go
+++ b/internal/eventloop/buffers.go
@@ -44,10 +44,10 @@
 
 // keep keeps a written buffer, unless too many or too large ones are kept already.
 func (s *spareBuffers) keep(written []byte) {
-	kept := s.charge.Bytes() + cap(written)
-	if len(s.buffers) < maxSpareBuffers && cap(written) <= maxSpareBufferSize && kept <= s.maxBytes {
+	size := s.charge.Bytes() + cap(written)
+	if len(s.buffers) < maxSpareBuffers && cap(written) <= maxSpareBufferSize && size <= s.maxBytes {
 		s.buffers = append(s.buffers, written[:0])
-		s.charge.Set(kept)
+		s.charge.Set(size)
 	}
 }
 
@@ -96,8 +96,8 @@
 }
 
 // truncate keeps the first chunks, and empties them.
-func (b *roundBuffer) truncate(kept int) {
-	b.chunks = b.chunks[:kept]
+func (b *roundBuffer) truncate(count int) {
+	b.chunks = b.chunks[:count]
 	for i := range b.chunks {
 		b.chunks[i] = b.chunks[i][:0]
 	}
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -145,11 +145,11 @@
 // Flushed returns how many of the queued bytes the system has accepted for the peer.
 func (c *Conn) Flushed() uint64 { return c.queued - uint64(c.Unsent()) }
 
-// HeldBytes returns the size of the connection's buffers for input and output.
-func (c *Conn) HeldBytes() int { return c.input.Bytes() + c.output.Bytes() }
+// BufferBytes returns the size of the connection's buffers for input and output.
+func (c *Conn) BufferBytes() int { return c.input.Bytes() + c.output.Bytes() }
 
-// HeldInputBytes returns the size of the buffer for input that was not consumed.
-func (c *Conn) HeldInputBytes() int { return c.input.Bytes() }
+// InputBufferBytes returns the size of the buffer for input that was not consumed.
+func (c *Conn) InputBufferBytes() int { return c.input.Bytes() }
 
 // Unsent returns the number of queued bytes that the system has not accepted for the peer yet, including those that
 // wait in a relay.
--- a/internal/frontend/dns/flight.go
+++ b/internal/frontend/dns/flight.go
@@ -81,9 +81,11 @@
 	}
 }
 
-// admits reports whether the memory account admits more waiting queries. They are all one holder there, as one client
+// admits reports whether the memory account admits more waiting queries. They are all one owner there, as one client
 // can send them from many addresses.
-func (s *Server) admits(bytes int) bool { return s.Memory.Admits(s.Memory.Held(memory.Queries), bytes) }
+func (s *Server) admits(bytes int) bool {
+	return s.Memory.Admits(s.Memory.Reserved(memory.Queries), bytes)
+}
 
 // forget removes the kept result of a key, if there is one.
 func (s *Server) forget(key string) {
--- a/internal/frontend/rpc/memory.go
+++ b/internal/frontend/rpc/memory.go
@@ -40,13 +40,13 @@
 	return taken
 }
 
-// heldBytes returns the memory that is charged for the connection and its open requests.
-func (c *connection) heldBytes() int {
-	held := c.conn.HeldBytes()
+// reservedBytes returns the memory that is charged for the connection and its open requests.
+func (c *connection) reservedBytes() int {
+	reserved := c.conn.BufferBytes()
 	for _, request := range c.open {
-		held += request.Memory.Bytes()
+		reserved += request.Memory.Bytes()
 	}
-	return held
+	return reserved
 }
 
 // requestCost returns the memory that a request takes while it is open, in bytes.
@@ -58,7 +58,7 @@
 func (c *connection) admit(request *broker.Request) pacing.Decision {
 	account := c.server.Memory
 	cost := requestCost(request)
-	fits := account.Admits(c.heldBytes(), cost)
+	fits := account.Admits(c.reservedBytes(), cost)
 	decision := c.openLimit.Decide(pacing.Load{Open: len(c.open), MemoryShort: !fits})
 	if decision != pacing.Admit {
 		if !fits {
@@ -76,8 +76,8 @@
 	if len(rest) <= minDiscardBytes {
 		return true
 	}
-	more := max(0, len(rest)-c.conn.HeldInputBytes())
-	return c.server.Memory.Admits(c.heldBytes(), more)
+	more := max(0, len(rest)-c.conn.InputBufferBytes())
+	return c.server.Memory.Admits(c.reservedBytes(), more)
 }
 
 // beginDiscard begins to discard the incomplete message at the front of data.
@@ -110,7 +110,7 @@
 
 // canKeepResponse reports whether a response body may wait until the client reads it.
 func (c *connection) canKeepResponse(body []byte) bool {
-	return len(body) <= smallBodyBytes || c.server.Memory.Fits(c.conn.HeldBytes(), len(body))
+	return len(body) <= smallBodyBytes || c.server.Memory.Fits(c.conn.BufferBytes(), len(body))
 }
 
 // countUnreadAnswer counts an answer without a body that is about to be sent. The count begins again once the client
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -2,16 +2,16 @@
 // handled yet, and output that is not written yet. The process is killed if it exceeds its memory limit, so what others
 // can make it hold must be bounded by that limit in bytes, whatever the number of clients, requests and connections.
 //
-// An Account is the one owner of these bytes. Whoever holds memory for others has a Charge in it. New work asks Admits
+// All of these bytes are in one Account. Whoever holds memory for others owns a Charge in it. New work asks Admits
 // before it holds anything, and is rejected if it does not fit. Work that was admitted asks Fits before it holds more,
 // such as the encoded copy of a request's body.
 //
 // Invariants:
-//   - Total is the sum of all charges, and 0 once all holders have released theirs;
+//   - Total is the sum of all charges, and 0 once all owners have released theirs;
 //   - new work is admitted only if it leaves half of the limit for the work that was admitted before;
-//   - a holder that has little is admitted beyond that, so that one with much can't have it rejected.
+//   - an owner that has little is admitted beyond that, so that one with much can't have it rejected.
 //
-// Bounds: an Account has a constant size. What was received before its holder could ask is charged without a check, so
+// Bounds: an Account has a constant size. What was received before its owner could ask is charged without a check, so
 // Total can exceed the limit by what is read from the connections at once.
 //
 // The package does no I/O and reads no clock. It is not safe for concurrent use.
@@ -26,13 +26,13 @@
 	limitDenominator = 3
 	// admissionDivisor divides the limit to get the total up to which new work is admitted.
 	admissionDivisor = 2
-	// smallHolderNumerator / smallHolderDenominator is the fraction of the limit up to which new work of a small holder
+	// smallOwnerNumerator / smallOwnerDenominator is the fraction of the limit up to which new work of a small owner
 	// is admitted.
-	smallHolderNumerator   = 3
-	smallHolderDenominator = 4
-	// smallHolderBytes is the most that a small holder has, its new work included.
-	smallHolderBytes = 16 << 10
-	// progressDivisor divides the limit to get the most that a holder has while its work is continued up to the limit.
+	smallOwnerNumerator   = 3
+	smallOwnerDenominator = 4
+	// smallOwnerBytes is the most that a small owner has, its new work included.
+	smallOwnerBytes = 16 << 10
+	// progressDivisor divides the limit to get the most that an owner has while its work is continued up to the limit.
 	progressDivisor = 8
 )
 
@@ -61,10 +61,10 @@
 
 // Account sums the bytes of all charges.
 type Account struct {
-	process int
-	limit   int
-	total   int
-	held    [kindCount]int
+	process  int
+	limit    int
+	total    int
+	reserved [kindCount]int
 }
 
 // NewAccount returns an empty account for a process that may use the given memory, in bytes.
@@ -81,19 +81,19 @@
 // Total returns the sum of all charges, in bytes.
 func (a *Account) Total() int { return a.total }
 
-// Held returns the sum of all charges of a kind, in bytes.
-func (a *Account) Held(kind Kind) int { return a.held[kind] }
+// Reserved returns the sum of all charges of a kind, in bytes.
+func (a *Account) Reserved(kind Kind) int { return a.reserved[kind] }
 
-// Admits reports whether a holder that has own bytes may begin new work that takes more of them.
+// Admits reports whether an owner that has own bytes may begin new work that takes more of them.
 func (a *Account) Admits(own, more int) bool {
 	if a.total+more <= a.limit/admissionDivisor {
 		return true
 	}
-	isSmall := own+more <= smallHolderBytes
-	return isSmall && a.total+more <= a.limit*smallHolderNumerator/smallHolderDenominator
+	isSmall := own+more <= smallOwnerBytes
+	return isSmall && a.total+more <= a.limit*smallOwnerNumerator/smallOwnerDenominator
 }
 
-// Fits reports whether work that was admitted may take more bytes for a holder that has own.
+// Fits reports whether work that was admitted may take more bytes for an owner that has own.
 func (a *Account) Fits(own, more int) bool {
 	if own+more <= a.limit/progressDivisor {
 		return a.total+more <= a.limit
@@ -111,7 +111,7 @@
 	return charge
 }
 
-// Charge is what one holder has of an account. The zero value holds nothing and can only be released. A charge must not
+// Charge is what one owner has of an account. The zero value holds nothing and can only be released. A charge must not
 // be copied once it is in use.
 type Charge struct {
 	account *Account
@@ -128,7 +128,7 @@
 		panic(fmt.Sprintf("memory: charge of %d bytes", bytes))
 	}
 	c.account.total += bytes - c.bytes
-	c.account.held[c.kind] += bytes - c.bytes
+	c.account.reserved[c.kind] += bytes - c.bytes
 	c.bytes = bytes
 }
 
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -6,8 +6,8 @@
 	"pgregory.net/rapid"
 )
 
-// TestAccountMatchesModel checks over random holders that the account is the sum of its charges, that new work is
-// admitted only while half of the limit is left for work that goes on, and that a holder with little is still admitted
+// TestAccountMatchesModel checks over random owners that the account is the sum of its charges, that new work is
+// admitted only while half of the limit is left for work that goes on, and that a owner with little is still admitted
 // when others have more than that.
 func TestAccountMatchesModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -18,13 +18,13 @@
 			charges[i] = account.NewCharge(Kinds()[i%len(Kinds())], 0)
 		}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
-			charge := &charges[rapid.IntRange(0, len(charges)-1).Draw(t, "holder")]
+			charge := &charges[rapid.IntRange(0, len(charges)-1).Draw(t, "owner")]
 			more := rapid.IntRange(0, limit/2).Draw(t, "more")
 			before := account.Total()
 			switch rapid.SampledFrom([]string{"admit", "continue", "force", "release"}).Draw(t, "step") {
 			case "admit":
 				isAdmitted := account.Admits(charge.Bytes(), more)
-				if isSmall := charge.Bytes()+more <= smallHolderBytes; isAdmitted && !isSmall && before+more > limit/2 {
+				if isSmall := charge.Bytes()+more <= smallOwnerBytes; isAdmitted && !isSmall && before+more > limit/2 {
 					t.Fatalf("%d more bytes admitted at %d of %d", more, before, limit)
 				}
 				if isAdmitted {
@@ -67,24 +67,24 @@
 			account.Total(), account.IsExceeded(), total, account.Limit())
 	}
 	for _, kind := range Kinds() {
-		if account.Held(kind) != byKind[kind] {
-			t.Fatalf("%s: got %d bytes, want %d", kind, account.Held(kind), byKind[kind])
+		if account.Reserved(kind) != byKind[kind] {
+			t.Fatalf("%s: got %d bytes, want %d", kind, account.Reserved(kind), byKind[kind])
 		}
 	}
 }
 
-// TestSmallHoldersAreAdmitted guards against holders with much that have the work of those with little rejected.
-func TestSmallHoldersAreAdmitted(t *testing.T) {
+// TestSmallOwnersAreAdmitted guards against owners with much that have the work of those with little rejected.
+func TestSmallOwnersAreAdmitted(t *testing.T) {
 	account := NewAccount(32 << 20)
 	large := account.NewCharge(Output, 0)
 	for account.Admits(large.Bytes(), 1<<10) {
 		large.Set(large.Bytes() + 1<<10)
 	}
-	if !account.Admits(0, 1<<10) || account.Admits(0, 2*smallHolderBytes) {
+	if !account.Admits(0, 1<<10) || account.Admits(0, 2*smallOwnerBytes) {
 		t.Errorf("at %d of %d bytes: got small work admitted %v, large %v, want true and false", account.Total(),
-			account.Limit(), account.Admits(0, 1<<10), account.Admits(0, 2*smallHolderBytes))
+			account.Limit(), account.Admits(0, 1<<10), account.Admits(0, 2*smallOwnerBytes))
 	}
 	if !account.Fits(0, account.Limit()/progressDivisor) || account.Fits(large.Bytes(), 1<<10) {
-		t.Error("work that goes on: want that of another holder to fit, and not that of the large one")
+		t.Error("work that goes on: want that of another owner to fit, and not that of the large one")
 	}
 }
--- a/internal/proxy/admin_socket.go
+++ b/internal/proxy/admin_socket.go
@@ -71,7 +71,7 @@
 	fmt.Fprintf(out, "clients %d\nviolations %d\n", s.frontend.Clients(), s.monitor.Violations())
 	fmt.Fprintf(out, "unsent %d\ndraining %d\n", s.loop.UnsentBytes(), s.loop.DrainingRelays())
 	for _, kind := range []memory.Kind{memory.Requests, memory.Queries} {
-		fmt.Fprintf(out, "memory.%s %d\n", kind, s.memory.Held(kind))
+		fmt.Fprintf(out, "memory.%s %d\n", kind, s.memory.Reserved(kind))
 	}
 	for i, pool := range s.pools {
 		requests := pool.broker.Sizes()
--- a/internal/proxy/housekeeping.go
+++ b/internal/proxy/housekeeping.go
@@ -62,7 +62,7 @@
 	}
 	fields := []any{"rejected", stats.Rejected, "discarded", stats.Discarded, "failed", stats.Failed}
 	for _, kind := range memory.Kinds() {
-		fields = append(fields, kind.String(), s.memory.Held(kind))
+		fields = append(fields, kind.String(), s.memory.Reserved(kind))
 	}
 	s.log.Event("memory-short", fields...)
 }
--- a/internal/upstream/dropped_response.go
+++ b/internal/upstream/dropped_response.go
@@ -18,7 +18,7 @@
 	if len(partial) <= minDropBytes {
 		return true
 	}
-	more := max(0, len(partial)-c.conn.HeldInputBytes())
+	more := max(0, len(partial)-c.conn.InputBufferBytes())
 	return c.pool.Loop.Memory.Fits(0, more)
 }
 
--- a/test/memory_dns_test.go
+++ b/test/memory_dns_test.go
@@ -9,15 +9,17 @@
 	"github.com/miekg/dns"
 )
 
-// heldDNSName returns the name of a request of the class charge with a key, which the endpoints of a memory testbed do
-// not answer.
-func heldDNSName(key int) string { return fmt.Sprintf("k-%d.n0.00000000000000aa.charge.lanes", key) }
+// unansweredDNSName returns the name of a request of the class charge with a key, which the endpoints of a memory
+// testbed do not answer.
+func unansweredDNSName(key int) string {
+	return fmt.Sprintf("k-%d.n0.00000000000000aa.charge.lanes", key)
+}
 
-// crowdedDNSQuery returns a query with as many additional records as fit into a datagram.
-func crowdedDNSQuery(t *testing.T, id uint16, key int) []byte {
+// manyRecordsQuery returns a query with as many additional records as fit into a datagram.
+func manyRecordsQuery(t *testing.T, id uint16, key int) []byte {
 	t.Helper()
 	const records = 4000 // of 15 bytes
-	message := newDNSQuery(id, heldDNSName(key), dns.TypeTXT)
+	message := newDNSQuery(id, unansweredDNSName(key), dns.TypeTXT)
 	for range records {
 		header := dns.RR_Header{Name: ".", Rrtype: dns.TypeA, Class: dns.ClassINET}
 		message.Extra = append(message.Extra, &dns.A{Hdr: header, A: net.IPv4(127, 0, 0, 1)})
@@ -35,19 +37,19 @@
 func TestDNSQueriesStayWithinMemory(t *testing.T) {
 	limit := memoryLimit{32, 512}
 	const (
-		queries        = 10_000
-		crowdedQueries = 160
+		queries      = 10_000
+		largeQueries = 160
 	)
 	sendPlain := func(bed *testbed) {
 		client := bed.dialDNS("udp")
 		for index := range queries {
-			client.query(uint16(index), heldDNSName(index), dns.TypeTXT)
+			client.query(uint16(index), unansweredDNSName(index), dns.TypeTXT)
 		}
 	}
 	for name, send := range map[string]func(bed *testbed){
 		"a key each":     sendPlain,
-		"records by UDP": func(bed *testbed) { sendCrowded(bed.t, bed.dialDNS("udp"), crowdedQueries) },
-		"records by TCP": func(bed *testbed) { sendCrowded(bed.t, bed.dialDNS("tcp"), crowdedQueries) },
+		"records by UDP": func(bed *testbed) { sendLargeQueries(bed.t, bed.dialDNS("udp"), largeQueries) },
+		"records by TCP": func(bed *testbed) { sendLargeQueries(bed.t, bed.dialDNS("tcp"), largeQueries) },
 		"stopped by TCP": stopDNSQueries,
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -64,10 +66,10 @@
 	}
 }
 
-// sendCrowded sends crowded queries, each of a key of its own.
-func sendCrowded(t *testing.T, client *dnsClient, count int) {
+// sendLargeQueries sends queries with many records, each of a key of its own.
+func sendLargeQueries(t *testing.T, client *dnsClient, count int) {
 	for index := range count {
-		if _, err := client.conn.Write(crowdedDNSQuery(t, uint16(index), index)); err != nil {
+		if _, err := client.conn.Write(manyRecordsQuery(t, uint16(index), index)); err != nil {
 			t.Logf("after %d queries: %v", index, err)
 			return
 		}
--- a/test/memory_flood_test.go
+++ b/test/memory_flood_test.go
@@ -98,7 +98,7 @@
 func testRPCFlood(t *testing.T, sent flood, connections int) {
 	bed, _ := newMemoryTestbed(t, floodLimit)
 	bed.start()
-	bed.expectHeldUnderFlood(bed.dial(), func() {
+	bed.expectServedDuringFlood(bed.dial(), func() {
 		sent.send(func() (net.Conn, error) { return net.Dial("tcp", bed.address) }, connections)
 	})
 }
@@ -107,7 +107,7 @@
 	bed, _ := newMemoryTestbed(t, floodLimit)
 	bed.enableDNS("")
 	bed.start()
-	bed.expectHeldUnderFlood(bed.dial(), func() {
+	bed.expectServedDuringFlood(bed.dial(), func() {
 		dnsFlood(t).send(func() (net.Conn, error) { return net.Dial("tcp", bed.dnsAddress) }, connections)
 	})
 }
@@ -122,11 +122,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	bed.expectHeldUnderFlood(newClient(t, usual), func() { rpcFloods()[0].send(dial, connections) })
+	bed.expectServedDuringFlood(newClient(t, usual), func() { rpcFloods()[0].send(dial, connections) })
 }
 
-// expectHeldUnderFlood fails the test unless the memory limit and a usual client's requests hold during a flood.
-func (bed *testbed) expectHeldUnderFlood(usualConn *client, flood func()) {
+// expectServedDuringFlood fails the test unless the memory limit and a usual client's requests hold during a flood.
+func (bed *testbed) expectServedDuringFlood(usualConn *client, flood func()) {
 	bed.t.Helper()
 	watch := bed.watchMemory(floodLimit.megabytes)
 	usual := bed.startUsualClientOn(usualConn)
--- a/test/memory_test.go
+++ b/test/memory_test.go
@@ -69,6 +69,15 @@
 	return request(uint64(index+1), "charge", fields, strings.Repeat("x", largestWrite))
 }
 
+// sendWrites sends as many of the largest writes as may be open, or as many as the program reads.
+func (c *client) sendWrites(client int) {
+	for index := range openPerConnection {
+		if c.protocol.Send(write(client, index)) != nil {
+			return
+		}
+	}
+}
+
 // answerCounts counts how requests ended.
 type answerCounts struct{ served, rejected, failed, unanswered atomic.Int64 }
 
@@ -98,13 +107,7 @@
 		var senders, readers sync.WaitGroup
 		for client := range limit.clients() {
 			connected := bed.dial()
-			senders.Go(func() {
-				for index := range openPerConnection {
-					if connected.protocol.Send(write(client, index)) != nil {
-						return
-					}
-				}
-			})
+			senders.Go(func() { connected.sendWrites(client) })
 			readers.Go(func() {
 				for range openPerConnection {
 					answer, err := connected.read()
@@ -136,13 +139,7 @@
 	var senders, readers sync.WaitGroup
 	for client := range limit.clients() {
 		connected := bed.dial()
-		senders.Go(func() {
-			for index := range openPerConnection {
-				if connected.protocol.Send(write(client, index)) != nil {
-					return
-				}
-			}
-		})
+		senders.Go(func() { connected.sendWrites(client) })
 		readers.Go(func() {
 			for range openPerConnection {
 				if _, err := connected.read(); err != nil {
