--- a/test/last_moment_test.go
+++ b/test/last_moment_test.go
@@ -316,8 +316,8 @@
 	return served < l.scenario.unreadBodies()
 }
 
-// unblockedAround reports whether a client that reads slowly read the last of the large answers within crossingWindow of
-// the kill. The close, which follows that answer on the connection, and the kill then cross: the close may reach the
+// unblockedAround reports whether a client that reads slowly read the last of the large answers within crossingWindow
+// of the kill. The close, which follows that answer on the connection, and the kill then cross: the close may reach the
 // client shortly before it has read the answer, or be prevented by the kill after it has.
 func (l *lastMomentClient) unblockedAround(killedAt time.Duration) bool {
 	if !l.scenario.hasUnread || l.scenario.pace != readsSlowly {
