Poll the list service when fewer than a quorum of polling peers are heard

Cause: a change is in force for a proxy once two pollers tell it. Pollers tell the members in their own views, and gossip misses a member now and then, until a state exchange tens of seconds later. A proxy that only one poller knows never has a quorum; it confirms a change by the service at most once in 10 s, and polled itself only if it heard no poller at all.

TestProxyPollsWithoutQuorumOfPollers fails on the code before at 2.1 s: the proxy does not poll.

Change: a proxy that hears fewer pollers than a quorum (or than its zone can have) polls the service itself, as one that hears none. It then always has one of the two ways by which a change comes into force at once.

Result: the package's tests pass; the calls to the service in TestFleetStarts are the same to the last one, 8 to 300 proxies.

--- a/internal/bootstrap/effects.go
+++ b/internal/bootstrap/effects.go
@@ -55,7 +55,7 @@
 const (
 	PollingStarted         Event = iota // this proxy starts to poll the service
 	PollingStopped                      // this proxy stops polling and relies on its peers
-	IsolatedPollingStarted              // this proxy starts to poll because no poller is in view
+	IsolatedPollingStarted              // this proxy starts to poll because no quorum of pollers is in view
 	ListAccepted                        // a list that a quorum of peers advertises is now in force
 	HintUsed                            // endpoints of lists without a quorum are used, as no list is known to be true
 	HintsContradict                     // peers have sent different lists, and none is known to be true
--- a/internal/bootstrap/polling.go
+++ b/internal/bootstrap/polling.go
@@ -14,7 +14,7 @@
 	pollNotNeeded    pollReason = iota
 	pollElected                 // it is among the pollers of its zone
 	pollConfirmation            // a list lacks a quorum, and the service must confirm it
-	pollIsolated                // no poller is in view
+	pollIsolated                // no quorum of pollers is in view
 )
 
 // stepPolling starts or stops polling, and reports for a proxy that does not poll whether the service is silent.
@@ -46,8 +46,8 @@
 	m.log(PollingStarted, noList, "")
 }
 
-// pollReason returns whether and why this proxy should poll now. When no poller is in view any more, it draws the time
-// of the isolated poll.
+// pollReason returns whether and why this proxy should poll now. When no quorum of pollers is in view any more, it
+// draws the time of the isolated poll.
 func (m *Machine) pollReason() pollReason {
 	if !m.config.PeersEnabled || len(m.members) == 0 {
 		if m.now >= m.isolatedPollAt {
@@ -98,15 +98,16 @@
 
 func (m *Machine) score(name string) uint64 { return xxhash.Sum64String(m.config.Zone + " " + name) }
 
-// pollerLimit returns how many proxies of the zone should poll, and whether a poller of each list is in view. While the
-// service is silent for the pollers, more proxies poll, since only the pollers' own connections to it may have failed.
+// pollerLimit returns how many proxies of the zone should poll, and whether enough pollers of each list are in view.
+// While the service is silent for the pollers, more proxies poll, since only the pollers' own connections to it may
+// have failed.
 func (m *Machine) pollerLimit() (limit int, pollersInView bool) {
 	limit = m.config.Pollers
 	pollersInView = len(m.lists) > 0
 	for i := range m.lists {
 		view := m.viewService(&m.lists[i])
+		pollersInView = pollersInView && view.pollers >= m.neededPollers()
 		if view.pollers == 0 {
-			pollersInView = false
 			continue
 		}
 		silence := m.now - max(view.lastSeen, m.startedAt)
@@ -115,6 +116,13 @@
 	return limit, pollersInView
 }
 
+// neededPollers returns how many pollers must be in view, so that this proxy need not poll itself. A change that fewer
+// than a quorum advertise is not in force here until the service has confirmed it, and confirmations are rare. Pollers
+// that do not have this proxy in their views send it no heartbeats.
+func (m *Machine) neededPollers() int {
+	return max(1, min(Quorum, m.config.Pollers, len(m.zonePeers)))
+}
+
 // startConfirmation makes this proxy poll for ConfirmTimeout when a fetched list has lacked a quorum for too long.
 func (m *Machine) startConfirmation() {
 	for i := range m.lists {
--- a/internal/bootstrap/polling_test.go
+++ b/internal/bootstrap/polling_test.go
@@ -71,3 +71,36 @@
 		t.Errorf("got a limit of %d pollers after %v of silence, want 9", limit, 2*PollerIncreaseInterval)
 	}
 }
+
+// TestProxyPollsWithoutQuorumOfPollers guards against a drain that reaches a proxy late: two of three pollers did not
+// have the proxy in their views and sent it no heartbeats, so that a change lacked a quorum there for up to 10 s.
+func TestProxyPollsWithoutQuorumOfPollers(t *testing.T) {
+	machine := New(0, Config{Name: "own", Zone: "z", PeersEnabled: true, ListCount: 1, FleetSize: 8, Pollers: 3})
+	var peers []Peer
+	for i := range 7 {
+		peers = append(peers, Peer{fmt.Sprint("p", i), "z"})
+	}
+	machine.PeersChanged(0, peers)
+	if machine.rank() < machine.config.Pollers {
+		t.Fatal("the proxy is elected, want one that follows")
+	}
+	endpoints := []membership.Endpoint{{ID: "x", Address: "127.0.0.1:1"}}
+	machine.ListFromService(0, 0, 1, endpoints)
+	digest := []Advertisement{{ListVersion: VersionOf(0, 1, endpoints), LastSeen: 10 * time.Millisecond}}
+	for now := time.Duration(0); now < 20*time.Second; now += 50 * time.Millisecond {
+		pollersInView := 1
+		if now >= 10*time.Second {
+			pollersInView = Quorum
+		}
+		if now%HeartbeatInterval == 0 {
+			for _, peer := range peers[:pollersInView] {
+				machine.MessageReceived(now, Message{From: peer.Name, Digest: digest})
+			}
+		}
+		machine.Step(now)
+		hasReacted := now%(10*time.Second) >= PollGracePeriod+100*time.Millisecond
+		if want := pollersInView < Quorum; hasReacted && machine.polling != want {
+			t.Fatalf("at %v with %d pollers in view: polling %v, want %v", now, pollersInView, machine.polling, want)
+		}
+	}
+}
