--- a/internal/eventloop/eventloop_test.go
+++ b/internal/eventloop/eventloop_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/panjf2000/gnet/v2"
+
 	"sloequay/internal/memory"
 )
 
@@ -219,3 +221,25 @@
 		t.Errorf("first round: got %d bytes and %d closed connections, want %d each", got.bytes, got.closed, clients)
 	}
 }
+
+// TestInputEndsClosingConnection guards against floods that delay the end of a round: connections that were to be
+// closed at its end were read from until then, which took longer the more they sent.
+func TestInputEndsClosingConnection(t *testing.T) {
+	handler := &retainingHandler{lengths: make(chan int, 100), consumes: true}
+	l, address, runOnLoop := startLoop(t, handler)
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := conn.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	<-handler.lengths
+	runOnLoop(func() {
+		handler.conn.Close()
+		if action := l.OnTraffic(handler.conn.sock); action != gnet.Close {
+			t.Errorf("input on a closing connection: got action %v, want %v", action, gnet.Close)
+		}
+	})
+}
