Bound what strangers send to the address for peers, in streams and bytes

What callers saw: with the block `peers`, anyone who reached its address could have the proxy killed for its memory, without the fleet's key. 60 connections that each began a message of 16 MB took 823 MB of 32 and 951 of 64 within a second; another client waited 0.9 s.

Cause: memberlist keeps a message on a stream, up to 20 MB, until it is complete, and looks at its key only then. It bounds neither the number of streams nor the sum of what they sent.

Change: streams that others open pass a limit of our own on their way to memberlist: 64 streams, and a 64th of the memory for what all of them have sent, charged to the account of what is held for others. Beyond, the oldest or the largest is closed, so that the short streams of members are served. A read can't bring the sum over the bound, which is why this holds whatever strangers send. A state exchange has 175 bytes a member (encoded once), 350 KB for the 2,000 that are allowed by default, where 32 MB of memory allow 512 KB. `sloequay peers` prints the streams that were closed.

--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -46,18 +46,19 @@
 	Output               // bytes that are not written yet
 	Reused               // buffers that are kept for input and output to come
 	Queries              // DNS queries that wait for an answer, their requests, and results that are kept
+	Peers                // messages of other proxies that have not arrived completely
 	kindCount
 )
 
 var kindNames = [kindCount]string{
-	Requests: "requests", Input: "input", Output: "output", Reused: "reused", Queries: "queries",
+	Requests: "requests", Input: "input", Output: "output", Reused: "reused", Queries: "queries", Peers: "peers",
 }
 
 // String returns the name of the kind in the operators' view of the state.
 func (k Kind) String() string { return kindNames[k] }
 
 // Kinds returns all kinds.
-func Kinds() []Kind { return []Kind{Requests, Input, Output, Reused, Queries} }
+func Kinds() []Kind { return []Kind{Requests, Input, Output, Reused, Queries, Peers} }
 
 // Account sums the bytes of all charges.
 type Account struct {
--- a/internal/peer/transport/transport.go
+++ b/internal/peer/transport/transport.go
@@ -71,6 +71,7 @@
 	MessagesSent, BytesSent uint64
 	Dropped                 uint64 // in either direction, because a queue was full
 	Rejected                uint64 // received but not valid
+	ClosedStreams           uint64 // opened by others, and closed because too many were open or had sent too much
 }
 
 // Transport holds a proxy's membership in the fleet and exchanges messages with the other members.
@@ -79,6 +80,7 @@
 	self         Identity
 	receiver     Receiver
 	list         *memberlist.Memberlist
+	streams      *inboundStreams
 	privateKey   ed25519.PrivateKey
 	metadata     []byte
 	seeds        []string // from the settings and from the members file
@@ -111,6 +113,7 @@
 	if t.list, err = memberlist.Create(listConfig); err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
 	}
+	t.goroutines.Go(t.streams.forward)
 	t.goroutines.Go(t.join)
 	t.goroutines.Go(t.sendQueued)
 	t.goroutines.Go(t.receiveQueued)
@@ -187,7 +190,8 @@
 	if localAddr == nil {
 		localAddr = &net.TCPAddr{IP: listen.Addr().AsSlice()}
 	}
-	listConfig.Transport = boundTransport{network, localAddr}
+	t.streams = newInboundStreams(t.config.MaxInboundBytes, network.StreamCh())
+	listConfig.Transport = boundTransport{network, t.streams, localAddr}
 	return listConfig, nil
 }
 
@@ -211,9 +215,14 @@
 func (t *Transport) Status() ([]peer.Member, Counters) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.view.Members(), t.counters
+	counters := t.counters
+	counters.ClosedStreams = t.streams.closedForLimit()
+	return t.view.Members(), counters
 }
 
+// InboundBytes returns the number of bytes that were received on the streams that others have open.
+func (t *Transport) InboundBytes() int { return t.streams.receivedBytes() }
+
 // AnnounceShutdown starts announcing to the other members that this proxy leaves, and gives up after the timeout.
 func (t *Transport) AnnounceShutdown(timeout time.Duration) {
 	t.goroutines.Go(func() { _ = t.list.Leave(timeout) })
@@ -223,6 +232,7 @@
 func (t *Transport) Close() {
 	t.cancel()
 	_ = t.list.Shutdown()
+	t.streams.stop()
 	t.goroutines.Wait()
 }
 
@@ -270,12 +280,17 @@
 	t.counters.Dropped++
 }
 
-// boundTransport is memberlist's network transport with a fixed local address for outgoing connections.
+// boundTransport is memberlist's network transport with limits on the streams that others open, and a fixed local
+// address for outgoing connections.
 type boundTransport struct {
 	*memberlist.NetTransport
+	streams   *inboundStreams
 	localAddr *net.TCPAddr
 }
 
+// StreamCh returns the streams that others have opened.
+func (t boundTransport) StreamCh() <-chan net.Conn { return t.streams.admitted }
+
 // DialTimeout connects to a member over TCP.
 func (t boundTransport) DialTimeout(address string, timeout time.Duration) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: timeout, LocalAddr: t.localAddr}
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -11,6 +11,7 @@
 	"sloequay/internal/bootstrap"
 	"sloequay/internal/broker"
 	"sloequay/internal/membership"
+	"sloequay/internal/memory"
 	"sloequay/internal/peer"
 	"sloequay/internal/peer/transport"
 )
@@ -27,6 +28,9 @@
 	transportRetryPause  = 20 * time.Millisecond
 	// announceTimeout limits the announcement of a shutdown. The proxy keeps serving for at least twice as long.
 	announceTimeout = 450 * time.Millisecond
+	// peerMemoryDivisor divides the memory of the process to get the most that is received on the streams that others
+	// have open to the transport. Its library takes several times as much memory while a message arrives.
+	peerMemoryDivisor = 64
 )
 
 // fleet carries out the decisions of a bootstrap.Machine: it connects the machine with the transport to other proxies,
@@ -40,6 +44,7 @@
 	transport    *transport.Transport // nil: no peers
 	pendingLists []*membership.List   // by list index: the catalogue's last list, while it waits to be accepted; or nil
 	steppedAt    time.Duration
+	inbound      memory.Charge // for what others have sent on open streams to the transport
 }
 
 // newFleet opens the transport, if the settings name peers, and creates the machine.
@@ -48,6 +53,7 @@
 	created := &fleet{
 		server:       s.server,
 		pendingLists: make([]*membership.List, len(settings.Catalogue.Services)),
+		inbound:      s.server.memory.NewCharge(memory.Peers, 0),
 	}
 	config := created.machineConfig()
 	if settings.Peers != nil {
@@ -69,10 +75,12 @@
 		FleetSize:      config.FleetSize,
 		LocalAddr:      settings.bindAddress(),
 	}
-	opened, err := transport.Open(*settings.Peers, self, f)
+	transportConfig := *settings.Peers
+	transportConfig.MaxInboundBytes = f.server.memory.Process() / peerMemoryDivisor
+	opened, err := transport.Open(transportConfig, self, f)
 	for attempts := 1; err != nil && attempts < maxTransportAttempts; attempts++ {
 		time.Sleep(transportRetryPause) // memberlist's errors do not show whether they are temporary
-		opened, err = transport.Open(*settings.Peers, self, f)
+		opened, err = transport.Open(transportConfig, self, f)
 	}
 	if err != nil {
 		f.server.log.Event("peer-transport-failed", "error", err)
@@ -196,6 +204,9 @@
 // that the transport exchanges with peers.
 func (f *fleet) step(now time.Duration) {
 	f.forwardAcceptedLists(now)
+	if f.transport != nil {
+		f.inbound.Set(f.transport.InboundBytes())
+	}
 	if now-f.steppedAt < fleetStepInterval {
 		return
 	}
@@ -338,8 +349,8 @@
 		return
 	}
 	members, counters := f.transport.Status()
-	fmt.Fprintf(out, "sent %d messages, %d bytes; %d dropped, %d rejected\n",
-		counters.MessagesSent, counters.BytesSent, counters.Dropped, counters.Rejected)
+	fmt.Fprintf(out, "sent %d messages, %d bytes; %d dropped, %d rejected, %d streams closed\n",
+		counters.MessagesSent, counters.BytesSent, counters.Dropped, counters.Rejected, counters.ClosedStreams)
 	for _, member := range members {
 		fmt.Fprintf(out, "peer %s zone %s epoch %d program %s\n",
 			member.Name, member.Zone, member.Incarnation, member.ProgramVersion)
