Share the writers of the memory tests, and name what is new by the field

The memory tests had the loop that connects clients which write and read twice, and the check of their answers twice.

--- a/internal/frontend/dns/flight.go
+++ b/internal/frontend/dns/flight.go
@@ -89,8 +89,8 @@
 
 // forget removes the kept result of a key, if there is one.
 func (s *Server) forget(key string) {
-	if kept := s.byKey[key]; kept != nil {
-		kept.memory.Release()
+	if cached := s.byKey[key]; cached != nil {
+		cached.memory.Release()
 		delete(s.byKey, key)
 	}
 }
--- a/internal/peer/transport/streams.go
+++ b/internal/peer/transport/streams.go
@@ -19,7 +19,7 @@
 // errInboundLimit is returned by a read of a stream that was closed because too much is open or has been received.
 var errInboundLimit = errors.New("too many inbound streams, or too many bytes of them")
 
-// inboundStreams limits the streams that others open to this proxy, and the bytes that they have sent on them.
+// inboundStreams limits the streams that others open to this proxy, and the bytes that arrive by them.
 // memberlist keeps a message until it is complete, and verifies only then whether its sender has the fleet's key:
 // anyone who reaches the address may send as much.
 //
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -44,7 +44,7 @@
 	transport    *transport.Transport // nil: no peers
 	pendingLists []*membership.List   // by list index: the catalogue's last list, while it waits to be accepted; or nil
 	steppedAt    time.Duration
-	inbound      memory.Charge // for what others have sent on open streams to the transport
+	inbound      memory.Charge // for bytes of others on open streams to the transport
 }
 
 // newFleet opens the transport, if the settings name peers, and creates the machine.
--- a/test/memory_test.go
+++ b/test/memory_test.go
@@ -94,6 +94,32 @@
 	}
 }
 
+// expectServedOrRejected fails the test if a request failed or had no answer.
+func (c *answerCounts) expectServedOrRejected(t *testing.T) {
+	t.Helper()
+	if failed, unanswered := c.failed.Load(), c.unanswered.Load(); failed > 0 || unanswered > 0 {
+		t.Errorf("got %d requests failed and %d unanswered, want all served or rejected", failed, unanswered)
+	}
+}
+
+// startWriters connects clients that each send as many of the largest writes as may be open, and count the answers. It
+// returns groups that wait until all have been sent and until all have been answered.
+func (bed *testbed) startWriters(clients int, counts *answerCounts) (senders, readers *sync.WaitGroup) {
+	bed.t.Helper()
+	senders, readers = &sync.WaitGroup{}, &sync.WaitGroup{}
+	for client := range clients {
+		connected := bed.dial()
+		senders.Go(func() { connected.sendWrites(client) })
+		readers.Go(func() {
+			for range openPerConnection {
+				answer, err := connected.read()
+				counts.count(answer, err)
+			}
+		})
+	}
+	return senders, readers
+}
+
 // TestOpenWritesStayWithinMemory guards against bodies of open writes that take more memory than the process may use:
 // clients send as many of the largest writes as may be open at once, while the endpoints are slow. Each write must have
 // one answer, and other clients' requests must be served meanwhile.
@@ -104,27 +130,14 @@
 		watch := bed.watchMemory(limit.megabytes)
 		usual := bed.startUsualClient()
 		var counts answerCounts
-		var senders, readers sync.WaitGroup
-		for client := range limit.clients() {
-			connected := bed.dial()
-			senders.Go(func() { connected.sendWrites(client) })
-			readers.Go(func() {
-				for range openPerConnection {
-					answer, err := connected.read()
-					counts.count(answer, err)
-				}
-			})
-		}
+		senders, readers := bed.startWriters(limit.clients(), &counts)
 		senders.Wait()
 		usual.expectServed()
 		release()
 		readers.Wait()
 		watch.expectWithinLimit()
 		t.Logf("served %d, rejected %d", counts.served.Load(), counts.rejected.Load())
-		if counts.failed.Load() > 0 || counts.unanswered.Load() > 0 {
-			t.Errorf("got %d writes failed and %d unanswered, want all served or rejected",
-				counts.failed.Load(), counts.unanswered.Load())
-		}
+		counts.expectServedOrRejected(t)
 	})
 }
 
@@ -136,18 +149,7 @@
 	bed.listenUnread("o1")
 	bed.start()
 	watch := bed.watchMemory(limit.megabytes)
-	var senders, readers sync.WaitGroup
-	for client := range limit.clients() {
-		connected := bed.dial()
-		senders.Go(func() { connected.sendWrites(client) })
-		readers.Go(func() {
-			for range openPerConnection {
-				if _, err := connected.read(); err != nil {
-					return
-				}
-			}
-		})
-	}
+	senders, readers := bed.startWriters(limit.clients(), &answerCounts{})
 	senders.Wait()
 	time.Sleep(500 * time.Millisecond) // for retries of the attempts that are not read
 	watch.expectWithinLimit()
@@ -224,10 +226,7 @@
 	close(finish)
 	readers.Wait()
 	watch.expectWithinLimit()
-	if counts.failed.Load() > 0 || counts.unanswered.Load() > 0 {
-		t.Errorf("got %d writes failed and %d unanswered, want all served or rejected",
-			counts.failed.Load(), counts.unanswered.Load())
-	}
+	counts.expectServedOrRejected(t)
 }
 
 // longHead returns the front of a request with as many fields as a request may have, each as long as it may be, without
--- a/test/paced_close_test.go
+++ b/test/paced_close_test.go
@@ -15,10 +15,10 @@
 	pacedWait = 1500 * time.Millisecond
 )
 
-// waysToLeave are the ways in which a client ends its connection.
-var waysToLeave = []struct {
-	name  string
-	leave func(conn *net.TCPConn) error
+// connectionEnds are the ways in which a client ends its connection.
+var connectionEnds = []struct {
+	name string
+	end  func(conn *net.TCPConn) error
 }{
 	{"closes", (*net.TCPConn).Close},
 	{"half-closes", (*net.TCPConn).CloseWrite},
@@ -30,19 +30,19 @@
 	}},
 }
 
-// TestUnreadRequestsEndWithTheirClient guards against requests that are sent on after their client has left: they had
+// TestUnreadRequestsEndWithTheirClient guards against requests that are forwarded after their client has gone: they had
 // arrived completely, and waited for the turn of a rate-limited connection.
 func TestUnreadRequestsEndWithTheirClient(t *testing.T) {
 	t.Parallel()
 	t.Run("stays", func(t *testing.T) { testUnreadRequests(t, func(*net.TCPConn) error { return nil }, 1) })
-	for _, way := range waysToLeave {
-		t.Run(way.name, func(t *testing.T) { testUnreadRequests(t, way.leave, 0) })
+	for _, way := range connectionEnds {
+		t.Run(way.name, func(t *testing.T) { testUnreadRequests(t, way.end, 0) })
 	}
 }
 
-// testUnreadRequests has a rate-limited client send requests, of which the last needs no token, and then leave. It
+// testUnreadRequests has a rate-limited client send requests, of which the last needs no token, and then go. It
 // checks how many of them reach an endpoint afterwards.
-func testUnreadRequests(t *testing.T, leave func(*net.TCPConn) error, want int) {
+func testUnreadRequests(t *testing.T, end func(*net.TCPConn) error, want int) {
 	t.Parallel()
 	bed := newTestbed(t, nil)
 	token := bed.enableIdentity("unsigned staff").token("lane-1", "lanes", time.Hour)
@@ -65,20 +65,20 @@
 	if _, err := conn.Write(batch); err != nil {
 		t.Fatal(err)
 	}
-	if err := leave(conn.(*net.TCPConn)); err != nil {
+	if err := end(conn.(*net.TCPConn)); err != nil {
 		t.Fatal(err)
 	}
-	leftAt := time.Now()
+	endedAt := time.Now()
 	close(stop)
 	<-done
 	if want > 0 {
 		bed.waitFirstAttempt()
 	}
 	time.Sleep(pacedWait)
-	late := bed.received(func(line *receivedRequest) bool {
-		return line.Word == "ASK" && line.At.Sub(leftAt) > crossingWindow
+	afterwards := bed.received(func(line *receivedRequest) bool {
+		return line.Word == "ASK" && line.At.Sub(endedAt) > crossingWindow
 	})
-	if len(late) != want {
-		t.Errorf("got %d attempts at endpoints after the client left, want %d", len(late), want)
+	if len(afterwards) != want {
+		t.Errorf("got %d attempts at endpoints after the client had gone, want %d", len(afterwards), want)
 	}
 }
--- a/test/unread_answers_test.go
+++ b/test/unread_answers_test.go
@@ -24,8 +24,8 @@
 
 // sendUntilClosed sends a message again and again, until the program closes the connection or the number of messages
 // has been sent. It returns how many were sent.
-func sendUntilClosed(conn net.Conn, message []byte, most int) (sent int) {
-	for sent < most {
+func sendUntilClosed(conn net.Conn, message []byte, maxMessages int) (sent int) {
+	for sent < maxMessages {
 		if _, err := conn.Write(message); err != nil {
 			return sent
 		}
@@ -51,11 +51,11 @@
 		client.send(request(id+1, "footage", nil, ""))
 	}
 	bed.waitAttempts(maxUnreadBodies)
-	const most = 10 * maxUnreadAnswers
-	sent := sendUntilClosed(client.conn, request(maxUnreadBodies+1, "status", nil, ""), most)
-	if sent <= maxUnreadAnswers || sent == most {
+	const maxMessages = 10 * maxUnreadAnswers
+	sent := sendUntilClosed(client.conn, request(maxUnreadBodies+1, "status", nil, ""), maxMessages)
+	if sent <= maxUnreadAnswers || sent == maxMessages {
 		t.Errorf("sent %d messages until the connection was closed, want more than %d and less than %d", sent,
-			maxUnreadAnswers, most)
+			maxUnreadAnswers, maxMessages)
 	}
 	bed.waitLogged("answers were not read")
 }
@@ -71,11 +71,11 @@
 	const perMessage = 100 // fewer than may come with one read
 	frame := append([]byte{byte(len(query) >> 8), byte(len(query))}, query...)
 	message := []byte(strings.Repeat(string(frame), perMessage))
-	most := (maxSystemBuffers + 2*maxUnreadBytes) / len(message) // an answer has the query in it
-	sent := sendUntilClosed(dialWithOptions(t, bed.dnsAddress, setSmallBuffers), message, most)
-	if sent*len(message) <= maxUnreadBytes || sent == most {
+	maxMessages := (maxSystemBuffers + 2*maxUnreadBytes) / len(message) // an answer has the query in it
+	sent := sendUntilClosed(dialWithOptions(t, bed.dnsAddress, setSmallBuffers), message, maxMessages)
+	if sent*len(message) <= maxUnreadBytes || sent == maxMessages {
 		t.Errorf("sent %d bytes until the connection was closed, want more than %d and less than %d",
-			sent*len(message), maxUnreadBytes, most*len(message))
+			sent*len(message), maxUnreadBytes, maxMessages*len(message))
 	}
 	bed.waitLogMatches(`event=client-protocol-error front=dns unread=\d+`)
 }
