Bound what arrives on the streams that this proxy opens to members

What callers saw: with the block `peers`, a stranger at the address of a seed had the proxy take 50 MB of 32 by answering its exchange with 16 MB, without the fleet's key. The same holds for the address of a member that is gone.

Cause: the same as at the own address. memberlist keeps an answer until it is complete, up to 20 MB, and looks at its key only then.

Change: the limit of what others send counts the streams that this proxy opens too. The number of streams stays a limit of those that others open, so that strangers can't have an own exchange closed by opening many. What is received on any stream passes the same count, so no read can bring the sum over the bound.

--- a/internal/peer/transport/transport.go
+++ b/internal/peer/transport/transport.go
@@ -80,7 +80,7 @@
 	self         Identity
 	receiver     Receiver
 	list         *memberlist.Memberlist
-	streams      *inboundStreams
+	streams      *streamLimits
 	privateKey   ed25519.PrivateKey
 	metadata     []byte
 	seeds        []string // from the settings and from the members file
@@ -190,7 +190,7 @@
 	if localAddr == nil {
 		localAddr = &net.TCPAddr{IP: listen.Addr().AsSlice()}
 	}
-	t.streams = newInboundStreams(t.config.MaxInboundBytes, network.StreamCh())
+	t.streams = newStreamLimits(t.config.MaxStreamBytes, network.StreamCh())
 	listConfig.Transport = boundTransport{network, t.streams, localAddr}
 	return listConfig, nil
 }
@@ -220,8 +220,8 @@
 	return t.view.Members(), counters
 }
 
-// InboundBytes returns the number of bytes that were received on the streams that others have open.
-func (t *Transport) InboundBytes() int { return t.streams.receivedBytes() }
+// StreamBytes returns the number of bytes that were received on the streams that others have open.
+func (t *Transport) StreamBytes() int { return t.streams.receivedBytes() }
 
 // AnnounceShutdown starts announcing to the other members that this proxy leaves, and gives up after the timeout.
 func (t *Transport) AnnounceShutdown(timeout time.Duration) {
@@ -284,7 +284,7 @@
 // address for outgoing connections.
 type boundTransport struct {
 	*memberlist.NetTransport
-	streams   *inboundStreams
+	streams   *streamLimits
 	localAddr *net.TCPAddr
 }
 
@@ -294,7 +294,11 @@
 // DialTimeout connects to a member over TCP.
 func (t boundTransport) DialTimeout(address string, timeout time.Duration) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: timeout, LocalAddr: t.localAddr}
-	return dialer.Dial("tcp", address)
+	conn, err := dialer.Dial("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return t.streams.dialed(conn), nil
 }
 
 // DialAddressTimeout connects to a member over TCP.
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -76,7 +76,7 @@
 		LocalAddr:      settings.bindAddress(),
 	}
 	transportConfig := *settings.Peers
-	transportConfig.MaxInboundBytes = f.server.memory.Process() / peerMemoryDivisor
+	transportConfig.MaxStreamBytes = f.server.memory.Process() / peerMemoryDivisor
 	opened, err := transport.Open(transportConfig, self, f)
 	for attempts := 1; err != nil && attempts < maxTransportAttempts; attempts++ {
 		time.Sleep(transportRetryPause) // memberlist's errors do not show whether they are temporary
@@ -205,7 +205,7 @@
 func (f *fleet) step(now time.Duration) {
 	f.forwardAcceptedLists(now)
 	if f.transport != nil {
-		f.inbound.Set(f.transport.InboundBytes())
+		f.inbound.Set(f.transport.StreamBytes())
 	}
 	if now-f.steppedAt < fleetStepInterval {
 		return
--- a/test/memory_peers_test.go
+++ b/test/memory_peers_test.go
@@ -34,12 +34,18 @@
 	if err != nil {
 		return
 	}
+	sendLargeMessage(conn, end)
+}
+
+// sendLargeMessage sends one message on a stream between members until it is complete, the program closes the stream or
+// the time is over, and closes the stream.
+func sendLargeMessage(conn net.Conn, end time.Time) {
 	defer conn.Close()
 	_ = conn.SetDeadline(end)
 	header := binary.BigEndian.AppendUint32([]byte{encryptedMessageType}, strangerMessageBytes)
-	_, err = conn.Write(header)
+	_, err := conn.Write(header)
 	chunk := make([]byte, 64<<10)
-	for err == nil {
+	for sent := 0; err == nil && sent < strangerMessageBytes; sent += len(chunk) {
 		_, err = conn.Write(chunk)
 	}
 }
@@ -71,3 +77,32 @@
 		watch.expectWithinLimit()
 	})
 }
+
+// TestStrangerAtSeedStaysWithinMemory guards against strangers at the address of a member: what they answer to an
+// exchange was kept until it was complete, before its key was looked at.
+func TestStrangerAtSeedStaysWithinMemory(t *testing.T) {
+	limit := memoryLimits[0]
+	bed := newCatalogueTestbed(t, answerDone)
+	bed.config["limits"] = limit.config()
+	bed.enableCatalogue(1, "")
+	seed := bed.listenOn(bed.ip + ":0")
+	enablePeers(bed, "seed "+seed.Addr().String())
+	bed.start()
+	bed.waitEndpointsKnown(4)
+	watch := bed.watchMemory(limit.megabytes)
+	usual := bed.startUsualClient()
+	end := time.Now().Add(strangersTime)
+	_ = seed.(*net.TCPListener).SetDeadline(end)
+	for answered := 0; ; answered++ {
+		conn, err := seed.Accept()
+		if err != nil {
+			if answered == 0 {
+				t.Error("the stranger was not asked for an exchange, want it asked")
+			}
+			break
+		}
+		sendLargeMessage(conn, end)
+	}
+	usual.expectServed()
+	watch.expectWithinLimit()
+}
--- a/test/peers_test.go
+++ b/test/peers_test.go
@@ -39,8 +39,8 @@
 	socket           string // the operators' socket
 }
 
-// enablePeers makes the program a member of a fleet of three.
-func enablePeers(bed *testbed) *peersTestbed {
+// enablePeers makes the program a member of a fleet of three. extra is added to the peers block of the settings.
+func enablePeers(bed *testbed, extra ...string) *peersTestbed {
 	bed.t.Helper()
 	p := &peersTestbed{
 		testbed: bed,
@@ -50,7 +50,7 @@
 	}
 	bed.addSettings("control " + p.socket)
 	writeFile(bed.t, p.keyFile, "MDEyMzQ1Njc4OWFiY2RlZg==\n")
-	bed.addSettings("peers {", "listen "+p.address, "key-file "+p.keyFile, "fleet 3", "}")
+	bed.addSettings("peers {", "listen "+p.address, "key-file "+p.keyFile, "fleet 3", strings.Join(extra, "\n"), "}")
 	return p
 }
 
