Test: open the held request before the clock steps, and bound the wait for it

Cause: the request was sent, and the clock stepped, at the same moment. With the proxy stopped between the two (a copy), the request is rejected and the wait never ends.

Change: the request is at an endpoint before the clock steps, which the test means by open, and the wait has the limit of all others. What is checked is unchanged.

--- a/test/clock_test.go
+++ b/test/clock_test.go
@@ -52,29 +52,31 @@
 		}
 	}
 	expectServed("before the first step")
-	pending := make(chan *receivedRequest, 1)
-	hold := func() {
+	// hold opens a request. It is at an endpoint when hold returns, so that its token is judged before the next step.
+	hold := func() *receivedRequest {
+		t.Helper()
+		pending := make(chan *receivedRequest, 1)
 		bed.setResponder(func(attempt *receivedRequest) { pending <- attempt })
 		id++
 		client.send(request(id, "lookup", map[string]string{"token": valid, "limit": "5000"}, ""))
+		return nextReceived(t, pending)
 	}
-	release := func(when string) {
+	release := func(when string, attempt *receivedRequest) {
 		t.Helper()
-		attempt := <-pending
 		bed.setResponder(nil)
 		answerDone(attempt)
 		if answer := client.mustRead(); answer.Error != "" || answer.ID != id {
 			t.Errorf("request that was open %s: got response %+v, want it served", when, answer)
 		}
 	}
-	hold()
+	held := hold()
 	setOffset(-time.Hour)
-	release("when the clock stepped back an hour")
+	release("when the clock stepped back an hour", held)
 	expectServed("after the step back")
 	expectReason("a revoked token after the step back", stolen, "revoked")
-	hold()
+	held = hold()
 	setOffset(24 * time.Hour)
-	release("when the clock stepped forward a day")
+	release("when the clock stepped forward a day", held)
 	expectReason("a token of two hours after the step forward", valid, "expired")
 	// The purge has the timestamp of a correct clock. The proxy, whose clock was a day ahead, must not treat it as a
 	// day old.
