--- a/internal/broker/attempt.go
+++ b/internal/broker/attempt.go
@@ -116,7 +116,7 @@
 		attempt.state = attemptNotExecuted
 	}
 	if end.Succeeded() {
-		b.respond(request, successResponse(event))
+		b.respond(request, b.successResponse(event))
 	}
 	b.notify(policy.ResponseEvent{
 		ID:        request.id,
@@ -128,9 +128,14 @@
 	})
 }
 
-// successResponse returns the response to the request of a successful attempt.
-func successResponse(event AttemptEnded) Response {
-	if event.BodyDropped {
+// successResponse returns the response to the request of a successful attempt. If there was no room for its body, the
+// request is rejected where a second execution does no harm, and fails otherwise.
+func (b *Broker) successResponse(event AttemptEnded) Response {
+	request := event.Attempt.Request
+	if event.BodyDropped && !request.IgnoresBody {
+		if b.class(request).Idempotency == policy.Idempotent {
+			return b.rejection(request, reasonBodyDropped)
+		}
 		return Response{Kind: ResponseFailed, Reason: reasonBodyDropped}
 	}
 	kind := ResponseServed
--- a/internal/broker/ends_test.go
+++ b/internal/broker/ends_test.go
@@ -166,3 +166,33 @@
 		t.Errorf("got responses %+v, want one rejection that names no budget", responses)
 	}
 }
+
+// TestAnswerWithoutRoom guards against answers that turn into errors although their attempts were served: where no body
+// is needed the request is served, and where a second execution does no harm it is rejected. Elsewhere only an error is
+// left, and the frontend reserves enough room so that it does not come to that.
+func TestAnswerWithoutRoom(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		class       int
+		ignoresBody bool
+		want        ResponseKind
+	}{
+		{"safe", safeClass, false, ResponseRejected},
+		{"once", onceClass, false, ResponseFailed},
+		{"safe, by a frontend without bodies", safeClass, true, ResponseServed},
+		{"once, by a frontend without bodies", onceClass, true, ResponseServed},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			x := newHarness(t)
+			request := x.receive(test.class)
+			request.IgnoresBody = test.ignoresBody
+			x.round()
+			x.writeAll()
+			x.endInFlight(0, AttemptEnded{End: Served, BodyDropped: true})
+			responses := x.handleBounded()
+			if len(responses) != 1 || responses[0].Kind != test.want {
+				t.Errorf("got responses %+v, want one of kind %d", responses, test.want)
+			}
+		})
+	}
+}
--- a/internal/broker/events.go
+++ b/internal/broker/events.go
@@ -24,7 +24,7 @@
 	Address string // of the connection that the response arrived on
 	Body    []byte
 	Fields  []Field
-	// BodyDropped says that the body was not kept, because memory is short.
+	// BodyDropped says that the body was not kept, because memory is short or the request ignores it.
 	BodyDropped bool
 	// MayHaveRun says that the response may have been a repeat of the response to an earlier attempt, so this attempt
 	// was canceled: it may have been executed, whatever End says.
--- a/internal/broker/request.go
+++ b/internal/broker/request.go
@@ -39,8 +39,12 @@
 	// Canceled is set by the frontend when it emits RequestCanceled. A request that is canceled in the round of its
 	// arrival is not admitted, so that a burst of hundreds of them does not reach the endpoints.
 	Canceled bool
-	// Memory is the frontend's charge for the memory that the request takes. It is released when the request ends.
-	Memory memory.Charge
+	// IgnoresBody says that the frontend does not need the body of the response.
+	IgnoresBody bool
+	// Memory is the frontend's charge for the memory that the request takes, and Answer its charge for the room that
+	// the body of the response will take. Both are released when the request ends, Answer as soon as the body is
+	// charged elsewhere.
+	Memory, Answer memory.Charge
 
 	id       policy.RequestID
 	state    requestState
@@ -63,6 +67,12 @@
 	requestEnded                        // it has its response or was canceled
 )
 
+// ReleaseMemory releases the request's charges. Further calls have no effect.
+func (r *Request) ReleaseMemory() {
+	r.Memory.Release()
+	r.Answer.Release()
+}
+
 // anyWritten reports whether any attempt of the request may have been written to an endpoint.
 func (r *Request) anyWritten() bool {
 	return slices.ContainsFunc(r.attempts, func(attempt *Attempt) bool { return attempt.Written })
@@ -74,7 +84,7 @@
 func (b *Broker) receive(request *Request) {
 	if request.Canceled {
 		request.state = requestEnded
-		request.Memory.Release()
+		request.ReleaseMemory()
 		return
 	}
 	request.deadline = responseDeadline(request.ReceivedAt, request.Timeout)
@@ -227,5 +237,5 @@
 	}
 	b.rememberExecuted(request)
 	request.Body = nil
-	request.Memory.Release()
+	request.ReleaseMemory()
 }
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -44,6 +44,7 @@
 	"client-bad-request":      zap.WarnLevel,
 	"client-connection-limit": zap.WarnLevel,
 	"client-message-timeout":  zap.WarnLevel,
+	"client-not-reading":      zap.WarnLevel,
 	"client-rate-limited":     zap.WarnLevel,
 	"client-duplicate-id":     zap.WarnLevel,
 	"dns-bad-query":           zap.WarnLevel,
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -45,6 +45,7 @@
 	accept       func(remote net.Addr) Handler // returns the handler of an accepted connection
 
 	unconsumed     []byte // bytes that Handler.Received did not consume
+	reservedInput  int    // bytes of them that are charged elsewhere, see ReserveInput
 	isReadDeferred bool   // DeferRead was called in this call of Handler.Received
 	hasReceived    bool   // Handler.Received was called
 
@@ -65,6 +66,9 @@
 	if c.state != connOpen {
 		return
 	}
+	if len(c.outbound) >= maxOutboundBytes {
+		c.outboundToUnsent()
+	}
 	if c.outbound == nil {
 		c.outbound = c.loop.spareBuffers.take()
 	}
@@ -74,7 +78,7 @@
 		c.countedUnsent += len(part)
 		c.loop.unsentBytes += len(part)
 	}
-	c.output.Set(cap(c.outbound) + cap(c.unsent.data))
+	c.output.Set(cap(c.outbound) + c.unsent.held)
 	c.writeAtRoundEnd()
 }
 
--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -12,8 +12,9 @@
 	// maxIdleBuffer is the size in bytes of the largest buffer that a connection keeps while it is empty. Hundreds of
 	// connections may be idle.
 	maxIdleBuffer = 4 << 10
-	// maxExcessInput is the most that a connection may leave unconsumed while the memory account is exceeded, in bytes.
-	// A connection that receives more is closed. Handlers that strangers reach discard such input before.
+	// maxExcessInput is the most that a connection may leave unconsumed while the memory account is exceeded, in bytes,
+	// not counting what its handler has reserved. A connection that receives more is closed. Handlers that strangers
+	// reach discard such input before.
 	maxExcessInput = 64 << 10
 )
 
@@ -67,11 +68,11 @@
 	if len(conn.unconsumed) > 0 {
 		l.unconsumedBytes += len(data)
 		conn.unconsumed = append(conn.unconsumed, data...)
-		conn.input.Set(cap(conn.unconsumed))
+		conn.chargeInput()
 		data = conn.unconsumed
 	}
 	conn.deliver(data) // often gnet's own buffer: complete messages are not copied
-	if l.Memory.IsExceeded() && len(conn.unconsumed) > maxExcessInput {
+	if l.Memory.IsExceeded() && len(conn.unconsumed)-conn.reservedInput > maxExcessInput {
 		conn.beginClose()
 		return gnet.Close // OnClose follows and calls the handler's Closed
 	}
@@ -125,18 +126,22 @@
 func (c *Conn) deliver(data []byte) {
 	c.In = data
 	c.isReadDeferred = false
+	c.reservedInput = 0
 	c.handler.Received(c)
 	c.hasReceived = true
 	c.loop.unconsumedBytes -= len(c.unconsumed)
 	c.keepUnconsumed()
 	c.loop.unconsumedBytes += len(c.unconsumed)
 	c.In = nil
-	c.input.Set(cap(c.unconsumed))
+	c.chargeInput()
 	if !c.isReadDeferred {
 		c.loop.RequestRound()
 	}
 }
 
+// chargeInput charges the buffer of unconsumed bytes, but for those that are charged elsewhere.
+func (c *Conn) chargeInput() { c.input.Set(max(0, cap(c.unconsumed)-c.reservedInput)) }
+
 // keepUnconsumed keeps the bytes of In that the handler did not consume. If they are few, a large buffer is replaced by
 // a smaller one, so that the memory used is in proportion to them.
 func (c *Conn) keepUnconsumed() {
@@ -151,6 +156,10 @@
 // Consume removes the first n bytes of In. Handlers call it in Received.
 func (c *Conn) Consume(n int) { c.In = c.In[n:] }
 
+// ReserveInput tells the loop that the handler's own charges cover n of the bytes that it leaves unconsumed in this
+// call of Received.
+func (c *Conn) ReserveInput(n int) { c.reservedInput = n }
+
 // DeferRead tells the loop that this call of Received has done nothing and needs no round. The handler calls it in
 // Received, and calls Redeliver when it can continue.
 func (c *Conn) DeferRead() { c.isReadDeferred = true }
--- a/internal/eventloop/relay_test.go
+++ b/internal/eventloop/relay_test.go
@@ -77,24 +77,30 @@
 	check("the relay has ended", 0, 0)
 }
 
-// TestRelayedBytesCountForLimit guards against memory that a slow reader takes beyond its limit: bytes in a relay are
-// part of its unsent bytes.
-func TestRelayedBytesCountForLimit(t *testing.T) {
+// TestUnsentBytesCloseNoConnection guards against answers that are dropped because their connection was closed for
+// their size: a peer that reads slowly is sent as much as one connection may carry. The buffers that hold it are
+// charged, and are not much larger than it.
+func TestUnsentBytesCloseNoConnection(t *testing.T) {
+	const answers, answerBytes = 32, 240_000
 	loop, _, runOnLoop := startLoop(t, bulkHandler{})
-	conn, _, _ := adoptRelayed(t, loop)
-	body := bytes.Repeat([]byte("r"), 90_000)
+	runOnLoop(func() { loop.Memory = memory.NewAccount(32 << 20) })
+	conn, remote, _ := adoptRelayed(t, loop)
+	body := bytes.Repeat([]byte("0123456789abcdef"), answerBytes/16)
+	for range answers {
+		runOnLoop(func() { conn.Send(body) })
+	}
+	runOnLoop(func() {}) // the round with the last write is over
 	runOnLoop(func() {
-		loop.Memory = memory.NewAccount(unsentPerPeerDivisor * len(body) * 3 / 2) // for one body, not for two
-		conn.Send(body)
+		held, unsent := loop.Memory.Reserved(memory.Output), conn.buffered()
+		if conn.state != connOpen || unsent < answers*answerBytes/2 || held < unsent || held > unsent*5/4 {
+			t.Errorf("got state %v with %d bytes unsent in buffers of %d, want it open, and its buffers charged",
+				conn.state, unsent, held)
+		}
 	})
-	for _, wantOpen := range []bool{true, false} { // the pair alone would hold both
-		runOnLoop(func() {})
-		runOnLoop(func() {
-			if isOpen := conn.state == connOpen; isOpen != wantOpen {
-				t.Errorf("got open %v with %d bytes unsent, want %v", isOpen, conn.Unsent(), wantOpen)
-			}
-			conn.Send(body)
-		})
+	got := make([]byte, answers*answerBytes)
+	_ = remote.SetReadDeadline(time.Now().Add(relayTestTimeout))
+	if n, err := io.ReadFull(remote, got); err != nil || !bytes.Equal(got, bytes.Repeat(body, answers)) {
+		t.Errorf("got %d of %d bytes and error %v, want all", n, len(got), err)
 	}
 }
 
--- a/internal/eventloop/write.go
+++ b/internal/eventloop/write.go
@@ -1,75 +1,15 @@
 package eventloop
 
-import (
-	"os"
-	"slices"
-	"time"
-
-	"golang.org/x/sys/unix"
-
-	"sloequay/internal/eventloop/socket"
-)
+import "time"
 
 const (
-	// The connection of a peer that does not read is closed if its unsent bytes exceed the memory of the process
-	// divided by unsentPerPeerDivisor, or maxUnsentPerPeer bytes.
-	unsentPerPeerDivisor = 10
-	maxUnsentPerPeer     = 6 << 20
-	// If less than 1/trimDivisor of a large buffer remains to be written, the rest moves to a smaller buffer.
-	trimDivisor = 4
 	// Pauses before writing again to a peer that is slow to read. The pause doubles while the system accepts nothing.
 	minWritePause = time.Millisecond
 	maxWritePause = 32 * time.Millisecond
 )
 
-// unsentBuffer holds the bytes of a connection that the system has not accepted yet. They are not left to gnet, which
-// would register for writability with epoll and close the connection if epoll refuses.
-type unsentBuffer struct {
-	data    []byte
-	written int // bytes of data that the system has accepted
-}
-
-// len returns the number of bytes left to write.
-func (b *unsentBuffer) len() int { return len(b.data) - b.written }
-
-// add appends data, and reports whether the unsentBuffer now owns the slice itself instead of a copy.
-func (b *unsentBuffer) add(data []byte) (ownsBuffer bool) {
-	if b.len() == 0 {
-		b.data = data
-		b.written = 0
-		return true
-	}
-	if b.written > len(b.data)/2 {
-		b.data = b.data[:copy(b.data, b.data[b.written:])]
-		b.written = 0
-	}
-	b.data = append(b.data, data...)
-	return false
-}
-
-// writeTo writes once to a socket. It returns no error if the system accepts nothing now or lacks a resource.
-func (b *unsentBuffer) writeTo(descriptor int) error {
-	n, err := unix.Write(descriptor, b.data[b.written:])
-	if socket.IsLocalError(err) {
-		return nil
-	}
-	if err != nil {
-		return os.NewSyscallError("write", err)
-	}
-	b.written += n
-	return nil
-}
-
-// trim moves the few remaining bytes of a large buffer to a smaller one, so that the memory used is in proportion to
-// them.
-func (b *unsentBuffer) trim() {
-	if size := cap(b.data); size > maxIdleBuffer && b.len() < size/trimDivisor {
-		b.data = slices.Clone(b.data[b.written:])
-		b.written = 0
-	}
-}
-
-// write writes the queued bytes of the connection, and closes the connection if its state is connClosing.
+// write writes the queued bytes of the connection, and closes the connection if its state is connClosing. A connection
+// is not closed for the number of its unsent bytes: handlers queue only what they have room for in Loop.Memory.
 func (c *Conn) write() {
 	if c.state == connClosed {
 		return
@@ -86,9 +26,6 @@
 		c.loop.slowReaders = append(c.loop.slowReaders, c)
 		c.loop.scheduleWriteRetry(minWritePause)
 	}
-	if c.Unsent() > min(c.loop.Memory.Process()/unsentPerPeerDivisor, maxUnsentPerPeer) {
-		c.beginClose()
-	}
 	if c.state == connClosing {
 		_ = c.sock.EventLoop().Close(c.sock)
 	}
@@ -112,12 +49,7 @@
 			c.beginClose()
 		}
 	}
-	if c.unsent.len() > 0 {
-		c.unsent.trim()
-	} else if c.unsent.data != nil {
-		c.loop.spareBuffers.keep(c.unsent.data)
-		c.unsent = unsentBuffer{}
-	}
+	c.unsent.trim()
 	c.countUnsent()
 }
 
@@ -131,7 +63,7 @@
 // writeUnsent writes unsent bytes to the socket, once.
 func (c *Conn) writeUnsent() error {
 	before := c.unsent.len()
-	err := c.unsent.writeTo(c.sock.Fd())
+	err := c.unsent.writeTo(c.sock.Fd(), c.loop.spareBuffers.keep)
 	if c.relay != nil {
 		c.relay.Wrote(before - c.unsent.len())
 	}
@@ -146,7 +78,7 @@
 
 // countUnsent updates Loop.unsentBytes with the connection's buffered bytes, and the charge for their buffers.
 func (c *Conn) countUnsent() {
-	c.output.Set(cap(c.outbound) + cap(c.unsent.data))
+	c.output.Set(cap(c.outbound) + c.unsent.held)
 	unsent := c.buffered()
 	c.loop.unsentBytes += unsent - c.countedUnsent
 	c.countedUnsent = unsent
--- a/internal/eventloop/write_test.go
+++ b/internal/eventloop/write_test.go
@@ -91,8 +91,20 @@
 	}
 }
 
-// TestUnsentBufferKeepsOrderAndBounds checks that the remaining bytes are always the rest of those added, in order, and
-// that after trim a large buffer is at most a few times as large as they are.
+// takeFrom accepts bytes as the system does, a chunk at a time, and returns them and the chunks that were released.
+func takeFrom(buffer *unsentBuffer, count int) (taken []byte, released [][]byte) {
+	for count > 0 {
+		rest := buffer.chunks[0][buffer.written:]
+		n := min(count, len(rest))
+		taken = append(taken, rest[:n]...)
+		buffer.accepted(n, func(chunk []byte) { released = append(released, chunk) })
+		count -= n
+	}
+	return taken, released
+}
+
+// TestUnsentBufferKeepsOrderAndBounds checks that the remaining bytes are always the rest of those added, in order,
+// that no slice is used after it was released, and that the buffer is at most a few times as large as they are.
 func TestUnsentBufferKeepsOrderAndBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var buffer unsentBuffer
@@ -106,18 +118,33 @@
 					data[i] = next
 				}
 				model = append(model, data...)
-				buffer.add(data)
+				if !buffer.add(data) {
+					clear(data) // the caller reuses its slice
+				}
 			} else {
 				written := rapid.IntRange(0, buffer.len()).Draw(t, "written")
-				buffer.written += written
+				taken, released := takeFrom(&buffer, written)
+				if !bytes.Equal(taken, model[:written]) {
+					t.Fatalf("got other bytes than the next %d of those added", written)
+				}
+				for _, chunk := range released {
+					clear(chunk)
+				}
 				model = model[written:]
 				buffer.trim()
-				if size := cap(buffer.data); size > maxIdleBuffer && size > 2*trimDivisor*buffer.len() {
-					t.Fatalf("got a buffer of %d bytes for %d remaining ones, want a smaller one", size, buffer.len())
-				}
 			}
-			if !bytes.Equal(buffer.data[buffer.written:], model) {
-				t.Fatalf("got %d remaining bytes, want the last %d of those added", buffer.len(), len(model))
+			if got := bytes.Join(buffer.chunks, nil)[buffer.written:]; !bytes.Equal(got, model) {
+				t.Fatalf("got %d remaining bytes, want the last %d of those added", len(got), len(model))
+			}
+			held := 0
+			for _, chunk := range buffer.chunks {
+				held += cap(chunk)
+			}
+			if held != buffer.held || buffer.len() != len(model) {
+				t.Fatalf("got %d bytes in %d counted, want %d in %d", buffer.len(), buffer.held, len(model), held)
+			}
+			if limit := 2*trimDivisor*len(model) + 2*maxIdleBuffer; held > limit {
+				t.Fatalf("got buffers of %d bytes for %d remaining ones, want at most %d", held, len(model), limit)
 			}
 		}
 	})
--- a/internal/frontend/connlimit/connlimit.go
+++ b/internal/frontend/connlimit/connlimit.go
@@ -51,6 +51,7 @@
 
 	partialMessages map[*Client]bool // clients with an incomplete message
 	flushing        map[*Client]bool // clients in state flushing
+	evicted         Evicted          // since the last Tick
 }
 
 // New returns a limiter that admits at most maxClients connections and evicts those that are idle for longer than
@@ -102,9 +103,15 @@
 	return true
 }
 
-// Tick evicts the clients whose timeout has expired. It returns how many of them it evicted for an incomplete message
-// that was not their first. The frontend calls it periodically.
-func (l *Limiter) Tick(now time.Duration) (unfinished int) {
+// Evicted counts the clients that were evicted although they lose something by it.
+type Evicted struct {
+	Unfinished int // for an incomplete message that was not their first
+	Stalled    int // flushing ones, which had stopped reading their responses
+}
+
+// Tick evicts the clients whose timeout has expired. It returns how many were evicted since the last Tick although they
+// lost something by it. The frontend calls it periodically.
+func (l *Limiter) Tick(now time.Duration) Evicted {
 	for client := first(l.fresh); client != nil && now-client.since > MessageTimeout; client = first(l.fresh) {
 		client.evict()
 	}
@@ -114,12 +121,14 @@
 	for client := range l.partialMessages {
 		// A busy or flushing client is not evicted: it must get the responses to its earlier messages first.
 		if now-client.partialSince > MessageTimeout && !client.busy && !l.flushing[client] {
-			unfinished++
+			l.evicted.Unfinished++
 			client.evict()
 		}
 	}
 	l.updateFlushing(now)
-	return unfinished
+	evicted := l.evicted
+	l.evicted = Evicted{}
+	return evicted
 }
 
 // updateFlushing checks how much flushing clients still have unsent: those with nothing unsent become idle, and those
@@ -134,6 +143,7 @@
 			client.lastUnsent = unsent
 			client.since = now
 		case now-client.since > l.idleTimeout:
+			l.evicted.Stalled++
 			client.evict()
 		}
 	}
--- a/internal/frontend/connlimit/connlimit_test.go
+++ b/internal/frontend/connlimit/connlimit_test.go
@@ -11,7 +11,7 @@
 
 // TestFlushingClients checks that a client with unsent responses does not count as idle. It is evicted neither by
 // CloseIdle nor in favour of another client, but only when it takes no more of its responses for the idle timeout. Its
-// idle time starts when it has taken all of them.
+// idle time starts when it has taken all of them. Only evictions that lose responses are counted.
 func TestFlushingClients(t *testing.T) {
 	const tick = 100 * time.Millisecond
 	for _, c := range []struct {
@@ -31,6 +31,7 @@
 			now := start
 			limiter := New(1, testIdleTimeout)
 			evictedAfter := time.Duration(0)
+			stalled := 0
 			var client *Client
 			client = limiter.Admit(now, func() {
 				evictedAfter = now - start
@@ -40,7 +41,7 @@
 			client.SetOpen(now, 1)
 			client.SetOpen(now, 0)
 			for ; evictedAfter == 0 && now-start < 30*time.Second; now += tick {
-				limiter.Tick(now)
+				stalled += limiter.Tick(now).Stalled
 				if evictedAfter != 0 || c.unsent(now-start) == 0 {
 					continue
 				}
@@ -52,6 +53,9 @@
 			if evictedAfter < c.want || evictedAfter > c.want+3*tick {
 				t.Errorf("client evicted after %v, want %v", evictedAfter, c.want)
 			}
+			if want := min(1, c.unsent(30*time.Second)); stalled != want {
+				t.Errorf("got %d stalled clients counted, want %d", stalled, want)
+			}
 			if limiter.Len() != 0 || len(limiter.flushing) != 0 {
 				t.Errorf("after the eviction: got %d clients and %d flushing ones, want none",
 					limiter.Len(), len(limiter.flushing))
--- a/internal/frontend/dns/dns.go
+++ b/internal/frontend/dns/dns.go
@@ -97,8 +97,12 @@
 			s.forget(key)
 		}
 	}
-	if unfinished := s.clients.Tick(now); unfinished > 0 {
-		s.Log("client-message-timeout", "front", "dns", "connections", unfinished)
+	evicted := s.clients.Tick(now)
+	if evicted.Unfinished > 0 {
+		s.Log("client-message-timeout", "front", "dns", "connections", evicted.Unfinished)
+	}
+	if evicted.Stalled > 0 {
+		s.Log("client-not-reading", "front", "dns", "connections", evicted.Stalled)
 	}
 }
 
--- a/internal/frontend/dns/flight.go
+++ b/internal/frontend/dns/flight.go
@@ -119,6 +119,8 @@
 		Zone:       s.Config.Zone,
 		ReceivedAt: receivedAt,
 		Timeout:    inFlight.deadline - receivedAt,
+
+		IgnoresBody: true,
 	}
 	s.byRequest[inFlight.request] = inFlight
 	s.Emit(broker.RequestReceived{Request: inFlight.request})
--- a/internal/frontend/rpc/memory.go
+++ b/internal/frontend/rpc/memory.go
@@ -2,9 +2,11 @@
 
 import (
 	"sloequay/internal/broker"
+	"sloequay/internal/frontend/rpc/answersize"
 	"sloequay/internal/frontend/rpc/msgpack"
 	"sloequay/internal/frontend/rpc/pacing"
 	"sloequay/internal/memory"
+	"sloequay/internal/policy"
 )
 
 const (
@@ -23,7 +25,6 @@
 type MemoryStats struct {
 	Rejected  int // requests
 	Discarded int // messages that were not kept until they were complete; the requests among them were rejected
-	Failed    int // requests whose responses were too large to be kept until their clients read them
 }
 
 // discardedMessage is an incomplete message that is skipped as it arrives, because memory is short. If it is a request,
@@ -44,21 +45,31 @@
 func (c *connection) reservedBytes() int {
 	reserved := c.conn.BufferBytes()
 	for _, request := range c.open {
-		reserved += request.Memory.Bytes()
+		reserved += request.Memory.Bytes() + request.Answer.Bytes()
 	}
 	return reserved
 }
 
-// requestCost returns the memory that a request takes while it is open, in bytes.
+// requestCost returns the memory that a request takes while it is open, in bytes, without its answer.
 func requestCost(request *broker.Request) int {
 	return requestOverheadBytes + len(request.Token) + len(request.Body)
 }
 
-// admit decides whether a request may be opened. If so, its memory is charged, and its body is copied from the input.
+// answerCost returns the memory that is reserved for the body of a request's answer, in bytes. The answer to a request
+// that must not be executed twice is always kept, so the most that it can have is reserved.
+func (s *Server) answerCost(request *broker.Request) int {
+	if s.Classes[request.Class].Idempotency != policy.Idempotent {
+		return answersize.MaxBytes
+	}
+	return s.answerSizes[request.Class].Estimate(request.SizeKB)
+}
+
+// admit decides whether a request may be opened. If so, its memory and that of its answer are charged, and its body is
+// copied from the input.
 func (c *connection) admit(request *broker.Request) pacing.Decision {
 	account := c.server.Memory
-	cost := requestCost(request)
-	fits := account.Admits(c.reservedBytes(), cost)
+	cost, answerCost := requestCost(request), c.server.answerCost(request)
+	fits := account.Admits(c.reservedBytes(), cost+answerCost)
 	decision := c.openLimit.Decide(pacing.Load{Open: len(c.open), MemoryShort: !fits})
 	if decision != pacing.Admit {
 		if !fits {
@@ -67,6 +78,7 @@
 		return decision
 	}
 	request.Memory = account.NewCharge(memory.Requests, cost)
+	request.Answer = account.NewCharge(memory.Answers, answerCost)
 	request.Body = append([]byte(nil), request.Body...)
 	return decision
 }
@@ -108,11 +120,6 @@
 	return used, err
 }
 
-// canKeepResponse reports whether a response body may wait until the client reads it.
-func (c *connection) canKeepResponse(body []byte) bool {
-	return len(body) <= smallBodyBytes || c.server.Memory.Fits(c.conn.BufferBytes(), len(body))
-}
-
 // countUnreadAnswer counts an answer without a body that is about to be sent. The count begins again once the client
 // has taken what was queued when it began.
 func (c *connection) countUnreadAnswer() {
--- a/internal/frontend/rpc/protocol.go
+++ b/internal/frontend/rpc/protocol.go
@@ -26,9 +26,6 @@
 	maxExcessRequests = 64 // messages of one read that open and cancel none: a client that sends more floods
 )
 
-// smallBodyBytes is the largest body that is sent while memory is short.
-const smallBodyBytes = 4096
-
 // idleTimeout is longer than clients keep an idle connection, so that no request arrives while the connection is being
 // closed.
 const idleTimeout = 6 * time.Second
--- a/internal/frontend/rpc/response.go
+++ b/internal/frontend/rpc/response.go
@@ -11,7 +11,7 @@
 
 // Respond sends the response to a request. The broker calls it once for each request that was not canceled.
 func (c *connection) Respond(request *broker.Request, response broker.Response) {
-	request.Memory.Release()
+	request.ReleaseMemory()
 	messageID, isOpen := c.messageIDs[request]
 	if !isOpen {
 		if !c.closed && !request.Canceled {
@@ -21,16 +21,14 @@
 	}
 	delete(c.messageIDs, request)
 	delete(c.open, messageID)
+	if response.Kind == broker.ResponseServed {
+		c.server.answerSizes[request.Class].Observe(c.server.Now(), request.SizeKB, len(response.Body))
+	}
 	c.sendResponse(messageID, response)
 	c.updateOpen()
 }
 
 func (c *connection) sendResponse(messageID uint32, response broker.Response) {
-	if response.Kind == broker.ResponseServed && !c.canKeepResponse(response.Body) {
-		// Clients that do not read their responses use up memory. A short error is better than no response.
-		c.server.memoryStats.Failed++
-		response.Kind = broker.ResponseFailed
-	}
 	switch response.Kind {
 	case broker.ResponseServed:
 		c.sendResult(messageID, response.Body, response.Fields)
--- a/internal/frontend/rpc/rpc.go
+++ b/internal/frontend/rpc/rpc.go
@@ -12,6 +12,7 @@
 	"sloequay/internal/broker"
 	"sloequay/internal/eventloop"
 	"sloequay/internal/frontend/connlimit"
+	"sloequay/internal/frontend/rpc/answersize"
 	"sloequay/internal/frontend/rpc/pacing"
 	"sloequay/internal/identity"
 	"sloequay/internal/invariant"
@@ -27,7 +28,7 @@
 	Emit           func(broker.Event)
 	Now            func() time.Duration // the monotonic clock
 	Ready          func() bool          // whether new clients are wanted
-	Memory         *memory.Account      // charged for requests and for what clients have not read
+	Memory         *memory.Account      // charged for requests, their answers and what clients have not read
 	Log            func(event string, fields ...any)
 
 	// RetryAfter computes the Retry-After advice for rejected clients, and decides whether any may be sent.
@@ -48,16 +49,18 @@
 	clients    *connlimit.Limiter
 	pacedQueue *pacing.Queue[*connection]
 
+	answerSizes []answersize.Estimator // by index in Config.Classes
 	memoryStats MemoryStats
 }
 
 // New returns a server with no connections.
 func New(config Config) *Server {
 	server := &Server{
-		Config:     config,
-		classIndex: map[string]int{},
-		clients:    connlimit.New(config.MaxConnections, idleTimeout),
-		pacedQueue: pacing.NewQueue[*connection](pacingLimits),
+		Config:      config,
+		classIndex:  map[string]int{},
+		clients:     connlimit.New(config.MaxConnections, idleTimeout),
+		pacedQueue:  pacing.NewQueue[*connection](pacingLimits),
+		answerSizes: make([]answersize.Estimator, len(config.Classes)),
 	}
 	for i := range config.Classes {
 		server.classIndex[config.Classes[i].Name] = i
@@ -103,8 +106,12 @@
 // Tick closes the connections whose timeout has expired, and handles some messages of rate-limited ones. It must be
 // called periodically.
 func (s *Server) Tick(now time.Duration) {
-	if unfinished := s.clients.Tick(now); unfinished > 0 {
-		s.Log("client-message-timeout", "front", "rpc", "connections", unfinished)
+	evicted := s.clients.Tick(now)
+	if evicted.Unfinished > 0 {
+		s.Log("client-message-timeout", "front", "rpc", "connections", evicted.Unfinished)
+	}
+	if evicted.Stalled > 0 {
+		s.Log("client-not-reading", "front", "rpc", "connections", evicted.Stalled)
 	}
 	s.closeTimedOut(now)
 	s.pacedQueue.StartRound()
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -1,15 +1,17 @@
-// Package memory accounts for the memory that the process holds for others: bodies of open requests, input that is not
-// handled yet, and output that is not written yet. The process is killed if it exceeds its memory limit, so what others
-// can make it hold must be bounded by that limit in bytes, whatever the number of clients, requests and connections.
+// Package memory accounts for the memory that the process holds for others: bodies of open requests, room for their
+// answers, input that is not handled yet, and output that is not written yet. The process is killed if it exceeds its
+// memory limit, so what others can make it hold must be bounded by that limit in bytes, whatever the number of clients,
+// requests and connections.
 //
 // All of these bytes are in one Account. Whoever holds memory for others owns a Charge in it. New work asks Admits
-// before it holds anything, and is rejected if it does not fit. Work that was admitted asks Fits before it holds more,
-// such as the encoded copy of a request's body.
+// before it holds anything, and is rejected if it does not fit. It asks for all that it will hold, the answer included,
+// so that no connection has to be closed for the size of what was admitted. Work that was admitted asks Fits before it
+// holds more than that, such as the encoded copy of a request's body.
 //
 // Invariants:
 //   - Total is the sum of all charges, and 0 once all owners have released theirs;
 //   - new work is admitted only if it leaves half of the limit for the work that was admitted before;
-//   - an owner that has little is admitted beyond that, so that one with much can't have it rejected.
+//   - an owner that has less is admitted beyond that, so that one with much can't have it rejected.
 //
 // Bounds: an Account has a constant size. What was received before its owner could ask is charged without a check, so
 // Total can exceed the limit by what is read from the connections at once.
@@ -26,6 +28,10 @@
 	limitDenominator = 3
 	// admissionDivisor divides the limit to get the total up to which new work is admitted.
 	admissionDivisor = 2
+	// fairOwnerNumerator / fairOwnerDenominator is the fraction of the limit up to which new work of an owner is
+	// admitted that has at most 1/progressDivisor of the limit, its new work included.
+	fairOwnerNumerator   = 5
+	fairOwnerDenominator = 8
 	// smallOwnerNumerator / smallOwnerDenominator is the fraction of the limit up to which new work of a small owner
 	// is admitted.
 	smallOwnerNumerator   = 3
@@ -42,6 +48,7 @@
 // The kinds of charges.
 const (
 	Requests Kind = iota // open requests, with their bodies
+	Answers              // room for the answers to open requests
 	Input                // received bytes that are not handled yet
 	Output               // bytes that are not written yet
 	Reused               // buffers that are kept for input and output to come
@@ -51,14 +58,15 @@
 )
 
 var kindNames = [kindCount]string{
-	Requests: "requests", Input: "input", Output: "output", Reused: "reused", Queries: "queries", Peers: "peers",
+	Requests: "requests", Answers: "answers", Input: "input", Output: "output", Reused: "reused", Queries: "queries",
+	Peers: "peers",
 }
 
 // String returns the name of the kind in the operators' view of the state.
 func (k Kind) String() string { return kindNames[k] }
 
 // Kinds returns all kinds.
-func Kinds() []Kind { return []Kind{Requests, Input, Output, Reused, Queries, Peers} }
+func Kinds() []Kind { return []Kind{Requests, Answers, Input, Output, Reused, Queries, Peers} }
 
 // Account sums the bytes of all charges.
 type Account struct {
@@ -87,11 +95,18 @@
 
 // Admits reports whether an owner that has own bytes may begin new work that takes more of them.
 func (a *Account) Admits(own, more int) bool {
-	if a.total+more <= a.limit/admissionDivisor {
-		return true
+	return a.total+more <= a.admissionLimit(own+more)
+}
+
+// admissionLimit returns the total up to which new work is admitted for an owner that then has the given bytes.
+func (a *Account) admissionLimit(ownerBytes int) int {
+	switch {
+	case ownerBytes <= smallOwnerBytes:
+		return a.limit / smallOwnerDenominator * smallOwnerNumerator
+	case ownerBytes <= a.limit/progressDivisor:
+		return a.limit / fairOwnerDenominator * fairOwnerNumerator
 	}
-	isSmall := own+more <= smallOwnerBytes
-	return isSmall && a.total+more <= a.limit*smallOwnerNumerator/smallOwnerDenominator
+	return a.limit / admissionDivisor
 }
 
 // Fits reports whether work that was admitted may take more bytes for an owner that has own.
@@ -133,6 +148,19 @@
 	c.bytes = bytes
 }
 
+// TryGrow charges at least the given number of bytes, and reports whether that fits. A charge that has as much already
+// stays as it is.
+func (c *Charge) TryGrow(bytes int) bool {
+	if bytes <= c.bytes {
+		return true
+	}
+	if c.account == nil || !c.account.Fits(0, bytes-c.bytes) {
+		return false
+	}
+	c.Set(bytes)
+	return true
+}
+
 // Release ends the charge. Further calls have no effect.
 func (c *Charge) Release() {
 	if c.bytes > 0 {
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -7,8 +7,8 @@
 )
 
 // TestAccountMatchesModel checks over random owners that the account is the sum of its charges, that new work is
-// admitted only while half of the limit is left for work that goes on, and that a owner with little is still admitted
-// when others have more than that.
+// admitted only up to the part of the limit that its owner may use, and that a charge
+// grows only if that fits.
 func TestAccountMatchesModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		account := NewAccount(rapid.IntRange(1<<20, 192<<20).Draw(t, "process"))
@@ -21,11 +21,12 @@
 			charge := &charges[rapid.IntRange(0, len(charges)-1).Draw(t, "owner")]
 			more := rapid.IntRange(0, limit/2).Draw(t, "more")
 			before := account.Total()
-			switch rapid.SampledFrom([]string{"admit", "continue", "force", "release"}).Draw(t, "step") {
+			switch rapid.SampledFrom([]string{"admit", "continue", "grow", "force", "release"}).Draw(t, "step") {
 			case "admit":
 				isAdmitted := account.Admits(charge.Bytes(), more)
-				if isSmall := charge.Bytes()+more <= smallOwnerBytes; isAdmitted && !isSmall && before+more > limit/2 {
-					t.Fatalf("%d more bytes admitted at %d of %d", more, before, limit)
+				if want := before+more <= admissible(limit, charge.Bytes()+more); isAdmitted != want {
+					t.Fatalf("%d more bytes at %d of %d: got admitted %v, want %v", more, before, limit,
+						isAdmitted, want)
 				}
 				if isAdmitted {
 					charge.Set(charge.Bytes() + more)
@@ -37,6 +38,12 @@
 					}
 					charge.Set(charge.Bytes() + more)
 				}
+			case "grow":
+				had := charge.Bytes()
+				fits := more <= had || account.Fits(0, more-had)
+				if got := charge.TryGrow(more); got != fits || got && charge.Bytes() != max(had, more) {
+					t.Fatalf("growing from %d to %d: got %v and %d bytes, want %v", had, more, got, charge.Bytes(), fits)
+				}
 			case "force":
 				charge.Set(more)
 			case "release":
@@ -54,6 +61,17 @@
 	})
 }
 
+// admissible returns the total up to which an owner that then has the given bytes may begin new work.
+func admissible(limit, ownerBytes int) int {
+	switch {
+	case ownerBytes <= smallOwnerBytes:
+		return limit / 4 * 3
+	case ownerBytes <= limit/8:
+		return limit / 8 * 5
+	}
+	return limit / 2
+}
+
 // checkSums checks that the account's sums are those of its charges.
 func checkSums(t *rapid.T, account *Account, charges []Charge) {
 	total := 0
@@ -73,13 +91,20 @@
 	}
 }
 
-// TestSmallOwnersAreAdmitted guards against owners with much that have the work of those with little rejected.
+// TestSmallOwnersAreAdmitted guards against owners with much that have the work of those with less rejected.
 func TestSmallOwnersAreAdmitted(t *testing.T) {
 	account := NewAccount(32 << 20)
 	large := account.NewCharge(Output, 0)
 	for account.Admits(large.Bytes(), 1<<10) {
 		large.Set(large.Bytes() + 1<<10)
 	}
+	fair := account.NewCharge(Answers, 0)
+	for account.Admits(fair.Bytes(), 1<<10) {
+		fair.Set(fair.Bytes() + 1<<10)
+	}
+	if want := account.Limit()/progressDivisor - 1<<10; fair.Bytes() < want {
+		t.Errorf("got %d bytes admitted for an owner beside one with much, want %d", fair.Bytes(), want)
+	}
 	if !account.Admits(0, 1<<10) || account.Admits(0, 2*smallOwnerBytes) {
 		t.Errorf("at %d of %d bytes: got small work admitted %v, large %v, want true and false", account.Total(),
 			account.Limit(), account.Admits(0, 1<<10), account.Admits(0, 2*smallOwnerBytes))
--- a/internal/proxy/authenticator.go
+++ b/internal/proxy/authenticator.go
@@ -158,7 +158,7 @@
 		a.logDecision(outcome, request)
 	}
 	if request.Canceled {
-		request.Memory.Release()
+		request.ReleaseMemory()
 		return
 	}
 	switch outcome.Reason {
--- a/internal/proxy/housekeeping.go
+++ b/internal/proxy/housekeeping.go
@@ -60,7 +60,7 @@
 	if stats == (rpc.MemoryStats{}) {
 		return
 	}
-	fields := []any{"rejected", stats.Rejected, "discarded", stats.Discarded, "failed", stats.Failed}
+	fields := []any{"rejected", stats.Rejected, "discarded", stats.Discarded}
 	for _, kind := range memory.Kinds() {
 		fields = append(fields, kind.String(), s.memory.Reserved(kind))
 	}
--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -47,7 +47,7 @@
 	handled, err := c.handleResponses(now, data[used:])
 	used += handled
 	isCompleted = isCompleted || handled > 0
-	if err != nil || c.mayKeep(data[used:]) {
+	if err != nil || c.keepPartial(data[used:]) {
 		return used, isCompleted, err
 	}
 	dropped, err := c.beginDrop(now, data[used:])
@@ -108,8 +108,8 @@
 	if response.code == codeNotModified && attempt.Request.ETag == "" {
 		return &mismatchError{response.code}
 	}
-	if len(response.body) > minDropBytes && !c.pool.Loop.Memory.Fits(0, len(response.body)) {
-		c.pool.Stats.NoMemory++
+	if !c.reserveBody(attempt, len(response.body)) {
+		c.countDrop(attempt)
 		response.body = nil
 		response.isBodyDropped = true
 	}
@@ -123,6 +123,9 @@
 		c.history.addAnswered(now, response.id, response.digest)
 	}
 	ended.Body = c.pool.Loop.CopyForRound(ended.Body) // valid until the end of the round
+	if ended.End.Succeeded() && attempt.Open() {
+		attempt.Request.Answer.Release() // the copy is charged instead
+	}
 	c.pool.Emit(ended)
 	delete(c.attempts, response.id)
 	c.lastUsedAt = now
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -21,7 +21,7 @@
 	digest string // code, fields and length as received: identical in duplicates of a response
 	fields []broker.Field
 	body   []byte // aliases the parsed bytes
-	// isBodyDropped says that the body was not kept, because memory is short.
+	// isBodyDropped says that the body was not kept, because memory is short or nobody needs it.
 	isBodyDropped bool
 }
 
--- /dev/null
+++ b/test/memory_answers_test.go
@@ -0,0 +1,134 @@
+package test
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	// largestAnswer is the size of the largest answer, in bytes, by the protocol.
+	largestAnswer = 240_000
+	// slowReaderBytes are read in every slowReaderPause by a client that reads slowly but without a stop.
+	slowReaderBytes = 16 << 10
+	slowReaderPause = time.Millisecond
+)
+
+// slowReader is a connection whose peer reads at a limited pace.
+type slowReader struct{ net.Conn }
+
+// Read waits for the pace, and reads what is there then.
+func (r slowReader) Read(data []byte) (int, error) {
+	time.Sleep(slowReaderPause)
+	return r.Conn.Read(data[:min(len(data), slowReaderBytes)])
+}
+
+// answersTestbed has endpoints that answer at once, with the largest answers, once the function that it returns is
+// called. Until then they answer with few bytes.
+func answersTestbed(t *testing.T, limit memoryLimit) (bed *testbed, enlarge func()) {
+	var largest sync.Map
+	body := strings.Repeat("x", largestAnswer)
+	bed = newTestbed(t, func(attempt *receivedRequest) {
+		if _, isLarge := largest.Load("now"); isLarge {
+			attempt.Answer("ACK", "tag=t1", body)
+			return
+		}
+		attempt.Answer("ACK", "tag=t1", "small")
+	})
+	bed.config["limits"] = limit.config()
+	return bed, func() { largest.Store("now", true) }
+}
+
+// startSlowReaders connects clients that each have as many requests of a class open as they may, and read the answers
+// slowly. The group ends when all have their answers, or their connections have ended.
+func (bed *testbed) startSlowReaders(clients int, class string, counts *answerCounts) *sync.WaitGroup {
+	bed.t.Helper()
+	var readers sync.WaitGroup
+	for number := range clients {
+		connected := newClient(bed.t, slowReader{dialWithOptions(bed.t, bed.address, setSmallReceiveBuffer)})
+		for index := range openPerConnection {
+			id := writeID(number, index)
+			fields := map[string]string{"txn": hexID(id), "unique": hexID(id), "item": hexID(id), "limit": "20000"}
+			connected.send(request(uint64(index+1), class, fields, ""))
+		}
+		readers.Go(func() {
+			for range openPerConnection {
+				answer, err := connected.read()
+				counts.count(answer, err)
+			}
+		})
+	}
+	return &readers
+}
+
+// TestLargestAnswersToSlowReaders guards against answers that are dropped or turned into errors after their attempts
+// have run, because no room was reserved for them: clients have as many requests open as they may, with the largest
+// answers, and read them slowly. What does not fit must be rejected before an attempt.
+func TestLargestAnswersToSlowReaders(t *testing.T) {
+	t.Parallel()
+	for _, limit := range []memoryLimit{{32, 256}, {192, 1024}} {
+		for _, clients := range []int{1, 30} {
+			for _, class := range []string{"footage", "charge"} {
+				t.Run(fmt.Sprintf("%d MB, %d clients, %s", limit.megabytes, clients, class), func(t *testing.T) {
+					testLargestAnswers(t, limit, clients, class)
+				})
+			}
+		}
+	}
+}
+
+func testLargestAnswers(t *testing.T, limit memoryLimit, clients int, class string) {
+	t.Parallel()
+	bed, enlarge := answersTestbed(t, limit)
+	enlarge()
+	bed.start()
+	watch := bed.watchMemory(limit.megabytes)
+	var counts answerCounts
+	bed.startSlowReaders(clients, class, &counts).Wait()
+	watch.expectWithinLimit()
+	served, attempts := counts.served.Load(), len(bed.attempts())
+	t.Logf("served %d, rejected %d, attempts %d", served, counts.rejected.Load(), attempts)
+	counts.expectServedOrRejected(t)
+	if attempts != int(served) {
+		t.Errorf("got %d attempts for %d requests served, want none for the rejected ones", attempts, served)
+	}
+	const leastAnswers = 16 // of the largest, for which there is room with 32 MB
+	if served < leastAnswers {
+		t.Errorf("got %d requests served, want at least %d", served, leastAnswers)
+	}
+}
+
+// TestAnswersLargerThanExpected guards against answers that turn into errors because they are larger than those before
+// them: the room that was reserved for them is too small, and clients read slowly. What is not kept is rejected where a
+// second execution does no harm, and kept elsewhere.
+func TestAnswersLargerThanExpected(t *testing.T) {
+	t.Parallel()
+	const clients = 30
+	limit := memoryLimit{32, 256}
+	for _, class := range []string{"footage", "charge"} {
+		t.Run(class, func(t *testing.T) {
+			t.Parallel()
+			bed, enlarge := answersTestbed(t, limit)
+			bed.start()
+			usual := bed.dial()
+			for id := range uint64(3) {
+				txn := hexID(1<<60 + id)
+				answer := usual.call(id+1, class, map[string]string{"txn": txn, "unique": txn})
+				if answer.Error != "" {
+					t.Fatalf("got error %q to a request before the others, want none", answer.Error)
+				}
+			}
+			enlarge()
+			watch := bed.watchMemory(limit.megabytes)
+			var counts answerCounts
+			bed.startSlowReaders(clients, class, &counts).Wait()
+			watch.expectWithinLimit()
+			attempts := len(bed.attempts())
+			t.Logf("served %d, rejected %d, attempts %d", counts.served.Load(), counts.rejected.Load(), attempts)
+			counts.expectServedOrRejected(t)
+		})
+	}
+}
--- a/test/pages/layers_test.go
+++ b/test/pages/layers_test.go
@@ -24,7 +24,7 @@
 	{"broker"},
 	{"policy", "quota", "concurrency", "retry", "retryafter", "route", "invalidation", "membership", "identity",
 		"bootstrap", "peer", "snapshot", "shutdown", "frontend/connlimit", "frontend/rpc/pacing",
-		"upstream/liveness"},
+		"frontend/rpc/answersize", "upstream/liveness"},
 	{"clock", "config", "eventlog", "eventloop", "expiry", "frontend/rpc/msgpack", "digesttest", "invariant",
 		"atomicfile", "memory"},
 }
