--- a/internal/frontend/rpc/connection.go
+++ b/internal/frontend/rpc/connection.go
@@ -27,8 +27,9 @@
 	openLimit  pacing.OpenLimit
 	pace       pacing.Connection[*connection]
 	receivedAt time.Duration     // the earliest time at which the messages being handled may have arrived
+	waiting    int               // requests that have arrived completely and wait for the connection's turn
 	rejectAll  bool              // reject requests without parsing them
-	rejectNext bool              // reject the next request without parsing it
+	rejectNext bool              // reject the next request without parsing it, as too many wait
 	discarded  *discardedMessage // nil: none
 	closed     bool
 
@@ -62,6 +63,9 @@
 // Received handles the messages that have arrived completely.
 func (c *connection) Received(conn *eventloop.Conn) {
 	c.openLimit.StartRead()
+	if !c.pace.IsWaiting() {
+		c.openLimit.StartWait()
+	}
 	now := c.server.Now()
 	c.receivedAt = c.pace.EarliestArrival(now - conn.ReadLag())
 	result := c.handleMessages(conn.In, now)
@@ -70,16 +74,13 @@
 	} else {
 		c.pace.MarkAllRead()
 	}
-	if unread := len(conn.In) - result.used; result.mustWait && c.server.pacedQueue.TooMuchUnread(unread) {
-		c.server.Log("client-rate-limited", "from", c.caller.Remote, "bytes", unread)
-		c.rejectUnread(conn.In[result.used:])
-		c.failAndClose()
-	}
 	if c.closed {
 		result.used = len(conn.In)
 	}
 	conn.Consume(result.used)
+	c.waiting = result.waiting
 	if result.mustWait && result.used == 0 {
+		c.updateOpen()
 		conn.DeferRead()
 		return
 	}
@@ -94,11 +95,12 @@
 	used      int  // bytes that were handled or discarded
 	completed bool // whether a message was completed
 	mustWait  bool // whether the rest has to wait for the connection's turn
+	waiting   int  // complete requests in the rest, if it has to wait
 }
 
-// handleMessages handles complete messages at the front of data. When memory is short, a large rest is not kept: an
-// incomplete message is discarded as it arrives, and messages that would have to wait for the connection's turn are
-// rejected.
+// handleMessages handles complete messages at the front of data. What would have to wait for the connection's turn is
+// rejected, the oldest first, if there is more than the protocol allows or memory is short. When memory is short, an
+// incomplete message is discarded as it arrives.
 func (c *connection) handleMessages(data []byte, now time.Duration) (result readResult) {
 	if c.ignoresAnswers() {
 		c.protocolError(&unreadAnswersError{count: c.unreadAnswers})
@@ -106,9 +108,17 @@
 	for result.used < len(data) && !c.closed {
 		rest := data[result.used:]
 		mustWait := c.discarded == nil && c.mustWait(now)
-		if mustWait && c.mayKeep(rest) {
-			result.mustWait = true
-			return result
+		if mustWait {
+			waiting := countMessages(rest, c.openLimit.MaxWaiting())
+			if c.openLimit.MayWait(len(c.open), waiting) && c.mayKeep(rest) {
+				result.mustWait = true
+				result.waiting = waiting.Requests
+				return result
+			}
+			if c.openLimit.CountWaiting(len(c.open), waiting) == pacing.Close {
+				c.closeOverrun(rest)
+				return result
+			}
 		}
 		c.rejectNext = mustWait
 		size, err := c.handleNext(rest)
@@ -157,20 +167,35 @@
 	return !c.server.pacedQueue.Admit(now, &c.pace)
 }
 
-// rejectUnread rejects the complete requests in data: each request that was received must get a response.
-func (c *connection) rejectUnread(data []byte) {
+// closeOverrun closes a rate-limited connection whose client goes on sending with more requests open than it may have.
+// The complete ones in data are rejected: each request that was received must get a response.
+func (c *connection) closeOverrun(data []byte) {
+	c.server.Log("client-rate-limited", "from", c.caller.Remote, "overrun", c.openLimit.Overrun())
 	c.rejectAll = true
 	for len(data) > 0 {
 		size, err := c.handleMessage(data)
 		if err != nil {
-			return
+			break
 		}
 		data = data[size:]
 	}
+	c.failAndClose()
+}
+
+// rejectWaiting rejects the requests that wait for the connection's turn, and returns how many there were. The
+// connection stays open: the system may hold more requests of its client, which a close would drop.
+func (c *connection) rejectWaiting() (rejected int) {
+	rejected = c.waiting
+	c.server.pacedQueue.Remove(&c.pace)
+	c.rejectAll = true
+	c.conn.Redeliver()
+	c.rejectAll = false
+	return rejected
 }
 
-// updateOpen tells the limiter how many requests are open: a connection with open requests is not evicted.
-func (c *connection) updateOpen() { c.client.SetOpen(c.server.Now(), len(c.open)) }
+// updateOpen tells the limiter how many requests are open or wait for the connection's turn: a connection that owes a
+// response is not evicted.
+func (c *connection) updateOpen() { c.client.SetOpen(c.server.Now(), len(c.open)+c.waiting) }
 
 // unsent returns how many bytes of responses the operating system has not sent yet for lack of room at the client.
 func (c *connection) unsent() int {
@@ -206,7 +231,7 @@
 
 // evict closes the connection for the limiter, which never evicts one with open requests.
 func (c *connection) evict() {
-	if len(c.open) > 0 {
+	if len(c.open)+c.waiting > 0 {
 		c.server.Monitor.RecordViolation(invariant.NothingOpenAtClose, c.caller.Remote)
 	}
 	c.close()
--- a/internal/frontend/rpc/frame.go
+++ b/internal/frontend/rpc/frame.go
@@ -122,6 +122,22 @@
 	return header, nil
 }
 
+// countMessages counts the complete messages at the front of data, up to a maximum.
+func countMessages(data []byte, most int) (counted pacing.Waiting) {
+	for counted.Messages < most {
+		message, err := readFrame(data)
+		if err != nil {
+			break
+		}
+		data = data[message.size:]
+		counted.Messages++
+		if message.kind == kindRequest {
+			counted.Requests++
+		}
+	}
+	return counted
+}
+
 // handleMessage handles one message at the front of data and returns its size in bytes. It returns
 // msgpack.ErrIncomplete for a message that has not arrived completely; after any other error the connection must be
 // closed.
@@ -148,13 +164,10 @@
 // handleRequest responds to a request or passes it to the broker. After an error the connection must be closed.
 func (c *connection) handleRequest(message *frame) error {
 	messageID := message.messageID
-	if c.rejectAll {
-		c.sendRejection(messageID, broker.Response{})
+	if c.rejectAll || c.rejectNext {
+		c.sendRejection(messageID, broker.Response{RetryAfter: c.server.RetryAfter.ConnectionFull()})
 		return nil
 	}
-	if c.rejectNext {
-		return c.rejectForMemory(messageID)
-	}
 	body := &message.body
 	method := string(body.Text(maxTextBytes))
 	if body.Err == nil && method == methodStatus {
@@ -198,6 +211,9 @@
 // countExcess counts a message that opened and canceled no request. After an error the connection must be closed: its
 // client sends without regard to the answers, and the work for it would delay other clients.
 func (c *connection) countExcess() error {
+	if c.rejectNext {
+		return nil // OpenLimit.CountWaiting counts it
+	}
 	if c.openLimit.CountExcess() == pacing.Close {
 		return &floodError{excess: c.openLimit.Excess()}
 	}
--- a/internal/frontend/rpc/pacing/pacing.go
+++ b/internal/frontend/rpc/pacing/pacing.go
@@ -1,5 +1,5 @@
-// Package pacing decides how fast the messages of rate-limited connections are handled, and which connections must be
-// closed because they send too much.
+// Package pacing decides how fast the messages of rate-limited connections are handled, and which messages are rejected
+// because there are too many.
 //
 // A connection is rate-limited while identity rejects its requests for lack of budget. Its messages are then handled in
 // turns, a few at a time, so that a flood does not delay other clients. A round of turns is one tick of the frontend,
@@ -12,7 +12,8 @@
 //     in the turn, and at most Limits.MessagesPerRound messages of all connections in the round.
 //   - Connections get their turns in the order in which they began to wait. A connection that still has messages after
 //     its turn goes to the end of the queue.
-//   - A connection is timed out if and only if it has waited longer than Limits.MaxWait.
+//   - A connection is timed out if and only if it has waited longer than Limits.MaxWait. Its messages are then
+//     rejected.
 //   - A connection is in the queue at most once.
 //
 // Bounds: one list element for each waiting connection. The package does no I/O and reads no clock. It is not safe for
@@ -24,12 +25,12 @@
 	"time"
 )
 
-// Limits bounds how much of rate-limited connections is handled, and how long and how much may wait.
+// Limits bounds how much of rate-limited connections is handled, and how long messages may wait. OpenLimit bounds how
+// much may wait.
 type Limits struct {
 	MessagesPerConnection int           // handled in one turn
 	MessagesPerRound      int           // handled in one round, of all connections
-	MaxWait               time.Duration // for a turn; a connection that waits longer must be closed
-	MaxUnreadBytes        int           // received but not handled; a connection with more must be closed
+	MaxWait               time.Duration // for a turn; the messages of a connection that waits longer must be rejected
 }
 
 // Queue holds the rate-limited connections with unhandled messages, the longest waiting first.
@@ -84,7 +85,7 @@
 func (q *Queue[Owner]) Len() int { return q.waiting.Len() }
 
 // TimedOut returns the connection that has waited longest, and for how long, if that is longer than Limits.MaxWait.
-// Otherwise it returns nil. The caller must close and remove the connection.
+// Otherwise it returns nil. The caller must reject its messages and remove the connection.
 func (q *Queue[Owner]) TimedOut(now time.Duration) (timedOut *Connection[Owner], waited time.Duration) {
 	longest := q.first()
 	if longest == nil || now-longest.queuedAt <= q.limits.MaxWait {
@@ -93,9 +94,6 @@
 	return longest, now - longest.queuedAt
 }
 
-// TooMuchUnread reports whether a connection with this many unread bytes must be closed.
-func (q *Queue[Owner]) TooMuchUnread(bytes int) bool { return bytes > q.limits.MaxUnreadBytes }
-
 // StartRound begins a round, in which each connection that is waiting now gets one turn until the round's messages are
 // used up.
 func (q *Queue[Owner]) StartRound() {
@@ -137,6 +135,9 @@
 	return element.Value.(*Connection[Owner])
 }
 
+// IsWaiting reports whether the connection waits for a turn.
+func (c *Connection[Owner]) IsWaiting() bool { return c.element != nil }
+
 // EarliestArrival returns the earliest time at which the next messages may have arrived, given that new bytes arrived
 // at readAt. While older messages are unread, it is the time of the oldest, because message boundaries are not known
 // yet.
--- a/internal/frontend/rpc/pacing/pacing_test.go
+++ b/internal/frontend/rpc/pacing/pacing_test.go
@@ -180,3 +180,104 @@
 		}
 	})
 }
+
+// waitingMessage is a request or the cancellation of one, in clientModel.
+type waitingMessage struct {
+	request        int // its number
+	isCancellation bool
+}
+
+// clientModel is a client that keeps the protocol, and its rate-limited connection.
+type clientModel struct {
+	limit        OpenLimit
+	sent         int
+	openToClient []int // requests that were neither answered nor canceled, as the client sees it
+	open         []int // requests that the proxy has handled and not answered
+	waiting      []waitingMessage
+}
+
+// count counts the waiting messages as a frontend does.
+func (m *clientModel) count() (counted Waiting) {
+	for _, message := range m.waiting[:min(len(m.waiting), m.limit.MaxWaiting())] {
+		counted.Messages++
+		if !message.isCancellation {
+			counted.Requests++
+		}
+	}
+	return counted
+}
+
+// handleOldest handles the message that has waited longest. A request is opened in a turn, and rejected otherwise.
+func (m *clientModel) handleOldest(inTurn bool) {
+	oldest := m.waiting[0]
+	m.waiting = m.waiting[1:]
+	isSame := func(request int) bool { return request == oldest.request }
+	switch {
+	case oldest.isCancellation:
+		m.open = slices.DeleteFunc(m.open, isSame)
+	case inTurn && len(m.open) < m.limit.MaxOpen:
+		m.open = append(m.open, oldest.request)
+	default:
+		m.openToClient = slices.DeleteFunc(m.openToClient, isSame)
+	}
+}
+
+// TestConformingClientMayWait checks over random requests, cancellations, answers and turns that a client with at most
+// MaxOpen requests open, as it sees it, is not closed while it waits, and that no more requests wait than may be.
+func TestConformingClientMayWait(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		model := &clientModel{limit: OpenLimit{
+			MaxOpen:   rapid.IntRange(1, 4).Draw(t, "open"),
+			MaxExcess: rapid.IntRange(0, 4).Draw(t, "excess"),
+		}}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			what := rapid.SampledFrom([]string{"request", "request", "cancel", "answer", "turn"}).Draw(t, "what")
+			switch {
+			case what == "request" && len(model.openToClient) < model.limit.MaxOpen:
+				model.sent++
+				model.openToClient = append(model.openToClient, model.sent)
+				model.waiting = append(model.waiting, waitingMessage{request: model.sent})
+			case what == "cancel" && len(model.openToClient) > 0:
+				canceled := waitingMessage{request: model.openToClient[0], isCancellation: true}
+				model.openToClient = model.openToClient[1:]
+				model.waiting = append(model.waiting, canceled)
+			case what == "answer" && len(model.open) > 0:
+				answered := model.open[0]
+				model.open = model.open[1:]
+				model.openToClient = slices.DeleteFunc(model.openToClient, func(r int) bool { return r == answered })
+			case what == "turn" && len(model.waiting) > 0:
+				model.limit.StartWait()
+				model.handleOldest(true)
+			}
+			for !model.limit.MayWait(len(model.open), model.count()) {
+				if model.limit.CountWaiting(len(model.open), model.count()) == Close || model.limit.Overrun() > 0 {
+					t.Fatalf("%d counted as too many: %+v", model.limit.Overrun(), model)
+				}
+				model.handleOldest(false)
+			}
+			if requests := model.count().Requests; len(model.open)+requests > model.limit.MaxOpen {
+				t.Fatalf("got %d requests waiting beside %d open, want at most %d in all", requests, len(model.open),
+					model.limit.MaxOpen)
+			}
+		}
+	})
+}
+
+// TestOverrunCloses checks that a client that goes on sending requests while it waits and cancels none, or cancels more
+// than it can have open, is closed after MaxExcess of them, but that a turn gives it as many again.
+func TestOverrunCloses(t *testing.T) {
+	limit := OpenLimit{MaxOpen: 4, MaxExcess: 3}
+	for _, tooMany := range []Waiting{{Messages: 5, Requests: 5}, {Messages: 6, Requests: 0}} {
+		for round := range 2 {
+			limit.StartWait()
+			for range limit.MaxExcess {
+				if limit.CountWaiting(1, tooMany) == Close {
+					t.Fatalf("%+v, round %d: closed after %d too many, want it open", tooMany, round, limit.Overrun())
+				}
+			}
+		}
+		if limit.CountWaiting(1, tooMany) != Close {
+			t.Errorf("%+v: open after %d too many, want it closed", tooMany, limit.Overrun())
+		}
+	}
+}
--- a/internal/frontend/rpc/protocol.go
+++ b/internal/frontend/rpc/protocol.go
@@ -35,14 +35,12 @@
 	pacedMessagesPerConnection = 4  // handled per round
 	pacedMessagesPerRound      = 32 // handled per round, of all such connections: more would delay other clients
 	maxPacedWait               = 2 * time.Second
-	maxUnreadBytes             = 2 * maxFrameBytes
 )
 
 var pacingLimits = pacing.Limits{
 	MessagesPerConnection: pacedMessagesPerConnection,
 	MessagesPerRound:      pacedMessagesPerRound,
 	MaxWait:               maxPacedWait,
-	MaxUnreadBytes:        maxUnreadBytes,
 }
 
 // Kinds of messages (MessagePack-RPC's message types), and the number of elements of each.
--- a/internal/frontend/rpc/rpc.go
+++ b/internal/frontend/rpc/rpc.go
@@ -103,8 +103,8 @@
 // CloseIdle closes the idle connections: those with no open request, no unsent response and no incomplete message.
 func (s *Server) CloseIdle() { s.clients.CloseIdle(s.Now()) }
 
-// Tick closes the connections whose timeout has expired, and handles some messages of rate-limited ones. It must be
-// called periodically.
+// Tick closes the connections whose timeout has expired, and handles or rejects some messages of rate-limited ones. It
+// must be called periodically.
 func (s *Server) Tick(now time.Duration) {
 	evicted := s.clients.Tick(now)
 	if evicted.Unfinished > 0 {
@@ -113,25 +113,22 @@
 	if evicted.Stalled > 0 {
 		s.Log("client-not-reading", "front", "rpc", "connections", evicted.Stalled)
 	}
-	s.closeTimedOut(now)
+	s.rejectTimedOut(now)
 	s.pacedQueue.StartRound()
 	for turn := s.pacedQueue.Next(); turn != nil; turn = s.pacedQueue.Next() {
 		turn.Owner.conn.Redeliver()
 	}
 }
 
-// closeTimedOut closes rate-limited connections whose messages could not be handled in time. It rejects those messages
-// and fails the open requests first.
-func (s *Server) closeTimedOut(now time.Duration) {
+// rejectTimedOut rejects the requests of rate-limited connections that could not be handled in time.
+func (s *Server) rejectTimedOut(now time.Duration) {
 	for {
 		timedOut, waited := s.pacedQueue.TimedOut(now)
 		if timedOut == nil {
 			return
 		}
 		c := timedOut.Owner
-		s.Log("client-rate-limited", "from", c.caller.Remote, "waited", waited)
-		c.rejectAll = true
-		c.conn.Redeliver()
-		c.failAndClose()
+		rejected := c.rejectWaiting()
+		s.Log("client-rate-limited", "from", c.caller.Remote, "waited", waited, "rejected", rejected)
 	}
 }
--- a/internal/memory/memory_test.go
+++ b/internal/memory/memory_test.go
@@ -24,9 +24,9 @@
 			switch rapid.SampledFrom([]string{"admit", "continue", "grow", "force", "release"}).Draw(t, "step") {
 			case "admit":
 				isAdmitted := account.Admits(charge.Bytes(), more)
-				if want := before+more <= admissible(limit, charge.Bytes()+more); isAdmitted != want {
-					t.Fatalf("%d more bytes at %d of %d: got admitted %v, want %v", more, before, limit,
-						isAdmitted, want)
+				want := before+more <= admissible(limit, charge.Bytes()+more)
+				if isAdmitted != want {
+					t.Fatalf("%d more bytes at %d of %d: admitted %v", more, before, limit, isAdmitted)
 				}
 				if isAdmitted {
 					charge.Set(charge.Bytes() + more)
@@ -42,7 +42,7 @@
 				had := charge.Bytes()
 				fits := more <= had || account.Fits(0, more-had)
 				if got := charge.TryGrow(more); got != fits || got && charge.Bytes() != max(had, more) {
-					t.Fatalf("growing from %d to %d: got %v and %d bytes, want %v", had, more, got, charge.Bytes(), fits)
+					t.Fatalf("growing from %d to %d: got %v and %d bytes", had, more, got, charge.Bytes())
 				}
 			case "force":
 				charge.Set(more)
