--- a/internal/frontend/dns/flight.go
+++ b/internal/frontend/dns/flight.go
@@ -84,7 +84,7 @@
 // admits reports whether the memory account admits more waiting queries. They are all one owner there, as one client
 // can send them from many addresses.
 func (s *Server) admits(bytes int) bool {
-	return s.Memory.Admits(s.Memory.Reserved(memory.Queries), bytes)
+	return s.Memory.Admits(memory.Need{Bytes: s.Memory.Reserved(memory.Queries)}, memory.Need{Bytes: bytes})
 }
 
 // forget removes the kept result of a key, if there is one.
--- a/internal/frontend/rpc/answersize/answersize.go
+++ b/internal/frontend/rpc/answersize/answersize.go
@@ -1,8 +1,8 @@
 // Package answersize estimates how large the answer to a request will be, so that room for it can be reserved before an
 // attempt is made.
 //
-// An answer has at most MaxBytes. That much is the estimate for a class that had no answer yet. For the others, a
-// class's answers tell how many bytes there are for each KB that clients state as the size of their objects.
+// An answer has at most MaxBytes. A class's answers tell how many bytes there are for each KB that clients state as the
+// size of their objects. Before the first answer an estimate is a guess.
 //
 // Invariants:
 //   - an estimate is at most MaxBytes, and at least smallBytes;
@@ -17,6 +17,8 @@
 const (
 	// MaxBytes is the size of the largest answer of the protocol.
 	MaxBytes = 240_000
+	// unknownBytes is the estimate before the first answer of a class.
+	unknownBytes = 32 << 10
 	// smallBytes is an answer's size that does not depend on the size of the object.
 	smallBytes = 4 << 10
 	// minStatedKB is the least size of an object that a ratio is computed for. Clients need not state a size.
@@ -56,7 +58,7 @@
 // Estimate returns the bytes to reserve for the answer to a request for an object of statedKB.
 func (e *Estimator) Estimate(statedKB float64) int {
 	if !e.current.isKnown {
-		return MaxBytes
+		return unknownBytes
 	}
 	ratio := max(e.current.bytesPerKB, e.previous.bytesPerKB)
 	return int(min(MaxBytes, smallBytes+ratio*max(statedKB, minStatedKB)))
--- a/internal/frontend/rpc/memory.go
+++ b/internal/frontend/rpc/memory.go
@@ -41,13 +41,13 @@
 	return taken
 }
 
-// reservedBytes returns the memory that is charged for the connection and its open requests.
-func (c *connection) reservedBytes() int {
-	reserved := c.conn.BufferBytes()
+// ownNeed returns the memory that is charged and reserved for the connection and its open requests.
+func (c *connection) ownNeed() memory.Need {
+	own := memory.Need{Bytes: c.conn.BufferBytes()}
 	for _, request := range c.open {
-		reserved += request.Memory.Bytes() + request.Answer.Bytes()
+		own = own.Plus(request.Memory.Need()).Plus(request.Answer.Need())
 	}
-	return reserved
+	return own
 }
 
 // requestCost returns the memory that a request takes while it is open, in bytes, without its answer.
@@ -55,21 +55,22 @@
 	return requestOverheadBytes + len(request.Token) + len(request.Body)
 }
 
-// answerCost returns the memory that is reserved for the body of a request's answer, in bytes. The answer to a request
-// that must not be executed twice is always kept, so the most that it can have is reserved.
-func (s *Server) answerCost(request *broker.Request) int {
+// answerNeed returns the memory that the body of a request's answer takes. The answer to a request that must not be
+// executed twice is always kept, so the most that it can have beyond the estimate is reserved.
+func (s *Server) answerNeed(request *broker.Request) memory.Need {
+	need := memory.Need{Bytes: s.answerSizes[request.Class].Estimate(request.SizeKB)}
 	if s.Classes[request.Class].Idempotency != policy.Idempotent {
-		return answersize.MaxBytes
+		need.Reserve = answersize.MaxBytes - need.Bytes
 	}
-	return s.answerSizes[request.Class].Estimate(request.SizeKB)
+	return need
 }
 
 // admit decides whether a request may be opened. If so, its memory and that of its answer are charged, and its body is
 // copied from the input.
 func (c *connection) admit(request *broker.Request) pacing.Decision {
 	account := c.server.Memory
-	cost, answerCost := requestCost(request), c.server.answerCost(request)
-	fits := account.Admits(c.reservedBytes(), cost+answerCost)
+	cost, answer := requestCost(request), c.server.answerNeed(request)
+	fits := account.Admits(c.ownNeed(), answer.Plus(memory.Need{Bytes: cost}))
 	decision := c.openLimit.Decide(pacing.Load{Open: len(c.open), MemoryShort: !fits})
 	if decision != pacing.Admit {
 		if !fits {
@@ -78,7 +79,8 @@
 		return decision
 	}
 	request.Memory = account.NewCharge(memory.Requests, cost)
-	request.Answer = account.NewCharge(memory.Answers, answerCost)
+	request.Answer = account.NewCharge(memory.Answers, answer.Bytes)
+	request.Answer.SetReserve(answer.Reserve)
 	request.Body = append([]byte(nil), request.Body...)
 	return decision
 }
@@ -89,7 +91,7 @@
 		return true
 	}
 	more := max(0, len(rest)-c.conn.InputBufferBytes())
-	return c.server.Memory.Admits(c.reservedBytes(), more)
+	return c.server.Memory.Admits(c.ownNeed(), memory.Need{Bytes: more})
 }
 
 // beginDiscard begins to discard the incomplete message at the front of data.
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -4,17 +4,19 @@
 // requests and connections.
 //
 // All of these bytes are in one Account. Whoever holds memory for others owns a Charge in it. New work asks Admits
-// before it holds anything, and is rejected if it does not fit. It asks for all that it will hold, the answer included,
-// so that no connection has to be closed for the size of what was admitted. Work that was admitted asks Fits before it
-// holds more than that, such as the encoded copy of a request's body.
+// before it holds anything, and is rejected if it does not fit. It asks for all that it is likely to hold, the answer
+// included, so that no connection has to be closed for the size of what was admitted. What it may hold beyond that, and
+// must get, is a reserve. Work that was admitted asks Fits before it holds more, such as the encoded copy of a
+// request's body.
 //
 // Invariants:
 //   - Total is the sum of all charges, and 0 once all owners have released theirs;
 //   - new work is admitted only if it leaves half of the limit for the work that was admitted before;
-//   - an owner that has less is admitted beyond that, so that one with much can't have it rejected.
+//   - an owner that has less is admitted beyond that, so that one with much can't have it rejected;
+//   - the charges and the reserves together stay within a limit of their own, so that each reserve can be used up.
 //
 // Bounds: an Account has a constant size. What was received before its owner could ask is charged without a check, so
-// Total can exceed the limit by what is read from the connections at once.
+// Total can exceed the limits by what is read from the connections at once.
 //
 // The package does no I/O and reads no clock. It is not safe for concurrent use.
 package memory
@@ -40,6 +42,18 @@
 	smallOwnerBytes = 16 << 10
 	// progressDivisor divides the limit to get the most that an owner has while its work is continued up to the limit.
 	progressDivisor = 8
+	// committedNumerator / committedDenominator is the limit on the charges and reserves together, as a fraction of the
+	// memory of the process.
+	committedNumerator   = 11
+	committedDenominator = 16
+	// reservingNumerator / reservingDenominator is the fraction of the memory of the process up to which new work with
+	// a reserve is admitted. The rest of the limit is for work without one, as reserves are seldom used up.
+	reservingNumerator   = 5
+	reservingDenominator = 8
+	// largeOwnerNumerator / largeOwnerDenominator is the fraction of that for an owner with more than 1/progressDivisor
+	// of it.
+	largeOwnerNumerator   = 3
+	largeOwnerDenominator = 4
 )
 
 // Kind says what a charge is for.
@@ -73,9 +87,19 @@
 	process  int
 	limit    int
 	total    int
+	reserves int
 	reserved [kindCount]int
 }
 
+// Need is what some work takes: Bytes are likely, and Reserve is what it may take beyond that and must get then.
+type Need struct{ Bytes, Reserve int }
+
+// Plus returns the sum of two needs.
+func (n Need) Plus(other Need) Need { return Need{n.Bytes + other.Bytes, n.Reserve + other.Reserve} }
+
+// sum returns the most that the work may take.
+func (n Need) sum() int { return n.Bytes + n.Reserve }
+
 // NewAccount returns an empty account for a process that may use the given memory, in bytes.
 func NewAccount(process int) *Account {
 	return &Account{process: process, limit: process / limitDenominator * limitNumerator}
@@ -93,9 +117,30 @@
 // Reserved returns the sum of all charges of a kind, in bytes.
 func (a *Account) Reserved(kind Kind) int { return a.reserved[kind] }
 
-// Admits reports whether an owner that has own bytes may begin new work that takes more of them.
-func (a *Account) Admits(own, more int) bool {
-	return a.total+more <= a.admissionLimit(own+more)
+// Admits reports whether an owner that has own already may begin new work that takes more.
+func (a *Account) Admits(own, more Need) bool {
+	after := own.Plus(more)
+	if a.total+more.Bytes > a.admissionLimit(after.Bytes) {
+		return false
+	}
+	committed := a.total + a.reserves + more.sum()
+	if more.Reserve == 0 {
+		return committed <= a.committedLimit()
+	}
+	return committed <= a.reservingLimit(after.sum())
+}
+
+// committedLimit returns the limit on the charges and reserves together.
+func (a *Account) committedLimit() int { return a.process / committedDenominator * committedNumerator }
+
+// reservingLimit returns the sum of charges and reserves up to which new work with a reserve is admitted for an owner
+// that then has the given bytes.
+func (a *Account) reservingLimit(ownerBytes int) int {
+	limit := a.process / reservingDenominator * reservingNumerator
+	if ownerBytes > limit/progressDivisor {
+		limit = limit / largeOwnerDenominator * largeOwnerNumerator
+	}
+	return limit
 }
 
 // admissionLimit returns the total up to which new work is admitted for an owner that then has the given bytes.
@@ -111,6 +156,9 @@
 
 // Fits reports whether work that was admitted may take more bytes for an owner that has own.
 func (a *Account) Fits(own, more int) bool {
+	if a.total+a.reserves+more > a.committedLimit() {
+		return false
+	}
 	if own+more <= a.limit/progressDivisor {
 		return a.total+more <= a.limit
 	}
@@ -133,11 +181,15 @@
 	account *Account
 	kind    Kind
 	bytes   int
+	reserve int
 }
 
 // Bytes returns the number of bytes that are charged.
 func (c *Charge) Bytes() int { return c.bytes }
 
+// Need returns the number of bytes that are charged, and the reserve.
+func (c *Charge) Need() Need { return Need{c.bytes, c.reserve} }
+
 // Set changes the number of bytes that are charged.
 func (c *Charge) Set(bytes int) {
 	if bytes < 0 {
@@ -148,22 +200,33 @@
 	c.bytes = bytes
 }
 
+// SetReserve changes the reserve, which TryGrow uses first.
+func (c *Charge) SetReserve(bytes int) {
+	c.account.reserves += bytes - c.reserve
+	c.reserve = bytes
+}
+
 // TryGrow charges at least the given number of bytes, and reports whether that fits. A charge that has as much already
-// stays as it is.
+// stays as it is, and the reserve always fits.
 func (c *Charge) TryGrow(bytes int) bool {
 	if bytes <= c.bytes {
 		return true
 	}
-	if c.account == nil || !c.account.Fits(0, bytes-c.bytes) {
+	fromReserve := min(c.reserve, bytes-c.bytes)
+	more := bytes - c.bytes - fromReserve
+	if more > 0 && (c.account == nil || !c.account.Fits(0, more)) {
 		return false
 	}
+	c.SetReserve(c.reserve - fromReserve)
 	c.Set(bytes)
 	return true
 }
 
 // Release ends the charge. Further calls have no effect.
 func (c *Charge) Release() {
-	if c.bytes > 0 {
-		c.Set(0)
+	if c.account == nil {
+		return
 	}
+	c.Set(0)
+	c.SetReserve(0)
 }
