--- a/internal/frontend/rpc/connection.go
+++ b/internal/frontend/rpc/connection.go
@@ -32,9 +32,7 @@
 	rejectNext bool              // reject the next request without parsing it, as too many wait
 	discarded  *discardedMessage // nil: none
 	closed     bool
-
-	unreadAnswers      int    // see countUnreadAnswer
-	unreadAnswersSince uint64 // the offset, among all bytes sent, from which they are counted
+	unread     pacing.UnreadAnswers
 }
 
 func newConnection(server *Server, caller identity.Caller) *connection {
@@ -44,6 +42,7 @@
 		open:       map[uint32]*broker.Request{},
 		messageIDs: map[*broker.Request]uint32{},
 		openLimit:  pacing.OpenLimit{MaxOpen: maxOpenRequests, MaxExcess: maxExcessRequests},
+		unread:     pacing.UnreadAnswers{Max: maxUnreadAnswers, MaxInAll: maxUnreadInAll},
 	}
 	c.pace.Owner = c
 	return c
@@ -102,8 +101,8 @@
 // rejected, the oldest first, if there is more than the protocol allows or memory is short. When memory is short, an
 // incomplete message is discarded as it arrives.
 func (c *connection) handleMessages(data []byte, now time.Duration) (result readResult) {
-	if c.ignoresAnswers() {
-		c.protocolError(&unreadAnswersError{count: c.unreadAnswers})
+	if c.unread.AreIgnored(c.conn.Flushed()) {
+		c.protocolError(&unreadAnswersError{count: c.unread.Count()})
 	}
 	for result.used < len(data) && !c.closed {
 		rest := data[result.used:]
--- a/internal/frontend/rpc/frame.go
+++ b/internal/frontend/rpc/frame.go
@@ -57,7 +57,7 @@
 
 // Error describes the error with the number of answers and the limit.
 func (e *unreadAnswersError) Error() string {
-	return fmt.Sprintf("%d answers were not read, at most %d may be", e.count, maxUnreadAnswers)
+	return fmt.Sprintf("%d answers were not read, at most %d may be that were not canceled", e.count, maxUnreadAnswers)
 }
 
 // readFrame parses one frame at the front of data. It returns msgpack.ErrIncomplete for a frame that has not arrived
@@ -227,6 +227,7 @@
 	if err != nil {
 		return c.countExcess()
 	}
+	c.unread.RequestCanceled()
 	request := c.open[messageID]
 	if request == nil {
 		return c.countExcess()
--- a/internal/frontend/rpc/memory.go
+++ b/internal/frontend/rpc/memory.go
@@ -17,8 +17,9 @@
 	// All that a notification needs is shorter.
 	minDiscardBytes = 1 << 10
 	// maxUnreadAnswers is the number of answers without a body, such as errors, that may wait for a client to read the
-	// answers before them.
+	// answers before them, and maxUnreadInAll that with those to requests which the client has canceled.
 	maxUnreadAnswers = 64
+	maxUnreadInAll   = 1024
 )
 
 // MemoryStats counts what was not served because memory is short.
@@ -122,17 +123,5 @@
 	return used, err
 }
 
-// countUnreadAnswer counts an answer without a body that is about to be sent. The count begins again once the client
-// has taken what was queued when it began.
-func (c *connection) countUnreadAnswer() {
-	if c.conn.Flushed() >= c.unreadAnswersSince {
-		c.unreadAnswers = 0
-		c.unreadAnswersSince = c.conn.Queued() + 1
-	}
-	c.unreadAnswers++
-}
-
-// ignoresAnswers reports whether the client goes on sending without reading its answers.
-func (c *connection) ignoresAnswers() bool {
-	return c.unreadAnswers > maxUnreadAnswers && c.conn.Flushed() < c.unreadAnswersSince
-}
+// countUnreadAnswer counts an answer without a body that is about to be sent.
+func (c *connection) countUnreadAnswer() { c.unread.AnswerQueued(c.conn.Queued(), c.conn.Flushed()) }
--- a/internal/frontend/rpc/pacing/pacing_test.go
+++ b/internal/frontend/rpc/pacing/pacing_test.go
@@ -281,3 +281,42 @@
 		}
 	}
 }
+
+// TestUnreadAnswers checks over random answers, cancellations and reads that a client that keeps the protocol is not
+// taken for one that ignores its answers, and that one which cancels nothing and reads nothing is.
+func TestUnreadAnswers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		unread := UnreadAnswers{Max: rapid.IntRange(1, 4).Draw(t, "open"), MaxInAll: 1000}
+		queued, taken := uint64(0), uint64(0)
+		var ends []uint64 // the offsets of the ends of the answers to requests that are open to the client
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"answer", "answer", "cancel", "read"}).Draw(t, "what") {
+			case "answer":
+				if len(ends) < unread.Max {
+					unread.AnswerQueued(queued, taken)
+					queued += uint64(rapid.IntRange(1, 20).Draw(t, "bytes"))
+					ends = append(ends, queued)
+				}
+			case "cancel":
+				if len(ends) > 0 {
+					unread.RequestCanceled()
+					ends = ends[1:]
+				}
+			case "read":
+				taken = rapid.Uint64Range(taken, queued).Draw(t, "taken")
+				ends = slices.DeleteFunc(ends, func(end uint64) bool { return end <= taken })
+			}
+			if unread.AreIgnored(taken) {
+				t.Fatalf("answers count as ignored at %d of %d bytes, with answers up to %v: %+v", taken, queued, ends,
+					unread)
+			}
+		}
+		for range unread.Max + 1 {
+			unread.AnswerQueued(queued, taken)
+			queued++
+		}
+		if !unread.AreIgnored(taken) && unread.Count() > unread.Max && unread.canceled == 0 {
+			t.Fatalf("%d answers unread at %d of %d bytes do not count as ignored", unread.Count(), taken, queued)
+		}
+	})
+}
--- a/test/unread_answers_test.go
+++ b/test/unread_answers_test.go
@@ -60,6 +60,39 @@
 	bed.waitLogged("answers were not read")
 }
 
+// TestCanceledAnswersCloseNoConnection guards against requests that are dropped because their client has left answers
+// unread to others that it had given up: it reads large answers slowly, and at no time has more requests open than it
+// may.
+func TestCanceledAnswersCloseNoConnection(t *testing.T) {
+	large := strings.Repeat("x", unreadBodyBytes)
+	bed := newTestbed(t, func(attempt *receivedRequest) { attempt.Answer("ACK", "tag=t1", large) })
+	bed.start()
+	client := bed.dialSmallBuffer()
+	for id := range uint64(maxUnreadBodies) {
+		client.send(request(id+1, "footage", nil, ""))
+	}
+	bed.waitAttempts(maxUnreadBodies)
+	const rounds = 8
+	const perRound = openPerConnection - maxUnreadBodies
+	id := uint64(maxUnreadBodies)
+	for range rounds {
+		for range perRound {
+			id++
+			client.send(request(id, "status", nil, ""))
+		}
+		time.Sleep(10 * unreadSendPause)
+		for canceled := id - perRound + 1; canceled <= id; canceled++ {
+			client.send(cancelNotification(canceled))
+		}
+		time.Sleep(10 * unreadSendPause)
+	}
+	for n := range maxUnreadBodies + rounds*perRound {
+		if answer, err := client.read(); err != nil || answer.Error != "" {
+			t.Fatalf("answer %d: got error code %q and error %v, want all answered", n+1, answer.Error, err)
+		}
+	}
+}
+
 func testUnreadDNSAnswers(t *testing.T) {
 	bed := newTestbed(t, nil)
 	bed.enableDNS("")
