--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -59,6 +59,7 @@
 	"upstream-connection-reset":     zap.WarnLevel,
 	"upstream-stats":                zap.InfoLevel,
 	"memory-short":                  zap.WarnLevel,
+	"connection-excess-input":       zap.WarnLevel,
 
 	"endpoint-list-stale":         zap.ErrorLevel,
 	"endpoint-list-resumed":       zap.InfoLevel,
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -78,7 +78,7 @@
 		c.countedUnsent += len(part)
 		c.loop.unsentBytes += len(part)
 	}
-	c.output.Set(cap(c.outbound) + c.unsent.held)
+	c.output.Set(cap(c.outbound) + c.unsent.capacity)
 	c.writeAtRoundEnd()
 }
 
--- a/internal/eventloop/eventloop_test.go
+++ b/internal/eventloop/eventloop_test.go
@@ -243,3 +243,49 @@
 		}
 	})
 }
+
+// reservingHandler consumes nothing, and covers a number of the bytes by its own charges.
+type reservingHandler struct{ reserved int }
+
+func (h *reservingHandler) Opened(*Conn)        {}
+func (h *reservingHandler) Received(c *Conn)    { c.ReserveInput(h.reserved) }
+func (h *reservingHandler) Closed(*Conn, error) {}
+
+// TestExcessInputCloses checks that a connection with too much unconsumed input is closed and reported while the memory
+// account is exceeded. It guards against a close for input that its handler has reserved, such as an endpoint's answer.
+func TestExcessInputCloses(t *testing.T) {
+	const inputBytes = 2 * maxExcessInput
+	for _, reserved := range []int{0, inputBytes} {
+		loop, address, runOnLoop := startLoop(t, &reservingHandler{reserved})
+		reports := make(chan int, 1)
+		runOnLoop(func() {
+			loop.OnExcessInput = func(_ net.Addr, bytes int) { reports <- bytes }
+			loop.Memory.NewCharge(memory.Requests, loop.Memory.Limit()+1)
+		})
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if _, err := conn.Write(make([]byte, inputBytes)); err != nil && reserved > 0 {
+			t.Fatal(err)
+		}
+		if reserved == 0 {
+			_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+			if _, err := conn.Read(make([]byte, 1)); err == nil {
+				t.Error("got a byte, want the end of the connection")
+			}
+			if bytes := <-reports; bytes <= maxExcessInput {
+				t.Errorf("got a close reported at %d bytes, want more than %d", bytes, maxExcessInput)
+			}
+			continue
+		}
+		received := 0
+		for end := time.Now().Add(10 * time.Second); received < inputBytes && time.Now().Before(end); {
+			runOnLoop(func() { received = loop.unconsumedBytes })
+		}
+		if received != inputBytes || len(reports) > 0 {
+			t.Errorf("got %d bytes received and %d closes, want %d and none", received, len(reports), inputBytes)
+		}
+	}
+}
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -32,6 +32,9 @@
 	Bind *net.TCPAddr
 	// OnAcceptError is called on the loop for each connection that could not be accepted; nil: errors are ignored.
 	OnAcceptError func(error)
+	// OnExcessInput is called on the loop for each connection that is closed for the bytes that its handler left
+	// unconsumed while the memory account is exceeded; nil: these are not reported.
+	OnExcessInput func(remote net.Addr, bytes int)
 
 	engine         atomic.Pointer[gnet.Engine]
 	gnetLoop       gnet.EventLoop // set before start runs
--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -73,6 +73,9 @@
 	}
 	conn.deliver(data) // often gnet's own buffer: complete messages are not copied
 	if l.Memory.IsExceeded() && len(conn.unconsumed)-conn.reservedInput > maxExcessInput {
+		if l.OnExcessInput != nil {
+			l.OnExcessInput(sock.RemoteAddr(), len(conn.unconsumed))
+		}
 		conn.beginClose()
 		return gnet.Close // OnClose follows and calls the handler's Closed
 	}
--- a/internal/eventloop/relay_test.go
+++ b/internal/eventloop/relay_test.go
@@ -91,10 +91,10 @@
 	}
 	runOnLoop(func() {}) // the round with the last write is over
 	runOnLoop(func() {
-		held, unsent := loop.Memory.Reserved(memory.Output), conn.buffered()
-		if conn.state != connOpen || unsent < answers*answerBytes/2 || held < unsent || held > unsent*5/4 {
+		charged, unsent := loop.Memory.Reserved(memory.Output), conn.buffered()
+		if conn.state != connOpen || unsent < answers*answerBytes/2 || charged < unsent || charged > unsent*5/4 {
 			t.Errorf("got state %v with %d bytes unsent in buffers of %d, want it open, and its buffers charged",
-				conn.state, unsent, held)
+				conn.state, unsent, charged)
 		}
 	})
 	got := make([]byte, answers*answerBytes)
--- a/internal/eventloop/unsent.go
+++ b/internal/eventloop/unsent.go
@@ -21,10 +21,10 @@
 // would register for writability with epoll and close the connection if epoll refuses. The bytes are in chunks that are
 // never grown, and each is released once it is written, so that the memory is in proportion to the bytes.
 type unsentBuffer struct {
-	chunks  [][]byte // none is empty
-	written int      // bytes of the first chunk that the system has accepted
-	bytes   int      // left to write
-	held    int      // capacity of the chunks
+	chunks   [][]byte // none is empty
+	written  int      // bytes of the first chunk that the system has accepted
+	bytes    int      // left to write
+	capacity int      // of the chunks
 }
 
 // len returns the number of bytes left to write.
@@ -46,7 +46,7 @@
 		ownsBuffer = true
 	}
 	b.chunks = append(b.chunks, data)
-	b.held += cap(data)
+	b.capacity += cap(data)
 	return ownsBuffer
 }
 
@@ -79,7 +79,7 @@
 		return
 	}
 	b.written = 0
-	b.held -= cap(first)
+	b.capacity -= cap(first)
 	b.chunks[0] = nil
 	b.chunks = b.chunks[1:]
 	release(first)
@@ -94,7 +94,7 @@
 	if rest := first[b.written:]; isSparse(len(rest), cap(first)) {
 		b.chunks[0] = slices.Clone(rest)
 		b.written = 0
-		b.held += cap(b.chunks[0]) - cap(first)
+		b.capacity += cap(b.chunks[0]) - cap(first)
 	}
 }
 
--- a/internal/eventloop/write.go
+++ b/internal/eventloop/write.go
@@ -78,7 +78,7 @@
 
 // countUnsent updates Loop.unsentBytes with the connection's buffered bytes, and the charge for their buffers.
 func (c *Conn) countUnsent() {
-	c.output.Set(cap(c.outbound) + c.unsent.held)
+	c.output.Set(cap(c.outbound) + c.unsent.capacity)
 	unsent := c.buffered()
 	c.loop.unsentBytes += unsent - c.countedUnsent
 	c.countedUnsent = unsent
--- a/internal/eventloop/write_test.go
+++ b/internal/eventloop/write_test.go
@@ -136,15 +136,16 @@
 			if got := bytes.Join(buffer.chunks, nil)[buffer.written:]; !bytes.Equal(got, model) {
 				t.Fatalf("got %d remaining bytes, want the last %d of those added", len(got), len(model))
 			}
-			held := 0
+			capacity := 0
 			for _, chunk := range buffer.chunks {
-				held += cap(chunk)
+				capacity += cap(chunk)
 			}
-			if held != buffer.held || buffer.len() != len(model) {
-				t.Fatalf("got %d bytes in %d counted, want %d in %d", buffer.len(), buffer.held, len(model), held)
+			if capacity != buffer.capacity || buffer.len() != len(model) {
+				t.Fatalf("got %d bytes in %d counted, want %d in %d",
+					buffer.len(), buffer.capacity, len(model), capacity)
 			}
-			if limit := 2*trimDivisor*len(model) + 2*maxIdleBuffer; held > limit {
-				t.Fatalf("got buffers of %d bytes for %d remaining ones, want at most %d", held, len(model), limit)
+			if limit := 2*trimDivisor*len(model) + 2*maxIdleBuffer; capacity > limit {
+				t.Fatalf("got buffers of %d bytes for %d remaining ones, want at most %d", capacity, len(model), limit)
 			}
 		}
 	})
--- a/internal/frontend/rpc/frame.go
+++ b/internal/frontend/rpc/frame.go
@@ -123,8 +123,8 @@
 }
 
 // countMessages counts the complete messages at the front of data, up to a maximum.
-func countMessages(data []byte, most int) (counted pacing.Waiting) {
-	for counted.Messages < most {
+func countMessages(data []byte, maxMessages int) (counted pacing.Waiting) {
+	for counted.Messages < maxMessages {
 		message, err := readFrame(data)
 		if err != nil {
 			break
--- a/internal/frontend/rpc/pacing/unread.go
+++ b/internal/frontend/rpc/pacing/unread.go
@@ -1,7 +1,7 @@
 package pacing
 
 // UnreadAnswers counts the answers without a body that a client has not read, to decide whether it ignores them. Bodies
-// are bounded by the memory that is admitted for them, but errors and the like are sent without asking.
+// are bounded by the memory that is admitted for them; errors and the like need no admission.
 //
 // A client that keeps the protocol has a limited number of requests open, as it sees it. An answer that it has not read
 // belongs to one of these, or to a request that it has canceled since. So it may leave more answers unread only by
--- a/internal/peer/transport/config.go
+++ b/internal/peer/transport/config.go
@@ -22,7 +22,7 @@
 	MembersFile        string // stores addresses of other members; empty: none
 	Pollers, FleetSize int    // as in bootstrap.Config; a FleetSize of 0 is taken from the platform configuration
 	MaxMembers         int
-	MaxStreamBytes     int      // received on the streams that others have open; 0: a default; not in the block
+	MaxStreamBytes     int      // received on all open streams; 0: a default; not in the block
 	keys               [][]byte // from KeyFile; the first one encrypts
 }
 
--- a/internal/peer/transport/transport.go
+++ b/internal/peer/transport/transport.go
@@ -71,7 +71,7 @@
 	MessagesSent, BytesSent uint64
 	Dropped                 uint64 // in either direction, because a queue was full
 	Rejected                uint64 // received but not valid
-	ClosedStreams           uint64 // opened by others, and closed because too many were open or had sent too much
+	ClosedStreams           uint64 // closed because too many accepted ones were open, or too much was received on all
 }
 
 // Transport holds a proxy's membership in the fleet and exchanges messages with the other members.
@@ -220,7 +220,7 @@
 	return t.view.Members(), counters
 }
 
-// StreamBytes returns the number of bytes that were received on the streams that others have open.
+// StreamBytes returns the number of bytes that were received on all open streams, accepted and dialed.
 func (t *Transport) StreamBytes() int { return t.streams.receivedBytes() }
 
 // AnnounceShutdown starts announcing to the other members that this proxy leaves, and gives up after the timeout.
--- a/internal/proxy/fleet.go
+++ b/internal/proxy/fleet.go
@@ -28,8 +28,8 @@
 	transportRetryPause  = 20 * time.Millisecond
 	// announceTimeout limits the announcement of a shutdown. The proxy keeps serving for at least twice as long.
 	announceTimeout = 450 * time.Millisecond
-	// peerMemoryDivisor divides the memory of the process to get the most that is received on the streams that others
-	// have open to the transport. Its library takes several times as much memory while a message arrives.
+	// peerMemoryDivisor divides the memory of the process to get the most that is received on the transport's open
+	// streams, accepted and dialed. Its library takes several times as much memory while a message arrives.
 	peerMemoryDivisor = 64
 )
 
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -3,6 +3,7 @@
 package proxy
 
 import (
+	"net"
 	"time"
 
 	"sloequay/internal/clock"
@@ -161,6 +162,9 @@
 	loop.Memory = s.memory
 	loop.Bind = settings.bindAddress()
 	loop.OnAcceptError = func(err error) { s.log.Event("accept-failed", "error", err) }
+	loop.OnExcessInput = func(remote net.Addr, bytes int) {
+		s.log.Event("connection-excess-input", "from", remote, "bytes", bytes)
+	}
 	s.resolver = s.newResolver()
 	for _, pool := range s.pools {
 		pool.createConnections(s)
--- a/test/memory_answers_test.go
+++ b/test/memory_answers_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"crypto/tls"
 	"fmt"
 	"net"
 	"strings"
@@ -46,9 +47,16 @@
 // and read the answers slowly. The group ends when all have their answers, or their connections have ended.
 func (bed *testbed) startSlowReaders(clients []int, class string, counts *answerCounts) *sync.WaitGroup {
 	bed.t.Helper()
+	return startSlowReadersOn(clients, class, counts, func() *client {
+		return newClient(bed.t, slowReader{dialWithOptions(bed.t, bed.address, setSmallReceiveBuffer)})
+	})
+}
+
+// startSlowReadersOn is like startSlowReaders, for connections that connect makes.
+func startSlowReadersOn(clients []int, class string, counts *answerCounts, connect func() *client) *sync.WaitGroup {
 	var readers sync.WaitGroup
 	for _, number := range clients {
-		connected := newClient(bed.t, slowReader{dialWithOptions(bed.t, bed.address, setSmallReceiveBuffer)})
+		connected := connect()
 		for index := range openPerConnection {
 			id := writeID(number, index)
 			fields := map[string]string{"txn": hexID(id), "unique": hexID(id), "item": hexID(id), "limit": "20000"}
@@ -118,9 +126,34 @@
 	if attempts != int(served) {
 		t.Errorf("got %d attempts for %d requests served, want none for the rejected ones", attempts, served)
 	}
-	const leastAnswers = 16 // of the largest, for which there is room with 32 MB
-	if served < leastAnswers {
-		t.Errorf("got %d requests served, want at least %d", served, leastAnswers)
+	const minAnswers = 16 // of the largest, for which there is room with 32 MB
+	if served < minAnswers {
+		t.Errorf("got %d requests served, want at least %d", served, minAnswers)
+	}
+}
+
+// TestLargestAnswersByTLS guards against the same as TestLargestAnswersToSlowReaders for clients by TLS, whose answers
+// pass through a relay.
+func TestLargestAnswersByTLS(t *testing.T) {
+	t.Parallel()
+	const clients = 10
+	limit := memoryLimit{32, 256}
+	body := strings.Repeat("x", largestAnswer)
+	bed := newTLSTestbed(t, func(attempt *receivedRequest) { attempt.Answer("ACK", "tag=t1", body) })
+	bed.config["limits"] = limit.config()
+	bed.start()
+	watch := bed.watchMemory(limit.megabytes)
+	var counts answerCounts
+	startSlowReadersOn(numbers(0, clients), "charge", &counts, func() *client {
+		plain := dialWithOptions(t, bed.tlsAddress, setSmallReceiveBuffer)
+		return newClient(t, tls.Client(slowReader{plain}, bed.clientConfig("lane3.lanes.test")))
+	}).Wait()
+	watch.expectWithinLimit()
+	served, attempts := counts.served.Load(), len(bed.attempts())
+	t.Logf("served %d, rejected %d, attempts %d", served, counts.rejected.Load(), attempts)
+	counts.expectServedOrRejected(t)
+	if attempts != int(served) {
+		t.Errorf("got %d attempts for %d requests served, want none for the rejected ones", attempts, served)
 	}
 }
 
