--- a/internal/broker/deadlines.go
+++ b/internal/broker/deadlines.go
@@ -20,8 +20,8 @@
 	return receivedAt + timeout - min(responseMargin, timeout/responseMarginDivisor)
 }
 
-// rejectionDeadline returns the half time of a request, at which it is rejected if no attempt of it has been written:
+// RejectionDeadline returns the half time of a request, at which it is rejected if no attempt of it has been written:
 // a response would hardly arrive in time, and the client can still try another proxy.
-func rejectionDeadline(receivedAt, timeout time.Duration) time.Duration {
+func RejectionDeadline(receivedAt, timeout time.Duration) time.Duration {
 	return receivedAt + timeout/2 - min(rejectionMargin, timeout/rejectionMarginDivisor)
 }
--- a/internal/broker/request.go
+++ b/internal/broker/request.go
@@ -119,7 +119,7 @@
 	request.grant = grant
 	b.open[request.id] = request
 	b.byClientID[request.ID] = request
-	halfTimeAt := rejectionDeadline(request.ReceivedAt, request.Timeout)
+	halfTimeAt := RejectionDeadline(request.ReceivedAt, request.Timeout)
 	b.timers.push(timer{at: request.deadline, kind: deadlineTimer, request: request})
 	b.timers.push(timer{at: halfTimeAt, kind: halfTimeTimer, request: request})
 	b.notify(policy.RequestEvent{
--- a/internal/frontend/rpc/connection.go
+++ b/internal/frontend/rpc/connection.go
@@ -98,28 +98,23 @@
 }
 
 // handleMessages handles complete messages at the front of data. What would have to wait for the connection's turn is
-// rejected, the oldest first, if there is more than the protocol allows or memory is short. When memory is short, an
-// incomplete message is discarded as it arrives.
+// rejected, the oldest first, if there is more than the protocol allows, if half of a request's time has passed, or if
+// memory is short. When memory is short, an incomplete message is discarded as it arrives.
 func (c *connection) handleMessages(data []byte, now time.Duration) (result readResult) {
 	if c.unread.AreIgnored(c.conn.Flushed()) {
 		c.protocolError(&unreadAnswersError{count: c.unread.Count()})
 	}
+	mustReject := 0 // messages at the front of the rest
 	for result.used < len(data) && !c.closed {
 		rest := data[result.used:]
 		mustWait := c.discarded == nil && c.mustWait(now)
-		if mustWait {
-			waiting := countMessages(rest, c.openLimit.MaxWaiting())
-			if c.openLimit.MayWait(len(c.open), waiting) && c.mayKeep(rest) {
-				result.mustWait = true
-				result.waiting = waiting.Requests
-				return result
-			}
-			if c.openLimit.CountWaiting(len(c.open), waiting) == pacing.Close {
-				c.closeOverrun(rest)
+		if mustWait && mustReject == 0 {
+			if mustReject = c.keepWaiting(rest, now, &result); mustReject == 0 {
 				return result
 			}
 		}
 		c.rejectNext = mustWait
+		mustReject = max(0, mustReject-1)
 		size, err := c.handleNext(rest)
 		if errors.Is(err, msgpack.ErrIncomplete) {
 			break
@@ -181,17 +176,6 @@
 	c.failAndClose()
 }
 
-// rejectWaiting rejects the requests that wait for the connection's turn, and returns how many there were. The
-// connection stays open: the system may hold more requests of its client, which a close would drop.
-func (c *connection) rejectWaiting() (rejected int) {
-	rejected = c.waiting
-	c.server.pacedQueue.Remove(&c.pace)
-	c.rejectAll = true
-	c.conn.Redeliver()
-	c.rejectAll = false
-	return rejected
-}
-
 // updateOpen tells the limiter how many requests are open or wait for the connection's turn: a connection that owes a
 // response is not evicted.
 func (c *connection) updateOpen() { c.client.SetOpen(c.server.Now(), len(c.open)+c.waiting) }
--- a/internal/frontend/rpc/frame.go
+++ b/internal/frontend/rpc/frame.go
@@ -122,22 +122,6 @@
 	return header, nil
 }
 
-// countMessages counts the complete messages at the front of data, up to a maximum.
-func countMessages(data []byte, maxMessages int) (counted pacing.Waiting) {
-	for counted.Messages < maxMessages {
-		message, err := readFrame(data)
-		if err != nil {
-			break
-		}
-		data = data[message.size:]
-		counted.Messages++
-		if message.kind == kindRequest {
-			counted.Requests++
-		}
-	}
-	return counted
-}
-
 // handleMessage handles one message at the front of data and returns its size in bytes. It returns
 // msgpack.ErrIncomplete for a message that has not arrived completely; after any other error the connection must be
 // closed.
--- a/internal/frontend/rpc/pacing/pacing.go
+++ b/internal/frontend/rpc/pacing/pacing.go
@@ -13,7 +13,7 @@
 //   - Connections get their turns in the order in which they began to wait. A connection that still has messages after
 //     its turn goes to the end of the queue.
 //   - A connection is timed out if and only if it has waited longer than Limits.MaxWait. Its messages are then
-//     rejected.
+//     rejected. It is expired if one of them has to be rejected earlier.
 //   - A connection is in the queue at most once.
 //
 // Bounds: one list element for each waiting connection. The package does no I/O and reads no clock. It is not safe for
@@ -55,6 +55,7 @@
 
 	element     *list.Element // in Queue.waiting; nil: the connection does not wait for a turn
 	queuedAt    time.Duration // when the connection began to wait for its turn
+	rejectAt    time.Duration // when a message that waits must be rejected
 	allowance   int           // messages that may still be handled in the current turn
 	unreadSince time.Duration // the earliest arrival of the oldest unread message; 0: none is unread
 }
@@ -94,6 +95,16 @@
 	return longest, now - longest.queuedAt
 }
 
+// Expired returns the waiting connections with a message that must be rejected now, the longest waiting first.
+func (q *Queue[Owner]) Expired(now time.Duration) (expired []*Connection[Owner]) {
+	for element := q.waiting.Front(); element != nil; element = element.Next() {
+		if connection := element.Value.(*Connection[Owner]); now >= connection.rejectAt {
+			expired = append(expired, connection)
+		}
+	}
+	return expired
+}
+
 // StartRound begins a round, in which each connection that is waiting now gets one turn until the round's messages are
 // used up.
 func (q *Queue[Owner]) StartRound() {
@@ -135,6 +146,9 @@
 	return element.Value.(*Connection[Owner])
 }
 
+// RejectAt sets the time at which the first of the waiting messages must be rejected unless it was handled before.
+func (c *Connection[Owner]) RejectAt(at time.Duration) { c.rejectAt = at }
+
 // IsWaiting reports whether the connection waits for a turn.
 func (c *Connection[Owner]) IsWaiting() bool { return c.element != nil }
 
--- a/internal/frontend/rpc/pacing/pacing_test.go
+++ b/internal/frontend/rpc/pacing/pacing_test.go
@@ -126,6 +126,28 @@
 	}
 }
 
+// TestExpired checks that exactly the waiting connections whose message has to be rejected are expired, in their order.
+func TestExpired(t *testing.T) {
+	queue := NewQueue[int](Limits{MaxWait: 2 * time.Second})
+	var connections []*Connection[int]
+	for owner, at := range []time.Duration{30, 10, 20, 40} {
+		connection := &Connection[int]{Owner: owner}
+		connection.RejectAt(at)
+		connections = append(connections, connection)
+		queue.Admit(1, connection)
+	}
+	queue.Remove(connections[1])
+	for now, want := range map[time.Duration][]int{19: nil, 20: {2}, 35: {0, 2}, 40: {0, 2, 3}} {
+		var got []int
+		for _, expired := range queue.Expired(now) {
+			got = append(got, expired.Owner)
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("at %d: got connections %v expired, want %v", now, got, want)
+		}
+	}
+}
+
 // TestEarliestArrival checks that messages which were left unread count as having arrived when the first of them may
 // have arrived.
 func TestEarliestArrival(t *testing.T) {
--- a/internal/frontend/rpc/rpc.go
+++ b/internal/frontend/rpc/rpc.go
@@ -125,10 +125,15 @@
 	for {
 		timedOut, waited := s.pacedQueue.TimedOut(now)
 		if timedOut == nil {
-			return
+			break
 		}
 		c := timedOut.Owner
 		rejected := c.rejectWaiting()
 		s.Log("client-rate-limited", "from", c.caller.Remote, "waited", waited, "rejected", rejected)
 	}
+	for _, expired := range s.pacedQueue.Expired(now) {
+		c := expired.Owner
+		rejected := c.rejectExpired()
+		s.Log("client-rate-limited", "from", c.caller.Remote, "expired", rejected)
+	}
 }
--- a/test/paced_requests_test.go
+++ b/test/paced_requests_test.go
@@ -100,6 +100,14 @@
 		bed.sendCharges(func() {}).expectServedOrRejected(t)
 		bed.waitLogMatches(`event=client-rate-limited from=\S+ waited=\S+ rejected=[1-9]`)
 	})
+	t.Run("clients wait for less than messages may", func(t *testing.T) {
+		t.Parallel()
+		bed := newPacedTestbed(t, 1)
+		for neighbour := range waitingNeighbours {
+			bed.sendBadTokens(neighbour)
+		}
+		bed.expectAnsweredInTime()
+	})
 	t.Run("planned restart", func(t *testing.T) {
 		t.Parallel()
 		bed := newPacedTestbed(t, 1)
@@ -111,6 +119,29 @@
 	})
 }
 
+// expectAnsweredInTime has a client send requests with short timeouts, and fails the test unless each is answered in
+// its time.
+func (bed *pacedTestbed) expectAnsweredInTime() {
+	bed.t.Helper()
+	const requests = 8
+	const timeout = 600 * time.Millisecond
+	connected := bed.dial()
+	fields := map[string]string{"token": bed.token, "limit": fmt.Sprint(timeout.Milliseconds())}
+	sentAt := time.Now()
+	for id := range uint64(requests) {
+		fields["txn"] = hexID(id + 1)
+		connected.send(request(id+1, "lookup", fields, ""))
+	}
+	for range requests {
+		answer, err := connected.read()
+		if took := time.Since(sentAt); err != nil || took > timeout {
+			bed.t.Fatalf("got error code %q and error %v after %v, want an answer within %v", answer.Error, err, took,
+				timeout)
+		}
+	}
+	bed.waitLogMatches(`event=client-rate-limited from=\S+ expired=[1-9]`)
+}
+
 // sendBadTokens connects a client that sends some charges with invalid tokens at once, and reads no answer.
 func (bed *pacedTestbed) sendBadTokens(client int) {
 	bed.t.Helper()
@@ -118,7 +149,8 @@
 	var batch []byte
 	for index := range uint64(neighbourMessages) {
 		bad := fmt.Sprintf("%s%08d", bed.token[:len(bed.token)-8], uint64(client)<<8+index)
-		fields := map[string]string{"token": bad, "txn": hexID(1<<40 + writeID(client, int(index))), "unique": "n"}
+		fields := map[string]string{"token": bad, "txn": hexID(1<<40 + writeID(client, int(index))), "unique": "n",
+			"limit": "20000"}
 		batch = append(batch, request(index+1, "charge", fields, "")...)
 	}
 	if _, err := connected.conn.Write(batch); err != nil {
