--- a/test/cancellation_test.go
+++ b/test/cancellation_test.go
@@ -26,15 +26,15 @@
 	one, two := bed.dial(), bed.dial()
 	longLimit := map[string]string{"limit": "60000"} // otherwise the deadline would cancel the attempts
 	one.send(request(1, "footage", longLimit, ""))
-	first := <-pending
+	first := nextReceived(t, pending)
 	one.send(cancelNotification(1))
 	waitCancellations(1)
 	two.send(request(2, "footage", longLimit, ""))
-	<-pending
+	nextReceived(t, pending)
 	_ = two.conn.Close()
 	waitCancellations(2)
 	one.send(request(3, "footage", map[string]string{"txn": first.ID}, "")) // the id of the canceled attempt
-	second := <-pending
+	second := nextReceived(t, pending)
 	first.Answer("ACK", "-", "old")
 	second.Answer("ACK", "-", "new")
 	if diff := cmp.Diff(reply{ID: 3, Body: "new", Fields: map[string]string{}}, one.mustRead()); diff != "" {
--- a/test/commands_test.go
+++ b/test/commands_test.go
@@ -90,7 +90,7 @@
 	bed.start()
 	client := bed.dial()
 	client.send(request(1, "lookup", map[string]string{"team": "lanes", "limit": "60000"}, ""))
-	attempt := <-pending
+	attempt := nextReceived(t, pending)
 	out, err := run("--show")
 	expect(out, err, "version 1, 1 open, 1 of 1 tenants", "capacity 200 open", "lanes +open +- +7 +6 +-",
 		"installation +requests +100/s", "lanes has 1 open")
--- a/test/harness_load_test.go
+++ b/test/harness_load_test.go
@@ -48,7 +48,7 @@
 func (o *openRequests) answerAll() {
 	o.testbed.t.Helper()
 	for range openClients * requestsPerClient {
-		answerDone(<-o.pending)
+		answerDone(nextReceived(o.testbed.t, o.pending))
 	}
 	for _, client := range o.clients {
 		seen := map[uint64]bool{}
