--- a/internal/broker/attempt.go
+++ b/internal/broker/attempt.go
@@ -147,6 +147,7 @@
 		Endpoint: event.Attempt.Endpoint,
 		Address:  event.Address,
 		Body:     event.Body,
+		OwnsBody: event.OwnsBody,
 		Fields:   event.Fields,
 	}
 }
--- a/internal/broker/events.go
+++ b/internal/broker/events.go
@@ -24,6 +24,8 @@
 	Address string // of the connection that the response arrived on
 	Body    []byte
 	Fields  []Field
+	// OwnsBody says that Body is not shared, so that it may be kept beyond the round.
+	OwnsBody bool
 	// BodyDropped says that the body was not kept, because memory is short or the request ignores it.
 	BodyDropped bool
 	// MayHaveRun says that the response may have been a repeat of the response to an earlier attempt, so this attempt
--- a/internal/broker/response.go
+++ b/internal/broker/response.go
@@ -18,6 +18,7 @@
 	Endpoint   *Endpoint     // the endpoint that served the request
 	Address    string        // the address of Endpoint that the response came from
 	Body       []byte        // of ResponseServed
+	OwnsBody   bool          // whether Body may be kept beyond the round
 	Fields     []Field       // sent by the endpoint with its response
 	RetryAfter time.Duration // of ResponseRejected: how long the client should wait; 0: no advice
 	Budget     string        // of ResponseRejected: the exhausted budget; empty: none
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -82,6 +82,20 @@
 	c.writeAtRoundEnd()
 }
 
+// SendBody is Send for a header, a body and a trailer, of which it takes over the body instead of copying it.
+func (c *Conn) SendBody(header, body, trailer []byte) {
+	c.Send(header)
+	if c.state != connOpen {
+		return
+	}
+	c.outboundToUnsent()
+	c.unsent.own(body)
+	c.queued += uint64(len(body))
+	c.countedUnsent += len(body)
+	c.loop.unsentBytes += len(body)
+	c.Send(trailer)
+}
+
 // RequestWrite requests a write at the end of the round, even if nothing was sent yet. It is for a handler that is a
 // Composer.
 func (c *Conn) RequestWrite() {
--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -145,9 +145,14 @@
 // chargeInput charges the buffer of unconsumed bytes, but for those that are charged elsewhere.
 func (c *Conn) chargeInput() { c.input.Set(max(0, cap(c.unconsumed)-c.reservedInput)) }
 
-// keepUnconsumed keeps the bytes of In that the handler did not consume. If they are few, a large buffer is replaced by
-// a smaller one, so that the memory used is in proportion to them.
+// keepUnconsumed keeps the bytes of In that the handler did not consume. The buffer gets the size that the handler has
+// reserved at once, as growing it would leave several times as much to the garbage collector. If the bytes are few, a
+// large buffer is replaced by a smaller one, so that the memory used is in proportion to them.
 func (c *Conn) keepUnconsumed() {
+	if c.reservedInput > cap(c.unconsumed) {
+		c.unconsumed = append(make([]byte, 0, c.reservedInput), c.In...)
+		return
+	}
 	isLarge := cap(c.unconsumed) > maxIdleBuffer
 	if isLarge && len(c.In) < cap(c.unconsumed)/trimDivisor {
 		c.unconsumed = append([]byte(nil), c.In...)
@@ -159,8 +164,8 @@
 // Consume removes the first n bytes of In. Handlers call it in Received.
 func (c *Conn) Consume(n int) { c.In = c.In[n:] }
 
-// ReserveInput tells the loop that the handler's own charges cover n of the bytes that it leaves unconsumed in this
-// call of Received.
+// ReserveInput tells the loop that the handler's own charges cover the n bytes of an incomplete message, whose front it
+// leaves unconsumed in this call of Received.
 func (c *Conn) ReserveInput(n int) { c.reservedInput = n }
 
 // DeferRead tells the loop that this call of Received has done nothing and needs no round. The handler calls it in
--- a/internal/eventloop/unsent.go
+++ b/internal/eventloop/unsent.go
@@ -50,6 +50,17 @@
 	return ownsBuffer
 }
 
+// own appends data as a chunk of its own, without a copy.
+func (b *unsentBuffer) own(data []byte) {
+	if len(data) == 0 {
+		return
+	}
+	data = data[:len(data):len(data)] // so that nothing is appended to it
+	b.bytes += len(data)
+	b.capacity += cap(data)
+	b.chunks = append(b.chunks, data)
+}
+
 // writeTo writes to a socket until the system accepts nothing more. It calls release with each chunk that is written,
 // and returns no error if the system accepts nothing now or lacks a resource.
 func (b *unsentBuffer) writeTo(descriptor int, release func([]byte)) error {
--- a/internal/frontend/rpc/response.go
+++ b/internal/frontend/rpc/response.go
@@ -31,11 +31,11 @@
 func (c *connection) sendResponse(messageID uint32, response broker.Response) {
 	switch response.Kind {
 	case broker.ResponseServed:
-		c.sendResult(messageID, response.Body, response.Fields)
+		c.sendResult(messageID, &response, response.Fields)
 	case broker.ResponseNotModified:
 		fields := response.Fields[:len(response.Fields):len(response.Fields)]
 		fields = append(fields, broker.Field{Name: fieldNotModified, Value: notModified})
-		c.sendResult(messageID, response.Body, fields)
+		c.sendResult(messageID, &response, fields)
 	case broker.ResponseRejected:
 		c.sendRejection(messageID, response)
 	case broker.ResponseFailed:
@@ -45,12 +45,17 @@
 	}
 }
 
-// sendResult sends [1, ID, nil, [BODY, FIELDS]]. The body is not copied.
-func (c *connection) sendResult(messageID uint32, body []byte, fields []broker.Field) {
+// sendResult sends [1, ID, nil, [BODY, FIELDS]].
+func (c *connection) sendResult(messageID uint32, response *broker.Response, fields []broker.Field) {
 	header := msgpack.AppendNil(appendResponseHeader(nil, messageID))
 	header = msgpack.AppendArrayHeader(header, 2)
-	header = msgpack.AppendBinaryHeader(header, len(body))
-	c.conn.Send(header, body, appendFields(nil, fields))
+	header = msgpack.AppendBinaryHeader(header, len(response.Body))
+	trailer := appendFields(nil, fields)
+	if response.OwnsBody {
+		c.conn.SendBody(header, response.Body, trailer)
+	} else {
+		c.conn.Send(header, response.Body, trailer)
+	}
 }
 
 // sendStatus sends [1, ID, nil, [READY, {}]]. READY tells whether the proxy wants new clients.
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -42,14 +42,18 @@
 	smallOwnerBytes = 16 << 10
 	// progressDivisor divides the limit to get the most that an owner has while its work is continued up to the limit.
 	progressDivisor = 8
+	// baseBytes is the memory of the process that is not committed to others: the program's own state, and garbage that
+	// the collector has not got to. If the process has little memory, 1/minCommittableDivisor of it is committed.
+	baseBytes             = 16 << 20
+	minCommittableDivisor = 4
 	// committedNumerator / committedDenominator is the limit on the charges and reserves together, as a fraction of the
-	// memory of the process.
-	committedNumerator   = 11
-	committedDenominator = 16
-	// reservingNumerator / reservingDenominator is the fraction of the memory of the process up to which new work with
-	// a reserve is admitted. The rest of the limit is for work without one, as reserves are seldom used up.
-	reservingNumerator   = 5
-	reservingDenominator = 8
+	// memory of the process that may be committed.
+	committedNumerator   = 3
+	committedDenominator = 4
+	// reservingNumerator / reservingDenominator is the fraction of the same up to which new work with a reserve is
+	// admitted. The rest of the limit is for work without one, as reserves are seldom used up.
+	reservingNumerator   = 11
+	reservingDenominator = 16
 	// largeOwnerNumerator / largeOwnerDenominator is the fraction of that for an owner with more than 1/progressDivisor
 	// of it.
 	largeOwnerNumerator   = 3
@@ -130,13 +134,16 @@
 	return committed <= a.reservingLimit(after.sum())
 }
 
+// committable returns the memory of the process that may be committed to others.
+func (a *Account) committable() int { return max(a.process-baseBytes, a.process/minCommittableDivisor) }
+
 // committedLimit returns the limit on the charges and reserves together.
-func (a *Account) committedLimit() int { return a.process / committedDenominator * committedNumerator }
+func (a *Account) committedLimit() int { return a.committable() / committedDenominator * committedNumerator }
 
 // reservingLimit returns the sum of charges and reserves up to which new work with a reserve is admitted for an owner
 // that then has the given bytes.
 func (a *Account) reservingLimit(ownerBytes int) int {
-	limit := a.process / reservingDenominator * reservingNumerator
+	limit := a.committable() / reservingDenominator * reservingNumerator
 	if ownerBytes > limit/progressDivisor {
 		limit = limit / largeOwnerDenominator * largeOwnerNumerator
 	}
--- a/internal/upstream/dropped_response.go
+++ b/internal/upstream/dropped_response.go
@@ -35,7 +35,7 @@
 	if !c.reserveBody(outstanding.attempt, line.bodyLength) {
 		return false
 	}
-	c.conn.ReserveInput(line.bodyLength)
+	c.conn.ReserveInput(line.size())
 	return true
 }
 
--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -2,12 +2,16 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"sloequay/internal/broker"
 	"sloequay/internal/eventloop"
 )
 
+// maxRoundBody is the size in bytes of the largest body that is copied to buffers which the rounds reuse.
+const maxRoundBody = 32 << 10
+
 // Received handles the responses that have arrived completely.
 func (c *connection) Received(conn *eventloop.Conn) {
 	now := c.pool.Now()
@@ -122,16 +126,27 @@
 		}
 		c.history.addAnswered(now, response.id, response.digest)
 	}
-	ended.Body = c.pool.Loop.CopyForRound(ended.Body) // valid until the end of the round
-	if ended.End.Succeeded() && attempt.Open() {
-		attempt.Request.Answer.Release() // the copy is charged instead
-	}
+	c.copyBody(&ended)
 	c.pool.Emit(ended)
 	delete(c.attempts, response.id)
 	c.lastUsedAt = now
 	return nil
 }
 
+// copyBody copies the body of a response. A small one uses buffers that are reused, is valid until the end of the
+// round, and charged to the loop. A large one belongs to the request, and stays charged to it.
+func (c *connection) copyBody(ended *broker.AttemptEnded) {
+	if len(ended.Body) > maxRoundBody {
+		ended.Body = slices.Clone(ended.Body)
+		ended.OwnsBody = true
+		return
+	}
+	ended.Body = c.pool.Loop.CopyForRound(ended.Body)
+	if attempt := ended.Attempt; ended.End.Succeeded() && attempt.Open() {
+		attempt.Request.Answer.Release()
+	}
+}
+
 // confirmRepeated handles a response with the same digest as the previous one under its id. It may be a duplicate of
 // that one while the attempt is still in flight. So the attempt is canceled, and ends as this response says once the
 // endpoint has read the cancellation.
