--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -138,7 +138,9 @@
 func (a *Account) committable() int { return max(a.process-baseBytes, a.process/minCommittableDivisor) }
 
 // committedLimit returns the limit on the charges and reserves together.
-func (a *Account) committedLimit() int { return a.committable() / committedDenominator * committedNumerator }
+func (a *Account) committedLimit() int {
+	return a.committable() / committedDenominator * committedNumerator
+}
 
 // reservingLimit returns the sum of charges and reserves up to which new work with a reserve is admitted for an owner
 // that then has the given bytes.
