--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -121,7 +121,8 @@
 // Reserved returns the sum of all charges of a kind, in bytes.
 func (a *Account) Reserved(kind Kind) int { return a.reserved[kind] }
 
-// Admits reports whether an owner that has own already may begin new work that takes more.
+// Admits reports whether an owner that has own already may begin new work that takes more. The reserves of others don't
+// keep a small owner from work without one.
 func (a *Account) Admits(own, more Need) bool {
 	after := own.Plus(more)
 	if a.total+more.Bytes > a.admissionLimit(after.Bytes) {
@@ -129,7 +130,7 @@
 	}
 	committed := a.total + a.reserves + more.sum()
 	if more.Reserve == 0 {
-		return committed <= a.committedLimit()
+		return after.Bytes <= smallOwnerBytes || committed <= a.committedLimit()
 	}
 	return committed <= a.reservingLimit(after.sum())
 }
