--- a/internal/frontend/rpc/answersize/answersize.go
+++ b/internal/frontend/rpc/answersize/answersize.go
@@ -18,7 +18,7 @@
 	// MaxBytes is the size of the largest answer of the protocol.
 	MaxBytes = 240_000
 	// unknownBytes is the estimate before the first answer of a class.
-	unknownBytes = 32 << 10
+	unknownBytes = 8 << 10
 	// smallBytes is an answer's size that does not depend on the size of the object.
 	smallBytes = 4 << 10
 	// minStatedKB is the least size of an object that a ratio is computed for. Clients need not state a size.
--- a/internal/memory/memory.go
+++ b/internal/memory/memory.go
@@ -166,15 +166,18 @@
 
 // Fits reports whether work that was admitted may take more bytes for an owner that has own.
 func (a *Account) Fits(own, more int) bool {
-	if a.total+a.reserves+more > a.committedLimit() {
-		return false
-	}
 	if own+more <= a.limit/progressDivisor {
 		return a.total+more <= a.limit
 	}
 	return a.total+more <= a.limit/admissionDivisor
 }
 
+// fitsBeyondReserve reports whether a charge may take more bytes than it has reserved, which must leave room for the
+// reserves of others.
+func (a *Account) fitsBeyondReserve(more int) bool {
+	return a.Fits(0, more) && a.total+a.reserves+more <= a.committedLimit()
+}
+
 // IsExceeded reports whether the charges exceed the limit.
 func (a *Account) IsExceeded() bool { return a.total > a.limit }
 
@@ -224,7 +227,7 @@
 	}
 	fromReserve := min(c.reserve, bytes-c.bytes)
 	more := bytes - c.bytes - fromReserve
-	if more > 0 && (c.account == nil || !c.account.Fits(0, more)) {
+	if more > 0 && (c.account == nil || !c.account.fitsBeyondReserve(more)) {
 		return false
 	}
 	c.SetReserve(c.reserve - fromReserve)
